--- /dev/null
+++ b/internal/blackboard/board.go
@@ -0,0 +1,71 @@
+package blackboard
+
+import (
+	"net/netip"
+	"time"
+
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/table"
+)
+
+// Board is all state that a node's controllers share.
+type Board struct {
+	// Members is written by the membership controller.
+	Members *Cell[membership.View]
+	// Machines is the platform's list as last read, written by the machine list
+	// controller. It lags.
+	Machines *Cell[[]platform.Machine]
+	// Table is the version in force here, nil before the first. It is written by
+	// the table controller, which never stores an older version over a newer one.
+	Table *Cell[*table.Table]
+	// Backends is keyed by back-end name and written by the back-end controller;
+	// in-flight counts are written by serving.
+	Backends *Map[string, Backend]
+	// Owners is what this node knows of who owns a shard: a hint that may be stale.
+	Owners *Map[identity.ShardID, Owner]
+	// Draining is true once this node has begun a planned stop.
+	Draining *Cell[bool]
+}
+
+// Backend is one back end as this node sees it.
+type Backend struct {
+	Name    string
+	Role    platform.MachineRole
+	Address netip.AddrPort
+	Zone    identity.Zone
+	Service string
+	// Leaving is true from the first sign: the machine list, the back end's own
+	// report or a refusal.
+	Leaving bool
+	Health  scheduling.Health
+	Report  backend.LoadReport
+	// ReportedAt is when Report was read, on this node's clock.
+	ReportedAt time.Time
+	// PrefillRate and DecodeRate are observed, in tokens per second.
+	PrefillRate float64
+	DecodeRate  float64
+	Latency     time.Duration
+}
+
+// Owner is a hint of who owns a shard.
+type Owner struct {
+	Node  identity.Reference
+	Peer  netip.AddrPort
+	Epoch identity.Epoch
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board {
+	return &Board{
+		Members:  NewCell(membership.View{}),
+		Machines: NewCell[[]platform.Machine](nil),
+		Table:    NewCell[*table.Table](nil),
+		Backends: NewMap[string, Backend](),
+		Owners:   NewMap[identity.ShardID, Owner](),
+		Draining: NewCell(false),
+	}
+}
--- /dev/null
+++ b/internal/journal/contract.go
@@ -0,0 +1,79 @@
+// Package journal makes the records of shards last on nodes that keep nothing.
+//
+// One log stream per shard holds claims and records; what the log does not hold
+// yet (the tail) is held in memory by the shard's replica set. The rules are
+// pure and live in this package without I/O; Manager runs them.
+//
+// Invariants:
+//   - Log order decides: the first valid claim of an epoch wins, and a record
+//     behind a higher claim is void (fenced).
+//   - A record counts as held once two of the three replicas of the epoch's
+//     replica set hold it.
+//   - An owner serves only while its lease, granted by two of three replicas,
+//     has not run out on the owner's own monotonic clock.
+//   - A replica is named with its incarnation: one that restarted is another.
+package journal
+
+import (
+	"context"
+	"errors"
+
+	"stepseam.example/stepseam/internal/identity"
+)
+
+// ErrNotOwner tells that this node does not hold the shard, or not any more.
+// What was handed to Append with it may or may not be held.
+var ErrNotOwner = errors.New("journal: not the owner of the shard")
+
+// ErrNotHeld tells that a record could not be made to last; it is certain that
+// no later owner will see it as valid. Only AppendDurable returns it.
+var ErrNotHeld = errors.New("journal: record not held")
+
+// ErrUnknown tells that a record may or may not last.
+var ErrUnknown = errors.New("journal: unknown whether the record is held")
+
+// StateMachine is folded from a shard's records. The journal calls it under the
+// shard's own order: Restore at most once, first, then Apply per record.
+type StateMachine interface {
+	// Apply takes one record. Records are those given to Append, in order.
+	Apply(record []byte) error
+	// Snapshot returns a state that Restore turns back into the same machine.
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error
+}
+
+// Shard is one shard that this node owns, in one epoch. It is safe for
+// concurrent use. Once Lost is closed every method fails with ErrNotOwner.
+type Shard interface {
+	ID() identity.ShardID
+	Epoch() identity.Epoch
+	// Enqueue puts records at the journal's end in the order of the calls, which
+	// the caller keeps under its own shard lock, and returns at once. The wait
+	// returns nil once two of three replicas hold them (or the log does).
+	Enqueue(records ...[]byte) (wait func(ctx context.Context) error, err error)
+	// EnqueueDurable is Enqueue with a wait that returns nil only once the
+	// records stand in the log and were read back as valid there. The wait fails
+	// with ErrNotHeld (never valid, for certain) or ErrUnknown.
+	EnqueueDurable(records ...[]byte) (wait func(ctx context.Context) error, err error)
+	// CheckLease returns nil while this node may act as the owner. It is asked
+	// right before every dispatch and every answer.
+	CheckLease() error
+	// Lost is closed when the shard is given up or taken over.
+	Lost() <-chan struct{}
+}
+
+// Host is told by the Manager which shards this node comes to own. Calls for
+// one shard do not overlap.
+type Host interface {
+	// NewStateMachine returns the empty machine that recovery fills.
+	NewStateMachine(shard identity.ShardID) StateMachine
+	// Opened hands over a shard that was claimed and recovered. The host serves
+	// it until Lost is closed.
+	Opened(shard Shard, machine StateMachine)
+	// Closing asks the host to finish before a planned hand-over: it stops taking
+	// calls for the shard (answering them with not run and a short time to come
+	// back, or leaving them to the gateway's retry), and returns once the calls
+	// that are under way can be taken over by the next owner without a cut: their
+	// engine streams go on and the next owner resumes them.
+	Closing(ctx context.Context, shard Shard)
+}
--- /dev/null
+++ b/internal/membership/contract.go
@@ -0,0 +1,38 @@
+// Package membership tells each node which nodes live, with constant cost per
+// node: UDP probing with indirect probes, suspicion, incarnations and updates
+// that ride on the probes. State is pure; Runner puts it on a socket.
+package membership
+
+import (
+	"stepseam.example/stepseam/internal/identity"
+)
+
+// Status is what is known of a member.
+type Status uint8
+
+// The statuses of members. A leaving member still answers but wants no shards.
+const (
+	Alive Status = iota + 1
+	Suspect
+	Leaving
+	Dead
+)
+
+// Member is one node as this node sees it.
+type Member struct {
+	Node   identity.Node
+	Status Status
+	// TableVersion is the table version in force there; it rides on the probes.
+	TableVersion uint64
+	// OwnedShards is the number of shards it owns, for status displays.
+	OwnedShards uint32
+}
+
+// View is all members as this node sees them, sorted by name; it includes this
+// node itself. Dead members are left out. Version rises with each change of the
+// set, a status or an incarnation.
+type View struct {
+	Self    identity.Reference
+	Version uint64
+	Members []Member
+}
