Read and check a node's settings in full before it starts

Cause: a node learns its addresses and zone from a file or flags, and a faulty file must be reported whole, with places, before anything starts.

Change: internal/settings reads YAML over defaults with flags on top.

Weighed: goccy's strict struct decoding stops at the first unknown field, so it is used per value only.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/samber/lo"
+)
+
+// Load reads the file that flags name, if any, lays the flags over it and
+// checks the whole. Faults come back together as a *FindingsError.
+func Load(flags Flags) (Settings, error) {
+	if flags.File == "" {
+		return Parse("", nil, flags)
+	}
+	content, err := os.ReadFile(flags.File)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(flags.File, content, flags)
+}
+
+// Parse is Load with the file's name and content at hand.
+func Parse(name string, content []byte, flags Flags) (Settings, error) {
+	result := Default()
+	reader := newReader(name)
+	file, err := parser.ParseBytes(content, 0, parser.AllowDuplicateMapKey()) // reader reports repeated keys itself
+	if err != nil {
+		return Settings{}, &FindingsError{Findings: []Finding{syntaxFinding(name, err)}}
+	}
+	documents := lo.Filter(file.Docs, func(d *ast.DocumentNode, _ int) bool { return d.Body != nil })
+	if len(documents) > 1 {
+		reader.add(documents[1].Body, "", "a second document; a settings file holds one")
+	}
+	if len(documents) > 0 {
+		reader.read(documents[0].Body, &result)
+	}
+	overrides, findings := flags.overrides()
+	reader.findings = append(reader.findings, findings...)
+	for _, o := range overrides {
+		reader.override(o, &result)
+	}
+	reader.findings = append(reader.findings, check(result, reader)...)
+	if len(reader.findings) > 0 {
+		return Settings{}, &FindingsError{Findings: reader.findings}
+	}
+	return result, nil
+}
+
+func syntaxFinding(name string, err error) Finding {
+	var fault yaml.Error
+	if errors.As(err, &fault) && fault.GetToken() != nil {
+		return Finding{
+			Place:   fmt.Sprintf("%s:%d", name, fault.GetToken().Position.Line),
+			Message: "not YAML: " + fault.GetMessage(),
+		}
+	}
+	return Finding{Place: name, Message: "not YAML: " + err.Error()}
+}
