--- a/internal/scheduling/contract.go
+++ b/internal/scheduling/contract.go
@@ -77,6 +77,11 @@
 	Excluded []string
 	// LastBackend is where the branch's previous call ran.
 	LastBackend string
+	// ExpectedTokens is the class's usual answer length as observed, 0 if unknown.
+	ExpectedTokens int
+	// Turn is the node's running count of decisions. Only RoundRobin reads it,
+	// so that it needs no state of its own.
+	Turn uint64
 }
 
 // Action is what to do with a call.
@@ -98,7 +103,10 @@
 	// RetryAfter is when a refused caller should come back, or when a held call
 	// is looked at again.
 	RetryAfter time.Duration
-	// Candidates are the back ends weighed, best first, with their cost.
+	// Priority is handed to the back end with the call; higher runs first there.
+	Priority int
+	// Candidates are the best back ends weighed, best first, with their cost;
+	// at most MaxCandidates of them.
 	Candidates []Candidate
 }
 
--- /dev/null
+++ b/internal/scheduling/eligible.go
@@ -0,0 +1,151 @@
+package scheduling
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// MaxCandidates bounds how many weighed back ends a Decision lists.
+const MaxCandidates = 5
+
+const (
+	// noBackendRetry is when to come back while no back end can serve a call. A
+	// replacement is announced by the machine list, which lags by seconds.
+	noBackendRetry = 5 * time.Second
+	// trialRetry is when a held call is looked at again while the only back ends
+	// left are on probation and busy with their trial.
+	trialRetry = 250 * time.Millisecond
+)
+
+// ineligible tells why a back end may not take call; empty if it may.
+//
+// A back end that is leaving, ejected, excluded by an earlier failure, of
+// another service or without the model is never chosen by any policy. One on
+// probation takes a single call at a time.
+func ineligible(call *Call, backend *Backend) string {
+	switch {
+	case backend.Leaving:
+		return "leaving"
+	case backend.Health == Ejected:
+		return "ejected"
+	case call.Service != "" && backend.Service != call.Service:
+		return "other service"
+	case call.Model != "" && !backend.ServesModel:
+		return "model not loaded"
+	case len(call.Excluded) > 0 && slices.Contains(call.Excluded, backend.Name):
+		return "failed this call before"
+	case backend.Health == Probation && backend.OwnInFlight > 0:
+		return "on probation, trial under way"
+	default:
+		return ""
+	}
+}
+
+// weighed is a back end with its cost, before the decision is written down.
+type weighed struct {
+	index int
+	cost  float64
+}
+
+// ranking keeps the MaxCandidates cheapest back ends in order. It allocates nothing.
+type ranking struct {
+	best  [MaxCandidates]weighed
+	count int
+	// eligible counts all that were offered.
+	eligible int
+}
+
+// offer takes a back end into the ranking if it is cheap enough. Equal costs
+// keep the order in which they were offered, which makes decisions repeatable.
+func (r *ranking) offer(index int, cost float64) {
+	r.eligible++
+	if r.count == MaxCandidates && cost >= r.best[r.count-1].cost {
+		return
+	}
+	if r.count < MaxCandidates {
+		r.count++
+	}
+	position := r.count - 1
+	for position > 0 && r.best[position-1].cost > cost {
+		r.best[position] = r.best[position-1]
+		position--
+	}
+	r.best[position] = weighed{index: index, cost: cost}
+}
+
+// choose ranks the eligible back ends by cost and returns the decision to run
+// on the cheapest one.
+func choose(call *Call, backends []Backend, cost func(*Backend) float64, note func(*Backend) string) Decision {
+	var ranked ranking
+	for i := range backends {
+		if ineligible(call, &backends[i]) == "" {
+			ranked.offer(i, cost(&backends[i]))
+		}
+	}
+	if ranked.count == 0 {
+		return withoutBackend(call, backends)
+	}
+	decision := Decision{Action: Run, Backend: backends[ranked.best[0].index].Name}
+	decision.Candidates = make([]Candidate, ranked.count)
+	for i, entry := range ranked.best[:ranked.count] {
+		backend := &backends[entry.index]
+		decision.Candidates[i] = Candidate{Backend: backend.Name, Cost: entry.cost, Note: note(backend)}
+	}
+	decision.Reason = fmt.Sprintf("best of %d: %s", ranked.eligible, decision.Candidates[0].Note)
+	return decision
+}
+
+// withoutBackend is the decision where no back end may take the call: hold it
+// if a trial under way may free one within moments, else refuse.
+func withoutBackend(call *Call, backends []Backend) Decision {
+	trials := 0
+	reasons := map[string]int{}
+	for i := range backends {
+		reason := ineligible(call, &backends[i])
+		reasons[reason]++
+		if backends[i].Health == Probation && reason != "" && !backends[i].Leaving &&
+			!slices.Contains(call.Excluded, backends[i].Name) &&
+			(call.Model == "" || backends[i].ServesModel) &&
+			(call.Service == "" || backends[i].Service == call.Service) {
+			trials++
+		}
+	}
+	if trials > 0 {
+		return Decision{
+			Action:     Hold,
+			RetryAfter: trialRetry,
+			Reason:     fmt.Sprintf("waits for the trial of %d back ends on probation", trials),
+		}
+	}
+	return Decision{
+		Action:     Refuse,
+		RetryAfter: noBackendRetry,
+		Reason:     fmt.Sprintf("none of %d back ends can take the call%s", len(backends), tally(reasons)),
+	}
+}
+
+// tally writes counted reasons in a fixed order, most frequent first.
+func tally(reasons map[string]int) string {
+	type counted struct {
+		reason string
+		count  int
+	}
+	all := make([]counted, 0, len(reasons))
+	for reason, count := range reasons {
+		all = append(all, counted{reason, count})
+	}
+	slices.SortFunc(all, func(a, b counted) int {
+		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.reason, b.reason))
+	})
+	text := ""
+	for i, entry := range all {
+		separator := ", "
+		if i == 0 {
+			separator = ": "
+		}
+		text += fmt.Sprintf("%s%d %s", separator, entry.count, entry.reason)
+	}
+	return text
+}
