--- a/internal/emulator/logservice/view.go
+++ b/internal/emulator/logservice/view.go
@@ -39,6 +39,13 @@
 	v.service.wakeReaders()
 }
 
+// Faults returns the faults that this caller alone meets.
+func (v *View) Faults() Faults {
+	v.service.mutex.Lock()
+	defer v.service.mutex.Unlock()
+	return v.faults
+}
+
 // SetDown cuts this caller off from the service, or connects it again.
 func (v *View) SetDown(down bool) {
 	v.service.mutex.Lock()
--- /dev/null
+++ b/internal/emulator/machinelist/list.go
@@ -0,0 +1,198 @@
+// Package machinelist is a stand-in for the platform's list of live and leaving
+// machines. What the list shows lags behind what was set. Its core runs inside
+// a testing/synctest bubble; Server puts it on HTTP.
+package machinelist
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"stepseam.example/stepseam/internal/platform"
+)
+
+// Faults describes how the list misbehaves. The zero value is a faultless list
+// without lag.
+type Faults struct {
+	// Down refuses everything with platform.ErrUnavailable.
+	Down bool `yaml:"down" json:"down"`
+	// Lag is how long a change takes to show.
+	Lag time.Duration `yaml:"lag" json:"lag" validate:"gte=0"`
+	// Delay is the time that an answer takes.
+	Delay time.Duration `yaml:"delay" json:"delay" validate:"gte=0"`
+}
+
+// List is the core of the machine list.
+type List struct {
+	// mutex guards everything below.
+	mutex  sync.Mutex
+	faults Faults
+	views  map[string]*View
+	// history holds the lists that were true, oldest first; the first one is
+	// shown, or was, and later ones may be.
+	history []version
+}
+
+// version is the list as it was true from since on.
+type version struct {
+	since    time.Time
+	machines []platform.Machine
+}
+
+var _ platform.MachineList = (*List)(nil)
+
+// New returns a list that shows machines from the start, whatever the lag.
+func New(machines []platform.Machine) *List {
+	return &List{
+		views:   make(map[string]*View),
+		history: []version{{machines: sorted(machines)}},
+	}
+}
+
+// SetFaults replaces the faults. A longer lag never brings back what has
+// already been dropped as too old.
+func (l *List) SetFaults(faults Faults) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.faults = faults
+}
+
+// Faults returns the faults that all callers meet.
+func (l *List) Faults() Faults {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.faults
+}
+
+// Replace sets the whole list; it shows after the lag.
+func (l *List) Replace(machines []platform.Machine) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.change(sorted(machines))
+}
+
+// Put adds machine or replaces the one of its name; it shows after the lag.
+func (l *List) Put(machine platform.Machine) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.change(sorted(append(without(l.latest(), machine.Name), machine)))
+}
+
+// Remove takes the machine name off the list; it shows after the lag.
+func (l *List) Remove(name string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.change(without(l.latest(), name))
+}
+
+// SetState marks a machine as live or leaving; it shows after the lag. It
+// returns false if the machine is not listed.
+func (l *List) SetState(name string, state platform.MachineState) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	machines := slices.Clone(l.latest())
+	at := slices.IndexFunc(machines, func(m platform.Machine) bool { return m.Name == name })
+	if at < 0 {
+		return false
+	}
+	machines[at].State = state
+	l.change(machines)
+	return true
+}
+
+// Latest returns the list without lag: the truth that checkers read.
+func (l *List) Latest() []platform.Machine {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Clone(l.latest())
+}
+
+// Machines implements platform.MachineList for a caller without its own view.
+func (l *List) Machines(ctx context.Context) ([]platform.Machine, error) {
+	return l.ViewFor("").Machines(ctx)
+}
+
+// latest returns the newest list. The caller holds mutex.
+func (l *List) latest() []platform.Machine { return l.history[len(l.history)-1].machines }
+
+// change adds a new version. The caller holds mutex.
+func (l *List) change(machines []platform.Machine) {
+	l.history = append(l.history, version{since: time.Now(), machines: machines})
+	l.shown()
+}
+
+// shown returns the list that callers see now and drops older ones. The caller
+// holds mutex.
+func (l *List) shown() []platform.Machine {
+	visible := time.Now().Add(-l.faults.Lag)
+	for len(l.history) > 1 && !l.history[1].since.After(visible) {
+		l.history = l.history[1:]
+	}
+	return l.history[0].machines
+}
+
+// View is the list as one caller sees it.
+type View struct {
+	list *List
+	// down is guarded by list.mutex.
+	down bool
+}
+
+var _ platform.MachineList = (*View)(nil)
+
+// ViewFor returns the view of the caller name, the same one on every call.
+func (l *List) ViewFor(name string) *View {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	view := l.views[name]
+	if view == nil {
+		view = &View{list: l}
+		l.views[name] = view
+	}
+	return view
+}
+
+// SetDown cuts this caller off from the list, or connects it again.
+func (v *View) SetDown(down bool) {
+	v.list.mutex.Lock()
+	defer v.list.mutex.Unlock()
+	v.down = down
+}
+
+// Machines implements platform.MachineList.
+func (v *View) Machines(ctx context.Context) ([]platform.Machine, error) {
+	machines, delay, err := v.look()
+	if err != nil || delay == 0 {
+		return machines, err
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return machines, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("machinelist: %w: %w", platform.ErrAnswerLost, ctx.Err())
+	}
+}
+
+func (v *View) look() ([]platform.Machine, time.Duration, error) {
+	v.list.mutex.Lock()
+	defer v.list.mutex.Unlock()
+	if v.down || v.list.faults.Down {
+		return nil, 0, fmt.Errorf("machinelist: %w", platform.ErrUnavailable)
+	}
+	return slices.Clone(v.list.shown()), v.list.faults.Delay, nil
+}
+
+func sorted(machines []platform.Machine) []platform.Machine {
+	return slices.SortedFunc(slices.Values(machines), func(a, b platform.Machine) int {
+		return strings.Compare(a.Name, b.Name)
+	})
+}
+
+func without(machines []platform.Machine, name string) []platform.Machine {
+	return slices.DeleteFunc(slices.Clone(machines), func(m platform.Machine) bool { return m.Name == name })
+}
--- /dev/null
+++ b/internal/emulator/tools/tools.go
@@ -0,0 +1,108 @@
+// Package tools is a stand-in for the tool services that programs call between
+// their model calls: slow, sometimes failing, sometimes hanging. Its core runs
+// inside a testing/synctest bubble; NewServer puts it on HTTP.
+package tools
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// ErrFailed tells that the tool ran and failed.
+var ErrFailed = errors.New("tools: the tool failed")
+
+// Options sets how the tools behave. Probabilities are between 0 and 1.
+type Options struct {
+	Seed uint64 `yaml:"seed" json:"seed"`
+	// MinimumLatency and MaximumLatency bound a call's evenly drawn time.
+	MinimumLatency time.Duration `yaml:"minimum_latency" json:"minimum_latency" validate:"gte=0"`
+	MaximumLatency time.Duration `yaml:"maximum_latency" json:"maximum_latency" validate:"gtefield=MinimumLatency"`
+	// Fail is the chance of a failure, Hang that of never answering.
+	Fail float64 `yaml:"fail" json:"fail" validate:"gte=0,lte=1"`
+	Hang float64 `yaml:"hang" json:"hang" validate:"gte=0,lte=1"`
+}
+
+// DefaultOptions returns tools that take 50 to 200 ms and never fail.
+func DefaultOptions() Options {
+	return Options{Seed: 1, MinimumLatency: 50 * time.Millisecond, MaximumLatency: 200 * time.Millisecond}
+}
+
+// Result is what a tool returns.
+type Result struct {
+	Tool   string          `json:"tool"`
+	Number uint64          `json:"number"`
+	Input  json.RawMessage `json:"input,omitempty"`
+}
+
+// Service is the core of the tool service.
+type Service struct {
+	// mutex guards everything below.
+	mutex   sync.Mutex
+	options Options
+	random  *rand.Rand
+	calls   map[string]uint64
+}
+
+// New returns a tool service.
+func New(options Options) *Service {
+	return &Service{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		calls:   make(map[string]uint64),
+	}
+}
+
+// SetOptions replaces the behaviour of coming calls; the seed stays.
+func (s *Service) SetOptions(options Options) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.options = options
+}
+
+// Calls returns how often each tool was called.
+func (s *Service) Calls() map[string]uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	copied := make(map[string]uint64, len(s.calls))
+	for tool, count := range s.calls {
+		copied[tool] = count
+	}
+	return copied
+}
+
+// Call runs tool. A call that hangs ends with ctx alone.
+func (s *Service) Call(ctx context.Context, tool string, input json.RawMessage) (Result, error) {
+	number, latency, fails, hangs := s.draw(tool)
+	if hangs {
+		<-ctx.Done()
+		return Result{}, fmt.Errorf("tools: %s hangs: %w", tool, ctx.Err())
+	}
+	timer := time.NewTimer(latency)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return Result{}, fmt.Errorf("tools: %s: %w", tool, ctx.Err())
+	}
+	if fails {
+		return Result{}, fmt.Errorf("%w: %s", ErrFailed, tool)
+	}
+	return Result{Tool: tool, Number: number, Input: input}, nil
+}
+
+// draw counts a call and decides its course.
+func (s *Service) draw(tool string) (number uint64, latency time.Duration, fails, hangs bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls[tool]++
+	span := s.options.MaximumLatency - s.options.MinimumLatency
+	latency = s.options.MinimumLatency + time.Duration(s.random.Float64()*float64(span))
+	fails = s.random.Float64() < s.options.Fail
+	hangs = s.random.Float64() < s.options.Hang
+	return s.calls[tool], latency, fails, hangs
+}
--- /dev/null
+++ b/internal/emulator/weightstore/store.go
@@ -0,0 +1,110 @@
+// Package weightstore is a stand-in for the platform's rate-limited store of
+// model weights. Fetches run one after the other at a fixed rate. Its core runs
+// inside a testing/synctest bubble; NewServer puts it on HTTP.
+package weightstore
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"stepseam.example/stepseam/internal/platform"
+)
+
+// Options sets the store's size and speed.
+type Options struct {
+	// BytesPerSecond is the rate that all fetches share.
+	BytesPerSecond int64 `yaml:"bytes_per_second" json:"bytes_per_second" validate:"gt=0"`
+	// ModelBytes gives the size of each model's weights.
+	ModelBytes map[string]int64 `yaml:"model_bytes" json:"model_bytes" validate:"dive,gt=0"`
+	// DefaultBytes is the size of a model that ModelBytes lacks.
+	DefaultBytes int64 `yaml:"default_bytes" json:"default_bytes" validate:"gt=0"`
+}
+
+// DefaultOptions returns a store of eight gigabytes a second and models of
+// sixteen gigabytes.
+func DefaultOptions() Options {
+	return Options{BytesPerSecond: 8 << 30, DefaultBytes: 16 << 30}
+}
+
+// Store is the core of the weight store.
+type Store struct {
+	options Options
+	// mutex guards everything below.
+	mutex sync.Mutex
+	down  bool
+	// busyUntil is when the fetches that were accepted so far are done.
+	busyUntil time.Time
+	fetches   uint64
+}
+
+var _ platform.WeightStore = (*Store)(nil)
+
+// New returns an idle store.
+func New(options Options) *Store { return &Store{options: options} }
+
+// SetDown switches an outage of the store.
+func (s *Store) SetDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
+// Fetches returns the number of fetches that were accepted.
+func (s *Store) Fetches() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.fetches
+}
+
+// Wait implements platform.WeightStore.
+func (s *Store) Wait(ctx context.Context, _, _ string) (time.Duration, error) {
+	if ctx.Err() != nil {
+		return 0, fmt.Errorf("weightstore: %w: %w", platform.ErrUnavailable, ctx.Err())
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return 0, fmt.Errorf("weightstore: %w", platform.ErrUnavailable)
+	}
+	return max(0, time.Until(s.busyUntil)), nil
+}
+
+// Fetch takes a turn for the weights of model and returns once they are
+// through. The turn is used up even if ctx ends before.
+func (s *Store) Fetch(ctx context.Context, model, version string) error {
+	done, err := s.reserve(model)
+	if err != nil {
+		return err
+	}
+	timer := time.NewTimer(time.Until(done))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("weightstore: fetch %s %s: %w: %w", model, version, platform.ErrAnswerLost, ctx.Err())
+	}
+}
+
+// reserve queues a fetch and returns when it is done.
+func (s *Store) reserve(model string) (time.Time, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return time.Time{}, fmt.Errorf("weightstore: fetch %s: %w", model, platform.ErrUnavailable)
+	}
+	size, known := s.options.ModelBytes[model]
+	if !known {
+		size = s.options.DefaultBytes
+	}
+	now := time.Now()
+	if s.busyUntil.Before(now) {
+		s.busyUntil = now
+	}
+	seconds := float64(size) / float64(s.options.BytesPerSecond)
+	s.busyUntil = s.busyUntil.Add(time.Duration(seconds * float64(time.Second)))
+	s.fetches++
+	return s.busyUntil, nil
+}
