Add relays that cut, delay and heal links between processes

Cause: process tests need cut links without rights on the machine's network. Weighed: closing connections at a cut. Ruled out: a failed switch sends no reset, and silence is the harder case. Left: nothing here.

--- /dev/null
+++ b/internal/emulator/link/tcp.go
@@ -0,0 +1,194 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Sizes of one direction's buffer: what is under way on the emulated link.
+const (
+	chunkBytes   = 32 << 10
+	chunksQueued = 64
+)
+
+// Route says whom a relay stands between.
+type Route struct {
+	// From names the caller; empty takes the caller's IP number.
+	From string
+	// To names the target's endpoint.
+	To string
+	// Listen is where the relay listens; port 0 takes a free one.
+	Listen netip.AddrPort
+	// Target is where the relay passes everything on to.
+	Target netip.AddrPort
+}
+
+// Relay passes traffic on until it is closed.
+type Relay struct {
+	address netip.AddrPort
+	cancel  context.CancelFunc
+	close   func() error
+	// running counts the relay's goroutines.
+	running sync.WaitGroup
+}
+
+// Address returns where the relay listens.
+func (r *Relay) Address() netip.AddrPort { return r.address }
+
+// Close ends the relay with all its connections and waits for them.
+func (r *Relay) Close() error {
+	r.cancel()
+	err := r.close()
+	r.running.Wait()
+	return err
+}
+
+// RelayTCP starts a relay of TCP connections.
+func (n *Network) RelayTCP(route Route) (*Relay, error) {
+	listener, err := net.Listen("tcp", route.Listen.String())
+	if err != nil {
+		return nil, fmt.Errorf("link: relay to %s: %w", route.To, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	relay := &Relay{address: address, cancel: cancel, close: listener.Close}
+	relay.running.Go(func() { n.accept(ctx, relay, listener, route) })
+	return relay, nil
+}
+
+func (n *Network) accept(ctx context.Context, relay *Relay, listener net.Listener, route Route) {
+	for {
+		caller, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		relay.running.Go(func() { n.relayConnection(ctx, caller.(*net.TCPConn), route) })
+	}
+}
+
+// relayConnection connects caller to the target once both ways are open, as a
+// handshake needs both, and pumps until either side ends.
+func (n *Network) relayConnection(ctx context.Context, caller *net.TCPConn, route Route) {
+	defer caller.Close()
+	way := direction{from: sourceName(route, caller.RemoteAddr()), to: route.To}
+	if !n.awaitOpen(ctx, way) || !n.awaitOpen(ctx, way.reversed()) {
+		return
+	}
+	dialed, err := (&net.Dialer{}).DialContext(ctx, "tcp", route.Target.String())
+	if err != nil {
+		return
+	}
+	target := dialed.(*net.TCPConn)
+	defer target.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		_ = caller.Close()
+		_ = target.Close()
+	})
+	defer stop()
+	var pumps sync.WaitGroup
+	pumps.Go(func() { n.pump(ctx, cancel, pipe{from: caller, to: target, way: way}) })
+	pumps.Go(func() { n.pump(ctx, cancel, pipe{from: target, to: caller, way: way.reversed()}) })
+	pumps.Wait()
+}
+
+// pipe is one direction of a relayed connection.
+type pipe struct {
+	from, to *net.TCPConn
+	way      direction
+}
+
+// chunk is what was read at once; the last one is empty and carries how the
+// reading ended.
+type chunk struct {
+	bytes []byte
+	read  time.Time
+	// broken is true on a last chunk that ended with a reset, not an end of file.
+	broken bool
+}
+
+// pump carries one direction. An end of the stream travels like its bytes, so
+// that it is held back by a cut too.
+func (n *Network) pump(ctx context.Context, cancel context.CancelFunc, p pipe) {
+	chunks := make(chan chunk, chunksQueued)
+	var reader sync.WaitGroup
+	reader.Go(func() { readChunks(ctx, p.from, chunks) })
+	defer reader.Wait()
+	for next := range chunks {
+		if !n.carry(ctx, p.way, next.read) {
+			return
+		}
+		if len(next.bytes) == 0 {
+			if next.broken {
+				cancel()
+				return
+			}
+			_ = p.to.CloseWrite()
+			return
+		}
+		if _, err := p.to.Write(next.bytes); err != nil {
+			cancel()
+			return
+		}
+	}
+}
+
+// carry waits out the delay and any cut of way.
+func (n *Network) carry(ctx context.Context, way direction, read time.Time) bool {
+	due := read.Add(n.condition(way).Delay)
+	if wait := time.Until(due); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return n.awaitOpen(ctx, way)
+}
+
+// readChunks reads from until it ends and closes chunks.
+func readChunks(ctx context.Context, from *net.TCPConn, chunks chan<- chunk) {
+	defer close(chunks)
+	for {
+		buffer := make([]byte, chunkBytes)
+		count, err := from.Read(buffer)
+		now := time.Now()
+		if count > 0 && !send(ctx, chunks, chunk{bytes: buffer[:count], read: now}) {
+			return
+		}
+		if err != nil {
+			send(ctx, chunks, chunk{read: now, broken: !errors.Is(err, io.EOF)})
+			return
+		}
+	}
+}
+
+func send(ctx context.Context, chunks chan<- chunk, next chunk) bool {
+	select {
+	case chunks <- next:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// sourceName returns the name by which a caller's conditions are looked up.
+func sourceName(route Route, address net.Addr) string {
+	if route.From != "" {
+		return route.From
+	}
+	parsed, err := netip.ParseAddrPort(address.String())
+	if err != nil {
+		return address.String()
+	}
+	return parsed.Addr().Unmap().String()
+}
