Read, check and order versions of the operators' table

Cause: operators keep the fleet in a spreadsheet and race each other in publishing it; every node must come to the same version from the log alone.

Ledger folds the table stream: the first valid record on the current base wins, losers keep the version that beat them, repeated ids are dropped.

A record of a newer release stops the fold: skipping it would let two releases number later versions differently.

Left: a cold site reads the stream from its start.

--- /dev/null
+++ b/internal/table/ledger.go
@@ -0,0 +1,239 @@
+package table
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/wire"
+)
+
+// Status tells what became of a publication.
+type Status string
+
+// The statuses of publications.
+const (
+	// Accepted: the first valid one on the version that was current.
+	Accepted Status = "accepted"
+	// Lost: another one was accepted on the same base before it.
+	Lost Status = "lost"
+	// Refused: the table has findings, or names a base that was never accepted.
+	Refused Status = "refused"
+)
+
+// Entry is one publication in the ledger's history.
+type Entry struct {
+	Offset    platform.Offset
+	ID        string
+	Base      Version
+	Author    string
+	Note      string
+	Published time.Time
+	Status    Status
+	// Version is the entry's own version if it was accepted; if it lost, the
+	// version that won on its base.
+	Version Version
+	// Reason says why a table was refused.
+	Reason string
+	// Digest is a hash of the CSV.
+	Digest uint64
+}
+
+// historyLength is the number of publications that a ledger remembers. It
+// bounds the ledger's size, and is part of the rule: a repeated id is dropped
+// if it is among them. An older repeat loses all the same, for its base is old.
+const historyLength = 256
+
+// maximumText bounds each text of an entry, in bytes.
+const maximumText = 2048
+
+// Ledger folds the records of the table stream in offset order. It is a pure
+// function of the stream's first Next() records: of two ledgers of one stream
+// the one that has folded more is right, and a node that takes it from another
+// node comes to the state it would have read itself. Not safe for concurrent use.
+type Ledger struct {
+	next    platform.Offset
+	current *Table
+	csv     []byte
+	history []Entry
+}
+
+// NewLedger returns the ledger of an empty stream.
+func NewLedger() *Ledger { return &Ledger{} }
+
+// Next returns the offset of the next record to fold.
+func (l *Ledger) Next() platform.Offset { return l.next }
+
+// Current returns the accepted table with the highest version, or nil.
+func (l *Ledger) Current() *Table { return l.current }
+
+// CSV returns the current table as its author wrote it.
+func (l *Ledger) CSV() []byte { return l.csv }
+
+// Version returns the current version, 0 before the first.
+func (l *Ledger) Version() Version {
+	if l.current == nil {
+		return 0
+	}
+	return l.current.Version
+}
+
+// History returns the remembered publications, oldest first.
+func (l *Ledger) History() []Entry { return append([]Entry(nil), l.history...) }
+
+// Find returns what became of the publication with id.
+func (l *Ledger) Find(id string) (Entry, bool) {
+	for _, entry := range l.history {
+		if entry.ID == id {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Winner returns the publication that was accepted on base.
+func (l *Ledger) Winner(base Version) (Entry, bool) {
+	for _, entry := range l.history {
+		if entry.Status == Accepted && entry.Base == base {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Fold takes the record at Next(). Bytes that are no record are passed over.
+// It fails only with ErrNewerFormat, and then stays where it is.
+func (l *Ledger) Fold(raw []byte) error {
+	record, err := DecodeRecord(raw)
+	if errors.Is(err, ErrNewerFormat) {
+		return fmt.Errorf("table: offset %d: %w", l.next, err)
+	}
+	offset := l.next
+	l.next++
+	if err != nil {
+		return nil
+	}
+	if _, repeated := l.Find(record.ID); repeated {
+		return nil
+	}
+	l.remember(l.judge(offset, record))
+	return nil
+}
+
+// judge decides about one publication and takes it in force if it is accepted.
+func (l *Ledger) judge(offset platform.Offset, record Record) Entry {
+	entry := Entry{
+		Offset: offset, ID: record.ID, Base: record.Base, Author: clip(record.Author), Note: clip(record.Note),
+		Published: record.Published, Digest: xxhash.Sum64(record.CSV),
+	}
+	if record.Base < l.Version() {
+		entry.Status, entry.Version = Lost, record.Base+1
+		return entry
+	}
+	if record.Base > l.Version() {
+		entry.Status = Refused
+		entry.Reason = fmt.Sprintf("names base %d, the current version is %d", record.Base, l.Version())
+		return entry
+	}
+	parsed, err := Parse(record.CSV)
+	if err != nil {
+		entry.Status, entry.Reason = Refused, clip(err.Error())
+		return entry
+	}
+	entry.Status, entry.Version = Accepted, record.Base+1
+	l.accept(parsed, entry, record.CSV)
+	return entry
+}
+
+// clip bounds what the history keeps of texts.
+func clip(text string) string {
+	if len(text) <= maximumText {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maximumText], "") + "…"
+}
+
+func (l *Ledger) accept(parsed *Table, entry Entry, csv []byte) {
+	parsed.Version, parsed.Base, parsed.ID = entry.Version, entry.Base, entry.ID
+	parsed.Author, parsed.Note, parsed.Published = entry.Author, entry.Note, entry.Published
+	l.current, l.csv = parsed, bytes.Clone(csv)
+}
+
+func (l *Ledger) remember(entry Entry) {
+	l.history = append(l.history, entry)
+	if len(l.history) > historyLength {
+		l.history = append([]Entry(nil), l.history[1:]...)
+	}
+}
+
+// Encode appends the ledger's whole state, for a node that is behind.
+func (l *Ledger) Encode(e *wire.Encoder) {
+	e.Uint64(uint64(l.next))
+	e.Blob(l.csv)
+	e.Bool(l.current != nil)
+	if l.current != nil {
+		l.currentEntry().encode(e)
+	}
+	e.Uint32(uint32(len(l.history)))
+	for _, entry := range l.history {
+		entry.encode(e)
+	}
+}
+
+func (l *Ledger) currentEntry() Entry {
+	t := l.current
+	return Entry{
+		ID: t.ID, Base: t.Base, Author: t.Author, Note: t.Note, Published: t.Published,
+		Status: Accepted, Version: t.Version, Digest: xxhash.Sum64(l.csv),
+	}
+}
+
+// smallestEntry is the least number of bytes of an encoded entry.
+const smallestEntry = 64
+
+// DecodeLedger reads what Encode wrote.
+func DecodeLedger(d *wire.Decoder) (*Ledger, error) {
+	l := &Ledger{next: platform.Offset(d.Uint64())}
+	csv := d.Blob()
+	if d.Bool() {
+		entry := decodeEntry(d)
+		parsed, err := Parse(csv)
+		if err != nil {
+			return nil, fmt.Errorf("table: ledger of a peer: %w", err)
+		}
+		l.accept(parsed, entry, csv)
+	}
+	for range d.Count(smallestEntry) {
+		l.history = append(l.history, decodeEntry(d))
+	}
+	if d.Err() != nil {
+		return nil, fmt.Errorf("table: ledger of a peer: %w", d.Err())
+	}
+	return l, nil
+}
+
+func (entry Entry) encode(e *wire.Encoder) {
+	e.Uint64(uint64(entry.Offset))
+	e.String(entry.ID)
+	e.Uint64(uint64(entry.Base))
+	e.String(entry.Author)
+	e.String(entry.Note)
+	e.Time(entry.Published)
+	e.String(string(entry.Status))
+	e.Uint64(uint64(entry.Version))
+	e.String(entry.Reason)
+	e.Uint64(entry.Digest)
+}
+
+func decodeEntry(d *wire.Decoder) Entry {
+	return Entry{
+		Offset: platform.Offset(d.Uint64()), ID: d.String(), Base: Version(d.Uint64()), Author: d.String(),
+		Note: d.String(), Published: d.Time(), Status: Status(d.String()), Version: Version(d.Uint64()),
+		Reason: d.String(), Digest: d.Uint64(),
+	}
+}
