Add the stand-ins of model engines and application replicas

Weighed: evicting whole prefixes was ruled out, as an engine that caches in blocks loses the tail first. Admission in strict order was kept over letting short prompts pass long ones, which could starve the long ones.

Measured: the property over the cache's accounts first failed with 'held 201, used 201, capacity 200', because what a key holds beyond the match was counted twice as room; it passes since. Tests pass, also with -race.

Left: HTTP faces, HTTP clients, tests of each fault.

--- /dev/null
+++ b/internal/emulator/application/application.go
@@ -0,0 +1,301 @@
+// Package application is the stand-in of an application replica, such as a
+// portal: an in-process core that implements backend.Application, and an HTTP
+// face for it (NewServer).
+//
+// Operations are read-only or unrepeatable. The replica counts every execution
+// by its key; that ledger is the truth about double execution and can be shared
+// by the replicas of one application. Faults are injected by SetFaults. All time
+// goes through package time, so it runs in a synctest bubble.
+package application
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepseam.example/stepseam/internal/backend"
+)
+
+// Effect tells whether running an operation twice matters.
+type Effect string
+
+// The effects of operations.
+const (
+	ReadOnly     Effect = "read_only"
+	Unrepeatable Effect = "unrepeatable"
+)
+
+// Operation is what a replica can do under one name.
+type Operation struct {
+	Effect Effect `yaml:"effect" validate:"oneof=read_only unrepeatable"`
+	// The time it takes lies between the two, the effect stands in the middle.
+	ShortestLatency time.Duration `yaml:"shortest_latency" validate:"min=0"`
+	LongestLatency  time.Duration `yaml:"longest_latency" validate:"gtefield=ShortestLatency"`
+}
+
+// Faults are what is wrong with a replica. The zero value is a sound replica.
+type Faults struct {
+	// Down: requests do not arrive, answers under way break.
+	Down bool `json:"down"`
+	// Refuse: requests are refused before they run.
+	Refuse bool `json:"refuse"`
+	// HangBefore and HangAfter: requests never end, before or after their effect,
+	// until the fault goes.
+	HangBefore bool `json:"hang_before"`
+	HangAfter  bool `json:"hang_after"`
+	// LoseAnswers is the share of requests whose effect happens and whose answer
+	// is lost; LoseNext loses the next answers for certain.
+	LoseAnswers float64 `json:"lose_answers" minimum:"0" maximum:"1"`
+	LoseNext    int     `json:"lose_next" minimum:"0"`
+	// Slow multiplies the latency; 0 and 1 leave it.
+	Slow float64 `json:"slow" minimum:"0" maximum:"10000"`
+}
+
+// Answer is the JSON answer of an operation.
+type Answer struct {
+	Operation string `json:"operation"`
+	// Execution counts the executions of this key or, without one, of this operation.
+	Execution int    `json:"execution"`
+	Replica   string `json:"replica"`
+	Receipt   string `json:"receipt"`
+	// Input is the request's body.
+	Input json.RawMessage `json:"input,omitempty"`
+}
+
+// Application is one stand-in replica. It is safe for concurrent use.
+type Application struct {
+	parameters Parameters
+	ledger     *Ledger
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	draining bool
+	// changed is closed when the faults change, broken when connections break.
+	changed chan struct{}
+	broken  chan struct{}
+	// life is closed by Close.
+	life   chan struct{}
+	closed bool
+}
+
+// New returns a replica that counts in ledger; nil makes a ledger of its own.
+func New(parameters Parameters, ledger *Ledger) (*Application, error) {
+	if err := parameters.Validate(); err != nil {
+		return nil, err
+	}
+	if ledger == nil {
+		ledger = NewLedger(parameters.MaxTruth)
+	}
+	return &Application{
+		parameters: parameters,
+		ledger:     ledger,
+		random:     rand.New(rand.NewPCG(parameters.Seed, xxhash.Sum64String(parameters.Name))),
+		changed:    make(chan struct{}),
+		broken:     make(chan struct{}),
+		life:       make(chan struct{}),
+	}, nil
+}
+
+// Name returns the replica's name.
+func (a *Application) Name() string { return a.parameters.Name }
+
+// Ledger returns the record of executions.
+func (a *Application) Ledger() *Ledger { return a.ledger }
+
+// Close breaks all connections and refuses all further work.
+func (a *Application) Close() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.closed {
+		return
+	}
+	a.closed = true
+	close(a.life)
+	a.breakConnections()
+	a.noteChange()
+}
+
+// SetDraining makes the replica refuse new work and finish what runs.
+func (a *Application) SetDraining(draining bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.draining = draining
+}
+
+// Draining tells whether the replica refuses new work.
+func (a *Application) Draining() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.draining
+}
+
+// Faults returns what is wrong at the moment.
+func (a *Application) Faults() Faults {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.faults
+}
+
+// SetFaults replaces the faults. What hung goes on when its fault goes, also if
+// its caller gave up meanwhile.
+func (a *Application) SetFaults(faults Faults) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.faults = faults
+	if faults.Down {
+		a.breakConnections()
+	}
+	a.noteChange()
+}
+
+func (a *Application) noteChange() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+func (a *Application) breakConnections() {
+	close(a.broken)
+	a.broken = make(chan struct{})
+}
+
+// Invoke implements backend.Application. The operation runs to its end also if
+// ctx ends first, as it would at a real replica.
+func (a *Application) Invoke(ctx context.Context, request backend.InvokeRequest) ([]byte, error) {
+	operation, broken, err := a.accept(ctx, request)
+	if err != nil {
+		return nil, fmt.Errorf("application %s: %s: %w", a.parameters.Name, request.Operation, err)
+	}
+	type outcome struct {
+		answer []byte
+		err    error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		answer, err := a.run(request, operation)
+		done <- outcome{answer: answer, err: err}
+	}()
+	select {
+	case result := <-done:
+		err = result.err
+		if err == nil {
+			return result.answer, nil
+		}
+	case <-broken:
+		err = backend.ErrBroken
+	case <-ctx.Done():
+		err = fmt.Errorf("%w: %w", backend.ErrBroken, ctx.Err())
+	}
+	return nil, fmt.Errorf("application %s: %s: %w", a.parameters.Name, request.Operation, err)
+}
+
+// accept decides whether the replica takes the request.
+func (a *Application) accept(ctx context.Context, request backend.InvokeRequest) (Operation, <-chan struct{}, error) {
+	if err := ctx.Err(); err != nil {
+		return Operation{}, nil, fmt.Errorf("%w: %w", backend.ErrNotDelivered, err)
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.faults.Down || a.closed {
+		return Operation{}, nil, backend.ErrNotDelivered
+	}
+	if a.draining {
+		return Operation{}, nil, fmt.Errorf("%w: %w", backend.ErrRefused, backend.ErrDraining)
+	}
+	if a.faults.Refuse {
+		return Operation{}, nil, fmt.Errorf("%w: the replica refuses all work", backend.ErrRefused)
+	}
+	operation, known := a.parameters.Operations[request.Operation]
+	if !known {
+		return Operation{}, nil, fmt.Errorf("%w: unknown operation %q", backend.ErrRefused, request.Operation)
+	}
+	if len(request.Body) > 0 && !json.Valid(request.Body) {
+		return Operation{}, nil, fmt.Errorf("%w: the input is not JSON", backend.ErrRefused)
+	}
+	return operation, a.broken, nil
+}
+
+// run carries the operation out: half the latency, the effect, the other half.
+func (a *Application) run(request backend.InvokeRequest, operation Operation) ([]byte, error) {
+	latency := a.latency(operation)
+	if !a.sleep(latency/2) || !a.awaitFault(func(faults Faults) bool { return faults.HangBefore }) {
+		return nil, backend.ErrBroken
+	}
+	execution := a.ledger.execute(a.parameters.Name, request, operation.Effect)
+	if !a.sleep(latency-latency/2) || !a.awaitFault(func(faults Faults) bool { return faults.HangAfter }) || a.loseAnswer() {
+		return nil, fmt.Errorf("%w: the answer was lost", backend.ErrBroken)
+	}
+	answer, err := json.Marshal(Answer{
+		Operation: request.Operation, Execution: execution, Replica: a.parameters.Name,
+		Receipt: receipt(request), Input: request.Body,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", backend.ErrBroken, err)
+	}
+	return answer, nil
+}
+
+// receipt is a number that names the action, the same for a repeat of its key.
+func receipt(request backend.InvokeRequest) string {
+	hash := xxhash.New()
+	_, _ = fmt.Fprintf(hash, "%q %q", request.Operation, request.IdempotencyKey)
+	if request.IdempotencyKey == "" {
+		_, _ = fmt.Fprintf(hash, " %q", request.Stream)
+	}
+	return strconv.FormatUint(hash.Sum64(), 36)
+}
+
+func (a *Application) latency(operation Operation) time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	span := operation.LongestLatency - operation.ShortestLatency
+	latency := operation.ShortestLatency + time.Duration(a.random.Float64()*float64(span))
+	if a.faults.Slow > 1 {
+		latency = time.Duration(float64(latency) * a.faults.Slow)
+	}
+	return latency
+}
+
+// sleep waits for duration; false if the replica was closed first.
+func (a *Application) sleep(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-a.life:
+		return false
+	}
+}
+
+// awaitFault waits while the fault stands; false if the replica was closed.
+func (a *Application) awaitFault(stands func(Faults) bool) bool {
+	for {
+		a.mutex.Lock()
+		faults, changed, closed := a.faults, a.changed, a.closed
+		a.mutex.Unlock()
+		if closed {
+			return false
+		}
+		if !stands(faults) {
+			return true
+		}
+		<-changed
+	}
+}
+
+func (a *Application) loseAnswer() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.faults.LoseNext > 0 {
+		a.faults.LoseNext--
+		return true
+	}
+	return a.faults.LoseAnswers > 0 && a.random.Float64() < a.faults.LoseAnswers
+}
--- /dev/null
+++ b/internal/emulator/engine/engine.go
@@ -0,0 +1,346 @@
+// Package engine is the stand-in of a model engine: an in-process core that
+// implements backend.Engine, and an HTTP face for it (NewServer).
+//
+// The core batches continuously, caches prompt prefixes in limited memory,
+// honours priorities, resumes and cancels streams, and moves KV cache, all by
+// the arithmetic of package model. Its answers are a function of model, messages
+// and seed, so that a second run of a call gives the same tokens. All time goes
+// through package time, so it runs in a synctest bubble. Faults are injected by
+// SetFaults and Restart; Truth tells what the engine itself saw.
+//
+// One mutex guards the whole state. A goroutine runs the batch while there is
+// work and ends when there is none, so an idle engine costs nothing. Close ends
+// it in any case; a bubble with a frozen or working engine must call it.
+package engine
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/emulator/engine/model"
+	"stepseam.example/stepseam/internal/identity"
+)
+
+// Engine is one stand-in engine. It is safe for concurrent use.
+type Engine struct {
+	parameters Parameters
+
+	mutex  sync.Mutex
+	random *rand.Rand
+	// life is closed when the engine's process ends, by Restart or Close; work
+	// that began in an earlier life is void.
+	life    chan struct{}
+	cache   *model.Cache
+	streams map[identity.StreamID]*stream
+	// finished and cancelled remember ids in order of time, for expiry.
+	finished  []remembered
+	cancelled []remembered
+	tombs     map[identity.StreamID]struct{}
+	waiting   []*stream
+	running   []*stream
+	working   bool
+	arrivals  uint64
+	draining  bool
+	models    map[string]string
+	adapters  map[string]string
+	role      string
+	// modelNames and adapterNames are the sorted keys, replaced whole.
+	modelNames   []string
+	adapterNames []string
+	// fence is the highest seen; latest is the last order taken per subject,
+	// loading holds the loads under way.
+	fence     uint64
+	latest    map[string]backend.Order
+	loading   map[backend.Order]chan struct{}
+	reports   []backend.LoadReport
+	events    []publishedEvent
+	nextEvent uint64
+	faults    Faults
+	// thawed is closed when a freeze ends; inbox holds what arrived during it.
+	thawed chan struct{}
+	inbox  []func()
+	// broken is closed when connections break: at Down, Restart and Close.
+	broken chan struct{}
+	closed bool
+	record recorder
+}
+
+type remembered struct {
+	stream identity.StreamID
+	at     time.Time
+}
+
+// New returns an engine that is up and idle.
+func New(parameters Parameters) (*Engine, error) {
+	if err := parameters.Validate(); err != nil {
+		return nil, err
+	}
+	e := &Engine{
+		parameters: parameters,
+		random:     rand.New(rand.NewPCG(parameters.Seed, xxhash.Sum64String(parameters.Name))),
+		broken:     make(chan struct{}),
+		record:     recorder{limit: parameters.MaxTruth},
+	}
+	e.reset()
+	return e, nil
+}
+
+// reset makes the state of a process that has just started.
+func (e *Engine) reset() {
+	e.life = make(chan struct{})
+	e.cache = model.NewCache(e.parameters.Timing.CacheCapacityTokens)
+	e.streams = map[identity.StreamID]*stream{}
+	e.tombs = map[identity.StreamID]struct{}{}
+	e.finished, e.cancelled = nil, nil
+	e.waiting, e.running = nil, nil
+	e.working = false
+	e.draining = false
+	e.models = namesToVersions(e.parameters.Models)
+	e.adapters = namesToVersions(e.parameters.Adapters)
+	e.role = e.parameters.Role
+	e.fence = 0
+	e.latest = map[string]backend.Order{}
+	e.loading = map[backend.Order]chan struct{}{}
+	e.noteNames()
+	e.reports, e.events = nil, nil
+	// Event numbers start from the clock, so that they rise over restarts.
+	e.nextEvent = uint64(time.Now().UnixNano())
+	e.noteLoad()
+}
+
+func namesToVersions(names []string) map[string]string {
+	versions := map[string]string{}
+	for _, name := range names {
+		versions[name] = ""
+	}
+	return versions
+}
+
+func (e *Engine) noteNames() {
+	e.modelNames = slices.Sorted(maps.Keys(e.models))
+	e.adapterNames = slices.Sorted(maps.Keys(e.adapters))
+}
+
+// Name returns the engine's name.
+func (e *Engine) Name() string { return e.parameters.Name }
+
+// Close ends all streams and refuses all further work.
+func (e *Engine) Close() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.closed {
+		return
+	}
+	e.closed = true
+	close(e.life)
+	e.loseStreams()
+	e.breakConnections()
+	e.thaw()
+}
+
+// SetDraining makes the engine refuse new work and finish what runs, or take
+// work again.
+func (e *Engine) SetDraining(draining bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.draining = draining
+	e.noteLoad()
+}
+
+// Truth returns what the engine saw so far.
+func (e *Engine) Truth() Truth {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.record.truth(e.parameters.Name, e.held())
+}
+
+// Generate implements backend.Engine.
+func (e *Engine) Generate(ctx context.Context, request backend.GenerateRequest, onToken func(backend.Token) error) (backend.GenerateResult, error) {
+	var running *stream
+	err := e.deliver(ctx, func() error {
+		arrived, err := e.arrive(request)
+		running = arrived
+		return err
+	})
+	if err != nil {
+		return backend.GenerateResult{}, fmt.Errorf("engine %s: generate %s: %w", e.parameters.Name, request.Stream, err)
+	}
+	result, err := e.follow(ctx, running, 0, onToken)
+	if err != nil {
+		return result, fmt.Errorf("engine %s: generate %s: %w", e.parameters.Name, request.Stream, err)
+	}
+	return result, nil
+}
+
+// Resume implements backend.Engine.
+func (e *Engine) Resume(ctx context.Context, id identity.StreamID, from int, onToken func(backend.Token) error) (backend.GenerateResult, error) {
+	var known *stream
+	err := e.deliver(ctx, func() error {
+		e.forget()
+		found, exists := e.streams[id]
+		if _, cancelled := e.tombs[id]; cancelled {
+			return backend.ErrStreamCancelled
+		}
+		if !exists {
+			return backend.ErrStreamUnknown
+		}
+		known = found
+		return nil
+	})
+	if err != nil {
+		return backend.GenerateResult{}, fmt.Errorf("engine %s: resume %s: %w", e.parameters.Name, id, err)
+	}
+	result, err := e.follow(ctx, known, from, onToken)
+	if err != nil {
+		return result, fmt.Errorf("engine %s: resume %s: %w", e.parameters.Name, id, err)
+	}
+	return result, nil
+}
+
+// Cancel implements backend.Engine.
+func (e *Engine) Cancel(ctx context.Context, id identity.StreamID) error {
+	err := e.deliver(ctx, func() error {
+		e.forget()
+		if _, cancelled := e.tombs[id]; !cancelled {
+			e.tombs[id] = struct{}{}
+			e.cancelled = append(e.cancelled, remembered{stream: id, at: time.Now()})
+		}
+		if known, exists := e.streams[id]; exists {
+			e.stop(known, OutcomeCancelled, backend.ErrStreamCancelled)
+			delete(e.streams, id)
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("engine %s: cancel %s: %w", e.parameters.Name, id, err)
+	}
+	return nil
+}
+
+// arrive takes a stream in, or joins the one that runs under the same id.
+func (e *Engine) arrive(request backend.GenerateRequest) (*stream, error) {
+	e.forget()
+	segments := model.Segments(request.Messages)
+	digest := digestOf(request, segments)
+	if known, exists := e.streams[request.Stream]; exists {
+		if known.digest != digest {
+			return nil, fmt.Errorf("%w: the stream stands with another request", backend.ErrRefused)
+		}
+		return known, nil
+	}
+	arrival := e.recordArrival(request, segments, digest)
+	if err := e.refusal(request, segments); err != nil {
+		arrival.Outcome, arrival.Reason, arrival.Ended = OutcomeRefused, err.Error(), arrival.Arrived
+		return nil, err
+	}
+	writer := model.NewWriter(request.Model, request.Adapter, request.Messages, request.Seed)
+	wanted := min(writer.Length(e.parameters.ShortestAnswer, e.parameters.LongestAnswer), request.MaxTokens)
+	arrived := &stream{
+		request: request, segments: segments, digest: digest, number: arrival.Number,
+		writer: writer, wanted: wanted, record: arrival,
+	}
+	arrived.prefill = arrival.PromptTokens - e.cache.Match(arrived.key(), segments)
+	e.streams[request.Stream] = arrived
+	e.waiting = append(e.waiting, arrived)
+	e.noteLoad()
+	e.work()
+	return arrived, nil
+}
+
+func digestOf(request backend.GenerateRequest, segments []model.Segment) uint64 {
+	hash := xxhash.New()
+	_, _ = fmt.Fprintf(hash, "%q %q %d %d", request.Model, request.Adapter, request.MaxTokens, request.Seed)
+	for _, segment := range segments {
+		_, _ = fmt.Fprintf(hash, " %d", segment.Digest)
+	}
+	return hash.Sum64()
+}
+
+func (e *Engine) recordArrival(request backend.GenerateRequest, segments []model.Segment, digest uint64) *Arrival {
+	e.arrivals++
+	arrival := &Arrival{
+		Number: e.arrivals, Stream: request.Stream, Model: request.Model, Digest: Digest(digest),
+		Priority: request.Priority, PromptTokens: model.CountTokens(segments),
+		Arrived: time.Now(), Outcome: OutcomeRunning,
+	}
+	for _, segment := range segments {
+		arrival.Messages = append(arrival.Messages, Digest(segment.Digest))
+	}
+	e.record.arrive(arrival)
+	return arrival
+}
+
+// refusal returns why a new stream cannot run here, or nil.
+func (e *Engine) refusal(request backend.GenerateRequest, segments []model.Segment) error {
+	if _, cancelled := e.tombs[request.Stream]; cancelled {
+		return backend.ErrStreamCancelled
+	}
+	if e.draining {
+		return fmt.Errorf("%w: %w", backend.ErrRefused, backend.ErrDraining)
+	}
+	if _, loaded := e.models[request.Model]; !loaded {
+		return fmt.Errorf("%w: model %q is not loaded", backend.ErrRefused, request.Model)
+	}
+	if _, loaded := e.adapters[request.Adapter]; !loaded && request.Adapter != "" {
+		return fmt.Errorf("%w: adapter %q is not loaded", backend.ErrRefused, request.Adapter)
+	}
+	if request.MaxTokens < 1 || len(segments) == 0 {
+		return fmt.Errorf("%w: a request needs a message and max_tokens of at least 1", backend.ErrRefused)
+	}
+	if tokens := model.CountTokens(segments) + request.MaxTokens; tokens > e.cache.Capacity() {
+		return fmt.Errorf("%w: %d tokens are more than the memory of %d", backend.ErrRefused, tokens, e.cache.Capacity())
+	}
+	if len(e.waiting) >= e.parameters.MaxWaiting {
+		return fmt.Errorf("%w: %d streams wait already", backend.ErrRefused, len(e.waiting))
+	}
+	return nil
+}
+
+// stop ends a stream without an answer. A prompt that was computed is kept.
+func (e *Engine) stop(s *stream, outcome Outcome, reason error) {
+	if s.ended {
+		return
+	}
+	if s.lease != nil {
+		e.cache.End(s.lease, s.prefill == 0 && s.overhead == 0)
+		e.noteCache()
+	}
+	is := func(other *stream) bool { return other == s }
+	e.waiting = slices.DeleteFunc(e.waiting, is)
+	e.running = slices.DeleteFunc(e.running, is)
+	e.end(s, outcome, reason)
+}
+
+func (e *Engine) end(s *stream, outcome Outcome, reason error) {
+	s.ended, s.endedAt, s.err = true, time.Now(), reason
+	s.record.Ended, s.record.Outcome, s.record.Tokens = s.endedAt, outcome, len(s.tokens)
+	s.wake()
+	e.noteLoad()
+}
+
+// forget drops what was remembered long enough.
+func (e *Engine) forget() {
+	now := time.Now()
+	e.finished = expire(e.finished, now.Add(-e.parameters.StreamRetention), e.parameters.MaxRemembered, func(id identity.StreamID) {
+		delete(e.streams, id)
+	})
+	e.cancelled = expire(e.cancelled, now.Add(-e.parameters.CancelRetention), e.parameters.MaxRemembered, func(id identity.StreamID) {
+		delete(e.tombs, id)
+	})
+}
+
+func expire(list []remembered, before time.Time, limit int, drop func(identity.StreamID)) []remembered {
+	for len(list) > 0 && (len(list) > limit || list[0].at.Before(before)) {
+		drop(list[0].stream)
+		list = list[1:]
+	}
+	return list
+}
--- /dev/null
+++ b/internal/emulator/engine/orders.go
@@ -0,0 +1,131 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"stepseam.example/stepseam/internal/backend"
+)
+
+// Order implements backend.Engine. The fence is checked and taken first, then
+// the load takes its time, then the change shows. A repeated order is answered
+// once the first one is done, and changes nothing.
+func (e *Engine) Order(ctx context.Context, order backend.Order) error {
+	var loaded <-chan struct{}
+	var broken <-chan struct{}
+	err := e.deliver(ctx, func() error {
+		broken = e.broken
+		var err error
+		loaded, err = e.acceptOrder(order)
+		return err
+	})
+	if err != nil {
+		return fmt.Errorf("engine %s: order %s %s: %w", e.parameters.Name, order.Kind, order.Subject, err)
+	}
+	if loaded == nil {
+		return nil
+	}
+	select {
+	case <-loaded:
+		return nil
+	case <-broken:
+		return fmt.Errorf("engine %s: order: %w", e.parameters.Name, backend.ErrBroken)
+	case <-ctx.Done():
+		return fmt.Errorf("engine %s: order: %w: %w", e.parameters.Name, backend.ErrBroken, ctx.Err())
+	}
+}
+
+// orderSubject names what an order changes: a model, an adapter or the role.
+func orderSubject(order backend.Order) string {
+	switch order.Kind {
+	case backend.OrderLoadAdapter:
+		return "adapter " + order.Subject
+	case backend.OrderSetRole:
+		return "role"
+	default:
+		return "model " + order.Subject
+	}
+}
+
+// acceptOrder checks the fence and starts the order. The channel is closed when
+// a load is done; nil means that nothing is left to wait for.
+func (e *Engine) acceptOrder(order backend.Order) (<-chan struct{}, error) {
+	record := OrderRecord{Order: order, At: time.Now()}
+	defer func() { e.record.order(record) }()
+	if order.Fence < e.fence {
+		return nil, fmt.Errorf("%w: %d is below %d", backend.ErrStaleFence, order.Fence, e.fence)
+	}
+	subject := orderSubject(order)
+	if e.latest[subject] == order {
+		return e.loading[order], nil
+	}
+	duration, err := e.orderTime(order)
+	if err != nil {
+		return nil, err
+	}
+	record.Done = true
+	e.fence = order.Fence
+	e.latest[subject] = order
+	if duration == 0 {
+		e.applyOrder(order)
+		return nil, nil
+	}
+	loaded := make(chan struct{})
+	e.loading[order] = loaded
+	// The load goes on also if the one who ordered it stops waiting.
+	go e.load(order, duration, e.life, loaded)
+	return loaded, nil
+}
+
+func (e *Engine) orderTime(order backend.Order) (time.Duration, error) {
+	switch order.Kind {
+	case backend.OrderLoadModel:
+		if version, loaded := e.models[order.Subject]; loaded && version == order.Version {
+			return 0, nil
+		}
+		return e.parameters.Timing.ModelLoadTime, nil
+	case backend.OrderLoadAdapter:
+		if version, loaded := e.adapters[order.Subject]; loaded && version == order.Version {
+			return 0, nil
+		}
+		return e.parameters.Timing.AdapterLoadTime, nil
+	case backend.OrderUnloadModel, backend.OrderSetRole:
+		return 0, nil
+	default:
+		return 0, fmt.Errorf("%w: unknown kind of order %q", backend.ErrRefused, order.Kind)
+	}
+}
+
+// load waits for a load and applies it, unless a later order of the same
+// subject or a restart came in between.
+func (e *Engine) load(order backend.Order, duration time.Duration, life <-chan struct{}, loaded chan<- struct{}) {
+	defer close(loaded)
+	if !sleep(life, duration) || !e.awaitThaw(life) {
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if over(life) {
+		return
+	}
+	delete(e.loading, order)
+	if e.latest[orderSubject(order)] == order {
+		e.applyOrder(order)
+	}
+}
+
+func (e *Engine) applyOrder(order backend.Order) {
+	switch order.Kind {
+	case backend.OrderLoadModel:
+		e.models[order.Subject] = order.Version
+	case backend.OrderUnloadModel:
+		delete(e.models, order.Subject)
+	case backend.OrderLoadAdapter:
+		e.adapters[order.Subject] = order.Version
+	case backend.OrderSetRole:
+		e.role = order.Subject
+	}
+	e.noteNames()
+	e.noteLoad()
+}
