Start stepseam-lab with the platform's stand-ins as processes

Cause: the demo and the process tests need the platform as real processes. Change: stepseam-lab log, machines, weights and tools, with checked parameter files; internal/lab/process starts, freezes and ends processes; the machine list controller keeps the last list while the platform is away. Weighed: fixed ports. Ruled out: a stand-in takes a free port and says which. Left: engine and application processes, the demo.

--- /dev/null
+++ b/cmd/stepseam-lab/main.go
@@ -0,0 +1,49 @@
+// Command stepseam-lab runs what a laboratory site needs beside stepseamd: the
+// stand-ins of the platform and of the back ends, a demonstration over real
+// processes, and experiments. Nothing of it is part of a production site.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// arguments holds the subcommands; each one has a file of its own.
+type arguments struct {
+	Log      *logCommand      `arg:"subcommand:log" help:"run a log service stand-in"`
+	Machines *machinesCommand `arg:"subcommand:machines" help:"run a machine list stand-in"`
+	Weights  *weightsCommand  `arg:"subcommand:weights" help:"run a weight store stand-in"`
+	Tools    *toolsCommand    `arg:"subcommand:tools" help:"run a tool service stand-in"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "Stand-ins, demonstration and experiments of a stepseam laboratory site."
+}
+
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context) error
+}
+
+func main() {
+	var parsed arguments
+	parser := arg.MustParse(&parsed)
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	err := chosen.run(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "stepseam-lab:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/controller/machines/machines.go
@@ -0,0 +1,151 @@
+// Package machines reads the platform's machine list into the blackboard.
+//
+// The list is a hint that lags. While it can't be read, the last one stays on
+// the board: a platform that is away must not look like a site without
+// machines.
+package machines
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/platform"
+)
+
+// Config is what a Controller needs.
+type Config struct {
+	List  platform.MachineList
+	Board *blackboard.Board
+	// Interval is the time between two reads.
+	Interval time.Duration
+	Logger   *slog.Logger
+	// Registerer takes the metrics; nil keeps none.
+	Registerer prometheus.Registerer
+}
+
+// Controller is the only writer of Board.Machines.
+type Controller struct {
+	config Config
+	// away and findings are used by Run's goroutine alone. They tell what was
+	// logged last, so that an outage is one line and not one per read.
+	away     bool
+	findings []api.Finding
+	lastRead prometheus.Gauge
+	failures prometheus.Counter
+}
+
+// New returns a controller that Run starts.
+func New(config Config) *Controller {
+	controller := &Controller{
+		config: config,
+		lastRead: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "stepseam_machine_list_read_timestamp_seconds",
+			Help: "Unix time of the last successful read of the machine list.",
+		}),
+		failures: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "stepseam_machine_list_failures_total",
+			Help: "Reads of the machine list that failed.",
+		}),
+	}
+	if config.Registerer != nil {
+		config.Registerer.MustRegister(controller.lastRead, controller.failures)
+	}
+	return controller
+}
+
+// Run reads the list until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(c.config.Interval)
+	defer ticker.Stop()
+	for {
+		c.read(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// read puts one answer on the board, if there is one and it is news.
+func (c *Controller) read(ctx context.Context) {
+	machines, err := c.config.List.Machines(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		c.failures.Inc()
+		if !c.away {
+			c.config.Logger.Warn("machine list is away; the last one stays in use", "error", err)
+		}
+		c.away = true
+		return
+	}
+	if c.away {
+		c.config.Logger.Info("machine list is back")
+	}
+	c.away = false
+	c.lastRead.SetToCurrentTime()
+	valid, findings := Check(machines)
+	if len(findings) > 0 && !slices.Equal(findings, c.findings) {
+		c.config.Logger.Warn("machine list has faulty rows, which are left out", "findings", findings)
+	}
+	c.findings = findings
+	if !slices.Equal(valid, c.config.Board.Machines.Load()) {
+		c.config.Board.Machines.Store(valid)
+	}
+}
+
+// Check returns the usable rows of a machine list, in their order, and the
+// findings about the others.
+func Check(machines []platform.Machine) ([]platform.Machine, []api.Finding) {
+	valid := make([]platform.Machine, 0, len(machines))
+	names := make(map[string]bool, len(machines))
+	var findings []api.Finding
+	for row, machine := range machines {
+		place := fmt.Sprintf("machines[%d]", row)
+		found := checkRow(place, machine)
+		if names[machine.Name] {
+			found = append(found, api.Finding{Place: place + ".name", Message: fmt.Sprintf("%q is listed twice", machine.Name)})
+		}
+		names[machine.Name] = true
+		findings = append(findings, found...)
+		if len(found) == 0 {
+			valid = append(valid, machine)
+		}
+	}
+	return valid, findings
+}
+
+func checkRow(place string, machine platform.Machine) []api.Finding {
+	var findings []api.Finding
+	add := func(field, message string) {
+		findings = append(findings, api.Finding{Place: place + "." + field, Message: message})
+	}
+	if machine.Name == "" {
+		add("name", "is empty")
+	}
+	switch machine.Role {
+	case platform.RoleNode:
+		if !machine.ProbeAddress.IsValid() {
+			add("probe_address", "is missing, a node needs one")
+		}
+	case platform.RoleEngine, platform.RoleApplication:
+	default:
+		add("role", fmt.Sprintf("%q is none of node, engine and application", machine.Role))
+	}
+	if machine.State != platform.MachineLive && machine.State != platform.MachineLeaving {
+		add("state", fmt.Sprintf("%q is neither live nor leaving", machine.State))
+	}
+	if !machine.Address.IsValid() {
+		add("address", "is missing")
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/lab/process/process_test.go
@@ -0,0 +1,51 @@
+package process
+
+import (
+	"errors"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const patience = 20 * time.Second
+
+func startShell(t *testing.T, script string) *Process {
+	t.Helper()
+	started, err := Start(Command{
+		Name: "shell", Program: "/bin/sh", Arguments: []string{"-c", script}, LogDirectory: t.TempDir(),
+	})
+	is.New(t).NoErr(err)
+	t.Cleanup(started.Kill)
+	return started
+}
+
+func TestReadyAndPlannedStop(t *testing.T) {
+	check := is.New(t)
+	started := startShell(t, `trap 'exit 0' TERM; echo noise; echo ready 127.0.0.9:80; while :; do sleep 0.01; done`)
+	address, err := started.Ready(t.Context())
+	check.NoErr(err)
+	check.Equal(address, netip.MustParseAddrPort("127.0.0.9:80"))
+	check.NoErr(started.Freeze())
+	check.NoErr(started.Thaw())
+	check.NoErr(started.Stop(patience))
+	check.True(started.Stop(patience) != nil)
+}
+
+func TestFailuresCarryTheReason(t *testing.T) {
+	check := is.New(t)
+	started := startShell(t, `echo the reason >&2; exit 3`)
+	_, err := started.Ready(t.Context())
+	check.True(err != nil && strings.Contains(err.Error(), "the reason") && strings.Contains(err.Error(), "exit status 3"))
+}
+
+func TestStopKillsWhatDoesNotEnd(t *testing.T) {
+	check := is.New(t)
+	started := startShell(t, `trap '' TERM; echo ready 127.0.0.9:80; while :; do sleep 0.01; done`)
+	_, err := started.Ready(t.Context())
+	check.NoErr(err)
+	check.True(errors.Is(started.Stop(100*time.Millisecond), ErrStillRunning))
+	<-started.Done()
+}
