Add the program state machine and the shard owner's first path

A program's order, history, budget and repeats need one place that decides them, and the gateway and the node need the owner to be wired to.

internal/program folds typed records into the state of a program: sequence and branches, history, budget with reservation, repeats by sequence and by idempotency key, cancel, end, limits, placements and the release outbox. internal/serving runs the shards of a node over it: intent, dispatch, result, streams shared by all callers of a call, take-over, retries, audit.

--- /dev/null
+++ b/internal/program/commands.go
@@ -0,0 +1,258 @@
+package program
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/identity"
+)
+
+// retryAfterGap is when a caller whose turn passed while it waited should come back.
+const retryAfterGap = time.Second
+
+// Action is what a call's arrival asks for.
+type Action uint8
+
+// The actions on arrival.
+const (
+	// ActionRun: the call is next in its branch and may be dispatched.
+	ActionRun Action = iota + 1
+	// ActionWait: an earlier call of the branch is not answered yet.
+	ActionWait
+	// ActionJoin: the call itself is open.
+	ActionJoin
+	// ActionReplay: the call has its answer, in Verdict.Call.
+	ActionReplay
+	// ActionRepeat: an earlier call with the same key, Verdict.Call, answers it.
+	ActionRepeat
+	// ActionRefuse: Verdict.Problem says why.
+	ActionRefuse
+)
+
+// Verdict is the answer to the arrival of a call.
+type Verdict struct {
+	Action  Action
+	Call    *Call
+	Problem *api.Problem
+}
+
+func refuse(problem *api.Problem) Verdict { return Verdict{Action: ActionRefuse, Problem: problem} }
+
+// Arrive says what to do with a call. It changes nothing.
+func (p *Program) Arrive(now time.Time, request Request) Verdict {
+	if call := p.Call(request.ID); call != nil {
+		return p.arriveAgain(call, request)
+	}
+	if !p.Running() {
+		return refuse(p.endedProblem())
+	}
+	if request.Key != "" {
+		if original, found := p.keys[request.Key]; found {
+			return p.arriveRepeated(p.Call(original), request)
+		}
+	}
+	if problem := p.checkLimits(now, request); problem != nil {
+		return refuse(problem)
+	}
+	if !p.isNext(request.ID) {
+		return Verdict{Action: ActionWait}
+	}
+	if _, problem := p.Resolve(request); problem != nil {
+		return refuse(problem)
+	}
+	return Verdict{Action: ActionRun}
+}
+
+func (p *Program) isNext(id identity.CallID) bool {
+	b := p.branches[id.Branch]
+	return p.Next(id.Branch) == id.Sequence && (b == nil || b.open() == nil)
+}
+
+func (p *Program) arriveAgain(call *Call, request Request) Verdict {
+	if call.Request.Digest != request.Digest {
+		return refuse(api.NewProblem(api.CodeConflict,
+			"call %s stands with another body; a new call takes the next sequence", request.ID))
+	}
+	if call.Open {
+		return Verdict{Action: ActionJoin, Call: call}
+	}
+	return Verdict{Action: ActionReplay, Call: p.Resolved(call)}
+}
+
+func (p *Program) arriveRepeated(original *Call, request Request) Verdict {
+	if original.Request.Digest != request.Digest {
+		return refuse(api.NewProblem(api.CodeConflict,
+			"idempotency key %q stands with another body at call %s", request.Key, original.Request.ID))
+	}
+	if !p.isNext(request.ID) || original.Open {
+		return Verdict{Action: ActionWait}
+	}
+	return Verdict{Action: ActionRepeat, Call: original}
+}
+
+func (p *Program) endedProblem() *api.Problem {
+	return api.NewProblem(api.CodeProgramEnded, "program %s is %s and takes no more calls", p.id, p.state)
+}
+
+func (p *Program) checkLimits(now time.Time, request Request) *api.Problem {
+	limits := p.limits
+	if limits.MaxCalls > 0 && p.calls >= limits.MaxCalls {
+		return api.NewProblem(api.CodeLimit, "program %s has made %d calls, as many as class %q allows",
+			p.id, p.calls, p.class)
+	}
+	if limits.MaxDuration > 0 && now.Sub(p.created) >= limits.MaxDuration {
+		return api.NewProblem(api.CodeLimit, "program %s is older than the %s that class %q allows",
+			p.id, limits.MaxDuration, p.class)
+	}
+	if _, known := p.branches[request.ID.Branch]; !known && limits.MaxBranches > 0 && len(p.branches) >= limits.MaxBranches {
+		return api.NewProblem(api.CodeLimit, "program %s has %d branches, as many as class %q allows",
+			p.id, len(p.branches), p.class)
+	}
+	return nil
+}
+
+// Resolve fills in what the class sets and cuts a repeated history off, so that
+// Messages are the new turns. The request must be next in its branch.
+func (p *Program) Resolve(request Request) (Request, *api.Problem) {
+	if request.Kind != api.CallModel {
+		return request, nil
+	}
+	if request.Model == "" {
+		request.Model = p.limits.Model
+	}
+	if request.Model == p.limits.Model {
+		request.Adapter = p.limits.Adapter
+	}
+	if request.MaxTokens <= 0 || (p.limits.MaxTokens > 0 && request.MaxTokens > p.limits.MaxTokens) {
+		request.MaxTokens = max(p.limits.MaxTokens, 1)
+	}
+	if !request.WholeHistory {
+		return request, nil
+	}
+	history := p.History(request.ID.Branch)
+	if len(request.Messages) <= len(history) || !slices.Equal(request.Messages[:len(history)], history) {
+		return request, api.NewProblem(api.CodeHistoryMismatch,
+			"the messages of call %s do not continue the %d messages that branch %q holds",
+			request.ID, len(history), request.ID.Branch)
+	}
+	request.Messages = request.Messages[len(history):]
+	request.WholeHistory = false
+	return request, nil
+}
+
+// Dispatch says where and as what an attempt is about to run.
+type Dispatch struct {
+	Backend string
+	Address netip.AddrPort
+	Epoch   identity.Epoch
+	// Reserve replaces the rule of the worst case; nil takes WorstCase. Only
+	// checkers that prove themselves set it.
+	Reserve func(prompt, answer int64) int64
+}
+
+// WorstCase is the reservation of a call: its prompt's bound and all the tokens
+// that its answer may have.
+func WorstCase(prompt, answer int64) int64 { return prompt + answer }
+
+// Begin opens request, which Arrive found runnable, with its first attempt.
+func (p *Program) Begin(now time.Time, request Request, dispatch Dispatch) (Intent, *api.Problem) {
+	verdict := p.Arrive(now, request)
+	if verdict.Action != ActionRun {
+		return Intent{}, p.notRunnable(verdict, request)
+	}
+	resolved, problem := p.Resolve(request)
+	if problem != nil {
+		return Intent{}, problem
+	}
+	attempt, problem := p.attempt(now, resolved, dispatch, 0)
+	if problem != nil {
+		return Intent{}, problem
+	}
+	return Intent{Request: resolved, Attempt: attempt}, nil
+}
+
+func (p *Program) notRunnable(verdict Verdict, request Request) *api.Problem {
+	if verdict.Problem != nil {
+		return verdict.Problem
+	}
+	return api.NewProblem(api.CodeSequenceGap, "call %s is not the next of its branch", request.ID).
+		WithRetryAfter(retryAfterGap)
+}
+
+// Retry gives the open call another attempt. If the last one is still pending it
+// counts as lost and stays charged.
+func (p *Program) Retry(now time.Time, call *Call, dispatch Dispatch) (Retry, *api.Problem) {
+	if !call.Open {
+		return Retry{}, api.NewProblem(api.CodeConflict, "call %s has its answer", call.Request.ID)
+	}
+	if !p.Running() {
+		return Retry{}, p.endedProblem()
+	}
+	// A pending attempt is already inside reserved and moves to spent, so the sum
+	// that the new reservation adds to is the same.
+	attempt, problem := p.attempt(now, call.Request, dispatch, p.branches[call.Request.ID.Branch].nextAttempt)
+	return Retry{Attempt: attempt}, problem
+}
+
+func (p *Program) attempt(now time.Time, request Request, dispatch Dispatch, number uint32) (Attempt, *api.Problem) {
+	if b := p.branches[request.ID.Branch]; b != nil {
+		number = max(number, b.nextAttempt)
+	}
+	reserved, problem := p.reserve(request, dispatch)
+	if problem != nil {
+		return Attempt{}, problem
+	}
+	stream := identity.StreamID{Call: request.ID, Epoch: dispatch.Epoch, Attempt: number}
+	return Attempt{Stream: stream, Backend: dispatch.Backend, Address: dispatch.Address, Reserved: reserved, At: now}, nil
+}
+
+func (p *Program) reserve(request Request, dispatch Dispatch) (int64, *api.Problem) {
+	if request.Kind != api.CallModel {
+		return 0, nil
+	}
+	rule := dispatch.Reserve
+	if rule == nil {
+		rule = WorstCase
+	}
+	need := rule(p.PromptSize(request).Bound, int64(request.MaxTokens))
+	left := p.limits.BudgetTokens - p.spent - p.reserved
+	if need > left {
+		return 0, api.NewProblem(api.CodeBudget,
+			"call %s may take up to %d tokens; %d of the budget of %d are left", request.ID, need, left, p.limits.BudgetTokens)
+	}
+	return need, nil
+}
+
+// Unresolved returns the attempt of call that may have run, for one that was
+// found open by a new owner.
+func (c *Call) Unresolved() (Attempt, bool) { return c.Attempt, c.Open && c.Pending }
+
+// End ends the program. It returns false if it has ended already.
+func (p *Program) End(now time.Time, state api.ProgramState) (Ended, bool) {
+	return Ended{ID: p.id, State: state, At: now}, p.Running()
+}
+
+// Expired tells that a running program without open calls was idle for too long
+// or any running program is too old. since is the earliest time from which
+// callers could reach it, such as when its owner took over.
+func (p *Program) Expired(now, since time.Time) bool {
+	if !p.Running() {
+		return false
+	}
+	if p.limits.MaxDuration > 0 && now.Sub(p.created) >= p.limits.MaxDuration {
+		return true
+	}
+	idleFrom := p.lastActivity
+	if since.After(idleFrom) {
+		idleFrom = since
+	}
+	idle := p.limits.IdleTimeout > 0 && now.Sub(idleFrom) >= p.limits.IdleTimeout
+	return idle && len(p.OpenCalls()) == 0
+}
+
+// Forgettable tells that an ended program owes nothing to anybody.
+func (p *Program) Forgettable() bool {
+	return !p.Running() && len(p.outbox) == 0 && len(p.OpenCalls()) == 0
+}
--- /dev/null
+++ b/internal/serving/config.go
@@ -0,0 +1,192 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/journal"
+	"stepseam.example/stepseam/internal/scheduling"
+)
+
+// Config is what an Owner needs. Self, ShardCount, Board, Directory and Policy
+// are required; zero durations and counts take the defaults.
+type Config struct {
+	Self       identity.NodeName
+	ShardCount int
+	Board      *blackboard.Board
+	Directory  backend.Directory
+	Policy     scheduling.Policy
+	// Logger may be nil, Registerer too.
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+	// ProgramAlive asks the site whether a program runs; the audit releases
+	// nothing without it. known is false where nobody could say for certain.
+	ProgramAlive func(ctx context.Context, program identity.ProgramID) (alive, known bool, err error)
+
+	Timing Timing
+	Bounds Bounds
+	Hooks  Hooks
+}
+
+// Timing holds the owner's times.
+type Timing struct {
+	// GapWait is how long a call waits for an earlier one that nobody has sent.
+	GapWait time.Duration
+	// MaxCall bounds one call where its class sets no bound.
+	MaxCall time.Duration
+	// AttemptRetry is the first pause between attempts; it grows with jitter.
+	AttemptRetry time.Duration
+	// FenceLimit is how long a stream whose fate is unknown is cancelled before
+	// the call runs again elsewhere without the confirmation.
+	FenceLimit time.Duration
+	// ReleaseRetry and ReleaseRetryMax bound the pauses between tries to release
+	// cache; GoneAfter is how long an engine must be off the machine list until
+	// its memory counts as gone with it.
+	ReleaseRetry    time.Duration
+	ReleaseRetryMax time.Duration
+	GoneAfter       time.Duration
+	// RequestTimeout bounds one cancel, release or held request.
+	RequestTimeout time.Duration
+	// Sweep is the time between looks for programs that are idle or over age.
+	Sweep time.Duration
+	// Tombstone is how long an ended program answers repeats.
+	Tombstone time.Duration
+	// Audit is the time between comparisons of an engine's memory with the owners.
+	Audit time.Duration
+	// CloseWait bounds the wait for application calls at a planned hand-over.
+	CloseWait time.Duration
+}
+
+// Bounds holds the owner's limits of memory and retries.
+type Bounds struct {
+	// Attempts bounds the dispatches of one call that may have run.
+	Attempts int
+	// RetryRate and RetryBurst are the node's budget of such retries.
+	RetryRate  float64
+	RetryBurst int
+	// EarlyCalls is how far ahead of its branch a call may arrive.
+	EarlyCalls int
+	// Tombstones bounds the ended programs kept for each shard.
+	Tombstones int
+	// Explanations bounds the decisions kept for Explain.
+	Explanations int
+}
+
+// Hooks replace single rules by wrong ones, so that checkers can show that they
+// notice. All are nil in a daemon.
+type Hooks struct {
+	// Reserve replaces program.WorstCase.
+	Reserve func(prompt, answer int64) int64
+	// CheckLease replaces the look at the lease.
+	CheckLease func(shard journal.Shard) error
+	// Durable tells whether a call's intent must stand in the log.
+	Durable func(call identity.CallID, unrepeatable bool) bool
+	// RunsAgain tells whether a call with a lost attempt may run again.
+	RunsAgain func(call identity.CallID, unrepeatable bool) bool
+	// Fence replaces the cancelling of a lost stream.
+	Fence func(stream identity.StreamID) error
+	// Release tells whether the outbox is worked off.
+	Release func(program identity.ProgramID) bool
+}
+
+func defaultTiming() Timing {
+	return Timing{
+		GapWait:         5 * time.Second,
+		MaxCall:         10 * time.Minute,
+		AttemptRetry:    50 * time.Millisecond,
+		FenceLimit:      20 * time.Second,
+		ReleaseRetry:    100 * time.Millisecond,
+		ReleaseRetryMax: 5 * time.Second,
+		GoneAfter:       30 * time.Second,
+		RequestTimeout:  3 * time.Second,
+		Sweep:           time.Second,
+		Tombstone:       10 * time.Minute,
+		Audit:           15 * time.Second,
+		CloseWait:       30 * time.Second,
+	}
+}
+
+func defaultBounds() Bounds {
+	return Bounds{
+		Attempts:     4,
+		RetryRate:    10,
+		RetryBurst:   50,
+		EarlyCalls:   32,
+		Tombstones:   256,
+		Explanations: 4096,
+	}
+}
+
+func orDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+func (t *Timing) setDefaults() {
+	fallback := defaultTiming()
+	orDefault(&t.GapWait, fallback.GapWait)
+	orDefault(&t.MaxCall, fallback.MaxCall)
+	orDefault(&t.AttemptRetry, fallback.AttemptRetry)
+	orDefault(&t.FenceLimit, fallback.FenceLimit)
+	orDefault(&t.ReleaseRetry, fallback.ReleaseRetry)
+	orDefault(&t.ReleaseRetryMax, fallback.ReleaseRetryMax)
+	orDefault(&t.GoneAfter, fallback.GoneAfter)
+	orDefault(&t.RequestTimeout, fallback.RequestTimeout)
+	orDefault(&t.Sweep, fallback.Sweep)
+	orDefault(&t.Tombstone, fallback.Tombstone)
+	orDefault(&t.Audit, fallback.Audit)
+	orDefault(&t.CloseWait, fallback.CloseWait)
+}
+
+func (b *Bounds) setDefaults() {
+	fallback := defaultBounds()
+	orDefault(&b.Attempts, fallback.Attempts)
+	orDefault(&b.RetryRate, fallback.RetryRate)
+	orDefault(&b.RetryBurst, fallback.RetryBurst)
+	orDefault(&b.EarlyCalls, fallback.EarlyCalls)
+	orDefault(&b.Tombstones, fallback.Tombstones)
+	orDefault(&b.Explanations, fallback.Explanations)
+}
+
+// notOwnerRetry is when a caller who met no owner should come back.
+const notOwnerRetry = 500 * time.Millisecond
+
+// NotOwnerError tells that this node does not own the program's shard, or not
+// any more. It is journal.ErrNotOwner and an *api.Problem with
+// api.CodeNoOwner. A request that fails with it is to be repeated, unchanged,
+// at the next owner, who joins it, replays it or runs it.
+type NotOwnerError struct {
+	Shard   identity.ShardID
+	Problem *api.Problem
+}
+
+func notOwner(shard identity.ShardID) error {
+	problem := api.NewProblem(api.CodeNoOwner, "shard %d has no owner here", shard).
+		WithNotRun(false).WithRetryAfter(notOwnerRetry)
+	return &NotOwnerError{Shard: shard, Problem: problem}
+}
+
+// neverOwner is notOwner for a request that this node did nothing with.
+func neverOwner(shard identity.ShardID) error {
+	problem := api.NewProblem(api.CodeNoOwner, "shard %d has no owner here", shard).WithRetryAfter(notOwnerRetry)
+	return &NotOwnerError{Shard: shard, Problem: problem}
+}
+
+// Error implements error.
+func (e *NotOwnerError) Error() string { return "serving: " + e.Problem.Error() }
+
+// Unwrap makes errors.Is and errors.As see both sides.
+func (e *NotOwnerError) Unwrap() []error { return []error{journal.ErrNotOwner, e.Problem} }
+
+// IsNotOwner tells that err asks for the next owner of the shard.
+func IsNotOwner(err error) bool { return errors.Is(err, journal.ErrNotOwner) }
--- /dev/null
+++ b/internal/serving/flights.go
@@ -0,0 +1,197 @@
+package serving
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/scheduling"
+)
+
+// flights counts this node's attempts that are at back ends now.
+type flights struct {
+	mutex sync.Mutex
+	// The mutex guards the rest.
+	backends map[string]map[*flight]struct{}
+	classes  map[string]int
+	tenants  map[tenantKey]int
+	scratch  []scheduling.Backend
+	changed  chan struct{}
+}
+
+// flight is one attempt at one back end.
+type flight struct {
+	backend string
+	tenant  tenantKey
+	started time.Time
+	// prefill is the expected number of uncached prompt tokens.
+	prefill int
+}
+
+func newFlights() *flights {
+	return &flights{
+		backends: map[string]map[*flight]struct{}{},
+		classes:  map[string]int{},
+		tenants:  map[tenantKey]int{},
+	}
+}
+
+// enter adds an attempt; the caller holds the mutex.
+func (f *flights) enter(now time.Time, question asked, backend string, cached int) *flight {
+	entered := &flight{
+		backend: backend,
+		tenant:  tenantKey{question.call.Class, question.call.Tenant},
+		started: now,
+		prefill: max(question.call.PromptTokens-cached, 0),
+	}
+	if f.backends[backend] == nil {
+		f.backends[backend] = map[*flight]struct{}{}
+	}
+	f.backends[backend][entered] = struct{}{}
+	f.classes[entered.tenant.class]++
+	f.tenants[entered.tenant]++
+	return entered
+}
+
+// leave takes an attempt out and wakes the calls that are held.
+func (f *flights) leave(left *flight) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	delete(f.backends[left.backend], left)
+	if len(f.backends[left.backend]) == 0 {
+		delete(f.backends, left.backend)
+	}
+	f.classes[left.tenant.class]--
+	f.tenants[left.tenant]--
+	if f.tenants[left.tenant] == 0 {
+		delete(f.tenants, left.tenant)
+	}
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
+	}
+}
+
+// awaitChange returns a channel that is closed when an attempt leaves; the
+// caller holds the mutex.
+func (f *flights) awaitChange() <-chan struct{} {
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
+}
+
+// snapshot returns backends as the policy sees them. The result is used until
+// the next call only; the caller holds the mutex.
+func (f *flights) snapshot(now time.Time, question asked, backends []blackboard.Backend) []scheduling.Backend {
+	f.scratch = f.scratch[:0]
+	for i := range backends {
+		b := &backends[i]
+		seen := scheduling.Backend{
+			Name:                b.Name,
+			Zone:                b.Zone,
+			Service:             b.Service,
+			Health:              b.Health,
+			Leaving:             b.Leaving || b.Report.Draining,
+			ServesModel:         serves(b, question),
+			ReportedRunning:     b.Report.Running,
+			ReportedWaiting:     b.Report.Waiting,
+			QueuedPrefillTokens: b.Report.QueuedPrefillTokens,
+			CacheCapacityTokens: b.Report.CacheCapacityTokens,
+			CacheUsedTokens:     b.Report.CacheUsedTokens,
+			PrefillRate:         b.PrefillRate,
+			DecodeRate:          b.DecodeRate,
+			Latency:             b.Latency,
+		}
+		if !b.ReportedAt.IsZero() {
+			seen.ReportAge = now.Sub(b.ReportedAt)
+		}
+		seen.OwnInFlight, seen.OwnPrefillTokens = f.unreported(b)
+		if question.holder == b.Name {
+			seen.CachedTokens = question.settled
+		}
+		f.scratch = append(f.scratch, seen)
+	}
+	return f.scratch
+}
+
+// unreported counts the attempts that the back end's report cannot know. A back
+// end on probation counts all, since it takes one call at a time.
+func (f *flights) unreported(b *blackboard.Backend) (count, prefill int) {
+	asOf := b.Report.AsOf
+	if asOf.IsZero() {
+		asOf = b.ReportedAt
+	}
+	for entered := range f.backends[b.Name] {
+		if entered.started.After(asOf) || b.Health != scheduling.Healthy {
+			count++
+			prefill += entered.prefill
+		}
+	}
+	return count, prefill
+}
+
+// candidateAge bounds how old the copy of the blackboard's back ends may be.
+const candidateAge = 20 * time.Millisecond
+
+// candidates keeps a copy of the blackboard's back ends for a moment, so that
+// each choice does not copy all of them.
+type candidates struct {
+	board *blackboard.Board
+	// mutex guards the rest; the slices are replaced whole.
+	mutex  sync.Mutex
+	copied time.Time
+	byRole map[platform.MachineRole][]blackboard.Backend
+}
+
+func newCandidates(board *blackboard.Board) *candidates { return &candidates{board: board} }
+
+// of returns the back ends of role, in no particular order.
+func (c *candidates) of(role platform.MachineRole, now time.Time) []blackboard.Backend {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.byRole == nil || now.Sub(c.copied) > candidateAge || now.Before(c.copied) {
+		all := lo.Values(c.board.Backends.Copy())
+		c.byRole = lo.GroupBy(all, func(b blackboard.Backend) platform.MachineRole { return b.Role })
+		c.copied = now
+	}
+	return c.byRole[role]
+}
+
+// expire makes the next choice read the blackboard.
+func (c *candidates) expire() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.byRole = nil
+}
+
+// durations keeps how long the programs of each class take, as a moving average.
+type durations struct {
+	mutex sync.Mutex
+	means map[string]time.Duration
+}
+
+// durationWeight is the weight of one more program in the moving average.
+const durationWeight = 0.1
+
+func newDurations() *durations { return &durations{means: map[string]time.Duration{}} }
+
+func (d *durations) add(class string, duration time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	mean, known := d.means[class]
+	if !known {
+		d.means[class] = duration
+		return
+	}
+	d.means[class] = mean + time.Duration(durationWeight*float64(duration-mean))
+}
+
+func (d *durations) of(class string) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.means[class]
+}
--- /dev/null
+++ b/internal/serving/follow.go
@@ -0,0 +1,143 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/program"
+)
+
+// errWithdrawn is the cause of a run's end when its last caller gave up before
+// it was dispatched.
+var errWithdrawn = errors.New("serving: call withdrawn")
+
+// errProgramEnded is the cause of a run's end when its program ended.
+var errProgramEnded = errors.New("serving: program ended")
+
+// deadlineRetry is when a caller whose deadline passed while the call runs on
+// should come back for the answer.
+const deadlineRetry = time.Second
+
+// wish is what one caller wants of a call.
+type wish struct {
+	// from is the next token that the caller lacks.
+	from     int
+	wait     time.Duration
+	deadline time.Time
+	onToken  TokenFunc
+}
+
+// follow hands the run's tokens to the caller and returns the outcome. The run
+// goes on when the caller leaves.
+func (s *shard) follow(ctx context.Context, r *run, wanted wish) (api.Answer, error) {
+	timer := time.NewTimer(time.Until(wanted.deadline))
+	defer timer.Stop()
+	next, generation := wanted.from, -1
+	for {
+		seen := r.progress(next)
+		if generation < 0 {
+			generation = seen.generation
+		}
+		if generation != seen.generation && next > wanted.from {
+			return api.Answer{}, api.NewProblem(api.CodeInterrupted,
+				"call %s was answered anew; fetch it again from its first token", r.id).WithRetryAfter(deadlineRetry)
+		}
+		if err := emit(seen.tokens, &next, wanted.onToken); err != nil {
+			return api.Answer{}, err
+		}
+		if seen.outcome != nil {
+			return s.conclude(r, seen.outcome)
+		}
+		select {
+		case <-seen.changed:
+		case <-ctx.Done():
+			return api.Answer{}, s.interrupted(ctx, ctx.Err())
+		case <-timer.C:
+			return api.Answer{}, s.giveUp(r)
+		}
+	}
+}
+
+func emit(tokens []string, next *int, onToken TokenFunc) error {
+	if onToken == nil {
+		*next += len(tokens)
+		return nil
+	}
+	for _, token := range tokens {
+		if err := onToken(*next, token); err != nil {
+			return api.NewProblem(api.CodeInterrupted, "the caller takes no more tokens: %s", err)
+		}
+		*next++
+	}
+	return nil
+}
+
+// conclude returns the outcome if this node may still speak for the shard.
+func (s *shard) conclude(r *run, result *outcome) (api.Answer, error) {
+	if result.err != nil {
+		if IsNotOwner(result.err) {
+			return api.Answer{}, result.err
+		}
+		s.owner.metrics.problem(result.err)
+	}
+	if err := s.checkLease(); err != nil {
+		return api.Answer{}, err
+	}
+	s.owner.metrics.answers.WithLabelValues(string(r.request.Kind)).Inc()
+	return result.answer, result.err
+}
+
+// giveUp answers a caller whose deadline passed. A call that nobody else waits
+// for and that was not dispatched is taken back: it never runs, and its sequence
+// may be sent again.
+func (s *shard) giveUp(r *run) error {
+	s.machine.mutex.Lock()
+	notRun := r.withdrawn
+	if !r.dispatched && !r.withdrawn && !r.deadline.After(time.Now()) {
+		r.withdrawn = true
+		notRun = true
+		r.cancel(errWithdrawn)
+	}
+	s.machine.mutex.Unlock()
+	problem := api.NewProblem(api.CodeDeadline, "call %s had no answer by its deadline", r.id)
+	return s.certain(problem.WithNotRun(notRun).WithRetryAfter(deadlineRetry))
+}
+
+// replay returns a stored answer.
+func (s *shard) replay(id identity.CallID, stored *program.Answer, wanted wish) (api.Answer, error) {
+	if err := s.checkLease(); err != nil {
+		return api.Answer{}, err
+	}
+	s.owner.metrics.replays.Inc()
+	if problem := stored.Problem(id); problem != nil {
+		return api.Answer{}, problem
+	}
+	if wanted.onToken != nil {
+		if err := stored.Tokens(wanted.from, wanted.onToken); err != nil {
+			return api.Answer{}, api.NewProblem(api.CodeInterrupted, "the caller takes no more tokens: %s", err)
+		}
+	}
+	answer := publicAnswer(id, stored)
+	answer.Replayed = true
+	return answer, nil
+}
+
+// publicAnswer returns a stored answer in the form that callers get.
+func publicAnswer(id identity.CallID, stored *program.Answer) api.Answer {
+	return api.Answer{
+		Program:       string(id.Program),
+		Branch:        string(id.Branch),
+		Sequence:      uint64(id.Sequence),
+		Text:          stored.Text,
+		Output:        stored.Output,
+		FinishReason:  stored.FinishReason,
+		Usage:         stored.Usage,
+		Backend:       stored.Backend,
+		Reason:        stored.Reason,
+		QueuedSeconds: stored.Queued.Seconds(),
+		RunSeconds:    stored.Run.Seconds(),
+	}
+}
--- /dev/null
+++ b/internal/serving/outbox.go
@@ -0,0 +1,98 @@
+package serving
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/program"
+)
+
+// workOutbox releases the program's cache until every engine has confirmed. One
+// goroutine for each program with a release; it ends with the shard, and the
+// next owner finds the outbox in the journal.
+func (s *shard) workOutbox(id identity.ProgramID) {
+	defer s.drivers.Done()
+	timing := s.owner.config.Timing
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = timing.ReleaseRetry
+	pause.MaxInterval = timing.ReleaseRetryMax
+	began := time.Now()
+	for s.context.Err() == nil {
+		pending, over := s.pendingReleases(id)
+		if over {
+			return
+		}
+		confirmed := 0
+		for _, release := range pending {
+			if s.release(id, release, began) {
+				confirmed++
+			}
+		}
+		if confirmed == len(pending) {
+			pause.Reset()
+			continue
+		}
+		if !sleep(s.context, pause.NextBackOff()) {
+			return
+		}
+	}
+}
+
+// pendingReleases returns the program's outbox; over is true once it is empty.
+func (s *shard) pendingReleases(id identity.ProgramID) (pending []program.Release, over bool) {
+	s.machine.mutex.Lock()
+	defer s.machine.mutex.Unlock()
+	p := s.machine.set.Get(id)
+	if p == nil {
+		return nil, true
+	}
+	pending = p.Outbox()
+	if len(pending) == 0 {
+		s.entryOf(id).releasing = false
+		return nil, true
+	}
+	return pending, false
+}
+
+// release cancels what may still run, frees the memory and records that the
+// engine confirmed both.
+func (s *shard) release(id identity.ProgramID, release program.Release, began time.Time) bool {
+	if rule := s.owner.config.Hooks.Release; rule != nil && !rule(id) {
+		return false
+	}
+	if s.checkLease() != nil {
+		return false
+	}
+	if err := s.tryRelease(id, release); err != nil {
+		s.owner.metrics.releaseFailures.WithLabelValues(release.Backend).Inc()
+		gone := time.Since(began) >= s.owner.config.Timing.GoneAfter && !s.owner.listed(release.Address)
+		if !gone {
+			return false
+		}
+		s.owner.logger.Info("engine is gone and its memory with it", "program", id, "backend", release.Backend,
+			"shard", s.journal.ID(), "epoch", s.journal.Epoch())
+	}
+	s.machine.mutex.Lock()
+	defer s.machine.mutex.Unlock()
+	if s.stopped {
+		return false
+	}
+	_, err := s.commit(false, program.Released{ID: id, Backend: release.Backend, Branch: release.Branch})
+	s.owner.metrics.released.Inc()
+	return err == nil
+}
+
+func (s *shard) tryRelease(id identity.ProgramID, release program.Release) error {
+	ctx, cancel := context.WithTimeout(s.context, s.owner.config.Timing.RequestTimeout)
+	defer cancel()
+	engine := s.owner.config.Directory.Engine(release.Address)
+	for _, stream := range release.Streams {
+		if err := engine.Cancel(ctx, stream); err != nil {
+			return err
+		}
+	}
+	return engine.Release(ctx, id, release.Branch)
+}
--- /dev/null
+++ b/internal/serving/owner.go
@@ -0,0 +1,160 @@
+package serving
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/journal"
+)
+
+// Owner serves the programs of the shards that this node owns. It implements
+// Programs for them and journal.Host for the Manager that claims them.
+type Owner struct {
+	config     Config
+	logger     *slog.Logger
+	metrics    *metrics
+	flights    *flights
+	retries    *rate.Limiter
+	explained  *explanations
+	durations  *durations
+	candidates *candidates
+	auditor    *auditor
+
+	// mutex guards shards.
+	mutex  sync.RWMutex
+	shards map[identity.ShardID]*shard
+}
+
+var (
+	_ Programs     = (*Owner)(nil)
+	_ journal.Host = (*Owner)(nil)
+)
+
+// NewOwner returns an owner of no shards. Run runs its background work.
+func NewOwner(config Config) *Owner {
+	config.Timing.setDefaults()
+	config.Bounds.setDefaults()
+	logger := config.Logger
+	if logger == nil {
+		logger = slog.New(slog.DiscardHandler)
+	}
+	owner := &Owner{
+		config:     config,
+		logger:     logger,
+		flights:    newFlights(),
+		retries:    rate.NewLimiter(rate.Limit(config.Bounds.RetryRate), config.Bounds.RetryBurst),
+		explained:  newExplanations(config.Bounds.Explanations),
+		durations:  newDurations(),
+		candidates: newCandidates(config.Board),
+		auditor:    &auditor{suspects: map[suspect]struct{}{}},
+		shards:     map[identity.ShardID]*shard{},
+	}
+	owner.metrics = newMetrics(config.Registerer, owner)
+	return owner
+}
+
+// Run sweeps programs and audits engines until ctx ends.
+func (o *Owner) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return o.every(ctx, o.config.Timing.Sweep, o.sweep) })
+	group.Go(func() error { return o.every(ctx, o.config.Timing.Audit, o.audit) })
+	if err := group.Wait(); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("serving: %w", err)
+	}
+	return nil
+}
+
+func (o *Owner) every(ctx context.Context, interval time.Duration, work func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			work(ctx)
+		}
+	}
+}
+
+// Shards returns the number of shards that this node serves.
+func (o *Owner) Shards() int {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	return len(o.shards)
+}
+
+func (o *Owner) shardOf(program identity.ProgramID) (*shard, error) {
+	id := program.Shard(o.config.ShardCount)
+	o.mutex.RLock()
+	found := o.shards[id]
+	o.mutex.RUnlock()
+	if found == nil {
+		return nil, neverOwner(id)
+	}
+	return found, nil
+}
+
+func (o *Owner) allShards() []*shard {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	all := make([]*shard, 0, len(o.shards))
+	for _, s := range o.shards {
+		all = append(all, s)
+	}
+	return all
+}
+
+// NewStateMachine implements journal.Host.
+func (o *Owner) NewStateMachine(identity.ShardID) journal.StateMachine { return newMachine() }
+
+// Opened implements journal.Host: it takes up the calls and releases that the
+// former owner left.
+func (o *Owner) Opened(held journal.Shard, state journal.StateMachine) {
+	s := newShard(o, held, state.(*machine))
+	o.mutex.Lock()
+	former := o.shards[held.ID()]
+	o.shards[held.ID()] = s
+	o.mutex.Unlock()
+	if former != nil {
+		former.stop()
+	}
+	o.logger.Info("shard opened", "shard", held.ID(), "epoch", held.Epoch(), "programs", s.machine.len())
+	s.takeUp()
+	go s.watch()
+}
+
+// Closing implements journal.Host. New calls are sent to the next owner from
+// now on. Application calls under way cannot be taken over, so they are waited
+// for, bounded; model streams run on at their engines and the next owner
+// resumes them.
+func (o *Owner) Closing(ctx context.Context, held journal.Shard) {
+	o.mutex.RLock()
+	s := o.shards[held.ID()]
+	o.mutex.RUnlock()
+	if s == nil || s.journal != held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.config.Timing.CloseWait)
+	defer cancel()
+	s.close(ctx)
+	o.forget(s)
+	o.logger.Info("shard handed over", "shard", held.ID(), "epoch", held.Epoch())
+}
+
+// forget drops s unless a later epoch of its shard took its place.
+func (o *Owner) forget(s *shard) {
+	o.mutex.Lock()
+	if o.shards[s.journal.ID()] == s {
+		delete(o.shards, s.journal.ID())
+	}
+	o.mutex.Unlock()
+	s.stop()
+}
--- /dev/null
+++ b/internal/serving/sweep.go
@@ -0,0 +1,72 @@
+package serving
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/program"
+)
+
+// sweep ends programs that are idle or over age and forgets those that ended
+// long ago.
+func (o *Owner) sweep(context.Context) {
+	now := time.Now()
+	for _, s := range o.allShards() {
+		s.sweep(now)
+	}
+}
+
+func (s *shard) sweep(now time.Time) {
+	s.machine.mutex.Lock()
+	defer s.machine.mutex.Unlock()
+	if s.stopped || s.closing || s.checkLease() != nil {
+		return
+	}
+	var expired, ended []*program.Program
+	s.machine.set.All(func(p *program.Program) bool {
+		switch {
+		case p.Expired(now, s.opened) && (s.idle(p) || s.overAge(p, now)):
+			expired = append(expired, p)
+		case p.Forgettable() && s.idle(p):
+			ended = append(ended, p)
+		}
+		return true
+	})
+	for _, p := range expired {
+		if err := s.end(p, api.ProgramExpired); err != nil {
+			return
+		}
+	}
+	s.forgetEnded(now, ended)
+}
+
+// idle tells that no call of the program is under way or waits here.
+func (s *shard) idle(p *program.Program) bool {
+	e := s.entries[p.ID()]
+	return e == nil || e.runs == 0
+}
+
+func (s *shard) overAge(p *program.Program, now time.Time) bool {
+	limit := p.Limits().MaxDuration
+	return limit > 0 && now.Sub(p.Created()) >= limit
+}
+
+// forgetEnded drops ended programs that are past their time, and the oldest
+// beyond the limit. The caller holds the mutex.
+func (s *shard) forgetEnded(now time.Time, ended []*program.Program) {
+	slices.SortFunc(ended, func(a, b *program.Program) int {
+		return cmp.Or(a.Ended().Compare(b.Ended()), cmp.Compare(a.ID(), b.ID()))
+	})
+	surplus := len(ended) - s.owner.config.Bounds.Tombstones
+	for i, p := range ended {
+		if i >= surplus && now.Sub(p.Ended()) < s.owner.config.Timing.Tombstone {
+			return
+		}
+		if _, err := s.commit(false, program.Forgotten{ID: p.ID()}); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/serving/takeover.go
@@ -0,0 +1,114 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/samber/lo"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/program"
+)
+
+// takeUp starts a run for each call that the former owner left open, and the
+// releases of its outboxes.
+func (s *shard) takeUp() {
+	s.machine.mutex.Lock()
+	defer s.machine.mutex.Unlock()
+	now := time.Now()
+	s.machine.set.All(func(p *program.Program) bool {
+		for _, call := range p.OpenCalls() {
+			s.recoverCall(p, call, now)
+		}
+		if p.OutboxLength() > 0 {
+			s.changed(p.ID())
+		}
+		return true
+	})
+}
+
+// recoverCall makes the run of a call that was found open; the caller holds the
+// mutex.
+func (s *shard) recoverCall(p *program.Program, call *program.Call, now time.Time) {
+	r := &run{
+		id: call.Request.ID, request: call.Request, arrived: call.Attempt.At,
+		deadline: now.Add(s.callTimeout(p)), dispatched: true, recovered: true, done: make(chan struct{}),
+	}
+	r.context, r.cancel = context.WithCancelCause(s.context)
+	if !p.Running() {
+		r.cancel(errProgramEnded)
+	}
+	s.runs[r.id] = r
+	s.entryOf(r.id.Program).runs++
+	s.owner.metrics.recovered.Inc()
+	s.drivers.Add(1)
+	go s.drive(r)
+}
+
+// recover takes up the attempt that the former owner left. It returns nil if the
+// call is to be placed again.
+func (d *driver) recover() *outcome {
+	s := d.shard
+	s.machine.mutex.Lock()
+	p := s.machine.set.Get(d.run.id.Program)
+	call := p.Call(d.run.id)
+	d.open = true
+	d.attempt, d.pending = call.Unresolved()
+	d.timeout = s.callTimeout(p)
+	if call.Lost {
+		d.lost++
+	}
+	s.machine.mutex.Unlock()
+	d.reason = "taken over from the former owner"
+	if err := s.checkLease(); err != nil {
+		return failed(err)
+	}
+	switch {
+	case !d.pending && d.run.context.Err() == nil:
+		return nil
+	case d.run.request.Kind == api.CallModel && d.run.context.Err() == nil:
+		return d.recoverStream()
+	case d.run.context.Err() != nil:
+		return d.stopped()
+	case !d.mayRunAgain():
+		return d.outcomeUnknown("the node that sent it stopped before the answer came")
+	}
+	d.lost++
+	return nil
+}
+
+// recoverStream attaches to a stream of the former owner, or makes sure that it
+// does not run any more.
+func (d *driver) recoverStream() *outcome {
+	ctx, cancel := context.WithTimeout(d.run.context, d.timeout)
+	defer cancel()
+	client := d.owner().config.Directory.Engine(d.attempt.Address)
+	end := d.classify(ctx, d.resume(ctx, client, backend.ErrStreamUnknown))
+	if end.fate != fateLost {
+		result, _ := d.settle(end)
+		return result
+	}
+	if !d.mayRunAgain() {
+		return d.outcomeUnknown("the node that sent it stopped before the answer came")
+	}
+	d.logFailure("stream of the former owner not found", end.err)
+	d.lost++
+	if !errors.Is(end.err, backend.ErrStreamUnknown) && !errors.Is(end.err, backend.ErrStreamCancelled) {
+		d.excluded = append(d.excluded, d.attempt.Backend)
+	}
+	return d.fence()
+}
+
+// listed tells that the platform's list, as last read, has a machine at address.
+// An empty list says nothing.
+func (o *Owner) listed(address netip.AddrPort) bool {
+	machines := o.config.Board.Machines.Load()
+	if len(machines) == 0 {
+		return true
+	}
+	return lo.ContainsBy(machines, func(m platform.Machine) bool { return m.Address == address })
+}
