--- /dev/null
+++ b/internal/journal/claim.go
@@ -0,0 +1,414 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/wire"
+)
+
+// The reasons why a claim is not made or does not hold.
+var (
+	errHeldElsewhere = errors.New("journal: another node holds the shard")
+	errLeaseRuns     = errors.New("journal: the former owner's lease may still run")
+	errLostRace      = errors.New("journal: another claim came first")
+	errNoQuorum      = errors.New("journal: too few of the former replicas answer")
+	errNotDesired    = errors.New("journal: this node should not own the shard")
+	errClaimUnderWay = errors.New("journal: another node is claiming the shard")
+	errNoNodes       = errors.New("journal: no live node to hold the tail")
+)
+
+// claimant is one try to claim one shard.
+type claimant struct {
+	manager *Manager
+	shard   identity.ShardID
+	// machine is the fold of what was read, the next owner's state in the end.
+	machine StateMachine
+	stream  *stream
+	// former is the claim that was active before.
+	former Claim
+}
+
+// claim takes the shard over: it reads the log, makes sure that the former owner
+// is gone, appends its claim, reads it back, recovers the tail from the former
+// replicas, and opens the shard.
+func (m *Manager) claim(ctx context.Context, shard identity.ShardID) error {
+	ctx, cancel := context.WithTimeout(ctx, m.config.ClaimTimeout)
+	defer cancel()
+	c := &claimant{manager: m, shard: shard, machine: m.config.Host.NewStateMachine(shard)}
+	stream, err := m.openStream(ctx, shard, c.fold)
+	if err != nil {
+		return err
+	}
+	c.stream = stream
+	m.noteClaim(shard, stream.ledger)
+	if err := c.clearTheWay(ctx); err != nil {
+		return err
+	}
+	c.former = stream.ledger.Active()
+	claim, err := c.appendClaim(ctx)
+	if err != nil {
+		return err
+	}
+	m.noteClaim(shard, stream.ledger)
+	if stream.ledger.Active().Epoch != claim.Epoch {
+		if err := c.recover(ctx, claim); err != nil {
+			return err
+		}
+	}
+	return m.open(ctx, c, claim)
+}
+
+// fold applies one log record to the machine.
+func (c *claimant) fold(step Step) error {
+	if step.Restored {
+		c.machine = c.manager.config.Host.NewStateMachine(c.shard)
+		if err := c.machine.Restore(step.State); err != nil {
+			return fmt.Errorf("restore: %w", err)
+		}
+	}
+	for _, entry := range step.Entries {
+		if err := c.machine.Apply(entry); err != nil {
+			return fmt.Errorf("apply: %w", err)
+		}
+	}
+	return nil
+}
+
+// clearTheWay returns nil once no owner stands in the way: the shard was never
+// owned, or was released, or its replicas agree that the lease ran out. A live
+// owner is asked to hand over.
+func (c *claimant) clearTheWay(ctx context.Context) error {
+	ledger := c.stream.ledger
+	if err := c.yieldToRival(); err != nil {
+		return err
+	}
+	active := ledger.Active()
+	if active.Epoch == 0 || ledger.Released() {
+		return nil
+	}
+	self := c.manager.config.Self.Reference()
+	if active.Owner.Reference() != self && c.manager.isAlive(active.Owner) {
+		if err := c.askHandOver(ctx, active); err != nil {
+			return err
+		}
+		if ledger.Released() {
+			return nil
+		}
+	}
+	return c.preVote(ctx, active)
+}
+
+// yieldToRival leaves another node some time to finish a claim it made.
+func (c *claimant) yieldToRival() error {
+	m, ledger := c.manager, c.stream.ledger
+	current := ledger.Current()
+	if current.Epoch == ledger.Active().Epoch || current.Owner.Name == m.config.Self.Name || !m.isAlive(current.Owner) {
+		return nil
+	}
+	slot := &m.slots[c.shard]
+	slot.mutex.Lock()
+	defer slot.mutex.Unlock()
+	if slot.rival != current.Epoch {
+		slot.rival, slot.rivalSeen = current.Epoch, time.Now()
+	}
+	if time.Since(slot.rivalSeen) < m.config.Lease.Hold() {
+		return errClaimUnderWay
+	}
+	return nil
+}
+
+// isAlive tells whether this life of node is live by the members' view.
+func (m *Manager) isAlive(node identity.Node) bool {
+	return slices.ContainsFunc(m.config.Members.Load().Members, func(member membership.Member) bool {
+		return member.Node.Reference() == node.Reference() && member.Status != membership.Dead
+	})
+}
+
+// preVote asks the replicas of the active claim whether the owner's lease ran
+// out. A node that is cut off from them learns nothing, and so does not claim
+// what it could not recover.
+func (c *claimant) preVote(ctx context.Context, active Claim) error {
+	answers := c.ask(active, func(node identity.Node) (answer, error) {
+		message, err := c.manager.call(ctx, node, &preVoteMessage{To: node.Reference(), Shard: c.shard}, nil)
+		if err != nil {
+			return answer{}, err
+		}
+		vote, fits := message.(*preVoteAnswer)
+		if !fits {
+			return answer{}, errUnexpectedAnswer
+		}
+		return answer{gone: vote.OtherLife, remaining: vote.Remaining}, nil
+	})
+	lapsed := survey{count: len(active.Replicas)}
+	for _, answer := range answers {
+		switch {
+		case answer.remaining > 0:
+		case answer.gone:
+			lapsed.gone++
+		default:
+			lapsed.answered++
+		}
+	}
+	if lapsed.complete() {
+		return nil
+	}
+	if len(answers) >= ReadQuorum(len(active.Replicas)) {
+		return fmt.Errorf("%w: epoch %d of %s", errLeaseRuns, active.Epoch, active.Owner.Name)
+	}
+	return errNoQuorum
+}
+
+// answer is what one replica told a claimant.
+type answer struct {
+	gone      bool
+	remaining time.Duration
+	refused   bool
+	tail      Tail
+	held      bool
+}
+
+// ask puts one question to all replicas of a claim at the same time and returns
+// the answers of those that answer. A replica whose name lives on with a higher
+// incarnation counts as gone even if it cannot be reached.
+func (c *claimant) ask(claim Claim, question func(node identity.Node) (answer, error)) []answer {
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	var answers []answer
+	for _, replica := range claim.Replicas {
+		group.Go(func() {
+			given, err := question(replica)
+			if err != nil {
+				if !c.manager.isReplaced(replica) {
+					return
+				}
+				given = answer{gone: true}
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			answers = append(answers, given)
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+// isReplaced tells whether a later life of node is a member, at another address,
+// and has been for long enough that no lease of the former one runs.
+func (m *Manager) isReplaced(node identity.Node) bool {
+	return slices.ContainsFunc(m.config.Members.Load().Members, func(member membership.Member) bool {
+		later := member.Node.Name == node.Name && member.Node.Incarnation > node.Incarnation
+		started := time.Unix(0, int64(member.Node.Incarnation))
+		return later && time.Since(started) > 2*m.config.Lease.Hold()
+	})
+}
+
+// appendClaim claims the next epoch and reads back whether it holds. Where no
+// tail is to be recovered, the activation goes in the same append.
+func (c *claimant) appendClaim(ctx context.Context) (Claim, error) {
+	m, ledger := c.manager, c.stream.ledger
+	replicas := m.wantedReplicas(c.shard, m.view())
+	if len(replicas) == 0 {
+		return Claim{}, errNoNodes
+	}
+	epoch := ledger.Current().Epoch + 1
+	claim := Claim{Epoch: epoch, TailFrom: epoch, Owner: m.config.Self, Replicas: replicas}
+	records := []*Record{{
+		Kind: ClaimRecord, ID: m.random.recordID(), Shard: c.shard,
+		Epoch: epoch, Index: ledger.Index(), Claim: claim,
+	}}
+	if ledger.Active().Epoch == 0 || ledger.Released() {
+		records = append(records, c.activation(claim))
+	}
+	verdict, err := c.stream.append(ctx, false, records...)
+	if err != nil {
+		return Claim{}, err
+	}
+	current := ledger.Current()
+	if verdict != Valid || current.Epoch != epoch || current.Owner.Reference() != m.config.Self.Reference() {
+		return Claim{}, fmt.Errorf("%w: epoch %d of %s", errLostRace, current.Epoch, current.Owner.Name)
+	}
+	return current, nil
+}
+
+func (c *claimant) activation(claim Claim) *Record {
+	return &Record{
+		Kind: ActivatedRecord, ID: c.manager.random.recordID(), Shard: c.shard,
+		Epoch: claim.Epoch, Index: c.stream.ledger.Index(), Owner: claim.Owner.Reference(),
+	}
+}
+
+// recover gets the tail from the former replicas, which refuse the former owner
+// from then on, waits out what is left of its lease, and brings the tail to the
+// log together with the activation.
+func (c *claimant) recover(ctx context.Context, claim Claim) error {
+	former := c.stream.ledger.Active()
+	answers, err := c.collectPromises(ctx, claim, former)
+	if err != nil {
+		return err
+	}
+	var tails []Tail
+	var remaining time.Duration
+	for _, answer := range answers {
+		remaining = max(remaining, answer.remaining)
+		if answer.held {
+			tails = append(tails, answer.tail)
+		}
+	}
+	if err := sleep(ctx, remaining); err != nil {
+		return err
+	}
+	tail, err := Longest(tails).behind(c.stream.ledger.Index())
+	if err != nil {
+		return err
+	}
+	verdict, err := c.stream.append(ctx, true, c.recoveryRecords(claim, former, tail)...)
+	if err != nil {
+		return err
+	}
+	if verdict != Valid || c.stream.ledger.Active().Epoch != claim.Epoch {
+		return fmt.Errorf("%w: before the activation", errLostRace)
+	}
+	return nil
+}
+
+// recoveryRecords returns the log records that bring tail to the log and end
+// with the activation.
+func (c *claimant) recoveryRecords(claim, former Claim, tail Tail) []*Record {
+	m := c.manager
+	var records []*Record
+	if tail.Folded {
+		records = append(records, &Record{
+			Kind: SnapshotRecord, ID: m.random.recordID(), Shard: c.shard, Epoch: claim.Epoch,
+			Index: tail.After, State: tail.State, Claim: claim, Active: former,
+		})
+	}
+	for after := tail.After; after < tail.Last(); {
+		entries, _ := tail.From(after, m.config.BatchBytes)
+		records = append(records, &Record{
+			Kind: BatchRecord, ID: m.random.recordID(), Shard: c.shard, Epoch: claim.Epoch,
+			Index: after, Entries: entries,
+		})
+		after += uint64(len(entries))
+	}
+	return append(records, c.activation(claim))
+}
+
+// collectPromises asks the former replicas until enough of them promised.
+func (c *claimant) collectPromises(ctx context.Context, claim, former Claim) ([]answer, error) {
+	for attempt := 0; ; attempt++ {
+		answers := c.ask(former, func(node identity.Node) (answer, error) {
+			return c.askPromise(ctx, node, claim, former)
+		})
+		counted := survey{count: len(former.Replicas)}
+		for _, answer := range answers {
+			switch {
+			case answer.refused:
+				return nil, fmt.Errorf("%w: replicas promised a higher epoch", errLostRace)
+			case answer.gone:
+				counted.gone++
+			default:
+				counted.answered++
+			}
+		}
+		if counted.complete() {
+			c.noteSurvey(counted, former)
+			return answers, nil
+		}
+		if err := sleep(ctx, replicaPauseShortest<<min(attempt, 5)); err != nil {
+			return nil, fmt.Errorf("%w: %d of %d", errNoQuorum, counted.answered, counted.count)
+		}
+	}
+}
+
+// noteSurvey reports a recovery that may lack records.
+func (c *claimant) noteSurvey(counted survey, former Claim) {
+	if !counted.mayLack() {
+		return
+	}
+	c.manager.counters.mayLack.Add(1)
+	c.manager.config.Logger.Error("recovered from too few replicas: acknowledged records may be missing",
+		"shard", uint32(c.shard), "epoch", uint64(former.Epoch), "answered", counted.answered, "gone", counted.gone)
+}
+
+func (c *claimant) askPromise(ctx context.Context, node identity.Node, claim, former Claim) (answer, error) {
+	var encoded []byte
+	request := &promiseMessage{To: node.Reference(), Shard: c.shard, Epoch: claim.Epoch}
+	message, err := c.manager.call(ctx, node, request, func(part peer.Message) error {
+		piece, fits := part.(*promisePart)
+		if !fits {
+			return errUnexpectedAnswer
+		}
+		encoded = append(encoded, piece.Bytes...)
+		return nil
+	})
+	if err != nil {
+		return answer{}, err
+	}
+	promise, fits := message.(*promiseAnswer)
+	if !fits {
+		return answer{}, errUnexpectedAnswer
+	}
+	given := answer{gone: promise.Refusal == OtherLife, remaining: promise.Remaining, refused: promise.Refusal == Fenced}
+	if promise.Refusal != Granted || !former.accepts(promise.TailEpoch) {
+		return given, nil
+	}
+	decoder := wire.NewDecoder(encoded)
+	given.tail.decode(decoder)
+	given.held = true
+	return given, decoder.Finish()
+}
+
+// open serves the shard: it gets the lease and tells the host.
+func (m *Manager) open(ctx context.Context, c *claimant, claim Claim) error {
+	shard := m.newOwnedShard(c.shard, claim, c.stream.ledger.Index(), c.machine)
+	c.stream.onStep = nil
+	slot := &m.slots[c.shard]
+	slot.mutex.Lock()
+	slot.owned = shard
+	slot.known = claim
+	slot.mutex.Unlock()
+	m.renew(m.running, []*ownedShard{shard})
+	if err := shard.awaitLease(ctx); err != nil {
+		shard.lose(err)
+		return err
+	}
+	m.tasks.Go(func() { shard.write(c.stream) })
+	m.dropFormer(c, claim)
+	m.counters.claims.Add(1)
+	shard.logger.Info("shard opened", "epoch", uint64(claim.Epoch), "index", c.stream.ledger.Index())
+	m.config.Host.Opened(shard, c.machine)
+	return nil
+}
+
+// awaitLease waits for the first grant of the lease.
+func (s *ownedShard) awaitLease(ctx context.Context) error {
+	for {
+		err := s.CheckLease()
+		if !errors.Is(err, ErrLeaseLapsed) {
+			return err
+		}
+		if sleep(ctx, leasePoll) != nil {
+			return err
+		}
+	}
+}
+
+// leasePoll is the time between two looks for the first grant of a lease.
+const leasePoll = time.Millisecond
+
+// dropFormer lets the former replicas forget a tail that the log holds now.
+func (m *Manager) dropFormer(c *claimant, claim Claim) {
+	for _, replica := range c.former.Replicas {
+		if !holdsLife(claim.Replicas, replica) {
+			m.dropReplica(replica, c.shard, claim.Epoch)
+		}
+	}
+}
--- /dev/null
+++ b/internal/journal/config.go
@@ -0,0 +1,117 @@
+package journal
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/placement"
+	"stepseam.example/stepseam/internal/platform"
+)
+
+// The defaults of Config.
+const (
+	// DefaultLeaseDuration is the longest time that a shard stays without service
+	// after its owner died, apart from the claim itself.
+	DefaultLeaseDuration = 2 * time.Second
+	// DefaultLeaseDrift covers clocks that differ in speed by one part in ten.
+	DefaultLeaseDrift      = 200 * time.Millisecond
+	DefaultRenewInterval   = 500 * time.Millisecond
+	DefaultReplicaTimeout  = time.Second
+	DefaultLogTimeout      = 5 * time.Second
+	DefaultDurableWait     = 5 * time.Second
+	DefaultClaimTimeout    = 20 * time.Second
+	DefaultClosingTimeout  = 10 * time.Second
+	DefaultReplaceDelay    = 2 * time.Second
+	DefaultGather          = 5 * time.Millisecond
+	DefaultClaimRate       = 100
+	DefaultMoveRate        = 50
+	DefaultConcurrentMoves = 32
+	DefaultBatchBytes      = 256 << 10
+	DefaultSnapshotBytes   = 256 << 10
+)
+
+// Config is what a Manager works with. Fields with a default may be zero.
+type Config struct {
+	Self       identity.Node
+	ShardCount int
+	Lease      LeaseTerms
+	// RenewInterval is the time between two renewals of all leases.
+	RenewInterval time.Duration
+	// ReplicaTimeout bounds one message to a replica, LogTimeout one request to
+	// the log.
+	ReplicaTimeout time.Duration
+	LogTimeout     time.Duration
+	// DurableWait bounds how long EnqueueDurable's wait lasts.
+	DurableWait    time.Duration
+	ClaimTimeout   time.Duration
+	ClosingTimeout time.Duration
+	// ReplaceDelay is how long a replica must be gone from the view before its
+	// shards are claimed again without it.
+	ReplaceDelay time.Duration
+	// Gather is how long the log writer lets records of one shard gather.
+	Gather time.Duration
+	// ClaimRate and MoveRate limit claims begun and shards handed over, per
+	// second, so that a restart is no stampede.
+	ClaimRate       rate.Limit
+	MoveRate        rate.Limit
+	ConcurrentMoves int
+	// BatchBytes bounds one batch record. SnapshotBytes of records, or twice the
+	// last snapshot's size if that is more, call for the next snapshot.
+	BatchBytes    int
+	SnapshotBytes int
+
+	Log     platform.Log
+	Peers   peer.Client
+	Members *blackboard.Cell[membership.View]
+	// Desired tells where a shard should be by a view; false where no node lives.
+	Desired func(shard identity.ShardID, view membership.View) (placement.Assignment, bool)
+	Host    Host
+	Logger  *slog.Logger
+	// Random gives record ids and jitter; the Manager guards it with a lock.
+	Random rand.Source
+}
+
+func orDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.Lease.Duration, DefaultLeaseDuration)
+	orDefault(&c.Lease.Drift, DefaultLeaseDrift)
+	orDefault(&c.RenewInterval, DefaultRenewInterval)
+	orDefault(&c.ReplicaTimeout, DefaultReplicaTimeout)
+	orDefault(&c.LogTimeout, DefaultLogTimeout)
+	orDefault(&c.DurableWait, DefaultDurableWait)
+	orDefault(&c.ClaimTimeout, DefaultClaimTimeout)
+	orDefault(&c.ClosingTimeout, DefaultClosingTimeout)
+	orDefault(&c.ReplaceDelay, DefaultReplaceDelay)
+	orDefault(&c.Gather, DefaultGather)
+	orDefault(&c.ClaimRate, DefaultClaimRate)
+	orDefault(&c.MoveRate, DefaultMoveRate)
+	orDefault(&c.ConcurrentMoves, DefaultConcurrentMoves)
+	orDefault(&c.BatchBytes, DefaultBatchBytes)
+	orDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
+	if c.Desired == nil {
+		cache := &placement.Cache{}
+		c.Desired = func(shard identity.ShardID, view membership.View) (placement.Assignment, bool) {
+			return cache.For(view).Desired(shard)
+		}
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	if c.Random == nil {
+		c.Random = rand.NewPCG(rand.Uint64(), rand.Uint64())
+	}
+	return c
+}
--- a/internal/journal/contract.go
+++ b/internal/journal/contract.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"stepseam.example/stepseam/internal/identity"
 )
@@ -26,26 +27,38 @@
 var ErrNotOwner = errors.New("journal: not the owner of the shard")
 
 // ErrNotHeld tells that a record could not be made to last; it is certain that
-// no later owner will see it as valid. Only AppendDurable returns it.
+// no later owner will see it as valid. Only EnqueueDurable returns it.
 var ErrNotHeld = errors.New("journal: record not held")
 
 // ErrUnknown tells that a record may or may not last.
 var ErrUnknown = errors.New("journal: unknown whether the record is held")
 
-// StateMachine is folded from a shard's records. The journal calls it under the
-// shard's own order: Restore at most once, first, then Apply per record.
+// ErrLeaseLapsed is an ErrNotOwner that may pass: the lease ran out, but nobody
+// else has claimed the shard as far as this node knows. The shard serves again
+// once two of three replicas renew the lease.
+var ErrLeaseLapsed = fmt.Errorf("%w: lease lapsed", ErrNotOwner)
+
+// StateMachine is folded from a shard's records. During recovery the journal
+// calls Restore at most once, first, then Apply per record. From Opened on the
+// host applies records itself, before it hands them to Enqueue; the journal then
+// calls only Snapshot, and only from inside Enqueue and EnqueueDurable, on the
+// caller's goroutine, so under the caller's shard lock. Snapshot must therefore
+// cover exactly the records enqueued so far, those of this very call included,
+// and must not take a lock that the caller holds.
 type StateMachine interface {
-	// Apply takes one record. Records are those given to Append, in order.
+	// Apply takes one record. Records are those given to Enqueue, in order.
 	Apply(record []byte) error
 	// Snapshot returns a state that Restore turns back into the same machine.
 	Snapshot() ([]byte, error)
 	Restore(snapshot []byte) error
 }
 
-// Shard is one shard that this node owns, in one epoch. It is safe for
-// concurrent use. Once Lost is closed every method fails with ErrNotOwner.
+// Shard is one shard that this node owns. It is safe for concurrent use. Once
+// Lost is closed every method fails with ErrNotOwner.
 type Shard interface {
 	ID() identity.ShardID
+	// Epoch is the epoch served now. It rises while the shard stays open when the
+	// owner claims again to replace a lost replica.
 	Epoch() identity.Epoch
 	// Enqueue puts records at the journal's end in the order of the calls, which
 	// the caller keeps under its own shard lock, and returns at once. The wait
--- /dev/null
+++ b/internal/journal/health.go
@@ -0,0 +1,57 @@
+package journal
+
+import (
+	"context"
+	"sync"
+)
+
+// logHealth is this node's view of whether the log service answers. Writers that
+// meet an outage wait here, so that one probe asks for all of them.
+type logHealth struct {
+	mutex sync.Mutex
+	down  bool
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+func newLogHealth() *logHealth { return &logHealth{changed: make(chan struct{})} }
+
+func (h *logHealth) isDown() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.down
+}
+
+// set stores the state and tells whether it changed.
+func (h *logHealth) set(down bool) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.down == down {
+		return false
+	}
+	h.down = down
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return true
+}
+
+func (h *logHealth) watch() (down bool, changed <-chan struct{}) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.down, h.changed
+}
+
+// await waits until the log is down or up as wanted.
+func (h *logHealth) await(ctx context.Context, wanted bool) error {
+	for {
+		down, changed := h.watch()
+		if down == wanted {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/journal/manager_test.go
@@ -0,0 +1,32 @@
+package journal
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestFairWeather(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := newTestSite(1, 8)
+		defer site.close()
+		for i := range 6 {
+			site.start(i)
+		}
+		site.awaitServing(t, 30*time.Second)
+		open := site.serving(3).host.open(3)
+		for number := range uint64(100) {
+			is.NoErr(open.add(context.Background(), number, number%10 == 0))
+		}
+		is.Equal(len(open.machine.numbers()), 100)
+		time.Sleep(time.Second)
+		site.serving(3).kill()
+		site.refresh()
+		site.awaitServing(t, 30*time.Second)
+		is.Equal(site.serving(3).host.open(3).machine.numbers(), open.machine.numbers())
+	})
+}
--- /dev/null
+++ b/internal/journal/writer.go
@@ -0,0 +1,174 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// errTakenOver is why a shard is lost when another claim stands in the log.
+var errTakenOver = errors.New("journal: another node's claim stands in the log")
+
+// write brings the shard's records to the log until the shard is lost. It alone
+// uses the stream: one append is under way at a time, and an answer that got lost
+// is read back before the next one.
+func (s *ownedShard) write(stream *stream) {
+	for {
+		select {
+		case <-s.wakeWriter:
+		case <-s.ctx.Done():
+			return
+		}
+		if err := s.drainToLog(stream); err != nil {
+			if s.ctx.Err() == nil {
+				s.lose(err)
+			}
+			return
+		}
+	}
+}
+
+// drainToLog writes until nothing is left to do. An error tells that the shard is
+// lost.
+func (s *ownedShard) drainToLog(stream *stream) error {
+	for {
+		if s.takeReplacementWish() {
+			if err := s.replaceReplicas(stream); err != nil {
+				return err
+			}
+		}
+		if err := s.gather(); err != nil {
+			return err
+		}
+		record, sealed := s.nextRecord()
+		if record == nil {
+			if sealed {
+				return s.writeRelease(stream)
+			}
+			return nil
+		}
+		if err := s.writeRecord(stream, record); err != nil {
+			return err
+		}
+	}
+}
+
+// gather lets records come together, unless someone waits for the log.
+func (s *ownedShard) gather() error {
+	s.mutex.Lock()
+	urgent := s.sealed || len(s.durable) > 0 || s.tail.Last() == s.logged
+	s.mutex.Unlock()
+	if urgent {
+		return nil
+	}
+	return sleep(s.ctx, s.manager.config.Gather)
+}
+
+// nextRecord returns what the log should get next, or nil when it holds all.
+func (s *ownedShard) nextRecord() (record *Record, sealed bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.snapshot != nil {
+		return s.record(SnapshotRecord, s.snapshot.index, func(r *Record) {
+			r.State, r.Claim, r.Active = s.snapshot.state, s.claim, s.claim
+		}), s.sealed
+	}
+	if s.tail.Last() == s.logged {
+		return nil, s.sealed
+	}
+	entries, _ := s.tail.From(s.logged, s.manager.config.BatchBytes)
+	return s.record(BatchRecord, s.logged, func(r *Record) { r.Entries = entries }), s.sealed
+}
+
+func (s *ownedShard) record(kind RecordKind, index uint64, fill func(*Record)) *Record {
+	record := &Record{
+		Kind: kind, ID: s.manager.random.recordID(), Shard: s.id,
+		Epoch: s.claim.Epoch, Index: index,
+	}
+	if fill != nil {
+		fill(record)
+	}
+	return record
+}
+
+func (s *ownedShard) writeRecord(stream *stream, record *Record) error {
+	verdict, err := stream.append(s.ctx, true, record)
+	if err != nil {
+		return err
+	}
+	if verdict != Valid {
+		return s.counterClaim(stream)
+	}
+	s.manager.countRecord(record)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if record.Kind == SnapshotRecord && s.snapshot != nil && s.snapshot.index == record.Index {
+		s.snapshot = nil
+	}
+	s.noteLogged(record.Index + uint64(len(record.Entries)))
+	return nil
+}
+
+func (m *Manager) countRecord(record *Record) {
+	m.counters.logAppends.Add(1)
+	m.counters.logBytes.Add(uint64(len(record.Encode())))
+	if record.Kind == SnapshotRecord {
+		m.counters.snapshots.Add(1)
+	}
+}
+
+// writeRelease ends a planned stop: the log holds all, and says so.
+func (s *ownedShard) writeRelease(stream *stream) error {
+	s.mutex.Lock()
+	record := s.record(ReleasedRecord, s.logged, nil)
+	s.mutex.Unlock()
+	verdict, err := stream.append(s.ctx, true, record)
+	if err != nil {
+		return err
+	}
+	if verdict != Valid {
+		return errTakenOver
+	}
+	s.manager.releaseLeases(s)
+	s.lose(errHandedOver)
+	close(s.flushed)
+	return nil
+}
+
+// releaseLeases tells the replicas that the owner stopped, so that a claimant
+// that has not read the release needs not wait.
+func (m *Manager) releaseLeases(s *ownedShard) {
+	s.mutex.Lock()
+	claim := s.claim
+	s.mutex.Unlock()
+	for _, replica := range claim.Replicas {
+		m.tasks.Go(func() {
+			ctx, cancel := context.WithTimeout(m.running, m.config.ReplicaTimeout)
+			defer cancel()
+			request := &releaseMessage{Shard: s.id, Owner: m.config.Self.Reference(), Epoch: claim.Epoch}
+			_, _ = m.call(ctx, replica, request, nil) // the lease runs out by itself
+		})
+	}
+}
+
+// counterClaim handles a record that turned out void. A claim of another node
+// that was never activated took nothing over yet: while the replicas have not
+// promised it anything this owner still serves, and claims again above it.
+func (s *ownedShard) counterClaim(stream *stream) error {
+	active := stream.ledger.Active()
+	if active.Epoch != s.claim.Epoch || stream.ledger.Released() {
+		return fmt.Errorf("%w: epoch %d of %s", errTakenOver, active.Epoch, active.Owner.Name)
+	}
+	rival := stream.ledger.Current()
+	if rival.Owner.Reference() != s.manager.config.Self.Reference() {
+		s.logger.Warn("unactivated claim of another node", "epoch", uint64(rival.Epoch), "owner", string(rival.Owner.Name))
+	}
+	if err := s.claimAgain(stream, s.claim.Replicas); err != nil {
+		return err
+	}
+	return nil
+}
+
+// counterClaimPause keeps two claimants from outbidding each other in step.
+const counterClaimPause = 200 * time.Millisecond
