Run a laboratory site as processes

Cause: the demo and the process tests need the same site on one machine. Change: internal/lab/site writes parameters and settings, starts stand-ins, back ends and nodes on 127.0.0.x, and can put relays before the platform. Weighed: fixed ports. Ruled out: two sites on one machine would clash; nodes take ports that were free a moment before, stand-ins tell theirs. Left: it has not run a node yet, none is built.

--- /dev/null
+++ b/internal/lab/site/node.go
@@ -0,0 +1,195 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"time"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/lab/process"
+	"stepseam.example/stepseam/internal/settings"
+)
+
+// Node is one stepseamd process.
+type Node struct {
+	*process.Process
+	Name      identity.NodeName
+	Zone      identity.Zone
+	Addresses settings.Addresses
+}
+
+// Running tells that the node was started and has not ended.
+func (n *Node) Running() bool {
+	if n.Process == nil {
+		return false
+	}
+	select {
+	case <-n.Done():
+		return false
+	default:
+		return true
+	}
+}
+
+// CallersURL is the base URL for callers.
+func (n *Node) CallersURL() string { return "http://" + n.Addresses.Callers.String() }
+
+// OperatorsURL is the base URL for operators.
+func (n *Node) OperatorsURL() string { return "http://" + n.Addresses.Operators.String() }
+
+// planNode chooses the addresses of the node at index.
+func (s *Site) planNode(index int, plan NodePlan) (*Node, error) {
+	node := &Node{Name: plan.Name, Zone: plan.Zone}
+	own := host(firstNode + index)
+	for _, target := range []*netip.AddrPort{&node.Addresses.Callers, &node.Addresses.Operators, &node.Addresses.Peer} {
+		listener, err := net.Listen("tcp", netip.AddrPortFrom(own, 0).String())
+		if err != nil {
+			return nil, fmt.Errorf("site: port for %s: %w", plan.Name, err)
+		}
+		defer listener.Close()
+		*target = listener.Addr().(*net.TCPAddr).AddrPort()
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(own, 0)))
+	if err != nil {
+		return nil, fmt.Errorf("site: port for %s: %w", plan.Name, err)
+	}
+	defer socket.Close()
+	node.Addresses.Probe = socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	return node, nil
+}
+
+func (s *Site) startNodes(context.Context) error {
+	for index := range s.Nodes {
+		if err := s.writeSettings(s.Nodes[index]); err != nil {
+			return err
+		}
+		if err := s.StartNode(index); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartNode starts the node at index, or starts it again after its end.
+func (s *Site) StartNode(index int) error {
+	former := s.Nodes[index]
+	started, err := process.Start(process.Command{
+		Name: string(former.Name), Program: filepath.Join(s.plan.Programs, DaemonProgram),
+		Arguments:    []string{"--settings", filepath.Join(s.plan.Directory, string(former.Name)+".yaml")},
+		LogDirectory: s.plan.Directory,
+	})
+	if err != nil {
+		return err
+	}
+	s.Nodes[index] = &Node{Process: started, Name: former.Name, Zone: former.Zone, Addresses: former.Addresses}
+	return nil
+}
+
+func (s *Site) writeSettings(node *Node) error {
+	chosen := settings.Default()
+	chosen.Node = settings.Node{Name: node.Name, Zone: node.Zone, Region: s.plan.Region}
+	chosen.Addresses = node.Addresses
+	for _, other := range s.Nodes {
+		if other.Name != node.Name {
+			chosen.Seeds = append(chosen.Seeds, other.Addresses.Probe)
+		}
+	}
+	services := []struct {
+		name    string
+		target  *netip.AddrPort
+		standIn *StandIn
+	}{
+		{"log", &chosen.Platform.LogService, s.LogService},
+		{"machines", &chosen.Platform.MachineList, s.MachineList},
+		{"weights", &chosen.Platform.WeightStore, s.WeightStore},
+		{"tools", &chosen.Platform.Tools, s.Tools},
+	}
+	for _, service := range services {
+		*service.target = service.standIn.Address
+		if s.plan.Route == nil {
+			continue
+		}
+		routed, err := s.plan.Route(node.Name, service.name, service.standIn.Address)
+		if err != nil {
+			return fmt.Errorf("site: route from %s to %s: %w", node.Name, service.name, err)
+		}
+		*service.target = routed
+	}
+	if s.plan.Adjust != nil {
+		s.plan.Adjust(&chosen)
+	}
+	_, err := s.writeYAML(string(node.Name), chosen)
+	return err
+}
+
+// awaitNodes waits until every node answers its health check.
+func (s *Site) awaitNodes(ctx context.Context) error {
+	for _, node := range s.Nodes {
+		if err := s.AwaitNode(ctx, node, "/healthz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until every running node is ready to take work.
+func (s *Site) AwaitReady(ctx context.Context) error {
+	for _, node := range s.Nodes {
+		if !node.Running() {
+			continue
+		}
+		if err := s.AwaitNode(ctx, node, "/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitNode waits until path of the node's operators' address answers 200.
+func (s *Site) AwaitNode(ctx context.Context, node *Node, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	what := fmt.Sprintf("%s%s", node.Name, path)
+	err := Eventually(ctx, what, func(ctx context.Context) error {
+		if !node.Running() {
+			return fmt.Errorf("%w: %s", errEnded, node.Name)
+		}
+		return getJSON(ctx, node.OperatorsURL()+path, nil)
+	})
+	if err != nil {
+		return fmt.Errorf("%w\n%s", err, node.LogTail())
+	}
+	return nil
+}
+
+// errEnded ends a wait for a process that will never come.
+var errEnded = errors.New("site: the process has ended")
+
+// pollInterval is the time between two tries of Eventually.
+const pollInterval = 50 * time.Millisecond
+
+// Eventually repeats try until it returns nil, and reports the last error if
+// ctx ends before.
+func Eventually(ctx context.Context, what string, try func(context.Context) error) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		err := try(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("site: waited in vain for %s: %w", what, err)
+		}
+	}
+}
+
+// httpClient reaches stand-ins and nodes directly; each try is bounded by its context.
+var httpClient = &http.Client{Timeout: patience}
--- /dev/null
+++ b/internal/lab/site/site.go
@@ -0,0 +1,283 @@
+// Package site runs a whole laboratory site on one machine, as real processes
+// on 127.0.0.x: the platform's stand-ins, engines, applications and nodes. The
+// demo and the process tests drive it.
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"stepseam.example/stepseam/internal/emulator/application"
+	"stepseam.example/stepseam/internal/emulator/engine"
+	"stepseam.example/stepseam/internal/emulator/machinelist"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/lab/process"
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/settings"
+)
+
+// The names of the programs a site needs.
+const (
+	DaemonProgram   = "stepseamd"
+	OperatorProgram = "stepseamctl"
+	LabProgram      = "stepseam-lab"
+)
+
+// NodePlan says which node to run.
+type NodePlan struct {
+	Name identity.NodeName
+	Zone identity.Zone
+}
+
+// EnginePlan says which engine to run.
+type EnginePlan struct {
+	Zone       identity.Zone
+	Parameters engine.Parameters
+}
+
+// ApplicationPlan says which application replica to run.
+type ApplicationPlan struct {
+	Zone       identity.Zone
+	Parameters application.Parameters
+}
+
+// Plan says what a site consists of.
+type Plan struct {
+	// Programs is the directory of the built programs, Directory takes settings,
+	// parameters and logs.
+	Programs  string
+	Directory string
+	Region    identity.Region
+	// EngineService and ApplicationService are the pools' names.
+	EngineService      string
+	ApplicationService string
+	Nodes              []NodePlan
+	Engines            []EnginePlan
+	Applications       []ApplicationPlan
+	// MachineListLag is how long the machine list takes to show a change.
+	MachineListLag time.Duration
+	// Adjust may change a node's settings before they are written.
+	Adjust func(*settings.Settings)
+	// Route may put a relay before a service that node reaches at address; it
+	// returns the address that the node is given. Only the platform's services
+	// go through it.
+	Route func(node identity.NodeName, service string, address netip.AddrPort) (netip.AddrPort, error)
+	// RouteBackend does the same for a back end, for all nodes at once.
+	RouteBackend func(backend string, address netip.AddrPort) (netip.AddrPort, error)
+}
+
+// Site is a running site.
+type Site struct {
+	plan Plan
+	// LogService, MachineList, WeightStore and Tools are the platform.
+	LogService  *StandIn
+	MachineList *StandIn
+	WeightStore *StandIn
+	Tools       *StandIn
+	// Engines and Applications are in the plan's order.
+	Engines      []*StandIn
+	Applications []*StandIn
+	// Nodes are in the plan's order; a node that was restarted is replaced.
+	Nodes []*Node
+}
+
+// patience bounds the start of one process.
+const patience = 20 * time.Second
+
+// Addresses of a site's processes, one IP number each.
+const (
+	platformHost     = 1
+	firstNode        = 11
+	firstEngine      = 51
+	firstApplication = 81
+)
+
+func host(number int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, byte(number)}) }
+
+// Start starts everything and returns once all nodes answer. They are not ready
+// before a table is published. On an error everything is ended again.
+func Start(ctx context.Context, plan Plan) (*Site, error) {
+	site := &Site{plan: plan}
+	if err := site.start(ctx); err != nil {
+		site.Close()
+		return nil, err
+	}
+	return site, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	steps := []func(context.Context) error{
+		s.startPlatform, s.startBackends, s.startMachineList, s.startNodes, s.awaitNodes,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) startPlatform(ctx context.Context) error {
+	starts := []struct {
+		target     **StandIn
+		subcommand string
+	}{{&s.LogService, "log"}, {&s.WeightStore, "weights"}, {&s.Tools, "tools"}}
+	for _, start := range starts {
+		started, err := s.startStandIn(ctx, start.subcommand, start.subcommand, platformHost, nil)
+		if err != nil {
+			return err
+		}
+		*start.target = started
+	}
+	return nil
+}
+
+func (s *Site) startBackends(ctx context.Context) error {
+	for i, plan := range s.plan.Engines {
+		started, err := s.startStandIn(ctx, plan.Parameters.Name, "engine", firstEngine+i, plan.Parameters)
+		if err != nil {
+			return err
+		}
+		s.Engines = append(s.Engines, started)
+	}
+	for i, plan := range s.plan.Applications {
+		started, err := s.startStandIn(ctx, plan.Parameters.Name, "application", firstApplication+i, plan.Parameters)
+		if err != nil {
+			return err
+		}
+		s.Applications = append(s.Applications, started)
+	}
+	return nil
+}
+
+// machinesFile is the parameter file of the machine list.
+type machinesFile struct {
+	Faults   machinelist.Faults `yaml:"faults"`
+	Machines []platform.Machine `yaml:"machines"`
+}
+
+func (s *Site) startMachineList(ctx context.Context) error {
+	file := machinesFile{Faults: machinelist.Faults{Lag: s.plan.MachineListLag}}
+	for i, plan := range s.plan.Engines {
+		machine, err := s.backendMachine(s.Engines[i], platform.RoleEngine, plan.Zone)
+		if err != nil {
+			return err
+		}
+		file.Machines = append(file.Machines, machine)
+	}
+	for i, plan := range s.plan.Applications {
+		machine, err := s.backendMachine(s.Applications[i], platform.RoleApplication, plan.Zone)
+		if err != nil {
+			return err
+		}
+		file.Machines = append(file.Machines, machine)
+	}
+	for i, plan := range s.plan.Nodes {
+		node, err := s.planNode(i, plan)
+		if err != nil {
+			return err
+		}
+		s.Nodes = append(s.Nodes, node)
+		file.Machines = append(file.Machines, platform.Machine{
+			Name: string(plan.Name), Role: platform.RoleNode, State: platform.MachineLive,
+			Zone: plan.Zone, Region: s.plan.Region, Service: DaemonProgram,
+			Address: node.Addresses.Peer, ProbeAddress: node.Addresses.Probe,
+		})
+	}
+	started, err := s.startStandIn(ctx, "machines", "machines", platformHost, file)
+	s.MachineList = started
+	return err
+}
+
+func (s *Site) backendMachine(backend *StandIn, role platform.MachineRole, zone identity.Zone) (platform.Machine, error) {
+	service := s.plan.EngineService
+	if role == platform.RoleApplication {
+		service = s.plan.ApplicationService
+	}
+	address := backend.Address
+	if s.plan.RouteBackend != nil {
+		routed, err := s.plan.RouteBackend(backend.Name(), address)
+		if err != nil {
+			return platform.Machine{}, fmt.Errorf("site: route to %s: %w", backend.Name(), err)
+		}
+		address = routed
+	}
+	return platform.Machine{
+		Name: backend.Name(), Role: role, State: platform.MachineLive,
+		Zone: zone, Region: s.plan.Region, Address: address, Service: service,
+	}, nil
+}
+
+// startStandIn starts a stand-in on a free port of 127.0.0.number and waits
+// until it listens. parameters, if any, go into its parameter file.
+func (s *Site) startStandIn(ctx context.Context, name, subcommand string, number int, parameters any) (*StandIn, error) {
+	arguments := []string{subcommand, "--address", netip.AddrPortFrom(host(number), 0).String()}
+	if parameters != nil {
+		path, err := s.writeYAML(name, parameters)
+		if err != nil {
+			return nil, err
+		}
+		arguments = append(arguments, "--parameters", path)
+	}
+	started, err := process.Start(process.Command{
+		Name: name, Program: filepath.Join(s.plan.Programs, LabProgram),
+		Arguments: arguments, LogDirectory: s.plan.Directory,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	address, err := started.Ready(ctx)
+	if err != nil {
+		started.Kill()
+		return nil, err
+	}
+	return &StandIn{Process: started, Address: address}, nil
+}
+
+func (s *Site) writeYAML(name string, content any) (string, error) {
+	encoded, err := yaml.Marshal(content)
+	if err != nil {
+		return "", fmt.Errorf("site: file of %s: %w", name, err)
+	}
+	path := filepath.Join(s.plan.Directory, name+".yaml")
+	if err := os.WriteFile(path, encoded, 0o600); err != nil {
+		return "", fmt.Errorf("site: file of %s: %w", name, err)
+	}
+	return path, nil
+}
+
+// StopNodes stops all running nodes by planned stop, one after the other.
+func (s *Site) StopNodes(patience time.Duration) error {
+	var faults []error
+	for _, node := range s.Nodes {
+		if node.Running() {
+			faults = append(faults, node.Stop(patience))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// Close ends every process that still runs, at once.
+func (s *Site) Close() {
+	for _, node := range s.Nodes {
+		if node.Process != nil {
+			node.Kill()
+		}
+	}
+	platformStandIns := []*StandIn{s.LogService, s.MachineList, s.WeightStore, s.Tools}
+	for _, standIn := range slices.Concat(s.Engines, s.Applications, platformStandIns) {
+		if standIn != nil {
+			standIn.Kill()
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/site/standin.go
@@ -0,0 +1,80 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"stepseam.example/stepseam/internal/lab/process"
+)
+
+// StandIn is one stand-in as a process.
+type StandIn struct {
+	*process.Process
+	Address netip.AddrPort
+}
+
+// Get reads the JSON document at path into answer.
+func (s *StandIn) Get(ctx context.Context, path string, answer any) error {
+	return getJSON(ctx, "http://"+s.Address.String()+path, answer)
+}
+
+// Put sends body as JSON to path, for instance to switch faults.
+func (s *StandIn) Put(ctx context.Context, path string, body any) error {
+	return sendJSON(ctx, http.MethodPut, "http://"+s.Address.String()+path, body, nil)
+}
+
+// Post sends body as JSON to path and reads the answer.
+func (s *StandIn) Post(ctx context.Context, path string, body, answer any) error {
+	return sendJSON(ctx, http.MethodPost, "http://"+s.Address.String()+path, body, answer)
+}
+
+func getJSON(ctx context.Context, url string, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("site: %w", err)
+	}
+	return exchange(request, answer)
+}
+
+func sendJSON(ctx context.Context, method, url string, body, answer any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("site: %s: %w", url, err)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(encoded))
+	if err != nil {
+		return fmt.Errorf("site: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return exchange(request, answer)
+}
+
+// answerLimit bounds what is read of an answer.
+const answerLimit = 64 << 20
+
+func exchange(request *http.Request, answer any) error {
+	response, err := httpClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("site: %w", err)
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	if err != nil {
+		return fmt.Errorf("site: %s %s: %w", request.Method, request.URL, err)
+	}
+	if response.StatusCode < 200 || response.StatusCode > 299 {
+		return fmt.Errorf("site: %s %s: status %d: %s", request.Method, request.URL, response.StatusCode, bytes.TrimSpace(content))
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(content, answer); err != nil {
+		return fmt.Errorf("site: %s %s: %w", request.Method, request.URL, err)
+	}
+	return nil
+}
