Add HTTP clients of back ends and HTTP faces of their stand-ins

Cause: nodes reach engines and application replicas over HTTP, and what a failed request means decides whether it may be sent again.

Change: internal/backend has clients for backend.Engine and backend.Application and a directory of them. ErrNotDelivered is returned only if no connection was ever handed to the request; refusals go by the code of the problem document; all else is ErrBroken. Every wait and every body is bounded; a silent stream ends after the idle timeout, while a slow reader does not count as silence. A stream is whole only with its end mark, its usage and as many tokens as that tells. engine.NewServer and application.NewServer are the faces: OpenAI-shaped generation, streams by escaped id, memory, orders, and the stand-ins' own paths for faults, draining and the truth.

Weighed: reusing connections to applications was ruled out. On a reused connection net/http repeats a request that carries an Idempotency-Key by itself, and a connection that the replica just closed can't be told from a lost answer. Resuming on the wire from the token asked for was ruled out, as the result holds the whole text.

Left: tests of each injected fault, the controller that watches back ends.

--- /dev/null
+++ b/internal/backend/application_client.go
@@ -0,0 +1,49 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+)
+
+// ApplicationClient is an Application over HTTP.
+type ApplicationClient struct{ client client }
+
+var _ Application = (*ApplicationClient)(nil)
+
+// emptyInput stands for no input, so that every operation is sent with a body:
+// net/http may send a request without one a second time.
+const emptyInput = "null"
+
+// Invoke implements Application. A request is written at most once.
+func (a *ApplicationClient) Invoke(ctx context.Context, request InvokeRequest) ([]byte, error) {
+	header := http.Header{}
+	header.Set(HeaderStream, FormatStreamID(request.Stream))
+	if request.IdempotencyKey != "" {
+		header.Set(HeaderIdempotencyKey, headerValue(request.IdempotencyKey))
+	}
+	body := request.Body
+	if len(body) == 0 {
+		body = []byte(emptyInput)
+	}
+	answer, err := a.client.exchange(ctx, outgoing{
+		method: http.MethodPost, path: PathOperations + url.PathEscape(request.Operation),
+		header: header, body: body, contentType: contentTypeJSON,
+		wholeTimeout: a.client.options.InvokeTimeout,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("invoke %s for %s: %w", request.Operation, request.Stream, err)
+	}
+	return answer, nil
+}
+
+// headerValue returns key as it is where a header can carry it, else escaped.
+func headerValue(key string) string {
+	for _, letter := range []byte(key) {
+		if letter <= ' ' || letter > '~' {
+			return url.QueryEscape(key)
+		}
+	}
+	return key
+}
--- /dev/null
+++ b/internal/backend/client_test.go
@@ -0,0 +1,281 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/identity"
+)
+
+// call is one method of a client.
+type call struct {
+	name string
+	run  func(ctx context.Context, directory backend.Directory, address netip.AddrPort) error
+}
+
+func calls() []call {
+	stream := identity.StreamID{Call: identity.CallID{Program: "p", Branch: "main", Sequence: 1}, Epoch: 1}
+	engine := func(name string, run func(context.Context, backend.Engine) error) call {
+		return call{name: name, run: func(ctx context.Context, directory backend.Directory, address netip.AddrPort) error {
+			return run(ctx, directory.Engine(address))
+		}}
+	}
+	return []call{
+		engine("generate", func(ctx context.Context, e backend.Engine) error {
+			_, err := e.Generate(ctx, backend.GenerateRequest{Stream: stream, Model: "m", MaxTokens: 1}, nil)
+			return err
+		}),
+		engine("resume", func(ctx context.Context, e backend.Engine) error {
+			_, err := e.Resume(ctx, stream, 0, nil)
+			return err
+		}),
+		engine("cancel", func(ctx context.Context, e backend.Engine) error { return e.Cancel(ctx, stream) }),
+		engine("release", func(ctx context.Context, e backend.Engine) error { return e.Release(ctx, "p", "main") }),
+		engine("held", func(ctx context.Context, e backend.Engine) error {
+			_, err := e.Held(ctx)
+			return err
+		}),
+		engine("load", func(ctx context.Context, e backend.Engine) error {
+			_, err := e.Load(ctx)
+			return err
+		}),
+		engine("cache events", func(ctx context.Context, e backend.Engine) error {
+			_, err := e.CacheEvents(ctx, 1)
+			return err
+		}),
+		engine("export", func(ctx context.Context, e backend.Engine) error {
+			_, err := e.Export(ctx, "p", "main")
+			return err
+		}),
+		engine("import", func(ctx context.Context, e backend.Engine) error {
+			return e.Import(ctx, "p", "main", []byte("state"))
+		}),
+		engine("order", func(ctx context.Context, e backend.Engine) error {
+			return e.Order(ctx, backend.Order{Kind: backend.OrderSetRole, Subject: "prefill", Fence: 1})
+		}),
+		{name: "invoke", run: func(ctx context.Context, directory backend.Directory, address netip.AddrPort) error {
+			_, err := directory.Application(address).Invoke(ctx, backend.InvokeRequest{
+				Stream: stream, Operation: "enrol", Body: []byte("{}"), IdempotencyKey: "key",
+			})
+			return err
+		}},
+	}
+}
+
+// options are the defaults with a short patience: what these tests wait for
+// never comes, so a slow machine only makes them slower.
+func options() backend.Options {
+	options := backend.DefaultOptions()
+	options.HeaderTimeout = 100 * time.Millisecond
+	options.IdleTimeout = 100 * time.Millisecond
+	options.CallTimeout = 100 * time.Millisecond
+	options.TransferTimeout = 100 * time.Millisecond
+	options.OrderTimeout = 100 * time.Millisecond
+	options.InvokeTimeout = 100 * time.Millisecond
+	return options
+}
+
+func serve(t *testing.T, handler http.HandlerFunc, options backend.Options) (backend.Directory, netip.AddrPort) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	directory := backend.NewDirectory(options)
+	t.Cleanup(directory.Close)
+	return directory, netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+func TestARefusedConnectionWasNotDelivered(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	_ = listener.Close()
+	directory := backend.NewDirectory(backend.DefaultOptions())
+	for _, call := range calls() {
+		t.Run(call.name, func(t *testing.T) {
+			is := is.New(t)
+			err := call.run(t.Context(), directory, address)
+			is.True(errors.Is(err, backend.ErrNotDelivered))
+			is.True(!errors.Is(err, backend.ErrBroken))
+		})
+	}
+}
+
+func TestAnEndedContextWasNotDelivered(t *testing.T) {
+	var arrived atomic.Int32
+	directory, address := serve(t, func(http.ResponseWriter, *http.Request) { arrived.Add(1) }, backend.DefaultOptions())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, call := range calls() {
+		t.Run(call.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(errors.Is(call.run(ctx, directory, address), backend.ErrNotDelivered))
+			is.Equal(arrived.Load(), int32(0))
+		})
+	}
+}
+
+func TestRefusalsGoByTheirCode(t *testing.T) {
+	sentinels := []error{
+		backend.ErrRefused, backend.ErrDraining, backend.ErrStreamCancelled, backend.ErrStreamUnknown, backend.ErrStaleFence,
+	}
+	for _, sentinel := range sentinels {
+		document, known := backend.NewErrorDocument(fmt.Errorf("place: %w", sentinel))
+		if !known {
+			t.Fatalf("%v has no document", sentinel)
+		}
+		directory, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/problem+json; charset=utf-8")
+			w.WriteHeader(document.Status)
+			_, _ = fmt.Fprintf(w, `{"code":%q,"detail":"why"}`, document.Code)
+		}, backend.DefaultOptions())
+		for _, call := range calls() {
+			t.Run(string(document.Code)+"/"+call.name, func(t *testing.T) {
+				is := is.New(t)
+				err := call.run(t.Context(), directory, address)
+				for _, other := range sentinels {
+					wanted := other == sentinel || (sentinel == backend.ErrDraining && other == backend.ErrRefused)
+					is.Equal(errors.Is(err, other), wanted)
+				}
+				is.True(!errors.Is(err, backend.ErrBroken))
+			})
+		}
+	}
+}
+
+// Whatever happens after the request was sent, and is no refusal by its code,
+// leaves the outcome open.
+func TestAllElseIsBroken(t *testing.T) {
+	answers := map[string]http.HandlerFunc{
+		"connection closed": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"silence":           func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"silence after the header": func(w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		},
+		"status without document": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) },
+		"unknown code": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/problem+json")
+			w.WriteHeader(http.StatusBadRequest)
+			_, _ = io.WriteString(w, `{"code":"no_such_code"}`)
+		},
+		"redirect": func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+		},
+		"answer too large": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `"`+strings.Repeat("x", 4096)+`"`)
+		},
+		"cut off in the body": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "[")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
+	}
+	for name, handler := range answers {
+		limited := options()
+		limited.MaxBodyBytes, limited.MaxEventBytes = 1024, 1024
+		directory, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			handler(w, r)
+		}, limited)
+		for _, call := range calls() {
+			t.Run(name+"/"+call.name, func(t *testing.T) {
+				t.Parallel()
+				err := call.run(t.Context(), directory, address)
+				if !errors.Is(err, backend.ErrBroken) || backend.NotRun(err) {
+					t.Errorf("got %v", err)
+				}
+			})
+		}
+	}
+}
+
+func TestStreamsThatAreNotWholeAreBroken(t *testing.T) {
+	const token = "id: 0\ndata: {\"choices\":[{\"delta\":{\"content\":\"ba \"}}]}\n\n"
+	const last = "data: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":1}}\n\n"
+	streams := map[string]string{
+		"no end":            token,
+		"no usage":          token + "data: [DONE]\n\n",
+		"a token missing":   last + "data: [DONE]\n\n",
+		"a token twice":     token + token + last + "data: [DONE]\n\n",
+		"no JSON":           "data: {\n\n",
+		"end without event": token + last + "data: [DONE]",
+	}
+	for name, text := range streams {
+		t.Run(name, func(t *testing.T) {
+			directory, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, text)
+			}, backend.DefaultOptions())
+			_, err := directory.Engine(address).Generate(t.Context(), backend.GenerateRequest{MaxTokens: 1}, nil)
+			if !errors.Is(err, backend.ErrBroken) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+	t.Run("whole", func(t *testing.T) {
+		is := is.New(t)
+		directory, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, ": waiting\n\n"+token+last+"data: [DONE]\n\n")
+		}, backend.DefaultOptions())
+		result, err := directory.Engine(address).Generate(t.Context(), backend.GenerateRequest{MaxTokens: 1}, nil)
+		is.NoErr(err)
+		is.Equal(result.Text, "ba ")
+	})
+}
+
+// A slow reader is not a silent engine: time spent in onToken does not count.
+func TestASlowReaderIsNotCutOff(t *testing.T) {
+	is := is.New(t)
+	directory, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "data: {\"choices\":[{\"delta\":{\"content\":\"ba \"}}]}\n\n")
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.WriteString(w, "data: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":1}}\n\ndata: [DONE]\n\n")
+	}, options())
+	_, err := directory.Engine(address).Generate(t.Context(), backend.GenerateRequest{MaxTokens: 1}, func(backend.Token) error {
+		time.Sleep(3 * options().IdleTimeout)
+		return nil
+	})
+	is.NoErr(err)
+}
+
+// net/http repeats requests by itself on a reused connection that breaks, and
+// takes an Idempotency-Key as leave to repeat a POST. An operation must still
+// reach the replica at most once.
+func TestAnOperationIsSentAtMostOnce(t *testing.T) {
+	for _, body := range []string{"", "{}"} {
+		t.Run("body "+body, func(t *testing.T) {
+			is := is.New(t)
+			var arrived atomic.Int32
+			directory, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if arrived.Add(1) == 1 {
+					_, _ = io.WriteString(w, "{}")
+					return
+				}
+				panic(http.ErrAbortHandler)
+			}, backend.DefaultOptions())
+			application := directory.Application(address)
+			request := backend.InvokeRequest{Operation: "enrol", Body: []byte(body), IdempotencyKey: "key"}
+			_, err := application.Invoke(t.Context(), request)
+			is.NoErr(err)
+			_, err = application.Invoke(t.Context(), request)
+			is.True(errors.Is(err, backend.ErrBroken))
+			is.Equal(arrived.Load(), int32(2))
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulator/application/server.go
@@ -0,0 +1,120 @@
+package application
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/identity"
+)
+
+// The paths that only a stand-in has.
+const (
+	PathFaults = "/faults"
+	PathDrain  = "/drain"
+	PathTruth  = "/truth"
+)
+
+const (
+	maxBodyBytes = 4 << 20
+	apiVersion   = "1"
+)
+
+// NewServer returns the HTTP face of a: its operations, and the stand-in's own
+// paths to inject faults and to read the truth. A replica that is down or loses
+// an answer breaks the connection.
+func NewServer(a *Application) http.Handler {
+	mux := http.NewServeMux()
+	server := &server{application: a}
+	mux.HandleFunc("POST "+backend.PathOperations+"{operation}", server.invoke)
+	config := huma.DefaultConfig("stepseam application stand-in", apiVersion)
+	config.CreateHooks = nil // answers carry no links to their schema
+	api := humago.New(mux, config)
+	server.register(api)
+	return mux
+}
+
+type server struct{ application *Application }
+
+func (s *server) invoke(w http.ResponseWriter, r *http.Request) {
+	request, err := readInvoke(w, r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer, err := s.application.Invoke(r.Context(), request)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer)
+}
+
+func readInvoke(w http.ResponseWriter, r *http.Request) (backend.InvokeRequest, error) {
+	input, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return backend.InvokeRequest{}, fmt.Errorf("%w: body: %w", backend.ErrRefused, err)
+	}
+	var stream identity.StreamID
+	if text := r.Header.Get(backend.HeaderStream); text != "" {
+		stream, err = backend.ParseStreamID(text)
+		if err != nil {
+			return backend.InvokeRequest{}, fmt.Errorf("%w: header %s: %w", backend.ErrRefused, backend.HeaderStream, err)
+		}
+	}
+	return backend.InvokeRequest{
+		Stream: stream, Operation: r.PathValue("operation"), Body: input,
+		IdempotencyKey: r.Header.Get(backend.HeaderIdempotencyKey),
+	}, nil
+}
+
+// fail answers with the document of err, or breaks the connection.
+func fail(w http.ResponseWriter, err error) {
+	document, answerable := backend.NewErrorDocument(err)
+	if !answerable {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", document.ContentType(""))
+	w.WriteHeader(document.Status)
+	_ = json.NewEncoder(w).Encode(document)
+}
+
+type none struct{}
+
+type body[T any] struct{ Body T }
+
+// DrainRequest is the body of a change of draining.
+type DrainRequest struct {
+	Draining bool `json:"draining"`
+}
+
+// register registers what a real application would not have.
+func (s *server) register(api huma.API) {
+	huma.Register(api, huma.Operation{OperationID: "faults", Method: http.MethodGet, Path: PathFaults, Summary: "Read the injected faults"},
+		func(context.Context, *none) (*body[Faults], error) {
+			return &body[Faults]{Body: s.application.Faults()}, nil
+		})
+	huma.Register(api, huma.Operation{OperationID: "set-faults", Method: http.MethodPut, Path: PathFaults, Summary: "Replace the injected faults"},
+		func(_ context.Context, input *body[Faults]) (*body[Faults], error) {
+			s.application.SetFaults(input.Body)
+			return &body[Faults]{Body: s.application.Faults()}, nil
+		})
+	huma.Register(api, huma.Operation{
+		OperationID: "drain", Method: http.MethodPut, Path: PathDrain, Summary: "Refuse new work and finish what runs",
+		DefaultStatus: http.StatusNoContent,
+	}, func(_ context.Context, input *body[DrainRequest]) (*none, error) {
+		s.application.SetDraining(input.Body.Draining)
+		return nil, nil
+	})
+	huma.Register(api, huma.Operation{OperationID: "truth", Method: http.MethodGet, Path: PathTruth, Summary: "Read what the replicas executed"},
+		func(context.Context, *none) (*body[Truth], error) {
+			return &body[Truth]{Body: s.application.Ledger().Truth()}, nil
+		})
+}
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -164,6 +164,19 @@
 
 // Generate implements backend.Engine.
 func (e *Engine) Generate(ctx context.Context, request backend.GenerateRequest, onToken func(backend.Token) error) (backend.GenerateResult, error) {
+	running, err := e.start(ctx, request)
+	if err != nil {
+		return backend.GenerateResult{}, err
+	}
+	result, err := e.follow(ctx, running, 0, onToken)
+	if err != nil {
+		return result, fmt.Errorf("engine %s: generate %s: %w", e.parameters.Name, request.Stream, err)
+	}
+	return result, nil
+}
+
+// start brings a stream to the engine; it runs on whoever follows it.
+func (e *Engine) start(ctx context.Context, request backend.GenerateRequest) (*stream, error) {
 	var running *stream
 	err := e.deliver(ctx, func() error {
 		arrived, err := e.arrive(request)
@@ -171,24 +184,33 @@
 		return err
 	})
 	if err != nil {
-		return backend.GenerateResult{}, fmt.Errorf("engine %s: generate %s: %w", e.parameters.Name, request.Stream, err)
+		return nil, fmt.Errorf("engine %s: generate %s: %w", e.parameters.Name, request.Stream, err)
 	}
-	result, err := e.follow(ctx, running, 0, onToken)
+	return running, nil
+}
+
+// Resume implements backend.Engine.
+func (e *Engine) Resume(ctx context.Context, id identity.StreamID, from int, onToken func(backend.Token) error) (backend.GenerateResult, error) {
+	known, err := e.find(ctx, id)
 	if err != nil {
-		return result, fmt.Errorf("engine %s: generate %s: %w", e.parameters.Name, request.Stream, err)
+		return backend.GenerateResult{}, err
+	}
+	result, err := e.follow(ctx, known, from, onToken)
+	if err != nil {
+		return result, fmt.Errorf("engine %s: resume %s: %w", e.parameters.Name, id, err)
 	}
 	return result, nil
 }
 
-// Resume implements backend.Engine.
-func (e *Engine) Resume(ctx context.Context, id identity.StreamID, from int, onToken func(backend.Token) error) (backend.GenerateResult, error) {
+// find returns a stream that runs or has finished not long ago.
+func (e *Engine) find(ctx context.Context, id identity.StreamID) (*stream, error) {
 	var known *stream
 	err := e.deliver(ctx, func() error {
 		e.forget()
-		found, exists := e.streams[id]
 		if _, cancelled := e.tombs[id]; cancelled {
 			return backend.ErrStreamCancelled
 		}
+		found, exists := e.streams[id]
 		if !exists {
 			return backend.ErrStreamUnknown
 		}
@@ -196,13 +218,9 @@
 		return nil
 	})
 	if err != nil {
-		return backend.GenerateResult{}, fmt.Errorf("engine %s: resume %s: %w", e.parameters.Name, id, err)
+		return nil, fmt.Errorf("engine %s: resume %s: %w", e.parameters.Name, id, err)
 	}
-	result, err := e.follow(ctx, known, from, onToken)
-	if err != nil {
-		return result, fmt.Errorf("engine %s: resume %s: %w", e.parameters.Name, id, err)
-	}
-	return result, nil
+	return known, nil
 }
 
 // Cancel implements backend.Engine.
