Run engines and applications as processes

Cause: the thin path needs back ends as processes. Change: stepseam-lab engine and application; the site's parameter files are read back by the stand-ins in a test.

--- a/cmd/stepseam-lab/main.go
+++ b/cmd/stepseam-lab/main.go
@@ -15,10 +15,12 @@
 
 // arguments holds the subcommands; each one has a file of its own.
 type arguments struct {
-	Log      *logCommand      `arg:"subcommand:log" help:"run a log service stand-in"`
-	Machines *machinesCommand `arg:"subcommand:machines" help:"run a machine list stand-in"`
-	Weights  *weightsCommand  `arg:"subcommand:weights" help:"run a weight store stand-in"`
-	Tools    *toolsCommand    `arg:"subcommand:tools" help:"run a tool service stand-in"`
+	Log         *logCommand         `arg:"subcommand:log" help:"run a log service stand-in"`
+	Machines    *machinesCommand    `arg:"subcommand:machines" help:"run a machine list stand-in"`
+	Weights     *weightsCommand     `arg:"subcommand:weights" help:"run a weight store stand-in"`
+	Tools       *toolsCommand       `arg:"subcommand:tools" help:"run a tool service stand-in"`
+	Engine      *engineCommand      `arg:"subcommand:engine" help:"run a model engine stand-in"`
+	Application *applicationCommand `arg:"subcommand:application" help:"run an application replica stand-in"`
 }
 
 // Description is shown by --help.
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/matryer/is"
 
+	"stepseam.example/stepseam/internal/emulator/application"
+	"stepseam.example/stepseam/internal/emulator/engine"
+	"stepseam.example/stepseam/internal/emulator/standin"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/settings"
 )
@@ -45,3 +48,22 @@
 	check.Equal(got.Platform.MachineList, netip.MustParseAddrPort("127.0.0.1:8"))
 	check.Equal(got.Shards.LeaseDuration, 7*time.Second)
 }
+
+func TestWrittenParametersAreWhatStandInsRead(t *testing.T) {
+	check := is.New(t)
+	site := &Site{plan: Plan{Directory: t.TempDir()}}
+	wantedEngine := engine.DefaultParameters("engine-1", "asesor-8b")
+	path, err := site.writeYAML("engine-1", wantedEngine)
+	check.NoErr(err)
+	gotEngine, err := standin.ReadParameters(path, engine.DefaultParameters("engine"))
+	check.NoErr(err)
+	check.Equal(gotEngine.Timing, wantedEngine.Timing)
+	check.Equal(gotEngine.Models, wantedEngine.Models)
+	check.Equal(gotEngine.StreamRetention, wantedEngine.StreamRetention)
+	wantedApplication := application.DefaultParameters("portal-1")
+	path, err = site.writeYAML("portal-1", wantedApplication)
+	check.NoErr(err)
+	gotApplication, err := standin.ReadParameters(path, application.DefaultParameters("application"))
+	check.NoErr(err)
+	check.Equal(gotApplication, wantedApplication)
+}
