Keep the table in force on every node and publish it truthfully

Cause: operators race, answers of the log get lost after their effect, and sites are cut off from it; each publisher must hear what truly became of its version, and no node may go back to an older one.

Change: internal/controller/tables follows the table stream by long polls and folds the ledger. A node that is behind takes a peer's whole ledger: a ledger is a pure function of a prefix of the log, so the one of the longer prefix is right, and a node that reads the log later agrees. A new version is spread by telling three peers, which pull it. A fresh node puts nothing in force before it read the stream to its end, or asked its peers after the log stayed away for 2 s. Publish appends under an id of its own, reads back after every try and repeats only the same record; what it cannot know it calls unknown.

Weighed: handing on the bare table would leave a node unable to tell where in the log it came from; a version in force only after a majority holds it would stop sites that are cut off.

Left: a site that starts cold with the log down has no version; a version that only one node had read is gone with that node until the log is back.

--- /dev/null
+++ b/internal/controller/tables/follow.go
@@ -0,0 +1,99 @@
+package tables
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/table"
+)
+
+// ErrGap tells that the log no longer has records that this node must fold.
+var ErrGap = errors.New("tables: the table stream has a gap")
+
+// ErrStreamShrank tells that the log holds less than this node has read from
+// it: it lost what it had acknowledged.
+var ErrStreamShrank = errors.New("tables: the table stream is shorter than what was read from it")
+
+// follow reads the stream by long polls until ctx ends.
+func (c *Controller) follow(ctx context.Context) error {
+	wait, retry := time.Duration(0), retryFirst // the first read only asks for what is there
+	for ctx.Err() == nil {
+		_, err := c.readOnce(ctx, wait)
+		c.noteFailure(err)
+		if err != nil {
+			c.pause(ctx, retry)
+			retry = min(2*retry, retryLast)
+			continue
+		}
+		wait, retry = c.config.PollWait, retryFirst
+	}
+	return nil
+}
+
+// noteFailure keeps the reason why the stream cannot be followed, and logs it
+// when it begins and ends.
+func (c *Controller) noteFailure(err error) {
+	c.mutex.Lock()
+	before := c.failure
+	c.failure = err
+	c.mutex.Unlock()
+	switch {
+	case err != nil && before == nil:
+		c.config.Logger.Warn("table stream out of reach, versions come from peers alone", "error", err)
+	case err == nil && before != nil:
+		c.config.Logger.Info("table stream within reach again")
+	}
+}
+
+// readOnce reads on from where the ledger stands and folds what comes. It tells
+// whether that was the end of the stream.
+func (c *Controller) readOnce(ctx context.Context, wait time.Duration) (end bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerGrace)
+	defer cancel()
+	c.mutex.Lock()
+	from := c.ledger.Next()
+	c.mutex.Unlock()
+	result, err := c.config.Log.Read(ctx, table.Stream, from, readLimit, wait)
+	if err != nil {
+		return false, fmt.Errorf("tables: read stream at %d: %w", from, err)
+	}
+	return c.fold(from, result)
+}
+
+// catchUp reads on until the end of the stream as it was when catchUp began.
+func (c *Controller) catchUp(ctx context.Context) error {
+	for {
+		end, err := c.readOnce(ctx, 0)
+		if end || err != nil {
+			return err
+		}
+	}
+}
+
+// fold takes the records of one read. Reads and peers may have brought the
+// ledger on meanwhile; records that it has folded already are passed over.
+func (c *Controller) fold(asked platform.Offset, result platform.ReadResult) (end bool, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if result.End < asked {
+		return false, fmt.Errorf("%w: it ends at %d, read up to %d", ErrStreamShrank, result.End, asked)
+	}
+	if len(result.Records) > 0 && result.From > c.ledger.Next() {
+		return false, fmt.Errorf("%w: from %d to %d", ErrGap, c.ledger.Next(), result.From)
+	}
+	for index, raw := range result.Records {
+		if result.From+platform.Offset(index) < c.ledger.Next() {
+			continue
+		}
+		if err = c.ledger.Fold(raw); err != nil {
+			break // what was folded before still counts
+		}
+	}
+	end = c.ledger.Next() >= result.End
+	c.reachedEnd = c.reachedEnd || end
+	c.enforce()
+	return end, err
+}
--- /dev/null
+++ b/internal/controller/tables/tables_test.go
@@ -0,0 +1,396 @@
+package tables_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/internal/controller/tables"
+	"stepseam.example/stepseam/internal/emulator/logservice"
+	"stepseam.example/stepseam/internal/emulator/network"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/table"
+)
+
+// TestMain sets rapid's seed and count unless the command line does.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.checks", "60")
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// action is what one step of a schedule does.
+type action int
+
+const (
+	race action = iota
+	kill
+	restart
+	freeze
+	thaw
+	cutPeers
+	cutLog
+	outage
+	loseAnswers
+	slowLog
+	healAll
+	actionCount
+)
+
+// step is one step of a schedule. First and second choose nodes.
+type step struct {
+	Action        action
+	First, Second int
+	Pause         time.Duration
+}
+
+// schedule is one whole trial.
+type schedule struct {
+	Seed  uint64
+	Hints bool
+	Steps []step
+}
+
+const siteSize = 6
+
+func drawSchedule(t *rapid.T) schedule {
+	steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Action: action(rapid.IntRange(0, int(actionCount)-1).Draw(t, "action")),
+			First:  rapid.IntRange(0, siteSize-1).Draw(t, "first"),
+			Second: rapid.IntRange(0, siteSize-1).Draw(t, "second"),
+			Pause:  time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond,
+		}
+	}), 4, 25)
+	return schedule{Seed: rapid.Uint64().Draw(t, "seed"), Hints: rapid.Bool().Draw(t, "hints"), Steps: steps.Draw(t, "steps")}
+}
+
+// run plays a schedule and returns what was violated, or "".
+func run(t *testing.T, plan schedule, publish publisher, onStart func(*node)) (verdict string, publications int) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, plan.Seed, siteSize)
+		s.hints, s.publish, s.onStart = plan.Hints, publish, onStart
+		for _, name := range s.names {
+			s.start(name)
+		}
+		var publishers sync.WaitGroup
+		for _, one := range plan.Steps {
+			time.Sleep(one.Pause)
+			s.play(one, &publishers)
+		}
+		s.heal()
+		publishers.Wait()
+		s.checkInForce(5 * time.Second)
+		s.checkReports()
+		verdict, publications = s.verdict(), len(s.reports)
+	})
+	return verdict, publications
+}
+
+func (s *site) play(one step, publishers *sync.WaitGroup) {
+	first, second := s.names[one.First], s.names[one.Second]
+	switch one.Action {
+	case race:
+		s.race(one, publishers)
+	case kill:
+		s.kill(first)
+	case restart:
+		s.kill(first)
+		s.start(first)
+	case freeze, thaw, cutPeers:
+		s.disturb()
+		s.disturbNetwork(one, first, second)
+	case cutLog:
+		s.disturb()
+		s.log.ViewFor(string(first)).SetDown(true)
+	case outage:
+		s.disturb()
+		s.log.SetDown(true)
+	case loseAnswers:
+		s.disturb()
+		s.log.SetFaults(logservice.Faults{LoseBefore: 0.3, LoseAfter: 0.3, Refuse: 0.1})
+		s.network.SetFaults(network.Faults{RequestLoss: 0.2, AnswerLoss: 0.2, Duplicate: 0.2, DuplicateDelay: time.Second})
+	case slowLog:
+		s.disturb()
+		s.log.SetFaults(logservice.Faults{AppendDelay: 8 * time.Second, ReadDelay: 300 * time.Millisecond})
+	case healAll:
+		s.heal()
+	}
+}
+
+// race has up to three nodes publish at once, on the bases that they know.
+func (s *site) race(one step, publishers *sync.WaitGroup) {
+	for _, index := range []int{one.First, one.Second, (one.First + one.Second) % siteSize} {
+		if n := s.node(s.names[index]); n != nil {
+			s.publishAt(n, n.version(), publishers)
+		}
+	}
+}
+
+func (s *site) disturbNetwork(one step, first, second identity.NodeName) {
+	switch one.Action {
+	case cutPeers:
+		s.network.Cut(first, second)
+	case freeze:
+		if n := s.node(first); n != nil {
+			n.endpoint.Freeze()
+		}
+	default:
+		if n := s.node(first); n != nil {
+			n.endpoint.Thaw()
+		}
+	}
+}
+
+// TestTableHoldsUnderFailure checks, over seeded schedules of races, kills,
+// freezes, cuts, outages, slowness and lost answers: publishers are told the
+// truth, no version in force ever goes back, one version is one table, and
+// within 5 s of healing all nodes have the newest one in force.
+func TestTableHoldsUnderFailure(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawSchedule(rt)
+		if verdict, _ := run(t, plan, publishRight, func(*node) {}); verdict != "" {
+			rt.Fatal(verdict)
+		}
+	})
+}
+
+// caught plays schedules until the checker finds something.
+func caught(t *testing.T, publish publisher, onStart func(*node)) {
+	t.Helper()
+	const tries = 200
+	plans := rapid.Custom(drawSchedule)
+	for seed := range tries {
+		if verdict, _ := run(t, plans.Example(seed), publish, onStart); verdict != "" {
+			t.Logf("caught by schedule %d: %s", seed, verdict)
+			return
+		}
+	}
+	t.Fatalf("%d schedules did not show the fault", tries)
+}
+
+func right(*node) {}
+
+// TestCheckerCatchesNoReadBack takes a lost answer for a refusal.
+func TestCheckerCatchesNoReadBack(t *testing.T) {
+	caught(t, func(ctx context.Context, n *node, p tables.Publication) (table.Entry, error) {
+		record := table.Record{ID: p.ID, Base: p.Base, Author: p.Author, Note: p.Note, CSV: p.CSV}
+		if _, err := n.log.Append(ctx, table.Stream, [][]byte{record.Encode()}); err != nil {
+			return table.Entry{}, fmt.Errorf("%w: %w", tables.ErrNotPublished, err)
+		}
+		return n.controller.Publish(ctx, p)
+	}, right)
+}
+
+// TestCheckerCatchesAppendTakenForAcceptance believes that what was appended won.
+func TestCheckerCatchesAppendTakenForAcceptance(t *testing.T) {
+	caught(t, func(ctx context.Context, n *node, p tables.Publication) (table.Entry, error) {
+		record := table.Record{ID: p.ID, Base: p.Base, Author: p.Author, Note: p.Note, CSV: p.CSV}
+		if _, err := n.log.Append(ctx, table.Stream, [][]byte{record.Encode()}); err != nil {
+			return table.Entry{}, &tables.UnknownError{ID: p.ID, Cause: err}
+		}
+		return table.Entry{Version: p.Base + 1, Status: table.Accepted}, nil
+	}, right)
+}
+
+// TestCheckerCatchesNewIDOnRetry tries again under another id.
+func TestCheckerCatchesNewIDOnRetry(t *testing.T) {
+	caught(t, func(ctx context.Context, n *node, p tables.Publication) (table.Entry, error) {
+		record := table.Record{ID: p.ID + "-first", Base: p.Base, Author: p.Author, Note: p.Note, CSV: p.CSV}
+		_, err := n.log.Append(ctx, table.Stream, [][]byte{record.Encode()})
+		if errors.Is(err, platform.ErrUnavailable) {
+			return table.Entry{}, fmt.Errorf("%w: %w", tables.ErrNotPublished, err)
+		}
+		if err == nil {
+			p.ID = record.ID
+		}
+		return n.controller.Publish(ctx, p)
+	}, right)
+}
+
+// TestCheckerCatchesUnorderedHandOver stores what any peer has, older or newer.
+func TestCheckerCatchesUnorderedHandOver(t *testing.T) {
+	caught(t, publishRight, func(n *node) {
+		n.site.lives.Go(func() { n.copyFromAnyPeer() })
+	})
+}
+
+func (n *node) copyFromAnyPeer() {
+	for {
+		select {
+		case <-time.After(250 * time.Millisecond):
+		case <-n.endpoint.Done():
+			return
+		}
+		other := n.site.node(n.site.names[int(time.Now().UnixMilli()/250)%siteSize])
+		if other == nil || !n.connected(other) {
+			continue
+		}
+		if handed := other.board.Table.Load(); handed != nil {
+			n.board.Table.Store(handed)
+		}
+	}
+}
+
+// TestCheckerCatchesHastyStart puts in force what the first peer has, without
+// waiting for the log or the other peers.
+func TestCheckerCatchesHastyStart(t *testing.T) {
+	caught(t, publishRight, func(n *node) {
+		for _, name := range n.site.names {
+			other := n.site.node(name)
+			if other == nil || other == n || !n.connected(other) {
+				continue
+			}
+			if handed := other.board.Table.Load(); handed != nil {
+				n.board.Table.Store(handed)
+				return
+			}
+		}
+	})
+}
+
+// TestRacersAreToldTheTruth has nodes publish on one base at once while some of
+// their appends are refused, lost or lose their answers: exactly one is told
+// that it won, and all others who won.
+func TestRacersAreToldTheTruth(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		outcome := rapid.SampledFrom([]logservice.Outcome{
+			logservice.Succeed, logservice.RefuseAppend, logservice.LoseRequest, logservice.LoseAnswer,
+		})
+		outcomes := rapid.SliceOfN(rapid.SliceOfN(outcome, 0, 4), 2, siteSize).Draw(rt, "outcomes")
+		delay := time.Duration(rapid.IntRange(0, 400).Draw(rt, "delay")) * time.Millisecond
+		verdict, winners, losers := "", 0, 0
+		inBubble(t, func(_ *is.I, s *site) {
+			s.log.SetFaults(logservice.Faults{AppendDelay: delay})
+			var publishers sync.WaitGroup
+			for i, lined := range outcomes {
+				s.log.ViewFor(string(s.names[i])).Script(lined...)
+				s.publishAt(s.node(s.names[i]), 1, &publishers)
+			}
+			publishers.Wait()
+			s.checkInForce(5 * time.Second)
+			s.checkReports()
+			for _, told := range s.reports[1:] {
+				var lost *tables.LostError
+				switch {
+				case told.err == nil:
+					winners++
+				case errors.As(told.err, &lost):
+					losers++
+				}
+			}
+			verdict = s.verdict()
+		})
+		if verdict != "" || winners != 1 || losers != len(outcomes)-1 {
+			rt.Fatalf("%d winners, %d losers of %d\n%s", winners, losers, len(outcomes), verdict)
+		}
+	})
+}
+
+// inBubble runs a test with a site whose nodes all have version 1 in force.
+func inBubble(t *testing.T, test func(is *is.I, s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 7, siteSize)
+		for _, name := range s.names {
+			s.start(name)
+		}
+		time.Sleep(time.Second)
+		var publishers sync.WaitGroup
+		s.publishAt(s.node("n0"), 0, &publishers)
+		publishers.Wait()
+		s.checkInForce(5 * time.Second)
+		test(is.New(t), s)
+		if verdict := s.verdict(); verdict != "" {
+			t.Fatal(verdict)
+		}
+	})
+}
+
+func TestVersionReachesConnectedNodesWithTheLogDown(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site) {
+		for _, name := range s.names[1:] {
+			s.log.ViewFor(string(name)).SetDown(true)
+		}
+		_, err := s.node("n0").controller.Publish(s.ctx, tables.Publication{Base: 1, Author: "marta", CSV: sheetOf(50)})
+		is.NoErr(err)
+		s.log.SetDown(true)
+		s.checkInForce(5 * time.Second)
+		is.Equal(s.node("n5").version(), table.Version(2))
+		s.kill("n5") // a fresh node takes the version from its peers
+		s.start("n5")
+		s.checkInForce(5 * time.Second)
+		is.Equal(s.node("n5").version(), table.Version(2))
+	})
+}
+
+func TestNothingIsInForceWithoutLogAndPeers(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site) {
+		s.log.SetDown(true)
+		for _, name := range s.names {
+			s.kill(name)
+		}
+		fresh := s.start("n0")
+		time.Sleep(time.Hour)
+		is.Equal(fresh.version(), table.Version(0))
+		_, err := fresh.controller.Publish(s.ctx, tables.Publication{Base: 1, CSV: sheetOf(9)})
+		is.True(errors.Is(err, tables.ErrNotPublished))
+	})
+}
+
+func TestOutcomesOfPublish(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site) {
+		c := s.node("n1").controller
+		publish := func(p tables.Publication) (table.Entry, error) { return c.Publish(s.ctx, p) }
+		var invalid *table.InvalidError
+		_, err := publish(tables.Publication{Base: 1, CSV: []byte("kind,name\nwheel,x\n")})
+		is.True(errors.As(err, &invalid))
+		var lost *tables.LostError
+		_, err = publish(tables.Publication{Base: 0, CSV: sheetOf(3)})
+		is.True(errors.As(err, &lost))
+		is.Equal(lost.Winner.Author, "author-1")
+		var base *tables.BaseError
+		_, err = publish(tables.Publication{Base: 9, CSV: sheetOf(3)})
+		is.True(errors.As(err, &base))
+		is.Equal(base.Current, table.Version(1))
+		is.Equal(len(s.log.Records(table.Stream)), 1) // none of these reached the log
+
+		view := s.log.ViewFor("n1")
+		view.Script(logservice.LoseRequest, logservice.LoseAnswer)
+		entry, err := publish(tables.Publication{ID: "mine", Base: 1, CSV: sheetOf(3)})
+		is.NoErr(err)
+		is.Equal(entry.Version, table.Version(2))
+		is.Equal(len(s.log.Records(table.Stream)), 2) // lost, landed with its answer lost, found
+		entry, err = s.node("n2").controller.Publish(s.ctx, tables.Publication{ID: "mine", Repeated: true, Base: 1, CSV: sheetOf(3)})
+		is.NoErr(err) // the same publication again, elsewhere
+		is.Equal(entry.Version, table.Version(2))
+		_, err = publish(tables.Publication{ID: "mine", Base: 2, CSV: sheetOf(4)})
+		is.True(errors.Is(err, tables.ErrIDReused))
+	})
+}
+
+func TestUnknownOutcomeIsFoundOutLater(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site) {
+		s.log.ViewFor("n1").Script(logservice.LoseAnswer)
+		time.AfterFunc(time.Millisecond, func() { s.log.SetDown(true) })
+		s.log.SetFaults(logservice.Faults{AppendDelay: time.Second})
+		wanted := tables.Publication{ID: "mine", Base: 1, CSV: sheetOf(3)}
+		_, err := s.node("n1").controller.Publish(s.ctx, wanted)
+		var unknown *tables.UnknownError
+		is.True(errors.As(err, &unknown))
+		s.log.SetFaults(logservice.Faults{})
+		wanted.Repeated = true
+		entry, err := s.node("n2").controller.Publish(s.ctx, wanted)
+		is.NoErr(err)
+		is.Equal(entry.Version, table.Version(2))
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -149,7 +149,7 @@
 			FlushInterval:  50 * time.Millisecond,
 			DurableTimeout: 5 * time.Second,
 		},
-		Table: Table{PollWait: 5 * time.Second, PeerInterval: 500 * time.Millisecond, PublishTimeout: 15 * time.Second},
+		Table: Table{PollWait: 2 * time.Second, PeerInterval: 500 * time.Millisecond, PublishTimeout: 15 * time.Second},
 		Backends: Backends{
 			PollInterval:   500 * time.Millisecond,
 			PollTimeout:    2 * time.Second,
--- a/internal/table/ledger.go
+++ b/internal/table/ledger.go
@@ -237,3 +237,9 @@
 		Reason: d.String(), Digest: d.Uint64(),
 	}
 }
+
+// Clone returns a copy that later folds of l do not change.
+func (l *Ledger) Clone() *Ledger {
+	// Tables and texts are replaced whole, never changed in place.
+	return &Ledger{next: l.next, current: l.current, csv: l.csv, history: l.History()}
+}
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"maps"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -16,6 +18,12 @@
 	"stepseam.example/stepseam/internal/table"
 )
 
+// TestMain sets rapid's seed unless the command line does.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
 const plain = `kind,name,version,service,model,adapter,weight,context_tokens,budget_tokens,max_calls,max_duration,idle_timeout,call_timeout,max_tokens
 model,asesor-8b,2026-05,modelos-asesor,,,,32768,,,,,,
 adapter,matricula,3,,asesor-8b,,,,,,,,,
