Compare scheduling policies over both deployments in virtual time

Cause: decisions need the users' two measures before any is changed. Change: a discrete-event run of Quito's deadline night and Haldane Ridge's portal on the engine stand-in's arithmetic, with late load reports, late and gappy cache events, a lost and a slow engine; a ledger of wasted cache; `stepseam-lab compare`.

--- /dev/null
+++ b/internal/lab/experiment/engine.go
@@ -0,0 +1,264 @@
+package experiment
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"stepseam.example/stepseam/internal/emulator/engine/model"
+)
+
+// engine is one model engine: a batch that makes a step at a time by the formulae
+// of package model, a queue by priority, and a prefix cache.
+type engine struct {
+	index      int
+	name       string
+	zone       int
+	parameters model.Parameters
+	clock      *clock
+	cache      *model.Cache
+	// slowdown multiplies the time of every step; 1 is as usual.
+	slowdown float64
+	dead     bool
+	waiting  []*stream
+	running  []*stream
+	// queuedPrefill counts the prompt tokens of waiting streams, cached or not.
+	arrivals uint64
+	// jump is the run of equal steps under way; generation voids its end event
+	// when it is cut short.
+	jump       jump
+	generation uint64
+	// cacheChanged is called after each change of the cache.
+	cacheChanged func(*engine)
+}
+
+// stream is one call at an engine.
+type stream struct {
+	key       model.Key
+	prompt    []model.Segment
+	answer    model.Segment
+	maxTokens int
+	priority  int
+	arrived   uint64
+	lease     *model.Lease
+	// prefillLeft is what is left to prefill; started tells that its overhead was paid.
+	prefillLeft int
+	started     bool
+	decoded     int
+	// submittedAt, beganAt and prefilledAt are for measures and observed rates.
+	submittedAt time.Duration
+	beganAt     time.Duration
+	prefilledAt time.Duration
+	// done gets whether the stream ran to its end.
+	done func(*stream, bool)
+	// began is called when the stream enters the batch.
+	began func(*stream)
+}
+
+// jump is count steps of one batch that only decodes, or one step with prefill.
+type jump struct {
+	active  bool
+	start   time.Duration
+	count   int
+	batch   int
+	context int
+	prefill time.Duration
+	chunks  []chunk
+}
+
+// chunk is the part of a prompt that a step prefills.
+type chunk struct {
+	stream *stream
+	tokens int
+}
+
+func newEngine(index int, zone int, name string, parameters model.Parameters, clock *clock) *engine {
+	return &engine{
+		index: index, name: name, zone: zone, parameters: parameters, clock: clock,
+		cache: model.NewCache(parameters.CacheCapacityTokens), slowdown: 1,
+		cacheChanged: func(*engine) {},
+	}
+}
+
+// submit queues a stream; the engine must not be dead.
+func (e *engine) submit(s *stream) {
+	e.arrivals++
+	s.arrived = e.arrivals
+	s.submittedAt = e.clock.now
+	position := sort.Search(len(e.waiting), func(i int) bool { return e.waiting[i].priority < s.priority })
+	e.waiting = slices.Insert(e.waiting, position, s)
+	switch {
+	case !e.jump.active:
+		e.next()
+	case len(e.running) < e.parameters.MaxBatch:
+		e.cutShort()
+	}
+}
+
+// next admits what fits and begins the next step or run of steps.
+func (e *engine) next() {
+	e.admit()
+	if len(e.running) == 0 {
+		return
+	}
+	e.jump = e.plan()
+	e.schedule()
+}
+
+// admit moves waiting streams into the batch, most urgent first. The first that
+// does not fit into memory blocks those behind it, so that large ones get their turn.
+func (e *engine) admit() {
+	admitted := 0
+	for admitted < len(e.waiting) && len(e.running) < e.parameters.MaxBatch {
+		s := e.waiting[admitted]
+		lease, fits := e.cache.Begin(s.key, s.prompt, s.maxTokens)
+		if !fits {
+			break
+		}
+		admitted++
+		s.lease = lease
+		s.prefillLeft = lease.PromptTokens - lease.Cached
+		s.beganAt = e.clock.now
+		e.running = append(e.running, s)
+		s.began(s)
+	}
+	if admitted > 0 {
+		e.waiting = slices.Delete(e.waiting, 0, admitted)
+		e.cacheChanged(e)
+	}
+}
+
+// plan makes the next step: a chunk of prefill beside the decoding batch, or as
+// many decode-only steps as pass until the first stream ends.
+func (e *engine) plan() jump {
+	next := jump{active: true, start: e.clock.now, count: 1}
+	budget := e.parameters.PrefillChunkTokens
+	shortest := 0
+	for _, s := range e.running {
+		if s.prefillLeft > 0 {
+			tokens := min(s.prefillLeft, budget)
+			if tokens == 0 {
+				continue
+			}
+			budget -= tokens
+			next.chunks = append(next.chunks, chunk{s, tokens})
+			next.prefill += e.parameters.PrefillTime(tokens)
+			if s.started {
+				next.prefill -= e.parameters.PrefillOverhead
+			}
+			s.started = true
+			continue
+		}
+		next.batch++
+		next.context += s.lease.PromptTokens + s.decoded
+		left := s.answer.Tokens - s.decoded
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	if len(next.chunks) == 0 {
+		next.count = shortest
+	}
+	return next
+}
+
+// elapsed returns how long the first count steps of j take.
+func (e *engine) elapsed(j *jump, count int) time.Duration {
+	first := e.parameters.DecodeStep(j.batch, j.context)
+	total := time.Duration(count) * first
+	growth := float64(j.batch) * float64(count) * float64(count-1) / 2 / 1000
+	total += time.Duration(growth * float64(e.parameters.DecodePerThousandContextTokens))
+	return time.Duration(float64(total+j.prefill) * e.slowdown)
+}
+
+func (e *engine) schedule() {
+	e.generation++
+	generation := e.generation
+	end := e.jump.start + e.elapsed(&e.jump, e.jump.count)
+	e.clock.after(end-e.clock.now, func() {
+		if generation == e.generation {
+			e.finishJump()
+		}
+	})
+}
+
+// cutShort ends the run of steps with the step under way, to let a new stream in.
+func (e *engine) cutShort() {
+	if e.jump.count == 1 {
+		return
+	}
+	passed := e.clock.now - e.jump.start
+	steps := sort.Search(e.jump.count, func(n int) bool { return e.elapsed(&e.jump, n) > passed })
+	e.jump.count = max(min(steps, e.jump.count), 1)
+	e.schedule()
+}
+
+// finishJump books the steps done and ends streams that are complete.
+func (e *engine) finishJump() {
+	j := e.jump
+	e.jump = jump{}
+	prefilling := map[*stream]bool{}
+	for _, part := range j.chunks {
+		prefilling[part.stream] = true
+		part.stream.prefillLeft -= part.tokens
+		if part.stream.prefillLeft == 0 {
+			part.stream.prefilledAt = e.clock.now
+		}
+	}
+	var ended []*stream
+	still := e.running[:0]
+	for _, s := range e.running {
+		if s.prefillLeft == 0 && !prefilling[s] {
+			s.decoded += j.count
+		}
+		if s.prefillLeft == 0 && s.decoded >= s.answer.Tokens {
+			ended = append(ended, s)
+			continue
+		}
+		still = append(still, s)
+	}
+	e.running = still
+	for _, s := range ended {
+		e.cache.End(s.lease, true, s.answer)
+	}
+	if len(ended) > 0 {
+		e.cacheChanged(e)
+	}
+	e.next()
+	for _, s := range ended {
+		s.done(s, true)
+	}
+}
+
+// release frees the prefix of a branch.
+func (e *engine) release(key model.Key) {
+	if e.dead {
+		return
+	}
+	e.cache.Release(key.Program, key.Branch)
+	e.cacheChanged(e)
+}
+
+// kill ends the engine and everything in it.
+func (e *engine) kill() {
+	e.dead = true
+	e.generation++
+	e.jump = jump{}
+	lost := append(e.running, e.waiting...)
+	e.running, e.waiting = nil, nil
+	for _, held := range e.cache.Held() {
+		e.cache.Release(held.Key.Program, held.Key.Branch)
+	}
+	for _, s := range lost {
+		if s.lease != nil {
+			e.cache.End(s.lease, false)
+		}
+	}
+	e.cacheChanged(e)
+	for _, s := range lost {
+		s.done(s, false)
+	}
+}
+
+// revive starts the engine again, empty.
+func (e *engine) revive() { e.dead = false }
--- /dev/null
+++ b/internal/lab/experiment/measure.go
@@ -0,0 +1,219 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// A call is good if it took at most goodFactor times its lower bound, and
+	// stalled if it took more than stallFactor times that and stallFloor longer.
+	goodFactor  = 2.5
+	stallFactor = 5
+	stallFloor  = 2 * time.Second
+	// tenantSample is the least count of turns that makes a tenant's slowdown known.
+	tenantSample = 20
+)
+
+// Result is what one run measured. Its JSON form is the output of `stepseam-lab
+// compare --json`.
+type Result struct {
+	Site                 string  `json:"site"`
+	Policy               string  `json:"policy"`
+	Load                 float64 `json:"load"`
+	Seed                 uint64  `json:"seed"`
+	LatencyP50           float64 `json:"latency_p50_s"`
+	LatencyP95           float64 `json:"latency_p95_s"`
+	LatencyP99           float64 `json:"latency_p99_s"`
+	LowerBoundP95        float64 `json:"lower_bound_p95_s"`
+	WastedCacheShare     float64 `json:"wasted_cache_share"`
+	WastedEvictedShare   float64 `json:"wasted_evicted_share"`
+	WastedDuplicateShare float64 `json:"wasted_duplicate_share"`
+	WastedGoneShare      float64 `json:"wasted_gone_share"`
+	RecomputedTokens     int64   `json:"recomputed_tokens"`
+	Refused              int     `json:"refused"`
+	Completed            int     `json:"completed"`
+	WorstTenantSlowdown  float64 `json:"worst_tenant_slowdown"`
+
+	// Classes, and what follows, are for the table alone.
+	Classes []ClassResult `json:"-"`
+	// GaveUp counts programs whose caller went away after refusals.
+	GaveUp int `json:"-"`
+	// Unfinished counts turns that were begun and not ended when the run stopped.
+	Unfinished int `json:"-"`
+	// StalledShare is the share of turns of more than one call whose first call
+	// was good and a later one stalled.
+	StalledShare float64 `json:"-"`
+	// AdmittedP95 is the latency from the time the first call was let in.
+	AdmittedP95 float64 `json:"-"`
+	// LowerBoundP50 is the median lower bound.
+	LowerBoundP50 float64 `json:"-"`
+	// MeanHeld is the cache in use on average, as a share of all.
+	MeanHeld float64 `json:"-"`
+}
+
+// ClassResult is the latency of one class.
+type ClassResult struct {
+	Class                        string
+	Turns                        int
+	P50, P95, P99, LowerBoundP95 float64
+}
+
+// sample is one finished turn.
+type sample struct {
+	latency, admitted, bound float64
+}
+
+// measures collects what the turns that begin in the measured window see.
+type measures struct {
+	classes    map[string][]sample
+	tenants    map[string][]float64
+	recomputed int64
+	refusals   int
+	lost       int
+	several    int
+	stalls     int
+}
+
+func (m *measures) inWindow(r *run, at time.Duration) bool {
+	return at >= r.site.Warmup && at < r.site.Duration
+}
+
+// prefilled counts the tokens of a branch's history that had to be prefilled again.
+func (m *measures) prefilled(r *run, s *stream, request *request) {
+	current := &request.execution.turns[request.call.Turn]
+	if current.admittedAt == 0 {
+		current.admittedAt = r.clock.now
+	}
+	if m.inWindow(r, r.clock.now) {
+		m.recomputed += int64(max(s.lease.PromptTokens-s.lease.Cached-request.call.NewTokens, 0))
+	}
+}
+
+func (m *measures) refusal(r *run) {
+	if m.inWindow(r, r.clock.now) {
+		m.refusals++
+	}
+}
+
+func (m *measures) gaveUp(*execution) { m.lost++ }
+
+// call judges one call of its turn against its lower bound.
+func (m *measures) call(r *run, request *request) {
+	current := &request.execution.turns[request.call.Turn]
+	took := r.clock.now - request.arrived
+	bound := callBound(r.site, request.call, request.tokens-request.call.NewTokens)
+	current.calls++
+	if current.calls == 1 {
+		current.firstGood = float64(took) <= goodFactor*float64(bound)
+	} else if float64(took) > stallFactor*float64(bound) && took > bound+stallFloor {
+		current.stalled = true
+	}
+}
+
+// turn books a finished turn.
+func (m *measures) turn(r *run, x *execution, number int) {
+	current := &x.turns[number]
+	if !m.inWindow(r, current.startsAt) {
+		return
+	}
+	if m.classes == nil {
+		m.classes = map[string][]sample{}
+		m.tenants = map[string][]float64{}
+	}
+	bound := lowerBounds(r.site, x.program)[number].Seconds()
+	latency := (current.endsAt - current.startsAt).Seconds()
+	m.classes[x.class.Name] = append(m.classes[x.class.Name], sample{
+		latency: latency, admitted: (current.endsAt - current.admittedAt).Seconds(), bound: bound,
+	})
+	m.tenants[x.program.Tenant] = append(m.tenants[x.program.Tenant], latency/bound)
+	if current.calls > 1 {
+		m.several++
+		if current.firstGood && current.stalled {
+			m.stalls++
+		}
+	}
+}
+
+// result works the measures out.
+func (r *run) result(options Options) Result {
+	m := &r.measures
+	result := Result{
+		Site: r.site.Name, Policy: r.strategy.Name, Load: options.Load, Seed: options.Seed,
+		RecomputedTokens: m.recomputed, Refused: m.refusals, GaveUp: m.lost, Unfinished: r.underWay,
+	}
+	var all []sample
+	for i := range r.site.Classes {
+		name := r.site.Classes[i].Name
+		samples := m.classes[name]
+		all = append(all, samples...)
+		class := ClassResult{Class: name, Turns: len(samples)}
+		class.P50, class.P95, class.P99 = latencies(samples)
+		class.LowerBoundP95 = percentile(pick(samples, func(s sample) float64 { return s.bound }), 0.95)
+		result.Classes = append(result.Classes, class)
+	}
+	result.Completed = len(all)
+	result.LatencyP50, result.LatencyP95, result.LatencyP99 = latencies(all)
+	bounds := pick(all, func(s sample) float64 { return s.bound })
+	result.LowerBoundP50, result.LowerBoundP95 = percentile(bounds, 0.5), percentile(bounds, 0.95)
+	result.AdmittedP95 = percentile(pick(all, func(s sample) float64 { return s.admitted }), 0.95)
+	result.WorstTenantSlowdown = m.worstTenant()
+	if m.several > 0 {
+		result.StalledShare = float64(m.stalls) / float64(m.several)
+	}
+	r.waste(&result)
+	return result
+}
+
+func (r *run) waste(result *Result) {
+	l := r.ledger
+	if l.held == 0 {
+		return
+	}
+	result.WastedEvictedShare = l.evicted / l.held
+	result.WastedDuplicateShare = l.duplicate / l.held
+	result.WastedGoneShare = l.gone / l.held
+	result.WastedCacheShare = (l.evicted + l.duplicate + l.gone) / l.held
+	capacity := float64(r.site.Engines*r.site.Engine.CacheCapacityTokens) * (r.site.Duration - r.site.Warmup).Seconds()
+	result.MeanHeld = l.held / capacity
+}
+
+// worstTenant returns the highest mean slowdown, against the lower bound, that a
+// tenant saw.
+func (m *measures) worstTenant() float64 {
+	worst := 0.0
+	for _, slowdowns := range m.tenants {
+		if len(slowdowns) < tenantSample {
+			continue
+		}
+		sum := 0.0
+		for _, slowdown := range slowdowns {
+			sum += slowdown
+		}
+		worst = max(worst, sum/float64(len(slowdowns)))
+	}
+	return worst
+}
+
+func latencies(samples []sample) (p50, p95, p99 float64) {
+	values := pick(samples, func(s sample) float64 { return s.latency })
+	return percentile(values, 0.5), percentile(values, 0.95), percentile(values, 0.99)
+}
+
+// pick returns one value of each sample, sorted.
+func pick(samples []sample, value func(sample) float64) []float64 {
+	values := make([]float64, len(samples))
+	for i := range samples {
+		values[i] = value(samples[i])
+	}
+	slices.Sort(values)
+	return values
+}
+
+// percentile returns the value that share of the sorted values do not exceed.
+func percentile(sorted []float64, share float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(share*float64(len(sorted))), len(sorted)-1)]
+}
--- a/internal/scheduling/stepseam.go
+++ b/internal/scheduling/stepseam.go
@@ -133,6 +133,22 @@
 	return result
 }
 
+// ExpectedWait returns how long call would wait before its prefill begins at the
+// back end where it would wait least; 0 if none can take it, which Choose answers.
+func ExpectedWait(call Call, backends []Backend) time.Duration {
+	policy := NewStepseam()
+	least, found := 0.0, false
+	for i := range backends {
+		if ineligible(&call, &backends[i]) != "" {
+			continue
+		}
+		if wait := policy.estimate(&call, &backends[i]).wait; !found || wait < least {
+			least, found = wait, true
+		}
+	}
+	return seconds(least)
+}
+
 // applicationSeconds is what one call in flight at an application replica is
 // taken to add; only the comparison between replicas matters.
 const applicationSeconds = 0.05
