--- a/internal/membership/contract.go
+++ b/internal/membership/contract.go
@@ -36,3 +36,19 @@
 	Version uint64
 	Members []Member
 }
+
+// String returns the status in lower case.
+func (s Status) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
