Add the operators' face of a node

Cause: operators need one node to answer for the whole site: table, status, programs, reasons of decisions, planned stops, health and metrics.

Change: internal/operator serves these as JSON with an OpenAPI document on the operators' address and asks other nodes over the peer protocol. Old table versions are read from the log again.

--- a/internal/controller/tables/publish.go
+++ b/internal/controller/tables/publish.go
@@ -193,3 +193,43 @@
 	}
 	return table.Entry{}, fmt.Errorf("%w: %w", ErrNotPublished, cause)
 }
+
+// ErrForgotten tells that a version is not among those that are remembered.
+var ErrForgotten = errors.New("tables: version not remembered")
+
+// Version returns an accepted version as its author wrote it. The newest one is
+// at hand; older ones are read from the log again.
+func (c *Controller) Version(ctx context.Context, wanted table.Version) (table.Record, error) {
+	c.mutex.Lock()
+	current, csv, history := c.ledger.Current(), c.ledger.CSV(), c.ledger.History()
+	c.mutex.Unlock()
+	if current != nil && current.Version == wanted {
+		return table.Record{
+			ID: current.ID, Base: current.Base, Author: current.Author, Note: current.Note,
+			Published: current.Published, CSV: csv,
+		}, nil
+	}
+	for _, entry := range history {
+		if entry.Status == table.Accepted && entry.Version == wanted {
+			return c.readRecord(ctx, entry.Offset)
+		}
+	}
+	return table.Record{}, fmt.Errorf("%w: %d", ErrForgotten, wanted)
+}
+
+func (c *Controller) readRecord(ctx context.Context, offset platform.Offset) (table.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerGrace)
+	defer cancel()
+	result, err := c.config.Log.Read(ctx, table.Stream, offset, 1, 0)
+	if err != nil {
+		return table.Record{}, fmt.Errorf("tables: read version at %d: %w", offset, err)
+	}
+	if len(result.Records) == 0 || result.From != offset {
+		return table.Record{}, fmt.Errorf("%w: at %d", ErrGap, offset)
+	}
+	record, err := table.DecodeRecord(result.Records[0])
+	if err != nil {
+		return table.Record{}, fmt.Errorf("tables: version at %d: %w", offset, err)
+	}
+	return record, nil
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,129 @@
+package operator
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/controller/tables"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/serving"
+	"stepseam.example/stepseam/internal/table"
+)
+
+// Tables is what the operators' face needs of the table controller.
+type Tables interface {
+	State() tables.State
+	History() []table.Entry
+	Version(ctx context.Context, wanted table.Version) (table.Record, error)
+	Publish(ctx context.Context, publication tables.Publication) (table.Entry, error)
+}
+
+// Programs is what it needs of the programs of the whole site.
+type Programs interface {
+	Get(ctx context.Context, program identity.ProgramID) (api.Program, error)
+	Cancel(ctx context.Context, program identity.ProgramID) (api.Program, error)
+}
+
+// Config holds what an Operator works with. Self, Board, Peers, Tables,
+// Programs and Registry must be set.
+type Config struct {
+	Self       identity.Node
+	ShardCount int
+	Board      *blackboard.Board
+	Peers      peer.Client
+	Tables     Tables
+	Programs   Programs
+	// Registry collects the node's metrics.
+	Registry *prometheus.Registry
+	// Explain returns the last decision that this node made on a call.
+	Explain func(call identity.CallID) (serving.Explanation, bool)
+	// OwnPrograms returns all programs of the shards that this node owns.
+	OwnPrograms func() []api.Program
+	// OwnShards returns how many shards this node owns.
+	OwnShards func() int
+	// Drain begins this node's planned stop and returns at once.
+	Drain func()
+	// TableBytes is the largest table file; 0 takes DefaultTableBytes.
+	TableBytes int64
+	Logger     *slog.Logger
+}
+
+// DefaultTableBytes is the largest table file unless settings say otherwise.
+const DefaultTableBytes = 4 << 20
+
+// bodyOverhead is what a publication's JSON may add to its table: every byte of
+// it escaped, and the other fields.
+const (
+	bodyGrowth   = 2
+	bodyOverhead = 64 << 10
+)
+
+// Operator is the operators' face of one node. It is safe for concurrent use.
+type Operator struct{ config Config }
+
+// New returns the operators' face and adds its messages to registry.
+func New(config Config, registry *peer.Registry) *Operator {
+	if config.Logger == nil {
+		config.Logger = slog.New(slog.DiscardHandler)
+	}
+	if config.TableBytes == 0 {
+		config.TableBytes = DefaultTableBytes
+	}
+	if config.Explain == nil {
+		config.Explain = func(identity.CallID) (serving.Explanation, bool) { return serving.Explanation{}, false }
+	}
+	if config.OwnPrograms == nil {
+		config.OwnPrograms = func() []api.Program { return nil }
+	}
+	if config.OwnShards == nil {
+		config.OwnShards = func() int { return 0 }
+	}
+	o := &Operator{config: config}
+	o.register(registry)
+	o.registerMetrics()
+	return o
+}
+
+// Handler returns the HTTP handler for the operators' address.
+func (o *Operator) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", o.health)
+	mux.HandleFunc("GET /readyz", o.readiness)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(o.config.Registry, promhttp.HandlerOpts{}))
+	description := huma.DefaultConfig("stepseam operators' interface", "1")
+	description.CreateHooks = nil // no schema links inside the documents
+	interfaces := humago.New(mux, description)
+	o.tableEndpoints(interfaces)
+	o.siteEndpoints(interfaces)
+	o.programEndpoints(interfaces)
+	return mux
+}
+
+// statusError is a problem in the form that huma answers with.
+type statusError struct{ *api.Problem }
+
+// asError makes an answer of a problem, with the time to come back as a header.
+func asError(problem *api.Problem) error {
+	if problem.RetryAfter <= 0 {
+		return statusError{problem}
+	}
+	seconds := strconv.Itoa(int(math.Ceil(problem.RetryAfter.Seconds())))
+	return huma.ErrorWithHeaders(statusError{problem}, http.Header{"Retry-After": {seconds}})
+}
+
+// GetStatus implements huma.StatusError.
+func (s statusError) GetStatus() int { return s.Status }
+
+// ContentType implements huma.ContentTypeFilter.
+func (s statusError) ContentType(string) string { return "application/problem+json" }
--- /dev/null
+++ b/internal/operator/site.go
@@ -0,0 +1,220 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/samber/lo"
+	"golang.org/x/sync/errgroup"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/scheduling"
+)
+
+const (
+	// askTimeout bounds one question to another node.
+	askTimeout = 2 * time.Second
+	// askConcurrency is the number of nodes that are asked at once.
+	askConcurrency = 32
+)
+
+// register adds this package's messages and handlers to the node's registry.
+func (o *Operator) register(registry *peer.Registry) {
+	registry.Add(
+		func() peer.Message { return &statusRequest{} }, func() peer.Message { return &statusReply{} },
+		func() peer.Message { return &listRequest{} }, func() peer.Message { return &listReply{} },
+		func() peer.Message { return &explainRequest{} }, func() peer.Message { return &explainReply{} },
+		func() peer.Message { return &drainRequest{} }, func() peer.Message { return &drainReply{} },
+	)
+	for _, kind := range []peer.Kind{kindStatusRequest, kindListRequest, kindExplainRequest, kindDrainRequest} {
+		registry.Handle(kind, peer.HandlerFunc(o.handle))
+	}
+}
+
+// handle answers another node's questions about this one.
+func (o *Operator) handle(_ context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	switch asked := request.(type) {
+	case *statusRequest:
+		return &statusReply{status: o.ownStatus()}, nil
+	case *listRequest:
+		return o.ownPrograms(asked.selection), nil
+	case *explainRequest:
+		return &explainReply{explanation: o.ownExplanation(asked.call)}, nil
+	case *drainRequest:
+		return &drainReply{}, o.drainSelf()
+	}
+	return nil, fmt.Errorf("operator: unexpected message of kind %d", request.Kind())
+}
+
+// ask puts request to this node or another one.
+func (o *Operator) ask(ctx context.Context, member membership.Member, request peer.Message) (peer.Message, error) {
+	if member.Node.Name == o.config.Self.Name {
+		return o.handle(ctx, request, nil)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := o.config.Peers.Call(ctx, member.Node.PeerAddress, request, nil)
+	if err != nil {
+		return nil, fmt.Errorf("operator: ask %s: %w", member.Node.Name, err)
+	}
+	return answer, nil
+}
+
+// members are the nodes to ask; this node is among them even before membership
+// has begun.
+func (o *Operator) membersToAsk() []membership.Member {
+	members := slices.Clone(o.config.Board.Members.Load().Members)
+	own := func(m membership.Member) bool { return m.Node.Name == o.config.Self.Name }
+	if !slices.ContainsFunc(members, own) {
+		members = append(members, membership.Member{Node: o.config.Self, Status: membership.Alive})
+	}
+	return members
+}
+
+// answerOf is what one node answered; message is nil if it was not reached.
+type answerOf struct {
+	member  membership.Member
+	message peer.Message
+}
+
+// askAll puts request to all nodes and returns their answers in the order of
+// the members.
+func (o *Operator) askAll(ctx context.Context, request peer.Message) []answerOf {
+	members := o.membersToAsk()
+	answers := make([]answerOf, len(members))
+	var group errgroup.Group
+	group.SetLimit(askConcurrency)
+	for i, member := range members {
+		group.Go(func() error {
+			message, err := o.ask(ctx, member, request)
+			if err != nil {
+				o.config.Logger.Debug("node not reached", "node", member.Node.Name, "error", err)
+			}
+			answers[i] = answerOf{member: member, message: message}
+			return nil
+		})
+	}
+	_ = group.Wait() // no member's failure fails the others
+	return answers
+}
+
+func (o *Operator) ownStatus() NodeStatus {
+	state, reasons := o.config.Tables.State(), o.notReady()
+	return NodeStatus{
+		Name: string(o.config.Self.Name), Zone: string(o.config.Self.Zone), Region: string(o.config.Self.Region),
+		Incarnation: uint64(o.config.Self.Incarnation), Ready: len(reasons) == 0, NotReady: reasons,
+		Draining: o.config.Board.Draining.Load(), TableInForce: state.InForce, TableKnown: state.Known,
+		LogFailure: state.Failure, Shards: o.config.OwnShards(),
+	}
+}
+
+// siteStatus asks every node for its status.
+func (o *Operator) siteStatus(ctx context.Context) SiteStatus {
+	site := SiteStatus{Node: string(o.config.Self.Name), AsOf: time.Now(), ShardCount: o.config.ShardCount}
+	for _, answer := range o.askAll(ctx, &statusRequest{}) {
+		status := NodeStatus{
+			Name: string(answer.member.Node.Name), Zone: string(answer.member.Node.Zone),
+			Region: string(answer.member.Node.Region), Incarnation: uint64(answer.member.Node.Incarnation),
+			TableInForce: tableVersion(answer.member.TableVersion), Shards: int(answer.member.OwnedShards),
+		}
+		if reply, reached := answer.message.(*statusReply); reached {
+			status = reply.status
+			status.Reached = true
+			site.ShardsOwned += status.Shards
+		}
+		status.Membership = memberships[answer.member.Status]
+		site.Nodes = append(site.Nodes, status)
+	}
+	backends := o.config.Board.Backends.Copy()
+	site.Backends = make([]BackendStatus, 0, len(backends))
+	for _, name := range slices.Sorted(maps.Keys(backends)) {
+		site.Backends = append(site.Backends, backendStatus(backends[name], site.AsOf))
+	}
+	return site
+}
+
+func backendStatus(b blackboard.Backend, now time.Time) BackendStatus {
+	status := BackendStatus{
+		Name: b.Name, Role: string(b.Role), Service: b.Service, Zone: string(b.Zone), Address: b.Address.String(),
+		State: stateOf(b), Running: b.Report.Running, Waiting: b.Report.Waiting,
+		CacheUsedTokens: b.Report.CacheUsedTokens, CacheCapacityTokens: b.Report.CacheCapacityTokens,
+		Models: b.Report.Models, Adapters: b.Report.Adapters, ReportAgeSeconds: -1,
+	}
+	if !b.ReportedAt.IsZero() {
+		status.ReportAgeSeconds = now.Sub(b.ReportedAt).Seconds()
+	}
+	return status
+}
+
+func stateOf(b blackboard.Backend) string {
+	switch {
+	case b.Leaving:
+		return "leaving"
+	case b.Health == scheduling.Ejected:
+		return "ejected"
+	case b.Health == scheduling.Probation:
+		return "probation"
+	}
+	return "healthy"
+}
+
+func (o *Operator) drainSelf() error {
+	if o.config.Drain == nil {
+		return fmt.Errorf("operator: %s cannot be drained from outside", o.config.Self.Name)
+	}
+	o.config.Logger.Info("planned stop asked for by an operator", "node", o.config.Self.Name)
+	o.config.Drain()
+	return nil
+}
+
+// drain begins the planned stop of the node called name.
+func (o *Operator) drain(ctx context.Context, name string) error {
+	members := o.membersToAsk()
+	member, found := lo.Find(members, func(m membership.Member) bool { return string(m.Node.Name) == name })
+	if !found {
+		known := lo.Map(members, func(m membership.Member, _ int) string { return string(m.Node.Name) })
+		return problem(http.StatusNotFound, CodeUnknownNode, "there is no node %s; the members are %v", name, known)
+	}
+	if _, err := o.ask(ctx, member, &drainRequest{}); err != nil {
+		return problem(http.StatusBadGateway, api.CodeInternal, "%s did not confirm, look at its status: %s", name, err)
+	}
+	return nil
+}
+
+// drainInput names the node to drain; empty is the one that is asked.
+type drainInput struct {
+	Body struct {
+		Node string `json:"node,omitempty" maxLength:"64"`
+	}
+}
+
+type documentOf[T any] struct{ Body T }
+
+func (o *Operator) siteEndpoints(interfaces huma.API) {
+	huma.Register(interfaces, huma.Operation{
+		OperationID: "status", Method: http.MethodGet, Path: "/v1/status", Summary: "Nodes, back ends, shards and versions in force",
+	}, func(ctx context.Context, _ *struct{}) (*documentOf[SiteStatus], error) {
+		return &documentOf[SiteStatus]{Body: o.siteStatus(ctx)}, nil
+	})
+	huma.Register(interfaces, huma.Operation{
+		OperationID: "drain", Method: http.MethodPost, Path: "/v1/drain", Summary: "Begin the planned stop of a node",
+		DefaultStatus: http.StatusAccepted,
+	}, func(ctx context.Context, input *drainInput) (*documentOf[DrainStarted], error) {
+		name := input.Body.Node
+		if name == "" {
+			name = string(o.config.Self.Name)
+		}
+		if err := o.drain(ctx, name); err != nil {
+			return nil, err
+		}
+		return &documentOf[DrainStarted]{Body: DrainStarted{Node: name}}, nil
+	})
+}
--- /dev/null
+++ b/internal/operator/versions.go
@@ -0,0 +1,140 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/samber/lo"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/controller/tables"
+	"stepseam.example/stepseam/internal/table"
+)
+
+func versionOf(entry table.Entry) Version {
+	return Version{
+		Version: entry.Version, Base: entry.Base, ID: entry.ID, Author: entry.Author, Note: entry.Note,
+		Published: entry.Published, Status: entry.Status, Reason: entry.Reason,
+	}
+}
+
+// showTable returns a version; 0 is the one in force here.
+func (o *Operator) showTable(ctx context.Context, wanted table.Version) (Table, error) {
+	state := o.config.Tables.State()
+	if wanted == 0 {
+		wanted = state.InForce
+	}
+	if wanted == 0 {
+		return Table{}, asError(api.NewProblem(api.CodeNoTable, "no table is in force at %s", o.config.Self.Name))
+	}
+	record, err := o.config.Tables.Version(ctx, wanted)
+	switch {
+	case errors.Is(err, tables.ErrForgotten):
+		return Table{}, problem(http.StatusNotFound, CodeUnknownVersion, "version %d is not among the versions remembered; the newest is %d", wanted, state.Known)
+	case err != nil:
+		return Table{}, problem(http.StatusServiceUnavailable, api.CodeLogUnavailable, "version %d stands in the log only, which cannot be read: %s", wanted, err)
+	}
+	return Table{
+		Version: Version{
+			Version: wanted, Base: record.Base, ID: record.ID, Author: record.Author, Note: record.Note,
+			Published: record.Published, Status: table.Accepted,
+		},
+		InForce: state.InForce, Known: state.Known, CSV: string(record.CSV),
+	}, nil
+}
+
+// publish hands a table to the controller and words the outcome.
+func (o *Operator) publish(ctx context.Context, asked Publication) (Version, error) {
+	if int64(len(asked.CSV)) > o.config.TableBytes {
+		return Version{}, asError(api.NewProblem(api.CodeTooLarge, "the table is %d bytes, %d are allowed", len(asked.CSV), o.config.TableBytes))
+	}
+	entry, err := o.config.Tables.Publish(ctx, tables.Publication{
+		ID: asked.ID, Repeated: asked.Repeated, Base: asked.Base, Author: asked.Author, Note: asked.Note, CSV: []byte(asked.CSV),
+	})
+	if err != nil {
+		return Version{}, publishProblem(asked, err)
+	}
+	return versionOf(entry), nil
+}
+
+// unknownRetry is when a publisher with an unknown outcome should ask again.
+const unknownRetry = 2 * time.Second
+
+func publishProblem(asked Publication, err error) error {
+	var invalid *table.InvalidError
+	var lost *tables.LostError
+	var base *tables.BaseError
+	var unknown *tables.UnknownError
+	switch {
+	case errors.As(err, &invalid):
+		made := api.NewProblem(api.CodeInvalid, "the table has %d finding(s)", len(invalid.Findings))
+		made.Findings = lo.Map(invalid.Findings, func(f table.Finding, _ int) api.Finding {
+			return api.Finding{Place: f.Place(), Message: f.Message}
+		})
+		return asError(made)
+	case errors.As(err, &lost):
+		return asError(api.NewProblem(api.CodeTableConflict,
+			"version %d by %s was accepted on base %d first; take your change over into it and publish on base %d",
+			lost.Winner.Version, nameOf(lost.Winner.Author), lost.Base, lost.Winner.Version))
+	case errors.As(err, &base):
+		return asError(api.NewProblem(api.CodeTableConflict,
+			"base %d was never accepted; the newest version is %d", base.Base, base.Current))
+	case errors.Is(err, tables.ErrIDReused):
+		return asError(api.NewProblem(api.CodeConflict, "%s", err))
+	case errors.As(err, &unknown):
+		made := api.NewProblem(CodeTableUnknown,
+			"it is not known whether publication %s takes effect; publish it again with the same id, or look for the id in the history", asked.ID)
+		made.Status, made.Title = http.StatusServiceUnavailable, "The outcome of the publication is unknown"
+		return asError(made.WithRetryAfter(unknownRetry))
+	}
+	return asError(api.NewProblem(api.CodeLogUnavailable, "nothing was published: %s", err).WithRetryAfter(unknownRetry))
+}
+
+func nameOf(author string) string {
+	if author == "" {
+		return "an author no longer remembered"
+	}
+	return author
+}
+
+type versionInput struct {
+	Version uint64 `path:"version" minimum:"1"`
+}
+
+type publishInput struct{ Body Publication }
+
+// historyDocument lists publications, oldest first.
+type historyDocument struct {
+	Versions []Version `json:"versions"`
+}
+
+func (o *Operator) tableEndpoints(interfaces huma.API) {
+	huma.Register(interfaces, huma.Operation{
+		OperationID: "show-table", Method: http.MethodGet, Path: "/v1/table", Summary: "The table version in force",
+	}, func(ctx context.Context, _ *struct{}) (*documentOf[Table], error) {
+		shown, err := o.showTable(ctx, 0)
+		return &documentOf[Table]{Body: shown}, err
+	})
+	huma.Register(interfaces, huma.Operation{
+		OperationID: "show-table-version", Method: http.MethodGet, Path: "/v1/table/versions/{version}", Summary: "One accepted version",
+	}, func(ctx context.Context, input *versionInput) (*documentOf[Table], error) {
+		shown, err := o.showTable(ctx, table.Version(input.Version))
+		return &documentOf[Table]{Body: shown}, err
+	})
+	huma.Register(interfaces, huma.Operation{
+		OperationID: "table-history", Method: http.MethodGet, Path: "/v1/table/versions", Summary: "The last publications, oldest first",
+	}, func(context.Context, *struct{}) (*documentOf[historyDocument], error) {
+		versions := lo.Map(o.config.Tables.History(), func(e table.Entry, _ int) Version { return versionOf(e) })
+		return &documentOf[historyDocument]{Body: historyDocument{Versions: versions}}, nil
+	})
+	huma.Register(interfaces, huma.Operation{
+		OperationID: "publish-table", Method: http.MethodPost, Path: "/v1/table/versions", Summary: "Publish a table",
+		DefaultStatus: http.StatusCreated, MaxBodyBytes: bodyGrowth*o.config.TableBytes + bodyOverhead,
+	}, func(ctx context.Context, input *publishInput) (*documentOf[Version], error) {
+		version, err := o.publish(ctx, input.Body)
+		return &documentOf[Version]{Body: version}, err
+	})
+}
