Prove the program's state machine against a simple model

The state machine decides order, budget and repeats, so it is checked first.

One check was wrong at first: it asked that the engine of a pending attempt is a placement even after a confirmed release had cancelled the stream; it now asks for the placement or that cancellation.

--- /dev/null
+++ b/internal/program/machine_test.go
@@ -0,0 +1,332 @@
+package program_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/program"
+)
+
+const (
+	machineBudget   = 250
+	machineMaxCalls = 40
+	programID       = identity.ProgramID("p")
+)
+
+// modelAttempt is one dispatch as a back end would see it.
+type modelAttempt struct {
+	stream   identity.StreamID
+	key      string
+	cost     int64
+	resolved bool
+	ran      bool
+}
+
+// modelBranch is the conversation of one branch as its caller knows it.
+type modelBranch struct {
+	answered int
+	open     *program.Request
+	messages []api.Message
+}
+
+// machine runs the state machine beside a simple model: the list of attempts
+// and the messages of each branch.
+type machine struct {
+	now      time.Time
+	set      *program.Set
+	folded   *program.Set
+	reserve  func(prompt, answer int64) int64
+	attempts []*modelAttempt
+	branches map[identity.BranchID]*modelBranch
+	// keyRuns counts the attempts of a key that ran.
+	keyRuns map[string]map[identity.CallID]bool
+	// cancelled are the streams that a confirmed release has cancelled.
+	cancelled map[identity.StreamID]bool
+	ended     bool
+}
+
+func newMachine(reserve func(prompt, answer int64) int64) *machine {
+	m := &machine{
+		now: time.Unix(1000, 0), set: program.NewSet(), folded: program.NewSet(), reserve: reserve,
+		branches: map[identity.BranchID]*modelBranch{}, keyRuns: map[string]map[identity.CallID]bool{},
+		cancelled: map[identity.StreamID]bool{},
+	}
+	for _, id := range []identity.BranchID{"main", "a", "b"} {
+		m.branches[id] = &modelBranch{}
+	}
+	return m
+}
+
+func (m *machine) program() *program.Program { return m.set.Get(programID) }
+
+// commit applies records as an owner does, and their binary form to a second set.
+func (m *machine) commit(t *rapid.T, records ...program.Record) {
+	for _, record := range records {
+		if err := m.set.Apply(record); err != nil {
+			t.Fatalf("apply %T: %v", record, err)
+		}
+		decoded, err := program.Decode(program.Encode(record))
+		if err != nil {
+			t.Fatalf("decode %T: %v", record, err)
+		}
+		if err := m.folded.Apply(decoded); err != nil {
+			t.Fatalf("fold %T: %v", record, err)
+		}
+	}
+}
+
+func (m *machine) drawCall(t *rapid.T) program.Request {
+	branchID := rapid.SampledFrom([]identity.BranchID{"main", "a", "b"}).Draw(t, "branch")
+	branch := m.branches[branchID]
+	sequence := uint64(max(branch.answered+rapid.SampledFrom([]int{1, 1, 1, 1, 2, 0, -1}).Draw(t, "offset"), 1))
+	call := api.CallRequest{Sequence: sequence, Branch: string(branchID), Kind: api.CallModel, MaxTokens: rapid.IntRange(1, 60).Draw(t, "max tokens")}
+	call.IdempotencyKey = rapid.SampledFrom([]string{"", "", "", "", "", "k1", "k2"}).Draw(t, "key")
+	content := fmt.Sprintf("%s-%d", branchID, sequence)
+	if call.IdempotencyKey != "" {
+		content, call.MaxTokens = call.IdempotencyKey, 5
+	}
+	call.Messages = []api.Message{{Role: "user", Content: content}}
+	if rapid.Bool().Draw(t, "whole history") && call.IdempotencyKey == "" {
+		call.WholeHistory = true
+		call.Messages = append(append([]api.Message(nil), branch.messages...), call.Messages...)
+	}
+	return program.NewRequest(programID, call)
+}
+
+// Begin sends a call at a drawn place in its branch.
+func (m *machine) Begin(t *rapid.T) {
+	request := m.drawCall(t)
+	branch := m.branches[request.ID.Branch]
+	verdict := m.program().Arrive(m.now, request)
+	next := identity.Sequence(branch.answered + 1)
+	if verdict.Action == program.ActionRun && (request.ID.Sequence != next || branch.open != nil) {
+		t.Fatalf("call %s may run while %d is next", request.ID, next)
+	}
+	if verdict.Action == program.ActionRepeat {
+		m.commit(t, program.Repeated{ID: request.ID, Digest: request.Digest, Of: verdict.Call.Request.ID, At: m.now})
+		branch.answered++
+		return
+	}
+	if verdict.Action != program.ActionRun {
+		return
+	}
+	intent, problem := m.program().Begin(m.now, request, m.dispatch(t))
+	if problem != nil {
+		return
+	}
+	m.commit(t, intent)
+	opened := intent.Request
+	branch.open = &opened
+	m.sent(intent.Attempt, request.Key)
+}
+
+func (m *machine) dispatch(t *rapid.T) program.Dispatch {
+	name := rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "backend")
+	return program.Dispatch{Backend: name, Epoch: 1, Reserve: m.reserve}
+}
+
+func (m *machine) sent(attempt program.Attempt, key string) {
+	m.attempts = append(m.attempts, &modelAttempt{stream: attempt.Stream, key: key, cost: attempt.Reserved})
+}
+
+// drawOpen picks an open call and its model attempt.
+func (m *machine) drawOpen(t *rapid.T) (*program.Call, *modelAttempt) {
+	open := m.program().OpenCalls()
+	if len(open) == 0 {
+		t.Skip("no open call")
+	}
+	call := rapid.SampledFrom(open).Draw(t, "open call")
+	for _, attempt := range m.attempts {
+		if attempt.stream == call.Attempt.Stream {
+			return call, attempt
+		}
+	}
+	t.Fatalf("call %s has an attempt that was not sent: %s", call.Request.ID, call.Attempt.Stream)
+	return nil, nil
+}
+
+// Answer lets an engine answer with what its counters say.
+func (m *machine) Answer(t *rapid.T) {
+	call, attempt := m.drawOpen(t)
+	if !call.Pending {
+		t.Skip("nothing under way")
+	}
+	request := call.Request
+	prompt := m.program().Prompt(request)
+	size := 0
+	for _, message := range prompt {
+		size += len(message.Content) // the worst tokenizer there is: one token for each byte
+	}
+	usage := api.Usage{PromptTokens: size, CompletionTokens: rapid.IntRange(1, request.MaxTokens).Draw(t, "answer tokens")}
+	text := fmt.Sprintf("answer-%s", request.ID)
+	m.commit(t, program.Result{Stream: attempt.stream, Answer: program.Answer{Text: text, Usage: usage, At: m.now}})
+	attempt.resolved, attempt.ran = true, true
+	attempt.cost = int64(usage.PromptTokens + usage.CompletionTokens)
+	branch := m.branches[request.ID.Branch]
+	branch.answered++
+	branch.open = nil
+	branch.messages = append(branch.messages, request.Messages...)
+	branch.messages = append(branch.messages, api.Message{Role: "assistant", Content: text})
+	m.noteRun(attempt)
+}
+
+func (m *machine) noteRun(attempt *modelAttempt) {
+	if attempt.key == "" {
+		return
+	}
+	if m.keyRuns[attempt.key] == nil {
+		m.keyRuns[attempt.key] = map[identity.CallID]bool{}
+	}
+	m.keyRuns[attempt.key][attempt.stream.Call] = true
+}
+
+// NotRun resolves an attempt that was refused.
+func (m *machine) NotRun(t *rapid.T) {
+	call, attempt := m.drawOpen(t)
+	if !call.Pending {
+		t.Skip("nothing under way")
+	}
+	m.commit(t, program.NotRun{Stream: attempt.stream})
+	attempt.resolved, attempt.cost = true, 0
+}
+
+// Retry sends an open call again; an attempt without a result stays charged.
+func (m *machine) Retry(t *rapid.T) {
+	call, attempt := m.drawOpen(t)
+	retry, problem := m.program().Retry(m.now, call, m.dispatch(t))
+	if problem != nil {
+		return
+	}
+	m.commit(t, retry)
+	attempt.resolved = true
+	m.sent(retry.Attempt, call.Request.Key)
+}
+
+// LateAnswer brings the answer of an attempt that was replaced.
+func (m *machine) LateAnswer(t *rapid.T) {
+	if len(m.attempts) == 0 {
+		t.Skip("nothing was sent")
+	}
+	late := rapid.SampledFrom(m.attempts).Draw(t, "attempt")
+	if !late.resolved {
+		t.Skip("not late")
+	}
+	before := m.set.Snapshot()
+	m.commit(t, program.Result{Stream: late.stream, Answer: program.Answer{Text: "late", At: m.now}})
+	if !bytes.Equal(before, m.set.Snapshot()) {
+		t.Fatalf("the late answer of %s changed the state", late.stream)
+	}
+}
+
+// Drop takes an open call back.
+func (m *machine) Drop(t *rapid.T) {
+	call, attempt := m.drawOpen(t)
+	branch := call.Request.ID.Branch
+	m.commit(t, program.Dropped{Call: call.Request.ID, At: m.now})
+	attempt.resolved = true
+	m.branches[branch].open = nil
+}
+
+// Confirm lets an engine confirm the first release.
+func (m *machine) Confirm(t *rapid.T) {
+	outbox := m.program().Outbox()
+	if len(outbox) == 0 {
+		t.Skip("nothing to release")
+	}
+	for _, stream := range outbox[0].Streams {
+		m.cancelled[stream] = true
+	}
+	m.commit(t, program.Released{ID: programID, Backend: outbox[0].Backend, Branch: outbox[0].Branch})
+}
+
+// End ends the program, rarely.
+func (m *machine) End(t *rapid.T) {
+	if rapid.IntRange(0, 99).Draw(t, "end") > 0 {
+		t.Skip("not yet")
+	}
+	if record, running := m.program().End(m.now, api.ProgramEnded); running {
+		m.commit(t, record)
+		m.ended = true
+	}
+}
+
+// Check compares the state with the model.
+func (m *machine) Check(t *rapid.T) {
+	m.now = m.now.Add(time.Second)
+	p := m.program()
+	total := int64(0)
+	for _, attempt := range m.attempts {
+		total += attempt.cost
+	}
+	if got := p.Spent() + p.Reserved(); got != total {
+		t.Fatalf("spent and reserved are %d, the attempts come to %d", got, total)
+	}
+	if total > machineBudget {
+		t.Fatalf("the program spent %d of a budget of %d", total, machineBudget)
+	}
+	if p.Calls() > machineMaxCalls {
+		t.Fatalf("%d calls of at most %d", p.Calls(), machineMaxCalls)
+	}
+	for key, calls := range m.keyRuns {
+		if len(calls) > 1 {
+			t.Fatalf("key %q was answered for %d calls", key, len(calls))
+		}
+	}
+	m.checkHistory(t)
+	m.checkPlacements(t)
+	m.checkFold(t)
+}
+
+func (m *machine) checkHistory(t *rapid.T) {
+	if m.ended {
+		return // the turns of an ended program are dropped
+	}
+	for id, branch := range m.branches {
+		if got := m.program().History(id); fmt.Sprint(got) != fmt.Sprint(branch.messages) {
+			t.Fatalf("history of %s is %v, want %v", id, got, branch.messages)
+		}
+	}
+}
+
+// checkPlacements: the engine of whatever may run is a placement or stands in
+// the outbox, until a confirmed release has cancelled the stream.
+func (m *machine) checkPlacements(t *rapid.T) {
+	for _, call := range m.program().OpenCalls() {
+		if call.Pending && !m.program().Holds(call.Attempt.Backend) && !m.cancelled[call.Attempt.Stream] {
+			t.Fatalf("%s runs at %s, which is no placement", call.Request.ID, call.Attempt.Backend)
+		}
+	}
+}
+
+// checkFold: the fold of the journal's bytes and a restored snapshot are the state.
+func (m *machine) checkFold(t *rapid.T) {
+	snapshot := m.set.Snapshot()
+	if !bytes.Equal(snapshot, m.folded.Snapshot()) {
+		t.Fatal("the fold of the records is another state")
+	}
+	restored := program.NewSet()
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(snapshot, restored.Snapshot()) {
+		t.Fatal("the restored snapshot is another state")
+	}
+}
+
+func runMachine(t *rapid.T, reserve func(prompt, answer int64) int64) {
+	m := newMachine(reserve)
+	m.commit(t, program.Created{ID: programID, Tenant: "t", Class: "c", At: m.now, Limits: program.Limits{
+		Model: "m", BudgetTokens: machineBudget, MaxCalls: machineMaxCalls, MaxTokens: 60,
+	}})
+	t.Repeat(rapid.StateMachineActions(m))
+}
+
+func TestProgramFollowsTheModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runMachine(t, nil) })
+}
--- /dev/null
+++ b/internal/program/main_test.go
@@ -0,0 +1,74 @@
+package program_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed, so that a run's verdict does not vary; flags on the
+// command line go before.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20260", "rapid.steps": "100", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// recorder takes the failure of a property that is expected to fail.
+type recorder struct {
+	*testing.T
+	failure strings.Builder
+	failed  bool
+}
+
+func (r *recorder) Logf(string, ...any) {}
+
+func (r *recorder) Errorf(format string, arguments ...any) {
+	r.failed = true
+	fmt.Fprintf(&r.failure, format+"\n", arguments...)
+}
+
+func (r *recorder) Fatalf(format string, arguments ...any) {
+	r.Errorf(format, arguments...)
+	r.FailNow()
+}
+
+func (r *recorder) FailNow() {
+	r.failed = true
+	runtime.Goexit()
+}
+
+func (r *recorder) Fail()        { r.failed = true }
+func (r *recorder) Failed() bool { return r.failed }
+
+// findFailure returns what rapid says of a property that does not hold, empty if
+// it found nothing.
+func findFailure(t *testing.T, property func(*rapid.T)) string {
+	t.Helper()
+	setFlag(t, "rapid.shrinktime", "100ms")
+	defer setFlag(t, "rapid.shrinktime", "30s")
+	r := &recorder{T: t}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		rapid.Check(r, property)
+	}()
+	<-done
+	return r.failure.String()
+}
+
+func setFlag(t *testing.T, name, value string) {
+	t.Helper()
+	if err := flag.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
+}
