Wire a whole node from its settings

Cause: the subsystems stand, and nothing yet puts them together.

Change: internal/node builds a node with samber/do from its settings; whatever touches the outside (sockets, platform, back ends, seed) can be overridden, so simulations run the same node.

Ruled out: a second wiring for tests; it would prove another program.

Left: the HTTP faces and the daemon.

--- /dev/null
+++ b/internal/node/outside.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"github.com/samber/do/v2"
+
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/settings"
+)
+
+// Network is how a node reaches other nodes and is reached by them. The daemon
+// takes sockets, simulations an in-memory one.
+type Network interface {
+	// Client sends requests to other nodes.
+	Client() peer.Client
+	// Packets is the socket of membership's datagrams.
+	Packets() membership.PacketConn
+	// Serve takes other nodes' requests until Close, in the background.
+	Serve() error
+	// Shutdown refuses new requests and waits for those under way, or for ctx.
+	Shutdown(ctx context.Context) error
+	// Close ends everything at once.
+	Close()
+}
+
+// sockets is the Network of a daemon: peer protocol over TCP, datagrams over UDP.
+type sockets struct {
+	transport *peer.Transport
+	listener  net.Listener
+	packets   *net.UDPConn
+}
+
+// provideNetwork binds the node's addresses, so that a taken port fails the
+// start and not a request.
+func provideNetwork(injector do.Injector) (Network, error) {
+	chosen, err := do.Invoke[settings.Settings](injector)
+	if err != nil {
+		return nil, err
+	}
+	registry, err := do.Invoke[*peer.Registry](injector)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", chosen.Addresses.Peer.String())
+	if err != nil {
+		return nil, fmt.Errorf("node: addresses.peer: %w", err)
+	}
+	packets, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(chosen.Addresses.Probe))
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("node: addresses.probe: %w", err), listener.Close())
+	}
+	return &sockets{transport: peer.NewTransport(registry, peer.Options{}), listener: listener, packets: packets}, nil
+}
+
+// Client implements Network.
+func (s *sockets) Client() peer.Client { return s.transport }
+
+// Packets implements Network.
+func (s *sockets) Packets() membership.PacketConn { return s.packets }
+
+// Serve implements Network.
+func (s *sockets) Serve() error {
+	go func() { _ = s.transport.Serve(s.listener) }() // ends with Close; errors of single connections are counted there
+	return nil
+}
+
+// Shutdown implements Network.
+func (s *sockets) Shutdown(ctx context.Context) error { return s.transport.Shutdown(ctx) }
+
+// Close implements Network.
+func (s *sockets) Close() {
+	s.transport.Close()
+	_ = s.listener.Close() // closed by Shutdown already in a planned stop
+	_ = s.packets.Close()
+}
+
+// provideOutside registers the HTTP clients of platform and back ends.
+func provideOutside(injector do.Injector) {
+	do.Provide(injector, func(i do.Injector) (platform.Log, error) {
+		chosen := do.MustInvoke[settings.Settings](i)
+		return platform.NewLogClient(clientOptions(i, chosen.Platform.LogService)), nil
+	})
+	do.Provide(injector, func(i do.Injector) (platform.MachineList, error) {
+		chosen := do.MustInvoke[settings.Settings](i)
+		return platform.NewMachineListClient(clientOptions(i, chosen.Platform.MachineList)), nil
+	})
+	do.Provide(injector, func(i do.Injector) (platform.WeightStore, error) {
+		chosen := do.MustInvoke[settings.Settings](i)
+		return platform.NewWeightStoreClient(clientOptions(i, chosen.Platform.WeightStore)), nil
+	})
+	do.Provide(injector, func(i do.Injector) (backend.Directory, error) {
+		chosen := do.MustInvoke[settings.Settings](i)
+		options := backend.DefaultOptions()
+		options.DialTimeout = chosen.Backends.ConnectTimeout
+		return backend.NewDirectory(options), nil
+	})
+	do.Provide(injector, provideNetwork)
+}
+
+func clientOptions(injector do.Injector, address platformAddress) platform.ClientOptions {
+	self := do.MustInvoke[identity.Node](injector)
+	return platform.ClientOptions{Address: address, Caller: string(self.Name)}
+}
--- /dev/null
+++ b/internal/node/providers.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"context"
+	"hash/maphash"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/controller/backends"
+	"stepseam.example/stepseam/internal/controller/machines"
+	"stepseam.example/stepseam/internal/controller/members"
+	"stepseam.example/stepseam/internal/controller/tables"
+	"stepseam.example/stepseam/internal/forwarding"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/journal"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/placement"
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/serving"
+	"stepseam.example/stepseam/internal/settings"
+)
+
+type platformAddress = netip.AddrPort
+
+// Seed makes a node's random choices repeatable; simulations override it.
+type Seed uint64
+
+// NewInjector returns a container that provides every service of one node.
+// Whatever touches the outside (Network, platform.Log, platform.MachineList,
+// platform.WeightStore, backend.Directory) and the seed may be overridden
+// before Build, which is how a whole node runs inside a test.
+func NewInjector(chosen settings.Settings, logger *slog.Logger) do.Injector {
+	injector := do.New()
+	do.ProvideValue(injector, chosen)
+	do.ProvideValue(injector, logger)
+	do.ProvideValue(injector, Seed(maphash.String(maphash.MakeSeed(), string(chosen.Node.Name))))
+	do.ProvideValue(injector, identity.Node{
+		Name: chosen.Node.Name, Zone: chosen.Node.Zone, Region: chosen.Node.Region,
+		Incarnation:  identity.Incarnation(time.Now().UnixNano()),
+		PeerAddress:  chosen.Addresses.Peer,
+		ProbeAddress: chosen.Addresses.Probe,
+	})
+	do.ProvideValue(injector, prometheus.NewRegistry())
+	do.ProvideValue(injector, blackboard.NewBoard())
+	do.ProvideValue(injector, peer.NewRegistry())
+	do.ProvideValue(injector, serving.Hooks{})
+	do.ProvideValue[scheduling.Policy](injector, scheduling.NewStepseam())
+	provideOutside(injector)
+	do.Provide(injector, provideOwner)
+	do.Provide(injector, provideJournal)
+	do.Provide(injector, provideForwarder)
+	do.Provide(injector, provideTables)
+	do.Provide(injector, provideMachines)
+	do.Provide(injector, provideMembers)
+	do.Provide(injector, provideBackends)
+	return injector
+}
+
+func provideOwner(injector do.Injector) (*serving.Owner, error) {
+	chosen := do.MustInvoke[settings.Settings](injector)
+	return serving.NewOwner(serving.Config{
+		Self:       chosen.Node.Name,
+		ShardCount: chosen.Shards.Count,
+		Board:      do.MustInvoke[*blackboard.Board](injector),
+		Directory:  observedDirectory(injector),
+		Policy:     do.MustInvoke[scheduling.Policy](injector),
+		Logger:     componentLogger(injector, "serving"),
+		Registerer: do.MustInvoke[*prometheus.Registry](injector),
+		// The forwarder needs the owner, so it is asked for only when the audit runs.
+		ProgramAlive: func(ctx context.Context, program identity.ProgramID) (bool, bool, error) {
+			forwarder, err := do.Invoke[*forwarding.Forwarder](injector)
+			if err != nil {
+				return false, false, err
+			}
+			return forwarder.ProgramAlive(ctx, program)
+		},
+		Timing: serving.Timing{
+			GapWait: chosen.Limits.SequenceGapWait,
+			Audit:   chosen.Backends.AuditInterval,
+		},
+		Hooks: do.MustInvoke[serving.Hooks](injector),
+	}), nil
+}
+
+// observedDirectory tells the back-end controller how each call of serving ended.
+func observedDirectory(injector do.Injector) backend.Directory {
+	controller := do.MustInvoke[*backends.Controller](injector)
+	return backends.Observe(do.MustInvoke[backend.Directory](injector), controller.Observe)
+}
+
+func provideJournal(injector do.Injector) (*journal.Manager, error) {
+	chosen := do.MustInvoke[settings.Settings](injector)
+	board := do.MustInvoke[*blackboard.Board](injector)
+	manager := journal.New(journal.Config{
+		Self:          do.MustInvoke[identity.Node](injector),
+		ShardCount:    chosen.Shards.Count,
+		Lease:         journal.LeaseTerms{Duration: chosen.Shards.LeaseDuration},
+		RenewInterval: chosen.Shards.LeaseRenewal,
+		DurableWait:   chosen.Journal.DurableTimeout,
+		Gather:        chosen.Journal.FlushInterval,
+		SnapshotBytes: int(chosen.Journal.ShardTailBytes),
+		Log:           do.MustInvoke[platform.Log](injector),
+		Peers:         do.MustInvoke[Network](injector).Client(),
+		Members:       board.Members,
+		Host:          do.MustInvoke[*serving.Owner](injector),
+		Logger:        componentLogger(injector, "journal"),
+		Random:        randomSource(injector, "journal"),
+	})
+	manager.Register(do.MustInvoke[*peer.Registry](injector))
+	return manager, nil
+}
+
+func provideForwarder(injector do.Injector) (*forwarding.Forwarder, error) {
+	chosen := do.MustInvoke[settings.Settings](injector)
+	manager := do.MustInvoke[*journal.Manager](injector)
+	cache := &placement.Cache{}
+	return forwarding.New(forwarding.Config{
+		Self:       do.MustInvoke[identity.Node](injector).Reference(),
+		ShardCount: chosen.Shards.Count,
+		Local:      do.MustInvoke[*serving.Owner](injector),
+		Client:     do.MustInvoke[Network](injector).Client(),
+		Board:      do.MustInvoke[*blackboard.Board](injector),
+		OwnerHint:  manager.OwnerHint,
+		Ranks: func(shard identity.ShardID, view membership.View, n int) []identity.Node {
+			return cache.For(view).Ranks(shard, n)
+		},
+		Logger: componentLogger(injector, "forwarding"),
+	}, do.MustInvoke[*peer.Registry](injector)), nil
+}
+
+func provideTables(injector do.Injector) (*tables.Controller, error) {
+	chosen := do.MustInvoke[settings.Settings](injector)
+	controller := tables.New(tables.Config{
+		Self:           chosen.Node.Name,
+		Log:            do.MustInvoke[platform.Log](injector),
+		Peers:          do.MustInvoke[Network](injector).Client(),
+		Board:          do.MustInvoke[*blackboard.Board](injector),
+		Logger:         componentLogger(injector, "tables"),
+		PollWait:       chosen.Table.PollWait,
+		PeerInterval:   chosen.Table.PeerInterval,
+		PublishTimeout: chosen.Table.PublishTimeout,
+		Random:         randomFloats(injector, "tables"),
+	})
+	controller.Register(do.MustInvoke[*peer.Registry](injector))
+	return controller, nil
+}
+
+func provideMachines(injector do.Injector) (*machines.Controller, error) {
+	chosen := do.MustInvoke[settings.Settings](injector)
+	return machines.New(machines.Config{
+		List:       do.MustInvoke[platform.MachineList](injector),
+		Board:      do.MustInvoke[*blackboard.Board](injector),
+		Interval:   chosen.Platform.MachineListInterval,
+		Logger:     componentLogger(injector, "machines"),
+		Registerer: do.MustInvoke[*prometheus.Registry](injector),
+	}), nil
+}
+
+func provideMembers(injector do.Injector) (*members.Controller, error) {
+	chosen := do.MustInvoke[settings.Settings](injector)
+	manager := do.MustInvoke[*journal.Manager](injector)
+	return members.New(members.Config{
+		Self:        do.MustInvoke[identity.Node](injector),
+		Board:       do.MustInvoke[*blackboard.Board](injector),
+		Seeds:       chosen.Seeds,
+		Conn:        do.MustInvoke[Network](injector).Packets(),
+		RandomSeed:  randomSource(injector, "members").Uint64(),
+		OwnedShards: func() int { return len(manager.Owned()) },
+		Logger:      componentLogger(injector, "members"),
+		Registerer:  do.MustInvoke[*prometheus.Registry](injector),
+	}), nil
+}
+
+func provideBackends(injector do.Injector) (*backends.Controller, error) {
+	chosen := do.MustInvoke[settings.Settings](injector)
+	return backends.New(backends.Config{
+		Node:         chosen.Node.Name,
+		Board:        do.MustInvoke[*blackboard.Board](injector),
+		Directory:    do.MustInvoke[backend.Directory](injector),
+		PollInterval: chosen.Backends.PollInterval,
+		PollTimeout:  chosen.Backends.PollTimeout,
+		Random:       randomFloats(injector, "backends"),
+		Logger:       componentLogger(injector, "backends"),
+		Registerer:   do.MustInvoke[*prometheus.Registry](injector),
+	}), nil
+}
+
+func componentLogger(injector do.Injector, component string) *slog.Logger {
+	return do.MustInvoke[*slog.Logger](injector).With("component", component)
+}
