Watch the back ends: load, leaving, health and held prefixes

Cause: the scheduler needs to know which back ends live, how loaded they are and which are leaving, while the machine list is seconds behind.

Change: internal/controller/backends keeps Board.Backends in step with the machine list and polls load reports, all of them at a small site, else a share by rendezvous hashing. A back end counts as leaving from the first sign on: list, report or refusal. Health goes by failed polls, failed calls and calls far slower than the pool's, over scheduling.HealthRecord. Observe wraps a directory, so that whoever dispatches through it feeds health, rates and the cache map. backend.LoadReporter lets an application report its load too; before, a leaving application showed itself only by refusing. The engine stand-in handed a frozen request's late result to a caller that had given up; its values now go through a channel.

Weighed: letting a poll that works heal a back end was ruled out, as one may report its load and still lose its calls. Judging slowness by the time to the first token was ruled out, as it holds the wait in the queue.

--- a/internal/backend/application_client.go
+++ b/internal/backend/application_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -10,7 +11,10 @@
 // ApplicationClient is an Application over HTTP.
 type ApplicationClient struct{ client client }
 
-var _ Application = (*ApplicationClient)(nil)
+var (
+	_ Application  = (*ApplicationClient)(nil)
+	_ LoadReporter = (*ApplicationClient)(nil)
+)
 
 // emptyInput stands for no input, so that every operation is sent with a body:
 // net/http may send a request without one a second time.
@@ -38,6 +42,21 @@
 	return answer, nil
 }
 
+// Load implements LoadReporter. A replica that lacks the path gives no reports
+// but lives.
+func (a *ApplicationClient) Load(ctx context.Context) (LoadReport, error) {
+	var report LoadReport
+	err := a.client.exchangeJSON(ctx, outgoing{method: http.MethodGet, path: PathLoad}, nil, &report)
+	var status statusError
+	if errors.As(err, &status) && (status == http.StatusNotFound || status == http.StatusMethodNotAllowed) {
+		return report, fmt.Errorf("load: %w: %w", ErrNoReport, err)
+	}
+	if err != nil {
+		return report, fmt.Errorf("load: %w", err)
+	}
+	return report, nil
+}
+
 // headerValue returns key as it is where a header can carry it, else escaped.
 func headerValue(key string) string {
 	for _, letter := range []byte(key) {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -108,11 +108,13 @@
 	CacheEvicted CacheEventKind = "evicted"
 )
 
-// CacheEvent is published late and with gaps; Number shows the gaps.
+// CacheEvent is published late and with gaps; Number shows the gaps. It rises
+// over restarts of the engine too, with a gap.
 type CacheEvent struct {
 	Number uint64         `json:"number"`
 	Kind   CacheEventKind `json:"kind"`
-	Prefix HeldPrefix     `json:"prefix"`
+	// Prefix tells what the engine holds after the event; 0 tokens is nothing.
+	Prefix HeldPrefix `json:"prefix"`
 }
 
 // OrderKind is the kind of a fenced order.
@@ -179,6 +181,24 @@
 	Invoke(ctx context.Context, request InvokeRequest) ([]byte, error)
 }
 
+// ErrNoReport tells that a back end gives no load reports.
+var ErrNoReport = errors.New("backend: gives no load report")
+
+// LoadReporter is a back end that reports its load. Every Engine does;
+// an Application may.
+type LoadReporter interface {
+	Load(ctx context.Context) (LoadReport, error)
+}
+
+// LoadOf returns the load report of an application, or ErrNoReport.
+func LoadOf(ctx context.Context, application Application) (LoadReport, error) {
+	reporter, reports := application.(LoadReporter)
+	if !reports {
+		return LoadReport{}, ErrNoReport
+	}
+	return reporter.Load(ctx)
+}
+
 // Directory returns a client for the back end at an address.
 type Directory interface {
 	Engine(address netip.AddrPort) Engine
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -139,6 +139,14 @@
 	in.cancel(nil)
 }
 
+// statusError is an HTTP status that came without a problem document.
+type statusError int
+
+// Error tells the status.
+func (s statusError) Error() string {
+	return fmt.Sprintf("status %d without a problem document", int(s))
+}
+
 // maxErrorBytes bounds the body of a refusal.
 const maxErrorBytes = 64 << 10
 
@@ -152,7 +160,7 @@
 	document := ErrorDocument{Status: status}
 	mediaType, _, _ := mime.ParseMediaType(in.response.Header.Get("Content-Type"))
 	if mediaType != contentTypeProblem || json.Unmarshal(body, &document) != nil {
-		return fmt.Errorf("%w: status %d without a problem document", ErrBroken, status)
+		return fmt.Errorf("%w: %w", ErrBroken, statusError(status))
 	}
 	return document.sentinel()
 }
--- /dev/null
+++ b/internal/controller/backends/controller_test.go
@@ -0,0 +1,317 @@
+package backends_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/controller/backends"
+	"stepseam.example/stepseam/internal/emulator/application"
+	"stepseam.example/stepseam/internal/emulator/engine"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/scheduling"
+)
+
+// listLag is how far the machine list of these tests is behind the truth.
+const listLag = 10 * time.Second
+
+// site is a node's watch over in-process back ends.
+type site struct {
+	engines      map[netip.AddrPort]*engine.Engine
+	applications map[netip.AddrPort]*application.Application
+	board        *blackboard.Board
+	controller   *backends.Controller
+	directory    backend.Directory
+}
+
+// Engine implements backend.Directory.
+func (s *site) Engine(address netip.AddrPort) backend.Engine { return s.engines[address] }
+
+// Application implements backend.Directory.
+func (s *site) Application(address netip.AddrPort) backend.Application {
+	return s.applications[address]
+}
+
+func addressOf(index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(index)}), 80)
+}
+
+// inBubble runs test beside a controller over three engines and two replicas of
+// an application, in virtual time.
+func inBubble(t *testing.T, test func(t *testing.T, s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{
+			engines:      map[netip.AddrPort]*engine.Engine{},
+			applications: map[netip.AddrPort]*application.Application{},
+			board:        blackboard.NewBoard(),
+		}
+		var listed []platform.Machine
+		for i := range 5 {
+			machine := platform.Machine{State: platform.MachineLive, Address: addressOf(i), Zone: "zone"}
+			if i < 3 {
+				machine.Name, machine.Role, machine.Service = fmt.Sprintf("engine-%d", i), platform.RoleEngine, "advisors"
+				e, err := engine.New(engine.DefaultParameters(machine.Name, "advisor"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer e.Close()
+				s.engines[machine.Address] = e
+			} else {
+				machine.Name, machine.Role, machine.Service = fmt.Sprintf("portal-%d", i), platform.RoleApplication, "portal"
+				a, err := application.New(application.DefaultParameters(machine.Name), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer a.Close()
+				s.applications[machine.Address] = a
+			}
+			listed = append(listed, machine)
+		}
+		s.board.Machines.Store(listed)
+		s.controller = backends.New(backends.Config{Node: "node-1", Board: s.board, Directory: s})
+		s.directory = backends.Observe(s, s.controller.Observe)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { s.controller.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		synctest.Wait()
+		test(t, s)
+	})
+}
+
+// setState changes the machine list, as it is seen.
+func (s *site) setState(address netip.AddrPort, state platform.MachineState) {
+	s.board.Machines.Update(func(machines []platform.Machine) []platform.Machine {
+		changed := append([]platform.Machine(nil), machines...)
+		for i := range changed {
+			if changed[i].Address == address {
+				changed[i].State = state
+			}
+		}
+		return changed
+	})
+}
+
+func (s *site) shown(address netip.AddrPort) blackboard.Backend {
+	for _, shown := range s.board.Backends.Copy() {
+		if shown.Address == address {
+			return shown
+		}
+	}
+	return blackboard.Backend{}
+}
+
+func ask(s *site, address netip.AddrPort, program string) error {
+	_, err := s.directory.Engine(address).Generate(context.Background(), backend.GenerateRequest{
+		Stream: identity.StreamID{Call: identity.CallID{Program: identity.ProgramID(program), Branch: "main", Sequence: 1}},
+		Model:  "advisor", MaxTokens: 32, Messages: []backend.Message{{Role: "user", Content: "hello"}},
+	}, nil)
+	return err
+}
+
+func TestReportsReachTheBoard(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		is := is.New(t)
+		time.Sleep(2 * time.Second)
+		is.Equal(s.board.Backends.Len(), 5)
+		shown := s.shown(addressOf(0))
+		is.Equal(shown.Report.Models, []string{"advisor"})
+		is.Equal(shown.Health, scheduling.Healthy)
+		is.True(time.Since(shown.ReportedAt) < time.Second)
+		is.NoErr(ask(s, addressOf(0), "p"))
+		is.True(s.shown(addressOf(0)).DecodeRate > 10)
+		is.Equal(s.controller.CacheMap().Holders("p", "main")[0].Backend, "engine-0")
+
+		s.board.Machines.Store(s.board.Machines.Load()[1:])
+		synctest.Wait()
+		is.Equal(s.board.Backends.Len(), 4)
+		is.Equal(len(s.controller.CacheMap().Holders("p", "main")), 0)
+	})
+}
+
+// keepAsking sends work to an engine, five times a second, while the board does
+// not call it leaving; it waits for the answers at the end.
+func (s *site) keepAsking(ctx context.Context, address netip.AddrPort) {
+	var answers sync.WaitGroup
+	defer answers.Wait()
+	for i := 0; ctx.Err() == nil; i++ {
+		if !s.shown(address).Leaving {
+			answers.Go(func() { _ = ask(s, address, fmt.Sprintf("%s-%d", address, i)) })
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// arrivedBetween counts what an engine saw arrive after from and before until.
+func arrivedBetween(e *engine.Engine, from, until time.Time) int {
+	count := 0
+	for _, arrival := range e.Truth().Arrivals {
+		if arrival.Arrived.After(from) && arrival.Arrived.Before(until) {
+			count++
+		}
+	}
+	return count
+}
+
+// Whoever sends work only to back ends that the board doesn't call leaving sends
+// none to one that left 3 s ago, though the machine list says so 10 s late. What
+// counts is what the engines saw arrive.
+func TestALeavingBackEndGetsNoWorkAfterThreeSeconds(t *testing.T) {
+	const limit = 3 * time.Second
+	inBubble(t, func(t *testing.T, s *site) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var load sync.WaitGroup
+		for address := range s.engines {
+			load.Go(func() { s.keepAsking(ctx, address) })
+		}
+		started := time.Now()
+		time.Sleep(5 * time.Second)
+		left := time.Now()
+		for _, e := range s.engines {
+			e.SetDraining(true)
+		}
+		time.AfterFunc(listLag, func() {
+			for address := range s.engines {
+				s.setState(address, platform.MachineLeaving)
+			}
+		})
+		time.Sleep(2 * listLag)
+		cancel()
+		load.Wait()
+		for _, e := range s.engines {
+			is.True(arrivedBetween(e, started, left) > 10) // it did work before
+			is.Equal(arrivedBetween(e, left.Add(limit), time.Now()), 0)
+		}
+	})
+}
+
+// The report alone tells in time too: nobody sends work that could be refused.
+func TestAnIdleLeavingBackEndIsNoticed(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		is := is.New(t)
+		time.Sleep(2 * time.Second)
+		s.engines[addressOf(1)].SetDraining(true)
+		s.applications[addressOf(3)].SetDraining(true)
+		time.Sleep(3 * time.Second)
+		is.True(s.shown(addressOf(1)).Leaving)
+		is.True(s.shown(addressOf(3)).Leaving)
+		is.True(!s.shown(addressOf(0)).Leaving)
+		is.True(!s.shown(addressOf(4)).Leaving)
+
+		// One that stays after all is used again, once its own word has run out.
+		s.engines[addressOf(1)].SetDraining(false)
+		time.Sleep(20 * time.Second)
+		is.True(!s.shown(addressOf(1)).Leaving)
+	})
+}
+
+func TestTheMachineListAloneMarksLeaving(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.setState(addressOf(2), platform.MachineLeaving)
+		synctest.Wait()
+		is.True(s.shown(addressOf(2)).Leaving)
+	})
+}
+
+func TestAMarkOfServingsStands(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.board.Backends.Update("portal-3", func(b blackboard.Backend, found bool) (blackboard.Backend, bool) {
+			b.Leaving = true
+			return b, found
+		})
+		time.Sleep(5 * time.Second) // many polls say nothing of leaving
+		is.True(s.shown(addressOf(3)).Leaving)
+	})
+}
+
+func TestADeadEngineIsEjectedAndComesBack(t *testing.T) {
+	for name, faults := range map[string]engine.Faults{"down": {Down: true}, "frozen": {Frozen: true}} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, s *site) {
+				is := is.New(t)
+				time.Sleep(2 * time.Second)
+				s.engines[addressOf(0)].SetFaults(faults)
+				time.Sleep(4 * time.Second)
+				for range 100 { // it stays ejected, with no trial while it answers no poll
+					is.Equal(s.shown(addressOf(0)).Health, scheduling.Ejected)
+					time.Sleep(100 * time.Millisecond)
+				}
+				is.Equal(s.shown(addressOf(1)).Health, scheduling.Healthy)
+				s.engines[addressOf(0)].SetFaults(engine.Faults{})
+				time.Sleep(6 * time.Second)
+				is.Equal(s.shown(addressOf(0)).Health, scheduling.Probation)
+				is.NoErr(ask(s, addressOf(0), "trial"))
+				is.Equal(s.shown(addressOf(0)).Health, scheduling.Healthy)
+			})
+		})
+	}
+}
+
+// An engine that answers polls and loses its calls is ejected all the same; its
+// trial call heals it.
+func TestFailingCallsEject(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		is := is.New(t)
+		time.Sleep(2 * time.Second)
+		for i := range 2 {
+			s.engines[addressOf(0)].SetFaults(engine.Faults{LoseNext: 1})
+			is.True(errors.Is(ask(s, addressOf(0), fmt.Sprint(i)), backend.ErrBroken))
+			time.Sleep(600 * time.Millisecond)
+		}
+		is.Equal(s.shown(addressOf(0)).Health, scheduling.Ejected)
+		time.Sleep(3 * time.Second)
+		is.Equal(s.shown(addressOf(0)).Health, scheduling.Probation)
+		is.NoErr(ask(s, addressOf(0), "trial"))
+		is.Equal(s.shown(addressOf(0)).Health, scheduling.Healthy)
+	})
+}
+
+func TestASlowEngineIsEjected(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.engines[addressOf(0)].SetFaults(engine.Faults{Slow: 20})
+		for i := range 6 {
+			for address := range s.engines {
+				is.NoErr(ask(s, address, fmt.Sprint(i)))
+			}
+			time.Sleep(time.Second)
+		}
+		is.Equal(s.shown(addressOf(0)).Health, scheduling.Ejected)
+		is.Equal(s.shown(addressOf(1)).Health, scheduling.Healthy)
+		is.Equal(s.shown(addressOf(2)).Health, scheduling.Healthy)
+	})
+}
+
+// The cache map follows an eviction that it learns of only by late events with
+// gaps, and the loss of all by a restart.
+func TestTheCacheMapFollowsTheEngine(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		is := is.New(t)
+		is.NoErr(ask(s, addressOf(0), "kept"))
+		is.NoErr(ask(s, addressOf(0), "released"))
+		cache := s.controller.CacheMap()
+		is.True(cache.Tokens("engine-0", "released", "main") > 0)
+		time.Sleep(5 * time.Second)
+		is.NoErr(s.engines[addressOf(0)].Release(t.Context(), "released", ""))
+		time.Sleep(30 * time.Second)
+		is.NoErr(ask(s, addressOf(0), "another")) // its event shows the gap, if there was one
+		time.Sleep(30 * time.Second)
+		is.Equal(cache.Tokens("engine-0", "released", "main"), 0)
+		is.True(cache.Tokens("engine-0", "kept", "main") > 0)
+	})
+}
--- /dev/null
+++ b/internal/controller/backends/pure_test.go
@@ -0,0 +1,185 @@
+package backends
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/scheduling"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// A poll that works does not heal a back end that fails its calls, and it comes
+// back through one trial.
+func TestPollsDoNotHealFailingCalls(t *testing.T) {
+	is := is.New(t)
+	var h health
+	for range 2 {
+		h = h.afterCall(start, false).afterPoll(true)
+	}
+	is.Equal(h.at(start), scheduling.Ejected)
+	later := start.Add(time.Minute)
+	h = h.afterPoll(true)
+	is.Equal(h.at(later), scheduling.Probation)
+	is.Equal(h.afterCall(later, false).at(later), scheduling.Ejected)
+	is.Equal(h.afterFastCall(later).at(later), scheduling.Healthy)
+}
+
+// A back end that misses its polls stays out for as long as it does, and comes
+// back through one trial.
+func TestFailedPollsEject(t *testing.T) {
+	is := is.New(t)
+	h := health{}.afterPoll(false)
+	is.Equal(h.at(start), scheduling.Healthy)
+	h = h.afterPoll(false)
+	is.Equal(h.at(start), scheduling.Ejected)
+	later := start.Add(time.Hour)
+	is.Equal(h.at(later), scheduling.Ejected)
+	h = h.afterPoll(true)
+	is.Equal(h.at(later), scheduling.Probation)
+	is.Equal(h.afterFastCall(later).at(later), scheduling.Healthy)
+	is.Equal(h.afterCall(later, false).at(later), scheduling.Ejected)
+}
+
+func TestSlownessEjectsAfterAStreakAndNeverMostOfAPool(t *testing.T) {
+	is := is.New(t)
+	slow := func(mayEject bool, calls int) scheduling.Health {
+		var h health
+		for range calls {
+			h = h.afterSlowCall(start, mayEject)
+		}
+		return h.at(start)
+	}
+	is.Equal(slow(true, slowStreak), scheduling.Healthy)
+	is.Equal(slow(true, slowStreak+1), scheduling.Ejected)
+	is.Equal(slow(false, 10*slowStreak), scheduling.Healthy)
+	is.True(pool{members: 3}.mayEjectSlow())
+	is.True(!pool{members: 3, ejected: 1}.mayEjectSlow())
+	is.True(!pool{members: 2}.mayEjectSlow())
+
+	is.True(pool{decodeRate: 80}.isSlow(9, slowTokens))
+	is.True(!pool{decodeRate: 80}.isSlow(11, slowTokens))
+	is.True(!pool{decodeRate: 80}.isSlow(9, slowTokens-1))
+	is.True(!pool{}.isSlow(9, slowTokens))
+}
+
+func machines(count, services int) []platform.Machine {
+	var all []platform.Machine
+	for i := range count {
+		all = append(all, platform.Machine{
+			Name: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, State: platform.MachineLive,
+			Service: fmt.Sprintf("service-%d", i%services),
+		})
+	}
+	return all
+}
+
+// At the two-year size every engine is polled by some node, none by many, and
+// every node sees engines of each service.
+func TestSharesCoverALargeFleet(t *testing.T) {
+	const nodes, replicas, services = 380, 600, 28
+	all := machines(replicas, services)
+	pollers := map[string]int{}
+	for node := range nodes {
+		chosen := share(identity.NodeName(fmt.Sprintf("node-%d", node)), all, defaultPollAll, defaultPerService)
+		seen := map[string]bool{}
+		for _, machine := range all {
+			if chosen[machine.Name] {
+				pollers[machine.Name]++
+				seen[machine.Service] = true
+			}
+		}
+		if len(seen) != services || len(chosen) != services*defaultPerService {
+			t.Fatalf("node %d polls %d of %d services, %d engines", node, len(seen), services, len(chosen))
+		}
+	}
+	least, most := nodes, 0
+	for _, machine := range all {
+		least, most = min(least, pollers[machine.Name]), max(most, pollers[machine.Name])
+	}
+	mean := nodes * services * defaultPerService / replicas
+	if least < mean/2 || most > 2*mean {
+		t.Errorf("between %d and %d nodes poll an engine, mean %d", least, most, mean)
+	}
+}
+
+func TestASmallFleetIsPolledWhole(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(share("node", machines(defaultPollAll, 3), defaultPollAll, defaultPerService)), defaultPollAll)
+}
+
+// The map stays within its limit and its indexes agree, whatever comes.
+func TestCacheMapStaysConsistent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewCacheMap(5, time.Second)
+		now := start
+		engine := func(t *rapid.T) string { return rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "engine") }
+		prefix := func(t *rapid.T) backend.HeldPrefix {
+			return backend.HeldPrefix{
+				Program: identity.ProgramID(rapid.SampledFrom([]string{"p", "q"}).Draw(t, "program")),
+				Branch:  identity.BranchID(rapid.SampledFrom([]string{"main", "side"}).Draw(t, "branch")),
+				Tokens:  rapid.IntRange(0, 9).Draw(t, "tokens"),
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"believe": func(t *rapid.T) {
+				now = now.Add(500 * time.Millisecond)
+				p := prefix(t)
+				e := engine(t)
+				m.Believe(now, e, p.Program, p.Branch, p.Tokens)
+				if got := m.Tokens(e, p.Program, p.Branch); got != p.Tokens {
+					t.Fatalf("believed %d, got %d", p.Tokens, got)
+				}
+			},
+			"apply":   func(t *rapid.T) { m.Apply(now, engine(t), []backend.CacheEvent{{Prefix: prefix(t)}}) },
+			"replace": func(t *rapid.T) { m.Replace(now, engine(t), []backend.HeldPrefix{prefix(t)}) },
+			"forget": func(t *rapid.T) {
+				e := engine(t)
+				m.Forget(e)
+				if m.Knows(e) {
+					t.Fatalf("%s is known still", e)
+				}
+			},
+			"": func(t *rapid.T) { checkCacheMap(t, m) },
+		})
+	})
+}
+
+func checkCacheMap(t *rapid.T, m *CacheMap) {
+	counted := 0
+	for _, program := range []identity.ProgramID{"p", "q"} {
+		for _, branch := range []identity.BranchID{"main", "side"} {
+			for _, held := range m.Holders(program, branch) {
+				counted++
+				if held.Tokens <= 0 || held.Tokens != m.Tokens(held.Backend, program, branch) || !m.Knows(held.Backend) {
+					t.Fatalf("holders say %+v", held)
+				}
+			}
+		}
+	}
+	if counted != m.Len() || counted > 5 {
+		t.Fatalf("%d holdings, length %d", counted, m.Len())
+	}
+}
+
+func TestEventsCorrectOnlySettledBeliefs(t *testing.T) {
+	is := is.New(t)
+	m := NewCacheMap(10, time.Second)
+	m.Believe(start, "a", "p", "main", 100)
+	evicted := []backend.CacheEvent{{Kind: backend.CacheEvicted, Prefix: backend.HeldPrefix{Program: "p", Branch: "main", Tokens: 40}}}
+	m.Apply(start.Add(500*time.Millisecond), "a", evicted)
+	is.Equal(m.Tokens("a", "p", "main"), 100) // may be of before the call
+	m.Apply(start.Add(2*time.Second), "a", evicted)
+	is.Equal(m.Tokens("a", "p", "main"), 40)
+	m.Apply(start.Add(2*time.Second), "a", []backend.CacheEvent{{Prefix: backend.HeldPrefix{Program: "other", Branch: "main", Tokens: 7}}})
+	is.Equal(m.Len(), 1) // what others hold is not ours to know
+	m.Replace(start.Add(3*time.Second), "a", nil)
+	is.Equal(m.Len(), 0)
+}
--- a/internal/emulator/application/application.go
+++ b/internal/emulator/application/application.go
@@ -77,6 +77,8 @@
 	random   *rand.Rand
 	faults   Faults
 	draining bool
+	// running counts the operations under way.
+	running int
 	// changed is closed when the faults change, broken when connections break.
 	changed chan struct{}
 	broken  chan struct{}
@@ -179,6 +181,7 @@
 	done := make(chan outcome, 1)
 	go func() {
 		answer, err := a.run(request, operation)
+		a.leave()
 		done <- outcome{answer: answer, err: err}
 	}()
 	select {
@@ -218,9 +221,29 @@
 	if len(request.Body) > 0 && !json.Valid(request.Body) {
 		return Operation{}, nil, fmt.Errorf("%w: the input is not JSON", backend.ErrRefused)
 	}
+	a.running++
 	return operation, a.broken, nil
 }
 
+func (a *Application) leave() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.running--
+}
+
+// Load implements backend.LoadReporter.
+func (a *Application) Load(ctx context.Context) (backend.LoadReport, error) {
+	if err := ctx.Err(); err != nil {
+		return backend.LoadReport{}, fmt.Errorf("application %s: load: %w: %w", a.parameters.Name, backend.ErrNotDelivered, err)
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.faults.Down || a.closed {
+		return backend.LoadReport{}, fmt.Errorf("application %s: load: %w", a.parameters.Name, backend.ErrNotDelivered)
+	}
+	return backend.LoadReport{Running: a.running, Draining: a.draining, AsOf: time.Now()}, nil
+}
+
 // run carries the operation out: half the latency, the effect, the other half.
 func (a *Application) run(request backend.InvokeRequest, operation Operation) ([]byte, error) {
 	latency := a.latency(operation)
--- a/internal/emulator/application/server.go
+++ b/internal/emulator/application/server.go
@@ -33,6 +33,7 @@
 	mux := http.NewServeMux()
 	server := &server{application: a}
 	mux.HandleFunc("POST "+backend.PathOperations+"{operation}", server.invoke)
+	mux.HandleFunc("GET "+backend.PathLoad, server.load)
 	config := huma.DefaultConfig("stepseam application stand-in", apiVersion)
 	config.CreateHooks = nil // answers carry no links to their schema
 	api := humago.New(mux, config)
@@ -57,6 +58,16 @@
 	_, _ = w.Write(answer)
 }
 
+func (s *server) load(w http.ResponseWriter, r *http.Request) {
+	report, err := s.application.Load(r.Context())
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(report)
+}
+
 func readInvoke(w http.ResponseWriter, r *http.Request) (backend.InvokeRequest, error) {
 	input, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -177,12 +177,7 @@
 
 // start brings a stream to the engine; it runs on whoever follows it.
 func (e *Engine) start(ctx context.Context, request backend.GenerateRequest) (*stream, error) {
-	var running *stream
-	err := e.deliver(ctx, func() error {
-		arrived, err := e.arrive(request)
-		running = arrived
-		return err
-	})
+	running, err := deliver(ctx, e, func() (*stream, error) { return e.arrive(request) })
 	if err != nil {
 		return nil, fmt.Errorf("engine %s: generate %s: %w", e.parameters.Name, request.Stream, err)
 	}
@@ -204,18 +199,15 @@
 
 // find returns a stream that runs or has finished not long ago.
 func (e *Engine) find(ctx context.Context, id identity.StreamID) (*stream, error) {
-	var known *stream
-	err := e.deliver(ctx, func() error {
+	known, err := deliver(ctx, e, func() (*stream, error) {
 		e.forget()
 		if _, cancelled := e.tombs[id]; cancelled {
-			return backend.ErrStreamCancelled
+			return nil, backend.ErrStreamCancelled
 		}
-		found, exists := e.streams[id]
-		if !exists {
-			return backend.ErrStreamUnknown
+		if found, exists := e.streams[id]; exists {
+			return found, nil
 		}
-		known = found
-		return nil
+		return nil, backend.ErrStreamUnknown
 	})
 	if err != nil {
 		return nil, fmt.Errorf("engine %s: resume %s: %w", e.parameters.Name, id, err)
@@ -225,7 +217,7 @@
 
 // Cancel implements backend.Engine.
 func (e *Engine) Cancel(ctx context.Context, id identity.StreamID) error {
-	err := e.deliver(ctx, func() error {
+	_, err := deliver(ctx, e, func() (nothing, error) {
 		e.forget()
 		if _, cancelled := e.tombs[id]; !cancelled {
 			e.tombs[id] = struct{}{}
@@ -235,7 +227,7 @@
 			e.stop(known, OutcomeCancelled, backend.ErrStreamCancelled)
 			delete(e.streams, id)
 		}
-		return nil
+		return nothing{}, nil
 	})
 	if err != nil {
 		return fmt.Errorf("engine %s: cancel %s: %w", e.parameters.Name, id, err)
--- a/internal/emulator/engine/faults.go
+++ b/internal/emulator/engine/faults.go
@@ -102,40 +102,55 @@
 	return e.faults.LoseAnswers > 0 && e.random.Float64() < e.faults.LoseAnswers
 }
 
+// reply is what a request gets back from the engine.
+type reply[T any] struct {
+	value T
+	err   error
+}
+
 // deliver brings a request to the engine: effect runs once, under the mutex,
-// now or after a thaw. Its error is the answer, unless the answer gets lost.
-// Every outcome other than ErrNotDelivered means that the request was sent.
-func (e *Engine) deliver(ctx context.Context, effect func() error) error {
+// now or after a thaw. What it returns is the answer, unless the answer gets
+// lost. Every outcome other than ErrNotDelivered means that the request was sent.
+func deliver[T any](ctx context.Context, e *Engine, effect func() (T, error)) (T, error) {
+	var none T
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", backend.ErrNotDelivered, err)
+		return none, fmt.Errorf("%w: %w", backend.ErrNotDelivered, err)
+	}
+	run := func() reply[T] {
+		value, err := effect()
+		return reply[T]{value: value, err: e.answer(err)}
 	}
 	e.mutex.Lock()
 	if e.faults.Down || e.closed {
 		e.mutex.Unlock()
-		return backend.ErrNotDelivered
+		return none, backend.ErrNotDelivered
 	}
 	if e.thawed == nil {
 		defer e.mutex.Unlock()
-		return e.answer(effect())
+		answer := run()
+		return answer.value, answer.err
 	}
-	answered := make(chan error, 1)
+	answered := make(chan reply[T], 1)
 	e.inbox = append(e.inbox, func() {
 		if !e.closed {
-			answered <- e.answer(effect())
+			answered <- run()
 		}
 	})
 	broken := e.broken
 	e.mutex.Unlock()
 	select {
-	case err := <-answered:
-		return err
+	case answer := <-answered:
+		return answer.value, answer.err
 	case <-broken:
-		return backend.ErrBroken
+		return none, backend.ErrBroken
 	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", backend.ErrBroken, ctx.Err())
+		return none, fmt.Errorf("%w: %w", backend.ErrBroken, ctx.Err())
 	}
 }
 
+// nothing is the value of a request that is answered without one.
+type nothing struct{}
+
 // answer returns err to the caller, or loses it. A refusal is an answer too.
 func (e *Engine) answer(err error) error {
 	if e.loseAnswer() {
--- a/internal/emulator/engine/memory.go
+++ b/internal/emulator/engine/memory.go
@@ -19,11 +19,11 @@
 
 // Release implements backend.Engine.
 func (e *Engine) Release(ctx context.Context, program identity.ProgramID, branch identity.BranchID) error {
-	err := e.deliver(ctx, func() error {
+	_, err := deliver(ctx, e, func() (nothing, error) {
 		e.cache.Release(program, branch)
 		e.noteCache()
 		e.noteLoad()
-		return nil
+		return nothing{}, nil
 	})
 	if err != nil {
 		return fmt.Errorf("engine %s: release %s: %w", e.parameters.Name, program, err)
@@ -33,11 +33,7 @@
 
 // Held implements backend.Engine.
 func (e *Engine) Held(ctx context.Context) ([]backend.HeldPrefix, error) {
-	var held []backend.HeldPrefix
-	err := e.deliver(ctx, func() error {
-		held = e.held()
-		return nil
-	})
+	held, err := deliver(ctx, e, func() ([]backend.HeldPrefix, error) { return e.held(), nil })
 	if err != nil {
 		return nil, fmt.Errorf("engine %s: held: %w", e.parameters.Name, err)
 	}
@@ -57,13 +53,9 @@
 
 // Load implements backend.Engine.
 func (e *Engine) Load(ctx context.Context) (backend.LoadReport, error) {
-	var report backend.LoadReport
-	err := e.deliver(ctx, func() error {
-		report = e.reportSeen(time.Now())
-		return nil
-	})
+	report, err := deliver(ctx, e, func() (backend.LoadReport, error) { return e.reportSeen(time.Now()), nil })
 	if err != nil {
-		return report, fmt.Errorf("engine %s: load: %w", e.parameters.Name, err)
+		return backend.LoadReport{}, fmt.Errorf("engine %s: load: %w", e.parameters.Name, err)
 	}
 	return report, nil
 }
@@ -148,15 +140,15 @@
 
 // CacheEvents implements backend.Engine.
 func (e *Engine) CacheEvents(ctx context.Context, from uint64) ([]backend.CacheEvent, error) {
-	var events []backend.CacheEvent
-	err := e.deliver(ctx, func() error {
+	events, err := deliver(ctx, e, func() ([]backend.CacheEvent, error) {
 		now := time.Now()
+		var events []backend.CacheEvent
 		for _, published := range e.events {
 			if published.event.Number >= from && !published.seenAt.After(now) {
 				events = append(events, published.event)
 			}
 		}
-		return nil
+		return events, nil
 	})
 	if err != nil {
 		return nil, fmt.Errorf("engine %s: cache events: %w", e.parameters.Name, err)
@@ -167,13 +159,12 @@
 // Export implements backend.Engine. The state names the prefix and stands for
 // its bytes; the transfer takes its modelled time.
 func (e *Engine) Export(ctx context.Context, program identity.ProgramID, branch identity.BranchID) ([]byte, error) {
-	var segments []model.Segment
-	err := e.deliver(ctx, func() error {
-		segments = e.cache.Segments(model.Key{Program: program, Branch: branch})
+	segments, err := deliver(ctx, e, func() ([]model.Segment, error) {
+		segments := e.cache.Segments(model.Key{Program: program, Branch: branch})
 		if len(segments) == 0 {
-			return fmt.Errorf("%w: no prefix is held", backend.ErrRefused)
+			return nil, fmt.Errorf("%w: no prefix is held", backend.ErrRefused)
 		}
-		return nil
+		return segments, nil
 	})
 	if err == nil {
 		err = e.transfer(ctx, model.CountTokens(segments))
@@ -197,11 +188,11 @@
 }
 
 func (e *Engine) importState(ctx context.Context, key model.Key, segments []model.Segment) error {
-	err := e.deliver(ctx, func() error {
+	_, err := deliver(ctx, e, func() (nothing, error) {
 		if e.draining {
-			return fmt.Errorf("%w: %w", backend.ErrRefused, backend.ErrDraining)
+			return nothing{}, fmt.Errorf("%w: %w", backend.ErrRefused, backend.ErrDraining)
 		}
-		return nil
+		return nothing{}, nil
 	})
 	if err != nil {
 		return err
@@ -209,13 +200,13 @@
 	if err := e.transfer(ctx, model.CountTokens(segments)); err != nil {
 		return err
 	}
-	err = e.deliver(ctx, func() error {
+	_, err = deliver(ctx, e, func() (nothing, error) {
 		if !e.cache.Store(key, segments) {
-			return fmt.Errorf("%w: no room for the prefix", backend.ErrRefused)
+			return nothing{}, fmt.Errorf("%w: no room for the prefix", backend.ErrRefused)
 		}
 		e.noteCache()
 		e.noteLoad()
-		return nil
+		return nothing{}, nil
 	})
 	return afterSending(err)
 }
--- a/internal/emulator/engine/orders.go
+++ b/internal/emulator/engine/orders.go
@@ -12,30 +12,33 @@
 // the load takes its time, then the change shows. A repeated order is answered
 // once the first one is done, and changes nothing.
 func (e *Engine) Order(ctx context.Context, order backend.Order) error {
-	var loaded <-chan struct{}
-	var broken <-chan struct{}
-	err := e.deliver(ctx, func() error {
-		broken = e.broken
-		var err error
-		loaded, err = e.acceptOrder(order)
-		return err
+	accepted, err := deliver(ctx, e, func() (acceptance, error) {
+		loaded, err := e.acceptOrder(order)
+		return acceptance{loaded: loaded, broken: e.broken}, err
 	})
 	if err != nil {
 		return fmt.Errorf("engine %s: order %s %s: %w", e.parameters.Name, order.Kind, order.Subject, err)
 	}
-	if loaded == nil {
+	if accepted.loaded == nil {
 		return nil
 	}
 	select {
-	case <-loaded:
+	case <-accepted.loaded:
 		return nil
-	case <-broken:
+	case <-accepted.broken:
 		return fmt.Errorf("engine %s: order: %w", e.parameters.Name, backend.ErrBroken)
 	case <-ctx.Done():
 		return fmt.Errorf("engine %s: order: %w: %w", e.parameters.Name, backend.ErrBroken, ctx.Err())
 	}
 }
 
+// acceptance is an order under way: loaded is closed once it is done and is nil
+// if it is done already.
+type acceptance struct {
+	loaded <-chan struct{}
+	broken <-chan struct{}
+}
+
 // orderSubject names what an order changes: a model, an adapter or the role.
 func orderSubject(order backend.Order) string {
 	switch order.Kind {
--- a/internal/emulator/engine/server_json.go
+++ b/internal/emulator/engine/server_json.go
@@ -17,7 +17,7 @@
 // body is an answer in JSON.
 type body[T any] struct{ Body T }
 
-func reply[T any](value T, err error) (*body[T], error) {
+func respond[T any](value T, err error) (*body[T], error) {
 	if err != nil {
 		return nil, answerable(err)
 	}
@@ -56,11 +56,11 @@
 		})
 	huma.Register(api, operation("held", http.MethodGet, backend.PathPrefixes, "List the cache memory held", http.StatusOK),
 		func(ctx context.Context, _ *none) (*body[[]backend.HeldPrefix], error) {
-			return reply(s.engine.Held(ctx))
+			return respond(s.engine.Held(ctx))
 		})
 	huma.Register(api, operation("load", http.MethodGet, backend.PathLoad, "Read the lagging load report", http.StatusOK),
 		func(ctx context.Context, _ *none) (*body[backend.LoadReport], error) {
-			return reply(s.engine.Load(ctx))
+			return respond(s.engine.Load(ctx))
 		})
 	huma.Register(api, operation("cache-events", http.MethodGet, backend.PathCacheEvents, "Read cache events, late and with gaps", http.StatusOK),
 		func(ctx context.Context, input *struct {
@@ -68,7 +68,7 @@
 		},
 		) (*body[[]backend.CacheEvent], error) {
 			events, err := s.engine.CacheEvents(ctx, input.From)
-			return reply(append([]backend.CacheEvent{}, events...), err)
+			return respond(append([]backend.CacheEvent{}, events...), err)
 		})
 	huma.Register(api, operation("order", http.MethodPost, backend.PathOrders, "Carry out a fenced order", http.StatusNoContent),
 		func(ctx context.Context, input *body[backend.Order]) (*none, error) {
@@ -85,12 +85,12 @@
 func (s *server) registerStandIn(api huma.API) {
 	huma.Register(api, operation("faults", http.MethodGet, PathFaults, "Read the injected faults", http.StatusOK),
 		func(context.Context, *none) (*body[Faults], error) {
-			return reply(s.engine.Faults(), nil)
+			return respond(s.engine.Faults(), nil)
 		})
 	huma.Register(api, operation("set-faults", http.MethodPut, PathFaults, "Replace the injected faults", http.StatusOK),
 		func(_ context.Context, input *body[Faults]) (*body[Faults], error) {
 			s.engine.SetFaults(input.Body)
-			return reply(s.engine.Faults(), nil)
+			return respond(s.engine.Faults(), nil)
 		})
 	huma.Register(api, operation("restart", http.MethodPost, PathRestart, "Lose cache, streams and orders", http.StatusNoContent),
 		func(context.Context, *none) (*none, error) {
@@ -104,6 +104,6 @@
 		})
 	huma.Register(api, operation("truth", http.MethodGet, PathTruth, "Read what the engine itself saw", http.StatusOK),
 		func(context.Context, *none) (*body[Truth], error) {
-			return reply(s.engine.Truth(), nil)
+			return respond(s.engine.Truth(), nil)
 		})
 }
