Add stepseamctl

Cause: operators need to check, compare and publish the table, see the site, and stop nodes, from a shell and from scripts.

Change: cmd/stepseamctl with a file per subcommand, table or JSON output, documented exit codes and errors that say what to do; several addresses are tried in turn.

Measured: go test -race ./cmd/stepseamctl passes over the real table controllers and operators' faces of up to three nodes in one process.

Left: OPERATIONS.md.

--- /dev/null
+++ b/cmd/stepseamctl/drain.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"stepseam.example/stepseam/internal/operator"
+)
+
+// drainCommand begins a planned stop.
+type drainCommand struct {
+	Node        string        `arg:"positional,required" help:"the node's name, as status shows it"`
+	Wait        bool          `arg:"--wait" help:"wait until the node has left"`
+	WaitTimeout time.Duration `arg:"--wait-timeout" default:"2m" help:"how long to wait at most"`
+}
+
+// drained is the JSON document of a planned stop.
+type drained struct {
+	operator.DrainStarted
+	Left bool `json:"left"`
+}
+
+func (c *drainCommand) run(ctx context.Context, s *session) error {
+	result := drained{}
+	if err := s.client.post(ctx, "/v1/drain", map[string]string{"node": c.Node}, &result.DrainStarted); err != nil {
+		return err
+	}
+	if c.Wait {
+		if err := c.await(ctx, s); err != nil {
+			return err
+		}
+		result.Left = true
+	}
+	return s.print(result, func(w io.Writer) {
+		if result.Left {
+			fmt.Fprintf(w, "%s has left\n", result.Node)
+			return
+		}
+		fmt.Fprintf(w, "%s hands over its shards and then exits\n", result.Node)
+	})
+}
+
+// await waits until the node is no member any more, as another node sees it.
+func (c *drainCommand) await(ctx context.Context, s *session) error {
+	ctx, cancel := context.WithTimeout(ctx, c.WaitTimeout)
+	defer cancel()
+	for {
+		var site operator.SiteStatus
+		err := s.client.get(ctx, "/v1/status", &site)
+		here := slices.ContainsFunc(site.Nodes, func(n operator.NodeStatus) bool { return n.Name == c.Node && n.Reached })
+		if err == nil && !here {
+			return nil
+		}
+		select {
+		case <-time.After(waitInterval):
+		case <-ctx.Done():
+			return &failure{
+				code: exitWaited, reason: fmt.Sprintf("%s has not left after %s", c.Node, c.WaitTimeout),
+				advice: "See its log for what it waits for; give the address of another node, since the one that leaves stops answering.",
+			}
+		}
+	}
+}
