--- a/internal/journal/claim.go
+++ b/internal/journal/claim.go
@@ -63,7 +63,7 @@
 			return err
 		}
 	}
-	return m.open(ctx, c, claim)
+	return m.open(c, claim)
 }
 
 // fold applies one log record to the machine.
@@ -366,8 +366,10 @@
 	return given, decoder.Finish()
 }
 
-// open serves the shard: it gets the lease and tells the host.
-func (m *Manager) open(ctx context.Context, c *claimant, claim Claim) error {
+// open serves the shard: it gets the lease and tells the host. The claim stands
+// in the log by now, so the wait for the lease has no end of its own: if replicas
+// turn out to be dead, the sweep exchanges them.
+func (m *Manager) open(c *claimant, claim Claim) error {
 	shard := m.newOwnedShard(c.shard, claim, c.stream.ledger.Index(), c.machine)
 	c.stream.onStep = nil
 	slot := &m.slots[c.shard]
@@ -376,11 +378,10 @@
 	slot.known = claim
 	slot.mutex.Unlock()
 	m.renew(m.running, []*ownedShard{shard})
-	if err := shard.awaitLease(ctx); err != nil {
-		shard.lose(err)
+	m.tasks.Go(func() { shard.write(c.stream) })
+	if err := shard.awaitLease(m.running); err != nil {
 		return err
 	}
-	m.tasks.Go(func() { shard.write(c.stream) })
 	m.dropFormer(c, claim)
 	m.counters.claims.Add(1)
 	shard.logger.Info("shard opened", "epoch", uint64(claim.Epoch), "index", c.stream.ledger.Index())
--- a/internal/journal/contract.go
+++ b/internal/journal/contract.go
@@ -26,9 +26,10 @@
 // What was handed to Append with it may or may not be held.
 var ErrNotOwner = errors.New("journal: not the owner of the shard")
 
-// ErrNotHeld tells that a record could not be made to last; it is certain that
-// no later owner will see it as valid. Only EnqueueDurable returns it.
-var ErrNotHeld = errors.New("journal: record not held")
+// ErrNotHeld tells that the log does not hold records that were to be durable,
+// because it is away: whatever depends on them must not be done. Only the wait of
+// EnqueueDurable returns it.
+var ErrNotHeld = errors.New("journal: record not held by the log")
 
 // ErrUnknown tells that a record may or may not last.
 var ErrUnknown = errors.New("journal: unknown whether the record is held")
@@ -65,8 +66,13 @@
 	// returns nil once two of three replicas hold them (or the log does).
 	Enqueue(records ...[]byte) (wait func(ctx context.Context) error, err error)
 	// EnqueueDurable is Enqueue with a wait that returns nil only once the
-	// records stand in the log and were read back as valid there. The wait fails
-	// with ErrNotHeld (never valid, for certain) or ErrUnknown.
+	// records stand in the log and were read back as valid there. While the log is
+	// known to be away the wait fails at once with ErrNotHeld; it never lasts
+	// longer than Config.DurableWait and then fails with ErrUnknown.
+	//
+	// Either way the records have their place in the journal: replicas may hold
+	// them, and they may reach the log later. A caller that gives up enqueues a
+	// record that takes them back; a later owner that sees it sees both, in order.
 	EnqueueDurable(records ...[]byte) (wait func(ctx context.Context) error, err error)
 	// CheckLease returns nil while this node may act as the owner. It is asked
 	// right before every dispatch and every answer.
--- a/internal/journal/manager.go
+++ b/internal/journal/manager.go
@@ -27,9 +27,12 @@
 	claims   *rate.Limiter
 	moves    *rate.Limiter
 	counters counters
+	// local answers this node's requests to itself.
+	local peer.HandlerFunc
 	// replicas and slots are indexed by shard; each element has its own lock.
 	replicas []replicaSlot
 	slots    []slot
+	reach    *reach
 	// wake asks the claim loop to look again.
 	wake     chan struct{}
 	draining atomic.Bool
@@ -44,9 +47,11 @@
 	owned *ownedShard
 	// attempt is closed when the claim under way ends; nil while none is.
 	attempt chan struct{}
-	// failure is why the last claim failed; notBefore is when the next may start.
+	// failure is why the last claim failed, at failedAt; notBefore is when the claim
+	// loop may try again.
 	failure   error
 	failures  int
+	failedAt  time.Time
 	notBefore time.Time
 	// known is the highest claim read in the log.
 	known Claim
@@ -58,7 +63,7 @@
 // New returns a Manager that does nothing before Run.
 func New(config Config) *Manager {
 	config = config.withDefaults()
-	return &Manager{
+	m := &Manager{
 		config:   config,
 		start:    time.Now(),
 		health:   newLogHealth(),
@@ -67,8 +72,11 @@
 		moves:    rate.NewLimiter(config.MoveRate, max(1, int(config.MoveRate)/4)),
 		replicas: make([]replicaSlot, config.ShardCount),
 		slots:    make([]slot, config.ShardCount),
+		reach:    newReach(),
 		wake:     make(chan struct{}, 1),
 	}
+	m.local = m.handle
+	return m
 }
 
 // Run claims and serves shards until ctx ends. Whatever is owned then is left to
@@ -173,7 +181,7 @@
 // call sends request to node; requests to this node itself take no network.
 func (m *Manager) call(ctx context.Context, node identity.Node, request peer.Message, onPart func(peer.Message) error) (peer.Message, error) {
 	if node.Reference() == m.config.Self.Reference() {
-		return m.handle(ctx, request, onPart)
+		return m.local(ctx, request, onPart)
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.config.ReplicaTimeout)
 	defer cancel()
--- a/internal/journal/manager_test.go
+++ b/internal/journal/manager_test.go
@@ -17,7 +17,7 @@
 		for i := range 6 {
 			site.start(i)
 		}
-		site.awaitServing(t, 30*time.Second)
+		is.NoErr(site.awaitServing(30 * time.Second))
 		open := site.serving(3).host.open(3)
 		for number := range uint64(100) {
 			is.NoErr(open.add(context.Background(), number, number%10 == 0))
@@ -26,7 +26,7 @@
 		time.Sleep(time.Second)
 		site.serving(3).kill()
 		site.refresh()
-		site.awaitServing(t, 30*time.Second)
+		is.NoErr(site.awaitServing(30 * time.Second))
 		is.Equal(site.serving(3).host.open(3).machine.numbers(), open.machine.numbers())
 	})
 }
--- a/internal/journal/owned.go
+++ b/internal/journal/owned.go
@@ -128,18 +128,19 @@
 	return func(ctx context.Context) error { return await(ctx, done) }, nil
 }
 
-// EnqueueDurable appends records and returns a wait for the log. While the log
-// is known to be away it takes nothing, so that the refusal is certain; a wait
-// that was begun ends after Config.DurableWait.
+// EnqueueDurable appends records and returns a wait for the log. The records take
+// their place in the journal in any case, so that the host's state and the journal
+// never part; while the log is known to be away only the wait is cut short.
 func (s *ownedShard) EnqueueDurable(records ...[]byte) (wait func(ctx context.Context) error, err error) {
-	if s.manager.health.isDown() {
-		refusal := fmt.Errorf("%w: the log service is away", ErrNotHeld)
-		return func(context.Context) error { return refusal }, nil
-	}
-	done, err := s.enqueue(records, true)
+	away := s.manager.health.isDown()
+	done, err := s.enqueue(records, !away)
 	if err != nil {
 		return nil, err
 	}
+	if away {
+		refusal := fmt.Errorf("%w: the log service is away", ErrNotHeld)
+		return func(context.Context) error { return refusal }, nil
+	}
 	deadline := time.Now().Add(s.manager.config.DurableWait)
 	return func(ctx context.Context) error {
 		ctx, cancel := context.WithDeadline(ctx, deadline)
--- a/internal/journal/renew.go
+++ b/internal/journal/renew.go
@@ -67,6 +67,9 @@
 	sentAt := time.Now()
 	request := &renewMessage{To: round.node.Reference(), Owner: m.config.Self, Renewals: round.renewals}
 	message, err := m.call(ctx, round.node, request, nil)
+	if ctx.Err() == nil || err == nil {
+		m.reach.note(round.node.Reference(), err == nil)
+	}
 	if err != nil {
 		return
 	}
--- a/internal/journal/replace.go
+++ b/internal/journal/replace.go
@@ -39,7 +39,7 @@
 	s.mutex.Lock()
 	same := sameReplicas(replicas, s.claim.Replicas)
 	s.mutex.Unlock()
-	if same || len(replicas) == 0 {
+	if same || len(replicas) == 0 || !s.mayExchange(replicas) {
 		return nil
 	}
 	err := s.claimAgain(stream, replicas)
@@ -50,10 +50,28 @@
 	return err
 }
 
+// mayExchange tells whether the owner may let its replicas go for others. Without
+// the consent of the present ones it may not go down to fewer: a node that is cut
+// off from its peers but not from the log would else take the shard along where
+// nobody can follow.
+func (s *ownedShard) mayExchange(replicas []identity.Node) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	present := s.claim.Replicas
+	consent := 0
+	for _, replica := range present {
+		link := s.links[replica.Reference()]
+		if link != nil && (link.gone || time.Since(link.granted) < s.manager.config.Lease.Duration) {
+			consent++
+		}
+	}
+	return len(replicas) >= len(present) || consent >= ReadQuorum(len(present))
+}
+
 // wantedReplicas returns where the tail of shard should be while this node owns
 // it, by view.
 func (m *Manager) wantedReplicas(shard identity.ShardID, view membership.View) []identity.Node {
-	assignment, placed := m.config.Desired(shard, view)
+	assignment, placed := m.config.Desired(shard, m.reachable(view))
 	if !placed {
 		return nil
 	}
@@ -145,6 +163,9 @@
 	goal := s.tail.Last()
 	s.mutex.Unlock()
 	for !s.replicasReady(goal) {
+		if s.isSealed() {
+			return fmt.Errorf("%w: the shard is being handed over", errNotCopied)
+		}
 		if err := sleep(ctx, copyPoll); err != nil {
 			return fmt.Errorf("%w (joint %t): %w", errNotCopied, joint, err)
 		}
@@ -161,6 +182,12 @@
 	return held >= goal && s.leaseOf(replicas).After(time.Now())
 }
 
+func (s *ownedShard) isSealed() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.sealed
+}
+
 func (s *ownedShard) abandonReplicas() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/journal/replicas.go
+++ b/internal/journal/replicas.go
@@ -29,6 +29,19 @@
 	return s.replica.Holder(now)
 }
 
+// unattended returns the epoch of a tail whose lease ran out.
+func (s *replicaSlot) unattended(now time.Time) (identity.Epoch, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.replica.epoch, s.replica.Bytes() > 0 && s.replica.Remaining(now) == 0
+}
+
+func (s *replicaSlot) drop(epoch identity.Epoch) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.replica.Drop(epoch)
+}
+
 // Register adds the journal's messages and handlers to registry.
 func (m *Manager) Register(registry *peer.Registry) {
 	registry.Add(messageMakers...)
--- a/internal/journal/schedule.go
+++ b/internal/journal/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -9,12 +10,8 @@
 	"stepseam.example/stepseam/internal/membership"
 )
 
-const (
-	// claimInterval is the time between two looks at which shards to claim.
-	claimInterval = 100 * time.Millisecond
-	// sweepInterval is the time between two looks at the replicas of owned shards.
-	sweepInterval = 500 * time.Millisecond
-)
+// claimInterval is the time between two looks at which shards to claim.
+const claimInterval = 100 * time.Millisecond
 
 // The bounds of the pause after a claim that failed.
 const (
@@ -110,13 +107,14 @@
 	slot.attempt = attempt
 	m.tasks.Go(func() {
 		defer close(attempt)
-		m.finish(slot, m.claim(m.running, shard))
+		m.finish(shard, m.claim(m.running, shard))
 	})
 	return attempt
 }
 
 // finish notes how a claim ended and when the next may start.
-func (m *Manager) finish(slot *slot, err error) {
+func (m *Manager) finish(shard identity.ShardID, err error) {
+	slot := &m.slots[shard]
 	slot.mutex.Lock()
 	defer slot.mutex.Unlock()
 	slot.attempt, slot.failure = nil, err
@@ -125,11 +123,35 @@
 		return
 	}
 	m.counters.claimsFailed.Add(1)
+	m.logFailure(shard, slot.failures, err)
 	pause := min(claimPauseShortest<<min(slot.failures, 6), claimPauseLongest)
 	slot.failures++
+	slot.failedAt = time.Now()
 	slot.notBefore = time.Now().Add(pause/2 + m.random.duration(pause))
 }
 
+// remarkableFailures is how many claims of a shard fail in a row before each
+// further one is a warning: the shard is without an owner for long.
+const remarkableFailures = 10
+
+// logFailure reports a claim that failed. Waiting for a lease or for another node
+// is ordinary, as long as it ends.
+func (m *Manager) logFailure(shard identity.ShardID, failures int, err error) {
+	ordinary := m.running.Err() != nil
+	for _, reason := range []error{errHeldElsewhere, errLeaseRuns, errLostRace, errClaimUnderWay, errLogAway} {
+		ordinary = ordinary || errors.Is(err, reason)
+	}
+	if ordinary && failures < remarkableFailures {
+		m.config.Logger.Debug("claim not made", "shard", uint32(shard), "error", err)
+		return
+	}
+	m.config.Logger.Warn("claim failed", "shard", uint32(shard), "failures", failures+1, "error", err)
+}
+
+// claimFloor is the least time between two claims of one shard, however often it
+// is asked for.
+const claimFloor = 50 * time.Millisecond
+
 // EnsureOwned claims shard at once, if this node should own it, and waits until
 // it is open. Errors wrap ErrNotOwner; OwnerHint tells who may own it instead.
 func (m *Manager) EnsureOwned(ctx context.Context, shard identity.ShardID) error {
@@ -143,6 +165,13 @@
 	if !placed || assignment.Owner.Reference() != m.config.Self.Reference() {
 		return fmt.Errorf("%w: %w", ErrNotOwner, errNotDesired)
 	}
+	slot := &m.slots[shard]
+	slot.mutex.Lock()
+	tooSoon := slot.failure != nil && time.Since(slot.failedAt) < claimFloor
+	slot.mutex.Unlock()
+	if tooSoon {
+		return slot.notOwned(shard)
+	}
 	if attempt := m.begin(shard); attempt != nil {
 		select {
 		case <-attempt:
@@ -150,67 +179,16 @@
 			return fmt.Errorf("%w: %w", ErrNotOwner, ctx.Err())
 		}
 	}
-	slot := &m.slots[shard]
-	slot.mutex.Lock()
-	owned, failure := slot.owned, slot.failure
-	slot.mutex.Unlock()
-	if owned != nil {
-		return owned.CheckLease()
-	}
-	return fmt.Errorf("%w: shard %d: %w", ErrNotOwner, shard, failure)
+	return slot.notOwned(shard)
 }
 
-// sweepLoop looks whether the replicas of owned shards should be exchanged.
-func (m *Manager) sweepLoop(ctx context.Context) {
-	absent := map[identity.Reference]time.Time{}
-	for sleep(ctx, sweepInterval/2+m.random.duration(sweepInterval)) == nil {
-		if m.health.isDown() || m.draining.Load() {
-			continue
-		}
-		view := m.view()
-		for _, shard := range m.owned() {
-			if m.needsReplicas(shard, view, absent) && m.claims.Allow() {
-				shard.askReplicas()
-			}
-		}
-	}
-}
-
-func (s *ownedShard) askReplicas() {
+// notOwned returns nil if shard is served here, and else why it is not.
+func (s *slot) notOwned(shard identity.ShardID) error {
 	s.mutex.Lock()
-	s.wantReplicas = true
+	owned, failure := s.owned, s.failure
 	s.mutex.Unlock()
-	s.kickWriter()
-}
-
-// needsReplicas tells whether a replica has been gone for a while, or more
-// replicas or better ones can be had now.
-func (m *Manager) needsReplicas(shard *ownedShard, view membership.View, absent map[identity.Reference]time.Time) bool {
-	shard.mutex.Lock()
-	replicas := shard.claim.Replicas
-	idle := shard.next == nil && !shard.sealed
-	shard.mutex.Unlock()
-	if !idle {
-		return false
-	}
-	now := time.Now()
-	for _, replica := range replicas {
-		if isServing(view, replica) {
-			delete(absent, replica.Reference())
-			continue
-		}
-		if isLeaving(view, replica) {
-			return true // it waits for this before it stops
-		}
-		since, known := absent[replica.Reference()]
-		if !known {
-			absent[replica.Reference()] = now
-			continue
-		}
-		if now.Sub(since) >= m.config.ReplaceDelay {
-			return true
-		}
+	if owned != nil {
+		return owned.CheckLease()
 	}
-	wanted := m.wantedReplicas(shard.id, view)
-	return len(wanted) > len(replicas) || (holdsLife(replicas, m.config.Self) && !holdsLife(wanted, m.config.Self))
+	return fmt.Errorf("%w: shard %d: %w", ErrNotOwner, shard, failure)
 }
--- a/internal/journal/site_test.go
+++ b/internal/journal/site_test.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"os"
 	"sync"
-	"testing"
 	"time"
 
 	"stepseam.example/stepseam/internal/blackboard"
@@ -27,10 +26,13 @@
 	log     *logservice.Service
 	shards  int
 	seed    uint64
-	nodes   map[identity.NodeName]*testNode
-	tune    func(*Config)
-	logFor  func(platform.Log) platform.Log
-	clients func(peer.Client) peer.Client
+	variant variant
+	// cleanups end what runs beside the nodes.
+	cleanups []func()
+	// mutex guards nodes.
+	mutex sync.Mutex
+	nodes map[identity.NodeName]*testNode
+	tune  func(*Config)
 }
 
 // testNode is one life of one node.
@@ -78,12 +80,12 @@
 		done:    make(chan struct{}),
 	}
 	var log platform.Log = &gatedLog{endpoint: endpoint, log: s.log.ViewFor(string(name))}
-	if s.logFor != nil {
-		log = s.logFor(log)
+	if s.variant.log != nil {
+		log = s.variant.log(log)
 	}
 	var client peer.Client = endpoint
-	if s.clients != nil {
-		client = s.clients(client)
+	if s.variant.client != nil {
+		client = s.variant.client(client)
 	}
 	config := Config{
 		Self: node, ShardCount: s.shards, Log: log, Peers: client, Members: test.members,
@@ -98,10 +100,18 @@
 	test.manager = New(config)
 	test.manager.Register(registry)
 	endpoint.Serve()
-	if former := s.nodes[name]; former != nil {
+	if s.variant.handle != nil {
+		test.manager.local = s.variant.handle(test, test.manager.handle)
+		for _, kind := range []peer.Kind{kindAppend, kindRenew, kindPreVote, kindPromise} {
+			registry.Handle(kind, test.manager.local)
+		}
+	}
+	if former := s.find(name); former != nil {
 		former.kill()
 	}
+	s.mutex.Lock()
 	s.nodes[name] = test
+	s.mutex.Unlock()
 	s.refresh()
 	ctx, cancel := context.WithCancel(context.Background())
 	test.stop = cancel
@@ -117,11 +127,7 @@
 
 func (s *testSite) refreshWith(status map[identity.NodeName]membership.Status) {
 	var members []membership.Member
-	for i := range 16 {
-		node := s.nodes[identity.NodeName(fmt.Sprintf("n%d", i))]
-		if node == nil {
-			continue
-		}
+	for _, node := range s.all() {
 		member := membership.Member{Node: node.node, Status: membership.Alive}
 		if given, found := status[node.node.Name]; found {
 			member.Status = given
@@ -130,7 +136,7 @@
 			members = append(members, member)
 		}
 	}
-	for _, node := range s.nodes {
+	for _, node := range s.all() {
 		node.members.Update(func(view membership.View) membership.View {
 			return membership.View{Self: node.node.Reference(), Version: view.Version + 1, Members: members}
 		})
@@ -141,19 +147,53 @@
 func (n *testNode) kill() {
 	n.endpoint.Kill()
 	n.stop()
+	n.site.mutex.Lock()
+	defer n.site.mutex.Unlock()
 	if n.site.nodes[n.node.Name] == n {
 		delete(n.site.nodes, n.node.Name)
 	}
 }
 
+func (s *testSite) find(name identity.NodeName) *testNode {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.nodes[name]
+}
+
+// all returns the nodes that live, in order of their names.
+func (s *testSite) all() []*testNode {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var nodes []*testNode
+	for i := range 16 {
+		if node := s.nodes[identity.NodeName(fmt.Sprintf("n%d", i))]; node != nil {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// isolate cuts node off from all others, in both directions.
+func (s *testSite) isolate(node *testNode) {
+	for _, other := range s.all() {
+		s.net.Cut(node.node.Name, other.node.Name)
+		s.net.Cut(other.node.Name, node.node.Name)
+	}
+}
+
 // close ends all nodes, so that the bubble may end.
 func (s *testSite) close() {
-	for _, node := range s.nodes {
+	for _, cleanup := range s.cleanups {
+		cleanup()
+	}
+	for _, node := range s.all() {
 		node.endpoint.Thaw()
 		node.kill()
 		<-node.done
 	}
 	s.net.Close()
+	// What is under way in the network ends by itself.
+	time.Sleep(time.Minute)
 }
 
 // gatedLog is the log as a process sees it that can be frozen or killed.
@@ -286,11 +326,27 @@
 	return o.shard.CheckLease()
 }
 
+// addUnchecked is the rest of add for a process that was stopped right after its
+// look at the lease. With careless set it answers without looking again.
+func (o *openShard) addUnchecked(ctx context.Context, number uint64, careless bool) error {
+	record := binary.BigEndian.AppendUint64(nil, number)
+	o.mutex.Lock()
+	_ = o.machine.Apply(record)
+	wait, err := o.shard.Enqueue(record)
+	o.mutex.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := wait(ctx); err != nil || careless {
+		return err
+	}
+	return o.shard.CheckLease()
+}
+
 // serving returns the node that serves shard under a running lease, or nil.
 func (s *testSite) serving(id identity.ShardID) *testNode {
-	for i := range 16 {
-		node := s.nodes[identity.NodeName(fmt.Sprintf("n%d", i))]
-		if node == nil || node.endpoint.Frozen() {
+	for _, node := range s.all() {
+		if node.endpoint.Frozen() {
 			continue
 		}
 		if open := node.host.open(id); open != nil && open.shard.CheckLease() == nil {
@@ -301,15 +357,15 @@
 }
 
 // awaitServing waits in virtual time until every shard is served.
-func (s *testSite) awaitServing(t *testing.T, limit time.Duration) {
-	t.Helper()
+func (s *testSite) awaitServing(limit time.Duration) error {
 	deadline := time.Now().Add(limit)
 	for id := range identity.ShardID(s.shards) {
 		for s.serving(id) == nil {
 			if time.Now().After(deadline) {
-				t.Fatalf("shard %d is not served after %v", id, limit)
+				return fmt.Errorf("shard %d is not served after %v", id, limit)
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
+	return nil
 }
