Prove the shard owner over the stand-in back ends

Order, repeats, deadlines, unrepeatable calls, take-over and freeing memory are what callers rely on; they are checked by what the back ends saw.

A stopped program's waiting calls now always hear 'cancelled'; before it depended on which of two wake-ups came first.

Each rule has a wrong variant that the checks catch; seen with it: unrepeatable calls run again: a payment ran more than once intents are not durable: a payment ran that the log does not know lost streams are not fenced: a call ran behind the one that follows it no look at the lease: a former owner answered no release: an ended program still holds memory

--- a/internal/serving/drive.go
+++ b/internal/serving/drive.go
@@ -114,6 +114,9 @@
 	var missingSince time.Time
 	for {
 		verdict, changed, missing := d.look()
+		if result := d.ended(); result != nil {
+			return result
+		}
 		switch {
 		case verdict.Action == program.ActionRun:
 			return nil
--- /dev/null
+++ b/internal/serving/owner_test.go
@@ -0,0 +1,304 @@
+package serving_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/emulator/application"
+	"stepseam.example/stepseam/internal/emulator/engine"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/journal"
+	"stepseam.example/stepseam/internal/serving"
+	"stepseam.example/stepseam/internal/table"
+)
+
+const p1 = identity.ProgramID("program-1")
+
+func callID(sequence identity.Sequence) identity.CallID {
+	return identity.CallID{Program: p1, Branch: identity.MainBranch, Sequence: sequence}
+}
+
+// inBubble runs test in virtual time with a site of two engines and a program.
+func inBubble(t *testing.T, test func(is *is.I, s *site, owner *serving.Owner, held *heldShard)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2)
+		defer s.close()
+		owner, held := s.open()
+		s.create(owner, p1)
+		test(is.New(t), s, owner, held)
+	})
+}
+
+func TestCallsThatArriveOutOfOrderRunInOrder(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		third := s.start(owner, p1, modelCall(3, "three"), 0)
+		synctest.Wait()
+		second := s.start(owner, p1, modelCall(2, "two"), 0)
+		synctest.Wait()
+		first := s.start(owner, p1, modelCall(1, "one"), 0)
+		joined := s.start(owner, p1, modelCall(1, "one"), 0)
+		replies := []reply{<-first, <-second, <-third}
+		var began time.Time
+		for i, got := range replies {
+			is.NoErr(got.err)
+			is.Equal(got.answer.Sequence, uint64(i+1))
+			is.Equal(strings.Join(got.tokens, ""), got.answer.Text)
+			arrivals := s.arrivals(callID(identity.Sequence(i + 1)))
+			is.Equal(len(arrivals), 1)
+			is.Equal(len(arrivals[0].Messages), 2*i+1) // the whole history goes before it
+			is.True(!arrivals[0].Arrived.Before(began))
+			began = arrivals[0].Ended
+		}
+		again := <-joined
+		is.NoErr(again.err)
+		is.Equal(again.tokens, replies[0].tokens)
+	})
+}
+
+func TestRepeatsReplayAndOtherBodiesConflict(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		first := <-s.start(owner, p1, modelCall(1, "one"), 0)
+		is.NoErr(first.err)
+		replay := <-s.start(owner, p1, modelCall(1, "one"), 2)
+		is.NoErr(replay.err)
+		is.True(replay.answer.Replayed)
+		is.Equal(replay.tokens, first.tokens[2:])
+		_, err := s.call(owner, p1, modelCall(1, "other"))
+		is.Equal(codeOf(err), api.CodeConflict)
+		fetched, err := owner.Fetch(s.running, serving.FetchRequest{Call: callID(1)}, nil)
+		is.NoErr(err)
+		is.Equal(fetched.Text, first.answer.Text)
+		_, err = owner.Fetch(s.running, serving.FetchRequest{Call: callID(2)}, nil)
+		is.Equal(codeOf(err), api.CodeUnknownCall)
+
+		_, err = s.call(owner, p1, payment(2, "fee-1"))
+		is.NoErr(err)
+		repeated, err := s.call(owner, p1, payment(3, "fee-1"))
+		is.NoErr(err)
+		is.True(repeated.Replayed)
+		is.Equal(s.ledger.Executions("pay_fee", "fee-1"), 1)
+		is.Equal(len(s.arrivals(callID(1))), 1)
+	})
+}
+
+func TestTwoCallsOfOneKeyAtOnceRunOnce(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		one, other := payment(1, "fee-1"), payment(1, "fee-1")
+		other.Branch = "sub"
+		first, second := s.start(owner, p1, one, 0), s.start(owner, p1, other, 0)
+		a, b := <-first, <-second
+		is.NoErr(a.err)
+		is.NoErr(b.err)
+		is.Equal(string(a.answer.Output), string(b.answer.Output))
+		is.Equal(s.ledger.Executions("pay_fee", "fee-1"), 1)
+	})
+}
+
+func TestAGapIsRefusedAtItsBound(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		began := time.Now()
+		_, err := s.call(owner, p1, modelCall(2, "two"))
+		problem := problemOf(t, err)
+		is.Equal(problem.Code, api.CodeSequenceGap)
+		is.True(problem.NotRun && problem.RetryAfter > 0)
+		is.Equal(time.Since(began), 5*time.Second)
+		_, err = s.call(owner, p1, modelCall(100, "far ahead"))
+		is.Equal(codeOf(err), api.CodeSequenceGap)
+		is.Equal(time.Since(began), 5*time.Second) // at once
+	})
+}
+
+func TestADeadlineBeforeDispatchIsNotRunAndTheSequenceStaysOpen(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		s.engines[0].SetFaults(engine.Faults{Frozen: true})
+		s.engines[1].SetFaults(engine.Faults{Frozen: true})
+		s.start(owner, p1, modelCall(1, "one"), 0)
+		early := modelCall(2, "two")
+		early.DeadlineSeconds = 1
+		_, err := s.call(owner, p1, early)
+		problem := problemOf(t, err)
+		is.Equal(problem.Code, api.CodeDeadline)
+		is.True(problem.NotRun && problem.RetryAfter > 0)
+		s.engines[0].SetFaults(engine.Faults{})
+		s.engines[1].SetFaults(engine.Faults{})
+		time.Sleep(time.Minute)
+		is.Equal(len(s.arrivals(callID(2))), 0) // it truly never ran
+		changed := modelCall(2, "another body, since the first never ran")
+		_, err = s.call(owner, p1, changed)
+		is.NoErr(err)
+	})
+}
+
+func TestADeadlineAfterDispatchLeavesTheCallRunning(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		s.engines[0].SetFaults(engine.Faults{Slow: 100})
+		s.engines[1].SetFaults(engine.Faults{Slow: 100})
+		hasty := modelCall(1, "one")
+		hasty.DeadlineSeconds = 0.5
+		began := time.Now()
+		_, err := s.call(owner, p1, hasty)
+		problem := problemOf(t, err)
+		is.Equal(problem.Code, api.CodeDeadline)
+		is.True(!problem.NotRun && problem.RetryAfter > 0)
+		is.Equal(time.Since(began), 500*time.Millisecond) // at once, not when the answer comes
+		answer, err := owner.Fetch(s.running, serving.FetchRequest{Call: callID(1)}, nil)
+		is.NoErr(err)
+		is.True(answer.Text != "")
+		is.Equal(len(s.arrivals(callID(1))), 1)
+	})
+}
+
+func TestACallerWhoLeavesDoesNotStopTheCall(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		ctx, cancel := context.WithTimeout(s.running, 50*time.Millisecond)
+		defer cancel()
+		_, err := owner.Call(ctx, serving.CallRequest{Program: p1, Call: modelCall(1, "one")}, nil)
+		is.Equal(codeOf(err), api.CodeInterrupted)
+		answer, err := owner.Fetch(s.running, serving.FetchRequest{Call: callID(1)}, nil)
+		is.NoErr(err)
+		is.True(answer.Text != "")
+	})
+}
+
+func TestAnUnrepeatableCallNeedsTheLog(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		s.log.durableDown = true
+		_, err := s.call(owner, p1, payment(1, "fee-1"))
+		problem := problemOf(t, err)
+		is.Equal(problem.Code, api.CodeLogUnavailable)
+		is.True(problem.NotRun && problem.RetryAfter > 0)
+		is.Equal(s.ledger.Executions("pay_fee", "fee-1"), 0)
+		_, err = s.call(owner, p1, modelCall(1, "models need no log"))
+		is.NoErr(err)
+		s.log.durableDown = false
+		_, err = s.call(owner, p1, payment(2, "fee-1"))
+		is.NoErr(err)
+		is.Equal(s.ledger.Executions("pay_fee", "fee-1"), 1)
+	})
+}
+
+func TestALostAnswerOfAnUnrepeatableCallIsUnknownForEver(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, held *heldShard) {
+		for _, portal := range s.portals {
+			portal.SetFaults(application.Faults{LoseNext: 1})
+		}
+		_, err := s.call(owner, p1, payment(1, "fee-1"))
+		problem := problemOf(t, err)
+		is.Equal(problem.Code, api.CodeOutcomeUnknown)
+		is.True(!problem.NotRun)
+		held.lose()
+		next, _ := s.open()
+		for _, sequence := range []uint64{1, 2} { // the repeat, and the key under a new sequence
+			_, err = s.call(next, p1, payment(sequence, "fee-1"))
+			is.Equal(codeOf(err), api.CodeOutcomeUnknown)
+		}
+		is.Equal(s.ledger.Executions("pay_fee", "fee-1"), 1)
+		_, err = s.call(next, p1, modelCall(3, "the program goes on"))
+		is.NoErr(err)
+	})
+}
+
+func TestARefusedUnrepeatableCallGoesElsewhere(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		s.portals[0].SetFaults(application.Faults{Down: true})
+		for sequence := range uint64(4) {
+			_, err := s.call(owner, p1, payment(sequence+1, string(rune('a'+sequence))))
+			is.NoErr(err)
+		}
+		s.portals[1].SetDraining(true)
+		_, err := s.call(owner, p1, payment(5, "e"))
+		problem := problemOf(t, err)
+		is.Equal(problem.Code, api.CodeNoBackend)
+		is.True(problem.NotRun && problem.RetryAfter > 0)
+		is.Equal(s.ledger.Executions("pay_fee", "e"), 0)
+		leaving, _ := s.board.Backends.Load("portal-1")
+		is.True(leaving.Leaving) // for every controller, whatever the machine list says
+		s.portals[0].SetFaults(application.Faults{})
+		_, err = s.call(owner, p1, payment(5, "e"))
+		is.NoErr(err)
+		is.Equal(s.ledger.Executions("pay_fee", "e"), 1)
+	})
+}
+
+func TestABrokenStreamIsResumed(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		call := s.start(owner, p1, modelCall(1, "one"), 0)
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range s.engines {
+			e.SetFaults(engine.Faults{Down: true})
+			e.SetFaults(engine.Faults{})
+		}
+		got := <-call
+		is.NoErr(got.err)
+		is.Equal(strings.Join(got.tokens, ""), got.answer.Text)
+		is.Equal(len(s.arrivals(callID(1))), 1)
+	})
+}
+
+func TestAnEngineThatRestartsMidStreamIsReplaced(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		call := s.start(owner, p1, modelCall(1, "one"), 0)
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range s.engines {
+			e.Restart()
+		}
+		got := <-call
+		is.NoErr(got.err)
+		is.Equal(strings.Join(got.tokens, ""), got.answer.Text) // one whole stream in spite of two attempts
+		is.Equal(len(s.arrivals(callID(1))), 2)
+		view, err := owner.Get(s.running, p1)
+		is.NoErr(err)
+		is.True(view.Spent > int64(got.answer.Usage.PromptTokens+got.answer.Usage.CompletionTokens)) // the lost attempt stays charged
+	})
+}
+
+func TestLimitsOfTheClass(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		s.publish(table.Class{Name: testClass, Model: testModel, BudgetTokens: 100, MaxTokens: 200, IdleTimeout: time.Minute})
+		s.create(owner, "poor")
+		_, err := s.call(owner, "poor", modelCall(1, strings.Repeat("x", 100)))
+		is.Equal(codeOf(err), api.CodeBudget)
+		_, err = s.call(owner, p1, modelCall(1, strings.Repeat("x", 100))) // keeps what it was created with
+		is.NoErr(err)
+		_, err = owner.Create(s.running, serving.CreateRequest{ID: "x", Tenant: "t", Class: "nobody"})
+		is.Equal(codeOf(err), api.CodeUnknownClass)
+		_, err = owner.Create(s.running, serving.CreateRequest{ID: "poor", Tenant: "other", Class: testClass})
+		is.Equal(codeOf(err), api.CodeConflict)
+		call := modelCall(1, "x")
+		call.Model = "nobody"
+		_, err = s.call(owner, "poor", call)
+		is.Equal(codeOf(err), api.CodeUnknownModel)
+		_, err = s.call(owner, "poor", api.CallRequest{Kind: "x", MaxTokens: -1})
+		is.Equal(len(problemOf(t, err).Findings), 3)
+		_, err = s.call(owner, "nobody", modelCall(1, "x"))
+		is.Equal(codeOf(err), api.CodeUnknownProgram)
+		time.Sleep(2 * time.Minute)
+		view, err := owner.Get(s.running, "poor")
+		is.NoErr(err)
+		is.Equal(view.State, api.ProgramExpired)
+		_, err = s.call(owner, "poor", modelCall(1, "x"))
+		is.Equal(codeOf(err), api.CodeProgramEnded)
+	})
+}
+
+func TestAnotherNodeIsNoOwner(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, held *heldShard) {
+		s.open() // takes the shard; the former owner does not know yet
+		_, err := s.call(owner, p1, modelCall(1, "one"))
+		is.True(serving.IsNotOwner(err))
+		is.Equal(codeOf(err), api.CodeNoOwner)
+		held.lose()
+		synctest.Wait()
+		_, err = owner.Get(s.running, p1)
+		is.True(errors.Is(err, journal.ErrNotOwner))
+		is.Equal(owner.Shards(), 0)
+	})
+}
--- /dev/null
+++ b/internal/serving/takeover_test.go
@@ -0,0 +1,266 @@
+package serving_test
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/emulator/application"
+	"stepseam.example/stepseam/internal/emulator/engine"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/serving"
+	"stepseam.example/stepseam/internal/table"
+)
+
+func TestTheNextOwnerResumesAStream(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, held *heldShard) {
+		first := s.start(owner, p1, modelCall(1, "one"), 0)
+		time.Sleep(200 * time.Millisecond)
+		held.lose()
+		cut := <-first
+		is.True(serving.IsNotOwner(cut.err))
+		is.True(len(cut.tokens) > 0)
+		next, _ := s.open()
+		rest := <-s.start(next, p1, modelCall(1, "one"), len(cut.tokens))
+		is.NoErr(rest.err)
+		is.Equal(strings.Join(append(cut.tokens, rest.tokens...), ""), rest.answer.Text)
+		is.Equal(len(s.arrivals(callID(1))), 1)
+	})
+}
+
+func TestTheNextOwnerRunsAStreamAgainThatIsGone(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, held *heldShard) {
+		first := s.start(owner, p1, modelCall(1, "one"), 0)
+		time.Sleep(200 * time.Millisecond)
+		held.lose()
+		cut := <-first
+		for _, e := range s.engines {
+			e.Restart()
+		}
+		next, _ := s.open()
+		rest := <-s.start(next, p1, modelCall(1, "one"), len(cut.tokens))
+		is.NoErr(rest.err)
+		is.Equal(strings.Join(append(cut.tokens, rest.tokens...), ""), rest.answer.Text)
+		arrivals := s.arrivals(callID(1))
+		is.Equal(len(arrivals), 2)
+		is.True(arrivals[0].Stream != arrivals[1].Stream)
+	})
+}
+
+// freeze stops the first dispatch of a call between the owner's last look at its
+// lease and the send, until the returned function is called.
+func (s *site) freeze(id identity.CallID) (thaw func()) {
+	frozen := make(chan struct{})
+	var stopped atomic.Bool
+	s.gate = func(stream identity.StreamID) {
+		if stream.Call == id && stopped.CompareAndSwap(false, true) {
+			<-frozen
+		}
+	}
+	return func() { close(frozen) }
+}
+
+func TestAFrozenOwnersLateDispatchIsFenced(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		thaw := s.freeze(callID(1))
+		late := s.start(owner, p1, modelCall(1, "one"), 0)
+		time.Sleep(10 * time.Millisecond)
+		next, _ := s.open()
+		for sequence, content := range []string{"one", "two"} {
+			_, err := s.call(next, p1, modelCall(uint64(sequence+1), content))
+			is.NoErr(err)
+		}
+		thaw()
+		is.True(serving.IsNotOwner((<-late).err))
+		time.Sleep(time.Minute)
+		is.Equal(len(s.arrivals(callID(1))), 1) // the late stream was refused
+		is.Equal(len(s.arrivals(callID(2))), 1)
+	})
+}
+
+func TestAFrozenOwnersUnrepeatableCallRunsAtMostOnce(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		thaw := s.freeze(callID(1))
+		late := s.start(owner, p1, payment(1, "fee-1"), 0)
+		time.Sleep(10 * time.Millisecond)
+		next, _ := s.open()
+		_, err := s.call(next, p1, payment(1, "fee-1"))
+		problem := problemOf(t, err)
+		is.Equal(problem.Code, api.CodeOutcomeUnknown)
+		is.True(!problem.NotRun)
+		thaw()
+		is.True(serving.IsNotOwner((<-late).err))
+		time.Sleep(time.Minute)
+		is.Equal(s.ledger.Executions("pay_fee", "fee-1"), 1)
+		_, err = s.call(next, p1, payment(2, "fee-1"))
+		is.Equal(codeOf(err), api.CodeOutcomeUnknown) // for ever, also under another sequence
+	})
+}
+
+func TestAnUnconfirmedFenceEndsWithTheMachineList(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, held *heldShard) {
+		first := s.start(owner, p1, modelCall(1, "one"), 0)
+		time.Sleep(200 * time.Millisecond)
+		held.lose()
+		<-first
+		lost := 0
+		if len(s.engines[1].Truth().Arrivals) > 0 {
+			lost = 1
+		}
+		s.engines[lost].SetFaults(engine.Faults{Down: true})
+		next, _ := s.open()
+		began := time.Now()
+		again := s.start(next, p1, modelCall(1, "one"), 0)
+		time.Sleep(2 * time.Second)
+		machines := s.board.Machines.Load()
+		s.board.Machines.Store(append(machines[:lost:lost], machines[lost+1:]...))
+		is.NoErr((<-again).err)
+		is.True(time.Since(began) < 10*time.Second)
+	})
+}
+
+func TestEndFreesTheMemoryThroughOwnerDeathAndEngineOutage(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, held *heldShard) {
+		sub := modelCall(1, "sub-agent")
+		sub.Branch = "sub"
+		for _, call := range []api.CallRequest{modelCall(1, "one"), modelCall(2, "two"), sub} {
+			_, err := s.call(owner, p1, call)
+			is.NoErr(err)
+		}
+		is.True(s.held(p1) != "")
+		for _, e := range s.engines {
+			e.SetFaults(engine.Faults{Down: true})
+		}
+		view, err := owner.End(s.running, p1)
+		is.NoErr(err)
+		is.Equal(view.State, api.ProgramEnded)
+		time.Sleep(10 * time.Second)
+		is.True(s.held(p1) != "")
+		held.lose()
+		next, _ := s.open()
+		time.Sleep(10 * time.Second)
+		for _, e := range s.engines {
+			e.SetFaults(engine.Faults{LoseNext: 2})
+		}
+		time.Sleep(15 * time.Second)
+		is.Equal(s.held(p1), "")
+		view, err = next.End(s.running, p1)
+		is.NoErr(err)
+		is.Equal(view.State, api.ProgramEnded)
+	})
+}
+
+func TestCancelStopsStreamsAndFreesTheirMemory(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		running := s.start(owner, p1, modelCall(1, "one"), 0)
+		waiting := s.start(owner, p1, modelCall(2, "two"), 0)
+		paying := payment(1, "fee-1")
+		paying.Branch = "pay"
+		paid := s.start(owner, p1, paying, 0)
+		time.Sleep(10 * time.Millisecond)
+		_, err := owner.Cancel(s.running, p1)
+		is.NoErr(err)
+		stopped, never := <-running, <-waiting
+		is.Equal(codeOf(stopped.err), api.CodeCancelled)
+		is.True(!problemOf(t, stopped.err).NotRun)
+		is.Equal(codeOf(never.err), api.CodeCancelled)
+		is.True(problemOf(t, never.err).NotRun)
+		is.NoErr((<-paid).err) // an application cannot be stopped, its caller hears how it ended
+		time.Sleep(5 * time.Second)
+		is.Equal(s.held(p1), "")
+		is.Equal(s.arrivals(callID(1))[0].Outcome, engine.OutcomeCancelled)
+		is.Equal(len(s.arrivals(callID(2))), 0)
+		_, err = s.call(owner, p1, modelCall(3, "three"))
+		is.Equal(codeOf(err), api.CodeProgramEnded)
+	})
+}
+
+func TestTheAuditFreesOrphansAndNothingElse(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		_, err := s.call(owner, p1, modelCall(1, "one"))
+		is.NoErr(err)
+		orphan := s.arrivals(callID(1))[0].Stream
+		orphan.Call.Program = "orphan"
+		_, err = s.engines[0].Generate(s.running, generate(orphan), nil)
+		is.NoErr(err)
+		is.True(s.held("orphan") != "")
+		time.Sleep(time.Minute)
+		is.Equal(s.held("orphan"), "")
+		is.True(s.held(p1) != "")
+	})
+}
+
+func TestTombstonesAreBounded(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		_, err := owner.End(s.running, p1)
+		is.NoErr(err)
+		time.Sleep(5 * time.Minute)
+		_, err = s.call(owner, p1, modelCall(1, "one"))
+		is.Equal(codeOf(err), api.CodeProgramEnded)
+		time.Sleep(6 * time.Minute)
+		_, err = s.call(owner, p1, modelCall(1, "one"))
+		is.Equal(codeOf(err), api.CodeUnknownProgram)
+	})
+}
+
+func TestAPlannedHandOverCutsNothing(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, held *heldShard) {
+		stream := s.start(owner, p1, modelCall(1, "one"), 0)
+		paying := payment(1, "fee-1")
+		paying.Branch = "pay"
+		paid := s.start(owner, p1, paying, 0)
+		time.Sleep(10 * time.Millisecond)
+		owner.Closing(s.running, held)
+		is.NoErr((<-paid).err)
+		cut := <-stream
+		is.True(serving.IsNotOwner(cut.err))
+		next, _ := s.open()
+		rest := <-s.start(next, p1, modelCall(1, "one"), len(cut.tokens))
+		is.NoErr(rest.err)
+		is.Equal(strings.Join(append(cut.tokens, rest.tokens...), ""), rest.answer.Text)
+		is.Equal(len(s.arrivals(callID(1))), 1)
+		is.Equal(s.ledger.Executions("pay_fee", "fee-1"), 1)
+	})
+}
+
+func TestAHangingToolIsGivenUpAtTheClassLimit(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		for _, portal := range s.portals {
+			portal.SetFaults(application.Faults{HangAfter: true})
+		}
+		_, err := s.call(owner, p1, payment(1, "fee-1"))
+		is.Equal(codeOf(err), api.CodeDeadline)
+		time.Sleep(time.Second)
+		_, err = s.call(owner, p1, payment(1, "fee-1"))
+		is.Equal(codeOf(err), api.CodeOutcomeUnknown)
+		_, err = s.call(owner, p1, modelCall(2, "the program goes on"))
+		is.NoErr(err)
+	})
+}
+
+func TestTheClassLimitHoldsCallsUnderWayAndRefusesNewOnes(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		_, err := s.call(owner, p1, modelCall(1, "one"))
+		is.NoErr(err)
+		s.publish(table.Class{Name: testClass, Model: testModel, BudgetTokens: 1000, MaxTokens: 200, MaxConcurrent: 1})
+		s.create(owner, "second")
+		s.create(owner, "third")
+		running := s.start(owner, "second", modelCall(1, "x"), 0)
+		time.Sleep(10 * time.Millisecond)
+		underWay := s.start(owner, p1, modelCall(2, "two"), 0)
+		began := time.Now()
+		_, err = s.call(owner, "third", modelCall(1, "x"))
+		problem := problemOf(t, err)
+		is.Equal(problem.Code, api.CodeOverloaded)
+		is.True(problem.NotRun && problem.RetryAfter > 0)
+		is.True(time.Since(began) < time.Second)
+		is.NoErr((<-running).err)
+		is.NoErr((<-underWay).err)
+		explained, known := owner.Explain(callID(2))
+		is.True(known && explained.Decision.Reason != "")
+	})
+}
--- /dev/null
+++ b/internal/serving/variants_test.go
@@ -0,0 +1,124 @@
+package serving_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/emulator/application"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/journal"
+	"stepseam.example/stepseam/internal/serving"
+)
+
+// scenario brings a failure about and returns what the back ends or callers saw
+// that must not happen, empty if nothing.
+type scenario func(s *site, owner *serving.Owner) string
+
+func loseTheAnswerOfAPayment(s *site, owner *serving.Owner) string {
+	for _, portal := range s.portals {
+		portal.SetFaults(application.Faults{LoseNext: 1})
+	}
+	_, _ = s.call(owner, p1, payment(1, "fee-1"))
+	if s.ledger.Executions("pay_fee", "fee-1") > 1 {
+		return "a payment ran more than once"
+	}
+	return ""
+}
+
+func payWithoutTheLog(s *site, owner *serving.Owner) string {
+	s.log.durableDown = true
+	_, _ = s.call(owner, p1, payment(1, "fee-1"))
+	if s.ledger.Executions("pay_fee", "fee-1") > 0 {
+		return "a payment ran that the log does not know"
+	}
+	return ""
+}
+
+func freezeTheOwnerBeforeItsSend(s *site, owner *serving.Owner) string {
+	thaw := s.freeze(callID(1))
+	s.start(owner, p1, modelCall(1, "one"), 0)
+	time.Sleep(10 * time.Millisecond)
+	next, _ := s.open()
+	for sequence, content := range []string{"one", "two"} {
+		_, _ = s.call(next, p1, modelCall(uint64(sequence+1), content))
+	}
+	thaw()
+	time.Sleep(time.Minute)
+	if len(s.arrivals(callID(1))) > 1 {
+		return "a call ran behind the one that follows it"
+	}
+	return ""
+}
+
+func askAFormerOwner(s *site, owner *serving.Owner) string {
+	_, _ = s.call(owner, p1, modelCall(1, "one"))
+	next, _ := s.open()
+	_, _ = next.Cancel(s.running, p1)
+	if view, err := owner.Get(s.running, p1); err == nil && view.State == api.ProgramRunning {
+		return "a former owner answered"
+	}
+	return ""
+}
+
+func endAProgram(s *site, owner *serving.Owner) string {
+	_, _ = s.call(owner, p1, modelCall(1, "one"))
+	_, _ = owner.End(s.running, p1)
+	time.Sleep(10 * time.Second)
+	if s.held(p1) != "" {
+		return "an ended program still holds memory"
+	}
+	return ""
+}
+
+// TestTheWrongVariantsAreCaught shows that the checks can fail: with one rule
+// replaced by a wrong one, the back ends or callers see what must not happen.
+func TestTheWrongVariantsAreCaught(t *testing.T) {
+	wrong := map[string]struct {
+		hooks serving.Hooks
+		run   scenario
+	}{
+		"unrepeatable calls run again": {
+			serving.Hooks{RunsAgain: func(identity.CallID, bool) bool { return true }}, loseTheAnswerOfAPayment,
+		},
+		"intents are not durable": {
+			serving.Hooks{Durable: func(identity.CallID, bool) bool { return false }}, payWithoutTheLog,
+		},
+		"lost streams are not fenced": {
+			serving.Hooks{Fence: func(identity.StreamID) error { return nil }}, freezeTheOwnerBeforeItsSend,
+		},
+		"no look at the lease": {
+			serving.Hooks{CheckLease: func(journal.Shard) error { return nil }}, askAFormerOwner,
+		},
+		"no release": {
+			serving.Hooks{Release: func(identity.ProgramID) bool { return false }}, endAProgram,
+		},
+	}
+	for name, variant := range wrong {
+		t.Run(name, func(t *testing.T) {
+			if seen := runScenario(t, serving.Hooks{}, variant.run); seen != "" {
+				t.Errorf("with the right rule: %s", seen)
+			}
+			seen := runScenario(t, variant.hooks, variant.run)
+			if seen == "" {
+				t.Error("the wrong variant was not caught")
+			}
+			t.Logf("caught: %s", seen)
+		})
+	}
+}
+
+func runScenario(t *testing.T, hooks serving.Hooks, run scenario) (seen string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2)
+		defer s.close()
+		s.hooks = hooks
+		s.timing.Audit = time.Hour // the audit would clean up behind the outbox
+		owner, _ := s.open()
+		s.create(owner, p1)
+		seen = run(s, owner)
+	})
+	return seen
+}
