Add the HTTP face for callers

Cause: callers need programs, calls and streams over HTTP, and agent frameworks the shape of OpenAI clients. Change: gateway.Gateway on net/http and huma: programs, calls as JSON or server-sent events, fetch with resume after Last-Event-ID, chat completions, /openapi.json. Problems carry code, not_run and Retry-After; the status stays open until a stream's first event. The body is read whole before anything runs, bounded in size and time; every write has its own deadline; comments on quiet streams and TCP keep-alive find callers that are gone. A draining node answers node_draining and finishes what is under way. Weighed: huma's own body limits; ruled out, its read deadline stays on the connection and would end a long answer's context after five seconds. huma's global error hook; ruled out in favour of a transformer per interface. Left: tools and images of the chat shape are refused or ignored.

--- /dev/null
+++ b/internal/gateway/calls.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/serving"
+)
+
+// deadlineGrace is how much longer the gateway waits than the call's deadline,
+// so that the owner, who knows whether the call ran, answers first.
+const deadlineGrace = 2 * time.Second
+
+type callInput struct {
+	ID     string `path:"id" maxLength:"64" doc:"The program's id."`
+	Accept string `header:"Accept" doc:"text/event-stream asks for a stream, as stream does."`
+	// LastEventID is a pointer-free text so that an unset one is told from 0.
+	LastEventID string `header:"Last-Event-ID" doc:"Leaves out the tokens up to this event."`
+	Body        api.CallRequest
+}
+
+type fetchInput struct {
+	ID          string  `path:"id" maxLength:"64" doc:"The program's id."`
+	Sequence    uint64  `path:"sequence" minimum:"1" doc:"The call's position in its branch."`
+	Branch      string  `query:"branch" maxLength:"64" doc:"The call's branch; main if left out."`
+	Stream      bool    `query:"stream" doc:"Asks for a stream."`
+	Deadline    float64 `query:"deadline_seconds" minimum:"0" doc:"How long to wait for the answer."`
+	Accept      string  `header:"Accept" doc:"text/event-stream asks for a stream."`
+	LastEventID string  `header:"Last-Event-ID" doc:"Resumes a stream after this event."`
+}
+
+func (g *Gateway) addCallRoutes(face huma.API) {
+	huma.Register(face, operation(face, huma.Operation{
+		OperationID: "call", Method: http.MethodPost, Path: "/v1/programs/{id}/calls",
+		Summary: "Run a call, join it if it runs, or replay its answer",
+		Description: "With stream, or Accept: text/event-stream, the answer comes as events: tokens, then one " +
+			"answer or problem. The id of an event is its token's index.",
+	}, api.Answer{}, true), func(_ context.Context, input *callInput) (*huma.StreamResponse, error) {
+		return g.call(input)
+	})
+	huma.Register(face, operation(face, huma.Operation{
+		OperationID: "fetch-call", Method: http.MethodGet, Path: "/v1/programs/{id}/calls/{sequence}",
+		Summary:     "Fetch the answer of a call whose connection was lost",
+		Description: "Waits while the call runs. A stream resumes after Last-Event-ID.",
+	}, api.Answer{}, true), func(_ context.Context, input *fetchInput) (*huma.StreamResponse, error) {
+		return g.fetch(input)
+	})
+}
+
+// answerFunc gets an answer, with its tokens before it if onToken is not nil.
+type answerFunc func(ctx context.Context, onToken serving.TokenFunc) (api.Answer, error)
+
+func (g *Gateway) call(input *callInput) (*huma.StreamResponse, error) {
+	from, problem := resumeFrom(input.LastEventID)
+	if problem != nil {
+		return nil, problemError{problem}
+	}
+	if input.Body.Branch == "" {
+		input.Body.Branch = string(identity.MainBranch)
+	}
+	request := serving.CallRequest{Program: identity.ProgramID(input.ID), Call: input.Body, From: from}
+	stream := input.Body.Stream || wantsEvents(input.Accept)
+	return g.respond(stream, from, g.wait(input.Body.DeadlineSeconds), func(ctx context.Context, onToken serving.TokenFunc) (api.Answer, error) {
+		return g.config.Programs.Call(ctx, request, onToken)
+	}), nil
+}
+
+func (g *Gateway) fetch(input *fetchInput) (*huma.StreamResponse, error) {
+	from, problem := resumeFrom(input.LastEventID)
+	if problem != nil {
+		return nil, problemError{problem}
+	}
+	branch := identity.BranchID(input.Branch)
+	if branch == "" {
+		branch = identity.MainBranch
+	}
+	request := serving.FetchRequest{From: from, Call: identity.CallID{
+		Program: identity.ProgramID(input.ID), Branch: branch, Sequence: identity.Sequence(input.Sequence),
+	}}
+	stream := input.Stream || input.LastEventID != "" || wantsEvents(input.Accept)
+	return g.respond(stream, from, g.wait(input.Deadline), func(ctx context.Context, onToken serving.TokenFunc) (api.Answer, error) {
+		return g.config.Programs.Fetch(ctx, request, onToken)
+	}), nil
+}
+
+// wait is how long the gateway waits for an answer.
+func (g *Gateway) wait(deadlineSeconds float64) time.Duration {
+	if deadlineSeconds <= 0 {
+		return g.config.MaxWait
+	}
+	return min(time.Duration(deadlineSeconds*float64(time.Second)), g.config.MaxWait) + deadlineGrace
+}
+
+// respond answers with one JSON document or a stream of events.
+func (g *Gateway) respond(stream bool, from int, wait time.Duration, ask answerFunc) *huma.StreamResponse {
+	return &huma.StreamResponse{Body: func(face huma.Context) {
+		request, writer := humago.Unwrap(face)
+		ctx, cancel := context.WithTimeout(request.Context(), wait)
+		defer cancel()
+		if stream {
+			g.streamAnswer(ctx, writer, from, ask)
+			return
+		}
+		answer, err := ask(ctx, nil)
+		if err != nil {
+			writeProblem(writer, request.URL.Path, problemOf(err))
+			return
+		}
+		writeJSON(writer, answer)
+	}}
+}
+
+func wantsEvents(accept string) bool { return strings.Contains(accept, api.MediaEventStream) }
--- /dev/null
+++ b/internal/gateway/chat_stream.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"stepseam.example/stepseam/api"
+)
+
+// chatStreamEnd is the line after which OpenAI clients expect no more.
+const chatStreamEnd = "data: [DONE]\n\n"
+
+// streamChat answers with chunks in the shape of OpenAI clients.
+func (g *Gateway) streamChat(ctx context.Context, writer http.ResponseWriter, chat *chatCall) {
+	stream, ctx, finish := g.beginStream(ctx, writer)
+	created := time.Now()
+	begun := false
+	begin := func() error {
+		if begun {
+			return nil
+		}
+		begun = true
+		return stream.send("", "", chat.chunk(created, chatDelta{Role: "assistant"}, nil))
+	}
+	answer, err := g.config.Programs.Call(ctx, chat.call, func(_ int, text string) error {
+		if err := begin(); err != nil {
+			return err
+		}
+		g.metrics.tokens.Inc()
+		return stream.send("", "", chat.chunk(created, chatDelta{Content: text}, nil))
+	})
+	finish()
+	// From here on a failed send means that the caller is gone and wants no more.
+	if err != nil {
+		problem := problemOf(err)
+		if !stream.isOpen() {
+			writeProblem(writer, chatPath, problem)
+			return
+		}
+		_ = stream.send("", "", chatProblem(problem))
+		return
+	}
+	_ = begin()
+	_ = stream.send("", "", chat.chunk(created, chatDelta{}, &answer.FinishReason))
+	if chat.wantsUsage() {
+		_ = stream.send("", "", chat.usageChunk(created, answer.Usage))
+	}
+	_ = stream.sendText(chatStreamEnd)
+}
+
+func (c *chatCall) wantsUsage() bool {
+	return c.request.StreamOptions != nil && c.request.StreamOptions.IncludeUsage
+}
+
+func (c *chatCall) usageChunk(created time.Time, usage api.Usage) chatChunk {
+	chunk := c.chunk(created, chatDelta{}, nil)
+	chunk.Choices = []chatChunkChoice{}
+	counted := newChatUsage(usage)
+	chunk.Usage = &counted
+	return chunk
+}
--- /dev/null
+++ b/internal/gateway/protect.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"stepseam.example/stepseam/api"
+)
+
+// protect puts the limits that hold for every request before next: draining,
+// requests under way, size and time of the body, time of each write.
+func (g *Gateway) protect(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		writer := &timedWriter{
+			ResponseWriter: response,
+			controller:     http.NewResponseController(response),
+			timeout:        g.config.WriteTimeout,
+		}
+		started := time.Now()
+		defer func() { g.metrics.request(request.Pattern, writer.status, time.Since(started)) }()
+		if problem := g.admit(); problem != nil {
+			writer.Header().Set("Connection", "close")
+			writeProblem(writer, request.URL.Path, problem)
+			return
+		}
+		defer g.inFlight.Add(-1)
+		if problem := g.receiveBody(writer, request); problem != nil {
+			// What is left of the body is not worth reading.
+			writer.Header().Set("Connection", "close")
+			writeProblem(writer, request.URL.Path, problem)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// admit counts the request in, or tells why not.
+func (g *Gateway) admit() *api.Problem {
+	if g.drains() {
+		return api.NewProblem(api.CodeDraining, "this node is stopping; use another one").WithRetryAfter(drainRetry)
+	}
+	if g.inFlight.Add(1) > g.config.MaxInFlight {
+		g.inFlight.Add(-1)
+		return api.NewProblem(api.CodeOverloaded, "this node has %d requests under way", g.config.MaxInFlight).
+			WithRetryAfter(drainRetry)
+	}
+	return nil
+}
+
+// receiveBody reads the whole body, bounded in size and time. Nothing runs
+// before the body is complete, so its problems are certain not to have run.
+func (g *Gateway) receiveBody(writer *timedWriter, request *http.Request) *api.Problem {
+	if request.Body == nil || request.Body == http.NoBody {
+		return nil
+	}
+	limit := g.config.MaxBodyBytes
+	if request.ContentLength > limit {
+		return api.NewProblem(api.CodeTooLarge, "the body has %d bytes, the limit is %d", request.ContentLength, limit)
+	}
+	// A deadline that cannot be set belongs to a test's recorder, not to a socket.
+	_ = writer.controller.SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
+	body, err := readAll(http.MaxBytesReader(writer, request.Body, limit), request.ContentLength)
+	// From here on only the caller's leaving ends the request.
+	_ = writer.controller.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		return nil
+	case errors.As(err, &tooLarge):
+		return api.NewProblem(api.CodeTooLarge, "the body is over the limit of %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return api.NewProblem(api.CodeSlowSender, "after %s the body is not complete: %d bytes came", g.config.BodyTimeout, len(body))
+	default:
+		problem := api.NewProblem(api.CodeInvalid, "the body broke off after %d bytes: %s", len(body), err)
+		problem.Status = http.StatusBadRequest
+		return problem
+	}
+}
+
+// maxReserve bounds the memory that a promised length takes before bytes come.
+const maxReserve = 64 << 10
+
+func readAll(reader io.Reader, promised int64) ([]byte, error) {
+	buffer := bytes.NewBuffer(make([]byte, 0, min(max(promised, 0)+bytes.MinRead, maxReserve)))
+	_, err := buffer.ReadFrom(reader)
+	return buffer.Bytes(), err
+}
+
+// timedWriter gives every write a deadline of its own and notes the status.
+type timedWriter struct {
+	http.ResponseWriter
+	controller *http.ResponseController
+	timeout    time.Duration
+	status     int
+}
+
+// WriteHeader notes the status.
+func (w *timedWriter) WriteHeader(status int) {
+	if w.status == 0 {
+		w.status = status
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes within the timeout.
+func (w *timedWriter) Write(data []byte) (int, error) {
+	if w.status == 0 {
+		w.status = http.StatusOK
+	}
+	w.extend()
+	return w.ResponseWriter.Write(data)
+}
+
+// Flush sends what is buffered, within the timeout.
+func (w *timedWriter) Flush() { _ = w.FlushError() } // the next write meets the error
+
+// FlushError is Flush with its error.
+func (w *timedWriter) FlushError() error {
+	w.extend()
+	return w.controller.Flush()
+}
+
+func (w *timedWriter) extend() {
+	// A deadline that cannot be set belongs to a test's recorder.
+	_ = w.controller.SetWriteDeadline(time.Now().Add(w.timeout))
+}
+
+// Unwrap lets http.ResponseController find the connection.
+func (w *timedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
