--- a/internal/emulator/application/parameters.go
+++ b/internal/emulator/application/parameters.go
@@ -2,15 +2,13 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/go-playground/validator/v10"
-	"github.com/goccy/go-yaml"
 )
 
-// Parameters describe one stand-in replica. They come from a YAML file; what the
-// file leaves out keeps its default.
+// Parameters describe one stand-in replica. They are read from a YAML file by
+// standin.ReadParameters; what the file leaves out keeps its default.
 type Parameters struct {
 	Name string `yaml:"name" validate:"required"`
 	// Seed drives latencies and lost answers.
@@ -43,25 +41,3 @@
 	}
 	return nil
 }
-
-// ReadParameters reads a YAML file over the defaults; operations that the file
-// names replace the default ones.
-func ReadParameters(path string) (Parameters, error) {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return Parameters{}, fmt.Errorf("application: read parameters: %w", err)
-	}
-	parameters := DefaultParameters("application")
-	operations := parameters.Operations
-	parameters.Operations = nil
-	if err := yaml.UnmarshalWithOptions(content, &parameters, yaml.Strict()); err != nil {
-		return Parameters{}, fmt.Errorf("application: %s: %w", path, err)
-	}
-	if parameters.Operations == nil {
-		parameters.Operations = operations
-	}
-	if err := parameters.Validate(); err != nil {
-		return Parameters{}, fmt.Errorf("%s: %w", path, err)
-	}
-	return parameters, nil
-}
--- a/internal/emulator/engine/parameters.go
+++ b/internal/emulator/engine/parameters.go
@@ -2,17 +2,15 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/go-playground/validator/v10"
-	"github.com/goccy/go-yaml"
 
 	"stepseam.example/stepseam/internal/emulator/engine/model"
 )
 
-// Parameters describe one stand-in engine. They come from a YAML file; what the
-// file leaves out keeps its default.
+// Parameters describe one stand-in engine. They are read from a YAML file by
+// standin.ReadParameters; what the file leaves out keeps its default.
 type Parameters struct {
 	// Name appears in records and logs.
 	Name string `yaml:"name" validate:"required"`
@@ -83,21 +81,3 @@
 	}
 	return nil
 }
-
-// ReadParameters reads a YAML file over the defaults. Faults of form come with
-// line and column, faults of value with the field.
-func ReadParameters(path string) (Parameters, error) {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return Parameters{}, fmt.Errorf("engine: read parameters: %w", err)
-	}
-	parameters := DefaultParameters("engine")
-	err = yaml.UnmarshalWithOptions(content, &parameters, yaml.Strict())
-	if err != nil {
-		return Parameters{}, fmt.Errorf("engine: %s: %w", path, err)
-	}
-	if err := parameters.Validate(); err != nil {
-		return Parameters{}, fmt.Errorf("%s: %w", path, err)
-	}
-	return parameters, nil
-}
