--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -110,7 +110,7 @@
 		}
 		answer, err := ask(ctx, nil)
 		if err != nil {
-			writeProblem(writer, request.URL.Path, problemOf(err))
+			writeProblem(writer, request.URL.Path, outcomeOf(ctx, err))
 			return
 		}
 		writeJSON(writer, answer)
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -94,7 +94,7 @@
 	}
 	answer, err := g.config.Programs.Call(ctx, chat.call, nil)
 	if err != nil {
-		writeProblem(writer, chatPath, problemOf(err))
+		writeProblem(writer, chatPath, outcomeOf(ctx, err))
 		return
 	}
 	writeJSON(writer, newChatCompletion(chat, &answer, time.Now()))
--- a/internal/gateway/chat_stream.go
+++ b/internal/gateway/chat_stream.go
@@ -33,7 +33,7 @@
 	finish()
 	// From here on a failed send means that the caller is gone and wants no more.
 	if err != nil {
-		problem := problemOf(err)
+		problem := outcomeOf(ctx, err)
 		if !stream.isOpen() {
 			writeProblem(writer, chatPath, problem)
 			return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -428,7 +428,8 @@
 		go func() {
 			for range 100 {
 				_, _ = writer.Write([]byte("{"))
-				time.Sleep(time.Second)
+				// Never at the same instant as the answer, after which the connection is closed.
+				time.Sleep(700 * time.Millisecond)
 			}
 		}()
 		defer func() { _ = reader.Close() }()
@@ -504,6 +505,20 @@
 	})
 }
 
+func TestAnswersThatDoNotComeInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFace(t, &programs{pause: time.Hour}, gateway.Config{Heartbeat: time.Hour})
+		body := strings.Replace(modelCall, `"sequence"`, `"deadline_seconds":3,"sequence"`, 1)
+		start := time.Now()
+		late := f.do(t, "POST", "/v1/programs/p/calls", body).problem(t)
+		is.Equal(late.Code, api.CodeDeadline)
+		is.Equal(late.NotRun, false)
+		is.Equal(time.Since(start), 5*time.Second) // the owner has two seconds more to say it itself
+		is.Equal(f.do(t, "GET", "/v1/programs/p/calls/1?deadline_seconds=1&stream=true", "").problem(t).Code, api.CodeDeadline)
+	})
+}
+
 func TestDrainingFinishesWhatIsUnderWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/samber/lo"
@@ -24,6 +26,21 @@
 	return api.NewProblem(api.CodeInternal, "%s", err)
 }
 
+// outcomeOf is problemOf for a request that the gateway waited for until ctx
+// ended. An answer that did not come in time is not a caller that left.
+func outcomeOf(ctx context.Context, err error) *api.Problem {
+	problem := problemOf(err)
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if !late || (problem.Code != api.CodeInterrupted && problem.Code != api.CodeInternal) {
+		return problem
+	}
+	return api.NewProblem(api.CodeDeadline, "there was no answer in time; fetch it by its sequence: %s", problem.Detail).
+		WithNotRun(problem.NotRun).WithRetryAfter(lateRetry)
+}
+
+// lateRetry is when callers should come back for an answer that is still made.
+const lateRetry = time.Second
+
 // problemError is a problem as huma takes errors.
 type problemError struct{ *api.Problem }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -147,7 +147,7 @@
 	})
 	finish()
 	if err != nil {
-		problem := problemOf(err)
+		problem := outcomeOf(ctx, err)
 		if !stream.isOpen() {
 			writeProblem(writer, "", problem)
 			return
