Run a node as a process with its two HTTP faces

Cause: the gateway, the operators' face and the node stood apart.

Change: cmd/stepseamd reads and checks its settings, builds the daemon, serves and stops as planned on SIGTERM, SIGINT or an operator's drain; a controller that fails for good (a later life under the same name) ends the process.

--- /dev/null
+++ b/cmd/stepseamd/main.go
@@ -0,0 +1,72 @@
+// Command stepseamd is a stepseam node.
+//
+// It reads its settings from a YAML file and flags, checks them in full and
+// reports all findings before anything starts, serves, and stops as planned on
+// SIGTERM or SIGINT or when an operator drains it.
+//
+// Exit codes: 0 after a planned stop, 1 if serving or stopping failed, 2 if the
+// settings have findings.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"stepseam.example/stepseam/internal/node"
+	"stepseam.example/stepseam/internal/settings"
+)
+
+// The exit codes.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() {
+	var flags settings.Flags
+	arg.MustParse(&flags)
+	chosen, err := settings.Load(flags)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if flags.Check {
+		fmt.Println("settings are valid")
+		return
+	}
+	logger := newLogger(chosen.Logging)
+	if err := run(chosen, logger); err != nil {
+		logger.Error("stepseamd ended", "error", err)
+		os.Exit(exitFailure)
+	}
+}
+
+func run(chosen settings.Settings, logger *slog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	daemon, err := node.BuildDaemon(node.NewInjector(chosen, logger))
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx)
+}
+
+// newLogger writes to standard error. The settings' check has accepted level and format.
+func newLogger(logging settings.Logging) *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(logging.Level)); err != nil {
+		panic(errors.Join(errors.New("stepseamd: checked log level"), err))
+	}
+	options := &slog.HandlerOptions{Level: level}
+	if logging.Format == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, options))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, options))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,14 +40,16 @@
 	directory backend.Directory
 	logger    *slog.Logger
 
-	stop  context.CancelFunc
-	loops sync.WaitGroup
+	// failed takes the first error that ended a controller.
+	failed chan error
+	stop   context.CancelFunc
+	loops  sync.WaitGroup
 }
 
 // Build makes every service of the node. Nothing runs and nothing is sent
 // before Start, but the node's addresses are bound.
 func Build(injector do.Injector) (*Node, error) {
-	built := &Node{}
+	built := &Node{failed: make(chan error, 1)}
 	resolve := []func() error{
 		invoke(injector, &built.self),
 		invoke(injector, &built.board),
@@ -100,6 +102,10 @@
 	n.loops.Go(func() {
 		if err := loop(ctx); err != nil && ctx.Err() == nil {
 			n.logger.Error("controller ended", "controller", name, "error", err)
+			select {
+			case n.failed <- fmt.Errorf("node: controller %s: %w", name, err):
+			default: // an earlier one stands
+			}
 		}
 	})
 }
@@ -149,5 +155,8 @@
 // Owner runs the programs of this node's shards.
 func (n *Node) Owner() *serving.Owner { return n.owner }
 
+// Failed gives the first error that ended a controller; the node should stop then.
+func (n *Node) Failed() <-chan error { return n.failed }
+
 // Self is this life of the node.
 func (n *Node) Self() identity.Node { return n.self }
--- a/internal/node/providers.go
+++ b/internal/node/providers.go
@@ -61,6 +61,7 @@
 	do.Provide(injector, provideMachines)
 	do.Provide(injector, provideMembers)
 	do.Provide(injector, provideBackends)
+	provideFaces(injector)
 	return injector
 }
 
