--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,68 @@
+package gateway_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/gateway"
+)
+
+// BenchmarkHandler measures the gateway without sockets, on programs that
+// answer at once.
+func BenchmarkHandler(b *testing.B) {
+	handler := gateway.New(gateway.Config{Programs: &programs{}, Board: blackboard.NewBoard()}).Handler()
+	for _, bench := range []struct{ name, path, body, accept string }{
+		{"call", "/v1/programs/p/calls", modelCall, ""},
+		{"stream", "/v1/programs/p/calls", modelCall, "text/event-stream"},
+		{"chat", "/v1/chat/completions", chatBody, ""},
+	} {
+		b.Run(bench.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				request := httptest.NewRequest(http.MethodPost, bench.path, bytes.NewBufferString(bench.body))
+				request.Header.Set("Content-Type", "application/json")
+				request.Header.Set("Accept", bench.accept)
+				recorder := httptest.NewRecorder()
+				handler.ServeHTTP(recorder, request)
+				if recorder.Code != http.StatusOK {
+					b.Fatal(recorder.Body)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkLoopback measures requests a second through sockets, client included.
+func BenchmarkLoopback(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	node := gateway.New(gateway.Config{Programs: &programs{}, Board: blackboard.NewBoard()})
+	go func() { _ = node.Serve(listener) }()
+	defer func() { _ = node.Close() }()
+	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	url := fmt.Sprintf("http://%s/v1/programs/p/calls", listener.Addr())
+	b.ReportAllocs()
+	b.SetParallelism(8)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			response, err := client.Post(url, "application/json", bytes.NewBufferString(modelCall))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
