Keep the watch over back ends within a budget at any fleet size

Cause: polling 64 back ends every 500 ms is 128 polls a second at a node; at 389 bytes each that is 50 kB/s, over three times what a node may spend on all control at the two-year size. A full cache map of 65,536 prefixes was 43 MB.

Change: up to 32 back ends are polled as before. With more, a node's polls keep to 8 a second, two thirds for those in use. Since a report may then be old, Controller.Directory asks for a new one before a call goes to a back end whose report is older than 2 s and doesn't send to one that leaves. The cache map holds 8,192 prefixes.

Weighed: handing reports on between nodes was ruled out for now, since 600 summaries at each interval are no smaller than a share's polls. Waiting for a refusal alone was ruled out, as the back end then does get the request.

Measured (loaded machine of 12 cores): one poll over loopback 0.097 to 0.103 ms and 389 bytes, client and stand-in together; one review of 600 back ends 0.19 ms; one answered call 2.5 to 3.1 us; heap with 600 back ends and a full cache map 6.0 MB (43 MB before). Tests pass, also with -race.

Left: the share follows this node's calls only, so a branch whose engine lies outside it loses its prefix when its owner changes.

--- a/internal/controller/backends/controller.go
+++ b/internal/controller/backends/controller.go
@@ -32,11 +32,12 @@
 const (
 	defaultPollInterval  = 500 * time.Millisecond
 	defaultPollTimeout   = time.Second
-	defaultPollAll       = 64
+	defaultPollAll       = 32
 	defaultPerService    = 4
+	defaultShareRate     = 8
 	defaultConcurrency   = 128
 	defaultLeavingHold   = 15 * time.Second
-	defaultCachePrefixes = 65_536
+	defaultCachePrefixes = 8192
 )
 
 const (
@@ -44,9 +45,9 @@
 	pollJitter = 0.2
 	// longestPollInterval is how rarely a back end that never answers is polled.
 	longestPollInterval = 4 * time.Second
-	// usedWithin is how long a back end outside this node's share is polled after
-	// a call went there.
-	usedWithin = 30 * time.Second
+	// usedWithin is how long a back end counts as in use after a call; in use, it is
+	// polled also outside this node's share, and more often in a large fleet.
+	usedWithin = 10 * time.Second
 	// reviewInterval is how often pools are compared and ended ejections shown.
 	reviewInterval = 250 * time.Millisecond
 	// eventSettle is how long a belief of our own stands against cache events,
@@ -65,10 +66,12 @@
 	// bounds each.
 	PollInterval time.Duration
 	PollTimeout  time.Duration
-	// PollAll is up to how many back ends every node polls all of them; with more,
-	// each polls a share of that size with at least PerService of each service.
+	// PollAll is up to how many back ends every node polls all of them, each at
+	// PollInterval. With more, it polls a share of them with at least PerService of
+	// each service, ShareRate polls a second in all.
 	PollAll    int
 	PerService int
+	ShareRate  float64
 	// Concurrency bounds the polls under way.
 	Concurrency int
 	// LeavingHold is how long a back end's own word that it leaves stands; it must
@@ -91,11 +94,14 @@
 	cache   *CacheMap
 	slots   chan struct{}
 
-	// mutex guards watched, byAddress, pools and what watched points to.
+	// mutex guards all below and what watched points to.
 	mutex     sync.Mutex
 	watched   map[string]*watched
 	byAddress map[netip.AddrPort]string
 	pools     map[string]pool
+	// budget is the polls per second for all, 0 without bound.
+	budget float64
+	pace   pace
 }
 
 // watched is the controller's own knowledge of one back end.
@@ -106,6 +112,8 @@
 	polling  bool
 	nextPoll time.Time
 	lastUsed time.Time
+	// reported is when the last report came.
+	reported time.Time
 	health   health
 	leaving  leaving
 	// published is what the board last got, to tell a mark of serving's from it.
@@ -125,6 +133,7 @@
 	setDefault(&config.PollTimeout, defaultPollTimeout)
 	setDefault(&config.PollAll, defaultPollAll)
 	setDefault(&config.PerService, defaultPerService)
+	setDefault(&config.ShareRate, defaultShareRate)
 	setDefault(&config.Concurrency, defaultConcurrency)
 	setDefault(&config.LeavingHold, defaultLeavingHold)
 	setDefault(&config.CachePrefixes, defaultCachePrefixes)
@@ -141,6 +150,7 @@
 		watched:   map[string]*watched{},
 		byAddress: map[netip.AddrPort]string{},
 		pools:     map[string]pool{},
+		pace:      pace{used: config.PollInterval, idle: config.PollInterval},
 	}
 	controller.metrics = newMetrics(config.Registerer, controller)
 	return controller
@@ -196,6 +206,10 @@
 	listed := make(map[string]bool, len(backEnds))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.budget = 0
+	if len(backEnds) > c.config.PollAll {
+		c.budget = c.config.ShareRate
+	}
 	for _, machine := range backEnds {
 		listed[machine.Name] = true
 		known, found := c.watched[machine.Name]
@@ -204,7 +218,7 @@
 			found = false
 		}
 		if !found {
-			known = &watched{nextPoll: now}
+			known = &watched{nextPoll: now.Add(c.firstPoll())}
 			c.watched[machine.Name] = known
 			c.byAddress[machine.Address] = machine.Name
 		}
@@ -220,6 +234,15 @@
 	}
 }
 
+// firstPoll spreads the first polls of a large fleet over some seconds, so that
+// they keep to the budget. A small one is polled at once. The mutex is held.
+func (c *Controller) firstPoll() time.Duration {
+	if c.budget <= 0 {
+		return 0
+	}
+	return time.Duration(c.config.Random() * float64(perSecond(c.config.PollAll, c.budget)))
+}
+
 func (c *Controller) remove(name string, known *watched) {
 	delete(c.watched, name)
 	if c.byAddress[known.machine.Address] == name {
@@ -259,6 +282,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.pools = comparePools(now, c.watched)
+	c.choosePace(now)
 	for _, known := range c.watched {
 		shown, found := c.config.Board.Backends.Load(known.machine.Name)
 		stale := !found || shown.Leaving != known.leaving.at(now, c.config.LeavingHold) || shown.Health != known.health.at(now)
@@ -267,3 +291,20 @@
 		}
 	}
 }
+
+// choosePace adapts the polls to how many back ends are in use. The mutex is held.
+func (c *Controller) choosePace(now time.Time) {
+	used, idle := 0, 0
+	for _, known := range c.watched {
+		switch {
+		case known.inUse(now):
+			used++
+		case known.polled:
+			idle++
+		}
+	}
+	c.pace = choosePace(c.config.PollInterval, c.budget, used, idle)
+}
+
+// inUse tells whether a call went there lately.
+func (w *watched) inUse(now time.Time) bool { return now.Sub(w.lastUsed) < usedWithin }
--- a/internal/controller/backends/controller_test.go
+++ b/internal/controller/backends/controller_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +51,11 @@
 // inBubble runs test beside a controller over three engines and two replicas of
 // an application, in virtual time.
 func inBubble(t *testing.T, test func(t *testing.T, s *site)) {
+	t.Helper()
+	inBubbleWith(t, func(*backends.Config) {}, test)
+}
+
+func inBubbleWith(t *testing.T, change func(*backends.Config), test func(t *testing.T, s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &site{
@@ -79,8 +86,10 @@
 			listed = append(listed, machine)
 		}
 		s.board.Machines.Store(listed)
-		s.controller = backends.New(backends.Config{Node: "node-1", Board: s.board, Directory: s})
-		s.directory = backends.Observe(s, s.controller.Observe)
+		config := backends.Config{Node: "node-1", Board: s.board, Directory: s}
+		change(&config)
+		s.controller = backends.New(config)
+		s.directory = s.controller.Directory()
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { s.controller.Run(ctx) })
@@ -315,3 +324,110 @@
 		is.True(cache.Tokens("engine-0", "kept", "main") > 0)
 	})
 }
+
+// In a large fleet a report may be old when a call goes out. Then the back end is
+// asked before, and one that left gets nothing.
+func TestAnOldReportIsRenewedBeforeUse(t *testing.T) {
+	rarely := func(config *backends.Config) { config.PollAll, config.ShareRate = 1, 0.1 }
+	inBubbleWith(t, rarely, func(t *testing.T, s *site) {
+		is := is.New(t)
+		time.Sleep(2 * time.Minute)
+		is.True(time.Since(s.shown(addressOf(1)).ReportedAt) > 5*time.Second)
+		s.engines[addressOf(1)].SetDraining(true)
+		s.applications[addressOf(3)].SetDraining(true)
+		time.Sleep(3 * time.Second)
+		is.True(!s.shown(addressOf(1)).Leaving) // not known yet
+
+		err := ask(s, addressOf(1), "p")
+		is.True(errors.Is(err, backend.ErrDraining))
+		is.True(backend.NotRun(err))
+		is.Equal(len(s.engines[addressOf(1)].Truth().Arrivals), 0)
+		is.True(s.shown(addressOf(1)).Leaving)
+		_, err = s.directory.Application(addressOf(3)).Invoke(t.Context(), backend.InvokeRequest{Operation: "enrol"})
+		is.True(errors.Is(err, backend.ErrDraining))
+		is.NoErr(ask(s, addressOf(0), "p"))
+	})
+}
+
+// countingEngine counts its load reports and does nothing else.
+type countingEngine struct {
+	backend.Engine
+	polls *atomic.Int64
+}
+
+// Load implements backend.Engine.
+func (e countingEngine) Load(context.Context) (backend.LoadReport, error) {
+	e.polls.Add(1)
+	return backend.LoadReport{AsOf: time.Now()}, nil
+}
+
+// fleet is a directory of engines that count.
+type fleet map[netip.AddrPort]*atomic.Int64
+
+// Engine implements backend.Directory.
+func (f fleet) Engine(address netip.AddrPort) backend.Engine {
+	return countingEngine{polls: f[address]}
+}
+
+// Application implements backend.Directory.
+func (f fleet) Application(netip.AddrPort) backend.Application { return nil }
+
+// The fleet of the two-year size.
+const (
+	fleetReplicas = 600
+	fleetServices = 28
+	fleetBudget   = 8
+)
+
+// largeFleet returns a board that lists a large fleet, and a controller over it.
+func largeFleet() (*blackboard.Board, *backends.Controller) {
+	engines := fleet{}
+	board := blackboard.NewBoard()
+	var listed []platform.Machine
+	for i := range fleetReplicas {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 250), byte(i % 250)}), 80)
+		engines[address] = &atomic.Int64{}
+		listed = append(listed, platform.Machine{
+			Name: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, State: platform.MachineLive,
+			Service: fmt.Sprintf("service-%d", i%fleetServices), Address: address,
+		})
+	}
+	board.Machines.Store(listed)
+	random := rand.New(rand.NewPCG(1, 2))
+	return board, backends.New(backends.Config{
+		Node: "node-1", Board: board, Directory: engines, ShareRate: fleetBudget, Random: random.Float64,
+	})
+}
+
+// At 600 engines a node polls its share within the budget, and those it uses
+// more often than the others.
+func TestALargeFleetIsPolledWithinItsBudget(t *testing.T) {
+	const duration = 3 * time.Minute
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		board, controller := largeFleet()
+		engines := controller.Inner().(fleet)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { controller.Run(ctx) })
+		used := board.Machines.Load()[7].Address
+		for range int(duration / time.Second) {
+			controller.Observe(ctx, backends.Result{Address: used})
+			time.Sleep(time.Second)
+		}
+		cancel()
+		running.Wait()
+
+		total, polled := int64(0), 0
+		for _, polls := range engines {
+			total += polls.Load()
+			if polls.Load() > 0 {
+				polled++
+			}
+		}
+		is.True(polled >= fleetServices*4)
+		is.True(float64(total) <= fleetBudget*duration.Seconds()*1.05)
+		is.True(float64(total) >= fleetBudget*duration.Seconds()*0.7) // it is used, too
+		is.True(engines[used].Load() > 5*total/int64(polled))
+	})
+}
--- a/internal/controller/backends/directory.go
+++ b/internal/controller/backends/directory.go
@@ -29,27 +29,48 @@
 	return observedDirectory{inner: inner, observe: observe}
 }
 
+// Directory is Observe for the controller's own directory, with one check more:
+// before a call goes to a back end whose last report is old, as in a large fleet,
+// it is asked for a new one, and if that says that it leaves, the call is refused
+// here with ErrDraining and not sent.
+func (c *Controller) Directory() backend.Directory {
+	return observedDirectory{inner: c.config.Directory, observe: c.Observe, confirm: c.confirm}
+}
+
 type observedDirectory struct {
 	inner   backend.Directory
 	observe func(context.Context, Result)
+	// confirm may refuse a call before it is sent; nil lets all pass.
+	confirm func(context.Context, netip.AddrPort) error
 }
 
 func (d observedDirectory) Engine(address netip.AddrPort) backend.Engine {
-	return observedEngine{Engine: d.inner.Engine(address), address: address, observe: d.observe}
+	return observedEngine{Engine: d.inner.Engine(address), address: address, directory: d}
 }
 
 func (d observedDirectory) Application(address netip.AddrPort) backend.Application {
-	return observedApplication{Application: d.inner.Application(address), address: address, observe: d.observe}
+	return observedApplication{Application: d.inner.Application(address), address: address, directory: d}
+}
+
+// mayCall returns why a call must not be sent, or nil.
+func (d observedDirectory) mayCall(ctx context.Context, address netip.AddrPort) error {
+	if d.confirm == nil {
+		return nil
+	}
+	return d.confirm(ctx, address)
 }
 
 type observedEngine struct {
 	backend.Engine
-	address netip.AddrPort
-	observe func(context.Context, Result)
+	address   netip.AddrPort
+	directory observedDirectory
 }
 
 // Generate implements backend.Engine.
 func (e observedEngine) Generate(ctx context.Context, request backend.GenerateRequest, onToken func(backend.Token) error) (backend.GenerateResult, error) {
+	if err := e.directory.mayCall(ctx, e.address); err != nil {
+		return backend.GenerateResult{}, err
+	}
 	started := time.Now()
 	observed := Result{Address: e.address, Stream: request.Stream}
 	result, err := e.Engine.Generate(ctx, request, func(token backend.Token) error {
@@ -62,7 +83,7 @@
 		return onToken(token)
 	})
 	observed.Total, observed.Err, observed.Usage = time.Since(started), err, result.Usage
-	e.observe(ctx, observed)
+	e.directory.observe(ctx, observed)
 	return result, err
 }
 
@@ -71,21 +92,24 @@
 func (e observedEngine) Resume(ctx context.Context, stream identity.StreamID, from int, onToken func(backend.Token) error) (backend.GenerateResult, error) {
 	started := time.Now()
 	result, err := e.Engine.Resume(ctx, stream, from, onToken)
-	e.observe(ctx, Result{Address: e.address, Stream: stream, Err: err, Usage: result.Usage, Total: time.Since(started)})
+	e.directory.observe(ctx, Result{Address: e.address, Stream: stream, Err: err, Usage: result.Usage, Total: time.Since(started)})
 	return result, err
 }
 
 type observedApplication struct {
 	backend.Application
-	address netip.AddrPort
-	observe func(context.Context, Result)
+	address   netip.AddrPort
+	directory observedDirectory
 }
 
 // Invoke implements backend.Application.
 func (a observedApplication) Invoke(ctx context.Context, request backend.InvokeRequest) ([]byte, error) {
+	if err := a.directory.mayCall(ctx, a.address); err != nil {
+		return nil, err
+	}
 	started := time.Now()
 	answer, err := a.Application.Invoke(ctx, request)
-	a.observe(ctx, Result{Address: a.address, Stream: request.Stream, Err: err, Total: time.Since(started)})
+	a.directory.observe(ctx, Result{Address: a.address, Stream: request.Stream, Err: err, Total: time.Since(started)})
 	return answer, err
 }
 
--- /dev/null
+++ b/internal/controller/backends/export_test.go
@@ -0,0 +1,15 @@
+package backends
+
+import (
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/platform"
+)
+
+// Reconcile and Review let benchmarks run single steps of Run.
+func (c *Controller) Reconcile(machines []platform.Machine) { c.reconcile(machines) }
+
+// Review runs one review.
+func (c *Controller) Review() { c.review() }
+
+// Inner returns the directory that the controller was given.
+func (c *Controller) Inner() backend.Directory { return c.config.Directory }
--- a/internal/controller/backends/metrics.go
+++ b/internal/controller/backends/metrics.go
@@ -11,6 +11,8 @@
 	pollFailures *prometheus.CounterVec
 	callFailures *prometheus.CounterVec
 	resyncs      prometheus.Counter
+	// confirmations counts reports that a dispatch waited for.
+	confirmations prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer, controller *Controller) *metrics {
@@ -24,6 +26,10 @@
 			Namespace: "stepseam", Name: "cache_map_resyncs_total",
 			Help: "Whole lists of held prefixes that were read after a gap in an engine's cache events.",
 		}),
+		confirmations: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "stepseam", Name: "backend_confirmations_total",
+			Help: "Load reports that a dispatch waited for because the last one was old.",
+		}),
 	}
 	if registerer == nil {
 		return m
@@ -31,7 +37,7 @@
 	prefixes := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "stepseam", Name: "cache_map_prefixes", Help: "Prefixes in the cache map.",
 	}, func() float64 { return float64(controller.cache.Len()) })
-	registerer.MustRegister(m.pollFailures, m.callFailures, m.resyncs, prefixes, stateCollector{controller})
+	registerer.MustRegister(m.pollFailures, m.callFailures, m.resyncs, m.confirmations, prefixes, stateCollector{controller})
 	return m
 }
 
--- a/internal/controller/backends/observe.go
+++ b/internal/controller/backends/observe.go
@@ -44,7 +44,7 @@
 		return
 	}
 	known := c.watched[name]
-	known.lastUsed = now
+	c.use(now, known)
 	before := known.health.at(now)
 	switch {
 	case result.Err == nil:
@@ -61,6 +61,15 @@
 	c.logHealth(known, before, known.health.at(now), result.Err)
 }
 
+// use notes a call to a back end; one that was idle is polled sooner from now on.
+// The mutex is held.
+func (c *Controller) use(now time.Time, known *watched) {
+	known.lastUsed = now
+	if soon := now.Add(c.pace.used); known.nextPoll.After(soon) && known.health.missed == 0 {
+		known.nextPoll = soon
+	}
+}
+
 // failed tells whether an error speaks against the back end. A refusal, a
 // cancelled stream and a caller that went away do not.
 func failed(ctx context.Context, result Result) bool {
--- a/internal/controller/backends/poll.go
+++ b/internal/controller/backends/poll.go
@@ -29,7 +29,7 @@
 	var due []target
 	c.mutex.Lock()
 	for name, known := range c.watched {
-		if known.polling || !known.polled && now.Sub(known.lastUsed) > usedWithin {
+		if known.polling || !known.polled && !known.inUse(now) {
 			continue
 		}
 		if after := known.nextPoll.Sub(now); after > 0 {
@@ -65,6 +65,11 @@
 		return
 	}
 	c.afterPoll(asked, report, err, time.Since(started))
+	c.mutex.Lock()
+	if known, found := c.watched[asked.name]; found {
+		known.polling = false
+	}
+	c.mutex.Unlock()
 	if err == nil && asked.events {
 		c.readEvents(requestContext, asked)
 	}
@@ -88,7 +93,6 @@
 	if !found || known.machine.Address != asked.machine.Address {
 		return // gone, or replaced meanwhile
 	}
-	known.polling = false
 	before := known.health.at(now)
 	known.health = known.health.afterPoll(alive)
 	if alive {
@@ -96,13 +100,14 @@
 	} else {
 		c.metrics.pollFailures.WithLabelValues(asked.name).Inc()
 	}
-	known.nextPoll = now.Add(c.nextInterval(known.health.missed))
-	if reported && report.Draining {
-		known.leaving.signed = now
-	}
+	known.nextPoll = now.Add(c.nextInterval(now, known))
 	if reported {
+		known.reported = now
 		c.showReport(now, asked.name, report)
 	}
+	if reported && report.Draining {
+		known.leaving.signed = now
+	}
 	c.publish(now, known)
 	c.logHealth(known, before, known.health.at(now), err)
 }
@@ -118,14 +123,17 @@
 }
 
 // nextInterval is the time to the next poll, with jitter. It doubles with each
-// failure after the second, so that many dead back ends cost little.
-func (c *Controller) nextInterval(failures int) time.Duration {
-	interval := c.config.PollInterval
-	for range min(max(failures-2, 0), 8) {
+// failure after those that eject, so that many dead back ends cost little.
+func (c *Controller) nextInterval(now time.Time, known *watched) time.Duration {
+	interval := c.pace.idle
+	if known.inUse(now) {
+		interval = c.pace.used
+	}
+	rarest := max(longestPollInterval, interval)
+	for range min(max(known.health.missed-failedPolls, 0), 8) {
 		interval *= 2
 	}
-	interval = max(min(interval, longestPollInterval), c.config.PollInterval)
-	return time.Duration(float64(interval) * (1 + pollJitter*(2*c.config.Random()-1)))
+	return time.Duration(float64(min(interval, rarest)) * (1 + pollJitter*(2*c.config.Random()-1)))
 }
 
 func (c *Controller) logHealth(known *watched, before, after scheduling.Health, err error) {
--- a/internal/controller/backends/pure_test.go
+++ b/internal/controller/backends/pure_test.go
@@ -183,3 +183,20 @@
 	m.Replace(start.Add(3*time.Second), "a", nil)
 	is.Equal(m.Len(), 0)
 }
+
+// The polls of any fleet keep to the budget, except that idle back ends are
+// polled once a minute in any case.
+func TestPaceKeepsToTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		used, idle := rapid.IntRange(0, 300).Draw(t, "used"), rapid.IntRange(0, 300).Draw(t, "idle")
+		budget := rapid.Float64Range(1, 100).Draw(t, "budget")
+		chosen := choosePace(500*time.Millisecond, budget, used, idle)
+		rate := float64(used)/chosen.used.Seconds() + float64(idle)/chosen.idle.Seconds()
+		if rate > budget*1.001 && chosen.idle < longestIdle {
+			t.Fatalf("%+v makes %.1f polls a second of %.1f", chosen, rate, budget)
+		}
+		if chosen.used < 500*time.Millisecond || chosen.idle < chosen.used && chosen.idle < longestIdle {
+			t.Fatalf("%+v", chosen)
+		}
+	})
+}
--- a/internal/controller/backends/share.go
+++ b/internal/controller/backends/share.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -44,3 +45,38 @@
 func weight(node identity.NodeName, backend string) uint64 {
 	return xxhash.Sum64String(string(node) + "\x00" + backend)
 }
+
+// pace is how often back ends are polled: those in use, and the others.
+type pace struct {
+	used time.Duration
+	idle time.Duration
+}
+
+const (
+	// usedPart is the part of the budget of polls that back ends in use get.
+	usedPart = 2.0 / 3
+	// longestIdle is how rarely an idle back end is polled at most; its models and
+	// its health should not be older than that.
+	longestIdle = time.Minute
+)
+
+// choosePace divides a budget of polls per second over back ends in use and idle
+// ones. A budget of 0 polls all at interval.
+func choosePace(interval time.Duration, budget float64, used, idle int) pace {
+	if budget <= 0 {
+		return pace{used: interval, idle: interval}
+	}
+	usedBudget := budget * usedPart
+	if idle == 0 {
+		usedBudget = budget
+	}
+	usedInterval := max(interval, perSecond(used, usedBudget))
+	// What those in use leave over goes to the others.
+	rest := budget - float64(used)/usedInterval.Seconds()
+	return pace{used: usedInterval, idle: min(max(usedInterval, perSecond(idle, rest)), longestIdle)}
+}
+
+// perSecond is the interval at which count things happen rate times a second.
+func perSecond(count int, rate float64) time.Duration {
+	return time.Duration(float64(count) / rate * float64(time.Second))
+}
