Refuse at once in long outages, and forgive a node's own stall

Cause: with a shard without an owner for hours every request was held for five seconds before its refusal. And a node that was stopped or starved for two seconds took its own silence for the other side's and broke its connections. Change: a search that failed for its whole patience leaves a note; while it is fresh, requests for that shard are refused after 100 ms. A heartbeat timer that fires late starts the watch anew instead of ending the connection. A request number that comes twice ends its connection. Failing line without the forgiveness: "connection_test.go:32: err: peer: connection silent for 11.35s".

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -41,6 +41,10 @@
 	// Patience is how long a shard without an owner is waited for; it covers a
 	// planned hand-over and most takeovers.
 	Patience time.Duration
+	// OwnerlessPatience is the same within OwnerlessMemory of another request's
+	// search that failed.
+	OwnerlessPatience time.Duration
+	OwnerlessMemory   time.Duration
 	// AcceptedPatience is the same for a request that an owner may have taken up.
 	AcceptedPatience time.Duration
 	// RetryAfter is when callers who met no owner should come back.
@@ -54,6 +58,8 @@
 	t.MaxPause = cmp.Or(t.MaxPause, 250*time.Millisecond)
 	t.Jitter = max(cmp.Or(t.Jitter, 0.5), 0)
 	t.Patience = cmp.Or(t.Patience, 5*time.Second)
+	t.OwnerlessPatience = cmp.Or(t.OwnerlessPatience, 100*time.Millisecond)
+	t.OwnerlessMemory = cmp.Or(t.OwnerlessMemory, 5*time.Second)
 	t.AcceptedPatience = cmp.Or(t.AcceptedPatience, time.Minute)
 	t.RetryAfter = cmp.Or(t.RetryAfter, time.Second)
 	t.AliveTimeout = cmp.Or(t.AliveTimeout, 3*time.Second)
@@ -79,7 +85,11 @@
 
 // Forwarder implements serving.Programs for every shard of the site. It is safe
 // for concurrent use; who owns what is kept in the blackboard's Owners.
-type Forwarder struct{ config Config }
+type Forwarder struct {
+	config Config
+	// vacant holds when a search for a shard's owner failed last.
+	vacant *blackboard.Map[identity.ShardID, time.Time]
+}
 
 // New returns a forwarder and adds its messages and handlers to registry.
 func New(config Config, registry *peer.Registry) *Forwarder {
@@ -87,7 +97,7 @@
 	if config.Logger == nil {
 		config.Logger = slog.New(slog.DiscardHandler)
 	}
-	f := &Forwarder{config: config}
+	f := &Forwarder{config: config, vacant: blackboard.NewMap[identity.ShardID, time.Time]()}
 	addMessages(registry)
 	f.addHandlers(registry)
 	return f
--- a/internal/forwarding/search.go
+++ b/internal/forwarding/search.go
@@ -32,6 +32,8 @@
 	try       tryFunc
 	// isCall is set for calls and fetches of them.
 	isCall bool
+	// ownerless tells that another request has just looked in vain.
+	ownerless bool
 	// accepted tells that an owner may have taken the request up and is gone;
 	// the next owner joins it or runs it, and what that one says holds.
 	accepted bool
@@ -44,6 +46,7 @@
 // or there was no owner for too long.
 func (s *search) run(ctx context.Context) error {
 	started := time.Now()
+	s.ownerless = s.forwarder.ownerless(s.shard)
 	pauses := &backoff.ExponentialBackOff{
 		InitialInterval:     s.forwarder.config.Timing.FirstPause,
 		MaxInterval:         s.forwarder.config.Timing.MaxPause,
@@ -58,7 +61,8 @@
 		}
 		pause := pauses.NextBackOff()
 		if time.Since(started)+pause > s.patience() {
-			return s.noOwner()
+			s.forwarder.vacant.Store(s.shard, time.Now())
+			return s.noOwner(time.Since(started))
 		}
 		select {
 		case <-time.After(pause):
@@ -69,12 +73,19 @@
 }
 
 // patience is how long an owner is looked for. A call that may have been taken
-// up is worth more: only an owner can tell what became of it.
+// up is worth more: only an owner can tell what became of it. A shard that had no
+// owner for the whole patience of another request a moment ago is worth less, so
+// that in a long outage requests are refused at once.
 func (s *search) patience() time.Duration {
-	if s.isCall && (s.accepted || s.uncertain) {
-		return s.forwarder.config.Timing.AcceptedPatience
+	timing := s.forwarder.config.Timing
+	switch {
+	case s.isCall && (s.accepted || s.uncertain):
+		return timing.AcceptedPatience
+	case s.ownerless:
+		return timing.OwnerlessPatience
+	default:
+		return timing.Patience
 	}
-	return s.forwarder.config.Timing.Patience
 }
 
 // round tries each candidate once, hinted ones first.
@@ -145,8 +156,8 @@
 	return qualified.WithNotRun(false)
 }
 
-func (s *search) noOwner() error {
-	problem := api.NewProblem(api.CodeNoOwner, "shard %d has had no owner for %s", s.shard, s.patience())
+func (s *search) noOwner(sought time.Duration) error {
+	problem := api.NewProblem(api.CodeNoOwner, "shard %d had no owner for %s", s.shard, sought.Round(time.Millisecond))
 	return problem.WithNotRun(!s.accepted && !s.uncertain).WithRetryAfter(s.forwarder.config.Timing.RetryAfter)
 }
 
@@ -209,8 +220,15 @@
 	return candidate{local: given.node.Name == f.config.Self.Name, hint: given}
 }
 
+// ownerless tells whether a search for the shard's owner failed a moment ago.
+func (f *Forwarder) ownerless(shard identity.ShardID) bool {
+	failed, found := f.vacant.Load(shard)
+	return found && time.Since(failed) < f.config.Timing.OwnerlessMemory
+}
+
 // remember keeps who answered, as the first to be asked next time.
 func (f *Forwarder) remember(shard identity.ShardID, at candidate) {
+	f.vacant.Delete(shard)
 	if at.local {
 		f.config.Board.Owners.Delete(shard)
 		return
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -52,8 +52,10 @@
 	active   int
 	// idleSince is when active fell to 0 last.
 	idleSince time.Time
-	timer     *time.Timer
-	err       error
+	// lastTick is when the timer fired last, or a watch began.
+	lastTick time.Time
+	timer    *time.Timer
+	err      error
 }
 
 func newConnection(socket net.Conn, options *Options, stats *Stats, pings bool) *connection {
@@ -243,6 +245,7 @@
 		return
 	}
 	c.lastRead.Store(int64(time.Since(c.start)))
+	c.lastTick = time.Now()
 	c.timer.Reset(c.options.HeartbeatInterval)
 }
 
@@ -265,6 +268,7 @@
 		return false
 	}
 	if c.active > 0 {
+		c.forgiveStallLocked()
 		c.timer.Reset(c.options.HeartbeatInterval)
 		return true
 	}
@@ -276,6 +280,17 @@
 	return false
 }
 
+// forgiveStallLocked begins the watch anew after a time in which this process
+// itself did not run: what came in meanwhile was not read yet, so the silence
+// tells nothing of the other side.
+func (c *connection) forgiveStallLocked() {
+	now := time.Now()
+	if now.Sub(c.lastTick) > 2*c.options.HeartbeatInterval {
+		c.lastRead.Store(int64(now.Sub(c.start)))
+	}
+	c.lastTick = now
+}
+
 // tick checks for signs of life, or closes a connection that idled too long.
 func (c *connection) tick() {
 	c.mutex.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -169,8 +169,10 @@
 
 // incomingRequest is one request that is being received or handled.
 type incomingRequest struct {
-	number   uint64
+	number uint64
+	// assembly and complete are used by the reader alone.
 	assembly assembler
+	complete bool
 	ctx      context.Context
 	cancel   context.CancelFunc
 	granted  chan struct{}
@@ -198,10 +200,14 @@
 
 func (c *serverConnection) receiveRequest(h header, payload []byte) error {
 	request := c.request(h.request)
+	if request.complete {
+		return fmt.Errorf("%w: request %d came twice", errProtocol, h.request)
+	}
 	whole, complete, err := request.assembly.add(h, payload)
 	if err != nil || !complete {
 		return err
 	}
+	request.complete = true
 	c.stats.MessagesReceived.Add(1)
 	if reason := c.server.admit(); reason != nil {
 		c.stats.Refused.Add(1)
