Let the lost answer of a test be that of its call

Cause: TestFailingCallsEject set the fault 'lose the next answer' at a time at which a poll was due too. Where the poll came first it took the fault, and the call got its answer: 'controller_test.go:282: not true: errors.Is(ask(...), backend.ErrBroken)'.

Change: the test acts between two polls. What it asserts stays.

Ruled out: a fault of the controller or the stand-in; the poll took the fault as it should.

--- a/internal/controller/backends/controller_test.go
+++ b/internal/controller/backends/controller_test.go
@@ -276,7 +276,9 @@
 func TestFailingCallsEject(t *testing.T) {
 	inBubble(t, func(t *testing.T, s *site) {
 		is := is.New(t)
-		time.Sleep(2 * time.Second)
+		// Polls come at whole multiples of 500 ms; between them, the lost answer is
+		// that of the call.
+		time.Sleep(2100 * time.Millisecond)
 		for i := range 2 {
 			s.engines[addressOf(0)].SetFaults(engine.Faults{LoseNext: 1})
 			is.True(errors.Is(ask(s, addressOf(0), fmt.Sprint(i)), backend.ErrBroken))
