Wait out a takeover, document chat requests, restrict names

Change: patience 8 s; the OpenAPI document has the chat request's fields; names are letters, digits and . _ : -, in the document and in the chat headers.

--- a/api/types.go
+++ b/api/types.go
@@ -19,7 +19,7 @@
 	Class  string `json:"class" minLength:"1" maxLength:"128"`
 	// ID may be chosen by the caller so that creating can be repeated safely;
 	// left empty, the node chooses one.
-	ID string `json:"id,omitempty" maxLength:"64"`
+	ID string `json:"id,omitempty" maxLength:"64" pattern:"^[A-Za-z0-9._:-]*$" patternDescription:"letters, digits and . _ : -"`
 }
 
 // ProgramState is where a program is in its life.
@@ -66,7 +66,7 @@
 	// Sequence is the call's position in its branch, from 1.
 	Sequence uint64 `json:"sequence" minimum:"1"`
 	// Branch is the chain the call belongs to; empty means main.
-	Branch string   `json:"branch,omitempty" maxLength:"64"`
+	Branch string   `json:"branch,omitempty" maxLength:"64" pattern:"^[A-Za-z0-9._:-]*$" patternDescription:"letters, digits and . _ : -"`
 	Kind   CallKind `json:"kind" enum:"model,application"`
 	// Model names a row of the table; empty takes the class's model.
 	Model string `json:"model,omitempty" maxLength:"128"`
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -57,7 +57,7 @@
 	t.FirstPause = cmp.Or(t.FirstPause, 20*time.Millisecond)
 	t.MaxPause = cmp.Or(t.MaxPause, 250*time.Millisecond)
 	t.Jitter = max(cmp.Or(t.Jitter, 0.5), 0)
-	t.Patience = cmp.Or(t.Patience, 5*time.Second)
+	t.Patience = cmp.Or(t.Patience, 8*time.Second)
 	t.OwnerlessPatience = cmp.Or(t.OwnerlessPatience, 100*time.Millisecond)
 	t.OwnerlessMemory = cmp.Or(t.OwnerlessMemory, 5*time.Second)
 	t.AcceptedPatience = cmp.Or(t.AcceptedPatience, time.Minute)
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -43,9 +43,6 @@
 	failure := schemas.Schema(reflect.TypeFor[chatFailure](), true, "ChatFailure")
 	op.Responses["default"].Content = map[string]*huma.MediaType{api.MediaJSON: {Schema: failure}}
 	op.Responses["200"].Content[api.MediaEventStream].Schema = schemas.Schema(reflect.TypeFor[chatChunk](), true, "ChatChunk")
-	op.RequestBody = &huma.RequestBody{Required: true, Content: map[string]*huma.MediaType{
-		api.MediaJSON: {Schema: schemas.Schema(reflect.TypeFor[chatRequest](), true, "ChatRequest")},
-	}}
 	op.SkipValidateBody = true // chatRequest checks itself, to answer in its clients' shape
 	op.SkipValidateParams = true
 	huma.Register(face, op, func(_ context.Context, input *chatInput) (*huma.StreamResponse, error) {
@@ -54,6 +51,10 @@
 			g.chat(request.Context(), writer, input)
 		}}, nil
 	})
+	// huma documents a raw body as bytes; clients are told what it holds.
+	face.OpenAPI().Paths[chatPath].Post.RequestBody = &huma.RequestBody{Required: true, Content: map[string]*huma.MediaType{
+		api.MediaJSON: {Schema: schemas.Schema(reflect.TypeFor[chatRequest](), true, "ChatRequest")},
+	}}
 }
 
 // chatCall is a chat request with its place.
@@ -127,6 +128,7 @@
 	findings := chat.request.check()
 	sequence, placeFindings := parsePlace(input)
 	findings = append(findings, placeFindings...)
+	findings = append(findings, checkNames(input)...)
 	if len(findings) > 0 {
 		problem := api.NewProblem(api.CodeInvalid, "%d findings, the first: %s: %s", len(findings), findings[0].Place, findings[0].Message)
 		problem.Findings = findings
@@ -164,6 +166,20 @@
 	return sequence, nil
 }
 
+// checkNames checks the names that the headers give.
+func checkNames(input *chatInput) []api.Finding {
+	var findings []api.Finding
+	for _, header := range [][2]string{{api.HeaderProgram, input.Program}, {api.HeaderBranch, input.Branch}} {
+		if header[1] != "" && !api.ValidName(header[1]) {
+			findings = append(findings, api.Finding{
+				Place:   "header " + header[0],
+				Message: "is not made of at most 64 letters, digits and . _ : -",
+			})
+		}
+	}
+	return findings
+}
+
 // classOfSingle is the class of calls that name none: the configured one, else
 // the table's class "default", else its only one.
 func (g *Gateway) classOfSingle() string {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -265,6 +265,7 @@
 		for _, path := range []string{"/v1/programs/{id}/calls/{sequence}", "/v1/chat/completions", "/v1/programs/{id}/end"} {
 			is.True(strings.Contains(document.body, path))
 		}
+		is.True(strings.Contains(document.body, `"ChatRequest"`))
 		missing := f.do(t, "GET", "/v2/nothing", "")
 		is.Equal(missing.status, 404)
 		is.Equal(missing.problem(t).Code, api.CodeInvalid)
@@ -396,6 +397,8 @@
 		}
 		is.True(len(places) >= 4)
 		is.Equal(f.do(t, "POST", "/v1/programs/p/calls", "").problem(t).Status, 400)
+		named := f.do(t, "POST", "/v1/programs", `{"tenant":"t","class":"c","id":"a/b"}`).problem(t)
+		is.Equal(named.Findings[0].Place, "body.id")
 		is.Equal(f.do(t, "GET", "/v1/programs/p/calls/zero", "").problem(t).Status, 422)
 		is.Equal(len(f.programs.calls), 0)
 	})
