Keep taking peer connections after a failed accept, show the transport's counters

Cause: Serve returned on the first failed accept (too many open files passes), and the node would have taken no more connections; the counters were not shown. Change: pauses from 5 ms to 1 s between failed accepts; Options.Registerer takes eight counters as Prometheus metrics.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,6 +16,12 @@
 	"stepseam.example/stepseam/internal/wire"
 )
 
+// The pauses after a connection could not be accepted.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
 // errCallerGone is what sendPart returns once nobody waits for the parts.
 var errCallerGone = errors.New("peer: the caller is gone")
 
@@ -46,16 +52,25 @@
 // Close, and then returns nil. The registry must be complete by now.
 func (t *Transport) Serve(listener net.Listener) error {
 	t.server.track(listener)
+	pause := minAcceptPause
 	for {
 		socket, err := listener.Accept()
-		switch {
-		case err == nil:
+		if err == nil {
+			pause = minAcceptPause
 			go t.server.accept(socket)
-		case t.server.stopping.Load() || errors.Is(err, net.ErrClosed):
+			continue
+		}
+		if t.server.stopping.Load() || errors.Is(err, net.ErrClosed) {
 			return nil
-		default:
-			return fmt.Errorf("peer: accept at %s: %w", listener.Addr(), err)
 		}
+		// Such as too many open files: it passes, and a node that took no more
+		// connections would be lost.
+		t.options.Logger.Error("peer connection not accepted", "address", listener.Addr(), "error", err)
+		select {
+		case <-time.After(pause):
+		case <-t.server.life.Done():
+		}
+		pause = min(2*pause, maxAcceptPause)
 	}
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"stepseam.example/stepseam/internal/wire"
 )
 
@@ -47,6 +49,8 @@
 	// Dial opens a connection; nil dials TCP.
 	Dial   func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	Logger *slog.Logger
+	// Registerer takes the transport's metrics; it may be nil.
+	Registerer prometheus.Registerer
 }
 
 func (o Options) withDefaults() Options {
@@ -91,6 +95,9 @@
 		links:    map[netip.AddrPort]*link{},
 	}
 	t.server = newServer(t)
+	if options.Registerer != nil {
+		options.Registerer.MustRegister(&collector{&t.stats})
+	}
 	return t
 }
 
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/wire"
@@ -207,6 +209,38 @@
 	})
 }
 
+// failingListener fails a few times before it accepts.
+type failingListener struct {
+	*pipeListener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, errors.New("too many open files")
+	}
+	return l.pipeListener.Accept()
+}
+
+func TestServeOutlivesFailuresToAccept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		listener := &failingListener{pipeListener: newPipeListener(), failures: 5}
+		client := peer.NewTransport(newRegistry(handle), peer.Options{Dial: listener.dial})
+		defer client.Close()
+		registry := prometheus.NewPedanticRegistry()
+		server := peer.NewTransport(newRegistry(handle), peer.Options{Registerer: registry, Logger: slog.New(slog.DiscardHandler)})
+		defer server.Close()
+		go func() { _ = server.Serve(listener) }()
+		_, err := client.Call(t.Context(), anyAddress, &blob{[]byte("x")}, nil)
+		is.NoErr(err)
+		families, err := registry.Gather()
+		is.NoErr(err)
+		is.Equal(len(families), 8)
+	})
+}
+
 type unknown struct{ blob }
 
 func (*unknown) Kind() peer.Kind { return 999 }
