--- a/internal/journal/manager.go
+++ b/internal/journal/manager.go
@@ -198,6 +198,7 @@
 			return
 		}
 		m.probe(ctx)
+		m.wakeClaims()
 	}
 }
 
--- a/internal/journal/schedule.go
+++ b/internal/journal/schedule.go
@@ -10,8 +10,12 @@
 	"stepseam.example/stepseam/internal/membership"
 )
 
-// claimInterval is the time between two looks at which shards to claim.
-const claimInterval = 100 * time.Millisecond
+const (
+	// claimInterval is the time between two looks at which shards to claim while
+	// some are missing, idleInterval while none is.
+	claimInterval = 100 * time.Millisecond
+	idleInterval  = time.Second
+)
 
 // The bounds of the pause after a claim that failed.
 const (
@@ -31,8 +35,11 @@
 		if !fresh || view.Version != version {
 			wanted, version, fresh = m.wantedShards(view), view.Version, true
 		}
-		m.claimSome(wanted)
-		timer := time.NewTimer(claimInterval/2 + m.random.duration(claimInterval))
+		interval := idleInterval
+		if m.claimSome(wanted) {
+			interval = claimInterval
+		}
+		timer := time.NewTimer(interval/2 + m.random.duration(interval))
 		select {
 		case <-timer.C:
 		case <-changed:
@@ -65,30 +72,36 @@
 	return wanted
 }
 
-// claimSome begins as many claims as the rate allows.
-func (m *Manager) claimSome(wanted []identity.ShardID) {
+// claimSome begins as many claims as the rate allows, and tells whether any of the
+// wanted shards is missing.
+func (m *Manager) claimSome(wanted []identity.ShardID) (missing bool) {
 	if m.draining.Load() || m.health.isDown() {
-		return
+		return false
 	}
-	due := make([]identity.ShardID, 0, len(wanted))
+	var due []identity.ShardID
 	for _, shard := range wanted {
-		if m.slots[shard].isDue(time.Now()) {
+		owned, ready := m.slots[shard].state(time.Now())
+		missing = missing || !owned
+		if ready {
 			due = append(due, shard)
 		}
 	}
 	m.random.shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	for _, shard := range due {
 		if !m.claims.Allow() {
-			return
+			break
 		}
 		m.begin(shard)
 	}
+	return missing
 }
 
-func (s *slot) isDue(now time.Time) bool {
+// state tells whether the shard is owned, and whether a claim of it may start.
+func (s *slot) state(now time.Time) (owned, ready bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.owned == nil && s.attempt == nil && !now.Before(s.notBefore)
+	owned = s.owned != nil
+	return owned, !owned && s.attempt == nil && !now.Before(s.notBefore)
 }
 
 // begin starts a claim of shard unless one is under way or the shard is owned,
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"stepseam.example/stepseam/internal/wire"
 )
@@ -37,8 +38,12 @@
 	}
 	t.Folded, t.State = false, nil
 	known := min(index-t.After, uint64(len(t.Entries)))
-	t.Entries = append([][]byte(nil), t.Entries[known:]...)
 	t.After = index
+	rest := t.Entries[known:]
+	if known > 0 && 2*len(rest) <= len(t.Entries) {
+		rest = slices.Clone(rest) // lets the memory of what was dropped go
+	}
+	t.Entries = rest
 }
 
 // Fold replaces all records up to index by the state after it.
