--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -26,6 +26,8 @@
 	KindRangeTable    Kind = 300
 	KindRangeBackends Kind = 400
 	KindRangeOperator Kind = 500
+
+	kindRangeSize = 100
 )
 
 // Message is one typed message of the internal protocol.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -28,10 +28,13 @@
 // server is the serving side of a transport.
 type server struct {
 	transport *Transport
-	handling  atomic.Int64
-	stopping  atomic.Bool
-	life      context.Context
-	kill      context.CancelFunc
+	// handling counts the handlers at work in each range of kinds. Each range has
+	// room of its own, so that calls that wait for minutes cannot keep lease
+	// renewals and records of the journal out.
+	handling [handlerRanges]atomic.Int64
+	stopping atomic.Bool
+	life     context.Context
+	kill     context.CancelFunc
 
 	// mutex guards listeners and connections, and orders admission against stop.
 	mutex       sync.Mutex
@@ -88,10 +91,24 @@
 		t.server.flush(ctx)
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("peer: shutdown with %d handlers at work: %w", t.server.handling.Load(), ctx.Err())
+		return fmt.Errorf("peer: shutdown with %d handlers at work: %w", t.server.atWork(), ctx.Err())
 	}
 }
 
+// handlerRanges is the number of ranges of kinds; kinds above them share the last.
+const handlerRanges = 8
+
+func handlerRange(kind Kind) int { return min(int(kind/kindRangeSize), handlerRanges-1) }
+
+// atWork returns the number of handlers at work.
+func (s *server) atWork() int64 {
+	var total int64
+	for i := range s.handling {
+		total += s.handling[i].Load()
+	}
+	return total
+}
+
 // flush waits until the answers of all handlers are written.
 func (s *server) flush(ctx context.Context) {
 	s.mutex.Lock()
@@ -224,7 +241,7 @@
 	}
 	request.complete = true
 	c.stats.MessagesReceived.Add(1)
-	if reason := c.server.admit(); reason != nil {
+	if reason := c.server.admit(h.kind); reason != nil {
 		c.stats.Refused.Add(1)
 		c.drop(h.request)
 		c.sendControl(header{form: frameRefused, request: h.request}, []byte(reason.Error()))
@@ -235,16 +252,17 @@
 }
 
 // admit takes room for one handler, or tells why there is none.
-func (s *server) admit() error {
+func (s *server) admit(kind Kind) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.stopping.Load() {
 		return errStopping
 	}
-	if s.handling.Load() >= int64(s.transport.options.MaxHandlers) {
-		return fmt.Errorf("peer: %d requests at work", s.handling.Load())
+	room := &s.handling[handlerRange(kind)]
+	if room.Load() >= int64(s.transport.options.MaxHandlers) {
+		return fmt.Errorf("peer: %d requests of the kind's range at work", room.Load())
 	}
-	s.handling.Add(1)
+	room.Add(1)
 	s.handlers.Add(1)
 	return nil
 }
@@ -313,7 +331,7 @@
 // handle runs the handler and sends its answer.
 func (c *serverConnection) handle(request *incomingRequest, kind Kind, fields []byte) {
 	defer c.server.handlers.Done()
-	defer c.server.handling.Add(-1)
+	defer c.server.handling[handlerRange(kind)].Add(-1)
 	defer c.drop(request.number)
 	handler := c.server.transport.registry.Handler(kind)
 	if handler == nil {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -42,7 +42,8 @@
 	IdleTimeout time.Duration
 	// MaxMessageBytes bounds one message, whatever its chunks.
 	MaxMessageBytes int
-	// MaxHandlers bounds the requests that are handled at once; more are refused.
+	// MaxHandlers bounds the requests of each range of kinds that are handled at
+	// once; more are refused.
 	MaxHandlers int
 	// PartWindowBytes is how many bytes of parts one request may have on their way.
 	PartWindowBytes int
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -55,6 +55,10 @@
 	registry := peer.NewRegistry()
 	registry.Add(func() peer.Message { return &blob{} })
 	registry.Handle(kindBlob, handler)
+	registry.Add(func() peer.Message { return &journalled{} })
+	registry.Handle(peer.KindRangeJournal+1, peer.HandlerFunc(func(context.Context, peer.Message, func(peer.Message) error) (peer.Message, error) {
+		return &journalled{}, nil
+	}))
 	return registry
 }
 
@@ -241,6 +245,11 @@
 	})
 }
 
+// journalled is a message of the journal's range.
+type journalled struct{ blob }
+
+func (*journalled) Kind() peer.Kind { return peer.KindRangeJournal + 1 }
+
 type unknown struct{ blob }
 
 func (*unknown) Kind() peer.Kind { return 999 }
@@ -269,6 +278,8 @@
 		<-started
 		_, err := p.call(t.Context(), "second", nil)
 		is.True(errors.Is(err, peer.ErrNotSent)) // no room for a second handler
+		_, err = p.client.Call(t.Context(), anyAddress, &journalled{}, nil)
+		is.NoErr(err) // another range of kinds has room of its own
 		stopped := make(chan error, 1)
 		go func() { stopped <- p.server.Shutdown(t.Context()) }()
 		synctest.Wait()
