Test the back-end clients' patience in virtual time

Cause: TestAllElseIsBroken waited 100 ms of real time for what never comes.

Change: these tests run the real clients and servers over connections in memory inside a synctest bubble, with the default timeouts; Options.Dial makes that possible. Tests on real sockets wait a minute. A test for a dial in vain is new.

Ruled out: a fault of the client, whose answer was right. A longer real timeout alone was ruled out, as it would only be rarer.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -23,10 +23,13 @@
 var errTooLarge = errors.New("backend: answer too large")
 
 func (o Options) transport() *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	dial := o.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
 	return &http.Transport{
 		Proxy:              nil,
-		DialContext:        dialer.DialContext,
+		DialContext:        dial,
 		DisableCompression: true,
 	}
 }
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -5,13 +5,16 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -75,23 +78,68 @@
 	}
 }
 
-// options are the defaults with a short patience: what these tests wait for
-// never comes, so a slow machine only makes them slower.
-func options() backend.Options {
-	options := backend.DefaultOptions()
-	options.HeaderTimeout = 100 * time.Millisecond
-	options.IdleTimeout = 100 * time.Millisecond
-	options.CallTimeout = 100 * time.Millisecond
-	options.TransferTimeout = 100 * time.Millisecond
-	options.OrderTimeout = 100 * time.Millisecond
-	options.InvokeTimeout = 100 * time.Millisecond
-	return options
+// pipes is a network in memory: it runs in a synctest bubble, where what is
+// waited for in vain costs no time.
+type pipes struct {
+	incoming chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case connection := <-p.incoming:
+		return connection, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return nil
+}
+
+func (*pipes) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 80} }
+
+func (p *pipes) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case p.incoming <- far:
+		return near, nil
+	case <-p.closed:
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// inBubble runs test with clients of a server that answers by handler, in
+// virtual time.
+func inBubble(t *testing.T, handler http.HandlerFunc, change func(*backend.Options), test func(t *testing.T, directory backend.Directory, address netip.AddrPort)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := &pipes{incoming: make(chan net.Conn), closed: make(chan struct{})}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ErrorLog: log.New(io.Discard, "", 0)}
+		go func() { _ = server.Serve(network) }()
+		options := backend.DefaultOptions()
+		options.Dial = network.dial
+		change(&options)
+		directory := backend.NewDirectory(options)
+		test(t, directory, netip.MustParseAddrPort("127.0.0.1:80"))
+		directory.Close()
+		_ = server.Close()
+	})
 }
 
-func serve(t *testing.T, handler http.HandlerFunc, options backend.Options) (backend.Directory, netip.AddrPort) {
+// serve answers by handler over loopback; its clients wait long, so that a busy
+// machine changes nothing.
+func serve(t *testing.T, handler http.HandlerFunc) (backend.Directory, netip.AddrPort) {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
+	options := backend.DefaultOptions()
+	options.HeaderTimeout, options.IdleTimeout, options.CallTimeout = time.Minute, time.Minute, time.Minute
 	directory := backend.NewDirectory(options)
 	t.Cleanup(directory.Close)
 	return directory, netip.MustParseAddrPort(server.Listener.Addr().String())
@@ -117,7 +165,7 @@
 
 func TestAnEndedContextWasNotDelivered(t *testing.T) {
 	var arrived atomic.Int32
-	directory, address := serve(t, func(http.ResponseWriter, *http.Request) { arrived.Add(1) }, backend.DefaultOptions())
+	directory, address := serve(t, func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	for _, call := range calls() {
@@ -142,7 +190,7 @@
 			w.Header().Set("Content-Type", "application/problem+json; charset=utf-8")
 			w.WriteHeader(document.Status)
 			_, _ = fmt.Fprintf(w, `{"code":%q,"detail":"why"}`, document.Code)
-		}, backend.DefaultOptions())
+		})
 		for _, call := range calls() {
 			t.Run(string(document.Code)+"/"+call.name, func(t *testing.T) {
 				is := is.New(t)
@@ -187,19 +235,19 @@
 		},
 	}
 	for name, handler := range answers {
-		limited := options()
-		limited.MaxBodyBytes, limited.MaxEventBytes = 1024, 1024
-		directory, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		reading := func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			handler(w, r)
-		}, limited)
+		}
+		limit := func(options *backend.Options) { options.MaxBodyBytes, options.MaxEventBytes = 1024, 1024 }
 		for _, call := range calls() {
 			t.Run(name+"/"+call.name, func(t *testing.T) {
-				t.Parallel()
-				err := call.run(t.Context(), directory, address)
-				if !errors.Is(err, backend.ErrBroken) || backend.NotRun(err) {
-					t.Errorf("got %v", err)
-				}
+				inBubble(t, reading, limit, func(t *testing.T, directory backend.Directory, address netip.AddrPort) {
+					err := call.run(t.Context(), directory, address)
+					if !errors.Is(err, backend.ErrBroken) || backend.NotRun(err) {
+						t.Errorf("got %v", err)
+					}
+				})
 			})
 		}
 	}
@@ -220,7 +268,7 @@
 		t.Run(name, func(t *testing.T) {
 			directory, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 				_, _ = io.WriteString(w, text)
-			}, backend.DefaultOptions())
+			})
 			_, err := directory.Engine(address).Generate(t.Context(), backend.GenerateRequest{MaxTokens: 1}, nil)
 			if !errors.Is(err, backend.ErrBroken) {
 				t.Errorf("got %v", err)
@@ -231,7 +279,7 @@
 		is := is.New(t)
 		directory, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, ": waiting\n\n"+token+last+"data: [DONE]\n\n")
-		}, backend.DefaultOptions())
+		})
 		result, err := directory.Engine(address).Generate(t.Context(), backend.GenerateRequest{MaxTokens: 1}, nil)
 		is.NoErr(err)
 		is.Equal(result.Text, "ba ")
@@ -240,17 +288,37 @@
 
 // A slow reader is not a silent engine: time spent in onToken does not count.
 func TestASlowReaderIsNotCutOff(t *testing.T) {
-	is := is.New(t)
-	directory, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+	inBubble(t, func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "data: {\"choices\":[{\"delta\":{\"content\":\"ba \"}}]}\n\n")
 		_ = http.NewResponseController(w).Flush()
 		_, _ = io.WriteString(w, "data: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":1}}\n\ndata: [DONE]\n\n")
-	}, options())
-	_, err := directory.Engine(address).Generate(t.Context(), backend.GenerateRequest{MaxTokens: 1}, func(backend.Token) error {
-		time.Sleep(3 * options().IdleTimeout)
-		return nil
+	}, func(*backend.Options) {}, func(t *testing.T, directory backend.Directory, address netip.AddrPort) {
+		_, err := directory.Engine(address).Generate(t.Context(), backend.GenerateRequest{MaxTokens: 1}, func(backend.Token) error {
+			time.Sleep(time.Hour)
+			return nil
+		})
+		if err != nil {
+			t.Error(err)
+		}
 	})
-	is.NoErr(err)
+}
+
+// A back end that nobody can connect to costs no more than the time it may take,
+// and was not delivered to.
+func TestADialInVainWasNotDelivered(t *testing.T) {
+	nobody := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	for _, call := range calls() {
+		t.Run(call.name, func(t *testing.T) {
+			inBubble(t, nil, func(options *backend.Options) { options.Dial = nobody }, func(t *testing.T, directory backend.Directory, address netip.AddrPort) {
+				if err := call.run(t.Context(), directory, address); !errors.Is(err, backend.ErrNotDelivered) {
+					t.Errorf("got %v", err)
+				}
+			})
+		})
+	}
 }
 
 // net/http repeats requests by itself on a reused connection that breaks, and
@@ -268,7 +336,7 @@
 					return
 				}
 				panic(http.ErrAbortHandler)
-			}, backend.DefaultOptions())
+			})
 			application := directory.Application(address)
 			request := backend.InvokeRequest{Operation: "enrol", Body: []byte(body), IdempotencyKey: "key"}
 			_, err := application.Invoke(t.Context(), request)
--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 )
@@ -29,6 +31,8 @@
 	MaxConnections        int
 	MaxIdleConnections    int
 	IdleConnectionTimeout time.Duration
+	// Dial makes connections; nil takes TCP. In-memory networks set it.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // DefaultOptions returns the bounds for a site whose zones are milliseconds apart.
--- a/internal/emulator/engine/server_test.go
+++ b/internal/emulator/engine/server_test.go
@@ -39,7 +39,9 @@
 	t.Cleanup(e.Close)
 	server := httptest.NewServer(engine.NewServer(e))
 	t.Cleanup(server.Close)
-	directory := backend.NewDirectory(backend.DefaultOptions())
+	options := backend.DefaultOptions()
+	options.HeaderTimeout, options.IdleTimeout, options.CallTimeout = time.Minute, time.Minute, time.Minute
+	directory := backend.NewDirectory(options)
 	t.Cleanup(directory.Close)
 	return e, directory.Engine(netip.MustParseAddrPort(server.Listener.Addr().String())), server.URL
 }
