Count what a prefill costs the neighbours when a branch would move

It took small, late differences of the observed decode rates for real and moved branches for them, and a moved branch's prefill stalls the whole batch it lands in.

--- a/internal/lab/experiment/node.go
+++ b/internal/lab/experiment/node.go
@@ -198,6 +198,7 @@
 		backend := scheduling.Backend{
 			Name: e.name, Service: n.run.site.Service, ServesModel: true,
 			Health:          book.health.At(n.run.wall(now)).Health,
+			BatchLimit:      report.batchLimit,
 			ReportedRunning: report.running, ReportedWaiting: report.waiting,
 			QueuedPrefillTokens: report.queuedPrefill, ReportAge: now - report.asOf,
 			CachedTokens:        min(request.branch.cached[i], request.tokens),
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -70,6 +70,8 @@
 	waiting       int
 	queuedPrefill int
 	cacheUsed     int
+	// batchLimit is the largest batch reported beside waiting calls.
+	batchLimit int
 }
 
 // start is the wall time at which every run begins; only its differences matter.
@@ -180,9 +182,15 @@
 	}
 	lag := reportLag + time.Duration(r.random.Int64N(int64(reportJitter)))
 	r.clock.after(lag, func() {
-		if r.reports[e.index].listed && now.asOf > r.reports[e.index].asOf {
-			r.reports[e.index] = now
+		last := &r.reports[e.index]
+		if !last.listed || now.asOf <= last.asOf {
+			return
 		}
+		now.batchLimit = last.batchLimit
+		if now.waiting > 0 {
+			now.batchLimit = max(now.batchLimit, now.running)
+		}
+		*last = now
 	})
 }
 
--- a/internal/lab/experiment/strategy.go
+++ b/internal/lab/experiment/strategy.go
@@ -51,7 +51,7 @@
 }
 
 // waitLimit is the wait over which new programs are refused.
-const waitLimit = 6 * time.Second
+const waitLimit = 4 * time.Second
 
 // PrimaryStrategies names those that are compared unless others are asked for.
 func PrimaryStrategies() []string {
--- a/internal/scheduling/contract.go
+++ b/internal/scheduling/contract.go
@@ -36,6 +36,9 @@
 	ReportedWaiting     int
 	QueuedPrefillTokens int
 	ReportAge           time.Duration
+	// BatchLimit is how many calls run there at once, as learned from reports with
+	// waiting calls; 0 if unknown.
+	BatchLimit int
 	// OwnInFlight counts this node's calls there that the report cannot know yet,
 	// OwnPrefillTokens their uncached prompt tokens.
 	OwnInFlight      int
--- a/internal/scheduling/keepwarm.go
+++ b/internal/scheduling/keepwarm.go
@@ -9,7 +9,7 @@
 
 // DefaultPatience is how many seconds of holding a token are worth prefilling it
 // again once; docs/decisions/0005-scheduling.md has the figures behind it.
-const DefaultPatience = 120 * time.Second
+const DefaultPatience = 600 * time.Second
 
 // Paused is a branch that waits for its program's next call while a back end
 // holds its prefix.
--- a/internal/scheduling/order.go
+++ b/internal/scheduling/order.go
@@ -9,7 +9,7 @@
 
 const (
 	// priorityStep is how many seconds of age one step of the table's priority is worth.
-	priorityStep = 30.0
+	priorityStep = 10.0
 	// deadlineHorizon is how long before its deadline a call begins to gain urgency.
 	deadlineHorizon = 30 * time.Second
 	// maximumWeight bounds what a weight of the table can do, so that age always
--- a/internal/scheduling/stepseam.go
+++ b/internal/scheduling/stepseam.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// defaultPrefillRate and defaultDecodeRate stand in for a back end of which
-	// nothing was observed yet, in tokens per second.
+	// defaultPrefillRate and defaultDecodeRate stand in while nothing was observed
+	// of any back end, in tokens per second.
 	defaultPrefillRate = 4000
 	defaultDecodeRate  = 40
 	// defaultAnswerTokens is the answer length expected of a class of which
@@ -20,26 +20,40 @@
 // Parameters are what the Stepseam policy weighs by. They were tuned with
 // `stepseam-lab compare`; docs/decisions/0005-scheduling.md has the figures.
 type Parameters struct {
-	// BatchSlowdown is how much one more call in the batch of an engine slows
-	// the tokens of all, as a share of the time of a token alone.
+	// BatchSlowdown is how much one more call in a batch lengthens the time of
+	// each token, as a share of it.
 	BatchSlowdown float64
+	// Neighbours is how much the delay that a call's prefill means for each
+	// running call counts beside the call's own time. A long prefill stalls the
+	// whole batch, so at 0 branches move too lightly.
+	Neighbours float64
 	// EvictionShare is the share of evicted tokens that is expected to have to be
 	// prefilled again.
 	EvictionShare float64
 	// MoveMargin is how much better, in seconds, another back end must be before
-	// a branch leaves the one that holds its prefix.
+	// a branch leaves the one where it ran last.
 	MoveMargin time.Duration
+	// SlowShare is the share of the usual decode rate below which a back end is
+	// taken to be slow; above it, differences are noise or its batch.
+	SlowShare float64
+	// Herd is how many calls of other nodes are assumed to be on their way to a
+	// back end for each own one that its report can't know.
+	Herd float64
 }
 
 // DefaultParameters returns the parameters the daemon runs with.
 func DefaultParameters() Parameters {
-	return Parameters{BatchSlowdown: 0.06, EvictionShare: 0.3, MoveMargin: 200 * time.Millisecond}
+	return Parameters{
+		BatchSlowdown: 0.02, Neighbours: 1.5, EvictionShare: 0.3,
+		MoveMargin: 500 * time.Millisecond, SlowShare: 0.6, Herd: 3,
+	}
 }
 
-// Stepseam chooses the back end where the call is expected to complete first:
-// the way there and back, the work that waits before it, the prefill of what is
-// not cached there, the decode in the company of what runs there, and the cost
-// to others of the prefixes it would evict.
+// Stepseam chooses the back end where the call is expected to complete first,
+// counting what it costs others: the way there and back, the work that waits
+// before it, the prefill of what is not cached there and the delay of that for
+// its neighbours, the decode in the company of what runs there, and the prefixes
+// it would evict.
 type Stepseam struct {
 	Parameters Parameters
 }
@@ -50,26 +64,18 @@
 // Name returns stepseam.
 func (Stepseam) Name() string { return "stepseam" }
 
-// estimate is what a call is expected to take at one back end, in seconds.
-type estimate struct {
-	travel, wait, prefill, decode, eviction, move float64
-}
-
-func (e estimate) completion() float64 { return e.travel + e.wait + e.prefill + e.decode }
-
-func (e estimate) cost() float64 { return e.completion() + e.eviction + e.move }
-
-// Choose takes the back end with the lowest expected completion. A call whose
+// Choose takes the back end with the lowest expected cost. A call whose
 // caller will have given up before even the best back end answers is refused
 // with the time after which it would be in time.
 func (s Stepseam) Choose(now time.Time, call Call, backends []Backend) Decision {
-	cost := func(b *Backend) float64 { return s.estimate(&call, b).cost() }
-	decision := choose(&call, backends, cost, func(b *Backend) string { return s.note(&call, b) })
+	weigher := s.weigher(&call, backends)
+	cost := func(b *Backend) float64 { e := weigher.estimate(b); return e.cost() }
+	decision := choose(&call, backends, cost, weigher.note)
 	if decision.Action != Run {
 		return decision
 	}
 	decision.Priority = EnginePriority(now, &call)
-	if late := s.lateBy(now, &call, backends, decision.Backend); late > 0 {
+	if late := weigher.lateBy(now, backends, decision.Backend); late > 0 {
 		return Decision{
 			Action:     Refuse,
 			RetryAfter: max(late, minimumRetry).Round(time.Millisecond),
@@ -80,70 +86,158 @@
 	return decision
 }
 
+// weigher weighs back ends for one call against what is usual for all of them.
+type weigher struct {
+	parameters  Parameters
+	call        *Call
+	answer      int
+	prefillRate float64
+	decodeRate  float64
+	running     float64
+}
+
+// weigher works out the usual rates and batch of the back ends.
+func (s Stepseam) weigher(call *Call, backends []Backend) *weigher {
+	w := &weigher{parameters: s.Parameters, call: call, answer: answerTokens(call)}
+	prefills, decodes := 0.0, 0.0
+	for i := range backends {
+		b := &backends[i]
+		w.running += float64(b.ReportedRunning)
+		if b.PrefillRate > 0 {
+			w.prefillRate += b.PrefillRate
+			prefills++
+		}
+		if b.DecodeRate > 0 {
+			w.decodeRate += b.DecodeRate
+			decodes++
+		}
+	}
+	w.running /= max(float64(len(backends)), 1)
+	w.prefillRate = mean(w.prefillRate, prefills, defaultPrefillRate)
+	w.decodeRate = mean(w.decodeRate, decodes, defaultDecodeRate)
+	return w
+}
+
+func mean(sum, count, fallback float64) float64 {
+	if count == 0 {
+		return fallback
+	}
+	return sum / count
+}
+
+// estimate is what a call is expected to take at one back end, in seconds.
+type estimate struct {
+	travel, wait, prefill, decode float64
+	// others, eviction and move are costs that the call itself does not feel.
+	others, eviction, move float64
+}
+
+func (e *estimate) completion() float64 { return e.travel + e.wait + e.prefill + e.decode }
+
+func (e *estimate) cost() float64 { return e.completion() + e.others + e.eviction + e.move }
+
+// estimate weighs one back end.
+func (w *weigher) estimate(b *Backend) estimate {
+	result := estimate{travel: 2 * b.Latency.Seconds()}
+	if w.call.Model == "" {
+		result.wait = inFlight(b) * applicationSeconds
+		return result
+	}
+	p := &w.parameters
+	speed := w.speed(b)
+	own := float64(b.OwnInFlight) * (1 + p.Herd)
+	ownPrefill := float64(b.OwnPrefillTokens) * (1 + p.Herd)
+	uncached := max(w.call.PromptTokens-b.CachedTokens, 0)
+	batch := float64(b.ReportedRunning+b.ReportedWaiting) + own
+	prefillRate := w.prefillRate * speed
+
+	result.prefill = float64(uncached) / prefillRate
+	result.wait = (float64(b.QueuedPrefillTokens) + ownPrefill) / prefillRate
+	inBatch := batch
+	if limit := float64(b.BatchLimit); limit > 0 {
+		inBatch = min(batch, limit)
+	}
+	slowdown := max(1+p.BatchSlowdown*(inBatch-w.running), 0.5)
+	result.decode = float64(w.answer) * slowdown / (w.decodeRate * speed)
+	result.wait += queued(b, batch) * result.decode
+	result.others = p.Neighbours * inBatch * result.prefill
+	if b.CacheCapacityTokens > 0 {
+		overflow := float64(b.CacheUsedTokens+uncached+w.answer-b.CacheCapacityTokens) + ownPrefill
+		overflow = min(max(overflow, 0), float64(uncached+w.answer))
+		result.eviction = p.EvictionShare * overflow / prefillRate * (1 + p.Neighbours*inBatch)
+	}
+	if w.call.LastBackend != "" && w.call.LastBackend != b.Name {
+		result.move = p.MoveMargin.Seconds()
+	}
+	return result
+}
+
+// speed is how fast a back end is against the usual, at most 1. Small
+// differences of the observed rates come from the batch it happened to have and
+// count as none.
+func (w *weigher) speed(b *Backend) float64 {
+	if b.DecodeRate <= 0 {
+		return 1
+	}
+	share := b.DecodeRate / w.decodeRate
+	if share >= w.parameters.SlowShare {
+		return 1
+	}
+	return max(share, 0.05)
+}
+
+// queued returns for how many rounds of a full batch a call would wait for its place.
+func queued(b *Backend, batch float64) float64 {
+	limit := float64(b.BatchLimit)
+	if limit <= 0 {
+		if b.ReportedWaiting == 0 {
+			return 0
+		}
+		limit = float64(max(b.ReportedRunning, 1))
+	}
+	return max(batch-limit+1, 0) / limit
+}
+
 // lateBy returns by how much the call would miss its deadline at the named back
 // end. A program under way is only given up once the deadline has passed: an
 // estimate is no reason to stall it half way.
-func (s Stepseam) lateBy(now time.Time, call *Call, backends []Backend, name string) time.Duration {
-	if call.Deadline.IsZero() {
+func (w *weigher) lateBy(now time.Time, backends []Backend, name string) time.Duration {
+	if w.call.Deadline.IsZero() {
 		return 0
 	}
-	remaining := call.Deadline.Sub(now)
+	remaining := w.call.Deadline.Sub(now)
 	if remaining <= 0 {
 		return minimumRetry
 	}
-	if call.CallsSoFar > 0 {
+	if w.call.CallsSoFar > 0 {
 		return 0
 	}
 	for i := range backends {
 		if backends[i].Name == name {
-			return seconds(s.estimate(call, &backends[i]).completion()) - remaining
+			e := w.estimate(&backends[i])
+			return seconds(e.completion()) - remaining
 		}
 	}
 	return 0
 }
 
-// estimate weighs one back end for call.
-func (s Stepseam) estimate(call *Call, b *Backend) estimate {
-	result := estimate{travel: 2 * b.Latency.Seconds()}
-	if call.Model == "" {
-		result.wait = inFlight(b) * applicationSeconds
-		return result
-	}
-	prefillRate := observed(b.PrefillRate, defaultPrefillRate)
-	decodeRate := observed(b.DecodeRate, defaultDecodeRate)
-	uncached := max(call.PromptTokens-b.CachedTokens, 0)
-	answer := answerTokens(call)
-	tokenSeconds := (1 + s.Parameters.BatchSlowdown*float64(b.OwnInFlight)) / decodeRate
-
-	result.prefill = float64(uncached) / prefillRate
-	result.decode = float64(answer) * tokenSeconds
-	result.wait = float64(b.QueuedPrefillTokens+b.OwnPrefillTokens) / prefillRate
-	if b.ReportedWaiting > 0 {
-		queued := float64(b.ReportedWaiting + b.OwnInFlight)
-		result.wait += queued * result.decode / float64(max(b.ReportedRunning, 1))
-	}
-	if b.CacheCapacityTokens > 0 {
-		overflow := b.CacheUsedTokens + b.OwnPrefillTokens + uncached + answer - b.CacheCapacityTokens
-		overflow = min(max(overflow, 0), uncached+answer)
-		result.eviction = s.Parameters.EvictionShare * float64(overflow) / prefillRate
-	}
-	if call.LastBackend != "" && call.LastBackend != b.Name {
-		result.move = s.Parameters.MoveMargin.Seconds()
-	}
-	return result
+func (w *weigher) note(b *Backend) string {
+	e := w.estimate(b)
+	return fmt.Sprintf("wait %.2fs prefill %.2fs (%d cached) decode %.2fs travel %.4fs others %.2fs eviction %.2fs",
+		e.wait, e.prefill, b.CachedTokens, e.decode, e.travel, e.others, e.eviction)
 }
 
 // ExpectedWait returns how long call would wait before its prefill begins at the
 // back end where it would wait least; 0 if none can take it, which Choose answers.
 func ExpectedWait(call Call, backends []Backend) time.Duration {
-	policy := NewStepseam()
+	weigher := NewStepseam().weigher(&call, backends)
 	least, found := 0.0, false
 	for i := range backends {
 		if ineligible(&call, &backends[i]) != "" {
 			continue
 		}
-		if wait := policy.estimate(&call, &backends[i]).wait; !found || wait < least {
-			least, found = wait, true
+		if e := weigher.estimate(&backends[i]); !found || e.wait < least {
+			least, found = e.wait, true
 		}
 	}
 	return seconds(least)
@@ -153,12 +247,6 @@
 // taken to add; only the comparison between replicas matters.
 const applicationSeconds = 0.05
 
-func (s Stepseam) note(call *Call, b *Backend) string {
-	e := s.estimate(call, b)
-	return fmt.Sprintf("wait %.2fs prefill %.2fs (%d cached) decode %.2fs travel %.4fs eviction %.2fs",
-		e.wait, e.prefill, b.CachedTokens, e.decode, e.travel, e.eviction)
-}
-
 func answerTokens(call *Call) int {
 	expected := call.ExpectedTokens
 	if expected <= 0 {
@@ -170,13 +258,6 @@
 	return expected
 }
 
-func observed(value, fallback float64) float64 {
-	if value > 0 {
-		return value
-	}
-	return fallback
-}
-
 func seconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Second))
 }
