Begin no call on a shard that closes, and measure one owner

A planned hand-over waited for the application calls under way, but a call queued behind one of them could still be sent by the old owner and be cut off, which for a payment means an unknown outcome. The old owner now sends nothing once it closes; the next owner runs the queued call.

--- a/internal/serving/drive.go
+++ b/internal/serving/drive.go
@@ -243,6 +243,10 @@
 		s.machine.mutex.Unlock()
 		return false, d.abandon(d.ended())
 	}
+	if s.closing {
+		s.machine.mutex.Unlock()
+		return false, failed(s.notOwner()) // what is sent now could be cut off
+	}
 	record, again, problem := d.intent(place)
 	if again || problem != nil {
 		s.machine.mutex.Unlock()
--- a/internal/serving/shard.go
+++ b/internal/serving/shard.go
@@ -187,6 +187,7 @@
 	}
 	wait, err := enqueue(encoded...)
 	if err != nil {
+		s.closing = true // the state is ahead of the journal now, so nobody may read it
 		return nil, s.notOwner()
 	}
 	return wait, nil
--- a/internal/serving/takeover_test.go
+++ b/internal/serving/takeover_test.go
@@ -214,9 +214,13 @@
 		paying := payment(1, "fee-1")
 		paying.Branch = "pay"
 		paid := s.start(owner, p1, paying, 0)
+		queued := payment(2, "fee-2")
+		queued.Branch = "pay"
+		behind := s.start(owner, p1, queued, 0)
 		time.Sleep(10 * time.Millisecond)
 		owner.Closing(s.running, held)
 		is.NoErr((<-paid).err)
+		is.True(serving.IsNotOwner((<-behind).err)) // not begun here any more
 		cut := <-stream
 		is.True(serving.IsNotOwner(cut.err))
 		next, _ := s.open()
@@ -224,7 +228,10 @@
 		is.NoErr(rest.err)
 		is.Equal(strings.Join(append(cut.tokens, rest.tokens...), ""), rest.answer.Text)
 		is.Equal(len(s.arrivals(callID(1))), 1)
+		_, err := s.call(next, p1, queued)
+		is.NoErr(err)
 		is.Equal(s.ledger.Executions("pay_fee", "fee-1"), 1)
+		is.Equal(s.ledger.Executions("pay_fee", "fee-2"), 1)
 	})
 }
 
