--- a/internal/lab/site/node.go
+++ b/internal/lab/site/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -45,25 +46,55 @@
 // OperatorsURL is the base URL for operators.
 func (n *Node) OperatorsURL() string { return "http://" + n.Addresses.Operators.String() }
 
+// Ports of nodes lie below the range from which the system gives out free ones,
+// as a node must know its ports before it starts and nobody else may be given
+// them in between.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+	portTries = 100
+)
+
 // planNode chooses the addresses of the node at index.
 func (s *Site) planNode(index int, plan NodePlan) (*Node, error) {
 	node := &Node{Name: plan.Name, Zone: plan.Zone}
 	own := host(firstNode + index)
-	for _, target := range []*netip.AddrPort{&node.Addresses.Callers, &node.Addresses.Operators, &node.Addresses.Peer} {
-		listener, err := net.Listen("tcp", netip.AddrPortFrom(own, 0).String())
+	addresses := &node.Addresses
+	targets := []*netip.AddrPort{&addresses.Callers, &addresses.Operators, &addresses.Peer, &addresses.Probe}
+	for _, target := range targets {
+		chosen, err := freePort(own)
 		if err != nil {
 			return nil, fmt.Errorf("site: port for %s: %w", plan.Name, err)
 		}
-		defer listener.Close()
-		*target = listener.Addr().(*net.TCPAddr).AddrPort()
+		*target = chosen
+	}
+	return node, nil
+}
+
+// freePort returns a port of own that is free for TCP and UDP.
+func freePort(own netip.Addr) (netip.AddrPort, error) {
+	var last error
+	for range portTries {
+		chosen := netip.AddrPortFrom(own, uint16(firstPort+rand.IntN(portCount)))
+		if last = probePort(chosen); last == nil {
+			return chosen, nil
+		}
 	}
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(own, 0)))
+	return netip.AddrPort{}, last
+}
+
+// probePort tells whether address can be bound.
+func probePort(address netip.AddrPort) error {
+	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
-		return nil, fmt.Errorf("site: port for %s: %w", plan.Name, err)
+		return err
 	}
-	defer socket.Close()
-	node.Addresses.Probe = socket.LocalAddr().(*net.UDPAddr).AddrPort()
-	return node, nil
+	defer listener.Close()
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return err
+	}
+	return socket.Close()
 }
 
 func (s *Site) startNodes(context.Context) error {
