Run back-end clients and faces over connections in memory

Cause: how a real client and a real face behave together when an engine is frozen, busy or left alone showed in no test, since it takes minutes.

Change: internal/emulator/pipe is a network of net.Pipe connections by address; over it the HTTP client and the engine's HTTP face run in a synctest bubble.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -11,7 +11,6 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -20,6 +19,7 @@
 	"github.com/matryer/is"
 
 	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/emulator/pipe"
 	"stepseam.example/stepseam/internal/identity"
 )
 
@@ -78,55 +78,21 @@
 	}
 }
 
-// pipes is a network in memory: it runs in a synctest bubble, where what is
-// waited for in vain costs no time.
-type pipes struct {
-	incoming chan net.Conn
-	closed   chan struct{}
-	once     sync.Once
-}
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case connection := <-p.incoming:
-		return connection, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (p *pipes) Close() error {
-	p.once.Do(func() { close(p.closed) })
-	return nil
-}
-
-func (*pipes) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 80} }
-
-func (p *pipes) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	near, far := net.Pipe()
-	select {
-	case p.incoming <- far:
-		return near, nil
-	case <-p.closed:
-		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // inBubble runs test with clients of a server that answers by handler, in
 // virtual time.
 func inBubble(t *testing.T, handler http.HandlerFunc, change func(*backend.Options), test func(t *testing.T, directory backend.Directory, address netip.AddrPort)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		network := &pipes{incoming: make(chan net.Conn), closed: make(chan struct{})}
+		address := netip.MustParseAddrPort("127.0.0.1:80")
+		network := pipe.NewNetwork()
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ErrorLog: log.New(io.Discard, "", 0)}
-		go func() { _ = server.Serve(network) }()
+		listener := network.Listen(address)
+		go func() { _ = server.Serve(listener) }()
 		options := backend.DefaultOptions()
-		options.Dial = network.dial
+		options.Dial = network.Dial
 		change(&options)
 		directory := backend.NewDirectory(options)
-		test(t, directory, netip.MustParseAddrPort("127.0.0.1:80"))
+		test(t, directory, address)
 		directory.Close()
 		_ = server.Close()
 	})
