Let the client leave a frozen node also while it waits for a whole answer

Cause: a node that is frozen keeps its connections, so a JSON call hung until its own deadline. And Last-Event-ID made the first wanted token negative, which the owner would have used as an index. Change: streams can leave their tokens out (tokens=false); the client waits for whole answers on such a stream, whose comments show that the node lives, and asks another node after 25 s of silence. Ids of events are bounded. Weighed: a shorter timeout for JSON calls; ruled out, a call may take minutes. Measured: client and gateway tests five times under -race.

--- a/client/client.go
+++ b/client/client.go
@@ -138,26 +138,22 @@
 }
 
 // Call runs a call and returns its whole answer. The call's sequence and body
-// stay the same however often it is sent.
+// stay the same however often it is sent. It waits on a stream without tokens,
+// whose comments tell a node that is gone from an answer that takes long.
 func (c *Client) Call(ctx context.Context, program string, call api.CallRequest) (api.Answer, error) {
-	call.Stream = false
-	var answer api.Answer
-	err := c.retry(ctx, func(ctx context.Context, node string) error {
-		return c.exchange(ctx, node, http.MethodPost, callsPath(program), call, &answer)
-	})
-	return answer, err
+	call.Stream = true
+	return c.stream(ctx, http.MethodPost, callsPath(program)+"?"+withoutTokens, call, nil)
 }
 
 // Fetch returns the answer of a call that was made before, and waits for it if
 // it still runs.
 func (c *Client) Fetch(ctx context.Context, program, branch string, sequence uint64) (api.Answer, error) {
-	var answer api.Answer
-	err := c.retry(ctx, func(ctx context.Context, node string) error {
-		return c.exchange(ctx, node, http.MethodGet, fetchPath(program, branch, sequence), nil, &answer)
-	})
-	return answer, err
+	return c.stream(ctx, http.MethodGet, fetchPath(program, branch, sequence)+"&"+withoutTokens, nil, nil)
 }
 
+// withoutTokens leaves the tokens out of a stream.
+const withoutTokens = "tokens=false"
+
 func callsPath(program string) string { return "/v1/programs/" + url.PathEscape(program) + "/calls" }
 
 func fetchPath(program, branch string, sequence uint64) string {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -383,7 +383,7 @@
 		c := s.client(t, "a:1")
 		s.silent = make(chan struct{})
 		time.AfterFunc(10*time.Minute, func() { close(s.silent) })
-		_, err := c.Stream(t.Context(), "p", call(1), nil)
+		_, err := c.Call(t.Context(), "p", call(1))
 		is.NoErr(err) // the node's comments kept it
 		is.Equal(len(s.froms), 1)
 
@@ -403,7 +403,7 @@
 		for range 4 { // whichever node it begins with
 			c := s.client(t, "frozen:1", "a:1")
 			start := time.Now()
-			_, err = c.Stream(t.Context(), "p", call(2), nil)
+			_, err = c.Call(t.Context(), "p", call(2))
 			is.NoErr(err)
 			is.True(time.Since(start) <= 26*time.Second)
 		}
--- a/client/stream.go
+++ b/client/stream.go
@@ -26,12 +26,18 @@
 // Stream runs a call and hands out its tokens as they come. A broken stream is
 // resumed at another node after the last token, with the same sequence and body.
 func (c *Client) Stream(ctx context.Context, program string, call api.CallRequest, onToken TokenFunc) (api.Answer, error) {
+	if onToken == nil {
+		return c.Call(ctx, program, call)
+	}
 	call.Stream = true
 	return c.stream(ctx, http.MethodPost, callsPath(program), call, onToken)
 }
 
 // FetchStream is Fetch with the answer's tokens from the first one on.
 func (c *Client) FetchStream(ctx context.Context, program, branch string, sequence uint64, onToken TokenFunc) (api.Answer, error) {
+	if onToken == nil {
+		return c.Fetch(ctx, program, branch, sequence)
+	}
 	return c.stream(ctx, http.MethodGet, fetchPath(program, branch, sequence), nil, onToken)
 }
 
@@ -71,7 +77,7 @@
 // finish compares the tokens with the answer's text: an owner that changed
 // between two tries may have answered anew.
 func (s *streaming) finish() (api.Answer, error) {
-	if s.onToken != nil && s.next > 0 && s.answer.Text != string(s.text) {
+	if s.next > 0 && s.answer.Text != string(s.text) {
 		return s.answer, ErrStreamRestarted
 	}
 	return s.answer, nil
@@ -127,7 +133,7 @@
 		s.next++
 		s.text = append(s.text, event.Text...)
 		if s.onToken == nil {
-			return false, nil
+			return false, nil // a node that does not know how to leave them out
 		}
 		s.refused = s.onToken(event.Index, event.Text)
 		return false, s.refused
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -18,11 +18,16 @@
 // so that the owner, who knows whether the call ran, answers first.
 const deadlineGrace = 2 * time.Second
 
+// withoutTokens is the value of the query's tokens that leaves them out. It is a
+// text, since a default of true would be put over a false that was given.
+const withoutTokens = "false"
+
 type callInput struct {
 	ID     string `path:"id" maxLength:"64" doc:"The program's id."`
 	Accept string `header:"Accept" doc:"text/event-stream asks for a stream, as stream does."`
-	// LastEventID is a pointer-free text so that an unset one is told from 0.
+	// LastEventID is a text so that an unset one is told from 0.
 	LastEventID string `header:"Last-Event-ID" doc:"Leaves out the tokens up to this event."`
+	Tokens      string `query:"tokens" enum:"true,false" doc:"With false a stream has no tokens, only comments and its last event."`
 	Body        api.CallRequest
 }
 
@@ -31,6 +36,7 @@
 	Sequence    uint64  `path:"sequence" minimum:"1" doc:"The call's position in its branch."`
 	Branch      string  `query:"branch" maxLength:"64" doc:"The call's branch; main if left out."`
 	Stream      bool    `query:"stream" doc:"Asks for a stream."`
+	Tokens      string  `query:"tokens" enum:"true,false" doc:"With false a stream has no tokens, only comments and its last event."`
 	Deadline    float64 `query:"deadline_seconds" minimum:"0" doc:"How long to wait for the answer."`
 	Accept      string  `header:"Accept" doc:"text/event-stream asks for a stream."`
 	LastEventID string  `header:"Last-Event-ID" doc:"Resumes a stream after this event."`
@@ -66,8 +72,8 @@
 		input.Body.Branch = string(identity.MainBranch)
 	}
 	request := serving.CallRequest{Program: identity.ProgramID(input.ID), Call: input.Body, From: from}
-	stream := input.Body.Stream || wantsEvents(input.Accept)
-	return g.respond(stream, from, g.wait(input.Body.DeadlineSeconds), func(ctx context.Context, onToken serving.TokenFunc) (api.Answer, error) {
+	wanted := wish{stream: input.Body.Stream || wantsEvents(input.Accept), from: from, tokens: input.Tokens != withoutTokens}
+	return g.respond(wanted, g.wait(input.Body.DeadlineSeconds), func(ctx context.Context, onToken serving.TokenFunc) (api.Answer, error) {
 		return g.config.Programs.Call(ctx, request, onToken)
 	}), nil
 }
@@ -85,7 +91,8 @@
 		Program: identity.ProgramID(input.ID), Branch: branch, Sequence: identity.Sequence(input.Sequence),
 	}}
 	stream := input.Stream || input.LastEventID != "" || wantsEvents(input.Accept)
-	return g.respond(stream, from, g.wait(input.Deadline), func(ctx context.Context, onToken serving.TokenFunc) (api.Answer, error) {
+	wanted := wish{stream: stream, from: from, tokens: input.Tokens != withoutTokens}
+	return g.respond(wanted, g.wait(input.Deadline), func(ctx context.Context, onToken serving.TokenFunc) (api.Answer, error) {
 		return g.config.Programs.Fetch(ctx, request, onToken)
 	}), nil
 }
@@ -98,14 +105,23 @@
 	return min(time.Duration(deadlineSeconds*float64(time.Second)), g.config.MaxWait) + deadlineGrace
 }
 
+// wish is the form in which a caller wants an answer.
+type wish struct {
+	stream bool
+	// from is the first token that the caller lacks; tokens tells whether a stream
+	// has them at all.
+	from   int
+	tokens bool
+}
+
 // respond answers with one JSON document or a stream of events.
-func (g *Gateway) respond(stream bool, from int, wait time.Duration, ask answerFunc) *huma.StreamResponse {
+func (g *Gateway) respond(wanted wish, wait time.Duration, ask answerFunc) *huma.StreamResponse {
 	return &huma.StreamResponse{Body: func(face huma.Context) {
 		request, writer := humago.Unwrap(face)
 		ctx, cancel := context.WithTimeout(request.Context(), wait)
 		defer cancel()
-		if stream {
-			g.streamAnswer(ctx, writer, from, ask)
+		if wanted.stream {
+			g.streamAnswer(ctx, writer, wanted, ask)
 			return
 		}
 		answer, err := ask(ctx, nil)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -322,7 +322,16 @@
 			is.Equal(len(events), 3)
 			is.Equal(events[0].Index, 2)
 		}
-		is.Equal(f.do(t, "GET", "/v1/programs/p/calls/1", "", "Last-Event-ID", "x").problem(t).Code, api.CodeInvalid)
+		for _, id := range []string{"x", "-1", "9223372036854775807"} {
+			is.Equal(f.do(t, "GET", "/v1/programs/p/calls/1", "", "Last-Event-ID", id).problem(t).Code, api.CodeInvalid)
+		}
+		for _, quiet := range []response{
+			f.do(t, "GET", "/v1/programs/p/calls/1?stream=true&tokens=false", ""),
+			f.do(t, "POST", "/v1/programs/p/calls?tokens=false", asked),
+		} {
+			is.True(strings.Contains(quiet.body, ": waiting\n\n"))
+			is.Equal(len(quiet.events(t)), 1)
+		}
 	})
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/serving"
 )
 
 // eventWriter writes server-sent events. Until the first one the response's
@@ -137,14 +138,18 @@
 // streamAnswer answers with tokens and then one answer or problem. The events'
 // ids are the tokens' indexes; the last event has the id of the last token, so
 // that a caller who lost it can resume and gets it again.
-func (g *Gateway) streamAnswer(ctx context.Context, writer http.ResponseWriter, from int, ask answerFunc) {
+func (g *Gateway) streamAnswer(ctx context.Context, writer http.ResponseWriter, wanted wish, ask answerFunc) {
 	stream, ctx, finish := g.beginStream(ctx, writer)
-	next := from
-	answer, err := ask(ctx, func(index int, text string) error {
-		next = index + 1
-		g.metrics.tokens.Inc()
-		return stream.send(string(api.EventToken), strconv.Itoa(index), api.Event{Kind: api.EventToken, Index: index, Text: text})
-	})
+	next := wanted.from
+	var onToken serving.TokenFunc
+	if wanted.tokens {
+		onToken = func(index int, text string) error {
+			next = index + 1
+			g.metrics.tokens.Inc()
+			return stream.send(string(api.EventToken), strconv.Itoa(index), api.Event{Kind: api.EventToken, Index: index, Text: text})
+		}
+	}
+	answer, err := ask(ctx, onToken)
 	finish()
 	if err != nil {
 		problem := outcomeOf(ctx, err)
@@ -159,13 +164,16 @@
 	_ = stream.send(string(api.EventAnswer), "", api.Event{Kind: api.EventAnswer, Index: next, Answer: &answer})
 }
 
+// maxTokenIndex is far above any answer's length and far below what an index holds.
+const maxTokenIndex = 1 << 30
+
 // resumeFrom is the first token that a caller lacks who has seen event id last.
 func resumeFrom(id string) (int, *api.Problem) {
 	if id == "" {
 		return 0, nil
 	}
 	last, err := strconv.Atoi(id)
-	if err != nil || last < 0 {
+	if err != nil || last < 0 || last > maxTokenIndex {
 		problem := api.NewProblem(api.CodeInvalid, "the id of the last event is not a token's index")
 		problem.Findings = []api.Finding{{Place: "header " + api.HeaderLastEventID, Message: fmt.Sprintf("%q is not a number from 0 on", id)}}
 		return 0, problem
