Show the policy the cache as it is believed

The policy saw a branch's cache only at the engine of its last call, and never an eviction.

The policy is also told the running count of decisions.

Left: the node has to hand in the cache map's Tokens.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -262,6 +262,21 @@
 	return ""
 }
 
+// LastAnswered returns when the branch's last model call was answered, the zero
+// time if none was.
+func (p *Program) LastAnswered(id identity.BranchID) time.Time {
+	b := p.branches[id]
+	if b == nil {
+		return time.Time{}
+	}
+	for i := len(b.calls) - 1; i >= 0; i-- {
+		if b.calls[i].inHistory() {
+			return b.calls[i].Answer.At
+		}
+	}
+	return time.Time{}
+}
+
 // PromptSize says how large the prompt of a call is.
 type PromptSize struct {
 	// Bound is the worst case, which the budget reserves.
--- a/internal/serving/config.go
+++ b/internal/serving/config.go
@@ -31,6 +31,11 @@
 	// nothing without it. known is false where nobody could say for certain.
 	ProgramAlive func(ctx context.Context, program identity.ProgramID) (alive, known bool, err error)
 
+	// CachedTokens is what is believed of a prefix at an engine, 0 also where
+	// nothing is; it steers choices only. Without it, the engine of the branch's
+	// last call counts as holding the whole conversation.
+	CachedTokens func(backend string, program identity.ProgramID, branch identity.BranchID) int
+
 	Timing Timing
 	Bounds Bounds
 	Hooks  Hooks
--- a/internal/serving/flights.go
+++ b/internal/serving/flights.go
@@ -21,7 +21,9 @@
 	classes  map[string]int
 	tenants  map[tenantKey]int
 	scratch  []scheduling.Backend
-	changed  chan struct{}
+	// turn counts decisions, for policies that take back ends in turn.
+	turn    uint64
+	changed chan struct{}
 }
 
 // flight is one attempt at one back end.
@@ -87,8 +89,9 @@
 }
 
 // snapshot returns backends as the policy sees them. The result is used until
-// the next call only; the caller holds the mutex.
-func (f *flights) snapshot(now time.Time, question asked, backends []blackboard.Backend) []scheduling.Backend {
+// the next call only; the caller holds the flights' mutex.
+func (o *Owner) snapshot(now time.Time, question asked, backends []blackboard.Backend) []scheduling.Backend {
+	f := o.flights
 	f.scratch = f.scratch[:0]
 	for i := range backends {
 		b := &backends[i]
@@ -112,9 +115,7 @@
 			seen.ReportAge = now.Sub(b.ReportedAt)
 		}
 		seen.OwnInFlight, seen.OwnPrefillTokens = f.unreported(b)
-		if question.holder == b.Name {
-			seen.CachedTokens = question.settled
-		}
+		seen.CachedTokens = o.cachedAt(b.Name, &question)
 		f.scratch = append(f.scratch, seen)
 	}
 	return f.scratch
--- a/internal/serving/owner_test.go
+++ b/internal/serving/owner_test.go
@@ -15,6 +15,7 @@
 	"stepseam.example/stepseam/internal/emulator/engine"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/journal"
+	"stepseam.example/stepseam/internal/scheduling"
 	"stepseam.example/stepseam/internal/serving"
 	"stepseam.example/stepseam/internal/table"
 )
@@ -302,3 +303,44 @@
 		is.Equal(owner.Shards(), 0)
 	})
 }
+
+// recordingPolicy keeps what it was shown of the cache.
+type recordingPolicy struct {
+	scheduling.LeastInFlight
+	shown map[string]int
+}
+
+func (p *recordingPolicy) Choose(now time.Time, call scheduling.Call, backends []scheduling.Backend) scheduling.Decision {
+	clear(p.shown)
+	for _, b := range backends {
+		p.shown[b.Name] = b.CachedTokens
+	}
+	return p.LeastInFlight.Choose(now, call, backends)
+}
+
+func TestThePolicySeesTheCacheAsItIsBelieved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, 2)
+		defer s.close()
+		policy := &recordingPolicy{shown: map[string]int{}}
+		believed := map[string]int{}
+		s.policy = policy
+		s.cached = func(backend string, _ identity.ProgramID, _ identity.BranchID) int { return believed[backend] }
+		owner, held := s.open()
+		s.create(owner, p1)
+		first, err := s.call(owner, p1, modelCall(1, "one"))
+		is.NoErr(err)
+		counted := first.Usage.PromptTokens + first.Usage.CompletionTokens
+		held.lose()
+		owner, _ = s.open()
+		_, err = s.call(owner, p1, modelCall(2, "two"))
+		is.NoErr(err)
+		is.Equal(policy.shown[first.Backend], counted) // another owner answered: the journal's word
+		believed["engine-0"], believed["engine-1"] = 3, 0
+		_, err = s.call(owner, p1, modelCall(3, "three"))
+		is.NoErr(err)
+		is.Equal(policy.shown["engine-0"], 3)
+		is.Equal(policy.shown["engine-1"], 0) // evicted, or never there
+	})
+}
--- a/internal/serving/place.go
+++ b/internal/serving/place.go
@@ -46,9 +46,25 @@
 	call  scheduling.Call
 	class table.Class
 	role  platform.MachineRole
-	// holder is the back end that holds the branch's cache, with settled tokens.
-	holder  string
-	settled int
+	// holder is the back end of the branch's last call, which counted settled
+	// tokens. answeredHere is true if this owner saw that call's answer.
+	holder       string
+	settled      int
+	answeredHere bool
+}
+
+// cachedAt returns how many tokens of the call's prompt the back end is expected
+// to hold. Beliefs begin with the calls that went through this node: for a call
+// that another node answered, the journal's word goes before no belief.
+func (o *Owner) cachedAt(backend string, question *asked) int {
+	believed := 0
+	if o.config.CachedTokens != nil && question.call.Model != "" {
+		believed = o.config.CachedTokens(backend, question.call.ID.Program, question.call.ID.Branch)
+	}
+	if backend != question.holder || believed > 0 || (question.answeredHere && o.config.CachedTokens != nil) {
+		return min(believed, question.call.PromptTokens)
+	}
+	return question.settled
 }
 
 // place chooses a back end, holding the call while the policy says so. An
@@ -155,6 +171,7 @@
 	question.role = platform.RoleEngine
 	question.holder = question.call.LastBackend
 	question.settled = int(size.Settled)
+	question.answeredHere = !p.LastAnswered(d.run.id.Branch).Before(d.shard.opened)
 	question.call.Service = ""
 	question.call.Model = request.Model
 	question.call.PromptTokens = int(size.Expected)
@@ -175,7 +192,9 @@
 	if decision := o.admit(now, question, limit); decision.Action != scheduling.Run {
 		return nil, decision, o.flights.awaitChange()
 	}
-	snapshot := o.flights.snapshot(now, question, backends)
+	o.flights.turn++
+	question.call.Turn = o.flights.turn
+	snapshot := o.snapshot(now, question, backends)
 	decision := o.config.Policy.Choose(now, question.call, snapshot)
 	if decision.Action != scheduling.Run {
 		return nil, decision, o.flights.awaitChange()
--- a/internal/serving/site_test.go
+++ b/internal/serving/site_test.go
@@ -115,6 +115,8 @@
 	// gate, if set, is called before each generate and invoke.
 	gate    atomic.Pointer[func(stream identity.StreamID)]
 	hooks   serving.Hooks
+	policy  scheduling.Policy
+	cached  func(string, identity.ProgramID, identity.BranchID) int
 	timing  serving.Timing
 	opened  []*heldShard
 	current *serving.Owner
@@ -130,6 +132,7 @@
 	s := &site{
 		t: t, board: blackboard.NewBoard(), log: &shardLog{},
 		clients: map[netip.AddrPort]any{}, ledger: application.NewLedger(10_000),
+		policy: scheduling.LeastInFlight{},
 	}
 	s.running, s.stop = context.WithCancel(context.Background())
 	for number := range engines {
@@ -221,7 +224,7 @@
 func (s *site) open() (*serving.Owner, *heldShard) {
 	s.t.Helper()
 	owner := serving.NewOwner(serving.Config{
-		Self: "node", ShardCount: 1, Board: s.board, Directory: s, Policy: scheduling.LeastInFlight{},
+		Self: "node", ShardCount: 1, Board: s.board, Directory: s, Policy: s.policy, CachedTokens: s.cached,
 		Hooks: s.hooks, Timing: s.timing, ProgramAlive: s.alive,
 	})
 	held := s.reopen(owner)
