Date load reports by their lag, and set faults by hand

Change: a report without news is repeated at each interval, as an engine that publishes does. Fields of faults may be left out, and a body that curl sends without a type is read as JSON. What is wrong is still refused, with its place.

Measured: a test for each; tests pass, also with -race.

--- a/internal/emulator/application/application.go
+++ b/internal/emulator/application/application.go
@@ -42,19 +42,19 @@
 // Faults are what is wrong with a replica. The zero value is a sound replica.
 type Faults struct {
 	// Down: requests do not arrive, answers under way break.
-	Down bool `json:"down"`
+	Down bool `json:"down,omitempty"`
 	// Refuse: requests are refused before they run.
-	Refuse bool `json:"refuse"`
+	Refuse bool `json:"refuse,omitempty"`
 	// HangBefore and HangAfter: requests never end, before or after their effect,
 	// until the fault goes.
-	HangBefore bool `json:"hang_before"`
-	HangAfter  bool `json:"hang_after"`
+	HangBefore bool `json:"hang_before,omitempty"`
+	HangAfter  bool `json:"hang_after,omitempty"`
 	// LoseAnswers is the share of requests whose effect happens and whose answer
 	// is lost; LoseNext loses the next answers for certain.
-	LoseAnswers float64 `json:"lose_answers" minimum:"0" maximum:"1"`
-	LoseNext    int     `json:"lose_next" minimum:"0"`
+	LoseAnswers float64 `json:"lose_answers,omitempty" minimum:"0" maximum:"1"`
+	LoseNext    int     `json:"lose_next,omitempty" minimum:"0"`
 	// Slow multiplies the latency; 0 and 1 leave it.
-	Slow float64 `json:"slow" minimum:"0" maximum:"10000"`
+	Slow float64 `json:"slow,omitempty" minimum:"0" maximum:"10000"`
 }
 
 // Answer is the JSON answer of an operation.
--- a/internal/emulator/application/server.go
+++ b/internal/emulator/application/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 
 	"github.com/danielgtaylor/huma/v2"
@@ -36,6 +37,9 @@
 	mux.HandleFunc("GET "+backend.PathLoad, server.load)
 	config := huma.DefaultConfig("stepseam application stand-in", apiVersion)
 	config.CreateHooks = nil // answers carry no links to their schema
+	// What curl -d sends without saying what it is is taken as JSON.
+	config.Formats = maps.Clone(config.Formats)
+	config.Formats["application/x-www-form-urlencoded"] = huma.DefaultJSONFormat
 	api := humago.New(mux, config)
 	server.register(api)
 	return mux
--- a/internal/emulator/engine/faults.go
+++ b/internal/emulator/engine/faults.go
@@ -12,16 +12,16 @@
 type Faults struct {
 	// Down: requests do not arrive (ErrNotDelivered), answers under way break.
 	// What runs inside runs on.
-	Down bool `json:"down"`
+	Down bool `json:"down,omitempty"`
 	// Frozen: nothing moves. What arrives waits at the engine and takes effect
 	// after the thaw, also if its sender gave up meanwhile.
-	Frozen bool `json:"frozen"`
+	Frozen bool `json:"frozen,omitempty"`
 	// Slow multiplies the time of all work; 0 and 1 leave it.
-	Slow float64 `json:"slow" minimum:"0" maximum:"10000"`
+	Slow float64 `json:"slow,omitempty" minimum:"0" maximum:"10000"`
 	// LoseAnswers is the share of requests whose effect happens and whose answer
 	// is lost (ErrBroken); LoseNext loses the next answers for certain.
-	LoseAnswers float64 `json:"lose_answers" minimum:"0" maximum:"1"`
-	LoseNext    int     `json:"lose_next" minimum:"0"`
+	LoseAnswers float64 `json:"lose_answers,omitempty" minimum:"0" maximum:"1"`
+	LoseNext    int     `json:"lose_next,omitempty" minimum:"0"`
 }
 
 // Faults returns what is wrong at the moment.
--- a/internal/emulator/engine/faults_test.go
+++ b/internal/emulator/engine/faults_test.go
@@ -198,6 +198,8 @@
 		report, err := e.Load(t.Context())
 		is.NoErr(err)
 		is.True(!report.Draining)
+		age := time.Since(report.AsOf)
+		is.True(age >= 500*time.Millisecond && age <= 750*time.Millisecond) // the lag, and up to an interval
 		time.Sleep(time.Second)
 		report, err = e.Load(t.Context())
 		is.NoErr(err)
--- a/internal/emulator/engine/memory.go
+++ b/internal/emulator/engine/memory.go
@@ -95,6 +95,8 @@
 	return !end.Add(e.parameters.ReportLag).After(now)
 }
 
+// reportSeen returns the newest visible report. Without news it is repeated at
+// each interval, so that its time tells how old the figures may be.
 func (e *Engine) reportSeen(now time.Time) backend.LoadReport {
 	visible := e.reports[0]
 	for _, report := range e.reports[1:] {
@@ -102,6 +104,9 @@
 			visible = report
 		}
 	}
+	if repeated := now.Add(-e.parameters.ReportLag).Truncate(e.parameters.ReportInterval); repeated.After(visible.AsOf) {
+		visible.AsOf = repeated
+	}
 	return visible
 }
 
--- a/internal/emulator/engine/server.go
+++ b/internal/emulator/engine/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -45,6 +46,9 @@
 	mux.HandleFunc("PUT "+backend.PathState, server.importState)
 	config := huma.DefaultConfig("stepseam engine stand-in", apiVersion)
 	config.CreateHooks = nil // answers carry no links to their schema
+	// What curl -d sends without saying what it is is taken as JSON.
+	config.Formats = maps.Clone(config.Formats)
+	config.Formats["application/x-www-form-urlencoded"] = huma.DefaultJSONFormat
 	api := humago.New(mux, config)
 	server.registerEngine(api)
 	server.registerStandIn(api)
--- a/internal/emulator/engine/server_test.go
+++ b/internal/emulator/engine/server_test.go
@@ -148,6 +148,32 @@
 	is.True(errors.Is(client.Cancel(t.Context(), streamID("p", 9, 1)), backend.ErrBroken))
 }
 
+// A switch can be set by hand with curl: other fields stay off, and the body
+// need not say that it is JSON. A wrong one is refused with its place.
+func TestFaultsByHand(t *testing.T) {
+	is := is.New(t)
+	e, _, url := overHTTP(t)
+	put := func(body string) (int, string) {
+		t.Helper()
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url+engine.PathFaults, strings.NewReader(body))
+		is.NoErr(err)
+		request.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		defer func() { _ = response.Body.Close() }()
+		answer, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		return response.StatusCode, string(answer)
+	}
+	status, _ := put(`{"slow":3}`)
+	is.Equal(status, http.StatusOK)
+	is.Equal(e.Faults(), engine.Faults{Slow: 3})
+	status, answer := put(`{"slow":-3,"loose":1}`)
+	is.Equal(status, http.StatusUnprocessableEntity)
+	is.True(strings.Contains(answer, "body.slow") && strings.Contains(answer, "body.loose"))
+	is.Equal(e.Faults(), engine.Faults{Slow: 3})
+}
+
 func TestChatCompletionWithoutStream(t *testing.T) {
 	is := is.New(t)
 	_, _, url := overHTTP(t)
