Take open calls up again when a lapsed lease comes back

Cause: a lease can lapse between a call's intent and its dispatch and come back to the same owner before anybody else claims the shard. The run ended as not owner, its call stayed open without a run, and every repeat of it was sent to "the next owner", who was this one, for ever.

Found by: the simulated site under a schedule of a freeze, drains and kills: "after healing every call comes to an end: program-0/main/6 has no outcome after 31 attempts, the last refusal is shard_unavailable: shard 3 had no owner".

Proof: TestALapsedLeaseThatComesBackTakesItsOpenCallsUpAgain.

--- a/internal/serving/drive.go
+++ b/internal/serving/drive.go
@@ -83,11 +83,20 @@
 		return nil, false
 	}
 	if err := d.shard.checkLease(); err != nil {
+		d.noteUnsent()
 		return failed(err), true
 	}
 	return d.settle(d.dispatch(place))
 }
 
+// noteUnsent remembers that the pending attempt was not sent, for the run that
+// takes the call up again if the lease comes back to this node.
+func (d *driver) noteUnsent() {
+	d.shard.machine.mutex.Lock()
+	defer d.shard.machine.mutex.Unlock()
+	d.shard.unsent[d.attempt.Stream] = struct{}{}
+}
+
 // ended returns the outcome of a run whose context ended, nil while it goes on.
 func (d *driver) ended() *outcome {
 	if d.run.context.Err() == nil {
--- /dev/null
+++ b/internal/serving/lapse_test.go
@@ -0,0 +1,30 @@
+package serving_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/serving"
+)
+
+// TestALapsedLeaseThatComesBackTakesItsOpenCallsUpAgain lets the lease lapse
+// between the intent and the dispatch, and come back to the same owner.
+func TestALapsedLeaseThatComesBackTakesItsOpenCallsUpAgain(t *testing.T) {
+	for name, request := range map[string]api.CallRequest{"model call": modelCall(1, "one"), "unrepeatable call": payment(1, "fee-1")} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(is *is.I, s *site, owner *serving.Owner, held *heldShard) {
+				held.lapsesOnWrite.Store(true)
+				_, err := s.call(owner, p1, request)
+				is.True(serving.IsNotOwner(err)) // the caller is sent on at once
+				held.lapsed.Store(false)
+				time.Sleep(2 * time.Second)
+				_, err = s.call(owner, p1, request)
+				is.NoErr(err) // the call was not lost, and what was not sent is sent
+				is.True(len(s.arrivals(callID(1)))+s.ledger.Executions("pay_fee", "fee-1") == 1)
+			})
+		})
+	}
+}
--- a/internal/serving/programs.go
+++ b/internal/serving/programs.go
@@ -227,9 +227,12 @@
 		return r, nil, nil
 	}
 	call := p.Call(id)
-	if call == nil || call.Open {
+	if call == nil {
 		return nil, nil, api.NewProblem(api.CodeUnknownCall, "there is no call %s", id)
 	}
+	if call.Open {
+		return s.rejoin(p, call)
+	}
 	answer := p.Resolved(call).Answer
 	return nil, &answer, nil
 }
@@ -262,7 +265,7 @@
 	case program.ActionRefuse:
 		return nil, nil, s.certain(verdict.Problem)
 	case program.ActionJoin:
-		return nil, nil, s.notOwner() // only while the shard is being given up
+		return s.rejoin(p, verdict.Call)
 	}
 	if problem := s.checkArrival(p, call); problem != nil {
 		return nil, nil, problem
@@ -270,6 +273,15 @@
 	return s.start(call, wanted.deadline), nil, nil
 }
 
+// rejoin takes up a call that is open without a run: its run ended because the
+// lease had lapsed or the shard is being given up. The caller holds the mutex.
+func (s *shard) rejoin(p *program.Program, call *program.Call) (*run, *program.Answer, error) {
+	if s.closing || s.stopped || s.checkLease() != nil {
+		return nil, nil, s.notOwner()
+	}
+	return s.recoverCall(p, call, time.Now()), nil, nil
+}
+
 // certain returns problem if this node still owns the shard.
 func (s *shard) certain(problem *api.Problem) error {
 	if err := s.checkLease(); err != nil {
--- a/internal/serving/shard.go
+++ b/internal/serving/shard.go
@@ -68,6 +68,9 @@
 	stopped bool
 	runs    map[identity.CallID]*run
 	entries map[identity.ProgramID]*entry
+	// unsent holds the attempts whose intent is recorded and that certainly were
+	// not sent, because the lease had lapsed by then. Their calls are open.
+	unsent map[identity.StreamID]struct{}
 }
 
 // entry is what the owner keeps of a program beside its journalled state.
@@ -101,6 +104,7 @@
 		cancel:  cancel,
 		runs:    map[identity.CallID]*run{},
 		entries: map[identity.ProgramID]*entry{},
+		unsent:  map[identity.StreamID]struct{}{},
 	}
 }
 
--- a/internal/serving/site_test.go
+++ b/internal/serving/site_test.go
@@ -43,6 +43,8 @@
 	machine journal.StateMachine
 	lost    chan struct{}
 	once    sync.Once
+	// lapsesOnWrite makes the lease lapse at the next write; lapsed is its state.
+	lapsesOnWrite, lapsed atomic.Bool
 }
 
 func (s *heldShard) ID() identity.ShardID  { return 0 }
@@ -56,6 +58,9 @@
 	if s.log.epoch != s.epoch {
 		return journal.ErrNotOwner
 	}
+	if s.lapsed.Load() {
+		return journal.ErrLeaseLapsed
+	}
 	return nil
 }
 
@@ -65,6 +70,9 @@
 	if s.log.epoch != s.epoch {
 		return func(context.Context) error { return journal.ErrNotOwner }, nil
 	}
+	if s.lapsesOnWrite.Swap(false) {
+		s.lapsed.Store(true)
+	}
 	s.log.records = append(s.log.records, records...)
 	s.log.writes++
 	if s.log.writes%3 == 0 {
--- a/internal/serving/sweep.go
+++ b/internal/serving/sweep.go
@@ -41,6 +41,7 @@
 		}
 	}
 	s.forgetEnded(now, ended)
+	s.resumeOpen(now)
 }
 
 // idle tells that no call of the program is under way or waits here.
--- a/internal/serving/takeover.go
+++ b/internal/serving/takeover.go
@@ -33,7 +33,7 @@
 
 // recoverCall makes the run of a call that was found open; the caller holds the
 // mutex.
-func (s *shard) recoverCall(p *program.Program, call *program.Call, now time.Time) {
+func (s *shard) recoverCall(p *program.Program, call *program.Call, now time.Time) *run {
 	r := &run{
 		id: call.Request.ID, request: call.Request, arrived: call.Attempt.At,
 		deadline: now.Add(s.callTimeout(p)), dispatched: true, recovered: true, done: make(chan struct{}),
@@ -47,6 +47,21 @@
 	s.owner.metrics.recovered.Inc()
 	s.drivers.Add(1)
 	go s.drive(r)
+	return r
+}
+
+// resumeOpen makes runs for calls that are open and have none: their runs ended
+// when the lease lapsed, and the lease came back before another node claimed the
+// shard. The caller holds the mutex and has checked the lease.
+func (s *shard) resumeOpen(now time.Time) {
+	s.machine.set.All(func(p *program.Program) bool {
+		for _, call := range p.OpenCalls() {
+			if s.runs[call.Request.ID] == nil {
+				s.recoverCall(p, call, now)
+			}
+		}
+		return true
+	})
 }
 
 // recover takes up the attempt that the former owner left. It returns nil if the
@@ -62,11 +77,18 @@
 	if call.Lost {
 		d.lost++
 	}
+	_, unsent := s.unsent[d.attempt.Stream]
+	delete(s.unsent, d.attempt.Stream)
 	s.machine.mutex.Unlock()
 	d.reason = "taken over from the former owner"
 	if err := s.checkLease(); err != nil {
 		return failed(err)
 	}
+	if d.pending && unsent {
+		if result := d.notRun(); result != nil {
+			return result
+		}
+	}
 	switch {
 	case !d.pending && d.run.context.Err() == nil:
 		return nil
