--- a/internal/controller/tables/site_test.go
+++ b/internal/controller/tables/site_test.go
@@ -143,7 +143,7 @@
 func (s *site) start(name identity.NodeName) *node {
 	var index int
 	_, _ = fmt.Sscanf(string(name), "n%d", &index)
-	address := netip.AddrFrom4([4]byte{127, 0, 1, byte(index + 1)})
+	address := netip.AddrFrom4([4]byte{127, 0, byte(1 + index/250), byte(1 + index%250)})
 	self := identity.Node{
 		Name: name, Zone: "a", Region: "r", Incarnation: identity.Incarnation(time.Now().UnixNano()),
 		PeerAddress: netip.AddrPortFrom(address, 7000), ProbeAddress: netip.AddrPortFrom(address, 7001),
--- a/internal/controller/tables/tables_test.go
+++ b/internal/controller/tables/tables_test.go
@@ -394,3 +394,70 @@
 		is.Equal(entry.Version, table.Version(2))
 	})
 }
+
+// TestSpreadOnALargeSite has one node of many read a version while the log is
+// out of reach for all others, and no versions ride on membership: the version
+// reaches every node by pulls alone, at a cost per node that does not grow with
+// the site.
+func TestSpreadOnALargeSite(t *testing.T) {
+	for _, size := range []int{12, 48} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) { spread(t, size) })
+	}
+}
+
+func spread(t *testing.T, size int) {
+	const limit = 12 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is, s := is.New(t), newSite(t, 3, size)
+		for _, name := range s.names {
+			s.start(name)
+		}
+		publish := func(base table.Version) {
+			_, err := s.node("n0").controller.Publish(s.ctx, tables.Publication{Base: base, Author: "marta", CSV: sheetOf(50)})
+			is.NoErr(err)
+		}
+		publish(0)
+		time.Sleep(limit)
+		for _, name := range s.names[1:] {
+			s.log.ViewFor(string(name)).SetDown(true)
+		}
+		messages, bytes := s.sent()
+		const quiet = 20 * time.Second
+		time.Sleep(quiet)
+		quietMessages, quietBytes := s.sent()
+		began := time.Now()
+		publish(1)
+		for !s.allAt(2) && time.Since(began) < limit {
+			time.Sleep(10 * time.Millisecond)
+		}
+		took := time.Since(began)
+		time.Sleep(limit)
+		synctest.Wait()
+		is.True(s.allAt(2))
+		is.True(took < limit)
+		allMessages, allBytes := s.sent()
+		perNode := func(count int64) float64 { return float64(count) / float64(size) }
+		t.Logf("%d nodes: in force on all after %s; quiet %.2f messages and %.0f bytes a second per node; %.1f messages and %.0f bytes per node for the version",
+			size, took, perNode(quietMessages-messages)/quiet.Seconds(), perNode(quietBytes-bytes)/quiet.Seconds(),
+			perNode(allMessages-quietMessages), perNode(allBytes-quietBytes))
+		is.True(perNode(quietMessages-messages)/quiet.Seconds() < 2)
+		is.True(perNode(allMessages-quietMessages) < 25)
+	})
+}
+
+func (s *site) sent() (messages, bytes int64) {
+	for _, name := range s.names {
+		sentMessages, sentBytes := s.node(name).endpoint.Sent()
+		messages, bytes = messages+sentMessages, bytes+sentBytes
+	}
+	return messages, bytes
+}
+
+func (s *site) allAt(version table.Version) bool {
+	for _, name := range s.names {
+		if s.node(name).version() != version {
+			return false
+		}
+	}
+	return true
+}
