Choose the share of polled back ends from the node's region

Cause: with three regions in one machine list, two thirds of a node's polls, and so of its model calls, went to other regions, which may be cut off.

Change: in a large fleet the share is taken from the node's own region, or from all where that has none that stay. The region is read from the board's members; when it becomes known the share is chosen anew.

--- a/internal/controller/backends/controller.go
+++ b/internal/controller/backends/controller.go
@@ -21,10 +21,12 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/backend"
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/platform"
 )
 
@@ -102,6 +104,8 @@
 	// budget is the polls per second for all, 0 without bound.
 	budget float64
 	pace   pace
+	// region is the one that the share was chosen for.
+	region identity.Region
 }
 
 // watched is the controller's own knowledge of one back end.
@@ -180,7 +184,7 @@
 			select {
 			case <-wait.C:
 			case <-review.C:
-				c.review()
+				same = c.review()
 			case <-changed:
 				same = false
 			case <-ctx.Done():
@@ -195,17 +199,16 @@
 // reconcile takes a new machine list in: new back ends go onto the board, those
 // that are gone leave it, and the share to poll is chosen anew.
 func (c *Controller) reconcile(machines []platform.Machine) {
-	var backEnds []platform.Machine
-	for _, machine := range machines {
-		if machine.Role == platform.RoleEngine || machine.Role == platform.RoleApplication {
-			backEnds = append(backEnds, machine)
-		}
-	}
-	chosen := share(c.config.Node, backEnds, c.config.PollAll, c.config.PerService)
+	backEnds := lo.Filter(machines, func(machine platform.Machine, _ int) bool {
+		return machine.Role == platform.RoleEngine || machine.Role == platform.RoleApplication
+	})
+	region := ownRegion(c.config.Board.Members.Load())
+	chosen := share(c.config.Node, region, backEnds, c.config.PollAll, c.config.PerService)
 	now := time.Now()
 	listed := make(map[string]bool, len(backEnds))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.region = region
 	c.budget = 0
 	if len(backEnds) > c.config.PollAll {
 		c.budget = c.config.ShareRate
@@ -276,8 +279,20 @@
 	}
 }
 
-// review compares the pools, and shows ejections and leavings that ran out.
-func (c *Controller) review() {
+// ownRegion returns the region of the node itself, empty before it is known.
+func ownRegion(view membership.View) identity.Region {
+	for _, member := range view.Members {
+		if member.Node.Reference() == view.Self {
+			return member.Node.Region
+		}
+	}
+	return ""
+}
+
+// review compares the pools, and shows ejections and leavings that ran out. It
+// returns false if the share has to be chosen anew, for another region.
+func (c *Controller) review() bool {
+	region := ownRegion(c.config.Board.Members.Load())
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -290,6 +305,7 @@
 			c.publish(now, known)
 		}
 	}
+	return region == c.region
 }
 
 // choosePace adapts the polls to how many back ends are in use. The mutex is held.
--- a/internal/controller/backends/controller_test.go
+++ b/internal/controller/backends/controller_test.go
@@ -20,6 +20,7 @@
 	"stepseam.example/stepseam/internal/emulator/application"
 	"stepseam.example/stepseam/internal/emulator/engine"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
 )
@@ -433,3 +434,43 @@
 		is.True(engines[used].Load() > 5*total/int64(polled))
 	})
 }
+
+// A node that learns its region only after its start polls that region's back
+// ends from then on.
+func TestTheShareFollowsTheRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		board, controller := largeFleet()
+		engines := controller.Inner().(fleet)
+		regions := map[netip.AddrPort]identity.Region{}
+		board.Machines.Update(func(listed []platform.Machine) []platform.Machine {
+			for i := range listed {
+				listed[i].Region = identity.Region(fmt.Sprintf("region-%d", i%3))
+				regions[listed[i].Address] = listed[i].Region
+			}
+			return listed
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { controller.Run(ctx) })
+		time.Sleep(5 * time.Second)
+		self := identity.Node{Name: "node-1", Region: "region-1", Incarnation: 1}
+		board.Members.Store(membership.View{Self: self.Reference(), Members: []membership.Member{{Node: self}}})
+		time.Sleep(5 * time.Second)
+		before := map[netip.AddrPort]int64{}
+		for address, polls := range engines {
+			before[address] = polls.Load()
+		}
+		time.Sleep(2 * time.Minute)
+		cancel()
+		running.Wait()
+		polled := 0
+		for address, polls := range engines {
+			if polls.Load() > before[address] {
+				polled++
+				is.Equal(regions[address], identity.Region("region-1"))
+			}
+		}
+		is.Equal(polled, fleetServices*4)
+	})
+}
--- a/internal/controller/backends/export_test.go
+++ b/internal/controller/backends/export_test.go
@@ -9,7 +9,7 @@
 func (c *Controller) Reconcile(machines []platform.Machine) { c.reconcile(machines) }
 
 // Review runs one review.
-func (c *Controller) Review() { c.review() }
+func (c *Controller) Review() bool { return c.review() }
 
 // Inner returns the directory that the controller was given.
 func (c *Controller) Inner() backend.Directory { return c.config.Directory }
--- a/internal/controller/backends/pure_test.go
+++ b/internal/controller/backends/pure_test.go
@@ -88,7 +88,7 @@
 	all := machines(replicas, services)
 	pollers := map[string]int{}
 	for node := range nodes {
-		chosen := share(identity.NodeName(fmt.Sprintf("node-%d", node)), all, defaultPollAll, defaultPerService)
+		chosen := share(identity.NodeName(fmt.Sprintf("node-%d", node)), "", all, defaultPollAll, defaultPerService)
 		seen := map[string]bool{}
 		for _, machine := range all {
 			if chosen[machine.Name] {
@@ -112,7 +112,39 @@
 
 func TestASmallFleetIsPolledWhole(t *testing.T) {
 	is := is.New(t)
-	is.Equal(len(share("node", machines(defaultPollAll, 3), defaultPollAll, defaultPerService)), defaultPollAll)
+	is.Equal(len(share("node", "", machines(defaultPollAll, 3), defaultPollAll, defaultPerService)), defaultPollAll)
+}
+
+// A node polls back ends of its own region, and others where that has none or
+// all of its own leave.
+func TestTheOwnRegionGoesFirst(t *testing.T) {
+	is := is.New(t)
+	all := machines(4*defaultPollAll, 2)
+	for i := range all {
+		all[i].Region = identity.Region(fmt.Sprintf("region-%d", i/2%3))
+	}
+	near := func(region identity.Region) (near, far int) {
+		chosen := share("node", region, all, defaultPollAll, 1)
+		for _, machine := range all {
+			if chosen[machine.Name] && machine.Region == region {
+				near++
+			} else if chosen[machine.Name] {
+				far++
+			}
+		}
+		return near, far
+	}
+	n, f := near("region-1")
+	is.Equal([]int{n, f}, []int{defaultPollAll, 0})
+	n, f = near("elsewhere")
+	is.Equal([]int{n, f}, []int{0, defaultPollAll})
+	for i := range all {
+		if all[i].Region == "region-1" {
+			all[i].State = platform.MachineLeaving
+		}
+	}
+	n, f = near("region-1")
+	is.Equal([]int{n, f}, []int{0, defaultPollAll})
 }
 
 // The map stays within its limit and its indexes agree, whatever comes.
--- a/internal/controller/backends/share.go
+++ b/internal/controller/backends/share.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/platform"
@@ -13,10 +14,11 @@
 
 // share returns the names of the back ends that node polls: all of them up to
 // limit, else an equal number of each service, at least minimum, chosen by
-// rendezvous hashing. Each back end is then polled by about limit/len(machines)
-// of the nodes, and one more or less moves few choices. Leaving ones take no
-// part: nothing more is to be learned of them.
-func share(node identity.NodeName, machines []platform.Machine, limit, minimum int) map[string]bool {
+// rendezvous hashing among those of its region, or of all where its region has
+// none. Each back end is then polled by about as many nodes as the others, and
+// one more or less moves few choices. Leaving ones take no part: nothing more is
+// to be learned of them. An empty region prefers none.
+func share(node identity.NodeName, region identity.Region, machines []platform.Machine, limit, minimum int) map[string]bool {
 	chosen := map[string]bool{}
 	if len(machines) <= limit {
 		for _, machine := range machines {
@@ -24,14 +26,10 @@
 		}
 		return chosen
 	}
-	services := map[string][]platform.Machine{}
-	for _, machine := range machines {
-		if machine.State != platform.MachineLeaving {
-			services[machine.Service] = append(services[machine.Service], machine)
-		}
-	}
+	services := lo.GroupBy(machines, func(machine platform.Machine) string { return machine.Service })
 	each := max(limit/max(len(services), 1), minimum)
 	for _, members := range services {
+		members = eligible(members, region)
 		slices.SortFunc(members, func(a, b platform.Machine) int {
 			return cmp.Compare(weight(node, b.Name), weight(node, a.Name))
 		})
@@ -42,6 +40,18 @@
 	return chosen
 }
 
+// eligible returns the members that stay, those of region if there are any.
+func eligible(members []platform.Machine, region identity.Region) []platform.Machine {
+	staying := lo.Filter(members, func(machine platform.Machine, _ int) bool {
+		return machine.State != platform.MachineLeaving
+	})
+	near := lo.Filter(staying, func(machine platform.Machine, _ int) bool { return machine.Region == region })
+	if region == "" || len(near) == 0 {
+		return staying
+	}
+	return near
+}
+
 func weight(node identity.NodeName, backend string) uint64 {
 	return xxhash.Sum64String(string(node) + "\x00" + backend)
 }
