Refuse new programs by the wait at the best back end, inside the policy

Change: Stepseam.Choose refuses a first call whose expected wait at the chosen back end is over 4 s, and says when the excess will be worked off.

--- a/internal/lab/experiment/node.go
+++ b/internal/lab/experiment/node.go
@@ -39,9 +39,8 @@
 	books []book
 	// branches is what the node believes of its branches' prefixes.
 	branches map[model.Key]*branch
-	// answers is the usual answer length per class.
-	answers map[string]float64
-	pauses  map[string]*scheduling.PauseHistory
+	// pauses are the histories per kind of branch.
+	pauses map[string]*scheduling.PauseHistory
 }
 
 // book is what a node keeps about one engine.
@@ -94,8 +93,8 @@
 		run: r, index: index, zone: index % len(r.site.Zones),
 		random: rand.New(rand.NewPCG(r.seed, uint64(1000+index))),
 		view:   make([]scheduling.Backend, 0, len(r.engines)), books: make([]book, len(r.engines)),
-		branches: map[model.Key]*branch{}, answers: map[string]float64{},
-		pauses: map[string]*scheduling.PauseHistory{},
+		branches: map[model.Key]*branch{},
+		pauses:   map[string]*scheduling.PauseHistory{},
 	}
 }
 
@@ -135,15 +134,6 @@
 	call := n.describe(request)
 	now := n.run.wall(n.run.clock.now)
 	view := n.snapshot(request)
-	if limit := n.run.strategy.WaitLimit; limit > 0 && request.attempt == 0 {
-		decision := scheduling.Admit(now, scheduling.Admission{
-			Call: call, WaitLimit: limit, ExpectedWait: scheduling.ExpectedWait(call, view),
-		})
-		if decision.Action == scheduling.Refuse {
-			n.refuse(request, decision.RetryAfter)
-			return
-		}
-	}
 	decision := n.run.strategy.Policy.Choose(now, call, view)
 	switch decision.Action {
 	case scheduling.Run:
@@ -177,7 +167,7 @@
 		ServiceSoFar: request.execution.service, CallsSoFar: request.execution.answered,
 		Weight: class.Weight, Priority: class.Priority,
 		Attempt: request.attempt, Excluded: request.excluded,
-		ExpectedTokens: int(n.answers[class.Name]), Turn: n.turn + uint64(n.index),
+		Turn: n.turn + uint64(n.index),
 	}
 	if last := request.branch.last; last >= 0 {
 		call.LastBackend = n.run.engines[last].name
@@ -198,7 +188,6 @@
 		backend := scheduling.Backend{
 			Name: e.name, Service: n.run.site.Service, ServesModel: true,
 			Health:          book.health.At(n.run.wall(now)).Health,
-			BatchLimit:      report.batchLimit,
 			ReportedRunning: report.running, ReportedWaiting: report.waiting,
 			QueuedPrefillTokens: report.queuedPrefill, ReportAge: now - report.asOf,
 			CachedTokens:        min(request.branch.cached[i], request.tokens),
@@ -267,7 +256,7 @@
 		n.run.clock.after(pause, func() { n.decide(request) })
 		return
 	}
-	n.observe(book, request, s, sent, n.run.latency(n.zone, e.zone))
+	observe(book, s, n.run.clock.now, sent, n.run.latency(n.zone, e.zone))
 	b := request.branch
 	b.history = append(request.prompt, s.answer)
 	b.tokens = request.tokens + s.answer.Tokens
@@ -285,8 +274,8 @@
 
 // observe takes the rates that a node can see: from the time to the first token
 // and from the time between tokens.
-func (n *node) observe(book *book, request *request, s *stream, sent, latency time.Duration) {
-	finished := n.run.clock.now - latency
+func observe(book *book, s *stream, now, sent, latency time.Duration) {
+	finished := now - latency
 	if s.answer.Tokens > 1 {
 		rate := float64(s.answer.Tokens) / max((finished-s.prefilledAt).Seconds(), 1e-6)
 		book.decode = blend(book.decode, rate, rateGain)
@@ -301,8 +290,6 @@
 		}
 		book.prefill = blend(book.prefill, rate, gain)
 	}
-	class := request.execution.class.Name
-	n.answers[class] = blend(n.answers[class], float64(s.answer.Tokens), rateGain/2)
 }
 
 // blend is a moving average that starts from its first sample.
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -70,8 +70,6 @@
 	waiting       int
 	queuedPrefill int
 	cacheUsed     int
-	// batchLimit is the largest batch reported beside waiting calls.
-	batchLimit int
 }
 
 // start is the wall time at which every run begins; only its differences matter.
@@ -186,10 +184,6 @@
 		if !last.listed || now.asOf <= last.asOf {
 			return
 		}
-		now.batchLimit = last.batchLimit
-		if now.waiting > 0 {
-			now.batchLimit = max(now.batchLimit, now.running)
-		}
 		*last = now
 	})
 }
--- a/internal/lab/experiment/strategy.go
+++ b/internal/lab/experiment/strategy.go
@@ -20,8 +20,6 @@
 	// KeepWarm gives up prefixes that are not expected to be used soon.
 	KeepWarm bool
 	Patience time.Duration
-	// WaitLimit refuses new programs that would wait longer; 0 refuses none.
-	WaitLimit time.Duration
 }
 
 // Strategies returns all strategies: the baselines, stepseam, and stepseam with
@@ -29,8 +27,10 @@
 func Strategies() []Strategy {
 	full := Strategy{
 		Name: "stepseam", Policy: scheduling.NewStepseam(),
-		Release: true, Priorities: true, KeepWarm: true, Patience: scheduling.DefaultPatience, WaitLimit: waitLimit,
+		Release: true, Priorities: true, KeepWarm: true, Patience: scheduling.DefaultPatience,
 	}
+	unlimited := scheduling.NewStepseam()
+	unlimited.Parameters.WaitLimit = 0
 	without := func(name string, change func(*Strategy)) Strategy {
 		ablated := full
 		ablated.Name = name
@@ -46,13 +46,10 @@
 		without("stepseam_fifo", func(s *Strategy) { s.Priorities = false }),
 		without("stepseam_no_release", func(s *Strategy) { s.Release = false }),
 		without("stepseam_no_keep_warm", func(s *Strategy) { s.KeepWarm = false }),
-		without("stepseam_no_admission", func(s *Strategy) { s.WaitLimit = 0 }),
+		without("stepseam_no_admission", func(s *Strategy) { s.Policy = unlimited }),
 	}
 }
 
-// waitLimit is the wait over which new programs are refused.
-const waitLimit = 4 * time.Second
-
 // PrimaryStrategies names those that are compared unless others are asked for.
 func PrimaryStrategies() []string {
 	return []string{"round_robin", "least_in_flight", "prefix_affinity", "prefix_affinity_release", "stepseam"}
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -17,11 +17,6 @@
 	// in all and of the call's tenant.
 	ClassRunning  int
 	TenantRunning int
-	// ExpectedWait is how long a call would wait at the best back end now.
-	ExpectedWait time.Duration
-	// WaitLimit is how long a new program's first call may be expected to wait; 0
-	// is no limit.
-	WaitLimit time.Duration
 	// ProgramDuration is how long the class's programs usually take, 0 if unknown.
 	ProgramDuration time.Duration
 }
@@ -34,8 +29,8 @@
 // The call of a program that is under way is always let in: its program was
 // admitted as a whole, and stalling it half way wastes what was done for it. A
 // first call is refused early, before anything ran, where its class or tenant
-// is at its limit or the wait is already longer than the limit, with the time
-// after which a place is expected to be free.
+// is at its limit, with the time after which a place is expected to be free.
+// Stepseam refuses one as well where the wait at the best back end is too long.
 func Admit(_ time.Time, admission Admission) Decision {
 	if admission.Call.CallsSoFar > 0 {
 		return Decision{Action: Run, Reason: "program is under way"}
@@ -48,13 +43,6 @@
 			return refuseAdmission(admission, admission.TenantRunning, share, "tenant at its share of the class")
 		}
 	}
-	if admission.WaitLimit > 0 && admission.ExpectedWait > admission.WaitLimit {
-		return Decision{
-			Action:     Refuse,
-			RetryAfter: max(admission.ExpectedWait-admission.WaitLimit, minimumRetry).Round(time.Millisecond),
-			Reason:     fmt.Sprintf("expected wait %s is over %s", admission.ExpectedWait, admission.WaitLimit),
-		}
-	}
 	return Decision{Action: Run, Reason: "within the limits"}
 }
 
--- a/internal/scheduling/contract.go
+++ b/internal/scheduling/contract.go
@@ -36,9 +36,6 @@
 	ReportedWaiting     int
 	QueuedPrefillTokens int
 	ReportAge           time.Duration
-	// BatchLimit is how many calls run there at once, as learned from reports with
-	// waiting calls; 0 if unknown.
-	BatchLimit int
 	// OwnInFlight counts this node's calls there that the report cannot know yet,
 	// OwnPrefillTokens their uncached prompt tokens.
 	OwnInFlight      int
@@ -80,8 +77,6 @@
 	Excluded []string
 	// LastBackend is where the branch's previous call ran.
 	LastBackend string
-	// ExpectedTokens is the class's usual answer length as observed, 0 if unknown.
-	ExpectedTokens int
 	// Turn is the node's running count of decisions. Only RoundRobin reads it,
 	// so that it needs no state of its own.
 	Turn uint64
--- a/internal/scheduling/policy_test.go
+++ b/internal/scheduling/policy_test.go
@@ -133,7 +133,7 @@
 
 func TestStepseamWeighsCacheAgainstWait(t *testing.T) {
 	is := is.New(t)
-	call := scheduling.Call{Model: "m", PromptTokens: 8000, ExpectedTokens: 100, LastBackend: "warm"}
+	call := scheduling.Call{Model: "m", PromptTokens: 8000, LastBackend: "warm"}
 	warm := scheduling.Backend{Name: "warm", ServesModel: true, CachedTokens: 7500, PrefillRate: 4000}
 	cold := scheduling.Backend{Name: "cold", ServesModel: true, PrefillRate: 4000}
 	is.Equal(scheduling.NewStepseam().Choose(epoch, call, []scheduling.Backend{cold, warm}).Backend, "warm")
@@ -148,6 +148,11 @@
 	refused := scheduling.NewStepseam().Choose(epoch, call, backends)
 	is.Equal(refused.Action, scheduling.Refuse)
 	is.True(refused.RetryAfter > 10*time.Second) // about 20 s of queue less 10 s of patience
+	call.Deadline = time.Time{}
+	refused = scheduling.NewStepseam().Choose(epoch, call, backends)
+	is.Equal(refused.Action, scheduling.Refuse) // no deadline, but the wait is over the limit
+	is.Equal(refused.RetryAfter, 16*time.Second)
+	call.Deadline = epoch.Add(10 * time.Second)
 	call.CallsSoFar = 1
 	is.Equal(scheduling.NewStepseam().Choose(epoch, call, backends).Action, scheduling.Run)
 }
@@ -187,8 +192,6 @@
 			MaxConcurrent: rapid.IntRange(0, 5).Draw(t, "limit"),
 			TenantShare:   rapid.Float64Range(0, 1).Draw(t, "share"),
 			ClassRunning:  rapid.IntRange(0, 8).Draw(t, "running"),
-			ExpectedWait:  time.Duration(rapid.IntRange(0, 60).Draw(t, "wait")) * time.Second,
-			WaitLimit:     time.Duration(rapid.IntRange(0, 30).Draw(t, "wait limit")) * time.Second,
 		}
 		admission.TenantRunning = rapid.IntRange(0, admission.ClassRunning).Draw(t, "tenant running")
 		decision := scheduling.Admit(epoch, admission)
--- a/internal/scheduling/stepseam.go
+++ b/internal/scheduling/stepseam.go
@@ -10,9 +10,9 @@
 	// of any back end, in tokens per second.
 	defaultPrefillRate = 4000
 	defaultDecodeRate  = 40
-	// defaultAnswerTokens is the answer length expected of a class of which
-	// nothing was observed yet.
-	defaultAnswerTokens = 160
+	// usualAnswerTokens is the answer length that is reckoned with. Only how back
+	// ends compare depends on it; the observed length of the class did no better.
+	usualAnswerTokens = 160
 	// minimumRetry is the shortest time to come back that a refusal names.
 	minimumRetry = time.Second
 )
@@ -36,6 +36,10 @@
 	// SlowShare is the share of the usual decode rate below which a back end is
 	// taken to be slow; above it, differences are noise or its batch.
 	SlowShare float64
+	// WaitLimit is how long a new program may be expected to wait at the best back
+	// end; beyond it the program is refused before it begins, so that those under
+	// way are not slowed without end. 0 refuses none.
+	WaitLimit time.Duration
 	// Herd is how many calls of other nodes are assumed to be on their way to a
 	// back end for each own one that its report can't know.
 	Herd float64
@@ -44,8 +48,9 @@
 // DefaultParameters returns the parameters the daemon runs with.
 func DefaultParameters() Parameters {
 	return Parameters{
-		BatchSlowdown: 0.02, Neighbours: 1.5, EvictionShare: 0.3,
+		BatchSlowdown: 0.02, Neighbours: 1.5, EvictionShare: 1,
 		MoveMargin: 500 * time.Millisecond, SlowShare: 0.6, Herd: 3,
+		WaitLimit: 4 * time.Second,
 	}
 }
 
@@ -75,17 +80,48 @@
 		return decision
 	}
 	decision.Priority = EnginePriority(now, &call)
-	if late := weigher.lateBy(now, backends, decision.Backend); late > 0 {
-		return Decision{
-			Action:     Refuse,
-			RetryAfter: max(late, minimumRetry).Round(time.Millisecond),
-			Reason:     fmt.Sprintf("would be %s past its deadline; %s", late.Round(time.Millisecond), decision.Reason),
-			Candidates: decision.Candidates,
-		}
+	best := weigher.estimateOf(backends, decision.Backend)
+	if late := weigher.lateBy(now, &best); late > 0 {
+		reason := fmt.Sprintf("would be %s past its deadline", late.Round(time.Millisecond))
+		return giveUp(decision, late, reason)
+	}
+	if excess := weigher.overload(&best); excess > 0 {
+		reason := fmt.Sprintf("would wait %.1fs, more than a new program may", best.wait)
+		return giveUp(decision, excess, reason)
 	}
 	return decision
 }
 
+// giveUp turns a decision to run into a refusal. retryAfter is by how much the
+// estimate is too long: once so much of the work that waits is done, the call
+// could run.
+func giveUp(decision Decision, retryAfter time.Duration, reason string) Decision {
+	return Decision{
+		Action:     Refuse,
+		RetryAfter: max(retryAfter, minimumRetry).Round(time.Millisecond),
+		Reason:     reason + "; " + decision.Reason,
+		Candidates: decision.Candidates,
+	}
+}
+
+// estimateOf returns the estimate for the named back end.
+func (w *weigher) estimateOf(backends []Backend, name string) estimate {
+	for i := range backends {
+		if backends[i].Name == name {
+			return w.estimate(&backends[i])
+		}
+	}
+	return estimate{}
+}
+
+// overload returns by how much a new program would wait too long.
+func (w *weigher) overload(best *estimate) time.Duration {
+	if w.call.CallsSoFar > 0 || w.parameters.WaitLimit <= 0 || w.call.Model == "" {
+		return 0
+	}
+	return seconds(best.wait) - w.parameters.WaitLimit
+}
+
 // weigher weighs back ends for one call against what is usual for all of them.
 type weigher struct {
 	parameters  Parameters
@@ -153,18 +189,14 @@
 
 	result.prefill = float64(uncached) / prefillRate
 	result.wait = (float64(b.QueuedPrefillTokens) + ownPrefill) / prefillRate
-	inBatch := batch
-	if limit := float64(b.BatchLimit); limit > 0 {
-		inBatch = min(batch, limit)
-	}
-	slowdown := max(1+p.BatchSlowdown*(inBatch-w.running), 0.5)
+	slowdown := max(1+p.BatchSlowdown*(batch-w.running), 0.5)
 	result.decode = float64(w.answer) * slowdown / (w.decodeRate * speed)
 	result.wait += queued(b, batch) * result.decode
-	result.others = p.Neighbours * inBatch * result.prefill
+	result.others = p.Neighbours * batch * result.prefill
 	if b.CacheCapacityTokens > 0 {
 		overflow := float64(b.CacheUsedTokens+uncached+w.answer-b.CacheCapacityTokens) + ownPrefill
 		overflow = min(max(overflow, 0), float64(uncached+w.answer))
-		result.eviction = p.EvictionShare * overflow / prefillRate * (1 + p.Neighbours*inBatch)
+		result.eviction = p.EvictionShare * overflow / prefillRate * (1 + p.Neighbours*batch)
 	}
 	if w.call.LastBackend != "" && w.call.LastBackend != b.Name {
 		result.move = p.MoveMargin.Seconds()
@@ -186,22 +218,20 @@
 	return max(share, 0.05)
 }
 
-// queued returns for how many rounds of a full batch a call would wait for its place.
+// queued returns for how many rounds of a full batch a call would wait for its
+// place. Where calls wait, what runs is the full batch.
 func queued(b *Backend, batch float64) float64 {
-	limit := float64(b.BatchLimit)
-	if limit <= 0 {
-		if b.ReportedWaiting == 0 {
-			return 0
-		}
-		limit = float64(max(b.ReportedRunning, 1))
+	if b.ReportedWaiting == 0 {
+		return 0
 	}
-	return max(batch-limit+1, 0) / limit
+	full := float64(max(b.ReportedRunning, 1))
+	return max(batch-full+1, 0) / full
 }
 
-// lateBy returns by how much the call would miss its deadline at the named back
-// end. A program under way is only given up once the deadline has passed: an
-// estimate is no reason to stall it half way.
-func (w *weigher) lateBy(now time.Time, backends []Backend, name string) time.Duration {
+// lateBy returns by how much the call would miss its deadline. A program under
+// way is only given up once the deadline has passed: an estimate is no reason to
+// stall it half way.
+func (w *weigher) lateBy(now time.Time, best *estimate) time.Duration {
 	if w.call.Deadline.IsZero() {
 		return 0
 	}
@@ -212,13 +242,7 @@
 	if w.call.CallsSoFar > 0 {
 		return 0
 	}
-	for i := range backends {
-		if backends[i].Name == name {
-			e := w.estimate(&backends[i])
-			return seconds(e.completion()) - remaining
-		}
-	}
-	return 0
+	return seconds(best.completion()) - remaining
 }
 
 func (w *weigher) note(b *Backend) string {
@@ -227,35 +251,15 @@
 		e.wait, e.prefill, b.CachedTokens, e.decode, e.travel, e.others, e.eviction)
 }
 
-// ExpectedWait returns how long call would wait before its prefill begins at the
-// back end where it would wait least; 0 if none can take it, which Choose answers.
-func ExpectedWait(call Call, backends []Backend) time.Duration {
-	weigher := NewStepseam().weigher(&call, backends)
-	least, found := 0.0, false
-	for i := range backends {
-		if ineligible(&call, &backends[i]) != "" {
-			continue
-		}
-		if e := weigher.estimate(&backends[i]); !found || e.wait < least {
-			least, found = e.wait, true
-		}
-	}
-	return seconds(least)
-}
-
 // applicationSeconds is what one call in flight at an application replica is
 // taken to add; only the comparison between replicas matters.
 const applicationSeconds = 0.05
 
 func answerTokens(call *Call) int {
-	expected := call.ExpectedTokens
-	if expected <= 0 {
-		expected = defaultAnswerTokens
-	}
 	if call.MaxTokens > 0 {
-		expected = min(expected, call.MaxTokens)
+		return min(usualAnswerTokens, call.MaxTokens)
 	}
-	return expected
+	return usualAnswerTokens
 }
 
 func seconds(value float64) time.Duration {
