Write back ends' refusals in one place

Cause: both stand-ins' faces had the same function that answers with a problem document or breaks the connection, and the engine had two names for an empty value.

Change: backend.WriteError, beside the documents that it writes.

--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -100,6 +101,18 @@
 	return nil, false
 }
 
+// WriteError answers a request with the document of err; where err is none that
+// can be answered with, it breaks the connection, as a handler may.
+func WriteError(w http.ResponseWriter, err error) {
+	document, answerable := NewErrorDocument(err)
+	if !answerable {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", contentTypeProblem)
+	w.WriteHeader(document.Status)
+	_ = json.NewEncoder(w).Encode(document)
+}
+
 // sentinel returns the error that a document stands for.
 func (d *ErrorDocument) sentinel() error {
 	if d.Code == CodeDraining {
--- a/internal/emulator/application/server.go
+++ b/internal/emulator/application/server.go
@@ -50,12 +50,12 @@
 func (s *server) invoke(w http.ResponseWriter, r *http.Request) {
 	request, err := readInvoke(w, r)
 	if err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	answer, err := s.application.Invoke(r.Context(), request)
 	if err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -65,7 +65,7 @@
 func (s *server) load(w http.ResponseWriter, r *http.Request) {
 	report, err := s.application.Load(r.Context())
 	if err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -90,17 +90,6 @@
 	}, nil
 }
 
-// fail answers with the document of err, or breaks the connection.
-func fail(w http.ResponseWriter, err error) {
-	document, answerable := backend.NewErrorDocument(err)
-	if !answerable {
-		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set("Content-Type", document.ContentType(""))
-	w.WriteHeader(document.Status)
-	_ = json.NewEncoder(w).Encode(document)
-}
-
 type none struct{}
 
 type body[T any] struct{ Body T }
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -217,7 +217,7 @@
 
 // Cancel implements backend.Engine.
 func (e *Engine) Cancel(ctx context.Context, id identity.StreamID) error {
-	_, err := deliver(ctx, e, func() (nothing, error) {
+	_, err := deliver(ctx, e, func() (none, error) {
 		e.forget()
 		if _, cancelled := e.tombs[id]; !cancelled {
 			e.tombs[id] = struct{}{}
@@ -227,7 +227,7 @@
 			e.stop(known, OutcomeCancelled, backend.ErrStreamCancelled)
 			delete(e.streams, id)
 		}
-		return nothing{}, nil
+		return none{}, nil
 	})
 	if err != nil {
 		return fmt.Errorf("engine %s: cancel %s: %w", e.parameters.Name, id, err)
--- a/internal/emulator/engine/faults.go
+++ b/internal/emulator/engine/faults.go
@@ -112,9 +112,9 @@
 // now or after a thaw. What it returns is the answer, unless the answer gets
 // lost. Every outcome other than ErrNotDelivered means that the request was sent.
 func deliver[T any](ctx context.Context, e *Engine, effect func() (T, error)) (T, error) {
-	var none T
+	var zero T
 	if err := ctx.Err(); err != nil {
-		return none, fmt.Errorf("%w: %w", backend.ErrNotDelivered, err)
+		return zero, fmt.Errorf("%w: %w", backend.ErrNotDelivered, err)
 	}
 	run := func() reply[T] {
 		value, err := effect()
@@ -123,7 +123,7 @@
 	e.mutex.Lock()
 	if e.faults.Down || e.closed {
 		e.mutex.Unlock()
-		return none, backend.ErrNotDelivered
+		return zero, backend.ErrNotDelivered
 	}
 	if e.thawed == nil {
 		defer e.mutex.Unlock()
@@ -142,15 +142,12 @@
 	case answer := <-answered:
 		return answer.value, answer.err
 	case <-broken:
-		return none, backend.ErrBroken
+		return zero, backend.ErrBroken
 	case <-ctx.Done():
-		return none, fmt.Errorf("%w: %w", backend.ErrBroken, ctx.Err())
+		return zero, fmt.Errorf("%w: %w", backend.ErrBroken, ctx.Err())
 	}
 }
 
-// nothing is the value of a request that is answered without one.
-type nothing struct{}
-
 // answer returns err to the caller, or loses it. A refusal is an answer too.
 func (e *Engine) answer(err error) error {
 	if e.loseAnswer() {
--- a/internal/emulator/engine/memory.go
+++ b/internal/emulator/engine/memory.go
@@ -19,11 +19,11 @@
 
 // Release implements backend.Engine.
 func (e *Engine) Release(ctx context.Context, program identity.ProgramID, branch identity.BranchID) error {
-	_, err := deliver(ctx, e, func() (nothing, error) {
+	_, err := deliver(ctx, e, func() (none, error) {
 		e.cache.Release(program, branch)
 		e.noteCache()
 		e.noteLoad()
-		return nothing{}, nil
+		return none{}, nil
 	})
 	if err != nil {
 		return fmt.Errorf("engine %s: release %s: %w", e.parameters.Name, program, err)
@@ -193,11 +193,11 @@
 }
 
 func (e *Engine) importState(ctx context.Context, key model.Key, segments []model.Segment) error {
-	_, err := deliver(ctx, e, func() (nothing, error) {
+	_, err := deliver(ctx, e, func() (none, error) {
 		if e.draining {
-			return nothing{}, fmt.Errorf("%w: %w", backend.ErrRefused, backend.ErrDraining)
+			return none{}, fmt.Errorf("%w: %w", backend.ErrRefused, backend.ErrDraining)
 		}
-		return nothing{}, nil
+		return none{}, nil
 	})
 	if err != nil {
 		return err
@@ -205,13 +205,13 @@
 	if err := e.transfer(ctx, model.CountTokens(segments)); err != nil {
 		return err
 	}
-	_, err = deliver(ctx, e, func() (nothing, error) {
+	_, err = deliver(ctx, e, func() (none, error) {
 		if !e.cache.Store(key, segments) {
-			return nothing{}, fmt.Errorf("%w: no room for the prefix", backend.ErrRefused)
+			return none{}, fmt.Errorf("%w: no room for the prefix", backend.ErrRefused)
 		}
 		e.noteCache()
 		e.noteLoad()
-		return nothing{}, nil
+		return none{}, nil
 	})
 	return afterSending(err)
 }
--- a/internal/emulator/engine/server.go
+++ b/internal/emulator/engine/server.go
@@ -61,12 +61,12 @@
 func (s *server) chat(w http.ResponseWriter, r *http.Request) {
 	request, streamed, err := readChat(w, r)
 	if err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	running, err := s.engine.start(r.Context(), request)
 	if err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	if streamed {
@@ -75,7 +75,7 @@
 	}
 	result, err := s.engine.follow(r.Context(), running, 0, nil)
 	if err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	response := newResponse(running, backend.ObjectCompletion)
@@ -131,12 +131,12 @@
 func (s *server) resume(w http.ResponseWriter, r *http.Request) {
 	id, err := backend.ParseStreamID(r.PathValue("id"))
 	if err != nil {
-		fail(w, fmt.Errorf("%w: %w", backend.ErrRefused, err))
+		backend.WriteError(w, fmt.Errorf("%w: %w", backend.ErrRefused, err))
 		return
 	}
 	known, err := s.engine.find(r.Context(), id)
 	if err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	s.stream(w, r, known)
@@ -254,17 +254,6 @@
 	e.flush()
 }
 
-// fail answers with the document of err, or breaks the connection.
-func fail(w http.ResponseWriter, err error) {
-	document, answerable := backend.NewErrorDocument(err)
-	if !answerable {
-		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set("Content-Type", document.ContentType(""))
-	w.WriteHeader(document.Status)
-	_ = json.NewEncoder(w).Encode(document)
-}
-
 func prefixOf(r *http.Request) (identity.ProgramID, identity.BranchID, error) {
 	query := r.URL.Query()
 	program, branch := query.Get("program"), query.Get("branch")
@@ -277,12 +266,12 @@
 func (s *server) export(w http.ResponseWriter, r *http.Request) {
 	program, branch, err := prefixOf(r)
 	if err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	state, err := s.engine.Export(r.Context(), program, branch)
 	if err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -292,16 +281,16 @@
 func (s *server) importState(w http.ResponseWriter, r *http.Request) {
 	program, branch, err := prefixOf(r)
 	if err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	state, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
-		fail(w, fmt.Errorf("%w: body: %w", backend.ErrRefused, err))
+		backend.WriteError(w, fmt.Errorf("%w: body: %w", backend.ErrRefused, err))
 		return
 	}
 	if err := s.engine.Import(r.Context(), program, branch, state); err != nil {
-		fail(w, err)
+		backend.WriteError(w, err)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/emulator/engine/server_json.go
+++ b/internal/emulator/engine/server_json.go
@@ -11,7 +11,7 @@
 	"stepseam.example/stepseam/internal/identity"
 )
 
-// none is an input or output without content.
+// none is a request or an answer without content.
 type none struct{}
 
 // body is an answer in JSON.
