Feed the peer server random frames

Cause: the server's bookkeeping of requests was only tested with frames that a well-behaved node sends. Change: a property over random frame types, flags, kinds, numbers and lengths: the server goes on, answers others and keeps no work.

--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
+	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/wire"
@@ -400,6 +402,34 @@
 	})
 }
 
+// Whatever frames a connection brings, the server neither fails nor keeps work
+// for it, and other connections go on.
+func TestAnyFramesLeaveTheServerWhole(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		stream := []byte("STEPSEAM\x01")
+		for range rapid.IntRange(0, 30).Draw(rt, "frames") {
+			payload := rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(rt, "payload")
+			stream = binary.BigEndian.AppendUint32(stream, uint32(len(payload)))
+			stream = append(stream, rapid.SampledFrom([]byte{1, 1, 1, 7, 8, 9, 2, 99}).Draw(rt, "type"), rapid.Byte().Draw(rt, "flags"))
+			stream = binary.BigEndian.AppendUint16(stream, rapid.SampledFrom([]uint16{1, 101, 999}).Draw(rt, "kind"))
+			stream = binary.BigEndian.AppendUint64(stream, rapid.Uint64Range(1, 3).Draw(rt, "request"))
+			stream = append(stream, payload...)
+		}
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t, peer.Options{MaxMessageBytes: 100})
+			socket, err := p.listener.dial(t.Context(), anyAddress)
+			is.NoErr(err)
+			go func() { _, _ = io.Copy(io.Discard, socket) }()
+			_, _ = socket.Write(stream)
+			_ = socket.Close()
+			_, err = p.call(t.Context(), "x", nil)
+			is.NoErr(err)
+			is.NoErr(p.server.Shutdown(t.Context()))
+		})
+	})
+}
+
 func BenchmarkCall(b *testing.B) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
