--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -107,10 +107,6 @@
 		add("shards.lease_renewal", fmt.Sprintf("is %s, at most a third of shards.lease_duration (%s) is allowed",
 			settings.Shards.LeaseRenewal, settings.Shards.LeaseDuration))
 	}
-	if settings.Journal.ShardTailBytes > settings.Journal.TailBytes {
-		add("journal.shard_tail_bytes", fmt.Sprintf("is %d, more than journal.tail_bytes (%d)",
-			settings.Journal.ShardTailBytes, settings.Journal.TailBytes))
-	}
 }
 
 func suggestion(key string, known []string) string {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,7 +57,8 @@
 	LogService  netip.AddrPort `yaml:"log_service" validate:"required"`
 	MachineList netip.AddrPort `yaml:"machine_list" validate:"required"`
 	WeightStore netip.AddrPort `yaml:"weight_store" validate:"required"`
-	// Tools is the tool service; unset where the site has none.
+	// Tools is the tool service; unset where the site has none. Callers use it,
+	// nodes do not yet.
 	Tools netip.AddrPort `yaml:"tools"`
 	// MachineListInterval is the time between two reads of the machine list.
 	MachineListInterval time.Duration `yaml:"machine_list_interval" validate:"min=100ms,max=5m"`
@@ -75,11 +76,8 @@
 	LeaseRenewal time.Duration `yaml:"lease_renewal" validate:"min=50ms,max=1m"`
 }
 
-// Journal bounds the tails that this node keeps in memory.
+// Journal says how records go to the log, and bounds a shard's tail in memory.
 type Journal struct {
-	// TailBytes is the largest total of tails held for all shards before new
-	// work is refused.
-	TailBytes int64 `yaml:"tail_bytes" validate:"min=1048576"`
 	// ShardTailBytes is the size of one shard's tail that makes it fold into a
 	// snapshot.
 	ShardTailBytes int64 `yaml:"shard_tail_bytes" validate:"min=4096"`
@@ -144,7 +142,6 @@
 		Platform: Platform{MachineListInterval: 2 * time.Second},
 		Shards:   Shards{Count: 1024, LeaseDuration: 3 * time.Second, LeaseRenewal: 750 * time.Millisecond},
 		Journal: Journal{
-			TailBytes:      256 * mebibyte,
 			ShardTailBytes: mebibyte,
 			FlushInterval:  50 * time.Millisecond,
 			DurableTimeout: 5 * time.Second,
