Ask a back end again before a call where its report is old

Cause: in a fleet of more than 32 back ends a node polls each only every few seconds, so that a leaving one could be chosen up to a report's age later. Change: serving dispatches through the back-end controller's directory, which asks for a new report where the last is older than 2 s.

--- a/internal/node/providers.go
+++ b/internal/node/providers.go
@@ -71,7 +71,7 @@
 		Self:       chosen.Node.Name,
 		ShardCount: chosen.Shards.Count,
 		Board:      do.MustInvoke[*blackboard.Board](injector),
-		Directory:  observedDirectory(injector),
+		Directory:  do.MustInvoke[*backends.Controller](injector).Directory(),
 		Policy:     do.MustInvoke[scheduling.Policy](injector),
 		Logger:     componentLogger(injector, "serving"),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
@@ -91,12 +91,6 @@
 	}), nil
 }
 
-// observedDirectory tells the back-end controller how each call of serving ended.
-func observedDirectory(injector do.Injector) backend.Directory {
-	controller := do.MustInvoke[*backends.Controller](injector)
-	return backends.Observe(do.MustInvoke[backend.Directory](injector), controller.Observe)
-}
-
 func provideJournal(injector do.Injector) (*journal.Manager, error) {
 	chosen := do.MustInvoke[settings.Settings](injector)
 	board := do.MustInvoke[*blackboard.Board](injector)
