--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,8 +10,10 @@
 	"net/http/httptest"
 	"testing"
 
+	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/gateway"
+	"stepseam.example/stepseam/internal/serving"
 )
 
 // BenchmarkHandler measures the gateway without sockets, on programs that
@@ -38,13 +41,38 @@
 	}
 }
 
-// BenchmarkLoopback measures requests a second through sockets, client included.
+// manyTokens is a programs whose streams have count tokens.
+type manyTokens struct {
+	programs
+	count int
+}
+
+func (p *manyTokens) Call(_ context.Context, _ serving.CallRequest, onToken serving.TokenFunc) (api.Answer, error) {
+	for index := range p.count {
+		if onToken == nil {
+			break
+		}
+		if err := onToken(index, "token "); err != nil {
+			return api.Answer{}, err
+		}
+	}
+	return api.Answer{}, nil
+}
+
+// BenchmarkLoopback measures requests a second through sockets, client included:
+// whole answers, and streams of 100 tokens.
 func BenchmarkLoopback(b *testing.B) {
+	b.Run("call", func(b *testing.B) { loopback(b, "application/json") })
+	b.Run("stream_100_tokens", func(b *testing.B) { loopback(b, "text/event-stream") })
+}
+
+func loopback(b *testing.B, accept string) {
+	b.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
-	node := gateway.New(gateway.Config{Programs: &programs{}, Board: blackboard.NewBoard()})
+	node := gateway.New(gateway.Config{Programs: &manyTokens{count: 100}, Board: blackboard.NewBoard()})
 	go func() { _ = node.Serve(listener) }()
 	defer func() { _ = node.Close() }()
 	transport := &http.Transport{MaxIdleConnsPerHost: 256}
@@ -55,7 +83,14 @@
 	b.SetParallelism(8)
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			response, err := client.Post(url, "application/json", bytes.NewBufferString(modelCall))
+			request, err := http.NewRequest(http.MethodPost, url, bytes.NewBufferString(modelCall))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			request.Header.Set("Content-Type", "application/json")
+			request.Header.Set("Accept", accept)
+			response, err := client.Do(request)
 			if err != nil {
 				b.Error(err)
 				return
