Answer every refusal of the operators' face as a problem with its code

Cause: huma answers broken JSON, missing fields and large bodies in a form of its own, without a code, and stepseamctl could only quote it.

Change: a transformer turns these into problems; internal/problem holds it with the error type for handlers.

Left: the gateway has the same code of its own and could use the package.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"net/http"
-	"strconv"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
@@ -17,6 +15,7 @@
 	"stepseam.example/stepseam/internal/controller/tables"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/problem"
 	"stepseam.example/stepseam/internal/serving"
 	"stepseam.example/stepseam/internal/table"
 )
@@ -103,27 +102,10 @@
 	mux.Handle("GET /metrics", promhttp.HandlerFor(o.config.Registry, promhttp.HandlerOpts{}))
 	description := huma.DefaultConfig("stepseam operators' interface", "1")
 	description.CreateHooks = nil // no schema links inside the documents
+	description.Transformers = []huma.Transformer{problem.Transform}
 	interfaces := humago.New(mux, description)
 	o.tableEndpoints(interfaces)
 	o.siteEndpoints(interfaces)
 	o.programEndpoints(interfaces)
 	return mux
 }
-
-// statusError is a problem in the form that huma answers with.
-type statusError struct{ *api.Problem }
-
-// asError makes an answer of a problem, with the time to come back as a header.
-func asError(problem *api.Problem) error {
-	if problem.RetryAfter <= 0 {
-		return statusError{problem}
-	}
-	seconds := strconv.Itoa(int(math.Ceil(problem.RetryAfter.Seconds())))
-	return huma.ErrorWithHeaders(statusError{problem}, http.Header{"Retry-After": {seconds}})
-}
-
-// GetStatus implements huma.StatusError.
-func (s statusError) GetStatus() int { return s.Status }
-
-// ContentType implements huma.ContentTypeFilter.
-func (s statusError) ContentType(string) string { return "application/problem+json" }
--- a/internal/operator/programs.go
+++ b/internal/operator/programs.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -13,29 +12,21 @@
 
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/problem"
 	"stepseam.example/stepseam/internal/scheduling"
 	"stepseam.example/stepseam/internal/table"
 )
 
 func tableVersion(number uint64) table.Version { return table.Version(number) }
 
-// problem makes an error of this package's own codes.
-func problem(status int, code api.Code, format string, arguments ...any) error {
+// refusal makes an answer of this package's own codes.
+func refusal(status int, code api.Code, format string, arguments ...any) error {
 	made := api.NewProblem(code, format, arguments...)
 	made.Status = status
 	if made.Title == "" {
 		made.Title = http.StatusText(status)
 	}
-	return asError(made)
-}
-
-// problemOf turns an error of the programs into an answer.
-func problemOf(err error) error {
-	var found *api.Problem
-	if errors.As(err, &found) {
-		return asError(found)
-	}
-	return asError(api.NewProblem(api.CodeInternal, "%s", err))
+	return problem.Answer(made)
 }
 
 // newest orders programs by their creation, the latest first.
@@ -104,7 +95,7 @@
 		}
 	}
 	if latest == nil {
-		return Explanation{}, problem(http.StatusNotFound, CodeNoExplanation,
+		return Explanation{}, refusal(http.StatusNotFound, CodeNoExplanation,
 			"no node remembers a decision on %s: it was never made, is too long ago, or its node was replaced", call)
 	}
 	return *latest, nil
@@ -163,7 +154,7 @@
 			defer cancel()
 			program, err := act(ctx, identity.ProgramID(input.ID))
 			if err != nil {
-				return nil, problemOf(err)
+				return nil, problem.Answer(err)
 			}
 			return &documentOf[api.Program]{Body: program}, nil
 		})
--- a/internal/operator/site.go
+++ b/internal/operator/site.go
@@ -181,10 +181,10 @@
 	member, found := lo.Find(members, func(m membership.Member) bool { return string(m.Node.Name) == name })
 	if !found {
 		known := lo.Map(members, func(m membership.Member, _ int) string { return string(m.Node.Name) })
-		return problem(http.StatusNotFound, CodeUnknownNode, "there is no node %s; the members are %v", name, known)
+		return refusal(http.StatusNotFound, CodeUnknownNode, "there is no node %s; the members are %v", name, known)
 	}
 	if _, err := o.ask(ctx, member, &drainRequest{}); err != nil {
-		return problem(http.StatusBadGateway, api.CodeInternal, "%s did not confirm, look at its status: %s", name, err)
+		return refusal(http.StatusBadGateway, api.CodeInternal, "%s did not confirm, look at its status: %s", name, err)
 	}
 	return nil
 }
--- a/internal/operator/versions.go
+++ b/internal/operator/versions.go
@@ -11,6 +11,7 @@
 
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/controller/tables"
+	"stepseam.example/stepseam/internal/problem"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -28,14 +29,14 @@
 		wanted = state.InForce
 	}
 	if wanted == 0 {
-		return Table{}, asError(api.NewProblem(api.CodeNoTable, "no table is in force at %s", o.config.Self.Name))
+		return Table{}, problem.Answer(api.NewProblem(api.CodeNoTable, "no table is in force at %s", o.config.Self.Name))
 	}
 	record, err := o.config.Tables.Version(ctx, wanted)
 	switch {
 	case errors.Is(err, tables.ErrForgotten):
-		return Table{}, problem(http.StatusNotFound, CodeUnknownVersion, "version %d is not among the versions remembered; the newest is %d", wanted, state.Known)
+		return Table{}, refusal(http.StatusNotFound, CodeUnknownVersion, "version %d is not among the versions remembered; the newest is %d", wanted, state.Known)
 	case err != nil:
-		return Table{}, problem(http.StatusServiceUnavailable, api.CodeLogUnavailable, "version %d stands in the log only, which cannot be read: %s", wanted, err)
+		return Table{}, refusal(http.StatusServiceUnavailable, api.CodeLogUnavailable, "version %d stands in the log only, which cannot be read: %s", wanted, err)
 	}
 	return Table{
 		Version: Version{
@@ -49,7 +50,7 @@
 // publish hands a table to the controller and words the outcome.
 func (o *Operator) publish(ctx context.Context, asked Publication) (Version, error) {
 	if int64(len(asked.CSV)) > o.config.TableBytes {
-		return Version{}, asError(api.NewProblem(api.CodeTooLarge, "the table is %d bytes, %d are allowed", len(asked.CSV), o.config.TableBytes))
+		return Version{}, problem.Answer(api.NewProblem(api.CodeTooLarge, "the table is %d bytes, %d are allowed", len(asked.CSV), o.config.TableBytes))
 	}
 	entry, err := o.config.Tables.Publish(ctx, tables.Publication{
 		ID: asked.ID, Repeated: asked.Repeated, Base: asked.Base, Author: asked.Author, Note: asked.Note, CSV: []byte(asked.CSV),
@@ -74,23 +75,23 @@
 		made.Findings = lo.Map(invalid.Findings, func(f table.Finding, _ int) api.Finding {
 			return api.Finding{Place: f.Place(), Message: f.Message}
 		})
-		return asError(made)
+		return problem.Answer(made)
 	case errors.As(err, &lost):
-		return asError(api.NewProblem(api.CodeTableConflict,
+		return problem.Answer(api.NewProblem(api.CodeTableConflict,
 			"version %d by %s was accepted on base %d first; take your change over into it and publish on base %d",
 			lost.Winner.Version, nameOf(lost.Winner.Author), lost.Base, lost.Winner.Version))
 	case errors.As(err, &base):
-		return asError(api.NewProblem(api.CodeTableConflict,
+		return problem.Answer(api.NewProblem(api.CodeTableConflict,
 			"base %d was never accepted; the newest version is %d", base.Base, base.Current))
 	case errors.Is(err, tables.ErrIDReused):
-		return asError(api.NewProblem(api.CodeConflict, "%s", err))
+		return problem.Answer(api.NewProblem(api.CodeConflict, "%s", err))
 	case errors.As(err, &unknown):
 		made := api.NewProblem(CodeTableUnknown,
 			"it is not known whether publication %s takes effect; publish it again with the same id, or look for the id in the history", asked.ID)
 		made.Status, made.Title = http.StatusServiceUnavailable, "The outcome of the publication is unknown"
-		return asError(made.WithRetryAfter(unknownRetry))
+		return problem.Answer(made.WithRetryAfter(unknownRetry))
 	}
-	return asError(api.NewProblem(api.CodeLogUnavailable, "nothing was published: %s", err).WithRetryAfter(unknownRetry))
+	return problem.Answer(api.NewProblem(api.CodeLogUnavailable, "nothing was published: %s", err).WithRetryAfter(unknownRetry))
 }
 
 func nameOf(author string) string {
