--- a/internal/scheduling/eligible.go
+++ b/internal/scheduling/eligible.go
@@ -4,11 +4,12 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 )
 
 // MaxCandidates bounds how many weighed back ends a Decision lists.
-const MaxCandidates = 5
+const MaxCandidates = 4
 
 const (
 	// noBackendRetry is when to come back while no back end can serve a call. A
@@ -93,7 +94,7 @@
 		backend := &backends[entry.index]
 		decision.Candidates[i] = Candidate{Backend: backend.Name, Cost: entry.cost, Note: note(backend)}
 	}
-	decision.Reason = fmt.Sprintf("best of %d: %s", ranked.eligible, decision.Candidates[0].Note)
+	decision.Reason = "best of " + strconv.Itoa(ranked.eligible) + ": " + decision.Candidates[0].Note
 	return decision
 }
 
--- a/internal/scheduling/stepseam.go
+++ b/internal/scheduling/stepseam.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -124,33 +125,39 @@
 
 // weigher weighs back ends for one call against what is usual for all of them.
 type weigher struct {
-	parameters  Parameters
-	call        *Call
-	answer      int
-	prefillRate float64
-	decodeRate  float64
-	running     float64
+	parameters Parameters
+	call       *Call
+	answer     int
+	// prefillTime and decodeTime are seconds for one token at the usual rates,
+	// slowRate is the decode rate below which a back end is slow.
+	prefillTime float64
+	decodeTime  float64
+	slowRate    float64
+	// running is the usual batch.
+	running float64
 }
 
 // weigher works out the usual rates and batch of the back ends.
 func (s Stepseam) weigher(call *Call, backends []Backend) *weigher {
 	w := &weigher{parameters: s.Parameters, call: call, answer: answerTokens(call)}
-	prefills, decodes := 0.0, 0.0
+	prefillRate, decodeRate, prefills, decodes := 0.0, 0.0, 0.0, 0.0
 	for i := range backends {
 		b := &backends[i]
 		w.running += float64(b.ReportedRunning)
 		if b.PrefillRate > 0 {
-			w.prefillRate += b.PrefillRate
+			prefillRate += b.PrefillRate
 			prefills++
 		}
 		if b.DecodeRate > 0 {
-			w.decodeRate += b.DecodeRate
+			decodeRate += b.DecodeRate
 			decodes++
 		}
 	}
 	w.running /= max(float64(len(backends)), 1)
-	w.prefillRate = mean(w.prefillRate, prefills, defaultPrefillRate)
-	w.decodeRate = mean(w.decodeRate, decodes, defaultDecodeRate)
+	w.prefillTime = 1 / mean(prefillRate, prefills, defaultPrefillRate)
+	decodeRate = mean(decodeRate, decodes, defaultDecodeRate)
+	w.decodeTime = 1 / decodeRate
+	w.slowRate = decodeRate * s.Parameters.SlowShare
 	return w
 }
 
@@ -180,23 +187,23 @@
 		return result
 	}
 	p := &w.parameters
-	speed := w.speed(b)
+	slowness := w.slowness(b)
 	own := float64(b.OwnInFlight) * (1 + p.Herd)
 	ownPrefill := float64(b.OwnPrefillTokens) * (1 + p.Herd)
 	uncached := max(w.call.PromptTokens-b.CachedTokens, 0)
 	batch := float64(b.ReportedRunning+b.ReportedWaiting) + own
-	prefillRate := w.prefillRate * speed
+	prefillTime := w.prefillTime * slowness
 
-	result.prefill = float64(uncached) / prefillRate
-	result.wait = (float64(b.QueuedPrefillTokens) + ownPrefill) / prefillRate
+	result.prefill = float64(uncached) * prefillTime
+	result.wait = (float64(b.QueuedPrefillTokens) + ownPrefill) * prefillTime
 	slowdown := max(1+p.BatchSlowdown*(batch-w.running), 0.5)
-	result.decode = float64(w.answer) * slowdown / (w.decodeRate * speed)
+	result.decode = float64(w.answer) * slowdown * w.decodeTime * slowness
 	result.wait += queued(b, batch) * result.decode
 	result.others = p.Neighbours * batch * result.prefill
 	if b.CacheCapacityTokens > 0 {
 		overflow := float64(b.CacheUsedTokens+uncached+w.answer-b.CacheCapacityTokens) + ownPrefill
 		overflow = min(max(overflow, 0), float64(uncached+w.answer))
-		result.eviction = p.EvictionShare * overflow / prefillRate * (1 + p.Neighbours*batch)
+		result.eviction = p.EvictionShare * overflow * prefillTime * (1 + p.Neighbours*batch)
 	}
 	if w.call.LastBackend != "" && w.call.LastBackend != b.Name {
 		result.move = p.MoveMargin.Seconds()
@@ -204,18 +211,17 @@
 	return result
 }
 
-// speed is how fast a back end is against the usual, at most 1. Small
-// differences of the observed rates come from the batch it happened to have and
-// count as none.
-func (w *weigher) speed(b *Backend) float64 {
-	if b.DecodeRate <= 0 {
-		return 1
-	}
-	share := b.DecodeRate / w.decodeRate
-	if share >= w.parameters.SlowShare {
+// mostSlowness bounds how slow a back end is taken to be.
+const mostSlowness = 20
+
+// slowness is how many times as long as usual a back end takes, at least 1.
+// Small differences of the observed rates come from the batch it happened to
+// have and count as none.
+func (w *weigher) slowness(b *Backend) float64 {
+	if b.DecodeRate <= 0 || b.DecodeRate >= w.slowRate {
 		return 1
 	}
-	return max(share, 0.05)
+	return min(1/(b.DecodeRate*w.decodeTime), mostSlowness)
 }
 
 // queued returns for how many rounds of a full batch a call would wait for its
@@ -245,10 +251,29 @@
 	return seconds(best.completion()) - remaining
 }
 
+// note writes the estimate down. It is part of every decision, so it does
+// without package fmt.
 func (w *weigher) note(b *Backend) string {
 	e := w.estimate(b)
-	return fmt.Sprintf("wait %.2fs prefill %.2fs (%d cached) decode %.2fs travel %.4fs others %.2fs eviction %.2fs",
-		e.wait, e.prefill, b.CachedTokens, e.decode, e.travel, e.others, e.eviction)
+	note := make([]byte, 0, 128)
+	for _, part := range [...]struct {
+		label string
+		value float64
+	}{
+		{"wait ", e.wait},
+		{"s prefill ", e.prefill},
+		{"s decode ", e.decode},
+		{"s travel ", e.travel},
+		{"s others ", e.others},
+		{"s eviction ", e.eviction},
+	} {
+		note = append(note, part.label...)
+		note = strconv.AppendFloat(note, part.value, 'f', 3, 64)
+	}
+	note = append(note, "s, "...)
+	note = strconv.AppendInt(note, int64(b.CachedTokens), 10)
+	note = append(note, " tokens cached"...)
+	return string(note)
 }
 
 // applicationSeconds is what one call in flight at an application replica is
