Put lapsing leases into the schedules of the shard owner

The call that a lapsed lease left open was found by the simulated site and not by this package's own schedules, whose leases never came back.

Schedules now let the lease lapse and return; a test covers a lease that lapses while the engine works. The note that an attempt was not sent is kept until it is recorded: before, a second lapse in the take-up lost it, and a payment that was never sent would have become outcome_unknown.

--- a/internal/serving/drive.go
+++ b/internal/serving/drive.go
@@ -337,6 +337,7 @@
 	s := d.shard
 	s.machine.mutex.Lock()
 	_, err := s.commit(false, program.NotRun{Stream: d.attempt.Stream})
+	delete(s.unsent, d.attempt.Stream)
 	d.pending = false
 	s.machine.mutex.Unlock()
 	if err != nil {
--- a/internal/serving/lapse_test.go
+++ b/internal/serving/lapse_test.go
@@ -28,3 +28,19 @@
 		})
 	}
 }
+
+// TestALeaseThatLapsesUnderARunningCall lets the lease lapse while the engine
+// works, and come back before the call's end is known.
+func TestALeaseThatLapsesUnderARunningCall(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, held *heldShard) {
+		running := s.start(owner, p1, modelCall(1, "one"), 0)
+		time.Sleep(100 * time.Millisecond)
+		held.lapsed.Store(true)
+		is.True(serving.IsNotOwner((<-running).err))
+		held.lapsed.Store(false)
+		answer, err := s.call(owner, p1, modelCall(1, "one"))
+		is.NoErr(err)
+		is.True(answer.Replayed)
+		is.Equal(len(s.arrivals(callID(1))), 1)
+	})
+}
--- a/internal/serving/schedule_test.go
+++ b/internal/serving/schedule_test.go
@@ -34,7 +34,7 @@
 	"freeze a dispatch", "freeze a dispatch", "freeze a dispatch", "replace owner unseen", "replace owner unseen",
 	"replace owner unseen", "thaw", "thaw", "kill owner", "restart engine", "engine down", "engine frozen",
 	"engine loses answers", "engine drains", "heal engine", "portal down", "portal loses answers", "heal portal",
-	"log down", "log up",
+	"log down", "log up", "lease lapses", "lease lapses", "lease returns",
 }
 
 func schedules() *rapid.Generator[[]disturbance] {
@@ -165,6 +165,8 @@
 		portal.SetFaults(application.Faults{LoseAnswers: 0.5})
 	case "heal portal":
 		portal.SetFaults(application.Faults{})
+	case "lease lapses", "lease returns":
+		s.setLapsed(step.kind == "lease lapses")
 	case "log down", "log up":
 		s.log.mutex.Lock()
 		s.log.durableDown = step.kind == "log down"
@@ -204,6 +206,14 @@
 	s.engines[number].SetDraining(draining)
 }
 
+// setLapsed lets the lease of the newest owner lapse or come back, without a loss
+// of the shard.
+func (s *scheduled) setLapsed(lapsed bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.opened[len(s.opened)-1].lapsed.Store(lapsed)
+}
+
 // report stands for the controller that reads the engines' own word of leaving.
 func (s *scheduled) report() {
 	ticker := time.NewTicker(250 * time.Millisecond)
@@ -227,6 +237,7 @@
 
 func (s *scheduled) heal() {
 	s.thaw()
+	s.setLapsed(false)
 	for number := range s.engines {
 		s.healEngine(number)
 	}
--- a/internal/serving/takeover.go
+++ b/internal/serving/takeover.go
@@ -78,7 +78,6 @@
 		d.lost++
 	}
 	_, unsent := s.unsent[d.attempt.Stream]
-	delete(s.unsent, d.attempt.Stream)
 	s.machine.mutex.Unlock()
 	d.reason = "taken over from the former owner"
 	if err := s.checkLease(); err != nil {
