Start a cold site from a summary in the table stream

Cause: a node that finds no peer folded the table stream from its beginning.

Change: after each 256 records one node, by chance, appends its whole ledger as a summary; a starting node takes the last one of the stream's last 512 records.

Weighed: summaries in a stream of their own would need two reads that belong together; a summary by a fixed node would be a role that can be cut off.

Wrong variants: the summary's place left out of a hand-over: ledger_test.go:96: [rapid] failed after 0 tests: taken over: ... no summary ever due: tables_test.go:412: not true: records > versions && records < versions+20

Left: with no summary in the last 512 records the whole stream is read.

--- a/internal/controller/tables/controller.go
+++ b/internal/controller/tables/controller.go
@@ -126,6 +126,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.follow(ctx) })
 	group.Go(func() error { return c.exchange(ctx) })
+	group.Go(func() error { return c.summarize(ctx) })
 	if err := group.Wait(); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("tables: %w", err)
 	}
@@ -167,7 +168,8 @@
 	return c.ledger.History()
 }
 
-// takeOver replaces the ledger by one of a peer if that one has folded more.
+// takeOver replaces the ledger by one of a peer, or of a summary that this node
+// read, if that one has folded more.
 func (c *Controller) takeOver(handed *table.Ledger, from identity.NodeName) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -175,8 +177,8 @@
 	if handed.Next() <= c.ledger.Next() {
 		return
 	}
-	c.config.Logger.Info("table taken from a peer",
-		"peer", from, "version", handed.Version(), "offset", handed.Next())
+	c.config.Logger.Info("table taken over",
+		"from", from, "version", handed.Version(), "offset", handed.Next())
 	c.ledger = handed
 	c.enforce()
 }
--- a/internal/controller/tables/follow.go
+++ b/internal/controller/tables/follow.go
@@ -20,15 +20,24 @@
 // follow reads the stream by long polls until ctx ends.
 func (c *Controller) follow(ctx context.Context) error {
 	wait, retry := time.Duration(0), retryFirst // the first read only asks for what is there
+	searched := false
 	for ctx.Err() == nil {
-		_, err := c.readOnce(ctx, wait)
+		var err error
+		if searched {
+			_, err = c.readOnce(ctx, wait)
+		} else {
+			err = c.startFromSummary(ctx)
+		}
 		c.noteFailure(err)
 		if err != nil {
 			c.pause(ctx, retry)
 			retry = min(2*retry, retryLast)
 			continue
 		}
-		wait, retry = c.config.PollWait, retryFirst
+		if searched {
+			wait = c.config.PollWait
+		}
+		searched, retry = true, retryFirst
 	}
 	return nil
 }
--- a/internal/controller/tables/tables_test.go
+++ b/internal/controller/tables/tables_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,10 +15,12 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/controller/tables"
 	"stepseam.example/stepseam/internal/emulator/logservice"
 	"stepseam.example/stepseam/internal/emulator/network"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/table"
 )
@@ -395,6 +398,45 @@
 	})
 }
 
+// TestColdStartReadsFromASummary grows the stream, starts the site anew and
+// counts what the first node reads.
+func TestColdStartReadsFromASummary(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site) {
+		const versions = 2000
+		for base := 1; base < versions; base++ {
+			record := table.Record{ID: fmt.Sprint("v", base), Base: table.Version(base), Author: "marta", CSV: sheetOf(base)}
+			_, err := s.log.Append(s.ctx, table.Stream, [][]byte{record.Encode()})
+			is.NoErr(err)
+		}
+		time.Sleep(2 * time.Minute)
+		records := len(s.log.Records(table.Stream))
+		is.True(records > versions && records < versions+20) // a few summaries, not one per node
+		for _, name := range s.names {
+			s.kill(name)
+		}
+		counted := &countingLog{Log: s.log}
+		fresh := tables.New(tables.Config{Self: "n9", Log: counted, Peers: s.network.Join(identity.Node{Name: "n9"}, peer.NewRegistry()), Board: blackboard.NewBoard()})
+		ctx, cancel := context.WithCancel(s.ctx)
+		s.lives.Go(func() { _ = fresh.Run(ctx) })
+		time.Sleep(time.Second)
+		cancel()
+		is.Equal(fresh.State().InForce, table.Version(versions))
+		is.True(counted.records.Load() < versions/2)
+	})
+}
+
+// countingLog counts the records read through it.
+type countingLog struct {
+	platform.Log
+	records atomic.Int64
+}
+
+func (c *countingLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+	result, err := c.Log.Read(ctx, stream, from, limit, wait)
+	c.records.Add(int64(len(result.Records)))
+	return result, err
+}
+
 // TestSpreadOnALargeSite has one node of many read a version while the log is
 // out of reach for all others, and no versions ride on membership: the version
 // reaches every node by pulls alone, at a cost per node that does not grow with
--- /dev/null
+++ b/internal/table/bench_test.go
@@ -0,0 +1,77 @@
+package table_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"stepseam.example/stepseam/internal/table"
+	"stepseam.example/stepseam/internal/wire"
+)
+
+// largeTable is the sheet of the two-year size: 28 models, two adapters for each
+// and 200 classes.
+func largeTable() []byte {
+	const models, adapters, classes = 28, 2, 200
+	var sheet strings.Builder
+	header, _, _ := strings.Cut(plain, "\n")
+	sheet.WriteString(header + "\n")
+	for m := range models {
+		fmt.Fprintf(&sheet, "model,model-%d,2026-05,pool-%d,,,1,131072,,,,,,\n", m, m%4)
+		for a := range adapters {
+			fmt.Fprintf(&sheet, "adapter,adapter-%d-%d,3,,model-%d,,,,,,,,,\n", m, a, m)
+		}
+	}
+	for c := range classes {
+		fmt.Fprintf(&sheet, "class,class-%d,,,model-%d,,2.5,,600000,110,6h,30m,2m,2048\n", c, c%models)
+	}
+	return []byte(sheet.String())
+}
+
+func BenchmarkParse(b *testing.B) {
+	content := largeTable()
+	b.SetBytes(int64(len(content)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := table.Parse(content); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkFold is what one published version costs each node.
+func BenchmarkFold(b *testing.B) {
+	content, ledger := largeTable(), table.NewLedger()
+	b.ReportAllocs()
+	for b.Loop() {
+		record := table.Record{ID: fmt.Sprint(ledger.Next()), Base: ledger.Version(), Author: "marta", CSV: content}
+		if err := ledger.Fold(record.Encode()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if ledger.Version() == 0 {
+		b.Fatal("nothing was accepted")
+	}
+}
+
+// BenchmarkHandOver is what a peer that is behind costs both sides together.
+func BenchmarkHandOver(b *testing.B) {
+	content, ledger := largeTable(), table.NewLedger()
+	for i := range 300 {
+		record := table.Record{ID: fmt.Sprintf("%036d", i), Base: ledger.Version(), Author: "marta", Note: "more room on deadline night", CSV: content}
+		if err := ledger.Fold(record.Encode()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	size := 0
+	for b.Loop() {
+		var e wire.Encoder
+		ledger.Encode(&e)
+		size = len(e.Bytes())
+		if _, err := table.DecodeLedger(wire.NewDecoder(e.Bytes())); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(size), "bytes/message")
+}
--- a/internal/table/ledger.go
+++ b/internal/table/ledger.go
@@ -61,6 +61,8 @@
 	current *Table
 	csv     []byte
 	history []Entry
+	// summarized is the offset behind the last summary in the stream, 0 if there is none.
+	summarized platform.Offset
 }
 
 // NewLedger returns the ledger of an empty stream.
@@ -116,6 +118,9 @@
 	offset := l.next
 	l.next++
 	if err != nil {
+		if isSummary(raw) {
+			l.summarized = l.next
+		}
 		return nil
 	}
 	if _, repeated := l.Find(record.ID); repeated {
@@ -174,6 +179,7 @@
 // Encode appends the ledger's whole state, for a node that is behind.
 func (l *Ledger) Encode(e *wire.Encoder) {
 	e.Uint64(uint64(l.next))
+	e.Uint64(uint64(l.summarized))
 	e.Blob(l.csv)
 	e.Bool(l.current != nil)
 	if l.current != nil {
@@ -198,7 +204,7 @@
 
 // DecodeLedger reads what Encode wrote.
 func DecodeLedger(d *wire.Decoder) (*Ledger, error) {
-	l := &Ledger{next: platform.Offset(d.Uint64())}
+	l := &Ledger{next: platform.Offset(d.Uint64()), summarized: platform.Offset(d.Uint64())}
 	csv := d.Blob()
 	if d.Bool() {
 		entry := decodeEntry(d)
@@ -241,5 +247,5 @@
 // Clone returns a copy that later folds of l do not change.
 func (l *Ledger) Clone() *Ledger {
 	// Tables and texts are replaced whole, never changed in place.
-	return &Ledger{next: l.next, current: l.current, csv: l.csv, history: l.History()}
+	return &Ledger{next: l.next, current: l.current, csv: l.csv, history: l.History(), summarized: l.summarized}
 }
--- a/internal/table/ledger_test.go
+++ b/internal/table/ledger_test.go
@@ -1,6 +1,7 @@
 package table_test
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"slices"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/table"
 	"stepseam.example/stepseam/internal/wire"
 )
@@ -50,6 +52,13 @@
 	}
 }
 
+// encoded is a ledger's whole state.
+func encoded(ledger *table.Ledger) []byte {
+	var e wire.Encoder
+	ledger.Encode(&e)
+	return e.Bytes()
+}
+
 // TestFirstValidOnTheCurrentBaseWins checks the ledger against the rule written
 // out anew: one pass that knows only a version and the ids seen.
 func TestFirstValidOnTheCurrentBaseWins(t *testing.T) {
@@ -85,26 +94,56 @@
 
 func TestLedgerTakenOverMidwayAgrees(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		stream := drawStream(t)
+		stream := append([][]byte{table.NewLedger().Summary()}, drawStream(t)...)
 		cut := rapid.IntRange(0, len(stream)).Draw(t, "cut")
 		direct, first := table.NewLedger(), table.NewLedger()
 		fold(t, direct, stream)
 		fold(t, first, stream[:cut])
-		var e wire.Encoder
-		first.Encode(&e)
-		second, err := table.DecodeLedger(wire.NewDecoder(e.Bytes()))
+		second, err := table.DecodeLedger(wire.NewDecoder(encoded(first)))
 		if err != nil {
 			t.Fatal(err)
 		}
 		fold(t, second, stream[cut:])
-		same := second.Next() == direct.Next() && slices.Equal(second.History(), direct.History()) &&
-			slices.Equal(second.CSV(), direct.CSV()) && second.Version() == direct.Version()
-		if !same {
+		if !bytes.Equal(encoded(second), encoded(direct)) {
 			t.Fatalf("taken over: %+v, read: %+v", second, direct)
 		}
 	})
 }
 
+// TestSummaryStandsForWhatIsBeforeIt lets writers that lag put summaries into a
+// stream and starts from each of them.
+func TestSummaryStandsForWhatIsBeforeIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stream := drawStream(t)
+		last := 0 // a stream only grows, so each summary stands behind the one before
+		for range rapid.IntRange(1, 3).Draw(t, "summaries") {
+			known := rapid.IntRange(0, len(stream)).Draw(t, "known")
+			at := rapid.IntRange(max(known, last), len(stream)).Draw(t, "at")
+			last = at + 1
+			writer := table.NewLedger()
+			fold(t, writer, stream[:known])
+			stream = slices.Insert(stream, at, writer.Summary())
+		}
+		direct := table.NewLedger()
+		fold(t, direct, stream)
+		summaries := 0
+		for offset, raw := range stream {
+			started, err := table.FromSummary(platform.Offset(offset), raw)
+			if err != nil {
+				continue
+			}
+			summaries++
+			fold(t, started, stream[started.Next():])
+			if !bytes.Equal(encoded(started), encoded(direct)) {
+				t.Fatalf("started from %d: %+v, read: %+v", offset, started, direct)
+			}
+		}
+		if summaries == 0 {
+			t.Fatal("no summary was found")
+		}
+	})
+}
+
 func TestHistoryIsBounded(t *testing.T) {
 	is := is.New(t)
 	ledger := table.NewLedger()
