Give up the cache of branches that are not expected back

The rule that decides what to keep warm ran in the experiments only; the daemon kept every branch's cache until its program ended or its engine evicted it.

The branch goes on with its whole history.

--- a/internal/program/apply.go
+++ b/internal/program/apply.go
@@ -50,6 +50,8 @@
 		p.applyEnded(r)
 	case Released:
 		p.confirm(r.Backend, r.Branch)
+	case Cooled:
+		p.applyCooled(r)
 	default:
 		return fmt.Errorf("%w: %T for %s", ErrOutOfOrder, record, p.id)
 	}
@@ -229,6 +231,16 @@
 	}
 }
 
+// applyCooled releases a branch that no call uses now.
+func (p *Program) applyCooled(r Cooled) {
+	b := p.branches[r.Branch]
+	if b == nil || b.open() != nil {
+		return
+	}
+	p.moveOut(r.Branch, "")
+	b.lastBackend = ""
+}
+
 // enqueue adds release to the outbox, or its streams to the entry that stands.
 func (p *Program) enqueue(release Release) {
 	for i := range p.outbox {
--- a/internal/program/machine_test.go
+++ b/internal/program/machine_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -245,6 +247,20 @@
 	m.commit(t, program.Released{ID: programID, Backend: outbox[0].Backend, Branch: outbox[0].Branch})
 }
 
+// Cool gives the cache of a paused branch up.
+func (m *machine) Cool(t *rapid.T) {
+	paused := m.program().Paused()
+	if len(paused) == 0 {
+		t.Skip("nothing pauses")
+	}
+	slices.SortFunc(paused, func(a, b program.Paused) int { return cmp.Compare(a.Branch, b.Branch) })
+	branch := rapid.SampledFrom(paused).Draw(t, "paused").Branch
+	m.commit(t, program.Cooled{ID: programID, Branch: branch})
+	if placements := m.program().Placements(branch); len(placements) > 0 {
+		t.Fatalf("branch %s is still placed at %v", branch, placements)
+	}
+}
+
 // End ends the program, rarely.
 func (m *machine) End(t *rapid.T) {
 	if rapid.IntRange(0, 99).Draw(t, "end") > 0 {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -277,6 +277,38 @@
 	return time.Time{}
 }
 
+// Paused is a branch that waits for its program's next call.
+type Paused struct {
+	Branch identity.BranchID
+	// Since is when its last model call was answered.
+	Since time.Time
+	// Tokens is what its conversation counts, Held whether an engine may hold it.
+	Tokens int64
+	Held   bool
+}
+
+// Paused returns the branches of a running program that have been answered and
+// have no open call, in no particular order.
+func (p *Program) Paused() []Paused {
+	if !p.Running() {
+		return nil
+	}
+	held := map[identity.BranchID]bool{}
+	for key := range p.placements {
+		held[key.branch] = true
+	}
+	var paused []Paused
+	for id, b := range p.branches {
+		if b.open() != nil {
+			continue
+		}
+		if since := p.LastAnswered(id); !since.IsZero() {
+			paused = append(paused, Paused{Branch: id, Since: since, Tokens: b.settledTokens, Held: held[id]})
+		}
+	}
+	return paused
+}
+
 // PromptSize says how large the prompt of a call is.
 type PromptSize struct {
 	// Bound is the worst case, which the budget reserves.
--- a/internal/program/record.go
+++ b/internal/program/record.go
@@ -37,6 +37,7 @@
 	kindEnded
 	kindReleased
 	kindForgotten
+	kindCooled
 )
 
 // Created starts a program.
@@ -106,6 +107,13 @@
 	Branch  identity.BranchID
 }
 
+// Cooled queues the release of a paused branch's cache; the branch goes on, and
+// its next call computes its prompt anew.
+type Cooled struct {
+	ID     identity.ProgramID
+	Branch identity.BranchID
+}
+
 // Forgotten removes an ended program.
 type Forgotten struct{ ID identity.ProgramID }
 
@@ -136,6 +144,9 @@
 // Program implements Record.
 func (r Released) Program() identity.ProgramID { return r.ID }
 
+// Program implements Record.
+func (r Cooled) Program() identity.ProgramID { return r.ID }
+
 // Program implements Record.
 func (r Forgotten) Program() identity.ProgramID { return r.ID }
 
@@ -149,6 +160,7 @@
 func (Ended) kind() recordKind     { return kindEnded }
 func (Released) kind() recordKind  { return kindReleased }
 func (Forgotten) kind() recordKind { return kindForgotten }
+func (Cooled) kind() recordKind    { return kindCooled }
 
 func (r Created) encode(e *wire.Encoder) {
 	e.String(string(r.ID))
@@ -203,6 +215,11 @@
 	e.String(string(r.Branch))
 }
 
+func (r Cooled) encode(e *wire.Encoder) {
+	e.String(string(r.ID))
+	e.String(string(r.Branch))
+}
+
 func (r Forgotten) encode(e *wire.Encoder) { e.String(string(r.ID)) }
 
 // Encode returns record in its binary form: one byte of kind, then its fields.
@@ -268,6 +285,8 @@
 		return Ended{ID: identity.ProgramID(d.String()), State: api.ProgramState(d.String()), At: d.Time()}
 	case kindReleased:
 		return Released{ID: identity.ProgramID(d.String()), Backend: d.String(), Branch: identity.BranchID(d.String())}
+	case kindCooled:
+		return Cooled{ID: identity.ProgramID(d.String()), Branch: identity.BranchID(d.String())}
 	case kindForgotten:
 		return Forgotten{ID: identity.ProgramID(d.String())}
 	default:
--- a/internal/serving/drive.go
+++ b/internal/serving/drive.go
@@ -306,6 +306,9 @@
 		return nil, false, problem
 	}
 	d.attempt = intent.Attempt
+	if intent.Request.Kind == api.CallModel {
+		s.owner.noteReturn(p, d.run.id.Branch, intent.Attempt.At)
+	}
 	place.load(p, intent.Request)
 	return intent, false, nil
 }
--- a/internal/serving/owner.go
+++ b/internal/serving/owner.go
@@ -24,6 +24,7 @@
 	retries    *rate.Limiter
 	explained  *explanations
 	durations  *durations
+	pauses     *pauses
 	candidates *candidates
 	auditor    *auditor
 
@@ -52,6 +53,7 @@
 		retries:    rate.NewLimiter(rate.Limit(config.Bounds.RetryRate), config.Bounds.RetryBurst),
 		explained:  newExplanations(config.Bounds.Explanations),
 		durations:  newDurations(),
+		pauses:     newPauses(),
 		candidates: newCandidates(config.Board),
 		auditor:    &auditor{suspects: map[suspect]struct{}{}},
 		shards:     map[identity.ShardID]*shard{},
@@ -60,11 +62,12 @@
 	return owner
 }
 
-// Run sweeps programs and audits engines until ctx ends.
+// Run sweeps programs, audits engines and gives cold cache up until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return o.every(ctx, o.config.Timing.Sweep, o.sweep) })
 	group.Go(func() error { return o.every(ctx, o.config.Timing.Audit, o.audit) })
+	group.Go(func() error { return o.every(ctx, o.config.Timing.Cool, o.cool) })
 	if err := group.Wait(); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("serving: %w", err)
 	}
--- a/internal/serving/programs.go
+++ b/internal/serving/programs.go
@@ -159,6 +159,7 @@
 	if !running {
 		return nil
 	}
+	s.owner.noteEnd(p, record.At)
 	wait, err := s.commit(false, record)
 	if err != nil {
 		return err
--- a/internal/serving/takeover_test.go
+++ b/internal/serving/takeover_test.go
@@ -295,3 +295,24 @@
 		is.Equal(s.held(p1), s.engines[1-lost].Name()+"/main")
 	})
 }
+
+func TestAPausedBranchThatIsNotExpectedBackGivesItsCacheUp(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		s.publish(table.Class{Name: testClass, Model: testModel, BudgetTokens: 1_000_000, MaxTokens: 20, KeepWarm: 30 * time.Second})
+		const turns = 50 // all short, so that a pause of an hour is not expected to end
+		for sequence := uint64(1); sequence <= turns; sequence++ {
+			_, err := s.call(owner, p1, modelCall(sequence, "next"))
+			is.NoErr(err)
+			time.Sleep(time.Second)
+		}
+		is.True(s.held(p1) != "")
+		time.Sleep(20 * time.Second)
+		is.True(s.held(p1) != "") // its class keeps it warm for longer
+		time.Sleep(50 * time.Minute)
+		is.Equal(s.held(p1), "")
+		last, err := s.call(owner, p1, modelCall(turns+1, "back after all"))
+		is.NoErr(err)
+		is.Equal(last.Usage.CachedTokens, 0)
+		is.Equal(len(s.arrivals(callID(turns + 1))[0].Messages), 2*turns+1) // with its whole history
+	})
+}
--- /dev/null
+++ b/internal/serving/warm.go
@@ -0,0 +1,137 @@
+package serving
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/program"
+	"stepseam.example/stepseam/internal/scheduling"
+)
+
+// pauses keeps, for each kind of branch, how long its pauses last.
+type pauses struct {
+	mutex sync.Mutex
+	kinds map[string]*scheduling.PauseHistory
+}
+
+func newPauses() *pauses { return &pauses{kinds: map[string]*scheduling.PauseHistory{}} }
+
+// of returns the history of kind; the caller holds the mutex.
+func (p *pauses) of(kind string) *scheduling.PauseHistory {
+	history := p.kinds[kind]
+	if history == nil {
+		history = &scheduling.PauseHistory{}
+		p.kinds[kind] = history
+	}
+	return history
+}
+
+func (p *pauses) returned(kind string, pause time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.of(kind).Returned(pause)
+}
+
+func (p *pauses) abandoned(kind string, pause time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.of(kind).Abandoned(pause)
+}
+
+func (p *pauses) rates(idle map[string][]time.Duration) map[string]scheduling.ReturnRates {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	rates := make(map[string]scheduling.ReturnRates, len(idle))
+	for kind, durations := range idle {
+		rates[kind] = p.of(kind).Rates(durations)
+	}
+	return rates
+}
+
+// pauseKind is the kind of pause history that a branch belongs to: people pause
+// differently from tools.
+func pauseKind(class string, branch identity.BranchID) string {
+	if branch == identity.MainBranch {
+		return class
+	}
+	return class + "/sub-agent"
+}
+
+// noteReturn counts the pause that a call ends; the caller holds the mutex of
+// the program's shard.
+func (o *Owner) noteReturn(p *program.Program, branch identity.BranchID, now time.Time) {
+	if answered := p.LastAnswered(branch); !answered.IsZero() {
+		o.pauses.returned(pauseKind(p.Class(), branch), now.Sub(answered))
+	}
+}
+
+// noteEnd counts the pauses that no call will end; the caller holds the mutex of
+// the program's shard.
+func (o *Owner) noteEnd(p *program.Program, now time.Time) {
+	for _, paused := range p.Paused() {
+		o.pauses.abandoned(pauseKind(p.Class(), paused.Branch), now.Sub(paused.Since))
+	}
+}
+
+// cool gives up the cache of paused branches that are not worth their memory any
+// more, by the same rule that the experiments measure.
+func (o *Owner) cool(context.Context) {
+	now := time.Now()
+	var paused []scheduling.Paused
+	idle := map[string][]time.Duration{}
+	for _, s := range o.allShards() {
+		paused = append(paused, s.paused(now, idle)...)
+	}
+	for _, release := range scheduling.KeepWarm(now, paused, o.pauses.rates(idle), scheduling.DefaultPatience) {
+		if s, err := o.shardOf(release.Program); err == nil {
+			s.coolBranch(release)
+		}
+	}
+}
+
+// paused returns the shard's paused branches that an engine may hold, and adds
+// how long all of them have paused to idle.
+func (s *shard) paused(now time.Time, idle map[string][]time.Duration) []scheduling.Paused {
+	published := s.owner.config.Board.Table.Load()
+	s.machine.mutex.Lock()
+	defer s.machine.mutex.Unlock()
+	if published == nil || s.closing || s.stopped || s.checkLease() != nil {
+		return nil
+	}
+	var all []scheduling.Paused
+	for p := range s.machine.set.All {
+		if !s.idle(p) {
+			continue // a call waits or runs, so some branch is about to go on
+		}
+		for _, branch := range p.Paused() {
+			kind := pauseKind(p.Class(), branch.Branch)
+			idle[kind] = append(idle[kind], now.Sub(branch.Since))
+			if !branch.Held {
+				continue
+			}
+			all = append(all, scheduling.Paused{
+				Program: p.ID(), Branch: branch.Branch, Backend: p.LastBackend(branch.Branch), Tokens: int(branch.Tokens),
+				IdleSince: branch.Since, KeepWarm: published.Classes[p.Class()].KeepWarm, Kind: kind,
+			})
+		}
+	}
+	return all
+}
+
+// coolBranch queues the release of a branch unless a call came meanwhile.
+func (s *shard) coolBranch(release scheduling.Release) {
+	s.machine.mutex.Lock()
+	defer s.machine.mutex.Unlock()
+	p := s.machine.set.Get(release.Program)
+	if p == nil || s.closing || s.stopped || !s.idle(p) {
+		return
+	}
+	if _, err := s.commit(false, program.Cooled{ID: release.Program, Branch: release.Branch}); err != nil {
+		return
+	}
+	s.owner.metrics.cooled.Inc()
+	s.owner.logger.Debug("cache given up", "program", release.Program, "branch", release.Branch,
+		"backend", release.Backend, "shard", s.journal.ID(), "epoch", s.journal.Epoch(), "reason", release.Reason)
+}
