--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -16,8 +16,9 @@
 
 // Bounds of the protocol.
 const (
-	// MaxBodyBytes bounds the body of any request or answer.
-	MaxBodyBytes = 16 << 20
+	// MaxBodyBytes bounds the body of any request or answer. A snapshot of a
+	// shard is one record, and base64 makes it a third larger.
+	MaxBodyBytes = 64 << 20
 	// MaxWait bounds one long poll.
 	MaxWait = time.Minute
 )
