Measure what control costs per node with hollow nodes

Cause: the two-year size (380 nodes before 600 replicas) has to be worked out from slopes, and no machine here holds 380 real nodes.

Weighed: one process per hollow node (380 Go runtimes exceed half the memory) and 4,096 shards (two descriptors per connection exceed the limit of 20,000 open files), so the shards per node are a flag and its effect is measured apart.

Left: real stepseamd processes beside the hollow ones; 380 nodes.

--- a/cmd/stepseam-lab/main.go
+++ b/cmd/stepseam-lab/main.go
@@ -23,6 +23,7 @@
 	Application *applicationCommand `arg:"subcommand:application" help:"run an application replica stand-in"`
 	Demo        *demoCommand        `arg:"subcommand:demo" help:"run a whole site as processes through an enrolment"`
 	Compare     *compareCommand     `arg:"subcommand:compare" help:"run scheduling policies over one workload in virtual time"`
+	Scale       *scaleCommand       `arg:"subcommand:scale" help:"run sites of hollow nodes and measure what control costs per node"`
 }
 
 // Description is shown by --help.
