Let held calls of a class run in order of urgency

A call that waits for a place of its class took it if it was woken first. The choice now counts the more urgent calls that wait ahead of it as running, so a place goes to the longest waiting or most urgent one, and a new program's first call does not overtake them.

Seen to fail without it: takeover_test.go:271 'not true: !arrival.Arrived.Before(ended)' in TestHeldCallsOfAClassGoInOrderOfUrgency.

--- a/internal/serving/benchmark_test.go
+++ b/internal/serving/benchmark_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -21,18 +22,17 @@
 type instantEngine struct {
 	backend.Engine
 	tokens int
+	text   string
 }
 
 func (e instantEngine) Generate(_ context.Context, request backend.GenerateRequest, onToken func(backend.Token) error) (backend.GenerateResult, error) {
-	text := ""
 	for index := range e.tokens {
 		if err := onToken(backend.Token{Index: index, Text: "word "}); err != nil {
 			return backend.GenerateResult{}, err
 		}
-		text += "word "
 	}
 	usage := backend.Usage{PromptTokens: 8 * len(request.Messages), CompletionTokens: e.tokens}
-	return backend.GenerateResult{Text: text, FinishReason: "stop", Usage: usage}, nil
+	return backend.GenerateResult{Text: e.text, FinishReason: "stop", Usage: usage}, nil
 }
 
 func (e instantEngine) Release(context.Context, identity.ProgramID, identity.BranchID) error {
@@ -79,7 +79,7 @@
 	}
 	owner := serving.NewOwner(serving.Config{
 		Self: "node", ShardCount: shards, Board: board, Policy: scheduling.NewStepseam(),
-		Directory: instantDirectory{engine: instantEngine{tokens: 32}},
+		Directory: instantDirectory{engine: instantEngine{tokens: 32, text: strings.Repeat("word ", 32)}},
 	})
 	for id := range shards {
 		opened := instantShard{id: identity.ShardID(id), lost: make(chan struct{})}
--- a/internal/serving/flights.go
+++ b/internal/serving/flights.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
 )
@@ -20,7 +21,9 @@
 	backends map[string]map[*flight]struct{}
 	classes  map[string]int
 	tenants  map[tenantKey]int
-	scratch  []scheduling.Backend
+	// waiting are the calls that are held because their class is at its limit.
+	waiting map[string]map[identity.CallID]scheduling.Call
+	scratch []scheduling.Backend
 	// turn counts decisions, for policies that take back ends in turn.
 	turn    uint64
 	changed chan struct{}
@@ -40,6 +43,50 @@
 		backends: map[string]map[*flight]struct{}{},
 		classes:  map[string]int{},
 		tenants:  map[tenantKey]int{},
+		waiting:  map[string]map[identity.CallID]scheduling.Call{},
+	}
+}
+
+// ahead counts the waiting calls of the class that are more urgent than call;
+// the caller holds the mutex.
+func (f *flights) ahead(now time.Time, call *scheduling.Call) int {
+	count := 0
+	for id, other := range f.waiting[call.Class] {
+		if id != call.ID && scheduling.Score(now, &other) > scheduling.Score(now, call) {
+			count++
+		}
+	}
+	return count
+}
+
+// await notes that call waits for a place of its class; the caller holds the mutex.
+func (f *flights) await(call scheduling.Call) {
+	if f.waiting[call.Class] == nil {
+		f.waiting[call.Class] = map[identity.CallID]scheduling.Call{}
+	}
+	f.waiting[call.Class][call.ID] = call
+}
+
+// stopWaiting takes a call out that waits no more, and lets those behind it look
+// again.
+func (f *flights) stopWaiting(class string, id identity.CallID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if _, waits := f.waiting[class][id]; !waits {
+		return
+	}
+	delete(f.waiting[class], id)
+	if len(f.waiting[class]) == 0 {
+		delete(f.waiting, class)
+	}
+	f.wake()
+}
+
+// wake lets all held calls look again; the caller holds the mutex.
+func (f *flights) wake() {
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
 	}
 }
 
@@ -73,10 +120,7 @@
 	if f.tenants[left.tenant] == 0 {
 		delete(f.tenants, left.tenant)
 	}
-	if f.changed != nil {
-		close(f.changed)
-		f.changed = nil
-	}
+	f.wake()
 }
 
 // awaitChange returns a channel that is closed when an attempt leaves; the
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -20,6 +20,8 @@
 	released        prometheus.Counter
 	orphans         prometheus.Counter
 	cooled          prometheus.Counter
+	running         prometheus.Gauge
+	pending         prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer, owner *Owner) *metrics {
@@ -41,6 +43,11 @@
 		cooled:          counter("branches_cooled_total", "Paused branches whose cache was given up."),
 		orphans:         counter("orphans_released_total", "Programs whose cache nobody owned and the audit freed."),
 	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "stepseam", Name: name, Help: help})
+	}
+	m.running = gauge("programs_running", "Programs of this node's shards that take calls.")
+	m.pending = gauge("releases_pending", "Releases of cache that no engine has confirmed yet.")
 	if registerer == nil {
 		return m
 	}
@@ -48,7 +55,7 @@
 		Namespace: "stepseam", Name: "shards_owned", Help: "Shards that this node serves.",
 	}, func() float64 { return float64(owner.Shards()) })
 	registerer.MustRegister(m.answers, m.problems, m.attemptFailures, m.releaseFailures, m.ended,
-		m.replays, m.recovered, m.released, m.orphans, m.cooled, shards)
+		m.replays, m.recovered, m.released, m.orphans, m.cooled, m.running, m.pending, shards)
 	return m
 }
 
--- a/internal/serving/place.go
+++ b/internal/serving/place.go
@@ -70,11 +70,18 @@
 // place chooses a back end, holding the call while the policy says so. An
 // outcome is a refusal.
 func (d *driver) place() (*place, *outcome) {
+	waiting := ""
+	defer func() {
+		if waiting != "" {
+			d.owner().flights.stopWaiting(waiting, d.run.id)
+		}
+	}()
 	for {
 		question, result := d.ask()
 		if result != nil {
 			return nil, result
 		}
+		waiting = question.call.Class
 		chosen, decision, changed := d.owner().choose(question)
 		if chosen == nil && decision.Action == scheduling.Refuse && len(question.call.Excluded) > 0 && d.lost > 0 {
 			// A back end that lost the call is better than none.
@@ -210,10 +217,13 @@
 }
 
 // admit applies the class's limits: a new program's first call is refused at
-// once, a later call waits for a place in order of urgency. The caller holds the
-// flights' mutex.
+// once, a later call waits for a place in order of urgency: it runs once there is
+// one beyond those of the calls ahead of it. The caller holds the flights' mutex.
 func (o *Owner) admit(now time.Time, question asked, limit int) scheduling.Decision {
 	running := o.flights.classes[question.call.Class]
+	if limit > 0 {
+		running += o.flights.ahead(now, &question.call)
+	}
 	decision := scheduling.Admit(now, scheduling.Admission{
 		Call:            question.call,
 		MaxConcurrent:   limit,
@@ -225,6 +235,7 @@
 	if decision.Action != scheduling.Run || limit == 0 || running < limit {
 		return decision
 	}
+	o.flights.await(question.call)
 	return scheduling.Decision{Action: scheduling.Hold, RetryAfter: holdRetry, Reason: "class at its limit of calls"}
 }
 
--- a/internal/serving/sweep.go
+++ b/internal/serving/sweep.go
@@ -14,12 +14,25 @@
 // long ago.
 func (o *Owner) sweep(context.Context) {
 	now := time.Now()
+	var total census
 	for _, s := range o.allShards() {
-		s.sweep(now)
+		s.sweep(now, &total)
 	}
+	o.metrics.running.Set(float64(total.running))
+	o.metrics.pending.Set(float64(total.releases))
 }
 
-func (s *shard) sweep(now time.Time) {
+// census counts what the metrics show of the programs.
+type census struct{ running, releases int }
+
+func (c *census) count(p *program.Program) {
+	if p.Running() {
+		c.running++
+	}
+	c.releases += p.OutboxLength()
+}
+
+func (s *shard) sweep(now time.Time, total *census) {
 	s.machine.mutex.Lock()
 	defer s.machine.mutex.Unlock()
 	if s.stopped || s.closing || s.checkLease() != nil {
@@ -27,6 +40,7 @@
 	}
 	var expired, ended []*program.Program
 	s.machine.set.All(func(p *program.Program) bool {
+		total.count(p)
 		switch {
 		case p.Expired(now, s.opened) && (s.idle(p) || s.overAge(p, now)):
 			expired = append(expired, p)
--- a/internal/serving/takeover_test.go
+++ b/internal/serving/takeover_test.go
@@ -250,6 +250,30 @@
 	})
 }
 
+func TestHeldCallsOfAClassGoInOrderOfUrgency(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		programs := []identity.ProgramID{"first", "second", "third", "fourth"}
+		for _, id := range programs {
+			s.create(owner, id)
+			_, err := s.call(owner, id, modelCall(1, "x"))
+			is.NoErr(err)
+		}
+		s.publish(table.Class{Name: testClass, Model: testModel, BudgetTokens: 1000, MaxTokens: 200, MaxConcurrent: 1})
+		var replies []<-chan reply
+		for _, id := range programs {
+			replies = append(replies, s.start(owner, id, modelCall(2, "y"), 0))
+			time.Sleep(20 * time.Millisecond)
+		}
+		var ended time.Time
+		for i, id := range programs {
+			is.NoErr((<-replies[i]).err)
+			arrival := s.arrivals(identity.CallID{Program: id, Branch: identity.MainBranch, Sequence: 2})[0]
+			is.True(!arrival.Arrived.Before(ended)) // one at a time, the longest waiting first
+			ended = arrival.Ended
+		}
+	})
+}
+
 func TestTheClassLimitHoldsCallsUnderWayAndRefusesNewOnes(t *testing.T) {
 	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
 		_, err := s.call(owner, p1, modelCall(1, "one"))
