Call a publication without an answer unknown in stepseamctl too

Cause: a node that got the publication and died before it answered was reported as 'no node answered' (exit code 6), which reads as if nothing had happened.

Change: only a failed dial counts as not sent; anything else makes the outcome unknown (5) with the id to ask with. The next node is told that the id was tried only then. Findings are turned into JSON in one place.

Measured: before, main_test.go:255: 6 != 5 // it was sent: nobody can say that it was not published.

Left: nothing here.

--- a/cmd/stepseamctl/client.go
+++ b/cmd/stepseamctl/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -66,15 +67,17 @@
 		return err
 	}
 	var causes []error
-	for index, address := range c.addresses {
-		err := c.askOne(ctx, address, method, path, body(index > 0), document)
+	sent := false
+	for _, address := range c.addresses {
+		err := c.askOne(ctx, address, method, path, body(sent), document)
 		if !errors.Is(err, errNoAnswer) {
 			return err
 		}
+		sent = sent || !errors.Is(err, errNotSent)
 		causes = append(causes, err)
 	}
 	return &failure{
-		code: exitUnreachable, reason: errors.Join(causes...).Error(),
+		code: exitUnreachable, sent: sent, reason: errors.Join(causes...).Error(),
 		advice: "See that a node runs there and that its operators' address is meant (addresses.operators in its settings); give further nodes by repeating --address.",
 	}
 }
@@ -82,6 +85,18 @@
 // errNoAnswer tells that a node gave no answer; it may have got the request.
 var errNoAnswer = errors.New("no answer")
 
+// errNotSent is an errNoAnswer for which the request certainly never left.
+var errNotSent = fmt.Errorf("%w, not connected", errNoAnswer)
+
+// noAnswer names a failure of the connection to address.
+func noAnswer(address string, err error) error {
+	var failed *net.OpError
+	if errors.As(err, &failed) && failed.Op == "dial" {
+		return fmt.Errorf("%w: %s: %w", errNotSent, address, err)
+	}
+	return fmt.Errorf("%w from %s: %w", errNoAnswer, address, err)
+}
+
 func (c *client) askOne(ctx context.Context, address, method, path string, body, document any) error {
 	var payload io.Reader
 	if body != nil {
@@ -98,12 +113,12 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return fmt.Errorf("%w from %s: %w", errNoAnswer, address, err)
+		return noAnswer(address, err)
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
 	if err != nil {
-		return fmt.Errorf("%w from %s: %w", errNoAnswer, address, err)
+		return noAnswer(address, err)
 	}
 	if response.StatusCode >= http.StatusBadRequest {
 		return refusal(address, response.StatusCode, content)
--- a/cmd/stepseamctl/drain.go
+++ b/cmd/stepseamctl/drain.go
@@ -25,7 +25,7 @@
 
 func (c *drainCommand) run(ctx context.Context, s *session) error {
 	result := drained{}
-	if err := s.client.post(ctx, "/v1/drain", map[string]string{"node": c.Node}, &result.DrainStarted); err != nil {
+	if err := s.client.post(ctx, "/v1/drain", operator.DrainRequest{Node: c.Node}, &result.DrainStarted); err != nil {
 		return err
 	}
 	if c.Wait {
--- a/cmd/stepseamctl/main.go
+++ b/cmd/stepseamctl/main.go
@@ -64,6 +64,8 @@
 	code   int
 	reason string
 	advice string
+	// sent tells that a node which did not answer may have got the request.
+	sent bool
 }
 
 // Error returns the reason.
--- a/cmd/stepseamctl/main_test.go
+++ b/cmd/stepseamctl/main_test.go
@@ -236,6 +236,34 @@
 	is.Equal(code, exitDone)
 }
 
+// TestAnswerLostOnTheWayBack publishes through a node that gets the request and
+// dies before it answers.
+func TestAnswerLostOnTheWayBack(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	live := strings.TrimPrefix(s.servers[0].URL, "http://")
+	dying := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		response, err := http.Post(s.servers[0].URL+r.URL.Path, "application/json", r.Body)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer dying.Close()
+	path, dead := writeFile(t, goodTable), strings.TrimPrefix(dying.URL, "http://")
+	code, _, errOut := runLine("--address", dead, "table", "publish", path, "--base", "0", "--id", "mine")
+	is.Equal(code, exitUnknown) // it was sent: nobody can say that it was not published
+	is.True(strings.Contains(errOut, "--id mine finds out"))
+	code, out, _ := runLine("--address", live, "table", "publish", path, "--base", "0", "--id", "mine")
+	is.Equal(code, exitDone)
+	is.True(strings.Contains(out, "accepted as version 1"))
+	changed := writeFile(t, strings.Replace(goodTable, "60000", "70000", 1))
+	code, out, _ = runLine("--address", dead, "--address", live, "table", "publish", changed, "--base", "1")
+	is.Equal(code, exitDone) // the second node tells what became of it
+	is.True(strings.Contains(out, "accepted as version 2"))
+	is.Equal(len(s.log.Records("table")), 2)
+}
+
 func TestStatusProgramsExplainDrain(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 2)
--- a/cmd/stepseamctl/table_check.go
+++ b/cmd/stepseamctl/table_check.go
@@ -6,9 +6,8 @@
 	"fmt"
 	"io"
 
-	"github.com/samber/lo"
-
 	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/operator"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -64,9 +63,7 @@
 	if !errors.As(err, &invalid) {
 		return []api.Finding{}
 	}
-	return lo.Map(invalid.Findings, func(f table.Finding, _ int) api.Finding {
-		return api.Finding{Place: f.Place(), Message: f.Message}
-	})
+	return operator.Findings(invalid)
 }
 
 // parseFile reads a table file; findings come as one failure.
--- a/cmd/stepseamctl/table_publish.go
+++ b/cmd/stepseamctl/table_publish.go
@@ -67,10 +67,17 @@
 	return cmp.Or(waitErr, printErr)
 }
 
-// explain adds the id to an outcome that is not known.
+// explain adds the id to an outcome that is not known. A request without an
+// answer may have taken effect.
 func (c *tablePublishCommand) explain(err error, id string) error {
 	var known *failure
-	if errors.As(err, &known) && (known.code == exitUnknown || known.code == exitUnreachable) {
+	if !errors.As(err, &known) {
+		return err
+	}
+	if known.sent {
+		known.code = exitUnknown
+	}
+	if known.code == exitUnknown || known.code == exitUnreachable {
 		known.advice += fmt.Sprintf(" The id of this publication is %s: the same command with --id %s finds out what became of it.", id, id)
 	}
 	return err
@@ -143,6 +150,6 @@
 func (p published) write(w io.Writer) {
 	fmt.Fprintf(w, "accepted as version %d on base %d (id %s)\n", p.Version.Version, p.Base, p.ID)
 	if p.Nodes > 0 {
-		fmt.Fprintf(w, "in force on %d of %d node(s) after %.1f s\n", p.InForceOn, p.Nodes, p.WaitedSeconds)
+		fmt.Fprintf(w, "in force on %d of %d node(s) after %.2f s\n", p.InForceOn, p.Nodes, p.WaitedSeconds)
 	}
 }
--- a/internal/operator/contract.go
+++ b/internal/operator/contract.go
@@ -148,6 +148,11 @@
 	Note        string  `json:"note,omitempty"`
 }
 
+// DrainRequest names the node to stop; empty is the one that is asked.
+type DrainRequest struct {
+	Node string `json:"node,omitempty" maxLength:"64"`
+}
+
 // DrainStarted confirms that a node begins its planned stop.
 type DrainStarted struct {
 	Node string `json:"node"`
--- a/internal/operator/programs.go
+++ b/internal/operator/programs.go
@@ -14,11 +14,8 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/problem"
 	"stepseam.example/stepseam/internal/scheduling"
-	"stepseam.example/stepseam/internal/table"
 )
 
-func tableVersion(number uint64) table.Version { return table.Version(number) }
-
 // refusal makes an answer of this package's own codes.
 func refusal(status int, code api.Code, format string, arguments ...any) error {
 	made := api.NewProblem(code, format, arguments...)
--- a/internal/operator/site.go
+++ b/internal/operator/site.go
@@ -17,6 +17,7 @@
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/table"
 )
 
 const (
@@ -68,7 +69,7 @@
 	return answer, nil
 }
 
-// members are the nodes to ask; this node is among them even before membership
+// membersToAsk returns the nodes of the site; this node is among them even before membership
 // has begun.
 func (o *Operator) membersToAsk() []membership.Member {
 	members := slices.Clone(o.config.Board.Members.Load().Members)
@@ -123,7 +124,7 @@
 		status := NodeStatus{
 			Name: string(answer.member.Node.Name), Zone: string(answer.member.Node.Zone),
 			Region: string(answer.member.Node.Region), Incarnation: uint64(answer.member.Node.Incarnation),
-			TableInForce: tableVersion(answer.member.TableVersion), Shards: int(answer.member.OwnedShards),
+			TableInForce: table.Version(answer.member.TableVersion), Shards: int(answer.member.OwnedShards),
 		}
 		if reply, reached := answer.message.(*statusReply); reached {
 			status = reply.status
@@ -189,12 +190,7 @@
 	return nil
 }
 
-// drainInput names the node to drain; empty is the one that is asked.
-type drainInput struct {
-	Body struct {
-		Node string `json:"node,omitempty" maxLength:"64"`
-	}
-}
+type drainInput struct{ Body DrainRequest }
 
 type documentOf[T any] struct{ Body T }
 
--- a/internal/operator/versions.go
+++ b/internal/operator/versions.go
@@ -72,9 +72,7 @@
 	switch {
 	case errors.As(err, &invalid):
 		made := api.NewProblem(api.CodeInvalid, "the table has %d finding(s)", len(invalid.Findings))
-		made.Findings = lo.Map(invalid.Findings, func(f table.Finding, _ int) api.Finding {
-			return api.Finding{Place: f.Place(), Message: f.Message}
-		})
+		made.Findings = Findings(invalid)
 		return problem.Answer(made)
 	case errors.As(err, &lost):
 		return problem.Answer(api.NewProblem(api.CodeTableConflict,
@@ -94,6 +92,13 @@
 	return problem.Answer(api.NewProblem(api.CodeLogUnavailable, "nothing was published: %s", err).WithRetryAfter(unknownRetry))
 }
 
+// Findings returns the findings of a refused table as the interface shows them.
+func Findings(invalid *table.InvalidError) []api.Finding {
+	return lo.Map(invalid.Findings, func(f table.Finding, _ int) api.Finding {
+		return api.Finding{Place: f.Place(), Message: f.Message}
+	})
+}
+
 func nameOf(author string) string {
 	if author == "" {
 		return "an author no longer remembered"
