Log an engine that counts more tokens than its call can have

The reservation is the worst case for any tokenizer that works on bytes, so a count above it means a faulty engine or template; it was charged in silence.

--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -229,6 +229,10 @@
 	answer.At = now
 	answer.Run = now.Sub(d.attempt.At)
 	answer.Queued = max(d.attempt.At.Sub(d.run.arrived), 0)
+	if used := int64(answer.Usage.PromptTokens + answer.Usage.CompletionTokens); used > d.attempt.Reserved {
+		s.owner.logger.Error("engine counted more tokens than its call can have", "call", d.run.id,
+			"backend", d.attempt.Backend, "used", used, "reserved", d.attempt.Reserved)
+	}
 	s.machine.mutex.Lock()
 	wait, err := s.commit(false, program.Result{Stream: d.attempt.Stream, Answer: answer})
 	d.pending, d.open = false, false
--- a/internal/serving/place.go
+++ b/internal/serving/place.go
@@ -81,7 +81,6 @@
 		if result != nil {
 			return nil, result
 		}
-		waiting = question.call.Class
 		chosen, decision, changed := d.owner().choose(question)
 		if chosen == nil && decision.Action == scheduling.Refuse && len(question.call.Excluded) > 0 && d.lost > 0 {
 			// A back end that lost the call is better than none.
@@ -96,6 +95,7 @@
 		case decision.Action == scheduling.Refuse:
 			return nil, failed(d.shard.certain(d.refusal(question, decision)))
 		}
+		waiting = question.call.Class
 		if result := d.hold(decision, changed); result != nil {
 			return nil, result
 		}
