Follow the table stream in two plain steps

Cause: the loop mixed the search for a summary, the first read and the long polls in flags, and warned of a lost stream when the node itself was stopping.

Change: persist repeats one step until it succeeds; follow names the steps.

Left: nothing here.

--- a/internal/controller/tables/follow.go
+++ b/internal/controller/tables/follow.go
@@ -19,27 +19,31 @@
 
 // follow reads the stream by long polls until ctx ends.
 func (c *Controller) follow(ctx context.Context) error {
-	wait, retry := time.Duration(0), retryFirst // the first read only asks for what is there
-	searched := false
+	c.persist(ctx, c.startFromSummary)
+	wait := time.Duration(0) // the first read only asks for what is there
 	for ctx.Err() == nil {
-		var err error
-		if searched {
-			_, err = c.readOnce(ctx, wait)
-		} else {
-			err = c.startFromSummary(ctx)
+		c.persist(ctx, func(ctx context.Context) error {
+			_, err := c.readOnce(ctx, wait)
+			return err
+		})
+		wait = c.config.PollWait
+	}
+	return nil
+}
+
+// persist repeats step with growing pauses until it succeeds or ctx ends.
+func (c *Controller) persist(ctx context.Context, step func(context.Context) error) {
+	for retry := retryFirst; ; retry = min(2*retry, retryLast) {
+		err := step(ctx)
+		if ctx.Err() != nil {
+			return
 		}
 		c.noteFailure(err)
-		if err != nil {
-			c.pause(ctx, retry)
-			retry = min(2*retry, retryLast)
-			continue
+		if err == nil {
+			return
 		}
-		if searched {
-			wait = c.config.PollWait
-		}
-		searched, retry = true, retryFirst
+		c.pause(ctx, retry)
 	}
-	return nil
 }
 
 // noteFailure keeps the reason why the stream cannot be followed, and logs it
@@ -51,9 +55,9 @@
 	c.mutex.Unlock()
 	switch {
 	case err != nil && before == nil:
-		c.config.Logger.Warn("table stream out of reach, versions come from peers alone", "error", err)
+		c.config.Logger.Warn("table stream cannot be followed, versions come from peers alone", "error", err)
 	case err == nil && before != nil:
-		c.config.Logger.Info("table stream within reach again")
+		c.config.Logger.Info("table stream followed again")
 	}
 }
 
--- a/internal/controller/tables/publish.go
+++ b/internal/controller/tables/publish.go
@@ -88,6 +88,10 @@
 	return attempt.run(ctx)
 }
 
+// appendShare is the part of PublishTimeout that one append gets, so that one
+// that hangs leaves time to read back and to try again.
+const appendShare = 3
+
 // attempt is one Publish under way.
 type attempt struct {
 	controller  *Controller
@@ -121,7 +125,7 @@
 
 // append puts the record into the log. With nil the record stands there.
 func (a *attempt) append(ctx context.Context, record []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, a.controller.config.PublishTimeout/3)
+	ctx, cancel := context.WithTimeout(ctx, a.controller.config.PublishTimeout/appendShare)
 	defer cancel()
 	_, err := a.controller.config.Log.Append(ctx, table.Stream, [][]byte{record})
 	if err == nil || !errors.Is(err, platform.ErrUnavailable) {
