--- a/test/simulation/caller_test.go
+++ b/test/simulation/caller_test.go
@@ -34,6 +34,8 @@
 	// everAmbiguous tells that some attempt ended without certainty.
 	everAmbiguous bool
 	attempts      int
+	// refusals counts what the attempts were refused with.
+	refusals map[api.Code]int
 }
 
 // programRecord is one program as its caller saw it.
@@ -141,6 +143,11 @@
 // under it is a lost connection.
 func (c *caller) through(ctx context.Context, request func(context.Context, serving.Programs) error) error {
 	at := c.somewhere()
+	if at.node.Board().Draining.Load() {
+		return api.NewProblem(api.CodeDraining, "the node is stopping").WithRetryAfter(time.Second)
+	}
+	at.requests.Add(1)
+	defer at.requests.Done()
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	ended := make(chan error, 1)
@@ -201,14 +208,13 @@
 // call makes one call and asks again, elsewhere, until it has a final outcome.
 func (c *caller) call(ctx context.Context, request api.CallRequest) *outcome {
 	result := &outcome{
-		id:      identity.CallID{Program: c.record.id, Branch: identity.BranchID(request.Branch), Sequence: identity.Sequence(request.Sequence)},
-		request: request,
+		id:       identity.CallID{Program: c.record.id, Branch: identity.BranchID(request.Branch), Sequence: identity.Sequence(request.Sequence)},
+		request:  request,
+		refusals: map[api.Code]int{},
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.patience)
 	defer cancel()
-	// Some callers give a refused call up at once, so that the checker can see
-	// that it never ran.
-	givesUp := c.random.IntN(4) == 0
+	givesUp := c.random.IntN(4) == 0 && c.site.plan.impatient
 	for ctx.Err() == nil {
 		result.attempts++
 		err := c.attempt(ctx, result)
@@ -223,6 +229,7 @@
 			continue
 		}
 		result.problem = problem
+		result.refusals[problem.Code]++
 		result.everAmbiguous = result.everAmbiguous || !problem.NotRun
 		if isFinal(problem) || (givesUp && problem.NotRun && !result.everAmbiguous) {
 			return result
--- a/test/simulation/schedule_test.go
+++ b/test/simulation/schedule_test.go
@@ -266,6 +266,7 @@
 // TestSchedules searches for a schedule of failures under which a point of the
 // brief does not hold. `make soak` runs it for long.
 func TestSchedules(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64Range(1, 1<<20).Draw(rt, "seed")
 		schedule := schedules().Draw(rt, "schedule")
--- a/test/simulation/site_test.go
+++ b/test/simulation/site_test.go
@@ -59,6 +59,9 @@
 	programs int
 	calls    int
 	pause    time.Duration
+	// impatient callers give one refused call in four up at once, so that the
+	// checker can see that it never ran.
+	impatient bool
 	// hooks replace rules of every node by wrong ones, for the checkers' own proof.
 	hooks serving.Hooks
 	// wrapLog replaces a node's log client, for the checkers' own proof.
@@ -75,7 +78,7 @@
 		nodes: 6, engines: 4, applications: 2, shards: 16,
 		zoneLatency: 1500 * time.Microsecond, backendLatency: time.Millisecond,
 		budget: 1_000_000, auditInterval: 15 * time.Second,
-		programs: 6, calls: 10, pause: 1500 * time.Millisecond,
+		programs: 6, calls: 10, pause: 1500 * time.Millisecond, impatient: true,
 	}
 }
 
@@ -95,6 +98,9 @@
 	node     *node.Node
 	endpoint *network.Endpoint
 	stop     context.CancelFunc
+	// requests counts the callers' requests under way here; a planned stop waits
+	// for them as the gateway does.
+	requests sync.WaitGroup
 }
 
 // site is a running simulated site. Its maps of back ends do not change.
@@ -296,6 +302,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	err := stopping.node.Drain(ctx)
+	stopping.requests.Wait()
 	s.killNode(index)
 	return err
 }
--- a/test/simulation/smoke_test.go
+++ b/test/simulation/smoke_test.go
@@ -15,6 +15,7 @@
 // TestProgramRunsThroughDifferentNodes runs one program, each step through
 // another node of a sound site.
 func TestProgramRunsThroughDifferentNodes(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		site := newSite(t, quito(1))
--- /dev/null
+++ b/test/simulation/stop_test.go
@@ -0,0 +1,157 @@
+package simulation
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/emulator/engine"
+	"stepseam.example/stepseam/internal/emulator/logservice"
+	"stepseam.example/stepseam/internal/journal"
+)
+
+// busy is a site's plan with long chains and short pauses, so that calls are in
+// flight at any moment.
+func busy(seed uint64) plan {
+	plan := quito(seed)
+	plan.programs, plan.calls, plan.pause, plan.impatient = 8, 25, 300*time.Millisecond, false
+	return plan
+}
+
+// TestAPlannedStopCutsNoRequest stops every node in turn and starts it again,
+// while callers run programs. A node that stops refuses new requests as not run;
+// everything else must be answered at the first attempt.
+func TestAPlannedStopCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := newSite(t, busy(2))
+		defer site.close()
+		var records []*programRecord
+		var callers sync.WaitGroup
+		callers.Go(func() { records = site.workload(t.Context()) })
+		time.Sleep(2 * time.Second)
+		for index := range site.plan.nodes {
+			is.NoErr(site.drainNode(index))
+			time.Sleep(time.Second)
+			site.startNode(index)
+			time.Sleep(time.Second)
+		}
+		callers.Wait()
+		time.Sleep(freeingTime)
+		is.Equal(site.check(records), nil)
+		for _, record := range records {
+			for _, outcome := range record.outcomes {
+				is.True(outcome.answer != nil)                          // every call was answered
+				is.Equal(outcome.attempts, 1+outcome.refusals[drained]) // and not cut off once
+			}
+		}
+	})
+}
+
+// drained is the refusal of a node that stops.
+const drained = api.CodeDraining
+
+// TestALeavingEngineGetsNoNewWork lets an engine announce that it leaves, while
+// the machine list shows it as live for ten seconds more.
+func TestALeavingEngineGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	const bound = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := newSite(t, busy(3))
+		defer site.close()
+		var records []*programRecord
+		var callers sync.WaitGroup
+		callers.Go(func() { records = site.workload(t.Context()) })
+		time.Sleep(3 * time.Second)
+		leaving := site.engines[addressOf(2, 0)]
+		is.True(len(leaving.Truth().Arrivals) > 0) // it had work before
+		leaving.SetDraining(true)
+		left := time.Now()
+		callers.Wait()
+		is.True(time.Since(left) > 2*bound) // there was work to place after it
+		for _, arrival := range leaving.Truth().Arrivals {
+			is.True(arrival.Arrived.Before(left.Add(bound))) // nothing is even tried there
+			is.True(arrival.Arrived.Before(left) || arrival.Outcome == engine.OutcomeRefused)
+		}
+		time.Sleep(freeingTime)
+		is.Equal(site.check(records), nil)
+	})
+}
+
+// TestAnOutageOfTheLogForHours takes the log service away for three hours while
+// programs run. Model calls and repeatable calls go on as if nothing was; calls
+// that must run at most once are refused at once, as not run; the tails held in
+// memory stay bounded, and are gone soon after the log is back.
+func TestAnOutageOfTheLogForHours(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		plan := quito(4)
+		plan.programs, plan.calls, plan.pause, plan.impatient = 6, 30, 8*time.Minute, false
+		site := newSite(t, plan)
+		defer site.close()
+		time.Sleep(5 * time.Second)
+		site.log.SetFaults(logservice.Faults{Down: true})
+		began := time.Now()
+		outage := make(chan struct{})
+		var largest int
+		go func() {
+			defer close(outage)
+			for time.Since(began) < 3*time.Hour {
+				time.Sleep(time.Minute)
+				largest = max(largest, site.journalStats().TailBytes)
+			}
+			site.log.SetFaults(logservice.Faults{})
+		}()
+		records := site.workload(t.Context())
+		is.True(time.Since(began) < 12*time.Hour)
+		<-outage
+		refused := 0
+		for _, record := range records {
+			for _, outcome := range record.outcomes {
+				if !outcome.request.Unrepeatable {
+					is.True(outcome.answer != nil)
+					is.Equal(outcome.attempts, 1) // no call fails for the outage
+					continue
+				}
+				for code, count := range outcome.refusals {
+					is.Equal(code, api.CodeLogUnavailable)
+					refused += count
+				}
+				is.True(!outcome.everAmbiguous) // refused as not run, for certain
+			}
+		}
+		is.True(refused > 0)
+		t.Logf("the programs took %s", time.Since(began))
+		t.Logf("largest total of tails in the outage: %d bytes; %d refusals of unrepeatable calls", largest, refused)
+		is.True(largest < tailBound)
+		time.Sleep(freeingTime)
+		is.Equal(site.journalStats().TailBytes, 0) // rejoining drains cleanly
+		is.Equal(site.check(records), nil)
+	})
+}
+
+// tailBound is what all owners' tails together may hold: the live state of a few
+// programs and one snapshot's worth of records for each shard.
+const tailBound = 16 * (256 << 10)
+
+// journalStats sums the journals of all live nodes.
+func (s *site) journalStats() journal.Stats {
+	var sum journal.Stats
+	for index := range s.plan.nodes {
+		if alive := s.life(index); alive != nil {
+			stats := alive.node.Journal().Stats()
+			sum.TailBytes += stats.TailBytes
+			sum.ReplicaBytes += stats.ReplicaBytes
+			sum.Owned += stats.Owned
+			sum.MayLack += stats.MayLack
+		}
+	}
+	return sum
+}
--- a/test/simulation/variants_test.go
+++ b/test/simulation/variants_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"stepseam.example/stepseam/internal/backend"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/journal"
 )
@@ -53,14 +54,46 @@
 			},
 			faults: []faultKind{killNode}, tries: 5,
 		},
+		{
+			name: "the oldest turn is forgotten", point: pointHistory,
+			change: func(p *plan) { p.wrapDirectory = wrongly(&wrongDirectory{forget: true}) },
+			faults: []faultKind{killNode}, tries: 3,
+		},
+		{
+			name: "answers are mixed up", point: pointAnswer,
+			change: func(p *plan) { p.wrapDirectory = wrongly(&wrongDirectory{mixUp: true}) },
+			faults: []faultKind{killNode}, tries: 3,
+		},
+		{
+			name: "lost answers count as not delivered", point: pointNotRun,
+			change: func(p *plan) {
+				p.wrapDirectory = wrongly(&wrongDirectory{certain: true})
+				p.applications = 1
+			},
+			faults: []faultKind{applicationLosesAnswers}, tries: 30,
+		},
+		{
+			name: "lost answers count as not delivered, with a second replica", point: pointUnrepeatable,
+			change: func(p *plan) { p.wrapDirectory = wrongly(&wrongDirectory{certain: true}) },
+			faults: []faultKind{applicationLosesAnswers}, tries: 30,
+		},
+	}
+}
+
+// wrongly makes every node's back-end clients wrong in the way of prototype.
+func wrongly(prototype *wrongDirectory) func(backend.Directory) backend.Directory {
+	return func(inner backend.Directory) backend.Directory {
+		return &wrongDirectory{Directory: inner, forget: prototype.forget, mixUp: prototype.mixUp, certain: prototype.certain}
 	}
 }
 
 // TestCheckerFindsWrongVariants shows that the checker can fail: each wrong
 // variant is caught.
 func TestCheckerFindsWrongVariants(t *testing.T) {
+	t.Parallel()
 	for _, wrong := range variants() {
 		t.Run(wrong.name, func(t *testing.T) {
+			t.Parallel()
 			generator := schedules(wrong.faults...)
 			for seed := range wrong.tries {
 				site := quito(uint64(seed) + 1)
