--- a/internal/node/outside.go
+++ b/internal/node/outside.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
 
 	"stepseam.example/stepseam/internal/backend"
@@ -57,7 +58,11 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("node: addresses.probe: %w", err), listener.Close())
 	}
-	return &sockets{transport: peer.NewTransport(registry, peer.Options{}), listener: listener, packets: packets}, nil
+	transport := peer.NewTransport(registry, peer.Options{
+		Registerer: do.MustInvoke[*prometheus.Registry](injector),
+		Logger:     componentLogger(injector, "peer"),
+	})
+	return &sockets{transport: transport, listener: listener, packets: packets}, nil
 }
 
 // Client implements Network.
