Feed the settings' reader damaged files

Cause: a reader that walks the file itself must answer any text with settings or findings.

Change: a property test over pieces of a settings file and of YAML.

Left: nothing here.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,15 +2,24 @@
 
 import (
 	"errors"
+	"flag"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/settings"
 )
 
+// TestMain sets rapid's seed unless the command line does.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
 const whole = `node:
   name: quito-1
   zone: quito-centro
@@ -95,6 +104,24 @@
 	})
 }
 
+// TestEveryTextGivesSettingsOrFindings feeds damaged files; any other error, or
+// none with settings that do not pass their own check, is a fault.
+func TestEveryTextGivesSettingsOrFindings(t *testing.T) {
+	lines := strings.SplitAfter(whole, "\n")
+	pieces := append(lines, "  ", "- ", "[", "{", "}", ": ", "\"", "'", "&a ", "*a", "|\n", "!!int ", "\x00", "\xff", "\t", "---\n", "null\n", "1e999\n", "# ")
+	rapid.Check(t, func(t *rapid.T) {
+		text := strings.Join(rapid.SliceOf(rapid.SampledFrom(pieces)).Draw(t, "pieces"), "")
+		result, err := settings.Parse("node.yaml", []byte(text), settings.Flags{})
+		var report *settings.FindingsError
+		if err != nil && (!errors.As(err, &report) || len(report.Findings) == 0) {
+			t.Fatalf("no findings: %v", err)
+		}
+		if err == nil && result.Node.Name == "" {
+			t.Fatal("settings without a node's name")
+		}
+	})
+}
+
 func TestBrokenFilesAreFindings(t *testing.T) {
 	for name, text := range map[string]string{
 		"not YAML":       "node: [",
