--- a/internal/journal/claim.go
+++ b/internal/journal/claim.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -17,7 +18,6 @@
 // The reasons why a claim is not made or does not hold.
 var (
 	errHeldElsewhere = errors.New("journal: another node holds the shard")
-	errLeaseRuns     = errors.New("journal: the former owner's lease may still run")
 	errLostRace      = errors.New("journal: another claim came first")
 	errNoQuorum      = errors.New("journal: too few of the former replicas answer")
 	errNotDesired    = errors.New("journal: this node should not own the shard")
@@ -25,6 +25,19 @@
 	errNoNodes       = errors.New("journal: no live node to hold the tail")
 )
 
+// leaseRunsError tells that the former owner's lease may still run at so many of
+// its replicas that a claim must wait for remaining.
+type leaseRunsError struct {
+	former    Claim
+	remaining time.Duration
+}
+
+// Error names the owner and how long to wait.
+func (e *leaseRunsError) Error() string {
+	return fmt.Sprintf("journal: the lease of epoch %d of %s may still run for %v",
+		e.former.Epoch, e.former.Owner.Name, e.remaining)
+}
+
 // claimant is one try to claim one shard.
 type claimant struct {
 	manager *Manager
@@ -160,10 +173,12 @@
 	if lapsed.complete() {
 		return nil
 	}
-	if len(answers) >= ReadQuorum(len(active.Replicas)) {
-		return fmt.Errorf("%w: epoch %d of %s", errLeaseRuns, active.Epoch, active.Owner.Name)
+	quorum := ReadQuorum(len(active.Replicas))
+	if len(answers) < quorum {
+		return errNoQuorum
 	}
-	return errNoQuorum
+	slices.SortFunc(answers, func(a, b answer) int { return cmp.Compare(a.remaining, b.remaining) })
+	return &leaseRunsError{former: active, remaining: answers[quorum-1].remaining}
 }
 
 // answer is what one replica told a claimant.
--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -15,13 +15,15 @@
 	"stepseam.example/stepseam/internal/platform"
 )
 
+// leaseDriftShare is the part of a lease's duration that replicas add by default:
+// it covers clocks that differ in speed by one part in ten.
+const leaseDriftShare = 10
+
 // The defaults of Config.
 const (
 	// DefaultLeaseDuration is the longest time that a shard stays without service
 	// after its owner died, apart from the claim itself.
-	DefaultLeaseDuration = 2 * time.Second
-	// DefaultLeaseDrift covers clocks that differ in speed by one part in ten.
-	DefaultLeaseDrift      = 200 * time.Millisecond
+	DefaultLeaseDuration   = 2 * time.Second
 	DefaultRenewInterval   = 500 * time.Millisecond
 	DefaultReplicaTimeout  = time.Second
 	DefaultLogTimeout      = 5 * time.Second
@@ -29,9 +31,10 @@
 	DefaultClaimTimeout    = 20 * time.Second
 	DefaultClosingTimeout  = 10 * time.Second
 	DefaultReplaceDelay    = 2 * time.Second
+	DefaultSettleDelay     = time.Second
 	DefaultGather          = 5 * time.Millisecond
-	DefaultClaimRate       = 100
-	DefaultMoveRate        = 50
+	DefaultClaimRate       = 250
+	DefaultMoveRate        = 100
 	DefaultConcurrentMoves = 32
 	DefaultBatchBytes      = 256 << 10
 	DefaultSnapshotBytes   = 256 << 10
@@ -55,6 +58,9 @@
 	// ReplaceDelay is how long a replica must be gone from the view before its
 	// shards are claimed again without it.
 	ReplaceDelay time.Duration
+	// SettleDelay is how long a node that has just started waits for its view of the
+	// members to fill before it claims.
+	SettleDelay time.Duration
 	// Gather is how long the log writer lets records of one shard gather.
 	Gather time.Duration
 	// ClaimRate and MoveRate limit claims begun and shards handed over, per
@@ -87,7 +93,7 @@
 
 func (c Config) withDefaults() Config {
 	orDefault(&c.Lease.Duration, DefaultLeaseDuration)
-	orDefault(&c.Lease.Drift, DefaultLeaseDrift)
+	orDefault(&c.Lease.Drift, c.Lease.Duration/leaseDriftShare)
 	orDefault(&c.RenewInterval, DefaultRenewInterval)
 	orDefault(&c.ReplicaTimeout, DefaultReplicaTimeout)
 	orDefault(&c.LogTimeout, DefaultLogTimeout)
@@ -95,6 +101,7 @@
 	orDefault(&c.ClaimTimeout, DefaultClaimTimeout)
 	orDefault(&c.ClosingTimeout, DefaultClosingTimeout)
 	orDefault(&c.ReplaceDelay, DefaultReplaceDelay)
+	orDefault(&c.SettleDelay, DefaultSettleDelay)
 	orDefault(&c.Gather, DefaultGather)
 	orDefault(&c.ClaimRate, DefaultClaimRate)
 	orDefault(&c.MoveRate, DefaultMoveRate)
--- a/internal/journal/move.go
+++ b/internal/journal/move.go
@@ -64,8 +64,14 @@
 	}
 }
 
+// errBusy tells that a shard cannot be handed over at the moment.
+var errBusy = errors.New("journal: the shard's replicas are being exchanged or it is being handed over")
+
 // handOver lets the host finish, brings all to the log, and releases the shard.
 func (m *Manager) handOver(ctx context.Context, shard *ownedShard) error {
+	if !shard.beginMove() {
+		return fmt.Errorf("%w: shard %d", errBusy, shard.id)
+	}
 	closing, cancel := context.WithTimeout(ctx, m.config.ClosingTimeout)
 	m.config.Host.Closing(closing, shard)
 	cancel()
@@ -90,6 +96,7 @@
 	}
 	s.sealed = true
 	close(s.lost)
+	time.AfterFunc(s.manager.config.LogTimeout, s.stopWrites)
 	s.kickWriter()
 }
 
@@ -108,24 +115,38 @@
 // or when ctx ends.
 func (m *Manager) Drain(ctx context.Context) error {
 	m.draining.Store(true)
+	for len(m.owned()) > 0 {
+		if err := m.drainOwned(ctx); err != nil {
+			return m.leave(fmt.Errorf("journal: drain: %w", err))
+		}
+		if err := sleep(ctx, drainPause); err != nil {
+			return m.leave(fmt.Errorf("journal: drain: %w", err))
+		}
+	}
+	return m.awaitUnneeded(ctx)
+}
+
+// drainPause is the time before what could not be handed over is tried again.
+const drainPause = 20 * time.Millisecond
+
+// drainOwned hands over all that is owned now. Without the log nothing can be
+// handed over: the shards are served until it is back or ctx ends.
+func (m *Manager) drainOwned(ctx context.Context) error {
 	if err := m.health.await(ctx, false); err != nil {
-		return m.leave(fmt.Errorf("journal: drain: the log service is away: %w", err))
+		return fmt.Errorf("the log service is away: %w", err)
 	}
 	group := errgroup.Group{}
 	group.SetLimit(m.config.ConcurrentMoves)
 	for _, shard := range m.owned() {
 		group.Go(func() error { return m.drainShard(ctx, shard) })
 	}
-	if err := group.Wait(); err != nil {
-		return m.leave(fmt.Errorf("journal: drain: %w", err))
-	}
-	return m.awaitUnneeded(ctx)
+	return group.Wait()
 }
 
 func (m *Manager) drainShard(ctx context.Context, shard *ownedShard) error {
 	if err := m.handOver(ctx, shard); err != nil {
-		if errors.Is(err, ErrNotOwner) {
-			return nil // taken over meanwhile
+		if errors.Is(err, ErrNotOwner) || errors.Is(err, errBusy) {
+			return nil // taken over meanwhile, or opened again because the log went away
 		}
 		return err
 	}
--- a/internal/journal/moves_test.go
+++ b/internal/journal/moves_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"stepseam.example/stepseam/internal/emulator/logservice"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 )
@@ -231,3 +232,33 @@
 		}
 	}
 }
+
+// TestLogLeavesDuringHandOver takes the log away in the middle of a planned stop:
+// the shard is served on through the outage, and handed over after it.
+func TestLogLeavesDuringHandOver(t *testing.T) {
+	err := scenario(t, variant{}, 6, func(site *testSite) error {
+		is := is.New(t)
+		owners := site.watchOwners()
+		load := site.load(0)
+		owner := site.serving(0)
+		site.log.SetFaults(logservice.Faults{AppendDelay: time.Second})
+		time.Sleep(3 * time.Second)
+		site.refreshWith(map[identity.NodeName]membership.Status{owner.node.Name: membership.Leaving})
+		drained := make(chan error, 1)
+		go func() { drained <- owner.manager.Drain(context.Background()) }()
+		time.Sleep(300 * time.Millisecond)
+		site.log.SetDown(true)
+		time.Sleep(time.Minute)
+		is.Equal(site.serving(0), owner)
+		refused := load.refused()
+		time.Sleep(time.Minute)
+		is.Equal(load.refused(), refused)
+		site.log.SetFaults(logservice.Faults{})
+		is.NoErr(<-drained)
+		owner.kill()
+		return errors.Join(site.settle(), load.check(), owners(), site.checkLog(0))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/journal/owned.go
+++ b/internal/journal/owned.go
@@ -26,6 +26,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	lost   chan struct{}
+	// writes ends before ctx where a planned stop gives up waiting for the log.
+	writes     context.Context
+	stopWrites context.CancelFunc
 	// wakeWriter has room for one token.
 	wakeWriter chan struct{}
 
@@ -53,10 +56,13 @@
 	snapshotSize  int
 	waiters       []waiter
 	durable       []waiter
-	// sealed is set when a planned stop takes no more records.
+	// moving is set when a planned stop begins, sealed when it takes no more records.
+	moving bool
 	sealed bool
-	// wantReplicas asks the writer to claim again with other replicas.
+	// wantReplicas asks the writer to claim again with other replicas; replacing is
+	// set while it does.
 	wantReplicas bool
+	replacing    bool
 	// gone is why the shard was lost.
 	gone error
 	// flushed is closed once a sealed shard's release stands in the log.
@@ -92,6 +98,7 @@
 		logged:     index,
 	}
 	s.ctx, s.cancel = context.WithCancel(m.running)
+	s.writes, s.stopWrites = context.WithCancel(s.ctx)
 	s.epoch.Store(uint64(claim.Epoch))
 	s.addLinks(claim.Replicas)
 	return s
@@ -296,7 +303,7 @@
 		waiting.done <- fmt.Errorf("%w: %w: shard %d: %w", ErrUnknown, ErrNotOwner, s.id, reason)
 	}
 	s.manager.forget(s)
-	if errors.Is(reason, errHandedOver) || s.manager.running.Err() != nil {
+	if errors.Is(reason, errHandedOver) || errors.Is(reason, errReopened) || s.manager.running.Err() != nil {
 		return
 	}
 	s.manager.counters.lost.Add(1)
--- a/internal/journal/replace.go
+++ b/internal/journal/replace.go
@@ -24,11 +24,30 @@
 func (s *ownedShard) takeReplacementWish() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	wanted := s.wantReplicas && !s.sealed
+	wanted := s.wantReplicas && !s.moving
 	s.wantReplicas = false
+	s.replacing = wanted
 	return wanted
 }
 
+func (s *ownedShard) endReplacement() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.replacing = false
+}
+
+// beginMove starts a planned stop unless replicas are being exchanged: that must
+// not be cut short, because the log may name either set meanwhile.
+func (s *ownedShard) beginMove() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.replacing || s.moving || s.gone != nil {
+		return false
+	}
+	s.moving = true
+	return true
+}
+
 // replaceReplicas claims the shard again with the replicas that it should have
 // now, while it goes on serving. An error tells that the shard is lost.
 func (s *ownedShard) replaceReplicas(stream *stream) error {
@@ -163,9 +182,6 @@
 	goal := s.tail.Last()
 	s.mutex.Unlock()
 	for !s.replicasReady(goal) {
-		if s.isSealed() {
-			return fmt.Errorf("%w: the shard is being handed over", errNotCopied)
-		}
 		if err := sleep(ctx, copyPoll); err != nil {
 			return fmt.Errorf("%w (joint %t): %w", errNotCopied, joint, err)
 		}
@@ -182,12 +198,6 @@
 	return held >= goal && s.leaseOf(replicas).After(time.Now())
 }
 
-func (s *ownedShard) isSealed() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.sealed
-}
-
 func (s *ownedShard) abandonReplicas() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/journal/scenario_test.go
+++ b/internal/journal/scenario_test.go
@@ -399,15 +399,19 @@
 	return errors.Join(site.settle(), load.check())
 }
 
-// cutOwner cuts the owner off from all nodes but not from the log.
+// cutOwner cuts the owner off from all nodes but not from the log, which answers
+// it too slowly to tell it of other claims before its lease ends.
 func cutOwner(site *testSite) error {
 	owners := site.watchOwners()
 	owner := site.serving(0)
 	load := site.load(0)
 	time.Sleep(time.Second)
 	site.isolate(owner)
+	view := site.log.ViewFor(string(owner.node.Name))
+	view.SetFaults(logservice.Faults{AppendDelay: 3 * time.Second})
 	site.refreshWith(map[identity.NodeName]membership.Status{owner.node.Name: membership.Dead})
 	time.Sleep(20 * time.Second)
+	view.SetFaults(logservice.Faults{})
 	return errors.Join(site.settle(), load.check(), owners())
 }
 
--- a/internal/journal/schedule.go
+++ b/internal/journal/schedule.go
@@ -29,6 +29,9 @@
 	var wanted []identity.ShardID
 	var version uint64
 	fresh := false
+	if sleep(ctx, m.config.SettleDelay) != nil {
+		return
+	}
 	for {
 		view := m.view()
 		_, _, changed := m.config.Members.Watch()
@@ -138,9 +141,15 @@
 	m.counters.claimsFailed.Add(1)
 	m.logFailure(shard, slot.failures, err)
 	pause := min(claimPauseShortest<<min(slot.failures, 6), claimPauseLongest)
+	pause = pause/2 + m.random.duration(pause)
+	if runs, known := errors.AsType[*leaseRunsError](err); known && runs.remaining > 0 {
+		// The lease of an owner that died is not renewed: its end is when to come.
+		pause = min(runs.remaining+leaseMargin, claimPauseLongest)
+		time.AfterFunc(pause, m.wakeClaims)
+	}
 	slot.failures++
 	slot.failedAt = time.Now()
-	slot.notBefore = time.Now().Add(pause/2 + m.random.duration(pause))
+	slot.notBefore = time.Now().Add(pause)
 }
 
 // remarkableFailures is how many claims of a shard fail in a row before each
@@ -151,7 +160,10 @@
 // is ordinary, as long as it ends.
 func (m *Manager) logFailure(shard identity.ShardID, failures int, err error) {
 	ordinary := m.running.Err() != nil
-	for _, reason := range []error{errHeldElsewhere, errLeaseRuns, errLostRace, errClaimUnderWay, errLogAway} {
+	if _, waits := errors.AsType[*leaseRunsError](err); waits {
+		ordinary = true
+	}
+	for _, reason := range []error{errHeldElsewhere, errLostRace, errClaimUnderWay, errLogAway} {
 		ordinary = ordinary || errors.Is(err, reason)
 	}
 	if ordinary && failures < remarkableFailures {
@@ -161,6 +173,9 @@
 	m.config.Logger.Warn("claim failed", "shard", uint32(shard), "failures", failures+1, "error", err)
 }
 
+// leaseMargin is added to the end of a lease that a claimant waits for.
+const leaseMargin = time.Millisecond
+
 // claimFloor is the least time between two claims of one shard, however often it
 // is asked for.
 const claimFloor = 50 * time.Millisecond
--- a/internal/journal/sweep.go
+++ b/internal/journal/sweep.go
@@ -49,7 +49,7 @@
 func (m *Manager) needsReplicas(shard *ownedShard, view membership.View, absent map[identity.Reference]time.Time) bool {
 	shard.mutex.Lock()
 	replicas := shard.claim.Replicas
-	idle := shard.next == nil && !shard.sealed
+	idle := shard.next == nil && !shard.moving
 	restarted := false
 	for _, link := range shard.links {
 		restarted = restarted || link.gone
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -20,10 +20,10 @@
 		case <-s.ctx.Done():
 			return
 		}
-		if err := s.drainToLog(stream); err != nil {
-			if s.ctx.Err() == nil {
-				s.lose(err)
-			}
+		if err := s.drainToLog(stream); err != nil && s.ctx.Err() == nil {
+			s.lose(err)
+		}
+		if s.ctx.Err() != nil {
 			return
 		}
 	}
@@ -34,7 +34,9 @@
 func (s *ownedShard) drainToLog(stream *stream) error {
 	for {
 		if s.takeReplacementWish() {
-			if err := s.replaceReplicas(stream); err != nil {
+			err := s.replaceReplicas(stream)
+			s.endReplacement()
+			if err != nil {
 				return err
 			}
 		}
@@ -42,13 +44,21 @@
 			return err
 		}
 		record, sealed := s.nextRecord()
-		if record == nil {
-			if sealed {
-				return s.writeRelease(stream)
-			}
+		switch {
+		case record == nil && !sealed:
 			return nil
+		case record == nil:
+			err := s.writeRelease(stream)
+			if errors.Is(err, errLogAway) {
+				return s.reopen(stream)
+			}
+			return err
+		}
+		err := s.writeRecord(stream, record)
+		if err != nil && s.writes.Err() != nil && s.ctx.Err() == nil {
+			return s.reopen(stream)
 		}
-		if err := s.writeRecord(stream, record); err != nil {
+		if err != nil {
 			return err
 		}
 	}
@@ -93,7 +103,7 @@
 }
 
 func (s *ownedShard) writeRecord(stream *stream, record *Record) error {
-	verdict, err := stream.append(s.ctx, true, record)
+	verdict, err := stream.append(s.writes, true, record)
 	if err != nil {
 		return err
 	}
@@ -118,12 +128,13 @@
 	}
 }
 
-// writeRelease ends a planned stop: the log holds all, and says so.
+// writeRelease ends a planned stop: the log holds all, and says so. It fails with
+// errLogAway if the log is away and the release cannot have landed.
 func (s *ownedShard) writeRelease(stream *stream) error {
 	s.mutex.Lock()
 	record := s.record(ReleasedRecord, s.logged, nil)
 	s.mutex.Unlock()
-	verdict, err := stream.append(s.ctx, true, record)
+	verdict, err := stream.append(s.ctx, false, record)
 	if err != nil {
 		return err
 	}
@@ -136,6 +147,45 @@
 	return nil
 }
 
+// errReopened is why a shard whose hand-over failed is gone: this node opened it
+// again.
+var errReopened = errors.New("journal: the log went away during the hand-over")
+
+// reopen hands the shard to the host again, in the same epoch. A log that goes
+// away during a hand-over must not leave the shard without an owner for the length
+// of the outage: as long as the release cannot have landed, this node serves on.
+func (s *ownedShard) reopen(stream *stream) error {
+	m := s.manager
+	s.mutex.Lock()
+	if s.gone != nil {
+		defer s.mutex.Unlock()
+		return s.gone
+	}
+	again := m.newOwnedShard(s.id, s.claim, s.logged, s.machine)
+	again.tail, again.committed, again.snapshot = s.tail, s.committed, s.snapshot
+	again.sinceSnapshot, again.snapshotSize = s.sinceSnapshot, s.snapshotSize
+	again.waiters, again.durable = s.waiters, s.durable
+	s.waiters, s.durable = nil, nil
+	slot := &m.slots[s.id]
+	slot.mutex.Lock()
+	slot.owned = again
+	slot.mutex.Unlock()
+	s.mutex.Unlock()
+	s.lose(errReopened)
+	m.renew(m.running, []*ownedShard{again})
+	again.mutex.Lock()
+	again.kickLinks()
+	again.mutex.Unlock()
+	again.kickWriter()
+	m.tasks.Go(func() { again.write(stream) })
+	m.tasks.Go(func() {
+		if again.awaitLease(m.running) == nil {
+			m.config.Host.Opened(again, again.machine)
+		}
+	})
+	return nil
+}
+
 // releaseLeases tells the replicas that the owner stopped, so that a claimant
 // that has not read the release needs not wait.
 func (m *Manager) releaseLeases(s *ownedShard) {
