Give cache up by evidence and by how short memory is; record and replay traces

It gave up everything as soon as its history had 40 pauses, all of them short ones of tools: nobody had had the time to return late yet, and that passed for nobody returns. And it asked the same price for memory whether the pool was full or empty. Change: a rate is known only where 20 pauses have lasted four times as long; patience is four times as long at half full as at nine tenths. The daemon does not call KeepWarm yet.

--- a/cmd/stepseam-lab/compare.go
+++ b/cmd/stepseam-lab/compare.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"runtime"
@@ -19,36 +21,30 @@
 
 // compareCommand runs policies over one workload in virtual time.
 type compareCommand struct {
-	Site   string   `arg:"--site,required" help:"quito or haldane"`
+	Site   string   `arg:"--site" help:"quito or haldane"`
 	Load   float64  `arg:"--load" default:"0.9" help:"offered load as a share of capacity"`
 	Seed   uint64   `arg:"--seed" default:"1" help:"seed of workload and signals; the same one gives the same figures"`
 	Policy []string `arg:"--policy,separate" help:"policy to run, may be repeated; without it the baselines and stepseam"`
 	Calm   bool     `arg:"--calm" help:"no lost and no slow engine in the middle of the run"`
+	Record string   `arg:"--record" help:"also write the programs to this file, as a trace"`
+	Replay string   `arg:"--replay" help:"run the programs of this trace instead, and check its stated outcomes"`
 	JSON   string   `arg:"--json" help:"also write the figures to this file, as an array of objects"`
 }
 
 func (c *compareCommand) run(ctx context.Context) error {
-	site, err := experiment.SiteByName(c.Site)
+	trace, base, err := c.workload()
 	if err != nil {
 		return err
 	}
-	if c.Load <= 0 || c.Load > 3 {
-		return fmt.Errorf("--load %g: want a share of capacity above 0 and up to 3", c.Load)
-	}
-	names := c.Policy
-	if len(names) == 0 {
-		names = experiment.PrimaryStrategies()
-	}
 	var options []experiment.Options
-	programs := experiment.Workload(&site, c.Load, c.Seed)
-	for _, name := range names {
+	for _, name := range orDefault(c.Policy, experiment.PrimaryStrategies()...) {
 		strategy, err := experiment.StrategyByName(name)
 		if err != nil {
 			return err
 		}
-		options = append(options, experiment.Options{
-			Site: site, Strategy: strategy, Load: c.Load, Seed: c.Seed, Programs: programs, Calm: c.Calm,
-		})
+		run := base
+		run.Strategy = strategy
+		options = append(options, run)
 	}
 	results, err := runAll(ctx, options)
 	if err != nil {
@@ -57,10 +53,75 @@
 	if err := printResults(results); err != nil {
 		return err
 	}
-	if c.JSON == "" {
-		return nil
+	if c.JSON != "" {
+		if err := writeResults(c.JSON, results); err != nil {
+			return err
+		}
+	}
+	return checkOutcomes(trace, results)
+}
+
+// workload draws the programs, or reads them from a trace.
+func (c *compareCommand) workload() (*experiment.Trace, experiment.Options, error) {
+	if c.Replay != "" {
+		return readTrace(c.Replay)
+	}
+	site, err := experiment.SiteByName(c.Site)
+	if err != nil {
+		return nil, experiment.Options{}, err
+	}
+	if c.Load <= 0 || c.Load > 3 {
+		return nil, experiment.Options{}, fmt.Errorf("--load %g: want a share of capacity above 0 and up to 3", c.Load)
+	}
+	options := experiment.Options{
+		Site: site, Load: c.Load, Seed: c.Seed, Calm: c.Calm, Programs: experiment.Workload(&site, c.Load, c.Seed),
+	}
+	trace := &experiment.Trace{
+		Site: experiment.TraceSite{
+			Name: site.Name, Duration: site.Duration, Warmup: site.Warmup, Load: c.Load, Seed: c.Seed, Calm: c.Calm,
+		},
+		Programs: options.Programs,
+	}
+	if c.Record != "" {
+		err = writeTrace(c.Record, trace)
+	}
+	return trace, options, err
+}
+
+func readTrace(path string) (*experiment.Trace, experiment.Options, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, experiment.Options{}, fmt.Errorf("trace: %w", err)
+	}
+	defer file.Close()
+	trace, err := experiment.ReadTrace(file)
+	if err != nil {
+		return nil, experiment.Options{}, fmt.Errorf("%s: %w", path, err)
+	}
+	options, err := trace.Options(experiment.Strategy{})
+	return trace, options, err
+}
+
+func writeTrace(path string, trace *experiment.Trace) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("trace: %w", err)
+	}
+	out := bufio.NewWriter(file)
+	return errors.Join(trace.Write(out), out.Flush(), file.Close())
+}
+
+// checkOutcomes compares the results with what the trace states of their policies.
+func checkOutcomes(trace *experiment.Trace, results []experiment.Result) error {
+	var faults []error
+	for i := range results {
+		for _, outcome := range trace.Outcomes {
+			if outcome.Policy == results[i].Policy {
+				faults = append(faults, outcome.Check(&results[i]))
+			}
+		}
 	}
-	return writeResults(c.JSON, results)
+	return errors.Join(faults...)
 }
 
 // runAll runs experiments, a few at once, and returns their results in order.
--- a/internal/lab/experiment/node.go
+++ b/internal/lab/experiment/node.go
@@ -378,11 +378,12 @@
 	slices.SortFunc(paused, func(a, b scheduling.Paused) int {
 		return cmp.Or(cmp.Compare(a.Program, b.Program), cmp.Compare(a.Branch, b.Branch))
 	})
+	patience := n.run.patience()
 	rates := map[string]scheduling.ReturnRates{}
 	for kind, pauses := range idle {
 		rates[kind] = n.history(kind).Rates(pauses)
 	}
-	for _, release := range scheduling.KeepWarm(n.run.wall(n.run.clock.now), paused, rates, n.run.strategy.Patience) {
+	for _, release := range scheduling.KeepWarm(n.run.wall(n.run.clock.now), paused, rates, patience) {
 		key := model.Key{Program: release.Program, Branch: release.Branch}
 		n.release(key, n.branches[key])
 	}
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -7,6 +7,7 @@
 
 	"stepseam.example/stepseam/internal/emulator/engine/model"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/scheduling"
 )
 
 const (
@@ -188,6 +189,18 @@
 	})
 }
 
+// patience follows from the memory in use by the last load reports.
+func (r *run) patience() time.Duration {
+	used, capacity := 0, 0
+	for i := range r.reports {
+		if r.reports[i].listed {
+			used += r.reports[i].cacheUsed
+			capacity += r.site.Engine.CacheCapacityTokens
+		}
+	}
+	return scheduling.Patience(r.strategy.Patience, used, capacity)
+}
+
 // cacheChanged books a change of an engine's cache and publishes its events.
 func (r *run) cacheChanged(e *engine) {
 	r.ledger.used(e.index, e.cache.Used())
--- a/internal/scheduling/keepwarm.go
+++ b/internal/scheduling/keepwarm.go
@@ -7,9 +7,29 @@
 	"stepseam.example/stepseam/internal/identity"
 )
 
-// DefaultPatience is how many seconds of holding a token are worth prefilling it
-// again once; docs/decisions/0005-scheduling.md has the figures behind it.
-const DefaultPatience = 600 * time.Second
+const (
+	// DefaultPatience is how many seconds of holding a token are worth prefilling it
+	// again once, while memory is short. docs/decisions/0005-scheduling.md has the
+	// figures behind it.
+	DefaultPatience = 600 * time.Second
+	// fullPool and freePool are the shares of the memory in use at which patience
+	// is as set, and at which it is patienceRange times as long.
+	fullPool      = 0.9
+	freePool      = 0.5
+	patienceRange = 4
+)
+
+// Patience returns how long holding a token is worth prefilling it again once
+// while used of capacity tokens are in use: the emptier the memory, the less
+// holding costs others.
+func Patience(base time.Duration, used, capacity int) time.Duration {
+	if capacity <= 0 {
+		return base
+	}
+	share := float64(used) / float64(capacity)
+	free := min(max((fullPool-share)/(fullPool-freePool), 0), 1)
+	return time.Duration(float64(base) * (1 + (patienceRange-1)*free))
+}
 
 // Paused is a branch that waits for its program's next call while a back end
 // holds its prefix.
@@ -46,7 +66,8 @@
 		if idle <= p.KeepWarm {
 			continue
 		}
-		rate, known := rates[p.Kind].At(idle)
+		ofKind := rates[p.Kind]
+		rate, known := ofKind.At(idle)
 		if !known || rate*patience.Seconds() >= 1 {
 			continue
 		}
--- a/internal/scheduling/pauses.go
+++ b/internal/scheduling/pauses.go
@@ -11,9 +11,13 @@
 	pauseBins     = 41
 	binsPerOctave = 2
 	shortestPause = 100 * time.Millisecond
-	// minimumPauses is how many pauses must have been seen before a history says
-	// anything.
-	minimumPauses = 40
+	// minimumRisk is how many pauses must have lasted as long as a bin before
+	// something is said about it.
+	minimumRisk = 20
+	// evidenceOctaves is how far beyond a pause there must be evidence: a young
+	// history, which has seen the short pauses only, must not pass for one in
+	// which nobody returns later.
+	evidenceOctaves = 2
 )
 
 // PauseHistory counts how long the branches of one kind paused between an
@@ -26,7 +30,6 @@
 type PauseHistory struct {
 	returned  [pauseBins]float64
 	abandoned [pauseBins]float64
-	total     float64
 }
 
 // pauseDecay halves the weight of old pauses in about 2000 new ones, so that the
@@ -44,7 +47,6 @@
 		h.returned[i] *= pauseDecay
 		h.abandoned[i] *= pauseDecay
 	}
-	h.total = h.total*pauseDecay + 1
 	bins[pauseBin(pause)]++
 }
 
@@ -66,14 +68,11 @@
 // returns a second of further waiting buys at best. The zero value knows nothing.
 type ReturnRates struct {
 	rates [pauseBins]float64
-	known bool
+	known [pauseBins]bool
 }
 
 // Rates works the rates out, given how long the pauses under way have lasted.
 func (h *PauseHistory) Rates(idle []time.Duration) ReturnRates {
-	if h.total < minimumPauses {
-		return ReturnRates{}
-	}
 	returned, risk := h.returned, [pauseBins]float64{}
 	for i := range risk {
 		risk[i] = h.returned[i] + h.abandoned[i]
@@ -84,8 +83,10 @@
 	for i := pauseBins - 2; i >= 0; i-- {
 		risk[i] += risk[i+1]
 	}
-	rates := ReturnRates{known: true}
+	var rates ReturnRates
 	for start := range rates.rates {
+		beyond := min(start+evidenceOctaves*binsPerOctave, pauseBins-1)
+		rates.known[start] = risk[beyond] >= minimumRisk
 		rates.rates[start] = bestRate(&returned, &risk, start)
 	}
 	return rates
@@ -111,6 +112,7 @@
 
 // At returns the returns a second that further waiting buys after pause, and
 // whether enough is known to tell.
-func (r ReturnRates) At(pause time.Duration) (float64, bool) {
-	return r.rates[pauseBin(pause)], r.known
+func (r *ReturnRates) At(pause time.Duration) (rate float64, known bool) {
+	bin := pauseBin(pause)
+	return r.rates[bin], r.known[bin]
 }
