--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
 	"stepseam.example/stepseam/internal/blackboard"
@@ -29,7 +30,7 @@
 	DefaultLogTimeout      = 5 * time.Second
 	DefaultDurableWait     = 5 * time.Second
 	DefaultClaimTimeout    = 20 * time.Second
-	DefaultClosingTimeout  = 10 * time.Second
+	DefaultClosingTimeout  = 35 * time.Second
 	DefaultReplaceDelay    = 2 * time.Second
 	DefaultSettleDelay     = time.Second
 	DefaultGather          = 5 * time.Millisecond
@@ -80,6 +81,8 @@
 	Desired func(shard identity.ShardID, view membership.View) (placement.Assignment, bool)
 	Host    Host
 	Logger  *slog.Logger
+	// Registerer takes the metrics; nil leaves them out.
+	Registerer prometheus.Registerer
 	// Random gives record ids and jitter; the Manager guards it with a lock.
 	Random rand.Source
 }
--- a/internal/journal/manager.go
+++ b/internal/journal/manager.go
@@ -76,6 +76,9 @@
 		wake:     make(chan struct{}, 1),
 	}
 	m.local = m.handle
+	if config.Registerer != nil {
+		config.Registerer.MustRegister(newCollector(m))
+	}
 	return m
 }
 
--- a/internal/journal/manager_test.go
+++ b/internal/journal/manager_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 func TestFairWeather(t *testing.T) {
@@ -30,3 +32,12 @@
 		is.Equal(site.serving(3).host.open(3).machine.numbers(), open.machine.numbers())
 	})
 }
+
+func TestMetricsOfAllStats(t *testing.T) {
+	is := is.New(t)
+	registry := prometheus.NewPedanticRegistry()
+	New(Config{ShardCount: 4, Registerer: registry})
+	families, err := registry.Gather()
+	is.NoErr(err)
+	is.Equal(len(families), reflect.TypeFor[Stats]().NumField())
+}
