--- a/internal/serving/warm.go
+++ b/internal/serving/warm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/program"
 	"stepseam.example/stepseam/internal/scheduling"
 )
@@ -84,13 +85,24 @@
 	for _, s := range o.allShards() {
 		paused = append(paused, s.paused(now, idle)...)
 	}
-	for _, release := range scheduling.KeepWarm(now, paused, o.pauses.rates(idle), scheduling.DefaultPatience) {
+	for _, release := range scheduling.KeepWarm(now, paused, o.pauses.rates(idle), o.patience(now)) {
 		if s, err := o.shardOf(release.Program); err == nil {
 			s.coolBranch(release)
 		}
 	}
 }
 
+// patience is how long holding a token is worth prefilling it again, by how full
+// the engines last said they are.
+func (o *Owner) patience(now time.Time) time.Duration {
+	used, capacity := 0, 0
+	for _, engine := range o.candidates.of(platform.RoleEngine, now) {
+		used += engine.Report.CacheUsedTokens
+		capacity += engine.Report.CacheCapacityTokens
+	}
+	return scheduling.Patience(scheduling.DefaultPatience, used, capacity)
+}
+
 // paused returns the shard's paused branches that an engine may hold, and adds
 // how long all of them have paused to idle.
 func (s *shard) paused(now time.Time, idle map[string][]time.Duration) []scheduling.Paused {
