--- a/internal/scheduling/keepwarm_test.go
+++ b/internal/scheduling/keepwarm_test.go
@@ -68,6 +68,8 @@
 }
 
 func TestPatienceGrowsAsMemoryIsFree(t *testing.T) {
+	is.New(t).Equal(scheduling.Patience(time.Minute, 0, 1000), 4*time.Minute)
+	is.New(t).Equal(scheduling.Patience(time.Minute, 1000, 1000), time.Minute)
 	rapid.Check(t, func(t *rapid.T) {
 		base := time.Duration(rapid.IntRange(1, 3600).Draw(t, "base")) * time.Second
 		used := rapid.IntRange(0, 1000).Draw(t, "used")
