Refuse a publication soon when the log is away

Cause: with the log down an operator waited the whole publish_timeout for an answer that was certain from the start, and was then told to ask by an id that stands nowhere.

Change: while nothing can have been published, Publish gives up after 2 s. The id is printed only with an unknown outcome. Status clips long errors in tables.

--- a/cmd/stepseamctl/status.go
+++ b/cmd/stepseamctl/status.go
@@ -51,7 +51,7 @@
 		remarks = append(remarks, "did not answer; figures are what membership last heard")
 	}
 	if node.LogFailure != "" {
-		remarks = append(remarks, "log: "+node.LogFailure)
+		remarks = append(remarks, "log cannot be followed: "+clip(node.LogFailure))
 	}
 	if node.TableKnown > node.TableInForce {
 		remarks = append(remarks, fmt.Sprintf("knows version %d", node.TableKnown))
@@ -59,6 +59,16 @@
 	return strings.Join(remarks, "; ")
 }
 
+// clip shortens an error for a table cell; --output json has it whole.
+func clip(text string) string {
+	const most = 60
+	letters := []rune(text)
+	if len(letters) <= most {
+		return text
+	}
+	return string(letters[:most]) + "…"
+}
+
 func cacheOf(backend operator.BackendStatus) string {
 	if backend.CacheCapacityTokens == 0 {
 		return "-"
--- a/cmd/stepseamctl/table_publish.go
+++ b/cmd/stepseamctl/table_publish.go
@@ -77,7 +77,7 @@
 	if known.sent {
 		known.code = exitUnknown
 	}
-	if known.code == exitUnknown || known.code == exitUnreachable {
+	if known.code == exitUnknown {
 		known.advice += fmt.Sprintf(" The id of this publication is %s: the same command with --id %s finds out what became of it.", id, id)
 	}
 	return err
--- a/internal/controller/tables/publish.go
+++ b/internal/controller/tables/publish.go
@@ -92,6 +92,10 @@
 // that hangs leaves time to read back and to try again.
 const appendShare = 3
 
+// refusePatience is how long Publish tries while it is certain that nothing was
+// published. After that the publisher is better told to come back.
+const refusePatience = 2 * time.Second
+
 // attempt is one Publish under way.
 type attempt struct {
 	controller  *Controller
@@ -106,6 +110,7 @@
 		ID: a.publication.ID, Base: a.publication.Base, Author: a.publication.Author,
 		Note: a.publication.Note, Published: time.Now(), CSV: a.publication.CSV,
 	}.Encode()
+	began := time.Now()
 	for retry := retryFirst; ; retry = min(2*retry, retryLast) {
 		err := a.controller.catchUp(ctx)
 		if entry, decided, outcome := a.outcome(err == nil); decided {
@@ -117,7 +122,8 @@
 		if err != nil {
 			a.controller.pause(ctx, retry)
 		}
-		if ctx.Err() != nil {
+		hopeless := err != nil && !a.possiblyAppended && time.Since(began) >= refusePatience
+		if hopeless || ctx.Err() != nil {
 			return a.giveUp(errors.Join(err, ctx.Err()))
 		}
 	}
--- a/internal/controller/tables/tables_test.go
+++ b/internal/controller/tables/tables_test.go
@@ -345,8 +345,10 @@
 		fresh := s.start("n0")
 		time.Sleep(time.Hour)
 		is.Equal(fresh.version(), table.Version(0))
+		began := time.Now()
 		_, err := fresh.controller.Publish(s.ctx, tables.Publication{Base: 1, CSV: sheetOf(9)})
 		is.True(errors.Is(err, tables.ErrNotPublished))
+		is.True(time.Since(began) < 5*time.Second) // told soon, not held until the timeout
 	})
 }
 
