--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -268,24 +268,3 @@
 	v = (v ^ (v >> 27)) * 0x94d049bb133111eb
 	return v ^ (v >> 31)
 }
-
-// Cache keeps the Placement of the latest view, for one node. It is safe for
-// concurrent use.
-type Cache struct {
-	mutex sync.Mutex
-	// self, version and placement are guarded by mutex.
-	self      identity.Reference
-	version   uint64
-	placement *Placement
-}
-
-// For returns the placement of view, the remembered one if view has the version
-// of the last call's.
-func (c *Cache) For(view membership.View) *Placement {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.placement == nil || c.version != view.Version || c.self != view.Self {
-		c.self, c.version, c.placement = view.Self, view.Version, New(view)
-	}
-	return c.placement
-}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -178,6 +178,62 @@
 	is.True(cache.For(view) != first)
 }
 
+// TestInheritedChoicesAreThoseFromScratch puts a cache through changes of the
+// site and compares each answer with one that was worked out anew.
+func TestInheritedChoicesAreThoseFromScratch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const names = 20
+		all := site(names, rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(1, 3).Draw(t, "zones")).Members
+		present := map[int]bool{}
+		var cache Cache
+		for version := range rapid.IntRange(2, 12).Draw(t, "changes") {
+			for range rapid.IntRange(1, 4).Draw(t, "nodes changed") {
+				node := rapid.IntRange(0, names-1).Draw(t, "node")
+				present[node] = !present[node]
+				all[node].Status = rapid.SampledFrom([]membership.Status{membership.Alive, membership.Alive, membership.Suspect}).Draw(t, "status")
+			}
+			view := membership.View{Version: uint64(version)}
+			for node := range all {
+				if present[node] || node < 3 {
+					view.Members = append(view.Members, all[node])
+				}
+			}
+			cached, fresh := cache.For(view), New(view)
+			for shard := range identity.ShardID(64) {
+				got, gotFound := cached.Desired(shard)
+				want, wantFound := fresh.Desired(shard)
+				if gotFound != wantFound || !slices.Equal(got.Replicas, want.Replicas) || got.Owner != want.Owner {
+					t.Fatalf("shard %d: inherited %v, from scratch %v", shard, assigned(got), assigned(want))
+				}
+			}
+		}
+	})
+}
+
+func assigned(assignment Assignment) []identity.NodeName {
+	return append([]identity.NodeName{assignment.Owner.Name}, names(assignment.Replicas)...)
+}
+
+// BenchmarkOneNodeChanges is the cost of a view in which one node came or went.
+func BenchmarkOneNodeChanges(b *testing.B) {
+	whole := site(380, 3, 2)
+	reduced := whole
+	reduced.Members = slices.Delete(slices.Clone(whole.Members), 100, 101)
+	views := []membership.View{whole, reduced}
+	var cache Cache
+	b.ReportAllocs()
+	version := uint64(0)
+	for b.Loop() {
+		version++
+		view := views[version%2]
+		view.Version = version
+		placement := cache.For(view)
+		for shard := range identity.ShardID(4096) {
+			placement.Owner(shard)
+		}
+	}
+}
+
 func BenchmarkAllShardsAtTwoYearSize(b *testing.B) {
 	view := site(380, 3, 2)
 	b.ReportAllocs()
