Name the owner's parts by the field's terms and mind adapters

Names of our own (fate, ending, wish, holding, asked, place, flights, census, cooled) became attemptStatus, attemptResult, callerOptions, pendingCommit, schedulingQuery, assignment, inFlightTracker, programCounts and evicted; the files follow. The metric of given-up cache is stepseam_branch_evictions_total.

A call of a class with an adapter was offered to engines that have the model alone; they refused it, so it only lost time. It now goes where both are loaded.

--- a/internal/program/apply.go
+++ b/internal/program/apply.go
@@ -50,8 +50,8 @@
 		p.applyEnded(r)
 	case Released:
 		p.confirm(r.Backend, r.Branch)
-	case Cooled:
-		p.applyCooled(r)
+	case Evicted:
+		p.applyEvicted(r)
 	default:
 		return fmt.Errorf("%w: %T for %s", ErrOutOfOrder, record, p.id)
 	}
@@ -118,7 +118,7 @@
 		p.placements[key] = held
 	}
 	held.address = attempt.Address
-	p.takeBack(key, held)
+	p.withdrawRelease(key, held)
 }
 
 // lose charges the pending attempt of call in full.
@@ -231,8 +231,8 @@
 	}
 }
 
-// applyCooled releases a branch that no call uses now.
-func (p *Program) applyCooled(r Cooled) {
+// applyEvicted releases a branch that no call uses now.
+func (p *Program) applyEvicted(r Evicted) {
 	b := p.branches[r.Branch]
 	if b == nil || b.open() != nil {
 		return
@@ -253,9 +253,9 @@
 	p.outbox = append(p.outbox, release)
 }
 
-// takeBack drops a release that has not happened yet, since the engine is to
+// withdrawRelease drops a release that has not happened yet, since the engine is to
 // keep the branch again; streams that were to be cancelled stay known.
-func (p *Program) takeBack(key placementKey, held *placement) {
+func (p *Program) withdrawRelease(key placementKey, held *placement) {
 	for _, release := range p.outbox {
 		if release.Backend == key.backend && release.Branch == key.branch {
 			held.lost = append(held.lost, release.Streams...)
--- a/internal/program/machine_test.go
+++ b/internal/program/machine_test.go
@@ -247,15 +247,15 @@
 	m.commit(t, program.Released{ID: programID, Backend: outbox[0].Backend, Branch: outbox[0].Branch})
 }
 
-// Cool gives the cache of a paused branch up.
-func (m *machine) Cool(t *rapid.T) {
+// Evict gives the cache of a paused branch up.
+func (m *machine) Evict(t *rapid.T) {
 	paused := m.program().Paused()
 	if len(paused) == 0 {
 		t.Skip("nothing pauses")
 	}
 	slices.SortFunc(paused, func(a, b program.Paused) int { return cmp.Compare(a.Branch, b.Branch) })
 	branch := rapid.SampledFrom(paused).Draw(t, "paused").Branch
-	m.commit(t, program.Cooled{ID: programID, Branch: branch})
+	m.commit(t, program.Evicted{ID: programID, Branch: branch})
 	if placements := m.program().Placements(branch); len(placements) > 0 {
 		t.Fatalf("branch %s is still placed at %v", branch, placements)
 	}
--- a/internal/program/record.go
+++ b/internal/program/record.go
@@ -37,7 +37,7 @@
 	kindEnded
 	kindReleased
 	kindForgotten
-	kindCooled
+	kindEvicted
 )
 
 // Created starts a program.
@@ -107,9 +107,9 @@
 	Branch  identity.BranchID
 }
 
-// Cooled queues the release of a paused branch's cache; the branch goes on, and
+// Evicted queues the release of a paused branch's cache; the branch goes on, and
 // its next call computes its prompt anew.
-type Cooled struct {
+type Evicted struct {
 	ID     identity.ProgramID
 	Branch identity.BranchID
 }
@@ -145,7 +145,7 @@
 func (r Released) Program() identity.ProgramID { return r.ID }
 
 // Program implements Record.
-func (r Cooled) Program() identity.ProgramID { return r.ID }
+func (r Evicted) Program() identity.ProgramID { return r.ID }
 
 // Program implements Record.
 func (r Forgotten) Program() identity.ProgramID { return r.ID }
@@ -160,7 +160,7 @@
 func (Ended) kind() recordKind     { return kindEnded }
 func (Released) kind() recordKind  { return kindReleased }
 func (Forgotten) kind() recordKind { return kindForgotten }
-func (Cooled) kind() recordKind    { return kindCooled }
+func (Evicted) kind() recordKind   { return kindEvicted }
 
 func (r Created) encode(e *wire.Encoder) {
 	e.String(string(r.ID))
@@ -215,7 +215,7 @@
 	e.String(string(r.Branch))
 }
 
-func (r Cooled) encode(e *wire.Encoder) {
+func (r Evicted) encode(e *wire.Encoder) {
 	e.String(string(r.ID))
 	e.String(string(r.Branch))
 }
@@ -285,8 +285,8 @@
 		return Ended{ID: identity.ProgramID(d.String()), State: api.ProgramState(d.String()), At: d.Time()}
 	case kindReleased:
 		return Released{ID: identity.ProgramID(d.String()), Backend: d.String(), Branch: identity.BranchID(d.String())}
-	case kindCooled:
-		return Cooled{ID: identity.ProgramID(d.String()), Branch: identity.BranchID(d.String())}
+	case kindEvicted:
+		return Evicted{ID: identity.ProgramID(d.String()), Branch: identity.BranchID(d.String())}
 	case kindForgotten:
 		return Forgotten{ID: identity.ProgramID(d.String())}
 	default:
--- a/internal/serving/place.go
+++ b/internal/serving/assign.go
@@ -15,37 +15,39 @@
 	"stepseam.example/stepseam/internal/table"
 )
 
-// place is the back end that was chosen for one attempt.
-type place struct {
+// assignment is the back end that was chosen for one attempt.
+type assignment struct {
 	backend  blackboard.Backend
-	flights  *flights
-	flight   *flight
+	tracker  *inFlightTracker
+	attempt  *inFlightAttempt
 	priority int
 	// request and prompt are what to send, set by load.
 	request program.Request
 	prompt  []backend.Message
 }
 
-func (p *place) leave() { p.flights.leave(p.flight) }
+func (a *assignment) leave() { a.tracker.leave(a.attempt) }
 
 // load takes what the back end is to get; the caller holds the shard's mutex.
-func (p *place) load(state *program.Program, request program.Request) {
-	p.request = request
+func (a *assignment) load(state *program.Program, request program.Request) {
+	a.request = request
 	if request.Kind != api.CallModel {
 		return
 	}
 	messages := state.Prompt(request)
-	p.prompt = make([]backend.Message, len(messages))
+	a.prompt = make([]backend.Message, len(messages))
 	for i, message := range messages {
-		p.prompt[i] = backend.Message(message)
+		a.prompt[i] = backend.Message(message)
 	}
 }
 
-// asked is one call as the scheduler sees it.
-type asked struct {
+// schedulingQuery is one call as the scheduler sees it.
+type schedulingQuery struct {
 	call  scheduling.Call
 	class table.Class
 	role  platform.MachineRole
+	// adapter is what the model is to run with, empty for none.
+	adapter string
 	// holder is the back end of the branch's last call, which counted settled
 	// tokens. answeredHere is true if this owner saw that call's answer.
 	holder       string
@@ -56,46 +58,46 @@
 // cachedAt returns how many tokens of the call's prompt the back end is expected
 // to hold. Beliefs begin with the calls that went through this node: for a call
 // that another node answered, the journal's word goes before no belief.
-func (o *Owner) cachedAt(backend string, question *asked) int {
+func (o *Owner) cachedAt(backend string, query *schedulingQuery) int {
 	believed := 0
-	if o.config.CachedTokens != nil && question.call.Model != "" {
-		believed = o.config.CachedTokens(backend, question.call.ID.Program, question.call.ID.Branch)
+	if o.config.CachedTokens != nil && query.call.Model != "" {
+		believed = o.config.CachedTokens(backend, query.call.ID.Program, query.call.ID.Branch)
 	}
-	if backend != question.holder || believed > 0 || (question.answeredHere && o.config.CachedTokens != nil) {
-		return min(believed, question.call.PromptTokens)
+	if backend != query.holder || believed > 0 || (query.answeredHere && o.config.CachedTokens != nil) {
+		return min(believed, query.call.PromptTokens)
 	}
-	return question.settled
+	return query.settled
 }
 
-// place chooses a back end, holding the call while the policy says so. An
+// assign chooses a back end, holding the call while the policy says so. An
 // outcome is a refusal.
-func (d *driver) place() (*place, *outcome) {
+func (d *driver) assign() (*assignment, *outcome) {
 	waiting := ""
 	defer func() {
 		if waiting != "" {
-			d.owner().flights.stopWaiting(waiting, d.run.id)
+			d.owner().inFlight.stopWaiting(waiting, d.run.id)
 		}
 	}()
 	for {
-		question, result := d.ask()
+		query, result := d.query()
 		if result != nil {
 			return nil, result
 		}
-		chosen, decision, changed := d.owner().choose(question)
-		if chosen == nil && decision.Action == scheduling.Refuse && len(question.call.Excluded) > 0 && d.lost > 0 {
+		chosen, decision, changed := d.owner().choose(query)
+		if chosen == nil && decision.Action == scheduling.Refuse && len(query.call.Excluded) > 0 && d.lost > 0 {
 			// A back end that lost the call is better than none.
-			question.call.Excluded = d.refusedBy
-			chosen, decision, changed = d.owner().choose(question)
+			query.call.Excluded = d.refusedBy
+			chosen, decision, changed = d.owner().choose(query)
 		}
-		d.owner().explained.add(Explanation{Call: d.run.id, At: time.Now(), Decision: decision, Attempt: question.call.Attempt})
+		d.owner().explained.add(Explanation{Call: d.run.id, At: time.Now(), Decision: decision, Attempt: query.call.Attempt})
 		switch {
 		case chosen != nil:
 			d.reason = decision.Reason
 			return chosen, nil
 		case decision.Action == scheduling.Refuse:
-			return nil, failed(d.shard.certain(d.refusal(question, decision)))
+			return nil, failed(d.shard.certain(d.refusal(query, decision)))
 		}
-		waiting = question.call.Class
+		waiting = query.call.Class
 		if result := d.hold(decision, changed); result != nil {
 			return nil, result
 		}
@@ -122,31 +124,31 @@
 	return d.run.deadline
 }
 
-func (d *driver) refusal(question asked, decision scheduling.Decision) *api.Problem {
+func (d *driver) refusal(query schedulingQuery, decision scheduling.Decision) *api.Problem {
 	code := api.CodeOverloaded
-	if !d.owner().anyEligible(question) {
+	if !d.owner().anyEligible(query) {
 		code = api.CodeNoBackend
 	}
 	return api.NewProblem(code, "call %s: %s", d.run.id, decision.Reason).
 		WithNotRun(!d.mayHaveRun()).WithRetryAfter(decision.RetryAfter)
 }
 
-// ask describes the call to the scheduler.
-func (d *driver) ask() (asked, *outcome) {
+// query describes the call to the scheduler.
+func (d *driver) query() (schedulingQuery, *outcome) {
 	published := d.owner().config.Board.Table.Load()
 	s := d.shard
 	s.machine.mutex.Lock()
 	defer s.machine.mutex.Unlock()
 	p := s.machine.set.Get(d.run.id.Program)
 	if p == nil || d.run.context.Err() != nil {
-		return asked{}, d.ended()
+		return schedulingQuery{}, d.ended()
 	}
 	request := d.run.request
-	question := asked{role: platform.RoleApplication}
+	query := schedulingQuery{role: platform.RoleApplication}
 	if published != nil {
-		question.class = published.Classes[p.Class()]
+		query.class = published.Classes[p.Class()]
 	}
-	question.call = scheduling.Call{
+	query.call = scheduling.Call{
 		ID:             d.run.id,
 		Tenant:         p.Tenant(),
 		Class:          p.Class(),
@@ -156,86 +158,87 @@
 		ProgramStarted: p.Created(),
 		ServiceSoFar:   p.Service(),
 		CallsSoFar:     p.Calls(),
-		Weight:         question.class.Weight,
-		Priority:       question.class.Priority,
+		Weight:         query.class.Weight,
+		Priority:       query.class.Priority,
 		Attempt:        d.lost,
 		Excluded:       d.excluded,
 		LastBackend:    p.LastBackend(d.run.id.Branch),
 	}
 	if request.Kind == api.CallModel {
-		d.askModel(&question, p, published)
+		d.queryModel(&query, p, published)
 	}
-	return question, nil
+	return query, nil
 }
 
-// askModel fills in what only model calls have.
-func (d *driver) askModel(question *asked, p *program.Program, published *table.Table) {
+// queryModel fills in what only model calls have.
+func (d *driver) queryModel(query *schedulingQuery, p *program.Program, published *table.Table) {
 	request := d.run.request
 	if !d.open {
 		request, _ = p.Resolve(request)
 	}
 	size := p.PromptSize(request)
-	question.role = platform.RoleEngine
-	question.holder = question.call.LastBackend
-	question.settled = int(size.Settled)
-	question.answeredHere = !p.LastAnswered(d.run.id.Branch).Before(d.shard.opened)
-	question.call.Service = ""
-	question.call.Model = request.Model
-	question.call.PromptTokens = int(size.Expected)
-	question.call.MaxTokens = request.MaxTokens
+	query.role = platform.RoleEngine
+	query.holder = query.call.LastBackend
+	query.settled = int(size.Settled)
+	query.answeredHere = !p.LastAnswered(d.run.id.Branch).Before(d.shard.opened)
+	query.call.Service = ""
+	query.call.Model = request.Model
+	query.adapter = request.Adapter
+	query.call.PromptTokens = int(size.Expected)
+	query.call.MaxTokens = request.MaxTokens
 	if published != nil {
-		question.call.Service = published.Models[request.Model].Service
+		query.call.Service = published.Models[request.Model].Service
 	}
 }
 
-// choose asks the policy and, if it says run, enters the flight in the same
+// choose asks the policy and, if it says run, enters the attempt in the same
 // step, so that no two calls take one back end's trial.
-func (o *Owner) choose(question asked) (*place, scheduling.Decision, <-chan struct{}) {
+func (o *Owner) choose(query schedulingQuery) (*assignment, scheduling.Decision, <-chan struct{}) {
 	now := time.Now()
-	backends := o.candidates.of(question.role, now)
-	limit := o.classLimit(question.class.MaxConcurrent)
-	o.flights.mutex.Lock()
-	defer o.flights.mutex.Unlock()
-	if decision := o.admit(now, question, limit); decision.Action != scheduling.Run {
-		return nil, decision, o.flights.awaitChange()
+	backends := o.candidates.of(query.role, now)
+	limit := o.classLimit(query.class.MaxConcurrent)
+	o.inFlight.mutex.Lock()
+	defer o.inFlight.mutex.Unlock()
+	if decision := o.admit(now, query, limit); decision.Action != scheduling.Run {
+		return nil, decision, o.inFlight.awaitChange()
 	}
-	o.flights.turn++
-	question.call.Turn = o.flights.turn
-	snapshot := o.snapshot(now, question, backends)
-	decision := o.config.Policy.Choose(now, question.call, snapshot)
+	o.inFlight.turn++
+	query.call.Turn = o.inFlight.turn
+	snapshot := o.snapshot(now, query, backends)
+	decision := o.config.Policy.Choose(now, query.call, snapshot)
 	if decision.Action != scheduling.Run {
-		return nil, decision, o.flights.awaitChange()
+		return nil, decision, o.inFlight.awaitChange()
 	}
 	at := slices.IndexFunc(backends, func(b blackboard.Backend) bool { return b.Name == decision.Backend })
 	if at < 0 {
 		decision.Action = scheduling.Hold
-		return nil, decision, o.flights.awaitChange()
+		return nil, decision, o.inFlight.awaitChange()
 	}
-	chosen := &place{backend: backends[at], flights: o.flights, priority: decision.Priority}
-	chosen.flight = o.flights.enter(now, question, backends[at].Name, snapshot[at].CachedTokens)
+	chosen := &assignment{backend: backends[at], tracker: o.inFlight, priority: decision.Priority}
+	chosen.attempt = o.inFlight.enter(now, query, backends[at].Name, snapshot[at].CachedTokens)
 	return chosen, decision, nil
 }
 
 // admit applies the class's limits: a new program's first call is refused at
 // once, a later call waits for a place in order of urgency: it runs once there is
-// one beyond those of the calls ahead of it. The caller holds the flights' mutex.
-func (o *Owner) admit(now time.Time, question asked, limit int) scheduling.Decision {
-	running := o.flights.classes[question.call.Class]
+// one beyond those of the calls ahead of it. The caller holds the tracker's mutex.
+func (o *Owner) admit(now time.Time, query schedulingQuery, limit int) scheduling.Decision {
+	running := o.inFlight.classes[query.call.Class]
 	if limit > 0 {
-		running += o.flights.ahead(now, &question.call)
+		running += o.inFlight.ahead(now, &query.call)
 	}
 	decision := scheduling.Admit(now, scheduling.Admission{
-		Call:            question.call,
+		Call:            query.call,
 		MaxConcurrent:   limit,
-		TenantShare:     question.class.TenantShare,
+		TenantShare:     query.class.TenantShare,
 		ClassRunning:    running,
-		TenantRunning:   o.flights.tenants[tenantKey{question.call.Class, question.call.Tenant}],
-		ProgramDuration: o.durations.of(question.call.Class),
+		TenantRunning:   o.inFlight.tenants[tenantKey{query.call.Class, query.call.Tenant}],
+		ProgramDuration: o.durations.of(query.call.Class),
 	})
 	if decision.Action != scheduling.Run || limit == 0 || running < limit {
 		return decision
 	}
-	o.flights.await(question.call)
+	o.inFlight.await(query.call)
 	return scheduling.Decision{Action: scheduling.Hold, RetryAfter: holdRetry, Reason: "class at its limit of calls"}
 }
 
@@ -269,11 +272,11 @@
 	return max(part, 1)
 }
 
-// anyEligible tells that some back end serves the question's model or service.
-func (o *Owner) anyEligible(question asked) bool {
-	for _, b := range o.candidates.of(question.role, time.Now()) {
-		if !b.Leaving && b.Health != scheduling.Ejected && serves(&b, question) &&
-			!slices.Contains(question.call.Excluded, b.Name) {
+// anyEligible tells that some back end serves the query's model or service.
+func (o *Owner) anyEligible(query schedulingQuery) bool {
+	for _, b := range o.candidates.of(query.role, time.Now()) {
+		if !b.Leaving && b.Health != scheduling.Ejected && serves(&b, query) &&
+			!slices.Contains(query.call.Excluded, b.Name) {
 			return true
 		}
 	}
@@ -282,14 +285,15 @@
 
 // serves tells that the back end is of the call's service and has its model and
 // adapter loaded.
-func serves(b *blackboard.Backend, question asked) bool {
-	if question.call.Service != "" && b.Service != question.call.Service {
+func serves(b *blackboard.Backend, query schedulingQuery) bool {
+	if query.call.Service != "" && b.Service != query.call.Service {
 		return false
 	}
-	if question.role != platform.RoleEngine {
+	if query.role != platform.RoleEngine {
 		return true
 	}
-	return slices.Contains(b.Report.Models, question.call.Model)
+	adapted := query.adapter == "" || slices.Contains(b.Report.Adapters, query.adapter)
+	return adapted && slices.Contains(b.Report.Models, query.call.Model)
 }
 
 // tenantKey counts the calls of one tenant in one class.
--- a/internal/serving/config.go
+++ b/internal/serving/config.go
@@ -69,9 +69,9 @@
 	Tombstone time.Duration
 	// Audit is the time between comparisons of an engine's memory with the owners.
 	Audit time.Duration
-	// Cool is the time between looks for paused branches whose cache is not worth
+	// Evict is the time between looks for paused branches whose cache is not worth
 	// its memory any more.
-	Cool time.Duration
+	Evict time.Duration
 	// CloseWait bounds the wait for application calls at a planned hand-over.
 	CloseWait time.Duration
 }
@@ -122,7 +122,7 @@
 		Sweep:           time.Second,
 		Tombstone:       10 * time.Minute,
 		Audit:           15 * time.Second,
-		Cool:            5 * time.Second,
+		Evict:           5 * time.Second,
 		CloseWait:       30 * time.Second,
 	}
 }
@@ -159,7 +159,7 @@
 	orDefault(&t.Sweep, fallback.Sweep)
 	orDefault(&t.Tombstone, fallback.Tombstone)
 	orDefault(&t.Audit, fallback.Audit)
-	orDefault(&t.Cool, fallback.Cool)
+	orDefault(&t.Evict, fallback.Evict)
 	orDefault(&t.CloseWait, fallback.CloseWait)
 }
 
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -18,31 +18,31 @@
 	"stepseam.example/stepseam/internal/program"
 )
 
-// fate is what is known of an attempt once it is over.
-type fate uint8
+// attemptStatus is what is known of an attempt once it is over.
+type attemptStatus uint8
 
 const (
-	// fateAnswered: the back end answered.
-	fateAnswered fate = iota + 1
-	// fateNotRun: it certainly did not run.
-	fateNotRun
-	// fateLost: it may have run, and no answer is to be had.
-	fateLost
-	// fateStopped: the run's context ended.
-	fateStopped
-	// fateTimedOut: the back end took longer than a call may.
-	fateTimedOut
+	// attemptAnswered: the back end answered.
+	attemptAnswered attemptStatus = iota + 1
+	// attemptNotRun: it certainly did not run.
+	attemptNotRun
+	// attemptLost: it may have run, and no answer is to be had.
+	attemptLost
+	// attemptStopped: the run's context ended.
+	attemptStopped
+	// attemptTimedOut: the back end took longer than a call may.
+	attemptTimedOut
 )
 
-// ending is how an attempt ended.
-type ending struct {
-	fate   fate
+// attemptResult is how an attempt ended.
+type attemptResult struct {
+	status attemptStatus
 	answer program.Answer
 	err    error
 }
 
 // dispatch sends the pending attempt and waits for its end.
-func (d *driver) dispatch(place *place) ending {
+func (d *driver) dispatch(assigned *assignment) attemptResult {
 	if d.dispatchedAt.IsZero() {
 		d.dispatchedAt = time.Now()
 	}
@@ -50,11 +50,11 @@
 	defer cancel()
 	ctx, stop := d.watch(limited)
 	defer stop()
-	var result ending
+	var result attemptResult
 	if d.run.request.Kind == api.CallApplication {
-		result = d.invoke(ctx, place)
+		result = d.invoke(ctx, assigned)
 	} else {
-		result = d.generate(ctx, place)
+		result = d.generate(ctx, assigned)
 	}
 	return d.classify(ctx, result)
 }
@@ -62,51 +62,51 @@
 func (d *driver) owner() *Owner { return d.shard.owner }
 
 // classify turns the end of a context into its reason.
-func (d *driver) classify(ctx context.Context, result ending) ending {
-	if result.fate == fateAnswered || result.fate == fateNotRun {
+func (d *driver) classify(ctx context.Context, result attemptResult) attemptResult {
+	if result.status == attemptAnswered || result.status == attemptNotRun {
 		return result
 	}
 	switch {
 	case d.run.context.Err() != nil:
-		result.fate = fateStopped
+		result.status = attemptStopped
 	case errors.Is(context.Cause(ctx), errUnresponsive):
-		result.fate, result.err = fateLost, errUnresponsive
+		result.status, result.err = attemptLost, errUnresponsive
 	case ctx.Err() != nil:
-		result.fate = fateTimedOut
+		result.status = attemptTimedOut
 	}
 	return result
 }
 
-func (d *driver) invoke(ctx context.Context, place *place) ending {
+func (d *driver) invoke(ctx context.Context, assigned *assignment) attemptResult {
 	client := d.owner().config.Directory.Application(d.attempt.Address)
 	output, err := client.Invoke(ctx, backend.InvokeRequest{
 		Stream:         d.attempt.Stream,
-		Operation:      place.request.Operation,
-		Body:           place.request.Input,
-		IdempotencyKey: place.request.Key,
+		Operation:      assigned.request.Operation,
+		Body:           assigned.request.Input,
+		IdempotencyKey: assigned.request.Key,
 	})
 	if err != nil {
 		return d.failedWith(err)
 	}
-	return ending{fate: fateAnswered, answer: program.Answer{Output: output}}
+	return attemptResult{status: attemptAnswered, answer: program.Answer{Output: output}}
 }
 
-func (d *driver) generate(ctx context.Context, place *place) ending {
+func (d *driver) generate(ctx context.Context, assigned *assignment) attemptResult {
 	client := d.owner().config.Directory.Engine(d.attempt.Address)
 	result, err := client.Generate(ctx, backend.GenerateRequest{
 		Stream:    d.attempt.Stream,
-		Model:     place.request.Model,
-		Adapter:   place.request.Adapter,
-		Messages:  place.prompt,
-		MaxTokens: place.request.MaxTokens,
-		Priority:  place.priority,
+		Model:     assigned.request.Model,
+		Adapter:   assigned.request.Adapter,
+		Messages:  assigned.prompt,
+		MaxTokens: assigned.request.MaxTokens,
+		Priority:  assigned.priority,
 		Seed:      Seed(d.run.id),
 	}, d.onToken)
 	if err == nil {
 		return d.answered(result)
 	}
 	end := d.failedWith(err)
-	if end.fate == fateNotRun || errors.Is(err, backend.ErrStreamCancelled) {
+	if end.status == attemptNotRun || errors.Is(err, backend.ErrStreamCancelled) {
 		return end
 	}
 	return d.resume(ctx, client, err)
@@ -126,7 +126,7 @@
 	return nil
 }
 
-func (d *driver) answered(result backend.GenerateResult) ending {
+func (d *driver) answered(result backend.GenerateResult) attemptResult {
 	tokens := d.run.received()
 	answer := program.Answer{
 		Text:         result.Text,
@@ -137,18 +137,18 @@
 	if len(answer.TokenLengths) == 0 && len(tokens) > 0 && !strings.HasPrefix(result.Text, strings.Join(tokens, "")) {
 		d.owner().logger.Error("engine's text differs from its tokens", "call", d.run.id, "backend", d.attempt.Backend)
 	}
-	return ending{fate: fateAnswered, answer: answer}
+	return attemptResult{status: attemptAnswered, answer: answer}
 }
 
 // failedWith sorts an error of a back end.
-func (d *driver) failedWith(err error) ending {
+func (d *driver) failedWith(err error) attemptResult {
 	if errors.Is(err, backend.ErrDraining) {
 		d.owner().markLeaving(d.attempt.Backend)
 	}
 	if errors.Is(err, backend.ErrNotDelivered) || errors.Is(err, backend.ErrRefused) || errors.Is(err, backend.ErrDraining) {
-		return ending{fate: fateNotRun, err: err}
+		return attemptResult{status: attemptNotRun, err: err}
 	}
-	return ending{fate: fateLost, err: err}
+	return attemptResult{status: attemptLost, err: err}
 }
 
 // markLeaving notes a back end's refusal for every reader of the blackboard.
@@ -165,7 +165,7 @@
 
 // resume attaches to the pending attempt's stream until it ends or the engine
 // does not know it.
-func (d *driver) resume(ctx context.Context, client backend.Engine, cause error) ending {
+func (d *driver) resume(ctx context.Context, client backend.Engine, cause error) attemptResult {
 	pause := d.owner().backoff()
 	for range resumeTries {
 		result, err := client.Resume(ctx, d.attempt.Stream, len(d.run.received()), d.onToken)
@@ -180,7 +180,7 @@
 			break
 		}
 	}
-	return ending{fate: fateLost, err: cause}
+	return attemptResult{status: attemptLost, err: cause}
 }
 
 // backoff returns the pauses between attempts, growing with jitter.
@@ -205,15 +205,15 @@
 
 // settle records how the attempt ended. It returns false if the call is to be
 // placed again.
-func (d *driver) settle(end ending) (*outcome, bool) {
-	switch end.fate {
-	case fateAnswered:
+func (d *driver) settle(end attemptResult) (*outcome, bool) {
+	switch end.status {
+	case attemptAnswered:
 		return d.recordAnswer(end.answer), true
-	case fateNotRun:
+	case attemptNotRun:
 		return d.placeAgain(end)
-	case fateStopped:
+	case attemptStopped:
 		return d.stopped(), true
-	case fateTimedOut:
+	case attemptTimedOut:
 		return d.timedOut(), true
 	default:
 		return d.retryLost(end)
@@ -250,7 +250,7 @@
 }
 
 // placeAgain looks for another back end after an attempt that did not run.
-func (d *driver) placeAgain(end ending) (*outcome, bool) {
+func (d *driver) placeAgain(end attemptResult) (*outcome, bool) {
 	d.logFailure("attempt did not run", end.err)
 	if result := d.notRun(); result != nil {
 		return result, true
@@ -277,7 +277,7 @@
 
 // retryLost runs a call again whose attempt was lost, if that is allowed and
 // within the budget of retries.
-func (d *driver) retryLost(end ending) (*outcome, bool) {
+func (d *driver) retryLost(end attemptResult) (*outcome, bool) {
 	d.logFailure("attempt lost", end.err)
 	if !d.mayRunAgain() {
 		return d.outcomeUnknown(fmt.Sprintf("the answer of %s is lost: %s", d.attempt.Backend, end.err)), true
--- a/internal/serving/drive.go
+++ b/internal/serving/drive.go
@@ -70,12 +70,12 @@
 // try places the call once and runs it there. It returns false if the call is to
 // be placed again.
 func (d *driver) try() (*outcome, bool) {
-	place, result := d.place()
+	assigned, result := d.assign()
 	if result != nil {
 		return d.abandon(result), true
 	}
-	defer place.leave()
-	again, result := d.record(place)
+	defer assigned.leave()
+	again, result := d.record(assigned)
 	if result != nil {
 		return result, true
 	}
@@ -86,7 +86,7 @@
 		d.noteUnsent()
 		return failed(err), true
 	}
-	return d.settle(d.dispatch(place))
+	return d.settle(d.dispatch(assigned))
 }
 
 // noteUnsent remembers that the pending attempt was not sent, for the run that
@@ -122,7 +122,7 @@
 	gap := d.shard.owner.config.Timing.GapWait
 	var missingSince time.Time
 	for {
-		verdict, changed, missing := d.look()
+		verdict, changed, missing := d.evaluate()
 		if result := d.ended(); result != nil {
 			return result
 		}
@@ -168,9 +168,9 @@
 		WithNotRun(true).WithRetryAfter(deadlineRetry))
 }
 
-// look asks the state what to do with the call now. missing tells that the call
+// evaluate asks the state what to do with the call now. missing tells that the call
 // which the branch waits for has not arrived.
-func (d *driver) look() (verdict program.Verdict, changed <-chan struct{}, missing bool) {
+func (d *driver) evaluate() (verdict program.Verdict, changed <-chan struct{}, missing bool) {
 	s := d.shard
 	s.machine.mutex.Lock()
 	defer s.machine.mutex.Unlock()
@@ -240,7 +240,7 @@
 
 // record makes the intent of the call's next attempt last. again is true if the
 // call lost its turn meanwhile.
-func (d *driver) record(place *place) (again bool, result *outcome) {
+func (d *driver) record(assigned *assignment) (again bool, result *outcome) {
 	s := d.shard
 	unrepeatable := d.run.request.Unrepeatable
 	durable := unrepeatable
@@ -256,7 +256,7 @@
 		s.machine.mutex.Unlock()
 		return false, failed(s.notOwner()) // what is sent now could be cut off
 	}
-	record, again, problem := d.intent(place)
+	record, again, problem := d.intent(assigned)
 	if again || problem != nil {
 		s.machine.mutex.Unlock()
 		if again {
@@ -276,14 +276,14 @@
 	return false, d.awaitIntent(durable, wait)
 }
 
-// intent returns the record that opens the call's next attempt at place; the
+// intent returns the record that opens the call's next attempt; the
 // caller holds the mutex.
-func (d *driver) intent(place *place) (record program.Record, again bool, problem *api.Problem) {
+func (d *driver) intent(assigned *assignment) (record program.Record, again bool, problem *api.Problem) {
 	s := d.shard
 	p := s.machine.set.Get(d.run.id.Program)
 	dispatch := program.Dispatch{
-		Backend: place.backend.Name,
-		Address: place.backend.Address,
+		Backend: assigned.backend.Name,
+		Address: assigned.backend.Address,
 		Epoch:   s.journal.Epoch(),
 		Reserve: s.owner.config.Hooks.Reserve,
 	}
@@ -294,7 +294,7 @@
 			return nil, false, problem
 		}
 		d.attempt = retry.Attempt
-		place.load(p, call.Request)
+		assigned.load(p, call.Request)
 		return retry, false, nil
 	}
 	verdict := p.Arrive(time.Now(), d.run.request)
@@ -309,7 +309,7 @@
 	if intent.Request.Kind == api.CallModel {
 		s.owner.noteReturn(p, d.run.id.Branch, intent.Attempt.At)
 	}
-	place.load(p, intent.Request)
+	assigned.load(p, intent.Request)
 	return intent, false, nil
 }
 
--- a/internal/serving/warm.go
+++ b/internal/serving/evict.go
@@ -76,9 +76,9 @@
 	}
 }
 
-// cool gives up the cache of paused branches that are not worth their memory any
+// evictIdle gives up the cache of paused branches that are not worth their memory any
 // more, by the same rule that the experiments measure.
-func (o *Owner) cool(context.Context) {
+func (o *Owner) evictIdle(context.Context) {
 	now := time.Now()
 	var paused []scheduling.Paused
 	idle := map[string][]time.Duration{}
@@ -87,7 +87,7 @@
 	}
 	for _, release := range scheduling.KeepWarm(now, paused, o.pauses.rates(idle), o.patience(now)) {
 		if s, err := o.shardOf(release.Program); err == nil {
-			s.coolBranch(release)
+			s.evictBranch(release)
 		}
 	}
 }
@@ -132,18 +132,18 @@
 	return all
 }
 
-// coolBranch queues the release of a branch unless a call came meanwhile.
-func (s *shard) coolBranch(release scheduling.Release) {
+// evictBranch queues the release of a branch unless a call came meanwhile.
+func (s *shard) evictBranch(release scheduling.Release) {
 	s.machine.mutex.Lock()
 	defer s.machine.mutex.Unlock()
 	p := s.machine.set.Get(release.Program)
 	if p == nil || s.closing || s.stopped || !s.idle(p) {
 		return
 	}
-	if _, err := s.commit(false, program.Cooled{ID: release.Program, Branch: release.Branch}); err != nil {
+	if _, err := s.commit(false, program.Evicted{ID: release.Program, Branch: release.Branch}); err != nil {
 		return
 	}
-	s.owner.metrics.cooled.Inc()
-	s.owner.logger.Debug("cache given up", "program", release.Program, "branch", release.Branch,
+	s.owner.metrics.evicted.Inc()
+	s.owner.logger.Debug("idle cache evicted", "program", release.Program, "branch", release.Branch,
 		"backend", release.Backend, "shard", s.journal.ID(), "epoch", s.journal.Epoch(), "reason", release.Reason)
 }
--- a/internal/serving/follow.go
+++ b/internal/serving/follow.go
@@ -21,8 +21,8 @@
 // should come back for the answer.
 const deadlineRetry = time.Second
 
-// wish is what one caller wants of a call.
-type wish struct {
+// callerOptions is what one caller wants of a call.
+type callerOptions struct {
 	// from is the next token that the caller lacks.
 	from     int
 	wait     time.Duration
@@ -32,20 +32,20 @@
 
 // follow hands the run's tokens to the caller and returns the outcome. The run
 // goes on when the caller leaves.
-func (s *shard) follow(ctx context.Context, r *run, wanted wish) (api.Answer, error) {
-	timer := time.NewTimer(time.Until(wanted.deadline))
+func (s *shard) follow(ctx context.Context, r *run, options callerOptions) (api.Answer, error) {
+	timer := time.NewTimer(time.Until(options.deadline))
 	defer timer.Stop()
-	next, generation := wanted.from, -1
+	next, generation := options.from, -1
 	for {
 		seen := r.progress(next)
 		if generation < 0 {
 			generation = seen.generation
 		}
-		if generation != seen.generation && next > wanted.from {
+		if generation != seen.generation && next > options.from {
 			return api.Answer{}, api.NewProblem(api.CodeInterrupted,
 				"call %s was answered anew; fetch it again from its first token", r.id).WithRetryAfter(deadlineRetry)
 		}
-		if err := emit(seen.tokens, &next, wanted.onToken); err != nil {
+		if err := emit(seen.tokens, &next, options.onToken); err != nil {
 			return api.Answer{}, err
 		}
 		if seen.outcome != nil {
@@ -107,7 +107,7 @@
 }
 
 // replay returns a stored answer.
-func (s *shard) replay(id identity.CallID, stored *program.Answer, wanted wish) (api.Answer, error) {
+func (s *shard) replay(id identity.CallID, stored *program.Answer, options callerOptions) (api.Answer, error) {
 	if err := s.checkLease(); err != nil {
 		return api.Answer{}, err
 	}
@@ -115,8 +115,8 @@
 	if problem := stored.Problem(id); problem != nil {
 		return api.Answer{}, problem
 	}
-	if wanted.onToken != nil {
-		if err := stored.Tokens(wanted.from, wanted.onToken); err != nil {
+	if options.onToken != nil {
+		if err := stored.Tokens(options.from, options.onToken); err != nil {
 			return api.Answer{}, api.NewProblem(api.CodeInterrupted, "the caller takes no more tokens: %s", err)
 		}
 	}
--- a/internal/serving/flights.go
+++ b/internal/serving/inflight.go
@@ -14,11 +14,11 @@
 	"stepseam.example/stepseam/internal/scheduling"
 )
 
-// flights counts this node's attempts that are at back ends now.
-type flights struct {
+// inFlightTracker counts this node's attempts that are at back ends now.
+type inFlightTracker struct {
 	mutex sync.Mutex
 	// The mutex guards the rest.
-	backends map[string]map[*flight]struct{}
+	backends map[string]map[*inFlightAttempt]struct{}
 	classes  map[string]int
 	tenants  map[tenantKey]int
 	// waiting are the calls that are held because their class is at its limit.
@@ -29,8 +29,8 @@
 	changed chan struct{}
 }
 
-// flight is one attempt at one back end.
-type flight struct {
+// inFlightAttempt is one attempt at one back end.
+type inFlightAttempt struct {
 	backend string
 	tenant  tenantKey
 	started time.Time
@@ -38,9 +38,9 @@
 	prefill int
 }
 
-func newFlights() *flights {
-	return &flights{
-		backends: map[string]map[*flight]struct{}{},
+func newInFlightTracker() *inFlightTracker {
+	return &inFlightTracker{
+		backends: map[string]map[*inFlightAttempt]struct{}{},
 		classes:  map[string]int{},
 		tenants:  map[tenantKey]int{},
 		waiting:  map[string]map[identity.CallID]scheduling.Call{},
@@ -49,7 +49,7 @@
 
 // ahead counts the waiting calls of the class that are more urgent than call;
 // the caller holds the mutex.
-func (f *flights) ahead(now time.Time, call *scheduling.Call) int {
+func (f *inFlightTracker) ahead(now time.Time, call *scheduling.Call) int {
 	count := 0
 	for id, other := range f.waiting[call.Class] {
 		if id != call.ID && scheduling.Score(now, &other) > scheduling.Score(now, call) {
@@ -60,7 +60,7 @@
 }
 
 // await notes that call waits for a place of its class; the caller holds the mutex.
-func (f *flights) await(call scheduling.Call) {
+func (f *inFlightTracker) await(call scheduling.Call) {
 	if f.waiting[call.Class] == nil {
 		f.waiting[call.Class] = map[identity.CallID]scheduling.Call{}
 	}
@@ -69,7 +69,7 @@
 
 // stopWaiting takes a call out that waits no more, and lets those behind it look
 // again.
-func (f *flights) stopWaiting(class string, id identity.CallID) {
+func (f *inFlightTracker) stopWaiting(class string, id identity.CallID) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if _, waits := f.waiting[class][id]; !waits {
@@ -83,7 +83,7 @@
 }
 
 // wake lets all held calls look again; the caller holds the mutex.
-func (f *flights) wake() {
+func (f *inFlightTracker) wake() {
 	if f.changed != nil {
 		close(f.changed)
 		f.changed = nil
@@ -91,15 +91,15 @@
 }
 
 // enter adds an attempt; the caller holds the mutex.
-func (f *flights) enter(now time.Time, question asked, backend string, cached int) *flight {
-	entered := &flight{
+func (f *inFlightTracker) enter(now time.Time, query schedulingQuery, backend string, cached int) *inFlightAttempt {
+	entered := &inFlightAttempt{
 		backend: backend,
-		tenant:  tenantKey{question.call.Class, question.call.Tenant},
+		tenant:  tenantKey{query.call.Class, query.call.Tenant},
 		started: now,
-		prefill: max(question.call.PromptTokens-cached, 0),
+		prefill: max(query.call.PromptTokens-cached, 0),
 	}
 	if f.backends[backend] == nil {
-		f.backends[backend] = map[*flight]struct{}{}
+		f.backends[backend] = map[*inFlightAttempt]struct{}{}
 	}
 	f.backends[backend][entered] = struct{}{}
 	f.classes[entered.tenant.class]++
@@ -108,7 +108,7 @@
 }
 
 // leave takes an attempt out and wakes the calls that are held.
-func (f *flights) leave(left *flight) {
+func (f *inFlightTracker) leave(left *inFlightAttempt) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	delete(f.backends[left.backend], left)
@@ -125,7 +125,7 @@
 
 // awaitChange returns a channel that is closed when an attempt leaves; the
 // caller holds the mutex.
-func (f *flights) awaitChange() <-chan struct{} {
+func (f *inFlightTracker) awaitChange() <-chan struct{} {
 	if f.changed == nil {
 		f.changed = make(chan struct{})
 	}
@@ -133,9 +133,9 @@
 }
 
 // snapshot returns backends as the policy sees them. The result is used until
-// the next call only; the caller holds the flights' mutex.
-func (o *Owner) snapshot(now time.Time, question asked, backends []blackboard.Backend) []scheduling.Backend {
-	f := o.flights
+// the next call only; the caller holds the tracker's mutex.
+func (o *Owner) snapshot(now time.Time, query schedulingQuery, backends []blackboard.Backend) []scheduling.Backend {
+	f := o.inFlight
 	f.scratch = f.scratch[:0]
 	for i := range backends {
 		b := &backends[i]
@@ -145,7 +145,7 @@
 			Service:             b.Service,
 			Health:              b.Health,
 			Leaving:             b.Leaving || b.Report.Draining,
-			ServesModel:         serves(b, question),
+			ServesModel:         serves(b, query),
 			ReportedRunning:     b.Report.Running,
 			ReportedWaiting:     b.Report.Waiting,
 			QueuedPrefillTokens: b.Report.QueuedPrefillTokens,
@@ -159,7 +159,7 @@
 			seen.ReportAge = now.Sub(b.ReportedAt)
 		}
 		seen.OwnInFlight, seen.OwnPrefillTokens = f.unreported(b)
-		seen.CachedTokens = o.cachedAt(b.Name, &question)
+		seen.CachedTokens = o.cachedAt(b.Name, &query)
 		f.scratch = append(f.scratch, seen)
 	}
 	return f.scratch
@@ -167,7 +167,7 @@
 
 // unreported counts the attempts that the back end's report cannot know. A back
 // end on probation counts all, since it takes one call at a time.
-func (f *flights) unreported(b *blackboard.Backend) (count, prefill int) {
+func (f *inFlightTracker) unreported(b *blackboard.Backend) (count, prefill int) {
 	asOf := b.Report.AsOf
 	if asOf.IsZero() {
 		asOf = b.ReportedAt
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -19,7 +19,7 @@
 	recovered       prometheus.Counter
 	released        prometheus.Counter
 	orphans         prometheus.Counter
-	cooled          prometheus.Counter
+	evicted         prometheus.Counter
 	running         prometheus.Gauge
 	pending         prometheus.Gauge
 }
@@ -40,7 +40,7 @@
 		replays:         counter("calls_replayed_total", "Calls answered from the journal."),
 		recovered:       counter("calls_recovered_total", "Calls taken over from a former owner."),
 		released:        counter("releases_total", "Releases of cache that engines confirmed."),
-		cooled:          counter("branches_cooled_total", "Paused branches whose cache was given up."),
+		evicted:         counter("branch_evictions_total", "Paused branches whose cache was given up."),
 		orphans:         counter("orphans_released_total", "Programs whose cache nobody owned and the audit freed."),
 	}
 	gauge := func(name, help string) prometheus.Gauge {
@@ -55,7 +55,7 @@
 		Namespace: "stepseam", Name: "shards_owned", Help: "Shards that this node serves.",
 	}, func() float64 { return float64(owner.Shards()) })
 	registerer.MustRegister(m.answers, m.problems, m.attemptFailures, m.releaseFailures, m.ended,
-		m.replays, m.recovered, m.released, m.orphans, m.cooled, m.running, m.pending, shards)
+		m.replays, m.recovered, m.released, m.orphans, m.evicted, m.running, m.pending, shards)
 	return m
 }
 
--- a/internal/serving/owner.go
+++ b/internal/serving/owner.go
@@ -20,7 +20,7 @@
 	config     Config
 	logger     *slog.Logger
 	metrics    *metrics
-	flights    *flights
+	inFlight   *inFlightTracker
 	retries    *rate.Limiter
 	explained  *explanations
 	durations  *durations
@@ -49,7 +49,7 @@
 	owner := &Owner{
 		config:     config,
 		logger:     logger,
-		flights:    newFlights(),
+		inFlight:   newInFlightTracker(),
 		retries:    rate.NewLimiter(rate.Limit(config.Bounds.RetryRate), config.Bounds.RetryBurst),
 		explained:  newExplanations(config.Bounds.Explanations),
 		durations:  newDurations(),
@@ -62,12 +62,12 @@
 	return owner
 }
 
-// Run sweeps programs, audits engines and gives cold cache up until ctx ends.
+// Run sweeps programs, audits engines and evicts idle cache until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return o.every(ctx, o.config.Timing.Sweep, o.sweep) })
 	group.Go(func() error { return o.every(ctx, o.config.Timing.Audit, o.audit) })
-	group.Go(func() error { return o.every(ctx, o.config.Timing.Cool, o.cool) })
+	group.Go(func() error { return o.every(ctx, o.config.Timing.Evict, o.evictIdle) })
 	if err := group.Wait(); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("serving: %w", err)
 	}
@@ -130,7 +130,7 @@
 		former.stop()
 	}
 	o.logger.Info("shard opened", "shard", held.ID(), "epoch", held.Epoch(), "programs", s.machine.len())
-	s.takeUp()
+	s.recoverOpenCalls()
 	go s.watch()
 }
 
--- a/internal/serving/owner_test.go
+++ b/internal/serving/owner_test.go
@@ -11,6 +11,8 @@
 	"github.com/matryer/is"
 
 	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/emulator/application"
 	"stepseam.example/stepseam/internal/emulator/engine"
 	"stepseam.example/stepseam/internal/identity"
@@ -344,3 +346,21 @@
 		is.Equal(policy.shown["engine-1"], 0) // evicted, or never there
 	})
 }
+
+func TestACallGoesWhereItsAdapterIsLoaded(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		s.publish(table.Class{Name: testClass, Model: testModel, Adapter: "sierra", BudgetTokens: 10_000, MaxTokens: 20})
+		s.create(owner, "adapted")
+		_, err := s.call(owner, "adapted", modelCall(1, "x"))
+		is.Equal(codeOf(err), api.CodeNoBackend)
+		is.NoErr(s.engines[1].Order(s.running, backend.Order{Kind: backend.OrderLoadAdapter, Subject: "sierra", Version: "1", Fence: 1}))
+		s.board.Backends.Update("engine-1", func(b blackboard.Backend, found bool) (blackboard.Backend, bool) {
+			b.Report.Adapters = []string{"sierra"}
+			return b, found
+		})
+		time.Sleep(time.Second)
+		answer, err := s.call(owner, "adapted", modelCall(1, "x"))
+		is.NoErr(err)
+		is.Equal(answer.Backend, "engine-1")
+	})
+}
--- a/internal/serving/programs.go
+++ b/internal/serving/programs.go
@@ -37,7 +37,7 @@
 
 // settled returns view once what it shows is held and this node still owns the
 // shard.
-func (s *shard) settled(ctx context.Context, view api.Program, held *holding) (api.Program, error) {
+func (s *shard) settled(ctx context.Context, view api.Program, held *pendingCommit) (api.Program, error) {
 	if err := held.wait(ctx); err != nil {
 		return api.Program{}, s.interrupted(ctx, err)
 	}
@@ -70,7 +70,7 @@
 	return s.settled(ctx, view, held)
 }
 
-func (s *shard) create(request CreateRequest) (api.Program, *holding, error) {
+func (s *shard) create(request CreateRequest) (api.Program, *pendingCommit, error) {
 	if p := s.machine.set.Get(request.ID); p != nil {
 		if p.Tenant() != request.Tenant || p.Class() != request.Class {
 			return api.Program{}, nil, api.NewProblem(api.CodeConflict,
@@ -187,16 +187,16 @@
 		return api.Answer{}, err
 	}
 	call := program.NewRequest(request.Program, request.Call)
-	wanted := wish{from: request.From, wait: seconds(request.Call.DeadlineSeconds), onToken: onToken}
-	r, stored, err := s.arrive(call, &wanted)
+	options := callerOptions{from: request.From, wait: seconds(request.Call.DeadlineSeconds), onToken: onToken}
+	r, stored, err := s.arrive(call, &options)
 	s.machine.mutex.Unlock()
 	switch {
 	case err != nil:
 		return api.Answer{}, err
 	case stored != nil:
-		return s.replay(call.ID, stored, wanted)
+		return s.replay(call.ID, stored, options)
 	}
-	return s.follow(ctx, r, wanted)
+	return s.follow(ctx, r, options)
 }
 
 // Fetch implements Programs.
@@ -205,25 +205,25 @@
 	if err != nil {
 		return api.Answer{}, err
 	}
-	wanted := wish{from: request.From, onToken: onToken}
-	r, stored, err := s.lookUp(request.Call, &wanted)
+	options := callerOptions{from: request.From, onToken: onToken}
+	r, stored, err := s.lookUp(request.Call, &options)
 	s.machine.mutex.Unlock()
 	switch {
 	case err != nil:
 		return api.Answer{}, err
 	case stored != nil:
-		return s.replay(request.Call, stored, wanted)
+		return s.replay(request.Call, stored, options)
 	}
-	return s.follow(ctx, r, wanted)
+	return s.follow(ctx, r, options)
 }
 
 // lookUp finds a call that was made before; the caller holds the mutex.
-func (s *shard) lookUp(id identity.CallID, wanted *wish) (*run, *program.Answer, error) {
+func (s *shard) lookUp(id identity.CallID, options *callerOptions) (*run, *program.Answer, error) {
 	p := s.machine.set.Get(id.Program)
 	if p == nil {
 		return nil, nil, s.unknownProgram(id.Program)
 	}
-	wanted.deadline = time.Now().Add(s.callTimeout(p))
+	options.deadline = time.Now().Add(s.callTimeout(p))
 	if r := s.runs[id]; r != nil {
 		return r, nil, nil
 	}
@@ -240,21 +240,21 @@
 
 // arrive returns the run that answers call, or the answer that is stored; the
 // caller holds the mutex.
-func (s *shard) arrive(call program.Request, wanted *wish) (*run, *program.Answer, error) {
+func (s *shard) arrive(call program.Request, options *callerOptions) (*run, *program.Answer, error) {
 	p := s.machine.set.Get(call.ID.Program)
 	if p == nil {
 		return nil, nil, s.unknownProgram(call.ID.Program)
 	}
-	if wanted.wait <= 0 {
-		wanted.wait = s.callTimeout(p)
+	if options.wait <= 0 {
+		options.wait = s.callTimeout(p)
 	}
-	wanted.deadline = time.Now().Add(wanted.wait)
+	options.deadline = time.Now().Add(options.wait)
 	if r := s.runs[call.ID]; r != nil {
 		if r.request.Digest != call.Digest {
 			return nil, nil, api.NewProblem(api.CodeConflict, "call %s runs with another body", call.ID)
 		}
-		if r.deadline.Before(wanted.deadline) {
-			r.deadline = wanted.deadline
+		if r.deadline.Before(options.deadline) {
+			r.deadline = options.deadline
 		}
 		return r, nil, nil
 	}
@@ -271,7 +271,7 @@
 	if problem := s.checkArrival(p, call); problem != nil {
 		return nil, nil, problem
 	}
-	return s.start(call, wanted.deadline), nil, nil
+	return s.start(call, options.deadline), nil, nil
 }
 
 // rejoin takes up a call that is open without a run: its run ended because the
--- a/internal/serving/shard.go
+++ b/internal/serving/shard.go
@@ -84,11 +84,11 @@
 	releasing bool
 	// held is the wait for the program's newest records that are acted on outside
 	// of runs: creation and end. nil once they are held.
-	held *holding
+	held *pendingCommit
 }
 
-// holding is the wait for records, shared by all who need them to last.
-type holding struct {
+// pendingCommit is the wait for records, shared by all who need them to last.
+type pendingCommit struct {
 	done chan struct{}
 	err  error
 }
@@ -247,8 +247,8 @@
 
 // keep starts the shared wait for records that were just committed; the caller
 // holds the mutex.
-func (s *shard) keep(id identity.ProgramID, wait waitFunc) *holding {
-	h := &holding{done: make(chan struct{})}
+func (s *shard) keep(id identity.ProgramID, wait waitFunc) *pendingCommit {
+	h := &pendingCommit{done: make(chan struct{})}
 	s.entryOf(id).held = h
 	s.drivers.Add(1)
 	go func() {
@@ -264,8 +264,8 @@
 	return h
 }
 
-// wait waits for a holding; nil is held already.
-func (h *holding) wait(ctx context.Context) error {
+// wait waits until the records are held; nil is held already.
+func (h *pendingCommit) wait(ctx context.Context) error {
 	if h == nil {
 		return nil
 	}
--- a/internal/serving/sweep.go
+++ b/internal/serving/sweep.go
@@ -14,7 +14,7 @@
 // long ago.
 func (o *Owner) sweep(context.Context) {
 	now := time.Now()
-	var total census
+	var total programCounts
 	for _, s := range o.allShards() {
 		s.sweep(now, &total)
 	}
@@ -22,17 +22,17 @@
 	o.metrics.pending.Set(float64(total.releases))
 }
 
-// census counts what the metrics show of the programs.
-type census struct{ running, releases int }
+// programCounts counts what the metrics show of the programs.
+type programCounts struct{ running, releases int }
 
-func (c *census) count(p *program.Program) {
+func (c *programCounts) count(p *program.Program) {
 	if p.Running() {
 		c.running++
 	}
 	c.releases += p.OutboxLength()
 }
 
-func (s *shard) sweep(now time.Time, total *census) {
+func (s *shard) sweep(now time.Time, total *programCounts) {
 	s.machine.mutex.Lock()
 	defer s.machine.mutex.Unlock()
 	if s.stopped || s.closing || s.checkLease() != nil {
--- a/internal/serving/takeover.go
+++ b/internal/serving/takeover.go
@@ -14,9 +14,9 @@
 	"stepseam.example/stepseam/internal/program"
 )
 
-// takeUp starts a run for each call that the former owner left open, and the
+// recoverOpenCalls starts a run for each call that the former owner left open, and the
 // releases of its outboxes.
-func (s *shard) takeUp() {
+func (s *shard) recoverOpenCalls() {
 	s.machine.mutex.Lock()
 	defer s.machine.mutex.Unlock()
 	now := time.Now()
@@ -111,7 +111,7 @@
 	defer stop()
 	client := d.owner().config.Directory.Engine(d.attempt.Address)
 	end := d.classify(ctx, d.resume(ctx, client, backend.ErrStreamUnknown))
-	if end.fate != fateLost {
+	if end.status != attemptLost {
 		result, _ := d.settle(end)
 		return result
 	}
--- a/internal/serving/watchdog.go
+++ b/internal/serving/watchdog.go
@@ -34,7 +34,7 @@
 	}
 	w := &watchdog{driver: d, cancel: cancel, seen: len(d.run.received())}
 	w.mutex.Lock()
-	w.timer = time.AfterFunc(d.owner().config.Timing.Stall, w.look)
+	w.timer = time.AfterFunc(d.owner().config.Timing.Stall, w.check)
 	w.mutex.Unlock()
 	return ctx, func() {
 		w.mutex.Lock()
@@ -44,7 +44,7 @@
 	}
 }
 
-func (w *watchdog) look() {
+func (w *watchdog) check() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	stall := w.driver.owner().config.Timing.Stall
