--- a/internal/operator/health.go
+++ b/internal/operator/health.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"stepseam.example/stepseam/internal/membership"
 )
@@ -38,7 +39,7 @@
 	_ = json.NewEncoder(w).Encode(Readiness{Ready: len(reasons) == 0, Reasons: reasons}) // nobody is left to tell
 }
 
-// registerMetrics adds what this node knows of itself to the registry.
+// registerMetrics adds what this node knows of itself and of its process.
 func (o *Operator) registerMetrics() {
 	gauge := func(name, help string, value func() float64) {
 		o.config.Registry.MustRegister(prometheus.NewGaugeFunc(
@@ -50,33 +51,18 @@
 		}
 		return 0
 	}
-	gauge("ready", "1 while the node takes callers' requests", func() float64 { return truth(len(o.notReady()) == 0) })
-	gauge("draining", "1 during a planned stop", func() float64 { return truth(o.config.Board.Draining.Load()) })
-	gauge("table_version", "table version in force at the node, 0 before the first",
+	gauge("ready", "1 while the node takes callers' requests.", func() float64 { return truth(len(o.notReady()) == 0) })
+	gauge("draining", "1 during a planned stop.", func() float64 { return truth(o.config.Board.Draining.Load()) })
+	gauge("table_version", "Table version in force at the node, 0 before the first.",
 		func() float64 { return float64(o.config.Tables.State().InForce) })
-	gauge("table_known_version", "newest accepted table version that the node knows of",
+	gauge("table_known_version", "Newest accepted table version that the node knows of.",
 		func() float64 { return float64(o.config.Tables.State().Known) })
-	gauge("table_stream_reachable", "1 while the node can follow the table stream in the log",
+	gauge("table_stream_reachable", "1 while the node can follow the table stream in the log.",
 		func() float64 { return truth(o.config.Tables.State().Failure == "") })
-	for status, name := range memberships {
-		o.config.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: "stepseam", Name: "members", Help: "nodes that this node sees, itself included",
-			ConstLabels: prometheus.Labels{"status": name},
-		}, func() float64 { return float64(o.members(status)) }))
-	}
+	o.config.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 }
 
 // memberships names the statuses of members that are not dead.
 var memberships = map[membership.Status]string{
 	membership.Alive: "alive", membership.Suspect: "suspect", membership.Leaving: "leaving",
 }
-
-func (o *Operator) members(status membership.Status) int {
-	count := 0
-	for _, member := range o.config.Board.Members.Load().Members {
-		if member.Status == status {
-			count++
-		}
-	}
-	return count
-}
