Keep the decision what to give up in one place

Cause: the bookkeeping around keep-warm stood in the experiment; the daemon would have had to repeat it. Change: scheduling.PauseBook holds the histories by kind and answers which prefixes to give up; the experiment calls it. No change of behaviour meant.

--- a/internal/lab/experiment/node.go
+++ b/internal/lab/experiment/node.go
@@ -40,7 +40,7 @@
 	// branches is what the node believes of its branches' prefixes.
 	branches map[model.Key]*branch
 	// pauses are the histories per kind of branch.
-	pauses map[string]*scheduling.PauseHistory
+	pauses *scheduling.PauseBook
 }
 
 // book is what a node keeps about one engine.
@@ -94,7 +94,7 @@
 		random: rand.New(rand.NewPCG(r.seed, uint64(1000+index))),
 		view:   make([]scheduling.Backend, 0, len(r.engines)), books: make([]book, len(r.engines)),
 		branches: map[model.Key]*branch{},
-		pauses:   map[string]*scheduling.PauseHistory{},
+		pauses:   scheduling.NewPauseBook(),
 	}
 }
 
@@ -114,21 +114,12 @@
 		prompt: prompt, tokens: b.tokens + call.NewTokens, arrived: n.run.clock.now,
 	}
 	if found && !b.running {
-		n.history(pauseKind(execution, call)).Returned(n.run.clock.now - b.idleSince)
+		n.pauses.History(pauseKind(execution, call)).Returned(n.run.clock.now - b.idleSince)
 	}
 	b.running = true
 	n.decide(request)
 }
 
-func (n *node) history(class string) *scheduling.PauseHistory {
-	history, found := n.pauses[class]
-	if !found {
-		history = &scheduling.PauseHistory{}
-		n.pauses[class] = history
-	}
-	return history
-}
-
 // decide asks the policy and carries its decision out.
 func (n *node) decide(request *request) {
 	call := n.describe(request)
@@ -321,7 +312,7 @@
 			continue
 		}
 		delete(n.branches, key)
-		n.history(b.kind).Abandoned(n.run.clock.now - b.idleSince)
+		n.pauses.History(b.kind).Abandoned(n.run.clock.now - b.idleSince)
 		if n.run.strategy.Release {
 			n.release(key, b)
 		}
@@ -361,29 +352,19 @@
 // keepWarm gives up the prefixes that are not worth their memory any more.
 func (n *node) keepWarm() {
 	var paused []scheduling.Paused
-	idle := map[string][]time.Duration{}
 	for key, b := range n.branches {
 		if b.running {
 			continue
 		}
-		idle[b.kind] = append(idle[b.kind], n.run.clock.now-b.idleSince)
-		if len(b.placed) == 0 {
-			continue
-		}
 		paused = append(paused, scheduling.Paused{
-			Program: key.Program, Branch: key.Branch, Tokens: b.tokens,
+			Program: key.Program, Branch: key.Branch, Held: len(b.placed) > 0,
 			IdleSince: n.run.wall(b.idleSince), KeepWarm: b.program.class.KeepWarm, Kind: b.kind,
 		})
 	}
 	slices.SortFunc(paused, func(a, b scheduling.Paused) int {
 		return cmp.Or(cmp.Compare(a.Program, b.Program), cmp.Compare(a.Branch, b.Branch))
 	})
-	patience := n.run.patience()
-	rates := map[string]scheduling.ReturnRates{}
-	for kind, pauses := range idle {
-		rates[kind] = n.history(kind).Rates(pauses)
-	}
-	for _, release := range scheduling.KeepWarm(n.run.wall(n.run.clock.now), paused, rates, patience) {
+	for _, release := range n.pauses.KeepWarm(n.run.wall(n.run.clock.now), paused, n.run.patience()) {
 		key := model.Key{Program: release.Program, Branch: release.Branch}
 		n.release(key, n.branches[key])
 	}
--- a/internal/scheduling/keepwarm.go
+++ b/internal/scheduling/keepwarm.go
@@ -31,13 +31,13 @@
 	return time.Duration(float64(base) * (1 + (patienceRange-1)*free))
 }
 
-// Paused is a branch that waits for its program's next call while a back end
-// holds its prefix.
+// Paused is a branch that waits for its program's next call.
 type Paused struct {
-	Program   identity.ProgramID
-	Branch    identity.BranchID
-	Backend   string
-	Tokens    int
+	Program identity.ProgramID
+	Branch  identity.BranchID
+	// Held tells that a back end holds its prefix. One that none holds any more
+	// still counts among those that have not returned.
+	Held      bool
 	IdleSince time.Time
 	// KeepWarm is the column of the class's row: the prefix is kept at least so long.
 	KeepWarm time.Duration
@@ -50,31 +50,63 @@
 type Release struct {
 	Program identity.ProgramID
 	Branch  identity.BranchID
-	Backend string
 	Reason  string
 }
 
+// PauseBook keeps one pause history for each kind of branch. It has no lock.
+type PauseBook struct {
+	histories map[string]*PauseHistory
+}
+
+// NewPauseBook returns an empty book.
+func NewPauseBook() *PauseBook { return &PauseBook{histories: map[string]*PauseHistory{}} }
+
+// History returns the history of a kind, which is empty at first.
+func (b *PauseBook) History(kind string) *PauseHistory {
+	history, found := b.histories[kind]
+	if !found {
+		history = &PauseHistory{}
+		b.histories[kind] = history
+	}
+	return history
+}
+
 // KeepWarm returns the prefixes to give up: those that lie idle for longer than
 // their class keeps them warm and whose return, by the history of their kind,
 // is not worth the memory of waiting for it any more. A kind of which too
 // little is known is kept; the engine evicts the least recently used anyway.
-func KeepWarm(now time.Time, paused []Paused, rates map[string]ReturnRates, patience time.Duration) []Release {
+// paused are all branches that pause, since those that have not returned are
+// part of what is known.
+func (b *PauseBook) KeepWarm(now time.Time, paused []Paused, patience time.Duration) []Release {
+	rates := b.rates(now, paused)
 	var releases []Release
 	for i := range paused {
 		p := &paused[i]
 		idle := now.Sub(p.IdleSince)
-		if idle <= p.KeepWarm {
+		if !p.Held || idle <= p.KeepWarm {
 			continue
 		}
-		ofKind := rates[p.Kind]
-		rate, known := ofKind.At(idle)
+		rate, known := rates[p.Kind].At(idle)
 		if !known || rate*patience.Seconds() >= 1 {
 			continue
 		}
 		releases = append(releases, Release{
-			Program: p.Program, Branch: p.Branch, Backend: p.Backend,
+			Program: p.Program, Branch: p.Branch,
 			Reason: fmt.Sprintf("idle %s, %.4f returns a second expected at best", idle.Round(time.Second), rate),
 		})
 	}
 	return releases
 }
+
+func (b *PauseBook) rates(now time.Time, paused []Paused) map[string]*ReturnRates {
+	idle := map[string][]time.Duration{}
+	for i := range paused {
+		idle[paused[i].Kind] = append(idle[paused[i].Kind], now.Sub(paused[i].IdleSince))
+	}
+	rates := map[string]*ReturnRates{}
+	for kind, pauses := range idle {
+		ofKind := b.History(kind).Rates(pauses)
+		rates[kind] = &ofKind
+	}
+	return rates
+}
--- a/internal/scheduling/keepwarm_test.go
+++ b/internal/scheduling/keepwarm_test.go
@@ -12,20 +12,19 @@
 
 // sessions is a history in which half of the pauses end after about a minute and
 // the others are never ended.
-func sessions() (*scheduling.PauseHistory, []time.Duration) {
-	history := &scheduling.PauseHistory{}
+func sessions(history *scheduling.PauseHistory) []time.Duration {
 	idle := make([]time.Duration, 200)
 	for i := range idle {
 		history.Returned(time.Minute + time.Duration(i%20)*time.Second)
 		idle[i] = 2 * time.Hour
 	}
-	return history, idle
+	return idle
 }
 
 func TestReturnRatesFallOnceTheUsualPauseIsOver(t *testing.T) {
 	is := is.New(t)
-	history, idle := sessions()
-	rates := history.Rates(idle)
+	history := &scheduling.PauseHistory{}
+	rates := history.Rates(sessions(history))
 	early, known := rates.At(30 * time.Second)
 	is.True(known)
 	late, known := rates.At(10 * time.Minute)
@@ -34,17 +33,27 @@
 	is.Equal(late, 0.0)
 }
 
+// pausing returns branches of one kind that have paused for as long as each of idle.
+func pausing(kind string, idle []time.Duration) []scheduling.Paused {
+	paused := make([]scheduling.Paused, len(idle))
+	for i, pause := range idle {
+		paused[i] = scheduling.Paused{Program: "away", Kind: kind, IdleSince: epoch.Add(-pause)}
+	}
+	return paused
+}
+
 func TestKeepWarmGivesUpOnlyWhatIsNotExpectedBack(t *testing.T) {
 	is := is.New(t)
-	history, idle := sessions()
-	rates := map[string]scheduling.ReturnRates{"known": history.Rates(idle)}
-	paused := []scheduling.Paused{
-		{Program: "early", Kind: "known", IdleSince: epoch.Add(-30 * time.Second)},
-		{Program: "late", Kind: "known", IdleSince: epoch.Add(-10 * time.Minute)},
-		{Program: "column", Kind: "known", IdleSince: epoch.Add(-10 * time.Minute), KeepWarm: time.Hour},
-		{Program: "unknown", Kind: "never seen", IdleSince: epoch.Add(-10 * time.Minute)},
-	}
-	releases := scheduling.KeepWarm(epoch, paused, rates, scheduling.DefaultPatience)
+	book := scheduling.NewPauseBook()
+	paused := pausing("known", sessions(book.History("known")))
+	paused = append(
+		paused,
+		scheduling.Paused{Program: "early", Kind: "known", Held: true, IdleSince: epoch.Add(-30 * time.Second)},
+		scheduling.Paused{Program: "late", Kind: "known", Held: true, IdleSince: epoch.Add(-10 * time.Minute)},
+		scheduling.Paused{Program: "column", Kind: "known", Held: true, IdleSince: epoch.Add(-10 * time.Minute), KeepWarm: time.Hour},
+		scheduling.Paused{Program: "unknown", Kind: "never seen", Held: true, IdleSince: epoch.Add(-10 * time.Minute)},
+	)
+	releases := book.KeepWarm(epoch, paused, scheduling.DefaultPatience)
 	is.Equal(len(releases), 1)
 	is.Equal(string(releases[0].Program), "late")
 	is.True(releases[0].Reason != "")
@@ -54,17 +63,19 @@
 // the time to end yet for pauses that nobody ends.
 func TestAYoungHistoryGivesNothingUp(t *testing.T) {
 	is := is.New(t)
-	history := &scheduling.PauseHistory{}
+	book := scheduling.NewPauseBook()
 	for range 500 {
-		history.Returned(time.Second) // tools, between the calls of one turn
+		book.History("young").Returned(time.Second) // tools, between the calls of one turn
 	}
 	idle := make([]time.Duration, 100)
 	for i := range idle {
 		idle[i] = 40 * time.Second
 	}
-	rates := map[string]scheduling.ReturnRates{"young": history.Rates(idle)}
-	paused := []scheduling.Paused{{Program: "p", Kind: "young", IdleSince: epoch.Add(-40 * time.Second)}}
-	is.Equal(len(scheduling.KeepWarm(epoch, paused, rates, scheduling.DefaultPatience)), 0)
+	paused := pausing("young", idle)
+	for i := range paused {
+		paused[i].Held = true
+	}
+	is.Equal(len(book.KeepWarm(epoch, paused, scheduling.DefaultPatience)), 0)
 }
 
 func TestPatienceGrowsAsMemoryIsFree(t *testing.T) {
