Keep a shard when one replica promised it to a claimant that died

Cause: an owner gave its shard up at the first refusal of a replica, although the claimant behind it may have died before it took anything over.

Change: on a refusal the writer looks in the log; the owner claims above a claim that was never activated as long as a write quorum of replicas still grants the lease. Replicas that refuse get no more records of the epoch. Large tails get more time on the wire. A replica counts as replaced by another life only once this node has seen that life for as long as a lease may run, by its own clock.

--- a/internal/journal/claim.go
+++ b/internal/journal/claim.go
@@ -201,7 +201,8 @@
 		group.Go(func() {
 			given, err := question(replica)
 			if err != nil {
-				if !c.manager.isReplaced(replica) {
+				// No lease of the former life runs any more by then.
+				if !c.manager.reach.replaced(replica.Reference(), c.manager.config.Lease.Hold()) {
 					return
 				}
 				given = answer{gone: true}
@@ -215,16 +216,6 @@
 	return answers
 }
 
-// isReplaced tells whether a later life of node is a member, at another address,
-// and has been for long enough that no lease of the former one runs.
-func (m *Manager) isReplaced(node identity.Node) bool {
-	return slices.ContainsFunc(m.config.Members.Load().Members, func(member membership.Member) bool {
-		later := member.Node.Name == node.Name && member.Node.Incarnation > node.Incarnation
-		started := time.Unix(0, int64(member.Node.Incarnation))
-		return later && time.Since(started) > 2*m.config.Lease.Hold()
-	})
-}
-
 // appendClaim claims the next epoch and reads back whether it holds. Where no
 // tail is to be recovered, the activation goes in the same append.
 func (c *claimant) appendClaim(ctx context.Context) (Claim, error) {
@@ -356,7 +347,7 @@
 func (c *claimant) askPromise(ctx context.Context, node identity.Node, claim, former Claim) (answer, error) {
 	var encoded []byte
 	request := &promiseMessage{To: node.Reference(), Shard: c.shard, Epoch: claim.Epoch}
-	message, err := c.manager.call(ctx, node, request, func(part peer.Message) error {
+	message, err := c.manager.callWithin(ctx, c.manager.config.LogTimeout, node, request, func(part peer.Message) error {
 		piece, fits := part.(*promisePart)
 		if !fits {
 			return errUnexpectedAnswer
--- a/internal/journal/link.go
+++ b/internal/journal/link.go
@@ -21,6 +21,8 @@
 	sending bool
 	// granted is when the last renewal was sent that the replica granted.
 	granted time.Time
+	// fenced is the epoch that the replica has promised to another claim.
+	fenced identity.Epoch
 	// gone tells that the replica's process restarted: this copy is no more.
 	gone bool
 }
@@ -54,7 +56,7 @@
 // lacks tells whether there is something to send. A replica that took nothing yet
 // needs nothing while the log holds all. The caller holds mutex.
 func (s *ownedShard) lacks(link *link) bool {
-	if s.gone != nil || link.gone || s.links[link.node.Reference()] != link {
+	if s.gone != nil || link.gone || link.fenced > s.claim.Epoch || s.links[link.node.Reference()] != link {
 		return false
 	}
 	if len(s.tail.Entries) == 0 && !s.tail.Folded {
@@ -109,9 +111,14 @@
 	return write
 }
 
+// slowLinkBytes is what the slowest link carries in a second: a large tail gets
+// more time.
+const slowLinkBytes = 1 << 20
+
 func (s *ownedShard) sendWrite(node identity.Node, write Write) (WriteAnswer, error) {
 	request := &appendMessage{To: node.Reference(), Shard: s.id, Write: write}
-	message, err := s.manager.call(s.ctx, node, request, nil)
+	timeout := s.manager.config.ReplicaTimeout + time.Duration(write.Tail.Bytes()/slowLinkBytes)*time.Second
+	message, err := s.manager.callWithin(s.ctx, timeout, node, request, nil)
 	if err != nil {
 		return WriteAnswer{}, err
 	}
@@ -126,16 +133,16 @@
 var errUnexpectedAnswer = errors.New("journal: unexpected answer")
 
 func (s *ownedShard) takeAnswer(link *link, write Write, generation uint64, answer WriteAnswer) {
-	if answer.Refusal == Fenced {
-		// The epoch may have risen since the message was sent.
-		if answer.Promised > s.Epoch() {
-			s.lose(errFenced)
-		}
-		return
-	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	switch answer.Refusal {
+	case Fenced:
+		link.fenced = answer.Promised
+		// The epoch may have risen since the message was sent.
+		if answer.Promised > s.claim.Epoch {
+			s.contested = true
+			s.kickWriter()
+		}
 	case Missing:
 		link.generation = 0
 	case OtherLife:
@@ -149,6 +156,18 @@
 	}
 }
 
+// contest takes note that a replica refused to renew: another node's claim stands
+// in the log, and the writer looks whether it took the shard over.
+func (s *ownedShard) contest(node identity.Node) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if link := s.links[node.Reference()]; link != nil {
+		link.fenced = max(link.fenced, s.claim.Epoch+1)
+	}
+	s.contested = true
+	s.kickWriter()
+}
+
 // loseReplica takes note that the replica's memory is gone. The caller holds mutex.
 func (s *ownedShard) loseReplica(link *link) {
 	if link.gone {
--- a/internal/journal/manager.go
+++ b/internal/journal/manager.go
@@ -36,8 +36,10 @@
 	// wake asks the claim loop to look again.
 	wake     chan struct{}
 	draining atomic.Bool
-	// running is the context of Run, set before anything is claimed.
+	// running is the context of Run, set before started and before anything is
+	// claimed.
 	running context.Context
+	started atomic.Bool
 	tasks   sync.WaitGroup
 }
 
@@ -86,6 +88,7 @@
 // its lease, as after a kill; a planned stop calls Drain first.
 func (m *Manager) Run(ctx context.Context) error {
 	m.running = ctx
+	m.started.Store(true)
 	m.tasks.Go(func() { m.renewLoop(ctx) })
 	m.tasks.Go(func() { m.probeLoop(ctx) })
 	m.tasks.Go(func() { m.sweepLoop(ctx) })
@@ -181,12 +184,17 @@
 // those who remember placements by version.
 const drainingVersion = 1 << 63
 
-// call sends request to node; requests to this node itself take no network.
+// call sends request to node within ReplicaTimeout.
 func (m *Manager) call(ctx context.Context, node identity.Node, request peer.Message, onPart func(peer.Message) error) (peer.Message, error) {
+	return m.callWithin(ctx, m.config.ReplicaTimeout, node, request, onPart)
+}
+
+// callWithin sends request to node; requests to this node itself take no network.
+func (m *Manager) callWithin(ctx context.Context, timeout time.Duration, node identity.Node, request peer.Message, onPart func(peer.Message) error) (peer.Message, error) {
 	if node.Reference() == m.config.Self.Reference() {
 		return m.local(ctx, request, onPart)
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.config.ReplicaTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return m.config.Peers.Call(ctx, node.PeerAddress, request, onPart)
 }
--- a/internal/journal/moves_test.go
+++ b/internal/journal/moves_test.go
@@ -262,3 +262,38 @@
 		t.Fatal(err)
 	}
 }
+
+// TestClaimantDiesHalfWay leaves a claim in the log, and the promise of one replica
+// to it, of a node that is never heard of again: the owner serves on above it.
+func TestClaimantDiesHalfWay(t *testing.T) {
+	err := scenario(t, variant{}, 6, func(site *testSite) error {
+		is := is.New(t)
+		load := site.load(0)
+		time.Sleep(time.Second)
+		owner := site.serving(0)
+		shard := owner.manager.slots[0].load()
+		claim := shard.standing()
+		// With nothing to write, the owner learns of it from the replica alone.
+		load.end()
+		time.Sleep(time.Second)
+		refused, epoch := load.refused(), claim.Epoch+1
+		claim.Epoch, claim.TailFrom, claim.Owner = epoch, epoch, identity.Node{Name: "gone", Incarnation: 1}
+		record := Record{Kind: ClaimRecord, ID: RecordID{1}, Epoch: epoch, Claim: claim}
+		_, err := site.log.Append(context.Background(), StreamName(0), [][]byte{record.Encode()})
+		is.NoErr(err)
+		replica := &site.find(claim.Replicas[0].Name).manager.replicas[0]
+		replica.mutex.Lock()
+		replica.replica.Promise(time.Now(), epoch)
+		replica.mutex.Unlock()
+		time.Sleep(10 * time.Second)
+		is.Equal(site.serving(0), owner)
+		is.Equal(shard.Epoch(), epoch+1)
+		is.Equal(load.refused(), refused)
+		is.NoErr(owner.host.open(0).add(context.Background(), 1<<40, false))
+		load.acknowledge(1 << 40)
+		return errors.Join(site.settle(), load.check(), site.checkLog(0))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/journal/owned.go
+++ b/internal/journal/owned.go
@@ -56,6 +56,8 @@
 	snapshotSize  int
 	waiters       []waiter
 	durable       []waiter
+	// contested is set when a replica promised a higher epoch.
+	contested bool
 	// moving is set when a planned stop begins, sealed when it takes no more records.
 	moving bool
 	sealed bool
--- a/internal/journal/reach.go
+++ b/internal/journal/reach.go
@@ -15,9 +15,41 @@
 	failing map[identity.Reference]time.Time
 	// version rises with each change of failing.
 	version uint64
+	// seen holds when each live life of a node was first seen in the members' view.
+	seen map[identity.Reference]time.Time
 }
 
-func newReach() *reach { return &reach{failing: map[identity.Reference]time.Time{}} }
+func newReach() *reach {
+	return &reach{failing: map[identity.Reference]time.Time{}, seen: map[identity.Reference]time.Time{}}
+}
+
+// see takes note of the lives that view shows.
+func (r *reach) see(view membership.View) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	seen := make(map[identity.Reference]time.Time, len(view.Members))
+	for _, member := range view.Members {
+		reference := member.Node.Reference()
+		since, known := r.seen[reference]
+		if !known {
+			since = time.Now()
+		}
+		seen[reference] = since
+	}
+	r.seen = seen
+}
+
+// replaced tells whether a later life of node has been seen for at least patience.
+func (r *reach) replaced(node identity.Reference, patience time.Duration) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for reference, since := range r.seen {
+		if reference.Name == node.Name && reference.Incarnation > node.Incarnation && time.Since(since) >= patience {
+			return true
+		}
+	}
+	return false
+}
 
 func (r *reach) note(node identity.Reference, answered bool) {
 	r.mutex.Lock()
--- a/internal/journal/renew.go
+++ b/internal/journal/renew.go
@@ -67,7 +67,7 @@
 	sentAt := time.Now()
 	request := &renewMessage{To: round.node.Reference(), Owner: m.config.Self, Renewals: round.renewals}
 	message, err := m.call(ctx, round.node, request, nil)
-	if ctx.Err() == nil || err == nil {
+	if m.running.Err() == nil {
 		m.reach.note(round.node.Reference(), err == nil)
 	}
 	if err != nil {
@@ -101,6 +101,6 @@
 	}
 	s.mutex.Unlock()
 	if fenced && epoch == current {
-		s.lose(errFenced)
+		s.contest(node)
 	}
 }
--- a/internal/journal/scenario_test.go
+++ b/internal/journal/scenario_test.go
@@ -201,10 +201,12 @@
 }
 
 // replicas returns the replicas of the shard's standing claim.
-func (s *ownedShard) replicas() []identity.Node {
+func (s *ownedShard) replicas() []identity.Node { return s.standing().Replicas }
+
+func (s *ownedShard) standing() Claim {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.claim.Replicas
+	return s.claim
 }
 
 // check ends the load and returns an error if the state that is served in the end
--- a/internal/journal/schedule.go
+++ b/internal/journal/schedule.go
@@ -33,8 +33,9 @@
 		return
 	}
 	for {
-		view := m.view()
 		_, _, changed := m.config.Members.Watch()
+		view := m.view()
+		m.reach.see(view)
 		if !fresh || view.Version != version {
 			wanted, version, fresh = m.wantedShards(view), view.Version, true
 		}
@@ -113,7 +114,7 @@
 	slot := &m.slots[shard]
 	slot.mutex.Lock()
 	defer slot.mutex.Unlock()
-	if m.draining.Load() || m.running == nil {
+	if m.draining.Load() || !m.started.Load() || m.running.Err() != nil {
 		return nil
 	}
 	if slot.owned != nil || slot.attempt != nil {
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -33,6 +33,11 @@
 // lost.
 func (s *ownedShard) drainToLog(stream *stream) error {
 	for {
+		if s.takeContest() {
+			if err := s.answerContest(stream); err != nil {
+				return err
+			}
+		}
 		if s.takeReplacementWish() {
 			err := s.replaceReplicas(stream)
 			s.endReplacement()
@@ -64,6 +69,50 @@
 	}
 }
 
+func (s *ownedShard) takeContest() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	contested := s.contested
+	s.contested = false
+	return contested
+}
+
+// answerContest looks in the log for the claim that replicas promised to. If it
+// took nothing over and enough replicas still grant the lease, this owner claims
+// above it; otherwise the shard is lost.
+func (s *ownedShard) answerContest(stream *stream) error {
+	if s.isFenced() {
+		return errFenced
+	}
+	if err := stream.catchUp(s.ctx); err != nil {
+		if s.ctx.Err() != nil {
+			return err
+		}
+		return nil // without the log nobody takes over; the next renewal asks again
+	}
+	if stream.ledger.Current().Epoch == s.claim.Epoch {
+		return nil
+	}
+	if stream.ledger.Active().Epoch == s.claim.Epoch && s.CheckLease() != nil {
+		return errFenced
+	}
+	return s.counterClaim(stream)
+}
+
+// isFenced tells whether so many replicas promised a higher epoch that no write
+// quorum is left.
+func (s *ownedShard) isFenced() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	fenced := 0
+	for _, replica := range s.claim.Replicas {
+		if link := s.links[replica.Reference()]; link != nil && link.fenced > s.claim.Epoch {
+			fenced++
+		}
+	}
+	return fenced >= ReadQuorum(len(s.claim.Replicas))
+}
+
 // gather lets records come together, unless someone waits for the log.
 func (s *ownedShard) gather() error {
 	s.mutex.Lock()
