Say not run only where no attempt of the call may have run

Cause: a retry that the budget refuses, or that meets the end of its program, was answered with not_run although the attempt before it was lost and may have run; so was a repeat of a call that had been given up after lost attempts. Found by reading the code for every problem whose code says not run by itself.

A refusal after a lost attempt is no longer certain, in the same run and, since the branch remembers it (mayHaveRun), for repeats and later owners too. All attempts of a call together now get the class's call timeout, not each of them.

Seen to fail: takeover_test.go:251 'not true: !problem.NotRun' in TestARefusedRetryIsNotCalledNotRun.

--- a/internal/program/apply.go
+++ b/internal/program/apply.go
@@ -166,7 +166,9 @@
 	p.lose(call)
 	b := p.branches[r.Call.Branch]
 	b.calls = b.calls[:len(b.calls)-1]
-	if !call.Lost {
+	if call.Lost {
+		b.mayHaveRun = true
+	} else {
 		p.calls-- // it never ran, so it does not count against the limit
 	}
 	if call.Request.Key != "" {
@@ -188,7 +190,7 @@
 	p.service += r.Answer.Run
 	p.touch(r.Answer.At)
 	b := p.branches[r.Stream.Call.Branch]
-	b.nextAttempt = 0
+	b.nextAttempt, b.mayHaveRun = 0, false
 	if call.inHistory() {
 		p.settle(b, call)
 	}
@@ -277,7 +279,7 @@
 	}
 	request := Request{ID: r.ID, Digest: r.Digest}
 	b.calls = append(b.calls, &Call{Request: request, RepeatOf: r.Of})
-	b.nextAttempt = 0
+	b.nextAttempt, b.mayHaveRun = 0, false
 	p.calls++
 	p.touch(r.At)
 	return nil
--- a/internal/program/commands.go
+++ b/internal/program/commands.go
@@ -42,6 +42,14 @@
 
 // Arrive says what to do with a call. It changes nothing.
 func (p *Program) Arrive(now time.Time, request Request) Verdict {
+	verdict := p.arrive(now, request)
+	if verdict.Problem != nil && p.MayHaveRun(request.ID) {
+		verdict.Problem.WithNotRun(false)
+	}
+	return verdict
+}
+
+func (p *Program) arrive(now time.Time, request Request) Verdict {
 	if call := p.Call(request.ID); call != nil {
 		return p.arriveAgain(call, request)
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -39,6 +39,9 @@
 	// nextAttempt numbers the next attempt of the branch's next or open call.
 	// It outlives a dropped call, so that no stream id is used twice.
 	nextAttempt uint32
+	// mayHaveRun is true while the next sequence was sent before, and its call
+	// dropped without knowing whether it ran.
+	mayHaveRun bool
 	// lastBackend is where the branch's last model call ran.
 	lastBackend string
 	// settledTokens counts the branch's history as the engine of settledModel
@@ -184,6 +187,13 @@
 	return identity.Sequence(branch.answered() + 1)
 }
 
+// MayHaveRun tells that the call of id was sent before and dropped without
+// knowing whether it ran, so that no refusal of it is certain not to have run.
+func (p *Program) MayHaveRun(id identity.CallID) bool {
+	branch := p.branches[id.Branch]
+	return branch != nil && branch.mayHaveRun && p.Next(id.Branch) == id.Sequence
+}
+
 // Call returns the call of id, nil if there is none.
 func (p *Program) Call(id identity.CallID) *Call {
 	branch := p.branches[id.Branch]
--- a/internal/program/set.go
+++ b/internal/program/set.go
@@ -199,6 +199,7 @@
 
 func (b *branch) encode(e *wire.Encoder) {
 	e.Uint32(b.nextAttempt)
+	e.Bool(b.mayHaveRun)
 	e.String(b.lastBackend)
 	e.Int64(b.settledTokens)
 	e.String(b.settledModel)
@@ -212,6 +213,7 @@
 func decodeBranch(d *wire.Decoder) *branch {
 	b := &branch{
 		nextAttempt:   d.Uint32(),
+		mayHaveRun:    d.Bool(),
 		lastBackend:   d.String(),
 		settledTokens: d.Int64(),
 		settledModel:  d.String(),
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -46,7 +46,7 @@
 	if d.dispatchedAt.IsZero() {
 		d.dispatchedAt = time.Now()
 	}
-	limited, cancel := context.WithTimeout(d.run.context, d.timeout)
+	limited, cancel := context.WithDeadline(d.run.context, d.dispatchedAt.Add(d.timeout))
 	defer cancel()
 	ctx, stop := d.watch(limited)
 	defer stop()
--- a/internal/serving/drive.go
+++ b/internal/serving/drive.go
@@ -19,13 +19,16 @@
 	pending bool
 	// open is true while the journalled state has the call open.
 	open bool
-	// lost counts the attempts that may have run without a result.
-	lost int
+	// lost counts the attempts that may have run without a result; ranBefore tells
+	// that an earlier run of the call had some.
+	lost      int
+	ranBefore bool
 	// excluded are back ends that failed this call, refusedBy those of them that
 	// did not take it.
 	excluded  []string
 	refusedBy []string
-	// dispatchedAt is when the first attempt was sent.
+	// dispatchedAt is when the first attempt was sent; all of them together may take
+	// timeout.
 	dispatchedAt time.Time
 	timeout      time.Duration
 	reason       string
@@ -105,7 +108,7 @@
 	switch cause := context.Cause(d.run.context); {
 	case errors.Is(cause, errWithdrawn):
 		return failed(api.NewProblem(api.CodeDeadline, "call %s was not started by its deadline", d.run.id).
-			WithNotRun(true).WithRetryAfter(deadlineRetry))
+			WithNotRun(!d.mayHaveRun()).WithRetryAfter(deadlineRetry))
 	case errors.Is(cause, errProgramEnded):
 		return failed(api.NewProblem(api.CodeCancelled, "call %s was stopped with its program", d.run.id).
 			WithNotRun(!d.mayHaveRun()))
@@ -114,7 +117,7 @@
 	}
 }
 
-func (d *driver) mayHaveRun() bool { return d.pending || d.lost > 0 }
+func (d *driver) mayHaveRun() bool { return d.pending || d.lost > 0 || d.ranBefore }
 
 // awaitTurn waits until every earlier call of the branch is answered. A call
 // that nobody has sent is waited for up to the gap limit.
@@ -165,11 +168,11 @@
 			WithRetryAfter(d.shard.owner.config.Timing.GapWait))
 	}
 	return failed(api.NewProblem(api.CodeDeadline, "the calls before %s had no answer by its deadline", d.run.id).
-		WithNotRun(true).WithRetryAfter(deadlineRetry))
+		WithNotRun(!d.mayHaveRun()).WithRetryAfter(deadlineRetry))
 }
 
-// evaluate asks the state what to do with the call now. missing tells that the call
-// which the branch waits for has not arrived.
+// evaluate asks the state what to do with the call now. missing tells that the
+// call which the branch waits for has not arrived.
 func (d *driver) evaluate() (verdict program.Verdict, changed <-chan struct{}, missing bool) {
 	s := d.shard
 	s.machine.mutex.Lock()
@@ -179,6 +182,7 @@
 		return program.Verdict{Action: program.ActionRefuse, Problem: api.NewProblem(api.CodeProgramEnded,
 			"program %s is gone", d.run.id.Program)}, nil, false
 	}
+	d.ranBefore = p.MayHaveRun(d.run.id)
 	verdict = p.Arrive(time.Now(), d.run.request)
 	if verdict.Action != program.ActionWait {
 		return verdict, nil, false
@@ -262,6 +266,7 @@
 		if again {
 			return true, nil
 		}
+		problem.WithNotRun(problem.NotRun && !d.mayHaveRun()) // an earlier attempt may have
 		return false, d.abandon(failed(s.certain(problem)))
 	}
 	wait, err := s.commit(durable, record)
@@ -276,8 +281,8 @@
 	return false, d.awaitIntent(durable, wait)
 }
 
-// intent returns the record that opens the call's next attempt; the
-// caller holds the mutex.
+// intent returns the record that opens the call's next attempt; the caller holds
+// the mutex.
 func (d *driver) intent(assigned *assignment) (record program.Record, again bool, problem *api.Problem) {
 	s := d.shard
 	p := s.machine.set.Get(d.run.id.Program)
@@ -329,7 +334,8 @@
 		return result
 	}
 	return d.abandon(failed(api.NewProblem(api.CodeLogUnavailable,
-		"the intent of call %s could not be made durable", d.run.id).WithRetryAfter(logRetry)))
+		"the intent of call %s could not be made durable", d.run.id).
+		WithNotRun(!d.mayHaveRun()).WithRetryAfter(logRetry)))
 }
 
 // logRetry is when a caller should come back whose call needs the log.
--- a/internal/serving/follow.go
+++ b/internal/serving/follow.go
@@ -101,6 +101,9 @@
 		notRun = true
 		r.cancel(errWithdrawn)
 	}
+	if p := s.machine.set.Get(r.id.Program); p != nil && p.MayHaveRun(r.id) {
+		notRun = false
+	}
 	s.machine.mutex.Unlock()
 	problem := api.NewProblem(api.CodeDeadline, "call %s had no answer by its deadline", r.id)
 	return s.certain(problem.WithNotRun(notRun).WithRetryAfter(deadlineRetry))
--- a/internal/serving/takeover_test.go
+++ b/internal/serving/takeover_test.go
@@ -236,6 +236,38 @@
 	})
 }
 
+func TestARefusedRetryIsNotCalledNotRun(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
+		// The budget has room for one attempt: the lost one stays charged.
+		s.publish(table.Class{Name: testClass, Model: testModel, BudgetTokens: 100, MaxTokens: 30})
+		s.create(owner, "poor")
+		call := s.start(owner, "poor", modelCall(1, "one"), 0)
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range s.engines {
+			e.Restart()
+		}
+		problem := problemOf(t, (<-call).err)
+		is.Equal(problem.Code, api.CodeBudget)
+		is.True(!problem.NotRun)
+		_, err := s.call(owner, "poor", modelCall(1, "one")) // nor is its repeat
+		problem = problemOf(t, err)
+		is.Equal(problem.Code, api.CodeBudget)
+		is.True(!problem.NotRun)
+
+		// A program that ended between two attempts of an application call.
+		for _, portal := range s.portals {
+			portal.SetFaults(application.Faults{LoseAnswers: 1})
+		}
+		reading := payment(1, "")
+		reading.Operation, reading.Unrepeatable = "read_file", false
+		read := s.start(owner, p1, reading, 0)
+		time.Sleep(60 * time.Millisecond)
+		_, err = owner.End(s.running, p1)
+		is.NoErr(err)
+		is.True(!problemOf(t, (<-read).err).NotRun)
+	})
+}
+
 func TestAHangingToolIsGivenUpAtTheClassLimit(t *testing.T) {
 	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, _ *heldShard) {
 		for _, portal := range s.portals {
