Replay traces of the two sites over whole simulated sites

Change: internal/trace holds a strict JSONL format of callers, failures and stated outcomes; internal/lab/simulated builds a whole site of real nodes in memory; internal/lab/replay carries a trace out and compares what callers got and back ends saw.

--- /dev/null
+++ b/internal/lab/replay/failures.go
@@ -0,0 +1,102 @@
+package replay
+
+import (
+	"fmt"
+	"time"
+
+	"stepseam.example/stepseam/internal/emulator/application"
+	"stepseam.example/stepseam/internal/emulator/engine"
+	"stepseam.example/stepseam/internal/emulator/logservice"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/trace"
+)
+
+// fail brings a failure about and ends it after its time. One without a time ends
+// after the trace's last event.
+func (p *player) fail(event trace.Event) {
+	undo := p.failNode(event)
+	if undo == nil {
+		undo = p.failOutside(event)
+	}
+	if undo == nil {
+		return
+	}
+	lasting, timed := event.Body.(interface{ Lasts() trace.Duration })
+	if !timed || lasting.Lasts() == 0 {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.undo = append(p.undo, undo)
+		return
+	}
+	time.Sleep(time.Duration(lasting.Lasts()))
+	undo()
+}
+
+// named resolves a reference that is not empty.
+func (p *player) named(reference trace.NodeReference, line int) identity.NodeName {
+	return p.resolve(reference, line, 0)
+}
+
+// failNode begins a failure of a node or of a link between nodes and returns what
+// ends it, nil for other events.
+func (p *player) failNode(event trace.Event) func() {
+	restart := func(name identity.NodeName) func() {
+		return func() {
+			if err := p.site.StartNode(name); err != nil {
+				p.noteFailure(event.Line, err)
+			}
+		}
+	}
+	switch body := event.Body.(type) {
+	case trace.Kill:
+		name := p.named(body.Node, event.Line)
+		p.site.KillNode(name)
+		return restart(name)
+	case trace.Drain:
+		name := p.named(body.Node, event.Line)
+		if err := p.site.DrainNode(name); err != nil {
+			p.noteFailure(event.Line, fmt.Errorf("planned stop of %s: %w", name, err))
+		}
+		return restart(name)
+	case trace.Freeze:
+		name := p.named(body.Node, event.Line)
+		p.site.FreezeNode(name)
+		return func() { p.site.ThawNode(name) }
+	case trace.Cut:
+		from, to := p.named(body.From, event.Line), p.named(body.To, event.Line)
+		p.site.Network.Cut(from, to)
+		return func() { p.site.Network.Heal(from, to) }
+	case trace.CutZone:
+		p.site.CutZone(body.Zone, body.Platform)
+		return func() { p.site.HealZone(body.Zone) }
+	}
+	return nil
+}
+
+// failOutside begins a failure of the platform or of a back end and returns what
+// ends it, nil for other events and for those that nothing ends.
+func (p *player) failOutside(event trace.Event) func() {
+	switch body := event.Body.(type) {
+	case trace.Log:
+		p.site.Log.SetFaults(logservice.Faults{
+			Down: body.Down, LoseAfter: body.LoseAnswers,
+			AppendDelay: time.Duration(body.AppendDelay), ReadDelay: time.Duration(body.ReadDelay),
+		})
+		return func() { p.site.Log.SetFaults(logservice.Faults{}) }
+	case trace.Engine:
+		struck := p.site.Engine(body.Name)
+		struck.SetFaults(engine.Faults{Down: body.Down, Frozen: body.Frozen, Slow: body.Slow, LoseNext: body.LoseNext})
+		return func() { struck.SetFaults(engine.Faults{}) }
+	case trace.RestartEngine:
+		p.site.Engine(body.Name).Restart()
+	case trace.Application:
+		struck := p.site.Application(body.Name)
+		struck.SetFaults(application.Faults{
+			Down: body.Down, HangBefore: body.HangBefore, HangAfter: body.HangAfter, Slow: body.Slow, LoseNext: body.LoseNext,
+		})
+		return func() { struck.SetFaults(application.Faults{}) }
+	case trace.Leave:
+		p.site.Leave(body.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/simulated/site.go
@@ -0,0 +1,372 @@
+// Package simulated builds whole sites in memory: real nodes wired by
+// internal/node on the in-memory network and the stand-ins of internal/emulator.
+// All time goes through package time, so that a site runs in a synctest bubble.
+package simulated
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/controller/tables"
+	"stepseam.example/stepseam/internal/emulator/application"
+	"stepseam.example/stepseam/internal/emulator/engine"
+	"stepseam.example/stepseam/internal/emulator/logservice"
+	"stepseam.example/stepseam/internal/emulator/machinelist"
+	"stepseam.example/stepseam/internal/emulator/network"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/node"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/serving"
+	"stepseam.example/stepseam/internal/settings"
+)
+
+// Plan says what a site consists of.
+type Plan struct {
+	Seed         uint64
+	Zones        []identity.Zone
+	Nodes        []identity.NodeName
+	Engines      []Engine
+	Applications []Application
+	Shards       int
+	// ZoneLatency and BackendLatency are one way, between two zones and from a
+	// node to a back end.
+	ZoneLatency    time.Duration
+	BackendLatency time.Duration
+	MachineListLag time.Duration
+	// Table is the CSV of the first table.
+	Table []byte
+	// Logger takes the nodes' logs; nil drops them.
+	Logger *slog.Logger
+	// Wrong replaces rules by wrong ones, for the proof that checkers notice.
+	Wrong Wrong
+}
+
+// Wrong is what is wrong with a site. The zero value is a sound one.
+type Wrong struct {
+	Hooks serving.Hooks
+	// Log and Directory wrap a node's clients of the log and of the back ends.
+	Log       func(platform.Log) platform.Log
+	Directory func(backend.Directory) backend.Directory
+}
+
+// Engine is one engine of a plan.
+type Engine struct {
+	Name    string
+	Service string
+	Models  []string
+}
+
+// Application is one application replica of a plan.
+type Application struct {
+	Name    string
+	Service string
+}
+
+type engineReplica struct {
+	*engine.Engine
+	zone identity.Zone
+}
+
+type applicationReplica struct {
+	*application.Application
+	zone identity.Zone
+}
+
+// Life is one life of a node.
+type Life struct {
+	Node     *node.Node
+	Endpoint *network.Endpoint
+	// Requests counts the callers' requests under way here; a planned stop waits
+	// for them as the gateway does.
+	Requests sync.WaitGroup
+	stop     context.CancelFunc
+}
+
+// Site is a running site. Its maps of back ends do not change.
+type Site struct {
+	plan         Plan
+	Network      *network.Network
+	Log          *logservice.Service
+	Machines     *machinelist.List
+	Ledger       *application.Ledger
+	engines      map[netip.AddrPort]*engineReplica
+	applications map[netip.AddrPort]*applicationReplica
+
+	// mutex guards all below.
+	mutex sync.Mutex
+	lives map[identity.NodeName]*Life
+	cuts  map[backendLink]bool
+	// stalls holds the nodes whose requests to back ends wait after their checks.
+	stalls map[identity.NodeName]bool
+	// starts counts the lives of all nodes, for incarnations and seeds.
+	starts uint64
+}
+
+// backendLink is the way from a node to the back ends of a zone.
+type backendLink struct {
+	from identity.NodeName
+	to   identity.Zone
+}
+
+// Blocks of the loopback network, one for each kind of address.
+const (
+	peerBlock = iota + 1
+	engineBlock
+	applicationBlock
+	callerBlock
+	operatorBlock
+)
+
+func addressOf(block, index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(block), byte(index + 1)}), 7000)
+}
+
+// Start builds and starts a site, publishes its first table and waits until it
+// serves.
+func Start(ctx context.Context, plan Plan) (*Site, error) {
+	s := build(plan)
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func build(plan Plan) *Site {
+	s := &Site{
+		plan:         plan,
+		Network:      network.New(plan.Seed),
+		Log:          logservice.New(plan.Seed),
+		Machines:     machinelist.New(nil),
+		engines:      map[netip.AddrPort]*engineReplica{},
+		applications: map[netip.AddrPort]*applicationReplica{},
+		lives:        map[identity.NodeName]*Life{},
+		cuts:         map[backendLink]bool{},
+		stalls:       map[identity.NodeName]bool{},
+	}
+	for _, a := range plan.Zones {
+		for _, b := range plan.Zones {
+			if a != b {
+				s.Network.SetLatency(a, b, plan.ZoneLatency)
+			}
+		}
+	}
+	return s
+}
+
+func (s *Site) start(ctx context.Context) error {
+	if err := s.startBackends(); err != nil {
+		return err
+	}
+	for _, name := range s.plan.Nodes {
+		if err := s.StartNode(name); err != nil {
+			return err
+		}
+	}
+	publication := tables.Publication{ID: "first", CSV: s.plan.Table, Author: "marta", Note: "first"}
+	if _, err := s.Life(s.plan.Nodes[0]).Node.Tables().Publish(ctx, publication); err != nil {
+		return fmt.Errorf("simulated: first table: %w", err)
+	}
+	return s.awaitServing()
+}
+
+// Zone returns the zone of the node or back end at index; they are spread in turn.
+func (p Plan) Zone(index int) identity.Zone { return p.Zones[index%len(p.Zones)] }
+
+func (s *Site) startBackends() error {
+	var listed []platform.Machine
+	for index, planned := range s.plan.Engines {
+		parameters := engine.DefaultParameters(planned.Name, planned.Models...)
+		parameters.Seed = s.plan.Seed + uint64(index)
+		built, err := engine.New(parameters)
+		if err != nil {
+			return fmt.Errorf("simulated: %w", err)
+		}
+		address := addressOf(engineBlock, index)
+		s.engines[address] = &engineReplica{Engine: built, zone: s.plan.Zone(index)}
+		listed = append(listed, s.machine(planned.Name, platform.RoleEngine, planned.Service, index, address))
+	}
+	for index, planned := range s.plan.Applications {
+		parameters := application.DefaultParameters(planned.Name)
+		parameters.Seed = s.plan.Seed + uint64(index)
+		built, err := application.New(parameters, s.Ledger)
+		if err != nil {
+			return fmt.Errorf("simulated: %w", err)
+		}
+		s.Ledger = built.Ledger()
+		address := addressOf(applicationBlock, index)
+		s.applications[address] = &applicationReplica{Application: built, zone: s.plan.Zone(index)}
+		listed = append(listed, s.machine(planned.Name, platform.RoleApplication, planned.Service, index, address))
+	}
+	s.Machines.Replace(listed)
+	s.Machines.SetFaults(machinelist.Faults{Lag: s.plan.MachineListLag})
+	return nil
+}
+
+func (s *Site) machine(name string, role platform.MachineRole, service string, index int, address netip.AddrPort) platform.Machine {
+	return platform.Machine{
+		Name: name, Role: role, State: platform.MachineLive,
+		Zone: s.plan.Zone(index), Region: "region", Address: address, Service: service,
+	}
+}
+
+// settingsOf are the settings of the node at index.
+func (s *Site) settingsOf(index int) settings.Settings {
+	chosen := settings.Default()
+	chosen.Node = settings.Node{Name: s.plan.Nodes[index], Zone: s.plan.Zone(index), Region: "region"}
+	chosen.Addresses = settings.Addresses{
+		Callers: addressOf(callerBlock, index), Operators: addressOf(operatorBlock, index),
+		Peer: addressOf(peerBlock, index), Probe: addressOf(peerBlock, index),
+	}
+	for other := range s.plan.Nodes {
+		if other != index {
+			chosen.Seeds = append(chosen.Seeds, addressOf(peerBlock, other))
+		}
+	}
+	chosen.Shards.Count = s.plan.Shards
+	return chosen
+}
+
+// StartNode begins a life of the node name unless it runs.
+func (s *Site) StartNode(name identity.NodeName) error {
+	index, err := s.indexOf(name)
+	if err != nil || s.Life(name) != nil {
+		return err
+	}
+	s.mutex.Lock()
+	s.starts++
+	start := s.starts
+	s.mutex.Unlock()
+	logger := slog.New(slog.DiscardHandler)
+	if s.plan.Logger != nil {
+		logger = s.plan.Logger.With("node", name)
+	}
+	injector := node.NewInjector(s.settingsOf(index), logger)
+	self := do.MustInvoke[identity.Node](injector)
+	endpoint := s.Network.Join(self, do.MustInvoke[*peer.Registry](injector))
+	var log platform.Log = gatedLog{endpoint: endpoint, log: s.Log.ViewFor(string(name))}
+	if s.plan.Wrong.Log != nil {
+		log = s.plan.Wrong.Log(log)
+	}
+	var backends backend.Directory = directory{site: s, endpoint: endpoint, zone: self.Zone}
+	if s.plan.Wrong.Directory != nil {
+		backends = s.plan.Wrong.Directory(backends)
+	}
+	do.OverrideValue[node.Network](injector, endpointNetwork{endpoint: endpoint})
+	do.OverrideValue(injector, log)
+	do.OverrideValue[platform.MachineList](injector, gatedMachines{endpoint: endpoint, list: s.Machines.ViewFor(string(name))})
+	do.OverrideValue[platform.WeightStore](injector, noWeights{})
+	do.OverrideValue(injector, backends)
+	do.OverrideValue(injector, node.Seed(s.plan.Seed*1000+start))
+	do.OverrideValue(injector, s.plan.Wrong.Hooks)
+	built, err := node.Build(injector)
+	if err != nil {
+		return fmt.Errorf("simulated: %s: %w", name, err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	if err := built.Start(ctx); err != nil {
+		stop()
+		return fmt.Errorf("simulated: %s: %w", name, err)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lives[name] = &Life{Node: built, Endpoint: endpoint, stop: stop}
+	return nil
+}
+
+func (s *Site) indexOf(name identity.NodeName) (int, error) {
+	for index, known := range s.plan.Nodes {
+		if known == name {
+			return index, nil
+		}
+	}
+	return 0, fmt.Errorf("simulated: no node %q", name)
+}
+
+// Life returns the present life of the node name, or nil.
+func (s *Site) Life(name identity.NodeName) *Life {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lives[name]
+}
+
+// Nodes returns the names of all nodes, live or not.
+func (s *Site) Nodes() []identity.NodeName { return s.plan.Nodes }
+
+// OwnerOf returns the live node that serves program's shard.
+func (s *Site) OwnerOf(program identity.ProgramID) (identity.NodeName, bool) {
+	wanted := program.Shard(s.plan.Shards)
+	for _, name := range s.plan.Nodes {
+		alive := s.Life(name)
+		if alive == nil {
+			continue
+		}
+		for _, owned := range alive.Node.Journal().Owned() {
+			if owned == wanted {
+				return name, true
+			}
+		}
+	}
+	return "", false
+}
+
+// Engine returns the engine name, or nil.
+func (s *Site) Engine(name string) *engine.Engine {
+	for index, planned := range s.plan.Engines {
+		if planned.Name == name {
+			return s.engines[addressOf(engineBlock, index)].Engine
+		}
+	}
+	return nil
+}
+
+// Application returns the application replica name, or nil.
+func (s *Site) Application(name string) *application.Application {
+	for index, planned := range s.plan.Applications {
+		if planned.Name == name {
+			return s.applications[addressOf(applicationBlock, index)].Application
+		}
+	}
+	return nil
+}
+
+// Engines returns what all engines saw, in the plan's order.
+func (s *Site) Engines() []engine.Truth {
+	var truths []engine.Truth
+	for index := range s.plan.Engines {
+		truths = append(truths, s.engines[addressOf(engineBlock, index)].Truth())
+	}
+	return truths
+}
+
+// errNotServing tells that a site does not come into service.
+var errNotServing = errors.New("simulated: the site does not come into service")
+
+// awaitServing waits until every node has a table and every shard an owner.
+func (s *Site) awaitServing() error {
+	const tries, pause = 600, 100 * time.Millisecond
+	for range tries {
+		owned, tabled := 0, 0
+		for _, name := range s.plan.Nodes {
+			alive := s.Life(name)
+			owned += len(alive.Node.Journal().Owned())
+			if alive.Node.Board().Table.Load() != nil {
+				tabled++
+			}
+		}
+		if owned == s.plan.Shards && tabled == len(s.plan.Nodes) {
+			return nil
+		}
+		time.Sleep(pause)
+	}
+	return errNotServing
+}
