Keep idle cache by scheduling's book of pauses

The histories of pauses moved to scheduling.PauseBook; the owner's own bookkeeping of them, which did not build any more, goes.

The schedules' clients now also check each 'not run' against the back ends.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -292,9 +292,8 @@
 	Branch identity.BranchID
 	// Since is when its last model call was answered.
 	Since time.Time
-	// Tokens is what its conversation counts, Held whether an engine may hold it.
-	Tokens int64
-	Held   bool
+	// Held tells that an engine may hold its conversation.
+	Held bool
 }
 
 // Paused returns the branches of a running program that have been answered and
@@ -313,7 +312,7 @@
 			continue
 		}
 		if since := p.LastAnswered(id); !since.IsZero() {
-			paused = append(paused, Paused{Branch: id, Since: since, Tokens: b.settledTokens, Held: held[id]})
+			paused = append(paused, Paused{Branch: id, Since: since, Held: held[id]})
 		}
 	}
 	return paused
--- a/internal/serving/evict.go
+++ b/internal/serving/evict.go
@@ -14,41 +14,27 @@
 // pauses keeps, for each kind of branch, how long its pauses last.
 type pauses struct {
 	mutex sync.Mutex
-	kinds map[string]*scheduling.PauseHistory
+	book  *scheduling.PauseBook
 }
 
-func newPauses() *pauses { return &pauses{kinds: map[string]*scheduling.PauseHistory{}} }
-
-// of returns the history of kind; the caller holds the mutex.
-func (p *pauses) of(kind string) *scheduling.PauseHistory {
-	history := p.kinds[kind]
-	if history == nil {
-		history = &scheduling.PauseHistory{}
-		p.kinds[kind] = history
-	}
-	return history
-}
+func newPauses() *pauses { return &pauses{book: scheduling.NewPauseBook()} }
 
 func (p *pauses) returned(kind string, pause time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.of(kind).Returned(pause)
+	p.book.History(kind).Returned(pause)
 }
 
 func (p *pauses) abandoned(kind string, pause time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.of(kind).Abandoned(pause)
+	p.book.History(kind).Abandoned(pause)
 }
 
-func (p *pauses) rates(idle map[string][]time.Duration) map[string]scheduling.ReturnRates {
+func (p *pauses) keepWarm(now time.Time, paused []scheduling.Paused, patience time.Duration) []scheduling.Release {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	rates := make(map[string]scheduling.ReturnRates, len(idle))
-	for kind, durations := range idle {
-		rates[kind] = p.of(kind).Rates(durations)
-	}
-	return rates
+	return p.book.KeepWarm(now, paused, patience)
 }
 
 // pauseKind is the kind of pause history that a branch belongs to: people pause
@@ -76,16 +62,15 @@
 	}
 }
 
-// evictIdle gives up the cache of paused branches that are not worth their memory any
-// more, by the same rule that the experiments measure.
+// evictIdle gives up the cache of paused branches that are not worth their
+// memory any more, by the same rule that the experiments measure.
 func (o *Owner) evictIdle(context.Context) {
 	now := time.Now()
 	var paused []scheduling.Paused
-	idle := map[string][]time.Duration{}
 	for _, s := range o.allShards() {
-		paused = append(paused, s.paused(now, idle)...)
+		paused = append(paused, s.paused()...)
 	}
-	for _, release := range scheduling.KeepWarm(now, paused, o.pauses.rates(idle), o.patience(now)) {
+	for _, release := range o.pauses.keepWarm(now, paused, o.patience(now)) {
 		if s, err := o.shardOf(release.Program); err == nil {
 			s.evictBranch(release)
 		}
@@ -103,9 +88,8 @@
 	return scheduling.Patience(scheduling.DefaultPatience, used, capacity)
 }
 
-// paused returns the shard's paused branches that an engine may hold, and adds
-// how long all of them have paused to idle.
-func (s *shard) paused(now time.Time, idle map[string][]time.Duration) []scheduling.Paused {
+// paused returns the shard's branches that wait for their programs' next calls.
+func (s *shard) paused() []scheduling.Paused {
 	published := s.owner.config.Board.Table.Load()
 	s.machine.mutex.Lock()
 	defer s.machine.mutex.Unlock()
@@ -118,14 +102,9 @@
 			continue // a call waits or runs, so some branch is about to go on
 		}
 		for _, branch := range p.Paused() {
-			kind := pauseKind(p.Class(), branch.Branch)
-			idle[kind] = append(idle[kind], now.Sub(branch.Since))
-			if !branch.Held {
-				continue
-			}
 			all = append(all, scheduling.Paused{
-				Program: p.ID(), Branch: branch.Branch, Backend: p.LastBackend(branch.Branch), Tokens: int(branch.Tokens),
-				IdleSince: branch.Since, KeepWarm: published.Classes[p.Class()].KeepWarm, Kind: kind,
+				Program: p.ID(), Branch: branch.Branch, Held: branch.Held, IdleSince: branch.Since,
+				KeepWarm: published.Classes[p.Class()].KeepWarm, Kind: pauseKind(p.Class(), branch.Branch),
 			})
 		}
 	}
@@ -145,5 +124,5 @@
 	}
 	s.owner.metrics.evicted.Inc()
 	s.owner.logger.Debug("idle cache evicted", "program", release.Program, "branch", release.Branch,
-		"backend", release.Backend, "shard", s.journal.ID(), "epoch", s.journal.Epoch(), "reason", release.Reason)
+		"shard", s.journal.ID(), "epoch", s.journal.Epoch(), "reason", release.Reason)
 }
--- a/internal/serving/schedule_test.go
+++ b/internal/serving/schedule_test.go
@@ -278,6 +278,7 @@
 			s.notePayment(call, "")
 			return true
 		}
+		s.checkNotRun(id, call, got.err)
 		code := codeOf(got.err)
 		switch code {
 		case api.CodeBudget:
@@ -297,6 +298,20 @@
 	return false
 }
 
+// checkNotRun: who is told that a call did not run finds no trace of it.
+func (s *scheduled) checkNotRun(id identity.ProgramID, call api.CallRequest, err error) {
+	if !problemOf(s.t, err).NotRun {
+		return
+	}
+	named := identity.CallID{Program: id, Branch: identity.BranchID(call.Branch), Sequence: identity.Sequence(call.Sequence)}
+	if ran := len(s.arrivals(named)); ran > 0 {
+		s.fault("%s ran %d times in spite of: %v", named, ran, err)
+	}
+	if ran := s.ledger.Executions("pay_fee", call.IdempotencyKey); call.IdempotencyKey != "" && ran > 0 {
+		s.fault("%s was paid %d times in spite of: %v", named, ran, err)
+	}
+}
+
 func (s *scheduled) notePayment(call api.CallRequest, code api.Code) {
 	if call.Kind != api.CallApplication {
 		return
