Count hand-overs and shrink renewals

Cause: a hand-over ended the shard's context before it told that the release was written, so it was reported as failed to the node that asked, which came back later; and every renewal and append carried the owner's addresses.

Change: the release is told first and looked at first. Renewals and appends name the owner's life; hints take its addresses from the members' view.

--- a/internal/journal/link.go
+++ b/internal/journal/link.go
@@ -99,7 +99,7 @@
 func (s *ownedShard) nextWrite(link *link) Write {
 	write := Write{
 		Epoch: s.claim.Epoch, TailFrom: s.claim.TailFrom,
-		Owner: s.manager.config.Self, Logged: s.logged,
+		Owner: s.manager.config.Self.Reference(), Logged: s.logged,
 	}
 	entries, reaches := s.tail.From(link.match, s.manager.config.BatchBytes)
 	if link.generation < s.generation || !reaches {
--- a/internal/journal/manager.go
+++ b/internal/journal/manager.go
@@ -141,12 +141,24 @@
 		return m.config.Self, owned.Epoch(), true
 	}
 	holder, epoch, held := m.replicas[shard].holder(time.Now())
-	if held && epoch >= known.Epoch {
-		return holder, epoch, true
+	if held && epoch > known.Epoch {
+		if node, found := m.member(holder); found {
+			return node, epoch, true
+		}
 	}
 	return known.Owner, known.Epoch, known.Epoch > 0
 }
 
+// member returns the addresses of a node's life from the members' view.
+func (m *Manager) member(life identity.Reference) (identity.Node, bool) {
+	for _, member := range m.config.Members.Load().Members {
+		if member.Node.Reference() == life {
+			return member.Node, true
+		}
+	}
+	return identity.Node{}, false
+}
+
 // noteClaim keeps the highest claim read, for hints.
 func (m *Manager) noteClaim(shard identity.ShardID, ledger *Ledger) {
 	slot := &m.slots[shard]
--- a/internal/journal/message.go
+++ b/internal/journal/message.go
@@ -59,7 +59,7 @@
 	encodeReference(e, m.To)
 	e.Uint32(uint32(m.Shard))
 	e.Uint64(uint64(m.Write.Epoch))
-	encodeNode(e, m.Write.Owner)
+	encodeReference(e, m.Write.Owner)
 	e.Uint64(uint64(m.Write.TailFrom))
 	e.Bool(m.Write.Whole)
 	m.Write.Tail.encode(e)
@@ -71,7 +71,7 @@
 	m.To = decodeReference(d)
 	m.Shard = identity.ShardID(d.Uint32())
 	m.Write.Epoch = identity.Epoch(d.Uint64())
-	m.Write.Owner = decodeNode(d)
+	m.Write.Owner = decodeReference(d)
 	m.Write.TailFrom = identity.Epoch(d.Uint64())
 	m.Write.Whole = d.Bool()
 	m.Write.Tail.decode(d)
@@ -101,7 +101,7 @@
 // for the owner.
 type renewMessage struct {
 	To       identity.Reference
-	Owner    identity.Node
+	Owner    identity.Reference
 	Renewals []Renewal
 }
 
@@ -114,7 +114,7 @@
 // Encode appends the fields.
 func (m *renewMessage) Encode(e *wire.Encoder) {
 	encodeReference(e, m.To)
-	encodeNode(e, m.Owner)
+	encodeReference(e, m.Owner)
 	e.Uint32(uint32(len(m.Renewals)))
 	for _, renewal := range m.Renewals {
 		e.Uint32(uint32(renewal.Shard))
@@ -126,7 +126,7 @@
 // Decode reads the fields.
 func (m *renewMessage) Decode(d *wire.Decoder) {
 	m.To = decodeReference(d)
-	m.Owner = decodeNode(d)
+	m.Owner = decodeReference(d)
 	for range d.Count(renewalSize) {
 		m.Renewals = append(m.Renewals, Renewal{
 			Shard:  identity.ShardID(d.Uint32()),
--- a/internal/journal/move.go
+++ b/internal/journal/move.go
@@ -78,13 +78,20 @@
 	shard.seal()
 	select {
 	case <-shard.flushed:
-		m.counters.handOvers.Add(1)
-		return nil
 	case <-shard.ctx.Done():
-		return fmt.Errorf("%w: shard %d", ErrNotOwner, shard.id)
 	case <-ctx.Done():
-		return ctx.Err()
 	}
+	// The end of the shard's context comes with the release too.
+	select {
+	case <-shard.flushed:
+		m.counters.handOvers.Add(1)
+		return nil
+	default:
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return fmt.Errorf("%w: shard %d", ErrNotOwner, shard.id)
 }
 
 // seal takes no more records and closes Lost; what was taken goes to the log.
--- a/internal/journal/moves_test.go
+++ b/internal/journal/moves_test.go
@@ -105,6 +105,7 @@
 		refused := load.refused()
 		is.NoErr(owner.manager.Drain(ctx))
 		is.Equal(len(owner.manager.Owned()), 0)
+		is.True(owner.manager.Stats().HandOvers > 0)
 		is.Equal(owner.manager.Stats().ReplicaBytes, 0)
 		time.Sleep(200 * time.Millisecond)
 		next := site.serving(0)
--- a/internal/journal/renew.go
+++ b/internal/journal/renew.go
@@ -65,7 +65,7 @@
 	// The lease counts from before the message leaves: however long it is under
 	// way, the replica's own count begins later.
 	sentAt := time.Now()
-	request := &renewMessage{To: round.node.Reference(), Owner: m.config.Self, Renewals: round.renewals}
+	request := &renewMessage{To: round.node.Reference(), Owner: m.config.Self.Reference(), Renewals: round.renewals}
 	message, err := m.call(ctx, round.node, request, nil)
 	if m.running.Err() == nil {
 		m.reach.note(round.node.Reference(), err == nil)
--- a/internal/journal/replica.go
+++ b/internal/journal/replica.go
@@ -45,19 +45,19 @@
 	promised identity.Epoch
 	// epoch and owner wrote the tail, in an ownership that began at tailFrom.
 	epoch    identity.Epoch
-	owner    identity.Node
+	owner    identity.Reference
 	tailFrom identity.Epoch
 	tail     Tail
 	// heldUntil is when the last grant runs out on this node's clock.
 	heldUntil time.Time
-	holder    identity.Node
+	holder    identity.Reference
 	leased    identity.Epoch
 }
 
 // Write is what an owner sends to a replica.
 type Write struct {
 	Epoch identity.Epoch
-	Owner identity.Node
+	Owner identity.Reference
 	// TailFrom is that of the owner's claim.
 	TailFrom identity.Epoch
 	// Whole tells that Tail replaces all that the replica holds. Otherwise
@@ -107,7 +107,7 @@
 
 // sameOwnership tells whether the tail held here belongs to write's ownership.
 func (r *Replica) sameOwnership(write Write) bool {
-	return r.epoch > 0 && r.tailFrom == write.TailFrom && r.owner.Reference() == write.Owner.Reference()
+	return r.epoch > 0 && r.tailFrom == write.TailFrom && r.owner == write.Owner
 }
 
 // Renewal asks for the lease of one shard.
@@ -119,13 +119,13 @@
 }
 
 // Renew grants the lease to owner until terms.Hold from now.
-func (r *Replica) Renew(now time.Time, owner identity.Node, renewal Renewal, terms LeaseTerms) Refusal {
+func (r *Replica) Renew(now time.Time, owner identity.Reference, renewal Renewal, terms LeaseTerms) Refusal {
 	if renewal.Epoch < r.promised {
 		return Fenced
 	}
 	r.promised, r.leased, r.holder = renewal.Epoch, renewal.Epoch, owner
 	r.heldUntil = later(r.heldUntil, now.Add(terms.Hold()))
-	if r.owner.Reference() == owner.Reference() && r.epoch > 0 {
+	if r.owner == owner && r.epoch > 0 {
 		r.tail.Trim(min(renewal.Logged, r.tail.Last()))
 	}
 	return Granted
@@ -133,7 +133,7 @@
 
 // Release ends the lease that owner holds here for epoch before it runs out.
 func (r *Replica) Release(owner identity.Reference, epoch identity.Epoch) {
-	if r.holder.Reference() == owner && r.leased == epoch {
+	if r.holder == owner && r.leased == epoch {
 		r.heldUntil = time.Time{}
 	}
 }
@@ -144,7 +144,7 @@
 		return
 	}
 	r.promised = epoch
-	r.tail, r.epoch, r.owner, r.tailFrom = Tail{}, 0, identity.Node{}, 0
+	r.tail, r.epoch, r.owner, r.tailFrom = Tail{}, 0, identity.Reference{}, 0
 	r.heldUntil = time.Time{}
 }
 
@@ -155,7 +155,7 @@
 
 // Holder returns the owner that holds the lease here and its epoch; false when
 // none does.
-func (r *Replica) Holder(now time.Time) (identity.Node, identity.Epoch, bool) {
+func (r *Replica) Holder(now time.Time) (identity.Reference, identity.Epoch, bool) {
 	return r.holder, r.leased, r.Remaining(now) > 0
 }
 
--- a/internal/journal/replica_test.go
+++ b/internal/journal/replica_test.go
@@ -18,7 +18,7 @@
 	now     time.Time
 	terms   LeaseTerms
 	// owner is the ownership that writes now; its log holds all up to logged.
-	owner    identity.Node
+	owner    identity.Reference
 	epoch    identity.Epoch
 	tailFrom identity.Epoch
 	records  []uint64
@@ -39,7 +39,7 @@
 func newReplicaModel() *replicaModel {
 	return &replicaModel{
 		now: time.Unix(1000, 0), terms: LeaseTerms{Duration: time.Second, Drift: 100 * time.Millisecond},
-		owner: identity.Node{Name: "n1", Incarnation: 1}, epoch: 1, tailFrom: 1,
+		owner: identity.Reference{Name: "n1", Incarnation: 1}, epoch: 1, tailFrom: 1,
 	}
 }
 
@@ -123,7 +123,7 @@
 	m.records = m.records[:held]
 	m.logged, m.acked = held, 0
 	m.epoch, m.tailFrom, m.promised = epoch, epoch, epoch
-	m.owner = identity.Node{Name: "n2", Incarnation: identity.Incarnation(epoch)}
+	m.owner = identity.Reference{Name: "n2", Incarnation: identity.Incarnation(epoch)}
 }
 
 func (m *replicaModel) checkPromise(promise Promise) error {
--- a/internal/journal/replicas.go
+++ b/internal/journal/replicas.go
@@ -23,7 +23,7 @@
 	return s.replica.Bytes()
 }
 
-func (s *replicaSlot) holder(now time.Time) (identity.Node, identity.Epoch, bool) {
+func (s *replicaSlot) holder(now time.Time) (identity.Reference, identity.Epoch, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.replica.Holder(now)
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -191,8 +191,8 @@
 		return errTakenOver
 	}
 	s.manager.releaseLeases(s)
-	s.lose(errHandedOver)
 	close(s.flushed)
+	s.lose(errHandedOver)
 	return nil
 }
 
