Look at the site four times a second while a publish waits

Cause: each look asks every node; ten a second is much at a large site.

Change: an interval of 250 ms.

Measured: tests pass, also with -race.

Left: nothing here.

--- a/cmd/stepseamctl/table_publish.go
+++ b/cmd/stepseamctl/table_publish.go
@@ -106,7 +106,7 @@
 }
 
 // waitInterval is the time between two looks at the nodes.
-const waitInterval = 100 * time.Millisecond
+const waitInterval = 250 * time.Millisecond
 
 // await watches the version come into force on all nodes that are members.
 func (c *tablePublishCommand) await(ctx context.Context, s *session, result *published) error {
--- a/internal/operator/site.go
+++ b/internal/operator/site.go
@@ -69,8 +69,8 @@
 	return answer, nil
 }
 
-// membersToAsk returns the nodes of the site; this node is among them even before membership
-// has begun.
+// membersToAsk returns the nodes of the site; this node is among them even
+// before membership has begun.
 func (o *Operator) membersToAsk() []membership.Member {
 	members := slices.Clone(o.config.Board.Members.Load().Members)
 	own := func(m membership.Member) bool { return m.Node.Name == o.config.Self.Name }
