Let durable records cut the gathering short

Cause: a record that someone waits for could sit out the time in which others gather, and an append that failed while its read-back worked was tried again without a pause.

Change: durable records and seals wake the writer; every failed try is followed by a pause.

--- a/internal/journal/move.go
+++ b/internal/journal/move.go
@@ -104,6 +104,7 @@
 	s.sealed = true
 	close(s.lost)
 	time.AfterFunc(s.manager.config.LogTimeout, s.stopWrites)
+	signal(s.urgent)
 	s.kickWriter()
 }
 
--- a/internal/journal/owned.go
+++ b/internal/journal/owned.go
@@ -29,8 +29,10 @@
 	// writes ends before ctx where a planned stop gives up waiting for the log.
 	writes     context.Context
 	stopWrites context.CancelFunc
-	// wakeWriter has room for one token.
+	// wakeWriter and urgent have room for one token: there is something to write,
+	// and someone waits for it.
 	wakeWriter chan struct{}
+	urgent     chan struct{}
 
 	epoch atomic.Uint64
 	// leaseUntil is in nanoseconds since the Manager's start, on its monotonic clock.
@@ -91,6 +93,7 @@
 		logger:     m.config.Logger.With("shard", uint32(id)),
 		lost:       make(chan struct{}),
 		wakeWriter: make(chan struct{}, 1),
+		urgent:     make(chan struct{}, 1),
 		flushed:    make(chan struct{}),
 		claim:      claim,
 		links:      map[identity.Reference]*link{},
@@ -190,6 +193,7 @@
 	waiting := waiter{index: s.tail.Last(), done: make(chan error, 1)}
 	if durable {
 		s.durable = append(s.durable, waiting)
+		signal(s.urgent)
 	} else {
 		s.waiters = append(s.waiters, waiting)
 	}
@@ -275,9 +279,12 @@
 	return len(s.tail.Entries), s.tail.Bytes()
 }
 
-func (s *ownedShard) kickWriter() {
+func (s *ownedShard) kickWriter() { signal(s.wakeWriter) }
+
+// signal leaves a token in a channel that has room for one.
+func signal(tokens chan<- struct{}) {
 	select {
-	case s.wakeWriter <- struct{}{}:
+	case tokens <- struct{}{}:
 	default:
 	}
 }
--- a/internal/journal/schedule.go
+++ b/internal/journal/schedule.go
@@ -56,12 +56,7 @@
 	}
 }
 
-func (m *Manager) wakeClaims() {
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
-}
+func (m *Manager) wakeClaims() { signal(m.wake) }
 
 // wantedShards returns the shards that this node should own by view.
 func (m *Manager) wantedShards(view membership.View) []identity.ShardID {
--- a/internal/journal/stream.go
+++ b/internal/journal/stream.go
@@ -125,7 +125,7 @@
 	for attempt := 0; ; attempt++ {
 		sent, err := s.appendOnce(ctx, raws)
 		if sent {
-			return s.readBack(ctx, last, raws, patient)
+			return s.readBack(ctx, last, raws)
 		}
 		if ctx.Err() != nil {
 			return 0, fmt.Errorf("journal: append %s: %w", s.name, ctx.Err())
@@ -160,7 +160,7 @@
 
 // readBack folds on until the record id is met. If the log holds no copy it is
 // appended again.
-func (s *stream) readBack(ctx context.Context, id RecordID, raws [][]byte, patient bool) (Verdict, error) {
+func (s *stream) readBack(ctx context.Context, id RecordID, raws [][]byte) (Verdict, error) {
 	for attempt := 0; ; attempt++ {
 		if verdict, met := s.ledger.Verdict(id); met {
 			return verdict, nil
@@ -177,7 +177,7 @@
 		if _, met := s.ledger.Verdict(id); met {
 			continue
 		}
-		if _, err := s.appendOnce(ctx, raws); err != nil && patient {
+		if _, err := s.appendOnce(ctx, raws); err != nil {
 			_ = s.manager.pauseForLog(ctx, attempt) // the loop looks at ctx itself
 		}
 	}
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -121,7 +121,14 @@
 	if urgent {
 		return nil
 	}
-	return sleep(s.ctx, s.manager.config.Gather)
+	timer := time.NewTimer(s.manager.config.Gather)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.urgent:
+	case <-s.ctx.Done():
+	}
+	return s.ctx.Err()
 }
 
 // nextRecord returns what the log should get next, or nil when it holds all.
