--- a/internal/journal/moves_test.go
+++ b/internal/journal/moves_test.go
@@ -298,3 +298,33 @@
 		t.Fatal(err)
 	}
 }
+
+// TestDurableOutcomes goes through what a wait for the log can end with.
+func TestDurableOutcomes(t *testing.T) {
+	err := scenario(t, variant{}, 6, func(site *testSite) error {
+		is := is.New(t)
+		open := site.serving(0).host.open(0)
+		// An answer that is lost is read back.
+		site.log.Script(logservice.LoseAnswer)
+		is.NoErr(open.add(context.Background(), 1, true))
+		// A request that is lost is sent again.
+		site.log.Script(logservice.LoseRequest)
+		is.NoErr(open.add(context.Background(), 2, true))
+		// A log that does not answer in time leaves it unknown, after a bounded wait.
+		site.log.SetFaults(logservice.Faults{AppendDelay: time.Minute})
+		began := time.Now()
+		is.True(errors.Is(open.add(context.Background(), 3, true), ErrUnknown))
+		is.Equal(time.Since(began), DefaultDurableWait)
+		// It may land all the same, and the next owner sees it then.
+		site.log.SetFaults(logservice.Faults{})
+		time.Sleep(2 * time.Minute)
+		site.serving(0).kill()
+		site.refresh()
+		is.NoErr(site.settle())
+		is.Equal(site.serving(0).host.open(0).machine.numbers(), []uint64{1, 2, 3})
+		return site.checkLog(0)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
