--- a/internal/lab/scale/cluster.go
+++ b/internal/lab/scale/cluster.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"stepseam.example/stepseam/internal/controller/tables"
 	"stepseam.example/stepseam/internal/emulator/logservice"
 	"stepseam.example/stepseam/internal/identity"
@@ -132,11 +135,11 @@
 			running.stop()
 		}
 	}
-	for _, running := range c.nodes {
-		if running != nil {
-			running.await()
-		}
+	var ending sync.WaitGroup
+	for _, running := range c.running() {
+		ending.Go(running.await)
 	}
+	ending.Wait()
 }
 
 func (c *cluster) running() []*hollow {
@@ -179,8 +182,24 @@
 		fewest, most = min(fewest, members), max(most, members)
 		owned += len(node.journal.Owned())
 	}
-	return fmt.Sprintf("%d nodes run, views hold %d to %d members, %d of %d shards are owned",
-		len(c.running()), fewest, most, owned, c.shards)
+	return fmt.Sprintf("%d nodes run, views hold %d to %d members, %d of %d shards are owned%s",
+		len(c.running()), fewest, most, owned, c.shards, c.disagreement())
+}
+
+// disagreement names the first difference between a view and the site.
+func (c *cluster) disagreement() string {
+	for _, viewer := range c.running() {
+		view := viewer.board.Members.Load()
+		held := lo.KeyBy(view.Members, func(m membership.Member) identity.NodeName { return m.Node.Name })
+		for _, node := range c.running() {
+			member, found := held[node.node.Name]
+			if !found || member.Status != membership.Alive || member.Node.Incarnation != node.node.Incarnation {
+				return fmt.Sprintf("; %s holds %s as %v of %d, which runs as %d, %+v", viewer.node.Name, node.node.Name,
+					member.Status, member.Node.Incarnation, node.node.Incarnation, viewer.members.Statistics())
+			}
+		}
+	}
+	return ""
 }
 
 // settled tells whether all views agree and every shard is where it should be.
