Copy tails to new replicas beside the log writer

Cause: while new replicas took the tail, the shard's writer waited for them, up to 40 s if one of them died, and durable records timed out meanwhile.

Change: the copy runs on its own and tells the writer when the replicas are ready; only then the writer asks for both sets and claims. A planned stop gives a copy up instead of waiting for it.

--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -31,6 +31,7 @@
 	DefaultDurableWait     = 5 * time.Second
 	DefaultClaimTimeout    = 20 * time.Second
 	DefaultClosingTimeout  = 35 * time.Second
+	DefaultCopyTimeout     = 10 * time.Second
 	DefaultReplaceDelay    = 2 * time.Second
 	DefaultSettleDelay     = time.Second
 	DefaultGather          = 5 * time.Millisecond
@@ -59,6 +60,8 @@
 	// ReplaceDelay is how long a replica must be gone from the view before its
 	// shards are claimed again without it.
 	ReplaceDelay time.Duration
+	// CopyTimeout bounds how long new replicas have to take the tail.
+	CopyTimeout time.Duration
 	// SettleDelay is how long a node that has just started waits for its view of the
 	// members to fill before it claims.
 	SettleDelay time.Duration
@@ -103,6 +106,7 @@
 	orDefault(&c.DurableWait, DefaultDurableWait)
 	orDefault(&c.ClaimTimeout, DefaultClaimTimeout)
 	orDefault(&c.ClosingTimeout, DefaultClosingTimeout)
+	orDefault(&c.CopyTimeout, DefaultCopyTimeout)
 	orDefault(&c.ReplaceDelay, DefaultReplaceDelay)
 	orDefault(&c.SettleDelay, DefaultSettleDelay)
 	orDefault(&c.Gather, DefaultGather)
--- a/internal/journal/link.go
+++ b/internal/journal/link.go
@@ -168,22 +168,21 @@
 	s.kickWriter()
 }
 
-// loseReplica takes note that the replica's memory is gone. The caller holds mutex.
+// loseReplica takes note that the replica's memory is gone; the sweep exchanges it.
+// The caller holds mutex.
 func (s *ownedShard) loseReplica(link *link) {
 	if link.gone {
 		return
 	}
 	link.gone = true
 	link.match, link.granted = 0, time.Time{}
-	s.wantReplicas = true
-	s.kickWriter()
 }
 
 // updateLease works out when the lease ends. The caller holds mutex.
 func (s *ownedShard) updateLease() {
 	end := s.leaseOf(s.claim.Replicas)
 	if s.next != nil && s.next.joint {
-		if other := s.leaseOf(s.next.claim.Replicas); other.Before(end) {
+		if other := s.leaseOf(s.next.replicas); other.Before(end) {
 			end = other
 		}
 	}
--- a/internal/journal/owned.go
+++ b/internal/journal/owned.go
@@ -63,10 +63,8 @@
 	// moving is set when a planned stop begins, sealed when it takes no more records.
 	moving bool
 	sealed bool
-	// wantReplicas asks the writer to claim again with other replicas; replacing is
-	// set while it does.
-	wantReplicas bool
-	replacing    bool
+	// replacing is set while the writer claims with the replicas of next.
+	replacing bool
 	// gone is why the shard was lost.
 	gone error
 	// flushed is closed once a sealed shard's release stands in the log.
@@ -247,7 +245,7 @@
 func (s *ownedShard) heldByQuorum() uint64 {
 	held := reached(s.matches(s.claim.Replicas))
 	if s.next != nil && s.next.joint {
-		held = min(held, reached(s.matches(s.next.claim.Replicas)))
+		held = min(held, reached(s.matches(s.next.replicas)))
 	}
 	return held
 }
--- a/internal/journal/replace.go
+++ b/internal/journal/replace.go
@@ -13,69 +13,103 @@
 
 // replacement is a claim of the same owner on its way, with other replicas.
 type replacement struct {
-	claim Claim
+	replicas []identity.Node
+	// ready is true once the replicas took the tail and granted the lease.
+	ready bool
 	// joint is true from the moment when records and the lease need both sets of
 	// replicas: from before the claim is appended until it is activated, the log
 	// may name either set to a claimant.
 	joint bool
 }
 
-// takeReplacementWish tells whether replicas are to be exchanged.
-func (s *ownedShard) takeReplacementWish() bool {
+// exchangeReplicas begins to exchange the replicas for those that the shard should
+// have now: they take the tail beside the present ones. The writer claims with them
+// once they hold it, so that it goes on writing meanwhile.
+func (s *ownedShard) exchangeReplicas() {
+	replicas := s.manager.wantedReplicas(s.id, s.manager.view())
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	wanted := s.wantReplicas && !s.moving
-	s.wantReplicas = false
-	s.replacing = wanted
-	return wanted
+	if s.next != nil {
+		s.kickWriter()
+		return
+	}
+	if s.moving || s.gone != nil || sameReplicas(replicas, s.claim.Replicas) || !s.mayExchange(replicas) {
+		return
+	}
+	next := &replacement{replicas: replicas}
+	s.next = next
+	s.addLinks(replicas)
+	s.kickLinks()
+	s.manager.tasks.Go(func() { s.copyTail(next) })
 }
 
-func (s *ownedShard) endReplacement() {
+// copyTail waits until the new replicas hold the tail, or gives them up.
+func (s *ownedShard) copyTail(next *replacement) {
+	err := s.awaitReplicas(next, s.manager.config.CopyTimeout)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.replacing = false
+	switch {
+	case s.next != next:
+	case err != nil:
+		s.logger.Warn("replicas not replaced", "error", err)
+		s.abandonReplicas()
+	default:
+		next.ready = true
+		s.kickWriter()
+	}
 }
 
-// beginMove starts a planned stop unless replicas are being exchanged: that must
-// not be cut short, because the log may name either set meanwhile.
-func (s *ownedShard) beginMove() bool {
+// takeReplacement returns the replicas that the writer is to claim with now, nil
+// if there are none.
+func (s *ownedShard) takeReplacement() *replacement {
+	away := s.manager.health.isDown()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.replacing || s.moving || s.gone != nil {
-		return false
+	if s.next == nil || !s.next.ready || s.moving || away {
+		return nil
 	}
-	s.moving = true
-	return true
+	s.replacing = true
+	return s.next
 }
 
-// replaceReplicas claims the shard again with the replicas that it should have
-// now, while it goes on serving. An error tells that the shard is lost.
-func (s *ownedShard) replaceReplicas(stream *stream) error {
-	if s.manager.health.isDown() {
-		return nil // the claim needs the log; sweepLoop asks again
+// replaceReplicas claims the shard again with next, while it goes on serving. An
+// error tells that the shard is lost.
+func (s *ownedShard) replaceReplicas(stream *stream, next *replacement) error {
+	err := s.claimAgain(stream, next)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.replacing = false
+	if !errors.Is(err, errNotCopied) {
+		return err
 	}
-	replicas := s.manager.wantedReplicas(s.id, s.manager.view())
+	s.logger.Warn("replicas not replaced", "error", err)
+	s.abandonReplicas()
+	return nil
+}
+
+// beginMove starts a planned stop unless the writer claims with other replicas:
+// that must not be cut short, because the log may name either set meanwhile.
+func (s *ownedShard) beginMove() bool {
 	s.mutex.Lock()
-	same := sameReplicas(replicas, s.claim.Replicas)
-	s.mutex.Unlock()
-	if same || len(replicas) == 0 || !s.mayExchange(replicas) {
-		return nil
+	defer s.mutex.Unlock()
+	if s.replacing || s.moving || s.gone != nil {
+		return false
 	}
-	err := s.claimAgain(stream, replicas)
-	if errors.Is(err, errNotCopied) {
-		s.logger.Warn("replicas not replaced", "error", err)
-		return nil
+	s.moving = true
+	if s.next != nil {
+		s.abandonReplicas()
 	}
-	return err
+	return true
 }
 
 // mayExchange tells whether the owner may let its replicas go for others. Without
 // the consent of the present ones it may not go down to fewer: a node that is cut
 // off from its peers but not from the log would else take the shard along where
-// nobody can follow.
+// nobody can follow. The caller holds mutex.
 func (s *ownedShard) mayExchange(replicas []identity.Node) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	if len(replicas) == 0 {
+		return false
+	}
 	present := s.claim.Replicas
 	consent := 0
 	for _, replica := range present {
@@ -126,81 +160,65 @@
 // errNotCopied tells that the new replicas could not be brought up to date.
 var errNotCopied = errors.New("journal: tail not copied to the new replicas")
 
-// claimAgain claims the next epoch for this owner with replicas. The shard serves
-// on meanwhile, since nobody else can have been activated in between: first the
-// new replicas take the tail and grant the lease, then the claim and its
+// claimAgain claims the next epoch for this owner with the replicas of next. The
+// shard serves on meanwhile, since nobody else can have been activated in between:
+// records and lease need both sets of replicas from here on, the claim and its
 // activation go to the log, and then the old replicas are let go.
-func (s *ownedShard) claimAgain(stream *stream, replicas []identity.Node) error {
-	if err := s.prepareReplicas(replicas); err != nil {
+func (s *ownedShard) claimAgain(stream *stream, next *replacement) error {
+	s.mutex.Lock()
+	next.joint = true
+	s.updateLease()
+	s.mutex.Unlock()
+	if err := s.awaitReplicas(next, s.manager.config.Lease.Duration); err != nil {
 		return err
 	}
 	for attempt := 0; ; attempt++ {
-		done, err := s.appendClaimAgain(stream, replicas)
-		if err != nil {
+		done, err := s.appendClaimAgain(stream, next.replicas)
+		if done || err != nil {
 			return err
 		}
-		if done {
-			return nil
-		}
 		if err := sleep(s.ctx, s.manager.random.duration(counterClaimPause<<min(attempt, 4))); err != nil {
 			return err
 		}
 	}
 }
 
-// prepareReplicas copies the tail to the new replicas and gets their lease.
-func (s *ownedShard) prepareReplicas(replicas []identity.Node) error {
-	s.mutex.Lock()
-	s.next = &replacement{claim: Claim{Replicas: replicas}}
-	s.addLinks(replicas)
-	s.kickLinks()
-	s.mutex.Unlock()
-	if err := s.awaitReplicas(false); err != nil {
-		s.abandonReplicas()
-		return err
-	}
-	s.mutex.Lock()
-	s.next.joint = true
-	s.updateLease()
-	s.mutex.Unlock()
-	if err := s.awaitReplicas(true); err != nil {
-		s.abandonReplicas()
-		return err
-	}
-	return nil
-}
-
 // copyPoll is the time between two looks at how far the new replicas got.
 const copyPoll = 20 * time.Millisecond
 
-// awaitReplicas waits until the new replicas hold all that is enqueued so far,
+// awaitReplicas waits until the replicas of next hold all that is enqueued so far,
 // and their lease runs.
-func (s *ownedShard) awaitReplicas(joint bool) error {
-	ctx, cancel := context.WithTimeout(s.ctx, s.manager.config.ClaimTimeout)
+func (s *ownedShard) awaitReplicas(next *replacement, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	s.mutex.Lock()
 	goal := s.tail.Last()
 	s.mutex.Unlock()
-	for !s.replicasReady(goal) {
+	for {
+		done, err := s.replicasReady(next, goal)
+		if done || err != nil {
+			return err
+		}
 		if err := sleep(ctx, copyPoll); err != nil {
-			return fmt.Errorf("%w (joint %t): %w", errNotCopied, joint, err)
+			return fmt.Errorf("%w: %w", errNotCopied, err)
 		}
 	}
-	return nil
 }
 
-func (s *ownedShard) replicasReady(goal uint64) bool {
+func (s *ownedShard) replicasReady(next *replacement, goal uint64) (bool, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.next != next {
+		return false, fmt.Errorf("%w: given up", errNotCopied)
+	}
 	s.kickLinks()
-	replicas := s.next.claim.Replicas
-	held := max(reached(s.matches(replicas)), s.logged)
-	return held >= goal && s.leaseOf(replicas).After(time.Now())
+	held := max(reached(s.matches(next.replicas)), s.logged)
+	return held >= goal && s.leaseOf(next.replicas).After(time.Now()), nil
 }
 
+// abandonReplicas gives up an exchange whose claim was not appended. The caller
+// holds mutex.
 func (s *ownedShard) abandonReplicas() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	s.next = nil
 	s.updateLease()
 	s.advance()
--- a/internal/journal/sweep.go
+++ b/internal/journal/sweep.go
@@ -27,7 +27,7 @@
 		view := m.view()
 		for _, shard := range m.owned() {
 			if m.needsReplicas(shard, view, absent) && m.claims.Allow() {
-				shard.askReplicas()
+				shard.exchangeReplicas()
 			}
 		}
 		if time.Since(collected) >= garbageInterval {
@@ -37,26 +37,20 @@
 	}
 }
 
-func (s *ownedShard) askReplicas() {
-	s.mutex.Lock()
-	s.wantReplicas = true
-	s.mutex.Unlock()
-	s.kickWriter()
-}
-
 // needsReplicas tells whether a replica has been gone for a while, or more
 // replicas or better ones can be had now.
 func (m *Manager) needsReplicas(shard *ownedShard, view membership.View, absent map[identity.Reference]time.Time) bool {
 	shard.mutex.Lock()
 	replicas := shard.claim.Replicas
 	idle := shard.next == nil && !shard.moving
+	ready := shard.next != nil && shard.next.ready
 	restarted := false
 	for _, link := range shard.links {
 		restarted = restarted || link.gone
 	}
 	shard.mutex.Unlock()
 	if !idle {
-		return false
+		return ready // the writer was told, but the log was away
 	}
 	wanted := m.wantedReplicas(shard.id, view)
 	if restarted && !sameReplicas(wanted, replicas) {
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -38,10 +38,8 @@
 				return err
 			}
 		}
-		if s.takeReplacementWish() {
-			err := s.replaceReplicas(stream)
-			s.endReplacement()
-			if err != nil {
+		if next := s.takeReplacement(); next != nil {
+			if err := s.replaceReplicas(stream, next); err != nil {
 				return err
 			}
 		}
@@ -270,10 +268,11 @@
 	if rival.Owner.Reference() != s.manager.config.Self.Reference() {
 		s.logger.Warn("unactivated claim of another node", "epoch", uint64(rival.Epoch), "owner", string(rival.Owner.Name))
 	}
-	if err := s.claimAgain(stream, s.claim.Replicas); err != nil {
-		return err
-	}
-	return nil
+	next := &replacement{replicas: s.claim.Replicas, ready: true}
+	s.mutex.Lock()
+	s.next = next
+	s.mutex.Unlock()
+	return s.claimAgain(stream, next)
 }
 
 // counterClaimPause keeps two claimants from outbidding each other in step.
