Refuse new calls at a lapsed owner as not run

Cause: the trace of a technician in a zone that is cut off kept his call for 35 s and then told him sequence_conflict. The node that he asked had been the program's owner. Its lease had lapsed, but it began a run for the new call, gave it up at the look at the lease and answered 'not the owner, and it may have run'. The gateway then looks for an owner for a minute instead of 8 s.

Change: a call that is new to an owner is begun only under a running lease; else the owner says that it took nothing up, so the caller hears shard_unavailable, not run, with when to come back.

Ruled out: a shorter patience in forwarding, since a call that was taken up is worth a minute. The wait is right, the claim was wrong.

Before: lapse_test.go: 'not true: problem.NotRun'; the trace: 'took 35.22917138s, stated is within 10s'. After: both pass; the package's tests pass. Left: a zone that is cut off still answers a caller after the 8 s patience, the first one in 5 s for each shard.

--- a/internal/serving/lapse_test.go
+++ b/internal/serving/lapse_test.go
@@ -1,6 +1,7 @@
 package serving_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -44,3 +45,22 @@
 		is.Equal(len(s.arrivals(callID(1))), 1)
 	})
 }
+
+// TestALapsedOwnerSaysThatItTookNothingUp sends a call to an owner whose lease
+// has lapsed: a node that is cut off must not keep its callers waiting for
+// something that was never begun.
+func TestALapsedOwnerSaysThatItTookNothingUp(t *testing.T) {
+	inBubble(t, func(is *is.I, s *site, owner *serving.Owner, held *heldShard) {
+		_, err := s.call(owner, p1, modelCall(1, "one"))
+		is.NoErr(err)
+		held.lapsed.Store(true)
+		_, err = s.call(owner, p1, modelCall(2, "two"))
+		var problem *api.Problem
+		is.True(serving.IsNotOwner(err) && errors.As(err, &problem))
+		is.True(problem.NotRun)
+		held.lapsed.Store(false)
+		_, err = s.call(owner, p1, modelCall(2, "another two"))
+		is.NoErr(err) // its sequence is free
+		is.Equal(len(s.arrivals(callID(2))), 1)
+	})
+}
--- a/internal/serving/programs.go
+++ b/internal/serving/programs.go
@@ -271,6 +271,9 @@
 	if problem := s.checkArrival(p, call); problem != nil {
 		return nil, nil, problem
 	}
+	if s.checkLease() != nil {
+		return nil, nil, neverOwner(s.journal.ID()) // nothing was done with it here
+	}
 	return s.start(call, options.deadline), nil, nil
 }
 
