--- a/internal/journal/manager_test.go
+++ b/internal/journal/manager_test.go
@@ -12,6 +12,7 @@
 )
 
 func TestFairWeather(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		site := newTestSite(1, 8)
--- a/internal/journal/moves_test.go
+++ b/internal/journal/moves_test.go
@@ -16,6 +16,7 @@
 // TestLogOutage keeps the log away for three hours: records go on, the tail stays
 // small, unrepeatable ones are refused at once, and all drains when it is back.
 func TestLogOutage(t *testing.T) {
+	t.Parallel()
 	err := scenario(t, variant{slowLease: true}, 6, func(site *testSite) error {
 		is := is.New(t)
 		site.log.SetDown(true)
@@ -57,6 +58,7 @@
 // TestOutageThenKill kills the owner while the log has been away long enough for
 // the tail to be folded: the next owner starts from the folded tail.
 func TestOutageThenKill(t *testing.T) {
+	t.Parallel()
 	err := scenario(t, variant{}, 6, func(site *testSite) error {
 		site.log.SetDown(true)
 		open := site.serving(0).host.open(0)
@@ -93,6 +95,7 @@
 // TestPlannedStop drains the owner under load: no number that it took is lost,
 // nothing waits for a lease, and no replica is left with it.
 func TestPlannedStop(t *testing.T) {
+	t.Parallel()
 	err := scenario(t, variant{}, 6, func(site *testSite) error {
 		is := is.New(t)
 		owners := site.watchOwners()
@@ -125,6 +128,7 @@
 // TestReplicaReplaced kills a replica: the owner takes another one in its place
 // while it goes on serving.
 func TestReplicaReplaced(t *testing.T) {
+	t.Parallel()
 	err := scenario(t, variant{}, 6, func(site *testSite) error {
 		is := is.New(t)
 		owners := site.watchOwners()
@@ -155,6 +159,7 @@
 // TestLeaseComesBack cuts the owner off during an outage of the log, past its
 // lease: nobody can claim, so it serves again in the same epoch when it is back.
 func TestLeaseComesBack(t *testing.T) {
+	t.Parallel()
 	err := scenario(t, variant{}, 6, func(site *testSite) error {
 		is := is.New(t)
 		site.log.SetDown(true)
@@ -178,6 +183,7 @@
 
 // TestTwoClaimants lets two nodes want the same shard after its owner's death.
 func TestTwoClaimants(t *testing.T) {
+	t.Parallel()
 	err := scenario(t, variant{}, 6, func(site *testSite) error {
 		owners := site.watchOwners()
 		load := site.load(0)
@@ -212,6 +218,7 @@
 // TestSmallSites runs sites of one to three nodes, where the owner counts as one
 // of the replicas, through the death and return of a node.
 func TestSmallSites(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{2, 3} {
 		err := scenario(t, variant{}, nodes, func(site *testSite) error {
 			owners := site.watchOwners()
@@ -237,6 +244,7 @@
 // TestLogLeavesDuringHandOver takes the log away in the middle of a planned stop:
 // the shard is served on through the outage, and handed over after it.
 func TestLogLeavesDuringHandOver(t *testing.T) {
+	t.Parallel()
 	err := scenario(t, variant{}, 6, func(site *testSite) error {
 		is := is.New(t)
 		owners := site.watchOwners()
@@ -267,6 +275,7 @@
 // TestClaimantDiesHalfWay leaves a claim in the log, and the promise of one replica
 // to it, of a node that is never heard of again: the owner serves on above it.
 func TestClaimantDiesHalfWay(t *testing.T) {
+	t.Parallel()
 	err := scenario(t, variant{}, 6, func(site *testSite) error {
 		is := is.New(t)
 		load := site.load(0)
@@ -301,6 +310,7 @@
 
 // TestDurableOutcomes goes through what a wait for the log can end with.
 func TestDurableOutcomes(t *testing.T) {
+	t.Parallel()
 	err := scenario(t, variant{}, 6, func(site *testSite) error {
 		is := is.New(t)
 		open := site.serving(0).host.open(0)
--- a/internal/journal/proof_test.go
+++ b/internal/journal/proof_test.go
@@ -20,6 +20,7 @@
 		{"lost answers", loseAnswers, variant{log: blind}},
 	} {
 		t.Run(proof.name, func(t *testing.T) {
+			t.Parallel()
 			if err := scenario(t, variant{}, 6, proof.body); err != nil {
 				t.Errorf("the protocol fails: %v", err)
 			}
--- a/internal/journal/schedule_test.go
+++ b/internal/journal/schedule_test.go
@@ -202,8 +202,11 @@
 		count = given
 	}
 	for seed := range count {
-		if err := runSchedule(t, seed, variant{}); err != nil {
-			t.Errorf("schedule %d: %v\n%v", seed, err, schedules.Example(seed))
-		}
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			t.Parallel()
+			if err := runSchedule(t, seed, variant{}); err != nil {
+				t.Errorf("%v\n%v", err, schedules.Example(seed))
+			}
+		})
 	}
 }
