--- a/internal/journal/claim.go
+++ b/internal/journal/claim.go
@@ -149,17 +149,7 @@
 // out. A node that is cut off from them learns nothing, and so does not claim
 // what it could not recover.
 func (c *claimant) preVote(ctx context.Context, active Claim) error {
-	answers := c.ask(active, func(node identity.Node) (answer, error) {
-		message, err := c.manager.call(ctx, node, &preVoteMessage{To: node.Reference(), Shard: c.shard}, nil)
-		if err != nil {
-			return answer{}, err
-		}
-		vote, fits := message.(*preVoteAnswer)
-		if !fits {
-			return answer{}, errUnexpectedAnswer
-		}
-		return answer{gone: vote.OtherLife, remaining: vote.Remaining}, nil
-	})
+	answers := c.ask(active, func(node identity.Node) (answer, error) { return c.askVote(ctx, node) })
 	lapsed := survey{count: len(active.Replicas)}
 	for _, answer := range answers {
 		switch {
@@ -188,6 +178,9 @@
 	refused   bool
 	tail      Tail
 	held      bool
+	// term is that of the tail's writer; vote is the whole answer to a pre-vote.
+	term uint64
+	vote *preVoteAnswer
 }
 
 // ask puts one question to all replicas of a claim at the same time and returns
@@ -260,18 +253,11 @@
 	if err != nil {
 		return err
 	}
-	var tails []Tail
-	var remaining time.Duration
-	for _, answer := range answers {
-		remaining = max(remaining, answer.remaining)
-		if answer.held {
-			tails = append(tails, answer.tail)
-		}
-	}
+	recovered, remaining := newestTail(answers)
 	if err := sleep(ctx, remaining); err != nil {
 		return err
 	}
-	tail, err := Longest(tails).behind(c.stream.ledger.Index())
+	tail, err := recovered.behind(c.stream.ledger.Index())
 	if err != nil {
 		return err
 	}
@@ -285,6 +271,25 @@
 	return nil
 }
 
+// newestTail returns the longest tail of the highest term among answers, and how
+// long the leases that they tell of may still run. Whoever wrote under a term had
+// recovered all that was held under the lower ones.
+func newestTail(answers []answer) (tail Tail, remaining time.Duration) {
+	var tails []Tail
+	var term uint64
+	for _, answer := range answers {
+		remaining = max(remaining, answer.remaining)
+		if !answer.held || answer.term < term {
+			continue
+		}
+		if answer.term > term {
+			term, tails = answer.term, nil
+		}
+		tails = append(tails, answer.tail)
+	}
+	return Longest(tails), remaining
+}
+
 // recoveryRecords returns the log records that bring tail to the log and end
 // with the activation.
 func (c *claimant) recoveryRecords(claim, former Claim, tail Tail) []*Record {
@@ -311,7 +316,7 @@
 func (c *claimant) collectPromises(ctx context.Context, claim, former Claim) ([]answer, error) {
 	for attempt := 0; ; attempt++ {
 		answers := c.ask(former, func(node identity.Node) (answer, error) {
-			return c.askPromise(ctx, node, claim, former)
+			return c.askPromise(ctx, node, &promiseMessage{Epoch: claim.Epoch}, former)
 		})
 		counted := survey{count: len(former.Replicas)}
 		for _, answer := range answers {
@@ -344,9 +349,9 @@
 		"shard", uint32(c.shard), "epoch", uint64(former.Epoch), "answered", counted.answered, "gone", counted.gone)
 }
 
-func (c *claimant) askPromise(ctx context.Context, node identity.Node, claim, former Claim) (answer, error) {
+func (c *claimant) askPromise(ctx context.Context, node identity.Node, request *promiseMessage, former Claim) (answer, error) {
 	var encoded []byte
-	request := &promiseMessage{To: node.Reference(), Shard: c.shard, Epoch: claim.Epoch}
+	request.To, request.Shard = node.Reference(), c.shard
 	message, err := c.manager.callWithin(ctx, c.manager.config.LogTimeout, node, request, func(part peer.Message) error {
 		piece, fits := part.(*promisePart)
 		if !fits {
@@ -368,7 +373,7 @@
 	}
 	decoder := wire.NewDecoder(encoded)
 	given.tail.decode(decoder)
-	given.held = true
+	given.held, given.term = true, promise.TailTerm
 	return given, decoder.Finish()
 }
 
--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -34,6 +34,7 @@
 	DefaultCopyTimeout     = 10 * time.Second
 	DefaultReplaceDelay    = 2 * time.Second
 	DefaultSettleDelay     = time.Second
+	DefaultArmDelay        = time.Second
 	DefaultGather          = 5 * time.Millisecond
 	DefaultClaimRate       = 250
 	DefaultMoveRate        = 100
@@ -65,6 +66,9 @@
 	// SettleDelay is how long a node that has just started waits for its view of the
 	// members to fill before it claims.
 	SettleDelay time.Duration
+	// ArmDelay is how long the log must have been away before owners leave whole
+	// states with their replicas and others may own shards without the log.
+	ArmDelay time.Duration
 	// Gather is how long the log writer lets records of one shard gather.
 	Gather time.Duration
 	// ClaimRate and MoveRate limit claims begun and shards handed over, per
@@ -109,6 +113,7 @@
 	orDefault(&c.CopyTimeout, DefaultCopyTimeout)
 	orDefault(&c.ReplaceDelay, DefaultReplaceDelay)
 	orDefault(&c.SettleDelay, DefaultSettleDelay)
+	orDefault(&c.ArmDelay, DefaultArmDelay)
 	orDefault(&c.Gather, DefaultGather)
 	orDefault(&c.ClaimRate, DefaultClaimRate)
 	orDefault(&c.MoveRate, DefaultMoveRate)
--- a/internal/journal/contract.go
+++ b/internal/journal/contract.go
@@ -89,6 +89,10 @@
 	// Opened hands over a shard that was claimed and recovered. The host serves
 	// it until Lost is closed.
 	Opened(shard Shard, machine StateMachine)
+	// Checkpoint asks the host to call Enqueue without records under the shard's
+	// lock, so that the journal can take a snapshot of a shard that is idle. A shard
+	// that is not open is passed over.
+	Checkpoint(shard Shard)
 	// Closing asks the host to finish before a planned hand-over: it stops taking
 	// calls for the shard (answering them with not run and a short time to come
 	// back, or leaving them to the gateway's retry), and returns once the calls
--- a/internal/journal/health.go
+++ b/internal/journal/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // logHealth is this node's view of whether the log service answers. Writers that
@@ -10,6 +11,7 @@
 type logHealth struct {
 	mutex sync.Mutex
 	down  bool
+	since time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -22,6 +24,13 @@
 	return h.down
 }
 
+// isAway tells whether the log has been down for at least patience.
+func (h *logHealth) isAway(patience time.Duration) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.down && time.Since(h.since) >= patience
+}
+
 // set stores the state and tells whether it changed.
 func (h *logHealth) set(down bool) bool {
 	h.mutex.Lock()
@@ -29,7 +38,7 @@
 	if h.down == down {
 		return false
 	}
-	h.down = down
+	h.down, h.since = down, time.Now()
 	close(h.changed)
 	h.changed = make(chan struct{})
 	return true
--- a/internal/journal/link.go
+++ b/internal/journal/link.go
@@ -23,6 +23,8 @@
 	granted time.Time
 	// fenced is the epoch that the replica has promised to another claim.
 	fenced identity.Epoch
+	// quiet is the highest Renewal.Quiet that the replica took.
+	quiet uint64
 	// gone tells that the replica's process restarted: this copy is no more.
 	gone bool
 }
@@ -99,12 +101,15 @@
 func (s *ownedShard) nextWrite(link *link) Write {
 	write := Write{
 		Epoch: s.claim.Epoch, TailFrom: s.claim.TailFrom,
-		Owner: s.manager.config.Self.Reference(), Logged: s.logged,
+		Owner: s.manager.config.Self.Reference(), Logged: s.logged, Term: s.term,
 	}
 	entries, reaches := s.tail.From(link.match, s.manager.config.BatchBytes)
 	if link.generation < s.generation || !reaches {
 		write.Whole = true
 		write.Tail = s.tail
+		if s.arming > 0 {
+			write.Armed, write.Claim = s.arming, s.claim
+		}
 		return write
 	}
 	write.Tail = Tail{After: link.match, Entries: entries}
@@ -137,9 +142,10 @@
 	defer s.mutex.Unlock()
 	switch answer.Refusal {
 	case Fenced:
-		link.fenced = answer.Promised
+		// An interim owner has the same epoch and a higher term.
+		link.fenced = max(answer.Promised, write.Epoch+1)
 		// The epoch may have risen since the message was sent.
-		if answer.Promised > s.claim.Epoch {
+		if link.fenced > s.claim.Epoch {
 			s.contested = true
 			s.kickWriter()
 		}
--- a/internal/journal/manager.go
+++ b/internal/journal/manager.go
@@ -33,6 +33,9 @@
 	replicas []replicaSlot
 	slots    []slot
 	reach    *reach
+	// armings numbers what replicas are told about interim ownership, so that late
+	// messages can be told from newer ones.
+	armings atomic.Uint64
 	// wake asks the claim loop to look again.
 	wake     chan struct{}
 	draining atomic.Bool
@@ -92,6 +95,7 @@
 	m.tasks.Go(func() { m.renewLoop(ctx) })
 	m.tasks.Go(func() { m.probeLoop(ctx) })
 	m.tasks.Go(func() { m.sweepLoop(ctx) })
+	m.tasks.Go(func() { m.armLoop(ctx) })
 	m.claimLoop(ctx)
 	for _, shard := range m.owned() {
 		shard.lose(ctx.Err())
@@ -141,7 +145,7 @@
 		return m.config.Self, owned.Epoch(), true
 	}
 	holder, epoch, held := m.replicas[shard].holder(time.Now())
-	if held && epoch > known.Epoch {
+	if held && epoch >= known.Epoch {
 		if node, found := m.member(holder); found {
 			return node, epoch, true
 		}
@@ -211,17 +215,36 @@
 	return m.config.Peers.Call(ctx, node.PeerAddress, request, onPart)
 }
 
-// probeInterval is the time between two looks at a log that was away.
-const probeInterval = 500 * time.Millisecond
+const (
+	// probeInterval is the time between two looks at a log that was away.
+	probeInterval = 500 * time.Millisecond
+	// idleProbeInterval is the time between two looks at a log that is up: a node
+	// that has nothing to write must learn of an outage too.
+	idleProbeInterval = 2 * time.Second
+)
 
-// probeLoop asks a log that is away whether it is back.
+// probeLoop asks a log that is away whether it is back, and one that is up, now
+// and then, whether it still is.
 func (m *Manager) probeLoop(ctx context.Context) {
-	for m.health.await(ctx, true) == nil {
-		if sleep(ctx, probeInterval/2+m.random.duration(probeInterval/2)) != nil {
+	for {
+		down, changed := m.health.watch()
+		interval := idleProbeInterval
+		if down {
+			interval = probeInterval
+		}
+		timer := time.NewTimer(interval/2 + m.random.duration(interval/2))
+		select {
+		case <-timer.C:
+			m.probe(ctx)
+			if down {
+				m.wakeClaims()
+			}
+		case <-changed:
+		case <-ctx.Done():
+			timer.Stop()
 			return
 		}
-		m.probe(ctx)
-		m.wakeClaims()
+		timer.Stop()
 	}
 }
 
--- a/internal/journal/message.go
+++ b/internal/journal/message.go
@@ -64,6 +64,9 @@
 	e.Bool(m.Write.Whole)
 	m.Write.Tail.encode(e)
 	e.Uint64(m.Write.Logged)
+	e.Uint64(m.Write.Term)
+	e.Uint64(m.Write.Armed)
+	m.Write.Claim.encode(e)
 }
 
 // Decode reads the fields.
@@ -76,6 +79,9 @@
 	m.Write.Whole = d.Bool()
 	m.Write.Tail.decode(d)
 	m.Write.Logged = d.Uint64()
+	m.Write.Term = d.Uint64()
+	m.Write.Armed = d.Uint64()
+	m.Write.Claim.decode(d)
 }
 
 type appendAnswer struct{ Answer WriteAnswer }
@@ -109,7 +115,7 @@
 func (*renewMessage) Kind() peer.Kind { return kindRenew }
 
 // renewalSize is the encoded size of one Renewal.
-const renewalSize = 4 + 8 + 8
+const renewalSize = 4 + 8 + 8 + 8 + 8
 
 // Encode appends the fields.
 func (m *renewMessage) Encode(e *wire.Encoder) {
@@ -120,6 +126,8 @@
 		e.Uint32(uint32(renewal.Shard))
 		e.Uint64(uint64(renewal.Epoch))
 		e.Uint64(renewal.Logged)
+		e.Uint64(renewal.Term)
+		e.Uint64(renewal.Quiet)
 	}
 }
 
@@ -132,6 +140,8 @@
 			Shard:  identity.ShardID(d.Uint32()),
 			Epoch:  identity.Epoch(d.Uint64()),
 			Logged: d.Uint64(),
+			Term:   d.Uint64(),
+			Quiet:  d.Uint64(),
 		})
 	}
 }
@@ -190,6 +200,11 @@
 	// Remaining is how long a lease may still run by what this node knows.
 	Remaining time.Duration
 	Promised  identity.Epoch
+	// Term is the highest interim term promised; Armed tells that the replica would
+	// promise an interim ownership under Claim.
+	Term  uint64
+	Armed bool
+	Claim Claim
 }
 
 // Kind returns the message's kind.
@@ -200,6 +215,9 @@
 	e.Bool(m.OtherLife)
 	e.Duration(m.Remaining)
 	e.Uint64(uint64(m.Promised))
+	e.Uint64(m.Term)
+	e.Bool(m.Armed)
+	m.Claim.encode(e)
 }
 
 // Decode reads the fields.
@@ -207,14 +225,20 @@
 	m.OtherLife = d.Bool()
 	m.Remaining = d.Duration()
 	m.Promised = identity.Epoch(d.Uint64())
+	m.Term = d.Uint64()
+	m.Armed = d.Bool()
+	m.Claim.decode(d)
 }
 
 // promiseMessage asks the replica life To to refuse epochs below Epoch, whose
-// claim the sender has read back from the log as valid.
+// claim the sender has read back from the log as valid. With a Term the sender
+// wants to own the shard under Epoch until the log is back.
 type promiseMessage struct {
-	To    identity.Reference
-	Shard identity.ShardID
-	Epoch identity.Epoch
+	To       identity.Reference
+	Shard    identity.ShardID
+	Epoch    identity.Epoch
+	Term     uint64
+	Claimant identity.Reference
 }
 
 // Kind returns the message's kind.
@@ -225,6 +249,8 @@
 	encodeReference(e, m.To)
 	e.Uint32(uint32(m.Shard))
 	e.Uint64(uint64(m.Epoch))
+	e.Uint64(m.Term)
+	encodeReference(e, m.Claimant)
 }
 
 // Decode reads the fields.
@@ -232,6 +258,8 @@
 	m.To = decodeReference(d)
 	m.Shard = identity.ShardID(d.Uint32())
 	m.Epoch = identity.Epoch(d.Uint64())
+	m.Term = d.Uint64()
+	m.Claimant = decodeReference(d)
 }
 
 // promisePart is one piece of the encoded tail, in order.
@@ -252,6 +280,7 @@
 	Promised  identity.Epoch
 	Remaining time.Duration
 	TailEpoch identity.Epoch
+	TailTerm  uint64
 }
 
 // Kind returns the message's kind.
@@ -263,6 +292,7 @@
 	e.Uint64(uint64(m.Promised))
 	e.Duration(m.Remaining)
 	e.Uint64(uint64(m.TailEpoch))
+	e.Uint64(m.TailTerm)
 }
 
 // Decode reads the fields.
@@ -271,6 +301,7 @@
 	m.Promised = identity.Epoch(d.Uint64())
 	m.Remaining = d.Duration()
 	m.TailEpoch = identity.Epoch(d.Uint64())
+	m.TailTerm = d.Uint64()
 }
 
 // handOverMessage asks the owner to stop, flush the shard to the log and release
--- a/internal/journal/move.go
+++ b/internal/journal/move.go
@@ -158,15 +158,20 @@
 		}
 		return err
 	}
-	assignment, placed := m.desired(shard.id)
+	m.tellNext(ctx, shard.id)
+	return nil
+}
+
+// tellNext asks the node that should own the shard to claim it at once.
+func (m *Manager) tellNext(ctx context.Context, shard identity.ShardID) {
+	assignment, placed := m.desired(shard)
 	if !placed || assignment.Owner.Reference() == m.config.Self.Reference() {
-		return nil
+		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, m.config.ReplicaTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.config.ReplicaTimeout)
 	defer cancel()
-	request := &claimNowMessage{Shards: []identity.ShardID{shard.id}}
-	_, _ = m.config.Peers.Call(callCtx, assignment.Owner.PeerAddress, request, nil) // it claims by itself a little later
-	return nil
+	request := &claimNowMessage{Shards: []identity.ShardID{shard}}
+	_, _ = m.config.Peers.Call(ctx, assignment.Owner.PeerAddress, request, nil) // it claims by itself a little later
 }
 
 // leave ends what could not be handed over: the replicas hold the tails, and the
--- a/internal/journal/owned.go
+++ b/internal/journal/owned.go
@@ -65,6 +65,19 @@
 	sealed bool
 	// replacing is set while the writer claims with the replicas of next.
 	replacing bool
+	// term is above 0 for an interim owner, which serves without the log.
+	term uint64
+	// arming is the number under which the replicas may let an interim owner go on
+	// from the tail, 0 if they may not. While it is set, and until enough replicas
+	// confirmed quiet (settled), the owner appends nothing new to the log, so that
+	// the log never holds what an interim owner lacks.
+	arming  uint64
+	quiet   uint64
+	settled bool
+	// armWanted asks the next Enqueue to arm; claiming forbids it while this owner
+	// claims again.
+	armWanted bool
+	claiming  bool
 	// gone is why the shard was lost.
 	gone error
 	// flushed is closed once a sealed shard's release stands in the log.
@@ -99,6 +112,7 @@
 		generation: 1,
 		committed:  index,
 		logged:     index,
+		settled:    true,
 	}
 	s.ctx, s.cancel = context.WithCancel(m.running)
 	s.writes, s.stopWrites = context.WithCancel(s.ctx)
@@ -142,7 +156,7 @@
 // their place in the journal in any case, so that the host's state and the journal
 // never part; while the log is known to be away only the wait is cut short.
 func (s *ownedShard) EnqueueDurable(records ...[]byte) (wait func(ctx context.Context) error, err error) {
-	away := s.manager.health.isDown()
+	away := s.manager.health.isDown() || s.isArmed()
 	done, err := s.enqueue(records, !away)
 	if err != nil {
 		return nil, err
@@ -185,7 +199,7 @@
 		s.manager.counters.recordBytes.Add(uint64(len(record)))
 	}
 	s.manager.counters.records.Add(uint64(len(records)))
-	if err := s.maybeSnapshot(); err != nil {
+	if err := errors.Join(s.maybeArm(), s.maybeSnapshot()); err != nil {
 		s.logger.Error("no snapshot of the shard", "error", err)
 	}
 	waiting := waiter{index: s.tail.Last(), done: make(chan error, 1)}
@@ -267,7 +281,9 @@
 		return
 	}
 	s.logged = index
-	s.tail.Trim(index)
+	if s.arming == 0 {
+		s.tail.Trim(index)
+	}
 	s.advance()
 }
 
@@ -310,7 +326,7 @@
 		waiting.done <- fmt.Errorf("%w: %w: shard %d: %w", ErrUnknown, ErrNotOwner, s.id, reason)
 	}
 	s.manager.forget(s)
-	if errors.Is(reason, errHandedOver) || errors.Is(reason, errReopened) || s.manager.running.Err() != nil {
+	if errors.Is(reason, errHandedOver) || errors.Is(reason, errReopened) || errors.Is(reason, errInterimOver) || s.manager.running.Err() != nil {
 		return
 	}
 	s.manager.counters.lost.Add(1)
--- a/internal/journal/renew.go
+++ b/internal/journal/renew.go
@@ -41,7 +41,7 @@
 	rounds := map[identity.Reference]*renewalRound{}
 	for _, shard := range shards {
 		shard.mutex.Lock()
-		renewal := Renewal{Shard: shard.id, Epoch: shard.claim.Epoch, Logged: shard.logged}
+		renewal := Renewal{Shard: shard.id, Epoch: shard.claim.Epoch, Logged: shard.logged, Term: shard.term, Quiet: shard.quiet}
 		for reference, link := range shard.links {
 			if link.gone {
 				continue
@@ -82,11 +82,11 @@
 		fenced[shard] = true
 	}
 	for i, shard := range round.shards {
-		shard.takeRenewal(round.node, sentAt, round.renewals[i].Epoch, answer.OtherLife, fenced[shard.id])
+		shard.takeRenewal(round.node, sentAt, round.renewals[i], answer.OtherLife, fenced[shard.id])
 	}
 }
 
-func (s *ownedShard) takeRenewal(node identity.Node, sentAt time.Time, epoch identity.Epoch, otherLife, fenced bool) {
+func (s *ownedShard) takeRenewal(node identity.Node, sentAt time.Time, renewal Renewal, otherLife, fenced bool) {
 	s.mutex.Lock()
 	current := s.claim.Epoch
 	link := s.links[node.Reference()]
@@ -97,10 +97,14 @@
 		s.updateLease()
 	case !fenced:
 		link.granted = later(link.granted, sentAt)
+		if link.quiet < renewal.Quiet {
+			link.quiet = renewal.Quiet
+			s.kickWriter()
+		}
 		s.updateLease()
 	}
 	s.mutex.Unlock()
-	if fenced && epoch == current {
+	if fenced && renewal.Epoch == current {
 		s.contest(node)
 	}
 }
--- a/internal/journal/replace.go
+++ b/internal/journal/replace.go
@@ -33,7 +33,7 @@
 		s.kickWriter()
 		return
 	}
-	if s.moving || s.gone != nil || sameReplicas(replicas, s.claim.Replicas) || !s.mayExchange(replicas) {
+	if s.moving || s.gone != nil || s.arming > 0 || s.term > 0 || sameReplicas(replicas, s.claim.Replicas) || !s.mayExchange(replicas) {
 		return
 	}
 	next := &replacement{replicas: replicas}
@@ -92,7 +92,7 @@
 func (s *ownedShard) beginMove() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.replacing || s.moving || s.gone != nil {
+	if s.replacing || s.moving || s.gone != nil || s.arming > 0 || !s.settled || s.claiming {
 		return false
 	}
 	s.moving = true
@@ -165,6 +165,10 @@
 // records and lease need both sets of replicas from here on, the claim and its
 // activation go to the log, and then the old replicas are let go.
 func (s *ownedShard) claimAgain(stream *stream, next *replacement) error {
+	defer s.forbidArming()()
+	if err := s.awaitSettled(); err != nil {
+		return err
+	}
 	s.mutex.Lock()
 	next.joint = true
 	s.updateLease()
--- a/internal/journal/replica.go
+++ b/internal/journal/replica.go
@@ -52,6 +52,17 @@
 	heldUntil time.Time
 	holder    identity.Reference
 	leased    identity.Epoch
+	// term ranks the interim owners of the promised epoch; claimant is whom it was
+	// promised to. tailTerm is the term of the tail's writer.
+	term     uint64
+	claimant identity.Reference
+	tailTerm uint64
+	// armed is the number of the whole state that allows an interim ownership under
+	// claim; quiet, by quietOwner, takes all numbers up to it back.
+	armed      uint64
+	claim      Claim
+	quiet      uint64
+	quietOwner identity.Reference
 }
 
 // Write is what an owner sends to a replica.
@@ -66,6 +77,12 @@
 	Tail  Tail
 	// Logged is the index up to which the log holds all records.
 	Logged uint64
+	// Term is 0 for an owner whose claim stands in the log.
+	Term uint64
+	// Armed is the number under which the owner allows an interim ownership, with
+	// the claim that names the replicas; 0 if it allows none.
+	Armed uint64
+	Claim Claim
 }
 
 // WriteAnswer is what the replica makes of a Write.
@@ -79,15 +96,18 @@
 // Append takes records of the epoch's owner. A message that arrives twice or late
 // never takes away what a later one brought.
 func (r *Replica) Append(write Write) WriteAnswer {
-	if write.Epoch < r.promised {
+	if r.refuses(write.Epoch, write.Term, write.Owner) {
 		return WriteAnswer{Refusal: Fenced, Promised: r.promised}
 	}
 	if !r.take(write) {
 		return WriteAnswer{Refusal: Missing, Promised: r.promised}
 	}
 	r.promised, r.epoch = write.Epoch, write.Epoch
-	r.owner, r.tailFrom = write.Owner, write.TailFrom
-	r.tail.Trim(min(write.Logged, r.tail.Last()))
+	r.term, r.claimant = write.Term, write.Owner
+	r.owner, r.tailFrom, r.tailTerm = write.Owner, write.TailFrom, write.Term
+	if !r.isArmed() {
+		r.tail.Trim(min(write.Logged, r.tail.Last()))
+	}
 	return WriteAnswer{Promised: r.promised, Last: r.tail.Last()}
 }
 
@@ -97,17 +117,42 @@
 	if !write.Whole {
 		return same && r.tail.Add(write.Tail.After, write.Tail.Entries)
 	}
-	if !same || write.Tail.Last() >= r.tail.Last() {
+	if !same {
+		r.armed, r.claim = 0, Claim{}
+	}
+	last, held := write.Tail.Last(), r.tail.Last()
+	if !same || last > held || (last == held && write.Armed >= r.armed) {
 		r.tail = write.Tail
 		// An owner that counts as its own replica must not share its slice.
 		r.tail.Entries = slices.Clone(write.Tail.Entries)
 	}
+	if write.Armed > r.armed {
+		r.armed, r.claim = write.Armed, write.Claim
+	}
 	return true
 }
 
+// refuses tells whether a higher fence was promised, or the same one to another
+// interim owner.
+func (r *Replica) refuses(epoch identity.Epoch, term uint64, owner identity.Reference) bool {
+	if epoch != r.promised {
+		return epoch < r.promised
+	}
+	return term < r.term || (term > 0 && term == r.term && owner != r.claimant)
+}
+
+// isArmed tells whether an interim owner may go on from the tail held here: it is
+// a whole state, which the owner has not taken back, of the promised epoch.
+func (r *Replica) isArmed() bool {
+	if !r.tail.Folded || r.armed == 0 || r.claim.Epoch != r.promised {
+		return false
+	}
+	return r.quietOwner != r.owner || r.quiet < r.armed
+}
+
 // sameOwnership tells whether the tail held here belongs to write's ownership.
 func (r *Replica) sameOwnership(write Write) bool {
-	return r.epoch > 0 && r.tailFrom == write.TailFrom && r.owner == write.Owner
+	return r.epoch > 0 && r.tailFrom == write.TailFrom && r.owner == write.Owner && r.tailTerm == write.Term
 }
 
 // Renewal asks for the lease of one shard.
@@ -116,16 +161,26 @@
 	Epoch identity.Epoch
 	// Logged is the index up to which the log holds all records.
 	Logged uint64
+	// Term is that of the owner; Quiet takes back all Armed numbers up to it.
+	Term  uint64
+	Quiet uint64
 }
 
 // Renew grants the lease to owner until terms.Hold from now.
 func (r *Replica) Renew(now time.Time, owner identity.Reference, renewal Renewal, terms LeaseTerms) Refusal {
-	if renewal.Epoch < r.promised {
+	if r.refuses(renewal.Epoch, renewal.Term, owner) {
 		return Fenced
 	}
 	r.promised, r.leased, r.holder = renewal.Epoch, renewal.Epoch, owner
+	r.term, r.claimant = renewal.Term, owner
 	r.heldUntil = later(r.heldUntil, now.Add(terms.Hold()))
-	if r.owner == owner && r.epoch > 0 {
+	if r.quietOwner == r.owner && r.quiet >= r.armed {
+		r.armed = 0 // also when another owner's renewals come
+	}
+	if r.quietOwner != owner || r.quiet < renewal.Quiet {
+		r.quietOwner, r.quiet = owner, renewal.Quiet
+	}
+	if r.owner == owner && r.epoch > 0 && !r.isArmed() {
 		r.tail.Trim(min(renewal.Logged, r.tail.Last()))
 	}
 	return Granted
@@ -144,7 +199,9 @@
 		return
 	}
 	r.promised = epoch
-	r.tail, r.epoch, r.owner, r.tailFrom = Tail{}, 0, identity.Reference{}, 0
+	r.term, r.claimant = 0, identity.Reference{}
+	r.tail, r.epoch, r.owner, r.tailFrom, r.tailTerm = Tail{}, 0, identity.Reference{}, 0, 0
+	r.armed, r.claim = 0, Claim{}
 	r.heldUntil = time.Time{}
 }
 
@@ -174,21 +231,38 @@
 	// Remaining is how long a lease granted before still runs; the claimant must
 	// wait it out.
 	Remaining time.Duration
-	// TailEpoch and Tail are what the replica holds, and of which epoch.
+	// TailEpoch, TailTerm and Tail are what the replica holds, and of which writer.
 	TailEpoch identity.Epoch
+	TailTerm  uint64
 	Tail      Tail
 }
 
 // Promise refuses all epochs below epoch from here on.
 func (r *Replica) Promise(now time.Time, epoch identity.Epoch) Promise {
-	if epoch < r.promised {
+	if epoch < r.promised || (epoch == r.promised && r.term > 0) {
 		return Promise{Refusal: Fenced, Promised: r.promised}
 	}
 	r.promised = epoch
+	r.term, r.claimant = 0, identity.Reference{}
+	return r.promise(now)
+}
+
+// PromiseInterim refuses all below term of epoch from here on, and all others in
+// it but claimant, provided that the owner left a whole state here for that.
+func (r *Replica) PromiseInterim(now time.Time, epoch identity.Epoch, term uint64, claimant identity.Reference) Promise {
+	if epoch != r.promised || r.refuses(epoch, term, claimant) || !r.isArmed() {
+		return Promise{Refusal: Fenced, Promised: r.promised}
+	}
+	r.term, r.claimant = term, claimant
+	return r.promise(now)
+}
+
+func (r *Replica) promise(now time.Time) Promise {
 	return Promise{
-		Promised:  epoch,
+		Promised:  r.promised,
 		Remaining: r.Remaining(now),
 		TailEpoch: r.epoch,
+		TailTerm:  r.tailTerm,
 		Tail:      r.tail,
 	}
 }
--- a/internal/journal/replicas.go
+++ b/internal/journal/replicas.go
@@ -139,6 +139,9 @@
 	return &preVoteAnswer{
 		Remaining: slot.replica.Remaining(time.Now()),
 		Promised:  slot.replica.Promised(),
+		Term:      slot.replica.term,
+		Armed:     slot.replica.isArmed(),
+		Claim:     slot.replica.claim,
 	}, nil
 }
 
@@ -154,7 +157,12 @@
 		return &promiseAnswer{Refusal: OtherLife, Remaining: m.formerGrants()}, nil
 	}
 	slot.mutex.Lock()
-	promise := slot.replica.Promise(time.Now(), request.Epoch)
+	var promise Promise
+	if request.Term > 0 {
+		promise = slot.replica.PromiseInterim(time.Now(), request.Epoch, request.Term, request.Claimant)
+	} else {
+		promise = slot.replica.Promise(time.Now(), request.Epoch)
+	}
 	slot.mutex.Unlock()
 	encoder := &wire.Encoder{}
 	promise.Tail.encode(encoder)
@@ -170,6 +178,7 @@
 		Promised:  promise.Promised,
 		Remaining: promise.Remaining,
 		TailEpoch: promise.TailEpoch,
+		TailTerm:  promise.TailTerm,
 	}, nil
 }
 
--- a/internal/journal/schedule.go
+++ b/internal/journal/schedule.go
@@ -74,7 +74,7 @@
 // claimSome begins as many claims as the rate allows, and tells whether any of the
 // wanted shards is missing.
 func (m *Manager) claimSome(wanted []identity.ShardID) (missing bool) {
-	if m.draining.Load() || m.health.isDown() {
+	if m.draining.Load() || (m.health.isDown() && !m.logAway()) {
 		return false
 	}
 	var due []identity.ShardID
@@ -119,7 +119,7 @@
 	slot.attempt = attempt
 	m.tasks.Go(func() {
 		defer close(attempt)
-		m.finish(shard, m.claim(m.running, shard))
+		m.finish(shard, m.takeShard(m.running, shard))
 	})
 	return attempt
 }
--- a/internal/journal/site_test.go
+++ b/internal/journal/site_test.go
@@ -289,6 +289,16 @@
 	h.shards[shard.ID()] = &openShard{shard: shard, machine: machine.(*setMachine)}
 }
 
+func (h *testHost) Checkpoint(shard Shard) {
+	open := h.open(shard.ID())
+	if open == nil || open.shard != shard {
+		return
+	}
+	open.mutex.Lock()
+	defer open.mutex.Unlock()
+	_, _ = shard.Enqueue()
+}
+
 func (h *testHost) Closing(_ context.Context, _ Shard) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/journal/stats.go
+++ b/internal/journal/stats.go
@@ -24,6 +24,8 @@
 	// HandOvers counts shards handed over, Lost shards taken over by others.
 	HandOvers uint64
 	Lost      uint64
+	// Interims counts shards opened without the log.
+	Interims uint64
 	// MayLack counts recoveries after all copies that could complete the tail were
 	// gone: records that were acknowledged may be missing.
 	MayLack uint64
@@ -44,7 +46,7 @@
 	handOvers, lost, mayLack           atomic.Uint64
 	records, recordBytes               atomic.Uint64
 	logAppends, logBytes, snapshots    atomic.Uint64
-	fenced                             atomic.Uint64
+	fenced, interims                   atomic.Uint64
 }
 
 // Stats returns a snapshot for metrics.
@@ -64,6 +66,7 @@
 		LogBytes:     c.logBytes.Load(),
 		Snapshots:    c.snapshots.Load(),
 		Fenced:       c.fenced.Load(),
+		Interims:     c.interims.Load(),
 	}
 	for _, shard := range m.owned() {
 		stats.Owned++
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -43,6 +43,9 @@
 				return err
 			}
 		}
+		if !s.settle() {
+			return nil
+		}
 		if err := s.gather(); err != nil {
 			return err
 		}
@@ -89,7 +92,12 @@
 		return nil // without the log nobody takes over; the next renewal asks again
 	}
 	if stream.ledger.Current().Epoch == s.claim.Epoch {
-		return nil
+		if !s.isContested() {
+			return nil
+		}
+		// A replica promised an interim owner that got no further: a claim above it
+		// wins the replica back.
+		return s.counterClaim(stream)
 	}
 	if stream.ledger.Active().Epoch == s.claim.Epoch && s.CheckLease() != nil {
 		return errFenced
@@ -133,6 +141,9 @@
 func (s *ownedShard) nextRecord() (record *Record, sealed bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.arming > 0 || !s.settled {
+		return nil, false
+	}
 	if s.snapshot != nil {
 		return s.record(SnapshotRecord, s.snapshot.index, func(r *Record) {
 			r.State, r.Claim, r.Active = s.snapshot.state, s.claim, s.claim
@@ -217,6 +228,7 @@
 	}
 	again := m.newOwnedShard(s.id, s.claim, s.logged, s.machine)
 	again.tail, again.committed, again.snapshot = s.tail, s.committed, s.snapshot
+	again.quiet, again.settled = s.quiet, s.settled
 	again.sinceSnapshot, again.snapshotSize = s.sinceSnapshot, s.snapshotSize
 	again.waiters, again.durable = s.waiters, s.durable
 	s.waiters, s.durable = nil, nil
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -149,6 +149,9 @@
 // Opened implements journal.Host.
 func (hollowHost) Opened(journal.Shard, journal.StateMachine) {}
 
+// Checkpoint implements journal.Host.
+func (hollowHost) Checkpoint(shard journal.Shard) { _, _ = shard.Enqueue() }
+
 // Closing implements journal.Host.
 func (hollowHost) Closing(context.Context, journal.Shard) {}
 
--- a/internal/serving/owner.go
+++ b/internal/serving/owner.go
@@ -134,6 +134,19 @@
 	go s.watch()
 }
 
+// Checkpoint implements journal.Host.
+func (o *Owner) Checkpoint(held journal.Shard) {
+	o.mutex.RLock()
+	s := o.shards[held.ID()]
+	o.mutex.RUnlock()
+	if s == nil || s.journal != held {
+		return
+	}
+	s.machine.mutex.Lock()
+	defer s.machine.mutex.Unlock()
+	_, _ = s.commit(false) // no record waits for anything
+}
+
 // Closing implements journal.Host. New calls are sent to the next owner from
 // now on. Application calls under way cannot be taken over, so they are waited
 // for, bounded; model streams run on at their engines and the next owner
