--- /dev/null
+++ b/internal/journal/interim_test.go
@@ -0,0 +1,253 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"stepseam.example/stepseam/internal/emulator/logservice"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+)
+
+// interimBound is how long a shard may be without an owner after a death in an
+// outage: the lease, the look at it, and a claim.
+const interimBound = 5 * time.Second
+
+// changing lets change work on every request to a replica before it is handled.
+func changing(change func(node *testNode, request peer.Message)) func(*testNode, peer.HandlerFunc) peer.HandlerFunc {
+	return func(node *testNode, next peer.HandlerFunc) peer.HandlerFunc {
+		return func(ctx context.Context, request peer.Message, sendPart func(peer.Message) error) (peer.Message, error) {
+			change(node, request)
+			return next(ctx, request, sendPart)
+		}
+	}
+}
+
+// unarmed lets replicas get no whole state for an interim owner.
+func unarmed(_ *testNode, request peer.Message) {
+	if write, fits := request.(*appendMessage); fits {
+		write.Write.Armed = 0
+	}
+}
+
+// termless lets replicas take records and renewals below the promised term.
+func termless(node *testNode, request peer.Message) {
+	if request.Kind() != kindAppend && request.Kind() != kindRenew {
+		return
+	}
+	for i := range node.manager.replicas {
+		slot := &node.manager.replicas[i]
+		slot.mutex.Lock()
+		slot.replica.term = 0
+		slot.mutex.Unlock()
+	}
+}
+
+// deaf lets replicas confirm that no interim owner may come any more, and forget it.
+func deaf(_ *testNode, request peer.Message) {
+	if renew, fits := request.(*renewMessage); fits {
+		for i := range renew.Renewals {
+			renew.Renewals[i].Quiet = 0
+		}
+	}
+}
+
+// consenting takes a replica that does not answer for one that agrees.
+type consenting struct{ peer.Client }
+
+func assumeConsent(client peer.Client) peer.Client { return consenting{client} }
+
+// Call answers renewals itself where nobody does.
+func (c consenting) Call(ctx context.Context, address netip.AddrPort, request peer.Message, onPart func(peer.Message) error) (peer.Message, error) {
+	answer, err := c.Client.Call(ctx, address, request, onPart)
+	if err != nil && request.Kind() == kindRenew {
+		return &renewAnswer{}, nil
+	}
+	return answer, err
+}
+
+// takeover waits until another node than former serves shard 0.
+func (s *testSite) takeover(former *testNode) (time.Duration, error) {
+	began := time.Now()
+	for time.Since(began) < interimBound {
+		if node := s.serving(0); node != nil && node != former {
+			return time.Since(began), nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return 0, fmt.Errorf("shard 0 is not served %v after its owner's death in an outage", interimBound)
+}
+
+// killInOutage kills the owner while the log is away, brings it back with nothing,
+// and kills the owner that took its place.
+func killInOutage(site *testSite) error {
+	owners := site.watchOwners()
+	load := site.load(0)
+	site.log.SetDown(true)
+	time.Sleep(10 * time.Second)
+	claims := len(site.log.Records(StreamName(0)))
+	for range 2 {
+		owner := site.serving(0)
+		owner.kill()
+		time.Sleep(time.Second)
+		site.refresh()
+		if _, err := site.takeover(owner); err != nil {
+			return err
+		}
+		time.Sleep(20 * time.Second)
+		site.start(number(owner.node.Name))
+		time.Sleep(20 * time.Second)
+	}
+	if after := len(site.log.Records(StreamName(0))); after != claims {
+		return fmt.Errorf("the log went from %d to %d records while it was away", claims, after)
+	}
+	return errors.Join(site.settle(), load.check(), owners(), site.checkLog(0))
+}
+
+// freezeInOutage freezes the owner past its lease while the log is away, and wakes
+// it up between its look at the lease and what it does then.
+func freezeInOutage(site *testSite) error {
+	owner := site.serving(0)
+	open := owner.host.open(0)
+	load := site.load(0)
+	site.log.SetDown(true)
+	time.Sleep(10 * time.Second)
+	owner.endpoint.Freeze()
+	time.Sleep(time.Second)
+	site.refreshWith(map[identity.NodeName]membership.Status{owner.node.Name: membership.Dead})
+	if _, err := site.takeover(owner); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Second)
+	owner.endpoint.Thaw()
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	const stale = 1 << 40
+	if open.addUnchecked(ctx, stale, site.variant.noLeaseCheck) == nil {
+		load.acknowledge(stale)
+	}
+	time.Sleep(5 * time.Second)
+	return errors.Join(site.settle(), load.check(), site.checkLog(0))
+}
+
+// dieAfterOutage lets the owner come through an outage, acknowledge records that
+// the log holds and the replicas lack, and die as the next outage begins: whole
+// states of the first one must not be taken for the present.
+func dieAfterOutage(site *testSite) error {
+	owners := site.watchOwners()
+	load := site.load(0)
+	site.log.SetDown(true)
+	time.Sleep(10 * time.Second)
+	site.log.SetDown(false)
+	time.Sleep(5 * time.Second)
+	owner := site.serving(0)
+	site.isolate(owner)
+	time.Sleep(time.Second)
+	site.log.SetDown(true)
+	owner.kill()
+	time.Sleep(time.Second)
+	site.refresh()
+	time.Sleep(30 * time.Second)
+	return errors.Join(site.settle(), load.check(), owners(), site.checkLog(0))
+}
+
+// wholeState returns the last record of the state that the shard was armed with.
+func (s *ownedShard) wholeState() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.tail.After
+}
+
+// ownerSeesLog cuts the owner off from its peers in an outage that ends for it
+// alone: it must not bring anything to the log that an interim owner may lack.
+func ownerSeesLog(site *testSite) error {
+	owners := site.watchOwners()
+	load := site.load(0)
+	owner := site.serving(0)
+	away := logservice.Faults{Down: true}
+	for _, node := range site.all() {
+		site.log.ViewFor(string(node.node.Name)).SetFaults(away)
+	}
+	time.Sleep(10 * time.Second)
+	whole := owner.manager.slots[0].load().wholeState()
+	site.isolate(owner)
+	site.log.ViewFor(string(owner.node.Name)).SetFaults(logservice.Faults{})
+	time.Sleep(time.Second)
+	site.refreshWith(map[identity.NodeName]membership.Status{owner.node.Name: membership.Dead})
+	_, err := site.takeover(owner)
+	time.Sleep(20 * time.Second)
+	ledger := NewLedger(0, 0)
+	for _, raw := range site.log.Records(StreamName(0)) {
+		ledger.Apply(raw)
+	}
+	if ledger.Index() > whole {
+		err = errors.Join(err, fmt.Errorf("the log holds record %d, the whole state at the replicas ends at %d", ledger.Index(), whole))
+	}
+	for _, node := range site.all() {
+		site.log.ViewFor(string(node.node.Name)).SetFaults(logservice.Faults{})
+	}
+	return errors.Join(err, site.settle(), load.check(), owners(), site.checkLog(0))
+}
+
+// TestNoWholeStateNoOwner kills an owner before it could leave a whole state with
+// its replicas: nobody may serve the shard before the log is back.
+func TestNoWholeStateNoOwner(t *testing.T) {
+	t.Parallel()
+	err := scenario(t, variant{}, 6, func(site *testSite) error {
+		load := site.load(0)
+		time.Sleep(time.Second)
+		site.log.SetDown(true)
+		time.Sleep(100 * time.Millisecond)
+		site.serving(0).kill()
+		site.refresh()
+		time.Sleep(5 * time.Minute)
+		if site.serving(0) != nil {
+			return errors.New("the shard is served without its state")
+		}
+		return errors.Join(site.settle(), load.check(), site.checkLog(0))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestArmingEndsWithTheOutage lets an idle shard come through an outage: its
+// replicas hold a whole state in it, and nothing after it.
+func TestArmingEndsWithTheOutage(t *testing.T) {
+	t.Parallel()
+	err := scenario(t, variant{}, 6, func(site *testSite) error {
+		if err := site.serving(0).host.open(0).add(context.Background(), 1, false); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+		armed := func() (count int) {
+			for _, node := range site.all() {
+				slot := &node.manager.replicas[0]
+				slot.mutex.Lock()
+				if slot.replica.isArmed() {
+					count++
+				}
+				slot.mutex.Unlock()
+			}
+			return count
+		}
+		owner := site.serving(0)
+		site.log.SetDown(true)
+		time.Sleep(10 * time.Second)
+		during := armed()
+		site.log.SetDown(false)
+		time.Sleep(5 * time.Second)
+		if after := armed(); during != 3 || after != 0 || site.serving(0) != owner {
+			return fmt.Errorf("%d whole states in the outage and %d after it", during, after)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/journal/proof_test.go
+++ b/internal/journal/proof_test.go
@@ -18,6 +18,10 @@
 		{"owner cut off", cutOwner, variant{handle: impatient}},
 		{"claimant cut off", cutClaimant, variant{client: skipPreVote}},
 		{"lost answers", loseAnswers, variant{log: blind}},
+		{"owners die in an outage", killInOutage, variant{handle: changing(unarmed)}},
+		{"freeze past the lease in an outage", freezeInOutage, variant{handle: changing(termless), noLeaseCheck: true}},
+		{"owner dies after an outage", dieAfterOutage, variant{handle: changing(deaf)}},
+		{"log back for the owner alone", ownerSeesLog, variant{client: assumeConsent}},
 	} {
 		t.Run(proof.name, func(t *testing.T) {
 			t.Parallel()
