--- a/internal/journal/schedule.go
+++ b/internal/journal/schedule.go
@@ -158,6 +158,9 @@
 	ordinary := m.running.Err() != nil
 	if _, waits := errors.AsType[*leaseRunsError](err); waits {
 		ordinary = true
+		if m.logAway() {
+			failures = 0 // an interim owner keeps the shard until the log is back
+		}
 	}
 	for _, reason := range []error{errHeldElsewhere, errLostRace, errClaimUnderWay, errLogAway} {
 		ordinary = ordinary || errors.Is(err, reason)
--- /dev/null
+++ b/test/simulation/interim_test.go
@@ -0,0 +1,147 @@
+package simulation
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/emulator/logservice"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/journal"
+)
+
+const (
+	outageLength = time.Hour
+	// betweenDeaths is the time from one death to the next.
+	betweenDeaths = 12 * time.Minute
+	// longestGap bounds how long a program cannot be reached after its owner's death
+	// in an outage: the death is seen, the lease runs out, the state is fetched.
+	longestGap = 8 * time.Second
+)
+
+// TestOwnersDieInAnOutageOfTheLog takes the log service away for an hour, in which
+// owners die one after the other and come back a minute later with nothing. No two
+// of them are replicas of one shard, since sets of replicas stay as they are while
+// the log is away. Programs go on within seconds of each death; calls that must run
+// at most once are refused as not run.
+func TestOwnersDieInAnOutageOfTheLog(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		plan := quito(5)
+		plan.nodes, plan.shards, plan.programs, plan.mainRepeatable = 12, 8, 10, true
+		plan.calls, plan.pause, plan.impatient = 60, 3*time.Minute, false
+		site := newSite(t, plan)
+		defer site.close()
+		time.Sleep(30 * time.Second) // the sets of replicas grow to their full size
+		var records []*programRecord
+		var callers sync.WaitGroup
+		callers.Go(func() { records = site.workload(t.Context()) })
+		time.Sleep(10 * time.Second)
+		site.log.SetFaults(logservice.Faults{Down: true})
+		began := time.Now()
+		victims := site.apart()
+		is.True(len(victims) >= 3)
+		for _, victim := range victims {
+			time.Sleep(betweenDeaths)
+			owned := site.life(victim).node.Journal().Owned()
+			site.killNode(victim)
+			t.Logf("%s died as the owner of %d shards; the slowest of their programs went on after %s",
+				nodeName(victim), len(owned), site.longestSilence(t, owned))
+			time.Sleep(time.Minute)
+			site.startNode(victim)
+		}
+		time.Sleep(outageLength - time.Since(began))
+		site.log.SetFaults(logservice.Faults{})
+		callers.Wait()
+		time.Sleep(freeingTime)
+		is.Equal(site.journalStats().MayLack, uint64(0))
+		is.Equal(site.journalStats().TailBytes, 0)
+		is.Equal(site.check(records), nil)
+		refused := 0
+		for _, record := range records {
+			for _, outcome := range record.outcomes {
+				refused += outcome.refusals[api.CodeLogUnavailable]
+				if !outcome.request.Unrepeatable {
+					is.True(outcome.answer != nil) // answered, and no refusal names the log
+					is.Equal(outcome.refusals[api.CodeLogUnavailable], 0)
+					is.True(outcome.took < time.Minute)
+				}
+			}
+		}
+		is.True(refused > 0)
+		t.Log(summary(records))
+	})
+}
+
+// apart returns nodes that own shards, no two of which are replicas of one shard
+// by the claims that stand in the log.
+func (s *site) apart() []int {
+	var victims []int
+	for index := range s.plan.nodes {
+		alone := len(s.life(index).node.Journal().Owned()) > 0
+		for shard := range identity.ShardID(s.plan.shards) {
+			replicas := s.replicas(shard)
+			alone = alone && !(slices.Contains(replicas, nodeName(index)) && slices.ContainsFunc(victims, func(other int) bool {
+				return slices.Contains(replicas, nodeName(other))
+			}))
+		}
+		if alone && len(victims) < 4 {
+			victims = append(victims, index)
+		}
+	}
+	return victims
+}
+
+// replicas returns the replicas of the shard's active claim.
+func (s *site) replicas(shard identity.ShardID) []identity.NodeName {
+	ledger := journal.NewLedger(shard, 0)
+	for _, raw := range s.log.Records(journal.StreamName(shard)) {
+		ledger.Apply(raw)
+	}
+	var names []identity.NodeName
+	for _, replica := range ledger.Active().Replicas {
+		names = append(names, replica.Name)
+	}
+	return names
+}
+
+// longestSilence asks for the programs of shards until each is answered again, and
+// returns how long the last one took.
+func (s *site) longestSilence(t *testing.T, shards []identity.ShardID) time.Duration {
+	t.Helper()
+	died := time.Now()
+	for index := range s.plan.programs {
+		program := identity.ProgramID(fmt.Sprintf("program-%d", index))
+		if !slices.Contains(shards, program.Shard(s.plan.shards)) {
+			continue
+		}
+		for !s.answers(program) {
+			if time.Since(died) > longestGap {
+				t.Errorf("%s cannot be reached %s after its owner's death", program, longestGap)
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return time.Since(died)
+}
+
+func (s *site) answers(program identity.ProgramID) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for index := range s.plan.nodes {
+		if alive := s.life(index); alive != nil {
+			_, err := alive.node.Programs().Get(ctx, program)
+			return err == nil
+		}
+	}
+	return false
+}
--- a/test/simulation/site_test.go
+++ b/test/simulation/site_test.go
@@ -62,6 +62,8 @@
 	// impatient callers give one refused call in four up at once, so that the
 	// checker can see that it never ran.
 	impatient bool
+	// mainRepeatable leaves unrepeatable calls to the branch beside the main one.
+	mainRepeatable bool
 	// hooks replace rules of every node by wrong ones, for the checkers' own proof.
 	hooks serving.Hooks
 	// wrapLog replaces a node's log client, for the checkers' own proof.
