--- a/internal/journal/interim_test.go
+++ b/internal/journal/interim_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
 	"stepseam.example/stepseam/internal/emulator/logservice"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
@@ -216,6 +219,83 @@
 	}
 }
 
+// TestOutageOfSmallSites kills the owner in an outage of sites whose owners count as
+// replicas: of three nodes the other two go on, of two the one may not.
+func TestOutageOfSmallSites(t *testing.T) {
+	t.Parallel()
+	for nodes, served := range map[int]bool{3: true, 2: false} {
+		err := scenario(t, variant{}, nodes, func(site *testSite) error {
+			owners := site.watchOwners()
+			load := site.load(0)
+			site.log.SetDown(true)
+			time.Sleep(10 * time.Second)
+			owner := site.serving(0)
+			owner.kill()
+			site.refresh()
+			time.Sleep(interimBound)
+			if (site.serving(0) != nil) != served {
+				return fmt.Errorf("served: %v, want %v", !served, served)
+			}
+			site.start(number(owner.node.Name))
+			time.Sleep(10 * time.Second)
+			return errors.Join(site.settle(), load.check(), owners(), site.checkLog(0))
+		})
+		if err != nil {
+			t.Errorf("%d nodes: %v", nodes, err)
+		}
+	}
+}
+
+// TestReplicaKeepsInterimPromises draws messages of an owner and of interim owners,
+// late and repeated ones among them: what was promised a term stays refused below
+// it, and no term is promised from a state that the owner took back.
+func TestReplicaKeepsInterimPromises(t *testing.T) {
+	owner := identity.Reference{Name: "n0", Incarnation: 1}
+	terms := LeaseTerms{Duration: time.Second, Drift: time.Second / 10}
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(t)
+		var replica Replica
+		var promised, confirmed uint64
+		var claimant identity.Reference
+		for range rapid.IntRange(5, 40).Draw(rt, "steps") {
+			number := rapid.Uint64Range(1, 9).Draw(rt, "number")
+			rival := identity.Reference{Name: rapid.SampledFrom([]identity.NodeName{"n1", "n2"}).Draw(rt, "rival"), Incarnation: 1}
+			term := rapid.Uint64Range(1, 4).Draw(rt, "term")
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0:
+				answer := replica.Append(Write{
+					Epoch: 1, TailFrom: 1, Owner: owner, Whole: true, Armed: number, Claim: Claim{Epoch: 1},
+					Tail: Tail{After: number, Folded: true, State: []byte{byte(number)}},
+				})
+				is.Equal(answer.Refusal == Fenced, promised > 0)
+			case 1:
+				refusal := replica.Renew(time.Time{}, owner, Renewal{Epoch: 1, Quiet: number}, terms)
+				is.Equal(refusal == Fenced, promised > 0)
+				if refusal == Granted {
+					confirmed = max(confirmed, number)
+				}
+			case 2:
+				refusal := replica.Renew(time.Time{}, rival, Renewal{Epoch: 1, Term: term}, terms)
+				if term < promised || (promised == term && rival != claimant) {
+					is.Equal(refusal, Fenced)
+				}
+				if refusal == Granted {
+					promised, claimant = term, rival
+				}
+			case 3:
+				armed := replica.armed
+				answer := replica.PromiseInterim(time.Time{}, 1, term, rival)
+				if answer.Refusal != Granted {
+					continue
+				}
+				is.True(armed > confirmed)
+				is.True(term > promised || (term == promised && rival == claimant))
+				promised, claimant = term, rival
+			}
+		}
+	})
+}
+
 // TestArmingEndsWithTheOutage lets an idle shard come through an outage: its
 // replicas hold a whole state in it, and nothing after it.
 func TestArmingEndsWithTheOutage(t *testing.T) {
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -88,8 +88,9 @@
 // prefixes of one sequence, so the furthest one holds what all others do.
 func Longest(tails []Tail) Tail {
 	var longest Tail
-	for _, tail := range tails {
-		if tail.Last() > longest.Last() {
+	for i, tail := range tails {
+		// The first one may be the whole state of a shard without records.
+		if i == 0 || tail.Last() > longest.Last() {
 			longest = tail
 		}
 	}
