--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -33,15 +33,8 @@
 // lost.
 func (s *ownedShard) drainToLog(stream *stream) error {
 	for {
-		if s.takeContest() {
-			if err := s.answerContest(stream); err != nil {
-				return err
-			}
-		}
-		if next := s.takeReplacement(); next != nil {
-			if err := s.replaceReplicas(stream, next); err != nil {
-				return err
-			}
+		if err := s.claimIfNeeded(stream); err != nil {
+			return err
 		}
 		if !s.settle() {
 			return nil
@@ -70,6 +63,20 @@
 	}
 }
 
+// claimIfNeeded claims again where replicas promised to another claim or are to be
+// exchanged. An error tells that the shard is lost.
+func (s *ownedShard) claimIfNeeded(stream *stream) error {
+	if s.takeContest() {
+		if err := s.answerContest(stream); err != nil {
+			return err
+		}
+	}
+	if next := s.takeReplacement(); next != nil {
+		return s.replaceReplicas(stream, next)
+	}
+	return nil
+}
+
 func (s *ownedShard) takeContest() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
