Fail process tests when a process crashed by itself

Cause: a node that panics is taken over by the others, so a test could pass over it. Change: after each test the output of every process is searched for panics, fatal errors and data races.

--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -193,6 +193,26 @@
 	return nil
 }
 
+// crashMarks are what the language's runtime writes when a program is broken.
+var crashMarks = []string{"panic: ", "panic serving", "fatal error: ", "DATA RACE"}
+
+// Crash returns the first line of the process's output that tells of a panic,
+// a fatal error or a data race, or nothing.
+func (p *Process) Crash() string {
+	content, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return ""
+	}
+	for line := range strings.Lines(string(content)) {
+		for _, mark := range crashMarks {
+			if strings.Contains(line, mark) {
+				return strings.TrimSpace(line)
+			}
+		}
+	}
+	return ""
+}
+
 // logTailBytes is how much of a log goes into an error.
 const logTailBytes = 4 << 10
 
--- a/internal/lab/process/process_test.go
+++ b/internal/lab/process/process_test.go
@@ -41,6 +41,19 @@
 	check.True(err != nil && strings.Contains(err.Error(), "the reason") && strings.Contains(err.Error(), "exit status 3"))
 }
 
+func TestACrashIsFoundInTheOutput(t *testing.T) {
+	check := is.New(t)
+	for script, crash := range map[string]string{
+		`echo all is well`: "",
+		`echo fine; echo 'http: panic serving 127.0.0.1: oh'`: "http: panic serving 127.0.0.1: oh",
+		`echo 'WARNING: DATA RACE' >&2`:                       "WARNING: DATA RACE",
+	} {
+		started := startShell(t, script)
+		<-started.Done()
+		check.Equal(started.Crash(), crash)
+	}
+}
+
 func TestStopKillsWhatDoesNotEnd(t *testing.T) {
 	check := is.New(t)
 	started := startShell(t, `trap '' TERM; echo ready 127.0.0.9:80; while :; do sleep 0.01; done`)
--- a/test/process/main_test.go
+++ b/test/process/main_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -106,6 +107,7 @@
 	t.Cleanup(running.Close)
 	l := &laboratory{Site: running, t: t, ctx: ctx}
 	t.Cleanup(l.showLogs)
+	t.Cleanup(l.findCrashes)
 	publication := operator.Publication{ID: "first", Author: "test", CSV: tableText}
 	check.NoErr(running.PostOperators(ctx, running.Nodes[0], "/v1/table/versions", publication, nil))
 	check.NoErr(running.AwaitReady(ctx))
@@ -231,6 +233,21 @@
 	return found
 }
 
+// findCrashes fails the test if a process crashed by itself, which the others
+// may have hidden by taking its work over.
+func (l *laboratory) findCrashes() {
+	for _, node := range l.Nodes {
+		if crash := node.Crash(); crash != "" {
+			l.t.Errorf("%s crashed: %s", node.Name, crash)
+		}
+	}
+	for _, standIn := range slices.Concat(l.Engines, l.Applications, []*site.StandIn{l.LogService, l.MachineList}) {
+		if crash := standIn.Crash(); crash != "" {
+			l.t.Errorf("%s crashed: %s", standIn.Name(), crash)
+		}
+	}
+}
+
 // showLogs prints the nodes' last output of a test that failed.
 func (l *laboratory) showLogs() {
 	if !l.t.Failed() {
