Let the policy see the cache as the back-end controller believes it

Cause: without the cache map the policy took the engine of a branch's last call as holding all of it and saw no evictions. Change: serving's CachedTokens is the map's Tokens.

--- a/internal/node/providers.go
+++ b/internal/node/providers.go
@@ -87,7 +87,8 @@
 			GapWait: chosen.Limits.SequenceGapWait,
 			Audit:   chosen.Backends.AuditInterval,
 		},
-		Hooks: do.MustInvoke[serving.Hooks](injector),
+		CachedTokens: do.MustInvoke[*backends.Controller](injector).CacheMap().Tokens,
+		Hooks:        do.MustInvoke[serving.Hooks](injector),
 	}), nil
 }
 
