Cut regions in the scale run without a leak, and for long enough

Cause: at 240 nodes the table was in force in the cut region 0.07 ms after healing: a dial under way at the cut went through. And a cut of 5 s ended while suspicions were still running out, which counted as 5,741 false deaths.

Change: a dial looks at the cuts again once it stands; a cut lasts 20 s at least; the run fails if the table gets over the cut. The quiet window waits until the news of the start is passed on. Back ends have regions, as polling by region needs.

--- a/internal/lab/scale/cluster.go
+++ b/internal/lab/scale/cluster.go
@@ -52,7 +52,7 @@
 	for i := range replicas {
 		c.options.machines = append(c.options.machines, platform.Machine{
 			Name: fmt.Sprintf("engine-%03d", i), Role: platform.RoleEngine, State: platform.MachineLive,
-			Service: fmt.Sprintf("model-%02d", i%modelCount),
+			Service: fmt.Sprintf("model-%02d", i%modelCount), Region: regionOf(i / modelCount),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 256), byte(i % 256)}), 80),
 		})
 	}
--- a/internal/lab/scale/fabric.go
+++ b/internal/lab/scale/fabric.go
@@ -129,6 +129,10 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	wrapped := &cuttable{Conn: connection, fabric: l, ends: [2]identity.Region{from, l.regions[to]}}
+	if l.cuts[wrapped.ends] { // cut while the dial was under way
+		_ = connection.Close() // nobody uses it
+		return nil, errCut
+	}
 	l.open[wrapped] = struct{}{}
 	return wrapped, nil
 }
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"runtime"
 	"slices"
@@ -159,8 +160,33 @@
 		return err
 	}
 	r.result.Settling = time.Since(began).Seconds()
-	const calm = 5 * time.Second // the news of the start is passed on for a while
-	return sleep(ctx, calm)
+	return r.calm(ctx)
+}
+
+// The news of a start is passed on for a while. It has ended when datagrams are
+// little more than their headers.
+const (
+	calmLimit      = 90 * time.Second
+	calmWindow     = 2 * time.Second
+	calmDatagram   = 180 // bytes
+	calmAtTheLeast = 2 * calmWindow
+)
+
+func (r *run) calm(ctx context.Context) error {
+	end := time.Now().Add(calmLimit)
+	if err := sleep(ctx, calmAtTheLeast); err != nil {
+		return err
+	}
+	for time.Now().Before(end) {
+		usage, err := r.window(ctx, func(ctx context.Context) error { return sleep(ctx, calmWindow) })
+		if err != nil {
+			return err
+		}
+		if usage.MembershipBytes < calmDatagram*usage.MembershipPackets {
+			return nil
+		}
+	}
+	return nil
 }
 
 func (r *run) quiet(ctx context.Context) error {
@@ -353,6 +379,12 @@
 	return err
 }
 
+// shortestCut is long enough for each side to bury the other.
+const shortestCut = 20 * time.Second
+
+// errCutLeaks tells that the cut region learned of the table all the same.
+var errCutLeaks = errors.New("scale: the table got over the cut")
+
 func (o *Outage) fill(before, after totals, nodes int) {
 	o.Claims, o.Replacements = after.claims-before.claims, after.replacements-before.replacements
 	o.Usage = usageBetween(before, after, nodes)
@@ -372,11 +404,14 @@
 	r.cluster.cutOff(lostRegion)
 	version, err := r.cluster.publish(ctx, r.cluster.nodes[0], r.newestTable())
 	if err == nil {
-		err = sleep(ctx, r.options.Window)
+		err = sleep(ctx, max(r.options.Window, shortestCut))
 	}
 	if err == nil {
 		err = r.cluster.await(ctx, "the table beside the cut", settleLimit, func() bool { return inForce(reachable, version) })
 	}
+	if err == nil && inForce(r.cluster.running(), version) {
+		err = errCutLeaks
+	}
 	deaths := r.cluster.totals().deaths
 	r.cluster.heal(lostRegion)
 	if err != nil {
