--- a/internal/journal/moves_test.go
+++ b/internal/journal/moves_test.go
@@ -338,3 +338,37 @@
 		t.Fatal(err)
 	}
 }
+
+// TestRecoveryReadsLittle writes many batches and shows that a reader starts at
+// the last snapshot, not at the stream's beginning.
+func TestRecoveryReadsLittle(t *testing.T) {
+	t.Parallel()
+	err := scenario(t, variant{}, 6, func(site *testSite) error {
+		is := is.New(t)
+		node := site.serving(0)
+		open := node.host.open(0)
+		for number := range uint64(12_000) {
+			is.NoErr(open.add(context.Background(), number, false))
+		}
+		time.Sleep(time.Second)
+		var entries, restored int
+		stream, err := node.manager.openStream(context.Background(), 0, func(step Step) error {
+			entries += len(step.Entries)
+			if step.Restored {
+				restored++
+			}
+			return nil
+		})
+		is.NoErr(err)
+		is.Equal(stream.ledger.Index(), uint64(12_000))
+		is.Equal(restored, 1)
+		is.True(entries*(8+recordOverhead) < 2*DefaultSnapshotBytes)
+		is.Equal(stream.ledger.Active().Owner.Reference(), node.node.Reference())
+		node.kill()
+		site.refresh()
+		return errors.Join(site.settle(), site.checkLog(0))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/journal/stream.go
+++ b/internal/journal/stream.go
@@ -25,6 +25,8 @@
 	manager *Manager
 	name    string
 	ledger  *Ledger
+	// size is the size of the last append.
+	size int
 	// onStep takes the effects of each record read.
 	onStep func(Step) error
 }
@@ -117,9 +119,11 @@
 // at once with errLogAway, provided that nothing can have landed.
 func (s *stream) append(ctx context.Context, patient bool, records ...*Record) (Verdict, error) {
 	raws := make([][]byte, len(records))
+	s.size = 0
 	for i, record := range records {
 		record.Base = s.ledger.Base()
 		raws[i] = record.Encode()
+		s.size += len(raws[i])
 	}
 	last := records[len(records)-1].ID
 	for attempt := 0; ; attempt++ {
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -164,7 +164,7 @@
 	if verdict != Valid {
 		return s.counterClaim(stream)
 	}
-	s.manager.countRecord(record)
+	s.manager.countAppend(record.Kind, stream.size)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if record.Kind == SnapshotRecord && s.snapshot != nil && s.snapshot.index == record.Index {
@@ -174,10 +174,10 @@
 	return nil
 }
 
-func (m *Manager) countRecord(record *Record) {
+func (m *Manager) countAppend(kind RecordKind, size int) {
 	m.counters.logAppends.Add(1)
-	m.counters.logBytes.Add(uint64(len(record.Encode())))
-	if record.Kind == SnapshotRecord {
+	m.counters.logBytes.Add(uint64(size))
+	if kind == SnapshotRecord {
 		m.counters.snapshots.Add(1)
 	}
 }
