Search also Haldane Ridge's site, whole zones killed and callers that vanish

Cause: the search knew Quito's site only, single nodes' deaths, and callers that stay until they are answered. Change: eight nodes in four zones beside six in three, all nodes of a zone killed at once, and one connection in six broken by its caller before the answer.

--- a/test/simulation/caller_test.go
+++ b/test/simulation/caller_test.go
@@ -148,7 +148,7 @@
 	}
 	at.requests.Add(1)
 	defer at.requests.Done()
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.attemptTime())
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() {
@@ -167,6 +167,14 @@
 	return errConnection
 }
 
+// attemptTime is how long the caller stays connected.
+func (c *caller) attemptTime() time.Duration {
+	if c.site.plan.vanishing && c.random.IntN(6) == 0 {
+		return time.Duration(c.random.Int64N(int64(700 * time.Millisecond)))
+	}
+	return attemptTimeout
+}
+
 func (c *caller) create(ctx context.Context) bool {
 	request := serving.CreateRequest{ID: c.record.id, Tenant: c.record.tenant, Class: className}
 	return c.insist(ctx, func(ctx context.Context, programs serving.Programs) error {
--- a/test/simulation/schedule_test.go
+++ b/test/simulation/schedule_test.go
@@ -39,13 +39,14 @@
 	applicationDown
 	backendLinkCut
 	drainNode
+	killZone
 	faultKinds
 )
 
 var faultNames = [faultKinds]string{
 	"kill node", "freeze node", "cut one way", "cut zone off", "log outage", "log slow", "log loses answers",
 	"log cut from node", "lossy network", "duplicating network", "engine down", "engine frozen", "engine restart",
-	"engine loses answers", "application loses answers", "application hangs", "application down", "back-end link cut", "drain node",
+	"engine loses answers", "application loses answers", "application hangs", "application down", "back-end link cut", "drain node", "kill zone",
 }
 
 // step is one failure of a schedule: it begins after the step before it did, and
@@ -123,6 +124,8 @@
 	case killNode:
 		s.killNode(node)
 		return func() { s.revive(node) }
+	case killZone:
+		return s.killWholeZone(one.target)
 	case drainNode:
 		_ = s.drainNode(node) // a stop whose hand-over fails ends like a kill
 		return func() { s.revive(node) }
@@ -150,6 +153,22 @@
 	}
 }
 
+// killWholeZone kills every node of a zone at once.
+func (s *site) killWholeZone(target int) func() {
+	var killed []int
+	for index := range s.plan.nodes {
+		if s.zone(index) == s.zone(target) {
+			s.killNode(index)
+			killed = append(killed, index)
+		}
+	}
+	return func() {
+		for _, index := range killed {
+			s.revive(index)
+		}
+	}
+}
+
 // revive starts the node at index again unless it runs.
 func (s *site) revive(index int) {
 	if s.life(index) == nil {
@@ -270,7 +289,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64Range(1, 1<<20).Draw(rt, "seed")
 		schedule := schedules().Draw(rt, "schedule")
-		for _, found := range runSchedule(t, quito(seed), schedule) {
+		site := rapid.SampledFrom([]func(uint64) plan{quito, haldane}).Draw(rt, "site")
+		for _, found := range runSchedule(t, site(seed), schedule) {
 			rt.Errorf("%s", found)
 		}
 	})
--- a/test/simulation/site_test.go
+++ b/test/simulation/site_test.go
@@ -62,6 +62,9 @@
 	// impatient callers give one refused call in four up at once, so that the
 	// checker can see that it never ran.
 	impatient bool
+	// vanishing callers break one connection in six before the answer, and ask
+	// again elsewhere.
+	vanishing bool
 	// hooks replace rules of every node by wrong ones, for the checkers' own proof.
 	hooks serving.Hooks
 	// wrapLog replaces a node's log client, for the checkers' own proof.
@@ -78,10 +81,18 @@
 		nodes: 6, engines: 4, applications: 2, shards: 16,
 		zoneLatency: 1500 * time.Microsecond, backendLatency: time.Millisecond,
 		budget: 1_000_000, auditInterval: 15 * time.Second,
-		programs: 6, calls: 10, pause: 1500 * time.Millisecond, impatient: true,
+		programs: 6, calls: 10, pause: 1500 * time.Millisecond, impatient: true, vanishing: true,
 	}
 }
 
+// haldane is a site at the size of Haldane Ridge's first one.
+func haldane(seed uint64) plan {
+	plan := quito(seed)
+	plan.zones = []identity.Zone{"homebarn", "elevhut", "ridgeshelter", "countycage"}
+	plan.nodes, plan.zoneLatency = 8, 500*time.Microsecond
+	return plan
+}
+
 type engineReplica struct {
 	*engine.Engine
 	zone    identity.Zone
--- a/test/simulation/stop_test.go
+++ b/test/simulation/stop_test.go
@@ -18,7 +18,8 @@
 // flight at any moment.
 func busy(seed uint64) plan {
 	plan := quito(seed)
-	plan.programs, plan.calls, plan.pause, plan.impatient = 8, 25, 300*time.Millisecond, false
+	plan.programs, plan.calls, plan.pause = 8, 25, 300*time.Millisecond
+	plan.impatient, plan.vanishing = false, false
 	return plan
 }
 
@@ -93,7 +94,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		plan := quito(4)
-		plan.programs, plan.calls, plan.pause, plan.impatient = 6, 30, 8*time.Minute, false
+		plan.programs, plan.calls, plan.pause = 6, 30, 8*time.Minute
+		plan.impatient, plan.vanishing = false, false
 		site := newSite(t, plan)
 		defer site.close()
 		time.Sleep(5 * time.Second)
