--- a/internal/journal/contract.go
+++ b/internal/journal/contract.go
@@ -12,6 +12,12 @@
 //   - An owner serves only while its lease, granted by two of three replicas,
 //     has not run out on the owner's own monotonic clock.
 //   - A replica is named with its incarnation: one that restarted is another.
+//
+// To read: record, ledger, tail, replica and quorum are the pure rules; manager
+// holds what a node knows; claim takes a shard over, owned, link and writer keep
+// it, replace exchanges its replicas, move hands it over, renew, schedule and
+// sweep are the loops, handlers the replica's side. The design and the ways
+// weighed stand in docs/decisions/0002-journal.md.
 package journal
 
 import (
