Ask for less evidence before idle cache is given up

Change: eight pauses of twice the length are enough. Left: a site-wide history would know sooner than one for each node.

--- a/internal/scheduling/pauses.go
+++ b/internal/scheduling/pauses.go
@@ -13,11 +13,11 @@
 	shortestPause = 100 * time.Millisecond
 	// minimumRisk is how many pauses must have lasted as long as a bin before
 	// something is said about it.
-	minimumRisk = 20
+	minimumRisk = 8
 	// evidenceOctaves is how far beyond a pause there must be evidence: a young
 	// history, which has seen the short pauses only, must not pass for one in
 	// which nobody returns later.
-	evidenceOctaves = 2
+	evidenceOctaves = 1
 )
 
 // PauseHistory counts how long the branches of one kind paused between an
