Report the figures of larger hollow sites in virtual time

Cause: on a machine that others use, a scale run of hundreds of nodes measures the machine's load as well, and the limit of open files bounds the shards.

Change: HOLLOW_NODES and HOLLOW_SHARDS make the test in virtual time run any size and print the figures of the scale run, all but processor time, memory of real sockets and received bytes. Without them it runs 12 nodes.

--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -3,9 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/netip"
+	"os"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,7 +54,8 @@
 			v.network.SetLatency(node.Zone, zone, oneWay)
 		}
 	}
-	return &virtualLink{endpoint: v.network.Join(node, registry)}, nil
+	endpoint := v.network.Join(node, registry)
+	return &virtualLink{endpoint: endpoint, packets: countingPackets{PacketConn: endpoint.Packets()}}, nil
 }
 
 // Cut implements Fabric.
@@ -65,16 +71,74 @@
 // Heal implements Fabric.
 func (v *virtual) Heal() { v.network.HealAll() }
 
-type virtualLink struct{ endpoint *network.Endpoint }
+type virtualLink struct {
+	endpoint *network.Endpoint
+	packets  countingPackets
+}
+
+// countingPackets tells datagrams from requests, which the endpoint counts together.
+type countingPackets struct {
+	*network.PacketConn
+	messages, bytes atomic.Int64
+}
+
+// WriteToUDPAddrPort implements membership.PacketConn.
+func (c *countingPackets) WriteToUDPAddrPort(payload []byte, to netip.AddrPort) (int, error) {
+	c.messages.Add(1)
+	c.bytes.Add(int64(len(payload)))
+	return c.PacketConn.WriteToUDPAddrPort(payload, to)
+}
 
 func (l *virtualLink) Node() identity.Node            { return l.endpoint.Node() }
 func (l *virtualLink) Client() peer.Client            { return l.endpoint }
-func (l *virtualLink) Packets() membership.PacketConn { return l.endpoint.Packets() }
+func (l *virtualLink) Packets() membership.PacketConn { return &l.packets }
 func (l *virtualLink) Serve()                         { l.endpoint.Serve() }
 func (l *virtualLink) Kill()                          { l.endpoint.Kill() }
 
-// Peers counts nothing apart: the endpoint counts datagrams and requests together.
-func (l *virtualLink) Peers() Flow { return Flow{} }
+// Peers counts what is sent, without framing; what is received is not counted.
+func (l *virtualLink) Peers() Flow {
+	messages, bytes := l.endpoint.Sent()
+	return Flow{SentMessages: messages - l.packets.messages.Load(), SentBytes: bytes - l.packets.bytes.Load()}
+}
+
+// TestSizes reports the figures of larger sites in virtual time, without
+// processor time: HOLLOW_NODES=380 go test -run TestSizes -v. Without the variable
+// it runs a size that takes seconds.
+func TestSizes(t *testing.T) {
+	sizes := os.Getenv("HOLLOW_NODES")
+	if sizes == "" {
+		sizes = "12"
+	}
+	for _, size := range strings.Split(sizes, ",") {
+		nodes, err := strconv.Atoi(size)
+		if err != nil {
+			t.Fatal(err)
+		}
+		shards := 4
+		if wanted := os.Getenv("HOLLOW_SHARDS"); wanted != "" {
+			shards, err = strconv.Atoi(wanted)
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			fabric := newVirtual(1)
+			defer fabric.network.Close()
+			result, err := Run(context.Background(), Options{
+				Nodes: nodes, ShardsPerNode: shards, Window: 10 * time.Second, Events: 2, Seed: 1,
+				Fabric: fabric, Progress: func(step string) { t.Log(step) },
+			})
+			is.NoErr(err)
+			is.Equal(result.Quiet.Suspicions, uint64(0))
+			is.True(result.TableInForce.Max < 12)
+			is.True(result.Region.TableInForce < 12)
+			encoded, err := json.MarshalIndent(result, "", " ")
+			is.NoErr(err)
+			t.Logf("%s", encoded)
+		})
+	}
+}
 
 // TestHollowSiteInVirtualTime runs the whole scale run over a small site. Its
 // bounds are those of the protocol's own times, not of this machine.
