Plan the placement of models and adapters over engines

Cause: the table's versions, weights and replica bounds of models were checked and nothing acted on them. Weighed: unloading idle replicas was ruled out, since reports count calls of all models together and a plan could flap; only what is above max_replicas goes. Left: who sends the orders.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -88,6 +88,14 @@
 	// Models lists the models that are loaded, Adapters the adapters.
 	Models   []string `json:"models"`
 	Adapters []string `json:"adapters"`
+	// ModelVersions and AdapterVersions are the versions of the models and adapters that an order loaded;
+	// of what the engine was started with it says nothing.
+	ModelVersions   map[string]string `json:"model_versions,omitempty"`
+	AdapterVersions map[string]string `json:"adapter_versions,omitempty"`
+	// Fence is the highest that the engine has seen since its start; Loading are
+	// the loads under way at the same moment.
+	Fence   uint64  `json:"fence,omitempty"`
+	Loading []Order `json:"loading,omitempty"`
 	// AsOf is the engine's own time of the figures.
 	AsOf time.Time `json:"as_of"`
 }
@@ -126,6 +134,8 @@
 	OrderUnloadModel OrderKind = "unload_model"
 	OrderLoadAdapter OrderKind = "load_adapter"
 	OrderSetRole     OrderKind = "set_role"
+	// OrderFence raises the engine's fence and changes nothing else.
+	OrderFence OrderKind = "fence"
 )
 
 // Order changes what an engine serves. An engine refuses an order whose fence
--- a/internal/emulator/engine/memory.go
+++ b/internal/emulator/engine/memory.go
@@ -76,6 +76,8 @@
 		QueuedPrefillTokens: queued,
 		CacheCapacityTokens: e.cache.Capacity(), CacheUsedTokens: e.cache.Used(),
 		Models: e.modelNames, Adapters: e.adapterNames,
+		ModelVersions: knownVersions(e.models), AdapterVersions: knownVersions(e.adapters),
+		Fence: e.fence, Loading: e.loadsUnderWay(),
 		AsOf: now,
 	}
 	last := len(e.reports) - 1
--- a/internal/emulator/engine/orders.go
+++ b/internal/emulator/engine/orders.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"stepseam.example/stepseam/internal/backend"
@@ -46,6 +48,8 @@
 		return "adapter " + order.Subject
 	case backend.OrderSetRole:
 		return "role"
+	case backend.OrderFence:
+		return "fence"
 	default:
 		return "model " + order.Subject
 	}
@@ -76,6 +80,7 @@
 	}
 	loaded := make(chan struct{})
 	e.loading[order] = loaded
+	e.noteLoad()
 	// The load goes on also if the one who ordered it stops waiting.
 	go e.load(order, duration, e.life, loaded)
 	return loaded, nil
@@ -93,7 +98,7 @@
 			return 0, nil
 		}
 		return e.parameters.Timing.AdapterLoadTime, nil
-	case backend.OrderUnloadModel, backend.OrderSetRole:
+	case backend.OrderUnloadModel, backend.OrderSetRole, backend.OrderFence:
 		return 0, nil
 	default:
 		return 0, fmt.Errorf("%w: unknown kind of order %q", backend.ErrRefused, order.Kind)
@@ -113,6 +118,7 @@
 		return
 	}
 	delete(e.loading, order)
+	e.noteLoad()
 	if e.latest[orderSubject(order)] == order {
 		e.applyOrder(order)
 	}
@@ -128,7 +134,31 @@
 		e.adapters[order.Subject] = order.Version
 	case backend.OrderSetRole:
 		e.role = order.Subject
+	case backend.OrderFence: // the fence was taken with the order
 	}
 	e.noteNames()
 	e.noteLoad()
 }
+
+// loadsUnderWay lists the loads that will show, in a fixed order.
+func (e *Engine) loadsUnderWay() []backend.Order {
+	var orders []backend.Order
+	for order := range e.loading {
+		if e.latest[orderSubject(order)] == order {
+			orders = append(orders, order)
+		}
+	}
+	slices.SortFunc(orders, func(a, b backend.Order) int { return cmp.Compare(a.Fence, b.Fence) })
+	return orders
+}
+
+// knownVersions copies the versions that orders set.
+func knownVersions(loaded map[string]string) map[string]string {
+	known := map[string]string{}
+	for name, version := range loaded {
+		if version != "" {
+			known[name] = version
+		}
+	}
+	return known
+}
--- /dev/null
+++ b/internal/scheduling/modelplacement/decide_test.go
@@ -0,0 +1,196 @@
+package modelplacement_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/internal/backend"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/scheduling/modelplacement"
+	"stepseam.example/stepseam/internal/table"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.checks": "2000", "rapid.seed": "20261202", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			_ = flag.Set(name, value) // both names are rapid's own flags
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// drawSnapshot draws a service of up to ten engines, three models and an adapter.
+func drawSnapshot(t *rapid.T) modelplacement.Snapshot {
+	snapshot := modelplacement.Snapshot{ModelDemand: map[string]float64{}, AdapterDemand: map[string]float64{}}
+	for i := range rapid.IntRange(1, 3).Draw(t, "models") {
+		name := fmt.Sprintf("model-%d", i)
+		minimum := rapid.IntRange(0, 4).Draw(t, "min")
+		maximum := rapid.SampledFrom([]int{0, minimum, minimum + 1, minimum + 3}).Draw(t, "max")
+		snapshot.Models = append(snapshot.Models, table.Model{
+			Name: name, Version: "2", Weight: 1 + float64(i), MinReplicas: minimum, MaxReplicas: maximum,
+		})
+		snapshot.ModelDemand[name] = float64(rapid.IntRange(0, 40).Draw(t, "demand"))
+	}
+	snapshot.Adapters = []table.Adapter{{Name: "adapter", Model: "model-0", Version: "2", Weight: 1}}
+	snapshot.AdapterDemand["adapter"] = float64(rapid.IntRange(0, 20).Draw(t, "adapter demand"))
+	for i := range rapid.IntRange(0, 10).Draw(t, "engines") {
+		counted := rapid.IntRange(0, 5).Draw(t, "counted") > 0
+		engine := modelplacement.Engine{
+			Name: fmt.Sprintf("engine-%d", i), Zone: identity.Zone(fmt.Sprintf("zone-%d", i%3)),
+			Counted: counted, Usable: counted && rapid.IntRange(0, 5).Draw(t, "usable") > 0,
+			Models: map[string]string{}, Adapters: map[string]string{},
+			Load: rapid.IntRange(0, 1).Draw(t, "load"), QuietFor: time.Duration(rapid.IntRange(0, 60).Draw(t, "quiet")) * time.Second,
+		}
+		for _, model := range snapshot.Models {
+			if version := rapid.SampledFrom([]string{"", "1", "2"}).Draw(t, "version"); version != "" {
+				engine.Models[model.Name] = version
+			}
+		}
+		snapshot.Engines = append(snapshot.Engines, engine)
+	}
+	return snapshot
+}
+
+func find(snapshot modelplacement.Snapshot, name string) *modelplacement.Engine {
+	for i := range snapshot.Engines {
+		if snapshot.Engines[i].Name == name {
+			return &snapshot.Engines[i]
+		}
+	}
+	return nil
+}
+
+func replicas(snapshot modelplacement.Snapshot, model string) (count int) {
+	for _, engine := range snapshot.Engines {
+		if _, loaded := engine.Models[model]; loaded && engine.Counted {
+			count++
+		}
+	}
+	return count
+}
+
+// finish applies an order that was under way.
+func finish(engine *modelplacement.Engine) {
+	for _, order := range engine.Loading {
+		switch order.Kind {
+		case backend.OrderLoadModel:
+			engine.Models[order.Subject] = order.Version
+		case backend.OrderLoadAdapter:
+			engine.Adapters[order.Subject] = order.Version
+		case backend.OrderUnloadModel:
+			delete(engine.Models, order.Subject)
+		}
+	}
+	engine.Loading = nil
+}
+
+// checkOrder fails on an order that the plan must not hold.
+func checkOrder(t *rapid.T, snapshot modelplacement.Snapshot, order modelplacement.Order) {
+	engine := find(snapshot, order.Engine)
+	if !engine.Usable || !engine.Counted || len(engine.Loading) > 0 {
+		t.Fatalf("%v goes to an engine that must get none: %+v", order, engine)
+	}
+	for _, model := range snapshot.Models {
+		if order.Subject != model.Name {
+			continue
+		}
+		_, loaded := engine.Models[model.Name]
+		have := replicas(snapshot, model.Name)
+		for _, other := range snapshot.Engines {
+			for _, load := range other.Loading {
+				if _, has := other.Models[model.Name]; load.Subject == model.Name && !has && other.Counted {
+					have++
+				}
+			}
+		}
+		switch {
+		case model.MinReplicas == 0:
+			t.Fatalf("%v touches a row that asks for nothing", order)
+		case order.Kind == backend.OrderLoadModel && !loaded && model.MaxReplicas > 0 && have >= model.MaxReplicas:
+			t.Fatalf("%v goes over max_replicas %d", order, model.MaxReplicas)
+		case order.Kind == backend.OrderLoadModel && loaded && have < model.MinReplicas:
+			t.Fatalf("%v changes a version while %d of %d replicas are there", order, have, model.MinReplicas)
+		case order.Kind == backend.OrderUnloadModel && have-1 < max(1, model.MinReplicas):
+			t.Fatalf("%v leaves %d replicas of %d", order, have-1, model.MinReplicas)
+		case order.Kind == backend.OrderUnloadModel && (engine.Load > 0 || engine.QuietFor < 30*time.Second):
+			t.Fatalf("%v takes a model from an engine with work", order)
+		}
+	}
+}
+
+// TestPlansConvergeWithinBounds lets orders end in a random order and checks each
+// plan on the way, then that a steady snapshot gets no orders and has its minimum.
+func TestPlansConvergeWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		snapshot, parameters := drawSnapshot(t), modelplacement.DefaultParameters()
+		for range 300 {
+			plan := modelplacement.Decide(snapshot, parameters)
+			var underWay []*modelplacement.Engine
+			for _, order := range plan.Orders {
+				checkOrder(t, snapshot, order)
+				engine := find(snapshot, order.Engine)
+				engine.Loading = append(engine.Loading, backend.Order{Kind: order.Kind, Subject: order.Subject, Version: order.Version})
+			}
+			for i := range snapshot.Engines {
+				if len(snapshot.Engines[i].Loading) > 0 {
+					underWay = append(underWay, &snapshot.Engines[i])
+				}
+			}
+			if len(underWay) > parameters.MaxInFlight {
+				t.Fatalf("%d orders under way", len(underWay))
+			}
+			if len(underWay) == 0 {
+				checkSteady(t, snapshot)
+				return
+			}
+			finish(rapid.SampledFrom(underWay).Draw(t, "ends"))
+		}
+		t.Fatal("the plans do not come to an end")
+	})
+}
+
+func checkSteady(t *rapid.T, snapshot modelplacement.Snapshot) {
+	for _, model := range snapshot.Models {
+		if model.MinReplicas == 0 {
+			continue
+		}
+		if have := replicas(snapshot, model.Name); have < model.MinReplicas {
+			for _, engine := range snapshot.Engines {
+				if _, loaded := engine.Models[model.Name]; engine.Usable && !loaded {
+					t.Fatalf("%s has %d of %d replicas although %s is free", model.Name, have, model.MinReplicas, engine.Name)
+				}
+			}
+			continue
+		}
+		for _, engine := range snapshot.Engines {
+			if version, loaded := engine.Models[model.Name]; loaded && engine.Usable && version != model.Version {
+				t.Fatalf("%s keeps version %s of %s", engine.Name, version, model.Name)
+			}
+		}
+	}
+}
+
+func TestMinimumSpreadsOverZones(t *testing.T) {
+	is := is.New(t)
+	snapshot := modelplacement.Snapshot{Models: []table.Model{{Name: "m", Version: "1", MinReplicas: 2, Weight: 1}}}
+	for i, zone := range []identity.Zone{"a", "a", "b", "b"} {
+		engine := modelplacement.Engine{Name: fmt.Sprint(i), Zone: zone, Usable: true, Counted: true, Models: map[string]string{}}
+		if i == 0 {
+			engine.Models["m"] = "1"
+		}
+		snapshot.Engines = append(snapshot.Engines, engine)
+	}
+	plan := modelplacement.Decide(snapshot, modelplacement.DefaultParameters())
+	is.Equal(len(plan.Orders), 1)
+	is.Equal(plan.Orders[0].Engine, "2")
+	is.Equal(plan.Orders[0].Reason, "1 of min_replicas 2; zone b has 0")
+}
