--- a/internal/lab/scale/fabric.go
+++ b/internal/lab/scale/fabric.go
@@ -51,8 +51,11 @@
 // protocol over TCP and membership over UDP.
 type Loopback struct {
 	// mutex guards all below.
-	mutex   sync.Mutex
-	regions map[netip.AddrPort]identity.Region
+	mutex sync.Mutex
+	// streams and packets tell the region of a TCP and of a UDP address: the two
+	// may have the same port.
+	streams map[netip.AddrPort]identity.Region
+	packets map[netip.AddrPort]identity.Region
 	cuts    map[[2]identity.Region]bool
 	open    map[*cuttable]struct{}
 }
@@ -60,7 +63,8 @@
 // NewLoopback returns a fabric without nodes.
 func NewLoopback() *Loopback {
 	return &Loopback{
-		regions: map[netip.AddrPort]identity.Region{},
+		streams: map[netip.AddrPort]identity.Region{},
+		packets: map[netip.AddrPort]identity.Region{},
 		cuts:    map[[2]identity.Region]bool{},
 		open:    map[*cuttable]struct{}{},
 	}
@@ -89,10 +93,11 @@
 	clear(l.cuts)
 }
 
-func (l *Loopback) isCut(from identity.Region, to netip.AddrPort) bool {
+// isCut looks to's region up in regions, which is streams or packets.
+func (l *Loopback) isCut(from identity.Region, regions map[netip.AddrPort]identity.Region, to netip.AddrPort) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.cuts[[2]identity.Region{from, l.regions[to]}]
+	return l.cuts[[2]identity.Region{from, regions[to]}]
 }
 
 // cuttable is a dialled connection that the fabric can break.
@@ -114,7 +119,7 @@
 const cutDialTime = time.Second
 
 func (l *Loopback) dial(ctx context.Context, from identity.Region, to netip.AddrPort) (net.Conn, error) {
-	if l.isCut(from, to) {
+	if l.isCut(from, l.streams, to) {
 		select {
 		case <-time.After(cutDialTime):
 		case <-ctx.Done():
@@ -128,7 +133,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	wrapped := &cuttable{Conn: connection, fabric: l, ends: [2]identity.Region{from, l.regions[to]}}
+	wrapped := &cuttable{Conn: connection, fabric: l, ends: [2]identity.Region{from, l.streams[to]}}
 	if l.cuts[wrapped.ends] { // cut while the dial was under way
 		_ = connection.Close() // nobody uses it
 		return nil, errCut
@@ -164,7 +169,7 @@
 	node.PeerAddress = listener.Addr().(*net.TCPAddr).AddrPort()
 	node.ProbeAddress = packets.LocalAddr().(*net.UDPAddr).AddrPort()
 	l.mutex.Lock()
-	l.regions[node.PeerAddress], l.regions[node.ProbeAddress] = node.Region, node.Region
+	l.streams[node.PeerAddress], l.packets[node.ProbeAddress] = node.Region, node.Region
 	l.mutex.Unlock()
 	transport := peer.NewTransport(registry, peer.Options{
 		IdleTimeout: idleTimeout,
@@ -216,7 +221,7 @@
 
 // WriteToUDPAddrPort sends a datagram unless the link is cut.
 func (c *cuttablePackets) WriteToUDPAddrPort(payload []byte, to netip.AddrPort) (int, error) {
-	if c.link.fabric.isCut(c.link.node.Region, to) {
+	if c.link.fabric.isCut(c.link.node.Region, c.link.fabric.packets, to) {
 		return len(payload), nil
 	}
 	return c.UDPConn.WriteToUDPAddrPort(payload, to)
