Keep laboratory sites that run at once apart

Cause: in one run two nodes of different sites ended with status 1. Sites of one test run shared IP numbers and node names; had a port been used again, their members could have met, and the older of two nodes of one name ends itself. That this happened is a guess: the run's log was not kept. Change: each site has a slot with IP numbers of its own. Left: membership itself has no name of its site that would keep strangers apart.

--- a/internal/lab/site/node.go
+++ b/internal/lab/site/node.go
@@ -58,7 +58,7 @@
 // planNode chooses the addresses of the node at index.
 func (s *Site) planNode(index int, plan NodePlan) (*Node, error) {
 	node := &Node{Name: plan.Name, Zone: plan.Zone}
-	own := host(firstNode + index)
+	own := host(firstNode + s.plan.Slot*nodesInSlot + index)
 	addresses := &node.Addresses
 	targets := []*netip.AddrPort{&addresses.Callers, &addresses.Operators, &addresses.Peer, &addresses.Probe}
 	for _, target := range targets {
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -62,6 +62,10 @@
 	Nodes              []NodePlan
 	Engines            []EnginePlan
 	Applications       []ApplicationPlan
+	// Slot keeps sites that run at once apart: each slot has IP numbers of its own
+	// for nodes and back ends. A site of up to eight nodes, four engines and four
+	// applications fits into a slot, four slots into 127.0.0.x.
+	Slot int
 	// MachineListLag is how long the machine list takes to show a change.
 	MachineListLag time.Duration
 	// Adjust may change a node's settings before they are written.
@@ -98,6 +102,8 @@
 	firstNode        = 11
 	firstEngine      = 51
 	firstApplication = 81
+	nodesInSlot      = 8
+	backendsInSlot   = 4
 )
 
 func host(number int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, byte(number)}) }
@@ -142,14 +148,14 @@
 
 func (s *Site) startBackends(ctx context.Context) error {
 	for i, plan := range s.plan.Engines {
-		started, err := s.startStandIn(ctx, plan.Parameters.Name, "engine", firstEngine+i, plan.Parameters)
+		started, err := s.startStandIn(ctx, plan.Parameters.Name, "engine", firstEngine+s.plan.Slot*backendsInSlot+i, plan.Parameters)
 		if err != nil {
 			return err
 		}
 		s.Engines = append(s.Engines, started)
 	}
 	for i, plan := range s.plan.Applications {
-		started, err := s.startStandIn(ctx, plan.Parameters.Name, "application", firstApplication+i, plan.Parameters)
+		started, err := s.startStandIn(ctx, plan.Parameters.Name, "application", firstApplication+s.plan.Slot*backendsInSlot+i, plan.Parameters)
 		if err != nil {
 			return err
 		}
--- a/test/process/main_test.go
+++ b/test/process/main_test.go
@@ -48,6 +48,9 @@
 		return 1
 	}
 	programs = directory
+	for slot := range slotCount {
+		slots <- slot
+	}
 	return m.Run()
 }
 
@@ -77,8 +80,11 @@
 class,subscriber,,,agent-8b,,200000,200,4,1h,30m,60s,512
 `
 
-// slots bounds the sites that run at once; each one mostly waits.
-var slots = make(chan struct{}, 4)
+// slots bounds the sites that run at once, each one mostly waiting, and keeps
+// them apart.
+var slots = make(chan int, slotCount)
+
+const slotCount = 4
 
 // laboratory is a running site with a table in force.
 type laboratory struct {
@@ -93,12 +99,13 @@
 func start(t *testing.T, adjust func(*site.Plan)) *laboratory {
 	t.Helper()
 	t.Parallel()
-	slots <- struct{}{}
-	t.Cleanup(func() { <-slots })
+	slot := <-slots
+	t.Cleanup(func() { slots <- slot })
 	check := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
 	t.Cleanup(cancel)
 	plan := sitePlan(t.TempDir())
+	plan.Slot = slot
 	if adjust != nil {
 		adjust(&plan)
 	}
