Turn huma's errors into problems in one place

Cause: the callers' and the operators' face each had the whole code that brings api.Problem through huma; a change to one would have missed the other. Change: the gateway uses internal/problem, which also moves line and column of broken JSON into the finding's place for both.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -11,6 +11,7 @@
 
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/problem"
 	"stepseam.example/stepseam/internal/serving"
 )
 
@@ -64,9 +65,9 @@
 type answerFunc func(ctx context.Context, onToken serving.TokenFunc) (api.Answer, error)
 
 func (g *Gateway) call(input *callInput) (*huma.StreamResponse, error) {
-	from, problem := resumeFrom(input.LastEventID)
-	if problem != nil {
-		return nil, problemError{problem}
+	from, refusal := resumeFrom(input.LastEventID)
+	if refusal != nil {
+		return nil, problem.Answer(refusal)
 	}
 	if input.Body.Branch == "" {
 		input.Body.Branch = string(identity.MainBranch)
@@ -79,9 +80,9 @@
 }
 
 func (g *Gateway) fetch(input *fetchInput) (*huma.StreamResponse, error) {
-	from, problem := resumeFrom(input.LastEventID)
-	if problem != nil {
-		return nil, problemError{problem}
+	from, refusal := resumeFrom(input.LastEventID)
+	if refusal != nil {
+		return nil, problem.Answer(refusal)
 	}
 	branch := identity.BranchID(input.Branch)
 	if branch == "" {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -12,6 +12,7 @@
 
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/problem"
 	"stepseam.example/stepseam/internal/serving"
 )
 
@@ -69,16 +70,16 @@
 }
 
 func (g *Gateway) chat(ctx context.Context, writer http.ResponseWriter, input *chatInput) {
-	chat, problem := g.parseChat(input)
-	if problem != nil {
-		writeProblem(writer, chatPath, problem)
+	chat, refusal := g.parseChat(input)
+	if refusal != nil {
+		writeProblem(writer, chatPath, refusal)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, g.config.MaxWait)
 	defer cancel()
 	if chat.begins {
 		if _, err := g.config.Programs.Create(ctx, chat.create); err != nil {
-			writeProblem(writer, chatPath, problemOf(err))
+			writeProblem(writer, chatPath, problem.Of(err))
 			return
 		}
 	}
@@ -130,9 +131,9 @@
 	findings = append(findings, placeFindings...)
 	findings = append(findings, checkNames(input)...)
 	if len(findings) > 0 {
-		problem := api.NewProblem(api.CodeInvalid, "%d findings, the first: %s: %s", len(findings), findings[0].Place, findings[0].Message)
-		problem.Findings = findings
-		return nil, problem
+		refusal := api.NewProblem(api.CodeInvalid, "%d findings, the first: %s: %s", len(findings), findings[0].Place, findings[0].Message)
+		refusal.Findings = findings
+		return nil, refusal
 	}
 	chat.single = input.Program == ""
 	chat.begins = chat.single || (sequence == 1 && input.Class != "")
--- a/internal/gateway/chat_types.go
+++ b/internal/gateway/chat_types.go
@@ -12,6 +12,7 @@
 
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/problem"
 )
 
 // chatRequest is the part of an OpenAI chat request that has a meaning here.
@@ -125,10 +126,10 @@
 }
 
 func brokenChat(err error) *api.Problem {
-	problem := api.NewProblem(api.CodeInvalid, "the body cannot be read: %s", err)
-	problem.Status = http.StatusBadRequest
-	problem.Findings = []api.Finding{finding(&huma.ErrorDetail{Location: "body", Message: err.Error()})}
-	return problem
+	refusal := api.NewProblem(api.CodeInvalid, "the body cannot be read: %s", err)
+	refusal.Status = http.StatusBadRequest
+	refusal.Findings = []api.Finding{problem.FindingOf(&huma.ErrorDetail{Location: "body", Message: err.Error()})}
+	return refusal
 }
 
 type chatCompletion struct {
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -8,6 +8,7 @@
 
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/problem"
 	"stepseam.example/stepseam/internal/serving"
 )
 
@@ -64,7 +65,7 @@
 
 func programAnswer(program api.Program, err error) (*programOutput, error) {
 	if err != nil {
-		return nil, humaError(err)
+		return nil, problem.Answer(err)
 	}
 	return &programOutput{Body: program}, nil
 }
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -9,6 +9,7 @@
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 
 	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/problem"
 )
 
 // interfaceVersion is the version of the callers' interface in the OpenAPI document.
@@ -27,7 +28,7 @@
 	config.DocsPath = ""
 	config.SchemasPath = ""
 	config.CreateHooks = nil // no $schema links in answers
-	config.Transformers = []huma.Transformer{transformErrors}
+	config.Transformers = []huma.Transformer{problem.Transform}
 	format := huma.Format{Marshal: huma.DefaultJSONFormat.Marshal, Unmarshal: decodeJSON}
 	config.Formats = map[string]huma.Format{api.MediaJSON: format, "json": format}
 	face := humago.New(mux, config)
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/samber/lo"
@@ -35,12 +36,17 @@
 // GetHeaders implements huma.HeadersError.
 func (a answer) GetHeaders() http.Header {
 	headers := http.Header{}
-	if a.RetryAfter > 0 {
-		headers.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
-	}
+	SetRetryAfter(headers, a.Problem)
 	return headers
 }
 
+// SetRetryAfter sets the header in whole seconds, rounded up, where a retry helps.
+func SetRetryAfter(headers http.Header, problem *api.Problem) {
+	if problem.RetryAfter > 0 {
+		headers.Set("Retry-After", strconv.Itoa(int(math.Ceil(problem.RetryAfter.Seconds()))))
+	}
+}
+
 // Answer turns the outcome of a handler into the error that huma answers with.
 func Answer(err error) error {
 	if err == nil {
@@ -62,11 +68,20 @@
 		if detail == nil {
 			return api.Finding{}, false
 		}
-		return api.Finding{Place: detail.Location, Message: detail.Message}, true
+		return FindingOf(detail), true
 	})
 	return made, nil
 }
 
+// FindingOf moves the line and column of broken JSON from the message to the place.
+func FindingOf(detail *huma.ErrorDetail) api.Finding {
+	place, message := detail.Location, detail.Message
+	if position, rest, found := strings.Cut(message, ": "); found && strings.HasPrefix(position, "line ") {
+		place, message = place+" "+position, rest
+	}
+	return api.Finding{Place: place, Message: message}
+}
+
 func codeOf(status int) api.Code {
 	switch status {
 	case http.StatusRequestEntityTooLarge:
