Take out the stretching of probe times by a node's own troubles

Cause: it was built to let a deaf node accuse others less, and had not been measured.

Change: the count of troubles and the relays' receipts go. Placement's answers allocate their replicas once. A test holds that a deaf node buries nobody.

--- a/internal/membership/datagram.go
+++ b/internal/membership/datagram.go
@@ -30,8 +30,6 @@
 	kindSyncRequest
 	// kindSyncReply carries members as updates.
 	kindSyncReply
-	// kindReceipt tells that a ping request arrived, whatever becomes of it.
-	kindReceipt
 	// kindNotice asks for nothing; it carries the sender's condition and news.
 	kindNotice
 )
@@ -137,7 +135,7 @@
 		for i := range message.buckets {
 			message.buckets[i] = decoder.Uint32()
 		}
-	case kindAcknowledge, kindSyncReply, kindReceipt, kindNotice:
+	case kindAcknowledge, kindSyncReply, kindNotice:
 	default:
 		return datagram{}, fmt.Errorf("%w: kind %d", ErrDatagram, message.kind)
 	}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -14,8 +14,6 @@
 	// indirectAt is when relays are asked; zero once they were.
 	indirectAt time.Time
 	deadline   time.Time
-	// received tells that a relay got the request: this node's links work.
-	received bool
 }
 
 // relay is a ping made in another node's place.
@@ -26,8 +24,6 @@
 }
 
 const (
-	// maxHealth bounds how far troubles of its own stretch a node's probe times.
-	maxHealth = 4
 	// checksPerTick and checkInterval pace the probes that check hearsay, so that
 	// a healed cut makes no burst.
 	checksPerTick = 4
@@ -48,7 +44,7 @@
 	s.expireSuspects(now)
 	if !now.Before(s.nextProbe) {
 		s.startProbe(now)
-		s.nextProbe = now.Add(s.stretched(s.config.ProbeInterval))
+		s.nextProbe = now.Add(s.config.ProbeInterval)
 		s.dropRelays(now)
 	}
 	if !now.Before(s.nextReconnect) {
@@ -81,19 +77,12 @@
 	return next
 }
 
-// stretched is a duration lengthened by this node's own troubles.
-func (s *State) stretched(d time.Duration) time.Duration { return d * time.Duration(1+s.health) }
-
-func (s *State) worsen() { s.health = min(s.health+1, maxHealth) }
-
-func (s *State) improve() { s.health = max(s.health-1, 0) }
-
 // noticeFreeze tells a standstill of this process from the silence of others:
 // answers may wait unread, so nobody is blamed for the time that passed.
 func (s *State) noticeFreeze(now time.Time) {
 	gap := now.Sub(s.lastSeen)
 	s.lastSeen = now
-	if gap < frozenFactor*s.stretched(s.config.ProbeInterval) {
+	if gap < frozenFactor*s.config.ProbeInterval {
 		return
 	}
 	s.probes = nil
@@ -140,8 +129,8 @@
 	started := &probe{
 		sequence:   s.ping(target),
 		target:     target,
-		indirectAt: now.Add(s.stretched(s.config.ProbeTimeout)),
-		deadline:   now.Add(s.stretched(s.config.ProbeInterval)),
+		indirectAt: now.Add(s.config.ProbeTimeout),
+		deadline:   now.Add(s.config.ProbeInterval),
 	}
 	s.probes = append(s.probes, started)
 }
@@ -185,9 +174,6 @@
 	if target.condition.gone() || s.records[target.node.Name] != target {
 		return
 	}
-	if !started.received {
-		s.worsen()
-	}
 	if target.condition != conditionSuspect {
 		s.suspect(now, target, max(target.refutation, target.rumour))
 	}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -18,7 +18,7 @@
 	s.noticeFreeze(now)
 	s.apply(now, &message.sender, true)
 	if s.outdated(&message.sender) {
-		s.reply(from, &message, kindReceipt)
+		s.reply(from, &message, kindNotice)
 		return s.takeOutbox()
 	}
 	s.syncing = message.kind == kindSyncReply
@@ -32,9 +32,7 @@
 	case kindPingRequest:
 		s.relayPing(now, from, &message)
 	case kindAcknowledge:
-		s.acknowledge(now, &message)
-	case kindReceipt:
-		s.receipt(&message)
+		s.acknowledge(&message)
 	case kindSyncRequest:
 		s.answerSync(from, &message)
 	case kindSyncReply, kindNotice:
@@ -73,7 +71,6 @@
 const relayTime = 5 * time.Second
 
 func (s *State) relayPing(now time.Time, from netip.AddrPort, message *datagram) {
-	s.reply(from, message, kindReceipt)
 	s.sequence++
 	s.relays[s.sequence] = relay{requester: from, sequence: message.sequence, until: now.Add(relayTime)}
 	s.send(message.target.ProbeAddress, s.records[message.target.Name], &datagram{
@@ -81,7 +78,7 @@
 	})
 }
 
-func (s *State) acknowledge(now time.Time, message *datagram) {
+func (s *State) acknowledge(message *datagram) {
 	if pending, found := s.relays[message.sequence]; found {
 		delete(s.relays, message.sequence)
 		s.send(pending.requester, nil, &datagram{kind: kindAcknowledge, sequence: pending.sequence})
@@ -90,22 +87,11 @@
 	for i, started := range s.probes {
 		if started.sequence == message.sequence {
 			s.probes = slices.Delete(s.probes, i, i+1)
-			if now.Before(started.deadline) {
-				s.improve()
-			}
 			return
 		}
 	}
 }
 
-func (s *State) receipt(message *datagram) {
-	for _, started := range s.probes {
-		if started.sequence == message.sequence {
-			started.received = true
-		}
-	}
-}
-
 // apply takes a report on a member, firstHand where the member itself sent it.
 func (s *State) apply(now time.Time, report *update, firstHand bool) {
 	if report.node.Name == s.self.node.Name {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -53,9 +53,6 @@
 	probes   []*probe
 	relays   map[uint32]relay
 	checks   []*record
-	// health counts this node's own troubles; it stretches its probe times, so
-	// that a slow node accuses others less.
-	health int
 
 	lastSeen      time.Time
 	nextProbe     time.Time
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -245,6 +245,21 @@
 	}
 }
 
+// A node that gets less than half of what is sent to it accuses others again and
+// again; they must live on all the same.
+func TestDeafNodeBuriesNobody(t *testing.T) {
+	s := newSimulation(24, 3, 3)
+	s.mustAgree(t, 20*time.Second, "join")
+	s.deafen[5] = 0.6
+	s.run(2*time.Minute, nil)
+	if s.nodes[5].state.Statistics().Suspicions == 0 {
+		t.Error("the deaf node accused nobody, so the test shows nothing")
+	}
+	if deaths := s.deaths(); deaths > 0 {
+		t.Errorf("%d false deaths", deaths)
+	}
+}
+
 func TestDatagramsFit(t *testing.T) {
 	is := is.New(t)
 	s := newSimulation(100, 3, 1)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -129,7 +129,10 @@
 		return Assignment{}, false
 	}
 	picked := p.choose(shard)
-	assignment := Assignment{Owner: p.nodes[picked.owner]}
+	assignment := Assignment{
+		Owner:    p.nodes[picked.owner],
+		Replicas: make([]identity.Node, 0, picked.count),
+	}
 	for _, index := range picked.replicas[:picked.count] {
 		assignment.Replicas = append(assignment.Replicas, p.nodes[index])
 	}
