Run a stream that falls silent elsewhere at once

Cause: process tests saw a call whose engine froze answered elsewhere only after 33 s. Of it 20 s were the wait for the engine to confirm that the stream is cancelled, and up to 10 s the watchdog, which looked once per stall time and so noticed a stall up to twice its length late.

Change: a stream of which a token came has reached its engine, so nothing of it can arrive behind later calls; it is cancelled without waiting. Without a token the wait stays, since the request may still be on its way. The watchdog keeps the time of the last progress and looks five times per stall time.

Ruled out: a shorter limit of the fence for all, which would trade the order of calls for time; giving up at the first sign, since a busy engine is silent too.

--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -120,6 +120,7 @@
 var errTokenGap = errors.New("serving: the engine's stream has a gap")
 
 func (d *driver) onToken(token backend.Token) error {
+	d.reached = d.attempt.Stream
 	if !d.run.token(token.Index, token.Text) {
 		return errTokenGap
 	}
@@ -305,7 +306,9 @@
 
 // fence cancels the pending attempt's stream, so that it cannot run behind the
 // calls that follow. It goes on without the engine's confirmation once the engine
-// is off the machine list or the limit has passed.
+// is off the machine list or the limit has passed. A stream of which a token came
+// reached its engine before anything that is sent from now on: it is cancelled
+// only to stop its work, and nobody waits for that.
 func (d *driver) fence() *outcome {
 	if d.run.request.Kind != api.CallModel {
 		return nil
@@ -317,6 +320,10 @@
 		return nil
 	}
 	client := d.owner().config.Directory.Engine(d.attempt.Address)
+	if d.reached == d.attempt.Stream {
+		go d.shard.cancelOnce(client, d.attempt.Stream)
+		return nil
+	}
 	limit := time.Now().Add(d.owner().config.Timing.FenceLimit)
 	pause := d.owner().backoff()
 	for {
@@ -339,6 +346,16 @@
 	}
 }
 
+// cancelOnce tries to stop a stream whose answer nobody waits for. If it fails,
+// the release of the branch's cache there stops it later.
+func (s *shard) cancelOnce(client backend.Engine, stream identity.StreamID) {
+	ctx, cancel := context.WithTimeout(s.context, s.owner.config.Timing.RequestTimeout)
+	defer cancel()
+	if err := client.Cancel(ctx, stream); err != nil {
+		s.owner.logger.Info("lost stream not cancelled yet", "stream", stream, "error", err)
+	}
+}
+
 // stopped returns the outcome of a call whose run was ended. With the shard
 // gone nothing is recorded: the next owner takes the call up. With the program
 // ended, the outbox cancels the stream.
--- a/internal/serving/drive.go
+++ b/internal/serving/drive.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/program"
 )
 
@@ -30,8 +31,10 @@
 	// dispatchedAt is when the first attempt was sent; all of them together may take
 	// timeout.
 	dispatchedAt time.Time
-	timeout      time.Duration
-	reason       string
+	// reached is the last stream of which a token came: its engine took it in.
+	reached identity.StreamID
+	timeout time.Duration
+	reason  string
 }
 
 // drive runs r and leaves its outcome to the followers.
--- a/internal/serving/watchdog.go
+++ b/internal/serving/watchdog.go
@@ -21,10 +21,15 @@
 	cancel context.CancelCauseFunc
 	mutex  sync.Mutex
 	timer  *time.Timer
-	// seen is the number of tokens at the last look.
-	seen int
+	// seen is the number of tokens at the last look, progress when it last grew.
+	seen     int
+	progress time.Time
 }
 
+// watchdogLooks is how often a watchdog looks within the time that counts as a
+// stall, so that a stall is noticed little later than it is one.
+const watchdogLooks = 5
+
 // watch returns a context that ends when the attempt is given up. An attempt
 // that must not be sent again is left to its answer or to the class's limit.
 func (d *driver) watch(parent context.Context) (context.Context, func()) {
@@ -32,9 +37,9 @@
 	if !d.mayRunAgain() {
 		return ctx, func() { cancel(nil) }
 	}
-	w := &watchdog{driver: d, cancel: cancel, seen: len(d.run.received())}
+	w := &watchdog{driver: d, cancel: cancel, seen: len(d.run.received()), progress: time.Now()}
 	w.mutex.Lock()
-	w.timer = time.AfterFunc(d.owner().config.Timing.Stall, w.check)
+	w.timer = time.AfterFunc(d.owner().config.Timing.Stall/watchdogLooks, w.check)
 	w.mutex.Unlock()
 	return ctx, func() {
 		w.mutex.Lock()
@@ -48,13 +53,15 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	stall := w.driver.owner().config.Timing.Stall
-	received := len(w.driver.run.received())
-	if received == w.seen && w.driver.owner().unresponsive(w.driver.attempt.Backend, stall) {
+	if received := len(w.driver.run.received()); received != w.seen {
+		w.seen, w.progress = received, time.Now()
+	}
+	stalled := time.Since(w.progress) >= stall
+	if stalled && w.driver.owner().unresponsive(w.driver.attempt.Backend, stall) {
 		w.cancel(errUnresponsive)
 		return
 	}
-	w.seen = received
-	w.timer.Reset(stall)
+	w.timer.Reset(stall / watchdogLooks)
 }
 
 // unresponsive tells that the blackboard has given the back end up: it is gone
