Check and replay traces with stepseam-lab

Cause: a trace could be replayed by go test only, and checked nowhere before.

A site's Close no longer sleeps; whoever runs it in a synctest bubble waits for what is on its way.

--- a/cmd/stepseam-lab/main.go
+++ b/cmd/stepseam-lab/main.go
@@ -24,6 +24,7 @@
 	Demo        *demoCommand        `arg:"subcommand:demo" help:"run a whole site as processes through an enrolment"`
 	Compare     *compareCommand     `arg:"subcommand:compare" help:"run scheduling policies over one workload in virtual time"`
 	Scale       *scaleCommand       `arg:"subcommand:scale" help:"run sites of hollow nodes and measure what control costs per node"`
+	Replay      *replayCommand      `arg:"subcommand:replay" help:"check traces and replay them over an in-memory site"`
 	Report      *reportCommand      `arg:"subcommand:report" help:"plot latency and wasted cache against load"`
 }
 
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -70,8 +70,9 @@
 	Executions application.Truth
 }
 
-// Run replays t and returns what was seen. It takes as long as the trace, so it
-// is called inside a synctest bubble.
+// Run replays t and returns what was seen. It takes as long as the trace. Inside
+// a synctest bubble that is no time, but the caller sleeps simulated.Settle then,
+// so that everything in the bubble ends.
 func Run(ctx context.Context, t *trace.Trace, options Options) (*Evidence, error) {
 	site, err := simulated.Start(ctx, planOf(t.Header.Site, options))
 	if err != nil {
--- a/internal/lab/simulated/failures.go
+++ b/internal/lab/simulated/failures.go
@@ -20,8 +20,8 @@
 // microseconds in between; here it does so often.
 const checkWindow = 200 * time.Millisecond
 
-// settle is longer than anything stays on its way.
-const settle = time.Minute
+// Settle is longer than anything stays on its way in network and log.
+const Settle = time.Minute
 
 // KillNode ends the node name as SIGKILL would.
 func (s *Site) KillNode(name identity.NodeName) {
@@ -158,7 +158,8 @@
 	}
 }
 
-// Close ends everything that runs in the site.
+// Close ends everything that runs in the site. What is on its way then arrives
+// nowhere, within Settle; a synctest bubble has to wait for it.
 func (s *Site) Close() {
 	for _, name := range s.plan.Nodes {
 		s.ThawNode(name)
@@ -172,7 +173,6 @@
 	for _, replica := range s.applications {
 		replica.Close()
 	}
-	time.Sleep(settle) // what is on its way in network and log arrives nowhere
 }
 
 // Leave lets the back end name begin to leave: it refuses new work and reports
--- a/test/replay/record_test.go
+++ b/test/replay/record_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -21,16 +20,13 @@
 	is := is.New(t)
 	played := readTrace(t, "testdata/quito-deadline-night.jsonl")
 	var recorder *trace.Recorder
-	synctest.Test(t, func(t *testing.T) {
-		found, err := replay.Run(t.Context(), played, replay.Options{Record: func(name identity.NodeName, programs serving.Programs) serving.Programs {
-			if recorder == nil {
-				recorder = trace.NewRecorder(time.Now().Add(-time.Second))
-			}
-			return recorder.Programs(name, programs)
-		}})
-		is.NoErr(err)
-		is.Equal(replay.Compare(played, found), nil)
-	})
+	found := run(t, played, replay.Options{Record: func(name identity.NodeName, programs serving.Programs) serving.Programs {
+		if recorder == nil { // the first request is the one that the trace sends after a second
+			recorder = trace.NewRecorder(time.Now().Add(-time.Second))
+		}
+		return recorder.Programs(name, programs)
+	}})
+	is.Equal(replay.Compare(played, found), nil)
 	recorded := &trace.Trace{Header: played.Header, Events: recorder.Events()}
 	recorded.Header.Name, recorded.Header.Note = "recorded", "What the callers of a recorded run got."
 
--- a/test/replay/replay_test.go
+++ b/test/replay/replay_test.go
@@ -9,8 +9,10 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"stepseam.example/stepseam/internal/lab/replay"
+	"stepseam.example/stepseam/internal/lab/simulated"
 	"stepseam.example/stepseam/internal/trace"
 )
 
@@ -42,7 +44,9 @@
 	var found *replay.Evidence
 	synctest.Test(t, func(t *testing.T) {
 		var err error
-		if found, err = replay.Run(t.Context(), played, options); err != nil {
+		found, err = replay.Run(t.Context(), played, options)
+		time.Sleep(simulated.Settle)
+		if err != nil {
 			t.Fatal(err)
 		}
 	})
