Load models and adapters by fenced orders of a service's owner

Cause: engines served only what they were started with, whatever the table asked for. Change: the owner of the shard of "service:"+name acts for that service's engines. It first raises the fence at every usable engine and waits until their reports show it, then sends the plan's orders one at a time, with lease and epoch checked right before each, after asking the weight store. A lost answer is repeated with the same fence. A caller whose model is on no engine is told the expected load time. Weighed: a fence on the orders alone is not enough. A late order may go to another engine than the next owner's, which has never seen its fence; so all are fenced before the first order. Measured: with one constant fence instead of one by epoch, TestALateHolderIsRefused fails: controller_test.go:206: 2 != 1. Left: engines that never report versions are taken to run what the table said when the node first saw them.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"stepseam.example/stepseam/internal/controller/backends"
 	"stepseam.example/stepseam/internal/controller/machines"
 	"stepseam.example/stepseam/internal/controller/members"
+	"stepseam.example/stepseam/internal/controller/models"
 	"stepseam.example/stepseam/internal/controller/tables"
 	"stepseam.example/stepseam/internal/forwarding"
 	"stepseam.example/stepseam/internal/identity"
@@ -37,6 +38,7 @@
 	machines  *machines.Controller
 	members   *members.Controller
 	backends  *backends.Controller
+	models    *models.Controller
 	directory backend.Directory
 	logger    *slog.Logger
 
@@ -63,6 +65,7 @@
 		invoke(injector, &built.machines),
 		invoke(injector, &built.members),
 		invoke(injector, &built.backends),
+		invoke(injector, &built.models),
 	}
 	for _, one := range resolve {
 		if err := one(); err != nil {
@@ -91,6 +94,7 @@
 	n.run(ctx, "machines", func(ctx context.Context) error { n.machines.Run(ctx); return nil })
 	n.run(ctx, "tables", n.tables.Run)
 	n.run(ctx, "backends", func(ctx context.Context) error { n.backends.Run(ctx); return nil })
+	n.run(ctx, "models", func(ctx context.Context) error { n.models.Run(ctx); return nil })
 	n.run(ctx, "journal", n.journal.Run)
 	n.run(ctx, "serving", n.owner.Run)
 	n.logger.Info("node started", "node", n.self.Name, "zone", n.self.Zone,
@@ -155,6 +159,9 @@
 // Owner runs the programs of this node's shards.
 func (n *Node) Owner() *serving.Owner { return n.owner }
 
+// Models places models and adapters on engines.
+func (n *Node) Models() *models.Controller { return n.models }
+
 // Failed gives the first error that ended a controller; the node should stop then.
 func (n *Node) Failed() <-chan error { return n.failed }
 
--- a/internal/node/providers.go
+++ b/internal/node/providers.go
@@ -15,6 +15,7 @@
 	"stepseam.example/stepseam/internal/controller/backends"
 	"stepseam.example/stepseam/internal/controller/machines"
 	"stepseam.example/stepseam/internal/controller/members"
+	"stepseam.example/stepseam/internal/controller/models"
 	"stepseam.example/stepseam/internal/controller/tables"
 	"stepseam.example/stepseam/internal/forwarding"
 	"stepseam.example/stepseam/internal/identity"
@@ -52,6 +53,8 @@
 	do.ProvideValue(injector, blackboard.NewBoard())
 	do.ProvideValue(injector, peer.NewRegistry())
 	do.ProvideValue(injector, serving.Hooks{})
+	do.ProvideValue(injector, models.Hooks{})
+	do.ProvideValue(injector, models.NewDemand())
 	do.ProvideValue[scheduling.Policy](injector, scheduling.NewStepseam())
 	provideOutside(injector)
 	do.Provide(injector, provideOwner)
@@ -61,6 +64,7 @@
 	do.Provide(injector, provideMachines)
 	do.Provide(injector, provideMembers)
 	do.Provide(injector, provideBackends)
+	do.Provide(injector, provideModels)
 	provideFaces(injector)
 	return injector
 }
@@ -71,7 +75,7 @@
 		Self:       chosen.Node.Name,
 		ShardCount: chosen.Shards.Count,
 		Board:      do.MustInvoke[*blackboard.Board](injector),
-		Directory:  do.MustInvoke[*backends.Controller](injector).Directory(),
+		Directory:  do.MustInvoke[*models.Demand](injector).Count(do.MustInvoke[*backends.Controller](injector).Directory()),
 		Policy:     do.MustInvoke[scheduling.Policy](injector),
 		Logger:     componentLogger(injector, "serving"),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
@@ -83,6 +87,14 @@
 			}
 			return forwarder.ProgramAlive(ctx, program)
 		},
+		// The model controller needs the journal, which needs the owner.
+		ModelWait: func(model, adapter string) (time.Duration, bool) {
+			controller, err := do.Invoke[*models.Controller](injector)
+			if err != nil {
+				return 0, false
+			}
+			return controller.ExpectedWait(model, adapter)
+		},
 		Timing: serving.Timing{
 			GapWait: chosen.Limits.SequenceGapWait,
 			Audit:   chosen.Backends.AuditInterval,
@@ -109,6 +121,7 @@
 		Host:          do.MustInvoke[*serving.Owner](injector),
 		Logger:        componentLogger(injector, "journal"),
 		Random:        randomSource(injector, "journal"),
+		Registerer:    do.MustInvoke[*prometheus.Registry](injector),
 	})
 	manager.Register(do.MustInvoke[*peer.Registry](injector))
 	return manager, nil
@@ -189,6 +202,21 @@
 	}), nil
 }
 
+func provideModels(injector do.Injector) (*models.Controller, error) {
+	chosen := do.MustInvoke[settings.Settings](injector)
+	return models.New(models.Config{
+		ShardCount: chosen.Shards.Count,
+		Board:      do.MustInvoke[*blackboard.Board](injector),
+		Directory:  do.MustInvoke[backend.Directory](injector),
+		Weights:    do.MustInvoke[platform.WeightStore](injector),
+		Held:       do.MustInvoke[*journal.Manager](injector).Held,
+		Demand:     do.MustInvoke[*models.Demand](injector),
+		Logger:     componentLogger(injector, "models"),
+		Registerer: do.MustInvoke[*prometheus.Registry](injector),
+		Hooks:      do.MustInvoke[models.Hooks](injector),
+	}), nil
+}
+
 func componentLogger(injector do.Injector, component string) *slog.Logger {
 	return do.MustInvoke[*slog.Logger](injector).With("component", component)
 }
--- a/internal/scheduling/modelplacement/decide_test.go
+++ b/internal/scheduling/modelplacement/decide_test.go
@@ -194,3 +194,21 @@
 	is.Equal(plan.Orders[0].Engine, "2")
 	is.Equal(plan.Orders[0].Reason, "1 of min_replicas 2; zone b has 0")
 }
+
+// BenchmarkDecide is one look at the largest service: 600 engines, 28 models.
+func BenchmarkDecide(b *testing.B) {
+	snapshot := modelplacement.Snapshot{}
+	for m := range 28 {
+		snapshot.Models = append(snapshot.Models, table.Model{Name: fmt.Sprint(m), Version: "1", Weight: 1, MinReplicas: 20, MaxReplicas: 100})
+	}
+	for i := range 600 {
+		snapshot.Engines = append(snapshot.Engines, modelplacement.Engine{
+			Name: fmt.Sprint(i), Zone: identity.Zone(fmt.Sprint(i % 8)), Usable: true, Counted: true,
+			Models: map[string]string{fmt.Sprint(i % 28): "1"},
+		})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		modelplacement.Decide(snapshot, modelplacement.DefaultParameters())
+	}
+}
--- a/internal/serving/assign.go
+++ b/internal/serving/assign.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -129,8 +130,20 @@
 	if !d.owner().anyEligible(query) {
 		code = api.CodeNoBackend
 	}
-	return api.NewProblem(code, "call %s: %s", d.run.id, decision.Reason).
-		WithNotRun(!d.mayHaveRun()).WithRetryAfter(decision.RetryAfter)
+	reason, retryAfter := decision.Reason, decision.RetryAfter
+	if wait, loads := d.owner().modelWait(query); loads {
+		reason, retryAfter = fmt.Sprintf("%s; model %s is expected on an engine in %s", reason, query.call.Model, wait.Round(time.Second)), wait
+	}
+	return api.NewProblem(code, "call %s: %s", d.run.id, reason).
+		WithNotRun(!d.mayHaveRun()).WithRetryAfter(retryAfter)
+}
+
+// modelWait returns how long it takes until an engine has the query's model.
+func (o *Owner) modelWait(query schedulingQuery) (time.Duration, bool) {
+	if o.config.ModelWait == nil || query.call.Model == "" {
+		return 0, false
+	}
+	return o.config.ModelWait(query.call.Model, query.adapter)
 }
 
 // query describes the call to the scheduler.
--- a/internal/serving/config.go
+++ b/internal/serving/config.go
@@ -36,6 +36,11 @@
 	// last call counts as holding the whole conversation.
 	CachedTokens func(backend string, program identity.ProgramID, branch identity.BranchID) int
 
+	// ModelWait returns how long it takes until some engine has a model and its
+	// adapter, false where one has them already or none will. Without it callers
+	// are told the policy's time to come back.
+	ModelWait func(model, adapter string) (time.Duration, bool)
+
 	Timing Timing
 	Bounds Bounds
 	Hooks  Hooks
