--- a/internal/controller/models/controller.go
+++ b/internal/controller/models/controller.go
@@ -192,7 +192,7 @@
 		acting := err == nil && services[service].asks() && !c.config.Board.Draining.Load()
 		c.setActing(service, epoch, acting)
 		if acting {
-			c.act(ctx, now, service, epoch, services[service], engines[service])
+			c.act(ctx, service, epoch, published, engines[service])
 		}
 	}
 	c.forgetServices(services)
@@ -238,8 +238,10 @@
 
 // act makes the plan of one service and begins at most one of its orders, so
 // that the next one sees what the weight store says after this one.
-func (c *Controller) act(ctx context.Context, now time.Time, service string, epoch identity.Epoch, rows rows, names []string) {
-	c.refresh(ctx, now, names)
+func (c *Controller) act(ctx context.Context, service string, epoch identity.Epoch, published *table.Table, names []string) {
+	rows := rowsByService(published)[service]
+	c.refresh(ctx, time.Now(), published, names)
+	now := time.Now() // the engines' answers took their time
 	snapshot, settled := c.snapshot(now, service, rows, names)
 	if !settled {
 		c.note(service, modelplacement.Plan{}, "for the engines' reports")
--- a/internal/controller/models/controller_test.go
+++ b/internal/controller/models/controller_test.go
@@ -51,6 +51,23 @@
 	})
 }
 
+// TestEnginesThatTheNodeDoesNotPollAreAsked is a large fleet in small: most engines
+// stand on the board without a report.
+func TestEnginesThatTheNodeDoesNotPollAreAsked(t *testing.T) {
+	inSite(t, [][]string{empty, holding, holding, holding}, models.Hooks{}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.setUnpolled(3)
+		s.publish(table.Model{Name: "m", Version: "1", MinReplicas: 3})
+		time.Sleep(longEnough)
+		s.takeOver(1)
+		time.Sleep(longEnough)
+		is.Equal(len(s.loads("m")), 0)
+		s.engines[3].SetFaults(engine.Faults{Down: true})
+		time.Sleep(longEnough)
+		is.Equal(len(s.loads("m")), 1)
+	})
+}
+
 func TestAVersionRollsOneEngineAtATime(t *testing.T) {
 	inSite(t, [][]string{holding, holding, holding}, models.Hooks{}, func(t *testing.T, s *site) {
 		is := is.New(t)
@@ -117,6 +134,20 @@
 	})
 }
 
+func TestDemandLoadsOneMore(t *testing.T) {
+	inSite(t, [][]string{holding, empty, empty}, models.Hooks{}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.publish(table.Model{Name: "m", Version: "1", MinReplicas: 1, MaxReplicas: 2})
+		ended := time.Now().Add(longEnough)
+		for caller := range 20 {
+			s.group.Go(func() { s.callUntil(ended, caller) })
+		}
+		time.Sleep(2 * longEnough)
+		is.Equal(len(s.loads("m")), 1)
+		is.Equal(s.holders("m"), 2) // the demand is gone, the replica stays
+	})
+}
+
 func TestALostAnswerLoadsOnce(t *testing.T) {
 	for _, losses := range []int{1, 3} {
 		inSite(t, [][]string{empty, empty}, models.Hooks{}, func(t *testing.T, s *site) {
--- a/internal/controller/models/observe.go
+++ b/internal/controller/models/observe.go
@@ -20,12 +20,11 @@
 // engineState is what the controller remembers of one engine, guarded by the
 // controller's mutex.
 type engineState struct {
-	address   netip.AddrPort
-	zone      identity.Zone
-	service   string
-	leaving   bool
-	health    scheduling.Health
-	firstSeen time.Time
+	address netip.AddrPort
+	zone    identity.Zone
+	service string
+	leaving bool
+	health  scheduling.Health
 	// report is the newest, of the board or asked for; reportedAt is zero before
 	// the first.
 	report     backend.LoadReport
@@ -51,7 +50,7 @@
 
 func newEngineState(now time.Time) *engineState {
 	return &engineState{
-		firstSeen: now, busyAt: now,
+		busyAt:        now,
 		assumedModels: map[string]string{}, assumedAdapters: map[string]string{},
 		refused: map[string]time.Time{}, loadingSince: map[string]time.Time{},
 	}
@@ -157,8 +156,8 @@
 	return all
 }
 
-// snapshot describes a service. It is not settled while an engine that may hold
-// anything has not reported: nothing may be decided then.
+// snapshot describes a service. It is not settled while an engine that stays has
+// neither reported nor failed to answer lately: nothing may be decided then.
 func (c *Controller) snapshot(now time.Time, service string, rows rows, names []string) (modelplacement.Snapshot, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -170,7 +169,7 @@
 	settled := true
 	for _, name := range names {
 		state := c.engines[name]
-		if !state.leaving && state.reportedAt.IsZero() && now.Sub(state.firstSeen) <= awayGrace {
+		if !state.leaving && !state.fresh(now) && now.Sub(state.askedAt) > freshFor {
 			settled = false
 		}
 		snapshot.Engines = append(snapshot.Engines, state.describe(now, name))
@@ -202,7 +201,7 @@
 
 // refresh asks engines for a report whose newest one is old, as in a fleet of
 // which this node polls a share, the oldest first.
-func (c *Controller) refresh(ctx context.Context, now time.Time, names []string) {
+func (c *Controller) refresh(ctx context.Context, now time.Time, published *table.Table, names []string) {
 	c.mutex.Lock()
 	var stale []string
 	for _, name := range names {
@@ -234,6 +233,7 @@
 		defer c.mutex.Unlock()
 		if state := c.engines[name]; state != nil {
 			state.report, state.reportedAt = report, time.Now()
+			c.takeReport(state.reportedAt, state, published)
 		}
 	})
 }
--- a/internal/controller/models/site_test.go
+++ b/internal/controller/models/site_test.go
@@ -27,6 +27,7 @@
 type site struct {
 	engines []*engine.Engine
 	weights *weightstore.Store
+	demand  *models.Demand
 	stop    context.CancelFunc
 	group   sync.WaitGroup
 
@@ -47,6 +48,9 @@
 	stalled bool
 	// losses is how many answers to loads get lost, after the order arrived.
 	losses int
+	// unpolled is how many engines, from the last on, stand on the board without
+	// a report.
+	unpolled int
 }
 
 func address(index int) netip.AddrPort {
@@ -58,7 +62,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
-		s := &site{weights: weightstore.New(weightstore.DefaultOptions()), stop: stop, epoch: 1}
+		s := &site{weights: weightstore.New(weightstore.DefaultOptions()), demand: models.NewDemand(), stop: stop, epoch: 1}
 		for index, names := range loaded {
 			built, err := engine.New(engine.DefaultParameters(fmt.Sprintf("engine-%d", index), names...))
 			if err != nil {
@@ -69,7 +73,7 @@
 		for index := range 2 {
 			n := &node{site: s, index: index, board: blackboard.NewBoard()}
 			n.controller = models.New(models.Config{
-				ShardCount: 4, Board: n.board, Directory: n, Weights: s.weights, Held: n.held, Hooks: hooks,
+				ShardCount: 4, Board: n.board, Directory: n, Weights: s.weights, Held: n.held, Demand: s.demand, Hooks: hooks,
 			})
 			s.nodes = append(s.nodes, n)
 			s.group.Go(func() { n.controller.Run(ctx) })
@@ -111,7 +115,9 @@
 				seen.Name, seen.Role, seen.Address, seen.Service = one.Name(), platform.RoleEngine, address(index), service
 				seen.Zone = identity.Zone(fmt.Sprintf("zone-%d", index%2))
 				seen.Health = scheduling.Ejected
-				if err == nil {
+				if index >= len(n.site.engines)-n.site.unpolledBy(n) {
+					seen.Health = scheduling.Healthy
+				} else if err == nil {
 					seen.Health, seen.Report, seen.ReportedAt, seen.Leaving = scheduling.Healthy, report, time.Now(), report.Draining
 				}
 				return seen, true
@@ -149,6 +155,21 @@
 	return e.Engine.Order(ctx, order)
 }
 
+// setUnpolled takes the last engines from the polls of all nodes.
+func (s *site) setUnpolled(count int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, n := range s.nodes {
+		n.unpolled = count
+	}
+}
+
+func (s *site) unpolledBy(n *node) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return n.unpolled
+}
+
 // loses uses up one loss.
 func (s *site) loses(n *node) bool {
 	s.mutex.Lock()
@@ -169,6 +190,18 @@
 	n.stalled = stalled
 }
 
+// callUntil sends one call after the other to the first engine.
+func (s *site) callUntil(ended time.Time, caller int) {
+	one := s.demand.Count(s.nodes[0]).Engine(address(0))
+	for sequence := identity.Sequence(1); time.Now().Before(ended); sequence++ {
+		id := identity.CallID{Program: identity.ProgramID(fmt.Sprintf("p-%d", caller)), Branch: identity.MainBranch, Sequence: sequence}
+		_, _ = one.Generate(context.Background(), backend.GenerateRequest{
+			Stream: identity.StreamID{Call: id, Epoch: 1}, Model: "m", MaxTokens: 64,
+			Messages: []backend.Message{{Role: "user", Content: "x"}},
+		}, func(backend.Token) error { return nil })
+	}
+}
+
 // takeOver gives the service's shard to another node.
 func (s *site) takeOver(owner int) {
 	s.mutex.Lock()
--- a/internal/scheduling/modelplacement/decide_test.go
+++ b/internal/scheduling/modelplacement/decide_test.go
@@ -195,6 +195,24 @@
 	is.Equal(plan.Orders[0].Reason, "1 of min_replicas 2; zone b has 0")
 }
 
+func TestDemandLoadsOneMoreWithinTheRange(t *testing.T) {
+	for _, one := range []struct {
+		maximum int
+		demand  float64
+		orders  int
+	}{{2, 9, 1}, {2, 7, 0}, {0, 100, 0}, {1, 100, 0}} {
+		is := is.New(t)
+		snapshot := modelplacement.Snapshot{
+			Models:      []table.Model{{Name: "m", Version: "1", Weight: 1, MinReplicas: 1, MaxReplicas: one.maximum}},
+			ModelDemand: map[string]float64{"m": one.demand},
+		}
+		for i, loaded := range []map[string]string{{"m": "1"}, {}, {}} {
+			snapshot.Engines = append(snapshot.Engines, modelplacement.Engine{Name: fmt.Sprint(i), Usable: true, Counted: true, Models: loaded})
+		}
+		is.Equal(len(modelplacement.Decide(snapshot, modelplacement.DefaultParameters()).Orders), one.orders)
+	}
+}
+
 // BenchmarkDecide is one look at the largest service: 600 engines, 28 models.
 func BenchmarkDecide(b *testing.B) {
 	snapshot := modelplacement.Snapshot{}
