Leave the demonstration's site running for who wants to try it

Cause: the README's first program with curl needed a site started by hand, part by part. Change: make site (stepseam-lab site) starts the demonstration's site, publishes its first table, prints the addresses and stops as planned when interrupted.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TEST_FLAGS ?= -count=1 -timeout=8m
 PROGRAMS := stepseamd stepseamctl stepseam-lab
 
-.PHONY: build demo test unit lint format soak clean
+.PHONY: build demo site test unit lint format soak clean
 
 build:
 	@mkdir -p bin
@@ -24,6 +24,10 @@
 demo: build
 	bin/stepseam-lab demo --programs bin
 
+# The demonstration's site, left running until it is interrupted.
+site: build
+	bin/stepseam-lab site --programs bin
+
 # A long search over seeded failure schedules: make soak SCHEDULES=10000 SEED=1.
 # It runs JOBS searches side by side, each with its own seed.
 SCHEDULES ?= 1000
--- a/cmd/stepseam-lab/main.go
+++ b/cmd/stepseam-lab/main.go
@@ -22,6 +22,7 @@
 	Engine      *engineCommand      `arg:"subcommand:engine" help:"run a model engine stand-in"`
 	Application *applicationCommand `arg:"subcommand:application" help:"run an application replica stand-in"`
 	Demo        *demoCommand        `arg:"subcommand:demo" help:"run a whole site as processes through an enrolment"`
+	Site        *siteCommand        `arg:"subcommand:site" help:"run the demonstration's site until it is interrupted"`
 	Compare     *compareCommand     `arg:"subcommand:compare" help:"run scheduling policies over one workload in virtual time"`
 	Scale       *scaleCommand       `arg:"subcommand:scale" help:"run sites of hollow nodes and measure what control costs per node"`
 	Replay      *replayCommand      `arg:"subcommand:replay" help:"check traces and replay them over an in-memory site"`
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -28,6 +28,9 @@
 	Output io.Writer
 	// KeepFiles leaves settings and logs behind; they are left after a failure too.
 	KeepFiles bool
+	// Stay starts the site and publishes its first table, and then leaves it
+	// running for whoever wants to try it, until the context ends.
+	Stay bool
 }
 
 const (
@@ -51,8 +54,11 @@
 // Run runs the demonstration. It returns the first thing that was not as it
 // should be.
 func Run(ctx context.Context, options Options) error {
-	ctx, cancel := context.WithTimeout(ctx, timeLimit)
-	defer cancel()
+	if !options.Stay {
+		limited, cancel := context.WithTimeout(ctx, timeLimit)
+		defer cancel()
+		ctx = limited
+	}
 	directory, err := os.MkdirTemp("", "stepseam-demo-")
 	if err != nil {
 		return fmt.Errorf("demo: %w", err)
@@ -93,6 +99,9 @@
 		{"Publish a changed table", d.publishChanged},
 		{"Stop every node as planned", d.stop},
 	}
+	if d.options.Stay {
+		steps = []step{steps[0], steps[1], {"Leave the site to you", d.stay}, steps[len(steps)-1]}
+	}
 	began := time.Now()
 	for _, step := range steps {
 		d.say("\n== %s (%.1f s)", step.title, time.Since(began).Seconds())
@@ -104,6 +113,17 @@
 	return nil
 }
 
+// stay tells how to reach the site and waits until the context ends.
+func (d *demonstration) stay(ctx context.Context) error {
+	for _, node := range d.site.Nodes {
+		d.say("%s: callers at %s, operators at %s", node.Name, node.CallersURL(), node.OperatorsURL())
+	}
+	d.say("class %s, model %s, application %s; the table is in %s", className, modelName, applicationService, d.directory)
+	d.say("Interrupt (Ctrl-C) stops the site.")
+	<-ctx.Done()
+	return nil
+}
+
 func (d *demonstration) start(ctx context.Context) error {
 	programs, err := filepath.Abs(d.options.Programs)
 	if err != nil {
