Pass over engines that answer no fence

Cause: one engine that knows no orders would have held up its whole service, since an owner waits until every usable engine shows its fence. Change: after three tries without an answer it gets no orders for two minutes. A plan weighs its models once instead of at each comparison.

--- a/internal/controller/models/controller.go
+++ b/internal/controller/models/controller.go
@@ -51,9 +51,11 @@
 	refusedFor = 2 * time.Minute
 	// reportLimit is how long a done order waits to show in a report.
 	reportLimit = 30 * time.Second
-	// fenceRetry is the time between two tries to raise an engine's fence, and
+	// fenceRetry is the time between two tries to raise an engine's fence; after
+	// fenceTries without an answer the engine is passed over for refusedFor.
 	// requestTimeout bounds one such try and one request for a report.
 	fenceRetry     = 3 * time.Second
+	fenceTries     = 3
 	requestTimeout = 2 * time.Second
 	// weightRetry bounds the pause before the weight store is asked again.
 	weightRetry = 15 * time.Second
--- a/internal/controller/models/controller_test.go
+++ b/internal/controller/models/controller_test.go
@@ -68,6 +68,17 @@
 	})
 }
 
+func TestAnEngineThatTakesNoOrdersHoldsNothingUp(t *testing.T) {
+	inSite(t, [][]string{empty, empty, empty}, models.Hooks{}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.deaf = s.engines[0]
+		s.publish(table.Model{Name: "m", Version: "1", MinReplicas: 2})
+		time.Sleep(longEnough)
+		is.Equal(len(s.loads("m")), 2)
+		is.Equal(len(s.engines[0].Truth().Orders), 0)
+	})
+}
+
 func TestAVersionRollsOneEngineAtATime(t *testing.T) {
 	inSite(t, [][]string{holding, holding, holding}, models.Hooks{}, func(t *testing.T, s *site) {
 		is := is.New(t)
--- a/internal/controller/models/observe.go
+++ b/internal/controller/models/observe.go
@@ -40,8 +40,10 @@
 	assumedAdapters map[string]string
 	// pending is this node's order until a report shows it.
 	pending *pendingOrder
-	// fencedAt is when this node last tried to raise the fence.
-	fencedAt time.Time
+	// fencedAt is when this node last tried to raise the fence, fenceFailures how
+	// many tries had no answer.
+	fencedAt      time.Time
+	fenceFailures int
 	// refused are the subjects that the engine refused, with when to try again.
 	refused map[string]time.Time
 	// loadingSince is when a subject's load was first reported.
--- a/internal/controller/models/order.go
+++ b/internal/controller/models/order.go
@@ -88,7 +88,7 @@
 		}
 		err := engine.Order(ctx, order)
 		c.metrics.count(order.Kind, err)
-		if errors.Is(err, backend.ErrRefused) {
+		if c.noteFence(name, err) || errors.Is(err, backend.ErrRefused) {
 			c.refuse(name, fenceSubject)
 		}
 		if err != nil {
@@ -97,6 +97,23 @@
 	})
 }
 
+// noteFence counts the tries that an engine left without an answer, as one that
+// knows no orders does, and tells that it should be passed over.
+func (c *Controller) noteFence(engine string, err error) (passOver bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	state := c.engines[engine]
+	if state == nil || err == nil {
+		return false
+	}
+	state.fenceFailures++
+	if state.fenceFailures < fenceTries {
+		return false
+	}
+	state.fenceFailures = 0
+	return true
+}
+
 func (c *Controller) refuse(engine, subject string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/controller/models/site_test.go
+++ b/internal/controller/models/site_test.go
@@ -26,6 +26,8 @@
 // site is some engines, and nodes of which one holds the service's shard.
 type site struct {
 	engines []*engine.Engine
+	// deaf, if set, answers no order.
+	deaf    *engine.Engine
 	weights *weightstore.Store
 	demand  *models.Demand
 	stop    context.CancelFunc
@@ -146,6 +148,9 @@
 	for e.node.site.isStalled(e.node) {
 		time.Sleep(10 * time.Millisecond)
 	}
+	if deaf := e.node.site.deaf; deaf != nil && e.Engine == backend.Engine(deaf) {
+		return backend.ErrBroken
+	}
 	load := order.Kind == backend.OrderLoadModel || order.Kind == backend.OrderLoadAdapter
 	if load && e.node.site.loses(e.node) {
 		e.node.site.group.Go(func() { _ = e.Engine.Order(ctx, order) })
--- a/internal/scheduling/modelplacement/decide.go
+++ b/internal/scheduling/modelplacement/decide.go
@@ -49,16 +49,16 @@
 // most weighted demand on each replica first.
 func (p *planner) byUrgency() []table.Model {
 	var models []table.Model
+	pressure := map[string]float64{}
 	for _, model := range p.snapshot.Models {
 		if model.MinReplicas > 0 {
 			models = append(models, model)
+			replicas := max(1, len(p.holders(subjectOf(model))))
+			pressure[model.Name] = model.Weight * p.snapshot.ModelDemand[model.Name] / float64(replicas)
 		}
 	}
-	pressure := func(model table.Model) float64 {
-		return model.Weight * p.snapshot.ModelDemand[model.Name] / float64(max(1, len(p.holders(subjectOf(model)))))
-	}
 	slices.SortFunc(models, func(a, b table.Model) int {
-		return cmp.Or(cmp.Compare(pressure(b), pressure(a)), cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(pressure[b.Name], pressure[a.Name]), cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Name, b.Name))
 	})
 	return models
 }
