Tell the decisions no more in the experiment than the daemon does

Cause: read again, the experiment gave the decisions the start of a person's question as the program's start; a node can't know where a question begins. Change: the program's arrival, as in the daemon.

--- a/internal/lab/experiment/caller.go
+++ b/internal/lab/experiment/caller.go
@@ -26,8 +26,6 @@
 	keys     []model.Key
 	// branchLeft counts the calls that each branch still has to make.
 	branchLeft map[string]int
-	// current is the turn that was last begun.
-	current int
 }
 
 // turn is one question of a person, from its first call to the last answer.
@@ -61,8 +59,6 @@
 	x.send(0)
 }
 
-func (x *execution) turnStarted() time.Duration { return x.turns[x.current].startsAt }
-
 // send makes call index now. After the end of the run nothing new is begun.
 func (x *execution) send(index int) {
 	r := x.run
@@ -74,7 +70,6 @@
 	if !current.begun {
 		current.begun = true
 		current.startsAt = r.clock.now
-		x.current = call.Turn
 	}
 	r.underWay++
 	// The gateway that the caller reached is usually not the owner.
@@ -105,7 +100,7 @@
 		return
 	}
 	x.gaveUp = true
-	x.run.measures.gaveUp(x)
+	x.run.measures.gaveUp()
 	for _, key := range x.keys {
 		x.run.ledger.end(key)
 	}
--- a/internal/lab/experiment/engine.go
+++ b/internal/lab/experiment/engine.go
@@ -20,10 +20,9 @@
 	// slowdown multiplies the time of every step; 1 is as usual.
 	slowdown float64
 	dead     bool
-	waiting  []*stream
-	running  []*stream
-	// queuedPrefill counts the prompt tokens of waiting streams, cached or not.
-	arrivals uint64
+	// waiting is ordered by priority, equal ones by arrival.
+	waiting []*stream
+	running []*stream
 	// jump is the run of equal steps under way; generation voids its end event
 	// when it is cut short.
 	jump       jump
@@ -39,14 +38,12 @@
 	answer    model.Segment
 	maxTokens int
 	priority  int
-	arrived   uint64
 	lease     *model.Lease
 	// prefillLeft is what is left to prefill; started tells that its overhead was paid.
 	prefillLeft int
 	started     bool
 	decoded     int
-	// submittedAt, beganAt and prefilledAt are for measures and observed rates.
-	submittedAt time.Duration
+	// beganAt and prefilledAt are for measures and observed rates.
 	beganAt     time.Duration
 	prefilledAt time.Duration
 	// done gets whether the stream ran to its end.
@@ -82,9 +79,6 @@
 
 // submit queues a stream; the engine must not be dead.
 func (e *engine) submit(s *stream) {
-	e.arrivals++
-	s.arrived = e.arrivals
-	s.submittedAt = e.clock.now
 	position := sort.Search(len(e.waiting), func(i int) bool { return e.waiting[i].priority < s.priority })
 	e.waiting = slices.Insert(e.waiting, position, s)
 	switch {
--- a/internal/lab/experiment/measure.go
+++ b/internal/lab/experiment/measure.go
@@ -96,7 +96,7 @@
 	}
 }
 
-func (m *measures) gaveUp(*execution) { m.lost++ }
+func (m *measures) gaveUp() { m.lost++ }
 
 // call judges one call of its turn against its lower bound.
 func (m *measures) call(r *run, request *request) {
--- a/internal/lab/experiment/node.go
+++ b/internal/lab/experiment/node.go
@@ -20,9 +20,9 @@
 	rateGain = 0.1
 	// prefillSampleTokens is the least uncached prompt that tells a prefill rate.
 	prefillSampleTokens = 200
-	// observedConnection is how long a node takes to notice that an engine it
+	// connectionFailure is how long a node takes to notice that an engine it
 	// sends to is not there.
-	observedConnection = 5 * time.Millisecond
+	connectionFailure = 5 * time.Millisecond
 )
 
 // node is one stepseamd: it owns some programs and decides for their calls with
@@ -62,7 +62,6 @@
 type branch struct {
 	history []model.Segment
 	tokens  int
-	calls   int
 	// cached is the expected prefix at each engine.
 	cached map[int]int
 	// placed are the engines where it ran since its memory was last given up.
@@ -154,7 +153,7 @@
 		Tenant: request.execution.program.Tenant, Class: class.Name,
 		Model: "model", Service: n.run.site.Service,
 		PromptTokens: request.tokens, MaxTokens: class.MaxTokens,
-		Arrived: n.run.wall(request.arrived), ProgramStarted: n.run.wall(request.execution.turnStarted()),
+		Arrived: n.run.wall(request.arrived), ProgramStarted: n.run.wall(request.execution.program.Arrive),
 		ServiceSoFar: request.execution.service, CallsSoFar: request.execution.answered,
 		Weight: class.Weight, Priority: class.Priority,
 		Attempt: request.attempt, Excluded: request.excluded,
@@ -217,7 +216,7 @@
 	book.inFlight = append(book.inFlight, dispatch{at: sent, uncached: uncached, stream: s})
 	n.run.clock.after(latency, func() {
 		if e.dead {
-			n.run.clock.after(observedConnection, func() { s.done(s, false) })
+			n.run.clock.after(connectionFailure, func() { s.done(s, false) })
 			return
 		}
 		e.submit(s)
@@ -251,7 +250,6 @@
 	b := request.branch
 	b.history = append(request.prompt, s.answer)
 	b.tokens = request.tokens + s.answer.Tokens
-	b.calls++
 	b.last = e.index
 	b.running = false
 	b.idleSince = now
