Build simulated sites in one place

Cause: trace replay had grown its own copy of the simulation's site, with the same gates for frozen and killed nodes; a change to one would have missed the other. Change: test/simulation runs on internal/lab/simulated and keeps only its plan, callers, checker and schedules. A zone that is cut off now loses its way to the other zones' back ends too, and in half of the cases to log and machine list.

--- a/internal/lab/simulated/failures.go
+++ b/internal/lab/simulated/failures.go
@@ -58,7 +58,7 @@
 	if frozen == nil {
 		return
 	}
-	s.stall(name, true)
+	s.Stall(name, true)
 	time.Sleep(checkWindow)
 	frozen.Endpoint.Freeze()
 }
@@ -68,7 +68,7 @@
 	if frozen := s.Life(name); frozen != nil {
 		frozen.Endpoint.Thaw()
 	}
-	s.stall(name, false)
+	s.Stall(name, false)
 }
 
 // CutZone cuts a zone off from all others, their back ends included; with
@@ -122,7 +122,9 @@
 	return s.stalls[name]
 }
 
-func (s *Site) stall(name identity.NodeName, stalled bool) {
+// Stall holds back what the node sends to back ends after its checks, until it is
+// called again with false.
+func (s *Site) Stall(name identity.NodeName, stalled bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.stalls[name] = stalled
--- a/internal/lab/simulated/site.go
+++ b/internal/lab/simulated/site.go
@@ -43,6 +43,10 @@
 	ZoneLatency    time.Duration
 	BackendLatency time.Duration
 	MachineListLag time.Duration
+	// AuditInterval is the time between two searches for orphaned cache memory, and
+	// LongestAnswer bounds the engines' answers in tokens; 0 takes the defaults.
+	AuditInterval time.Duration
+	LongestAnswer int
 	// Table is the CSV of the first table.
 	Table []byte
 	// Logger takes the nodes' logs; nil drops them.
@@ -188,6 +192,9 @@
 	for index, planned := range s.plan.Engines {
 		parameters := engine.DefaultParameters(planned.Name, planned.Models...)
 		parameters.Seed = s.plan.Seed + uint64(index)
+		if s.plan.LongestAnswer > 0 {
+			parameters.LongestAnswer = s.plan.LongestAnswer
+		}
 		built, err := engine.New(parameters)
 		if err != nil {
 			return fmt.Errorf("simulated: %w", err)
@@ -234,6 +241,9 @@
 		}
 	}
 	chosen.Shards.Count = s.plan.Shards
+	if s.plan.AuditInterval > 0 {
+		chosen.Backends.AuditInterval = s.plan.AuditInterval
+	}
 	return chosen
 }
 
--- a/test/simulation/caller_test.go
+++ b/test/simulation/caller_test.go
@@ -11,6 +11,7 @@
 
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/lab/simulated"
 	"stepseam.example/stepseam/internal/serving"
 )
 
@@ -130,7 +131,7 @@
 }
 
 // somewhere returns a live node; callers do not know which are frozen.
-func (c *caller) somewhere() *life {
+func (c *caller) somewhere() *simulated.Life {
 	for {
 		if found := c.site.life(c.random.IntN(c.site.plan.nodes)); found != nil {
 			return found
@@ -143,17 +144,17 @@
 // under it is a lost connection.
 func (c *caller) through(ctx context.Context, request func(context.Context, serving.Programs) error) error {
 	at := c.somewhere()
-	if at.node.Board().Draining.Load() {
+	if at.Node.Board().Draining.Load() {
 		return api.NewProblem(api.CodeDraining, "the node is stopping").WithRetryAfter(time.Second)
 	}
-	at.requests.Add(1)
-	defer at.requests.Done()
+	at.Requests.Add(1)
+	defer at.Requests.Done()
 	ctx, cancel := context.WithTimeout(ctx, c.attemptTime())
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() {
-		err := request(ctx, at.node.Programs())
-		if gateErr := at.endpoint.Gate(context.WithoutCancel(ctx)); gateErr != nil {
+		err := request(ctx, at.Node.Programs())
+		if gateErr := at.Endpoint.Gate(context.WithoutCancel(ctx)); gateErr != nil {
 			err = errConnection
 		}
 		ended <- err
@@ -161,7 +162,7 @@
 	select {
 	case err := <-ended:
 		return err
-	case <-at.endpoint.Done():
+	case <-at.Endpoint.Done():
 	case <-ctx.Done():
 	}
 	return errConnection
--- a/test/simulation/checker_test.go
+++ b/test/simulation/checker_test.go
@@ -50,8 +50,7 @@
 
 func (s *site) evidence() evidence {
 	found := evidence{held: map[identity.ProgramID][]string{}}
-	for _, replica := range s.engines {
-		truth := replica.Truth()
+	for _, truth := range s.Engines() {
 		for _, arrival := range truth.Arrivals {
 			if arrival.Outcome != engine.OutcomeRefused {
 				found.arrivals = append(found.arrivals, seen{Arrival: arrival, engine: truth.Name})
@@ -64,7 +63,7 @@
 	slices.SortStableFunc(found.arrivals, func(a, b seen) int {
 		return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.Stream.Call.Sequence, b.Stream.Call.Sequence))
 	})
-	truth := s.ledger.Truth()
+	truth := s.Ledger.Truth()
 	found.executions, found.byKey = truth.Executions, truth.ByKey
 	return found
 }
--- a/test/simulation/models_test.go
+++ b/test/simulation/models_test.go
@@ -25,10 +25,10 @@
 
 // modelLoads returns the engines that began to load model, once for each time.
 func (s *site) modelLoads(model string) (zones []identity.Zone) {
-	for _, replica := range s.engines {
-		for _, record := range replica.Truth().Orders {
+	for index, truth := range s.Engines() {
+		for _, record := range truth.Orders {
 			if record.Done && record.Order.Kind == backend.OrderLoadModel && record.Order.Subject == model {
-				zones = append(zones, replica.zone)
+				zones = append(zones, s.zone(index))
 			}
 		}
 	}
@@ -39,7 +39,7 @@
 func (s *site) acting() (index int, found bool) {
 	for index := range s.plan.nodes {
 		if alive := s.life(index); alive != nil {
-			for _, status := range alive.node.Models().Status() {
+			for _, status := range alive.Node.Models().Status() {
 				if status.Acting && status.Service == engineService {
 					return index, true
 				}
@@ -52,7 +52,7 @@
 // fencesSeen counts the engines whose reports show an acting node's fence to the
 // node at index.
 func (s *site) fencesSeen(index int) (count int) {
-	for _, seen := range s.life(index).node.Board().Backends.Copy() {
+	for _, seen := range s.life(index).Node.Board().Backends.Copy() {
 		if seen.Report.Fence > 0 {
 			count++
 		}
@@ -64,7 +64,7 @@
 func (s *site) callSecondModel(index int, program identity.ProgramID) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	programs := s.life(index).node.Programs()
+	programs := s.life(index).Node.Programs()
 	_, err := programs.Create(ctx, serving.CreateRequest{ID: program, Tenant: "usfq", Class: className})
 	if err != nil {
 		return err
@@ -87,10 +87,10 @@
 		site := newSite(t, quito(9))
 		defer site.close()
 		time.Sleep(time.Minute)
-		for _, replica := range site.engines {
-			is.Equal(len(replica.Truth().Orders), 0) // nothing is asked for that is not there
+		for _, truth := range site.Engines() {
+			is.Equal(len(truth.Orders), 0) // nothing is asked for that is not there
 		}
-		next := site.firstTable()
+		next := site.plan.firstTable()
 		next.Base = 1
 		next.Models[secondModel] = table.Model{
 			Name: secondModel, Version: "1", Service: engineService, Weight: 1, MinReplicas: 2, ContextTokens: 32_000,
@@ -137,7 +137,7 @@
 		is := is.New(t)
 		site := newSite(t, quito(10))
 		defer site.close()
-		next := site.firstTable()
+		next := site.plan.firstTable()
 		next.Base = 1
 		next.Models[secondModel] = table.Model{
 			Name: secondModel, Version: "1", Service: engineService, Weight: 1, MinReplicas: 1, ContextTokens: 32_000,
@@ -146,23 +146,23 @@
 		time.Sleep(time.Second)
 		stopped, found := site.acting()
 		is.True(found)
-		for site.fencesSeen(stopped) < len(site.engines) {
+		for site.fencesSeen(stopped) < site.plan.engines {
 			time.Sleep(10 * time.Millisecond)
 		}
-		site.stall(nodeName(stopped), true)
+		site.Stall(nodeName(stopped), true)
 		time.Sleep(3 * time.Second)
 		is.Equal(len(site.modelLoads(secondModel)), 0) // the order is on its way
-		site.life(stopped).endpoint.Freeze()
+		site.life(stopped).Endpoint.Freeze()
 		time.Sleep(placementTime)
 		is.Equal(len(site.modelLoads(secondModel)), 1)
-		site.life(stopped).endpoint.Thaw()
-		site.stall(nodeName(stopped), false)
+		site.life(stopped).Endpoint.Thaw()
+		site.Stall(nodeName(stopped), false)
 		time.Sleep(placementTime)
 		is.Equal(len(site.modelLoads(secondModel)), 1)
 		stale := 0
-		for _, replica := range site.engines {
+		for _, truth := range site.Engines() {
 			highest := uint64(0)
-			for _, record := range replica.Truth().Orders {
+			for _, record := range truth.Orders {
 				if !record.Done && record.Order.Kind == backend.OrderLoadModel && record.Order.Fence < highest {
 					stale++
 				}
--- a/test/simulation/schedule_test.go
+++ b/test/simulation/schedule_test.go
@@ -123,29 +123,29 @@
 	switch one.kind {
 	case killNode:
 		s.killNode(node)
-		return func() { s.revive(node) }
+		return func() { s.startNode(node) }
 	case killZone:
 		return s.killWholeZone(one.target)
 	case drainNode:
 		_ = s.drainNode(node) // a stop whose hand-over fails ends like a kill
-		return func() { s.revive(node) }
+		return func() { s.startNode(node) }
 	case freezeNode:
 		return s.freeze(node)
 	case cutOneWay:
-		s.network.Cut(nodeName(node), nodeName(other))
-		return func() { s.network.Heal(nodeName(node), nodeName(other)) }
+		s.Network.Cut(nodeName(node), nodeName(other))
+		return func() { s.Network.Heal(nodeName(node), nodeName(other)) }
 	case cutZoneOff:
-		return s.cutZone(one.target)
+		return s.cutZone(one)
 	case lossyNetwork:
-		s.network.SetFaults(network.Faults{RequestLoss: 0.05, AnswerLoss: 0.05, DatagramLoss: 0.1})
-		return func() { s.network.SetFaults(network.Faults{}) }
+		s.Network.SetFaults(network.Faults{RequestLoss: 0.05, AnswerLoss: 0.05, DatagramLoss: 0.1})
+		return func() { s.Network.SetFaults(network.Faults{}) }
 	case duplicatingNetwork:
-		s.network.SetFaults(network.Faults{Duplicate: 0.2, DuplicateDelay: 3 * time.Second, DatagramReorder: 0.2, ReorderDelay: time.Second})
-		return func() { s.network.SetFaults(network.Faults{}) }
+		s.Network.SetFaults(network.Faults{Duplicate: 0.2, DuplicateDelay: 3 * time.Second, DatagramReorder: 0.2, ReorderDelay: time.Second})
+		return func() { s.Network.SetFaults(network.Faults{}) }
 	case backendLinkCut:
 		name, zone := nodeName(node), s.zone(one.other)
-		s.cutBackends(name, zone, true)
-		return func() { s.cutBackends(name, zone, false) }
+		s.CutBackends(name, zone, true)
+		return func() { s.CutBackends(name, zone, false) }
 	case logOutage, logSlow, logLosesAnswers, logCutFromNode:
 		return s.failLog(one)
 	default:
@@ -164,75 +164,42 @@
 	}
 	return func() {
 		for _, index := range killed {
-			s.revive(index)
+			s.startNode(index)
 		}
 	}
 }
 
-// revive starts the node at index again unless it runs.
-func (s *site) revive(index int) {
-	if s.life(index) == nil {
-		s.startNode(index)
-	}
-}
-
-// checkWindow is how long before a freeze dispatches are held back that have
-// passed their checks. In a real process the freeze would have to hit the few
-// microseconds in between; here it does so often.
-const checkWindow = 200 * time.Millisecond
-
-// freeze stops a node between its last checks and its sends: what it was about to
-// dispatch leaves after the thaw.
 func (s *site) freeze(index int) func() {
-	frozen := s.life(index)
-	if frozen == nil {
-		return nil
-	}
-	s.stall(nodeName(index), true)
-	time.Sleep(checkWindow)
-	frozen.endpoint.Freeze()
-	return func() {
-		frozen.endpoint.Thaw()
-		s.stall(nodeName(index), false)
-	}
+	s.FreezeNode(nodeName(index))
+	return func() { s.ThawNode(nodeName(index)) }
 }
 
-func (s *site) cutZone(target int) func() {
-	cut := s.zone(target)
-	for _, zone := range s.plan.zones {
-		if zone != cut {
-			s.network.CutZone(cut, zone)
-			s.network.CutZone(zone, cut)
-		}
-	}
-	return func() {
-		for _, zone := range s.plan.zones {
-			s.network.HealZone(cut, zone)
-			s.network.HealZone(zone, cut)
-		}
-	}
+// cutZone cuts a zone off from the others, and for odd choices from the platform.
+func (s *site) cutZone(one step) func() {
+	zone := s.zone(one.target)
+	s.CutZone(zone, one.other%2 == 1)
+	return func() { s.HealZone(zone) }
 }
 
 func (s *site) failLog(one step) func() {
 	switch one.kind {
 	case logCutFromNode:
-		view := s.log.ViewFor(string(nodeName(one.target % s.plan.nodes)))
+		view := s.Log.ViewFor(string(nodeName(one.target % s.plan.nodes)))
 		view.SetDown(true)
 		return func() { view.SetDown(false) }
 	case logSlow:
-		s.log.SetFaults(logservice.Faults{AppendDelay: time.Second, ReadDelay: 200 * time.Millisecond})
+		s.Log.SetFaults(logservice.Faults{AppendDelay: time.Second, ReadDelay: 200 * time.Millisecond})
 	case logLosesAnswers:
-		s.log.SetFaults(logservice.Faults{LoseBefore: 0.2, LoseAfter: 0.3})
+		s.Log.SetFaults(logservice.Faults{LoseBefore: 0.2, LoseAfter: 0.3})
 	default:
-		s.log.SetDown(true)
-		return func() { s.log.SetDown(false) }
+		s.Log.SetDown(true)
+		return func() { s.Log.SetDown(false) }
 	}
-	return func() { s.log.SetFaults(logservice.Faults{}) }
+	return func() { s.Log.SetFaults(logservice.Faults{}) }
 }
 
 func (s *site) failBackend(one step) func() {
-	struckEngine := s.engines[addressOf(2, one.target%s.plan.engines)]
-	struckApplication := s.applications[addressOf(3, one.target%s.plan.applications)]
+	struckEngine, struckApplication := s.engine(one.target), s.portal(one.target)
 	var faults engine.Faults
 	switch one.kind {
 	case applicationLosesAnswers:
--- a/test/simulation/smoke_test.go
+++ b/test/simulation/smoke_test.go
@@ -22,7 +22,7 @@
 		defer site.close()
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
 		defer cancel()
-		at := func(index int) serving.Programs { return site.life(index % site.plan.nodes).node.Programs() }
+		at := func(index int) serving.Programs { return site.life(index % site.plan.nodes).Node.Programs() }
 
 		_, err := at(0).Create(ctx, serving.CreateRequest{ID: "program-1", Tenant: "usfq", Class: className})
 		is.NoErr(err)
--- a/test/simulation/stop_test.go
+++ b/test/simulation/stop_test.go
@@ -70,7 +70,7 @@
 		var callers sync.WaitGroup
 		callers.Go(func() { records = site.workload(t.Context()) })
 		time.Sleep(3 * time.Second)
-		leaving := site.engines[addressOf(2, 0)]
+		leaving := site.engine(0)
 		is.True(len(leaving.Truth().Arrivals) > 0) // it had work before
 		leaving.SetDraining(true)
 		left := time.Now()
@@ -99,7 +99,7 @@
 		site := newSite(t, plan)
 		defer site.close()
 		time.Sleep(5 * time.Second)
-		site.log.SetFaults(logservice.Faults{Down: true})
+		site.Log.SetFaults(logservice.Faults{Down: true})
 		began := time.Now()
 		outage := make(chan struct{})
 		var largest int
@@ -109,7 +109,7 @@
 				time.Sleep(time.Minute)
 				largest = max(largest, site.journalStats().TailBytes)
 			}
-			site.log.SetFaults(logservice.Faults{})
+			site.Log.SetFaults(logservice.Faults{})
 		}()
 		records := site.workload(t.Context())
 		is.True(time.Since(began) < 12*time.Hour)
@@ -148,7 +148,7 @@
 	var sum journal.Stats
 	for index := range s.plan.nodes {
 		if alive := s.life(index); alive != nil {
-			stats := alive.node.Journal().Stats()
+			stats := alive.Node.Journal().Stats()
 			sum.TailBytes += stats.TailBytes
 			sum.ReplicaBytes += stats.ReplicaBytes
 			sum.Owned += stats.Owned
--- a/test/simulation/table_test.go
+++ b/test/simulation/table_test.go
@@ -60,21 +60,21 @@
 	if at == nil {
 		return one
 	}
-	shown := at.node.Board().Table.Load()
+	shown := at.Node.Board().Table.Load()
 	if shown == nil {
 		return one
 	}
-	next := s.firstTable()
+	next := s.plan.firstTable()
 	next.Base, one.base = shown.Version, shown.Version
 	class := next.Classes[className]
 	class.MaxCalls = 100 + random.IntN(900)
 	next.Classes[className] = class
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	entry, err := at.node.Tables().Publish(ctx, tables.Publication{
+	entry, err := at.Node.Tables().Publish(ctx, tables.Publication{
 		ID: one.id, Base: next.Base, CSV: table.Format(next), Author: author, Note: "race",
 	})
-	if gateErr := at.endpoint.Gate(context.WithoutCancel(ctx)); gateErr == nil {
+	if gateErr := at.Endpoint.Gate(context.WithoutCancel(ctx)); gateErr == nil {
 		one.entry, one.err = entry, err
 	}
 	return one
@@ -91,11 +91,11 @@
 			if alive == nil {
 				continue
 			}
-			shown := alive.node.Board().Table.Load()
+			shown := alive.Node.Board().Table.Load()
 			if shown == nil {
 				continue
 			}
-			self := alive.node.Self().Reference()
+			self := alive.Node.Self().Reference()
 			if shown.Version < last[self] {
 				violations = append(violations, violation{pointTable, fmt.Sprintf("%s went from version %d to %d", self.Name, last[self], shown.Version)})
 			}
@@ -111,7 +111,7 @@
 func (s *site) checkTable(made []publication) []violation {
 	truth := table.NewLedger()
 	accepted := map[string]table.Entry{}
-	for _, record := range s.log.Records(table.Stream) {
+	for _, record := range s.Log.Records(table.Stream) {
 		_ = truth.Fold(record) // what is damaged or lost the race is in the history
 	}
 	for _, entry := range truth.History() {
@@ -133,7 +133,7 @@
 		}
 	}
 	for index := range s.plan.nodes {
-		shown := s.life(index).node.Board().Table.Load()
+		shown := s.life(index).Node.Board().Table.Load()
 		if shown == nil || shown.Version != truth.Version() {
 			violations = append(violations, violation{pointTable, fmt.Sprintf("%s after healing: in force %v, accepted %d", nodeName(index), shown, truth.Version())})
 		}
