--- a/internal/lab/scale/cluster.go
+++ b/internal/lab/scale/cluster.go
@@ -72,6 +72,15 @@
 
 // start begins a new life of node i.
 func (c *cluster) start(i int) error {
+	if err := c.build(i); err != nil {
+		return err
+	}
+	c.nodes[i].start()
+	return nil
+}
+
+// build makes a new life of node i that has not begun.
+func (c *cluster) build(i int) error {
 	node := identity.Node{
 		Name: nameOf(i), Zone: identity.Zone(fmt.Sprintf("zone-%d", zoneOf(i))), Region: regionOf(i),
 		Incarnation: identity.Incarnation(time.Now().UnixNano()),
@@ -87,20 +96,21 @@
 	return nil
 }
 
-// startAll starts every node, a few at a time, and waits until all know each
-// other and every shard has its owner.
+// startAll starts every node and waits until all know each other and every shard
+// has its owner. All are built before the first begins: nodes that come one by one
+// move shards with each that follows.
 func (c *cluster) startAll(ctx context.Context) error {
-	const pause = 4 * time.Millisecond
 	for i := range c.nodes {
-		if err := c.start(i); err != nil {
+		if err := c.build(i); err != nil {
 			return err
 		}
-		if i == 0 { // nodes without a table ask each other for one all the time
-			if _, err := c.publish(ctx, c.nodes[0], 0); err != nil {
-				return err
-			}
-		}
-		time.Sleep(pause)
+	}
+	for _, node := range c.nodes {
+		node.start()
+	}
+	// Nodes without a table ask each other for one all the time.
+	if _, err := c.publish(ctx, c.nodes[0], 0); err != nil {
+		return err
 	}
 	return c.await(ctx, "the first settling", startLimit, c.settled)
 }
--- a/internal/lab/scale/fabric.go
+++ b/internal/lab/scale/fabric.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"stepseam.example/stepseam/internal/identity"
@@ -50,6 +51,9 @@
 // Loopback is a Fabric of real sockets on the loopback address: the peer
 // protocol over TCP and membership over UDP.
 type Loopback struct {
+	// whole tells that nothing is cut, so that the usual case takes no lock that
+	// all nodes share.
+	whole atomic.Bool
 	// mutex guards all below.
 	mutex sync.Mutex
 	// streams and packets tell the region of a TCP and of a UDP address: the two
@@ -62,17 +66,20 @@
 
 // NewLoopback returns a fabric without nodes.
 func NewLoopback() *Loopback {
-	return &Loopback{
+	l := &Loopback{
 		streams: map[netip.AddrPort]identity.Region{},
 		packets: map[netip.AddrPort]identity.Region{},
 		cuts:    map[[2]identity.Region]bool{},
 		open:    map[*cuttable]struct{}{},
 	}
+	l.whole.Store(true)
+	return l
 }
 
 // Cut implements Fabric. Open TCP connections over the cut break.
 func (l *Loopback) Cut(a, b identity.Region) {
 	l.mutex.Lock()
+	l.whole.Store(false)
 	l.cuts[[2]identity.Region{a, b}], l.cuts[[2]identity.Region{b, a}] = true, true
 	var broken []*cuttable
 	for connection := range l.open {
@@ -91,10 +98,14 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	clear(l.cuts)
+	l.whole.Store(true)
 }
 
 // isCut looks to's region up in regions, which is streams or packets.
 func (l *Loopback) isCut(from identity.Region, regions map[netip.AddrPort]identity.Region, to netip.AddrPort) bool {
+	if l.whole.Load() {
+		return false
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	return l.cuts[[2]identity.Region{from, regions[to]}]
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -34,6 +34,7 @@
 	backends *backends.Controller
 	log      *countingLog
 	polls    *countingDirectory
+	machines []platform.Machine
 	stop     context.CancelFunc
 	loops    sync.WaitGroup
 }
@@ -46,7 +47,7 @@
 	seed     uint64
 }
 
-// newHollow builds and starts one node.
+// newHollow builds one node, which start starts.
 func newHollow(fabric Fabric, node identity.Node, log platform.Log, options hollowOptions) (*hollow, error) {
 	registry := peer.NewRegistry()
 	link, err := fabric.Attach(node, registry)
@@ -55,7 +56,7 @@
 	}
 	h := &hollow{
 		node: link.Node(), link: link, board: blackboard.NewBoard(),
-		log: &countingLog{Log: log}, polls: &countingDirectory{},
+		log: &countingLog{Log: log}, polls: &countingDirectory{}, machines: options.machines,
 	}
 	quiet := slog.New(slog.DiscardHandler)
 	random := &lockedFloats{random: rand.New(rand.NewPCG(options.seed, uint64(h.node.Incarnation)))}
@@ -76,22 +77,22 @@
 	h.backends = backends.New(backends.Config{
 		Node: h.node.Name, Board: h.board, Directory: h.polls, Random: random.next, Logger: quiet,
 	})
-	h.start(len(options.machines) > 0)
-	h.board.Machines.Store(options.machines)
 	return h, nil
 }
 
-func (h *hollow) start(watchBackends bool) {
+// start begins the node's life.
+func (h *hollow) start() {
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	h.link.Serve()
 	loops := []func(context.Context) error{h.members.Run, h.tables.Run, h.journal.Run}
-	if watchBackends {
+	if len(h.machines) > 0 {
 		loops = append(loops, func(ctx context.Context) error { h.backends.Run(ctx); return nil })
 	}
 	for _, loop := range loops {
 		h.loops.Go(func() { _ = loop(ctx) }) // a killed node's loops end with errors of their sockets
 	}
+	h.board.Machines.Store(h.machines)
 }
 
 // kill ends the node at once: nothing that it does after reaches anybody. Its
