--- a/internal/lab/scale/fabric.go
+++ b/internal/lab/scale/fabric.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"stepseam.example/stepseam/internal/identity"
@@ -50,25 +51,35 @@
 // Loopback is a Fabric of real sockets on the loopback address: the peer
 // protocol over TCP and membership over UDP.
 type Loopback struct {
+	// whole tells that nothing is cut, so that the usual case takes no lock that
+	// all nodes share.
+	whole atomic.Bool
 	// mutex guards all below.
-	mutex   sync.Mutex
-	regions map[netip.AddrPort]identity.Region
+	mutex sync.Mutex
+	// streams and packets tell the region of a TCP and of a UDP address: the two
+	// may have the same port.
+	streams map[netip.AddrPort]identity.Region
+	packets map[netip.AddrPort]identity.Region
 	cuts    map[[2]identity.Region]bool
 	open    map[*cuttable]struct{}
 }
 
 // NewLoopback returns a fabric without nodes.
 func NewLoopback() *Loopback {
-	return &Loopback{
-		regions: map[netip.AddrPort]identity.Region{},
+	l := &Loopback{
+		streams: map[netip.AddrPort]identity.Region{},
+		packets: map[netip.AddrPort]identity.Region{},
 		cuts:    map[[2]identity.Region]bool{},
 		open:    map[*cuttable]struct{}{},
 	}
+	l.whole.Store(true)
+	return l
 }
 
 // Cut implements Fabric. Open TCP connections over the cut break.
 func (l *Loopback) Cut(a, b identity.Region) {
 	l.mutex.Lock()
+	l.whole.Store(false)
 	l.cuts[[2]identity.Region{a, b}], l.cuts[[2]identity.Region{b, a}] = true, true
 	var broken []*cuttable
 	for connection := range l.open {
@@ -87,12 +98,17 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	clear(l.cuts)
+	l.whole.Store(true)
 }
 
-func (l *Loopback) isCut(from identity.Region, to netip.AddrPort) bool {
+// isCut looks to's region up in regions, which is streams or packets.
+func (l *Loopback) isCut(from identity.Region, regions map[netip.AddrPort]identity.Region, to netip.AddrPort) bool {
+	if l.whole.Load() {
+		return false
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.cuts[[2]identity.Region{from, l.regions[to]}]
+	return l.cuts[[2]identity.Region{from, regions[to]}]
 }
 
 // cuttable is a dialled connection that the fabric can break.
@@ -114,7 +130,7 @@
 const cutDialTime = time.Second
 
 func (l *Loopback) dial(ctx context.Context, from identity.Region, to netip.AddrPort) (net.Conn, error) {
-	if l.isCut(from, to) {
+	if l.isCut(from, l.streams, to) {
 		select {
 		case <-time.After(cutDialTime):
 		case <-ctx.Done():
@@ -128,7 +144,11 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	wrapped := &cuttable{Conn: connection, fabric: l, ends: [2]identity.Region{from, l.regions[to]}}
+	wrapped := &cuttable{Conn: connection, fabric: l, ends: [2]identity.Region{from, l.streams[to]}}
+	if l.cuts[wrapped.ends] { // cut while the dial was under way
+		_ = connection.Close() // nobody uses it
+		return nil, errCut
+	}
 	l.open[wrapped] = struct{}{}
 	return wrapped, nil
 }
@@ -160,7 +180,7 @@
 	node.PeerAddress = listener.Addr().(*net.TCPAddr).AddrPort()
 	node.ProbeAddress = packets.LocalAddr().(*net.UDPAddr).AddrPort()
 	l.mutex.Lock()
-	l.regions[node.PeerAddress], l.regions[node.ProbeAddress] = node.Region, node.Region
+	l.streams[node.PeerAddress], l.packets[node.ProbeAddress] = node.Region, node.Region
 	l.mutex.Unlock()
 	transport := peer.NewTransport(registry, peer.Options{
 		IdleTimeout: idleTimeout,
@@ -212,7 +232,7 @@
 
 // WriteToUDPAddrPort sends a datagram unless the link is cut.
 func (c *cuttablePackets) WriteToUDPAddrPort(payload []byte, to netip.AddrPort) (int, error) {
-	if c.link.fabric.isCut(c.link.node.Region, to) {
+	if c.link.fabric.isCut(c.link.node.Region, c.link.fabric.packets, to) {
 		return len(payload), nil
 	}
 	return c.UDPConn.WriteToUDPAddrPort(payload, to)
--- a/internal/lab/simulated/failures.go
+++ b/internal/lab/simulated/failures.go
@@ -20,8 +20,8 @@
 // microseconds in between; here it does so often.
 const checkWindow = 200 * time.Millisecond
 
-// settle is longer than anything stays on its way.
-const settle = time.Minute
+// Settle is longer than anything stays on its way in network and log.
+const Settle = time.Minute
 
 // KillNode ends the node name as SIGKILL would.
 func (s *Site) KillNode(name identity.NodeName) {
@@ -58,7 +58,7 @@
 	if frozen == nil {
 		return
 	}
-	s.stall(name, true)
+	s.Stall(name, true)
 	time.Sleep(checkWindow)
 	frozen.Endpoint.Freeze()
 }
@@ -68,7 +68,7 @@
 	if frozen := s.Life(name); frozen != nil {
 		frozen.Endpoint.Thaw()
 	}
-	s.stall(name, false)
+	s.Stall(name, false)
 }
 
 // CutZone cuts a zone off from all others, their back ends included; with
@@ -122,7 +122,9 @@
 	return s.stalls[name]
 }
 
-func (s *Site) stall(name identity.NodeName, stalled bool) {
+// Stall holds back what the node sends to back ends after its checks, until it is
+// called again with false.
+func (s *Site) Stall(name identity.NodeName, stalled bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.stalls[name] = stalled
@@ -158,7 +160,8 @@
 	}
 }
 
-// Close ends everything that runs in the site.
+// Close ends everything that runs in the site. What is on its way then arrives
+// nowhere, within Settle; a synctest bubble has to wait for it.
 func (s *Site) Close() {
 	for _, name := range s.plan.Nodes {
 		s.ThawNode(name)
@@ -172,7 +175,6 @@
 	for _, replica := range s.applications {
 		replica.Close()
 	}
-	time.Sleep(settle) // what is on its way in network and log arrives nowhere
 }
 
 // Leave lets the back end name begin to leave: it refuses new work and reports
--- a/internal/lab/simulated/site.go
+++ b/internal/lab/simulated/site.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,10 @@
 	ZoneLatency    time.Duration
 	BackendLatency time.Duration
 	MachineListLag time.Duration
+	// AuditInterval is the time between two searches for orphaned cache memory, and
+	// LongestAnswer bounds the engines' answers in tokens; 0 takes the defaults.
+	AuditInterval time.Duration
+	LongestAnswer int
 	// Table is the CSV of the first table.
 	Table []byte
 	// Logger takes the nodes' logs; nil drops them.
@@ -187,6 +192,9 @@
 	for index, planned := range s.plan.Engines {
 		parameters := engine.DefaultParameters(planned.Name, planned.Models...)
 		parameters.Seed = s.plan.Seed + uint64(index)
+		if s.plan.LongestAnswer > 0 {
+			parameters.LongestAnswer = s.plan.LongestAnswer
+		}
 		built, err := engine.New(parameters)
 		if err != nil {
 			return fmt.Errorf("simulated: %w", err)
@@ -233,6 +241,9 @@
 		}
 	}
 	chosen.Shards.Count = s.plan.Shards
+	if s.plan.AuditInterval > 0 {
+		chosen.Backends.AuditInterval = s.plan.AuditInterval
+	}
 	return chosen
 }
 
@@ -302,21 +313,23 @@
 // Nodes returns the names of all nodes, live or not.
 func (s *Site) Nodes() []identity.NodeName { return s.plan.Nodes }
 
-// OwnerOf returns the live node that serves program's shard.
+// OwnerOf returns the live node that serves program's shard. Of a frozen owner and
+// the next one it is the next one, whose epoch is higher.
 func (s *Site) OwnerOf(program identity.ProgramID) (identity.NodeName, bool) {
 	wanted := program.Shard(s.plan.Shards)
+	var owner identity.NodeName
+	var highest identity.Epoch
 	for _, name := range s.plan.Nodes {
 		alive := s.Life(name)
-		if alive == nil {
+		if alive == nil || !slices.Contains(alive.Node.Journal().Owned(), wanted) {
 			continue
 		}
-		for _, owned := range alive.Node.Journal().Owned() {
-			if owned == wanted {
-				return name, true
-			}
+		_, epoch, known := alive.Node.Journal().OwnerHint(wanted)
+		if known && epoch > highest {
+			owner, highest = name, epoch
 		}
 	}
-	return "", false
+	return owner, highest > 0
 }
 
 // Engine returns the engine name, or nil.
--- a/test/process/main_test.go
+++ b/test/process/main_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -47,6 +48,9 @@
 		return 1
 	}
 	programs = directory
+	for slot := range slotCount {
+		slots <- slot
+	}
 	return m.Run()
 }
 
@@ -76,8 +80,11 @@
 class,subscriber,,,agent-8b,,200000,200,4,1h,30m,60s,512
 `
 
-// slots bounds the sites that run at once; each one mostly waits.
-var slots = make(chan struct{}, 4)
+// slots bounds the sites that run at once, each one mostly waiting, and keeps
+// them apart.
+var slots = make(chan int, slotCount)
+
+const slotCount = 4
 
 // laboratory is a running site with a table in force.
 type laboratory struct {
@@ -92,12 +99,13 @@
 func start(t *testing.T, adjust func(*site.Plan)) *laboratory {
 	t.Helper()
 	t.Parallel()
-	slots <- struct{}{}
-	t.Cleanup(func() { <-slots })
+	slot := <-slots
+	t.Cleanup(func() { slots <- slot })
 	check := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
 	t.Cleanup(cancel)
 	plan := sitePlan(t.TempDir())
+	plan.Slot = slot
 	if adjust != nil {
 		adjust(&plan)
 	}
@@ -106,6 +114,7 @@
 	t.Cleanup(running.Close)
 	l := &laboratory{Site: running, t: t, ctx: ctx}
 	t.Cleanup(l.showLogs)
+	t.Cleanup(l.findCrashes)
 	publication := operator.Publication{ID: "first", Author: "test", CSV: tableText}
 	check.NoErr(running.PostOperators(ctx, running.Nodes[0], "/v1/table/versions", publication, nil))
 	check.NoErr(running.AwaitReady(ctx))
@@ -231,6 +240,21 @@
 	return found
 }
 
+// findCrashes fails the test if a process crashed by itself, which the others
+// may have hidden by taking its work over.
+func (l *laboratory) findCrashes() {
+	for _, node := range l.Nodes {
+		if crash := node.Crash(); crash != "" {
+			l.t.Errorf("%s crashed: %s", node.Name, crash)
+		}
+	}
+	for _, standIn := range slices.Concat(l.Engines, l.Applications, []*site.StandIn{l.LogService, l.MachineList}) {
+		if crash := standIn.Crash(); crash != "" {
+			l.t.Errorf("%s crashed: %s", standIn.Name(), crash)
+		}
+	}
+}
+
 // showLogs prints the nodes' last output of a test that failed.
 func (l *laboratory) showLogs() {
 	if !l.t.Failed() {
--- a/test/simulation/caller_test.go
+++ b/test/simulation/caller_test.go
@@ -11,6 +11,7 @@
 
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/lab/simulated"
 	"stepseam.example/stepseam/internal/serving"
 )
 
@@ -136,7 +137,7 @@
 }
 
 // somewhere returns a live node; callers do not know which are frozen.
-func (c *caller) somewhere() *life {
+func (c *caller) somewhere() *simulated.Life {
 	for {
 		if found := c.site.life(c.random.IntN(c.site.plan.nodes)); found != nil {
 			return found
@@ -149,17 +150,17 @@
 // under it is a lost connection.
 func (c *caller) through(ctx context.Context, request func(context.Context, serving.Programs) error) error {
 	at := c.somewhere()
-	if at.node.Board().Draining.Load() {
+	if at.Node.Board().Draining.Load() {
 		return api.NewProblem(api.CodeDraining, "the node is stopping").WithRetryAfter(time.Second)
 	}
-	at.requests.Add(1)
-	defer at.requests.Done()
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	at.Requests.Add(1)
+	defer at.Requests.Done()
+	ctx, cancel := context.WithTimeout(ctx, c.attemptTime())
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() {
-		err := request(ctx, at.node.Programs())
-		if gateErr := at.endpoint.Gate(context.WithoutCancel(ctx)); gateErr != nil {
+		err := request(ctx, at.Node.Programs())
+		if gateErr := at.Endpoint.Gate(context.WithoutCancel(ctx)); gateErr != nil {
 			err = errConnection
 		}
 		ended <- err
@@ -167,12 +168,20 @@
 	select {
 	case err := <-ended:
 		return err
-	case <-at.endpoint.Done():
+	case <-at.Endpoint.Done():
 	case <-ctx.Done():
 	}
 	return errConnection
 }
 
+// attemptTime is how long the caller stays connected.
+func (c *caller) attemptTime() time.Duration {
+	if c.site.plan.vanishing && c.random.IntN(6) == 0 {
+		return time.Duration(c.random.Int64N(int64(700 * time.Millisecond)))
+	}
+	return attemptTimeout
+}
+
 func (c *caller) create(ctx context.Context) bool {
 	request := serving.CreateRequest{ID: c.record.id, Tenant: c.record.tenant, Class: className}
 	return c.insist(ctx, func(ctx context.Context, programs serving.Programs) error {
--- a/test/simulation/interim_test.go
+++ b/test/simulation/interim_test.go
@@ -38,6 +38,7 @@
 		plan := quito(5)
 		plan.nodes, plan.shards, plan.programs, plan.mainRepeatable = 12, 8, 10, true
 		plan.calls, plan.pause, plan.impatient = 60, 3*time.Minute, false
+		plan.vanishing = false
 		site := newSite(t, plan)
 		defer site.close()
 		time.Sleep(30 * time.Second) // the sets of replicas grow to their full size
@@ -45,13 +46,13 @@
 		var callers sync.WaitGroup
 		callers.Go(func() { records = site.workload(t.Context()) })
 		time.Sleep(10 * time.Second)
-		site.log.SetFaults(logservice.Faults{Down: true})
+		site.Log.SetFaults(logservice.Faults{Down: true})
 		began := time.Now()
 		victims := site.apart()
 		is.True(len(victims) >= 3)
 		for _, victim := range victims {
 			time.Sleep(betweenDeaths)
-			owned := site.life(victim).node.Journal().Owned()
+			owned := site.life(victim).Node.Journal().Owned()
 			site.killNode(victim)
 			t.Logf("%s died as the owner of %d shards; the slowest of their programs went on after %s",
 				nodeName(victim), len(owned), site.longestSilence(t, owned))
@@ -59,7 +60,7 @@
 			site.startNode(victim)
 		}
 		time.Sleep(outageLength - time.Since(began))
-		site.log.SetFaults(logservice.Faults{})
+		site.Log.SetFaults(logservice.Faults{})
 		callers.Wait()
 		time.Sleep(freeingTime)
 		is.Equal(site.journalStats().MayLack, uint64(0))
@@ -86,7 +87,7 @@
 func (s *site) apart() []int {
 	var victims []int
 	for index := range s.plan.nodes {
-		alone := len(s.life(index).node.Journal().Owned()) > 0
+		alone := len(s.life(index).Node.Journal().Owned()) > 0
 		for shard := range identity.ShardID(s.plan.shards) {
 			replicas := s.replicas(shard)
 			alone = alone && !(slices.Contains(replicas, nodeName(index)) && slices.ContainsFunc(victims, func(other int) bool {
@@ -103,7 +104,7 @@
 // replicas returns the replicas of the shard's active claim.
 func (s *site) replicas(shard identity.ShardID) []identity.NodeName {
 	ledger := journal.NewLedger(shard, 0)
-	for _, raw := range s.log.Records(journal.StreamName(shard)) {
+	for _, raw := range s.Log.Records(journal.StreamName(shard)) {
 		ledger.Apply(raw)
 	}
 	var names []identity.NodeName
@@ -139,7 +140,7 @@
 	defer cancel()
 	for index := range s.plan.nodes {
 		if alive := s.life(index); alive != nil {
-			_, err := alive.node.Programs().Get(ctx, program)
+			_, err := alive.Node.Programs().Get(ctx, program)
 			return err == nil
 		}
 	}
