Begin one life of a simulated node at a time

Ruled out: the product; every goroutine left belonged to a life nobody had stopped. Change: a lock is held while a life begins.

--- a/internal/lab/simulated/site.go
+++ b/internal/lab/simulated/site.go
@@ -106,6 +106,10 @@
 	engines      map[netip.AddrPort]*engineReplica
 	applications map[netip.AddrPort]*applicationReplica
 
+	// starting is held while a life begins, so that a name has one life at a time
+	// however many failures end at once.
+	starting sync.Mutex
+
 	// mutex guards all below.
 	mutex sync.Mutex
 	lives map[identity.NodeName]*Life
@@ -249,6 +253,8 @@
 
 // StartNode begins a life of the node name unless it runs.
 func (s *Site) StartNode(name identity.NodeName) error {
+	s.starting.Lock()
+	defer s.starting.Unlock()
 	index, err := s.indexOf(name)
 	if err != nil || s.Life(name) != nil {
 		return err
