Keep the figures of a scale run that ended early

Cause: a run of 380 nodes over sockets came through start, quiet, table, a death, a restart and churn, and lost all figures because its time ran out in the zone's loss.

Measured: that run, on a machine at a load of 25: quiet was reached 121 s after the start, calm included; no figures.

--- a/cmd/stepseam-lab/scale.go
+++ b/cmd/stepseam-lab/scale.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,11 +46,8 @@
 			Nodes: size, Replicas: c.Replicas, ShardsPerNode: c.Shards, Window: c.Window, Events: c.Events,
 			Seed: c.Seed, Fabric: scale.NewLoopback(), Progress: progress(size),
 		})
-		if err != nil {
-			return err
-		}
 		results = append(results, result)
-		if err := writeScale(c.JSON, results); err != nil {
+		if err := errors.Join(err, writeScale(c.JSON, results)); err != nil {
 			return err
 		}
 	}
@@ -93,8 +92,9 @@
 	if err := json.Unmarshal(content, &results); err != nil {
 		return fmt.Errorf("--fit %s: %w", path, err)
 	}
+	results = slices.DeleteFunc(results, func(r scale.Result) bool { return r.Incomplete != "" })
 	if len(results) < 2 {
-		return fmt.Errorf("--fit %s: %d sizes, a line needs two", path, len(results))
+		return fmt.Errorf("--fit %s: %d whole runs, a line needs two", path, len(results))
 	}
 	return scale.PrintFits(os.Stdout, results)
 }
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -47,6 +47,9 @@
 	Shards   int    `json:"shards"`
 	Cores    int    `json:"cores"`
 	Go       string `json:"go"`
+	// Incomplete tells why the run ended early; the figures of its later steps are
+	// zero then.
+	Incomplete string `json:"incomplete,omitempty"`
 
 	Settling float64 `json:"settling_s"`
 	// HeapPerNode is live heap and stacks; ResidentPerNode is the process's
@@ -144,10 +147,13 @@
 	}
 	for _, step := range steps {
 		options.Progress(step.name)
-		if err := step.do(ctx); err != nil {
-			return r.result, fmt.Errorf("%d nodes: %s: %w", options.Nodes, step.name, err)
+		err := step.do(ctx)
+		if err == nil {
+			err = checkMemory()
 		}
-		if err := checkMemory(); err != nil {
+		if err != nil {
+			err = fmt.Errorf("%d nodes: %s: %w", options.Nodes, step.name, err)
+			r.result.Incomplete = err.Error()
 			return r.result, err
 		}
 	}
