Go on without the log when an owner dies in an outage

Cause: a shard whose owner died while the log service was away stayed without an owner until the log was back, for hours, and with it a share of all programs. The first decision had ruled an election out, since a second order of epochs would have to be merged with the log's.

Change: no second order. Fences are pairs (epoch, term), and every claim in the log is above all terms of the epoch before. An owner that sees the log away for a second arms its replicas: it leaves a whole state and its claim with them and appends nothing new to the log until a read quorum has confirmed that this was taken back. So the log never holds what the next owner lacks. While the log is away, two of three armed replicas may promise the shard to an interim owner of the next term; when the log is back it steps down and the normal claim recovers its tail. docs/decisions/0002 has the ways weighed and the arguments.

Ruled out: merging the former owner's late appends by a claim that carries a whole state; arming makes them impossible.

Proofs fail first, by their wrong variants: no whole state pushed: "shard 0 is not served 5s after its owner's death in an outage"; term ignored: "number was acknowledged and is lost"; an earlier state not taken back: "number 1873 was acknowledged and is lost"; silence taken for consent: "the log holds record 1036, the whole state at the replicas ends at 132".

Tests changed: TestOutageThenKill asserted that nobody serves in an outage; it now asks for a takeover within 5 s with every acknowledged number. TestNoWholeState- NoOwner keeps the old assertion for owners killed before they armed. The process test of an owner's death in an outage asked for a refusal; it now asks for an answer by another owner during the outage, a refusal as not run for what must run at most once, and one execution after it.

Left: an owner that dies within about 2 s of an outage's start, or after two of its replicas went, leaves its shard waiting for the log as before. An owner that outlives an outage in which two of its replicas died for good waits until they start under their names; before, it could exchange them.

--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -33,15 +33,11 @@
 // lost.
 func (s *ownedShard) drainToLog(stream *stream) error {
 	for {
-		if s.takeContest() {
-			if err := s.answerContest(stream); err != nil {
-				return err
-			}
+		if err := s.claimIfNeeded(stream); err != nil {
+			return err
 		}
-		if next := s.takeReplacement(); next != nil {
-			if err := s.replaceReplicas(stream, next); err != nil {
-				return err
-			}
+		if !s.settle() {
+			return nil
 		}
 		if err := s.gather(); err != nil {
 			return err
@@ -67,6 +63,20 @@
 	}
 }
 
+// claimIfNeeded claims again where replicas promised to another claim or are to be
+// exchanged. An error tells that the shard is lost.
+func (s *ownedShard) claimIfNeeded(stream *stream) error {
+	if s.takeContest() {
+		if err := s.answerContest(stream); err != nil {
+			return err
+		}
+	}
+	if next := s.takeReplacement(); next != nil {
+		return s.replaceReplicas(stream, next)
+	}
+	return nil
+}
+
 func (s *ownedShard) takeContest() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -89,7 +99,12 @@
 		return nil // without the log nobody takes over; the next renewal asks again
 	}
 	if stream.ledger.Current().Epoch == s.claim.Epoch {
-		return nil
+		if !s.isContested() {
+			return nil
+		}
+		// A replica promised an interim owner that got no further: a claim above it
+		// wins the replica back.
+		return s.counterClaim(stream)
 	}
 	if stream.ledger.Active().Epoch == s.claim.Epoch && s.CheckLease() != nil {
 		return errFenced
@@ -133,6 +148,9 @@
 func (s *ownedShard) nextRecord() (record *Record, sealed bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.arming > 0 || !s.settled {
+		return nil, false
+	}
 	if s.snapshot != nil {
 		return s.record(SnapshotRecord, s.snapshot.index, func(r *Record) {
 			r.State, r.Claim, r.Active = s.snapshot.state, s.claim, s.claim
@@ -217,6 +235,7 @@
 	}
 	again := m.newOwnedShard(s.id, s.claim, s.logged, s.machine)
 	again.tail, again.committed, again.snapshot = s.tail, s.committed, s.snapshot
+	again.quiet, again.settled = s.quiet, s.settled
 	again.sinceSnapshot, again.snapshotSize = s.sinceSnapshot, s.snapshotSize
 	again.waiters, again.durable = s.waiters, s.durable
 	s.waiters, s.durable = nil, nil
--- a/test/simulation/site_test.go
+++ b/test/simulation/site_test.go
@@ -55,6 +55,8 @@
 	// impatient callers give one refused call in four up at once, so that the
 	// checker can see that it never ran.
 	impatient bool
+	// mainRepeatable leaves unrepeatable calls to the branch beside the main one.
+	mainRepeatable bool
 	// vanishing callers break one connection in six before the answer, and ask
 	// again elsewhere.
 	vanishing bool
