Spread replicas again after a zone's outage

Cause: in a zone's outage owners replace the replicas there by others, which then share zones. When the zone came back nothing undid that, since only replicas that are gone were replaced; the next zone's loss could take two of three. Change: an owner also exchanges its replicas where the wanted set lies in more zones, or keeps a quorum in the owner's region where the present one does not. It is the same exchange as for lost replicas: rate-limited, without interruption. Ruled out: exchanging whenever the wanted set differs, which would move sets at every restart. Proof: TestReplicasSpreadAgainAfterAZoneReturns.

--- a/internal/journal/moves_test.go
+++ b/internal/journal/moves_test.go
@@ -159,6 +159,42 @@
 	}
 }
 
+// TestReplicasSpreadAgainAfterAZoneReturns kills every node of a zone and starts
+// them again: replicas that had to share zones meanwhile are spread again.
+func TestReplicasSpreadAgainAfterAZoneReturns(t *testing.T) {
+	t.Parallel()
+	err := scenario(t, variant{}, 6, func(site *testSite) error {
+		is := is.New(t)
+		owners := site.watchOwners()
+		load := site.load(0)
+		owner := site.serving(0)
+		shard := owner.manager.slots[0].load()
+		lost := shard.replicas()[0]
+		var killed []int
+		for index, node := range site.all() {
+			if node.node.Zone == lost.Zone && node != owner {
+				killed = append(killed, index)
+			}
+		}
+		for _, index := range killed {
+			site.find(name(index)).kill()
+		}
+		site.refresh()
+		time.Sleep(10 * time.Second)
+		is.Equal(zoneCount(shard.replicas()), len(testZones)-1) // they live where they can
+		for _, index := range killed {
+			site.start(index)
+		}
+		site.refresh()
+		time.Sleep(10 * time.Second)
+		is.Equal(zoneCount(site.serving(0).manager.slots[0].load().replicas()), len(testZones))
+		return errors.Join(site.settle(), load.check(), owners(), site.checkLog(0))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestLeaseComesBack cuts the owner off during an outage of the log, past its
 // lease: nobody can claim, so it serves again in the same epoch when it is back.
 func TestLeaseComesBack(t *testing.T) {
--- a/internal/journal/sweep.go
+++ b/internal/journal/sweep.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
+
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 )
@@ -75,7 +77,28 @@
 			return true
 		}
 	}
-	return len(wanted) > len(replicas) || (holdsLife(replicas, m.config.Self) && !holdsLife(wanted, m.config.Self))
+	return len(wanted) > len(replicas) || m.spreadsBetter(wanted, replicas) ||
+		(holdsLife(replicas, m.config.Self) && !holdsLife(wanted, m.config.Self))
+}
+
+// spreadsBetter tells whether wanted loses fewer replicas to the loss of one zone
+// than present does, or keeps a quorum in the owner's region where present does
+// not. Sets get worse in a zone's outage, and nothing else would undo that.
+func (m *Manager) spreadsBetter(wanted, present []identity.Node) bool {
+	if len(wanted) < len(present) {
+		return false
+	}
+	quorum := WriteQuorum(len(present))
+	return zoneCount(wanted) > zoneCount(present) ||
+		(m.inOwnRegion(wanted) >= quorum && m.inOwnRegion(present) < quorum && zoneCount(wanted) >= zoneCount(present))
+}
+
+func zoneCount(nodes []identity.Node) int {
+	return len(lo.UniqBy(nodes, func(node identity.Node) identity.Zone { return node.Zone }))
+}
+
+func (m *Manager) inOwnRegion(nodes []identity.Node) int {
+	return lo.CountBy(nodes, func(node identity.Node) bool { return node.Region == m.config.Self.Region })
 }
 
 // collectGarbage forgets tails that were never dropped because their owner died
