--- a/internal/node/faces.go
+++ b/internal/node/faces.go
@@ -32,7 +32,7 @@
 	closeTimeout = 5 * time.Second
 )
 
-// DrainRequest is closed once an operator asked this node to stop as planned.
+// DrainRequest carries an operator's request that this node stops as planned.
 type DrainRequest struct{ requested chan struct{} }
 
 // request may be called any number of times.
