Do not call a stop of membership an early end

Cause: when the context ends, the protocol's loop may end before the controller looks; the controller then saw the end first and reported a planned stop as a failure, "members: ended early: %!w(<nil>)". It failed TestNoViewOfItselfAloneWhileOthersAnswer in one run of the whole tree and in one of 300 repeats: members_test.go:69: err: members: ended early. Ruled out: the test, whose stop is the ordinary one. Change: an end that comes with the context's is none.

--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -130,6 +130,9 @@
 			return nil
 		case err := <-ended:
 			ended <- err
+			if ctx.Err() != nil {
+				return nil // both ended at once, and this was seen first
+			}
 			return fmt.Errorf("members: ended early: %w", err)
 		case <-c.runner.Superseded():
 			return fmt.Errorf("%w: %s", ErrSuperseded, c.config.Self.Name)
