--- a/internal/controller/backends/controller.go
+++ b/internal/controller/backends/controller.go
@@ -25,6 +25,7 @@
 
 	"stepseam.example/stepseam/internal/backend"
 	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/defaults"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/platform"
@@ -133,14 +134,14 @@
 
 // New returns a controller that Run starts.
 func New(config Config) *Controller {
-	setDefault(&config.PollInterval, defaultPollInterval)
-	setDefault(&config.PollTimeout, defaultPollTimeout)
-	setDefault(&config.PollAll, defaultPollAll)
-	setDefault(&config.PerService, defaultPerService)
-	setDefault(&config.ShareRate, defaultShareRate)
-	setDefault(&config.Concurrency, defaultConcurrency)
-	setDefault(&config.LeavingHold, defaultLeavingHold)
-	setDefault(&config.CachePrefixes, defaultCachePrefixes)
+	defaults.Set(&config.PollInterval, defaultPollInterval)
+	defaults.Set(&config.PollTimeout, defaultPollTimeout)
+	defaults.Set(&config.PollAll, defaultPollAll)
+	defaults.Set(&config.PerService, defaultPerService)
+	defaults.Set(&config.ShareRate, defaultShareRate)
+	defaults.Set(&config.Concurrency, defaultConcurrency)
+	defaults.Set(&config.LeavingHold, defaultLeavingHold)
+	defaults.Set(&config.CachePrefixes, defaultCachePrefixes)
 	if config.Random == nil {
 		config.Random = func() float64 { return 0.5 }
 	}
@@ -160,13 +161,6 @@
 	return controller
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // CacheMap returns which engine is believed to hold which prefix.
 func (c *Controller) CacheMap() *CacheMap { return c.cache }
 
--- a/internal/forwarding/message.go
+++ b/internal/forwarding/message.go
@@ -8,6 +8,7 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/wire"
+	"stepseam.example/stepseam/internal/wire/apiwire"
 )
 
 // The kinds of messages about programs.
@@ -189,7 +190,7 @@
 	case outcomeAnswer:
 		encodeAnswer(e, &m.answer)
 	case outcomeProgram:
-		encodeProgram(e, &m.program)
+		apiwire.EncodeProgram(e, &m.program)
 	case outcomeProblem:
 		encodeProblem(e, m.problem)
 	case outcomeNotOwner:
@@ -203,7 +204,7 @@
 	case outcomeAnswer:
 		m.answer = decodeAnswer(d)
 	case outcomeProgram:
-		m.program = decodeProgram(d)
+		m.program = apiwire.DecodeProgram(d)
 	case outcomeProblem:
 		m.problem = decodeProblem(d)
 	case outcomeNotOwner:
--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/defaults"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
@@ -94,32 +95,25 @@
 	Random rand.Source
 }
 
-func orDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 func (c Config) withDefaults() Config {
-	orDefault(&c.Lease.Duration, DefaultLeaseDuration)
-	orDefault(&c.Lease.Drift, c.Lease.Duration/leaseDriftShare)
-	orDefault(&c.RenewInterval, DefaultRenewInterval)
-	orDefault(&c.ReplicaTimeout, DefaultReplicaTimeout)
-	orDefault(&c.LogTimeout, DefaultLogTimeout)
-	orDefault(&c.DurableWait, DefaultDurableWait)
-	orDefault(&c.ClaimTimeout, DefaultClaimTimeout)
-	orDefault(&c.ClosingTimeout, DefaultClosingTimeout)
-	orDefault(&c.CopyTimeout, DefaultCopyTimeout)
-	orDefault(&c.ReplaceDelay, DefaultReplaceDelay)
-	orDefault(&c.SettleDelay, DefaultSettleDelay)
-	orDefault(&c.ArmDelay, DefaultArmDelay)
-	orDefault(&c.Gather, DefaultGather)
-	orDefault(&c.ClaimRate, DefaultClaimRate)
-	orDefault(&c.MoveRate, DefaultMoveRate)
-	orDefault(&c.ConcurrentMoves, DefaultConcurrentMoves)
-	orDefault(&c.BatchBytes, DefaultBatchBytes)
-	orDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
+	defaults.Set(&c.Lease.Duration, DefaultLeaseDuration)
+	defaults.Set(&c.Lease.Drift, c.Lease.Duration/leaseDriftShare)
+	defaults.Set(&c.RenewInterval, DefaultRenewInterval)
+	defaults.Set(&c.ReplicaTimeout, DefaultReplicaTimeout)
+	defaults.Set(&c.LogTimeout, DefaultLogTimeout)
+	defaults.Set(&c.DurableWait, DefaultDurableWait)
+	defaults.Set(&c.ClaimTimeout, DefaultClaimTimeout)
+	defaults.Set(&c.ClosingTimeout, DefaultClosingTimeout)
+	defaults.Set(&c.CopyTimeout, DefaultCopyTimeout)
+	defaults.Set(&c.ReplaceDelay, DefaultReplaceDelay)
+	defaults.Set(&c.SettleDelay, DefaultSettleDelay)
+	defaults.Set(&c.ArmDelay, DefaultArmDelay)
+	defaults.Set(&c.Gather, DefaultGather)
+	defaults.Set(&c.ClaimRate, DefaultClaimRate)
+	defaults.Set(&c.MoveRate, DefaultMoveRate)
+	defaults.Set(&c.ConcurrentMoves, DefaultConcurrentMoves)
+	defaults.Set(&c.BatchBytes, DefaultBatchBytes)
+	defaults.Set(&c.SnapshotBytes, DefaultSnapshotBytes)
 	if c.Desired == nil {
 		cache := &placement.Cache{}
 		c.Desired = func(shard identity.ShardID, view membership.View) (placement.Assignment, bool) {
--- a/internal/operator/message.go
+++ b/internal/operator/message.go
@@ -8,6 +8,7 @@
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/table"
 	"stepseam.example/stepseam/internal/wire"
+	"stepseam.example/stepseam/internal/wire/apiwire"
 )
 
 // The kinds of messages of this package.
@@ -25,7 +26,6 @@
 // The smallest encoded sizes of list elements.
 const (
 	smallestText      = 4
-	smallestBranch    = 12
 	smallestCandidate = 16
 	smallestProgram   = 64
 )
@@ -122,50 +122,17 @@
 	e.Bool(m.truncated)
 	e.Uint32(uint32(len(m.programs)))
 	for i := range m.programs {
-		encodeProgram(e, &m.programs[i])
+		apiwire.EncodeProgram(e, &m.programs[i])
 	}
 }
 
 func (m *listReply) Decode(d *wire.Decoder) {
 	m.truncated = d.Bool()
 	for range d.Count(smallestProgram) {
-		m.programs = append(m.programs, decodeProgram(d))
+		m.programs = append(m.programs, apiwire.DecodeProgram(d))
 	}
 }
 
-func encodeProgram(e *wire.Encoder, p *api.Program) {
-	e.String(p.ID)
-	e.String(p.Tenant)
-	e.String(p.Class)
-	e.String(string(p.State))
-	e.Time(p.Created)
-	e.Int64(p.Budget)
-	e.Int64(p.Spent)
-	e.Int64(p.Reserved)
-	e.Uint32(uint32(len(p.Branches)))
-	for branch, last := range p.Branches {
-		e.String(branch)
-		e.Uint64(last)
-	}
-	e.Int64(int64(p.Calls))
-	e.String(p.Owner)
-	e.Uint32(p.Shard)
-	e.Uint64(p.Epoch)
-}
-
-func decodeProgram(d *wire.Decoder) api.Program {
-	p := api.Program{
-		ID: d.String(), Tenant: d.String(), Class: d.String(), State: api.ProgramState(d.String()), Created: d.Time(),
-		Budget: d.Int64(), Spent: d.Int64(), Reserved: d.Int64(), Branches: map[string]uint64{},
-	}
-	for range d.Count(smallestBranch) {
-		branch := d.String()
-		p.Branches[branch] = d.Uint64()
-	}
-	p.Calls, p.Owner, p.Shard, p.Epoch = int(d.Int64()), d.String(), d.Uint32(), d.Uint64()
-	return p
-}
-
 // explainRequest asks a node for its last decision on a call.
 type explainRequest struct{ call identity.CallID }
 
--- a/internal/serving/config.go
+++ b/internal/serving/config.go
@@ -11,6 +11,7 @@
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/backend"
 	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/defaults"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/journal"
 	"stepseam.example/stepseam/internal/scheduling"
@@ -143,39 +144,32 @@
 	}
 }
 
-func orDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 func (t *Timing) setDefaults() {
 	fallback := defaultTiming()
-	orDefault(&t.GapWait, fallback.GapWait)
-	orDefault(&t.MaxCall, fallback.MaxCall)
-	orDefault(&t.AttemptRetry, fallback.AttemptRetry)
-	orDefault(&t.Stall, fallback.Stall)
-	orDefault(&t.FenceLimit, fallback.FenceLimit)
-	orDefault(&t.ReleaseRetry, fallback.ReleaseRetry)
-	orDefault(&t.ReleaseRetryMax, fallback.ReleaseRetryMax)
-	orDefault(&t.GoneAfter, fallback.GoneAfter)
-	orDefault(&t.RequestTimeout, fallback.RequestTimeout)
-	orDefault(&t.Sweep, fallback.Sweep)
-	orDefault(&t.Tombstone, fallback.Tombstone)
-	orDefault(&t.Audit, fallback.Audit)
-	orDefault(&t.Evict, fallback.Evict)
-	orDefault(&t.CloseWait, fallback.CloseWait)
+	defaults.Set(&t.GapWait, fallback.GapWait)
+	defaults.Set(&t.MaxCall, fallback.MaxCall)
+	defaults.Set(&t.AttemptRetry, fallback.AttemptRetry)
+	defaults.Set(&t.Stall, fallback.Stall)
+	defaults.Set(&t.FenceLimit, fallback.FenceLimit)
+	defaults.Set(&t.ReleaseRetry, fallback.ReleaseRetry)
+	defaults.Set(&t.ReleaseRetryMax, fallback.ReleaseRetryMax)
+	defaults.Set(&t.GoneAfter, fallback.GoneAfter)
+	defaults.Set(&t.RequestTimeout, fallback.RequestTimeout)
+	defaults.Set(&t.Sweep, fallback.Sweep)
+	defaults.Set(&t.Tombstone, fallback.Tombstone)
+	defaults.Set(&t.Audit, fallback.Audit)
+	defaults.Set(&t.Evict, fallback.Evict)
+	defaults.Set(&t.CloseWait, fallback.CloseWait)
 }
 
 func (b *Bounds) setDefaults() {
 	fallback := defaultBounds()
-	orDefault(&b.Attempts, fallback.Attempts)
-	orDefault(&b.RetryRate, fallback.RetryRate)
-	orDefault(&b.RetryBurst, fallback.RetryBurst)
-	orDefault(&b.EarlyCalls, fallback.EarlyCalls)
-	orDefault(&b.Tombstones, fallback.Tombstones)
-	orDefault(&b.Explanations, fallback.Explanations)
+	defaults.Set(&b.Attempts, fallback.Attempts)
+	defaults.Set(&b.RetryRate, fallback.RetryRate)
+	defaults.Set(&b.RetryBurst, fallback.RetryBurst)
+	defaults.Set(&b.EarlyCalls, fallback.EarlyCalls)
+	defaults.Set(&b.Tombstones, fallback.Tombstones)
+	defaults.Set(&b.Explanations, fallback.Explanations)
 }
 
 // notOwnerRetry is when a caller who met no owner should come back.
