--- a/cmd/stepseamd/main.go
+++ b/cmd/stepseamd/main.go
@@ -1,6 +1,9 @@
 // Command stepseamd is a stepseam node.
 //
-// It reads its settings from a YAML file and flags, checks them in full and
+// With the subcommand platform it serves routed requests on the users' platform,
+// with the settings file that the platform names. Without, it is a node of a site
+// of its own:
+// it reads its settings from a YAML file and flags, checks them in full and
 // reports all findings before anything starts, serves, and stops as planned on
 // SIGTERM or SIGINT or when an operator drains it.
 //
@@ -21,6 +24,7 @@
 
 	"stepseam.example/stepseam/internal/node"
 	"stepseam.example/stepseam/internal/settings"
+	"stepseam.example/stepseam/platform"
 )
 
 // The exit codes.
@@ -29,9 +33,23 @@
 	exitSettings = 2
 )
 
+// arguments are the command line.
+type arguments struct {
+	settings.Flags
+	Platform *platformCommand `arg:"subcommand:platform" help:"serve routed requests on the users' platform"`
+}
+
+// platformCommand has no flags: the platform's settings file holds all.
+type platformCommand struct{}
+
 func main() {
-	var flags settings.Flags
-	arg.MustParse(&flags)
+	var given arguments
+	arg.MustParse(&given)
+	if given.Platform != nil {
+		servePlatform()
+		return
+	}
+	flags := given.Flags
 	chosen, err := settings.Load(flags)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -48,6 +66,19 @@
 	}
 }
 
+func servePlatform() {
+	err := platform.Run(context.Background())
+	var findings *settings.FindingsError
+	switch {
+	case errors.As(err, &findings):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
 func run(chosen settings.Settings, logger *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- /dev/null
+++ b/internal/exchange/pool.go
@@ -0,0 +1,153 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = 600 * time.Millisecond
+	// idleLife is how long an idle connection is kept.
+	idleLife = 4 * time.Second
+	// idlePerReplica bounds the idle connections to one replica.
+	idlePerReplica = 8
+	// readBuffer holds a usual event or head.
+	readBuffer = 4 << 10
+	// userTimeout ends a connection whose peer acknowledges nothing.
+	userTimeout = 3 * time.Second
+	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux's tcp.h.
+	tcpUserTimeout = 18
+)
+
+// connection is one connection to a replica; at most one request is on it.
+type connection struct {
+	socket net.Conn
+	reader *bufio.Reader
+	target Target
+	// served counts the requests that it has carried.
+	served int
+	// expires is when the idle connection must not be used any more.
+	expires time.Time
+}
+
+// pool keeps idle connections by replica. It is safe for concurrent use.
+type pool struct {
+	dialer net.Dialer
+
+	// mutex guards idle.
+	mutex sync.Mutex
+	idle  map[Target][]*connection
+}
+
+func newPool() *pool {
+	return &pool{idle: map[Target][]*connection{}, dialer: net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}}
+}
+
+// setUserTimeout makes a connection to a silent machine end in time.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(descriptor uintptr) {
+		failed = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// get returns an idle connection that is still sound, or a new one.
+func (p *pool) get(ctx context.Context, target Target) (*connection, error) {
+	for {
+		idle := p.takeIdle(target)
+		if idle == nil {
+			return p.dial(ctx, target)
+		}
+		if time.Now().Before(idle.expires) && idle.quiet() {
+			return idle, nil
+		}
+		idle.close()
+	}
+}
+
+// takeIdle returns the connection that was used last, which is the freshest.
+func (p *pool) takeIdle(target Target) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	kept := p.idle[target]
+	if len(kept) == 0 {
+		return nil
+	}
+	last := kept[len(kept)-1]
+	p.idle[target] = kept[:len(kept)-1]
+	return last
+}
+
+func (p *pool) dial(ctx context.Context, target Target) (*connection, error) {
+	socket, err := p.dialer.DialContext(ctx, "tcp4", target.Address.String())
+	if err != nil {
+		return nil, err
+	}
+	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, readBuffer), target: target}, nil
+}
+
+// put keeps a connection whose last answer was read whole, for at most life.
+func (p *pool) put(c *connection, life time.Duration) {
+	c.expires = time.Now().Add(min(life, idleLife))
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle[c.target]) >= idlePerReplica {
+		c.close()
+		return
+	}
+	p.idle[c.target] = append(p.idle[c.target], c)
+}
+
+// sweep closes idle connections that have expired.
+func (p *pool) sweep(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for target, kept := range p.idle {
+		live := kept[:0]
+		for _, c := range kept {
+			if now.After(c.expires) {
+				c.close()
+				continue
+			}
+			live = append(live, c)
+		}
+		p.idle[target] = live
+		if len(live) == 0 {
+			delete(p.idle, target)
+		}
+	}
+}
+
+func (p *pool) closeAll() {
+	p.sweep(time.Now().Add(time.Hour))
+}
+
+// close ends the connection; there is nobody to tell of an error.
+func (c *connection) close() { _ = c.socket.Close() }
+
+// quiet tells whether an idle connection is open and holds no unread bytes, which
+// would belong to no request.
+func (c *connection) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.socket.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked [1]byte
+	blocked := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		_, _, failed := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		blocked = errors.Is(failed, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && blocked
+}
--- /dev/null
+++ b/internal/ledger/partition.go
@@ -0,0 +1,144 @@
+package ledger
+
+import (
+	"time"
+)
+
+// accountLife is how long a program's charges are kept after its last record.
+// A program that was stopped may come back within the retention of its turns.
+const accountLife = 5 * time.Minute
+
+// keepSlack is how much longer a turn is kept than promised.
+const keepSlack = 15 * time.Second
+
+// prunePause is the time between two searches for what has expired.
+const prunePause = 5 * time.Second
+
+// account is a program's charges. Invariant: charged is the sum of what settled
+// attempts used and of what open ones reserved.
+type account struct {
+	charged uint64
+	open    map[AttemptID]uint32
+	touched time.Duration
+}
+
+type keptTurn struct {
+	chain   []Location
+	expires time.Duration
+}
+
+// Partition is the state that the records of one log partition add up to. It is
+// not safe for concurrent use. Times are readings of a monotonic clock.
+type Partition struct {
+	next     uint64
+	accounts map[ProgramID]*account
+	turns    map[TurnID]keptTurn
+	pruned   time.Duration
+}
+
+// NewPartition returns the state before the first record.
+func NewPartition() *Partition {
+	return &Partition{accounts: map[ProgramID]*account{}, turns: map[TurnID]keptTurn{}}
+}
+
+// Next is the offset of the first record that has not been applied.
+func (p *Partition) Next() uint64 { return p.next }
+
+// SkipTo passes over records that the log has dropped; they are older than
+// anything that is kept.
+func (p *Partition) SkipTo(offset uint64) { p.next = max(p.next, offset) }
+
+// Verdict is the outcome of a Reserve record.
+type Verdict struct {
+	Attempt AttemptID
+	// Granted tells whether the reservation holds.
+	Granted bool
+	// Charged is what stood against the program's budget before it, in tokens.
+	Charged uint64
+}
+
+// Apply takes the record at Next. For a Reserve it returns the verdict and true.
+func (p *Partition) Apply(encoded []byte, now time.Duration) (Verdict, bool) {
+	p.next++
+	p.prune(now)
+	record, err := Decode(encoded)
+	if err != nil {
+		return Verdict{}, false // of another version of the program; it counts nothing here
+	}
+	switch record := record.(type) {
+	case Reserve:
+		return p.reserve(record, now), true
+	case Settle:
+		p.settle(record, now)
+	case Keep:
+		p.turns[record.Turn] = keptTurn{chain: record.Chain, expires: now + record.For + keepSlack}
+	}
+	return Verdict{}, false
+}
+
+func (p *Partition) reserve(record Reserve, now time.Duration) Verdict {
+	charges := p.account(record.Program, now)
+	verdict := Verdict{Attempt: record.Attempt, Charged: charges.charged}
+	if _, repeated := charges.open[record.Attempt]; repeated {
+		return verdict
+	}
+	verdict.Granted = charges.charged+uint64(record.Most) <= uint64(record.Budget)
+	if verdict.Granted {
+		charges.charged += uint64(record.Most)
+		charges.open[record.Attempt] = record.Most
+	}
+	return verdict
+}
+
+// settle replaces an open reservation by what was used. An attempt that reserved
+// nothing, or was settled before, changes nothing.
+func (p *Partition) settle(record Settle, now time.Duration) {
+	charges := p.account(record.Program, now)
+	reserved, open := charges.open[record.Attempt]
+	if !open {
+		return
+	}
+	delete(charges.open, record.Attempt)
+	charges.charged = charges.charged - uint64(reserved) + uint64(record.Used)
+}
+
+func (p *Partition) account(program ProgramID, now time.Duration) *account {
+	charges, known := p.accounts[program]
+	if !known {
+		charges = &account{open: map[AttemptID]uint32{}}
+		p.accounts[program] = charges
+	}
+	charges.touched = now
+	return charges
+}
+
+// Charged returns what stands against a program's budget, in tokens.
+func (p *Partition) Charged(program ProgramID) uint64 {
+	if charges, known := p.accounts[program]; known {
+		return charges.charged
+	}
+	return 0
+}
+
+// Chain returns the locations of a kept turn's chain, the oldest first.
+func (p *Partition) Chain(turn TurnID) ([]Location, bool) {
+	kept, found := p.turns[turn]
+	return kept.chain, found
+}
+
+func (p *Partition) prune(now time.Duration) {
+	if now-p.pruned < prunePause {
+		return
+	}
+	p.pruned = now
+	for program, charges := range p.accounts {
+		if now-charges.touched > accountLife {
+			delete(p.accounts, program)
+		}
+	}
+	for turn, kept := range p.turns {
+		if now > kept.expires {
+			delete(p.turns, turn)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledgerlog/appender.go
@@ -0,0 +1,223 @@
+package ledgerlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"stepseam.example/stepseam/internal/logstore"
+)
+
+const (
+	// appendTimeout bounds one call of the store. A lost answer is asked for again
+	// with the same sequence number.
+	appendTimeout = 800 * time.Millisecond
+	// minRetryPause and maxRetryPause bound the pause after a failed call.
+	minRetryPause = 40 * time.Millisecond
+	maxRetryPause = 400 * time.Millisecond
+	// callOverhead is what a record takes in a call besides its bytes.
+	callOverhead = 4
+)
+
+// errAbandoned tells that the waiting time ended before the outcome was known.
+var errAbandoned = errors.New("ledgerlog: gave up waiting for the store")
+
+// submission is a group of adjacent records that waits to be written.
+type submission struct {
+	records [][]byte
+	bytes   int
+	// context ends the wait; records under one that never ends are written whenever that is possible.
+	context context.Context
+	// outcome has room for one result.
+	outcome chan appendOutcome
+	// late is called if the records were written after the wait had ended.
+	late func()
+}
+
+type appendOutcome struct {
+	first logstore.Offset
+	err   error
+}
+
+// expired tells whether nobody waits for the records any more.
+func (s *submission) expired() bool { return s.context.Err() != nil }
+
+// appender writes records to one partition, one call at a time: what comes in
+// during a call goes into the next. Each call has a sequence number, so that a
+// call whose answer was lost is repeated without writing twice.
+type appender struct {
+	store     logstore.Store
+	partition logstore.Partition
+	producer  string
+	callBytes int
+	logger    *slog.Logger
+	metrics   *metrics
+	// written is told of each batch in the log, before those who wait for it.
+	written func(first logstore.Offset, records [][]byte)
+
+	// mutex guards all below.
+	mutex   sync.Mutex
+	queue   []*submission
+	running bool
+	epoch   uint64
+	// sequence is the number of the next call.
+	sequence uint64
+}
+
+// append writes records and returns the offset of the first. Errors: ctx's end
+// as errAbandoned, in which case late is called if the records were written
+// after all; or what the store said.
+func (a *appender) append(ctx context.Context, records [][]byte, late func()) (logstore.Offset, error) {
+	waiting := a.submit(ctx, records, late)
+	select {
+	case outcome := <-waiting.outcome:
+		return outcome.first, outcome.err
+	case <-ctx.Done():
+		return 0, fmt.Errorf("%w: %w", errAbandoned, ctx.Err())
+	}
+}
+
+func (a *appender) submit(ctx context.Context, records [][]byte, late func()) *submission {
+	waiting := &submission{records: records, context: ctx, outcome: make(chan appendOutcome, 1), late: late}
+	for _, record := range records {
+		waiting.bytes += len(record) + callOverhead
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.queue = append(a.queue, waiting)
+	if !a.running {
+		a.running = true
+		go a.run()
+	}
+	return waiting
+}
+
+// idle tells whether everything that was submitted is written.
+func (a *appender) idle() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return !a.running
+}
+
+func (a *appender) run() {
+	pause := minRetryPause
+	for {
+		batch := a.take()
+		if len(batch) == 0 {
+			return
+		}
+		err := a.write(batch)
+		if err == nil {
+			pause = minRetryPause
+			continue
+		}
+		a.metrics.appendFailures.Inc()
+		a.putBack(batch)
+		sleepAbout(pause)
+		pause = min(2*pause, maxRetryPause)
+	}
+}
+
+// take returns the submissions for one call, and none once the queue is empty.
+func (a *appender) take() []*submission {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	var batch []*submission
+	size := 0
+	for len(a.queue) > 0 {
+		next := a.queue[0]
+		if next.expired() {
+			a.queue = a.queue[1:]
+			continue
+		}
+		if size > 0 && size+next.bytes > a.callBytes {
+			break
+		}
+		size += next.bytes
+		batch = append(batch, next)
+		a.queue = a.queue[1:]
+	}
+	a.running = len(batch) > 0
+	return batch
+}
+
+func (a *appender) putBack(batch []*submission) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.queue = append(batch, a.queue...)
+}
+
+// write makes one call and, while it is not known whether that took effect,
+// repeats it. It returns an error only if the batch was not written, for certain.
+func (a *appender) write(batch []*submission) error {
+	var records [][]byte
+	for _, one := range batch {
+		records = append(records, one.records...)
+	}
+	lost := false
+	pause := minRetryPause
+	for {
+		result, err := a.call(records)
+		switch {
+		case err == nil:
+			a.sequence++
+			a.resolve(batch, records, result.First)
+			return nil
+		case errors.Is(err, logstore.ErrSequence), errors.Is(err, logstore.ErrFenced):
+			a.logger.Warn("store forgot the producer", "partition", a.partition.Number, "topic", a.partition.Topic,
+				"epoch", a.epoch, "sequence", a.sequence, "error", err)
+			a.epoch, a.sequence = a.epoch+1, 0
+			if lost {
+				a.fail(batch, fmt.Errorf("%w: %w", logstore.ErrAnswerLost, err))
+				return nil
+			}
+		case errors.Is(err, logstore.ErrAnswerLost):
+			lost = true
+		case !lost:
+			return err
+		}
+		a.metrics.appendFailures.Inc()
+		sleepAbout(pause)
+		pause = min(2*pause, maxRetryPause)
+	}
+}
+
+func (a *appender) call(records [][]byte) (logstore.AppendResult, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	defer cancel()
+	began := time.Now()
+	defer func() { a.metrics.appendSeconds.Observe(time.Since(began).Seconds()) }()
+	return a.store.Append(ctx, logstore.AppendRequest{
+		Partition: a.partition, Records: records,
+		Producer: a.producer, Epoch: a.epoch, Sequence: a.sequence,
+	})
+}
+
+func (a *appender) resolve(batch []*submission, records [][]byte, first logstore.Offset) {
+	if a.written != nil {
+		a.written(first, records)
+	}
+	for _, one := range batch {
+		if one.expired() && one.late != nil {
+			one.late()
+		}
+		one.outcome <- appendOutcome{first: first}
+		first += logstore.Offset(len(one.records))
+	}
+}
+
+func (a *appender) fail(batch []*submission, err error) {
+	for _, one := range batch {
+		one.outcome <- appendOutcome{err: err}
+	}
+}
+
+// sleepAbout waits for between half of pause and one and a half of it, so that
+// nodes that failed together do not come back together.
+func sleepAbout(pause time.Duration) {
+	time.Sleep(pause/2 + rand.N(pause))
+}
--- /dev/null
+++ b/internal/ledgerlog/metrics.go
@@ -0,0 +1,34 @@
+package ledgerlog
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics count the ledger's work with the store.
+type metrics struct {
+	appendSeconds  prometheus.Histogram
+	appendFailures prometheus.Counter
+	readSeconds    prometheus.Histogram
+	readFailures   prometheus.Counter
+}
+
+var storeBuckets = []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	built := &metrics{
+		appendSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "stepseam_ledger_append_seconds", Help: "Time of one append to the store.", Buckets: storeBuckets,
+		}),
+		appendFailures: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "stepseam_ledger_append_failures_total", Help: "Appends that were refused or not answered.",
+		}),
+		readSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "stepseam_ledger_read_seconds", Help: "Time of one read of the store.", Buckets: storeBuckets,
+		}),
+		readFailures: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "stepseam_ledger_read_failures_total", Help: "Reads that were refused or not answered.",
+		}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(built.appendSeconds, built.appendFailures, built.readSeconds, built.readFailures)
+	}
+	return built
+}
--- /dev/null
+++ b/internal/ledgerlog/reader.go
@@ -0,0 +1,172 @@
+package ledgerlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/logstore"
+)
+
+const (
+	// readTimeout bounds one call of the store.
+	readTimeout = 800 * time.Millisecond
+	// readAttempts is how often a failed read is repeated for those who wait.
+	readAttempts = 2
+)
+
+// follower holds the state of one partition of the ledger and reads on when
+// somebody needs more of it. Reads are shared by all who wait for them.
+type follower struct {
+	store     logstore.Store
+	partition logstore.Partition
+	metrics   *metrics
+	// clock is a monotonic reading.
+	clock func() time.Duration
+
+	// mutex guards all below.
+	mutex sync.Mutex
+	state *ledger.Partition
+	// end is the end of the partition as last heard.
+	end logstore.Offset
+	// verdicts holds the outcome of this node's reservations until they are fetched.
+	verdicts map[ledger.AttemptID]*ledger.Verdict
+	// reading is the read under way, or nil.
+	reading *sharedRead
+}
+
+// sharedRead is one read that several wait for; err is set before done is closed.
+type sharedRead struct {
+	done chan struct{}
+	err  error
+}
+
+// expect makes the follower remember the verdict on attempt.
+func (f *follower) expect(attempt ledger.AttemptID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.verdicts[attempt] = nil
+}
+
+// verdict returns and forgets the verdict on attempt; false while it is not known.
+func (f *follower) verdict(attempt ledger.AttemptID) (ledger.Verdict, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	verdict := f.verdicts[attempt]
+	delete(f.verdicts, attempt)
+	if verdict == nil {
+		return ledger.Verdict{}, false
+	}
+	return *verdict, true
+}
+
+// applyOwn takes records that this node wrote at first, if nothing unread stands
+// before them, which saves a read.
+func (f *follower) applyOwn(first logstore.Offset, records [][]byte) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if logstore.Offset(f.state.Next()) == first {
+		f.apply(records)
+	}
+}
+
+// apply needs the mutex.
+func (f *follower) apply(records [][]byte) {
+	now := f.clock()
+	for _, record := range records {
+		verdict, decided := f.state.Apply(record, now)
+		if !decided {
+			continue
+		}
+		if _, expected := f.verdicts[verdict.Attempt]; expected {
+			f.verdicts[verdict.Attempt] = &verdict
+		}
+	}
+}
+
+// readTo reads on until the record at offset has been applied.
+func (f *follower) readTo(ctx context.Context, offset logstore.Offset) error {
+	return f.readUntil(ctx, func() bool { return logstore.Offset(f.state.Next()) > offset })
+}
+
+// readToEnd reads all that was written before the call.
+func (f *follower) readToEnd(ctx context.Context) error {
+	fresh := false
+	err := f.readUntil(ctx, func() bool {
+		caughtUp := fresh && logstore.Offset(f.state.Next()) >= f.end
+		fresh = fresh || f.reading == nil
+		return caughtUp
+	})
+	return err
+}
+
+// readUntil reads on until enough, which is called with the mutex held.
+func (f *follower) readUntil(ctx context.Context, enough func() bool) error {
+	failures := 0
+	for {
+		f.mutex.Lock()
+		if enough() {
+			f.mutex.Unlock()
+			return nil
+		}
+		if f.reading == nil {
+			f.reading = &sharedRead{done: make(chan struct{})}
+			go f.read(f.reading, logstore.Offset(f.state.Next()))
+		}
+		reading := f.reading
+		f.mutex.Unlock()
+		select {
+		case <-reading.done:
+		case <-ctx.Done():
+			return fmt.Errorf("ledgerlog: read partition %d: %w", f.partition.Number, ctx.Err())
+		}
+		if reading.err != nil {
+			failures++
+			if failures >= readAttempts {
+				return reading.err
+			}
+		}
+	}
+}
+
+func (f *follower) read(reading *sharedRead, from logstore.Offset) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	began := time.Now()
+	result, err := f.store.Read(ctx, logstore.ReadRequest{Partition: f.partition, From: from})
+	f.metrics.readSeconds.Observe(time.Since(began).Seconds())
+
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var trimmed *logstore.TrimmedError
+	switch {
+	case errors.As(err, &trimmed):
+		f.state.SkipTo(uint64(trimmed.First))
+	case err != nil:
+		f.metrics.readFailures.Inc()
+		reading.err = fmt.Errorf("ledgerlog: read partition %d: %w", f.partition.Number, err)
+	default:
+		f.take(from, result)
+	}
+	f.reading = nil
+	close(reading.done)
+}
+
+// take needs the mutex. Own records may have been applied during the read.
+func (f *follower) take(from logstore.Offset, result logstore.ReadResult) {
+	f.end = result.End
+	known := int(logstore.Offset(f.state.Next()) - from)
+	if known < len(result.Records) {
+		f.apply(result.Records[known:])
+	}
+}
+
+// chain returns a kept turn's chain, as far as the partition has been read.
+func (f *follower) chain(turn ledger.TurnID) ([]ledger.Location, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.Chain(turn)
+}
--- /dev/null
+++ b/internal/ledgerlog/texts.go
@@ -0,0 +1,119 @@
+package ledgerlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/logstore"
+)
+
+// errTextShort tells that the log holds less of a text than its index says.
+var errTextShort = errors.New("ledgerlog: text is not whole in the log")
+
+// textStore writes the texts of turns to the log and reads them by location. The
+// newest stay in memory.
+type textStore struct {
+	config    Config
+	metrics   *metrics
+	partition int
+	appender  *appender
+
+	// mutex guards all below.
+	mutex sync.Mutex
+	cache map[ledger.Location][]byte
+	// order lists the cached locations, the oldest first.
+	order  []ledger.Location
+	cached int
+}
+
+func newTextStore(config Config, counted *metrics) *textStore {
+	number := int(xxhash.Sum64String(config.Producer) % uint64(max(config.Partitions, 1)))
+	return &textStore{
+		config: config, metrics: counted, partition: number, cache: map[ledger.Location][]byte{},
+		appender: &appender{
+			store: config.Store, partition: logstore.Partition{Topic: config.TextTopic, Number: number},
+			producer: config.Producer, callBytes: config.CallBytes, logger: config.Logger, metrics: counted, epoch: 1,
+		},
+	}
+}
+
+// write appends a text as one record, or several where it is larger than a record may be.
+func (t *textStore) write(ctx context.Context, text []byte) (ledger.Location, error) {
+	records := slices.Collect(slices.Chunk(text, t.config.RecordBytes))
+	if len(records) == 0 {
+		records = [][]byte{{}}
+	}
+	offset, err := t.appender.append(ctx, records, nil)
+	if err != nil {
+		return ledger.Location{}, err
+	}
+	location := ledger.Location{Partition: uint16(t.partition), Offset: uint64(offset), Size: uint32(len(text))}
+	t.remember(location, text)
+	return location, nil
+}
+
+func (t *textStore) read(ctx context.Context, location ledger.Location) ([]byte, error) {
+	if text, found := t.recall(location); found {
+		return text, nil
+	}
+	text := make([]byte, 0, location.Size)
+	from := logstore.Offset(location.Offset)
+	for len(text) < int(location.Size) {
+		result, err := t.readOnce(ctx, location, from, int(location.Size)-len(text))
+		if err != nil {
+			return nil, err
+		}
+		for _, record := range result.Records {
+			if len(text) < int(location.Size) {
+				text = append(text, record...)
+			}
+		}
+		if len(result.Records) == 0 {
+			return nil, errTextShort
+		}
+		from += logstore.Offset(len(result.Records))
+	}
+	if len(text) != int(location.Size) {
+		return nil, fmt.Errorf("%w: %d bytes of %d", errTextShort, len(text), location.Size)
+	}
+	t.remember(location, text)
+	return text, nil
+}
+
+func (t *textStore) readOnce(ctx context.Context, location ledger.Location, from logstore.Offset, size int) (logstore.ReadResult, error) {
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return t.config.Store.Read(call, logstore.ReadRequest{
+		Partition: logstore.Partition{Topic: t.config.TextTopic, Number: int(location.Partition)},
+		From:      from, MaxBytes: size + callOverhead,
+	})
+}
+
+func (t *textStore) recall(location ledger.Location) ([]byte, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	text, found := t.cache[location]
+	return text, found
+}
+
+func (t *textStore) remember(location ledger.Location, text []byte) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if _, known := t.cache[location]; known {
+		return
+	}
+	t.cache[location] = text
+	t.order = append(t.order, location)
+	t.cached += len(text)
+	for t.cached > t.config.CacheBytes && len(t.order) > 0 {
+		t.cached -= len(t.cache[t.order[0]])
+		delete(t.cache, t.order[0])
+		t.order = t.order[1:]
+	}
+}
--- /dev/null
+++ b/internal/router/attempt.go
@@ -0,0 +1,183 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"stepseam.example/stepseam/internal/balance"
+	"stepseam.example/stepseam/internal/exchange"
+	"stepseam.example/stepseam/internal/fleet"
+)
+
+const (
+	// maxNotRun is how many replicas that did not run a request are left for another.
+	maxNotRun = 3
+	// minLeft is the least time in which a replica could do anything.
+	minLeft = 5 * time.Millisecond
+)
+
+// attempts is the course of one request over replicas.
+type attempts struct {
+	// except lists the replicas that were tried.
+	except []string
+	// mayHaveRun counts replicas that ran the request or may have.
+	mayHaveRun int
+	// notRun counts those that did not.
+	notRun int
+	last   *exchange.FailureError
+}
+
+// attempt is a request at one replica.
+type attempt struct {
+	answer  *exchange.Answer
+	replica fleet.Replica
+	tracker *balance.Tracker
+	router  *Router
+}
+
+// finish gives the connection back and notes whether the replica is at fault.
+func (a *attempt) finish(failed bool) {
+	a.answer.Close()
+	a.tracker.End(a.replica.Instance, failed, a.router.now())
+}
+
+// errNoReplica tells that nothing is left to try.
+var errNoReplica = errors.New("router: no replica takes the request")
+
+// send offers the call to replicas until one answers it. Errors: errNoReplica; a
+// *exchange.FailureError after which the call must not be tried again.
+func (r *Router) send(ctx context.Context, call *call, reply *reply, course *attempts) (*attempt, error) {
+	for {
+		replica, found := r.choose(call, course)
+		if !found {
+			return nil, errNoReplica
+		}
+		tried, failure := r.sendTo(ctx, call, replica, reply)
+		if failure == nil {
+			return tried, nil
+		}
+		r.noteFailure(ctx, call, replica, course, failure)
+		if !mayTryAgain(ctx, call, course) {
+			return nil, failure
+		}
+	}
+}
+
+// mayTryAgain tells whether another replica may get the call.
+func mayTryAgain(ctx context.Context, call *call, course *attempts) bool {
+	if ctx.Err() != nil || call.left() < minLeft || course.notRun >= maxNotRun {
+		return false
+	}
+	if course.mayHaveRun == 0 {
+		return true
+	}
+	return call.route.Repeatable() && course.mayHaveRun < max(call.route.MaxAttempts, 1)
+}
+
+func (r *Router) noteFailure(ctx context.Context, call *call, replica fleet.Replica, course *attempts, failure *exchange.FailureError) {
+	course.except = append(course.except, replica.Instance)
+	course.last = failure
+	if failure.Outcome == exchange.OutcomeNotRun {
+		course.notRun++
+	} else {
+		course.mayHaveRun++
+	}
+	if failure.Reason == exchange.ReasonMoved {
+		r.config.Fleet.Remove(replica.Instance)
+	}
+	r.metrics.failedAttempts.WithLabelValues(string(failure.Reason)).Inc()
+	r.config.Logger.LogAttrs(ctx, slogInfo, "attempt failed",
+		stringAttr("id", call.id), stringAttr("replica", replica.Instance), stringAttr("reason", string(failure.Reason)),
+		stringAttr("outcome", failure.Outcome.String()), intAttr("status", failure.Status),
+		errorAttr(failure.Cause), durationAttr("left", call.left()))
+}
+
+func (r *Router) choose(call *call, course *attempts) (fleet.Replica, bool) {
+	ready := r.config.Fleet.Ready(call.service.Name)
+	candidates := r.config.Tracker.Candidates(ready, call.service.Slots > 0, call.prompt, course.except, r.now())
+	choice, found := balance.Choose(candidates, call.promptTokens, r.config.Random())
+	if !found {
+		return fleet.Replica{}, false
+	}
+	for _, replica := range ready {
+		if replica.Instance == choice.Candidate.Instance {
+			return replica, true
+		}
+	}
+	return fleet.Replica{}, false
+}
+
+// sendTo offers the call to one replica. Without a failure the answer is one of
+// the replica's own to this request, and finish must be called.
+func (r *Router) sendTo(ctx context.Context, call *call, replica fleet.Replica, reply *reply) (*attempt, *exchange.FailureError) {
+	reply.attempts++
+	reply.replica = replica.Instance
+	left := call.left()
+	if left < minLeft {
+		return nil, &exchange.FailureError{Outcome: exchange.OutcomeNotRun, Reason: exchange.ReasonCancelled, Cause: context.DeadlineExceeded}
+	}
+	call.header.Set(r.config.Names.TimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
+	r.config.Tracker.Begin(replica.Instance, call.prompt)
+	answer, err := r.config.Replicas.Send(ctx, exchange.Target{Instance: replica.Instance, Address: replica.Address}, exchange.Request{
+		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
+	})
+	tried := &attempt{answer: answer, replica: replica, tracker: r.config.Tracker, router: r}
+	var failure *exchange.FailureError
+	if errors.As(err, &failure) {
+		r.config.Tracker.End(replica.Instance, ctx.Err() == nil, r.now())
+		return nil, failure
+	}
+	if failure = r.judge(answer); failure != nil {
+		tried.finish(failure.Reason == exchange.ReasonShed || failure.Reason == exchange.ReasonMoved)
+		return nil, failure
+	}
+	return tried, nil
+}
+
+// judge tells whether an answer's head can go to the client.
+func (r *Router) judge(answer *exchange.Answer) *exchange.FailureError {
+	promise := isPromise(answer.Status)
+	switch {
+	case answer.Status == http.StatusMisdirectedRequest:
+		return &exchange.FailureError{Outcome: exchange.OutcomeNotRun, Reason: exchange.ReasonMoved, Status: answer.Status}
+	case promise && answer.NotRun():
+		return &exchange.FailureError{Outcome: exchange.OutcomeNotRun, Reason: exchange.ReasonShed, Status: answer.Status}
+	case promise:
+		// The status would promise what the replica has not said.
+		return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonUnsigned, Status: answer.Status}
+	case answer.Status < http.StatusMultipleChoices && (!answer.Stamped() || answer.Header.Get("Content-Encoding") != ""):
+		return &exchange.FailureError{Outcome: exchange.OutcomeUnknown, Reason: exchange.ReasonUnsigned, Status: answer.Status}
+	}
+	return nil
+}
+
+// isPromise tells whether clients read status as "has not run and never will".
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// giveUp answers a call that no replica has answered, by what is certain of it.
+func (r *Router) giveUp(ctx context.Context, call *call, reply *reply, course *attempts) {
+	cause := error(errNoReplica)
+	reason := "no_replica"
+	if course.last != nil {
+		cause, reason = course.last, string(course.last.Reason)
+	}
+	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		reply.breakOff("client_left", cause)
+	case course.mayHaveRun == 0:
+		reply.refuse(http.StatusServiceUnavailable, refusal{reason: reason, comeBack: shortComeBack, cause: cause})
+	case call.left() < minLeft:
+		reply.refuse(http.StatusGatewayTimeout, refusal{reason: "timeout", cause: cause})
+	default:
+		reply.refuse(http.StatusBadGateway, refusal{reason: reason, cause: cause})
+	}
+}
--- /dev/null
+++ b/internal/router/observe.go
@@ -0,0 +1,101 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics count what became of requests.
+type metrics struct {
+	requests       *prometheus.CounterVec
+	seconds        *prometheus.HistogramVec
+	failedAttempts *prometheus.CounterVec
+	underWay       prometheus.Gauge
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	built := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_requests_total", Help: "Requests by kind of route, status and reason of a failure.",
+		}, []string{"kind", "status", "reason"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "stepseam_request_seconds", Help: "Time to the first byte of an answer, by kind of route.",
+			Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
+		}, []string{"kind"}),
+		failedAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_failed_attempts_total", Help: "Attempts at replicas that brought no answer, by reason.",
+		}, []string{"reason"}),
+		underWay: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "stepseam_requests_under_way", Help: "Requests that are being served.",
+		}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(built.requests, built.seconds, built.failedAttempts, built.underWay)
+	}
+	return built
+}
+
+const slogInfo = slog.LevelInfo
+
+func stringAttr(key, value string) slog.Attr  { return slog.String(key, value) }
+func intAttr(key string, value int) slog.Attr { return slog.Int(key, value) }
+
+func durationAttr(key string, value time.Duration) slog.Attr {
+	return slog.Float64(key+"_ms", float64(value.Microseconds())/1000)
+}
+
+func errorAttr(err error) slog.Attr {
+	if err == nil {
+		return slog.Attr{}
+	}
+	return slog.String("error", err.Error())
+}
+
+// logRefused writes the line of a request that has no route.
+func (r *Router) logRefused(request *http.Request, reply *reply) {
+	r.metrics.requests.WithLabelValues("none", strconv.Itoa(reply.status), reply.reason).Inc()
+	version := uint64(0)
+	if configuration := r.configuration.Load(); configuration != nil {
+		version = configuration.Version
+	}
+	r.config.Logger.LogAttrs(request.Context(), slogInfo, "request refused",
+		slog.String("id", request.Header.Get(r.config.Names.Replica.RequestID)),
+		slog.Int("status", reply.status), slog.String("reason", reply.reason),
+		slog.String("host", request.Host), slog.String("path", request.URL.Path), slog.Uint64("version", version))
+}
+
+// logEnd writes the line of a request that had a route.
+func (r *Router) logEnd(call *call, reply *reply) {
+	kind := string(call.route.Kind)
+	r.metrics.requests.WithLabelValues(kind, strconv.Itoa(reply.status), reply.reason).Inc()
+	if !reply.firstByte.IsZero() {
+		r.metrics.seconds.WithLabelValues(kind).Observe(reply.firstByte.Sub(call.arrived).Seconds())
+	}
+	attributes := []slog.Attr{
+		slog.String("id", call.id), slog.Int("status", reply.status), slog.String("route", call.route.Name),
+		slog.Uint64("version", call.version), slog.String("service", call.service.Name),
+		slog.String("replica", reply.replica), slog.Int("attempts", reply.attempts),
+		durationAttr("took", time.Since(call.arrived)), durationAttr("left", call.left()), slog.Int("bytes", reply.bytes),
+	}
+	if !reply.firstByte.IsZero() {
+		attributes = append(attributes, durationAttr("first_byte", reply.firstByte.Sub(call.arrived)))
+	}
+	if call.turn.program != "" {
+		attributes = append(attributes, slog.String("program", string(call.turn.program)))
+	}
+	if call.turn.budgeted {
+		attributes = append(
+			attributes, slog.Uint64("budget", uint64(call.turn.budget)), slog.Uint64("most", uint64(call.mostTokens)),
+			slog.Uint64("charged", reply.charged), slog.Int("events", reply.events), durationAttr("ledger", reply.waitedLedger),
+		)
+	}
+	if reply.reason != "" {
+		attributes = append(attributes, slog.String("reason", reply.reason), slog.Bool("cut", reply.cut), errorAttr(reply.cause))
+	}
+	r.config.Logger.LogAttrs(context.Background(), slogInfo, "request ended", attributes...)
+}
--- /dev/null
+++ b/internal/router/plain.go
@@ -0,0 +1,87 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"stepseam.example/stepseam/internal/exchange"
+)
+
+// bufferedBody is the largest body that is read whole before the client gets any
+// of it, so that a torn answer can still be replaced by another.
+const bufferedBody = 256 << 10
+
+// servePlain serves a request whose answer is one body.
+func (r *Router) servePlain(ctx context.Context, reply *reply, call *call) {
+	course := &attempts{}
+	for {
+		tried, err := r.send(ctx, call, reply, course)
+		if err != nil {
+			r.giveUp(ctx, call, reply, course)
+			return
+		}
+		failure := r.passOn(ctx, call, reply, course, tried)
+		if failure == nil {
+			return
+		}
+		r.noteFailure(ctx, call, tried.replica, course, failure)
+		if !mayTryAgain(ctx, call, course) {
+			r.giveUp(ctx, call, reply, course)
+			return
+		}
+	}
+}
+
+// passOn reads an answer's body and sends it to the client. A failure leaves the
+// client without any answer yet.
+func (r *Router) passOn(ctx context.Context, call *call, reply *reply, course *attempts, tried *attempt) *exchange.FailureError {
+	if tried.answer.Status >= http.StatusInternalServerError && call.route.Repeatable() && course.mayHaveRun+1 < call.route.MaxAttempts {
+		tried.finish(true)
+		return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonUnsigned, Status: tried.answer.Status}
+	}
+	body, err := io.ReadAll(io.LimitReader(tried.answer.Body, bufferedBody))
+	if err == nil && len(body) == bufferedBody {
+		r.passOnLong(reply, tried, body)
+		return nil
+	}
+	tried.finish(err != nil && ctx.Err() == nil)
+	if err != nil {
+		return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: tried.answer.Status, Cause: err}
+	}
+	reply.begin(tried.answer, len(body))
+	reply.bytes = len(body)
+	if _, err := reply.writer.Write(body); err != nil {
+		reply.note("client_left", err)
+	}
+	return nil
+}
+
+// passOnLong passes a long body on as it arrives.
+func (r *Router) passOnLong(reply *reply, tried *attempt, begun []byte) {
+	reply.begin(tried.answer, int(tried.answer.Length))
+	written, err := reply.writer.Write(begun)
+	reply.bytes = written
+	if err != nil {
+		tried.finish(false)
+		reply.breakOff("client_left", err)
+	}
+	chunk := make([]byte, 32<<10)
+	for {
+		n, err := tried.answer.Body.Read(chunk)
+		if _, failed := reply.writer.Write(chunk[:n]); failed != nil {
+			tried.finish(false)
+			reply.breakOff("client_left", failed)
+		}
+		reply.bytes += n
+		if errors.Is(err, io.EOF) {
+			tried.finish(false)
+			return
+		}
+		if err != nil {
+			tried.finish(true)
+			reply.breakOff(string(exchange.ReasonIncomplete), err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,121 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/internal/balance"
+	"stepseam.example/stepseam/internal/exchange"
+	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/routing"
+)
+
+// Config is what a Router is made from; all fields but Registerer are required.
+type Config struct {
+	Names    HeaderNames
+	Replicas *exchange.Client
+	Fleet    *fleet.Directory
+	Tracker  *balance.Tracker
+	Ledger   *ledgerlog.Ledger
+	// Random returns a number in [0,1).
+	Random     func() float64
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+}
+
+// Router is the http.Handler of routed requests.
+type Router struct {
+	config        Config
+	splitter      *routing.Splitter
+	metrics       *metrics
+	began         time.Time
+	configuration atomic.Pointer[routing.Configuration]
+	draining      atomic.Bool
+}
+
+// New returns a router without a configuration, which answers 503.
+func New(config Config) *Router {
+	return &Router{
+		config: config, splitter: routing.NewSplitter(),
+		metrics: newMetrics(config.Registerer), began: time.Now(),
+	}
+}
+
+// Use puts a configuration in force, unless a newer one already is. It tells
+// whether it did.
+func (r *Router) Use(configuration *routing.Configuration) bool {
+	for {
+		before := r.configuration.Load()
+		if before != nil && before.Version >= configuration.Version {
+			return false
+		}
+		if r.configuration.CompareAndSwap(before, configuration) {
+			return true
+		}
+	}
+}
+
+// Configuration returns the configuration in force, or nil.
+func (r *Router) Configuration() *routing.Configuration { return r.configuration.Load() }
+
+// Drain makes every further answer ask the client to leave its connection.
+func (r *Router) Drain() { r.draining.Store(true) }
+
+// now is a monotonic reading.
+func (r *Router) now() time.Duration { return time.Since(r.began) }
+
+// ServeHTTP serves one request of a client.
+func (r *Router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if !beginRequest(request.Context()) {
+		panic(http.ErrAbortHandler) // the connection is being closed; nothing has been passed on
+	}
+	reply := &reply{writer: writer, router: r}
+	if r.draining.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	configuration := r.configuration.Load()
+	if configuration == nil {
+		reply.refuse(http.StatusServiceUnavailable, refusal{reason: "no_configuration", comeBack: longComeBack})
+		r.logRefused(request, reply)
+		return
+	}
+	route := configuration.Match(request.Host, request.URL.Path)
+	if route == nil {
+		reply.refuse(http.StatusNotFound, refusal{reason: "no_route"})
+		r.logRefused(request, reply)
+		return
+	}
+	r.serveCall(reply, request, r.newCall(request, route, configuration), configuration.Limits)
+}
+
+func (r *Router) serveCall(reply *reply, request *http.Request, call *call, limits routing.Limits) {
+	r.metrics.underWay.Inc()
+	defer r.metrics.underWay.Dec()
+	body, err := readBody(request, limits.BodyBytes)
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		reply.refuse(http.StatusRequestEntityTooLarge, refusal{reason: "body_too_large"})
+		r.logEnd(call, reply)
+		return
+	case err != nil:
+		reply.note("body_not_read", err)
+		r.logEnd(call, reply)
+		panic(http.ErrAbortHandler)
+	}
+	call.body = body
+	ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
+	defer cancel()
+	defer r.logEnd(call, reply)
+	if call.route.Kind == routing.KindStreaming {
+		r.serveStream(ctx, reply, call)
+		return
+	}
+	r.servePlain(ctx, reply, call)
+}
--- /dev/null
+++ b/internal/routing/configuration.go
@@ -0,0 +1,143 @@
+// Package routing holds the operators' configuration of routed requests and the
+// decisions that depend on it alone: which route a request takes and which
+// service of a split route serves it. It is pure.
+package routing
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be repeated on a route.
+type Kind string
+
+// The kinds of routes.
+const (
+	// KindSafe requests may run more than once.
+	KindSafe Kind = "safe"
+	// KindUnsafe requests run at most once per request.
+	KindUnsafe Kind = "unsafe"
+	// KindStreaming requests are answered by a series of events; they run at most
+	// once unless the route is resumable.
+	KindStreaming Kind = "streaming"
+)
+
+// Share is one service of a split route.
+type Share struct {
+	Service string
+	// Weight is relative to the sum of the route's weights.
+	Weight int
+}
+
+// Route tells how requests of one host and path prefix are served.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       Kind
+	// Timeout is the longest that a request is held.
+	Timeout time.Duration
+	// Objective is the time within which an answer is worth most.
+	Objective time.Duration
+	// Priority is the rank of the route's requests; 0 is the highest.
+	Priority int
+	// Shares has one entry, or several with weights.
+	Shares []Share
+	// MaxAttempts is how many replicas one request may be sent to.
+	MaxAttempts int
+	// Retain tells that the history of turns is kept here, for RetainFor.
+	Retain    bool
+	RetainFor time.Duration
+	// Resumable streams may go on at another replica after their last event.
+	Resumable bool
+}
+
+// Repeatable tells whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindSafe || r.Kind == KindStreaming && r.Resumable
+}
+
+// Service describes a pool of replicas.
+type Service struct {
+	Name string
+	// HealthPath is asked for a replica's health.
+	HealthPath string
+	// Slots is how many requests a replica runs at once; 0 if unknown.
+	Slots int
+	// TokensPerEvent is how many tokens each event of a stream counts.
+	TokensPerEvent int
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Configuration is one version of the whole. It is never changed after Build.
+type Configuration struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+
+	byHost map[string][]*Route
+}
+
+// Build checks a configuration and indexes it. All faults are reported together.
+func Build(configuration Configuration) (*Configuration, error) {
+	built := configuration
+	built.byHost = make(map[string][]*Route, len(built.Routes))
+	var faults []error
+	for i := range built.Routes {
+		route := &built.Routes[i]
+		if err := checkRoute(route); err != nil {
+			faults = append(faults, fmt.Errorf("route %d (%s): %w", i, route.Name, err))
+			continue
+		}
+		host := strings.ToLower(route.Host)
+		built.byHost[host] = append(built.byHost[host], route)
+	}
+	for _, routes := range built.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("routing: version %d: %w", built.Version, errors.Join(faults...))
+	}
+	return &built, nil
+}
+
+func checkRoute(route *Route) error {
+	switch {
+	case route.Host == "":
+		return errors.New("no host")
+	case !strings.HasPrefix(route.PathPrefix, "/") || !strings.HasSuffix(route.PathPrefix, "/"):
+		return fmt.Errorf("path prefix %q does not begin and end with a slash", route.PathPrefix)
+	case route.Kind != KindSafe && route.Kind != KindUnsafe && route.Kind != KindStreaming:
+		return fmt.Errorf("unknown kind %q", route.Kind)
+	case len(route.Shares) == 0:
+		return errors.New("no service")
+	}
+	return nil
+}
+
+// Match returns the route with the longest prefix of path on host, or nil. A port
+// in host is ignored.
+func (c *Configuration) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	for _, route := range c.byHost[host] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -27,7 +27,7 @@
 	return findings
 }
 
-func checkFields(settings Settings, add func(field, message string)) {
+func checkFields(settings any, add func(field, message string)) {
 	checker := validator.New(validator.WithRequiredStructEnabled())
 	checker.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("yaml") })
 	checker.RegisterCustomTypeFunc(func(value reflect.Value) any {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -28,16 +28,8 @@
 func Parse(name string, content []byte, flags Flags) (Settings, error) {
 	result := Default()
 	reader := newReader(name)
-	file, err := parser.ParseBytes(content, 0, parser.AllowDuplicateMapKey()) // reader reports repeated keys itself
-	if err != nil {
-		return Settings{}, &FindingsError{Findings: []Finding{syntaxFinding(name, err)}}
-	}
-	documents := lo.Filter(file.Docs, func(d *ast.DocumentNode, _ int) bool { return d.Body != nil })
-	if len(documents) > 1 {
-		reader.add(documents[1].Body, "", "a second document; a settings file holds one")
-	}
-	if len(documents) > 0 {
-		reader.read(documents[0].Body, &result)
+	if err := reader.document(content, &result); err != nil {
+		return Settings{}, err
 	}
 	overrides, findings := flags.overrides()
 	reader.findings = append(reader.findings, findings...)
@@ -51,6 +43,23 @@
 	return result, nil
 }
 
+// document reads a whole file into the struct that result points to. Its error is
+// a *FindingsError; all other faults are kept in the reader.
+func (r *reader) document(content []byte, result any) error {
+	file, err := parser.ParseBytes(content, 0, parser.AllowDuplicateMapKey()) // the reader reports repeated keys itself
+	if err != nil {
+		return &FindingsError{Findings: []Finding{syntaxFinding(r.file, err)}}
+	}
+	documents := lo.Filter(file.Docs, func(d *ast.DocumentNode, _ int) bool { return d.Body != nil })
+	if len(documents) > 1 {
+		r.add(documents[1].Body, "", "a second document; a settings file holds one")
+	}
+	if len(documents) > 0 {
+		r.read(documents[0].Body, result)
+	}
+	return nil
+}
+
 func syntaxFinding(name string, err error) Finding {
 	var fault yaml.Error
 	if errors.As(err, &fault) && fault.GetToken() != nil {
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -51,7 +51,8 @@
 	return r.file
 }
 
-func (r *reader) read(node ast.Node, result *Settings) {
+// read sets the fields of the struct that result points to.
+func (r *reader) read(node ast.Node, result any) {
 	r.section(node, "", reflect.ValueOf(result).Elem())
 }
 
--- /dev/null
+++ b/internal/settings/routed.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Routed are the settings of a node that serves routed requests on a platform's
+// own store.
+type Routed struct {
+	Node      Node            `yaml:"node"`
+	Addresses RoutedAddresses `yaml:"addresses"`
+	Store     Store           `yaml:"store"`
+	Machine   Machine         `yaml:"machine"`
+	Stop      Stop            `yaml:"stop"`
+	Follow    Follow          `yaml:"follow"`
+	Logging   Logging         `yaml:"logging"`
+}
+
+// RoutedAddresses are where the node listens.
+type RoutedAddresses struct {
+	// Clients takes clients' requests.
+	Clients netip.AddrPort `yaml:"clients" validate:"required"`
+	// Readiness answers whether new connections are welcome.
+	Readiness netip.AddrPort `yaml:"readiness" validate:"required"`
+	// Metrics serves counters and histograms; unset serves none.
+	Metrics netip.AddrPort `yaml:"metrics"`
+}
+
+// Store says where the durable log is and what it takes.
+type Store struct {
+	Address netip.AddrPort `yaml:"address" validate:"required"`
+	// Partitions is the number of partitions of a topic; all nodes have the same.
+	Partitions int `yaml:"partitions" validate:"min=1,max=65536"`
+	// RecordBytes and CallBytes bound one record and one append.
+	RecordBytes int `yaml:"record_bytes" validate:"min=1024"`
+	CallBytes   int `yaml:"call_bytes" validate:"min=1024"`
+}
+
+// Machine says what the process may use.
+type Machine struct {
+	// MemoryMebibytes is the memory above which the process is killed.
+	MemoryMebibytes int `yaml:"memory_mebibytes" validate:"min=32"`
+	// Descriptors bounds open files and sockets.
+	Descriptors int `yaml:"descriptors" validate:"min=64"`
+}
+
+// Stop says how a planned stop goes.
+type Stop struct {
+	// Grace is the time from the request to stop until the process is killed.
+	Grace time.Duration `yaml:"grace" validate:"min=1s,max=1h"`
+}
+
+// Follow says how configuration and replicas are followed in the store.
+type Follow struct {
+	// ReplicasPause is the time between two reads of the replicas' entries.
+	ReplicasPause time.Duration `yaml:"replicas_pause" validate:"min=50ms,max=1m"`
+	// Wait is how long a read waits for something new.
+	Wait time.Duration `yaml:"wait" validate:"min=100ms,max=1m"`
+}
+
+// DefaultRouted returns settings with every default. Node, addresses and the
+// store's address have none.
+func DefaultRouted() Routed {
+	return Routed{
+		Store:   Store{Partitions: 12, RecordBytes: 256 << 10, CallBytes: 2 << 20},
+		Machine: Machine{MemoryMebibytes: 256, Descriptors: 1024},
+		Stop:    Stop{Grace: 8 * time.Second},
+		Follow:  Follow{ReplicasPause: 700 * time.Millisecond, Wait: time.Second},
+		Logging: Logging{Level: "info", Format: "json"},
+	}
+}
+
+// ParseRouted reads and checks the settings of a routed node. All faults come
+// back together as a *FindingsError.
+func ParseRouted(name string, content []byte) (Routed, error) {
+	result := DefaultRouted()
+	reader := newReader(name)
+	if err := reader.document(content, &result); err != nil {
+		return Routed{}, err
+	}
+	add := func(field, message string) {
+		if !reader.faulty[field] {
+			reader.findings = append(reader.findings, Finding{Place: reader.place(field), Field: field, Message: message})
+		}
+	}
+	checkFields(result, add)
+	checkRoutedAddresses(result, add)
+	if len(reader.findings) > 0 {
+		return Routed{}, &FindingsError{Findings: reader.findings}
+	}
+	return result, nil
+}
+
+func checkRoutedAddresses(settings Routed, add func(field, message string)) {
+	clients := settings.Addresses.Clients
+	if clients.IsValid() && clients == settings.Addresses.Readiness {
+		add("addresses.readiness", "is the same as addresses.clients")
+	}
+	if settings.Addresses.Metrics.IsValid() && settings.Addresses.Metrics == clients {
+		add("addresses.metrics", "is the same as addresses.clients")
+	}
+	if settings.Follow.ReplicasPause >= settings.Stop.Grace {
+		add("follow.replicas_pause", "must be shorter than stop.grace")
+	}
+}
