Never claim a turn's absence after a failed read

Cause: readToEnd took any read begun after the call for proof, also one that failed, so that a node without the store answered 404 for a kept turn. Now only a read that the store answered counts.

--- /dev/null
+++ b/internal/emulator/store/store.go
@@ -0,0 +1,276 @@
+// Package store is a stand-in for a durable log with partitions, producers and
+// keyed topics. It keeps everything in memory and can be made to fail in the ways
+// that a real one does.
+package store
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"stepseam.example/stepseam/internal/logstore"
+)
+
+// repeats is how many of a producer's last answers are kept for a repeat.
+const repeats = 5
+
+// Fault says how the store fails; the zero value does not.
+type Fault struct {
+	// Busy refuses every call with nothing done.
+	Busy bool
+	// Silent answers nothing: calls hang until their context ends.
+	Silent bool
+	// LoseAnswers does the writes and answers none of them.
+	LoseAnswers bool
+	// LateAfter does writes whose answers are lost only after this time.
+	LateAfter time.Duration
+	// Delay is added to each call.
+	Delay time.Duration
+}
+
+// Store is a logstore.Store in memory. It is safe for concurrent use.
+type Store struct {
+	// mutex guards all below.
+	mutex      sync.Mutex
+	partitions map[logstore.Partition]*partition
+	fault      Fault
+	// changed is closed and replaced at each write.
+	changed chan struct{}
+	calls   map[string]int
+}
+
+type partition struct {
+	records [][]byte
+	// first is the offset of records[0].
+	first     logstore.Offset
+	newest    map[string][]byte
+	producers map[string]*producer
+}
+
+type producer struct {
+	epoch    uint64
+	sequence uint64
+	begun    bool
+	// answers holds the last ones by sequence number.
+	answers map[uint64]logstore.AppendResult
+}
+
+var _ logstore.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{partitions: map[logstore.Partition]*partition{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+// Fail makes all further calls fail as fault says.
+func (s *Store) Fail(fault Fault) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.fault = fault
+}
+
+// Calls returns how often an operation (append, read, newest) was called.
+func (s *Store) Calls(operation string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls[operation]
+}
+
+// Records returns all records of a partition that are kept.
+func (s *Store) Records(place logstore.Partition) [][]byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.at(place).records)
+}
+
+// Put writes the newest value of a key, or drops the key where value is nil.
+func (s *Store) Put(place logstore.Partition, key string, value []byte) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	kept := s.at(place)
+	record := append([]byte{byte(len(key))}, key...)
+	kept.records = append(kept.records, append(record, value...))
+	if value == nil {
+		delete(kept.newest, key)
+	} else {
+		kept.newest[key] = value
+	}
+	s.wake()
+}
+
+// Trim drops the records before an offset.
+func (s *Store) Trim(place logstore.Partition, before logstore.Offset) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	kept := s.at(place)
+	for kept.first < before && len(kept.records) > 0 {
+		kept.records = kept.records[1:]
+		kept.first++
+	}
+}
+
+// at needs the mutex.
+func (s *Store) at(place logstore.Partition) *partition {
+	kept, known := s.partitions[place]
+	if !known {
+		kept = &partition{newest: map[string][]byte{}, producers: map[string]*producer{}}
+		s.partitions[place] = kept
+	}
+	return kept
+}
+
+// wake needs the mutex.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// begin counts a call and applies the faults that come before any effect.
+func (s *Store) begin(ctx context.Context, operation string) (Fault, error) {
+	s.mutex.Lock()
+	s.calls[operation]++
+	fault := s.fault
+	s.mutex.Unlock()
+	switch {
+	case fault.Busy:
+		return fault, fmt.Errorf("%w: busy", logstore.ErrUnavailable)
+	case fault.Silent:
+		<-ctx.Done()
+		return fault, fmt.Errorf("%w: %w", logstore.ErrAnswerLost, ctx.Err())
+	case fault.Delay > 0:
+		time.Sleep(fault.Delay)
+	}
+	if ctx.Err() != nil {
+		return fault, fmt.Errorf("%w: %w", logstore.ErrAnswerLost, ctx.Err())
+	}
+	return fault, nil
+}
+
+// Append is logstore.Store's.
+func (s *Store) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
+	fault, err := s.begin(ctx, "append")
+	if err != nil {
+		return logstore.AppendResult{}, err
+	}
+	if fault.LoseAnswers {
+		if fault.LateAfter > 0 {
+			time.AfterFunc(fault.LateAfter, func() { _, _ = s.append(request) })
+		} else {
+			_, _ = s.append(request)
+		}
+		<-ctx.Done()
+		return logstore.AppendResult{}, fmt.Errorf("%w: %w", logstore.ErrAnswerLost, ctx.Err())
+	}
+	return s.append(request)
+}
+
+func (s *Store) append(request logstore.AppendRequest) (logstore.AppendResult, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	kept := s.at(request.Partition)
+	known, found := kept.producers[request.Producer]
+	if !found {
+		known = &producer{}
+		kept.producers[request.Producer] = known
+	}
+	if answer, repeated := known.answers[request.Sequence]; repeated && request.Epoch == known.epoch {
+		return answer, nil
+	}
+	switch {
+	case request.Epoch < known.epoch:
+		return logstore.AppendResult{}, logstore.ErrFenced
+	case request.Epoch > known.epoch:
+		*known = producer{epoch: request.Epoch, answers: map[uint64]logstore.AppendResult{}}
+	case known.begun && request.Sequence != known.sequence+1:
+		return logstore.AppendResult{}, fmt.Errorf("%w: %d is wanted", logstore.ErrSequence, known.sequence+1)
+	}
+	first := kept.first + logstore.Offset(len(kept.records))
+	kept.records = append(kept.records, request.Records...)
+	answer := logstore.AppendResult{First: first, End: first + logstore.Offset(len(request.Records))}
+	known.sequence, known.begun = request.Sequence, true
+	known.answers[request.Sequence] = answer
+	if request.Sequence >= repeats {
+		delete(known.answers, request.Sequence-repeats)
+	}
+	s.wake()
+	return answer, nil
+}
+
+// Read is logstore.Store's.
+func (s *Store) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
+	if _, err := s.begin(ctx, "read"); err != nil {
+		return logstore.ReadResult{}, err
+	}
+	var timer <-chan time.Time
+	if request.Wait > 0 {
+		timer = time.After(request.Wait)
+	}
+	for {
+		result, changed, err := s.read(request)
+		if err != nil || len(result.Records) > 0 || request.Wait == 0 {
+			return result, err
+		}
+		select {
+		case <-changed:
+		case <-timer:
+			return result, nil
+		case <-ctx.Done():
+			return logstore.ReadResult{}, fmt.Errorf("%w: %w", logstore.ErrUnavailable, ctx.Err())
+		}
+	}
+}
+
+func (s *Store) read(request logstore.ReadRequest) (logstore.ReadResult, <-chan struct{}, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	kept := s.at(request.Partition)
+	end := kept.first + logstore.Offset(len(kept.records))
+	if request.From < kept.first {
+		return logstore.ReadResult{}, nil, &logstore.TrimmedError{First: kept.first}
+	}
+	result := logstore.ReadResult{End: end}
+	size := 0
+	for offset := request.From; offset < end; offset++ {
+		record := kept.records[offset-kept.first]
+		if size += len(record); request.MaxBytes > 0 && size > request.MaxBytes && len(result.Records) > 0 {
+			break
+		}
+		result.Records = append(result.Records, record)
+	}
+	return result, s.changed, nil
+}
+
+// Newest is logstore.Store's.
+func (s *Store) Newest(ctx context.Context, place logstore.Partition) ([]logstore.Item, logstore.Offset, error) {
+	if _, err := s.begin(ctx, "newest"); err != nil {
+		return nil, 0, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	kept := s.at(place)
+	var items []logstore.Item
+	for _, key := range slices.Sorted(maps.Keys(kept.newest)) {
+		items = append(items, logstore.Item{Key: key, Value: kept.newest[key]})
+	}
+	return items, kept.first + logstore.Offset(len(kept.records)), nil
+}
+
+// Changes is logstore.Store's.
+func (s *Store) Changes(ctx context.Context, request logstore.ReadRequest) ([]logstore.Item, logstore.Offset, error) {
+	result, err := s.Read(ctx, request)
+	if err != nil {
+		return nil, 0, err
+	}
+	var items []logstore.Item
+	for _, record := range result.Records {
+		item := logstore.Item{Key: string(record[1 : 1+record[0]])}
+		if value := record[1+record[0]:]; len(value) > 0 {
+			item.Value = value
+		}
+		items = append(items, item)
+	}
+	return items, min(request.From, result.End) + logstore.Offset(len(result.Records)), nil
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,11 +14,11 @@
 type Outcome int
 
 const (
-	// OutcomeUnknown: the request may have run, or may still run.
+	// OutcomeUnknown tells that the request may have run, or may still run.
 	OutcomeUnknown Outcome = iota
-	// OutcomeNotRun: it has not run and never will, for certain.
+	// OutcomeNotRun tells that it has not run and never will, for certain.
 	OutcomeNotRun
-	// OutcomeRan: the replica worked on it.
+	// OutcomeRan tells that the replica worked on it.
 	OutcomeRan
 )
 
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -36,6 +36,9 @@
 	verdicts map[ledger.AttemptID]*ledger.Verdict
 	// reading is the read under way, or nil.
 	reading *sharedRead
+	// begun counts the reads; answered is the number of the last one that the
+	// store answered.
+	begun, answered uint64
 }
 
 // sharedRead is one read that several wait for; err is set before done is closed.
@@ -94,13 +97,12 @@
 
 // readToEnd reads all that was written before the call.
 func (f *follower) readToEnd(ctx context.Context) error {
-	fresh := false
-	err := f.readUntil(ctx, func() bool {
-		caughtUp := fresh && logstore.Offset(f.state.Next()) >= f.end
-		fresh = fresh || f.reading == nil
-		return caughtUp
+	f.mutex.Lock()
+	wanted := f.begun + 1
+	f.mutex.Unlock()
+	return f.readUntil(ctx, func() bool {
+		return f.answered >= wanted && logstore.Offset(f.state.Next()) >= f.end
 	})
-	return err
 }
 
 // readUntil reads on until enough, which is called with the mutex held.
@@ -113,6 +115,7 @@
 			return nil
 		}
 		if f.reading == nil {
+			f.begun++
 			f.reading = &sharedRead{done: make(chan struct{})}
 			go f.read(f.reading, logstore.Offset(f.state.Next()))
 		}
@@ -158,6 +161,7 @@
 // take needs the mutex. Own records may have been applied during the read.
 func (f *follower) take(from logstore.Offset, result logstore.ReadResult) {
 	f.end = result.End
+	f.answered = f.begun
 	known := int(logstore.Offset(f.state.Next()) - from)
 	if known < len(result.Records) {
 		f.apply(result.Records[known:])
