--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,73 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/internal/fleet"
+)
+
+var prompt = []Part{{ID: 1, Tokens: 12000}, {ID: 2, Tokens: 1000}}
+
+func pick(t *Tracker, engine bool, now time.Duration, except ...string) string {
+	replicas := []fleet.Replica{{Instance: "near", Zone: "z"}, {Instance: "far", Zone: "y"}, {Instance: "away", Zone: "x"}}
+	choice, _ := Choose(t.Candidates(replicas, engine, prompt, except, now), 13000, 0)
+	return choice.Candidate.Instance
+}
+
+func TestCachedPromptIsWorthAWay(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("z")
+	is.Equal(pick(tracker, true, 0), "near")
+	tracker.Begin("far", prompt)
+	tracker.End("far", false, 0)
+	is.Equal(pick(tracker, true, 0), "far")
+	for range 8 {
+		tracker.Begin("far", prompt)
+	}
+	is.Equal(pick(tracker, true, 0), "near") // a crowd is worse than reading again
+}
+
+func TestWorkersAreChosenByWhatIsUnderWay(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("z")
+	for range 2 {
+		tracker.Begin("near", nil)
+	}
+	is.Equal(pick(tracker, false, 0), "far")
+}
+
+func TestFailedReplicaIsAvoidedForAWhileAndStaysTheLastResort(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("z")
+	tracker.Begin("near", nil)
+	tracker.End("near", true, 0)
+	is.Equal(pick(tracker, false, 100*time.Millisecond), "far")
+	is.Equal(pick(tracker, false, 100*time.Millisecond, "far", "away"), "near")
+	is.Equal(pick(tracker, false, time.Second), "near")
+	is.Equal(pick(tracker, false, 0, "near", "far", "away"), "")
+}
+
+func TestSuspicionGrowsWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		failures := rapid.IntRange(1, 1000).Draw(t, "failures")
+		pause := suspicion(failures)
+		if pause < suspicion(1) || pause > 5*time.Second || pause < suspicion(max(failures-1, 1)) {
+			t.Fatalf("%d failures: %v", failures, pause)
+		}
+	})
+}
+
+func TestRememberedPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("z")
+	for id := range uint64(10 * partsPerReplica) {
+		tracker.Begin("a", []Part{{ID: id, Tokens: 1}})
+	}
+	known := tracker.replicas["a"]
+	is.True(len(known.recent)+len(known.older) <= partsPerReplica)
+	is.Equal(known.cachedTokens([]Part{{ID: 10*partsPerReplica - 1, Tokens: 5}}), 5)
+}
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -20,6 +20,8 @@
 	// keepAliveMargin is taken off the time that a replica keeps an idle connection.
 	keepAliveMargin = 700 * time.Millisecond
 	sweepPause      = time.Second
+	// headEstimate is the usual size of a request's head.
+	headEstimate = 1 << 10
 )
 
 var (
@@ -80,7 +82,14 @@
 	}
 	stop := context.AfterFunc(ctx, used.close)
 	sent := &atomic.Bool{}
-	go c.write(used, request, target.Instance, sent)
+	message := c.encode(request, target.Instance)
+	// The answer is read beside the writing, since a replica may answer before it
+	// has read a long body.
+	go func() {
+		if _, err := used.socket.Write(message); err == nil {
+			sent.Store(true)
+		}
+	}()
 	response, err := c.readHead(used, request)
 	if err != nil {
 		stop()
@@ -104,23 +113,20 @@
 	return err
 }
 
-// write sends the whole request. It runs beside the reading of the answer, since
-// a replica may answer before it has read a long body.
-func (c *Client) write(used *connection, request Request, instance string, sent *atomic.Bool) {
-	var head bytes.Buffer
-	head.Grow(1024 + len(request.Body))
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.URI, request.Host)
+// encode returns the whole request as it goes over the wire.
+func (c *Client) encode(request Request, instance string) []byte {
+	var message bytes.Buffer
+	message.Grow(headEstimate + len(request.Body))
+	fmt.Fprintf(&message, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.URI, request.Host)
 	// Writing to a buffer does not fail.
-	_ = request.Header.Write(&head)
-	fmt.Fprintf(&head, "%s: %s\r\n", c.names.ExpectInstance, instance)
+	_ = request.Header.Write(&message)
+	fmt.Fprintf(&message, "%s: %s\r\n", c.names.ExpectInstance, instance)
 	if len(request.Body) > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
-		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(request.Body))
-	}
-	head.WriteString("\r\n")
-	head.Write(request.Body)
-	if _, err := used.socket.Write(head.Bytes()); err == nil {
-		sent.Store(true)
+		fmt.Fprintf(&message, "Content-Length: %d\r\n", len(request.Body))
 	}
+	message.WriteString("\r\n")
+	message.Write(request.Body)
+	return message.Bytes()
 }
 
 // readHead reads answers until the one that belongs to request.
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,110 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/emulator/store"
+	"stepseam.example/stepseam/internal/logstore"
+)
+
+var place = logstore.Partition{Topic: "keyed"}
+
+// view is what the follower has told.
+type view struct {
+	values    map[string]string
+	snapshots int
+}
+
+func (v *view) snapshot(items []logstore.Item) {
+	v.values = map[string]string{}
+	v.snapshots++
+	v.change(items)
+}
+
+func (v *view) change(items []logstore.Item) {
+	for _, item := range items {
+		if item.Value == nil {
+			delete(v.values, item.Key)
+			continue
+		}
+		v.values[item.Key] = string(item.Value)
+	}
+}
+
+func followed(t *testing.T, log *store.Store) (*view, *Follower) {
+	seen := &view{}
+	follower := New(Config{
+		Name: "test", Store: log, Partition: place, Pause: 100 * time.Millisecond, Wait: time.Second,
+		OnSnapshot: seen.snapshot, OnChanges: seen.change, Logger: slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		follower.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return seen, follower
+}
+
+func TestChangesAreSeenInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		log.Put(place, "a", []byte("1"))
+		seen, _ := followed(t, log)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(seen.values, map[string]string{"a": "1"})
+		log.Put(place, "a", nil)
+		log.Put(place, "b", []byte("2"))
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(seen.values, map[string]string{"b": "2"})
+		is.Equal(seen.snapshots, 1)
+	})
+}
+
+func TestForgottenHistoryIsMadeUpByASnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		seen, _ := followed(t, log)
+		time.Sleep(200 * time.Millisecond)
+		log.Fail(store.Fault{Busy: true})
+		time.Sleep(3 * time.Second)
+		log.Put(place, "a", []byte("1"))
+		log.Put(place, "a", []byte("2"))
+		log.Trim(place, 2)
+		log.Fail(store.Fault{})
+		time.Sleep(time.Second)
+		is.Equal(seen.values, map[string]string{"a": "2"})
+		is.Equal(seen.snapshots, 2)
+	})
+}
+
+// TestSilentStoreIsNoticedAndLeft: once the store answers again, what has changed
+// is known within two seconds, whatever call was hanging.
+func TestSilentStoreIsNoticedAndLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		seen, follower := followed(t, log)
+		time.Sleep(200 * time.Millisecond)
+		log.Fail(store.Fault{Silent: true})
+		log.Put(place, "a", []byte("1"))
+		time.Sleep(10 * time.Second)
+		age, heard := follower.Age()
+		is.True(heard && age > 8*time.Second)
+		log.Fail(store.Fault{})
+		time.Sleep(1900 * time.Millisecond)
+		is.Equal(seen.values, map[string]string{"a": "1"})
+	})
+}
--- /dev/null
+++ b/internal/router/stream_test.go
@@ -0,0 +1,180 @@
+package router
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/internal/emulator/replica"
+	"stepseam.example/stepseam/internal/emulator/store"
+)
+
+func streamHead(e *replica.Exchange) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		e.Request.Header.Get("Test-Id"))
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func numbered(from, to int) string {
+	var text strings.Builder
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(&text, "id: %d\ndata: w%d\n\n", id, id)
+	}
+	return text.String()
+}
+
+// events answers with events numbered from..to; whole tells whether the stream ends well.
+func events(from, to int, whole bool) replica.Script {
+	return func(e *replica.Exchange) bool {
+		e.Write("%s", streamHead(e)+chunk(numbered(from, to)))
+		if whole {
+			e.Write("0\r\n\r\n")
+		}
+		return whole
+	}
+}
+
+func TestEventsArePassedOnAsTheyArrive(t *testing.T) {
+	is := is.New(t)
+	next := make(chan struct{})
+	h := newHarness(t, func(e *replica.Exchange) bool {
+		e.Write("%s", streamHead(e)+chunk(numbered(1, 1)))
+		<-next
+		e.Write("%s", chunk(numbered(2, 2))+"0\r\n\r\n")
+		return true
+	})
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, h.server.URL+"/stream/x", strings.NewReader("b"))
+	is.NoErr(err)
+	request.Host = "h.example"
+	request.Header.Set("Test-Id", "1")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	first, err := readEvent(bufio.NewReader(io.LimitReader(response.Body, int64(len(numbered(1, 1))))))
+	is.NoErr(err)
+	is.Equal(first.id, int64(1))
+	close(next)
+	rest, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(rest), numbered(2, 2))
+}
+
+func TestTornStreamDoesNotLookWhole(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(1, 3, false), events(4, 6, true))
+	got := h.ask("/stream/x", "1")
+	is.True(got.err != nil)
+	is.Equal(got.body, numbered(1, 3))
+	is.Equal(len(h.replicas[1].Received()), 0) // it may not run again
+}
+
+func TestResumableStreamGoesOnAtAnotherReplica(t *testing.T) {
+	is := is.New(t)
+	midEvent := func(e *replica.Exchange) bool {
+		e.Write("%s", streamHead(e)+chunk(numbered(1, 3)+"id: 4\nda"))
+		return false
+	}
+	h := newHarness(t, midEvent, events(3, 6, true))
+	got := h.ask("/resume/x", "1")
+	is.NoErr(got.err)
+	is.Equal(got.body, numbered(1, 6))
+	is.Equal(h.replicas[1].Received()[0].Header.Get("Last-Event-Id"), "3")
+}
+
+func TestStreamBeforeItsFirstEventFailsLikeAnyRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, func(e *replica.Exchange) bool { e.Write("%s", streamHead(e)); return false })
+	is.Equal(h.ask("/stream/x", "1").StatusCode, http.StatusBadGateway)
+}
+
+func turnHead(program string, budget, most int, more ...string) []string {
+	return append([]string{"Test-Program", program, "Test-Budget", fmt.Sprint(budget), "Test-Tokens", fmt.Sprintf("100,%d", most)}, more...)
+}
+
+func TestBudgetIsChargedByWhatWasHandedOut(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(1, 3, true))
+	const budget, most = 100, 60 // each turn hands out 30
+	for i := range 3 {
+		got := h.ask("/stream/x", fmt.Sprint(i), turnHead("p", budget, most)...)
+		is.Equal(got.StatusCode, []int{200, 200, 402}[i])
+	}
+	is.Equal(len(h.replicas[0].Received()), 2)
+}
+
+func TestTurnIsRefusedAsNotRunWithoutTheLedger(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(1, 3, true))
+	h.log.Fail(store.Fault{Busy: true})
+	began := time.Now()
+	got := h.ask("/stream/x", "1", turnHead("p", 100, 60)...)
+	is.Equal(got.StatusCode, http.StatusServiceUnavailable)
+	is.True(time.Since(began) < 700*time.Millisecond)
+	is.Equal(len(h.replicas[0].Received()), 0)
+}
+
+func TestKeptTurnsComeBeforeTheNewInput(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(1, 2, true))
+	is.NoErr(h.askBody("/kept/x", "t1", "one.", turnHead("p", 1000, 60)...).err)
+	is.NoErr(h.askBody("/kept/x", "t2", "two.", turnHead("p", 1000, 60, "Test-Previous", "t1")...).err)
+	is.NoErr(h.askBody("/kept/x", "t3", "three.", turnHead("p", 1000, 60, "Test-Previous", "t2")...).err)
+	is.Equal(h.replicas[0].Received()[2].Body, "one.w1\nw2\ntwo.w1\nw2\nthree.")
+
+	// Another node, without any memory, and another program.
+	h.router = h.newRouter("second")
+	h.configure(2)
+	h.server.Config.Handler = h.router
+	is.NoErr(h.askBody("/kept/x", "t4", "four.", turnHead("q", 1000, 60, "Test-Previous", "t3")...).err)
+	is.Equal(h.replicas[0].Received()[3].Body, "one.w1\nw2\ntwo.w1\nw2\nthree.w1\nw2\nfour.")
+}
+
+func TestUnknownTurnIsRefusedOnlyByProof(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(1, 2, true))
+	got := h.ask("/kept/x", "1", turnHead("p", 1000, 60, "Test-Previous", "never")...)
+	is.Equal(got.StatusCode, http.StatusNotFound)
+	h.log.Fail(store.Fault{Busy: true})
+	got = h.ask("/kept/x", "2", turnHead("p", 1000, 60, "Test-Previous", "never")...)
+	is.Equal(got.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(len(h.replicas[0].Received()), 0)
+}
+
+func TestTurnThatCannotBeKeptDoesNotEndWhole(t *testing.T) {
+	is := is.New(t)
+	var h *harness
+	h = newHarness(t, func(e *replica.Exchange) bool {
+		h.log.Fail(store.Fault{Busy: true})
+		return events(1, 2, true)(e)
+	})
+	got := h.ask("/kept/x", "t1", turnHead("p", 1000, 60)...)
+	is.True(got.err != nil)
+}
+
+func TestEventsSurviveAnySplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lines := rapid.SliceOfN(rapid.SampledFrom([]string{"id: 7", "data: x", "data: y", ": comment", "odd", "x-version: 3", strings.Repeat("d", 9000)}), 1, 6).Draw(t, "lines")
+		ending := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "ending")
+		text := strings.Join(lines, ending) + ending + ending
+		size := rapid.IntRange(16, 64).Draw(t, "buffer")
+		reader := bufio.NewReaderSize(strings.NewReader(text+text), size)
+		for range 2 {
+			read, err := readEvent(reader)
+			if err != nil || string(read.raw) != text {
+				t.Fatalf("%q became %q, %v", text, read.raw, err)
+			}
+		}
+		if _, err := readEvent(reader); !errors.Is(err, io.EOF) {
+			t.Fatalf("no end: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/routed_test.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const routedFile = `
+node: {name: n1, zone: z, region: r}
+addresses: {clients: "10.0.0.1:80", readiness: "10.0.0.1:81"}
+store: {address: "10.0.0.9:90", partitions: 6}
+stop: {grace: 4.8s}
+`
+
+func TestRoutedSettingsAreReadOverDefaults(t *testing.T) {
+	is := is.New(t)
+	read, err := ParseRouted("f", []byte(routedFile))
+	is.NoErr(err)
+	is.Equal(read.Store.Partitions, 6)
+	is.Equal(read.Stop.Grace, 4800*time.Millisecond)
+	is.Equal(read.Follow, DefaultRouted().Follow)
+}
+
+func TestAllFindingsOfRoutedSettingsComeTogether(t *testing.T) {
+	is := is.New(t)
+	_, err := ParseRouted("f", []byte(`
+node: {name: n1, zone: z, region: r}
+addresses:
+  clients: "10.0.0.1:80"
+  readiness: "10.0.0.1:80"
+store:
+  adress: "10.0.0.9:90"
+  partitions: many
+`))
+	var findings *FindingsError
+	is.True(errors.As(err, &findings))
+	for _, part := range []string{
+		"f:5: addresses.readiness: is the same as addresses.clients",
+		"f:7: store.adress: unknown field; did you mean address?",
+		`f:8: store.partitions: want a whole number, have "many"`,
+		"store.address: missing",
+	} {
+		is.True(strings.Contains(err.Error(), part))
+	}
+}
