Count turns at homes and reserve budgets in the log behind

Ruled out: grouping alone (3 turns a second and node leave nothing to group). Now one node per partition keeps the sums (rendezvous over live nodes, a hint only), reserves half of what a program has left in one record, and may hand out a bounded part ahead of the log if it is surely the only one.

--- /dev/null
+++ b/internal/homes/handlers.go
@@ -0,0 +1,78 @@
+package homes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/peer"
+)
+
+// Register adds the messages and handlers of this node as a home.
+func (s *Service) Register(registry *peer.Registry) {
+	registry.Add(
+		func() peer.Message { return &begin{} }, func() peer.Message { return &begun{} },
+		func() peer.Message { return &finish{} }, func() peer.Message { return &keep{} }, func() peer.Message { return &done{} },
+	)
+	registry.Handle(kindBegin, peer.HandlerFunc(s.handleBegin))
+	registry.Handle(kindFinish, peer.HandlerFunc(s.handleFinish))
+	registry.Handle(kindKeep, peer.HandlerFunc(s.handleKeep))
+}
+
+func (s *Service) handleBegin(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	asked, ok := request.(*begin)
+	if !ok {
+		return nil, fmt.Errorf("homes: unexpected %T", request)
+	}
+	home := s.isHome(s.config.Ledger.Partition(asked.Request.Program))
+	answer := &begun{Status: statusDone}
+	if asked.Request.Budgeted {
+		grant, err := s.config.Ledger.Take(ctx, asked.Request.Program, asked.Request.Budget, asked.Request.Most, home)
+		if err != nil {
+			return refusal(err), nil
+		}
+		answer.Grant, answer.Charged, answer.Ahead = grant.ID, grant.Charged, grant.Ahead
+	}
+	if asked.Request.Previous != "" {
+		chain, err := s.config.Ledger.Chain(ctx, asked.Request.Program, asked.Request.Previous)
+		if err != nil {
+			s.config.Ledger.Finish(ledgerlog.Grant{Program: asked.Request.Program, ID: answer.Grant}, 0)
+			return refusal(err), nil
+		}
+		answer.Chain = chain
+	}
+	return answer, nil
+}
+
+// refusal tells an error of the ledger to the asking node.
+func refusal(err error) *begun {
+	var spent *ledgerlog.SpentError
+	switch {
+	case errors.As(err, &spent):
+		return &begun{Status: statusSpent, Charged: spent.Charged}
+	case errors.Is(err, ledgerlog.ErrNoSuchTurn):
+		return &begun{Status: statusNoSuchTurn, Reason: err.Error()}
+	}
+	return &begun{Status: statusUnavailable, Reason: err.Error()}
+}
+
+func (s *Service) handleFinish(_ context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	told, ok := request.(*finish)
+	if !ok {
+		return nil, fmt.Errorf("homes: unexpected %T", request)
+	}
+	s.config.Ledger.Finish(ledgerlog.Grant{Program: told.Program, ID: told.Grant}, told.Used)
+	return &done{Status: statusDone}, nil
+}
+
+func (s *Service) handleKeep(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	asked, ok := request.(*keep)
+	if !ok {
+		return nil, fmt.Errorf("homes: unexpected %T", request)
+	}
+	if err := s.config.Ledger.Keep(ctx, asked.Turn); err != nil {
+		return &done{Status: statusUnavailable, Reason: err.Error()}, nil
+	}
+	return &done{Status: statusDone}, nil
+}
--- /dev/null
+++ b/internal/homes/message.go
@@ -0,0 +1,170 @@
+package homes
+
+import (
+	"time"
+
+	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/wire"
+)
+
+// The kinds of messages of this package.
+const (
+	kindBegin = peer.KindRangeLedger + 1 + iota
+	kindBegun
+	kindFinish
+	kindKeep
+	kindDone
+)
+
+// status is the outcome of a request to a home.
+type status uint8
+
+const (
+	statusDone status = iota + 1
+	statusSpent
+	statusNoSuchTurn
+	statusUnavailable
+)
+
+// locationBytes is the encoded size of a ledger.Location.
+const locationBytes = 2 + 8 + 4
+
+// begin asks a home to begin a turn.
+type begin struct{ Request Request }
+
+// Kind implements peer.Message.
+func (*begin) Kind() peer.Kind { return kindBegin }
+
+// Encode implements peer.Message.
+func (m *begin) Encode(e *wire.Encoder) {
+	e.String(string(m.Request.Program))
+	e.Bool(m.Request.Budgeted)
+	e.Uint32(m.Request.Budget)
+	e.Uint32(m.Request.Most)
+	e.String(string(m.Request.Previous))
+}
+
+// Decode implements peer.Message.
+func (m *begin) Decode(d *wire.Decoder) {
+	m.Request = Request{
+		Program: ledger.ProgramID(d.String()), Budgeted: d.Bool(), Budget: d.Uint32(), Most: d.Uint32(),
+		Previous: ledger.TurnID(d.String()),
+	}
+}
+
+// begun answers begin.
+type begun struct {
+	Status  status
+	Grant   ledger.GrantID
+	Charged uint64
+	Ahead   bool
+	Chain   []ledger.Location
+	// Reason is an error's text.
+	Reason string
+}
+
+// Kind implements peer.Message.
+func (*begun) Kind() peer.Kind { return kindBegun }
+
+// Encode implements peer.Message.
+func (m *begun) Encode(e *wire.Encoder) {
+	e.Uint8(uint8(m.Status))
+	e.Uint64(uint64(m.Grant))
+	e.Uint64(m.Charged)
+	e.Bool(m.Ahead)
+	encodeChain(e, m.Chain)
+	e.String(m.Reason)
+}
+
+// Decode implements peer.Message.
+func (m *begun) Decode(d *wire.Decoder) {
+	m.Status, m.Grant, m.Charged = status(d.Uint8()), ledger.GrantID(d.Uint64()), d.Uint64()
+	m.Ahead, m.Chain, m.Reason = d.Bool(), decodeChain(d), d.String()
+}
+
+// finish tells a home what a turn handed out.
+type finish struct {
+	Program ledger.ProgramID
+	Grant   ledger.GrantID
+	Used    uint32
+}
+
+// Kind implements peer.Message.
+func (*finish) Kind() peer.Kind { return kindFinish }
+
+// Encode implements peer.Message.
+func (m *finish) Encode(e *wire.Encoder) {
+	e.String(string(m.Program))
+	e.Uint64(uint64(m.Grant))
+	e.Uint32(m.Used)
+}
+
+// Decode implements peer.Message.
+func (m *finish) Decode(d *wire.Decoder) {
+	m.Program, m.Grant, m.Used = ledger.ProgramID(d.String()), ledger.GrantID(d.Uint64()), d.Uint32()
+}
+
+// keep asks a home to add a turn to the index.
+type keep struct{ Turn ledger.Keep }
+
+// Kind implements peer.Message.
+func (*keep) Kind() peer.Kind { return kindKeep }
+
+// Encode implements peer.Message.
+func (m *keep) Encode(e *wire.Encoder) {
+	e.String(string(m.Turn.Program))
+	e.String(string(m.Turn.Turn))
+	encodeChain(e, m.Turn.Chain)
+	e.Duration(m.Turn.For)
+}
+
+// Decode implements peer.Message.
+func (m *keep) Decode(d *wire.Decoder) {
+	m.Turn = ledger.Keep{Program: ledger.ProgramID(d.String()), Turn: ledger.TurnID(d.String()), Chain: decodeChain(d), For: d.Duration()}
+	if m.Turn.For < 0 || m.Turn.For > maxKeep {
+		m.Turn.For = maxKeep
+	}
+}
+
+// maxKeep bounds how long a turn is kept.
+const maxKeep = 24 * time.Hour
+
+// done answers finish and keep.
+type done struct {
+	Status status
+	Reason string
+}
+
+// Kind implements peer.Message.
+func (*done) Kind() peer.Kind { return kindDone }
+
+// Encode implements peer.Message.
+func (m *done) Encode(e *wire.Encoder) {
+	e.Uint8(uint8(m.Status))
+	e.String(m.Reason)
+}
+
+// Decode implements peer.Message.
+func (m *done) Decode(d *wire.Decoder) { m.Status, m.Reason = status(d.Uint8()), d.String() }
+
+func encodeChain(e *wire.Encoder, chain []ledger.Location) {
+	e.Uint32(uint32(len(chain)))
+	for _, location := range chain {
+		e.Uint16(location.Partition)
+		e.Uint64(location.Offset)
+		e.Uint32(location.Size)
+	}
+}
+
+func decodeChain(d *wire.Decoder) []ledger.Location {
+	count := d.Count(locationBytes)
+	if count == 0 {
+		return nil
+	}
+	chain := make([]ledger.Location, 0, count)
+	for range count {
+		chain = append(chain, ledger.Location{Partition: d.Uint16(), Offset: d.Uint64(), Size: d.Uint32()})
+	}
+	return chain
+}
--- /dev/null
+++ b/internal/ledger/credit.go
@@ -0,0 +1,141 @@
+package ledger
+
+import "time"
+
+// GrantID names the tokens that one turn may hand out, within one Credit.
+type GrantID uint64
+
+// part is one reservation of a credit.
+type part struct {
+	attempt AttemptID
+	granted uint64
+}
+
+// Credit is what one node may hand out of one program's budget: its reservations
+// in the log and, at a sure owner, some tokens ahead of them. It is pure and not
+// safe for concurrent use.
+//
+// Invariant: spent plus what open turns may hand out is at most what the log has
+// granted, or at most AheadLimit while the node may hand out ahead of the log.
+type Credit struct {
+	program ProgramID
+	budget  uint32
+	most    uint32
+	parts   []part
+	spent   uint64
+	open    map[GrantID]openGrant
+	// asked tells that a reservation's verdict is known, so that nothing may be
+	// handed out ahead of the log any more.
+	asked   bool
+	touched time.Duration
+	// Charged is what stood against the budget at the last verdict, in tokens.
+	Charged uint64
+}
+
+type openGrant struct {
+	most  uint64
+	since time.Duration
+}
+
+// NewCredit returns a credit without reservations.
+func NewCredit(program ProgramID, budget, most uint32, now time.Duration) *Credit {
+	return &Credit{program: program, budget: budget, most: most, open: map[GrantID]openGrant{}, touched: now}
+}
+
+func (c *Credit) granted() uint64 {
+	total := uint64(0)
+	for _, one := range c.parts {
+		total += one.granted
+	}
+	return total
+}
+
+// underWay is what open turns may hand out at most.
+func (c *Credit) underWay() uint64 {
+	total := uint64(0)
+	for _, one := range c.open {
+		total += one.most
+	}
+	return total
+}
+
+// Fits tells whether a turn of at most most tokens may begin. ahead tells whether
+// the node may hand out tokens ahead of the log.
+func (c *Credit) Fits(most uint32, ahead bool) bool {
+	limit := c.granted()
+	if ahead && !c.asked {
+		limit = max(limit, AheadLimit(c.budget, c.most))
+	}
+	return c.spent+c.underWay()+uint64(most) <= limit
+}
+
+// Open begins a turn that fits.
+func (c *Credit) Open(grant GrantID, most uint32, now time.Duration) {
+	c.open[grant] = openGrant{most: uint64(most), since: now}
+	c.touched = now
+}
+
+// Finish ends a turn that handed out used tokens. It tells whether it was open.
+func (c *Credit) Finish(grant GrantID, used uint32, now time.Duration) bool {
+	_, known := c.open[grant]
+	if known {
+		delete(c.open, grant)
+		c.spent += uint64(used)
+		c.touched = now
+	}
+	return known
+}
+
+// Next returns the reservation to ask for, so that a turn of at most most tokens
+// fits: half of what the program has left, so that another node can go on with
+// the rest if this one dies.
+func (c *Credit) Next(attempt AttemptID, most uint32, sure bool) Reserve {
+	held := c.granted()
+	needed := c.spent + c.underWay() + uint64(most)
+	least := needed - min(needed, held)
+	left := uint64(c.budget) - min(uint64(c.budget), held)
+	wanted := max(left/2, least)
+	if !c.asked {
+		wanted = max(wanted, AheadLimit(c.budget, c.most))
+	}
+	return Reserve{
+		Program: c.program, Attempt: attempt, Budget: c.budget, Most: c.most,
+		Least: uint32(least), Wanted: uint32(wanted), Sure: sure && !c.asked,
+	}
+}
+
+// Decided takes the verdict on a reservation.
+func (c *Credit) Decided(verdict Verdict) {
+	c.asked = true
+	c.Charged = verdict.Charged
+	if verdict.Granted > 0 {
+		c.parts = append(c.parts, part{attempt: verdict.Attempt, granted: uint64(verdict.Granted)})
+	}
+}
+
+// Idle tells whether no turn is open and none has been for the given time.
+func (c *Credit) Idle(since, now time.Duration) bool {
+	return len(c.open) == 0 && now-c.touched >= since
+}
+
+// Expire counts turns as handed out in full that have been open for longer than
+// life, since their end will not be told any more.
+func (c *Credit) Expire(life, now time.Duration) {
+	for grant, one := range c.open {
+		if now-one.since > life {
+			c.Finish(grant, uint32(one.most), now)
+		}
+	}
+}
+
+// Settle returns the records that close all reservations, by what was handed out.
+func (c *Credit) Settle() []Record {
+	records := make([]Record, 0, len(c.parts))
+	left := c.spent
+	for _, one := range c.parts {
+		used := min(left, one.granted)
+		left -= used
+		records = append(records, Settle{Program: c.program, Attempt: one.attempt, Used: uint32(used)})
+	}
+	return records
+}
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -18,8 +18,10 @@
 // attempts used and of what open ones reserved.
 type account struct {
 	charged uint64
-	open    map[AttemptID]uint32
-	touched time.Duration
+	// sure tells that the first record of the program was; fresh that none has come.
+	sure, fresh bool
+	open        map[AttemptID]uint32
+	touched     time.Duration
 }
 
 type keptTurn struct {
@@ -30,7 +32,10 @@
 // Partition is the state that the records of one log partition add up to. It is
 // not safe for concurrent use. Times are readings of a monotonic clock.
 type Partition struct {
-	next     uint64
+	next  uint64
+	owner Ownership
+	// skipped tells that the oldest records were gone when this state began.
+	skipped  bool
 	accounts map[ProgramID]*account
 	turns    map[TurnID]keptTurn
 	pruned   time.Duration
@@ -46,13 +51,16 @@
 
 // SkipTo passes over records that the log has dropped; they are older than
 // anything that is kept.
-func (p *Partition) SkipTo(offset uint64) { p.next = max(p.next, offset) }
+func (p *Partition) SkipTo(offset uint64) {
+	p.skipped = p.skipped || offset > p.next
+	p.next = max(p.next, offset)
+}
 
 // Verdict is the outcome of a Reserve record.
 type Verdict struct {
 	Attempt AttemptID
-	// Granted tells whether the reservation holds.
-	Granted bool
+	// Granted is how many tokens are reserved; 0 if the reservation does not hold.
+	Granted uint32
 	// Charged is what stood against the program's budget before it, in tokens.
 	Charged uint64
 }
@@ -70,6 +78,10 @@
 		return p.reserve(record, now), true
 	case Settle:
 		p.settle(record, now)
+	case Own:
+		p.own(record, now)
+	case Release:
+		p.release(record)
 	case Keep:
 		p.turns[record.Turn] = keptTurn{chain: record.Chain, expires: now + record.For + keepSlack}
 	}
@@ -78,15 +90,23 @@
 
 func (p *Partition) reserve(record Reserve, now time.Duration) Verdict {
 	charges := p.account(record.Program, now)
+	if charges.fresh {
+		charges.fresh, charges.sure = false, record.Sure
+	}
 	verdict := Verdict{Attempt: record.Attempt, Charged: charges.charged}
 	if _, repeated := charges.open[record.Attempt]; repeated {
 		return verdict
 	}
-	verdict.Granted = charges.charged+uint64(record.Most) <= uint64(record.Budget)
-	if verdict.Granted {
-		charges.charged += uint64(record.Most)
-		charges.open[record.Attempt] = record.Most
+	open := uint64(record.Budget)
+	if !charges.sure {
+		open = OpenBudget(record.Budget, record.Most)
+	}
+	if charges.charged+uint64(record.Least) > open {
+		return verdict
 	}
+	verdict.Granted = uint32(min(uint64(record.Wanted), open-charges.charged))
+	charges.charged += uint64(verdict.Granted)
+	charges.open[record.Attempt] = verdict.Granted
 	return verdict
 }
 
@@ -105,7 +125,7 @@
 func (p *Partition) account(program ProgramID, now time.Duration) *account {
 	charges, known := p.accounts[program]
 	if !known {
-		charges = &account{open: map[AttemptID]uint32{}}
+		charges = &account{open: map[AttemptID]uint32{}, fresh: true}
 		p.accounts[program] = charges
 	}
 	charges.touched = now
@@ -120,6 +140,12 @@
 	return 0
 }
 
+// Knows tells whether a reservation of the program has been asked for.
+func (p *Partition) Knows(program ProgramID) bool {
+	_, known := p.accounts[program]
+	return known
+}
+
 // Chain returns the locations of a kept turn's chain, the oldest first.
 func (p *Partition) Chain(turn TurnID) ([]Location, bool) {
 	kept, found := p.turns[turn]
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -23,15 +23,20 @@
 // AttemptID names one attempt at a turn. It is unique.
 type AttemptID uint64
 
-// Reserve asks for the most tokens that an attempt may hand out. It holds if the
-// program's charges before it leave room for them.
+// Reserve asks for tokens of a program's budget. It gets Wanted of them, or what
+// the charges before it leave, but nothing if that is less than Least.
 type Reserve struct {
 	Program ProgramID
 	Attempt AttemptID
 	// Budget is the program's whole budget in tokens.
 	Budget uint32
-	// Most is how many tokens the attempt hands out at most.
-	Most uint32
+	// Most is how many tokens one turn hands out at most.
+	Most          uint32
+	Least, Wanted uint32
+	// Sure tells that nobody but the writer can have handed out tokens of the
+	// program ahead of the log. Where a program's first record is not sure, a part
+	// of its budget stays closed, see OpenBudget.
+	Sure bool
 }
 
 // Settle tells what an attempt handed out, in place of its reservation.
@@ -60,7 +65,17 @@
 	For time.Duration
 }
 
-// Record is a Reserve, Settle or Keep.
+// Own makes a life of a node the partition's owner. Only an owner may hand out
+// tokens ahead of the log.
+type Own struct{ Life LifeID }
+
+// Release ends the ownership of a life that has nothing ahead of the log any more.
+type Release struct{ Life LifeID }
+
+// LifeID names one life of a process. It is unique.
+type LifeID string
+
+// Record is a Reserve, Settle, Keep, Own or Release.
 type Record interface{ encode() []byte }
 
 type recordKind byte
@@ -69,6 +84,8 @@
 	kindReserve recordKind = 1
 	kindSettle  recordKind = 2
 	kindKeep    recordKind = 3
+	kindOwn     recordKind = 4
+	kindRelease recordKind = 5
 )
 
 // locationBytes is the encoded size of a Location.
@@ -83,10 +100,19 @@
 func (r Reserve) encode() []byte {
 	encoded := appendText([]byte{byte(kindReserve)}, string(r.Program))
 	encoded = binary.BigEndian.AppendUint64(encoded, uint64(r.Attempt))
-	encoded = binary.BigEndian.AppendUint32(encoded, r.Budget)
-	return binary.BigEndian.AppendUint32(encoded, r.Most)
+	for _, tokens := range []uint32{r.Budget, r.Most, r.Least, r.Wanted} {
+		encoded = binary.BigEndian.AppendUint32(encoded, tokens)
+	}
+	if r.Sure {
+		return append(encoded, 1)
+	}
+	return append(encoded, 0)
 }
 
+func (r Own) encode() []byte { return appendText([]byte{byte(kindOwn)}, string(r.Life)) }
+
+func (r Release) encode() []byte { return appendText([]byte{byte(kindRelease)}, string(r.Life)) }
+
 func (r Settle) encode() []byte {
 	encoded := appendText([]byte{byte(kindSettle)}, string(r.Program))
 	encoded = binary.BigEndian.AppendUint64(encoded, uint64(r.Attempt))
@@ -122,12 +148,17 @@
 	case kindReserve:
 		record = Reserve{
 			Program: ProgramID(reader.text()), Attempt: AttemptID(reader.uint64()),
-			Budget: reader.uint32(), Most: reader.uint32(),
+			Budget: reader.uint32(), Most: reader.uint32(), Least: reader.uint32(), Wanted: reader.uint32(),
+			Sure: reader.take(1)[0] == 1,
 		}
 	case kindSettle:
 		record = Settle{Program: ProgramID(reader.text()), Attempt: AttemptID(reader.uint64()), Used: reader.uint32()}
 	case kindKeep:
 		record = reader.keep()
+	case kindOwn:
+		record = Own{Life: LifeID(reader.text())}
+	case kindRelease:
+		record = Release{Life: LifeID(reader.text())}
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrRecord, encoded[0])
 	}
--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -34,8 +34,6 @@
 	context context.Context
 	// outcome has room for one result.
 	outcome chan appendOutcome
-	// late is called if the records were written after the wait had ended.
-	late func()
 }
 
 type appendOutcome struct {
@@ -69,10 +67,10 @@
 }
 
 // append writes records and returns the offset of the first. Errors: ctx's end
-// as errAbandoned, in which case late is called if the records were written
-// after all; or what the store said.
-func (a *appender) append(ctx context.Context, records [][]byte, late func()) (logstore.Offset, error) {
-	waiting := a.submit(ctx, records, late)
+// as errAbandoned, in which case the records may be written after all; or what the
+// store said.
+func (a *appender) append(ctx context.Context, records [][]byte) (logstore.Offset, error) {
+	waiting := a.submit(ctx, records)
 	select {
 	case outcome := <-waiting.outcome:
 		return outcome.first, outcome.err
@@ -81,19 +79,28 @@
 	}
 }
 
-func (a *appender) submit(ctx context.Context, records [][]byte, late func()) *submission {
-	waiting := &submission{records: records, context: ctx, outcome: make(chan appendOutcome, 1), late: late}
+func newSubmission(ctx context.Context, records [][]byte) *submission {
+	made := &submission{records: records, context: ctx, outcome: make(chan appendOutcome, 1)}
 	for _, record := range records {
-		waiting.bytes += len(record) + callOverhead
+		made.bytes += len(record) + callOverhead
 	}
+	return made
+}
+
+func (a *appender) submit(ctx context.Context, records [][]byte) *submission {
+	waiting := newSubmission(ctx, records)
+	a.enqueue(waiting)
+	return waiting
+}
+
+func (a *appender) enqueue(waiting ...*submission) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.queue = append(a.queue, waiting)
-	if !a.running {
+	a.queue = append(a.queue, waiting...)
+	if !a.running && len(a.queue) > 0 {
 		a.running = true
 		go a.run()
 	}
-	return waiting
 }
 
 // idle tells whether everything that was submitted is written.
@@ -202,9 +209,6 @@
 		a.written(first, records)
 	}
 	for _, one := range batch {
-		if one.expired() && one.late != nil {
-			one.late()
-		}
 		one.outcome <- appendOutcome{first: first}
 		first += logstore.Offset(len(one.records))
 	}
--- /dev/null
+++ b/internal/ledgerlog/holder.go
@@ -0,0 +1,236 @@
+package ledgerlog
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"stepseam.example/stepseam/internal/ledger"
+)
+
+const (
+	// creditIdle is how long a program's credit rests before it is settled.
+	creditIdle = 3 * time.Second
+	// grantLife is how long a turn may take before it counts as handed out in full.
+	grantLife = time.Minute
+	// gatherPause is how long a reservation that nobody waits for may wait for
+	// others to go with.
+	gatherPause = 250 * time.Millisecond
+	// ownPause is the least time between two claims of one partition.
+	ownPause = time.Second
+)
+
+// holder holds this node's credits of one partition's programs and its ownership.
+type holder struct {
+	partition *partition
+	life      ledger.LifeID
+	clock     func() time.Duration
+
+	// mutex guards all below.
+	mutex   sync.Mutex
+	credits map[ledger.ProgramID]*heldCredit
+	// claimedAt is when the ownership was claimed last; claiming while that is not
+	// in the log.
+	claimedAt time.Duration
+	claiming  bool
+}
+
+// heldCredit is a credit with the reservation under way for it.
+type heldCredit struct {
+	credit *ledger.Credit
+	// asking is closed once the reservation under way is decided; nil if there is
+	// none. The error is set before.
+	asking *reservationCall
+	// ahead tells that tokens may be handed out before the first verdict: when the
+	// credit began, this node was sure and the log knew nothing of the program.
+	ahead bool
+}
+
+type reservationCall struct {
+	done    chan struct{}
+	err     error
+	granted bool
+}
+
+// Grant is the right to hand out the tokens of one turn.
+type Grant struct {
+	Program ledger.ProgramID
+	ID      ledger.GrantID
+	// Charged is what was known to stand against the budget before, in tokens.
+	Charged uint64
+	// Ahead tells that the log does not hold it yet.
+	Ahead bool
+}
+
+// take begins a turn. Errors: *SpentError, or one that wraps ErrUnavailable.
+func (h *holder) take(ctx context.Context, program ledger.ProgramID, budget, most uint32) (Grant, error) {
+	for {
+		grant, call, own := h.tryTake(program, budget, most)
+		if call == nil {
+			return grant, nil
+		}
+		h.partition.flush()
+		select {
+		case <-call.done:
+		case <-ctx.Done():
+			return Grant{}, fmt.Errorf("%w: reserve: %w", ErrUnavailable, ctx.Err())
+		}
+		if call.err != nil {
+			return Grant{}, fmt.Errorf("%w: reserve: %w", ErrUnavailable, call.err)
+		}
+		if own && !call.granted {
+			return Grant{}, &SpentError{Charged: h.charged(program)}
+		}
+	}
+}
+
+// tryTake begins a turn if it fits. Otherwise it returns the reservation to wait
+// for; own tells that this turn has asked for it.
+func (h *holder) tryTake(program ledger.ProgramID, budget, most uint32) (grant Grant, call *reservationCall, own bool) {
+	sure := h.sure()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	held, known := h.credits[program]
+	if !known {
+		held = &heldCredit{credit: ledger.NewCredit(program, budget, most, h.clock())}
+		held.ahead = sure && !h.partition.follower.knows(program)
+		h.credits[program] = held
+		h.ask(held, most)
+		own = true
+	}
+	if held.credit.Fits(most, held.ahead && sure) {
+		grant = Grant{Program: program, ID: ledger.GrantID(rand.Uint64()), Charged: held.credit.Charged, Ahead: held.asking != nil}
+		held.credit.Open(grant.ID, most, h.clock())
+		return grant, nil, false
+	}
+	if held.asking == nil {
+		h.ask(held, most)
+		own = true
+	}
+	return Grant{}, held.asking, own
+}
+
+// ask reserves more for a credit, in the background. It needs the mutex.
+func (h *holder) ask(held *heldCredit, most uint32) {
+	call := &reservationCall{done: make(chan struct{})}
+	held.asking = call
+	attempt := ledger.AttemptID(rand.Uint64())
+	record := held.credit.Next(attempt, most, held.ahead)
+	h.partition.follower.expect(attempt)
+	waiting := h.partition.submitLater(ledger.Encode(record))
+	go func() {
+		verdict, err := h.decide(attempt, waiting)
+		h.mutex.Lock()
+		defer h.mutex.Unlock()
+		if err == nil {
+			held.credit.Decided(verdict)
+			call.granted = verdict.Granted > 0
+		}
+		call.err = err
+		held.asking = nil
+		close(call.done)
+	}()
+}
+
+// decide waits until a reservation stands in the log, however long that takes, and
+// returns the verdict.
+func (h *holder) decide(attempt ledger.AttemptID, waiting *submission) (ledger.Verdict, error) {
+	outcome := <-waiting.outcome
+	if outcome.err != nil {
+		h.partition.follower.verdict(attempt)
+		return ledger.Verdict{}, outcome.err
+	}
+	for {
+		err := h.partition.follower.readTo(context.Background(), outcome.first)
+		if verdict, known := h.partition.follower.verdict(attempt); known {
+			return verdict, nil
+		}
+		if err == nil {
+			return ledger.Verdict{}, fmt.Errorf("%w: the verdict was passed over", ErrUnavailable)
+		}
+		h.partition.follower.expect(attempt)
+		sleepAbout(maxRetryPause)
+	}
+}
+
+// finish ends a turn.
+func (h *holder) finish(grant Grant, used uint32) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if held, known := h.credits[grant.Program]; known {
+		held.credit.Finish(grant.ID, used, h.clock())
+	}
+}
+
+func (h *holder) charged(program ledger.ProgramID) uint64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if held, known := h.credits[program]; known {
+		return held.credit.Charged
+	}
+	return 0
+}
+
+// tidy settles credits that rest, all of them if the node stops. home tells
+// whether this node should own the partition.
+func (h *holder) tidy(home, stopping bool) {
+	rest := creditIdle
+	if stopping || !home {
+		rest = 0
+	}
+	h.mutex.Lock()
+	now := h.clock()
+	var records []ledger.Record
+	for program, held := range h.credits {
+		held.credit.Expire(grantLife, now)
+		if held.asking == nil && held.credit.Idle(rest, now) {
+			records = append(records, held.credit.Settle()...)
+			delete(h.credits, program)
+		}
+	}
+	empty := len(h.credits) == 0
+	h.mutex.Unlock()
+	for _, record := range records {
+		h.partition.submitLater(ledger.Encode(record))
+	}
+	if (!home || stopping) && empty {
+		h.release()
+	}
+}
+
+// sure tells whether tokens may be handed out ahead of the log.
+func (h *holder) sure() bool {
+	return h.partition.follower.sure(h.life)
+}
+
+// claim makes this life the partition's owner, in the background, unless it is.
+func (h *holder) claim() {
+	owner := h.partition.follower.owner()
+	now := h.clock()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if owner == h.life || h.claiming || h.claimedAt > 0 && now-h.claimedAt < ownPause {
+		return
+	}
+	h.claiming, h.claimedAt = true, now
+	go func() {
+		// The state before the claim is needed too, so the partition is read up to it.
+		outcome := <-h.partition.submitNow(ledger.Encode(ledger.Own{Life: h.life})).outcome
+		if outcome.err == nil {
+			// A failed read is repeated by the next who needs it.
+			_ = h.partition.follower.readTo(context.Background(), outcome.first)
+		}
+		h.mutex.Lock()
+		defer h.mutex.Unlock()
+		h.claiming = false
+	}()
+}
+
+// release gives the ownership back. Nothing is ahead of the log here any more.
+func (h *holder) release() {
+	if h.partition.follower.owner() == h.life {
+		h.partition.submitNow(ledger.Encode(ledger.Release{Life: h.life}))
+	}
+}
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -39,6 +39,8 @@
 	// begun counts the reads; answered is the number of the last one that the
 	// store answered.
 	begun, answered uint64
+	// confirmed is when the log was last heard to hold nothing but what is known.
+	confirmed time.Duration
 }
 
 // sharedRead is one read that several wait for; err is set before done is closed.
@@ -73,9 +75,31 @@
 	defer f.mutex.Unlock()
 	if logstore.Offset(f.state.Next()) == first {
 		f.apply(records)
+		f.confirmed = f.clock()
 	}
 }
 
+// owner returns the life that owns the partition, as far as it has been read.
+func (f *follower) owner() ledger.LifeID {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.Owner()
+}
+
+// knows tells whether the log, as far as it has been read, has a record of program.
+func (f *follower) knows(program ledger.ProgramID) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.Knows(program)
+}
+
+// sure tells whether life may hand out tokens ahead of the log.
+func (f *follower) sure(life ledger.LifeID) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.Sure(life, f.confirmed, f.clock())
+}
+
 // apply needs the mutex.
 func (f *follower) apply(records [][]byte) {
 	now := f.clock()
@@ -162,6 +186,7 @@
 func (f *follower) take(from logstore.Offset, result logstore.ReadResult) {
 	f.end = result.End
 	f.answered = f.begun
+	f.confirmed = f.clock()
 	known := int(logstore.Offset(f.state.Next()) - from)
 	if known < len(result.Records) {
 		f.apply(result.Records[known:])
--- a/internal/ledgerlog/texts.go
+++ b/internal/ledgerlog/texts.go
@@ -49,7 +49,7 @@
 	if len(records) == 0 {
 		records = [][]byte{{}}
 	}
-	offset, err := t.appender.append(ctx, records, nil)
+	offset, err := t.appender.append(ctx, records)
 	if err != nil {
 		return ledger.Location{}, err
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -26,6 +26,8 @@
 	KindRangeTable    Kind = 300
 	KindRangeBackends Kind = 400
 	KindRangeOperator Kind = 500
+	KindRangeLedger   Kind = 600
+	KindRangeRelay    Kind = 700
 
 	kindRangeSize = 100
 )
--- /dev/null
+++ b/internal/routednode/peers.go
@@ -0,0 +1,76 @@
+package routednode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/settings"
+)
+
+// peers is how this node knows and reaches the others.
+type peers struct {
+	registry  *peer.Registry
+	transport *peer.Transport
+	listener  net.Listener
+	runner    *membership.Runner
+	logger    *slog.Logger
+	// onView is told of each new view of the members; it is set while wiring.
+	onView func(membership.View)
+	known  int
+}
+
+// newPeers binds the node's address for peers.
+func newPeers(chosen settings.Routed, self identity.Node, logger *slog.Logger, registerer prometheus.Registerer) (*peers, error) {
+	listener, err := net.Listen("tcp4", self.PeerAddress.String())
+	if err != nil {
+		return nil, fmt.Errorf("routednode: addresses.peers: %w", err)
+	}
+	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(self.ProbeAddress))
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("routednode: addresses.peers: %w", err), listener.Close())
+	}
+	registry := peer.NewRegistry()
+	made := &peers{
+		registry: registry, listener: listener, logger: logger,
+		transport: peer.NewTransport(registry, peer.Options{Registerer: registerer, Logger: logger}),
+	}
+	made.runner = membership.NewRunner(membership.Options{
+		Self: self, Config: membership.DefaultConfig(), Seeds: chosen.Seeds, Conn: packets,
+		RandomSeed: rand.Uint64(), OnView: made.take, Logger: logger,
+	})
+	return made, nil
+}
+
+// take is called with one view at a time.
+func (p *peers) take(view membership.View) {
+	p.onView(view)
+	if len(view.Members) == p.known {
+		return
+	}
+	p.known = len(view.Members)
+	p.logger.Info("members changed", "version", view.Version, "members", p.known)
+}
+
+// run serves the other nodes until ctx ends.
+func (p *peers) run(ctx context.Context) {
+	go func() {
+		if err := p.transport.Serve(p.listener); err != nil {
+			p.logger.Error("peers can't be served", "error", err)
+		}
+	}()
+	if err := p.runner.Run(ctx); err != nil && ctx.Err() == nil {
+		p.logger.Error("membership ended", "error", err)
+	}
+	p.transport.Close()
+}
+
+func (p *peers) announceLeaving() { p.runner.AnnounceLeaving() }
--- /dev/null
+++ b/internal/routednode/providers.go
@@ -0,0 +1,118 @@
+package routednode
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+
+	"stepseam.example/stepseam/internal/balance"
+	"stepseam.example/stepseam/internal/exchange"
+	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/homes"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/logstore"
+	"stepseam.example/stepseam/internal/router"
+	"stepseam.example/stepseam/internal/settings"
+)
+
+func newInjector(adapter Adapter, chosen settings.Routed, logger *slog.Logger) do.Injector {
+	injector := do.New()
+	do.ProvideValue(injector, adapter)
+	do.ProvideValue(injector, chosen)
+	do.ProvideValue(injector, logger)
+	do.ProvideValue(injector, prometheus.NewRegistry())
+	do.ProvideValue(injector, fleet.NewDirectory())
+	do.ProvideValue(injector, balance.NewTracker(string(chosen.Node.Zone)))
+	do.ProvideValue(injector, exchange.NewClient(adapter.Names.Replica))
+	do.ProvideValue(injector, router.NewConnections())
+	do.ProvideValue(injector, adapter.NewStore(chosen.Store))
+	do.Provide(injector, provideLedger)
+	do.Provide(injector, providePeers)
+	do.Provide(injector, provideHomes)
+	do.Provide(injector, provideRouter)
+	do.Provide(injector, provideViews)
+	do.Provide(injector, provideNode)
+	return injector
+}
+
+func provideLedger(injector do.Injector) (*ledgerlog.Ledger, error) {
+	chosen := do.MustInvoke[settings.Routed](injector)
+	adapter := do.MustInvoke[Adapter](injector)
+	return ledgerlog.New(ledgerlog.Config{
+		Store: do.MustInvoke[logstore.Store](injector),
+		Topic: adapter.LedgerTopic, TextTopic: adapter.TextTopic, Partitions: chosen.Store.Partitions,
+		Producer:    string(chosen.Node.Name) + "." + strconv.FormatUint(rand.Uint64(), 36),
+		RecordBytes: chosen.Store.RecordBytes, CallBytes: chosen.Store.CallBytes,
+		CacheBytes: chosen.Machine.MemoryMebibytes * mebibyte / cacheShare,
+		Logger:     do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
+	}), nil
+}
+
+func providePeers(injector do.Injector) (*peers, error) {
+	chosen := do.MustInvoke[settings.Routed](injector)
+	if !chosen.Addresses.Peers.IsValid() {
+		return nil, nil
+	}
+	return newPeers(chosen, identity.Node{
+		Name: chosen.Node.Name, Zone: chosen.Node.Zone, Region: chosen.Node.Region,
+		Incarnation: identity.Incarnation(time.Now().UnixNano()),
+		PeerAddress: chosen.Addresses.Peers, ProbeAddress: chosen.Addresses.Peers,
+	}, do.MustInvoke[*slog.Logger](injector), do.MustInvoke[*prometheus.Registry](injector))
+}
+
+func provideHomes(injector do.Injector) (*homes.Service, error) {
+	chosen := do.MustInvoke[settings.Routed](injector)
+	config := homes.Config{
+		Self: chosen.Node.Name, Ledger: do.MustInvoke[*ledgerlog.Ledger](injector), Partitions: chosen.Store.Partitions,
+		Logger: do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
+	}
+	others, err := do.Invoke[*peers](injector)
+	if err != nil {
+		return nil, err
+	}
+	if others == nil {
+		return homes.New(config), nil
+	}
+	config.Peers = others.transport
+	made := homes.New(config)
+	made.Register(others.registry)
+	others.onView = made.SetView
+	return made, nil
+}
+
+func provideRouter(injector do.Injector) (*router.Router, error) {
+	return router.New(router.Config{
+		Names:    do.MustInvoke[Adapter](injector).Names,
+		Replicas: do.MustInvoke[*exchange.Client](injector), Fleet: do.MustInvoke[*fleet.Directory](injector),
+		Tracker: do.MustInvoke[*balance.Tracker](injector), Turns: do.MustInvoke[*homes.Service](injector),
+		Random: rand.Float64, Logger: do.MustInvoke[*slog.Logger](injector),
+		Registerer: do.MustInvoke[*prometheus.Registry](injector),
+	}), nil
+}
+
+func provideViews(injector do.Injector) (*views, error) {
+	return &views{
+		adapter: do.MustInvoke[Adapter](injector), router: do.MustInvoke[*router.Router](injector),
+		fleet: do.MustInvoke[*fleet.Directory](injector), tracker: do.MustInvoke[*balance.Tracker](injector),
+		logger: do.MustInvoke[*slog.Logger](injector),
+	}, nil
+}
+
+func provideNode(injector do.Injector) (*node, error) {
+	built := &node{
+		adapter: do.MustInvoke[Adapter](injector), logger: do.MustInvoke[*slog.Logger](injector),
+		router: do.MustInvoke[*router.Router](injector), replicas: do.MustInvoke[*exchange.Client](injector),
+		ledger: do.MustInvoke[*ledgerlog.Ledger](injector),
+		homes:  do.MustInvoke[*homes.Service](injector), peers: do.MustInvoke[*peers](injector), views: do.MustInvoke[*views](injector),
+		connections: do.MustInvoke[*router.Connections](injector), store: do.MustInvoke[logstore.Store](injector),
+		registry: do.MustInvoke[*prometheus.Registry](injector),
+	}
+	chosen := do.MustInvoke[settings.Routed](injector)
+	built.settings.Store(&chosen)
+	return built, nil
+}
--- a/internal/routednode/stop.go
+++ b/internal/routednode/stop.go
@@ -24,6 +24,10 @@
 	grace := n.settings.Load().Stop.Grace
 	n.stopping.Store(true)
 	n.router.Drain()
+	n.homes.Close()
+	if n.peers != nil {
+		n.peers.announceLeaving()
+	}
 	n.logger.Info("stop asked for", "grace", grace.String(), "connections", n.connections.Count())
 	deadline := began.Add(grace - endMargin)
 	sleepUntil(began.Add(min(settleTime, grace/2)))
@@ -36,7 +40,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), min(flushTime, max(time.Until(deadline), stopPause)))
 	defer cancel()
-	err := n.ledger.Flush(ctx)
+	err := n.ledger.Stop(ctx)
 	n.logger.Info("stopped", "took_ms", time.Since(began).Milliseconds(), "cut", left, "flush_error", err, "close_error", closeErr)
 	end()
 }
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -37,6 +37,10 @@
 	bytes    int
 	// charged is what stood against the program's budget.
 	charged uint64
+	// ahead tells that the reservation did not stand in the log yet, home which
+	// node keeps the program's sums.
+	ahead bool
+	home  string
 	// waitedLedger is how long the reservation took.
 	waitedLedger time.Duration
 	// firstByte is when the first byte of the body was sent.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,7 +13,7 @@
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
-	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/routing"
 )
 
@@ -23,7 +23,7 @@
 	Replicas *exchange.Client
 	Fleet    *fleet.Directory
 	Tracker  *balance.Tracker
-	Ledger   *ledgerlog.Ledger
+	Turns    *homes.Service
 	// Random returns a number in [0,1).
 	Random     func() float64
 	Logger     *slog.Logger
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -9,7 +9,6 @@
 
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/ledger"
-	"stepseam.example/stepseam/internal/ledgerlog"
 )
 
 // stream is the answer to one streaming request while it is passed on.
@@ -28,23 +27,14 @@
 
 // serveStream serves a request that is answered by events, a program's turn above all.
 func (r *Router) serveStream(ctx context.Context, reply *reply, call *call) {
-	reservation, chain, ok := r.prepareTurn(ctx, reply, call)
-	if !ok {
+	turn := r.prepareTurn(ctx, reply, call)
+	if turn == nil {
 		return
 	}
 	passing := &stream{reply: reply, call: call, last: call.lastEvent}
-	settled := false
-	defer func() {
-		if reservation != nil && !settled {
-			reservation.Settle(passing.tokens)
-		}
-	}()
-	if !r.runStream(ctx, passing) {
-		return
-	}
-	if call.route.Retain {
-		settled = true
-		r.keepTurn(ctx, passing, chain, reservation)
+	defer func() { turn.Finish(passing.tokens) }()
+	if r.runStream(ctx, passing) && call.route.Retain {
+		r.keepTurn(ctx, passing, turn.Chain)
 	}
 }
 
@@ -159,12 +149,12 @@
 }
 
 // keepTurn makes the turn durable before the end of its answer is sent.
-func (r *Router) keepTurn(ctx context.Context, passing *stream, chain []ledger.Location, reservation *ledgerlog.Reservation) {
+func (r *Router) keepTurn(ctx context.Context, passing *stream, chain []ledger.Location) {
 	call := passing.call
-	err := r.config.Ledger.Keep(ctx, ledgerlog.Turn{
-		Program: call.turn.program, ID: ledger.TurnID(call.id), Chain: chain,
-		Text: append(call.newInput(), passing.output...), For: call.route.RetainFor,
-	}, reservation, passing.tokens)
+	text := append(call.newInput(), passing.output...)
+	err := r.config.Turns.Keep(ctx, ledger.Keep{
+		Program: call.turn.program, Turn: ledger.TurnID(call.id), Chain: chain, For: call.route.RetainFor,
+	}, text)
 	if err != nil {
 		passing.reply.breakOff("turn_not_kept", err)
 	}
--- a/internal/router/turn.go
+++ b/internal/router/turn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/ledgerlog"
 )
@@ -18,48 +19,46 @@
 )
 
 // prepareTurn reserves the budget of a turn and puts its history before its input.
-// If it returns false, the request has been answered.
-func (r *Router) prepareTurn(ctx context.Context, reply *reply, call *call) (*ledgerlog.Reservation, []ledger.Location, bool) {
+// If it returns nil, the request has been answered.
+func (r *Router) prepareTurn(ctx context.Context, reply *reply, call *call) *homes.Turn {
+	call.inputBytes = len(call.body)
+	request := homes.Request{
+		Program: call.turn.program, Budgeted: call.turn.budgeted, Budget: call.turn.budget, Most: call.mostTokens,
+	}
+	if call.route.Retain {
+		request.Previous = call.turn.previous
+	}
+	if !request.Budgeted && request.Previous == "" {
+		return &homes.Turn{}
+	}
 	wait := min(time.Duration(float64(call.left())*ledgerShare), maxLedgerWait)
 	waiting, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	began := time.Now()
-	var reservation *ledgerlog.Reservation
-	if call.turn.budgeted {
-		var err error
-		reservation, err = r.config.Ledger.Reserve(waiting, call.turn.program, call.turn.budget, call.mostTokens)
-		reply.waitedLedger = time.Since(began)
-		if err != nil {
-			r.refuseTurn(ctx, reply, err)
-			return nil, nil, false
-		}
-		reply.charged = reservation.Charged
-	}
-	chain, err := r.prependHistory(waiting, call)
+	turn, err := r.config.Turns.Begin(waiting, request)
+	reply.waitedLedger = time.Since(began)
 	if err != nil {
-		if reservation != nil {
-			reservation.Settle(0)
-		}
 		r.refuseTurn(ctx, reply, err)
-		return nil, nil, false
+		return nil
 	}
-	return reservation, chain, true
+	reply.charged, reply.ahead, reply.home = turn.Charged, turn.Ahead, string(turn.Home)
+	if err := r.prependHistory(waiting, call, turn.Chain); err != nil {
+		turn.Finish(0)
+		r.refuseTurn(ctx, reply, err)
+		return nil
+	}
+	return turn
 }
 
-// prependHistory replaces the body of a turn on a route that retains turns by the
-// texts of the turns before it, followed by the new input.
-func (r *Router) prependHistory(ctx context.Context, call *call) ([]ledger.Location, error) {
-	call.inputBytes = len(call.body)
-	if !call.route.Retain || call.turn.previous == "" {
-		return nil, nil
-	}
-	chain, err := r.config.Ledger.Chain(ctx, call.turn.program, call.turn.previous)
-	if err != nil {
-		return nil, err
+// prependHistory replaces the body of a turn by the texts of the turns before it,
+// followed by the new input.
+func (r *Router) prependHistory(ctx context.Context, call *call, chain []ledger.Location) error {
+	if len(chain) == 0 {
+		return nil
 	}
-	texts, err := r.config.Ledger.Texts(ctx, chain)
+	texts, err := r.config.Turns.Texts(ctx, chain)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	size := len(call.body)
 	for _, text := range texts {
@@ -70,7 +69,7 @@
 		whole = append(whole, text...)
 	}
 	call.body = append(whole, call.body...)
-	return chain, nil
+	return nil
 }
 
 // newInput returns a copy of the turn's own input, without its history.
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -10,11 +10,14 @@
 type Routed struct {
 	Node      Node            `yaml:"node"`
 	Addresses RoutedAddresses `yaml:"addresses"`
-	Store     Store           `yaml:"store"`
-	Machine   Machine         `yaml:"machine"`
-	Stop      Stop            `yaml:"stop"`
-	Follow    Follow          `yaml:"follow"`
-	Logging   Logging         `yaml:"logging"`
+	// Seeds are other nodes' addresses for peers, by which a starting node joins.
+	// Some may be stale.
+	Seeds   []netip.AddrPort `yaml:"seeds"`
+	Store   Store            `yaml:"store"`
+	Machine Machine          `yaml:"machine"`
+	Stop    Stop             `yaml:"stop"`
+	Follow  Follow           `yaml:"follow"`
+	Logging Logging          `yaml:"logging"`
 }
 
 // RoutedAddresses are where the node listens.
@@ -23,6 +26,9 @@
 	Clients netip.AddrPort `yaml:"clients" validate:"required"`
 	// Readiness answers whether new connections are welcome.
 	Readiness netip.AddrPort `yaml:"readiness" validate:"required"`
+	// Peers takes what other nodes say, over TCP, and datagrams over UDP at the same
+	// number. Unset, the node works alone.
+	Peers netip.AddrPort `yaml:"peers"`
 	// Metrics serves counters and histograms; unset serves none.
 	Metrics netip.AddrPort `yaml:"metrics"`
 }
