Reserve less at once, hand ownership over cleanly

Ruled out: programs that really had spent theirs (used 2,000 to 5,000 of 8,700 to 23,300 tokens). Now a reservation holds four turns and is refilled before it is needed, nodes that are not the home reserve one turn, an owner that leaves releases at once and its successor waits for that, and a release is written once (it was repeated each half second where others wrote between; TestSureOwnerBeginsProgramsWithoutTheStore hung on it).

--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -109,11 +110,34 @@
 	return made
 }
 
-// SetView tells which nodes live.
-func (s *Service) SetView(view membership.View) { s.view.Store(&view) }
+// SetView tells which nodes live. Partitions that are at home elsewhere now are
+// given up at once.
+func (s *Service) SetView(view membership.View) {
+	s.view.Store(&view)
+	s.config.Ledger.Tidy(s.isHome)
+}
 
 // Close makes this node the home of nothing.
-func (s *Service) Close() { s.closing.Store(true) }
+func (s *Service) Close() {
+	s.closing.Store(true)
+	s.config.Ledger.Tidy(s.isHome)
+}
+
+// LifeOf names a life of a node in the ledger.
+func LifeOf(node identity.Reference) ledger.LifeID {
+	return ledger.LifeID(string(node.Name) + "." + strconv.FormatUint(uint64(node.Incarnation), 36))
+}
+
+// Lives tells whether a life is a member that has not died.
+func (s *Service) Lives(life ledger.LifeID) bool {
+	view := s.view.Load()
+	if view == nil {
+		return false
+	}
+	return slices.ContainsFunc(view.Members, func(member membership.Member) bool {
+		return LifeOf(member.Node.Reference()) == life
+	})
+}
 
 // Run gives up partitions that are at home elsewhere until ctx ends.
 func (s *Service) Run(ctx context.Context) { s.config.Ledger.Run(ctx, s.isHome) }
--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -86,16 +86,22 @@
 	return known
 }
 
+// reserveTurns is how many whole turns a reservation holds at most.
+const reserveTurns = 4
+
 // Next returns the reservation to ask for, so that a turn of at most most tokens
-// fits: half of what the program has left, so that another node can go on with
-// the rest if this one dies.
-func (c *Credit) Next(attempt AttemptID, most uint32, sure bool) Reserve {
+// fits. With ample, it holds some turns more, but at most half of what the program
+// has left, so that another node can go on with the rest if this one dies.
+func (c *Credit) Next(attempt AttemptID, most uint32, sure, ample bool) Reserve {
 	held := c.granted()
 	needed := c.spent + c.underWay() + uint64(most)
 	least := needed - min(needed, held)
-	left := uint64(c.budget) - min(uint64(c.budget), held)
-	wanted := max(left/2, least)
-	if !c.asked {
+	wanted := least
+	if ample {
+		left := uint64(c.budget) - min(uint64(c.budget), held)
+		wanted = max(min(left/2, reserveTurns*uint64(c.most)), least)
+	}
+	if sure && !c.asked {
 		wanted = max(wanted, AheadLimit(c.budget, c.most))
 	}
 	return Reserve{
@@ -104,6 +110,12 @@
 	}
 }
 
+// Low tells whether less than two turns fit, so that more should be reserved
+// before it is needed.
+func (c *Credit) Low() bool {
+	return c.asked && c.granted() < c.spent+c.underWay()+2*uint64(c.most)
+}
+
 // Decided takes the verdict on a reservation.
 func (c *Credit) Decided(verdict Verdict) {
 	c.asked = true
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -26,12 +26,13 @@
 
 const (
 	// SureAfter is how long an owner that took over from one that did not release
-	// waits before it is sure. It is longer than a program rests between two turns
-	// while a former owner may still hand out tokens, see ConfirmWithin.
-	SureAfter = 2 * time.Minute
+	// waits before it is sure. By then a former owner has not handed out tokens
+	// ahead of the log for SureAfter less ConfirmWithin; a program that it served
+	// has come to the new owner since, and so has a record, or has ended.
+	SureAfter = 25 * time.Second
 	// ConfirmWithin is how long an owner may stay sure without hearing from the
 	// log that it still is the owner.
-	ConfirmWithin = 30 * time.Second
+	ConfirmWithin = 10 * time.Second
 )
 
 // Ownership tells who may hand out tokens of a partition's programs ahead of the
--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -20,6 +20,8 @@
 	gatherPause = 250 * time.Millisecond
 	// ownPause is the least time between two claims of one partition.
 	ownPause = time.Second
+	// releasePatience is how long an owner that lives may take to release.
+	releasePatience = 4 * time.Second
 )
 
 // holder holds this node's credits of one partition's programs and its ownership.
@@ -31,10 +33,14 @@
 	// mutex guards all below.
 	mutex   sync.Mutex
 	credits map[ledger.ProgramID]*heldCredit
-	// claimedAt is when the ownership was claimed last; claiming while that is not
-	// in the log.
+	// claimedAt is when the ownership was claimed last; claiming tells that a
+	// record of it is being written.
 	claimedAt time.Duration
 	claiming  bool
+	// wantedSince is when the ownership was wanted first while another had it.
+	wantedSince time.Duration
+	// leaving tells that the ownership is to be given back.
+	leaving bool
 }
 
 // heldCredit is a credit with the reservation under way for it.
@@ -46,6 +52,8 @@
 	// ahead tells that tokens may be handed out before the first verdict: when the
 	// credit began, this node was sure and the log knew nothing of the program.
 	ahead bool
+	// dry tells that a reservation in advance was refused.
+	dry bool
 }
 
 type reservationCall struct {
@@ -65,9 +73,11 @@
 }
 
 // take begins a turn. Errors: *SpentError, or one that wraps ErrUnavailable.
-func (h *holder) take(ctx context.Context, program ledger.ProgramID, budget, most uint32) (Grant, error) {
+// home tells whether this node should own the partition; others reserve no more
+// than the turn needs.
+func (h *holder) take(ctx context.Context, program ledger.ProgramID, budget, most uint32, home bool) (Grant, error) {
 	for {
-		grant, call, own := h.tryTake(program, budget, most)
+		grant, call, own := h.tryTake(program, budget, most, home)
 		if call == nil {
 			return grant, nil
 		}
@@ -88,7 +98,7 @@
 
 // tryTake begins a turn if it fits. Otherwise it returns the reservation to wait
 // for; own tells that this turn has asked for it.
-func (h *holder) tryTake(program ledger.ProgramID, budget, most uint32) (grant Grant, call *reservationCall, own bool) {
+func (h *holder) tryTake(program ledger.ProgramID, budget, most uint32, home bool) (grant Grant, call *reservationCall, own bool) {
 	sure := h.sure()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -97,27 +107,30 @@
 		held = &heldCredit{credit: ledger.NewCredit(program, budget, most, h.clock())}
 		held.ahead = sure && !h.partition.follower.knows(program)
 		h.credits[program] = held
-		h.ask(held, most)
+		h.ask(held, most, home)
 		own = true
 	}
 	if held.credit.Fits(most, held.ahead && sure) {
 		grant = Grant{Program: program, ID: ledger.GrantID(rand.Uint64()), Charged: held.credit.Charged, Ahead: held.asking != nil}
 		held.credit.Open(grant.ID, most, h.clock())
+		if home && held.asking == nil && !held.dry && held.credit.Low() {
+			h.ask(held, most, true)
+		}
 		return grant, nil, false
 	}
 	if held.asking == nil {
-		h.ask(held, most)
+		h.ask(held, most, home)
 		own = true
 	}
 	return Grant{}, held.asking, own
 }
 
 // ask reserves more for a credit, in the background. It needs the mutex.
-func (h *holder) ask(held *heldCredit, most uint32) {
+func (h *holder) ask(held *heldCredit, most uint32, ample bool) {
 	call := &reservationCall{done: make(chan struct{})}
 	held.asking = call
 	attempt := ledger.AttemptID(rand.Uint64())
-	record := held.credit.Next(attempt, most, held.ahead)
+	record := held.credit.Next(attempt, most, held.ahead, ample)
 	h.partition.follower.expect(attempt)
 	waiting := h.partition.submitLater(ledger.Encode(record))
 	go func() {
@@ -127,6 +140,7 @@
 		if err == nil {
 			held.credit.Decided(verdict)
 			call.granted = verdict.Granted > 0
+			held.dry = !call.granted
 		}
 		call.err = err
 		held.asking = nil
@@ -159,8 +173,16 @@
 func (h *holder) finish(grant Grant, used uint32) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if held, known := h.credits[grant.Program]; known {
-		held.credit.Finish(grant.ID, used, h.clock())
+	held, known := h.credits[grant.Program]
+	if !known {
+		return
+	}
+	held.credit.Finish(grant.ID, used, h.clock())
+	if h.leaving && held.asking == nil && held.credit.Idle(0, h.clock()) {
+		for _, record := range held.credit.Settle() {
+			h.partition.submitLater(ledger.Encode(record))
+		}
+		delete(h.credits, grant.Program)
 	}
 }
 
@@ -173,40 +195,62 @@
 	return 0
 }
 
-// tidy settles credits that rest, all of them if the node stops. home tells
-// whether this node should own the partition.
+// tidy settles credits that rest, and all without an open turn if the node stops
+// or is not the home any more; then it gives the ownership back, too.
 func (h *holder) tidy(home, stopping bool) {
+	leaving := stopping || !home
 	rest := creditIdle
-	if stopping || !home {
+	if leaving {
 		rest = 0
 	}
 	h.mutex.Lock()
+	h.leaving = leaving
 	now := h.clock()
 	var records []ledger.Record
+	undecided := false
 	for program, held := range h.credits {
 		held.credit.Expire(grantLife, now)
+		undecided = undecided || held.asking != nil
 		if held.asking == nil && held.credit.Idle(rest, now) {
 			records = append(records, held.credit.Settle()...)
 			delete(h.credits, program)
 		}
 	}
-	empty := len(h.credits) == 0
 	h.mutex.Unlock()
 	for _, record := range records {
 		h.partition.submitLater(ledger.Encode(record))
 	}
-	if (!home || stopping) && empty {
+	if leaving && undecided {
+		h.partition.flush()
+	}
+	if leaving && !undecided {
 		h.release()
 	}
 }
 
+// decided tells whether no reservation or record of the ownership is under way.
+func (h *holder) decided() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, held := range h.credits {
+		if held.asking != nil {
+			return false
+		}
+	}
+	return !h.claiming
+}
+
 // sure tells whether tokens may be handed out ahead of the log.
 func (h *holder) sure() bool {
-	return h.partition.follower.sure(h.life)
+	h.mutex.Lock()
+	leaving := h.leaving
+	h.mutex.Unlock()
+	return !leaving && h.partition.follower.sure(h.life)
 }
 
 // claim makes this life the partition's owner, in the background, unless it is.
-func (h *holder) claim() {
+// While the present owner lives, it is given time to release.
+func (h *holder) claim(lives func(ledger.LifeID) bool) {
 	owner := h.partition.follower.owner()
 	now := h.clock()
 	h.mutex.Lock()
@@ -214,10 +258,34 @@
 	if owner == h.life || h.claiming || h.claimedAt > 0 && now-h.claimedAt < ownPause {
 		return
 	}
-	h.claiming, h.claimedAt = true, now
+	if h.wantedSince == 0 {
+		h.wantedSince = now
+	}
+	if owner != "" && lives(owner) && now-h.wantedSince < releasePatience {
+		return
+	}
+	h.leaving, h.wantedSince = false, 0
+	h.claimedAt = now
+	h.write(ledger.Own{Life: h.life})
+}
+
+// release gives the ownership back. Nothing is ahead of the log here any more.
+func (h *holder) release() {
+	owner := h.partition.follower.owner()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if owner == h.life && !h.claiming {
+		h.write(ledger.Release{Life: h.life})
+	}
+}
+
+// write writes a record of the ownership and reads the partition up to it, in the
+// background. It needs the mutex.
+func (h *holder) write(record ledger.Record) {
+	h.claiming = true
+	waiting := h.partition.submitNow(ledger.Encode(record))
 	go func() {
-		// The state before the claim is needed too, so the partition is read up to it.
-		outcome := <-h.partition.submitNow(ledger.Encode(ledger.Own{Life: h.life})).outcome
+		outcome := <-waiting.outcome
 		if outcome.err == nil {
 			// A failed read is repeated by the next who needs it.
 			_ = h.partition.follower.readTo(context.Background(), outcome.first)
@@ -227,10 +295,3 @@
 		h.claiming = false
 	}()
 }
-
-// release gives the ownership back. Nothing is ahead of the log here any more.
-func (h *holder) release() {
-	if h.partition.follower.owner() == h.life {
-		h.partition.submitNow(ledger.Encode(ledger.Release{Life: h.life}))
-	}
-}
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +13,7 @@
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/ledgerlog"
 	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/router"
@@ -31,6 +31,7 @@
 	do.ProvideValue(injector, exchange.NewClient(adapter.Names.Replica))
 	do.ProvideValue(injector, router.NewConnections())
 	do.ProvideValue(injector, adapter.NewStore(chosen.Store))
+	do.Provide(injector, provideSelf)
 	do.Provide(injector, provideLedger)
 	do.Provide(injector, providePeers)
 	do.Provide(injector, provideHomes)
@@ -40,13 +41,28 @@
 	return injector
 }
 
+// provideSelf names this life of the node.
+func provideSelf(injector do.Injector) (identity.Node, error) {
+	chosen := do.MustInvoke[settings.Routed](injector)
+	return identity.Node{
+		Name: chosen.Node.Name, Zone: chosen.Node.Zone, Region: chosen.Node.Region,
+		Incarnation: identity.Incarnation(time.Now().UnixNano()),
+		PeerAddress: chosen.Addresses.Peers, ProbeAddress: chosen.Addresses.Peers,
+	}, nil
+}
+
 func provideLedger(injector do.Injector) (*ledgerlog.Ledger, error) {
 	chosen := do.MustInvoke[settings.Routed](injector)
 	adapter := do.MustInvoke[Adapter](injector)
 	return ledgerlog.New(ledgerlog.Config{
 		Store: do.MustInvoke[logstore.Store](injector),
 		Topic: adapter.LedgerTopic, TextTopic: adapter.TextTopic, Partitions: chosen.Store.Partitions,
-		Producer:    string(chosen.Node.Name) + "." + strconv.FormatUint(rand.Uint64(), 36),
+		Producer: string(homes.LifeOf(do.MustInvoke[identity.Node](injector).Reference())),
+		// The homes need the ledger, so they are asked for only at run time.
+		Lives: func(life ledger.LifeID) bool {
+			others, err := do.Invoke[*homes.Service](injector)
+			return err == nil && others.Lives(life)
+		},
 		RecordBytes: chosen.Store.RecordBytes, CallBytes: chosen.Store.CallBytes,
 		CacheBytes: chosen.Machine.MemoryMebibytes * mebibyte / cacheShare,
 		Logger:     do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
@@ -58,11 +74,7 @@
 	if !chosen.Addresses.Peers.IsValid() {
 		return nil, nil
 	}
-	return newPeers(chosen, identity.Node{
-		Name: chosen.Node.Name, Zone: chosen.Node.Zone, Region: chosen.Node.Region,
-		Incarnation: identity.Incarnation(time.Now().UnixNano()),
-		PeerAddress: chosen.Addresses.Peers, ProbeAddress: chosen.Addresses.Peers,
-	}, do.MustInvoke[*slog.Logger](injector), do.MustInvoke[*prometheus.Registry](injector))
+	return newPeers(chosen, do.MustInvoke[identity.Node](injector), do.MustInvoke[*slog.Logger](injector), do.MustInvoke[*prometheus.Registry](injector))
 }
 
 func provideHomes(injector do.Injector) (*homes.Service, error) {
