--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -238,70 +238,102 @@
 	})
 }
 
+const (
+	sharedBudget = 1000
+	sharedMost   = 100
+)
+
+// schedule is one run of TestNodesNeverOverspendTogether.
+type schedule struct {
+	t         *testing.T
+	log       *store.Store
+	nodes     []*Ledger
+	program   ledger.ProgramID
+	handedOut uint32
+	step      int
+}
+
+var scheduleFaults = []store.Fault{
+	{},
+	{},
+	{},
+	{Busy: true},
+	{Silent: true},
+	{LoseAnswers: true},
+	{LoseAnswers: true, LateAfter: 2 * time.Second},
+	{Delay: 300 * time.Millisecond},
+}
+
+// replace ends a node's life and begins another.
+func (s *schedule) replace(node int) {
+	s.nodes[node] = newLedger(s.log, fmt.Sprintf("n%d.%d", node, s.step))
+}
+
+// disturb plays the trouble that draw names, if any.
+func (s *schedule) disturb(draw int) {
+	at := draw % len(s.nodes)
+	switch draw / 3 % 24 {
+	case 0, 1, 2, 3:
+		s.log.Fail(scheduleFaults[draw/72%len(scheduleFaults)])
+	case 4:
+		s.replace(at)
+	case 5:
+		for node := range s.nodes {
+			s.replace(node)
+		}
+	case 6:
+		_ = s.nodes[at].Stop(within(s.t, 500*time.Millisecond))
+		s.replace(at)
+	case 7:
+		time.Sleep(time.Duration(draw%9000) * time.Millisecond)
+	case 8, 9:
+		time.Sleep(creditIdle)
+		for _, node := range s.nodes {
+			node.of(s.program).holder.tidy(draw%5 != 0, false)
+		}
+	}
+}
+
+// turn takes a turn of the program, or of another one, which only makes the node
+// an owner.
+func (s *schedule) turn(draw int) {
+	node := s.nodes[draw%len(s.nodes)]
+	if draw/3%24 >= 20 {
+		_, _ = node.Take(within(s.t, 400*time.Millisecond), "p", 1<<20, 1, true)
+		return
+	}
+	grant, err := node.Take(within(s.t, 400*time.Millisecond), s.program, sharedBudget, sharedMost, draw/5%2 == 0)
+	if err != nil {
+		return
+	}
+	used := uint32(sharedMost)
+	if draw%6 == 0 {
+		used = uint32(draw / 7 % (sharedMost + 1))
+	}
+	s.handedOut += used
+	if draw%13 != 0 {
+		node.Finish(grant, used)
+	}
+}
+
 // TestNodesNeverOverspendTogether lets several nodes take turns of one program
 // while the store fails in all its ways, nodes die, all of them at once too,
-// freeze, stop as planned and disagree on who is the home. Together they never
-// hand out more than the budget and the most of one turn.
+// stop as planned and disagree on who is the home. Together they never hand out
+// more than the budget and the most of one turn.
 func TestNodesNeverOverspendTogether(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		const budget, most = 1000, 100
-		faults := []store.Fault{
-			{},
-			{},
-			{},
-			{Busy: true},
-			{Silent: true},
-			{LoseAnswers: true},
-			{LoseAnswers: true, LateAfter: 2 * time.Second},
-			{Delay: 300 * time.Millisecond},
-		}
-		steps := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 10, 150).Draw(rt, "steps")
+		draws := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 10, 150).Draw(rt, "draws")
 		synctest.Test(t, func(t *testing.T) {
 			log := store.New()
-			nodes := []*Ledger{newLedger(log, "n0"), newLedger(log, "n1"), newLedger(log, "n2")}
-			own(t, nodes[0])
-			program := samePartition(nodes[0], 1)[0]
-			handedOut := uint32(0)
-			for i, step := range steps {
-				at := step % len(nodes)
-				switch step / 3 % 24 {
-				case 0, 1, 2, 3:
-					log.Fail(faults[step/72%len(faults)])
-				case 4:
-					nodes[at] = newLedger(log, fmt.Sprintf("n%d.%d", at, i)) // dies and comes back
-				case 5:
-					for n := range nodes {
-						nodes[n] = newLedger(log, fmt.Sprintf("n%d.%d", n, i))
-					}
-				case 6:
-					_ = nodes[at].Stop(within(t, 500*time.Millisecond))
-					nodes[at] = newLedger(log, fmt.Sprintf("n%d.%d", at, i))
-				case 7:
-					time.Sleep(time.Duration(step%9000) * time.Millisecond)
-				case 8, 9:
-					time.Sleep(creditIdle)
-					for _, node := range nodes {
-						node.of(program).holder.tidy(step%5 != 0, false)
-					}
-				}
-				if step/3%24 >= 20 { // another program makes the node an owner
-					_, _ = nodes[at].Take(within(t, 400*time.Millisecond), "p", 1<<20, 1, true)
-					continue
-				}
-				grant, err := nodes[at].Take(within(t, 400*time.Millisecond), program, budget, most, step/5%2 == 0)
-				if err != nil {
-					continue
-				}
-				used := uint32(most)
-				if step%6 == 0 {
-					used = uint32(step / 7 % (most + 1))
-				}
-				handedOut += used
-				if step%13 != 0 {
-					nodes[at].Finish(grant, used)
-				}
-				if handedOut > budget+most {
-					rt.Fatalf("%d tokens of %d handed out", handedOut, budget)
+			run := &schedule{t: t, log: log, nodes: []*Ledger{newLedger(log, "n0"), newLedger(log, "n1"), newLedger(log, "n2")}}
+			own(t, run.nodes[0])
+			run.program = samePartition(run.nodes[0], 1)[0]
+			for step, draw := range draws {
+				run.step = step
+				run.disturb(draw)
+				run.turn(draw)
+				if run.handedOut > sharedBudget+sharedMost {
+					rt.Fatalf("%d tokens of %d handed out", run.handedOut, sharedBudget)
 				}
 			}
 			log.Fail(store.Fault{})
