Relay what the store tells between nodes, avoid slow and stuck replicas

Cause: a node that the store does not serve kept its old configuration and could neither keep nor read turns; a replica that hangs or is slow got its full share. A home that does not answer for 150 ms is passed over.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -22,11 +22,11 @@
 	is := is.New(t)
 	tracker := NewTracker("z")
 	is.Equal(pick(tracker, true, 0), "near")
-	tracker.Begin("far", prompt)
+	tracker.Begin("far", prompt, 0)
 	tracker.End("far", false, 0)
 	is.Equal(pick(tracker, true, 0), "far")
 	for range 8 {
-		tracker.Begin("far", prompt)
+		tracker.Begin("far", prompt, 0)
 	}
 	is.Equal(pick(tracker, true, 0), "near") // a crowd is worse than reading again
 }
@@ -35,7 +35,7 @@
 	is := is.New(t)
 	tracker := NewTracker("z")
 	for range 2 {
-		tracker.Begin("near", nil)
+		tracker.Begin("near", nil, 0)
 	}
 	is.Equal(pick(tracker, false, 0), "far")
 }
@@ -43,7 +43,8 @@
 func TestFailedReplicaIsAvoidedForAWhileAndStaysTheLastResort(t *testing.T) {
 	is := is.New(t)
 	tracker := NewTracker("z")
-	tracker.Begin("near", nil)
+	tracker.Begin("near", nil, 0)
+	tracker.Answered("near", 0)
 	tracker.End("near", true, 0)
 	is.Equal(pick(tracker, false, 100*time.Millisecond), "far")
 	is.Equal(pick(tracker, false, 100*time.Millisecond, "far", "away"), "near")
@@ -65,9 +66,34 @@
 	is := is.New(t)
 	tracker := NewTracker("z")
 	for id := range uint64(10 * partsPerReplica) {
-		tracker.Begin("a", []Part{{ID: id, Tokens: 1}})
+		tracker.Begin("a", []Part{{ID: id, Tokens: 1}}, 0)
 	}
 	known := tracker.replicas["a"]
 	is.True(len(known.recent)+len(known.older) <= partsPerReplica)
 	is.Equal(known.cachedTokens([]Part{{ID: 10*partsPerReplica - 1, Tokens: 5}}), 5)
 }
+
+func TestSlowReplicaIsLeftForAFasterOne(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("z")
+	tracker.Paced("near", 11, 300*time.Millisecond)
+	is.Equal(pick(tracker, true, 0), "near") // the others' pace is not known
+	tracker.Paced("far", 11, 200*time.Millisecond)
+	is.Equal(pick(tracker, true, 0), "far")
+	tracker.Paced("far", 2, time.Hour) // too short to tell
+	is.Equal(pick(tracker, true, 0), "far")
+}
+
+func TestReplicaThatAnswersNothingIsAvoided(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("z")
+	tracker.Begin("near", nil, 0)
+	is.Equal(pick(tracker, true, patience), "near")
+	is.Equal(pick(tracker, true, patience+1), "far")
+	tracker.Begin("near", nil, patience)
+	tracker.Answered("near", patience+1) // one of the two
+	is.Equal(pick(tracker, true, 2*patience), "near")
+	is.Equal(pick(tracker, true, 2*patience+2), "far")
+	tracker.Answered("near", 2*patience+2)
+	is.Equal(pick(tracker, true, time.Hour), "near")
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -23,6 +23,8 @@
 	otherZoneCost = 9.0
 	// suspectCost puts replicas that failed lately behind all others.
 	suspectCost = 2000.0
+	// usualEvents is how many events a stream has, roughly.
+	usualEvents = 11.0
 )
 
 // Part is one piece of a prompt.
@@ -43,8 +45,11 @@
 	UnderWay int
 	// CachedTokens is how much of the prompt it has seen.
 	CachedTokens int
-	// Suspect tells that it failed lately.
+	// Suspect tells that it failed lately, or leaves requests without an answer.
 	Suspect bool
+	// EventMilliseconds is the usual time between two events of a stream there; 0 if
+	// not known.
+	EventMilliseconds float64
 }
 
 // Choice is the chosen candidate and why.
@@ -82,6 +87,7 @@
 		total += underWay * engineRequestCost
 		crowd := max(underWay-engineEasy, 0)
 		total += crowd * crowd * engineCrowdCost
+		total += candidate.EventMilliseconds * usualEvents
 	} else {
 		total += underWay * workerRequestCost
 	}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -12,6 +12,16 @@
 // reached, the older half is forgotten.
 const partsPerReplica = 4096
 
+const (
+	// patience is how long requests may wait at a replica without any of them
+	// getting an answer, before it is avoided.
+	patience = 600 * time.Millisecond
+	// paceWeight is the weight of the newest stream in a replica's usual pace.
+	paceWeight = 0.2
+	// paceEvents is how many events a stream must have to tell the pace.
+	paceEvents = 4
+)
+
 // Tracker holds what this node knows of replicas. It is safe for concurrent use.
 type Tracker struct {
 	// zone is this node's own.
@@ -28,6 +38,12 @@
 	failures int
 	// suspectUntil is a monotonic reading.
 	suspectUntil time.Duration
+	// waiting is how many requests have got no answer yet; since when none of them
+	// has, by a monotonic reading.
+	waiting      int
+	waitingSince time.Duration
+	// pace is the usual time between two events, in milliseconds; 0 if not known.
+	pace float64
 	// recent and older hold prompt parts seen there, in two generations.
 	recent, older map[uint64]bool
 }
@@ -50,14 +66,32 @@
 		candidate := Candidate{Instance: replica.Instance, SameZone: replica.Zone == t.zone, Engine: engine}
 		if known, found := t.replicas[replica.Instance]; found {
 			candidate.UnderWay = known.underWay
-			candidate.Suspect = now < known.suspectUntil
+			candidate.Suspect = now < known.suspectUntil || known.waiting > 0 && now-known.waitingSince > patience
+			candidate.EventMilliseconds = known.pace
 			candidate.CachedTokens = known.cachedTokens(prompt)
 		}
 		candidates = append(candidates, candidate)
 	}
+	fillPace(candidates)
 	return candidates
 }
 
+// fillPace takes replicas of which no pace is known for as fast as the fastest, so
+// that they are tried.
+func fillPace(candidates []Candidate) {
+	fastest := 0.0
+	for _, candidate := range candidates {
+		if candidate.EventMilliseconds > 0 && (fastest == 0 || candidate.EventMilliseconds < fastest) {
+			fastest = candidate.EventMilliseconds
+		}
+	}
+	for i := range candidates {
+		if candidates[i].EventMilliseconds == 0 {
+			candidates[i].EventMilliseconds = fastest
+		}
+	}
+}
+
 // cachedTokens counts the parts from the first on that were seen without a gap.
 func (r *record) cachedTokens(prompt []Part) int {
 	total := 0
@@ -71,11 +105,15 @@
 }
 
 // Begin notes that a request goes to instance.
-func (t *Tracker) Begin(instance string, prompt []Part) {
+func (t *Tracker) Begin(instance string, prompt []Part, now time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.record(instance)
 	known.underWay++
+	if known.waiting == 0 {
+		known.waitingSince = now
+	}
+	known.waiting++
 	if len(known.recent)+len(prompt) > partsPerReplica/2 {
 		known.older, known.recent = known.recent, map[uint64]bool{}
 	}
@@ -84,6 +122,30 @@
 	}
 }
 
+// Answered notes that a request has got the head of an answer, or none will come.
+func (t *Tracker) Answered(instance string, now time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.record(instance)
+	known.waiting--
+	known.waitingSince = now
+}
+
+// Paced notes how long the events of a stream took from the first to the last.
+func (t *Tracker) Paced(instance string, events int, took time.Duration) {
+	if events < paceEvents {
+		return
+	}
+	pace := float64(took.Microseconds()) / 1000 / float64(events-1)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.record(instance)
+	if known.pace == 0 {
+		known.pace = pace
+	}
+	known.pace += paceWeight * (pace - known.pace)
+}
+
 // End notes that a request has left instance. failed tells that the replica, or
 // the way to it, is at fault.
 func (t *Tracker) End(instance string, failed bool, now time.Duration) {
--- a/internal/homes/handlers.go
+++ b/internal/homes/handlers.go
@@ -14,10 +14,12 @@
 	registry.Add(
 		func() peer.Message { return &begin{} }, func() peer.Message { return &begun{} },
 		func() peer.Message { return &finish{} }, func() peer.Message { return &keep{} }, func() peer.Message { return &done{} },
+		func() peer.Message { return &read{} }, func() peer.Message { return &texts{} },
 	)
 	registry.Handle(kindBegin, peer.HandlerFunc(s.handleBegin))
 	registry.Handle(kindFinish, peer.HandlerFunc(s.handleFinish))
 	registry.Handle(kindKeep, peer.HandlerFunc(s.handleKeep))
+	registry.Handle(kindRead, peer.HandlerFunc(s.handleRead))
 }
 
 func (s *Service) handleBegin(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
@@ -65,14 +67,3 @@
 	s.config.Ledger.Finish(ledgerlog.Grant{Program: told.Program, ID: told.Grant}, told.Used)
 	return &done{Status: statusDone}, nil
 }
-
-func (s *Service) handleKeep(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
-	asked, ok := request.(*keep)
-	if !ok {
-		return nil, fmt.Errorf("homes: unexpected %T", request)
-	}
-	if err := s.config.Ledger.Keep(ctx, asked.Turn); err != nil {
-		return &done{Status: statusUnavailable, Reason: err.Error()}, nil
-	}
-	return &done{Status: statusDone}, nil
-}
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -29,11 +29,14 @@
 
 const (
 	// hedgeAfter is how long a home may take before the work is begun here too.
-	hedgeAfter = 250 * time.Millisecond
+	hedgeAfter = 150 * time.Millisecond
 	// avoidFor is how long a home that did not answer is passed over.
 	avoidFor = 700 * time.Millisecond
 	// finishTimeout bounds the telling of a turn's end.
 	finishTimeout = 2 * time.Second
+	// ownStoreTime is how long the store may take to answer this node before a turn
+	// is kept or read through its home.
+	ownStoreTime = 300 * time.Millisecond
 	// settleAfter is how long after its start a node alone in its view waits
 	// before it takes itself for the home of all partitions.
 	settleAfter = 2 * time.Second
@@ -218,6 +221,7 @@
 	for pending > 0 {
 		select {
 		case <-timer.C:
+			s.passOver(home.Name)
 			start()
 		case one := <-results:
 			pending--
@@ -319,31 +323,6 @@
 	}
 }
 
-// Keep makes a turn that ended whole durable: its text and its place in the index.
-// Errors wrap ledgerlog.ErrUnavailable.
-func (s *Service) Keep(ctx context.Context, turn ledger.Keep, text []byte) error {
-	location, err := s.config.Ledger.WriteText(ctx, text)
-	if err != nil {
-		return err
-	}
-	chain := make([]ledger.Location, 0, len(turn.Chain)+1)
-	turn.Chain = append(append(chain, turn.Chain...), location)
-	home, self := s.home(s.config.Ledger.Partition(turn.Program))
-	if !self && home.Name != "" && s.config.Peers != nil && !s.avoided(home.Name) {
-		answer, err := s.call(ctx, home, &keep{Turn: turn})
-		if got, ok := answer.(*done); err == nil && ok && got.Status == statusDone {
-			return nil
-		}
-	}
-	// A turn that is kept twice is kept.
-	return s.config.Ledger.Keep(ctx, turn)
-}
-
-// Texts returns the texts of a chain. Errors wrap ledgerlog.ErrUnavailable.
-func (s *Service) Texts(ctx context.Context, chain []ledger.Location) ([][]byte, error) {
-	return s.config.Ledger.Texts(ctx, chain)
-}
-
 func (s *Service) call(ctx context.Context, home identity.Node, request peer.Message) (peer.Message, error) {
 	answer, err := s.config.Peers.Call(ctx, home.PeerAddress, request, nil)
 	if err != nil {
--- /dev/null
+++ b/internal/homes/homes_test.go
@@ -0,0 +1,246 @@
+package homes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/emulator/store"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/logstore"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/wire"
+)
+
+const partitions = 4
+
+// node is one node of a cluster that shares a store.
+type node struct {
+	service   *Service
+	transport *peer.Transport
+	identity  identity.Node
+	// store is this node's own way to the log.
+	store *gate
+}
+
+// gate is a way to the store that can be closed for one node.
+type gate struct {
+	*store.Store
+	closed bool
+}
+
+func (g *gate) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
+	if g.closed {
+		return logstore.AppendResult{}, logstore.ErrUnavailable
+	}
+	return g.Store.Append(ctx, request)
+}
+
+func (g *gate) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
+	if g.closed {
+		return logstore.ReadResult{}, logstore.ErrUnavailable
+	}
+	return g.Store.Read(ctx, request)
+}
+
+func startCluster(t *testing.T, count int) []*node {
+	log := store.New()
+	var nodes []*node
+	for i := range count {
+		nodes = append(nodes, startNode(t, log, fmt.Sprintf("n%d", i)))
+	}
+	show(nodes, nodes)
+	return nodes
+}
+
+func startNode(t *testing.T, log *store.Store, name string) *node {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry := peer.NewRegistry()
+	made := &node{transport: peer.NewTransport(registry, peer.Options{Logger: slog.New(slog.DiscardHandler)}), store: &gate{Store: log}}
+	made.identity = identity.Node{Name: identity.NodeName(name), Incarnation: 1, PeerAddress: netip.MustParseAddrPort(listener.Addr().String())}
+	made.service = New(Config{
+		Self: made.identity.Name, Partitions: partitions, Peers: made.transport, Logger: slog.New(slog.DiscardHandler),
+		Ledger: ledgerlog.New(ledgerlog.Config{
+			Store: made.store, Topic: "ledger", TextTopic: "texts", Partitions: partitions,
+			Producer: string(LifeOf(made.identity.Reference())), RecordBytes: 1 << 16, CallBytes: 1 << 20, CacheBytes: 1,
+			Lives:  func(life ledger.LifeID) bool { return made.service.Lives(life) },
+			Logger: slog.New(slog.DiscardHandler),
+		}),
+	})
+	made.service.Register(registry)
+	go func() { _ = made.transport.Serve(listener) }()
+	t.Cleanup(made.transport.Close)
+	return made
+}
+
+// show gives some nodes a view of all of members.
+func show(nodes, members []*node) {
+	view := membership.View{}
+	for _, member := range members {
+		view.Members = append(view.Members, membership.Member{Node: member.identity, Status: membership.Alive})
+	}
+	for _, one := range nodes {
+		one.service.SetView(view)
+	}
+}
+
+func turnOf(program ledger.ProgramID, budget, most uint32) Request {
+	return Request{Program: program, Budgeted: true, Budget: budget, Most: most}
+}
+
+func mustBegin(t *testing.T, at *node, request Request) *Turn {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	turn, err := at.service.Begin(ctx, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return turn
+}
+
+// homeOf returns the node that is at home, and one that isn't.
+func homeOf(nodes []*node, program ledger.ProgramID) (*node, *node) {
+	var home, other *node
+	for _, one := range nodes {
+		if one.service.isHome(one.service.config.Ledger.Partition(program)) {
+			home = one
+		} else {
+			other = one
+		}
+	}
+	return home, other
+}
+
+func TestAllNodesAgreeOnOneHome(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 5)
+	for partition := range partitions {
+		homes := 0
+		for _, one := range nodes {
+			if one.service.isHome(partition) {
+				homes++
+			}
+		}
+		is.Equal(homes, 1)
+	}
+}
+
+func TestTurnsFromEveryNodeAreCountedAtTheHome(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 3)
+	home, _ := homeOf(nodes, "p")
+	for i := range 6 {
+		turn := mustBegin(t, nodes[i%3], turnOf("p", 1000, 100))
+		is.Equal(turn.Home, home.identity.Name)
+		turn.Finish(50)
+		time.Sleep(10 * time.Millisecond) // the end is told in the background
+	}
+	is.True(home.store.Calls("append") < 6)
+	is.Equal(home.store.Calls("read"), 0)
+}
+
+func TestBudgetHoldsWhereTheHomeIsGone(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 3)
+	home, other := homeOf(nodes, "p")
+	mustBegin(t, home, turnOf("p", 200, 100)).Finish(100)
+	home.transport.Close()
+	began := time.Now()
+	turn := mustBegin(t, other, turnOf("p", 200, 100))
+	is.Equal(turn.Home, other.identity.Name)
+	is.True(time.Since(began) < time.Second)
+	_, err := other.service.Begin(t.Context(), turnOf("p", 200, 100))
+	var spent *ledgerlog.SpentError
+	is.True(errors.As(err, &spent))
+}
+
+func TestHomeWithoutTheStoreIsHelpedOut(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 3)
+	home, other := homeOf(nodes, "p")
+	home.store.closed = true
+	turn := mustBegin(t, other, turnOf("p", 1000, 100))
+	is.Equal(turn.Home, other.identity.Name)
+}
+
+func TestTurnIsKeptAndFoundThroughTheHome(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		is := is.New(t)
+		nodes := startCluster(t, 3)
+		_, other := homeOf(nodes, "p")
+		other.store.closed = cut
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		is.NoErr(other.service.Keep(ctx, ledger.Keep{Program: "p", Turn: "t1", For: time.Minute}, []byte("one")))
+		turn := mustBegin(t, other, Request{Program: "p", Previous: "t1"})
+		is.Equal(len(turn.Chain), 1)
+		texts, err := other.service.Texts(ctx, "p", turn.Chain)
+		is.NoErr(err)
+		is.Equal(string(texts[0]), "one")
+		is.NoErr(other.service.Keep(ctx, ledger.Keep{Program: "p", Turn: "t2", Chain: turn.Chain, For: time.Minute}, []byte("two")))
+		is.Equal(len(mustBegin(t, nodes[0], Request{Program: "p", Previous: "t2"}).Chain), 2)
+	}
+}
+
+func TestUnknownTurnIsProvedAbsentByTheHome(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 2)
+	_, other := homeOf(nodes, "p")
+	_, err := other.service.Begin(t.Context(), Request{Program: "p", Previous: "never"})
+	is.True(errors.Is(err, ledgerlog.ErrNoSuchTurn))
+}
+
+func TestLeavingHomeGivesItsPartitionsUp(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 3)
+	home, other := homeOf(nodes, "p")
+	mustBegin(t, home, turnOf("p", 1000, 100)).Finish(10)
+	time.Sleep(100 * time.Millisecond)
+	home.service.Close()
+	rest := make([]*node, 0, 2)
+	for _, one := range nodes {
+		if one != home {
+			rest = append(rest, one)
+		}
+	}
+	show(rest, rest)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	is.NoErr(home.service.config.Ledger.Stop(ctx))
+	turn := mustBegin(t, other, turnOf("p", 1000, 100))
+	is.Equal(turn.Charged, uint64(10))
+	is.True(turn.Home != home.identity.Name)
+}
+
+func TestMessagesSurviveEncoding(t *testing.T) {
+	is := is.New(t)
+	chain := []ledger.Location{{Partition: 1, Offset: 2, Size: 3}}
+	registry := peer.NewRegistry()
+	(&Service{}).Register(registry)
+	for _, message := range []peer.Message{
+		&begin{Request{Program: "p", Budgeted: true, Budget: 1, Most: 2, Previous: "t"}},
+		&begun{Status: statusSpent, Grant: 4, Charged: 5, Ahead: true, Chain: chain, Reason: "r"},
+		&finish{Program: "p", Grant: 7, Used: 8},
+		&keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute}, WithText: true, Text: []byte("x")},
+		&done{Status: statusDone, Reason: "r"}, &read{Chain: chain}, &texts{Status: statusDone, Texts: [][]byte{[]byte("x")}},
+	} {
+		encoder := wire.NewEncoder(nil)
+		message.Encode(encoder)
+		decoded, err := registry.Decode(message.Kind(), encoder.Bytes())
+		is.NoErr(err)
+		is.Equal(decoded, message)
+	}
+}
--- a/internal/homes/message.go
+++ b/internal/homes/message.go
@@ -15,6 +15,8 @@
 	kindFinish
 	kindKeep
 	kindDone
+	kindRead
+	kindTexts
 )
 
 // status is the outcome of a request to a home.
@@ -105,8 +107,13 @@
 	m.Program, m.Grant, m.Used = ledger.ProgramID(d.String()), ledger.GrantID(d.Uint64()), d.Uint32()
 }
 
-// keep asks a home to add a turn to the index.
-type keep struct{ Turn ledger.Keep }
+// keep asks a home to add a turn to the index. Text is the turn's own text if that
+// is to be written too.
+type keep struct {
+	Turn     ledger.Keep
+	WithText bool
+	Text     []byte
+}
 
 // Kind implements peer.Message.
 func (*keep) Kind() peer.Kind { return kindKeep }
@@ -117,11 +124,14 @@
 	e.String(string(m.Turn.Turn))
 	encodeChain(e, m.Turn.Chain)
 	e.Duration(m.Turn.For)
+	e.Bool(m.WithText)
+	e.Blob(m.Text)
 }
 
 // Decode implements peer.Message.
 func (m *keep) Decode(d *wire.Decoder) {
 	m.Turn = ledger.Keep{Program: ledger.ProgramID(d.String()), Turn: ledger.TurnID(d.String()), Chain: decodeChain(d), For: d.Duration()}
+	m.WithText, m.Text = d.Bool(), d.Blob()
 	if m.Turn.For < 0 || m.Turn.For > maxKeep {
 		m.Turn.For = maxKeep
 	}
@@ -148,6 +158,45 @@
 // Decode implements peer.Message.
 func (m *done) Decode(d *wire.Decoder) { m.Status, m.Reason = status(d.Uint8()), d.String() }
 
+// read asks a node that reaches the store for the texts of a chain.
+type read struct{ Chain []ledger.Location }
+
+// Kind implements peer.Message.
+func (*read) Kind() peer.Kind { return kindRead }
+
+// Encode implements peer.Message.
+func (m *read) Encode(e *wire.Encoder) { encodeChain(e, m.Chain) }
+
+// Decode implements peer.Message.
+func (m *read) Decode(d *wire.Decoder) { m.Chain = decodeChain(d) }
+
+// texts answers read.
+type texts struct {
+	Status status
+	Texts  [][]byte
+}
+
+// Kind implements peer.Message.
+func (*texts) Kind() peer.Kind { return kindTexts }
+
+// Encode implements peer.Message.
+func (m *texts) Encode(e *wire.Encoder) {
+	e.Uint8(uint8(m.Status))
+	e.Uint32(uint32(len(m.Texts)))
+	for _, text := range m.Texts {
+		e.Blob(text)
+	}
+}
+
+// Decode implements peer.Message.
+func (m *texts) Decode(d *wire.Decoder) {
+	const leastBytes = 4
+	m.Status = status(d.Uint8())
+	for range d.Count(leastBytes) {
+		m.Texts = append(m.Texts, d.Blob())
+	}
+}
+
 func encodeChain(e *wire.Encoder, chain []ledger.Location) {
 	e.Uint32(uint32(len(chain)))
 	for _, location := range chain {
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"stepseam.example/stepseam/internal/exchange"
+	"stepseam.example/stepseam/internal/follow"
 	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/ledgerlog"
 	"stepseam.example/stepseam/internal/logstore"
@@ -45,11 +46,15 @@
 	ledger   *ledgerlog.Ledger
 	homes    *homes.Service
 	// peers is nil where the node works alone.
-	peers       *peers
-	views       *views
-	connections *router.Connections
-	store       logstore.Store
-	registry    *prometheus.Registry
+	peers *peers
+	relay *relay
+	// configurations and entries follow the operators' configuration and the
+	// replicas' entries.
+	configurations, entries *follow.Follower
+	views                   *views
+	connections             *router.Connections
+	store                   logstore.Store
+	registry                *prometheus.Registry
 	// settings are replaced as a whole by a reload.
 	settings atomic.Pointer[settings.Routed]
 	stopping atomic.Bool
@@ -61,12 +66,13 @@
 // start binds the node's addresses and begins to follow and to serve.
 func (n *node) start(ctx context.Context) error {
 	chosen := n.settings.Load()
-	n.run(ctx, n.views.configurations(n.store, chosen.Follow).Run)
-	n.run(ctx, n.views.replicas(n.store, chosen.Follow).Run)
+	n.run(ctx, n.configurations.Run)
+	n.run(ctx, n.entries.Run)
 	n.run(ctx, n.replicas.Run)
 	n.run(ctx, n.homes.Run)
 	if n.peers != nil {
 		n.run(ctx, n.peers.run)
+		n.run(ctx, n.relay.run)
 	}
 	err := errors.Join(
 		n.serve(chosen.Addresses.Readiness, http.HandlerFunc(n.answerReadiness)),
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -111,7 +111,7 @@
 	return &views{
 		adapter: do.MustInvoke[Adapter](injector), router: do.MustInvoke[*router.Router](injector),
 		fleet: do.MustInvoke[*fleet.Directory](injector), tracker: do.MustInvoke[*balance.Tracker](injector),
-		logger: do.MustInvoke[*slog.Logger](injector),
+		logger: do.MustInvoke[*slog.Logger](injector), entries: map[string][]byte{},
 	}, nil
 }
 
@@ -126,5 +126,14 @@
 	}
 	chosen := do.MustInvoke[settings.Routed](injector)
 	built.settings.Store(&chosen)
+	built.configurations = built.views.configurations(built.store, chosen.Follow)
+	built.entries = built.views.replicas(built.store, chosen.Follow)
+	if built.peers != nil {
+		built.relay = &relay{
+			views: built.views, configurations: built.configurations, replicas: built.entries,
+			peers: built.peers.transport, others: built.homes.Addresses, logger: built.logger,
+		}
+		built.relay.register(built.peers.registry)
+	}
 	return built, nil
 }
--- a/internal/routednode/views.go
+++ b/internal/routednode/views.go
@@ -2,8 +2,11 @@
 
 import (
 	"log/slog"
+	"sync"
 	"sync/atomic"
 
+	"github.com/samber/lo"
+
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/follow"
@@ -21,6 +24,12 @@
 	logger  *slog.Logger
 	// listed tells that the replicas have been read once.
 	listed atomic.Bool
+
+	// mutex guards all below: what the store holds, as it holds it.
+	mutex         sync.Mutex
+	version       uint64
+	configuration []byte
+	entries       map[string][]byte
 }
 
 // configurations follows the operators' configuration.
@@ -45,18 +54,62 @@
 		if item.Key != v.adapter.ConfigurationKey || item.Value == nil {
 			continue
 		}
-		configuration, err := v.adapter.DecodeConfiguration(item.Value)
-		if err != nil {
-			v.logger.Error("configuration can't be used", "error", err, "bytes", len(item.Value))
+		v.takeEncoded(item.Value, "store")
+	}
+}
+
+// takeEncoded puts a configuration in force if it is newer. from tells in the log
+// who has told it.
+func (v *views) takeEncoded(encoded []byte, from string) {
+	configuration, err := v.adapter.DecodeConfiguration(encoded)
+	if err != nil {
+		v.logger.Error("configuration can't be used", "from", from, "error", err, "bytes", len(encoded))
+		return
+	}
+	inForce := v.router.Use(configuration)
+	if inForce {
+		v.mutex.Lock()
+		v.version, v.configuration = configuration.Version, encoded
+		v.mutex.Unlock()
+	}
+	v.logger.Info("configuration heard", "from", from, "version", configuration.Version, "in_force", inForce,
+		"routes", len(configuration.Routes), "services", len(configuration.Services))
+}
+
+// encodedConfiguration returns the configuration in force as the store holds it.
+func (v *views) encodedConfiguration() (uint64, []byte) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.version, v.configuration
+}
+
+// encodedReplicas returns all replicas' entries as the store holds them.
+func (v *views) encodedReplicas() []logstore.Item {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return lo.MapToSlice(v.entries, func(key string, value []byte) logstore.Item {
+		return logstore.Item{Key: key, Value: value}
+	})
+}
+
+// remember keeps the entries of changed replicas.
+func (v *views) remember(items []logstore.Item) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	for _, item := range items {
+		if item.Value == nil {
+			delete(v.entries, item.Key)
 			continue
 		}
-		inForce := v.router.Use(configuration)
-		v.logger.Info("configuration heard", "version", configuration.Version, "in_force", inForce,
-			"routes", len(configuration.Routes), "services", len(configuration.Services))
+		v.entries[item.Key] = item.Value
 	}
 }
 
 func (v *views) replaceReplicas(items []logstore.Item) {
+	v.mutex.Lock()
+	v.entries = make(map[string][]byte, len(items))
+	v.mutex.Unlock()
+	v.remember(items)
 	all := make([]fleet.Replica, 0, len(items))
 	for _, item := range items {
 		if replica, ok := v.decode(item); ok {
@@ -68,6 +121,7 @@
 }
 
 func (v *views) changeReplicas(items []logstore.Item) {
+	v.remember(items)
 	changes := make([]fleet.Change, 0, len(items))
 	for _, item := range items {
 		if item.Value == nil {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -120,10 +120,11 @@
 		return nil, &exchange.FailureError{Outcome: exchange.OutcomeNotRun, Reason: exchange.ReasonCancelled, Cause: context.DeadlineExceeded}
 	}
 	call.header.Set(r.config.Names.TimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
-	r.config.Tracker.Begin(replica.Instance, call.prompt)
+	r.config.Tracker.Begin(replica.Instance, call.prompt, r.now())
 	answer, err := r.config.Replicas.Send(ctx, exchange.Target{Instance: replica.Instance, Address: replica.Address}, exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
 	})
+	r.config.Tracker.Answered(replica.Instance, r.now())
 	tried := &attempt{answer: answer, replica: replica, tracker: r.config.Tracker, router: r}
 	var failure *exchange.FailureError
 	if errors.As(err, &failure) {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/ledger"
@@ -98,6 +99,8 @@
 // client has already are left out.
 func (r *Router) passEvents(ctx context.Context, passing *stream, tried *attempt) *exchange.FailureError {
 	flusher := http.NewResponseController(passing.reply.writer)
+	events, first, last := 0, time.Time{}, time.Time{}
+	defer func() { r.config.Tracker.Paced(tried.replica.Instance, events, last.Sub(first)) }()
 	for {
 		read, err := readEvent(tried.answer.Body)
 		if errors.Is(err, io.EOF) && !errors.Is(err, errEventTorn) {
@@ -111,6 +114,11 @@
 			tried.finish(ctx.Err() == nil)
 			return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: tried.answer.Status, Cause: err}
 		}
+		last = time.Now()
+		if events == 0 {
+			first = last
+		}
+		events++
 		if read.numbered && read.id <= passing.last {
 			continue
 		}
--- a/internal/router/turn.go
+++ b/internal/router/turn.go
@@ -56,7 +56,7 @@
 	if len(chain) == 0 {
 		return nil
 	}
-	texts, err := r.config.Turns.Texts(ctx, chain)
+	texts, err := r.config.Turns.Texts(ctx, call.turn.program, chain)
 	if err != nil {
 		return err
 	}
