Let nodes tell each other what they have under way

Cause: a node saw only its own tenth of the load at a replica. A replica counts as slow only from twice the fastest pace on.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -11,13 +12,15 @@
 const (
 	// tokensPerMillisecond is how fast a replica reads a prompt.
 	tokensPerMillisecond = 270.0
-	// engineRequestCost is what each own request under way at an engine adds, and
-	// engineCrowdCost what the square of those beyond engineEasy adds.
-	engineRequestCost = 3.0
-	engineCrowdCost   = 4.0
-	engineEasy        = 3
-	// workerRequestCost is what each own request adds where requests take a slot
-	// each and share nothing.
+	// engineRequestCost is what each request under way at an engine adds: a batch
+	// that is larger makes each token later.
+	engineRequestCost = 2.5
+	// engineServiceTime is how long a request usually holds a slot.
+	engineServiceTime = 300.0
+	// usualSlots is taken where a replica tells no number of slots.
+	usualSlots = 12
+	// workerRequestCost is what each request under way adds where requests take a
+	// slot each and share nothing.
 	workerRequestCost = 10.0
 	// otherZoneCost stands for the longer way and the price of bytes between zones.
 	otherZoneCost = 9.0
@@ -25,6 +28,9 @@
 	suspectCost = 2000.0
 	// usualEvents is how many events a stream has, roughly.
 	usualEvents = 11.0
+	// slowPace times the fastest pace is where a replica counts as slow. Smaller
+	// differences are left alone: chasing them crowds the fast replicas.
+	slowPace = 2.0
 )
 
 // Part is one piece of a prompt.
@@ -41,15 +47,18 @@
 	SameZone bool
 	// Engine tells that requests are batched and prompts cached.
 	Engine bool
-	// UnderWay is how many requests of this node run there.
-	UnderWay int
+	// UnderWay is how many requests of this node run there, Elsewhere how many of
+	// others, as they told lately.
+	UnderWay, Elsewhere int
+	// Slots is how many it runs at once; 0 if not known.
+	Slots int
 	// CachedTokens is how much of the prompt it has seen.
 	CachedTokens int
 	// Suspect tells that it failed lately, or leaves requests without an answer.
 	Suspect bool
-	// EventMilliseconds is the usual time between two events of a stream there; 0 if
-	// not known.
-	EventMilliseconds float64
+	// SlowMilliseconds is how much longer than usual the time between two events of a
+	// stream is there; 0 unless the replica is slow.
+	SlowMilliseconds float64
 }
 
 // Choice is the chosen candidate and why.
@@ -81,13 +90,13 @@
 
 func cost(candidate Candidate, promptTokens int) float64 {
 	total := 0.0
-	underWay := float64(candidate.UnderWay)
+	underWay := float64(candidate.UnderWay + candidate.Elsewhere)
 	if candidate.Engine {
 		total += float64(max(promptTokens-candidate.CachedTokens, 0)) / tokensPerMillisecond
 		total += underWay * engineRequestCost
-		crowd := max(underWay-engineEasy, 0)
-		total += crowd * crowd * engineCrowdCost
-		total += candidate.EventMilliseconds * usualEvents
+		slots := float64(cmp.Or(candidate.Slots, usualSlots))
+		total += max(underWay+1-slots, 0) * engineServiceTime / slots
+		total += candidate.SlowMilliseconds * usualEvents
 	} else {
 		total += underWay * workerRequestCost
 	}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -1,11 +1,14 @@
 package balance
 
 import (
+	"math"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/loads"
 )
 
 // partsPerReplica bounds the prompt parts remembered of one replica. When it is
@@ -18,8 +21,8 @@
 	patience = 600 * time.Millisecond
 	// paceWeight is the weight of the newest stream in a replica's usual pace.
 	paceWeight = 0.2
-	// paceEvents is how many events a stream must have to tell the pace.
-	paceEvents = 4
+	// leastEvents is how many events a stream must have to tell the pace.
+	leastEvents = 4
 )
 
 // Tracker holds what this node knows of replicas. It is safe for concurrent use.
@@ -30,8 +33,22 @@
 	// mutex guards replicas.
 	mutex    sync.Mutex
 	replicas map[string]*record
+	// others holds what other nodes have under way, by node, and elsewhere the sums.
+	others    map[netip.AddrPort]otherNode
+	elsewhere map[loads.Key]int
+	// heardAt is when another node told last.
+	heardAt time.Duration
 }
 
+// otherNode is what another node has told last.
+type otherNode struct {
+	at     time.Duration
+	counts map[loads.Key]int
+}
+
+// otherLife is how long what another node has told counts.
+const otherLife = time.Second
+
 // record is what is known of one replica.
 type record struct {
 	underWay int
@@ -50,7 +67,10 @@
 
 // NewTracker returns a tracker of a node in zone.
 func NewTracker(zone string) *Tracker {
-	return &Tracker{zone: zone, replicas: map[string]*record{}}
+	return &Tracker{
+		zone: zone, replicas: map[string]*record{},
+		others: map[netip.AddrPort]otherNode{}, elsewhere: map[loads.Key]int{},
+	}
 }
 
 // Candidates describes the replicas that a request with the given prompt may go
@@ -58,36 +78,71 @@
 func (t *Tracker) Candidates(replicas []fleet.Replica, engine bool, prompt []Part, except []string, now time.Duration) []Candidate {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	elsewhere := t.elsewhere
+	if now-t.heardAt > otherLife {
+		elsewhere = nil
+	}
 	candidates := make([]Candidate, 0, len(replicas))
 	for _, replica := range replicas {
 		if slices.Contains(except, replica.Instance) {
 			continue
 		}
-		candidate := Candidate{Instance: replica.Instance, SameZone: replica.Zone == t.zone, Engine: engine}
+		candidate := Candidate{
+			Instance: replica.Instance, SameZone: replica.Zone == t.zone, Engine: engine, Slots: replica.Slots,
+			Elsewhere: elsewhere[loads.KeyOf(replica.Instance)],
+		}
 		if known, found := t.replicas[replica.Instance]; found {
 			candidate.UnderWay = known.underWay
 			candidate.Suspect = now < known.suspectUntil || known.waiting > 0 && now-known.waitingSince > patience
-			candidate.EventMilliseconds = known.pace
+			candidate.SlowMilliseconds = known.pace
 			candidate.CachedTokens = known.cachedTokens(prompt)
 		}
 		candidates = append(candidates, candidate)
 	}
-	fillPace(candidates)
+	keepSlow(candidates)
 	return candidates
 }
 
-// fillPace takes replicas of which no pace is known for as fast as the fastest, so
-// that they are tried.
-func fillPace(candidates []Candidate) {
-	fastest := 0.0
+// keepSlow replaces each candidate's pace by how far it is over that of a slow one.
+func keepSlow(candidates []Candidate) {
+	fastest := math.Inf(1)
 	for _, candidate := range candidates {
-		if candidate.EventMilliseconds > 0 && (fastest == 0 || candidate.EventMilliseconds < fastest) {
-			fastest = candidate.EventMilliseconds
+		if candidate.SlowMilliseconds > 0 {
+			fastest = min(fastest, candidate.SlowMilliseconds)
 		}
 	}
 	for i := range candidates {
-		if candidates[i].EventMilliseconds == 0 {
-			candidates[i].EventMilliseconds = fastest
+		candidates[i].SlowMilliseconds = max(candidates[i].SlowMilliseconds-slowPace*fastest, 0)
+	}
+}
+
+// Own returns how many requests of this node are under way at each replica.
+func (t *Tracker) Own() map[loads.Key]int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	counts := map[loads.Key]int{}
+	for instance, known := range t.replicas {
+		if known.underWay > 0 {
+			counts[loads.KeyOf(instance)] += known.underWay
+		}
+	}
+	return counts
+}
+
+// Heard takes what another node has under way.
+func (t *Tracker) Heard(from netip.AddrPort, counts map[loads.Key]int, now time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.heardAt = now
+	t.others[from] = otherNode{at: now, counts: counts}
+	clear(t.elsewhere)
+	for node, told := range t.others {
+		if now-told.at > otherLife {
+			delete(t.others, node)
+			continue
+		}
+		for key, count := range told.counts {
+			t.elsewhere[key] += count
 		}
 	}
 }
@@ -133,7 +188,7 @@
 
 // Paced notes how long the events of a stream took from the first to the last.
 func (t *Tracker) Paced(instance string, events int, took time.Duration) {
-	if events < paceEvents {
+	if events < leastEvents {
 		return
 	}
 	pace := float64(took.Microseconds()) / 1000 / float64(events-1)
--- /dev/null
+++ b/internal/loads/loads.go
@@ -0,0 +1,127 @@
+// Package loads lets nodes tell each other how many requests each has under way at
+// each replica, by datagrams that may be lost. What is heard only helps to choose.
+package loads
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// form tells datagrams of this version from others.
+	form = 0x4c01
+	// headBytes and entryBytes are the sizes of a datagram's parts.
+	headBytes  = 2 + 2
+	entryBytes = 4 + 2
+	// maxEntries keeps a datagram within the usual path MTU.
+	maxEntries = 220
+	// Pause is the time between two datagrams to one node.
+	Pause = 200 * time.Millisecond
+	// pausePerNode keeps the datagrams of a large site few.
+	pausePerNode = 12 * time.Millisecond
+)
+
+// errForm tells that a datagram is not of this package.
+var errForm = errors.New("loads: unreadable datagram")
+
+// Key stands for a replica in a datagram. Two replicas may share one, which only
+// makes both look busier.
+type Key uint32
+
+// KeyOf returns the key of a replica's instance.
+func KeyOf(instance string) Key { return Key(xxhash.Sum64String(instance)) }
+
+// Encode returns a datagram of the requests under way by replica.
+func Encode(counts map[Key]int) []byte {
+	encoded := binary.BigEndian.AppendUint16(nil, form)
+	encoded = binary.BigEndian.AppendUint16(encoded, uint16(min(len(counts), maxEntries)))
+	left := maxEntries
+	for key, count := range counts {
+		if left == 0 {
+			break
+		}
+		left--
+		encoded = binary.BigEndian.AppendUint32(encoded, uint32(key))
+		encoded = binary.BigEndian.AppendUint16(encoded, uint16(min(count, 1<<16-1)))
+	}
+	return encoded
+}
+
+// Decode reads a datagram.
+func Decode(encoded []byte) (map[Key]int, error) {
+	if len(encoded) < headBytes || binary.BigEndian.Uint16(encoded) != form {
+		return nil, errForm
+	}
+	count := int(binary.BigEndian.Uint16(encoded[2:]))
+	if len(encoded) != headBytes+count*entryBytes {
+		return nil, errForm
+	}
+	counts := make(map[Key]int, count)
+	for rest := encoded[headBytes:]; len(rest) > 0; rest = rest[entryBytes:] {
+		counts[Key(binary.BigEndian.Uint32(rest))] = int(binary.BigEndian.Uint16(rest[4:]))
+	}
+	return counts, nil
+}
+
+// Exchange sends this node's counts and takes the others'.
+type Exchange struct {
+	Conn *net.UDPConn
+	// Targets returns where the other nodes take datagrams.
+	Targets func() []netip.AddrPort
+	// Own returns this node's counts, Heard takes another's.
+	Own   func() map[Key]int
+	Heard func(from netip.AddrPort, counts map[Key]int)
+}
+
+// Run exchanges counts until ctx ends; then it closes the socket.
+func (e *Exchange) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = e.Conn.Close() })
+	defer stop()
+	go e.receive()
+	idle := false
+	for {
+		targets := e.Targets()
+		timer := time.NewTimer(max(Pause, time.Duration(len(targets))*pausePerNode))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		counts := e.Own()
+		if idle && len(counts) == 0 {
+			continue // it has been told already
+		}
+		idle = len(counts) == 0
+		e.send(targets, Encode(counts))
+	}
+}
+
+func (e *Exchange) send(targets []netip.AddrPort, datagram []byte) {
+	for _, target := range targets {
+		// A datagram that can't be sent is a lost one.
+		_, _ = e.Conn.WriteToUDPAddrPort(datagram, target)
+	}
+}
+
+func (e *Exchange) receive() {
+	buffer := make([]byte, headBytes+(maxEntries+1)*entryBytes)
+	for {
+		size, from, err := e.Conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // such as the refusal of an earlier datagram by a node that is gone
+		}
+		if counts, err := Decode(buffer[:size]); err == nil {
+			e.Heard(from, counts)
+		}
+	}
+}
--- /dev/null
+++ b/internal/loads/loads_test.go
@@ -0,0 +1,70 @@
+package loads
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestCountsSurviveADatagram(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		counts := rapid.MapOfN(rapid.Custom(func(t *rapid.T) Key { return Key(rapid.Uint32().Draw(t, "key")) }), rapid.IntRange(0, 1<<16-1), 0, maxEntries).Draw(t, "counts")
+		decoded, err := Decode(Encode(counts))
+		if err != nil || len(decoded) != len(counts) {
+			t.Fatalf("%v, %v", decoded, err)
+		}
+		for key, count := range counts {
+			if decoded[key] != count {
+				t.Fatalf("%d: %d is not %d", key, decoded[key], count)
+			}
+		}
+	})
+}
+
+func TestOtherDatagramsArePassedOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		datagram := rapid.SliceOf(rapid.Byte()).Draw(t, "datagram")
+		if counts, err := Decode(datagram); err == nil && len(datagram) != headBytes+entryBytes*len(counts) {
+			t.Fatalf("%v from %v", counts, datagram)
+		}
+	})
+}
+
+func TestNodesHearOfEachOther(t *testing.T) {
+	is := is.New(t)
+	open := func() *net.UDPConn {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		is.NoErr(err)
+		return conn
+	}
+	first, second := open(), open()
+	address := func(conn *net.UDPConn) netip.AddrPort { return netip.MustParseAddrPort(conn.LocalAddr().String()) }
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	heard := make(chan map[Key]int, 10)
+	start := func(own, other *net.UDPConn, counts map[Key]int) {
+		exchange := &Exchange{
+			Conn: own, Targets: func() []netip.AddrPort { return []netip.AddrPort{address(other)} },
+			Own: func() map[Key]int { return counts },
+			Heard: func(from netip.AddrPort, counts map[Key]int) {
+				if from == address(first) {
+					heard <- counts
+				}
+			},
+		}
+		go exchange.Run(ctx)
+	}
+	start(first, second, map[Key]int{KeyOf("a"): 3})
+	start(second, first, nil)
+	select {
+	case counts := <-heard:
+		is.Equal(counts, map[Key]int{KeyOf("a"): 3})
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing heard")
+	}
+}
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -20,6 +20,7 @@
 	"stepseam.example/stepseam/internal/follow"
 	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/loads"
 	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/router"
 	"stepseam.example/stepseam/internal/settings"
@@ -48,6 +49,8 @@
 	// peers is nil where the node works alone.
 	peers *peers
 	relay *relay
+	// loads is nil where nodes don't tell each other what they have under way.
+	loads *loads.Exchange
 	// configurations and entries follow the operators' configuration and the
 	// replicas' entries.
 	configurations, entries *follow.Follower
@@ -74,6 +77,9 @@
 		n.run(ctx, n.peers.run)
 		n.run(ctx, n.relay.run)
 	}
+	if n.loads != nil {
+		n.run(ctx, n.loads.Run)
+	}
 	err := errors.Join(
 		n.serve(chosen.Addresses.Readiness, http.HandlerFunc(n.answerReadiness)),
 		n.serve(chosen.Addresses.Clients, n.router),
--- a/internal/routednode/peers.go
+++ b/internal/routednode/peers.go
@@ -7,10 +7,15 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
 
+	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/loads"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/settings"
@@ -73,4 +78,25 @@
 	p.transport.Close()
 }
 
+// newLoads binds the node's address for loads; it returns nil where there is none.
+func newLoads(chosen settings.Routed, tracker *balance.Tracker, now func() time.Duration, others func() []netip.AddrPort) (*loads.Exchange, error) {
+	own := chosen.Addresses.Loads
+	if !own.IsValid() {
+		return nil, nil
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(own))
+	if err != nil {
+		return nil, fmt.Errorf("routednode: addresses.loads: %w", err)
+	}
+	return &loads.Exchange{
+		Conn: conn, Own: tracker.Own,
+		Targets: func() []netip.AddrPort {
+			return lo.Map(others(), func(peer netip.AddrPort, _ int) netip.AddrPort {
+				return netip.AddrPortFrom(peer.Addr(), own.Port())
+			})
+		},
+		Heard: func(from netip.AddrPort, counts map[loads.Key]int) { tracker.Heard(from, counts, now()) },
+	}, nil
+}
+
 func (p *peers) announceLeaving() { p.runner.AnnounceLeaving() }
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -135,5 +135,7 @@
 		}
 		built.relay.register(built.peers.registry)
 	}
-	return built, nil
+	exchange, err := newLoads(chosen, do.MustInvoke[*balance.Tracker](injector), built.router.Now, built.homes.Addresses)
+	built.loads = exchange
+	return built, err
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -41,7 +41,7 @@
 // finish gives the connection back and notes whether the replica is at fault.
 func (a *attempt) finish(failed bool) {
 	a.answer.Close()
-	a.tracker.End(a.replica.Instance, failed, a.router.now())
+	a.tracker.End(a.replica.Instance, failed, a.router.Now())
 }
 
 // errNoReplica tells that nothing is left to try.
@@ -97,7 +97,7 @@
 
 func (r *Router) choose(call *call, course *attempts) (fleet.Replica, bool) {
 	ready := r.config.Fleet.Ready(call.service.Name)
-	candidates := r.config.Tracker.Candidates(ready, call.service.Slots > 0, call.prompt, course.except, r.now())
+	candidates := r.config.Tracker.Candidates(ready, call.service.Slots > 0, call.prompt, course.except, r.Now())
 	choice, found := balance.Choose(candidates, call.promptTokens, r.config.Random())
 	if !found {
 		return fleet.Replica{}, false
@@ -120,15 +120,15 @@
 		return nil, &exchange.FailureError{Outcome: exchange.OutcomeNotRun, Reason: exchange.ReasonCancelled, Cause: context.DeadlineExceeded}
 	}
 	call.header.Set(r.config.Names.TimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
-	r.config.Tracker.Begin(replica.Instance, call.prompt, r.now())
+	r.config.Tracker.Begin(replica.Instance, call.prompt, r.Now())
 	answer, err := r.config.Replicas.Send(ctx, exchange.Target{Instance: replica.Instance, Address: replica.Address}, exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
 	})
-	r.config.Tracker.Answered(replica.Instance, r.now())
+	r.config.Tracker.Answered(replica.Instance, r.Now())
 	tried := &attempt{answer: answer, replica: replica, tracker: r.config.Tracker, router: r}
 	var failure *exchange.FailureError
 	if errors.As(err, &failure) {
-		r.config.Tracker.End(replica.Instance, ctx.Err() == nil, r.now())
+		r.config.Tracker.End(replica.Instance, ctx.Err() == nil, r.Now())
 		return nil, failure
 	}
 	if failure = r.judge(answer); failure != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,8 +68,8 @@
 // Drain makes every further answer ask the client to leave its connection.
 func (r *Router) Drain() { r.draining.Store(true) }
 
-// now is a monotonic reading.
-func (r *Router) now() time.Duration { return time.Since(r.began) }
+// Now is a monotonic reading, the one that the tracker is given.
+func (r *Router) Now() time.Duration { return time.Since(r.began) }
 
 // ServeHTTP serves one request of a client.
 func (r *Router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -29,6 +29,9 @@
 	// Peers takes what other nodes say, over TCP, and datagrams over UDP at the same
 	// number. Unset, the node works alone.
 	Peers netip.AddrPort `yaml:"peers"`
+	// Loads takes datagrams of other nodes on what they have under way. All nodes of
+	// a site use the same port. Unset, nodes don't tell each other.
+	Loads netip.AddrPort `yaml:"loads"`
 	// Metrics serves counters and histograms; unset serves none.
 	Metrics netip.AddrPort `yaml:"metrics"`
 }
