Keep turns elsewhere while part of the store is down

Texts now change to the next partition after 0.35 s, the index to one of the next three; a search goes on past a partition that can't be read and claims absence only if all could be. TestTurnIsKeptWhilePartOfTheStoreIsDown failed before. The ledger may take 45 in 100 of a request's time, so that a refused client can still ask elsewhere.

--- a/internal/emulator/store/store.go
+++ b/internal/emulator/store/store.go
@@ -29,6 +29,9 @@
 	LateAfter time.Duration
 	// Delay is added to each call.
 	Delay time.Duration
+	// Partition limits the fault to the partition of this number in every topic;
+	// nil is all.
+	Partition *int
 }
 
 // Store is a logstore.Store in memory. It is safe for concurrent use.
@@ -129,11 +132,14 @@
 }
 
 // begin counts a call and applies the faults that come before any effect.
-func (s *Store) begin(ctx context.Context, operation string) (Fault, error) {
+func (s *Store) begin(ctx context.Context, operation string, place logstore.Partition) (Fault, error) {
 	s.mutex.Lock()
 	s.calls[operation]++
 	fault := s.fault
 	s.mutex.Unlock()
+	if fault.Partition != nil && *fault.Partition != place.Number {
+		fault = Fault{}
+	}
 	switch {
 	case fault.Busy:
 		return fault, fmt.Errorf("%w: busy", logstore.ErrUnavailable)
@@ -151,7 +157,7 @@
 
 // Append is logstore.Store's.
 func (s *Store) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
-	fault, err := s.begin(ctx, "append")
+	fault, err := s.begin(ctx, "append", request.Partition)
 	if err != nil {
 		return logstore.AppendResult{}, err
 	}
@@ -201,7 +207,7 @@
 
 // Read is logstore.Store's.
 func (s *Store) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
-	if _, err := s.begin(ctx, "read"); err != nil {
+	if _, err := s.begin(ctx, "read", request.Partition); err != nil {
 		return logstore.ReadResult{}, err
 	}
 	var timer <-chan time.Time
@@ -245,7 +251,7 @@
 
 // Newest is logstore.Store's.
 func (s *Store) Newest(ctx context.Context, place logstore.Partition) ([]logstore.Item, logstore.Offset, error) {
-	if _, err := s.begin(ctx, "newest"); err != nil {
+	if _, err := s.begin(ctx, "newest", place); err != nil {
 		return nil, 0, err
 	}
 	s.mutex.Lock()
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -211,6 +211,31 @@
 	})
 }
 
+func TestTurnIsKeptWhilePartOfTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for down := range 3 {
+			is := is.New(t)
+			log := store.New()
+			l := newLedger(log, "a")
+			log.Fail(store.Fault{Silent: true, Partition: &down})
+			location, err := l.WriteText(within(t, 2*time.Second), []byte("text"))
+			is.NoErr(err)
+			is.NoErr(l.Keep(within(t, 2*time.Second), ledger.Keep{Program: "p", Turn: "t", Chain: []ledger.Location{location}, For: time.Minute}))
+			// A node without any memory finds it as well, but proves no absence.
+			other := newLedger(log, "b")
+			chain, err := other.Chain(within(t, 30*time.Second), "p", "t")
+			is.NoErr(err)
+			texts, err := other.Texts(within(t, 2*time.Second), chain)
+			is.NoErr(err)
+			is.Equal(string(texts[0]), "text")
+			_, err = other.Chain(within(t, 30*time.Second), "p", "never")
+			is.True(errors.Is(err, ErrUnavailable))
+			log.Fail(store.Fault{})
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
+
 func TestAbsenceIsNotClaimedWithoutTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -221,6 +246,7 @@
 			_, err := l.Chain(within(t, 4*time.Second), "p", "t")
 			is.True(errors.Is(err, ErrUnavailable))
 			is.True(!errors.Is(err, ErrNoSuchTurn))
+			time.Sleep(time.Second) // reads under way end
 		}
 	})
 }
--- a/internal/ledgerlog/texts.go
+++ b/internal/ledgerlog/texts.go
@@ -19,27 +19,48 @@
 // textStore writes the texts of turns to the log and reads them by location. The
 // newest stay in memory.
 type textStore struct {
-	config    Config
-	metrics   *metrics
-	partition int
-	appender  *appender
+	config  Config
+	metrics *metrics
 
 	// mutex guards all below.
 	mutex sync.Mutex
-	cache map[ledger.Location][]byte
+	// partition is where texts are written; it changes when it does not answer.
+	partition int
+	appenders map[int]*appender
+	cache     map[ledger.Location][]byte
 	// order lists the cached locations, the oldest first.
 	order  []ledger.Location
 	cached int
 }
 
 func newTextStore(config Config, counted *metrics) *textStore {
-	number := int(xxhash.Sum64String(config.Producer) % uint64(max(config.Partitions, 1)))
 	return &textStore{
-		config: config, metrics: counted, partition: number, cache: map[ledger.Location][]byte{},
-		appender: &appender{
-			store: config.Store, partition: logstore.Partition{Topic: config.TextTopic, Number: number},
-			producer: config.Producer, callBytes: config.CallBytes, logger: config.Logger, metrics: counted, epoch: 1,
-		},
+		config: config, metrics: counted, cache: map[ledger.Location][]byte{}, appenders: map[int]*appender{},
+		partition: int(xxhash.Sum64String(config.Producer) % uint64(max(config.Partitions, 1))),
+	}
+}
+
+// writer returns the partition that is written to, and its appender.
+func (t *textStore) writer() (int, *appender) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	used, known := t.appenders[t.partition]
+	if !known {
+		used = &appender{
+			store: t.config.Store, partition: logstore.Partition{Topic: t.config.TextTopic, Number: t.partition},
+			producer: t.config.Producer, callBytes: t.config.CallBytes, logger: t.config.Logger, metrics: t.metrics, epoch: 1,
+		}
+		t.appenders[t.partition] = used
+	}
+	return t.partition, used
+}
+
+// leave makes another partition the one that is written to, unless that has happened.
+func (t *textStore) leave(partition int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.partition == partition {
+		t.partition = (partition + 1) % t.config.Partitions
 	}
 }
 
@@ -49,13 +70,21 @@
 	if len(records) == 0 {
 		records = [][]byte{{}}
 	}
-	offset, err := t.appender.append(ctx, records)
-	if err != nil {
-		return ledger.Location{}, err
+	for {
+		partition, used := t.writer()
+		within, cancel := context.WithTimeout(ctx, partitionPatience)
+		offset, err := used.append(within, records)
+		cancel()
+		if err == nil {
+			location := ledger.Location{Partition: uint16(partition), Offset: uint64(offset), Size: uint32(len(text))}
+			t.remember(location, text)
+			return location, nil
+		}
+		if ctx.Err() != nil {
+			return ledger.Location{}, err
+		}
+		t.leave(partition)
 	}
-	location := ledger.Location{Partition: uint16(t.partition), Offset: uint64(offset), Size: uint32(len(text))}
-	t.remember(location, text)
-	return location, nil
 }
 
 func (t *textStore) read(ctx context.Context, location ledger.Location) ([]byte, error) {
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"stepseam.example/stepseam/internal/ledger"
 )
@@ -17,16 +18,39 @@
 }
 
 // Keep adds a turn to the index. When it returns without an error, every node
-// finds the turn. Errors wrap ErrUnavailable.
+// finds the turn. While the program's own partition does not answer, another one
+// holds the record; a turn that is kept twice is kept. Errors wrap ErrUnavailable.
 func (l *Ledger) Keep(ctx context.Context, turn ledger.Keep) error {
-	p := l.of(turn.Program)
-	p.flush()
-	if _, err := p.appender.append(ctx, [][]byte{ledger.Encode(turn)}); err != nil {
-		return fmt.Errorf("%w: keep turn: %w", ErrUnavailable, err)
+	record := [][]byte{ledger.Encode(turn)}
+	own := l.Partition(turn.Program)
+	var last error
+	for i := range min(keepPartitions, len(l.partitions)) {
+		p := l.partitions[(own+i)%len(l.partitions)]
+		if last = l.keepIn(ctx, p, record); last == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	if last != nil {
+		return fmt.Errorf("%w: keep turn: %w", ErrUnavailable, last)
 	}
 	return nil
 }
 
+func (l *Ledger) keepIn(ctx context.Context, p *partition, record [][]byte) error {
+	p.flush()
+	within, cancel := context.WithTimeout(ctx, partitionPatience)
+	defer cancel()
+	_, err := p.appender.append(within, record)
+	return err
+}
+
+const (
+	// keepPartitions is how many partitions are tried for a turn's place in the index.
+	keepPartitions = 4
+	// partitionPatience is how long one partition is tried where another will do.
+	partitionPatience = 350 * time.Millisecond
+)
+
 // Chain returns the locations of a kept turn and its predecessors. It looks where
 // program's turns stand first and then everywhere, since a turn may be gone on
 // from under another program. Errors wrap ErrNoSuchTurn or ErrUnavailable.
@@ -40,18 +64,22 @@
 			return chain, nil
 		}
 	}
-	order := append([]*partition{own}, l.partitions...)
-	for i, p := range order {
-		if i > 0 && p == own {
-			continue
-		}
+	// The own partition comes first. One that can't be read only matters if the
+	// turn is found nowhere, since then it may stand there.
+	var unread error
+	for i := range l.partitions {
+		p := l.partitions[(l.Partition(program)+i)%len(l.partitions)]
 		if err := p.follower.readToEnd(ctx); err != nil {
-			return nil, fmt.Errorf("%w: look for turn %s: %w", ErrUnavailable, turn, err)
+			unread = err
+			continue
 		}
 		if chain, found := p.follower.chain(turn); found {
 			return chain, nil
 		}
 	}
+	if unread != nil {
+		return nil, fmt.Errorf("%w: look for turn %s: %w", ErrUnavailable, turn, unread)
+	}
 	return nil, fmt.Errorf("%w: %s", ErrNoSuchTurn, turn)
 }
 
--- a/internal/router/turn.go
+++ b/internal/router/turn.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// ledgerShare is the part of a request's time that the ledger may take.
-	ledgerShare = 0.5
+	// ledgerShare is the part of a request's time that the ledger may take, so that
+	// a client that is refused has time to ask another node.
+	ledgerShare = 0.45
 	// maxLedgerWait bounds that.
 	maxLedgerWait = 1500 * time.Millisecond
 )
