Use replicas whose entries are gone for a short time

Ruled out: draining replicas (none was) and the relay between nodes. A replica that never said that it drains now stays the second choice for 0.7 s after its entry's end, or until 3 s after an outage; a reused address answers 421 as before.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -24,6 +24,8 @@
 	workerRequestCost = 10.0
 	// otherZoneCost stands for the longer way and the price of bytes between zones.
 	otherZoneCost = 9.0
+	// doubtfulCost makes replicas that may have left the second choice.
+	doubtfulCost = 60.0
 	// suspectCost puts replicas that failed lately behind all others.
 	suspectCost = 2000.0
 	// usualEvents is how many events a stream has, roughly.
@@ -56,6 +58,8 @@
 	CachedTokens int
 	// Suspect tells that it failed lately, or leaves requests without an answer.
 	Suspect bool
+	// Doubtful tells that it may have left.
+	Doubtful bool
 	// SlowMilliseconds is how much longer than usual the time between two events of a
 	// stream is there; 0 unless the replica is slow.
 	SlowMilliseconds float64
@@ -103,6 +107,9 @@
 	if !candidate.SameZone {
 		total += otherZoneCost
 	}
+	if candidate.Doubtful {
+		total += doubtfulCost
+	}
 	if candidate.Suspect {
 		total += suspectCost
 	}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -89,6 +89,7 @@
 		}
 		candidate := Candidate{
 			Instance: replica.Instance, SameZone: replica.Zone == t.zone, Engine: engine, Slots: replica.Slots,
+			Doubtful:  replica.State == fleet.StateLapsed,
 			Elsewhere: elsewhere[loads.KeyOf(replica.Instance)],
 		}
 		if known, found := t.replicas[replica.Instance]; found {
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -6,6 +6,7 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/samber/lo"
 )
@@ -17,6 +18,18 @@
 const (
 	StateReady    State = "ready"
 	StateDraining State = "draining"
+	// StateLapsed is that of a replica whose entry is gone though it never said that
+	// it drains: it may have left, or it could not write to the store.
+	StateLapsed State = "lapsed"
+)
+
+const (
+	// lapsedLife is how long a replica whose entry is gone may still be used. With
+	// the time until that is heard, it is shorter than replicas take to leave.
+	lapsedLife = 700 * time.Millisecond
+	// unsettledLife is the same after the store was away, when entries are gone
+	// because replicas could not write.
+	unsettledLife = 3 * time.Second
 )
 
 // Replica is one life of a server of a service, as it describes itself.
@@ -44,22 +57,39 @@
 	mutex     sync.RWMutex
 	replicas  map[string]Replica
 	byService map[string][]Replica
+	lapsed    map[string]lapsedReplica
+	// unsettledUntil is until when entries may be gone because the store was away,
+	// by a monotonic reading.
+	unsettledUntil time.Duration
+}
+
+type lapsedReplica struct {
+	replica Replica
+	until   time.Duration
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{replicas: map[string]Replica{}, byService: map[string][]Replica{}}
+	return &Directory{replicas: map[string]Replica{}, byService: map[string][]Replica{}, lapsed: map[string]lapsedReplica{}}
+}
+
+// Unsettled tells that the store was away until now.
+func (d *Directory) Unsettled(now time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.unsettledUntil = now + unsettledLife
 }
 
 // Replace sets the whole, as a snapshot of the store tells it, and returns what
-// differs from before.
-func (d *Directory) Replace(all []Replica) []Change {
+// differs from before. now is a monotonic reading.
+func (d *Directory) Replace(all []Replica, now time.Duration) []Change {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	fresh := lo.KeyBy(all, func(replica Replica) string { return replica.Instance })
 	var changes []Change
 	for instance := range d.replicas {
 		if _, kept := fresh[instance]; !kept {
+			d.lapse(instance, now)
 			changes = append(changes, Change{Instance: instance})
 		}
 	}
@@ -74,12 +104,12 @@
 }
 
 // Apply takes changes in the order of the store and returns those that matter.
-func (d *Directory) Apply(changes []Change) []Change {
+func (d *Directory) Apply(changes []Change, now time.Duration) []Change {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	var effective []Change
 	for _, change := range changes {
-		if d.apply(change) {
+		if d.apply(change, now) {
 			effective = append(effective, change)
 		}
 	}
@@ -89,9 +119,11 @@
 	return effective
 }
 
-func (d *Directory) apply(change Change) bool {
+func (d *Directory) apply(change Change, now time.Duration) bool {
+	d.forgetLapsed(now)
 	if change.Replica == nil {
 		_, known := d.replicas[change.Instance]
+		d.lapse(change.Instance, now)
 		delete(d.replicas, change.Instance)
 		return known
 	}
@@ -100,6 +132,29 @@
 	return matters
 }
 
+// forgetLapsed drops what must not be used any more.
+func (d *Directory) forgetLapsed(now time.Duration) {
+	for instance, one := range d.lapsed {
+		if now >= one.until {
+			delete(d.lapsed, instance)
+		}
+	}
+}
+
+// lapse keeps a replica whose entry is gone for a while, unless it was draining.
+func (d *Directory) lapse(instance string, now time.Duration) {
+	replica, known := d.replicas[instance]
+	if !known || replica.State != StateReady {
+		return
+	}
+	replica.State = StateLapsed
+	until := now + lapsedLife
+	if now < d.unsettledUntil {
+		until = d.unsettledUntil
+	}
+	d.lapsed[instance] = lapsedReplica{replica: replica, until: until}
+}
+
 // differs tells whether more than the sequence number of a replica is new.
 func differs(known map[string]Replica, replica Replica) bool {
 	before, found := known[replica.Instance]
@@ -122,22 +177,28 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	delete(d.replicas, instance)
+	delete(d.lapsed, instance)
 	d.index()
 }
 
-// Ready returns the replicas of service that take new work. The caller must not
+// Usable returns the replicas of service that may get new work: those that are
+// ready, and for a short time those whose entries are gone. The caller must not
 // change the slice.
-func (d *Directory) Ready(service string) []Replica {
-	d.mutex.RLock()
-	defer d.mutex.RUnlock()
-	return d.byService[service]
-}
-
-// Takes tells whether the replica still takes new work.
-func (d *Directory) Takes(instance string) bool {
+func (d *Directory) Usable(service string, now time.Duration) []Replica {
 	d.mutex.RLock()
 	defer d.mutex.RUnlock()
-	return d.replicas[instance].State == StateReady
+	ready := d.byService[service]
+	if len(d.lapsed) == 0 {
+		return ready
+	}
+	usable := append([]Replica(nil), ready...)
+	for instance, one := range d.lapsed {
+		_, back := d.replicas[instance]
+		if one.replica.Service == service && now < one.until && !back {
+			usable = append(usable, one.replica)
+		}
+	}
+	return usable
 }
 
 // Size returns how many replicas are known.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -37,6 +37,9 @@
 	// called one at a time.
 	OnSnapshot func(items []logstore.Item)
 	OnChanges  func(items []logstore.Item)
+	// OnRegained is called when the store answers again after a failed call, before
+	// what it says is handed on.
+	OnRegained func()
 	Logger     *slog.Logger
 }
 
@@ -121,6 +124,7 @@
 	f.pause = minPause
 	if f.lost {
 		f.lost = false
+		f.config.OnRegained()
 		f.config.Logger.Info("dependency regained", "dependency", f.config.Name)
 	}
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -19,6 +19,7 @@
 type view struct {
 	values    map[string]string
 	snapshots int
+	regained  int
 }
 
 func (v *view) snapshot(items []logstore.Item) {
@@ -41,7 +42,7 @@
 	seen := &view{}
 	follower := New(Config{
 		Name: "test", Store: log, Partition: place, Pause: 100 * time.Millisecond, Wait: time.Second,
-		OnSnapshot: seen.snapshot, OnChanges: seen.change, Logger: slog.New(slog.DiscardHandler),
+		OnSnapshot: seen.snapshot, OnChanges: seen.change, OnRegained: func() { seen.regained++ }, Logger: slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -87,6 +88,7 @@
 		time.Sleep(time.Second)
 		is.Equal(seen.values, map[string]string{"a": "2"})
 		is.Equal(seen.snapshots, 2)
+		is.Equal(seen.regained, 1)
 	})
 }
 
--- a/internal/routednode/views.go
+++ b/internal/routednode/views.go
@@ -36,7 +36,8 @@
 func (v *views) configurations(store logstore.Store, chosen settings.Follow) *follow.Follower {
 	return follow.New(follow.Config{
 		Name: "configuration", Store: store, Partition: v.adapter.Configuration,
-		Pause: 0, Wait: chosen.Wait, OnSnapshot: v.takeConfiguration, OnChanges: v.takeConfiguration, Logger: v.logger,
+		Pause: 0, Wait: chosen.Wait, OnSnapshot: v.takeConfiguration, OnChanges: v.takeConfiguration,
+		OnRegained: func() {}, Logger: v.logger,
 	})
 }
 
@@ -45,7 +46,8 @@
 	return follow.New(follow.Config{
 		Name: "replicas", Store: store, Partition: v.adapter.Replicas,
 		Pause: chosen.ReplicasPause, Wait: chosen.Wait,
-		OnSnapshot: v.replaceReplicas, OnChanges: v.changeReplicas, Logger: v.logger,
+		OnSnapshot: v.replaceReplicas, OnChanges: v.changeReplicas,
+		OnRegained: func() { v.fleet.Unsettled(v.router.Now()) }, Logger: v.logger,
 	})
 }
 
@@ -116,7 +118,7 @@
 			all = append(all, replica)
 		}
 	}
-	v.logChanges(v.fleet.Replace(all))
+	v.logChanges(v.fleet.Replace(all, v.router.Now()))
 	v.listed.Store(true)
 }
 
@@ -132,7 +134,7 @@
 			changes = append(changes, fleet.Change{Instance: item.Key, Replica: &replica})
 		}
 	}
-	v.logChanges(v.fleet.Apply(changes))
+	v.logChanges(v.fleet.Apply(changes, v.router.Now()))
 }
 
 func (v *views) decode(item logstore.Item) (fleet.Replica, bool) {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -96,13 +96,13 @@
 }
 
 func (r *Router) choose(call *call, course *attempts) (fleet.Replica, bool) {
-	ready := r.config.Fleet.Ready(call.service.Name)
-	candidates := r.config.Tracker.Candidates(ready, call.service.Slots > 0, call.prompt, course.except, r.Now())
+	usable := r.config.Fleet.Usable(call.service.Name, r.Now())
+	candidates := r.config.Tracker.Candidates(usable, call.service.Slots > 0, call.prompt, course.except, r.Now())
 	choice, found := balance.Choose(candidates, call.promptTokens, r.config.Random())
 	if !found {
 		return fleet.Replica{}, false
 	}
-	for _, replica := range ready {
+	for _, replica := range usable {
 		if replica.Instance == choice.Candidate.Instance {
 			return replica, true
 		}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -63,7 +63,7 @@
 		}
 		all = append(all, fleet.Replica{Instance: string(rune('a' + i)), Service: "s", Address: started.Address, Zone: zone, State: fleet.StateReady})
 	}
-	h.fleet.Replace(all)
+	h.fleet.Replace(all, 0)
 	h.configure(1)
 	h.server = httptest.NewServer(h.router)
 	t.Cleanup(h.server.Close)
