--- a/cmd/stepseam-lab/machines.go
+++ b/cmd/stepseam-lab/machines.go
@@ -10,7 +10,7 @@
 	"stepseam.example/stepseam/internal/controller/machines"
 	"stepseam.example/stepseam/internal/emulator/machinelist"
 	"stepseam.example/stepseam/internal/emulator/standin"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // machinesCommand runs a machine list stand-in.
@@ -20,8 +20,8 @@
 
 // machinesParameters is the file that --parameters names.
 type machinesParameters struct {
-	Faults   machinelist.Faults `yaml:"faults"`
-	Machines []platform.Machine `yaml:"machines"`
+	Faults   machinelist.Faults     `yaml:"faults"`
+	Machines []siteservices.Machine `yaml:"machines"`
 }
 
 func (c *machinesCommand) run(ctx context.Context) error {
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -7,8 +7,8 @@
 	"stepseam.example/stepseam/internal/backend"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -18,7 +18,7 @@
 	Members *Cell[membership.View]
 	// Machines is the platform's list as last read, written by the machine list
 	// controller. It lags.
-	Machines *Cell[[]platform.Machine]
+	Machines *Cell[[]siteservices.Machine]
 	// Table is the version in force here, nil before the first. It is written by
 	// the table controller, which never stores an older version over a newer one.
 	Table *Cell[*table.Table]
@@ -34,7 +34,7 @@
 // Backend is one back end as this node sees it.
 type Backend struct {
 	Name    string
-	Role    platform.MachineRole
+	Role    siteservices.MachineRole
 	Address netip.AddrPort
 	Zone    identity.Zone
 	Service string
@@ -62,7 +62,7 @@
 func NewBoard() *Board {
 	return &Board{
 		Members:  NewCell(membership.View{}),
-		Machines: NewCell[[]platform.Machine](nil),
+		Machines: NewCell[[]siteservices.Machine](nil),
 		Table:    NewCell[*table.Table](nil),
 		Backends: NewMap[string, Backend](),
 		Owners:   NewMap[identity.ShardID, Owner](),
--- a/internal/controller/backends/controller.go
+++ b/internal/controller/backends/controller.go
@@ -28,7 +28,7 @@
 	"stepseam.example/stepseam/internal/defaults"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // The defaults of Config.
@@ -111,7 +111,7 @@
 
 // watched is the controller's own knowledge of one back end.
 type watched struct {
-	machine platform.Machine
+	machine siteservices.Machine
 	// polled tells that the back end is in this node's share.
 	polled   bool
 	polling  bool
@@ -192,9 +192,9 @@
 
 // reconcile takes a new machine list in: new back ends go onto the board, those
 // that are gone leave it, and the share to poll is chosen anew.
-func (c *Controller) reconcile(machines []platform.Machine) {
-	backEnds := lo.Filter(machines, func(machine platform.Machine, _ int) bool {
-		return machine.Role == platform.RoleEngine || machine.Role == platform.RoleApplication
+func (c *Controller) reconcile(machines []siteservices.Machine) {
+	backEnds := lo.Filter(machines, func(machine siteservices.Machine, _ int) bool {
+		return machine.Role == siteservices.RoleEngine || machine.Role == siteservices.RoleApplication
 	})
 	region := ownRegion(c.config.Board.Members.Load())
 	chosen := share(c.config.Node, region, backEnds, c.config.PollAll, c.config.PerService)
@@ -221,7 +221,7 @@
 		}
 		known.machine = machine
 		known.polled = chosen[machine.Name]
-		known.leaving.listed = machine.State == platform.MachineLeaving
+		known.leaving.listed = machine.State == siteservices.MachineLeaving
 		c.publish(now, known)
 	}
 	for name, known := range c.watched {
--- a/internal/controller/backends/controller_test.go
+++ b/internal/controller/backends/controller_test.go
@@ -21,8 +21,8 @@
 	"stepseam.example/stepseam/internal/emulator/engine"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // listLag is how far the machine list of these tests is behind the truth.
@@ -64,11 +64,11 @@
 			applications: map[netip.AddrPort]*application.Application{},
 			board:        blackboard.NewBoard(),
 		}
-		var listed []platform.Machine
+		var listed []siteservices.Machine
 		for i := range 5 {
-			machine := platform.Machine{State: platform.MachineLive, Address: addressOf(i), Zone: "zone"}
+			machine := siteservices.Machine{State: siteservices.MachineLive, Address: addressOf(i), Zone: "zone"}
 			if i < 3 {
-				machine.Name, machine.Role, machine.Service = fmt.Sprintf("engine-%d", i), platform.RoleEngine, "advisors"
+				machine.Name, machine.Role, machine.Service = fmt.Sprintf("engine-%d", i), siteservices.RoleEngine, "advisors"
 				e, err := engine.New(engine.DefaultParameters(machine.Name, "advisor"))
 				if err != nil {
 					t.Fatal(err)
@@ -76,7 +76,7 @@
 				defer e.Close()
 				s.engines[machine.Address] = e
 			} else {
-				machine.Name, machine.Role, machine.Service = fmt.Sprintf("portal-%d", i), platform.RoleApplication, "portal"
+				machine.Name, machine.Role, machine.Service = fmt.Sprintf("portal-%d", i), siteservices.RoleApplication, "portal"
 				a, err := application.New(application.DefaultParameters(machine.Name), nil)
 				if err != nil {
 					t.Fatal(err)
@@ -102,9 +102,9 @@
 }
 
 // setState changes the machine list, as it is seen.
-func (s *site) setState(address netip.AddrPort, state platform.MachineState) {
-	s.board.Machines.Update(func(machines []platform.Machine) []platform.Machine {
-		changed := append([]platform.Machine(nil), machines...)
+func (s *site) setState(address netip.AddrPort, state siteservices.MachineState) {
+	s.board.Machines.Update(func(machines []siteservices.Machine) []siteservices.Machine {
+		changed := append([]siteservices.Machine(nil), machines...)
 		for i := range changed {
 			if changed[i].Address == address {
 				changed[i].State = state
@@ -195,7 +195,7 @@
 		}
 		time.AfterFunc(listLag, func() {
 			for address := range s.engines {
-				s.setState(address, platform.MachineLeaving)
+				s.setState(address, siteservices.MachineLeaving)
 			}
 		})
 		time.Sleep(2 * listLag)
@@ -231,7 +231,7 @@
 func TestTheMachineListAloneMarksLeaving(t *testing.T) {
 	inBubble(t, func(t *testing.T, s *site) {
 		is := is.New(t)
-		s.setState(addressOf(2), platform.MachineLeaving)
+		s.setState(addressOf(2), siteservices.MachineLeaving)
 		synctest.Wait()
 		is.True(s.shown(addressOf(2)).Leaving)
 	})
@@ -386,12 +386,12 @@
 func largeFleet() (*blackboard.Board, *backends.Controller) {
 	engines := fleet{}
 	board := blackboard.NewBoard()
-	var listed []platform.Machine
+	var listed []siteservices.Machine
 	for i := range fleetReplicas {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 250), byte(i % 250)}), 80)
 		engines[address] = &atomic.Int64{}
-		listed = append(listed, platform.Machine{
-			Name: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, State: platform.MachineLive,
+		listed = append(listed, siteservices.Machine{
+			Name: fmt.Sprintf("engine-%d", i), Role: siteservices.RoleEngine, State: siteservices.MachineLive,
 			Service: fmt.Sprintf("service-%d", i%fleetServices), Address: address,
 		})
 	}
@@ -443,7 +443,7 @@
 		board, controller := largeFleet()
 		engines := controller.Inner().(fleet)
 		regions := map[netip.AddrPort]identity.Region{}
-		board.Machines.Update(func(listed []platform.Machine) []platform.Machine {
+		board.Machines.Update(func(listed []siteservices.Machine) []siteservices.Machine {
 			for i := range listed {
 				listed[i].Region = identity.Region(fmt.Sprintf("region-%d", i%3))
 				regions[listed[i].Address] = listed[i].Region
--- a/internal/controller/backends/export_test.go
+++ b/internal/controller/backends/export_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"stepseam.example/stepseam/internal/backend"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // Reconcile and Review let benchmarks run single steps of Run.
-func (c *Controller) Reconcile(machines []platform.Machine) { c.reconcile(machines) }
+func (c *Controller) Reconcile(machines []siteservices.Machine) { c.reconcile(machines) }
 
 // Review runs one review.
 func (c *Controller) Review() bool { return c.review() }
--- a/internal/controller/backends/observe.go
+++ b/internal/controller/backends/observe.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/backend"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 const (
@@ -78,8 +78,8 @@
 
 // hung tells whether an application kept a call until its time ran out. An
 // engine's calls may have waited for their turn, so they say nothing.
-func hung(role platform.MachineRole, result Result) bool {
-	return role == platform.RoleApplication && result.Total >= hungAfter && errors.Is(result.Err, context.DeadlineExceeded)
+func hung(role siteservices.MachineRole, result Result) bool {
+	return role == siteservices.RoleApplication && result.Total >= hungAfter && errors.Is(result.Err, context.DeadlineExceeded)
 }
 
 // answered takes in a call that ended well. The mutex is held.
--- a/internal/controller/backends/poll.go
+++ b/internal/controller/backends/poll.go
@@ -8,14 +8,14 @@
 
 	"stepseam.example/stepseam/internal/backend"
 	"stepseam.example/stepseam/internal/blackboard"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // target is one back end to poll.
 type target struct {
 	name    string
-	machine platform.Machine
+	machine siteservices.Machine
 	// events asks for cache events from this number on.
 	events    bool
 	nextEvent uint64
@@ -39,7 +39,7 @@
 		known.polling = true
 		due = append(due, target{
 			name: name, machine: known.machine, nextEvent: known.nextEvent,
-			events: known.machine.Role == platform.RoleEngine && c.cache.Knows(name),
+			events: known.machine.Role == siteservices.RoleEngine && c.cache.Knows(name),
 		})
 	}
 	c.mutex.Unlock()
@@ -75,8 +75,8 @@
 	}
 }
 
-func (c *Controller) load(ctx context.Context, machine platform.Machine) (backend.LoadReport, error) {
-	if machine.Role == platform.RoleApplication {
+func (c *Controller) load(ctx context.Context, machine siteservices.Machine) (backend.LoadReport, error) {
+	if machine.Role == siteservices.RoleApplication {
 		return backend.LoadOf(ctx, c.config.Directory.Application(machine.Address))
 	}
 	return c.config.Directory.Engine(machine.Address).Load(ctx)
--- a/internal/controller/backends/pure_test.go
+++ b/internal/controller/backends/pure_test.go
@@ -10,8 +10,8 @@
 
 	"stepseam.example/stepseam/internal/backend"
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -70,11 +70,11 @@
 	is.True(!pool{}.isSlow(9, slowTokens))
 }
 
-func machines(count, services int) []platform.Machine {
-	var all []platform.Machine
+func machines(count, services int) []siteservices.Machine {
+	var all []siteservices.Machine
 	for i := range count {
-		all = append(all, platform.Machine{
-			Name: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, State: platform.MachineLive,
+		all = append(all, siteservices.Machine{
+			Name: fmt.Sprintf("engine-%d", i), Role: siteservices.RoleEngine, State: siteservices.MachineLive,
 			Service: fmt.Sprintf("service-%d", i%services),
 		})
 	}
@@ -140,7 +140,7 @@
 	is.Equal([]int{n, f}, []int{0, defaultPollAll})
 	for i := range all {
 		if all[i].Region == "region-1" {
-			all[i].State = platform.MachineLeaving
+			all[i].State = siteservices.MachineLeaving
 		}
 	}
 	n, f = near("region-1")
--- a/internal/controller/backends/share.go
+++ b/internal/controller/backends/share.go
@@ -9,7 +9,7 @@
 	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // share returns the names of the back ends that node polls: all of them up to
@@ -18,7 +18,7 @@
 // none. Each back end is then polled by about as many nodes as the others, and
 // one more or less moves few choices. Leaving ones take no part: nothing more is
 // to be learned of them. An empty region prefers none.
-func share(node identity.NodeName, region identity.Region, machines []platform.Machine, limit, minimum int) map[string]bool {
+func share(node identity.NodeName, region identity.Region, machines []siteservices.Machine, limit, minimum int) map[string]bool {
 	chosen := map[string]bool{}
 	if len(machines) <= limit {
 		for _, machine := range machines {
@@ -26,11 +26,11 @@
 		}
 		return chosen
 	}
-	services := lo.GroupBy(machines, func(machine platform.Machine) string { return machine.Service })
+	services := lo.GroupBy(machines, func(machine siteservices.Machine) string { return machine.Service })
 	each := max(limit/max(len(services), 1), minimum)
 	for _, members := range services {
 		members = eligible(members, region)
-		slices.SortFunc(members, func(a, b platform.Machine) int {
+		slices.SortFunc(members, func(a, b siteservices.Machine) int {
 			return cmp.Compare(weight(node, b.Name), weight(node, a.Name))
 		})
 		for _, machine := range members[:min(each, len(members))] {
@@ -41,11 +41,11 @@
 }
 
 // eligible returns the members that stay, those of region if there are any.
-func eligible(members []platform.Machine, region identity.Region) []platform.Machine {
-	staying := lo.Filter(members, func(machine platform.Machine, _ int) bool {
-		return machine.State != platform.MachineLeaving
+func eligible(members []siteservices.Machine, region identity.Region) []siteservices.Machine {
+	staying := lo.Filter(members, func(machine siteservices.Machine, _ int) bool {
+		return machine.State != siteservices.MachineLeaving
 	})
-	near := lo.Filter(staying, func(machine platform.Machine, _ int) bool { return machine.Region == region })
+	near := lo.Filter(staying, func(machine siteservices.Machine, _ int) bool { return machine.Region == region })
 	if region == "" || len(near) == 0 {
 		return staying
 	}
--- a/internal/controller/machines/machines.go
+++ b/internal/controller/machines/machines.go
@@ -16,12 +16,12 @@
 
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/blackboard"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // Config is what a Controller needs.
 type Config struct {
-	List  platform.MachineList
+	List  siteservices.MachineList
 	Board *blackboard.Board
 	// Interval is the time between two reads.
 	Interval time.Duration
@@ -105,8 +105,8 @@
 
 // Check returns the usable rows of a machine list, in their order, and the
 // findings about the others.
-func Check(machines []platform.Machine) ([]platform.Machine, []api.Finding) {
-	valid := make([]platform.Machine, 0, len(machines))
+func Check(machines []siteservices.Machine) ([]siteservices.Machine, []api.Finding) {
+	valid := make([]siteservices.Machine, 0, len(machines))
 	names := make(map[string]bool, len(machines))
 	var findings []api.Finding
 	for row, machine := range machines {
@@ -124,7 +124,7 @@
 	return valid, findings
 }
 
-func checkRow(place string, machine platform.Machine) []api.Finding {
+func checkRow(place string, machine siteservices.Machine) []api.Finding {
 	var findings []api.Finding
 	add := func(field, message string) {
 		findings = append(findings, api.Finding{Place: place + "." + field, Message: message})
@@ -133,15 +133,15 @@
 		add("name", "is empty")
 	}
 	switch machine.Role {
-	case platform.RoleNode:
+	case siteservices.RoleNode:
 		if !machine.ProbeAddress.IsValid() {
 			add("probe_address", "is missing, a node needs one")
 		}
-	case platform.RoleEngine, platform.RoleApplication:
+	case siteservices.RoleEngine, siteservices.RoleApplication:
 	default:
 		add("role", fmt.Sprintf("%q is none of node, engine and application", machine.Role))
 	}
-	if machine.State != platform.MachineLive && machine.State != platform.MachineLeaving {
+	if machine.State != siteservices.MachineLive && machine.State != siteservices.MachineLeaving {
 		add("state", fmt.Sprintf("%q is neither live nor leaving", machine.State))
 	}
 	if !machine.Address.IsValid() {
--- a/internal/controller/machines/machines_test.go
+++ b/internal/controller/machines/machines_test.go
@@ -13,12 +13,12 @@
 
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/emulator/machinelist"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
-func engine(name string) platform.Machine {
-	return platform.Machine{
-		Name: name, Role: platform.RoleEngine, State: platform.MachineLive, Zone: "a",
+func engine(name string) siteservices.Machine {
+	return siteservices.Machine{
+		Name: name, Role: siteservices.RoleEngine, State: siteservices.MachineLive, Zone: "a",
 		Address: netip.MustParseAddrPort("127.0.0.2:80"),
 	}
 }
@@ -26,7 +26,7 @@
 func TestControllerKeepsTheLastListWhileAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
-		list := machinelist.New([]platform.Machine{engine("e1")})
+		list := machinelist.New([]siteservices.Machine{engine("e1")})
 		board := blackboard.NewBoard()
 		controller := New(Config{
 			List: list, Board: board, Interval: 2 * time.Second,
@@ -36,17 +36,17 @@
 		defer cancel()
 		go controller.Run(ctx)
 		synctest.Wait()
-		check.Equal(board.Machines.Load(), []platform.Machine{engine("e1")})
+		check.Equal(board.Machines.Load(), []siteservices.Machine{engine("e1")})
 
 		list.SetFaults(machinelist.Faults{Down: true})
 		list.Put(engine("e2"))
 		time.Sleep(time.Hour)
-		check.Equal(board.Machines.Load(), []platform.Machine{engine("e1")})
+		check.Equal(board.Machines.Load(), []siteservices.Machine{engine("e1")})
 
 		list.SetFaults(machinelist.Faults{})
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		check.Equal(board.Machines.Load(), []platform.Machine{engine("e1"), engine("e2")})
+		check.Equal(board.Machines.Load(), []siteservices.Machine{engine("e1"), engine("e2")})
 		_, before, _ := board.Machines.Watch()
 		time.Sleep(time.Minute)
 		_, after, _ := board.Machines.Watch()
@@ -57,10 +57,10 @@
 func TestCheckLeavesOutFaultyRowsWithTheirPlace(t *testing.T) {
 	check := is.New(t)
 	node := engine("n1")
-	node.Role = platform.RoleNode
-	odd := platform.Machine{Role: "router", State: "asleep"}
-	valid, findings := Check([]platform.Machine{engine("e1"), node, odd, engine("e1")})
-	check.Equal(valid, []platform.Machine{engine("e1")})
+	node.Role = siteservices.RoleNode
+	odd := siteservices.Machine{Role: "router", State: "asleep"}
+	valid, findings := Check([]siteservices.Machine{engine("e1"), node, odd, engine("e1")})
+	check.Equal(valid, []siteservices.Machine{engine("e1")})
 	places := []string{}
 	for _, finding := range findings {
 		places = append(places, finding.Place)
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -22,7 +22,7 @@
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // ErrSuperseded tells that a later life of this node's name runs elsewhere: this
@@ -224,7 +224,7 @@
 func (c *Controller) seeds() []netip.AddrPort {
 	seeds := slices.Clone(c.config.Seeds)
 	for _, machine := range c.config.Board.Machines.Load() {
-		if machine.Role == platform.RoleNode && machine.ProbeAddress.IsValid() {
+		if machine.Role == siteservices.RoleNode && machine.ProbeAddress.IsValid() {
 			seeds = append(seeds, machine.ProbeAddress)
 		}
 	}
--- a/internal/controller/members/members_test.go
+++ b/internal/controller/members/members_test.go
@@ -18,7 +18,7 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -105,9 +105,9 @@
 		late := s.add(1)
 		time.Sleep(5 * time.Second)
 		is.Equal(len(late.board.Members.Load().Members), 1)
-		late.board.Machines.Store([]platform.Machine{
-			{Name: "engine", Role: platform.RoleEngine, Address: address(9, 80)},
-			{Name: "node-0", Role: platform.RoleNode, ProbeAddress: address(0, 7200)},
+		late.board.Machines.Store([]siteservices.Machine{
+			{Name: "engine", Role: siteservices.RoleEngine, Address: address(9, 80)},
+			{Name: "node-0", Role: siteservices.RoleNode, ProbeAddress: address(0, 7200)},
 		})
 		time.Sleep(5 * time.Second)
 		is.Equal(len(late.board.Members.Load().Members), 2)
--- a/internal/controller/models/controller.go
+++ b/internal/controller/models/controller.go
@@ -27,8 +27,8 @@
 	"stepseam.example/stepseam/internal/backend"
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling/modelplacement"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -70,7 +70,7 @@
 	Board      *blackboard.Board
 	// Directory gives the clients that orders go through.
 	Directory backend.Directory
-	Weights   platform.WeightStore
+	Weights   siteservices.WeightStore
 	// Held returns the epoch in which this node owns shard now, or an error.
 	Held   func(shard identity.ShardID) (identity.Epoch, error)
 	Demand *Demand
--- a/internal/controller/models/observe.go
+++ b/internal/controller/models/observe.go
@@ -11,9 +11,9 @@
 
 	"stepseam.example/stepseam/internal/backend"
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
 	"stepseam.example/stepseam/internal/scheduling/modelplacement"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -79,7 +79,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for name, seen := range board {
-		if seen.Role != platform.RoleEngine {
+		if seen.Role != siteservices.RoleEngine {
 			continue
 		}
 		state, known := c.engines[name]
--- a/internal/controller/models/site_test.go
+++ b/internal/controller/models/site_test.go
@@ -16,8 +16,8 @@
 	"stepseam.example/stepseam/internal/emulator/weightstore"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/journal"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -114,7 +114,7 @@
 		for index, one := range n.site.engines {
 			report, err := one.Load(ctx)
 			n.board.Backends.Update(one.Name(), func(seen blackboard.Backend, _ bool) (blackboard.Backend, bool) {
-				seen.Name, seen.Role, seen.Address, seen.Service = one.Name(), platform.RoleEngine, address(index), service
+				seen.Name, seen.Role, seen.Address, seen.Service = one.Name(), siteservices.RoleEngine, address(index), service
 				seen.Zone = identity.Zone(fmt.Sprintf("zone-%d", index%2))
 				seen.Health = scheduling.Ejected
 				if index >= len(n.site.engines)-n.site.unpolledBy(n) {
--- a/internal/controller/tables/controller.go
+++ b/internal/controller/tables/controller.go
@@ -26,7 +26,7 @@
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -34,7 +34,7 @@
 // set; the zero values of the rest stand for their defaults.
 type Config struct {
 	Self  identity.NodeName
-	Log   platform.Log
+	Log   siteservices.Log
 	Peers peer.Client
 	Board *blackboard.Board
 	// Logger takes the controller's lines; nil drops them.
@@ -142,7 +142,7 @@
 	// Known is the newest accepted version that this node knows of.
 	Known table.Version
 	// Next is the offset that the node reads on from.
-	Next platform.Offset
+	Next siteservices.Offset
 	// Failure is why the stream cannot be followed at the moment; empty if it can.
 	Failure string
 }
--- a/internal/controller/tables/exchange.go
+++ b/internal/controller/tables/exchange.go
@@ -11,7 +11,7 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 	"stepseam.example/stepseam/internal/wire"
 )
@@ -25,7 +25,7 @@
 // pull tells how far its sender has folded the stream and asks for more.
 type pull struct {
 	Node identity.NodeName
-	Next platform.Offset
+	Next siteservices.Offset
 }
 
 // Kind implements peer.Message.
@@ -39,7 +39,7 @@
 
 // Decode implements peer.Message.
 func (m *pull) Decode(d *wire.Decoder) {
-	m.Node, m.Next = identity.NodeName(d.String()), platform.Offset(d.Uint64())
+	m.Node, m.Next = identity.NodeName(d.String()), siteservices.Offset(d.Uint64())
 }
 
 // handOver answers a pull. Ledger is nil unless the answering node has folded more.
@@ -123,7 +123,7 @@
 	return nil
 }
 
-func (c *Controller) next() platform.Offset {
+func (c *Controller) next() siteservices.Offset {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.ledger.Next()
--- a/internal/controller/tables/follow.go
+++ b/internal/controller/tables/follow.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -88,7 +88,7 @@
 
 // fold takes the records of one read. Reads and peers may have brought the
 // ledger on meanwhile; records that it has folded already are passed over.
-func (c *Controller) fold(asked platform.Offset, result platform.ReadResult) (end bool, err error) {
+func (c *Controller) fold(asked siteservices.Offset, result siteservices.ReadResult) (end bool, err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if result.End < asked {
@@ -98,7 +98,7 @@
 		return false, fmt.Errorf("%w: from %d to %d", ErrGap, c.ledger.Next(), result.From)
 	}
 	for index, raw := range result.Records {
-		if result.From+platform.Offset(index) < c.ledger.Next() {
+		if result.From+siteservices.Offset(index) < c.ledger.Next() {
 			continue
 		}
 		if err = c.ledger.Fold(raw); err != nil {
--- a/internal/controller/tables/publish.go
+++ b/internal/controller/tables/publish.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.controller.config.PublishTimeout/appendShare)
 	defer cancel()
 	_, err := a.controller.config.Log.Append(ctx, table.Stream, [][]byte{record})
-	if err == nil || !errors.Is(err, platform.ErrUnavailable) {
+	if err == nil || !errors.Is(err, siteservices.ErrUnavailable) {
 		a.possiblyAppended = true
 	}
 	if err != nil {
@@ -227,7 +227,7 @@
 	return table.Record{}, fmt.Errorf("%w: %d", ErrForgotten, wanted)
 }
 
-func (c *Controller) readRecord(ctx context.Context, offset platform.Offset) (table.Record, error) {
+func (c *Controller) readRecord(ctx context.Context, offset siteservices.Offset) (table.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerGrace)
 	defer cancel()
 	result, err := c.config.Log.Read(ctx, table.Stream, offset, 1, 0)
--- a/internal/controller/tables/site_test.go
+++ b/internal/controller/tables/site_test.go
@@ -19,7 +19,7 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -73,7 +73,7 @@
 	board      *blackboard.Board
 	controller *tables.Controller
 	endpoint   *network.Endpoint
-	log        platform.Log
+	log        siteservices.Log
 	cancel     context.CancelFunc
 	started    time.Time
 }
@@ -91,24 +91,24 @@
 	view     *logservice.View
 }
 
-func (g gatedLog) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+func (g gatedLog) Append(ctx context.Context, stream string, records [][]byte) (siteservices.Offset, error) {
 	if err := g.endpoint.Gate(ctx); err != nil {
-		return 0, errors.Join(platform.ErrUnavailable, err)
+		return 0, errors.Join(siteservices.ErrUnavailable, err)
 	}
 	offset, err := g.view.Append(ctx, stream, records)
 	if gateErr := g.endpoint.Gate(context.Background()); gateErr != nil {
-		return 0, errors.Join(platform.ErrAnswerLost, gateErr)
+		return 0, errors.Join(siteservices.ErrAnswerLost, gateErr)
 	}
 	return offset, err
 }
 
-func (g gatedLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+func (g gatedLog) Read(ctx context.Context, stream string, from siteservices.Offset, limit int, wait time.Duration) (siteservices.ReadResult, error) {
 	if err := g.endpoint.Gate(ctx); err != nil {
-		return platform.ReadResult{}, errors.Join(platform.ErrUnavailable, err)
+		return siteservices.ReadResult{}, errors.Join(siteservices.ErrUnavailable, err)
 	}
 	result, err := g.view.Read(ctx, stream, from, limit, wait)
 	if gateErr := g.endpoint.Gate(context.Background()); gateErr != nil {
-		return platform.ReadResult{}, errors.Join(platform.ErrAnswerLost, gateErr)
+		return siteservices.ReadResult{}, errors.Join(siteservices.ErrAnswerLost, gateErr)
 	}
 	return result, err
 }
--- a/internal/controller/tables/summary.go
+++ b/internal/controller/tables/summary.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -77,7 +77,7 @@
 			break
 		}
 		for index, raw := range result.Records {
-			if ledger, err := table.FromSummary(result.From+platform.Offset(index), raw); err == nil {
+			if ledger, err := table.FromSummary(result.From+siteservices.Offset(index), raw); err == nil {
 				found = ledger
 			}
 		}
--- a/internal/controller/tables/tables_test.go
+++ b/internal/controller/tables/tables_test.go
@@ -21,7 +21,7 @@
 	"stepseam.example/stepseam/internal/emulator/network"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -211,7 +211,7 @@
 	caught(t, func(ctx context.Context, n *node, p tables.Publication) (table.Entry, error) {
 		record := table.Record{ID: p.ID + "-first", Base: p.Base, Author: p.Author, Note: p.Note, CSV: p.CSV}
 		_, err := n.log.Append(ctx, table.Stream, [][]byte{record.Encode()})
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, siteservices.ErrUnavailable) {
 			return table.Entry{}, fmt.Errorf("%w: %w", tables.ErrNotPublished, err)
 		}
 		if err == nil {
@@ -429,11 +429,11 @@
 
 // countingLog counts the records read through it.
 type countingLog struct {
-	platform.Log
+	siteservices.Log
 	records atomic.Int64
 }
 
-func (c *countingLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+func (c *countingLog) Read(ctx context.Context, stream string, from siteservices.Offset, limit int, wait time.Duration) (siteservices.ReadResult, error) {
 	result, err := c.Log.Read(ctx, stream, from, limit, wait)
 	c.records.Add(int64(len(result.Records)))
 	return result, err
--- a/internal/emulator/logservice/server.go
+++ b/internal/emulator/logservice/server.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/emulator/standin"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // NewServer returns the HTTP face of service: the protocol that
-// platform.LogClient speaks, and under /stand-in/ what tests and operators of a
+// siteservices.LogClient speaks, and under /stand-in/ what tests and operators of a
 // laboratory site use to switch faults (GET and PUT /stand-in/faults, with
 // ?caller= for one caller's view) and to see what is stored
 // (GET /stand-in/counts, GET /stand-in/streams).
@@ -43,17 +43,17 @@
 }
 
 func handleAppend(service *Service, w http.ResponseWriter, r *http.Request) {
-	var body platform.AppendBody
+	var body siteservices.AppendBody
 	if !standin.ReadJSON(w, r, &body) {
 		return
 	}
-	view := service.ViewFor(r.Header.Get(platform.CallerHeader))
+	view := service.ViewFor(r.Header.Get(siteservices.CallerHeader))
 	offset, err := view.Append(r.Context(), r.PathValue("stream"), body.Records)
 	if err != nil {
 		standin.Fail(w, err)
 		return
 	}
-	standin.WriteJSON(w, platform.AppendAnswer{Offset: offset})
+	standin.WriteJSON(w, siteservices.AppendAnswer{Offset: offset})
 }
 
 func handleRead(service *Service, w http.ResponseWriter, r *http.Request) {
@@ -67,14 +67,14 @@
 			return
 		}
 	}
-	wait := min(time.Duration(milliseconds)*time.Millisecond, platform.MaxWait)
-	view := service.ViewFor(r.Header.Get(platform.CallerHeader))
-	result, err := view.Read(r.Context(), r.PathValue("stream"), platform.Offset(from), limit, wait)
+	wait := min(time.Duration(milliseconds)*time.Millisecond, siteservices.MaxWait)
+	view := service.ViewFor(r.Header.Get(siteservices.CallerHeader))
+	result, err := view.Read(r.Context(), r.PathValue("stream"), siteservices.Offset(from), limit, wait)
 	if err != nil {
 		standin.Fail(w, err)
 		return
 	}
-	standin.WriteJSON(w, platform.ReadAnswer(result))
+	standin.WriteJSON(w, siteservices.ReadAnswer(result))
 }
 
 func handleSetFaults(service *Service, w http.ResponseWriter, r *http.Request) {
--- a/internal/emulator/logservice/service.go
+++ b/internal/emulator/logservice/service.go
@@ -1,6 +1,6 @@
 // Package logservice is a stand-in for the platform's append-only log service.
 //
-// Its core keeps streams in memory and implements platform.Log directly, with
+// Its core keeps streams in memory and implements siteservices.Log directly, with
 // package time and channels alone, so that it runs inside a testing/synctest
 // bubble. Each caller gets its own view, so that a test can cut one node off
 // while the others go on. Faults are switched by the test or drawn from a
@@ -14,7 +14,7 @@
 	"slices"
 	"sync"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // Bounds of one answer of Read, in records and in bytes. An answer holds at
@@ -36,7 +36,7 @@
 	Reads uint64 `json:"reads"`
 }
 
-// Service is the core of the log service. It implements platform.Log without a
+// Service is the core of the log service. It implements siteservices.Log without a
 // view's own faults; callers that are cut off one by one use ViewFor.
 type Service struct {
 	// mutex guards everything below.
@@ -59,7 +59,7 @@
 	grown chan struct{}
 }
 
-var _ platform.Log = (*Service)(nil)
+var _ siteservices.Log = (*Service)(nil)
 
 // New returns an empty service whose fault draws come from seed.
 func New(seed uint64) *Service {
@@ -107,9 +107,9 @@
 }
 
 // store appends records to name. The caller holds mutex.
-func (s *Service) store(name string, records [][]byte) platform.Offset {
+func (s *Service) store(name string, records [][]byte) siteservices.Offset {
 	target := s.stream(name)
-	first := platform.Offset(len(target.records))
+	first := siteservices.Offset(len(target.records))
 	if len(records) == 0 {
 		return first
 	}
@@ -126,9 +126,9 @@
 
 // slice returns at most limit records of target from offset from on, within
 // MaxReadBytes. The caller holds mutex.
-func (target *stream) slice(from platform.Offset, limit int) platform.ReadResult {
-	end := platform.Offset(len(target.records))
-	result := platform.ReadResult{From: from, End: end}
+func (target *stream) slice(from siteservices.Offset, limit int) siteservices.ReadResult {
+	end := siteservices.Offset(len(target.records))
+	result := siteservices.ReadResult{From: from, End: end}
 	if limit <= 0 || limit > MaxReadRecords {
 		limit = MaxReadRecords
 	}
@@ -153,9 +153,9 @@
 }
 
 func unavailable(place string) error {
-	return fmt.Errorf("logservice: %s: %w", place, platform.ErrUnavailable)
+	return fmt.Errorf("logservice: %s: %w", place, siteservices.ErrUnavailable)
 }
 
 func answerLost(place string) error {
-	return fmt.Errorf("logservice: %s: %w", place, platform.ErrAnswerLost)
+	return fmt.Errorf("logservice: %s: %w", place, siteservices.ErrAnswerLost)
 }
--- a/internal/emulator/logservice/service_test.go
+++ b/internal/emulator/logservice/service_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 func TestAppendAndReadKeepOrder(t *testing.T) {
@@ -17,16 +17,16 @@
 	service := New(1)
 	first, err := service.Append(t.Context(), "a", [][]byte{[]byte("one"), []byte("two")})
 	check.NoErr(err)
-	check.Equal(first, platform.Offset(0))
+	check.Equal(first, siteservices.Offset(0))
 	second, err := service.Append(t.Context(), "a", [][]byte{[]byte("three")})
 	check.NoErr(err)
-	check.Equal(second, platform.Offset(2))
+	check.Equal(second, siteservices.Offset(2))
 	result, err := service.Read(t.Context(), "a", 1, 10, 0)
 	check.NoErr(err)
-	check.Equal(result, platform.ReadResult{
+	check.Equal(result, siteservices.ReadResult{
 		Records: [][]byte{[]byte("two"), []byte("three")}, From: 1, End: 3,
 	})
-	check.Equal(result.Next(), platform.Offset(3))
+	check.Equal(result.Next(), siteservices.Offset(3))
 }
 
 func TestLongPollWakesOnAppendAndOnOutage(t *testing.T) {
@@ -43,7 +43,7 @@
 		check.Equal(time.Since(started), 3*time.Second)
 		time.AfterFunc(time.Second, func() { service.SetDown(true) })
 		_, err = service.Read(t.Context(), "a", 1, 10, time.Minute)
-		check.True(errors.Is(err, platform.ErrUnavailable))
+		check.True(errors.Is(err, siteservices.ErrUnavailable))
 		check.Equal(time.Since(started), 4*time.Second)
 	})
 }
@@ -53,7 +53,7 @@
 		check := is.New(t)
 		result, err := New(1).Read(t.Context(), "a", 0, 10, time.Second)
 		check.NoErr(err)
-		check.Equal(result, platform.ReadResult{})
+		check.Equal(result, siteservices.ReadResult{})
 	})
 }
 
@@ -62,7 +62,7 @@
 	service := New(1)
 	node := service.ViewFor("n1")
 	node.Script(LoseRequest, LoseAnswer, RefuseAppend, Succeed)
-	wanted := []error{platform.ErrAnswerLost, platform.ErrAnswerLost, platform.ErrUnavailable, nil}
+	wanted := []error{siteservices.ErrAnswerLost, siteservices.ErrAnswerLost, siteservices.ErrUnavailable, nil}
 	for i, want := range wanted {
 		_, err := node.Append(t.Context(), "a", [][]byte{{byte(i)}})
 		check.True(errors.Is(err, want))
@@ -75,7 +75,7 @@
 	service := New(1)
 	service.ViewFor("n1").SetDown(true)
 	_, err := service.ViewFor("n1").Append(t.Context(), "a", [][]byte{{1}})
-	check.True(errors.Is(err, platform.ErrUnavailable))
+	check.True(errors.Is(err, siteservices.ErrUnavailable))
 	_, err = service.ViewFor("n2").Append(t.Context(), "a", [][]byte{{2}})
 	check.NoErr(err)
 	check.Equal(service.Counts().Records, uint64(1))
@@ -89,7 +89,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 		defer cancel()
 		_, err := service.Append(ctx, "a", [][]byte{{1}})
-		check.True(errors.Is(err, platform.ErrAnswerLost))
+		check.True(errors.Is(err, siteservices.ErrAnswerLost))
 		check.Equal(len(service.Records("a")), 0)
 		time.Sleep(time.Second)
 		check.Equal(len(service.Records("a")), 1)
@@ -105,5 +105,5 @@
 	result, err := service.Read(t.Context(), "a", 0, 0, 0)
 	check.NoErr(err)
 	check.Equal(len(result.Records), 1)
-	check.Equal(result.End, platform.Offset(2))
+	check.Equal(result.End, siteservices.Offset(2))
 }
--- a/internal/emulator/logservice/view.go
+++ b/internal/emulator/logservice/view.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // View is the service as one caller sees it. Its faults come on top of the
@@ -17,7 +17,7 @@
 	script script
 }
 
-var _ platform.Log = (*View)(nil)
+var _ siteservices.Log = (*View)(nil)
 
 // ViewFor returns the view of the caller name, the same one on every call.
 func (s *Service) ViewFor(name string) *View {
@@ -61,28 +61,28 @@
 	v.script.outcomes = append(v.script.outcomes, outcomes...)
 }
 
-// Append implements platform.Log for a caller without a view of its own.
-func (s *Service) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+// Append implements siteservices.Log for a caller without a view of its own.
+func (s *Service) Append(ctx context.Context, stream string, records [][]byte) (siteservices.Offset, error) {
 	return s.ViewFor("").Append(ctx, stream, records)
 }
 
-// Read implements platform.Log for a caller without a view of its own.
+// Read implements siteservices.Log for a caller without a view of its own.
 func (s *Service) Read(
-	ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration,
-) (platform.ReadResult, error) {
+	ctx context.Context, stream string, from siteservices.Offset, limit int, wait time.Duration,
+) (siteservices.ReadResult, error) {
 	return s.ViewFor("").Read(ctx, stream, from, limit, wait)
 }
 
 // appendAnswer is what an append's effect left for its caller.
 type appendAnswer struct {
-	offset platform.Offset
+	offset siteservices.Offset
 	err    error
 }
 
-// Append implements platform.Log. Once the request has been taken, its effect
+// Append implements siteservices.Log. Once the request has been taken, its effect
 // comes after half the delay even if the caller has given up by then; the
-// caller is told platform.ErrAnswerLost.
-func (v *View) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+// caller is told siteservices.ErrAnswerLost.
+func (v *View) Append(ctx context.Context, stream string, records [][]byte) (siteservices.Offset, error) {
 	if ctx.Err() != nil {
 		return 0, unavailable("append " + stream + ": " + ctx.Err().Error())
 	}
@@ -130,14 +130,14 @@
 	return appendAnswer{offset: offset}
 }
 
-// Read implements platform.Log. Records are shared with the service and must
+// Read implements siteservices.Log. Records are shared with the service and must
 // not be changed.
 func (v *View) Read(
-	ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration,
-) (platform.ReadResult, error) {
+	ctx context.Context, stream string, from siteservices.Offset, limit int, wait time.Duration,
+) (siteservices.ReadResult, error) {
 	deadline := time.Now().Add(wait)
 	if err := v.admitRead(ctx, stream); err != nil {
-		return platform.ReadResult{}, err
+		return siteservices.ReadResult{}, err
 	}
 	for {
 		result, grown, changed, err := v.lookUp(stream, from, limit)
@@ -152,7 +152,7 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return platform.ReadResult{}, answerLost("read " + stream + ": " + ctx.Err().Error())
+			return siteservices.ReadResult{}, answerLost("read " + stream + ": " + ctx.Err().Error())
 		}
 		timer.Stop()
 	}
@@ -190,13 +190,13 @@
 }
 
 // lookUp reads once and returns the channels that tell when to look again.
-func (v *View) lookUp(stream string, from platform.Offset, limit int) (
-	result platform.ReadResult, grown, changed <-chan struct{}, err error,
+func (v *View) lookUp(stream string, from siteservices.Offset, limit int) (
+	result siteservices.ReadResult, grown, changed <-chan struct{}, err error,
 ) {
 	v.service.mutex.Lock()
 	defer v.service.mutex.Unlock()
 	if v.service.faults.Down || v.faults.Down {
-		return platform.ReadResult{}, nil, nil, unavailable("read " + stream)
+		return siteservices.ReadResult{}, nil, nil, unavailable("read " + stream)
 	}
 	target := v.service.stream(stream)
 	v.service.counts.Reads++
--- a/internal/emulator/machinelist/list.go
+++ b/internal/emulator/machinelist/list.go
@@ -11,13 +11,13 @@
 	"sync"
 	"time"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // Faults describes how the list misbehaves. The zero value is a faultless list
 // without lag.
 type Faults struct {
-	// Down refuses everything with platform.ErrUnavailable.
+	// Down refuses everything with siteservices.ErrUnavailable.
 	Down bool `yaml:"down" json:"down"`
 	// Lag is how long a change takes to show.
 	Lag time.Duration `yaml:"lag" json:"lag" validate:"gte=0"`
@@ -39,13 +39,13 @@
 // version is the list as it was true from since on.
 type version struct {
 	since    time.Time
-	machines []platform.Machine
+	machines []siteservices.Machine
 }
 
-var _ platform.MachineList = (*List)(nil)
+var _ siteservices.MachineList = (*List)(nil)
 
 // New returns a list that shows machines from the start, whatever the lag.
-func New(machines []platform.Machine) *List {
+func New(machines []siteservices.Machine) *List {
 	return &List{
 		views:   make(map[string]*View),
 		history: []version{{machines: sorted(machines)}},
@@ -68,14 +68,14 @@
 }
 
 // Replace sets the whole list; it shows after the lag.
-func (l *List) Replace(machines []platform.Machine) {
+func (l *List) Replace(machines []siteservices.Machine) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.change(sorted(machines))
 }
 
 // Put adds machine or replaces the one of its name; it shows after the lag.
-func (l *List) Put(machine platform.Machine) {
+func (l *List) Put(machine siteservices.Machine) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.change(sorted(append(without(l.latest(), machine.Name), machine)))
@@ -90,11 +90,11 @@
 
 // SetState marks a machine as live or leaving; it shows after the lag. It
 // returns false if the machine is not listed.
-func (l *List) SetState(name string, state platform.MachineState) bool {
+func (l *List) SetState(name string, state siteservices.MachineState) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	machines := slices.Clone(l.latest())
-	at := slices.IndexFunc(machines, func(m platform.Machine) bool { return m.Name == name })
+	at := slices.IndexFunc(machines, func(m siteservices.Machine) bool { return m.Name == name })
 	if at < 0 {
 		return false
 	}
@@ -104,29 +104,29 @@
 }
 
 // Latest returns the list without lag: the truth that checkers read.
-func (l *List) Latest() []platform.Machine {
+func (l *List) Latest() []siteservices.Machine {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	return slices.Clone(l.latest())
 }
 
-// Machines implements platform.MachineList for a caller without its own view.
-func (l *List) Machines(ctx context.Context) ([]platform.Machine, error) {
+// Machines implements siteservices.MachineList for a caller without its own view.
+func (l *List) Machines(ctx context.Context) ([]siteservices.Machine, error) {
 	return l.ViewFor("").Machines(ctx)
 }
 
 // latest returns the newest list. The caller holds mutex.
-func (l *List) latest() []platform.Machine { return l.history[len(l.history)-1].machines }
+func (l *List) latest() []siteservices.Machine { return l.history[len(l.history)-1].machines }
 
 // change adds a new version. The caller holds mutex.
-func (l *List) change(machines []platform.Machine) {
+func (l *List) change(machines []siteservices.Machine) {
 	l.history = append(l.history, version{since: time.Now(), machines: machines})
 	l.shown()
 }
 
 // shown returns the list that callers see now and drops older ones. The caller
 // holds mutex.
-func (l *List) shown() []platform.Machine {
+func (l *List) shown() []siteservices.Machine {
 	visible := time.Now().Add(-l.faults.Lag)
 	for len(l.history) > 1 && !l.history[1].since.After(visible) {
 		l.history = l.history[1:]
@@ -141,7 +141,7 @@
 	down bool
 }
 
-var _ platform.MachineList = (*View)(nil)
+var _ siteservices.MachineList = (*View)(nil)
 
 // ViewFor returns the view of the caller name, the same one on every call.
 func (l *List) ViewFor(name string) *View {
@@ -162,8 +162,8 @@
 	v.down = down
 }
 
-// Machines implements platform.MachineList.
-func (v *View) Machines(ctx context.Context) ([]platform.Machine, error) {
+// Machines implements siteservices.MachineList.
+func (v *View) Machines(ctx context.Context) ([]siteservices.Machine, error) {
 	machines, delay, err := v.look()
 	if err != nil || delay == 0 {
 		return machines, err
@@ -174,25 +174,25 @@
 	case <-timer.C:
 		return machines, nil
 	case <-ctx.Done():
-		return nil, fmt.Errorf("machinelist: %w: %w", platform.ErrAnswerLost, ctx.Err())
+		return nil, fmt.Errorf("machinelist: %w: %w", siteservices.ErrAnswerLost, ctx.Err())
 	}
 }
 
-func (v *View) look() ([]platform.Machine, time.Duration, error) {
+func (v *View) look() ([]siteservices.Machine, time.Duration, error) {
 	v.list.mutex.Lock()
 	defer v.list.mutex.Unlock()
 	if v.down || v.list.faults.Down {
-		return nil, 0, fmt.Errorf("machinelist: %w", platform.ErrUnavailable)
+		return nil, 0, fmt.Errorf("machinelist: %w", siteservices.ErrUnavailable)
 	}
 	return slices.Clone(v.list.shown()), v.list.faults.Delay, nil
 }
 
-func sorted(machines []platform.Machine) []platform.Machine {
-	return slices.SortedFunc(slices.Values(machines), func(a, b platform.Machine) int {
+func sorted(machines []siteservices.Machine) []siteservices.Machine {
+	return slices.SortedFunc(slices.Values(machines), func(a, b siteservices.Machine) int {
 		return strings.Compare(a.Name, b.Name)
 	})
 }
 
-func without(machines []platform.Machine, name string) []platform.Machine {
-	return slices.DeleteFunc(slices.Clone(machines), func(m platform.Machine) bool { return m.Name == name })
+func without(machines []siteservices.Machine, name string) []siteservices.Machine {
+	return slices.DeleteFunc(slices.Clone(machines), func(m siteservices.Machine) bool { return m.Name == name })
 }
--- a/internal/emulator/machinelist/list_test.go
+++ b/internal/emulator/machinelist/list_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/matryer/is"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
-func names(machines []platform.Machine) []string {
+func names(machines []siteservices.Machine) []string {
 	found := []string{}
 	for _, machine := range machines {
 		found = append(found, machine.Name+"/"+string(machine.State))
@@ -22,12 +22,12 @@
 func TestChangesShowAfterTheLag(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
-		list := New([]platform.Machine{{Name: "a", State: platform.MachineLive}})
+		list := New([]siteservices.Machine{{Name: "a", State: siteservices.MachineLive}})
 		list.SetFaults(Faults{Lag: 10 * time.Second})
 		time.Sleep(time.Second)
-		list.Put(platform.Machine{Name: "b", State: platform.MachineLive})
+		list.Put(siteservices.Machine{Name: "b", State: siteservices.MachineLive})
 		time.Sleep(3 * time.Second)
-		check.True(list.SetState("a", platform.MachineLeaving))
+		check.True(list.SetState("a", siteservices.MachineLeaving))
 		list.Remove("b")
 		show := func() []string {
 			machines, err := list.Machines(t.Context())
@@ -40,7 +40,7 @@
 		time.Sleep(3 * time.Second)
 		check.Equal(show(), []string{"a/leaving"})
 		check.Equal(names(list.Latest()), []string{"a/leaving"})
-		check.True(!list.SetState("gone", platform.MachineLeaving))
+		check.True(!list.SetState("gone", siteservices.MachineLeaving))
 	})
 }
 
@@ -49,7 +49,7 @@
 	list := New(nil)
 	list.ViewFor("n1").SetDown(true)
 	_, err := list.ViewFor("n1").Machines(t.Context())
-	check.True(errors.Is(err, platform.ErrUnavailable))
+	check.True(errors.Is(err, siteservices.ErrUnavailable))
 	_, err = list.ViewFor("n2").Machines(t.Context())
 	check.NoErr(err)
 }
--- a/internal/emulator/machinelist/server.go
+++ b/internal/emulator/machinelist/server.go
@@ -5,28 +5,28 @@
 	"net/http"
 
 	"stepseam.example/stepseam/internal/emulator/standin"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // NewServer returns the HTTP face of list: GET /v1/machines as
-// platform.MachineListClient speaks it, and under /stand-in/ the switches of a
+// siteservices.MachineListClient speaks it, and under /stand-in/ the switches of a
 // laboratory site: GET and PUT /stand-in/faults, GET and PUT /stand-in/machines,
 // PUT and DELETE /stand-in/machines/{name}.
 func NewServer(list *List) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/machines", func(w http.ResponseWriter, r *http.Request) {
-		machines, err := list.ViewFor(r.Header.Get(platform.CallerHeader)).Machines(r.Context())
+		machines, err := list.ViewFor(r.Header.Get(siteservices.CallerHeader)).Machines(r.Context())
 		if err != nil {
 			standin.Fail(w, err)
 			return
 		}
-		standin.WriteJSON(w, platform.MachinesAnswer{Machines: machines})
+		standin.WriteJSON(w, siteservices.MachinesAnswer{Machines: machines})
 	})
 	mux.HandleFunc("GET /stand-in/machines", func(w http.ResponseWriter, _ *http.Request) {
-		standin.WriteJSON(w, platform.MachinesAnswer{Machines: list.Latest()})
+		standin.WriteJSON(w, siteservices.MachinesAnswer{Machines: list.Latest()})
 	})
 	mux.HandleFunc("PUT /stand-in/machines", func(w http.ResponseWriter, r *http.Request) {
-		var body platform.MachinesAnswer
+		var body siteservices.MachinesAnswer
 		if standin.ReadJSON(w, r, &body) {
 			list.Replace(body.Machines)
 			standin.WriteJSON(w, body)
@@ -37,7 +37,7 @@
 	})
 	mux.HandleFunc("DELETE /stand-in/machines/{name}", func(w http.ResponseWriter, r *http.Request) {
 		list.Remove(r.PathValue("name"))
-		standin.WriteJSON(w, platform.MachinesAnswer{Machines: list.Latest()})
+		standin.WriteJSON(w, siteservices.MachinesAnswer{Machines: list.Latest()})
 	})
 	mux.HandleFunc("GET /stand-in/faults", func(w http.ResponseWriter, _ *http.Request) {
 		standin.WriteJSON(w, list.Faults())
@@ -53,7 +53,7 @@
 }
 
 func handlePut(list *List, w http.ResponseWriter, r *http.Request) {
-	var machine platform.Machine
+	var machine siteservices.Machine
 	if !standin.ReadJSON(w, r, &machine) {
 		return
 	}
--- a/internal/emulator/standin/standin.go
+++ b/internal/emulator/standin/standin.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"net/http"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // WriteJSON answers with value and status 200.
@@ -26,7 +26,7 @@
 // ReadJSON decodes the request's bounded body into value. It answers a faulty
 // body itself and returns false.
 func ReadJSON(writer http.ResponseWriter, request *http.Request, value any) bool {
-	body := http.MaxBytesReader(writer, request.Body, platform.MaxBodyBytes)
+	body := http.MaxBytesReader(writer, request.Body, siteservices.MaxBodyBytes)
 	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(value); err != nil {
@@ -38,14 +38,14 @@
 
 // Reject answers a request that was not acted on.
 func Reject(writer http.ResponseWriter, status int, err error) {
-	writer.Header().Set(platform.EffectHeader, platform.EffectNone)
+	writer.Header().Set(siteservices.EffectHeader, siteservices.EffectNone)
 	http.Error(writer, err.Error(), status)
 }
 
 // Fail answers a request by the core's error: certain refusals with 503, all
 // others by breaking the connection, as when an answer gets lost.
 func Fail(writer http.ResponseWriter, err error) {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, siteservices.ErrUnavailable) {
 		Reject(writer, http.StatusServiceUnavailable, err)
 		return
 	}
--- a/internal/emulator/weightstore/server.go
+++ b/internal/emulator/weightstore/server.go
@@ -4,7 +4,7 @@
 	"net/http"
 
 	"stepseam.example/stepseam/internal/emulator/standin"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // Switch is the body of PUT /stand-in/faults.
@@ -13,7 +13,7 @@
 }
 
 // NewServer returns the HTTP face of store: GET /v1/weights/{model}/{version}/wait
-// as platform.WeightStoreClient speaks it, POST /v1/weights/{model}/{version}/fetch
+// as siteservices.WeightStoreClient speaks it, POST /v1/weights/{model}/{version}/fetch
 // for engines, and PUT /stand-in/faults to switch an outage.
 func NewServer(store *Store) http.Handler {
 	mux := http.NewServeMux()
@@ -23,7 +23,7 @@
 			standin.Fail(w, err)
 			return
 		}
-		standin.WriteJSON(w, platform.WaitAnswer{WaitSeconds: wait.Seconds()})
+		standin.WriteJSON(w, siteservices.WaitAnswer{WaitSeconds: wait.Seconds()})
 	})
 	mux.HandleFunc("POST /v1/weights/{model}/{version}/fetch", func(w http.ResponseWriter, r *http.Request) {
 		if err := store.Fetch(r.Context(), r.PathValue("model"), r.PathValue("version")); err != nil {
--- a/internal/emulator/weightstore/store.go
+++ b/internal/emulator/weightstore/store.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // Options sets the store's size and speed.
@@ -39,7 +39,7 @@
 	fetches   uint64
 }
 
-var _ platform.WeightStore = (*Store)(nil)
+var _ siteservices.WeightStore = (*Store)(nil)
 
 // New returns an idle store.
 func New(options Options) *Store { return &Store{options: options} }
@@ -58,15 +58,15 @@
 	return s.fetches
 }
 
-// Wait implements platform.WeightStore.
+// Wait implements siteservices.WeightStore.
 func (s *Store) Wait(ctx context.Context, _, _ string) (time.Duration, error) {
 	if ctx.Err() != nil {
-		return 0, fmt.Errorf("weightstore: %w: %w", platform.ErrUnavailable, ctx.Err())
+		return 0, fmt.Errorf("weightstore: %w: %w", siteservices.ErrUnavailable, ctx.Err())
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.down {
-		return 0, fmt.Errorf("weightstore: %w", platform.ErrUnavailable)
+		return 0, fmt.Errorf("weightstore: %w", siteservices.ErrUnavailable)
 	}
 	return max(0, time.Until(s.busyUntil)), nil
 }
@@ -84,7 +84,7 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("weightstore: fetch %s %s: %w: %w", model, version, platform.ErrAnswerLost, ctx.Err())
+		return fmt.Errorf("weightstore: fetch %s %s: %w: %w", model, version, siteservices.ErrAnswerLost, ctx.Err())
 	}
 }
 
@@ -93,7 +93,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.down {
-		return time.Time{}, fmt.Errorf("weightstore: fetch %s: %w", model, platform.ErrUnavailable)
+		return time.Time{}, fmt.Errorf("weightstore: fetch %s: %w", model, siteservices.ErrUnavailable)
 	}
 	size, known := s.options.ModelBytes[model]
 	if !known {
--- /dev/null
+++ b/internal/homes/begin.go
@@ -0,0 +1,157 @@
+package homes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/ledgerlog"
+)
+
+// Begin begins a turn. Errors: a *ledgerlog.SpentError, or one that wraps
+// ledgerlog.ErrNoSuchTurn or ledgerlog.ErrUnavailable.
+func (s *Service) Begin(ctx context.Context, request Request) (*Turn, error) {
+	home, self := s.home(s.config.Ledger.Partition(request.Program))
+	if self || home.Name == "" || s.config.Peers == nil {
+		return s.beginHere(ctx, request, self)
+	}
+	return s.hedge(ctx, request, home)
+}
+
+// result is the outcome of one of two ways to begin a turn.
+type result struct {
+	turn *Turn
+	err  error
+	home bool
+}
+
+// hedge asks the home and, if that fails or takes long, does the work here too.
+func (s *Service) hedge(ctx context.Context, request Request, home identity.Node) (*Turn, error) {
+	results := make(chan result, 2)
+	pending := 1
+	go func() {
+		turn, err := s.beginThere(ctx, request, home)
+		results <- result{turn, err, true}
+	}()
+	timer := time.NewTimer(hedgeAfter)
+	defer timer.Stop()
+	here := false
+	start := func() {
+		if here {
+			return
+		}
+		here = true
+		pending++
+		go func() {
+			turn, err := s.beginHere(ctx, request, false)
+			results <- result{turn, err, false}
+		}()
+	}
+	var last error
+	for pending > 0 {
+		select {
+		case <-timer.C:
+			s.passOver(home.Name)
+			start()
+		case one := <-results:
+			pending--
+			if one.err == nil {
+				go discard(results, pending)
+				return one.turn, nil
+			}
+			last = one.err
+			if !errors.Is(one.err, ledgerlog.ErrUnavailable) {
+				go discard(results, pending) // an answer by proof
+				return nil, one.err
+			}
+			if one.home && ctx.Err() == nil {
+				start()
+			}
+		}
+	}
+	return nil, last
+}
+
+// discard ends turns that were begun for nothing.
+func discard(results <-chan result, pending int) {
+	for range pending {
+		if one := <-results; one.err == nil {
+			one.turn.Finish(0)
+		}
+	}
+}
+
+// beginHere does the work through this node's own ledger.
+func (s *Service) beginHere(ctx context.Context, request Request, home bool) (*Turn, error) {
+	turn := &Turn{Home: s.config.Self}
+	if request.Budgeted {
+		grant, err := s.config.Ledger.Take(ctx, request.Program, request.Budget, request.Most, home)
+		if err != nil {
+			s.count("here", err)
+			return nil, err
+		}
+		turn.Charged, turn.Ahead = grant.Charged, grant.Ahead
+		turn.finish = func(used uint32) { s.config.Ledger.Finish(grant, used) }
+	}
+	if request.Previous != "" {
+		chain, err := s.config.Ledger.Chain(ctx, request.Program, request.Previous)
+		if err != nil {
+			turn.Finish(0)
+			s.count("here", err)
+			return nil, err
+		}
+		turn.Chain = chain
+	}
+	s.count("here", nil)
+	return turn, nil
+}
+
+// beginThere asks the home.
+func (s *Service) beginThere(ctx context.Context, request Request, home identity.Node) (*Turn, error) {
+	if s.avoided(home.Name) {
+		return nil, fmt.Errorf("%w: %w", ledgerlog.ErrUnavailable, errNotAsked)
+	}
+	answer, err := s.call(ctx, home, &begin{Request: request})
+	if err != nil {
+		s.count("home", err)
+		return nil, err
+	}
+	got, ok := answer.(*begun)
+	if !ok {
+		return nil, fmt.Errorf("%w: home %s answered %T", ledgerlog.ErrUnavailable, home.Name, answer)
+	}
+	err = got.err(home.Name)
+	s.count("home", err)
+	if err != nil {
+		return nil, err
+	}
+	turn := &Turn{Charged: got.Charged, Ahead: got.Ahead, Chain: got.Chain, Home: home.Name}
+	if request.Budgeted {
+		turn.finish = func(used uint32) { go s.finishThere(home, request.Program, got.Grant, used) }
+	}
+	return turn, nil
+}
+
+func (m *begun) err(home identity.NodeName) error {
+	switch m.Status {
+	case statusDone:
+		return nil
+	case statusSpent:
+		return &ledgerlog.SpentError{Charged: m.Charged}
+	case statusNoSuchTurn:
+		return fmt.Errorf("%w: home %s: %s", ledgerlog.ErrNoSuchTurn, home, m.Reason)
+	}
+	return fmt.Errorf("%w: home %s: %s", ledgerlog.ErrUnavailable, home, m.Reason)
+}
+
+// finishThere tells a turn's end. Where that fails, the home counts it in full.
+func (s *Service) finishThere(home identity.Node, program ledger.ProgramID, grant ledger.GrantID, used uint32) {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	if _, err := s.call(ctx, home, &finish{Program: program, Grant: grant, Used: used}); err != nil {
+		s.config.Logger.Info("turn's end not told", "home", home.Name, "program", program, "used", used, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/homes/view.go
@@ -0,0 +1,95 @@
+package homes
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/membership"
+)
+
+// SetView tells which nodes live. Partitions that are at home elsewhere now are
+// given up at once.
+func (s *Service) SetView(view membership.View) {
+	s.view.Store(&view)
+	s.config.Ledger.Tidy(s.isHome)
+}
+
+// Close makes this node the home of nothing.
+func (s *Service) Close() {
+	s.closing.Store(true)
+	s.config.Ledger.Tidy(s.isHome)
+}
+
+// LifeOf names a life of a node in the ledger.
+func LifeOf(node identity.Reference) ledger.LifeID {
+	return ledger.LifeID(string(node.Name) + "." + strconv.FormatUint(uint64(node.Incarnation), 36))
+}
+
+// Lives tells whether a life is a member that has not died.
+func (s *Service) Lives(life ledger.LifeID) bool {
+	view := s.view.Load()
+	if view == nil {
+		return false
+	}
+	return slices.ContainsFunc(view.Members, func(member membership.Member) bool {
+		return LifeOf(member.Node.Reference()) == life
+	})
+}
+
+// Run gives up partitions that are at home elsewhere until ctx ends.
+func (s *Service) Run(ctx context.Context) { s.config.Ledger.Run(ctx, s.isHome) }
+
+func (s *Service) isHome(partition int) bool {
+	_, self := s.home(partition)
+	return self
+}
+
+// home returns the node that keeps a partition, and whether that is this one. It
+// returns neither while this node does not know the others yet, or stops.
+func (s *Service) home(partition int) (identity.Node, bool) {
+	view := s.view.Load()
+	if view == nil || len(view.Members) <= 1 {
+		return identity.Node{}, !s.closing.Load() && (s.config.Peers == nil || time.Since(s.began) > settleAfter)
+	}
+	var best identity.Node
+	highest := uint64(0)
+	for _, member := range view.Members {
+		if member.Status != membership.Alive && member.Status != membership.Suspect {
+			continue
+		}
+		if s.closing.Load() && member.Node.Name == s.config.Self {
+			continue
+		}
+		if score := score(partition, member.Node.Name); best.Name == "" || score > highest {
+			best, highest = member.Node, score
+		}
+	}
+	return best, best.Name == s.config.Self
+}
+
+// score ranks nodes for a partition (rendezvous hashing).
+func score(partition int, node identity.NodeName) uint64 {
+	return xxhash.Sum64String(strconv.Itoa(partition) + "/" + string(node))
+}
+
+// Addresses returns the peer addresses of the other nodes that live.
+func (s *Service) Addresses() []netip.AddrPort {
+	view := s.view.Load()
+	if view == nil {
+		return nil
+	}
+	var addresses []netip.AddrPort
+	for _, member := range view.Members {
+		if member.Node.Name != s.config.Self && member.Status == membership.Alive {
+			addresses = append(addresses, member.Node.PeerAddress)
+		}
+	}
+	return addresses
+}
--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -14,7 +14,7 @@
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/placement"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // leaseDriftShare is the part of a lease's duration that replicas add by default:
@@ -82,7 +82,7 @@
 	BatchBytes    int
 	SnapshotBytes int
 
-	Log     platform.Log
+	Log     siteservices.Log
 	Peers   peer.Client
 	Members *blackboard.Cell[membership.View]
 	// Desired tells where a shard should be by a view; false where no node lives.
--- a/internal/journal/ledger.go
+++ b/internal/journal/ledger.go
@@ -2,7 +2,7 @@
 
 import (
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // Verdict is what log order makes of one record.
@@ -36,10 +36,10 @@
 // concurrent use.
 type Ledger struct {
 	shard identity.ShardID
-	next  platform.Offset
+	next  siteservices.Offset
 	// adopt is true while the fold waits for the snapshot that it starts at.
 	adopt    bool
-	base     platform.Offset
+	base     siteservices.Offset
 	current  Claim
 	active   Claim
 	released bool
@@ -50,7 +50,7 @@
 
 // NewLedger returns the fold of shard's stream from base on: 0, or the offset of
 // a valid snapshot.
-func NewLedger(shard identity.ShardID, base platform.Offset) *Ledger {
+func NewLedger(shard identity.ShardID, base siteservices.Offset) *Ledger {
 	return &Ledger{
 		shard: shard, next: base, base: base, adopt: base > 0,
 		verdicts: map[RecordID]Verdict{},
@@ -58,10 +58,10 @@
 }
 
 // Next returns the offset of the next record to fold.
-func (l *Ledger) Next() platform.Offset { return l.next }
+func (l *Ledger) Next() siteservices.Offset { return l.next }
 
 // Base returns the offset to start the next fold from.
-func (l *Ledger) Base() platform.Offset { return l.base }
+func (l *Ledger) Base() siteservices.Offset { return l.base }
 
 // Current returns the highest valid claim, activated or not.
 func (l *Ledger) Current() Claim { return l.current }
@@ -98,7 +98,7 @@
 	return step
 }
 
-func (l *Ledger) fold(offset platform.Offset, record Record) Step {
+func (l *Ledger) fold(offset siteservices.Offset, record Record) Step {
 	if l.adopt {
 		return l.foldBase(offset, record)
 	}
@@ -128,7 +128,7 @@
 
 // foldBase adopts the snapshot that the fold starts at. Whoever named the offset
 // as a base had read it back as valid.
-func (l *Ledger) foldBase(offset platform.Offset, record Record) Step {
+func (l *Ledger) foldBase(offset siteservices.Offset, record Record) Step {
 	if record.Kind != SnapshotRecord {
 		return Step{Verdict: Damaged}
 	}
@@ -162,7 +162,7 @@
 	return Step{Verdict: Valid, Entries: fresh}
 }
 
-func (l *Ledger) foldSnapshot(offset platform.Offset, record Record) Step {
+func (l *Ledger) foldSnapshot(offset siteservices.Offset, record Record) Step {
 	if record.Index < l.index {
 		return Step{Verdict: Void}
 	}
--- a/internal/journal/ledger_test.go
+++ b/internal/journal/ledger_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // logModel is a log stream with writers that race: each believes what it last
@@ -157,7 +157,7 @@
 }
 
 // foldWith folds the stream from base with each record changed by change.
-func (m *logModel) foldWith(base platform.Offset, change func(*Ledger, *Record)) (*Ledger, []byte) {
+func (m *logModel) foldWith(base siteservices.Offset, change func(*Ledger, *Record)) (*Ledger, []byte) {
 	ledger := NewLedger(0, base)
 	var state []byte
 	for _, raw := range m.records[base:] {
--- a/internal/journal/manager.go
+++ b/internal/journal/manager.go
@@ -14,7 +14,7 @@
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/placement"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // Manager claims, keeps and hands over the shards of one node, and serves as a
@@ -252,7 +252,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.config.LogTimeout)
 	defer cancel()
 	_, err := m.config.Log.Read(ctx, StreamName(0), 0, 1, 0)
-	if errors.Is(err, platform.ErrAnswerLost) {
+	if errors.Is(err, siteservices.ErrAnswerLost) {
 		return
 	}
 	m.noteLog(err)
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/wire"
 )
 
@@ -57,7 +57,7 @@
 	Epoch identity.Epoch
 	// Base is the offset from which a fold that wants to include this record must
 	// start: the newest valid snapshot known to the writer, or 0.
-	Base platform.Offset
+	Base siteservices.Offset
 	// Index is the last state machine record that the log holds before a batch,
 	// and at any other record. State machine records count from 1 over all epochs.
 	Index uint64
@@ -113,7 +113,7 @@
 	}
 	r.Shard = identity.ShardID(d.Uint32())
 	r.Epoch = identity.Epoch(d.Uint64())
-	r.Base = platform.Offset(d.Uint64())
+	r.Base = siteservices.Offset(d.Uint64())
 	r.Index = d.Uint64()
 	switch r.Kind {
 	case ClaimRecord:
--- a/internal/journal/scenario_test.go
+++ b/internal/journal/scenario_test.go
@@ -15,13 +15,13 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // variant is a deliberate fault of the protocol that a test must catch; the zero
 // value is the real protocol.
 type variant struct {
-	log    func(platform.Log) platform.Log
+	log    func(siteservices.Log) siteservices.Log
 	client func(peer.Client) peer.Client
 	// handle changes what a node answers as a replica, also to itself.
 	handle func(node *testNode, next peer.HandlerFunc) peer.HandlerFunc
@@ -33,18 +33,18 @@
 
 // blindLog takes an answer that got lost for success, without reading back.
 type blindLog struct {
-	platform.Log
+	siteservices.Log
 	mutex sync.Mutex
-	ends  map[string]platform.Offset
+	ends  map[string]siteservices.Offset
 }
 
-func blind(log platform.Log) platform.Log {
-	return &blindLog{Log: log, ends: map[string]platform.Offset{}}
+func blind(log siteservices.Log) siteservices.Log {
+	return &blindLog{Log: log, ends: map[string]siteservices.Offset{}}
 }
 
-func (b *blindLog) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+func (b *blindLog) Append(ctx context.Context, stream string, records [][]byte) (siteservices.Offset, error) {
 	offset, err := b.Log.Append(ctx, stream, records)
-	if !errors.Is(err, platform.ErrAnswerLost) {
+	if !errors.Is(err, siteservices.ErrAnswerLost) {
 		return offset, err
 	}
 	b.mutex.Lock()
@@ -52,7 +52,7 @@
 	return b.ends[stream], nil
 }
 
-func (b *blindLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+func (b *blindLog) Read(ctx context.Context, stream string, from siteservices.Offset, limit int, wait time.Duration) (siteservices.ReadResult, error) {
 	result, err := b.Log.Read(ctx, stream, from, limit, wait)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/journal/site_test.go
+++ b/internal/journal/site_test.go
@@ -17,7 +17,7 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // testSite is a site of managers over the in-memory network and log.
@@ -79,7 +79,7 @@
 		host:    newTestHost(),
 		done:    make(chan struct{}),
 	}
-	var log platform.Log = &gatedLog{endpoint: endpoint, log: s.log.ViewFor(string(name))}
+	var log siteservices.Log = &gatedLog{endpoint: endpoint, log: s.log.ViewFor(string(name))}
 	if s.variant.log != nil {
 		log = s.variant.log(log)
 	}
@@ -199,27 +199,27 @@
 // gatedLog is the log as a process sees it that can be frozen or killed.
 type gatedLog struct {
 	endpoint *network.Endpoint
-	log      platform.Log
+	log      siteservices.Log
 }
 
-func (g *gatedLog) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+func (g *gatedLog) Append(ctx context.Context, stream string, records [][]byte) (siteservices.Offset, error) {
 	if err := g.endpoint.Gate(ctx); err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", siteservices.ErrUnavailable, err)
 	}
 	offset, err := g.log.Append(ctx, stream, records)
 	if gate := g.endpoint.Gate(context.Background()); gate != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrAnswerLost, gate)
+		return 0, fmt.Errorf("%w: %w", siteservices.ErrAnswerLost, gate)
 	}
 	return offset, err
 }
 
-func (g *gatedLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+func (g *gatedLog) Read(ctx context.Context, stream string, from siteservices.Offset, limit int, wait time.Duration) (siteservices.ReadResult, error) {
 	if err := g.endpoint.Gate(ctx); err != nil {
-		return platform.ReadResult{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return siteservices.ReadResult{}, fmt.Errorf("%w: %w", siteservices.ErrUnavailable, err)
 	}
 	result, err := g.log.Read(ctx, stream, from, limit, wait)
 	if gate := g.endpoint.Gate(context.Background()); gate != nil {
-		return platform.ReadResult{}, fmt.Errorf("%w: %w", platform.ErrAnswerLost, gate)
+		return siteservices.ReadResult{}, fmt.Errorf("%w: %w", siteservices.ErrAnswerLost, gate)
 	}
 	return result, err
 }
--- a/internal/journal/stream.go
+++ b/internal/journal/stream.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // readLimit is how many records one read asks for.
@@ -47,7 +47,7 @@
 	return s, nil
 }
 
-func (s *stream) findBase(ctx context.Context) (platform.Offset, error) {
+func (s *stream) findBase(ctx context.Context) (siteservices.Offset, error) {
 	first, err := s.read(ctx, 0, 1)
 	if err != nil {
 		return 0, err
@@ -67,7 +67,7 @@
 	return 0, nil
 }
 
-func (s *stream) read(ctx context.Context, from platform.Offset, limit int) (platform.ReadResult, error) {
+func (s *stream) read(ctx context.Context, from siteservices.Offset, limit int) (siteservices.ReadResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.manager.config.LogTimeout)
 	defer cancel()
 	result, err := s.manager.config.Log.Read(ctx, s.name, from, limit, 0)
@@ -149,7 +149,7 @@
 	defer cancel()
 	offset, err := s.manager.config.Log.Append(callCtx, s.name, raws)
 	s.manager.noteLog(err)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, siteservices.ErrUnavailable) {
 		return false, err
 	}
 	if err == nil && offset == s.ledger.Next() {
@@ -208,7 +208,7 @@
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	if errors.Is(err, platform.ErrAnswerLost) && !errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, siteservices.ErrAnswerLost) && !errors.Is(err, context.DeadlineExceeded) {
 		return // one lost answer tells nothing of the next request
 	}
 	down := err != nil
--- a/internal/lab/scale/cluster.go
+++ b/internal/lab/scale/cluster.go
@@ -14,7 +14,7 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/placement"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -50,8 +50,8 @@
 	}
 	c.options = hollowOptions{shards: c.shards, seed: seed}
 	for i := range replicas {
-		c.options.machines = append(c.options.machines, platform.Machine{
-			Name: fmt.Sprintf("engine-%03d", i), Role: platform.RoleEngine, State: platform.MachineLive,
+		c.options.machines = append(c.options.machines, siteservices.Machine{
+			Name: fmt.Sprintf("engine-%03d", i), Role: siteservices.RoleEngine, State: siteservices.MachineLive,
 			Service: fmt.Sprintf("model-%02d", i%modelCount), Region: regionOf(i / modelCount),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 256), byte(i % 256)}), 80),
 		})
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -19,7 +19,7 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/journal"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // hollow is one life of a node that has all control code of a real one and
@@ -34,7 +34,7 @@
 	backends *backends.Controller
 	log      *countingLog
 	polls    *countingDirectory
-	machines []platform.Machine
+	machines []siteservices.Machine
 	stop     context.CancelFunc
 	loops    sync.WaitGroup
 }
@@ -42,13 +42,13 @@
 // hollowOptions is what all hollow nodes of a run share.
 type hollowOptions struct {
 	shards   int
-	machines []platform.Machine
+	machines []siteservices.Machine
 	seeds    []netip.AddrPort
 	seed     uint64
 }
 
 // newHollow builds one node, which start starts.
-func newHollow(fabric Fabric, node identity.Node, log platform.Log, options hollowOptions) (*hollow, error) {
+func newHollow(fabric Fabric, node identity.Node, log siteservices.Log, options hollowOptions) (*hollow, error) {
 	registry := peer.NewRegistry()
 	link, err := fabric.Attach(node, registry)
 	if err != nil {
@@ -193,20 +193,20 @@
 
 // countingLog counts one node's requests to the log service.
 type countingLog struct {
-	platform.Log
+	siteservices.Log
 	requests, appends, bytes atomic.Int64
 }
 
-// Append implements platform.Log.
-func (c *countingLog) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+// Append implements siteservices.Log.
+func (c *countingLog) Append(ctx context.Context, stream string, records [][]byte) (siteservices.Offset, error) {
 	c.requests.Add(1)
 	c.appends.Add(1)
 	c.countBytes(records)
 	return c.Log.Append(ctx, stream, records)
 }
 
-// Read implements platform.Log.
-func (c *countingLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+// Read implements siteservices.Log.
+func (c *countingLog) Read(ctx context.Context, stream string, from siteservices.Offset, limit int, wait time.Duration) (siteservices.ReadResult, error) {
 	c.requests.Add(1)
 	result, err := c.Log.Read(ctx, stream, from, limit, wait)
 	c.countBytes(result.Records)
--- a/internal/lab/simulated/failures.go
+++ b/internal/lab/simulated/failures.go
@@ -9,7 +9,7 @@
 	"stepseam.example/stepseam/internal/emulator/logservice"
 	"stepseam.example/stepseam/internal/emulator/network"
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // drainTimeout bounds a planned stop.
@@ -186,5 +186,5 @@
 	if leaving := s.Application(name); leaving != nil {
 		leaving.SetDraining(true)
 	}
-	s.Machines.SetState(name, platform.MachineLeaving)
+	s.Machines.SetState(name, siteservices.MachineLeaving)
 }
--- a/internal/lab/simulated/outside.go
+++ b/internal/lab/simulated/outside.go
@@ -12,7 +12,7 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // endpointNetwork is the node.Network of one simulated life of a node.
@@ -27,27 +27,27 @@
 // gatedLog is the log service as a node that can be frozen or killed sees it.
 type gatedLog struct {
 	endpoint *network.Endpoint
-	log      platform.Log
+	log      siteservices.Log
 }
 
-func (g gatedLog) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+func (g gatedLog) Append(ctx context.Context, stream string, records [][]byte) (siteservices.Offset, error) {
 	if err := g.endpoint.Gate(ctx); err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", siteservices.ErrUnavailable, err)
 	}
 	offset, err := g.log.Append(ctx, stream, records)
 	if gateErr := g.endpoint.Gate(context.WithoutCancel(ctx)); gateErr != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrAnswerLost, gateErr)
+		return 0, fmt.Errorf("%w: %w", siteservices.ErrAnswerLost, gateErr)
 	}
 	return offset, err
 }
 
-func (g gatedLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+func (g gatedLog) Read(ctx context.Context, stream string, from siteservices.Offset, limit int, wait time.Duration) (siteservices.ReadResult, error) {
 	if err := g.endpoint.Gate(ctx); err != nil {
-		return platform.ReadResult{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return siteservices.ReadResult{}, fmt.Errorf("%w: %w", siteservices.ErrUnavailable, err)
 	}
 	result, err := g.log.Read(ctx, stream, from, limit, wait)
 	if gateErr := g.endpoint.Gate(context.WithoutCancel(ctx)); gateErr != nil {
-		return platform.ReadResult{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, gateErr)
+		return siteservices.ReadResult{}, fmt.Errorf("%w: %w", siteservices.ErrUnavailable, gateErr)
 	}
 	return result, err
 }
@@ -55,12 +55,12 @@
 // gatedMachines is the machine list as a node that can be frozen or killed sees it.
 type gatedMachines struct {
 	endpoint *network.Endpoint
-	list     platform.MachineList
+	list     siteservices.MachineList
 }
 
-func (g gatedMachines) Machines(ctx context.Context) ([]platform.Machine, error) {
+func (g gatedMachines) Machines(ctx context.Context) ([]siteservices.Machine, error) {
 	if err := g.endpoint.Gate(ctx); err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", siteservices.ErrUnavailable, err)
 	}
 	return g.list.Machines(ctx)
 }
--- a/internal/lab/simulated/site.go
+++ b/internal/lab/simulated/site.go
@@ -25,9 +25,9 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/node"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/serving"
 	"stepseam.example/stepseam/internal/settings"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // Plan says what a site consists of.
@@ -59,7 +59,7 @@
 type Wrong struct {
 	Hooks serving.Hooks
 	// Log and Directory wrap a node's clients of the log and of the back ends.
-	Log       func(platform.Log) platform.Log
+	Log       func(siteservices.Log) siteservices.Log
 	Directory func(backend.Directory) backend.Directory
 }
 
@@ -192,7 +192,7 @@
 func (p Plan) Zone(index int) identity.Zone { return p.Zones[index%len(p.Zones)] }
 
 func (s *Site) startBackends() error {
-	var listed []platform.Machine
+	var listed []siteservices.Machine
 	for index, planned := range s.plan.Engines {
 		parameters := engine.DefaultParameters(planned.Name, planned.Models...)
 		parameters.Seed = s.plan.Seed + uint64(index)
@@ -205,7 +205,7 @@
 		}
 		address := addressOf(engineBlock, index)
 		s.engines[address] = &engineReplica{Engine: built, zone: s.plan.Zone(index)}
-		listed = append(listed, s.machine(planned.Name, platform.RoleEngine, planned.Service, index, address))
+		listed = append(listed, s.machine(planned.Name, siteservices.RoleEngine, planned.Service, index, address))
 	}
 	for index, planned := range s.plan.Applications {
 		parameters := application.DefaultParameters(planned.Name)
@@ -217,16 +217,16 @@
 		s.Ledger = built.Ledger()
 		address := addressOf(applicationBlock, index)
 		s.applications[address] = &applicationReplica{Application: built, zone: s.plan.Zone(index)}
-		listed = append(listed, s.machine(planned.Name, platform.RoleApplication, planned.Service, index, address))
+		listed = append(listed, s.machine(planned.Name, siteservices.RoleApplication, planned.Service, index, address))
 	}
 	s.Machines.Replace(listed)
 	s.Machines.SetFaults(machinelist.Faults{Lag: s.plan.MachineListLag})
 	return nil
 }
 
-func (s *Site) machine(name string, role platform.MachineRole, service string, index int, address netip.AddrPort) platform.Machine {
-	return platform.Machine{
-		Name: name, Role: role, State: platform.MachineLive,
+func (s *Site) machine(name string, role siteservices.MachineRole, service string, index int, address netip.AddrPort) siteservices.Machine {
+	return siteservices.Machine{
+		Name: name, Role: role, State: siteservices.MachineLive,
 		Zone: s.plan.Zone(index), Region: "region", Address: address, Service: service,
 	}
 }
@@ -270,7 +270,7 @@
 	injector := node.NewInjector(s.settingsOf(index), logger)
 	self := do.MustInvoke[identity.Node](injector)
 	endpoint := s.Network.Join(self, do.MustInvoke[*peer.Registry](injector))
-	var log platform.Log = gatedLog{endpoint: endpoint, log: s.Log.ViewFor(string(name))}
+	var log siteservices.Log = gatedLog{endpoint: endpoint, log: s.Log.ViewFor(string(name))}
 	if s.plan.Wrong.Log != nil {
 		log = s.plan.Wrong.Log(log)
 	}
@@ -280,8 +280,8 @@
 	}
 	do.OverrideValue[node.Network](injector, endpointNetwork{endpoint: endpoint})
 	do.OverrideValue(injector, log)
-	do.OverrideValue[platform.MachineList](injector, gatedMachines{endpoint: endpoint, list: s.Machines.ViewFor(string(name))})
-	do.OverrideValue[platform.WeightStore](injector, noWeights{})
+	do.OverrideValue[siteservices.MachineList](injector, gatedMachines{endpoint: endpoint, list: s.Machines.ViewFor(string(name))})
+	do.OverrideValue[siteservices.WeightStore](injector, noWeights{})
 	do.OverrideValue(injector, backends)
 	do.OverrideValue(injector, node.Seed(s.plan.Seed*1000+start))
 	do.OverrideValue(injector, s.plan.Wrong.Hooks)
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -20,8 +20,8 @@
 	"stepseam.example/stepseam/internal/emulator/machinelist"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/lab/process"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/settings"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // The names of the programs a site needs.
@@ -166,21 +166,21 @@
 
 // machinesFile is the parameter file of the machine list.
 type machinesFile struct {
-	Faults   machinelist.Faults `yaml:"faults"`
-	Machines []platform.Machine `yaml:"machines"`
+	Faults   machinelist.Faults     `yaml:"faults"`
+	Machines []siteservices.Machine `yaml:"machines"`
 }
 
 func (s *Site) startMachineList(ctx context.Context) error {
 	file := machinesFile{Faults: machinelist.Faults{Lag: s.plan.MachineListLag}}
 	for i, plan := range s.plan.Engines {
-		machine, err := s.backendMachine(s.Engines[i], platform.RoleEngine, plan.Zone)
+		machine, err := s.backendMachine(s.Engines[i], siteservices.RoleEngine, plan.Zone)
 		if err != nil {
 			return err
 		}
 		file.Machines = append(file.Machines, machine)
 	}
 	for i, plan := range s.plan.Applications {
-		machine, err := s.backendMachine(s.Applications[i], platform.RoleApplication, plan.Zone)
+		machine, err := s.backendMachine(s.Applications[i], siteservices.RoleApplication, plan.Zone)
 		if err != nil {
 			return err
 		}
@@ -192,8 +192,8 @@
 			return err
 		}
 		s.Nodes = append(s.Nodes, node)
-		file.Machines = append(file.Machines, platform.Machine{
-			Name: string(plan.Name), Role: platform.RoleNode, State: platform.MachineLive,
+		file.Machines = append(file.Machines, siteservices.Machine{
+			Name: string(plan.Name), Role: siteservices.RoleNode, State: siteservices.MachineLive,
 			Zone: plan.Zone, Region: s.plan.Region, Service: DaemonProgram,
 			Address: node.Addresses.Peer, ProbeAddress: node.Addresses.Probe,
 		})
@@ -203,21 +203,21 @@
 	return err
 }
 
-func (s *Site) backendMachine(backend *StandIn, role platform.MachineRole, zone identity.Zone) (platform.Machine, error) {
+func (s *Site) backendMachine(backend *StandIn, role siteservices.MachineRole, zone identity.Zone) (siteservices.Machine, error) {
 	service := s.plan.EngineService
-	if role == platform.RoleApplication {
+	if role == siteservices.RoleApplication {
 		service = s.plan.ApplicationService
 	}
 	address := backend.Address
 	if s.plan.RouteBackend != nil {
 		routed, err := s.plan.RouteBackend(backend.Name(), address)
 		if err != nil {
-			return platform.Machine{}, fmt.Errorf("site: route to %s: %w", backend.Name(), err)
+			return siteservices.Machine{}, fmt.Errorf("site: route to %s: %w", backend.Name(), err)
 		}
 		address = routed
 	}
-	return platform.Machine{
-		Name: backend.Name(), Role: role, State: platform.MachineLive,
+	return siteservices.Machine{
+		Name: backend.Name(), Role: role, State: siteservices.MachineLive,
 		Zone: zone, Region: s.plan.Region, Address: address, Service: service,
 	}, nil
 }
--- a/internal/node/outside.go
+++ b/internal/node/outside.go
@@ -13,8 +13,8 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/settings"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // Network is how a node reaches other nodes and is reached by them. The daemon
@@ -89,17 +89,17 @@
 
 // provideOutside registers the HTTP clients of platform and back ends.
 func provideOutside(injector do.Injector) {
-	do.Provide(injector, func(i do.Injector) (platform.Log, error) {
+	do.Provide(injector, func(i do.Injector) (siteservices.Log, error) {
 		chosen := do.MustInvoke[settings.Settings](i)
-		return platform.NewLogClient(clientOptions(i, chosen.Platform.LogService)), nil
+		return siteservices.NewLogClient(clientOptions(i, chosen.Platform.LogService)), nil
 	})
-	do.Provide(injector, func(i do.Injector) (platform.MachineList, error) {
+	do.Provide(injector, func(i do.Injector) (siteservices.MachineList, error) {
 		chosen := do.MustInvoke[settings.Settings](i)
-		return platform.NewMachineListClient(clientOptions(i, chosen.Platform.MachineList)), nil
+		return siteservices.NewMachineListClient(clientOptions(i, chosen.Platform.MachineList)), nil
 	})
-	do.Provide(injector, func(i do.Injector) (platform.WeightStore, error) {
+	do.Provide(injector, func(i do.Injector) (siteservices.WeightStore, error) {
 		chosen := do.MustInvoke[settings.Settings](i)
-		return platform.NewWeightStoreClient(clientOptions(i, chosen.Platform.WeightStore)), nil
+		return siteservices.NewWeightStoreClient(clientOptions(i, chosen.Platform.WeightStore)), nil
 	})
 	do.Provide(injector, func(i do.Injector) (backend.Directory, error) {
 		chosen := do.MustInvoke[settings.Settings](i)
@@ -110,7 +110,7 @@
 	do.Provide(injector, provideNetwork)
 }
 
-func clientOptions(injector do.Injector, address platformAddress) platform.ClientOptions {
+func clientOptions(injector do.Injector, address platformAddress) siteservices.ClientOptions {
 	self := do.MustInvoke[identity.Node](injector)
-	return platform.ClientOptions{Address: address, Caller: string(self.Name)}
+	return siteservices.ClientOptions{Address: address, Caller: string(self.Name)}
 }
--- a/internal/node/providers.go
+++ b/internal/node/providers.go
@@ -23,10 +23,10 @@
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/placement"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
 	"stepseam.example/stepseam/internal/serving"
 	"stepseam.example/stepseam/internal/settings"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 type platformAddress = netip.AddrPort
@@ -35,8 +35,8 @@
 type Seed uint64
 
 // NewInjector returns a container that provides every service of one node.
-// Whatever touches the outside (Network, platform.Log, platform.MachineList,
-// platform.WeightStore, backend.Directory) and the seed may be overridden
+// Whatever touches the outside (Network, siteservices.Log, siteservices.MachineList,
+// siteservices.WeightStore, backend.Directory) and the seed may be overridden
 // before Build, which is how a whole node runs inside a test.
 func NewInjector(chosen settings.Settings, logger *slog.Logger) do.Injector {
 	injector := do.New()
@@ -115,7 +115,7 @@
 		DurableWait:   chosen.Journal.DurableTimeout,
 		Gather:        chosen.Journal.FlushInterval,
 		SnapshotBytes: int(chosen.Journal.ShardTailBytes),
-		Log:           do.MustInvoke[platform.Log](injector),
+		Log:           do.MustInvoke[siteservices.Log](injector),
 		Peers:         do.MustInvoke[Network](injector).Client(),
 		Members:       board.Members,
 		Host:          do.MustInvoke[*serving.Owner](injector),
@@ -149,7 +149,7 @@
 	chosen := do.MustInvoke[settings.Settings](injector)
 	controller := tables.New(tables.Config{
 		Self:           chosen.Node.Name,
-		Log:            do.MustInvoke[platform.Log](injector),
+		Log:            do.MustInvoke[siteservices.Log](injector),
 		Peers:          do.MustInvoke[Network](injector).Client(),
 		Board:          do.MustInvoke[*blackboard.Board](injector),
 		Logger:         componentLogger(injector, "tables"),
@@ -165,7 +165,7 @@
 func provideMachines(injector do.Injector) (*machines.Controller, error) {
 	chosen := do.MustInvoke[settings.Settings](injector)
 	return machines.New(machines.Config{
-		List:       do.MustInvoke[platform.MachineList](injector),
+		List:       do.MustInvoke[siteservices.MachineList](injector),
 		Board:      do.MustInvoke[*blackboard.Board](injector),
 		Interval:   chosen.Platform.MachineListInterval,
 		Logger:     componentLogger(injector, "machines"),
@@ -208,7 +208,7 @@
 		ShardCount: chosen.Shards.Count,
 		Board:      do.MustInvoke[*blackboard.Board](injector),
 		Directory:  do.MustInvoke[backend.Directory](injector),
-		Weights:    do.MustInvoke[platform.WeightStore](injector),
+		Weights:    do.MustInvoke[siteservices.WeightStore](injector),
 		Held:       do.MustInvoke[*journal.Manager](injector).Held,
 		Demand:     do.MustInvoke[*models.Demand](injector),
 		Logger:     componentLogger(injector, "models"),
--- a/internal/serving/assign.go
+++ b/internal/serving/assign.go
@@ -10,9 +10,9 @@
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/program"
 	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -46,7 +46,7 @@
 type schedulingQuery struct {
 	call  scheduling.Call
 	class table.Class
-	role  platform.MachineRole
+	role  siteservices.MachineRole
 	// adapter is what the model is to run with, empty for none.
 	adapter string
 	// holder is the back end of the branch's last call, which counted settled
@@ -157,7 +157,7 @@
 		return schedulingQuery{}, d.ended()
 	}
 	request := d.run.request
-	query := schedulingQuery{role: platform.RoleApplication}
+	query := schedulingQuery{role: siteservices.RoleApplication}
 	if published != nil {
 		query.class = published.Classes[p.Class()]
 	}
@@ -190,7 +190,7 @@
 		request, _ = p.Resolve(request)
 	}
 	size := p.PromptSize(request)
-	query.role = platform.RoleEngine
+	query.role = siteservices.RoleEngine
 	query.holder = query.call.LastBackend
 	query.settled = int(size.Settled)
 	query.answeredHere = !p.LastAnswered(d.run.id.Branch).Before(d.shard.opened)
@@ -302,7 +302,7 @@
 	if query.call.Service != "" && b.Service != query.call.Service {
 		return false
 	}
-	if query.role != platform.RoleEngine {
+	if query.role != siteservices.RoleEngine {
 		return true
 	}
 	adapted := query.adapter == "" || slices.Contains(b.Report.Adapters, query.adapter)
--- a/internal/serving/audit.go
+++ b/internal/serving/audit.go
@@ -11,7 +11,7 @@
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // suspect is a program that an engine holds and that no owner knew at the last
@@ -38,7 +38,7 @@
 	}
 	view := o.config.Board.Members.Load()
 	var group sync.WaitGroup
-	for _, engine := range o.candidates.of(platform.RoleEngine, time.Now()) {
+	for _, engine := range o.candidates.of(siteservices.RoleEngine, time.Now()) {
 		if !responsible(o.config.Self, engine.Name, view) {
 			continue
 		}
--- a/internal/serving/benchmark_test.go
+++ b/internal/serving/benchmark_test.go
@@ -12,9 +12,9 @@
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/journal"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
 	"stepseam.example/stepseam/internal/serving"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -73,7 +73,7 @@
 	for number := range engines {
 		name := fmt.Sprintf("engine-%d", number)
 		board.Backends.Store(name, blackboard.Backend{
-			Name: name, Role: platform.RoleEngine, Address: address(1, number%200),
+			Name: name, Role: siteservices.RoleEngine, Address: address(1, number%200),
 			Report: backend.LoadReport{Models: []string{testModel}},
 		})
 	}
--- a/internal/serving/evict.go
+++ b/internal/serving/evict.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/program"
 	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // pauses keeps, for each kind of branch, how long its pauses last.
@@ -81,7 +81,7 @@
 // the engines last said they are.
 func (o *Owner) patience(now time.Time) time.Duration {
 	used, capacity := 0, 0
-	for _, engine := range o.candidates.of(platform.RoleEngine, now) {
+	for _, engine := range o.candidates.of(siteservices.RoleEngine, now) {
 		used += engine.Report.CacheUsedTokens
 		capacity += engine.Report.CacheCapacityTokens
 	}
--- a/internal/serving/inflight.go
+++ b/internal/serving/inflight.go
@@ -10,8 +10,8 @@
 
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // inFlightTracker counts this node's attempts that are at back ends now.
@@ -191,20 +191,20 @@
 	// mutex guards the rest; the slices are replaced whole.
 	mutex  sync.Mutex
 	copied time.Time
-	byRole map[platform.MachineRole][]blackboard.Backend
+	byRole map[siteservices.MachineRole][]blackboard.Backend
 }
 
 func newCandidates(board *blackboard.Board) *candidates { return &candidates{board: board} }
 
 // of returns the back ends of role by name, so that equal costs are decided the
 // same way each time.
-func (c *candidates) of(role platform.MachineRole, now time.Time) []blackboard.Backend {
+func (c *candidates) of(role siteservices.MachineRole, now time.Time) []blackboard.Backend {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.byRole == nil || now.Sub(c.copied) > candidateAge || now.Before(c.copied) {
 		all := lo.Values(c.board.Backends.Copy())
 		slices.SortFunc(all, func(a, b blackboard.Backend) int { return cmp.Compare(a.Name, b.Name) })
-		c.byRole = lo.GroupBy(all, func(b blackboard.Backend) platform.MachineRole { return b.Role })
+		c.byRole = lo.GroupBy(all, func(b blackboard.Backend) siteservices.MachineRole { return b.Role })
 		c.copied = now
 	}
 	return c.byRole[role]
--- a/internal/serving/site_test.go
+++ b/internal/serving/site_test.go
@@ -18,9 +18,9 @@
 	"stepseam.example/stepseam/internal/emulator/engine"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/journal"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/scheduling"
 	"stepseam.example/stepseam/internal/serving"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -151,7 +151,7 @@
 		}
 		s.engines = append(s.engines, e)
 		s.clients[address(1, number)] = e
-		s.list(e.Name(), platform.RoleEngine, "pool", address(1, number), backend.LoadReport{Models: []string{testModel}})
+		s.list(e.Name(), siteservices.RoleEngine, "pool", address(1, number), backend.LoadReport{Models: []string{testModel}})
 	}
 	for number := range 2 {
 		a, err := application.New(application.DefaultParameters(fmt.Sprintf("portal-%d", number)), s.ledger)
@@ -160,7 +160,7 @@
 		}
 		s.portals = append(s.portals, a)
 		s.clients[address(2, number)] = a
-		s.list(a.Name(), platform.RoleApplication, testService, address(2, number), backend.LoadReport{})
+		s.list(a.Name(), siteservices.RoleApplication, testService, address(2, number), backend.LoadReport{})
 	}
 	s.publish(table.Class{
 		Name: testClass, Model: testModel, Weight: 1, BudgetTokens: 1_000_000, MaxCalls: 1000, MaxBranches: 10,
@@ -169,10 +169,10 @@
 	return s
 }
 
-func (s *site) list(name string, role platform.MachineRole, service string, at netip.AddrPort, report backend.LoadReport) {
+func (s *site) list(name string, role siteservices.MachineRole, service string, at netip.AddrPort, report backend.LoadReport) {
 	s.board.Backends.Store(name, blackboard.Backend{Name: name, Role: role, Address: at, Service: service, Report: report})
-	s.board.Machines.Update(func(machines []platform.Machine) []platform.Machine {
-		return append(machines, platform.Machine{Name: name, Role: role, Address: at, Service: service})
+	s.board.Machines.Update(func(machines []siteservices.Machine) []siteservices.Machine {
+		return append(machines, siteservices.Machine{Name: name, Role: role, Address: at, Service: service})
 	})
 }
 
--- a/internal/serving/takeover.go
+++ b/internal/serving/takeover.go
@@ -10,8 +10,8 @@
 
 	"stepseam.example/stepseam/api"
 	"stepseam.example/stepseam/internal/backend"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/program"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
 // recoverOpenCalls starts a run for each call that the former owner left open, and the
@@ -133,5 +133,5 @@
 	if len(machines) == 0 {
 		return true
 	}
-	return lo.ContainsBy(machines, func(m platform.Machine) bool { return m.Address == address })
+	return lo.ContainsBy(machines, func(m siteservices.Machine) bool { return m.Address == address })
 }
--- a/internal/platform/client.go
+++ b/internal/siteservices/client.go
@@ -1,4 +1,4 @@
-package platform
+package siteservices
 
 import (
 	"bytes"
@@ -90,14 +90,14 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := c.request(httptrace.WithClientTrace(ctx, trace), e)
 	if err != nil {
-		return fmt.Errorf("platform: %s: %w: %w", place, ErrUnavailable, err)
+		return fmt.Errorf("site services: %s: %w: %w", place, ErrUnavailable, err)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		if !connected.Load() {
-			return fmt.Errorf("platform: %s: %w: %w", place, ErrUnavailable, err)
+			return fmt.Errorf("site services: %s: %w: %w", place, ErrUnavailable, err)
 		}
-		return fmt.Errorf("platform: %s: %w: %w", place, ErrAnswerLost, err)
+		return fmt.Errorf("site services: %s: %w: %w", place, ErrAnswerLost, err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
@@ -139,7 +139,7 @@
 		kind = ErrUnavailable
 	}
 	text, _ := io.ReadAll(io.LimitReader(response.Body, errorTextLimit))
-	return fmt.Errorf("platform: %s: %w: status %d: %s", place, kind, response.StatusCode, bytes.TrimSpace(text))
+	return fmt.Errorf("site services: %s: %w: status %d: %s", place, kind, response.StatusCode, bytes.TrimSpace(text))
 }
 
 // decode reads a bounded answer. An answer that can't be read is a lost one.
@@ -147,13 +147,13 @@
 	limited := &io.LimitedReader{R: body, N: MaxBodyBytes + 1}
 	encoded, err := io.ReadAll(limited)
 	if err != nil {
-		return fmt.Errorf("platform: %s: %w: read answer: %w", place, ErrAnswerLost, err)
+		return fmt.Errorf("site services: %s: %w: read answer: %w", place, ErrAnswerLost, err)
 	}
 	if len(encoded) > MaxBodyBytes {
-		return fmt.Errorf("platform: %s: %w: answer is over the limit of %d bytes", place, ErrAnswerLost, MaxBodyBytes)
+		return fmt.Errorf("site services: %s: %w: answer is over the limit of %d bytes", place, ErrAnswerLost, MaxBodyBytes)
 	}
 	if err := json.Unmarshal(encoded, answer); err != nil {
-		return fmt.Errorf("platform: %s: %w: decode answer: %w", place, ErrAnswerLost, err)
+		return fmt.Errorf("site services: %s: %w: decode answer: %w", place, ErrAnswerLost, err)
 	}
 	return nil
 }
--- a/internal/platform/client_test.go
+++ b/internal/siteservices/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package siteservices_test
 
 import (
 	"context"
@@ -16,14 +16,14 @@
 	"stepseam.example/stepseam/internal/emulator/logservice"
 	"stepseam.example/stepseam/internal/emulator/machinelist"
 	"stepseam.example/stepseam/internal/emulator/weightstore"
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 )
 
-func serve(t *testing.T, handler http.Handler) platform.ClientOptions {
+func serve(t *testing.T, handler http.Handler) siteservices.ClientOptions {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return platform.ClientOptions{
+	return siteservices.ClientOptions{
 		Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
 		Caller:  "n1",
 	}
@@ -31,28 +31,28 @@
 
 func TestLogClientAppendsAndReads(t *testing.T) {
 	check := is.New(t)
-	client := platform.NewLogClient(serve(t, logservice.NewServer(logservice.New(1))))
+	client := siteservices.NewLogClient(serve(t, logservice.NewServer(logservice.New(1))))
 	defer client.Close()
 	offset, err := client.Append(t.Context(), "shard 1/a", [][]byte{{0, 1}, {255}})
 	check.NoErr(err)
-	check.Equal(offset, platform.Offset(0))
+	check.Equal(offset, siteservices.Offset(0))
 	result, err := client.Read(t.Context(), "shard 1/a", 1, 10, time.Second)
 	check.NoErr(err)
-	check.Equal(result, platform.ReadResult{Records: [][]byte{{255}}, From: 1, End: 2})
+	check.Equal(result, siteservices.ReadResult{Records: [][]byte{{255}}, From: 1, End: 2})
 }
 
 func TestLogClientTellsTheFaultsApart(t *testing.T) {
 	service := logservice.New(1)
-	client := platform.NewLogClient(serve(t, logservice.NewServer(service)))
+	client := siteservices.NewLogClient(serve(t, logservice.NewServer(service)))
 	defer client.Close()
 	cases := map[string]struct {
 		outcome logservice.Outcome
 		want    error
 		stored  int
 	}{
-		"refused":      {logservice.RefuseAppend, platform.ErrUnavailable, 0},
-		"request lost": {logservice.LoseRequest, platform.ErrAnswerLost, 0},
-		"answer lost":  {logservice.LoseAnswer, platform.ErrAnswerLost, 1},
+		"refused":      {logservice.RefuseAppend, siteservices.ErrUnavailable, 0},
+		"request lost": {logservice.LoseRequest, siteservices.ErrAnswerLost, 0},
+		"answer lost":  {logservice.LoseAnswer, siteservices.ErrAnswerLost, 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -72,40 +72,40 @@
 	}{
 		"503 that is not the service's own word": {
 			func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
-			platform.ErrAnswerLost,
+			siteservices.ErrAnswerLost,
 		},
 		"503 with the service's word": {
 			func(w http.ResponseWriter, _ *http.Request) {
-				w.Header().Set(platform.EffectHeader, platform.EffectNone)
+				w.Header().Set(siteservices.EffectHeader, siteservices.EffectNone)
 				w.WriteHeader(http.StatusServiceUnavailable)
 			},
-			platform.ErrUnavailable,
+			siteservices.ErrUnavailable,
 		},
 		"connection broken": {
 			func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
-			platform.ErrAnswerLost,
+			siteservices.ErrAnswerLost,
 		},
 		"answer cut short": {
 			func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Content-Length", "100")
 				_, _ = w.Write([]byte(`{"offset":1`))
 			},
-			platform.ErrAnswerLost,
+			siteservices.ErrAnswerLost,
 		},
 		"answer is no JSON": {
 			func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) },
-			platform.ErrAnswerLost,
+			siteservices.ErrAnswerLost,
 		},
 		"answer too large": {
 			func(w http.ResponseWriter, _ *http.Request) {
-				_, _ = w.Write([]byte(strings.Repeat(" ", platform.MaxBodyBytes+1)))
+				_, _ = w.Write([]byte(strings.Repeat(" ", siteservices.MaxBodyBytes+1)))
 			},
-			platform.ErrAnswerLost,
+			siteservices.ErrAnswerLost,
 		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			client := platform.NewLogClient(serve(t, c.handler))
+			client := siteservices.NewLogClient(serve(t, c.handler))
 			defer client.Close()
 			_, err := client.Append(t.Context(), "a", [][]byte{{1}})
 			is.New(t).True(errors.Is(err, c.want))
@@ -119,9 +119,9 @@
 	check.NoErr(err)
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	check.NoErr(listener.Close())
-	client := platform.NewLogClient(platform.ClientOptions{Address: address})
+	client := siteservices.NewLogClient(siteservices.ClientOptions{Address: address})
 	_, err = client.Append(t.Context(), "a", [][]byte{{1}})
-	check.True(errors.Is(err, platform.ErrUnavailable))
+	check.True(errors.Is(err, siteservices.ErrUnavailable))
 }
 
 func TestClientGivesUpOnASilentService(t *testing.T) {
@@ -129,55 +129,55 @@
 	release := make(chan struct{})
 	options := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	options.RequestTimeout = 50 * time.Millisecond
-	client := platform.NewLogClient(options)
+	client := siteservices.NewLogClient(options)
 	_, err := client.Append(t.Context(), "a", [][]byte{{1}})
 	close(release)
-	check.True(errors.Is(err, platform.ErrAnswerLost))
+	check.True(errors.Is(err, siteservices.ErrAnswerLost))
 	check.True(errors.Is(err, context.DeadlineExceeded))
 }
 
 func TestClientRefusesAnOversizedRequest(t *testing.T) {
 	check := is.New(t)
 	service := logservice.New(1)
-	client := platform.NewLogClient(serve(t, logservice.NewServer(service)))
+	client := siteservices.NewLogClient(serve(t, logservice.NewServer(service)))
 	defer client.Close()
-	_, err := client.Append(t.Context(), "a", [][]byte{make([]byte, platform.MaxBodyBytes)})
-	check.True(errors.Is(err, platform.ErrUnavailable))
+	_, err := client.Append(t.Context(), "a", [][]byte{make([]byte, siteservices.MaxBodyBytes)})
+	check.True(errors.Is(err, siteservices.ErrUnavailable))
 	check.Equal(service.Counts().Appends, uint64(0))
 }
 
 func TestMachineListClient(t *testing.T) {
 	check := is.New(t)
-	machines := []platform.Machine{{
-		Name: "m1", Role: platform.RoleEngine, State: platform.MachineLive, Zone: "a", Region: "r",
+	machines := []siteservices.Machine{{
+		Name: "m1", Role: siteservices.RoleEngine, State: siteservices.MachineLive, Zone: "a", Region: "r",
 		Address: netip.MustParseAddrPort("127.0.0.2:80"), Service: "modelos-asesor",
 	}}
 	list := machinelist.New(machines)
-	client := platform.NewMachineListClient(serve(t, machinelist.NewServer(list)))
+	client := siteservices.NewMachineListClient(serve(t, machinelist.NewServer(list)))
 	defer client.Close()
 	got, err := client.Machines(t.Context())
 	check.NoErr(err)
 	check.Equal(got, machines)
 	list.ViewFor("n1").SetDown(true)
 	_, err = client.Machines(t.Context())
-	check.True(errors.Is(err, platform.ErrUnavailable))
+	check.True(errors.Is(err, siteservices.ErrUnavailable))
 }
 
 func TestWeightStoreClient(t *testing.T) {
 	check := is.New(t)
 	store := weightstore.New(weightstore.Options{BytesPerSecond: 1, DefaultBytes: 1000})
-	client := platform.NewWeightStoreClient(serve(t, weightstore.NewServer(store)))
+	client := siteservices.NewWeightStoreClient(serve(t, weightstore.NewServer(store)))
 	defer client.Close()
 	wait, err := client.Wait(t.Context(), "org/model", "1")
 	check.NoErr(err)
 	check.Equal(wait, time.Duration(0))
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	check.True(errors.Is(store.Fetch(ctx, "org/model", "1"), platform.ErrAnswerLost))
+	check.True(errors.Is(store.Fetch(ctx, "org/model", "1"), siteservices.ErrAnswerLost))
 	wait, err = client.Wait(t.Context(), "org/model", "1")
 	check.NoErr(err)
 	check.True(wait > 500*time.Second && wait <= 1000*time.Second)
 	store.SetDown(true)
 	_, err = client.Wait(t.Context(), "org/model", "1")
-	check.True(errors.Is(err, platform.ErrUnavailable))
+	check.True(errors.Is(err, siteservices.ErrUnavailable))
 }
--- a/internal/platform/clients.go
+++ b/internal/siteservices/clients.go
@@ -1,4 +1,4 @@
-package platform
+package siteservices
 
 import (
 	"context"
@@ -52,7 +52,7 @@
 		return ReadResult{}, err
 	}
 	if answer.From != from {
-		return ReadResult{}, fmt.Errorf("platform: read %s: %w: asked offset %d, got %d",
+		return ReadResult{}, fmt.Errorf("site services: read %s: %w: asked offset %d, got %d",
 			stream, ErrAnswerLost, from, answer.From)
 	}
 	return ReadResult(answer), nil
--- a/internal/platform/platform.go
+++ b/internal/siteservices/platform.go
@@ -1,8 +1,8 @@
-// Package platform holds the clients of what the platform gives: the log
+// Package siteservices holds the clients of what the platform gives: the log
 // service, the machine list, the weight store and the tool services. The
 // interfaces here are what the rest of stepseam sees; the HTTP clients beside
 // them and the stand-ins of internal/emulator implement them.
-package platform
+package siteservices
 
 import (
 	"context"
@@ -15,11 +15,11 @@
 
 // ErrUnavailable tells that the service did not take the request: it had no
 // effect, for certain.
-var ErrUnavailable = errors.New("platform: service unavailable")
+var ErrUnavailable = errors.New("site services: service unavailable")
 
 // ErrAnswerLost tells that the request may or may not have had its effect. The
 // caller must read back before it tries again.
-var ErrAnswerLost = errors.New("platform: answer lost, the effect is unknown")
+var ErrAnswerLost = errors.New("site services: answer lost, the effect is unknown")
 
 // Offset is a position in a log stream, counted from 0 without gaps.
 type Offset uint64
--- a/internal/platform/protocol.go
+++ b/internal/siteservices/protocol.go
@@ -1,4 +1,4 @@
-package platform
+package siteservices
 
 import "time"
 
--- a/internal/table/ledger.go
+++ b/internal/table/ledger.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/wire"
 )
 
@@ -28,7 +28,7 @@
 
 // Entry is one publication in the ledger's history.
 type Entry struct {
-	Offset    platform.Offset
+	Offset    siteservices.Offset
 	ID        string
 	Base      Version
 	Author    string
@@ -57,19 +57,19 @@
 // the one that has folded more is right, and a node that takes it from another
 // node comes to the state it would have read itself. Not safe for concurrent use.
 type Ledger struct {
-	next    platform.Offset
+	next    siteservices.Offset
 	current *Table
 	csv     []byte
 	history []Entry
 	// summarized is the offset behind the last summary in the stream, 0 if there is none.
-	summarized platform.Offset
+	summarized siteservices.Offset
 }
 
 // NewLedger returns the ledger of an empty stream.
 func NewLedger() *Ledger { return &Ledger{} }
 
 // Next returns the offset of the next record to fold.
-func (l *Ledger) Next() platform.Offset { return l.next }
+func (l *Ledger) Next() siteservices.Offset { return l.next }
 
 // Current returns the accepted table with the highest version, or nil.
 func (l *Ledger) Current() *Table { return l.current }
@@ -131,7 +131,7 @@
 }
 
 // judge decides about one publication and takes it in force if it is accepted.
-func (l *Ledger) judge(offset platform.Offset, record Record) Entry {
+func (l *Ledger) judge(offset siteservices.Offset, record Record) Entry {
 	entry := Entry{
 		Offset: offset, ID: record.ID, Base: record.Base, Author: clip(record.Author), Note: clip(record.Note),
 		Published: record.Published, Digest: xxhash.Sum64(record.CSV),
@@ -204,7 +204,7 @@
 
 // DecodeLedger reads what Encode wrote.
 func DecodeLedger(d *wire.Decoder) (*Ledger, error) {
-	l := &Ledger{next: platform.Offset(d.Uint64()), summarized: platform.Offset(d.Uint64())}
+	l := &Ledger{next: siteservices.Offset(d.Uint64()), summarized: siteservices.Offset(d.Uint64())}
 	csv := d.Blob()
 	if d.Bool() {
 		entry := decodeEntry(d)
@@ -238,7 +238,7 @@
 
 func decodeEntry(d *wire.Decoder) Entry {
 	return Entry{
-		Offset: platform.Offset(d.Uint64()), ID: d.String(), Base: Version(d.Uint64()), Author: d.String(),
+		Offset: siteservices.Offset(d.Uint64()), ID: d.String(), Base: Version(d.Uint64()), Author: d.String(),
 		Note: d.String(), Published: d.Time(), Status: Status(d.String()), Version: Version(d.Uint64()),
 		Reason: d.String(), Digest: d.Uint64(),
 	}
--- a/internal/table/ledger_test.go
+++ b/internal/table/ledger_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 	"stepseam.example/stepseam/internal/wire"
 )
@@ -128,7 +128,7 @@
 		fold(t, direct, stream)
 		summaries := 0
 		for offset, raw := range stream {
-			started, err := table.FromSummary(platform.Offset(offset), raw)
+			started, err := table.FromSummary(siteservices.Offset(offset), raw)
 			if err != nil {
 				continue
 			}
--- a/internal/table/summary.go
+++ b/internal/table/summary.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"fmt"
 
-	"stepseam.example/stepseam/internal/platform"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/wire"
 )
 
@@ -39,7 +39,7 @@
 
 // FromSummary returns the ledger of the record at offset if that is a summary
 // which this release understands, or ErrNotRecord.
-func FromSummary(offset platform.Offset, raw []byte) (*Ledger, error) {
+func FromSummary(offset siteservices.Offset, raw []byte) (*Ledger, error) {
 	d := wire.NewDecoder(raw)
 	if d.Uint32() != summaryMagic || d.Uint16() != summaryFormat {
 		return nil, ErrNotRecord
--- a/test/replay/variants_test.go
+++ b/test/replay/variants_test.go
@@ -12,8 +12,8 @@
 	"stepseam.example/stepseam/internal/journal"
 	"stepseam.example/stepseam/internal/lab/replay"
 	"stepseam.example/stepseam/internal/lab/simulated"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/serving"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 	"stepseam.example/stepseam/internal/trace"
 )
@@ -49,7 +49,7 @@
 		Fence:      func(identity.StreamID) error { return nil },
 		CheckLease: func(journal.Shard) error { return nil },
 	}}
-	deafToTables := simulated.Wrong{Log: func(log platform.Log) platform.Log { return firstTableLog{Log: log} }}
+	deafToTables := simulated.Wrong{Log: func(log siteservices.Log) siteservices.Log { return firstTableLog{Log: log} }}
 	return []variant{
 		{trace: "quito-deadline-night", name: "the oldest turn is forgotten", shows: conversation, wrong: forgets},
 		{trace: "quito-deadline-night", name: "engines are not told to release", shows: memory, wrong: keepsMemory},
@@ -120,10 +120,10 @@
 }
 
 // firstTableLog shows a node the first table and none after it.
-type firstTableLog struct{ platform.Log }
+type firstTableLog struct{ siteservices.Log }
 
-// Read implements platform.Log.
-func (l firstTableLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+// Read implements siteservices.Log.
+func (l firstTableLog) Read(ctx context.Context, stream string, from siteservices.Offset, limit int, wait time.Duration) (siteservices.ReadResult, error) {
 	if stream == table.Stream && from > 0 {
 		time.Sleep(wait + time.Millisecond)
 		return l.Log.Read(ctx, stream, 1<<30, limit, 0)
--- a/test/simulation/site_test.go
+++ b/test/simulation/site_test.go
@@ -18,8 +18,8 @@
 	"stepseam.example/stepseam/internal/emulator/engine"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/lab/simulated"
-	"stepseam.example/stepseam/internal/platform"
 	"stepseam.example/stepseam/internal/serving"
+	"stepseam.example/stepseam/internal/siteservices"
 	"stepseam.example/stepseam/internal/table"
 )
 
@@ -63,7 +63,7 @@
 	// hooks replace rules of every node by wrong ones, for the checkers' own proof.
 	hooks serving.Hooks
 	// wrapLog replaces a node's log client, for the checkers' own proof.
-	wrapLog func(platform.Log) platform.Log
+	wrapLog func(siteservices.Log) siteservices.Log
 	// wrapDirectory replaces a node's back-end clients, for the checkers' own proof.
 	wrapDirectory func(backend.Directory) backend.Directory
 }
