Bound heads, bodies and resting connections by the configuration

Cause: a client could send a head of 64 KiB, keep a body from coming for ever and hold bodies without a bound over all requests; resting connections were kept 90 s whatever the configuration says. Found by reading. Tests failed before: TestHeadsAreBounded, TestBodyThatDoesNotComeEndsWithTheRequestsTime, TestFullBuffersRefuseAsNotRun, and CloseResting in the test of idle connections.

--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -30,12 +30,16 @@
 	mebibyte = 1 << 20
 	// cacheShare is the part of the memory that the texts of turns may take.
 	cacheShare = 8
-	// clientIdle is how long a client's connection may rest. It is longer than any
-	// configuration allows clients to rest, so that a close never crosses a request.
+	// bufferShare is the part of it that clients' bodies may take.
+	bufferShare = 4
+	// clientIdle is how long a client's connection may rest where the configuration
+	// does not say.
 	clientIdle = 90 * time.Second
 	// headerTime bounds the arrival of a request's head.
 	headerTime = 10 * time.Second
 	headBytes  = 64 << 10
+	// restPause is the time between two looks for connections that rest too long.
+	restPause = time.Second
 )
 
 // node is one running node.
@@ -73,6 +77,7 @@
 	n.run(ctx, n.entries.Run)
 	n.run(ctx, n.replicas.Run)
 	n.run(ctx, n.homes.Run)
+	n.run(ctx, n.closeResting)
 	if n.peers != nil {
 		n.run(ctx, n.peers.run)
 		n.run(ctx, n.relay.run)
@@ -115,6 +120,23 @@
 	return nil
 }
 
+// closeResting closes clients' connections that rest for longer than the
+// configuration allows.
+func (n *node) closeResting(ctx context.Context) {
+	ticker := time.NewTicker(restPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if configuration := n.router.Configuration(); configuration != nil && configuration.Limits.IdleTimeout > 0 {
+				n.connections.CloseResting(configuration.Limits.IdleTimeout)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // ready tells whether new connections are welcome: configuration and replicas are
 // known and no stop has been asked for.
 func (n *node) ready() bool {
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -102,7 +102,8 @@
 		Names:    do.MustInvoke[Adapter](injector).Names,
 		Replicas: do.MustInvoke[*exchange.Client](injector), Fleet: do.MustInvoke[*fleet.Directory](injector),
 		Tracker: do.MustInvoke[*balance.Tracker](injector), Turns: do.MustInvoke[*homes.Service](injector),
-		Random: rand.Float64, Logger: do.MustInvoke[*slog.Logger](injector),
+		BufferBytes: int64(do.MustInvoke[settings.Routed](injector).Machine.MemoryMebibytes) * mebibyte / bufferShare,
+		Random:      rand.Float64, Logger: do.MustInvoke[*slog.Logger](injector),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
 	}), nil
 }
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -158,6 +158,30 @@
 
 var errBodyTooLarge = errors.New("router: the body is larger than allowed")
 
+// headBytes is about how long a request's head is on the wire.
+func headBytes(request *http.Request) int {
+	const perField = len(": \r\n")
+	total := len(request.Method) + len(request.RequestURI) + len(request.Host)
+	for name, values := range request.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + perField
+		}
+	}
+	return total
+}
+
+// readBodyUntil is readBody with a time by which the body must have come.
+func readBodyUntil(writer http.ResponseWriter, request *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	controller := http.NewResponseController(writer)
+	// A connection without deadlines is left as it is.
+	_ = controller.SetReadDeadline(deadline)
+	body, err := readBody(request, limit)
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // readBody takes the whole body, which is needed for a further attempt.
 func readBody(request *http.Request, limit int64) ([]byte, error) {
 	if limit <= 0 {
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Connections tracks the clients' connections, so that a planned stop can close
@@ -24,6 +25,8 @@
 	closed bool
 	// fresh tells that no request has come on it yet.
 	fresh bool
+	// restsSince is when its last answer was sent; zero while none has been.
+	restsSince time.Time
 }
 
 type connectionKey struct{}
@@ -104,6 +107,26 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.busy = false
+	t.restsSince = time.Now()
+}
+
+// restsLonger tells whether the connection has rested for longer than limit.
+func (t *clientConnection) restsLonger(limit time.Duration) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return !t.busy && !t.restsSince.IsZero() && time.Since(t.restsSince) > limit
+}
+
+// CloseResting closes the connections that have rested for longer than limit.
+func (c *Connections) CloseResting(limit time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for socket, tracked := range c.open {
+		if tracked.restsLonger(limit) && tracked.closeIfIdle(false) {
+			// There is nobody to tell of an error.
+			_ = socket.Close()
+		}
+	}
 }
 
 // Count returns how many connections are open.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,8 @@
 	Fleet    *fleet.Directory
 	Tracker  *balance.Tracker
 	Turns    *homes.Service
+	// BufferBytes bounds the bodies that are held at once.
+	BufferBytes int64
 	// Random returns a number in [0,1).
 	Random     func() float64
 	Logger     *slog.Logger
@@ -38,6 +40,8 @@
 	began         time.Time
 	configuration atomic.Pointer[routing.Configuration]
 	draining      atomic.Bool
+	// buffered counts the bytes of bodies that are held.
+	buffered atomic.Int64
 }
 
 // New returns a router without a configuration, which answers 503.
@@ -86,6 +90,11 @@
 		r.logRefused(request, reply)
 		return
 	}
+	if limit := configuration.Limits.HeaderBytes; limit > 0 && headBytes(request) > limit {
+		reply.refuse(http.StatusRequestHeaderFieldsTooLarge, refusal{reason: "head_too_large"})
+		r.logRefused(request, reply)
+		return
+	}
 	route := configuration.Match(request.Host, request.URL.Path)
 	if route == nil {
 		reply.refuse(http.StatusNotFound, refusal{reason: "no_route"})
@@ -98,7 +107,14 @@
 func (r *Router) serveCall(reply *reply, request *http.Request, call *call, limits routing.Limits) {
 	r.metrics.underWay.Inc()
 	defer r.metrics.underWay.Dec()
-	body, err := readBody(request, limits.BodyBytes)
+	held := max(request.ContentLength, 0)
+	defer r.buffered.Add(-held)
+	if r.buffered.Add(held) > r.config.BufferBytes {
+		reply.refuse(http.StatusServiceUnavailable, refusal{reason: "buffers_full", comeBack: shortComeBack})
+		r.logEnd(call, reply)
+		return
+	}
+	body, err := readBodyUntil(reply.writer, request, limits.BodyBytes, call.deadline)
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		reply.refuse(http.StatusRequestEntityTooLarge, refusal{reason: "body_too_large"})
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -73,7 +73,7 @@
 func (h *harness) newRouter(name string) *Router {
 	return New(Config{
 		Names: testNames, Replicas: exchange.NewClient(testNames.Replica), Fleet: h.fleet,
-		Tracker: balance.NewTracker("near"), Random: func() float64 { return 0 }, Logger: slog.New(slog.DiscardHandler),
+		Tracker: balance.NewTracker("near"), Random: func() float64 { return 0 }, BufferBytes: 1 << 20, Logger: slog.New(slog.DiscardHandler),
 		Turns: homes.New(homes.Config{
 			Ledger: ledgerlog.New(ledgerlog.Config{
 				Store: h.log, Topic: "ledger", TextTopic: "texts", Partitions: 2, Producer: name,
@@ -106,7 +106,7 @@
 			route("/kept/", routing.KindStreaming, 1, func(r *routing.Route) { r.Retain, r.RetainFor = true, time.Minute }),
 		},
 		Services: map[string]routing.Service{"s": {Name: "s", TokensPerEvent: tokensPerEvent, Slots: 4}},
-		Limits:   routing.Limits{BodyBytes: 1 << 10},
+		Limits:   routing.Limits{BodyBytes: 1 << 10, HeaderBytes: 2 << 10},
 	})
 	if err != nil {
 		h.t.Fatal(err)
@@ -184,6 +184,38 @@
 	is.Equal(h.askBody("/safe/x", "3", strings.Repeat("x", 2<<10)).StatusCode, http.StatusRequestEntityTooLarge)
 }
 
+func TestHeadsAreBounded(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, sound)
+	got := h.ask("/safe/x", "1", "X-Long", strings.Repeat("x", 3<<10))
+	is.Equal(got.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(len(h.replicas[0].Received()), 0)
+}
+
+func TestBodyThatDoesNotComeEndsWithTheRequestsTime(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, sound)
+	socket, err := net.Dial("tcp4", h.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = socket.Close() }()
+	_, err = socket.Write([]byte("POST /short/x HTTP/1.1\r\nHost: h.example\r\nTest-Id: 1\r\nContent-Length: 10\r\n\r\nhalf"))
+	is.NoErr(err)
+	is.NoErr(socket.SetReadDeadline(time.Now().Add(2 * time.Second)))
+	_, err = io.ReadAll(socket)
+	is.NoErr(err) // closed
+	is.Equal(len(h.replicas[0].Received()), 0)
+}
+
+func TestFullBuffersRefuseAsNotRun(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, sound)
+	h.router.buffered.Add(1 << 20)
+	is.Equal(h.ask("/safe/x", "1").StatusCode, http.StatusServiceUnavailable)
+	h.router.buffered.Add(-1 << 20)
+	is.Equal(h.ask("/safe/x", "2").StatusCode, http.StatusOK)
+	is.Equal(h.router.buffered.Load(), int64(0))
+}
+
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, sound)
@@ -324,6 +356,9 @@
 	is.NoErr(err)
 	is.Equal(string(body), "done")
 	time.Sleep(50 * time.Millisecond)
+	tracked.CloseResting(time.Minute)
+	is.Equal(tracked.Count(), 1)
+	tracked.CloseResting(10 * time.Millisecond)
 	is.Equal(tracked.CloseIdle(false), 0)
 	_, err = reader.ReadByte()
 	is.True(errors.Is(err, io.EOF))
