--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -30,8 +30,11 @@
 	suspectCost = 2000.0
 	// usualEvents is how many events a stream has, roughly.
 	usualEvents = 11.0
-	// slowPace times the fastest pace is where a replica counts as slow. Smaller
-	// differences are left alone: chasing them crowds the fast replicas.
+	// paceShare of a difference in pace counts. More would crowd the fast replicas,
+	// whose waits nodes learn of late.
+	paceShare = 0.2
+	// slowPace times the fastest pace is where a replica counts as slow and all of
+	// what is beyond counts.
 	slowPace = 2.0
 )
 
@@ -60,9 +63,9 @@
 	Suspect bool
 	// Doubtful tells that it may have left.
 	Doubtful bool
-	// SlowMilliseconds is how much longer than usual the time between two events of a
-	// stream is there; 0 unless the replica is slow.
-	SlowMilliseconds float64
+	// LagMilliseconds is what counts of the longer time between two events of a stream
+	// there.
+	LagMilliseconds float64
 }
 
 // Choice is the chosen candidate and why.
@@ -100,7 +103,7 @@
 		total += underWay * engineRequestCost
 		slots := float64(cmp.Or(candidate.Slots, usualSlots))
 		total += max(underWay+1-slots, 0) * engineServiceTime / slots
-		total += candidate.SlowMilliseconds * usualEvents
+		total += candidate.LagMilliseconds * usualEvents
 	} else {
 		total += underWay * workerRequestCost
 	}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -95,25 +95,34 @@
 		if known, found := t.replicas[replica.Instance]; found {
 			candidate.UnderWay = known.underWay
 			candidate.Suspect = now < known.suspectUntil || known.waiting > 0 && now-known.waitingSince > patience
-			candidate.SlowMilliseconds = known.pace
+			candidate.LagMilliseconds = known.pace
 			candidate.CachedTokens = known.cachedTokens(prompt)
 		}
 		candidates = append(candidates, candidate)
 	}
-	keepSlow(candidates)
+	keepLag(candidates)
 	return candidates
 }
 
-// keepSlow replaces each candidate's pace by how far it is over that of a slow one.
-func keepSlow(candidates []Candidate) {
+// lag is how much of a slower pace counts, in milliseconds an event: a part of any
+// difference, all of what is over that of a slow replica.
+func lag(pace, fastest float64) float64 {
+	if pace == 0 {
+		return 0
+	}
+	return paceShare*(pace-fastest) + max(pace-slowPace*fastest, 0)
+}
+
+// keepLag replaces each candidate's pace by its lag behind the fastest.
+func keepLag(candidates []Candidate) {
 	fastest := math.Inf(1)
 	for _, candidate := range candidates {
-		if candidate.SlowMilliseconds > 0 {
-			fastest = min(fastest, candidate.SlowMilliseconds)
+		if candidate.LagMilliseconds > 0 {
+			fastest = min(fastest, candidate.LagMilliseconds)
 		}
 	}
 	for i := range candidates {
-		candidates[i].SlowMilliseconds = max(candidates[i].SlowMilliseconds-slowPace*fastest, 0)
+		candidates[i].LagMilliseconds = lag(candidates[i].LagMilliseconds, fastest)
 	}
 }
 
