Reserve more only when one more turn may not fit

Ruled out: the part that stays closed to owners that are not sure (67 to 100 % of the budget; those refused had charges below it). TestCreditHandsOutNoMoreThanItHolds has the new bound.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -110,10 +110,11 @@
 	}
 }
 
-// Low tells whether less than two turns fit, so that more should be reserved
-// before it is needed.
+// Low tells whether one more turn may not fit, if the open ones hand out half of
+// what they may, so that more should be reserved before it is needed. What is
+// reserved too early is lost with the node.
 func (c *Credit) Low() bool {
-	return c.asked && c.granted() < c.spent+c.underWay()+2*uint64(c.most)
+	return c.asked && c.granted() < c.spent+c.underWay()/2+uint64(c.most)
 }
 
 // Decided takes the verdict on a reservation.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -209,7 +209,11 @@
 	is.True(!c.Finish(0, 70, 0))
 	is.True(!c.Fits(100, true)) // 270 of 320
 	is.True(c.Fits(50, true))
+	is.True(!c.Low()) // 70, 100 of 200 under way, and 100 more
+	c.Open(9, 50, 0)
+	is.True(c.Finish(9, 51, 0))
 	is.True(c.Low())
+	c.spent -= 51
 	next := c.Next(2, 100, true, true)
 	is.Equal(next.Least, uint32(50))
 	is.Equal(next.Wanted, uint32(340))
