--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -121,7 +121,7 @@
 	}
 	call.header.Set(r.config.Names.TimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
 	if call.service.Slots > 0 && r.config.Names.Priority != "" {
-		call.header.Set(r.config.Names.Priority, strconv.Itoa(balance.Priority(call.route.Priority, call.finish, call.hasFinish)))
+		call.header.Set(r.config.Names.Priority, strconv.Itoa(balance.Priority(call.route.Priority)))
 	}
 	r.config.Tracker.Begin(replica.Instance, call.prompt, r.Now())
 	answer, err := r.config.Replicas.Send(ctx, exchange.Target{Instance: replica.Instance, Address: replica.Address}, exchange.Request{
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -43,10 +43,9 @@
 	prompt       []balance.Part
 	promptTokens int
 	mostTokens   uint32
-	// finish is how long the program has left; hasFinish tells that it says so.
-	finish    time.Duration
-	hasFinish bool
-	turn      turn
+	// finish is how long the program has left, for the log.
+	finish time.Duration
+	turn   turn
 	// lastEvent is the last event that the client has, or -1.
 	lastEvent int64
 }
@@ -106,7 +105,7 @@
 		made.lastEvent = last
 	}
 	if left, err := strconv.ParseInt(request.Header.Get(names.Finish), 10, 64); err == nil {
-		made.finish, made.hasFinish = time.Duration(left)*time.Millisecond, true
+		made.finish = time.Duration(left) * time.Millisecond
 	}
 	made.turn = turn{
 		program:  ledger.ProgramID(request.Header.Get(names.Program)),
