Keep and read turns through their home, as long as the client waits

Turns go to their home with their text now, so that many share a call, are read from its memory, and are tried until the request's time ends. Tests failed before: TestTurnIsTriedToBeKeptAsLongAsTheClientWaits.

--- a/internal/homes/handlers.go
+++ b/internal/homes/handlers.go
@@ -14,7 +14,7 @@
 	registry.Add(
 		func() peer.Message { return &begin{} }, func() peer.Message { return &begun{} },
 		func() peer.Message { return &finish{} }, func() peer.Message { return &keep{} }, func() peer.Message { return &done{} },
-		func() peer.Message { return &read{} }, func() peer.Message { return &texts{} },
+		func() peer.Message { return &kept{} }, func() peer.Message { return &read{} }, func() peer.Message { return &texts{} },
 	)
 	registry.Handle(kindBegin, peer.HandlerFunc(s.handleBegin))
 	registry.Handle(kindFinish, peer.HandlerFunc(s.handleFinish))
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -30,9 +30,11 @@
 	avoidFor = 700 * time.Millisecond
 	// finishTimeout bounds the telling of a turn's end.
 	finishTimeout = 2 * time.Second
-	// ownStoreTime is how long the store may take to answer this node before a turn
-	// is kept or read through its home.
-	ownStoreTime = 300 * time.Millisecond
+	// homePatience is how long a home may take to keep or read turns before this
+	// node does it itself.
+	homePatience = 700 * time.Millisecond
+	// keepPause is the time between two tries to keep a turn.
+	keepPause = 60 * time.Millisecond
 	// settleAfter is how long after its start a node alone in its view waits
 	// before it takes itself for the home of all partitions.
 	settleAfter = 2 * time.Second
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,18 +37,18 @@
 // gate is a way to the store that can be closed for one node.
 type gate struct {
 	*store.Store
-	closed bool
+	closed atomic.Bool
 }
 
 func (g *gate) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
-	if g.closed {
+	if g.closed.Load() {
 		return logstore.AppendResult{}, logstore.ErrUnavailable
 	}
 	return g.Store.Append(ctx, request)
 }
 
 func (g *gate) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
-	if g.closed {
+	if g.closed.Load() {
 		return logstore.ReadResult{}, logstore.ErrUnavailable
 	}
 	return g.Store.Read(ctx, request)
@@ -171,7 +172,7 @@
 	is := is.New(t)
 	nodes := startCluster(t, 3)
 	home, other := homeOf(nodes, "p")
-	home.store.closed = true
+	home.store.closed.Store(true)
 	turn := mustBegin(t, other, turnOf("p", 1000, 100))
 	is.Equal(turn.Home, other.identity.Name)
 }
@@ -181,7 +182,7 @@
 		is := is.New(t)
 		nodes := startCluster(t, 3)
 		_, other := homeOf(nodes, "p")
-		other.store.closed = cut
+		other.store.closed.Store(cut)
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
 		is.NoErr(other.service.Keep(ctx, ledger.Keep{Program: "p", Turn: "t1", For: time.Minute}, []byte("one")))
@@ -195,6 +196,18 @@
 	}
 }
 
+func TestTurnIsTriedToBeKeptAsLongAsTheClientWaits(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 2)
+	home, other := homeOf(nodes, "p")
+	home.store.closed.Store(true)
+	other.store.closed.Store(true)
+	time.AfterFunc(1500*time.Millisecond, func() { other.store.closed.Store(false) })
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	is.NoErr(other.service.Keep(ctx, ledger.Keep{Program: "p", Turn: "t1", For: time.Minute}, []byte("one")))
+}
+
 func TestUnknownTurnIsProvedAbsentByTheHome(t *testing.T) {
 	is := is.New(t)
 	nodes := startCluster(t, 2)
@@ -234,7 +247,8 @@
 		&begin{Request{Program: "p", Budgeted: true, Budget: 1, Most: 2, Previous: "t"}},
 		&begun{Status: statusSpent, Grant: 4, Charged: 5, Ahead: true, Chain: chain, Reason: "r"},
 		&finish{Program: "p", Grant: 7, Used: 8},
-		&keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute}, WithText: true, Text: []byte("x")},
+		&keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute}, Text: []byte("x")},
+		&kept{Status: statusDone, Location: chain[0], Reason: "r"},
 		&done{Status: statusDone, Reason: "r"}, &read{Chain: chain}, &texts{Status: statusDone, Texts: [][]byte{[]byte("x")}},
 	} {
 		encoder := wire.NewEncoder(nil)
--- a/internal/homes/message.go
+++ b/internal/homes/message.go
@@ -17,6 +17,7 @@
 	kindDone
 	kindRead
 	kindTexts
+	kindKept
 )
 
 // status is the outcome of a request to a home.
@@ -107,12 +108,11 @@
 	m.Program, m.Grant, m.Used = ledger.ProgramID(d.String()), ledger.GrantID(d.Uint64()), d.Uint32()
 }
 
-// keep asks a home to add a turn to the index. Text is the turn's own text if that
-// is to be written too.
+// keep asks a home to write a turn: its text and its place in the index, where
+// Turn.Chain holds the turns before.
 type keep struct {
-	Turn     ledger.Keep
-	WithText bool
-	Text     []byte
+	Turn ledger.Keep
+	Text []byte
 }
 
 // Kind implements peer.Message.
@@ -124,14 +124,13 @@
 	e.String(string(m.Turn.Turn))
 	encodeChain(e, m.Turn.Chain)
 	e.Duration(m.Turn.For)
-	e.Bool(m.WithText)
 	e.Blob(m.Text)
 }
 
 // Decode implements peer.Message.
 func (m *keep) Decode(d *wire.Decoder) {
 	m.Turn = ledger.Keep{Program: ledger.ProgramID(d.String()), Turn: ledger.TurnID(d.String()), Chain: decodeChain(d), For: d.Duration()}
-	m.WithText, m.Text = d.Bool(), d.Blob()
+	m.Text = d.Blob()
 	if m.Turn.For < 0 || m.Turn.For > maxKeep {
 		m.Turn.For = maxKeep
 	}
@@ -140,7 +139,29 @@
 // maxKeep bounds how long a turn is kept.
 const maxKeep = 24 * time.Hour
 
-// done answers finish and keep.
+// kept answers keep.
+type kept struct {
+	Status   status
+	Location ledger.Location
+	Reason   string
+}
+
+// Kind implements peer.Message.
+func (*kept) Kind() peer.Kind { return kindKept }
+
+// Encode implements peer.Message.
+func (m *kept) Encode(e *wire.Encoder) {
+	e.Uint8(uint8(m.Status))
+	encodeLocation(e, m.Location)
+	e.String(m.Reason)
+}
+
+// Decode implements peer.Message.
+func (m *kept) Decode(d *wire.Decoder) {
+	m.Status, m.Location, m.Reason = status(d.Uint8()), decodeLocation(d), d.String()
+}
+
+// done answers finish.
 type done struct {
 	Status status
 	Reason string
@@ -200,12 +221,20 @@
 func encodeChain(e *wire.Encoder, chain []ledger.Location) {
 	e.Uint32(uint32(len(chain)))
 	for _, location := range chain {
-		e.Uint16(location.Partition)
-		e.Uint64(location.Offset)
-		e.Uint32(location.Size)
+		encodeLocation(e, location)
 	}
 }
 
+func encodeLocation(e *wire.Encoder, location ledger.Location) {
+	e.Uint16(location.Partition)
+	e.Uint64(location.Offset)
+	e.Uint32(location.Size)
+}
+
+func decodeLocation(d *wire.Decoder) ledger.Location {
+	return ledger.Location{Partition: d.Uint16(), Offset: d.Uint64(), Size: d.Uint32()}
+}
+
 func decodeChain(d *wire.Decoder) []ledger.Location {
 	count := d.Count(locationBytes)
 	if count == 0 {
@@ -213,7 +242,7 @@
 	}
 	chain := make([]ledger.Location, 0, count)
 	for range count {
-		chain = append(chain, ledger.Location{Partition: d.Uint16(), Offset: d.Uint64(), Size: d.Uint32()})
+		chain = append(chain, decodeLocation(d))
 	}
 	return chain
 }
--- a/internal/homes/texts.go
+++ b/internal/homes/texts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/ledger"
@@ -11,27 +12,45 @@
 )
 
 // Keep makes a turn that ended whole durable: its text and its place in the index.
-// Chain holds the turns before. Errors wrap ledgerlog.ErrUnavailable.
+// Chain holds the turns before. It tries until ctx ends, since an answer whose end
+// is held back for it would be broken off otherwise. Errors wrap
+// ledgerlog.ErrUnavailable.
 func (s *Service) Keep(ctx context.Context, turn ledger.Keep, text []byte) error {
-	home, remote := s.remote(turn.Program)
-	within, cancel := s.ownTime(ctx, remote)
-	defer cancel()
-	location, err := s.config.Ledger.WriteText(within, text)
-	if err != nil && (!remote || ctx.Err() != nil) {
-		return err
-	}
-	if err != nil {
-		s.config.Logger.Info("turn is kept through its home", "turn", turn.Turn, "home", home.Name, "error", err)
-		return s.keepThere(ctx, home, &keep{Turn: turn, WithText: true, Text: text})
+	for {
+		err := s.keepOnce(ctx, turn, text)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		s.config.Logger.Info("turn not kept yet", "turn", turn.Turn, "error", err)
+		pause(ctx, keepPause)
 	}
-	turn.Chain = withLocation(turn.Chain, location)
+}
+
+// keepOnce lets the home write, where that is another node, so that the turns of
+// many nodes share its calls of the store; else this node writes.
+func (s *Service) keepOnce(ctx context.Context, turn ledger.Keep, text []byte) error {
+	home, remote := s.remote(turn.Program)
 	if remote {
-		if err := s.keepThere(ctx, home, &keep{Turn: turn}); err == nil {
+		location, err := s.keepThere(ctx, home, &keep{Turn: turn, Text: text})
+		if err == nil {
+			s.config.Ledger.Remember(location, text)
 			return nil
 		}
+		s.config.Logger.Info("home did not keep a turn", "turn", turn.Turn, "home", home.Name, "error", err)
+	}
+	_, err := s.keepHere(ctx, turn, text)
+	return err
+}
+
+// keepHere writes a turn through this node's own ledger. A turn that is kept twice
+// is kept.
+func (s *Service) keepHere(ctx context.Context, turn ledger.Keep, text []byte) (ledger.Location, error) {
+	location, err := s.config.Ledger.WriteText(ctx, text)
+	if err != nil {
+		return location, err
 	}
-	// A turn that is kept twice is kept.
-	return s.config.Ledger.Keep(ctx, turn)
+	turn.Chain = withLocation(turn.Chain, location)
+	return location, s.config.Ledger.Keep(ctx, turn)
 }
 
 func withLocation(chain []ledger.Location, location ledger.Location) []ledger.Location {
@@ -45,37 +64,41 @@
 	return home, !self && home.Name != "" && s.config.Peers != nil && !s.avoided(home.Name)
 }
 
-// ownTime bounds the calls of the store where another node may make them instead.
-func (s *Service) ownTime(ctx context.Context, remote bool) (context.Context, context.CancelFunc) {
-	if !remote {
-		return ctx, func() {}
-	}
-	return context.WithTimeout(ctx, ownStoreTime)
-}
-
-func (s *Service) keepThere(ctx context.Context, home identity.Node, request *keep) error {
-	answer, err := s.call(ctx, home, request)
+func (s *Service) keepThere(ctx context.Context, home identity.Node, request *keep) (ledger.Location, error) {
+	within, cancel := context.WithTimeout(ctx, homePatience)
+	defer cancel()
+	answer, err := s.call(within, home, request)
 	if err != nil {
-		return err
+		return ledger.Location{}, err
 	}
-	if got, ok := answer.(*done); !ok || got.Status != statusDone {
-		return fmt.Errorf("%w: home %s did not keep the turn: %+v", ledgerlog.ErrUnavailable, home.Name, answer)
+	got, ok := answer.(*kept)
+	if !ok || got.Status != statusDone {
+		return ledger.Location{}, fmt.Errorf("%w: home %s did not keep the turn: %+v", ledgerlog.ErrUnavailable, home.Name, answer)
 	}
-	return nil
+	return got.Location, nil
 }
 
-// Texts returns the texts of a chain of a program's turns. Errors wrap
-// ledgerlog.ErrUnavailable.
+// Texts returns the texts of a chain of a program's turns: from memory, from the
+// home's or from the store. Errors wrap ledgerlog.ErrUnavailable.
 func (s *Service) Texts(ctx context.Context, program ledger.ProgramID, chain []ledger.Location) ([][]byte, error) {
+	if found, all := s.config.Ledger.Remembered(chain); all {
+		return found, nil
+	}
 	home, remote := s.remote(program)
-	within, cancel := s.ownTime(ctx, remote)
-	defer cancel()
-	found, err := s.config.Ledger.Texts(within, chain)
-	if err == nil || !remote || ctx.Err() != nil {
-		return found, err
+	if remote {
+		found, err := s.readThere(ctx, home, chain)
+		if err == nil {
+			return found, nil
+		}
+		s.config.Logger.Info("home did not read turns", "program", program, "home", home.Name, "error", err)
 	}
-	s.config.Logger.Info("turns are read through their home", "program", program, "home", home.Name, "error", err)
-	answer, err := s.call(ctx, home, &read{Chain: chain})
+	return s.config.Ledger.Texts(ctx, chain)
+}
+
+func (s *Service) readThere(ctx context.Context, home identity.Node, chain []ledger.Location) ([][]byte, error) {
+	within, cancel := context.WithTimeout(ctx, homePatience)
+	defer cancel()
+	answer, err := s.call(within, home, &read{Chain: chain})
 	if err != nil {
 		return nil, err
 	}
@@ -83,25 +106,31 @@
 	if !ok || got.Status != statusDone || len(got.Texts) != len(chain) {
 		return nil, fmt.Errorf("%w: home %s has not read the turns", ledgerlog.ErrUnavailable, home.Name)
 	}
+	for i, location := range chain {
+		s.config.Ledger.Remember(location, got.Texts[i])
+	}
 	return got.Texts, nil
 }
 
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (s *Service) handleKeep(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
 	asked, ok := request.(*keep)
 	if !ok {
 		return nil, fmt.Errorf("homes: unexpected %T", request)
 	}
-	if asked.WithText {
-		location, err := s.config.Ledger.WriteText(ctx, asked.Text)
-		if err != nil {
-			return &done{Status: statusUnavailable, Reason: err.Error()}, nil
-		}
-		asked.Turn.Chain = withLocation(asked.Turn.Chain, location)
-	}
-	if err := s.config.Ledger.Keep(ctx, asked.Turn); err != nil {
-		return &done{Status: statusUnavailable, Reason: err.Error()}, nil
+	location, err := s.keepHere(ctx, asked.Turn, asked.Text)
+	if err != nil {
+		return &kept{Status: statusUnavailable, Reason: err.Error()}, nil
 	}
-	return &done{Status: statusDone}, nil
+	return &kept{Status: statusDone, Location: location}, nil
 }
 
 func (s *Service) handleRead(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -19,21 +19,21 @@
 
 // Keep adds a turn to the index. When it returns without an error, every node
 // finds the turn. While the program's own partition does not answer, another one
-// holds the record; a turn that is kept twice is kept. Errors wrap ErrUnavailable.
+// holds the record; a turn that is kept twice is kept. It tries until ctx ends.
+// Errors wrap ErrUnavailable.
 func (l *Ledger) Keep(ctx context.Context, turn ledger.Keep) error {
 	record := [][]byte{ledger.Encode(turn)}
 	own := l.Partition(turn.Program)
-	var last error
-	for i := range min(keepPartitions, len(l.partitions)) {
-		p := l.partitions[(own+i)%len(l.partitions)]
-		if last = l.keepIn(ctx, p, record); last == nil || ctx.Err() != nil {
-			break
+	for i := 0; ; i++ {
+		p := l.partitions[(own+i%keepPartitions)%len(l.partitions)]
+		err := l.keepIn(ctx, p, record)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("%w: keep turn: %w", ErrUnavailable, err)
 		}
 	}
-	if last != nil {
-		return fmt.Errorf("%w: keep turn: %w", ErrUnavailable, last)
-	}
-	return nil
 }
 
 func (l *Ledger) keepIn(ctx context.Context, p *partition, record [][]byte) error {
@@ -83,6 +83,22 @@
 	return nil, fmt.Errorf("%w: %s", ErrNoSuchTurn, turn)
 }
 
+// Remember keeps the text at a location in memory.
+func (l *Ledger) Remember(location ledger.Location, text []byte) { l.texts.remember(location, text) }
+
+// Remembered returns the texts of a chain if all of them are in memory.
+func (l *Ledger) Remembered(chain []ledger.Location) ([][]byte, bool) {
+	texts := make([][]byte, 0, len(chain))
+	for _, location := range chain {
+		text, found := l.texts.recall(location)
+		if !found {
+			return nil, false
+		}
+		texts = append(texts, text)
+	}
+	return texts, true
+}
+
 // Texts returns the texts of a chain, the oldest first. Errors wrap ErrUnavailable.
 func (l *Ledger) Texts(ctx context.Context, chain []ledger.Location) ([][]byte, error) {
 	texts := make([][]byte, 0, len(chain))
