Wait for homes that wait for the store, space calls that it refuses

A home says after 60 ms that it lives and has 0.4 s then; refusals make all appends of a node rarer, up to one in 0.16 s, so that each takes more records. TestHomeThatWaitsForTheStoreIsWaitedFor, TestRefusalsSpaceTheCalls.

--- a/internal/homes/begin.go
+++ b/internal/homes/begin.go
@@ -9,6 +9,7 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/peer"
 )
 
 // Begin begins a turn. Errors: a *ledgerlog.SpentError, or one that wraps
@@ -31,9 +32,10 @@
 // hedge asks the home and, if that fails or takes long, does the work here too.
 func (s *Service) hedge(ctx context.Context, request Request, home identity.Node) (*Turn, error) {
 	results := make(chan result, 2)
+	lives := make(chan struct{}, 1)
 	pending := 1
 	go func() {
-		turn, err := s.beginThere(ctx, request, home)
+		turn, err := s.beginThere(ctx, request, home, lives)
 		results <- result{turn, err, true}
 	}()
 	timer := time.NewTimer(hedgeAfter)
@@ -53,6 +55,8 @@
 	var last error
 	for pending > 0 {
 		select {
+		case <-lives:
+			timer.Reset(patientAfter)
 		case <-timer.C:
 			s.passOver(home.Name)
 			start()
@@ -109,12 +113,18 @@
 	return turn, nil
 }
 
-// beginThere asks the home.
-func (s *Service) beginThere(ctx context.Context, request Request, home identity.Node) (*Turn, error) {
+// beginThere asks the home. lives has room for its word that it lives.
+func (s *Service) beginThere(ctx context.Context, request Request, home identity.Node, lives chan<- struct{}) (*Turn, error) {
 	if s.avoided(home.Name) {
 		return nil, fmt.Errorf("%w: %w", ledgerlog.ErrUnavailable, errNotAsked)
 	}
-	answer, err := s.call(ctx, home, &begin{Request: request})
+	answer, err := s.call(ctx, home, &begin{Request: request}, func(peer.Message) error {
+		select {
+		case lives <- struct{}{}:
+		default: // it has been told
+		}
+		return nil
+	})
 	if err != nil {
 		s.count("home", err)
 		return nil, err
@@ -151,7 +161,7 @@
 func (s *Service) finishThere(home identity.Node, program ledger.ProgramID, grant ledger.GrantID, used uint32) {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
-	if _, err := s.call(ctx, home, &finish{Program: program, Grant: grant, Used: used}); err != nil {
+	if _, err := s.call(ctx, home, &finish{Program: program, Grant: grant, Used: used}, nil); err != nil {
 		s.config.Logger.Info("turn's end not told", "home", home.Name, "program", program, "used", used, "error", err)
 	}
 }
--- a/internal/homes/handlers.go
+++ b/internal/homes/handlers.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"time"
 
 	"stepseam.example/stepseam/internal/ledgerlog"
 	"stepseam.example/stepseam/internal/peer"
@@ -14,7 +16,7 @@
 	registry.Add(
 		func() peer.Message { return &begin{} }, func() peer.Message { return &begun{} },
 		func() peer.Message { return &finish{} }, func() peer.Message { return &keep{} }, func() peer.Message { return &done{} },
-		func() peer.Message { return &kept{} }, func() peer.Message { return &read{} }, func() peer.Message { return &texts{} },
+		func() peer.Message { return &kept{} }, func() peer.Message { return &working{} }, func() peer.Message { return &read{} }, func() peer.Message { return &texts{} },
 	)
 	registry.Handle(kindBegin, peer.HandlerFunc(s.handleBegin))
 	registry.Handle(kindFinish, peer.HandlerFunc(s.handleFinish))
@@ -22,11 +24,12 @@
 	registry.Handle(kindRead, peer.HandlerFunc(s.handleRead))
 }
 
-func (s *Service) handleBegin(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+func (s *Service) handleBegin(ctx context.Context, request peer.Message, sendPart func(peer.Message) error) (peer.Message, error) {
 	asked, ok := request.(*begin)
 	if !ok {
 		return nil, fmt.Errorf("homes: unexpected %T", request)
 	}
+	defer tellWorking(sendPart)()
 	home := s.isHome(s.config.Ledger.Partition(asked.Request.Program))
 	answer := &begun{Status: statusDone}
 	if asked.Request.Budgeted {
@@ -67,3 +70,24 @@
 	s.config.Ledger.Finish(ledgerlog.Grant{Program: told.Program, ID: told.Grant}, told.Used)
 	return &done{Status: statusDone}, nil
 }
+
+// tellWorking tells the asking node after a while that this one lives. The returned
+// function ends that; nothing is sent after it.
+func tellWorking(sendPart func(peer.Message) error) (stop func()) {
+	var mutex sync.Mutex
+	stopped := false
+	timer := time.AfterFunc(workingAfter, func() {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if !stopped {
+			// A node that is gone needs no word.
+			_ = sendPart(&working{})
+		}
+	})
+	return func() {
+		timer.Stop()
+		mutex.Lock()
+		defer mutex.Unlock()
+		stopped = true
+	}
+}
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -24,8 +24,12 @@
 )
 
 const (
-	// hedgeAfter is how long a home may take before the work is begun here too.
-	hedgeAfter = 150 * time.Millisecond
+	// hedgeAfter is how long a home may say nothing before the work is begun here
+	// too; workingAfter is when a home that waits for the log says that it lives, and
+	// patientAfter how long it may take then.
+	hedgeAfter   = 150 * time.Millisecond
+	workingAfter = 60 * time.Millisecond
+	patientAfter = 400 * time.Millisecond
 	// avoidFor is how long a home that did not answer is passed over.
 	avoidFor = 700 * time.Millisecond
 	// finishTimeout bounds the telling of a turn's end.
@@ -111,8 +115,8 @@
 	return made
 }
 
-func (s *Service) call(ctx context.Context, home identity.Node, request peer.Message) (peer.Message, error) {
-	answer, err := s.config.Peers.Call(ctx, home.PeerAddress, request, nil)
+func (s *Service) call(ctx context.Context, home identity.Node, request peer.Message, onPart func(peer.Message) error) (peer.Message, error) {
+	answer, err := s.config.Peers.Call(ctx, home.PeerAddress, request, onPart)
 	if err != nil {
 		if ctx.Err() == nil {
 			s.passOver(home.Name)
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -177,6 +177,16 @@
 	is.Equal(turn.Home, other.identity.Name)
 }
 
+func TestHomeThatWaitsForTheStoreIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 3)
+	home, other := homeOf(nodes, "p")
+	home.store.Fail(store.Fault{Delay: hedgeAfter + 100*time.Millisecond})
+	turn := mustBegin(t, other, turnOf("p", 1000, 100))
+	is.Equal(turn.Home, home.identity.Name)
+	is.True(!other.service.avoided(home.identity.Name))
+}
+
 func TestTurnIsKeptAndFoundThroughTheHome(t *testing.T) {
 	for _, cut := range []bool{false, true} {
 		is := is.New(t)
@@ -249,7 +259,7 @@
 		&finish{Program: "p", Grant: 7, Used: 8},
 		&keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute}, Text: []byte("x")},
 		&kept{Status: statusDone, Location: chain[0], Reason: "r"},
-		&done{Status: statusDone, Reason: "r"}, &read{Chain: chain}, &texts{Status: statusDone, Texts: [][]byte{[]byte("x")}},
+		&done{Status: statusDone, Reason: "r"}, &working{}, &read{Chain: chain}, &texts{Status: statusDone, Texts: [][]byte{[]byte("x")}},
 	} {
 		encoder := wire.NewEncoder(nil)
 		message.Encode(encoder)
--- a/internal/homes/message.go
+++ b/internal/homes/message.go
@@ -18,6 +18,7 @@
 	kindRead
 	kindTexts
 	kindKept
+	kindWorking
 )
 
 // status is the outcome of a request to a home.
@@ -86,6 +87,18 @@
 	m.Ahead, m.Chain, m.Reason = d.Bool(), decodeChain(d), d.String()
 }
 
+// working is a part before begun: the home lives and waits for the log.
+type working struct{}
+
+// Kind implements peer.Message.
+func (*working) Kind() peer.Kind { return kindWorking }
+
+// Encode implements peer.Message.
+func (*working) Encode(*wire.Encoder) {}
+
+// Decode implements peer.Message.
+func (*working) Decode(*wire.Decoder) {}
+
 // finish tells a home what a turn handed out.
 type finish struct {
 	Program ledger.ProgramID
--- a/internal/homes/texts.go
+++ b/internal/homes/texts.go
@@ -67,7 +67,7 @@
 func (s *Service) keepThere(ctx context.Context, home identity.Node, request *keep) (ledger.Location, error) {
 	within, cancel := context.WithTimeout(ctx, homePatience)
 	defer cancel()
-	answer, err := s.call(within, home, request)
+	answer, err := s.call(within, home, request, nil)
 	if err != nil {
 		return ledger.Location{}, err
 	}
@@ -98,7 +98,7 @@
 func (s *Service) readThere(ctx context.Context, home identity.Node, chain []ledger.Location) ([][]byte, error) {
 	within, cancel := context.WithTimeout(ctx, homePatience)
 	defer cancel()
-	answer, err := s.call(within, home, &read{Chain: chain})
+	answer, err := s.call(within, home, &read{Chain: chain}, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"stepseam.example/stepseam/internal/logstore"
@@ -44,6 +45,41 @@
 // expired tells whether nobody waits for the records any more.
 func (s *submission) expired() bool { return s.context.Err() != nil }
 
+const (
+	// firstGap and longestGap bound the pause between two calls that refusals lead to.
+	firstGap   = 10 * time.Millisecond
+	longestGap = 160 * time.Millisecond
+)
+
+// pacer spaces this node's appends while the store refuses some of them, so that
+// each call takes more records. It is safe for concurrent use.
+type pacer struct {
+	// gap is in nanoseconds.
+	gap atomic.Int64
+}
+
+// refused makes the gaps longer.
+func (p *pacer) refused() {
+	p.gap.Store(int64(min(max(2*time.Duration(p.gap.Load()), firstGap), longestGap)))
+}
+
+// accepted makes the gaps a little shorter, down to none.
+func (p *pacer) accepted() {
+	const keepPercent = 92
+	gap := p.gap.Load() * keepPercent / 100
+	if gap < int64(time.Millisecond) {
+		gap = 0
+	}
+	p.gap.Store(gap)
+}
+
+// wait pauses between two calls.
+func (p *pacer) wait() {
+	if gap := time.Duration(p.gap.Load()); gap > 0 {
+		sleepAbout(gap)
+	}
+}
+
 // appender writes records to one partition, one call at a time: what comes in
 // during a call goes into the next. Each call has a sequence number, so that a
 // call whose answer was lost is repeated without writing twice.
@@ -54,6 +90,7 @@
 	callBytes int
 	logger    *slog.Logger
 	metrics   *metrics
+	pacer     *pacer
 	// written is told of each batch in the log, before those who wait for it.
 	written func(first logstore.Offset, records [][]byte)
 
@@ -120,8 +157,11 @@
 		err := a.write(batch)
 		if err == nil {
 			pause = minRetryPause
+			a.pacer.accepted()
+			a.pacer.wait()
 			continue
 		}
+		a.pacer.refused()
 		a.metrics.appendFailures.Inc()
 		a.putBack(batch)
 		sleepAbout(pause)
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -86,7 +86,8 @@
 	counted := newMetrics(config.Registerer)
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
-	built := &Ledger{config: config, texts: newTextStore(config, counted)}
+	pace := &pacer{}
+	built := &Ledger{config: config, texts: newTextStore(config, counted, pace)}
 	for number := range config.Partitions {
 		place := logstore.Partition{Topic: config.Topic, Number: number}
 		reads := &follower{
@@ -97,7 +98,7 @@
 			follower: reads,
 			appender: &appender{
 				store: config.Store, partition: place, producer: config.Producer, callBytes: config.CallBytes,
-				logger: config.Logger, metrics: counted, written: reads.applyOwn, epoch: 1,
+				logger: config.Logger, metrics: counted, pacer: pace, written: reads.applyOwn, epoch: 1,
 			},
 		}
 		added.holder = &holder{
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -87,6 +87,27 @@
 	})
 }
 
+func TestRefusalsSpaceTheCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		pace := &pacer{}
+		took := func() time.Duration {
+			began := time.Now()
+			pace.wait()
+			return time.Since(began)
+		}
+		is.Equal(took(), time.Duration(0))
+		for range 20 {
+			pace.refused()
+		}
+		is.True(took() >= longestGap/2 && took() <= 2*longestGap)
+		for range 200 {
+			pace.accepted()
+		}
+		is.Equal(took(), time.Duration(0))
+	})
+}
+
 // own makes l the sure owner of the partition of program p.
 func own(t *testing.T, l *Ledger) {
 	grant, err := l.Take(within(t, time.Second), "p", 1000, 1, true)
--- a/internal/ledgerlog/texts.go
+++ b/internal/ledgerlog/texts.go
@@ -21,6 +21,7 @@
 type textStore struct {
 	config  Config
 	metrics *metrics
+	pacer   *pacer
 
 	// mutex guards all below.
 	mutex sync.Mutex
@@ -33,9 +34,9 @@
 	cached int
 }
 
-func newTextStore(config Config, counted *metrics) *textStore {
+func newTextStore(config Config, counted *metrics, pace *pacer) *textStore {
 	return &textStore{
-		config: config, metrics: counted, cache: map[ledger.Location][]byte{}, appenders: map[int]*appender{},
+		config: config, metrics: counted, pacer: pace, cache: map[ledger.Location][]byte{}, appenders: map[int]*appender{},
 		partition: int(xxhash.Sum64String(config.Producer) % uint64(max(config.Partitions, 1))),
 	}
 }
@@ -48,7 +49,7 @@
 	if !known {
 		used = &appender{
 			store: t.config.Store, partition: logstore.Partition{Topic: t.config.TextTopic, Number: t.partition},
-			producer: t.config.Producer, callBytes: t.config.CallBytes, logger: t.config.Logger, metrics: t.metrics, epoch: 1,
+			producer: t.config.Producer, callBytes: t.config.CallBytes, logger: t.config.Logger, metrics: t.metrics, pacer: t.pacer, epoch: 1,
 		}
 		t.appenders[t.partition] = used
 	}
