Tell a fixed number of nodes what is under way

Cause: by reading, at the two-year size: with 388 nodes each would have told all others only once in 4.7 s, of which one second counts. Now 16 nodes drawn each 0.2 s are told, and what is heard stands for all. Up to 17 nodes nothing changes.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -116,14 +116,17 @@
 	is := is.New(t)
 	tracker := NewTracker("z")
 	other, third := netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")
-	tracker.Heard(other, map[loads.Key]int{loads.KeyOf("near"): 2}, 0)
+	tracker.Heard(other, map[loads.Key]int{loads.KeyOf("near"): 2}, 1, 0)
 	is.Equal(pick(tracker, false, 0), "far")
-	tracker.Heard(third, map[loads.Key]int{loads.KeyOf("far"): 3, loads.KeyOf("away"): 3}, 0)
+	tracker.Heard(third, map[loads.Key]int{loads.KeyOf("far"): 3, loads.KeyOf("away"): 3}, 1, 0)
 	is.Equal(pick(tracker, false, 0), "near")
-	tracker.Heard(third, nil, otherLife+1) // and the other has fallen silent
+	tracker.Heard(third, nil, 1, loads.Life+1) // and the other has fallen silent
 	is.Equal(tracker.elsewhere[loads.KeyOf("near")], 0)
 	tracker.Begin("near", nil, 0)
 	is.Equal(tracker.Own(), map[loads.Key]int{loads.KeyOf("near"): 1})
+	tracker.Heard(third, map[loads.Key]int{loads.KeyOf("near"): 2}, 0.25, loads.Life+2)
+	replicas := []fleet.Replica{{Instance: "near"}}
+	is.Equal(tracker.Candidates(replicas, false, nil, nil, loads.Life+2)[0].Elsewhere, 8) // of four times as many nodes
 }
 
 func TestRoutesRankInTheirOrder(t *testing.T) {
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -36,6 +36,8 @@
 	// others holds what other nodes have under way, by node, and elsewhere the sums.
 	others    map[netip.AddrPort]otherNode
 	elsewhere map[loads.Key]int
+	// coverage is the part of the other nodes that elsewhere holds.
+	coverage float64
 	// heardAt is when another node told last.
 	heardAt time.Duration
 }
@@ -46,9 +48,6 @@
 	counts map[loads.Key]int
 }
 
-// otherLife is how long what another node has told counts.
-const otherLife = time.Second
-
 // record is what is known of one replica.
 type record struct {
 	underWay int
@@ -69,7 +68,7 @@
 func NewTracker(zone string) *Tracker {
 	return &Tracker{
 		zone: zone, replicas: map[string]*record{},
-		others: map[netip.AddrPort]otherNode{}, elsewhere: map[loads.Key]int{},
+		others: map[netip.AddrPort]otherNode{}, elsewhere: map[loads.Key]int{}, coverage: 1,
 	}
 }
 
@@ -79,7 +78,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	elsewhere := t.elsewhere
-	if now-t.heardAt > otherLife {
+	if now-t.heardAt > loads.Life {
 		elsewhere = nil
 	}
 	candidates := make([]Candidate, 0, len(replicas))
@@ -90,7 +89,7 @@
 		candidate := Candidate{
 			Instance: replica.Instance, SameZone: replica.Zone == t.zone, Engine: engine, Slots: replica.Slots,
 			Doubtful:  replica.State == fleet.StateLapsed,
-			Elsewhere: elsewhere[loads.KeyOf(replica.Instance)],
+			Elsewhere: int(float64(elsewhere[loads.KeyOf(replica.Instance)]) / t.coverage),
 		}
 		if known, found := t.replicas[replica.Instance]; found {
 			candidate.UnderWay = known.underWay
@@ -139,15 +138,17 @@
 	return counts
 }
 
-// Heard takes what another node has under way.
-func (t *Tracker) Heard(from netip.AddrPort, counts map[loads.Key]int, now time.Duration) {
+// Heard takes what another node has under way. coverage is the part of the other
+// nodes that is heard of.
+func (t *Tracker) Heard(from netip.AddrPort, counts map[loads.Key]int, coverage float64, now time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.coverage = coverage
 	t.heardAt = now
 	t.others[from] = otherNode{at: now, counts: counts}
 	clear(t.elsewhere)
 	for node, told := range t.others {
-		if now-told.at > otherLife {
+		if now-told.at > loads.Life {
 			delete(t.others, node)
 			continue
 		}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -23,10 +25,23 @@
 	maxEntries = 220
 	// Pause is the time between two datagrams to one node.
 	Pause = 200 * time.Millisecond
-	// pausePerNode keeps the datagrams of a large site few.
-	pausePerNode = 12 * time.Millisecond
+	// fanout is how many nodes get a datagram each time, so that the cost of a node
+	// does not grow with the site.
+	fanout = 16
+	// Life is how long what a node has told counts.
+	Life = time.Second
 )
 
+// Coverage is the part of the other nodes that is heard of within Life, where there
+// are others of them.
+func Coverage(others int) float64 {
+	if others <= fanout {
+		return 1
+	}
+	missed := 1 - float64(fanout)/float64(others)
+	return 1 - math.Pow(missed, float64(Life/Pause))
+}
+
 // errForm tells that a datagram is not of this package.
 var errForm = errors.New("loads: unreadable datagram")
 
@@ -72,7 +87,7 @@
 // Exchange sends this node's counts and takes the others'.
 type Exchange struct {
 	Conn *net.UDPConn
-	// Targets returns where the other nodes take datagrams.
+	// Targets returns where the other nodes take datagrams, in a slice that may be changed.
 	Targets func() []netip.AddrPort
 	// Own returns this node's counts, Heard takes another's.
 	Own   func() map[Key]int
@@ -86,8 +101,7 @@
 	go e.receive()
 	idle := false
 	for {
-		targets := e.Targets()
-		timer := time.NewTimer(max(Pause, time.Duration(len(targets))*pausePerNode))
+		timer := time.NewTimer(Pause)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -99,8 +113,17 @@
 			continue // it has been told already
 		}
 		idle = len(counts) == 0
-		e.send(targets, Encode(counts))
+		e.send(sample(e.Targets()), Encode(counts))
+	}
+}
+
+// sample draws fanout of the targets.
+func sample(targets []netip.AddrPort) []netip.AddrPort {
+	if len(targets) <= fanout {
+		return targets
 	}
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets[:fanout]
 }
 
 func (e *Exchange) send(targets []netip.AddrPort, datagram []byte) {
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -68,3 +68,23 @@
 		t.Fatal("nothing heard")
 	}
 }
+
+func TestEveryNodeIsToldOftenEnough(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Coverage(fanout), 1.0)
+	const others = 380
+	told := map[netip.AddrPort]bool{}
+	for range int(Life / Pause) {
+		targets := make([]netip.AddrPort, 0, others)
+		for i := range others {
+			targets = append(targets, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1))
+		}
+		drawn := sample(targets)
+		is.Equal(len(drawn), fanout)
+		for _, target := range drawn {
+			told[target] = true
+		}
+	}
+	share := float64(len(told)) / others
+	is.True(share > Coverage(others)*0.8 && share < Coverage(others)*1.2)
+}
--- a/internal/routednode/peers.go
+++ b/internal/routednode/peers.go
@@ -95,7 +95,9 @@
 				return netip.AddrPortFrom(peer.Addr(), own.Port())
 			})
 		},
-		Heard: func(from netip.AddrPort, counts map[loads.Key]int) { tracker.Heard(from, counts, now()) },
+		Heard: func(from netip.AddrPort, counts map[loads.Key]int) {
+			tracker.Heard(from, counts, loads.Coverage(len(others())), now())
+		},
 	}, nil
 }
 
