Remove what nothing uses

No behaviour changes: exchange's surplus check (reusable() decides), wrappers of slog's attributes, a setting of homes that was never read. Tests as before.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -24,10 +24,7 @@
 	headEstimate = 1 << 10
 )
 
-var (
-	errForeign = errors.New("the answer belongs to another request")
-	errSurplus = errors.New("bytes after the end of the answer")
-)
+var errForeign = errors.New("the answer belongs to another request")
 
 // Client exchanges requests with replicas. It is safe for concurrent use.
 type Client struct {
@@ -207,14 +204,6 @@
 		a.connection.reader.Buffered() == 0
 }
 
-// Surplus tells whether bytes stand behind the end of the answer.
-func (a *Answer) Surplus() error {
-	if a.whole.ended && a.connection.reader.Buffered() > 0 {
-		return errSurplus
-	}
-	return nil
-}
-
 // idleTime returns how long the replica keeps the connection, by its own word.
 func idleTime(header http.Header) time.Duration {
 	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -82,7 +82,6 @@
 type Config struct {
 	Self       identity.NodeName
 	Ledger     *ledgerlog.Ledger
-	Partitions int
 	Peers      peer.Client
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -73,7 +73,7 @@
 	made := &node{transport: peer.NewTransport(registry, peer.Options{Logger: slog.New(slog.DiscardHandler)}), store: &gate{Store: log}}
 	made.identity = identity.Node{Name: identity.NodeName(name), Incarnation: 1, PeerAddress: netip.MustParseAddrPort(listener.Addr().String())}
 	made.service = New(Config{
-		Self: made.identity.Name, Partitions: partitions, Peers: made.transport, Logger: slog.New(slog.DiscardHandler),
+		Self: made.identity.Name, Peers: made.transport, Logger: slog.New(slog.DiscardHandler),
 		Ledger: ledgerlog.New(ledgerlog.Config{
 			Store: made.store, Topic: "ledger", TextTopic: "texts", Partitions: partitions,
 			Producer: string(LifeOf(made.identity.Reference())), RecordBytes: 1 << 16, CallBytes: 1 << 20, CacheBytes: 1,
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -80,7 +80,7 @@
 func provideHomes(injector do.Injector) (*homes.Service, error) {
 	chosen := do.MustInvoke[settings.Routed](injector)
 	config := homes.Config{
-		Self: chosen.Node.Name, Ledger: do.MustInvoke[*ledgerlog.Ledger](injector), Partitions: chosen.Store.Partitions,
+		Self: chosen.Node.Name, Ledger: do.MustInvoke[*ledgerlog.Ledger](injector),
 		Logger: do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
 	}
 	others, err := do.Invoke[*peers](injector)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -89,9 +90,9 @@
 		r.config.Fleet.Remove(replica.Instance)
 	}
 	r.metrics.failedAttempts.WithLabelValues(string(failure.Reason)).Inc()
-	r.config.Logger.LogAttrs(ctx, slogInfo, "attempt failed",
-		stringAttr("id", call.id), stringAttr("replica", replica.Instance), stringAttr("reason", string(failure.Reason)),
-		stringAttr("outcome", failure.Outcome.String()), intAttr("status", failure.Status),
+	r.config.Logger.LogAttrs(ctx, slog.LevelInfo, "attempt failed",
+		slog.String("id", call.id), slog.String("replica", replica.Instance), slog.String("reason", string(failure.Reason)),
+		slog.String("outcome", failure.Outcome.String()), slog.Int("status", failure.Status),
 		errorAttr(failure.Cause), durationAttr("left", call.left()))
 }
 
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -40,11 +40,6 @@
 	return built
 }
 
-const slogInfo = slog.LevelInfo
-
-func stringAttr(key, value string) slog.Attr  { return slog.String(key, value) }
-func intAttr(key string, value int) slog.Attr { return slog.Int(key, value) }
-
 func durationAttr(key string, value time.Duration) slog.Attr {
 	return slog.Float64(key+"_ms", float64(value.Microseconds())/1000)
 }
@@ -63,7 +58,7 @@
 	if configuration := r.configuration.Load(); configuration != nil {
 		version = configuration.Version
 	}
-	r.config.Logger.LogAttrs(request.Context(), slogInfo, "request refused",
+	r.config.Logger.LogAttrs(request.Context(), slog.LevelInfo, "request refused",
 		slog.String("id", request.Header.Get(r.config.Names.Replica.RequestID)),
 		slog.Int("status", reply.status), slog.String("reason", reply.reason),
 		slog.String("host", request.Host), slog.String("path", request.URL.Path), slog.Uint64("version", version))
@@ -98,5 +93,5 @@
 	if reply.reason != "" {
 		attributes = append(attributes, slog.String("reason", reply.reason), slog.Bool("cut", reply.cut), errorAttr(reply.cause))
 	}
-	r.config.Logger.LogAttrs(context.Background(), slogInfo, "request ended", attributes...)
+	r.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request ended", attributes...)
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -79,7 +79,7 @@
 				Store: h.log, Topic: "ledger", TextTopic: "texts", Partitions: 2, Producer: name,
 				RecordBytes: 1 << 16, CallBytes: 1 << 20, CacheBytes: 1 << 20, Logger: slog.New(slog.DiscardHandler),
 			}),
-			Partitions: 2, Logger: slog.New(slog.DiscardHandler),
+			Logger: slog.New(slog.DiscardHandler),
 		}),
 	})
 }
