--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TEST_FLAGS ?= -count=1 -timeout=8m
 PROGRAMS := stepseamd stepseamctl stepseam-lab
 
-.PHONY: build demo site test unit lint format soak clean
+.PHONY: build demo site test unit lint format soak soak-platform clean
 
 build:
 	@mkdir -p bin
@@ -41,3 +41,8 @@
 
 clean:
 	rm -rf bin
+
+# A search over random faults on real processes: make soak-platform SECONDS=120 SEED=7.
+SECONDS ?= 60
+soak-platform:
+	SOAK_SECONDS=$(SECONDS) SOAK_SEED=$(SEED) $(GO) test ./platform -count=1 -timeout=20m -run TestPromisesHoldUnderRandomFaults -v
