Bound turns that don't say how much they hand out

Cause, by reading: a turn without a token count was charged nothing before it ran, and so passed a budget that was spent. It is charged as the whole budget now. TestTurnThatNamesNoMostIsBoundedByTheBudget failed before: 200, 200, 402 in place of 200, 402, 402.

--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -113,6 +113,10 @@
 		budget:   parseUint32(request.Header.Get(names.Budget)),
 		previous: ledger.TurnID(request.Header.Get(names.PreviousTurn)),
 	}
+	if made.mostTokens == 0 {
+		// A turn that does not say how much it hands out may take all that is left.
+		made.mostTokens = made.turn.budget
+	}
 	made.turn.budgeted = route.Kind == routing.KindStreaming && made.turn.program != "" && request.Header.Get(names.Budget) != ""
 	return made
 }
--- a/internal/router/stream_test.go
+++ b/internal/router/stream_test.go
@@ -111,6 +111,18 @@
 	is.Equal(len(h.replicas[0].Received()), 2)
 }
 
+func TestTurnThatNamesNoMostIsBoundedByTheBudget(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(1, 3, true))
+	const budget = 50 // each turn hands out 30
+	statuses := []int{}
+	for i := range 3 {
+		got := h.ask("/stream/x", fmt.Sprint(i), "Test-Program", "p", "Test-Budget", fmt.Sprint(budget))
+		statuses = append(statuses, got.StatusCode)
+	}
+	is.Equal(statuses, []int{http.StatusOK, http.StatusPaymentRequired, http.StatusPaymentRequired})
+}
+
 func TestTurnIsRefusedAsNotRunWithoutTheLedger(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, events(1, 3, true))
