Settle credits in one place, look for lapsed replicas once a batch

Found on the last reading; no behaviour changes. A resting credit was settled by the same lines at the end of a turn and when tidying; 'stopping' of tidy said no more than 'not home'; lapsed replicas were searched again for each change of one batch. The property test calls tidy with one argument less, its schedule and bounds are as before.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -30,7 +30,7 @@
 	// zone is this node's own.
 	zone string
 
-	// mutex guards replicas.
+	// mutex guards all below.
 	mutex    sync.Mutex
 	replicas map[string]*record
 	// others holds what other nodes have under way, by node, and elsewhere the sums.
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -107,6 +107,7 @@
 func (d *Directory) Apply(changes []Change, now time.Duration) []Change {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.forgetLapsed(now)
 	var effective []Change
 	for _, change := range changes {
 		if d.apply(change, now) {
@@ -120,7 +121,6 @@
 }
 
 func (d *Directory) apply(change Change, now time.Duration) bool {
-	d.forgetLapsed(now)
 	if change.Replica == nil {
 		_, known := d.replicas[change.Instance]
 		d.lapse(change.Instance, now)
--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -178,12 +178,21 @@
 		return
 	}
 	held.credit.Finish(grant.ID, used, h.clock())
-	if h.leaving && held.asking == nil && held.credit.Idle(0, h.clock()) {
-		for _, record := range held.credit.Settle() {
-			h.partition.submitLater(ledger.Encode(record))
-		}
-		delete(h.credits, grant.Program)
+	if h.leaving {
+		h.settleIfIdle(grant.Program, held, 0)
+	}
+}
+
+// settleIfIdle settles a credit that has rested for the given time, and forgets it.
+// It needs the mutex.
+func (h *holder) settleIfIdle(program ledger.ProgramID, held *heldCredit, rest time.Duration) {
+	if held.asking != nil || !held.credit.Idle(rest, h.clock()) {
+		return
+	}
+	for _, record := range held.credit.Settle() {
+		h.partition.submitLater(ledger.Encode(record))
 	}
+	delete(h.credits, program)
 }
 
 func (h *holder) charged(program ledger.ProgramID) uint64 {
@@ -195,35 +204,27 @@
 	return 0
 }
 
-// tidy settles credits that rest, and all without an open turn if the node stops
-// or is not the home any more; then it gives the ownership back, too.
-func (h *holder) tidy(home, stopping bool) {
-	leaving := stopping || !home
+// tidy settles credits that rest. Where this node is not the home, or stops, it
+// settles all without an open turn and gives the ownership back.
+func (h *holder) tidy(home bool) {
 	rest := creditIdle
-	if leaving {
+	if !home {
 		rest = 0
 	}
 	h.mutex.Lock()
-	h.leaving = leaving
-	now := h.clock()
-	var records []ledger.Record
+	h.leaving = !home
 	undecided := false
 	for program, held := range h.credits {
-		held.credit.Expire(grantLife, now)
+		held.credit.Expire(grantLife, h.clock())
 		undecided = undecided || held.asking != nil
-		if held.asking == nil && held.credit.Idle(rest, now) {
-			records = append(records, held.credit.Settle()...)
-			delete(h.credits, program)
-		}
+		h.settleIfIdle(program, held, rest)
 	}
 	h.mutex.Unlock()
-	for _, record := range records {
-		h.partition.submitLater(ledger.Encode(record))
-	}
-	if leaving && undecided {
+	switch {
+	case home:
+	case undecided:
 		h.partition.flush()
-	}
-	if leaving && !undecided {
+	default:
 		h.release()
 	}
 }
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -150,7 +150,7 @@
 // Tidy settles what rests and gives up partitions that are at home elsewhere.
 func (l *Ledger) Tidy(home func(partition int) bool) {
 	for number, p := range l.partitions {
-		p.holder.tidy(home(number), false)
+		p.holder.tidy(home(number))
 	}
 }
 
@@ -202,7 +202,7 @@
 func (l *Ledger) stopped() bool {
 	all := true
 	for _, p := range l.partitions {
-		p.holder.tidy(false, true)
+		p.holder.tidy(false)
 		p.flush()
 		all = all && p.holder.decided() && p.appender.idle()
 	}
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -336,7 +336,7 @@
 	case 8, 9:
 		time.Sleep(creditIdle)
 		for _, node := range s.nodes {
-			node.of(s.program).holder.tidy(draw%5 != 0, false)
+			node.of(s.program).holder.tidy(draw%5 != 0)
 		}
 	}
 }
