Let the ledger ask the members who lives, and learn the owner before a claim

A new home took a partition over at once, without having read who owns it, and so was not sure of it for 25 s. The homes hand the ledger its members now; a node reads a partition before its first claim; reservations name the life that made them, and what only the dead hold is spent (402), what the living hold is reserved (503). Until 5 s after its start a node takes others for living.

TestLivingOwnerIsGivenTimeToRelease failed before, and fails without SetMembers. Tests replaced: two asked for no read at all, now for the one that tells the owner; TestBudgetHoldsWhereTheHomeIsGone lets the home own its partition first, since a first turn that waits for the log reserves the next one behind it.

--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -45,6 +45,8 @@
 	// settleAfter is how long after its start a node alone in its view waits
 	// before it takes itself for the home of all partitions.
 	settleAfter = 2 * time.Second
+	// learnMembers is how long after its start a node may not know all others.
+	learnMembers = 5 * time.Second
 )
 
 // errNotAsked tells that the home was passed over.
@@ -108,7 +110,8 @@
 	avoid map[identity.NodeName]time.Duration
 }
 
-// New returns a service that knows no other nodes yet.
+// New returns a service that knows no other nodes yet. It tells the ledger which
+// nodes live from then on.
 func New(config Config) *Service {
 	made := &Service{
 		config: config, began: time.Now(), avoid: map[identity.NodeName]time.Duration{},
@@ -119,6 +122,7 @@
 	if config.Registerer != nil {
 		config.Registerer.MustRegister(made.begun)
 	}
+	config.Ledger.SetMembers(made)
 	return made
 }
 
--- a/internal/homes/view.go
+++ b/internal/homes/view.go
@@ -43,6 +43,12 @@
 	})
 }
 
+// MayLive tells whether a life may go on: it is a member that has not died, or this
+// node does not know all others yet.
+func (s *Service) MayLive(life ledger.LifeID) bool {
+	return s.Lives(life) || s.config.Peers != nil && time.Since(s.began) < learnMembers
+}
+
 // Run gives up partitions that are at home elsewhere until ctx ends.
 func (s *Service) Run(ctx context.Context) { s.config.Ledger.Run(ctx, s.isHome) }
 
--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -19,6 +19,7 @@
 // granted, or at most AheadLimit while the node may hand out ahead of the log.
 type Credit struct {
 	program ProgramID
+	life    LifeID
 	budget  uint32
 	most    uint32
 	parts   []part
@@ -40,9 +41,9 @@
 	since time.Duration
 }
 
-// NewCredit returns a credit without reservations.
-func NewCredit(program ProgramID, budget, most uint32, now time.Duration) *Credit {
-	return &Credit{program: program, budget: budget, most: most, open: map[GrantID]openGrant{}, touched: now}
+// NewCredit returns a credit of a life of a node without reservations.
+func NewCredit(program ProgramID, life LifeID, budget, most uint32, now time.Duration) *Credit {
+	return &Credit{program: program, life: life, budget: budget, most: most, open: map[GrantID]openGrant{}, touched: now}
 }
 
 func (c *Credit) granted() uint64 {
@@ -109,7 +110,7 @@
 	}
 	return Reserve{
 		Program: c.program, Attempt: attempt, Budget: c.budget, Most: c.most,
-		Least: uint32(least), Wanted: uint32(wanted), Sure: sure && !c.asked,
+		Least: uint32(least), Wanted: uint32(wanted), Sure: sure && !c.asked, Life: c.life,
 	}
 }
 
@@ -120,19 +121,30 @@
 	return c.asked && c.granted() < c.spent+c.underWay()/2+uint64(c.most)
 }
 
-// Decided takes the verdict on a reservation.
-func (c *Credit) Decided(verdict Verdict) {
+// Decided takes the verdict on a reservation. lives tells whether a life of a node
+// may still give back what it has reserved.
+func (c *Credit) Decided(verdict Verdict, lives func(LifeID) bool) {
 	c.asked = true
 	c.Charged = verdict.Charged
-	others := verdict.Reserved - min(verdict.Reserved, c.granted())
-	c.blocked = verdict.Granted == 0 && others >= verdict.Short
+	c.blocked = verdict.Granted == 0 && c.heldByOthers(verdict, lives) >= verdict.Short
 	if verdict.Granted > 0 {
 		c.parts = append(c.parts, part{attempt: verdict.Attempt, granted: uint64(verdict.Granted)})
 	}
 }
 
+// heldByOthers is what others than this credit have reserved and may give back.
+func (c *Credit) heldByOthers(verdict Verdict, lives func(LifeID) bool) uint64 {
+	held := uint64(0)
+	for _, one := range verdict.Holdings {
+		if lives(one.Life) {
+			held += uint64(one.Tokens)
+		}
+	}
+	return held - min(held, c.granted())
+}
+
 // Blocked tells whether the last reservation was refused for what other nodes have
-// reserved, which they may give back, rather than for what was handed out.
+// reserved, which they may give back, rather than for what was handed out or is lost with them.
 func (c *Credit) Blocked() bool { return c.blocked }
 
 // Idle tells whether no turn is open and none has been for the given time.
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -1,6 +1,9 @@
 package ledger
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -20,17 +23,24 @@
 	charged uint64
 	// sure tells that the first record of the program was; fresh that none has come.
 	sure, fresh bool
-	open        map[AttemptID]uint32
+	open        map[AttemptID]Holding
 	touched     time.Duration
 }
 
-// reserved is what the open reservations hold, in tokens.
-func (a *account) reserved() uint64 {
-	total := uint64(0)
-	for _, granted := range a.open {
-		total += uint64(granted)
-	}
-	return total
+// Holding is an open reservation: tokens that a life of a node may hand out, or
+// give back.
+type Holding struct {
+	Life   LifeID
+	Tokens uint32
+}
+
+// holdings returns the open reservations, ordered, since nodes compare verdicts.
+func (a *account) holdings() []Holding {
+	held := slices.Collect(maps.Values(a.open))
+	slices.SortFunc(held, func(one, other Holding) int {
+		return cmp.Or(cmp.Compare(one.Life, other.Life), cmp.Compare(one.Tokens, other.Tokens))
+	})
+	return held
 }
 
 type keptTurn struct {
@@ -70,10 +80,11 @@
 	Attempt AttemptID
 	// Granted is how many tokens are reserved; 0 if the reservation does not hold.
 	Granted uint32
-	// Charged is what stood against the program's budget before it, in tokens;
-	// Reserved is the part of it that open reservations hold, which may give some
-	// of it back.
-	Charged, Reserved uint64
+	// Charged is what stood against the program's budget before it, in tokens.
+	Charged uint64
+	// Holdings are the parts of Charged that open reservations hold; only where
+	// nothing was granted.
+	Holdings []Holding
 	// Short is how many tokens were missing where nothing was granted.
 	Short uint64
 }
@@ -106,7 +117,7 @@
 	if charges.fresh {
 		charges.fresh, charges.sure = false, record.Sure
 	}
-	verdict := Verdict{Attempt: record.Attempt, Charged: charges.charged, Reserved: charges.reserved()}
+	verdict := Verdict{Attempt: record.Attempt, Charged: charges.charged}
 	if _, repeated := charges.open[record.Attempt]; repeated {
 		return verdict
 	}
@@ -115,12 +126,12 @@
 		open = OpenBudget(record.Budget, record.Most)
 	}
 	if needed := charges.charged + uint64(record.Least); needed > open {
-		verdict.Short = needed - open
+		verdict.Short, verdict.Holdings = needed-open, charges.holdings()
 		return verdict
 	}
 	verdict.Granted = uint32(min(uint64(record.Wanted), open-charges.charged))
 	charges.charged += uint64(verdict.Granted)
-	charges.open[record.Attempt] = verdict.Granted
+	charges.open[record.Attempt] = Holding{Life: record.Life, Tokens: verdict.Granted}
 	return verdict
 }
 
@@ -133,13 +144,13 @@
 		return
 	}
 	delete(charges.open, record.Attempt)
-	charges.charged = charges.charged - uint64(reserved) + uint64(record.Used)
+	charges.charged = charges.charged - uint64(reserved.Tokens) + uint64(record.Used)
 }
 
 func (p *Partition) account(program ProgramID, now time.Duration) *account {
 	charges, known := p.accounts[program]
 	if !known {
-		charges = &account{open: map[AttemptID]uint32{}, fresh: true}
+		charges = &account{open: map[AttemptID]Holding{}, fresh: true}
 		p.accounts[program] = charges
 	}
 	charges.touched = now
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -37,6 +37,8 @@
 	// program ahead of the log. Where a program's first record is not sure, a part
 	// of its budget stays closed, see OpenBudget.
 	Sure bool
+	// Life is the writer, which may give back what it does not hand out.
+	Life LifeID
 }
 
 // Settle tells what an attempt handed out, in place of its reservation.
@@ -103,10 +105,11 @@
 	for _, tokens := range []uint32{r.Budget, r.Most, r.Least, r.Wanted} {
 		encoded = binary.BigEndian.AppendUint32(encoded, tokens)
 	}
+	sure := byte(0)
 	if r.Sure {
-		return append(encoded, 1)
+		sure = 1
 	}
-	return append(encoded, 0)
+	return appendText(append(encoded, sure), string(r.Life))
 }
 
 func (r Own) encode() []byte { return appendText([]byte{byte(kindOwn)}, string(r.Life)) }
@@ -149,7 +152,7 @@
 		record = Reserve{
 			Program: ProgramID(reader.text()), Attempt: AttemptID(reader.uint64()),
 			Budget: reader.uint32(), Most: reader.uint32(), Least: reader.uint32(), Wanted: reader.uint32(),
-			Sure: reader.take(1)[0] == 1,
+			Sure: reader.take(1)[0] == 1, Life: LifeID(reader.text()),
 		}
 	case kindSettle:
 		record = Settle{Program: ProgramID(reader.text()), Attempt: AttemptID(reader.uint64()), Used: reader.uint32()}
--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -22,6 +22,8 @@
 	ownPause = time.Second
 	// releasePatience is how long an owner that lives may take to release.
 	releasePatience = 4 * time.Second
+	// learnTimeout bounds the first read of a partition.
+	learnTimeout = 2 * time.Second
 	// abandonedLife is how long the end of a turn that has not begun is remembered.
 	abandonedLife = 10 * time.Second
 )
@@ -30,7 +32,9 @@
 type holder struct {
 	partition *partition
 	life      ledger.LifeID
-	clock     func() time.Duration
+	// members is set before the first turn.
+	members Members
+	clock   func() time.Duration
 
 	// mutex guards all below.
 	mutex   sync.Mutex
@@ -120,7 +124,7 @@
 	defer h.mutex.Unlock()
 	held, known := h.credits[program]
 	if !known {
-		held = &heldCredit{credit: ledger.NewCredit(program, request.Budget, most, h.clock())}
+		held = &heldCredit{credit: ledger.NewCredit(program, h.life, request.Budget, most, h.clock())}
 		held.ahead = sure && !h.partition.follower.knows(program)
 		h.credits[program] = held
 		h.ask(held, most, home)
@@ -154,7 +158,7 @@
 		h.mutex.Lock()
 		defer h.mutex.Unlock()
 		if err == nil {
-			held.credit.Decided(verdict)
+			held.credit.Decided(verdict, h.settles)
 			call.granted = verdict.Granted > 0
 			held.dry = !call.granted
 		}
@@ -164,6 +168,9 @@
 	}()
 }
 
+// settles tells whether a life may give back what it has reserved.
+func (h *holder) settles(life ledger.LifeID) bool { return life == h.life || h.members.MayLive(life) }
+
 // decide waits until a reservation stands in the log, however long that takes, and
 // returns the verdict.
 func (h *holder) decide(attempt ledger.AttemptID, waiting *submission) (ledger.Verdict, error) {
@@ -283,7 +290,11 @@
 
 // claim makes this life the partition's owner, in the background, unless it is.
 // While the present owner lives, it is given time to release.
-func (h *holder) claim(lives func(ledger.LifeID) bool) {
+func (h *holder) claim() {
+	if !h.partition.follower.heard() {
+		h.learnOwner()
+		return
+	}
 	owner := h.partition.follower.owner()
 	now := h.clock()
 	h.mutex.Lock()
@@ -294,7 +305,7 @@
 	if h.wantedSince == 0 {
 		h.wantedSince = now
 	}
-	if owner != "" && lives(owner) && now-h.wantedSince < releasePatience {
+	if owner != "" && h.members.Lives(owner) && now-h.wantedSince < releasePatience {
 		return
 	}
 	h.leaving, h.wantedSince = false, 0
@@ -302,6 +313,29 @@
 	h.write(ledger.Own{Life: h.life})
 }
 
+// learnOwner reads the partition for the first time, in the background, and claims
+// it then.
+func (h *holder) learnOwner() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.claiming {
+		return
+	}
+	h.claiming = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), learnTimeout)
+		defer cancel()
+		// After a failed read, the next turn tries again.
+		err := h.partition.follower.readToEnd(ctx)
+		h.mutex.Lock()
+		h.claiming = false
+		h.mutex.Unlock()
+		if err == nil {
+			h.claim()
+		}
+	}()
+}
+
 // release gives the ownership back. Nothing is ahead of the log here any more.
 func (h *holder) release() {
 	owner := h.partition.follower.owner()
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -56,8 +56,6 @@
 	Partitions int
 	// Producer is unique to this life of the process; it is its LifeID too.
 	Producer string
-	// Lives tells whether a life is known to go on; nil takes all for ended.
-	Lives func(ledger.LifeID) bool
 	// RecordBytes and CallBytes bound one record and one append.
 	RecordBytes, CallBytes int
 	// CacheBytes bounds the texts of turns in memory.
@@ -87,9 +85,6 @@
 
 // New returns a ledger that has read nothing yet.
 func New(config Config) *Ledger {
-	if config.Lives == nil {
-		config.Lives = func(ledger.LifeID) bool { return false }
-	}
 	counted := newMetrics(config.Registerer)
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
@@ -110,7 +105,7 @@
 			},
 		}
 		added.holder = &holder{
-			partition: added, life: ledger.LifeID(config.Producer), clock: clock,
+			partition: added, life: ledger.LifeID(config.Producer), members: unknownMembers{}, clock: clock,
 			credits: map[ledger.ProgramID]*heldCredit{}, abandoned: map[ledger.GrantID]time.Duration{},
 		}
 		built.partitions = append(built.partitions, added)
@@ -118,6 +113,28 @@
 	return built
 }
 
+// Members tells which lives of nodes go on.
+type Members interface {
+	// Lives tells whether a life is known to go on.
+	Lives(life ledger.LifeID) bool
+	// MayLive tells whether a life may go on, as far as that can be known yet.
+	MayLive(life ledger.LifeID) bool
+}
+
+// unknownMembers are those of a node that nobody tells of others.
+type unknownMembers struct{}
+
+func (unknownMembers) Lives(ledger.LifeID) bool   { return false }
+func (unknownMembers) MayLive(ledger.LifeID) bool { return true }
+
+// SetMembers tells which lives go on. It is called at most once, before the first
+// turn; without it other nodes may live, but none is waited for.
+func (l *Ledger) SetMembers(members Members) {
+	for _, p := range l.partitions {
+		p.holder.members = members
+	}
+}
+
 func (l *Ledger) of(program ledger.ProgramID) *partition {
 	return l.partitions[l.Partition(program)]
 }
@@ -142,7 +159,7 @@
 func (l *Ledger) Take(ctx context.Context, request TurnRequest) (Grant, error) {
 	holder := l.of(request.Program).holder
 	if request.Home {
-		holder.claim(l.config.Lives)
+		holder.claim()
 	}
 	return holder.take(ctx, request)
 }
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// heard tells whether the partition has been read to its end once.
+func (f *follower) heard() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.answered > 0 || f.confirmed > 0
+}
+
 // owner returns the life that owns the partition, as far as it has been read.
 func (f *follower) owner() ledger.LifeID {
 	f.mutex.Lock()
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -13,7 +13,6 @@
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/ledgerlog"
 	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/router"
@@ -57,12 +56,7 @@
 	return ledgerlog.New(ledgerlog.Config{
 		Store: do.MustInvoke[logstore.Store](injector),
 		Topic: adapter.LedgerTopic, TextTopic: adapter.TextTopic, Partitions: chosen.Store.Partitions,
-		Producer: string(homes.LifeOf(do.MustInvoke[identity.Node](injector).Reference())),
-		// The homes need the ledger, so they are asked for only at run time.
-		Lives: func(life ledger.LifeID) bool {
-			others, err := do.Invoke[*homes.Service](injector)
-			return err == nil && others.Lives(life)
-		},
+		Producer:    string(homes.LifeOf(do.MustInvoke[identity.Node](injector).Reference())),
 		RecordBytes: chosen.Store.RecordBytes, CallBytes: chosen.Store.CallBytes,
 		CacheBytes: chosen.Machine.MemoryMebibytes * mebibyte / cacheShare,
 		Logger:     do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
