Send again, or avoid, where replicas forget resting connections

Cause: a replica may forget an idle connection without a word. The request that finds it dead may have run, as far as is known: 502, and the client's program fails with it. A repeatable request goes to the same replica once more on a new connection, which counts as no other replica. The others avoid connections that have rested for half as long as those that were found dead in the last 30 s. Ruled out: fresh connections for all that may not repeat, which costs a new connection for nearly each of them.

TestRepeatableRequestGoesAgainWhereAKeptConnectionIsForgotten and TestOthersAvoidConnectionsThatAreForgotten failed before. Left: each node learns for itself, so the first on each fails.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -72,14 +72,45 @@
 
 // Send sends request to target and returns the head of its answer. Every error is
 // a *FailureError. The end of ctx closes the connection, also while the body is read.
+// A repeatable request whose kept connection turns out to be dead goes to the same
+// target once more, on a new one.
 func (c *Client) Send(ctx context.Context, target Target, request Request) (*Answer, error) {
-	used, err := c.pool.get(ctx, target)
+	used, err := c.pool.get(ctx, target, c.pool.longestRest(request.Repeatable))
 	if err != nil {
-		return nil, &FailureError{Outcome: OutcomeNotRun, Reason: ReasonConnect, Cause: err}
+		return nil, connectFailure(err)
 	}
+	rested, kept := used.rested()
+	answer, err := c.exchange(ctx, used, request)
+	if err == nil || !kept || !foundDead(ctx, err) {
+		return answer, err
+	}
+	c.pool.noteDead(rested)
+	if !request.Repeatable {
+		return nil, err
+	}
+	used, err = c.pool.dial(ctx, target)
+	if err != nil {
+		// The first sending may have run.
+		return nil, &FailureError{Reason: ReasonReset, Cause: err}
+	}
+	return c.exchange(ctx, used, request)
+}
+
+func connectFailure(err error) error {
+	return &FailureError{Outcome: OutcomeNotRun, Reason: ReasonConnect, Cause: err}
+}
+
+// foundDead tells whether a connection ended without an answer of its own.
+func foundDead(ctx context.Context, err error) bool {
+	var failure *FailureError
+	return ctx.Err() == nil && errors.As(err, &failure) && failure.Reason == ReasonReset
+}
+
+// exchange sends a request on a connection and reads the head of its answer.
+func (c *Client) exchange(ctx context.Context, used *connection, request Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, used.close)
 	sent := &atomic.Bool{}
-	message := c.encode(request, target.Instance)
+	message := c.encode(request, used.target.Instance)
 	// The answer is read beside the writing, since a replica may answer before it
 	// has read a long body.
 	go func() {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -81,6 +81,8 @@
 	Method, URI, Host string
 	Header            http.Header
 	Body              []byte
+	// Repeatable tells that the request may run more than once.
+	Repeatable bool
 }
 
 // Names are the header fields by which replicas speak.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -105,6 +106,48 @@
 	is.Equal(len(to.Received()), 2)
 }
 
+// forgetful answers the first request of each connection and closes it at the next.
+func forgetful() replica.Script {
+	used := map[net.Conn]bool{}
+	return func(e *replica.Exchange) bool {
+		if used[e.Socket] {
+			return false
+		}
+		used[e.Socket] = true
+		answerOf(e, "")
+		return true
+	}
+}
+
+func TestRepeatableRequestGoesAgainWhereAKeptConnectionIsForgotten(t *testing.T) {
+	is := is.New(t)
+	to, client := start(t, forgetful())
+	for _, id := range []string{"1", "2"} {
+		request := ask(id)
+		request.Repeatable = true
+		_, _, err := send(t, client, to, request)
+		is.NoErr(err)
+	}
+	is.Equal(to.Connections(), 2)
+}
+
+func TestOthersAvoidConnectionsThatAreForgotten(t *testing.T) {
+	is := is.New(t)
+	to, client := start(t, forgetful())
+	const rest = 150 * time.Millisecond
+	failed := 0
+	for _, id := range []string{"1", "2", "3", "4", "5", "6"} {
+		_, _, err := send(t, client, to, ask(id))
+		if err != nil {
+			is.Equal(failureOf(t, err).Outcome, OutcomeUnknown)
+			failed++
+		}
+		time.Sleep(rest)
+	}
+	is.Equal(failed, 1)
+	is.Equal(len(to.Received()), 6) // none was sent twice
+}
+
 func TestAnswerOfAnEarlierRequestIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	to, client := start(t, func(e *replica.Exchange) bool {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -15,6 +15,10 @@
 	dialTimeout = 600 * time.Millisecond
 	// idleLife is how long an idle connection is kept.
 	idleLife = 4 * time.Second
+	// restMemory is how long it counts that a resting connection was found dead, and
+	// leastRest the shortest rest that this leads to.
+	restMemory = 30 * time.Second
+	leastRest  = 10 * time.Millisecond
 	// idlePerReplica bounds the idle connections to one replica.
 	idlePerReplica = 8
 	// readBuffer holds a usual event or head.
@@ -32,17 +36,52 @@
 	target Target
 	// served counts the requests that it has carried.
 	served int
-	// expires is when the idle connection must not be used any more.
-	expires time.Time
+	// expires is when the idle connection must not be used any more, restsSince when
+	// it became idle.
+	expires, restsSince time.Time
+}
+
+// rested returns how long the connection has rested; false if it is new.
+func (c *connection) rested() (time.Duration, bool) {
+	return time.Since(c.restsSince), c.served > 0
 }
 
 // pool keeps idle connections by replica. It is safe for concurrent use.
 type pool struct {
 	dialer net.Dialer
 
-	// mutex guards idle.
+	// mutex guards all below.
 	mutex sync.Mutex
 	idle  map[Target][]*connection
+	// restLimit holds until restLimited: replicas were found to forget connections
+	// that rested for longer.
+	restLimit   time.Duration
+	restLimited time.Time
+}
+
+// longestRest returns how long a connection may have rested that a request is to
+// go out on. A replica may forget an idle connection without a word, which leaves
+// open whether a request that was sent on it has run; so one that may not repeat
+// avoids what such replicas have been found to forget.
+func (p *pool) longestRest(repeatable bool) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if repeatable || time.Now().After(p.restLimited) {
+		return idleLife
+	}
+	return p.restLimit
+}
+
+// noteDead notes that a connection was dead after it had rested for some time.
+func (p *pool) noteDead(rested time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	limit := max(rested/2, leastRest)
+	if now.Before(p.restLimited) {
+		limit = min(limit, p.restLimit)
+	}
+	p.restLimit, p.restLimited = limit, now.Add(restMemory)
 }
 
 func newPool() *pool {
@@ -58,10 +97,11 @@
 	return errors.Join(err, failed)
 }
 
-// get returns an idle connection that is still sound, or a new one.
-func (p *pool) get(ctx context.Context, target Target) (*connection, error) {
+// get returns an idle connection that is still sound and has rested for at most
+// longest, or a new one.
+func (p *pool) get(ctx context.Context, target Target, longest time.Duration) (*connection, error) {
 	for {
-		idle := p.takeIdle(target)
+		idle := p.takeIdle(target, longest)
 		if idle == nil {
 			return p.dial(ctx, target)
 		}
@@ -72,8 +112,9 @@
 	}
 }
 
-// takeIdle returns the connection that was used last, which is the freshest.
-func (p *pool) takeIdle(target Target) *connection {
+// takeIdle returns the connection that was used last, which is the freshest, if it
+// has rested for at most longest.
+func (p *pool) takeIdle(target Target, longest time.Duration) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	kept := p.idle[target]
@@ -81,6 +122,9 @@
 		return nil
 	}
 	last := kept[len(kept)-1]
+	if rested, _ := last.rested(); rested > longest {
+		return nil
+	}
 	p.idle[target] = kept[:len(kept)-1]
 	return last
 }
@@ -95,7 +139,8 @@
 
 // put keeps a connection whose last answer was read whole, for at most life.
 func (p *pool) put(c *connection, life time.Duration) {
-	c.expires = time.Now().Add(min(life, idleLife))
+	c.restsSince = time.Now()
+	c.expires = c.restsSince.Add(min(life, idleLife))
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle[c.target]) >= idlePerReplica {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -127,6 +127,7 @@
 	r.config.Tracker.Begin(replica.Instance, call.prompt, r.Now())
 	answer, err := r.config.Replicas.Send(ctx, exchange.Target{Instance: replica.Instance, Address: replica.Address}, exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
+		Repeatable: call.route.Repeatable(),
 	})
 	r.config.Tracker.Answered(replica.Instance, r.Now())
 	tried := &attempt{answer: answer, replica: replica, tracker: r.config.Tracker, router: r}
