Begin programs only while replicas have slots to spare

The first turn of a program is refused now, at once and with when to come back, while own and told loads take 0.9 of the slots (1.1 on routes of the highest priority); what has begun goes on.

TestProgramBeginsOnlyWhileReplicasAreNotFull fails without it.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -129,6 +129,29 @@
 	is.Equal(tracker.Candidates(replicas, false, nil, nil, loads.Life+2)[0].Elsewhere, 8) // of four times as many nodes
 }
 
+func TestUtilizationCountsAllNodesAndSlots(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("z")
+	replicas := []fleet.Replica{{Instance: "a", Slots: 4}, {Instance: "b", Slots: 6}}
+	is.Equal(tracker.Utilization(nil, 0), 0.0)
+	is.Equal(tracker.Utilization(replicas, 0), 0.0)
+	tracker.Begin("a", nil, 0)
+	tracker.Begin("gone", nil, 0)
+	is.Equal(tracker.Utilization(replicas, 0), 0.1)
+	other := netip.MustParseAddrPort("10.0.0.1:1")
+	tracker.Heard(other, map[loads.Key]int{loads.KeyOf("b"): 2}, 0.5, time.Second)
+	is.Equal(tracker.Utilization(replicas, time.Second), 0.5) // half of the nodes told of two
+	is.Equal(tracker.Utilization(replicas, 10*time.Second), 0.1)
+}
+
+func TestProgramsBeginOnlyWhileSlotsAreFree(t *testing.T) {
+	is := is.New(t)
+	is.True(Admits(0.89, 3))
+	is.True(!Admits(0.9, 3))
+	is.True(Admits(0.9, 0))
+	is.True(!Admits(1.1, 0))
+}
+
 func TestRoutesRankInTheirOrder(t *testing.T) {
 	is := is.New(t)
 	is.True(Priority(0) < Priority(1))
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -77,10 +78,6 @@
 func (t *Tracker) Candidates(replicas []fleet.Replica, engine bool, prompt []Part, except []string, now time.Duration) []Candidate {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	elsewhere := t.elsewhere
-	if now-t.heardAt > loads.Life {
-		elsewhere = nil
-	}
 	candidates := make([]Candidate, 0, len(replicas))
 	for _, replica := range replicas {
 		if slices.Contains(except, replica.Instance) {
@@ -89,7 +86,7 @@
 		candidate := Candidate{
 			Instance: replica.Instance, SameZone: replica.Zone == t.zone, Engine: engine, Slots: replica.Slots,
 			Doubtful:  replica.State == fleet.StateLapsed,
-			Elsewhere: int(float64(elsewhere[loads.KeyOf(replica.Instance)]) / t.coverage),
+			Elsewhere: t.elsewhereAt(replica.Instance, now),
 		}
 		if known, found := t.replicas[replica.Instance]; found {
 			candidate.UnderWay = known.underWay
@@ -103,6 +100,34 @@
 	return candidates
 }
 
+// Utilization returns the requests under way at replicas, of this node and the
+// others, by the slots that the replicas have. It is 0 without replicas.
+func (t *Tracker) Utilization(replicas []fleet.Replica, now time.Duration) float64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	underWay, slots := 0.0, 0
+	for _, replica := range replicas {
+		slots += cmp.Or(replica.Slots, usualSlots)
+		if known, found := t.replicas[replica.Instance]; found {
+			underWay += float64(known.underWay)
+		}
+		underWay += float64(t.elsewhereAt(replica.Instance, now))
+	}
+	if slots == 0 {
+		return 0
+	}
+	return underWay / float64(slots)
+}
+
+// elsewhereAt is how many requests of other nodes are under way at instance, as
+// far as they have told lately. It needs the mutex.
+func (t *Tracker) elsewhereAt(instance string, now time.Duration) int {
+	if now-t.heardAt > loads.Life {
+		return 0
+	}
+	return int(float64(t.elsewhere[loads.KeyOf(instance)]) / t.coverage)
+}
+
 // lag is how much of a slower pace counts, in milliseconds an event: a part of any
 // difference, all of what is over that of a slow replica.
 func lag(pace, fastest float64) float64 {
--- a/internal/homes/begin.go
+++ b/internal/homes/begin.go
@@ -100,7 +100,7 @@
 			s.count("here", err)
 			return nil, err
 		}
-		turn.Charged, turn.Ahead = grant.Charged, grant.Ahead
+		turn.Charged, turn.Ahead, turn.First = grant.Charged, grant.Ahead, grant.First
 		turn.finish = func(used uint32) { s.config.Ledger.Finish(grant.Program, grant.ID, used) }
 	}
 	if request.Previous != "" {
@@ -146,7 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
-	turn := &Turn{Charged: got.Charged, Ahead: got.Ahead, Chain: got.Chain, Home: home.Name}
+	turn := &Turn{Charged: got.Charged, Ahead: got.Ahead, First: got.First, Chain: got.Chain, Home: home.Name}
 	if request.Budgeted {
 		turn.finish = func(used uint32) { go s.finishThere(home, request.Program, asked.Grant, used) }
 	}
--- a/internal/homes/handlers.go
+++ b/internal/homes/handlers.go
@@ -37,7 +37,7 @@
 		if err != nil {
 			return refusal(err), nil
 		}
-		answer.Charged, answer.Ahead = grant.Charged, grant.Ahead
+		answer.Charged, answer.Ahead, answer.First = grant.Charged, grant.Ahead, grant.First
 	}
 	if asked.Request.Previous != "" {
 		chain, err := s.config.Ledger.Chain(ctx, asked.Request.Program, asked.Request.Previous)
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -73,6 +73,8 @@
 	Charged uint64
 	// Ahead tells that the budget's reservation does not stand in the log yet.
 	Ahead bool
+	// First tells that the program has been handed out nothing before.
+	First bool
 	// Chain holds the locations of the turns before, the oldest first.
 	Chain []ledger.Location
 	// Home is the node that keeps the program's sums.
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -333,7 +333,7 @@
 	(&Service{}).Register(registry)
 	for _, message := range []peer.Message{
 		&begin{Request: Request{Program: "p", Budgeted: true, Budget: 1, Most: 2, Previous: "t"}, Grant: 4},
-		&begun{Status: statusSpent, Charged: 5, Ahead: true, Chain: chain, Reason: "r"},
+		&begun{Status: statusSpent, Charged: 5, Ahead: true, First: true, Chain: chain, Reason: "r"},
 		&finish{Program: "p", Grant: 7, Used: 8},
 		&keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute}, Text: []byte("x")},
 		&kept{Status: statusDone, Location: chain[0], Reason: "r"},
--- a/internal/homes/message.go
+++ b/internal/homes/message.go
@@ -68,6 +68,7 @@
 	Status  status
 	Charged uint64
 	Ahead   bool
+	First   bool
 	Chain   []ledger.Location
 	// Reason is an error's text.
 	Reason string
@@ -81,6 +82,7 @@
 	e.Uint8(uint8(m.Status))
 	e.Uint64(m.Charged)
 	e.Bool(m.Ahead)
+	e.Bool(m.First)
 	encodeChain(e, m.Chain)
 	e.String(m.Reason)
 }
@@ -88,7 +90,7 @@
 // Decode implements peer.Message.
 func (m *begun) Decode(d *wire.Decoder) {
 	m.Status, m.Charged = status(d.Uint8()), d.Uint64()
-	m.Ahead, m.Chain, m.Reason = d.Bool(), decodeChain(d), d.String()
+	m.Ahead, m.First, m.Chain, m.Reason = d.Bool(), d.Bool(), decodeChain(d), d.String()
 }
 
 // working is a part before begun: the home lives and waits for the log.
--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -73,6 +73,10 @@
 	return c.spent+c.underWay()+uint64(most) <= limit
 }
 
+// Fresh tells whether nothing has been handed out to the program, as far as is
+// known here.
+func (c *Credit) Fresh() bool { return c.spent == 0 && len(c.open) == 0 && c.Charged == 0 }
+
 // Open begins a turn that fits.
 func (c *Credit) Open(grant GrantID, most uint32, now time.Duration) {
 	c.open[grant] = openGrant{most: uint64(most), since: now}
--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -78,6 +78,8 @@
 	Charged uint64
 	// Ahead tells that the log does not hold it yet.
 	Ahead bool
+	// First tells that the program has been handed out nothing before.
+	First bool
 }
 
 // take begins a turn. Errors are those of Ledger.Take. Nodes that should not own
@@ -131,7 +133,7 @@
 		own = true
 	}
 	if held.credit.Fits(most, held.ahead && sure) {
-		grant = Grant{Program: program, ID: request.ID, Charged: held.credit.Charged, Ahead: held.asking != nil}
+		grant = Grant{Program: program, ID: request.ID, Charged: held.credit.Charged, Ahead: held.asking != nil, First: held.credit.Fresh()}
 		held.credit.Open(grant.ID, most, h.clock())
 		if home && held.asking == nil && !held.dry && held.credit.Low() {
 			h.ask(held, most, true)
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -32,6 +32,11 @@
 	if turn == nil {
 		return
 	}
+	if !r.admits(call, turn) {
+		turn.Finish(0)
+		reply.refuse(http.StatusServiceUnavailable, refusal{reason: "replicas_full", comeBack: fullComeBack})
+		return
+	}
 	passing := &stream{reply: reply, call: call, last: call.lastEvent}
 	defer func() { turn.Finish(passing.tokens) }()
 	if r.runStream(ctx, passing) && call.route.Retain {
--- a/internal/router/stream_test.go
+++ b/internal/router/stream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"stepseam.example/stepseam/internal/emulator/replica"
 	"stepseam.example/stepseam/internal/emulator/store"
+	"stepseam.example/stepseam/internal/fleet"
 )
 
 func streamHead(e *replica.Exchange) string {
@@ -199,3 +201,35 @@
 	received := h.replicas[0].Received()
 	is.True(received[0].Header.Get("Test-Priority") < received[1].Header.Get("Test-Priority"))
 }
+
+func TestProgramBeginsOnlyWhileReplicasAreNotFull(t *testing.T) {
+	is := is.New(t)
+	answered := make(chan struct{})
+	h := newHarness(t, func(e *replica.Exchange) bool {
+		if strings.HasPrefix(e.Request.URI, "/unsafe/") {
+			<-answered
+			return sound(e)
+		}
+		return events(1, 2, true)(e)
+	})
+	h.fleet.Replace([]fleet.Replica{{
+		Instance: "a", Service: "s", Address: h.replicas[0].Address, Zone: "near", State: fleet.StateReady, Slots: 2,
+	}}, 0)
+	begun := turnHead("begun", 1000, 50)
+	is.Equal(h.ask("/resume/x", "1", begun...).StatusCode, http.StatusOK)
+	var waiting sync.WaitGroup
+	for range 2 {
+		waiting.Go(func() { h.ask("/unsafe/x", "busy") })
+	}
+	for h.router.config.Tracker.Utilization(h.fleet.Usable("s", h.router.Now()), h.router.Now()) < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	refused := h.ask("/resume/x", "2", turnHead("new", 1000, 50)...)
+	is.Equal(refused.StatusCode, http.StatusServiceUnavailable)
+	is.True(refused.Header.Get("Retry-After") != "")
+	is.Equal(h.ask("/resume/x", "3", begun...).StatusCode, http.StatusOK)
+	is.Equal(h.ask("/stream/x", "4", turnHead("urgent", 1000, 50)...).StatusCode, http.StatusOK)
+	close(answered)
+	waiting.Wait()
+	is.Equal(h.ask("/resume/x", "5", turnHead("new", 1000, 50)...).StatusCode, http.StatusOK)
+}
