Wait shortly for the word that an answered request was sent

The note is a channel now and waited for up to 5 ms where all else speaks for keeping the connection. The early answer's test plays an unsent request as before.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +19,8 @@
 	// keepAliveMargin is taken off the time that a replica keeps an idle connection.
 	keepAliveMargin = 700 * time.Millisecond
 	sweepPause      = time.Second
+	// sentPatience is how long the end of an answered request's writing is waited for.
+	sentPatience = 5 * time.Millisecond
 	// headEstimate is the usual size of a request's head.
 	headEstimate = 1 << 10
 )
@@ -66,8 +67,9 @@
 	client     *Client
 	response   *http.Response
 	whole      *wholeReader
-	sent       *atomic.Bool
-	stop       func() bool
+	// sent is closed once the whole request has been written.
+	sent chan struct{}
+	stop func() bool
 }
 
 // Send sends request to target and returns the head of its answer. Every error is
@@ -109,13 +111,13 @@
 // exchange sends a request on a connection and reads the head of its answer.
 func (c *Client) exchange(ctx context.Context, used *connection, request Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, used.close)
-	sent := &atomic.Bool{}
+	sent := make(chan struct{})
 	message := c.encode(request, used.target.Instance)
 	// The answer is read beside the writing, since a replica may answer before it
 	// has read a long body.
 	go func() {
 		if _, err := used.socket.Write(message); err == nil {
-			sent.Store(true)
+			close(sent)
 		}
 	}()
 	response, err := c.readHead(used, request)
@@ -231,8 +233,25 @@
 }
 
 func (a *Answer) reusable() bool {
-	return a.whole.ended && a.sent.Load() && !a.response.Close &&
-		a.connection.reader.Buffered() == 0
+	return a.whole.ended && !a.response.Close && a.connection.reader.Buffered() == 0 && a.wasSent()
+}
+
+// wasSent tells whether the whole request has been written. An answer may overtake
+// the writer's word of that, which is waited for shortly.
+func (a *Answer) wasSent() bool {
+	select {
+	case <-a.sent:
+		return true
+	default:
+	}
+	timer := time.NewTimer(sentPatience)
+	defer timer.Stop()
+	select {
+	case <-a.sent:
+		return true
+	case <-timer.C:
+		return false
+	}
 }
 
 // idleTime returns how long the replica keeps the connection, by its own word.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -17,15 +17,8 @@
 
 var names = Names{RequestID: "Test-Id", ExpectInstance: "Test-Instance", NotRun: "Test-Not-Run", Stamp: "Test-Stamp"}
 
-// answerDelay lets the writer of a request note that all of it is sent. An answer
-// that overtakes that note costs the connection, as one to an unsent body should.
-const answerDelay = 15 * time.Millisecond
-
 func start(t *testing.T, script replica.Script) (*replica.Replica, *Client) {
-	started, err := replica.Start(func(e *replica.Exchange) bool {
-		time.Sleep(answerDelay)
-		return script(e)
-	})
+	started, err := replica.Start(script)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,7 +215,7 @@
 	is.NoErr(err)
 	_, err = io.ReadAll(answer.Body)
 	is.NoErr(err)
-	answer.sent.Store(false)
+	answer.sent = make(chan struct{})
 	answer.Close()
 	_, _, err = send(t, client, to, ask("2"))
 	is.NoErr(err)
