Tell peers of the newest configuration only

Cause (open finding, read off the code): store and peers may put two configurations in force at about the same time; the bytes kept for other nodes followed in an order of their own, so the older could stay. They move forward only now.

--- a/internal/routednode/views.go
+++ b/internal/routednode/views.go
@@ -70,14 +70,22 @@
 	}
 	inForce := v.router.Use(configuration)
 	if inForce {
-		v.mutex.Lock()
-		v.version, v.configuration = configuration.Version, encoded
-		v.mutex.Unlock()
+		v.keepConfiguration(configuration.Version, encoded)
 	}
 	v.logger.Info("configuration heard", "from", from, "version", configuration.Version, "in_force", inForce,
 		"routes", len(configuration.Routes), "services", len(configuration.Services))
 }
 
+// keepConfiguration keeps the newest configuration for peers. Store and peers may
+// put two in force at about the same time, in either order here.
+func (v *views) keepConfiguration(version uint64, encoded []byte) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if version > v.version {
+		v.version, v.configuration = version, encoded
+	}
+}
+
 // encodedConfiguration returns the configuration in force as the store holds it.
 func (v *views) encodedConfiguration() (uint64, []byte) {
 	v.mutex.Lock()
