Tell other nodes which replicas fail, and spare those requests that can't go on

Loads told to other nodes carry a mark of replicas that fail now; requests that a failure would fail leave such replicas, and those that have not served since they failed here, to requests that may go elsewhere. Ruled out: the load (engines under 0.9), lost answers (about 13 of them).

TestExposedRequestWaitsUntilAReplicaHasServedAgain and TestFailuresOfOtherNodesWarnExposedRequests did not compile or failed before. The datagram's count is 15 bits now, with the mark in the 16th; its property test draws both.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -16,7 +16,7 @@
 
 func pick(t *Tracker, engine bool, now time.Duration, except ...string) string {
 	replicas := []fleet.Replica{{Instance: "near", Zone: "z"}, {Instance: "far", Zone: "y"}, {Instance: "away", Zone: "x"}}
-	choice, _ := Choose(t.Candidates(replicas, engine, prompt, except, now), 13000, 0)
+	choice, _ := Choose(t.Candidates(replicas, Need{Engine: engine, Prompt: prompt, Except: except}, now), 13000, 0)
 	return choice.Candidate.Instance
 }
 
@@ -54,6 +54,44 @@
 	is.Equal(pick(tracker, false, 0, "near", "far", "away"), "")
 }
 
+// pickExposed chooses for a request that must not go to a second replica.
+func pickExposed(t *Tracker, now time.Duration) string {
+	replicas := []fleet.Replica{{Instance: "near", Zone: "z"}, {Instance: "far", Zone: "y"}}
+	choice, _ := Choose(t.Candidates(replicas, Need{Exposed: true}, now), 0, 0)
+	return choice.Candidate.Instance
+}
+
+func TestExposedRequestWaitsUntilAReplicaHasServedAgain(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("z")
+	end := func(failed bool) {
+		tracker.Begin("near", nil, 0)
+		tracker.Answered("near", 0)
+		tracker.End("near", failed, 0)
+	}
+	end(true)
+	is.Equal(pick(tracker, false, time.Second), "near") // others try it again
+	is.Equal(pickExposed(tracker, time.Second), "far")
+	is.Equal(pickExposed(tracker, time.Minute), "near") // nobody has tried
+	end(false)
+	is.Equal(pickExposed(tracker, time.Second), "near")
+}
+
+func TestFailuresOfOtherNodesWarnExposedRequests(t *testing.T) {
+	is := is.New(t)
+	one, other := NewTracker("z"), NewTracker("z")
+	one.Begin("near", nil, 0)
+	one.Answered("near", 0)
+	one.End("near", true, 0)
+	told := one.Own(0)
+	is.Equal(told, map[loads.Key]loads.Load{loads.KeyOf("near"): {Failing: true}})
+	other.Heard(netip.MustParseAddrPort("10.0.0.2:1"), told, 1, 0)
+	is.Equal(pick(other, false, 0), "near")
+	is.Equal(pickExposed(other, 0), "far")
+	is.Equal(pickExposed(other, loads.Life+1), "near")
+	is.Equal(len(one.Own(time.Minute)), 0)
+}
+
 func TestSuspicionGrowsWithinBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		failures := rapid.IntRange(1, 1000).Draw(t, "failures")
@@ -116,17 +154,17 @@
 	is := is.New(t)
 	tracker := NewTracker("z")
 	other, third := netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")
-	tracker.Heard(other, map[loads.Key]int{loads.KeyOf("near"): 2}, 1, 0)
+	tracker.Heard(other, map[loads.Key]loads.Load{loads.KeyOf("near"): {UnderWay: 2}}, 1, 0)
 	is.Equal(pick(tracker, false, 0), "far")
-	tracker.Heard(third, map[loads.Key]int{loads.KeyOf("far"): 3, loads.KeyOf("away"): 3}, 1, 0)
+	tracker.Heard(third, map[loads.Key]loads.Load{loads.KeyOf("far"): {UnderWay: 3}, loads.KeyOf("away"): {UnderWay: 3}}, 1, 0)
 	is.Equal(pick(tracker, false, 0), "near")
 	tracker.Heard(third, nil, 1, loads.Life+1) // and the other has fallen silent
 	is.Equal(tracker.elsewhere[loads.KeyOf("near")], 0)
 	tracker.Begin("near", nil, 0)
-	is.Equal(tracker.Own(), map[loads.Key]int{loads.KeyOf("near"): 1})
-	tracker.Heard(third, map[loads.Key]int{loads.KeyOf("near"): 2}, 0.25, loads.Life+2)
+	is.Equal(tracker.Own(0), map[loads.Key]loads.Load{loads.KeyOf("near"): {UnderWay: 1}})
+	tracker.Heard(third, map[loads.Key]loads.Load{loads.KeyOf("near"): {UnderWay: 2}}, 0.25, loads.Life+2)
 	replicas := []fleet.Replica{{Instance: "near"}}
-	is.Equal(tracker.Candidates(replicas, false, nil, nil, loads.Life+2)[0].Elsewhere, 8) // of four times as many nodes
+	is.Equal(tracker.Candidates(replicas, Need{}, loads.Life+2)[0].Elsewhere, 8) // of four times as many nodes
 }
 
 func TestUtilizationCountsAllNodesAndSlots(t *testing.T) {
@@ -139,7 +177,7 @@
 	tracker.Begin("gone", nil, 0)
 	is.Equal(tracker.Utilization(replicas, 0), 0.1)
 	other := netip.MustParseAddrPort("10.0.0.1:1")
-	tracker.Heard(other, map[loads.Key]int{loads.KeyOf("b"): 2}, 0.5, time.Second)
+	tracker.Heard(other, map[loads.Key]loads.Load{loads.KeyOf("b"): {UnderWay: 2}}, 0.5, time.Second)
 	is.Equal(tracker.Utilization(replicas, time.Second), 0.5) // half of the nodes told of two
 	is.Equal(tracker.Utilization(replicas, 10*time.Second), 0.1)
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -26,6 +26,9 @@
 	otherZoneCost = 9.0
 	// doubtfulCost makes replicas that may have left the second choice.
 	doubtfulCost = 60.0
+	// unprovenCost makes unproven replicas the choice only where others have long
+	// queues.
+	unprovenCost = 400.0
 	// suspectCost puts replicas that failed lately behind all others.
 	suspectCost = 2000.0
 	// usualEvents is how many events a stream has, roughly.
@@ -61,6 +64,9 @@
 	CachedTokens int
 	// Suspect tells that it failed lately, or leaves requests without an answer.
 	Suspect bool
+	// Unproven tells that a request that a failure would fail had better go elsewhere:
+	// the replica failed lately, here or at other nodes, and has not served since.
+	Unproven bool
 	// Doubtful tells that it may have left.
 	Doubtful bool
 	// LagMilliseconds is what counts of the longer time between two events of a stream
@@ -113,6 +119,9 @@
 	if candidate.Doubtful {
 		total += doubtfulCost
 	}
+	if candidate.Unproven {
+		total += unprovenCost
+	}
 	if candidate.Suspect {
 		total += suspectCost
 	}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -20,6 +20,9 @@
 	// patience is how long requests may wait at a replica without any of them
 	// getting an answer, before it is avoided.
 	patience = 600 * time.Millisecond
+	// unprovenLife is how long after a replica was avoided requests that a failure
+	// would fail leave it to others, unless one has been served there.
+	unprovenLife = 3 * time.Second
 	// paceWeight is the weight of the newest stream in a replica's usual pace.
 	paceWeight = 0.2
 	// leastEvents is how many events a stream must have to tell the pace.
@@ -37,6 +40,8 @@
 	// others holds what other nodes have under way, by node, and elsewhere the sums.
 	others    map[netip.AddrPort]otherNode
 	elsewhere map[loads.Key]int
+	// failing holds the replicas at which other nodes' requests fail.
+	failing map[loads.Key]bool
 	// coverage is the part of the other nodes that elsewhere holds.
 	coverage float64
 	// heardAt is when another node told last.
@@ -46,7 +51,7 @@
 // otherNode is what another node has told last.
 type otherNode struct {
 	at     time.Duration
-	counts map[loads.Key]int
+	counts map[loads.Key]loads.Load
 }
 
 // record is what is known of one replica.
@@ -69,22 +74,34 @@
 func NewTracker(zone string) *Tracker {
 	return &Tracker{
 		zone: zone, replicas: map[string]*record{},
-		others: map[netip.AddrPort]otherNode{}, elsewhere: map[loads.Key]int{}, coverage: 1,
+		others: map[netip.AddrPort]otherNode{}, elsewhere: map[loads.Key]int{}, failing: map[loads.Key]bool{}, coverage: 1,
 	}
 }
 
-// Candidates describes the replicas that a request with the given prompt may go
-// to, without those in except. now is a monotonic reading.
-func (t *Tracker) Candidates(replicas []fleet.Replica, engine bool, prompt []Part, except []string, now time.Duration) []Candidate {
+// Need is what a request needs of a replica.
+type Need struct {
+	// Engine tells that requests are batched and prompts cached.
+	Engine bool
+	Prompt []Part
+	// Exposed tells that a failure of the replica fails the request, which must not
+	// go to another.
+	Exposed bool
+	// Except lists the replicas that it has been to.
+	Except []string
+}
+
+// Candidates describes the replicas that a request may go to. now is a monotonic
+// reading.
+func (t *Tracker) Candidates(replicas []fleet.Replica, need Need, now time.Duration) []Candidate {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	candidates := make([]Candidate, 0, len(replicas))
 	for _, replica := range replicas {
-		if slices.Contains(except, replica.Instance) {
+		if slices.Contains(need.Except, replica.Instance) {
 			continue
 		}
 		candidate := Candidate{
-			Instance: replica.Instance, SameZone: replica.Zone == t.zone, Engine: engine, Slots: replica.Slots,
+			Instance: replica.Instance, SameZone: replica.Zone == t.zone, Engine: need.Engine, Slots: replica.Slots,
 			Doubtful:  replica.State == fleet.StateLapsed,
 			Elsewhere: t.elsewhereAt(replica.Instance, now),
 		}
@@ -92,8 +109,10 @@
 			candidate.UnderWay = known.underWay
 			candidate.Suspect = now < known.suspectUntil || known.waiting > 0 && now-known.waitingSince > patience
 			candidate.LagMilliseconds = known.pace
-			candidate.CachedTokens = known.cachedTokens(prompt)
+			candidate.CachedTokens = known.cachedTokens(need.Prompt)
+			candidate.Unproven = need.Exposed && known.unproven(now)
 		}
+		candidate.Unproven = candidate.Unproven || need.Exposed && t.failsElsewhere(replica.Instance, now)
 		candidates = append(candidates, candidate)
 	}
 	keepLag(candidates)
@@ -128,6 +147,17 @@
 	return int(float64(t.elsewhere[loads.KeyOf(instance)]) / t.coverage)
 }
 
+// failsElsewhere tells whether other nodes' requests fail at instance. It needs the
+// mutex.
+func (t *Tracker) failsElsewhere(instance string, now time.Duration) bool {
+	return now-t.heardAt <= loads.Life && t.failing[loads.KeyOf(instance)]
+}
+
+// unproven tells whether the replica has failed lately and not served since.
+func (r *record) unproven(now time.Duration) bool {
+	return r.failures > 0 && now < r.suspectUntil+unprovenLife
+}
+
 // lag is how much of a slower pace counts, in milliseconds an event: a part of any
 // difference, all of what is over that of a slow replica.
 func lag(pace, fastest float64) float64 {
@@ -150,35 +180,40 @@
 	}
 }
 
-// Own returns how many requests of this node are under way at each replica.
-func (t *Tracker) Own() map[loads.Key]int {
+// Own returns this node's load at each replica, where there is any.
+func (t *Tracker) Own(now time.Duration) map[loads.Key]loads.Load {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	counts := map[loads.Key]int{}
+	own := map[loads.Key]loads.Load{}
 	for instance, known := range t.replicas {
-		if known.underWay > 0 {
-			counts[loads.KeyOf(instance)] += known.underWay
+		failing := now < known.suspectUntil
+		if known.underWay > 0 || failing {
+			own[loads.KeyOf(instance)] = loads.Load{UnderWay: known.underWay, Failing: failing}
 		}
 	}
-	return counts
+	return own
 }
 
 // Heard takes what another node has under way. coverage is the part of the other
 // nodes that is heard of.
-func (t *Tracker) Heard(from netip.AddrPort, counts map[loads.Key]int, coverage float64, now time.Duration) {
+func (t *Tracker) Heard(from netip.AddrPort, counts map[loads.Key]loads.Load, coverage float64, now time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.coverage = coverage
 	t.heardAt = now
 	t.others[from] = otherNode{at: now, counts: counts}
 	clear(t.elsewhere)
+	clear(t.failing)
 	for node, told := range t.others {
 		if now-told.at > loads.Life {
 			delete(t.others, node)
 			continue
 		}
-		for key, count := range told.counts {
-			t.elsewhere[key] += count
+		for key, load := range told.counts {
+			t.elsewhere[key] += load.UnderWay
+			if load.Failing {
+				t.failing[key] = true
+			}
 		}
 	}
 }
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -1,5 +1,6 @@
 // Package loads lets nodes tell each other how many requests each has under way at
-// each replica, by datagrams that may be lost. What is heard only helps to choose.
+// each replica, and which replicas fail, by datagrams that may be lost. What is
+// heard only helps to choose.
 package loads
 
 import (
@@ -49,27 +50,54 @@
 // makes both look busier.
 type Key uint32
 
+// Load is what a node tells of one replica.
+type Load struct {
+	// UnderWay is how many of its requests are there; more than maxUnderWay count as
+	// that many.
+	UnderWay int
+	// Failing tells that requests have failed there lately.
+	Failing bool
+}
+
+// maxUnderWay and failingBit share the two bytes of a load.
+const (
+	maxUnderWay = 1<<15 - 1
+	failingBit  = 1 << 15
+)
+
+func (l Load) encode() uint16 {
+	encoded := uint16(min(l.UnderWay, maxUnderWay))
+	if l.Failing {
+		encoded |= failingBit
+	}
+	return encoded
+}
+
+func decodeLoad(encoded uint16) Load {
+	return Load{UnderWay: int(encoded & maxUnderWay), Failing: encoded&failingBit != 0}
+}
+
 // KeyOf returns the key of a replica's instance.
 func KeyOf(instance string) Key { return Key(xxhash.Sum64String(instance)) }
 
-// Encode returns a datagram of the requests under way by replica.
-func Encode(counts map[Key]int) []byte {
+// Encode returns a datagram of the loads by replica.
+func Encode(told map[Key]Load) []byte {
 	encoded := binary.BigEndian.AppendUint16(nil, form)
-	encoded = binary.BigEndian.AppendUint16(encoded, uint16(min(len(counts), maxEntries)))
+	encoded = binary.BigEndian.AppendUint16(encoded, uint16(min(len(told), maxEntries)))
 	left := maxEntries
-	for key, count := range counts {
+	for key, load := range told {
 		if left == 0 {
 			break
 		}
 		left--
 		encoded = binary.BigEndian.AppendUint32(encoded, uint32(key))
-		encoded = binary.BigEndian.AppendUint16(encoded, uint16(min(count, 1<<16-1)))
+		encoded = binary.BigEndian.AppendUint16(encoded, load.encode())
 	}
 	return encoded
 }
 
 // Decode reads a datagram.
-func Decode(encoded []byte) (map[Key]int, error) {
+func Decode(encoded []byte) (map[Key]Load, error) {
 	if len(encoded) < headBytes || binary.BigEndian.Uint16(encoded) != form {
 		return nil, errForm
 	}
@@ -77,24 +105,24 @@
 	if len(encoded) != headBytes+count*entryBytes {
 		return nil, errForm
 	}
-	counts := make(map[Key]int, count)
+	told := make(map[Key]Load, count)
 	for rest := encoded[headBytes:]; len(rest) > 0; rest = rest[entryBytes:] {
-		counts[Key(binary.BigEndian.Uint32(rest))] = int(binary.BigEndian.Uint16(rest[4:]))
+		told[Key(binary.BigEndian.Uint32(rest))] = decodeLoad(binary.BigEndian.Uint16(rest[4:]))
 	}
-	return counts, nil
+	return told, nil
 }
 
-// Exchange sends this node's counts and takes the others'.
+// Exchange sends this node's loads and takes the others'.
 type Exchange struct {
 	Conn *net.UDPConn
 	// Targets returns where the other nodes take datagrams, in a slice that may be changed.
 	Targets func() []netip.AddrPort
-	// Own returns this node's counts, Heard takes another's.
-	Own   func() map[Key]int
-	Heard func(from netip.AddrPort, counts map[Key]int)
+	// Own returns this node's loads, Heard takes another's.
+	Own   func() map[Key]Load
+	Heard func(from netip.AddrPort, told map[Key]Load)
 }
 
-// Run exchanges counts until ctx ends; then it closes the socket.
+// Run exchanges loads until ctx ends; then it closes the socket.
 func (e *Exchange) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = e.Conn.Close() })
 	defer stop()
@@ -108,12 +136,12 @@
 			timer.Stop()
 			return
 		}
-		counts := e.Own()
-		if idle && len(counts) == 0 {
+		told := e.Own()
+		if idle && len(told) == 0 {
 			continue // it has been told already
 		}
-		idle = len(counts) == 0
-		e.send(sample(e.Targets()), Encode(counts))
+		idle = len(told) == 0
+		e.send(sample(e.Targets()), Encode(told))
 	}
 }
 
@@ -143,8 +171,8 @@
 		if err != nil {
 			continue // such as the refusal of an earlier datagram by a node that is gone
 		}
-		if counts, err := Decode(buffer[:size]); err == nil {
-			e.Heard(from, counts)
+		if told, err := Decode(buffer[:size]); err == nil {
+			e.Heard(from, told)
 		}
 	}
 }
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -13,14 +13,16 @@
 
 func TestCountsSurviveADatagram(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		counts := rapid.MapOfN(rapid.Custom(func(t *rapid.T) Key { return Key(rapid.Uint32().Draw(t, "key")) }), rapid.IntRange(0, 1<<16-1), 0, maxEntries).Draw(t, "counts")
+		counts := rapid.MapOfN(rapid.Custom(func(t *rapid.T) Key { return Key(rapid.Uint32().Draw(t, "key")) }), rapid.Custom(func(t *rapid.T) Load {
+			return Load{UnderWay: rapid.IntRange(0, maxUnderWay).Draw(t, "count"), Failing: rapid.Bool().Draw(t, "failing")}
+		}), 0, maxEntries).Draw(t, "counts")
 		decoded, err := Decode(Encode(counts))
 		if err != nil || len(decoded) != len(counts) {
 			t.Fatalf("%v, %v", decoded, err)
 		}
 		for key, count := range counts {
 			if decoded[key] != count {
-				t.Fatalf("%d: %d is not %d", key, decoded[key], count)
+				t.Fatalf("%d: %v is not %v", key, decoded[key], count)
 			}
 		}
 	})
@@ -46,12 +48,12 @@
 	address := func(conn *net.UDPConn) netip.AddrPort { return netip.MustParseAddrPort(conn.LocalAddr().String()) }
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	heard := make(chan map[Key]int, 10)
-	start := func(own, other *net.UDPConn, counts map[Key]int) {
+	heard := make(chan map[Key]Load, 10)
+	start := func(own, other *net.UDPConn, counts map[Key]Load) {
 		exchange := &Exchange{
 			Conn: own, Targets: func() []netip.AddrPort { return []netip.AddrPort{address(other)} },
-			Own: func() map[Key]int { return counts },
-			Heard: func(from netip.AddrPort, counts map[Key]int) {
+			Own: func() map[Key]Load { return counts },
+			Heard: func(from netip.AddrPort, counts map[Key]Load) {
 				if from == address(first) {
 					heard <- counts
 				}
@@ -59,11 +61,11 @@
 		}
 		go exchange.Run(ctx)
 	}
-	start(first, second, map[Key]int{KeyOf("a"): 3})
+	start(first, second, map[Key]Load{KeyOf("a"): {UnderWay: 3, Failing: true}})
 	start(second, first, nil)
 	select {
 	case counts := <-heard:
-		is.Equal(counts, map[Key]int{KeyOf("a"): 3})
+		is.Equal(counts, map[Key]Load{KeyOf("a"): {UnderWay: 3, Failing: true}})
 	case <-time.After(5 * time.Second):
 		t.Fatal("nothing heard")
 	}
--- a/internal/routednode/peers.go
+++ b/internal/routednode/peers.go
@@ -89,14 +89,14 @@
 		return nil, fmt.Errorf("routednode: addresses.loads: %w", err)
 	}
 	return &loads.Exchange{
-		Conn: conn, Own: tracker.Own,
+		Conn: conn, Own: func() map[loads.Key]loads.Load { return tracker.Own(now()) },
 		Targets: func() []netip.AddrPort {
 			return lo.Map(others(), func(peer netip.AddrPort, _ int) netip.AddrPort {
 				return netip.AddrPortFrom(peer.Addr(), own.Port())
 			})
 		},
-		Heard: func(from netip.AddrPort, counts map[loads.Key]int) {
-			tracker.Heard(from, counts, loads.Coverage(len(others())), now())
+		Heard: func(from netip.AddrPort, told map[loads.Key]loads.Load) {
+			tracker.Heard(from, told, loads.Coverage(len(others())), now())
 		},
 	}, nil
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -98,7 +98,10 @@
 
 func (r *Router) choose(call *call, course *attempts) (fleet.Replica, bool) {
 	usable := r.config.Fleet.Usable(call.service.Name, r.Now())
-	candidates := r.config.Tracker.Candidates(usable, call.service.Slots > 0, call.prompt, course.except, r.Now())
+	candidates := r.config.Tracker.Candidates(usable, balance.Need{
+		Engine: call.service.Slots > 0, Prompt: call.prompt, Except: course.except,
+		Exposed: !call.route.Repeatable() || call.route.MaxAttempts <= 1,
+	}, r.Now())
 	choice, found := balance.Choose(candidates, call.promptTokens, r.config.Random())
 	if !found {
 		return fleet.Replica{}, false
