--- a/client/retry.go
+++ b/client/retry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // avoidDraining is how long a node that drains is left alone.
@@ -112,14 +113,10 @@
 	if deadline, bounded := ctx.Deadline(); bounded && time.Now().Add(pause).After(deadline) {
 		return a.final(err) // the answer would come too late to be used
 	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return a.final(fmt.Errorf("%w: %w", ctx.Err(), err))
+	if ended := wait.For(ctx, pause); ended != nil {
+		return a.final(fmt.Errorf("%w: %w", ended, err))
 	}
+	return nil
 }
 
 // plan decides whether to try again and when. Other nodes are asked at once,
--- a/internal/emulator/tools/tools.go
+++ b/internal/emulator/tools/tools.go
@@ -11,6 +11,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // ErrFailed tells that the tool ran and failed.
@@ -82,12 +84,8 @@
 		<-ctx.Done()
 		return Result{}, fmt.Errorf("tools: %s hangs: %w", tool, ctx.Err())
 	}
-	timer := time.NewTimer(latency)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return Result{}, fmt.Errorf("tools: %s: %w", tool, ctx.Err())
+	if err := wait.For(ctx, latency); err != nil {
+		return Result{}, fmt.Errorf("tools: %s: %w", tool, err)
 	}
 	if fails {
 		return Result{}, fmt.Errorf("%w: %s", ErrFailed, tool)
--- a/internal/emulator/weightstore/store.go
+++ b/internal/emulator/weightstore/store.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/siteservices"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // Options sets the store's size and speed.
@@ -78,14 +79,10 @@
 	if err != nil {
 		return err
 	}
-	timer := time.NewTimer(time.Until(done))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("weightstore: fetch %s %s: %w: %w", model, version, siteservices.ErrAnswerLost, ctx.Err())
+	if err := wait.For(ctx, time.Until(done)); err != nil {
+		return fmt.Errorf("weightstore: fetch %s %s: %w: %w", model, version, siteservices.ErrAnswerLost, err)
 	}
+	return nil
 }
 
 // reserve queues a fetch and returns when it is done.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/logstore"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 const (
@@ -109,7 +110,7 @@
 		if len(items) > 0 {
 			f.config.OnChanges(items)
 		}
-		sleep(ctx, f.config.Pause)
+		_ = wait.For(ctx, f.config.Pause) // the loop looks at ctx
 	}
 }
 
@@ -138,15 +139,6 @@
 		age, _ := f.Age()
 		f.config.Logger.Warn("dependency lost", "dependency", f.config.Name, "error", err, "age_ms", age.Milliseconds())
 	}
-	sleep(ctx, f.pause/2+rand.N(f.pause))
+	_ = wait.For(ctx, f.pause/2+rand.N(f.pause)) // the caller looks at ctx
 	f.pause = min(2*f.pause, maxPause)
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/homes/texts.go
+++ b/internal/homes/texts.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/ledgerlog"
 	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // Keep makes a turn that ended whole durable: its text and its place in the index.
@@ -22,7 +22,7 @@
 			return err
 		}
 		s.config.Logger.Info("turn not kept yet", "turn", turn.Turn, "error", err)
-		pause(ctx, keepPause)
+		_ = wait.For(ctx, keepPause) // the end of ctx shows in the next try
 	}
 }
 
@@ -112,15 +112,6 @@
 	return got.Texts, nil
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Service) handleKeep(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
 	asked, ok := request.(*keep)
 	if !ok {
--- a/internal/journal/arm.go
+++ b/internal/journal/arm.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // armPoll is the time between two looks at whether shards are to be armed or
@@ -18,7 +20,7 @@
 // state, so that one of them can go on if the owner dies. When the log is back it
 // wakes the writers, which take that back before anything new goes to the log.
 func (m *Manager) armLoop(ctx context.Context) {
-	for sleep(ctx, armPoll/2+m.random.duration(armPoll/2)) == nil {
+	for wait.For(ctx, armPoll/2+m.random.duration(armPoll/2)) == nil {
 		away, down := m.logAway(), m.health.isDown()
 		for _, shard := range m.owned() {
 			switch {
@@ -135,7 +137,7 @@
 		if s.isFenced() {
 			return errFenced
 		}
-		if err := sleep(s.ctx, copyPoll); err != nil {
+		if err := wait.For(s.ctx, copyPoll); err != nil {
 			return err
 		}
 	}
--- a/internal/journal/claim.go
+++ b/internal/journal/claim.go
@@ -11,6 +11,7 @@
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // The reasons why a claim is not made or does not hold.
@@ -270,7 +271,7 @@
 		if !errors.Is(err, ErrLeaseLapsed) {
 			return err
 		}
-		if sleep(ctx, leasePoll) != nil {
+		if wait.For(ctx, leasePoll) != nil {
 			return err
 		}
 	}
--- a/internal/journal/claim_recover.go
+++ b/internal/journal/claim_recover.go
@@ -7,6 +7,7 @@
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/wait"
 	"stepseam.example/stepseam/internal/wire"
 )
 
@@ -20,7 +21,7 @@
 		return err
 	}
 	recovered, remaining := newestTail(answers)
-	if err := sleep(ctx, remaining); err != nil {
+	if err := wait.For(ctx, remaining); err != nil {
 		return err
 	}
 	tail, err := recovered.behind(c.stream.ledger.Index())
@@ -99,7 +100,7 @@
 			c.noteSurvey(counted, former)
 			return answers, nil
 		}
-		if err := sleep(ctx, replicaPauseShortest<<min(attempt, 5)); err != nil {
+		if err := wait.For(ctx, replicaPauseShortest<<min(attempt, 5)); err != nil {
 			return nil, fmt.Errorf("%w: %d of %d", errNoQuorum, counted.answered, counted.count)
 		}
 	}
--- a/internal/journal/interim.go
+++ b/internal/journal/interim.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // errInterimOver is why an interim ownership ends: the log is back.
@@ -56,7 +57,7 @@
 	if !tail.Folded {
 		return errTailGap
 	}
-	if err := sleep(ctx, remaining); err != nil {
+	if err := wait.For(ctx, remaining); err != nil {
 		return err
 	}
 	if err := c.fold(Step{Restored: true, State: tail.State, Entries: tail.Entries}); err != nil {
@@ -171,7 +172,7 @@
 		if held >= index {
 			return nil
 		}
-		if err := sleep(s.ctx, leasePoll); err != nil {
+		if err := wait.For(s.ctx, leasePoll); err != nil {
 			return err
 		}
 	}
--- a/internal/journal/link.go
+++ b/internal/journal/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // link is what the owner knows of one replica of one shard. The shard's mutex
@@ -89,7 +90,7 @@
 		if err != nil {
 			pause := min(replicaPauseShortest<<min(failures, 10), replicaPauseLongest)
 			failures++
-			_ = sleep(s.ctx, pause/2+s.manager.random.duration(pause/2)) // lacks looks at the shard's end
+			_ = wait.For(s.ctx, pause/2+s.manager.random.duration(pause/2)) // lacks looks at the shard's end
 			continue
 		}
 		failures = 0
--- a/internal/journal/move.go
+++ b/internal/journal/move.go
@@ -12,6 +12,7 @@
 	"stepseam.example/stepseam/internal/peer"
 
 	"golang.org/x/sync/errgroup"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // askHandOver asks the live owner of a claim to stop and release the shard. It
@@ -127,7 +128,7 @@
 		if err := m.drainOwned(ctx); err != nil {
 			return m.leave(fmt.Errorf("journal: drain: %w", err))
 		}
-		if err := sleep(ctx, drainPause); err != nil {
+		if err := wait.For(ctx, drainPause); err != nil {
 			return m.leave(fmt.Errorf("journal: drain: %w", err))
 		}
 	}
@@ -199,7 +200,7 @@
 		if needed == 0 {
 			return nil
 		}
-		if err := sleep(ctx, unneededPoll); err != nil {
+		if err := wait.For(ctx, unneededPoll); err != nil {
 			return fmt.Errorf("journal: drain: still a replica of %d shards: %w", needed, err)
 		}
 	}
--- a/internal/journal/replace.go
+++ b/internal/journal/replace.go
@@ -9,6 +9,7 @@
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // replacement is a claim of the same owner on its way, with other replicas.
@@ -181,7 +182,7 @@
 		if done || err != nil {
 			return err
 		}
-		if err := sleep(s.ctx, s.manager.random.duration(counterClaimPause<<min(attempt, 4))); err != nil {
+		if err := wait.For(s.ctx, s.manager.random.duration(counterClaimPause<<min(attempt, 4))); err != nil {
 			return err
 		}
 	}
@@ -203,7 +204,7 @@
 		if done || err != nil {
 			return err
 		}
-		if err := sleep(ctx, copyPoll); err != nil {
+		if err := wait.For(ctx, copyPoll); err != nil {
 			return fmt.Errorf("%w: %w", errNotCopied, err)
 		}
 	}
--- a/internal/journal/scenario_test.go
+++ b/internal/journal/scenario_test.go
@@ -16,6 +16,7 @@
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/siteservices"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // variant is a deliberate fault of the protocol that a test must catch; the zero
@@ -160,7 +161,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for sleep(ctx, interval) == nil {
+		for wait.For(ctx, interval) == nil {
 			step()
 		}
 	}()
--- a/internal/journal/schedule.go
+++ b/internal/journal/schedule.go
@@ -8,6 +8,7 @@
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 const (
@@ -29,7 +30,7 @@
 	var wanted []identity.ShardID
 	var version uint64
 	fresh := false
-	if sleep(ctx, m.config.SettleDelay) != nil {
+	if wait.For(ctx, m.config.SettleDelay) != nil {
 		return
 	}
 	for {
--- a/internal/journal/stream.go
+++ b/internal/journal/stream.go
@@ -8,6 +8,7 @@
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/siteservices"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // readLimit is how many records one read asks for.
@@ -200,7 +201,7 @@
 		return err
 	}
 	longest := min(logPauseShortest<<min(attempt, 10), logPauseLongest)
-	return sleep(ctx, longest/2+m.random.duration(longest/2))
+	return wait.For(ctx, longest/2+m.random.duration(longest/2))
 }
 
 // noteLog keeps the log's health from the outcome of a request.
@@ -221,14 +222,3 @@
 	}
 	m.config.Logger.Info("log service back")
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/journal/sweep.go
+++ b/internal/journal/sweep.go
@@ -8,6 +8,7 @@
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 const (
@@ -22,7 +23,7 @@
 func (m *Manager) sweepLoop(ctx context.Context) {
 	absent := map[identity.Reference]time.Time{}
 	collected := time.Now()
-	for sleep(ctx, sweepInterval/2+m.random.duration(sweepInterval)) == nil {
+	for wait.For(ctx, sweepInterval/2+m.random.duration(sweepInterval)) == nil {
 		if m.health.isDown() || m.draining.Load() {
 			continue
 		}
--- a/internal/lab/scale/outage.go
+++ b/internal/lab/scale/outage.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // lostZone is killed whole; lostRegion is cut off. Neither holds a seed.
@@ -68,7 +69,7 @@
 	r.cluster.cutOff(lostRegion)
 	version, err := r.cluster.publish(ctx, r.cluster.nodes[0], r.newestTable())
 	if err == nil {
-		err = sleep(ctx, max(r.options.Window, shortestCut))
+		err = wait.For(ctx, max(r.options.Window, shortestCut))
 	}
 	if err == nil {
 		err = r.cluster.await(ctx, "the table beside the cut", settleLimit, func() bool { return inForce(reachable, version) })
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -11,6 +11,8 @@
 	"runtime"
 	"slices"
 	"time"
+
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // Limits of the waits; one that passes ends the run with an error.
@@ -177,11 +179,11 @@
 
 func (r *run) calm(ctx context.Context) error {
 	end := time.Now().Add(calmLimit)
-	if err := sleep(ctx, calmAtTheLeast); err != nil {
+	if err := wait.For(ctx, calmAtTheLeast); err != nil {
 		return err
 	}
 	for time.Now().Before(end) {
-		usage, err := r.window(ctx, func(ctx context.Context) error { return sleep(ctx, calmWindow) })
+		usage, err := r.window(ctx, func(ctx context.Context) error { return wait.For(ctx, calmWindow) })
 		if err != nil {
 			return err
 		}
@@ -193,7 +195,7 @@
 }
 
 func (r *run) quiet(ctx context.Context) error {
-	usage, err := r.window(ctx, func(ctx context.Context) error { return sleep(ctx, r.options.Window) })
+	usage, err := r.window(ctx, func(ctx context.Context) error { return wait.For(ctx, r.options.Window) })
 	r.result.Quiet = usage
 	return err
 }
@@ -320,7 +322,7 @@
 			if err := r.churnOnce(ctx, event); err != nil {
 				return err
 			}
-			if err := sleep(ctx, time.Until(next)); err != nil {
+			if err := wait.For(ctx, time.Until(next)); err != nil {
 				return err
 			}
 		}
@@ -346,15 +348,3 @@
 	r.result.ChurnRestarts++
 	return r.cluster.restart(ctx, victim)
 }
-
-// sleep waits, or returns ctx's error.
-func sleep(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(max(duration, 0))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("scale: %w", ctx.Err())
-	}
-}
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -16,6 +16,7 @@
 	"stepseam.example/stepseam/internal/blackboard"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/program"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // attemptStatus is what is known of an attempt once it is over.
@@ -177,7 +178,7 @@
 		if errors.Is(err, backend.ErrStreamUnknown) || errors.Is(err, backend.ErrStreamCancelled) {
 			break
 		}
-		if !sleep(ctx, pause.NextBackOff()) {
+		if wait.For(ctx, pause.NextBackOff()) != nil {
 			break
 		}
 	}
@@ -192,18 +193,6 @@
 	return pause
 }
 
-// sleep returns false if ctx ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // settle records how the attempt ended. It returns false if the call is to be
 // placed again.
 func (d *driver) settle(end attemptResult) (*outcome, bool) {
--- a/internal/serving/outbox.go
+++ b/internal/serving/outbox.go
@@ -8,6 +8,7 @@
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/program"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 // workOutbox releases the program's cache until every engine has confirmed. One
@@ -35,7 +36,7 @@
 			pause.Reset()
 			continue
 		}
-		if !sleep(s.context, pause.NextBackOff()) {
+		if wait.For(s.context, pause.NextBackOff()) != nil {
 			return
 		}
 	}
