Drop what is read from the configuration and used nowhere

Health paths, objectives of routes and the session of a turn were parsed and kept, and no decision asked for them: replicas are judged by what becomes of requests, since health answers may be false. The fields are passed over in the store's documents as any unknown one, which the platform's decoding test still feeds.

--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -54,7 +54,6 @@
 type turn struct {
 	budgeted bool
 	program  ledger.ProgramID
-	session  string
 	budget   uint32
 	previous ledger.TurnID
 }
@@ -109,7 +108,6 @@
 	}
 	made.turn = turn{
 		program:  ledger.ProgramID(request.Header.Get(names.Program)),
-		session:  request.Header.Get(names.Session),
 		budget:   parseUint32(request.Header.Get(names.Budget)),
 		previous: ledger.TurnID(request.Header.Get(names.PreviousTurn)),
 	}
--- a/internal/router/names.go
+++ b/internal/router/names.go
@@ -14,8 +14,8 @@
 	TimeoutMs string
 	// LastEvent is the id of the last event that the client has of a stream.
 	LastEvent string
-	// Program names the program of a request, Session its line of turns.
-	Program, Session string
+	// Program names the program of a request.
+	Program string
 	// Finish is how long a program has left until it should be over, in milliseconds.
 	Finish string
 	// Priority ranks a request at a replica from 0, the most urgent, to 9.
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -41,8 +41,6 @@
 	Kind       Kind
 	// Timeout is the longest that a request is held.
 	Timeout time.Duration
-	// Objective is the time within which an answer is worth most.
-	Objective time.Duration
 	// Priority is the rank of the route's requests; 0 is the highest.
 	Priority int
 	// Shares has one entry, or several with weights.
@@ -64,8 +62,6 @@
 // Service describes a pool of replicas.
 type Service struct {
 	Name string
-	// HealthPath is asked for a replica's health.
-	HealthPath string
 	// Slots is how many requests a replica runs at once; 0 if unknown.
 	Slots int
 	// TokensPerEvent is how many tokens each event of a stream counts.
