Offer full replicas a program's request again before it is refused

A request of a program is now offered again after 30 to 90 ms, six times at most, while a fourth of its time is ahead; others are refused as before. Ruled out: the engines (no wait there), budgets (402 only to programs that loop), admission (no such refusal).

TestFullReplicasAreOfferedAProgramsRequestAgain fails without it.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -11,11 +11,18 @@
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 const (
 	// maxNotRun is how many replicas that did not run a request are left for another.
 	maxNotRun = 3
+	// maxRounds bounds how often full replicas are offered a program's request again,
+	// roundPause is the usual pause before that, and roundShare how many pauses the
+	// request must have left.
+	maxRounds  = 6
+	roundPause = 60 * time.Millisecond
+	roundShare = 4
 	// minLeft is the least time in which a replica could do anything.
 	minLeft = 5 * time.Millisecond
 )
@@ -28,6 +35,8 @@
 	mayHaveRun int
 	// notRun counts those that did not.
 	notRun int
+	// rounds counts the pauses after which full replicas were offered the request again.
+	rounds int
 	last   *exchange.FailureError
 }
 
@@ -54,6 +63,9 @@
 	for {
 		replica, found := r.choose(call, course)
 		if !found {
+			if r.awaitRoom(ctx, call, course) {
+				continue
+			}
 			return nil, errNoReplica
 		}
 		tried, failure := r.sendTo(ctx, call, replica, reply)
@@ -61,12 +73,29 @@
 			return tried, nil
 		}
 		r.noteFailure(ctx, call, replica, course, failure)
-		if !mayTryAgain(ctx, call, course) {
+		if !mayTryAgain(ctx, call, course) && !r.awaitRoom(ctx, call, course) {
 			return nil, failure
 		}
 	}
 }
 
+// awaitRoom pauses before the replicas, which were full, are offered a program's
+// request again, since its refusal may end the whole program. It returns false
+// where the request is not to be offered again.
+func (r *Router) awaitRoom(ctx context.Context, call *call, course *attempts) bool {
+	full := course.last != nil && course.last.Reason == exchange.ReasonShed && course.mayHaveRun == 0
+	if !full || call.turn.program == "" || course.rounds == maxRounds {
+		return false
+	}
+	pause := roundPause/2 + time.Duration(r.config.Random()*float64(roundPause))
+	if call.left() < roundShare*pause || wait.For(ctx, pause) != nil {
+		return false
+	}
+	course.rounds++
+	course.notRun, course.except = 0, nil
+	return true
+}
+
 // mayTryAgain tells whether another replica may get the call.
 func mayTryAgain(ctx context.Context, call *call, course *attempts) bool {
 	if ctx.Err() != nil || call.left() < minLeft || course.notRun >= maxNotRun {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -268,6 +268,30 @@
 	is.True(got.Header.Get("Retry-After") != "")
 }
 
+func TestFullReplicasAreOfferedAProgramsRequestAgain(t *testing.T) {
+	is := is.New(t)
+	fullFor := func(count int) replica.Script {
+		shed := withStatus(http.StatusServiceUnavailable, "Test-Not-Run: 1")
+		return func(e *replica.Exchange) bool {
+			if e.Number <= count {
+				return shed(e)
+			}
+			return sound(e)
+		}
+	}
+	h := newHarness(t, fullFor(4))
+	is.Equal(h.ask("/unsafe/x", "1", "Test-Program", "p").StatusCode, http.StatusOK)
+	h = newHarness(t, fullFor(4))
+	is.Equal(h.ask("/unsafe/x", "1").StatusCode, http.StatusServiceUnavailable) // nothing else depends on it
+	h = newHarness(t, fullFor(1000))
+	began := time.Now()
+	refused := h.ask("/unsafe/x", "1", "Test-Program", "p")
+	is.Equal(refused.StatusCode, http.StatusServiceUnavailable)
+	is.True(refused.Header.Get("Retry-After") != "")
+	is.True(time.Since(began) < 700*time.Millisecond)
+	is.Equal(len(h.replicas[0].Received()), 1+maxRounds)
+}
+
 func TestSafeRequestGoesToNoMoreReplicasThanAllowed(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, hangUp, hangUp, hangUp)
