--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -405,10 +405,18 @@
 		_, _ = take(within(s.t, 400*time.Millisecond), node, "p", 1<<20, 1, true)
 		return
 	}
-	grant, err := take(within(s.t, 400*time.Millisecond), node, s.program, sharedBudget, sharedMost, draw/5%2 == 0)
+	request := TurnRequest{Program: s.program, ID: NewGrantID(), Budget: sharedBudget, Most: sharedMost, Home: draw/5%2 == 0}
+	abandoned := draw%11 == 0
+	if abandoned {
+		node.Finish(s.program, request.ID, 0) // overtakes the beginning
+	}
+	grant, err := node.Take(within(s.t, 400*time.Millisecond), request)
 	if err != nil {
 		return
 	}
+	if abandoned {
+		s.t.Fatal("a turn began after its end")
+	}
 	used := uint32(sharedMost)
 	if draw%6 == 0 {
 		used = uint32(draw / 7 % (sharedMost + 1))
