--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -79,7 +79,7 @@
 func (c *Client) Send(ctx context.Context, target Target, request Request) (*Answer, error) {
 	used, err := c.pool.get(ctx, target, c.pool.longestRest(request.Repeatable))
 	if err != nil {
-		return nil, connectFailure(err)
+		return nil, &FailureError{Outcome: OutcomeNotRun, Reason: ReasonConnect, Cause: err}
 	}
 	rested, kept := used.rested()
 	answer, err := c.exchange(ctx, used, request)
@@ -98,10 +98,6 @@
 	return c.exchange(ctx, used, request)
 }
 
-func connectFailure(err error) error {
-	return &FailureError{Outcome: OutcomeNotRun, Reason: ReasonConnect, Cause: err}
-}
-
 // foundDead tells whether a connection ended without an answer of its own.
 func foundDead(ctx context.Context, err error) bool {
 	var failure *FailureError
--- a/internal/homes/message.go
+++ b/internal/homes/message.go
@@ -32,9 +32,6 @@
 	statusReserved
 )
 
-// locationBytes is the encoded size of a ledger.Location.
-const locationBytes = 2 + 8 + 4
-
 // begin asks a home to begin a turn, under a Grant that the asking node chose.
 type begin struct {
 	Request Request
@@ -255,7 +252,7 @@
 }
 
 func decodeChain(d *wire.Decoder) []ledger.Location {
-	count := d.Count(locationBytes)
+	count := d.Count(ledger.LocationBytes)
 	if count == 0 {
 		return nil
 	}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -90,8 +90,8 @@
 	kindRelease recordKind = 5
 )
 
-// locationBytes is the encoded size of a Location.
-const locationBytes = 2 + 8 + 4
+// LocationBytes is the encoded size of a Location, here and between nodes.
+const LocationBytes = 2 + 8 + 4
 
 // maxChain bounds the turns of one chain.
 const maxChain = 1 << 12
@@ -199,7 +199,7 @@
 		For: time.Duration(f.uint32()) * time.Millisecond,
 	}
 	count := int(f.uint16())
-	if count > maxChain || count*locationBytes > len(f.rest) {
+	if count > maxChain || count*LocationBytes > len(f.rest) {
 		f.short = true
 		return record
 	}
