--- /dev/null
+++ b/internal/routednode/storecalls.go
@@ -0,0 +1,70 @@
+package routednode
+
+import (
+	"context"
+	"errors"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/internal/logstore"
+)
+
+// countedStore counts the calls of a store by what they are and how they end. The
+// counters are its only state.
+type countedStore struct {
+	logstore.Store
+	calls *prometheus.CounterVec
+}
+
+var _ logstore.Store = (*countedStore)(nil)
+
+// newCountedStore returns store with its calls counted.
+func newCountedStore(store logstore.Store, registerer prometheus.Registerer) *countedStore {
+	made := &countedStore{Store: store, calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "stepseam_store_calls_total", Help: "Calls of the store by call, topic and outcome.",
+	}, []string{"call", "topic", "outcome"})}
+	registerer.MustRegister(made.calls)
+	return made
+}
+
+// Append is logstore.Store's.
+func (s *countedStore) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
+	result, err := s.Store.Append(ctx, request)
+	s.count("append", request.Partition, err)
+	return result, err
+}
+
+// Read is logstore.Store's.
+func (s *countedStore) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
+	result, err := s.Store.Read(ctx, request)
+	s.count("read", request.Partition, err)
+	return result, err
+}
+
+// Newest is logstore.Store's. Its pages count as one call.
+func (s *countedStore) Newest(ctx context.Context, partition logstore.Partition) ([]logstore.Item, logstore.Offset, error) {
+	items, next, err := s.Store.Newest(ctx, partition)
+	s.count("newest", partition, err)
+	return items, next, err
+}
+
+// Changes is logstore.Store's.
+func (s *countedStore) Changes(ctx context.Context, request logstore.ReadRequest) ([]logstore.Item, logstore.Offset, error) {
+	items, next, err := s.Store.Changes(ctx, request)
+	s.count("changes", request.Partition, err)
+	return items, next, err
+}
+
+func (s *countedStore) count(call string, partition logstore.Partition, err error) {
+	outcome := "done"
+	var trimmed *logstore.TrimmedError
+	switch {
+	case errors.As(err, &trimmed):
+		outcome = "trimmed"
+	case errors.Is(err, logstore.ErrAnswerLost):
+		outcome = "answer_lost"
+	case err != nil:
+		outcome = "refused"
+	}
+	s.calls.WithLabelValues(call, partition.Topic, outcome).Inc()
+}
