--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -456,3 +456,40 @@
 		})
 	})
 }
+
+// TestTextOfATurnTakesOneCall: a text that fits goes into the index's own record, and
+// every node finds it there; a larger one goes before it.
+func TestTextOfATurnTakesOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		newNode := func(name string) *Ledger {
+			return New(Config{
+				Store: log, Topic: "ledger", TextTopic: "texts", Partitions: 3, Producer: name,
+				RecordBytes: 1 << 12, CallBytes: 1 << 20, CacheBytes: 1 << 20, Logger: slog.New(slog.DiscardHandler),
+			})
+		}
+		first := newNode("a")
+		var chain []ledger.Location
+		var texts []string
+		for i, size := range []int{0, 10, 3000, 5000} {
+			text := strings.Repeat("x", size)
+			before := log.Calls("append")
+			turn := ledger.Keep{Program: "p", Turn: ledger.TurnID(strings.Repeat("t", i+1)), Chain: chain, For: time.Minute}
+			location, err := first.KeepText(within(t, time.Second), turn, []byte(text))
+			is.NoErr(err)
+			is.Equal(log.Calls("append")-before, map[bool]int{true: 1, false: 2}[size < 1<<12])
+			is.Equal(location.InLedger, size < 1<<12)
+			chain, texts = append(chain, location), append(texts, text)
+		}
+		kept, err := newNode("b").Turn(within(t, time.Second), "p", "tttt")
+		is.NoErr(err)
+		is.Equal(kept.Chain, chain)
+		found, err := newNode("c").Texts(within(t, time.Second), kept.Chain)
+		is.NoErr(err)
+		is.Equal(len(found), len(texts))
+		for i := range found {
+			is.Equal(string(found[i]), texts[i])
+		}
+	})
+}
