Give test processes addresses that nobody else is given

Cause: TestPromisesHoldUnderRandomFaults/1 failed beside load with 'address already in use': a test took a free port from the system, closed it and handed it to a process, which lost it to another in between. The simulated sites drew ports at random, two of which may be the same.

Change: package loopback gives out ports below the system's own range, none twice, and an IP number of the test process's own.

--- /dev/null
+++ b/internal/lab/loopback/loopback_test.go
@@ -0,0 +1,45 @@
+package loopback
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestNoAddressIsGivenOutTwiceOrWhileTaken(t *testing.T) {
+	is := is.New(t)
+	host := Own()
+	is.True(host.IsLoopback())
+	seen := map[netip.AddrPort]bool{}
+	for range 200 {
+		next, err := Free(host)
+		is.NoErr(err)
+		is.True(!seen[next])
+		seen[next] = true
+		after := netip.AddrPortFrom(host, next.Port()+1)
+		if taken, err := net.Listen("tcp4", after.String()); err == nil && len(seen) == 100 {
+			seen[after] = true
+			defer func() { _ = taken.Close() }()
+		} else if err == nil {
+			_ = taken.Close()
+		}
+	}
+}
+
+// TestPortsLieBelowThoseThatTheSystemGivesOut: a port that the system may hand to any
+// process, at any moment, can't be promised to one.
+func TestPortsLieBelowThoseThatTheSystemGivesOut(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	if err != nil {
+		t.Skip("the system does not tell")
+	}
+	lowest, err := strconv.Atoi(strings.Fields(string(text))[0])
+	is.NoErr(err)
+	is.True(firstPort+portCount <= lowest)
+}
--- a/internal/lab/site/node.go
+++ b/internal/lab/site/node.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -14,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/lab/loopback"
 	"stepseam.example/stepseam/internal/lab/process"
 	"stepseam.example/stepseam/internal/operator"
 	"stepseam.example/stepseam/internal/settings"
@@ -46,15 +45,6 @@
 // OperatorsURL is the base URL for operators.
 func (n *Node) OperatorsURL() string { return "http://" + n.Addresses.Operators.String() }
 
-// Ports of nodes lie below the range from which the system gives out free ones,
-// as a node must know its ports before it starts and nobody else may be given
-// them in between.
-const (
-	firstPort = 10_000
-	portCount = 20_000
-	portTries = 100
-)
-
 // planNode chooses the addresses of the node at index.
 func (s *Site) planNode(index int, plan NodePlan) (*Node, error) {
 	node := &Node{Name: plan.Name, Zone: plan.Zone}
@@ -62,7 +52,7 @@
 	addresses := &node.Addresses
 	targets := []*netip.AddrPort{&addresses.Callers, &addresses.Operators, &addresses.Peer, &addresses.Probe}
 	for _, target := range targets {
-		chosen, err := freePort(own)
+		chosen, err := loopback.Free(own)
 		if err != nil {
 			return nil, fmt.Errorf("site: port for %s: %w", plan.Name, err)
 		}
@@ -71,32 +61,6 @@
 	return node, nil
 }
 
-// freePort returns a port of own that is free for TCP and UDP.
-func freePort(own netip.Addr) (netip.AddrPort, error) {
-	var last error
-	for range portTries {
-		chosen := netip.AddrPortFrom(own, uint16(firstPort+rand.IntN(portCount)))
-		if last = probePort(chosen); last == nil {
-			return chosen, nil
-		}
-	}
-	return netip.AddrPort{}, last
-}
-
-// probePort tells whether address can be bound.
-func probePort(address netip.AddrPort) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return err
-	}
-	defer listener.Close()
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return err
-	}
-	return socket.Close()
-}
-
 func (s *Site) startNodes(context.Context) error {
 	for index := range s.Nodes {
 		if err := s.writeSettings(s.Nodes[index]); err != nil {
