Look for turns of other programs at the homes, and space refused reads

Change: the homes of the other partitions are asked; they know theirs to the last records. Reads that are refused space the node's further reads, as appends do.

--- a/internal/homes/begin.go
+++ b/internal/homes/begin.go
@@ -104,7 +104,7 @@
 		turn.finish = func(used uint32) { s.config.Ledger.Finish(grant.Program, grant.ID, used) }
 	}
 	if request.Previous != "" {
-		previous, err := s.config.Ledger.Turn(ctx, request.Program, request.Previous)
+		previous, err := s.findTurn(ctx, request.Program, request.Previous)
 		if err != nil {
 			turn.Finish(0)
 			s.count("here", err)
--- /dev/null
+++ b/internal/homes/find.go
@@ -0,0 +1,124 @@
+package homes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/peer"
+)
+
+// findTurn returns a kept turn. It stands in its program's partition as a rule, but may
+// stand in any: another program may go on from it, and another partition took it while
+// its own did not answer. The homes of the others are asked, who know their partitions
+// to the last records, so that this node does not read the whole log. Errors wrap
+// ledgerlog.ErrNoSuchTurn or ledgerlog.ErrUnavailable.
+func (s *Service) findTurn(ctx context.Context, program ledger.ProgramID, turn ledger.TurnID) (ledger.KeptTurn, error) {
+	if kept, found := s.config.Ledger.Recall(turn); found {
+		return kept, nil
+	}
+	own := s.config.Ledger.Partition(program)
+	kept, unread := s.config.Ledger.TurnIn(ctx, own, turn)
+	if unread == nil {
+		return kept, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := s.partitionsByHome(own)
+	answers := make(chan found, len(asked))
+	for home, partitions := range asked {
+		go func() { answers <- s.findAt(ctx, home, partitions, turn) }()
+	}
+	for range asked {
+		answer := <-answers
+		if answer.err == nil {
+			return answer.kept, nil
+		}
+		if !errors.Is(answer.err, ledgerlog.ErrNoSuchTurn) {
+			unread = answer.err
+		}
+	}
+	return ledger.KeptTurn{}, unread
+}
+
+// found is the outcome of looking in some partitions.
+type found struct {
+	kept ledger.KeptTurn
+	err  error
+}
+
+// partitionsByHome groups all partitions but one by the nodes that keep them; those
+// without a home, and this node's own, come under an empty node.
+func (s *Service) partitionsByHome(except int) map[identity.Node][]int {
+	grouped := map[identity.Node][]int{}
+	for partition := range s.config.Ledger.Partitions() {
+		if partition == except {
+			continue
+		}
+		home, self := s.home(partition)
+		if self || s.config.Peers == nil || s.avoided(home.Name) {
+			home = identity.Node{}
+		}
+		grouped[home] = append(grouped[home], partition)
+	}
+	return grouped
+}
+
+// findAt looks for a turn in partitions of one home, or here where that is empty or
+// does not answer.
+func (s *Service) findAt(ctx context.Context, home identity.Node, partitions []int, turn ledger.TurnID) found {
+	if home.Name == "" {
+		return s.findHere(ctx, partitions, turn)
+	}
+	answer, err := s.call(ctx, home, &find{Turn: turn, Partitions: partitions}, nil)
+	if err != nil {
+		return s.findHere(ctx, partitions, turn)
+	}
+	got, ok := answer.(*foundTurn)
+	if !ok {
+		return found{err: fmt.Errorf("%w: home %s answered %T", ledgerlog.ErrUnavailable, home.Name, answer)}
+	}
+	switch got.Status {
+	case statusDone:
+		return found{kept: ledger.KeptTurn{Chain: got.Chain, Resident: got.Resident}}
+	case statusNoSuchTurn:
+		return found{err: fmt.Errorf("%w: home %s: %s", ledgerlog.ErrNoSuchTurn, home.Name, turn)}
+	}
+	return found{err: fmt.Errorf("%w: home %s has not read its partitions", ledgerlog.ErrUnavailable, home.Name)}
+}
+
+// findHere looks for a turn in partitions through this node's own ledger.
+func (s *Service) findHere(ctx context.Context, partitions []int, turn ledger.TurnID) found {
+	result := found{err: fmt.Errorf("%w: %s", ledgerlog.ErrNoSuchTurn, turn)}
+	for _, partition := range partitions {
+		if partition < 0 || partition >= s.config.Ledger.Partitions() {
+			continue
+		}
+		kept, err := s.config.Ledger.TurnIn(ctx, partition, turn)
+		if err == nil {
+			return found{kept: kept}
+		}
+		if !errors.Is(err, ledgerlog.ErrNoSuchTurn) {
+			result.err = err
+		}
+	}
+	return result
+}
+
+func (s *Service) handleFind(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	asked, ok := request.(*find)
+	if !ok {
+		return nil, fmt.Errorf("homes: unexpected %T", request)
+	}
+	result := s.findHere(ctx, asked.Partitions, asked.Turn)
+	switch {
+	case result.err == nil:
+		return &foundTurn{Status: statusDone, Chain: result.kept.Chain, Resident: result.kept.Resident}, nil
+	case errors.Is(result.err, ledgerlog.ErrNoSuchTurn):
+		return &foundTurn{Status: statusNoSuchTurn}, nil
+	}
+	return &foundTurn{Status: statusUnavailable}, nil
+}
--- a/internal/homes/handlers.go
+++ b/internal/homes/handlers.go
@@ -17,11 +17,13 @@
 		func() peer.Message { return &begin{} }, func() peer.Message { return &begun{} },
 		func() peer.Message { return &finish{} }, func() peer.Message { return &keep{} }, func() peer.Message { return &done{} },
 		func() peer.Message { return &kept{} }, func() peer.Message { return &working{} }, func() peer.Message { return &read{} }, func() peer.Message { return &texts{} },
+		func() peer.Message { return &find{} }, func() peer.Message { return &foundTurn{} },
 	)
 	registry.Handle(kindBegin, peer.HandlerFunc(s.handleBegin))
 	registry.Handle(kindFinish, peer.HandlerFunc(s.handleFinish))
 	registry.Handle(kindKeep, peer.HandlerFunc(s.handleKeep))
 	registry.Handle(kindRead, peer.HandlerFunc(s.handleRead))
+	registry.Handle(kindFind, peer.HandlerFunc(s.handleFind))
 }
 
 func (s *Service) handleBegin(ctx context.Context, request peer.Message, sendPart func(peer.Message) error) (peer.Message, error) {
@@ -40,7 +42,7 @@
 		answer.Charged, answer.Ahead, answer.First = grant.Charged, grant.Ahead, grant.First
 	}
 	if asked.Request.Previous != "" {
-		previous, err := s.config.Ledger.Turn(ctx, asked.Request.Program, asked.Request.Previous)
+		previous, err := s.findTurn(ctx, asked.Request.Program, asked.Request.Previous)
 		if err != nil {
 			s.config.Ledger.Finish(asked.Request.Program, asked.Grant, 0)
 			return refusal(err), nil
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -39,6 +40,8 @@
 type gate struct {
 	*store.Store
 	closed atomic.Bool
+	// read holds the partitions of the ledger that were read on it.
+	read sync.Map
 }
 
 func (g *gate) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
@@ -52,6 +55,7 @@
 	if g.closed.Load() {
 		return logstore.ReadResult{}, logstore.ErrUnavailable
 	}
+	g.read.Store(request.Partition.Number, true)
 	return g.Store.Read(ctx, request)
 }
 
@@ -244,6 +248,33 @@
 	}
 }
 
+// TestTurnOfAnotherProgramIsLookedForByTheHomes: nobody reads a partition that is at home
+// elsewhere, whether the turn is found or proved absent.
+func TestTurnOfAnotherProgramIsLookedForByTheHomes(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 3)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	is.NoErr(nodes[0].service.Keep(ctx, ledger.Keep{Program: "p", Turn: "t1", For: time.Minute}, []byte("one")))
+	for _, program := range []ledger.ProgramID{"p", "q", "r", "s", "t", "u"} {
+		for _, asking := range nodes {
+			is.Equal(len(mustBegin(t, asking, Request{Program: program, Previous: "t1"}).Chain), 1)
+			_, err := asking.service.Begin(ctx, Request{Program: program, Previous: "never"})
+			is.True(errors.Is(err, ledgerlog.ErrNoSuchTurn))
+		}
+	}
+	for _, one := range nodes {
+		one.store.read.Range(func(partition, _ any) bool {
+			is.True(one.service.isHome(partition.(int)))
+			return true
+		})
+	}
+	cut, _ := homeOf(nodes, "p")
+	cut.store.closed.Store(true)
+	_, err := nodes[0].service.Begin(ctx, Request{Program: "q", Previous: "never too"})
+	is.True(errors.Is(err, ledgerlog.ErrUnavailable)) // no proof without that home's partitions
+}
+
 func TestTurnIsTriedToBeKeptAsLongAsTheClientWaits(t *testing.T) {
 	is := is.New(t)
 	nodes := startCluster(t, 2)
@@ -338,7 +369,8 @@
 		&finish{Program: "p", Grant: 7, Used: 8},
 		&keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute, Resident: resident}, Text: []byte("x")},
 		&kept{Status: statusDone, Location: chain[0], Reason: "r"},
-		&done{Status: statusDone, Reason: "r"}, &working{}, &read{Chain: chain}, &texts{Status: statusDone, Texts: [][]byte{[]byte("x")}},
+		&done{Status: statusDone, Reason: "r"}, &working{}, &read{Chain: chain},
+		&find{Turn: "t", Partitions: []int{0, 300}}, &foundTurn{Status: statusDone, Chain: chain, Resident: resident}, &texts{Status: statusDone, Texts: [][]byte{[]byte("x")}},
 	} {
 		encoder := wire.NewEncoder(nil)
 		message.Encode(encoder)
--- a/internal/homes/message.go
+++ b/internal/homes/message.go
@@ -19,6 +19,8 @@
 	kindTexts
 	kindKept
 	kindWorking
+	kindFind
+	kindFoundTurn
 )
 
 // status is the outcome of a request to a home.
@@ -242,6 +244,55 @@
 	}
 }
 
+// find asks a home for a turn in some of its partitions.
+type find struct {
+	Turn       ledger.TurnID
+	Partitions []int
+}
+
+// Kind implements peer.Message.
+func (*find) Kind() peer.Kind { return kindFind }
+
+// Encode implements peer.Message.
+func (m *find) Encode(e *wire.Encoder) {
+	e.String(string(m.Turn))
+	e.Uint32(uint32(len(m.Partitions)))
+	for _, partition := range m.Partitions {
+		e.Uint16(uint16(partition))
+	}
+}
+
+// Decode implements peer.Message.
+func (m *find) Decode(d *wire.Decoder) {
+	const partitionBytes = 2
+	m.Turn = ledger.TurnID(d.String())
+	for range d.Count(partitionBytes) {
+		m.Partitions = append(m.Partitions, int(d.Uint16()))
+	}
+}
+
+// foundTurn answers find.
+type foundTurn struct {
+	Status   status
+	Chain    []ledger.Location
+	Resident ledger.Resident
+}
+
+// Kind implements peer.Message.
+func (*foundTurn) Kind() peer.Kind { return kindFoundTurn }
+
+// Encode implements peer.Message.
+func (m *foundTurn) Encode(e *wire.Encoder) {
+	e.Uint8(uint8(m.Status))
+	encodeChain(e, m.Chain)
+	encodeResident(e, m.Resident)
+}
+
+// Decode implements peer.Message.
+func (m *foundTurn) Decode(d *wire.Decoder) {
+	m.Status, m.Chain, m.Resident = status(d.Uint8()), decodeChain(d), decodeResident(d)
+}
+
 func encodeChain(e *wire.Encoder, chain []ledger.Location) {
 	e.Uint32(uint32(len(chain)))
 	for _, location := range chain {
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -24,6 +24,8 @@
 	store     logstore.Store
 	partition logstore.Partition
 	metrics   *metrics
+	// pacer spaces this node's reads while the store refuses some.
+	pacer *pacer
 	// clock is a monotonic reading.
 	clock func() time.Duration
 
@@ -167,15 +169,21 @@
 }
 
 func (f *follower) read(reading *sharedRead, from logstore.Offset) {
+	f.pacer.wait()
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	began := time.Now()
 	result, err := f.store.Read(ctx, logstore.ReadRequest{Partition: f.partition, From: from})
 	f.metrics.readSeconds.Observe(time.Since(began).Seconds())
 
+	var trimmed *logstore.TrimmedError
+	if err == nil || errors.As(err, &trimmed) {
+		f.pacer.accepted()
+	} else {
+		f.pacer.refused()
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	var trimmed *logstore.TrimmedError
 	switch {
 	case errors.As(err, &trimmed):
 		f.state.SkipTo(uint64(trimmed.First))
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -83,36 +84,55 @@
 	partitionPatience = 350 * time.Millisecond
 )
 
-// Turn returns what the index says of a kept turn. It looks where
-// program's turns stand first and then everywhere, since a turn may be gone on
-// from under another program. Errors wrap ErrNoSuchTurn or ErrUnavailable.
-func (l *Ledger) Turn(ctx context.Context, program ledger.ProgramID, turn ledger.TurnID) (ledger.KeptTurn, error) {
-	own := l.of(program)
-	if kept, found := own.follower.turn(turn); found {
-		return kept, nil
-	}
+// Partitions returns how many partitions the ledger has.
+func (l *Ledger) Partitions() int { return len(l.partitions) }
+
+// Recall returns a kept turn that this node has read of, in whichever partition.
+func (l *Ledger) Recall(turn ledger.TurnID) (ledger.KeptTurn, bool) {
 	for _, p := range l.partitions {
 		if kept, found := p.follower.turn(turn); found {
-			return kept, nil
+			return kept, true
 		}
 	}
-	// The own partition comes first. One that can't be read only matters if the
-	// turn is found nowhere, since then it may stand there.
-	var unread error
+	return ledger.KeptTurn{}, false
+}
+
+// TurnIn returns a kept turn of one partition, which it reads to its end first unless
+// the turn is known. Errors wrap ErrNoSuchTurn or ErrUnavailable.
+func (l *Ledger) TurnIn(ctx context.Context, partition int, turn ledger.TurnID) (ledger.KeptTurn, error) {
+	reads := l.partitions[partition].follower
+	if kept, found := reads.turn(turn); found {
+		return kept, nil
+	}
+	if err := reads.readToEnd(ctx); err != nil {
+		return ledger.KeptTurn{}, fmt.Errorf("%w: look for turn %s: %w", ErrUnavailable, turn, err)
+	}
+	if kept, found := reads.turn(turn); found {
+		return kept, nil
+	}
+	return ledger.KeptTurn{}, fmt.Errorf("%w: %s", ErrNoSuchTurn, turn)
+}
+
+// Turn returns a kept turn through this node's own reads of the log: of its program's
+// partition first, then of all, since a turn may be gone on from under another program.
+// Errors wrap ErrNoSuchTurn or ErrUnavailable.
+func (l *Ledger) Turn(ctx context.Context, program ledger.ProgramID, turn ledger.TurnID) (ledger.KeptTurn, error) {
+	if kept, found := l.Recall(turn); found {
+		return kept, nil
+	}
+	// A partition that can't be read only matters if the turn is found nowhere, since
+	// then it may stand there.
+	absent := fmt.Errorf("%w: %s", ErrNoSuchTurn, turn)
 	for i := range l.partitions {
-		p := l.partitions[(l.Partition(program)+i)%len(l.partitions)]
-		if err := p.follower.readToEnd(ctx); err != nil {
-			unread = err
-			continue
-		}
-		if kept, found := p.follower.turn(turn); found {
+		kept, err := l.TurnIn(ctx, (l.Partition(program)+i)%len(l.partitions), turn)
+		if err == nil {
 			return kept, nil
 		}
+		if !errors.Is(err, ErrNoSuchTurn) {
+			absent = err
+		}
 	}
-	if unread != nil {
-		return ledger.KeptTurn{}, fmt.Errorf("%w: look for turn %s: %w", ErrUnavailable, turn, unread)
-	}
-	return ledger.KeptTurn{}, fmt.Errorf("%w: %s", ErrNoSuchTurn, turn)
+	return ledger.KeptTurn{}, absent
 }
 
 // Remember keeps the text at a location in memory.
