Leave ledger work to nodes that the store answers, read in windows

Cause: while the store turned a third of the machines away, their partitions' work was begun anew by every asking node, each of which read the partition; nodes without the store repeated reads at once; reads that were not answered in time were lost and asked for the same megabyte again.

--- a/internal/homes/begin.go
+++ b/internal/homes/begin.go
@@ -15,11 +15,12 @@
 // Begin begins a turn. Errors: a *ledgerlog.SpentError, or one that wraps
 // ledgerlog.ErrNoSuchTurn or ledgerlog.ErrUnavailable.
 func (s *Service) Begin(ctx context.Context, request Request) (*Turn, error) {
-	home, self := s.home(s.config.Ledger.Partition(request.Program))
-	if self || home.Name == "" || s.config.Peers == nil {
-		return s.beginHere(ctx, request, self)
+	partition := s.config.Ledger.Partition(request.Program)
+	asked, here := s.askable(partition)
+	if here {
+		return s.beginHere(ctx, request, s.isHome(partition))
 	}
-	return s.hedge(ctx, request, home)
+	return s.hedge(ctx, request, asked)
 }
 
 // result is the outcome of one of two ways to begin a turn.
--- a/internal/homes/find.go
+++ b/internal/homes/find.go
@@ -58,11 +58,11 @@
 		if partition == except {
 			continue
 		}
-		home, self := s.home(partition)
-		if self || s.config.Peers == nil || s.avoided(home.Name) {
-			home = identity.Node{}
+		asked, here := s.askable(partition)
+		if here {
+			asked = identity.Node{}
 		}
-		grouped[home] = append(grouped[home], partition)
+		grouped[asked] = append(grouped[asked], partition)
 	}
 	return grouped
 }
--- a/internal/homes/texts.go
+++ b/internal/homes/texts.go
@@ -42,10 +42,10 @@
 	return err
 }
 
-// remote returns the home of a program if that is another node that answers.
+// remote returns the node to ask for a program's turns if that is another one.
 func (s *Service) remote(program ledger.ProgramID) (identity.Node, bool) {
-	home, self := s.home(s.config.Ledger.Partition(program))
-	return home, !self && home.Name != "" && s.config.Peers != nil && !s.avoided(home.Name)
+	asked, here := s.askable(s.config.Ledger.Partition(program))
+	return asked, !here
 }
 
 func (s *Service) keepThere(ctx context.Context, home identity.Node, request *keep) (ledger.Location, error) {
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -116,10 +116,10 @@
 			is.NoErr(err)
 			l.Finish(grant.Program, grant.ID, 25)
 		}
-		appends, reads := log.Calls("append"), log.Calls("read")
-		time.Sleep(time.Second)
-		is.True(appends <= 2) // one may be the claim of the ownership
-		is.Equal(reads, 1)    // the first look, which tells who owns the partition
+		appends := log.Calls("append")
+		time.Sleep(time.Second)        // the first look, in the background, may come after the turns
+		is.True(appends <= 2)          // one may be the claim of the ownership
+		is.Equal(log.Calls("read"), 1) // the first look, which tells who owns the partition
 	})
 }
 
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -26,6 +26,8 @@
 	metrics   *metrics
 	// pacer spaces this node's reads while the store refuses some.
 	pacer *pacer
+	// window is how much is read at once.
+	window *readWindow
 	// clock is a monotonic reading.
 	clock func() time.Duration
 
@@ -173,13 +175,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	began := time.Now()
-	result, err := f.store.Read(ctx, logstore.ReadRequest{Partition: f.partition, From: from})
-	f.metrics.readSeconds.Observe(time.Since(began).Seconds())
+	result, err := f.store.Read(ctx, logstore.ReadRequest{Partition: f.partition, From: from, MaxBytes: f.window.size()})
+	took := time.Since(began)
+	f.metrics.readSeconds.Observe(took.Seconds())
 
 	var trimmed *logstore.TrimmedError
-	if err == nil || errors.As(err, &trimmed) {
+	switch {
+	case err == nil:
+		f.pacer.accepted()
+		f.window.answered(took, from+logstore.Offset(len(result.Records)) < result.End)
+	case errors.As(err, &trimmed):
 		f.pacer.accepted()
-	} else {
+	case ctx.Err() != nil:
+		f.window.unanswered()
+	default:
 		f.pacer.refused()
 	}
 	f.mutex.Lock()
