Let homes stay where they are while the store refuses them

Reverted: nodes told in their loads that the store does not answer them and gave their partitions to the next in rank; all asked that one while a home was silent; refused reads spaced all reads of a node.

--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,8 +32,6 @@
 	patientAfter = 400 * time.Millisecond
 	// avoidFor is how long a home that did not answer is passed over.
 	avoidFor = 700 * time.Millisecond
-	// awayFor is how long a node's word holds that the store does not answer it.
-	awayFor = 2 * time.Second
 	// finishTimeout bounds one telling of a turn's end, which is tried finishAttempts
 	// times with finishPause between.
 	finishTimeout  = 2 * time.Second
@@ -99,11 +96,9 @@
 
 // Config is what a Service is made from; Peers is nil where there are no other nodes.
 type Config struct {
-	Self   identity.NodeName
-	Ledger *ledgerlog.Ledger
-	Peers  peer.Client
-	// StoreAway tells whether the store does not answer this node; nil is never.
-	StoreAway  func() bool
+	Self       identity.NodeName
+	Ledger     *ledgerlog.Ledger
+	Peers      peer.Client
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -116,19 +111,16 @@
 	begun   *prometheus.CounterVec
 	closing atomic.Bool
 
-	// mutex guards all below.
+	// mutex guards avoid: until when homes are passed over.
 	mutex sync.Mutex
-	// avoid tells until when homes are passed over.
 	avoid map[identity.NodeName]time.Duration
-	// away tells until when nodes count as cut off from the store, by their IP number.
-	away map[netip.Addr]time.Duration
 }
 
 // New returns a service that knows no other nodes yet. It tells the ledger which
 // nodes live from then on.
 func New(config Config) *Service {
 	made := &Service{
-		config: config, began: time.Now(), avoid: map[identity.NodeName]time.Duration{}, away: map[netip.Addr]time.Duration{},
+		config: config, began: time.Now(), avoid: map[identity.NodeName]time.Duration{},
 		begun: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_turns_begun_total", Help: "Turns begun in the ledger, by where and outcome.",
 		}, []string{"where", "outcome"}),
@@ -163,27 +155,6 @@
 	return time.Since(s.began) < s.avoid[home]
 }
 
-// NoteStore takes a node's word on whether the store does not answer it.
-func (s *Service) NoteStore(node netip.Addr, away bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if !away {
-		delete(s.away, node)
-		return
-	}
-	s.away[node] = time.Since(s.began) + awayFor
-}
-
-// storeAway tells whether the store does not answer a node, as far as is known.
-func (s *Service) storeAway(node identity.Node) bool {
-	if node.Name == s.config.Self {
-		return s.config.StoreAway != nil && s.config.StoreAway()
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return time.Since(s.began) < s.away[node.PeerAddress.Addr()]
-}
-
 func (s *Service) count(where string, err error) {
 	outcome := "begun"
 	var spent *ledgerlog.SpentError
--- a/internal/homes/view.go
+++ b/internal/homes/view.go
@@ -57,24 +57,13 @@
 	return self
 }
 
-// home returns the node that keeps a partition, and whether that is this one: the best
-// in rank that the store answers, or the best of all where it answers none. It returns
-// neither while this node does not know the others yet, or stops.
+// home returns the node that keeps a partition, and whether that is this one. It
+// returns neither while this node does not know the others yet, or stops.
 func (s *Service) home(partition int) (identity.Node, bool) {
 	view := s.view.Load()
 	if view == nil || len(view.Members) <= 1 {
 		return identity.Node{}, !s.closing.Load() && (s.config.Peers == nil || time.Since(s.began) > settleAfter)
 	}
-	best, found := s.best(view, partition, func(node identity.Node) bool { return !s.storeAway(node) })
-	if !found {
-		best, found = s.best(view, partition, func(identity.Node) bool { return true })
-	}
-	return best, found && best.Name == s.config.Self
-}
-
-// best returns the node of the highest rank for a partition among those that are
-// accepted.
-func (s *Service) best(view *membership.View, partition int, accepted func(identity.Node) bool) (identity.Node, bool) {
 	var best identity.Node
 	highest := uint64(0)
 	for _, member := range view.Members {
@@ -84,29 +73,21 @@
 		if s.closing.Load() && member.Node.Name == s.config.Self {
 			continue
 		}
-		score := score(partition, member.Node.Name)
-		if (best.Name == "" || score > highest) && accepted(member.Node) {
+		if score := score(partition, member.Node.Name); best.Name == "" || score > highest {
 			best, highest = member.Node, score
 		}
 	}
-	return best, best.Name != ""
+	return best, best.Name == s.config.Self
 }
 
-// askable returns the node to ask for a partition's work: its home, or the next in rank
-// where that has not answered lately, so that all ask the same one. The work is done
-// here where here is set.
+// askable returns the node to ask for a partition's work: its home, unless that is this
+// one or has not answered lately. The work is done here where here is set.
 func (s *Service) askable(partition int) (node identity.Node, here bool) {
 	home, self := s.home(partition)
-	if self || home.Name == "" || s.config.Peers == nil {
+	if self || home.Name == "" || s.config.Peers == nil || s.avoided(home.Name) {
 		return home, true
 	}
-	if !s.avoided(home.Name) {
-		return home, false
-	}
-	next, found := s.best(s.view.Load(), partition, func(node identity.Node) bool {
-		return !s.avoided(node.Name) && !s.storeAway(node)
-	})
-	return next, !found || next.Name == s.config.Self
+	return home, false
 }
 
 // score ranks nodes for a partition (rendezvous hashing).
--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -48,9 +48,8 @@
 	longestGap = 160 * time.Millisecond
 )
 
-// pacer spaces this node's appends, or its reads, while the store refuses some of them,
-// so that each call takes more records and refused calls don't crowd out others. It is
-// safe for concurrent use.
+// pacer spaces this node's appends while the store refuses some of them, so that
+// each call takes more records. It is safe for concurrent use.
 type pacer struct {
 	// gap is in nanoseconds.
 	gap atomic.Int64
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -88,12 +88,12 @@
 	counted := newMetrics(config.Registerer)
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
-	pace, readPace, window, resend := &pacer{}, &pacer{}, &readWindow{}, &retransmission{}
+	pace, window, resend := &pacer{}, &readWindow{}, &retransmission{}
 	built := &Ledger{config: config, texts: newTextStore(config, counted, pace, resend)}
 	for number := range config.Partitions {
 		place := logstore.Partition{Topic: config.Topic, Number: number}
 		reads := &follower{
-			store: config.Store, partition: place, metrics: counted, pacer: readPace, window: window,
+			store: config.Store, partition: place, metrics: counted, window: window,
 			clock: clock, state: ledger.NewPartition(), verdicts: map[ledger.AttemptID]*ledger.Verdict{},
 		}
 		added := &partition{
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -24,8 +24,6 @@
 	store     logstore.Store
 	partition logstore.Partition
 	metrics   *metrics
-	// pacer spaces this node's reads while the store refuses some.
-	pacer *pacer
 	// window is how much is read at once.
 	window *readWindow
 	// clock is a monotonic reading.
@@ -171,7 +169,6 @@
 }
 
 func (f *follower) read(reading *sharedRead, from logstore.Offset) {
-	f.pacer.wait()
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	began := time.Now()
@@ -182,14 +179,9 @@
 	var trimmed *logstore.TrimmedError
 	switch {
 	case err == nil:
-		f.pacer.accepted()
 		f.window.answered(took, from+logstore.Offset(len(result.Records)) < result.End)
-	case errors.As(err, &trimmed):
-		f.pacer.accepted()
 	case ctx.Err() != nil:
 		f.window.unanswered()
-	default:
-		f.pacer.refused()
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -20,7 +20,7 @@
 	// form tells datagrams of this version from others.
 	form = 0x4c02
 	// headBytes and entryBytes are the sizes of a datagram's parts.
-	headBytes  = 2 + 1 + 2
+	headBytes  = 2 + 2
 	entryBytes = 4 + 2 + 2
 	// maxEntries keeps a datagram within the usual path MTU.
 	maxEntries = 170
@@ -92,19 +92,9 @@
 // KeyOf returns the key of a replica's instance.
 func KeyOf(instance string) Key { return Key(xxhash.Sum64String(instance)) }
 
-// storeAwayFlag, in a datagram's third byte, tells that the store does not answer its
-// sender.
-const storeAwayFlag = 1
-
-// Encode returns a datagram of the loads by replica, and of whether the store does not
-// answer this node.
-func Encode(told map[Key]Load, storeAway bool) []byte {
+// Encode returns a datagram of the loads by replica.
+func Encode(told map[Key]Load) []byte {
 	encoded := binary.BigEndian.AppendUint16(nil, form)
-	flags := byte(0)
-	if storeAway {
-		flags = storeAwayFlag
-	}
-	encoded = append(encoded, flags)
 	encoded = binary.BigEndian.AppendUint16(encoded, uint16(min(len(told), maxEntries)))
 	left := maxEntries
 	for key, load := range told {
@@ -119,19 +109,19 @@
 }
 
 // Decode reads a datagram.
-func Decode(encoded []byte) (told map[Key]Load, storeAway bool, err error) {
+func Decode(encoded []byte) (map[Key]Load, error) {
 	if len(encoded) < headBytes || binary.BigEndian.Uint16(encoded) != form {
-		return nil, false, errForm
+		return nil, errForm
 	}
-	count := int(binary.BigEndian.Uint16(encoded[headBytes-2:]))
+	count := int(binary.BigEndian.Uint16(encoded[2:]))
 	if len(encoded) != headBytes+count*entryBytes {
-		return nil, false, errForm
+		return nil, errForm
 	}
-	told = make(map[Key]Load, count)
+	told := make(map[Key]Load, count)
 	for rest := encoded[headBytes:]; len(rest) > 0; rest = rest[entryBytes:] {
 		told[Key(binary.BigEndian.Uint32(rest))] = decodeLoad(rest[4:])
 	}
-	return told, encoded[2]&storeAwayFlag != 0, nil
+	return told, nil
 }
 
 // Exchange sends this node's loads and takes the others'.
@@ -141,9 +131,7 @@
 	Targets func() []netip.AddrPort
 	// Own returns this node's loads, Heard takes another's.
 	Own   func() map[Key]Load
-	Heard func(from netip.AddrPort, told map[Key]Load, storeAway bool)
-	// StoreAway tells whether the store does not answer this node; nil is never.
-	StoreAway func() bool
+	Heard func(from netip.AddrPort, told map[Key]Load)
 }
 
 // Run exchanges loads until ctx ends; then it closes the socket.
@@ -160,13 +148,12 @@
 			timer.Stop()
 			return
 		}
-		told, away := e.Own(), e.StoreAway != nil && e.StoreAway()
-		nothing := len(told) == 0 && !away
-		if idle && nothing {
+		told := e.Own()
+		if idle && len(told) == 0 {
 			continue // it has been told already
 		}
-		idle = nothing
-		e.send(sample(e.Targets()), Encode(told, away))
+		idle = len(told) == 0
+		e.send(sample(e.Targets()), Encode(told))
 	}
 }
 
@@ -196,8 +183,8 @@
 		if err != nil {
 			continue // such as the refusal of an earlier datagram by a node that is gone
 		}
-		if told, away, err := Decode(buffer[:size]); err == nil {
-			e.Heard(from, told, away)
+		if told, err := Decode(buffer[:size]); err == nil {
+			e.Heard(from, told)
 		}
 	}
 }
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -19,10 +19,9 @@
 				UnreadTokens: unreadUnit * rapid.IntRange(0, maxUnread).Draw(t, "unread"),
 			}
 		}), 0, maxEntries).Draw(t, "counts")
-		away := rapid.Bool().Draw(t, "away")
-		decoded, toldAway, err := Decode(Encode(counts, away))
-		if err != nil || len(decoded) != len(counts) || toldAway != away {
-			t.Fatalf("%v, %v, %v", decoded, toldAway, err)
+		decoded, err := Decode(Encode(counts))
+		if err != nil || len(decoded) != len(counts) {
+			t.Fatalf("%v, %v", decoded, err)
 		}
 		for key, count := range counts {
 			if decoded[key] != count {
@@ -35,7 +34,7 @@
 func TestOtherDatagramsArePassedOver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		datagram := rapid.SliceOf(rapid.Byte()).Draw(t, "datagram")
-		if counts, _, err := Decode(datagram); err == nil && len(datagram) != headBytes+entryBytes*len(counts) {
+		if counts, err := Decode(datagram); err == nil && len(datagram) != headBytes+entryBytes*len(counts) {
 			t.Fatalf("%v from %v", counts, datagram)
 		}
 	})
@@ -57,7 +56,7 @@
 		exchange := &Exchange{
 			Conn: own, Targets: func() []netip.AddrPort { return []netip.AddrPort{address(other)} },
 			Own: func() map[Key]Load { return counts },
-			Heard: func(from netip.AddrPort, counts map[Key]Load, _ bool) {
+			Heard: func(from netip.AddrPort, counts map[Key]Load) {
 				if from == address(first) {
 					heard <- counts
 				}
--- a/internal/routednode/peers.go
+++ b/internal/routednode/peers.go
@@ -14,7 +14,6 @@
 	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/balance"
-	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/loads"
 	"stepseam.example/stepseam/internal/membership"
@@ -80,7 +79,7 @@
 }
 
 // newLoads binds the node's address for loads; it returns nil where there is none.
-func newLoads(chosen settings.Routed, tracker *balance.Tracker, members *homes.Service, now func() time.Duration) (*loads.Exchange, error) {
+func newLoads(chosen settings.Routed, tracker *balance.Tracker, now func() time.Duration, others func() []netip.AddrPort) (*loads.Exchange, error) {
 	own := chosen.Addresses.Loads
 	if !own.IsValid() {
 		return nil, nil
@@ -92,13 +91,12 @@
 	return &loads.Exchange{
 		Conn: conn, Own: func() map[loads.Key]loads.Load { return tracker.Own(now()) },
 		Targets: func() []netip.AddrPort {
-			return lo.Map(members.Addresses(), func(peer netip.AddrPort, _ int) netip.AddrPort {
+			return lo.Map(others(), func(peer netip.AddrPort, _ int) netip.AddrPort {
 				return netip.AddrPortFrom(peer.Addr(), own.Port())
 			})
 		},
-		Heard: func(from netip.AddrPort, told map[loads.Key]loads.Load, storeAway bool) {
-			tracker.Heard(from, told, loads.Coverage(len(members.Addresses())), now())
-			members.NoteStore(from.Addr(), storeAway)
+		Heard: func(from netip.AddrPort, told map[loads.Key]loads.Load) {
+			tracker.Heard(from, told, loads.Coverage(len(others())), now())
 		},
 	}, nil
 }
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -30,9 +30,7 @@
 	do.ProvideValue(injector, balance.NewTracker(string(chosen.Node.Zone)))
 	do.ProvideValue(injector, exchange.NewClient(adapter.Names.Replica))
 	do.ProvideValue(injector, router.NewConnections())
-	counted := newCountedStore(adapter.NewStore(chosen.Store), registry)
-	do.ProvideValue(injector, counted)
-	do.ProvideValue[logstore.Store](injector, counted)
+	do.ProvideValue[logstore.Store](injector, newCountedStore(adapter.NewStore(chosen.Store), registry))
 	do.Provide(injector, provideSelf)
 	do.Provide(injector, provideLedger)
 	do.Provide(injector, providePeers)
@@ -88,8 +86,6 @@
 		return homes.New(config), nil
 	}
 	config.Peers = others.transport
-	counted := do.MustInvoke[*countedStore](injector)
-	config.StoreAway = func() bool { return counted.health.away(time.Now()) }
 	made := homes.New(config)
 	made.Register(others.registry)
 	others.onView = made.SetView
@@ -135,11 +131,7 @@
 		}
 		built.relay.register(built.peers.registry)
 	}
-	exchange, err := newLoads(chosen, do.MustInvoke[*balance.Tracker](injector), built.homes, built.router.Now)
-	if exchange != nil {
-		counted := do.MustInvoke[*countedStore](injector)
-		exchange.StoreAway = func() bool { return counted.health.away(time.Now()) }
-	}
+	exchange, err := newLoads(chosen, do.MustInvoke[*balance.Tracker](injector), built.router.Now, built.homes.Addresses)
 	built.loads = exchange
 	return built, err
 }
--- a/internal/routednode/storehealth.go
+++ b/internal/routednode/storehealth.go
@@ -23,7 +23,8 @@
 // errAway tells that the store has not answered this node lately.
 var errAway = fmt.Errorf("%w: it has not answered this node lately", logstore.ErrUnavailable)
 
-// storeHealth tells whether the store answers this node. It is safe for concurrent use.
+// storeHealth keeps the reads few while the store does not answer this node. It is safe
+// for concurrent use.
 type storeHealth struct {
 	// mutex guards all below.
 	mutex sync.Mutex
@@ -50,14 +51,7 @@
 	h.failures++
 }
 
-// away tells whether the store does not answer this node.
-func (h *storeHealth) away(now time.Time) bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.isAway(now)
-}
-
-// isAway needs the mutex.
+// isAway tells whether the store does not answer this node. It needs the mutex.
 func (h *storeHealth) isAway(now time.Time) bool {
 	return h.failures >= awayFailures && now.Sub(h.since) >= awayAfter
 }
--- a/internal/routednode/storehealth_test.go
+++ b/internal/routednode/storehealth_test.go
@@ -20,18 +20,18 @@
 	for range 10 {
 		health.note(logstore.ErrUnavailable, at(0))
 	}
-	is.True(!health.away(at(awayAfter - 1)))
-	is.True(health.away(at(awayAfter)))
+	is.True(!health.isAway(at(awayAfter - 1)))
+	is.True(health.isAway(at(awayAfter)))
 	is.True(health.mayRead(at(awayAfter)))
 	is.True(!health.mayRead(at(awayAfter + probePause - 1)))
 	is.True(health.mayRead(at(awayAfter + probePause)))
 	health.note(&logstore.TrimmedError{}, at(time.Second)) // an answer like any other
-	is.True(!health.away(at(time.Hour)))
+	is.True(!health.isAway(at(time.Hour)))
 	for i := range 10 {
 		health.note(logstore.ErrUnavailable, at(time.Duration(i)*time.Second))
 		health.note(nil, at(time.Duration(i)*time.Second))
 	}
-	is.True(!health.away(at(time.Hour)))
+	is.True(!health.isAway(at(time.Hour)))
 }
 
 // TestReadsOfAStoreThatIsAwayAreFew: whoever asks, the store gets a bounded number.
@@ -46,7 +46,7 @@
 		is.True(errors.Is(err, logstore.ErrUnavailable))
 		time.Sleep(time.Millisecond)
 	}
-	is.True(counted.health.away(time.Now()))
+	is.True(counted.health.isAway(time.Now()))
 	before := log.Calls("read")
 	for range 1000 {
 		_, _ = counted.Read(t.Context(), logstore.ReadRequest{Partition: logstore.Partition{Topic: "work"}})
