--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -213,6 +213,15 @@
 	is.Equal(tracker.Utilization([]fleet.Replica{{Instance: "a"}}, 2, 10*time.Second), 0.5)
 }
 
+func TestOpenConnectionIsUsedAmongEquals(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("elsewhere") // all are as far
+	need := Need{Connected: func(replica fleet.Replica) bool { return replica.Instance == "away" }}
+	is.Equal(pickFor(tracker, need, 0), "away")
+	begin(tracker, "away", Prompt{}, 0)
+	is.Equal(pickFor(tracker, need, 0), "near") // what is under way there costs more
+}
+
 func TestGrownPartOfAPromptIsNotTakenForCached(t *testing.T) {
 	is := is.New(t)
 	tracker := NewTracker("z")
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -19,6 +19,9 @@
 	Exposed bool
 	// Except lists the replicas that it has been to.
 	Except []string
+	// Connected tells whether a connection to a replica is open; nil counts all as
+	// connected.
+	Connected func(replica fleet.Replica) bool
 }
 
 // Candidates describes the replicas that a request may go to. now is a monotonic
@@ -45,6 +48,7 @@
 		Elsewhere: elsewhere.UnderWay, UnreadTokens: elsewhere.UnreadTokens,
 		CachedTokens: t.cached(replica.Instance, need.Prompt),
 		Unproven:     need.Exposed && elsewhere.Failing,
+		Unconnected:  need.Connected != nil && !need.Connected(replica),
 	}
 	if known, found := t.replicas[replica.Instance]; found {
 		described.UnderWay = known.underWay
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -15,6 +15,9 @@
 const (
 	// otherZoneCost stands for the longer way and the price of bytes between zones.
 	otherZoneCost = 9.0
+	// connectionCost stands for the making of a connection and what a replica spends on
+	// each that it holds.
+	connectionCost = 6.0
 	// doubtfulCost makes replicas that may have left the second choice.
 	doubtfulCost = 60.0
 	// unprovenCost makes unproven replicas the choice only where others have long
@@ -54,6 +57,8 @@
 	Unproven bool
 	// Doubtful tells that it may have left.
 	Doubtful bool
+	// Unconnected tells that a connection to it would have to be made.
+	Unconnected bool
 	// LagMilliseconds is what counts of the longer time between two events of a stream
 	// there.
 	LagMilliseconds float64
@@ -102,6 +107,9 @@
 	if !candidate.SameZone {
 		total += otherZoneCost
 	}
+	if candidate.Unconnected {
+		total += connectionCost
+	}
 	if candidate.Doubtful {
 		total += doubtfulCost
 	}
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -98,6 +98,12 @@
 	return c.exchange(ctx, used, request)
 }
 
+// Connected tells whether a request may go to target on a connection that is open, as far
+// as is known.
+func (c *Client) Connected(target Target, repeatable bool) bool {
+	return c.pool.holds(target, c.pool.longestRest(repeatable))
+}
+
 // foundDead tells whether a connection ended without an answer of its own.
 func foundDead(ctx context.Context, err error) bool {
 	var failure *FailureError
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -241,6 +241,24 @@
 	}
 }
 
+func TestConnectedTellsOfOpenConnectionsThatTheRequestMayUse(t *testing.T) {
+	is := is.New(t)
+	to, client := start(t, func(e *replica.Exchange) bool {
+		e.Answer(http.StatusOK, strings.Repeat("x", 10), "Test-Id: "+e.Request.Header.Get("Test-Id"))
+		return true
+	})
+	target := Target{Instance: "i", Address: to.Address}
+	is.True(!client.Connected(target, true))
+	_, _, err := send(t, client, to, ask("1"))
+	is.NoErr(err)
+	is.True(client.Connected(target, true) && client.Connected(target, false))
+	is.True(!client.Connected(Target{Instance: "j", Address: to.Address}, true))
+	client.pool.noteDead(0) // replicas forget resting connections
+	time.Sleep(2 * leastRest)
+	is.True(client.Connected(target, true))
+	is.True(!client.Connected(target, false))
+}
+
 func TestConnectionIsNotUsedAfterTheReplicasOwnTime(t *testing.T) {
 	is := is.New(t)
 	is.Equal(idleTime(http.Header{"Keep-Alive": {"max=5, timeout=2"}}), 2*time.Second-keepAliveMargin)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -112,6 +112,20 @@
 	}
 }
 
+// holds tells whether an idle connection to target is taken for sound that has rested for
+// at most longest.
+func (p *pool) holds(target Target, longest time.Duration) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	kept := p.idle[target]
+	if len(kept) == 0 {
+		return false
+	}
+	last := kept[len(kept)-1]
+	rested, _ := last.rested()
+	return rested <= longest && time.Now().Before(last.expires)
+}
+
 // takeIdle returns the connection that was used last, which is the freshest, if it
 // has rested for at most longest.
 func (p *pool) takeIdle(target Target, longest time.Duration) *connection {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -130,6 +130,9 @@
 	candidates := r.config.Tracker.Candidates(usable, balance.Need{
 		Engine: call.service.Slots > 0, Prompt: call.prompt, Except: course.except,
 		Exposed: !call.route.Repeatable() || call.route.MaxAttempts <= 1,
+		Connected: func(replica fleet.Replica) bool {
+			return r.config.Replicas.Connected(targetOf(replica), call.route.Repeatable())
+		},
 	}, r.Now())
 	work := balance.Work{PromptTokens: call.prompt.Tokens, Rates: r.config.Tracker.Rates(call.service.Name)}
 	choice, found := balance.Choose(candidates, work, r.config.Random())
@@ -144,6 +147,10 @@
 	return fleet.Replica{}, false
 }
 
+func targetOf(replica fleet.Replica) exchange.Target {
+	return exchange.Target{Instance: replica.Instance, Address: replica.Address}
+}
+
 // sendTo offers the call to one replica. Without a failure the answer is one of
 // the replica's own to this request, and finish must be called.
 func (r *Router) sendTo(ctx context.Context, call *call, replica fleet.Replica, reply *reply) (*attempt, *exchange.FailureError) {
@@ -161,7 +168,7 @@
 		Instance: replica.Instance, Service: call.service.Name, Slots: replica.Slots,
 	}, call.prompt, r.Now())
 	reply.expected = sending.Expected()
-	answer, err := r.config.Replicas.Send(ctx, exchange.Target{Instance: replica.Instance, Address: replica.Address}, exchange.Request{
+	answer, err := r.config.Replicas.Send(ctx, targetOf(replica), exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
 		Repeatable: call.route.Repeatable(),
 	})
