Take replicas for gone sooner after the store's return

Change: for 2.2 s; replicas that live are back about two seconds after the store's return. TestReplicaThatLeavesAfterTheStoresReturnIsNotUsedForLong fails with 3 s.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -27,9 +27,11 @@
 	// lapsedLife is how long a replica whose entry is gone may still be used. With
 	// the time until that is heard, it is shorter than replicas take to leave.
 	lapsedLife = 700 * time.Millisecond
-	// unsettledLife is the same after the store was away, when entries are gone
-	// because replicas could not write.
-	unsettledLife = 3 * time.Second
+	// unsettledLife is the same after the store was heard again, when entries are gone
+	// because replicas could not write. Those that live are back about two seconds after
+	// its return, which a node hears of up to half a second late; nodes are bound by
+	// entries that go from three seconds after its return on.
+	unsettledLife = 2200 * time.Millisecond
 )
 
 // Replica is one life of a server of a service, as it describes itself.
--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -60,3 +60,17 @@
 	d.Apply([]Change{{Instance: "a", Replica: &draining}, {Instance: "a"}}, 10*time.Second)
 	is.Equal(len(d.Usable("s", 10*time.Second)), 0)
 }
+
+// TestReplicaThatLeavesAfterTheStoresReturnIsNotUsedForLong: the store was away for one
+// node alone and is heard again late; then a replica leaves without a word. Two seconds
+// after its entry went it gets nothing more.
+func TestReplicaThatLeavesAfterTheStoresReturnIsNotUsedForLong(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory()
+	d.Replace([]Replica{replicaIn("a", StateReady, 1)}, 0)
+	const back, heardBack, gone, drain = 0, 450 * time.Millisecond, 1000 * time.Millisecond, 2 * time.Second
+	d.Unsettled(back + heardBack)
+	d.Apply([]Change{{Instance: "a"}}, gone+200*time.Millisecond)
+	is.Equal(len(d.Usable("s", gone+time.Second)), 1)
+	is.Equal(len(d.Usable("s", gone+drain)), 0)
+}
