Search partitions, map errors and look for open connections in one place each

Cause, from reading the change once more: the search of partitions for a turn stood in the ledger, where only tests used it, and again in the homes; the ledger's errors were mapped to statuses in two places, back in two, and to labels in a third; the home of a partition was worked out twice for work done here, and the check for silent homes stood twice, once out of reach; the limit of a connection's rest was looked up under a lock for each replica of each choice; the cost of a worker was worked out for engines; what was believed of a replica stood twice in a sending.

Change: Ledger.Find, statusOf and status.err, Service.mayAsk, pool.freshest and one look-up a choice; a sending holds what was expected. Behaviour stays but for texts of log lines. Tests keep their assertions; the one of messages has a field more.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -100,9 +100,11 @@
 }
 
 func cost(candidate Candidate, work Work) float64 {
-	total := workerCost(candidate, work.Rates)
+	total := 0.0
 	if candidate.Engine {
 		total = engineCost(candidate, work)
+	} else {
+		total = workerCost(candidate, work.Rates)
 	}
 	if !candidate.SameZone {
 		total += otherZoneCost
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -68,16 +68,11 @@
 // Sending is a request at a replica. Its fields but unread are set by Begin; the
 // tracker's mutex guards unread.
 type Sending struct {
-	target Target
-	began  time.Duration
-	// uncached is what the replica has to read for it, ahead what it has to read
-	// before, in tokens, as far as this node knew.
-	uncached, ahead int
-	// others is how many requests ran there then.
-	others int
-	// firstEvent is when the first event was expected, in milliseconds from began.
-	firstEvent float64
-	unread     int
+	target   Target
+	began    time.Duration
+	expected Expected
+	// unread is how much of its prompt the replica has yet to read, in tokens.
+	unread int
 }
 
 // Expected tells what was believed of the replica when the request went there.
@@ -91,9 +86,10 @@
 }
 
 // Expected returns what was believed of the replica.
-func (s *Sending) Expected() Expected {
-	return Expected{UncachedTokens: s.uncached, TokensAhead: s.ahead, Others: s.others, FirstMilliseconds: s.firstEvent}
-}
+func (s *Sending) Expected() Expected { return s.expected }
+
+// toRead is how many tokens the replica was to read until the first event.
+func (e Expected) toRead() int { return e.UncachedTokens + e.TokensAhead }
 
 // NewTracker returns a tracker of a node in zone.
 func NewTracker(zone string) *Tracker {
@@ -107,21 +103,20 @@
 	defer t.mutex.Unlock()
 	known := t.record(target.Instance)
 	elsewhere := t.heard.load(target.Instance, now)
-	uncached := max(prompt.Tokens-t.cached(target.Instance, prompt), 0)
-	sending := &Sending{
-		target: target, began: now, uncached: uncached, unread: uncached,
-		ahead: known.unread + elsewhere.UnreadTokens, others: known.underWay + elsewhere.UnderWay,
+	expected := Expected{
+		UncachedTokens: max(prompt.Tokens-t.cached(target.Instance, prompt), 0),
+		TokensAhead:    known.unread + elsewhere.UnreadTokens, Others: known.underWay + elsewhere.UnderWay,
 	}
 	rates := t.service(target.Service).Rates()
-	sending.firstEvent = rates.FirstMilliseconds + rates.MillisecondsPerToken*float64(uncached+sending.ahead)
+	expected.FirstMilliseconds = rates.FirstMilliseconds + rates.MillisecondsPerToken*float64(expected.toRead())
 	known.underWay++
-	known.unread += uncached
+	known.unread += expected.UncachedTokens
 	if known.waiting == 0 {
 		known.waitingSince = now
 	}
 	known.waiting++
 	known.prompts.remember(prompt.Parts)
-	return sending
+	return &Sending{target: target, began: now, expected: expected, unread: expected.UncachedTokens}
 }
 
 // Answered notes that a request has got the head of an answer, or none will come.
@@ -139,7 +134,7 @@
 	defer t.mutex.Unlock()
 	t.record(sending.target.Instance).read(sending)
 	if !sending.queued() {
-		t.service(sending.target.Service).FirstEvent(sending.uncached+sending.ahead, milliseconds(now-sending.began))
+		t.service(sending.target.Service).FirstEvent(sending.expected.toRead(), milliseconds(now-sending.began))
 	}
 }
 
@@ -154,7 +149,7 @@
 
 // queued tells whether the request waited for a slot, so that its time says little of
 // the replica's speed.
-func (s *Sending) queued() bool { return s.target.Slots > 0 && s.others >= s.target.Slots }
+func (s *Sending) queued() bool { return s.target.Slots > 0 && s.expected.Others >= s.target.Slots }
 
 // Streamed notes how long the pauses between the events of a stream were. The shorter
 // ones tell how fast the replica writes for as many requests as run there; in the
@@ -168,7 +163,7 @@
 		return
 	}
 	known := t.record(sending.target.Instance)
-	beside := (sending.others + known.underWay + t.heard.load(sending.target.Instance, now).UnderWay) / 2
+	beside := (sending.expected.Others + known.underWay + t.heard.load(sending.target.Instance, now).UnderWay) / 2
 	slices.Sort(gaps)
 	service.Pace(&known.stream, beside, milliseconds(gaps[len(gaps)/undisturbedPart]))
 	pace := milliseconds(lo.Sum(gaps)) / float64(len(gaps))
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -98,10 +98,11 @@
 	return c.exchange(ctx, used, request)
 }
 
-// Connected tells whether a request may go to target on a connection that is open, as far
-// as is known.
-func (c *Client) Connected(target Target, repeatable bool) bool {
-	return c.pool.holds(target, c.pool.longestRest(repeatable))
+// Connected returns what tells of targets, as of now, whether a request may go there on a
+// connection that is open.
+func (c *Client) Connected(repeatable bool) func(Target) bool {
+	longest, now := c.pool.longestRest(repeatable), time.Now()
+	return func(target Target) bool { return c.pool.holds(target, longest, now) }
 }
 
 // foundDead tells whether a connection ended without an answer of its own.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -248,15 +248,15 @@
 		return true
 	})
 	target := Target{Instance: "i", Address: to.Address}
-	is.True(!client.Connected(target, true))
+	is.True(!client.Connected(true)(target))
 	_, _, err := send(t, client, to, ask("1"))
 	is.NoErr(err)
-	is.True(client.Connected(target, true) && client.Connected(target, false))
-	is.True(!client.Connected(Target{Instance: "j", Address: to.Address}, true))
+	is.True(client.Connected(true)(target) && client.Connected(false)(target))
+	is.True(!client.Connected(true)(Target{Instance: "j", Address: to.Address}))
 	client.pool.noteDead(0) // replicas forget resting connections
 	time.Sleep(2 * leastRest)
-	is.True(client.Connected(target, true))
-	is.True(!client.Connected(target, false))
+	is.True(client.Connected(true)(target))
+	is.True(!client.Connected(false)(target))
 }
 
 func TestConnectionIsNotUsedAfterTheReplicasOwnTime(t *testing.T) {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -112,18 +112,13 @@
 	}
 }
 
-// holds tells whether an idle connection to target is taken for sound that has rested for
-// at most longest.
-func (p *pool) holds(target Target, longest time.Duration) bool {
+// holds tells whether a connection to target is open that takeIdle would return and
+// that has not expired at now.
+func (p *pool) holds(target Target, longest time.Duration, now time.Time) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	kept := p.idle[target]
-	if len(kept) == 0 {
-		return false
-	}
-	last := kept[len(kept)-1]
-	rested, _ := last.rested()
-	return rested <= longest && time.Now().Before(last.expires)
+	last := p.freshest(target, longest)
+	return last != nil && now.Before(last.expires)
 }
 
 // takeIdle returns the connection that was used last, which is the freshest, if it
@@ -131,6 +126,16 @@
 func (p *pool) takeIdle(target Target, longest time.Duration) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	last := p.freshest(target, longest)
+	if last != nil {
+		p.idle[target] = p.idle[target][:len(p.idle[target])-1]
+	}
+	return last
+}
+
+// freshest returns the idle connection that was used last, if it has rested for at most
+// longest; else nil. It needs the mutex.
+func (p *pool) freshest(target Target, longest time.Duration) *connection {
 	kept := p.idle[target]
 	if len(kept) == 0 {
 		return nil
@@ -139,7 +144,6 @@
 	if rested, _ := last.rested(); rested > longest {
 		return nil
 	}
-	p.idle[target] = kept[:len(kept)-1]
 	return last
 }
 
--- a/internal/homes/begin.go
+++ b/internal/homes/begin.go
@@ -15,12 +15,11 @@
 // Begin begins a turn. Errors: a *ledgerlog.SpentError, or one that wraps
 // ledgerlog.ErrNoSuchTurn or ledgerlog.ErrUnavailable.
 func (s *Service) Begin(ctx context.Context, request Request) (*Turn, error) {
-	partition := s.config.Ledger.Partition(request.Program)
-	asked, here := s.askable(partition)
-	if here {
-		return s.beginHere(ctx, request, s.isHome(partition))
+	home, self := s.home(s.config.Ledger.Partition(request.Program))
+	if self || !s.mayAsk(home) {
+		return s.beginHere(ctx, request, self)
 	}
-	return s.hedge(ctx, request, asked)
+	return s.hedge(ctx, request, home)
 }
 
 // result is the outcome of one of two ways to begin a turn.
@@ -119,9 +118,6 @@
 
 // beginThere asks the home. lives has room for its word that it lives.
 func (s *Service) beginThere(ctx context.Context, request Request, home identity.Node, lives chan<- struct{}) (*Turn, error) {
-	if s.avoided(home.Name) {
-		return nil, fmt.Errorf("%w: %w", ledgerlog.ErrUnavailable, errNotAsked)
-	}
 	asked := &begin{Request: request, Grant: ledgerlog.NewGrantID()}
 	answer, err := s.call(ctx, home, asked, func(peer.Message) error {
 		select {
@@ -155,17 +151,10 @@
 }
 
 func (m *begun) err(home identity.NodeName) error {
-	switch m.Status {
-	case statusDone:
-		return nil
-	case statusSpent:
+	if m.Status == statusSpent {
 		return &ledgerlog.SpentError{Charged: m.Charged}
-	case statusNoSuchTurn:
-		return fmt.Errorf("%w: home %s: %s", ledgerlog.ErrNoSuchTurn, home, m.Reason)
-	case statusReserved:
-		return fmt.Errorf("%w: home %s: %s", ledgerlog.ErrReserved, home, m.Reason)
 	}
-	return fmt.Errorf("%w: home %s: %s", ledgerlog.ErrUnavailable, home, m.Reason)
+	return m.Status.err(home, m.Reason)
 }
 
 // finishThere tells a turn's end, which may be told twice. Where that fails, the
--- a/internal/homes/find.go
+++ b/internal/homes/find.go
@@ -21,7 +21,7 @@
 		return kept, nil
 	}
 	own := s.config.Ledger.Partition(program)
-	kept, unread := s.config.Ledger.TurnIn(ctx, own, turn)
+	kept, unread := s.config.Ledger.Find(ctx, turn, own)
 	if unread == nil {
 		return kept, nil
 	}
@@ -58,11 +58,11 @@
 		if partition == except {
 			continue
 		}
-		asked, here := s.askable(partition)
-		if here {
-			asked = identity.Node{}
+		home, self := s.home(partition)
+		if self || !s.mayAsk(home) {
+			home = identity.Node{}
 		}
-		grouped[asked] = append(grouped[asked], partition)
+		grouped[home] = append(grouped[home], partition)
 	}
 	return grouped
 }
@@ -70,42 +70,22 @@
 // findAt looks for a turn in partitions of one home, or here where that is empty or
 // does not answer.
 func (s *Service) findAt(ctx context.Context, home identity.Node, partitions []int, turn ledger.TurnID) found {
-	if home.Name == "" {
-		return s.findHere(ctx, partitions, turn)
-	}
-	answer, err := s.call(ctx, home, &find{Turn: turn, Partitions: partitions}, nil)
-	if err != nil {
-		return s.findHere(ctx, partitions, turn)
-	}
-	got, ok := answer.(*foundTurn)
-	if !ok {
-		return found{err: fmt.Errorf("%w: home %s answered %T", ledgerlog.ErrUnavailable, home.Name, answer)}
-	}
-	switch got.Status {
-	case statusDone:
-		return found{kept: ledger.KeptTurn{Chain: got.Chain, Resident: got.Resident}}
-	case statusNoSuchTurn:
-		return found{err: fmt.Errorf("%w: home %s: %s", ledgerlog.ErrNoSuchTurn, home.Name, turn)}
+	if home.Name != "" {
+		if answer, err := s.call(ctx, home, &find{Turn: turn, Partitions: partitions}, nil); err == nil {
+			return foundBy(home.Name, answer)
+		}
 	}
-	return found{err: fmt.Errorf("%w: home %s has not read its partitions", ledgerlog.ErrUnavailable, home.Name)}
+	kept, err := s.config.Ledger.Find(ctx, turn, partitions...)
+	return found{kept, err}
 }
 
-// findHere looks for a turn in partitions through this node's own ledger.
-func (s *Service) findHere(ctx context.Context, partitions []int, turn ledger.TurnID) found {
-	result := found{err: fmt.Errorf("%w: %s", ledgerlog.ErrNoSuchTurn, turn)}
-	for _, partition := range partitions {
-		if partition < 0 || partition >= s.config.Ledger.Partitions() {
-			continue
-		}
-		kept, err := s.config.Ledger.TurnIn(ctx, partition, turn)
-		if err == nil {
-			return found{kept: kept}
-		}
-		if !errors.Is(err, ledgerlog.ErrNoSuchTurn) {
-			result.err = err
-		}
+// foundBy reads a home's answer.
+func foundBy(home identity.NodeName, answer peer.Message) found {
+	got, ok := answer.(*foundTurn)
+	if !ok {
+		return found{err: fmt.Errorf("%w: home %s answered %T", ledgerlog.ErrUnavailable, home, answer)}
 	}
-	return result
+	return found{ledger.KeptTurn{Chain: got.Chain, Resident: got.Resident}, got.Status.err(home, got.Reason)}
 }
 
 func (s *Service) handleFind(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
@@ -113,12 +93,9 @@
 	if !ok {
 		return nil, fmt.Errorf("homes: unexpected %T", request)
 	}
-	result := s.findHere(ctx, asked.Partitions, asked.Turn)
-	switch {
-	case result.err == nil:
-		return &foundTurn{Status: statusDone, Chain: result.kept.Chain, Resident: result.kept.Resident}, nil
-	case errors.Is(result.err, ledgerlog.ErrNoSuchTurn):
-		return &foundTurn{Status: statusNoSuchTurn}, nil
+	kept, err := s.config.Ledger.Find(ctx, asked.Turn, asked.Partitions...)
+	if err != nil {
+		return &foundTurn{Status: statusOf(err), Reason: err.Error()}, nil
 	}
-	return &foundTurn{Status: statusUnavailable}, nil
+	return &foundTurn{Status: statusDone, Chain: kept.Chain, Resident: kept.Resident}, nil
 }
--- a/internal/homes/handlers.go
+++ b/internal/homes/handlers.go
@@ -54,16 +54,12 @@
 
 // refusal tells an error of the ledger to the asking node.
 func refusal(err error) *begun {
+	answer := &begun{Status: statusOf(err), Reason: err.Error()}
 	var spent *ledgerlog.SpentError
-	switch {
-	case errors.As(err, &spent):
-		return &begun{Status: statusSpent, Charged: spent.Charged}
-	case errors.Is(err, ledgerlog.ErrNoSuchTurn):
-		return &begun{Status: statusNoSuchTurn, Reason: err.Error()}
-	case errors.Is(err, ledgerlog.ErrReserved):
-		return &begun{Status: statusReserved, Reason: err.Error()}
+	if errors.As(err, &spent) {
+		answer.Charged = spent.Charged
 	}
-	return &begun{Status: statusUnavailable, Reason: err.Error()}
+	return answer
 }
 
 func (s *Service) handleFinish(_ context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -51,9 +50,6 @@
 	learnMembers = 2500 * time.Millisecond
 )
 
-// errNotAsked tells that the home was passed over.
-var errNotAsked = errors.New("homes: the home did not answer lately")
-
 // Request is what a turn needs of the ledger.
 type Request struct {
 	Program ledger.ProgramID
@@ -157,16 +153,8 @@
 
 func (s *Service) count(where string, err error) {
 	outcome := "begun"
-	var spent *ledgerlog.SpentError
-	switch {
-	case errors.As(err, &spent):
-		outcome = "spent"
-	case errors.Is(err, ledgerlog.ErrNoSuchTurn):
-		outcome = "no_such_turn"
-	case errors.Is(err, ledgerlog.ErrReserved):
-		outcome = "reserved"
-	case err != nil:
-		outcome = "unavailable"
+	if err != nil {
+		outcome = statusOf(err).String()
 	}
 	s.begun.WithLabelValues(where, outcome).Inc()
 }
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -370,7 +370,7 @@
 		&keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute, Resident: resident}, Text: []byte("x")},
 		&kept{Status: statusDone, Location: chain[0], Reason: "r"},
 		&done{Status: statusDone, Reason: "r"}, &working{}, &read{Chain: chain},
-		&find{Turn: "t", Partitions: []int{0, 300}}, &foundTurn{Status: statusDone, Chain: chain, Resident: resident}, &texts{Status: statusDone, Texts: [][]byte{[]byte("x")}},
+		&find{Turn: "t", Partitions: []int{0, 300}}, &foundTurn{Status: statusDone, Chain: chain, Resident: resident, Reason: "r"}, &texts{Status: statusDone, Texts: [][]byte{[]byte("x")}},
 	} {
 		encoder := wire.NewEncoder(nil)
 		message.Encode(encoder)
--- a/internal/homes/message.go
+++ b/internal/homes/message.go
@@ -1,9 +1,13 @@
 package homes
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
+	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/ledgerlog"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/wire"
 )
@@ -34,6 +38,52 @@
 	statusReserved
 )
 
+// statusOf tells an error of the ledger to other nodes and in metrics.
+func statusOf(err error) status {
+	var spent *ledgerlog.SpentError
+	switch {
+	case err == nil:
+		return statusDone
+	case errors.As(err, &spent):
+		return statusSpent
+	case errors.Is(err, ledgerlog.ErrNoSuchTurn):
+		return statusNoSuchTurn
+	case errors.Is(err, ledgerlog.ErrReserved):
+		return statusReserved
+	}
+	return statusUnavailable
+}
+
+// err is the error that a home has told with its reason; statusSpent is none without
+// the charge that goes with it, see begun.
+func (s status) err(home identity.NodeName, reason string) error {
+	kind := ledgerlog.ErrUnavailable
+	switch s {
+	case statusDone:
+		return nil
+	case statusNoSuchTurn:
+		kind = ledgerlog.ErrNoSuchTurn
+	case statusReserved:
+		kind = ledgerlog.ErrReserved
+	}
+	return fmt.Errorf("%w: home %s: %s", kind, home, reason)
+}
+
+// String returns the status's name in metrics and logs.
+func (s status) String() string {
+	switch s {
+	case statusDone:
+		return "done"
+	case statusSpent:
+		return "spent"
+	case statusNoSuchTurn:
+		return "no_such_turn"
+	case statusReserved:
+		return "reserved"
+	}
+	return "unavailable"
+}
+
 // begin asks a home to begin a turn, under a Grant that the asking node chose.
 type begin struct {
 	Request Request
@@ -276,6 +326,8 @@
 	Status   status
 	Chain    []ledger.Location
 	Resident ledger.Resident
+	// Reason is an error's text.
+	Reason string
 }
 
 // Kind implements peer.Message.
@@ -286,11 +338,13 @@
 	e.Uint8(uint8(m.Status))
 	encodeChain(e, m.Chain)
 	encodeResident(e, m.Resident)
+	e.String(m.Reason)
 }
 
 // Decode implements peer.Message.
 func (m *foundTurn) Decode(d *wire.Decoder) {
-	m.Status, m.Chain, m.Resident = status(d.Uint8()), decodeChain(d), decodeResident(d)
+	m.Status, m.Chain = status(d.Uint8()), decodeChain(d)
+	m.Resident, m.Reason = decodeResident(d), d.String()
 }
 
 func encodeChain(e *wire.Encoder, chain []ledger.Location) {
--- a/internal/homes/texts.go
+++ b/internal/homes/texts.go
@@ -58,10 +58,10 @@
 	return append(append(longer, chain...), location)
 }
 
-// remote returns the node to ask for a program's turns if that is another one.
+// remote returns the home of a program if that is another node that may be asked.
 func (s *Service) remote(program ledger.ProgramID) (identity.Node, bool) {
-	asked, here := s.askable(s.config.Ledger.Partition(program))
-	return asked, !here
+	home, self := s.home(s.config.Ledger.Partition(program))
+	return home, !self && s.mayAsk(home)
 }
 
 func (s *Service) keepThere(ctx context.Context, home identity.Node, request *keep) (ledger.Location, error) {
--- a/internal/homes/view.go
+++ b/internal/homes/view.go
@@ -80,14 +80,9 @@
 	return best, best.Name == s.config.Self
 }
 
-// askable returns the node to ask for a partition's work: its home, unless that is this
-// one or has not answered lately. The work is done here where here is set.
-func (s *Service) askable(partition int) (node identity.Node, here bool) {
-	home, self := s.home(partition)
-	if self || home.Name == "" || s.config.Peers == nil || s.avoided(home.Name) {
-		return home, true
-	}
-	return home, false
+// mayAsk tells whether a home may be asked: there is one, and it has answered lately.
+func (s *Service) mayAsk(home identity.Node) bool {
+	return home.Name != "" && s.config.Peers != nil && !s.avoided(home.Name)
 }
 
 // score ranks nodes for a partition (rendezvous hashing).
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -32,6 +32,15 @@
 	return ctx
 }
 
+// findTurn looks for a turn in its program's partition first, then in all.
+func findTurn(ctx context.Context, l *Ledger, program ledger.ProgramID, turn ledger.TurnID) (ledger.KeptTurn, error) {
+	var partitions []int
+	for i := range l.Partitions() {
+		partitions = append(partitions, (l.Partition(program)+i)%l.Partitions())
+	}
+	return l.Find(ctx, turn, partitions...)
+}
+
 // take begins a turn under an id of its own.
 func take(ctx context.Context, l *Ledger, program ledger.ProgramID, budget, most uint32, home bool) (Grant, error) {
 	return l.Take(ctx, TurnRequest{Program: program, ID: NewGrantID(), Budget: budget, Most: most, Home: home})
@@ -274,20 +283,20 @@
 			}))
 		}
 		keep("t1", nil, text)
-		kept, err := first.Turn(within(t, time.Second), "p", "t1")
+		kept, err := findTurn(within(t, time.Second), first, "p", "t1")
 		is.NoErr(err)
 		keep("t2", kept.Chain, "y")
 
 		restarted := newLedger(log, "b")
 		for _, program := range []ledger.ProgramID{"p", "other", "third"} {
-			kept, err = restarted.Turn(within(t, time.Second), program, "t2")
+			kept, err = findTurn(within(t, time.Second), restarted, program, "t2")
 			is.NoErr(err)
 			is.Equal(kept.Resident, ledger.Resident{Instance: "replica", Tokens: 150})
 			texts, err := restarted.Texts(within(t, time.Second), kept.Chain)
 			is.NoErr(err)
 			is.Equal(string(texts[0])+string(texts[1]), text+"y")
 		}
-		_, err = restarted.Turn(within(t, time.Second), "p", "t3")
+		_, err = findTurn(within(t, time.Second), restarted, "p", "t3")
 		is.True(errors.Is(err, ErrNoSuchTurn))
 	})
 }
@@ -304,12 +313,12 @@
 			is.NoErr(l.Keep(within(t, 2*time.Second), ledger.Keep{Program: "p", Turn: "t", Chain: []ledger.Location{location}, For: time.Minute}))
 			// A node without any memory finds it as well, but proves no absence.
 			other := newLedger(log, "b")
-			kept, err := other.Turn(within(t, 30*time.Second), "p", "t")
+			kept, err := findTurn(within(t, 30*time.Second), other, "p", "t")
 			is.NoErr(err)
 			texts, err := other.Texts(within(t, 2*time.Second), kept.Chain)
 			is.NoErr(err)
 			is.Equal(string(texts[0]), "text")
-			_, err = other.Turn(within(t, 30*time.Second), "p", "never")
+			_, err = findTurn(within(t, 30*time.Second), other, "p", "never")
 			is.True(errors.Is(err, ErrUnavailable))
 			log.Fail(store.Fault{})
 			time.Sleep(10 * time.Second)
@@ -324,7 +333,7 @@
 		l := newLedger(log, "a")
 		for _, fault := range []store.Fault{{Busy: true}, {Silent: true}} {
 			log.Fail(fault)
-			_, err := l.Turn(within(t, 4*time.Second), "p", "t")
+			_, err := findTurn(within(t, 4*time.Second), l, "p", "t")
 			is.True(errors.Is(err, ErrUnavailable))
 			is.True(!errors.Is(err, ErrNoSuchTurn))
 			time.Sleep(time.Second) // reads under way end
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -215,3 +215,16 @@
 	defer f.mutex.Unlock()
 	return f.state.Turn(turn)
 }
+
+// find returns a kept turn, for which it reads the partition to its end unless the turn
+// is known.
+func (f *follower) find(ctx context.Context, turn ledger.TurnID) (kept ledger.KeptTurn, found bool, err error) {
+	if kept, found = f.turn(turn); found {
+		return kept, true, nil
+	}
+	if err = f.readToEnd(ctx); err != nil {
+		return ledger.KeptTurn{}, false, err
+	}
+	kept, found = f.turn(turn)
+	return kept, found, nil
+}
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -65,39 +64,22 @@
 	return ledger.KeptTurn{}, false
 }
 
-// TurnIn returns a kept turn of one partition, which it reads to its end first unless
-// the turn is known. Errors wrap ErrNoSuchTurn or ErrUnavailable.
-func (l *Ledger) TurnIn(ctx context.Context, partition int, turn ledger.TurnID) (ledger.KeptTurn, error) {
-	reads := l.partitions[partition].follower
-	if kept, found := reads.turn(turn); found {
-		return kept, nil
-	}
-	if err := reads.readToEnd(ctx); err != nil {
-		return ledger.KeptTurn{}, fmt.Errorf("%w: look for turn %s: %w", ErrUnavailable, turn, err)
-	}
-	if kept, found := reads.turn(turn); found {
-		return kept, nil
-	}
-	return ledger.KeptTurn{}, fmt.Errorf("%w: %s", ErrNoSuchTurn, turn)
-}
-
-// Turn returns a kept turn through this node's own reads of the log: of its program's
-// partition first, then of all, since a turn may be gone on from under another program.
-// Errors wrap ErrNoSuchTurn or ErrUnavailable.
-func (l *Ledger) Turn(ctx context.Context, program ledger.ProgramID, turn ledger.TurnID) (ledger.KeptTurn, error) {
-	if kept, found := l.Recall(turn); found {
-		return kept, nil
-	}
-	// A partition that can't be read only matters if the turn is found nowhere, since
-	// then it may stand there.
+// Find returns a kept turn, from the first of the given partitions that holds it; each
+// is read to its end first unless the turn is known. One that can't be read only matters
+// if the turn is found in no other, since then it may stand there; numbers of no
+// partition are passed over. Errors wrap ErrNoSuchTurn or ErrUnavailable.
+func (l *Ledger) Find(ctx context.Context, turn ledger.TurnID, partitions ...int) (ledger.KeptTurn, error) {
 	absent := fmt.Errorf("%w: %s", ErrNoSuchTurn, turn)
-	for i := range l.partitions {
-		kept, err := l.TurnIn(ctx, (l.Partition(program)+i)%len(l.partitions), turn)
-		if err == nil {
+	for _, number := range partitions {
+		if number < 0 || number >= len(l.partitions) {
+			continue
+		}
+		kept, found, err := l.partitions[number].follower.find(ctx, turn)
+		if found {
 			return kept, nil
 		}
-		if !errors.Is(err, ErrNoSuchTurn) {
-			absent = err
+		if err != nil {
+			absent = fmt.Errorf("%w: look for turn %s: %w", ErrUnavailable, turn, err)
 		}
 	}
 	return ledger.KeptTurn{}, absent
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -1,6 +1,6 @@
 // Package loads lets nodes tell each other how many requests each has under way at
-// each replica, and which replicas fail, by datagrams that may be lost. What is
-// heard only helps to choose.
+// each replica, how much of their prompts is yet to be read there, and which replicas
+// fail, by datagrams that may be lost. What is heard only helps to choose.
 package loads
 
 import (
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -127,12 +127,11 @@
 
 func (r *Router) choose(call *call, course *attempts) (fleet.Replica, bool) {
 	usable := r.config.Fleet.Usable(call.service.Name, r.Now())
+	connected := r.config.Replicas.Connected(call.route.Repeatable())
 	candidates := r.config.Tracker.Candidates(usable, balance.Need{
 		Engine: call.service.Slots > 0, Prompt: call.prompt, Except: course.except,
-		Exposed: !call.route.Repeatable() || call.route.MaxAttempts <= 1,
-		Connected: func(replica fleet.Replica) bool {
-			return r.config.Replicas.Connected(targetOf(replica), call.route.Repeatable())
-		},
+		Exposed:   !call.route.Repeatable() || call.route.MaxAttempts <= 1,
+		Connected: func(replica fleet.Replica) bool { return connected(targetOf(replica)) },
 	}, r.Now())
 	work := balance.Work{PromptTokens: call.prompt.Tokens, Rates: r.config.Tracker.Rates(call.service.Name)}
 	choice, found := balance.Choose(candidates, work, r.config.Random())
