Let one node a replica count what all nodes have there, and ask it before a choice

Nodes that believe the same old picture crowd the same engines; the prompt memories overflow and each turn is read anew.

Change: package keeper. By rendezvous hashing among the members of a replica's zone one node keeps it: nodes report their totals there at every begin, first event and end (and every 300 ms), and before a choice ask the keepers of the three cheapest candidates and two random ones, for 8 ms at most. Reports hold totals with a life of a second, so counts heal by themselves. A keeper that is silent is not waited for; without any answer a node chooses as before. Without addresses.keepers nothing is asked.

Tests that fail without it: a node avoids a replica that reads another node's prompt; in package keeper sums that heal, a keeper that is gone, silent or new, herds in virtual time.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -290,7 +290,7 @@
 			for _, name := range []string{"a", "b", "c"} {
 				candidates = append(candidates, Candidate{
 					Instance: name, Engine: true, SameZone: name == "a", Slots: 16, UnderWay: random.IntN(10),
-					CachedTokens: random.IntN(5000), UnreadTokens: random.IntN(3000),
+					CachedTokens: random.IntN(5000), UnreadElsewhere: random.IntN(3000),
 				})
 			}
 			work := Work{PromptTokens: 5000, Rates: tracker.Rates(service)}
@@ -337,3 +337,53 @@
 	is.True(Priority(1000) <= 9)
 	is.True(Priority(-1) >= 0)
 }
+
+func TestKeepersWordReplacesWhatWasHeardLongAgo(t *testing.T) {
+	is := is.New(t)
+	believed := Candidate{Engine: true, UnderWay: 1, Elsewhere: 9, UnreadHere: 100, UnreadElsewhere: 9000, CachedTokens: 4000}
+	told := Known{Load: loads.Load{UnderWay: 2, UnreadTokens: 64, Failing: true}, CachedTokens: 500, Settled: true}
+	learned := believed.Learn(told, true)
+	is.Equal(learned, Candidate{
+		Engine: true, UnderWay: 1, Elsewhere: 2, UnreadHere: 100, UnreadElsewhere: 64, CachedTokens: 500, Unproven: true,
+	})
+	// A keeper that may not have heard all nodes yet can only add to the load.
+	told.Settled = false
+	learned = believed.Learn(told, false)
+	is.Equal(learned, believed)
+	told.Load = loads.Load{UnderWay: 20}
+	is.Equal(believed.Learn(told, false).Elsewhere, 20)
+}
+
+func TestShortlistHoldsTheBestAndSomeOthers(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	candidates := make([]Candidate, 0, 60)
+	for i := range 60 {
+		candidates = append(candidates, Candidate{Instance: string(rune('A' + i)), Engine: true, SameZone: true, UnderWay: i})
+	}
+	drawn := map[string]bool{}
+	for range 500 {
+		shortlist := Shortlist(candidates, Work{Rates: NewTracker("z").Rates(service)}, random.Float64)
+		is.Equal(len(shortlist), shortlistBest+shortlistRandom)
+		is.Equal(shortlist[0].Instance, "A")
+		is.Equal(shortlist[1].Instance, "B")
+		is.Equal(shortlist[2].Instance, "C")
+		is.True(shortlist[3].Instance != shortlist[4].Instance)
+		drawn[shortlist[3].Instance], drawn[shortlist[4].Instance] = true, true
+	}
+	is.Equal(len(drawn), 60-shortlistBest)
+	is.Equal(len(Shortlist(candidates[:4], Work{}, random.Float64)), 4)
+}
+
+func TestWhatAKeeperToldIsBelievedOfTheRequestSent(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("z")
+	known := &Known{Load: loads.Load{UnderWay: 4, UnreadTokens: 640}, CachedTokens: 12000, Settled: true}
+	sending := tracker.Begin(Target{Instance: "near", Service: service, Known: known}, prompt, 0)
+	is.Equal(sending.Expected().UncachedTokens, 1000)
+	is.Equal(sending.Expected().TokensAhead, 640)
+	is.Equal(sending.Expected().Others, 4)
+	is.Equal(tracker.Load("near", 0), loads.Load{UnderWay: 1, UnreadTokens: 1000})
+	tracker.End(sending, false, 0)
+	is.Equal(tracker.Load("near", 0), loads.Load{})
+}
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -45,14 +45,14 @@
 	described := Candidate{
 		Instance: replica.Instance, SameZone: replica.Zone == t.zone, Engine: need.Engine, Slots: replica.Slots,
 		Doubtful:  replica.State == fleet.StateLapsed,
-		Elsewhere: elsewhere.UnderWay, UnreadTokens: elsewhere.UnreadTokens,
+		Elsewhere: elsewhere.UnderWay, UnreadElsewhere: elsewhere.UnreadTokens,
 		CachedTokens: t.cached(replica.Instance, need.Prompt),
 		Unproven:     need.Exposed && elsewhere.Failing,
 		Unconnected:  need.Connected != nil && !need.Connected(replica),
 	}
 	if known, found := t.replicas[replica.Instance]; found {
 		described.UnderWay = known.underWay
-		described.UnreadTokens += known.unread
+		described.UnreadHere = known.unread
 		described.Suspect = now < known.suspectUntil || known.waiting > 0 && now-known.waitingSince > patience
 		described.LagMilliseconds = known.pace
 		described.Unproven = described.Unproven || need.Exposed && known.unproven(now)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -47,9 +47,11 @@
 	UnderWay, Elsewhere int
 	// Slots is how many it runs at once; 0 if not known.
 	Slots int
-	// CachedTokens is how much of the prompt it has seen, UnreadTokens how much of the
-	// prompts of other requests it has yet to read.
-	CachedTokens, UnreadTokens int
+	// CachedTokens is how much of the prompt it has seen.
+	CachedTokens int
+	// UnreadHere and UnreadElsewhere are how many tokens it has yet to read of the
+	// prompts of this node's other requests and of other nodes' requests.
+	UnreadHere, UnreadElsewhere int
 	// Suspect tells that it failed lately, or leaves requests without an answer.
 	Suspect bool
 	// Unproven tells that a request that a failure would fail had better go elsewhere:
@@ -135,7 +137,7 @@
 		slowness += candidate.LagMilliseconds / rates.EventMilliseconds
 	}
 	uncached := float64(max(work.PromptTokens-candidate.CachedTokens, 0)) * rates.MillisecondsPerToken
-	unread := float64(candidate.UnreadTokens) * rates.MillisecondsPerToken
+	unread := float64(candidate.UnreadHere+candidate.UnreadElsewhere) * rates.MillisecondsPerToken
 	sharing := rates.Events * rates.EventMillisecondsPerRequest
 	own := slowness*(uncached+unread+sharing*others) + candidate.LagMilliseconds*rates.Events
 	neighbours := neighbourShare * others * (uncached + sharing)
--- a/internal/balance/heard.go
+++ b/internal/balance/heard.go
@@ -38,11 +38,7 @@
 			continue
 		}
 		for key, load := range told.counts {
-			sum := h.sums[key]
-			sum.UnderWay += load.UnderWay
-			sum.UnreadTokens += load.UnreadTokens
-			sum.Failing = sum.Failing || load.Failing
-			h.sums[key] = sum
+			h.sums[key] = h.sums[key].Plus(load)
 		}
 	}
 }
@@ -65,9 +61,8 @@
 	defer t.mutex.Unlock()
 	own := map[loads.Key]loads.Load{}
 	for instance, known := range t.replicas {
-		failing := now < known.suspectUntil
-		if known.underWay > 0 || failing {
-			own[loads.KeyOf(instance)] = loads.Load{UnderWay: known.underWay, UnreadTokens: known.unread, Failing: failing}
+		if load := known.load(now); load.UnderWay > 0 || load.Failing {
+			own[loads.KeyOf(instance)] = load
 		}
 	}
 	return own
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -63,6 +63,8 @@
 	Instance, Service string
 	// Slots is how many requests it runs at once; 0 if not known.
 	Slots int
+	// Known is what its keeper has told for the choice, or nil.
+	Known *Known
 }
 
 // Sending is a request at a replica. Its fields but unread are set by Begin; the
@@ -102,9 +104,12 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.record(target.Instance)
-	elsewhere := t.heard.load(target.Instance, now)
+	elsewhere, cached := t.heard.load(target.Instance, now), t.cached(target.Instance, prompt)
+	if told := target.Known; told != nil && told.Settled {
+		elsewhere, cached = told.Load, told.CachedTokens
+	}
 	expected := Expected{
-		UncachedTokens: max(prompt.Tokens-t.cached(target.Instance, prompt), 0),
+		UncachedTokens: max(prompt.Tokens-cached, 0),
 		TokensAhead:    known.unread + elsewhere.UnreadTokens, Others: known.underWay + elsewhere.UnderWay,
 	}
 	rates := t.service(target.Service).Rates()
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -21,7 +21,7 @@
 	form = 0x4c02
 	// headBytes and entryBytes are the sizes of a datagram's parts.
 	headBytes  = 2 + 2
-	entryBytes = 4 + 2 + 2
+	entryBytes = 4 + Bytes
 	// maxEntries keeps a datagram within the usual path MTU.
 	maxEntries = 170
 	// Pause is the time between two datagrams to one node.
@@ -72,7 +72,19 @@
 	maxUnread   = 1<<16 - 1
 )
 
-func (l Load) append(encoded []byte) []byte {
+// Bytes is the size of an encoded load.
+const Bytes = 2 + 2
+
+// Plus adds up two loads of one replica.
+func (l Load) Plus(other Load) Load {
+	return Load{
+		UnderWay: l.UnderWay + other.UnderWay, UnreadTokens: l.UnreadTokens + other.UnreadTokens,
+		Failing: l.Failing || other.Failing,
+	}
+}
+
+// Append encodes the load behind what is encoded already.
+func (l Load) Append(encoded []byte) []byte {
 	underWay := uint16(min(l.UnderWay, maxUnderWay))
 	if l.Failing {
 		underWay |= failingBit
@@ -81,7 +93,8 @@
 	return binary.BigEndian.AppendUint16(binary.BigEndian.AppendUint16(encoded, underWay), uint16(unread))
 }
 
-func decodeLoad(encoded []byte) Load {
+// DecodeLoad reads a load from Bytes bytes.
+func DecodeLoad(encoded []byte) Load {
 	underWay := binary.BigEndian.Uint16(encoded)
 	return Load{
 		UnderWay: int(underWay & maxUnderWay), Failing: underWay&failingBit != 0,
@@ -103,7 +116,7 @@
 		}
 		left--
 		encoded = binary.BigEndian.AppendUint32(encoded, uint32(key))
-		encoded = load.append(encoded)
+		encoded = load.Append(encoded)
 	}
 	return encoded
 }
@@ -119,7 +132,7 @@
 	}
 	told := make(map[Key]Load, count)
 	for rest := encoded[headBytes:]; len(rest) > 0; rest = rest[entryBytes:] {
-		told[Key(binary.BigEndian.Uint32(rest))] = decodeLoad(rest[4:])
+		told[Key(binary.BigEndian.Uint32(rest))] = DecodeLoad(rest[4:])
 	}
 	return told, nil
 }
--- /dev/null
+++ b/internal/routednode/keepers.go
@@ -0,0 +1,88 @@
+package routednode
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+
+	"stepseam.example/stepseam/internal/keeper"
+	"stepseam.example/stepseam/internal/settings"
+)
+
+// clock returns a monotonic reading, the same to all parts of the node.
+type clock func() time.Duration
+
+func newClock() clock {
+	began := time.Now()
+	return func() time.Duration { return time.Since(began) }
+}
+
+// provideKeepers binds the node's address for keepers; it returns nil where there is
+// none, or no other nodes.
+func provideKeepers(injector do.Injector) (*keeper.Exchange, error) {
+	chosen := do.MustInvoke[settings.Routed](injector)
+	others, err := do.Invoke[*peers](injector)
+	if err != nil || others == nil || !chosen.Addresses.Keepers.IsValid() {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(chosen.Addresses.Keepers))
+	if err != nil {
+		return nil, fmt.Errorf("routednode: addresses.keepers: %w", err)
+	}
+	placement := keeper.NewPlacement(chosen.Node.Name)
+	others.onView = append(others.onView, placement.SetView)
+	measured := newKeeperMetrics(do.MustInvoke[*prometheus.Registry](injector))
+	made := keeper.NewExchange(keeper.Config{
+		Conn: conn, Placement: placement, Now: do.MustInvoke[clock](injector), Observer: measured,
+	})
+	measured.registerKept(do.MustInvoke[*prometheus.Registry](injector), made.Book())
+	return made, nil
+}
+
+// keeperMetrics count the questions to keepers.
+type keeperMetrics struct {
+	seconds prometheus.Histogram
+	asked   *prometheus.CounterVec
+	bytes   *prometheus.CounterVec
+}
+
+func newKeeperMetrics(registerer prometheus.Registerer) *keeperMetrics {
+	made := &keeperMetrics{
+		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "stepseam_keeper_question_seconds", Help: "Time until the keepers of replicas had answered, or were given up.",
+			Buckets: []float64{.0005, .001, .002, .004, .008, .016},
+		}),
+		asked: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_keepers_asked_total", Help: "Keepers asked, by whether they answered in time.",
+		}, []string{"outcome"}),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_keeper_bytes_total", Help: "Payload bytes of datagrams to and from keepers.",
+		}, []string{"direction"}),
+	}
+	registerer.MustRegister(made.seconds, made.asked, made.bytes)
+	return made
+}
+
+// Question implements keeper.Observer.
+func (m *keeperMetrics) Question(took time.Duration, asked, answered int) {
+	m.seconds.Observe(took.Seconds())
+	m.asked.WithLabelValues("answered").Add(float64(answered))
+	m.asked.WithLabelValues("silent").Add(float64(asked - answered))
+}
+
+// Sent implements keeper.Observer.
+func (m *keeperMetrics) Sent(bytes int) { m.bytes.WithLabelValues("sent").Add(float64(bytes)) }
+
+// Received implements keeper.Observer.
+func (m *keeperMetrics) Received(bytes int) {
+	m.bytes.WithLabelValues("received").Add(float64(bytes))
+}
+
+func (m *keeperMetrics) registerKept(registerer prometheus.Registerer, book *keeper.Book) {
+	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "stepseam_replicas_kept", Help: "Replicas on which other nodes report to this node.",
+	}, func() float64 { return float64(book.Kept()) }))
+}
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -19,6 +19,7 @@
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/follow"
 	"stepseam.example/stepseam/internal/homes"
+	"stepseam.example/stepseam/internal/keeper"
 	"stepseam.example/stepseam/internal/ledgerlog"
 	"stepseam.example/stepseam/internal/loads"
 	"stepseam.example/stepseam/internal/logstore"
@@ -55,6 +56,8 @@
 	relay *relay
 	// loads is nil where nodes don't tell each other what they have under way.
 	loads *loads.Exchange
+	// keepers is nil where nodes don't ask each other.
+	keepers *keeper.Exchange
 	// configurations and entries follow the operators' configuration and the
 	// replicas' entries.
 	configurations, entries *follow.Follower
@@ -85,6 +88,9 @@
 	if n.loads != nil {
 		n.run(ctx, n.loads.Run)
 	}
+	if n.keepers != nil {
+		n.run(ctx, n.keepers.Run)
+	}
 	err := errors.Join(
 		n.serve(chosen.Addresses.Readiness, http.HandlerFunc(n.answerReadiness)),
 		n.serve(chosen.Addresses.Clients, n.router),
--- a/internal/routednode/peers.go
+++ b/internal/routednode/peers.go
@@ -28,8 +28,8 @@
 	listener  net.Listener
 	runner    *membership.Runner
 	logger    *slog.Logger
-	// onView is told of each new view of the members; it is set while wiring.
-	onView func(membership.View)
+	// onView are told of each new view of the members; they are set while wiring.
+	onView []func(membership.View)
 	known  int
 }
 
@@ -57,7 +57,9 @@
 
 // take is called with one view at a time.
 func (p *peers) take(view membership.View) {
-	p.onView(view)
+	for _, tell := range p.onView {
+		tell(view)
+	}
 	if len(view.Members) == p.known {
 		return
 	}
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -13,6 +13,7 @@
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/keeper"
 	"stepseam.example/stepseam/internal/ledgerlog"
 	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/router"
@@ -26,6 +27,7 @@
 	do.ProvideValue(injector, logger)
 	registry := prometheus.NewRegistry()
 	do.ProvideValue(injector, registry)
+	do.ProvideValue(injector, newClock())
 	do.ProvideValue(injector, fleet.NewDirectory())
 	do.ProvideValue(injector, balance.NewTracker(string(chosen.Node.Zone)))
 	do.ProvideValue(injector, exchange.NewClient(adapter.Names.Replica))
@@ -35,6 +37,7 @@
 	do.Provide(injector, provideLedger)
 	do.Provide(injector, providePeers)
 	do.Provide(injector, provideHomes)
+	do.Provide(injector, provideKeepers)
 	do.Provide(injector, provideRouter)
 	do.Provide(injector, provideViews)
 	do.Provide(injector, provideNode)
@@ -88,12 +91,17 @@
 	config.Peers = others.transport
 	made := homes.New(config)
 	made.Register(others.registry)
-	others.onView = made.SetView
+	others.onView = append(others.onView, made.SetView)
 	return made, nil
 }
 
 func provideRouter(injector do.Injector) (*router.Router, error) {
+	keepers, err := do.Invoke[*keeper.Exchange](injector)
+	if err != nil {
+		return nil, err
+	}
 	return router.New(router.Config{
+		Keepers: keepers, Now: do.MustInvoke[clock](injector),
 		Names:    do.MustInvoke[Adapter](injector).Names,
 		Replicas: do.MustInvoke[*exchange.Client](injector), Fleet: do.MustInvoke[*fleet.Directory](injector),
 		Tracker: do.MustInvoke[*balance.Tracker](injector), Turns: do.MustInvoke[*homes.Service](injector),
@@ -117,6 +125,7 @@
 		router: do.MustInvoke[*router.Router](injector), replicas: do.MustInvoke[*exchange.Client](injector),
 		ledger: do.MustInvoke[*ledgerlog.Ledger](injector),
 		homes:  do.MustInvoke[*homes.Service](injector), peers: do.MustInvoke[*peers](injector), views: do.MustInvoke[*views](injector),
+		keepers:     do.MustInvoke[*keeper.Exchange](injector),
 		connections: do.MustInvoke[*router.Connections](injector), store: do.MustInvoke[logstore.Store](injector),
 		registry: do.MustInvoke[*prometheus.Registry](injector),
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -46,12 +46,14 @@
 	replica fleet.Replica
 	sending *balance.Sending
 	router  *Router
+	call    *call
 }
 
 // finish gives the connection back and notes whether the replica is at fault.
 func (a *attempt) finish(failed bool) {
 	a.answer.Close()
 	a.router.config.Tracker.End(a.sending, failed, a.router.Now())
+	a.router.report(a.call, a.replica, nil)
 }
 
 // errNoReplica tells that nothing is left to try.
@@ -61,18 +63,18 @@
 // *exchange.FailureError after which the call must not be tried again.
 func (r *Router) send(ctx context.Context, call *call, reply *reply, course *attempts) (*attempt, error) {
 	for {
-		replica, found := r.choose(call, course)
+		chosen, found := r.choose(ctx, call, course)
 		if !found {
 			if r.awaitRoom(ctx, call, course) {
 				continue
 			}
 			return nil, errNoReplica
 		}
-		tried, failure := r.sendTo(ctx, call, replica, reply)
+		tried, failure := r.sendTo(ctx, call, chosen, reply)
 		if failure == nil {
 			return tried, nil
 		}
-		r.noteFailure(ctx, call, replica, course, failure)
+		r.noteFailure(ctx, call, chosen.replica, course, failure)
 		if !mayTryAgain(ctx, call, course) && !r.awaitRoom(ctx, call, course) {
 			return nil, failure
 		}
@@ -125,34 +127,14 @@
 		errorAttr(failure.Cause), durationAttr("left", call.left()))
 }
 
-func (r *Router) choose(call *call, course *attempts) (fleet.Replica, bool) {
-	usable := r.config.Fleet.Usable(call.service.Name, r.Now())
-	connected := r.config.Replicas.Connected(call.route.Repeatable())
-	candidates := r.config.Tracker.Candidates(usable, balance.Need{
-		Engine: call.service.Slots > 0, Prompt: call.prompt, Except: course.except,
-		Exposed:   !call.route.Repeatable() || call.route.MaxAttempts <= 1,
-		Connected: func(replica fleet.Replica) bool { return connected(targetOf(replica)) },
-	}, r.Now())
-	work := balance.Work{PromptTokens: call.prompt.Tokens, Rates: r.config.Tracker.Rates(call.service.Name)}
-	choice, found := balance.Choose(candidates, work, r.config.Random())
-	if !found {
-		return fleet.Replica{}, false
-	}
-	for _, replica := range usable {
-		if replica.Instance == choice.Candidate.Instance {
-			return replica, true
-		}
-	}
-	return fleet.Replica{}, false
-}
-
 func targetOf(replica fleet.Replica) exchange.Target {
 	return exchange.Target{Instance: replica.Instance, Address: replica.Address}
 }
 
 // sendTo offers the call to one replica. Without a failure the answer is one of
 // the replica's own to this request, and finish must be called.
-func (r *Router) sendTo(ctx context.Context, call *call, replica fleet.Replica, reply *reply) (*attempt, *exchange.FailureError) {
+func (r *Router) sendTo(ctx context.Context, call *call, chosen chosenReplica, reply *reply) (*attempt, *exchange.FailureError) {
+	replica := chosen.replica
 	reply.attempts++
 	reply.replica = replica.Instance
 	left := call.left()
@@ -164,18 +146,20 @@
 		call.header.Set(r.config.Names.Priority, strconv.Itoa(balance.Priority(call.route.Priority)))
 	}
 	sending := r.config.Tracker.Begin(balance.Target{
-		Instance: replica.Instance, Service: call.service.Name, Slots: replica.Slots,
+		Instance: replica.Instance, Service: call.service.Name, Slots: replica.Slots, Known: chosen.known,
 	}, call.prompt, r.Now())
+	r.report(call, replica, call.prompt.Parts)
 	reply.expected = sending.Expected()
 	answer, err := r.config.Replicas.Send(ctx, targetOf(replica), exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
 		Repeatable: call.route.Repeatable(),
 	})
 	r.config.Tracker.Answered(sending, r.Now())
-	tried := &attempt{answer: answer, replica: replica, sending: sending, router: r}
+	tried := &attempt{answer: answer, replica: replica, sending: sending, router: r, call: call}
 	var failure *exchange.FailureError
 	if errors.As(err, &failure) {
 		r.config.Tracker.End(sending, ctx.Err() == nil, r.Now())
+		r.report(call, replica, nil)
 		return nil, failure
 	}
 	if failure = r.judge(answer); failure != nil {
--- /dev/null
+++ b/internal/router/choose.go
@@ -0,0 +1,98 @@
+package router
+
+import (
+	"context"
+
+	"github.com/samber/lo"
+
+	"stepseam.example/stepseam/internal/balance"
+	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/keeper"
+)
+
+// chosenReplica is where an attempt goes; known is what the replica's keeper has told
+// of it, or nil.
+type chosenReplica struct {
+	replica fleet.Replica
+	known   *balance.Known
+}
+
+// choose finds the replica for the next attempt; false if none is left.
+func (r *Router) choose(ctx context.Context, call *call, course *attempts) (chosenReplica, bool) {
+	usable := r.config.Fleet.Usable(call.service.Name, r.Now())
+	connected := r.config.Replicas.Connected(call.route.Repeatable())
+	need := balance.Need{
+		Engine: call.service.Slots > 0, Prompt: call.prompt, Except: course.except,
+		Exposed:   !call.route.Repeatable() || call.route.MaxAttempts <= 1,
+		Connected: func(replica fleet.Replica) bool { return connected(targetOf(replica)) },
+	}
+	candidates := r.config.Tracker.Candidates(usable, need, r.Now())
+	work := balance.Work{PromptTokens: call.prompt.Tokens, Rates: r.config.Tracker.Rates(call.service.Name)}
+	byInstance := lo.KeyBy(usable, func(replica fleet.Replica) string { return replica.Instance })
+	candidates, known := r.askKeepers(ctx, call, candidates, byInstance, work, need.Exposed)
+	choice, found := balance.Choose(candidates, work, r.config.Random())
+	if !found {
+		return chosenReplica{}, false
+	}
+	chosen := chosenReplica{replica: byInstance[choice.Candidate.Instance]}
+	if told, found := known[choice.Candidate.Instance]; found {
+		chosen.known = &told
+	}
+	return chosen, true
+}
+
+// askKeepers returns the candidates to choose from, with what the keepers of their
+// replicas know. Without any answer all candidates stay as they are.
+func (r *Router) askKeepers(ctx context.Context, call *call, candidates []balance.Candidate, replicas map[string]fleet.Replica, work balance.Work, exposed bool) ([]balance.Candidate, map[string]balance.Known) {
+	if r.config.Keepers == nil || len(candidates) < 2 {
+		return candidates, nil
+	}
+	shortlist := balance.Shortlist(candidates, work, r.config.Random)
+	asked := lo.Map(shortlist, func(candidate balance.Candidate, _ int) keeper.Replica {
+		return kept(replicas[candidate.Instance], call)
+	})
+	states := r.config.Keepers.Ask(ctx, asked, keptParts(call.prompt.Parts))
+	if len(states) == 0 {
+		return candidates, nil
+	}
+	known := lo.MapValues(states, func(state keeper.State, _ string) balance.Known {
+		return balance.Known{Load: state.Load, CachedTokens: state.CachedTokens, Settled: state.Settled}
+	})
+	learned := lo.Map(shortlist, func(candidate balance.Candidate, _ int) balance.Candidate {
+		if told, found := known[candidate.Instance]; found {
+			return candidate.Learn(told, exposed)
+		}
+		return candidate
+	})
+	return learned, known
+}
+
+// report tells a replica's keeper what this node has there now; parts is a prompt
+// that the replica holds from now on.
+func (r *Router) report(call *call, replica fleet.Replica, parts []balance.Part) {
+	if r.config.Keepers == nil {
+		return
+	}
+	load := r.config.Tracker.Load(replica.Instance, r.Now())
+	r.config.Keepers.Report(kept(replica, call), load, keptParts(parts))
+}
+
+func kept(replica fleet.Replica, call *call) keeper.Replica {
+	return keeper.Replica{Instance: replica.Instance, Zone: replica.Zone, CapacityTokens: call.service.MemoryTokens}
+}
+
+func keptParts(parts []balance.Part) []keeper.Part {
+	return lo.Map(parts, func(part balance.Part, _ int) keeper.Part {
+		return keeper.Part{ID: uint32(part.ID), Tokens: part.Tokens}
+	})
+}
+
+// held returns the parts of the prompt with what the stream has added to the last one,
+// which is the program's own.
+func (s *stream) held() []balance.Part {
+	parts := append([]balance.Part(nil), s.call.prompt.Parts...)
+	if len(parts) > 0 {
+		parts[len(parts)-1].Tokens += int(s.tokens)
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/router/choose_test.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/emulator/replica"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/keeper"
+	"stepseam.example/stepseam/internal/lab/loopback"
+	"stepseam.example/stepseam/internal/membership"
+)
+
+// unobserved counts nothing.
+type unobserved struct{}
+
+func (unobserved) Question(time.Duration, int, int) {}
+func (unobserved) Sent(int)                         {}
+func (unobserved) Received(int)                     {}
+
+// joinKeepers lets routers report to and ask each other's keepers.
+func joinKeepers(t *testing.T, routers ...*Router) {
+	free, err := loopback.Free(loopback.Own())
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := membership.View{}
+	placements := make([]*keeper.Placement, 0, len(routers))
+	for number, router := range routers {
+		bytes := free.Addr().As4()
+		bytes[1] = byte(140 + number) // loopback.Own gives out none of these
+		address := netip.AddrPortFrom(netip.AddrFrom4(bytes), free.Port())
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := identity.NodeName(address.String())
+		view.Members = append(view.Members, membership.Member{
+			Node: identity.Node{Name: name, Zone: "near", PeerAddress: address}, Status: membership.Alive,
+		})
+		placement := keeper.NewPlacement(name)
+		placements = append(placements, placement)
+		router.config.Keepers = keeper.NewExchange(keeper.Config{
+			Conn: conn, Placement: placement, Now: router.config.Now, Observer: unobserved{},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		go router.config.Keepers.Run(ctx)
+	}
+	for _, placement := range placements {
+		placement.SetView(view)
+	}
+}
+
+// TestNodeAvoidsAReplicaThatReadsAnotherNodesPrompt sends a long prompt through one
+// node; the next request, through another node, must not wait behind it.
+func TestNodeAvoidsAReplicaThatReadsAnotherNodesPrompt(t *testing.T) {
+	is := is.New(t)
+	reading, release := make(chan bool, 1), make(chan bool)
+	h := newHarness(t, func(exchange *replica.Exchange) bool {
+		if exchange.Request.Header.Get("Test-Id") != "long" {
+			return sound(exchange)
+		}
+		reading <- true
+		<-release
+		return sound(exchange)
+	}, sound)
+	other := h.newRouter("other")
+	other.Use(h.router.Configuration())
+	joinKeepers(t, h.router, other)
+	second := httptest.NewServer(other)
+	t.Cleanup(second.Close)
+
+	done := make(chan answer)
+	go func() { done <- h.ask("/unsafe/", "long", "Test-Tokens", "90000,1", "Test-Prompt", "a:90000") }()
+	<-reading
+	time.Sleep(20 * time.Millisecond) // a report's way
+	first := h.server
+	h.server = second
+	is.Equal(h.ask("/unsafe/", "short", "Test-Tokens", "100,1", "Test-Prompt", "b:100").StatusCode, http.StatusOK)
+	h.server = first
+	is.Equal(len(h.replicas[0].Received()), 1)
+	is.Equal(len(h.replicas[1].Received()), 1)
+	close(release)
+	is.Equal((<-done).StatusCode, http.StatusOK)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,16 +14,21 @@
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/homes"
+	"stepseam.example/stepseam/internal/keeper"
 	"stepseam.example/stepseam/internal/routing"
 )
 
-// Config is what a Router is made from; all fields but Registerer are required.
+// Config is what a Router is made from; all fields but Keepers and Registerer are required.
 type Config struct {
 	Names    HeaderNames
 	Replicas *exchange.Client
 	Fleet    *fleet.Directory
 	Tracker  *balance.Tracker
 	Turns    *homes.Service
+	// Keepers tell and ask what all nodes have at replicas; nil where nodes don't.
+	Keepers *keeper.Exchange
+	// Now is a monotonic reading.
+	Now func() time.Duration
 	// BufferBytes bounds the bodies that are held at once.
 	BufferBytes int64
 	// Random returns a number in [0,1).
@@ -37,7 +42,6 @@
 	config        Config
 	splitter      *routing.Splitter
 	metrics       *metrics
-	began         time.Time
 	configuration atomic.Pointer[routing.Configuration]
 	draining      atomic.Bool
 	// buffered counts the bytes of bodies that are held.
@@ -48,7 +52,7 @@
 func New(config Config) *Router {
 	return &Router{
 		config: config, splitter: routing.NewSplitter(),
-		metrics: newMetrics(config.Registerer), began: time.Now(),
+		metrics: newMetrics(config.Registerer),
 	}
 }
 
@@ -73,7 +77,7 @@
 func (r *Router) Drain() { r.draining.Store(true) }
 
 // Now is a monotonic reading, the one that the tracker is given.
-func (r *Router) Now() time.Duration { return time.Since(r.began) }
+func (r *Router) Now() time.Duration { return r.config.Now() }
 
 // ServeHTTP serves one request of a client.
 func (r *Router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -74,6 +74,7 @@
 	return New(Config{
 		Names: testNames, Replicas: exchange.NewClient(testNames.Replica), Fleet: h.fleet,
 		Tracker: balance.NewTracker("near"), Random: func() float64 { return 0 }, BufferBytes: 1 << 20, Logger: slog.New(slog.DiscardHandler),
+		Now: monotonic(),
 		Turns: homes.New(homes.Config{
 			Ledger: ledgerlog.New(ledgerlog.Config{
 				Store: h.log, Topic: "ledger", TextTopic: "texts", Partitions: 2, Producer: name,
@@ -394,3 +395,9 @@
 	h.router.Drain()
 	is.True(h.ask("/safe/x", "1").Close)
 }
+
+// monotonic returns a clock that starts at zero.
+func monotonic() func() time.Duration {
+	began := time.Now()
+	return func() time.Duration { return time.Since(began) }
+}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -114,6 +114,7 @@
 				passing.begin(tried.answer)
 			}
 			tried.finish(false)
+			r.report(passing.call, tried.replica, passing.held())
 			return nil
 		}
 		if err != nil {
@@ -123,6 +124,7 @@
 		now := time.Now()
 		if last.IsZero() {
 			r.config.Tracker.FirstEvent(tried.sending, r.Now())
+			r.report(passing.call, tried.replica, nil)
 		} else {
 			gaps = append(gaps, now.Sub(last))
 		}
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -66,6 +66,8 @@
 	Slots int
 	// TokensPerEvent is how many tokens each event of a stream counts.
 	TokensPerEvent int
+	// MemoryTokens is how many tokens of prompts a replica holds; 0 if unknown.
+	MemoryTokens int
 }
 
 // Limits bound what a client may send.
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -32,6 +32,10 @@
 	// Loads takes datagrams of other nodes on what they have under way. All nodes of
 	// a site use the same port. Unset, nodes don't tell each other.
 	Loads netip.AddrPort `yaml:"loads"`
+	// Keepers takes datagrams by which nodes tell and ask the keepers of replicas. All
+	// nodes of a site use the same port. Unset, a node chooses by its own knowledge and
+	// by what is told at Loads.
+	Keepers netip.AddrPort `yaml:"keepers"`
 	// Metrics serves counters and histograms; unset serves none.
 	Metrics netip.AddrPort `yaml:"metrics"`
 }
