Wait for a home that works instead of doing its work twice

A home that had to read its partition said once after 60 ms that it lives; 400 ms later each asking node began the work itself, which reads the same partition whole, also when nobody waits for it any more.

Change: a home says every 60 ms that it works, and says nothing while the store does not answer it, so that the asking node begins the work itself only where that can help.

Tests: TestWorkOfAHomeThatLivesIsNotDoneTwice fails with a single word (three appends of the asking node); the cluster of the tests tells homes whether their store answers.

--- a/internal/homes/handlers.go
+++ b/internal/homes/handlers.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"stepseam.example/stepseam/internal/ledgerlog"
@@ -31,7 +30,7 @@
 	if !ok {
 		return nil, fmt.Errorf("homes: unexpected %T", request)
 	}
-	defer tellWorking(sendPart)()
+	defer s.tellWorking(sendPart)()
 	home := s.isHome(s.config.Ledger.Partition(asked.Request.Program))
 	answer := &begun{Status: statusDone}
 	if asked.Request.Budgeted {
@@ -71,23 +70,31 @@
 	return &done{Status: statusDone}, nil
 }
 
-// tellWorking tells the asking node after a while that this one lives. The returned
-// function ends that; nothing is sent after it.
-func tellWorking(sendPart func(peer.Message) error) (stop func()) {
-	var mutex sync.Mutex
-	stopped := false
-	timer := time.AfterFunc(workingAfter, func() {
-		mutex.Lock()
-		defer mutex.Unlock()
-		if !stopped {
+// tellWorking tells the asking node again and again that this one lives and works,
+// unless the store does not answer it, so that the asking node may as well do the work
+// itself. The returned function ends that; nothing is sent after it.
+func (s *Service) tellWorking(sendPart func(peer.Message) error) (stop func()) {
+	ended := make(chan struct{})
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		ticker := time.NewTicker(workingAfter)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+			case <-ended:
+				return
+			}
+			if s.config.StoreAnswers != nil && !s.config.StoreAnswers() {
+				continue
+			}
 			// A node that is gone needs no word.
 			_ = sendPart(&working{})
 		}
-	})
+	}()
 	return func() {
-		timer.Stop()
-		mutex.Lock()
-		defer mutex.Unlock()
-		stopped = true
+		close(ended)
+		<-finished
 	}
 }
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -24,8 +24,10 @@
 
 const (
 	// hedgeAfter is how long a home may say nothing before the work is begun here
-	// too; workingAfter is when a home that waits for the log says that it lives, and
-	// patientAfter how long it may take then.
+	// too; workingAfter is the time between two words of a home that waits for the log,
+	// and patientAfter how long it may say nothing after one. Whoever begins the work
+	// here reads the partition, as the home does; after the loss of all nodes that is
+	// more than the store can tell.
 	hedgeAfter   = 150 * time.Millisecond
 	workingAfter = 60 * time.Millisecond
 	patientAfter = 400 * time.Millisecond
@@ -92,11 +94,13 @@
 
 // Config is what a Service is made from; Peers is nil where there are no other nodes.
 type Config struct {
-	Self       identity.NodeName
-	Ledger     *ledgerlog.Ledger
-	Peers      peer.Client
-	Logger     *slog.Logger
-	Registerer prometheus.Registerer
+	Self   identity.NodeName
+	Ledger *ledgerlog.Ledger
+	Peers  peer.Client
+	// StoreAnswers tells whether the store answers this node; nil counts as yes.
+	StoreAnswers func() bool
+	Logger       *slog.Logger
+	Registerer   prometheus.Registerer
 }
 
 // Service does the ledger's work at homes. It is safe for concurrent use.
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -40,14 +40,26 @@
 type gate struct {
 	*store.Store
 	closed atomic.Bool
+	// hang makes appends wait for the caller's end.
+	hang atomic.Bool
+	// appended counts the appends on it.
+	appended atomic.Int32
 	// read holds the partitions of the ledger that were read on it.
 	read sync.Map
 }
 
+// answers tells whether the store answers the node.
+func (g *gate) answers() bool { return !g.closed.Load() && !g.hang.Load() }
+
 func (g *gate) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
+	g.appended.Add(1)
 	if g.closed.Load() {
 		return logstore.AppendResult{}, logstore.ErrUnavailable
 	}
+	if g.hang.Load() {
+		<-ctx.Done()
+		return logstore.AppendResult{}, logstore.ErrAnswerLost
+	}
 	return g.Store.Append(ctx, request)
 }
 
@@ -78,7 +90,8 @@
 	made := &node{transport: peer.NewTransport(registry, peer.Options{Logger: slog.New(slog.DiscardHandler)}), store: &gate{Store: log}}
 	made.identity = identity.Node{Name: identity.NodeName(name), Incarnation: 1, PeerAddress: netip.MustParseAddrPort(listener.Addr().String())}
 	made.service = New(Config{
-		Self: made.identity.Name, Peers: made.transport, Logger: slog.New(slog.DiscardHandler),
+		StoreAnswers: made.store.answers,
+		Self:         made.identity.Name, Peers: made.transport, Logger: slog.New(slog.DiscardHandler),
 		Ledger: ledgerlog.New(ledgerlog.Config{
 			Store: made.store, Topic: "ledger", TextTopic: "texts", Partitions: partitions,
 			Producer: string(LifeOf(made.identity.Reference())), RecordBytes: 1 << 16, CallBytes: 1 << 20, CacheBytes: 1,
@@ -229,6 +242,30 @@
 	is.True(!other.service.avoided(home.identity.Name))
 }
 
+// TestWorkOfAHomeThatLivesIsNotDoneTwice lets the store take longer than a home may be
+// silent: the asking node, which would have to read the partition too, waits.
+func TestWorkOfAHomeThatLivesIsNotDoneTwice(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 3)
+	home, other := homeOf(nodes, "p")
+	home.store.Fail(store.Fault{Delay: patientAfter + 3*workingAfter})
+	turn := mustBegin(t, other, turnOf("p", 1000, 100))
+	is.Equal(turn.Home, home.identity.Name)
+	is.Equal(other.store.appended.Load(), int32(0))
+}
+
+func TestHomeThatTheStoreDoesNotAnswerSaysNothing(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 3)
+	home, other := homeOf(nodes, "p")
+	home.store.hang.Store(true)
+	began := time.Now()
+	turn := mustBegin(t, other, turnOf("p", 1000, 100))
+	is.Equal(turn.Home, other.identity.Name)
+	is.True(time.Since(began) < patientAfter)
+	is.True(other.service.avoided(home.identity.Name))
+}
+
 func TestTurnIsKeptAndFoundThroughTheHome(t *testing.T) {
 	for _, cut := range []bool{false, true} {
 		is := is.New(t)
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -32,7 +32,9 @@
 	do.ProvideValue(injector, balance.NewTracker(string(chosen.Node.Zone)))
 	do.ProvideValue(injector, exchange.NewClient(adapter.Names.Replica))
 	do.ProvideValue(injector, router.NewConnections())
-	do.ProvideValue[logstore.Store](injector, newCountedStore(adapter.NewStore(chosen.Store), registry))
+	store := newCountedStore(adapter.NewStore(chosen.Store), registry)
+	do.ProvideValue(injector, store)
+	do.ProvideValue[logstore.Store](injector, store)
 	do.Provide(injector, provideSelf)
 	do.Provide(injector, provideLedger)
 	do.Provide(injector, providePeers)
@@ -79,7 +81,8 @@
 	chosen := do.MustInvoke[settings.Routed](injector)
 	config := homes.Config{
 		Self: chosen.Node.Name, Ledger: do.MustInvoke[*ledgerlog.Ledger](injector),
-		Logger: do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
+		StoreAnswers: do.MustInvoke[*countedStore](injector).health.answers,
+		Logger:       do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
 	}
 	others, err := do.Invoke[*peers](injector)
 	if err != nil {
--- a/internal/routednode/storehealth.go
+++ b/internal/routednode/storehealth.go
@@ -56,6 +56,13 @@
 	return h.failures >= awayFailures && now.Sub(h.since) >= awayAfter
 }
 
+// answers tells whether the store answers this node, as far as is known.
+func (h *storeHealth) answers() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return !h.isAway(time.Now())
+}
+
 // mayRead tells whether a read may be made now.
 func (h *storeHealth) mayRead(now time.Time) bool {
 	h.mutex.Lock()
