Ask about the replicas that a prompt's first part prefers, and log what keepers told

Cause: a node knows which replicas hold a shared part only from what it has sent itself; with hundreds of nodes that is next to nothing, so first turns go to any replica, every replica reads every shared part, and the memory for programs' own parts shrinks. Change: the shortlist for the keepers holds the three cheapest, two that all nodes of a zone prefer for the prompt's first part (rendezvous hashing) and one random candidate, instead of three and two random ones. The line of a request tells whether the keeper answered.

Test: TestNodesAgreeOnTheReplicasOfASharedPart.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/fleet"
@@ -356,25 +357,65 @@
 
 func TestShortlistHoldsTheBestAndSomeOthers(t *testing.T) {
 	is := is.New(t)
+	const most = shortlistBest + shortlistAffine + shortlistRandom
 	random := rand.New(rand.NewPCG(3, 4))
 	candidates := make([]Candidate, 0, 60)
 	for i := range 60 {
 		candidates = append(candidates, Candidate{Instance: string(rune('A' + i)), Engine: true, SameZone: true, UnderWay: i})
 	}
+	work := Work{Rates: NewTracker("z").Rates(service)}
 	drawn := map[string]bool{}
 	for range 500 {
-		shortlist := Shortlist(candidates, Work{Rates: NewTracker("z").Rates(service)}, random.Float64)
-		is.Equal(len(shortlist), shortlistBest+shortlistRandom)
+		shortlist := Shortlist(candidates, work, random.Float64)
+		is.Equal(len(shortlist), most)
 		is.Equal(shortlist[0].Instance, "A")
 		is.Equal(shortlist[1].Instance, "B")
 		is.Equal(shortlist[2].Instance, "C")
-		is.True(shortlist[3].Instance != shortlist[4].Instance)
-		drawn[shortlist[3].Instance], drawn[shortlist[4].Instance] = true, true
+		different := map[string]bool{}
+		for _, candidate := range shortlist {
+			different[candidate.Instance] = true
+			drawn[candidate.Instance] = true
+		}
+		is.Equal(len(different), most)
 	}
-	is.Equal(len(drawn), 60-shortlistBest)
+	is.Equal(len(drawn), 60)
 	is.Equal(len(Shortlist(candidates[:4], Work{}, random.Float64)), 4)
 }
 
+// TestNodesAgreeOnTheReplicasOfASharedPart: whatever they believe of loads, nodes of a
+// zone ask about the same few replicas for one first part, and about others for another.
+func TestNodesAgreeOnTheReplicasOfASharedPart(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(5, 6))
+	asked := func(part uint64) map[string]int {
+		times := map[string]int{}
+		for range 200 {
+			candidates := make([]Candidate, 0, 60)
+			for i := range 60 {
+				candidates = append(candidates, Candidate{
+					Instance: string(rune('A' + i)), Engine: true, SameZone: i%3 == 0, UnderWay: random.IntN(50),
+				})
+			}
+			for _, candidate := range Shortlist(candidates, Work{FirstPart: part, Rates: NewTracker("z").Rates(service)}, random.Float64) {
+				times[candidate.Instance]++
+			}
+		}
+		return times
+	}
+	always := func(times map[string]int) []string {
+		instances := lo.Keys(lo.PickBy(times, func(_ string, count int) bool { return count == 200 }))
+		slices.Sort(instances)
+		return instances
+	}
+	first, second := always(asked(1)), always(asked(2))
+	is.Equal(len(first), shortlistAffine)
+	is.Equal(len(second), shortlistAffine)
+	is.True(!slices.Equal(first, second))
+	for _, instance := range append(first, second...) {
+		is.Equal((rune(instance[0])-'A')%3, rune(0)) // of the own zone
+	}
+}
+
 func TestWhatAKeeperToldIsBelievedOfTheRequestSent(t *testing.T) {
 	is := is.New(t)
 	tracker := NewTracker("z")
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -70,6 +70,9 @@
 type Work struct {
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
+	// FirstPart names the prompt's first part, which many programs may share; 0 if it has
+	// none.
+	FirstPart uint64
 	// Rates is how fast the replicas of the service work.
 	Rates estimate.Rates
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -136,7 +136,7 @@
 func (r *Router) sendTo(ctx context.Context, call *call, chosen chosenReplica, reply *reply) (*attempt, *exchange.FailureError) {
 	replica := chosen.replica
 	reply.attempts++
-	reply.replica = replica.Instance
+	reply.replica, reply.known = replica.Instance, chosen.known
 	left := call.left()
 	if left < minLeft {
 		return nil, &exchange.FailureError{Outcome: exchange.OutcomeNotRun, Reason: exchange.ReasonCancelled, Cause: context.DeadlineExceeded}
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -28,6 +28,9 @@
 	}
 	candidates := r.config.Tracker.Candidates(usable, need, r.Now())
 	work := balance.Work{PromptTokens: call.prompt.Tokens, Rates: r.config.Tracker.Rates(call.service.Name)}
+	if len(call.prompt.Parts) > 0 {
+		work.FirstPart = call.prompt.Parts[0].ID
+	}
 	byInstance := lo.KeyBy(usable, func(replica fleet.Replica) string { return replica.Instance })
 	candidates, known := r.askKeepers(ctx, call, candidates, byInstance, work, need.Exposed)
 	choice, found := balance.Choose(candidates, work, r.config.Random())
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/internal/balance"
 )
 
 // metrics count what became of requests.
@@ -84,6 +86,7 @@
 		attributes = append(
 			attributes, slog.Int("prompt", call.prompt.Tokens), slog.Int("uncached", reply.expected.UncachedTokens),
 			slog.Int("unread_ahead", reply.expected.TokensAhead), slog.Int("beside", reply.expected.Others),
+			slog.String("keeper_asked", keeperWord(reply.known)),
 			slog.String("resident", call.prompt.Resident.Instance), slog.Float64("expected_first_ms", reply.expected.FirstMilliseconds),
 		)
 	}
@@ -102,3 +105,14 @@
 	}
 	r.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request ended", attributes...)
 }
+
+// keeperWord tells what the keeper of the chosen replica has told.
+func keeperWord(known *balance.Known) string {
+	switch {
+	case known == nil:
+		return "none"
+	case known.Settled:
+		return "settled"
+	}
+	return "unsettled"
+}
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -36,8 +36,10 @@
 	attempts int
 	// expected is what was believed of the replica.
 	expected balance.Expected
-	events   int
-	bytes    int
+	// known is what the keeper of the replica of the last attempt has told, or nil.
+	known  *balance.Known
+	events int
+	bytes  int
 	// charged is what stood against the program's budget.
 	charged uint64
 	// ahead tells that the reservation did not stand in the log yet, home which
