--- a/internal/keeper/exchange_test.go
+++ b/internal/keeper/exchange_test.go
@@ -31,20 +31,15 @@
 func (unobserved) Sent(int)                         {}
 func (unobserved) Received(int)                     {}
 
-// siblings are second bytes of loopback IP numbers that loopback.Own does not give out,
-// so that an IP number that differs from the process's own one only there is free.
-var siblings = []byte{129, 130, 131}
-
 func newSite(t *testing.T) *site {
 	made := &site{t: t}
 	free, err := loopback.Free(loopback.Own())
 	if err != nil {
 		t.Fatal(err)
 	}
-	for number, second := range siblings {
-		bytes := free.Addr().As4()
-		bytes[1] = second
-		address := netip.AddrPortFrom(netip.AddrFrom4(bytes), free.Port())
+	const nodes = 3
+	for number := range nodes {
+		address := netip.AddrPortFrom(loopback.Sibling(number), free.Port())
 		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -40,6 +40,19 @@
 	return netip.AddrFrom4([4]byte{firstByte, byte(upperHalf + number>>16&upperMask), byte(number >> 8), byte(number)})
 }
 
+// maxSiblings is how many IP numbers Sibling gives out.
+const maxSiblings = 128
+
+// Sibling returns a further IP number of this process, by a number from 0 to 127, for
+// sites whose nodes all use one port. Only processes whose numbers differ by a multiple
+// of 65,536 share it, and their ports lie apart.
+func Sibling(number int) netip.Addr {
+	const firstSibling = 256 - maxSiblings
+	bytes := Own().As4()
+	bytes[1] = byte(firstSibling + number%maxSiblings)
+	return netip.AddrFrom4(bytes)
+}
+
 // Free returns an address of host whose port is free for TCP and UDP.
 func Free(host netip.Addr) (netip.AddrPort, error) {
 	given.mutex.Lock()
--- a/internal/lab/loopback/loopback_test.go
+++ b/internal/lab/loopback/loopback_test.go
@@ -43,3 +43,17 @@
 	is.NoErr(err)
 	is.True(firstPort+portCount <= lowest)
 }
+
+func TestSiblingsAreAllDifferent(t *testing.T) {
+	is := is.New(t)
+	seen := map[netip.Addr]bool{Own(): true}
+	for number := range maxSiblings {
+		sibling := Sibling(number)
+		is.True(sibling.IsLoopback())
+		is.True(!seen[sibling])
+		seen[sibling] = true
+		address, err := Free(sibling)
+		is.NoErr(err)
+		is.Equal(address.Addr(), sibling)
+	}
+}
--- a/internal/router/choose_test.go
+++ b/internal/router/choose_test.go
@@ -34,9 +34,7 @@
 	view := membership.View{}
 	placements := make([]*keeper.Placement, 0, len(routers))
 	for number, router := range routers {
-		bytes := free.Addr().As4()
-		bytes[1] = byte(140 + number) // loopback.Own gives out none of these
-		address := netip.AddrPortFrom(netip.AddrFrom4(bytes), free.Port())
+		address := netip.AddrPortFrom(loopback.Sibling(number), free.Port())
 		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 		if err != nil {
 			t.Fatal(err)
