--- /dev/null
+++ b/cmd/stepseam-lab/knowledge.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"stepseam.example/stepseam/internal/lab/knowledge"
+)
+
+// knowledgeCommand compares what nodes believed of engines with what was so.
+type knowledgeCommand struct {
+	File string `arg:"positional,required" help:"log lines of all nodes, merged or one after the other; - is standard input"`
+}
+
+func (c *knowledgeCommand) run(context.Context) error {
+	input := os.Stdin
+	if c.File != "-" {
+		opened, err := os.Open(c.File)
+		if err != nil {
+			return fmt.Errorf("knowledge: %w", err)
+		}
+		defer func() { _ = opened.Close() }()
+		input = opened
+	}
+	requests, err := knowledge.Parse(input)
+	if err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "quantity\tchoices\tbelieved 50/95\treal 50/95\terror 50/95\ttoo low")
+	for _, row := range knowledge.Measure(requests) {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%.0f / %.0f\t%.0f / %.0f\t%.0f / %.0f\t%.0f%%\n", row.Quantity, row.Choices,
+			row.Believed.Middle, row.Believed.High, row.Real.Middle, row.Real.High, row.Error.Middle, row.Error.High,
+			100*float64(row.Underestimated)/float64(row.Choices))
+	}
+	return table.Flush()
+}
--- a/cmd/stepseam-lab/main.go
+++ b/cmd/stepseam-lab/main.go
@@ -27,6 +27,7 @@
 	Scale       *scaleCommand       `arg:"subcommand:scale" help:"run sites of hollow nodes and measure what control costs per node"`
 	Replay      *replayCommand      `arg:"subcommand:replay" help:"check traces and replay them over an in-memory site"`
 	Report      *reportCommand      `arg:"subcommand:report" help:"plot latency and wasted cache against load"`
+	Knowledge   *knowledgeCommand   `arg:"subcommand:knowledge" help:"compare what nodes believed of engines with what their logs show"`
 }
 
 // Description is shown by --help.
