Count datagrams that a keeper can't read

Cause: the exchange dropped them without a trace. Change: an observer's call and the counter stepseam_keeper_datagrams_unreadable_total; no line each, since anybody may send any number of them. Nothing else changes.

--- a/internal/keeper/exchange.go
+++ b/internal/keeper/exchange.go
@@ -69,6 +69,8 @@
 	// Sent and Received are told the payload bytes of each datagram.
 	Sent(bytes int)
 	Received(bytes int)
+	// Unreadable is told of each datagram that is refused.
+	Unreadable()
 }
 
 // waiting is a question whose answers are awaited. The exchange's mutex guards it.
@@ -293,9 +295,12 @@
 			continue // such as the refusal of an earlier datagram by a node that is gone
 		}
 		e.config.Observer.Received(size)
-		if read, err := decode(buffer[:size]); err == nil {
-			e.handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), read)
+		read, err := decode(buffer[:size])
+		if err != nil {
+			e.config.Observer.Unreadable() // anybody may send any number of them: no line each
+			continue
 		}
+		e.handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), read)
 	}
 }
 
--- a/internal/keeper/exchange_test.go
+++ b/internal/keeper/exchange_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,12 +25,13 @@
 	stops     []context.CancelFunc
 }
 
-// unobserved counts nothing.
-type unobserved struct{}
+// observed counts unreadable datagrams.
+type observed struct{ unreadable atomic.Int32 }
 
-func (unobserved) Question(time.Duration, int, int) {}
-func (unobserved) Sent(int)                         {}
-func (unobserved) Received(int)                     {}
+func (*observed) Question(time.Duration, int, int) {}
+func (*observed) Sent(int)                         {}
+func (*observed) Received(int)                     {}
+func (o *observed) Unreadable()                    { o.unreadable.Add(1) }
 
 func newSite(t *testing.T) *site {
 	made := &site{t: t}
@@ -49,7 +51,7 @@
 		began := time.Now()
 		made.exchanges = append(made.exchanges, NewExchange(Config{
 			Conn: conn, Placement: NewPlacement(node.Name), Now: func() time.Duration { return time.Since(began) },
-			Observer: unobserved{},
+			Observer: &observed{},
 		}))
 	}
 	for _, exchange := range made.exchanges {
@@ -147,6 +149,24 @@
 	is.True(time.Since(began) < asked*patience/2)
 }
 
+func TestUnreadableDatagramsAreCountedAndChangeNothing(t *testing.T) {
+	is := is.New(t)
+	site := newSite(t)
+	replica := site.replicaKeptBy(1)
+	site.exchanges[0].Report(replica, loads.Load{UnderWay: 1}, nil)
+	site.ask(2, replica, nil, func(state State) bool { return state.Load.UnderWay == 1 })
+	foreign, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(site.nodes[1].PeerAddress))
+	is.NoErr(err)
+	defer func() { _ = foreign.Close() }()
+	seen, _ := site.exchanges[1].config.Observer.(*observed)
+	for seen.unreadable.Load() == 0 {
+		_, err = foreign.Write([]byte("not of this package"))
+		is.NoErr(err)
+		time.Sleep(time.Millisecond)
+	}
+	site.ask(2, replica, nil, func(state State) bool { return state.Load.UnderWay == 1 })
+}
+
 func TestOneSilentKeeperDoesNotHideTheOthersAnswers(t *testing.T) {
 	is := is.New(t)
 	site := newSite(t)
--- a/internal/routednode/keepers.go
+++ b/internal/routednode/keepers.go
@@ -47,6 +47,8 @@
 	seconds prometheus.Histogram
 	asked   *prometheus.CounterVec
 	bytes   *prometheus.CounterVec
+	// unreadable counts datagrams that were refused.
+	unreadable prometheus.Counter
 }
 
 func newKeeperMetrics(registerer prometheus.Registerer) *keeperMetrics {
@@ -61,8 +63,11 @@
 		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_keeper_bytes_total", Help: "Payload bytes of datagrams to and from keepers.",
 		}, []string{"direction"}),
+		unreadable: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "stepseam_keeper_datagrams_unreadable_total", Help: "Datagrams to keepers that were refused.",
+		}),
 	}
-	registerer.MustRegister(made.seconds, made.asked, made.bytes)
+	registerer.MustRegister(made.seconds, made.asked, made.bytes, made.unreadable)
 	return made
 }
 
@@ -81,6 +86,10 @@
 	m.bytes.WithLabelValues("received").Add(float64(bytes))
 }
 
+// Unreadable implements keeper.Observer.
+func (m *keeperMetrics) Unreadable() { m.unreadable.Inc() }
+
+// registerKept adds a gauge of what book holds.
 func (m *keeperMetrics) registerKept(registerer prometheus.Registerer, book *keeper.Book) {
 	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "stepseam_replicas_kept", Help: "Replicas on which other nodes report to this node.",
--- a/internal/router/choose_test.go
+++ b/internal/router/choose_test.go
@@ -24,6 +24,7 @@
 func (unobserved) Question(time.Duration, int, int) {}
 func (unobserved) Sent(int)                         {}
 func (unobserved) Received(int)                     {}
+func (unobserved) Unreadable()                      {}
 
 // joinKeepers lets routers report to and ask each other's keepers.
 func joinKeepers(t *testing.T, routers ...*Router) {
