Tell a stream's end and what its replica holds in one report

Cause: at the end of each stream two reports left for the replica's keeper, one of the end and, straight after it, one of the parts that the replica holds; the account reckons with three reports a request, and there were four. Change: the end's report carries the parts. What a keeper knows after it is the same.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -50,10 +50,14 @@
 }
 
 // finish gives the connection back and notes whether the replica is at fault.
-func (a *attempt) finish(failed bool) {
+func (a *attempt) finish(failed bool) { a.finishHolding(failed, nil) }
+
+// finishHolding does the same after a whole stream; held are the parts that the replica
+// holds from now on, which its keeper is told with the end.
+func (a *attempt) finishHolding(failed bool, held []balance.Part) {
 	a.answer.Close()
 	a.router.config.Tracker.End(a.sending, failed, a.router.Now())
-	a.router.report(a.call, a.replica, nil)
+	a.router.report(a.call, a.replica, held)
 }
 
 // errNoReplica tells that nothing is left to try.
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -113,8 +113,7 @@
 			if !passing.begun {
 				passing.begin(tried.answer)
 			}
-			tried.finish(false)
-			r.report(passing.call, tried.replica, passing.held())
+			tried.finishHolding(false, passing.held())
 			return nil
 		}
 		if err != nil {
