Look clients' keys up, tell replicas the tenant, and let none of the system's fields pass from a client

Change: configurations hold tenants with keys, priority and limits (not enforced yet); a request without a known key gets 401 unless its route is public; reserved fields of a client are dropped, one list in the adapter; the tenant is set by the node. Keys are looked up by digest and never logged.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -18,5 +18,5 @@
 	}
 	now := r.Now()
 	utilization := r.config.Tracker.Utilization(r.config.Fleet.Usable(call.service.Name, now), call.service.Slots, now)
-	return balance.Admits(utilization, call.route.Priority)
+	return balance.Admits(utilization, call.priority)
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -147,7 +147,7 @@
 	}
 	call.header.Set(r.config.Names.TimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
 	if call.service.Slots > 0 && r.config.Names.Priority != "" {
-		call.header.Set(r.config.Names.Priority, strconv.Itoa(balance.Priority(call.route.Priority)))
+		call.header.Set(r.config.Names.Priority, strconv.Itoa(balance.Priority(call.priority)))
 	}
 	sending := r.config.Tracker.Begin(balance.Target{
 		Instance: replica.Instance, Service: call.service.Name, Slots: replica.Slots, Known: chosen.known,
--- /dev/null
+++ b/internal/router/authenticate_test.go
@@ -0,0 +1,161 @@
+package router
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/routing"
+)
+
+// tenantWith returns a tenant with the given keys.
+func tenantWith(name string, keys ...string) routing.Tenant {
+	tenant := routing.Tenant{Name: name}
+	for _, key := range keys {
+		tenant.Keys = append(tenant.Keys, routing.DigestKey(key))
+	}
+	return tenant
+}
+
+func TestRequestsNeedAKeyOfATenant(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, sound)
+	h.configure(2, tenantWith("acme", "one", "two"), tenantWith("other", "three"))
+	is.Equal(h.ask("/safe/x", "1").StatusCode, http.StatusUnauthorized)
+	is.Equal(h.ask("/safe/x", "2", "Test-Key", "onE").StatusCode, http.StatusUnauthorized)
+	is.Equal(h.ask("/safe/x", "3", "Test-Key", "").StatusCode, http.StatusUnauthorized)
+	is.Equal(len(h.replicas[0].Received()), 0)
+	for id, key := range map[string]string{"acme": "two", "other": "three"} {
+		is.Equal(h.ask("/safe/x", id, "Test-Key", key).StatusCode, http.StatusOK)
+	}
+	for _, received := range h.replicas[0].Received() {
+		is.Equal(received.Header.Get("Test-Tenant"), received.Header.Get("Test-Id"))
+		is.Equal(received.Header.Get("Test-Key"), "")
+	}
+}
+
+func TestPublicRoutesNeedNoKey(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, sound)
+	h.configure(2, tenantWith("acme", "one"))
+	is.Equal(h.ask("/public/x", "1").StatusCode, http.StatusOK)
+	is.Equal(h.ask("/public/x", "2", "Test-Key", "unknown", "Test-Tenant", "acme").StatusCode, http.StatusOK)
+	is.Equal(h.ask("/public/x", "3", "Test-Key", "one").StatusCode, http.StatusOK)
+	received := h.replicas[0].Received()
+	is.Equal(received[1].Header.Get("Test-Tenant"), "")
+	is.Equal(received[2].Header.Get("Test-Tenant"), "acme")
+}
+
+func TestRequestWithSeveralKeysIsNotLetIn(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, sound)
+	h.configure(2, tenantWith("acme", "one"), tenantWith("other", "two"))
+	is.Equal(h.raw("POST /safe/x HTTP/1.1\r\nHost: h.example\r\nTest-Id: 1\r\nTest-Key: one\r\ntest-key: two\r\nContent-Length: 0\r\n\r\n"), http.StatusUnauthorized)
+	is.Equal(len(h.replicas[0].Received()), 0)
+}
+
+func TestTenantsPriorityGoesBeforeTheRoutes(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, sound)
+	urgent, usual := tenantWith("urgent", "one"), tenantWith("usual", "two")
+	urgent.Priority, urgent.HasPriority = 0, true
+	h.configure(2, urgent, usual)
+	h.ask("/resume/x", "1", "Test-Key", "one")
+	h.ask("/resume/x", "2", "Test-Key", "two")
+	received := h.replicas[0].Received()
+	is.True(received[0].Header.Get("Test-Priority") < received[1].Header.Get("Test-Priority"))
+}
+
+func TestFieldsOfTheSystemDoNotPassFromAClient(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, sound)
+	forged := "tESt-InsTANce: forged\r\nTest-Instance: forged\r\nTest-Hold: forged\r\nTEST-TENANT: forged\r\nTest-Priority: forged\r\nTest-Kept: 1\r\n"
+	for number, more := range []string{"", "Connection: Test-Hold, close\r\n", "Connection: test-id\r\n", "Trailer: Test-Hold\r\n"} {
+		id := fmt.Sprint(number)
+		is.Equal(h.raw("POST /safe/x HTTP/1.1\r\nHost: h.example\r\nTest-Id: "+id+"\r\n"+forged+more+
+			"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nTest-Hold: forged\r\nTest-Tenant: forged\r\n\r\n"), http.StatusOK)
+	}
+	received := h.replicas[0].Received()
+	is.Equal(len(received), 4)
+	for number, one := range received {
+		is.Equal(one.Header.Values("Test-Id"), []string{fmt.Sprint(number)})
+		is.Equal(one.Header.Values("Test-Instance"), []string{"a"})
+		is.Equal(one.Header.Get("Test-Kept"), "1")
+		assertNothingForged(t, one.Header)
+	}
+}
+
+func TestKeysAreInNoLogLine(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, sound)
+	var lines bytes.Buffer
+	h.router.config.Logger = slog.New(slog.NewJSONHandler(&lines, nil))
+	h.configure(2, tenantWith("acme", "sesame-open"))
+	h.ask("/safe/x", "1", "Test-Key", "sesame-open")
+	h.ask("/safe/x", "2", "Test-Key", "sesame-shut")
+	is.True(strings.Contains(lines.String(), `"tenant":"acme"`))
+	is.True(strings.Contains(lines.String(), routing.DigestKey("sesame-shut").String()))
+	is.True(!strings.Contains(lines.String(), "sesame"))
+}
+
+// assertNothingForged fails if a field holds the mark of what clients forge.
+func assertNothingForged(t *testing.T, header http.Header) {
+	t.Helper()
+	for name, values := range header {
+		if strings.Contains(strings.Join(values, ","), "forged") {
+			t.Fatalf("%s: %q", name, values)
+		}
+	}
+}
+
+// raw sends bytes on a connection of its own and returns the answer's status, or 0.
+func (h *harness) raw(request string) int {
+	socket, err := net.Dial("tcp4", h.server.Listener.Addr().String())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	if _, err := socket.Write([]byte(request)); err != nil {
+		h.t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(socket), nil)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// FuzzRequestHeader feeds heads as they arrive and checks what would go out.
+func FuzzRequestHeader(f *testing.F) {
+	for _, head := range []string{
+		"Test-Hold: forged\r\n", "test-hold: forged\r\nTEST-HOLD: forged\r\n", "Connection: test-tenant\r\nTest-Tenant: forged\r\n",
+		"Connection: Test-Id, Test-Kept\r\nTest-Kept: 1\r\n", "Test-Key: forged\r\nTest-Priority: forged\r\n", "Test_Hold: 1\r\nTest-Hold : forged\r\n",
+	} {
+		f.Add(head)
+	}
+	tenant := tenantWith("acme", "one")
+	f.Fuzz(func(t *testing.T, head string) {
+		read, err := textproto.NewReader(bufio.NewReader(strings.NewReader(head + "Test-Id: 7\r\n\r\n"))).ReadMIMEHeader()
+		if err != nil {
+			t.Skip()
+		}
+		passed := testNames.requestHeader(http.Header(read), &tenant)
+		for _, name := range testNames.Reserved {
+			if values := passed.Values(name); len(values) > 0 && (name != testNames.Tenant || len(values) != 1 || values[0] != "acme") {
+				t.Fatalf("%s: %q", name, values)
+			}
+		}
+		if passed.Get("Test-Id") == "" || passed.Get("Test-Tenant") != "acme" {
+			t.Fatalf("id %q, tenant %q", passed.Get("Test-Id"), passed.Get("Test-Tenant"))
+		}
+	})
+}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -36,9 +36,14 @@
 	inputBytes int
 	route      *routing.Route
 	service    routing.Service
-	version    uint64
-	arrived    time.Time
-	deadline   time.Time
+	// tenant is whom the request is served for, by the configuration that it was
+	// admitted under; nil where no key is asked for.
+	tenant *routing.Tenant
+	// priority is the request's rank; 0 is the highest.
+	priority int
+	version  uint64
+	arrived  time.Time
+	deadline time.Time
 
 	prompt     balance.Prompt
 	mostTokens uint32
@@ -83,13 +88,30 @@
 	return passed
 }
 
+// requestHeader returns the fields of a client's header that a replica is sent: none
+// that only the system tells replicas, and the tenant that the client's key has proved.
+// The request's id goes out also where the client lists it as its connection's.
+func (n *HeaderNames) requestHeader(header http.Header, tenant *routing.Tenant) http.Header {
+	passed := forwardable(header)
+	for _, name := range n.Reserved {
+		delete(passed, textproto.CanonicalMIMEHeaderKey(name))
+	}
+	if tenant != nil && n.Tenant != "" {
+		passed.Set(n.Tenant, tenant.Name)
+	}
+	if id, given := header[n.Replica.RequestID]; given {
+		passed[n.Replica.RequestID] = id
+	}
+	return passed
+}
+
 // newCall reads what the router needs from a request's head.
-func (r *Router) newCall(request *http.Request, route *routing.Route, configuration *routing.Configuration) *call {
+func (r *Router) newCall(request *http.Request, route *routing.Route, tenant *routing.Tenant, configuration *routing.Configuration) *call {
 	names := &r.config.Names
 	made := &call{
 		id: request.Header.Get(names.Replica.RequestID), method: request.Method,
-		uri: request.RequestURI, host: request.Host, header: forwardable(request.Header),
-		route: route, version: configuration.Version, arrived: time.Now(), lastEvent: -1,
+		uri: request.RequestURI, host: request.Host, header: names.requestHeader(request.Header, tenant),
+		route: route, tenant: tenant, priority: routing.PriorityOf(route, tenant), version: configuration.Version, arrived: time.Now(), lastEvent: -1,
 	}
 	service := r.splitter.Pick(route, r.config.Random())
 	made.service = configuration.Services[service]
--- a/internal/router/names.go
+++ b/internal/router/names.go
@@ -28,4 +28,11 @@
 	PromptPrefix string
 	// PreviousTurn is the request id of the turn that this one goes on from.
 	PreviousTurn string
+	// Key is a client's key. It is never passed on.
+	Key string
+	// Tenant tells a replica whom a request is for.
+	Tenant string
+	// Reserved are the fields that only the system tells a replica. Those of a client
+	// are dropped.
+	Reserved []string
 }
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -63,7 +63,8 @@
 	r.config.Logger.LogAttrs(request.Context(), slog.LevelInfo, "request refused",
 		slog.String("id", request.Header.Get(r.config.Names.Replica.RequestID)),
 		slog.Int("status", reply.status), slog.String("reason", reply.reason),
-		slog.String("host", request.Host), slog.String("path", request.URL.Path), slog.Uint64("version", version))
+		slog.String("host", request.Host), slog.String("path", request.URL.Path), slog.Uint64("version", version),
+		errorAttr(reply.cause))
 }
 
 // logEnd writes the line of a request that had a route.
@@ -90,6 +91,9 @@
 			slog.String("resident", call.prompt.Resident.Instance), slog.Float64("expected_first_ms", reply.expected.FirstMilliseconds),
 		)
 	}
+	if call.tenant != nil {
+		attributes = append(attributes, slog.String("tenant", call.tenant.Name))
+	}
 	if call.turn.program != "" {
 		attributes = append(attributes, slog.String("program", string(call.turn.program)))
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -105,7 +105,13 @@
 		r.logRefused(request, reply)
 		return
 	}
-	r.serveCall(reply, request, r.newCall(request, route, configuration), configuration.Limits)
+	tenant, refused := r.authenticate(request, route, configuration)
+	if refused != nil {
+		reply.refuse(refused.status, refused.refusal)
+		r.logRefused(request, reply)
+		return
+	}
+	r.serveCall(reply, request, r.newCall(request, route, tenant, configuration), configuration.Limits)
 }
 
 func (r *Router) serveCall(reply *reply, request *http.Request, call *call, limits routing.Limits) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -29,7 +29,8 @@
 	Replica:   exchange.Names{RequestID: "Test-Id", ExpectInstance: "Test-Instance", NotRun: "Test-Not-Run", Stamp: "Test-Stamp"},
 	TimeoutMs: "Test-Timeout", LastEvent: "Last-Event-Id", Program: "Test-Program",
 	Budget: "Test-Budget", TokenCount: "Test-Tokens", PromptPrefix: "Test-Prompt", PreviousTurn: "Test-Previous",
-	Finish: "Test-Finish", Priority: "Test-Priority",
+	Finish: "Test-Finish", Priority: "Test-Priority", Key: "Test-Key", Tenant: "Test-Tenant",
+	Reserved: []string{"Test-Key", "Test-Tenant", "Test-Instance", "Test-Priority", "test-hold"},
 }
 
 const tokensPerEvent = 10
@@ -85,7 +86,7 @@
 	})
 }
 
-func (h *harness) configure(version uint64) {
+func (h *harness) configure(version uint64, tenants ...routing.Tenant) {
 	route := func(prefix string, kind routing.Kind, attempts int, more func(*routing.Route)) routing.Route {
 		made := routing.Route{
 			Name: prefix, Host: "h.example", PathPrefix: prefix, Kind: kind, Timeout: time.Second,
@@ -97,8 +98,9 @@
 		return made
 	}
 	built, err := routing.Build(routing.Configuration{
-		Version: version,
+		Version: version, Tenants: tenants,
 		Routes: []routing.Route{
+			route("/public/", routing.KindSafe, 2, func(r *routing.Route) { r.Public = true }),
 			route("/safe/", routing.KindSafe, 2, nil),
 			route("/unsafe/", routing.KindUnsafe, 2, nil),
 			route("/short/", routing.KindUnsafe, 1, func(r *routing.Route) { r.Timeout = 150 * time.Millisecond }),
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -52,6 +52,8 @@
 	RetainFor time.Duration
 	// Resumable streams may go on at another replica after their last event.
 	Resumable bool
+	// Public routes need no key.
+	Public bool
 }
 
 // Repeatable tells whether a request may run more than once.
@@ -84,8 +86,12 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Tenants hold the keys of clients; where there are none, no key is asked for.
+	Tenants []Tenant
 
-	byHost map[string][]*Route
+	byHost   map[string][]*Route
+	byKey    map[KeyDigest]*Tenant
+	byTenant map[string]*Tenant
 }
 
 // Build checks a configuration and indexes it. All faults are reported together.
@@ -105,6 +111,7 @@
 	for _, routes := range built.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
+	faults = append(faults, built.indexTenants()...)
 	if len(faults) > 0 {
 		return nil, fmt.Errorf("routing: version %d: %w", built.Version, errors.Join(faults...))
 	}
