Pass requests with keys on only while the configuration is known to be new

Cause: nothing told a node that its configuration was old, so that a key that was taken away kept working at nodes that the store turned away. Change: a lease on the configuration. It counts from the sending of the read that confirmed it, less the age of what a peer knew, on the monotonic clock; it is looked at before the configuration is loaded and again before each first send. A node whose lease runs out answers 503 as not run, is not ready, and never says 401. Nodes whose configuration ages ask two peers at once, who tell how old their knowledge is.

--- a/internal/emulator/store/store.go
+++ b/internal/emulator/store/store.go
@@ -265,10 +265,10 @@
 }
 
 // Changes is logstore.Store's.
-func (s *Store) Changes(ctx context.Context, request logstore.ReadRequest) ([]logstore.Item, logstore.Offset, error) {
+func (s *Store) Changes(ctx context.Context, request logstore.ReadRequest) (logstore.ChangesResult, error) {
 	result, err := s.Read(ctx, request)
 	if err != nil {
-		return nil, 0, err
+		return logstore.ChangesResult{}, err
 	}
 	var items []logstore.Item
 	for _, record := range result.Records {
@@ -278,5 +278,7 @@
 		}
 		items = append(items, item)
 	}
-	return items, min(request.From, result.End) + logstore.Offset(len(result.Records)), nil
+	return logstore.ChangesResult{
+		Items: items, Next: min(request.From, result.End) + logstore.Offset(len(result.Records)), End: result.End,
+	}, nil
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -41,7 +41,10 @@
 	// OnRegained is called when the store answers again after a failed call, before
 	// what it says is handed on.
 	OnRegained func()
-	Logger     *slog.Logger
+	// OnConfirmed is called once all that the partition held when a read was sent has
+	// been handed on, with the time of that sending.
+	OnConfirmed func(sent time.Time)
+	Logger      *slog.Logger
 }
 
 // Follower follows one partition.
@@ -80,19 +83,22 @@
 func (f *Follower) snapshot(ctx context.Context) (logstore.Offset, error) {
 	call, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
+	sent := time.Now()
 	items, next, err := f.config.Store.Newest(call, f.config.Partition)
 	if err != nil {
 		return 0, err
 	}
 	f.succeeded()
 	f.config.OnSnapshot(items)
+	f.config.OnConfirmed(sent)
 	return next, nil
 }
 
 // follow reads changes until there is a gap.
 func (f *Follower) follow(ctx context.Context, next logstore.Offset) {
 	for ctx.Err() == nil {
-		items, following, err := f.changes(ctx, next)
+		sent := time.Now()
+		changed, err := f.changes(ctx, next)
 		var trimmed *logstore.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
@@ -101,20 +107,23 @@
 		case err != nil:
 			f.failed(ctx, err)
 			continue
-		case following < next:
-			f.config.Logger.Info("history went back", "dependency", f.config.Name, "from", next, "end", following)
+		case changed.Next < next:
+			f.config.Logger.Info("history went back", "dependency", f.config.Name, "from", next, "end", changed.Next)
 			return
 		}
 		f.succeeded()
-		next = following
-		if len(items) > 0 {
-			f.config.OnChanges(items)
+		next = changed.Next
+		if len(changed.Items) > 0 {
+			f.config.OnChanges(changed.Items)
+		}
+		if next >= changed.End {
+			f.config.OnConfirmed(sent)
 		}
 		_ = wait.For(ctx, f.config.Pause) // the loop looks at ctx
 	}
 }
 
-func (f *Follower) changes(ctx context.Context, next logstore.Offset) ([]logstore.Item, logstore.Offset, error) {
+func (f *Follower) changes(ctx context.Context, next logstore.Offset) (logstore.ChangesResult, error) {
 	call, cancel := context.WithTimeout(ctx, f.config.Wait+callSlack)
 	defer cancel()
 	return f.config.Store.Changes(call, logstore.ReadRequest{Partition: f.config.Partition, From: next, Wait: f.config.Wait})
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +21,13 @@
 	values    map[string]string
 	snapshots int
 	regained  int
+	// confirmed is the time of the newest confirmed read, confirmedValues what was known then.
+	confirmed       time.Time
+	confirmedValues map[string]string
 }
 
+func (v *view) confirm(sent time.Time) { v.confirmed, v.confirmedValues = sent, maps.Clone(v.values) }
+
 func (v *view) snapshot(items []logstore.Item) {
 	v.values = map[string]string{}
 	v.snapshots++
@@ -42,7 +48,7 @@
 	seen := &view{}
 	follower := New(Config{
 		Name: "test", Store: log, Partition: place, Pause: 100 * time.Millisecond, Wait: time.Second,
-		OnSnapshot: seen.snapshot, OnChanges: seen.change, OnRegained: func() { seen.regained++ }, Logger: slog.New(slog.DiscardHandler),
+		OnSnapshot: seen.snapshot, OnChanges: seen.change, OnRegained: func() { seen.regained++ }, OnConfirmed: seen.confirm, Logger: slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -110,3 +116,43 @@
 		is.Equal(seen.values, map[string]string{"a": "1"})
 	})
 }
+
+// TestReadConfirmsWhatWasThereWhenItWasSent changes the partition at any time of a read
+// that waits: a confirmed time is never later than a change that the view lacks.
+func TestReadConfirmsWhatWasThereWhenItWasSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		log.Put(place, "a", []byte("1"))
+		seen, _ := followed(t, log)
+		time.Sleep(3500 * time.Millisecond)
+		synctest.Wait()
+		is.True(time.Since(seen.confirmed) <= 2*time.Second+200*time.Millisecond)
+		for number := range 20 {
+			value := string(rune('b' + number))
+			changed := time.Now()
+			log.Put(place, "a", []byte(value))
+			for seen.confirmed.Before(changed) {
+				time.Sleep(time.Millisecond)
+				synctest.Wait()
+			}
+			is.Equal(seen.confirmedValues["a"], value)
+			time.Sleep(137 * time.Millisecond)
+		}
+	})
+}
+
+func TestStoreThatIsAwayConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		log.Put(place, "a", []byte("1"))
+		seen, _ := followed(t, log)
+		time.Sleep(2 * time.Second)
+		log.Fail(store.Fault{Busy: true})
+		failing := time.Now()
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		is.True(!seen.confirmed.After(failing))
+	})
+}
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -80,6 +80,16 @@
 	Value []byte
 }
 
+// ChangesResult holds the records of a keyed partition from ReadRequest.From on.
+type ChangesResult struct {
+	Items []Item
+	// Next is the offset to go on from; before ReadRequest.From where the partition
+	// holds less than that.
+	Next Offset
+	// End is the offset that the next record will get.
+	End Offset
+}
+
 // Store is the durable log. Errors wrap the sentinels above or are a TrimmedError.
 type Store interface {
 	// Append adds records to a partition.
@@ -89,7 +99,6 @@
 	// Newest returns the newest record of each key of a keyed partition and the
 	// offset from which Changes goes on without a gap.
 	Newest(ctx context.Context, partition Partition) ([]Item, Offset, error)
-	// Changes returns the records of a keyed partition from an offset on, and the
-	// offset to go on from.
-	Changes(ctx context.Context, request ReadRequest) ([]Item, Offset, error)
+	// Changes returns the records of a keyed partition from an offset on.
+	Changes(ctx context.Context, request ReadRequest) (ChangesResult, error)
 }
--- /dev/null
+++ b/internal/routednode/freshness_test.go
@@ -0,0 +1,65 @@
+package routednode
+
+import (
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/internal/router"
+	"stepseam.example/stepseam/internal/routing"
+	"stepseam.example/stepseam/internal/wire"
+)
+
+func TestAgeCountsFromTheNewestConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fresh := &freshness{}
+		_, known := fresh.Age()
+		is.True(!known)
+		began := time.Now()
+		time.Sleep(time.Second)
+		fresh.confirm(began.Add(800 * time.Millisecond))
+		fresh.confirm(began) // an older one that comes later
+		age, known := fresh.Age()
+		is.True(known)
+		is.Equal(age, 200*time.Millisecond)
+		fresh.readable(false)
+		_, known = fresh.Age()
+		is.True(!known) // a newer configuration exists that this node can't use
+		fresh.readable(true)
+		_, known = fresh.Age()
+		is.True(known)
+	})
+}
+
+func TestPeersConfirmNoOlderConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := &views{router: router.New(router.Config{Registerer: prometheus.NewRegistry()}), freshness: &freshness{}, logger: slog.New(slog.DiscardHandler)}
+		v.router.Use(&routing.Configuration{Version: 7})
+		asked := time.Now()
+		time.Sleep(300 * time.Millisecond) // the way there and back, and the peer's time
+		v.confirmBy(&tellViews{Version: 8, ConfigurationKnown: true}, asked)
+		v.confirmBy(&tellViews{Version: 7, ConfigurationKnown: false}, asked)
+		_, known := v.freshness.Age()
+		is.True(!known)
+		v.confirmBy(&tellViews{Version: 7, ConfigurationKnown: true, ConfigurationAge: time.Second}, asked)
+		age, known := v.freshness.Age()
+		is.True(known)
+		is.Equal(age, 1300*time.Millisecond)
+	})
+}
+
+func TestMessagesOfTheRelaySurviveTheWire(t *testing.T) {
+	is := is.New(t)
+	told := &tellViews{Configuration: []byte("c"), Version: 9, ConfigurationKnown: true, ConfigurationAge: time.Second, ReplicasKnown: true, ReplicasAge: time.Minute}
+	encoder := wire.NewEncoder(nil)
+	told.Encode(encoder)
+	read := &tellViews{}
+	read.Decode(wire.NewDecoder(encoder.Bytes()))
+	is.Equal(read, told)
+}
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -144,9 +144,10 @@
 }
 
 // ready tells whether new connections are welcome: configuration and replicas are
-// known and no stop has been asked for.
+// known, the configuration is new enough for requests with keys, and no stop has been
+// asked for.
 func (n *node) ready() bool {
-	return !n.stopping.Load() && n.router.Configuration() != nil && n.views.listed.Load()
+	return !n.stopping.Load() && n.router.MayServe() && n.views.listed.Load()
 }
 
 func (n *node) answerReadiness(writer http.ResponseWriter, request *http.Request) {
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -28,6 +28,7 @@
 	registry := prometheus.NewRegistry()
 	do.ProvideValue(injector, registry)
 	do.ProvideValue(injector, newClock())
+	do.ProvideValue(injector, &freshness{})
 	do.ProvideValue(injector, fleet.NewDirectory())
 	do.ProvideValue(injector, balance.NewTracker(string(chosen.Node.Zone)))
 	do.ProvideValue(injector, exchange.NewClient(adapter.Names.Replica))
@@ -103,13 +104,15 @@
 	if err != nil {
 		return nil, err
 	}
+	fresh := do.MustInvoke[*freshness](injector)
 	return router.New(router.Config{
 		Keepers: keepers, Now: do.MustInvoke[clock](injector),
 		Names:    do.MustInvoke[Adapter](injector).Names,
 		Replicas: do.MustInvoke[*exchange.Client](injector), Fleet: do.MustInvoke[*fleet.Directory](injector),
 		Tracker: do.MustInvoke[*balance.Tracker](injector), Turns: do.MustInvoke[*homes.Service](injector),
 		BufferBytes: int64(do.MustInvoke[settings.Routed](injector).Machine.MemoryMebibytes) * mebibyte / bufferShare,
-		Random:      rand.Float64, Logger: do.MustInvoke[*slog.Logger](injector),
+		Lease:       do.MustInvoke[settings.Routed](injector).Keys.Lease(), Freshness: fresh.Age,
+		Random: rand.Float64, Logger: do.MustInvoke[*slog.Logger](injector),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
 	}), nil
 }
@@ -119,6 +122,7 @@
 		adapter: do.MustInvoke[Adapter](injector), router: do.MustInvoke[*router.Router](injector),
 		fleet: do.MustInvoke[*fleet.Directory](injector), tracker: do.MustInvoke[*balance.Tracker](injector),
 		logger: do.MustInvoke[*slog.Logger](injector), entries: map[string][]byte{},
+		freshness: do.MustInvoke[*freshness](injector),
 	}, nil
 }
 
@@ -134,12 +138,13 @@
 	}
 	chosen := do.MustInvoke[settings.Routed](injector)
 	built.settings.Store(&chosen)
-	built.configurations = built.views.configurations(built.store, chosen.Follow)
+	built.configurations = built.views.configurations(built.store, chosen)
 	built.entries = built.views.replicas(built.store, chosen.Follow)
 	if built.peers != nil {
 		built.relay = &relay{
 			views: built.views, configurations: built.configurations, replicas: built.entries,
 			peers: built.peers.transport, others: built.homes.Addresses, logger: built.logger,
+			lease: chosen.Keys.Lease(),
 		}
 		built.relay.register(built.peers.registry)
 	}
--- a/internal/routednode/relay.go
+++ b/internal/routednode/relay.go
@@ -18,6 +18,12 @@
 	relayPause = 500 * time.Millisecond
 	// relayAfter is how long the store must have been silent before others are asked.
 	relayAfter = 1800 * time.Millisecond
+	// agingPercent of the lease on the configuration is the age from which on others are
+	// asked. A node that the store answers stays below it, see readsInLease.
+	agingPercent = 60
+	// relayQuestions is how many nodes are asked at once: where the store turns a third
+	// of the nodes away, three tries in a lease leave one node in a thousand without.
+	relayQuestions = 2
 	// relayTimeout bounds one question.
 	relayTimeout = 400 * time.Millisecond
 )
@@ -52,6 +58,11 @@
 type tellViews struct {
 	// Configuration is the newer one as the store holds it, or empty.
 	Configuration []byte
+	// Version is the configuration in force at the answering node. It was the newest
+	// ConfigurationAge ago, if ConfigurationKnown.
+	Version            uint64
+	ConfigurationKnown bool
+	ConfigurationAge   time.Duration
 	// ReplicasKnown tells that Replicas holds all entries, which were heard
 	// ReplicasAge ago.
 	ReplicasKnown bool
@@ -65,6 +76,9 @@
 // Encode implements peer.Message.
 func (m *tellViews) Encode(e *wire.Encoder) {
 	e.Blob(m.Configuration)
+	e.Uint64(m.Version)
+	e.Bool(m.ConfigurationKnown)
+	e.Duration(m.ConfigurationAge)
 	e.Bool(m.ReplicasKnown)
 	e.Duration(m.ReplicasAge)
 	e.Uint32(uint32(len(m.Replicas)))
@@ -79,7 +93,8 @@
 
 // Decode implements peer.Message.
 func (m *tellViews) Decode(d *wire.Decoder) {
-	m.Configuration, m.ReplicasKnown, m.ReplicasAge = d.Blob(), d.Bool(), d.Duration()
+	m.Configuration, m.Version, m.ConfigurationKnown, m.ConfigurationAge = d.Blob(), d.Uint64(), d.Bool(), d.Duration()
+	m.ReplicasKnown, m.ReplicasAge = d.Bool(), d.Duration()
 	for range d.Count(itemBytes) {
 		m.Replicas = append(m.Replicas, logstore.Item{Key: d.String(), Value: d.Blob()})
 	}
@@ -100,8 +115,10 @@
 	peers          peer.Client
 	others         func() []netip.AddrPort
 	logger         *slog.Logger
-	// heard is when other nodes' knowledge of the replicas was taken over, and how
-	// old it was then.
+	// lease is how old the configuration may be for requests with keys; 0 sets no bound.
+	lease time.Duration
+	// heardAt and heardAge tell when other nodes' knowledge of the replicas was taken over and
+	// how old it was then. Only run's goroutine uses them.
 	heardAt  time.Time
 	heardAge time.Duration
 }
@@ -118,6 +135,11 @@
 		return nil, fmt.Errorf("routednode: unexpected %T", request)
 	}
 	told := &tellViews{}
+	// The age is read before the version: a configuration that comes in between is newer.
+	told.ConfigurationAge, told.ConfigurationKnown = r.views.freshness.Age()
+	if inForce := r.views.router.Configuration(); inForce != nil {
+		told.Version = inForce.Version
+	}
 	if version, encoded := r.views.encodedConfiguration(); version > asked.Version {
 		told.Configuration = encoded
 	}
@@ -128,14 +150,14 @@
 	return told, nil
 }
 
-// run asks other nodes, one at a time, while the store is silent.
+// run asks other nodes while the store is silent.
 func (r *relay) run(ctx context.Context) {
 	ticker := time.NewTicker(relayPause)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			if r.silent() {
+			if r.silent() || r.aging() {
 				r.ask(ctx)
 			}
 		case <-ctx.Done():
@@ -166,27 +188,57 @@
 	return age
 }
 
+// aging tells that the configuration will soon be too old for requests with keys.
+func (r *relay) aging() bool {
+	age, known := r.views.freshness.Age()
+	return r.lease > 0 && (!known || age > r.lease*agingPercent/100)
+}
+
+// relayed is what a peer has told, and when it was asked.
+type relayed struct {
+	from  netip.AddrPort
+	asked time.Time
+	told  *tellViews
+	err   error
+}
+
+// ask asks some other nodes at once, since the store may refuse them as well.
 func (r *relay) ask(ctx context.Context) {
 	others := r.others()
-	if len(others) == 0 {
-		return
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), relayQuestions)]
+	version, _ := r.views.encodedConfiguration()
+	question := &askViews{Version: version, ReplicasAge: r.replicasAge()}
+	answers := make(chan relayed, len(others))
+	for _, other := range others {
+		go func() { answers <- r.askOne(ctx, other, question) }()
+	}
+	for range others {
+		r.take(<-answers)
 	}
-	address := others[rand.IntN(len(others))]
+}
+
+func (r *relay) askOne(ctx context.Context, other netip.AddrPort, question *askViews) relayed {
 	call, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	version, _ := r.views.encodedConfiguration()
-	answer, err := r.peers.Call(call, address, &askViews{Version: version, ReplicasAge: r.replicasAge()}, nil)
-	if err != nil {
-		r.logger.Info("peer could not tell of the store", "peer", address, "error", err)
-		return
-	}
-	told, ok := answer.(*tellViews)
-	if !ok {
+	heard := relayed{from: other, asked: time.Now()}
+	var answer peer.Message
+	answer, heard.err = r.peers.Call(call, other, question, nil)
+	heard.told, _ = answer.(*tellViews)
+	return heard
+}
+
+// take puts what a peer has told in force where it is newer.
+func (r *relay) take(heard relayed) {
+	told, address := heard.told, heard.from
+	if told == nil {
+		r.logger.Info("peer could not tell of the store", "peer", address, "error", heard.err)
 		return
 	}
 	if len(told.Configuration) > 0 {
 		r.views.takeEncoded(told.Configuration, "peer "+address.String())
 	}
+	r.views.confirmBy(told, heard.asked)
 	if told.ReplicasKnown && told.ReplicasAge < r.replicasAge() {
 		r.heardAt, r.heardAge = time.Now(), told.ReplicasAge
 		r.logger.Info("replicas heard from a peer", "peer", address, "replicas", len(told.Replicas), "age_ms", told.ReplicasAge.Milliseconds())
--- a/internal/routednode/storecalls.go
+++ b/internal/routednode/storecalls.go
@@ -54,10 +54,10 @@
 }
 
 // Changes is logstore.Store's.
-func (s *countedStore) Changes(ctx context.Context, request logstore.ReadRequest) ([]logstore.Item, logstore.Offset, error) {
-	items, next, err := s.Store.Changes(ctx, request)
+func (s *countedStore) Changes(ctx context.Context, request logstore.ReadRequest) (logstore.ChangesResult, error) {
+	result, err := s.Store.Changes(ctx, request)
 	s.count("changes", request.Partition, err)
-	return items, next, err
+	return result, err
 }
 
 func (s *countedStore) count(call string, partition logstore.Partition, err error) {
--- a/internal/routednode/storecalls_test.go
+++ b/internal/routednode/storecalls_test.go
@@ -25,7 +25,7 @@
 		is.NoErr(err)
 	}
 	log.Fail(store.Fault{Busy: true})
-	_, _, err = counted.Changes(t.Context(), logstore.ReadRequest{Partition: work, From: 1, Wait: time.Millisecond})
+	_, err = counted.Changes(t.Context(), logstore.ReadRequest{Partition: work, From: 1, Wait: time.Millisecond})
 	is.True(err != nil)
 	_, _, err = counted.Newest(t.Context(), work)
 	is.True(err != nil)
--- a/internal/routednode/views.go
+++ b/internal/routednode/views.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -22,6 +23,8 @@
 	fleet   *fleet.Directory
 	tracker *balance.Tracker
 	logger  *slog.Logger
+	// freshness tells how old the configuration in force may be.
+	freshness *freshness
 	// listed tells that the replicas have been read once.
 	listed atomic.Bool
 
@@ -32,12 +35,21 @@
 	entries       map[string][]byte
 }
 
+// readsInLease is how many reads of the configuration fit into the lease on it. What a
+// read confirms is as old as the read when that ends, and twice as old when the next one
+// ends, which is half of the lease.
+const readsInLease = 4
+
 // configurations follows the operators' configuration.
-func (v *views) configurations(store logstore.Store, chosen settings.Follow) *follow.Follower {
+func (v *views) configurations(store logstore.Store, chosen settings.Routed) *follow.Follower {
+	wait := chosen.Follow.Wait
+	if lease := chosen.Keys.Lease(); lease > 0 {
+		wait = min(wait, lease/readsInLease)
+	}
 	return follow.New(follow.Config{
 		Name: "configuration", Store: store, Partition: v.adapter.Configuration,
-		Pause: 0, Wait: chosen.Wait, OnSnapshot: v.takeConfiguration, OnChanges: v.takeConfiguration,
-		OnRegained: func() {}, Logger: v.logger,
+		Pause: 0, Wait: wait, OnSnapshot: v.takeConfiguration, OnChanges: v.takeConfiguration,
+		OnRegained: func() {}, OnConfirmed: v.freshness.confirm, Logger: v.logger,
 	})
 }
 
@@ -47,7 +59,8 @@
 		Name: "replicas", Store: store, Partition: v.adapter.Replicas,
 		Pause: chosen.ReplicasPause, Wait: chosen.Wait,
 		OnSnapshot: v.replaceReplicas, OnChanges: v.changeReplicas,
-		OnRegained: func() { v.fleet.Unsettled(v.router.Now()) }, Logger: v.logger,
+		OnRegained:  func() { v.fleet.Unsettled(v.router.Now()) },
+		OnConfirmed: func(time.Time) {}, Logger: v.logger,
 	})
 }
 
@@ -64,6 +77,7 @@
 // who has told it.
 func (v *views) takeEncoded(encoded []byte, from string) {
 	configuration, err := v.adapter.DecodeConfiguration(encoded)
+	v.freshness.readable(err == nil)
 	if err != nil {
 		v.logger.Error("configuration can't be used", "from", from, "error", err, "bytes", len(encoded))
 		return
@@ -165,3 +179,12 @@
 			"sequence", change.Replica.Sequence)
 	}
 }
+
+// confirmBy takes over what a peer knows of the configuration's age. The peer's answer
+// holds for a time after the question was sent, so that its age then counts from asked.
+func (v *views) confirmBy(told *tellViews, asked time.Time) {
+	inForce := v.router.Configuration()
+	if told.ConfigurationKnown && inForce != nil && inForce.Version >= told.Version {
+		v.freshness.confirm(asked.Add(-told.ConfigurationAge))
+	}
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -38,6 +38,8 @@
 	// rounds counts the pauses after which full replicas were offered the request again.
 	rounds int
 	last   *exchange.FailureError
+	// refused is why this node itself passes the request on no further, or nil.
+	refused error
 }
 
 // attempt is a request at one replica.
@@ -63,10 +65,14 @@
 // errNoReplica tells that nothing is left to try.
 var errNoReplica = errors.New("router: no replica takes the request")
 
-// send offers the call to replicas until one answers it. Errors: errNoReplica; a
-// *exchange.FailureError after which the call must not be tried again.
+// send offers the call to replicas until one answers it. Errors: errNoReplica; one that
+// wraps errStale; a *exchange.FailureError after which the call must not be tried again.
 func (r *Router) send(ctx context.Context, call *call, reply *reply, course *attempts) (*attempt, error) {
 	for {
+		if err := r.mayBegin(call, course); err != nil {
+			course.refused = err
+			return nil, err
+		}
 		chosen, found := r.choose(ctx, call, course)
 		if !found {
 			if r.awaitRoom(ctx, call, course) {
@@ -85,6 +91,15 @@
 	}
 }
 
+// mayBegin returns an error if a request with a key may not begin to run any more. What
+// runs already is served to its end.
+func (r *Router) mayBegin(call *call, course *attempts) error {
+	if call.tenant == nil || course.mayHaveRun > 0 {
+		return nil
+	}
+	return r.confirmed()
+}
+
 // awaitRoom pauses before the replicas, which were full, are offered a program's
 // request again, since its refusal may end the whole program. It returns false
 // where the request is not to be offered again.
@@ -206,6 +221,9 @@
 	if course.last != nil {
 		cause, reason = course.last, string(course.last.Reason)
 	}
+	if course.refused != nil {
+		cause, reason = course.refused, reasonStale
+	}
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		reply.breakOff("client_left", cause)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,7 +18,8 @@
 	"stepseam.example/stepseam/internal/routing"
 )
 
-// Config is what a Router is made from; all fields but Keepers and Registerer are required.
+// Config is what a Router is made from; all fields but Keepers, Registerer and
+// those that say so are required.
 type Config struct {
 	Names    HeaderNames
 	Replicas *exchange.Client
@@ -27,6 +28,11 @@
 	Turns    *homes.Service
 	// Keepers tell and ask what all nodes have at replicas; nil where nodes don't.
 	Keepers *keeper.Exchange
+	// Lease is how old the configuration may be for requests with keys; 0 sets no bound.
+	Lease time.Duration
+	// Freshness returns how old the configuration may be, false if that is not known;
+	// required where Lease is set.
+	Freshness func() (time.Duration, bool)
 	// Now is a monotonic reading.
 	Now func() time.Duration
 	// BufferBytes bounds the bodies that are held at once.
@@ -88,6 +94,7 @@
 	if r.draining.Load() {
 		writer.Header().Set("Connection", "close")
 	}
+	stale := r.confirmed()
 	configuration := r.configuration.Load()
 	if configuration == nil {
 		reply.refuse(http.StatusServiceUnavailable, refusal{reason: "no_configuration", comeBack: longComeBack})
@@ -105,7 +112,7 @@
 		r.logRefused(request, reply)
 		return
 	}
-	tenant, refused := r.authenticate(request, route, configuration)
+	tenant, refused := r.authenticate(request, route, configuration, stale)
 	if refused != nil {
 		reply.refuse(refused.status, refused.refusal)
 		r.logRefused(request, reply)
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -17,6 +17,7 @@
 	Machine Machine          `yaml:"machine"`
 	Stop    Stop             `yaml:"stop"`
 	Follow  Follow           `yaml:"follow"`
+	Keys    Keys             `yaml:"keys"`
 	Logging Logging          `yaml:"logging"`
 }
 
@@ -72,6 +73,20 @@
 	Wait time.Duration `yaml:"wait" validate:"min=100ms,max=1m"`
 }
 
+// Keys says what holds for clients' keys.
+type Keys struct {
+	// Revocation is how long after a configuration that takes a key away was
+	// acknowledged a request with that key may still be sent and run. 0 sets no bound.
+	Revocation time.Duration `yaml:"revocation" validate:"max=1h"`
+}
+
+// leasePercent of the bound on revocation is how old the configuration may be; the rest
+// is for clocks that don't run alike.
+const leasePercent = 90
+
+// Lease is how old the configuration may be for requests with keys; 0 sets no bound.
+func (k Keys) Lease() time.Duration { return k.Revocation * leasePercent / 100 }
+
 // DefaultRouted returns settings with every default. Node, addresses and the
 // store's address have none.
 func DefaultRouted() Routed {
