--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,243 @@
+// Package limits keeps tenants' requests at all nodes together within their limits. One
+// node a tenant, its allocator, hands out tokens; the others ask it a little ahead of
+// their need, so that a request seldom waits for an answer. The rules are in package
+// quota; this one finds the allocator, carries the messages and takes an account over
+// when the allocator changes.
+//
+// A node that gets no answer spends at its own pace for a short time, see
+// quota.Stock.TakeAlone. Nothing here is durable.
+package limits
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/quota"
+	"stepseam.example/stepseam/internal/routing"
+)
+
+const (
+	// askPatience is how long a request waits for tokens.
+	askPatience = 120 * time.Millisecond
+	// askTimeout bounds one question to an allocator, askTries how many nodes one
+	// question may lead to.
+	askTimeout = 80 * time.Millisecond
+	askTries   = 8
+	// sweepPause is the time between two looks for tokens to give back.
+	sweepPause = 250 * time.Millisecond
+	// stockIdle is how long a stock without use is kept.
+	stockIdle = 10 * time.Second
+	// unansweredPause is how long requests don't wait for an allocator again that has
+	// not answered.
+	unansweredPause = 100 * time.Millisecond
+)
+
+// ErrNoAllocator tells that nobody could be asked for a token and that this node has
+// none of its own.
+var ErrNoAllocator = errors.New("limits: no node answers that allots the tenant's limit")
+
+// OverLimitError tells that a tenant's limit holds no more for now.
+type OverLimitError struct {
+	Tenant string
+	// After is when there may be room again.
+	After time.Duration
+	// Begins tells that only requests that begin a program are refused.
+	Begins bool
+}
+
+// Error gives the tenant and when there may be room.
+func (e *OverLimitError) Error() string {
+	what := "requests"
+	if e.Begins {
+		what = "programs"
+	}
+	return fmt.Sprintf("limits: tenant %s is at its limit of %s, room in %s", e.Tenant, what, e.After)
+}
+
+// Way is how a limit is shared among the nodes.
+type Way string
+
+// The ways.
+const (
+	// WayAllocator lets one node a tenant hand out tokens.
+	WayAllocator Way = "allocator"
+	// WayShares gives each node an equal part of every limit. It needs no messages and
+	// refuses what is under the limit where a tenant's clients are at few nodes.
+	WayShares Way = "shares"
+)
+
+// Config is what a Service is made from. Peers is nil where there are no other nodes.
+type Config struct {
+	Self   identity.NodeName
+	Policy quota.Policy
+	Way    Way
+	Peers  peer.Client
+	// Now is a monotonic reading.
+	Now        func() time.Duration
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+}
+
+// Service grants and asks for tokens. It is safe for concurrent use.
+type Service struct {
+	config    Config
+	source    quota.Source
+	placement *placement
+	metrics   *metrics
+	// limit is set before the first request.
+	limit func(tenant string) (quota.Limit, bool)
+
+	// stocksMutex guards stocks; each has a lock of its own, which is taken after it.
+	stocksMutex sync.Mutex
+	stocks      map[string]*stock
+
+	// mutex guards all below; it is held for no call.
+	mutex     sync.Mutex
+	allocator *quota.Allocator
+	// changedAt is when the members changed last, or this node started or stood still.
+	changedAt time.Duration
+	// settling holds the tenants whose account is being taken over.
+	settling map[string]chan struct{}
+}
+
+// New returns a service that knows no other nodes.
+func New(config Config) *Service {
+	return &Service{
+		config: config, source: quota.Source(rand.Uint64()), placement: newPlacement(config.Self),
+		metrics: newMetrics(config.Registerer), stocks: map[string]*stock{},
+		allocator: quota.NewAllocator(config.Policy), changedAt: config.Now(), settling: map[string]chan struct{}{},
+	}
+}
+
+// SetLimits sets what returns a tenant's limit in the configuration in force, false if it
+// has none. It is called before the first request.
+func (s *Service) SetLimits(limit func(tenant string) (quota.Limit, bool)) { s.limit = limit }
+
+// SetView tells which nodes live.
+func (s *Service) SetView(view membership.View) {
+	now := s.config.Now()
+	added := s.placement.setView(view, now)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.changedAt = now
+	if added {
+		s.allocator.Unsettle()
+	}
+}
+
+// Run gives back what expires unspent, until ctx ends. It notices when the process stood
+// still: others may have allotted meanwhile.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepPause)
+	defer ticker.Stop()
+	last := s.config.Now()
+	for {
+		select {
+		case <-ticker.C:
+			now := s.config.Now()
+			s.sweep(ctx, now)
+			s.noteStandstill(now-last, now)
+			last = now
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// standstill is a pause of the process after which other nodes may have taken it for dead.
+const standstill = time.Second
+
+func (s *Service) noteStandstill(pause, now time.Duration) {
+	if pause < standstill {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.changedAt = now
+	s.allocator.Unsettle()
+}
+
+// sweep tells allocators what is given back, and forgets what rests.
+func (s *Service) sweep(ctx context.Context, now time.Duration) {
+	s.mutex.Lock()
+	s.allocator.Forget(now)
+	s.mutex.Unlock()
+	s.stocksMutex.Lock()
+	defer s.stocksMutex.Unlock()
+	for tenant, one := range s.stocks {
+		if one.rests(now) {
+			delete(s.stocks, tenant)
+			continue
+		}
+		one.tellReturns(ctx, now)
+	}
+}
+
+// Admit spends a token for one request of a tenant, which may be nil. Errors: an
+// *OverLimitError; ErrNoAllocator.
+func (s *Service) Admit(ctx context.Context, tenant *routing.Tenant) (*Permit, error) {
+	if !tenant.Limited() {
+		return nil, nil
+	}
+	one := s.stock(tenant.Name)
+	token, err := one.take(ctx, LimitOf(tenant))
+	if err != nil {
+		s.metrics.decided(err)
+		return nil, err
+	}
+	s.metrics.decided(nil)
+	return &Permit{stock: one, token: token}, nil
+}
+
+// LimitOf returns a tenant's limit.
+func LimitOf(tenant *routing.Tenant) quota.Limit {
+	return quota.Limit{RatePerSecond: tenant.RatePerSecond, Burst: tenant.Burst}
+}
+
+func (s *Service) stock(tenant string) *stock {
+	s.stocksMutex.Lock()
+	defer s.stocksMutex.Unlock()
+	found := s.stocks[tenant]
+	if found == nil {
+		found = &stock{service: s, tenant: tenant, quota: quota.NewStock(s.config.Policy, s.config.Now())}
+		s.stocks[tenant] = found
+	}
+	return found
+}
+
+// Permit is the right of one request to run. A nil Permit is that of a request without
+// a limit.
+type Permit struct {
+	stock *stock
+	token quota.Token
+}
+
+// Begin asks for the right to begin a program. Errors: an *OverLimitError; ErrNoAllocator.
+func (p *Permit) Begin(ctx context.Context) error {
+	if p == nil {
+		return nil
+	}
+	err := p.stock.takeBegin(ctx)
+	if err != nil {
+		p.stock.service.metrics.decided(err)
+	}
+	return err
+}
+
+// Refund gives the token back, since the request has not run.
+func (p *Permit) Refund() {
+	if p == nil {
+		return
+	}
+	p.stock.refund(p.token)
+}
--- /dev/null
+++ b/internal/limits/placement.go
@@ -0,0 +1,152 @@
+package limits
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+)
+
+const (
+	// missedFor is how long a node that is gone without a word still counts when limits
+	// are shared: it may live behind a cut and serve. After that the nodes that are left
+	// have all of the limits.
+	missedFor = 20 * time.Second
+	// refusedFor is how long a node whose machine refuses connections counts as dead.
+	refusedFor = time.Second
+)
+
+// placement tells which node allots a tenant's limit: of the members that live, the one
+// of the highest hash together with the tenant (rendezvous hashing). It is safe for
+// concurrent use.
+type placement struct {
+	self identity.NodeName
+
+	// mutex guards all below.
+	mutex   sync.Mutex
+	members []membership.Member
+	// missed holds the members that died without a word, and since when.
+	missed map[identity.NodeName]time.Duration
+	// refused holds until when lives count as dead since their machine refused a
+	// connection, which a machine behind a cut does not.
+	refused map[identity.Reference]time.Duration
+}
+
+func newPlacement(self identity.NodeName) *placement {
+	return &placement{self: self, missed: map[identity.NodeName]time.Duration{}, refused: map[identity.Reference]time.Duration{}}
+}
+
+// setView takes the members that live and tells whether one has come that was not there.
+func (p *placement) setView(view membership.View, now time.Duration) (added bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	before := map[identity.Reference]membership.Status{}
+	for _, member := range p.members {
+		before[member.Node.Reference()] = member.Status
+	}
+	for _, member := range view.Members {
+		if _, known := before[member.Node.Reference()]; !known && member.Node.Name != p.self {
+			added = true
+		}
+		delete(before, member.Node.Reference())
+		delete(p.missed, member.Node.Name)
+	}
+	for gone, status := range before {
+		if _, refused := p.refused[gone]; status != membership.Leaving && !refused && !replaced(gone, view.Members) {
+			p.missed[gone.Name] = now
+		}
+	}
+	p.members = slices.Clone(view.Members)
+	return added
+}
+
+// replaced tells whether a member's name lives on in another life.
+func replaced(gone identity.Reference, members []membership.Member) bool {
+	return slices.ContainsFunc(members, func(member membership.Member) bool { return member.Node.Name == gone.Name })
+}
+
+// refuse notes that a node's machine refuses connections.
+func (p *placement) refuse(node identity.Node, now time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.refused[node.Reference()] = now + refusedFor
+}
+
+// accept notes that a node lives.
+func (p *placement) accept(node identity.Node) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.refused, node.Reference())
+}
+
+// allocator returns the node that allots a tenant; empty where none is known.
+func (p *placement) allocator(tenant string, now time.Duration) identity.Node {
+	ranked := p.ranked(tenant, now, func(member membership.Member) bool {
+		return member.Status == membership.Alive || member.Status == membership.Suspect
+	})
+	if len(ranked) == 0 {
+		return identity.Node{}
+	}
+	return ranked[0]
+}
+
+// allotsBefore returns the node that has most likely allotted a tenant until now: the
+// first of the others, those that leave among them.
+func (p *placement) allotsBefore(tenant string, now time.Duration) (identity.Node, bool) {
+	ranked := p.ranked(tenant, now, func(member membership.Member) bool { return member.Node.Name != p.self })
+	if len(ranked) == 0 {
+		return identity.Node{}, false
+	}
+	return ranked[0], true
+}
+
+// ranked returns the members that fit, the one of the highest hash first.
+func (p *placement) ranked(tenant string, now time.Duration, fits func(membership.Member) bool) []identity.Node {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	type scored struct {
+		node  identity.Node
+		score uint64
+	}
+	var found []scored
+	for _, member := range p.members {
+		if fits(member) && now >= p.refused[member.Node.Reference()] {
+			found = append(found, scored{member.Node, xxhash.Sum64String(tenant + "/" + string(member.Node.Name))})
+		}
+	}
+	slices.SortFunc(found, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	nodes := make([]identity.Node, 0, len(found))
+	for _, one := range found {
+		nodes = append(nodes, one.node)
+	}
+	return nodes
+}
+
+// counts returns how many nodes live and how many may serve, those that died without a
+// word lately among them.
+func (p *placement) counts(now time.Duration) (live, all int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for name, since := range p.missed {
+		if now-since > missedFor {
+			delete(p.missed, name)
+		}
+	}
+	for reference, until := range p.refused {
+		if now >= until {
+			delete(p.refused, reference)
+		}
+	}
+	for _, member := range p.members {
+		all++
+		if member.Status == membership.Alive || member.Status == membership.Leaving {
+			live++
+		}
+	}
+	return max(live, 1), max(all, 1) + len(p.missed)
+}
--- /dev/null
+++ b/internal/limits/stock.go
@@ -0,0 +1,185 @@
+package limits
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"stepseam.example/stepseam/internal/quota"
+)
+
+// stock is this node's tokens of one tenant and the question for more.
+type stock struct {
+	service *Service
+	tenant  string
+
+	// mutex guards all below; it is held for no call.
+	mutex sync.Mutex
+	quota *quota.Stock
+	// waiting counts the requests that wait for tokens.
+	waiting quota.Amount
+	// asking is the question under way; nil if there is none.
+	asking *question
+	// source is the allocator that answered last.
+	source quota.Source
+	// unansweredUntil is how long requests don't wait for an answer.
+	unansweredUntil time.Duration
+	usedAt          time.Duration
+}
+
+// question is a question to the allocator. The error is set before done is closed.
+type question struct {
+	done chan struct{}
+	err  error
+}
+
+// rounds bounds how often a request waits for an answer whose tokens others have taken.
+const rounds = 3
+
+// take spends a token, for which it waits where there is none.
+func (s *stock) take(ctx context.Context, limit quota.Limit) (quota.Token, error) {
+	for range rounds {
+		token, asked, err := s.tryTake(ctx, limit)
+		if asked == nil {
+			return token, err
+		}
+		s.await(ctx, asked)
+		s.endWait(quota.Amount{Requests: 1})
+	}
+	return quota.Token{}, &OverLimitError{Tenant: s.tenant, After: s.service.config.Policy.Life()}
+}
+
+// tryTake spends a token or tells why not; a question is to be waited for.
+func (s *stock) tryTake(ctx context.Context, limit quota.Limit) (quota.Token, *question, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.service.config.Now()
+	s.usedAt = now
+	if token, taken := s.quota.Take(now); taken {
+		if s.asking == nil && s.quota.Low(now) {
+			s.askLocked(ctx, now)
+		}
+		return token, nil, nil
+	}
+	if after := s.quota.Refused(now); after > 0 {
+		return quota.Token{}, nil, &OverLimitError{Tenant: s.tenant, After: after}
+	}
+	if now < s.unansweredUntil {
+		_, nodes := s.service.placement.counts(now)
+		if token, taken := s.quota.TakeAlone(limit, nodes, now); taken {
+			return token, nil, nil
+		}
+		return quota.Token{}, nil, ErrNoAllocator
+	}
+	return quota.Token{}, s.waitLocked(ctx, quota.Amount{Requests: 1}, now), nil
+}
+
+// takeBegin spends the right to begin a program, for which it waits where there is none.
+func (s *stock) takeBegin(ctx context.Context) error {
+	for range rounds {
+		asked, err := s.tryBegin(ctx)
+		if asked == nil {
+			return err
+		}
+		s.await(ctx, asked)
+		s.endWait(quota.Amount{Begins: 1})
+	}
+	return &OverLimitError{Tenant: s.tenant, After: s.service.config.Policy.Life(), Begins: true}
+}
+
+func (s *stock) tryBegin(ctx context.Context) (*question, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.service.config.Now()
+	if s.quota.TakeBegin(now) {
+		return nil, nil
+	}
+	if after := s.quota.BeginsRefused(now); after > 0 {
+		return nil, &OverLimitError{Tenant: s.tenant, After: after, Begins: true}
+	}
+	if now < s.unansweredUntil {
+		return nil, nil // the request has a token; without an allocator that will do
+	}
+	return s.waitLocked(ctx, quota.Amount{Begins: 1}, now), nil
+}
+
+// waitLocked returns the question to wait for. endWait must be called after it.
+func (s *stock) waitLocked(ctx context.Context, needed quota.Amount, now time.Duration) *question {
+	s.waiting = s.waiting.Plus(needed)
+	if s.asking == nil {
+		s.askLocked(ctx, now)
+	}
+	return s.asking
+}
+
+func (s *stock) endWait(needed quota.Amount) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.waiting = s.waiting.Minus(needed)
+}
+
+// await waits for an answer, or for askPatience.
+func (s *stock) await(ctx context.Context, asked *question) {
+	timer := time.NewTimer(askPatience)
+	defer timer.Stop()
+	select {
+	case <-asked.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// askLocked asks the allocator in the background. The end of ctx, which is one
+// request's, does not end a question of many.
+func (s *stock) askLocked(ctx context.Context, now time.Duration) {
+	asked := &question{done: make(chan struct{})}
+	s.asking = asked
+	request := s.quota.Ask(s.source, s.waiting, now)
+	go func() {
+		answer, err := s.service.ask(context.WithoutCancel(ctx), s.tenant, request)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.answered(request, answer, err, now)
+		asked.err = err
+		s.asking = nil
+		close(asked.done)
+	}()
+}
+
+// answered needs the mutex.
+func (s *stock) answered(request quota.Request, answer *granted, err error, asked time.Duration) {
+	now := s.service.config.Now()
+	if err != nil {
+		s.quota.Untold(request)
+		if !errors.Is(err, errNoLimit) {
+			s.unansweredUntil = now + unansweredPause
+		}
+		return
+	}
+	s.source, s.unansweredUntil = answer.Source, 0
+	s.quota.Granted(answer.Source, request, answer.Grant, asked, now)
+}
+
+func (s *stock) refund(token quota.Token) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.quota.Refund(token, s.service.config.Now())
+}
+
+// rests tells whether the stock has not been used for long.
+func (s *stock) rests(now time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.asking == nil && now-s.usedAt > stockIdle
+}
+
+// tellReturns gives back what has expired unspent, unless a question is under way that
+// will.
+func (s *stock) tellReturns(ctx context.Context, now time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.asking == nil && s.quota.HasReturns(s.source, now) {
+		s.askLocked(ctx, now)
+	}
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -28,6 +28,7 @@
 	KindRangeOperator Kind = 500
 	KindRangeLedger   Kind = 600
 	KindRangeRelay    Kind = 700
+	KindRangeLimits   Kind = 800
 
 	kindRangeSize = 100
 )
--- /dev/null
+++ b/internal/quota/stock.go
@@ -0,0 +1,258 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Source names one life of an allocator.
+type Source uint64
+
+// Token is the right to run one request.
+type Token struct {
+	source    Source
+	grantedAt time.Duration
+	// own tells that it was taken without an allocator.
+	own bool
+}
+
+// batch is what is left of one grant.
+type batch struct {
+	source    Source
+	grantedAt time.Duration
+	// expires is on this node's clock.
+	expires time.Duration
+	left    Amount
+}
+
+const (
+	// paceFor is how fast older requests lose weight in a node's pace.
+	paceFor = time.Second
+	// aheadPart of a life is what is asked for in advance.
+	aheadPart = 0.8
+	// lowPart of what is asked for in advance is left when more is asked for.
+	lowPart = 0.4
+	// trustFor is how long a node goes on at its own pace without an allocator, if the
+	// tenant was well below its limit at the last word of one. It covers the time until
+	// the others know that the allocator is gone.
+	trustFor = 3 * time.Second
+	// trustBelow is the part of a limit below which that holds.
+	trustBelow = 0.6
+	// trustPace is how much faster than before the node may go then.
+	trustPace = 1.25
+)
+
+// Stock holds one node's tokens of one tenant. It is not safe for concurrent use.
+type Stock struct {
+	policy  Policy
+	batches []batch
+	// returns are parts of grants that are to be given back, by allocator.
+	returns map[Source][]Return
+	// pace and beginPace are requests and begun programs a second.
+	pace, beginPace float64
+	pacedAt         time.Duration
+	// refusedUntil and beginsRefusedUntil hold what the allocator has said last.
+	refusedUntil, beginsRefusedUntil time.Duration
+	// heardAt is when an allocator answered last, roomy whether the tenant was well below
+	// its limit then; heard is false before the first answer.
+	heardAt time.Duration
+	heard   bool
+	roomy   bool
+	// alone tells that tokens are taken without an allocator. own is what may be spent
+	// so, ownAt when that was reckoned and spent what was, which the next allocator is told.
+	alone bool
+	own   float64
+	ownAt time.Duration
+	spent Amount
+}
+
+// NewStock returns a stock without tokens.
+func NewStock(policy Policy, now time.Duration) *Stock {
+	return &Stock{policy: policy, returns: map[Source][]Return{}, pacedAt: now, ownAt: now}
+}
+
+// Take spends a token for a request; false if there is none.
+func (s *Stock) Take(now time.Duration) (Token, bool) {
+	s.expire(now)
+	for i := range s.batches {
+		if one := &s.batches[i]; one.left.Requests > 0 {
+			one.left.Requests--
+			s.note(Amount{Requests: 1}, now)
+			return Token{source: one.source, grantedAt: one.grantedAt}, true
+		}
+	}
+	return Token{}, false
+}
+
+// TakeBegin spends the right to begin a program; false if there is none.
+func (s *Stock) TakeBegin(now time.Duration) bool {
+	s.expire(now)
+	for i := range s.batches {
+		if one := &s.batches[i]; one.left.Begins > 0 {
+			one.left.Begins--
+			s.note(Amount{Begins: 1}, now)
+			return true
+		}
+	}
+	return false
+}
+
+// Refund gives back the token of a request that has not run.
+func (s *Stock) Refund(token Token, now time.Duration) {
+	s.expire(now)
+	if token.own {
+		s.own++
+		s.spent.Requests = max(s.spent.Requests-1, 0)
+		return
+	}
+	for i := range s.batches {
+		if one := &s.batches[i]; one.source == token.source && one.grantedAt == token.grantedAt {
+			one.left.Requests++
+			return
+		}
+	}
+	s.giveBack(token.source, Return{GrantedAt: token.grantedAt, Amount: Amount{Requests: 1}})
+}
+
+// giveBack is told the allocator with the next request, if that is the same life still.
+func (s *Stock) giveBack(source Source, one Return) {
+	s.returns[source] = append(s.returns[source], one)
+}
+
+// expire takes tokens out whose life is over.
+func (s *Stock) expire(now time.Duration) {
+	live := s.batches[:0]
+	for _, one := range s.batches {
+		if now < one.expires {
+			live = append(live, one)
+			continue
+		}
+		if one.left != (Amount{}) {
+			s.giveBack(one.source, Return{GrantedAt: one.grantedAt, Amount: one.left})
+		}
+	}
+	s.batches = live
+}
+
+// note counts what was spent in the node's pace.
+func (s *Stock) note(spent Amount, now time.Duration) {
+	s.slow(now)
+	s.pace += float64(spent.Requests) / paceFor.Seconds()
+	s.beginPace += float64(spent.Begins) / paceFor.Seconds()
+}
+
+// slow lets the pace fall with the time that has passed.
+func (s *Stock) slow(now time.Duration) {
+	decay := math.Exp(-float64(now-s.pacedAt) / float64(paceFor))
+	s.pace, s.beginPace, s.pacedAt = s.pace*decay, s.beginPace*decay, now
+}
+
+// left is what is in stock.
+func (s *Stock) left() Amount {
+	total := Amount{}
+	for _, one := range s.batches {
+		total = total.Plus(one.left)
+	}
+	return total
+}
+
+// ahead is what the node would like to have in stock, at its pace.
+func (s *Stock) ahead() Amount {
+	horizon := aheadPart * s.policy.Life().Seconds()
+	return Amount{Requests: int(math.Ceil(s.pace * horizon)), Begins: int(math.Ceil(s.beginPace * horizon))}
+}
+
+// Low tells whether more should be asked for before it is needed.
+func (s *Stock) Low(now time.Duration) bool {
+	if now < s.refusedUntil {
+		return false
+	}
+	s.expire(now)
+	s.slow(now)
+	left, ahead := s.left(), s.ahead()
+	return float64(left.Requests) < lowPart*float64(ahead.Requests) ||
+		now >= s.beginsRefusedUntil && float64(left.Begins) < lowPart*float64(ahead.Begins)
+}
+
+// Ask returns the request to an allocator, whose returns and spent tokens count as told.
+func (s *Stock) Ask(source Source, needed Amount, now time.Duration) Request {
+	s.expire(now)
+	s.slow(now)
+	ahead, left := s.ahead(), s.left()
+	request := Request{
+		Needed: needed, Wanted: needed.Plus(ahead.Minus(left)),
+		Spent: s.spent, Returned: s.returns[source],
+	}
+	s.spent = Amount{}
+	clear(s.returns)
+	return request
+}
+
+// HasReturns tells whether something is to be given back to an allocator.
+func (s *Stock) HasReturns(source Source, now time.Duration) bool {
+	s.expire(now)
+	return len(s.returns[source]) > 0 || s.spent != (Amount{})
+}
+
+// Untold takes back what an allocator was to be told that has not answered. What it was
+// to be given back is lost, since it may have heard of it.
+func (s *Stock) Untold(request Request) { s.spent = s.spent.Plus(request.Spent) }
+
+// Granted takes the answer to a request that was sent at asked.
+func (s *Stock) Granted(source Source, request Request, grant Grant, asked, now time.Duration) {
+	s.heard, s.heardAt, s.alone = true, now, false
+	s.roomy = float64(grant.Used) < trustBelow*float64(grant.Limit)
+	if grant.Amount != (Amount{}) {
+		s.batches = append(s.batches, batch{
+			source: source, grantedAt: grant.GrantedAt, expires: asked + s.policy.Life(), left: grant.Amount,
+		})
+	}
+	if grant.Amount.Requests < request.Needed.Requests {
+		s.refusedUntil = now + grant.RequestAfter
+	}
+	if grant.Amount.Begins < request.Needed.Begins {
+		s.beginsRefusedUntil = now + grant.BeginAfter
+	}
+}
+
+// Refused returns how long the allocator has nothing to grant, 0 if it may have.
+func (s *Stock) Refused(now time.Duration) time.Duration { return max(s.refusedUntil-now, 0) }
+
+// BeginsRefused returns how long no program may begin, 0 if one may.
+func (s *Stock) BeginsRefused(now time.Duration) time.Duration {
+	return max(s.beginsRefusedUntil-now, 0)
+}
+
+// TakeAlone spends a token without an allocator: at the node's own pace where the tenant
+// was well below its limit a short time ago, else from the node's part of the limit.
+func (s *Stock) TakeAlone(limit Limit, nodes int, now time.Duration) (Token, bool) {
+	s.slow(now)
+	rate := s.policy.Granted(limit) / s.policy.Span().Seconds() / float64(max(nodes, 1))
+	most := 1.0
+	trusted := s.heard && s.roomy && now-s.heardAt < trustFor
+	if trusted {
+		rate = max(rate, trustPace*s.pace)
+		most = max(most, rate*s.policy.Life().Seconds())
+	}
+	if !s.alone {
+		s.alone, s.own, s.ownAt = true, 0, now
+		if trusted {
+			s.own = most
+		}
+	}
+	s.own = min(s.own+rate*(now-s.ownAt).Seconds(), most)
+	s.ownAt = now
+	if s.own < 1 {
+		return Token{}, false
+	}
+	s.own--
+	s.spent.Requests++
+	s.note(Amount{Requests: 1}, now)
+	return Token{own: true}, true
+}
+
+// Pace returns the requests a second that the node has lately served for the tenant.
+func (s *Stock) Pace(now time.Duration) float64 {
+	s.slow(now)
+	return s.pace
+}
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -21,8 +21,10 @@
 	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/keeper"
 	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/loads"
 	"stepseam.example/stepseam/internal/logstore"
+	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/router"
 	"stepseam.example/stepseam/internal/settings"
 )
@@ -58,6 +60,7 @@
 	loads *loads.Exchange
 	// keepers is nil where nodes don't ask each other.
 	keepers *keeper.Exchange
+	limits  *limits.Service
 	// configurations and entries follow the operators' configuration and the
 	// replicas' entries.
 	configurations, entries *follow.Follower
@@ -81,6 +84,7 @@
 	n.run(ctx, n.replicas.Run)
 	n.run(ctx, n.homes.Run)
 	n.run(ctx, n.closeResting)
+	n.run(ctx, n.limits.Run)
 	if n.peers != nil {
 		n.run(ctx, n.peers.run)
 		n.run(ctx, n.relay.run)
@@ -150,6 +154,19 @@
 	return !n.stopping.Load() && n.router.MayServe() && n.views.listed.Load()
 }
 
+// limitOf returns a tenant's limit in the configuration in force; false if it has none.
+func (n *node) limitOf(tenant string) (quota.Limit, bool) {
+	configuration := n.router.Configuration()
+	if configuration == nil {
+		return quota.Limit{}, false
+	}
+	found := configuration.TenantNamed(tenant)
+	if !found.Limited() {
+		return quota.Limit{}, false
+	}
+	return limits.LimitOf(found), true
+}
+
 func (n *node) answerReadiness(writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path != n.adapter.ReadinessPath {
 		http.NotFound(writer, request)
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -15,7 +15,9 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/keeper"
 	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/logstore"
+	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/router"
 	"stepseam.example/stepseam/internal/settings"
 )
@@ -41,6 +43,7 @@
 	do.Provide(injector, providePeers)
 	do.Provide(injector, provideHomes)
 	do.Provide(injector, provideKeepers)
+	do.Provide(injector, provideLimits)
 	do.Provide(injector, provideRouter)
 	do.Provide(injector, provideViews)
 	do.Provide(injector, provideNode)
@@ -99,6 +102,28 @@
 	return made, nil
 }
 
+func provideLimits(injector do.Injector) (*limits.Service, error) {
+	chosen := do.MustInvoke[settings.Routed](injector)
+	config := limits.Config{
+		Self: chosen.Node.Name, Way: limits.Way(chosen.Limits.Way),
+		Policy: quota.Policy{Window: chosen.Limits.Window, Overage: chosen.Limits.Overage, Slack: chosen.Limits.Slack},
+		Now:    do.MustInvoke[clock](injector), Logger: do.MustInvoke[*slog.Logger](injector),
+		Registerer: do.MustInvoke[*prometheus.Registry](injector),
+	}
+	others, err := do.Invoke[*peers](injector)
+	if err != nil {
+		return nil, err
+	}
+	if others == nil {
+		return limits.New(config), nil
+	}
+	config.Peers = others.transport
+	made := limits.New(config)
+	made.Register(others.registry)
+	others.onView = append(others.onView, made.SetView)
+	return made, nil
+}
+
 func provideRouter(injector do.Injector) (*router.Router, error) {
 	keepers, err := do.Invoke[*keeper.Exchange](injector)
 	if err != nil {
@@ -111,6 +136,7 @@
 		Replicas: do.MustInvoke[*exchange.Client](injector), Fleet: do.MustInvoke[*fleet.Directory](injector),
 		Tracker: do.MustInvoke[*balance.Tracker](injector), Turns: do.MustInvoke[*homes.Service](injector),
 		BufferBytes: int64(do.MustInvoke[settings.Routed](injector).Machine.MemoryMebibytes) * mebibyte / bufferShare,
+		Limits:      do.MustInvoke[*limits.Service](injector),
 		Lease:       do.MustInvoke[settings.Routed](injector).Keys.Lease(), Freshness: fresh.Age,
 		Random: rand.Float64, Logger: do.MustInvoke[*slog.Logger](injector),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
@@ -133,11 +159,13 @@
 		ledger: do.MustInvoke[*ledgerlog.Ledger](injector),
 		homes:  do.MustInvoke[*homes.Service](injector), peers: do.MustInvoke[*peers](injector), views: do.MustInvoke[*views](injector),
 		keepers:     do.MustInvoke[*keeper.Exchange](injector),
+		limits:      do.MustInvoke[*limits.Service](injector),
 		connections: do.MustInvoke[*router.Connections](injector), store: do.MustInvoke[logstore.Store](injector),
 		registry: do.MustInvoke[*prometheus.Registry](injector),
 	}
 	chosen := do.MustInvoke[settings.Routed](injector)
 	built.settings.Store(&chosen)
+	built.limits.SetLimits(built.limitOf)
 	built.configurations = built.views.configurations(built.store, chosen)
 	built.entries = built.views.replicas(built.store, chosen.Follow)
 	if built.peers != nil {
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -14,6 +14,7 @@
 
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/routing"
 )
 
@@ -41,6 +42,10 @@
 	tenant *routing.Tenant
 	// priority is the request's rank; 0 is the highest.
 	priority int
+	// permit is a token of the tenant's limit; nil where it has none.
+	permit *limits.Permit
+	// ran tells that a replica ran the request, or may have.
+	ran      bool
 	version  uint64
 	arrived  time.Time
 	deadline time.Time
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,10 +15,11 @@
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/keeper"
+	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/routing"
 )
 
-// Config is what a Router is made from; all fields but Keepers, Registerer and
+// Config is what a Router is made from; all fields but Keepers, Limits, Registerer and
 // those that say so are required.
 type Config struct {
 	Names    HeaderNames
@@ -28,6 +29,8 @@
 	Turns    *homes.Service
 	// Keepers tell and ask what all nodes have at replicas; nil where nodes don't.
 	Keepers *keeper.Exchange
+	// Limits keep tenants within their limits; nil where nobody does.
+	Limits *limits.Service
 	// Lease is how old the configuration may be for requests with keys; 0 sets no bound.
 	Lease time.Duration
 	// Freshness returns how old the configuration may be, false if that is not known;
@@ -146,6 +149,10 @@
 	ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
 	defer cancel()
 	defer r.logEnd(call, reply)
+	if !r.admitTenant(ctx, reply, call) {
+		return
+	}
+	defer call.refundUnlessRan()
 	if call.route.Kind == routing.KindStreaming {
 		r.serveStream(ctx, reply, call)
 		return
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -37,6 +37,10 @@
 		reply.refuse(http.StatusServiceUnavailable, refusal{reason: "replicas_full", comeBack: fullComeBack})
 		return
 	}
+	if turn.First && !r.admitProgram(ctx, reply, call) {
+		turn.Finish(0)
+		return
+	}
 	passing := &stream{reply: reply, call: call, last: call.lastEvent}
 	defer func() { turn.Finish(passing.tokens) }()
 	if r.runStream(ctx, passing) && call.route.Retain {
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -18,6 +18,7 @@
 	Stop    Stop             `yaml:"stop"`
 	Follow  Follow           `yaml:"follow"`
 	Keys    Keys             `yaml:"keys"`
+	Limits  TenantLimits     `yaml:"limits"`
 	Logging Logging          `yaml:"logging"`
 }
 
@@ -80,6 +81,19 @@
 	Revocation time.Duration `yaml:"revocation" validate:"max=1h"`
 }
 
+// TenantLimits says how tenants are kept within the limits of the configuration.
+type TenantLimits struct {
+	// Window is the span in which a tenant's requests are counted.
+	Window time.Duration `yaml:"window" validate:"min=1s,max=1h"`
+	// Overage is the part of a limit, and Slack the number of requests, by which a
+	// tenant may be served beyond it in a window.
+	Overage float64 `yaml:"overage" validate:"min=0,max=1"`
+	Slack   float64 `yaml:"slack" validate:"min=0"`
+	// Way is how nodes share a limit: allocator has one node a tenant hand out what may
+	// run, shares gives every node an equal part.
+	Way string `yaml:"way" validate:"oneof=allocator shares"`
+}
+
 // leasePercent of the bound on revocation is how old the configuration may be; the rest
 // is for clocks that don't run alike.
 const leasePercent = 90
@@ -95,6 +109,7 @@
 		Machine: Machine{MemoryMebibytes: 256, Descriptors: 1024},
 		Stop:    Stop{Grace: 8 * time.Second},
 		Follow:  Follow{ReplicasPause: 700 * time.Millisecond, Wait: time.Second},
+		Limits:  TenantLimits{Window: 5 * time.Second, Overage: 0.1, Slack: 20, Way: "allocator"},
 		Logging: Logging{Level: "info", Format: "json"},
 	}
 }
