--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -53,7 +53,9 @@
 	// programs end early.
 	requests, begins float64
 	countedAt        time.Duration
-	touched          time.Duration
+	// boundUntil is until when the limit counts as binding, a span after it did.
+	boundUntil time.Duration
+	touched    time.Duration
 }
 
 const (
@@ -62,8 +64,6 @@
 	learnFor = 30 * time.Second
 	// learnedBegins is how many programs must have begun for the learned number to count.
 	learnedBegins = 5
-	// learnBelow is the part of a limit below which it does not bind.
-	learnBelow = 0.75
 	// scarceBelow is the part of a limit that must be free for more to be granted than
 	// waits already.
 	scarceBelow = 0.25
@@ -167,7 +167,10 @@
 	if used.Requests < int(a.policy.Nominal(limit)*a.share) {
 		grant.Amount.Begins = min(begins, grant.Amount.Requests+request.Needed.Begins)
 	}
-	asked.learn(grant.Amount, request.Returned, float64(used.Requests) < learnBelow*float64(most), now)
+	if grant.Amount.Requests < request.Needed.Requests || grant.Amount.Begins < request.Needed.Begins {
+		asked.boundUntil = now + a.policy.Span()
+	}
+	asked.learn(grant.Amount, request.Returned, now)
 	asked.window.Add(grant.Amount, now)
 	grant.Used = used.Requests + grant.Amount.Requests
 	if grant.Amount.Requests < request.Needed.Requests {
@@ -192,21 +195,22 @@
 }
 
 // mostBegins is how many programs may begin in a span, so that their requests fit into
-// the limit.
+// the limit of the shorter window. What is left over is for the requests of programs that
+// began before, and for those with more requests than others.
 func (a *Allocator) mostBegins(asked *account, limit Limit) int {
 	perProgram := 1.0
 	if asked.begins >= learnedBegins {
 		perProgram = max(asked.requests/asked.begins, 1)
 	}
-	return int(math.Ceil(a.policy.Nominal(limit) * a.share / perProgram))
+	return int(math.Ceil(a.policy.InWindow(limit) * a.share / perProgram))
 }
 
 // learn counts what was granted, less what was returned, while the limit does not bind.
-func (a *account) learn(granted Amount, returned []Return, free bool, now time.Duration) {
+func (a *account) learn(granted Amount, returned []Return, now time.Duration) {
 	decay := math.Exp(-float64(now-a.countedAt) / float64(learnFor))
 	a.countedAt = now
 	a.requests, a.begins = a.requests*decay, a.begins*decay
-	if !free {
+	if now < a.boundUntil {
 		return
 	}
 	a.requests += float64(granted.Requests)
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -49,16 +49,20 @@
 	return limit.RatePerSecond*p.Span().Seconds() + limit.Burst
 }
 
+// InWindow is what a limit allows in a window.
+func (p Policy) InWindow(limit Limit) float64 {
+	return limit.RatePerSecond*p.Window.Seconds() + limit.Burst
+}
+
 // Allowed is what may run in a window at most.
 func (p Policy) Allowed(limit Limit) float64 {
-	return (limit.RatePerSecond*p.Window.Seconds()+limit.Burst)*(1+p.Overage) + p.Slack
+	return p.InWindow(limit)*(1+p.Overage) + p.Slack
 }
 
 // Spare is the part of Allowed that allocators may grant before they know what others
 // have granted.
 func (p Policy) Spare(limit Limit) float64 {
-	beyond := p.Allowed(limit) - limit.RatePerSecond*p.Window.Seconds() - limit.Burst
-	return beyond / sparePart
+	return (p.Allowed(limit) - p.InWindow(limit)) / sparePart
 }
 
 // Granted is what one allocator grants in a span at most.
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -59,11 +59,12 @@
 	heard   bool
 	roomy   bool
 	// alone tells that tokens are taken without an allocator. own is what may be spent
-	// so, ownAt when that was reckoned and spent what was, which the next allocator is told.
-	alone bool
-	own   float64
-	ownAt time.Duration
-	spent Amount
+	// so at ownPace, ownAt when that was reckoned and spent what was, which the next allocator is told.
+	alone   bool
+	own     float64
+	ownPace float64
+	ownAt   time.Duration
+	spent   Amount
 }
 
 // NewStock returns a stock without tokens.
@@ -227,18 +228,19 @@
 // was well below its limit a short time ago, else from the node's part of the limit.
 func (s *Stock) TakeAlone(limit Limit, nodes int, now time.Duration) (Token, bool) {
 	s.slow(now)
+	entered := !s.alone
+	if entered {
+		s.alone, s.own, s.ownPace, s.ownAt = true, 0, s.pace, now
+	}
 	rate := s.policy.Granted(limit) / s.policy.Span().Seconds() / float64(max(nodes, 1))
 	most := 1.0
 	trusted := s.heard && s.roomy && now-s.heardAt < trustFor
 	if trusted {
-		rate = max(rate, trustPace*s.pace)
+		rate = max(rate, trustPace*s.ownPace)
 		most = max(most, rate*s.policy.Life().Seconds())
 	}
-	if !s.alone {
-		s.alone, s.own, s.ownAt = true, 0, now
-		if trusted {
-			s.own = most
-		}
+	if entered && trusted {
+		s.own = most
 	}
 	s.own = min(s.own+rate*(now-s.ownAt).Seconds(), most)
 	s.ownAt = now
