Notice silent connections sooner, and keep tenants' turns apart

A turn is kept under its tenant's name, so that another tenant's chain is 404 in the same words and time as one that never was.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"stepseam.example/stepseam/internal/keepalive"
 )
 
 const (
@@ -23,10 +25,6 @@
 	idlePerReplica = 8
 	// readBuffer holds a usual event or head.
 	readBuffer = 4 << 10
-	// userTimeout ends a connection whose peer acknowledges nothing.
-	userTimeout = 3 * time.Second
-	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux's tcp.h.
-	tcpUserTimeout = 18
 )
 
 // connection is one connection to a replica; at most one request is on it.
@@ -48,7 +46,7 @@
 
 // pool keeps idle connections by replica. It is safe for concurrent use.
 type pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 
 	// mutex guards all below.
 	mutex sync.Mutex
@@ -85,16 +83,7 @@
 }
 
 func newPool() *pool {
-	return &pool{idle: map[Target][]*connection{}, dialer: net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}}
-}
-
-// setUserTimeout makes a connection to a silent machine end in time.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(descriptor uintptr) {
-		failed = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
+	return &pool{idle: map[Target][]*connection{}, dialer: keepalive.Dialer(dialTimeout)}
 }
 
 // get returns an idle connection that is still sound and has rested for at most
--- a/internal/routednode/peers.go
+++ b/internal/routednode/peers.go
@@ -15,12 +15,27 @@
 
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/keepalive"
 	"stepseam.example/stepseam/internal/loads"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/settings"
 )
 
+const (
+	// peerHeartbeat and peerSilence find a connection that has gone silent within
+	// 1.15 s while a call is under way; a machine that is starved of processor time answers
+	// a heartbeat later than others.
+	peerHeartbeat = 250 * time.Millisecond
+	peerSilence   = 900 * time.Millisecond
+	// peerDialTimeout bounds the making of a connection.
+	peerDialTimeout = time.Second
+)
+
+func dialPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return keepalive.Dialer(peerDialTimeout).DialContext(ctx, "tcp4", address.String())
+}
+
 // peers is how this node knows and reaches the others.
 type peers struct {
 	registry  *peer.Registry
@@ -46,7 +61,10 @@
 	registry := peer.NewRegistry()
 	made := &peers{
 		registry: registry, listener: listener, logger: logger,
-		transport: peer.NewTransport(registry, peer.Options{Registerer: registerer, Logger: logger}),
+		transport: peer.NewTransport(registry, peer.Options{
+			Registerer: registerer, Logger: logger,
+			HeartbeatInterval: peerHeartbeat, SilenceTimeout: peerSilence, Dial: dialPeer,
+		}),
 	}
 	made.runner = membership.NewRunner(membership.Options{
 		Self: self, Config: membership.DefaultConfig(), Seeds: chosen.Seeds, Conn: packets,
--- a/internal/router/authenticate_test.go
+++ b/internal/router/authenticate_test.go
@@ -197,3 +197,22 @@
 	is.Equal(h.ask("/safe/x", "1", "Test-Key", "one").StatusCode, http.StatusServiceUnavailable)
 	is.Equal(len(h.replicas[1].Received()), 0)
 }
+
+func TestTurnsOfAnotherTenantAreAsAbsentAsThoseThatNeverWere(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, func(e *replica.Exchange) bool {
+		e.Answer(http.StatusOK, "id: 1\ndata: w\n\n", "Test-Id: "+e.Request.Header.Get("Test-Id"), "Test-Stamp: s")
+		return true
+	})
+	h.configure(2, tenantWith("acme", "one"), tenantWith("other", "two"))
+	is.Equal(h.ask("/kept/x", "t1", "Test-Key", "one").StatusCode, http.StatusOK)
+	stolen := h.ask("/kept/x", "t2", "Test-Key", "two", "Test-Previous", "t1")
+	absent := h.ask("/kept/x", "t3", "Test-Key", "two", "Test-Previous", "never")
+	is.Equal(stolen.StatusCode, http.StatusNotFound)
+	is.Equal(stolen.body, absent.body)
+	is.Equal(h.ask("/kept/x", "t4", "Test-Key", "two", "Test-Previous", "acme/t1").StatusCode, http.StatusNotFound)
+	is.Equal(h.ask("/kept/x", "t5", "Test-Key", "one", "Test-Previous", "t1").StatusCode, http.StatusOK)
+	received := h.replicas[0].Received()
+	is.Equal(len(received), 2)
+	is.Equal(received[1].Body, "inputw\ninput")
+}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -135,7 +135,7 @@
 	made.turn = turn{
 		program:  ledger.ProgramID(request.Header.Get(names.Program)),
 		budget:   parseUint32(request.Header.Get(names.Budget)),
-		previous: ledger.TurnID(request.Header.Get(names.PreviousTurn)),
+		previous: turnOf(tenant, request.Header.Get(names.PreviousTurn)),
 	}
 	if made.mostTokens == 0 {
 		// A turn that does not say how much it hands out may take all that is left.
@@ -145,6 +145,15 @@
 	return made
 }
 
+// turnOf returns the id of a tenant's turn in the ledger, empty for no request. It names
+// the tenant, so that the turn of another one is as absent as one that never was.
+func turnOf(tenant *routing.Tenant, requestID string) ledger.TurnID {
+	if requestID == "" || tenant == nil {
+		return ledger.TurnID(requestID)
+	}
+	return ledger.TurnID(tenant.Name + "/" + requestID)
+}
+
 // holdTime is the shorter of what the client waits and what the route allows.
 func holdTime(clientMs string, routeTimeout time.Duration) time.Duration {
 	hold := defaultTimeout
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -174,7 +174,7 @@
 	call := passing.call
 	text := append(call.newInput(), passing.output...)
 	err := r.config.Turns.Keep(ctx, ledger.Keep{
-		Program: call.turn.program, Turn: ledger.TurnID(call.id), Chain: chain, For: call.route.RetainFor,
+		Program: call.turn.program, Turn: turnOf(call.tenant, call.id), Chain: chain, For: call.route.RetainFor,
 		Resident: ledger.Resident{Instance: passing.reply.replica, Tokens: uint32(call.prompt.Tokens) + passing.tokens},
 	}, text)
 	if err != nil {
