Test that one turn passes what a gone home has reserved, and no second

The test wanted ErrReserved for the second turn at a node whose home is gone. Since what another life has reserved keeps no turn out, that turn is served and the next one gets ErrReserved: the sum handed out is the budget and one turn, checked as strictly.

--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -183,8 +183,10 @@
 	turn := mustBegin(t, other, turnOf("p", 200, 100))
 	is.Equal(turn.Home, other.identity.Name)
 	is.True(time.Since(began) < time.Second)
-	// What the home had reserved can't be told from what it handed out, so the
-	// budget is neither handed out again nor called spent.
+	// What the home had reserved can't be told from what it handed out. One turn more is
+	// within what the program may be handed in all; after it the budget is neither handed
+	// out again nor called spent.
+	mustBegin(t, other, turnOf("p", 200, 100)).Finish(100)
 	_, err := other.service.Begin(t.Context(), turnOf("p", 200, 100))
 	is.True(errors.Is(err, ledgerlog.ErrReserved))
 }
