--- a/internal/homes/message.go
+++ b/internal/homes/message.go
@@ -36,6 +36,7 @@
 	statusNoSuchTurn
 	statusUnavailable
 	statusReserved
+	statusStoreAway
 )
 
 // statusOf tells an error of the ledger to other nodes and in metrics.
@@ -50,6 +51,8 @@
 		return statusNoSuchTurn
 	case errors.Is(err, ledgerlog.ErrReserved):
 		return statusReserved
+	case errors.Is(err, ledgerlog.ErrStoreAway):
+		return statusStoreAway
 	}
 	return statusUnavailable
 }
@@ -65,6 +68,8 @@
 		kind = ledgerlog.ErrNoSuchTurn
 	case statusReserved:
 		kind = ledgerlog.ErrReserved
+	case statusStoreAway:
+		kind = ledgerlog.ErrStoreAway
 	}
 	return fmt.Errorf("%w: home %s: %s", kind, home, reason)
 }
@@ -80,6 +85,8 @@
 		return "no_such_turn"
 	case statusReserved:
 		return "reserved"
+	case statusStoreAway:
+		return "store_away"
 	}
 	return "unavailable"
 }
--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -24,6 +24,8 @@
 	releasePatience = 4 * time.Second
 	// learnTimeout bounds the first read of a partition.
 	learnTimeout = 2 * time.Second
+	// awayPause is the time between two looks whether the store still answers.
+	awayPause = 50 * time.Millisecond
 	// abandonedLife is how long the end of a turn that has not begun is remembered.
 	abandonedLife = 10 * time.Second
 )
@@ -31,7 +33,9 @@
 // holder holds this node's credits of one partition's programs and its ownership.
 type holder struct {
 	partition *partition
-	life      ledger.LifeID
+	// storeAnswers is nil where nobody tells.
+	storeAnswers func() bool
+	life         ledger.LifeID
 	// members is set before the first turn.
 	members Members
 	clock   func() time.Duration
@@ -91,10 +95,8 @@
 			return h.unlessAbandoned(grant)
 		}
 		h.partition.flush()
-		select {
-		case <-call.done:
-		case <-ctx.Done():
-			return Grant{}, fmt.Errorf("%w: reserve: %w", ErrUnavailable, ctx.Err())
+		if err := h.await(ctx, call); err != nil {
+			return Grant{}, err
 		}
 		if call.err != nil {
 			return Grant{}, fmt.Errorf("%w: reserve: %w", ErrUnavailable, call.err)
@@ -105,6 +107,25 @@
 	}
 }
 
+// await waits for a reservation's outcome. Where the store answers nothing, it does not:
+// the reservation goes on in the background, and the turn is refused at once.
+func (h *holder) await(ctx context.Context, call *reservationCall) error {
+	ticker := time.NewTicker(awayPause)
+	defer ticker.Stop()
+	for {
+		if h.storeAnswers != nil && !h.storeAnswers() {
+			return ErrStoreAway
+		}
+		select {
+		case <-call.done:
+			return nil
+		case <-ctx.Done():
+			return fmt.Errorf("%w: reserve: %w", ErrUnavailable, ctx.Err())
+		case <-ticker.C:
+		}
+	}
+}
+
 // unlessAbandoned returns a grant unless its turn was ended before it began.
 func (h *holder) unlessAbandoned(grant Grant) (Grant, error) {
 	h.mutex.Lock()
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -23,6 +23,9 @@
 	// ErrUnavailable tells that the store could not be asked in time. Nothing may
 	// be concluded about budget or history.
 	ErrUnavailable = errors.New("ledgerlog: the ledger can't be reached")
+	// ErrStoreAway tells that the store takes nothing from this node for now. It wraps
+	// ErrUnavailable.
+	ErrStoreAway = fmt.Errorf("%w: the store answers nothing", ErrUnavailable)
 	// ErrNoSuchTurn tells that the log holds no such turn, for certain.
 	ErrNoSuchTurn = errors.New("ledgerlog: no such turn")
 	// ErrReserved tells that what is left of the budget is reserved by other nodes,
@@ -47,7 +50,8 @@
 // tidyPause is the time between two looks for what rests.
 const tidyPause = 500 * time.Millisecond
 
-// Config is what a Ledger is made from. All fields but Registerer are required.
+// Config is what a Ledger is made from. All fields but StoreAnswers
+// and Registerer are required.
 type Config struct {
 	Store logstore.Store
 	// Topic holds charges and the index of turns, TextTopic their texts.
@@ -60,8 +64,11 @@
 	RecordBytes, CallBytes int
 	// CacheBytes bounds the texts of turns in memory.
 	CacheBytes int
-	Logger     *slog.Logger
-	Registerer prometheus.Registerer
+	// StoreAnswers tells whether the store answers this node, as far as is known; nil
+	// counts as yes.
+	StoreAnswers func() bool
+	Logger       *slog.Logger
+	Registerer   prometheus.Registerer
 }
 
 // Ledger reserves and settles budgets and keeps turns. It is safe for concurrent use.
@@ -105,7 +112,7 @@
 			},
 		}
 		added.holder = &holder{
-			partition: added, life: ledger.LifeID(config.Producer), members: unknownMembers{}, clock: clock,
+			partition: added, storeAnswers: config.StoreAnswers, life: ledger.LifeID(config.Producer), members: unknownMembers{}, clock: clock,
 			credits: map[ledger.ProgramID]*heldCredit{}, abandoned: map[ledger.GrantID]time.Duration{},
 		}
 		built.partitions = append(built.partitions, added)
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -115,6 +115,44 @@
 	})
 }
 
+// TestTurnIsRefusedAtOnceWhileTheStoreIsAway refuses what needs the store and lets go on
+// what has its reservation, and serves both once the store is back.
+func TestTurnIsRefusedAtOnceWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		away := false
+		l := New(Config{
+			Store: log, Topic: "ledger", TextTopic: "texts", Partitions: 3, Producer: "a", RecordBytes: 64, CallBytes: 1 << 20,
+			CacheBytes: 1 << 10, Logger: slog.New(slog.DiscardHandler), StoreAnswers: func() bool { return !away },
+		})
+		grant, err := take(within(t, time.Second), l, "p", 1000, 60, true)
+		is.NoErr(err)
+		l.Finish(grant.Program, grant.ID, 40)
+		time.Sleep(time.Second)
+		log.Fail(store.Fault{Busy: true})
+		began := time.Now()
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			away = true
+		}()
+		_, err = take(within(t, 5*time.Second), l, "q", 100, 60, false)
+		is.True(errors.Is(err, ErrStoreAway) && errors.Is(err, ErrUnavailable))
+		is.True(time.Since(began) <= 360*time.Millisecond)
+		began = time.Now()
+		_, err = take(within(t, 5*time.Second), l, "r", 100, 60, false)
+		is.True(errors.Is(err, ErrStoreAway))
+		is.Equal(time.Since(began), time.Duration(0))
+		_, err = take(within(t, time.Second), l, "p", 1000, 60, true)
+		is.NoErr(err)
+		log.Fail(store.Fault{})
+		away = false
+		time.Sleep(2 * time.Second)
+		_, err = take(within(t, time.Second), l, "q", 100, 60, false)
+		is.NoErr(err)
+	})
+}
+
 func TestTurnsOfOneProgramShareACall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
