--- a/cmd/stepseamctl/main.go
+++ b/cmd/stepseamctl/main.go
@@ -40,6 +40,7 @@
 	Status  *statusCommand  `arg:"subcommand:status" help:"show nodes, back ends, shards and the versions in force"`
 	Program *programCommand `arg:"subcommand:program" help:"show, list and cancel programs"`
 	Drain   *drainCommand   `arg:"subcommand:drain" help:"begin the planned stop of a node"`
+	Tenants *tenantsCommand `arg:"subcommand:tenants" help:"show tenants' limits and the age of the configuration, at the metrics' address of a node of a platform"`
 	Explain *explainCommand `arg:"subcommand:explain" help:"show why a call went where it went"`
 }
 
--- /dev/null
+++ b/cmd/stepseamctl/tenants.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"stepseam.example/stepseam/internal/limits"
+)
+
+// tenantsCommand shows what a node of a platform knows of tenants and their limits.
+type tenantsCommand struct{}
+
+func (c *tenantsCommand) run(ctx context.Context, s *session) error {
+	var status limits.TenantsStatus
+	if err := s.client.get(ctx, "/v1/tenants", &status); err != nil {
+		return err
+	}
+	return s.print(status, func(w io.Writer) { writeTenants(w, status) })
+}
+
+func writeTenants(w io.Writer, status limits.TenantsStatus) {
+	fmt.Fprintf(w, "tenants as seen by %s: configuration %d, %s\n\n", status.Node, status.Version, ageOf(status))
+	cells(w, "TENANT", "RATE", "BURST", "ALLOCATOR", "PACE HERE", "REFUSED HERE", "LEFT")
+	for _, tenant := range status.Tenants {
+		left := "-"
+		if tenant.Left != nil {
+			left = fmt.Sprintf("%.1f", *tenant.Left)
+		}
+		cells(w, tenant.Name, tenant.RatePerSecond, tenant.Burst, tenant.Allocator, fmt.Sprintf("%.1f", tenant.Pace), tenant.Refused, left)
+	}
+}
+
+// ageOf tells how old the configuration may be.
+func ageOf(status limits.TenantsStatus) string {
+	age := fmt.Sprintf("the newest %d ms ago", status.ConfigurationAgeMs)
+	if status.ConfigurationAgeMs < 0 {
+		age = "not known to be the newest"
+	}
+	if status.LeaseMs > 0 {
+		age += fmt.Sprintf(", requests with keys are served up to %d ms", status.LeaseMs)
+	}
+	return age
+}
--- /dev/null
+++ b/cmd/stepseamctl/tenants_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/limits"
+)
+
+func TestTenantsAreShown(t *testing.T) {
+	is := is.New(t)
+	left := 12.25
+	status := limits.TenantsStatus{Node: "n1", Version: 7, ConfigurationAgeMs: 310, LeaseMs: 4750, Tenants: []limits.TenantStatus{
+		{Name: "acme", RatePerSecond: 40, Burst: 50, Allocator: "n1", Pace: 3.5, Refused: 2, Left: &left},
+		{Name: "other", RatePerSecond: 4, Allocator: "n2"},
+	}}
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		is.Equal(request.URL.Path, "/v1/tenants")
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(status)
+	}))
+	defer server.Close()
+	ctl := func(more ...string) string {
+		var out, errOut bytes.Buffer
+		line := append([]string{"--address", server.Listener.Addr().String()}, more...)
+		is.Equal(run(t.Context(), line, strings.NewReader(""), &out, &errOut), exitDone)
+		return out.String()
+	}
+	shown := ctl("tenants")
+	for _, part := range []string{"configuration 7, the newest 310 ms ago, requests with keys are served up to 4750 ms", "acme", "12.2", "n2"} {
+		is.True(strings.Contains(shown, part))
+	}
+	var read limits.TenantsStatus
+	is.NoErr(json.Unmarshal([]byte(ctl("-o", "json", "tenants")), &read))
+	is.Equal(read, status)
+	status.ConfigurationAgeMs = -1
+	is.True(strings.Contains(ctl("tenants"), "not known to be the newest"))
+}
--- a/internal/limits/stock.go
+++ b/internal/limits/stock.go
@@ -28,6 +28,15 @@
 	// lastError is why; it wraps ErrNoAllocator.
 	lastError error
 	usedAt    time.Duration
+	// refused counts the requests that were refused for the limit.
+	refused uint64
+}
+
+// describe adds what this node has served and refused.
+func (s *stock) describe(status *TenantStatus, now time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	status.Pace, status.Refused = s.quota.Pace(now), s.refused
 }
 
 // question is a question to the allocator. The error is set before done is closed.
@@ -65,6 +74,7 @@
 		return token, nil, nil
 	}
 	if after := s.quota.Refused(now); after > 0 {
+		s.refused++
 		return quota.Token{}, nil, &OverLimitError{Tenant: s.tenant, After: after}
 	}
 	if now < s.unansweredUntil {
@@ -98,6 +108,7 @@
 		return nil, nil
 	}
 	if after := s.quota.BeginsRefused(now); after > 0 {
+		s.refused++
 		return nil, &OverLimitError{Tenant: s.tenant, After: after, Begins: true}
 	}
 	if now < s.unansweredUntil {
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -182,9 +183,27 @@
 func (n *node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+n.adapter.MetricsPath, promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /v1/tenants", n.answerTenants)
 	return mux
 }
 
+// answerTenants tells operators of the tenants, for stepseamctl.
+func (n *node) answerTenants(writer http.ResponseWriter, _ *http.Request) {
+	chosen := n.settings.Load()
+	status := limits.TenantsStatus{
+		Node: string(chosen.Node.Name), LeaseMs: chosen.Keys.Lease().Milliseconds(), ConfigurationAgeMs: -1, Tenants: n.limits.Status(),
+	}
+	if configuration := n.router.Configuration(); configuration != nil {
+		status.Version = configuration.Version
+	}
+	if age, known := n.views.freshness.Age(); known {
+		status.ConfigurationAgeMs = age.Milliseconds()
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	// A caller that is gone needs no answer.
+	_ = json.NewEncoder(writer).Encode(status)
+}
+
 func hostname() string {
 	name, err := os.Hostname()
 	if err != nil {
