Let programs begin sooner after an unclean change of the allocator

A bucket that takes over begins with a part of the spare, which lay under the level that programs need to begin: 66 to 250 of them were refused in the seconds after the loss of all nodes. The level is a tenth of the bucket now (a quarter before).

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -69,8 +69,12 @@
 
 const (
 	// scarceBelow is the part of a bucket under which no more is granted than waits
-	// already, and under which no program begins: what is left is for those under way.
+	// already.
 	scarceBelow = 0.25
+	// beginsAbove is the part of a bucket that must be left for a program to begin: the
+	// rest is for those under way. It is less than a bucket begins with that takes over
+	// uncleanly, since programs would be refused after each loss of a node otherwise.
+	beginsAbove = 0.1
 	// roomyAbove is the part of a bucket above which a tenant is well below its limit.
 	roomyAbove = 0.6
 	// bucketIdle is how long a tenant that nobody asks for is remembered.
@@ -194,7 +198,7 @@
 
 	var grant Grant
 	grant.Amount.Requests = part(request.Needed.Requests, request.Wanted.Requests, asked.requests, capacity)
-	if asked.requests >= scarceBelow*capacity {
+	if asked.requests >= beginsAbove*capacity {
 		grant.Amount.Begins = part(request.Needed.Begins, request.Wanted.Begins, asked.begins, a.beginCapacity(asked, limit))
 	}
 	asked.requests -= float64(grant.Amount.Requests)
@@ -214,7 +218,7 @@
 	}
 	if grant.Amount.Begins < needed.Begins {
 		capacity := a.policy.Capacity(limit) * a.share
-		byRequests := (scarceBelow*capacity - asked.requests) / refill
+		byRequests := (beginsAbove*capacity - asked.requests) / refill
 		byBegins := (1 - asked.begins) * asked.learned.atLeastOne() / refill
 		grant.BeginAfter = seconds(max(byRequests, byBegins))
 	}
