--- a/internal/limits/network_test.go
+++ b/internal/limits/network_test.go
@@ -61,7 +61,6 @@
 	nodes   []*simulated
 	ran     []time.Duration
 	refused int
-	unknown int
 }
 
 func newSite(ctx context.Context, seed uint64, count int) *site {
--- a/internal/limits/placement.go
+++ b/internal/limits/placement.go
@@ -99,13 +99,6 @@
 	p.refused[node.Reference()] = now + refusedFor
 }
 
-// accept notes that a node lives.
-func (p *placement) accept(node identity.Node) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	delete(p.refused, node.Reference())
-}
-
 // allocator returns the node that allots a tenant; empty where none is known.
 func (p *placement) allocator(tenant string, now time.Duration) identity.Node {
 	ranked := p.ranked(tenant, now, func(member membership.Member) bool {
