--- a/internal/limits/allot.go
+++ b/internal/limits/allot.go
@@ -18,44 +18,55 @@
 
 // ask gets tokens from a tenant's allocator. Errors wrap ErrNoAllocator or errNoLimit.
 func (s *Service) ask(ctx context.Context, message *ask) (*granted, error) {
-	began := s.config.Now()
 	ctx, cancel := context.WithTimeout(ctx, s.patience())
 	defer cancel()
 	var last error
-	var redirected identity.Node
+	var named identity.Node
 	for range askTries {
-		node, self := s.allocatorOf(message.Tenant)
-		if self {
-			return s.grant(ctx, message)
-		}
-		if node.Name == "" {
-			last = errNobodyKnown
-			if wait.For(ctx, elsewherePause) != nil {
-				break
-			}
-			continue
-		}
-		if redirected.Name != "" {
-			node, redirected = redirected, identity.Node{}
+		answer, err := s.askAllocator(ctx, message, named)
+		if err == nil || errors.Is(err, errNoLimit) {
+			return answer, err
 		}
-		answer, err := s.askNode(ctx, node, message)
+		last, named = err, identity.Node{}
 		var elsewhere *elsewhereError
-		if errors.As(err, &elsewhere) {
-			last, redirected = err, elsewhere.allocator
-			continue
-		}
-		if err == nil {
-			s.metrics.askSeconds.Observe((s.config.Now() - began).Seconds())
-			return answer, nil
+		switch {
+		case errors.As(err, &elsewhere) && elsewhere.allocator.Name != s.config.Self:
+			named = elsewhere.allocator
+		case errors.Is(err, syscall.ECONNREFUSED):
+			continue // the next in rank is asked at once
+		case elsewhere == nil && !errors.Is(err, errNobodyKnown):
+			return nil, fmt.Errorf("%w: tenant %s: %w", ErrNoAllocator, message.Tenant, err)
 		}
-		last = err
-		if !errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil {
+		if named.Name == "" && wait.For(ctx, newsPause) != nil {
 			break
 		}
 	}
 	return nil, fmt.Errorf("%w: tenant %s: %w", ErrNoAllocator, message.Tenant, last)
 }
 
+// newsPause lets the members' news arrive before a node is asked again.
+const newsPause = 15 * time.Millisecond
+
+// askAllocator asks the node that another one has named, if any, else the one that this
+// node takes for the allocator, which may be itself.
+func (s *Service) askAllocator(ctx context.Context, message *ask, named identity.Node) (*granted, error) {
+	node, self := s.allocatorOf(message.Tenant)
+	switch {
+	case self:
+		return s.grant(ctx, message)
+	case named.Name != "":
+		node = named
+	case node.Name == "":
+		return nil, errNobodyKnown
+	}
+	began := s.config.Now()
+	answer, err := s.askNode(ctx, node, message)
+	if err == nil {
+		s.metrics.askSeconds.Observe((s.config.Now() - began).Seconds())
+	}
+	return answer, err
+}
+
 // allocatorOf returns the node that allots a tenant, or whether that is this one;
 // neither where this node does not know the others yet.
 func (s *Service) allocatorOf(tenant string) (identity.Node, bool) {
@@ -88,9 +99,6 @@
 	return fmt.Sprintf("limits: %s does not allot the tenant, but %s", e.asked.Name, e.allocator.Name)
 }
 
-// elsewherePause lets the members' news arrive before a node is asked again.
-const elsewherePause = 15 * time.Millisecond
-
 // askNode asks one node. It notes whether the node's machine refuses connections.
 func (s *Service) askNode(ctx context.Context, node identity.Node, message *ask) (*granted, error) {
 	call, cancel := context.WithTimeout(ctx, askTimeout)
@@ -107,10 +115,6 @@
 		return nil, fmt.Errorf("limits: %s answered %T", node.Name, answer)
 	}
 	if got.Elsewhere {
-		if got.Allocator.Name == "" || got.Allocator.Name == s.config.Self {
-			_ = wait.For(ctx, elsewherePause) // the caller looks at ctx
-			got.Allocator = identity.Node{}
-		}
 		return nil, &elsewhereError{asked: node, allocator: got.Allocator}
 	}
 	return got, nil
