Let a follower's first read after an outage not wait

Cause: a follower that lost the store read with the usual wait when it came back, so that nothing confirmed the configuration for up to 1.2 s more, in which requests with keys were refused. The test fails before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -126,6 +126,9 @@
 
 func (f *Follower) changes(ctx context.Context, next logstore.Offset) (logstore.ChangesResult, error) {
 	wait := f.config.Wait()
+	if f.lost {
+		wait = 0 // what the store holds now is to be known as soon as it answers again
+	}
 	call, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
 	return f.config.Store.Changes(call, logstore.ReadRequest{Partition: f.config.Partition, From: next, Wait: wait})
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -156,3 +156,20 @@
 		is.True(!seen.confirmed.After(failing))
 	})
 }
+
+func TestStoreThatIsBackConfirmsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		log.Put(place, "a", []byte("1"))
+		seen, _ := followed(t, log)
+		time.Sleep(2 * time.Second)
+		log.Fail(store.Fault{Busy: true})
+		time.Sleep(3 * time.Second)
+		log.Fail(store.Fault{})
+		back := time.Now()
+		time.Sleep(500 * time.Millisecond) // less than a read that waits
+		synctest.Wait()
+		is.True(seen.confirmed.After(back))
+	})
+}
