--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -95,7 +95,7 @@
 			return h.unlessAbandoned(grant)
 		}
 		h.partition.flush()
-		if err := h.await(ctx, call, h.begun(request.Program)); err != nil {
+		if err := h.await(ctx, call); err != nil {
 			return Grant{}, err
 		}
 		if call.err != nil {
@@ -107,23 +107,13 @@
 	}
 }
 
-// begun tells whether a program is known to have been handed out tokens.
-func (h *holder) begun(program ledger.ProgramID) bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	held, known := h.credits[program]
-	return known && !held.credit.Fresh()
-}
-
-// await waits for a reservation's outcome. Where the store answers nothing, a program that
-// has not begun does not wait: the reservation goes on in the background, and the turn is
-// refused at once. One that has begun would lose its work with the third refusal, which
-// comes sooner than most stores return, so that it waits as long as the turn may.
-func (h *holder) await(ctx context.Context, call *reservationCall, begun bool) error {
+// await waits for a reservation's outcome. Where the store answers nothing, it does not:
+// the reservation goes on in the background, and the turn is refused at once.
+func (h *holder) await(ctx context.Context, call *reservationCall) error {
 	ticker := time.NewTicker(awayPause)
 	defer ticker.Stop()
 	for {
-		if !begun && h.storeAnswers != nil && !h.storeAnswers() {
+		if h.storeAnswers != nil && !h.storeAnswers() {
 			return ErrStoreAway
 		}
 		select {
