--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -47,3 +47,18 @@
 		is.True(strings.Contains(err.Error(), part))
 	}
 }
+
+func TestKeysAndLimitsAreReadAndChecked(t *testing.T) {
+	is := is.New(t)
+	read, err := ParseRouted("f", []byte(routedFile+"keys: {revocation: 5000ms}\nlimits: {window: 4s, overage: 0.2, slack: 7, way: shares}\n"))
+	is.NoErr(err)
+	is.Equal(read.Keys.Lease(), 4750*time.Millisecond)
+	is.Equal(read.Limits, TenantLimits{Window: 4 * time.Second, Overage: 0.2, Slack: 7, Way: "shares"})
+	read, err = ParseRouted("f", []byte(routedFile))
+	is.NoErr(err)
+	is.Equal(read.Keys.Lease(), time.Duration(0))
+	_, err = ParseRouted("f", []byte(routedFile+"keys: {revocation: 2h}\nlimits: {window: 0s, overage: -1, way: luck}\n"))
+	for _, part := range []string{"keys.revocation", "limits.window", "limits.overage", "limits.way: is \"luck\", want one of: allocator, shares"} {
+		is.True(strings.Contains(err.Error(), part))
+	}
+}
