Begin a program of a limited tenant only while the bucket holds a whole one

Change: beginning a program asks for as many tokens in the bucket as programs have requests, up to 0.7 of it.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -71,10 +71,12 @@
 	// scarceBelow is the part of a bucket under which no more is granted than waits
 	// already.
 	scarceBelow = 0.25
-	// beginsAbove is the part of a bucket that must be left for a program to begin: the
-	// rest is for those under way. It is less than a bucket begins with that takes over
+	// A program begins only while the bucket holds as many tokens as one has requests, but
+	// not more than beginsAtMost and not less than beginsAbove of it: the rest is for
+	// those under way. The lower bound is less than a bucket begins with that takes over
 	// uncleanly, since programs would be refused after each loss of a node otherwise.
-	beginsAbove = 0.1
+	beginsAbove  = 0.1
+	beginsAtMost = 0.7
 	// roomyAbove is the part of a bucket above which a tenant is well below its limit.
 	roomyAbove = 0.6
 	// bucketIdle is how long a tenant that nobody asks for is remembered.
@@ -198,7 +200,7 @@
 
 	var grant Grant
 	grant.Amount.Requests = part(request.Needed.Requests, request.Wanted.Requests, asked.requests, capacity)
-	if asked.requests >= beginsAbove*capacity {
+	if asked.requests >= beginLevel(asked, capacity) {
 		grant.Amount.Begins = part(request.Needed.Begins, request.Wanted.Begins, asked.begins, a.beginCapacity(asked, limit))
 	}
 	asked.requests -= float64(grant.Amount.Requests)
@@ -210,6 +212,12 @@
 	return grant
 }
 
+// beginLevel is how many tokens a bucket must hold for a program to begin.
+func beginLevel(one *bucket, capacity float64) float64 {
+	wholeProgram := min(one.learned.perProgram(), capacity*beginsAtMost)
+	return max(wholeProgram, capacity*beginsAbove)
+}
+
 // tellRoom sets when there will be room for what was needed and not granted.
 func (a *Allocator) tellRoom(grant *Grant, asked *bucket, limit Limit, needed Amount) {
 	refill := max(a.policy.Refill(limit)*a.share, math.SmallestNonzeroFloat32)
@@ -218,7 +226,7 @@
 	}
 	if grant.Amount.Begins < needed.Begins {
 		capacity := a.policy.Capacity(limit) * a.share
-		byRequests := (beginsAbove*capacity - asked.requests) / refill
+		byRequests := (beginLevel(asked, capacity) - asked.requests) / refill
 		byBegins := (1 - asked.begins) * asked.learned.atLeastOne() / refill
 		grant.BeginAfter = seconds(max(byRequests, byBegins))
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -227,3 +228,63 @@
 		}
 	})
 }
+
+// TestSmallLimitEndsWhatItBegins serves a tenant whose limit was lowered to a tenth of what it
+// sends, with programs of 4 and 20 requests: few requests of those that have begun are refused.
+func TestSmallLimitEndsWhatItBegins(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	const step = 50 * time.Millisecond
+	lowered := 20 * time.Second
+	limit := Limit{RatePerSecond: 60, Burst: 60}
+	allocator := NewAllocator(testPolicy)
+	allocator.Fill("t", limit, 0)
+	one := Request{Needed: Amount{Requests: 1}, Wanted: Amount{Requests: 1}}
+	first := Request{Needed: Amount{Requests: 1, Begins: 1}, Wanted: Amount{Requests: 1, Begins: 1}}
+	type program struct{ left, failures int }
+	var running []*program
+	asked, refused, failed, begun := 0, 0, 0, 0
+	for now := time.Duration(0); now < 60*time.Second; now += step {
+		if now == lowered {
+			limit = Limit{RatePerSecond: 6, Burst: 6}
+		}
+		live := running
+		running = nil
+		for _, under := range live {
+			if random.IntN(8) == 0 { // a request each 0.4 s
+				granted := allocator.Grant("t", limit, one, now).Amount.Requests > 0
+				if now > lowered+5*time.Second {
+					asked++
+					if !granted {
+						refused++
+					}
+				}
+				if granted {
+					under.left--
+					under.failures = 0
+				} else if under.failures++; under.failures == 6 {
+					failed++
+					continue
+				}
+			}
+			if under.left > 0 {
+				running = append(running, under)
+			}
+		}
+		if random.IntN(4) == 0 { // five programs a second
+			grant := allocator.Grant("t", limit, first, now)
+			if grant.Amount.Begins == 0 || grant.Amount.Requests == 0 {
+				allocator.Grant("t", limit, Request{Returned: grant.Amount}, now)
+				continue
+			}
+			length := 3
+			if random.IntN(10) < 3 {
+				length = 19
+			}
+			begun++
+			running = append(running, &program{left: length})
+		}
+	}
+	if refused*20 > asked || failed*10 > begun {
+		t.Fatalf("%d of %d requests of programs that had begun were refused, %d of %d programs failed", refused, asked, failed, begun)
+	}
+}
