--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -229,62 +229,83 @@
 	})
 }
 
-// TestSmallLimitEndsWhatItBegins serves a tenant whose limit was lowered to a tenth of what it
-// sends, with programs of 4 and 20 requests: few requests of those that have begun are refused.
+// demanded is a program that asks for its requests one after the other and ends after
+// six refusals of one.
+type demanded struct{ left, refusals int }
+
+// loweredDemand sends five programs a second, of 4 and 20 requests, to an allocator whose
+// limit falls to a tenth of that after a while.
+type loweredDemand struct {
+	random    *rand.Rand
+	allocator *Allocator
+	limit     Limit
+	running   []*demanded
+	// begun and failed count programs; asked and refused the requests of those that had
+	// begun, once the programs from before the change were over.
+	begun, failed, asked, refused int
+}
+
+func (d *loweredDemand) goOn(now time.Duration, counts bool) {
+	before := d.running
+	d.running = nil
+	for _, one := range before {
+		if d.random.IntN(8) == 0 {
+			d.request(one, now, counts)
+		}
+		switch {
+		case one.refusals == 6:
+			d.failed++
+		case one.left > 0:
+			d.running = append(d.running, one)
+		}
+	}
+}
+
+func (d *loweredDemand) request(one *demanded, now time.Duration, counts bool) {
+	granted := d.allocator.Grant("t", d.limit, Request{Needed: Amount{Requests: 1}, Wanted: Amount{Requests: 1}}, now)
+	if counts {
+		d.asked++
+		d.refused += 1 - granted.Amount.Requests
+	}
+	if granted.Amount.Requests == 1 {
+		one.left, one.refusals = one.left-1, 0
+		return
+	}
+	one.refusals++
+}
+
+func (d *loweredDemand) begin(now time.Duration) {
+	first := Amount{Requests: 1, Begins: 1}
+	granted := d.allocator.Grant("t", d.limit, Request{Needed: first, Wanted: first}, now).Amount
+	if granted != first {
+		d.allocator.Grant("t", d.limit, Request{Returned: granted}, now)
+		return
+	}
+	d.begun++
+	length := 4
+	if d.random.IntN(10) < 3 {
+		length = 20
+	}
+	d.running = append(d.running, &demanded{left: length - 1})
+}
+
+// TestSmallLimitEndsWhatItBegins lowers a tenant's limit to a tenth of what it sends: few
+// requests of the programs that have begun are refused.
 func TestSmallLimitEndsWhatItBegins(t *testing.T) {
-	random := rand.New(rand.NewPCG(1, 2))
-	const step = 50 * time.Millisecond
-	lowered := 20 * time.Second
-	limit := Limit{RatePerSecond: 60, Burst: 60}
-	allocator := NewAllocator(testPolicy)
-	allocator.Fill("t", limit, 0)
-	one := Request{Needed: Amount{Requests: 1}, Wanted: Amount{Requests: 1}}
-	first := Request{Needed: Amount{Requests: 1, Begins: 1}, Wanted: Amount{Requests: 1, Begins: 1}}
-	type program struct{ left, failures int }
-	var running []*program
-	asked, refused, failed, begun := 0, 0, 0, 0
-	for now := time.Duration(0); now < 60*time.Second; now += step {
+	is := is.New(t)
+	const step, lowered, over = 50 * time.Millisecond, 20 * time.Second, 25 * time.Second
+	demand := &loweredDemand{random: rand.New(rand.NewPCG(1, 2)), allocator: NewAllocator(testPolicy), limit: Limit{RatePerSecond: 60, Burst: 60}}
+	demand.allocator.Fill("t", demand.limit, 0)
+	for now := time.Duration(0); now < time.Minute; now += step {
 		if now == lowered {
-			limit = Limit{RatePerSecond: 6, Burst: 6}
-		}
-		live := running
-		running = nil
-		for _, under := range live {
-			if random.IntN(8) == 0 { // a request each 0.4 s
-				granted := allocator.Grant("t", limit, one, now).Amount.Requests > 0
-				if now > lowered+5*time.Second {
-					asked++
-					if !granted {
-						refused++
-					}
-				}
-				if granted {
-					under.left--
-					under.failures = 0
-				} else if under.failures++; under.failures == 6 {
-					failed++
-					continue
-				}
-			}
-			if under.left > 0 {
-				running = append(running, under)
-			}
+			demand.limit = Limit{RatePerSecond: 6, Burst: 6}
 		}
-		if random.IntN(4) == 0 { // five programs a second
-			grant := allocator.Grant("t", limit, first, now)
-			if grant.Amount.Begins == 0 || grant.Amount.Requests == 0 {
-				allocator.Grant("t", limit, Request{Returned: grant.Amount}, now)
-				continue
-			}
-			length := 3
-			if random.IntN(10) < 3 {
-				length = 19
-			}
-			begun++
-			running = append(running, &program{left: length})
+		demand.goOn(now, now > over)
+		if demand.random.IntN(4) == 0 {
+			demand.begin(now)
 		}
 	}
-	if refused*20 > asked || failed*10 > begun {
-		t.Fatalf("%d of %d requests of programs that had begun were refused, %d of %d programs failed", refused, asked, failed, begun)
-	}
+	is.True(demand.asked > 150)
+	is.True(demand.refused*20 <= demand.asked)
+	is.True(demand.failed*10 <= demand.begun)
 }
