Ask clients back late only where the store answers no node

Cause: a turn that was refused since the store answers nothing was asked back after 1 s, also where the store turned only this node away and another one would have served it. Change: nodes tell peers whether the store answers them; 1 s only where none of those asked says so, else 0.4 s, and 0.1 s where the configuration is too old.

--- a/internal/routednode/freshness.go
+++ b/internal/routednode/freshness.go
@@ -18,29 +18,23 @@
 	// unusable tells that the newest configuration could not be read, so that the one
 	// in force is not the newest.
 	unusable bool
-	// staleEverywhere tells that peers answered lately and could not tell of newer
-	// confirmations either.
-	staleEverywhere bool
+	// awayForAll tells that the store answers neither this node nor the peers that were
+	// asked last.
+	awayForAll bool
 }
 
-// askedPeers notes whether confirmations are still old after a peer has answered.
-func (f *freshness) askedPeers(stale bool) {
+// askedPeers notes whether the store answers any of the peers that were asked.
+func (f *freshness) askedPeers(answered bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.staleEverywhere = stale
+	f.awayForAll = !answered
 }
 
-// ComeBack is when a client may come back whose request has met an old configuration:
-// soon, and so at another node, where this one is cut off; later where the others know no
-// more.
-func (f *freshness) ComeBack() time.Duration {
-	const elsewhere, everywhere = 100 * time.Millisecond, time.Second
+// AwayForAll tells whether the store answers no other node either, as far as is known.
+func (f *freshness) AwayForAll() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.staleEverywhere {
-		return everywhere
-	}
-	return elsewhere
+	return f.awayForAll
 }
 
 // confirm notes that the configuration in force was the newest at the given time.
--- a/internal/routednode/freshness_test.go
+++ b/internal/routednode/freshness_test.go
@@ -1,7 +1,9 @@
 package routednode
 
 import (
+	"context"
 	"log/slog"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/router"
 	"stepseam.example/stepseam/internal/routing"
 	"stepseam.example/stepseam/internal/wire"
@@ -56,10 +59,42 @@
 
 func TestMessagesOfTheRelaySurviveTheWire(t *testing.T) {
 	is := is.New(t)
-	told := &tellViews{Configuration: []byte("c"), Version: 9, ConfigurationKnown: true, ConfigurationAge: time.Second, ReplicasKnown: true, ReplicasAge: time.Minute}
+	told := &tellViews{Configuration: []byte("c"), Version: 9, ConfigurationKnown: true, ConfigurationAge: time.Second, StoreAnswers: true, ReplicasKnown: true, ReplicasAge: time.Minute}
 	encoder := wire.NewEncoder(nil)
 	told.Encode(encoder)
 	read := &tellViews{}
 	read.Decode(wire.NewDecoder(encoder.Bytes()))
 	is.Equal(read, told)
 }
+
+// peersOf answers like nodes that the store answers or not; nil does not answer.
+type peersOf map[netip.AddrPort]*tellViews
+
+func (p peersOf) Call(_ context.Context, address netip.AddrPort, _ peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	if told := p[address]; told != nil {
+		return told, nil
+	}
+	return nil, peer.ErrUnreachable
+}
+
+func TestStoreIsAwayForAllOnlyIfPeersSaySo(t *testing.T) {
+	is := is.New(t)
+	one, other := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	for _, c := range []struct {
+		first, second *tellViews
+		away          bool
+	}{
+		{&tellViews{}, &tellViews{}, true},
+		{&tellViews{}, &tellViews{StoreAnswers: true}, false},
+		{&tellViews{}, nil, true},
+		{nil, nil, false}, // cut off, it knows nothing of others
+	} {
+		v := &views{router: router.New(router.Config{Registerer: prometheus.NewRegistry()}), freshness: &freshness{}, logger: slog.New(slog.DiscardHandler)}
+		r := &relay{
+			views: v, configurations: v.freshness, replicas: v.freshness, peers: peersOf{one: c.first, other: c.second},
+			others: func() []netip.AddrPort { return []netip.AddrPort{one, other} }, logger: v.logger, storeAnswers: func() bool { return false },
+		}
+		r.ask(t.Context())
+		is.Equal(v.freshness.AwayForAll(), c.away)
+	}
+}
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -177,7 +177,7 @@
 		built.relay = &relay{
 			views: built.views, configurations: built.configurations, replicas: built.entries,
 			peers: built.peers.transport, others: built.homes.Addresses, logger: built.logger,
-			lease: chosen.Keys.Lease(),
+			lease: chosen.Keys.Lease(), storeAnswers: do.MustInvoke[*countedStore](injector).health.answers,
 		}
 		built.relay.register(built.peers.registry)
 	}
--- a/internal/routednode/relay.go
+++ b/internal/routednode/relay.go
@@ -63,6 +63,8 @@
 	Version            uint64
 	ConfigurationKnown bool
 	ConfigurationAge   time.Duration
+	// StoreAnswers tells whether the store answers the answering node.
+	StoreAnswers bool
 	// ReplicasKnown tells that Replicas holds all entries, which were heard
 	// ReplicasAge ago.
 	ReplicasKnown bool
@@ -79,6 +81,7 @@
 	e.Uint64(m.Version)
 	e.Bool(m.ConfigurationKnown)
 	e.Duration(m.ConfigurationAge)
+	e.Bool(m.StoreAnswers)
 	e.Bool(m.ReplicasKnown)
 	e.Duration(m.ReplicasAge)
 	e.Uint32(uint32(len(m.Replicas)))
@@ -94,7 +97,7 @@
 // Decode implements peer.Message.
 func (m *tellViews) Decode(d *wire.Decoder) {
 	m.Configuration, m.Version, m.ConfigurationKnown, m.ConfigurationAge = d.Blob(), d.Uint64(), d.Bool(), d.Duration()
-	m.ReplicasKnown, m.ReplicasAge = d.Bool(), d.Duration()
+	m.StoreAnswers, m.ReplicasKnown, m.ReplicasAge = d.Bool(), d.Bool(), d.Duration()
 	for range d.Count(itemBytes) {
 		m.Replicas = append(m.Replicas, logstore.Item{Key: d.String(), Value: d.Blob()})
 	}
@@ -117,6 +120,8 @@
 	logger         *slog.Logger
 	// lease is how old the configuration may be for requests with keys; 0 sets no bound.
 	lease time.Duration
+	// storeAnswers tells whether the store answers this node, as far as is known.
+	storeAnswers func() bool
 	// heardAt and heardAge tell when other nodes' knowledge of the replicas was taken over and
 	// how old it was then. Only run's goroutine uses them.
 	heardAt  time.Time
@@ -134,7 +139,7 @@
 	if !ok {
 		return nil, fmt.Errorf("routednode: unexpected %T", request)
 	}
-	told := &tellViews{}
+	told := &tellViews{StoreAnswers: r.storeAnswers()}
 	// The age is read before the version: a configuration that comes in between is newer.
 	told.ConfigurationAge, told.ConfigurationKnown = r.views.freshness.Age()
 	if inForce := r.views.router.Configuration(); inForce != nil {
@@ -157,9 +162,11 @@
 	for {
 		select {
 		case <-ticker.C:
-			if r.silent() || r.aging() {
+			if r.silent() || r.aging() || !r.storeAnswers() {
 				r.ask(ctx)
+				continue
 			}
+			r.views.freshness.askedPeers(true)
 		case <-ctx.Done():
 			return
 		}
@@ -213,9 +220,14 @@
 	for _, other := range others {
 		go func() { answers <- r.askOne(ctx, other, question) }()
 	}
+	answered, served := false, false
 	for range others {
-		r.take(<-answers)
+		heard := <-answers
+		r.take(heard)
+		answered = answered || heard.told != nil
+		served = served || heard.told != nil && heard.told.StoreAnswers
 	}
+	r.views.freshness.askedPeers(served || !answered)
 }
 
 func (r *relay) askOne(ctx context.Context, other netip.AddrPort, question *askViews) relayed {
@@ -239,7 +251,6 @@
 		r.views.takeEncoded(told.Configuration, "peer "+address.String())
 	}
 	r.views.confirmBy(told, heard.asked)
-	r.views.freshness.askedPeers(r.aging())
 	if told.ReplicasKnown && told.ReplicasAge < r.replicasAge() {
 		r.heardAt, r.heardAge = time.Now(), told.ReplicasAge
 		r.logger.Info("replicas heard from a peer", "peer", address, "replicas", len(told.Replicas), "age_ms", told.ReplicasAge.Milliseconds())
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -228,7 +228,7 @@
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		reply.breakOff("client_left", cause)
 	case course.refused != nil:
-		reply.refuse(http.StatusServiceUnavailable, refusal{reason: reasonStale, comeBack: r.config.Freshness.ComeBack(), cause: course.refused})
+		reply.refuse(http.StatusServiceUnavailable, refusal{reason: reasonStale, comeBack: r.comeBackFromStore(shortComeBack), cause: course.refused})
 	case course.mayHaveRun == 0:
 		reply.refuse(http.StatusServiceUnavailable, refusal{reason: reason, comeBack: shortComeBack, cause: cause})
 	case call.left() < minLeft:
--- a/internal/router/authenticate.go
+++ b/internal/router/authenticate.go
@@ -44,7 +44,7 @@
 	}
 	// A key that is not known here may be new, one that is known may be gone.
 	if stale != nil {
-		return nil, &denial{http.StatusServiceUnavailable, refusal{reason: reasonStale, comeBack: r.config.Freshness.ComeBack(), cause: stale}}
+		return nil, &denial{http.StatusServiceUnavailable, refusal{reason: reasonStale, comeBack: r.comeBackFromStore(shortComeBack), cause: stale}}
 	}
 	digest := routing.DigestKey(keys[0])
 	tenant := configuration.TenantOf(digest)
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -15,6 +15,20 @@
 	longComeBack  = 400 * time.Millisecond
 )
 
+// awayComeBack is when a client may come back whose request needs a store that answers no
+// node. Stores are away for seconds, and a client tries only so often.
+const awayComeBack = time.Second
+
+// comeBackFromStore is when a client may come back that was refused since the store does
+// not answer this node: after awayComeBack where it answers no other node either, else
+// after elsewhere, since another node will do.
+func (r *Router) comeBackFromStore(elsewhere time.Duration) time.Duration {
+	if r.config.Freshness != nil && r.config.Freshness.AwayForAll() {
+		return awayComeBack
+	}
+	return elsewhere
+}
+
 // refusal is a failure of the router's own.
 type refusal struct {
 	// reason is one word for log and metrics.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,7 +33,8 @@
 	Limits *limits.Service
 	// Lease is how old the configuration may be for requests with keys; 0 sets no bound.
 	Lease time.Duration
-	// Freshness tells how old the configuration may be; required where Lease is set.
+	// Freshness tells how old the configuration may be; required where Lease is set. nil
+	// says nothing of other nodes.
 	Freshness Freshness
 	// Now is a monotonic reading.
 	Now func() time.Duration
@@ -49,8 +50,8 @@
 type Freshness interface {
 	// Age returns how long ago it was the newest, for certain; false if that is not known.
 	Age() (time.Duration, bool)
-	// ComeBack is when a client may come back that was refused for the age.
-	ComeBack() time.Duration
+	// AwayForAll tells whether the store answers no other node either, as far as is known.
+	AwayForAll() bool
 }
 
 // Router is the http.Handler of routed requests.
--- a/internal/router/turn.go
+++ b/internal/router/turn.go
@@ -16,9 +16,6 @@
 	// ledgerShare is the part of a request's time that the ledger may take, so that
 	// a client that is refused has time to ask another node.
 	ledgerShare = 0.45
-	// awayComeBack is when a turn may come back that needs the store while it takes
-	// nothing. Stores are away for seconds.
-	awayComeBack = time.Second
 	// maxLedgerWait bounds that.
 	maxLedgerWait = 1500 * time.Millisecond
 )
@@ -96,7 +93,7 @@
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		reply.breakOff("client_left", err)
 	case errors.Is(err, ledgerlog.ErrStoreAway):
-		reply.refuse(http.StatusServiceUnavailable, refusal{reason: "store_away", comeBack: awayComeBack, cause: err})
+		reply.refuse(http.StatusServiceUnavailable, refusal{reason: "store_away", comeBack: r.comeBackFromStore(longComeBack), cause: err})
 	default:
 		reply.refuse(http.StatusServiceUnavailable, refusal{reason: "ledger_unavailable", comeBack: longComeBack, cause: err})
 	}
