Rank nodes for a key in one place

Cause: rendezvous hashing over the members stood four times (homes, keepers of replicas, allocators of limits, readers of the configuration), and the one of the allocators sorted all members for the first of them, on each question about a limit at either side. Change: membership.Score and Highest, with the same hashes, so that every choice stays where it was; nothing is sorted.

--- a/internal/homes/view.go
+++ b/internal/homes/view.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/membership"
@@ -64,19 +62,10 @@
 	if view == nil || len(view.Members) <= 1 {
 		return identity.Node{}, !s.closing.Load() && (s.config.Peers == nil || time.Since(s.began) > settleAfter)
 	}
-	var best identity.Node
-	highest := uint64(0)
-	for _, member := range view.Members {
-		if member.Status != membership.Alive && member.Status != membership.Suspect {
-			continue
-		}
-		if s.closing.Load() && member.Node.Name == s.config.Self {
-			continue
-		}
-		if score := score(partition, member.Node.Name); best.Name == "" || score > highest {
-			best, highest = member.Node, score
-		}
-	}
+	closing := s.closing.Load()
+	best, _ := membership.Highest(strconv.Itoa(partition), view.Members, func(member membership.Member) bool {
+		return member.Reachable() && !(closing && member.Node.Name == s.config.Self)
+	})
 	return best, best.Name == s.config.Self
 }
 
@@ -85,11 +74,6 @@
 	return home.Name != "" && s.config.Peers != nil && !s.avoided(home.Name)
 }
 
-// score ranks nodes for a partition (rendezvous hashing).
-func score(partition int, node identity.NodeName) uint64 {
-	return xxhash.Sum64String(strconv.Itoa(partition) + "/" + string(node))
-}
-
 // Addresses returns the peer addresses of the other nodes that live.
 func (s *Service) Addresses() []netip.AddrPort {
 	view := s.view.Load()
--- a/internal/keeper/placement.go
+++ b/internal/keeper/placement.go
@@ -4,8 +4,6 @@
 	"net/netip"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 )
@@ -19,7 +17,7 @@
 
 	// mutex guards all below.
 	mutex   sync.Mutex
-	members []identity.Node
+	members []membership.Member
 	// known remembers the keepers by replica until the members change.
 	known map[string]identity.Node
 }
@@ -37,7 +35,7 @@
 	p.members = p.members[:0]
 	for _, member := range view.Members {
 		if member.Status == membership.Alive {
-			p.members = append(p.members, member.Node)
+			p.members = append(p.members, member)
 		}
 	}
 	clear(p.known)
@@ -58,19 +56,10 @@
 
 // choose needs the mutex.
 func (p *Placement) choose(instance, zone string) identity.Node {
-	inZone, anywhere := identity.Node{}, identity.Node{}
-	inZoneScore, anywhereScore := uint64(0), uint64(0)
-	for _, node := range p.members {
-		score := xxhash.Sum64String(instance + "/" + string(node.Name))
-		if score >= anywhereScore {
-			anywhere, anywhereScore = node, score
-		}
-		if string(node.Zone) == zone && score >= inZoneScore {
-			inZone, inZoneScore = node, score
-		}
-	}
-	if inZone.Name != "" {
-		return inZone
+	inZone := func(member membership.Member) bool { return string(member.Node.Zone) == zone }
+	if node, found := membership.Highest(instance, p.members, inZone); found {
+		return node
 	}
-	return anywhere
+	node, _ := membership.Highest(instance, p.members, func(membership.Member) bool { return true })
+	return node
 }
--- a/internal/limits/placement.go
+++ b/internal/limits/placement.go
@@ -1,13 +1,10 @@
 package limits
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 )
@@ -101,45 +98,33 @@
 
 // allocator returns the node that allots a tenant; empty where none is known.
 func (p *placement) allocator(tenant string, now time.Duration) identity.Node {
-	ranked := p.ranked(tenant, now, func(member membership.Member) bool {
-		return member.Status == membership.Alive || member.Status == membership.Suspect
-	})
-	if len(ranked) == 0 {
-		return identity.Node{}
-	}
-	return ranked[0]
+	node, _ := p.highest(tenant, now, membership.Member.Reachable)
+	return node
 }
 
 // before returns the nodes that may have allotted a tenant until now: the first of the
 // others, those that leave among them, and the first of those that were not seen for a
 // while and lived, which may have allotted it on their side of a cut.
 func (p *placement) before(tenant string, now time.Duration) []identity.Node {
-	others := p.ranked(tenant, now, func(member membership.Member) bool { return member.Node.Name != p.self })
-	returned := p.ranked(tenant, now, func(member membership.Member) bool { return p.returned[member.Node.Reference()] })
-	found := append(others[:min(len(others), 1)], returned[:min(len(returned), 1)]...)
-	return slices.Compact(found)
+	others := func(member membership.Member) bool { return member.Node.Name != p.self }
+	returned := func(member membership.Member) bool { return p.returned[member.Node.Reference()] }
+	var found []identity.Node
+	for _, fits := range []func(membership.Member) bool{others, returned} {
+		if node, known := p.highest(tenant, now, fits); known && !slices.Contains(found, node) {
+			found = append(found, node)
+		}
+	}
+	return found
 }
 
-// ranked returns the members that fit, the one of the highest hash first.
-func (p *placement) ranked(tenant string, now time.Duration, fits func(membership.Member) bool) []identity.Node {
+// highest returns the first in rank of the members that fit and whose machines have not
+// refused a connection lately. fits is called with the mutex held.
+func (p *placement) highest(tenant string, now time.Duration, fits func(membership.Member) bool) (identity.Node, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	type scored struct {
-		node  identity.Node
-		score uint64
-	}
-	var found []scored
-	for _, member := range p.members {
-		if fits(member) && now >= p.refused[member.Node.Reference()] {
-			found = append(found, scored{member.Node, xxhash.Sum64String(tenant + "/" + string(member.Node.Name))})
-		}
-	}
-	slices.SortFunc(found, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	nodes := make([]identity.Node, 0, len(found))
-	for _, one := range found {
-		nodes = append(nodes, one.node)
-	}
-	return nodes
+	return membership.Highest(tenant, p.members, func(member membership.Member) bool {
+		return fits(member) && now >= p.refused[member.Node.Reference()]
+	})
 }
 
 // alone tells whether no other member is known.
--- a/internal/membership/contract.go
+++ b/internal/membership/contract.go
@@ -28,6 +28,10 @@
 	OwnedShards uint32
 }
 
+// Reachable tells whether a member takes work as far as is known: it lives, or is suspected
+// and may refute that. One that leaves does not.
+func (m Member) Reachable() bool { return m.Status == Alive || m.Status == Suspect }
+
 // View is all members as this node sees them, sorted by name; it includes this
 // node itself. Dead members are left out. Version rises with each change of the
 // set, a status or an incarnation.
--- a/internal/routednode/readers.go
+++ b/internal/routednode/readers.go
@@ -1,12 +1,9 @@
 package routednode
 
 import (
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/settings"
@@ -34,17 +31,18 @@
 
 // SetView chooses the living members of the highest hashes, so that nodes agree.
 func (r *readers) SetView(view membership.View) {
-	own, higher := readerScore(r.self), 0
+	own, higher, known := membership.Score(readerKey, r.self), 0, false
 	for _, member := range view.Members {
-		if member.Status == membership.Alive && readerScore(member.Node.Name) > own {
+		known = known || member.Node.Name == r.self
+		if member.Status == membership.Alive && membership.Score(readerKey, member.Node.Name) > own {
 			higher++
 		}
 	}
-	alive := slices.ContainsFunc(view.Members, func(member membership.Member) bool { return member.Node.Name == r.self })
-	r.chosen.Store(alive && higher < readerCount)
+	r.chosen.Store(known && higher < readerCount)
 }
 
-func readerScore(node identity.NodeName) uint64 { return xxhash.Sum64String("reader/" + string(node)) }
+// readerKey is what nodes are ranked for as readers.
+const readerKey = "reader"
 
 // wait returns how long a read of the configuration waits for a change.
 func (r *readers) wait(chosen settings.Routed) time.Duration {
