Wait for tokens and for programs in one loop

Cause: spending a request's token and the right to begin a program had a loop each, alike but for what is counted, and a question kept an error that nobody read. Change: one loop for both; a question is the channel that its answer closes.

--- a/internal/limits/stock.go
+++ b/internal/limits/stock.go
@@ -19,8 +19,8 @@
 	quota *quota.Stock
 	// waiting counts the requests that wait for tokens.
 	waiting quota.Amount
-	// asking is the question under way; nil if there is none.
-	asking *question
+	// asking is closed once the question under way has been answered; nil if there is none.
+	asking chan struct{}
 	// source is the allocator that answered last.
 	source quota.Source
 	// unansweredUntil is how long requests don't wait for an answer.
@@ -39,30 +39,38 @@
 	status.Pace, status.Refused = s.quota.Pace(now), s.refused
 }
 
-// question is a question to the allocator. The error is set before done is closed.
-type question struct {
-	done chan struct{}
-	err  error
-}
-
 // rounds bounds how often a request waits for an answer whose tokens others have taken.
 const rounds = 3
 
 // take spends a token, for which it waits where there is none.
-func (s *stock) take(ctx context.Context, limit quota.Limit) (quota.Token, error) {
+func (s *stock) take(ctx context.Context, limit quota.Limit) (token quota.Token, err error) {
+	err = s.acquire(ctx, quota.Amount{Requests: 1}, func() (asked <-chan struct{}, err error) {
+		token, asked, err = s.tryTake(ctx, limit)
+		return asked, err
+	})
+	return token, err
+}
+
+// takeBegin spends the right to begin a program, for which it waits where there is none.
+func (s *stock) takeBegin(ctx context.Context) error {
+	return s.acquire(ctx, quota.Amount{Begins: 1}, func() (<-chan struct{}, error) { return s.tryBegin(ctx) })
+}
+
+// acquire tries to spend what is needed, again after each answer that try has asked for.
+func (s *stock) acquire(ctx context.Context, needed quota.Amount, try func() (asked <-chan struct{}, err error)) error {
 	for range rounds {
-		token, asked, err := s.tryTake(ctx, limit)
+		asked, err := try()
 		if asked == nil {
-			return token, err
+			return err
 		}
 		s.await(ctx, asked)
-		s.endWait(quota.Amount{Requests: 1})
+		s.endWait(needed)
 	}
-	return quota.Token{}, &OverLimitError{Tenant: s.tenant, After: s.service.config.Policy.Life()}
+	return &OverLimitError{Tenant: s.tenant, After: s.service.config.Policy.Life(), Begins: needed.Begins > 0}
 }
 
-// tryTake spends a token or tells why not; a question is to be waited for.
-func (s *stock) tryTake(ctx context.Context, limit quota.Limit) (quota.Token, *question, error) {
+// tryTake spends a token or tells why not; an answer that is asked for is to be waited for.
+func (s *stock) tryTake(ctx context.Context, limit quota.Limit) (quota.Token, <-chan struct{}, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.service.config.Now()
@@ -87,20 +95,7 @@
 	return quota.Token{}, s.waitLocked(ctx, quota.Amount{Requests: 1}, now), nil
 }
 
-// takeBegin spends the right to begin a program, for which it waits where there is none.
-func (s *stock) takeBegin(ctx context.Context) error {
-	for range rounds {
-		asked, err := s.tryBegin(ctx)
-		if asked == nil {
-			return err
-		}
-		s.await(ctx, asked)
-		s.endWait(quota.Amount{Begins: 1})
-	}
-	return &OverLimitError{Tenant: s.tenant, After: s.service.config.Policy.Life(), Begins: true}
-}
-
-func (s *stock) tryBegin(ctx context.Context) (*question, error) {
+func (s *stock) tryBegin(ctx context.Context) (<-chan struct{}, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.service.config.Now()
@@ -117,8 +112,9 @@
 	return s.waitLocked(ctx, quota.Amount{Begins: 1}, now), nil
 }
 
-// waitLocked returns the question to wait for. endWait must be called after it.
-func (s *stock) waitLocked(ctx context.Context, needed quota.Amount, now time.Duration) *question {
+// waitLocked returns what is closed with the answer to wait for. endWait must be called
+// after it.
+func (s *stock) waitLocked(ctx context.Context, needed quota.Amount, now time.Duration) <-chan struct{} {
 	s.waiting = s.waiting.Plus(needed)
 	if s.asking == nil {
 		s.askLocked(ctx, now)
@@ -132,12 +128,12 @@
 	s.waiting = s.waiting.Minus(needed)
 }
 
-// await waits for an answer, or for askPatience.
-func (s *stock) await(ctx context.Context, asked *question) {
+// await waits for an answer, as long as requests wait for tokens now.
+func (s *stock) await(ctx context.Context, asked <-chan struct{}) {
 	timer := time.NewTimer(s.service.patience())
 	defer timer.Stop()
 	select {
-	case <-asked.done:
+	case <-asked:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -146,7 +142,7 @@
 // askLocked asks the allocator in the background. The end of ctx, which is one
 // request's, does not end a question of many.
 func (s *stock) askLocked(ctx context.Context, now time.Duration) {
-	asked := &question{done: make(chan struct{})}
+	asked := make(chan struct{})
 	s.asking = asked
 	source := s.source
 	request := s.quota.Ask(source, s.waiting, now)
@@ -155,9 +151,8 @@
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		s.answered(request, answer, err, now)
-		asked.err = err
 		s.asking = nil
-		close(asked.done)
+		close(asked)
 	}()
 }
 
