Note where a call ran and what a node presumes once each

Cause: each way an attempt fails set by itself that the call may have run, beside the count kept of just that; Presume opened an account by hand that Take opens. Change: noteFailure, which every failed attempt passes, sets it with the count; Presume takes a new account with Take. Behaviour is unchanged. Measured: nothing to measure in time; the tests of router, quota and limits pass as they stand, among them that a request no replica ran gets its token back.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -116,11 +116,11 @@
 func (a *Allocator) Presume(tenant string, limit Limit, now time.Duration) {
 	const takeOvers = 2 // in one window
 	most := a.policy.Spare(limit) / takeOvers * a.share
-	existed := a.Has(tenant)
-	opened := a.open(tenant, now)
-	if !existed {
-		opened.requests, opened.begins = most, most
+	if !a.Has(tenant) {
+		a.Take(tenant, Account{Requests: most, Begins: most}, now)
+		return
 	}
+	opened := a.open(tenant, now)
 	opened.requests, opened.begins = min(opened.requests, most), min(opened.begins, most)
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -135,6 +135,7 @@
 		course.notRun++
 	} else {
 		course.mayHaveRun++
+		call.ran = true
 	}
 	if failure.Reason == exchange.ReasonMoved {
 		r.config.Fleet.Remove(replica.Instance)
@@ -177,13 +178,11 @@
 	tried := &attempt{answer: answer, replica: replica, sending: sending, router: r, call: call}
 	var failure *exchange.FailureError
 	if errors.As(err, &failure) {
-		call.ran = call.ran || failure.Outcome != exchange.OutcomeNotRun
 		r.config.Tracker.End(sending, ctx.Err() == nil, r.Now())
 		r.report(call, replica, nil)
 		return nil, failure
 	}
 	if failure = r.judge(answer); failure != nil {
-		call.ran = call.ran || failure.Outcome != exchange.OutcomeNotRun
 		tried.finish(failure.Reason == exchange.ReasonShed || failure.Reason == exchange.ReasonMoved)
 		return nil, failure
 	}
