Test that what may have run counts against the limit

Cause: a test held that a request no replica has run gets its token back, none that one which may have run keeps it spent. Change: replicas that hang up without an answer; the limit must hold for these requests.

--- a/internal/router/limit_test.go
+++ b/internal/router/limit_test.go
@@ -70,6 +70,15 @@
 	is.Equal(statuses[http.StatusServiceUnavailable], 60)
 }
 
+func TestWhatMayHaveRunIsTakenFromTheLimit(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, hangUp)
+	limited(h, 10, 20)
+	statuses := h.asks(60, "/safe/x", "a")
+	is.True(statuses[http.StatusBadGateway] >= 10 && statuses[http.StatusBadGateway] <= 31)
+	is.Equal(statuses[http.StatusBadGateway]+statuses[http.StatusTooManyRequests], 60)
+}
+
 // TestTenantAtItsLimitGoesOnWithItsPrograms begins programs until no more may begin; those
 // that have begun still get their turns.
 func TestTenantAtItsLimitGoesOnWithItsPrograms(t *testing.T) {
