Count what a frozen allocator's stand-in grants once

Cause: a node that allots a tenant's limit and stands still kept its bucket, which filled for that time beside what the node in its place had left; and the one in its place, asked again before it heard of the wake, opened an account that filled while the other one granted and was later added or granted from.

Change: after a standstill the word of others replaces the own account; grants and hand-overs notice a standstill before the timer does; accounts of tenants that another node allots get nothing more and are only handed over; a successor begins with as much less as the one before may grant until it hears of it. Tests of limits record who gave each permit and print the worst window.

--- a/internal/limits/allot.go
+++ b/internal/limits/allot.go
@@ -127,6 +127,7 @@
 	if !limited {
 		return nil, errNoLimit
 	}
+	s.beat(s.config.Now())
 	s.settle(ctx, asked.Tenant, limit)
 	request := asked.Request
 	if asked.Source != s.source {
@@ -166,9 +167,7 @@
 	s.allocator.SetShare(s.share(now))
 	switch {
 	case len(left) > 0:
-		for _, one := range left {
-			s.allocator.Take(tenant, one, now)
-		}
+		s.takeLeft(tenant, left, limit, now)
 	case s.allocator.Has(tenant) && reached:
 		s.allocator.Verify(tenant, now)
 	case steady:
@@ -180,6 +179,18 @@
 	close(done)
 }
 
+// takeLeft needs the mutex. It opens an account with what others had left: of the whole, or
+// of their side's part of it.
+func (s *Service) takeLeft(tenant string, left []quota.Account, limit quota.Limit, now time.Duration) {
+	for _, one := range left {
+		if s.allocator.Grants(tenant) {
+			s.allocator.Take(tenant, one, now)
+			continue
+		}
+		s.allocator.Succeed(tenant, one, limit, now)
+	}
+}
+
 // beginSettling returns a channel that is to be closed once the account is settled, or nil
 // where it is. It waits while another request settles it. steady tells that no node came
 // or went for long, so that nobody else can have granted.
@@ -276,6 +287,7 @@
 		return &takenOver{}, nil
 	}
 	now := s.config.Now()
+	s.beat(now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.allocator.SetShare(s.share(now))
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -111,6 +111,8 @@
 	allocator *quota.Allocator
 	// changedAt is when the members changed last, or this node started or stood still.
 	changedAt time.Duration
+	// beatAt is when this node was last seen to go on.
+	beatAt time.Duration
 	// settling holds the tenants whose account is being taken over.
 	settling map[string]chan struct{}
 }
@@ -120,7 +122,7 @@
 	return &Service{
 		config: config, source: quota.Source(rand.Uint64()), placement: newPlacement(config.Self),
 		metrics: newMetrics(config.Registerer), startedAt: config.Now(), stocks: map[string]*stock{},
-		allocator: quota.NewAllocator(config.Policy), changedAt: config.Now(), settling: map[string]chan struct{}{},
+		allocator: quota.NewAllocator(config.Policy), changedAt: config.Now(), beatAt: config.Now(), settling: map[string]chan struct{}{},
 	}
 }
 
@@ -138,6 +140,13 @@
 	if returned {
 		s.allocator.Unsettle()
 	}
+	s.allocator.Leave(s.allottedElsewhere, s.limit, now)
+}
+
+// allottedElsewhere tells whether this node knows of another one that allots a tenant.
+func (s *Service) allottedElsewhere(tenant string) bool {
+	_, self := s.allocatorOf(tenant)
+	return !self
 }
 
 // Run gives back what expires unspent, until ctx ends. It notices when the process stood
@@ -145,14 +154,12 @@
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepPause)
 	defer ticker.Stop()
-	last := s.config.Now()
 	for {
 		select {
 		case <-ticker.C:
 			now := s.config.Now()
 			s.sweep(ctx, now)
-			s.noteStandstill(now-last, now)
-			last = now
+			s.beat(now)
 		case <-ctx.Done():
 			return
 		}
@@ -162,14 +169,23 @@
 // standstill is a pause of the process after which other nodes may have taken it for dead.
 const standstill = time.Second
 
+// beat notices a standstill since the beat before. Whatever grants or hands over beats first,
+// since it may be the first that runs when the process goes on.
+func (s *Service) beat(now time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	pause := now - s.beatAt
+	s.beatAt = now
+	s.noteStandstill(pause, now)
+}
+
+// noteStandstill needs the mutex.
 func (s *Service) noteStandstill(pause, now time.Duration) {
 	if pause < standstill {
 		return
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	s.changedAt = now
-	s.allocator.Unsettle()
+	s.allocator.StoodStill()
 }
 
 // patience is how long a request waits for tokens now.
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,7 +114,7 @@
 			s.tellViews()
 			s.pause(time.Second, 5*time.Second)
 			s.set(number, sound)
-			s.nodes[number].service.noteStandstill(5*time.Second, s.now())
+			s.nodes[number].service.standStill(5 * time.Second)
 			s.pause(50*time.Millisecond, 500*time.Millisecond)
 			s.tellViews()
 			s.pause(time.Second, 4*time.Second)
@@ -172,15 +173,141 @@
 	for name, trouble := range troubles {
 		for seed := range uint64(6) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
-				_, worst := play(t, seed, 45*time.Second, always(hot), trouble)
+				played, worst := play(t, seed, 45*time.Second, always(hot), trouble)
 				if allowed := sitePolicy.Allowed(LimitOf(siteTenant)); float64(worst) > allowed {
-					t.Fatalf("%d ran in a window, %.0f are allowed", worst, allowed)
+					t.Fatalf("%d ran in a window, %.0f are allowed\n%s", worst, allowed, played.record())
 				}
 			})
 		}
 	}
 }
 
+// TestAllocatorThatWakesGrantsNothingTwice freezes the node that allots the tenant until
+// another one does, and wakes it when the tenant has just turned from little to far beyond
+// its limit: what came in while it was frozen, the other one has granted.
+func TestAllocatorThatWakesGrantsNothingTwice(t *testing.T) {
+	const freezes, notices, turns, wakes = 9 * time.Second, 11 * time.Second, 14 * time.Second, 15 * time.Second
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			demand := func(now time.Duration) float64 {
+				if now < turns {
+					return usual / 2
+				}
+				return hot
+			}
+			played, worst := play(t, seed, 30*time.Second, demand, func(_ context.Context, s *site) {
+				time.Sleep(freezes - s.now())
+				number := s.allocator()
+				s.set(number, frozen)
+				time.Sleep(notices - s.now())
+				s.tellViews()
+				time.Sleep(wakes - s.now())
+				s.set(number, sound)
+				s.nodes[number].service.standStill(wakes - freezes)
+				s.pause(50*time.Millisecond, 500*time.Millisecond)
+				s.tellViews()
+			})
+			if allowed := sitePolicy.Allowed(LimitOf(siteTenant)); float64(worst) > allowed {
+				t.Fatalf("%d ran in a window, %.0f are allowed\n%s", worst, allowed, played.record())
+			}
+		})
+	}
+}
+
+// TestNodeThatWakesAsksBeforeItGrants lets the question of a node be the first that a frozen
+// allocator gets to: it does not grant from what came in while it stood still.
+func TestNodeThatWakesAsksBeforeItGrants(t *testing.T) {
+	is := is.New(t)
+	now := time.Duration(0)
+	service := New(Config{
+		Self: "a", Policy: sitePolicy, Way: WayAllocator, Peers: nobody{}, Now: func() time.Duration { return now }, Logger: slog.New(slog.DiscardHandler),
+	})
+	service.SetLimits(func(string) (quota.Limit, bool) { return LimitOf(siteTenant), true })
+	both := membership.View{Members: []membership.Member{
+		{Node: identity.Node{Name: "a"}, Status: membership.Alive}, {Node: identity.Node{Name: "b"}, Status: membership.Alive},
+	}}
+	service.SetView(both)
+	for ; now < sitePolicy.Span()+time.Second; now += sweepPause {
+		service.beat(now)
+	}
+	plenty := &ask{Tenant: siteTenant.Name, Request: quota.Request{Needed: quota.Amount{Requests: 999}}}
+	for _, most := range []float64{sitePolicy.Capacity(LimitOf(siteTenant)), sitePolicy.Spare(LimitOf(siteTenant))} {
+		answer, err := service.grant(t.Context(), plenty)
+		is.NoErr(err)
+		is.True(answer.Grant.Amount.Requests > 0)
+		is.True(float64(answer.Grant.Amount.Requests) <= most)
+		now += standstill + time.Second
+	}
+}
+
+// nobody is where no other node answers.
+type nobody struct{}
+
+// Call implements peer.Client.
+func (nobody) Call(context.Context, netip.AddrPort, peer.Message, func(peer.Message) error) (peer.Message, error) {
+	return nil, peer.ErrUnreachable
+}
+
+// TestAccountLeftBehindIsNotGrantedFrom wakes the node that allots the tenant. The one in its
+// place grants until it hears of that, and so opens an account again after it has handed
+// its own over. When the other one goes, or asks again since some node came back, that
+// account must not have filled.
+func TestAccountLeftBehindIsNotGrantedFrom(t *testing.T) {
+	const freezes, notices, wakes, turns, again = 9 * time.Second, 11 * time.Second, 15 * time.Second, 22 * time.Second, 23 * time.Second
+	for name, happens := range map[string]func(s *site, number int){
+		"the allocator is killed": func(s *site, number int) {
+			s.nodes[number].end()
+			s.set(number, killed)
+		},
+		"another node comes back": func(s *site, number int) {
+			other := (number + 1) % len(s.nodes)
+			if allocator, _ := s.nodes[number].service.placement.before(siteTenant.Name, s.now()), other; allocator[0].Name == s.nodes[other].node.Name {
+				other = (number + 2) % len(s.nodes)
+			}
+			s.set(other, frozen)
+			s.tellViews()
+			s.set(other, sound)
+		},
+	} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				demand := func(now time.Duration) float64 {
+					if now < turns {
+						return usual
+					}
+					return hot
+				}
+				played, worst := play(t, seed, 32*time.Second, demand, func(_ context.Context, s *site) {
+					time.Sleep(freezes - s.now())
+					number := s.allocator()
+					s.set(number, frozen)
+					time.Sleep(notices - s.now())
+					s.tellViews()
+					time.Sleep(wakes - s.now())
+					s.set(number, sound)
+					s.nodes[number].service.standStill(wakes - freezes)
+					time.Sleep(400 * time.Millisecond)
+					s.tellViews()
+					time.Sleep(again - s.now())
+					happens(s, number)
+					s.tellViews()
+				})
+				if allowed := sitePolicy.Allowed(LimitOf(siteTenant)); float64(worst) > allowed {
+					t.Fatalf("%d ran in a window, %.0f are allowed\n%s", worst, allowed, played.record())
+				}
+			})
+		}
+	}
+}
+
+// allocator returns the number of the node that allots the tenant.
+func (s *site) allocator() int {
+	return slices.IndexFunc(s.nodes, func(one *simulated) bool {
+		_, self := one.service.allocatorOf(siteTenant.Name)
+		return self
+	})
+}
+
 // TestUsualDemandIsServedThroughFailures tells how much of a demand below the limit is
 // refused while nodes come and go.
 func TestUsualDemandIsServedThroughFailures(t *testing.T) {
--- a/internal/limits/network_test.go
+++ b/internal/limits/network_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -35,6 +36,9 @@
 	frozen
 )
 
+// String names a condition.
+func (c condition) String() string { return [...]string{"sound", "killed", "dark", "frozen"}[c] }
+
 // simulated is one node of a site in virtual time.
 type simulated struct {
 	site    *site
@@ -59,12 +63,15 @@
 	// mutex guards all below.
 	mutex   sync.Mutex
 	nodes   []*simulated
-	ran     []time.Duration
+	ran     []used
 	refused int
+	// sources names the lives that have given permits, events holds what decided who did.
+	sources map[quota.Source]string
+	events  []event
 }
 
 func newSite(ctx context.Context, seed uint64, count int) *site {
-	made := &site{random: rand.New(rand.NewPCG(seed, 1)), began: time.Now()}
+	made := &site{random: rand.New(rand.NewPCG(seed, 1)), began: time.Now(), sources: map[quota.Source]string{}}
 	for number := range count {
 		made.nodes = append(made.nodes, &simulated{site: made})
 		made.start(ctx, number)
@@ -89,6 +96,10 @@
 		Self: one.node.Name, Policy: sitePolicy, Way: WayAllocator, Peers: carrier{one}, Now: s.now, Logger: slog.New(slog.DiscardHandler),
 	})
 	one.service.SetLimits(func(string) (quota.Limit, bool) { return LimitOf(siteTenant), true })
+	s.mutex.Lock()
+	s.sources[one.service.source] = string(one.node.Name)
+	s.note("%s starts", one.node.Name)
+	s.mutex.Unlock()
 	go one.service.Run(life)
 }
 
@@ -97,6 +108,9 @@
 	for _, one := range s.nodes {
 		view := membership.View{}
 		s.mutex.Lock()
+		if one == s.nodes[0] {
+			s.note("views are told")
+		}
 		for _, other := range s.nodes {
 			if one == other || other.condition == sound && one.side == other.side {
 				member := membership.Member{Node: other.node, Status: membership.Alive}
@@ -135,30 +149,21 @@
 	case err == nil && s.random.IntN(20) == 0:
 		go permit.Refund() // it was not run
 	case err == nil:
-		s.ran = append(s.ran, s.now())
+		source, granted := permit.token.Source()
+		s.ran = append(s.ran, used{at: s.now(), node: slices.Index(s.nodes, one), source: source, own: !granted})
 	case ctx.Err() == nil:
 		s.refused++
 	}
 }
 
 // worst returns the most that ran in any window.
-func (s *site) worst() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	worst, first := 0, 0
-	for last := range s.ran {
-		for s.ran[last]-s.ran[first] >= sitePolicy.Window {
-			first++
-		}
-		worst = max(worst, last-first+1)
-	}
-	return worst
-}
+func (s *site) worst() int { return len(s.worstWindow()) }
 
 func (s *site) set(number int, to condition) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.nodes[number].condition = to
+	s.note("n%d is %s", number, to)
 }
 
 // carrier carries one node's calls.
@@ -181,6 +186,11 @@
 		return nil, fmt.Errorf("%w: %w", peer.ErrUnreachable, ctx.Err())
 	}
 	answer, err := service.handle(ctx, request)
+	if told, ok := answer.(*takenOver); ok {
+		s.mutex.Lock()
+		s.note("%s takes over from %s: known %t, left %.1f", w.from.node.Name, to.node.Name, told.Known, told.Account.Requests)
+		s.mutex.Unlock()
+	}
 	if lie, ok := answer.(*takenOver); ok && s.forgetful {
 		lie.Known, lie.Account = true, quota.Account{Requests: 1000}
 	}
@@ -195,6 +205,13 @@
 	return time.Millisecond + time.Duration(s.random.Int64N(int64(2*time.Millisecond)))
 }
 
+// standStill notes that a node has stood still, which virtual time does not let it notice.
+func (s *Service) standStill(pause time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.noteStandstill(pause, s.config.Now())
+}
+
 func (s *Service) handle(ctx context.Context, request peer.Message) (peer.Message, error) {
 	if _, ok := request.(*ask); ok {
 		return s.handleAsk(ctx, request, nil)
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -60,6 +60,12 @@
 type bucket struct {
 	// settled tells that what other nodes have granted counts here.
 	settled bool
+	// stale tells that this node has stood still since it granted last: another may have
+	// granted what came in since, and what was left before.
+	stale bool
+	// left tells that another node grants now: what this one had is there to be handed over,
+	// and nothing comes in any more.
+	left bool
 	// requests and begins are tokens at filledAt.
 	requests, begins float64
 	filledAt         time.Duration
@@ -103,14 +109,34 @@
 	opened.requests, opened.begins = a.policy.Capacity(limit)*a.share, a.beginCapacity(opened, limit)
 }
 
-// Take opens an account with what another node had left.
+// Take opens an account with what another node had left. It adds to what this node has left
+// of its own part, which both have granted from at the same time, unless this one stood
+// still: then the other has granted all.
 func (a *Allocator) Take(tenant string, account Account, now time.Duration) {
+	if found := a.tenants[tenant]; found != nil && found.stale {
+		found.requests, found.begins, found.filledAt = 0, 0, now
+	}
 	opened := a.open(tenant, now)
 	opened.requests += account.Requests
 	opened.begins += account.Begins
 	opened.learned.adopt(account.PerProgram)
 }
 
+// unheardFor is how long the node before may go on granting after it has handed over, since
+// it has not heard yet that another one allots.
+const unheardFor = 500 * time.Millisecond
+
+// Succeed opens an account with what the node before had left, less what that one may still
+// grant until it hears of this one.
+func (a *Allocator) Succeed(tenant string, account Account, limit Limit, now time.Duration) {
+	account.Requests -= a.policy.Refill(limit) * a.share * unheardFor.Seconds()
+	a.Take(tenant, account, now)
+}
+
+// Grants tells whether this node has an account that no standstill has made doubtful, so that
+// what others have left is beside it.
+func (a *Allocator) Grants(tenant string) bool { return a.Has(tenant) && !a.tenants[tenant].stale }
+
 // Presume opens an account and takes the limit, but for a part of its spare, for used,
 // since what others have granted can't be learned.
 func (a *Allocator) Presume(tenant string, limit Limit, now time.Duration) {
@@ -121,11 +147,29 @@
 		return
 	}
 	opened := a.open(tenant, now)
+	a.fill(opened, limit, now)
 	opened.requests, opened.begins = min(opened.requests, most), min(opened.begins, most)
 }
 
-// Has tells whether there is an account, settled or not.
-func (a *Allocator) Has(tenant string) bool { return a.tenants[tenant] != nil }
+// Has tells whether there is an account from which this node grants, settled or not.
+func (a *Allocator) Has(tenant string) bool {
+	found := a.tenants[tenant]
+	return found != nil && !found.left
+}
+
+// Leave ends the filling of the accounts of tenants that another node grants from now on. They
+// are kept to be handed over.
+func (a *Allocator) Leave(leaves func(tenant string) bool, limit func(tenant string) (Limit, bool), now time.Duration) {
+	for tenant, one := range a.tenants {
+		if one.left || !leaves(tenant) {
+			continue
+		}
+		if limited, known := limit(tenant); known {
+			a.fill(one, limited, now)
+		}
+		one.settled, one.left = false, true
+	}
+}
 
 // Verify settles an account that no other node has granted from.
 func (a *Allocator) Verify(tenant string, now time.Duration) { a.open(tenant, now) }
@@ -137,14 +181,30 @@
 	}
 }
 
-// HandOver ends an account and returns what is left; false if there is none.
+// StoodStill makes every account learn what others have granted before it grants again, as
+// Unsettle does. What another node has left replaces what this one had, since the other has
+// granted in its place.
+func (a *Allocator) StoodStill() {
+	a.Unsettle()
+	for _, one := range a.tenants {
+		one.stale = true
+	}
+}
+
+// HandOver ends an account and returns what is left; false if there is none, or if this node
+// does not know what others have granted while it stood still.
 func (a *Allocator) HandOver(tenant string, limit Limit, now time.Duration) (Account, bool) {
 	found := a.tenants[tenant]
 	if found == nil {
 		return Account{}, false
 	}
-	a.fill(found, limit, now)
+	if !found.left {
+		a.fill(found, limit, now)
+	}
 	delete(a.tenants, tenant)
+	if found.stale {
+		return Account{}, false
+	}
 	return Account{Requests: found.requests, Begins: found.begins, PerProgram: found.learned.perProgram()}, true
 }
 
@@ -164,11 +224,11 @@
 
 func (a *Allocator) open(tenant string, now time.Duration) *bucket {
 	found := a.tenants[tenant]
-	if found == nil {
+	if found == nil || found.left {
 		found = &bucket{filledAt: now}
 		a.tenants[tenant] = found
 	}
-	found.settled = true
+	found.settled, found.stale = true, false
 	return found
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -289,6 +289,34 @@
 	d.running = append(d.running, &demanded{left: length - 1})
 }
 
+// TestAllocatorThatStoodStillTakesTheWordOfTheOneInItsPlace: nothing that came in meanwhile
+// counts twice, whatever the others tell.
+func TestAllocatorThatStoodStillTakesTheWordOfTheOneInItsPlace(t *testing.T) {
+	plenty := Request{Needed: Amount{Requests: 999}, Wanted: Amount{Requests: 999}}
+	const wakes = 10 * time.Second
+	for name, granted := range map[string]struct {
+		learn func(allocator *Allocator)
+		most  float64
+	}{
+		"another has granted":  {func(a *Allocator) { a.Take("t", Account{Requests: 3}, wakes) }, 3},
+		"nobody can tell":      {func(a *Allocator) { a.Presume("t", testLimit, wakes) }, testPolicy.Spare(testLimit) / 2},
+		"nobody has granted":   {func(a *Allocator) { a.Verify("t", wakes) }, testPolicy.Capacity(testLimit)},
+		"two sides of a cut":   {func(a *Allocator) { a.Take("t", Account{Requests: 3}, wakes); a.Take("t", Account{Requests: 4}, wakes) }, 7},
+		"another may grant on": {func(a *Allocator) { a.Succeed("t", Account{Requests: 23}, testLimit, wakes) }, 3},
+		"it is asked to leave": {func(a *Allocator) { account, _ := a.HandOver("t", testLimit, wakes); a.Take("t", account, wakes) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			allocator := NewAllocator(testPolicy)
+			allocator.Fill("t", testLimit, 0)
+			allocator.StoodStill()
+			is.True(!allocator.Settled("t"))
+			granted.learn(allocator)
+			is.Equal(allocator.Grant("t", testLimit, plenty, wakes).Amount.Requests, int(granted.most))
+		})
+	}
+}
+
 // TestSmallLimitEndsWhatItBegins lowers a tenant's limit to a tenth of what it sends: few
 // requests of the programs that have begun are refused.
 func TestSmallLimitEndsWhatItBegins(t *testing.T) {
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -15,6 +15,10 @@
 	own bool
 }
 
+// Source returns the life of the allocator that granted the token; false where the node
+// took it without one.
+func (t Token) Source() (source Source, granted bool) { return t.source, !t.own }
+
 // batch is what is left of one grant.
 type batch struct {
 	source Source
