Draw a node of the limits' model under the site's lock

The schedules drew nodes without the lock that the demand draws under, which the race detector finds. Measured: go test -race ./internal/limits passes.

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -72,6 +72,13 @@
 	time.Sleep(drawn)
 }
 
+// drawNode draws the number of a node.
+func (s *site) drawNode() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.IntN(len(s.nodes))
+}
+
 // troubles are schedules of failures. Others hear of a dark, frozen or cut node after 1 to
 // 3 s, of one that has come within half a second.
 var troubles = map[string]func(ctx context.Context, s *site){
@@ -94,7 +101,7 @@
 	},
 	"kills": func(ctx context.Context, s *site) {
 		for range 4 {
-			number := s.random.IntN(len(s.nodes))
+			number := s.drawNode()
 			s.nodes[number].end()
 			s.set(number, killed)
 			s.pause(time.Second, 3*time.Second)
@@ -108,7 +115,7 @@
 	},
 	"freezes": func(_ context.Context, s *site) {
 		for range 3 {
-			number := s.random.IntN(len(s.nodes))
+			number := s.drawNode()
 			s.set(number, frozen)
 			s.pause(time.Second, 3*time.Second)
 			s.tellViews()
