Let a starter take a smaller share of cold replicas until it has heard its seeds

Change: seeds that a starter has not heard of yet are taken for a sample of the nodes that may live elsewhere, for a minute at most; the share shrinks by them. The model starts and cuts nodes at any time, where it left both out before.

Not covered: all seeds on the starter's side.

--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -1,6 +1,7 @@
 package coldstart
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -46,6 +47,14 @@
 	return &Gate{roster: newRoster(self), replicas: map[string]*record{}}
 }
 
+// Expect names the seeds of the site to a node that starts now. It is called before the
+// first view is set.
+func (g *Gate) Expect(seeds []netip.AddrPort, now time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.roster.starting = newStarting(seeds, now)
+}
+
 // SetView takes the members.
 func (g *Gate) SetView(view membership.View, now time.Duration) {
 	g.mutex.Lock()
--- a/internal/coldstart/gate_test.go
+++ b/internal/coldstart/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -17,11 +18,24 @@
 
 func nodeName(number int) identity.NodeName { return identity.NodeName(fmt.Sprint("n", number)) }
 
+func nodeAddress(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 1)
+}
+
+// seedsOf returns the addresses of the first nodes of a site.
+func seedsOf(count int) []netip.AddrPort {
+	made := make([]netip.AddrPort, count)
+	for i := range made {
+		made[i] = nodeAddress(i)
+	}
+	return made
+}
+
 // viewOf is a view of living members.
 func viewOf(numbers ...int) membership.View {
 	var view membership.View
 	for _, number := range numbers {
-		view.Members = append(view.Members, membership.Member{Node: identity.Node{Name: nodeName(number)}, Status: membership.Alive})
+		view.Members = append(view.Members, membership.Member{Node: identity.Node{Name: nodeName(number), PeerAddress: nodeAddress(number)}, Status: membership.Alive})
 	}
 	return view
 }
@@ -160,6 +174,33 @@
 	is.Equal(sending, 2)
 }
 
+// TestStarterCountsTheSeedsItHasNotHeardOf: those stand for nodes that may live behind a cut
+// and send, until they are heard of or a minute has passed.
+func TestStarterCountsTheSeedsItHasNotHeardOf(t *testing.T) {
+	is := is.New(t)
+	bound := Bound{PerSecond: 12, Lasts: time.Hour}
+	gate := NewGate("n0")
+	gate.Expect(seedsOf(3), 0)
+	gate.Heard(entry(1, time.Hour), 0)
+	gate.SetView(viewOf(0), 3*time.Second)
+	is.Equal(taken(gate, bound, 5*time.Second), 4) // one of three seeds: 4 of 12
+	gate.SetView(viewOf(0, 1), 6*time.Second)
+	is.Equal(taken(gate, bound, 8*time.Second), 4) // two of three seeds: 8 of 12, for two nodes
+	gate.SetView(viewOf(0, 1, 2), 9*time.Second)
+	is.Equal(taken(gate, bound, 11*time.Second), 4)
+	apart := NewGate("n7")
+	apart.Expect(seedsOf(3), 0)
+	apart.Heard(entry(1, time.Hour), 0)
+	apart.SetView(viewOf(6, 7, 8), 0)
+	is.Equal(taken(apart, bound, 2*time.Second), 0) // no seed: all of the site may be elsewhere
+	alone := NewGate("n0")
+	alone.Expect(seedsOf(2), 0)
+	alone.Heard(entry(1, time.Hour), 0)
+	alone.SetView(viewOf(0), 0)
+	is.Equal(taken(alone, bound, missedFor-1), 6)
+	is.Equal(taken(alone, bound, missedFor+sendPeriod), 12) // the other one is gone for good
+}
+
 func BenchmarkTakeFromAColdReplica(b *testing.B) {
 	bound := Bound{PerSecond: 25, Lasts: lasts}
 	gate := NewGate("n0")
--- a/internal/coldstart/model_test.go
+++ b/internal/coldstart/model_test.go
@@ -18,6 +18,8 @@
 	heardWithin = 1200 * time.Millisecond
 	// modelOverage and modelSlack are what the bound of a site allows beyond the rate.
 	modelOverage, modelSlack = 1.5, 5
+	// modelSeeds is how many nodes the others know before they start.
+	modelSeeds = 3
 	// disturbedPart of the nodes are killed or frozen at a time, at most.
 	disturbedPart = 4
 )
@@ -49,8 +51,10 @@
 
 func newModel(random *rand.Rand, count int, perSecond float64, speed int) *model {
 	m := &model{random: random, bound: Bound{PerSecond: perSecond, Lasts: time.Hour}, speed: speed}
-	for i := range count {
+	for range count {
 		m.nodes = append(m.nodes, &modelNode{})
+	}
+	for i := range m.nodes {
 		m.start(i)
 	}
 	return m
@@ -62,6 +66,7 @@
 func (m *model) start(number int) {
 	node := m.nodes[number]
 	node.gate, node.dead, node.started, node.told = NewGate(nodeName(number)), false, m.now, []int{number}
+	node.gate.Expect(seedsOf(min(modelSeeds, len(m.nodes))), m.clock())
 	node.gate.SetView(viewOf(number), m.clock())
 	node.gate.Heard(entry(1, time.Hour), m.clock())
 	node.next = m.now + modelStep*time.Duration(1+m.random.IntN(20))
@@ -108,9 +113,8 @@
 		for range m.random.IntN(some + 1) {
 			m.nodes[m.random.IntN(len(m.nodes))].dead = true
 		}
-	case 1: // a node that starts behind a cut can't know of the others, see roster
+	case 1:
 		for number, node := range m.nodes {
-			node.side = 0
 			if node.dead {
 				m.start(number)
 			}
@@ -122,9 +126,7 @@
 	case 3: // cut into up to three sides, or healed
 		sides := 1 + m.random.IntN(3)
 		for _, node := range m.nodes {
-			if m.now-node.started > heardWithin {
-				node.side = m.random.IntN(sides)
-			}
+			node.side = m.random.IntN(sides)
 		}
 	}
 }
@@ -187,3 +189,12 @@
 	}
 	is.Equal(m.most, 25)
 }
+
+// TestStarterBehindACutTakesTheSmallerShare plays a node that starts and is cut off before it
+// hears of the others.
+func TestStarterBehindACutTakesTheSmallerShare(t *testing.T) {
+	is := is.New(t)
+	m := newModel(rand.New(rand.NewPCG(0x1f1d, 1)), 2, 11, 1)
+	m.play()
+	is.True(m.most <= m.allowed())
+}
--- a/internal/coldstart/roster.go
+++ b/internal/coldstart/roster.go
@@ -23,8 +23,9 @@
 // it (rendezvous hashing), as many as its bound is dealt out to. It is not safe for
 // concurrent use.
 //
-// A node that starts behind a cut knows only its own side, and so takes that for all of
-// the site: the bound may then be exceeded by as much as such nodes send.
+// A node that starts behind a cut knows of the other side only by the seeds there. Where all
+// seeds are on its own side it takes that for all of the site: the bound may then be exceeded
+// by as much as such nodes send.
 type roster struct {
 	self identity.NodeName
 	// views holds the members that lived lately, the newest last; all that were in force
@@ -32,6 +33,8 @@
 	views []rosterView
 	// missed holds the members that died without a word, and since when.
 	missed map[identity.NodeName]time.Duration
+	// starting holds the seeds that were not heard of yet.
+	starting starting
 	// chosen remembers, by replica, whether this node is a sender by all views; it holds
 	// until chosenUntil, when a view is old enough to be forgotten.
 	chosen      map[string]bool
@@ -55,16 +58,23 @@
 	reachable := lo.Filter(view.Members, func(member membership.Member, _ int) bool { return member.Reachable() })
 	live := lo.Map(reachable, func(member membership.Member, _ int) identity.NodeName { return member.Node.Name })
 	r.noteMissed(view, now)
+	r.starting.hear(view)
+	r.starting.settle(now)
 	clear(r.chosen)
 	r.chosenUntil = 0
 	if last := len(r.views) - 1; last >= 0 && slices.Equal(r.views[last].live, live) {
-		r.views[last].known = len(live) + len(r.missed)
+		r.views[last].known = r.known(live)
 		return
 	}
-	r.views = append(r.views, rosterView{at: now, live: live, known: len(live) + len(r.missed)})
+	r.views = append(r.views, rosterView{at: now, live: live, known: r.known(live)})
 	r.forget(now)
 }
 
+// known returns how many nodes may send, of which this one sees those that live.
+func (r *roster) known(live []identity.NodeName) int {
+	return max(len(live)+len(r.missed), r.starting.known(len(live)))
+}
+
 // noteMissed remembers members that have gone without saying that they leave.
 func (r *roster) noteMissed(view membership.View, now time.Duration) {
 	if len(r.views) > 0 {
@@ -99,6 +109,9 @@
 	}
 	if now >= r.chosenUntil {
 		r.forget(now)
+		if newest := &r.views[len(r.views)-1]; r.starting.settle(now) {
+			newest.known = r.known(newest.live)
+		}
 		clear(r.chosen)
 		r.chosenUntil = r.nextForgotten(now)
 	}
@@ -121,6 +134,9 @@
 	if until := r.views[0].at + settled; until > now {
 		return until
 	}
+	if len(r.starting.unheard) > 0 {
+		return max(r.starting.until, now)
+	}
 	return now + missedFor
 }
 
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -171,6 +171,7 @@
 	made.register(do.MustInvoke[*prometheus.Registry](injector))
 	others, err := do.Invoke[*peers](injector)
 	if err == nil && others != nil {
+		made.gate.Expect(do.MustInvoke[settings.Routed](injector).Seeds, made.router.Now())
 		others.onView = append(others.onView, func(view membership.View) { made.gate.SetView(view, made.router.Now()) })
 	}
 	return made, err
