Let a node that has just started ask for tokens again

A node that has just started has no pace to go on at alone.

What it gave back with the first question is not told again, since that may have been heard.

Measured: TestYoungNodeAsksAgain fails before.

--- a/internal/limits/allot.go
+++ b/internal/limits/allot.go
@@ -35,7 +35,10 @@
 		case errors.Is(err, syscall.ECONNREFUSED):
 			continue // the next in rank is asked at once
 		case elsewhere == nil && !errors.Is(err, errNobodyKnown):
-			return nil, fmt.Errorf("%w: tenant %s: %w", ErrNoAllocator, message.Tenant, err)
+			if !s.young() {
+				return nil, fmt.Errorf("%w: tenant %s: %w", ErrNoAllocator, message.Tenant, err)
+			}
+			message = message.again()
 		}
 		if named.Name == "" && wait.For(ctx, newsPause) != nil {
 			break
@@ -44,6 +47,10 @@
 	return nil, fmt.Errorf("%w: tenant %s: %w", ErrNoAllocator, message.Tenant, last)
 }
 
+// young tells that this node has started lately. It can't go on without an allocator then,
+// since it has no pace of its own, and those that start beside it answer late.
+func (s *Service) young() bool { return s.config.Now()-s.startedAt < changingFor }
+
 // newsPause lets the members' news arrive before a node is asked again.
 const newsPause = 15 * time.Millisecond
 
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -255,6 +256,49 @@
 	return nil, peer.ErrUnreachable
 }
 
+// TestYoungNodeAsksAgain: a node that has just started has no pace to go on at, and those
+// that start beside it answer late.
+func TestYoungNodeAsksAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		peers := &lateAnswers{}
+		service := New(Config{
+			Self: "a", Policy: sitePolicy, Way: WayAllocator, Peers: peers, Now: func() time.Duration { return time.Since(began) },
+			Logger: slog.New(slog.DiscardHandler),
+		})
+		service.SetLimits(func(string) (quota.Limit, bool) { return LimitOf(siteTenant), true })
+		service.SetView(membership.View{Members: []membership.Member{{Node: identity.Node{Name: "b"}, Status: membership.Alive}}})
+		_, err := service.Admit(t.Context(), siteTenant)
+		is.NoErr(err)
+		is.Equal(peers.asked, 2)
+		time.Sleep(changingFor)
+		peers.asked = 0
+		answer, err := service.ask(t.Context(), &ask{Tenant: siteTenant.Name, Request: quota.Request{Returned: quota.Amount{Requests: 3}}})
+		is.True(answer == nil && errors.Is(err, ErrNoAllocator)) // an older one goes on alone
+		is.Equal(peers.asked, 1)
+		is.Equal(peers.returned, 3) // told once
+		is.Equal((&ask{Request: quota.Request{Returned: quota.Amount{Requests: 3}}}).again().Request.Returned, quota.Amount{})
+		synctest.Wait()
+	})
+}
+
+// lateAnswers leaves the first question without an answer.
+type lateAnswers struct{ asked, returned int }
+
+// Call implements peer.Client.
+func (l *lateAnswers) Call(ctx context.Context, _ netip.AddrPort, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	l.asked++
+	if question, ok := request.(*ask); ok {
+		l.returned += question.Request.Returned.Requests
+	}
+	if l.asked == 1 {
+		<-ctx.Done()
+		return nil, fmt.Errorf("%w: %w", peer.ErrUnreachable, ctx.Err())
+	}
+	return &granted{Source: 1, Grant: quota.Grant{Amount: quota.Amount{Requests: 1}}}, nil
+}
+
 // TestAccountLeftBehindIsNotGrantedFrom wakes the node that allots the tenant. The one in its
 // place grants until it hears of that, and so opens an account again after it has handed
 // its own over. When the other one goes, or asks again since some node came back, that
--- a/internal/limits/message.go
+++ b/internal/limits/message.go
@@ -25,6 +25,14 @@
 	Request quota.Request
 }
 
+// again returns the question to be asked once more where the first may have been heard: what
+// was given back with it must not count twice.
+func (m *ask) again() *ask {
+	repeated := *m
+	repeated.Request.Returned = quota.Amount{}
+	return &repeated
+}
+
 // Kind implements peer.Message.
 func (*ask) Kind() peer.Kind { return kindAsk }
 
