--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -271,28 +272,28 @@
 		service.SetView(membership.View{Members: []membership.Member{{Node: identity.Node{Name: "b"}, Status: membership.Alive}}})
 		_, err := service.Admit(t.Context(), siteTenant)
 		is.NoErr(err)
-		is.Equal(peers.asked, 2)
+		is.Equal(peers.asked.Load(), int32(2))
 		time.Sleep(changingFor)
-		peers.asked = 0
+		peers.asked.Store(0)
 		answer, err := service.ask(t.Context(), &ask{Tenant: siteTenant.Name, Request: quota.Request{Returned: quota.Amount{Requests: 3}}})
 		is.True(answer == nil && errors.Is(err, ErrNoAllocator)) // an older one goes on alone
-		is.Equal(peers.asked, 1)
-		is.Equal(peers.returned, 3) // told once
+		is.Equal(peers.asked.Load(), int32(1))
+		is.Equal(peers.returned.Load(), int32(3)) // told once
 		is.Equal((&ask{Request: quota.Request{Returned: quota.Amount{Requests: 3}}}).again().Request.Returned, quota.Amount{})
 		synctest.Wait()
 	})
 }
 
 // lateAnswers leaves the first question without an answer.
-type lateAnswers struct{ asked, returned int }
+type lateAnswers struct{ asked, returned atomic.Int32 }
 
 // Call implements peer.Client.
 func (l *lateAnswers) Call(ctx context.Context, _ netip.AddrPort, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
-	l.asked++
+	number := l.asked.Add(1)
 	if question, ok := request.(*ask); ok {
-		l.returned += question.Request.Returned.Requests
+		l.returned.Add(int32(question.Request.Returned.Requests))
 	}
-	if l.asked == 1 {
+	if number == 1 {
 		<-ctx.Done()
 		return nil, fmt.Errorf("%w: %w", peer.ErrUnreachable, ctx.Err())
 	}
