Show only the accounts that a node grants from

Accounts that wait to be handed over were shown to operators as its own. Measured: TestAccountThatWasLeftOnlyWaitsToBeHandedOver fails before at the shown accounts.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -213,10 +213,13 @@
 	maps.DeleteFunc(a.tenants, func(_ string, one *bucket) bool { return now-one.touched > bucketIdle })
 }
 
-// Left returns what is left of each tenant's limit.
+// Left returns what is left of the limit of each tenant that this node grants.
 func (a *Allocator) Left() map[string]Account {
 	left := make(map[string]Account, len(a.tenants))
 	for tenant, one := range a.tenants {
+		if one.left {
+			continue
+		}
 		left[tenant] = Account{Requests: one.requests, Begins: one.begins, PerProgram: one.learned.perProgram()}
 	}
 	return left
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -317,6 +317,30 @@
 	}
 }
 
+// TestAccountThatWasLeftOnlyWaitsToBeHandedOver: nothing comes in once another node grants, and
+// should this one grant again, it begins anew.
+func TestAccountThatWasLeftOnlyWaitsToBeHandedOver(t *testing.T) {
+	is := is.New(t)
+	limit := func(string) (Limit, bool) { return testLimit, true }
+	left := func() *Allocator {
+		allocator := NewAllocator(testPolicy)
+		allocator.Fill("t", testLimit, 0)
+		allocator.Grant("t", testLimit, Request{Needed: Amount{Requests: 999}}, 0)
+		allocator.Leave(func(string) bool { return true }, limit, time.Second/2)
+		return allocator
+	}
+	allocator := left()
+	is.True(!allocator.Has("t"))
+	is.Equal(len(allocator.Left()), 0)
+	allocator.Leave(func(string) bool { return true }, limit, 5*time.Second) // a later view changes nothing
+	account, known := allocator.HandOver("t", testLimit, 9*time.Second)
+	is.True(known)
+	is.True(account.Requests >= 20 && account.Requests < 21) // what came in until it was left
+	allocator = left()
+	allocator.Presume("t", testLimit, 9*time.Second)
+	is.Equal(allocator.Left()["t"].Requests, testPolicy.Spare(testLimit)/2)
+}
+
 // TestSmallLimitEndsWhatItBegins lowers a tenant's limit to a tenth of what it sends: few
 // requests of the programs that have begun are refused.
 func TestSmallLimitEndsWhatItBegins(t *testing.T) {
