--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,6 +74,13 @@
 	time.Sleep(drawn)
 }
 
+// drawNode draws the number of a node.
+func (s *site) drawNode() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.IntN(len(s.nodes))
+}
+
 // troubles are schedules of failures. Others hear of a dark, frozen or cut node after 1 to
 // 3 s, of one that has come within half a second.
 var troubles = map[string]func(ctx context.Context, s *site){
@@ -93,7 +103,7 @@
 	},
 	"kills": func(ctx context.Context, s *site) {
 		for range 4 {
-			number := s.random.IntN(len(s.nodes))
+			number := s.drawNode()
 			s.nodes[number].end()
 			s.set(number, killed)
 			s.pause(time.Second, 3*time.Second)
@@ -107,13 +117,13 @@
 	},
 	"freezes": func(_ context.Context, s *site) {
 		for range 3 {
-			number := s.random.IntN(len(s.nodes))
+			number := s.drawNode()
 			s.set(number, frozen)
 			s.pause(time.Second, 3*time.Second)
 			s.tellViews()
 			s.pause(time.Second, 5*time.Second)
 			s.set(number, sound)
-			s.nodes[number].service.noteStandstill(5*time.Second, s.now())
+			s.nodes[number].service.standStill(5 * time.Second)
 			s.pause(50*time.Millisecond, 500*time.Millisecond)
 			s.tellViews()
 			s.pause(time.Second, 4*time.Second)
@@ -172,15 +182,184 @@
 	for name, trouble := range troubles {
 		for seed := range uint64(6) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
-				_, worst := play(t, seed, 45*time.Second, always(hot), trouble)
+				played, worst := play(t, seed, 45*time.Second, always(hot), trouble)
+				if allowed := sitePolicy.Allowed(LimitOf(siteTenant)); float64(worst) > allowed {
+					t.Fatalf("%d ran in a window, %.0f are allowed\n%s", worst, allowed, played.record())
+				}
+			})
+		}
+	}
+}
+
+// TestAllocatorThatWakesGrantsNothingTwice freezes the node that allots the tenant until
+// another one does, and wakes it when the tenant has just turned from little to far beyond
+// its limit: what came in while it was frozen, the other one has granted.
+func TestAllocatorThatWakesGrantsNothingTwice(t *testing.T) {
+	const freezes, notices, turns, wakes = 9 * time.Second, 11 * time.Second, 14 * time.Second, 15 * time.Second
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			demand := func(now time.Duration) float64 {
+				if now < turns {
+					return usual / 2
+				}
+				return hot
+			}
+			played, worst := play(t, seed, 30*time.Second, demand, func(_ context.Context, s *site) {
+				time.Sleep(freezes - s.now())
+				number := s.allocator()
+				s.set(number, frozen)
+				time.Sleep(notices - s.now())
+				s.tellViews()
+				time.Sleep(wakes - s.now())
+				s.set(number, sound)
+				s.nodes[number].service.standStill(wakes - freezes)
+				s.pause(50*time.Millisecond, 500*time.Millisecond)
+				s.tellViews()
+			})
+			if allowed := sitePolicy.Allowed(LimitOf(siteTenant)); float64(worst) > allowed {
+				t.Fatalf("%d ran in a window, %.0f are allowed\n%s", worst, allowed, played.record())
+			}
+		})
+	}
+}
+
+// TestNodeThatWakesAsksBeforeItGrants lets the question of a node be the first that a frozen
+// allocator gets to: it does not grant from what came in while it stood still.
+func TestNodeThatWakesAsksBeforeItGrants(t *testing.T) {
+	is := is.New(t)
+	now := time.Duration(0)
+	service := New(Config{
+		Self: "a", Policy: sitePolicy, Way: WayAllocator, Peers: nobody{}, Now: func() time.Duration { return now }, Logger: slog.New(slog.DiscardHandler),
+	})
+	service.SetLimits(func(string) (quota.Limit, bool) { return LimitOf(siteTenant), true })
+	both := membership.View{Members: []membership.Member{
+		{Node: identity.Node{Name: "a"}, Status: membership.Alive}, {Node: identity.Node{Name: "b"}, Status: membership.Alive},
+	}}
+	service.SetView(both)
+	for ; now < sitePolicy.Span()+time.Second; now += sweepPause {
+		service.beat(now)
+	}
+	plenty := &ask{Tenant: siteTenant.Name, Request: quota.Request{Needed: quota.Amount{Requests: 999}}}
+	for _, most := range []float64{sitePolicy.Capacity(LimitOf(siteTenant)), sitePolicy.Spare(LimitOf(siteTenant))} {
+		answer, err := service.grant(t.Context(), plenty)
+		is.NoErr(err)
+		is.True(answer.Grant.Amount.Requests > 0)
+		is.True(float64(answer.Grant.Amount.Requests) <= most)
+		now += standstill + time.Second
+	}
+}
+
+// nobody is where no other node answers.
+type nobody struct{}
+
+// Call implements peer.Client.
+func (nobody) Call(context.Context, netip.AddrPort, peer.Message, func(peer.Message) error) (peer.Message, error) {
+	return nil, peer.ErrUnreachable
+}
+
+// TestYoungNodeAsksAgain: a node that has just started has no pace to go on at, and those
+// that start beside it answer late.
+func TestYoungNodeAsksAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		peers := &lateAnswers{}
+		service := New(Config{
+			Self: "a", Policy: sitePolicy, Way: WayAllocator, Peers: peers, Now: func() time.Duration { return time.Since(began) },
+			Logger: slog.New(slog.DiscardHandler),
+		})
+		service.SetLimits(func(string) (quota.Limit, bool) { return LimitOf(siteTenant), true })
+		service.SetView(membership.View{Members: []membership.Member{{Node: identity.Node{Name: "b"}, Status: membership.Alive}}})
+		_, err := service.Admit(t.Context(), siteTenant)
+		is.NoErr(err)
+		is.Equal(peers.asked.Load(), int32(2))
+		time.Sleep(changingFor)
+		peers.asked.Store(0)
+		answer, err := service.ask(t.Context(), &ask{Tenant: siteTenant.Name, Request: quota.Request{Returned: quota.Amount{Requests: 3}}})
+		is.True(answer == nil && errors.Is(err, ErrNoAllocator)) // an older one goes on alone
+		is.Equal(peers.asked.Load(), int32(1))
+		is.Equal(peers.returned.Load(), int32(3)) // told once
+		is.Equal((&ask{Request: quota.Request{Returned: quota.Amount{Requests: 3}}}).again().Request.Returned, quota.Amount{})
+		synctest.Wait()
+	})
+}
+
+// lateAnswers leaves the first question without an answer.
+type lateAnswers struct{ asked, returned atomic.Int32 }
+
+// Call implements peer.Client.
+func (l *lateAnswers) Call(ctx context.Context, _ netip.AddrPort, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	number := l.asked.Add(1)
+	if question, ok := request.(*ask); ok {
+		l.returned.Add(int32(question.Request.Returned.Requests))
+	}
+	if number == 1 {
+		<-ctx.Done()
+		return nil, fmt.Errorf("%w: %w", peer.ErrUnreachable, ctx.Err())
+	}
+	return &granted{Source: 1, Grant: quota.Grant{Amount: quota.Amount{Requests: 1}}}, nil
+}
+
+// TestAccountLeftBehindIsNotGrantedFrom wakes the node that allots the tenant. The one in its
+// place grants until it hears of that, and so opens an account again after it has handed
+// its own over. When the other one goes, or asks again since some node came back, that
+// account must not have filled.
+func TestAccountLeftBehindIsNotGrantedFrom(t *testing.T) {
+	const freezes, notices, wakes, turns, again = 9 * time.Second, 11 * time.Second, 15 * time.Second, 22 * time.Second, 23 * time.Second
+	for name, happens := range map[string]func(s *site, number int){
+		"the allocator is killed": func(s *site, number int) {
+			s.nodes[number].end()
+			s.set(number, killed)
+		},
+		"another node comes back": func(s *site, number int) {
+			other := (number + 1) % len(s.nodes)
+			if allocator, _ := s.nodes[number].service.placement.before(siteTenant.Name, s.now()), other; allocator[0].Name == s.nodes[other].node.Name {
+				other = (number + 2) % len(s.nodes)
+			}
+			s.set(other, frozen)
+			s.tellViews()
+			s.set(other, sound)
+		},
+	} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				demand := func(now time.Duration) float64 {
+					if now < turns {
+						return usual
+					}
+					return hot
+				}
+				played, worst := play(t, seed, 32*time.Second, demand, func(_ context.Context, s *site) {
+					time.Sleep(freezes - s.now())
+					number := s.allocator()
+					s.set(number, frozen)
+					time.Sleep(notices - s.now())
+					s.tellViews()
+					time.Sleep(wakes - s.now())
+					s.set(number, sound)
+					s.nodes[number].service.standStill(wakes - freezes)
+					time.Sleep(400 * time.Millisecond)
+					s.tellViews()
+					time.Sleep(again - s.now())
+					happens(s, number)
+					s.tellViews()
+				})
 				if allowed := sitePolicy.Allowed(LimitOf(siteTenant)); float64(worst) > allowed {
-					t.Fatalf("%d ran in a window, %.0f are allowed", worst, allowed)
+					t.Fatalf("%d ran in a window, %.0f are allowed\n%s", worst, allowed, played.record())
 				}
 			})
 		}
 	}
 }
 
+// allocator returns the number of the node that allots the tenant.
+func (s *site) allocator() int {
+	return slices.IndexFunc(s.nodes, func(one *simulated) bool {
+		_, self := one.service.allocatorOf(siteTenant.Name)
+		return self
+	})
+}
+
 // TestUsualDemandIsServedThroughFailures tells how much of a demand below the limit is
 // refused while nodes come and go.
 func TestUsualDemandIsServedThroughFailures(t *testing.T) {
