Leave replicas alone that fail what others serve

Cause: a replica that answers 500 at once, or nothing at all, while its health is good, was never counted as failing (plain.go and stream.go gave its answers back as sound), so that it looked idle and drew the work of all nodes.

Change: internal/outlier judges a replica by the outcomes of all nodes' requests (a CUSUM test against the share of failures of the service's others); its keeper counts them, told by a datagram of a new kind, and tells nodes that ask which replicas are ejected and which request may probe. A stream's failure before its first event goes to another replica where the route allows.

--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -81,6 +81,7 @@
 		described.Suspect = now < known.suspectUntil || known.waiting > 0 && now-known.waitingSince > patience
 		described.LagMilliseconds = known.pace
 		described.Unproven = described.Unproven || need.Exposed && known.unproven(now)
+		described.Ejected, described.Probe = known.soundness.standing(known.underWay, now)
 	}
 	return described
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/estimate"
+	"stepseam.example/stepseam/internal/outlier"
 )
 
 // The costs below are in milliseconds of expected delay, or what is worth as much.
@@ -26,6 +27,8 @@
 	// unprovenCost makes unproven replicas the choice only where others have long
 	// queues.
 	unprovenCost = 400.0
+	// ejectedCost does the same with ejected ones where too many are for leaving them alone.
+	ejectedCost = 400.0
 	// suspectCost puts replicas that failed lately behind all others.
 	suspectCost = 2000.0
 	// neighbourShare is how much of the delay that a request brings to those that run
@@ -65,6 +68,10 @@
 	// Unproven tells that a request that a failure would fail had better go elsewhere:
 	// the replica failed lately, here or at other nodes, and has not served since.
 	Unproven bool
+	// Ejected tells that it fails more than others of its service; Probe is the right to
+	// try it all the same.
+	Ejected bool
+	Probe   outlier.Probe
 	// Doubtful tells that it may have left.
 	Doubtful bool
 	// Cold tells that it is slower than others of its service.
@@ -134,6 +141,9 @@
 	if candidate.Unproven {
 		total += unprovenCost
 	}
+	if candidate.Ejected {
+		total += ejectedCost
+	}
 	if candidate.Suspect {
 		total += suspectCost
 	}
@@ -154,7 +164,7 @@
 // roomInRegion tells whether the candidate lies in the own region, is sound and has a slot.
 func (c Candidate) roomInRegion() bool {
 	free := c.Slots <= 0 || c.UnderWay+c.Elsewhere < c.Slots
-	return !c.OtherRegion && free && !c.Suspect && !c.Unproven && !c.Doubtful
+	return !c.OtherRegion && free && !c.Suspect && !c.Unproven && !c.Doubtful && !c.Ejected
 }
 
 // wayCost is what the way to another zone costs.
--- a/internal/balance/known.go
+++ b/internal/balance/known.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/loads"
+	"stepseam.example/stepseam/internal/outlier"
 )
 
 // Known is what a replica's keeper tells of it.
@@ -14,6 +15,9 @@
 	CachedTokens int
 	// Settled tells that the keeper has heard of all nodes.
 	Settled bool
+	// Ejected and Probe are as in Candidate, see Tracker.Told.
+	Ejected bool
+	Probe   outlier.Probe
 }
 
 // Learn returns the candidate with what its keeper tells in place of what this node
--- /dev/null
+++ b/internal/balance/soundness.go
@@ -0,0 +1,152 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"stepseam.example/stepseam/internal/outlier"
+)
+
+// toldLife is how long what a keeper has told of a replica's soundness counts. Afterwards it
+// is asked again, which also finds out whether the replica may be probed.
+const toldLife = time.Second
+
+// soundness is what this node knows of a replica's soundness. The tracker's mutex guards it.
+type soundness struct {
+	// own is what this node's requests tell.
+	own outlier.Record
+	// toldEjected is what the keeper told last, at toldAt.
+	toldEjected bool
+	toldAt      time.Duration
+}
+
+// standing tells whether the replica is left alone, and the right to probe it where only
+// this node's requests tell so.
+func (s *soundness) standing(underWay int, now time.Duration) (bool, outlier.Probe) {
+	if s.toldEjected && now-s.toldAt <= toldLife {
+		return true, outlier.NoProbe
+	}
+	return s.own.Ejected(), s.own.Probe(underWay, now)
+}
+
+// Judged is what an outcome has changed at this node alone.
+type Judged struct {
+	Change outlier.Change
+	Reason outlier.Outcome
+	// Failures of Of outcomes ejected the replica, where the others' share is Usual.
+	Failures, Of int
+	Usual        float64
+}
+
+// Judge counts what became of a request at its replica. A request counts as a failure once.
+func (t *Tracker) Judge(sending *Sending, outcome outlier.Outcome, now time.Duration) (judged Judged, counted bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if outcome.Failed() && sending.blamed {
+		return Judged{}, false
+	}
+	sending.blamed = sending.blamed || outcome.Failed()
+	known, usual := &t.record(sending.target.Instance).soundness, t.usualOf(sending.target.Service)
+	judged.Usual = usual.Share()
+	if !sending.target.Probe {
+		usual.Add(outcome)
+	}
+	judged.Change = known.own.Add(outcome, judged.Usual, now)
+	judged.Reason = known.own.Reason()
+	judged.Failures, judged.Of = known.own.Evidence()
+	return judged, true
+}
+
+// usualOf needs the mutex.
+func (t *Tracker) usualOf(service string) *outlier.Usual {
+	known, found := t.usual[service]
+	if !found {
+		known = &outlier.Usual{}
+		t.usual[service] = known
+	}
+	return known
+}
+
+// Told takes what the keeper of a replica tells of it and returns whether it is left alone,
+// and the right to probe it. Where the replica has returned for all nodes, it has for this
+// one.
+func (t *Tracker) Told(instance string, known Known, now time.Duration) (ejected bool, probe outlier.Probe) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	before, found := t.replicas[instance]
+	if !found && !known.Ejected {
+		return false, outlier.NoProbe
+	}
+	if !found {
+		before = t.record(instance)
+	}
+	told := &before.soundness
+	if known.Ejected {
+		told.toldEjected, told.toldAt = true, now
+		return true, known.Probe
+	}
+	if known.Settled && told.toldEjected {
+		told.own.Restore()
+		told.toldEjected = false
+	}
+	return told.standing(before.underWay, now)
+}
+
+// Patience is how long a request may be without any answer until that counts as a failure
+// of the replica; false where that can't be told. Others' requests ahead of it, and work
+// that takes long, are none.
+func (t *Tracker) Patience(sending *Sending, engine bool) (time.Duration, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	usual := sending.expected.FirstMilliseconds
+	if !engine {
+		usual = t.service(sending.target.Service).Rates().ServiceMilliseconds
+	}
+	if usual <= 0 || sending.queued() || sending.target.Cold {
+		return 0, false
+	}
+	const usualTimes = 4
+	return max(patience, time.Duration(usualTimes*usual*float64(time.Millisecond))), true
+}
+
+// KeepSound leaves out the ejected candidates, unless too many of all are ejected. learned
+// are those of all whose keepers were asked. probe is one that the request is to try in spite
+// of its ejection; exposed is as in Need.
+func KeepSound(learned, all []Candidate, exposed bool) (sound []Candidate, probe *Candidate) {
+	if !slices.ContainsFunc(learned, Candidate.ejected) {
+		return learned, nil
+	}
+	rest := notAmong(all, learned)
+	ejected := count(learned, Candidate.ejected) + count(rest, Candidate.ejected)
+	if outlier.TooMany(ejected, len(learned)+len(rest)) {
+		return learned, nil
+	}
+	for i := range learned {
+		if right := learned[i].Probe; right == outlier.AnyProbe || right == outlier.SafeProbe && !exposed {
+			return learned, &learned[i]
+		}
+	}
+	if count(learned, Candidate.ejected) == len(learned) {
+		learned = rest
+	}
+	return slices.DeleteFunc(slices.Clone(learned), Candidate.ejected), nil
+}
+
+func (c Candidate) ejected() bool { return c.Ejected }
+
+// notAmong returns the candidates that are not among others.
+func notAmong(candidates, others []Candidate) []Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(candidate Candidate) bool {
+		return slices.ContainsFunc(others, func(other Candidate) bool { return other.Instance == candidate.Instance })
+	})
+}
+
+func count(candidates []Candidate, is func(Candidate) bool) int {
+	total := 0
+	for _, candidate := range candidates {
+		if is(candidate) {
+			total++
+		}
+	}
+	return total
+}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/estimate"
+	"stepseam.example/stepseam/internal/outlier"
 )
 
 const (
@@ -35,7 +36,9 @@
 	mutex    sync.Mutex
 	replicas map[string]*record
 	services map[string]*estimate.Service
-	heard    heard
+	// usual holds the services' usual shares of failures.
+	usual map[string]*outlier.Usual
+	heard heard
 }
 
 // record is what is known of one replica.
@@ -56,6 +59,8 @@
 	pace    float64
 	stream  estimate.Group
 	prompts promptMemory
+	// soundness is what outcomes tell of it.
+	soundness soundness
 }
 
 // Target is a replica that a request goes to.
@@ -66,19 +71,23 @@
 	Slots int
 	// Known is what its keeper has told for the choice, or nil.
 	Known *Known
+	// Probe tells that the request tries an ejected replica.
+	Probe bool
 	// Cold tells that the replica counts as cold, so that its times say nothing of the
 	// service's others.
 	Cold bool
 }
 
-// Sending is a request at a replica. Its fields but unread are set by Begin; the
-// tracker's mutex guards unread.
+// Sending is a request at a replica. Its fields but unread and blamed are set by Begin; the
+// tracker's mutex guards these.
 type Sending struct {
 	target   Target
 	began    time.Duration
 	expected Expected
 	// unread is how much of its prompt the replica has yet to read, in tokens.
 	unread int
+	// blamed tells that it has counted as a failure of the replica.
+	blamed bool
 }
 
 // Expected tells what was believed of the replica when the request went there.
@@ -102,7 +111,7 @@
 
 // NewTracker returns a tracker of a node in zone.
 func NewTracker(zone string) *Tracker {
-	return &Tracker{zone: zone, replicas: map[string]*record{}, services: map[string]*estimate.Service{}, heard: newHeard()}
+	return &Tracker{zone: zone, replicas: map[string]*record{}, services: map[string]*estimate.Service{}, usual: map[string]*outlier.Usual{}, heard: newHeard()}
 }
 
 // Begin notes that a request goes to a replica. End must be called with what it
@@ -127,6 +136,9 @@
 		known.waitingSince = now
 	}
 	known.waiting++
+	if target.Probe {
+		known.soundness.own.Grant(now)
+	}
 	known.prompts.remember(prompt.Parts)
 	return &Sending{target: target, began: now, expected: expected, unread: expected.UncachedTokens}
 }
--- a/internal/keeper/book.go
+++ b/internal/keeper/book.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/loads"
+	"stepseam.example/stepseam/internal/outlier"
 )
 
 const (
@@ -67,6 +68,10 @@
 	CachedTokens int
 	// Settled tells that all nodes have had time to report.
 	Settled bool
+	// Ejected tells that the replica fails more than others of its service; Probe is the
+	// right of the asking node to try it all the same, which no other one has meanwhile.
+	Ejected bool
+	Probe   outlier.Probe
 }
 
 // Book is what this node keeps. It is safe for concurrent use.
@@ -85,6 +90,8 @@
 	since, touched time.Duration
 	reporters      map[netip.AddrPort]reported
 	memory         Memory
+	// outcomes are those of all nodes' requests.
+	outcomes outlier.Record
 }
 
 // reported is a node's newest report, heard at a monotonic reading.
@@ -110,14 +117,20 @@
 	shard := b.shard(report.Key)
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
-	known, found := shard.accounts[report.Key]
+	shard.account(report.Key, now).take(from, report, now)
+}
+
+// account returns the account of a replica on which a node tells something. It needs the
+// mutex.
+func (s *bookShard) account(key Key, now time.Duration) *account {
+	known, found := s.accounts[key]
 	if !found {
-		shard.makeRoom(now)
+		s.makeRoom(now)
 		known = &account{since: now, reporters: map[netip.AddrPort]reported{}}
-		shard.accounts[report.Key] = known
+		s.accounts[key] = known
 	}
 	known.touched = now
-	known.take(from, report, now)
+	return known
 }
 
 func (a *account) take(from netip.AddrPort, report Report, now time.Duration) {
@@ -144,10 +157,14 @@
 	if !found {
 		return State{}, false
 	}
-	return State{
+	state := State{
 		Key: key, Load: known.sum(asking, now), CachedTokens: known.memory.Cached(parts),
 		Settled: now-known.since >= settleTime,
-	}, true
+	}
+	if known.outcomes.Ejected() {
+		state.Ejected, state.Probe = true, known.grant(asking, state.Load.UnderWay, now)
+	}
+	return state, true
 }
 
 // sum adds up the reports of the nodes but one and drops those that are too old.
--- a/internal/keeper/exchange.go
+++ b/internal/keeper/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/loads"
+	"stepseam.example/stepseam/internal/outlier"
 )
 
 const (
@@ -53,13 +54,15 @@
 	told map[string]*toldReport
 }
 
-// Config is what an Exchange is made from; all fields are required.
+// Config is what an Exchange is made from; all fields but Judged are required.
 type Config struct {
 	Conn      *net.UDPConn
 	Placement *Placement
 	// Now is a monotonic reading.
 	Now      func() time.Duration
 	Observer Observer
+	// Judged is told when a replica that this node keeps is ejected or returns.
+	Judged func(changed Judgement)
 }
 
 // Observer counts what an Exchange does.
@@ -79,6 +82,8 @@
 	// missing holds the keepers that are waited for.
 	missing map[netip.AddrPort]bool
 	states  map[Key]State
+	// ejected holds the replicas told to be ejected, and the rights to probe them.
+	ejected map[Key]outlier.Probe
 	// asked is how many were missing at first.
 	asked int
 	// done is closed when none is missing.
@@ -257,7 +262,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.number++
-	asked := &waiting{missing: map[netip.AddrPort]bool{}, states: map[Key]State{}, done: make(chan struct{})}
+	asked := &waiting{missing: map[netip.AddrPort]bool{}, states: map[Key]State{}, ejected: map[Key]outlier.Probe{}, done: make(chan struct{})}
 	for _, keeper := range keepers {
 		if now >= e.silentUntil[keeper] {
 			asked.missing[keeper] = true
@@ -277,6 +282,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	delete(e.waiting, number)
+	asked.addEjected()
 	for key, state := range asked.states {
 		states[key] = state
 	}
@@ -337,6 +343,10 @@
 		e.reply(from, read.question)
 	case kindAnswer:
 		e.takeAnswer(from, read.answer)
+	case kindOutcome:
+		e.judge(read.outcome)
+	case kindSoundness:
+		e.takeSoundness(read.soundness)
 	}
 }
 
@@ -349,5 +359,6 @@
 			states = append(states, state)
 		}
 	}
+	e.sendSoundness(to, asked.number, states)
 	e.send(encodeAnswer(answer{number: asked.number, states: states}), to)
 }
--- a/internal/keeper/message.go
+++ b/internal/keeper/message.go
@@ -19,6 +19,8 @@
 	kindReport kind = 1 + iota
 	kindQuestion
 	kindAnswer
+	kindOutcome
+	kindSoundness
 )
 
 const (
@@ -55,10 +57,12 @@
 
 // datagram is one decoded message; the field of its kind is set.
 type datagram struct {
-	kind     kind
-	report   Report
-	question question
-	answer   answer
+	kind      kind
+	report    Report
+	question  question
+	answer    answer
+	outcome   outcome
+	soundness soundness
 }
 
 func appendHead(of kind) []byte {
@@ -206,6 +210,10 @@
 		read.question = fields.question()
 	case kindAnswer:
 		read.answer = fields.answer()
+	case kindOutcome:
+		read.outcome = fields.outcome()
+	case kindSoundness:
+		read.soundness = fields.soundness()
 	default:
 		return datagram{}, fmt.Errorf("%w: kind %d", errForm, read.kind)
 	}
--- /dev/null
+++ b/internal/keeper/outcomes.go
@@ -0,0 +1,131 @@
+package keeper
+
+import (
+	"net/netip"
+	"time"
+
+	"stepseam.example/stepseam/internal/loads"
+	"stepseam.example/stepseam/internal/outlier"
+)
+
+// outcome is what became of one node's request at a replica. Datagrams that are lost only
+// make the keeper judge by fewer outcomes.
+type outcome struct {
+	key Key
+	// became is what it became, usual the share of failures at the service's other replicas
+	// as the node has learned it.
+	became outlier.Outcome
+	usual  float64
+	// instance names the replica for the log; empty where it was served.
+	instance string
+}
+
+// Judgement is that a replica was ejected or has returned, and by what.
+type Judgement struct {
+	// Instance is empty where the outcome did not name it.
+	Instance string
+	Key      Key
+	Change   outlier.Change
+	Reason   outlier.Outcome
+	// Failures of Of outcomes ejected it, where the others' share of failures is Usual.
+	Failures, Of int
+	Usual        float64
+}
+
+// judge counts an outcome and tells what it has changed.
+func (b *Book) judge(told outcome, now time.Duration) Judgement {
+	shard := b.shard(told.key)
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	known := shard.account(told.key, now)
+	changed := Judgement{Instance: told.instance, Key: told.key, Usual: told.usual}
+	changed.Change = known.outcomes.Add(told.became, told.usual, now)
+	changed.Reason = known.outcomes.Reason()
+	changed.Failures, changed.Of = known.outcomes.Evidence()
+	return changed
+}
+
+// grant gives the asking node the right to probe an ejected replica, if it may be probed.
+// elsewhere is what the other nodes have there.
+func (a *account) grant(asking netip.AddrPort, elsewhere int, now time.Duration) outlier.Probe {
+	right := a.outcomes.Probe(elsewhere+a.reporters[asking].load.UnderWay, now)
+	if right != outlier.NoProbe {
+		a.outcomes.Grant(now)
+	}
+	return right
+}
+
+// Ejected counts the ejected replicas by the kind of the failure that ejected them.
+func (b *Book) Ejected(now time.Duration) map[outlier.Outcome]int {
+	counts := map[outlier.Outcome]int{}
+	for i := range b.shards {
+		shard := &b.shards[i]
+		shard.mutex.Lock()
+		for _, known := range shard.accounts {
+			if known.outcomes.Ejected() && now-known.touched <= idleLife {
+				counts[known.outcomes.Reason()]++
+			}
+		}
+		shard.mutex.Unlock()
+	}
+	return counts
+}
+
+// Outcome tells a replica's keeper what became of a request there. usual is the share of
+// failures at the service's other replicas.
+func (e *Exchange) Outcome(replica Replica, became outlier.Outcome, usual float64) {
+	told := outcome{key: loads.KeyOf(replica.Instance), became: became, usual: usual}
+	if became.Failed() {
+		told.instance = replica.Instance
+	}
+	keeper, self := e.keeper(replica)
+	if !self {
+		e.send(encodeOutcome(told), keeper)
+		return
+	}
+	e.judge(told)
+}
+
+func (e *Exchange) judge(told outcome) {
+	changed := e.book.judge(told, e.config.Now())
+	if changed.Change != outlier.Unchanged && e.config.Judged != nil {
+		e.config.Judged(changed)
+	}
+}
+
+// sendSoundness tells an asking node which of the replicas are ejected, where any is. It
+// goes out before the answer, which ends the waiting.
+func (e *Exchange) sendSoundness(to netip.AddrPort, number uint32, states []State) {
+	told := soundness{number: number}
+	for _, state := range states {
+		if state.Ejected {
+			told.ejected = append(told.ejected, ejected{key: state.Key, probe: state.Probe})
+		}
+	}
+	if len(told.ejected) > 0 {
+		e.send(encodeSoundness(told), to)
+	}
+}
+
+// takeSoundness keeps what was told of replicas until the question ends.
+func (e *Exchange) takeSoundness(told soundness) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	asked, found := e.waiting[told.number]
+	if !found {
+		return // it came too late
+	}
+	for _, one := range told.ejected {
+		asked.ejected[one.key] = one.probe
+	}
+}
+
+// addEjected puts what was told of replicas into their states.
+func (w *waiting) addEjected() {
+	for key, probe := range w.ejected {
+		if state, found := w.states[key]; found {
+			state.Ejected, state.Probe = true, probe
+			w.states[key] = state
+		}
+	}
+}
--- /dev/null
+++ b/internal/outlier/outlier.go
@@ -0,0 +1,254 @@
+// Package outlier tells from the outcomes of requests whether a replica fails work that
+// others of its service serve, although its health answers are good, and when it may be
+// tried again. The load that it answers: a replica that fails at once looks idle and draws
+// the requests of all nodes. It reads no clock and does no I/O.
+package outlier
+
+import (
+	"math"
+	"time"
+)
+
+// Outcome is what became of a request at a replica.
+type Outcome uint8
+
+// The outcomes. Their numbers are sent to keepers.
+const (
+	// Served tells that the replica has answered as it should.
+	Served Outcome = 1 + iota
+	// Errors tells that it has answered with a failure of its own.
+	Errors
+	// Torn tells that its answer broke off or could not be read.
+	Torn
+	// Silent tells that nothing has come from it within patience, or that it closed the
+	// connection without an answer.
+	Silent
+	// Unreachable tells that no connection could be made.
+	Unreachable
+)
+
+// Failed tells whether the replica is at fault.
+func (o Outcome) Failed() bool { return o >= Errors && o <= Unreachable }
+
+// String returns a word for logs and metrics.
+func (o Outcome) String() string {
+	switch o {
+	case Served:
+		return "served"
+	case Errors:
+		return "errors"
+	case Torn:
+		return "torn"
+	case Silent:
+		return "silent"
+	case Unreachable:
+		return "unreachable"
+	}
+	return "unknown"
+}
+
+const (
+	// leastUsual is the share of failures that any sound replica is granted.
+	leastUsual = 0.02
+	// usualMargin times the share of the others is granted to a sound replica.
+	usualMargin = 2.0
+	// unsound is the share of failures from which on a replica counts as failing.
+	unsound = 0.5
+	// ejectAt is the score of a replica that is left alone: three failures in a row where
+	// others hardly fail. Two may be chance among many replicas.
+	ejectAt = 9.2
+	// returnAfter is how many requests in a row a replica has to serve to return; each
+	// ejection shortly before doubles it, up to longestReturn.
+	returnAfter   = 4
+	longestReturn = 32
+	// memory is how long after a return a further ejection counts as one of the same fault.
+	memory = 20 * time.Second
+	// firstPause is how long an ejected replica is left alone at first; each failed probe
+	// doubles it, up to longestPause.
+	firstPause   = 300 * time.Millisecond
+	longestPause = 4 * time.Second
+	// provingPause is the pause after a probe that was served.
+	provingPause = 20 * time.Millisecond
+	// grantLife is how long a right to probe that was given out holds others off.
+	grantLife = 100 * time.Millisecond
+	// overduePauses is after how many pauses without any probe a request may probe that a
+	// failure would fail.
+	overduePauses = 3
+)
+
+// Record is what outcomes say of one replica. Its zero value is a sound one. It is not
+// safe for concurrent use. All times are monotonic readings.
+type Record struct {
+	// score is the sum of the logarithms of how much likelier each outcome is at a failing
+	// replica than at a sound one, never below 0 (a CUSUM test).
+	score float64
+	// failures and of count what the score was made from.
+	failures, of int
+	ejected      bool
+	reason       Outcome
+	// servedInRow counts requests served since the last failure.
+	servedInRow int
+	// lastAt is when the last outcome came, grantedAt when a right to probe was given out.
+	lastAt, grantedAt time.Duration
+	// granted tells that one was given out since the last outcome.
+	granted bool
+	pause   time.Duration
+	// ejections counts those of the same fault, returnedAt is when the last one ended.
+	ejections  int
+	returnedAt time.Duration
+}
+
+// Change is what an outcome has changed.
+type Change int
+
+// The changes.
+const (
+	Unchanged Change = iota
+	NowEjected
+	NowReturned
+)
+
+// Ejected tells whether the replica is left alone but for probes.
+func (r *Record) Ejected() bool { return r.ejected }
+
+// Reason returns the kind of the failure that ejected the replica.
+func (r *Record) Reason() Outcome { return r.reason }
+
+// Evidence returns how many of how many outcomes had failed when the replica was ejected.
+func (r *Record) Evidence() (failures, of int) { return r.failures, r.of }
+
+// Add counts an outcome. usual is the share of failures at the other replicas.
+func (r *Record) Add(outcome Outcome, usual float64, now time.Duration) Change {
+	switch {
+	case r.ejected:
+		return r.probed(outcome, now)
+	case outcome == Served || outcome.Failed():
+		return r.count(outcome, usual, now)
+	}
+	return Unchanged
+}
+
+// count counts an outcome at a replica that is not ejected.
+func (r *Record) count(outcome Outcome, usual float64, now time.Duration) Change {
+	r.lastAt = now
+	r.score = max(r.score+weight(outcome, usual), 0)
+	if r.score == 0 {
+		r.failures, r.of = 0, 0
+		return Unchanged
+	}
+	r.of++
+	if outcome.Failed() {
+		r.failures++
+	}
+	if r.score < ejectAt {
+		return Unchanged
+	}
+	if now-r.returnedAt > memory {
+		r.ejections = 0
+	}
+	r.ejected, r.reason, r.servedInRow, r.granted = true, outcome, 0, false
+	r.pause = min(firstPause<<min(r.ejections, 8), longestPause)
+	r.ejections++
+	return NowEjected
+}
+
+// probed counts an outcome at an ejected replica. Failures of requests that were there
+// before count for nothing.
+func (r *Record) probed(outcome Outcome, now time.Duration) Change {
+	switch {
+	case outcome == Served:
+		r.servedInRow++
+	case outcome.Failed():
+		if r.granted || r.servedInRow > 0 {
+			r.pause = min(2*r.pause, longestPause)
+		}
+		r.servedInRow = 0
+	default:
+		return Unchanged
+	}
+	r.lastAt, r.granted = now, false
+	if r.servedInRow < min(returnAfter<<min(r.ejections-1, 8), longestReturn) {
+		return Unchanged
+	}
+	r.ejected, r.score, r.failures, r.of, r.returnedAt = false, 0, 0, 0, now
+	return NowReturned
+}
+
+// weight returns what an outcome adds to the score. Where the others fail as much as a
+// failing replica would, nothing tells it from them.
+func weight(outcome Outcome, usual float64) float64 {
+	granted := max(usualMargin*usual, leastUsual)
+	if granted >= unsound {
+		return math.Inf(-1)
+	}
+	if outcome.Failed() {
+		return math.Log(unsound / granted)
+	}
+	return math.Log((1 - unsound) / (1 - granted))
+}
+
+// Probe tells whether a request may try an ejected replica.
+type Probe int
+
+// The rights to probe.
+const (
+	// NoProbe allows none.
+	NoProbe Probe = iota
+	// SafeProbe allows one that may go to another replica after a failure.
+	SafeProbe
+	// AnyProbe allows any: no safe one has come for long.
+	AnyProbe
+)
+
+// Probe returns which request may probe now, where underWay requests of all nodes are at
+// the replica: one at a time after a failure, one more with each that was served.
+func (r *Record) Probe(underWay int, now time.Duration) Probe {
+	pause := r.pause
+	if r.servedInRow > 0 {
+		pause = provingPause
+	}
+	waited := now - r.lastAt
+	switch {
+	case !r.ejected || underWay > r.servedInRow || waited < pause:
+		return NoProbe
+	case r.granted && now-r.grantedAt < grantLife:
+		return NoProbe
+	case waited >= overduePauses*pause:
+		return AnyProbe
+	}
+	return SafeProbe
+}
+
+// Grant notes that a right to probe is given out.
+func (r *Record) Grant(now time.Duration) { r.granted, r.grantedAt = true, now }
+
+// Restore makes the record that of a sound replica, as a keeper that has heard of all nodes
+// tells.
+func (r *Record) Restore() { *r = Record{} }
+
+// usualWeight is the weight of the newest outcome in a service's usual share of failures.
+const usualWeight = 1.0 / 128
+
+// Usual learns the share of failures of a service's replicas. Its zero value knows none.
+type Usual struct {
+	share float64
+}
+
+// Add counts an outcome of a request that was no probe.
+func (u *Usual) Add(outcome Outcome) {
+	failed := 0.0
+	if outcome.Failed() {
+		failed = 1
+	}
+	u.share += usualWeight * (failed - u.share)
+}
+
+// Share returns the share of failures.
+func (u *Usual) Share() float64 { return u.share }
+
+// mostEjected is the part of a service's replicas beyond which none is left alone: the
+// service fails as a whole, or the rest could not bear the work.
+const mostEjected = 0.4
+
+// TooMany tells whether ejected of all replicas are more than may be left alone.
+func TooMany(ejected, all int) bool { return float64(ejected) > mostEjected*float64(all) }
--- a/internal/routednode/keepers.go
+++ b/internal/routednode/keepers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/samber/do/v2"
 
 	"stepseam.example/stepseam/internal/keeper"
+	"stepseam.example/stepseam/internal/router"
 	"stepseam.example/stepseam/internal/settings"
 )
 
@@ -34,11 +36,14 @@
 	}
 	placement := keeper.NewPlacement(chosen.Node.Name)
 	others.onView = append(others.onView, placement.SetView)
+	logger := do.MustInvoke[*slog.Logger](injector)
 	measured := newKeeperMetrics(do.MustInvoke[*prometheus.Registry](injector))
 	made := keeper.NewExchange(keeper.Config{
 		Conn: conn, Placement: placement, Now: do.MustInvoke[clock](injector), Observer: measured,
+		Judged: func(changed keeper.Judgement) { router.LogJudgement(logger, changed) },
 	})
 	measured.registerKept(do.MustInvoke[*prometheus.Registry](injector), made.Book())
+	do.MustInvoke[*prometheus.Registry](injector).MustRegister(&ejectedCollector{book: made.Book(), now: do.MustInvoke[clock](injector)})
 	return made, nil
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -170,24 +170,30 @@
 	}
 	sending := r.config.Tracker.Begin(balance.Target{
 		Instance: replica.Life(), Service: call.service.Name, Slots: replica.Slots, Known: chosen.known,
-		Cold: r.isCold(call, replica.Life()),
+		Cold: r.isCold(call, replica.Life()), Probe: chosen.probe,
 	}, call.prompt, r.Now())
 	r.report(call, replica, call.prompt.Parts)
 	reply.expected, reply.cold = sending.Expected(), sending.Cold()
+	stop := r.watchSilence(call, replica, sending)
 	answer, err := r.config.Replicas.Send(ctx, targetOf(replica), exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
 		Repeatable: call.route.Repeatable(), MaySend: func() error { return r.maySend(call, replica) },
 	})
+	stop()
 	r.config.Tracker.Answered(sending, r.Now())
 	tried := &attempt{answer: answer, replica: replica, sending: sending, router: r, call: call}
 	var failure *exchange.FailureError
 	if errors.As(err, &failure) {
 		atFault := ctx.Err() == nil && failure.Reason != exchange.ReasonWithheld
 		r.config.Tracker.End(sending, atFault, r.Now())
+		if atFault {
+			tried.became(outcomeOf(failure))
+		}
 		r.report(call, replica, nil)
 		return nil, failure
 	}
 	if failure = r.judge(answer); failure != nil {
+		tried.became(outcomeOf(failure))
 		tried.finish(failure.Reason == exchange.ReasonShed || failure.Reason == exchange.ReasonMoved)
 		return nil, failure
 	}
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -15,6 +15,8 @@
 type chosenReplica struct {
 	replica fleet.Replica
 	known   *balance.Known
+	// probe tells that the replica is ejected and is tried all the same.
+	probe bool
 }
 
 // choose finds the replica for the next attempt; false if none is left.
@@ -50,12 +52,17 @@
 			return balance.Shortlist(near, work, r.config.Random)
 		}
 	}
-	candidates, known := r.askKeepers(ctx, call, candidates, byInstance, shortlist, need.Exposed)
-	choice, found := balance.Choose(balance.KeepRegion(candidates), work, r.config.Random())
+	learned, known := r.askKeepers(ctx, call, candidates, byInstance, shortlist, need.Exposed)
+	sound, probe := balance.KeepSound(learned, candidates, need.Exposed)
+	sound = balance.KeepRegion(sound)
+	if probe != nil {
+		sound = []balance.Candidate{*probe}
+	}
+	choice, found := balance.Choose(sound, work, r.config.Random())
 	if !found {
 		return chosenReplica{}, false
 	}
-	chosen := chosenReplica{replica: byInstance[choice.Candidate.Instance]}
+	chosen := chosenReplica{replica: byInstance[choice.Candidate.Instance], probe: probe != nil}
 	if told, found := known[choice.Candidate.Instance]; found {
 		chosen.known = &told
 	}
@@ -81,10 +88,11 @@
 		return candidates, nil
 	}
 	known := lo.MapValues(states, func(state keeper.State, _ string) balance.Known {
-		return balance.Known{Load: state.Load, CachedTokens: state.CachedTokens, Settled: state.Settled}
+		return balance.Known{Load: state.Load, CachedTokens: state.CachedTokens, Settled: state.Settled, Ejected: state.Ejected, Probe: state.Probe}
 	})
 	learned := lo.Map(shortlist, func(candidate balance.Candidate, _ int) balance.Candidate {
 		if told, found := known[candidate.Instance]; found {
+			candidate.Ejected, candidate.Probe = r.config.Tracker.Told(candidate.Instance, told, r.Now())
 			return candidate.Learn(told, exposed)
 		}
 		return candidate
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"stepseam.example/stepseam/internal/exchange"
+	"stepseam.example/stepseam/internal/outlier"
 )
 
 // bufferedBody is the largest body that is read whole before the client gets any
@@ -41,7 +42,11 @@
 // passOn reads an answer's body and sends it to the client. A failure leaves the
 // client without any answer yet.
 func (r *Router) passOn(ctx context.Context, call *call, reply *reply, course *attempts, tried *attempt) *exchange.FailureError {
-	if tried.answer.Status >= http.StatusInternalServerError && call.route.Repeatable() && course.mayHaveRun+1 < call.route.MaxAttempts {
+	failed := tried.answer.Status >= http.StatusInternalServerError
+	if failed {
+		tried.became(outlier.Errors)
+	}
+	if failed && call.route.Repeatable() && course.mayHaveRun+1 < call.route.MaxAttempts {
 		tried.finish(true)
 		return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonUnsigned, Status: tried.answer.Status}
 	}
@@ -52,10 +57,16 @@
 		r.passOnLong(reply, tried, body)
 		return nil
 	}
+	if err != nil && ctx.Err() == nil {
+		tried.became(outlier.Torn)
+	}
 	tried.finish(err != nil && ctx.Err() == nil)
 	if err != nil {
 		return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: tried.answer.Status, Cause: err}
 	}
+	if !failed {
+		tried.became(outlier.Served)
+	}
 	r.config.Tracker.Plain(tried.sending, r.Now())
 	reply.begin(tried.answer, len(body))
 	reply.bytes = len(body)
@@ -83,10 +94,14 @@
 		}
 		reply.bytes += n
 		if errors.Is(err, io.EOF) {
+			if tried.answer.Status < http.StatusInternalServerError {
+				tried.became(outlier.Served)
+			}
 			tried.finish(false)
 			return
 		}
 		if err != nil {
+			tried.became(outlier.Torn)
 			tried.finish(true)
 			reply.breakOff(string(exchange.ReasonIncomplete), err)
 		}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -10,6 +10,7 @@
 
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/outlier"
 )
 
 // stream is the answer to one streaming request while it is passed on.
@@ -58,12 +59,9 @@
 			r.giveUpStream(ctx, passing, course)
 			return false
 		}
-		if tried.answer.Status >= http.StatusMultipleChoices {
-			return r.passOnFailure(ctx, passing, course, tried)
-		}
-		failure := r.passEvents(ctx, passing, tried)
+		failure, whole := r.passAnswer(ctx, passing, course, tried)
 		if failure == nil {
-			return true
+			return whole
 		}
 		r.noteFailure(ctx, passing.call, tried.replica, course, failure)
 		if !mayTryAgain(ctx, passing.call, course) {
@@ -76,17 +74,29 @@
 	}
 }
 
-// passOnFailure passes a replica's failure on, if no event has been sent before it.
-func (r *Router) passOnFailure(ctx context.Context, passing *stream, course *attempts, tried *attempt) bool {
-	if passing.begun {
+// passAnswer passes one replica's answer on; whole tells that it was a stream that came to
+// its end.
+func (r *Router) passAnswer(ctx context.Context, passing *stream, course *attempts, tried *attempt) (failure *exchange.FailureError, whole bool) {
+	if tried.answer.Status >= http.StatusMultipleChoices {
+		return r.passOnFailure(ctx, passing, course, tried), false
+	}
+	failure = r.passEvents(ctx, passing, tried)
+	return failure, failure == nil
+}
+
+// passOnFailure passes a replica's failure on, if no event has been sent before it. It
+// returns it where the call may go to another replica.
+func (r *Router) passOnFailure(ctx context.Context, passing *stream, course *attempts, tried *attempt) *exchange.FailureError {
+	if !passing.begun {
+		return r.passOn(ctx, passing.call, passing.reply, course, tried)
+	}
+	if tried.answer.Status < http.StatusInternalServerError {
 		tried.finish(false)
 		passing.reply.breakOff("not_resumed", nil)
 	}
-	if failure := r.passOn(ctx, passing.call, passing.reply, course, tried); failure != nil {
-		r.noteFailure(ctx, passing.call, tried.replica, course, failure)
-		r.giveUpStream(ctx, passing, course)
-	}
-	return false
+	tried.became(outlier.Errors)
+	tried.finish(true)
+	return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonUnsigned, Status: tried.answer.Status}
 }
 
 func (r *Router) giveUpStream(ctx context.Context, passing *stream, course *attempts) {
@@ -117,10 +127,14 @@
 			if !passing.begun {
 				passing.begin(tried.answer)
 			}
+			tried.became(outlier.Served)
 			tried.finishHolding(false, passing.held())
 			return nil
 		}
 		if err != nil {
+			if ctx.Err() == nil {
+				tried.became(outlier.Torn)
+			}
 			tried.finish(ctx.Err() == nil)
 			return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: tried.answer.Status, Cause: err}
 		}
