Count replicas that stay silent beyond the service's usual times

Cause: a request at a mute replica ended with its own time, which counted for nothing, so that each node found it out anew.

Change: a request without an event, or a whole plain answer, within four times the service's usual time (0.6 s at least) counts as a failure, which the replica's keeper hears at once; the request goes on.

Not measured yet.

--- a/internal/balance/soundness.go
+++ b/internal/balance/soundness.go
@@ -92,17 +92,18 @@
 	return told.standing(before.underWay, now)
 }
 
-// Patience is how long a request may be without any answer until that counts as a failure
-// of the replica; false where that can't be told. Others' requests ahead of it, and work
-// that takes long, are none.
+// Patience is how long a request may be without an event of a stream, or a whole plain
+// answer, until that counts as a failure of the replica; false where the service's usual
+// times are not known or others' requests go before. engine tells that it is a stream.
 func (t *Tracker) Patience(sending *Sending, engine bool) (time.Duration, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	usual := sending.expected.FirstMilliseconds
+	service := t.service(sending.target.Service)
+	usual, learned := sending.expected.FirstMilliseconds, service.KnowsFirst()
 	if !engine {
-		usual = t.service(sending.target.Service).Rates().ServiceMilliseconds
+		usual, learned = service.Rates().ServiceMilliseconds, service.KnowsPlain()
 	}
-	if usual <= 0 || sending.queued() || sending.target.Cold {
+	if !learned || sending.queued() || sending.target.Cold {
 		return 0, false
 	}
 	const usualTimes = 4
--- a/internal/estimate/service.go
+++ b/internal/estimate/service.go
@@ -58,6 +58,13 @@
 // Events takes how many events a whole stream had.
 func (s *Service) Events(count int) { s.events.Observe(float64(count)) }
 
+// KnowsFirst and KnowsPlain tell whether the rates for streams and for plain requests have
+// been learned.
+func (s *Service) KnowsFirst() bool { return s.reading.Known() }
+
+// KnowsPlain is as KnowsFirst.
+func (s *Service) KnowsPlain() bool { return s.plain.Known() }
+
 // Plain takes how long a plain request took in milliseconds.
 func (s *Service) Plain(milliseconds float64) { s.plain.Observe(milliseconds) }
 
--- /dev/null
+++ b/internal/keeper/outcomes_test.go
@@ -0,0 +1,166 @@
+package keeper
+
+import (
+	"encoding/hex"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/internal/loads"
+	"stepseam.example/stepseam/internal/outlier"
+)
+
+// TestRecordedBytesOfSoundness: what builds tell each other of outcomes stays as it is.
+func TestRecordedBytesOfSoundness(t *testing.T) {
+	became := outcome{key: 5, became: outlier.Errors, usual: 1, instance: "i-1"}
+	told := soundness{number: 4, ejected: []ejected{{key: 5, probe: outlier.SafeProbe}, {key: 6}}}
+	for name, c := range map[string]struct {
+		encoded []byte
+		written string
+		read    datagram
+	}{
+		"outcome":   {encodeOutcome(became), "6b01040000000502ffff03692d31", datagram{kind: kindOutcome, outcome: became}},
+		"soundness": {encodeSoundness(told), "6b010500000004020000000501" + "0000000600", datagram{kind: kindSoundness, soundness: told}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(hex.EncodeToString(c.encoded), c.written)
+			written, err := hex.DecodeString(c.written)
+			is.NoErr(err)
+			read, err := decode(written)
+			is.NoErr(err)
+			is.Equal(read, c.read)
+			_, err = decode(written[:len(written)-1])
+			is.True(err != nil)
+		})
+	}
+}
+
+// TestNodesLearnOfEachOthersFailures at once: none of them has seen more than one.
+func TestNodesLearnOfEachOthersFailures(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	replica := s.replicaKeptBy(1)
+	judged := make(chan Judgement, 10)
+	s.exchanges[1].config.Judged = func(changed Judgement) { judged <- changed }
+	for number, exchange := range s.exchanges {
+		exchange.Report(replica, loads.Load{}, nil)
+		exchange.Outcome(replica, outlier.Silent, 0.25*float64(number)/100)
+	}
+	const soon = 300 * time.Millisecond
+	select {
+	case changed := <-judged:
+		is.Equal(changed.Change, outlier.NowEjected)
+		is.Equal(changed.Instance, replica.Instance)
+		is.Equal(changed.Failures, 3)
+	case <-time.After(soon):
+		t.Fatal("the replica is not ejected")
+	}
+	for number := range s.exchanges {
+		s.ask(number, replica, nil, func(state State) bool { return state.Ejected })
+	}
+	is.Equal(s.exchanges[1].Book().Ejected(s.exchanges[1].config.Now())[outlier.Silent], 1)
+}
+
+// TestOneNodeAtATimeMayProbe, however many ask.
+func TestOneNodeAtATimeMayProbe(t *testing.T) {
+	is := is.New(t)
+	book := NewBook()
+	for range 3 {
+		book.judge(outcome{key: 1, became: outlier.Errors}, 0)
+	}
+	const later = time.Second
+	rights := 0
+	for number := range 50 {
+		state, _ := book.State(node(number), 1, nil, later)
+		is.True(state.Ejected)
+		if state.Probe != outlier.NoProbe {
+			rights++
+		}
+	}
+	is.Equal(rights, 1)
+	book.Take(node(1), told(1, 1, 0), 2*later) // a request is there
+	for number := range 50 {
+		state, _ := book.State(node(number), 1, nil, 2*later)
+		is.Equal(state.Probe, outlier.NoProbe)
+	}
+}
+
+// crowd is a model of nodes that ask the keepers of a few replicas before they choose one, by
+// datagrams that are lost in part.
+type crowd struct {
+	book   *Book
+	random *rand.Rand
+	loss   float64
+	// bad replicas fail a part of their requests, the others hardly any.
+	bad     int
+	failing float64
+
+	failures     int
+	soundEjected map[Key]bool
+}
+
+const crowdNodes, crowdReplicas, crowdAsked, crowdUsual = 89, 35, 6, 0.01
+
+// choose returns where a node sends its request.
+func (c *crowd) choose(now time.Duration) Key {
+	asking, chosen, found := node(c.random.IntN(crowdNodes)), Key(0), false
+	for _, number := range c.random.Perm(crowdReplicas)[:crowdAsked] {
+		state, _ := c.book.State(asking, Key(number), nil, now)
+		if c.random.Float64() < c.loss {
+			state = State{}
+		}
+		if !found && !state.Ejected || state.Probe != outlier.NoProbe {
+			chosen, found = Key(number), true
+		}
+	}
+	return chosen
+}
+
+// serve plays a request at a replica and tells its keeper.
+func (c *crowd) serve(chosen Key, now time.Duration) {
+	became, share, isBad := outlier.Served, crowdUsual, int(chosen) < c.bad
+	if isBad {
+		share = c.failing
+	}
+	if c.random.Float64() < share {
+		became = outlier.Errors
+	}
+	if isBad && became.Failed() {
+		c.failures++
+	}
+	if c.random.Float64() < c.loss {
+		return
+	}
+	changed := c.book.judge(outcome{key: chosen, became: became, usual: crowdUsual}, now)
+	if changed.Change == outlier.NowEjected && !isBad {
+		c.soundEjected[chosen] = true
+	}
+}
+
+// TestNodesLeaveFailingReplicasAlone whatever part of their datagrams is lost.
+func TestNodesLeaveFailingReplicasAlone(t *testing.T) {
+	const requests, step = 6000, 2 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		c := &crowd{
+			book: NewBook(), soundEjected: map[Key]bool{}, loss: rapid.Float64Range(0, 0.2).Draw(t, "loss"),
+			failing: rapid.SampledFrom([]float64{0.45, 1}).Draw(t, "failing"), bad: rapid.IntRange(1, 4).Draw(t, "bad"),
+			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		}
+		for i := range requests {
+			now := time.Duration(i) * step
+			c.serve(c.choose(now), now)
+		}
+		const toFindOut = 12 // at each, to find it out, to probe it and after a return by chance
+		offered := float64(requests*c.bad) / crowdReplicas * c.failing
+		if most := float64(toFindOut*c.bad) + (0.2+c.loss)*offered; float64(c.failures) > most {
+			t.Fatalf("%d failures, more than %.0f of about %.0f that would be", c.failures, most, offered)
+		}
+		if len(c.soundEjected) > 1 {
+			t.Fatalf("sound replicas are ejected: %v", c.soundEjected)
+		}
+	})
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -49,6 +49,8 @@
 	sending *balance.Sending
 	router  *Router
 	call    *call
+	// answered ends the watch for a replica that is silent.
+	answered func()
 }
 
 // finish gives the connection back and notes whether the replica is at fault.
@@ -57,6 +59,7 @@
 // finishHolding does the same after a whole stream; held are the parts that the replica
 // holds from now on, which its keeper is told with the end.
 func (a *attempt) finishHolding(failed bool, held []balance.Part) {
+	a.answered()
 	a.answer.Close()
 	a.router.config.Tracker.End(a.sending, failed, a.router.Now())
 	a.router.report(a.call, a.replica, held)
@@ -174,16 +177,16 @@
 	}, call.prompt, r.Now())
 	r.report(call, replica, call.prompt.Parts)
 	reply.expected, reply.cold = sending.Expected(), sending.Cold()
-	stop := r.watchSilence(call, replica, sending)
+	answered := r.watchSilence(call, replica, sending)
 	answer, err := r.config.Replicas.Send(ctx, targetOf(replica), exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
 		Repeatable: call.route.Repeatable(), MaySend: func() error { return r.maySend(call, replica) },
 	})
-	stop()
 	r.config.Tracker.Answered(sending, r.Now())
-	tried := &attempt{answer: answer, replica: replica, sending: sending, router: r, call: call}
+	tried := &attempt{answer: answer, replica: replica, sending: sending, router: r, call: call, answered: answered}
 	var failure *exchange.FailureError
 	if errors.As(err, &failure) {
+		answered()
 		atFault := ctx.Err() == nil && failure.Reason != exchange.ReasonWithheld
 		r.config.Tracker.End(sending, atFault, r.Now())
 		if atFault {
--- a/internal/router/outcome.go
+++ b/internal/router/outcome.go
@@ -10,6 +10,7 @@
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/keeper"
 	"stepseam.example/stepseam/internal/outlier"
+	"stepseam.example/stepseam/internal/routing"
 )
 
 // none is the outcome of a request that says nothing of its replica's soundness.
@@ -71,10 +72,10 @@
 	}
 }
 
-// watchSilence counts a request as failed whose replica gives no answer within patience,
-// until the returned function is called. The request itself goes on.
-func (r *Router) watchSilence(call *call, replica fleet.Replica, sending *balance.Sending) (stop func()) {
-	patience, known := r.config.Tracker.Patience(sending, call.service.Slots > 0)
+// watchSilence counts a request as failed whose replica is silent beyond patience, until the
+// returned function is called. The request itself goes on.
+func (r *Router) watchSilence(call *call, replica fleet.Replica, sending *balance.Sending) (answered func()) {
+	patience, known := r.config.Tracker.Patience(sending, call.route.Kind == routing.KindStreaming)
 	if !known {
 		return func() {}
 	}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -140,6 +140,7 @@
 		}
 		now := time.Now()
 		if last.IsZero() {
+			tried.answered()
 			r.config.Tracker.FirstEvent(tried.sending, r.Now())
 			r.report(passing.call, tried.replica, nil)
 		} else {
