Probe ejected replicas sooner, whatever is stuck there

Change: requests without an outcome for 0.8 s hold probes off no more, the longest pause is 2 s, and a request that a failure would fail probes after two pauses without any other. Pauses differ by up to a half, since even ones fell into step with a replica that is down and up by turns (found by the rapid test with a period of 961 ms).

--- a/internal/balance/soundness_test.go
+++ b/internal/balance/soundness_test.go
@@ -1,10 +1,12 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/outlier"
 )
@@ -107,3 +109,22 @@
 	is.True(known)
 	is.True(allowed > 2*time.Second)
 }
+
+// TestOnlyAPartIsEverLeftOut, and something is always left to choose.
+func TestOnlyAPartIsEverLeftOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Candidate
+		for i := range rapid.IntRange(1, 40).Draw(t, "candidates") {
+			all = append(all, Candidate{Instance: fmt.Sprint(i), Ejected: rapid.Bool().Draw(t, "ejected")})
+		}
+		asked := rapid.IntRange(1, len(all)).Draw(t, "asked")
+		sound, probe := KeepSound(all[:asked], all, rapid.Bool().Draw(t, "exposed"))
+		if len(sound) == 0 || probe != nil {
+			t.Fatalf("%d candidates left, probe %v", len(sound), probe)
+		}
+		ejected := count(all, Candidate.ejected)
+		if leftOut := count(sound, Candidate.ejected) < count(all[:asked], Candidate.ejected); leftOut && outlier.TooMany(ejected, len(all)) {
+			t.Fatalf("%d of %d are left out", ejected, len(all))
+		}
+	})
+}
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -66,14 +66,17 @@
 	// firstPause is how long an ejected replica is left alone at first; each failed probe
 	// doubles it, up to longestPause.
 	firstPause   = 300 * time.Millisecond
-	longestPause = 4 * time.Second
+	longestPause = 2 * time.Second
 	// provingPause is the pause after a probe that was served.
 	provingPause = 20 * time.Millisecond
 	// grantLife is how long a right to probe that was given out holds others off.
 	grantLife = 100 * time.Millisecond
+	// stuck is how long after the last outcome requests that are still at the replica hold
+	// probes off no more: those that it leaves without an answer count as failed by then.
+	stuck = 800 * time.Millisecond
 	// overduePauses is after how many pauses without any probe a request may probe that a
 	// failure would fail.
-	overduePauses = 3
+	overduePauses = 2
 )
 
 // Record is what outcomes say of one replica. Its zero value is a sound one. It is not
@@ -93,6 +96,8 @@
 	// granted tells that one was given out since the last outcome.
 	granted bool
 	pause   time.Duration
+	// probes counts the outcomes since the ejection.
+	probes int
 	// ejections counts those of the same fault, returnedAt is when the last one ended.
 	ejections  int
 	returnedAt time.Duration
@@ -146,7 +151,7 @@
 	if now-r.returnedAt > memory {
 		r.ejections = 0
 	}
-	r.ejected, r.reason, r.servedInRow, r.granted = true, outcome, 0, false
+	r.ejected, r.reason, r.servedInRow, r.granted, r.probes = true, outcome, 0, false, 0
 	r.pause = min(firstPause<<min(r.ejections, 8), longestPause)
 	r.ejections++
 	return NowEjected
@@ -167,6 +172,7 @@
 		return Unchanged
 	}
 	r.lastAt, r.granted = now, false
+	r.probes++
 	if r.servedInRow < min(returnAfter<<min(r.ejections-1, 8), longestReturn) {
 		return Unchanged
 	}
@@ -201,17 +207,21 @@
 )
 
 // Probe returns which request may probe now, where underWay requests of all nodes are at
-// the replica: one at a time after a failure, one more with each that was served.
+// the replica: one at a time after a failure, one more with each that was served. Those that
+// are stuck there do not count.
 func (r *Record) Probe(underWay int, now time.Duration) Probe {
-	pause := r.pause
+	pause := r.spreadPause()
 	if r.servedInRow > 0 {
 		pause = provingPause
 	}
-	waited := now - r.lastAt
+	waited, held := now-r.lastAt, grantLife
+	if underWay > r.servedInRow {
+		pause, held = max(pause, stuck), stuck
+	}
 	switch {
-	case !r.ejected || underWay > r.servedInRow || waited < pause:
+	case !r.ejected || waited < pause:
 		return NoProbe
-	case r.granted && now-r.grantedAt < grantLife:
+	case r.granted && now-r.grantedAt < held:
 		return NoProbe
 	case waited >= overduePauses*pause:
 		return AnyProbe
@@ -219,6 +229,14 @@
 	return SafeProbe
 }
 
+// spreadPause returns the pause or up to half as much more, another part after each probe, so
+// that probes do not fall into step with a replica that is down and up by turns.
+func (r *Record) spreadPause() time.Duration {
+	const goldenPart = math.Phi - 1
+	_, part := math.Modf(float64(r.probes) * goldenPart)
+	return r.pause + time.Duration(part/2*float64(r.pause))
+}
+
 // Grant notes that a right to probe is given out.
 func (r *Record) Grant(now time.Duration) { r.granted, r.grantedAt = true, now }
 
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -178,3 +178,20 @@
 	is.True(TooMany(1, 2))
 	is.True(!TooMany(1, 3))
 }
+
+// TestStuckRequestsHoldProbesOffForAShortTime: a mute replica keeps them until their time is
+// over, which may be long after it has come back.
+func TestStuckRequestsHoldProbesOffForAShortTime(t *testing.T) {
+	is := is.New(t)
+	record := &Record{}
+	for range 3 {
+		record.Add(Silent, 0, time.Second)
+	}
+	const left = 8
+	is.Equal(record.Probe(left, time.Second+stuck-1), NoProbe)
+	now := time.Second + stuck
+	is.True(record.Probe(left, now) != NoProbe)
+	record.Grant(now)
+	is.Equal(record.Probe(left+1, now+stuck-1), NoProbe)
+	is.True(record.Probe(left+1, now+stuck) != NoProbe)
+}
