Let a text stand in the log right before its Keep

Cause: a kept turn costs two appends, one of its text and one of its place in the index, since a Keep names where its text stands and that is known only after the text's append. Change: a record of a new kind holds a text; the location of such a text carries a partition number that builds before can't read, and in the Keep an offset that means the record before it, which Apply puts in. A rule bounds the bytes of texts that the records of the store's retention hold in a partition, and so what a take-over reads. Nothing writes such records yet. Result: recorded bytes, model tests of places and of the bound.

--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -76,7 +76,10 @@
 	skipped  bool
 	accounts map[ProgramID]*account
 	turns    map[TurnID]keptTurn
-	pruned   time.Duration
+	// rule bounds the texts of turns in the partition, texts counts them.
+	rule   TextRule
+	texts  textWindow
+	pruned time.Duration
 }
 
 // NewPartition returns the state before the first record.
@@ -125,10 +128,11 @@
 		p.own(record, now)
 	case Release:
 		p.release(record)
+	case Text:
+		p.texts.add(len(record.Bytes), now, p.rule.Retain)
 	case Keep:
-		p.turns[record.Turn] = keptTurn{
-			KeptTurn: KeptTurn{Chain: record.Chain, Resident: record.Resident}, expires: now + record.For + keepSlack,
-		}
+		chain := resolved(record.Chain, p.next-1)
+		p.turns[record.Turn] = keptTurn{KeptTurn: KeptTurn{Chain: chain, Resident: record.Resident}, expires: now + record.For + keepSlack}
 	}
 	return Verdict{}, false
 }
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -87,7 +87,7 @@
 // LifeID names one life of a process. It is unique.
 type LifeID string
 
-// Record is a Reserve, Settle, Keep, Own or Release.
+// Record is a Reserve, Settle, Keep, Own, Release or Text.
 type Record interface{ encode() []byte }
 
 type recordKind byte
@@ -98,6 +98,7 @@
 	kindKeep    recordKind = 3
 	kindOwn     recordKind = 4
 	kindRelease recordKind = 5
+	kindText    recordKind = 6
 )
 
 // LocationBytes is the encoded size of a Location, here and between nodes.
@@ -173,6 +174,8 @@
 		record = Own{Life: LifeID(reader.text())}
 	case kindRelease:
 		record = Release{Life: LifeID(reader.text())}
+	case kindText:
+		record = Text{Bytes: reader.take(len(reader.rest))}
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrRecord, encoded[0])
 	}
--- /dev/null
+++ b/internal/ledger/text_test.go
@@ -0,0 +1,104 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestTextStandsBeforeItsKeep: a chain names the record right before the Keep by its offset,
+// wherever the log gives it one, and leaves the locations before as they are.
+func TestTextStandsBeforeItsKeep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPartition()
+		offset := rapid.Uint64Range(0, 1<<40).Draw(t, "offset")
+		p.SkipTo(offset)
+		others := rapid.IntRange(0, 4).Draw(t, "others")
+		for range others {
+			p.Apply(Encode(Settle{Program: "p"}), 0)
+		}
+		before := Location{Partition: 3, Offset: 9, Size: 20}
+		p.Apply(Encode(Text{Bytes: []byte("abc")}), 0)
+		p.Apply(Encode(Keep{Program: "p", Turn: "t", Chain: []Location{before, TextBefore(5, 3)}, For: time.Minute}), 0)
+		kept, found := p.Turn("t")
+		if !found || len(kept.Chain) != 2 || kept.Chain[0] != before {
+			t.Fatalf("turn %+v", kept)
+		}
+		if want := TextAt(5, offset+uint64(others), 3); kept.Chain[1] != want || !want.Readable() {
+			t.Fatalf("text at %+v, not %+v", kept.Chain[1], want)
+		}
+	})
+}
+
+func TestKeepWithoutARecordBeforeItHasNoText(t *testing.T) {
+	is := is.New(t)
+	p := NewPartition()
+	p.Apply(Encode(Keep{Program: "p", Turn: "t", Chain: []Location{TextBefore(5, 3)}, For: time.Minute}), 0)
+	kept, found := p.Turn("t")
+	is.True(found) // 404 is for turns that are not kept
+	is.True(!kept.Chain[0].Readable())
+}
+
+func TestPlaceOfATextIsToldByItsLocation(t *testing.T) {
+	is := is.New(t)
+	number, inIndex := TextAt(5, 9, 3).InIndex(12)
+	is.True(inIndex)
+	is.Equal(number, 5)
+	_, inIndex = Location{Partition: 5, Offset: 9, Size: 3}.InIndex(12)
+	is.True(!inIndex)
+	_, inIndex = Location{Partition: 40_000}.InIndex(60_000) // a partition of the texts' topic
+	is.True(!inIndex)
+}
+
+// TestTakeOverReadsFewBytesOfTexts: whatever the rate and the sizes, the texts that the
+// store holds at any time are within the window, and a low rate finds room always.
+func TestTakeOverReadsFewBytesOfTexts(t *testing.T) {
+	rule := TextRule{Retain: time.Minute, WindowBytes: 10_000, TextBytes: 1_000}
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPartition()
+		p.LimitTexts(rule)
+		type written struct {
+			at    time.Duration
+			bytes int
+		}
+		var held []written
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "texts") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+			size := rapid.IntRange(0, 1_500).Draw(t, "size")
+			if !p.TakesText(size, now) {
+				continue
+			}
+			if size > rule.TextBytes {
+				t.Fatalf("a text of %d bytes", size)
+			}
+			p.Apply(Encode(Text{Bytes: make([]byte, size)}), now)
+			held = append(held, written{now, size})
+			sum := 0
+			for _, one := range held {
+				if now-one.at <= rule.Retain {
+					sum += one.bytes
+				}
+			}
+			if sum > rule.WindowBytes || p.TextBytes(now) > rule.WindowBytes {
+				t.Fatalf("%d bytes in the last minute", sum)
+			}
+		}
+		if now += rule.Retain + 2*textSlot; !p.TakesText(rule.TextBytes, now) {
+			t.Fatal("no room though all texts are gone")
+		}
+	})
+}
+
+func TestTextsThatATakeOverHasReadCount(t *testing.T) {
+	is := is.New(t)
+	p := NewPartition()
+	p.LimitTexts(TextRule{Retain: time.Minute, WindowBytes: 100, TextBytes: 50})
+	p.Apply(Encode(Text{Bytes: make([]byte, 40)}), 0)
+	p.NoteText(40, 0)
+	is.True(!p.TakesText(30, 0))
+	is.True(p.TakesText(20, 0))
+	is.True(!NewPartition().TakesText(1, 0)) // without a rule
+}
