Keep a turn and its small text in one call

Cause: a kept turn costs two appends, its text's and its index record's. Change: the text goes as a record right before the Keep in the program's own partition, in one call. Texts larger than 8 KiB, texts that find no room in the window of 512 KiB of a partition and texts with home regions go to their own topic as before, as does any while the partition does not answer. A home is asked by a new message, keepAnywhere, for texts that all nodes may read; homes of builds before are asked by keep.

--- a/internal/homes/handlers.go
+++ b/internal/homes/handlers.go
@@ -17,10 +17,12 @@
 		func() peer.Message { return &finish{} }, func() peer.Message { return &keep{} }, func() peer.Message { return &done{} },
 		func() peer.Message { return &kept{} }, func() peer.Message { return &working{} }, func() peer.Message { return &read{} }, func() peer.Message { return &texts{} },
 		func() peer.Message { return &find{} }, func() peer.Message { return &foundTurn{} },
+		func() peer.Message { return &keepAnywhere{} },
 	)
 	registry.Handle(kindBegin, peer.HandlerFunc(s.handleBegin))
 	registry.Handle(kindFinish, peer.HandlerFunc(s.handleFinish))
 	registry.Handle(kindKeep, peer.HandlerFunc(s.handleKeep))
+	registry.Handle(kindKeepAnywhere, peer.HandlerFunc(s.handleKeep))
 	registry.Handle(kindRead, peer.HandlerFunc(s.handleRead))
 	registry.Handle(kindFind, peer.HandlerFunc(s.handleFind))
 }
--- a/internal/homes/help.go
+++ b/internal/homes/help.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -66,7 +67,7 @@
 		timer.Reset(patientAfter)
 		return nil
 	})
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, peer.ErrUnknownKind) {
 		s.storeless.add(there.Name)
 	}
 	return answer, err
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -140,7 +141,7 @@
 func (s *Service) call(ctx context.Context, home identity.Node, request peer.Message, onPart func(peer.Message) error) (peer.Message, error) {
 	answer, err := s.config.Peers.Call(ctx, home.PeerAddress, request, onPart)
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, peer.ErrUnknownKind) {
 			s.passOver(home.Name)
 		}
 		return nil, fmt.Errorf("%w: home %s: %w", ledgerlog.ErrUnavailable, home.Name, err)
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -421,6 +421,7 @@
 		&begun{Status: statusSpent, Charged: 5, Ahead: true, First: true, Chain: chain, Resident: resident, Reason: "r"},
 		&finish{Program: "p", Grant: 7, Used: 8},
 		&keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute, Resident: resident}, Text: []byte("x")},
+		&keepAnywhere{keep: keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute, Resident: resident}, Text: []byte("x")}, later: []byte("y")},
 		&kept{Status: statusDone, Location: chain[0], Reason: "r"},
 		&done{Status: statusDone, Reason: "r"}, &working{}, &read{Chain: chain},
 		&find{Turn: "t", Partitions: []int{0, 300}}, &foundTurn{Status: statusDone, Chain: chain, Resident: resident, Reason: "r"}, &texts{Status: statusDone, Texts: [][]byte{[]byte("x")}},
--- a/internal/homes/message.go
+++ b/internal/homes/message.go
@@ -25,6 +25,7 @@
 	kindWorking
 	kindFind
 	kindFoundTurn
+	kindKeepAnywhere
 )
 
 // status is the outcome of a request to a home.
--- a/internal/homes/recorded_test.go
+++ b/internal/homes/recorded_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -23,7 +24,16 @@
 		"begun":      {&begun{Status: statusDone, Charged: 40, Ahead: true, First: true, Chain: chain, Resident: resident}, &begun{}, "010000000000000028010100000001000300000000000000090000001400000001690000005000000000"},
 		"find":       {&find{Turn: "t", Partitions: []int{1, 2}}, &find{}, "00000001740000000200010002"},
 		"found turn": {&foundTurn{Status: statusNoSuchTurn, Reason: "r", Chain: chain, Resident: resident}, &foundTurn{}, "030000000100030000000000000009000000140000000169000000500000000172"},
-		"read":       {&read{Chain: chain}, &read{}, "000000010003000000000000000900000014"},
+		"keep": {
+			&keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute, Resident: resident}, Text: []byte("x")},
+			&keep{}, "000000017000000001740000000100030000000000000009000000140000000df84758000000000169000000500000000178",
+		},
+		"keep anywhere": {
+			&keepAnywhere{keep: keep{Turn: ledger.Keep{Program: "p", Turn: "t", Chain: chain, For: time.Minute, Resident: resident}, Text: []byte("x")}},
+			&keepAnywhere{}, "000000017000000001740000000100030000000000000009000000140000000df8475800000000016900000050000000017800000000",
+		},
+		"kept": {&kept{Status: statusDone, Location: ledger.TextAt(5, 9, 20), Reason: "r"}, &kept{}, "0180050000000000000009000000140000000172"},
+		"read": {&read{Chain: chain}, &read{}, "000000010003000000000000000900000014"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -45,7 +55,7 @@
 	(&begin{Request: Request{Program: "p"}}).Encode(encoder)
 	f.Add(encoder.Bytes())
 	f.Fuzz(func(_ *testing.T, encoded []byte) {
-		for _, message := range []peer.Message{&begin{}, &begun{}, &finish{}, &keep{}, &kept{}, &done{}, &read{}, &texts{}, &find{}, &foundTurn{}} {
+		for _, message := range []peer.Message{&begin{}, &begun{}, &finish{}, &keep{}, &keepAnywhere{}, &kept{}, &done{}, &read{}, &texts{}, &find{}, &foundTurn{}} {
 			message.Decode(wire.NewDecoder(encoded))
 		}
 	})
--- a/internal/homes/texts.go
+++ b/internal/homes/texts.go
@@ -31,7 +31,7 @@
 // many nodes share its calls of the store; else this node writes, or where the store does
 // not answer it, one that the store may answer.
 func (s *Service) keepOnce(ctx context.Context, turn ledger.Keep, text []byte, within residency.Homes) error {
-	request := &keep{Turn: turn, Text: text}
+	request := writingOf(turn, text, within)
 	home, remote := s.remote(turn.Program, within)
 	if remote {
 		location, err := s.keepThere(ctx, home, request)
@@ -41,7 +41,7 @@
 		}
 		s.config.Logger.Info("home did not keep a turn", "turn", turn.Turn, "home", home.Name, "error", err)
 	}
-	_, err := s.keepHere(ctx, turn, text)
+	_, err := s.keepHere(ctx, request)
 	if err == nil || ctx.Err() != nil || s.storeAnswers() {
 		return err
 	}
@@ -56,23 +56,13 @@
 
 // keepHere writes a turn through this node's own ledger, unless the store stops answering
 // this node. A turn that is kept twice is kept.
-func (s *Service) keepHere(ctx context.Context, turn ledger.Keep, text []byte) (ledger.Location, error) {
+func (s *Service) keepHere(ctx context.Context, asked writing) (ledger.Location, error) {
 	ctx, cancel := s.whileStoreAnswers(ctx)
 	defer cancel()
 	if !s.storeAnswers() {
 		return ledger.Location{}, errStoreAway
 	}
-	location, err := s.config.Ledger.WriteText(ctx, text)
-	if err != nil {
-		return location, err
-	}
-	turn.Chain = withLocation(turn.Chain, location)
-	return location, s.config.Ledger.Keep(ctx, turn)
-}
-
-func withLocation(chain []ledger.Location, location ledger.Location) []ledger.Location {
-	longer := make([]ledger.Location, 0, len(chain)+1)
-	return append(append(longer, chain...), location)
+	return s.config.Ledger.KeepText(ctx, asked.turn, asked.text, asked.apart)
 }
 
 // remote returns the home of a program if that is another node that may be asked, that the
@@ -83,8 +73,8 @@
 }
 
 // keepThere lets another node write a turn.
-func (s *Service) keepThere(ctx context.Context, there identity.Node, request *keep) (ledger.Location, error) {
-	answer, err := s.callWhileItWorks(ctx, there, request)
+func (s *Service) keepThere(ctx context.Context, there identity.Node, request writing) (ledger.Location, error) {
+	answer, err := s.askToKeep(ctx, there, request)
 	if err != nil {
 		return ledger.Location{}, err
 	}
@@ -141,19 +131,6 @@
 	return got.Texts, nil
 }
 
-func (s *Service) handleKeep(ctx context.Context, request peer.Message, sendPart func(peer.Message) error) (peer.Message, error) {
-	asked, ok := request.(*keep)
-	if !ok {
-		return nil, fmt.Errorf("homes: unexpected %T", request)
-	}
-	defer s.tellWorking(sendPart)()
-	location, err := s.keepHere(ctx, asked.Turn, asked.Text)
-	if err != nil {
-		return &kept{Status: statusOf(err), Reason: err.Error()}, nil
-	}
-	return &kept{Status: statusDone, Location: location}, nil
-}
-
 func (s *Service) handleRead(ctx context.Context, request peer.Message, sendPart func(peer.Message) error) (peer.Message, error) {
 	asked, ok := request.(*read)
 	if !ok {
--- /dev/null
+++ b/internal/ledgerlog/keeptext.go
@@ -0,0 +1,150 @@
+package ledgerlog
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+
+	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/logstore"
+)
+
+const (
+	// takeOverTextBytes bounds the texts that a take-over of a partition reads: a fifth of
+	// a second on a link of 22 Mbit/s.
+	takeOverTextBytes = 512 << 10
+	// indexTextBytes bounds one text in the index, so that no few texts fill it.
+	indexTextBytes = takeOverTextBytes / 64
+	// textKindBytes is what a record of the index takes besides its text.
+	textKindBytes = 1
+)
+
+// textRule returns the bounds of texts in a partition of the index.
+func (c *Config) textRule() ledger.TextRule {
+	if c.Partitions > ledger.IndexPartitions {
+		return ledger.TextRule{}
+	}
+	return ledger.TextRule{
+		Retain: c.Retain, WindowBytes: takeOverTextBytes, TextBytes: min(indexTextBytes, c.RecordBytes-textKindBytes),
+	}
+}
+
+// KeepText makes a turn and its text durable, where turn.Chain holds the turns before,
+// and returns where the text stands. A small text goes before its place in the index, in
+// one call of the store, unless apart: the index is read by nodes that may not read the
+// text. Else the text goes to its own topic first. It tries until ctx ends. Errors wrap
+// ErrUnavailable.
+func (l *Ledger) KeepText(ctx context.Context, turn ledger.Keep, text []byte, apart bool) (ledger.Location, error) {
+	number := l.Partition(turn.Program)
+	tried := 0
+	if !apart && l.partitions[number].follower.takesText(len(text)) {
+		location, err := l.keepTogether(ctx, number, turn, text)
+		if err == nil {
+			l.texts.metrics.texts.WithLabelValues("index").Inc()
+			return location, nil
+		}
+		if ctx.Err() != nil {
+			return ledger.Location{}, fmt.Errorf("%w: keep turn and text: %w", ErrUnavailable, err)
+		}
+		tried = 1
+	}
+	location, err := l.WriteText(ctx, text)
+	if err != nil {
+		return ledger.Location{}, err
+	}
+	l.texts.metrics.texts.WithLabelValues("topic").Inc()
+	turn.Chain = withLocation(turn.Chain, location)
+	return location, l.keepFrom(ctx, turn, tried)
+}
+
+// keepTogether writes a text and its turn in one call. Where the outcome is not known, the
+// turn may be kept again elsewhere.
+func (l *Ledger) keepTogether(ctx context.Context, number int, turn ledger.Keep, text []byte) (ledger.Location, error) {
+	p := l.partitions[number]
+	turn.Chain = withLocation(turn.Chain, ledger.TextBefore(number, len(text)))
+	first, err := p.append(ctx, [][]byte{ledger.Encode(ledger.Text{Bytes: text}), ledger.Encode(turn)})
+	if err != nil {
+		return ledger.Location{}, err
+	}
+	p.follower.noteUnread(first, len(text))
+	location := ledger.TextAt(number, uint64(first), len(text))
+	l.texts.remember(location, text)
+	return location, nil
+}
+
+// withLocation returns a longer chain and leaves the given one as it is.
+func withLocation(chain []ledger.Location, location ledger.Location) []ledger.Location {
+	longer := make([]ledger.Location, 0, len(chain)+1)
+	return append(append(longer, chain...), location)
+}
+
+// takesText tells whether a text may stand in the partition. A node that has not read
+// the partition does not know how many it holds, and puts none there.
+func (f *follower) takesText(size int) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.answered == 0 && f.confirmed == 0 {
+		return false
+	}
+	takes := f.state.TakesText(size, f.clock())
+	if takes == f.textsApart {
+		f.textsApart = !takes
+		f.logger.Info("texts in the index", "partition", f.partition.Number, "taken", takes, "size", size, "text_bytes", f.state.TextBytes(f.clock()))
+	}
+	return takes
+}
+
+// noteUnread counts a text that this node wrote at an offset unless it was applied, which
+// it is not while records of others stand before it.
+func (f *follower) noteUnread(offset logstore.Offset, size int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if logstore.Offset(f.state.Next()) <= offset {
+		f.state.NoteText(size, f.clock())
+	}
+}
+
+// tellTexts hands on the texts among records that are to be applied next: whoever takes a
+// partition over needs them for the turns to come. It needs the mutex.
+func (f *follower) tellTexts(records [][]byte) {
+	for i, record := range records {
+		if decoded, err := ledger.Decode(record); err == nil {
+			if text, ok := decoded.(ledger.Text); ok {
+				f.onText(ledger.TextAt(f.partition.Number, f.state.Next()+uint64(i), len(text.Bytes)), bytes.Clone(text.Bytes))
+			}
+		}
+	}
+}
+
+// indexText reads a text that stands in the index.
+func (t *textStore) indexText(ctx context.Context, location ledger.Location, partition int) ([]byte, error) {
+	if !location.Readable() {
+		return nil, errTextShort
+	}
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	result, err := t.config.Store.Read(call, logstore.ReadRequest{
+		Partition: logstore.Partition{Topic: t.config.Topic, Number: partition},
+		From:      logstore.Offset(location.Offset), MaxBytes: int(location.Size) + textKindBytes + callOverhead,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(result.Records) == 0 {
+		return nil, errTextShort
+	}
+	return textOf(result.Records[0], location)
+}
+
+// textOf returns a copy of the text in a record of the index, which must be the location's.
+func textOf(record []byte, location ledger.Location) ([]byte, error) {
+	decoded, err := ledger.Decode(record)
+	if err != nil {
+		return nil, err
+	}
+	text, ok := decoded.(ledger.Text)
+	if !ok || len(text.Bytes) != int(location.Size) {
+		return nil, fmt.Errorf("%w: %T", errTextShort, decoded)
+	}
+	return bytes.Clone(text.Bytes), nil
+}
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -62,6 +62,8 @@
 	Producer string
 	// RecordBytes and CallBytes bound one record and one append.
 	RecordBytes, CallBytes int
+	// Retain is how long the store keeps records.
+	Retain time.Duration
 	// CacheBytes bounds the texts of turns in memory.
 	CacheBytes int
 	// StoreAnswers tells whether the store answers this node, as far as is known; nil
@@ -102,7 +104,9 @@
 		reads := &follower{
 			store: config.Store, partition: place, metrics: counted, window: window,
 			clock: clock, state: ledger.NewPartition(), verdicts: map[ledger.AttemptID]*ledger.Verdict{},
+			logger: config.Logger, onText: built.texts.remember,
 		}
+		reads.state.LimitTexts(config.textRule())
 		added := &partition{
 			follower: reads,
 			appender: &appender{
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -22,7 +22,7 @@
 func newLedger(log logstore.Store, name string) *Ledger {
 	return New(Config{
 		Store: log, Topic: "ledger", TextTopic: "texts", Partitions: 3, Producer: name,
-		RecordBytes: 64, CallBytes: 1 << 20, CacheBytes: 1 << 10, Logger: slog.New(slog.DiscardHandler),
+		RecordBytes: 64, CallBytes: 1 << 20, CacheBytes: 1 << 10, Retain: time.Minute, Logger: slog.New(slog.DiscardHandler),
 	})
 }
 
--- a/internal/ledgerlog/metrics.go
+++ b/internal/ledgerlog/metrics.go
@@ -8,6 +8,8 @@
 	appendFailures prometheus.Counter
 	readSeconds    prometheus.Histogram
 	readFailures   prometheus.Counter
+	// texts counts texts of turns by where they were written.
+	texts *prometheus.CounterVec
 }
 
 var storeBuckets = []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1}
@@ -26,9 +28,12 @@
 		readFailures: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "stepseam_ledger_read_failures_total", Help: "Reads that were refused or not answered.",
 		}),
+		texts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_ledger_texts_total", Help: "Texts of turns written, in the index in one call or in their own topic.",
+		}, []string{"place"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(built.appendSeconds, built.appendFailures, built.readSeconds, built.readFailures)
+		registerer.MustRegister(built.appendSeconds, built.appendFailures, built.readSeconds, built.readFailures, built.texts)
 	}
 	return built
 }
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	store     logstore.Store
 	partition logstore.Partition
 	metrics   *metrics
+	logger    *slog.Logger
+	// onText is told of each text in the index that a read brings.
+	onText func(location ledger.Location, text []byte)
 	// window is how much is read at once.
 	window *readWindow
 	// clock is a monotonic reading.
@@ -41,6 +45,8 @@
 	// begun counts the reads; answered is the number of the last one that the
 	// store answered.
 	begun, answered uint64
+	// textsApart tells that the partition had no room for a text when asked last.
+	textsApart bool
 	// confirmed is when the log was last heard to hold nothing but what is known.
 	confirmed time.Duration
 }
@@ -205,6 +211,7 @@
 	f.confirmed = f.clock()
 	known := int(logstore.Offset(f.state.Next()) - from)
 	if known < len(result.Records) {
+		f.tellTexts(result.Records[known:])
 		f.apply(result.Records[known:])
 	}
 }
--- a/internal/ledgerlog/texts.go
+++ b/internal/ledgerlog/texts.go
@@ -95,6 +95,13 @@
 	if text, found := t.recall(location); found {
 		return text, nil
 	}
+	if partition, inIndex := location.InIndex(t.config.Partitions); inIndex {
+		text, err := t.indexText(ctx, location, partition)
+		if err == nil {
+			t.remember(location, text)
+		}
+		return text, err
+	}
 	text := make([]byte, 0, location.Size)
 	from := logstore.Offset(location.Offset)
 	for len(text) < int(location.Size) {
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/logstore"
 )
 
 // WriteText makes the text of a turn durable. Errors wrap ErrUnavailable.
@@ -21,12 +22,15 @@
 // finds the turn. While the program's own partition does not answer, another one
 // holds the record; a turn that is kept twice is kept. It tries until ctx ends.
 // Errors wrap ErrUnavailable.
-func (l *Ledger) Keep(ctx context.Context, turn ledger.Keep) error {
+func (l *Ledger) Keep(ctx context.Context, turn ledger.Keep) error { return l.keepFrom(ctx, turn, 0) }
+
+// keepFrom is Keep where some partitions, from the program's own on, have been tried.
+func (l *Ledger) keepFrom(ctx context.Context, turn ledger.Keep, tried int) error {
 	record := [][]byte{ledger.Encode(turn)}
 	own := l.Partition(turn.Program)
-	for i := 0; ; i++ {
+	for i := tried; ; i++ {
 		p := l.partitions[(own+i%keepPartitions)%len(l.partitions)]
-		err := l.keepIn(ctx, p, record)
+		_, err := p.append(ctx, record)
 		if err == nil {
 			return nil
 		}
@@ -36,12 +40,13 @@
 	}
 }
 
-func (l *Ledger) keepIn(ctx context.Context, p *partition, record [][]byte) error {
+// append writes adjacent records, with what waits for a call to go with, and returns the
+// offset of the first.
+func (p *partition) append(ctx context.Context, records [][]byte) (logstore.Offset, error) {
 	p.flush()
 	within, cancel := context.WithTimeout(ctx, partitionPatience)
 	defer cancel()
-	_, err := p.appender.append(within, record)
-	return err
+	return p.appender.append(within, records)
 }
 
 const (
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -54,11 +54,16 @@
 	// RecordBytes and CallBytes bound one record and one append.
 	RecordBytes int `yaml:"record_bytes" validate:"min=1024"`
 	CallBytes   int `yaml:"call_bytes" validate:"min=1024"`
+	// RetainSeconds is how long the store keeps records.
+	RetainSeconds float64 `yaml:"retain_seconds" validate:"min=0"`
 	// ReadsPerSecond is how many reading calls of all nodes the store takes; 0 where that
 	// is not known.
 	ReadsPerSecond float64 `yaml:"reads_per_second" validate:"min=0"`
 }
 
+// Retain returns how long the store keeps records.
+func (s Store) Retain() time.Duration { return time.Duration(s.RetainSeconds * float64(time.Second)) }
+
 // Machine says what the process may use.
 type Machine struct {
 	// MemoryMebibytes is the memory above which the process is killed.
@@ -136,7 +141,7 @@
 // store's address have none.
 func DefaultRouted() Routed {
 	return Routed{
-		Store:   Store{Partitions: 12, RecordBytes: 256 << 10, CallBytes: 2 << 20},
+		Store:   Store{Partitions: 12, RecordBytes: 256 << 10, CallBytes: 2 << 20, RetainSeconds: 300},
 		Machine: Machine{MemoryMebibytes: 256, Descriptors: 1024, ProcessorShare: 1, Cores: 1, LinkMegabits: 100},
 		Stop:    Stop{Grace: 8 * time.Second},
 		Follow: Follow{
