--- a/internal/ledgerlog/keeptext.go
+++ b/internal/ledgerlog/keeptext.go
@@ -86,12 +86,20 @@
 	if f.answered == 0 && f.confirmed == 0 {
 		return false
 	}
-	takes := f.state.TakesText(size, f.clock())
-	if takes == f.textsApart {
-		f.textsApart = !takes
-		f.logger.Info("texts in the index", "partition", f.partition.Number, "taken", takes, "size", size, "text_bytes", f.state.TextBytes(f.clock()))
+	now := f.clock()
+	f.tellRoom(f.state.TextBytes(now))
+	return f.state.TakesText(size, now)
+}
+
+// tellRoom logs when the texts in the partition, in bytes, have used up its window, and
+// when half of that is free again. It needs the mutex.
+func (f *follower) tellRoom(held int) {
+	full := held > takeOverTextBytes-indexTextBytes
+	if full == f.textsApart || f.textsApart && held > takeOverTextBytes/2 {
+		return
 	}
-	return takes
+	f.textsApart = full
+	f.logger.Info("texts in the index", "partition", f.partition.Number, "taken", !full, "text_bytes", held)
 }
 
 // noteUnread counts a text that this node wrote at an offset unless it was applied, which
--- a/internal/ledgerlog/keeptext_test.go
+++ b/internal/ledgerlog/keeptext_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -219,3 +220,16 @@
 		})
 	})
 }
+
+// TestLackOfRoomIsToldOnce: not for each text, and again once half of the window is free.
+func TestLackOfRoomIsToldOnce(t *testing.T) {
+	is := is.New(t)
+	lines := &strings.Builder{}
+	f := &follower{logger: slog.New(slog.NewTextHandler(lines, nil))}
+	for _, held := range []int{0, takeOverTextBytes, takeOverTextBytes - 1, takeOverTextBytes * 3 / 4, takeOverTextBytes} {
+		f.tellRoom(held)
+	}
+	is.Equal(strings.Count(lines.String(), "taken=false"), 1)
+	f.tellRoom(takeOverTextBytes / 3)
+	is.Equal(strings.Count(lines.String(), "taken=true"), 1)
+}
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -45,7 +45,7 @@
 	// begun counts the reads; answered is the number of the last one that the
 	// store answered.
 	begun, answered uint64
-	// textsApart tells that the partition had no room for a text when asked last.
+	// textsApart tells that the partition has been said to have no room for texts.
 	textsApart bool
 	// confirmed is when the log was last heard to hold nothing but what is known.
 	confirmed time.Duration
