--- a/internal/ledgerlog/keeptext.go
+++ b/internal/ledgerlog/keeptext.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// takeOverTextBytes bounds the texts that a take-over of a partition reads: a fifth of
-	// a second on a link of 22 Mbit/s.
-	takeOverTextBytes = 512 << 10
+	// takeOverTextBytes bounds the texts that a take-over of a partition reads. After the
+	// loss of all machines many nodes read many partitions at once, over the store's one
+	// way out and links of 22 Mbit/s, where what is read has to come within a read's time.
+	takeOverTextBytes = 64 << 10
 	// indexTextBytes bounds one text in the index, so that no few texts fill it.
-	indexTextBytes = takeOverTextBytes / 64
+	indexTextBytes = takeOverTextBytes / 16
 	// textKindBytes is what a record of the index takes besides its text.
 	textKindBytes = 1
 )
