--- a/internal/ledger/text.go
+++ b/internal/ledger/text.go
@@ -11,6 +11,15 @@
 
 func (r Text) encode() []byte { return append([]byte{byte(kindText)}, r.Bytes...) }
 
+// TextOf returns the text that an encoded record holds, within the record; false if it is
+// of another kind.
+func TextOf(encoded []byte) ([]byte, bool) {
+	if len(encoded) == 0 || recordKind(encoded[0]) != kindText {
+		return nil, false
+	}
+	return encoded[1:], true
+}
+
 const (
 	// indexFlag in a location's partition tells that the text stands in the index's topic.
 	// Builds before it ask the store for a partition that does not exist, and so answer that
--- a/internal/ledger/text_test.go
+++ b/internal/ledger/text_test.go
@@ -102,3 +102,14 @@
 	is.True(p.TakesText(20, 0))
 	is.True(!NewPartition().TakesText(1, 0)) // without a rule
 }
+
+func TestTextOfARecord(t *testing.T) {
+	is := is.New(t)
+	text, found := TextOf(Encode(Text{Bytes: []byte("abc")}))
+	is.True(found)
+	is.Equal(string(text), "abc")
+	_, found = TextOf(Encode(Own{Life: "n.1"}))
+	is.True(!found)
+	_, found = TextOf(nil)
+	is.True(!found)
+}
--- a/internal/ledgerlog/keeptext.go
+++ b/internal/ledgerlog/keeptext.go
@@ -117,10 +117,8 @@
 // partition over needs them for the turns to come. It needs the mutex.
 func (f *follower) tellTexts(records [][]byte) {
 	for i, record := range records {
-		if decoded, err := ledger.Decode(record); err == nil {
-			if text, ok := decoded.(ledger.Text); ok {
-				f.onText(ledger.TextAt(f.partition.Number, f.state.Next()+uint64(i), len(text.Bytes)), bytes.Clone(text.Bytes))
-			}
+		if text, found := ledger.TextOf(record); found {
+			f.onText(ledger.TextAt(f.partition.Number, f.state.Next()+uint64(i), len(text)), bytes.Clone(text))
 		}
 	}
 }
@@ -147,13 +145,9 @@
 
 // textOf returns a copy of the text in a record of the index, which must be the location's.
 func textOf(record []byte, location ledger.Location) ([]byte, error) {
-	decoded, err := ledger.Decode(record)
-	if err != nil {
-		return nil, err
-	}
-	text, ok := decoded.(ledger.Text)
-	if !ok || len(text.Bytes) != int(location.Size) {
-		return nil, fmt.Errorf("%w: %T", errTextShort, decoded)
+	text, found := ledger.TextOf(record)
+	if !found || len(text) != int(location.Size) {
+		return nil, fmt.Errorf("%w: another record of %d bytes", errTextShort, len(record))
 	}
-	return bytes.Clone(text.Bytes), nil
+	return bytes.Clone(text), nil
 }
