Pass over homes that the store turns away, for all who ask alike

Cause: while the store turns a third of the nodes away, a third of the partitions' homes can do nothing durable. Each of their programs' turns went wrong first and was then helped by the asking node or two random ones, which reserved the program's budget beside each other.

Change: a node that the store does not answer tells the others with the membership's present datagrams (the count that rides along, odd while the store is away; no encoded form changes), all of them at once if it is a home or next in rank. A partition goes to the first of five candidates by rank that the store answers; an asker that hears it from the home itself goes on to the same one. Where two thirds of the homes lack the store, homes stay. A home that is passed over keeps its credits, which it serves to those whom its stand-in refuses for them, reads the log until the store answers, and comes back after a second of answers. A stand-in leaves the ownership to an owner that lives.

--- a/internal/homes/begin.go
+++ b/internal/homes/begin.go
@@ -18,6 +18,9 @@
 // home nor this node, another node is asked to do the work.
 func (s *Service) Begin(ctx context.Context, request Request) (*Turn, error) {
 	turn, err := s.beginAtHome(ctx, request)
+	if errors.Is(err, ledgerlog.ErrReserved) {
+		return s.beginPassedOver(ctx, request, err)
+	}
 	if !errors.Is(err, ledgerlog.ErrUnavailable) || s.storeAnswers() {
 		return turn, err
 	}
@@ -35,13 +38,53 @@
 	return helped, nil
 }
 
-// beginAtHome begins a turn at the home, or here.
-func (s *Service) beginAtHome(ctx context.Context, request Request) (*Turn, error) {
-	home, self := s.home(s.config.Ledger.Partition(request.Program))
-	if self || !s.mayAsk(home) {
-		return s.beginHere(ctx, request, self)
+// beginAtHome begins a turn at the home, or here. Where the home says that the store does not
+// answer it, the next candidate is the home, for all who ask.
+func (s *Service) beginAtHome(ctx context.Context, request Request) (turn *Turn, err error) {
+	partition := s.config.Ledger.Partition(request.Program)
+	asked := map[identity.NodeName]bool{}
+	for {
+		home, self := s.home(partition)
+		if self || !s.mayAsk(home) || asked[home.Name] {
+			return s.beginHere(ctx, request, self)
+		}
+		asked[home.Name] = true
+		turn, err = s.hedge(ctx, request, home)
+		if !errors.Is(err, errPassOn) {
+			return turn, err
+		}
 	}
-	return s.hedge(ctx, request, home)
+}
+
+// errPassOn tells that the home does not do the work, and that another candidate may.
+var errPassOn = errors.New("homes: the store does not answer the home, the next one is asked")
+
+// passesOn notes that the store does not answer a home, and tells whether another node is the
+// home now.
+func (s *Service) passesOn(partition int, home identity.NodeName) bool {
+	s.toldAway.add(home)
+	next, _ := s.home(partition)
+	return next.Name != home
+}
+
+// beginPassedOver begins a turn at the home that the store does not answer, where the node in
+// its place was refused: the rest of the budget is reserved, and most probably there.
+func (s *Service) beginPassedOver(ctx context.Context, request Request, refused error) (*Turn, error) {
+	first, passed := s.passedOver(s.config.Ledger.Partition(request.Program))
+	if !passed || first.Name != s.config.Self && !s.mayAsk(first) {
+		return nil, refused
+	}
+	var turn *Turn
+	var err error
+	if first.Name == s.config.Self {
+		turn, err = s.beginHere(ctx, request, false)
+	} else {
+		turn, err = s.beginThere(ctx, request, first, make(chan struct{}, 1))
+	}
+	if err != nil {
+		return nil, refused
+	}
+	return turn, nil
 }
 
 // result is the outcome of one of two ways to begin a turn.
@@ -53,6 +96,7 @@
 
 // hedge asks the home and, if that fails or takes long, does the work here too.
 func (s *Service) hedge(ctx context.Context, request Request, home identity.Node) (*Turn, error) {
+	partition := s.config.Ledger.Partition(request.Program)
 	results := make(chan result, 2)
 	lives := make(chan struct{}, 1)
 	pending := 1
@@ -92,6 +136,9 @@
 			if errors.Is(one.err, ledgerlog.ErrReserved) {
 				continue // the other way may be what has reserved the rest
 			}
+			if one.home && !here && errors.Is(one.err, ledgerlog.ErrStoreAway) && s.passesOn(partition, home.Name) {
+				return nil, errPassOn
+			}
 			if !errors.Is(one.err, ledgerlog.ErrUnavailable) {
 				go discard(results, pending) // an answer by proof
 				return nil, one.err
@@ -113,11 +160,20 @@
 	}
 }
 
+// take asks this node's own ledger for a turn's tokens; home tells that the partition is at
+// home here.
+func (s *Service) take(ctx context.Context, request *Request, grant ledger.GrantID, home bool) (ledgerlog.Grant, error) {
+	_, standIn := s.passedOver(s.config.Ledger.Partition(request.Program))
+	return s.config.Ledger.Take(ctx, ledgerlog.TurnRequest{
+		Program: request.Program, ID: grant, Budget: request.Budget, Most: request.Most, Home: home, StandIn: home && standIn,
+	})
+}
+
 // beginHere does the work through this node's own ledger.
 func (s *Service) beginHere(ctx context.Context, request Request, home bool) (*Turn, error) {
 	turn := &Turn{Home: s.config.Self}
 	if request.Budgeted {
-		grant, err := s.config.Ledger.Take(ctx, request.turn(ledgerlog.NewGrantID(), home))
+		grant, err := s.take(ctx, &request, ledgerlog.NewGrantID(), home)
 		if err != nil {
 			s.count("here", err)
 			return nil, err
--- a/internal/homes/handlers.go
+++ b/internal/homes/handlers.go
@@ -34,9 +34,9 @@
 	home := s.isHome(s.config.Ledger.Partition(asked.Request.Program))
 	answer := &begun{Status: statusDone}
 	if asked.Request.Budgeted {
-		grant, err := s.config.Ledger.Take(ctx, asked.Request.turn(asked.Grant, home))
+		grant, err := s.take(ctx, &asked.Request, asked.Grant, home)
 		if err != nil {
-			return refusal(err), nil
+			return s.refusal(err), nil
 		}
 		answer.Charged, answer.Ahead, answer.First = grant.Charged, grant.Ahead, grant.First
 	}
@@ -44,16 +44,20 @@
 		previous, err := s.findTurn(ctx, asked.Request.Program, asked.Request.Previous)
 		if err != nil {
 			s.config.Ledger.Finish(asked.Request.Program, asked.Grant, 0)
-			return refusal(err), nil
+			return s.refusal(err), nil
 		}
 		answer.Chain, answer.Resident = previous.Chain, previous.Resident
 	}
 	return answer, nil
 }
 
-// refusal tells an error of the ledger to the asking node.
-func refusal(err error) *begun {
+// refusal tells an error of the ledger to the asking node. Whatever failed while the store
+// does not answer this node failed for that, and another node may do it.
+func (s *Service) refusal(err error) *begun {
 	answer := &begun{Status: statusOf(err), Reason: err.Error()}
+	if answer.Status == statusUnavailable && !s.storeAnswers() {
+		answer.Status = statusStoreAway
+	}
 	var spent *ledgerlog.SpentError
 	if errors.As(err, &spent) {
 		answer.Charged = spent.Charged
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -61,11 +61,6 @@
 	Previous ledger.TurnID
 }
 
-// turn is what the ledger is asked for.
-func (r *Request) turn(grant ledger.GrantID, home bool) ledgerlog.TurnRequest {
-	return ledgerlog.TurnRequest{Program: r.Program, ID: grant, Budget: r.Budget, Most: r.Most, Home: home}
-}
-
 // Turn is a turn that has begun. Finish must be called once.
 type Turn struct {
 	// Charged is what was known to stand against the budget before, in tokens.
@@ -100,8 +95,11 @@
 	RoundTrip func(zone identity.Zone) time.Duration
 	// StoreAnswers tells whether the store answers this node; nil counts as yes.
 	StoreAnswers func() bool
-	Logger       *slog.Logger
-	Registerer   prometheus.Registerer
+	// Announce tells other nodes how often the store has ceased or begun to answer this one,
+	// see LacksStore, and all of them at once with everybody; nil where nobody is told.
+	Announce   func(changes uint64, everybody bool)
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
 }
 
 // Service does the ledger's work at homes. It is safe for concurrent use.
@@ -111,6 +109,9 @@
 	view    atomic.Pointer[siteView]
 	begun   *prometheus.CounterVec
 	closing atomic.Bool
+	// away is what this node has told last of the store, see standing.
+	away      atomic.Bool
+	standings *prometheus.CounterVec
 
 	// mutex guards avoid: until when homes are passed over.
 	mutex sync.Mutex
@@ -118,6 +119,8 @@
 	// storeless are the nodes that lately said that the store does not answer them, or
 	// said nothing when asked for work in the store.
 	storeless passing
+	// toldAway are those that said so when asked to begin a turn, before it was known of them.
+	toldAway passing
 }
 
 // New returns a service that knows no other nodes yet. It tells the ledger which
@@ -126,12 +129,16 @@
 	made := &Service{
 		config: config, began: time.Now(), avoid: map[identity.NodeName]time.Duration{},
 		storeless: passing{until: map[identity.NodeName]time.Time{}},
+		toldAway:  passing{until: map[identity.NodeName]time.Time{}},
+		standings: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_home_standings_total", Help: "Changes of whether the store answers this node, as told to others.",
+		}, []string{"standing"}),
 		begun: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_turns_begun_total", Help: "Turns begun in the ledger, by where and outcome.",
 		}, []string{"where", "outcome"}),
 	}
 	if config.Registerer != nil {
-		config.Registerer.MustRegister(made.begun)
+		config.Registerer.MustRegister(made.begun, made.standings)
 	}
 	config.Ledger.SetMembers(made)
 	return made
--- a/internal/homes/siteview.go
+++ b/internal/homes/siteview.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"strconv"
 	"sync"
 
 	"stepseam.example/stepseam/internal/identity"
@@ -14,12 +13,22 @@
 // the first question of a kind after a change looks at all members.
 type siteView struct {
 	members []membership.Member
+	// partitions is how many there are.
+	partitions int
+	// lacking are the members that have told that the store does not answer them.
+	lacking map[identity.NodeName]bool
 
 	// mutex guards all below, which is computed when it is asked for first.
 	mutex sync.Mutex
 	lives map[ledger.LifeID]bool
-	// homes remembers the homes of partitions, by whether this node closes.
-	homes map[homeKey]identity.Node
+	// candidates remembers the nodes that may keep a partition, by whether this node closes.
+	candidates map[homeKey][]identity.Node
+	// stays tells, once stayKnown, that the store answers nobody, so that homes stay.
+	stays, stayKnown bool
+	// ownRank is, once ownKnown, this node's best rank for a partition, and ownPartition that
+	// partition.
+	ownRank, ownPartition int
+	ownKnown              bool
 	// others are the peer addresses of the other living members.
 	others []netip.AddrPort
 }
@@ -30,8 +39,11 @@
 	closing   bool
 }
 
-func newSiteView(view membership.View) *siteView {
-	return &siteView{members: view.Members, homes: map[homeKey]identity.Node{}}
+func newSiteView(view membership.View, partitions int) *siteView {
+	return &siteView{
+		members: view.Members, partitions: partitions, lacking: lacking(view.Members),
+		candidates: map[homeKey][]identity.Node{},
+	}
 }
 
 // isMember tells whether a life is a member.
@@ -47,22 +59,64 @@
 	return v.lives[life]
 }
 
-// home returns the node that keeps a partition: the first by rank of the members that take
-// work, without this node if it closes.
-func (v *siteView) home(partition int, self identity.NodeName, closing bool) identity.Node {
-	key := homeKey{partition: partition, closing: closing}
+// ranked returns the nodes that may keep a partition, the first by rank first, in a slice that
+// the caller must not change; without self if it closes.
+func (v *siteView) ranked(partition int, self identity.NodeName, closing bool) []identity.Node {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	known, found := v.homes[key]
+	return v.rankedLocked(homeKey{partition: partition, closing: closing}, self)
+}
+
+// rankedLocked needs the mutex.
+func (v *siteView) rankedLocked(key homeKey, self identity.NodeName) []identity.Node {
+	known, found := v.candidates[key]
 	if !found {
-		known, _ = membership.Highest(strconv.Itoa(partition), v.members, func(member membership.Member) bool {
-			return member.Reachable() && !(closing && member.Node.Name == self)
-		})
-		v.homes[key] = known
+		known = candidatesOf(key.partition, v.members, self, key.closing)
+		v.candidates[key] = known
 	}
 	return known
 }
 
+// homesStay tells whether the store answers nobody, as far as members have told, so that
+// nothing is won by moving homes.
+func (v *siteView) homesStay(self identity.NodeName) bool {
+	if len(v.lacking) == 0 {
+		return false
+	}
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.stayKnown {
+		return v.stays
+	}
+	var firsts []identity.Node
+	for partition := range v.partitions {
+		if ranked := v.rankedLocked(homeKey{partition: partition}, self); len(ranked) > 0 {
+			firsts = append(firsts, ranked[0])
+		}
+	}
+	v.stays, v.stayKnown = answersNobody(firsts, v.lacking), true
+	return v.stays
+}
+
+// bestRank returns self's best rank for a partition, and that partition; candidateCount if it
+// is no candidate of any.
+func (v *siteView) bestRank(self identity.NodeName) (rank, partition int) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.ownKnown {
+		return v.ownRank, v.ownPartition
+	}
+	v.ownRank, v.ownKnown = candidateCount, true
+	for number := range v.partitions {
+		for place, node := range v.rankedLocked(homeKey{partition: number}, self) {
+			if node.Name == self && place < v.ownRank {
+				v.ownRank, v.ownPartition = place, number
+			}
+		}
+	}
+	return v.ownRank, v.ownPartition
+}
+
 // addresses returns the peer addresses of the other nodes that live, in a slice that the
 // caller must not change.
 func (v *siteView) addresses(self identity.NodeName) []netip.AddrPort {
--- /dev/null
+++ b/internal/homes/standin_test.go
@@ -0,0 +1,214 @@
+package homes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/residency"
+)
+
+// TestKeeperIsTheFirstThatTheStoreAnswers, and the first by rank where it answers none.
+func TestKeeperIsTheFirstThatTheStoreAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 40).Draw(t, "members")
+		view := largeView(count)
+		for i := range view.Members {
+			view.Members[i].TableVersion = rapid.Uint64Range(0, 3).Draw(t, "changes")
+		}
+		partition := rapid.IntRange(0, 23).Draw(t, "partition")
+		candidates := candidatesOf(partition, view.Members, "n0", false)
+		if len(candidates) != min(count, candidateCount) {
+			t.Fatalf("%d candidates of %d members", len(candidates), count)
+		}
+		lacks := lacking(view.Members)
+		kept := keeperOf(candidates, func(name identity.NodeName) bool { return lacks[name] })
+		want := candidates[0]
+		for _, candidate := range candidates {
+			if !lacks[candidate.Name] {
+				want = candidate
+				break
+			}
+		}
+		if kept != want {
+			t.Fatalf("%s keeps, want %s", kept.Name, want.Name)
+		}
+	})
+}
+
+// TestHomesStayWhereTheStoreAnswersNobody: only what the first candidates say counts.
+func TestHomesStayWhereTheStoreAnswersNobody(t *testing.T) {
+	is := is.New(t)
+	var firsts []identity.Node
+	lacks := map[identity.NodeName]bool{}
+	for i := range 9 {
+		firsts = append(firsts, identity.Node{Name: identity.NodeName(fmt.Sprint("n", i))}, identity.Node{Name: "n0"})
+	}
+	for i := range 9 {
+		is.Equal(answersNobody(firsts, lacks), i >= 7)
+		lacks[firsts[2*i].Name] = true
+	}
+	is.True(answersNobody(firsts, lacks))
+	is.True(!answersNobody(nil, lacks))
+}
+
+// tell lets nodes know which of them the store answers, as membership does.
+func tell(nodes []*node) {
+	view := membership.View{}
+	for _, member := range nodes {
+		changes := uint64(0)
+		if !member.store.answers() {
+			changes = 1
+		}
+		member.service.away.Store(changes == 1)
+		view.Members = append(view.Members, membership.Member{Node: member.identity, Status: membership.Alive, TableVersion: changes})
+	}
+	for _, one := range nodes {
+		one.service.SetView(view)
+	}
+}
+
+// candidatesIn returns the nodes that may keep p's partition, the first by rank first.
+func candidatesIn(nodes []*node) []*node {
+	of := nodes[0].service
+	var found []*node
+	for _, candidate := range of.view.Load().ranked(of.config.Ledger.Partition("p"), "", false) {
+		for _, one := range nodes {
+			if one.identity.Name == candidate.Name {
+				found = append(found, one)
+			}
+		}
+	}
+	return found
+}
+
+// TestAllAskTheNextInRankWhileTheStoreTurnsTheHomeAway, which keeps the program's credit for
+// all of them, and the home again afterwards.
+func TestAllAskTheNextInRankWhileTheStoreTurnsTheHomeAway(t *testing.T) {
+	is := is.New(t)
+	nodes := startClusterThat(t, 5, true)
+	ranked := candidatesIn(nodes)
+	mustBegin(t, ranked[0], turnOf("p", 100_000, 100)).Finish(10)
+	time.Sleep(50 * time.Millisecond) // the home owns the partition
+	ranked[0].store.closed.Store(true)
+	tell(nodes)
+	for _, from := range nodes {
+		began := time.Now()
+		turn := mustBegin(t, from, turnOf("p", 100_000, 100))
+		is.Equal(turn.Home, ranked[1].identity.Name)
+		turn.Finish(10)
+		is.True(time.Since(began) < withoutStore)
+	}
+	is.Equal(ranked[1].store.appended.Load(), int32(1)) // one reservation for all turns
+	ranked[0].store.closed.Store(false)
+	tell(nodes)
+	for _, from := range nodes {
+		is.Equal(mustBegin(t, from, turnOf("p", 100_000, 100)).Home, ranked[0].identity.Name)
+	}
+}
+
+// TestNextInRankIsAskedWhereTheHomeSaysSo: nobody has been told yet.
+func TestNextInRankIsAskedWhereTheHomeSaysSo(t *testing.T) {
+	is := is.New(t)
+	nodes := startClusterThat(t, 5, true)
+	ranked := candidatesIn(nodes)
+	ranked[0].store.closed.Store(true)
+	ranked[1].store.closed.Store(true)
+	for _, from := range ranked[3:] {
+		turn := mustBegin(t, from, turnOf("p", 100_000, 100))
+		is.Equal(turn.Home, ranked[2].identity.Name)
+		turn.Finish(10)
+	}
+}
+
+// TestHomesStayWhileTheStoreAnswersNobodyInACluster: the home goes on with what it has reserved.
+func TestHomesStayWhileTheStoreAnswersNobodyInACluster(t *testing.T) {
+	is := is.New(t)
+	nodes := startClusterThat(t, 5, true)
+	ranked := candidatesIn(nodes)
+	mustBegin(t, ranked[1], turnOf("p", 100_000, 100)).Finish(100)
+	for _, one := range nodes {
+		one.store.closed.Store(true)
+	}
+	tell(nodes)
+	turn := mustBegin(t, ranked[1], turnOf("p", 100_000, 100))
+	is.Equal(turn.Home, ranked[0].identity.Name)
+}
+
+// TestHomeThatTheStoreTurnsAwayServesWhatItHasReserved where its stand-in is refused for that.
+func TestHomeThatTheStoreTurnsAwayServesWhatItHasReserved(t *testing.T) {
+	is := is.New(t)
+	nodes := startClusterThat(t, 5, true)
+	ranked := candidatesIn(nodes)
+	mustBegin(t, ranked[2], turnOf("p", 1000, 100)).Finish(100)
+	time.Sleep(50 * time.Millisecond) // the home's reservation stands in the log
+	ranked[0].store.closed.Store(true)
+	tell(nodes)
+	served, homes := uint64(100), map[identity.NodeName]bool{}
+	for {
+		turn, err := ranked[2].service.Begin(t.Context(), turnOf("p", 1000, 100))
+		if err != nil {
+			break
+		}
+		homes[turn.Home] = true
+		turn.Finish(100)
+		served += 100
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(homes[ranked[0].identity.Name])
+	is.True(homes[ranked[1].identity.Name])
+	whole := ledger.OpenBudget(1000, 100) // nobody was sure at the first turn
+	is.True(served <= whole)
+	is.True(served+100 >= whole)
+}
+
+// TestBudgetHoldsWhileHomesMove begins turns of one program everywhere while the store turns
+// changing thirds of the nodes away, who are told of that late or not at all.
+func TestBudgetHoldsWhileHomesMove(t *testing.T) {
+	is := is.New(t)
+	nodes := startClusterThat(t, 5, true)
+	const budget, most = 4000, 100
+	handedOut := 0
+	for round := range 120 {
+		for i, one := range nodes {
+			one.store.closed.Store((i+round/7)%3 == 0)
+		}
+		if round%5 == 0 {
+			tell(nodes)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		turn, err := nodes[round%len(nodes)].service.Begin(ctx, turnOf("p", budget, most))
+		cancel()
+		if err != nil {
+			continue
+		}
+		handedOut += most
+		turn.Finish(most)
+	}
+	is.True(handedOut <= budget+most)
+	is.True(handedOut >= budget/2)
+}
+
+// TestTurnIsFoundThroughAStandIn that has not read the partition before.
+func TestTurnIsFoundThroughAStandIn(t *testing.T) {
+	is := is.New(t)
+	nodes := startClusterThat(t, 5, true)
+	ranked := candidatesIn(nodes)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	is.NoErr(ranked[2].service.Keep(ctx, ledger.Keep{Program: "p", Turn: "t1", For: time.Minute}, []byte("one"), residency.Homes{}))
+	ranked[0].store.closed.Store(true)
+	tell(nodes)
+	is.Equal(len(mustBegin(t, ranked[3], Request{Program: "p", Previous: "t1"}).Chain), 1)
+	_, err := ranked[3].service.Begin(ctx, Request{Program: "p", Previous: "never"})
+	is.True(errors.Is(err, ledgerlog.ErrNoSuchTurn))
+}
--- a/internal/homes/view.go
+++ b/internal/homes/view.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"stepseam.example/stepseam/internal/identity"
@@ -14,14 +15,14 @@
 // SetView tells which nodes live. Partitions that are at home elsewhere now are
 // given up at once.
 func (s *Service) SetView(view membership.View) {
-	s.view.Store(newSiteView(view))
-	s.config.Ledger.Tidy(s.isHome)
+	s.view.Store(newSiteView(view, s.config.Ledger.Partitions()))
+	s.config.Ledger.Tidy(s.keepsCredits)
 }
 
 // Close makes this node the home of nothing.
 func (s *Service) Close() {
 	s.closing.Store(true)
-	s.config.Ledger.Tidy(s.isHome)
+	s.config.Ledger.Tidy(s.keepsCredits)
 }
 
 // LifeOf names a life of a node in the ledger.
@@ -44,8 +45,20 @@
 	return s.Lives(life) || s.config.Peers != nil && time.Since(s.began) < learnMembers
 }
 
-// Run gives up partitions that are at home elsewhere until ctx ends.
-func (s *Service) Run(ctx context.Context) { s.config.Ledger.Run(ctx, s.isHome) }
+// Run gives up partitions that are at home elsewhere, and tells others whether the store
+// answers this node, until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var watching sync.WaitGroup
+	watching.Go(func() { s.watchStore(ctx) })
+	s.config.Ledger.Run(ctx, s.keepsCredits)
+	watching.Wait()
+}
+
+// keepsCredits tells whether this node holds on to a partition's credits. One that the store
+// does not answer could give none back, and goes on with them afterwards.
+func (s *Service) keepsCredits(partition int) bool {
+	return s.isHome(partition) || s.away.Load() && !s.closing.Load()
+}
 
 func (s *Service) isHome(partition int) bool {
 	_, self := s.home(partition)
@@ -59,10 +72,40 @@
 	if view == nil || len(view.members) <= 1 {
 		return identity.Node{}, !s.closing.Load() && (s.config.Peers == nil || time.Since(s.began) > settleAfter)
 	}
-	best := view.home(partition, s.config.Self, s.closing.Load())
+	best := s.keeper(view, view.ranked(partition, s.config.Self, s.closing.Load()))
 	return best, best.Name == s.config.Self
 }
 
+// keeper returns the one of a partition's candidates that keeps it.
+func (s *Service) keeper(view *siteView, candidates []identity.Node) identity.Node {
+	if view.homesStay(s.config.Self) {
+		return keeperOf(candidates, func(identity.NodeName) bool { return false })
+	}
+	return keeperOf(candidates, func(name identity.NodeName) bool { return s.lacksStore(view, name) })
+}
+
+// lacksStore tells whether the store does not answer a node, as far as it has told.
+func (s *Service) lacksStore(view *siteView, name identity.NodeName) bool {
+	if name == s.config.Self {
+		return s.away.Load()
+	}
+	return view.lacking[name] || s.toldAway.has(name)
+}
+
+// passedOver returns the first by rank of a partition's candidates if another node keeps the
+// partition since the store does not answer that one.
+func (s *Service) passedOver(partition int) (identity.Node, bool) {
+	view := s.view.Load()
+	if view == nil {
+		return identity.Node{}, false
+	}
+	candidates := view.ranked(partition, s.config.Self, s.closing.Load())
+	if len(candidates) == 0 || s.keeper(view, candidates).Name == candidates[0].Name {
+		return identity.Node{}, false
+	}
+	return candidates[0], true
+}
+
 // mayAsk tells whether a home may be asked: there is one, and it has answered lately.
 func (s *Service) mayAsk(home identity.Node) bool {
 	return home.Name != "" && s.config.Peers != nil && !s.avoided(home.Name)
--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -22,6 +22,9 @@
 	ownPause = time.Second
 	// releasePatience is how long an owner that lives may take to release.
 	releasePatience = 4 * time.Second
+	// standInPatience is how long a stand-in leaves the ownership to an owner that lives. It
+	// would not be sure before, and the owner not when it comes back.
+	standInPatience = ledger.SureAfter
 	// learnTimeout bounds the first read of a partition.
 	learnTimeout = 2 * time.Second
 	// awayPause is the time between two looks whether the store still answers.
@@ -274,6 +277,9 @@
 	}
 	h.mutex.Lock()
 	h.leaving = !home
+	if !home {
+		h.wantedSince = 0
+	}
 	h.forgetAbandoned()
 	undecided := false
 	for program, held := range h.credits {
@@ -312,10 +318,14 @@
 }
 
 // claim makes this life the partition's owner, in the background, unless it is.
-// While the present owner lives, it is given time to release.
-func (h *holder) claim() {
+// While the present owner lives, it is given time to release, and a stand-in gives it more.
+func (h *holder) claim(standIn bool) {
+	patience := releasePatience
+	if standIn {
+		patience = standInPatience
+	}
 	if !h.partition.follower.heard() {
-		h.learnOwner()
+		h.learnOwner(standIn)
 		return
 	}
 	owner := h.partition.follower.owner()
@@ -328,7 +338,7 @@
 	if h.wantedSince == 0 {
 		h.wantedSince = now
 	}
-	if owner != "" && h.members.Lives(owner) && now-h.wantedSince < releasePatience {
+	if owner != "" && h.members.Lives(owner) && now-h.wantedSince < patience {
 		return
 	}
 	h.leaving, h.wantedSince = false, 0
@@ -338,7 +348,7 @@
 
 // learnOwner reads the partition for the first time, in the background, and claims
 // it then.
-func (h *holder) learnOwner() {
+func (h *holder) learnOwner(standIn bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.claiming {
@@ -354,7 +364,7 @@
 		h.claiming = false
 		h.mutex.Unlock()
 		if err == nil {
-			h.claim()
+			h.claim(standIn)
 		}
 	}()
 }
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -154,8 +154,9 @@
 	ID ledger.GrantID
 	// Budget is the program's, Most what the turn hands out at most, in tokens.
 	Budget, Most uint32
-	// Home tells whether this node should own the program's partition.
-	Home bool
+	// Home tells whether this node should own the program's partition; StandIn that it does so
+	// in place of one that lives and may come back soon.
+	Home, StandIn bool
 }
 
 // NewGrantID returns an id that no other turn has.
@@ -166,11 +167,17 @@
 func (l *Ledger) Take(ctx context.Context, request TurnRequest) (Grant, error) {
 	holder := l.of(request.Program).holder
 	if request.Home {
-		holder.claim()
+		holder.claim(request.StandIn)
 	}
 	return holder.take(ctx, request)
 }
 
+// CatchUp reads a partition to its end, as far as the store answers until ctx ends.
+func (l *Ledger) CatchUp(ctx context.Context, partition int) {
+	// Whoever needs the partition reads on.
+	_ = l.partitions[partition].follower.readToEnd(ctx)
+}
+
 // Finish ends a turn that handed out used tokens. One that has not begun yet will
 // not begin any more.
 func (l *Ledger) Finish(program ledger.ProgramID, grant ledger.GrantID, used uint32) {
--- a/internal/membership/contract.go
+++ b/internal/membership/contract.go
@@ -22,7 +22,9 @@
 type Member struct {
 	Node   identity.Node
 	Status Status
-	// TableVersion is the table version in force there; it rides on the probes.
+	// TableVersion is the table version in force there; it rides on the probes. Within one
+	// life it only rises. Of a routed node, it is how often the store has ceased or begun to
+	// answer it, see homes.LacksStore.
 	TableVersion uint64
 	// Figure is what the node tells of itself: the shards that a site's node owns, or the
 	// processor of a routed node in thousandths of a core; 0 where it tells nothing.
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -133,6 +133,23 @@
 	}
 }
 
+// AnnounceInfo is SetInfo for news that others act on: it is passed on like a change of this
+// node's condition, so that it does not wait until each has been probed. With everybody, all
+// live members are told at once.
+func (s *State) AnnounceInfo(tableVersion uint64, figure uint32, everybody bool) []Datagram {
+	if s.self.condition.gone() {
+		return nil
+	}
+	s.SetInfo(tableVersion, figure)
+	s.change(s.self, func() { s.self.refutation++ })
+	if everybody {
+		s.pushTo(s.live)
+	} else {
+		s.push()
+	}
+	return s.takeOutbox()
+}
+
 // AnnounceLeaving tells the others that this node wants no shards any more, and
 // returns the first datagrams that say so.
 func (s *State) AnnounceLeaving() []Datagram {
@@ -151,8 +168,11 @@
 const pushCount = 6
 
 // push tells some members of this node's own condition without delay.
-func (s *State) push() {
-	for _, member := range s.sample(pushCount, func(r *record) bool { return !r.condition.gone() }) {
+func (s *State) push() { s.pushTo(pushCount) }
+
+// pushTo tells that many members of this node's own condition.
+func (s *State) pushTo(count int) {
+	for _, member := range s.sample(count, func(r *record) bool { return !r.condition.gone() }) {
 		s.send(member.node.ProbeAddress, member, &datagram{kind: kindNotice})
 	}
 }
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -111,6 +111,9 @@
 		return homes.New(config), nil
 	}
 	config.Peers = others.transport
+	config.Announce = func(changes uint64, everybody bool) {
+		others.runner.AnnounceInfo(changes, chosen.Machine.Thousandths(), everybody)
+	}
 	made := homes.New(config)
 	made.Register(others.registry)
 	others.onView = append(others.onView, made.SetView)
