Give back at once what a node that is no home has reserved

Change: such a node settles when the turn ends, or when it is relieved, without waiting for company. A turn that is refused since others that live hold the rest of the budget asks again, twice, 60 ms apart.

--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 const (
@@ -29,6 +31,11 @@
 	learnTimeout = 2 * time.Second
 	// awayPause is the time between two looks whether the store still answers.
 	awayPause = 50 * time.Millisecond
+	// reserveTries is how often a turn asks for its tokens where others that live have
+	// reserved them, and releasePause the time between: a node that is no home gives back
+	// what a turn has left as soon as that ends.
+	reserveTries = 3
+	releasePause = 60 * time.Millisecond
 	// abandonedLife is how long the end of a turn that has not begun is remembered.
 	abandonedLife = 10 * time.Second
 )
@@ -92,7 +99,7 @@
 // take begins a turn. Errors are those of Ledger.Take. Nodes that should not own
 // the partition reserve no more than the turn needs.
 func (h *holder) take(ctx context.Context, request TurnRequest) (Grant, error) {
-	for {
+	for refused := 0; ; {
 		grant, call, own := h.tryTake(request)
 		if call == nil {
 			return h.unlessAbandoned(grant)
@@ -104,8 +111,13 @@
 		if call.err != nil {
 			return Grant{}, fmt.Errorf("%w: reserve: %w", ErrUnavailable, call.err)
 		}
-		if own && !call.granted {
-			return Grant{}, h.refusal(request.Program)
+		if !own || call.granted {
+			continue
+		}
+		err := h.refusal(request.Program)
+		refused++
+		if !errors.Is(err, ErrReserved) || refused >= reserveTries || wait.For(ctx, releasePause) != nil {
+			return Grant{}, err
 		}
 	}
 }
@@ -220,16 +232,22 @@
 
 // finish ends a turn, or keeps it from beginning.
 func (h *holder) finish(program ledger.ProgramID, grant ledger.GrantID, used uint32) {
+	if h.finishHeld(program, grant, used) {
+		h.partition.flush()
+	}
+}
+
+// finishHeld ends a turn and tells whether that has settled the program's credit, which
+// the program's next home may be waiting for.
+func (h *holder) finishHeld(program ledger.ProgramID, grant ledger.GrantID, used uint32) (settled bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	held, known := h.credits[program]
 	if !known || !held.credit.Finish(grant, used, h.clock()) {
 		h.abandoned[grant] = h.clock()
-		return
-	}
-	if h.leaving {
-		h.settleIfIdle(program, held, 0)
+		return false
 	}
+	return h.leaving && h.settleIfIdle(program, held, 0)
 }
 
 // forgetAbandoned needs the mutex.
@@ -243,15 +261,17 @@
 }
 
 // settleIfIdle settles a credit that has rested for the given time, and forgets it.
-// It needs the mutex.
-func (h *holder) settleIfIdle(program ledger.ProgramID, held *heldCredit, rest time.Duration) {
+// It tells whether records of that are to be written. It needs the mutex.
+func (h *holder) settleIfIdle(program ledger.ProgramID, held *heldCredit, rest time.Duration) bool {
 	if held.asking != nil || !held.credit.Idle(rest, h.clock()) {
-		return
+		return false
 	}
-	for _, record := range held.credit.Settle() {
+	records := held.credit.Settle()
+	for _, record := range records {
 		h.partition.submitLater(ledger.Encode(record))
 	}
 	delete(h.credits, program)
+	return len(records) > 0
 }
 
 // refusal tells why the last reservation for a program was refused.
@@ -281,13 +301,16 @@
 		h.wantedSince = 0
 	}
 	h.forgetAbandoned()
-	undecided := false
+	undecided, settled := false, false
 	for program, held := range h.credits {
 		held.credit.Expire(grantLife, h.clock())
 		undecided = undecided || held.asking != nil
-		h.settleIfIdle(program, held, rest)
+		settled = h.settleIfIdle(program, held, rest) || settled
 	}
 	h.mutex.Unlock()
+	if settled && !home {
+		h.partition.flush()
+	}
 	switch {
 	case home:
 	case undecided:
@@ -316,82 +339,3 @@
 	h.mutex.Unlock()
 	return !leaving && h.partition.follower.sure(h.life)
 }
-
-// claim makes this life the partition's owner, in the background, unless it is.
-// While the present owner lives, it is given time to release, and a stand-in gives it more.
-func (h *holder) claim(standIn bool) {
-	patience := releasePatience
-	if standIn {
-		patience = standInPatience
-	}
-	if !h.partition.follower.heard() {
-		h.learnOwner(standIn)
-		return
-	}
-	owner := h.partition.follower.owner()
-	now := h.clock()
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if owner == h.life || h.claiming || h.claimedAt > 0 && now-h.claimedAt < ownPause {
-		return
-	}
-	if h.wantedSince == 0 {
-		h.wantedSince = now
-	}
-	if owner != "" && h.members.Lives(owner) && now-h.wantedSince < patience {
-		return
-	}
-	h.leaving, h.wantedSince = false, 0
-	h.claimedAt = now
-	h.write(ledger.Own{Life: h.life})
-}
-
-// learnOwner reads the partition for the first time, in the background, and claims
-// it then.
-func (h *holder) learnOwner(standIn bool) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if h.claiming {
-		return
-	}
-	h.claiming = true
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), learnTimeout)
-		defer cancel()
-		// After a failed read, the next turn tries again.
-		err := h.partition.follower.readToEnd(ctx)
-		h.mutex.Lock()
-		h.claiming = false
-		h.mutex.Unlock()
-		if err == nil {
-			h.claim(standIn)
-		}
-	}()
-}
-
-// release gives the ownership back. Nothing is ahead of the log here any more.
-func (h *holder) release() {
-	owner := h.partition.follower.owner()
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if owner == h.life && !h.claiming {
-		h.write(ledger.Release{Life: h.life})
-	}
-}
-
-// write writes a record of the ownership and reads the partition up to it, in the
-// background. It needs the mutex.
-func (h *holder) write(record ledger.Record) {
-	h.claiming = true
-	waiting := h.partition.submitNow(ledger.Encode(record))
-	go func() {
-		outcome := <-waiting.outcome
-		if outcome.err == nil {
-			// A failed read is repeated by the next who needs it.
-			_ = h.partition.follower.readTo(context.Background(), outcome.first)
-		}
-		h.mutex.Lock()
-		defer h.mutex.Unlock()
-		h.claiming = false
-	}()
-}
