--- a/internal/limits/allot.go
+++ b/internal/limits/allot.go
@@ -174,7 +174,9 @@
 	s.allocator.SetShare(s.share(now))
 	switch {
 	case len(left) > 0:
-		s.takeLeft(tenant, left, limit, now)
+		for _, one := range left {
+			s.allocator.Take(tenant, one, limit, now)
+		}
 	case s.allocator.Has(tenant) && reached:
 		s.allocator.Verify(tenant, now)
 	case steady:
@@ -186,18 +188,6 @@
 	close(done)
 }
 
-// takeLeft needs the mutex. It opens an account with what others had left: of the whole, or
-// of their side's part of it.
-func (s *Service) takeLeft(tenant string, left []quota.Account, limit quota.Limit, now time.Duration) {
-	for _, one := range left {
-		if s.allocator.Grants(tenant) {
-			s.allocator.Take(tenant, one, now)
-			continue
-		}
-		s.allocator.Succeed(tenant, one, limit, now)
-	}
-}
-
 // beginSettling returns a channel that is to be closed once the account is settled, or nil
 // where it is. It waits while another request settles it. steady tells that no node came
 // or went for long, so that nobody else can have granted.
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -111,10 +111,11 @@
 
 // Take opens an account with what another node had left. It adds to what this node has left
 // of its own part, which both have granted from at the same time, unless this one stood
-// still: then the other has granted all.
-func (a *Allocator) Take(tenant string, account Account, now time.Duration) {
+// still: then the other has granted all, and may grant on until it hears of this one.
+func (a *Allocator) Take(tenant string, account Account, limit Limit, now time.Duration) {
 	if found := a.tenants[tenant]; found != nil && found.stale {
-		found.requests, found.begins, found.filledAt = 0, 0, now
+		found.begins, found.filledAt = 0, now
+		found.requests = -a.policy.Refill(limit) * a.share * unheardFor.Seconds()
 	}
 	opened := a.open(tenant, now)
 	opened.requests += account.Requests
@@ -122,28 +123,17 @@
 	opened.learned.adopt(account.PerProgram)
 }
 
-// unheardFor is how long the node before may go on granting after it has handed over, since
-// it has not heard yet that another one allots.
+// unheardFor is how long the node that granted in the place of one that stood still may go on
+// after it has handed over, since it has not heard yet that the other one is back.
 const unheardFor = 500 * time.Millisecond
 
-// Succeed opens an account with what the node before had left, less what that one may still
-// grant until it hears of this one.
-func (a *Allocator) Succeed(tenant string, account Account, limit Limit, now time.Duration) {
-	account.Requests -= a.policy.Refill(limit) * a.share * unheardFor.Seconds()
-	a.Take(tenant, account, now)
-}
-
-// Grants tells whether this node has an account that no standstill has made doubtful, so that
-// what others have left is beside it.
-func (a *Allocator) Grants(tenant string) bool { return a.Has(tenant) && !a.tenants[tenant].stale }
-
 // Presume opens an account and takes the limit, but for a part of its spare, for used,
 // since what others have granted can't be learned.
 func (a *Allocator) Presume(tenant string, limit Limit, now time.Duration) {
 	const takeOvers = 2 // in one window
 	most := a.policy.Spare(limit) / takeOvers * a.share
 	if !a.Has(tenant) {
-		a.Take(tenant, Account{Requests: most, Begins: most}, now)
+		a.Take(tenant, Account{Requests: most, Begins: most}, limit, now)
 		return
 	}
 	opened := a.open(tenant, now)
