Leave texts out of the index where turns come too fast for its bound

Change: texts go into the index only while those of all turns of the last 30 s, wherever they stand, would keep within the bound over the store's retention. The bound is a setting, store.index_text_bytes. Result: in the tests all texts of 150 bytes a second and partition stand in the index, and less than one in a thousand at 20 kB a second.

--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -108,7 +108,7 @@
 		Ledger: ledgerlog.New(ledgerlog.Config{
 			Store: made.store, Topic: "ledger", TextTopic: "texts", Partitions: partitions,
 			StoreAnswers: answers,
-			Producer:     string(LifeOf(made.identity.Reference())), RecordBytes: 1 << 16, CallBytes: 1 << 20, CacheBytes: 1,
+			Producer:     string(LifeOf(made.identity.Reference())), RecordBytes: 1 << 16, CallBytes: 1 << 20, CacheBytes: 1, IndexTextBytes: 1 << 16,
 			Logger: slog.New(slog.DiscardHandler),
 		}),
 	})
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -76,9 +76,11 @@
 	skipped  bool
 	accounts map[ProgramID]*account
 	turns    map[TurnID]keptTurn
-	// rule bounds the texts of turns in the partition, texts counts them.
+	// rule bounds the texts of turns in the partition, texts counts them, and demand those
+	// of all kept turns.
 	rule   TextRule
 	texts  textWindow
+	demand textWindow
 	pruned time.Duration
 }
 
@@ -132,6 +134,7 @@
 		p.texts.add(len(record.Bytes), now, p.rule.Retain)
 	case Keep:
 		chain := resolved(record.Chain, p.next-1)
+		p.noteDemand(chain, now)
 		p.turns[record.Turn] = keptTurn{KeptTurn: KeptTurn{Chain: chain, Resident: record.Resident}, expires: now + record.For + keepSlack}
 	}
 	return Verdict{}, false
--- a/internal/ledger/text.go
+++ b/internal/ledger/text.go
@@ -76,12 +76,25 @@
 type TextRule struct {
 	// Retain is how long the store keeps records.
 	Retain time.Duration
-	// WindowBytes bounds the texts that the records of the last Retain hold.
+	// WindowBytes bounds the texts that the records of the last Retain hold. Where turns
+	// come so fast that theirs would be more, almost none stands in the partition: what
+	// saves calls only until the window is used up is no saving.
 	WindowBytes int
 	// TextBytes bounds one text.
 	TextBytes int
 }
 
+// demandSpan is the span over which the rate of kept turns is observed.
+const demandSpan = 30 * time.Second
+
+// demandBytes is the most that the texts of all turns of a demandSpan may be.
+func (r *TextRule) demandBytes() int {
+	if r.Retain <= demandSpan {
+		return r.WindowBytes
+	}
+	return int(int64(r.WindowBytes) * int64(demandSpan) / int64(r.Retain))
+}
+
 // textSlot is the span that texts are counted by.
 const textSlot = 5 * time.Second
 
@@ -131,14 +144,24 @@
 // TakesText tells whether one more text may stand in the partition.
 func (p *Partition) TakesText(size int, now time.Duration) bool {
 	p.texts.forget(now, p.rule.Retain)
-	return size <= p.rule.TextBytes && p.texts.sum()+size <= p.rule.WindowBytes
+	p.demand.forget(now, demandSpan)
+	return size <= p.rule.TextBytes && p.texts.sum()+size <= p.rule.WindowBytes && p.demand.sum()+size <= p.rule.demandBytes()
+}
+
+// noteDemand counts the text of a kept turn, wherever it stands.
+func (p *Partition) noteDemand(chain []Location, now time.Duration) {
+	if len(chain) > 0 {
+		p.demand.add(int(chain[len(chain)-1].Size), now, demandSpan)
+	}
 }
 
 // NoteText counts a text that this node has written and not read.
 func (p *Partition) NoteText(size int, now time.Duration) { p.texts.add(size, now, p.rule.Retain) }
 
-// TextBytes returns the bytes of texts that a take-over of the partition reads.
-func (p *Partition) TextBytes(now time.Duration) int {
+// TextBytes returns the bytes of texts that a take-over of the partition reads, and those
+// of all turns kept of late.
+func (p *Partition) TextBytes(now time.Duration) (held, demanded int) {
 	p.texts.forget(now, p.rule.Retain)
-	return p.texts.sum()
+	p.demand.forget(now, demandSpan)
+	return p.texts.sum(), p.demand.sum()
 }
--- a/internal/ledger/text_test.go
+++ b/internal/ledger/text_test.go
@@ -75,6 +75,7 @@
 				t.Fatalf("a text of %d bytes", size)
 			}
 			p.Apply(Encode(Text{Bytes: make([]byte, size)}), now)
+			p.Apply(Encode(Keep{Program: "p", Turn: "t", Chain: []Location{TextBefore(5, size)}}), now)
 			held = append(held, written{now, size})
 			sum := 0
 			for _, one := range held {
@@ -82,7 +83,7 @@
 					sum += one.bytes
 				}
 			}
-			if sum > rule.WindowBytes || p.TextBytes(now) > rule.WindowBytes {
+			if sum > rule.WindowBytes || textsIn(p, now) > rule.WindowBytes {
 				t.Fatalf("%d bytes in the last minute", sum)
 			}
 		}
@@ -92,6 +93,39 @@
 	})
 }
 
+func textsIn(p *Partition, now time.Duration) int {
+	held, _ := p.TextBytes(now)
+	return held
+}
+
+// TestManyTurnsLeaveTheirTextsOut: where all texts would use up the window within the
+// store's retention, hardly any stands in the partition, not even at first; where they
+// would not, all do.
+func TestManyTurnsLeaveTheirTextsOut(t *testing.T) {
+	rule := TextRule{Retain: 5 * time.Minute, WindowBytes: 64 << 10, TextBytes: 4 << 10}
+	for bytesPerSecond, least := range map[int]float64{50: 1, 150: 1, 20_000: 0} {
+		is := is.New(t)
+		p := NewPartition()
+		p.LimitTexts(rule)
+		const size, seconds = 1_000, 900
+		taken, turns := 0, bytesPerSecond*seconds/size
+		for i := range turns {
+			now := time.Duration(i) * seconds * time.Second / time.Duration(turns)
+			location := Location{Partition: 3, Offset: 9, Size: size}
+			if p.TakesText(size, now) {
+				taken++
+				p.Apply(Encode(Text{Bytes: make([]byte, size)}), now)
+				location = TextBefore(5, size)
+			}
+			p.Apply(Encode(Keep{Program: "p", Turn: "t", Chain: []Location{location}}), now)
+			is.True(textsIn(p, now) <= rule.WindowBytes)
+		}
+		share := float64(taken) / float64(turns)
+		is.True(share >= least)
+		is.True(least > 0 || share < 0.001)
+	}
+}
+
 func TestTextsThatATakeOverHasReadCount(t *testing.T) {
 	is := is.New(t)
 	p := NewPartition()
--- a/internal/ledgerlog/keeptext.go
+++ b/internal/ledgerlog/keeptext.go
@@ -4,18 +4,15 @@
 	"bytes"
 	"context"
 	"fmt"
+	"time"
 
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/logstore"
 )
 
 const (
-	// takeOverTextBytes bounds the texts that a take-over of a partition reads. After the
-	// loss of all machines many nodes read many partitions at once, over the store's one
-	// way out and links of 22 Mbit/s, where what is read has to come within a read's time.
-	takeOverTextBytes = 64 << 10
-	// indexTextBytes bounds one text in the index, so that no few texts fill it.
-	indexTextBytes = takeOverTextBytes / 16
+	// indexTexts is how many of the largest texts use up a partition's window.
+	indexTexts = 16
 	// textKindBytes is what a record of the index takes besides its text.
 	textKindBytes = 1
 )
@@ -26,7 +23,7 @@
 		return ledger.TextRule{}
 	}
 	return ledger.TextRule{
-		Retain: c.Retain, WindowBytes: takeOverTextBytes, TextBytes: min(indexTextBytes, c.RecordBytes-textKindBytes),
+		Retain: c.Retain, WindowBytes: c.IndexTextBytes, TextBytes: min(c.IndexTextBytes/indexTexts, c.RecordBytes-textKindBytes),
 	}
 }
 
@@ -88,19 +85,25 @@
 		return false
 	}
 	now := f.clock()
-	f.tellRoom(f.state.TextBytes(now))
-	return f.state.TakesText(size, now)
+	takes := f.state.TakesText(size, now)
+	f.tellRoom(now)
+	return takes
 }
 
-// tellRoom logs when the texts in the partition, in bytes, have used up its window, and
-// when half of that is free again. It needs the mutex.
-func (f *follower) tellRoom(held int) {
-	full := held > takeOverTextBytes-indexTextBytes
-	if full == f.textsApart || f.textsApart && held > takeOverTextBytes/2 {
+// tellRoom logs when the partition takes hardly any text any more, and when it takes the
+// largest again. It needs the mutex.
+func (f *follower) tellRoom(now time.Duration) {
+	const smallest = 1
+	room := f.state.TakesText(smallest, now)
+	if f.textsApart {
+		room = f.state.TakesText(f.largestText, now)
+	}
+	if room != f.textsApart {
 		return
 	}
-	f.textsApart = full
-	f.logger.Info("texts in the index", "partition", f.partition.Number, "taken", !full, "text_bytes", held)
+	f.textsApart = !room
+	held, demanded := f.state.TextBytes(now)
+	f.logger.Info("texts in the index", "partition", f.partition.Number, "taken", room, "text_bytes", held, "demanded_bytes", demanded)
 }
 
 // noteUnread counts a text that this node wrote at an offset unless it was applied, which
--- a/internal/ledgerlog/keeptext_test.go
+++ b/internal/ledgerlog/keeptext_test.go
@@ -60,7 +60,7 @@
 		is.Equal(calls("t2", smallText, true), 2)
 		is.Equal(calls("t3", strings.Repeat("x", 64), false), 2)
 		is.Equal(calls("t4", "", false), 1)
-		l.of("p").follower.state.NoteText(takeOverTextBytes, l.of("p").follower.clock())
+		l.of("p").follower.state.NoteText(testTextBytes, l.of("p").follower.clock())
 		is.Equal(calls("t5", smallText, false), 2)
 		time.Sleep(2 * time.Minute) // the store has dropped them
 		is.Equal(calls("t6", smallText, false), 1)
@@ -221,15 +221,22 @@
 	})
 }
 
-// TestLackOfRoomIsToldOnce: not for each text, and again once half of the window is free.
+// TestLackOfRoomIsToldOnce: not for each text, and again once there is room for the largest.
 func TestLackOfRoomIsToldOnce(t *testing.T) {
 	is := is.New(t)
 	lines := &strings.Builder{}
-	f := &follower{logger: slog.New(slog.NewTextHandler(lines, nil))}
-	for _, held := range []int{0, takeOverTextBytes, takeOverTextBytes - 1, takeOverTextBytes * 3 / 4, takeOverTextBytes} {
-		f.tellRoom(held)
-	}
+	f := &follower{logger: slog.New(slog.NewTextHandler(lines, nil)), state: ledger.NewPartition(), largestText: 50}
+	f.state.LimitTexts(ledger.TextRule{Retain: time.Minute, WindowBytes: 100, TextBytes: 50})
+	f.tellRoom(0)
+	is.Equal(lines.String(), "")
+	f.state.NoteText(60, 0)
+	f.tellRoom(0)
+	is.Equal(lines.String(), "") // smaller ones find room
+	f.state.NoteText(40, 30*time.Second)
+	f.tellRoom(30 * time.Second)
+	f.tellRoom(31 * time.Second)
 	is.Equal(strings.Count(lines.String(), "taken=false"), 1)
-	f.tellRoom(takeOverTextBytes / 3)
+	f.tellRoom(70 * time.Second) // the first are gone
+	f.tellRoom(71 * time.Second)
 	is.Equal(strings.Count(lines.String(), "taken=true"), 1)
 }
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -64,6 +64,9 @@
 	RecordBytes, CallBytes int
 	// Retain is how long the store keeps records.
 	Retain time.Duration
+	// IndexTextBytes bounds the texts of turns that a take-over of a partition reads; 0
+	// leaves all texts to their own topic.
+	IndexTextBytes int
 	// CacheBytes bounds the texts of turns in memory.
 	CacheBytes int
 	// StoreAnswers tells whether the store answers this node, as far as is known; nil
@@ -99,14 +102,15 @@
 	clock := func() time.Duration { return time.Since(began) }
 	pace, window, resend := &pacer{}, &readWindow{}, &retransmission{}
 	built := &Ledger{config: config, texts: newTextStore(config, counted, pace, resend)}
+	rule := config.textRule()
 	for number := range config.Partitions {
 		place := logstore.Partition{Topic: config.Topic, Number: number}
 		reads := &follower{
 			store: config.Store, partition: place, metrics: counted, window: window,
 			clock: clock, state: ledger.NewPartition(), verdicts: map[ledger.AttemptID]*ledger.Verdict{},
-			logger: config.Logger, onText: built.texts.remember,
+			logger: config.Logger, onText: built.texts.remember, largestText: rule.TextBytes,
 		}
-		reads.state.LimitTexts(config.textRule())
+		reads.state.LimitTexts(rule)
 		added := &partition{
 			follower: reads,
 			appender: &appender{
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -19,10 +19,13 @@
 	"stepseam.example/stepseam/internal/logstore"
 )
 
+// testTextBytes is room for many texts of the tests.
+const testTextBytes = 512 << 10
+
 func newLedger(log logstore.Store, name string) *Ledger {
 	return New(Config{
 		Store: log, Topic: "ledger", TextTopic: "texts", Partitions: 3, Producer: name,
-		RecordBytes: 64, CallBytes: 1 << 20, CacheBytes: 1 << 10, Retain: time.Minute, Logger: slog.New(slog.DiscardHandler),
+		RecordBytes: 64, CallBytes: 1 << 20, CacheBytes: 1 << 10, Retain: time.Minute, IndexTextBytes: testTextBytes, Logger: slog.New(slog.DiscardHandler),
 	})
 }
 
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -45,6 +45,8 @@
 	// begun counts the reads; answered is the number of the last one that the
 	// store answered.
 	begun, answered uint64
+	// largestText is the size of the largest text that the partition ever takes.
+	largestText int
 	// textsApart tells that the partition has been said to have no room for texts.
 	textsApart bool
 	// confirmed is when the log was last heard to hold nothing but what is known.
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -78,7 +78,7 @@
 		Store: do.MustInvoke[logstore.Store](injector),
 		Topic: adapter.LedgerTopic, TextTopic: adapter.TextTopic, Partitions: chosen.Store.Partitions,
 		Producer:    string(homes.LifeOf(do.MustInvoke[identity.Node](injector).Reference())),
-		RecordBytes: chosen.Store.RecordBytes, CallBytes: chosen.Store.CallBytes, Retain: chosen.Store.Retain(),
+		RecordBytes: chosen.Store.RecordBytes, CallBytes: chosen.Store.CallBytes, Retain: chosen.Store.Retain(), IndexTextBytes: chosen.Store.IndexTextBytes,
 		StoreAnswers: do.MustInvoke[*countedStore](injector).health.answers,
 		CacheBytes:   chosen.Machine.MemoryMebibytes * mebibyte / cacheShare,
 		Logger:       do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -56,6 +56,9 @@
 	CallBytes   int `yaml:"call_bytes" validate:"min=1024"`
 	// RetainSeconds is how long the store keeps records.
 	RetainSeconds float64 `yaml:"retain_seconds" validate:"min=0"`
+	// IndexTextBytes bounds the texts of kept turns that a take-over of a partition reads
+	// beside the index; 0 leaves all texts to their own topic.
+	IndexTextBytes int `yaml:"index_text_bytes" validate:"min=0"`
 	// ReadsPerSecond is how many reading calls of all nodes the store takes; 0 where that
 	// is not known.
 	ReadsPerSecond float64 `yaml:"reads_per_second" validate:"min=0"`
@@ -141,7 +144,7 @@
 // store's address have none.
 func DefaultRouted() Routed {
 	return Routed{
-		Store:   Store{Partitions: 12, RecordBytes: 256 << 10, CallBytes: 2 << 20, RetainSeconds: 300},
+		Store:   Store{Partitions: 12, RecordBytes: 256 << 10, CallBytes: 2 << 20, RetainSeconds: 300, IndexTextBytes: 64 << 10},
 		Machine: Machine{MemoryMebibytes: 256, Descriptors: 1024, ProcessorShare: 1, Cores: 1, LinkMegabits: 100},
 		Stop:    Stop{Grace: 8 * time.Second},
 		Follow: Follow{
