Tell of ejected replicas in the answer itself

Change: a node that reads it gets an answer of a new kind with both, where a replica of its question is ejected. The highest bit of the question's number, which keepers give back as it is, says that it does. The log names a replica that returns too, and failures no longer count as the service's usual time.

--- a/internal/keeper/book.go
+++ b/internal/keeper/book.go
@@ -90,8 +90,10 @@
 	since, touched time.Duration
 	reporters      map[netip.AddrPort]reported
 	memory         Memory
-	// outcomes are those of all nodes' requests.
+	// outcomes are those of all nodes' requests; instance names the replica for the log once
+	// one of them has failed.
 	outcomes outlier.Record
+	instance string
 }
 
 // reported is a node's newest report, heard at a monotonic reading.
--- a/internal/keeper/exchange.go
+++ b/internal/keeper/exchange.go
@@ -12,7 +12,6 @@
 	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/loads"
-	"stepseam.example/stepseam/internal/outlier"
 )
 
 const (
@@ -82,8 +81,6 @@
 	// missing holds the keepers that are waited for.
 	missing map[netip.AddrPort]bool
 	states  map[Key]State
-	// ejected holds the replicas told to be ejected, and the rights to probe them.
-	ejected map[Key]outlier.Probe
 	// asked is how many were missing at first.
 	asked int
 	// done is closed when none is missing.
@@ -262,7 +259,8 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.number++
-	asked := &waiting{missing: map[netip.AddrPort]bool{}, states: map[Key]State{}, ejected: map[Key]outlier.Probe{}, done: make(chan struct{})}
+	number := e.number | readsJudged
+	asked := &waiting{missing: map[netip.AddrPort]bool{}, states: map[Key]State{}, done: make(chan struct{})}
 	for _, keeper := range keepers {
 		if now >= e.silentUntil[keeper] {
 			asked.missing[keeper] = true
@@ -272,8 +270,8 @@
 	if asked.asked == 0 {
 		close(asked.done)
 	}
-	e.waiting[e.number] = asked
-	return e.number, asked
+	e.waiting[number] = asked
+	return number, asked
 }
 
 // close ends a question, adds its answers to states and returns how many keepers
@@ -282,7 +280,6 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	delete(e.waiting, number)
-	asked.addEjected()
 	for key, state := range asked.states {
 		states[key] = state
 	}
@@ -341,12 +338,10 @@
 		e.book.Take(from, read.report, e.config.Now())
 	case kindQuestion:
 		e.reply(from, read.question)
-	case kindAnswer:
+	case kindAnswer, kindJudged:
 		e.takeAnswer(from, read.answer)
 	case kindOutcome:
 		e.judge(read.outcome)
-	case kindSoundness:
-		e.takeSoundness(read.soundness)
 	}
 }
 
@@ -359,6 +354,5 @@
 			states = append(states, state)
 		}
 	}
-	e.sendSoundness(to, asked.number, states)
-	e.send(encodeAnswer(answer{number: asked.number, states: states}), to)
+	e.send(encodeAnswer(answerTo(asked, states)), to)
 }
--- a/internal/keeper/message.go
+++ b/internal/keeper/message.go
@@ -20,7 +20,8 @@
 	kindQuestion
 	kindAnswer
 	kindOutcome
-	kindSoundness
+	// kindJudged is an answer that tells of ejected replicas too.
+	kindJudged
 )
 
 const (
@@ -53,16 +54,17 @@
 type answer struct {
 	number uint32
 	states []State
+	// judged tells that it says which replicas are ejected.
+	judged bool
 }
 
 // datagram is one decoded message; the field of its kind is set.
 type datagram struct {
-	kind      kind
-	report    Report
-	question  question
-	answer    answer
-	outcome   outcome
-	soundness soundness
+	kind     kind
+	report   Report
+	question question
+	answer   answer
+	outcome  outcome
 }
 
 func appendHead(of kind) []byte {
@@ -108,7 +110,11 @@
 // encodeAnswer returns the datagram of an answer.
 func encodeAnswer(told answer) []byte {
 	states := told.states[:min(len(told.states), maxAsked)]
-	encoded := appendHead(kindAnswer)
+	form := kindAnswer
+	if told.judged {
+		form = kindJudged
+	}
+	encoded := appendHead(form)
 	encoded = binary.BigEndian.AppendUint32(encoded, told.number)
 	encoded = append(encoded, byte(len(states)))
 	for _, state := range states {
@@ -119,6 +125,9 @@
 		if state.Settled {
 			flags = settledFlag
 		}
+		if told.judged {
+			flags |= judgedFlags(state)
+		}
 		encoded = append(encoded, flags)
 	}
 	return encoded
@@ -182,6 +191,10 @@
 }
 
 func (r *reader) answer() answer {
+	return r.answerOf(func(state *State, flags int) { state.Settled = flags&settledFlag != 0 })
+}
+
+func (r *reader) answerOf(read func(state *State, flags int)) answer {
 	told := answer{number: r.uint32()}
 	count := r.byte()
 	if count > maxAsked || len(r.rest) != count*stateBytes {
@@ -189,9 +202,9 @@
 		return answer{}
 	}
 	for range count {
-		told.states = append(told.states, State{
-			Key: Key(r.uint32()), Load: r.load(), CachedTokens: r.tokens(), Settled: r.byte()&settledFlag != 0,
-		})
+		state := State{Key: Key(r.uint32()), Load: r.load(), CachedTokens: r.tokens()}
+		read(&state, r.byte())
+		told.states = append(told.states, state)
 	}
 	return told
 }
@@ -212,8 +225,8 @@
 		read.answer = fields.answer()
 	case kindOutcome:
 		read.outcome = fields.outcome()
-	case kindSoundness:
-		read.soundness = fields.soundness()
+	case kindJudged:
+		read.answer = fields.judgedAnswer()
 	default:
 		return datagram{}, fmt.Errorf("%w: kind %d", errForm, read.kind)
 	}
--- a/internal/keeper/outcome_message.go
+++ b/internal/keeper/outcome_message.go
@@ -13,20 +13,15 @@
 	// shareUnit is the share 1 in a datagram.
 	shareUnit = math.MaxUint16
 
-	ejectedBytes = 4 + 1
-)
-
-// soundness tells which of the replicas of the question of the same number are ejected.
-type soundness struct {
-	number  uint32
-	ejected []ejected
-}
+	// readsJudged is set in the numbers of questions of nodes that read answers of
+	// kindJudged. Keepers that don't know these give the number back as it is.
+	readsJudged uint32 = 1 << 31
 
-// ejected is one ejected replica and the right to probe it.
-type ejected struct {
-	key   Key
-	probe outlier.Probe
-}
+	// Flags of a state in an answer of kindJudged, beside settledFlag.
+	ejectedFlag   = 2
+	safeProbeFlag = 4
+	anyProbeFlag  = 8
+)
 
 // encodeOutcome returns the datagram of an outcome.
 func encodeOutcome(told outcome) []byte {
@@ -39,19 +34,6 @@
 	return append(encoded, name...)
 }
 
-// encodeSoundness returns the datagram that goes before an answer.
-func encodeSoundness(told soundness) []byte {
-	listed := told.ejected[:min(len(told.ejected), maxAsked)]
-	encoded := appendHead(kindSoundness)
-	encoded = binary.BigEndian.AppendUint32(encoded, told.number)
-	encoded = append(encoded, byte(len(listed)))
-	for _, one := range listed {
-		encoded = binary.BigEndian.AppendUint32(encoded, uint32(one.key))
-		encoded = append(encoded, byte(one.probe))
-	}
-	return encoded
-}
-
 func (r *reader) outcome() outcome {
 	told := outcome{key: Key(r.uint32()), became: outlier.Outcome(r.byte())}
 	told.usual = float64(binary.BigEndian.Uint16(r.take(2))) / shareUnit
@@ -59,15 +41,32 @@
 	return told
 }
 
-func (r *reader) soundness() soundness {
-	told := soundness{number: r.uint32()}
-	count := r.byte()
-	if count > maxAsked || len(r.rest) != count*ejectedBytes {
-		r.short = true
-		return soundness{}
+// judgedFlags returns what an answer of kindJudged tells of a replica beside the others.
+func judgedFlags(state State) byte {
+	flags := byte(0)
+	if state.Ejected {
+		flags = ejectedFlag
 	}
-	for range count {
-		told.ejected = append(told.ejected, ejected{key: Key(r.uint32()), probe: outlier.Probe(r.byte())})
+	switch state.Probe {
+	case outlier.SafeProbe:
+		flags |= safeProbeFlag
+	case outlier.AnyProbe:
+		flags |= anyProbeFlag
+	case outlier.NoProbe:
 	}
+	return flags
+}
+
+func (r *reader) judgedAnswer() answer {
+	told := r.answerOf(func(state *State, flags int) {
+		state.Settled, state.Ejected = flags&settledFlag != 0, flags&ejectedFlag != 0
+		switch {
+		case flags&anyProbeFlag != 0:
+			state.Probe = outlier.AnyProbe
+		case flags&safeProbeFlag != 0:
+			state.Probe = outlier.SafeProbe
+		}
+	})
+	told.judged = true
 	return told
 }
--- a/internal/keeper/outcomes.go
+++ b/internal/keeper/outcomes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"stepseam.example/stepseam/internal/loads"
@@ -22,7 +23,7 @@
 
 // Judgement is that a replica was ejected or has returned, and by what.
 type Judgement struct {
-	// Instance is empty where the outcome did not name it.
+	// Instance is the life of the replica, empty where no failure has named it.
 	Instance string
 	Key      Key
 	Change   outlier.Change
@@ -38,7 +39,10 @@
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
 	known := shard.account(told.key, now)
-	changed := Judgement{Instance: told.instance, Key: told.key, Usual: told.usual}
+	if told.instance != "" {
+		known.instance = told.instance
+	}
+	changed := Judgement{Instance: known.instance, Key: told.key, Usual: told.usual}
 	changed.Change = known.outcomes.Add(told.became, told.usual, now)
 	changed.Reason = known.outcomes.Reason()
 	changed.Failures, changed.Of = known.outcomes.Evidence()
@@ -93,39 +97,9 @@
 	}
 }
 
-// sendSoundness tells an asking node which of the replicas are ejected, where any is. It
-// goes out before the answer, which ends the waiting.
-func (e *Exchange) sendSoundness(to netip.AddrPort, number uint32, states []State) {
-	told := soundness{number: number}
-	for _, state := range states {
-		if state.Ejected {
-			told.ejected = append(told.ejected, ejected{key: state.Key, probe: state.Probe})
-		}
-	}
-	if len(told.ejected) > 0 {
-		e.send(encodeSoundness(told), to)
-	}
-}
-
-// takeSoundness keeps what was told of replicas until the question ends.
-func (e *Exchange) takeSoundness(told soundness) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	asked, found := e.waiting[told.number]
-	if !found {
-		return // it came too late
-	}
-	for _, one := range told.ejected {
-		asked.ejected[one.key] = one.probe
-	}
-}
-
-// addEjected puts what was told of replicas into their states.
-func (w *waiting) addEjected() {
-	for key, probe := range w.ejected {
-		if state, found := w.states[key]; found {
-			state.Ejected, state.Probe = true, probe
-			w.states[key] = state
-		}
-	}
+// answerTo returns the answer to a question: one that tells of ejected replicas only to nodes
+// that read it.
+func answerTo(asked question, states []State) answer {
+	judged := asked.number&readsJudged != 0 && slices.ContainsFunc(states, func(state State) bool { return state.Ejected })
+	return answer{number: asked.number, states: states, judged: judged}
 }
--- a/internal/keeper/outcomes_test.go
+++ b/internal/keeper/outcomes_test.go
@@ -13,17 +13,24 @@
 	"stepseam.example/stepseam/internal/outlier"
 )
 
-// TestRecordedBytesOfSoundness: what builds tell each other of outcomes stays as it is.
-func TestRecordedBytesOfSoundness(t *testing.T) {
+// TestRecordedBytesOfOutcomes: what builds tell each other of outcomes stays as it is.
+func TestRecordedBytesOfOutcomes(t *testing.T) {
 	became := outcome{key: 5, became: outlier.Errors, usual: 1, instance: "i-1"}
-	told := soundness{number: 4, ejected: []ejected{{key: 5, probe: outlier.SafeProbe}, {key: 6}}}
+	told := answer{number: 4, judged: true, states: []State{
+		{Key: 5, Load: loads.Load{UnderWay: 2}, CachedTokens: 12600, Settled: true, Ejected: true, Probe: outlier.SafeProbe},
+		{Key: 6, Ejected: true, Probe: outlier.AnyProbe},
+		{Key: 7, Settled: true},
+	}}
 	for name, c := range map[string]struct {
 		encoded []byte
 		written string
 		read    datagram
 	}{
-		"outcome":   {encodeOutcome(became), "6b01040000000502ffff03692d31", datagram{kind: kindOutcome, outcome: became}},
-		"soundness": {encodeSoundness(told), "6b010500000004020000000501" + "0000000600", datagram{kind: kindSoundness, soundness: told}},
+		"outcome": {encodeOutcome(became), "6b01040000000502ffff03692d31", datagram{kind: kindOutcome, outcome: became}},
+		"judged": {
+			encodeAnswer(told), "6b01050000000403" + "00000005000200000000313807" + "0000000600000000000000000a" + "00000007000000000000000001",
+			datagram{kind: kindJudged, answer: told},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -39,6 +46,19 @@
 	}
 }
 
+// TestNodesOfTheBuildBeforeGetTheAnswerThatTheyRead, ejected replicas or not.
+func TestNodesOfTheBuildBeforeGetTheAnswerThatTheyRead(t *testing.T) {
+	is := is.New(t)
+	ejected, sound := []State{{Key: 5, Ejected: true}}, []State{{Key: 5}}
+	is.True(!answerTo(question{number: 7}, ejected).judged)
+	is.True(!answerTo(question{number: 7 | readsJudged}, sound).judged)
+	is.True(answerTo(question{number: 7 | readsJudged}, ejected).judged)
+	is.Equal(answerTo(question{number: 7 | readsJudged}, ejected).number, 7|readsJudged)
+	old, err := decode(encodeAnswer(answer{number: 7, states: ejected}))
+	is.NoErr(err)
+	is.Equal(old.answer.states, sound)
+}
+
 // TestNodesLearnOfEachOthersFailures at once: none of them has seen more than one.
 func TestNodesLearnOfEachOthersFailures(t *testing.T) {
 	is := is.New(t)
@@ -62,6 +82,19 @@
 	for number := range s.exchanges {
 		s.ask(number, replica, nil, func(state State) bool { return state.Ejected })
 	}
+	returned := Judgement{}
+	for returned.Change != outlier.NowReturned {
+		s.exchanges[2].Outcome(replica, outlier.Served, 0)
+		select {
+		case returned = <-judged:
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	is.Equal(returned.Instance, replica.Instance)
+	for range 3 {
+		s.exchanges[0].Outcome(replica, outlier.Silent, 0)
+	}
+	is.Equal((<-judged).Change, outlier.NowEjected)
 	is.Equal(s.exchanges[1].Book().Ejected(s.exchanges[1].config.Now())[outlier.Silent], 1)
 }
 
--- /dev/null
+++ b/internal/routednode/ejected_test.go
@@ -0,0 +1,37 @@
+package routednode
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"stepseam.example/stepseam/internal/keeper"
+	"stepseam.example/stepseam/internal/outlier"
+)
+
+// TestEjectedReplicasShow by the kind of their failures.
+func TestEjectedReplicasShow(t *testing.T) {
+	is := is.New(t)
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	now := func() time.Duration { return time.Second }
+	exchange := keeper.NewExchange(keeper.Config{Conn: conn, Placement: keeper.NewPlacement("n"), Now: now, Observer: newKeeperMetrics(prometheus.NewRegistry())})
+	shown := &ejectedCollector{book: exchange.Book(), now: now}
+	is.Equal(testutil.CollectAndCount(shown), 0)
+	for _, replica := range []string{"a", "b"} {
+		for range 3 {
+			exchange.Outcome(keeper.Replica{Instance: replica}, outlier.Silent, 0)
+		}
+	}
+	is.NoErr(testutil.CollectAndCompare(shown, strings.NewReader(`
+# HELP stepseam_replicas_ejected Replicas kept by this node that fail more than others of their service and are left alone but for probes, by the kind of the failures.
+# TYPE stepseam_replicas_ejected gauge
+stepseam_replicas_ejected{reason="silent"} 2
+`)))
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -64,10 +64,10 @@
 	if err != nil {
 		return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: tried.answer.Status, Cause: err}
 	}
-	if !failed {
+	if !failed { // how long a failure took says nothing of the work
 		tried.became(outlier.Served)
+		r.config.Tracker.Plain(tried.sending, r.Now())
 	}
-	r.config.Tracker.Plain(tried.sending, r.Now())
 	reply.begin(tried.answer, len(body))
 	reply.bytes = len(body)
 	if _, err := reply.writer.Write(body); err != nil {
