Reserve for the next turns only, with the call that keeps a turn

Cause: a home reserves up to four turns ahead, or all that may be handed out ahead of the log. With the home that is lost, and a program of two or three turns is refused for it. The first reservation in advance alone took all of such a budget.

Change: when a turn is kept, its end has been told before. The home then settles what was handed out and reserves the next two turns at most, half of what is left, with the turn's own call: present records, in the order settle, reserve, keep. Nothing is handed out before the new verdict. No more than half of what a program has left is reserved before it is needed. A turn's end counts once, however often it is told.

--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -61,7 +61,8 @@
 	Previous ledger.TurnID
 }
 
-// Turn is a turn that has begun. Finish must be called once.
+// Turn is a turn that has begun. Finish must be called, by one goroutine; only the first call
+// counts.
 type Turn struct {
 	// Charged is what was known to stand against the budget before, in tokens.
 	Charged uint64
@@ -81,8 +82,10 @@
 
 // Finish tells how many tokens were handed out.
 func (t *Turn) Finish(used uint32) {
-	if t.finish != nil {
-		t.finish(used)
+	finish := t.finish
+	t.finish = nil
+	if finish != nil {
+		finish(used)
 	}
 }
 
--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -23,8 +23,9 @@
 	budget  uint32
 	most    uint32
 	parts   []part
-	spent   uint64
-	open    map[GrantID]openGrant
+	// spent is what was handed out since the last Rebase, settled what before.
+	spent, settled uint64
+	open           map[GrantID]openGrant
 	// asked tells that a reservation's verdict is known, so that nothing may be
 	// handed out ahead of the log any more.
 	asked   bool
@@ -75,7 +76,7 @@
 
 // Fresh tells whether nothing has been handed out to the program, as far as is
 // known here.
-func (c *Credit) Fresh() bool { return c.spent == 0 && len(c.open) == 0 && c.Charged == 0 }
+func (c *Credit) Fresh() bool { return c.spent+c.settled == 0 && len(c.open) == 0 && c.Charged == 0 }
 
 // Open begins a turn that fits.
 func (c *Credit) Open(grant GrantID, most uint32, now time.Duration) {
@@ -106,7 +107,7 @@
 	least := needed - min(needed, held)
 	wanted := least
 	if ample {
-		left := uint64(c.budget) - min(uint64(c.budget), held)
+		left := uint64(c.budget) - min(uint64(c.budget), held+c.settled)
 		wanted = max(min(left/2, reserveTurns*uint64(c.most)), least)
 	}
 	if sure && !c.asked {
@@ -118,11 +119,44 @@
 	}
 }
 
+// rebaseTurns is how many whole turns a rebased credit goes on with at most.
+const rebaseTurns = 2
+
+// Rebase replaces all reservations by one for the next turns, where they hold more than that
+// or less than one turn: what is reserved for later is lost with the node, and a program of
+// few turns with it. It returns the records that settle what was handed out and the new
+// reservation, which must stand after them; false where nothing is to be written.
+// Nothing may be handed out until the new verdict is known, so that a credit with an open
+// turn stays as it is.
+func (c *Credit) Rebase(attempt AttemptID) (settled []Record, next Reserve, changed bool) {
+	left := uint64(c.budget) - min(uint64(c.budget), c.settled+c.spent)
+	wanted := max(min(left/2, rebaseTurns*uint64(c.most)), uint64(c.most))
+	held := c.granted() - min(c.granted(), c.spent)
+	if !c.asked || len(c.open) > 0 || uint64(c.most) > left || held >= uint64(c.most) && held <= wanted {
+		return nil, Reserve{}, false
+	}
+	settled = c.Settle()
+	c.settled += c.spent
+	c.parts, c.spent = nil, 0
+	next = Reserve{
+		Program: c.program, Attempt: attempt, Budget: c.budget, Most: c.most,
+		Least: c.most, Wanted: uint32(wanted), Life: c.life,
+	}
+	return settled, next, true
+}
+
 // Low tells whether one more turn may not fit, if the open ones hand out half of
 // what they may, so that more should be reserved before it is needed. What is
-// reserved too early is lost with the node.
+// reserved too early is lost with the node: no more than half of what the program has left is
+// reserved so, and a credit that is rebased after each turn waits for that, unless turns are
+// open side by side.
 func (c *Credit) Low() bool {
-	return c.asked && c.granted() < c.spent+c.underWay()/2+uint64(c.most)
+	if !c.asked || c.settled > 0 && len(c.open) <= 1 {
+		return false
+	}
+	needed, granted := c.spent+c.underWay()+uint64(c.most), c.granted()
+	left := uint64(c.budget) - min(uint64(c.budget), granted+c.settled)
+	return granted < needed-c.underWay()/2 && needed-granted <= left/2
 }
 
 // Decided takes the verdict on a reservation. lives tells whether a life of a node
--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -106,12 +106,16 @@
 // as errAbandoned, in which case the records may be written after all; or what the
 // store said.
 func (a *appender) append(ctx context.Context, records [][]byte) (logstore.Offset, error) {
-	waiting := a.submit(ctx, records)
+	return a.submit(ctx, records).wait()
+}
+
+// wait returns what append does.
+func (s *submission) wait() (logstore.Offset, error) {
 	select {
-	case outcome := <-waiting.outcome:
+	case outcome := <-s.outcome:
 		return outcome.first, outcome.err
-	case <-ctx.Done():
-		return 0, fmt.Errorf("%w: %w", errAbandoned, ctx.Err())
+	case <-s.context.Done():
+		return 0, fmt.Errorf("%w: %w", errAbandoned, s.context.Err())
 	}
 }
 
--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -185,10 +185,16 @@
 
 // ask reserves more for a credit, in the background. It needs the mutex.
 func (h *holder) ask(held *heldCredit, most uint32, ample bool) {
-	call := &reservationCall{done: make(chan struct{})}
-	held.asking = call
 	attempt := ledger.AttemptID(rand.Uint64())
 	record := held.credit.Next(attempt, most, held.ahead, ample)
+	h.reserve(held, record)
+}
+
+// reserve submits a reservation for a credit and takes its verdict, in the background. It
+// needs the mutex.
+func (h *holder) reserve(held *heldCredit, record ledger.Reserve) {
+	call, attempt := &reservationCall{done: make(chan struct{})}, record.Attempt
+	held.asking = call
 	h.partition.follower.expect(attempt)
 	waiting := h.partition.submitLater(ledger.Encode(record))
 	go func() {
@@ -206,6 +212,25 @@
 	}()
 }
 
+// rebase reserves what a program's next turns need in place of what is reserved, with the
+// partition's next call.
+func (h *holder) rebase(program ledger.ProgramID) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	held, known := h.credits[program]
+	if !known || h.leaving || held.asking != nil {
+		return
+	}
+	settled, next, changed := held.credit.Rebase(ledger.AttemptID(rand.Uint64()))
+	if !changed {
+		return
+	}
+	for _, record := range settled {
+		h.partition.submitLater(ledger.Encode(record))
+	}
+	h.reserve(held, next)
+}
+
 // settles tells whether a life may give back what it has reserved.
 func (h *holder) settles(life ledger.LifeID) bool { return life == h.life || h.members.MayLive(life) }
 
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -223,12 +223,14 @@
 	defer p.mutex.Unlock()
 	p.lazy = append(p.lazy, waiting)
 	if p.timer == nil {
-		p.timer = time.AfterFunc(gatherPause, p.flush)
+		p.timer = time.AfterFunc(gatherPause, func() { p.flush() })
 	}
 	return waiting
 }
 
-func (p *partition) flush() {
+// flush writes what waits for a call to go with, and then what is given, in one call as far
+// as there is room.
+func (p *partition) flush(with ...*submission) {
 	p.mutex.Lock()
 	waiting := p.lazy
 	p.lazy = nil
@@ -237,7 +239,7 @@
 		p.timer = nil
 	}
 	p.mutex.Unlock()
-	p.appender.enqueue(waiting...)
+	p.appender.enqueue(append(waiting, with...)...)
 }
 
 // Stop settles every credit without an open turn, gives ownerships back and writes
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -482,6 +482,15 @@
 	if draw%13 != 0 {
 		node.Finish(grant.Program, grant.ID, used)
 	}
+	if draw%4 != 0 {
+		s.keep(node, draw)
+	}
+}
+
+// keep keeps a turn, with which the program's credit is rebased, or fails to.
+func (s *schedule) keep(node *Ledger, draw int) {
+	turn := ledger.Keep{Program: s.program, Turn: ledger.TurnID(fmt.Sprint("t", draw)), For: time.Minute}
+	_ = node.Keep(within(s.t, 300*time.Millisecond), turn)
 }
 
 // TestNodesNeverOverspendTogether lets several nodes take turns of one program
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -26,6 +26,7 @@
 	own := l.Partition(turn.Program)
 	for i := 0; ; i++ {
 		p := l.partitions[(own+i%keepPartitions)%len(l.partitions)]
+		p.holder.rebase(turn.Program)
 		err := l.keepIn(ctx, p, record)
 		if err == nil {
 			return nil
@@ -37,10 +38,11 @@
 }
 
 func (l *Ledger) keepIn(ctx context.Context, p *partition, record [][]byte) error {
-	p.flush()
 	within, cancel := context.WithTimeout(ctx, partitionPatience)
 	defer cancel()
-	_, err := p.appender.append(within, record)
+	waiting := newSubmission(within, record)
+	p.flush(waiting)
+	_, err := waiting.wait()
 	return err
 }
 
