Refuse a program that has spent its budget without a call

Cause: each refusal of a program whose budget is spent was a reservation in the log, and programs that ran away ask up to a hundred times.

Change: a credit remembers how many tokens the log has refused where nobody else holds a reservation. What stands against the budget then does not fall unless this credit gives back, so a turn that needs as much is refused at once, as long as the credit rests in memory. A turn's end that hands out less opens it again. The property test over kills asks the log each time that a credit takes the budget for spent.

Its effect on calls alone was not measured.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -32,6 +32,10 @@
 	touched time.Duration
 	// Charged is what stood against the budget at the last verdict, in tokens.
 	Charged uint64
+	// wanting is how many tokens the reservation under way needs at least. refused is that of
+	// one that the log has refused for what was handed out and what this credit holds; 0
+	// where there is none.
+	wanting, refused uint64
 	// blocked tells that the last reservation was refused though it might fit once
 	// others have settled theirs.
 	blocked bool
@@ -98,18 +102,27 @@
 // reserveTurns is how many whole turns a reservation holds at most.
 const reserveTurns = 4
 
+// lacking is how many tokens must be reserved so that a turn of at most most tokens fits.
+func (c *Credit) lacking(most uint32) uint64 {
+	needed := c.spent + c.underWay() + uint64(most)
+	return needed - min(needed, c.granted())
+}
+
+// Spent tells whether the log would refuse a turn of at most most tokens again, as it did
+// before: what stands against the budget then does not fall unless this credit gives back.
+func (c *Credit) Spent(most uint32) bool { return c.refused > 0 && c.lacking(most) >= c.refused }
+
 // Next returns the reservation to ask for, so that a turn of at most most tokens
 // fits. With ample, it holds some turns more, but at most half of what the program
 // has left, so that another node can go on with the rest if this one dies.
 func (c *Credit) Next(attempt AttemptID, most uint32, sure, ample bool) Reserve {
-	held := c.granted()
-	needed := c.spent + c.underWay() + uint64(most)
-	least := needed - min(needed, held)
+	held, least := c.granted(), c.lacking(most)
 	wanted := least
 	if ample {
 		left := uint64(c.budget) - min(uint64(c.budget), held+c.settled)
 		wanted = max(min(left/2, reserveTurns*uint64(c.most)), least)
 	}
+	c.wanting = least
 	if sure && !c.asked {
 		wanted = max(wanted, AheadLimit(c.budget, c.most))
 	}
@@ -137,7 +150,7 @@
 	}
 	settled = c.Settle()
 	c.settled += c.spent
-	c.parts, c.spent = nil, 0
+	c.parts, c.spent, c.refused, c.wanting = nil, 0, 0, uint64(c.most)
 	next = Reserve{
 		Program: c.program, Attempt: attempt, Budget: c.budget, Most: c.most,
 		Least: c.most, Wanted: uint32(wanted), Life: c.life,
@@ -164,12 +177,26 @@
 func (c *Credit) Decided(verdict Verdict, lives func(LifeID) bool) {
 	c.asked = true
 	c.Charged = verdict.Charged
+	c.refused = 0
+	if verdict.Granted == 0 && c.onlyHolder(verdict) {
+		c.refused = c.wanting
+	}
 	c.blocked = verdict.Granted == 0 && c.heldByOthers(verdict, lives) >= verdict.Short
 	if verdict.Granted > 0 {
 		c.parts = append(c.parts, part{attempt: verdict.Attempt, granted: uint64(verdict.Granted)})
 	}
 }
 
+// onlyHolder tells whether nobody else has a reservation, which might be given back.
+func (c *Credit) onlyHolder(verdict Verdict) bool {
+	for _, one := range verdict.Holdings {
+		if one.Life != c.life {
+			return false
+		}
+	}
+	return true
+}
+
 // heldByOthers is what others than this credit have reserved and may give back.
 func (c *Credit) heldByOthers(verdict Verdict, lives func(LifeID) bool) uint64 {
 	held := uint64(0)
--- a/internal/ledger/rebase_test.go
+++ b/internal/ledger/rebase_test.go
@@ -70,6 +70,8 @@
 	handedOut uint64
 	// early is a planted fault: a rebased credit hands out before the verdict.
 	early bool
+	// spent counts how often a credit took the budget for spent.
+	spent int
 }
 
 const (
@@ -122,9 +124,23 @@
 	}
 }
 
+// checkSpent fails if a credit takes the budget for spent and the log does not.
+func (k *killing) checkSpent(one *life) {
+	if one.asking || len(one.waiting) > 0 || !one.credit.Spent(killedMost) {
+		return
+	}
+	k.attempts++
+	k.spent++
+	verdict, _ := k.partition.Apply(Encode(one.credit.Next(k.attempts, killedMost, false, false)), 0)
+	if verdict.Granted > 0 {
+		k.t.Fatalf("%d tokens granted of a budget that was taken for spent", verdict.Granted)
+	}
+}
+
 // turn begins a turn if it fits, which hands out at once what it may.
 func (k *killing) turn(one *life, used uint32, ends bool) {
 	if !one.credit.Fits(killedMost, false) {
+		k.checkSpent(one)
 		k.ask(one, used%2 == 0)
 		return
 	}
@@ -163,13 +179,18 @@
 // TestNoKillOverspendsRebasedCredits: lives of nodes end at any moment, with records on their
 // way. Together they never hand out more than the budget and the most of one turn.
 func TestNoKillOverspendsRebasedCredits(t *testing.T) {
+	spent := 0
 	rapid.Check(t, func(t *rapid.T) {
 		lives := rapid.IntRange(1, 3).Draw(t, "lives")
 		run := &killing{t: t, partition: NewPartition(), lives: make([]*life, lives)}
 		if got := run.play(); got > killedBudget+killedMost {
 			t.Fatalf("%d tokens of %d handed out", got, killedBudget)
 		}
+		spent += run.spent
 	})
+	if spent == 0 {
+		t.Fatal("no credit took the budget for spent")
+	}
 }
 
 // TestKillsWouldShowCreditsThatDoNotWait plants the fault that the test above is for.
--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -84,6 +84,13 @@
 	granted bool
 }
 
+// refusedCall stands for a reservation that need not be asked for: the log would refuse it.
+var refusedCall = func() *reservationCall {
+	call := &reservationCall{done: make(chan struct{})}
+	close(call.done)
+	return call
+}()
+
 // Grant is the right to hand out the tokens of one turn.
 type Grant struct {
 	Program ledger.ProgramID
@@ -104,7 +111,9 @@
 		if call == nil {
 			return h.unlessAbandoned(grant)
 		}
-		h.partition.flush()
+		if call != refusedCall {
+			h.partition.flush()
+		}
 		if err := h.await(ctx, call); err != nil {
 			return Grant{}, err
 		}
@@ -128,6 +137,11 @@
 	ticker := time.NewTicker(awayPause)
 	defer ticker.Stop()
 	for {
+		select {
+		case <-call.done:
+			return nil
+		default:
+		}
 		if h.storeAnswers != nil && !h.storeAnswers() {
 			return ErrStoreAway
 		}
@@ -176,6 +190,9 @@
 		}
 		return grant, nil, false
 	}
+	if held.asking == nil && held.credit.Spent(most) {
+		return Grant{}, refusedCall, true
+	}
 	if held.asking == nil {
 		h.ask(held, most, home)
 		own = true
