--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -84,6 +84,13 @@
 	granted bool
 }
 
+// refusedCall stands for a reservation that need not be asked for: the log would refuse it.
+var refusedCall = func() *reservationCall {
+	call := &reservationCall{done: make(chan struct{})}
+	close(call.done)
+	return call
+}()
+
 // Grant is the right to hand out the tokens of one turn.
 type Grant struct {
 	Program ledger.ProgramID
@@ -104,7 +111,9 @@
 		if call == nil {
 			return h.unlessAbandoned(grant)
 		}
-		h.partition.flush()
+		if call != refusedCall {
+			h.partition.flush()
+		}
 		if err := h.await(ctx, call); err != nil {
 			return Grant{}, err
 		}
@@ -128,6 +137,11 @@
 	ticker := time.NewTicker(awayPause)
 	defer ticker.Stop()
 	for {
+		select {
+		case <-call.done:
+			return nil
+		default:
+		}
 		if h.storeAnswers != nil && !h.storeAnswers() {
 			return ErrStoreAway
 		}
@@ -176,6 +190,9 @@
 		}
 		return grant, nil, false
 	}
+	if held.asking == nil && held.credit.Spent(most) {
+		return Grant{}, refusedCall, true
+	}
 	if held.asking == nil {
 		h.ask(held, most, home)
 		own = true
@@ -185,10 +202,16 @@
 
 // ask reserves more for a credit, in the background. It needs the mutex.
 func (h *holder) ask(held *heldCredit, most uint32, ample bool) {
-	call := &reservationCall{done: make(chan struct{})}
-	held.asking = call
 	attempt := ledger.AttemptID(rand.Uint64())
 	record := held.credit.Next(attempt, most, held.ahead, ample)
+	h.reserve(held, record)
+}
+
+// reserve submits a reservation for a credit and takes its verdict, in the background. It
+// needs the mutex.
+func (h *holder) reserve(held *heldCredit, record ledger.Reserve) {
+	call, attempt := &reservationCall{done: make(chan struct{})}, record.Attempt
+	held.asking = call
 	h.partition.follower.expect(attempt)
 	waiting := h.partition.submitLater(ledger.Encode(record))
 	go func() {
@@ -206,6 +229,25 @@
 	}()
 }
 
+// rebase reserves what a program's next turns need in place of what is reserved, with the
+// partition's next call.
+func (h *holder) rebase(program ledger.ProgramID) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	held, known := h.credits[program]
+	if !known || h.leaving || held.asking != nil {
+		return
+	}
+	settled, next, changed := held.credit.Rebase(ledger.AttemptID(rand.Uint64()))
+	if !changed {
+		return
+	}
+	for _, record := range settled {
+		h.partition.submitLater(ledger.Encode(record))
+	}
+	h.reserve(held, next)
+}
+
 // settles tells whether a life may give back what it has reserved.
 func (h *holder) settles(life ledger.LifeID) bool { return life == h.life || h.members.MayLive(life) }
 
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -30,7 +30,12 @@
 	own := l.Partition(turn.Program)
 	for i := tried; ; i++ {
 		p := l.partitions[(own+i%keepPartitions)%len(l.partitions)]
+<<<<<<< HEAD
 		_, err := p.append(ctx, record)
+=======
+		p.holder.rebase(turn.Program)
+		err := l.keepIn(ctx, p, record)
+>>>>>>> part-homes
 		if err == nil {
 			return nil
 		}
@@ -40,6 +45,7 @@
 	}
 }
 
+<<<<<<< HEAD
 // append writes adjacent records, with what waits for a call to go with, and returns the
 // offset of the first.
 func (p *partition) append(ctx context.Context, records [][]byte) (logstore.Offset, error) {
@@ -47,6 +53,15 @@
 	within, cancel := context.WithTimeout(ctx, partitionPatience)
 	defer cancel()
 	return p.appender.append(within, records)
+=======
+func (l *Ledger) keepIn(ctx context.Context, p *partition, record [][]byte) error {
+	within, cancel := context.WithTimeout(ctx, partitionPatience)
+	defer cancel()
+	waiting := newSubmission(within, record)
+	p.flush(waiting)
+	_, err := waiting.wait()
+	return err
+>>>>>>> part-homes
 }
 
 const (
