--- a/internal/ledgerlog/keeptext.go
+++ b/internal/ledgerlog/keeptext.go
@@ -60,6 +60,7 @@
 func (l *Ledger) keepTogether(ctx context.Context, number int, turn ledger.Keep, text []byte) (ledger.Location, error) {
 	p := l.partitions[number]
 	turn.Chain = withLocation(turn.Chain, ledger.TextBefore(number, len(text)))
+	p.holder.rebase(turn.Program)
 	first, err := p.append(ctx, [][]byte{ledger.Encode(ledger.Text{Bytes: text}), ledger.Encode(turn)})
 	if err != nil {
 		return ledger.Location{}, err
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -30,12 +30,8 @@
 	own := l.Partition(turn.Program)
 	for i := tried; ; i++ {
 		p := l.partitions[(own+i%keepPartitions)%len(l.partitions)]
-<<<<<<< HEAD
-		_, err := p.append(ctx, record)
-=======
 		p.holder.rebase(turn.Program)
-		err := l.keepIn(ctx, p, record)
->>>>>>> part-homes
+		_, err := p.append(ctx, record)
 		if err == nil {
 			return nil
 		}
@@ -45,23 +41,14 @@
 	}
 }
 
-<<<<<<< HEAD
 // append writes adjacent records, with what waits for a call to go with, and returns the
 // offset of the first.
 func (p *partition) append(ctx context.Context, records [][]byte) (logstore.Offset, error) {
-	p.flush()
-	within, cancel := context.WithTimeout(ctx, partitionPatience)
-	defer cancel()
-	return p.appender.append(within, records)
-=======
-func (l *Ledger) keepIn(ctx context.Context, p *partition, record [][]byte) error {
 	within, cancel := context.WithTimeout(ctx, partitionPatience)
 	defer cancel()
-	waiting := newSubmission(within, record)
+	waiting := newSubmission(within, records)
 	p.flush(waiting)
-	_, err := waiting.wait()
-	return err
->>>>>>> part-homes
+	return waiting.wait()
 }
 
 const (
