Let ejected replicas be tried often enough to return soon

Change: a request that a failure would fail probes 0.3 s after the pause, and the longest pause is 1.5 s and half of that. Outcomes from before the first probe do not count. The test that counts a return asks for the right to probe first, as nodes do.

Not measured yet.

--- a/internal/keeper/outcomes_test.go
+++ b/internal/keeper/outcomes_test.go
@@ -84,6 +84,7 @@
 	}
 	returned := Judgement{}
 	for returned.Change != outlier.NowReturned {
+		s.exchanges[2].Ask(t.Context(), []Replica{replica}, nil) // for the right to probe
 		s.exchanges[2].Outcome(replica, outlier.Served, 0)
 		select {
 		case returned = <-judged:
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -66,7 +66,7 @@
 	// firstPause is how long an ejected replica is left alone at first; each failed probe
 	// doubles it, up to longestPause.
 	firstPause   = 300 * time.Millisecond
-	longestPause = 2 * time.Second
+	longestPause = 1500 * time.Millisecond
 	// provingPause is the pause after a probe that was served.
 	provingPause = 20 * time.Millisecond
 	// grantLife is how long a right to probe that was given out holds others off.
@@ -74,9 +74,9 @@
 	// stuck is how long after the last outcome requests that are still at the replica hold
 	// probes off no more: those that it leaves without an answer count as failed by then.
 	stuck = 800 * time.Millisecond
-	// overduePauses is after how many pauses without any probe a request may probe that a
-	// failure would fail.
-	overduePauses = 2
+	// safeFirst is how long after a pause only requests probe that may go to another replica
+	// after a failure; where none of those comes, any probes.
+	safeFirst = 300 * time.Millisecond
 )
 
 // Record is what outcomes say of one replica. Its zero value is a sound one. It is not
@@ -95,7 +95,9 @@
 	lastAt, grantedAt time.Duration
 	// granted tells that one was given out since the last outcome.
 	granted bool
-	pause   time.Duration
+	// tried tells that one was given out since the ejection.
+	tried bool
+	pause time.Duration
 	// probes counts the outcomes since the ejection.
 	probes int
 	// ejections counts those of the same fault, returnedAt is when the last one ended.
@@ -151,16 +153,18 @@
 	if now-r.returnedAt > memory {
 		r.ejections = 0
 	}
-	r.ejected, r.reason, r.servedInRow, r.granted, r.probes = true, outcome, 0, false, 0
+	r.ejected, r.reason, r.servedInRow, r.granted, r.tried, r.probes = true, outcome, 0, false, false, 0
 	r.pause = min(firstPause<<min(r.ejections, 8), longestPause)
 	r.ejections++
 	return NowEjected
 }
 
-// probed counts an outcome at an ejected replica. Failures of requests that were there
-// before count for nothing.
+// probed counts an outcome at an ejected replica. Those of requests that were there before
+// the first probe count for nothing.
 func (r *Record) probed(outcome Outcome, now time.Duration) Change {
 	switch {
+	case !r.tried:
+		return Unchanged
 	case outcome == Served:
 		r.servedInRow++
 	case outcome.Failed():
@@ -223,7 +227,7 @@
 		return NoProbe
 	case r.granted && now-r.grantedAt < held:
 		return NoProbe
-	case waited >= overduePauses*pause:
+	case waited >= pause+safeFirst:
 		return AnyProbe
 	}
 	return SafeProbe
@@ -238,7 +242,7 @@
 }
 
 // Grant notes that a right to probe is given out.
-func (r *Record) Grant(now time.Duration) { r.granted, r.grantedAt = true, now }
+func (r *Record) Grant(now time.Duration) { r.granted, r.tried, r.grantedAt = true, true, now }
 
 // Restore makes the record that of a sound replica, as a keeper that has heard of all nodes
 // tells.
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -128,7 +128,7 @@
 	is.Equal(record.Probe(0, now), SafeProbe)
 	record.Grant(now)
 	is.Equal(record.Probe(0, now), NoProbe)
-	is.Equal(record.Probe(0, now+overduePauses*firstPause), AnyProbe)
+	is.Equal(record.Probe(0, now+safeFirst), AnyProbe)
 	is.Equal(record.Add(Served, 0, now), Unchanged)
 	now += provingPause
 	is.Equal(record.Probe(1, now), SafeProbe)
@@ -195,3 +195,35 @@
 	is.Equal(record.Probe(left+1, now+stuck-1), NoProbe)
 	is.True(record.Probe(left+1, now+stuck) != NoProbe)
 }
+
+// TestRequestsFromBeforeTheEjectionDoNotEndIt: streams that began before the replica failed
+// are served to their end.
+func TestRequestsFromBeforeTheEjectionDoNotEndIt(t *testing.T) {
+	is := is.New(t)
+	record := &Record{}
+	for range 3 {
+		record.Add(Errors, 0, time.Second)
+	}
+	for range 2 * longestReturn {
+		is.Equal(record.Add(Served, 0, time.Second), Unchanged)
+	}
+	is.True(record.Ejected())
+}
+
+// TestAReplicaIsTriedOftenEnough that one that is sound again returns soon, also where no
+// request may go elsewhere after a failure.
+func TestAReplicaIsTriedOftenEnough(t *testing.T) {
+	const most = longestPause + longestPause/2 + safeFirst
+	is := is.New(t)
+	record := &Record{}
+	for range 3 {
+		record.Add(Errors, 0, time.Second)
+	}
+	now := time.Second
+	for range 100 {
+		is.Equal(record.Probe(0, now+most), AnyProbe)
+		now += most
+		record.Grant(now)
+		record.Add(Errors, 0, now)
+	}
+}
