Leave the reservations of large budgets as they are

Cause: programs of many turns run them side by side. A home that reserved two turns after each had them wait for the log more often, and what is lost with it is little of such a budget.

Change: with a kept turn the home reserves anew only where it holds more than half of what the program has left, or less than a turn.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -132,20 +132,17 @@
 	}
 }
 
-// rebaseTurns is how many whole turns a rebased credit goes on with at most.
-const rebaseTurns = 2
-
-// Rebase replaces all reservations by one for the next turns, where they hold more than that
-// or less than one turn: what is reserved for later is lost with the node, and a program of
-// few turns with it. It returns the records that settle what was handed out and the new
-// reservation, which must stand after them; false where nothing is to be written.
-// Nothing may be handed out until the new verdict is known, so that a credit with an open
-// turn stays as it is.
+// Rebase replaces all reservations by one for the next turns, where they hold more than half
+// of what the program has left, or less than one turn: what is reserved for later is lost
+// with the node, and a program of few turns with it. It returns the records that settle what
+// was handed out and the new reservation, which must stand after them; false where nothing is
+// to be written. Nothing may be handed out until the new verdict is known, so that a credit
+// with an open turn stays as it is.
 func (c *Credit) Rebase(attempt AttemptID) (settled []Record, next Reserve, changed bool) {
 	left := uint64(c.budget) - min(uint64(c.budget), c.settled+c.spent)
-	wanted := max(min(left/2, rebaseTurns*uint64(c.most)), uint64(c.most))
+	half := max(left/2, uint64(c.most))
 	held := c.granted() - min(c.granted(), c.spent)
-	if !c.asked || len(c.open) > 0 || uint64(c.most) > left || held >= uint64(c.most) && held <= wanted {
+	if !c.asked || len(c.open) > 0 || uint64(c.most) > left || held >= uint64(c.most) && held <= half {
 		return nil, Reserve{}, false
 	}
 	settled = c.Settle()
@@ -153,7 +150,7 @@
 	c.parts, c.spent, c.refused, c.wanting = nil, 0, 0, uint64(c.most)
 	next = Reserve{
 		Program: c.program, Attempt: attempt, Budget: c.budget, Most: c.most,
-		Least: c.most, Wanted: uint32(wanted), Life: c.life,
+		Least: c.most, Wanted: uint32(min(half, reserveTurns*uint64(c.most))), Life: c.life,
 	}
 	return settled, next, true
 }
