Hold a node away for longer where the store answers it on and off

Cause: where the store is silent for some partitions only, a node's calls fail and succeed by turns, and it told the others so each second.

Change: a node that the store ceases to answer within five seconds of being back stays away for twice as long, up to four seconds. A test says that a node tells the others, and reads until it is answered.

--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -43,8 +43,8 @@
 	closed atomic.Bool
 	// hang makes appends wait for the caller's end.
 	hang atomic.Bool
-	// appended counts the appends on it.
-	appended atomic.Int32
+	// appended counts the appends on it, asked the reads, answered or not.
+	appended, asked atomic.Int32
 	// read holds the partitions of the ledger that were read on it, texts counts the reads
 	// of turns' texts.
 	read  sync.Map
@@ -67,6 +67,7 @@
 }
 
 func (g *gate) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
+	g.asked.Add(1)
 	if g.closed.Load() {
 		return logstore.ReadResult{}, logstore.ErrUnavailable
 	}
--- a/internal/homes/standing.go
+++ b/internal/homes/standing.go
@@ -9,8 +9,11 @@
 	// standingPause is the time between two looks whether the store answers this node.
 	standingPause = 50 * time.Millisecond
 	// returnAfter is how long the store must have answered this node again before it takes
-	// its partitions back, so that homes don't move to and fro.
-	returnAfter = time.Second
+	// its partitions back, so that homes don't move to and fro. Where it ceases to answer
+	// again within flapWithin, twice as long each time, up to longestReturn.
+	returnAfter   = time.Second
+	flapWithin    = 5 * time.Second
+	longestReturn = 4 * time.Second
 	// candidateProbePause and otherProbePause are the times between two reads of a node that
 	// the store does not answer, by whether partitions wait for it: it gets no work in the
 	// store, and would not hear that the store answers again.
@@ -24,9 +27,12 @@
 )
 
 // standing is what a node tells others of the store: away as soon as the store does not
-// answer it, back once it has answered for returnAfter.
+// answer it, back once it has answered for hold.
 type standing struct {
 	away bool
+	// hold is how long the store must answer before the node is back, which was so at backAt
+	// last.
+	hold, backAt time.Duration
 	// changes counts the changes of away, see LacksStore.
 	changes uint64
 	// answering tells that the store has answered since answeredSince.
@@ -40,12 +46,20 @@
 		s.answeredSince = now
 	}
 	s.answering = answers
-	away := !answers || s.away && now-s.answeredSince < returnAfter
+	away := !answers || s.away && now-s.answeredSince < s.hold
 	if away == s.away {
 		return false
 	}
 	s.away = away
 	s.changes++
+	switch {
+	case !away:
+		s.backAt = now
+	case s.hold > 0 && now-s.backAt < flapWithin:
+		s.hold = min(2*s.hold, longestReturn)
+	default:
+		s.hold = returnAfter
+	}
 	return true
 }
 
--- a/internal/homes/standing_test.go
+++ b/internal/homes/standing_test.go
@@ -1,6 +1,7 @@
 package homes
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -29,3 +30,59 @@
 	is.True(!LacksStore(membership.Member{TableVersion: seen.changes}))
 	is.Equal(seen.changes, uint64(2))
 }
+
+// TestFlappingStoreHoldsANodeAwayForLonger, and no longer once it has answered for a while.
+func TestFlappingStoreHoldsANodeAwayForLonger(t *testing.T) {
+	is := is.New(t)
+	var seen standing
+	now := time.Minute
+	awayFor := func() time.Duration {
+		is.True(seen.observe(false, now))
+		began := now
+		for !seen.observe(true, now) {
+			now += standingPause
+		}
+		return now - began
+	}
+	for _, want := range []time.Duration{1, 2, 4, 4} {
+		is.Equal(awayFor(), want*returnAfter)
+		now += time.Second
+	}
+	now += flapWithin
+	is.Equal(awayFor(), returnAfter)
+}
+
+// TestNodeTellsOthersOfTheStoreAndAsksItUntilItAnswers: nobody gives it work there meanwhile.
+func TestNodeTellsOthersOfTheStoreAndAsksItUntilItAnswers(t *testing.T) {
+	is := is.New(t)
+	nodes := startClusterThat(t, 3, true)
+	one := nodes[0]
+	told := make(chan uint64, 10)
+	one.service.config.Announce = func(changes uint64, everybody bool) {
+		if !everybody { // one of three nodes is among the first three for each partition
+			changes += 100
+		}
+		told <- changes
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		one.service.watchStore(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	one.store.closed.Store(true)
+	is.Equal(<-told, uint64(1))
+	is.True(one.service.away.Load())
+	is.True(one.service.keepsCredits(0)) // it could give none back
+	time.Sleep(2 * candidateProbePause)
+	is.True(one.store.asked.Load() > 0)
+	one.store.closed.Store(false)
+	opened := time.Now()
+	is.Equal(<-told, uint64(2))
+	is.True(time.Since(opened) >= returnAfter)
+	is.True(!one.service.away.Load())
+}
