--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,7 +22,7 @@
 	// second on the slowest links, and a few hundred milliseconds at a slow store.
 	pageTimeout = 1500 * time.Millisecond
 	// minPause is the first pause after a failed call, and maxPause the longest where
-	// Config.LongestPause asks for none that is longer.
+	// Config.LongestPause says nothing else.
 	minPause = 50 * time.Millisecond
 	maxPause = 300 * time.Millisecond
 )
@@ -219,5 +219,5 @@
 	if f.config.LongestPause == nil {
 		return maxPause
 	}
-	return max(f.config.LongestPause(), maxPause)
+	return max(f.config.LongestPause(), minPause)
 }
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -54,6 +54,13 @@
 // answers tells whether the store answers the node.
 func (g *gate) answers() bool { return !g.closed.Load() && !g.hang.Load() }
 
+// answeringGate lets all calls out and tells whether the store answers the node.
+type answeringGate struct{ store *gate }
+
+func (a answeringGate) Await(context.Context, logstore.Partition) error { return nil }
+func (a answeringGate) Answers(logstore.Partition) bool                 { return a.store.answers() }
+func (a answeringGate) Regained() <-chan struct{}                       { return nil }
+
 func (g *gate) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
 	g.appended.Add(1)
 	if g.closed.Load() {
@@ -98,17 +105,17 @@
 	registry := peer.NewRegistry()
 	made := &node{transport: peer.NewTransport(registry, peer.Options{Logger: slog.New(slog.DiscardHandler)}), store: &gate{Store: log}}
 	made.identity = identity.Node{Name: identity.NodeName(name), Incarnation: 1, PeerAddress: netip.MustParseAddrPort(listener.Addr().String())}
-	answers := made.store.answers
-	if !knows {
-		answers = nil
+	var knowing ledgerlog.Gate
+	if knows {
+		knowing = answeringGate{made.store}
 	}
 	made.service = New(Config{
 		StoreAnswers: made.store.answers,
 		Self:         made.identity.Name, Peers: made.transport, Logger: slog.New(slog.DiscardHandler),
 		Ledger: ledgerlog.New(ledgerlog.Config{
 			Store: made.store, Topic: "ledger", TextTopic: "texts", Partitions: partitions,
-			StoreAnswers: answers,
-			Producer:     string(LifeOf(made.identity.Reference())), RecordBytes: 1 << 16, CallBytes: 1 << 20, CacheBytes: 1,
+			Gate:     knowing,
+			Producer: string(LifeOf(made.identity.Reference())), RecordBytes: 1 << 16, CallBytes: 1 << 20, CacheBytes: 1,
 			Logger: slog.New(slog.DiscardHandler),
 		}),
 	})
--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"stepseam.example/stepseam/internal/logstore"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 const (
@@ -82,6 +84,7 @@
 // call whose answer was lost is repeated without writing twice.
 type appender struct {
 	store     logstore.Store
+	gate      Gate
 	partition logstore.Partition
 	producer  string
 	callBytes int
@@ -149,10 +152,11 @@
 func (a *appender) run() {
 	pause := minRetryPause
 	for {
-		batch := a.take()
+		batch := a.next()
 		if len(batch) == 0 {
 			return
 		}
+		regained := a.gate.Regained()
 		err := a.write(batch)
 		if err == nil {
 			pause = minRetryPause
@@ -163,11 +167,36 @@
 		a.pacer.refused()
 		a.metrics.appendFailures.Inc()
 		a.putBack(batch)
-		sleepAbout(pause)
+		a.rest(pause, regained)
 		pause = min(2*pause, maxRetryPause)
 	}
 }
 
+// next returns the submissions for one call once the store may be called, and none once
+// nobody waits for any.
+func (a *appender) next() []*submission {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), maxRetryPause)
+		err := a.gate.Await(ctx, a.partition)
+		cancel()
+		if err == nil {
+			return a.take()
+		}
+		if a.ended() {
+			return nil
+		}
+	}
+}
+
+// ended drops the submissions that nobody waits for, and tells whether there is no other.
+func (a *appender) ended() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.queue = slices.DeleteFunc(a.queue, (*submission).expired)
+	a.running = len(a.queue) > 0
+	return !a.running
+}
+
 // take returns the submissions for one call, and none once the queue is empty.
 func (a *appender) take() []*submission {
 	a.mutex.Lock()
@@ -207,7 +236,8 @@
 	unanswered := 0
 	pause := minRetryPause
 	for {
-		result, err := a.call(records, unanswered)
+		regained := a.gate.Regained()
+		result, err := a.call(records, unanswered, regained)
 		switch {
 		case err == nil:
 			a.sequence++
@@ -227,15 +257,30 @@
 			return err
 		}
 		a.metrics.appendFailures.Inc()
-		sleepAbout(pause)
+		a.rest(pause, regained)
 		pause = min(2*pause, maxRetryPause)
+		// What may have been done is repeated however long that takes, and this wait has no end.
+		_ = a.gate.Await(context.Background(), a.partition)
 	}
 }
 
-// call makes one call; unanswered is how many of the same have got no answer.
-func (a *appender) call(records [][]byte, unanswered int) (logstore.AppendResult, error) {
+// rest pauses after a failed call, unless the store has regained since it began. Where it
+// is known to be away, the gate paces, and the pause is short.
+func (a *appender) rest(pause time.Duration, regained <-chan struct{}) {
+	if !a.gate.Answers(a.partition) {
+		pause = minRetryPause
+	}
+	sleepUntil(regained, pause)
+}
+
+// call makes one call; unanswered is how many of the same have got no answer. A probe that
+// hangs when the store answers others again gets the time of a first call from then on.
+func (a *appender) call(records [][]byte, unanswered int, regained <-chan struct{}) (logstore.AppendResult, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), a.retransmission.timeout(unanswered))
 	defer cancel()
+	if !a.gate.Answers(a.partition) {
+		go a.shorten(ctx, cancel, regained)
+	}
 	began := time.Now()
 	result, err := a.store.Append(ctx, logstore.AppendRequest{
 		Partition: a.partition, Records: records,
@@ -249,6 +294,15 @@
 	return result, err
 }
 
+func (a *appender) shorten(ctx context.Context, cancel context.CancelFunc, regained <-chan struct{}) {
+	select {
+	case <-regained:
+		_ = wait.For(ctx, a.retransmission.timeout(0)) // either way it is over
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
 func (a *appender) resolve(batch []*submission, records [][]byte, first logstore.Offset) {
 	if a.written != nil {
 		a.written(first, records)
@@ -265,8 +319,18 @@
 	}
 }
 
-// sleepAbout waits for between half of pause and one and a half of it, so that
-// nodes that failed together do not come back together.
-func sleepAbout(pause time.Duration) {
-	time.Sleep(pause/2 + rand.N(pause))
+// sleepUntil waits for between half of pause and one and a half of it, so that nodes that
+// failed together do not come back together, and until the store has regained at most.
+func sleepUntil(regained <-chan struct{}, pause time.Duration) {
+	timer := time.NewTimer(about(pause))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-regained:
+	}
 }
+
+// sleepAbout is sleepUntil without an early end.
+func sleepAbout(pause time.Duration) { time.Sleep(about(pause)) }
+
+func about(pause time.Duration) time.Duration { return pause/2 + rand.N(pause) }
--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -33,9 +33,8 @@
 // holder holds this node's credits of one partition's programs and its ownership.
 type holder struct {
 	partition *partition
-	// storeAnswers is nil where nobody tells.
-	storeAnswers func() bool
-	life         ledger.LifeID
+	gate      Gate
+	life      ledger.LifeID
 	// members is set before the first turn.
 	members Members
 	clock   func() time.Duration
@@ -107,13 +106,13 @@
 	}
 }
 
-// await waits for a reservation's outcome. Where the store answers nothing, it does not:
+// await waits for a reservation's outcome. Where the store answers nothing on the partition, it does not:
 // the reservation goes on in the background, and the turn is refused at once.
 func (h *holder) await(ctx context.Context, call *reservationCall) error {
 	ticker := time.NewTicker(awayPause)
 	defer ticker.Stop()
 	for {
-		if h.storeAnswers != nil && !h.storeAnswers() {
+		if !h.gate.Answers(h.partition.appender.partition) {
 			return ErrStoreAway
 		}
 		select {
@@ -203,6 +202,7 @@
 		return ledger.Verdict{}, outcome.err
 	}
 	for {
+		regained := h.gate.Regained()
 		err := h.partition.follower.readTo(context.Background(), outcome.first)
 		if verdict, known := h.partition.follower.verdict(attempt); known {
 			return verdict, nil
@@ -211,7 +211,7 @@
 			return ledger.Verdict{}, fmt.Errorf("%w: the verdict was passed over", ErrUnavailable)
 		}
 		h.partition.follower.expect(attempt)
-		sleepAbout(maxRetryPause)
+		sleepUntil(regained, maxRetryPause)
 	}
 }
 
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -50,8 +50,26 @@
 // tidyPause is the time between two looks for what rests.
 const tidyPause = 500 * time.Millisecond
 
-// Config is what a Ledger is made from. All fields but StoreAnswers
-// and Registerer are required.
+// Gate tells when calls of the store may go out. Reads need not wait: the store fails
+// those that may not go out at once.
+type Gate interface {
+	// Await returns once an append to a partition may go out, or an error when ctx ends.
+	Await(ctx context.Context, place logstore.Partition) error
+	// Answers tells whether calls on a partition are answered, as far as is known.
+	Answers(place logstore.Partition) bool
+	// Regained returns a channel that is closed once the store, or a part of it, answers
+	// again.
+	Regained() <-chan struct{}
+}
+
+// openGate lets all calls out.
+type openGate struct{}
+
+func (openGate) Await(context.Context, logstore.Partition) error { return nil }
+func (openGate) Answers(logstore.Partition) bool                 { return true }
+func (openGate) Regained() <-chan struct{}                       { return nil }
+
+// Config is what a Ledger is made from. All fields but Gate and Registerer are required.
 type Config struct {
 	Store logstore.Store
 	// Topic holds charges and the index of turns, TextTopic their texts.
@@ -64,11 +82,10 @@
 	RecordBytes, CallBytes int
 	// CacheBytes bounds the texts of turns in memory.
 	CacheBytes int
-	// StoreAnswers tells whether the store answers this node, as far as is known; nil
-	// counts as yes.
-	StoreAnswers func() bool
-	Logger       *slog.Logger
-	Registerer   prometheus.Registerer
+	// Gate is that of Store; nil lets all calls out.
+	Gate       Gate
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
 }
 
 // Ledger reserves and settles budgets and keeps turns. It is safe for concurrent use.
@@ -92,6 +109,9 @@
 
 // New returns a ledger that has read nothing yet.
 func New(config Config) *Ledger {
+	if config.Gate == nil {
+		config.Gate = openGate{}
+	}
 	counted := newMetrics(config.Registerer)
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
@@ -106,13 +126,13 @@
 		added := &partition{
 			follower: reads,
 			appender: &appender{
-				store: config.Store, partition: place, producer: config.Producer, callBytes: config.CallBytes,
+				store: config.Store, gate: config.Gate, partition: place, producer: config.Producer, callBytes: config.CallBytes,
 				logger: config.Logger, metrics: counted, pacer: pace, retransmission: resend,
 				written: reads.applyOwn, epoch: 1,
 			},
 		}
 		added.holder = &holder{
-			partition: added, storeAnswers: config.StoreAnswers, life: ledger.LifeID(config.Producer), members: unknownMembers{}, clock: clock,
+			partition: added, gate: config.Gate, life: ledger.LifeID(config.Producer), members: unknownMembers{}, clock: clock,
 			credits: map[ledger.ProgramID]*heldCredit{}, abandoned: map[ledger.GrantID]time.Duration{},
 		}
 		built.partitions = append(built.partitions, added)
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -26,6 +26,14 @@
 	})
 }
 
+// answeringGate lets all calls out and tells what a test says.
+type answeringGate struct {
+	openGate
+	answers func() bool
+}
+
+func (g answeringGate) Answers(logstore.Partition) bool { return g.answers() }
+
 func within(t *testing.T, limit time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	t.Cleanup(cancel)
@@ -124,7 +132,7 @@
 		away := false
 		l := New(Config{
 			Store: log, Topic: "ledger", TextTopic: "texts", Partitions: 3, Producer: "a", RecordBytes: 64, CallBytes: 1 << 20,
-			CacheBytes: 1 << 10, Logger: slog.New(slog.DiscardHandler), StoreAnswers: func() bool { return !away },
+			CacheBytes: 1 << 10, Logger: slog.New(slog.DiscardHandler), Gate: answeringGate{answers: func() bool { return !away }},
 		})
 		grant, err := take(within(t, time.Second), l, "p", 1000, 60, true)
 		is.NoErr(err)
--- a/internal/ledgerlog/texts.go
+++ b/internal/ledgerlog/texts.go
@@ -43,14 +43,27 @@
 	}
 }
 
+// answering returns the first partition from one on that the store answers, as far as is
+// known; the one itself where it answers none.
+func (t *textStore) answering(from int) int {
+	for i := range t.config.Partitions {
+		number := (from + i) % t.config.Partitions
+		if t.config.Gate.Answers(logstore.Partition{Topic: t.config.TextTopic, Number: number}) {
+			return number
+		}
+	}
+	return from
+}
+
 // writer returns the partition that is written to, and its appender.
 func (t *textStore) writer() (int, *appender) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.partition = t.answering(t.partition)
 	used, known := t.appenders[t.partition]
 	if !known {
 		used = &appender{
-			store: t.config.Store, partition: logstore.Partition{Topic: t.config.TextTopic, Number: t.partition},
+			store: t.config.Store, gate: t.config.Gate, partition: logstore.Partition{Topic: t.config.TextTopic, Number: t.partition},
 			producer: t.config.Producer, callBytes: t.config.CallBytes, logger: t.config.Logger, metrics: t.metrics,
 			pacer: t.pacer, retransmission: t.retransmission, epoch: 1,
 		}
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -25,7 +25,7 @@
 	record := [][]byte{ledger.Encode(turn)}
 	own := l.Partition(turn.Program)
 	for i := 0; ; i++ {
-		p := l.partitions[(own+i%keepPartitions)%len(l.partitions)]
+		p := l.keepPlace(own, i)
 		err := l.keepIn(ctx, p, record)
 		if err == nil {
 			return nil
@@ -36,6 +36,18 @@
 	}
 }
 
+// keepPlace returns the partition for one try of several: the next one that the store
+// answers, as far as is known, and the next one where it answers none of them.
+func (l *Ledger) keepPlace(own, try int) *partition {
+	at := func(i int) *partition { return l.partitions[(own+i%keepPartitions)%len(l.partitions)] }
+	for i := range keepPartitions {
+		if next := at(try + i); l.config.Gate.Answers(next.appender.partition) {
+			return next
+		}
+	}
+	return at(try)
+}
+
 func (l *Ledger) keepIn(ctx context.Context, p *partition, record [][]byte) error {
 	p.flush()
 	within, cancel := context.WithTimeout(ctx, partitionPatience)
--- a/internal/routednode/followers.go
+++ b/internal/routednode/followers.go
@@ -6,6 +6,7 @@
 
 	"stepseam.example/stepseam/internal/distribution"
 	"stepseam.example/stepseam/internal/follow"
+	"stepseam.example/stepseam/internal/gatedstore"
 	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/settings"
 )
@@ -15,14 +16,18 @@
 	// and how long such a read waits: what they know is older by as much.
 	readerPause = 250 * time.Millisecond
 	// retryPart is the part of the store's reading calls that all nodes together may spend
-	// on reads that fail.
+	// on reads that fail while it answers others.
 	retryPart = 0.1
+	// retryPause is the longest pause after a failed read, pacedPause the same while the
+	// gate lets only probes out, which is what then bounds the reads.
+	retryPause = 300 * time.Millisecond
+	pacedPause = 100 * time.Millisecond
 )
 
 // following makes the followers of the store's topics.
 type following struct {
 	views  *views
-	store  logstore.Store
+	store  *gatedstore.Store
 	chosen settings.Routed
 	// topics tells whether this node reads the store; nil where there are no other nodes.
 	topics *distribution.Service
@@ -41,7 +46,7 @@
 			f.views.changeOperators(from, items, next, "store")
 		},
 		OnRegained: func() {}, OnConfirmed: f.views.confirmOperators, Logger: f.views.logger,
-		Await: f.await(configurationTopic), Position: f.views.operators.Position, LongestPause: f.longestPause,
+		Await: f.await(configurationTopic, f.views.adapter.Configuration), Position: f.views.operators.Position, LongestPause: f.longestPause(f.views.adapter.Configuration),
 	})
 }
 
@@ -53,15 +58,20 @@
 		OnSnapshot: f.views.replaceEntries, OnChanges: f.views.changeEntries,
 		OnRegained:  func() { f.views.fleet.Unsettled(f.views.router.Now()) },
 		OnConfirmed: f.views.replicas.Confirm, Logger: f.views.logger,
-		Await: f.await(replicasTopic), Position: f.views.replicas.Position, LongestPause: f.longestPause,
+		Await: f.await(replicasTopic, f.views.adapter.Replicas), Position: f.views.replicas.Position, LongestPause: f.longestPause(f.views.adapter.Replicas),
 	})
 }
 
-func (f *following) await(topic int) func(context.Context) error {
-	if f.topics == nil {
-		return nil
+// await waits until this node is to read a topic and the store may be called.
+func (f *following) await(topic int, place logstore.Partition) func(context.Context) error {
+	return func(ctx context.Context) error {
+		if f.topics != nil {
+			if err := f.topics.Await(ctx, topic); err != nil {
+				return err
+			}
+		}
+		return f.store.Await(ctx, place)
 	}
-	return func(ctx context.Context) error { return f.topics.Await(ctx, topic) }
 }
 
 func (f *following) distributes() bool { return f.topics != nil && f.topics.Distributes() }
@@ -90,10 +100,15 @@
 
 // longestPause keeps all nodes that read again after a failure within a part of what the
 // store takes.
-func (f *following) longestPause() time.Duration {
-	allowed := f.chosen.Store.ReadsPerSecond * retryPart
-	if allowed <= 0 {
-		return 0
+func (f *following) longestPause(place logstore.Partition) func() time.Duration {
+	return func() time.Duration {
+		allowed := f.chosen.Store.ReadsPerSecond * retryPart
+		switch {
+		case !f.store.Answers(place):
+			return pacedPause
+		case allowed <= 0:
+			return retryPause
+		}
+		return max(retryPause, time.Duration(float64(f.members())/allowed*float64(time.Second)))
 	}
-	return time.Duration(float64(f.members()) / allowed * float64(time.Second))
 }
--- a/internal/routednode/freshness_test.go
+++ b/internal/routednode/freshness_test.go
@@ -93,6 +93,7 @@
 		{&tellViews{}, nil, true},
 		{nil, nil, false}, // cut off, it knows nothing of others
 	} {
+		answered := false
 		v := &views{
 			router: router.New(router.Config{Registerer: prometheus.NewRegistry()}), freshness: &freshness{},
 			evacuations: testEvacuations(nil), logger: slog.New(slog.DiscardHandler),
@@ -100,8 +101,10 @@
 		r := &relay{
 			views: v, configurations: v.freshness, peers: peersOf{one: c.first, other: c.second},
 			others: func() []netip.AddrPort { return []netip.AddrPort{one, other} }, logger: v.logger, storeAnswers: func() bool { return false },
+			peerAnswered: func() { answered = true },
 		}
 		r.ask(t.Context())
 		is.Equal(v.freshness.AwayForAll(), c.away)
+		is.Equal(answered, c.second != nil && c.second.StoreAnswers) // then this node probes at once
 	}
 }
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -16,6 +16,7 @@
 	"stepseam.example/stepseam/internal/evacuation"
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/gatedstore"
 	"stepseam.example/stepseam/internal/homes"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/keeper"
@@ -44,7 +45,10 @@
 	do.ProvideValue(injector, balance.NewTracker(string(chosen.Node.Zone)))
 	do.ProvideValue(injector, exchange.NewClient(adapter.Names.Replica))
 	do.ProvideValue(injector, router.NewConnections())
-	store := newCountedStore(adapter.NewStore(chosen.Store), registry)
+	store := gatedstore.New(gatedstore.Config{
+		Store: newCountedStore(adapter.NewStore(chosen.Store), registry), CallsPerSecond: chosen.Store.ReadsPerSecond,
+		Logger: logger, Registerer: registry,
+	})
 	do.ProvideValue(injector, store)
 	do.ProvideValue[logstore.Store](injector, store)
 	do.Provide(injector, provideSelf)
@@ -79,9 +83,9 @@
 		Topic: adapter.LedgerTopic, TextTopic: adapter.TextTopic, Partitions: chosen.Store.Partitions,
 		Producer:    string(homes.LifeOf(do.MustInvoke[identity.Node](injector).Reference())),
 		RecordBytes: chosen.Store.RecordBytes, CallBytes: chosen.Store.CallBytes,
-		StoreAnswers: do.MustInvoke[*countedStore](injector).health.answers,
-		CacheBytes:   chosen.Machine.MemoryMebibytes * mebibyte / cacheShare,
-		Logger:       do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
+		Gate:       do.MustInvoke[*gatedstore.Store](injector),
+		CacheBytes: chosen.Machine.MemoryMebibytes * mebibyte / cacheShare,
+		Logger:     do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
 	}), nil
 }
 
@@ -100,7 +104,7 @@
 		RoundTrip: func(zone identity.Zone) time.Duration {
 			return do.MustInvoke[*distance.Map](injector).To(string(zone)).RoundTrip
 		},
-		StoreAnswers: do.MustInvoke[*countedStore](injector).health.answers,
+		StoreAnswers: do.MustInvoke[*gatedstore.Store](injector).AnswersNode,
 		Logger:       do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
 	}
 	others, err := do.Invoke[*peers](injector)
@@ -232,16 +236,17 @@
 	if built.peers != nil {
 		built.topics = newTopics(injector, built)
 	}
-	followed := &following{
-		views: built.views, store: built.store, chosen: chosen, topics: built.topics, readers: reading,
-		members: func() int { return len(built.homes.Addresses()) + 1 },
-	}
+	gated := do.MustInvoke[*gatedstore.Store](injector)
+	members := func() int { return len(built.homes.Addresses()) + 1 }
+	gated.SetMembers(members)
+	followed := &following{views: built.views, store: gated, chosen: chosen, topics: built.topics, readers: reading, members: members}
 	built.configurations, built.entries = followed.configurations(), followed.replicas()
 	if built.peers != nil {
 		built.relay = &relay{
 			views: built.views, configurations: built.configurations,
 			peers: built.peers.transport, others: built.homes.Addresses, logger: built.logger,
-			lease: chosen.Keys.Lease(), storeAnswers: do.MustInvoke[*countedStore](injector).health.answers,
+			lease: chosen.Keys.Lease(), storeAnswers: gated.AnswersNode,
+			peerAnswered: gated.PeerAnswered,
 			reads: func() bool { return built.topics.Reads(configurationTopic) },
 		}
 		built.relay.register(built.peers.registry)
--- a/internal/routednode/relay.go
+++ b/internal/routednode/relay.go
@@ -144,6 +144,8 @@
 	lease time.Duration
 	// storeAnswers tells whether the store answers this node, as far as is known.
 	storeAnswers func() bool
+	// peerAnswered is called when the store answers a peer and not this node.
+	peerAnswered func()
 	// reads tells whether this node reads the configuration from the store. One that hears
 	// of it from others has package distribution ask, see Service.
 	reads func() bool
@@ -229,6 +231,9 @@
 		served = served || heard.told != nil && heard.told.StoreAnswers
 	}
 	r.views.freshness.askedPeers(served || !answered)
+	if served && !r.storeAnswers() {
+		r.peerAnswered()
+	}
 }
 
 func (r *relay) askOne(ctx context.Context, other netip.AddrPort, question *askViews) relayed {
--- a/internal/routednode/storecalls.go
+++ b/internal/routednode/storecalls.go
@@ -3,19 +3,16 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"stepseam.example/stepseam/internal/logstore"
 )
 
-// countedStore counts the calls of a store by what they are and how they end, and keeps
-// reads few while the store does not answer this node.
+// countedStore counts the calls of a store by what they are and how they end.
 type countedStore struct {
 	logstore.Store
-	calls  *prometheus.CounterVec
-	health storeHealth
+	calls *prometheus.CounterVec
 }
 
 var _ logstore.Store = (*countedStore)(nil)
@@ -38,9 +35,6 @@
 
 // Read is logstore.Store's.
 func (s *countedStore) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
-	if !s.health.mayRead(time.Now()) {
-		return logstore.ReadResult{}, errAway
-	}
 	result, err := s.Store.Read(ctx, request)
 	s.count("read", request.Partition, err)
 	return result, err
@@ -61,7 +55,6 @@
 }
 
 func (s *countedStore) count(call string, partition logstore.Partition, err error) {
-	s.health.note(err, time.Now())
 	outcome := "done"
 	var trimmed *logstore.TrimmedError
 	switch {
--- /dev/null
+++ b/internal/storegate/gate.go
@@ -0,0 +1,189 @@
+// Package storegate decides which of a node's calls of the durable log go out while that
+// answers none of them, or only those on some partitions: one circuit breaker for the node
+// and one for each partition. While one is open, the calls that it covers are probes, which
+// all nodes together keep within a part of what the store takes.
+//
+// The load that it answers: a site whose nodes each have something to write to every
+// partition makes tens of thousands of calls in an outage of seconds if each writer repeats
+// on its own, and all of them at once at its end.
+package storegate
+
+import (
+	"time"
+
+	"stepseam.example/stepseam/internal/logstore"
+)
+
+const (
+	// probePart is the part of the reading calls that the store takes which all nodes'
+	// probes may come to.
+	probePart = 0.05
+	// leastProbePause is the least time between two probes of one node.
+	leastProbePause = 150 * time.Millisecond
+	// probeSpread is the part of the pause by which single pauses differ, to both sides.
+	probeSpread = 0.25
+	// staleTime is how long failures tell something of the store where a node has nothing
+	// to probe with. It is above the time of the longest call.
+	staleTime = 2 * time.Second
+	// stalePauses is the same in pauses between probes, for large sites.
+	stalePauses = 3
+	// returnSpread is the time over which the calls that wait go out after the store's
+	// return, short against what a turn may take.
+	returnSpread = 150 * time.Millisecond
+)
+
+// Situation is what a decision depends on besides the calls.
+type Situation struct {
+	// Now is a monotonic reading.
+	Now time.Duration
+	// Members is how many nodes are known, this one among them.
+	Members int
+	// Draw is a random number in [0,1).
+	Draw float64
+}
+
+// Decision is what becomes of a call.
+type Decision struct {
+	// Go lets the call out, as a probe where Probe is set.
+	Go, Probe bool
+	// Again is after how long to ask again otherwise.
+	Again time.Duration
+}
+
+// Gate decides for one node. It is not safe for concurrent use.
+//
+// Invariant: between two probes of the node lies 1-probeSpread of probePause at least,
+// unless a peer has said meanwhile that the store answers it; then leastProbePause.
+type Gate struct {
+	// callsPerSecond is how many reading calls of all nodes the store takes; 0 is not known.
+	callsPerSecond float64
+	node           breaker
+	partitions     map[logstore.Partition]*partition
+	// probing tells that a call has been held back since the store's last return; then
+	// probed is when the last probe went out, and nextProbe when the next one may.
+	probing           bool
+	probed, nextProbe time.Duration
+}
+
+// partition is what the gate knows of one partition.
+type partition struct {
+	breaker
+	// held tells that a call has been held back since the last one went out.
+	held bool
+	// release is when calls go out that waited for the store's return.
+	release time.Duration
+}
+
+// New returns a closed gate; callsPerSecond is how many reading calls of all nodes the
+// store takes, 0 where that is not known.
+func New(callsPerSecond float64) *Gate {
+	return &Gate{callsPerSecond: callsPerSecond, node: breaker{after: nodeAwayAfter}, partitions: map[logstore.Partition]*partition{}}
+}
+
+func (g *Gate) at(place logstore.Partition) *partition {
+	kept, known := g.partitions[place]
+	if !known {
+		kept = &partition{breaker: breaker{after: partitionAwayAfter}}
+		g.partitions[place] = kept
+	}
+	return kept
+}
+
+// ProbePause returns the mean time between two probes of one node.
+func (g *Gate) ProbePause(members int) time.Duration {
+	if g.callsPerSecond <= 0 {
+		return leastProbePause
+	}
+	return max(leastProbePause, time.Duration(float64(members)/(g.callsPerSecond*probePart)*float64(time.Second)))
+}
+
+func (g *Gate) staleAfter(members int) time.Duration {
+	return max(staleTime, stalePauses*g.ProbePause(members))
+}
+
+// NodeAnswered tells whether the store answers this node, as far as is known.
+func (g *Gate) NodeAnswered(s Situation) bool { return !g.node.isOpen(s.Now, g.staleAfter(s.Members)) }
+
+// Answered tells whether calls on a partition are answered, as far as is known.
+func (g *Gate) Answered(place logstore.Partition, s Situation) bool {
+	return g.NodeAnswered(s) && !g.at(place).isOpen(s.Now, g.staleAfter(s.Members))
+}
+
+// Ask decides on a call. One that waits is let out a little later after the store's return,
+// so that not all that wait come back together.
+func (g *Gate) Ask(place logstore.Partition, waits bool, s Situation) Decision {
+	asked := g.at(place)
+	if !g.Answered(place, s) {
+		return g.askProbe(asked, s)
+	}
+	if asked.held {
+		asked.held = false
+		asked.release = s.Now + time.Duration(s.Draw*float64(returnSpread))
+	}
+	if waits && s.Now < asked.release {
+		return Decision{Again: asked.release - s.Now}
+	}
+	return Decision{Go: true}
+}
+
+func (g *Gate) askProbe(asked *partition, s Situation) Decision {
+	pause := float64(g.ProbePause(s.Members))
+	if !g.probing { // the first, staggered among the nodes
+		g.probing, g.nextProbe = true, s.Now+time.Duration(s.Draw*pause)
+	}
+	if s.Now < g.nextProbe {
+		asked.held = true
+		return Decision{Again: g.nextProbe - s.Now}
+	}
+	g.probed = s.Now
+	g.nextProbe = s.Now + time.Duration(pause*(1-probeSpread+2*probeSpread*s.Draw))
+	return Decision{Go: true, Probe: true}
+}
+
+// PeerAnswered notes that the store answers another node: this one probes at once.
+func (g *Gate) PeerAnswered(s Situation) {
+	if g.probing && !g.NodeAnswered(s) {
+		g.nextProbe = min(g.nextProbe, max(s.Now, g.probed+leastProbePause))
+	}
+}
+
+// Note takes the outcome of a call that went out, and tells whether calls are let out by it
+// that were held back.
+func (g *Gate) Note(place logstore.Partition, answered bool, s Situation) (returned bool) {
+	noted := g.at(place)
+	if !answered {
+		// A partition that is known to be away says nothing of the others.
+		if !noted.isOpen(s.Now, g.staleAfter(s.Members)) || !g.NodeAnswered(s) {
+			g.node.failed(s.Now)
+		}
+		noted.failed(s.Now)
+		return false
+	}
+	returned = !g.Answered(place, s)
+	g.node.answered()
+	noted.answered()
+	if returned {
+		g.returned()
+	}
+	return returned
+}
+
+// returned lets one call out on each partition that is away: what has come back is mostly
+// the whole.
+func (g *Gate) returned() {
+	g.probing = false
+	for _, other := range g.partitions {
+		other.doubt()
+	}
+}
+
+// Away returns how many partitions have their breaker open.
+func (g *Gate) Away(s Situation) int {
+	away := 0
+	for _, known := range g.partitions {
+		if known.isOpen(s.Now, g.staleAfter(s.Members)) {
+			away++
+		}
+	}
+	return away
+}
