--- a/internal/ledgerlog/outage_test.go
+++ b/internal/ledgerlog/outage_test.go
@@ -1,6 +1,8 @@
 package ledgerlog
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"testing"
@@ -57,3 +59,78 @@
 		})
 	}
 }
+
+// partlyAway returns a ledger that knows that its log is away on one partition of either
+// topic, that of the program given.
+func partlyAway(t *testing.T, log *store.Store, program ledger.ProgramID) *Ledger {
+	l := outageLedger(log)
+	down := l.Partition(program)
+	log.Fail(store.Fault{Silent: true, Partition: &down})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	l.texts.partition = down
+	_, texts := l.texts.writer()
+	go func() { _, _ = texts.append(ctx, [][]byte{{1}}) }()
+	go func() { _, _ = l.of(program).appender.append(ctx, [][]byte{{1}}) }()
+	for i := 0; ctx.Err() == nil; i++ { // others are answered
+		_, _ = l.partitions[(down+1)%outagePartitions].appender.append(ctx, [][]byte{{1}})
+		time.Sleep(50 * time.Millisecond)
+	}
+	return l
+}
+
+// TestWorkGoesToPartitionsThatAnswer at once, and what needs the one that is away is
+// refused at once and not run.
+func TestWorkGoesToPartitionsThatAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		l := partlyAway(t, log, "p")
+		began := time.Now()
+		location, err := l.WriteText(within(t, time.Second), []byte("text"))
+		is.NoErr(err)
+		is.True(int(location.Partition) != l.Partition("p"))
+		is.NoErr(l.Keep(within(t, time.Second), ledger.Keep{Program: "p", Turn: "t", Chain: []ledger.Location{location}, For: time.Minute}))
+		is.Equal(time.Since(began), time.Duration(0))
+		_, err = take(within(t, 5*time.Second), l, "p", 100, 60, false)
+		is.True(errors.Is(err, ErrStoreAway))
+		is.Equal(time.Since(began), time.Duration(0))
+		other := ledger.ProgramID("q")
+		for i := 0; l.Partition(other) == l.Partition("p"); i++ {
+			other = ledger.ProgramID(fmt.Sprint("q", i))
+		}
+		_, err = take(within(t, time.Second), l, other, 100, 60, false)
+		is.NoErr(err)
+		log.Fail(store.Fault{})
+		time.Sleep(time.Second)
+		grant, err := take(within(t, time.Second), l, "p", 100, 60, false)
+		is.NoErr(err) // by the reservation that was kept
+		l.Finish(grant.Program, grant.ID, 60)
+		is.NoErr(l.Stop(within(t, time.Second)))
+	})
+}
+
+// TestSubmissionsThatNobodyWaitsForEndAtTheGate, and a stop ends with its time.
+func TestSubmissionsThatNobodyWaitsForEndAtTheGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		log.Fail(store.Fault{Busy: true})
+		l := outageLedger(log)
+		for number := range outagePartitions {
+			_, err := l.partitions[number].appender.append(within(t, 100*time.Millisecond), [][]byte{{1}})
+			is.True(errors.Is(err, errAbandoned))
+		}
+		time.Sleep(time.Second)
+		for _, p := range l.partitions {
+			is.True(p.appender.idle())
+		}
+		l.of("p").submitNow([]byte{1})
+		began := time.Now()
+		is.True(errors.Is(l.Stop(within(t, 2*time.Second)), context.DeadlineExceeded))
+		is.Equal(time.Since(began), 2*time.Second)
+		log.Fail(store.Fault{})
+		is.NoErr(l.Stop(within(t, time.Second)))
+		is.Equal(len(log.Records(l.of("p").appender.partition)), 1)
+	})
+}
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -247,7 +247,7 @@
 			peers: built.peers.transport, others: built.homes.Addresses, logger: built.logger,
 			lease: chosen.Keys.Lease(), storeAnswers: gated.AnswersNode,
 			peerAnswered: gated.PeerAnswered,
-			reads: func() bool { return built.topics.Reads(configurationTopic) },
+			reads:        func() bool { return built.topics.Reads(configurationTopic) },
 		}
 		built.relay.register(built.peers.registry)
 	}
--- a/internal/storegate/breaker.go
+++ b/internal/storegate/breaker.go
@@ -16,16 +16,15 @@
 type breaker struct {
 	// after is for how long calls must have failed.
 	after time.Duration
-	// failures counts the calls that failed since the last one that did not. The first of
-	// them ended at since, the last one at last.
-	failures    int
-	since, last time.Duration
+	// failures counts the calls that failed since the last one that did not; the first of
+	// them ended at since.
+	failures int
+	since    time.Duration
 }
 
-// isOpen tells whether only probes may go out. What has failed before staleAfter says
-// nothing any more: the next call shows.
-func (b *breaker) isOpen(now, staleAfter time.Duration) bool {
-	return b.failures >= awayFailures && now-b.since >= b.after && now-b.last < staleAfter
+// isOpen tells whether only probes may go out.
+func (b *breaker) isOpen(now time.Duration) bool {
+	return b.failures >= awayFailures && now-b.since >= b.after
 }
 
 func (b *breaker) failed(now time.Duration) {
@@ -33,7 +32,6 @@
 		b.since = now
 	}
 	b.failures++
-	b.last = now
 }
 
 func (b *breaker) answered() { b.failures = 0 }
--- a/internal/storegate/gate.go
+++ b/internal/storegate/gate.go
@@ -21,15 +21,15 @@
 	// leastProbePause is the least time between two probes of one node.
 	leastProbePause = 150 * time.Millisecond
 	// probeSpread is the part of the pause by which single pauses differ, to both sides.
-	probeSpread = 0.25
-	// staleTime is how long failures tell something of the store where a node has nothing
-	// to probe with. It is above the time of the longest call.
+	probeSpread = 0.2
+	// staleTime is how long failures tell something of the store where a node makes no more
+	// calls that fail: then the next one shows. It is above the time of the longest call.
 	staleTime = 2 * time.Second
 	// stalePauses is the same in pauses between probes, for large sites.
 	stalePauses = 3
 	// returnSpread is the time over which the calls that wait go out after the store's
 	// return, short against what a turn may take.
-	returnSpread = 150 * time.Millisecond
+	returnSpread = 100 * time.Millisecond
 )
 
 // Situation is what a decision depends on besides the calls.
@@ -59,6 +59,8 @@
 	callsPerSecond float64
 	node           breaker
 	partitions     map[logstore.Partition]*partition
+	// failed is when a call failed last.
+	failed time.Duration
 	// probing tells that a call has been held back since the store's last return; then
 	// probed is when the last probe went out, and nextProbe when the next one may.
 	probing           bool
@@ -97,16 +99,17 @@
 	return max(leastProbePause, time.Duration(float64(members)/(g.callsPerSecond*probePart)*float64(time.Second)))
 }
 
-func (g *Gate) staleAfter(members int) time.Duration {
-	return max(staleTime, stalePauses*g.ProbePause(members))
+// stale tells that what has failed says nothing any more.
+func (g *Gate) stale(s Situation) bool {
+	return s.Now-g.failed >= max(staleTime, stalePauses*g.ProbePause(s.Members))
 }
 
 // NodeAnswered tells whether the store answers this node, as far as is known.
-func (g *Gate) NodeAnswered(s Situation) bool { return !g.node.isOpen(s.Now, g.staleAfter(s.Members)) }
+func (g *Gate) NodeAnswered(s Situation) bool { return !g.node.isOpen(s.Now) || g.stale(s) }
 
 // Answered tells whether calls on a partition are answered, as far as is known.
 func (g *Gate) Answered(place logstore.Partition, s Situation) bool {
-	return g.NodeAnswered(s) && !g.at(place).isOpen(s.Now, g.staleAfter(s.Members))
+	return g.stale(s) || !g.node.isOpen(s.Now) && !g.at(place).isOpen(s.Now)
 }
 
 // Ask decides on a call. One that waits is let out a little later after the store's return,
@@ -153,10 +156,11 @@
 	noted := g.at(place)
 	if !answered {
 		// A partition that is known to be away says nothing of the others.
-		if !noted.isOpen(s.Now, g.staleAfter(s.Members)) || !g.NodeAnswered(s) {
+		if !noted.isOpen(s.Now) || g.node.isOpen(s.Now) {
 			g.node.failed(s.Now)
 		}
 		noted.failed(s.Now)
+		g.failed = s.Now
 		return false
 	}
 	returned = !g.Answered(place, s)
@@ -181,7 +185,7 @@
 func (g *Gate) Away(s Situation) int {
 	away := 0
 	for _, known := range g.partitions {
-		if known.isOpen(s.Now, g.staleAfter(s.Members)) {
+		if known.isOpen(s.Now) && !g.stale(s) {
 			away++
 		}
 	}
--- /dev/null
+++ b/internal/storegate/gate_test.go
@@ -0,0 +1,199 @@
+package storegate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/internal/logstore"
+)
+
+func place(number int) logstore.Partition {
+	return logstore.Partition{Topic: "work", Number: number}
+}
+
+// at is a situation of a node that knows no other.
+func at(now time.Duration) Situation { return Situation{Now: now, Members: 1, Draw: 0.5} }
+
+func TestStoreIsAwayAfterFailuresForSomeTime(t *testing.T) {
+	is := is.New(t)
+	gate := New(0)
+	for range 10 {
+		gate.Note(place(0), false, at(0))
+	}
+	is.True(gate.NodeAnswered(at(nodeAwayAfter - 1)))
+	is.True(!gate.NodeAnswered(at(nodeAwayAfter)))
+	first := gate.Ask(place(0), true, at(nodeAwayAfter))
+	is.Equal(first, Decision{Again: leastProbePause / 2}) // staggered
+	is.Equal(gate.Ask(place(1), false, at(nodeAwayAfter)), first)
+	probed := nodeAwayAfter + leastProbePause/2
+	is.Equal(gate.Ask(place(1), false, at(probed)), Decision{Go: true, Probe: true})
+	is.Equal(gate.Ask(place(0), true, at(probed)), Decision{Again: leastProbePause})
+	is.True(!gate.Ask(place(0), true, at(probed+leastProbePause-1)).Go)
+	is.True(gate.Ask(place(0), true, at(probed+leastProbePause)).Probe)
+	is.True(gate.Note(place(0), true, at(time.Second)))
+	is.True(gate.NodeAnswered(at(time.Hour)))
+	for i := range 10 {
+		gate.Note(place(0), false, at(time.Duration(i)*time.Second))
+		gate.Note(place(0), true, at(time.Duration(i)*time.Second))
+	}
+	is.True(gate.NodeAnswered(at(time.Hour)))
+}
+
+// fail has calls on a partition fail from one time to another.
+func fail(gate *Gate, number int, from, to time.Duration) {
+	for now := from; now <= to; now += 50 * time.Millisecond {
+		gate.Note(place(number), false, at(now))
+	}
+}
+
+func TestPartitionThatAnswersNothingIsProbedAlone(t *testing.T) {
+	is := is.New(t)
+	gate := New(0)
+	for now := time.Duration(0); now <= time.Second; now += 50 * time.Millisecond {
+		gate.Note(place(0), false, at(now))
+		gate.Note(place(1), true, at(now))
+	}
+	is.True(gate.NodeAnswered(at(time.Second)))
+	is.True(!gate.Answered(place(0), at(time.Second)))
+	is.True(gate.Answered(place(1), at(time.Second)))
+	is.Equal(gate.Ask(place(1), true, at(time.Second)), Decision{Go: true})
+	is.True(!gate.Ask(place(0), true, at(time.Second)).Go)
+	is.Equal(gate.Away(at(time.Second)), 1)
+	fail(gate, 0, time.Second, 3*time.Second)
+	is.True(gate.NodeAnswered(at(3 * time.Second))) // known failures say nothing of the others
+	is.True(gate.Note(place(0), true, at(3*time.Second)))
+	is.True(gate.Answered(place(0), at(3*time.Second)))
+}
+
+// TestOneSuccessLetsTheOthersTry: each partition may show once that it is back, and its
+// next failure closes it again.
+func TestOneSuccessLetsTheOthersTry(t *testing.T) {
+	is := is.New(t)
+	gate := New(0)
+	for number := range 3 {
+		fail(gate, number, 0, time.Second)
+	}
+	is.True(!gate.NodeAnswered(at(time.Second)))
+	is.True(!gate.Ask(place(1), true, at(time.Second)).Go)
+	is.True(gate.Note(place(0), true, at(time.Second)))
+	is.True(gate.Answered(place(1), at(time.Second)))
+	waiting := gate.Ask(place(1), true, at(time.Second))
+	is.Equal(waiting, Decision{Again: returnSpread / 2}) // it has waited, and is spread
+	is.True(gate.Ask(place(1), false, at(time.Second)).Go)
+	is.True(gate.Ask(place(1), true, at(time.Second+returnSpread/2)).Go)
+	gate.Note(place(1), false, at(time.Second+returnSpread))
+	is.True(!gate.Answered(place(1), at(time.Second+returnSpread)))
+	is.True(gate.NodeAnswered(at(time.Second + returnSpread)))
+}
+
+func TestPeersWordBringsTheNextProbeForward(t *testing.T) {
+	is := is.New(t)
+	gate := New(1) // a probe in 20 s
+	fail(gate, 0, 0, time.Second)
+	is.True(gate.Ask(place(0), true, at(time.Second)).Again > time.Second)
+	gate.PeerAnswered(at(time.Second))
+	is.True(gate.Ask(place(0), true, at(time.Second)).Probe)
+	gate.PeerAnswered(at(time.Second))
+	is.Equal(gate.Ask(place(0), true, at(time.Second)), Decision{Again: leastProbePause})
+}
+
+// TestOldFailuresSayNothing: a node that has had nothing to ask for a while tries.
+func TestOldFailuresSayNothing(t *testing.T) {
+	is := is.New(t)
+	gate := New(0)
+	fail(gate, 0, 0, time.Second)
+	is.True(!gate.NodeAnswered(at(time.Second + staleTime - 1)))
+	is.True(gate.NodeAnswered(at(time.Second + staleTime)))
+	is.True(gate.Ask(place(0), true, at(time.Second+staleTime)).Go)
+	gate.Note(place(0), false, at(time.Second+staleTime))
+	is.True(!gate.NodeAnswered(at(time.Second + staleTime)))
+}
+
+func TestProbesOfAllNodesStayWithinTheirPart(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		callsPerSecond float64
+		members        int
+		pause          time.Duration
+	}{
+		{0, 1, leastProbePause},
+		{0, 1000, leastProbePause},
+		{6000, 1, leastProbePause},
+		{6000, 45, leastProbePause},
+		{6000, 90, 300 * time.Millisecond},
+		{2000, 1000, 10 * time.Second},
+	} {
+		is.Equal(New(c.callsPerSecond).ProbePause(c.members), c.pause)
+	}
+}
+
+// promises checks a gate's decisions while calls, outcomes and words of peers are random.
+type promises struct {
+	t       *rapid.T
+	gate    *Gate
+	members int
+	// probed is when the last probe went out, hinted tells that a peer has said something
+	// since.
+	probed time.Duration
+	hinted bool
+}
+
+func (p *promises) note(where logstore.Partition, answered bool, s Situation) {
+	if p.gate.Note(where, answered, s) {
+		p.probed, p.hinted = -time.Hour, false
+	}
+	if answered && !p.gate.Answered(where, s) {
+		p.t.Fatal("not answered after an answer")
+	}
+}
+
+func (p *promises) ask(where logstore.Partition, waits bool, s Situation) {
+	answered := p.gate.Answered(where, s)
+	decision := p.gate.Ask(where, waits, s)
+	switch {
+	case answered && !waits && !decision.Go, answered && decision.Probe, !answered && decision.Go != decision.Probe:
+		p.t.Fatalf("answered %v, waits %v: %+v", answered, waits, decision)
+	case !decision.Go && (decision.Again <= 0 || decision.Again > max(returnSpread, 2*p.gate.ProbePause(p.members))):
+		p.t.Fatalf("to ask again after %v", decision.Again)
+	case decision.Probe:
+		p.probe(s.Now)
+	}
+}
+
+func (p *promises) probe(now time.Duration) {
+	least := time.Duration(float64(p.gate.ProbePause(p.members)) * (1 - probeSpread))
+	if p.hinted {
+		least = min(least, leastProbePause)
+	}
+	if pause := now - p.probed; pause < least {
+		p.t.Fatalf("%v between two probes", pause)
+	}
+	p.probed, p.hinted = now, false
+}
+
+func TestGateHoldsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &promises{
+			t: t, gate: New(float64(rapid.SampledFrom([]int{0, 200, 6000}).Draw(t, "calls"))),
+			members: rapid.IntRange(1, 200).Draw(t, "members"), probed: -time.Hour,
+		}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.Int64Range(0, int64(200*time.Millisecond)).Draw(t, "pause"))
+			s := Situation{Now: now, Members: p.members, Draw: rapid.Float64Range(0, 0.999).Draw(t, "draw")}
+			where := place(rapid.IntRange(0, 4).Draw(t, "partition"))
+			switch what := rapid.IntRange(0, 9).Draw(t, "what"); {
+			case what < 5:
+				p.note(where, what == 4, s)
+			case what == 5:
+				p.gate.PeerAnswered(s)
+				p.hinted = true
+			default:
+				p.ask(where, what < 8, s)
+			}
+		}
+	})
+}
