--- a/internal/storegate/gate.go
+++ b/internal/storegate/gate.go
@@ -163,21 +163,27 @@
 		g.failed = s.Now
 		return false
 	}
-	returned = !g.Answered(place, s)
+	returned, whole := !g.Answered(place, s), !g.NodeAnswered(s)
 	g.node.answered()
 	noted.answered()
 	if returned {
-		g.returned()
+		g.returned(whole)
 	}
 	return returned
 }
 
-// returned lets one call out on each partition that is away: what has come back is mostly
-// the whole.
-func (g *Gate) returned() {
+// returned lets calls out on each partition that is away, since what has come back is mostly
+// the whole. Where the store was away as a whole, nothing is known of a single partition, and
+// a refusal on it, as of a store that gets many calls at once, is the first one; else the
+// next failure shows that it is still away.
+func (g *Gate) returned(whole bool) {
 	g.probing = false
 	for _, other := range g.partitions {
-		other.doubt()
+		if whole {
+			other.answered()
+		} else {
+			other.doubt()
+		}
 	}
 }
 
