Space no appends for what a store that is away refused

The pacer doubles the gap between a node's appends with every refusal, up to 160 ms, and takes some 60 calls to forget. It took the refusals of an outage for those of a store with too many calls: after it, calls that were waited for stood 0.16 s apart. Refusals of a store that is away now leave no gap. The test failed with a gap of 21.6 ms after a hundred records. One line is logged for an outage of the whole, not one more as single partitions show.

--- a/internal/gatedstore/store.go
+++ b/internal/gatedstore/store.go
@@ -198,7 +198,7 @@
 // tell logs what has changed. It needs the mutex.
 func (s *Store) tell(situation storegate.Situation) {
 	nodeAway, away := !s.gate.NodeAnswered(situation), s.gate.Away(situation)
-	if nodeAway == s.nodeAway && (away > 0) == s.partAway {
+	if nodeAway == s.nodeAway && (nodeAway || (away > 0) == s.partAway) {
 		return
 	}
 	if !s.nodeAway && !s.partAway {
--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -62,6 +62,9 @@
 	p.gap.Store(int64(min(max(2*time.Duration(p.gap.Load()), firstGap), longestGap)))
 }
 
+// reset leaves no gaps.
+func (p *pacer) reset() { p.gap.Store(0) }
+
 // accepted makes the gaps a little shorter, down to none.
 func (p *pacer) accepted() {
 	const keepPercent = 92
@@ -164,7 +167,7 @@
 			a.pacer.wait()
 			continue
 		}
-		a.pacer.refused()
+		a.space()
 		a.metrics.appendFailures.Inc()
 		a.putBack(batch)
 		a.rest(pause, regained)
@@ -264,6 +267,16 @@
 	}
 }
 
+// space spaces the calls after a refusal. That of a store that is away says nothing of how
+// many it takes.
+func (a *appender) space() {
+	if a.gate.Answers(a.partition) {
+		a.pacer.refused()
+		return
+	}
+	a.pacer.reset()
+}
+
 // rest pauses after a failed call, unless the store has regained since it began. Where it
 // is known to be away, the gate paces, and the pause is short.
 func (a *appender) rest(pause time.Duration, regained <-chan struct{}) {
--- a/internal/ledgerlog/outage_test.go
+++ b/internal/ledgerlog/outage_test.go
@@ -56,6 +56,7 @@
 				written += len(log.Records(p.appender.partition))
 			}
 			is.Equal(written, 100)
+			is.Equal(l.of("p").appender.pacer.gap.Load(), int64(0)) // no calls are spaced for what the outage refused
 		})
 	}
 }
