Leave reservations to the home while the store is away

A turn that a node refuses since the store is away had its reservation kept in the background whichever node that was. Clients come back to all nodes: at the store's return each of them wrote such records to nearly all partitions and read these whole for the verdicts. Only the home's are kept now.

--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -67,12 +67,6 @@
 	dry bool
 }
 
-type reservationCall struct {
-	done    chan struct{}
-	err     error
-	granted bool
-}
-
 // Grant is the right to hand out the tokens of one turn.
 type Grant struct {
 	Program ledger.ProgramID
@@ -142,9 +136,13 @@
 func (h *holder) tryTake(request TurnRequest) (grant Grant, call *reservationCall, own bool) {
 	program, most, home := request.Program, request.Most, request.Home
 	sure := h.sure()
+	reserves := home || sure || h.gate.Answers(h.partition.appender.partition)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	held, known := h.credits[program]
+	if !reserves && (!known || held.asking == nil && !held.credit.Fits(most, false)) {
+		return Grant{}, notReserved(), true
+	}
 	if !known {
 		held = &heldCredit{credit: ledger.NewCredit(program, h.life, request.Budget, most, h.clock())}
 		held.ahead = sure && !h.partition.follower.knows(program)
--- /dev/null
+++ b/internal/ledgerlog/reservationcall.go
@@ -0,0 +1,19 @@
+package ledgerlog
+
+// reservationCall is a reservation under way. What is set before done is closed may be read
+// after it.
+type reservationCall struct {
+	done    chan struct{}
+	err     error
+	granted bool
+}
+
+// notReserved is the call of a reservation that is not made: a node that is not the home
+// leaves it to the home while the store is away. Else all nodes that clients come back to
+// would write a record for each turn that they refuse, and read its whole partition for the
+// verdict, in the first second after the store's return.
+func notReserved() *reservationCall {
+	made := &reservationCall{done: make(chan struct{}), err: ErrStoreAway}
+	close(made.done)
+	return made
+}
