Play the ledger's schedules through breakers too

The schedules of nodes that must never overspend ran without a gate; they now run with and without. New: each record is written once, whatever the store does.

--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -419,6 +419,8 @@
 	program   ledger.ProgramID
 	handedOut uint32
 	step      int
+	// start returns a node's ledger.
+	start func(log logstore.Store, name string) *Ledger
 }
 
 var scheduleFaults = []store.Fault{
@@ -434,7 +436,7 @@
 
 // replace ends a node's life and begins another.
 func (s *schedule) replace(node int) {
-	s.nodes[node] = newLedger(s.log, fmt.Sprintf("n%d.%d", node, s.step))
+	s.nodes[node] = s.start(s.log, fmt.Sprintf("n%d.%d", node, s.step))
 }
 
 // disturb plays the trouble that draw names, if any.
@@ -496,12 +498,16 @@
 // while the store fails in all its ways, nodes die, all of them at once too,
 // stop as planned and disagree on who is the home. Together they never hand out
 // more than the budget and the most of one turn.
-func TestNodesNeverOverspendTogether(t *testing.T) {
+func TestNodesNeverOverspendTogether(t *testing.T) { testOverspending(t, newLedger) }
+
+func TestNodesWithGatesNeverOverspendTogether(t *testing.T) { testOverspending(t, newGatedLedger) }
+
+func testOverspending(t *testing.T, start func(log logstore.Store, name string) *Ledger) {
 	rapid.Check(t, func(rt *rapid.T) {
 		draws := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 10, 150).Draw(rt, "draws")
 		synctest.Test(t, func(t *testing.T) {
 			log := store.New()
-			run := &schedule{t: t, log: log, nodes: []*Ledger{newLedger(log, "n0"), newLedger(log, "n1"), newLedger(log, "n2")}}
+			run := &schedule{t: t, log: log, start: start, nodes: []*Ledger{start(log, "n0"), start(log, "n1"), start(log, "n2")}}
 			own(t, run.nodes[0])
 			run.program = samePartition(run.nodes[0], 1)[0]
 			for step, draw := range draws {
--- a/internal/ledgerlog/outage_test.go
+++ b/internal/ledgerlog/outage_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/emulator/store"
 	"stepseam.example/stepseam/internal/gatedstore"
@@ -22,11 +23,16 @@
 	outagePartitions = 24
 )
 
-// outageLedger is a node's ledger with a record for every partition to write.
-func outageLedger(log logstore.Store) *Ledger {
+// outageLedger is the ledger of a node whose calls go through breakers, with many partitions.
+func outageLedger(log logstore.Store) *Ledger { return gatedLedger(log, "a", outagePartitions) }
+
+// newGatedLedger is newLedger with breakers.
+func newGatedLedger(log logstore.Store, name string) *Ledger { return gatedLedger(log, name, 3) }
+
+func gatedLedger(log logstore.Store, name string, partitions int) *Ledger {
 	gated := gatedstore.New(gatedstore.Config{Store: log, Logger: slog.New(slog.DiscardHandler)})
 	return New(Config{
-		Store: gated, Gate: gated, Topic: "ledger", TextTopic: "texts", Partitions: outagePartitions, Producer: "a",
+		Store: gated, Gate: gated, Topic: "ledger", TextTopic: "texts", Partitions: partitions, Producer: name,
 		RecordBytes: 64, CallBytes: 1 << 20, CacheBytes: 1 << 10, Logger: slog.New(slog.DiscardHandler),
 	})
 }
@@ -169,3 +175,37 @@
 		is.NoErr(l.Stop(within(t, time.Second)))
 	})
 }
+
+// TestEachRecordIsWrittenOnce whatever the store does meanwhile.
+func TestEachRecordIsWrittenOnce(t *testing.T) {
+	faults := []store.Fault{{}, {}, {Busy: true}, {Silent: true}, {LoseAnswers: true}, {Delay: 300 * time.Millisecond}}
+	rapid.Check(t, func(rt *rapid.T) {
+		draws := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 1, 60).Draw(rt, "draws")
+		synctest.Test(t, func(t *testing.T) {
+			log := store.New()
+			l := newGatedLedger(log, "a")
+			for number, draw := range draws {
+				fault := faults[draw%len(faults)]
+				if down := draw / 10 % 4; down < 3 {
+					fault.Partition = &down
+				}
+				log.Fail(fault)
+				l.partitions[draw/40%3].submitNow([]byte{byte(number)})
+				time.Sleep(time.Duration(draw%1500) * time.Millisecond)
+			}
+			log.Fail(store.Fault{})
+			time.Sleep(10 * time.Second)
+			written := map[byte]int{}
+			for _, p := range l.partitions {
+				for _, record := range log.Records(p.appender.partition) {
+					written[record[0]]++
+				}
+			}
+			for number := range draws {
+				if written[byte(number)] != 1 {
+					rt.Fatalf("record %d is written %d times", number, written[byte(number)])
+				}
+			}
+		})
+	})
+}
