--- a/internal/ledgerlog/outage_test.go
+++ b/internal/ledgerlog/outage_test.go
@@ -181,7 +181,7 @@
 	faults := []store.Fault{{}, {}, {Busy: true}, {Silent: true}, {LoseAnswers: true}, {Delay: 300 * time.Millisecond}}
 	rapid.Check(t, func(rt *rapid.T) {
 		draws := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 1, 60).Draw(rt, "draws")
-		synctest.Test(t, func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) {
 			log := store.New()
 			l := newGatedLedger(log, "a")
 			for number, draw := range draws {
