--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"stepseam.example/stepseam/internal/logstore"
+	"stepseam.example/stepseam/internal/wait"
 )
 
 const (
@@ -60,6 +62,9 @@
 	p.gap.Store(int64(min(max(2*time.Duration(p.gap.Load()), firstGap), longestGap)))
 }
 
+// reset leaves no gaps.
+func (p *pacer) reset() { p.gap.Store(0) }
+
 // accepted makes the gaps a little shorter, down to none.
 func (p *pacer) accepted() {
 	const keepPercent = 92
@@ -82,6 +87,7 @@
 // call whose answer was lost is repeated without writing twice.
 type appender struct {
 	store     logstore.Store
+	gate      Gate
 	partition logstore.Partition
 	producer  string
 	callBytes int
@@ -154,13 +160,13 @@
 
 func (a *appender) run() {
 	pause := minRetryPause
-	for a.waiting() {
-		time.Sleep(a.gathering.wait(time.Now()))
-		batch := a.take()
+	for {
+		batch := a.next()
 		if len(batch) == 0 {
 			return
 		}
 		a.gathering.called(len(batch), time.Now())
+		regained := a.gate.Regained()
 		err := a.write(batch)
 		if err == nil {
 			pause = minRetryPause
@@ -168,10 +174,10 @@
 			a.pacer.wait()
 			continue
 		}
-		a.pacer.refused()
+		a.space()
 		a.metrics.appendFailures.Inc()
 		a.putBack(batch)
-		sleepAbout(pause)
+		a.rest(pause, regained)
 		pause = min(2*pause, maxRetryPause)
 	}
 }
@@ -184,6 +190,33 @@
 	return a.running
 }
 
+// next returns the submissions for one call once the store may be called and others have had
+// the time to go with it, and none once nobody waits for any.
+func (a *appender) next() []*submission {
+	for a.waiting() {
+		ctx, cancel := context.WithTimeout(context.Background(), maxRetryPause)
+		err := a.gate.Await(ctx, a.partition)
+		cancel()
+		if err == nil {
+			time.Sleep(a.gathering.wait(time.Now()))
+			return a.take()
+		}
+		if a.ended() {
+			return nil
+		}
+	}
+	return nil
+}
+
+// ended drops the submissions that nobody waits for, and tells whether there is no other.
+func (a *appender) ended() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.queue = slices.DeleteFunc(a.queue, (*submission).expired)
+	a.running = len(a.queue) > 0
+	return !a.running
+}
+
 // take returns the submissions for one call, and none once the queue is empty.
 func (a *appender) take() []*submission {
 	a.mutex.Lock()
@@ -223,7 +256,8 @@
 	unanswered := 0
 	pause := minRetryPause
 	for {
-		result, err := a.call(records, unanswered)
+		regained := a.gate.Regained()
+		result, err := a.call(records, unanswered, regained)
 		switch {
 		case err == nil:
 			a.sequence++
@@ -243,15 +277,40 @@
 			return err
 		}
 		a.metrics.appendFailures.Inc()
-		sleepAbout(pause)
+		a.rest(pause, regained)
 		pause = min(2*pause, maxRetryPause)
+		// What may have been done is repeated however long that takes, and this wait has no end.
+		_ = a.gate.Await(context.Background(), a.partition)
+	}
+}
+
+// space spaces the calls after a refusal. That of a store that is away says nothing of how
+// many it takes.
+func (a *appender) space() {
+	if a.gate.Answers(a.partition) {
+		a.pacer.refused()
+		return
 	}
+	a.pacer.reset()
 }
 
-// call makes one call; unanswered is how many of the same have got no answer.
-func (a *appender) call(records [][]byte, unanswered int) (logstore.AppendResult, error) {
+// rest pauses after a failed call, unless the store has regained since it began. Where it
+// is known to be away, the gate paces, and the pause is short.
+func (a *appender) rest(pause time.Duration, regained <-chan struct{}) {
+	if !a.gate.Answers(a.partition) {
+		pause = minRetryPause
+	}
+	sleepUntil(regained, pause)
+}
+
+// call makes one call; unanswered is how many of the same have got no answer. A probe that
+// hangs when the store answers others again gets the time of a first call from then on.
+func (a *appender) call(records [][]byte, unanswered int, regained <-chan struct{}) (logstore.AppendResult, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), a.retransmission.timeout(unanswered))
 	defer cancel()
+	if !a.gate.Answers(a.partition) {
+		go a.shorten(ctx, cancel, regained)
+	}
 	began := time.Now()
 	result, err := a.store.Append(ctx, logstore.AppendRequest{
 		Partition: a.partition, Records: records,
@@ -265,6 +324,15 @@
 	return result, err
 }
 
+func (a *appender) shorten(ctx context.Context, cancel context.CancelFunc, regained <-chan struct{}) {
+	select {
+	case <-regained:
+		_ = wait.For(ctx, a.retransmission.timeout(0)) // either way it is over
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
 func (a *appender) resolve(batch []*submission, records [][]byte, first logstore.Offset) {
 	if a.written != nil {
 		a.written(first, records)
@@ -281,8 +349,18 @@
 	}
 }
 
-// sleepAbout waits for between half of pause and one and a half of it, so that
-// nodes that failed together do not come back together.
-func sleepAbout(pause time.Duration) {
-	time.Sleep(pause/2 + rand.N(pause))
+// sleepUntil waits for between half of pause and one and a half of it, so that nodes that
+// failed together do not come back together, and until the store has regained at most.
+func sleepUntil(regained <-chan struct{}, pause time.Duration) {
+	timer := time.NewTimer(about(pause))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-regained:
+	}
 }
+
+// sleepAbout is sleepUntil without an early end.
+func sleepAbout(pause time.Duration) { time.Sleep(about(pause)) }
+
+func about(pause time.Duration) time.Duration { return pause/2 + rand.N(pause) }
--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -43,9 +43,8 @@
 // holder holds this node's credits of one partition's programs and its ownership.
 type holder struct {
 	partition *partition
-	// storeAnswers is nil where nobody tells.
-	storeAnswers func() bool
-	life         ledger.LifeID
+	gate      Gate
+	life      ledger.LifeID
 	// members is set before the first turn.
 	members Members
 	clock   func() time.Duration
@@ -78,19 +77,6 @@
 	dry bool
 }
 
-type reservationCall struct {
-	done    chan struct{}
-	err     error
-	granted bool
-}
-
-// refusedCall stands for a reservation that need not be asked for: the log would refuse it.
-var refusedCall = func() *reservationCall {
-	call := &reservationCall{done: make(chan struct{})}
-	close(call.done)
-	return call
-}()
-
 // Grant is the right to hand out the tokens of one turn.
 type Grant struct {
 	Program ledger.ProgramID
@@ -131,8 +117,8 @@
 	}
 }
 
-// await waits for a reservation's outcome. Where the store answers nothing, it does not:
-// the reservation goes on in the background, and the turn is refused at once.
+// await waits for a reservation's outcome. Where the store answers nothing on the partition,
+// it does not: the reservation goes on in the background, and the turn is refused at once.
 func (h *holder) await(ctx context.Context, call *reservationCall) error {
 	ticker := time.NewTicker(awayPause)
 	defer ticker.Stop()
@@ -142,7 +128,7 @@
 			return nil
 		default:
 		}
-		if h.storeAnswers != nil && !h.storeAnswers() {
+		if !h.gate.Answers(h.partition.appender.partition) {
 			return ErrStoreAway
 		}
 		select {
@@ -172,9 +158,13 @@
 func (h *holder) tryTake(request TurnRequest) (grant Grant, call *reservationCall, own bool) {
 	program, most, home := request.Program, request.Most, request.Home
 	sure := h.sure()
+	reserves := home || sure || h.gate.Answers(h.partition.appender.partition)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	held, known := h.credits[program]
+	if !reserves && (!known || held.asking == nil && !held.credit.Fits(most, false)) {
+		return Grant{}, notReserved(), true
+	}
 	if !known {
 		held = &heldCredit{credit: ledger.NewCredit(program, h.life, request.Budget, most, h.clock())}
 		held.ahead = sure && !h.partition.follower.knows(program)
@@ -230,8 +220,11 @@
 }
 
 // rebase reserves what a program's next turns need in place of what is reserved, with the
-// partition's next call.
+// partition's next call. While the store is away, what is reserved stays.
 func (h *holder) rebase(program ledger.ProgramID) {
+	if !h.gate.Answers(h.partition.appender.partition) {
+		return
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	held, known := h.credits[program]
@@ -260,6 +253,7 @@
 		return ledger.Verdict{}, outcome.err
 	}
 	for {
+		regained := h.gate.Regained()
 		err := h.partition.follower.readTo(context.Background(), outcome.first)
 		if verdict, known := h.partition.follower.verdict(attempt); known {
 			return verdict, nil
@@ -268,7 +262,7 @@
 			return ledger.Verdict{}, fmt.Errorf("%w: the verdict was passed over", ErrUnavailable)
 		}
 		h.partition.follower.expect(attempt)
-		sleepAbout(maxRetryPause)
+		sleepUntil(regained, maxRetryPause)
 	}
 }
 
--- a/internal/ledgerlog/keeptext.go
+++ b/internal/ledgerlog/keeptext.go
@@ -35,7 +35,7 @@
 func (l *Ledger) KeepText(ctx context.Context, turn ledger.Keep, text []byte, apart bool) (ledger.Location, error) {
 	number := l.Partition(turn.Program)
 	tried := 0
-	if !apart && l.partitions[number].follower.takesText(len(text)) {
+	if !apart && l.mayHoldText(number, len(text)) {
 		location, err := l.keepTogether(ctx, number, turn, text)
 		if err == nil {
 			l.texts.metrics.texts.WithLabelValues("index").Inc()
@@ -55,6 +55,13 @@
 	return location, l.keepFrom(ctx, turn, tried)
 }
 
+// mayHoldText tells whether a text may go into a partition of the index now: the store
+// answers there, as far as is known, and the partition has room.
+func (l *Ledger) mayHoldText(number, size int) bool {
+	p := l.partitions[number]
+	return l.config.Gate.Answers(p.appender.partition) && p.follower.takesText(size)
+}
+
 // keepTogether writes a text and its turn in one call. Where the outcome is not known, the
 // turn may be kept again elsewhere.
 func (l *Ledger) keepTogether(ctx context.Context, number int, turn ledger.Keep, text []byte) (ledger.Location, error) {
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -29,6 +29,14 @@
 	})
 }
 
+// answeringGate lets all calls out and tells what a test says.
+type answeringGate struct {
+	openGate
+	answers func() bool
+}
+
+func (g answeringGate) Answers(logstore.Partition) bool { return g.answers() }
+
 func within(t *testing.T, limit time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	t.Cleanup(cancel)
@@ -127,7 +135,7 @@
 		away := false
 		l := New(Config{
 			Store: log, Topic: "ledger", TextTopic: "texts", Partitions: 3, Producer: "a", RecordBytes: 64, CallBytes: 1 << 20,
-			CacheBytes: 1 << 10, Logger: slog.New(slog.DiscardHandler), StoreAnswers: func() bool { return !away },
+			CacheBytes: 1 << 10, Logger: slog.New(slog.DiscardHandler), Gate: answeringGate{answers: func() bool { return !away }},
 		})
 		grant, err := take(within(t, time.Second), l, "p", 1000, 60, true)
 		is.NoErr(err)
@@ -414,6 +422,8 @@
 	program   ledger.ProgramID
 	handedOut uint32
 	step      int
+	// start returns a node's ledger.
+	start func(log logstore.Store, name string) *Ledger
 }
 
 var scheduleFaults = []store.Fault{
@@ -429,7 +439,7 @@
 
 // replace ends a node's life and begins another.
 func (s *schedule) replace(node int) {
-	s.nodes[node] = newLedger(s.log, fmt.Sprintf("n%d.%d", node, s.step))
+	s.nodes[node] = s.start(s.log, fmt.Sprintf("n%d.%d", node, s.step))
 }
 
 // disturb plays the trouble that draw names, if any.
@@ -500,12 +510,16 @@
 // while the store fails in all its ways, nodes die, all of them at once too,
 // stop as planned and disagree on who is the home. Together they never hand out
 // more than the budget and the most of one turn.
-func TestNodesNeverOverspendTogether(t *testing.T) {
+func TestNodesNeverOverspendTogether(t *testing.T) { testOverspending(t, newLedger) }
+
+func TestNodesWithGatesNeverOverspendTogether(t *testing.T) { testOverspending(t, newGatedLedger) }
+
+func testOverspending(t *testing.T, start func(log logstore.Store, name string) *Ledger) {
 	rapid.Check(t, func(rt *rapid.T) {
 		draws := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 10, 150).Draw(rt, "draws")
 		synctest.Test(t, func(t *testing.T) {
 			log := store.New()
-			run := &schedule{t: t, log: log, nodes: []*Ledger{newLedger(log, "n0"), newLedger(log, "n1"), newLedger(log, "n2")}}
+			run := &schedule{t: t, log: log, start: start, nodes: []*Ledger{start(log, "n0"), start(log, "n1"), start(log, "n2")}}
 			own(t, run.nodes[0])
 			run.program = samePartition(run.nodes[0], 1)[0]
 			for step, draw := range draws {
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -29,7 +29,7 @@
 	record := [][]byte{ledger.Encode(turn)}
 	own := l.Partition(turn.Program)
 	for i := tried; ; i++ {
-		p := l.partitions[(own+i%keepPartitions)%len(l.partitions)]
+		p := l.keepPlace(own, i)
 		p.holder.rebase(turn.Program)
 		_, err := p.append(ctx, record)
 		if err == nil {
@@ -41,6 +41,18 @@
 	}
 }
 
+// keepPlace returns the partition for one try of several: the next one that the store
+// answers, as far as is known, and the next one where it answers none of them.
+func (l *Ledger) keepPlace(own, try int) *partition {
+	at := func(i int) *partition { return l.partitions[(own+i%keepPartitions)%len(l.partitions)] }
+	for i := range keepPartitions {
+		if next := at(try + i); l.config.Gate.Answers(next.appender.partition) {
+			return next
+		}
+	}
+	return at(try)
+}
+
 // append writes adjacent records, with what waits for a call to go with, and returns the
 // offset of the first.
 func (p *partition) append(ctx context.Context, records [][]byte) (logstore.Offset, error) {
