Let the turns of late programs come later at engines

Change: the turns of a program that has no time left come two ranks later, not last, so that they don't starve. The former bounds on ranks are asked of both kinds.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -336,9 +336,15 @@
 
 func TestRoutesRankInTheirOrder(t *testing.T) {
 	is := is.New(t)
-	is.True(Priority(0) < Priority(1))
-	is.True(Priority(1000) <= 9)
-	is.True(Priority(-1) >= 0)
+	for _, late := range []bool{false, true} {
+		is.True(Priority(0, late) < Priority(1, late))
+		is.True(Priority(1000, late) <= 9)
+		is.True(Priority(-1, late) >= 0)
+	}
+	for route := range 5 {
+		is.True(Priority(route, false) < Priority(route, true)) // what can be in time goes first
+	}
+	is.True(Priority(0, true) <= Priority(2, false)) // but late programs don't starve behind all others
 }
 
 func TestKeepersWordReplacesWhatWasHeardLongAgo(t *testing.T) {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -169,7 +169,7 @@
 	}
 	call.header.Set(r.config.Names.TimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
 	if call.service.Slots > 0 && r.config.Names.Priority != "" {
-		call.header.Set(r.config.Names.Priority, strconv.Itoa(balance.Priority(call.priority)))
+		call.header.Set(r.config.Names.Priority, strconv.Itoa(balance.Priority(call.priority, call.late)))
 	}
 	sending := r.config.Tracker.Begin(balance.Target{
 		Instance: replica.Life(), Service: call.service.Name, Slots: replica.Slots, Known: chosen.known,
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -55,8 +55,9 @@
 
 	prompt     balance.Prompt
 	mostTokens uint32
-	// finish is how long the program has left, for the log.
+	// finish is how long the program has left; late tells that this is nothing.
 	finish time.Duration
+	late   bool
 	turn   turn
 	// lastEvent is the last event that the client has, or -1.
 	lastEvent int64
@@ -134,6 +135,7 @@
 	}
 	if left, err := strconv.ParseInt(request.Header.Get(names.Finish), 10, 64); err == nil {
 		made.finish = time.Duration(left) * time.Millisecond
+		made.late = left <= 0
 	}
 	made.turn = turn{
 		program:  ledger.ProgramID(request.Header.Get(names.Program)),
