Let an ejected replica serve six requests in a row before it returns

Cause: one that fails 45 in 100 serves four in a row one time in eleven, and returned so by chance: 45 failures where 43 are allowed (loss 0.2, failing 0.45, seed 0x12), found by TestNodesLeaveFailingReplicasAlone on the joined code. Change: six, one time in 36.

--- a/internal/keeper/outcomes_test.go
+++ b/internal/keeper/outcomes_test.go
@@ -178,24 +178,41 @@
 
 // TestNodesLeaveFailingReplicasAlone whatever part of their datagrams is lost.
 func TestNodesLeaveFailingReplicasAlone(t *testing.T) {
-	const requests, step = 6000, 2 * time.Millisecond
 	rapid.Check(t, func(t *rapid.T) {
-		c := &crowd{
-			book: NewBook(), soundEjected: map[Key]bool{}, loss: rapid.Float64Range(0, 0.2).Draw(t, "loss"),
-			failing: rapid.SampledFrom([]float64{0.45, 1}).Draw(t, "failing"), bad: rapid.IntRange(1, 4).Draw(t, "bad"),
-			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
-		}
-		for i := range requests {
-			now := time.Duration(i) * step
-			c.serve(c.choose(now), now)
-		}
-		const toFindOut = 12 // at each, to find it out, to probe it and after a return by chance
-		offered := float64(requests*c.bad) / crowdReplicas * c.failing
-		if most := float64(toFindOut*c.bad) + (0.2+c.loss)*offered; float64(c.failures) > most {
-			t.Fatalf("%d failures, more than %.0f of about %.0f that would be", c.failures, most, offered)
-		}
-		if len(c.soundEjected) > 1 {
-			t.Fatalf("sound replicas are ejected: %v", c.soundEjected)
-		}
+		loss, failing := rapid.Float64Range(0, 0.2).Draw(t, "loss"), rapid.SampledFrom([]float64{0.45, 1}).Draw(t, "failing")
+		playCrowd(t, loss, failing, rapid.IntRange(1, 4).Draw(t, "bad"), rapid.Uint64().Draw(t, "seed"))
 	})
 }
+
+// TestHalfFailingReplicaIsLeftAloneWhereDatagramsAreLost is the case of the test above that
+// found 45 failures where 43 are allowed.
+func TestHalfFailingReplicaIsLeftAloneWhereDatagramsAreLost(t *testing.T) {
+	playCrowd(t, 0.2, 0.45, 1, 0x12)
+}
+
+// failer is a test, or a check of package rapid.
+type failer interface {
+	Fatalf(format string, values ...any)
+}
+
+// playCrowd plays some seconds and fails if bad replicas got too many requests, or sound ones
+// were ejected.
+func playCrowd(t failer, loss, failing float64, bad int, seed uint64) {
+	const requests, step = 6000, 2 * time.Millisecond
+	c := &crowd{
+		book: NewBook(), soundEjected: map[Key]bool{}, loss: loss, failing: failing, bad: bad,
+		random: rand.New(rand.NewPCG(seed, 1)),
+	}
+	for i := range requests {
+		now := time.Duration(i) * step
+		c.serve(c.choose(now), now)
+	}
+	const toFindOut = 12 // at each, to find it out, to probe it and after a return by chance
+	offered := float64(requests*c.bad) / crowdReplicas * c.failing
+	if most := float64(toFindOut*c.bad) + (0.2+c.loss)*offered; float64(c.failures) > most {
+		t.Fatalf("%d failures, more than %.0f of about %.0f that would be", c.failures, most, offered)
+	}
+	if len(c.soundEjected) > 1 {
+		t.Fatalf("sound replicas are ejected: %v", c.soundEjected)
+	}
+}
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -59,7 +59,7 @@
 	ejectAt = 9.2
 	// returnAfter is how many requests in a row a replica has to serve to return; each
 	// ejection shortly before doubles it, up to longestReturn.
-	returnAfter   = 4
+	returnAfter   = 6
 	longestReturn = 32
 	// memory is how long after a return a further ejection counts as one of the same fault.
 	memory = 20 * time.Second
