--- a/internal/limits/allot.go
+++ b/internal/limits/allot.go
@@ -135,7 +135,7 @@
 	if !limited {
 		return nil, errNoLimit
 	}
-	s.beat(s.config.Now())
+	s.lookBeforeGranting(s.config.Now())
 	s.settle(ctx, asked.Tenant, limit)
 	request := asked.Request
 	if asked.Source != s.source {
@@ -296,7 +296,7 @@
 		return &takenOver{}, nil
 	}
 	now := s.config.Now()
-	s.beat(now)
+	s.lookBeforeGranting(now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.allocator.SetShare(s.share(now))
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -111,8 +111,9 @@
 	allocator *quota.Allocator
 	// changedAt is when the members changed last, or this node started or stood still.
 	changedAt time.Duration
-	// beatAt is when this node was last seen to go on.
+	// beatAt is when this node was last seen to go on; beats tells that Run looks for that.
 	beatAt time.Duration
+	beats  bool
 	// settling holds the tenants whose account is being taken over.
 	settling map[string]chan struct{}
 }
@@ -122,7 +123,7 @@
 	return &Service{
 		config: config, source: quota.Source(rand.Uint64()), placement: newPlacement(config.Self),
 		metrics: newMetrics(config.Registerer), startedAt: config.Now(), stocks: map[string]*stock{},
-		allocator: quota.NewAllocator(config.Policy), changedAt: config.Now(), beatAt: config.Now(), settling: map[string]chan struct{}{},
+		allocator: quota.NewAllocator(config.Policy), changedAt: config.Now(), settling: map[string]chan struct{}{},
 	}
 }
 
@@ -169,14 +170,29 @@
 // standstill is a pause of the process after which other nodes may have taken it for dead.
 const standstill = time.Second
 
-// beat notices a standstill since the beat before. Whatever grants or hands over beats first,
-// since it may be the first that runs when the process goes on.
+// beat notices a standstill since the beat before.
 func (s *Service) beat(now time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	pause := now - s.beatAt
+	s.notice(now)
+	s.beats, s.beatAt = true, now
+}
+
+// lookBeforeGranting notices a standstill where a question is the first that runs when the
+// process goes on. Before Run there are no beats that could be late.
+func (s *Service) lookBeforeGranting(now time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.notice(now)
+}
+
+// notice needs the mutex.
+func (s *Service) notice(now time.Duration) {
+	if !s.beats {
+		return
+	}
+	s.noteStandstill(now-s.beatAt, now)
 	s.beatAt = now
-	s.noteStandstill(pause, now)
 }
 
 // noteStandstill needs the mutex.
