--- a/internal/router/limit_test.go
+++ b/internal/router/limit_test.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -32,9 +31,6 @@
 		found := h.router.Configuration().TenantNamed(name)
 		return limits.LimitOf(found), found.Limited()
 	})
-	ctx, stop := context.WithCancel(context.Background())
-	h.t.Cleanup(stop)
-	go h.router.config.Limits.Run(ctx)  // without it, the node seems to have stood still
 	time.Sleep(1200 * time.Millisecond) // until the node knows that nobody else has allotted the limit
 }
 
