Count what the store has answered from when it was asked

Cause, found by reading: an append whose answer is lost is repeated however long that takes, and its answer confirmed the ownership anew, though others may have written since its first sending; an owner could hand out tokens ahead of the log beside the one in its place. Change: an answer confirms from the first sending of its call, a read from its sending. Beside it, from the same reading: a caller that leaves says nothing of the store; a node whose own way to replicas fails no longer wipes what the keeper has heard of others; failures of partitions that are forgotten stay forgotten after an answer; a turn's second try takes another partition; a refusal for a reservation elsewhere is kept. Three failures in a row eject with a margin. The test of a turn that never was looks at reads since the home is cut off, that of a store that is away counts which reads went out.

--- a/internal/gatedstore/store.go
+++ b/internal/gatedstore/store.go
@@ -149,7 +149,7 @@
 // Append is logstore.Store's.
 func (s *Store) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
 	result, err := s.config.Store.Append(ctx, request)
-	s.note(request.Partition, err)
+	s.note(ctx, request.Partition, err)
 	return result, err
 }
 
@@ -159,25 +159,29 @@
 		return logstore.ReadResult{}, ErrAway
 	}
 	result, err := s.config.Store.Read(ctx, request)
-	s.note(request.Partition, err)
+	s.note(ctx, request.Partition, err)
 	return result, err
 }
 
 // Newest is logstore.Store's.
 func (s *Store) Newest(ctx context.Context, request logstore.NewestRequest) (logstore.NewestResult, error) {
 	result, err := s.config.Store.Newest(ctx, request)
-	s.note(request.Partition, err)
+	s.note(ctx, request.Partition, err)
 	return result, err
 }
 
 // Changes is logstore.Store's.
 func (s *Store) Changes(ctx context.Context, request logstore.ReadRequest) (logstore.ChangesResult, error) {
 	result, err := s.config.Store.Changes(ctx, request)
-	s.note(request.Partition, err)
+	s.note(ctx, request.Partition, err)
 	return result, err
 }
 
-func (s *Store) note(place logstore.Partition, err error) {
+// note counts how a call ended. One whose caller has left says nothing of the store.
+func (s *Store) note(ctx context.Context, place logstore.Partition, err error) {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	situation := s.situation()
--- a/internal/gatedstore/store_test.go
+++ b/internal/gatedstore/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
@@ -52,12 +53,16 @@
 		began := time.Now()
 		readFor(t, gated, 0, awayAfter+2*probePause)
 		is.True(!gated.AnswersNode())
-		before := log.Calls("read")
+		before, others := log.Calls("read"), 0
 		for range 1000 {
 			_, err := gated.Read(t.Context(), logstore.ReadRequest{Partition: place(0)})
-			is.True(errors.Is(err, ErrAway) || err != nil && log.Calls("read") > before)
+			is.True(err != nil)
+			if !errors.Is(err, ErrAway) {
+				others++
+			}
 		}
-		is.True(log.Calls("read")-before <= 1+int(time.Since(began)/probePause))
+		is.Equal(others, log.Calls("read")-before) // only those that went out fail otherwise
+		is.True(others <= 1+int(time.Since(began)/probePause))
 		log.Fail(store.Fault{})
 		_, err := gated.Newest(t.Context(), logstore.NewestRequest{Partition: place(0)})
 		is.NoErr(err)
@@ -165,3 +170,28 @@
 		is.True(time.Since(readable) <= 200*time.Millisecond)
 	})
 }
+
+// TestCallersThatLeaveSayNothingOfTheStore: their clients gave up on a slow partition.
+func TestCallersThatLeaveSayNothingOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		gated := newGated(&hanging{})
+		for range 5 {
+			ctx, leave := context.WithCancel(t.Context())
+			time.AfterFunc(300*time.Millisecond, leave)
+			_, err := gated.Read(ctx, logstore.ReadRequest{Partition: place(0)})
+			is.True(err != nil)
+		}
+		is.True(gated.AnswersNode())
+		is.True(gated.Answers(place(0)))
+	})
+}
+
+// hanging is a store that answers no read.
+type hanging struct{ logstore.Store }
+
+// Read implements logstore.Store.
+func (*hanging) Read(ctx context.Context, _ logstore.ReadRequest) (logstore.ReadResult, error) {
+	<-ctx.Done()
+	return logstore.ReadResult{}, fmt.Errorf("%w: %w", logstore.ErrUnavailable, ctx.Err())
+}
--- a/internal/homes/begin.go
+++ b/internal/homes/begin.go
@@ -132,7 +132,9 @@
 				go discard(results, pending)
 				return one.turn, nil
 			}
-			last = one.err
+			if !errors.Is(last, ledgerlog.ErrReserved) {
+				last = one.err
+			}
 			if errors.Is(one.err, ledgerlog.ErrReserved) {
 				continue // the other way may be what has reserved the rest
 			}
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -331,10 +331,19 @@
 		})
 	}
 	cut, _ := homeOf(nodes, "p")
+	var kept []int
+	for partition := range partitions {
+		if cut.service.isHome(partition) {
+			kept = append(kept, partition)
+		}
+	}
+	for _, one := range nodes {
+		one.store.read.Clear()
+	}
 	cut.store.closed.Store(true)
 	_, err := nodes[0].service.Begin(ctx, Request{Program: "q", Previous: "never too"})
-	if errors.Is(err, ledgerlog.ErrNoSuchTurn) { // the proof needs that home's partitions, so others have read them
-		for partition := range partitions {
+	if errors.Is(err, ledgerlog.ErrNoSuchTurn) { // the proof needs that home's partitions, so others have read them since
+		for _, partition := range kept {
 			is.True(slices.ContainsFunc(nodes, func(one *node) bool {
 				_, read := one.store.read.Load(partition)
 				return one != cut && read
--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -96,8 +96,9 @@
 	pacer     *pacer
 	// retransmission says when a call is repeated, with the same sequence number.
 	retransmission *retransmission
-	// written is told of each batch in the log, before those who wait for it.
-	written func(first logstore.Offset, records [][]byte)
+	// written is told of each batch in the log, and how long ago it was sent first, before
+	// those who wait for it.
+	written func(first logstore.Offset, records [][]byte, ago time.Duration)
 
 	// mutex guards all below.
 	mutex   sync.Mutex
@@ -255,13 +256,14 @@
 	}
 	unanswered := 0
 	pause := minRetryPause
+	sent := time.Now()
 	for {
 		regained := a.gate.Regained()
 		result, err := a.call(records, unanswered, regained)
 		switch {
 		case err == nil:
 			a.sequence++
-			a.resolve(batch, records, result.First)
+			a.resolve(batch, records, result.First, time.Since(sent))
 			return nil
 		case errors.Is(err, logstore.ErrSequence), errors.Is(err, logstore.ErrFenced):
 			a.logger.Warn("store forgot the producer", "partition", a.partition.Number, "topic", a.partition.Topic,
@@ -333,9 +335,9 @@
 	}
 }
 
-func (a *appender) resolve(batch []*submission, records [][]byte, first logstore.Offset) {
+func (a *appender) resolve(batch []*submission, records [][]byte, first logstore.Offset, ago time.Duration) {
 	if a.written != nil {
-		a.written(first, records)
+		a.written(first, records, ago)
 	}
 	for _, one := range batch {
 		one.outcome <- appendOutcome{first: first}
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -49,7 +49,8 @@
 	largestText int
 	// textsApart tells that the partition has been said to have no room for texts.
 	textsApart bool
-	// confirmed is when the log was last heard to hold nothing but what is known.
+	// confirmed is when a call was sent whose answer told that the log held nothing but what
+	// is known. The answer may come much later, when others have written meanwhile.
 	confirmed time.Duration
 }
 
@@ -79,13 +80,14 @@
 }
 
 // applyOwn takes records that this node wrote at first, if nothing unread stands
-// before them, which saves a read.
-func (f *follower) applyOwn(first logstore.Offset, records [][]byte) {
+// before them, which saves a read. ago is how long ago they were sent first: a call that is
+// repeated may have been done by any of its sendings.
+func (f *follower) applyOwn(first logstore.Offset, records [][]byte, ago time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if logstore.Offset(f.state.Next()) == first {
 		f.apply(records)
-		f.confirmed = f.clock()
+		f.confirmed = max(f.confirmed, f.clock()-ago)
 	}
 }
 
@@ -179,7 +181,7 @@
 func (f *follower) read(reading *sharedRead, from logstore.Offset) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	began := time.Now()
+	began, sent := time.Now(), f.clock()
 	result, err := f.store.Read(ctx, logstore.ReadRequest{Partition: f.partition, From: from, MaxBytes: f.window.size()})
 	took := time.Since(began)
 	f.metrics.readSeconds.Observe(took.Seconds())
@@ -200,17 +202,17 @@
 		f.metrics.readFailures.Inc()
 		reading.err = fmt.Errorf("ledgerlog: read partition %d: %w", f.partition.Number, err)
 	default:
-		f.take(from, result)
+		f.take(from, result, sent)
 	}
 	f.reading = nil
 	close(reading.done)
 }
 
-// take needs the mutex. Own records may have been applied during the read.
-func (f *follower) take(from logstore.Offset, result logstore.ReadResult) {
+// take needs the mutex. Own records may have been applied since the read was sent.
+func (f *follower) take(from logstore.Offset, result logstore.ReadResult, sent time.Duration) {
 	f.end = result.End
 	f.answered = f.begun
-	f.confirmed = f.clock()
+	f.confirmed = max(f.confirmed, sent)
 	known := int(logstore.Offset(f.state.Next()) - from)
 	if known < len(result.Records) {
 		f.tellTexts(result.Records[known:])
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -28,8 +28,9 @@
 func (l *Ledger) keepFrom(ctx context.Context, turn ledger.Keep, tried int) error {
 	record := [][]byte{ledger.Encode(turn)}
 	own := l.Partition(turn.Program)
-	for i := tried; ; i++ {
-		p := l.keepPlace(own, i)
+	for next := tried; ; {
+		var p *partition
+		p, next = l.keepPlace(own, next)
 		p.holder.rebase(turn.Program)
 		_, err := p.append(ctx, record)
 		if err == nil {
@@ -41,16 +42,17 @@
 	}
 }
 
-// keepPlace returns the partition for one try of several: the next one that the store
-// answers, as far as is known, and the next one where it answers none of them.
-func (l *Ledger) keepPlace(own, try int) *partition {
+// keepPlace returns the partition for one try of several, and where the next try goes on: the
+// next partition that the store answers, as far as is known, and the next one where it answers
+// none of them.
+func (l *Ledger) keepPlace(own, try int) (*partition, int) {
 	at := func(i int) *partition { return l.partitions[(own+i%keepPartitions)%len(l.partitions)] }
-	for i := range keepPartitions {
-		if next := at(try + i); l.config.Gate.Answers(next.appender.partition) {
-			return next
+	for i := try; i < try+keepPartitions; i++ {
+		if place := at(i); l.config.Gate.Answers(place.appender.partition) {
+			return place, i + 1
 		}
 	}
-	return at(try)
+	return at(try), try + 1
 }
 
 // append writes adjacent records, with what waits for a call to go with, and returns the
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -56,7 +56,7 @@
 	unsound = 0.5
 	// ejectAt is the score of a replica that is left alone: three failures in a row where
 	// others hardly fail. Two may be chance among many replicas.
-	ejectAt = 9.2
+	ejectAt = 8.5
 	// returnAfter is how many requests in a row a replica has to serve to return; each
 	// ejection shortly before doubles it, up to longestReturn.
 	returnAfter   = 6
@@ -124,7 +124,8 @@
 // Evidence returns how many of how many outcomes had failed when the replica was ejected.
 func (r *Record) Evidence() (failures, of int) { return r.failures, r.of }
 
-// Add counts an outcome. usual is the share of failures at the other replicas.
+// Add counts an outcome. usual is the share of failures at the service's replicas, this one
+// among them.
 func (r *Record) Add(outcome Outcome, usual float64, now time.Duration) Change {
 	switch {
 	case r.ejected:
@@ -137,6 +138,9 @@
 
 // count counts an outcome at a replica that is not ejected.
 func (r *Record) count(outcome Outcome, usual float64, now time.Duration) Change {
+	if saysNothing(usual) {
+		return Unchanged
+	}
 	r.lastAt = now
 	r.score = max(r.score+weight(outcome, usual), 0)
 	if r.score == 0 {
@@ -184,13 +188,14 @@
 	return NowReturned
 }
 
-// weight returns what an outcome adds to the score. Where the others fail as much as a
-// failing replica would, nothing tells it from them.
+// saysNothing tells whether the replicas of a service fail as much, for the node that tells an
+// outcome, as a failing replica would: then nothing tells one from the others, be it the
+// service or the node's own way to it that fails.
+func saysNothing(usual float64) bool { return usualMargin*usual >= unsound }
+
+// weight returns what an outcome adds to the score.
 func weight(outcome Outcome, usual float64) float64 {
 	granted := max(usualMargin*usual, leastUsual)
-	if granted >= unsound {
-		return math.Inf(-1)
-	}
 	if outcome.Failed() {
 		return math.Log(unsound / granted)
 	}
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -55,6 +55,19 @@
 	is.Equal(record.Reason(), Errors)
 }
 
+// TestANodeWhoseOwnWayFailsHidesNothing: its outcomes say nothing of one replica, and leave what
+// the others have told.
+func TestANodeWhoseOwnWayFailsHidesNothing(t *testing.T) {
+	is := is.New(t)
+	record := &Record{}
+	const sick = 0.9
+	for number := range 2 {
+		is.Equal(record.Add(Errors, 0.01, time.Duration(number)), Unchanged)
+		is.Equal(record.Add(Errors, sick, time.Duration(number)), Unchanged)
+	}
+	is.Equal(record.Add(Errors, 0.01, 2), NowEjected)
+}
+
 // TestGreyReplicasGetFewRequests: they fail 45 % of their work.
 func TestGreyReplicasGetFewRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -45,7 +45,8 @@
 	passing := &stream{reply: reply, call: call, last: call.lastEvent}
 	defer func() { turn.Finish(passing.tokens) }()
 	if r.runStream(ctx, passing) && call.route.Retain {
-		// The home knows what is left when it keeps the turn, and reserves with the same call.
+		// The home is told first, so that as a rule it knows what is left when it keeps the turn,
+		// and reserves with the same call.
 		turn.Finish(passing.tokens)
 		r.keepTurn(ctx, passing, turn.Chain)
 	}
--- a/internal/storegate/gate.go
+++ b/internal/storegate/gate.go
@@ -59,8 +59,10 @@
 	callsPerSecond float64
 	node           breaker
 	partitions     map[logstore.Partition]*partition
-	// failed is when a call failed last.
-	failed time.Duration
+	// failed is when a call failed last; failing tells that one has since all breakers were
+	// closed.
+	failed  time.Duration
+	failing bool
 	// probing tells that a call has been held back since the store's last return; then
 	// probed is when the last probe went out, and nextProbe when the next one may.
 	probing           bool
@@ -160,14 +162,15 @@
 			g.node.failed(s.Now)
 		}
 		noted.failed(s.Now)
-		g.failed = s.Now
+		g.failed, g.failing = s.Now, true
 		return false
 	}
 	returned, whole := !g.Answered(place, s), !g.NodeAnswered(s)
+	forgotten := g.failing && g.stale(s)
 	g.node.answered()
 	noted.answered()
-	if returned {
-		g.returned(whole)
+	if returned || forgotten {
+		g.returned(whole || forgotten)
 	}
 	return returned
 }
@@ -178,6 +181,7 @@
 // next failure shows that it is still away.
 func (g *Gate) returned(whole bool) {
 	g.probing = false
+	g.failing = g.failing && !whole
 	for _, other := range g.partitions {
 		if whole {
 			other.answered()
--- a/internal/storegate/gate_test.go
+++ b/internal/storegate/gate_test.go
@@ -123,6 +123,19 @@
 	is.True(!gate.NodeAnswered(at(time.Second + staleTime)))
 }
 
+// TestOldFailuresOfOtherPartitionsSayNothingAfterAnAnswer: single refusals later are the first
+// ones.
+func TestOldFailuresOfOtherPartitionsSayNothingAfterAnAnswer(t *testing.T) {
+	is := is.New(t)
+	gate := New(0)
+	fail(gate, 1, 0, time.Second)
+	later := time.Second + staleTime
+	gate.Note(place(0), true, at(later))
+	gate.Note(place(2), false, at(later+time.Millisecond))
+	is.True(gate.Answered(place(1), at(later+time.Millisecond)))
+	is.True(gate.Answered(place(2), at(later+time.Millisecond)))
+}
+
 func TestProbesOfAllNodesStayWithinTheirPart(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct {
