Probe each partition of a node in turn while the store does not answer it

Cause, found by reading: a node that the store does not answer always read the same partition, so that one that was away alone kept it out of all homes. Change: each partition that it is a candidate of in turn. Measured: a test of its own.

--- a/internal/homes/siteview.go
+++ b/internal/homes/siteview.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 
 	"stepseam.example/stepseam/internal/identity"
@@ -25,10 +26,11 @@
 	candidates map[homeKey][]identity.Node
 	// stays tells, once stayKnown, that the store answers nobody, so that homes stay.
 	stays, stayKnown bool
-	// ownRank is, once ownKnown, this node's best rank for a partition, and ownPartition that
-	// partition.
-	ownRank, ownPartition int
-	ownKnown              bool
+	// ownRank is, once ownKnown, this node's best rank for a partition, and own are the
+	// partitions that it is a candidate of.
+	ownRank  int
+	own      []int
+	ownKnown bool
 	// others are the peer addresses of the other living members.
 	others []netip.AddrPort
 }
@@ -98,23 +100,25 @@
 	return v.stays
 }
 
-// bestRank returns self's best rank for a partition, and that partition; candidateCount if it
-// is no candidate of any.
-func (v *siteView) bestRank(self identity.NodeName) (rank, partition int) {
+// candidacies returns self's best rank for a partition, candidateCount if it is no candidate
+// of any, and the partitions that it is one of, in a slice that the caller must not change.
+func (v *siteView) candidacies(self identity.NodeName) (rank int, partitions []int) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	if v.ownKnown {
-		return v.ownRank, v.ownPartition
+		return v.ownRank, v.own
 	}
 	v.ownRank, v.ownKnown = candidateCount, true
 	for number := range v.partitions {
-		for place, node := range v.rankedLocked(homeKey{partition: number}, self) {
-			if node.Name == self && place < v.ownRank {
-				v.ownRank, v.ownPartition = place, number
-			}
+		ranked := v.rankedLocked(homeKey{partition: number}, self)
+		place := slices.IndexFunc(ranked, func(node identity.Node) bool { return node.Name == self })
+		if place < 0 {
+			continue
 		}
+		v.ownRank = min(v.ownRank, place)
+		v.own = append(v.own, number)
 	}
-	return v.ownRank, v.ownPartition
+	return v.ownRank, v.own
 }
 
 // addresses returns the peer addresses of the other nodes that live, in a slice that the
--- a/internal/homes/standing.go
+++ b/internal/homes/standing.go
@@ -71,7 +71,7 @@
 	}
 	ticker := time.NewTicker(standingPause)
 	defer ticker.Stop()
-	seen, probed := standing{}, time.Duration(0)
+	seen, probed, probes := standing{}, time.Duration(0), 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,14 +82,24 @@
 		if seen.observe(s.config.StoreAnswers(), now) {
 			s.announce(seen)
 		}
-		rank, partition := s.bestRank()
+		rank, partitions := s.candidacies()
 		if seen.away && !seen.answering && now-probed >= probePauseOf(rank) {
 			probed = now
-			go s.probe(ctx, partition)
+			go s.probe(ctx, probePlace(partitions, probes))
+			probes++
 		}
 	}
 }
 
+// probePlace returns the partition for a probe: each of those that this node may keep in turn,
+// since a single one may be away while the store answers on all others.
+func probePlace(partitions []int, probes int) int {
+	if len(partitions) == 0 {
+		return 0
+	}
+	return partitions[probes%len(partitions)]
+}
+
 func probePauseOf(rank int) time.Duration {
 	if rank < candidateCount {
 		return candidateProbePause
@@ -100,7 +110,7 @@
 // announce tells the others of this node's standing.
 func (s *Service) announce(seen standing) {
 	s.away.Store(seen.away)
-	rank, _ := s.bestRank()
+	rank, _ := s.candidacies()
 	everybody := rank < tellAllRank
 	s.config.Logger.Info("store's answers to this node told", "away", seen.away, "changes", seen.changes, "everybody", everybody)
 	s.standings.WithLabelValues(standingName(seen.away)).Inc()
@@ -121,12 +131,12 @@
 	s.config.Ledger.CatchUp(within, partition)
 }
 
-// bestRank returns this node's best rank for a partition, 0 for the first, and that
-// partition; candidateCount if it is no candidate of any.
-func (s *Service) bestRank() (rank, partition int) {
+// candidacies returns this node's best rank for a partition, 0 for the first and
+// candidateCount if it is no candidate of any, and the partitions that it is a candidate of.
+func (s *Service) candidacies() (rank int, partitions []int) {
 	view := s.view.Load()
 	if view == nil {
-		return candidateCount, 0
+		return candidateCount, nil
 	}
-	return view.bestRank(s.config.Self)
+	return view.candidacies(s.config.Self)
 }
--- a/internal/homes/standing_test.go
+++ b/internal/homes/standing_test.go
@@ -86,3 +86,14 @@
 	is.True(time.Since(opened) >= returnAfter)
 	is.True(!one.service.away.Load())
 }
+
+// TestProbesGoToEachPartitionInTurn: one that is away alone does not keep a node from its work.
+func TestProbesGoToEachPartitionInTurn(t *testing.T) {
+	is := is.New(t)
+	var places []int
+	for probe := range 4 {
+		places = append(places, probePlace([]int{2, 5, 7}, probe))
+	}
+	is.Equal(places, []int{2, 5, 7, 2})
+	is.Equal(probePlace(nil, 3), 0)
+}
