Keep what is reserved for programs through an outage of the store

Cause: since a kept turn's end is told before the turn is kept, its program's credit rested while the turn waited for the store, and was settled after 3 s; when its client came back nothing could be reserved, and the turn was refused until the program failed. Change: while the store does not answer on a partition, its home keeps credits for as long as a turn may take.

--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -328,8 +328,12 @@
 // settles all without an open turn and gives the ownership back.
 func (h *holder) tidy(home bool) {
 	rest := creditIdle
-	if !home {
+	switch {
+	case !home:
 		rest = 0
+	case !h.gate.Answers(h.partition.appender.partition):
+		// Turns that can't be kept come back, and nothing can be reserved for them anew.
+		rest = grantLife
 	}
 	h.mutex.Lock()
 	h.leaving = !home
--- a/internal/ledgerlog/outage_test.go
+++ b/internal/ledgerlog/outage_test.go
@@ -209,3 +209,31 @@
 		})
 	})
 }
+
+// TestCreditOutlastsAnOutage: a turn that can't be kept ends, and its program comes back when
+// its client has given up on it. What is reserved must be there still.
+func TestCreditOutlastsAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		away := false
+		home := New(Config{
+			Store: store.New(), Topic: "ledger", TextTopic: "texts", Partitions: 1, Producer: "a", RecordBytes: 64, CallBytes: 1 << 20,
+			CacheBytes: 1 << 10, Gate: answeringGate{answers: func() bool { return !away }}, Logger: slog.New(slog.DiscardHandler),
+		})
+		atHome := func(int) bool { return true }
+		begun, err := take(within(t, time.Second), home, "p", 1000, 100, true)
+		is.NoErr(err)
+		time.Sleep(time.Second) // the reservation stands
+		away = true
+		home.Finish(begun.Program, begun.ID, 10)
+		for range 6 {
+			time.Sleep(time.Second)
+			home.Tidy(atHome)
+		}
+		again, err := take(within(t, time.Second), home, "p", 1000, 100, true)
+		is.NoErr(err)
+		away = false
+		home.Finish(again.Program, again.ID, 10)
+		is.NoErr(home.Stop(within(t, time.Second)))
+	})
+}
