--- a/internal/homes/standin.go
+++ b/internal/homes/standin.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// candidateCount is how many nodes, by rank, may keep a partition: where the store turns
-	// a third of the nodes away, one partition in 240 has none that it answers.
+	// candidateCount is how many nodes, by rank, may keep a partition: enough that the store
+	// answers one of them also where it turns many nodes away.
 	candidateCount = 5
 	// stayPercent of the first candidates must be without the store for homes to stay where
 	// they are: then it answers nobody, as far as is known.
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -112,7 +112,8 @@
 	a.writer.WriteHeader(answer.Status)
 }
 
-// breakOff ends the connection, so that the answer can't be taken for whole.
+// breakOff ends the connection, so that the answer can't be taken for whole. It does not
+// return.
 func (a *reply) breakOff(reason string, cause error) {
 	a.cut = true
 	a.note(reason, cause)
