--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -132,10 +132,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		log := store.New()
-		away := false
+		var away atomic.Bool
 		l := New(Config{
 			Store: log, Topic: "ledger", TextTopic: "texts", Partitions: 3, Producer: "a", RecordBytes: 64, CallBytes: 1 << 20,
-			CacheBytes: 1 << 10, Logger: slog.New(slog.DiscardHandler), Gate: answeringGate{answers: func() bool { return !away }},
+			CacheBytes: 1 << 10, Logger: slog.New(slog.DiscardHandler), Gate: answeringGate{answers: func() bool { return !away.Load() }},
 		})
 		grant, err := take(within(t, time.Second), l, "p", 1000, 60, true)
 		is.NoErr(err)
@@ -145,7 +145,7 @@
 		began := time.Now()
 		go func() {
 			time.Sleep(300 * time.Millisecond)
-			away = true
+			away.Store(true)
 		}()
 		_, err = take(within(t, 5*time.Second), l, "q", 100, 60, false)
 		is.True(errors.Is(err, ErrStoreAway) && errors.Is(err, ErrUnavailable))
@@ -163,7 +163,7 @@
 		is.True(errors.Is(err, ErrStoreAway))
 		is.Equal(time.Since(began), time.Duration(0))
 		log.Fail(store.Fault{})
-		away = false
+		away.Store(false)
 		time.Sleep(2 * time.Second)
 		_, err = take(within(t, time.Second), l, "q", 100, 60, false)
 		is.NoErr(err)
--- a/internal/ledgerlog/outage_test.go
+++ b/internal/ledgerlog/outage_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -215,16 +216,16 @@
 func TestCreditOutlastsAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		away := false
+		var away atomic.Bool
 		home := New(Config{
 			Store: store.New(), Topic: "ledger", TextTopic: "texts", Partitions: 1, Producer: "a", RecordBytes: 64, CallBytes: 1 << 20,
-			CacheBytes: 1 << 10, Gate: answeringGate{answers: func() bool { return !away }}, Logger: slog.New(slog.DiscardHandler),
+			CacheBytes: 1 << 10, Gate: answeringGate{answers: func() bool { return !away.Load() }}, Logger: slog.New(slog.DiscardHandler),
 		})
 		atHome := func(int) bool { return true }
 		begun, err := take(within(t, time.Second), home, "p", 1000, 100, true)
 		is.NoErr(err)
 		time.Sleep(time.Second) // the reservation stands
-		away = true
+		away.Store(true)
 		home.Finish(begun.Program, begun.ID, 10)
 		for range 6 {
 			time.Sleep(time.Second)
@@ -232,7 +233,7 @@
 		}
 		again, err := take(within(t, time.Second), home, "p", 1000, 100, true)
 		is.NoErr(err)
-		away = false
+		away.Store(false)
 		home.Finish(again.Program, again.ID, 10)
 		is.NoErr(home.Stop(within(t, time.Second)))
 	})
