--- a/internal/homes/begin.go
+++ b/internal/homes/begin.go
@@ -132,9 +132,7 @@
 				go discard(results, pending)
 				return one.turn, nil
 			}
-			if !errors.Is(last, ledgerlog.ErrReserved) {
-				last = one.err
-			}
+			last = refusalOf(last, one.err)
 			if errors.Is(one.err, ledgerlog.ErrReserved) {
 				continue // the other way may be what has reserved the rest
 			}
@@ -153,6 +151,15 @@
 	return nil, last
 }
 
+// refusalOf returns which of two errors a turn is refused with: that its budget is reserved
+// elsewhere says more than that a node could not be asked.
+func refusalOf(first, second error) error {
+	if errors.Is(first, ledgerlog.ErrReserved) {
+		return first
+	}
+	return second
+}
+
 // discard ends turns that were begun for nothing.
 func discard(results <-chan result, pending int) {
 	for range pending {
