--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -5,7 +5,7 @@
 // their objectives; those that have begun go first, since their work is done in part.
 const (
 	// admitBelow holds for routes in general, admitUrgentBelow for those of the
-	// highest priority. Measured: lower bounds refuse more and bring no more.
+	// highest priority, which may wait for places that others free.
 	admitBelow       = 0.9
 	admitUrgentBelow = 1.1
 )
--- a/internal/routednode/readers.go
+++ b/internal/routednode/readers.go
@@ -16,8 +16,8 @@
 	// readsInLease is how many reads of the configuration fit into the lease on it, at a
 	// usual node and at a reader. What a read confirms is as old as the read when that
 	// ends, and so much less of the lease is left when the store goes away: with usual
-	// reads alone, requests with keys are refused a second sooner. All nodes reading as
-	// often as readers cost 0.004 of a day's worth in calls.
+	// reads alone, requests with keys are refused a second sooner. Each read is a priced
+	// call, so that only a few nodes read as often as readers.
 	readsInLease       = 4
 	readerReadsInLease = 24
 )
--- a/internal/routednode/run.go
+++ b/internal/routednode/run.go
@@ -23,8 +23,8 @@
 	// memoryLimitPercent of the allowed memory makes the garbage collector work harder.
 	memoryLimitPercent = 70
 	// garbagePercent of what is in use may be garbage before it is collected, less than
-	// usual: a node holds little, so that its peak is mostly garbage. Measured on a quiet
-	// day of Qalamkar: a fifth less memory for a tenth more processor time.
+	// usual: a node holds little, so that its peak is mostly garbage, and memory is scarcer
+	// than processor time.
 	garbagePercent = 40
 )
 
