--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -154,13 +154,23 @@
 	if r.score < ejectAt {
 		return Unchanged
 	}
+	r.eject(outcome, now)
+	return NowEjected
+}
+
+// eject leaves the replica alone from now on, longer the oftener it was ejected lately.
+func (r *Record) eject(reason Outcome, now time.Duration) {
 	if now-r.returnedAt > memory {
 		r.ejections = 0
 	}
-	r.ejected, r.reason, r.servedInRow, r.granted, r.tried, r.probes = true, outcome, 0, false, false, 0
+	r.ejected = true
+	r.reason = reason
+	r.servedInRow = 0
+	r.probes = 0
+	r.granted = false
+	r.tried = false
 	r.pause = min(firstPause<<min(r.ejections, 8), longestPause)
 	r.ejections++
-	return NowEjected
 }
 
 // probed counts an outcome at an ejected replica. Those of requests that were there before
@@ -184,7 +194,10 @@
 	if r.servedInRow < min(returnAfter<<min(r.ejections-1, 8), longestReturn) {
 		return Unchanged
 	}
-	r.ejected, r.score, r.failures, r.of, r.returnedAt = false, 0, 0, 0, now
+	r.ejected = false
+	r.returnedAt = now
+	r.score = 0
+	r.failures, r.of = 0, 0
 	return NowReturned
 }
 
