Let one judgement tell what an outcome has changed

Cause: the node's own record and the keeper's each put change, reason and evidence together by the same three calls, in two types of the same fields, which the router copied into one another.

Change: outlier.Record.Judge returns outlier.Judgement; the keeper's adds the replica's name and key, balance.Judged is gone. No change in behaviour.

Measured: the tests of outlier, keeper, balance, router and routednode pass; one reads the record's fields where it called the accessor that is not needed now.

--- a/internal/balance/soundness.go
+++ b/internal/balance/soundness.go
@@ -29,32 +29,21 @@
 	return s.own.Ejected(), s.own.Probe(underWay, now)
 }
 
-// Judged is what an outcome has changed at this node alone.
-type Judged struct {
-	Change outlier.Change
-	Reason outlier.Outcome
-	// Failures of Of outcomes ejected the replica, where the others' share is Usual.
-	Failures, Of int
-	Usual        float64
-}
-
-// Judge counts what became of a request at its replica. A request counts as a failure once.
-func (t *Tracker) Judge(sending *Sending, outcome outlier.Outcome, now time.Duration) (judged Judged, counted bool) {
+// Judge counts what became of a request at its replica, and tells what that has changed at
+// this node alone. A request counts as a failure once.
+func (t *Tracker) Judge(sending *Sending, outcome outlier.Outcome, now time.Duration) (judged outlier.Judgement, counted bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if outcome.Failed() && sending.blamed {
-		return Judged{}, false
+		return outlier.Judgement{}, false
 	}
 	sending.blamed = sending.blamed || outcome.Failed()
 	known, usual := &t.record(sending.target.Instance).soundness, t.usualOf(sending.target.Service)
-	judged.Usual = usual.Share()
+	share := usual.Share()
 	if !sending.target.Probe {
 		usual.Add(outcome)
 	}
-	judged.Change = known.own.Add(outcome, judged.Usual, now)
-	judged.Reason = known.own.Reason()
-	judged.Failures, judged.Of = known.own.Evidence()
-	return judged, true
+	return known.own.Judge(outcome, share, now), true
 }
 
 // usualOf needs the mutex.
--- a/internal/keeper/outcomes.go
+++ b/internal/keeper/outcomes.go
@@ -26,11 +26,7 @@
 	// Instance is the life of the replica, empty where no failure has named it.
 	Instance string
 	Key      Key
-	Change   outlier.Change
-	Reason   outlier.Outcome
-	// Failures of Of outcomes ejected it, where the others' share of failures is Usual.
-	Failures, Of int
-	Usual        float64
+	outlier.Judgement
 }
 
 // judge counts an outcome and tells what it has changed.
@@ -42,11 +38,7 @@
 	if told.instance != "" {
 		known.instance = told.instance
 	}
-	changed := Judgement{Instance: known.instance, Key: told.key, Usual: told.usual}
-	changed.Change = known.outcomes.Add(told.became, told.usual, now)
-	changed.Reason = known.outcomes.Reason()
-	changed.Failures, changed.Of = known.outcomes.Evidence()
-	return changed
+	return Judgement{Instance: known.instance, Key: told.key, Judgement: known.outcomes.Judge(told.became, told.usual, now)}
 }
 
 // grant gives the asking node the right to probe an ejected replica, if it may be probed.
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -115,15 +115,28 @@
 	NowReturned
 )
 
+// Judgement is what an outcome has changed, and by what.
+type Judgement struct {
+	Change Change
+	// Reason is the kind of the failure that ejected the replica.
+	Reason Outcome
+	// Failures of Of outcomes ejected it, where the others' share of failures is Usual.
+	Failures, Of int
+	Usual        float64
+}
+
+// Judge is Add, and tells what has led to the change.
+func (r *Record) Judge(outcome Outcome, usual float64, now time.Duration) Judgement {
+	change := r.Add(outcome, usual, now)
+	return Judgement{Change: change, Reason: r.reason, Failures: r.failures, Of: r.of, Usual: usual}
+}
+
 // Ejected tells whether the replica is left alone but for probes.
 func (r *Record) Ejected() bool { return r.ejected }
 
 // Reason returns the kind of the failure that ejected the replica.
 func (r *Record) Reason() Outcome { return r.reason }
 
-// Evidence returns how many of how many outcomes had failed when the replica was ejected.
-func (r *Record) Evidence() (failures, of int) { return r.failures, r.of }
-
 // Add counts an outcome. usual is the share of failures at the service's replicas, this one
 // among them.
 func (r *Record) Add(outcome Outcome, usual float64, now time.Duration) Change {
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -49,7 +49,7 @@
 	is.Equal(got, failed)
 	is.Equal(ejections, 1)
 	is.True(failed <= 3+8) // of 1,000 in 10 s
-	failures, of := record.Evidence()
+	failures, of := record.failures, record.of
 	is.Equal(failures, 3)
 	is.Equal(of, 3)
 	is.Equal(record.Reason(), Errors)
--- a/internal/router/outcome.go
+++ b/internal/router/outcome.go
@@ -53,10 +53,7 @@
 		r.config.Keepers.Outcome(kept(replica, call), outcome, judged.Usual)
 		return
 	}
-	LogJudgement(r.config.Logger, keeper.Judgement{
-		Instance: replica.Life(), Change: judged.Change, Reason: judged.Reason,
-		Failures: judged.Failures, Of: judged.Of, Usual: judged.Usual,
-	})
+	LogJudgement(r.config.Logger, keeper.Judgement{Instance: replica.Life(), Judgement: judged})
 }
 
 // LogJudgement writes the line of a replica that is ejected or returns.
