Count ejected candidates once, by the library

Cause: KeepSound counted the same candidates three times by a loop that lo has, on the way of each request beside an ejected replica. Change: lo.CountBy and lo.Reject; one count is kept. No change in behaviour. Measured: balance's tests pass, the property of what is left out among them.

--- a/internal/balance/soundness.go
+++ b/internal/balance/soundness.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"stepseam.example/stepseam/internal/outlier"
 )
 
@@ -103,12 +105,12 @@
 // are those of all whose keepers were asked. probe is one that the request is to try in spite
 // of its ejection; exposed is as in Need.
 func KeepSound(learned, all []Candidate, exposed bool) (sound []Candidate, probe *Candidate) {
-	if !slices.ContainsFunc(learned, Candidate.ejected) {
+	ejected := lo.CountBy(learned, Candidate.ejected)
+	if ejected == 0 {
 		return learned, nil
 	}
 	rest := notAmong(all, learned)
-	ejected := count(learned, Candidate.ejected) + count(rest, Candidate.ejected)
-	if outlier.TooMany(ejected, len(learned)+len(rest)) {
+	if outlier.TooMany(ejected+lo.CountBy(rest, Candidate.ejected), len(learned)+len(rest)) {
 		return learned, nil
 	}
 	for i := range learned {
@@ -116,27 +118,22 @@
 			return learned, &learned[i]
 		}
 	}
-	if count(learned, Candidate.ejected) == len(learned) {
+	if ejected == len(learned) {
 		learned = rest
 	}
-	return slices.DeleteFunc(slices.Clone(learned), Candidate.ejected), nil
+	return without(learned, Candidate.ejected), nil
 }
 
 func (c Candidate) ejected() bool { return c.Ejected }
 
 // notAmong returns the candidates that are not among others.
 func notAmong(candidates, others []Candidate) []Candidate {
-	return slices.DeleteFunc(slices.Clone(candidates), func(candidate Candidate) bool {
+	return without(candidates, func(candidate Candidate) bool {
 		return slices.ContainsFunc(others, func(other Candidate) bool { return other.Instance == candidate.Instance })
 	})
 }
 
-func count(candidates []Candidate, is func(Candidate) bool) int {
-	total := 0
-	for _, candidate := range candidates {
-		if is(candidate) {
-			total++
-		}
-	}
-	return total
+// without returns the candidates that are not as is tells, and leaves the given ones.
+func without(candidates []Candidate, is func(Candidate) bool) []Candidate {
+	return lo.Reject(candidates, func(candidate Candidate, _ int) bool { return is(candidate) })
 }
--- a/internal/balance/soundness_test.go
+++ b/internal/balance/soundness_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/outlier"
@@ -122,8 +123,8 @@
 		if len(sound) == 0 || probe != nil {
 			t.Fatalf("%d candidates left, probe %v", len(sound), probe)
 		}
-		ejected := count(all, Candidate.ejected)
-		if leftOut := count(sound, Candidate.ejected) < count(all[:asked], Candidate.ejected); leftOut && outlier.TooMany(ejected, len(all)) {
+		ejected := lo.CountBy(all, Candidate.ejected)
+		if leftOut := lo.CountBy(sound, Candidate.ejected) < lo.CountBy(all[:asked], Candidate.ejected); leftOut && outlier.TooMany(ejected, len(all)) {
 			t.Fatalf("%d of %d are left out", ejected, len(all))
 		}
 	})
