Ask for a node's candidacies only where it probes the store

Cause: each look, twenty a second, took the view's lock for a rank that only a node needs which the store does not answer. Change: it is asked for then; the candidates' nodes are taken out by lo.Map. No change in behaviour. Measured: homes' tests pass.

--- a/internal/homes/standin.go
+++ b/internal/homes/standin.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strconv"
 
+	"github.com/samber/lo"
+
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 )
@@ -57,11 +59,7 @@
 		best = slices.Insert(best, place, one)
 		best = best[:min(len(best), candidateCount)]
 	}
-	nodes := make([]identity.Node, 0, len(best))
-	for _, one := range best {
-		nodes = append(nodes, one.node)
-	}
-	return nodes
+	return lo.Map(best, func(one rankedNode, _ int) identity.Node { return one.node })
 }
 
 // keeperOf returns the candidate that keeps a partition: the first that the store answers, so
--- a/internal/homes/standing.go
+++ b/internal/homes/standing.go
@@ -82,8 +82,10 @@
 		if seen.observe(s.config.StoreAnswers(), now) {
 			s.announce(seen)
 		}
-		rank, partitions := s.candidacies()
-		if seen.away && !seen.answering && now-probed >= probePauseOf(rank) {
+		if !seen.away || seen.answering {
+			continue
+		}
+		if rank, partitions := s.candidacies(); now-probed >= probePauseOf(rank) {
 			probed = now
 			go s.probe(ctx, probePlace(partitions, probes))
 			probes++
