Say what a program has left, and where a text stands, in one place each

Cause: a credit subtracted from the budget in three places, and a text's location had two functions of one signature. Change: Credit.left; TextBefore calls TextAt. No change in behaviour. Measured: ledger's and ledgerlog's tests pass, the recorded bytes among them.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -99,6 +99,9 @@
 	return known
 }
 
+// left is what a program has left of its budget where taken tokens stand against it.
+func (c *Credit) left(taken uint64) uint64 { return uint64(c.budget) - min(uint64(c.budget), taken) }
+
 // reserveTurns is how many whole turns a reservation holds at most.
 const reserveTurns = 4
 
@@ -116,11 +119,10 @@
 // fits. With ample, it holds some turns more, but at most half of what the program
 // has left, so that another node can go on with the rest if this one dies.
 func (c *Credit) Next(attempt AttemptID, most uint32, sure, ample bool) Reserve {
-	held, least := c.granted(), c.lacking(most)
+	least := c.lacking(most)
 	wanted := least
 	if ample {
-		left := uint64(c.budget) - min(uint64(c.budget), held+c.settled)
-		wanted = max(min(left/2, reserveTurns*uint64(c.most)), least)
+		wanted = max(min(c.left(c.granted()+c.settled)/2, reserveTurns*uint64(c.most)), least)
 	}
 	c.wanting = least
 	if sure && !c.asked {
@@ -139,7 +141,7 @@
 // to be written. Nothing may be handed out until the new verdict is known, so that a credit
 // with an open turn stays as it is.
 func (c *Credit) Rebase(attempt AttemptID) (settled []Record, next Reserve, changed bool) {
-	left := uint64(c.budget) - min(uint64(c.budget), c.settled+c.spent)
+	left := c.left(c.settled + c.spent)
 	half := max(left/2, uint64(c.most))
 	held := c.granted() - min(c.granted(), c.spent)
 	if !c.asked || len(c.open) > 0 || uint64(c.most) > left || held >= uint64(c.most) && held <= half {
@@ -165,8 +167,7 @@
 		return false
 	}
 	needed, granted := c.spent+c.underWay()+uint64(c.most), c.granted()
-	left := uint64(c.budget) - min(uint64(c.budget), granted+c.settled)
-	return granted < needed-c.underWay()/2 && needed-granted <= left/2
+	return granted < needed-c.underWay()/2 && needed-granted <= c.left(granted+c.settled)/2
 }
 
 // Decided takes the verdict on a reservation. lives tells whether a life of a node
--- a/internal/ledger/text.go
+++ b/internal/ledger/text.go
@@ -35,13 +35,11 @@
 
 // TextBefore is the location of a text of size bytes that stands right before its Keep in a
 // partition of the index.
-func TextBefore(partition, size int) Location { return textIn(partition, recordBefore, size) }
+func TextBefore(partition, size int) Location { return TextAt(partition, recordBefore, size) }
 
 // TextAt is the location of a text of size bytes that is the record at an offset of a
 // partition of the index.
-func TextAt(partition int, offset uint64, size int) Location { return textIn(partition, offset, size) }
-
-func textIn(partition int, offset uint64, size int) Location {
+func TextAt(partition int, offset uint64, size int) Location {
 	return Location{Partition: uint16(partition) | indexFlag, Offset: offset, Size: uint32(size)}
 }
 
