Make both calls that are over already by one function

Cause: two stand-ins for a reservation that is not made were built differently, one anew each time; settling records were submitted by two like loops. Change: ended and submitAll. No change in behaviour.

--- a/internal/ledgerlog/holder.go
+++ b/internal/ledgerlog/holder.go
@@ -163,7 +163,7 @@
 	defer h.mutex.Unlock()
 	held, known := h.credits[program]
 	if !reserves && (!known || held.asking == nil && !held.credit.Fits(most, false)) {
-		return Grant{}, notReserved(), true
+		return Grant{}, notReserved, true
 	}
 	if !known {
 		held = &heldCredit{credit: ledger.NewCredit(program, h.life, request.Budget, most, h.clock())}
@@ -235,9 +235,7 @@
 	if !changed {
 		return
 	}
-	for _, record := range settled {
-		h.partition.submitLater(ledger.Encode(record))
-	}
+	h.submitAll(settled)
 	h.reserve(held, next)
 }
 
@@ -303,11 +301,16 @@
 		return false
 	}
 	records := held.credit.Settle()
+	h.submitAll(records)
+	delete(h.credits, program)
+	return len(records) > 0
+}
+
+// submitAll writes records with the partition's next call.
+func (h *holder) submitAll(records []ledger.Record) {
 	for _, record := range records {
 		h.partition.submitLater(ledger.Encode(record))
 	}
-	delete(h.credits, program)
-	return len(records) > 0
 }
 
 // refusal tells why the last reservation for a program was refused.
--- a/internal/ledgerlog/reservationcall.go
+++ b/internal/ledgerlog/reservationcall.go
@@ -8,19 +8,18 @@
 	granted bool
 }
 
-// notReserved is the call of a reservation that is not made: a node that is not the home
+// ended returns a call that is over already.
+func ended(err error) *reservationCall {
+	call := &reservationCall{done: make(chan struct{}), err: err}
+	close(call.done)
+	return call
+}
+
+// notReserved stands for a reservation that is not made: a node that is not the home
 // leaves it to the home while the store is away. Else all nodes that clients come back to
 // would write a record for each turn that they refuse, and read its whole partition for the
 // verdict, in the first second after the store's return.
-func notReserved() *reservationCall {
-	made := &reservationCall{done: make(chan struct{}), err: ErrStoreAway}
-	close(made.done)
-	return made
-}
+var notReserved = ended(ErrStoreAway)
 
 // refusedCall stands for a reservation that need not be asked for: the log would refuse it.
-var refusedCall = func() *reservationCall {
-	call := &reservationCall{done: make(chan struct{})}
-	close(call.done)
-	return call
-}()
+var refusedCall = ended(nil)
