Look the keepers' parts up once

Cause: the registry was looked up three times and the clock twice in one function. Measured: routednode's tests pass; no change in behaviour.

--- a/internal/routednode/keepers.go
+++ b/internal/routednode/keepers.go
@@ -36,14 +36,14 @@
 	}
 	placement := keeper.NewPlacement(chosen.Node.Name)
 	others.onView = append(others.onView, placement.SetView)
-	logger := do.MustInvoke[*slog.Logger](injector)
-	measured := newKeeperMetrics(do.MustInvoke[*prometheus.Registry](injector))
+	logger, registry, now := do.MustInvoke[*slog.Logger](injector), do.MustInvoke[*prometheus.Registry](injector), do.MustInvoke[clock](injector)
+	measured := newKeeperMetrics(registry)
 	made := keeper.NewExchange(keeper.Config{
-		Conn: conn, Placement: placement, Now: do.MustInvoke[clock](injector), Observer: measured,
+		Conn: conn, Placement: placement, Now: now, Observer: measured,
 		Judged: func(changed keeper.Judgement) { router.LogJudgement(logger, changed) },
 	})
-	measured.registerKept(do.MustInvoke[*prometheus.Registry](injector), made.Book())
-	do.MustInvoke[*prometheus.Registry](injector).MustRegister(&ejectedCollector{book: made.Book(), now: do.MustInvoke[clock](injector)})
+	measured.registerKept(registry, made.Book())
+	registry.MustRegister(&ejectedCollector{book: made.Book(), now: now})
 	return made, nil
 }
 
