Share what tests of limits, reservations and datagrams set up

Cause: the freezing of an allocator, a demand that turns hot, a turn at a node that is no home and the check of recorded bytes stood twice each; the check of the windows three times. Change: one function each. Schedules, seeds, bounds and literals are the same.

--- a/internal/keeper/outcomes_test.go
+++ b/internal/keeper/outcomes_test.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"encoding/hex"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -34,13 +33,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(hex.EncodeToString(c.encoded), c.written)
-			written, err := hex.DecodeString(c.written)
-			is.NoErr(err)
-			read, err := decode(written)
-			is.NoErr(err)
-			is.Equal(read, c.read)
-			_, err = decode(written[:len(written)-1])
+			written := checkRecorded(t, c.encoded, c.written, c.read)
+			_, err := decode(written[:len(written)-1])
 			is.True(err != nil)
 		})
 	}
--- a/internal/keeper/recorded_test.go
+++ b/internal/keeper/recorded_test.go
@@ -24,17 +24,25 @@
 		"answer":   {encodeAnswer(told), "6b0103000000040100000005000200000000313801", datagram{kind: kindAnswer, answer: told}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			is.Equal(hex.EncodeToString(c.encoded), c.written)
-			written, err := hex.DecodeString(c.written)
-			is.NoErr(err)
-			read, err := decode(written)
-			is.NoErr(err)
-			is.Equal(read, c.read)
+			checkRecorded(t, c.encoded, c.written, c.read)
 		})
 	}
 }
 
+// checkRecorded checks that a datagram is written as recorded, in hexadecimal, and reads as
+// what it was. It returns its recorded bytes.
+func checkRecorded(t *testing.T, encoded []byte, recorded string, reads datagram) []byte {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(hex.EncodeToString(encoded), recorded)
+	written, err := hex.DecodeString(recorded)
+	is.NoErr(err)
+	read, err := decode(written)
+	is.NoErr(err)
+	is.Equal(read, reads)
+	return written
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(encodeReport(Report{Key: 5, Parts: []Part{{ID: 8, Tokens: 12600}}}))
 	f.Add(encodeAnswer(answer{number: 4, states: []State{{Key: 5}}}))
--- a/internal/ledgerlog/release_test.go
+++ b/internal/ledgerlog/release_test.go
@@ -18,20 +18,26 @@
 func (liveMembers) Lives(ledger.LifeID) bool   { return true }
 func (liveMembers) MayLive(ledger.LifeID) bool { return true }
 
+// turnAtAHelper begins a turn at a node that is no home, where both live.
+func turnAtAHelper(t *testing.T) (home, helper *Ledger, begun Grant) {
+	log := store.New()
+	home, helper = newLedger(log, "a"), newLedger(log, "b")
+	home.SetMembers(liveMembers{})
+	helper.SetMembers(liveMembers{})
+	helper.Tidy(func(int) bool { return false })
+	begun, err := take(within(t, time.Second), helper, "p", 100, 60, false)
+	is.New(t).NoErr(err)
+	return home, helper, begun
+}
+
 // TestReservationOfANodeThatIsNoHomeIsGivenBackAtOnce: a turn that was begun beside the home,
 // or where the home was before, keeps the next one out for no longer than it runs.
 func TestReservationOfANodeThatIsNoHomeIsGivenBackAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		log := store.New()
-		home, helper := newLedger(log, "a"), newLedger(log, "b")
-		home.SetMembers(liveMembers{})
-		helper.SetMembers(liveMembers{})
-		helper.Tidy(func(int) bool { return false })
-		begun, err := take(within(t, time.Second), helper, "p", 100, 60, false)
-		is.NoErr(err)
+		home, helper, begun := turnAtAHelper(t)
 		helper.Finish(begun.Program, begun.ID, 10)
-		_, err = take(within(t, time.Second), home, "p", 100, 60, true)
+		_, err := take(within(t, time.Second), home, "p", 100, 60, true)
 		is.NoErr(err)
 		time.Sleep(2 * time.Second) // what is written in the background ends
 	})
@@ -42,19 +48,13 @@
 	for _, after := range []time.Duration{releasePause / 2, time.Second} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			log := store.New()
-			home, helper := newLedger(log, "a"), newLedger(log, "b")
-			home.SetMembers(liveMembers{})
-			helper.SetMembers(liveMembers{})
-			helper.Tidy(func(int) bool { return false })
-			begun, err := take(within(t, time.Second), helper, "p", 100, 60, false)
-			is.NoErr(err)
+			home, helper, begun := turnAtAHelper(t)
 			go func() {
 				time.Sleep(after)
 				helper.Finish(begun.Program, begun.ID, 0)
 			}()
 			asked := time.Now()
-			_, err = take(within(t, time.Second), home, "p", 100, 60, true)
+			_, err := take(within(t, time.Second), home, "p", 100, 60, true)
 			is.Equal(errors.Is(err, ErrReserved), after == time.Second)
 			is.True(time.Since(asked) < reserveTries*releasePause)
 			time.Sleep(2 * time.Second)
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -33,6 +33,24 @@
 	return func(time.Duration) float64 { return perSecond }
 }
 
+// hotFrom returns a demand that turns far beyond the limit.
+func hotFrom(turns time.Duration, before float64) func(time.Duration) float64 {
+	return func(now time.Duration) float64 {
+		if now < turns {
+			return before
+		}
+		return hot
+	}
+}
+
+// checkWindows fails the test where more than is allowed ran in a window.
+func checkWindows(t *testing.T, played *site, worst int) {
+	t.Helper()
+	if allowed := sitePolicy.Allowed(LimitOf(siteTenant)); float64(worst) > allowed {
+		t.Fatalf("%d ran in a window, %.0f are allowed\n%s", worst, allowed, played.record())
+	}
+}
+
 // play runs a site for a time under a demand, while trouble happens.
 func play(t *testing.T, seed uint64, span time.Duration, perSecond func(time.Duration) float64, trouble func(ctx context.Context, s *site)) (*site, int) {
 	var played *site
@@ -184,9 +202,7 @@
 		for seed := range uint64(6) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				played, worst := play(t, seed, 45*time.Second, always(hot), trouble)
-				if allowed := sitePolicy.Allowed(LimitOf(siteTenant)); float64(worst) > allowed {
-					t.Fatalf("%d ran in a window, %.0f are allowed\n%s", worst, allowed, played.record())
-				}
+				checkWindows(t, played, worst)
 			})
 		}
 	}
@@ -199,27 +215,13 @@
 	const freezes, notices, turns, wakes = 9 * time.Second, 11 * time.Second, 14 * time.Second, 15 * time.Second
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			demand := func(now time.Duration) float64 {
-				if now < turns {
-					return usual / 2
-				}
-				return hot
-			}
+			demand := hotFrom(turns, usual / 2)
 			played, worst := play(t, seed, 30*time.Second, demand, func(_ context.Context, s *site) {
-				time.Sleep(freezes - s.now())
-				number := s.allocator()
-				s.set(number, frozen)
-				time.Sleep(notices - s.now())
-				s.tellViews()
-				time.Sleep(wakes - s.now())
-				s.set(number, sound)
-				s.nodes[number].service.standStill(wakes - freezes)
+				s.freezeAllocator(freezes, notices, wakes)
 				s.pause(50*time.Millisecond, 500*time.Millisecond)
 				s.tellViews()
 			})
-			if allowed := sitePolicy.Allowed(LimitOf(siteTenant)); float64(worst) > allowed {
-				t.Fatalf("%d ran in a window, %.0f are allowed\n%s", worst, allowed, played.record())
-			}
+			checkWindows(t, played, worst)
 		})
 	}
 }
@@ -366,35 +368,35 @@
 	} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
-				demand := func(now time.Duration) float64 {
-					if now < turns {
-						return usual
-					}
-					return hot
-				}
+				demand := hotFrom(turns, usual)
 				played, worst := play(t, seed, 32*time.Second, demand, func(_ context.Context, s *site) {
-					time.Sleep(freezes - s.now())
-					number := s.allocator()
-					s.set(number, frozen)
-					time.Sleep(notices - s.now())
-					s.tellViews()
-					time.Sleep(wakes - s.now())
-					s.set(number, sound)
-					s.nodes[number].service.standStill(wakes - freezes)
+					number := s.freezeAllocator(freezes, notices, wakes)
 					time.Sleep(400 * time.Millisecond)
 					s.tellViews()
 					time.Sleep(again - s.now())
 					happens(s, number)
 					s.tellViews()
 				})
-				if allowed := sitePolicy.Allowed(LimitOf(siteTenant)); float64(worst) > allowed {
-					t.Fatalf("%d ran in a window, %.0f are allowed\n%s", worst, allowed, played.record())
-				}
+				checkWindows(t, played, worst)
 			})
 		}
 	}
 }
 
+// freezeAllocator freezes the node that allots the tenant, tells the others later, and wakes it;
+// it returns the node's number. Its times are those of the site's clock.
+func (s *site) freezeAllocator(freezes, notices, wakes time.Duration) int {
+	time.Sleep(freezes - s.now())
+	number := s.allocator()
+	s.set(number, frozen)
+	time.Sleep(notices - s.now())
+	s.tellViews()
+	time.Sleep(wakes - s.now())
+	s.set(number, sound)
+	s.nodes[number].service.standStill(wakes - freezes)
+	return number
+}
+
 // allocator returns the number of the node that allots the tenant.
 func (s *site) allocator() int {
 	return slices.IndexFunc(s.nodes, func(one *simulated) bool {
