--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -215,7 +215,7 @@
 	const freezes, notices, turns, wakes = 9 * time.Second, 11 * time.Second, 14 * time.Second, 15 * time.Second
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			demand := hotFrom(turns, usual / 2)
+			demand := hotFrom(turns, usual/2)
 			played, worst := play(t, seed, 30*time.Second, demand, func(_ context.Context, s *site) {
 				s.freezeAllocator(freezes, notices, wakes)
 				s.pause(50*time.Millisecond, 500*time.Millisecond)
