Set the seeds of all property tests by one function

Change: testseed.MainWith takes their values, which stay as they were; flags on the command line go first, as before.

--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -1,11 +1,9 @@
 package membership
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"os"
 	"testing"
 	"time"
 
@@ -13,13 +11,12 @@
 	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/testseed"
 )
 
 // TestMain sets the defaults of rapid's flags, which the command line overrides.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.checks", "12")
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
+	testseed.MainWith(m, map[string]string{"rapid.checks": "12", "rapid.seed": "1"})
 }
 
 // simulation runs many States in virtual time over links with faults. It is
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,10 +1,8 @@
 package placement
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"slices"
 	"testing"
 
@@ -13,15 +11,14 @@
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/testseed"
 )
 
 const testShards = 512
 
 // TestMain sets the defaults of rapid's flags, which the command line overrides.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.checks", "40")
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
+	testseed.MainWith(m, map[string]string{"rapid.checks": "40", "rapid.seed": "1"})
 }
 
 // site returns a view of count live nodes spread in turn over the zones of the regions.
--- a/internal/program/main_test.go
+++ b/internal/program/main_test.go
@@ -3,24 +3,19 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"runtime"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/internal/testseed"
 )
 
 // TestMain fixes the seed, so that a run's verdict does not vary; flags on the
 // command line go before.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20260", "rapid.steps": "100", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(2)
-		}
-	}
-	os.Exit(m.Run())
+	testseed.MainWith(m, map[string]string{"rapid.seed": "20260", "rapid.steps": "100", "rapid.nofailfile": "true"})
 }
 
 // recorder takes the failure of a property that is expected to fail.
--- a/internal/scheduling/modelplacement/decide_test.go
+++ b/internal/scheduling/modelplacement/decide_test.go
@@ -1,9 +1,7 @@
 package modelplacement_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -14,18 +12,11 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/scheduling/modelplacement"
 	"stepseam.example/stepseam/internal/table"
+	"stepseam.example/stepseam/internal/testseed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.checks": "2000", "rapid.seed": "20261202", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value) // both names are rapid's own flags
-		}
-	}
-	os.Exit(m.Run())
+	testseed.MainWith(m, map[string]string{"rapid.checks": "2000", "rapid.seed": "20261202", "rapid.nofailfile": "true"})
 }
 
 // drawSnapshot draws a service of up to ten engines, three models and an adapter.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"flag"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -12,12 +10,12 @@
 	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/settings"
+	"stepseam.example/stepseam/internal/testseed"
 )
 
 // TestMain sets rapid's seed unless the command line does.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
+	testseed.MainWith(m, map[string]string{"rapid.seed": "1"})
 }
 
 const whole = `node:
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -16,12 +14,12 @@
 	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/table"
+	"stepseam.example/stepseam/internal/testseed"
 )
 
 // TestMain sets rapid's seed unless the command line does.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
+	testseed.MainWith(m, map[string]string{"rapid.seed": "1"})
 }
 
 const plain = `kind,name,version,service,model,adapter,weight,context_tokens,budget_tokens,max_calls,max_duration,idle_timeout,call_timeout,max_tokens
--- a/internal/testseed/testseed.go
+++ b/internal/testseed/testseed.go
@@ -11,7 +11,12 @@
 // Main runs a package's tests, as its TestMain, with rapid's seed fixed and without files of
 // failures. A flag on the command line goes first. It does not return.
 func Main(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+	MainWith(m, map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"})
+}
+
+// MainWith is Main with values of rapid's flags, by their names, instead of its own.
+func MainWith(m *testing.M, defaults map[string]string) {
+	for name, value := range defaults {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
--- a/test/simulation/main_test.go
+++ b/test/simulation/main_test.go
@@ -1,9 +1,9 @@
 package simulation
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"stepseam.example/stepseam/internal/testseed"
 )
 
 // The search that CI repeats; a soak sets its own by the same flags.
@@ -13,13 +13,5 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.checks": checksInCI, "rapid.seed": seedInCI, "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value) // both names are rapid's own flags
-		}
-	}
-	os.Exit(m.Run())
+	testseed.MainWith(m, map[string]string{"rapid.checks": checksInCI, "rapid.seed": seedInCI, "rapid.nofailfile": "true"})
 }
