Log and count how allocators open accounts and tokens without an allocator

Each now has a log line with tenant, allocator and fraction, and a counter: stepseam_limit_takeovers_total, stepseam_limit_fraction and stepseam_limit_tokens_without_allocator_total. Lines on tokens without an allocator come at most once a second for each tenant.

--- a/internal/limits/allocator.go
+++ b/internal/limits/allocator.go
@@ -161,7 +161,9 @@
 	if s.config.Strategy == StrategyStaticShares {
 		alive = 1
 	}
-	return float64(alive) / float64(total)
+	fraction := float64(alive) / float64(total)
+	s.metrics.fraction.Set(fraction)
+	return fraction
 }
 
 // synchronize makes a tenant's account reflect the tokens that other nodes have granted. It
@@ -180,25 +182,53 @@
 	now := s.config.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.allocator.SetShare(s.limitFraction(now))
+	fraction := s.limitFraction(now)
+	s.allocator.SetShare(fraction)
+	opened := openedExhausted
 	switch {
 	case len(remaining) > 0:
+		opened = openedReceived
 		for _, account := range remaining {
 			s.allocator.Import(tenant, account, limit, now)
 		}
 	case s.allocator.Has(tenant) && reached:
+		opened = openedVerified
 		s.allocator.Verify(tenant, now)
 	case steady:
+		opened = openedUnused
 		s.allocator.Fill(tenant, limit, now)
 	default:
 		s.allocator.FillConservatively(tenant, limit, now)
 	}
+	s.logOpened(tenant, opened, fraction, now)
 	// The members may have changed during the calls.
 	s.allocator.Relinquish(func(other string) bool { return other == tenant && s.allocatedElsewhere(tenant) }, s.limit, now)
 	delete(s.synchronizing, tenant)
 	close(done)
 }
 
+// openedAccount is what a new allocator knew of its predecessor's account.
+type openedAccount string
+
+const (
+	// openedReceived is an account handed over by the predecessor, openedVerified one that
+	// no other node has granted from.
+	openedReceived openedAccount = "received"
+	openedVerified openedAccount = "verified"
+	// openedUnused is an account taken for full, openedExhausted one taken for nearly empty.
+	openedUnused    openedAccount = "taken_for_unused"
+	openedExhausted openedAccount = "taken_for_exhausted"
+)
+
+// logOpened requires the mutex.
+func (s *Service) logOpened(tenant string, opened openedAccount, fraction float64, now time.Duration) {
+	s.metrics.takeovers.WithLabelValues(string(opened)).Inc()
+	alive, total := s.placement.counts(now)
+	s.config.Logger.Info("opened the account of a tenant as its allocator", "tenant", tenant, "allocator", s.allocatorID, "account", opened,
+		"tokens", s.allocator.Left()[tenant].Requests, "fraction", fraction, "members_alive", alive, "members_counted", total,
+		"since_membership_change_ms", (now - s.changedAt).Milliseconds())
+}
+
 // beginSynchronizing returns a channel to be closed once the account is synchronized, or
 // nil if it already is. It waits for a synchronization in progress. steady means that there
 // was no membership change for so long that no tokens granted by another node can still
--- a/internal/limits/metrics.go
+++ b/internal/limits/metrics.go
@@ -10,6 +10,9 @@
 type metrics struct {
 	admitted, overLimit, programOverLimit, noAllocator prometheus.Counter
 	requestSeconds                                     prometheus.Histogram
+	takeovers                                          *prometheus.CounterVec
+	withoutAllocator                                   prometheus.Counter
+	fraction                                           prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -24,8 +27,17 @@
 			Buckets: []float64{.001, .002, .004, .008, .016, .032, .064, .128},
 		}),
 	}
+	result.takeovers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "stepseam_limit_takeovers_total", Help: "Accounts that this node has opened as a tenant's allocator, by what it knew of its predecessor's.",
+	}, []string{"account"})
+	result.withoutAllocator = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "stepseam_limit_tokens_without_allocator_total", Help: "Tokens taken while no allocator responded.",
+	})
+	result.fraction = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "stepseam_limit_fraction", Help: "Fraction of each limit that this node may grant as an allocator.",
+	})
 	if registerer != nil {
-		registerer.MustRegister(decisions, result.requestSeconds)
+		registerer.MustRegister(decisions, result.requestSeconds, result.takeovers, result.withoutAllocator, result.fraction)
 	}
 	return result
 }
--- a/internal/limits/tenant_tokens.go
+++ b/internal/limits/tenant_tokens.go
@@ -31,6 +31,26 @@
 	usedAt    time.Duration
 	// refused counts the requests rejected because of the limit.
 	refused uint64
+	// takenAlone counts the tokens taken without an allocator since the last log line about
+	// them at loggedAloneAt.
+	takenAlone    int
+	loggedAloneAt time.Duration
+}
+
+// minLogInterval is the minimum time between two log lines about tokens taken without an
+// allocator.
+const minLogInterval = time.Second
+
+// recordTakenAlone requires the mutex.
+func (t *tenantTokens) recordTakenAlone(now time.Duration) {
+	t.service.metrics.withoutAllocator.Inc()
+	t.takenAlone++
+	if now-t.loggedAloneAt < minLogInterval {
+		return
+	}
+	t.service.config.Logger.Info("tokens are taken without an allocator", "tenant", t.tenant, "tokens", t.takenAlone,
+		"last_allocator", t.allocatorID, "rate", t.cache.Rate(now), "error", t.lastError)
+	t.takenAlone, t.loggedAloneAt = 0, now
 }
 
 // describe sets the request rate and the number of rejected requests.
@@ -91,6 +111,7 @@
 	if now < t.noWaitUntil {
 		_, nodes := t.service.placement.counts(now)
 		if token, taken := t.cache.TakeWithoutAllocator(limit, nodes, now); taken {
+			t.recordTakenAlone(now)
 			return token, nil, nil
 		}
 		return quota.Token{}, nil, t.lastError
