Divide authority among nodes by a share table in the store

A site needs a division of a whole, such as a tenant's limit, whose parts never add up to more than one, whatever the nodes know of each other. What nodes see of the membership cannot give it: both sides of a cut that nobody has noticed see all nodes, and a node that starts behind it has never seen the others.

Package shares keeps a table of the holders under one key in the store. A node uses the least of its shares in all tables that were the newest within Retention, and only while it has confirmed within MaxAge that it knows the newest one. Any two shares in use at a time are then bounded by one and the same table. The epoch of the store's producer is the version, so that the store takes one table of each version. A node that the store rejects learns the table, with its age, from another one.

Nothing uses the package yet.

--- a/internal/emulator/store/store.go
+++ b/internal/emulator/store/store.go
@@ -233,7 +233,14 @@
 		return logstore.AppendResult{}, fmt.Errorf("%w: %d is wanted", logstore.ErrSequence, known.sequence+1)
 	}
 	first := kept.first + logstore.Offset(len(kept.records))
-	kept.records = append(kept.records, request.Records...)
+	for number, record := range request.Records {
+		if request.Keys != nil {
+			key := request.Keys[number]
+			kept.newest[key] = record
+			record = append(append([]byte{byte(len(key))}, key...), record...)
+		}
+		kept.records = append(kept.records, record)
+	}
 	answer := logstore.AppendResult{First: first, End: first + logstore.Offset(len(request.Records))}
 	known.sequence, known.begun = request.Sequence, true
 	known.answers[request.Sequence] = answer
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -46,10 +46,12 @@
 // idempotent: a repeat gets the first call's result.
 type AppendRequest struct {
 	Partition Partition
-	Records   [][]byte
-	Producer  string
-	Epoch     uint64
-	Sequence  uint64
+	// Keys has the key of each record of a keyed topic; it is nil for other topics.
+	Keys     []string
+	Records  [][]byte
+	Producer string
+	Epoch    uint64
+	Sequence uint64
 }
 
 // AppendResult has the offsets of the added records.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -30,6 +30,7 @@
 	KindRangeRelay        Kind = 700
 	KindRangeLimits       Kind = 800
 	KindRangeDistribution Kind = 900
+	KindRangeShares       Kind = 1000
 
 	kindRangeSize = 100
 )
--- /dev/null
+++ b/internal/shares/service.go
@@ -0,0 +1,308 @@
+package shares
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/logstore"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/watch"
+	"stepseam.example/stepseam/internal/wire"
+)
+
+const (
+	// rankKey ranks the members for the publication of tables.
+	rankKey = "shares"
+	// producer is the producer of the tables in the store. All nodes share it: its epoch is
+	// the version of the table, so that the store accepts one table of each version.
+	producer = "shares"
+	// tableKey is the key of the table in its topic.
+	tableKey = "table"
+
+	// planInterval is the time between two checks whether the table must change.
+	planInterval = 500 * time.Millisecond
+	// watchWait is how long a read of the store waits for a change. A confirmation is this
+	// old at most while the store responds.
+	watchWait = 6 * time.Second
+	// maxWatchPause bounds the pause between reads that fail.
+	maxWatchPause = 2 * time.Second
+	// relayAge is the age from which a node asks others for their table.
+	relayAge       = watchWait + 2*time.Second
+	relayTimeout   = 300 * time.Millisecond
+	publishTimeout = 2 * time.Second
+	// publishPause is the time between two attempts to publish.
+	publishPause = 3 * time.Second
+)
+
+// Config configures a Service.
+type Config struct {
+	Self identity.NodeName
+	// Store has the table under one key of Partition, which is a partition of a keyed topic.
+	Store     logstore.Store
+	Partition logstore.Partition
+	// Await blocks until the store may be read; nil means always.
+	Await func(ctx context.Context) error
+	Peers peer.Client
+	// MaxHolders bounds the holders of a table.
+	MaxHolders int
+	// Now returns a monotonic reading.
+	Now        func() time.Duration
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+}
+
+// Service keeps a node's view of the table up to date, and publishes new tables if this node
+// is the first in rank. It is safe for concurrent use.
+type Service struct {
+	config  Config
+	watcher *watch.Watcher
+	// enabled is set before Run.
+	enabled func() bool
+
+	// mutex guards all fields below. It is not held during calls.
+	mutex   sync.Mutex
+	history History
+	planner *planner
+	members []membership.Member
+	// publishAfter is the earliest time of the next attempt to publish.
+	publishAfter time.Duration
+	onChange     []func(holders []identity.NodeName)
+}
+
+// New returns a service without a table.
+func New(config Config) *Service {
+	service := &Service{config: config, enabled: func() bool { return true }, planner: newPlanner(config.MaxHolders)}
+	service.watcher = watch.New(watch.Config{
+		Name: "share table", Store: config.Store, Partition: config.Partition,
+		Pause: func() time.Duration { return 0 }, Wait: func() time.Duration { return watchWait },
+		LongestPause: func() time.Duration { return maxWatchPause },
+		OnSnapshot:   func(items []logstore.Item, _ logstore.Offset) { service.observeItems(items) },
+		OnChanges:    func(_ logstore.Offset, items []logstore.Item, _ logstore.Offset) { service.observeItems(items) },
+		OnRecovered:  func() {},
+		OnConfirmed: func(sent time.Time) {
+			service.confirm(config.Now() - time.Since(sent))
+		},
+		Await:  config.Await,
+		Logger: config.Logger,
+	})
+	if config.Registerer != nil {
+		config.Registerer.MustRegister(
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+				Name: "stepseam_share_fraction", Help: "Fraction that this node holds of what is divided among the holders of shares.",
+			}, func() float64 { return service.Fraction(config.Now()) }),
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+				Name: "stepseam_share_table_age_seconds", Help: "Time since this node confirmed that it knows the newest share table; -1 if it never did.",
+			}, service.ageSeconds),
+		)
+	}
+	return service
+}
+
+func (s *Service) ageSeconds() float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	age, known := s.history.Age(s.config.Now())
+	if !known {
+		return -1
+	}
+	return age.Seconds()
+}
+
+// OnChange registers a function that is called with the holders of each new table. It must
+// be called before Run.
+func (s *Service) OnChange(notify func(holders []identity.NodeName)) {
+	s.onChange = append(s.onChange, notify)
+}
+
+// SetEnabled sets the function that reports whether the table is needed. Until it does, the
+// service does not call the store. It must be called before Run.
+func (s *Service) SetEnabled(enabled func() bool) { s.enabled = enabled }
+
+// SetView sets the members.
+func (s *Service) SetView(view membership.View) {
+	now := s.config.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.members = view.Members
+	s.planner.setView(view, now)
+}
+
+// Fraction returns the fraction that this node may use, or pass on, for UseTTL.
+func (s *Service) Fraction(now time.Duration) float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.history.Fraction(s.config.Self, now)
+}
+
+// Run watches the table and publishes new ones until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	watching := false
+	for {
+		if !watching && s.enabled() {
+			watching = true
+			go s.watcher.Run(ctx)
+		}
+		if watching {
+			s.relay(ctx)
+			s.publishIfDue(ctx)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// observeItems records the tables among records of the store.
+func (s *Service) observeItems(items []logstore.Item) {
+	for _, item := range items {
+		if item.Key != tableKey || len(item.Value) == 0 {
+			continue
+		}
+		decoder := wire.NewDecoder(item.Value)
+		table := decodeTable(decoder)
+		if err := decoder.Finish(); err != nil {
+			s.config.Logger.Error("share table in the store is unreadable", "error", err)
+			continue
+		}
+		s.observe(table, "store")
+	}
+}
+
+func (s *Service) observe(table Table, source string) {
+	now := s.config.Now()
+	s.mutex.Lock()
+	isNew := table.Version > s.history.newest.Version
+	s.history.Observe(table, now)
+	s.mutex.Unlock()
+	if !isNew {
+		return
+	}
+	s.config.Logger.Info("share table changed", "version", table.Version, "holders", len(table.Holders),
+		"self_holds", slices.Contains(table.Holders, s.config.Self), "source", source)
+	for _, notify := range s.onChange {
+		notify(table.Holders)
+	}
+}
+
+func (s *Service) confirm(at time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history.Confirm(at)
+}
+
+// relay asks another node for its table if this node's is old.
+func (s *Service) relay(ctx context.Context) {
+	now := s.config.Now()
+	s.mutex.Lock()
+	age, known := s.history.Age(now)
+	others := slices.DeleteFunc(slices.Clone(s.members), func(m membership.Member) bool { return m.Node.Name == s.config.Self })
+	s.mutex.Unlock()
+	if known && age < relayAge || len(others) == 0 {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	response, err := s.config.Peers.Call(call, others[rand.IntN(len(others))].Node.PeerAddress, &tableRequest{}, nil)
+	got, ok := response.(*tableResponse)
+	if err != nil || !ok || got.Table.Version == 0 {
+		return // another node is asked next time
+	}
+	s.observe(got.Table, "peer")
+	if got.Known {
+		s.confirmVersion(got.Table.Version, now-got.Age)
+	}
+}
+
+// confirmVersion records a peer's confirmation of a version, unless a newer one is known.
+func (s *Service) confirmVersion(version uint64, at time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.history.newest.Version == version {
+		s.history.Confirm(at)
+	}
+}
+
+// publishIfDue publishes a new table if this node is the first in rank and the table must
+// change.
+func (s *Service) publishIfDue(ctx context.Context) {
+	now := s.config.Now()
+	s.mutex.Lock()
+	table, due := s.plan(now)
+	s.mutex.Unlock()
+	if !due {
+		return
+	}
+	err := s.publish(ctx, table)
+	switch {
+	case err == nil:
+		s.config.Logger.Info("share table published", "version", table.Version, "holders", table.Holders)
+	case errors.Is(err, logstore.ErrFenced), errors.Is(err, logstore.ErrSequence):
+		s.config.Logger.Info("another node has published a share table first", "version", table.Version, "error", err)
+	default:
+		s.config.Logger.Warn("share table not published", "version", table.Version, "error", err)
+	}
+}
+
+// plan requires the mutex.
+func (s *Service) plan(now time.Duration) (Table, bool) {
+	first, found := membership.Highest(rankKey, s.members, func(m membership.Member) bool { return m.Status == membership.Alive })
+	if !found || first.Name != s.config.Self || now < s.publishAfter {
+		return Table{}, false
+	}
+	var holders []identity.NodeName
+	if s.history.newest.Version == 0 {
+		holders = s.planner.first(now)
+	} else if age, known := s.history.Age(now); known && age < relayAge && !s.history.Changing(now) {
+		holders = s.planner.next(s.history.newest.Holders, now)
+	}
+	if holders == nil {
+		return Table{}, false
+	}
+	s.publishAfter = now + publishPause
+	return s.history.Next(holders, now), true
+}
+
+// publish appends a table. The store rejects it if it has one of this version, or repeats
+// the response to that one; the watcher reads which table it is.
+func (s *Service) publish(ctx context.Context, table Table) error {
+	encoder := wire.NewEncoder(nil)
+	table.encode(encoder)
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	_, err := s.config.Store.Append(ctx, logstore.AppendRequest{
+		Partition: s.config.Partition, Keys: []string{tableKey}, Records: [][]byte{encoder.Bytes()},
+		Producer: producer, Epoch: table.Version,
+	})
+	if err != nil {
+		return fmt.Errorf("shares: publish: %w", err)
+	}
+	return nil
+}
+
+// Register registers the messages and handlers.
+func (s *Service) Register(registry *peer.Registry) {
+	registry.Add(func() peer.Message { return &tableRequest{} }, func() peer.Message { return &tableResponse{} })
+	registry.Handle(kindTableRequest, peer.HandlerFunc(s.handleTableRequest))
+}
+
+func (s *Service) handleTableRequest(context.Context, peer.Message, func(peer.Message) error) (peer.Message, error) {
+	now := s.config.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	age, known := s.history.Age(now)
+	return &tableResponse{Table: s.history.Newest(now), Known: known, Age: age}, nil
+}
--- /dev/null
+++ b/internal/shares/service_test.go
@@ -0,0 +1,204 @@
+package shares
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/internal/emulator/store"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/logstore"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+	"stepseam.example/stepseam/internal/wire"
+)
+
+var tablePartition = logstore.Partition{Topic: "keyed.test"}
+
+// sharesSite is a set of services with one store, in virtual time.
+type sharesSite struct {
+	store     *store.Store
+	startedAt time.Time
+	services  []*Service
+}
+
+func (s *sharesSite) now() time.Duration { return time.Since(s.startedAt) }
+
+// add starts a service. log is the store as this node sees it.
+func (s *sharesSite) add(ctx context.Context, log logstore.Store) *Service {
+	number := len(s.services)
+	made := New(Config{
+		Self: identity.NodeName(fmt.Sprint("n", number)), Store: log, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now,
+		Logger: slog.New(slog.DiscardHandler), Registerer: prometheus.NewRegistry(),
+	})
+	s.services = append(s.services, made)
+	go made.Run(ctx)
+	return made
+}
+
+// updateViews gives each service a view of all.
+func (s *sharesSite) updateViews() {
+	view := membership.View{}
+	for number := range s.services {
+		view.Members = append(view.Members, membership.Member{
+			Node:   identity.Node{Name: identity.NodeName(fmt.Sprint("n", number)), Zone: "z", PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 1)},
+			Status: membership.Alive,
+		})
+	}
+	for _, service := range s.services {
+		service.SetView(view)
+	}
+}
+
+// Call implements peer.Client.
+func (s *sharesSite) Call(ctx context.Context, address netip.AddrPort, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	return s.services[address.Addr().As4()[3]].handleTableRequest(ctx, request, nil)
+}
+
+func (s *sharesSite) sum() float64 {
+	total := 0.0
+	for _, service := range s.services {
+		total += service.Fraction(s.now())
+	}
+	return total
+}
+
+// unavailableStore rejects all calls.
+type unavailableStore struct{}
+
+var errTest = errors.New("shares: unavailable in this test")
+
+func (unavailableStore) Append(context.Context, logstore.AppendRequest) (logstore.AppendResult, error) {
+	return logstore.AppendResult{}, errTest
+}
+
+func (unavailableStore) Read(context.Context, logstore.ReadRequest) (logstore.ReadResult, error) {
+	return logstore.ReadResult{}, errTest
+}
+
+func (unavailableStore) Newest(context.Context, logstore.NewestRequest) (logstore.NewestResult, error) {
+	return logstore.NewestResult{}, errTest
+}
+
+func (unavailableStore) Changes(context.Context, logstore.ReadRequest) (logstore.ChangesResult, error) {
+	return logstore.ChangesResult{}, errTest
+}
+
+// simulateShares runs a site of some nodes.
+func simulateShares(t *testing.T, count int, run func(ctx context.Context, is *is.I, s *sharesSite)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &sharesSite{store: store.New(), startedAt: time.Now()}
+		for range count {
+			s.add(ctx, s.store)
+		}
+		s.updateViews()
+		run(ctx, is.New(t), s)
+		cancel()
+		time.Sleep(time.Minute) // until calls that wait have ended
+	})
+}
+
+func TestOneTableIsPublished(t *testing.T) {
+	simulateShares(t, 5, func(_ context.Context, is *is.I, s *sharesSite) {
+		time.Sleep(4 * time.Second)
+		is.Equal(len(s.store.Records(tablePartition)), 1)
+		is.True(s.sum() > 0.999 && s.sum() <= 1)
+		time.Sleep(5 * time.Minute)
+		is.Equal(len(s.store.Records(tablePartition)), 1) // nothing has changed
+		is.True(s.sum() > 0.999 && s.sum() <= 1)
+		is.True(s.store.Calls("read") < 5*5*60/4) // reads wait for changes
+	})
+}
+
+// Two nodes that take themselves for the first publish at the same time. The store keeps one
+// table, and both use that one.
+func TestConcurrentTablesAreNotBothPublished(t *testing.T) {
+	simulateShares(t, 3, func(ctx context.Context, is *is.I, s *sharesSite) {
+		first, second := s.services[0], s.services[1]
+		is.NoErr(first.publish(ctx, Table{Version: 1, Holders: []identity.NodeName{"n0"}}))
+		is.NoErr(second.publish(ctx, Table{Version: 1, Holders: []identity.NodeName{"n1"}}))
+		is.Equal(len(s.store.Records(tablePartition)), 1)
+		is.NoErr(first.publish(ctx, Table{Version: 2, Holders: []identity.NodeName{"n0", "n1"}}))
+		is.True(errors.Is(second.publish(ctx, Table{Version: 1, Holders: []identity.NodeName{"n1"}}), logstore.ErrFenced))
+		time.Sleep(time.Second)
+		is.True(s.sum() <= 1)
+	})
+}
+
+// A node that starts while the store rejects it learns the table and its age from others.
+func TestNodeWithoutStoreLearnsTableFromPeer(t *testing.T) {
+	simulateShares(t, 3, func(ctx context.Context, is *is.I, s *sharesSite) {
+		time.Sleep(4 * time.Second)
+		late := s.add(ctx, unavailableStore{})
+		var holders []identity.NodeName
+		late.OnChange(func(changed []identity.NodeName) { holders = changed })
+		s.updateViews()
+		time.Sleep(2 * time.Second)
+		is.Equal(len(holders), 3)
+		age, known := late.history.Age(s.now())
+		is.True(known && age < relayAge)
+	})
+}
+
+// Without the store, shares stay in use for MaxAge and no longer, and come back with it.
+func TestSharesEndWithLongOutage(t *testing.T) {
+	simulateShares(t, 3, func(_ context.Context, is *is.I, s *sharesSite) {
+		time.Sleep(4 * time.Second)
+		s.store.Fail(store.Fault{Busy: true})
+		time.Sleep(MaxAge - watchWait - time.Second)
+		is.True(s.sum() > 0.999)
+		time.Sleep(watchWait + 2*time.Second)
+		is.Equal(s.sum(), 0.0)
+		s.store.Fail(store.Fault{})
+		time.Sleep(maxWatchPause + time.Second)
+		is.True(s.sum() > 0.999)
+	})
+}
+
+func TestUnneededTableCausesNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		s := &sharesSite{store: store.New(), startedAt: time.Now()}
+		idle := New(Config{Self: "n0", Store: s.store, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now, Logger: slog.New(slog.DiscardHandler)})
+		idle.SetEnabled(func() bool { return false })
+		idle.SetView(viewOf("n0", "n1"))
+		idle.Run(ctx)
+		is.Equal(s.store.Calls("newest"), 0)
+	})
+}
+
+func TestTableRoundTrip(t *testing.T) {
+	is := is.New(t)
+	sent := &tableResponse{Table: Table{Version: 3, Holders: []identity.NodeName{"a", "b"}, Recent: [][]identity.NodeName{{"a"}, {"b", "c"}}}, Known: true, Age: time.Second}
+	encoder := wire.NewEncoder(nil)
+	sent.Encode(encoder)
+	read := &tableResponse{}
+	decoder := wire.NewDecoder(encoder.Bytes())
+	read.Decode(decoder)
+	is.NoErr(decoder.Finish())
+	is.Equal(read, sent)
+}
+
+// Decoding arbitrary bytes must not panic.
+func FuzzTable(f *testing.F) {
+	encoder := wire.NewEncoder(nil)
+	Table{Version: 1, Holders: []identity.NodeName{"a"}, Recent: [][]identity.NodeName{{"b"}}}.encode(encoder)
+	f.Add(encoder.Bytes())
+	f.Fuzz(func(_ *testing.T, encoded []byte) {
+		var h History
+		h.Observe(decodeTable(wire.NewDecoder(encoded)), 0)
+		h.Confirm(0)
+		_ = h.Fraction("a", 0)
+	})
+}
