Take back late tokens only as far as there was room for them

Cause: nodes prefetch tokens and return those that expire. The bucket took them back while it was below its capacity. If it had been full in the meantime, other tokens had accrued in their place, and both were granted. With 69 nodes of one token each that is more than the reserve.

Change: a grant carries a stamp that comes back with its tokens. The bucket keeps the least free capacity since each stamp, and takes back only what there has been room for ever since, as if the tokens had never been granted.

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -492,10 +492,10 @@
 	for _, sent := range []peer.Message{
 		&tokenRequest{Tenant: "acme", AllocatorID: 8, Bypass: true, Request: quota.Request{
 			Needed: quota.Amount{Requests: 1, ProgramStarts: 2}, Wanted: quota.Amount{Requests: 3},
-			Returned: quota.Amount{Requests: 5},
+			Returned: quota.Amount{Requests: 5}, ReturnedSince: 60,
 		}},
 		&tokenResponse{Outcome: outcomeUnleased, Allocator: identity.Node{Name: "n", Incarnation: 3, PeerAddress: netip.MustParseAddrPort("10.0.0.1:7")}, RetryAfter: time.Second, AllocatorID: 9, Grant: quota.Grant{
-			Amount: quota.Amount{Requests: 7}, RequestAfter: time.Second, ProgramStartAfter: 2 * time.Second,
+			Amount: quota.Amount{Requests: 7}, Stamp: 70, RequestAfter: time.Second, ProgramStartAfter: 2 * time.Second,
 		}},
 		&handoverRequest{Node: "n", Partitions: 3},
 		&handoverResponse{Cession: cession, Accounts: map[string]quota.Account{"acme": {Requests: 1.5, ProgramStarts: 2, PerProgram: 7}}},
@@ -594,3 +594,14 @@
 		}
 	}
 }
+
+// A tenant far below its limit, with unused tokens at many nodes, turns to far above it. The
+// tokens that these nodes return late must not add to those that have accrued meanwhile.
+func TestRiseOfDemandAtManyNodesStaysWithinLimit(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim, worst := simulateNodes(t, seed, 69, 30*time.Second, overloadFrom(14*time.Second, belowLimit), nil)
+			checkWindows(t, sim, worst)
+		})
+	}
+}
--- a/internal/limits/message.go
+++ b/internal/limits/message.go
@@ -55,6 +55,7 @@
 	encodeAmount(e, m.Request.Wanted)
 	e.Uint64(uint64(m.AllocatorID))
 	encodeAmount(e, m.Request.Returned)
+	e.Uint64(uint64(m.Request.ReturnedSince))
 	e.Bool(m.Bypass)
 }
 
@@ -62,7 +63,7 @@
 func (m *tokenRequest) Decode(d *wire.Decoder) {
 	m.Tenant = d.String()
 	m.Request.Needed, m.Request.Wanted = decodeAmount(d), decodeAmount(d)
-	m.AllocatorID, m.Request.Returned = quota.AllocatorID(d.Uint64()), decodeAmount(d)
+	m.AllocatorID, m.Request.Returned, m.Request.ReturnedSince = quota.AllocatorID(d.Uint64()), decodeAmount(d), quota.Stamp(d.Uint64())
 	m.Bypass = d.Bool()
 }
 
@@ -100,6 +101,7 @@
 	e.Duration(m.RetryAfter)
 	e.Uint64(uint64(m.AllocatorID))
 	encodeAmount(e, m.Grant.Amount)
+	e.Uint64(uint64(m.Grant.Stamp))
 	e.Duration(m.Grant.RequestAfter)
 	e.Duration(m.Grant.ProgramStartAfter)
 }
@@ -112,7 +114,7 @@
 	}
 	m.RetryAfter = decodeDelay(d)
 	m.AllocatorID = quota.AllocatorID(d.Uint64())
-	m.Grant.Amount = decodeAmount(d)
+	m.Grant.Amount, m.Grant.Stamp = decodeAmount(d), quota.Stamp(d.Uint64())
 	m.Grant.RequestAfter, m.Grant.ProgramStartAfter = decodeDelay(d), decodeDelay(d)
 }
 
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -27,13 +27,16 @@
 	// while.
 	Needed, Wanted Amount
 	// Returned counts tokens granted by this incarnation of the allocator that have not
-	// been spent and never will be.
-	Returned Amount
+	// been spent and never will be. ReturnedSince is the stamp of the oldest such grant.
+	Returned      Amount
+	ReturnedSince Stamp
 }
 
 // Grant is the response to a Request.
 type Grant struct {
 	Amount Amount
+	// Stamp orders the grants of one allocator.
+	Stamp Stamp
 	// RequestAfter and ProgramStartAfter are the times until tokens may be available, if
 	// fewer were granted than needed.
 	RequestAfter, ProgramStartAfter time.Duration
@@ -65,8 +68,9 @@
 	policy     Policy
 	self       Lessee
 	partitions [Partitions]partition
-	// sequence is that of the last lease request.
+	// sequence is that of the last lease request, stamp that of the last event.
 	sequence uint64
+	stamp    Stamp
 }
 
 // partition is what an allocator holds of one partition.
@@ -212,7 +216,8 @@
 }
 
 func (a *Allocator) clipBucket(b *bucket, fraction float64) {
-	b.clip(a.policy.Capacity(b.limit)*fraction, a.startCapacity(b, fraction))
+	a.stamp++
+	b.clip(a.policy.Capacity(b.limit)*fraction, a.startCapacity(b, fraction), a.stamp)
 }
 
 // startCapacity is the number of programs that may start at once such that their requests
@@ -320,7 +325,7 @@
 	fraction := a.sum(PartitionOf(tenant))
 	capacity := a.policy.Capacity(limit) * fraction
 	returned := request.Returned
-	b.requests = min(b.requests+float64(returned.Requests), capacity)
+	b.requests += b.history.takeBack(float64(returned.Requests), request.ReturnedSince)
 	b.programStarts = min(b.programStarts+float64(returned.ProgramStarts), a.startCapacity(b, fraction))
 
 	var grant Grant
@@ -330,6 +335,9 @@
 	}
 	b.requests -= float64(grant.Amount.Requests)
 	b.programStarts -= float64(grant.Amount.ProgramStarts)
+	a.stamp++
+	grant.Stamp = a.stamp
+	b.history.add(a.stamp, capacity-b.requests)
 	a.setRetryDelays(&grant, b, fraction, request.Needed)
 	limited := grant.RequestAfter > 0 || grant.ProgramStartAfter > 0
 	b.programSize.observe(grant.Amount, returned, limited, a.policy.Span(), now)
--- a/internal/quota/lease_test.go
+++ b/internal/quota/lease_test.go
@@ -58,7 +58,7 @@
 	// spent are the times at which tokens were spent.
 	spent   []time.Duration
 	granted int
-	// grants are all grants in order.
+	// grants are all grants, without the tokens that were not spent.
 	grants  []modelGrant
 	failure string
 }
@@ -177,18 +177,29 @@
 	})
 }
 
-// request spends the tokens of a grant at random times until they expire.
+// request spends the tokens of a grant at random times until they expire, and returns some.
 func (m *leaseModel) request(n *modelNode) {
 	sentAt := m.now
 	wanted := Amount{Requests: m.random.IntN(60)}
 	grant := n.allocator.Grant("t", m.limit, Request{Needed: wanted, Wanted: wanted}, m.now)
 	m.granted += grant.Amount.Requests
+	returned := 0
 	for range grant.Amount.Requests {
+		if m.random.IntN(4) == 0 {
+			returned++
+			continue
+		}
 		m.pending = append(m.pending, pendingStep{
 			at: sentAt + time.Duration(m.random.Int64N(int64(testPolicy.TokenTTL()))), run: func() { m.spent = append(m.spent, m.now) },
 		})
 	}
-	m.grants = append(m.grants, modelGrant{at: m.now, count: grant.Amount.Requests})
+	m.grants = append(m.grants, modelGrant{at: m.now, count: grant.Amount.Requests - returned})
+	m.later(n, func() {
+		if n.allocator.Fraction(PartitionOf("t"), m.now) == 0 {
+			return
+		}
+		n.allocator.Grant("t", m.limit, Request{Returned: Amount{Requests: returned}, ReturnedSince: grant.Stamp}, m.now)
+	})
 }
 
 func (m *leaseModel) step() {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -49,7 +49,7 @@
 	granted := allocator.Grant("t", limit, request, 0)
 	is.Equal(granted.Amount.Requests, int(testPolicy.Capacity(limit)))
 	is.Equal(allocator.Grant("t", limit, request, 0).Amount.Requests, 0)
-	request.Returned = Amount{Requests: 6}
+	request.Returned, request.ReturnedSince = Amount{Requests: 6}, granted.Stamp
 	is.Equal(allocator.Grant("t", limit, request, 0).Amount.Requests, 6)
 	request.Returned = Amount{Requests: 999} // returning more than was granted does not overfill the bucket
 	is.True(allocator.Grant("t", limit, request, 0).Amount.Requests <= int(testPolicy.Capacity(limit)))
@@ -100,7 +100,7 @@
 			}
 			grant := allocator.Grant("t", testLimit, first, now)
 			if grant.Amount.ProgramStarts == 0 {
-				allocator.Grant("t", testLimit, Request{Returned: grant.Amount}, now)
+				allocator.Grant("t", testLimit, Request{Returned: grant.Amount, ReturnedSince: grant.Stamp}, now)
 				continue
 			}
 			started++
@@ -159,6 +159,30 @@
 	is.True(float64(allocator.Grant("t", testLimit, large, renewedAt).Amount.Requests) <= testPolicy.Capacity(testLimit)/2)
 }
 
+// Tokens are returned late, after others have accrued in their place. They must not be
+// granted in addition to those.
+func TestLateReturnAddsNothingToFullBucket(t *testing.T) {
+	large := Request{Needed: Amount{Requests: 999}, Wanted: Amount{Requests: 999}}
+	for name, allowed := range map[string]struct {
+		returnAt time.Duration
+		maximum  float64
+	}{
+		"before the bucket is full": {200 * time.Millisecond, testPolicy.Capacity(testLimit) + 0.2*testLimit.RatePerSecond},
+		"after it was full":         {3 * time.Second, testPolicy.Capacity(testLimit)},
+		"long after":                {20 * time.Second, testPolicy.Capacity(testLimit)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			allocator := newLeasedAllocator(1)
+			first := allocator.Grant("t", testLimit, large, 0)
+			second := allocator.Grant("t", testLimit, large, allowed.returnAt).Amount.Requests
+			returning := Request{Needed: large.Needed, Wanted: large.Wanted, Returned: first.Amount, ReturnedSince: first.Stamp}
+			third := allocator.Grant("t", testLimit, returning, allowed.returnAt).Amount.Requests
+			is.True(float64(second+third) <= allowed.maximum)
+		})
+	}
+}
+
 func TestExpiredTokensAreReturned(t *testing.T) {
 	is := is.New(t)
 	cache := NewTokenCache(testPolicy, 0)
@@ -227,7 +251,7 @@
 	first := Amount{Requests: 1, ProgramStarts: 1}
 	granted := d.allocator.Grant("t", d.limit, Request{Needed: first, Wanted: first}, now)
 	if granted.Amount != first {
-		d.allocator.Grant("t", d.limit, Request{Returned: granted.Amount}, now)
+		d.allocator.Grant("t", d.limit, Request{Returned: granted.Amount, ReturnedSince: granted.Stamp}, now)
 		return
 	}
 	d.started++
--- a/internal/quota/token_cache.go
+++ b/internal/quota/token_cache.go
@@ -11,6 +11,7 @@
 // Token is the permission to run one request.
 type Token struct {
 	allocatorID AllocatorID
+	stamp       Stamp
 }
 
 // AllocatorID returns the allocator that granted the token.
@@ -19,6 +20,7 @@
 // batch is the remainder of one grant.
 type batch struct {
 	allocatorID AllocatorID
+	stamp       Stamp
 	// expires is a reading of this node's clock.
 	expires   time.Duration
 	remaining Amount
@@ -42,7 +44,7 @@
 	policy  Policy
 	batches []batch
 	// returns counts the tokens to return to allocators.
-	returns map[AllocatorID]Amount
+	returns map[AllocatorID]returnedTokens
 	// nextPrefetch is the earliest time of the next prefetch request.
 	nextPrefetch time.Duration
 	// rate and programStartRate are requests and program starts per second.
@@ -52,9 +54,16 @@
 	refusedUntil, programStartsRefusedUntil time.Duration
 }
 
+// returnedTokens are tokens to return to an allocator. since is the stamp of the oldest grant
+// of which they are left.
+type returnedTokens struct {
+	amount Amount
+	since  Stamp
+}
+
 // NewTokenCache returns an empty cache.
 func NewTokenCache(policy Policy, now time.Duration) *TokenCache {
-	return &TokenCache{policy: policy, returns: map[AllocatorID]Amount{}, rateUpdatedAt: now}
+	return &TokenCache{policy: policy, returns: map[AllocatorID]returnedTokens{}, rateUpdatedAt: now}
 }
 
 // Take takes the token for a request; false if there is none.
@@ -64,7 +73,7 @@
 		if b := &c.batches[i]; b.remaining.Requests > 0 {
 			b.remaining.Requests--
 			c.recordUse(Amount{Requests: 1}, now)
-			return Token{allocatorID: b.allocatorID}, true
+			return Token{allocatorID: b.allocatorID, stamp: b.stamp}, true
 		}
 	}
 	return Token{}, false
@@ -86,12 +95,17 @@
 // Refund returns the token of a request that was not run.
 func (c *TokenCache) Refund(token Token, now time.Duration) {
 	c.expire(now)
-	c.addReturn(token.allocatorID, Amount{Requests: 1})
+	c.addReturn(token.allocatorID, Amount{Requests: 1}, token.stamp)
 }
 
 // addReturn adds tokens to those returned to an allocator with the next request.
-func (c *TokenCache) addReturn(allocatorID AllocatorID, amount Amount) {
-	c.returns[allocatorID] = c.returns[allocatorID].Plus(amount)
+func (c *TokenCache) addReturn(allocatorID AllocatorID, amount Amount, stamp Stamp) {
+	returned, found := c.returns[allocatorID]
+	if !found || stamp < returned.since {
+		returned.since = stamp
+	}
+	returned.amount = returned.amount.Plus(amount)
+	c.returns[allocatorID] = returned
 }
 
 // expire removes expired batches.
@@ -103,7 +117,7 @@
 			continue
 		}
 		if b.remaining != (Amount{}) {
-			c.addReturn(b.allocatorID, b.remaining)
+			c.addReturn(b.allocatorID, b.remaining, b.stamp)
 		}
 	}
 	c.batches = live
@@ -161,21 +175,21 @@
 	clear(c.returns)
 	return Request{
 		Needed: needed, Wanted: needed.Plus(prefetchTarget.Minus(remaining)),
-		Returned: returned,
+		Returned: returned.amount, ReturnedSince: returned.since,
 	}
 }
 
 // HasReturns reports whether there are tokens to return to an allocator.
 func (c *TokenCache) HasReturns(allocatorID AllocatorID, now time.Duration) bool {
 	c.expire(now)
-	return c.returns[allocatorID] != (Amount{})
+	return c.returns[allocatorID].amount != (Amount{})
 }
 
 // ApplyGrant applies the response to a request that was sent at sentAt.
 func (c *TokenCache) ApplyGrant(allocatorID AllocatorID, request Request, grant Grant, sentAt, now time.Duration) {
 	if grant.Amount != (Amount{}) {
 		c.batches = append(c.batches, batch{
-			allocatorID: allocatorID, expires: sentAt + c.policy.TokenTTL(), remaining: grant.Amount,
+			allocatorID: allocatorID, stamp: grant.Stamp, expires: sentAt + c.policy.TokenTTL(), remaining: grant.Amount,
 		})
 	}
 	if grant.Amount.Requests < request.Needed.Requests {
