Count lost nodes as senders to cold replicas for as long as they may live

What operators would see: a cold replica gets more requests in a second than its limit allows (FAILBACK) while a partition lasts for longer than a minute.

Cause: nodes that became unreachable without leaving no longer counted after a minute, and each side then used the whole rate.

Change: such nodes count until they are seen again or have left. The price is the part of machines that are gone for good without a word, until nodes restart.

--- a/internal/coldstart/model_test.go
+++ b/internal/coldstart/model_test.go
@@ -191,6 +191,22 @@
 	is.Equal(m.maxArrivals, 25)
 }
 
+// A partition of any length must not let each side use the whole limit.
+func TestLimitHoldsInLongPartition(t *testing.T) {
+	is := is.New(t)
+	m := newModel(rand.New(rand.NewPCG(1, 1)), 24, 25, 1)
+	for m.now < 4*time.Second {
+		m.step()
+	}
+	for number, node := range m.nodes {
+		node.partition = number % 2
+	}
+	for m.now < 75*time.Second {
+		m.step()
+	}
+	is.True(m.maxArrivals <= m.allowed())
+}
+
 // A node that starts and is partitioned before it learns of other nodes must use only its
 // quota.
 func TestLimitHoldsIfStartingNodeIsPartitioned(t *testing.T) {
--- a/internal/coldstart/seeds.go
+++ b/internal/coldstart/seeds.go
@@ -21,8 +21,11 @@
 	until time.Duration
 }
 
+// seedTTL is how long a starting node waits for seeds that have not appeared.
+const seedTTL = time.Minute
+
 func newSeedTracker(seeds []netip.AddrPort, now time.Duration) seedTracker {
-	tracker := seedTracker{unseen: map[netip.AddrPort]struct{}{}, until: now + missingTTL}
+	tracker := seedTracker{unseen: map[netip.AddrPort]struct{}{}, until: now + seedTTL}
 	for _, seed := range seeds {
 		tracker.unseen[seed] = struct{}{}
 	}
--- a/internal/coldstart/senders.go
+++ b/internal/coldstart/senders.go
@@ -11,12 +11,15 @@
 )
 
 const (
-	// missingTTL is how long a node that became unreachable without leaving counts as
-	// possibly alive, and sending, on the other side of a network partition.
-	missingTTL = time.Minute
+	// maxMissing bounds the nodes that became unreachable without leaving. Such a node counts
+	// as possibly alive, and sending, on the other side of a network partition until it is
+	// seen again; there is no time after which a partition has ended.
+	maxMissing = 4096
 	// senderDelay is how long a node must have been among the senders of a replica before
 	// it may send. The previous senders may have used up the rate limit during that time.
 	senderDelay = sendPeriod
+	// cacheTTL is how long cached results are used if nothing changes.
+	cacheTTL = time.Minute
 )
 
 // senders selects the nodes that may send to a cold replica: the nodes that rank highest
@@ -31,8 +34,8 @@
 	// views holds recent membership views, newest last: all that were current within the
 	// last senderDelay.
 	views []memberView
-	// missing maps members that became unreachable without leaving to the time since when.
-	missing map[identity.NodeName]time.Duration
+	// missing holds the members that became unreachable without leaving.
+	missing map[identity.NodeName]bool
 	// seeds tracks the seeds that have not appeared in a view yet.
 	seeds seedTracker
 	// senderCache caches, per replica, whether this node is a sender in all views. It is
@@ -51,14 +54,14 @@
 }
 
 func newSenders(self identity.NodeName) *senders {
-	return &senders{self: self, missing: map[identity.NodeName]time.Duration{}, senderCache: map[string]bool{}}
+	return &senders{self: self, missing: map[identity.NodeName]bool{}, senderCache: map[string]bool{}}
 }
 
 // setView applies a new membership view.
 func (s *senders) setView(view membership.View, now time.Duration) {
 	reachable := lo.Filter(view.Members, func(member membership.Member, _ int) bool { return member.Reachable() })
 	live := lo.Map(reachable, func(member membership.Member, _ int) identity.NodeName { return member.Node.Name })
-	s.recordMissing(view, now)
+	s.recordMissing(view)
 	s.seeds.setView(view)
 	s.seeds.expire(now)
 	clear(s.senderCache)
@@ -78,22 +81,17 @@
 }
 
 // recordMissing records the members that disappeared from the view without leaving.
-func (s *senders) recordMissing(view membership.View, now time.Duration) {
+func (s *senders) recordMissing(view membership.View) {
 	if len(s.views) > 0 {
 		for _, name := range s.views[len(s.views)-1].live {
-			if _, found := s.missing[name]; !found {
-				s.missing[name] = now
+			if len(s.missing) < maxMissing {
+				s.missing[name] = true
 			}
 		}
 	}
 	for _, member := range view.Members {
 		delete(s.missing, member.Node.Name) // alive, or leaving
 	}
-	for name, since := range s.missing {
-		if now-since > missingTTL {
-			delete(s.missing, name)
-		}
-	}
 }
 
 // dropOldViews drops the views that were replaced at least senderDelay ago.
@@ -139,7 +137,7 @@
 	if len(s.seeds.unseen) > 0 {
 		return max(s.seeds.until, now)
 	}
-	return now + missingTTL
+	return now + cacheTTL
 }
 
 // isSenderInAllViews reports whether this node is a sender in all recent views.
