Report not ready until the first share table of a site is known

TestTwoNodesEnforceOneLimit failed with leases of shares, twice in two runs: on a site that starts for the first time, nodes said that they were ready before the first share table, and rejected requests of tenants with limits until then, so that fewer than 148 of 150 requests ran or were refused for the limit.

A node is ready once it knows a table, or six seconds after its start. Sites that start again find the table in the store.

--- a/internal/limits/lease.go
+++ b/internal/limits/lease.go
@@ -16,7 +16,7 @@
 	renewInterval = 250 * time.Millisecond
 	// acquireTimeout is how long a token request waits for the lessors. Those that respond
 	// later add to the leased fraction.
-	acquireTimeout = 60 * time.Millisecond
+	acquireTimeout = 40 * time.Millisecond
 	// renewedRecently is the remaining validity of a lease whose lessee still renews it.
 	renewedRecently = quota.LeaseTTL - 2*renewInterval
 	// bypassTTL is how long a node leases a partition after it was asked to in place of one
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -78,9 +78,10 @@
 	store                   logstore.Store
 	registry                *prometheus.Registry
 	// settings is replaced by a reload.
-	settings atomic.Pointer[settings.Routed]
-	stopping atomic.Bool
-	loops    sync.WaitGroup
+	settings  atomic.Pointer[settings.Routed]
+	stopping  atomic.Bool
+	startedAt time.Time
+	loops     sync.WaitGroup
 	// clientListener accepts client connections.
 	clientListener net.Listener
 }
@@ -88,6 +89,7 @@
 // start starts the background loops and binds the node's addresses.
 func (n *node) start(ctx context.Context) error {
 	cfg := n.settings.Load()
+	n.startedAt = time.Now()
 	n.run(ctx, n.configurations.Run)
 	n.run(ctx, n.entries.Run)
 	n.run(ctx, n.replicas.Run)
@@ -163,10 +165,18 @@
 }
 
 // ready reports whether the node accepts requests: configuration and replicas are loaded,
-// the configuration is fresh enough to authenticate requests, and no shutdown is in
-// progress.
+// the configuration is fresh enough to authenticate requests, tenants' limits can be granted,
+// and no shutdown is in progress.
 func (n *node) ready() bool {
-	return !n.stopping.Load() && n.router.MayServe() && n.views.listed.Load()
+	return !n.stopping.Load() && n.router.MayServe() && n.views.listed.Load() && n.limitsReady()
+}
+
+// maxShareWait is how long a node that starts waits for the first share table. It concerns
+// sites that start for the first time.
+const maxShareWait = 6 * time.Second
+
+func (n *node) limitsReady() bool {
+	return n.shares == nil || n.shares.Known() || !n.hasLimits() || time.Since(n.startedAt) > maxShareWait
 }
 
 // limitOf returns a tenant's limit in the current configuration; false if it has none.
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -137,6 +137,13 @@
 	s.planner.setView(view, now)
 }
 
+// Known reports whether any table is known.
+func (s *Service) Known() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.history.newest.Version > 0
+}
+
 // Fraction returns the fraction that this node may use, or pass on, for UseTTL.
 func (s *Service) Fraction(now time.Duration) float64 {
 	s.mutex.Lock()
