--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -203,6 +203,7 @@
 	for name, fault := range faults {
 		for seed := range uint64(6) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
 				sim, worst := simulate(t, seed, 45*time.Second, constantDemand(aboveLimit), fault)
 				checkWindows(t, sim, worst)
 			})
@@ -600,6 +601,7 @@
 func TestRiseOfDemandAtManyNodesStaysWithinLimit(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			sim, worst := simulateNodes(t, seed, 69, 30*time.Second, overloadFrom(14*time.Second, belowLimit), nil)
 			checkWindows(t, sim, worst)
 		})
--- a/internal/limits/composed_test.go
+++ b/internal/limits/overlapping_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -10,12 +11,17 @@
 	"stepseam.example/stepseam/internal/membership"
 )
 
+// faultSchedules is the number of schedules of overlapping faults. A longer search:
+// go test ./internal/limits -run OverlappingFaults -args -fault-schedules=300
+var faultSchedules = flag.Uint64("fault-schedules", 24, "schedules of overlapping faults")
+
 // Several faults at once, on a site that learns of each of them late: takeovers, pauses,
 // restarts and partitions overlap in one window, more often than an allocator's reserve
 // covers. The bound must hold all the same.
 func TestWindowBoundHoldsUnderOverlappingFaults(t *testing.T) {
-	for seed := range uint64(24) {
+	for seed := range *faultSchedules {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			sim, worst := simulate(t, seed, 45*time.Second, constantDemand(aboveLimit), overlappingFaults)
 			checkWindows(t, sim, worst)
 		})
