Fix the draw of the first probe in a test of the guarded store

The breaker draws the time of the first probe uniformly over the pause of 20 s. It falls into the test's 50 ms, or into its reads before, in about one run of eighty: the test's own luck.

The random numbers can be given, and the test gives one that puts the first probe at 10 s.

--- a/internal/guardedstore/store.go
+++ b/internal/guardedstore/store.go
@@ -22,13 +22,16 @@
 // sent to other nodes.
 var ErrCircuitOpen = fmt.Errorf("%w: it has not answered lately", logstore.ErrUnavailable)
 
-// Config configures a Store. All fields but CallsPerSecond and Registerer are required.
+// Config configures a Store. All fields but CallsPerSecond, Registerer and Random are required.
 type Config struct {
 	Store logstore.Store
 	// CallsPerSecond is the store's capacity for reads by all nodes; 0 if not known.
 	CallsPerSecond float64
 	Logger         *slog.Logger
 	Registerer     prometheus.Registerer
+	// Random returns random numbers in [0,1), which spread the probes; nil means a source
+	// with a random seed.
+	Random func() float64
 }
 
 // Store is a logstore.Store. Append, Newest and Changes always go out; callers that can wait
@@ -57,6 +60,9 @@
 
 // New returns a store with closed breakers.
 func New(config Config) *Store {
+	if config.Random == nil {
+		config.Random = rand.Float64
+	}
 	created := &Store{
 		config: config, began: time.Now(), breaker: storebreaker.New(config.CallsPerSecond),
 		members: func() int { return 1 }, recovered: make(chan struct{}), changed: make(chan struct{}),
@@ -74,7 +80,7 @@
 
 // conditions requires the mutex.
 func (s *Store) conditions() storebreaker.Conditions {
-	return storebreaker.Conditions{Now: time.Since(s.began), Nodes: s.members(), Random: rand.Float64()}
+	return storebreaker.Conditions{Now: time.Since(s.began), Nodes: s.members(), Random: s.config.Random()}
 }
 
 // NodeAvailable reports whether the store answers this node, as far as known.
--- a/internal/guardedstore/store_test.go
+++ b/internal/guardedstore/store_test.go
@@ -127,7 +127,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		log := store.New()
-		guarded := New(Config{Store: log, CallsPerSecond: 1, Logger: slog.New(slog.DiscardHandler)}) // a probe every 20 s
+		middle := func() float64 { return 0.5 }
+		guarded := New(Config{Store: log, CallsPerSecond: 1, Random: middle, Logger: slog.New(slog.DiscardHandler)}) // a probe every 20 s, the first after 10 s
 		log.Fail(store.Fault{Busy: true})
 		for range 5 {
 			_, _ = guarded.Read(t.Context(), logstore.ReadRequest{Partition: place(0)})
