Ask the only allocator again that has not responded

A node that did not respond is passed over for a second; without another one, none was left to ask.

The highest in rank is then asked again. TestOnlyAllocatorIsAskedAgain fails without the change.

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -370,6 +370,25 @@
 	})
 }
 
+// The only other node does not respond once. It must be asked again, since no other one can
+// take its place.
+func TestOnlyAllocatorIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		startedAt := time.Now()
+		peers := &slowPeers{}
+		service := newService("a", peers, func() time.Duration { return time.Since(startedAt) })
+		service.SetView(membership.View{Members: []membership.Member{{Node: identity.Node{Name: "b", Incarnation: 1}, Status: membership.Alive}}})
+		service.SetHolders([]identity.NodeName{"b"})
+		response, err := service.requestTokens(t.Context(), &tokenRequest{Tenant: siteTenant.Name, Request: quota.Request{Returned: quota.Amount{Requests: 3}}})
+		is.NoErr(err)
+		is.Equal(response.Grant.Amount.Requests, 1)
+		is.Equal(peers.requests.Load(), int32(2))
+		is.Equal(peers.returnedTokens.Load(), int32(3)) // returned tokens are sent only once
+		synctest.Wait()
+	})
+}
+
 // slowPeers does not respond to the first request.
 type slowPeers struct{ requests, bypassing, returnedTokens atomic.Int32 }
 
--- a/internal/limits/placement.go
+++ b/internal/limits/placement.go
@@ -66,7 +66,7 @@
 
 // allocator returns the node that should allocate a partition; false if none is known.
 // bypassed reports whether a node that ranks higher is passed over because it did not
-// respond.
+// respond. If none has responded recently, the highest one is asked again.
 func (p *placement) allocator(partition quota.Partition, now time.Duration) (node identity.Node, bypassed, found bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -77,7 +77,10 @@
 	next, found := membership.Highest(rankKeys[partition], p.ranked, func(member membership.Member) bool {
 		return member.Reachable() && now >= p.failedUntil[member.Node.Reference()]
 	})
-	return next, true, found
+	if !found {
+		return first, false, true
+	}
+	return next, true, true
 }
 
 // ranksFirst reports whether this node should allocate a partition as far as it knows. No
