Test that requests without an allocator are rejected at once with a time

The change rejects with 503 while another allocator's leases last, and says when they end; no test held it to that, nor to Retry-After at the router.

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -389,6 +389,33 @@
 	})
 }
 
+// Another allocator has leased the limit and does not respond. Requests are rejected with the
+// time at which its leases end, and at once until then.
+func TestRejectionNamesEndOfOtherLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const remaining = 400 * time.Millisecond
+		startedAt := time.Now()
+		peers := &answeringPeer{}
+		service := newService("a", peers, func() time.Duration { return time.Since(startedAt) })
+		other := quota.Lessee{Node: identity.Reference{Name: "gone", Incarnation: 1}, ID: 7}
+		peers.onCall = func(request peer.Message) peer.Message {
+			message, ok := request.(*leaseRequest)
+			is.True(ok)
+			return &leaseResponse{Response: quota.LeaseResponse{Conflicts: []quota.Conflict{{Partitions: message.Request.Wanted, Lessee: other, Remaining: remaining}}}}
+		}
+		for range 2 {
+			asked := time.Now()
+			_, err := service.Admit(t.Context(), siteTenant)
+			var unavailable *UnavailableError
+			is.True(errors.As(err, &unavailable))
+			is.Equal(unavailable.RetryAfter, remaining)
+			is.Equal(time.Since(asked), time.Duration(0))
+		}
+		synctest.Wait()
+	})
+}
+
 // slowPeers does not respond to the first request.
 type slowPeers struct{ requests, bypassing, returnedTokens atomic.Int32 }
 
--- a/internal/router/limit_test.go
+++ b/internal/router/limit_test.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 
 	"stepseam.example/stepseam/internal/emulator/replica"
 	"stepseam.example/stepseam/internal/limits"
+	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/routing"
 )
@@ -65,6 +68,43 @@
 	is.Equal(h.post("/safe/x", "c", "Test-Key", "one").StatusCode, http.StatusOK) // the delay was sufficient
 }
 
+// No node may grant tokens. Requests are rejected with the time after which that may have
+// changed, and after the first one at once.
+func TestTenantWithoutAllocatorIsRejectedWithRetryAfter(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, healthy)
+	withLimit(h, 10, 20)
+	service := limits.New(limits.Config{
+		Self: "n", Policy: quota.Policy{Window: time.Second}, Strategy: limits.StrategyAllocator, Peers: unreachablePeers{}, Shares: noShare{},
+		Now: monotonic(), Logger: slog.New(slog.DiscardHandler),
+	})
+	service.SetLimits(func(string) (quota.Limit, bool) { return quota.Limit{RatePerSecond: 10, Burst: 20}, true }, func() bool { return true })
+	h.router.config.Limits = service
+	h.post("/safe/x", "a", "Test-Key", "one")
+	began := time.Now()
+	got := h.post("/safe/x", "b", "Test-Key", "one")
+	is.True(time.Since(began) < maxRejectionTime)
+	is.Equal(got.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(got.body, "limit_unknown\n")
+	after, err := strconv.ParseFloat(got.Header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(after > 0 && after <= (1+retryAfterJitter)*quota.LeaseTTL.Seconds())
+}
+
+// unreachablePeers fails all calls.
+type unreachablePeers struct{}
+
+// Call implements peer.Client.
+func (unreachablePeers) Call(context.Context, netip.AddrPort, peer.Message, func(peer.Message) error) (peer.Message, error) {
+	return nil, peer.ErrUnreachable
+}
+
+// noShare is a node that holds no share of the limits.
+type noShare struct{}
+
+// Fraction implements limits.Shares.
+func (noShare) Fraction(time.Duration) float64 { return 0 }
+
 func TestRequestsThatDidNotRunAreRefunded(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, withStatus(http.StatusServiceUnavailable, "Test-Not-Run: 1"))
