--- a/cmd/stepseamctl/tenants.go
+++ b/cmd/stepseamctl/tenants.go
@@ -21,13 +21,16 @@
 
 func writeTenants(w io.Writer, status limits.TenantsStatus) {
 	fmt.Fprintf(w, "tenants as seen by %s: configuration %d, %s\n\n", status.Node, status.Version, configurationAge(status))
-	writeRow(w, "TENANT", "RATE", "BURST", "ALLOCATOR", "PACE HERE", "REFUSED HERE", "LEFT")
+	writeRow(w, "TENANT", "RATE", "BURST", "ALLOCATOR", "PACE HERE", "REFUSED HERE", "LEFT", "LEASED")
 	for _, tenant := range status.Tenants {
-		left := "-"
+		left, leased := "-", "-"
 		if tenant.Remaining != nil {
 			left = fmt.Sprintf("%.1f", *tenant.Remaining)
 		}
-		writeRow(w, tenant.Name, tenant.RatePerSecond, tenant.Burst, tenant.Allocator, fmt.Sprintf("%.1f", tenant.RequestRate), tenant.Refused, left)
+		if tenant.LeasedFraction > 0 {
+			leased = fmt.Sprintf("%.2f", tenant.LeasedFraction)
+		}
+		writeRow(w, tenant.Name, tenant.RatePerSecond, tenant.Burst, tenant.Allocator, fmt.Sprintf("%.1f", tenant.RequestRate), tenant.Refused, left, leased)
 	}
 }
 
--- a/internal/limits/allocator.go
+++ b/internal/limits/allocator.go
@@ -172,9 +172,7 @@
 	if fraction == 0 {
 		return nil, errNoKnownNodes // the leases have just ended
 	}
-	if fraction < wholeFraction {
-		s.metrics.partial.Inc()
-	}
+	s.recordFractionLocked(message.Tenant, fraction, now)
 	opened, leasedFor := !s.allocator.Has(message.Tenant), s.allocator.LeasedFor(p, now)
 	response := &tokenResponse{Outcome: outcomeGranted, AllocatorID: s.allocatorID, Grant: s.allocator.Grant(message.Tenant, limit, request, now)}
 	if opened && leasedFor < s.config.Policy.Span() {
@@ -186,6 +184,27 @@
 	return response, nil
 }
 
+// recordFractionLocked logs when the grants for a tenant become limited to a part of its
+// limit, and when they no longer are. It requires the mutex.
+func (s *Service) recordFractionLocked(tenant string, fraction float64, now time.Duration) {
+	partial := fraction < wholeFraction
+	if partial {
+		s.metrics.partial.Inc()
+	}
+	if _, before := s.partialSince[tenant]; partial == before {
+		return
+	}
+	leasedFor := s.allocator.LeasedFor(quota.PartitionOf(tenant), now).Milliseconds()
+	if partial {
+		s.partialSince[tenant] = now
+		s.logger.Info("grants a tenant only a fraction of its limit", "tenant", tenant, "allocator", s.allocatorID, "fraction", fraction, "leased_for_ms", leasedFor)
+		return
+	}
+	s.logger.Info("grants a tenant its whole limit", "tenant", tenant, "allocator", s.allocatorID, "leased_for_ms", leasedFor,
+		"partial_for_ms", (now - s.partialSince[tenant]).Milliseconds())
+	delete(s.partialSince, tenant)
+}
+
 // wholeFraction is the fraction from which a limit counts as leased as a whole. The sum of
 // the shares may be a little less than one.
 const wholeFraction = 0.999
--- a/internal/limits/lease.go
+++ b/internal/limits/lease.go
@@ -25,7 +25,7 @@
 	// transferGrace is how long an allocator renews the leases of a partition that another
 	// node should take over.
 	transferGrace = 2 * time.Second
-	// localLessor is the lessor of a node without others.
+	// localLessor stands for this node itself among the lessors.
 	localLessor = identity.NodeName("")
 )
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -148,8 +149,10 @@
 	renewing   map[identity.NodeName]bool
 	acquiring  map[quota.Partition]chan struct{}
 	takingOver quota.PartitionSet
-	// partial reports whether the last renewal found less than the whole limits leased.
-	partial bool
+	// partial reports whether the last renewal found less than the whole limits leased;
+	// partialSince holds the tenants that were granted tokens under less than the whole limit.
+	partial      bool
+	partialSince map[string]time.Duration
 }
 
 // New returns a service that knows no other nodes.
@@ -161,7 +164,7 @@
 		config: config, allocatorID: allocatorID, placement: newPlacement(config.Self),
 		metrics: newMetrics(config.Registerer), logger: &boundedLogger{logger: config.Logger, now: config.Now}, tenants: map[string]*tenantTokens{},
 		allocator: quota.NewAllocator(config.Policy, self), lessor: quota.NewLessor(now), changedAt: now,
-		renewing: map[identity.NodeName]bool{}, acquiring: map[quota.Partition]chan struct{}{},
+		renewing: map[identity.NodeName]bool{}, acquiring: map[quota.Partition]chan struct{}{}, partialSince: map[string]time.Duration{},
 	}
 	for p := range service.lastFirst {
 		service.lastFirst[p] = now - transferGrace
@@ -219,6 +222,7 @@
 func (s *Service) sweep(ctx context.Context, now time.Duration) {
 	s.mutex.Lock()
 	s.allocator.Forget(now)
+	maps.DeleteFunc(s.partialSince, func(tenant string, _ time.Duration) bool { return !s.allocator.Has(tenant) })
 	s.mutex.Unlock()
 	s.tenantsMutex.Lock()
 	defer s.tenantsMutex.Unlock()
--- a/internal/limits/site_test.go
+++ b/internal/limits/site_test.go
@@ -192,7 +192,7 @@
 	defer s.mutex.Unlock()
 	switch {
 	case service != n.service || n.nodeState == killed || n.nodeState == paused:
-		// A process that has ended or is paused sends nothing to a replica.
+		// The process has ended, or was paused before it could admit the request.
 	case err == nil && s.random.IntN(20) == 0:
 		go permit.Refund() // the request was not run
 	case err == nil:
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -107,8 +107,7 @@
 // Lessor leases the share of one node to one allocator per partition at a time. It is not
 // safe for concurrent use.
 type Lessor struct {
-	startedAt time.Duration
-	leases    [Partitions]lease
+	leases [Partitions]lease
 }
 
 // lease is the current or last lease of one partition.
@@ -121,7 +120,7 @@
 // NewLessor returns a lessor of a process that started at a given time. The leases of an
 // earlier process of the same node may be valid for LeaseTTL from then on.
 func NewLessor(startedAt time.Duration) *Lessor {
-	result := &Lessor{startedAt: startedAt}
+	result := &Lessor{}
 	for p := range result.leases {
 		result.leases[p].expires = startedAt + LeaseTTL
 	}
--- a/internal/router/limit.go
+++ b/internal/router/limit.go
@@ -62,7 +62,8 @@
 	}
 }
 
-// spread returns a delay with its lower bound and a random extension.
+// spread raises a delay to the minimum and extends it at random, so that clients do not
+// return at the same time.
 func (r *Router) spread(retryAfter time.Duration) time.Duration {
 	retryAfter = max(retryAfter, minRetryAfter)
 	return retryAfter + time.Duration(r.config.Random()*retryAfterJitter*float64(retryAfter))
