Bound only the missing nodes that are remembered, not all members

Commit applied the bound on remembered missing nodes while all members of the view before still stood among them, so that on a site of more than 4,096 nodes the missing ones could be left out, and the rate of cold replicas exceeded. Found by reading; no site is that large today. TestMissingNodesOfLargeSiteCount fails without the change (4,096 of 4,196 nodes).

--- a/internal/coldstart/limiter_test.go
+++ b/internal/coldstart/limiter_test.go
@@ -215,6 +215,15 @@
 	is.Equal(takePermits(alone, limit, seedTTL+sendPeriod), 12) // the other seed no longer counts
 }
 
+// On a site with more nodes than missing ones are remembered, the missing ones must count.
+func TestMissingNodesOfLargeSiteCount(t *testing.T) {
+	is := is.New(t)
+	s := newSenders(nodeName(0))
+	s.setView(viewOf(numbers(maxMissing+100)...), 0)
+	s.setView(viewOf(numbers(maxMissing)...), time.Second)
+	is.Equal(s.views[len(s.views)-1].possible, maxMissing+100)
+}
+
 func BenchmarkAcquireColdReplica(b *testing.B) {
 	limit := RateLimit{PerSecond: 25, ColdDuration: coldDuration}
 	limiter := NewLimiter("n0")
--- a/internal/coldstart/senders.go
+++ b/internal/coldstart/senders.go
@@ -82,16 +82,18 @@
 
 // recordMissing records the members that disappeared from the view without leaving.
 func (s *senders) recordMissing(view membership.View) {
-	if len(s.views) > 0 {
-		for _, name := range s.views[len(s.views)-1].live {
-			if len(s.missing) < maxMissing {
-				s.missing[name] = true
-			}
-		}
-	}
 	for _, member := range view.Members {
 		delete(s.missing, member.Node.Name) // alive, or leaving
 	}
+	if len(s.views) == 0 {
+		return
+	}
+	present := lo.SliceToMap(view.Members, func(member membership.Member) (identity.NodeName, bool) { return member.Node.Name, true })
+	for _, name := range s.views[len(s.views)-1].live {
+		if !present[name] && len(s.missing) < maxMissing {
+			s.missing[name] = true
+		}
+	}
 }
 
 // dropOldViews drops the views that were replaced at least senderDelay ago.
