Count seeds that were never heard of for as long as they may live

What operators would see: nodes that start on both sides of a partition send a cold replica more than its rate (FAILBACK) from a minute after their start on. It is the cause that had left standing: a bound that holds only while a partition is short.

Evidence: TestLimitHoldsIfNodesStartInLongPartition fails without the change, 24 nodes that start in two halves, 75 s.

Change: a starting node takes unseen seeds for nodes elsewhere until it has heard of them. The price is the part of a seed that is gone for good, until nodes start with other seeds. TestStartingNodeCountsUnseenSeeds asked that the part comes back after a minute; it now asks that it does not after half an hour, and that it does once the seed was seen and has left. Not covered, as before: a node that starts on the side of a cut on which all seeds are.

--- a/internal/coldstart/limiter.go
+++ b/internal/coldstart/limiter.go
@@ -49,10 +49,10 @@
 
 // SetSeeds sets the addresses of the site's seed nodes. It must be called at the start of
 // the node, before SetView.
-func (l *Limiter) SetSeeds(seeds []netip.AddrPort, now time.Duration) {
+func (l *Limiter) SetSeeds(seeds []netip.AddrPort) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.senders.seeds = newSeedTracker(seeds, now)
+	l.senders.seeds = newSeedTracker(seeds)
 }
 
 // SetView applies a new membership view.
--- a/internal/coldstart/limiter_test.go
+++ b/internal/coldstart/limiter_test.go
@@ -40,6 +40,13 @@
 	return view
 }
 
+// leavingView is a view of which the last node is leaving.
+func leavingView(numbers ...int) membership.View {
+	view := viewOf(numbers...)
+	view.Members[len(numbers)-1].Status = membership.Leaving
+	return view
+}
+
 func numbers(count int) []int {
 	result := make([]int, count)
 	for i := range result {
@@ -174,11 +181,8 @@
 		sending += takePermits(limiters[i], limit, later+2*time.Second)
 	}
 	is.Equal(sending, 1) // a partition may last for any time
-	leaving := viewOf(left...)
-	leaving.Members = append(leaving.Members, viewOf(senders[0]).Members...)
-	leaving.Members[len(left)].Status = membership.Leaving
 	for _, i := range left {
-		limiters[i].SetView(leaving, later+3*time.Second)
+		limiters[i].SetView(leavingView(append(left, senders[0])...), later+3*time.Second)
 		limiters[i].SetView(viewOf(left...), later+4*time.Second)
 	}
 	sending = 0
@@ -188,13 +192,13 @@
 	is.Equal(sending, 2) // it has left
 }
 
-// Until a starting node has seen all seeds, or a minute has passed, the missing ones must
-// count as nodes that may be sending in another partition.
+// Until a starting node has seen all seeds, the missing ones must count as nodes that may be
+// sending in another partition.
 func TestStartingNodeCountsUnseenSeeds(t *testing.T) {
 	is := is.New(t)
 	limit := RateLimit{PerSecond: 12, ColdDuration: time.Hour}
 	limiter := NewLimiter("n0")
-	limiter.SetSeeds(seedsOf(3), 0)
+	limiter.SetSeeds(seedsOf(3))
 	limiter.UpdateReplica(registration(1, time.Hour), 0)
 	limiter.SetView(viewOf(0), 3*time.Second)
 	is.Equal(takePermits(limiter, limit, 5*time.Second), 4) // one of three seeds: 4 of 12
@@ -203,16 +207,21 @@
 	limiter.SetView(viewOf(0, 1, 2), 9*time.Second)
 	is.Equal(takePermits(limiter, limit, 11*time.Second), 4)
 	partitioned := NewLimiter("n7")
-	partitioned.SetSeeds(seedsOf(3), 0)
+	partitioned.SetSeeds(seedsOf(3))
 	partitioned.UpdateReplica(registration(1, time.Hour), 0)
 	partitioned.SetView(viewOf(6, 7, 8), 0)
 	is.Equal(takePermits(partitioned, limit, 2*time.Second), 0) // no seed seen: the whole site may be elsewhere
 	alone := NewLimiter("n0")
-	alone.SetSeeds(seedsOf(2), 0)
+	alone.SetSeeds(seedsOf(2))
 	alone.UpdateReplica(registration(1, time.Hour), 0)
 	alone.SetView(viewOf(0), 0)
-	is.Equal(takePermits(alone, limit, seedTTL-1), 6)
-	is.Equal(takePermits(alone, limit, seedTTL+sendPeriod), 12) // the other seed no longer counts
+	const later = time.Hour / 2
+	is.Equal(takePermits(alone, limit, 2*time.Second), 6)
+	is.Equal(takePermits(alone, limit, later), 6) // a partition may last for any time
+	alone.SetView(viewOf(0, 1), later+time.Second)
+	alone.SetView(leavingView(0, 1), later+2*time.Second)
+	alone.SetView(viewOf(0), later+3*time.Second)
+	is.Equal(takePermits(alone, limit, later+6*time.Second), 12) // the other seed was seen, and has left
 }
 
 // On a site with more nodes than missing ones are remembered, the missing ones must count.
--- a/internal/coldstart/model_test.go
+++ b/internal/coldstart/model_test.go
@@ -68,7 +68,7 @@
 func (m *model) start(number int) {
 	node := m.nodes[number]
 	node.limiter, node.dead, node.started, node.view = NewLimiter(nodeName(number)), false, m.now, []int{number}
-	node.limiter.SetSeeds(seedsOf(min(modelSeeds, len(m.nodes))), m.clock())
+	node.limiter.SetSeeds(seedsOf(min(modelSeeds, len(m.nodes))))
 	node.limiter.SetView(viewOf(number), m.clock())
 	node.limiter.UpdateReplica(registration(1, time.Hour), m.clock())
 	node.next = m.now + modelStep*time.Duration(1+m.random.IntN(20))
@@ -207,6 +207,22 @@
 	is.True(m.maxArrivals <= m.allowed())
 }
 
+// Nodes that start on both sides of a partition of any length must not each take their side
+// for the whole site.
+func TestLimitHoldsIfNodesStartInLongPartition(t *testing.T) {
+	is := is.New(t)
+	m := newModel(rand.New(rand.NewPCG(1, 1)), 24, 25, 1)
+	for number := range m.nodes {
+		m.nodes[number].partition = number % 2
+		m.start(number)
+	}
+	for m.now < 75*time.Second {
+		m.step()
+	}
+	is.True(m.maxArrivals > 0)
+	is.True(m.maxArrivals <= m.allowed())
+}
+
 // A node that starts and is partitioned before it learns of other nodes must use only its
 // quota.
 func TestLimitHoldsIfStartingNodeIsPartitioned(t *testing.T) {
--- a/internal/coldstart/seeds.go
+++ b/internal/coldstart/seeds.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"net/netip"
-	"time"
 
 	"stepseam.example/stepseam/internal/membership"
 )
@@ -13,19 +12,14 @@
 // The fraction of the configured seeds that it has seen serves as an estimate of the
 // fraction of the site that it sees.
 type seedTracker struct {
-	// seeds is the number of all seeds, unseen the set of those not yet in any view.
+	// seeds is the number of all seeds, unseen the set of those not yet in any view. A seed
+	// that was removed permanently stays among them until the node restarts with others.
 	seeds  int
 	unseen map[netip.AddrPort]struct{}
-	// until is the time at which the remaining seeds are no longer waited for, since they
-	// may have been removed permanently.
-	until time.Duration
 }
 
-// seedTTL is how long a starting node waits for seeds that have not appeared.
-const seedTTL = time.Minute
-
-func newSeedTracker(seeds []netip.AddrPort, now time.Duration) seedTracker {
-	tracker := seedTracker{unseen: map[netip.AddrPort]struct{}{}, until: now + seedTTL}
+func newSeedTracker(seeds []netip.AddrPort) seedTracker {
+	tracker := seedTracker{unseen: map[netip.AddrPort]struct{}{}}
 	for _, seed := range seeds {
 		tracker.unseen[seed] = struct{}{}
 	}
@@ -41,16 +35,6 @@
 	}
 }
 
-// expire stops waiting for the remaining seeds once their time is over, and reports
-// whether that changed anything.
-func (s *seedTracker) expire(now time.Duration) bool {
-	if len(s.unseen) == 0 || now < s.until {
-		return false
-	}
-	clear(s.unseen)
-	return true
-}
-
 // estimateNodes estimates the number of nodes of the site from the number of live nodes,
 // scaled by the ratio of all seeds to the seeds seen.
 func (s *seedTracker) estimateNodes(live int) int {
--- a/internal/coldstart/senders.go
+++ b/internal/coldstart/senders.go
@@ -13,7 +13,7 @@
 const (
 	// maxMissing bounds the nodes that became unreachable without leaving. Such a node counts
 	// as possibly alive, and sending, on the other side of a network partition until it is
-	// seen again; there is no time after which a partition has ended.
+	// seen again or leaves, since a partition may last for any time.
 	maxMissing = 4096
 	// senderDelay is how long a node must have been among the senders of a replica before
 	// it may send. The previous senders may have used up the rate limit during that time.
@@ -63,7 +63,6 @@
 	live := lo.Map(reachable, func(member membership.Member, _ int) identity.NodeName { return member.Node.Name })
 	s.recordMissing(view)
 	s.seeds.setView(view)
-	s.seeds.expire(now)
 	clear(s.senderCache)
 	s.senderCacheUntil = 0
 	if last := len(s.views) - 1; last >= 0 && slices.Equal(s.views[last].live, live) {
@@ -111,9 +110,6 @@
 	}
 	if now >= s.senderCacheUntil {
 		s.dropOldViews(now)
-		if newest := &s.views[len(s.views)-1]; s.seeds.expire(now) {
-			newest.possible = s.possibleNodes(newest.live)
-		}
 		clear(s.senderCache)
 		s.senderCacheUntil = s.nextExpiry(now)
 	}
@@ -136,9 +132,6 @@
 	if until := s.views[0].at + senderDelay; until > now {
 		return until
 	}
-	if len(s.seeds.unseen) > 0 {
-		return max(s.seeds.until, now)
-	}
 	return now + cacheTTL
 }
 
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -216,7 +216,7 @@
 	made.register(do.MustInvoke[*prometheus.Registry](injector))
 	others, err := do.Invoke[*peers](injector)
 	if err == nil && others != nil {
-		made.limiter.SetSeeds(do.MustInvoke[settings.Routed](injector).Seeds, made.router.Now())
+		made.limiter.SetSeeds(do.MustInvoke[settings.Routed](injector).Seeds)
 		others.onView = append(others.onView, func(view membership.View) { made.limiter.SetView(view, made.router.Now()) })
 	}
 	return made, err
