Name cold replicas as the reason if a permit renews after the choice

What callers saw: 503 with the reason no_replica, as if the service had no replica, where all were cold and the node's permits used up. It says the wrong thing to whoever looks for the cause.

Cause: the choice and the reason of the rejection each asked whether the node may send to a cold replica, at two times. A permit that renewed between them made the second answer yes.

Fix: the reason is decided for the time of the choice. Permits only grow with time, so it agrees with the choice.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -37,7 +37,10 @@
 	notRun int
 	// capacityWaits counts the waits for capacity.
 	capacityWaits int
-	lastFailure   *exchange.FailureError
+	// chosenAt is when a replica was last chosen, or none was found. The reason of a
+	// rejection is what held at that time: permits for cold replicas may renew since.
+	chosenAt    time.Duration
+	lastFailure *exchange.FailureError
 	// localError is the reason for which this node stopped before an attempt, or nil.
 	localError error
 }
@@ -251,7 +254,7 @@
 	case retry.localError != nil:
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStale, retryAfter: r.storeRetryAfter(shortRetryAfter), cause: retry.localError})
 	case retry.mayHaveRun == 0:
-		reply.reject(http.StatusServiceUnavailable, r.noReplicaRejection(call, rejection{reason: reason, retryAfter: shortRetryAfter, cause: cause}))
+		reply.reject(http.StatusServiceUnavailable, r.noReplicaRejection(call, retry.chosenAt, rejection{reason: reason, retryAfter: shortRetryAfter, cause: cause}))
 	case call.left() < minTimeLeft:
 		reply.reject(http.StatusGatewayTimeout, rejection{reason: "timeout", cause: cause})
 	default:
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -21,10 +21,11 @@
 
 // choose selects the replica for the next attempt. It returns false if there is none.
 func (r *Router) choose(ctx context.Context, call *call, retry *retryState) (chosenReplica, bool) {
+	retry.chosenAt = r.Now()
 	scans := r.scansAll(call)
 	var usable []fleet.Replica
 	if scans {
-		usable = r.eligible(call)
+		usable = r.eligible(call, retry.chosenAt)
 	} else {
 		usable = r.sampleReplicas(call, retry)
 	}
--- a/internal/router/coldstart_test.go
+++ b/internal/router/coldstart_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,6 +72,26 @@
 	is.Equal(len(h.replicas[0].Received()), coldRate)
 }
 
+// A permit for a cold replica that renews after the choice must not turn the reason of the
+// rejection into one of a service without replicas.
+func TestRejectionNamesColdReplicasIfPermitRenewsMeanwhile(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, healthy)
+	h.makeCold("a")
+	var reading, step atomic.Int64
+	h.router.config.Now = func() time.Duration { return time.Duration(reading.Add(step.Load())) }
+	rejected := 0
+	for i := range 50 * coldRate {
+		step.Store(int64(time.Duration(20+i%23) * time.Millisecond))
+		if got := h.post("/unsafe/x", fmt.Sprint(i)); got.StatusCode != http.StatusOK {
+			is.Equal(got.body, reasonCold+"\n")
+			rejected++
+		}
+	}
+	is.True(rejected > 0)
+	is.True(len(h.replicas[0].Received()) > coldRate)
+}
+
 // Requests that a cold replica rejects must count against its limit.
 func TestRejectionsCountAgainstRateLimitOfColdReplica(t *testing.T) {
 	is := is.New(t)
--- a/internal/router/sampling.go
+++ b/internal/router/sampling.go
@@ -20,7 +20,7 @@
 		Service: call.service.Name, Zones: r.zonesOf(call), CacheLocation: call.prompt.CacheLocation.Instance,
 		Node: r.config.NodeNumber, Random: r.config.Random,
 		Eligible: func(replica *fleet.Replica) bool {
-			return !slices.Contains(retry.excluded, replica.IncarnationID()) && r.isEligible(call, replica)
+			return !slices.Contains(retry.excluded, replica.IncarnationID()) && r.isEligible(call, replica, retry.chosenAt)
 		},
 	}
 	if len(call.prompt.Segments) > 0 {
--- a/internal/router/usable.go
+++ b/internal/router/usable.go
@@ -69,10 +69,10 @@
 	return !evacuated && r.zoneAllowed(call, zone)
 }
 
-// isEligible reports whether this node may currently send a call to a replica of a usable
-// zone.
-func (r *Router) isEligible(call *call, replica *fleet.Replica) bool {
-	return !r.limitsCold(call) || r.config.ColdStart.MaySend(replica.IncarnationID(), coldRateLimit(call), r.Now())
+// isEligible reports whether this node may send a call to a replica of a usable zone at the
+// given time.
+func (r *Router) isEligible(call *call, replica *fleet.Replica, now time.Duration) bool {
+	return !r.limitsCold(call) || r.config.ColdStart.MaySend(replica.IncarnationID(), coldRateLimit(call), now)
 }
 
 // anyReplica reports whether any replica of the call's service satisfies fits.
@@ -81,13 +81,13 @@
 }
 
 // noReplicaRejection returns the rejection of a call that has not run and that no replica
-// accepts. It returns otherwise if neither allowed regions, evacuations nor cold replicas
-// are the cause.
-func (r *Router) noReplicaRejection(call *call, otherwise rejection) rejection {
+// accepted at the given time. It returns otherwise if neither allowed regions, evacuations
+// nor cold replicas are the cause.
+func (r *Router) noReplicaRejection(call *call, now time.Duration, otherwise rejection) rejection {
 	allowed := r.anyReplica(call, func(replica *fleet.Replica) bool { return r.zoneAllowed(call, replica.Zone) })
 	usable := allowed && r.anyReplica(call, func(replica *fleet.Replica) bool { return r.zoneUsable(call, replica.Zone) })
 	eligible := usable && r.anyReplica(call, func(replica *fleet.Replica) bool {
-		return r.zoneUsable(call, replica.Zone) && r.isEligible(call, replica)
+		return r.zoneUsable(call, replica.Zone) && r.isEligible(call, replica, now)
 	})
 	switch {
 	case call.allowedRegions.Restricted() && !allowed:
@@ -115,16 +115,14 @@
 	return r.limitsCold(call) && r.config.ColdStart.Cold(instance, coldRateLimit(call), r.Now())
 }
 
-// eligible returns the usable replicas that this node may currently send requests to.
-func (r *Router) eligible(call *call) []fleet.Replica {
+// eligible returns the usable replicas that this node may send requests to at the given
+// time.
+func (r *Router) eligible(call *call, now time.Duration) []fleet.Replica {
 	replicas := r.usable(call)
 	if !r.limitsCold(call) {
 		return replicas
 	}
-	now, limit := r.Now(), coldRateLimit(call)
-	return lo.Filter(replicas, func(replica fleet.Replica, _ int) bool {
-		return r.config.ColdStart.MaySend(replica.IncarnationID(), limit, now)
-	})
+	return lo.Filter(replicas, func(replica fleet.Replica, _ int) bool { return r.isEligible(call, &replica, now) })
 }
 
 // acquireSend returns an error if a request must no longer be sent to the selected
