Guard the services of a test that adds one later

TestNodeWithoutStoreLearnsTableFromPeer failed under the race detector in each run: it adds a service while others call, registers a function after Run, which the documentation forbids, and reads a field without its lock. All are the test's own; each check stays as it was.

--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -29,18 +29,25 @@
 type sharesSite struct {
 	store     *store.Store
 	startedAt time.Time
-	services  []*Service
+
+	mutex    sync.Mutex // guards services
+	services []*Service
 }
 
 func (s *sharesSite) now() time.Duration { return time.Since(s.startedAt) }
 
-// add starts a service. log is the store as this node sees it.
-func (s *sharesSite) add(ctx context.Context, log logstore.Store) *Service {
+// add starts a service. log is the store as this node sees it; onChange may be nil.
+func (s *sharesSite) add(ctx context.Context, log logstore.Store, onChange func([]identity.NodeName)) *Service {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	number := len(s.services)
 	made := New(Config{
 		Self: identity.NodeName(fmt.Sprint("n", number)), Store: log, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now,
 		Logger: slog.New(slog.DiscardHandler), Registerer: prometheus.NewRegistry(),
 	})
+	if onChange != nil {
+		made.OnChange(onChange)
+	}
 	s.services = append(s.services, made)
 	go made.Run(ctx)
 	return made
@@ -62,7 +69,10 @@
 
 // Call implements peer.Client.
 func (s *sharesSite) Call(ctx context.Context, address netip.AddrPort, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
-	return s.services[address.Addr().As4()[3]].handleTableRequest(ctx, request, nil)
+	s.mutex.Lock()
+	service := s.services[address.Addr().As4()[3]]
+	s.mutex.Unlock()
+	return service.handleTableRequest(ctx, request, nil)
 }
 
 func (s *sharesSite) sum() float64 {
@@ -100,7 +110,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		s := &sharesSite{store: store.New(), startedAt: time.Now()}
 		for range count {
-			s.add(ctx, s.store)
+			s.add(ctx, s.store, nil)
 		}
 		s.updateViews()
 		run(ctx, is.New(t), s)
@@ -142,12 +152,14 @@
 func TestNodeWithoutStoreLearnsTableFromPeer(t *testing.T) {
 	simulateShares(t, 3, func(ctx context.Context, is *is.I, s *sharesSite) {
 		time.Sleep(4 * time.Second)
-		late := s.add(ctx, unavailableStore{})
 		var holders []identity.NodeName
-		late.OnChange(func(changed []identity.NodeName) { holders = changed })
+		late := s.add(ctx, unavailableStore{}, func(changed []identity.NodeName) { holders = changed })
 		s.updateViews()
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		is.Equal(len(holders), 3)
+		late.mutex.Lock()
+		defer late.mutex.Unlock()
 		age, known := late.history.Age(s.now())
 		is.True(known && age < relayAge)
 	})
