Read the share table as soon as a configuration needs it

What callers saw: a node that starts is not ready, and does not serve tenants with limits, for up to half a second longer than it takes to load its configuration, since the need for the share table was checked every 500 ms only. After a loss of all nodes each one waits for that.

A new configuration now makes the service ask at once. TestTableIsReadAsSoonAsItIsNeeded fails without the change.

--- a/internal/routednode/configurationview.go
+++ b/internal/routednode/configurationview.go
@@ -86,6 +86,9 @@
 	if applied {
 		v.storeConfiguration(configuration.Version, encoded)
 		v.logAllowedRegions(configuration)
+		if v.onConfiguration != nil {
+			v.onConfiguration()
+		}
 	}
 	v.logger.Info("configuration received", "from", source, "version", configuration.Version, "in_force", applied,
 		"routes", len(configuration.Routes), "services", len(configuration.Services))
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -274,6 +274,7 @@
 	built.limits.SetLimits(built.limitOf, built.hasLimits)
 	if built.shares != nil {
 		built.shares.SetEnabled(built.hasLimits)
+		built.views.onConfiguration = built.shares.NeedChanged
 	}
 	frequent := &frequentReader{self: cfg.Node.Name}
 	if built.peers != nil {
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -69,6 +69,8 @@
 	// enabled and onChange are set before Run.
 	enabled  func() bool
 	onChange []func(holders []identity.NodeName)
+	// needChanged has a value if enabled may return something else than before.
+	needChanged chan struct{}
 
 	// notifyMutex orders the calls of onChange. It is locked before mutex.
 	notifyMutex sync.Mutex
@@ -86,7 +88,7 @@
 
 // New returns a service without a table.
 func New(config Config) *Service {
-	service := &Service{config: config, enabled: func() bool { return true }, planner: newPlanner(config.MaxHolders)}
+	service := &Service{config: config, enabled: func() bool { return true }, needChanged: make(chan struct{}, 1), planner: newPlanner(config.MaxHolders)}
 	service.watcher = watch.New(watch.Config{
 		Name: "share table", Store: config.Store, Partition: config.Partition,
 		Pause: func() time.Duration { return 0 }, Wait: func() time.Duration { return watchWait },
@@ -133,6 +135,14 @@
 // service does not call the store. It must be called before Run.
 func (s *Service) SetEnabled(enabled func() bool) { s.enabled = enabled }
 
+// NeedChanged lets the service ask again whether the table is needed. It does not block.
+func (s *Service) NeedChanged() {
+	select {
+	case s.needChanged <- struct{}{}:
+	default: // it will ask anyway
+	}
+}
+
 // SetView sets the members.
 func (s *Service) SetView(view membership.View) {
 	now := s.config.Now()
@@ -172,6 +182,7 @@
 		}
 		select {
 		case <-ticker.C:
+		case <-s.needChanged:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -220,6 +220,24 @@
 	})
 }
 
+// A node that starts learns only from its first configuration that tenants have limits. It
+// must not wait for its next check of the table to read it, since it is not ready before.
+func TestTableIsReadAsSoonAsItIsNeeded(t *testing.T) {
+	simulateShares(t, 3, func(ctx context.Context, is *is.I, s *sharesSite) {
+		time.Sleep(4 * time.Second)
+		var needed atomic.Bool
+		started := New(Config{Self: "n0", Store: s.store, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now, Logger: slog.New(slog.DiscardHandler)})
+		started.SetEnabled(needed.Load)
+		go started.Run(ctx)
+		time.Sleep(planInterval / 10)
+		is.True(!started.Known())
+		needed.Store(true)
+		started.NeedChanged()
+		synctest.Wait()
+		is.True(started.Known())
+	})
+}
+
 func TestTableRoundTrip(t *testing.T) {
 	is := is.New(t)
 	sent := &tableResponse{Table: Table{Version: 3, Holders: []identity.NodeName{"a", "b"}, Recent: [][]identity.NodeName{{"a"}, {"b", "c"}}}, Known: true, Age: time.Second}
