Take another token for each repeated run of a request

A token was taken once a request, and a repeatable request that a replica may have run was sent to a further one, or again over a new connection, without any.

Cause, by reading the rule again: it counts requests that are sent and arrive at a replica that runs them, summed over all machines.

Fix: a permit is used from the moment before a send. Each further send takes another one, unless the former provably did not run; without a token the request ends with its last failure, and the log says so. The token of a send that did not run is given back, also after a repeat. Below the limit a repeat gets its token as any request does.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -78,7 +78,8 @@
 var errNoReplica = errors.New("router: no replica accepted the request")
 
 // send tries replicas until one responds. It returns errNoReplica, an error that wraps
-// errStale, or a *exchange.FailureError after which the call must not be retried.
+// errStale, an error of the tenant's limit, or a *exchange.FailureError after which the call
+// must not be retried.
 func (r *Router) send(ctx context.Context, call *call, reply *reply, retry *retryState) (*attempt, error) {
 	for {
 		if err := r.checkLeaseBeforeRun(call, retry); err != nil {
@@ -92,6 +93,9 @@
 			}
 			return nil, errNoReplica
 		}
+		if err := r.admitRepeat(ctx, call); err != nil {
+			return nil, err
+		}
 		attempt, failure := r.sendTo(ctx, call, chosen, reply)
 		if failure == nil {
 			return attempt, nil
@@ -148,9 +152,9 @@
 		// Nothing was sent, so this does not count as an attempt.
 	case failure.Outcome == exchange.OutcomeNotRun:
 		retry.notRun++
+		call.permitUsed = false
 	default:
 		retry.mayHaveRun++
-		call.mayHaveRun = true
 	}
 	if failure.Reason == exchange.ReasonMoved {
 		r.config.Fleet.Remove(replica.Instance, replica.StartedAtMs)
@@ -189,7 +193,7 @@
 	stopTimer := r.startResponseTimer(call, replica, inFlight)
 	response, err := r.config.Replicas.Send(ctx, targetOf(replica), exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
-		Repeatable: call.route.Repeatable(), MaySend: func() error { return r.acquireSend(call, replica) },
+		Repeatable: call.route.Repeatable(), MaySend: func() error { return r.acquireSend(ctx, call, replica) },
 	})
 	r.config.Tracker.Answered(inFlight, r.Now())
 	attempt := &attempt{response: response, replica: replica, inFlight: inFlight, router: r, call: call, stopTimer: stopTimer}
@@ -209,7 +213,6 @@
 		attempt.finish(failure.Reason == exchange.ReasonShed || failure.Reason == exchange.ReasonMoved)
 		return nil, failure
 	}
-	call.mayHaveRun = true
 	return attempt, nil
 }
 
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -46,10 +46,10 @@
 	priority int
 	// allowedRegions are the regions where the request's data may be.
 	allowedRegions residency.AllowedRegions
-	// permit is the token taken from the tenant's limit.
-	permit limits.Permit
-	// mayHaveRun reports whether a replica ran the request or may have run it.
-	mayHaveRun bool
+	// permit is the token taken from the tenant's limit for one run at a replica. permitUsed
+	// is set while a replica may have run the request with it.
+	permit     limits.Permit
+	permitUsed bool
 	version    uint64
 	arrived    time.Time
 	deadline   time.Time
--- a/internal/router/evacuation_test.go
+++ b/internal/router/evacuation_test.go
@@ -82,9 +82,9 @@
 		if one.Zone != "near" {
 			continue
 		}
-		is.NoErr(h.router.acquireSend(&call{}, one))
+		is.NoErr(h.router.acquireSend(t.Context(), &call{}, one))
 		h.evacuate("near")
-		is.True(h.router.acquireSend(&call{}, one) != nil)
+		is.True(h.router.acquireSend(t.Context(), &call{}, one) != nil)
 	}
 }
 
--- a/internal/router/limit.go
+++ b/internal/router/limit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -69,9 +70,26 @@
 	return retryAfter + time.Duration(r.config.Random()*retryAfterJitter*float64(retryAfter))
 }
 
-// refundUnlessRan returns the token if no replica can have run the request.
+// admitRepeat takes another token if a replica may have run the request with the present
+// one, since a limit counts the runs of a request at all replicas. Without a token the request
+// ends with its last failure. Errors: as of limits.Service.Admit.
+func (r *Router) admitRepeat(ctx context.Context, call *call) error {
+	if r.config.Limits == nil || !call.permitUsed {
+		return nil
+	}
+	permit, err := r.config.Limits.Admit(ctx, call.tenant)
+	if err != nil {
+		r.config.Logger.LogAttrs(ctx, slog.LevelInfo, "request not repeated, its tenant's limit grants no token",
+			slog.String("id", call.id), slog.String("tenant", call.tenant.Name), errorAttr(err))
+		return err
+	}
+	call.permit, call.permitUsed = permit, false
+	return nil
+}
+
+// refundUnlessRan returns the token if no replica can have run the request with it.
 func (c *call) refundUnlessRan() {
-	if !c.mayHaveRun {
+	if !c.permitUsed {
 		c.permit.Refund()
 	}
 }
--- a/internal/router/limit_test.go
+++ b/internal/router/limit_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -122,6 +124,42 @@
 	is.Equal(statuses[http.StatusBadGateway]+statuses[http.StatusTooManyRequests], 60)
 }
 
+// A request that is repeated after a replica may have run it, at another replica or on a new
+// connection, must take another token, or the replicas together run more requests than the
+// limit allows.
+func TestRepeatedRequestsCountAgainstLimit(t *testing.T) {
+	for name, replicas := range map[string][]replica.Script{
+		"responses lost": {closeConnection, closeConnection}, "reused connections closed": {closeReusedConnections()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, replicas...)
+			withLimit(h, 10, 20)
+			h.postMany(60, "/safe/x", "a")
+			runs := 0
+			for _, one := range h.replicas {
+				runs += len(one.Received())
+			}
+			is.True(runs >= 10 && runs <= 31)
+		})
+	}
+}
+
+// closeReusedConnections responds to the first request on each connection and closes it after
+// receiving another one.
+func closeReusedConnections() replica.Script {
+	var mutex sync.Mutex
+	used := map[net.Conn]bool{}
+	return func(e *replica.Exchange) bool {
+		mutex.Lock()
+		reused := used[e.Socket]
+		used[e.Socket] = true
+		mutex.Unlock()
+		return !reused && healthy(e)
+	}
+}
+
 // A tenant that may not start further programs must be able to continue running ones.
 func TestTenantAtItsLimitContinuesRunningPrograms(t *testing.T) {
 	is := is.New(t)
--- a/internal/router/usable.go
+++ b/internal/router/usable.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -127,13 +128,18 @@
 
 // acquireSend returns an error if a request must no longer be sent to the selected
 // replica. It is called immediately before each send, after everything that can block, and
-// takes a permit if the replica's service limits cold replicas.
-func (r *Router) acquireSend(call *call, replica fleet.Replica) error {
+// takes a permit if the replica's service limits cold replicas. A request that is sent again
+// on another connection takes another token of the tenant's limit.
+func (r *Router) acquireSend(ctx context.Context, call *call, replica fleet.Replica) error {
+	if err := r.admitRepeat(ctx, call); err != nil {
+		return err
+	}
 	if r.limitsCold(call) && !r.config.ColdStart.Acquire(replica.IncarnationID(), coldRateLimit(call), r.Now()) {
 		return fmt.Errorf("%w: %s", errCold, replica.IncarnationID())
 	}
 	if r.config.Evacuations != nil && !r.config.Evacuations.TrySend(replica.Zone, r.Now()) {
 		return fmt.Errorf("%w: %s", errEvacuated, replica.Zone)
 	}
+	call.permitUsed = true
 	return nil
 }
