--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -38,7 +38,7 @@
 	// capacityWaits counts the waits for capacity.
 	capacityWaits int
 	// chosenAt is when a replica was last chosen, or none was found. The reason of a
-	// rejection is what held at that time: permits for cold replicas may renew since.
+	// rejection is what held at that time: permits for cold replicas may have renewed since.
 	chosenAt    time.Duration
 	lastFailure *exchange.FailureError
 	// localError is the reason for which this node stopped before an attempt, or nil.
