Let tests cut nodes from each other: an advertised peer address, links that refuse

Nodes can be reached through an address other than the one they listen on. Tests put a relay there; connections then come from the node's own IP address, so that the relay tells the nodes apart. Relays can reset connections instead of stalling them.

--- a/internal/emulator/link/network.go
+++ b/internal/emulator/link/network.go
@@ -20,6 +20,9 @@
 type Condition struct {
 	// Cut stalls TCP bytes and drops datagrams.
 	Cut bool
+	// Refuse makes a cut reset TCP connections, new ones and established ones, instead of
+	// stalling them.
+	Refuse bool
 	// Delay is added to all traffic.
 	Delay time.Duration
 	// Loss is the probability that a datagram is dropped, between 0 and 1.
@@ -102,6 +105,35 @@
 	}
 }
 
+// refused reports whether connections are refused in either direction.
+func (n *Network) refused(way direction) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.refusedLocked(way)
+}
+
+func (n *Network) refusedLocked(way direction) bool {
+	there, back := n.conditions[way], n.conditions[way.reversed()]
+	return there.Cut && there.Refuse || back.Cut && back.Refuse
+}
+
+// awaitRefusal blocks until connections are refused; false if ctx ended first.
+func (n *Network) awaitRefusal(ctx context.Context, way direction) bool {
+	for {
+		n.mutex.Lock()
+		refused, changed := n.refusedLocked(way), n.changed
+		n.mutex.Unlock()
+		if refused {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // passes decides whether a datagram passes way, and after what delay.
 func (n *Network) passes(way direction) (time.Duration, bool) {
 	n.mutex.Lock()
--- a/internal/emulator/link/tcp.go
+++ b/internal/emulator/link/tcp.go
@@ -73,10 +73,14 @@
 }
 
 // relayConnection connects caller to the target once both directions are open, as a
-// handshake needs both, and forwards until either side ends.
+// handshake needs both, and forwards until either side ends or is refused.
 func (n *Network) relayConnection(ctx context.Context, caller *net.TCPConn, route Route) {
 	defer caller.Close()
 	way := direction{from: sourceName(route, caller.RemoteAddr()), to: route.To}
+	if n.refused(way) {
+		_ = caller.SetLinger(0)
+		return
+	}
 	if !n.awaitOpen(ctx, way) || !n.awaitOpen(ctx, way.reversed()) {
 		return
 	}
@@ -93,12 +97,24 @@
 		_ = target.Close()
 	})
 	defer stop()
+	go n.resetIfRefused(ctx, cancel, way, caller, target)
 	var pumps sync.WaitGroup
 	pumps.Go(func() { n.pump(ctx, cancel, pipe{from: caller, to: target, way: way}) })
 	pumps.Go(func() { n.pump(ctx, cancel, pipe{from: target, to: caller, way: way.reversed()}) })
 	pumps.Wait()
 }
 
+// resetIfRefused resets both sides of a connection as soon as connections are refused.
+func (n *Network) resetIfRefused(ctx context.Context, cancel context.CancelFunc, way direction, sides ...*net.TCPConn) {
+	if !n.awaitRefusal(ctx, way) {
+		return
+	}
+	for _, side := range sides {
+		_ = side.SetLinger(0)
+	}
+	cancel()
+}
+
 // pipe is one direction of a relayed connection.
 type pipe struct {
 	from, to *net.TCPConn
--- a/internal/routednode/peers.go
+++ b/internal/routednode/peers.go
@@ -36,8 +36,15 @@
 	peerDialTimeout = 300 * time.Millisecond
 )
 
-func dialPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	return keepalive.Dialer(peerDialTimeout).DialContext(ctx, "tcp4", address.String())
+// peerDialer returns the function that connects to other nodes.
+func peerDialer(addresses settings.RoutedAddresses) func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		dialer := keepalive.Dialer(peerDialTimeout)
+		if addresses.AdvertisedPeers.IsValid() {
+			dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(addresses.Peers.Addr(), 0))
+		}
+		return dialer.DialContext(ctx, "tcp4", address.String())
+	}
 }
 
 // peers tracks the members of the site and connects to them.
@@ -55,11 +62,11 @@
 
 // newPeers binds the TCP and UDP sockets for peers.
 func newPeers(cfg settings.Routed, self identity.Node, logger *slog.Logger, registerer prometheus.Registerer) (*peers, error) {
-	listener, err := net.Listen("tcp4", self.PeerAddress.String())
+	listener, err := net.Listen("tcp4", cfg.Addresses.Peers.String())
 	if err != nil {
 		return nil, fmt.Errorf("routednode: addresses.peers: %w", err)
 	}
-	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(self.ProbeAddress))
+	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Addresses.Peers))
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("routednode: addresses.peers: %w", err), listener.Close())
 	}
@@ -68,7 +75,7 @@
 		registry: registry, listener: listener, logger: logger,
 		transport: peer.NewTransport(registry, peer.Options{
 			Registerer: registerer, Logger: logger,
-			HeartbeatInterval: peerHeartbeatInterval, SilenceTimeout: peerSilenceTimeout, IdleTimeout: peerIdleTimeout, Dial: dialPeer,
+			HeartbeatInterval: peerHeartbeatInterval, SilenceTimeout: peerSilenceTimeout, IdleTimeout: peerIdleTimeout, Dial: peerDialer(cfg.Addresses),
 		}),
 	}
 	made.runner = membership.NewRunner(membership.Options{
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -75,7 +75,7 @@
 	return identity.Node{
 		Name: cfg.Node.Name, Zone: cfg.Node.Zone, Region: cfg.Node.Region,
 		Incarnation: identity.Incarnation(time.Now().UnixNano()),
-		PeerAddress: cfg.Addresses.Peers, ProbeAddress: cfg.Addresses.Peers,
+		PeerAddress: cfg.Addresses.ReachablePeers(), ProbeAddress: cfg.Addresses.ReachablePeers(),
 	}, nil
 }
 
@@ -308,7 +308,7 @@
 func newTopics(injector do.Injector, built *node) *distribution.Service {
 	cfg := do.MustInvoke[settings.Routed](injector)
 	made := distribution.New(distribution.Config{
-		Self: cfg.Node.Name, Own: cfg.Addresses.Peers, Seeds: cfg.Seeds, Peers: built.peers.transport,
+		Self: cfg.Node.Name, Own: cfg.Addresses.ReachablePeers(), Seeds: cfg.Seeds, Peers: built.peers.transport,
 		LinkBytesPerSecond: cfg.Machine.LinkBytesPerSecond(),
 		Policy:             distribution.Policy{DirectEntries: cfg.Watch.DirectEntries, ReadEntries: cfg.Watch.ReadEntries},
 		Subscriptions:      []distribution.Subscription{configurationTopic: built.views.operatorSubscription(), replicasTopic: built.views.replicaSubscription()},
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -34,6 +34,10 @@
 	// Peers is the address for other nodes, over TCP and UDP on the same port. If it is
 	// unset, the node runs without peers.
 	Peers netip.AddrPort `yaml:"peers"`
+	// AdvertisedPeers is the address at which other nodes reach Peers if it differs from
+	// it, such as behind port forwarding. Connections to other nodes then originate from
+	// the IP address of Peers.
+	AdvertisedPeers netip.AddrPort `yaml:"peers_advertised"`
 	// Loads is the UDP address for load reports of other nodes. All nodes of a site use
 	// the same port. If it is unset, nodes exchange no load reports.
 	Loads netip.AddrPort `yaml:"loads"`
@@ -45,6 +49,14 @@
 	Metrics netip.AddrPort `yaml:"metrics"`
 }
 
+// ReachablePeers returns the address at which other nodes reach this one.
+func (a RoutedAddresses) ReachablePeers() netip.AddrPort {
+	if a.AdvertisedPeers.IsValid() {
+		return a.AdvertisedPeers
+	}
+	return a.Peers
+}
+
 // Store configures the durable log store and its limits.
 type Store struct {
 	Address netip.AddrPort `yaml:"address" validate:"required"`
