Show from the logs of many nodes which allocators granted a tenant's tokens

The record of the incident has no line that tells who granted what. Each allocator now logs by second the tokens that it granted to the tenants near their limits, at most five a second, and each node the requests that it sent again. `stepseamctl grants` reads these lines of all nodes and prints the window in which most tokens were granted.

--- a/cmd/stepseamctl/main.go
+++ b/cmd/stepseamctl/main.go
@@ -40,6 +40,7 @@
 	Program *programCommand `arg:"subcommand:program" help:"show, list and cancel programs"`
 	Drain   *drainCommand   `arg:"subcommand:drain" help:"begin the planned stop of a node"`
 	Tenants *tenantsCommand `arg:"subcommand:tenants" help:"show tenants' limits and the age of the configuration, at the metrics' address of a node of a platform"`
+	Grants  *grantsCommand  `arg:"subcommand:grants" help:"show from the logs of nodes of a platform which allocators granted most tokens of a tenant within a window"`
 	Zones   *zonesCommand   `arg:"subcommand:zones" help:"show zones, those that are evacuated, and cold replicas, at the metrics' address of a node of a platform"`
 	Nodes   *nodesCommand   `arg:"subcommand:nodes" help:"show what a node of a platform knows of the store and from whom, and what it does for others, at its metrics' address"`
 	Explain *explainCommand `arg:"subcommand:explain" help:"show why a call went where it went"`
--- a/internal/limits/allocator.go
+++ b/internal/limits/allocator.go
@@ -175,6 +175,7 @@
 	s.recordFractionLocked(message.Tenant, fraction, now)
 	opened, leasedFor := !s.allocator.Has(message.Tenant), s.allocator.LeasedFor(p, now)
 	response := &tokenResponse{Outcome: outcomeGranted, AllocatorID: s.allocatorID, Grant: s.allocator.Grant(message.Tenant, limit, request, now)}
+	s.grants.recordGrant(message.Tenant, limit, fraction, request, response.Grant, now)
 	if opened && leasedFor < s.config.Policy.Span() {
 		// A predecessor may have granted tokens that still count.
 		s.metrics.takeovers.WithLabelValues("not_handed_over").Inc()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -153,6 +153,7 @@
 	// partialSince holds the tenants that were granted tokens under less than the whole limit.
 	partial      bool
 	partialSince map[string]time.Duration
+	grants       *grantLog
 }
 
 // New returns a service that knows no other nodes.
@@ -165,6 +166,7 @@
 		metrics: newMetrics(config.Registerer), logger: &boundedLogger{logger: config.Logger, now: config.Now}, tenants: map[string]*tenantTokens{},
 		allocator: quota.NewAllocator(config.Policy, self), lessor: quota.NewLessor(now), changedAt: now,
 		renewing: map[identity.NodeName]bool{}, acquiring: map[quota.Partition]chan struct{}{}, partialSince: map[string]time.Duration{},
+		grants: &grantLog{logger: config.Logger, allocatorID: allocatorID, startAt: now, tenants: map[string]*tenantCounts{}},
 	}
 	for p := range service.lastFirst {
 		service.lastFirst[p] = now - transferGrace
@@ -222,6 +224,7 @@
 func (s *Service) sweep(ctx context.Context, now time.Duration) {
 	s.mutex.Lock()
 	s.allocator.Forget(now)
+	s.grants.flush(now)
 	maps.DeleteFunc(s.partialSince, func(tenant string, _ time.Duration) bool { return !s.allocator.Has(tenant) })
 	s.mutex.Unlock()
 	s.tenantsMutex.Lock()
@@ -250,6 +253,17 @@
 	return Permit{tenantTokens: tokens, token: token}, nil
 }
 
+// AdmitRepeat is Admit for a request that a replica may have run already.
+func (s *Service) AdmitRepeat(ctx context.Context, tenant *routing.Tenant) (Permit, error) {
+	permit, err := s.Admit(ctx, tenant)
+	if err == nil && tenant.Limited() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.grants.recordRepeat(tenant.Name, s.config.Now())
+	}
+	return permit, err
+}
+
 // LimitOf returns a tenant's limit.
 func LimitOf(tenant *routing.Tenant) quota.Limit {
 	return quota.Limit{RatePerSecond: tenant.RatePerSecond, Burst: tenant.Burst}
--- a/internal/router/limit.go
+++ b/internal/router/limit.go
@@ -77,7 +77,7 @@
 	if r.config.Limits == nil || !call.permitUsed {
 		return nil
 	}
-	permit, err := r.config.Limits.Admit(ctx, call.tenant)
+	permit, err := r.config.Limits.AdmitRepeat(ctx, call.tenant)
 	if err != nil {
 		r.config.Logger.LogAttrs(ctx, slog.LevelInfo, "request not repeated, its tenant's limit grants no token",
 			slog.String("id", call.id), slog.String("tenant", call.tenant.Name), errorAttr(err))
