Keep the known allocator when a started lessor does not know its lessee

A lessor that has just started leases nothing for the life of a lease, since it does not know its predecessor's lessees. Its response is a conflict without a name, and a node remembered only the last conflict of each partition. So it hid the allocator that eleven other lessors had named, which the node would have taken the accounts over from or redirected to. A named conflict now stays until it ends.

TestStartedLessorDoesNotHideAllocator fails before.

--- a/internal/limits/lease.go
+++ b/internal/limits/lease.go
@@ -149,6 +149,9 @@
 	s.allocator.ApplyLeases(lessor, request, response, sentAt, now)
 	for _, found := range response.Conflicts {
 		for p := range found.Partitions.All() {
+			if known := s.conflicts[p]; found.Lessee == (quota.Lessee{}) && now < known.expires && known.lessee != (quota.Lessee{}) {
+				continue // the allocator that another lessor names can hand over
+			}
 			s.conflicts[p] = conflict{lessee: found.Lessee, expires: now + found.Remaining}
 		}
 	}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -416,6 +416,27 @@
 	})
 }
 
+// A lessor that has just started does not know who leases its share. It must not hide the
+// allocator that another lessor names, which can hand over or be asked instead.
+func TestStartedLessorDoesNotHideAllocator(t *testing.T) {
+	is := is.New(t)
+	now := time.Duration(0)
+	service := newService("a", unreachablePeers{}, func() time.Duration { return now })
+	service.SetView(membership.View{Members: []membership.Member{{Node: identity.Node{Name: "b", Incarnation: 1}, Status: membership.Alive}}})
+	present := quota.Lessee{Node: identity.Reference{Name: "b", Incarnation: 1}, ID: 7}
+	p := quota.PartitionOf(siteTenant.Name)
+	apply := func(lessee quota.Lessee) {
+		service.applyLeasesLocked("c", quota.LeaseRequest{}, quota.LeaseResponse{Conflicts: []quota.Conflict{{
+			Partitions: quota.PartitionSet(0).With(p), Lessee: lessee, Remaining: quota.LeaseTTL,
+		}}}, now, now)
+	}
+	apply(present)
+	apply(quota.Lessee{})
+	var redirected *redirectError
+	is.True(errors.As(service.heldElsewhere(p), &redirected))
+	is.Equal(redirected.allocator.Name, identity.NodeName("b"))
+}
+
 // slowPeers does not respond to the first request.
 type slowPeers struct{ requests, bypassing, returnedTokens atomic.Int32 }
 
