Let leaving nodes allocate while no other holder is reachable

Leaving nodes did not rank, so that no node knew whom to ask. They rank now if no holder is reachable otherwise. Who may grant is decided by the leases as before.

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -124,6 +125,22 @@
 			s.updateViews()
 		}
 	},
+	"overlapping roll": func(ctx context.Context, s *site) {
+		var restarts sync.WaitGroup
+		for number := range s.nodes {
+			restarts.Go(func() {
+				s.setLeaving([]int{number})
+				s.noticeStart([]int{number})
+				s.pause(2500*time.Millisecond, 3*time.Second)
+				s.stop([]int{number}, killed)
+				s.noticeStart([]int{number})
+				s.pause(100*time.Millisecond, 300*time.Millisecond)
+				s.restart(ctx, []int{number})
+			})
+			s.pause(0, 400*time.Millisecond)
+		}
+		restarts.Wait()
+	},
 	"kills": func(ctx context.Context, s *site) {
 		for range 4 {
 			number := s.randomNode()
@@ -512,7 +529,7 @@
 
 // Few requests of a demand below the limit may be rejected during faults.
 func TestDemandBelowLimitIsServedUnderFaults(t *testing.T) {
-	for name, maximum := range map[string]float64{"planned roll": 0.01, "kills": 0.02, "herd killed": 0.06, "freezes": 0.03} {
+	for name, maximum := range map[string]float64{"planned roll": 0.01, "overlapping roll": 0.01, "kills": 0.02, "herd killed": 0.06, "freezes": 0.03} {
 		t.Run(name, func(t *testing.T) {
 			refused, total := 0, 0
 			for seed := range uint64(6) {
@@ -520,8 +537,10 @@
 				refused += sim.refused
 				total += len(sim.served) + sim.refused
 			}
-			if rejectedRatio := float64(refused) / float64(total); rejectedRatio > maximum {
-				t.Fatalf("%.3f of the requests were rejected", rejectedRatio)
+			rejectedRatio := float64(refused) / float64(total)
+			t.Logf("%.4f of the requests were rejected", rejectedRatio)
+			if rejectedRatio > maximum {
+				t.Errorf("%.4f of the requests were rejected, %.4f are allowed", rejectedRatio, maximum)
 			}
 		})
 	}
--- a/internal/limits/placement.go
+++ b/internal/limits/placement.go
@@ -26,6 +26,8 @@
 	holders []identity.NodeName
 	// ranked are the members that hold shares, or all members while no holders are known.
 	ranked []membership.Member
+	// allLeaving means that no ranked member is reachable.
+	allLeaving bool
 	// failedUntil holds the incarnations that did not respond recently.
 	failedUntil map[identity.Reference]time.Duration
 }
@@ -54,8 +56,13 @@
 	if len(p.holders) > 0 {
 		p.ranked = slices.DeleteFunc(p.ranked, func(m membership.Member) bool { return !slices.Contains(p.holders, m.Node.Name) })
 	}
+	p.allLeaving = !slices.ContainsFunc(p.ranked, membership.Member.Reachable)
 }
 
+// eligible reports whether a member may be an allocator. Leaving ones still serve, so that
+// they remain allocators until another one is reachable. It requires the mutex.
+func (p *placement) eligible(member membership.Member) bool { return p.allLeaving || member.Reachable() }
+
 // rankKeys are the keys of the partitions for the rank.
 var rankKeys = func() (keys [quota.Partitions]string) {
 	for p := range keys {
@@ -70,12 +77,12 @@
 func (p *placement) allocator(partition quota.Partition, now time.Duration) (node identity.Node, bypassed, found bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	first, found := membership.Highest(rankKeys[partition], p.ranked, membership.Member.Reachable)
+	first, found := membership.Highest(rankKeys[partition], p.ranked, p.eligible)
 	if !found || now >= p.failedUntil[first.Reference()] {
 		return first, false, found
 	}
 	next, found := membership.Highest(rankKeys[partition], p.ranked, func(member membership.Member) bool {
-		return member.Reachable() && now >= p.failedUntil[member.Node.Reference()]
+		return p.eligible(member) && now >= p.failedUntil[member.Node.Reference()]
 	})
 	if !found {
 		return first, false, true
@@ -91,7 +98,7 @@
 	if len(p.holders) == 0 {
 		return false
 	}
-	first, found := membership.Highest(rankKeys[partition], p.ranked, membership.Member.Reachable)
+	first, found := membership.Highest(rankKeys[partition], p.ranked, p.eligible)
 	return found && first.Name == p.self
 }
 
