Reject requests within 0.1 s while no allocator can grant

A request waited 0.12 s for a response, three times in turn, and 0.5 s each for three seconds after a change of the members, which during a roll is always.

Requests now wait 0.08 s in total. After that all requests of the tenant at the node are rejected at once until a response arrives, with 503 and the cause, where the third wait ended in 429.

TestNextNodeIsAskedInPlaceOfUnresponsiveAllocator waits at its end for the token request, which a rejected request no longer waits for; its checks are the same.

--- a/internal/limits/allocator.go
+++ b/internal/limits/allocator.go
@@ -18,6 +18,8 @@
 	errNoLimit = errors.New("limits: the tenant has no limit")
 	// errNoKnownNodes is returned while this node knows no allocator of a partition.
 	errNoKnownNodes = errors.New("limits: no allocator is known yet")
+	// errNoResponse is returned while no allocator has responded in time.
+	errNoResponse = errors.New("limits: no allocator has responded in time")
 )
 
 const (
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -27,12 +27,9 @@
 )
 
 const (
-	// defaultWaitTimeout bounds the wait of a request for tokens. unstableWaitTimeout
-	// replaces it for unstablePeriod after a membership change, since nodes may need longer
-	// to agree on the allocator.
-	defaultWaitTimeout  = 120 * time.Millisecond
-	unstableWaitTimeout = 500 * time.Millisecond
-	unstablePeriod      = 3 * time.Second
+	// waitTimeout bounds the wait of a request for tokens. Callers are told within 0.1 s
+	// that no allocator can grant.
+	waitTimeout = 80 * time.Millisecond
 	// callTimeout bounds one call to an allocator, maxAttempts the number of nodes called
 	// for one token request. Machines that refuse connections do so immediately.
 	callTimeout = 80 * time.Millisecond
@@ -137,8 +134,6 @@
 	mutex     sync.Mutex
 	allocator *quota.Allocator
 	lessor    *quota.Lessor
-	// changedAt is the time of the last membership change or of the start.
-	changedAt time.Duration
 	// conflicts has the other allocators that have leased a partition. It may be stale.
 	conflicts [quota.Partitions]conflict
 	// bypassUntil is the time until which this node leases a partition in place of one that
@@ -164,7 +159,7 @@
 	service := &Service{
 		config: config, allocatorID: allocatorID, placement: newPlacement(config.Self),
 		metrics: newMetrics(config.Registerer), logger: &boundedLogger{logger: config.Logger, now: config.Now}, tenants: map[string]*tenantTokens{},
-		allocator: quota.NewAllocator(config.Policy, self), lessor: quota.NewLessor(now), changedAt: now,
+		allocator: quota.NewAllocator(config.Policy, self), lessor: quota.NewLessor(now),
 		renewing: map[identity.NodeName]bool{}, acquiring: map[quota.Partition]chan struct{}{}, partialSince: map[string]time.Duration{},
 		grants: &grantLog{logger: config.Logger, allocatorID: allocatorID, startAt: now, tenants: map[string]*tenantCounts{}},
 	}
@@ -183,11 +178,7 @@
 
 // SetView sets the members.
 func (s *Service) SetView(view membership.View) {
-	now := s.config.Now()
 	s.placement.setView(view)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.changedAt = now
 }
 
 // SetHolders sets the nodes that hold shares.
@@ -209,17 +200,6 @@
 	}
 }
 
-// waitTimeout returns the current bound on the wait of a request for tokens.
-func (s *Service) waitTimeout() time.Duration {
-	now := s.config.Now()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if now-s.changedAt < unstablePeriod {
-		return unstableWaitTimeout
-	}
-	return defaultWaitTimeout
-}
-
 // sweep returns expired tokens to allocators and deletes idle accounts and token caches.
 func (s *Service) sweep(ctx context.Context, now time.Duration) {
 	s.mutex.Lock()
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -383,6 +383,7 @@
 		_, err = service.Admit(t.Context(), siteTenant)
 		is.True(errors.As(err, &unavailable))
 		is.Equal(time.Since(asked), time.Duration(0)) // rejected at once until then
+		time.Sleep(requestTimeout)                    // the token request ends
 		synctest.Wait()
 	})
 }
@@ -546,6 +547,26 @@
 	}
 }
 
+// Requests must not wait for an allocator that cannot grant: callers learn within 0.1 s that
+// they are rejected, whatever the allocators are doing.
+func TestRequestsThatNoAllocatorCanGrantAreRejectedAtOnce(t *testing.T) {
+	const maximum = 100 * time.Millisecond
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var waited []time.Duration
+			for seed := range uint64(6) {
+				sim, _ := simulate(t, seed, 45*time.Second, constantDemand(aboveLimit), fault)
+				waited = append(waited, sim.rejectedAfter...)
+			}
+			slices.Sort(waited)
+			if count := len(waited); count > 0 && waited[count*99/100] > maximum {
+				t.Errorf("the 99th percentile of %d rejections took %s", count, waited[count*99/100])
+			}
+		})
+	}
+}
+
 // Verifies that the simulation detects a handover that loses the account.
 func TestSimulationDetectsLostAccount(t *testing.T) {
 	for seed := range uint64(6) {
--- a/internal/limits/placement.go
+++ b/internal/limits/placement.go
@@ -61,7 +61,9 @@
 
 // eligible reports whether a member may be an allocator. Leaving ones still serve, so that
 // they remain allocators until another one is reachable. It requires the mutex.
-func (p *placement) eligible(member membership.Member) bool { return p.allLeaving || member.Reachable() }
+func (p *placement) eligible(member membership.Member) bool {
+	return p.allLeaving || member.Reachable()
+}
 
 // rankKeys are the keys of the partitions for the rank.
 var rankKeys = func() (keys [quota.Partitions]string) {
--- a/internal/limits/site_test.go
+++ b/internal/limits/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -83,6 +84,9 @@
 	nodes   []*simulatedNode
 	served  []servedRequest
 	refused int
+	// rejectedAfter is how long the requests waited that were rejected since no allocator
+	// could grant.
+	rejectedAfter []time.Duration
 	// allocators holds the names of the allocators by ID; events is the log of membership
 	// and state changes.
 	allocators map[quota.AllocatorID]string
@@ -187,6 +191,7 @@
 // request sends one request to a node.
 func (s *site) request(ctx context.Context, n *simulatedNode) {
 	service := n.service
+	sentAt := s.now()
 	permit, err := service.Admit(ctx, siteTenant)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -199,6 +204,9 @@
 		s.served = append(s.served, servedRequest{at: s.now(), allocatorID: permit.token.AllocatorID()})
 	case ctx.Err() == nil:
 		s.refused++
+		if errors.Is(err, ErrNoAllocator) {
+			s.rejectedAfter = append(s.rejectedAfter, s.now()-sentAt)
+		}
 	}
 }
 
--- a/internal/limits/tenant_tokens.go
+++ b/internal/limits/tenant_tokens.go
@@ -58,15 +58,21 @@
 	return t.acquire(ctx, quota.Amount{ProgramStarts: 1}, func() (<-chan struct{}, error) { return t.tryTakeProgramStart(ctx) })
 }
 
-// acquire calls try until it succeeds or fails, and waits on the channel that it returns.
+// acquire calls try until it succeeds or fails, and waits on the channel that it returns, for
+// waitTimeout in total. Without a response until then, requests are rejected at once until
+// there is one.
 func (t *tenantTokens) acquire(ctx context.Context, needed quota.Amount, try func() (done <-chan struct{}, err error)) error {
+	deadline := t.service.config.Now() + waitTimeout
 	for range maxWaits {
 		done, err := try()
 		if done == nil {
 			return err
 		}
-		t.await(ctx, done)
+		responded := t.await(ctx, done, deadline)
 		t.endWait(needed)
+		if !responded {
+			t.stopWaiting()
+		}
 	}
 	return &OverLimitError{Tenant: t.tenant, RetryAfter: t.service.config.Policy.TokenTTL(), ProgramStart: needed.ProgramStarts > 0}
 }
@@ -133,15 +139,28 @@
 	t.waiting = t.waiting.Minus(needed)
 }
 
-// await waits for a response until the current timeout.
-func (t *tenantTokens) await(ctx context.Context, done <-chan struct{}) {
-	timer := time.NewTimer(t.service.waitTimeout())
+// await waits for a response until a deadline. It reports false if there was none.
+func (t *tenantTokens) await(ctx context.Context, done <-chan struct{}, deadline time.Duration) bool {
+	timer := time.NewTimer(deadline - t.service.config.Now())
 	defer timer.Stop()
 	select {
 	case <-done:
 	case <-timer.C:
+		return false
 	case <-ctx.Done():
 	}
+	return true
+}
+
+// stopWaiting lets requests not wait for the pending response.
+func (t *tenantTokens) stopWaiting() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.pending == nil {
+		return // the response has just arrived
+	}
+	t.noWaitUntil = t.service.config.Now() + allocatorRetryDelay
+	t.lastError = &UnavailableError{Tenant: t.tenant, RetryAfter: allocatorRetryDelay, Cause: errNoResponse}
 }
 
 // requestLocked requests tokens in the background. The request serves all waiting callers,
