Keep one division of the limits if the store loses the share table

A tenant could get up to twice its limit after the store had lost the share table: the holders went on with the table that they knew, which reads without any newer one confirmed, and nodes that started before they reached the others published a first one.

A read now confirms the newest known table only if the store has shown that version. The first node in rank publishes a lost table again, under the next version. Before a first table it asks all members, and waits for one that does not respond for as long as that one may use an older table.

TestLostTableIsNotReplacedByFirstOne fails before: the shares in use add up to more than one.

--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -84,16 +85,23 @@
 	members []membership.Member
 	// publishAfter is the earliest time of the next attempt to publish.
 	publishAfter time.Duration
+	startedAt    time.Duration
+	// observedAt is when the newest table was observed, storeVersion the newest version that
+	// was read from the store.
+	observedAt   time.Duration
+	storeVersion uint64
+	// lost means that the store did not have the newest known table when it was read last.
+	lost bool
 }
 
 // New returns a service without a table.
 func New(config Config) *Service {
-	service := &Service{config: config, enabled: func() bool { return true }, needChanged: make(chan struct{}, 1), planner: newPlanner(config.MaxHolders)}
+	service := &Service{config: config, enabled: func() bool { return true }, needChanged: make(chan struct{}, 1), planner: newPlanner(config.MaxHolders), startedAt: config.Now()}
 	service.watcher = watch.New(watch.Config{
 		Name: "share table", Store: config.Store, Partition: config.Partition,
 		Pause: func() time.Duration { return 0 }, Wait: func() time.Duration { return watchWait },
 		LongestPause: func() time.Duration { return maxWatchPause },
-		OnSnapshot:   func(items []logstore.Item, _ logstore.Offset) { service.observeItems(items) },
+		OnSnapshot:   func(items []logstore.Item, _ logstore.Offset) { service.observeSnapshot(items) },
 		OnChanges:    func(_ logstore.Offset, items []logstore.Item, _ logstore.Offset) { service.observeItems(items) },
 		OnRecovered:  func() {},
 		OnConfirmed: func(sent time.Time) {
@@ -189,6 +197,14 @@
 	}
 }
 
+// observeSnapshot records the table in the store, if there is one.
+func (s *Service) observeSnapshot(items []logstore.Item) {
+	s.mutex.Lock()
+	s.storeVersion = 0
+	s.mutex.Unlock()
+	s.observeItems(items)
+}
+
 // observeItems records the tables among records of the store.
 func (s *Service) observeItems(items []logstore.Item) {
 	for _, item := range items {
@@ -201,6 +217,9 @@
 			s.config.Logger.Error("share table in the store is unreadable", "error", err)
 			continue
 		}
+		s.mutex.Lock()
+		s.storeVersion = max(s.storeVersion, table.Version)
+		s.mutex.Unlock()
 		s.observe(table, "store")
 	}
 }
@@ -208,6 +227,9 @@
 func (s *Service) observe(table Table, source string) {
 	now := s.config.Now()
 	s.mutex.Lock()
+	if table.Version > s.history.newest.Version {
+		s.observedAt = now
+	}
 	s.history.Observe(table, now)
 	s.mutex.Unlock()
 	s.notify(source)
@@ -231,10 +253,21 @@
 	}
 }
 
+// confirm records that everything in the store at a given time has been observed. If that
+// does not include the newest known table, the store has lost it, and the table is confirmed
+// by no read until it is published again.
 func (s *Service) confirm(at time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.history.Confirm(at)
+	newest := s.history.newest.Version
+	switch {
+	case s.storeVersion >= newest:
+		s.lost = false
+		s.history.Confirm(at)
+	case at > s.observedAt && !s.lost:
+		s.lost = true
+		s.config.Logger.Error("the store has lost the share table", "known_version", newest, "store_version", s.storeVersion)
+	}
 }
 
 // relay asks another node for its table if this node's is old.
@@ -254,10 +287,48 @@
 	if err != nil || !ok || got.Table.Version == 0 {
 		return // another node is asked next time
 	}
-	s.observe(got.Table, "peer")
-	if got.Known {
-		s.confirmVersion(got.Table.Version, now-got.Age)
+	s.observeResponse(got, now)
+}
+
+// observeResponse records what a peer knows, which was asked at a given time.
+func (s *Service) observeResponse(response *tableResponse, askedAt time.Duration) {
+	s.observe(response.Table, "peer")
+	if response.Known {
+		s.confirmVersion(response.Table.Version, askedAt-response.Age)
+	}
+}
+
+// agreeOnFirst asks all members for their table before a first one is published, since the
+// store may have lost one that is still in use. It reports whether none of them has one. A
+// member that does not respond may have one for as long as it may be in use.
+func (s *Service) agreeOnFirst(ctx context.Context) bool {
+	now := s.config.Now()
+	s.mutex.Lock()
+	members := slices.Clone(s.members)
+	expired := now-s.startedAt > Retention
+	s.mutex.Unlock()
+	call, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	var found, silent atomic.Bool
+	for _, member := range members {
+		if member.Node.Name == s.config.Self {
+			continue
+		}
+		calls.Go(func() {
+			response, err := s.config.Peers.Call(call, member.Node.PeerAddress, &tableRequest{}, nil)
+			got, ok := response.(*tableResponse)
+			switch {
+			case err != nil || !ok:
+				silent.Store(true)
+			case got.Table.Version > 0:
+				s.observeResponse(got, now)
+				found.Store(true)
+			}
+		})
 	}
+	calls.Wait()
+	return !found.Load() && (expired || !silent.Load())
 }
 
 // confirmVersion records a peer's confirmation of a version, unless a newer one is known.
@@ -279,6 +350,12 @@
 	if !due {
 		return
 	}
+	if table.Version == 1 && !s.agreeOnFirst(ctx) {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.publishAfter = now
+		return
+	}
 	err := s.publish(ctx, table)
 	switch {
 	case err == nil:
@@ -299,6 +376,8 @@
 	var holders []identity.NodeName
 	if s.history.newest.Version == 0 {
 		holders = s.planner.first(now)
+	} else if s.lost {
+		holders = s.history.newest.Holders
 	} else if age, known := s.history.Age(now); known && age < relayAge && !s.history.Changing(now) {
 		holders = s.planner.next(s.history.newest.Holders, now)
 	}
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -30,6 +30,9 @@
 	store     *store.Store
 	startedAt time.Time
 
+	// unreachable makes calls between nodes fail.
+	unreachable atomic.Bool
+
 	mutex    sync.Mutex // guards services
 	services []*Service
 }
@@ -69,6 +72,9 @@
 
 // Call implements peer.Client.
 func (s *sharesSite) Call(ctx context.Context, address netip.AddrPort, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	if s.unreachable.Load() {
+		return nil, errTest
+	}
 	s.mutex.Lock()
 	service := s.services[address.Addr().As4()[3]]
 	s.mutex.Unlock()
@@ -191,6 +197,62 @@
 	is.Equal(*last.Load(), []identity.NodeName{"n0", "n1"})
 }
 
+// lostStore is a store that can be replaced by an empty one.
+type lostStore struct{ current atomic.Pointer[store.Store] }
+
+func (s *lostStore) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
+	return s.current.Load().Append(ctx, request)
+}
+
+func (s *lostStore) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
+	return s.current.Load().Read(ctx, request)
+}
+
+func (s *lostStore) Newest(ctx context.Context, request logstore.NewestRequest) (logstore.NewestResult, error) {
+	return s.current.Load().Newest(ctx, request)
+}
+
+func (s *lostStore) Changes(ctx context.Context, request logstore.ReadRequest) (logstore.ChangesResult, error) {
+	return s.current.Load().Changes(ctx, request)
+}
+
+// The store loses the table while it is in use, and nodes start that do not reach the others
+// at first. They must not divide the limits a second time; the table is published again.
+func TestLostTableIsNotReplacedByFirstOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		log := &lostStore{}
+		log.current.Store(store.New())
+		s := &sharesSite{startedAt: time.Now()}
+		for range 3 {
+			s.add(ctx, log, nil)
+		}
+		s.updateViews()
+		time.Sleep(4 * time.Second)
+		is.True(s.sum() > 0.999 && s.sum() <= 1)
+
+		log.current.Store(store.New())
+		s.unreachable.Store(true)
+		for range 8 {
+			s.add(ctx, log, nil)
+		}
+		s.updateViews()
+		least := 1.0
+		for began := s.now(); s.now() < began+2*Retention; time.Sleep(100 * time.Millisecond) {
+			is.True(s.sum() <= 1)
+			least = min(least, s.sum())
+			if s.now() > began+3*time.Second {
+				s.unreachable.Store(false)
+			}
+		}
+		is.True(len(log.current.Load().Records(tablePartition)) > 0)
+		is.True(least > 0.6) // shares stay in use meanwhile
+		cancel()
+		time.Sleep(time.Minute) // until calls that wait have ended
+	})
+}
+
 // Without the store, shares stay in use for MaxAge and no longer, and come back with it.
 func TestSharesEndWithLongOutage(t *testing.T) {
 	simulateShares(t, 3, func(_ context.Context, is *is.I, s *sharesSite) {
