--- /dev/null
+++ b/internal/limits/rejection_test.go
@@ -0,0 +1,55 @@
+package limits
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/quota"
+)
+
+// A lessor that has just started does not know who leases its share. It must not hide the
+// allocator that another lessor names, which can hand over or be asked instead.
+func TestStartedLessorDoesNotHideAllocator(t *testing.T) {
+	is := is.New(t)
+	now := time.Duration(0)
+	service := newService("a", unreachablePeers{}, func() time.Duration { return now })
+	service.SetView(membership.View{Members: []membership.Member{{Node: identity.Node{Name: "b", Incarnation: 1}, Status: membership.Alive}}})
+	present := quota.Lessee{Node: identity.Reference{Name: "b", Incarnation: 1}, ID: 7}
+	p := quota.PartitionOf(siteTenant.Name)
+	apply := func(lessee quota.Lessee) {
+		service.applyLeasesLocked("c", quota.LeaseRequest{}, quota.LeaseResponse{Conflicts: []quota.Conflict{{
+			Partitions: quota.PartitionSet(0).With(p), Lessee: lessee, Remaining: quota.LeaseTTL,
+		}}}, now, now)
+	}
+	apply(present)
+	apply(quota.Lessee{})
+	var redirected *redirectError
+	is.True(errors.As(service.heldElsewhere(p), &redirected))
+	is.Equal(redirected.allocator.Name, identity.NodeName("b"))
+}
+
+// Requests must not wait for an allocator that cannot grant: callers learn within 0.1 s that
+// they are rejected, whatever the allocators are doing.
+func TestRequestsThatNoAllocatorCanGrantAreRejectedAtOnce(t *testing.T) {
+	const maximum = 100 * time.Millisecond
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var waited []time.Duration
+			for seed := range uint64(6) {
+				sim, _ := simulate(t, seed, 45*time.Second, constantDemand(aboveLimit), fault)
+				waited = append(waited, sim.rejectedAfter...)
+			}
+			slices.Sort(waited)
+			if count := len(waited); count > 0 && waited[count*99/100] > maximum {
+				t.Errorf("the 99th percentile of %d rejections took %s", count, waited[count*99/100])
+			}
+		})
+	}
+}
