Bind shares of limits to a node's address, not to its name alone

The table gave the share to a name. Both processes leased it, to different allocators, and an allocator that started later took leases over from one of its name that still granted.

A holder is now a name at an address for other nodes. Only one process can be bound to it, so that a successor there proves that its predecessor has ended; a process that ends gives up its leases before it unbinds. Only a successor at the same address takes leases over. This needs no trust in start times.

--- a/internal/limits/lease.go
+++ b/internal/limits/lease.go
@@ -95,6 +95,9 @@
 // for which it was asked in place of another node, and those that nobody has taken over yet.
 // It requires the mutex.
 func (s *Service) wantedLocked(now time.Duration) quota.PartitionSet {
+	if s.closed {
+		return 0
+	}
 	if !s.shared() {
 		return quota.AllPartitions
 	}
@@ -146,6 +149,9 @@
 
 // applyLeasesLocked requires the mutex.
 func (s *Service) applyLeasesLocked(lessor identity.NodeName, request quota.LeaseRequest, response quota.LeaseResponse, sentAt, now time.Duration) {
+	if s.closed {
+		return
+	}
 	s.allocator.ApplyLeases(lessor, request, response, sentAt, now)
 	for _, found := range response.Conflicts {
 		for p := range found.Partitions.All() {
@@ -312,6 +318,9 @@
 	fraction := s.ownFraction(now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.closed {
+		return &leaseResponse{}, nil
+	}
 	return &leaseResponse{Response: s.lessor.Lease(message.Request, fraction, now)}, nil
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/routing"
+	"stepseam.example/stepseam/internal/shares"
 )
 
 const (
@@ -105,10 +107,12 @@
 type Config struct {
 	Self        identity.NodeName
 	Incarnation identity.Incarnation
-	Policy      quota.Policy
-	Strategy    Strategy
-	Peers       peer.Client
-	Shares      Shares
+	// Address is this node's address for other nodes.
+	Address  netip.AddrPort
+	Policy   quota.Policy
+	Strategy Strategy
+	Peers    peer.Client
+	Shares   Shares
 	// Now returns a monotonic reading.
 	Now        func() time.Duration
 	Logger     *slog.Logger
@@ -149,13 +153,15 @@
 	partial      bool
 	partialSince map[string]time.Duration
 	grants       *grantLog
+	// closed is set by Close.
+	closed bool
 }
 
 // New returns a service that knows no other nodes.
 func New(config Config) *Service {
 	now := config.Now()
 	allocatorID := quota.AllocatorID(rand.Uint64())
-	self := quota.Lessee{Node: identity.Reference{Name: config.Self, Incarnation: config.Incarnation}, ID: allocatorID}
+	self := quota.Lessee{Node: identity.Reference{Name: config.Self, Incarnation: config.Incarnation}, Address: config.Address, ID: allocatorID}
 	service := &Service{
 		config: config, allocatorID: allocatorID, placement: newPlacement(config.Self),
 		metrics: newMetrics(config.Registerer), logger: &boundedLogger{logger: config.Logger, now: config.Now}, tenants: map[string]*tenantTokens{},
@@ -182,7 +188,7 @@
 }
 
 // SetHolders sets the nodes that hold shares.
-func (s *Service) SetHolders(holders []identity.NodeName) { s.placement.setHolders(holders) }
+func (s *Service) SetHolders(holders []shares.Holder) { s.placement.setHolders(holders) }
 
 // Run renews this node's leases and returns expired tokens to allocators. It returns when
 // ctx ends.
@@ -200,6 +206,16 @@
 	}
 }
 
+// Close gives up all leases, and the right to lease this node's share. Nothing is granted
+// afterwards. A later process at the same address relies on it.
+func (s *Service) Close() {
+	now := s.config.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.closed = true
+	s.allocator.HandOver(quota.AllPartitions, now)
+}
+
 // sweep returns expired tokens to allocators and deletes idle accounts and token caches.
 func (s *Service) sweep(ctx context.Context, now time.Duration) {
 	s.mutex.Lock()
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -21,6 +21,7 @@
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/routing"
+	"stepseam.example/stepseam/internal/shares"
 	"stepseam.example/stepseam/internal/wire"
 )
 
@@ -275,7 +276,7 @@
 	})
 	service.SetLimits(limitOfSite, func() bool { return true })
 	service.SetView(view)
-	service.SetHolders([]identity.NodeName{view.Members[0].Node.Name, view.Members[1].Node.Name})
+	service.SetHolders([]shares.Holder{shares.HolderOf(view.Members[0].Node), shares.HolderOf(view.Members[1].Node)})
 	return service
 }
 
@@ -365,7 +366,7 @@
 		service.SetView(membership.View{Members: []membership.Member{
 			{Node: identity.Node{Name: "b", Incarnation: 1}, Status: membership.Alive}, {Node: identity.Node{Name: "c", Incarnation: 1}, Status: membership.Alive},
 		}})
-		service.SetHolders([]identity.NodeName{"b", "c"})
+		service.SetHolders([]shares.Holder{"b", "c"})
 		response, err := service.requestTokens(t.Context(), &tokenRequest{Tenant: siteTenant.Name, Request: quota.Request{Returned: quota.Amount{Requests: 3}}})
 		is.NoErr(err)
 		is.Equal(response.Grant.Amount.Requests, 1)
@@ -397,7 +398,7 @@
 		peers := &slowPeers{}
 		service := newService("a", peers, func() time.Duration { return time.Since(startedAt) })
 		service.SetView(membership.View{Members: []membership.Member{{Node: identity.Node{Name: "b", Incarnation: 1}, Status: membership.Alive}}})
-		service.SetHolders([]identity.NodeName{"b"})
+		service.SetHolders([]shares.Holder{"b"})
 		response, err := service.requestTokens(t.Context(), &tokenRequest{Tenant: siteTenant.Name, Request: quota.Request{Returned: quota.Amount{Requests: 3}}})
 		is.NoErr(err)
 		is.Equal(response.Grant.Amount.Requests, 1)
@@ -554,7 +555,7 @@
 
 func TestMessageRoundTrip(t *testing.T) {
 	is := is.New(t)
-	lessee := quota.Lessee{Node: identity.Reference{Name: "n", Incarnation: 3}, ID: 9}
+	lessee := quota.Lessee{Node: identity.Reference{Name: "n", Incarnation: 3}, Address: netip.MustParseAddrPort("10.0.0.1:7"), ID: 9}
 	cession := quota.Cession{From: 4, UpTo: 5, Partitions: 6}
 	for _, sent := range []peer.Message{
 		&tokenRequest{Tenant: "acme", AllocatorID: 8, Bypass: true, Request: quota.Request{
@@ -587,7 +588,7 @@
 	p := newPlacement("a")
 	view := twoNodeView("b")
 	p.setView(view)
-	p.setHolders([]identity.NodeName{"a", view.Members[1].Node.Name, "elsewhere"})
+	p.setHolders([]shares.Holder{"a", shares.HolderOf(view.Members[1].Node), "elsewhere"})
 	partition := quota.PartitionOf(siteTenant.Name)
 	first, bypassed, found := p.allocator(partition, 0)
 	is.True(found && !bypassed)
@@ -603,7 +604,7 @@
 	p.recordFailure(first, 0)
 	next, _, _ = p.allocator(partition, failureTTL)
 	is.Equal(next, first)
-	p.setHolders([]identity.NodeName{"a"})
+	p.setHolders([]shares.Holder{"a"})
 	is.True(p.ranksFirst(partition)) // the other node holds no share
 }
 
--- a/internal/limits/message.go
+++ b/internal/limits/message.go
@@ -19,9 +19,9 @@
 )
 
 // The kinds of the messages to lessors. They are in another range, since token requests wait
-// for their responses.
+// for their responses. Builds without the lessees' addresses used 11 and 12.
 const (
-	kindLeaseRequest = peer.KindRangeShares + 11 + iota
+	kindLeaseRequest = peer.KindRangeShares + 13 + iota
 	kindLeaseResponse
 )
 
@@ -170,7 +170,7 @@
 const (
 	accountBytes  = 28
 	cessionBytes  = 24
-	conflictBytes = 36
+	conflictBytes = 40
 )
 
 // Decode implements peer.Message.
@@ -223,13 +223,15 @@
 func encodeLessee(e *wire.Encoder, lessee quota.Lessee) {
 	e.String(string(lessee.Node.Name))
 	e.Uint64(uint64(lessee.Node.Incarnation))
+	e.AddrPort(lessee.Address)
 	e.Uint64(uint64(lessee.ID))
 }
 
 func decodeLessee(d *wire.Decoder) quota.Lessee {
 	return quota.Lessee{
-		Node: identity.Reference{Name: identity.NodeName(d.String()), Incarnation: identity.Incarnation(d.Uint64())},
-		ID:   quota.AllocatorID(d.Uint64()),
+		Node:    identity.Reference{Name: identity.NodeName(d.String()), Incarnation: identity.Incarnation(d.Uint64())},
+		Address: d.AddrPort(),
+		ID:      quota.AllocatorID(d.Uint64()),
 	}
 }
 
--- a/internal/limits/placement.go
+++ b/internal/limits/placement.go
@@ -9,6 +9,7 @@
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/quota"
+	"stepseam.example/stepseam/internal/shares"
 )
 
 // failureTTL is how long a node that did not respond is passed over.
@@ -23,7 +24,7 @@
 	// mutex guards all fields below.
 	mutex   sync.Mutex
 	members []membership.Member
-	holders []identity.NodeName
+	holders []shares.Holder
 	// ranked are the members that hold shares, or all members while no holders are known.
 	ranked []membership.Member
 	// allLeaving means that no ranked member is reachable.
@@ -43,7 +44,7 @@
 	p.rankLocked()
 }
 
-func (p *placement) setHolders(holders []identity.NodeName) {
+func (p *placement) setHolders(holders []shares.Holder) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.holders = slices.Clone(holders)
@@ -54,7 +55,7 @@
 func (p *placement) rankLocked() {
 	p.ranked = slices.Clone(p.members)
 	if len(p.holders) > 0 {
-		p.ranked = slices.DeleteFunc(p.ranked, func(m membership.Member) bool { return !slices.Contains(p.holders, m.Node.Name) })
+		p.ranked = slices.DeleteFunc(p.ranked, func(m membership.Member) bool { return !shares.HolderOf(m.Node).IsAmong(p.holders) })
 	}
 	p.allLeaving = !slices.ContainsFunc(p.ranked, membership.Member.Reachable)
 }
--- a/internal/limits/site_test.go
+++ b/internal/limits/site_test.go
@@ -16,6 +16,7 @@
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/routing"
+	"stepseam.example/stepseam/internal/shares"
 )
 
 // The simulated site's policy, and its tenant with a limit of 40 requests per second.
@@ -75,7 +76,7 @@
 	// handoverFault makes nodes hand over an account as if it were unused.
 	handoverFault bool
 	// holders are the nodes that hold equal shares.
-	holders []identity.NodeName
+	holders []shares.Holder
 	// ended is closed when the simulation ends.
 	ended <-chan struct{}
 
@@ -103,7 +104,7 @@
 	for number := range count {
 		result.nodes = append(result.nodes, &simulatedNode{site: result})
 		if number < maxHolders {
-			result.holders = append(result.holders, nodeName(number))
+			result.holders = append(result.holders, shares.Holder(nodeName(number)))
 		}
 	}
 	for number := range count {
@@ -139,7 +140,7 @@
 	n.nodeState, n.leaving, n.end = running, false, end
 	s.mutex.Unlock()
 	n.service = New(Config{
-		Self: n.node.Name, Incarnation: n.node.Incarnation, Policy: sitePolicy, Strategy: StrategyAllocator,
+		Self: n.node.Name, Incarnation: n.node.Incarnation, Address: n.node.PeerAddress, Policy: sitePolicy, Strategy: StrategyAllocator,
 		Peers: simulatedPeers{from: n, incarnation: n.node.Incarnation}, Shares: s.share(number), Now: s.now, Logger: slog.New(slog.DiscardHandler),
 	})
 	n.service.SetLimits(limitOfSite, func() bool { return true })
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"math/bits"
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,12 +60,15 @@
 // Lessee identifies an allocator that leases shares.
 type Lessee struct {
 	Node identity.Reference
-	ID   AllocatorID
+	// Address is the node's address for other nodes.
+	Address netip.AddrPort
+	ID      AllocatorID
 }
 
-// supersedes reports whether l proves that the process of other has ended.
+// supersedes reports whether l proves that the process of other has ended: l has been bound
+// to the same address since.
 func (l Lessee) supersedes(other Lessee) bool {
-	return l.Node.Name == other.Node.Name && l.Node.Incarnation > other.Node.Incarnation
+	return l.Node.Name == other.Node.Name && l.Address.IsValid() && l.Address == other.Address && l.Node.Incarnation > other.Node.Incarnation
 }
 
 // Cession is a set of partitions whose leases a lessee has given up: those that it got by
--- a/internal/quota/lease_test.go
+++ b/internal/quota/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -13,7 +14,8 @@
 
 func TestLessorLeasesToOneAllocatorAtATime(t *testing.T) {
 	is := is.New(t)
-	first := Lessee{Node: identity.Reference{Name: "a", Incarnation: 1}, ID: 1}
+	address := netip.MustParseAddrPort("10.0.0.1:7")
+	first := Lessee{Node: identity.Reference{Name: "a", Incarnation: 1}, Address: address, ID: 1}
 	second := Lessee{Node: identity.Reference{Name: "b", Incarnation: 1}, ID: 2}
 	want := func(lessee Lessee, sequence uint64) LeaseRequest {
 		return LeaseRequest{Lessee: lessee, Sequence: sequence, Wanted: 0b11}
@@ -38,7 +40,10 @@
 	is.Equal(lessor.Lease(ceded, 0.5, now+LeaseTTL).Granted, PartitionSet(0))
 	ceded.Ceded[0].UpTo = 3
 	is.Equal(lessor.Lease(ceded, 0.5, now+LeaseTTL).Granted, PartitionSet(0b11))
-	restarted := Lessee{Node: identity.Reference{Name: "a", Incarnation: 2}, ID: 3}
+	// A process of the same name elsewhere does not prove that the earlier one has ended.
+	replacement := Lessee{Node: identity.Reference{Name: "a", Incarnation: 2}, Address: netip.MustParseAddrPort("10.0.0.2:7"), ID: 4}
+	is.Equal(lessor.Lease(want(replacement, 1), 0.5, now+LeaseTTL).Granted, PartitionSet(0))
+	restarted := Lessee{Node: identity.Reference{Name: "a", Incarnation: 2}, Address: address, ID: 3}
 	is.Equal(lessor.Lease(want(restarted, 1), 0.5, now+LeaseTTL).Granted, PartitionSet(0b11)) // its earlier process has ended
 }
 
@@ -123,7 +128,9 @@
 func (m *leaseModel) start(n *modelNode) {
 	m.lastID++
 	n.incarnation++
-	n.allocator = NewAllocator(testPolicy, Lessee{Node: identity.Reference{Name: n.name, Incarnation: n.incarnation}, ID: m.lastID})
+	n.allocator = NewAllocator(testPolicy, Lessee{
+		Node: identity.Reference{Name: n.name, Incarnation: n.incarnation}, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n.name[1]}), 1), ID: m.lastID,
+	})
 	n.lessor = NewLessor(m.now)
 }
 
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -143,7 +143,7 @@
 	store := do.MustInvoke[*guardedstore.Store](injector)
 	partition := do.MustInvoke[Adapter](injector).Shares
 	config := shares.Config{
-		Self: cfg.Node.Name, Store: store, Partition: partition, Peers: others.transport, MaxHolders: maxShareHolders,
+		Self: do.MustInvoke[identity.Node](injector), Store: store, Partition: partition, Peers: others.transport, MaxHolders: maxShareHolders,
 		Await: func(ctx context.Context) error { return store.Await(ctx, partition) },
 		Now:   do.MustInvoke[clock](injector), Logger: do.MustInvoke[*slog.Logger](injector),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
@@ -160,7 +160,7 @@
 func provideLimits(injector do.Injector) (*limits.Service, error) {
 	cfg := do.MustInvoke[settings.Routed](injector)
 	config := limits.Config{
-		Self: cfg.Node.Name, Incarnation: do.MustInvoke[identity.Node](injector).Incarnation, Strategy: limits.Strategy(cfg.Limits.Strategy),
+		Self: cfg.Node.Name, Incarnation: do.MustInvoke[identity.Node](injector).Incarnation, Address: cfg.Addresses.ReachablePeers(), Strategy: limits.Strategy(cfg.Limits.Strategy),
 		Policy: quota.Policy{Window: cfg.Limits.Window, Overage: cfg.Limits.Overage, Slack: cfg.Limits.Slack},
 		Now:    do.MustInvoke[clock](injector), Logger: do.MustInvoke[*slog.Logger](injector),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
--- a/internal/shares/history.go
+++ b/internal/shares/history.go
@@ -17,8 +17,6 @@
 import (
 	"slices"
 	"time"
-
-	"stepseam.example/stepseam/internal/identity"
 )
 
 const (
@@ -38,15 +36,15 @@
 	// Version counts the tables of a site from 1.
 	Version uint64
 	// Holders hold equal shares, in the order of their names.
-	Holders []identity.NodeName
+	Holders []Holder
 	// Recent lists the holders of the tables that were the newest within Retention before
 	// this one was published, for nodes that have not seen them.
-	Recent [][]identity.NodeName
+	Recent [][]Holder
 }
 
 // fraction returns the share of a node among holders.
-func fraction(holders []identity.NodeName, node identity.NodeName) float64 {
-	if !slices.Contains(holders, node) {
+func fraction(holders []Holder, node Holder) float64 {
+	if !node.IsAmong(holders) {
 		return 0
 	}
 	return 1 / float64(len(holders))
@@ -54,7 +52,7 @@
 
 // superseded is the holders of an earlier table, which limit the fractions until a time.
 type superseded struct {
-	holders []identity.NodeName
+	holders []Holder
 	until   time.Duration
 }
 
@@ -95,7 +93,7 @@
 func (h *History) Age(now time.Duration) (time.Duration, bool) { return now - h.confirmed, h.known }
 
 // Fraction returns the fraction that a node may use, or pass on, until now + UseTTL.
-func (h *History) Fraction(node identity.NodeName, now time.Duration) float64 {
+func (h *History) Fraction(node Holder, now time.Duration) float64 {
 	if age, known := h.Age(now); !known || age > MaxAge {
 		return 0
 	}
@@ -118,7 +116,7 @@
 	table := h.newest
 	table.Recent = nil
 	for _, earlier := range h.earlier {
-		known := func(holders []identity.NodeName) bool { return slices.Equal(holders, earlier.holders) }
+		known := func(holders []Holder) bool { return slices.Equal(holders, earlier.holders) }
 		if !slices.ContainsFunc(table.Recent, known) {
 			table.Recent = append(table.Recent, earlier.holders)
 		}
@@ -127,7 +125,7 @@
 }
 
 // Next returns the table to publish after the newest one.
-func (h *History) Next(holders []identity.NodeName, now time.Duration) Table {
+func (h *History) Next(holders []Holder, now time.Duration) Table {
 	newest := h.Newest(now)
 	next := Table{Version: newest.Version + 1, Holders: slices.Sorted(slices.Values(holders)), Recent: newest.Recent}
 	if newest.Version > 0 {
--- a/internal/shares/history_test.go
+++ b/internal/shares/history_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"stepseam.example/stepseam/internal/identity"
 )
 
 // published is a table in the simulated store.
@@ -20,7 +18,7 @@
 
 // reader is a node that reads the table now and then.
 type reader struct {
-	name    identity.NodeName
+	name    Holder
 	history History
 	// cutUntil is the time until which the node cannot read the store.
 	cutUntil time.Duration
@@ -64,7 +62,7 @@
 // publish lets a node publish a table. The store accepts it only if the node knows the newest
 // one.
 func (m *historyModel) publish(n *reader) {
-	var holders []identity.NodeName
+	var holders []Holder
 	for _, other := range m.nodes {
 		if m.random.IntN(2) == 0 {
 			holders = append(holders, other.name)
@@ -108,9 +106,9 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			m := &historyModel{random: rand.New(rand.NewPCG(seed, 5))}
 			for number := range 2 + seed%6 {
-				m.nodes = append(m.nodes, &reader{name: identity.NodeName(fmt.Sprint("n", number))})
+				m.nodes = append(m.nodes, &reader{name: Holder(fmt.Sprint("n", number))})
 			}
-			m.store = []published{{table: Table{Version: 1, Holders: []identity.NodeName{"n0", "n1"}}}}
+			m.store = []published{{table: Table{Version: 1, Holders: []Holder{"n0", "n1"}}}}
 			largest := 0.0
 			for m.now < 10*time.Minute {
 				m.now += m.duration(time.Second)
@@ -145,7 +143,7 @@
 	is.Equal(h.Fraction("a", 0), 0.0) // nothing is known
 	h.Confirm(0)
 	is.Equal(h.Fraction("a", 0), 0.0) // there is no table
-	h.Observe(Table{Version: 1, Holders: []identity.NodeName{"a", "b"}}, time.Second)
+	h.Observe(Table{Version: 1, Holders: []Holder{"a", "b"}}, time.Second)
 	is.Equal(h.Fraction("a", time.Second), 0.0) // not known to be the newest
 	h.Confirm(time.Second)
 	is.Equal(h.Fraction("a", time.Second+MaxAge), 0.5)
@@ -160,11 +158,11 @@
 func TestAddedHolderWaitsUntilEarlierTableIsOutOfUse(t *testing.T) {
 	is := is.New(t)
 	var h History
-	before := Table{Version: 1, Holders: []identity.NodeName{"a", "b"}}
+	before := Table{Version: 1, Holders: []Holder{"a", "b"}}
 	h.Observe(before, 0)
-	table := h.Next([]identity.NodeName{"b", "c", "a", "d"}, time.Second)
-	is.Equal(table.Holders, []identity.NodeName{"a", "b", "c", "d"})
-	is.Equal(table.Recent, [][]identity.NodeName{before.Holders})
+	table := h.Next([]Holder{"b", "c", "a", "d"}, time.Second)
+	is.Equal(table.Holders, []Holder{"a", "b", "c", "d"})
+	is.Equal(table.Recent, [][]Holder{before.Holders})
 	for _, own := range []*History{&h, {}} { // one has seen the table before, the other has just started
 		own.Observe(table, time.Second)
 		is.True(own.Changing(time.Second))
--- a/internal/shares/message.go
+++ b/internal/shares/message.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/wire"
 )
@@ -73,17 +72,17 @@
 	return table
 }
 
-func encodeNames(e *wire.Encoder, names []identity.NodeName) {
+func encodeNames(e *wire.Encoder, names []Holder) {
 	e.Uint32(uint32(len(names)))
 	for _, name := range names {
 		e.String(string(name))
 	}
 }
 
-func decodeNames(d *wire.Decoder) []identity.NodeName {
-	var names []identity.NodeName
+func decodeNames(d *wire.Decoder) []Holder {
+	var names []Holder
 	for range d.Count(nameBytes) {
-		names = append(names, identity.NodeName(d.String()))
+		names = append(names, Holder(d.String()))
 	}
 	return names
 }
--- a/internal/shares/plan.go
+++ b/internal/shares/plan.go
@@ -45,18 +45,18 @@
 	changedAt time.Duration
 	// since holds when each member joined, missingSince when each former member went
 	// missing.
-	since, missingSince map[identity.NodeName]time.Duration
+	since, missingSince map[Holder]time.Duration
 }
 
 func newPlanner(maxHolders int) *planner {
-	return &planner{maxHolders: maxHolders, since: map[identity.NodeName]time.Duration{}, missingSince: map[identity.NodeName]time.Duration{}}
+	return &planner{maxHolders: maxHolders, since: map[Holder]time.Duration{}, missingSince: map[Holder]time.Duration{}}
 }
 
 // setView records the members.
 func (p *planner) setView(view membership.View, now time.Duration) {
-	present := map[identity.NodeName]bool{}
+	present := map[Holder]bool{}
 	for _, member := range view.Members {
-		name := member.Node.Name
+		name := HolderOf(member.Node)
 		present[name] = true
 		delete(p.missingSince, name)
 		if _, known := p.since[name]; !known {
@@ -76,12 +76,12 @@
 // forgetMissing drops the nodes that have been missing for so long that they no longer hold
 // shares, if they ever did.
 func (p *planner) forgetMissing(now time.Duration) {
-	maps.DeleteFunc(p.missingSince, func(_ identity.NodeName, since time.Duration) bool { return now-since > missingRetention })
+	maps.DeleteFunc(p.missingSince, func(_ Holder, since time.Duration) bool { return now-since > missingRetention })
 }
 
 // missingFor returns how long a node has been missing; 0 if it is a member. A node that has
 // never been a member counts from the first call.
-func (p *planner) missingFor(name identity.NodeName, now time.Duration) time.Duration {
+func (p *planner) missingFor(name Holder, now time.Duration) time.Duration {
 	if _, present := p.since[name]; present {
 		return 0
 	}
@@ -93,7 +93,7 @@
 }
 
 // countPresent returns how many of the holders are members.
-func (p *planner) countPresent(holders []identity.NodeName) int {
+func (p *planner) countPresent(holders []Holder) int {
 	present := 0
 	for _, holder := range holders {
 		if _, found := p.since[holder]; found {
@@ -104,7 +104,7 @@
 }
 
 // first returns the holders of the first table; nil if it is too early.
-func (p *planner) first(now time.Duration) []identity.NodeName {
+func (p *planner) first(now time.Duration) []Holder {
 	delay := firstTableDelay
 	if len(p.members) <= 1 {
 		delay = aloneDelay
@@ -116,14 +116,15 @@
 }
 
 // next returns the holders of the table after current; nil if it need not change.
-func (p *planner) next(current []identity.NodeName, now time.Duration) []identity.NodeName {
+func (p *planner) next(current []Holder, now time.Duration) []Holder {
+	current = p.withAddresses(current)
 	delay, present := replaceAfter, p.countPresent(current)
 	if 2*present <= len(current) {
 		delay = replaceMinorityAfter
 	}
-	var kept []identity.NodeName
+	var kept []Holder
 	for _, holder := range current {
-		if p.missingFor(holder, now) < delay {
+		if p.missingFor(holder, now) < delay && !p.moved(holder, now) {
 			kept = append(kept, holder)
 		}
 	}
@@ -147,19 +148,42 @@
 	return nil
 }
 
+// moved reports whether a node of a holder's name has been a member at another address for
+// some time.
+func (p *planner) moved(holder Holder, now time.Duration) bool {
+	return slices.ContainsFunc(p.members, func(member membership.Member) bool {
+		other := HolderOf(member.Node)
+		return other != holder && member.Node.Name == holder.Name() && now-p.since[other] >= addAfter
+	})
+}
+
+// withAddresses returns holders with the addresses of the members that holders without one
+// are.
+func (p *planner) withAddresses(holders []Holder) []Holder {
+	result := slices.Clone(holders)
+	for i, holder := range result {
+		for _, member := range p.members {
+			if holder == Holder(member.Node.Name) {
+				result[i] = HolderOf(member.Node)
+			}
+		}
+	}
+	return result
+}
+
 // fill adds members to holders, up to the maximum. It prefers zones with the fewest holders,
 // and members with more capacity.
-func (p *planner) fill(holders []identity.NodeName, stableFor, now time.Duration) []identity.NodeName {
+func (p *planner) fill(holders []Holder, stableFor, now time.Duration) []Holder {
 	result := slices.Clone(holders)
 	inZone := map[identity.Zone]int{}
 	var candidates []candidate
 	for _, member := range p.members {
-		name := member.Node.Name
+		name := HolderOf(member.Node)
 		switch {
 		case slices.Contains(holders, name):
 			inZone[member.Node.Zone]++
 		case member.Status == membership.Alive && now-p.since[name] >= stableFor:
-			candidates = append(candidates, candidate{node: member.Node, load: member.Load, score: membership.Score(rankKey, name)})
+			candidates = append(candidates, candidate{node: member.Node, load: member.Load, score: membership.Score(rankKey, member.Node.Name)})
 		}
 	}
 	for len(result) < p.maxHolders && len(candidates) > 0 {
@@ -167,7 +191,7 @@
 			return cmp.Or(cmp.Compare(inZone[a.node.Zone], inZone[b.node.Zone]), cmp.Compare(b.load, a.load), cmp.Compare(a.score, b.score))
 		})
 		inZone[best.node.Zone]++
-		result = append(result, best.node.Name)
+		result = append(result, HolderOf(best.node))
 		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.node.Name == best.node.Name })
 	}
 	return result
--- a/internal/shares/plan_test.go
+++ b/internal/shares/plan_test.go
@@ -13,11 +13,11 @@
 )
 
 // viewOf returns a view of nodes by name; the first letter of a name is the node's zone.
-func viewOf(names ...identity.NodeName) membership.View {
+func viewOf(names ...Holder) membership.View {
 	view := membership.View{}
 	for _, name := range names {
 		view.Members = append(view.Members, membership.Member{
-			Node: identity.Node{Name: name, Zone: identity.Zone(name[:1]), Incarnation: 1}, Status: membership.Alive,
+			Node: identity.Node{Name: identity.NodeName(name), Zone: identity.Zone(name[:1]), Incarnation: 1}, Status: membership.Alive,
 		})
 	}
 	return view
@@ -33,7 +33,7 @@
 	is.Equal(p.first(time.Hour), nil) // others may not be known yet
 	holders := p.first(time.Hour + firstTableDelay)
 	is.Equal(len(holders), 4)
-	for _, name := range []identity.NodeName{"a3", "b2", "c1"} {
+	for _, name := range []Holder{"a3", "b2", "c1"} {
 		is.True(slices.Contains(holders, name))
 	}
 }
@@ -43,26 +43,26 @@
 	p := newPlanner(4)
 	p.setView(viewOf("a1"), time.Hour)
 	is.Equal(p.first(time.Hour+firstTableDelay), nil)
-	is.Equal(p.first(time.Hour+aloneDelay), []identity.NodeName{"a1"})
+	is.Equal(p.first(time.Hour+aloneDelay), []Holder{"a1"})
 }
 
 func TestMissingHolderIsReplaced(t *testing.T) {
-	holders := []identity.NodeName{"a1", "a2", "b1", "c1"}
+	holders := []Holder{"a1", "a2", "b1", "c1"}
 	for name, test := range map[string]struct {
-		members  []identity.NodeName
+		members  []Holder
 		after    time.Duration
-		expected []identity.NodeName
+		expected []Holder
 	}{
-		"soon, it may return":                {[]identity.NodeName{"a1", "a2", "b1", "b2"}, replaceAfter - time.Second, nil},
-		"later":                              {[]identity.NodeName{"a1", "a2", "b1", "b2"}, replaceAfter, []identity.NodeName{"a1", "a2", "b1", "b2"}},
-		"without a substitute":               {[]identity.NodeName{"a1", "a2", "b1"}, replaceAfter, []identity.NodeName{"a1", "a2", "b1"}},
-		"half of them, perhaps a partition":  {[]identity.NodeName{"a1", "a2", "b2"}, replaceAfter, nil},
-		"half of them, for long":             {[]identity.NodeName{"a1", "a2", "b2"}, replaceMinorityAfter, []identity.NodeName{"a1", "a2", "b2"}},
-		"all of them, perhaps a partition":   {[]identity.NodeName{"b2", "b3"}, replaceAfter, nil},
+		"soon, it may return":                {[]Holder{"a1", "a2", "b1", "b2"}, replaceAfter - time.Second, nil},
+		"later":                              {[]Holder{"a1", "a2", "b1", "b2"}, replaceAfter, []Holder{"a1", "a2", "b1", "b2"}},
+		"without a substitute":               {[]Holder{"a1", "a2", "b1"}, replaceAfter, []Holder{"a1", "a2", "b1"}},
+		"half of them, perhaps a partition":  {[]Holder{"a1", "a2", "b2"}, replaceAfter, nil},
+		"half of them, for long":             {[]Holder{"a1", "a2", "b2"}, replaceMinorityAfter, []Holder{"a1", "a2", "b2"}},
+		"all of them, perhaps a partition":   {[]Holder{"b2", "b3"}, replaceAfter, nil},
 		"none, and none is to be added":      {holders, time.Hour, nil},
-		"one that leaves is not replaced":    {[]identity.NodeName{"a1", "a2", "b1", "c1", "b2"}, time.Hour, nil},
-		"all of them, for long":              {[]identity.NodeName{"b2"}, replaceMinorityAfter, []identity.NodeName{"b2"}},
-		"one, but the others have come late": {[]identity.NodeName{"a1", "a2", "b1"}, replaceAfter / 2, nil},
+		"one that leaves is not replaced":    {[]Holder{"a1", "a2", "b1", "c1", "b2"}, time.Hour, nil},
+		"all of them, for long":              {[]Holder{"b2"}, replaceMinorityAfter, []Holder{"b2"}},
+		"one, but the others have come late": {[]Holder{"a1", "a2", "b1"}, replaceAfter / 2, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -80,7 +80,7 @@
 	p := newPlanner(4)
 	p.setView(viewOf("a1", "a2"), 0)
 	p.setView(viewOf("a1", "a2", "b1", "b2"), time.Minute)
-	holders := []identity.NodeName{"a1", "a2"}
+	holders := []Holder{"a1", "a2"}
 	is.Equal(p.next(holders, time.Minute), nil) // they have just started
 	grown := p.next(holders, time.Minute+addAfter)
 	is.Equal(len(grown), 3)
@@ -89,7 +89,7 @@
 	is.Equal(p.next(holders, 2*time.Minute), nil) // not while a holder is missing
 	for count := range 12 {
 		p = newPlanner(4)
-		p.setView(viewOf(identity.NodeName(fmt.Sprint("a", count)), "b1", "b2", "c1", "c2"), 0)
+		p.setView(viewOf(Holder(fmt.Sprint("a", count)), "b1", "b2", "c1", "c2"), 0)
 		is.Equal(len(p.fill(nil, 0, 0)), 4)
 	}
 }
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -47,7 +47,7 @@
 
 // Config configures a Service.
 type Config struct {
-	Self identity.NodeName
+	Self identity.Node
 	// Store has the table under one key of Partition, which is a partition of a keyed topic.
 	Store     logstore.Store
 	Partition logstore.Partition
@@ -69,7 +69,7 @@
 	watcher *watch.Watcher
 	// enabled and onChange are set before Run.
 	enabled  func() bool
-	onChange []func(holders []identity.NodeName)
+	onChange []func(holders []Holder)
 	// needChanged has a value if enabled may return something else than before.
 	needChanged chan struct{}
 
@@ -135,7 +135,7 @@
 
 // OnChange registers a function that is called with the holders of each new table. It must
 // be called before Run.
-func (s *Service) OnChange(notify func(holders []identity.NodeName)) {
+func (s *Service) OnChange(notify func(holders []Holder)) {
 	s.onChange = append(s.onChange, notify)
 }
 
@@ -171,7 +171,7 @@
 func (s *Service) Fraction(now time.Duration) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.history.Fraction(s.config.Self, now)
+	return s.history.Fraction(HolderOf(s.config.Self), now)
 }
 
 // Run watches the table and publishes new ones until ctx ends.
@@ -247,7 +247,7 @@
 	}
 	s.notified = newest.Version
 	s.config.Logger.Info("share table changed", "version", newest.Version, "holders", len(newest.Holders),
-		"self_holds", slices.Contains(newest.Holders, s.config.Self), "source", source)
+		"self_holds", HolderOf(s.config.Self).IsAmong(newest.Holders), "source", source)
 	for _, notify := range s.onChange {
 		notify(newest.Holders)
 	}
@@ -275,7 +275,7 @@
 	now := s.config.Now()
 	s.mutex.Lock()
 	age, known := s.history.Age(now)
-	others := slices.DeleteFunc(slices.Clone(s.members), func(m membership.Member) bool { return m.Node.Name == s.config.Self })
+	others := slices.DeleteFunc(slices.Clone(s.members), func(m membership.Member) bool { return m.Node.Name == s.config.Self.Name })
 	s.mutex.Unlock()
 	if known && age < relayAge || len(others) == 0 {
 		return
@@ -312,7 +312,7 @@
 	var calls sync.WaitGroup
 	var found, silent atomic.Bool
 	for _, member := range members {
-		if member.Node.Name == s.config.Self {
+		if member.Node.Name == s.config.Self.Name {
 			continue
 		}
 		calls.Go(func() {
@@ -370,10 +370,10 @@
 // plan requires the mutex.
 func (s *Service) plan(now time.Duration) (Table, bool) {
 	first, found := membership.Highest(rankKey, s.members, func(m membership.Member) bool { return m.Status == membership.Alive })
-	if !found || first.Name != s.config.Self || now < s.publishAfter {
+	if !found || first.Name != s.config.Self.Name || now < s.publishAfter {
 		return Table{}, false
 	}
-	var holders []identity.NodeName
+	var holders []Holder
 	if s.history.newest.Version == 0 {
 		holders = s.planner.first(now)
 	} else if s.lost {
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -40,12 +40,12 @@
 func (s *sharesSite) now() time.Duration { return time.Since(s.startedAt) }
 
 // add starts a service. log is the store as this node sees it; onChange may be nil.
-func (s *sharesSite) add(ctx context.Context, log logstore.Store, onChange func([]identity.NodeName)) *Service {
+func (s *sharesSite) add(ctx context.Context, log logstore.Store, onChange func([]Holder)) *Service {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	number := len(s.services)
 	made := New(Config{
-		Self: identity.NodeName(fmt.Sprint("n", number)), Store: log, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now,
+		Self: sharesNode(number), Store: log, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now,
 		Logger: slog.New(slog.DiscardHandler), Registerer: prometheus.NewRegistry(),
 	})
 	if onChange != nil {
@@ -56,12 +56,19 @@
 	return made
 }
 
+func sharesNode(number int) identity.Node {
+	return identity.Node{
+		Name: identity.NodeName(fmt.Sprint("n", number)), Zone: "z",
+		PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 1),
+	}
+}
+
 // updateViews gives each service a view of all.
 func (s *sharesSite) updateViews() {
 	view := membership.View{}
 	for number := range s.services {
 		view.Members = append(view.Members, membership.Member{
-			Node:   identity.Node{Name: identity.NodeName(fmt.Sprint("n", number)), Zone: "z", PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 1)},
+			Node:   sharesNode(number),
 			Status: membership.Alive,
 		})
 	}
@@ -144,11 +151,11 @@
 func TestConcurrentTablesAreNotBothPublished(t *testing.T) {
 	simulateShares(t, 3, func(ctx context.Context, is *is.I, s *sharesSite) {
 		first, second := s.services[0], s.services[1]
-		is.NoErr(first.publish(ctx, Table{Version: 1, Holders: []identity.NodeName{"n0"}}))
-		is.NoErr(second.publish(ctx, Table{Version: 1, Holders: []identity.NodeName{"n1"}}))
+		is.NoErr(first.publish(ctx, Table{Version: 1, Holders: []Holder{"n0"}}))
+		is.NoErr(second.publish(ctx, Table{Version: 1, Holders: []Holder{"n1"}}))
 		is.Equal(len(s.store.Records(tablePartition)), 1)
-		is.NoErr(first.publish(ctx, Table{Version: 2, Holders: []identity.NodeName{"n0", "n1"}}))
-		is.True(errors.Is(second.publish(ctx, Table{Version: 1, Holders: []identity.NodeName{"n1"}}), logstore.ErrFenced))
+		is.NoErr(first.publish(ctx, Table{Version: 2, Holders: []Holder{"n0", "n1"}}))
+		is.True(errors.Is(second.publish(ctx, Table{Version: 1, Holders: []Holder{"n1"}}), logstore.ErrFenced))
 		time.Sleep(time.Second)
 		is.True(s.sum() <= 1)
 	})
@@ -158,8 +165,8 @@
 func TestNodeWithoutStoreLearnsTableFromPeer(t *testing.T) {
 	simulateShares(t, 3, func(ctx context.Context, is *is.I, s *sharesSite) {
 		time.Sleep(4 * time.Second)
-		var holders []identity.NodeName
-		late := s.add(ctx, unavailableStore{}, func(changed []identity.NodeName) { holders = changed })
+		var holders []Holder
+		late := s.add(ctx, unavailableStore{}, func(changed []Holder) { holders = changed })
 		s.updateViews()
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
@@ -175,11 +182,11 @@
 // on last must be the newest, or the node keeps asking the holders of an older table.
 func TestNewestTableIsPassedOnLast(t *testing.T) {
 	is := is.New(t)
-	service := New(Config{Self: "n0", Store: store.New(), Partition: tablePartition, MaxHolders: 3, Now: func() time.Duration { return 0 }, Logger: slog.New(slog.DiscardHandler)})
-	var last atomic.Pointer[[]identity.NodeName]
+	service := New(Config{Self: sharesNode(0), Store: store.New(), Partition: tablePartition, MaxHolders: 3, Now: func() time.Duration { return 0 }, Logger: slog.New(slog.DiscardHandler)})
+	var last atomic.Pointer[[]Holder]
 	begun, proceed := make(chan struct{}), make(chan struct{})
 	first := true
-	service.OnChange(func(holders []identity.NodeName) {
+	service.OnChange(func(holders []Holder) {
 		if first {
 			first = false
 			close(begun)
@@ -188,13 +195,13 @@
 		last.Store(&holders)
 	})
 	var observers sync.WaitGroup
-	observers.Go(func() { service.observe(Table{Version: 8, Holders: []identity.NodeName{"n0"}}, "store") })
+	observers.Go(func() { service.observe(Table{Version: 8, Holders: []Holder{"n0"}}, "store") })
 	<-begun
-	observers.Go(func() { service.observe(Table{Version: 9, Holders: []identity.NodeName{"n0", "n1"}}, "peer") })
+	observers.Go(func() { service.observe(Table{Version: 9, Holders: []Holder{"n0", "n1"}}, "peer") })
 	time.Sleep(50 * time.Millisecond) // the second observer gets as far as it can
 	close(proceed)
 	observers.Wait()
-	is.Equal(*last.Load(), []identity.NodeName{"n0", "n1"})
+	is.Equal(*last.Load(), []Holder{"n0", "n1"})
 }
 
 // lostStore is a store that can be replaced by an empty one.
@@ -274,7 +281,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		s := &sharesSite{store: store.New(), startedAt: time.Now()}
-		idle := New(Config{Self: "n0", Store: s.store, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now, Logger: slog.New(slog.DiscardHandler)})
+		idle := New(Config{Self: sharesNode(0), Store: s.store, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now, Logger: slog.New(slog.DiscardHandler)})
 		idle.SetEnabled(func() bool { return false })
 		idle.SetView(viewOf("n0", "n1"))
 		idle.Run(ctx)
@@ -288,7 +295,7 @@
 	simulateShares(t, 3, func(ctx context.Context, is *is.I, s *sharesSite) {
 		time.Sleep(4 * time.Second)
 		var needed atomic.Bool
-		started := New(Config{Self: "n0", Store: s.store, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now, Logger: slog.New(slog.DiscardHandler)})
+		started := New(Config{Self: sharesNode(0), Store: s.store, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now, Logger: slog.New(slog.DiscardHandler)})
 		started.SetEnabled(needed.Load)
 		go started.Run(ctx)
 		time.Sleep(planInterval / 10)
@@ -302,7 +309,7 @@
 
 func TestTableRoundTrip(t *testing.T) {
 	is := is.New(t)
-	sent := &tableResponse{Table: Table{Version: 3, Holders: []identity.NodeName{"a", "b"}, Recent: [][]identity.NodeName{{"a"}, {"b", "c"}}}, Known: true, Age: time.Second}
+	sent := &tableResponse{Table: Table{Version: 3, Holders: []Holder{"a", "b"}, Recent: [][]Holder{{"a"}, {"b", "c"}}}, Known: true, Age: time.Second}
 	encoder := wire.NewEncoder(nil)
 	sent.Encode(encoder)
 	read := &tableResponse{}
@@ -315,7 +322,7 @@
 // Decoding arbitrary bytes must not panic.
 func FuzzTable(f *testing.F) {
 	encoder := wire.NewEncoder(nil)
-	Table{Version: 1, Holders: []identity.NodeName{"a"}, Recent: [][]identity.NodeName{{"b"}}}.encode(encoder)
+	Table{Version: 1, Holders: []Holder{"a"}, Recent: [][]Holder{{"b"}}}.encode(encoder)
 	f.Add(encoder.Bytes())
 	f.Fuzz(func(_ *testing.T, encoded []byte) {
 		var h History
