End leases while a machine is suspended

A node whose machine is suspended, as a virtual machine that is moved, found its leases, share confirmations and tokens as valid as before: the monotonic clock stands still meanwhile, and others have leased the same shares since.

What a node may do until a time is now judged by a clock that also advances by what the wall clock shows beyond the monotonic one, by the life of a lease at least. So a wall clock that is set forward costs one renewal and lets nothing accrue. What a node has leased to others still ends by the monotonic clock, which is late if anything.

--- a/internal/limits/lease.go
+++ b/internal/limits/lease.go
@@ -143,7 +143,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	request := s.allocator.LeaseRequest(localLessor, wanted, ceded, now)
-	response := s.lessor.Lease(request, fraction, now)
+	response := s.lessor.Lease(request, fraction, s.config.LessorNow())
 	s.applyLeasesLocked(localLessor, request, response, now, now)
 }
 
@@ -321,7 +321,7 @@
 	if s.closed {
 		return &leaseResponse{}, nil
 	}
-	return &leaseResponse{Response: s.lessor.Lease(message.Request, fraction, now)}, nil
+	return &leaseResponse{Response: s.lessor.Lease(message.Request, fraction, s.config.LessorNow())}, nil
 }
 
 func (s *Service) handleHandoverRequest(_ context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -113,8 +113,11 @@
 	Strategy Strategy
 	Peers    peer.Client
 	Shares   Shares
-	// Now returns a monotonic reading.
-	Now        func() time.Duration
+	// Now returns a monotonic reading that also advances while the machine is suspended.
+	Now func() time.Duration
+	// LessorNow returns a monotonic reading for the leases that this node has given, which
+	// must not end early; nil means Now.
+	LessorNow  func() time.Duration
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -160,12 +163,15 @@
 // New returns a service that knows no other nodes.
 func New(config Config) *Service {
 	now := config.Now()
+	if config.LessorNow == nil {
+		config.LessorNow = config.Now
+	}
 	allocatorID := quota.AllocatorID(rand.Uint64())
 	self := quota.Lessee{Node: identity.Reference{Name: config.Self, Incarnation: config.Incarnation}, Address: config.Address, ID: allocatorID}
 	service := &Service{
 		config: config, allocatorID: allocatorID, placement: newPlacement(config.Self),
 		metrics: newMetrics(config.Registerer), logger: &boundedLogger{logger: config.Logger, now: config.Now}, tenants: map[string]*tenantTokens{},
-		allocator: quota.NewAllocator(config.Policy, self), lessor: quota.NewLessor(now),
+		allocator: quota.NewAllocator(config.Policy, self), lessor: quota.NewLessor(config.LessorNow()),
 		renewing: map[identity.NodeName]bool{}, acquiring: map[quota.Partition]chan struct{}{}, partialSince: map[string]time.Duration{},
 		grants: &grantLog{logger: config.Logger, allocatorID: allocatorID, startAt: now, tenants: map[string]*tenantCounts{}},
 	}
--- a/internal/routednode/aggregators.go
+++ b/internal/routednode/aggregators.go
@@ -14,14 +14,6 @@
 	"stepseam.example/stepseam/internal/settings"
 )
 
-// clock returns a monotonic reading that all components of the node share.
-type clock func() time.Duration
-
-func newClock() clock {
-	began := time.Now()
-	return func() time.Duration { return time.Since(began) }
-}
-
 // provideAggregator binds the node's address for aggregators; it returns nil if no address
 // is configured or the node runs without others.
 func provideAggregator(injector do.Injector) (*aggregator.Service, error) {
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -39,7 +39,9 @@
 	do.ProvideValue(injector, logger)
 	registry := prometheus.NewRegistry()
 	do.ProvideValue(injector, registry)
-	do.ProvideValue(injector, newClock())
+	now := newClock()
+	do.ProvideValue(injector, now)
+	do.ProvideValue(injector, newAuthorityClock(now, time.Now))
 	do.ProvideValue(injector, &freshness{})
 	do.ProvideValue(injector, fleet.NewDirectory())
 	do.ProvideValue(injector, evacuation.NewZones())
@@ -145,7 +147,7 @@
 	config := shares.Config{
 		Self: do.MustInvoke[identity.Node](injector), Store: store, Partition: partition, Peers: others.transport, MaxHolders: maxShareHolders,
 		Await: func(ctx context.Context) error { return store.Await(ctx, partition) },
-		Now:   do.MustInvoke[clock](injector), Logger: do.MustInvoke[*slog.Logger](injector),
+		Now:   do.MustInvoke[authorityClock](injector), Logger: do.MustInvoke[*slog.Logger](injector),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
 	}
 	if limits.Strategy(cfg.Limits.Strategy) == limits.StrategyStaticShares {
@@ -162,7 +164,7 @@
 	config := limits.Config{
 		Self: cfg.Node.Name, Incarnation: do.MustInvoke[identity.Node](injector).Incarnation, Address: cfg.Addresses.ReachablePeers(), Strategy: limits.Strategy(cfg.Limits.Strategy),
 		Policy: quota.Policy{Window: cfg.Limits.Window, Overage: cfg.Limits.Overage, Slack: cfg.Limits.Slack},
-		Now:    do.MustInvoke[clock](injector), Logger: do.MustInvoke[*slog.Logger](injector),
+		Now:    do.MustInvoke[authorityClock](injector), LessorNow: do.MustInvoke[clock](injector), Logger: do.MustInvoke[*slog.Logger](injector),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
 	}
 	others, err := do.Invoke[*peers](injector)
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -56,7 +56,7 @@
 	Peers peer.Client
 	// MaxHolders bounds the holders of a table.
 	MaxHolders int
-	// Now returns a monotonic reading.
+	// Now returns a monotonic reading that also advances while the machine is suspended.
 	Now        func() time.Duration
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
@@ -105,7 +105,8 @@
 		OnChanges:    func(_ logstore.Offset, items []logstore.Item, _ logstore.Offset) { service.observeItems(items) },
 		OnRecovered:  func() {},
 		OnConfirmed: func(sent time.Time) {
-			service.confirm(config.Now() - time.Since(sent))
+			// The monotonic reading misses the time in which the machine was suspended.
+			service.confirm(config.Now() - max(time.Since(sent), time.Now().Round(0).Sub(sent.Round(0))))
 		},
 		Await:  config.Await,
 		Logger: config.Logger,
