Ask the lessors again soon after a conflict

A node that had heard of another lessee rejected requests with 503 limit_unknown until that lease would have ended, up to 0.6 s, without asking the lessors again, though leases end early when they are given up and lessors that started become free one by one. A conflict now stands for 0.08 s.

--- a/internal/limits/allocator.go
+++ b/internal/limits/allocator.go
@@ -153,8 +153,10 @@
 	}
 	p := quota.PartitionOf(message.Tenant)
 	if s.fraction(p) == 0 {
-		if err := s.heldElsewhere(p); err != nil {
-			return nil, err
+		if s.conflictIsRecent(p) {
+			if err := s.heldElsewhere(p); err != nil {
+				return nil, err
+			}
 		}
 		if !s.acquire(ctx, p) {
 			if err := s.heldElsewhere(p); err != nil {
@@ -212,6 +214,14 @@
 // the shares may be a little less than one.
 const wholeFraction = 0.999
 
+// conflictIsRecent reports whether the lessors need not be asked again yet.
+func (s *Service) conflictIsRecent(p quota.Partition) bool {
+	now := s.config.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return now < s.conflicts[p].heardAt+conflictTTL
+}
+
 // heldElsewhere returns an error if another allocator has leased a partition, as far as this
 // node has heard from the lessors.
 func (s *Service) heldElsewhere(p quota.Partition) error {
--- a/internal/limits/lease.go
+++ b/internal/limits/lease.go
@@ -17,6 +17,8 @@
 	// acquireTimeout is how long a token request waits for the lessors. Those that respond
 	// later add to the leased fraction.
 	acquireTimeout = 40 * time.Millisecond
+	// conflictTTL is how long a conflict is taken for the present state of the lessors.
+	conflictTTL = 2 * acquireTimeout
 	// renewedRecently is the remaining validity of a lease whose lessee still renews it.
 	renewedRecently = quota.LeaseTTL - 2*renewInterval
 	// bypassTTL is how long a node leases a partition after it was asked to in place of one
@@ -31,8 +33,8 @@
 
 // conflict is another allocator that has leased a partition, as last heard from a lessor.
 type conflict struct {
-	lessee  quota.Lessee
-	expires time.Duration
+	lessee           quota.Lessee
+	heardAt, expires time.Duration
 }
 
 // renewLoop renews the leases until ctx ends.
@@ -158,7 +160,7 @@
 			if known := s.conflicts[p]; found.Lessee == (quota.Lessee{}) && now < known.expires && known.lessee != (quota.Lessee{}) {
 				continue // the allocator that another lessor names can hand over
 			}
-			s.conflicts[p] = conflict{lessee: found.Lessee, expires: now + found.Remaining}
+			s.conflicts[p] = conflict{lessee: found.Lessee, heardAt: now, expires: now + found.Remaining}
 		}
 	}
 }
