Give leases up at the end of a planned stop

The leases of an allocator that nobody had taken over from, as when all nodes are about to stop, lasted for up to 0.6 s after its process had ended, and other allocators got 503 limit_unknown from the lessors meanwhile. A process that ends now tells the lessors, which lease again at once.

TestLessorLeasesToOneAllocatorAtATime covers leases that are given up.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -213,13 +213,24 @@
 }
 
 // Close gives up all leases, and the right to lease this node's share. Nothing is granted
-// afterwards. A later process at the same address relies on it.
-func (s *Service) Close() {
+// afterwards. A later process at the same address relies on it. The lessors are told, so that
+// other allocators need not wait until the leases end; Close waits for them briefly.
+func (s *Service) Close(ctx context.Context) {
 	now := s.config.Now()
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	s.closed = true
-	s.allocator.HandOver(quota.AllPartitions, now)
+	_, cession := s.allocator.HandOver(quota.AllPartitions, now)
+	request := s.allocator.LeaseRequest("", 0, []quota.Cession{cession}, now)
+	s.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, lessor := range s.lessors() {
+		calls.Go(func() {
+			_, _ = s.config.Peers.Call(ctx, lessor.PeerAddress, &leaseRequest{Request: request}, nil) // without it the lease ends by itself
+		})
+	}
+	calls.Wait()
 }
 
 // sweep returns expired tokens to allocators and deletes idle accounts and token caches.
--- a/internal/limits/overlapping_test.go
+++ b/internal/limits/overlapping_test.go
@@ -227,6 +227,9 @@
 		s.setLeaving(numbers)
 		s.noticeStart(numbers)
 		s.pause(500*time.Millisecond, 1500*time.Millisecond)
+		for _, number := range numbers {
+			s.nodes[number].service.Close(ctx)
+		}
 		s.stop(numbers, killed)
 		s.noticeStart(numbers)
 		s.pause(200*time.Millisecond, 600*time.Millisecond)
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -87,7 +87,8 @@
 	// Wanted are the partitions to lease. Held are those of which the lessee has a lease of
 	// the same node that stays valid for LeaseCallTimeout at least.
 	Wanted, Held PartitionSet
-	// Ceded are the leases that earlier lessees have given up in favor of this one.
+	// Ceded are leases that lessees have given up: earlier ones in favor of this one, or this
+	// one before its process ends.
 	Ceded []Cession
 }
 
@@ -134,6 +135,7 @@
 // Lease responds to a request. share is the node's current fraction.
 func (l *Lessor) Lease(request LeaseRequest, share float64, now time.Duration) LeaseResponse {
 	response := LeaseResponse{Share: share}
+	l.release(request.Ceded, now)
 	if share <= 0 {
 		return response
 	}
@@ -153,20 +155,23 @@
 	return response
 }
 
+// release ends the leases that have been given up.
+func (l *Lessor) release(ceded []Cession, now time.Duration) {
+	for _, cession := range ceded {
+		for p := range cession.Partitions.All() {
+			if current := &l.leases[p]; current.lessee.ID == cession.From && current.lessee != (Lessee{}) && current.sequence <= cession.UpTo {
+				current.expires = min(current.expires, now)
+			}
+		}
+	}
+}
+
 // entitled reports whether the lessee may take over an unexpired lease.
 func (r LeaseRequest) entitled(p Partition, current lease) bool {
 	if current.lessee == (Lessee{}) {
 		return r.Held.Has(p)
 	}
-	if current.lessee.ID == r.Lessee.ID || r.Lessee.supersedes(current.lessee) {
-		return true
-	}
-	for _, cession := range r.Ceded {
-		if cession.From == current.lessee.ID && current.sequence <= cession.UpTo && cession.Partitions.Has(p) {
-			return true
-		}
-	}
-	return false
+	return current.lessee.ID == r.Lessee.ID || r.Lessee.supersedes(current.lessee)
 }
 
 func (r *LeaseResponse) addConflict(p Partition, lessee Lessee, remaining time.Duration) {
--- a/internal/quota/lease_test.go
+++ b/internal/quota/lease_test.go
@@ -40,6 +40,13 @@
 	is.Equal(lessor.Lease(ceded, 0.5, now+LeaseTTL).Granted, PartitionSet(0))
 	ceded.Ceded[0].UpTo = 3
 	is.Equal(lessor.Lease(ceded, 0.5, now+LeaseTTL).Granted, PartitionSet(0b11))
+	given := LeaseRequest{Lessee: first, Sequence: 4, Ceded: []Cession{{From: first.ID, UpTo: 3, Partitions: 0b01}}}
+	is.Equal(lessor.Lease(given, 0.5, now+LeaseTTL).Granted, PartitionSet(0))
+	is.Equal(lessor.Lease(want(second, 4), 0.5, now+LeaseTTL).Granted, PartitionSet(0b01)) // given up before its end
+	ceded = want(first, 5)
+	ceded.Ceded = []Cession{{From: second.ID, UpTo: 4, Partitions: 0b01}}
+	is.Equal(lessor.Lease(ceded, 0.5, now+LeaseTTL).Granted, PartitionSet(0b11))
+
 	// A process of the same name elsewhere does not prove that the earlier one has ended.
 	replacement := Lessee{Node: identity.Reference{Name: "a", Incarnation: 2}, Address: netip.MustParseAddrPort("10.0.0.2:7"), ID: 4}
 	is.Equal(lessor.Lease(want(replacement, 1), 0.5, now+LeaseTTL).Granted, PartitionSet(0))
--- a/internal/routednode/stop.go
+++ b/internal/routednode/stop.go
@@ -41,7 +41,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), min(flushTimeout, max(time.Until(deadline), drainPollInterval)))
 	defer cancel()
 	err := n.ledger.Stop(ctx)
-	n.limits.Close()
+	n.limits.Close(context.Background())
 	n.logger.Info("stopped", "took_ms", time.Since(began).Milliseconds(), "cut", left, "flush_error", err, "close_error", closeErr)
 	cancelRun()
 }
