Count leaving nodes among the senders to cold replicas

Leaving nodes now count until they are gone, and are not taken for missing then.

TestLeavingNodesShareTheLimit fails before (6 permits of 12 where one of six nodes leaves, more than 12 with others).

--- a/internal/coldstart/limiter_test.go
+++ b/internal/coldstart/limiter_test.go
@@ -224,6 +224,29 @@
 	is.Equal(takePermits(alone, limit, later+6*time.Second), 12) // the other seed was seen, and has left
 }
 
+// Nodes that are about to stop still send. While most nodes leave at the same time, as in a
+// rolling restart, all of them together must stay within the limit.
+func TestLeavingNodesShareTheLimit(t *testing.T) {
+	is := is.New(t)
+	limit := RateLimit{PerSecond: 12, ColdDuration: time.Hour}
+	const count = 6
+	for _, left := range []int{0, 1, count - 1, count} {
+		view := viewOf(numbers(count)...)
+		for i := range left {
+			view.Members[i].Status = membership.Leaving
+		}
+		sending := 0
+		for number := range count {
+			limiter := NewLimiter(nodeName(number))
+			limiter.SetView(viewOf(numbers(count)...), 0)
+			limiter.UpdateReplica(registration(1, time.Hour), 0)
+			limiter.SetView(view, 2*time.Second)
+			sending += takePermits(limiter, limit, 5*time.Second)
+		}
+		is.Equal(sending, 12)
+	}
+}
+
 // On a site with more nodes than missing ones are remembered, the missing ones must count.
 func TestMissingNodesOfLargeSiteCount(t *testing.T) {
 	is := is.New(t)
--- a/internal/coldstart/senders.go
+++ b/internal/coldstart/senders.go
@@ -34,8 +34,9 @@
 	// views holds recent membership views, newest last: all that were current within the
 	// last senderDelay.
 	views []memberView
-	// missing holds the members that became unreachable without leaving.
-	missing map[identity.NodeName]bool
+	// missing holds the members that became unreachable without leaving, leaving those of
+	// the newest view that are about to.
+	missing, leaving map[identity.NodeName]bool
 	// seeds tracks the seeds that have not appeared in a view yet.
 	seeds seedTracker
 	// senderCache caches, per replica, whether this node is a sender in all views. It is
@@ -46,7 +47,8 @@
 
 // memberView is a membership view, current from a point in time.
 type memberView struct {
-	at   time.Duration
+	at time.Duration
+	// live are the members, with those that are leaving, since they send until they are gone.
 	live []identity.NodeName
 	// possible is the number of live nodes and of those that may be alive on the other
 	// side of a partition.
@@ -54,14 +56,14 @@
 }
 
 func newSenders(self identity.NodeName) *senders {
-	return &senders{self: self, missing: map[identity.NodeName]bool{}, senderCache: map[string]bool{}}
+	return &senders{self: self, missing: map[identity.NodeName]bool{}, leaving: map[identity.NodeName]bool{}, senderCache: map[string]bool{}}
 }
 
 // setView applies a new membership view.
 func (s *senders) setView(view membership.View, now time.Duration) {
-	reachable := lo.Filter(view.Members, func(member membership.Member, _ int) bool { return member.Reachable() })
-	live := lo.Map(reachable, func(member membership.Member, _ int) identity.NodeName { return member.Node.Name })
+	live := lo.Map(view.Members, func(member membership.Member, _ int) identity.NodeName { return member.Node.Name })
 	s.recordMissing(view)
+	s.recordLeaving(view)
 	s.seeds.setView(view)
 	clear(s.senderCache)
 	s.senderCacheUntil = 0
@@ -89,12 +91,21 @@
 	}
 	present := lo.SliceToMap(view.Members, func(member membership.Member) (identity.NodeName, bool) { return member.Node.Name, true })
 	for _, name := range s.views[len(s.views)-1].live {
-		if !present[name] && len(s.missing) < maxMissing {
+		if !present[name] && !s.leaving[name] && len(s.missing) < maxMissing {
 			s.missing[name] = true
 		}
 	}
 }
 
+func (s *senders) recordLeaving(view membership.View) {
+	clear(s.leaving)
+	for _, member := range view.Members {
+		if member.Status == membership.Leaving {
+			s.leaving[member.Node.Name] = true
+		}
+	}
+}
+
 // dropOldViews drops the views that were replaced at least senderDelay ago.
 func (s *senders) dropOldViews(now time.Duration) {
 	for len(s.views) > 1 && now-s.views[1].at >= senderDelay {
