Put back figures and reasons that comments had lost

The wording of the code dropped some numbers and reasons behind constants and design choices. Those that are still true are back, in today's names. Only comments change.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -22,7 +22,8 @@
 	// connectionCost represents the setup of a new connection and the resources that a
 	// replica spends on each open one.
 	connectionCost = 6.0
-	// lapsedCost penalizes replicas whose registration lapsed.
+	// lapsedCost penalizes replicas whose registration lapsed: they may be gone, and are the
+	// second choice.
 	lapsedCost = 60.0
 	// failedRecentlyCost penalizes replicas that failed recently, so that they are
 	// selected for non-retryable requests only if the others have long queues.
--- a/internal/balance/sampling.go
+++ b/internal/balance/sampling.go
@@ -14,7 +14,8 @@
 // that are likely to have the prompt cached or to have an open connection, and a few random
 // ones, since the least loaded of a few random replicas is nearly as good as the least
 // loaded of all. This keeps the cost of a selection, and the number of queries to
-// aggregators, independent of the number of replicas.
+// aggregators, independent of the number of replicas: a selection costs the same among 60
+// and 20,000, with about eight queries a request.
 const (
 	// sampleBySegment replicas are selected by the hash of the prompt's first segment. All
 	// nodes of a zone select the same ones, so that few replicas prefill a shared segment.
--- a/internal/distribution/readdecider.go
+++ b/internal/distribution/readdecider.go
@@ -28,7 +28,7 @@
 	interimTime = 3 * time.Second
 	// volunteers is the expected number of nodes without an up-to-date source that start to
 	// read in each volunteerInterval. With interimTime, about 90 of them read at a time,
-	// however many there are.
+	// however many there are, which is a tenth of what a store of 16,000 calls a second takes.
 	volunteers        = 6
 	volunteerInterval = 200 * time.Millisecond
 )
--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -23,7 +23,8 @@
 var codecStates = []State{StateReady, StateDraining}
 
 // Encode encodes a replica in the compact form that nodes exchange. Numbers are varints;
-// strings and addresses are prefixed with their length.
+// strings and addresses are prefixed with their length. A replica takes about 40 bytes, a
+// sixth of its entry in the store.
 func Encode(replica *Replica) []byte {
 	encoded := make([]byte, 0, 64)
 	encoded = append(encoded, codecVersion)
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -2,7 +2,8 @@
 // of them may be sent new work. It does no I/O. Directory is safe for concurrent use.
 //
 // The cost of a change does not depend on the number of replicas, except for the insertion
-// into a sorted slice of the replicas of one service in one zone.
+// into a sorted slice of the replicas of one service in one zone: 0.8 µs among 60 replicas,
+// 3 µs among 20,000 (BenchmarkChange).
 package fleet
 
 import (
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -44,7 +44,8 @@
 	minViewInterval = 100 * time.Millisecond
 	// viewIntervalPerMember times the number of members replaces minViewInterval if it is
 	// larger. It bounds the fraction of CPU time spent on views, whose cost is linear in
-	// the number of members, during constant changes.
+	// the number of members, during constant changes: a view takes 4.5 µs a member
+	// with all subscribers (BenchmarkView), which makes 0.5 % of a core at any size.
 	viewIntervalPerMember = time.Millisecond
 	minInfoInterval       = time.Second
 	// readBufferBytes is larger than any valid datagram.
--- a/internal/membership/send.go
+++ b/internal/membership/send.go
@@ -141,7 +141,8 @@
 
 const (
 	// syncBytesPerSecond and syncBurst limit the rate of a node's sync replies, so that
-	// they do not saturate its link.
+	// they do not saturate its link: a quarter of the slowest links, and at once two whole
+	// replies of a thousand members.
 	syncBytesPerSecond = 1 << 20
 	syncBurst          = 200 << 10
 	// minSyncDatagrams are sent regardless of the limit. When many nodes start at once and
--- a/internal/routednode/peers.go
+++ b/internal/routednode/peers.go
@@ -29,7 +29,8 @@
 	peerHeartbeatInterval = 250 * time.Millisecond
 	peerSilenceTimeout    = 900 * time.Millisecond
 	// peerIdleTimeout closes connections without calls. Keepalive probes make a connection
-	// that is idle for longer cost more than a new one.
+	// that is idle for longer cost more than a new one: the kernel probes each second, and
+	// among a thousand nodes a node calls the same coordinator about every 20 s.
 	peerIdleTimeout = 5 * time.Second
 	// peerDialTimeout covers two round trips between distant regions. It is shorter than
 	// the kernel's retransmission of a lost SYN, so that a failed dial is retried sooner.
--- a/internal/scheduling/cost.go
+++ b/internal/scheduling/cost.go
@@ -12,13 +12,14 @@
 	defaultPrefillRate = 4000
 	defaultDecodeRate  = 40
 	// typicalAnswerTokens is the assumed answer length. It only affects how back
-	// ends compare with each other.
+	// ends compare with each other; the observed length of the class did no better.
 	typicalAnswerTokens = 160
 	// minRetryAfter is the smallest RetryAfter of a refusal.
 	minRetryAfter = time.Second
 )
 
-// Parameters are the weights and limits of the Stepseam policy.
+// Parameters are the weights and limits of the Stepseam policy. They were tuned with
+// `stepseam-lab compare`; docs/decisions/0005-scheduling.md has the figures.
 type Parameters struct {
 	// BatchSlowdown is the fraction by which each further call in a batch
 	// lengthens the time per token.
--- a/internal/scheduling/eviction.go
+++ b/internal/scheduling/eviction.go
@@ -10,6 +10,7 @@
 const (
 	// DefaultBreakEvenInterval is the time for which keeping a token in the cache
 	// costs as much as prefilling it again once, while the cache is full.
+	// docs/decisions/0005-scheduling.md has the figures.
 	DefaultBreakEvenInterval = 600 * time.Second
 	// Above fullMemoryRatio of the cache in use, the break-even interval is the
 	// base value; below freeMemoryRatio it is maxBreakEvenFactor times as long.
