Publish no first share table before any seed has been seen

A node whose settings name other seeds waits until it has seen one of them, or until shares under a lost table cannot be in use any more (22 s). A new site all of whose seeds are stale gets its first table that late. A node that starts on the side of a cut on which seeds are, while the store has lost the table, is still not covered.

TestStartingNodeThatSeesNoSeedPublishesNoFirstTable: the shares in use add up to more than one before.

--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -145,7 +145,8 @@
 	store := do.MustInvoke[*guardedstore.Store](injector)
 	partition := do.MustInvoke[Adapter](injector).Shares
 	config := shares.Config{
-		Self: do.MustInvoke[identity.Node](injector), Store: store, Partition: partition, Peers: others.transport, MaxHolders: maxShareHolders,
+		Self: do.MustInvoke[identity.Node](injector), Store: store, Partition: partition, Peers: others.transport,
+		Seeds: cfg.Seeds, MaxHolders: maxShareHolders,
 		Await: func(ctx context.Context) error { return store.Await(ctx, partition) },
 		Now:   do.MustInvoke[authorityClock](injector), Logger: do.MustInvoke[*slog.Logger](injector),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,8 @@
 	// Await blocks until the store may be read; nil means always.
 	Await func(ctx context.Context) error
 	Peers peer.Client
+	// Seeds are the addresses of nodes through which this one joins. They may be stale.
+	Seeds []netip.AddrPort
 	// MaxHolders bounds the holders of a table.
 	MaxHolders int
 	// Now returns a monotonic reading that also advances while the machine is suspended.
@@ -90,6 +93,9 @@
 	// was read from the store.
 	observedAt   time.Duration
 	storeVersion uint64
+	// seedSeen means that this node has seen a seed other than itself among the members, or
+	// that none is configured.
+	seedSeen bool
 	// lost means that the store did not have the newest known table when it was read last.
 	lost bool
 }
@@ -157,10 +163,17 @@
 	now := s.config.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.seedSeen = s.seedSeen || s.containsSeed(view)
 	s.members = view.Members
 	s.planner.setView(view, now)
 }
 
+// containsSeed reports whether a view has a seed other than this node.
+func (s *Service) containsSeed(view membership.View) bool {
+	others := slices.DeleteFunc(slices.Clone(s.config.Seeds), func(seed netip.AddrPort) bool { return seed == s.config.Self.PeerAddress })
+	return len(others) == 0 || slices.ContainsFunc(view.Members, func(m membership.Member) bool { return slices.Contains(others, m.Node.PeerAddress) })
+}
+
 // Known reports whether any table is known.
 func (s *Service) Known() bool {
 	s.mutex.Lock()
@@ -200,16 +213,17 @@
 
 // observeSnapshot records the table in the store, if there is one.
 func (s *Service) observeSnapshot(items []logstore.Item) {
-	s.mutex.Lock()
-	s.storeVersion = 0
-	s.mutex.Unlock()
+	s.setStoreVersion(0)
 	s.observeItems(items)
 }
 
 // observeItems records the tables among records of the store.
 func (s *Service) observeItems(items []logstore.Item) {
 	for _, item := range items {
-		if item.Key != tableKey || len(item.Value) == 0 {
+		if item.Key != tableKey {
+			continue
+		}
+		if len(item.Value) == 0 {
 			continue
 		}
 		decoder := wire.NewDecoder(item.Value)
@@ -218,13 +232,17 @@
 			s.config.Logger.Error("share table in the store is unreadable", "error", err)
 			continue
 		}
-		s.mutex.Lock()
-		s.storeVersion = max(s.storeVersion, table.Version)
-		s.mutex.Unlock()
+		s.setStoreVersion(table.Version)
 		s.observe(table, "store")
 	}
 }
 
+func (s *Service) setStoreVersion(version uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.storeVersion = version
+}
+
 func (s *Service) observe(table Table, source string) {
 	now := s.config.Now()
 	s.mutex.Lock()
@@ -301,13 +319,17 @@
 
 // agreeOnFirst asks all members for their table before a first one is published, since the
 // store may have lost one that is still in use. It reports whether none of them has one. A
-// member that does not respond may have one for as long as it may be in use.
+// member that does not respond, or the seeds if this node has seen none, may have one for as
+// long as it may be in use.
 func (s *Service) agreeOnFirst(ctx context.Context) bool {
 	now := s.config.Now()
 	s.mutex.Lock()
 	members := slices.Clone(s.members)
-	expired := now-s.startedAt > Retention
+	expired, seedSeen := now-s.startedAt > Retention, s.seedSeen
 	s.mutex.Unlock()
+	if !seedSeen && !expired {
+		return false
+	}
 	call, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	var calls sync.WaitGroup
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -30,6 +30,7 @@
 	store     *store.Store
 	startedAt time.Time
 
+	seeds []netip.AddrPort
 	// unreachable makes calls between nodes fail.
 	unreachable atomic.Bool
 
@@ -45,7 +46,7 @@
 	defer s.mutex.Unlock()
 	number := len(s.services)
 	made := New(Config{
-		Self: sharesNode(number), Store: log, Partition: tablePartition, Peers: s, MaxHolders: 3, Now: s.now,
+		Self: sharesNode(number), Store: log, Partition: tablePartition, Peers: s, Seeds: s.seeds, MaxHolders: 3, Now: s.now,
 		Logger: slog.New(slog.DiscardHandler), Registerer: prometheus.NewRegistry(),
 	})
 	if onChange != nil {
@@ -260,6 +261,35 @@
 	})
 }
 
+// A node that starts where it sees no other member must not take a store that has lost the
+// table for that of a new site: the others may still use the lost one.
+func TestStartingNodeThatSeesNoSeedPublishesNoFirstTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		log := &lostStore{}
+		log.current.Store(store.New())
+		s := &sharesSite{startedAt: time.Now(), seeds: []netip.AddrPort{sharesNode(0).PeerAddress, sharesNode(3).PeerAddress}}
+		for range 3 {
+			s.add(ctx, log, nil)
+		}
+		s.updateViews()
+		time.Sleep(4 * time.Second)
+		is.True(s.sum() > 0.999 && s.sum() <= 1)
+
+		log.current.Store(store.New())
+		s.unreachable.Store(true)
+		alone := s.add(ctx, log, nil)
+		alone.SetView(membership.View{Members: []membership.Member{{Node: sharesNode(3), Status: membership.Alive}}})
+		for began := s.now(); s.now() < began+2*Retention; time.Sleep(100 * time.Millisecond) {
+			is.True(s.sum() <= 1)
+		}
+		is.True(alone.Known()) // without the others it is served in the end
+		cancel()
+		time.Sleep(time.Minute) // until calls that wait have ended
+	})
+}
+
 // Without the store, shares stay in use for MaxAge and no longer, and come back with it.
 func TestSharesEndWithLongOutage(t *testing.T) {
 	simulateShares(t, 3, func(_ context.Context, is *is.I, s *sharesSite) {
