Publish a deleted share table again at once

If the record of the share table was deleted while nodes watched it, they passed the deletion over and confirmed the table as before. The limit held, but a site of which all nodes restarted, or that lost its holders, would have had to begin anew. The deletion now counts as a lost table, which the first node in rank publishes again.

TestDeletedTableIsPublishedAgain: two records in the store before, three now.

--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -224,6 +224,7 @@
 			continue
 		}
 		if len(item.Value) == 0 {
+			s.setStoreVersion(0) // the table was deleted
 			continue
 		}
 		decoder := wire.NewDecoder(item.Value)
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -290,6 +290,17 @@
 	})
 }
 
+// An operator or a retention policy may delete the table. It must be published again at once.
+func TestDeletedTableIsPublishedAgain(t *testing.T) {
+	simulateShares(t, 4, func(_ context.Context, is *is.I, s *sharesSite) {
+		time.Sleep(4 * time.Second)
+		s.store.Put(tablePartition, tableKey, nil)
+		time.Sleep(watchWait + publishPause)
+		is.Equal(len(s.store.Records(tablePartition)), 3) // the table, its deletion and the table
+		is.True(s.sum() > 0.999 && s.sum() <= 1)
+	})
+}
+
 // Without the store, shares stay in use for MaxAge and no longer, and come back with it.
 func TestSharesEndWithLongOutage(t *testing.T) {
 	simulateShares(t, 3, func(_ context.Context, is *is.I, s *sharesSite) {
