--- a/internal/limits/rejection_test.go
+++ b/internal/limits/rejection_test.go
@@ -4,12 +4,14 @@
 	"errors"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/quota"
 )
 
@@ -34,6 +36,34 @@
 	is.Equal(redirected.allocator.Name, identity.NodeName("b"))
 }
 
+// Lessors become free before the end of the leases that they have named. A node must ask them
+// again soon instead of rejecting requests until then.
+func TestLessorsAreAskedAgainSoonAfterConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		startedAt, free := time.Now(), false
+		peers := &answeringPeer{}
+		service := newService("a", peers, func() time.Duration { return time.Since(startedAt) })
+		other := quota.Lessee{Node: identity.Reference{Name: "gone", Incarnation: 1}, ID: 7}
+		peers.onCall = func(request peer.Message) peer.Message {
+			wanted := request.(*leaseRequest).Request.Wanted
+			if free {
+				return &leaseResponse{Response: quota.LeaseResponse{Granted: wanted, Share: 0.5}}
+			}
+			return &leaseResponse{Response: quota.LeaseResponse{Conflicts: []quota.Conflict{{Partitions: wanted, Lessee: other, Remaining: quota.LeaseTTL}}}}
+		}
+		message := &tokenRequest{Tenant: siteTenant.Name}
+		_, err := service.grant(t.Context(), message)
+		var unleased *unleasedError
+		is.True(errors.As(err, &unleased))
+		free = true
+		time.Sleep(conflictTTL)
+		_, err = service.grant(t.Context(), message)
+		is.NoErr(err)
+		synctest.Wait()
+	})
+}
+
 // Requests must not wait for an allocator that cannot grant: callers learn within 0.1 s that
 // they are rejected, whatever the allocators are doing.
 func TestRequestsThatNoAllocatorCanGrantAreRejectedAtOnce(t *testing.T) {
