Lease nothing further to a process whose replacement is a member

While a replaced node drained, its former process kept renewing the leases of its tenants for up to five seconds, though the other nodes reach only the replacement under its name.

A lessor now refuses a lessee of which a later process is a member. Refusing is always within the bound.

TestReplacedAllocatorGetsNoFurtherLeases fails before.

--- a/internal/limits/lease.go
+++ b/internal/limits/lease.go
@@ -316,6 +316,9 @@
 	if !ok {
 		return nil, fmt.Errorf("limits: unexpected %T", request)
 	}
+	if s.placement.isReplaced(message.Request.Lessee.Node) {
+		return &leaseResponse{}, nil
+	}
 	now := s.config.Now()
 	fraction := s.ownFraction(now)
 	s.mutex.Lock()
--- a/internal/limits/placement.go
+++ b/internal/limits/placement.go
@@ -138,6 +138,13 @@
 	return identity.Node{}, false
 }
 
+// isReplaced reports whether a later process of a node's name is a member. Others reach that
+// one under the name.
+func (p *placement) isReplaced(node identity.Reference) bool {
+	present, found := p.member(node.Name)
+	return found && present.Incarnation > node.Incarnation
+}
+
 // recordFailure records that a node did not respond.
 func (p *placement) recordFailure(node identity.Node, now time.Duration) {
 	p.mutex.Lock()
--- a/internal/limits/rejection_test.go
+++ b/internal/limits/rejection_test.go
@@ -36,6 +36,27 @@
 	is.Equal(redirected.allocator.Name, identity.NodeName("b"))
 }
 
+// A process whose replacement of the same name is a member must get no further leases. It
+// would keep its tenants from the others, which cannot reach it under its name.
+func TestReplacedAllocatorGetsNoFurtherLeases(t *testing.T) {
+	is := is.New(t)
+	now := time.Duration(0)
+	service := newService("a", unreachablePeers{}, func() time.Duration { return now })
+	now = quota.LeaseTTL // the lessor has waited for leases of its predecessor
+	granted := func(incarnation identity.Incarnation) quota.PartitionSet {
+		response, err := service.handleLeaseRequest(t.Context(), &leaseRequest{Request: quota.LeaseRequest{
+			Lessee: quota.Lessee{Node: identity.Reference{Name: "c", Incarnation: incarnation}, ID: quota.AllocatorID(incarnation)}, Wanted: 1,
+		}}, nil)
+		is.NoErr(err)
+		return response.(*leaseResponse).Response.Granted
+	}
+	is.Equal(granted(1), quota.PartitionSet(1))
+	service.SetView(membership.View{Members: []membership.Member{{Node: identity.Node{Name: "c", Incarnation: 2}, Status: membership.Alive}}})
+	is.Equal(granted(1), quota.PartitionSet(0))
+	now += quota.LeaseTTL
+	is.Equal(granted(2), quota.PartitionSet(1))
+}
+
 // Lessors become free before the end of the leases that they have named. A node must ask them
 // again soon instead of rejecting requests until then.
 func TestLessorsAreAskedAgainSoonAfterConflict(t *testing.T) {
