Split the publication of share tables from the service, and test moved holders

TestMovedHolderIsReplaced covers the replacement of a holder that is a member at another address, which had added without a test of its own.

--- a/internal/shares/message.go
+++ b/internal/shares/message.go
@@ -51,38 +51,38 @@
 
 func (t Table) encode(e *wire.Encoder) {
 	e.Uint64(t.Version)
-	encodeNames(e, t.Holders)
+	encodeHolders(e, t.Holders)
 	e.Uint32(uint32(len(t.Recent)))
 	for _, holders := range t.Recent {
-		encodeNames(e, holders)
+		encodeHolders(e, holders)
 	}
 }
 
-// nameBytes and listBytes are the minimum encoded sizes of a name and of a list of names.
+// holderBytes and listBytes are the minimum encoded sizes of a holder and of a list of them.
 const (
-	nameBytes = 4
-	listBytes = 4
+	holderBytes = 4
+	listBytes   = 4
 )
 
 func decodeTable(d *wire.Decoder) Table {
-	table := Table{Version: d.Uint64(), Holders: decodeNames(d)}
+	table := Table{Version: d.Uint64(), Holders: decodeHolders(d)}
 	for range d.Count(listBytes) {
-		table.Recent = append(table.Recent, decodeNames(d))
+		table.Recent = append(table.Recent, decodeHolders(d))
 	}
 	return table
 }
 
-func encodeNames(e *wire.Encoder, names []Holder) {
-	e.Uint32(uint32(len(names)))
-	for _, name := range names {
-		e.String(string(name))
+func encodeHolders(e *wire.Encoder, holders []Holder) {
+	e.Uint32(uint32(len(holders)))
+	for _, holder := range holders {
+		e.String(string(holder))
 	}
 }
 
-func decodeNames(d *wire.Decoder) []Holder {
-	var names []Holder
-	for range d.Count(nameBytes) {
-		names = append(names, Holder(d.String()))
+func decodeHolders(d *wire.Decoder) []Holder {
+	var holders []Holder
+	for range d.Count(holderBytes) {
+		holders = append(holders, Holder(d.String()))
 	}
-	return names
+	return holders
 }
--- a/internal/shares/plan_test.go
+++ b/internal/shares/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -75,6 +76,23 @@
 	}
 }
 
+// A node that has moved to another address holds no share there, and its former process may
+// still run. Its name alone must not keep the share with a process that others cannot reach.
+func TestMovedHolderIsReplaced(t *testing.T) {
+	is := is.New(t)
+	p := newPlanner(2)
+	at := func(name identity.NodeName, port uint16) membership.Member {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), port)
+		return membership.Member{Node: identity.Node{Name: name, Zone: "z", PeerAddress: address}, Status: membership.Alive}
+	}
+	p.setView(membership.View{Members: []membership.Member{at("a", 1), at("b", 2)}}, 0)
+	is.Equal(p.next([]Holder{"a", "b"}, addAfter), nil) // a table without addresses stands
+	p.setView(membership.View{Members: []membership.Member{at("a", 3), at("b", 2)}}, addAfter)
+	holders := []Holder{"a@10.0.0.1:1", "b@10.0.0.1:2"}
+	is.Equal(p.next(holders, 2*addAfter-time.Millisecond), nil) // the former process may be back soon
+	is.Equal(p.next(holders, 2*addAfter), []Holder{"b@10.0.0.1:2", "a@10.0.0.1:3"})
+}
+
 func TestHoldersAreAddedOneAtATime(t *testing.T) {
 	is := is.New(t)
 	p := newPlanner(4)
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -318,117 +315,6 @@
 	}
 }
 
-// agreeOnFirst asks all members for their table before a first one is published, since the
-// store may have lost one that is still in use. It reports whether none of them has one. A
-// member that does not respond, or the seeds if this node has seen none, may have one for as
-// long as it may be in use.
-func (s *Service) agreeOnFirst(ctx context.Context) bool {
-	now := s.config.Now()
-	s.mutex.Lock()
-	members := slices.Clone(s.members)
-	expired, seedSeen := now-s.startedAt > Retention, s.seedSeen
-	s.mutex.Unlock()
-	if !seedSeen && !expired {
-		return false
-	}
-	call, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	var calls sync.WaitGroup
-	var found, silent atomic.Bool
-	for _, member := range members {
-		if member.Node.Name == s.config.Self.Name {
-			continue
-		}
-		calls.Go(func() {
-			response, err := s.config.Peers.Call(call, member.Node.PeerAddress, &tableRequest{}, nil)
-			got, ok := response.(*tableResponse)
-			switch {
-			case err != nil || !ok:
-				silent.Store(true)
-			case got.Table.Version > 0:
-				s.observeResponse(got, now)
-				found.Store(true)
-			}
-		})
-	}
-	calls.Wait()
-	return !found.Load() && (expired || !silent.Load())
-}
-
-// confirmVersion records a peer's confirmation of a version, unless a newer one is known.
-func (s *Service) confirmVersion(version uint64, at time.Duration) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.history.newest.Version == version {
-		s.history.Confirm(at)
-	}
-}
-
-// publishIfDue publishes a new table if this node is the first in rank and the table must
-// change.
-func (s *Service) publishIfDue(ctx context.Context) {
-	now := s.config.Now()
-	s.mutex.Lock()
-	table, due := s.plan(now)
-	s.mutex.Unlock()
-	if !due {
-		return
-	}
-	if table.Version == 1 && !s.agreeOnFirst(ctx) {
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		s.publishAfter = now
-		return
-	}
-	err := s.publish(ctx, table)
-	switch {
-	case err == nil:
-		s.config.Logger.Info("share table published", "version", table.Version, "holders", table.Holders)
-	case errors.Is(err, logstore.ErrFenced), errors.Is(err, logstore.ErrSequence):
-		s.config.Logger.Info("another node has published a share table first", "version", table.Version, "error", err)
-	default:
-		s.config.Logger.Warn("share table not published", "version", table.Version, "error", err)
-	}
-}
-
-// plan requires the mutex.
-func (s *Service) plan(now time.Duration) (Table, bool) {
-	first, found := membership.Highest(rankKey, s.members, func(m membership.Member) bool { return m.Status == membership.Alive })
-	if !found || first.Name != s.config.Self.Name || now < s.publishAfter {
-		return Table{}, false
-	}
-	var holders []Holder
-	if s.history.newest.Version == 0 {
-		holders = s.planner.first(now)
-	} else if s.lost {
-		holders = s.history.newest.Holders
-	} else if age, known := s.history.Age(now); known && age < relayAge && !s.history.Changing(now) {
-		holders = s.planner.next(s.history.newest.Holders, now)
-	}
-	if holders == nil {
-		return Table{}, false
-	}
-	s.publishAfter = now + publishPause
-	return s.history.Next(holders, now), true
-}
-
-// publish appends a table. The store rejects it if it has one of this version, or repeats
-// the response to that one; the watcher reads which table it is.
-func (s *Service) publish(ctx context.Context, table Table) error {
-	encoder := wire.NewEncoder(nil)
-	table.encode(encoder)
-	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
-	defer cancel()
-	_, err := s.config.Store.Append(ctx, logstore.AppendRequest{
-		Partition: s.config.Partition, Keys: []string{tableKey}, Records: [][]byte{encoder.Bytes()},
-		Producer: producer, Epoch: table.Version,
-	})
-	if err != nil {
-		return fmt.Errorf("shares: publish: %w", err)
-	}
-	return nil
-}
-
 // Register registers the messages and handlers.
 func (s *Service) Register(registry *peer.Registry) {
 	registry.Add(func() peer.Message { return &tableRequest{} }, func() peer.Message { return &tableResponse{} })
