Test both clocks of a suspended node

The test of the clock did not show that leases use it. With one clock for both, TestSuspendedNodeEndsItsLeasesAndKeepsThoseItGave fails: the lessor gives its share to a second allocator before the lease of the first one ends.

--- a/internal/limits/rejection_test.go
+++ b/internal/limits/rejection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -57,6 +58,35 @@
 	is.Equal(granted(2), quota.PartitionSet(1))
 }
 
+// After its machine was suspended, a node must find its own leases ended, but must not give
+// its share to another allocator before the lease of the first one ends there.
+func TestSuspendedNodeEndsItsLeasesAndKeepsThoseItGave(t *testing.T) {
+	is := is.New(t)
+	monotonic, suspended := time.Duration(0), time.Duration(0)
+	service := New(Config{
+		Self: "a", Incarnation: 1, Policy: sitePolicy, Strategy: StrategyAllocator, Peers: unreachablePeers{}, Shares: fixedShare(1),
+		Now: func() time.Duration { return monotonic + suspended }, LessorNow: func() time.Duration { return monotonic }, Logger: slog.New(slog.DiscardHandler),
+	})
+	service.SetLimits(limitOfSite, func() bool { return true })
+	monotonic = quota.LeaseTTL
+	service.leaseOwnShare(1, nil)
+	is.Equal(service.fraction(0), 1.0)
+	request := func(lessee identity.NodeName, id quota.AllocatorID) quota.PartitionSet {
+		response, err := service.handleLeaseRequest(t.Context(), &leaseRequest{Request: quota.LeaseRequest{
+			Lessee: quota.Lessee{Node: identity.Reference{Name: lessee, Incarnation: 1}, ID: id}, Wanted: 2,
+		}}, nil)
+		is.NoErr(err)
+		return response.(*leaseResponse).Response.Granted
+	}
+	is.Equal(request("b", 7), quota.PartitionSet(2))
+	suspended = time.Minute
+	monotonic += quota.LeaseTTL - time.Millisecond
+	is.Equal(service.fraction(0), 0.0)
+	is.Equal(request("c", 8), quota.PartitionSet(0))
+	monotonic += time.Millisecond
+	is.Equal(request("c", 8), quota.PartitionSet(2))
+}
+
 // Lessors become free before the end of the leases that they have named. A node must ask them
 // again soon instead of rejecting requests until then.
 func TestLessorsAreAskedAgainSoonAfterConflict(t *testing.T) {
