Publish a lost share table again without a pause

The table was deleted 0.08 s after its publication. Its publisher waited for three seconds before the next attempt; until then crashes and restarts had ended all nodes that knew the table, and those that started found none and no pause in which to agree on a first one.

A lost table is now published at the next opportunity, and its deletion counts at once instead of with the next read.

TestDeletedTableIsPublishedAgain deletes the table right after its publication: two records in the store half a second later before, three now.

--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -221,7 +221,7 @@
 			continue
 		}
 		if len(item.Value) == 0 {
-			s.setStoreVersion(0) // the table was deleted
+			s.observeDeletion()
 			continue
 		}
 		decoder := wire.NewDecoder(item.Value)
@@ -235,6 +235,23 @@
 	}
 }
 
+func (s *Service) observeDeletion() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.storeVersion = 0
+	if s.history.newest.Version > 0 && !s.lost {
+		s.setLostLocked()
+	}
+}
+
+// setLostLocked lets the table be published again without a pause, since nodes that start
+// meanwhile find none. It requires the mutex.
+func (s *Service) setLostLocked() {
+	s.lost, s.publishAfter = true, 0
+	s.NeedChanged()
+	s.config.Logger.Error("the store has lost the share table", "known_version", s.history.newest.Version, "store_version", s.storeVersion)
+}
+
 func (s *Service) setStoreVersion(version uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -282,8 +299,7 @@
 		s.lost = false
 		s.history.Confirm(at)
 	case at > s.observedAt && !s.lost:
-		s.lost = true
-		s.config.Logger.Error("the store has lost the share table", "known_version", newest, "store_version", s.storeVersion)
+		s.setLostLocked()
 	}
 }
 
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -293,9 +293,11 @@
 // An operator or a retention policy may delete the table. It must be published again at once.
 func TestDeletedTableIsPublishedAgain(t *testing.T) {
 	simulateShares(t, 4, func(_ context.Context, is *is.I, s *sharesSite) {
-		time.Sleep(4 * time.Second)
-		s.store.Put(tablePartition, tableKey, nil)
-		time.Sleep(watchWait + publishPause)
+		for len(s.store.Records(tablePartition)) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.store.Put(tablePartition, tableKey, nil) // shortly after an attempt to publish
+		time.Sleep(planInterval)
 		is.Equal(len(s.store.Records(tablePartition)), 3) // the table, its deletion and the table
 		is.True(s.sum() > 0.999 && s.sum() <= 1)
 	})
