Serve programs their whole budget after nodes are lost

Callers saw 402 for budgets that they had not used: a program that began within 25 s of an unclean end of its partition's owner, or before a starting node's claim was in the log, could use two thirds of its budget for as long as it lived, and a program whose coordinator died lost up to four turns. Before that some got 503 budget_reserved for 2.3 s.

Cause: what a dead node might have granted was withheld for good. An exclusive owner granted up to 35 % of a budget before the log had it, so each program whose first record another node wrote was left with the rest. Whether that happened to a program of a starting node depended on whether its claim or its reservation came first in the log, which is all that load changed. Coordinators reserved four turns ahead, of which one may be lost.

Why this works: unlogged grants are at most one turn, which a program may use beyond its budget anyway, so nothing has to be withheld. A node that can't exclude such grants writes a reservation of one turn in the former owner's name, which counts like any that a dead node holds and is settled once the log shows that it stands for nothing. One turn is reserved ahead, and none once tokens were lost, so that further losses cost only what was open. Log records of earlier versions get the same verdicts in all versions; after an owner of an earlier version the larger part is assumed.

A refusal that no return of tokens can change is given at once, and its error says what is charged, by which incarnations and what is withheld. The turn beyond the budget is not used for reservations of nodes that respond, as before where the first record was not an exclusive owner's.

--- a/internal/coordinator/begin.go
+++ b/internal/coordinator/begin.go
@@ -47,7 +47,7 @@
 	for {
 		coordinator, self := s.coordinator(partition)
 		if self || !s.mayCall(coordinator) || called[coordinator.Name] {
-			return s.beginLocally(ctx, request, self)
+			return s.beginLocally(ctx, request, self, false)
 		}
 		called[coordinator.Name] = true
 		turn, err = s.hedge(ctx, request, coordinator)
@@ -80,7 +80,7 @@
 	var turn *Turn
 	var err error
 	if first.Name == s.config.Self {
-		turn, err = s.beginLocally(ctx, request, false)
+		turn, err = s.beginLocally(ctx, request, false, false)
 	} else {
 		turn, err = s.beginRemotely(ctx, request, first, make(chan struct{}, 1))
 	}
@@ -118,7 +118,7 @@
 		startedLocally = true
 		pending++
 		go func() {
-			turn, err := s.beginLocally(ctx, request, false)
+			turn, err := s.beginLocally(ctx, request, false, true)
 			results <- result{turn, err, false}
 		}()
 	}
@@ -174,19 +174,20 @@
 }
 
 // reserveTurn reserves a turn's tokens in this node's ledger. coordinator reports whether this
-// node coordinates the partition.
-func (s *Service) reserveTurn(ctx context.Context, request *Request, grant ledger.GrantID, coordinator bool) (ledgerlog.Grant, error) {
+// node coordinates the partition, repeated whether another node may have begun the same turn.
+func (s *Service) reserveTurn(ctx context.Context, request *Request, grant ledger.GrantID, coordinator, repeated bool) (ledgerlog.Grant, error) {
 	_, substitute := s.displacedCandidate(s.config.Ledger.Partition(request.Program))
 	return s.config.Ledger.BeginTurn(ctx, ledgerlog.TurnRequest{
-		Program: request.Program, ID: grant, Budget: request.Budget, MaxTurnTokens: request.MaxTurnTokens, Coordinator: coordinator, Substitute: coordinator && substitute,
+		Program: request.Program, ID: grant, Budget: request.Budget, MaxTurnTokens: request.MaxTurnTokens, Coordinator: coordinator, Substitute: coordinator && substitute, Repeated: repeated,
 	})
 }
 
-// beginLocally begins a turn through this node's own ledger.
-func (s *Service) beginLocally(ctx context.Context, request Request, coordinator bool) (*Turn, error) {
+// beginLocally begins a turn through this node's own ledger. repeated reports whether another
+// node may have begun it.
+func (s *Service) beginLocally(ctx context.Context, request Request, coordinator, repeated bool) (*Turn, error) {
 	turn := &Turn{Coordinator: s.config.Self}
 	if request.Budgeted {
-		grant, err := s.reserveTurn(ctx, &request, ledgerlog.NewGrantID(), coordinator)
+		grant, err := s.reserveTurn(ctx, &request, ledgerlog.NewGrantID(), coordinator, repeated)
 		if err != nil {
 			s.count("here", err)
 			return nil, err
@@ -244,7 +245,7 @@
 
 func (m *beginResponse) err(coordinator identity.NodeName) error {
 	if m.Status == statusBudgetExhausted {
-		return &ledgerlog.BudgetExhaustedError{Charged: m.Charged}
+		return &ledgerlog.BudgetExhaustedError{Charged: m.Charged, Detail: fmt.Sprintf("home %s: %s", coordinator, m.Reason)}
 	}
 	return m.Status.err(coordinator, m.Reason)
 }
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -36,7 +36,7 @@
 	coordinator := s.isCoordinator(s.config.Ledger.Partition(received.Request.Program))
 	answer := &beginResponse{Status: statusDone}
 	if received.Request.Budgeted {
-		grant, err := s.reserveTurn(ctx, &received.Request, received.Grant, coordinator)
+		grant, err := s.reserveTurn(ctx, &received.Request, received.Grant, coordinator, false)
 		if err != nil {
 			return s.refusal(err), nil
 		}
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,6 +46,12 @@
 	return s.IsAlive(incarnation) || s.config.Peers != nil && time.Since(s.began) < membershipDelay
 }
 
+// IsReachable reports whether an incarnation is a member that has not failed to respond recently.
+func (s *Service) IsReachable(incarnation ledger.IncarnationID) bool {
+	name := string(incarnation)[:max(0, strings.LastIndexByte(string(incarnation), '.'))]
+	return s.IsAlive(incarnation) && !s.isAvoided(identity.NodeName(name))
+}
+
 // Run gives up partitions that this node does not coordinate and announces the store's
 // availability to this node, until ctx ends.
 func (s *Service) Run(ctx context.Context) {
--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // GrantID identifies a grant, the tokens that one turn may use, within one Credit.
 type GrantID uint64
@@ -16,7 +19,7 @@
 // use.
 //
 // Invariant: used plus what open turns may use is at most what the log has granted, or at most
-// UnloggedLimit while the node may make unlogged grants.
+// UnloggedLimit if the node made unlogged grants and the log has not granted more.
 type Credit struct {
 	program      ProgramID
 	incarnation  IncarnationID
@@ -39,6 +42,15 @@
 	// blocked is set if the last reservation was refused but might fit once other nodes have
 	// settled theirs.
 	blocked bool
+	// last is the last verdict, and lost what is charged then that nobody may return, as far as
+	// known at the last CountLost.
+	last Verdict
+	lost uint64
+	// unneeded contains reservations that are to be settled without use: those that were given
+	// up, and assumed ones that stand for nothing.
+	unneeded []AttemptID
+	// WaitingTokens is the upper bound of what turns use that wait for the next reservation.
+	WaitingTokens uint64
 }
 
 type openGrant struct {
@@ -73,7 +85,7 @@
 func (c *Credit) Fits(maxTokens uint32, unlogged bool) bool {
 	limit := c.granted()
 	if unlogged && !c.verdictKnown {
-		limit = max(limit, UnloggedLimit(c.budget, c.maxTokens))
+		limit = max(limit, UnloggedLimit(c.maxTokens))
 	}
 	return c.used+c.openTokens()+uint64(maxTokens) <= limit
 }
@@ -103,13 +115,9 @@
 	return uint64(c.budget) - min(uint64(c.budget), taken)
 }
 
-// maxReserveTurns bounds a reservation in advance, in turns of the maximum size.
-const maxReserveTurns = 4
-
-// missing returns how many tokens must be reserved so that a turn of up to maxTokens tokens
-// fits.
-func (c *Credit) missing(maxTokens uint32) uint64 {
-	needed := c.used + c.openTokens() + uint64(maxTokens)
+// missing returns how many tokens must be reserved so that turns of up to maxTokens tokens fit.
+func (c *Credit) missing(maxTokens uint64) uint64 {
+	needed := c.used + c.openTokens() + maxTokens
 	return needed - min(needed, c.granted())
 }
 
@@ -117,21 +125,33 @@
 // refused one before. The amount that is charged to the budget does not fall then unless this
 // credit returns tokens.
 func (c *Credit) Exhausted(maxTokens uint32) bool {
-	return c.refusedTokens > 0 && c.missing(maxTokens) >= c.refusedTokens
+	return c.refusedTokens > 0 && c.missing(uint64(maxTokens)) >= c.refusedTokens
+}
+
+// CountLost counts what was reserved, at the last verdict, by incarnations that are not known to
+// be alive, or may have been used unlogged.
+func (c *Credit) CountLost(isAlive func(IncarnationID) bool) {
+	lost := c.reservedByOthers(c.last, func(one OpenReservation) bool { return one.Assumed || !isAlive(one.Incarnation) })
+	c.lost = lost - min(lost, c.last.voidTokens())
 }
 
+// MayReserveAhead reports whether tokens may be reserved for a turn that has not begun. They are
+// lost if the node dies, and what the others have lost may already be as much as a program may
+// use beyond its budget.
+func (c *Credit) MayReserveAhead() bool { return c.lost == 0 }
+
 // NextReservation returns the reservation to write so that a turn of up to maxTokens tokens
-// fits. If ample is set, it covers some further turns, but at most half of the remaining
-// budget, so that another node can continue with the rest if this one dies.
+// and those that wait fit. If ample is set, it covers one further turn, but at most half of the
+// remaining budget, so that another node can continue with the rest if this one dies.
 func (c *Credit) NextReservation(attempt AttemptID, maxTokens uint32, exclusive, ample bool) Reservation {
-	minTokens := c.missing(maxTokens)
-	wantedTokens := minTokens
-	if ample {
-		wantedTokens = max(min(c.remaining(c.granted()+c.settled)/2, maxReserveTurns*uint64(c.maxTokens)), minTokens)
+	minTokens := c.missing(uint64(maxTokens))
+	wantedTokens := c.missing(uint64(maxTokens) + c.WaitingTokens)
+	if ample && c.MayReserveAhead() {
+		wantedTokens = max(min(c.remaining(c.granted()+c.settled)/2, wantedTokens+uint64(c.maxTokens)), wantedTokens)
 	}
 	c.pendingTokens = minTokens
 	if exclusive && !c.verdictKnown {
-		wantedTokens = max(wantedTokens, UnloggedLimit(c.budget, c.maxTokens))
+		wantedTokens = max(wantedTokens, UnloggedLimit(c.maxTokens))
 	}
 	return Reservation{
 		Program: c.program, Attempt: attempt, Budget: c.budget, MaxTurnTokens: c.maxTokens,
@@ -139,25 +159,29 @@
 	}
 }
 
-// Rebase replaces all reservations by one for the next turns, if they cover more than half of
-// the remaining budget or less than one turn. Tokens that are reserved for later are lost with
-// the node, which matters for programs of few turns. It returns the settlements and the new
-// reservation, which must follow them in the log, or false if nothing is to be written. No
-// tokens may be granted before the new verdict is known, so a credit with an open turn is not
-// changed.
-func (c *Credit) Rebase(attempt AttemptID) (settled []Record, next Reservation, changed bool) {
+// Rebase replaces all reservations by one for the next turn, if they cover more or less than
+// that, or by none if no tokens may be reserved ahead. Tokens that are reserved for later are
+// lost with the node. It returns the settlements and the new reservation, if any, which must
+// follow them in the log, or false if nothing is to be written. No tokens may be granted before
+// the new verdict is known, so a credit with an open turn is not changed.
+func (c *Credit) Rebase(attempt AttemptID) (settled []Record, next *Reservation, changed bool) {
 	remaining := c.remaining(c.settled + c.used)
-	half := max(remaining/2, uint64(c.maxTokens))
 	reserved := c.granted() - min(c.granted(), c.used)
-	if !c.verdictKnown || len(c.open) > 0 || uint64(c.maxTokens) > remaining || reserved >= uint64(c.maxTokens) && reserved <= half {
-		return nil, Reservation{}, false
+	ahead := uint64(0)
+	if c.MayReserveAhead() {
+		ahead = uint64(c.maxTokens)
+	}
+	if !c.verdictKnown || len(c.open) > 0 || uint64(c.maxTokens) > remaining || reserved == ahead {
+		return nil, nil, false
 	}
 	settled = c.Settle()
 	c.settled += c.used
-	c.reservations, c.used, c.refusedTokens, c.pendingTokens = nil, 0, 0, uint64(c.maxTokens)
-	next = Reservation{
-		Program: c.program, Attempt: attempt, Budget: c.budget, MaxTurnTokens: c.maxTokens,
-		MinTokens: c.maxTokens, WantedTokens: uint32(min(half, maxReserveTurns*uint64(c.maxTokens))), Incarnation: c.incarnation,
+	c.reservations, c.used, c.refusedTokens, c.pendingTokens = nil, 0, 0, ahead
+	if ahead > 0 {
+		next = &Reservation{
+			Program: c.program, Attempt: attempt, Budget: c.budget, MaxTurnTokens: c.maxTokens,
+			MinTokens: c.maxTokens, WantedTokens: c.maxTokens, Incarnation: c.incarnation,
+		}
 	}
 	return settled, next, true
 }
@@ -167,7 +191,7 @@
 // reservation in advance takes at most half of the remaining budget, and a credit that is
 // rebased after each turn makes none unless several turns are open.
 func (c *Credit) Low() bool {
-	if !c.verdictKnown || c.settled > 0 && len(c.open) <= 1 {
+	if !c.verdictKnown || !c.MayReserveAhead() || c.settled > 0 && len(c.open) <= 1 {
 		return false
 	}
 	needed, granted := c.used+c.openTokens()+uint64(c.maxTokens), c.granted()
@@ -178,17 +202,50 @@
 // may still return what it has reserved.
 func (c *Credit) ApplyVerdict(verdict Verdict, mayReturn func(IncarnationID) bool) {
 	c.verdictKnown = true
-	c.Charged = verdict.Charged
+	c.last = verdict
+	c.Charged = verdict.Charged - min(verdict.Charged, verdict.voidTokens())
+	for _, one := range verdict.Void {
+		c.unneeded = append(c.unneeded, one.Attempt)
+	}
 	c.refusedTokens = 0
 	if verdict.Granted == 0 && c.onlyReserver(verdict) {
 		c.refusedTokens = c.pendingTokens
 	}
-	c.blocked = verdict.Granted == 0 && c.reservedByOthers(verdict, mayReturn) >= verdict.Shortfall
+	c.blocked = verdict.Granted == 0 && c.mayFit(verdict, mayReturn)
 	if verdict.Granted > 0 {
 		c.reservations = append(c.reservations, reservation{attempt: verdict.Attempt, granted: uint64(verdict.Granted)})
 	}
 }
 
+// Yields reports whether a reservation was granted beyond the budget only because of what other
+// incarnations will return soon. The margin beyond the budget is for what is lost.
+func (c *Credit) Yields(verdict Verdict, returns func(IncarnationID) bool) bool {
+	return verdict.Overdraft > 0 && c.reservedByOthers(verdict, func(one OpenReservation) bool {
+		return !one.Assumed && returns(one.Incarnation)
+	}) >= verdict.Overdraft
+}
+
+// GiveUp applies the verdict on a granted reservation that is not to be used.
+func (c *Credit) GiveUp(verdict Verdict) {
+	refused := verdict
+	refused.Granted = 0
+	c.ApplyVerdict(refused, func(IncarnationID) bool { return true })
+	c.blocked = true
+	c.unneeded = append(c.unneeded, verdict.Attempt)
+}
+
+// mayFit reports whether a refused reservation may fit once other incarnations have returned
+// what they reserved. What open turns of this credit leave over counts then, too.
+func (c *Credit) mayFit(verdict Verdict, mayReturn func(IncarnationID) bool) bool {
+	all := c.reservedByOthers(verdict, func(OpenReservation) bool { return true })
+	returned := c.reservedByOthers(verdict, func(one OpenReservation) bool { return mayReturn(one.Incarnation) })
+	if returned == 0 {
+		return false
+	}
+	lostMargin := verdict.Margin - min(verdict.Margin, all-returned)
+	return verdict.Shortfall+lostMargin <= returned+c.openTokens()
+}
+
 // onlyReserver reports whether no other incarnation has an open reservation.
 func (c *Credit) onlyReserver(verdict Verdict) bool {
 	for _, one := range verdict.OpenReservations {
@@ -199,15 +256,16 @@
 	return true
 }
 
-// reservedByOthers returns what other credits have reserved and may return.
-func (c *Credit) reservedByOthers(verdict Verdict, mayReturn func(IncarnationID) bool) uint64 {
+// reservedByOthers returns the tokens of the open reservations of other incarnations that are
+// counted.
+func (c *Credit) reservedByOthers(verdict Verdict, counts func(OpenReservation) bool) uint64 {
 	reserved := uint64(0)
 	for _, one := range verdict.OpenReservations {
-		if mayReturn(one.Incarnation) {
+		if one.Incarnation != c.incarnation && counts(one) {
 			reserved += uint64(one.Tokens)
 		}
 	}
-	return reserved - min(reserved, c.granted())
+	return reserved
 }
 
 // Blocked reports whether the last reservation was refused because of tokens that other nodes
@@ -229,14 +287,53 @@
 	}
 }
 
-// Settle returns the records that settle all reservations with what was used.
+// Settle returns the records that settle all reservations with what was used. What was used
+// unlogged and is covered by none is charged in place of the assumed reservation.
 func (c *Credit) Settle() []Record {
-	records := make([]Record, 0, len(c.reservations))
+	records := c.Corrections()
 	remaining := c.used
 	for _, one := range c.reservations {
 		used := min(remaining, one.granted)
 		remaining -= used
 		records = append(records, Settlement{Program: c.program, Attempt: one.attempt, Used: uint32(used)})
 	}
+	if remaining > 0 {
+		records = append(records, Settlement{Program: c.program, Attempt: assumedAttempt(c.program), Used: uint32(remaining)})
+	}
+	return records
+}
+
+// Corrections returns the records that settle what is charged for nothing, as the verdicts since
+// the last call showed.
+func (c *Credit) Corrections() []Record {
+	records := make([]Record, 0, len(c.reservations)+len(c.unneeded))
+	for _, attempt := range c.unneeded {
+		records = append(records, Settlement{Program: c.program, Attempt: attempt})
+	}
+	c.unneeded = nil
 	return records
 }
+
+// MisledByAssumption reports whether the last reservation was refused although tokens are
+// charged for nothing, so that it may be granted after Corrections.
+func (c *Credit) MisledByAssumption() bool { return c.last.Granted == 0 && len(c.last.Void) > 0 }
+
+// Explain describes what is charged to the budget, as of the last verdict.
+func (c *Credit) Explain() string {
+	text := fmt.Sprintf("%d of %d tokens are charged", c.Charged, c.budget)
+	for _, one := range c.last.OpenReservations {
+		switch {
+		case one.Assumed && len(c.last.Void) > 0:
+		case one.Assumed:
+			text += fmt.Sprintf(", %d for unlogged grants of former owner %q", one.Tokens, one.Incarnation)
+		case one.Incarnation == c.incarnation:
+			text += fmt.Sprintf(", %d reserved here", one.Tokens)
+		default:
+			text += fmt.Sprintf(", %d reserved by %s", one.Tokens, one.Incarnation)
+		}
+	}
+	if c.last.Withheld > 0 {
+		text += fmt.Sprintf(", and %d are withheld since the first record is not an exclusive owner's", c.last.Withheld)
+	}
+	return text
+}
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -23,8 +23,10 @@
 	charged uint64
 	// exclusive is that of the program's first reservation; fresh is set until there is one.
 	exclusive, fresh bool
-	open             map[AttemptID]OpenReservation
-	lastUsed         time.Duration
+	// unlogged says which unlogged grants may exist for which there are assumed reservations.
+	unlogged unloggedGrants
+	open     map[AttemptID]OpenReservation
+	lastUsed time.Duration
 }
 
 // OpenReservation is a reservation that is not settled: tokens that an incarnation may use or
@@ -32,6 +34,8 @@
 type OpenReservation struct {
 	Incarnation IncarnationID
 	Tokens      uint32
+	// Assumed is set if the reservation stands for unlogged grants, see AssumedReservation.
+	Assumed bool
 }
 
 // openReservations returns the open reservations in a deterministic order, so that verdicts are
@@ -71,12 +75,10 @@
 // Partition is the state that results from the records of one log partition. It is not safe for
 // concurrent use. Times are readings of a monotonic clock.
 type Partition struct {
-	next  uint64
-	owner Ownership
-	// truncated is set if the log had dropped its oldest records when this state began.
-	truncated bool
-	accounts  map[ProgramID]*account
-	turns     map[TurnID]storedTurn
+	next     uint64
+	owner    Ownership
+	accounts map[ProgramID]*account
+	turns    map[TurnID]storedTurn
 	// limits bounds the texts in the partition, texts counts them, and demand counts those of
 	// all indexed turns, wherever they are.
 	limits TextLimits
@@ -93,10 +95,12 @@
 // Next is the offset of the first record that has not been applied.
 func (p *Partition) Next() uint64 { return p.next }
 
-// SkipTo skips records that the log has dropped. They are older than anything that is retained.
+// SkipTo skips records that the log has dropped. They are older than anything that is retained,
+// but may have changed the owner.
 func (p *Partition) SkipTo(offset uint64) {
-	p.truncated = p.truncated || offset > p.next
-	p.next = max(p.next, offset)
+	if offset > p.next {
+		p.next, p.owner = offset, Ownership{tainted: true}
+	}
 }
 
 // Verdict is the outcome of a Reservation.
@@ -106,11 +110,35 @@
 	Granted uint32
 	// Charged is the amount charged to the program's budget before the reservation, in tokens.
 	Charged uint64
-	// OpenReservations are the open reservations within Charged; set only if nothing was
-	// granted.
+	// OpenReservations are the open reservations within Charged; set only if nothing was granted
+	// or some are of other incarnations.
 	OpenReservations []OpenReservation
-	// Shortfall is how many tokens were missing if nothing was granted.
-	Shortfall uint64
+	// Shortfall is how many tokens were missing if nothing was granted, and Margin how many
+	// beyond the budget were open because of reservations of other incarnations.
+	Shortfall, Margin uint64
+	// Overdraft is how many of the granted tokens are beyond the budget.
+	Overdraft uint64
+	// Withheld is how much of the budget is never open, because of unlogged grants of versions
+	// that write no assumed reservations.
+	Withheld uint64
+	// Void are the assumed reservations that stand for nothing, as the log shows by now, and
+	// should be settled.
+	Void []VoidReservation
+}
+
+// VoidReservation is an assumed reservation that stands for nothing.
+type VoidReservation struct {
+	Attempt AttemptID
+	Tokens  uint32
+}
+
+// voidTokens returns what is charged for nothing.
+func (v Verdict) voidTokens() uint64 {
+	total := uint64(0)
+	for _, one := range v.Void {
+		total += uint64(one.Tokens)
+	}
+	return total
 }
 
 // Apply applies the record at Next. For a Reservation it returns the verdict and true.
@@ -130,6 +158,8 @@
 		p.claimOwnership(record, now)
 	case OwnershipRelease:
 		p.releaseOwnership(record)
+	case OwnerLimit:
+		p.limitOwner(record, now)
 	case Text:
 		p.texts.add(len(record.Bytes), now, p.limits.Retain)
 	case IndexEntry:
@@ -143,39 +173,70 @@
 // reserve decides on a reservation. Open reservations of other incarnations count as used,
 // although dead ones never use much of theirs. Therefore a turn that does not fit only because
 // of them may exceed the budget by up to one turn, which is still within what a program may
-// use. Exclusive accounts have that margin available, see UnloggedLimit.
+// use. Accounts that are not exclusive have no such margin, see legacyBudget.
 func (p *Partition) reserve(record Reservation, now time.Duration) Verdict {
 	charges := p.account(record.Program, now)
 	if charges.fresh {
 		charges.fresh, charges.exclusive = false, record.Exclusive
+		if isAssumed(record.Program, record.Attempt) {
+			charges.unlogged = p.possibleUnlogged()
+		}
 	}
-	verdict := Verdict{Attempt: record.Attempt, Charged: charges.charged}
+	verdict := Verdict{Attempt: record.Attempt, Charged: charges.charged, Void: charges.void(record.Program)}
 	if _, repeated := charges.open[record.Attempt]; repeated {
 		return verdict
 	}
 	open := uint64(record.Budget)
 	if !charges.exclusive {
-		open = LoggedBudget(record.Budget, record.MaxTurnTokens)
+		open = legacyBudget(record.Budget, record.MaxTurnTokens)
+		verdict.Withheld = uint64(record.Budget) - open
+	}
+	others := charges.reservedByOthers(record.Incarnation)
+	if others > 0 {
+		verdict.OpenReservations = charges.openReservations()
 	}
 	needed := charges.charged + uint64(record.MinTokens)
 	extended := open
 	if charges.exclusive {
-		extended += min(uint64(record.MaxTurnTokens), charges.reservedByOthers(record.Incarnation))
+		extended += min(uint64(record.MaxTurnTokens), others)
 	}
 	switch {
 	case needed > extended:
-		verdict.Shortfall, verdict.OpenReservations = needed-extended, charges.openReservations()
+		verdict.Shortfall, verdict.Margin, verdict.OpenReservations = needed-extended, extended-open, charges.openReservations()
 		return verdict
 	case needed > open:
 		verdict.Granted = record.MinTokens
+		verdict.Overdraft = max(needed, open+verdict.voidTokens()) - open - verdict.voidTokens()
 	default:
 		verdict.Granted = uint32(min(uint64(record.WantedTokens), open-charges.charged))
 	}
 	charges.charged += uint64(verdict.Granted)
-	charges.open[record.Attempt] = OpenReservation{Incarnation: record.Incarnation, Tokens: verdict.Granted}
+	assumed := isAssumed(record.Program, record.Attempt)
+	charges.open[record.Attempt] = OpenReservation{Incarnation: record.Incarnation, Tokens: verdict.Granted, Assumed: assumed}
+	if !assumed && verdict.Granted > 0 && record.Incarnation != "" && charges.unlogged.incarnation == record.Incarnation {
+		charges.unlogged = unloggedGrants{} // the owner's reservation covers its unlogged grants
+		verdict.Void = charges.void(record.Program)
+	}
 	return verdict
 }
 
+// void returns the assumed reservations that stand for nothing.
+func (a *account) void(program ProgramID) []VoidReservation {
+	var found []VoidReservation
+	add := func(attempt AttemptID) {
+		if one, open := a.open[attempt]; open {
+			found = append(found, VoidReservation{Attempt: attempt, Tokens: one.Tokens})
+		}
+	}
+	if !a.unlogged.possible {
+		add(assumedAttempt(program))
+	}
+	if !a.unlogged.possible || a.unlogged.limited {
+		add(legacyAttempt(program))
+	}
+	return found
+}
+
 // settle replaces an open reservation by what was used. It has no effect on attempts that
 // reserved nothing or were settled before.
 func (p *Partition) settle(record Settlement, now time.Duration) {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -32,9 +32,9 @@
 	// MaxTurnTokens is the upper bound of one turn's tokens.
 	MaxTurnTokens           uint32
 	MinTokens, WantedTokens uint32
-	// Exclusive is set if no other incarnation can have granted unlogged tokens to the program.
-	// If a program's first record is not exclusive, part of its budget is withheld, see
-	// LoggedBudget.
+	// Exclusive is set if no other incarnation can have granted unlogged tokens to the program,
+	// except those that its assumed reservation stands for. If a program's first record is not
+	// exclusive, as earlier versions write it, part of its budget is withheld.
 	Exclusive bool
 	// Incarnation is the writer, which may return what it does not use.
 	Incarnation IncarnationID
@@ -83,10 +83,18 @@
 // OwnershipRelease ends the ownership of an incarnation, all of whose grants are in the log.
 type OwnershipRelease struct{ Incarnation IncarnationID }
 
+// OwnerLimit says that an owner makes unlogged grants up to UnloggedLimit. Exclusive is set if
+// no other incarnation can have made any. Earlier versions skip the record.
+type OwnerLimit struct {
+	Incarnation IncarnationID
+	Exclusive   bool
+}
+
 // IncarnationID identifies one incarnation of a process. It is unique.
 type IncarnationID string
 
-// Record is a Reservation, Settlement, IndexEntry, OwnershipClaim, OwnershipRelease or Text.
+// Record is a Reservation, Settlement, IndexEntry, OwnershipClaim, OwnershipRelease, OwnerLimit
+// or Text.
 type Record interface{ encode() []byte }
 
 type recordKind byte
@@ -98,6 +106,7 @@
 	kindOwnershipClaim   recordKind = 4
 	kindOwnershipRelease recordKind = 5
 	kindText             recordKind = 6
+	kindOwnerLimit       recordKind = 7
 )
 
 // LocationBytes is the encoded size of a Location, in records and in messages between nodes.
@@ -115,11 +124,11 @@
 	for _, tokens := range []uint32{r.Budget, r.MaxTurnTokens, r.MinTokens, r.WantedTokens} {
 		encoded = binary.BigEndian.AppendUint32(encoded, tokens)
 	}
-	exclusive := byte(0)
-	if r.Exclusive {
-		exclusive = 1
-	}
-	return appendString(append(encoded, exclusive), string(r.Incarnation))
+	return appendString(appendBool(encoded, r.Exclusive), string(r.Incarnation))
+}
+
+func (r OwnerLimit) encode() []byte {
+	return appendBool(appendString([]byte{byte(kindOwnerLimit)}, string(r.Incarnation)), r.Exclusive)
 }
 
 func (r OwnershipClaim) encode() []byte {
@@ -150,6 +159,13 @@
 	return binary.BigEndian.AppendUint32(encoded, r.CacheLocation.Tokens)
 }
 
+func appendBool(encoded []byte, set bool) []byte {
+	if set {
+		return append(encoded, 1)
+	}
+	return append(encoded, 0)
+}
+
 func appendString(encoded []byte, readString string) []byte {
 	encoded = binary.BigEndian.AppendUint16(encoded, uint16(len(readString)))
 	return append(encoded, readString...)
@@ -177,6 +193,8 @@
 		record = OwnershipClaim{Incarnation: IncarnationID(reader.readString())}
 	case kindOwnershipRelease:
 		record = OwnershipRelease{Incarnation: IncarnationID(reader.readString())}
+	case kindOwnerLimit:
+		record = OwnerLimit{Incarnation: IncarnationID(reader.readString()), Exclusive: reader.take(1)[0] == 1}
 	case kindText:
 		record = Text{Bytes: reader.take(len(reader.rest))}
 	default:
--- a/internal/ledgerlog/claim.go
+++ b/internal/ledgerlog/claim.go
@@ -32,7 +32,7 @@
 	}
 	m.releasing, m.wantedSince = false, 0
 	m.claimedAt = now
-	m.writeOwnership(ledger.OwnershipClaim{Incarnation: m.incarnation})
+	m.writeOwnership(ledger.OwnershipClaim{Incarnation: m.incarnation}, ledger.OwnerLimit{Incarnation: m.incarnation})
 }
 
 // readOwner reads the partition for the first time, in the background, and then claims it.
@@ -67,11 +67,32 @@
 	}
 }
 
-// writeOwnership writes an ownership record and reads the partition up to it, in the
-// background. The caller must hold the mutex.
-func (m *creditManager) writeOwnership(record ledger.Record) {
+// stateLimit tells other nodes that this one is the exclusive owner, with the partition's next
+// call: once its records do not show that, and again before the store drops its last statement.
+func (m *creditManager) stateLimit() {
+	if !m.exclusive() || !m.availability.Available(m.partition.appender.partition) {
+		return
+	}
+	clean := m.partition.reader.ownedCleanly()
+	now := m.clock()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	due := !clean && now-m.statedAt > claimInterval || m.statementInterval > 0 && now-max(m.statedAt, m.claimedAt) > m.statementInterval
+	if due {
+		m.statedAt = now
+		m.partition.submitLater(ledger.Encode(ledger.OwnerLimit{Incarnation: m.incarnation, Exclusive: true}))
+	}
+}
+
+// writeOwnership writes adjacent records of the ownership and reads the partition up to the
+// first, in the background. The caller must hold the mutex.
+func (m *creditManager) writeOwnership(records ...ledger.Record) {
 	m.claiming = true
-	waiting := m.partition.submitNow(ledger.Encode(record))
+	encoded := make([][]byte, 0, len(records))
+	for _, one := range records {
+		encoded = append(encoded, ledger.Encode(one))
+	}
+	waiting := m.partition.submitNow(encoded...)
 	go func() {
 		outcome := <-waiting.outcome
 		if outcome.err == nil {
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -42,10 +42,15 @@
 type BudgetExhaustedError struct {
 	// Charged is the amount charged to the budget, in tokens.
 	Charged uint64
+	// Detail says what is charged, for operators.
+	Detail string
 }
 
 // Error implements error.
 func (e *BudgetExhaustedError) Error() string {
+	if e.Detail != "" {
+		return "ledgerlog: budget spent: " + e.Detail
+	}
 	return fmt.Sprintf("ledgerlog: budget spent, %d tokens are charged", e.Charged)
 }
 
@@ -144,7 +149,8 @@
 		}
 		added.creditManager = &creditManager{
 			partition: added, availability: config.Availability, incarnation: ledger.IncarnationID(config.Producer), members: unknownMembers{}, clock: clock,
-			credits: map[ledger.ProgramID]*creditEntry{}, abandoned: map[ledger.GrantID]time.Duration{},
+			statementInterval: config.Retain / 4,
+			credits:           map[ledger.ProgramID]*creditEntry{}, abandoned: map[ledger.GrantID]time.Duration{},
 		}
 		created.partitions = append(created.partitions, added)
 	}
@@ -157,13 +163,17 @@
 	IsAlive(incarnation ledger.IncarnationID) bool
 	// MayBeAlive reports whether an incarnation may be alive, as far as known.
 	MayBeAlive(incarnation ledger.IncarnationID) bool
+	// IsReachable reports whether an incarnation is known to be alive and has not failed to
+	// respond recently.
+	IsReachable(incarnation ledger.IncarnationID) bool
 }
 
 // unknownMembers is used until SetMembers is called.
 type unknownMembers struct{}
 
-func (unknownMembers) IsAlive(ledger.IncarnationID) bool    { return false }
-func (unknownMembers) MayBeAlive(ledger.IncarnationID) bool { return true }
+func (unknownMembers) IsAlive(ledger.IncarnationID) bool     { return false }
+func (unknownMembers) MayBeAlive(ledger.IncarnationID) bool  { return true }
+func (unknownMembers) IsReachable(ledger.IncarnationID) bool { return true }
 
 // SetMembers sets the source of members. It must be called at most once, before the first turn.
 // Without it other nodes may be alive, but none is given time to release its ownership.
@@ -187,6 +197,8 @@
 	// Coordinator is set if this node should own the program's partition. Substitute is set if
 	// it does so in place of a live node that may return soon.
 	Coordinator, Substitute bool
+	// Repeated is set if another node was asked to begin the same turn and may have done so.
+	Repeated bool
 }
 
 // NewGrantID returns a random id.
@@ -241,15 +253,15 @@
 	}
 }
 
-// submitNow writes a record at once, together with the lazy submissions.
-func (p *partition) submitNow(record []byte) *submission {
+// submitNow writes adjacent records at once, together with the lazy submissions.
+func (p *partition) submitNow(records ...[]byte) *submission {
 	p.flush()
-	return p.appender.submit(context.Background(), [][]byte{record})
+	return p.appender.submit(context.Background(), records)
 }
 
-// submitLater writes a record with the next call, or after lazySubmitDelay.
-func (p *partition) submitLater(record []byte) *submission {
-	waiting := newSubmission(context.Background(), [][]byte{record})
+// submitLater writes adjacent records with the next call, or after lazySubmitDelay.
+func (p *partition) submitLater(records ...[]byte) *submission {
+	waiting := newSubmission(context.Background(), records)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.lazy = append(p.lazy, waiting)
--- a/internal/ledgerlog/rebase_test.go
+++ b/internal/ledgerlog/rebase_test.go
@@ -49,6 +49,13 @@
 	})
 }
 
+// noMembers reports all incarnations as dead.
+type noMembers struct{}
+
+func (noMembers) IsAlive(ledger.IncarnationID) bool     { return false }
+func (noMembers) MayBeAlive(ledger.IncarnationID) bool  { return false }
+func (noMembers) IsReachable(ledger.IncarnationID) bool { return false }
+
 // TestProgramOfFewTurnsSurvivesItsCoordinator checks that the next turns run on another node,
 // up to the budget and one turn.
 func TestProgramOfFewTurnsSurvivesItsCoordinator(t *testing.T) {
@@ -57,6 +64,7 @@
 		const budget, maxTokens, used = 576, 288, 36
 		log := store.New()
 		first, second := newLedger(log, "a"), newLedger(log, "b")
+		second.SetMembers(noMembers{})
 		own(t, first)
 		program := samePartition(first, 1)[0]
 		const before = 3
--- a/internal/ledgerlog/release_test.go
+++ b/internal/ledgerlog/release_test.go
@@ -15,8 +15,9 @@
 // liveMembers reports all incarnations as alive.
 type liveMembers struct{}
 
-func (liveMembers) IsAlive(ledger.IncarnationID) bool    { return true }
-func (liveMembers) MayBeAlive(ledger.IncarnationID) bool { return true }
+func (liveMembers) IsAlive(ledger.IncarnationID) bool     { return true }
+func (liveMembers) MayBeAlive(ledger.IncarnationID) bool  { return true }
+func (liveMembers) IsReachable(ledger.IncarnationID) bool { return true }
 
 // turnAtOtherNode begins a turn at a node that is not the coordinator, where both are alive.
 func turnAtOtherNode(t *testing.T) (coordinator, helper *Ledger, begun Grant) {
--- /dev/null
+++ b/internal/ledgerlog/wholebudget_test.go
@@ -0,0 +1,265 @@
+package ledgerlog
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"stepseam.example/stepseam/internal/emulator/store"
+	"stepseam.example/stepseam/internal/ledger"
+)
+
+// budgetNode is a node with its own path to the store.
+type budgetNode struct {
+	*Ledger
+	name ledger.IncarnationID
+	path *unresponsiveStore
+}
+
+// budgetRun is a site whose programs run one turn after the other.
+type budgetRun struct {
+	t   *testing.T
+	log *store.Store
+	// failure says what went wrong first, if anything.
+	failure string
+	// live contains the nodes that are alive, the coordinator first. Those that are cut from the
+	// store are alive.
+	live []*budgetNode
+	// started contains all nodes.
+	started  []*budgetNode
+	programs []*budgetProgram
+}
+
+type budgetProgram struct {
+	id                ledger.ProgramID
+	budget, maxTokens uint32
+	used              uint32
+	turns             int
+	ended             bool
+}
+
+// budgetMembers is a node's view of the others.
+type budgetMembers struct {
+	run   *budgetRun
+	began time.Time
+}
+
+func (m budgetMembers) IsAlive(incarnation ledger.IncarnationID) bool {
+	for _, one := range m.run.live {
+		if one.name == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func (m budgetMembers) MayBeAlive(incarnation ledger.IncarnationID) bool {
+	const membershipDelay = 2500 * time.Millisecond
+	return m.IsAlive(incarnation) || time.Since(m.began) < membershipDelay
+}
+
+func (m budgetMembers) IsReachable(incarnation ledger.IncarnationID) bool {
+	return m.IsAlive(incarnation)
+}
+
+func (r *budgetRun) fail(format string, values ...any) {
+	if r.failure == "" {
+		r.failure = fmt.Sprintf(format, values...)
+	}
+}
+
+// start starts a node, which coordinates from then on.
+func (r *budgetRun) start() {
+	path := &unresponsiveStore{Store: r.log}
+	name := fmt.Sprint("n", len(r.started))
+	node := &budgetNode{Ledger: newLedger(path, name), name: ledger.IncarnationID(name), path: path}
+	node.SetMembers(budgetMembers{run: r, began: time.Now()})
+	r.live = append([]*budgetNode{node}, r.live...)
+	r.started = append(r.started, node)
+}
+
+// tick lets the nodes settle, as they do at regular intervals.
+func (r *budgetRun) tick(passed time.Duration) {
+	for ; passed > 0; passed -= settleInterval {
+		for place, one := range r.live {
+			if !one.path.silent.Load() {
+				one.SettleIdle(func(int) bool { return place == 0 })
+			}
+		}
+		time.Sleep(min(passed, settleInterval))
+	}
+}
+
+// heal reconnects all nodes to the store, which return what they hold.
+func (r *budgetRun) heal() {
+	r.log.Fail(store.Fault{})
+	for _, one := range r.live {
+		one.path.silent.Store(false)
+	}
+	r.tick(3 * time.Second)
+}
+
+func (r *budgetRun) kill(nodes []*budgetNode) {
+	for _, one := range nodes {
+		one.path.silent.Store(true)
+	}
+}
+
+// disturb injects the fault that draw selects, if any.
+func (r *budgetRun) disturb(draw int) {
+	switch draw % 12 {
+	case 0: // the coordinator is killed
+		r.heal()
+		r.kill(r.live[:1])
+		r.live = r.live[1:]
+		r.start()
+	case 1: // all nodes are killed
+		r.heal()
+		r.kill(r.live)
+		r.live = nil
+		r.start()
+	case 2: // a planned stop
+		r.heal()
+		if err := r.live[0].Stop(within(r.t, 10*time.Second)); err != nil {
+			r.fail("stop: %v", err)
+		}
+		r.live = r.live[1:]
+		r.start()
+	case 3: // the coordinator is cut from the store
+		r.live[0].path.silent.Store(true)
+		r.start()
+	case 4:
+		r.heal()
+	case 5:
+		r.start()
+	case 6: // the store is away, and the coordinator dies in the outage
+		r.heal()
+		r.log.Fail(store.Fault{Silent: true})
+		r.begin("during the outage")
+		r.turn(r.programs[len(r.programs)-1], 1)
+		r.kill(r.live[:1])
+		r.live = r.live[1:]
+		r.log.Fail(store.Fault{})
+		r.start()
+	case 7:
+		r.tick(time.Duration(draw/12%30) * time.Second)
+	}
+}
+
+func (r *budgetRun) begin(name string) {
+	sizes := [][2]uint32{{60, 20}, {200, 20}, {100, 30}, {600, 100}, {1000, 100}, {1178, 589}}
+	size := sizes[len(r.programs)%len(sizes)]
+	id := ledger.ProgramID(fmt.Sprint(name, len(r.programs)))
+	r.programs = append(r.programs, &budgetProgram{id: id, budget: size[0], maxTokens: size[1]})
+}
+
+// turn runs a turn, with the given number of attempts. It fails if the program is refused
+// although the turn fits.
+func (r *budgetRun) turn(p *budgetProgram, attempts int) {
+	for range attempts {
+		grant, err := beginTurn(within(r.t, time.Second), r.live[0].Ledger, p.id, p.budget, p.maxTokens, true)
+		var spent *BudgetExhaustedError
+		switch {
+		case err == nil:
+			p.turns++
+			p.used += p.maxTokens
+			if p.used > p.budget+p.maxTokens {
+				r.fail("%s used %d of a budget of %d", p.id, p.used, p.budget)
+			}
+			r.live[0].FinishTurn(grant.Program, grant.ID, p.maxTokens)
+			_ = r.live[0].PersistTurn(within(r.t, time.Second), ledger.IndexEntry{Program: p.id, Turn: ledger.TurnID(fmt.Sprint(p.id, p.turns)), Retention: time.Minute})
+			return
+		case errors.As(err, &spent):
+			p.ended = true
+			if p.used+p.maxTokens <= p.budget {
+				r.fail("%s was refused after %d of %d: %v", p.id, p.used, p.budget, err)
+			}
+			return
+		}
+		r.tick(300 * time.Millisecond)
+	}
+	if attempts > 1 {
+		r.fail("%s got no verdict after %d of %d", p.id, p.used, p.budget)
+	}
+}
+
+// end lets the pending calls of dead nodes end.
+func (r *budgetRun) end() {
+	r.heal()
+	for _, one := range r.started {
+		one.path.silent.Store(false)
+	}
+	time.Sleep(5 * time.Minute)
+}
+
+// play runs programs beside the drawn faults, then all of them to their end. It returns what went
+// wrong, if anything.
+func (r *budgetRun) play(draws []int) string {
+	r.start()
+	for _, draw := range draws {
+		if draw%3 == 0 {
+			r.begin("p")
+		}
+		r.disturb(draw / 3)
+		for _, one := range r.programs {
+			if !one.ended && r.failure == "" {
+				r.turn(one, 1)
+			}
+		}
+	}
+	r.heal()
+	for _, one := range r.programs {
+		for !one.ended && r.failure == "" {
+			r.turn(one, 30)
+		}
+	}
+	return r.failure
+}
+
+// TestBudgetIsServedInFullAfterLosses guards against programs that are refused for good before
+// they have used their budget, because of what nodes that are gone might have granted. Programs
+// begin and run while nodes start, stop, are killed and are cut from the store.
+func TestBudgetIsServedInFullAfterLosses(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		draws := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 5, 60).Draw(rt, "draws")
+		failure := ""
+		synctest.Test(t, func(t *testing.T) {
+			run := &budgetRun{t: t, log: store.New()}
+			failure = run.play(draws)
+			run.end()
+		})
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+// TestConcurrentTurnsShareReservation guards against turns of one program that wait for each
+// other's reservations, since no more than one turn is reserved ahead.
+func TestConcurrentTurnsShareReservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		l := newLedger(log, "a")
+		own(t, l)
+		const delay = 100 * time.Millisecond
+		log.Fail(store.Fault{Delay: delay})
+		program := samePartition(l, 1)[0]
+		began := time.Now()
+		var wait sync.WaitGroup
+		for range 8 {
+			wait.Go(func() {
+				_, err := beginTurn(within(t, time.Second), l, program, 10_000, 100, true)
+				is.NoErr(err)
+			})
+		}
+		wait.Wait()
+		is.True(time.Since(began) <= 3*delay) // the first reservation and one for all others
+	})
+}
