Withhold no turn for an idle owner's own unlogged grants

A program whose budget has no room for two turns got 402 at its first turn: 288 of 500 tokens charged, all of them assumed.

An owner's own grants are known to it, so its assumed reservation stands for others only. TestOwnerOfIdlePartitionGrantsFirstTurn fails before.

--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -157,12 +157,12 @@
 
 // AssumedReservations returns the reservations that stand for unlogged grants of other
 // incarnations to a program that has no record: one for grants up to UnloggedLimit, and one for
-// more, unless complete is set and the records exclude it. A node that is not an exclusive owner
-// writes them directly before its first reservation. They have no effect if they are written
-// again. complete reports whether all records are known.
-func (p *Partition) AssumedReservations(program ProgramID, budget, maxTokens uint32, complete bool) []Reservation {
+// more, unless complete is set and the records exclude it. A writer that is not an exclusive
+// owner writes them directly before its first reservation. They have no effect if they are
+// written again. complete reports whether all records are known.
+func (p *Partition) AssumedReservations(program ProgramID, writer IncarnationID, budget, maxTokens uint32, complete bool) []Reservation {
 	incarnation := p.owner.former
-	if p.owner.clean {
+	if p.owner.clean && p.owner.Incarnation != writer {
 		incarnation = p.owner.Incarnation
 	}
 	tokens := uint32(UnloggedLimit(maxTokens))
--- a/internal/ledger/versions_test.go
+++ b/internal/ledger/versions_test.go
@@ -82,7 +82,7 @@
 func (r *versionRun) reserve(incarnation IncarnationID, isLegacy bool) {
 	known := r.partition.Knows("p")
 	if !known && !isLegacy {
-		for _, one := range r.partition.AssumedReservations("p", r.budget, r.maxTokens, rapid.Bool().Draw(r.t, "complete")) {
+		for _, one := range r.partition.AssumedReservations("p", incarnation, r.budget, r.maxTokens, rapid.Bool().Draw(r.t, "complete")) {
 			r.write(one)
 		}
 	}
--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -211,7 +211,7 @@
 		ample := coordinator
 		if !exclusive {
 			var lost bool
-			entry.assumed, lost = m.partition.reader.assumedReservations(program, request.Budget, maxTokens)
+			entry.assumed, lost = m.partition.reader.assumedReservations(program, m.incarnation, request.Budget, maxTokens)
 			ample = ample && !lost
 		}
 		m.credits[program] = entry
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -112,16 +112,16 @@
 	return r.state.Knows(program)
 }
 
-// assumedReservations returns the reservations that must precede the first one of a program
-// unless this node is an exclusive owner, or none if the program has a record. lost reports
+// assumedReservations returns the reservations that must precede writer's first one of a program
+// unless it is an exclusive owner, or none if the program has a record. lost reports
 // whether unlogged grants to the program may exist, as far as known.
-func (r *reader) assumedReservations(program ledger.ProgramID, budget, maxTokens uint32) (assumed []ledger.Reservation, lost bool) {
+func (r *reader) assumedReservations(program ledger.ProgramID, writer ledger.IncarnationID, budget, maxTokens uint32) (assumed []ledger.Reservation, lost bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.state.Knows(program) {
 		return nil, false
 	}
-	return r.state.AssumedReservations(program, budget, maxTokens, r.answered > 0 || r.confirmed > 0), r.state.MayHaveUnloggedGrants()
+	return r.state.AssumedReservations(program, writer, budget, maxTokens, r.answered > 0 || r.confirmed > 0), r.state.MayHaveUnloggedGrants()
 }
 
 // ownedCleanly reports whether the records show that only the owner can have made unlogged
--- a/internal/ledgerlog/wholebudget_test.go
+++ b/internal/ledgerlog/wholebudget_test.go
@@ -153,7 +153,7 @@
 }
 
 func (r *budgetRun) begin(name string) {
-	sizes := [][2]uint32{{60, 20}, {200, 20}, {100, 30}, {600, 100}, {1000, 100}, {1178, 589}}
+	sizes := [][2]uint32{{60, 20}, {200, 20}, {100, 30}, {600, 100}, {1000, 100}, {1178, 589}, {500, 288}}
 	size := sizes[len(r.programs)%len(sizes)]
 	id := ledger.ProgramID(fmt.Sprint(name, len(r.programs)))
 	r.programs = append(r.programs, &budgetProgram{id: id, budget: size[0], maxTokens: size[1]})
@@ -263,3 +263,17 @@
 		is.True(time.Since(began) <= 3*delay) // the first reservation and one for all others
 	})
 }
+
+// TestOwnerOfIdlePartitionGrantsFirstTurn guards against an owner that withholds a turn from new
+// programs for its own unlogged grants, after it has not been confirmed for a while.
+func TestOwnerOfIdlePartitionGrantsFirstTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLedger(store.New(), "a")
+		own(t, l)
+		time.Sleep(2 * ledger.ConfirmationTTL)
+		_, err := beginTurn(within(t, time.Second), l, samePartition(l, 1)[0], 500, 288, true)
+		is.NoErr(err)
+		time.Sleep(time.Second) // background writes end
+	})
+}
