Let a former owner serve programs to the end of their budget

Seen in the text of the refused requests' log lines: "360 of 400 tokens are charged, 60 for unlogged grants of former owner n1".

Assumed reservations have names of their own now. A credit that is created anew also recalls what its program has lost, so that it reserves nothing ahead; before, it did with its first reservation.

TestFormerOwnerServesWholeBudget fails before, as do the new lines of TestNoTokensAreReservedAheadOfLoss, which don't compile.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -128,6 +128,9 @@
 	return c.refusedTokens > 0 && c.missing(uint64(maxTokens)) >= c.refusedTokens
 }
 
+// Recall makes the program's open reservations known before the first verdict.
+func (c *Credit) Recall(open []OpenReservation) { c.last.OpenReservations = open }
+
 // CountLost counts what was reserved, at the last verdict, by incarnations that are not known to
 // be alive, or may have been used unlogged.
 func (c *Credit) CountLost(isAlive func(IncarnationID) bool) {
@@ -249,7 +252,7 @@
 // onlyReserver reports whether no other incarnation has an open reservation.
 func (c *Credit) onlyReserver(verdict Verdict) bool {
 	for _, one := range verdict.OpenReservations {
-		if one.Incarnation != c.incarnation {
+		if one.Assumed || one.Incarnation != c.incarnation {
 			return false
 		}
 	}
@@ -261,7 +264,7 @@
 func (c *Credit) reservedByOthers(verdict Verdict, counts func(OpenReservation) bool) uint64 {
 	reserved := uint64(0)
 	for _, one := range verdict.OpenReservations {
-		if one.Incarnation != c.incarnation && counts(one) {
+		if (one.Assumed || one.Incarnation != c.incarnation) && counts(one) {
 			reserved += uint64(one.Tokens)
 		}
 	}
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -168,7 +168,7 @@
 	tokens := uint32(UnloggedLimit(maxTokens))
 	one := Reservation{
 		Program: program, Attempt: assumedAttempt(program), Budget: budget, MaxTurnTokens: maxTokens,
-		MinTokens: tokens, WantedTokens: tokens, Exclusive: true, Incarnation: incarnation,
+		MinTokens: tokens, WantedTokens: tokens, Exclusive: true, Incarnation: assumedPrefix + incarnation,
 	}
 	more := uint32(legacyUnloggedLimit(budget, maxTokens)) - tokens
 	if more == 0 || complete && p.owner.allLimited() {
@@ -179,6 +179,10 @@
 	return []Reservation{one, legacy}
 }
 
+// assumedPrefix keeps the name in assumed reservations apart from all writers', so that they are
+// another incarnation's to the one they are named after, too.
+const assumedPrefix = "unlogged:"
+
 // assumedAttempt and legacyAttempt return the attempts of a program's assumed reservations.
 func assumedAttempt(program ProgramID) AttemptID {
 	return AttemptID(xxhash.Sum64String("unlogged grants of " + string(program)))
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -34,7 +35,8 @@
 type OpenReservation struct {
 	Incarnation IncarnationID
 	Tokens      uint32
-	// Assumed is set if the reservation stands for unlogged grants, see AssumedReservation.
+	// Assumed is set if the reservation stands for unlogged grants of the incarnation, see
+	// AssumedReservations.
 	Assumed bool
 }
 
@@ -42,6 +44,11 @@
 // equal on all nodes.
 func (a *account) openReservations() []OpenReservation {
 	reserved := slices.Collect(maps.Values(a.open))
+	for i := range reserved {
+		if reserved[i].Assumed {
+			reserved[i].Incarnation = IncarnationID(strings.TrimPrefix(string(reserved[i].Incarnation), assumedPrefix))
+		}
+	}
 	slices.SortFunc(reserved, func(one, other OpenReservation) int {
 		return cmp.Or(cmp.Compare(one.Incarnation, other.Incarnation), cmp.Compare(one.Tokens, other.Tokens))
 	})
@@ -267,6 +274,19 @@
 	return 0
 }
 
+// OpenReservations returns the open reservations of a program, without assumed ones that stand
+// for nothing.
+func (p *Partition) OpenReservations(program ProgramID) []OpenReservation {
+	charges, known := p.accounts[program]
+	if !known {
+		return nil
+	}
+	if charges.unlogged.possible {
+		return charges.openReservations()
+	}
+	return slices.DeleteFunc(charges.openReservations(), func(one OpenReservation) bool { return one.Assumed })
+}
+
 // Knows reports whether the log had a reservation of the program.
 func (p *Partition) Knows(program ProgramID) bool {
 	_, known := p.accounts[program]
--- a/internal/ledger/rebase_test.go
+++ b/internal/ledger/rebase_test.go
@@ -61,6 +61,11 @@
 	is.Equal(settled, []Record{Settlement{Program: "p", Attempt: 1, Used: 30}})
 	is.True(next == nil)
 	is.Equal(c.NextReservation(3, 100, true, true).WantedTokens, uint32(100))
+
+	c = NewCredit("p", "a", 1000, 100, 0)
+	c.Recall([]OpenReservation{{Incarnation: "dead", Tokens: 100}})
+	c.CountLost(noneAlive)
+	is.Equal(c.NextReservation(1, 100, true, true).WantedTokens, uint32(100))
 }
 
 // TestRebaseReservesOneOfTwoTurns guards against losing both turns of a program with the node.
--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -208,6 +208,8 @@
 	if !known {
 		entry = &creditEntry{credit: ledger.NewCredit(program, m.incarnation, request.Budget, maxTokens, m.clock())}
 		entry.allowUnlogged = exclusive && !m.partition.reader.knows(program)
+		entry.credit.Recall(m.partition.reader.openReservations(program))
+		entry.credit.CountLost(m.members.IsAlive)
 		ample := coordinator
 		if !exclusive {
 			var lost bool
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -124,6 +124,13 @@
 	return r.state.AssumedReservations(program, writer, budget, maxTokens, r.answered > 0 || r.confirmed > 0), r.state.MayHaveUnloggedGrants()
 }
 
+// openReservations returns the open reservations of a program, as far as known.
+func (r *reader) openReservations(program ledger.ProgramID) []ledger.OpenReservation {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.state.OpenReservations(program)
+}
+
 // ownedCleanly reports whether the records show that only the owner can have made unlogged
 // grants.
 func (r *reader) ownedCleanly() bool {
--- a/internal/ledgerlog/wholebudget_test.go
+++ b/internal/ledgerlog/wholebudget_test.go
@@ -277,3 +277,26 @@
 		time.Sleep(time.Second) // background writes end
 	})
 }
+
+// TestFormerOwnerServesWholeBudget guards against a former owner that refuses the last turns of a
+// program because of the reservation that others wrote for its own unlogged grants.
+func TestFormerOwnerServesWholeBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const budget, maxTokens = 400, 60
+		log := store.New()
+		former, substitute := newLedger(log, "a"), newLedger(log, "b")
+		own(t, former)
+		programs := samePartition(former, 2)
+		program := programs[0]
+		is.NoErr(runAndPersistTurn(t, substitute, programs[1], 0, 100, 1, 1))
+		time.Sleep(time.Second) // the substitute has claimed the partition
+		is.NoErr(runAndPersistTurn(t, substitute, program, 0, budget, maxTokens, maxTokens))
+		is.NoErr(substitute.Stop(within(t, time.Second)))
+		served := 1
+		for ; runAndPersistTurn(t, former, program, served, budget, maxTokens, maxTokens) == nil; served++ {
+			is.True(served < 10)
+		}
+		is.True((served+1)*maxTokens > budget)
+	})
+}
