Await overdue responses of the store beside repeated calls

Callers saw first turns that took 1.8 to 1.9 s while the store answered each call within 0.58 s.

Cause: a call that was not answered within 250 ms was cancelled before its repeat was sent, and so was that one after 500 ms, so only the third could be answered. The trace of TestWorkOfAHomeThatLivesIsNotDoneTwice shows one append three times, 0 to 581, 621 to 1202 and 1256 to 1837 ms, the first two with "context deadline exceeded". That read, claim and reservation wait for each other, as was suspected, is not so: they go out at once. The random pauses between the calls take the test over its 2 s now and then.

All have the same sequence number, so the store writes the records once. The circuit breaker learns of an overdue call when it is overdue, as before.

The model of whole budgets keeps its living nodes in a concurrent map; the race detector found its slice.

--- a/internal/guardedstore/store.go
+++ b/internal/guardedstore/store.go
@@ -154,11 +154,26 @@
 
 // Append implements logstore.Store.
 func (s *Store) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
+	overdue := time.AfterFunc(answerWithin(request), func() { s.record(context.Background(), request.Partition, errOverdue) })
 	result, err := s.config.Store.Append(ctx, request)
-	s.record(ctx, request.Partition, err)
+	if overdue.Stop() || err == nil {
+		s.record(ctx, request.Partition, err)
+	}
 	return result, err
 }
 
+// errOverdue is recorded for a call whose response is overdue.
+var errOverdue = fmt.Errorf("%w: the response is overdue", logstore.ErrOutcomeUnknown)
+
+// answerWithin returns after which time a missing response is recorded as a failure.
+func answerWithin(request logstore.AppendRequest) time.Duration {
+	const never = time.Hour
+	if request.AnswerWithin == 0 {
+		return never
+	}
+	return request.AnswerWithin
+}
+
 // Read implements logstore.Store.
 func (s *Store) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
 	if decision, _ := s.admit(request.Partition, false); !decision.Allow {
--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/logstore"
-	"stepseam.example/stepseam/internal/wait"
 )
 
 const (
@@ -254,12 +253,15 @@
 	for _, one := range batch {
 		records = append(records, one.records...)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	calls := newCalls(ctx, a, records)
 	unanswered := 0
 	pause := minRetryPause
 	sent := time.Now()
 	for {
 		recovered := a.availability.Recovered()
-		result, err := a.call(records, unanswered, recovered)
+		result, err := calls.next(unanswered, recovered)
 		switch {
 		case err == nil:
 			a.sequence++
@@ -279,11 +281,13 @@
 			return err
 		}
 		a.metrics.appendFailures.Inc()
-		a.pauseAfterFailure(pause, recovered)
+		calls.pause(a.retryPause(pause), recovered)
 		pause = min(2*pause, maxRetryPause)
-		// A call that may have taken effect is repeated until its outcome is known, so this
-		// wait has no end.
-		_ = a.availability.Await(context.Background(), a.partition)
+		if calls.late == nil {
+			// A call that may have taken effect is repeated until its outcome is known, so this
+			// wait has no end.
+			_ = a.availability.Await(context.Background(), a.partition)
+		}
 	}
 }
 
@@ -298,43 +302,18 @@
 }
 
 // pauseAfterFailure pauses after a failed call, unless the store has recovered since the call
-// began. While the store is known to be unavailable, the pause is short, since the circuit
-// breaker paces the calls.
+// began.
 func (a *appender) pauseAfterFailure(pause time.Duration, recovered <-chan struct{}) {
-	if !a.availability.Available(a.partition) {
-		pause = minRetryPause
-	}
-	sleepUntilRecovered(recovered, pause)
+	sleepUntilRecovered(recovered, a.retryPause(pause))
 }
 
-// call makes one call; unanswered is how many identical calls got no response. If the store
-// recovers while a probe hangs, the probe gets the timeout of a first call from then on.
-func (a *appender) call(records [][]byte, unanswered int, recovered <-chan struct{}) (logstore.AppendResult, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), a.retransmission.timeout(unanswered))
-	defer cancel()
+// retryPause returns the pause after a failed call. While the store is known to be unavailable,
+// it is short, since the circuit breaker paces the calls.
+func (a *appender) retryPause(pause time.Duration) time.Duration {
 	if !a.availability.Available(a.partition) {
-		go a.shortenOnRecovery(ctx, cancel, recovered)
-	}
-	began := time.Now()
-	result, err := a.store.Append(ctx, logstore.AppendRequest{
-		Partition: a.partition, Records: records,
-		Producer: a.producer, Epoch: a.epoch, Sequence: a.sequence,
-	})
-	took := time.Since(began)
-	a.metrics.appendSeconds.Observe(took.Seconds())
-	if err == nil {
-		a.retransmission.answered(took)
-	}
-	return result, err
-}
-
-func (a *appender) shortenOnRecovery(ctx context.Context, cancel context.CancelFunc, recovered <-chan struct{}) {
-	select {
-	case <-recovered:
-		_ = wait.For(ctx, a.retransmission.timeout(0)) // the context's end or the timeout both end the call
-		cancel()
-	case <-ctx.Done():
+		return minRetryPause
 	}
+	return pause
 }
 
 func (a *appender) resolve(batch []*submission, records [][]byte, first logstore.Offset, ago time.Duration) {
--- a/internal/ledgerlog/timeout_test.go
+++ b/internal/ledgerlog/timeout_test.go
@@ -25,6 +25,24 @@
 	})
 }
 
+// TestSlowAnswerToFirstCallIsAwaited guards against turns that take as long as three calls of a slow
+// store, since the responses to the first two are not awaited.
+func TestSlowAnswerToFirstCallIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		l := newLedger(log, "a")
+		const delay = 580 * time.Millisecond
+		log.Fail(store.Fault{Delay: delay})
+		began := time.Now()
+		_, err := beginTurn(within(t, 10*time.Second), l, "p", 100, 60, false)
+		is.NoErr(err)
+		is.Equal(time.Since(began), delay)
+		time.Sleep(2 * time.Second)                                        // the repeated call ends
+		is.Equal(len(log.Records(l.partitionOf("p").reader.partition)), 2) // the reservation and the assumed one
+	})
+}
+
 func TestSlowStoreGetsNoRepeatedCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/ledgerlog/wholebudget_test.go
+++ b/internal/ledgerlog/wholebudget_test.go
@@ -31,6 +31,8 @@
 	// live contains the nodes that are alive, the coordinator first. Those that are cut from the
 	// store are alive.
 	live []*budgetNode
+	// alive has the names of the live nodes.
+	alive sync.Map
 	// started contains all nodes.
 	started  []*budgetNode
 	programs []*budgetProgram
@@ -51,12 +53,8 @@
 }
 
 func (m budgetMembers) IsAlive(incarnation ledger.IncarnationID) bool {
-	for _, one := range m.run.live {
-		if one.name == incarnation {
-			return true
-		}
-	}
-	return false
+	_, alive := m.run.alive.Load(incarnation)
+	return alive
 }
 
 func (m budgetMembers) MayBeAlive(incarnation ledger.IncarnationID) bool {
@@ -81,6 +79,7 @@
 	node := &budgetNode{Ledger: newLedger(path, name), name: ledger.IncarnationID(name), path: path}
 	node.SetMembers(budgetMembers{run: r, began: time.Now()})
 	r.live = append([]*budgetNode{node}, r.live...)
+	r.alive.Store(node.name, true)
 	r.started = append(r.started, node)
 }
 
@@ -108,6 +107,7 @@
 func (r *budgetRun) kill(nodes []*budgetNode) {
 	for _, one := range nodes {
 		one.path.silent.Store(true)
+		r.alive.Delete(one.name)
 	}
 }
 
@@ -129,6 +129,7 @@
 		if err := r.live[0].Stop(within(r.t, 10*time.Second)); err != nil {
 			r.fail("stop: %v", err)
 		}
+		r.alive.Delete(r.live[0].name)
 		r.live = r.live[1:]
 		r.start()
 	case 3: // the coordinator is cut from the store
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -52,6 +52,9 @@
 	Producer string
 	Epoch    uint64
 	Sequence uint64
+	// AnswerWithin is when a missing response counts as a failure of the store, although the
+	// call goes on; 0 means when the context ends. It is not sent to the store.
+	AnswerWithin time.Duration
 }
 
 // AppendResult has the offsets of the added records.
