Publish a first share table above the versions that the store has lost

Cause: the store arbitrates between publishers by version. A deleted table's version stays used, so that a first table of version 1 gets the response to the one that was deleted, and is not written; after later versions it is rejected. Nodes that know no table tried version 1 for ever.

After publishing a first or a lost table, a node now reads whether the store has it, and tries a later version at once if not. All nodes that know no table try the same versions, 1, 2, 4 and so on, so that the store still takes a table of only one of them.

TestTableIsPublishedAfterLossOfAllNodesAndTable, after one and three tables, fails before.

--- a/internal/shares/publish.go
+++ b/internal/shares/publish.go
@@ -20,21 +20,27 @@
 	now := s.config.Now()
 	s.mutex.Lock()
 	table, due := s.plan(now)
+	first, lost := s.history.newest.Version == 0, s.lost
 	s.mutex.Unlock()
 	if !due {
 		return
 	}
-	if table.Version == 1 && !s.agreeOnFirst(ctx) {
+	if first && !s.agreeOnFirst(ctx) {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		s.publishAfter = now
 		return
 	}
 	err := s.publish(ctx, table)
+	rejected := errors.Is(err, logstore.ErrFenced) || errors.Is(err, logstore.ErrSequence)
+	if (first || lost) && (err == nil || rejected) && s.isTaken(ctx, table.Version) {
+		s.config.Logger.Warn("the store has lost a share table of this version or a later one; publishing a later one", "version", table.Version)
+		return
+	}
 	switch {
 	case err == nil:
 		s.config.Logger.Info("share table published", "version", table.Version, "holders", table.Holders)
-	case errors.Is(err, logstore.ErrFenced), errors.Is(err, logstore.ErrSequence):
+	case rejected:
 		s.config.Logger.Info("another node has published a share table first", "version", table.Version, "error", err)
 	default:
 		s.config.Logger.Warn("share table not published", "version", table.Version, "error", err)
@@ -59,7 +65,44 @@
 		return Table{}, false
 	}
 	s.publishAfter = now + publishPause
-	return s.history.Next(holders, now), true
+	table := s.history.Next(holders, now)
+	if s.taken >= table.Version {
+		table.Version = s.versionAfterTaken()
+	}
+	return table, true
+}
+
+// versionAfterTaken returns the version to publish in place of taken. Nodes that know no table
+// all try the same versions, so that the store accepts a table of only one of them. It requires
+// the mutex.
+func (s *Service) versionAfterTaken() uint64 {
+	if s.history.newest.Version == 0 {
+		return 2 * s.taken
+	}
+	return s.taken + 1
+}
+
+// isTaken reports whether the store, which has responded to the publication of a version, has
+// neither that table nor a later one. It has lost one then, and accepts none up to that version
+// any more, so a later version is published at once.
+func (s *Service) isTaken(ctx context.Context, version uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	page, err := s.config.Store.Newest(ctx, logstore.NewestRequest{Partition: s.config.Partition})
+	if err != nil {
+		return false // the version is published again later
+	}
+	for _, item := range page.Items {
+		decoder := wire.NewDecoder(item.Value)
+		if item.Key == tableKey && decodeTable(decoder).Version >= version && decoder.Finish() == nil {
+			return false
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.taken, s.publishAfter = version, 0
+	s.NeedChanged()
+	return true
 }
 
 // publish appends a table. The store rejects it if it has one of this version, or repeats
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -95,6 +95,8 @@
 	seedSeen bool
 	// lost means that the store did not have the newest known table when it was read last.
 	lost bool
+	// taken is the highest version that the store accepts no more although it has no such table.
+	taken uint64
 }
 
 // New returns a service without a table.
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -303,6 +303,44 @@
 	})
 }
 
+// All nodes are lost, and the table with them. The store takes no table of the versions that it
+// had, so that a first table of one of them divides nothing for good.
+func TestTableIsPublishedAfterLossOfAllNodesAndTable(t *testing.T) {
+	for _, published := range []int{1, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			former, end := context.WithCancel(t.Context())
+			s := &sharesSite{store: store.New(), startedAt: time.Now()}
+			start := func(ctx context.Context) {
+				s.mutex.Lock()
+				s.services = nil
+				s.mutex.Unlock()
+				for range 4 {
+					s.add(ctx, s.store, nil)
+				}
+				s.updateViews()
+				time.Sleep(4 * time.Second)
+			}
+			start(former)
+			for range published - 1 {
+				s.store.Put(tablePartition, tableKey, nil)
+				time.Sleep(4 * time.Second) // it is published again
+			}
+			is.True(s.sum() > 0.999)
+			end()
+			time.Sleep(time.Minute)
+			s.store.Put(tablePartition, tableKey, nil)
+
+			ctx, cancel := context.WithCancel(t.Context())
+			start(ctx)
+			time.Sleep(4 * time.Second)
+			is.True(s.sum() > 0.999 && s.sum() <= 1)
+			cancel()
+			time.Sleep(time.Minute) // until calls that wait have ended
+		})
+	}
+}
+
 // Without the store, shares stay in use for MaxAge and no longer, and come back with it.
 func TestSharesEndWithLongOutage(t *testing.T) {
 	simulateShares(t, 3, func(_ context.Context, is *is.I, s *sharesSite) {
