Verify a share table that was learned from a peer at once

Callers saw 503 limit_unknown for up to 6 s longer than needed after the share table was deleted during a restart of all nodes.

Cause: nodes that stop publish nothing, and nodes that start learn the table from them. These noticed that the store lacks it only by a read that they send after learning it, and the watcher's reads wait 6 s for a change.

A node that knows a later table than its last read of the store showed now reads the store at once, and publishes the table again if it is gone.

TestLostTableOfStoppingNodesIsPublishedAgain fails before (after 2 s the table is still the first one).

--- a/internal/shares/publish.go
+++ b/internal/shares/publish.go
@@ -82,22 +82,58 @@
 	return s.taken + 1
 }
 
-// isTaken reports whether the store, which has responded to the publication of a version, has
-// neither that table nor a later one. It has lost one then, and accepts none up to that version
-// any more, so a later version is published at once.
-func (s *Service) isTaken(ctx context.Context, version uint64) bool {
+// readStoredVersion reads the version of the table in the store, or 0 if there is none.
+func (s *Service) readStoredVersion(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
 	page, err := s.config.Store.Newest(ctx, logstore.NewestRequest{Partition: s.config.Partition})
 	if err != nil {
-		return false // the version is published again later
+		return 0, fmt.Errorf("shares: read the table: %w", err)
 	}
+	version := uint64(0)
 	for _, item := range page.Items {
 		decoder := wire.NewDecoder(item.Value)
-		if item.Key == tableKey && decodeTable(decoder).Version >= version && decoder.Finish() == nil {
-			return false
+		table := decodeTable(decoder)
+		if item.Key == tableKey && decoder.Finish() == nil {
+			version = max(version, table.Version)
 		}
 	}
+	return version, nil
+}
+
+// verifyStored reads the store at once if its last read was without the newest known table,
+// which was learned from a peer. The watcher's next read may come much later.
+func (s *Service) verifyStored(ctx context.Context) {
+	now := s.config.Now()
+	s.mutex.Lock()
+	newest := s.history.newest.Version
+	due := s.snapshotRead && s.storeVersion < newest && !s.lost && now >= s.verifyAfter
+	if due {
+		s.verifyAfter = now + publishPause
+	}
+	s.mutex.Unlock()
+	if !due {
+		return
+	}
+	stored, err := s.readStoredVersion(ctx)
+	if err != nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if stored < newest && s.history.newest.Version == newest && !s.lost {
+		s.setLostLocked()
+	}
+}
+
+// isTaken reports whether the store, which has responded to the publication of a version, has
+// neither that table nor a later one. It has lost one then, and accepts none up to that version
+// any more, so a later version is published at once.
+func (s *Service) isTaken(ctx context.Context, version uint64) bool {
+	stored, err := s.readStoredVersion(ctx)
+	if err != nil || stored >= version {
+		return false // after an error the version is published again later
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.taken, s.publishAfter = version, 0
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -95,6 +95,10 @@
 	seedSeen bool
 	// lost means that the store did not have the newest known table when it was read last.
 	lost bool
+	// snapshotRead is set once the store has been read, and verifyAfter the earliest time of the
+	// next read besides the watcher's.
+	snapshotRead bool
+	verifyAfter  time.Duration
 	// taken is the highest version that the store accepts no more although it has no such table.
 	taken uint64
 }
@@ -199,6 +203,7 @@
 		}
 		if watching {
 			s.relay(ctx)
+			s.verifyStored(ctx)
 			s.publishIfDue(ctx)
 		}
 		select {
@@ -212,7 +217,9 @@
 
 // observeSnapshot records the table in the store, if there is one.
 func (s *Service) observeSnapshot(items []logstore.Item) {
-	s.setStoreVersion(0)
+	s.mutex.Lock()
+	s.storeVersion, s.snapshotRead = 0, true
+	s.mutex.Unlock()
 	s.observeItems(items)
 }
 
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -341,6 +341,48 @@
 	}
 }
 
+// Nodes that start learn the table from others that stop, while the store has lost it. They must
+// not wait for their next read of the store until they publish it again.
+func TestLostTableOfStoppingNodesIsPublishedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		former, end := context.WithCancel(t.Context())
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &sharesSite{store: store.New(), startedAt: time.Now()}
+		for range 4 {
+			s.add(former, s.store, nil)
+		}
+		s.updateViews()
+		time.Sleep(4 * time.Second)
+		end()
+		s.store.Put(tablePartition, tableKey, nil)
+
+		started := []*Service{s.add(ctx, s.store, nil), s.add(ctx, s.store, nil)}
+		view := membership.View{}
+		for number := range s.services {
+			status := membership.Alive
+			if number < 4 {
+				status = membership.Leaving
+			}
+			view.Members = append(view.Members, membership.Member{Node: sharesNode(number), Status: status})
+		}
+		for _, one := range started {
+			one.SetView(view)
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		for _, one := range started {
+			one.mutex.Lock()
+			version, confirmed := one.history.newest.Version, one.history.known
+			one.mutex.Unlock()
+			is.Equal(version, uint64(2))
+			is.True(confirmed)
+		}
+		cancel()
+		time.Sleep(time.Minute) // until calls that wait have ended
+	})
+}
+
 // Without the store, shares stay in use for MaxAge and no longer, and come back with it.
 func TestSharesEndWithLongOutage(t *testing.T) {
 	simulateShares(t, 3, func(_ context.Context, is *is.I, s *sharesSite) {
