Reserve nothing for idle programs that were refused

The store got an append each half second, for 3 s, for each program that had been refused and did not come back, since: the tick that returns what exceeds one turn also reserved a turn where less was reserved, and could do so for a credit that it had just settled and forgotten, whose tokens nobody would have returned. Found by reading.

The tick only returns tokens now, and before the credit is settled.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -162,6 +162,20 @@
 	}
 }
 
+// ahead returns how many tokens should be reserved while no turn is open.
+func (c *Credit) ahead() uint64 {
+	if c.MayReserveAhead() {
+		return uint64(c.maxTokens)
+	}
+	return 0
+}
+
+// unused returns how many of the reserved tokens are not used.
+func (c *Credit) unused() uint64 { return c.granted() - min(c.granted(), c.used) }
+
+// HoldsExcess reports whether more tokens are reserved than should be while no turn is open.
+func (c *Credit) HoldsExcess() bool { return c.unused() > c.ahead() }
+
 // Rebase replaces all reservations by one for the next turn, if they cover more or less than
 // that, or by none if no tokens may be reserved ahead. Tokens that are reserved for later are
 // lost with the node. It returns the settlements and the new reservation, if any, which must
@@ -169,11 +183,7 @@
 // the new verdict is known, so a credit with an open turn is not changed.
 func (c *Credit) Rebase(attempt AttemptID) (settled []Record, next *Reservation, changed bool) {
 	remaining := c.remaining(c.settled + c.used)
-	reserved := c.granted() - min(c.granted(), c.used)
-	ahead := uint64(0)
-	if c.MayReserveAhead() {
-		ahead = uint64(c.maxTokens)
-	}
+	reserved, ahead := c.unused(), c.ahead()
 	if !c.verdictKnown || len(c.open) > 0 || uint64(c.maxTokens) > remaining || reserved == ahead {
 		return nil, nil, false
 	}
--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -468,10 +468,10 @@
 	for program, entry := range m.credits {
 		entry.credit.Expire(grantTimeout, m.clock())
 		undecided = undecided || entry.pending != nil
-		settled = m.settleIfIdle(program, entry, idle) || settled
-		if coordinator && idle == creditIdleTimeout && entry.credit.Idle(rebaseIdleTimeout, m.clock()) {
+		if coordinator && idle == creditIdleTimeout && entry.credit.Idle(rebaseIdleTimeout, m.clock()) && entry.credit.HoldsExcess() {
 			m.rebaseEntry(entry)
 		}
+		settled = m.settleIfIdle(program, entry, idle) || settled
 	}
 	m.mutex.Unlock()
 	if settled && !coordinator {
--- a/internal/ledgerlog/exhausted_test.go
+++ b/internal/ledgerlog/exhausted_test.go
@@ -60,3 +60,38 @@
 		is.NoErr(err)
 	})
 }
+
+// TestIdleRefusedProgramCausesNoCalls guards against nodes that reserve tokens for programs that
+// they have refused and that do not come back.
+func TestIdleRefusedProgramCausesNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		l := newLedger(log, "a")
+		l.SetMembers(liveMembers{})
+		own(t, l)
+		tick := func() {
+			for range 12 {
+				l.SettleIdle(func(int) bool { return true })
+				time.Sleep(settleInterval)
+			}
+		}
+		program := samePartition(l, 1)[0]
+		first, err := beginTurn(within(t, time.Second), l, program, 130, 60, true)
+		is.NoErr(err)
+		l.FinishTurn(program, first.ID, 0)
+		tick() // all credits are settled
+		other := newLedger(log, "b")
+		other.CatchUp(t.Context(), l.Partition(program))
+		for range 2 {
+			_, err = beginTurn(within(t, time.Second), other, program, 130, 60, false)
+			is.NoErr(err)
+		}
+		_, err = beginTurn(within(t, time.Second), l, program, 130, 60, true)
+		is.True(errors.Is(err, ErrBudgetReserved))
+		time.Sleep(time.Second)
+		appends := log.Calls("append")
+		tick()
+		is.Equal(log.Calls("append"), appends)
+	})
+}
