--- a/internal/ledger/versions_test.go
+++ b/internal/ledger/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -131,3 +132,23 @@
 		}
 	})
 }
+
+// TestMoreThanOneTurnIsAssumedOnlyAfterEarlierVersions guards against logs whose oldest records are
+// dropped: an owner whose claim is gone must not be taken for one of an earlier version.
+func TestMoreThanOneTurnIsAssumedOnlyAfterEarlierVersions(t *testing.T) {
+	assumed := func(records ...Record) (tokens []uint32) {
+		p := NewPartition()
+		p.SkipTo(5)
+		apply(p, records...)
+		for _, one := range p.AssumedReservations("p", "b", 1000, 100, true) {
+			tokens = append(tokens, one.WantedTokens)
+		}
+		return tokens
+	}
+	is := is.New(t)
+	claim := OwnershipClaim{Incarnation: "b"}
+	is.Equal(assumed(claim), []uint32{100, 250})
+	is.Equal(assumed(OwnershipClaim{Incarnation: "a"}, OwnerLimit{Incarnation: "a"}, claim), []uint32{100, 250}) // of a's predecessors
+	is.Equal(assumed(OwnerLimit{Incarnation: "a", Exclusive: true}, claim), []uint32{100, 250})                  // b itself
+	is.Equal(assumed(OwnerLimit{Incarnation: "a", Exclusive: true}, claim, OwnerLimit{Incarnation: "b"}), []uint32{100})
+}
