--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -63,7 +63,7 @@
 	}
 	var spent *ledgerlog.BudgetExhaustedError
 	if errors.As(err, &spent) {
-		answer.Charged = spent.Charged
+		answer.Charged, answer.Reason = spent.Charged, spent.Detail
 	}
 	return answer
 }
--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -255,7 +255,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	calls := newCalls(ctx, a, records)
+	calls := newBatchCalls(ctx, a, records)
 	unanswered := 0
 	pause := minRetryPause
 	sent := time.Now()
--- a/internal/ledgerlog/calls.go
+++ b/internal/ledgerlog/calls.go
@@ -8,10 +8,10 @@
 	"stepseam.example/stepseam/internal/logstore"
 )
 
-// calls are the calls for one batch. All have the same sequence number, so the store writes the
+// batchCalls are the calls for one batch. All have the same sequence number, so the store writes the
 // batch once, whichever of them it answers. A call that is not answered in time goes on beside
 // its repeats, since a slow store may answer it first.
-type calls struct {
+type batchCalls struct {
 	appender *appender
 	// context ends once the outcome is known.
 	context context.Context
@@ -29,15 +29,15 @@
 	err    error
 }
 
-func newCalls(ctx context.Context, a *appender, records [][]byte) *calls {
-	return &calls{appender: a, context: ctx, records: records, answers: make(chan callAnswer)}
+func newBatchCalls(ctx context.Context, a *appender, records [][]byte) *batchCalls {
+	return &batchCalls{appender: a, context: ctx, records: records, answers: make(chan callAnswer)}
 }
 
 // next makes one more call and waits until it is answered, or an earlier one successfully, or
 // until the call is to be repeated. unanswered is how many identical calls got no response. If
 // the store recovers while a probe hangs, the probe gets the timeout of a first call from then
 // on.
-func (c *calls) next(unanswered int, recovered <-chan struct{}) (logstore.AppendResult, error) {
+func (c *batchCalls) next(unanswered int, recovered <-chan struct{}) (logstore.AppendResult, error) {
 	if c.late != nil {
 		return c.late.result, nil
 	}
@@ -68,7 +68,7 @@
 }
 
 // send makes one call.
-func (c *calls) send(number int, request logstore.AppendRequest) {
+func (c *batchCalls) send(number int, request logstore.AppendRequest) {
 	ctx, cancel := context.WithTimeout(c.context, maxTimeout)
 	defer cancel()
 	began := time.Now()
@@ -89,7 +89,7 @@
 
 // pause waits before the next call, at most until the store has recovered or an earlier call is
 // answered successfully.
-func (c *calls) pause(pause time.Duration, recovered <-chan struct{}) {
+func (c *batchCalls) pause(pause time.Duration, recovered <-chan struct{}) {
 	timer := time.NewTimer(jitter(pause))
 	defer timer.Stop()
 	for {
