--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -174,8 +174,8 @@
 		if UnloggedLimit(maxTokens) < uint64(maxTokens) || legacyUnloggedLimit(budget, maxTokens) < uint64(maxTokens) {
 			t.Fatal("no turn fits the limit of unlogged grants")
 		}
-		if UnloggedLimit(maxTokens) > uint64(maxTokens) {
-			t.Fatal("unlogged grants and the whole budget are more than the budget and one turn")
+		if UnloggedLimit(maxTokens)+uint64(budget) > uint64(budget)+uint64(maxTokens) {
+			t.Fatalf("%d and %d", UnloggedLimit(maxTokens), budget)
 		}
 		if maxTokens <= budget && legacyUnloggedLimit(budget, maxTokens)+legacyBudget(budget, maxTokens) > uint64(budget)+uint64(maxTokens) {
 			t.Fatalf("%d and %d", legacyUnloggedLimit(budget, maxTokens), legacyBudget(budget, maxTokens))
@@ -221,6 +221,7 @@
 	is.Equal(first, Reservation{Program: "p", Attempt: 1, Budget: 1000, MaxTurnTokens: 100, MinTokens: 100, WantedTokens: 200, Exclusive: true, Incarnation: "a"})
 	is.Equal(c.NextReservation(1, 50, true, false).WantedTokens, uint32(100)) // covers unlogged grants
 	is.Equal(c.NextReservation(1, 50, false, false).WantedTokens, uint32(50))
+	is.Equal(c.NextReservation(1, 100, false, false).WantedTokens, uint32(100))
 	c.Open(0, 100, 0)
 	is.True(!c.Fits(100, true)) // the limit of unlogged grants is 100
 	c.ApplyVerdict(Verdict{Attempt: 1, Granted: 320}, noneAlive)
