Split the writing of reservations from the credits, and mark void assumptions

Assumed reservations that stand for nothing are marked one by one, so that the text of a refusal no longer leaves out both if only the part of earlier versions is void. A node's name is taken from an incarnation beside the function that composes it.

--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -31,6 +31,11 @@
 	return ledger.IncarnationID(string(node.Name) + "." + strconv.FormatUint(uint64(node.Incarnation), 36))
 }
 
+// nodeOf returns the name of the node that IncarnationOf was called with.
+func nodeOf(incarnation ledger.IncarnationID) identity.NodeName {
+	return identity.NodeName(incarnation[:max(0, strings.LastIndexByte(string(incarnation), '.'))])
+}
+
 // IsAlive reports whether an incarnation is a member that is not dead.
 func (s *Service) IsAlive(incarnation ledger.IncarnationID) bool {
 	view := s.view.Load()
@@ -48,8 +53,7 @@
 
 // IsReachable reports whether an incarnation is a member that has not failed to respond recently.
 func (s *Service) IsReachable(incarnation ledger.IncarnationID) bool {
-	name := string(incarnation)[:max(0, strings.LastIndexByte(string(incarnation), '.'))]
-	return s.IsAlive(incarnation) && !s.isAvoided(identity.NodeName(name))
+	return s.IsAlive(incarnation) && !s.isAvoided(nodeOf(incarnation))
 }
 
 // Run gives up partitions that this node does not coordinate and announces the store's
--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -134,8 +134,7 @@
 // CountLost counts what was reserved, at the last verdict, by incarnations that are not known to
 // be alive, or may have been used unlogged.
 func (c *Credit) CountLost(isAlive func(IncarnationID) bool) {
-	lost := c.reservedByOthers(c.last, func(one OpenReservation) bool { return one.Assumed || !isAlive(one.Incarnation) })
-	c.lost = lost - min(lost, c.last.voidTokens())
+	c.lost = c.reservedByOthers(c.last, func(one OpenReservation) bool { return !one.Void && (one.Assumed || !isAlive(one.Incarnation)) })
 }
 
 // MayReserveAhead reports whether tokens may be reserved for a turn that has not begun. They are
@@ -336,7 +335,7 @@
 	text := fmt.Sprintf("%d of %d tokens are charged", c.Charged, c.budget)
 	for _, one := range c.last.OpenReservations {
 		switch {
-		case one.Assumed && len(c.last.Void) > 0:
+		case one.Void:
 		case one.Assumed:
 			text += fmt.Sprintf(", %d for unlogged grants of former owner %q", one.Tokens, one.Incarnation)
 		case one.Incarnation == c.incarnation:
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -38,16 +37,21 @@
 	// Assumed is set if the reservation stands for unlogged grants of the incarnation, see
 	// AssumedReservations.
 	Assumed bool
+	// Void is set if an assumed reservation stands for nothing, as the log shows by now.
+	Void bool
 }
 
 // openReservations returns the open reservations in a deterministic order, so that verdicts are
 // equal on all nodes.
-func (a *account) openReservations() []OpenReservation {
-	reserved := slices.Collect(maps.Values(a.open))
-	for i := range reserved {
-		if reserved[i].Assumed {
-			reserved[i].Incarnation = IncarnationID(strings.TrimPrefix(string(reserved[i].Incarnation), assumedPrefix))
+func (a *account) openReservations(program ProgramID) []OpenReservation {
+	void := a.void(program)
+	reserved := make([]OpenReservation, 0, len(a.open))
+	for attempt, one := range a.open {
+		if one.Assumed {
+			one.Incarnation = IncarnationID(strings.TrimPrefix(string(one.Incarnation), assumedPrefix))
+			one.Void = slices.ContainsFunc(void, func(v VoidReservation) bool { return v.Attempt == attempt })
 		}
+		reserved = append(reserved, one)
 	}
 	slices.SortFunc(reserved, func(one, other OpenReservation) int {
 		return cmp.Or(cmp.Compare(one.Incarnation, other.Incarnation), cmp.Compare(one.Tokens, other.Tokens))
@@ -200,7 +204,7 @@
 	}
 	others := charges.reservedByOthers(record.Incarnation)
 	if others > 0 {
-		verdict.OpenReservations = charges.openReservations()
+		verdict.OpenReservations = charges.openReservations(record.Program)
 	}
 	needed := charges.charged + uint64(record.MinTokens)
 	extended := open
@@ -209,7 +213,7 @@
 	}
 	switch {
 	case needed > extended:
-		verdict.Shortfall, verdict.Margin, verdict.OpenReservations = needed-extended, extended-open, charges.openReservations()
+		verdict.Shortfall, verdict.Margin, verdict.OpenReservations = needed-extended, extended-open, charges.openReservations(record.Program)
 		return verdict
 	case needed > open:
 		verdict.Granted = record.MinTokens
@@ -274,17 +278,13 @@
 	return 0
 }
 
-// OpenReservations returns the open reservations of a program, without assumed ones that stand
-// for nothing.
+// OpenReservations returns the open reservations of a program.
 func (p *Partition) OpenReservations(program ProgramID) []OpenReservation {
 	charges, known := p.accounts[program]
 	if !known {
 		return nil
 	}
-	if charges.unlogged.possible {
-		return charges.openReservations()
-	}
-	return slices.DeleteFunc(charges.openReservations(), func(one OpenReservation) bool { return one.Assumed })
+	return charges.openReservations(program)
 }
 
 // Knows reports whether the log had a reservation of the program.
--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/ledger"
-	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/wait"
 )
 
@@ -242,80 +241,6 @@
 	return attempt{call: entry.pending, waits: entry}
 }
 
-// reserveMore reserves more tokens for a credit, in the background. The caller must hold the
-// mutex.
-func (m *creditManager) reserveMore(entry *creditEntry, request TurnRequest, ample bool) {
-	next := entry.credit.NextReservation(ledger.AttemptID(rand.Uint64()), request.MaxTurnTokens, true, ample)
-	var before []ledger.Record
-	for _, one := range entry.assumed {
-		before = append(before, one)
-	}
-	entry.assumed = nil
-	m.reserve(entry, append(before, entry.credit.Corrections()...), next, request.Repeated)
-}
-
-// reserve writes a reservation directly after other records and applies its verdict, in the
-// background. repeated is TurnRequest.Repeated. The caller must hold the mutex.
-func (m *creditManager) reserve(entry *creditEntry, before []ledger.Record, record ledger.Reservation, repeated bool) {
-	call := &pendingReservation{done: make(chan struct{})}
-	entry.pending = call
-	waiting := m.submitReservation(before, record)
-	go func() {
-		verdict, err := m.awaitVerdict(record.Attempt, waiting)
-		m.mutex.Lock()
-		defer m.mutex.Unlock()
-		if err == nil {
-			call.granted = m.applyVerdict(entry.credit, verdict, repeated)
-			entry.refillRefused = !call.granted
-		}
-		if err == nil && entry.credit.MisledByAssumption() {
-			again := record
-			again.Attempt = ledger.AttemptID(rand.Uint64())
-			waiting = m.submitReservation(entry.credit.Corrections(), again)
-			m.partition.flush()
-			m.mutex.Unlock()
-			verdict, err = m.awaitVerdict(again.Attempt, waiting)
-			m.mutex.Lock()
-			if err == nil {
-				call.granted = m.applyVerdict(entry.credit, verdict, repeated)
-				entry.refillRefused = !call.granted
-			}
-		}
-		call.err = err
-		entry.pending = nil
-		close(call.done)
-	}()
-}
-
-// submitReservation writes a reservation, directly after other records, with the partition's
-// next call.
-func (m *creditManager) submitReservation(before []ledger.Record, record ledger.Reservation) *submission {
-	m.partition.reader.expectVerdict(record.Attempt)
-	encoded := make([][]byte, 0, len(before)+1)
-	for _, one := range before {
-		encoded = append(encoded, ledger.Encode(one))
-	}
-	return m.partition.submitLater(append(encoded, ledger.Encode(record))...)
-}
-
-// applyVerdict applies a verdict and reports whether the reservation may be used. A turn that
-// another node may have begun does not use the margin beyond the budget as long as the
-// reservation there may be returned.
-func (m *creditManager) applyVerdict(credit *ledger.Credit, verdict ledger.Verdict, repeated bool) bool {
-	returns := m.returnsSoon
-	if repeated {
-		returns = m.maySettle
-	}
-	if credit.Yields(verdict, returns) {
-		credit.GiveUp(verdict)
-		m.submitAll(credit.Corrections())
-		return false
-	}
-	credit.ApplyVerdict(verdict, m.maySettle)
-	credit.CountLost(m.members.IsAlive)
-	return verdict.Granted > 0
-}
-
 // rebase replaces a program's reservations by one for its next turn, written with the
 // partition's next call. It does nothing while the store is unavailable.
 func (m *creditManager) rebase(program ledger.ProgramID) {
@@ -355,28 +280,6 @@
 	return incarnation != "" && m.members.IsReachable(incarnation)
 }
 
-// awaitVerdict waits until a reservation is in the log, without a timeout, and returns its
-// verdict.
-func (m *creditManager) awaitVerdict(attempt ledger.AttemptID, waiting *submission) (ledger.Verdict, error) {
-	outcome := <-waiting.outcome
-	if outcome.err != nil {
-		m.partition.reader.verdict(attempt)
-		return ledger.Verdict{}, outcome.err
-	}
-	for {
-		recovered := m.availability.Recovered()
-		err := m.partition.reader.readTo(context.Background(), outcome.first+logstore.Offset(len(waiting.records)-1))
-		if verdict, known := m.partition.reader.verdict(attempt); known {
-			return verdict, nil
-		}
-		if err == nil {
-			return ledger.Verdict{}, fmt.Errorf("%w: the verdict was passed over", ErrUnavailable)
-		}
-		m.partition.reader.expectVerdict(attempt)
-		sleepUntilRecovered(recovered, maxRetryPause)
-	}
-}
-
 // finish ends a turn, or prevents it from beginning if it has not.
 func (m *creditManager) finish(program ledger.ProgramID, grant ledger.GrantID, used uint32) {
 	if m.finishAndSettle(program, grant, used) {
