--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -40,7 +40,11 @@
 	}
 	encoded = binary.AppendUvarint(encoded, uint64(state))
 	encoded = binary.AppendUvarint(encoded, replica.Sequence)
-	return binary.AppendUvarint(encoded, uint64(replica.ColdRemaining))
+	encoded = binary.AppendUvarint(encoded, uint64(replica.ColdRemaining))
+	if replica.VersionUnknown {
+		return encoded // as received from a build without versions
+	}
+	return appendText(encoded, replica.Version)
 }
 
 func appendText(encoded []byte, text string) []byte {
@@ -62,6 +66,9 @@
 	state := reader.number()
 	replica.Sequence = reader.number()
 	replica.ColdRemaining = time.Duration(reader.number())
+	if replica.VersionUnknown = len(reader.rest) == 0; !replica.VersionUnknown {
+		replica.Version = reader.text()
+	}
 	switch {
 	case reader.short:
 		return Replica{}, errCodecShort
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -27,7 +27,12 @@
 	// new instance.
 	StartedAtMs int64
 	Service     string
-	Address     netip.AddrPort
+	// Version is the version of the replica's software; empty if it publishes none.
+	// VersionUnknown is set if the entry came from a node of a build that does not pass the
+	// version on.
+	Version        string
+	VersionUnknown bool
+	Address        netip.AddrPort
 	Zone        string
 	Slots       int
 	State       State
--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -174,7 +174,7 @@
 		v.logger.Info("replica removed", "replica", change.PreviousIncarnation, "unreadable", change.Unreadable)
 		return
 	}
-	v.logger.Info("replica updated", "replica", change.Replica.IncarnationID(), "former", change.PreviousIncarnation, "service", change.Replica.Service,
+	v.logger.Info("replica updated", "replica", change.Replica.IncarnationID(), "former", change.PreviousIncarnation, "service", change.Replica.Service, "replica_version", change.Replica.Version,
 		"state", change.Replica.State, "address", change.Replica.Address, "zone", change.Replica.Zone,
 		"sequence", change.Replica.Sequence, "cold_left_ms", change.Replica.ColdRemaining.Milliseconds())
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -161,7 +161,7 @@
 	}
 	r.metrics.failedAttempts.WithLabelValues(string(failure.Reason)).Inc()
 	r.config.Logger.LogAttrs(ctx, slog.LevelInfo, "attempt failed",
-		slog.String("id", call.id), slog.String("replica", replica.IncarnationID()), slog.String("reason", string(failure.Reason)),
+		slog.String("id", call.id), slog.String("replica", replica.IncarnationID()), slog.String("replica_version", replica.Version), slog.String("reason", string(failure.Reason)),
 		slog.String("outcome", failure.Outcome.String()), slog.Int("status", failure.Status),
 		errorAttr(failure.Cause), durationAttr("left", call.left()))
 }
@@ -175,7 +175,7 @@
 func (r *Router) sendTo(ctx context.Context, call *call, chosen chosenReplica, reply *reply) (*attempt, *exchange.FailureError) {
 	replica := chosen.replica
 	reply.attempts++
-	reply.replica, reply.aggregated = replica.IncarnationID(), chosen.aggregated
+	reply.replica, reply.replicaVersion, reply.aggregated = replica.IncarnationID(), replica.Version, chosen.aggregated
 	left := call.left()
 	if left < minTimeLeft {
 		return nil, &exchange.FailureError{Outcome: exchange.OutcomeNotRun, Reason: exchange.ReasonCancelled, Cause: context.DeadlineExceeded}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -61,8 +61,11 @@
 	programTimeLeft time.Duration
 	late            bool
 	turn            turn
-	// lastEvent is the ID of the last event that the client has received, or -1.
+	// lastEvent is the ID of the last event that the client has received, or -1. resumes is
+	// the request ID of the attempt that brought the stream's first event, or empty if the
+	// client does not name it.
 	lastEvent int64
+	resumes   string
 }
 
 // turn identifies the program's turn. budgeted is false for requests without a budget.
@@ -135,6 +138,7 @@
 	call.maxTokens = parseUint32(maxOutput)
 	if last, err := strconv.ParseInt(request.Header.Get(names.LastEvent), 10, 64); err == nil {
 		call.lastEvent = last
+		call.resumes = request.Header.Get(names.Resumes)
 	}
 	if left, err := strconv.ParseInt(request.Header.Get(names.Finish), 10, 64); err == nil {
 		call.programTimeLeft = time.Duration(left) * time.Millisecond
--- a/internal/router/names.go
+++ b/internal/router/names.go
@@ -15,6 +15,9 @@
 	TimeoutMs string
 	// LastEvent is the ID of the last event of a stream that the client has received.
 	LastEvent string
+	// Resumes is the request ID of the attempt that brought the first event of the stream
+	// that a client resumes. It is not forwarded.
+	Resumes string
 	// Program is the ID of the request's program.
 	Program string
 	// Finish is the program's remaining time until its objective, in milliseconds.
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -44,11 +44,13 @@
 	writer http.ResponseWriter
 	router *Router
 	// status is 0 until a status has been sent.
-	status   int
-	reason   string
-	cause    error
-	replica  string
-	attempts int
+	status  int
+	reason  string
+	cause   error
+	replica string
+	// replicaVersion is the software version of replica.
+	replicaVersion string
+	attempts       int
 	// expected holds the estimates for the last attempt.
 	expected balance.Expected
 	// cold reports whether the replica of the last attempt counted as cold.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -27,7 +27,7 @@
 
 var testNames = HeaderNames{
 	Replica:   exchange.Names{RequestID: "Test-Id", ExpectInstance: "Test-Instance", NotRun: "Test-Not-Run", Stamp: "Test-Stamp"},
-	TimeoutMs: "Test-Timeout", LastEvent: "Last-Event-Id", Program: "Test-Program",
+	TimeoutMs: "Test-Timeout", LastEvent: "Last-Event-Id", Resumes: "Test-Resumes", Program: "Test-Program",
 	Budget: "Test-Budget", TokenCount: "Test-Tokens", PromptPrefix: "Test-Prompt", PreviousTurn: "Test-Previous",
 	Finish: "Test-Finish", Priority: "Test-Priority", Key: "Test-Key", Tenant: "Test-Tenant",
 	Reserved: []string{"Test-Key", "Test-Tenant", "Test-Instance", "Test-Priority", "test-hold"},
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -91,6 +91,12 @@
 			slog.String("resident", call.prompt.CacheLocation.Instance), slog.Float64("expected_first_ms", reply.expected.FirstMilliseconds),
 		)
 	}
+	if reply.replicaVersion != "" {
+		attributes = append(attributes, slog.String("replica_version", reply.replicaVersion))
+	}
+	if call.lastEvent >= 0 {
+		attributes = append(attributes, slog.Int64("last_event", call.lastEvent), slog.String("resumes", truncate(call.resumes)))
+	}
 	if call.tenant != nil {
 		attributes = append(attributes, slog.String("tenant", call.tenant.Name))
 	}
@@ -110,6 +116,11 @@
 	r.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request ended", attributes...)
 }
 
+// maxLoggedID bounds the length of client-supplied IDs in the log.
+const maxLoggedID = 80
+
+func truncate(id string) string { return id[:min(len(id), maxLoggedID)] }
+
 // aggregatorLabel returns the log value for the aggregator's response about the selected
 // replica.
 func aggregatorLabel(state *balance.AggregatedState) string {
