Continue streams only at the software version that began them

Cause: a replica's version was parsed from its entry and dropped, so neither the choice of the next replica within an answer nor that of a client's resumption knew which version had begun the stream; the field that names the stream was read by no code. The class: work of one replica is continued at another without knowing that they agree.

Change: the version of the replica whose first event goes to the client is recorded under a digest of tenant and request id, for as long as the client waits, and copied as that event leaves to five other nodes, which any node finds by rendezvous hashing over its members (package origin). A resumption is restricted to the service and version of the record, also when it fails over, and rejected with 503 at once if there is no record, if records differ, if the route no longer leads to the service, or if no replica of the version is left. Without a record a stream goes on only where this node's up to date view, or that of a node asked, has had one version only for three timeouts of the route, and no node that was asked knows of another. Within one answer the version of the first event holds. A replica whose entry has changed between choice and first event gets no resumption. Replicas learned from an older build have an unknown version, which equals none. Nodes that stop pass their records on.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -48,6 +48,8 @@
 	ReasonMoved      Reason = "another_instance"
 	ReasonIncomplete Reason = "incomplete_answer"
 	ReasonCancelled  Reason = "cancelled"
+	// ReasonVersion means that the replica's version is no longer the one it was selected for.
+	ReasonVersion Reason = "version_changed"
 	// ReasonWithheld means that Request.MaySend rejected the request.
 	ReasonWithheld Reason = "withheld"
 )
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -41,6 +41,10 @@
 	// recoveringUntil is the end of the grace period for entries that were missing when the
 	// store recovered, as a monotonic reading.
 	recoveringUntil time.Duration
+	// versions holds the history of each service's versions since completeSince, before which
+	// changes may have been missed.
+	versions      map[string]*serviceVersions
+	completeSince time.Duration
 	// purgeAt is the time at which the next of lapsed expires, in nanoseconds; 0 if none
 	// does.
 	purgeAt atomic.Int64
@@ -56,7 +60,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{replicas: map[string]*entry{}, services: map[string]*service{}, lapsed: map[string]*entry{}}
+	return &Directory{replicas: map[string]*entry{}, services: map[string]*service{}, lapsed: map[string]*entry{}, versions: map[string]*serviceVersions{}}
 }
 
 // StoreRecovered records that the store was unavailable until now.
@@ -72,6 +76,8 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.purge(now)
+	// Entries that were added and removed since the last change are not in the snapshot.
+	d.completeSince = now
 	present := make(map[string]bool, len(all))
 	for i := range all {
 		present[all[i].Instance] = true
@@ -118,7 +124,7 @@
 	}
 	change.PreviousIncarnation = known.incarnationID
 	if change.Unreadable {
-		d.drop(known)
+		d.drop(known, now)
 	} else {
 		d.lapse(known, now)
 	}
@@ -140,6 +146,7 @@
 	}
 	if found {
 		d.removeUsable(known)
+		d.removeVersion(&known.replica, now)
 	}
 	if lapsed, wasLapsed := d.lapsed[replica.Instance]; wasLapsed {
 		d.removeUsable(lapsed)
@@ -150,6 +157,7 @@
 		change.PreviousIncarnation = known.incarnationID
 	}
 	d.replicas[replica.Instance] = created
+	d.addVersion(&created.replica)
 	if replica.State == StateReady {
 		d.addUsable(created)
 	}
@@ -166,7 +174,7 @@
 // lapse removes an entry but keeps the replica for a grace period, unless it was draining.
 // The caller must hold the mutex.
 func (d *Directory) lapse(known *entry, now time.Duration) {
-	d.drop(known)
+	d.drop(known, now)
 	if known.replica.State != StateReady {
 		return
 	}
@@ -184,8 +192,9 @@
 }
 
 // drop removes an entry. The caller must hold the mutex.
-func (d *Directory) drop(known *entry) {
+func (d *Directory) drop(known *entry, now time.Duration) {
 	d.removeUsable(known)
+	d.removeVersion(&known.replica, now)
 	delete(d.replicas, known.replica.Instance)
 }
 
@@ -262,11 +271,11 @@
 
 // Remove deletes an incarnation of a replica that is known to have ended, for instance
 // because another instance responds at its address.
-func (d *Directory) Remove(instance string, startedAtMs int64) {
+func (d *Directory) Remove(instance string, startedAtMs int64, now time.Duration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if known, found := d.replicas[instance]; found && known.replica.StartedAtMs == startedAtMs {
-		d.drop(known)
+		d.drop(known, now)
 	}
 	if lapsed, found := d.lapsed[instance]; found && lapsed.replica.StartedAtMs == startedAtMs {
 		d.removeUsable(lapsed)
--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -36,7 +36,7 @@
 	is := is.New(t)
 	d := NewDirectory()
 	d.Replace([]Replica{replicaIn("a", StateReady, 1)}, 0)
-	d.Remove("a", 0)
+	d.Remove("a", 0, 0)
 	is.Equal(len(d.Usable("s", 0)), 0)
 }
 
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -81,7 +81,7 @@
 				d.StoreRecovered(now)
 				model.recoveringUntil = now + recoveryGracePeriod
 			case 5:
-				d.Remove(instance, 0)
+				d.Remove(instance, 0, now)
 				delete(model.replicas, instance)
 				delete(model.lapsed, instance)
 			}
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -33,9 +33,9 @@
 	Version        string
 	VersionUnknown bool
 	Address        netip.AddrPort
-	Zone        string
-	Slots       int
-	State       State
+	Zone           string
+	Slots          int
+	State          State
 	// Sequence increases with each write of an incarnation.
 	Sequence uint64
 	// ColdRemaining is how long the replica remains cold from the write of the entry on; 0
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -31,6 +31,7 @@
 	KindRangeLimits       Kind = 800
 	KindRangeDistribution Kind = 900
 	KindRangeShares       Kind = 1000
+	KindRangeOrigins      Kind = 1100
 
 	kindRangeSize = 100
 )
--- a/internal/routednode/freshness_test.go
+++ b/internal/routednode/freshness_test.go
@@ -43,7 +43,7 @@
 func TestPeerConfirmsOnlyCurrentConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		v := &views{router: router.New(router.Config{Registerer: prometheus.NewRegistry()}), freshness: &freshness{}, logger: slog.New(slog.DiscardHandler)}
+		v := &views{router: router.New(router.Config{Now: newClock(), Registerer: prometheus.NewRegistry()}), freshness: &freshness{}, logger: slog.New(slog.DiscardHandler)}
 		v.router.SetConfiguration(&routing.Configuration{Version: 7})
 		requested := time.Now()
 		time.Sleep(300 * time.Millisecond) // round trip and the peer's processing time
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -25,6 +25,7 @@
 	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/loads"
 	"stepseam.example/stepseam/internal/logstore"
+	"stepseam.example/stepseam/internal/origin"
 	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/router"
 	"stepseam.example/stepseam/internal/settings"
@@ -68,6 +69,7 @@
 	// distances is nil if aggregator or peers is.
 	distances *distances
 	limits    *limits.Service
+	origins   *origin.Service
 	// shares is nil if the node runs without others.
 	shares *shares.Service
 	cold   *coldReplicas
@@ -96,6 +98,7 @@
 	n.run(ctx, n.coordinator.Run)
 	n.run(ctx, n.closeIdleConnections)
 	n.run(ctx, n.limits.Run)
+	n.run(ctx, n.origins.Run)
 	if n.shares != nil {
 		n.run(ctx, n.shares.Run)
 	}
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -26,6 +26,7 @@
 	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/origin"
 	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/router"
 	"stepseam.example/stepseam/internal/settings"
@@ -63,6 +64,7 @@
 	do.Provide(injector, provideAggregator)
 	do.Provide(injector, provideShares)
 	do.Provide(injector, provideLimits)
+	do.Provide(injector, provideOrigins)
 	do.Provide(injector, provideRouter)
 	do.Provide(injector, provideColdReplicas)
 	do.Provide(injector, provideEvacuations)
@@ -187,6 +189,28 @@
 	return made, nil
 }
 
+func provideOrigins(injector do.Injector) (*origin.Service, error) {
+	config := origin.Config{
+		Self: do.MustInvoke[settings.Routed](injector).Node.Name, Now: do.MustInvoke[clock](injector),
+		RoundTrip: func(zone identity.Zone) time.Duration {
+			return do.MustInvoke[*distance.Map](injector).PathTo(string(zone)).RoundTrip
+		},
+		Logger: do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
+	}
+	others, err := do.Invoke[*peers](injector)
+	if err != nil {
+		return nil, err
+	}
+	if others == nil {
+		return origin.New(config), nil
+	}
+	config.Peers = others.transport
+	made := origin.New(config)
+	made.Register(others.registry)
+	others.onView = append(others.onView, made.SetView)
+	return made, nil
+}
+
 func provideRouter(injector do.Injector) (*router.Router, error) {
 	aggregatorService, err := do.Invoke[*aggregator.Service](injector)
 	if err != nil {
@@ -206,6 +230,7 @@
 		Tracker: do.MustInvoke[*balance.Tracker](injector), Turns: do.MustInvoke[*coordinator.Service](injector),
 		BufferBytes: int64(do.MustInvoke[settings.Routed](injector).Machine.MemoryMebibytes) * mebibyte / bufferDivisor,
 		Limits:      do.MustInvoke[*limits.Service](injector),
+		Origins:     do.MustInvoke[*origin.Service](injector),
 		Lease:       do.MustInvoke[settings.Routed](injector).Keys.Lease(), Freshness: fresh,
 		Random: rand.Float64, Logger: do.MustInvoke[*slog.Logger](injector),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
@@ -259,6 +284,7 @@
 		coordinator: do.MustInvoke[*coordinator.Service](injector), peers: do.MustInvoke[*peers](injector), views: do.MustInvoke[*views](injector),
 		aggregator:  do.MustInvoke[*aggregator.Service](injector),
 		limits:      do.MustInvoke[*limits.Service](injector),
+		origins:     do.MustInvoke[*origin.Service](injector),
 		shares:      do.MustInvoke[*shares.Service](injector),
 		cold:        do.MustInvoke[*coldReplicas](injector),
 		connections: do.MustInvoke[*router.Connections](injector), store: do.MustInvoke[logstore.Store](injector),
@@ -274,6 +300,7 @@
 		built.distances.register(do.MustInvoke[*prometheus.Registry](injector))
 		built.peers.onView = append(built.peers.onView, built.distances.setView)
 	}
+	built.origins.SetVersions(built.views.onlyVersion)
 	built.limits.SetLimits(built.limitOf, built.hasLimits)
 	if built.shares != nil {
 		built.shares.SetEnabled(built.hasLimits)
--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -106,6 +106,19 @@
 	}
 }
 
+// maxVersionsAge is the age of the replicas' view above which it does not tell which versions a
+// service has: another may have appeared. A node in touch with the store or with a reader of it
+// stays below.
+const maxVersionsAge = outageAge
+
+// onlyVersion returns for how long a service has had one version, see origin.Versions.
+func (v *views) onlyVersion(route, service string) fleet.VersionSpan {
+	if age, known := v.replicas.Age(time.Now()); !known || age > maxVersionsAge {
+		return fleet.VersionSpan{}
+	}
+	return v.router.OnlyVersion(route, service)
+}
+
 // decodePeerEntry decodes a replica, or its removal, from a peer.
 func (v *views) decodePeerEntry(item logstore.Item) fleet.Change {
 	if item.Value == nil {
--- a/internal/routednode/stop.go
+++ b/internal/routednode/stop.go
@@ -28,6 +28,7 @@
 	if n.peers != nil {
 		n.peers.announceLeaving()
 	}
+	n.origins.Close()
 	n.logger.Info("shutdown requested", "grace", grace.String(), "connections", n.connections.Count())
 	deadline := began.Add(grace - exitMargin)
 	sleepUntil(began.Add(min(acceptPeriod, grace/2)))
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -117,11 +117,12 @@
 }
 
 // waitForCapacity waits before all replicas are tried again, if they rejected a program's
-// request because they were full: rejecting it may abort the whole program. It reports
-// whether to try again.
+// request because they were full: rejecting it may abort the whole program. A stream that has
+// begun waits as well, since it can't go elsewhere. It reports whether to try again.
 func (r *Router) waitForCapacity(ctx context.Context, call *call, retry *retryState) bool {
-	full := retry.lastFailure != nil && retry.lastFailure.Reason == exchange.ReasonShed && retry.mayHaveRun == 0
-	if !full || call.turn.program == "" || retry.capacityWaits == maxCapacityWaits {
+	full := retry.lastFailure != nil && retry.lastFailure.Reason == exchange.ReasonShed
+	waits := call.origin != nil || call.turn.program != "" && retry.mayHaveRun == 0
+	if !full || !waits || retry.capacityWaits == maxCapacityWaits {
 		return false
 	}
 	pause := capacityWait/2 + time.Duration(r.config.Random()*float64(capacityWait))
@@ -157,7 +158,7 @@
 		retry.mayHaveRun++
 	}
 	if failure.Reason == exchange.ReasonMoved {
-		r.config.Fleet.Remove(replica.Instance, replica.StartedAtMs)
+		r.config.Fleet.Remove(replica.Instance, replica.StartedAtMs, r.Now())
 	}
 	r.metrics.failedAttempts.WithLabelValues(string(failure.Reason)).Inc()
 	r.config.Logger.LogAttrs(ctx, slog.LevelInfo, "attempt failed",
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -15,6 +16,7 @@
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/limits"
+	"stepseam.example/stepseam/internal/origin"
 	"stepseam.example/stepseam/internal/residency"
 	"stepseam.example/stepseam/internal/routing"
 )
@@ -61,11 +63,18 @@
 	programTimeLeft time.Duration
 	late            bool
 	turn            turn
-	// lastEvent is the ID of the last event that the client has received, or -1. resumes is
-	// the request ID of the attempt that brought the stream's first event, or empty if the
-	// client does not name it.
+	// clientTimeout is how long the client waits, over all its attempts from this one on.
+	clientTimeout time.Duration
+	// resuming is set if the client resumes a stream. lastEvent is the ID of the last event that
+	// it has received, or -1. resumes is the request ID of the attempt that brought the stream's
+	// first event, or empty if the client does not name it.
+	resuming  bool
 	lastEvent int64
 	resumes   string
+	// origin is what began the stream that the call continues, or nil for a new stream.
+	origin *origin.Found
+	// configuration is the one in effect at the request's arrival.
+	configuration *routing.Configuration
 }
 
 // turn identifies the program's turn. budgeted is false for requests without a budget.
@@ -126,20 +135,16 @@
 	call := &call{
 		id: request.Header.Get(names.Replica.RequestID), method: request.Method,
 		uri: request.RequestURI, host: request.Host, header: names.requestHeader(request.Header, tenant),
-		route: route, tenant: tenant, priority: routing.PriorityOf(route, tenant), allowedRegions: routing.AllowedRegionsOf(route, tenant), version: configuration.Version, arrived: time.Now(), lastEvent: -1,
+		route: route, tenant: tenant, priority: routing.PriorityOf(route, tenant), allowedRegions: routing.AllowedRegionsOf(route, tenant), version: configuration.Version, configuration: configuration, arrived: time.Now(), lastEvent: -1,
 	}
-	service := r.splitter.Pick(route, r.config.Random())
-	call.service = configuration.Services[service]
-	call.service.Name = service
+	call.setService(r.splitter.Pick(route, r.config.Random()))
 	call.deadline = call.arrived.Add(requestTimeout(request.Header.Get(names.TimeoutMs), route.Timeout))
+	call.clientTimeout = clientTimeout(request.Header.Get(names.TimeoutMs), route.Timeout)
 	call.prompt.Segments = parsePrompt(request.Header.Get(names.PromptPrefix))
 	input, maxOutput, _ := strings.Cut(request.Header.Get(names.TokenCount), ",")
 	call.prompt.Tokens = int(parseUint32(input))
 	call.maxTokens = parseUint32(maxOutput)
-	if last, err := strconv.ParseInt(request.Header.Get(names.LastEvent), 10, 64); err == nil {
-		call.lastEvent = last
-		call.resumes = request.Header.Get(names.Resumes)
-	}
+	call.readResumption(names, request.Header)
 	if left, err := strconv.ParseInt(request.Header.Get(names.Finish), 10, 64); err == nil {
 		call.programTimeLeft = time.Duration(left) * time.Millisecond
 		call.late = left <= 0
@@ -157,6 +162,25 @@
 	return call
 }
 
+// readResumption reads the fields of a client that resumes a stream. Replicas get the position
+// that was read here, and the stream's name only with a resumption.
+func (c *call) readResumption(names *HeaderNames, header http.Header) {
+	last, given := header[textproto.CanonicalMIMEHeaderKey(names.LastEvent)]
+	if c.route.Kind != routing.KindStreaming || !given {
+		c.header.Del(names.Resumes)
+		return
+	}
+	// A position that can't be read may mean something to a replica.
+	c.resuming = true
+	c.header.Set(names.LastEvent, last[0])
+	if position, err := strconv.ParseInt(strings.TrimSpace(last[0]), 10, 64); err == nil {
+		c.lastEvent = position
+	}
+	if streams := header[textproto.CanonicalMIMEHeaderKey(names.Resumes)]; len(streams) == 1 {
+		c.resumes = strings.TrimSpace(streams[0])
+	}
+}
+
 // turnID returns the ID of a tenant's turn in the ledger, or an empty one for an empty
 // request ID. The ID contains the tenant's name, so that turns of other tenants cannot be
 // referenced.
@@ -179,6 +203,15 @@
 	return timeout
 }
 
+// clientTimeout returns how long a client waits over all its attempts. Without its timeout, it is
+// that of one attempt.
+func clientTimeout(clientMs string, routeTimeout time.Duration) time.Duration {
+	if milliseconds, err := strconv.ParseInt(clientMs, 10, 64); err == nil && milliseconds >= 0 {
+		return time.Duration(min(milliseconds, math.MaxInt32)) * time.Millisecond
+	}
+	return max(routeTimeout, defaultTimeout)
+}
+
 func parseUint32(text string) uint32 {
 	value, err := strconv.ParseUint(strings.TrimSpace(text), 10, 32)
 	if err != nil {
--- a/internal/router/regions_test.go
+++ b/internal/router/regions_test.go
@@ -72,7 +72,7 @@
 	h.restrictRegions([]string{"r9"}, nil)
 	refused(reasonNoAllowedRegion)
 	h.restrictRegions([]string{"r2"}, nil)
-	h.fleet.Remove("b", 0)
+	h.fleet.Remove("b", 0, 0)
 	refused(reasonNoAllowedRegion)
 	h.fleet.Replace([]fleet.Replica{{Instance: "c", Service: "s", Address: h.replicas[0].Address, Zone: "unlisted", State: fleet.StateReady}}, h.router.Now())
 	refused(reasonNoAllowedRegion)
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -65,8 +65,9 @@
 	// coordinator is the node that coordinates the program's partition.
 	unlogged    bool
 	coordinator string
-	// ledgerWait is the duration of the reservation.
-	ledgerWait time.Duration
+	// ledgerWait is the duration of the reservation, originWait that of the search for what
+	// began a stream.
+	ledgerWait, originWait time.Duration
 	// firstByte is the time at which the response header was sent.
 	firstByte time.Time
 	// aborted reports that the response was aborted.
--- /dev/null
+++ b/internal/router/resume.go
@@ -0,0 +1,183 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"stepseam.example/stepseam/internal/exchange"
+	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/origin"
+	"stepseam.example/stepseam/internal/routing"
+)
+
+var (
+	// errVersionChanged means that a replica was restarted with another version after it was
+	// selected.
+	errVersionChanged = errors.New("router: the replica's version has changed")
+	// errVersionGone means that no replica has the version that began a stream.
+	errVersionGone = errors.New("router: no replica of the version that began the stream")
+	// errVersionUnknown means that a stream can't go on, since the version that began it is not
+	// known.
+	errVersionUnknown = errors.New("router: the version that began the stream is not known")
+	// errOtherService means that a stream was begun by a service that its route no longer leads to.
+	errOtherService = errors.New("router: the route no longer leads to the service that began the stream")
+)
+
+// The reasons of rejected resumptions and of streams that don't go on.
+const (
+	reasonStreamUnknown     = "stream_unknown"
+	reasonStreamConflicting = "stream_conflicting"
+	reasonServiceChanged    = "stream_service_changed"
+	reasonVersionGone       = "version_gone"
+	reasonVersionUnknown    = "version_unknown"
+)
+
+// resumptionTimeouts is the length of the history that shows that no stream of another version
+// can be resumed, in multiples of the route's timeout: the stream may have had several attempts.
+const resumptionTimeouts = 3
+
+// OnlyVersion returns for how long all replicas of a service have had one version and the route
+// has led to this service alone, as far as this node knows. The view may be outdated.
+func (r *Router) OnlyVersion(route, service string) fleet.VersionSpan {
+	now := r.Now()
+	routeAge, only := r.routes.ageOf(route, service, now)
+	span := r.config.Fleet.VersionSpan(service, now)
+	if !only {
+		return fleet.VersionSpan{Several: span.Several}
+	}
+	span.Age = min(span.Age, routeAge)
+	return span
+}
+
+// resolveOrigin restricts a resumption to the service and version that began its stream. If it
+// returns false, the request has been rejected.
+func (r *Router) resolveOrigin(ctx context.Context, reply *reply, call *call) bool {
+	if !call.resuming {
+		return true
+	}
+	began := time.Now()
+	found, err := r.findOrigin(ctx, call)
+	reply.originWait = time.Since(began)
+	if err != nil {
+		r.rejectResumption(ctx, reply, err)
+		return false
+	}
+	if !slices.ContainsFunc(call.route.WeightedServices, func(one routing.WeightedService) bool { return one.Service == found.Service }) {
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonServiceChanged, retryAfter: unavailableRetryAfter, cause: errOtherService})
+		return false
+	}
+	call.setService(found.Service)
+	call.origin = &found
+	if found.Source == origin.SourceOnlyVersion && call.resumes != "" {
+		r.config.Origins.Announce(call.streamKey(call.resumes), found.Origin, call.clientTimeout)
+	}
+	if !r.anyReplica(call, func(*fleet.Replica) bool { return true }) {
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonVersionGone, retryAfter: unavailableRetryAfter, cause: errVersionGone})
+		return false
+	}
+	return true
+}
+
+func (r *Router) findOrigin(ctx context.Context, call *call) (origin.Found, error) {
+	wanted := origin.Query{
+		Route: call.route.Name, Service: onlyService(call.route), Window: resumptionTimeouts * cmp.Or(call.route.Timeout, defaultTimeout),
+	}
+	if call.resumes != "" {
+		wanted.Key, wanted.Keyed = call.streamKey(call.resumes), true
+	}
+	if r.config.Origins == nil {
+		return origin.Found{}, origin.ErrUnknown
+	}
+	return r.config.Origins.Resolve(ctx, wanted)
+}
+
+func (r *Router) rejectResumption(ctx context.Context, reply *reply, err error) {
+	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		reply.abort("client_left", err)
+	case errors.Is(err, origin.ErrConflicting):
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStreamConflicting, retryAfter: unavailableRetryAfter, cause: err})
+	default:
+		// The record may still be on its way, or be known to another node.
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStreamUnknown, retryAfter: shortRetryAfter, cause: err})
+	}
+}
+
+// setService sets the service that receives the call.
+func (c *call) setService(name string) {
+	c.service = c.configuration.Services[name]
+	c.service.Name = name
+}
+
+// streamKey returns the key of one of the tenant's streams.
+func (c *call) streamKey(requestID string) origin.Key {
+	tenant := ""
+	if c.tenant != nil {
+		tenant = c.tenant.Name
+	}
+	return origin.KeyOf(tenant, requestID)
+}
+
+// acceptsVersion reports whether a replica may receive the call. A stream that has begun goes
+// on only at the version that began it.
+func (c *call) acceptsVersion(replica *fleet.Replica) bool {
+	return c.origin == nil || !replica.VersionUnknown && replica.Version == c.origin.Version
+}
+
+// noteOrigin records what began a new stream, before its first event is sent to the client.
+func (r *Router) noteOrigin(stream *stream, attempt *attempt) {
+	call, replica := stream.call, &attempt.replica
+	if call.origin != nil {
+		return
+	}
+	stream.began = origin.Origin{Service: call.service.Name, Version: replica.Version}
+	stream.versionKnown = !replica.VersionUnknown && replica.Version != "" && r.config.Fleet.Confirms(replica)
+	if r.config.Origins != nil && call.route.Resumable && stream.versionKnown {
+		r.config.Origins.Announce(call.streamKey(call.id), stream.began, call.clientTimeout)
+	}
+}
+
+// pinToOrigin restricts the rest of a stream to the version that began it. It returns false if
+// that is not known.
+func (r *Router) pinToOrigin(stream *stream) bool {
+	call := stream.call
+	if call.origin != nil || !stream.headerSent {
+		return true
+	}
+	if !stream.versionKnown {
+		// Replicas without a version are interchangeable if there have been no others.
+		span := r.config.Fleet.VersionSpan(call.service.Name, r.Now())
+		if !span.Only || span.Version != stream.began.Version || span.Age < time.Since(call.arrived) {
+			return false
+		}
+	}
+	call.origin = &origin.Found{Origin: stream.began, Source: origin.SourceHere}
+	return true
+}
+
+// continueStream decides after a failure whether the stream may go on at another replica, and
+// logs it. It returns false if the response must end.
+func (r *Router) continueStream(ctx context.Context, stream *stream, attempt *attempt) bool {
+	if !r.pinToOrigin(stream) {
+		stream.reply.abort(reasonVersionUnknown, errVersionUnknown)
+	}
+	if stream.headerSent {
+		r.config.Logger.LogAttrs(ctx, slog.LevelInfo, "stream continues at another replica", slog.String("id", stream.call.id),
+			slog.String("former", attempt.replica.IncarnationID()), slog.String("began_at_version", stream.call.origin.Version), slog.Int64("after_event", stream.lastEvent))
+	}
+	return true
+}
+
+// checkOrigin returns a failure if the replica that responds to a resumption no longer has the
+// version for which it was selected.
+func (r *Router) checkOrigin(call *call, attempt *attempt) *exchange.FailureError {
+	if call.origin == nil || r.config.Fleet.Confirms(&attempt.replica) {
+		return nil
+	}
+	return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonVersion, Status: attempt.response.Status, Cause: errVersionChanged}
+}
--- /dev/null
+++ b/internal/router/resume_test.go
@@ -0,0 +1,203 @@
+package router
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/emulator/replica"
+	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/origin"
+	"stepseam.example/stepseam/internal/routing"
+)
+
+// publish publishes the replicas with the given versions, and removes those that are "gone".
+func (h *harness) publish(now time.Duration, versions ...string) {
+	var all []fleet.Replica
+	for i, version := range versions {
+		if version == "gone" {
+			h.fleet.Remove(string(rune('a'+i)), 0, now)
+			continue
+		}
+		published := fleet.Replica{
+			Instance: string(rune('a' + i)), Service: "s", Address: h.replicas[i].Address, Zone: "near",
+			State: fleet.StateReady, Version: version, VersionUnknown: version == "unknown",
+		}
+		if i > 0 {
+			published.Zone = "far"
+		}
+		all = append(all, published)
+	}
+	h.fleet.Replace(all, now)
+}
+
+// withOrigins gives the router records of streams of its own.
+func (h *harness) withOrigins() *origin.Service {
+	origins := origin.New(origin.Config{Self: "node", Now: h.router.config.Now, Logger: h.router.config.Logger})
+	origins.SetVersions(h.router.OnlyVersion)
+	h.router.config.Origins = origins
+	return origins
+}
+
+func (h *harness) received(i int) int { return len(h.replicas[i].Received()) }
+
+// A stream went on at a replica of any version after its replica had broken off.
+func TestStreamContinuesWithinAnswerOnlyAtItsVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions  []string
+		continues int
+	}{
+		"at the same version":                   {[]string{"v1", "v2", "v1"}, 2},
+		"not at another":                        {[]string{"v1", "v2", "v2"}, 0},
+		"not at an unknown version":             {[]string{"v1", "unknown", "unknown"}, 0},
+		"not without knowing its own":           {[]string{"unknown", "v1", "unknown"}, 0},
+		"not without a version beside versions": {[]string{"", "v1", ""}, 0},
+		"without versions at any":               {[]string{"", "", "gone"}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, events(1, 3, false), events(4, 6, true), events(4, 6, true))
+			h.publish(0, c.versions...)
+			got := h.post("/resume/x", "1")
+			is.Equal(got.err == nil, c.continues > 0)
+			for i := 1; i < 3; i++ {
+				is.Equal(h.received(i) == 1, i == c.continues)
+			}
+		})
+	}
+}
+
+// The version that counts is that of the first event, not of the first replica that was asked.
+func TestVersionOfTheFirstEventCounts(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, func(*replica.Exchange) bool { return false }, events(1, 3, true))
+	h.publish(0, "v1", "v2")
+	h.withOrigins()
+	is.NoErr(h.post("/resume/x", "1").err)
+	is.Equal(h.received(0), 1) // it sent no event
+	is.Equal(h.received(1), 1)
+	is.NoErr(h.post("/resume/x", "2", "Last-Event-Id", "3", "Test-Resumes", "1").err)
+	is.Equal(h.received(0), 1)
+	is.Equal(h.received(1), 2)
+}
+
+// Clients' resumptions were routed as new streams.
+func TestResumptionGoesToTheVersionThatBeganTheStream(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(1, 3, true), events(1, 3, true))
+	h.publish(0, "v1", "v2")
+	h.withOrigins()
+	is.NoErr(h.post("/resume/x", "1").err)
+	is.Equal(h.received(0), 1) // the near one
+	h.publish(0, "gone", "v2")
+	gone := h.post("/resume/x", "2", "Last-Event-Id", "2", "Test-Resumes", "1")
+	is.Equal(gone.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(gone.body, reasonVersionGone+"\n")
+	is.Equal(h.received(1), 0)
+	h.publish(0, "v1", "v2")
+	is.NoErr(h.post("/resume/x", "3", "Last-Event-Id", "2", "Test-Resumes", "1").err) // names the first attempt again
+	is.Equal(h.received(0), 2)
+	is.Equal(h.replicas[0].Received()[1].Header.Get("Last-Event-Id"), "2")
+}
+
+func TestResumptionsThatAreNotCertainAreRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(1, 3, true), events(1, 3, true))
+	h.publish(0, "v1", "v2")
+	h.withOrigins()
+	is.NoErr(h.post("/resume/x", "1").err)
+	for _, header := range [][]string{
+		{"Last-Event-Id", "2"},
+		{"Last-Event-Id", "2", "Test-Resumes", "never"},
+		{"Last-Event-Id", "2", "Test-Resumes", "2"}, // a later attempt, not the first
+		{"Last-Event-Id", "not a number"},
+		{"Last-Event-Id", ""},
+	} {
+		began := time.Now()
+		got := h.post("/resume/x", "2", header...)
+		is.Equal(got.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(got.body, reasonStreamUnknown+"\n")
+		is.True(got.Header.Get("Retry-After") != "")
+		is.True(time.Since(began) < 500*time.Millisecond)
+	}
+	is.Equal(h.received(0)+h.received(1), 1)
+}
+
+// A split route drew the service of a resumption anew.
+func TestResumptionOfSplitRouteGoesToItsService(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(1, 3, true), events(1, 3, true))
+	h.publish(0, "v1", "v1")
+	origins := h.withOrigins()
+	services := func(version uint64, split ...routing.WeightedService) {
+		built, err := routing.Build(routing.Configuration{
+			Version: version, Services: map[string]routing.Service{"s": {Name: "s"}, "other": {Name: "other"}},
+			Routes: []routing.Route{{
+				Name: "split", Host: "h.example", PathPrefix: "/split/", Kind: routing.KindStreaming, Resumable: true,
+				Timeout: time.Second, MaxAttempts: 2, WeightedServices: split,
+			}},
+		})
+		is.NoErr(err)
+		h.router.SetConfiguration(built)
+	}
+	services(2, routing.WeightedService{Service: "other", Weight: 99}, routing.WeightedService{Service: "s", Weight: 1})
+	origins.Announce(origin.KeyOf("", "1"), origin.Origin{Service: "s", Version: "v1"}, time.Minute)
+	is.NoErr(h.post("/split/x", "2", "Last-Event-Id", "2", "Test-Resumes", "1").err)
+	is.Equal(h.post("/split/x", "3", "Last-Event-Id", "2", "Test-Resumes", "unknown").body, reasonStreamUnknown+"\n")
+	services(3, routing.WeightedService{Service: "other", Weight: 1})
+	is.Equal(h.post("/split/x", "4", "Last-Event-Id", "2", "Test-Resumes", "1").body, reasonServiceChanged+"\n")
+}
+
+// A replica that restarts under its id with another version gets no resumption of the former one.
+func TestRestartedReplicaWithAnotherVersionGetsNoResumption(t *testing.T) {
+	is := is.New(t)
+	var h *harness
+	h = newHarness(t, func(e *replica.Exchange) bool {
+		h.publish(0, "v2") // it has restarted, and its new entry arrives while it answers
+		return events(1, 3, true)(e)
+	})
+	h.publish(0, "v1")
+	origins := h.withOrigins()
+	origins.Announce(origin.KeyOf("", "1"), origin.Origin{Service: "s", Version: "v1"}, time.Minute)
+	got := h.post("/resume/x", "2", "Last-Event-Id", "2", "Test-Resumes", "1")
+	is.True(got.StatusCode != http.StatusOK)
+	_, err := origins.Resolve(t.Context(), origin.Query{Key: origin.KeyOf("", "3"), Keyed: true})
+	is.True(err != nil)
+	h.publish(0, "v1")
+	is.NoErr(h.post("/resume/x", "3").err) // a new stream whose version is not certain
+	_, err = origins.Resolve(t.Context(), origin.Query{Key: origin.KeyOf("", "3"), Keyed: true})
+	is.True(err != nil)
+}
+
+func TestReplicasGetTheNamedStreamOnlyWithAResumption(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(1, 3, true))
+	h.publish(0, "v1")
+	h.withOrigins()
+	is.NoErr(h.post("/resume/x", "1", "Test-Resumes", "0").err)
+	is.NoErr(h.post("/resume/x", "2", "Last-Event-Id", "2", "Test-Resumes", "1").err)
+	received := h.replicas[0].Received()
+	is.Equal(received[0].Header.Get("Test-Resumes"), "")
+	is.Equal(received[1].Header.Get("Test-Resumes"), "1")
+}
+
+// A resumption waits for its version's replicas, since it can't go elsewhere.
+func TestResumptionWaitsForFullReplicas(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, func(e *replica.Exchange) bool {
+		if e.Number < 3 {
+			e.Answer(http.StatusServiceUnavailable, "", "Test-Not-Run: 1", "Test-Id: "+e.Request.Header.Get("Test-Id"))
+			return true
+		}
+		return events(3, 6, true)(e)
+	}, events(1, 6, true))
+	h.publish(0, "v1", "v2")
+	origins := h.withOrigins()
+	origins.Announce(origin.KeyOf("", "1"), origin.Origin{Service: "s", Version: "v1"}, time.Minute)
+	got := h.post("/resume/x", "2", "Last-Event-Id", "2", "Test-Resumes", "1")
+	is.NoErr(got.err)
+	is.Equal(got.StatusCode, http.StatusOK)
+	is.Equal(h.received(1), 0)
+}
--- /dev/null
+++ b/internal/router/routehistory.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"stepseam.example/stepseam/internal/routing"
+)
+
+// routeHistory records since when each route has led to its present services. It is safe for
+// concurrent use.
+type routeHistory struct {
+	// mutex guards all fields below.
+	mutex   sync.Mutex
+	version uint64
+	routes  map[string]routeTarget
+}
+
+// routeTarget is what a route has led to since a time, as a monotonic reading.
+type routeTarget struct {
+	// services is the text of the route's services; only is its service if there is one.
+	services, only string
+	since          time.Duration
+}
+
+// update records the routes of a configuration, unless a later one was recorded.
+func (h *routeHistory) update(configuration *routing.Configuration, now time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if configuration.Version < h.version {
+		return
+	}
+	routes := make(map[string]routeTarget, len(configuration.Routes))
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		target := routeTarget{services: fmt.Sprint(route.Host, route.PathPrefix, route.WeightedServices), only: onlyService(route), since: now}
+		if before, found := h.routes[route.Name]; found && before.services == target.services {
+			target.since = before.since
+		}
+		routes[route.Name] = target
+	}
+	h.version, h.routes = configuration.Version, routes
+}
+
+// ageOf returns for how long a route has led to a service alone; false if it does not.
+func (h *routeHistory) ageOf(route, service string, now time.Duration) (time.Duration, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	target, found := h.routes[route]
+	return now - target.since, found && target.only == service
+}
+
+// onlyService returns the service of a route, or an empty name if there are several.
+func onlyService(route *routing.Route) string {
+	if len(route.WeightedServices) != 1 {
+		return ""
+	}
+	return route.WeightedServices[0].Service
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,12 +19,13 @@
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/limits"
+	"stepseam.example/stepseam/internal/origin"
 	"stepseam.example/stepseam/internal/residency"
 	"stepseam.example/stepseam/internal/routing"
 )
 
 // Config configures a Router. All fields are required except Regions, Distances,
-// Evacuations, ColdStart, Keepers, Limits, Registerer and those whose comments say
+// Evacuations, ColdStart, Keepers, Limits, Origins, Registerer and those whose comments say
 // otherwise.
 type Config struct {
 	Names    HeaderNames
@@ -52,6 +53,9 @@
 	Keepers *aggregator.Service
 	// Limits enforces the tenants' rate limits; nil disables them.
 	Limits *limits.Service
+	// Origins records and finds the version that began each stream; nil if the node resumes no
+	// streams of clients.
+	Origins *origin.Service
 	// Lease is the maximum age of the configuration for serving requests with keys; 0 sets
 	// no limit.
 	Lease time.Duration
@@ -85,6 +89,7 @@
 	splitter      *routing.Splitter
 	metrics       *metrics
 	configuration atomic.Pointer[routing.Configuration]
+	routes        routeHistory
 	draining      atomic.Bool
 	// requestBytes is the number of bytes reserved for request bodies.
 	requestBytes atomic.Int64
@@ -110,6 +115,7 @@
 			return false
 		}
 		if r.configuration.CompareAndSwap(before, configuration) {
+			r.routes.update(configuration, r.Now())
 			return true
 		}
 	}
--- a/internal/router/sampling.go
+++ b/internal/router/sampling.go
@@ -11,7 +11,8 @@
 // scansAll reports whether the selection considers all replicas of a call's service, which
 // gives better results as long as there are few.
 func (r *Router) scansAll(call *call) bool {
-	return r.config.ScanUpTo == 0 || r.config.Fleet.Count(call.service.Name) <= r.config.ScanUpTo
+	// A sample might have no replica of the version that a stream needs.
+	return call.origin != nil || r.config.ScanUpTo == 0 || r.config.Fleet.Count(call.service.Name) <= r.config.ScanUpTo
 }
 
 // sampleReplicas returns a sample of the replicas eligible for a call.
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/exchange"
+	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/origin"
 	"stepseam.example/stepseam/internal/outlier"
 )
 
@@ -25,15 +27,22 @@
 	output []byte
 	// headerSent reports whether the response header has been sent.
 	headerSent bool
+	// began is what began the stream if it is a new one, versionKnown whether its version is
+	// certain.
+	began        origin.Origin
+	versionKnown bool
 }
 
 // serveStream serves a streaming request, usually a turn of a program.
 func (r *Router) serveStream(ctx context.Context, reply *reply, call *call) {
+	if !r.resolveOrigin(ctx, reply, call) {
+		return
+	}
 	turn := r.prepareTurn(ctx, reply, call)
 	if turn == nil {
 		return
 	}
-	if !r.admits(ctx, call, turn) {
+	if call.origin == nil && !r.admits(ctx, call, turn) {
 		turn.Finish(0)
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: "replicas_full", retryAfter: fullRetryAfter})
 		return
@@ -67,7 +76,7 @@
 			return whole
 		}
 		r.recordFailure(ctx, stream.call, attempt.replica, retry, failure)
-		if !mayRetry(ctx, stream.call, retry) {
+		if !mayRetry(ctx, stream.call, retry) || !r.continueStream(ctx, stream, attempt) {
 			r.failStream(ctx, stream, retry)
 			return false
 		}
@@ -110,8 +119,11 @@
 	if retry.lastFailure != nil {
 		reason, cause = string(retry.lastFailure.Reason), retry.lastFailure
 	}
-	if stream.call.left() < minTimeLeft {
+	switch {
+	case stream.call.left() < minTimeLeft:
 		reason = "timeout"
+	case stream.call.origin != nil && !r.anyReplica(stream.call, func(*fleet.Replica) bool { return true }):
+		reason, cause = reasonVersionGone, errVersionGone
 	}
 	stream.reply.abort(reason, cause)
 }
@@ -142,6 +154,10 @@
 		}
 		now := time.Now()
 		if last.IsZero() {
+			if failure := r.checkOrigin(stream.call, attempt); failure != nil {
+				attempt.finish(false)
+				return failure
+			}
 			attempt.stopTimer()
 			r.config.Tracker.FirstEvent(attempt.inFlight, r.Now())
 			r.reportLoad(stream.call, attempt.replica, nil)
@@ -152,6 +168,9 @@
 		if event.hasID && event.id <= stream.lastEvent {
 			continue
 		}
+		if !stream.headerSent {
+			r.noteOrigin(stream, attempt)
+		}
 		stream.forward(event, attempt)
 		if attempt.response.Body.Buffered() == 0 {
 			// A flush error recurs at the next write.
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -94,8 +94,14 @@
 	if reply.replicaVersion != "" {
 		attributes = append(attributes, slog.String("replica_version", reply.replicaVersion))
 	}
-	if call.lastEvent >= 0 {
-		attributes = append(attributes, slog.Int64("last_event", call.lastEvent), slog.String("resumes", truncate(call.resumes)))
+	if call.resuming {
+		attributes = append(attributes, slog.Int64("last_event", call.lastEvent), slog.String("resumes", truncate(call.resumes)), durationAttr("origin", reply.originWait))
+	}
+	if call.origin != nil {
+		attributes = append(
+			attributes, slog.String("began_at_version", call.origin.Version), slog.String("origin_source", string(call.origin.Source)),
+			slog.String("origin_node", string(call.origin.Node)),
+		)
 	}
 	if call.tenant != nil {
 		attributes = append(attributes, slog.String("tenant", call.tenant.Name))
--- a/internal/router/usable.go
+++ b/internal/router/usable.go
@@ -41,6 +41,9 @@
 // caller must not modify the slice.
 func (r *Router) allowedReplicas(call *call) []fleet.Replica {
 	replicas := r.config.Fleet.Usable(call.service.Name, r.Now())
+	if call.origin != nil {
+		replicas = lo.Filter(replicas, func(replica fleet.Replica, _ int) bool { return call.acceptsVersion(&replica) })
+	}
 	if !call.allowedRegions.Restricted() {
 		return replicas
 	}
@@ -76,9 +79,9 @@
 	return !r.limitsCold(call) || r.config.ColdStart.MaySend(replica.IncarnationID(), coldRateLimit(call), now)
 }
 
-// anyReplica reports whether any replica of the call's service satisfies fits.
+// anyReplica reports whether any replica that the call may go to by its version satisfies fits.
 func (r *Router) anyReplica(call *call, fits func(*fleet.Replica) bool) bool {
-	return r.config.Fleet.Any(call.service.Name, fits, r.Now())
+	return r.config.Fleet.Any(call.service.Name, func(replica *fleet.Replica) bool { return call.acceptsVersion(replica) && fits(replica) }, r.Now())
 }
 
 // noReplicaRejection returns the rejection of a call that has not run and that no replica
@@ -91,6 +94,8 @@
 		return r.zoneUsable(call, replica.Zone) && r.isEligible(call, replica, now)
 	})
 	switch {
+	case call.origin != nil && !r.anyReplica(call, func(*fleet.Replica) bool { return true }):
+		return rejection{reason: reasonVersionGone, retryAfter: unavailableRetryAfter, cause: errVersionGone}
 	case call.allowedRegions.Restricted() && !allowed:
 		return rejection{reason: reasonNoAllowedRegion, retryAfter: unavailableRetryAfter, cause: fmt.Errorf("%w: %s", errNoAllowedRegion, call.allowedRegions)}
 	case allowed && !usable:
@@ -134,6 +139,9 @@
 	if err := r.admitRepeat(ctx, call); err != nil {
 		return err
 	}
+	if call.origin != nil && !r.config.Fleet.Confirms(&replica) {
+		return fmt.Errorf("%w: %s", errVersionChanged, replica.IncarnationID())
+	}
 	if r.limitsCold(call) && !r.config.ColdStart.Acquire(replica.IncarnationID(), coldRateLimit(call), r.Now()) {
 		return fmt.Errorf("%w: %s", errCold, replica.IncarnationID())
 	}
