Leave room for interrupted streams at versions with few replicas

Interrupted streams of a version that is being replaced compete with new ones for its last replicas, though new ones could go elsewhere.

--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -67,7 +67,7 @@
 	id := replica.IncarnationID()
 	elsewhere := t.peerLoads.load(id, now)
 	candidate := Candidate{
-		Instance: id, SameZone: replica.Zone == t.zone, Engine: requirements.Engine, Slots: replica.Slots,
+		Instance: id, Version: replica.Version, SameZone: replica.Zone == t.zone, Engine: requirements.Engine, Slots: replica.Slots,
 		OtherRegion: path.OtherRegion, RoundTripMilliseconds: milliseconds(path.RoundTrip),
 		Lapsed:            replica.State == fleet.StateLapsed,
 		InFlightElsewhere: elsewhere.InFlight, PendingTokensElsewhere: elsewhere.PendingTokens,
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -48,6 +48,8 @@
 type Candidate struct {
 	// Instance is the replica's incarnation ID, see fleet.Replica.IncarnationID.
 	Instance string
+	// Version is the version of the replica's software, see fleet.Replica.
+	Version  string
 	SameZone bool
 	// OtherRegion reports whether the replica is in another region.
 	// RoundTripMilliseconds is the network round-trip time to its zone.
@@ -166,8 +168,7 @@
 // availableInOwnRegion reports whether the candidate is in the own region, healthy and has
 // a free slot.
 func (c Candidate) availableInOwnRegion() bool {
-	free := c.Slots <= 0 || c.InFlight+c.InFlightElsewhere < c.Slots
-	return !c.OtherRegion && free && !c.Suspect && !c.FailedRecently && !c.Lapsed && !c.Ejected
+	return !c.OtherRegion && c.hasFreeSlot()
 }
 
 // pathCost returns the cost of the network path to the candidate.
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -56,6 +56,9 @@
 	updated, aggregated := r.queryAggregators(ctx, call, candidates, byInstance, shortlist, need.NotRetryable)
 	healthy, probe := balance.FilterEjected(updated, candidates, need.NotRetryable)
 	healthy = balance.PreferOwnRegion(healthy)
+	if call.route.Resumable && call.origin == nil {
+		healthy = balance.LeaveRoom(healthy)
+	}
 	if probe != nil {
 		healthy = []balance.Candidate{*probe}
 	}
