--- a/internal/origin/holders.go
+++ b/internal/origin/holders.go
@@ -17,14 +17,16 @@
 	// queried is the number of nodes to ask for a record. It exceeds copies since nodes that
 	// have started or ended meanwhile shift the ranks.
 	queried = 8
-	// maxPerZone bounds the first holders in a zone, so that the loss of a zone leaves others.
-	maxPerZone = 2
+	// copiesPerZone bounds the first holders in a zone, so that the loss of a zone leaves others.
+	// One more is asked, since a node that started meanwhile may precede a holder of its zone.
+	copiesPerZone  = 2
+	queriedPerZone = copiesPerZone + 1
 )
 
 // holdersOf returns up to count other nodes in the order in which they hold a stream's record.
 // All nodes with the same members agree on the order, and a member that joins or ends moves few
-// others. The first ones are spread over zones.
-func holdersOf(key Key, members []membership.Member, self identity.NodeName, count int) []identity.Node {
+// others. The first ones are spread over zones, with perZone at most in each.
+func holdersOf(key Key, members []membership.Member, self identity.NodeName, count, perZone int) []identity.Node {
 	type ranked struct {
 		node  identity.Node
 		score uint64
@@ -39,15 +41,15 @@
 	slices.SortFunc(all, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node.Name, b.node.Name))
 	})
-	perZone := map[identity.Zone]int{}
+	inZone := map[identity.Zone]int{}
 	first := make([]identity.Node, 0, min(count, len(all)))
 	var rest []identity.Node
 	for _, one := range all {
 		if len(first) == count {
 			break
 		}
-		if perZone[one.node.Zone] < maxPerZone {
-			perZone[one.node.Zone]++
+		if inZone[one.node.Zone] < perZone {
+			inZone[one.node.Zone]++
 			first = append(first, one.node)
 		} else if len(rest) < count {
 			rest = append(rest, one.node)
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -121,6 +121,13 @@
 	return node
 }
 
+// stop ends a node; the others are not told.
+func (c *cluster) stop(node *testNode) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	node.down = true
+}
+
 func (c *cluster) node(i int) *testNode {
 	return c.nodes[addressOf(identity.NodeName(fmt.Sprint("n", i)))]
 }
@@ -156,7 +163,7 @@
 		synctest.Wait()
 		is.True(c.calls[kindNotice] <= copies*streams)
 		for i := range 12 { // those that began the streams, in all zones; members still list them
-			c.node(i).down = true
+			c.stop(c.node(i))
 		}
 		found := 0
 		for i := range streams {
@@ -220,7 +227,7 @@
 		clear(c.cut)
 		c.mutex.Unlock()
 		time.Sleep(4 * time.Second)
-		c.node(0).down = true
+		c.stop(c.node(0))
 		_, err = c.node(1).service.Resolve(t.Context(), named("1"))
 		is.NoErr(err)
 		cancel()
@@ -242,7 +249,7 @@
 			stopped := c.node(i)
 			stopped.service.Close()
 			synctest.Wait()
-			stopped.down = true
+			c.stop(stopped)
 			c.shareView()
 			c.start(stopped.Name, stopped.Zone)
 			c.shareView()
@@ -265,7 +272,7 @@
 			c.node(0).service.Announce(KeyOf("t", fmt.Sprint(i)), v1, time.Minute)
 		}
 		synctest.Wait()
-		c.node(0).down = true
+		c.stop(c.node(0))
 		found := 0
 		for i := range 20 {
 			if _, err := c.node(11).service.Resolve(t.Context(), named(fmt.Sprint(i))); err == nil {
@@ -336,7 +343,7 @@
 			members = append(members, membership.Member{Node: identity.Node{Name: name, Zone: identity.Zone(fmt.Sprint(random.IntN(4)))}, Status: membership.Alive})
 		}
 		key := KeyOf("t", fmt.Sprint(random.Uint64()))
-		holders := holdersOf(key, members, "n0", copies)
+		holders := holdersOf(key, members, "n0", copies, copiesPerZone)
 		var survivors []membership.Member
 		lost := map[identity.NodeName]bool{}
 		for _, member := range members {
@@ -345,7 +352,7 @@
 			}
 		}
 		asked := map[identity.NodeName]bool{}
-		for _, node := range holdersOf(key, survivors, "", queried) {
+		for _, node := range holdersOf(key, survivors, "", queried, queriedPerZone) {
 			asked[node.Name] = true
 		}
 		for _, holder := range holders {
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -142,11 +142,11 @@
 	return s.versions(route, service)
 }
 
-func (s *Service) holders(key Key, count int) []identity.Node {
+func (s *Service) holders(key Key, perZone int) []identity.Node {
 	if s.config.Peers == nil {
 		return nil
 	}
-	return holdersOf(key, *s.members.Load(), s.config.Self, count)
+	return holdersOf(key, *s.members.Load(), s.config.Self, queried, perZone)
 }
 
 func (s *Service) roundTrip(zone identity.Zone) time.Duration {
@@ -190,7 +190,7 @@
 
 // ask queries the holders of a stream's record, until one has it or all have answered.
 func (s *Service) ask(ctx context.Context, wanted Query, timeout time.Duration) *answers {
-	holders := s.holders(wanted.Key, queried)
+	holders := s.holders(wanted.Key, queriedPerZone)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct {
