--- a/internal/origin/distribute.go
+++ b/internal/origin/distribute.go
@@ -45,7 +45,7 @@
 
 // distribute starts to copy a record to its holders.
 func (s *Service) distribute(record Record) {
-	candidates := s.holders(record.Key, copiesPerZone)
+	candidates := s.holders(record.Key)
 	one := &distribution{record: record, startedAt: s.config.Now(), candidates: candidates}
 	first := candidates[:min(copies, len(candidates))]
 	one.next.Store(int32(len(first)))
--- a/internal/origin/holders.go
+++ b/internal/origin/holders.go
@@ -34,7 +34,7 @@
 	all := make([]ranked, 0, len(members))
 	seed := xxhash.Sum64(key[:])
 	for i := range members {
-		if members[i].Reachable() && members[i].Node.Name != self {
+		if members[i].Node.Name != self {
 			all = append(all, ranked{members[i].Node, mix(seed ^ xxhash.Sum64String(string(members[i].Node.Name)))})
 		}
 	}
--- a/internal/origin/message.go
+++ b/internal/origin/message.go
@@ -28,6 +28,8 @@
 	Keyed          bool
 	Key            Key
 	Route, Service string
+	// Relays is set if the other node is to ask the holders of the record in turn.
+	Relays bool
 }
 
 // answerState is what a node knows of a stream.
@@ -107,12 +109,14 @@
 	e.Blob(m.Key[:])
 	e.String(m.Route)
 	e.String(m.Service)
+	e.Bool(m.Relays)
 	e.Blob(nil)
 }
 
 // Decode implements peer.Message.
 func (m *query) Decode(d *wire.Decoder) {
 	m.Keyed, m.Key, m.Route, m.Service = d.Bool(), decodeKey(d), d.String(), d.String()
+	m.Relays = d.Bool()
 	d.Blob()
 }
 
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -261,6 +261,30 @@
 	})
 }
 
+// A node that has just started and knows no other members refused all resumptions.
+func TestNodeThatKnowsNoMembersAsksSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(12)
+		c.node(0).service.Announce(KeyOf("t", "1"), v1, time.Minute)
+		synctest.Wait()
+		c.stop(c.node(0))
+		c.stop(c.node(1))
+		started := c.start("n11", "z2")
+		started.service.config.Seeds = []netip.AddrPort{addressOf("n1"), addressOf("n11"), addressOf("n3")}
+		started.service.config.Address = addressOf("n11")
+		found, err := started.service.Resolve(t.Context(), named("1"))
+		is.NoErr(err)
+		is.Equal(found.Origin, v1)
+		_, err = started.service.Resolve(t.Context(), named("2"))
+		is.True(errors.Is(err, ErrUnknown))
+		time.Sleep(2 * joinTime)
+		started.service.SetView(membership.View{})
+		_, err = started.service.Resolve(t.Context(), named("3"))
+		is.True(errors.Is(err, ErrUnknown))
+	})
+}
+
 func TestNodesOfAnOlderBuildHoldNoRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -365,7 +389,7 @@
 
 func FuzzDecodeMessages(f *testing.F) {
 	registry := peer.NewRegistry()
-	New(Config{}).Register(registry)
+	New(Config{Now: func() time.Duration { return 0 }}).Register(registry)
 	f.Add(uint16(0), encode(&notice{Records: []Record{{Key: KeyOf("t", "1"), Origin: v1, Left: time.Second}}}))
 	f.Add(uint16(3), encode(&queryResponse{State: stateKnown, Origin: v1}))
 	f.Fuzz(func(_ *testing.T, kind uint16, fields []byte) {
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/identity"
@@ -18,8 +21,12 @@
 
 // Config configures a Service. Peers is nil if there are no other nodes; Registerer may be nil.
 type Config struct {
-	Self  identity.NodeName
-	Peers peer.Client
+	Self identity.NodeName
+	// Address is this node's peer address.
+	Address netip.AddrPort
+	Peers   peer.Client
+	// Seeds are addresses of other nodes that a node asks that has just started, see joinTime.
+	Seeds []netip.AddrPort
 	// RoundTrip returns the round trip time to a zone; nil counts as zero.
 	RoundTrip func(zone identity.Zone) time.Duration
 	// Now returns a monotonic reading.
@@ -31,10 +38,11 @@
 // Service keeps the records of this node, copies new ones to their holders and finds those that
 // other nodes hold. It is safe for concurrent use.
 type Service struct {
-	config   Config
-	versions Versions
-	table    *table
-	members  atomic.Pointer[[]membership.Member]
+	config    Config
+	versions  Versions
+	table     *table
+	members   atomic.Pointer[[]membership.Member]
+	startedAt time.Duration
 	// stopping is set once this node stores no more records for others.
 	stopping atomic.Bool
 	metrics  *metrics
@@ -48,7 +56,7 @@
 
 // New returns a service without members.
 func New(config Config) *Service {
-	made := &Service{config: config, table: newTable(), senders: map[identity.NodeName]*sender{}, unconfirmed: map[Key]Record{}}
+	made := &Service{config: config, startedAt: config.Now(), table: newTable(), senders: map[identity.NodeName]*sender{}, unconfirmed: map[Key]Record{}}
 	made.members.Store(&[]membership.Member{})
 	made.metrics = newMetrics(made.table, config.Registerer)
 	return made
@@ -142,11 +150,28 @@
 	return s.versions(route, service)
 }
 
-func (s *Service) holders(key Key, perZone int) []identity.Node {
+// holders returns the nodes that may store a stream's record, by rank.
+func (s *Service) holders(key Key) []identity.Node {
 	if s.config.Peers == nil {
 		return nil
 	}
-	return holdersOf(key, *s.members.Load(), s.config.Self, queried, perZone)
+	reachable := lo.Filter(*s.members.Load(), func(member membership.Member, _ int) bool { return member.Reachable() })
+	return holdersOf(key, reachable, s.config.Self, queried, copiesPerZone)
+}
+
+// possibleHolders returns the nodes that may have a stream's record. Nodes that stop hold their
+// records to the end, and are not among those that others have copied a record to since.
+func (s *Service) possibleHolders(key Key) []recipient {
+	if s.config.Peers == nil {
+		return nil
+	}
+	members := *s.members.Load()
+	reachable := lo.Filter(members, func(member membership.Member, _ int) bool { return member.Reachable() })
+	found := holdersOf(key, reachable, s.config.Self, queried, queriedPerZone)
+	if len(reachable) < len(members) {
+		found = lo.Uniq(append(found, holdersOf(key, members, s.config.Self, queried, queriedPerZone)...))
+	}
+	return lo.Map(found, func(holder identity.Node, _ int) recipient { return recipient{Node: holder} })
 }
 
 func (s *Service) roundTrip(zone identity.Zone) time.Duration {
@@ -188,18 +213,47 @@
 	confirmTimeout = 30 * time.Millisecond
 )
 
+// joinTime is how long after its start a node may not know all members yet, and has some of the
+// seeds ask the holders on its behalf. askedSeeds is their number.
+const (
+	joinTime   = 3 * time.Second
+	askedSeeds = 3
+)
+
+// recipient is a node to query. relays reports that it is to ask the holders in turn.
+type recipient struct {
+	identity.Node
+	relays bool
+}
+
+func (s *Service) recipients(key Key) []recipient {
+	all := s.possibleHolders(key)
+	if s.config.Peers == nil || s.config.Now()-s.startedAt > joinTime {
+		return all
+	}
+	seeds := lo.Without(s.config.Seeds, s.config.Address)
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	for _, seed := range seeds[:min(len(seeds), askedSeeds)] {
+		all = append(all, recipient{Node: identity.Node{Name: identity.NodeName(seed.String()), PeerAddress: seed}, relays: true})
+	}
+	return all
+}
+
 // ask queries the holders of a stream's record, until one has it or all have answered.
 func (s *Service) ask(ctx context.Context, wanted Query, timeout time.Duration) *answers {
-	holders := s.holders(wanted.Key, queriedPerZone)
+	return s.askThese(ctx, s.recipients(wanted.Key), wanted, timeout)
+}
+
+func (s *Service) askThese(ctx context.Context, recipients []recipient, wanted Query, timeout time.Duration) *answers {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct {
 		from     identity.NodeName
 		response *queryResponse
 	}
-	results := make(chan result, len(holders))
-	message := &query{Keyed: wanted.Keyed, Key: wanted.Key, Route: wanted.Route, Service: wanted.Service}
-	for _, holder := range holders {
+	results := make(chan result, len(recipients))
+	for _, holder := range recipients {
+		message := &query{Keyed: wanted.Keyed, Key: wanted.Key, Route: wanted.Route, Service: wanted.Service, Relays: holder.relays}
 		go func() {
 			// A new connection takes a round trip before the one of the query.
 			call, cancel := context.WithTimeout(ctx, timeout+2*s.roundTrip(holder.Zone))
@@ -212,8 +266,8 @@
 			results <- result{holder.Name, response}
 		}()
 	}
-	collected := &answers{asked: len(holders)}
-	for range holders {
+	collected := &answers{asked: len(recipients)}
+	for range recipients {
 		one := <-results
 		if one.response == nil {
 			continue
@@ -254,14 +308,30 @@
 	return &noticeResponse{Stored: true}, nil
 }
 
-func (s *Service) handleQuery(_ context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+// relayTimeout bounds the queries on behalf of another node, whose own takes longer.
+const relayTimeout = queryTimeout / 2
+
+// relay asks the holders of a record on behalf of another node.
+func (s *Service) relay(ctx context.Context, received *query) (record Record, conflicting, found bool) {
+	answers := s.askThese(ctx, s.possibleHolders(received.Key), Query{Key: received.Key, Keyed: true}, relayTimeout)
+	if answers.found != nil {
+		return *answers.found, false, true
+	}
+	return Record{}, answers.conflicting, answers.conflicting
+}
+
+func (s *Service) handleQuery(ctx context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
 	received, ok := request.(*query)
 	if !ok {
 		return nil, fmt.Errorf("origin: unexpected %T", request)
 	}
 	response := &queryResponse{}
 	if received.Keyed {
-		if record, conflicting, found := s.table.get(received.Key, s.config.Now()); found && conflicting {
+		record, conflicting, found := s.table.get(received.Key, s.config.Now())
+		if !found && received.Relays {
+			record, conflicting, found = s.relay(ctx, received)
+		}
+		if found && conflicting {
 			response.State = stateConflicting
 		} else if found {
 			response.State, response.Origin, response.Left = stateKnown, record.Origin, record.Left
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -192,6 +192,7 @@
 func provideOrigins(injector do.Injector) (*origin.Service, error) {
 	config := origin.Config{
 		Self: do.MustInvoke[settings.Routed](injector).Node.Name, Now: do.MustInvoke[clock](injector),
+		Address: do.MustInvoke[settings.Routed](injector).Addresses.ReachablePeers(), Seeds: do.MustInvoke[settings.Routed](injector).Seeds,
 		RoundTrip: func(zone identity.Zone) time.Duration {
 			return do.MustInvoke[*distance.Map](injector).PathTo(string(zone)).RoundTrip
 		},
