--- a/internal/router/versionmodel_test.go
+++ b/internal/router/versionmodel_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -281,64 +281,78 @@
 type modelOutcome struct {
 	versions       []string
 	resumed, whole bool
+	// first is the request ID of the attempt that brought the first event, last the last event.
+	first string
+	last  int
 }
 
 // stream receives one stream. If unnamed, some of its resumptions don't name it.
-func (m *versionModel) stream(random *rand.Rand, unnamed bool) (seen modelOutcome) {
-	first, last := "", 0
+func (m *versionModel) stream(random *rand.Rand, unnamed bool) *modelOutcome {
+	seen := &modelOutcome{}
 	for try := 0; try < 4 && !seen.whole; try++ {
-		m.mutex.Lock()
-		m.number++
-		id := fmt.Sprint("m", m.number)
-		m.mutex.Unlock()
-		request, err := http.NewRequestWithContext(m.t.Context(), http.MethodPost, m.target(random, first != "")+"/resume/x", strings.NewReader("b"))
-		if err != nil {
-			m.t.Error(err)
-			return seen
-		}
-		request.Host = "h.example"
-		request.Header.Set("Test-Id", id)
-		if first != "" {
-			seen.resumed = true
-			request.Header.Set("Last-Event-Id", strconv.Itoa(last))
-			if !unnamed || random.IntN(8) > 0 {
-				request.Header.Set("Test-Resumes", first)
-			}
+		named, leaves := !unnamed || random.IntN(8) > 0, 0
+		if try < 2 {
+			leaves = seen.last + 1 + random.IntN(2*modelEvents)
 		}
-		leaves := last + 1 + random.IntN(2*modelEvents) // the client's connection breaks there
-		if try > 1 {
-			leaves = 0
-		}
-		response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
-		if err != nil {
-			continue
-		}
-		if response.StatusCode == http.StatusOK {
-			lines := bufio.NewScanner(response.Body)
-			for last != leaves && lines.Scan() {
-				name, value, _ := strings.Cut(lines.Text(), ": ")
-				if name == "id" {
-					last, _ = strconv.Atoi(value)
-				}
-				if name == "data" && !slices.Contains(seen.versions, value) {
-					seen.versions = append(seen.versions, value)
-				}
-				if name == "data" && first == "" {
-					first = id
-				}
-			}
-			seen.whole = last == modelEvents && !errors.Is(lines.Err(), bufio.ErrTooLong)
-		}
-		_ = response.Body.Close()
+		m.attempt(seen, random, named, leaves)
 		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
 	}
 	return seen
 }
 
+// attempt sends one request. The client's connection breaks after the event leaves.
+func (m *versionModel) attempt(seen *modelOutcome, random *rand.Rand, named bool, leaves int) {
+	m.mutex.Lock()
+	m.number++
+	id := fmt.Sprint("m", m.number)
+	m.mutex.Unlock()
+	request, err := http.NewRequestWithContext(m.t.Context(), http.MethodPost, m.target(random, seen.first != "")+"/resume/x", strings.NewReader("b"))
+	if err != nil {
+		m.t.Error(err)
+		return
+	}
+	request.Host = "h.example"
+	request.Header.Set("Test-Id", id)
+	if seen.first != "" {
+		seen.resumed = true
+		request.Header.Set("Last-Event-Id", strconv.Itoa(seen.last))
+	}
+	if seen.first != "" && named {
+		request.Header.Set("Test-Resumes", seen.first)
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return
+	}
+	lines := bufio.NewScanner(response.Body)
+	for seen.last != leaves && lines.Scan() {
+		seen.read(lines.Text(), id)
+	}
+	seen.whole = seen.last == modelEvents
+}
+
+// read reads one line of the response to an attempt.
+func (o *modelOutcome) read(line, attempt string) {
+	name, value, _ := strings.Cut(line, ": ")
+	switch name {
+	case "id":
+		o.last, _ = strconv.Atoi(value)
+	case "data":
+		o.first = cmp.Or(o.first, attempt)
+		if !slices.Contains(o.versions, value) {
+			o.versions = append(o.versions, value)
+		}
+	}
+}
+
 // run runs the clients beside the given number of steps per stream.
-func (m *versionModel) run(seed uint64, disturbed bool) []modelOutcome {
+func (m *versionModel) run(seed uint64, disturbed bool) []*modelOutcome {
 	var clients sync.WaitGroup
-	outcomes := make([][]modelOutcome, modelClients)
+	outcomes := make([][]*modelOutcome, modelClients)
 	done := make(chan struct{})
 	for i := range modelClients {
 		clients.Go(func() {
@@ -378,8 +392,8 @@
 					t.Errorf("seed %d: a stream holds events of %v", seed, one.versions)
 				}
 			}
-			resumed := lo.CountBy(outcomes, func(one modelOutcome) bool { return one.resumed })
-			t.Logf("seed %d: %d streams, %d resumed, %d whole", seed, len(outcomes), resumed, lo.CountBy(outcomes, func(one modelOutcome) bool { return one.whole }))
+			resumed := lo.CountBy(outcomes, func(one *modelOutcome) bool { return one.resumed })
+			t.Logf("seed %d: %d streams, %d resumed, %d whole", seed, len(outcomes), resumed, lo.CountBy(outcomes, func(one *modelOutcome) bool { return one.whole }))
 			if resumed == 0 {
 				t.Errorf("seed %d: no stream was resumed", seed)
 			}
@@ -390,8 +404,8 @@
 // Where nothing fails but streams, nearly all interrupted ones go on.
 func TestModelledStreamsGoOnWithoutFaults(t *testing.T) {
 	outcomes := newVersionModel(t).run(1, false)
-	resumed := lo.Filter(outcomes, func(one modelOutcome, _ int) bool { return one.resumed })
-	whole := lo.CountBy(resumed, func(one modelOutcome) bool { return one.whole })
+	resumed := lo.Filter(outcomes, func(one *modelOutcome, _ int) bool { return one.resumed })
+	whole := lo.CountBy(resumed, func(one *modelOutcome) bool { return one.whole })
 	t.Logf("%d streams, %d resumed, %d of them whole", len(outcomes), len(resumed), whole)
 	for _, one := range outcomes {
 		if len(one.versions) > 1 {
