--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -41,6 +41,10 @@
 // can be resumed, in multiples of the route's timeout: the stream may have had several attempts.
 const resumptionTimeouts = 3
 
+// originTimeFraction is the fraction of the remaining time that the search for a stream's origin
+// may take, so that a rejected client has time to retry at another node.
+const originTimeFraction = 0.2
+
 // OnlyVersion returns for how long all replicas of a service have had one version and the route
 // has led to this service alone, as far as this node knows. The view may be outdated.
 func (r *Router) OnlyVersion(route, service string) fleet.VersionSpan {
@@ -93,7 +97,9 @@
 	if r.config.Origins == nil {
 		return origin.Found{}, origin.ErrUnknown
 	}
-	return r.config.Origins.Resolve(ctx, wanted)
+	waiting, cancel := context.WithTimeout(ctx, time.Duration(float64(call.left())*originTimeFraction))
+	defer cancel()
+	return r.config.Origins.Resolve(waiting, wanted)
 }
 
 func (r *Router) rejectResumption(ctx context.Context, reply *reply, err error) {
