Send the records of a small site's streams once

Fewer are enough now where there are no more nodes. The search for records stands in a file of its own, and a node that knows of one version waits 30 ms for holders at most, also for distant ones.

--- a/internal/origin/distribute.go
+++ b/internal/origin/distribute.go
@@ -17,8 +17,8 @@
 	// for one holder.
 	maxBatch = 256
 	maxQueue = 4096
-	// enoughCopies is the number of holders that must have stored a record; with fewer the
-	// record is distributed again each redistributeInterval.
+	// enoughCopies is the number of holders that must have stored a record, or all other nodes
+	// of a smaller site; with fewer the record is distributed again each redistributeInterval.
 	enoughCopies         = 3
 	redistributeInterval = 500 * time.Millisecond
 	// maxUnconfirmed bounds the records to distribute again.
@@ -141,7 +141,9 @@
 
 // ended keeps a record that too few holders have stored, to distribute it again.
 func (s *Service) ended(one *distribution) {
-	if s.config.Peers == nil || int(one.stored.Load()) >= enoughCopies {
+	// A node that knows no others has just started, or is cut off.
+	enough := min(enoughCopies, max(len(s.holders(one.record.Key)), 1))
+	if s.config.Peers == nil || int(one.stored.Load()) >= enough {
 		return
 	}
 	s.mutex.Lock()
--- /dev/null
+++ b/internal/origin/find.go
@@ -0,0 +1,204 @@
+package origin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/samber/lo"
+
+	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/identity"
+)
+
+// Query describes a stream whose origin is wanted.
+type Query struct {
+	// Key is the stream's key; Keyed is false if the client does not name the stream.
+	Key   Key
+	Keyed bool
+	// Route is the name of the request's route, and Service the only service that it leads to;
+	// empty if there are several.
+	Route, Service string
+	// Window is longer than any stream of the route lasts, including its client's returns.
+	Window time.Duration
+}
+
+// Resolve returns the origin of a stream. Without a record, it is the only version that the
+// service had within the window. Errors wrap ErrUnknown or ErrConflicting.
+func (s *Service) Resolve(ctx context.Context, wanted Query) (Found, error) {
+	found, err := s.resolve(ctx, wanted)
+	s.metrics.countResolved(found, err)
+	return found, err
+}
+
+func (s *Service) resolve(ctx context.Context, wanted Query) (Found, error) {
+	if wanted.Keyed {
+		if record, conflicting, found := s.table.get(wanted.Key, s.config.Now()); found {
+			if conflicting {
+				return Found{}, fmt.Errorf("%w: at this node", ErrConflicting)
+			}
+			return Found{Origin: record.Origin, Source: SourceHere}, nil
+		}
+	}
+	span := s.span(wanted.Route, wanted.Service)
+	certain := span.Only && span.Age >= wanted.Window
+	if !wanted.Keyed && certain {
+		return Found{Origin: Origin{Service: wanted.Service, Version: span.Version}, Source: SourceOnlyVersion}, nil
+	}
+	if certain {
+		waiting, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		ctx = waiting
+	}
+	answers := s.ask(ctx, s.recipients(wanted.Key), wanted)
+	if answers.found != nil {
+		s.table.put(*answers.found, s.config.Now())
+		return Found{Origin: answers.found.Origin, Source: SourceHolder, Node: answers.from}, nil
+	}
+	if answers.conflicting {
+		return Found{}, fmt.Errorf("%w: at %s", ErrConflicting, answers.from)
+	}
+	if span.Only && answers.confirm(span, wanted.Window) {
+		return Found{Origin: Origin{Service: wanted.Service, Version: span.Version}, Source: SourceOnlyVersion}, nil
+	}
+	return Found{}, fmt.Errorf("%w: %d of %d nodes answered; one version here: %t, for %v of %v",
+		ErrUnknown, answers.answered, answers.asked, span.Only, span.Age.Round(time.Millisecond), wanted.Window)
+}
+
+func (s *Service) span(route, service string) fleet.VersionSpan {
+	if service == "" || s.versions == nil {
+		return fleet.VersionSpan{}
+	}
+	return s.versions(route, service)
+}
+
+// possibleHolders returns the nodes that may have a stream's record. Nodes that stop hold their
+// records to the end, and are not among those that others have copied a record to since.
+func (s *Service) possibleHolders(key Key) []recipient {
+	if s.config.Peers == nil {
+		return nil
+	}
+	known := s.members.Load()
+	found := known.reachable.holders(key, s.config.Self, queried, queriedPerZone)
+	if len(known.reachable.nodes) < len(known.all.nodes) {
+		found = lo.Uniq(append(found, known.all.holders(key, s.config.Self, queried, queriedPerZone)...))
+	}
+	return lo.Map(found, func(holder identity.Node, _ int) recipient { return recipient{Node: holder} })
+}
+
+// answers are the answers of other nodes to a query.
+type answers struct {
+	asked, answered int
+	// found is the record, and from the node that has it or a conflicting one.
+	found       *Record
+	from        identity.NodeName
+	conflicting bool
+	// spans are the versions of the service as known to the nodes that answered.
+	spans []fleet.VersionSpan
+}
+
+// confirm reports whether the only version known here was the only one for window, by this
+// node's or by another's knowledge, without any that knows of another.
+func (a *answers) confirm(here fleet.VersionSpan, window time.Duration) bool {
+	confirmed := here.Age >= window
+	for _, there := range a.spans {
+		if there.Several || there.Only && there.Version != here.Version {
+			return false
+		}
+		confirmed = confirmed || there.Only && there.Age >= window
+	}
+	return confirmed
+}
+
+const (
+	// queryTimeout bounds a query, beside the round trips to the other node.
+	queryTimeout = 250 * time.Millisecond
+	// confirmTimeout bounds all queries if this node knows of one version only: the holders
+	// could at most know of one that has just appeared.
+	confirmTimeout = 30 * time.Millisecond
+	// relayTimeout bounds the queries on behalf of another node, whose own takes longer.
+	relayTimeout = queryTimeout / 2
+	// joinTime is how long after its start a node may not know all members yet, and has some of
+	// the seeds ask the holders on its behalf. askedSeeds is their number.
+	joinTime   = 3 * time.Second
+	askedSeeds = 3
+)
+
+// recipient is a node to query. relays reports that it is to ask the holders in turn.
+type recipient struct {
+	identity.Node
+	relays bool
+}
+
+func (s *Service) recipients(key Key) []recipient {
+	all := s.possibleHolders(key)
+	if s.config.Peers == nil || s.config.Now()-s.startedAt > joinTime {
+		return all
+	}
+	seeds := lo.Without(s.config.Seeds, s.config.Address)
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	for _, seed := range seeds[:min(len(seeds), askedSeeds)] {
+		all = append(all, recipient{Node: identity.Node{Name: identity.NodeName(seed.String()), PeerAddress: seed}, relays: true})
+	}
+	return all
+}
+
+// ask queries nodes for a stream's record, until one has it or all have answered.
+func (s *Service) ask(ctx context.Context, recipients []recipient, wanted Query) *answers {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		from     identity.NodeName
+		response *queryResponse
+	}
+	results := make(chan result, len(recipients))
+	for _, holder := range recipients {
+		message := &query{Keyed: wanted.Keyed, Key: wanted.Key, Route: wanted.Route, Service: wanted.Service, Relays: holder.relays}
+		go func() {
+			// A new connection takes a round trip before the one of the query.
+			call, cancel := context.WithTimeout(ctx, queryTimeout+2*s.roundTrip(holder.Zone))
+			defer cancel()
+			answer, err := s.config.Peers.Call(call, holder.PeerAddress, message, nil)
+			response, _ := answer.(*queryResponse)
+			if err != nil {
+				response = nil
+			}
+			results <- result{holder.Name, response}
+		}()
+	}
+	collected := &answers{asked: len(recipients)}
+	for range recipients {
+		one := <-results
+		if one.response == nil {
+			continue
+		}
+		if collected.add(one.from, one.response, wanted); collected.found != nil || collected.conflicting {
+			return collected
+		}
+	}
+	return collected
+}
+
+func (a *answers) add(from identity.NodeName, response *queryResponse, wanted Query) {
+	a.answered++
+	switch response.State {
+	case stateKnown:
+		a.found, a.from = &Record{Key: wanted.Key, Origin: response.Origin, Left: response.Left}, from
+	case stateConflicting:
+		a.conflicting, a.from = true, from
+	case stateUnknown:
+	}
+	a.spans = append(a.spans, response.Span)
+}
+
+// relay asks the holders of a record on behalf of another node.
+func (s *Service) relay(ctx context.Context, received *query) (record Record, conflicting, found bool) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	answers := s.ask(ctx, s.possibleHolders(received.Key), Query{Key: received.Key, Keyed: true})
+	if answers.found != nil {
+		return *answers.found, false, true
+	}
+	return Record{}, answers.conflicting, answers.conflicting
+}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -235,6 +235,22 @@
 	})
 }
 
+// A site of three nodes sent each record again and again, since it has fewer holders than are enough.
+func TestRecordsOfSmallSiteAreSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(3)
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.node(0).service.Run(ctx)
+		c.node(0).service.Announce(KeyOf("t", "1"), v1, time.Minute)
+		time.Sleep(10 * redistributeInterval)
+		synctest.Wait()
+		is.Equal(c.calls[kindNotice], 2)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Records outlive a planned restart of all nodes, one after the other.
 func TestRecordsOutliveRollingRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
