--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -168,17 +168,16 @@
 	return true
 }
 
-// continueStream decides after a failure whether the stream may go on at another replica, and
-// logs it. It returns false if the response must end.
-func (r *Router) continueStream(ctx context.Context, stream *stream, attempt *attempt) bool {
+// continueStream prepares a stream to go on at another replica after a failed attempt. It aborts
+// the response if the version that began the stream is not known.
+func (r *Router) continueStream(ctx context.Context, stream *stream, failed *attempt) {
 	if !r.pinToOrigin(stream) {
 		stream.reply.abort(reasonVersionUnknown, errVersionUnknown)
 	}
 	if stream.headerSent {
 		r.config.Logger.LogAttrs(ctx, slog.LevelInfo, "stream continues at another replica", slog.String("id", stream.call.id),
-			slog.String("former", attempt.replica.IncarnationID()), slog.String("began_at_version", stream.call.origin.Version), slog.Int64("after_event", stream.lastEvent))
+			slog.String("former", failed.replica.IncarnationID()), slog.String("began_at_version", stream.call.origin.Version), slog.Int64("after_event", stream.lastEvent))
 	}
-	return true
 }
 
 // checkOrigin returns a failure if the replica that responds to a resumption no longer has the
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -76,10 +76,11 @@
 			return whole
 		}
 		r.recordFailure(ctx, stream.call, attempt.replica, retry, failure)
-		if !mayRetry(ctx, stream.call, retry) || !r.continueStream(ctx, stream, attempt) {
+		if !mayRetry(ctx, stream.call, retry) {
 			r.failStream(ctx, stream, retry)
 			return false
 		}
+		r.continueStream(ctx, stream, attempt)
 		if stream.lastEvent >= 0 {
 			stream.call.header.Set(r.config.Names.LastEvent, strconv.FormatInt(stream.lastEvent, 10))
 		}
