--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// maxRecords bounds the records of a node, which take about 5 MB then.
+	// maxRecords bounds the records of a node, which take about 3 MB then.
 	maxRecords = 1 << 15
 	// maxLifetime bounds the lifetime of a record.
 	maxLifetime = 10 * time.Minute
