--- a/internal/origin/distribute.go
+++ b/internal/origin/distribute.go
@@ -141,9 +141,12 @@
 
 // ended keeps a record that too few holders have stored, to distribute it again.
 func (s *Service) ended(one *distribution) {
+	stored := int(one.stored.Load())
+	if s.config.Peers == nil || stored >= enoughCopies {
+		return
+	}
 	// A node that knows no others has just started, or is cut off.
-	enough := min(enoughCopies, max(len(s.holders(one.record.Key)), 1))
-	if s.config.Peers == nil || int(one.stored.Load()) >= enough {
+	if stored >= max(len(s.holders(one.record.Key)), 1) {
 		return
 	}
 	s.mutex.Lock()
