Name the content of a request in the log of failed attempts

A client's attempts have different request IDs and arrive at different nodes, so that nothing in the log joined them. The digest of what they have in common does: tenant, host, method, path, body, program, session, previous turn, prompt and token count. It is computed for failed attempts only.

--- a/internal/emulator/replica/replica.go
+++ b/internal/emulator/replica/replica.go
@@ -27,10 +27,16 @@
 	Socket net.Conn
 	// Number is the request's number at the replica, from 1.
 	Number int
+	// Replica is the replica that received the request.
+	Replica *Replica
 }
 
-// Write sends raw text. A closed connection is not an error of the replica.
+// Write sends raw text. A closed connection is not an error of the replica. A replica that has
+// lost power sends nothing.
 func (e *Exchange) Write(format string, values ...any) {
+	if e.Replica.silent() {
+		return
+	}
 	_, _ = fmt.Fprintf(e.Socket, format, values...)
 }
 
@@ -57,6 +63,10 @@
 	received    []Request
 	connections int
 	open        map[net.Conn]bool
+	// ended is how the replica has ended, or endNone.
+	ended End
+	// closed is closed by Close.
+	closed chan struct{}
 }
 
 // Start returns a listening replica.
@@ -69,7 +79,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("replica: %w", err)
 	}
-	started := &Replica{Address: address, listener: listener, script: script, open: map[net.Conn]bool{}}
+	started := &Replica{Address: address, listener: listener, script: script, open: map[net.Conn]bool{}, closed: make(chan struct{})}
 	go started.accept()
 	return started, nil
 }
@@ -79,6 +89,11 @@
 	_ = r.listener.Close()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	select {
+	case <-r.closed:
+	default:
+		close(r.closed)
+	}
 	for socket := range r.open {
 		_ = socket.Close()
 	}
@@ -107,7 +122,12 @@
 		r.mutex.Lock()
 		r.connections++
 		r.open[socket] = true
+		ended := r.ended
 		r.mutex.Unlock()
+		if ended == EndReset || ended == EndClosed {
+			_ = socket.Close()
+			continue
+		}
 		go r.serve(socket)
 	}
 }
@@ -129,12 +149,20 @@
 		if err != nil {
 			return
 		}
+		if r.silent() {
+			<-r.closed
+			return
+		}
 		taken := Request{Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header, Body: string(body)}
 		r.mutex.Lock()
 		r.received = append(r.received, taken)
 		number := len(r.received)
 		r.mutex.Unlock()
-		if !r.script(&Exchange{Request: taken, Socket: socket, Number: number}) {
+		open := r.script(&Exchange{Request: taken, Socket: socket, Number: number, Replica: r})
+		if r.silent() {
+			<-r.closed
+		}
+		if !open {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,2 @@
+// Package quarantine keeps requests under which replicas have ended from ending further ones.
+package quarantine
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -163,7 +163,7 @@
 	r.metrics.failedAttempts.WithLabelValues(string(failure.Reason)).Inc()
 	r.config.Logger.LogAttrs(ctx, slog.LevelInfo, "attempt failed",
 		slog.String("id", call.id), slog.String("replica", replica.IncarnationID()), slog.String("replica_version", replica.Version), slog.String("reason", string(failure.Reason)),
-		slog.String("outcome", failure.Outcome.String()), slog.Int("status", failure.Status),
+		slog.String("outcome", failure.Outcome.String()), slog.Int("status", failure.Status), slog.String("content", r.content(call).String()),
 		errorAttr(failure.Cause), durationAttr("left", call.left()))
 }
 
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -17,6 +17,7 @@
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/origin"
+	"stepseam.example/stepseam/internal/quarantine"
 	"stepseam.example/stepseam/internal/residency"
 	"stepseam.example/stepseam/internal/routing"
 )
@@ -36,9 +37,11 @@
 	host   string
 	header http.Header
 	body   []byte
-	// inputBytes is the length of the turn's own input at the end of body, without the
+	// inputBytes is the length of the client's own input at the end of body, without a turn's
 	// history.
 	inputBytes int
+	// contentKey identifies the request over all its attempts; nil until content computes it.
+	contentKey *quarantine.Key
 	route      *routing.Route
 	service    routing.Service
 	// tenant is the account of the request by the configuration at its arrival; nil if no
@@ -181,6 +184,27 @@
 	}
 }
 
+// content returns the key of the request's content, which is the same for all attempts of its
+// client. Computing it costs time in proportion to the body.
+func (r *Router) content(call *call) quarantine.Key {
+	if call.contentKey != nil {
+		return *call.contentKey
+	}
+	names := &r.config.Names
+	made := quarantine.Content{
+		Host: call.host, Method: call.method, URI: call.uri,
+		Program: call.header.Get(names.Program), Session: call.header.Get(names.Session), PreviousTurn: call.header.Get(names.PreviousTurn),
+		PromptPrefix: call.header.Get(names.PromptPrefix), TokenCount: call.header.Get(names.TokenCount),
+		Body: call.body[len(call.body)-call.inputBytes:],
+	}
+	if call.tenant != nil {
+		made.Tenant = call.tenant.Name
+	}
+	key := made.Key()
+	call.contentKey = &key
+	return key
+}
+
 // turnID returns the ID of a tenant's turn in the ledger, or an empty one for an empty
 // request ID. The ID contains the tenant's name, so that turns of other tenants cannot be
 // referenced.
--- a/internal/router/names.go
+++ b/internal/router/names.go
@@ -18,8 +18,8 @@
 	// Resumes is the request ID of the attempt that brought the first event of the stream
 	// that a client resumes. It is not forwarded.
 	Resumes string
-	// Program is the ID of the request's program.
-	Program string
+	// Program is the ID of the request's program, Session that of its line of turns.
+	Program, Session string
 	// Finish is the program's remaining time until its objective, in milliseconds.
 	Finish string
 	// Priority is the rank of a request at a replica, from 0 (most urgent) to 9.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -201,7 +201,7 @@
 		r.logCompleted(call, reply)
 		panic(http.ErrAbortHandler)
 	}
-	call.body = body
+	call.body, call.inputBytes = body, len(body)
 	ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
 	defer cancel()
 	defer r.logCompleted(call, reply)
--- a/internal/router/turn.go
+++ b/internal/router/turn.go
@@ -23,7 +23,6 @@
 // prepareTurn reserves the budget of a turn and prepends its history to the body. If it
 // returns nil, the request has been rejected.
 func (r *Router) prepareTurn(ctx context.Context, reply *reply, call *call) *coordinator.Turn {
-	call.inputBytes = len(call.body)
 	request := coordinator.Request{
 		Program: call.turn.program, Budgeted: call.turn.budgeted, Budget: call.turn.budget, MaxTurnTokens: call.maxTokens,
 	}
