Lift the copying of records to holders out of package origin

Package holders ranks the members for a key and copies records to the first of them, with batches, failover to the next in rank and repeated distribution. Another service is about to use it. The tests of origin are the same but for the names.

--- /dev/null
+++ b/internal/holders/distributor.go
@@ -0,0 +1,270 @@
+package holders
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+)
+
+const (
+	// noticeTimeout bounds one notice, beside the round trips to the holder.
+	noticeTimeout = 300 * time.Millisecond
+	// maxBatch is the number of records in one notice, and maxQueue that of records that wait
+	// for one holder.
+	maxBatch = 256
+	maxQueue = 4096
+	// enoughCopies is the number of holders that must have stored a record, or all other nodes
+	// of a smaller site; with fewer the record is distributed again each RedistributeInterval.
+	enoughCopies = 3
+	// RedistributeInterval is the time between two distributions of a record that too few holders
+	// have stored.
+	RedistributeInterval = 500 * time.Millisecond
+	// maxUnconfirmed bounds the records to distribute again.
+	maxUnconfirmed = 4096
+)
+
+// Dated is a record with the time since its distribution started.
+type Dated[R any] struct {
+	Record R
+	Age    time.Duration
+}
+
+// Config configures a Distributor. Peers is nil if there are no other nodes.
+type Config[R any] struct {
+	Self  identity.NodeName
+	Peers peer.Client
+	// RoundTrip returns the round trip time to a zone; nil counts as zero.
+	RoundTrip func(zone identity.Zone) time.Duration
+	// Now returns a monotonic reading.
+	Now func() time.Duration
+	// Key returns a record's key.
+	Key func(record R) Key
+	// Notice returns the message that copies records to a holder.
+	Notice func(records []Dated[R]) peer.Message
+	// Stored reports whether a holder's response says that it has stored the records.
+	Stored func(response peer.Message) bool
+	// Current returns a record as it is known now, and false if it is of no use any more.
+	Current func(record R) (R, bool)
+	// OnNotice is called with the outcome of each notice and the number of its records.
+	OnNotice func(stored bool, records int)
+}
+
+// Distributor copies records to their holders. It is safe for concurrent use.
+type Distributor[R any] struct {
+	config  Config[R]
+	members atomic.Pointer[Members]
+
+	// mutex guards the fields below.
+	mutex   sync.Mutex
+	senders map[identity.NodeName]*sender[R]
+	// unconfirmed holds the records that too few holders have stored.
+	unconfirmed map[Key]R
+}
+
+// NewDistributor returns a distributor without members.
+func NewDistributor[R any](config Config[R]) *Distributor[R] {
+	made := &Distributor[R]{config: config, senders: map[identity.NodeName]*sender[R]{}, unconfirmed: map[Key]R{}}
+	made.SetView(membership.View{})
+	return made
+}
+
+// SetView updates the members.
+func (d *Distributor[R]) SetView(view membership.View) { d.members.Store(MembersOf(view)) }
+
+// Members returns the members of the last view.
+func (d *Distributor[R]) Members() *Members { return d.members.Load() }
+
+// Distribution is one record on its way to its holders.
+type Distribution[R any] struct {
+	record    R
+	startedAt time.Duration
+	// candidates are the possible holders by rank. The first of them are sent the record at
+	// once, each further one after a failure; next is the first that was not.
+	candidates []identity.Node
+	next       atomic.Int32
+	// open counts the notices without an outcome, stored those that succeeded.
+	open, stored atomic.Int32
+	// first is closed once a holder has stored the record, or none will.
+	first     chan struct{}
+	firstOnce sync.Once
+}
+
+// First returns a channel that is closed once a holder has stored the record, or none will.
+func (o *Distribution[R]) First() <-chan struct{} { return o.first }
+
+// Stored returns the number of holders that have stored the record.
+func (o *Distribution[R]) Stored() int { return int(o.stored.Load()) }
+
+// Candidates returns the number of nodes that may store the record.
+func (o *Distribution[R]) Candidates() int { return len(o.candidates) }
+
+func (o *Distribution[R]) closeFirst() { o.firstOnce.Do(func() { close(o.first) }) }
+
+// sender sends the records for one holder, several in a notice while an earlier one is under
+// way. The distributor's mutex guards it.
+type sender[R any] struct {
+	queue []*Distribution[R]
+}
+
+// holders returns the nodes that may store a record, by rank.
+func (d *Distributor[R]) holders(key Key) []identity.Node {
+	if d.config.Peers == nil {
+		return nil
+	}
+	return d.members.Load().Reachable.Rank(key, d.config.Self, Queried, CopiesPerZone)
+}
+
+// RoundTrip returns the round trip time to a zone.
+func (d *Distributor[R]) RoundTrip(zone identity.Zone) time.Duration {
+	if d.config.RoundTrip == nil {
+		return 0
+	}
+	return d.config.RoundTrip(zone)
+}
+
+// Distribute starts to copy a record to its holders. It does not block.
+func (d *Distributor[R]) Distribute(record R) *Distribution[R] {
+	candidates := d.holders(d.config.Key(record))
+	one := &Distribution[R]{record: record, startedAt: d.config.Now(), candidates: candidates, first: make(chan struct{})}
+	first := candidates[:min(Copies, len(candidates))]
+	one.next.Store(int32(len(first)))
+	one.open.Store(int32(len(first)))
+	for _, holder := range first {
+		d.enqueue(holder, one)
+	}
+	if len(first) == 0 {
+		d.ended(one)
+	}
+	return one
+}
+
+// enqueue adds a record to a holder's queue and starts its sender if there is none.
+func (d *Distributor[R]) enqueue(holder identity.Node, one *Distribution[R]) {
+	if !d.tryEnqueue(holder, one) {
+		d.failed(one)
+	}
+}
+
+// tryEnqueue returns false if the holder's queue is full.
+func (d *Distributor[R]) tryEnqueue(holder identity.Node, one *Distribution[R]) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	existing, running := d.senders[holder.Name]
+	if !running {
+		d.senders[holder.Name] = &sender[R]{queue: []*Distribution[R]{one}}
+		go d.send(holder)
+		return true
+	}
+	if len(existing.queue) >= maxQueue {
+		return false
+	}
+	existing.queue = append(existing.queue, one)
+	return true
+}
+
+// send sends the queued records of a holder until there are none.
+func (d *Distributor[R]) send(holder identity.Node) {
+	for {
+		d.mutex.Lock()
+		queue := d.senders[holder.Name].queue
+		if len(queue) == 0 {
+			delete(d.senders, holder.Name)
+			d.mutex.Unlock()
+			return
+		}
+		batch := queue[:min(len(queue), maxBatch)]
+		d.senders[holder.Name].queue = queue[len(batch):]
+		d.mutex.Unlock()
+		stored := d.sendBatch(holder, batch)
+		d.config.OnNotice(stored, len(batch))
+		for _, one := range batch {
+			if stored {
+				one.stored.Add(1)
+				one.closeFirst()
+				d.settled(one)
+			} else {
+				d.failed(one)
+			}
+		}
+	}
+}
+
+func (d *Distributor[R]) sendBatch(holder identity.Node, batch []*Distribution[R]) bool {
+	now := d.config.Now()
+	records := make([]Dated[R], 0, len(batch))
+	for _, one := range batch {
+		records = append(records, Dated[R]{Record: one.record, Age: now - one.startedAt})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout+2*d.RoundTrip(holder.Zone))
+	defer cancel()
+	answer, err := d.config.Peers.Call(ctx, holder.PeerAddress, d.config.Notice(records), nil)
+	return err == nil && d.config.Stored(answer)
+}
+
+// failed sends a record to the next holder in rank.
+func (d *Distributor[R]) failed(one *Distribution[R]) {
+	if next := int(one.next.Add(1)) - 1; next < len(one.candidates) {
+		d.enqueue(one.candidates[next], one)
+		return
+	}
+	d.settled(one)
+}
+
+// settled counts the outcome of a record at one of its holders.
+func (d *Distributor[R]) settled(one *Distribution[R]) {
+	if one.open.Add(-1) == 0 {
+		d.ended(one)
+	}
+}
+
+// ended keeps a record that too few holders have stored, to distribute it again.
+func (d *Distributor[R]) ended(one *Distribution[R]) {
+	defer one.closeFirst()
+	stored := one.Stored()
+	if d.config.Peers == nil || stored >= enoughCopies {
+		return
+	}
+	// A node that knows no others has just started, or is cut off.
+	key := d.config.Key(one.record)
+	if stored >= max(len(d.holders(key)), 1) {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if len(d.unconfirmed) < maxUnconfirmed {
+		d.unconfirmed[key] = one.record
+	}
+}
+
+// Run distributes records again that too few holders have stored, until ctx ends.
+func (d *Distributor[R]) Run(ctx context.Context) {
+	ticker := time.NewTicker(RedistributeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.redistribute()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Distributor[R]) redistribute() {
+	d.mutex.Lock()
+	again := slices.Collect(maps.Values(d.unconfirmed))
+	clear(d.unconfirmed)
+	d.mutex.Unlock()
+	for _, record := range again {
+		if current, found := d.config.Current(record); found && len(d.members.Load().All.nodes) > 1 {
+			d.Distribute(current)
+		}
+	}
+}
--- a/internal/origin/holders.go
+++ b/internal/holders/holders.go
@@ -1,30 +1,48 @@
-package origin
+// Package holders copies records to a few nodes that any node finds from a record's key alone, by
+// rendezvous hashing over the members.
+package holders
 
 import (
 	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 )
 
 const (
-	// copies is the number of other nodes that hold a record. After the loss of half of all
+	// Copies is the number of other nodes that hold a record. After the loss of half of all
 	// nodes, one of them is left for 97 % of the records.
-	copies = 5
-	// queried is the number of nodes to ask for a record. It exceeds copies since nodes that
+	Copies = 5
+	// Queried is the number of nodes to ask for a record. It exceeds Copies since nodes that
 	// have started or ended meanwhile shift the ranks.
-	queried = 8
-	// copiesPerZone bounds the first holders in a zone, so that the loss of a zone leaves others.
+	Queried = 8
+	// CopiesPerZone bounds the first holders in a zone, so that the loss of a zone leaves others.
 	// One more is asked, since a node that started meanwhile may precede a holder of its zone.
-	copiesPerZone  = 2
-	queriedPerZone = copiesPerZone + 1
+	CopiesPerZone  = 2
+	QueriedPerZone = CopiesPerZone + 1
 )
 
-// memberSet is some members of a view, prepared for ranking. It is immutable.
-type memberSet struct {
+// Key identifies a record.
+type Key [16]byte
+
+// Members are the members of a view.
+type Members struct {
+	// All are all members, Reachable those that may store records: others stop.
+	All, Reachable *Set
+}
+
+// MembersOf returns the members of a view.
+func MembersOf(view membership.View) *Members {
+	reachable := lo.Filter(view.Members, func(member membership.Member, _ int) bool { return member.Reachable() })
+	return &Members{All: NewSet(view.Members), Reachable: NewSet(reachable)}
+}
+
+// Set is some members of a view, prepared for ranking. It is immutable.
+type Set struct {
 	nodes []identity.Node
 	// hashes are those of the nodes' names, zones the indexes of their zones.
 	hashes []uint64
@@ -33,8 +51,9 @@
 	zoneCount int
 }
 
-func newMemberSet(members []membership.Member) *memberSet {
-	made := &memberSet{}
+// NewSet returns a set of members.
+func NewSet(members []membership.Member) *Set {
+	made := &Set{}
 	indexes := map[identity.Zone]int{}
 	for i := range members {
 		node := members[i].Node
@@ -51,7 +70,10 @@
 	return made
 }
 
-// rankedMember is a node of a memberSet with its score for a key.
+// Nodes returns the members. The caller must not modify the slice.
+func (s *Set) Nodes() []identity.Node { return s.nodes }
+
+// rankedMember is a node of a Set with its score for a key.
 type rankedMember struct {
 	index int
 	score uint64
@@ -63,7 +85,7 @@
 
 // best returns the members with the highest scores for a key, at least count of each zone if it
 // has as many, by rank.
-func (s *memberSet) best(key Key, self identity.NodeName, count int) []rankedMember {
+func (s *Set) best(key Key, self identity.NodeName, count int) []rankedMember {
 	seed := xxhash.Sum64(key[:])
 	perZone := make([][]rankedMember, s.zoneCount)
 	for i, hash := range s.hashes {
@@ -81,10 +103,10 @@
 	return all
 }
 
-// holders returns up to count other nodes in the order in which they hold a stream's record. All
+// Rank returns up to count nodes other than self in the order in which they hold a record. All
 // nodes with the same members agree on the order, and a member that joins or ends moves few
 // others. The first ones are spread over zones, with perZone at most in each.
-func (s *memberSet) holders(key Key, self identity.NodeName, count, perZone int) []identity.Node {
+func (s *Set) Rank(key Key, self identity.NodeName, count, perZone int) []identity.Node {
 	inZone := make([]int, s.zoneCount)
 	first := make([]identity.Node, 0, count)
 	var rest []identity.Node
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/holders"
 	"stepseam.example/stepseam/internal/identity"
 )
 
@@ -79,10 +80,13 @@
 	if s.config.Peers == nil {
 		return nil
 	}
-	known := s.members.Load()
-	found := known.reachable.holders(key, s.config.Self, queried, queriedPerZone)
-	if len(known.reachable.nodes) < len(known.all.nodes) {
-		found = lo.Uniq(append(found, known.all.holders(key, s.config.Self, queried, queriedPerZone)...))
+	known := s.copies.Members()
+	rank := func(members *holders.Set) []identity.Node {
+		return members.Rank(holders.Key(key), s.config.Self, holders.Queried, holders.QueriedPerZone)
+	}
+	found := rank(known.Reachable)
+	if len(known.Reachable.Nodes()) < len(known.All.Nodes()) {
+		found = lo.Uniq(append(found, rank(known.All)...))
 	}
 	return lo.Map(found, func(holder identity.Node, _ int) recipient { return recipient{Node: holder} })
 }
@@ -157,7 +161,7 @@
 		message := &query{Keyed: wanted.Keyed, Key: wanted.Key, Route: wanted.Route, Service: wanted.Service, Relays: holder.relays}
 		go func() {
 			// A new connection takes a round trip before the one of the query.
-			call, cancel := context.WithTimeout(ctx, queryTimeout+2*s.roundTrip(holder.Zone))
+			call, cancel := context.WithTimeout(ctx, queryTimeout+2*s.copies.RoundTrip(holder.Zone))
 			defer cancel()
 			answer, err := s.config.Peers.Call(call, holder.PeerAddress, message, nil)
 			response, _ := answer.(*queryResponse)
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/holders"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
@@ -161,7 +162,7 @@
 			c.node(i%12).service.Announce(KeyOf("t", fmt.Sprint(i)), v1, time.Minute)
 		}
 		synctest.Wait()
-		is.True(c.calls[kindNotice] <= copies*streams)
+		is.True(c.calls[kindNotice] <= holders.Copies*streams)
 		for i := range 12 { // those that began the streams, in all zones; members still list them
 			c.stop(c.node(i))
 		}
@@ -243,7 +244,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go c.node(0).service.Run(ctx)
 		c.node(0).service.Announce(KeyOf("t", "1"), v1, time.Minute)
-		time.Sleep(10 * redistributeInterval)
+		time.Sleep(10 * holders.RedistributeInterval)
 		synctest.Wait()
 		is.Equal(c.calls[kindNotice], 2)
 		cancel()
@@ -383,7 +384,7 @@
 			members = append(members, membership.Member{Node: identity.Node{Name: name, Zone: identity.Zone(fmt.Sprint(random.IntN(4)))}, Status: membership.Alive})
 		}
 		key := KeyOf("t", fmt.Sprint(random.Uint64()))
-		holders := newMemberSet(members).holders(key, "n0", copies, copiesPerZone)
+		stored := holders.NewSet(members).Rank(holders.Key(key), "n0", holders.Copies, holders.CopiesPerZone)
 		var survivors []membership.Member
 		lost := map[identity.NodeName]bool{}
 		for _, member := range members {
@@ -392,10 +393,10 @@
 			}
 		}
 		asked := map[identity.NodeName]bool{}
-		for _, node := range newMemberSet(survivors).holders(key, "", queried, queriedPerZone) {
+		for _, node := range holders.NewSet(survivors).Rank(holders.Key(key), "", holders.Queried, holders.QueriedPerZone) {
 			asked[node.Name] = true
 		}
-		for _, holder := range holders {
+		for _, holder := range stored {
 			if !lost[holder.Name] && !asked[holder.Name] {
 				t.Fatalf("%s holds the record and is not asked", holder.Name)
 			}
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 
+	"stepseam.example/stepseam/internal/holders"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
@@ -39,39 +39,62 @@
 	config    Config
 	versions  Versions
 	table     *table
-	members   atomic.Pointer[members]
 	startedAt time.Duration
+	// copies copies the records to their holders.
+	copies *holders.Distributor[Record]
 	// stopping is set once this node stores no more records for others.
 	stopping atomic.Bool
 	metrics  *metrics
-
-	// mutex guards the fields below.
-	mutex   sync.Mutex
-	senders map[identity.NodeName]*sender
-	// unconfirmed holds the records that too few holders have stored.
-	unconfirmed map[Key]Record
 }
 
 // New returns a service without members.
 func New(config Config) *Service {
-	made := &Service{config: config, startedAt: config.Now(), table: newTable(), senders: map[identity.NodeName]*sender{}, unconfirmed: map[Key]Record{}}
-	made.SetView(membership.View{})
+	made := &Service{config: config, startedAt: config.Now(), table: newTable()}
 	made.metrics = newMetrics(made.table, config.Registerer)
+	made.copies = holders.NewDistributor(holders.Config[Record]{
+		Self: config.Self, Peers: config.Peers, RoundTrip: config.RoundTrip, Now: config.Now,
+		Key: func(record Record) holders.Key { return holders.Key(record.Key) }, Notice: newNotice, Stored: isStored,
+		Current: made.current, OnNotice: made.metrics.countNotice,
+	})
 	return made
 }
 
+func newNotice(records []holders.Dated[Record]) peer.Message {
+	return &notice{Records: lo.Map(records, func(one holders.Dated[Record], _ int) Record {
+		one.Record.Left -= one.Age
+		return one.Record
+	})}
+}
+
+func isStored(answer peer.Message) bool {
+	response, ok := answer.(*noticeResponse)
+	return ok && response.Stored
+}
+
+// current returns a record with the time for which it is still needed, as the table knows it.
+func (s *Service) current(record Record) (Record, bool) {
+	current, conflicting, found := s.table.get(record.Key, s.config.Now())
+	return current, found && !conflicting
+}
+
 // SetVersions sets the source of the services' versions. It must be called before the service is
 // used.
 func (s *Service) SetVersions(versions Versions) { s.versions = versions }
 
 // SetView updates the members.
-func (s *Service) SetView(view membership.View) {
-	reachable := lo.Filter(view.Members, func(member membership.Member, _ int) bool { return member.Reachable() })
-	s.members.Store(&members{all: newMemberSet(view.Members), reachable: newMemberSet(reachable)})
-}
+func (s *Service) SetView(view membership.View) { s.copies.SetView(view) }
 
-// members are the members of a view: all, and those that may store records.
-type members struct{ all, reachable *memberSet }
+// Run distributes records again that too few holders have stored, until ctx ends.
+func (s *Service) Run(ctx context.Context) { s.copies.Run(ctx) }
+
+// Close passes the records of this node on to the holders that remain once it has left. Queries
+// are still answered.
+func (s *Service) Close() {
+	s.stopping.Store(true)
+	for _, record := range s.table.all(s.config.Now()) {
+		s.copies.Distribute(record)
+	}
+}
 
 // Register adds this package's messages and handlers to registry.
 func (s *Service) Register(registry *peer.Registry) {
@@ -91,7 +114,7 @@
 	}
 	record := Record{Key: key, Origin: origin, Left: min(lifetime, maxLifetime)}
 	s.table.put(record, s.config.Now())
-	return func() { s.distribute(record) }
+	return func() { s.copies.Distribute(record) }
 }
 
 // Announce records a stream's origin and starts to copy the record to its holders.
@@ -99,21 +122,6 @@
 	s.Record(key, origin, lifetime)()
 }
 
-// holders returns the nodes that may store a stream's record, by rank.
-func (s *Service) holders(key Key) []identity.Node {
-	if s.config.Peers == nil {
-		return nil
-	}
-	return s.members.Load().reachable.holders(key, s.config.Self, queried, copiesPerZone)
-}
-
-func (s *Service) roundTrip(zone identity.Zone) time.Duration {
-	if s.config.RoundTrip == nil {
-		return 0
-	}
-	return s.config.RoundTrip(zone)
-}
-
 func (s *Service) handleNotice(_ context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
 	received, ok := request.(*notice)
 	if !ok {
