--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -138,6 +139,11 @@
 	return last
 }
 
+// Dial opens a connection to a replica, which detects that the replica can't be reached.
+func Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return keepalive.Dialer(dialTimeout).DialContext(ctx, "tcp4", address.String())
+}
+
 func (p *pool) dial(ctx context.Context, target Target) (*connection, error) {
 	socket, err := p.dialer.DialContext(ctx, "tcp4", target.Address.String())
 	if err != nil {
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -7,6 +7,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -283,6 +284,34 @@
 	}
 }
 
+// Presence is what the directory knows of an instance's present entry.
+type Presence struct {
+	StartedAtMs int64
+	State       State
+	Address     netip.AddrPort
+	// UpdatedAt is when the entry was last written, as far as this node knows: nodes that do not
+	// read the store themselves learn only of changes.
+	UpdatedAt time.Duration
+}
+
+// Presence returns the present entry of an instance; false if it has none.
+func (d *Directory) Presence(instance string) (Presence, bool) {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	known, found := d.replicas[instance]
+	if !found {
+		return Presence{}, false
+	}
+	return Presence{StartedAtMs: known.replica.StartedAtMs, State: known.replica.State, Address: known.replica.Address, UpdatedAt: known.updatedAt}, true
+}
+
+// Recovering reports whether entries may be missing since replicas could not write to the store.
+func (d *Directory) Recovering(now time.Duration) bool {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	return now < d.recoveringUntil
+}
+
 // InZone returns the number of usable replicas in a zone.
 func (d *Directory) InZone(zone string) int {
 	d.mutex.RLock()
--- a/internal/holders/distributor.go
+++ b/internal/holders/distributor.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
@@ -91,13 +93,14 @@
 	next       atomic.Int32
 	// open counts the notices without an outcome, stored those that succeeded.
 	open, stored atomic.Int32
-	// first is closed once a holder has stored the record, or none will.
-	first     chan struct{}
-	firstOnce sync.Once
+	// done is closed once all notices have an outcome.
+	done chan struct{}
+	// repeats is set if the record is distributed again should too few nodes have stored it.
+	repeats bool
 }
 
-// First returns a channel that is closed once a holder has stored the record, or none will.
-func (o *Distribution[R]) First() <-chan struct{} { return o.first }
+// Done returns a channel that is closed once all notices have an outcome.
+func (o *Distribution[R]) Done() <-chan struct{} { return o.done }
 
 // Stored returns the number of holders that have stored the record.
 func (o *Distribution[R]) Stored() int { return int(o.stored.Load()) }
@@ -105,8 +108,6 @@
 // Candidates returns the number of nodes that may store the record.
 func (o *Distribution[R]) Candidates() int { return len(o.candidates) }
 
-func (o *Distribution[R]) closeFirst() { o.firstOnce.Do(func() { close(o.first) }) }
-
 // sender sends the records for one holder, several in a notice while an earlier one is under
 // way. The distributor's mutex guards it.
 type sender[R any] struct {
@@ -131,9 +132,27 @@
 
 // Distribute starts to copy a record to its holders. It does not block.
 func (d *Distributor[R]) Distribute(record R) *Distribution[R] {
-	candidates := d.holders(d.config.Key(record))
-	one := &Distribution[R]{record: record, startedAt: d.config.Now(), candidates: candidates, first: make(chan struct{})}
-	first := candidates[:min(Copies, len(candidates))]
+	return d.distribute(&Distribution[R]{record: record, candidates: d.holders(d.config.Key(record)), repeats: true}, Copies)
+}
+
+// Broadcast starts to copy a record to all other nodes. It does not block.
+func (d *Distributor[R]) Broadcast(record R) *Distribution[R] {
+	var others []identity.Node
+	if d.config.Peers != nil {
+		others = lo.Reject(d.members.Load().Reachable.nodes, func(node identity.Node, _ int) bool { return node.Name == d.config.Self })
+	}
+	return d.distribute(&Distribution[R]{record: record, candidates: others, repeats: true}, len(others))
+}
+
+// SendTo starts to copy a record to one other node. It does not block.
+func (d *Distributor[R]) SendTo(record R, node identity.Node) {
+	d.distribute(&Distribution[R]{record: record, candidates: []identity.Node{node}}, 1)
+}
+
+// distribute starts to copy a record to the first count candidates.
+func (d *Distributor[R]) distribute(one *Distribution[R], count int) *Distribution[R] {
+	one.startedAt, one.done = d.config.Now(), make(chan struct{})
+	first := one.candidates[:min(count, len(one.candidates))]
 	one.next.Store(int32(len(first)))
 	one.open.Store(int32(len(first)))
 	for _, holder := range first {
@@ -187,7 +206,6 @@
 		for _, one := range batch {
 			if stored {
 				one.stored.Add(1)
-				one.closeFirst()
 				d.settled(one)
 			} else {
 				d.failed(one)
@@ -226,9 +244,9 @@
 
 // ended keeps a record that too few holders have stored, to distribute it again.
 func (d *Distributor[R]) ended(one *Distribution[R]) {
-	defer one.closeFirst()
+	defer close(one.done)
 	stored := one.Stored()
-	if d.config.Peers == nil || stored >= enoughCopies {
+	if d.config.Peers == nil || !one.repeats || stored >= enoughCopies {
 		return
 	}
 	// A node that knows no others has just started, or is cut off.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -32,6 +32,7 @@
 	KindRangeDistribution Kind = 900
 	KindRangeShares       Kind = 1000
 	KindRangeOrigins      Kind = 1100
+	KindRangeQuarantine   Kind = 1200
 
 	kindRangeSize = 100
 )
--- /dev/null
+++ b/internal/quarantine/exchange.go
@@ -0,0 +1,202 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/samber/lo"
+
+	"stepseam.example/stepseam/internal/holders"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/peer"
+)
+
+const (
+	// exchangeInterval is the time between two exchanges of records with a random node, which
+	// reach nodes that were cut off meanwhile.
+	exchangeInterval = time.Second
+	// joinInterval is the time between two requests for records of a node that starts, and
+	// joinTimeout how long it waits for an answer at most.
+	joinInterval = 100 * time.Millisecond
+	joinTimeout  = 1500 * time.Millisecond
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 400 * time.Millisecond
+)
+
+// Register adds this package's messages and handlers to registry.
+func (s *Service) Register(registry *peer.Registry) {
+	registry.Add(
+		func() peer.Message { return &notice{} }, func() peer.Message { return &noticeResponse{} },
+	)
+	registry.Handle(kindNotice, peer.HandlerFunc(s.handleNotice))
+}
+
+func (s *Service) handleNotice(_ context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
+	received, ok := request.(*notice)
+	if !ok {
+		return nil, fmt.Errorf("quarantine: unexpected %T", request)
+	}
+	s.merge(received.records)
+	for i := range received.records {
+		if !received.records[i].announced {
+			s.takeOver(received.records[i].key)
+		}
+	}
+	keys := lo.Map(received.records, func(one record, _ int) Key { return one.key })
+	if received.pull {
+		s.table.mutex.Lock()
+		keys = lo.Uniq(append(keys, s.announcedKeys()...))
+		s.table.mutex.Unlock()
+	}
+	return &noticeResponse{stored: true, records: s.records(keys)}, nil
+}
+
+// takeOver tells all nodes of a content unless its reporter does: it may have ended.
+func (s *Service) takeOver(key Key) {
+	if !s.announcementDue(key) {
+		return
+	}
+	time.AfterFunc(takeoverDelay, func() {
+		if s.shouldAnnounce(key) {
+			s.copies.Broadcast(key)
+		}
+	})
+}
+
+func (s *Service) announcementDue(key Key) bool {
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	found, known := s.table.records[key]
+	return known && found.announced < found.count() && found.count() >= announceFrom
+}
+
+// merge merges records of other nodes.
+func (s *Service) merge(records []record) {
+	now := s.config.Now()
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	for i := range records {
+		one := &records[i]
+		if !one.valid() {
+			continue
+		}
+		found := s.table.entry(one.key, one.identified, one.lifetime, now)
+		for _, shared := range one.attempts {
+			found.merge(shared.received(now))
+		}
+		if one.announced {
+			over := lo.CountBy(found.counting(), func(one *attempt) bool { return one.broken })
+			found.announced = max(found.announced, over, 1)
+		}
+		s.logIfQuarantined(found)
+	}
+}
+
+// records returns the records of keys, as they are known now.
+func (s *Service) records(keys []Key) []record {
+	now := s.config.Now()
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	return lo.FilterMap(keys, func(key Key, _ int) (record, bool) {
+		found, known := s.table.records[key]
+		if !known {
+			return record{}, false
+		}
+		return found.share(now)
+	})
+}
+
+func (s *Service) newNotice(keys []holders.Dated[Key]) peer.Message {
+	return &notice{records: s.records(lo.Uniq(lo.Map(keys, func(one holders.Dated[Key], _ int) Key { return one.Record })))}
+}
+
+func (s *Service) isStored(answer peer.Message) bool {
+	response, ok := answer.(*noticeResponse)
+	if !ok || !response.stored {
+		return false
+	}
+	s.merge(response.records)
+	return true
+}
+
+// Run follows the replicas of attempts whose ends are not known, and exchanges records with other
+// nodes, until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	go s.copies.Run(ctx)
+	if s.config.Peers != nil {
+		go s.join(ctx)
+	}
+	resolve, exchange := time.NewTicker(resolveInterval), time.NewTicker(exchangeInterval)
+	defer resolve.Stop()
+	defer exchange.Stop()
+	for {
+		select {
+		case <-resolve.C:
+			s.resolve()
+		case <-exchange.C:
+			s.exchange(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Close tells the holders that remain of this node's records.
+func (s *Service) Close() {
+	s.table.mutex.Lock()
+	keys := lo.Keys(s.table.records)
+	s.table.mutex.Unlock()
+	for _, key := range keys {
+		s.copies.Distribute(key)
+	}
+}
+
+// exchange removes expired records, and exchanges the others that all nodes should know with a
+// random node.
+func (s *Service) exchange(ctx context.Context) {
+	if s.Idle() {
+		return
+	}
+	s.table.mutex.Lock()
+	s.table.purge(s.config.Now())
+	keys := s.announcedKeys()
+	s.table.mutex.Unlock()
+	others := lo.Reject(s.copies.Members().Reachable.Nodes(), func(node identity.Node, _ int) bool { return node.Name == s.config.Self })
+	if len(keys) == 0 || len(others) == 0 || s.config.Peers == nil {
+		return
+	}
+	go s.pull(ctx, lo.Sample(others).PeerAddress, s.records(keys))
+}
+
+// pull sends records to a node, and stores those that it returns.
+func (s *Service) pull(ctx context.Context, from netip.AddrPort, records []record) bool {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := s.config.Peers.Call(ctx, from, &notice{records: records, pull: true}, nil)
+	return err == nil && s.isStored(answer)
+}
+
+// join asks other nodes for their records until one has answered, or none seems to run.
+func (s *Service) join(ctx context.Context) {
+	defer s.synced.Store(true)
+	for began := time.Now(); time.Since(began) < joinTimeout && ctx.Err() == nil; time.Sleep(joinInterval) {
+		addresses := lo.Without(s.config.Seeds, s.config.Address)
+		for _, node := range s.copies.Members().Reachable.Nodes() {
+			if node.Name != s.config.Self {
+				addresses = append(addresses, node.PeerAddress)
+			}
+		}
+		if len(addresses) == 0 {
+			return
+		}
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		for _, address := range addresses[:min(len(addresses), greeterCount)] {
+			if s.pull(ctx, address, nil) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/quarantine/resolve.go
@@ -0,0 +1,265 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/samber/lo"
+
+	"stepseam.example/stepseam/internal/fleet"
+)
+
+const (
+	// resolveInterval is the time between two checks of the replicas' entries.
+	resolveInterval = 100 * time.Millisecond
+	// verifyTimeout bounds the connection that tells whether a replica has ended, and settleTime
+	// how long that must stay open: a process that ends closes its sockets one after the other.
+	verifyTimeout = 250 * time.Millisecond
+	settleTime    = 10 * time.Millisecond
+	// minSilence is how long a replica must have been silent for an attempt that its client or
+	// its deadline ended to leave a doubt about it. hearTime is how long the replica then has to
+	// be heard at this node before others are told.
+	minSilence = 400 * time.Millisecond
+	hearTime   = 250 * time.Millisecond
+	// heardAfter is how long after an attempt broke off bytes of its replica show that it lives.
+	heardAfter = 50 * time.Millisecond
+	// absentTime is how long a replica must have had no entry to count as ended.
+	absentTime = 300 * time.Millisecond
+	// renewedAfter is how long after an attempt broke off a renewed entry shows that its replica
+	// lives: nodes learn of an entry up to 2.7 s late. presentAfter is how long the entry must
+	// remain without any known renewal; it lapses after three missed heartbeats.
+	renewedAfter = 3 * time.Second
+	presentAfter = 6 * time.Second
+)
+
+// finding is what a new connection to a replica tells.
+type finding int
+
+const (
+	findingUnclear finding = iota
+	findingEnded
+	findingAlive
+)
+
+// Broke is called when an attempt broke off: its connection was reset or closed, or its packets
+// were not acknowledged. It finds out whether the replica has ended, and returns once other nodes
+// know of it or noticeWait has passed. registered may be the zero value.
+func (s *Service) Broke(ctx context.Context, request *Request, send Send, registered Attempt, address netip.AddrPort, cause error) {
+	left := s.left(send.Replica, cause)
+	found := findingAlive
+	if !left {
+		found = s.verify(ctx, address, cause)
+	}
+	next := stateWatched
+	switch {
+	case left:
+		next = stateCleared
+	case found == findingEnded:
+		next = stateEnded
+	case found == findingUnclear:
+		next = stateOpen
+	case registered != (Attempt{}):
+		next = stateCleared
+	}
+	if next == stateCleared && registered == (Attempt{}) {
+		return
+	}
+	s.record(request, send, registered, next)
+	s.config.Logger.Info("attempt broke off", "content", request.Key.String(), "replica", send.Replica.String(), "replica_state", next.String(), "left_as_planned", left)
+	if next == stateOpen || next == stateEnded || next == stateCleared {
+		s.report(ctx, request.Key)
+	}
+}
+
+// String returns the name of the state in logs.
+func (s state) String() string {
+	switch s {
+	case stateWatched:
+		return "seems to live"
+	case stateOpen:
+		return "unknown"
+	case stateEnded:
+		return "ended"
+	case stateCleared:
+		return "lives"
+	}
+	return "invalid"
+}
+
+// left reports whether a replica had said that it leaves, or had no entry any more, before the
+// attempt broke off. One that fell silent is not among these, since its entry lapses.
+func (s *Service) left(replica Replica, cause error) bool {
+	present, found := s.config.Replicas.Presence(replica.Instance)
+	if !found {
+		return !isTimeout(cause)
+	}
+	return present.StartedAtMs == replica.StartedAtMs && present.State == fleet.StateDraining
+}
+
+func isTimeout(err error) bool {
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// Silent is called when an attempt ended by its client or its deadline, while its replica had sent
+// nothing for some time. It does not block.
+func (s *Service) Silent(request *Request, send Send, registered Attempt, silence time.Duration) {
+	if silence < minSilence {
+		s.End(registered)
+		return
+	}
+	made := s.record(request, send, registered, stateWatched)
+	time.AfterFunc(hearTime, func() { s.advance(made, stateOpen) })
+}
+
+// record records how an attempt broke off, and watches its replica.
+func (s *Service) record(request *Request, send Send, registered Attempt, next state) Attempt {
+	now := s.config.Now()
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	found := s.table.entry(request.Key, request.Identified, request.lifetime(), now)
+	one := found.find(registered.id)
+	if one == nil || registered == (Attempt{}) {
+		one = found.add(&attempt{id: rand.Uint64(), replica: send.Replica, began: send.Began, until: send.Until, own: true})
+	}
+	one.state = max(one.state, next)
+	one.broken, one.brokeAt = true, now
+	made := Attempt{key: request.Key, id: one.id}
+	if one.state == stateWatched || one.state == stateOpen {
+		s.watch[send.Replica] = append(s.watch[send.Replica], made)
+		s.watching.Store(int64(len(s.watch)))
+	}
+	s.logIfQuarantined(found)
+	return made
+}
+
+// Heard is called when bytes of a replica arrive.
+func (s *Service) Heard(replica Replica) {
+	if s.watching.Load() == 0 {
+		return
+	}
+	now := s.config.Now()
+	s.table.mutex.Lock()
+	var alive []Attempt
+	for _, one := range s.watch[replica] {
+		if found := s.find(one); found != nil && found.broken && now > found.brokeAt+heardAfter {
+			alive = append(alive, one)
+		}
+	}
+	s.table.mutex.Unlock()
+	for _, one := range alive {
+		s.advance(one, stateCleared)
+	}
+}
+
+// find returns an attempt, or nil. The caller must hold the table's mutex.
+func (s *Service) find(one Attempt) *attempt {
+	found, known := s.table.records[one.key]
+	if !known {
+		return nil
+	}
+	return found.find(one.id)
+}
+
+// verify connects to a replica's address to find out whether it has ended.
+func (s *Service) verify(ctx context.Context, address netip.AddrPort, cause error) finding {
+	if errors.Is(cause, syscall.ECONNREFUSED) {
+		return findingEnded
+	}
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	for {
+		connection, err := s.config.Dial(ctx, address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return findingEnded
+		}
+		if err != nil {
+			return findingUnclear
+		}
+		stays := staysOpen(connection)
+		_ = connection.Close()
+		if stays {
+			return findingAlive
+		}
+		select {
+		case <-ctx.Done():
+			return findingAlive // it accepts connections, and closes them
+		case <-time.After(settleTime):
+		}
+	}
+}
+
+// staysOpen reports whether a new connection is not closed within settleTime.
+func staysOpen(connection net.Conn) bool {
+	_ = connection.SetReadDeadline(time.Now().Add(settleTime))
+	_, err := connection.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// resolve advances the attempts that the replicas' entries decide.
+func (s *Service) resolve() {
+	if s.Idle() {
+		return
+	}
+	now := s.config.Now()
+	decides := s.fresh() && !s.config.Replicas.Recovering(now)
+	s.table.mutex.Lock()
+	decided := map[Attempt]state{}
+	for key, found := range s.table.records {
+		for _, one := range found.attempts {
+			if next := s.decide(one, decides, now); next > one.state {
+				decided[Attempt{key: key, id: one.id}] = next
+			}
+		}
+	}
+	s.watch = lo.PickBy(s.watch, func(_ Replica, watched []Attempt) bool {
+		return lo.SomeBy(watched, func(one Attempt) bool {
+			found := s.find(one)
+			return found != nil && found.state <= stateOpen
+		})
+	})
+	s.watching.Store(int64(len(s.watch)))
+	s.table.mutex.Unlock()
+	for one, next := range decided {
+		s.advance(one, next)
+	}
+}
+
+// decide returns the state of an attempt by its replica's entry. decides is false while missing
+// entries tell nothing. The caller must hold the table's mutex.
+func (s *Service) decide(one *attempt, decides bool, now time.Duration) state {
+	if one.state == stateCleared || one.own && !one.broken {
+		return one.state
+	}
+	present, found := s.config.Replicas.Presence(one.replica.Instance)
+	if found && present.StartedAtMs > one.replica.StartedAtMs {
+		return stateEnded
+	}
+	if !found {
+		if !decides {
+			one.absent = false
+			return one.state
+		}
+		if !one.absent {
+			one.absent, one.absentSince = true, now
+		}
+		if now-one.absentSince >= absentTime {
+			return stateEnded
+		}
+		return one.state
+	}
+	one.absent = false
+	switch {
+	case !one.broken && now > one.until,
+		one.broken && one.state != stateEnded && present.State == fleet.StateDraining,
+		one.broken && present.UpdatedAt > one.brokeAt+renewedAfter,
+		one.broken && one.state != stateEnded && decides && now > one.brokeAt+presentAfter:
+		return stateCleared
+	}
+	return one.state
+}
--- /dev/null
+++ b/internal/quarantine/service.go
@@ -0,0 +1,380 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
+
+	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/holders"
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
+)
+
+// announceFrom is the number of counting attempts from which on all nodes are told of a content.
+// Contents that are not the cause of any end rarely reach it.
+const announceFrom = MaxEnded - 1
+
+const (
+	// noticeWait bounds the wait until other nodes have stored a record, before the request is
+	// sent again or its client is answered.
+	noticeWait = 100 * time.Millisecond
+	// takeoverDelay is how long a holder waits for the node that reported an attempt to tell all
+	// nodes, before it does so itself.
+	takeoverDelay = 40 * time.Millisecond
+)
+
+// Replicas is the node's view of the replicas' entries.
+type Replicas interface {
+	Presence(instance string) (fleet.Presence, bool)
+	Recovering(now time.Duration) bool
+}
+
+// Config configures a Service. Peers is nil if there are no other nodes; Seeds, RoundTrip and
+// Registerer may be nil.
+type Config struct {
+	Self identity.NodeName
+	// Address is this node's peer address.
+	Address netip.AddrPort
+	Peers   peer.Client
+	// Seeds are addresses of other nodes, which a node that starts asks for records.
+	Seeds []netip.AddrPort
+	// RoundTrip returns the round trip time to a zone.
+	RoundTrip func(zone identity.Zone) time.Duration
+	Replicas  Replicas
+	// Dial connects to a replica.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Now returns a monotonic reading.
+	Now        func() time.Duration
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+}
+
+// Service tracks the attempts under which replicas end. It is safe for concurrent use.
+type Service struct {
+	config  Config
+	table   *table
+	copies  *holders.Distributor[Key]
+	metrics *metrics
+	// fresh reports whether the view of the replicas' entries is up to date.
+	fresh func() bool
+	// isolated is set while no other node stores the records of this one, although there are
+	// others: it can't know then how many replicas have ended elsewhere.
+	isolated atomic.Bool
+	// synced is set once another node has told its records, or none can.
+	synced atomic.Bool
+	// watch holds this node's attempts whose replicas may turn out to live. The table's mutex
+	// guards it; watching is its size.
+	watch    map[Replica][]Attempt
+	watching atomic.Int64
+	// members are the names of the other nodes of the last view, guarded by the table's mutex.
+	members map[identity.NodeName]bool
+}
+
+// Attempt is a registered attempt; the zero value is none.
+type Attempt struct {
+	key Key
+	id  uint64
+}
+
+// New returns a service without records.
+func New(config Config) *Service {
+	made := &Service{
+		config: config, table: newTable(), watch: map[Replica][]Attempt{}, members: map[identity.NodeName]bool{},
+		fresh: func() bool { return true },
+	}
+	made.metrics = newMetrics(made.table, config.Registerer)
+	made.copies = holders.NewDistributor(holders.Config[Key]{
+		Self: config.Self, Peers: config.Peers, RoundTrip: config.RoundTrip, Now: config.Now,
+		Key: func(key Key) holders.Key { return holders.Key(key) }, Notice: made.newNotice, Stored: made.isStored,
+		Current: func(key Key) (Key, bool) { return key, made.known(key) }, OnNotice: made.countNotice,
+	})
+	made.synced.Store(config.Peers == nil)
+	return made
+}
+
+// SetFresh sets what reports whether the view of the replicas' entries is up to date. It must be
+// called before the service is used.
+func (s *Service) SetFresh(fresh func() bool) { s.fresh = fresh }
+
+// Synced reports whether this node knows what others knew when it started.
+func (s *Service) Synced() bool { return s.synced.Load() }
+
+// Idle reports whether no replica has lately ended under any request, as far as this node knows.
+// The other methods have nothing to do then.
+func (s *Service) Idle() bool { return s.table.size.Load() == 0 }
+
+// Check returns an error that wraps ErrQuarantined or ErrUnclear if the request may not be sent.
+func (s *Service) Check(request *Request) error {
+	if s.Idle() {
+		return nil
+	}
+	now := s.config.Now()
+	s.table.mutex.Lock()
+	found, known := s.table.records[request.Key]
+	if !known || now >= found.expiresAt {
+		s.table.mutex.Unlock()
+		return nil
+	}
+	err := s.verdict(found, 0)
+	extended := false
+	if err != nil && found.identified && found.expiresAt < now+request.lifetime()/2 {
+		found.expiresAt, extended = now+min(request.lifetime(), maxLifetime), true
+	}
+	s.table.mutex.Unlock()
+	if extended {
+		s.copies.Broadcast(request.Key)
+	}
+	return err
+}
+
+// verdict returns why a request may not be sent, apart from the attempt with the given ID. The
+// caller must hold the table's mutex.
+func (s *Service) verdict(found *entry, except uint64) error {
+	if ended := found.ended(); ended >= MaxEnded {
+		return fmt.Errorf("%w: %d", ErrQuarantined, ended)
+	}
+	possible := found.possible(except)
+	if possible >= MaxEnded {
+		return fmt.Errorf("%w: %d", ErrUnclear, possible)
+	}
+	if possible > 0 && s.isolated.Load() {
+		return fmt.Errorf("%w: no other node can be reached", ErrUnclear)
+	}
+	return nil
+}
+
+// Begin is called right before a request is sent to a replica. If one more end would be the last
+// that is allowed, it registers the attempt, so that it counts even if this node ends. registered
+// is not the zero value if the request is sent to the same replica again. Errors: as of Check.
+func (s *Service) Begin(ctx context.Context, request *Request, send Send, registered Attempt) (Attempt, error) {
+	if s.Idle() {
+		return registered, nil
+	}
+	now := s.config.Now()
+	s.table.mutex.Lock()
+	found, known := s.table.records[request.Key]
+	if !known || now >= found.expiresAt {
+		s.table.mutex.Unlock()
+		return registered, nil
+	}
+	if err := s.verdict(found, registered.id); err != nil || registered != (Attempt{}) || found.possible(0) < MaxEnded-1 {
+		s.table.mutex.Unlock()
+		return registered, err
+	}
+	added := found.add(&attempt{id: rand.Uint64(), replica: send.Replica, state: stateOpen, began: send.Began, until: send.Until, own: true})
+	s.table.mutex.Unlock()
+	made := Attempt{key: request.Key, id: added.id}
+	s.await(ctx, s.copies.Distribute(request.Key))
+	s.table.mutex.Lock()
+	err := s.verdict(found, made.id)
+	s.table.mutex.Unlock()
+	if err != nil {
+		s.End(made)
+		return Attempt{}, err
+	}
+	return made, nil
+}
+
+// End is called when a registered attempt is over without a doubt about its replica.
+func (s *Service) End(ended Attempt) {
+	if ended == (Attempt{}) {
+		return
+	}
+	s.advance(ended, stateCleared)
+}
+
+// advance sets the state of an attempt unless it is further, and tells others.
+func (s *Service) advance(of Attempt, to state) {
+	s.table.mutex.Lock()
+	found, known := s.table.records[of.key]
+	var one *attempt
+	if known {
+		one = found.find(of.id)
+	}
+	if one == nil || one.state >= to {
+		s.table.mutex.Unlock()
+		return
+	}
+	shared := one.state > stateWatched || to != stateCleared
+	one.state = to
+	s.logIfQuarantined(found)
+	s.table.mutex.Unlock()
+	if shared {
+		s.tell(of.key)
+	}
+}
+
+// tell starts to tell other nodes of a content: all of them if they know of it already, or if
+// enough attempts count. It returns the distributions.
+func (s *Service) tell(key Key) []*holders.Distribution[Key] {
+	started := []*holders.Distribution[Key]{s.copies.Distribute(key)}
+	if s.shouldAnnounce(key) || s.announced(key) {
+		started = append(started, s.copies.Broadcast(key))
+	}
+	return started
+}
+
+// shouldAnnounce reports whether all nodes are to be told of a content, and notes that they are.
+func (s *Service) shouldAnnounce(key Key) bool {
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	found, known := s.table.records[key]
+	if !known {
+		return false
+	}
+	// Attempts that are under way are known to the holders.
+	over := lo.CountBy(found.counting(), func(one *attempt) bool { return one.broken })
+	if over < announceFrom || over <= found.announced {
+		return false
+	}
+	found.announced = over
+	return true
+}
+
+func (s *Service) announced(key Key) bool {
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	found, known := s.table.records[key]
+	return known && found.announced > 0
+}
+
+// report tells other nodes of a content and waits until they have stored it, or noticeWait has
+// passed: the client comes back to another node as soon as it is answered.
+func (s *Service) report(ctx context.Context, key Key) {
+	s.await(ctx, s.copies.Distribute(key))
+	// The holders' responses tell of attempts at other nodes.
+	if s.shouldAnnounce(key) || s.announced(key) {
+		s.await(ctx, s.copies.Broadcast(key))
+	}
+}
+
+func (s *Service) await(ctx context.Context, started *holders.Distribution[Key]) {
+	timer := time.NewTimer(noticeWait)
+	defer timer.Stop()
+	select {
+	case <-started.Done():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if started.Stored() == 0 {
+		s.isolated.Store(s.hasOthers())
+	}
+}
+
+// hasOthers reports whether other nodes should exist.
+func (s *Service) hasOthers() bool {
+	return s.config.Peers != nil && (len(s.copies.Members().All.Nodes()) > 1 || len(lo.Without(s.config.Seeds, s.config.Address)) > 0)
+}
+
+func (s *Service) countNotice(stored bool, records int) {
+	if stored {
+		s.isolated.Store(false)
+	}
+	s.metrics.countNotice(stored, records)
+}
+
+func (s *Service) known(key Key) bool {
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	found, known := s.table.records[key]
+	return known && s.config.Now() < found.expiresAt
+}
+
+// SetView updates the members. Nodes that are new are told what all nodes know.
+func (s *Service) SetView(view membership.View) {
+	s.copies.SetView(view)
+	s.table.mutex.Lock()
+	before := s.members
+	s.members = map[identity.NodeName]bool{}
+	var added []identity.Node
+	for _, node := range s.copies.Members().Reachable.Nodes() {
+		s.members[node.Name] = true
+		if !before[node.Name] && node.Name != s.config.Self {
+			added = append(added, node)
+		}
+	}
+	keys := s.announcedKeys()
+	s.table.mutex.Unlock()
+	if len(keys) == 0 {
+		return
+	}
+	for _, node := range added {
+		key := (&Content{Host: string(node.Name)}).Key()
+		greeters := s.copies.Members().Reachable.Rank(holders.Key(key), node.Name, greeterCount, greeterCount)
+		if lo.ContainsBy(greeters, func(one identity.Node) bool { return one.Name == s.config.Self }) {
+			for _, key := range keys {
+				s.copies.SendTo(key, node)
+			}
+		}
+	}
+}
+
+// greeterCount is the number of nodes that tell a new one what all know.
+const greeterCount = 3
+
+// announcedKeys returns the contents that all nodes should know. The caller must hold the table's
+// mutex.
+func (s *Service) announcedKeys() []Key {
+	return lo.FilterMap(lo.Values(s.table.records), func(one *entry, _ int) (Key, bool) { return one.key, one.announced > 0 })
+}
+
+// Answered is called when the client of a request has got its whole answer. Where contents do not
+// identify requests, ends before belong to requests that are over.
+func (s *Service) Answered(request *Request) {
+	if s.Idle() || request.Identified {
+		return
+	}
+	s.table.mutex.Lock()
+	found, known := s.table.records[request.Key]
+	cleared := known && found.clear(func(one *attempt) bool { return one.broken })
+	s.table.mutex.Unlock()
+	if cleared {
+		s.tell(request.Key)
+	}
+}
+
+// clear clears the counting attempts that fit, and reports whether there were any.
+func (e *entry) clear(fits func(*attempt) bool) bool {
+	cleared := false
+	for _, one := range e.attempts {
+		if one.state.counts() && fits(one) {
+			one.state, cleared = stateCleared, true
+		}
+	}
+	return cleared
+}
+
+// Lift lets a content be sent again, at all nodes. It returns false if nothing is known of it.
+func (s *Service) Lift(key Key) bool {
+	s.table.mutex.Lock()
+	found, known := s.table.records[key]
+	lifted := known && found.clear(func(*attempt) bool { return true })
+	s.table.mutex.Unlock()
+	if lifted {
+		s.config.Logger.Warn("quarantine lifted by an operator", "content", key.String())
+		s.copies.Broadcast(key)
+	}
+	return lifted
+}
+
+// logIfQuarantined logs and counts a content that has just reached MaxEnded. The caller must hold
+// the table's mutex.
+func (s *Service) logIfQuarantined(found *entry) {
+	if found.quarantined || found.ended() < MaxEnded {
+		return
+	}
+	found.quarantined = true
+	s.metrics.quarantined.Inc()
+	s.config.Logger.Warn("request quarantined, replicas have ended under it", "content", found.key.String(),
+		"identified", found.identified, "ends", found.ends(s.config.Now()), "left_ms", (found.expiresAt - s.config.Now()).Milliseconds())
+}
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,187 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+const (
+	// maxRecords bounds the records of a node, maxAttempts the attempts in one.
+	maxRecords  = 4096
+	maxAttempts = 12
+	// minLifetime and maxLifetime bound the lifetime of a record. A client makes several attempts,
+	// and repeats them.
+	minLifetime = time.Minute
+	maxLifetime = time.Hour
+)
+
+// entry is the record of one content at this node.
+type entry struct {
+	key        Key
+	identified bool
+	attempts   []*attempt
+	expiresAt  time.Duration
+	// announced is the number of counting attempts that all nodes were told of.
+	announced int
+	// quarantined is set once MaxEnded replicas are known to have ended.
+	quarantined bool
+}
+
+// table holds the records. It is safe for concurrent use.
+type table struct {
+	// size is the number of records, read without the mutex.
+	size atomic.Int64
+
+	// mutex guards all fields below, and the entries.
+	mutex   sync.Mutex
+	records map[Key]*entry
+	// byAge holds the keys of the records, oldest first.
+	byAge   []Key
+	evicted uint64
+}
+
+func newTable() *table { return &table{records: map[Key]*entry{}} }
+
+// entry returns the record of a key, and creates it if needed. The record lives for at least left
+// from now on. The caller must hold the mutex.
+func (t *table) entry(key Key, identified bool, left, now time.Duration) *entry {
+	found, known := t.records[key]
+	if !known {
+		t.makeRoom(now)
+		found = &entry{key: key}
+		t.records[key] = found
+		t.byAge = append(t.byAge, key)
+		t.size.Store(int64(len(t.records)))
+	}
+	found.identified = found.identified || identified
+	found.expiresAt = max(found.expiresAt, now+min(left, maxLifetime))
+	return found
+}
+
+// makeRoom removes expired records, and one that counts the fewest attempts of the oldest if the
+// table is full. The caller must hold the mutex.
+func (t *table) makeRoom(now time.Duration) {
+	t.purge(now)
+	if len(t.records) < maxRecords {
+		return
+	}
+	oldest := t.byAge[:min(len(t.byAge), maxRecords/16)]
+	victim := slices.MinFunc(oldest, func(a, b Key) int { return cmp.Compare(t.records[a].count(), t.records[b].count()) })
+	t.evicted++
+	t.remove(victim)
+}
+
+func (t *table) purge(now time.Duration) {
+	for _, key := range slices.Clone(t.byAge) {
+		if now >= t.records[key].expiresAt {
+			t.remove(key)
+		}
+	}
+}
+
+func (t *table) remove(key Key) {
+	delete(t.records, key)
+	t.byAge = slices.DeleteFunc(t.byAge, func(one Key) bool { return one == key })
+	t.size.Store(int64(len(t.records)))
+}
+
+// find returns an attempt of a record, or nil.
+func (e *entry) find(id uint64) *attempt {
+	found, _ := lo.Find(e.attempts, func(one *attempt) bool { return one.id == id })
+	return found
+}
+
+// add adds an attempt. The oldest that does not count gives way if there are too many.
+func (e *entry) add(added *attempt) *attempt {
+	if len(e.attempts) >= maxAttempts {
+		victim := slices.IndexFunc(e.attempts, func(one *attempt) bool { return !one.state.counts() })
+		e.attempts = slices.Delete(e.attempts, max(victim, 0), max(victim, 0)+1)
+	}
+	e.attempts = append(e.attempts, added)
+	return added
+}
+
+// merge merges an attempt, and reports whether that changed anything.
+func (e *entry) merge(received attempt) bool {
+	known := e.find(received.id)
+	if known == nil {
+		e.add(&received)
+		return true
+	}
+	if received.state <= known.state {
+		return false
+	}
+	known.state = received.state
+	if received.broken {
+		known.broken, known.brokeAt = true, received.brokeAt
+	}
+	return true
+}
+
+// counting returns one attempt for each replica that has ended or may have: one under which it
+// ended, if there is one.
+func (e *entry) counting() []*attempt {
+	byReplica := map[Replica]*attempt{}
+	for _, one := range e.attempts {
+		if known, found := byReplica[one.replica]; one.state.counts() && (!found || known.state < one.state) {
+			byReplica[one.replica] = one
+		}
+	}
+	return lo.Values(byReplica)
+}
+
+// count returns the number of replicas that have ended, or may have.
+func (e *entry) count() int { return len(e.counting()) }
+
+// ended returns the number of replicas that have ended under attempts of one request. Where the
+// content does not identify the request, attempts that overlap in time are taken for those of
+// several clients.
+func (e *entry) ended() int {
+	return e.chain(func(one *attempt) bool { return one.state == stateEnded })
+}
+
+// possible is like ended, and includes replicas that may have ended, except those under the attempt
+// with the given ID.
+func (e *entry) possible(except uint64) int {
+	return e.chain(func(one *attempt) bool { return one.id != except })
+}
+
+func (e *entry) chain(fits func(*attempt) bool) int {
+	counted := lo.Filter(e.counting(), func(one *attempt, _ int) bool { return fits(one) })
+	if e.identified {
+		return len(counted)
+	}
+	over := func(one *attempt) time.Duration {
+		if one.broken {
+			return one.brokeAt
+		}
+		return one.until
+	}
+	slices.SortFunc(counted, func(a, b *attempt) int { return cmp.Compare(over(a), over(b)) })
+	length, last := 0, time.Duration(-1<<62)
+	for _, one := range counted {
+		if one.began >= last {
+			length++
+			last = over(one)
+		}
+	}
+	return length
+}
+
+// ends returns the counting attempts, the oldest first.
+func (e *entry) ends(now time.Duration) []End {
+	counted := e.counting()
+	slices.SortFunc(counted, func(a, b *attempt) int { return cmp.Compare(a.began, b.began) })
+	return lo.Map(counted, func(one *attempt, _ int) End {
+		at := one.began
+		if one.broken {
+			at = one.brokeAt
+		}
+		return End{Replica: one.replica.String(), AgoMs: (now - at).Milliseconds(), Certain: one.state == stateEnded}
+	})
+}
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -26,6 +26,7 @@
 	"stepseam.example/stepseam/internal/loads"
 	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/origin"
+	"stepseam.example/stepseam/internal/quarantine"
 	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/router"
 	"stepseam.example/stepseam/internal/settings"
@@ -70,6 +71,8 @@
 	distances *distances
 	limits    *limits.Service
 	origins   *origin.Service
+	// quarantine keeps requests under which replicas end from further ones.
+	quarantine *quarantine.Service
 	// shares is nil if the node runs without others.
 	shares *shares.Service
 	cold   *coldReplicas
@@ -99,6 +102,7 @@
 	n.run(ctx, n.closeIdleConnections)
 	n.run(ctx, n.limits.Run)
 	n.run(ctx, n.origins.Run)
+	n.run(ctx, n.quarantine.Run)
 	if n.shares != nil {
 		n.run(ctx, n.shares.Run)
 	}
@@ -169,9 +173,9 @@
 
 // ready reports whether the node accepts requests: configuration and replicas are loaded,
 // the configuration is fresh enough to authenticate requests, tenants' limits can be granted,
-// and no shutdown is in progress.
+// the node knows which requests others do not send any more, and no shutdown is in progress.
 func (n *node) ready() bool {
-	return !n.stopping.Load() && n.router.MayServe() && n.views.listed.Load() && n.limitsReady()
+	return !n.stopping.Load() && n.router.MayServe() && n.views.listed.Load() && n.limitsReady() && n.quarantine.Synced()
 }
 
 // maxShareWait is how long a node that starts waits for the first share table. It concerns
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -27,6 +27,7 @@
 	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/origin"
+	"stepseam.example/stepseam/internal/quarantine"
 	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/router"
 	"stepseam.example/stepseam/internal/settings"
@@ -65,6 +66,7 @@
 	do.Provide(injector, provideShares)
 	do.Provide(injector, provideLimits)
 	do.Provide(injector, provideOrigins)
+	do.Provide(injector, provideQuarantine)
 	do.Provide(injector, provideRouter)
 	do.Provide(injector, provideColdReplicas)
 	do.Provide(injector, provideEvacuations)
@@ -212,6 +214,30 @@
 	return made, nil
 }
 
+func provideQuarantine(injector do.Injector) (*quarantine.Service, error) {
+	config := quarantine.Config{
+		Self: do.MustInvoke[settings.Routed](injector).Node.Name, Now: do.MustInvoke[clock](injector),
+		Address: do.MustInvoke[settings.Routed](injector).Addresses.ReachablePeers(), Seeds: do.MustInvoke[settings.Routed](injector).Seeds,
+		RoundTrip: func(zone identity.Zone) time.Duration {
+			return do.MustInvoke[*distance.Map](injector).PathTo(string(zone)).RoundTrip
+		},
+		Replicas: do.MustInvoke[*fleet.Directory](injector), Dial: exchange.Dial,
+		Logger: do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
+	}
+	others, err := do.Invoke[*peers](injector)
+	if err != nil {
+		return nil, err
+	}
+	if others == nil {
+		return quarantine.New(config), nil
+	}
+	config.Peers = others.transport
+	made := quarantine.New(config)
+	made.Register(others.registry)
+	others.onView = append(others.onView, made.SetView)
+	return made, nil
+}
+
 func provideRouter(injector do.Injector) (*router.Router, error) {
 	aggregatorService, err := do.Invoke[*aggregator.Service](injector)
 	if err != nil {
@@ -232,6 +258,7 @@
 		BufferBytes: int64(do.MustInvoke[settings.Routed](injector).Machine.MemoryMebibytes) * mebibyte / bufferDivisor,
 		Limits:      do.MustInvoke[*limits.Service](injector),
 		Origins:     do.MustInvoke[*origin.Service](injector),
+		Quarantine:  do.MustInvoke[*quarantine.Service](injector),
 		Lease:       do.MustInvoke[settings.Routed](injector).Keys.Lease(), Freshness: fresh,
 		Random: rand.Float64, Logger: do.MustInvoke[*slog.Logger](injector),
 		Registerer: do.MustInvoke[*prometheus.Registry](injector),
@@ -286,6 +313,7 @@
 		aggregator:  do.MustInvoke[*aggregator.Service](injector),
 		limits:      do.MustInvoke[*limits.Service](injector),
 		origins:     do.MustInvoke[*origin.Service](injector),
+		quarantine:  do.MustInvoke[*quarantine.Service](injector),
 		shares:      do.MustInvoke[*shares.Service](injector),
 		cold:        do.MustInvoke[*coldReplicas](injector),
 		connections: do.MustInvoke[*router.Connections](injector), store: do.MustInvoke[logstore.Store](injector),
@@ -302,6 +330,7 @@
 		built.peers.onView = append(built.peers.onView, built.distances.setView)
 	}
 	built.origins.SetVersions(built.views.onlyVersion)
+	built.quarantine.SetFresh(built.views.replicasFresh)
 	built.limits.SetLimits(built.limitOf, built.hasLimits)
 	if built.shares != nil {
 		built.shares.SetEnabled(built.hasLimits)
--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -111,9 +111,16 @@
 // stays below.
 const maxVersionsAge = outageAge
 
+// replicasFresh reports whether the view of the replicas is up to date, so that a missing entry
+// tells something.
+func (v *views) replicasFresh() bool {
+	age, known := v.replicas.Age(time.Now())
+	return known && age <= maxVersionsAge
+}
+
 // onlyVersion returns for how long a service has had one version, see origin.Versions.
 func (v *views) onlyVersion(route, service string) fleet.VersionSpan {
-	if age, known := v.replicas.Age(time.Now()); !known || age > maxVersionsAge {
+	if !v.replicasFresh() {
 		return fleet.VersionSpan{}
 	}
 	return v.router.OnlyVersion(route, service)
--- a/internal/routednode/stop.go
+++ b/internal/routednode/stop.go
@@ -29,6 +29,7 @@
 		n.peers.announceLeaving()
 	}
 	n.origins.Close()
+	n.quarantine.Close()
 	n.logger.Info("shutdown requested", "grace", grace.String(), "connections", n.connections.Count())
 	deadline := began.Add(grace - exitMargin)
 	sleepUntil(began.Add(min(acceptPeriod, grace/2)))
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -86,6 +86,10 @@
 			retry.localError = err
 			return nil, err
 		}
+		if err := r.checkQuarantine(call); err != nil {
+			retry.localError = err
+			return nil, err
+		}
 		chosen, found := r.choose(ctx, call, retry)
 		if !found {
 			if r.waitForCapacity(ctx, call, retry) {
@@ -157,6 +161,7 @@
 	default:
 		retry.mayHaveRun++
 	}
+	r.endAttempt(ctx, call, &replica, failure)
 	if failure.Reason == exchange.ReasonMoved {
 		r.config.Fleet.Remove(replica.Instance, replica.StartedAtMs, r.Now())
 	}
@@ -185,10 +190,11 @@
 	if call.service.Slots > 0 && r.config.Names.Priority != "" {
 		call.header.Set(r.config.Names.Priority, strconv.Itoa(balance.Priority(call.priority, call.late)))
 	}
+	call.sentAt, call.heardAt = r.Now(), time.Time{}
 	inFlight := r.config.Tracker.Begin(balance.Target{
 		Instance: replica.IncarnationID(), Service: call.service.Name, Slots: replica.Slots, Known: chosen.aggregated,
 		Cold: r.isCold(call, replica.IncarnationID()), Probe: chosen.probe,
-	}, call.prompt, r.Now())
+	}, call.prompt, call.sentAt)
 	r.reportLoad(call, replica, call.prompt.Segments)
 	reply.expected, reply.cold = inFlight.Expected(), inFlight.Cold()
 	stopTimer := r.startResponseTimer(call, replica, inFlight)
@@ -209,6 +215,7 @@
 		r.reportLoad(call, replica, nil)
 		return nil, failure
 	}
+	r.heard(&replica)
 	if failure = r.checkResponse(response); failure != nil {
 		attempt.recordOutcome(outcomeOf(failure))
 		attempt.finish(failure.Reason == exchange.ReasonShed || failure.Reason == exchange.ReasonMoved)
@@ -255,6 +262,10 @@
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		reply.abort("client_left", cause)
+	case isQuarantineError(r.checkQuarantine(call)):
+		rejectQuarantined(reply, r.checkQuarantine(call), retry.mayHaveRun > 0)
+	case isQuarantineError(retry.localError):
+		rejectQuarantined(reply, retry.localError, retry.mayHaveRun > 0)
 	case retry.localError != nil:
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStale, retryAfter: r.storeRetryAfter(shortRetryAfter), cause: retry.localError})
 	case retry.mayHaveRun == 0:
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -44,6 +44,12 @@
 	contentKey *quarantine.Key
 	route      *routing.Route
 	service    routing.Service
+	// sentAt is when the last attempt began, as a reading of Router.Now, and heardAt when its
+	// replica last sent something; zero if it did not. registered is its registration with the
+	// quarantine, if it has one.
+	sentAt     time.Duration
+	heardAt    time.Time
+	registered quarantine.Attempt
 	// tenant is the account of the request by the configuration at its arrival; nil if no
 	// key is required.
 	tenant *routing.Tenant
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -54,7 +54,7 @@
 	defer release()
 	body, err := io.ReadAll(io.LimitReader(attempt.response.Body, limit))
 	if err == nil && int64(len(body)) == limit {
-		r.forwardLongBody(reply, attempt, body)
+		r.forwardLongBody(ctx, reply, attempt, body)
 		return nil
 	}
 	if err != nil && ctx.Err() == nil {
@@ -72,12 +72,14 @@
 	reply.bytes = len(body)
 	if _, err := reply.writer.Write(body); err != nil {
 		reply.setReason("client_left", err)
+		return nil
 	}
+	reply.answered = !failed
 	return nil
 }
 
 // forwardLongBody sends prefix and streams the rest of a body that exceeds the buffer.
-func (r *Router) forwardLongBody(reply *reply, attempt *attempt, prefix []byte) {
+func (r *Router) forwardLongBody(ctx context.Context, reply *reply, attempt *attempt, prefix []byte) {
 	reply.sendHeader(attempt.response, int(attempt.response.Length))
 	written, err := reply.writer.Write(prefix)
 	reply.bytes = written
@@ -98,11 +100,13 @@
 				attempt.recordOutcome(outlier.Success)
 			}
 			attempt.finish(false)
+			reply.answered = attempt.response.Status < http.StatusInternalServerError
 			return
 		}
 		if err != nil {
 			attempt.recordOutcome(outlier.BrokenResponse)
 			attempt.finish(true)
+			r.endAttempt(ctx, attempt.call, &attempt.replica, &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Cause: err})
 			reply.abort(string(exchange.ReasonIncomplete), err)
 		}
 	}
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -70,6 +70,8 @@
 	ledgerWait, originWait time.Duration
 	// firstByte is the time at which the response header was sent.
 	firstByte time.Time
+	// answered reports that the client was sent the whole response of a replica.
+	answered bool
 	// aborted reports that the response was aborted.
 	aborted bool
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,12 +20,13 @@
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/origin"
+	"stepseam.example/stepseam/internal/quarantine"
 	"stepseam.example/stepseam/internal/residency"
 	"stepseam.example/stepseam/internal/routing"
 )
 
 // Config configures a Router. All fields are required except Regions, Distances,
-// Evacuations, ColdStart, Keepers, Limits, Origins, Registerer and those whose comments say
+// Evacuations, ColdStart, Keepers, Limits, Origins, Quarantine, Registerer and those whose comments say
 // otherwise.
 type Config struct {
 	Names    HeaderNames
@@ -56,6 +57,8 @@
 	// Origins records and finds the version that began each stream; nil if the node resumes no
 	// streams of clients.
 	Origins *origin.Service
+	// Quarantine keeps requests under which replicas end from further ones; nil disables that.
+	Quarantine *quarantine.Service
 	// Lease is the maximum age of the configuration for serving requests with keys; 0 sets
 	// no limit.
 	Lease time.Duration
@@ -205,6 +208,11 @@
 	ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
 	defer cancel()
 	defer r.logCompleted(call, reply)
+	defer r.endCall(call, reply)
+	if err := r.checkQuarantine(call); err != nil {
+		rejectQuarantined(reply, err, false)
+		return
+	}
 	if !r.admitTenant(ctx, reply, call) {
 		return
 	}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -13,6 +13,7 @@
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/origin"
 	"stepseam.example/stepseam/internal/outlier"
+	"stepseam.example/stepseam/internal/quarantine"
 )
 
 // stream is the response to a streaming request while it is forwarded.
@@ -73,6 +74,7 @@
 		}
 		failure, whole := r.forwardResponse(ctx, stream, retry, attempt)
 		if failure == nil {
+			stream.reply.answered = whole
 			return whole
 		}
 		r.recordFailure(ctx, stream.call, attempt.replica, retry, failure)
@@ -120,7 +122,12 @@
 	if retry.lastFailure != nil {
 		reason, cause = string(retry.lastFailure.Reason), retry.lastFailure
 	}
-	switch {
+	switch err := r.checkQuarantine(stream.call); {
+	case isQuarantineError(err):
+		reason, cause = reasonEndsUnclear, err
+		if errors.Is(err, quarantine.ErrQuarantined) {
+			reason = reasonQuarantined
+		}
 	case stream.call.left() < minTimeLeft:
 		reason = "timeout"
 	case stream.call.origin != nil && !r.anyReplica(stream.call, func(*fleet.Replica) bool { return true }):
@@ -166,6 +173,8 @@
 			gaps = append(gaps, now.Sub(last))
 		}
 		last = now
+		stream.call.heardAt = now
+		r.heard(&attempt.replica)
 		if event.hasID && event.id <= stream.lastEvent {
 			continue
 		}
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -119,6 +119,7 @@
 	if reply.reason != "" {
 		attributes = append(attributes, slog.String("reason", reply.reason), slog.Bool("cut", reply.aborted), errorAttr(reply.cause))
 	}
+	attributes = append(attributes, r.quarantineAttrs(call, reply)...)
 	r.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request ended", attributes...)
 }
 
--- a/internal/router/usable.go
+++ b/internal/router/usable.go
@@ -136,6 +136,9 @@
 // takes a permit if the replica's service limits cold replicas. A request that is sent again
 // on another connection takes another token of the tenant's limit.
 func (r *Router) acquireSend(ctx context.Context, call *call, replica fleet.Replica) error {
+	if err := r.beginAttempt(ctx, call, &replica); err != nil {
+		return err
+	}
 	if err := r.admitRepeat(ctx, call); err != nil {
 		return err
 	}
