Send no request after three replicas have ended under it

Callers saw replicas go one after the other, since a request under which they end was sent again by each client attempt: its retries were counted at one node and forgotten with its answer, and a replica that had ended was taken for a broken connection.

A request is known by its content now, and a node at which an attempt breaks off finds out whether the replica has ended: its address refuses connections, its entry lapses or another incarnation shows. Records of broken attempts go to the holders of the content's key before the request is sent again or its client is answered, and to all nodes (at sites of over 100 nodes from the second on). The second and third send of such a request are registered before they are made, the third with a majority, so that the end of their node, or a cut between nodes, does not hide them. With three ends the request is answered 400 at once, and 503 while it is not known whether three have ended.

--- a/internal/holders/distributor.go
+++ b/internal/holders/distributor.go
@@ -22,9 +22,10 @@
 	// for one holder.
 	maxBatch = 256
 	maxQueue = 4096
-	// enoughCopies is the number of holders that must have stored a record, or all other nodes
+	// EnoughCopies is the number of holders that must have stored a record, or all other nodes
 	// of a smaller site; with fewer the record is distributed again each RedistributeInterval.
-	enoughCopies = 3
+	// More than half of the first holders have it then.
+	EnoughCopies = Copies/2 + 1
 	// RedistributeInterval is the time between two distributions of a record that too few holders
 	// have stored.
 	RedistributeInterval = 500 * time.Millisecond
@@ -56,6 +57,9 @@
 	Current func(record R) (R, bool)
 	// OnNotice is called with the outcome of each notice and the number of its records.
 	OnNotice func(stored bool, records int)
+	// OnEnded is called with each distribution to holders or to all nodes that has ended; it may
+	// be nil.
+	OnEnded func(ended *Distribution[R])
 }
 
 // Distributor copies records to their holders. It is safe for concurrent use.
@@ -93,8 +97,11 @@
 	next       atomic.Int32
 	// open counts the notices without an outcome, stored those that succeeded.
 	open, stored atomic.Int32
-	// done is closed once all notices have an outcome.
-	done chan struct{}
+	// done is closed once all notices have an outcome, enough once enoughCount nodes have stored
+	// the record, or done is closed.
+	done, enough chan struct{}
+	enoughCount  int
+	enoughOnce   sync.Once
 	// repeats is set if the record is distributed again should too few nodes have stored it.
 	repeats bool
 }
@@ -102,6 +109,12 @@
 // Done returns a channel that is closed once all notices have an outcome.
 func (o *Distribution[R]) Done() <-chan struct{} { return o.done }
 
+// Enough returns a channel that is closed once enough nodes have stored the record, or all notices
+// have an outcome.
+func (o *Distribution[R]) Enough() <-chan struct{} { return o.enough }
+
+func (o *Distribution[R]) closeEnough() { o.enoughOnce.Do(func() { close(o.enough) }) }
+
 // Stored returns the number of holders that have stored the record.
 func (o *Distribution[R]) Stored() int { return int(o.stored.Load()) }
 
@@ -132,16 +145,18 @@
 
 // Distribute starts to copy a record to its holders. It does not block.
 func (d *Distributor[R]) Distribute(record R) *Distribution[R] {
-	return d.distribute(&Distribution[R]{record: record, candidates: d.holders(d.config.Key(record)), repeats: true}, Copies)
+	candidates := d.holders(d.config.Key(record))
+	return d.distribute(&Distribution[R]{record: record, candidates: candidates, repeats: true, enoughCount: EnoughCopies}, Copies)
 }
 
-// Broadcast starts to copy a record to all other nodes. It does not block.
-func (d *Distributor[R]) Broadcast(record R) *Distribution[R] {
+// Broadcast starts to copy a record to all other nodes. Enough of them have stored it once enough
+// nodes have. It does not block.
+func (d *Distributor[R]) Broadcast(record R, enough int) *Distribution[R] {
 	var others []identity.Node
 	if d.config.Peers != nil {
 		others = lo.Reject(d.members.Load().Reachable.nodes, func(node identity.Node, _ int) bool { return node.Name == d.config.Self })
 	}
-	return d.distribute(&Distribution[R]{record: record, candidates: others, repeats: true}, len(others))
+	return d.distribute(&Distribution[R]{record: record, candidates: others, repeats: true, enoughCount: enough}, len(others))
 }
 
 // SendTo starts to copy a record to one other node. It does not block.
@@ -151,7 +166,7 @@
 
 // distribute starts to copy a record to the first count candidates.
 func (d *Distributor[R]) distribute(one *Distribution[R], count int) *Distribution[R] {
-	one.startedAt, one.done = d.config.Now(), make(chan struct{})
+	one.startedAt, one.done, one.enough = d.config.Now(), make(chan struct{}), make(chan struct{})
 	first := one.candidates[:min(count, len(one.candidates))]
 	one.next.Store(int32(len(first)))
 	one.open.Store(int32(len(first)))
@@ -205,7 +220,9 @@
 		d.config.OnNotice(stored, len(batch))
 		for _, one := range batch {
 			if stored {
-				one.stored.Add(1)
+				if one.stored.Add(1) == int32(one.enoughCount) {
+					one.closeEnough()
+				}
 				d.settled(one)
 			} else {
 				d.failed(one)
@@ -245,8 +262,12 @@
 // ended keeps a record that too few holders have stored, to distribute it again.
 func (d *Distributor[R]) ended(one *Distribution[R]) {
 	defer close(one.done)
+	defer one.closeEnough()
+	if d.config.OnEnded != nil && one.repeats {
+		d.config.OnEnded(one)
+	}
 	stored := one.Stored()
-	if d.config.Peers == nil || !one.repeats || stored >= enoughCopies {
+	if d.config.Peers == nil || !one.repeats || stored >= EnoughCopies {
 		return
 	}
 	// A node that knows no others has just started, or is cut off.
--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -22,7 +22,8 @@
 	Queried = 8
 	// CopiesPerZone bounds the first holders in a zone, so that the loss of a zone leaves others.
 	// One more is asked, since a node that started meanwhile may precede a holder of its zone.
-	CopiesPerZone  = 2
+	CopiesPerZone = 2
+	// QueriedPerZone bounds the first nodes to ask in a zone.
 	QueriedPerZone = CopiesPerZone + 1
 )
 
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -61,7 +61,7 @@
 	}
 	time.AfterFunc(takeoverDelay, func() {
 		if s.shouldAnnounce(key) {
-			s.copies.Broadcast(key)
+			s.copies.Broadcast(key, 0)
 		}
 	})
 }
@@ -70,7 +70,7 @@
 	s.table.mutex.Lock()
 	defer s.table.mutex.Unlock()
 	found, known := s.table.records[key]
-	return known && found.announced < found.count() && found.count() >= announceFrom
+	return known && found.broken() > found.announced && found.broken() >= s.announceFrom()
 }
 
 // merge merges records of other nodes.
@@ -88,8 +88,7 @@
 			found.merge(shared.received(now))
 		}
 		if one.announced {
-			over := lo.CountBy(found.counting(), func(one *attempt) bool { return one.broken })
-			found.announced = max(found.announced, over, 1)
+			found.announced = max(found.announced, found.broken(), 1)
 		}
 		s.logIfQuarantined(found)
 	}
--- a/internal/quarantine/resolve.go
+++ b/internal/quarantine/resolve.go
@@ -114,6 +114,10 @@
 		return
 	}
 	made := s.record(request, send, registered, stateWatched)
+	if registered != (Attempt{}) {
+		s.tell(request.Key)
+		return
+	}
 	time.AfterFunc(hearTime, func() { s.advance(made, stateOpen) })
 }
 
@@ -254,11 +258,14 @@
 		return one.state
 	}
 	one.absent = false
+	over := one.until
+	if one.broken {
+		over = one.brokeAt
+	}
 	switch {
-	case !one.broken && now > one.until,
-		one.broken && one.state != stateEnded && present.State == fleet.StateDraining,
-		one.broken && present.UpdatedAt > one.brokeAt+renewedAfter,
-		one.broken && one.state != stateEnded && decides && now > one.brokeAt+presentAfter:
+	case one.broken && one.state != stateEnded && present.State == fleet.StateDraining,
+		present.UpdatedAt > over+renewedAfter,
+		one.state != stateEnded && decides && now > over+presentAfter:
 		return stateCleared
 	}
 	return one.state
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -20,14 +20,22 @@
 	"stepseam.example/stepseam/internal/peer"
 )
 
-// announceFrom is the number of counting attempts from which on all nodes are told of a content.
-// Contents that are not the cause of any end rarely reach it.
-const announceFrom = MaxEnded - 1
+const (
+	// announceFrom is the number of counting attempts from which on all nodes are told of a
+	// content. Contents that are not the cause of any end rarely reach it. At a site of up to
+	// smallSite nodes, all are told of the first one: when many replicas end at once, each node
+	// gets a record of each request that ran there.
+	announceFrom = MaxEnded - 1
+	smallSite    = 100
+)
 
 const (
-	// noticeWait bounds the wait until other nodes have stored a record, before the request is
-	// sent again or its client is answered.
-	noticeWait = 100 * time.Millisecond
+	// noticeWait bounds the wait until enough other nodes have stored a record, before the request
+	// is sent again or its client is answered. announceWait bounds the wait until all have.
+	noticeWait   = 250 * time.Millisecond
+	announceWait = 100 * time.Millisecond
+	// memberMemory is how long nodes that are gone count for a majority: they may be cut off.
+	memberMemory = 30 * time.Second
 	// takeoverDelay is how long a holder waits for the node that reported an attempt to tell all
 	// nodes, before it does so itself.
 	takeoverDelay = 40 * time.Millisecond
@@ -76,8 +84,11 @@
 	// guards it; watching is its size.
 	watch    map[Replica][]Attempt
 	watching atomic.Int64
-	// members are the names of the other nodes of the last view, guarded by the table's mutex.
+	// members are the names of the nodes of the last view. peak is the largest number of nodes
+	// within memberMemory, as seen at peakAt. The table's mutex guards them.
 	members map[identity.NodeName]bool
+	peak    int
+	peakAt  time.Duration
 }
 
 // Attempt is a registered attempt; the zero value is none.
@@ -89,14 +100,14 @@
 // New returns a service without records.
 func New(config Config) *Service {
 	made := &Service{
-		config: config, table: newTable(), watch: map[Replica][]Attempt{}, members: map[identity.NodeName]bool{},
+		config: config, table: newTable(), watch: map[Replica][]Attempt{}, members: map[identity.NodeName]bool{config.Self: true},
 		fresh: func() bool { return true },
 	}
 	made.metrics = newMetrics(made.table, config.Registerer)
 	made.copies = holders.NewDistributor(holders.Config[Key]{
 		Self: config.Self, Peers: config.Peers, RoundTrip: config.RoundTrip, Now: config.Now,
 		Key: func(key Key) holders.Key { return holders.Key(key) }, Notice: made.newNotice, Stored: made.isStored,
-		Current: func(key Key) (Key, bool) { return key, made.known(key) }, OnNotice: made.countNotice,
+		Current: func(key Key) (Key, bool) { return key, made.known(key) }, OnNotice: made.metrics.countNotice, OnEnded: made.noteEnded,
 	})
 	made.synced.Store(config.Peers == nil)
 	return made
@@ -132,7 +143,7 @@
 	}
 	s.table.mutex.Unlock()
 	if extended {
-		s.copies.Broadcast(request.Key)
+		s.copies.Broadcast(request.Key, 0)
 	}
 	return err
 }
@@ -147,14 +158,16 @@
 	if possible >= MaxEnded {
 		return fmt.Errorf("%w: %d", ErrUnclear, possible)
 	}
-	if possible > 0 && s.isolated.Load() {
-		return fmt.Errorf("%w: no other node can be reached", ErrUnclear)
+	if possible > 0 && s.config.Peers != nil && (s.isolated.Load() || 2*len(s.members) <= s.countMembers()) {
+		return fmt.Errorf("%w: too few other nodes can be reached", ErrUnclear)
 	}
 	return nil
 }
 
-// Begin is called right before a request is sent to a replica. If one more end would be the last
-// that is allowed, it registers the attempt, so that it counts even if this node ends. registered
+// Begin is called right before a request is sent to a replica. If replicas have ended under it, or
+// may have, it registers the attempt, so that it counts even if this node ends. The last one that is
+// allowed is registered with a majority of the nodes, so that nodes that are cut from each other
+// don't send the request both. registered
 // is not the zero value if the request is sent to the same replica again. Errors: as of Check.
 func (s *Service) Begin(ctx context.Context, request *Request, send Send, registered Attempt) (Attempt, error) {
 	if s.Idle() {
@@ -167,17 +180,16 @@
 		s.table.mutex.Unlock()
 		return registered, nil
 	}
-	if err := s.verdict(found, registered.id); err != nil || registered != (Attempt{}) || found.possible(0) < MaxEnded-1 {
+	possible := found.possible(0)
+	if err := s.verdict(found, registered.id); err != nil || registered != (Attempt{}) || possible == 0 {
 		s.table.mutex.Unlock()
 		return registered, err
 	}
+	last := possible == MaxEnded-1
 	added := found.add(&attempt{id: rand.Uint64(), replica: send.Replica, state: stateOpen, began: send.Began, until: send.Until, own: true})
 	s.table.mutex.Unlock()
 	made := Attempt{key: request.Key, id: added.id}
-	s.await(ctx, s.copies.Distribute(request.Key))
-	s.table.mutex.Lock()
-	err := s.verdict(found, made.id)
-	s.table.mutex.Unlock()
+	err := s.register(ctx, found, made, last)
 	if err != nil {
 		s.End(made)
 		return Attempt{}, err
@@ -185,6 +197,29 @@
 	return made, nil
 }
 
+// register tells other nodes of an attempt that is about to be made: a majority of them if it is
+// the last that is allowed. Errors: as of Check.
+func (s *Service) register(ctx context.Context, found *entry, made Attempt, last bool) error {
+	started := s.copies.Distribute(made.key)
+	if last {
+		started = s.copies.Broadcast(made.key, s.majority()-1)
+	}
+	await(ctx, started.Enough(), noticeWait)
+	s.table.mutex.Lock()
+	err := s.verdict(found, made.id)
+	unknown := found.possible(made.id) >= MaxEnded-1 && !last
+	s.table.mutex.Unlock()
+	switch {
+	case err != nil:
+		return err
+	case unknown:
+		return s.register(ctx, found, made, true)
+	case last && started.Stored()+1 < s.majority():
+		return fmt.Errorf("%w: %d nodes know of this one, fewer than a majority", ErrUnclear, started.Stored())
+	}
+	return nil
+}
+
 // End is called when a registered attempt is over without a doubt about its replica.
 func (s *Service) End(ended Attempt) {
 	if ended == (Attempt{}) {
@@ -219,7 +254,7 @@
 func (s *Service) tell(key Key) []*holders.Distribution[Key] {
 	started := []*holders.Distribution[Key]{s.copies.Distribute(key)}
 	if s.shouldAnnounce(key) || s.announced(key) {
-		started = append(started, s.copies.Broadcast(key))
+		started = append(started, s.copies.Broadcast(key, 0))
 	}
 	return started
 }
@@ -233,14 +268,34 @@
 		return false
 	}
 	// Attempts that are under way are known to the holders.
-	over := lo.CountBy(found.counting(), func(one *attempt) bool { return one.broken })
-	if over < announceFrom || over <= found.announced {
+	over := found.broken()
+	if over < s.announceFrom() || over <= found.announced {
 		return false
 	}
 	found.announced = over
 	return true
 }
 
+// announceFrom is the number of counting attempts from which on all nodes are told. The caller must
+// hold the table's mutex.
+func (s *Service) announceFrom() int {
+	if len(s.members) <= smallSite {
+		return 1
+	}
+	return announceFrom
+}
+
+// counted returns the number of counting attempts of a content.
+func (s *Service) counted(key Key) int {
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	found, known := s.table.records[key]
+	if !known {
+		return 0
+	}
+	return found.count()
+}
+
 func (s *Service) announced(key Key) bool {
 	s.table.mutex.Lock()
 	defer s.table.mutex.Unlock()
@@ -251,36 +306,54 @@
 // report tells other nodes of a content and waits until they have stored it, or noticeWait has
 // passed: the client comes back to another node as soon as it is answered.
 func (s *Service) report(ctx context.Context, key Key) {
-	s.await(ctx, s.copies.Distribute(key))
+	started := s.copies.Distribute(key)
+	await(ctx, started.Enough(), noticeWait)
+	s.noteEnded(started)
 	// The holders' responses tell of attempts at other nodes.
-	if s.shouldAnnounce(key) || s.announced(key) {
-		s.await(ctx, s.copies.Broadcast(key))
+	if !s.shouldAnnounce(key) && !s.announced(key) {
+		return
+	}
+	told := s.copies.Broadcast(key, 0)
+	if s.counted(key) >= announceFrom {
+		await(ctx, told.Done(), announceWait)
 	}
 }
 
-func (s *Service) await(ctx context.Context, started *holders.Distribution[Key]) {
-	timer := time.NewTimer(noticeWait)
+func await(ctx context.Context, done <-chan struct{}, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case <-started.Done():
+	case <-done:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if started.Stored() == 0 {
-		s.isolated.Store(s.hasOthers())
-	}
 }
 
-// hasOthers reports whether other nodes should exist.
-func (s *Service) hasOthers() bool {
-	return s.config.Peers != nil && (len(s.copies.Members().All.Nodes()) > 1 || len(lo.Without(s.config.Seeds, s.config.Address)) > 0)
+// noteEnded notes whether enough nodes have stored a record.
+func (s *Service) noteEnded(ended *holders.Distribution[Key]) {
+	s.isolated.Store(ended.Stored() < min(holders.EnoughCopies, s.majority()-1))
+}
+
+// majority is the number of nodes, with this one, that are more than half of those that may run.
+func (s *Service) majority() int {
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	return s.countMembers()/2 + 1
 }
 
-func (s *Service) countNotice(stored bool, records int) {
-	if stored {
-		s.isolated.Store(false)
+// countMembers returns the number of nodes that may run, also cut off from this one. The caller
+// must hold the table's mutex.
+func (s *Service) countMembers() int {
+	if s.config.Peers == nil {
+		return 1
+	}
+	if s.config.Now()-s.peakAt > memberMemory {
+		s.peak, s.peakAt = len(s.members), s.config.Now()
 	}
-	s.metrics.countNotice(stored, records)
+	if s.peak <= 1 && len(lo.Without(s.config.Seeds, s.config.Address)) > 0 {
+		return 2 // a node that has just started, or is cut off
+	}
+	return max(s.peak, 1)
 }
 
 func (s *Service) known(key Key) bool {
@@ -303,6 +376,9 @@
 			added = append(added, node)
 		}
 	}
+	if now := s.config.Now(); len(s.members) >= s.peak || now-s.peakAt > memberMemory {
+		s.peak, s.peakAt = len(s.members), now
+	}
 	keys := s.announcedKeys()
 	s.table.mutex.Unlock()
 	if len(keys) == 0 {
@@ -362,7 +438,7 @@
 	s.table.mutex.Unlock()
 	if lifted {
 		s.config.Logger.Warn("quarantine lifted by an operator", "content", key.String())
-		s.copies.Broadcast(key)
+		s.copies.Broadcast(key, 0)
 	}
 	return lifted
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -113,11 +113,11 @@
 		e.add(&received)
 		return true
 	}
-	if received.state <= known.state {
+	if received.state < known.state || received.state == known.state && (known.broken || !received.broken) {
 		return false
 	}
 	known.state = received.state
-	if received.broken {
+	if received.broken && !known.broken {
 		known.broken, known.brokeAt = true, received.brokeAt
 	}
 	return true
@@ -135,6 +135,11 @@
 	return lo.Values(byReplica)
 }
 
+// broken returns the number of counting attempts that are not under way.
+func (e *entry) broken() int {
+	return lo.CountBy(e.counting(), func(one *attempt) bool { return one.broken })
+}
+
 // count returns the number of replicas that have ended, or may have.
 func (e *entry) count() int { return len(e.counting()) }
 
