--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -161,14 +161,14 @@
 	if possible >= MaxEnded {
 		return fmt.Errorf("%w: %d", ErrUnclear, possible)
 	}
-	if possible > 0 && s.config.Peers != nil && (s.isolated.Load() || 2*len(s.members) <= s.countMembers()) {
+	if found.identified && possible > 0 && s.config.Peers != nil && (s.isolated.Load() || 2*len(s.members) <= s.countMembers()) {
 		return fmt.Errorf("%w: too few other nodes can be reached", ErrUnclear)
 	}
 	return nil
 }
 
 // Begin is called right before a request is sent to a replica. If replicas have ended under it, or
-// may have, it registers the attempt, so that it counts even if this node ends. The last one that is
+// may have, and its content identifies it, it registers the attempt, so that it counts even if this node ends. The last one that is
 // allowed is registered with a majority of the nodes, so that nodes that are cut from each other
 // don't send the request both. registered
 // is not the zero value if the request is sent to the same replica again. Errors: as of Check.
@@ -184,7 +184,7 @@
 		return registered, nil
 	}
 	possible := found.possible(0)
-	if err := s.verdict(found, registered.id); err != nil || registered != (Attempt{}) || possible == 0 && !found.suspect() {
+	if err := s.verdict(found, registered.id); err != nil || registered != (Attempt{}) || !found.identified || possible == 0 && !found.suspect() {
 		s.table.mutex.Unlock()
 		return registered, err
 	}
