--- a/cmd/stepseamctl/main.go
+++ b/cmd/stepseamctl/main.go
@@ -35,15 +35,16 @@
 	Output  string        `arg:"--output,-o" default:"table" help:"table or json"`
 	Timeout time.Duration `arg:"--timeout" default:"30s" help:"how long one request may take"`
 
-	Table   *tableCommand   `arg:"subcommand:table" help:"check, compare, publish and show the table"`
-	Status  *statusCommand  `arg:"subcommand:status" help:"show nodes, back ends, shards and the versions in force"`
-	Program *programCommand `arg:"subcommand:program" help:"show, list and cancel programs"`
-	Drain   *drainCommand   `arg:"subcommand:drain" help:"begin the planned stop of a node"`
-	Tenants *tenantsCommand `arg:"subcommand:tenants" help:"show tenants' limits and the age of the configuration, at the metrics' address of a node of a platform"`
-	Grants  *grantsCommand  `arg:"subcommand:grants" help:"show from the logs of nodes of a platform which allocators granted most tokens of a tenant within a window"`
-	Zones   *zonesCommand   `arg:"subcommand:zones" help:"show zones, those that are evacuated, and cold replicas, at the metrics' address of a node of a platform"`
-	Nodes   *nodesCommand   `arg:"subcommand:nodes" help:"show what a node of a platform knows of the store and from whom, and what it does for others, at its metrics' address"`
-	Explain *explainCommand `arg:"subcommand:explain" help:"show why a call went where it went"`
+	Table      *tableCommand      `arg:"subcommand:table" help:"check, compare, publish and show the table"`
+	Status     *statusCommand     `arg:"subcommand:status" help:"show nodes, back ends, shards and the versions in force"`
+	Program    *programCommand    `arg:"subcommand:program" help:"show, list and cancel programs"`
+	Drain      *drainCommand      `arg:"subcommand:drain" help:"begin the planned stop of a node"`
+	Tenants    *tenantsCommand    `arg:"subcommand:tenants" help:"show tenants' limits and the age of the configuration, at the metrics' address of a node of a platform"`
+	Grants     *grantsCommand     `arg:"subcommand:grants" help:"show from the logs of nodes of a platform which allocators granted most tokens of a tenant within a window"`
+	Zones      *zonesCommand      `arg:"subcommand:zones" help:"show zones, those that are evacuated, and cold replicas, at the metrics' address of a node of a platform"`
+	Quarantine *quarantineCommand `arg:"subcommand:quarantine" help:"show requests under which replicas of a platform have ended, and let one be sent again, at the metrics' address of a node"`
+	Nodes      *nodesCommand      `arg:"subcommand:nodes" help:"show what a node of a platform knows of the store and from whom, and what it does for others, at its metrics' address"`
+	Explain    *explainCommand    `arg:"subcommand:explain" help:"show why a call went where it went"`
 }
 
 // Description is the first paragraph of the help text.
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
+
+	"stepseam.example/stepseam/internal/quarantinestatus"
 )
 
 // metrics count quarantined requests and records.
@@ -49,38 +51,27 @@
 	m.copies.WithLabelValues(outcome).Add(float64(records))
 }
 
-// Status is what a node knows of one content, for operators.
-type Status struct {
-	Content     string `json:"content"`
-	Quarantined bool   `json:"quarantined"`
-	// Identified reports whether the content names a program.
-	Identified bool `json:"identified"`
-	// LeftMs is how long the record is kept, in milliseconds.
-	LeftMs int64 `json:"leftMs"`
-	Ends   []End `json:"ends"`
-}
-
 // Status returns the contents under which replicas have ended or may have, those with the most ends
 // first.
-func (s *Service) Status() []Status {
+func (s *Service) Status() []quarantinestatus.Content {
 	now := s.config.Now()
 	s.table.mutex.Lock()
 	defer s.table.mutex.Unlock()
-	statuses := lo.FilterMap(lo.Values(s.table.records), func(one *entry, _ int) (Status, bool) {
+	contents := lo.FilterMap(lo.Values(s.table.records), func(one *entry, _ int) (quarantinestatus.Content, bool) {
 		ends := one.ends(now)
-		return Status{
-			Content: one.key.String(), Quarantined: one.ended() >= MaxEnded, Identified: one.identified,
+		return quarantinestatus.Content{
+			Key: one.key.String(), Quarantined: one.ended() >= MaxEnded, Identified: one.identified,
 			LeftMs: (one.expiresAt - now).Milliseconds(), Ends: ends,
 		}, len(ends) > 0
 	})
-	slices.SortFunc(statuses, func(a, b Status) int {
-		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(a.Content, b.Content))
+	slices.SortFunc(contents, func(a, b quarantinestatus.Content) int {
+		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(a.Key, b.Key))
 	})
-	return statuses
+	return contents
 }
 
 // EndsOf returns the ends under a content, for the log.
-func (s *Service) EndsOf(key Key) []End {
+func (s *Service) EndsOf(key Key) []quarantinestatus.End {
 	s.table.mutex.Lock()
 	defer s.table.mutex.Unlock()
 	found, known := s.table.records[key]
--- /dev/null
+++ b/internal/quarantine/model_test.go
@@ -0,0 +1,254 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"stepseam.example/stepseam/internal/identity"
+)
+
+const lateAfter = 250 * time.Millisecond
+
+// model plays a lethal request over random faults.
+type model struct {
+	*cluster
+	// random draws what the client does, faults what else happens.
+	random, faults *rand.Rand
+	request        *Request
+	// ends counts the replicas that ended under the request. unknown counts those of attempts that a
+	// majority could not know of, since their node was killed or cut off before it could tell.
+	ends, unknown int
+	// cutSends counts the sends of nodes that could reach only a minority within contactTime, late those that began more
+	// than settleTime after the third end.
+	cutSends, late int
+	thirdEnd       time.Duration
+	// minorityUntil is when nodes could last reach only a minority.
+	minorityUntil map[identity.NodeName]time.Duration
+	// started is the number of replicas so far. silent is set if some of them lose power.
+	started int
+	silent  bool
+	// trace tells what happened.
+	trace []string
+}
+
+func (m *model) note(format string, values ...any) {
+	m.change(func() {
+		m.trace = append(m.trace, fmt.Sprintf("%v "+format, append([]any{m.now().Round(time.Millisecond)}, values...)...))
+	})
+}
+
+// minority reports whether a node is in a partition without a majority of the nodes.
+func (m *model) minority(node *testNode) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	same := 0
+	for _, other := range m.nodes {
+		if m.group[other.Name] == m.group[node.Name] && !other.down {
+			same++
+		}
+	}
+	return 2*same <= len(m.nodes)
+}
+
+// contactTime is how long after a cut a node may not know yet what others know.
+const contactTime = 3 * time.Second
+
+// wasCut reports whether a node could reach only a minority within contactTime.
+func (m *model) wasCut(node *testNode) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	until, found := m.minorityUntil[node.Name]
+	return found && m.now() < until+contactTime
+}
+
+// noteMinorities notes which nodes can reach only a minority, before that changes.
+func (m *model) noteMinorities(count int) {
+	for i := range count {
+		if node := m.node(i); m.minority(node) {
+			m.change(func() { m.minorityUntil[node.Name] = m.now() })
+		}
+	}
+}
+
+// send makes one attempt at a new replica, which ends. It returns false if the node did not send.
+func (m *model) send(node *testNode) bool {
+	m.started++
+	chosen := m.replica(m.started)
+	service := node.service
+	send := Send{Replica: chosen, Began: service.config.Now(), Until: service.config.Now() + 4*time.Second}
+	registered, err := service.Begin(context.Background(), m.request, send, Attempt{})
+	if err != nil || m.isDown(node) {
+		return false
+	}
+	if m.minority(node) || m.wasCut(node) {
+		m.cutSends++
+	}
+	if m.ends >= MaxEnded && m.now() > m.thirdEnd+lateAfter {
+		m.late++
+	}
+	time.Sleep(time.Duration(m.random.IntN(40)) * time.Millisecond)
+	silent := m.silent && m.random.IntN(2) == 0
+	m.end(chosen, silent)
+	m.countEnd()
+	m.note("end %d, under an attempt of %s, registered %t, silent %t, known there %v", m.ends, node.Name, registered != Attempt{}, silent, service.EndsOf(m.request.Key))
+	if silent {
+		time.Sleep(2 * time.Second)
+	}
+	m.tell(node, send, registered, silent)
+	return true
+}
+
+func (m *model) countEnd() {
+	m.ends++
+	if m.ends == MaxEnded {
+		m.thirdEnd = m.now()
+	}
+}
+
+// tell has a node notice the end of its replica, unless it has ended itself.
+func (m *model) tell(node *testNode, send Send, registered Attempt, silent bool) {
+	untold := m.isDown(node) || m.minority(node) || m.wasCut(node)
+	if untold {
+		m.countUnknown(registered)
+	}
+	switch {
+	case m.isDown(node):
+	case silent:
+		node.service.Silent(m.request, send, registered, 2*time.Second)
+		time.AfterFunc(hearTime+callTime, func() {
+			if !untold && m.isDown(node) {
+				m.countUnknown(registered)
+			}
+		})
+	default:
+		node.service.Broke(context.Background(), m.request, send, registered, replicaAddress(send.Replica.Instance), errReset)
+		if !untold && m.isDown(node) {
+			m.countUnknown(registered)
+		}
+	}
+}
+
+// countUnknown counts the end of an attempt that no other node knows of, unless it is registered.
+func (m *model) countUnknown(registered Attempt) {
+	if registered == (Attempt{}) {
+		m.change(func() { m.unknown++ })
+	}
+}
+
+// client sends the request again and again, to any node.
+func (m *model) client(count int) {
+	for range 10 {
+		node := m.node(m.random.IntN(count))
+		for range 1 + m.random.IntN(3) {
+			if m.isDown(node) || node.service.Check(m.request) != nil || !m.send(node) {
+				break
+			}
+		}
+		time.Sleep(time.Duration(20+m.random.IntN(400)) * time.Millisecond)
+	}
+}
+
+// fault kills, cuts off or restarts nodes.
+func (m *model) fault(count int) {
+	m.noteMinorities(count)
+	switch m.faults.IntN(3) {
+	case 0:
+		for range 1 + m.faults.IntN(count/2-1) {
+			killed := m.node(m.faults.IntN(count))
+			if m.up()*2 > count+2 {
+				m.note("%s is killed", killed.Name)
+				m.stop(killed)
+			}
+		}
+	case 1:
+		for i := range count {
+			m.mutex.Lock()
+			m.group[identity.NodeName(fmt.Sprint("n", i))] = m.faults.IntN(2)
+			m.mutex.Unlock()
+		}
+	default:
+		m.mutex.Lock()
+		clear(m.group)
+		m.mutex.Unlock()
+		for i := range count {
+			if node := m.node(i); m.isDown(node) {
+				m.start(node.Name, node.Zone)
+			}
+		}
+	}
+	m.note("%d nodes run, partitions are %s", m.up(), m.partitions())
+	time.Sleep(time.Duration(m.faults.IntN(1500)) * time.Millisecond)
+	m.shareView()
+}
+
+func (m *model) partitions() string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return fmt.Sprint(m.group)
+}
+
+func (m *model) up() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	up := 0
+	for _, node := range m.nodes {
+		if !node.down {
+			up++
+		}
+	}
+	return up
+}
+
+func (m *model) run(count int) {
+	done := make(chan struct{})
+	stop := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(m.faults.IntN(2000)) * time.Millisecond):
+				m.fault(count)
+			}
+		}
+	}()
+	for range 3 {
+		m.client(count)
+	}
+	close(stop)
+	<-done
+}
+
+// At most MaxEnded replicas end under a request while nodes are killed, cut off and restarted, beside
+// those of attempts that only a node knew of that was killed or cut off then, and of nodes that reached only a minority. Where
+// replicas fall silent, a node that does not know of it yet may send the request within lateAfter.
+func TestModelEndsAreBoundedUnderFaults(t *testing.T) {
+	seeds := 300
+	if given, err := strconv.Atoi(os.Getenv("MODEL_SEEDS")); err == nil {
+		seeds = given
+	}
+	total, beyond := 0, 0
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(9)
+			defer c.close()
+			m := &model{cluster: c, random: rand.New(rand.NewPCG(seed, 1)), faults: rand.New(rand.NewPCG(seed, 2)), request: requestOf("p", true), silent: seed%2 == 1, minorityUntil: map[identity.NodeName]time.Duration{}}
+			m.run(9)
+			total += m.ends
+			beyond += max(m.ends-MaxEnded, 0)
+			exempt := m.unknown + m.cutSends
+			if !m.silent && m.ends > MaxEnded+exempt || m.late > exempt {
+				t.Errorf("seed %d: %d replicas ended, %d sends came late; %d ends were known only to a node that was killed or cut off, %d sends were of nodes that reached a minority\n%s", seed, m.ends, m.late, m.unknown, m.cutSends, strings.Join(m.trace, "\n"))
+			}
+		})
+	}
+	t.Logf("%d runs, %d ends, %d of them beyond %d", seeds, total, beyond, MaxEnded)
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -26,6 +26,9 @@
 	// ErrUnclear means that the request may not be sent until it is known how earlier attempts
 	// ended, or that another one is under way.
 	ErrUnclear = errors.New("quarantine: the ends of earlier attempts are not known yet")
+	// ErrStarting means that this node has just started and does not know yet which requests are
+	// quarantined.
+	ErrStarting = errors.New("quarantine: this node has just started")
 )
 
 // state is what is known of an attempt. It only advances.
@@ -79,15 +82,6 @@
 	own bool
 }
 
-// End is the end of a replica under a request, for logs and operators.
-type End struct {
-	Replica string `json:"replica"`
-	// AgoMs is how long ago the attempt broke off, in milliseconds.
-	AgoMs int64 `json:"agoMs"`
-	// Certain is false while the replica may still live.
-	Certain bool `json:"certain"`
-}
-
 // Request identifies a request to the service.
 type Request struct {
 	Key Key
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -124,13 +124,14 @@
 // The other methods have nothing to do then.
 func (s *Service) Idle() bool { return s.table.size.Load() == 0 && s.synced.Load() }
 
-// Check returns an error that wraps ErrQuarantined or ErrUnclear if the request may not be sent.
+// Check returns an error that wraps ErrQuarantined, ErrUnclear or ErrStarting if the request may not
+// be sent.
 func (s *Service) Check(request *Request) error {
 	if s.Idle() {
 		return nil
 	}
 	if !s.Synced() {
-		return fmt.Errorf("%w: this node has just started", ErrUnclear)
+		return ErrStarting
 	}
 	now := s.config.Now()
 	s.table.mutex.Lock()
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/samber/lo"
+
+	"stepseam.example/stepseam/internal/quarantinestatus"
 )
 
 const (
@@ -208,14 +210,14 @@
 }
 
 // ends returns the counting attempts, the oldest first.
-func (e *entry) ends(now time.Duration) []End {
+func (e *entry) ends(now time.Duration) []quarantinestatus.End {
 	counted := e.counting()
 	slices.SortFunc(counted, func(a, b *attempt) int { return cmp.Compare(a.began, b.began) })
-	return lo.Map(counted, func(one *attempt, _ int) End {
+	return lo.Map(counted, func(one *attempt, _ int) quarantinestatus.End {
 		at := one.began
 		if one.broken {
 			at = one.brokeAt
 		}
-		return End{Replica: one.replica.String(), AgoMs: (now - at).Milliseconds(), Certain: one.state == stateEnded}
+		return quarantinestatus.End{Replica: one.replica.String(), AgoMs: (now - at).Milliseconds(), Certain: one.state == stateEnded}
 	})
 }
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -223,6 +223,8 @@
 	mux.HandleFunc("GET /v1/tenants", n.answerTenants)
 	mux.HandleFunc("GET /v1/zones", n.answerZones)
 	mux.HandleFunc("GET /v1/node", n.answerNode)
+	mux.HandleFunc("GET /v1/quarantine", n.answerQuarantine)
+	mux.HandleFunc("DELETE /v1/quarantine/{content}", n.liftQuarantine)
 	return mux
 }
 
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -16,6 +16,7 @@
 const (
 	reasonQuarantined = "request_quarantined"
 	reasonEndsUnclear = "replica_ends_unclear"
+	reasonStarting    = "node_starting"
 )
 
 // unclearRetryAfter is the Retry-After delay while it is not known whether replicas have ended: it
@@ -30,8 +31,8 @@
 	}
 }
 
-// checkQuarantine returns an error that wraps quarantine.ErrQuarantined or quarantine.ErrUnclear
-// if the call must not be sent to a replica.
+// checkQuarantine returns an error as of quarantine.Service.Check if the call must not be sent to a
+// replica.
 func (r *Router) checkQuarantine(call *call) error {
 	if r.config.Quarantine == nil || r.config.Quarantine.Idle() {
 		return nil
@@ -117,6 +118,8 @@
 	switch {
 	case errors.Is(err, quarantine.ErrQuarantined):
 		reply.reject(http.StatusBadRequest, rejection{reason: reasonQuarantined, cause: err})
+	case errors.Is(err, quarantine.ErrStarting):
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStarting, retryAfter: shortRetryAfter, cause: err})
 	case mayHaveRun:
 		reply.reject(http.StatusBadGateway, rejection{reason: reasonEndsUnclear, cause: err})
 	default:
@@ -125,7 +128,7 @@
 }
 
 func isQuarantineError(err error) bool {
-	return errors.Is(err, quarantine.ErrQuarantined) || errors.Is(err, quarantine.ErrUnclear)
+	return errors.Is(err, quarantine.ErrQuarantined) || errors.Is(err, quarantine.ErrUnclear) || errors.Is(err, quarantine.ErrStarting)
 }
 
 // quarantineAttrs returns the log fields of a call that was refused since replicas have ended under
