--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -36,6 +36,17 @@
 	return lo.Reject(candidates, func(candidate Candidate, _ int) bool { return reserved(candidate) })
 }
 
+// FewestRunning returns the candidates that run the fewest requests, of those with a free slot if
+// there are any.
+func FewestRunning(candidates []Candidate) []Candidate {
+	free := lo.Filter(candidates, func(candidate Candidate, _ int) bool { return candidate.hasFreeSlot() })
+	if len(free) == 0 {
+		return candidates
+	}
+	fewest := lo.MinBy(free, func(a, b Candidate) bool { return a.inFlightAnywhere() < b.inFlightAnywhere() }).inFlightAnywhere()
+	return lo.Filter(free, func(candidate Candidate, _ int) bool { return candidate.inFlightAnywhere() == fewest })
+}
+
 func (c Candidate) inFlightAnywhere() int { return c.InFlight + c.InFlightElsewhere }
 
 // hasFreeSlot reports whether the candidate is healthy and has a free slot.
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -300,6 +300,15 @@
 	return found.count()
 }
 
+// Suspects reports whether a replica has ended under a content that identifies its request, or may
+// have.
+func (s *Service) Suspects(key Key) bool {
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	found, known := s.table.records[key]
+	return known && found.identified && found.count() > 0
+}
+
 func (s *Service) announced(key Key) bool {
 	s.table.mutex.Lock()
 	defer s.table.mutex.Unlock()
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -59,6 +59,9 @@
 	if call.route.Resumable && call.origin == nil {
 		healthy = balance.LeaveRoom(healthy)
 	}
+	if r.mayEndReplica(call) {
+		healthy, probe = balance.FewestRunning(healthy), nil
+	}
 	if probe != nil {
 		healthy = []balance.Candidate{*probe}
 	}
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -40,6 +40,12 @@
 	return r.config.Quarantine.Check(r.quarantineRequest(call))
 }
 
+// mayEndReplica reports whether replicas have ended under the call, or may have. It goes where the
+// fewest others run.
+func (r *Router) mayEndReplica(call *call) bool {
+	return r.config.Quarantine != nil && !r.config.Quarantine.Idle() && r.config.Quarantine.Suspects(r.content(call))
+}
+
 // beginAttempt registers an attempt if further replicas must not end under the call. Errors: as of
 // checkQuarantine.
 func (r *Router) beginAttempt(ctx context.Context, call *call, replica *fleet.Replica) error {
