--- a/internal/balance/fewest_test.go
+++ b/internal/balance/fewest_test.go
@@ -13,8 +13,11 @@
 		return lo.Map(candidates, func(one Candidate, _ int) string { return one.Instance })
 	}
 	candidates := []Candidate{
-		{Instance: "a", Slots: 4, InFlight: 2}, {Instance: "b", Slots: 4, InFlightElsewhere: 1}, {Instance: "c", Slots: 4, InFlight: 1},
-		{Instance: "d", Slots: 4, Suspect: true}, {Instance: "e", Slots: 1, InFlight: 1},
+		{Instance: "a", Slots: 4, InFlight: 2},
+		{Instance: "b", Slots: 4, InFlightElsewhere: 1},
+		{Instance: "c", Slots: 4, InFlight: 1},
+		{Instance: "d", Slots: 4, Suspect: true},
+		{Instance: "e", Slots: 1, InFlight: 1},
 	}
 	is.Equal(names(FewestRunning(candidates)), []string{"b", "c"})
 	is.Equal(names(FewestRunning(candidates[3:])), []string{"d", "e"}) // none is free
