--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -39,7 +39,8 @@
 	group    map[identity.NodeName]int
 	replicas map[string]*testReplica
 	began    time.Time
-	messages int
+	// messages and bytes count the calls between nodes.
+	messages, bytes int
 }
 
 type testNode struct {
@@ -73,6 +74,7 @@
 	time.Sleep(callTime)
 	c.cluster.mutex.Lock()
 	c.cluster.messages++
+	c.cluster.bytes += len(encode(request))
 	target := c.cluster.nodes[address]
 	from := c.cluster.nodes[addressOf(c.self)]
 	cut := target == nil || c.cluster.group[c.self] != c.cluster.group[target.Name]
