Wait for equal requests in flight before a content of many clients is quarantined

It is refused with 503 for up to 200 ms after the third end now, within which the answers of others in flight void the count.

--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -417,7 +417,18 @@
 			is.True(c.node(i).attempt(lethal, c.replica(200+i), false))
 			time.Sleep(50 * time.Millisecond)
 		}
+		is.True(errors.Is(c.node(4).service.Check(lethal), ErrSettling))
+		time.Sleep(SettleTime)
 		is.True(errors.Is(c.node(4).service.Check(lethal), ErrQuarantined))
+
+		// One that is in flight elsewhere at the third end is answered.
+		for i := range MaxEnded {
+			is.True(c.node(i).attempt(read, c.replica(300+i), false))
+		}
+		is.True(errors.Is(c.node(4).service.Check(read), ErrSettling))
+		c.node(3).service.Answered(read)
+		time.Sleep(10 * callTime)
+		is.NoErr(c.node(4).service.Check(read))
 	})
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"stepseam.example/stepseam/internal/fleet"
@@ -20,12 +21,19 @@
 // more.
 const MaxEnded = 3
 
+// SettleTime is how long after the last end under a content that does not identify its request a
+// whole answer to an equal one may arrive, which shows that it is not the cause.
+const SettleTime = 200 * time.Millisecond
+
 var (
 	// ErrQuarantined means that MaxEnded replicas have ended under the request.
 	ErrQuarantined = errors.New("quarantine: replicas have ended under the request")
 	// ErrUnclear means that the request may not be sent until it is known how earlier attempts
 	// ended, or that another one is under way.
 	ErrUnclear = errors.New("quarantine: the ends of earlier attempts are not known yet")
+	// ErrSettling is an ErrUnclear that lasts for SettleTime at most: MaxEnded replicas have ended
+	// under equal requests, of which another may still be answered.
+	ErrSettling = fmt.Errorf("%w: equal requests may still be answered", ErrUnclear)
 	// ErrStarting means that this node has just started and does not know yet which requests are
 	// quarantined.
 	ErrStarting = errors.New("quarantine: this node has just started")
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -156,6 +156,9 @@
 // caller must hold the table's mutex.
 func (s *Service) verdict(found *entry, except uint64) error {
 	if ended := found.ended(); ended >= MaxEnded {
+		if !found.identified && s.config.Now() < found.lastBroken()+SettleTime {
+			return ErrSettling
+		}
 		return fmt.Errorf("%w: %d", ErrQuarantined, ended)
 	}
 	possible := found.possible(except)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -171,6 +171,11 @@
 	return lo.CountBy(e.counting(), func(one *attempt) bool { return one.broken })
 }
 
+// lastBroken returns when the last counting attempt broke off.
+func (e *entry) lastBroken() time.Duration {
+	return lo.Max(lo.FilterMap(e.counting(), func(one *attempt, _ int) (time.Duration, bool) { return one.brokeAt, one.broken }))
+}
+
 // count returns the number of replicas that have ended, or may have.
 func (e *entry) count() int { return len(e.counting()) }
 
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -124,6 +124,8 @@
 	switch {
 	case errors.Is(err, quarantine.ErrQuarantined):
 		reply.reject(http.StatusBadRequest, rejection{reason: reasonQuarantined, cause: err})
+	case errors.Is(err, quarantine.ErrSettling) && !mayHaveRun:
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonEndsUnclear, retryAfter: quarantine.SettleTime, cause: err})
 	case errors.Is(err, quarantine.ErrStarting):
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStarting, retryAfter: shortRetryAfter, cause: err})
 	case mayHaveRun:
