Hand records over to the incarnations that replace nodes which all restart at once

The new ones knew only each other, the former ones, which were leaving, told only members that were not: two ends were forgotten and the request ended two more replicas. Nodes exchange records with all addresses that they know now, also of members that leave and of seeds, and once more right before they end. TestRestartOfAllNodesAtOnceKeepsQuarantines failed before.

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/samber/lo"
@@ -29,6 +30,10 @@
 	joinPeers = 8
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
+	// handOverTimeout bounds the time that a node that ends takes to tell others, handOverPeers their
+	// number.
+	handOverTimeout = 200 * time.Millisecond
+	handOverPeers   = 16
 )
 
 // Register adds this package's messages and handlers to registry.
@@ -171,11 +176,44 @@
 	s.table.purge(s.config.Now())
 	keys := s.announcedKeys()
 	s.table.mutex.Unlock()
-	others := lo.Reject(s.copies.Members().Reachable.Nodes(), func(node identity.Node, _ int) bool { return node.Name == s.config.Self })
-	if len(keys) == 0 || len(others) == 0 || s.config.Peers == nil {
+	others := s.addresses()
+	if len(keys) == 0 || len(others) == 0 {
 		return
 	}
-	go s.pull(ctx, lo.Sample(others).PeerAddress, s.records(keys))
+	go s.pull(ctx, lo.Sample(others), s.records(keys))
+}
+
+// addresses returns those of all other nodes: also of members that stop, at whose addresses other
+// incarnations may run already, and of the seeds.
+func (s *Service) addresses() []netip.AddrPort {
+	if s.config.Peers == nil {
+		return nil
+	}
+	addresses := lo.FilterMap(s.copies.Members().All.Nodes(), func(node identity.Node, _ int) (netip.AddrPort, bool) {
+		return node.PeerAddress, node.Name != s.config.Self
+	})
+	return lo.Uniq(append(addresses, lo.Without(s.config.Seeds, s.config.Address)...))
+}
+
+// HandOver tells other nodes of what all should know, right before this one ends. Where all nodes
+// restart at about the same time, the new incarnations may know each other only. It returns after
+// handOverTimeout at most.
+func (s *Service) HandOver() {
+	s.table.mutex.Lock()
+	keys := s.announcedKeys()
+	s.table.mutex.Unlock()
+	addresses := s.addresses()
+	if len(keys) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	var calls sync.WaitGroup
+	for _, address := range addresses[:min(len(addresses), handOverPeers)] {
+		calls.Go(func() { s.pull(ctx, address, s.records(keys)) })
+	}
+	calls.Wait()
 }
 
 // pull sends records to a node, and stores those that it returns. It reports whether the node
--- /dev/null
+++ b/internal/quarantine/restart_test.go
@@ -0,0 +1,56 @@
+package quarantine
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/membership"
+)
+
+// All nodes of a site restarted within a second, and the new incarnations knew only each other: what
+// the former ones knew was lost.
+func TestRestartOfAllNodesAtOnceKeepsQuarantines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(8)
+		defer c.close()
+		request := requestOf("p", true)
+		for i := range MaxEnded {
+			is.True(c.node(i).attempt(request, c.replica(i), false))
+		}
+		var leaving membership.View
+		for i := range 8 {
+			leaving.Members = append(leaving.Members, membership.Member{Node: c.node(i).Node, Status: membership.Leaving})
+		}
+		for i := range 8 {
+			c.node(i).service.SetView(leaving)
+		}
+		// The new nodes get a view of their own, in which the former ones are missing.
+		var view membership.View
+		var started []*testNode
+		for i := range 8 {
+			former := c.node(i)
+			former.service.Close()
+			former.service.HandOver()
+			c.stop(former)
+			node := c.start(identity.NodeName(fmt.Sprint("n", i)), former.Zone)
+			node.service.config.Seeds = nil
+			started = append(started, node)
+			view.Members = append(view.Members, membership.Member{Node: node.Node, Status: membership.Alive})
+			for _, one := range started {
+				one.service.SetView(view)
+			}
+			time.Sleep(80 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		for _, node := range started {
+			is.True(errors.Is(node.service.Check(request), ErrQuarantined))
+		}
+	})
+}
--- a/internal/routednode/stop.go
+++ b/internal/routednode/stop.go
@@ -44,6 +44,7 @@
 	defer cancel()
 	err := n.ledger.Stop(ctx)
 	n.limits.Close(context.Background())
+	n.quarantine.HandOver()
 	n.logger.Info("stopped", "took_ms", time.Since(began).Milliseconds(), "cut", left, "flush_error", err, "close_error", closeErr)
 	cancelRun()
 }
