--- a/internal/quarantine/rack_test.go
+++ b/internal/quarantine/rack_test.go
@@ -12,13 +12,19 @@
 	"stepseam.example/stepseam/internal/holders"
 )
 
+// largeSite returns the number of nodes of a site at which only holders are told of a first end.
+// MODEL_NODES sets it.
+func largeSite() int {
+	if given, err := strconv.Atoi(os.Getenv("MODEL_NODES")); err == nil {
+		return given
+	}
+	return 2 * smallSite
+}
+
 // A rack with many replicas that ends at once must not have every node tell every other: each request
 // that ran there is told to a few. MODEL_NODES sets the number of nodes.
 func TestLostRackIsToldToHoldersOnly(t *testing.T) {
-	nodes := 2 * smallSite
-	if given, err := strconv.Atoi(os.Getenv("MODEL_NODES")); err == nil {
-		nodes = given
-	}
+	nodes := largeSite()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(nodes)
 		defer c.close()
@@ -43,8 +49,14 @@
 		})
 		time.Sleep(10 * time.Second)
 		c.change(func() { t.Logf("%d messages, %d bytes in the 10 s after", c.messages, c.bytes) })
+	})
+}
 
-		// A lethal request at a large site: all nodes are told of the second and the third end.
+func TestAllNodesOfLargeSiteAreToldOfSecondAndThirdEnd(t *testing.T) {
+	nodes := largeSite()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(nodes)
+		defer c.close()
 		lethal := requestOf("lethal", true)
 		for i := range MaxEnded {
 			c.change(func() { c.messages, c.bytes = 0, 0 })
