--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -7,7 +7,6 @@
 package fleet
 
 import (
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -288,7 +287,6 @@
 type Presence struct {
 	StartedAtMs int64
 	State       State
-	Address     netip.AddrPort
 	// Sequence is that of the last renewal known to this node. Nodes that do not read the store
 	// themselves learn of none, but only of changes.
 	Sequence uint64
@@ -302,7 +300,7 @@
 	if !found {
 		return Presence{}, false
 	}
-	return Presence{StartedAtMs: known.replica.StartedAtMs, State: known.replica.State, Address: known.replica.Address, Sequence: known.replica.Sequence}, true
+	return Presence{StartedAtMs: known.replica.StartedAtMs, State: known.replica.State, Sequence: known.replica.Sequence}, true
 }
 
 // Recovering reports whether entries may be missing since replicas could not write to the store.
--- a/internal/holders/distributor.go
+++ b/internal/holders/distributor.go
@@ -118,9 +118,6 @@
 // Stored returns the number of holders that have stored the record.
 func (o *Distribution[R]) Stored() int { return int(o.stored.Load()) }
 
-// Candidates returns the number of nodes that may store the record.
-func (o *Distribution[R]) Candidates() int { return len(o.candidates) }
-
 // sender sends the records for one holder, several in a notice while an earlier one is under
 // way. The distributor's mutex guards it.
 type sender[R any] struct {
--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -233,7 +233,7 @@
 	if !known || one.ended && n.cluster.now() > one.endedAt+3*heartbeat {
 		return fleet.Presence{}, false
 	}
-	return fleet.Presence{State: one.state, Address: replicaAddress(instance)}, true
+	return fleet.Presence{State: one.state}, true
 }
 
 // Recovering implements Replicas.
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -75,8 +75,8 @@
 	metrics *metrics
 	// fresh reports whether the view of the replicas' entries is up to date.
 	fresh func() bool
-	// isolated is set while no other node stores the records of this one, although there are
-	// others: it can't know then how many replicas have ended elsewhere.
+	// isolated is set while too few other nodes store the records of this one: it can't know then
+	// how many replicas have ended elsewhere.
 	isolated atomic.Bool
 	// synced is set once another node has told its records, or none can.
 	synced atomic.Bool
@@ -172,10 +172,10 @@
 }
 
 // Begin is called right before a request is sent to a replica. If replicas have ended under it, or
-// may have, and its content identifies it, it registers the attempt, so that it counts even if this node ends. The last one that is
-// allowed is registered with a majority of the nodes, so that nodes that are cut from each other
-// don't send the request both. registered
-// is not the zero value if the request is sent to the same replica again. Errors: as of Check.
+// may have, and its content identifies it, it registers the attempt, so that it counts even if this
+// node ends. The last one that is allowed is registered with a majority of the nodes, so that nodes
+// that are cut from each other don't send the request both. registered is not the zero value if the
+// request is sent to the same replica again. Errors: as of Check.
 func (s *Service) Begin(ctx context.Context, request *Request, send Send, registered Attempt) (Attempt, error) {
 	if s.Idle() {
 		return registered, nil
@@ -257,13 +257,12 @@
 }
 
 // tell starts to tell other nodes of a content: all of them if they know of it already, or if
-// enough attempts count. It returns the distributions.
-func (s *Service) tell(key Key) []*holders.Distribution[Key] {
-	started := []*holders.Distribution[Key]{s.copies.Distribute(key)}
+// enough attempts count.
+func (s *Service) tell(key Key) {
+	s.copies.Distribute(key)
 	if s.shouldAnnounce(key) || s.announced(key) {
-		started = append(started, s.copies.Broadcast(key, 0))
+		s.copies.Broadcast(key, 0)
 	}
-	return started
 }
 
 // shouldAnnounce reports whether all nodes are to be told of a content, and notes that they are.
