Count no planned leave as a cut, and hold equal requests of many clients back for 10 s only

Reading found that nodes which restart as planned left the others without a majority, so that a request that had lost one replica was refused there (TestNodesThatLeaveAsPlannedAreNoMinority failed before).

--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -420,6 +420,8 @@
 		is.True(errors.Is(c.node(4).service.Check(lethal), ErrSettling))
 		time.Sleep(SettleTime)
 		is.True(errors.Is(c.node(4).service.Check(lethal), ErrQuarantined))
+		time.Sleep(sharedLifetime)
+		is.NoErr(c.node(4).service.Check(lethal))
 
 		// One that is in flight elsewhere at the third end is answered.
 		for i := range MaxEnded {
--- /dev/null
+++ b/internal/quarantine/minority_test.go
@@ -0,0 +1,47 @@
+package quarantine
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/membership"
+)
+
+// A node whose only other node stopped as planned refused requests that had lost one replica, as if it
+// were cut off.
+func TestNodesThatLeaveAsPlannedAreNoMinority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(2)
+		defer c.close()
+		left := requestOf("left", true)
+		is.True(c.node(0).attempt(left, c.replica(1), false))
+		c.node(0).service.SetView(membership.View{Members: []membership.Member{
+			{Node: c.node(0).Node, Status: membership.Alive}, {Node: c.node(1).Node, Status: membership.Leaving},
+		}})
+		is.NoErr(c.node(0).service.Check(left))
+		is.True(c.node(0).attempt(left, c.replica(2), false))
+		is.True(c.node(0).attempt(left, c.replica(3), false))
+		is.True(errors.Is(c.node(0).service.Check(left), ErrQuarantined))
+	})
+}
+
+// A node that ends without a word may be cut off, and know of other ends.
+func TestNodeThatIsAloneSendsAgainOnceOthersAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(2)
+		defer c.close()
+		request := requestOf("p", true)
+		is.True(c.node(0).attempt(request, c.replica(1), false))
+		c.stop(c.node(1))
+		c.shareView()
+		is.True(errors.Is(c.node(0).service.Check(request), ErrUnclear))
+		time.Sleep(memberMemory + time.Second)
+		is.NoErr(c.node(0).service.Check(request))
+	})
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -100,7 +100,14 @@
 	Lifetime time.Duration
 }
 
-func (r *Request) lifetime() time.Duration { return max(r.Lifetime, minLifetime) }
+// lifetime is how long a record is kept. One that is shared by several clients is kept for a short
+// time, since many replicas may have ended by themselves while nobody was answered.
+func (r *Request) lifetime() time.Duration {
+	if !r.Identified {
+		return sharedLifetime
+	}
+	return max(r.Lifetime, minLifetime)
+}
 
 // Send is an attempt that is about to be made, or was.
 type Send struct {
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -84,11 +84,13 @@
 	// guards it; watching is its size.
 	watch    map[Replica][]Attempt
 	watching atomic.Int64
-	// members are the nodes of the last view. peak is the largest number of nodes
-	// within memberMemory, as seen at peakAt. The table's mutex guards them.
+	// members are the reachable nodes of the last view. peak is the largest number of them within
+	// memberMemory, as seen at peakAt, without those that have left as planned since. met is set once
+	// there were others. The table's mutex guards them.
 	members map[identity.NodeName]identity.Incarnation
 	peak    int
 	peakAt  time.Duration
+	met     bool
 }
 
 // Attempt is a registered attempt; the zero value is none.
@@ -165,12 +167,19 @@
 	if possible >= MaxEnded {
 		return fmt.Errorf("%w: %d", ErrUnclear, possible)
 	}
-	if found.identified && possible > 0 && s.config.Peers != nil && (s.isolated.Load() || 2*len(s.members) <= s.countMembers()) {
+	if found.identified && possible > 0 && s.inMinority() {
 		return fmt.Errorf("%w: too few other nodes can be reached", ErrUnclear)
 	}
 	return nil
 }
 
+// inMinority reports whether this node may know of fewer ends than others. The caller must hold the
+// table's mutex.
+func (s *Service) inMinority() bool {
+	count := s.countMembers()
+	return count > 1 && (s.isolated.Load() || 2*len(s.members) <= count)
+}
+
 // Begin is called right before a request is sent to a replica. If replicas have ended under it, or
 // may have, and its content identifies it, it registers the attempt, so that it counts even if this
 // node ends. The last one that is allowed is registered with a majority of the nodes, so that nodes
@@ -365,8 +374,8 @@
 	if s.config.Now()-s.peakAt > memberMemory {
 		s.peak, s.peakAt = len(s.members), s.config.Now()
 	}
-	if s.peak <= 1 && len(lo.Without(s.config.Seeds, s.config.Address)) > 0 {
-		return 2 // a node that has just started, or is cut off
+	if !s.met && len(lo.Without(s.config.Seeds, s.config.Address)) > 0 {
+		return 2 // a node that has just started
 	}
 	return max(s.peak, 1)
 }
@@ -391,6 +400,12 @@
 			added = append(added, node)
 		}
 	}
+	s.met = s.met || len(s.members) > 1
+	for _, member := range view.Members {
+		if _, found := before[member.Node.Name]; found && member.Status == membership.Leaving {
+			s.peak--
+		}
+	}
 	if now := s.config.Now(); len(s.members) >= s.peak || now-s.peakAt > memberMemory {
 		s.peak, s.peakAt = len(s.members), now
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -20,6 +20,8 @@
 	// and repeats them.
 	minLifetime = time.Minute
 	maxLifetime = time.Hour
+	// sharedLifetime is the lifetime of the record of a content that does not identify its request.
+	sharedLifetime = 10 * time.Second
 )
 
 // entry is the record of one content at this node.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -263,9 +263,9 @@
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		reply.abort("client_left", cause)
 	case isQuarantineError(r.checkQuarantine(call)):
-		rejectQuarantined(reply, r.checkQuarantine(call), retry.mayHaveRun > 0)
+		rejectQuarantined(call, reply, r.checkQuarantine(call), retry.mayHaveRun > 0)
 	case isQuarantineError(retry.localError):
-		rejectQuarantined(reply, retry.localError, retry.mayHaveRun > 0)
+		rejectQuarantined(call, reply, retry.localError, retry.mayHaveRun > 0)
 	case retry.localError != nil:
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStale, retryAfter: r.storeRetryAfter(shortRetryAfter), cause: retry.localError})
 	case retry.mayHaveRun == 0:
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -119,9 +119,11 @@
 }
 
 // rejectQuarantined answers a call that must not be sent. Clients do not repeat a request after the
-// status 400. While it is not known whether replicas have ended, they may.
-func rejectQuarantined(reply *reply, err error, mayHaveRun bool) {
+// status 400. They may while it is not known whether replicas have ended, or whose request it was.
+func rejectQuarantined(call *call, reply *reply, err error, mayHaveRun bool) {
 	switch {
+	case errors.Is(err, quarantine.ErrQuarantined) && call.turn.program == "" && !mayHaveRun:
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonQuarantined, retryAfter: unclearRetryAfter, cause: err})
 	case errors.Is(err, quarantine.ErrQuarantined):
 		reply.reject(http.StatusBadRequest, rejection{reason: reasonQuarantined, cause: err})
 	case errors.Is(err, quarantine.ErrSettling) && !mayHaveRun:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -210,7 +210,7 @@
 	defer r.logCompleted(call, reply)
 	defer r.endCall(call, reply)
 	if err := r.checkQuarantine(call); err != nil {
-		rejectQuarantined(reply, err, false)
+		rejectQuarantined(call, reply, err, false)
 		return
 	}
 	if !r.admitTenant(ctx, reply, call) {
