Tell members that stop of ends as well, since they serve until they end

Members that stop hold records where too few others can, are told what all nodes are told, and count for a majority until they end.

--- a/internal/holders/distributor.go
+++ b/internal/holders/distributor.go
@@ -55,6 +55,9 @@
 	Stored func(response peer.Message) bool
 	// Current returns a record as it is known now, and false if it is of no use any more.
 	Current func(record R) (R, bool)
+	// Leaving reports whether members that stop are told as well, and hold records if too few others
+	// can.
+	Leaving bool
 	// OnNotice is called with the outcome of each notice and the number of its records.
 	OnNotice func(stored bool, records int)
 	// OnEnded is called with each distribution to holders or to all nodes that has ended; it may
@@ -129,7 +132,12 @@
 	if d.config.Peers == nil {
 		return nil
 	}
-	return d.members.Load().Reachable.Rank(key, d.config.Self, Queried, CopiesPerZone)
+	members := d.members.Load()
+	ranked := members.Reachable.Rank(key, d.config.Self, Queried, CopiesPerZone)
+	if d.config.Leaving && len(ranked) < Copies {
+		ranked = lo.Uniq(append(ranked, members.All.Rank(key, d.config.Self, Queried, CopiesPerZone)...))
+	}
+	return ranked
 }
 
 // RoundTrip returns the round trip time to a zone.
@@ -149,9 +157,13 @@
 // Broadcast starts to copy a record to all other nodes. Enough of them have stored it once enough
 // nodes have. It does not block.
 func (d *Distributor[R]) Broadcast(record R, enough int) *Distribution[R] {
+	nodes := d.members.Load().Reachable.nodes
+	if d.config.Leaving {
+		nodes = d.members.Load().All.nodes
+	}
 	var others []identity.Node
 	if d.config.Peers != nil {
-		others = lo.Reject(d.members.Load().Reachable.nodes, func(node identity.Node, _ int) bool { return node.Name == d.config.Self })
+		others = lo.Reject(nodes, func(node identity.Node, _ int) bool { return node.Name == d.config.Self })
 	}
 	return d.distribute(&Distribution[R]{record: record, candidates: others, repeats: true, enoughCount: enough}, len(others))
 }
--- a/internal/quarantine/minority_test.go
+++ b/internal/quarantine/minority_test.go
@@ -25,6 +25,9 @@
 		}})
 		is.NoErr(c.node(0).service.Check(left))
 		is.True(c.node(0).attempt(left, c.replica(2), false))
+		c.stop(c.node(1))
+		c.shareView()
+		is.NoErr(c.node(0).service.Check(left))
 		is.True(c.node(0).attempt(left, c.replica(3), false))
 		is.True(errors.Is(c.node(0).service.Check(left), ErrQuarantined))
 	})
@@ -45,3 +48,29 @@
 		is.NoErr(c.node(0).service.Check(request))
 	})
 }
+
+// Nodes that all stopped at about the same time, and served on meanwhile, told each other nothing.
+func TestNodesThatLeaveTellEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(8)
+		defer c.close()
+		var leaving membership.View
+		for i := range 8 {
+			leaving.Members = append(leaving.Members, membership.Member{Node: c.node(i).Node, Status: membership.Leaving})
+		}
+		for i := range 8 {
+			c.node(i).service.SetView(leaving)
+			c.node(i).service.Close()
+		}
+		request := requestOf("p", true)
+		sent := 0
+		for i := range 8 {
+			if c.node(i).service.Check(request) == nil && c.node(i).attempt(request, c.replica(i), false) {
+				sent++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(sent, MaxEnded)
+	})
+}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -84,10 +84,12 @@
 	// guards it; watching is its size.
 	watch    map[Replica][]Attempt
 	watching atomic.Int64
-	// members are the reachable nodes of the last view. peak is the largest number of them within
-	// memberMemory, as seen at peakAt, without those that have left as planned since. met is set once
-	// there were others. The table's mutex guards them.
+	// members are the nodes of the last view, leaving those of them that stop: they serve requests
+	// until they end. peak is the largest number of members within memberMemory, as seen at peakAt,
+	// without those that have left as planned since. met is set once there were others. The table's
+	// mutex guards them.
 	members map[identity.NodeName]identity.Incarnation
+	leaving map[identity.NodeName]bool
 	peak    int
 	peakAt  time.Duration
 	met     bool
@@ -109,7 +111,7 @@
 	made.copies = holders.NewDistributor(holders.Config[Key]{
 		Self: config.Self, Peers: config.Peers, RoundTrip: config.RoundTrip, Now: config.Now,
 		Key: func(key Key) holders.Key { return holders.Key(key) }, Notice: made.newNotice, Stored: made.isStored,
-		Current: func(key Key) (Key, bool) { return key, made.known(key) }, OnNotice: made.metrics.countNotice, OnEnded: made.noteEnded,
+		Current: func(key Key) (Key, bool) { return key, made.known(key) }, Leaving: true, OnNotice: made.metrics.countNotice, OnEnded: made.noteEnded,
 	})
 	made.synced.Store(config.Peers == nil)
 	return made
@@ -394,18 +396,24 @@
 	before := s.members
 	s.members = map[identity.NodeName]identity.Incarnation{}
 	var added []identity.Node
-	for _, node := range s.copies.Members().Reachable.Nodes() {
+	for _, node := range s.copies.Members().All.Nodes() {
 		s.members[node.Name] = node.Incarnation
 		if known, found := before[node.Name]; (!found || known != node.Incarnation) && node.Name != s.config.Self {
 			added = append(added, node)
 		}
 	}
 	s.met = s.met || len(s.members) > 1
-	for _, member := range view.Members {
-		if _, found := before[member.Node.Name]; found && member.Status == membership.Leaving {
+	for name := range s.leaving {
+		if _, found := s.members[name]; !found {
 			s.peak--
 		}
 	}
+	s.leaving = map[identity.NodeName]bool{}
+	for i := range view.Members {
+		if view.Members[i].Status == membership.Leaving {
+			s.leaving[view.Members[i].Node.Name] = true
+		}
+	}
 	if now := s.config.Now(); len(s.members) >= s.peak || now-s.peakAt > memberMemory {
 		s.peak, s.peakAt = len(s.members), now
 	}
