Have a second node confirm that a replica has ended

Reading found that a partition which refuses connections, and not the replica's end, was enough to count one: three such attempts refused a request for good (TestRefusingPartitionIsNoEnd failed before). Up to two other nodes connect as well now; where none can tell, the attempt stays open until the replica's entry decides. An entry that stays for 6 s of an up-to-date view clears an end too.

Members, notices and verification are files of their own.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -49,8 +49,6 @@
 
 // pool keeps idle connections by replica. It is safe for concurrent use.
 type pool struct {
-	dialer *net.Dialer
-
 	// mutex guards the rest.
 	mutex sync.Mutex
 	idle  map[Target][]*connection
@@ -86,7 +84,7 @@
 }
 
 func newPool() *pool {
-	return &pool{idle: map[Target][]*connection{}, dialer: keepalive.Dialer(dialTimeout)}
+	return &pool{idle: map[Target][]*connection{}}
 }
 
 // get returns an idle connection that is still open and has been idle for at most
@@ -145,7 +143,7 @@
 }
 
 func (p *pool) dial(ctx context.Context, target Target) (*connection, error) {
-	socket, err := p.dialer.DialContext(ctx, "tcp4", target.Address.String())
+	socket, err := Dial(ctx, target.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -40,8 +40,10 @@
 func (s *Service) Register(registry *peer.Registry) {
 	registry.Add(
 		func() peer.Message { return &notice{} }, func() peer.Message { return &noticeResponse{} },
+		func() peer.Message { return &probe{} }, func() peer.Message { return &probeResponse{} },
 	)
 	registry.Handle(kindNotice, peer.HandlerFunc(s.handleNotice))
+	registry.Handle(kindProbe, peer.HandlerFunc(s.handleProbe))
 }
 
 func (s *Service) handleNotice(_ context.Context, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
@@ -94,6 +96,7 @@
 			continue
 		}
 		found := s.table.entry(one.key, one.identified, one.lifetime, now)
+		found.clientUntil = max(found.clientUntil, now+min(one.clientLeft, maxLifetime))
 		if one.void {
 			found.voidUntil(now - one.voidAgo)
 		}
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/samber/lo"
@@ -13,6 +14,8 @@
 const (
 	kindNotice = peer.KindRangeQuarantine + 1 + iota
 	kindNoticeResponse
+	kindProbe
+	kindProbeResponse
 )
 
 // record is an entry on its way to another node.
@@ -22,6 +25,8 @@
 	// announced is set if the sender tells all nodes.
 	announced bool
 	lifetime  time.Duration
+	// clientLeft is how long the clients wait under whose requests replicas ended.
+	clientLeft time.Duration
 	// voidAgo is how long ago the time was before which attempts do not count, if void is set.
 	void     bool
 	voidAgo  time.Duration
@@ -54,6 +59,42 @@
 	records []record
 }
 
+// probe asks a node to find out whether a replica at an address has ended, and probeResponse tells
+// what it has found.
+type probe struct{ address netip.AddrPort }
+
+type probeResponse struct{ found finding }
+
+// Kind implements peer.Message.
+func (*probe) Kind() peer.Kind { return kindProbe }
+
+// Encode implements peer.Message.
+func (m *probe) Encode(e *wire.Encoder) {
+	e.AddrPort(m.address)
+	e.Blob(nil)
+}
+
+// Decode implements peer.Message.
+func (m *probe) Decode(d *wire.Decoder) {
+	m.address = d.AddrPort()
+	d.Blob()
+}
+
+// Kind implements peer.Message.
+func (*probeResponse) Kind() peer.Kind { return kindProbeResponse }
+
+// Encode implements peer.Message.
+func (m *probeResponse) Encode(e *wire.Encoder) {
+	e.Uint8(uint8(m.found))
+	e.Blob(nil)
+}
+
+// Decode implements peer.Message.
+func (m *probeResponse) Decode(d *wire.Decoder) {
+	m.found = finding(d.Uint8())
+	d.Blob()
+}
+
 // Kind implements peer.Message.
 func (*notice) Kind() peer.Kind { return kindNotice }
 
@@ -91,7 +132,7 @@
 
 // The minimum encoded sizes of a record and of an attempt.
 const (
-	minRecordBytes  = 43
+	minRecordBytes  = 51
 	minAttemptBytes = 46
 )
 
@@ -103,6 +144,7 @@
 		e.Bool(one.identified)
 		e.Bool(one.announced)
 		e.Duration(one.lifetime)
+		e.Duration(one.clientLeft)
 		e.Bool(one.void)
 		e.Duration(one.voidAgo)
 		e.Uint32(uint32(len(one.attempts)))
@@ -124,7 +166,7 @@
 	for range d.Count(minRecordBytes) {
 		var one record
 		copy(one.key[:], d.Blob())
-		one.identified, one.announced, one.lifetime = d.Bool(), d.Bool(), d.Duration()
+		one.identified, one.announced, one.lifetime, one.clientLeft = d.Bool(), d.Bool(), d.Duration(), d.Duration()
 		one.void, one.voidAgo = d.Bool(), d.Duration()
 		for range d.Count(minAttemptBytes) {
 			one.attempts = append(one.attempts, sharedAttempt{
@@ -140,7 +182,7 @@
 // share returns the record of an entry for other nodes, or false if there is nothing to tell. The
 // caller must hold the table's mutex.
 func (e *entry) share(now time.Duration) (record, bool) {
-	shared := record{key: e.key, identified: e.identified, announced: e.announced > 0, lifetime: e.expiresAt - now, void: e.void, voidAgo: now - e.voidBefore}
+	shared := record{key: e.key, identified: e.identified, announced: e.announced > 0, lifetime: e.expiresAt - now, clientLeft: e.clientUntil - now, void: e.void, voidAgo: now - e.voidBefore}
 	shared.attempts = lo.FilterMap(e.attempts, func(one *attempt, _ int) (sharedAttempt, bool) {
 		return sharedAttempt{
 			id: one.id, replica: one.replica, state: one.state, beganAgo: now - one.began, broken: one.broken,
--- a/internal/quarantine/minority_test.go
+++ b/internal/quarantine/minority_test.go
@@ -29,6 +29,7 @@
 		c.shareView()
 		is.NoErr(c.node(0).service.Check(left))
 		is.True(c.node(0).attempt(left, c.replica(3), false))
+		time.Sleep(4 * heartbeat) // nobody is left to confirm the last end, but for its entry
 		is.True(errors.Is(c.node(0).service.Check(left), ErrQuarantined))
 	})
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -98,13 +98,14 @@
 	Identified bool
 	// Lifetime is how long the request may come back.
 	Lifetime time.Duration
+	// ClientLeft is how long its client waits, over all its attempts.
+	ClientLeft time.Duration
 }
 
-// lifetime is how long a record is kept. One that is shared by several clients is kept for a short
-// time, since many replicas may have ended by themselves while nobody was answered.
+// lifetime is how long a record is kept.
 func (r *Request) lifetime() time.Duration {
 	if !r.Identified {
-		return sharedLifetime
+		return max(r.ClientLeft+clientSkew, sharedTime)
 	}
 	return max(r.Lifetime, minLifetime)
 }
--- a/internal/quarantine/resolve.go
+++ b/internal/quarantine/resolve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"syscall"
@@ -18,10 +17,6 @@
 const (
 	// resolveInterval is the time between two checks of the replicas' entries.
 	resolveInterval = 100 * time.Millisecond
-	// verifyTimeout bounds the connection that tells whether a replica has ended, and settleTime
-	// how long that must stay open: a process that ends closes its sockets one after the other.
-	verifyTimeout = 250 * time.Millisecond
-	settleTime    = 10 * time.Millisecond
 	// minSilence is how long a replica must have been silent for an attempt that its client or
 	// its deadline ended to leave a doubt about it. hearTime is how long the replica then has to
 	// be heard at this node before others are told, unless another may have ended already.
@@ -39,15 +34,6 @@
 	presentAfter = 6 * time.Second
 )
 
-// finding is what a new connection to a replica tells.
-type finding int
-
-const (
-	findingUnclear finding = iota
-	findingEnded
-	findingAlive
-)
-
 // Broke is called when an attempt broke off: its connection was reset or closed, or its packets
 // were not acknowledged. It finds out whether the replica has ended, and returns once other nodes
 // know of it or noticeWait has passed. registered may be the zero value.
@@ -55,7 +41,8 @@
 	left := s.left(send.Replica, cause)
 	found := findingAlive
 	if !left {
-		found = s.verify(ctx, address, cause)
+		// What the client does tells nothing of the replica.
+		found = s.verify(context.WithoutCancel(ctx), address, cause)
 	}
 	next := stateWatched
 	switch {
@@ -132,6 +119,7 @@
 	s.table.mutex.Lock()
 	defer s.table.mutex.Unlock()
 	found := s.table.entry(request.Key, request.Identified, request.lifetime(), now)
+	found.clientUntil = max(found.clientUntil, now+min(request.ClientLeft, maxLifetime))
 	one := found.find(registered.id)
 	if one == nil || registered == (Attempt{}) {
 		one = found.add(&attempt{id: rand.Uint64(), replica: send.Replica, began: send.Began, until: send.Until, own: true})
@@ -175,41 +163,6 @@
 	return found.find(one.id)
 }
 
-// verify connects to a replica's address to find out whether it has ended.
-func (s *Service) verify(ctx context.Context, address netip.AddrPort, cause error) finding {
-	if errors.Is(cause, syscall.ECONNREFUSED) {
-		return findingEnded
-	}
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
-	defer cancel()
-	for {
-		connection, err := s.config.Dial(ctx, address)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return findingEnded
-		}
-		if err != nil {
-			return findingUnclear
-		}
-		stays := staysOpen(connection)
-		_ = connection.Close()
-		if stays {
-			return findingAlive
-		}
-		select {
-		case <-ctx.Done():
-			return findingAlive // it accepts connections, and closes them
-		case <-time.After(settleTime):
-		}
-	}
-}
-
-// staysOpen reports whether a new connection is not closed within settleTime.
-func staysOpen(connection net.Conn) bool {
-	_ = connection.SetReadDeadline(time.Now().Add(settleTime))
-	_, err := connection.Read(make([]byte, 1))
-	return errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // resolve advances the attempts that the replicas' entries decide.
 func (s *Service) resolve() {
 	if s.Idle() {
@@ -218,6 +171,9 @@
 	now := s.config.Now()
 	decides := s.fresh() && !s.config.Replicas.Recovering(now)
 	s.table.mutex.Lock()
+	if !decides {
+		s.undecidedUntil = now
+	}
 	decided := map[Attempt]state{}
 	for key, found := range s.table.records {
 		for _, one := range found.attempts {
@@ -270,7 +226,7 @@
 	switch {
 	case one.broken && one.state != stateEnded && present.State == fleet.StateDraining,
 		one.sequenceKnown && present.Sequence > one.sequence,
-		one.state != stateEnded && decides && now > over+presentAfter:
+		decides && now > max(over, s.undecidedUntil)+presentAfter:
 		return stateCleared
 	}
 	if now > over+renewedAfter && !one.sequenceKnown {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -20,8 +20,12 @@
 	// and repeats them.
 	minLifetime = time.Minute
 	maxLifetime = time.Hour
-	// sharedLifetime is the lifetime of the record of a content that does not identify its request.
-	sharedLifetime = 10 * time.Second
+	// sharedTime is how long after its last end a content that does not identify its request is sent
+	// for nobody. After that it is not sent for clients that may be those of the ends, who wait until
+	// the same time: many replicas may have ended by themselves while nobody was answered. clientSkew
+	// is what the times of one client may differ at different nodes.
+	sharedTime = 10 * time.Second
+	clientSkew = time.Second
 )
 
 // entry is the record of one content at this node.
@@ -34,6 +38,8 @@
 	void       bool
 	voidBefore time.Duration
 	expiresAt  time.Duration
+	// clientUntil is until when the clients wait under whose requests replicas ended.
+	clientUntil time.Duration
 	// announced is the number of counting attempts that all nodes were told of.
 	announced int
 	// quarantined is set once MaxEnded replicas are known to have ended.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -259,13 +259,15 @@
 	if retry.lastFailure != nil {
 		cause, reason = retry.lastFailure, string(retry.lastFailure.Reason)
 	}
+	held := r.checkQuarantine(call)
+	if held == nil && isQuarantineError(retry.localError) {
+		held = retry.localError
+	}
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		reply.abort("client_left", cause)
-	case isQuarantineError(r.checkQuarantine(call)):
-		rejectQuarantined(call, reply, r.checkQuarantine(call), retry.mayHaveRun > 0)
-	case isQuarantineError(retry.localError):
-		rejectQuarantined(call, reply, retry.localError, retry.mayHaveRun > 0)
+	case held != nil:
+		rejectQuarantined(call, reply, held, retry.mayHaveRun > 0)
 	case retry.localError != nil:
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStale, retryAfter: r.storeRetryAfter(shortRetryAfter), cause: retry.localError})
 	case retry.mayHaveRun == 0:
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -27,7 +27,8 @@
 func (r *Router) quarantineRequest(call *call) *quarantine.Request {
 	return &quarantine.Request{
 		Key: r.content(call), Identified: call.turn.program != "",
-		Lifetime: max(call.clientTimeout, call.route.RetainFor, 2*call.programTimeLeft),
+		Lifetime:   max(call.clientTimeout, call.route.RetainFor, 2*call.programTimeLeft),
+		ClientLeft: call.clientTimeout - time.Since(call.arrived),
 	}
 }
 
