--- a/internal/quarantine/minority_test.go
+++ b/internal/quarantine/minority_test.go
@@ -75,3 +75,51 @@
 		is.Equal(sent, MaxEnded)
 	})
 }
+
+// A node that once could not copy a record held other requests back until its next record.
+func TestIsolationOfOneRecordDoesNotHoldBackOthersForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(5)
+		defer c.close()
+		c.change(func() { c.group["n0"] = 1 })
+		is.True(c.node(0).attempt(requestOf("", false), c.replica(1), false)) // its record expires meanwhile
+		time.Sleep(sharedTime + 2*clientSkew)
+		c.change(func() { c.group["n0"] = 0 })
+		other := requestOf("p", true)
+		is.True(c.node(1).attempt(other, c.replica(2), false))
+		time.Sleep(isolationTime)
+		is.NoErr(c.node(0).service.Check(other))
+	})
+}
+
+// A client that waits for longer than others are held back ended further replicas after that.
+func TestContentWithoutProgramIsHeldBackForItsClients(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(5)
+		defer c.close()
+		const patience = 30 * time.Second
+		began := time.Now()
+		ofClient := func() *Request {
+			request := requestOf("", false)
+			request.ClientLeft = patience - time.Since(began)
+			return request
+		}
+		for i := range MaxEnded {
+			is.True(c.node(i).attempt(ofClient(), c.replica(i), false))
+			time.Sleep(50 * time.Millisecond)
+		}
+		another := requestOf("", false)
+		another.ClientLeft = patience
+		time.Sleep(sharedTime / 2)
+		is.True(errors.Is(c.node(4).service.Check(another), ErrQuarantined))
+		time.Sleep(sharedTime)
+		for i := range 5 {
+			is.True(errors.Is(c.node(i).service.Check(ofClient()), ErrQuarantined))
+			is.NoErr(c.node(i).service.Check(another))
+		}
+		time.Sleep(patience)
+		is.NoErr(c.node(4).service.Check(ofClient()))
+	})
+}
