Measure the memory of stalled clients without the garbage of the collection

Two readings taken one after the other differed by up to 27 MB: what 300 clients' streams allocate while the collector marks counts as live. The smallest of five readings is still at least what is live, so the bound means the same; it stays.

--- a/internal/router/stalled_test.go
+++ b/internal/router/stalled_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -35,11 +36,19 @@
 	dialled.Wait()
 }
 
+// heapReadings is the number of readings of the heap. What is allocated during a collection counts as
+// live in its reading, so that the smallest is nearest to what is live.
+const heapReadings = 5
+
 func heap() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
+	smallest := uint64(math.MaxUint64)
+	for range heapReadings {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		smallest = min(smallest, stats.HeapAlloc)
+	}
+	return smallest
 }
 
 // endless streams events until a write fails.
