--- a/internal/emulator/replica/end.go
+++ b/internal/emulator/replica/end.go
@@ -1,6 +1,10 @@
 package replica
 
-import "net"
+import (
+	"net"
+	"syscall"
+	"time"
+)
 
 // End is a way in which a replica's process ends.
 type End int
@@ -13,7 +17,7 @@
 	// EndClosed closes all connections, also in the middle of a response, and refuses new ones.
 	EndClosed
 	// EndSilent is a loss of power: all connections stay open, and nothing is sent or read any
-	// more. New connections are accepted, since the emulator can't drop packets.
+	// more. New connections get no answer.
 	EndSilent
 )
 
@@ -26,6 +30,7 @@
 	}
 	r.ended = how
 	if how == EndSilent {
+		r.ignoreConnections()
 		return
 	}
 	_ = r.listener.Close()
@@ -38,6 +43,32 @@
 	}
 }
 
+// fillTimeout is how long a connection to a full queue is tried, and maxFillers bounds those that
+// fill it.
+const (
+	fillTimeout = 20 * time.Millisecond
+	maxFillers  = 4
+)
+
+// ignoreConnections stops accepting connections and fills the kernel's queue of those that wait for
+// that, so that it drops the packets of further ones. The caller holds the mutex.
+func (r *Replica) ignoreConnections() {
+	// The errors mean that the replica is closed.
+	_ = r.listener.SetDeadline(time.Unix(1, 0))
+	raw, err := r.listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) { _ = syscall.Listen(int(descriptor), 0) })
+	for range maxFillers {
+		filler, err := net.DialTimeout("tcp4", r.Address.String(), fillTimeout)
+		if err != nil {
+			return
+		}
+		r.fillers = append(r.fillers, filler)
+	}
+}
+
 // silent reports whether the replica has lost power.
 func (r *Replica) silent() bool {
 	r.mutex.Lock()
--- a/internal/emulator/replica/replica.go
+++ b/internal/emulator/replica/replica.go
@@ -55,7 +55,7 @@
 // Replica listens on loopback until Close.
 type Replica struct {
 	Address  netip.AddrPort
-	listener net.Listener
+	listener *net.TCPListener
 	script   Script
 
 	// mutex guards all fields below.
@@ -63,6 +63,8 @@
 	received    []Request
 	connections int
 	open        map[net.Conn]bool
+	// fillers fill the queue of new connections of a replica that has lost power.
+	fillers []net.Conn
 	// ended is how the replica has ended, or endNone.
 	ended End
 	// closed is closed by Close.
@@ -71,7 +73,7 @@
 
 // Start returns a listening replica.
 func Start(script Script) (*Replica, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, fmt.Errorf("replica: %w", err)
 	}
@@ -97,6 +99,9 @@
 	for socket := range r.open {
 		_ = socket.Close()
 	}
+	for _, filler := range r.fillers {
+		_ = filler.Close()
+	}
 }
 
 // Received returns the requests so far.
