--- a/internal/origin/cost_test.go
+++ b/internal/origin/cost_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"stepseam.example/stepseam/internal/emulator/nodes"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
@@ -19,7 +20,7 @@
 // Call implements peer.Client.
 func (c *accepting) Call(_ context.Context, _ netip.AddrPort, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
 	c.calls++
-	c.bytes += len(encode(request))
+	c.bytes += len(nodes.Encode(request))
 	return &noticeResponse{Stored: true}, nil
 }
 
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,133 +14,57 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"stepseam.example/stepseam/internal/emulator/nodes"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/holders"
 	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/wire"
 )
 
 // cluster is nodes that call each other in this process. A node that is down, or of a build
 // without this package, answers no call.
 type cluster struct {
-	mutex sync.Mutex
-	nodes map[netip.AddrPort]*testNode
-	// cut holds the pairs of nodes that can't reach each other.
-	cut map[[2]identity.NodeName]bool
-	// calls counts the messages by kind.
-	calls map[peer.Kind]int
+	*nodes.Network
+	members []*testNode
 }
 
 type testNode struct {
-	identity.Node
-	service  *Service
-	registry *peer.Registry
-	down     bool
-	old      bool
-	span     fleet.VersionSpan
-}
-
-// client calls other nodes on behalf of one.
-type client struct {
-	cluster *cluster
-	self    identity.NodeName
-}
-
-var errDown = fmt.Errorf("%w: down", peer.ErrUnreachable)
-
-// Call implements peer.Client.
-func (c client) Call(ctx context.Context, address netip.AddrPort, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
-	c.cluster.mutex.Lock()
-	c.cluster.calls[request.Kind()]++
-	target := c.cluster.nodes[address]
-	down, old := target.down || c.cluster.nodes[addressOf(c.self)].down, target.old
-	cut := c.cluster.cut[pair(c.self, target.Name)]
-	c.cluster.mutex.Unlock()
-	if cut {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	if down {
-		return nil, errDown
-	}
-	if old {
-		return nil, peer.ErrUnknownKind
-	}
-	decoded, err := target.registry.Decode(request.Kind(), encode(request))
-	if err != nil {
-		return nil, err
-	}
-	answer, err := target.registry.Handler(request.Kind()).Handle(ctx, decoded, nil)
-	if err != nil {
-		return nil, err
-	}
-	return target.registry.Decode(answer.Kind(), encode(answer))
-}
-
-func encode(message peer.Message) []byte {
-	encoder := wire.NewEncoder(nil)
-	message.Encode(encoder)
-	return encoder.Bytes()
-}
-
-func pair(a, b identity.NodeName) [2]identity.NodeName {
-	return [2]identity.NodeName{min(a, b), max(a, b)}
-}
-
-func addressOf(name identity.NodeName) netip.AddrPort {
-	var number byte
-	_, _ = fmt.Sscanf(string(name), "n%d", &number)
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, number}), 1)
+	*nodes.Node
+	service *Service
+	span    fleet.VersionSpan
 }
 
 // newCluster returns nodes in three zones that know each other.
 func newCluster(count int) *cluster {
-	c := &cluster{nodes: map[netip.AddrPort]*testNode{}, cut: map[[2]identity.NodeName]bool{}, calls: map[peer.Kind]int{}}
+	c := &cluster{Network: nodes.NewNetwork(0), members: make([]*testNode, count)}
 	for i := range count {
-		c.start(identity.NodeName(fmt.Sprint("n", i)), identity.Zone(fmt.Sprint("z", i%3)))
+		c.start(i)
 	}
 	c.shareView()
 	return c
 }
 
 // start starts an incarnation of a node without records.
-func (c *cluster) start(name identity.NodeName, zone identity.Zone) *testNode {
-	node := &testNode{Node: identity.Node{Name: name, Zone: zone, PeerAddress: addressOf(name)}, registry: peer.NewRegistry()}
+func (c *cluster) start(number int) *testNode {
+	node := &testNode{Node: c.Start(number)}
 	began := time.Now()
 	node.service = New(Config{
-		Self: name, Peers: client{c, name}, Logger: slog.New(slog.DiscardHandler),
+		Self: node.Name, Peers: c.Client(node.Name), Logger: slog.New(slog.DiscardHandler),
 		Now: func() time.Duration { return time.Since(began) + time.Hour },
 	})
 	node.service.SetVersions(func(string, string) fleet.VersionSpan { return node.span })
-	node.service.Register(node.registry)
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.nodes[node.PeerAddress] = node
+	node.service.Register(node.Registry)
+	c.members[number] = node
 	return node
 }
 
-// stop ends a node; the others are not told.
-func (c *cluster) stop(node *testNode) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	node.down = true
-}
-
-func (c *cluster) node(i int) *testNode {
-	return c.nodes[addressOf(identity.NodeName(fmt.Sprint("n", i)))]
-}
+func (c *cluster) node(i int) *testNode { return c.members[i] }
 
 // shareView gives all nodes the view of those that are up.
 func (c *cluster) shareView() {
-	var view membership.View
-	for i := range len(c.nodes) {
-		if node := c.node(i); !node.down {
-			view.Members = append(view.Members, membership.Member{Node: node.Node, Status: membership.Alive})
-		}
-	}
-	for _, node := range c.nodes {
+	view := c.View(0)
+	for _, node := range c.members {
 		node.service.SetView(view)
 	}
 }
@@ -162,9 +85,9 @@
 			c.node(i%12).service.Announce(KeyOf("t", fmt.Sprint(i)), v1, time.Minute)
 		}
 		synctest.Wait()
-		is.True(c.calls[kindNotice] <= holders.Copies*streams)
+		is.True(c.Calls(kindNotice) <= holders.Copies*streams)
 		for i := range 12 { // those that began the streams, in all zones; members still list them
-			c.stop(c.node(i))
+			c.node(i).Stop()
 		}
 		found := 0
 		for i := range streams {
@@ -215,20 +138,16 @@
 		c := newCluster(9)
 		ctx, cancel := context.WithCancel(t.Context())
 		go c.node(0).service.Run(ctx)
-		for i := 1; i < 9; i++ {
-			c.cut[pair("n0", c.node(i).Name)] = true
-		}
+		c.Cut("n0", 1)
 		c.node(0).service.Announce(KeyOf("t", "1"), v1, time.Minute)
 		time.Sleep(time.Second)
 		began := time.Now()
 		_, err := c.node(1).service.Resolve(t.Context(), named("1"))
 		is.True(errors.Is(err, ErrUnknown))
 		is.True(time.Since(began) <= queryTimeout) // n0 does not respond
-		c.mutex.Lock()
-		clear(c.cut)
-		c.mutex.Unlock()
+		c.Heal()
 		time.Sleep(4 * time.Second)
-		c.stop(c.node(0))
+		c.node(0).Stop()
 		_, err = c.node(1).service.Resolve(t.Context(), named("1"))
 		is.NoErr(err)
 		cancel()
@@ -246,7 +165,7 @@
 		c.node(0).service.Announce(KeyOf("t", "1"), v1, time.Minute)
 		time.Sleep(10 * holders.RedistributeInterval)
 		synctest.Wait()
-		is.Equal(c.calls[kindNotice], 2)
+		is.Equal(c.Calls(kindNotice), 2)
 		cancel()
 		synctest.Wait()
 	})
@@ -266,9 +185,9 @@
 			stopped := c.node(i)
 			stopped.service.Close()
 			synctest.Wait()
-			c.stop(stopped)
+			stopped.Stop()
 			c.shareView()
-			c.start(stopped.Name, stopped.Zone)
+			c.start(i)
 			c.shareView()
 		}
 		for i := range streams {
@@ -285,11 +204,11 @@
 		c := newCluster(12)
 		c.node(0).service.Announce(KeyOf("t", "1"), v1, time.Minute)
 		synctest.Wait()
-		c.stop(c.node(0))
-		c.stop(c.node(1))
-		started := c.start("n11", "z2")
-		started.service.config.Seeds = []netip.AddrPort{addressOf("n1"), addressOf("n11"), addressOf("n3")}
-		started.service.config.Address = addressOf("n11")
+		c.node(0).Stop()
+		c.node(1).Stop()
+		started := c.start(11)
+		started.service.config.Seeds = []netip.AddrPort{nodes.AddressOf("n1"), nodes.AddressOf("n11"), nodes.AddressOf("n3")}
+		started.service.config.Address = nodes.AddressOf("n11")
 		found, err := started.service.Resolve(t.Context(), named("1"))
 		is.NoErr(err)
 		is.Equal(found.Origin, v1)
@@ -307,13 +226,13 @@
 		is := is.New(t)
 		c := newCluster(12)
 		for i := 1; i < 8; i++ {
-			c.node(i).old = true
+			c.node(i).SetOld()
 		}
 		for i := range 20 {
 			c.node(0).service.Announce(KeyOf("t", fmt.Sprint(i)), v1, time.Minute)
 		}
 		synctest.Wait()
-		c.stop(c.node(0))
+		c.node(0).Stop()
 		found := 0
 		for i := range 20 {
 			if _, err := c.node(11).service.Resolve(t.Context(), named(fmt.Sprint(i))); err == nil {
@@ -407,8 +326,8 @@
 func FuzzDecodeMessages(f *testing.F) {
 	registry := peer.NewRegistry()
 	New(Config{Now: func() time.Duration { return 0 }}).Register(registry)
-	f.Add(uint16(0), encode(&notice{Records: []Record{{Key: KeyOf("t", "1"), Origin: v1, Left: time.Second}}}))
-	f.Add(uint16(3), encode(&queryResponse{State: stateKnown, Origin: v1}))
+	f.Add(uint16(0), nodes.Encode(&notice{Records: []Record{{Key: KeyOf("t", "1"), Origin: v1, Left: time.Second}}}))
+	f.Add(uint16(3), nodes.Encode(&queryResponse{State: stateKnown, Origin: v1}))
 	f.Fuzz(func(_ *testing.T, kind uint16, fields []byte) {
 		_, _ = registry.Decode(kindNotice+peer.Kind(kind%4), fields)
 	})
--- a/internal/origin/recorded_test.go
+++ b/internal/origin/recorded_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"stepseam.example/stepseam/internal/emulator/nodes"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/wire"
@@ -29,7 +30,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(hex.EncodeToString(encode(c.message)), c.written)
+			is.Equal(hex.EncodeToString(nodes.Encode(c.message)), c.written)
 			fields, err := hex.DecodeString(c.written)
 			is.NoErr(err)
 			decoder := wire.NewDecoder(fields)
--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -5,10 +5,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"maps"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -18,11 +16,9 @@
 
 	"github.com/matryer/is"
 
+	"stepseam.example/stepseam/internal/emulator/nodes"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/identity"
-	"stepseam.example/stepseam/internal/membership"
-	"stepseam.example/stepseam/internal/peer"
-	"stepseam.example/stepseam/internal/wire"
 )
 
 // heartbeat is how often a replica renews its entry, which lapses after three of silence.
@@ -33,88 +29,34 @@
 
 // cluster is nodes that call each other in this process, before replicas that end.
 type cluster struct {
-	mutex sync.Mutex
-	nodes map[netip.AddrPort]*testNode
-	// group holds the number of the partition in which a node is.
-	group    map[identity.NodeName]int
+	*nodes.Network
+	count int
+	began time.Time
+
+	// mutex guards the fields below.
+	mutex    sync.Mutex
+	members  []*testNode
 	replicas map[string]*testReplica
-	began    time.Time
-	// messages counts the calls between nodes, and probes those of them that ask for a replica. bytes
-	// counts those of requests and responses.
-	messages, probes, bytes int
 	// refuses holds the replicas to which a partition refuses connections, by node.
 	refuses map[identity.NodeName]map[string]bool
 }
 
 type testNode struct {
-	identity.Node
-	cluster  *cluster
-	service  *Service
-	registry *peer.Registry
-	down     bool
-	cancel   context.CancelFunc
+	*nodes.Node
+	cluster *cluster
+	service *Service
+	cancel  context.CancelFunc
 	// stale is set while the node's view of the entries is not up to date.
 	stale atomic.Bool
 }
 
 type testReplica struct {
-	ended   bool
-	silent  bool
-	endedAt time.Duration
-	state   fleet.State
-}
-
-// client calls other nodes on behalf of one.
-type client struct {
-	cluster *cluster
-	self    identity.NodeName
-}
-
-var errDown = fmt.Errorf("%w: down", peer.ErrUnreachable)
-
-// Call implements peer.Client.
-func (c client) Call(ctx context.Context, address netip.AddrPort, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
-	time.Sleep(callTime)
-	c.cluster.mutex.Lock()
-	c.cluster.messages++
-	c.cluster.bytes += len(encode(request))
-	target := c.cluster.nodes[address]
-	from := c.cluster.nodes[addressOf(c.self)]
-	cut := target == nil || c.cluster.group[c.self] != c.cluster.group[target.Name]
-	down := target == nil || target.down || from.down
-	c.cluster.mutex.Unlock()
-	if cut {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	if request.Kind() == kindProbe {
-		c.cluster.change(func() { c.cluster.probes++ })
-	}
-	if down {
-		return nil, errDown
-	}
-	decoded, err := target.registry.Decode(request.Kind(), encode(request))
-	if err != nil {
-		return nil, err
-	}
-	answer, err := target.registry.Handler(request.Kind()).Handle(ctx, decoded, nil)
-	if err != nil {
-		return nil, err
-	}
-	c.cluster.change(func() { c.cluster.bytes += len(encode(answer)) })
-	return target.registry.Decode(answer.Kind(), encode(answer))
-}
-
-func encode(message peer.Message) []byte {
-	encoder := wire.NewEncoder(nil)
-	message.Encode(encoder)
-	return encoder.Bytes()
-}
-
-func addressOf(name identity.NodeName) netip.AddrPort {
-	var number uint16
-	_, _ = fmt.Sscanf(string(name), "n%d", &number)
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), 1)
+	// incarnation is the present one; those before have ended.
+	incarnation int64
+	ended       bool
+	silent      bool
+	endedAt     time.Duration
+	state       fleet.State
 }
 
 func replicaAddress(instance string) netip.AddrPort {
@@ -125,16 +67,19 @@
 
 // newCluster returns nodes in three zones that know each other.
 func newCluster(count int) *cluster {
-	c := &cluster{nodes: map[netip.AddrPort]*testNode{}, group: map[identity.NodeName]int{}, replicas: map[string]*testReplica{}, refuses: map[identity.NodeName]map[string]bool{}, began: time.Now()}
+	c := &cluster{
+		Network: nodes.NewNetwork(callTime), count: count, began: time.Now(), members: make([]*testNode, count),
+		replicas: map[string]*testReplica{}, refuses: map[identity.NodeName]map[string]bool{},
+	}
 	for i := range count {
-		c.start(identity.NodeName(fmt.Sprint("n", i)), identity.Zone(fmt.Sprint("z", i%3)))
+		c.start(i)
 	}
 	c.shareView()
 	time.Sleep(joinTimeout) // all have started
 	return c
 }
 
-// change changes the cluster while nothing reads it.
+// change changes the replicas while nothing reads them.
 func (c *cluster) change(do func()) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -143,19 +88,24 @@
 
 func (c *cluster) now() time.Duration { return time.Since(c.began) }
 
+// maxSeeds is the number of nodes that are seeds.
+const maxSeeds = 5
+
 // start starts an incarnation of a node without records.
-func (c *cluster) start(name identity.NodeName, zone identity.Zone) *testNode {
-	node := &testNode{Node: identity.Node{Name: name, Zone: zone, Incarnation: identity.Incarnation(time.Now().UnixNano()), PeerAddress: addressOf(name)}, cluster: c, registry: peer.NewRegistry()}
+func (c *cluster) start(number int) *testNode {
+	node := &testNode{Node: c.Start(number), cluster: c}
 	began := time.Now()
+	var seeds []netip.AddrPort
+	for i := range min(c.count, maxSeeds) {
+		seeds = append(seeds, nodes.AddressOf(nodes.Name(i)))
+	}
 	node.service = New(Config{
-		Self: name, Address: addressOf(name), Peers: client{c, name}, Logger: slog.New(slog.DiscardHandler),
-		Seeds: []netip.AddrPort{addressOf("n0"), addressOf("n1"), addressOf("n2"), addressOf("n3"), addressOf("n4")}, Replicas: node, Dial: node.dial, Now: func() time.Duration { return time.Since(began) },
+		Self: node.Name, Address: node.PeerAddress, Peers: c.Client(node.Name), Logger: slog.New(slog.DiscardHandler),
+		Seeds: seeds, Replicas: node, Dial: node.dial, Now: func() time.Duration { return time.Since(began) },
 	})
 	node.service.SetFresh(func() bool { return !node.stale.Load() })
-	node.service.Register(node.registry)
-	c.mutex.Lock()
-	c.nodes[node.PeerAddress] = node
-	c.mutex.Unlock()
+	node.service.Register(node.Registry)
+	c.change(func() { c.members[number] = node })
 	var ctx context.Context
 	ctx, node.cancel = context.WithCancel(context.Background())
 	go node.service.Run(ctx)
@@ -164,29 +114,20 @@
 
 // stop ends a node; the others are not told.
 func (c *cluster) stop(node *testNode) {
-	c.mutex.Lock()
-	node.down = true
-	c.mutex.Unlock()
+	node.Stop()
 	node.cancel()
 }
 
-// isDown reports whether a node has ended.
-func (c *cluster) isDown(node *testNode) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return node.down
-}
-
 func (c *cluster) node(i int) *testNode {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.nodes[addressOf(identity.NodeName(fmt.Sprint("n", i)))]
+	return c.members[i]
 }
 
 // close ends all nodes.
 func (c *cluster) close() {
-	for _, node := range c.nodes {
-		node.cancel()
+	for i := range c.count {
+		c.node(i).cancel()
 	}
 	time.Sleep(time.Minute) // calls that are under way end
 	synctest.Wait()
@@ -194,22 +135,9 @@
 
 // shareView gives each node the view of those that are up in its partition.
 func (c *cluster) shareView() {
-	c.mutex.Lock()
-	views := map[int]*membership.View{}
-	for _, address := range slices.SortedFunc(maps.Keys(c.nodes), netip.AddrPort.Compare) {
-		node := c.nodes[address]
-		group := c.group[node.Name]
-		if views[group] == nil {
-			views[group] = &membership.View{}
-		}
-		if !node.down {
-			views[group].Members = append(views[group].Members, membership.Member{Node: node.Node, Status: membership.Alive})
-		}
-	}
-	nodes, groups := slices.Collect(maps.Values(c.nodes)), maps.Clone(c.group)
-	c.mutex.Unlock()
-	for _, node := range nodes {
-		node.service.SetView(*views[groups[node.Name]])
+	for i := range c.count {
+		node := c.node(i)
+		node.service.SetView(c.View(c.PartitionOf(node.Name)))
 	}
 }
 
@@ -240,7 +168,7 @@
 	if !known || one.ended && n.cluster.now() > one.endedAt+3*heartbeat {
 		return fleet.Presence{}, false
 	}
-	return fleet.Presence{State: one.state}, true
+	return fleet.Presence{StartedAtMs: one.incarnation, State: one.state}, true
 }
 
 // Recovering implements Replicas.
@@ -289,7 +217,7 @@
 	if !lives {
 		n.cluster.end(replica, false)
 	}
-	if !n.cluster.isDown(n) {
+	if !n.Down() {
 		n.service.Broke(context.Background(), request, send, registered, replicaAddress(replica.Instance), errReset)
 	}
 	return true
@@ -364,10 +292,10 @@
 
 		// Where nobody else can tell, the replicas' entries do, and the request waits for them.
 		alone := requestOf("q", true)
-		c.change(func() { c.group["n3"] = 1 })
+		c.Cut("n3", 1)
 		is.True(c.node(3).attempt(alone, c.replica(0), true))
 		is.True(errors.Is(c.node(3).service.Check(alone), ErrUnclear))
-		c.change(func() { c.group["n3"] = 0 })
+		c.Heal()
 		time.Sleep(presentAfter + time.Second)
 		is.NoErr(c.node(3).service.Check(alone))
 	})
@@ -520,13 +448,13 @@
 		c := newCluster(9)
 		defer c.close()
 		request := requestOf("p", true)
-		c.change(func() { c.group["n8"] = 1 })
+		c.Cut("n8", 1)
 		c.shareView()
 		for i := range MaxEnded {
 			is.True(c.node(i).attempt(request, c.replica(i), false))
 		}
 		is.NoErr(c.node(8).service.Check(request))
-		c.change(func() { c.group["n8"] = 0 })
+		c.Heal()
 		c.shareView()
 		time.Sleep(10 * callTime)
 		is.True(errors.Is(c.node(8).service.Check(request), ErrQuarantined))
@@ -535,7 +463,7 @@
 			time.Sleep(10 * callTime)
 			c.stop(c.node(i))
 			c.shareView()
-			started := c.start(c.node(i).Name, c.node(i).Zone)
+			started := c.start(i)
 			c.shareView()
 			time.Sleep(joinInterval)
 			is.True(errors.Is(started.service.Check(request), ErrQuarantined))
--- a/internal/quarantine/minority_test.go
+++ b/internal/quarantine/minority_test.go
@@ -21,7 +21,7 @@
 		left := requestOf("left", true)
 		is.True(c.node(0).attempt(left, c.replica(1), false))
 		c.node(0).service.SetView(membership.View{Members: []membership.Member{
-			{Node: c.node(0).Node, Status: membership.Alive}, {Node: c.node(1).Node, Status: membership.Leaving},
+			{Node: c.node(0).Node.Node, Status: membership.Alive}, {Node: c.node(1).Node.Node, Status: membership.Leaving},
 		}})
 		is.NoErr(c.node(0).service.Check(left))
 		is.True(c.node(0).attempt(left, c.replica(2), false))
@@ -58,7 +58,7 @@
 		defer c.close()
 		var leaving membership.View
 		for i := range 8 {
-			leaving.Members = append(leaving.Members, membership.Member{Node: c.node(i).Node, Status: membership.Leaving})
+			leaving.Members = append(leaving.Members, membership.Member{Node: c.node(i).Node.Node, Status: membership.Leaving})
 		}
 		for i := range 8 {
 			c.node(i).service.SetView(leaving)
@@ -82,10 +82,10 @@
 		is := is.New(t)
 		c := newCluster(5)
 		defer c.close()
-		c.change(func() { c.group["n0"] = 1 })
+		c.Cut("n0", 1)
 		is.True(c.node(0).attempt(requestOf("", false), c.replica(1), false)) // its record expires meanwhile
 		time.Sleep(sharedTime + 2*clientSkew)
-		c.change(func() { c.group["n0"] = 0 })
+		c.Heal()
 		other := requestOf("p", true)
 		is.True(c.node(1).attempt(other, c.replica(2), false))
 		time.Sleep(isolationTime)
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"stepseam.example/stepseam/internal/emulator/nodes"
 	"stepseam.example/stepseam/internal/identity"
 )
 
@@ -46,15 +47,7 @@
 
 // minority reports whether a node is in a partition without a majority of the nodes.
 func (m *model) minority(node *testNode) bool {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	same := 0
-	for _, other := range m.nodes {
-		if m.group[other.Name] == m.group[node.Name] && !other.down {
-			same++
-		}
-	}
-	return 2*same <= len(m.nodes)
+	return 2*len(m.View(m.PartitionOf(node.Name)).Members) <= m.count
 }
 
 // contactTime is how long after a cut a node may not know yet what others know.
@@ -84,7 +77,7 @@
 	service := node.service
 	send := Send{Replica: chosen, Began: service.config.Now(), Until: service.config.Now() + 4*time.Second}
 	registered, err := service.Begin(context.Background(), m.request, send, Attempt{})
-	if err != nil || m.isDown(node) {
+	if err != nil || node.Down() {
 		return false
 	}
 	if m.minority(node) || m.wasCut(node) {
@@ -114,22 +107,22 @@
 
 // tell has a node notice the end of its replica, unless it has ended itself.
 func (m *model) tell(node *testNode, send Send, registered Attempt, silent bool) {
-	untold := m.isDown(node) || m.minority(node) || m.wasCut(node)
+	untold := node.Down() || m.minority(node) || m.wasCut(node)
 	if untold {
 		m.countUnknown(registered)
 	}
 	switch {
-	case m.isDown(node):
+	case node.Down():
 	case silent:
 		node.service.Silent(m.request, send, registered, 2*time.Second)
 		time.AfterFunc(hearTime+callTime, func() {
-			if !untold && m.isDown(node) {
+			if !untold && node.Down() {
 				m.countUnknown(registered)
 			}
 		})
 	default:
 		node.service.Broke(context.Background(), m.request, send, registered, replicaAddress(send.Replica.Instance), errReset)
-		if !untold && m.isDown(node) {
+		if !untold && node.Down() {
 			m.countUnknown(registered)
 		}
 	}
@@ -147,7 +140,7 @@
 	for range 10 {
 		node := m.node(m.random.IntN(count))
 		for range 1 + m.random.IntN(3) {
-			if m.isDown(node) || node.service.Check(m.request) != nil || !m.send(node) {
+			if node.Down() || node.service.Check(m.request) != nil || !m.send(node) {
 				break
 			}
 		}
@@ -169,17 +162,13 @@
 		}
 	case 1:
 		for i := range count {
-			m.mutex.Lock()
-			m.group[identity.NodeName(fmt.Sprint("n", i))] = m.faults.IntN(2)
-			m.mutex.Unlock()
+			m.Cut(nodes.Name(i), m.faults.IntN(2))
 		}
 	default:
-		m.mutex.Lock()
-		clear(m.group)
-		m.mutex.Unlock()
+		m.Heal()
 		for i := range count {
-			if node := m.node(i); m.isDown(node) {
-				m.start(node.Name, node.Zone)
+			if node := m.node(i); node.Down() {
+				m.start(i)
 			}
 		}
 	}
@@ -189,17 +178,17 @@
 }
 
 func (m *model) partitions() string {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return fmt.Sprint(m.group)
+	var partitions []int
+	for i := range m.count {
+		partitions = append(partitions, m.PartitionOf(nodes.Name(i)))
+	}
+	return fmt.Sprint(partitions)
 }
 
 func (m *model) up() int {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
 	up := 0
-	for _, node := range m.nodes {
-		if !node.down {
+	for i := range m.count {
+		if !m.node(i).Down() {
 			up++
 		}
 	}
--- a/internal/quarantine/rack_test.go
+++ b/internal/quarantine/rack_test.go
@@ -28,7 +28,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(nodes)
 		defer c.close()
-		c.change(func() { c.messages, c.bytes = 0, 0 })
+		c.Reset()
 		const replicas, slots = 20, 50
 		var wait sync.WaitGroup
 		for i := range replicas * slots {
@@ -40,15 +40,14 @@
 			})
 		}
 		wait.Wait()
-		c.change(func() {
-			t.Logf("%d nodes, %d requests: %d messages, %d bytes", nodes, replicas*slots, c.messages, c.bytes)
-			if c.messages > (holders.Copies+confirmPeers)*replicas*slots {
-				t.Errorf("%d messages", c.messages)
-			}
-			c.messages, c.bytes = 0, 0
-		})
+		messages, bytes := c.Reset()
+		t.Logf("%d nodes, %d requests: %d messages, %d bytes with their responses", nodes, replicas*slots, messages, bytes)
+		if messages > (holders.Copies+confirmPeers)*replicas*slots {
+			t.Errorf("%d messages", messages)
+		}
 		time.Sleep(10 * time.Second)
-		c.change(func() { t.Logf("%d messages, %d bytes in the 10 s after", c.messages, c.bytes) })
+		messages, bytes = c.Reset()
+		t.Logf("%d messages, %d bytes in the 10 s after", messages, bytes)
 	})
 }
 
@@ -59,12 +58,13 @@
 		defer c.close()
 		lethal := requestOf("lethal", true)
 		for i := range MaxEnded {
-			c.change(func() { c.messages, c.bytes = 0, 0 })
+			c.Reset()
 			if !c.node(7*i).attempt(lethal, c.replica(1000+i), false) {
 				t.Errorf("attempt %d was not sent", i)
 			}
 			time.Sleep(time.Second)
-			c.change(func() { t.Logf("end %d: %d messages, %d bytes", i+1, c.messages, c.bytes) })
+			messages, bytes := c.Reset()
+			t.Logf("end %d: %d messages, %d bytes with their responses", i+1, messages, bytes)
 		}
 		if c.node(nodes-1).service.Check(lethal) == nil {
 			t.Error("a node does not know")
--- a/internal/quarantine/record_test.go
+++ b/internal/quarantine/record_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"stepseam.example/stepseam/internal/emulator/nodes"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/wire"
@@ -36,7 +37,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(hex.EncodeToString(encode(c.message)), c.written)
+			is.Equal(hex.EncodeToString(nodes.Encode(c.message)), c.written)
 			fields, err := hex.DecodeString(c.written)
 			is.NoErr(err)
 			decoder := wire.NewDecoder(fields)
@@ -50,8 +51,8 @@
 func FuzzDecodeMessages(f *testing.F) {
 	registry := peer.NewRegistry()
 	idleService().Register(registry)
-	f.Add(uint16(0), encode(&notice{records: []record{{attempts: []sharedAttempt{{}}}}}))
-	f.Add(uint16(1), encode(&noticeResponse{stored: true}))
+	f.Add(uint16(0), nodes.Encode(&notice{records: []record{{attempts: []sharedAttempt{{}}}}}))
+	f.Add(uint16(1), nodes.Encode(&noticeResponse{stored: true}))
 	f.Fuzz(func(_ *testing.T, kind uint16, fields []byte) {
 		_, _ = registry.Decode(kindNotice+peer.Kind(kind%4), fields)
 	})
--- a/internal/quarantine/restart_test.go
+++ b/internal/quarantine/restart_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"errors"
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
-	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 )
 
@@ -26,7 +24,7 @@
 		}
 		var leaving membership.View
 		for i := range 8 {
-			leaving.Members = append(leaving.Members, membership.Member{Node: c.node(i).Node, Status: membership.Leaving})
+			leaving.Members = append(leaving.Members, membership.Member{Node: c.node(i).Node.Node, Status: membership.Leaving})
 		}
 		for i := range 8 {
 			c.node(i).service.SetView(leaving)
@@ -39,10 +37,10 @@
 			former.service.Close()
 			former.service.HandOver()
 			c.stop(former)
-			node := c.start(identity.NodeName(fmt.Sprint("n", i)), former.Zone)
+			node := c.start(i)
 			node.service.config.Seeds = nil
 			started = append(started, node)
-			view.Members = append(view.Members, membership.Member{Node: node.Node, Status: membership.Alive})
+			view.Members = append(view.Members, membership.Member{Node: node.Node.Node, Status: membership.Alive})
 			for _, one := range started {
 				one.service.SetView(view)
 			}
