--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -149,7 +149,18 @@
 	if c.replicas[instance] == nil {
 		c.replicas[instance] = &testReplica{state: fleet.StateReady}
 	}
-	return Replica{Instance: instance}
+	return Replica{Instance: instance, StartedAtMs: c.replicas[instance].incarnation}
+}
+
+// restarted returns a replica that lives: another incarnation if the last one has ended.
+func (c *cluster) restarted(number int) Replica {
+	instance := fmt.Sprint("m-", number)
+	c.change(func() {
+		if former := c.replicas[instance]; former != nil && former.ended {
+			c.replicas[instance] = &testReplica{state: fleet.StateReady, incarnation: former.incarnation + 1}
+		}
+	})
+	return c.replica(number)
 }
 
 // end ends a replica.
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -20,9 +21,9 @@
 // model plays a lethal request over random faults.
 type model struct {
 	*cluster
-	// random draws what the client does, faults what else happens.
-	random, faults *rand.Rand
-	request        *Request
+	// random draws what the client does, others what bystanders do, and faults what else happens.
+	random, others, faults *rand.Rand
+	request                *Request
 	// ends counts the replicas that ended under the request. unknown counts those of attempts that a
 	// majority could not know of, since their node was killed or cut off before it could tell.
 	ends, unknown int
@@ -32,9 +33,13 @@
 	thirdEnd       time.Duration
 	// minorityUntil is when nodes could last reach only a minority.
 	minorityUntil map[identity.NodeName]time.Duration
-	// started is the number of replicas so far. silent is set if some of them lose power.
-	started int
-	silent  bool
+	// started is the number of replicas so far. silent is set if some of them lose power. instances is
+	// the number of instances, of which others start again under the same name; 0 means that each
+	// replica has a name of its own.
+	started, instances int
+	silent             bool
+	// refused tells of bystanders that were refused wrongly.
+	refused []string
 	// trace tells what happened.
 	trace []string
 }
@@ -72,8 +77,7 @@
 
 // send makes one attempt at a new replica, which ends. It returns false if the node did not send.
 func (m *model) send(node *testNode) bool {
-	m.started++
-	chosen := m.replica(m.started)
+	chosen := m.nextReplica()
 	service := node.service
 	send := Send{Replica: chosen, Began: service.config.Now(), Until: service.config.Now() + 4*time.Second}
 	registered, err := service.Begin(context.Background(), m.request, send, Attempt{})
@@ -98,6 +102,15 @@
 	return true
 }
 
+// nextReplica returns a replica that lives.
+func (m *model) nextReplica() Replica {
+	m.started++
+	if m.instances == 0 {
+		return m.replica(m.started)
+	}
+	return m.restarted(m.started % m.instances)
+}
+
 func (m *model) countEnd() {
 	m.ends++
 	if m.ends == MaxEnded {
@@ -153,7 +166,7 @@
 	m.noteMinorities(count)
 	switch m.faults.IntN(3) {
 	case 0:
-		for range 1 + m.faults.IntN(count/2-1) {
+		for range 1 + m.faults.IntN(max(count/2-1, 1)) {
 			killed := m.node(m.faults.IntN(count))
 			if m.up()*2 > count+2 {
 				m.note("%s is killed", killed.Name)
@@ -209,16 +222,49 @@
 			}
 		}
 	}()
+	bystanders := make(chan struct{})
+	go func() {
+		defer close(bystanders)
+		for number := range 20 {
+			m.bystander(count, number)
+		}
+	}()
 	for range 3 {
 		m.client(count)
 	}
+	<-bystanders
 	close(stop)
 	<-done
 }
 
+// firstBystander is the number of the first replica that is a bystander's.
+const firstBystander = 1000
+
+// bystander makes attempts at another request, whose connections are reset while their replicas live.
+// The replicas of every other one end by themselves, fewer than MaxEnded.
+func (m *model) bystander(count, number int) {
+	request := requestOf(fmt.Sprint("bystander", number), true)
+	ends := number % 2 * (MaxEnded - 1)
+	for try := range 5 {
+		node := m.node(m.others.IntN(count))
+		err := node.service.Check(request)
+		quarantined, unclear := errors.Is(err, ErrQuarantined), errors.Is(err, ErrUnclear)
+		if quarantined || unclear && ends == 0 {
+			m.change(func() {
+				m.refused = append(m.refused, fmt.Sprintf("%v bystander %d with %d ends at %s: %v %v", m.now(), number, ends, node.Name, err, node.service.EndsOf(request.Key)))
+			})
+		}
+		if err == nil && !node.Down() {
+			node.attempt(request, m.replica(firstBystander+10*number+try), try >= ends)
+		}
+		time.Sleep(time.Duration(m.others.IntN(200)) * time.Millisecond)
+	}
+}
+
 // At most MaxEnded replicas end under a request while nodes are killed, cut off and restarted, beside
-// those of attempts that only a node knew of that was killed or cut off then, and of nodes that reached only a minority. Where
-// replicas fall silent, a node that does not know of it yet may send the request within lateAfter.
+// those of attempts that only a node knew of that was killed or cut off then, and of nodes that reached
+// only a minority. Where replicas fall silent, a node that does not know of it yet may send the request
+// within lateAfter. Bystanders are not refused.
 func TestModelEndsAreBoundedUnderFaults(t *testing.T) {
 	seeds := 300
 	if given, err := strconv.Atoi(os.Getenv("MODEL_SEEDS")); err == nil {
@@ -227,17 +273,27 @@
 	total, beyond := 0, 0
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(9)
+			count := modelNodes[seed/2%uint64(len(modelNodes))]
+			c := newCluster(count)
 			defer c.close()
-			m := &model{cluster: c, random: rand.New(rand.NewPCG(seed, 1)), faults: rand.New(rand.NewPCG(seed, 2)), request: requestOf("p", true), silent: seed%2 == 1, minorityUntil: map[identity.NodeName]time.Duration{}}
-			m.run(9)
+			m := &model{
+				cluster: c, random: rand.New(rand.NewPCG(seed, 1)), faults: rand.New(rand.NewPCG(seed, 2)), others: rand.New(rand.NewPCG(seed, 3)),
+				request: requestOf("p", true), silent: seed%2 == 1, instances: int(seed % 3 * 5), minorityUntil: map[identity.NodeName]time.Duration{},
+			}
+			m.run(count)
 			total += m.ends
 			beyond += max(m.ends-MaxEnded, 0)
 			exempt := m.unknown + m.cutSends
 			if !m.silent && m.ends > MaxEnded+exempt || m.late > exempt {
 				t.Errorf("seed %d: %d replicas ended, %d sends came late; %d ends were known only to a node that was killed or cut off, %d sends were of nodes that reached a minority\n%s", seed, m.ends, m.late, m.unknown, m.cutSends, strings.Join(m.trace, "\n"))
 			}
+			if len(m.refused) > 0 {
+				t.Errorf("seed %d: bystanders were refused:\n%s\n%s", seed, strings.Join(m.refused, "\n"), strings.Join(m.trace, "\n"))
+			}
 		})
 	}
 	t.Logf("%d runs, %d ends, %d of them beyond %d", seeds, total, beyond, MaxEnded)
 }
+
+// modelNodes are the numbers of nodes of the model's sites.
+var modelNodes = []int{9, 3, 5, 13}
