Count replicas that hang under a request until their entry has lapsed, and end then

Callers whose request makes its replicas hang (memory pressure) and end later than three heartbeats could have it sent without end: a replica whose entry had gone before the connection broke was taken for one that left as planned, and its end did not count. Timeouts of up to 6 s are longer than the 3.6 s after which an entry lapses.

A replica without an entry is now taken for one that leaves only if it was heard until the connection broke. One that was silent for 400 ms is verified like any other, and does not count if it lives: the store may have lost its entry (TestReplicaWithoutEntryThatIsHeardDoesNotCount).

--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -56,6 +56,8 @@
 	ended       bool
 	silent      bool
 	endedAt     time.Duration
+	// withdrawn is set if its entry was removed while it lives.
+	withdrawn bool
 	state       fleet.State
 }
 
@@ -176,7 +178,7 @@
 	n.cluster.mutex.Lock()
 	defer n.cluster.mutex.Unlock()
 	one, known := n.cluster.replicas[instance]
-	if !known || one.ended && n.cluster.now() > one.endedAt+3*heartbeat {
+	if !known || one.withdrawn || one.ended && n.cluster.now() > one.endedAt+3*heartbeat {
 		return fleet.Presence{}, false
 	}
 	return fleet.Presence{StartedAtMs: one.incarnation, State: one.state}, true
@@ -323,7 +325,8 @@
 		n.cluster.end(replica, true)
 	}
 	time.Sleep(2 * time.Second)
-	n.service.Silent(request, send, registered, 2*time.Second)
+	send.Silence = 2 * time.Second
+	n.service.Silent(request, send, registered)
 	return true
 }
 
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -127,7 +127,8 @@
 	switch {
 	case node.Down():
 	case silent:
-		node.service.Silent(m.request, send, registered, 2*time.Second)
+		send.Silence = 2 * time.Second
+		node.service.Silent(m.request, send, registered)
 		time.AfterFunc(hearTime+callTime, func() {
 			if !untold && node.Down() {
 				m.countUnknown(registered)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -115,4 +115,6 @@
 	Replica Replica
 	// Began is when the request was sent, Until when the attempt is over at the latest.
 	Began, Until time.Duration
+	// Silence is how long the replica had sent nothing when the attempt broke off.
+	Silence time.Duration
 }
--- a/internal/quarantine/resolve.go
+++ b/internal/quarantine/resolve.go
@@ -38,7 +38,7 @@
 // were not acknowledged. It finds out whether the replica has ended, and returns once other nodes
 // know of it or noticeWait has passed. registered may be the zero value.
 func (s *Service) Broke(ctx context.Context, request *Request, send Send, registered Attempt, address netip.AddrPort, cause error) {
-	left := s.left(send.Replica, cause)
+	left, lapsed := s.left(send, cause)
 	found := findingAlive
 	if !left {
 		// What the client does tells nothing of the replica.
@@ -46,7 +46,7 @@
 	}
 	next := stateWatched
 	switch {
-	case left:
+	case left, lapsed && found == findingAlive:
 		next = stateCleared
 	case found == findingEnded:
 		next = stateEnded
@@ -80,14 +80,17 @@
 	return "invalid"
 }
 
-// left reports whether a replica had said that it leaves, or had no entry any more, before the
-// attempt broke off. One that fell silent is not among these, since its entry lapses.
-func (s *Service) left(replica Replica, cause error) bool {
-	present, found := s.config.Replicas.Presence(replica.Instance)
+// left reports whether a replica had said that it leaves before the attempt broke off, or had no
+// entry any more and was heard until then. lapsed reports whether it had no entry and was not heard:
+// the entry of a replica that hangs lapses before it ends, and the store may have lost that of one
+// that lives.
+func (s *Service) left(send Send, cause error) (left, lapsed bool) {
+	present, found := s.config.Replicas.Presence(send.Replica.Instance)
 	if !found {
-		return !isTimeout(cause)
+		lapsed = isTimeout(cause) || send.Silence >= minSilence
+		return !lapsed, lapsed
 	}
-	return present.StartedAtMs == replica.StartedAtMs && present.State == fleet.StateDraining
+	return present.StartedAtMs == send.Replica.StartedAtMs && present.State == fleet.StateDraining, false
 }
 
 func isTimeout(err error) bool {
@@ -96,8 +99,8 @@
 
 // Silent is called when an attempt ended by its client or its deadline, while its replica had sent
 // nothing for some time. It does not block.
-func (s *Service) Silent(request *Request, send Send, registered Attempt, silence time.Duration) {
-	if silence < minSilence {
+func (s *Service) Silent(request *Request, send Send, registered Attempt) {
+	if send.Silence < minSilence {
 		s.End(registered)
 		return
 	}
--- /dev/null
+++ b/internal/quarantine/resolve_test.go
@@ -0,0 +1,80 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// hang makes an attempt at a replica that hangs until its entry has lapsed, and ends then.
+func (n *testNode) hang(request *Request, replica Replica) bool {
+	send := Send{Replica: replica, Began: n.service.config.Now(), Until: n.service.config.Now() + 6*time.Second}
+	registered, err := n.service.Begin(context.Background(), request, send, Attempt{})
+	if err != nil {
+		return false
+	}
+	n.cluster.end(replica, false)
+	time.Sleep(4 * heartbeat)
+	send.Silence = 4 * heartbeat
+	n.service.Broke(context.Background(), request, send, registered, replicaAddress(replica.Instance), errReset)
+	return true
+}
+
+// A replica that hung under a request until its entry had lapsed, and ended then, was taken for one
+// that leaves as planned.
+func TestReplicaThatHangsBeforeItsEndCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(5)
+		defer c.close()
+		request := requestOf("p", true)
+		sent := 0
+		for i := range 2 * MaxEnded {
+			if c.node(i % 5).hang(request, c.replica(i)) {
+				sent++
+			}
+		}
+		is.Equal(sent, MaxEnded)
+		is.True(errors.Is(c.node(0).service.Check(request), ErrQuarantined))
+	})
+}
+
+// Replicas that leave without a word, and are heard until they end, count as little as living ones
+// whose entries are missing.
+func TestReplicaWithoutEntryThatIsHeardDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(5)
+		defer c.close()
+		request, silent := requestOf("p", true), requestOf("q", true)
+		for i := range 2 * MaxEnded {
+			leaving, living := c.replica(i), c.replica(100+i)
+			c.change(func() {
+				c.replicas[leaving.Instance].withdrawn, c.replicas[living.Instance].withdrawn = true, true
+			})
+			is.True(c.node(i%5).attempt(request, leaving, false))
+			is.True(c.node(i%5).reset(silent, living))
+		}
+		time.Sleep(2 * time.Second)
+		for i := range 5 {
+			is.Equal(len(c.node(i).service.Status()), 0)
+		}
+	})
+}
+
+// reset makes an attempt whose connection is reset after a second of silence, while the replica lives.
+func (n *testNode) reset(request *Request, replica Replica) bool {
+	send := Send{Replica: replica, Began: n.service.config.Now(), Until: n.service.config.Now() + 4*time.Second}
+	registered, err := n.service.Begin(context.Background(), request, send, Attempt{})
+	if err != nil {
+		return false
+	}
+	time.Sleep(time.Second)
+	send.Silence = time.Second
+	n.service.Broke(context.Background(), request, send, registered, replicaAddress(replica.Instance), errReset)
+	return true
+}
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -63,7 +63,11 @@
 }
 
 func (r *Router) sendOf(call *call, replica *fleet.Replica) quarantine.Send {
-	return quarantine.Send{Replica: quarantineReplica(replica), Began: call.sentAt, Until: r.Now() + call.left()}
+	silence := r.Now() - call.sentAt
+	if !call.heardAt.IsZero() {
+		silence = time.Since(call.heardAt)
+	}
+	return quarantine.Send{Replica: quarantineReplica(replica), Began: call.sentAt, Until: r.Now() + call.left(), Silence: silence}
 }
 
 // heard notes that bytes of a replica have arrived.
@@ -85,11 +89,7 @@
 	case failure.Outcome == exchange.OutcomeNotRun:
 		r.config.Quarantine.End(registered)
 	case ctx.Err() != nil:
-		silence := r.Now() - call.sentAt
-		if !call.heardAt.IsZero() {
-			silence = time.Since(call.heardAt)
-		}
-		r.config.Quarantine.Silent(r.quarantineRequest(call), r.sendOf(call, replica), registered, silence)
+		r.config.Quarantine.Silent(r.quarantineRequest(call), r.sendOf(call, replica), registered)
 	case brokeOff(failure.Reason):
 		r.config.Quarantine.Broke(ctx, r.quarantineRequest(call), r.sendOf(call, replica), registered, replica.Address, failure.Cause)
 	default:
