--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -58,7 +58,7 @@
 	endedAt     time.Duration
 	// withdrawn is set if its entry was removed while it lives.
 	withdrawn bool
-	state       fleet.State
+	state     fleet.State
 }
 
 func replicaAddress(instance string) netip.AddrPort {
--- a/internal/quarantine/resolve_test.go
+++ b/internal/quarantine/resolve_test.go
@@ -34,7 +34,7 @@
 		request := requestOf("p", true)
 		sent := 0
 		for i := range 2 * MaxEnded {
-			if c.node(i % 5).hang(request, c.replica(i)) {
+			if c.node(i%5).hang(request, c.replica(i)) {
 				sent++
 			}
 		}
