Count short silences under requests that have lost a replica before

An attempt that its client gave up after less than 400 ms of silence was cleared, also at a request under which replicas had ended already: a client whose second attempts have little time left lost more than three replicas without power. A first short silence still leaves no doubt, so that clients that leave early cost nothing.

--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -314,8 +314,8 @@
 	})
 }
 
-// silence makes an attempt that its client gives up after two seconds of silence.
-func (n *testNode) silence(request *Request, replica Replica, ends bool) bool {
+// silence makes an attempt that its client gives up after some time of silence.
+func (n *testNode) silence(request *Request, replica Replica, waits time.Duration, ends bool) bool {
 	send := Send{Replica: replica, Began: n.service.config.Now(), Until: n.service.config.Now() + 4*time.Second}
 	registered, err := n.service.Begin(context.Background(), request, send, Attempt{})
 	if err != nil {
@@ -324,8 +324,8 @@
 	if ends {
 		n.cluster.end(replica, true)
 	}
-	time.Sleep(2 * time.Second)
-	send.Silence = 2 * time.Second
+	time.Sleep(waits)
+	send.Silence = waits
 	n.service.Silent(request, send, registered)
 	return true
 }
@@ -339,7 +339,7 @@
 		request := requestOf("p", true)
 		sent := 0
 		for i := range 10 {
-			if c.node(i%5).silence(request, c.replica(i), true) {
+			if c.node(i%5).silence(request, c.replica(i), 2*time.Second, true) {
 				sent++
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -350,14 +350,14 @@
 
 		slow := requestOf("slow", true)
 		for i := range 3 {
-			is.True(c.node(i).silence(slow, c.replica(100+i), false))
+			is.True(c.node(i).silence(slow, c.replica(100+i), 2*time.Second, false))
 			time.Sleep(2 * heardAfter)
 			c.node(i).service.Heard(c.replica(100 + i))
 		}
 		time.Sleep(time.Second)
 		is.NoErr(c.node(4).service.Check(slow))
 		for i := range 3 { // not heard of, but their entries do not lapse
-			c.node(i).silence(slow, c.replica(200+i), false)
+			c.node(i).silence(slow, c.replica(200+i), 2*time.Second, false)
 		}
 		time.Sleep(7 * time.Second)
 		is.NoErr(c.node(4).service.Check(slow))
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -95,9 +95,15 @@
 	m.end(chosen, silent)
 	m.countEnd()
 	m.note("end %d, under an attempt of %s, registered %t, silent %t, known there %v", m.ends, node.Name, registered != Attempt{}, silent, service.EndsOf(m.request.Key))
-	if silent {
-		time.Sleep(2 * time.Second)
+	switch {
+	case silent && registered != Attempt{} && m.random.IntN(3) == 0:
+		send.Silence = minSilence / 2 // its client has little time left
+	case silent:
+		send.Silence = 2 * time.Second
+	case m.silent && m.random.IntN(4) == 0:
+		send.Silence = 4 * heartbeat // it hung, so that its entry lapsed before it ended
 	}
+	time.Sleep(send.Silence)
 	m.tell(node, send, registered, silent)
 	return true
 }
@@ -127,7 +133,6 @@
 	switch {
 	case node.Down():
 	case silent:
-		send.Silence = 2 * time.Second
 		node.service.Silent(m.request, send, registered)
 		time.AfterFunc(hearTime+callTime, func() {
 			if !untold && node.Down() {
--- a/internal/quarantine/resolve.go
+++ b/internal/quarantine/resolve.go
@@ -18,7 +18,7 @@
 	// resolveInterval is the time between two checks of the replicas' entries.
 	resolveInterval = 100 * time.Millisecond
 	// minSilence is how long a replica must have been silent for an attempt that its client or
-	// its deadline ended to leave a doubt about it. hearTime is how long the replica then has to
+	// its deadline ended to leave a doubt about it, unless the request is suspect. hearTime is how long the replica then has to
 	// be heard at this node before others are told, unless another may have ended already.
 	minSilence = 400 * time.Millisecond
 	hearTime   = 150 * time.Millisecond
@@ -100,7 +100,7 @@
 // Silent is called when an attempt ended by its client or its deadline, while its replica had sent
 // nothing for some time. It does not block.
 func (s *Service) Silent(request *Request, send Send, registered Attempt) {
-	if send.Silence < minSilence {
+	if send.Silence < minSilence && !s.Suspects(request.Key) {
 		s.End(registered)
 		return
 	}
--- a/internal/quarantine/resolve_test.go
+++ b/internal/quarantine/resolve_test.go
@@ -78,3 +78,34 @@
 	n.service.Broke(context.Background(), request, send, registered, replicaAddress(replica.Instance), errReset)
 	return true
 }
+
+// A client that gives up soon leaves no doubt about a replica, unless replicas have ended under its
+// request already: attempts with little time left were not counted, whatever became of their replicas.
+func TestShortSilenceUnderSuspectRequestCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(5)
+		defer c.close()
+		request := requestOf("p", true)
+		sent := 0
+		for i := range 4 * MaxEnded {
+			waits := minSilence / 2
+			if i%2 == 0 {
+				waits = 2 * time.Second
+			}
+			if c.node(i%5).silence(request, c.replica(i), waits, true) {
+				sent++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(sent, MaxEnded)
+
+		hasty := requestOf("q", true)
+		for i := range 2 * MaxEnded {
+			is.True(c.node(i%5).silence(hasty, c.replica(100+i), minSilence/2, false))
+		}
+		for i := range 5 {
+			is.NoErr(c.node(i).service.Check(hasty))
+		}
+	})
+}
