Send no request whose client left while its attempt was being registered

A request under which replicas have ended is registered with other nodes before it is sent, which takes up to 250 ms. Its client may leave meanwhile; the request was sent all the same, and its attempt, cut off at once, left a doubt about the replica for up to 6 s. TestAttemptIsNotMadeOnceItsClientHasLeft failed before.

--- a/internal/quarantine/resolve_test.go
+++ b/internal/quarantine/resolve_test.go
@@ -109,3 +109,26 @@
 		}
 	})
 }
+
+// A request whose client left while its attempt was being registered was sent, and left a doubt about
+// a replica that nobody waited for.
+func TestAttemptIsNotMadeOnceItsClientHasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(9)
+		defer c.close()
+		request := requestOf("p", true)
+		for i := range MaxEnded - 1 {
+			is.True(c.node(i).attempt(request, c.replica(i), false))
+		}
+		service := c.node(5).service
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(callTime/2, leave)
+		send := Send{Replica: c.replica(10), Began: service.config.Now(), Until: service.config.Now() + 4*time.Second}
+		registered, err := service.Begin(ctx, request, send, Attempt{})
+		is.True(errors.Is(err, context.Canceled))
+		is.Equal(registered, Attempt{})
+		time.Sleep(10 * callTime)
+		is.NoErr(c.node(7).service.Check(request))
+	})
+}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -162,7 +162,7 @@
 // may have, and its content identifies it, it registers the attempt, so that it counts even if this
 // node ends. The last one that is allowed is registered with a majority of the nodes, so that nodes
 // that are cut from each other don't send the request both. registered is not the zero value if the
-// request is sent to the same replica again. Errors: as of Check.
+// request is sent to the same replica again. Errors: as of Check, or that of ctx.
 func (s *Service) Begin(ctx context.Context, request *Request, send Send, registered Attempt) (Attempt, error) {
 	if s.Idle() {
 		return registered, nil
@@ -192,7 +192,7 @@
 }
 
 // register tells other nodes of an attempt that is about to be made: a majority of them if it is
-// the last that is allowed. Errors: as of Check.
+// the last that is allowed. Errors: as of Check, or that of ctx.
 func (s *Service) register(ctx context.Context, found *entry, request *Request, made Attempt, last bool) error {
 	started := s.copies.Distribute(made.key)
 	if last {
@@ -206,6 +206,8 @@
 	switch {
 	case err != nil:
 		return err
+	case ctx.Err() != nil:
+		return fmt.Errorf("quarantine: register an attempt: %w", ctx.Err())
 	case unknown:
 		return s.register(ctx, found, request, made, true)
 	case last && started.Stored()+1 < s.majority():
--- a/internal/router/usable.go
+++ b/internal/router/usable.go
@@ -132,7 +132,7 @@
 }
 
 // acquireSend returns an error if a request must no longer be sent to the selected
-// replica. It is called immediately before each send, after everything that can block, and
+// replica. It is called immediately before each send, after everything else that can block, and
 // takes a permit if the replica's service limits cold replicas. A request that is sent again
 // on another connection takes another token of the tenant's limit.
 func (r *Router) acquireSend(ctx context.Context, call *call, replica fleet.Replica) error {
