--- a/internal/quarantine/resolve_test.go
+++ b/internal/quarantine/resolve_test.go
@@ -10,16 +10,18 @@
 	"github.com/matryer/is"
 )
 
-// hang makes an attempt at a replica that hangs until its entry has lapsed, and ends then.
-func (n *testNode) hang(request *Request, replica Replica) bool {
-	send := Send{Replica: replica, Began: n.service.config.Now(), Until: n.service.config.Now() + 6*time.Second}
+// hang makes an attempt under which the replica is silent for some time, until the connection is
+// reset. Unless it lives on, the replica has ended then.
+func (n *testNode) hang(request *Request, replica Replica, silence time.Duration, lives bool) bool {
+	send := Send{Replica: replica, Began: n.service.config.Now(), Until: n.service.config.Now() + 6*time.Second, Silence: silence}
 	registered, err := n.service.Begin(context.Background(), request, send, Attempt{})
 	if err != nil {
 		return false
 	}
-	n.cluster.end(replica, false)
-	time.Sleep(4 * heartbeat)
-	send.Silence = 4 * heartbeat
+	if !lives {
+		n.cluster.end(replica, false)
+	}
+	time.Sleep(silence)
 	n.service.Broke(context.Background(), request, send, registered, replicaAddress(replica.Instance), errReset)
 	return true
 }
@@ -34,7 +36,7 @@
 		request := requestOf("p", true)
 		sent := 0
 		for i := range 2 * MaxEnded {
-			if c.node(i%5).hang(request, c.replica(i)) {
+			if c.node(i%5).hang(request, c.replica(i), 4*heartbeat, false) {
 				sent++
 			}
 		}
@@ -57,7 +59,7 @@
 				c.replicas[leaving.Instance].withdrawn, c.replicas[living.Instance].withdrawn = true, true
 			})
 			is.True(c.node(i%5).attempt(request, leaving, false))
-			is.True(c.node(i%5).reset(silent, living))
+			is.True(c.node(i%5).hang(silent, living, time.Second, true))
 		}
 		time.Sleep(2 * time.Second)
 		for i := range 5 {
@@ -66,19 +68,6 @@
 	})
 }
 
-// reset makes an attempt whose connection is reset after a second of silence, while the replica lives.
-func (n *testNode) reset(request *Request, replica Replica) bool {
-	send := Send{Replica: replica, Began: n.service.config.Now(), Until: n.service.config.Now() + 4*time.Second}
-	registered, err := n.service.Begin(context.Background(), request, send, Attempt{})
-	if err != nil {
-		return false
-	}
-	time.Sleep(time.Second)
-	send.Silence = time.Second
-	n.service.Broke(context.Background(), request, send, registered, replicaAddress(replica.Instance), errReset)
-	return true
-}
-
 // A client that gives up soon leaves no doubt about a replica, unless replicas have ended under its
 // request already: attempts with little time left were not counted, whatever became of their replicas.
 func TestShortSilenceUnderSuspectRequestCounts(t *testing.T) {
