Let emulated replicas that have ended refuse connections while processes start

Trace: at 03:45:52.777 and 52.81 m-36 and m-35 reset the connections of n15, whose new connections to them stayed open for 10 ms, so that both seemed to live; 120 ms later both refused them. n26, n28 and n29 were being started by the same process from 52.6 to 52.9.

Cause: between fork and exec the child has a copy of all sockets, and the kernel goes on accepting connections for a listener that its replica has closed.

A replica whose listener really outlives it, as one that a supervisor holds, seems to live until its entry lapses or shows another incarnation; decision 0018 names that limit.

--- a/internal/emulator/replica/end.go
+++ b/internal/emulator/replica/end.go
@@ -33,7 +33,7 @@
 		r.ignoreConnections()
 		return
 	}
-	_ = r.listener.Close()
+	r.stopListening()
 	for socket := range r.open {
 		if tcp, ok := socket.(*net.TCPConn); ok && how == EndReset {
 			// Closing the socket sends a reset then.
@@ -43,6 +43,16 @@
 	}
 }
 
+// stopListening closes the listener. A process that is being started has a copy of it until it runs
+// its program, so that closing alone would let the kernel accept connections until then.
+func (r *Replica) stopListening() {
+	// The errors mean that the replica is closed.
+	if raw, err := r.listener.SyscallConn(); err == nil {
+		_ = raw.Control(func(descriptor uintptr) { _ = syscall.Shutdown(int(descriptor), syscall.SHUT_RDWR) })
+	}
+	_ = r.listener.Close()
+}
+
 // fillTimeout is how long a connection to a full queue is tried, and maxFillers bounds those that
 // fill it.
 const (
--- a/internal/emulator/replica/end_test.go
+++ b/internal/emulator/replica/end_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -65,3 +68,35 @@
 		})
 	}
 }
+
+// Processes that were being started held the listener of a replica that had ended, so that it went on
+// accepting connections.
+func TestEndedReplicaRefusesConnectionsWhileProcessesStart(t *testing.T) {
+	is := is.New(t)
+	program, err := os.Executable()
+	is.NoErr(err)
+	var starters sync.WaitGroup
+	ctx, stop := context.WithCancel(t.Context())
+	for range 4 {
+		starters.Go(func() {
+			for ctx.Err() == nil {
+				_ = exec.CommandContext(ctx, program, "-test.run=^$").Run()
+			}
+		})
+	}
+	accepted := 0
+	for range 500 {
+		ended, err := Start(func(*Exchange) bool { return true })
+		is.NoErr(err)
+		time.Sleep(time.Millisecond)
+		ended.End(EndReset)
+		if socket, err := net.Dial("tcp4", ended.Address.String()); err == nil {
+			accepted++
+			_ = socket.Close()
+		}
+		ended.Close()
+	}
+	stop()
+	starters.Wait()
+	is.Equal(accepted, 0)
+}
