Tell others of silent replicas before a node stops

Trace: clients of n5 and n4 gave up after 2 s of silence of m-2 and m-6, at 03:54:32.900 and 34.900; a rolling restart ended these nodes 38 and 87 ms later. A node listens for a silent replica for 150 ms before it tells others, and a planned stop handed over only what others had been told of, so both ends were forgotten.

A node that stops lets the attempts count whose replicas were silent, and tells the holders and the nodes that it hands over to. It passed at first: a call of an ended incarnation was taken for one of its successor in the tests' network, so that the model could not show this. Calls belong to their incarnation now; all tests of quarantine and origin pass with that.

--- a/internal/emulator/nodes/nodes.go
+++ b/internal/emulator/nodes/nodes.go
@@ -146,21 +146,19 @@
 	return calls, bytes
 }
 
-// Client returns the client of a node.
-func (n *Network) Client(self identity.NodeName) peer.Client { return client{n, self} }
+// Client returns the client of an incarnation, which reaches nobody once that has ended.
+func (o *Node) Client() peer.Client { return client{o} }
 
-type client struct {
-	network *Network
-	self    identity.NodeName
-}
+type client struct{ self *Node }
 
 var errDown = fmt.Errorf("%w: down", peer.ErrUnreachable)
 
 // Call implements peer.Client.
 func (c client) Call(ctx context.Context, address netip.AddrPort, request peer.Message, _ func(peer.Message) error) (peer.Message, error) {
-	time.Sleep(c.network.delay)
+	network := c.self.network
+	time.Sleep(network.delay)
 	encoded := Encode(request)
-	target, err := c.network.target(c.self, address, request.Kind(), len(encoded))
+	target, err := network.target(c.self, address, request.Kind(), len(encoded))
 	if err != nil {
 		return nil, err
 	}
@@ -177,23 +175,23 @@
 		return nil, err
 	}
 	response := Encode(answer)
-	c.network.mutex.Lock()
-	c.network.bytes += len(response)
-	c.network.mutex.Unlock()
+	network.mutex.Lock()
+	network.bytes += len(response)
+	network.mutex.Unlock()
 	return target.Registry.Decode(answer.Kind(), response)
 }
 
 // target returns the node at an address, or nil if it can't be reached and nothing tells so.
-func (n *Network) target(from identity.NodeName, address netip.AddrPort, kind peer.Kind, bytes int) (*Node, error) {
+func (n *Network) target(from *Node, address netip.AddrPort, kind peer.Kind, bytes int) (*Node, error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.calls[kind]++
 	n.bytes += bytes
 	found := n.nodes[address]
 	switch {
-	case found == nil || n.partition[from] != n.partition[found.Name]:
+	case found == nil || n.partition[from.Name] != n.partition[found.Name]:
 		return nil, nil
-	case found.down || n.nodes[AddressOf(from)].down:
+	case found.down || from.down:
 		return nil, errDown
 	case found.old:
 		return nil, peer.ErrUnknownKind
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -50,7 +50,7 @@
 	node := &testNode{Node: c.Start(number)}
 	began := time.Now()
 	node.service = New(Config{
-		Self: node.Name, Peers: c.Client(node.Name), Logger: slog.New(slog.DiscardHandler),
+		Self: node.Name, Peers: node.Client(), Logger: slog.New(slog.DiscardHandler),
 		Now: func() time.Duration { return time.Since(began) + time.Hour },
 	})
 	node.service.SetVersions(func(string, string) fleet.VersionSpan { return node.span })
--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -102,7 +102,7 @@
 		seeds = append(seeds, nodes.AddressOf(nodes.Name(i)))
 	}
 	node.service = New(Config{
-		Self: node.Name, Address: node.PeerAddress, Peers: c.Client(node.Name), Logger: slog.New(slog.DiscardHandler),
+		Self: node.Name, Address: node.PeerAddress, Peers: node.Client(), Logger: slog.New(slog.DiscardHandler),
 		Seeds: seeds, Replicas: node, Dial: node.dial, Now: func() time.Duration { return time.Since(began) },
 	})
 	node.service.SetFresh(func() bool { return !node.stale.Load() })
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -198,27 +198,37 @@
 	return lo.Uniq(append(addresses, lo.Without(s.config.Seeds, s.config.Address)...))
 }
 
-// HandOver tells other nodes of what all should know, right before this one ends. Where all nodes
-// restart at about the same time, the new incarnations may know each other only. It returns after
-// handOverTimeout at most.
+// HandOver tells other nodes of what all should know, and of replicas that may yet turn out to live,
+// right before this one ends. Where all nodes restart at about the same time, the new incarnations may
+// know each other only. It returns after handOverTimeout at most.
 func (s *Service) HandOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, key := range s.suspectAll() {
+		s.shouldAnnounce(key)
+		calls.Go(func() { await(ctx, s.copies.Distribute(key).Done(), handOverTimeout) })
+	}
 	s.table.mutex.Lock()
 	keys := s.announcedKeys()
 	s.table.mutex.Unlock()
 	addresses := s.addresses()
-	if len(keys) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	var calls sync.WaitGroup
-	for _, address := range addresses[:min(len(addresses), handOverPeers)] {
-		calls.Go(func() { s.pull(ctx, address, s.records(keys)) })
+	if len(keys) > 0 {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		for _, address := range addresses[:min(len(addresses), handOverPeers)] {
+			calls.Go(func() { s.pull(ctx, address, s.records(keys)) })
+		}
 	}
 	calls.Wait()
 }
 
+// suspectAll lets all attempts count whose replicas were silent, and returns their contents.
+func (s *Service) suspectAll() []Key {
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	return lo.FilterMap(lo.Values(s.table.records), func(one *entry, _ int) (Key, bool) { return one.key, one.suspect() })
+}
+
 // pull sends records to a node, and stores those that it returns. It reports whether the node
 // answered, and whether it knows what others know.
 func (s *Service) pull(ctx context.Context, from netip.AddrPort, records []record) (answered, synced bool) {
--- a/internal/quarantine/restart_test.go
+++ b/internal/quarantine/restart_test.go
@@ -52,3 +52,29 @@
 		}
 	})
 }
+
+// A node that stopped while it still listened for a silent replica took what it knew of it along.
+func TestNodesThatStopTellOfSilentReplicas(t *testing.T) {
+	for _, count := range []int{5, 2 * smallSite} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(count)
+			defer c.close()
+			request := requestOf("p", true)
+			sent := 0
+			for i := range 2 * MaxEnded {
+				stopping := c.node(i % 5)
+				if stopping.service.Check(request) == nil && stopping.silence(request, c.replica(i), 2*time.Second, true) {
+					sent++
+				}
+				time.Sleep(hearTime / 4)
+				stopping.service.HandOver()
+				c.stop(stopping)
+				c.start(i % 5)
+				c.shareView()
+				time.Sleep(joinInterval)
+			}
+			is.Equal(sent, MaxEnded)
+		})
+	}
+}
