Read whether a node knows the records before it reads them

Nodes n5 and n9, restarted with three others at 7.698 s, sent the request at 8.4 and 8.75 s and knew nothing of it, though all who ran on did.

Cause: a node that starts asks others for their records, until one answers that knows what others know. A node that answered, and was just starting as well, gathered its records first and then read whether it knows them; it may have learned both in between, and said that it knew, without any record. All five had started at the same moment.

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -51,6 +51,7 @@
 	if !ok {
 		return nil, fmt.Errorf("quarantine: unexpected %T", request)
 	}
+	synced := s.Synced() // before the records are read, which may be learned meanwhile
 	s.merge(received.records)
 	for i := range received.records {
 		if !received.records[i].announced {
@@ -63,7 +64,7 @@
 		keys = lo.Uniq(append(keys, s.announcedKeys()...))
 		s.table.mutex.Unlock()
 	}
-	return &noticeResponse{stored: true, synced: s.Synced(), records: s.records(keys)}, nil
+	return &noticeResponse{stored: true, synced: synced, records: s.records(keys)}, nil
 }
 
 // takeOver tells all nodes of a content unless its reporter does: it may have ended.
--- a/internal/quarantine/restart_test.go
+++ b/internal/quarantine/restart_test.go
@@ -1,14 +1,19 @@
 package quarantine
 
 import (
+	"context"
 	"errors"
+	"log/slog"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"stepseam.example/stepseam/internal/emulator/nodes"
 	"stepseam.example/stepseam/internal/membership"
+	"stepseam.example/stepseam/internal/peer"
 )
 
 // All nodes of a site restarted within a second, and the new incarnations knew only each other: what
@@ -78,3 +83,41 @@
 		})
 	}
 }
+
+// knowing is a client whose every node knows some records.
+type knowing struct{ records []record }
+
+// Call implements peer.Client.
+func (k knowing) Call(context.Context, netip.AddrPort, peer.Message, func(peer.Message) error) (peer.Message, error) {
+	return &noticeResponse{stored: true, synced: true, records: k.records}, nil
+}
+
+// A node that learned the records while it answered another one that starts said that it knew them,
+// and told none.
+func TestStartingNodeTellsWhatItSaysToKnow(t *testing.T) {
+	is := is.New(t)
+	content := record{
+		key: requestOf("p", true).Key, identified: true, announced: true, lifetime: time.Minute,
+		attempts: []sharedAttempt{{id: 1, replica: Replica{Instance: "m"}, state: stateEnded, broken: true}},
+	}
+	empty := 0
+	for range 1000 {
+		service := New(Config{
+			Self: "n0", Peers: knowing{[]record{content}}, Seeds: []netip.AddrPort{nodes.AddressOf("n1")},
+			Logger: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Minute },
+		})
+		joined := make(chan struct{})
+		go func() { defer close(joined); service.join(t.Context()) }()
+		for synced := false; !synced; {
+			answer, err := service.handleNotice(t.Context(), &notice{pull: true}, nil)
+			is.NoErr(err)
+			response, ok := answer.(*noticeResponse)
+			is.True(ok)
+			if synced = response.synced; synced && len(response.records) == 0 {
+				empty++
+			}
+		}
+		<-joined
+	}
+	is.Equal(empty, 0)
+}
