Fill the queue of an emulated replica without power also on a busy machine

Connections that fill its queue were tried until one failed within 20 ms; one whose packets are not delivered in that time fails as well, and the queue is not full. Two tries of 50 ms in a row must fail now.

--- a/internal/emulator/replica/end.go
+++ b/internal/emulator/replica/end.go
@@ -53,11 +53,13 @@
 	_ = r.listener.Close()
 }
 
-// fillTimeout is how long a connection to a full queue is tried, and maxFillers bounds those that
-// fill it.
+// fillTimeout is how long a connection to a full queue is tried. The queue counts as full after
+// fullAfter tries in a row that failed: on a busy machine one may fail before its packets are
+// delivered. maxFillers bounds the tries.
 const (
-	fillTimeout = 20 * time.Millisecond
-	maxFillers  = 4
+	fillTimeout = 50 * time.Millisecond
+	fullAfter   = 2
+	maxFillers  = 6
 )
 
 // ignoreConnections stops accepting connections and fills the kernel's queue of those that wait for
@@ -70,12 +72,14 @@
 		return
 	}
 	_ = raw.Control(func(descriptor uintptr) { _ = syscall.Listen(int(descriptor), 0) })
+	failed := 0
 	for range maxFillers {
 		filler, err := net.DialTimeout("tcp4", r.Address.String(), fillTimeout)
-		if err != nil {
+		if err == nil {
+			r.fillers, failed = append(r.fillers, filler), 0
+		} else if failed++; failed == fullAfter {
 			return
 		}
-		r.fillers = append(r.fillers, filler)
 	}
 }
 
