--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -207,7 +207,7 @@
 	defer cancel()
 	var calls sync.WaitGroup
 	for _, key := range s.suspectAll() {
-		s.shouldAnnounce(key)
+		s.shouldAnnounce(key) // announcedKeys contains it then, at a small site
 		calls.Go(func() { await(ctx, s.copies.Distribute(key).Done(), handOverTimeout) })
 	}
 	s.table.mutex.Lock()
--- a/internal/quarantine/resolve.go
+++ b/internal/quarantine/resolve.go
@@ -18,8 +18,9 @@
 	// resolveInterval is the time between two checks of the replicas' entries.
 	resolveInterval = 100 * time.Millisecond
 	// minSilence is how long a replica must have been silent for an attempt that its client or
-	// its deadline ended to leave a doubt about it, unless the request is suspect. hearTime is how long the replica then has to
-	// be heard at this node before others are told, unless another may have ended already.
+	// its deadline ended to leave a doubt about it, unless replicas have ended under the request
+	// already. hearTime is how long the replica then has to be heard at this node before others
+	// are told, unless another may have ended already.
 	minSilence = 400 * time.Millisecond
 	hearTime   = 150 * time.Millisecond
 	// heardAfter is how long after an attempt broke off bytes of its replica show that it lives.
