Review case 2: a kept turn that was resumed loses its first part

A script kills a node while it forwards turns of a route that is kept and resumable. The clients resume at other nodes; the next turns reach replicas without the events that came before the kill, as the turn is persisted with the resuming attempt's events alone.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 	const arguments = 3
 	cases := map[string]func(recordFile string, trouble bool){
 		"budget": playBudget,
+		"resume": playResume,
 	}
 	if len(os.Args) != arguments || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
