Review case 3: bodies in chunks are not counted against the buffer bound

A script lets clients send bodies of maxBodyBytes in chunks, 12 clients a zone and 27 in bursts. serveCall reserves the request's Content-Length, which a chunked body does not have, so nothing is refused and the processes exceed their memory.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 	cases := map[string]func(recordFile string, trouble bool){
 		"budget": playBudget,
 		"resume": playResume,
+		"upload": playUpload,
 	}
 	if len(os.Args) != arguments || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
