--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -27,9 +27,11 @@
 // attempt is one client attempt of a turn.
 type attempt struct {
 	id, previous, input, program string
-	lastEvent                    int
-	timeout                      time.Duration
-	budget, maxTokens            int
+	// resumes is the attempt that brought the first event of the stream that this one resumes.
+	resumes           string
+	lastEvent         int
+	timeout           time.Duration
+	budget, maxTokens int
 }
 
 // outcome is what the client got.
@@ -62,7 +64,7 @@
 		header["X-Stepseam-Previous-Turn"] = one.previous
 	}
 	if one.lastEvent >= 0 {
-		header["Last-Event-Id"] = strconv.Itoa(one.lastEvent)
+		header["Last-Event-Id"], header["Resumes"] = strconv.Itoa(one.lastEvent), one.resumes
 	}
 	for name, value := range header {
 		request.Header.Set(name, value)
--- a/review/standin/resume.go
+++ b/review/standin/resume.go
@@ -24,17 +24,20 @@
 // the ID of the attempt that was answered whole, and the data of all events.
 func (s *site) turn(program int, name, previous, input string, targets []*node, onEvent func(number int)) (id string, events []string) {
 	deadline := time.Now().Add(turnTimeout)
-	last := -1
+	last, resumes := -1, ""
 	for number := 0; ; number++ {
 		one := attempt{
 			id: fmt.Sprintf("%s-%d-%d", name, program, number), previous: previous, input: input, program: fmt.Sprintf("3fa8%02d", program),
-			lastEvent: last, timeout: time.Until(deadline), budget: budgetTokens, maxTokens: turnTokens,
+			lastEvent: last, resumes: resumes, timeout: time.Until(deadline), budget: budgetTokens, maxTokens: turnTokens,
 		}
 		if one.timeout <= 0 {
 			return "", nil
 		}
 		got := s.send(targets[min(number, len(targets)-1)], one, onEvent)
 		events, last = append(events, got.events...), got.lastEvent
+		if resumes == "" && len(events) > 0 {
+			resumes = one.id
+		}
 		if got.status == http.StatusOK && got.whole {
 			return one.id, events
 		}
