--- a/internal/holders/distributor.go
+++ b/internal/holders/distributor.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -58,13 +60,25 @@
 	// Leaving reports whether members that stop are told as well, and hold records if too few others
 	// can.
 	Leaving bool
-	// OnNotice is called with the outcome of each notice and the number of its records.
-	OnNotice func(stored bool, records int)
+	// OnNotice is called with the outcome of each notice.
+	OnNotice func(notice Notice)
 	// OnEnded is called with each distribution to holders or to all nodes that has ended; it may
 	// be nil.
 	OnEnded func(ended *Distribution[R])
 }
 
+// ErrNotStored means that a node has answered that it did not store the records of a notice.
+var ErrNotStored = errors.New("holders: the node did not store the records")
+
+// Notice tells how one copy of some records to a holder ended.
+type Notice struct {
+	Holder identity.NodeName
+	// Records is the number of records.
+	Records int
+	// Err is nil if the holder has stored them. It wraps ErrNotStored or the error of the call.
+	Err error
+}
+
 // Distributor copies records to their holders. It is safe for concurrent use.
 type Distributor[R any] struct {
 	config  Config[R]
@@ -225,8 +239,9 @@
 		batch := queue[:min(len(queue), maxBatch)]
 		d.senders[holder.Name].queue = queue[len(batch):]
 		d.mutex.Unlock()
-		stored := d.sendBatch(holder, batch)
-		d.config.OnNotice(stored, len(batch))
+		err := d.sendBatch(holder, batch)
+		stored := err == nil
+		d.config.OnNotice(Notice{Holder: holder.Name, Records: len(batch), Err: err})
 		for _, one := range batch {
 			if stored {
 				if one.stored.Add(1) == int32(one.enoughCount) {
@@ -240,7 +255,7 @@
 	}
 }
 
-func (d *Distributor[R]) sendBatch(holder identity.Node, batch []*Distribution[R]) bool {
+func (d *Distributor[R]) sendBatch(holder identity.Node, batch []*Distribution[R]) error {
 	now := d.config.Now()
 	records := make([]Dated[R], 0, len(batch))
 	for _, one := range batch {
@@ -249,7 +264,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout+2*d.RoundTrip(holder.Zone))
 	defer cancel()
 	answer, err := d.config.Peers.Call(ctx, holder.PeerAddress, d.config.Notice(records), nil)
-	return err == nil && d.config.Stored(answer)
+	switch {
+	case err != nil:
+		return fmt.Errorf("holders: notice: %w", err)
+	case !d.config.Stored(answer):
+		return ErrNotStored
+	}
+	return nil
 }
 
 // failed sends a record to the next holder in rank.
--- a/internal/origin/metrics.go
+++ b/internal/origin/metrics.go
@@ -4,6 +4,8 @@
 	"errors"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"stepseam.example/stepseam/internal/holders"
 )
 
 // metrics count records and resumptions.
@@ -46,10 +48,10 @@
 	m.resolved.WithLabelValues(outcome).Inc()
 }
 
-func (m *metrics) countNotice(stored bool, records int) {
-	outcome := "failed"
-	if stored {
-		outcome = "stored"
+func (m *metrics) countNotice(notice holders.Notice) {
+	outcome := "stored"
+	if notice.Err != nil {
+		outcome = "failed"
 	}
-	m.copies.WithLabelValues(outcome).Add(float64(records))
+	m.copies.WithLabelValues(outcome).Add(float64(notice.Records))
 }
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -266,9 +266,13 @@
 
 // join asks other nodes for their records until one that knows them has answered, or none seems to.
 func (s *Service) join(ctx context.Context) {
-	defer s.synced.Store(true)
-	unsynced := 0
-	for began := time.Now(); time.Since(began) < joinTimeout && ctx.Err() == nil; time.Sleep(joinInterval) {
+	unsynced, source := 0, "nobody"
+	began := time.Now()
+	defer func() {
+		s.synced.Store(true)
+		s.config.Logger.Info("records of broken attempts loaded", "source", source, "records", s.table.size.Load(), "others_starting", unsynced, "took_ms", time.Since(began).Milliseconds())
+	}()
+	for ; time.Since(began) < joinTimeout && ctx.Err() == nil; time.Sleep(joinInterval) {
 		addresses := lo.Without(s.config.Seeds, s.config.Address)
 		for _, node := range s.copies.Members().Reachable.Nodes() {
 			if node.Name != s.config.Self {
@@ -280,10 +284,14 @@
 		}
 		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 		answered, synced := s.pullAll(ctx, addresses[:min(len(addresses), joinPeers)])
+		if synced {
+			source = "node"
+			return
+		}
 		if answered {
 			unsynced++
 		}
-		if synced || unsynced == unsyncedRounds {
+		if unsynced == unsyncedRounds {
 			return
 		}
 	}
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 
+	"stepseam.example/stepseam/internal/holders"
 	"stepseam.example/stepseam/internal/quarantinestatus"
 )
 
@@ -43,12 +44,12 @@
 	return made
 }
 
-func (m *metrics) countNotice(stored bool, records int) {
-	outcome := "failed"
-	if stored {
-		outcome = "stored"
+func (m *metrics) countNotice(notice holders.Notice) {
+	outcome := "stored"
+	if notice.Err != nil {
+		outcome = "failed"
 	}
-	m.copies.WithLabelValues(outcome).Add(float64(records))
+	m.copies.WithLabelValues(outcome).Add(float64(notice.Records))
 }
 
 // Status returns the contents under which replicas have ended or may have, those with the most ends
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -90,12 +90,20 @@
 	made.copies = holders.NewDistributor(holders.Config[Key]{
 		Self: config.Self, Peers: config.Peers, RoundTrip: config.RoundTrip, Now: config.Now,
 		Key: func(key Key) holders.Key { return holders.Key(key) }, Notice: made.newNotice, Stored: made.isStored,
-		Current: func(key Key) (Key, bool) { return key, made.known(key) }, Leaving: true, OnNotice: made.metrics.countNotice, OnEnded: made.noteEnded,
+		Current: func(key Key) (Key, bool) { return key, made.known(key) }, Leaving: true, OnNotice: made.onNotice, OnEnded: made.noteEnded,
 	})
 	made.synced.Store(config.Peers == nil)
 	return made
 }
 
+// onNotice counts and logs how a copy of records to another node ended.
+func (s *Service) onNotice(notice holders.Notice) {
+	s.metrics.countNotice(notice)
+	if notice.Err != nil {
+		s.config.Logger.Info("records of broken attempts not copied to node", "holder", notice.Holder, "records", notice.Records, "error", notice.Err)
+	}
+}
+
 // SetFresh sets what reports whether the view of the replicas' entries is up to date. It must be
 // called before the service is used.
 func (s *Service) SetFresh(fresh func() bool) { s.fresh = fresh }
