Store ends under requests, so that they outlive the loss of all nodes

Callers saw a request sent to three further replicas after all nodes had been killed at its third end. What nodes knew of ends was lost with them, and a node that started took itself to know what others know once it reached nobody, or only nodes that had started too.

The node at which a replica ends stores that attempt in the platform's log before it repeats the request or answers its client, and each attempt after that is stored before it is sent, so that one that is under way counts. The last one that is allowed is sent only once all three are stored. A node that starts reads them before it counts as synced; without anybody who tells it what others know, it waits until the store answers. Nothing is written while nothing ends; a start costs one read.

The emulated store keeps no key without a value any more, as the platform's does.

--- a/internal/emulator/store/store.go
+++ b/internal/emulator/store/store.go
@@ -236,7 +236,11 @@
 	for number, record := range request.Records {
 		if request.Keys != nil {
 			key := request.Keys[number]
-			kept.newest[key] = record
+			if len(record) == 0 {
+				delete(kept.newest, key)
+			} else {
+				kept.newest[key] = record
+			}
 			record = append(append([]byte{byte(len(key))}, key...), record...)
 		}
 		kept.records = append(kept.records, record)
--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -36,6 +36,9 @@
 	All, Reachable *Set
 }
 
+// Count returns the number of all members.
+func (m *Members) Count() int { return len(m.All.nodes) }
+
 // MembersOf returns the members of a view.
 func MembersOf(view membership.View) *Members {
 	reachable := lo.Filter(view.Members, func(member membership.Member, _ int) bool { return member.Reachable() })
--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -17,21 +17,30 @@
 	"github.com/matryer/is"
 
 	"stepseam.example/stepseam/internal/emulator/nodes"
+	"stepseam.example/stepseam/internal/emulator/store"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/logstore"
 )
 
 // heartbeat is how often a replica renews its entry, which lapses after three of silence.
 const heartbeat = 1200 * time.Millisecond
 
-// callTime is how long a call to another node takes.
-const callTime = time.Millisecond
+const (
+	// callTime is how long a call to another node takes, appendTime how long one of the log takes.
+	callTime   = time.Millisecond
+	appendTime = 4 * time.Millisecond
+)
+
+// endsPartition is the partition of the log in which ends are stored.
+var endsPartition = logstore.Partition{Topic: "ends"}
 
 // cluster is nodes that call each other in this process, before replicas that end.
 type cluster struct {
 	*nodes.Network
 	count int
 	began time.Time
+	log   *store.Store
 
 	// mutex guards the fields below.
 	mutex    sync.Mutex
@@ -70,9 +79,10 @@
 // newCluster returns nodes in three zones that know each other.
 func newCluster(count int) *cluster {
 	c := &cluster{
-		Network: nodes.NewNetwork(callTime), count: count, began: time.Now(), members: make([]*testNode, count),
+		Network: nodes.NewNetwork(callTime), count: count, began: time.Now(), log: store.New(), members: make([]*testNode, count),
 		replicas: map[string]*testReplica{}, refuses: map[identity.NodeName]map[string]bool{},
 	}
+	c.log.Fail(store.Fault{Delay: appendTime})
 	for i := range count {
 		c.start(i)
 	}
@@ -103,7 +113,7 @@
 	}
 	node.service = New(Config{
 		Self: node.Name, Address: node.PeerAddress, Peers: node.Client(), Logger: slog.New(slog.DiscardHandler),
-		Seeds: seeds, Replicas: node, Dial: node.dial, Now: func() time.Duration { return time.Since(began) },
+		Seeds: seeds, Log: c.log, Ends: endsPartition, Replicas: node, Dial: node.dial, Now: func() time.Duration { return time.Since(began) },
 	})
 	node.service.SetFresh(func() bool { return !node.stale.Load() })
 	node.service.Register(node.Registry)
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -28,6 +28,16 @@
 	unsyncedRounds = 4
 	// joinPeers is the number of nodes that each request goes to.
 	joinPeers = 8
+	// loadDelay is how long a node that is no seed waits to be told by others before it reads the stored
+	// attempts.
+	// minLoadPause and maxLoadPause bound the pause after a failed read.
+	loadDelay    = 300 * time.Millisecond
+	minLoadPause = 50 * time.Millisecond
+	maxLoadPause = 400 * time.Millisecond
+	// storeWait is how long a node that others have told what they know waits for the stored attempts.
+	// unreadableTime is how long one that nobody has told does while the rest of the store answers.
+	storeWait      = 400 * time.Millisecond
+	unreadableTime = 3 * time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// handOverTimeout bounds the time that a node that ends takes to tell others, handOverPeers their
@@ -75,6 +85,7 @@
 	time.AfterFunc(takeoverDelay, func() {
 		if s.shouldAnnounce(key) {
 			s.copies.Broadcast(key, 0)
+			s.store(key, true)
 		}
 	})
 }
@@ -129,7 +140,7 @@
 	return &notice{records: s.records(lo.Uniq(lo.Map(keys, func(one holders.Dated[Key], _ int) Key { return one.Record })))}
 }
 
-func (s *Service) isStored(answer peer.Message) bool {
+func (s *Service) storedBy(answer peer.Message) bool {
 	response, ok := answer.(*noticeResponse)
 	if !ok || !response.stored {
 		return false
@@ -142,9 +153,12 @@
 // nodes, until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	go s.copies.Run(ctx)
-	if s.config.Peers != nil {
-		go s.join(ctx)
+	loaded := make(chan struct{})
+	if s.archive != nil {
+		go s.archive.run(ctx)
+		go s.load(ctx, loaded)
 	}
+	go s.join(ctx, loaded)
 	resolve, exchange := time.NewTicker(resolveInterval), time.NewTicker(exchangeInterval)
 	defer resolve.Stop()
 	defer exchange.Stop()
@@ -210,6 +224,9 @@
 		s.shouldAnnounce(key) // announcedKeys contains it then, at a small site
 		calls.Go(func() { await(ctx, s.copies.Distribute(key).Done(), handOverTimeout) })
 	}
+	if s.archive != nil {
+		calls.Go(func() { s.archive.flush(ctx) })
+	}
 	s.table.mutex.Lock()
 	keys := s.announcedKeys()
 	s.table.mutex.Unlock()
@@ -236,7 +253,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	answer, err := s.config.Peers.Call(ctx, from, &notice{records: records, pull: true}, nil)
-	if err != nil || !s.isStored(answer) {
+	if err != nil || !s.storedBy(answer) {
 		return false, false
 	}
 	response, ok := answer.(*noticeResponse)
@@ -264,35 +281,100 @@
 	return answered, false
 }
 
-// join asks other nodes for their records until one that knows them has answered, or none seems to.
-func (s *Service) join(ctx context.Context) {
-	unsynced, source := 0, "nobody"
+// load reads the attempts that are stored, until it succeeds. At a large site, a node that is no seed
+// does not read them if another one has told what it knows meanwhile. It closes loaded in the end.
+func (s *Service) load(ctx context.Context, loaded chan<- struct{}) {
+	defer close(loaded)
+	if !lo.Contains(s.config.Seeds, s.config.Address) {
+		await(ctx, s.told, loadDelay)
+		if isClosed(s.told) && s.copies.Members().Count() > smallSite {
+			return
+		}
+	}
+	for pause := minLoadPause; ctx.Err() == nil; pause = min(2*pause, maxLoadPause) {
+		records, err := s.archive.read(ctx)
+		if err == nil {
+			for i := range records {
+				records[i].announced = true
+			}
+			s.merge(records)
+			s.config.Logger.Info("stored attempts under which replicas ended read", "records", len(records))
+			return
+		}
+		await(ctx, nil, pause/2+time.Duration(rand.Int64N(int64(pause))))
+	}
+}
+
+// join asks other nodes for their records until one that knows them has answered, or none seems to, and
+// awaits the stored ones. While these can't be read, it goes on asking; without any other source, it
+// gives up once the store has served the replicas' entries for some time.
+func (s *Service) join(ctx context.Context, loaded <-chan struct{}) {
 	began := time.Now()
-	defer func() {
-		s.synced.Store(true)
-		s.config.Logger.Info("records of broken attempts loaded", "source", source, "records", s.table.size.Load(), "others_starting", unsynced, "took_ms", time.Since(began).Milliseconds())
-	}()
-	for ; time.Since(began) < joinTimeout && ctx.Err() == nil; time.Sleep(joinInterval) {
-		addresses := lo.Without(s.config.Seeds, s.config.Address)
-		for _, node := range s.copies.Members().Reachable.Nodes() {
-			if node.Name != s.config.Self {
-				addresses = append(addresses, node.PeerAddress)
+	var asking asked
+	var toldFor, unreadable time.Duration
+	for ctx.Err() == nil {
+		if !asking.told {
+			if asking = s.ask(ctx, asking); asking.told {
+				close(s.told)
 			}
 		}
-		if len(addresses) == 0 {
-			return
+		var over <-chan struct{}
+		if asking.over() || time.Since(began) >= joinTimeout {
+			if s.archive == nil || isClosed(loaded) || asking.told && toldFor >= storeWait || unreadable >= unreadableTime {
+				break
+			}
+			over = loaded
 		}
-		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-		answered, synced := s.pullAll(ctx, addresses[:min(len(addresses), joinPeers)])
-		if synced {
-			source = "node"
-			return
+		await(ctx, over, joinInterval)
+		if asking.told {
+			toldFor += joinInterval
 		}
-		if answered {
-			unsynced++
+		if s.fresh() {
+			unreadable += joinInterval
 		}
-		if unsynced == unsyncedRounds {
-			return
+	}
+	s.synced.Store(true)
+	s.config.Logger.Info("records of broken attempts known", "told", asking.told, "others_starting", asking.unsynced, "stored_read", s.archive != nil && isClosed(loaded),
+		"records", s.table.size.Load(), "took_ms", time.Since(began).Milliseconds())
+}
+
+// asked is what a node that starts has learned by asking others.
+type asked struct {
+	// told is set once a node has answered that knows what others know, nobody if there is nobody to
+	// ask. unsynced counts the rounds that only nodes have answered that have just started too.
+	told, nobody bool
+	unsynced     int
+}
+
+// over reports whether asking on is of no use.
+func (a asked) over() bool { return a.told || a.nobody || a.unsynced >= unsyncedRounds }
+
+// ask asks some other nodes for their records once.
+func (s *Service) ask(ctx context.Context, before asked) asked {
+	var addresses []netip.AddrPort
+	if s.config.Peers != nil {
+		addresses = lo.Without(s.config.Seeds, s.config.Address)
+		for _, node := range s.copies.Members().Reachable.Nodes() {
+			if node.Name != s.config.Self {
+				addresses = append(addresses, node.PeerAddress)
+			}
 		}
 	}
+	before.nobody = len(addresses) == 0
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	answered, synced := s.pullAll(ctx, addresses[:min(len(addresses), joinPeers)])
+	before.told = synced
+	if answered && !synced {
+		before.unsynced++
+	}
+	return before
+}
+
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
 }
--- a/internal/quarantine/restart_test.go
+++ b/internal/quarantine/restart_test.go
@@ -107,7 +107,7 @@
 			Logger: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Minute },
 		})
 		joined := make(chan struct{})
-		go func() { defer close(joined); service.join(t.Context()) }()
+		go func() { defer close(joined); service.join(t.Context(), nil) }()
 		for synced := false; !synced; {
 			answer, err := service.handleNotice(t.Context(), &notice{pull: true}, nil)
 			is.NoErr(err)
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -15,6 +15,7 @@
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/holders"
 	"stepseam.example/stepseam/internal/identity"
+	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/peer"
 )
 
@@ -38,6 +39,10 @@
 	Replicas  Replicas
 	// Dial connects to a replica.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Log stores attempts under which replicas have ended, in the keyed partition Ends, beyond the loss
+	// of all nodes. It is nil if there is none.
+	Log  logstore.Store
+	Ends logstore.Partition
 	// Now returns a monotonic reading.
 	Now        func() time.Duration
 	Logger     *slog.Logger
@@ -50,13 +55,17 @@
 	table   *table
 	copies  *holders.Distributor[Key]
 	metrics *metrics
+	// archive is nil if there is no log.
+	archive *archive
 	// fresh reports whether the view of the replicas' entries is up to date.
 	fresh func() bool
 	// isolatedUntil is set, as a reading of Now in nanoseconds, if too few other nodes have stored a
 	// record of this one: until then it can't know how many replicas have ended elsewhere.
 	isolatedUntil atomic.Int64
-	// synced is set once another node has told its records, or none can.
+	// synced is set once this node knows what others knew and what is stored, or nobody can tell.
 	synced atomic.Bool
+	// told is closed once another node has told this one, after its start, what it knows.
+	told chan struct{}
 	// watch holds this node's attempts whose replicas may turn out to live. The table's mutex
 	// guards it; watching is its size.
 	watch    map[Replica][]Attempt
@@ -83,16 +92,20 @@
 // New returns a service without records.
 func New(config Config) *Service {
 	made := &Service{
-		config: config, table: newTable(), watch: map[Replica][]Attempt{}, members: map[identity.NodeName]identity.Incarnation{config.Self: 0},
+		config: config, table: newTable(), told: make(chan struct{}), watch: map[Replica][]Attempt{}, members: map[identity.NodeName]identity.Incarnation{config.Self: 0},
 		fresh: func() bool { return true },
 	}
 	made.metrics = newMetrics(made.table, config.Registerer)
 	made.copies = holders.NewDistributor(holders.Config[Key]{
 		Self: config.Self, Peers: config.Peers, RoundTrip: config.RoundTrip, Now: config.Now,
-		Key: func(key Key) holders.Key { return holders.Key(key) }, Notice: made.newNotice, Stored: made.isStored,
+		Key: func(key Key) holders.Key { return holders.Key(key) }, Notice: made.newNotice, Stored: made.storedBy,
 		Current: func(key Key) (Key, bool) { return key, made.known(key) }, Leaving: true, OnNotice: made.onNotice, OnEnded: made.noteEnded,
 	})
-	made.synced.Store(config.Peers == nil)
+	if config.Log != nil {
+		made.archive = newArchive(config.Log, config.Ends, config.Self, config.Logger)
+		made.table.onRemoved = made.removeArchived
+	}
+	made.synced.Store(config.Peers == nil && config.Log == nil)
 	return made
 }
 
@@ -199,14 +212,17 @@
 	return made, nil
 }
 
-// register tells other nodes of an attempt that is about to be made: a majority of them if it is
-// the last that is allowed. Errors: as of Check, or that of ctx.
+// register tells other nodes of an attempt that is about to be made, and stores it: a majority of the
+// nodes knows of the last that is allowed, and all counting attempts are stored then. Errors: as of
+// Check, or that of ctx.
 func (s *Service) register(ctx context.Context, found *entry, request *Request, made Attempt, last bool) error {
 	started := s.copies.Distribute(made.key)
 	if last {
 		started = s.copies.Broadcast(made.key, s.majority()-1)
 	}
+	stored := s.store(made.key, last)
 	await(ctx, started.Enough(), noticeWait)
+	await(ctx, stored.done, noticeWait)
 	s.table.mutex.Lock()
 	err := s.verdict(found, request, made.id)
 	unknown := found.possible(made.id) >= MaxEnded-1 && !last
@@ -220,6 +236,8 @@
 		return s.register(ctx, found, request, made, true)
 	case last && started.Stored()+1 < s.majority():
 		return fmt.Errorf("%w: %d nodes know of this one, fewer than a majority", ErrUnclear, started.Stored())
+	case last && !s.isStored(stored):
+		return fmt.Errorf("%w: the attempts before this one are not stored", ErrUnclear)
 	}
 	return nil
 }
@@ -246,8 +264,12 @@
 	}
 	shared := one.state > stateWatched || to != stateCleared
 	one.state = to
+	own := one.own
 	s.logIfQuarantined(found)
 	s.table.mutex.Unlock()
+	if to == stateCleared {
+		s.unstore(of, own)
+	}
 	if shared {
 		s.tell(of.key)
 	}
@@ -288,9 +310,13 @@
 	}
 	s.table.mutex.Lock()
 	found, known := s.table.records[request.Key]
-	voided := known && found.voidUntil(s.config.Now())
+	var voided []*attempt
+	if known {
+		voided = found.voidUntil(s.config.Now())
+	}
 	s.table.mutex.Unlock()
-	if voided {
+	if len(voided) > 0 {
+		s.unstoreAll(request.Key, voided)
 		s.tell(request.Key)
 	}
 }
@@ -299,13 +325,17 @@
 func (s *Service) Lift(key Key) bool {
 	s.table.mutex.Lock()
 	found, known := s.table.records[key]
-	lifted := known && found.voidUntil(s.config.Now())
+	var lifted []*attempt
+	if known {
+		lifted = found.voidUntil(s.config.Now())
+	}
 	s.table.mutex.Unlock()
-	if lifted {
+	if len(lifted) > 0 {
+		s.unstoreAll(key, lifted)
 		s.config.Logger.Warn("quarantine lifted by an operator", "content", key.String())
 		s.copies.Broadcast(key, 0)
 	}
-	return lifted
+	return len(lifted) > 0
 }
 
 // logIfQuarantined logs and counts a content that has just reached MaxEnded. The caller must hold
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -57,9 +57,13 @@
 	// byAge holds the keys of the records, oldest first.
 	byAge   []Key
 	evicted uint64
+	// onRemoved is called with each record that is removed, while the mutex is held.
+	onRemoved func(removed *entry)
 }
 
-func newTable() *table { return &table{records: map[Key]*entry{}} }
+func newTable() *table {
+	return &table{records: map[Key]*entry{}, onRemoved: func(*entry) {}}
+}
 
 // entry returns the record of a key, and creates it if needed. The record lives for at least left
 // from now on. The caller must hold the mutex.
@@ -99,6 +103,7 @@
 }
 
 func (t *table) remove(key Key) {
+	t.onRemoved(t.records[key])
 	delete(t.records, key)
 	t.byAge = slices.DeleteFunc(t.byAge, func(one Key) bool { return one == key })
 	t.size.Store(int64(len(t.records)))
@@ -139,16 +144,15 @@
 // voids reports whether an attempt does not count since it broke off before voidBefore.
 func (e *entry) voids(one *attempt) bool { return e.void && one.broken && one.brokeAt <= e.voidBefore }
 
-// voidUntil lets no attempt count that broke off before a time. It reports whether that changes
-// anything that counts.
-func (e *entry) voidUntil(before time.Duration) bool {
+// voidUntil lets no attempt count that broke off before a time. It returns those that counted.
+func (e *entry) voidUntil(before time.Duration) []*attempt {
 	if e.void && before <= e.voidBefore {
-		return false
+		return nil
 	}
-	counted := e.broken()
 	e.void, e.voidBefore = true, before
-	e.attempts = slices.DeleteFunc(e.attempts, e.voids)
-	return e.broken() < counted
+	voided, kept := lo.FilterReject(e.attempts, func(one *attempt, _ int) bool { return e.voids(one) })
+	e.attempts = kept
+	return lo.Filter(voided, func(one *attempt, _ int) bool { return one.state.counts() })
 }
 
 // counting returns one attempt for each replica that has ended or may have: one under which it
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -29,6 +29,7 @@
 // tell starts to tell other nodes of a content: all of them if they know of it already, or if
 // enough attempts count.
 func (s *Service) tell(key Key) {
+	s.store(key, false)
 	s.copies.Distribute(key)
 	if s.shouldAnnounce(key) || s.announced(key) {
 		s.copies.Broadcast(key, 0)
@@ -68,11 +69,13 @@
 	return known && found.announced > 0
 }
 
-// report tells other nodes of a content and waits until they have stored it, or noticeWait has
-// passed: the client comes back to another node as soon as it is answered.
+// report tells other nodes of a content, stores its attempts, and waits until that is done, or
+// noticeWait has passed: the client comes back to another node as soon as it is answered.
 func (s *Service) report(ctx context.Context, key Key) {
+	stored := s.store(key, false)
 	started := s.copies.Distribute(key)
 	await(ctx, started.Enough(), noticeWait)
+	await(ctx, stored.done, noticeWait)
 	s.noteEnded(started)
 	// The holders' responses tell of attempts at other nodes.
 	if !s.shouldAnnounce(key) && !s.announced(key) {
--- a/internal/routednode/adapter.go
+++ b/internal/routednode/adapter.go
@@ -39,4 +39,6 @@
 	LedgerTopic, TextTopic string
 	// Shares is the partition of a keyed topic with the share table.
 	Shares logstore.Partition
+	// Ends is the partition of a keyed topic with the attempts under which replicas have ended.
+	Ends logstore.Partition
 }
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -222,6 +222,7 @@
 			return do.MustInvoke[*distance.Map](injector).PathTo(string(zone)).RoundTrip
 		},
 		Replicas: do.MustInvoke[*fleet.Directory](injector), Dial: exchange.Dial,
+		Log: do.MustInvoke[logstore.Store](injector), Ends: do.MustInvoke[Adapter](injector).Ends,
 		Logger: do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
 	}
 	others, err := do.Invoke[*peers](injector)
