Keep the order of attempts that different notices tell of

A node turns the ages in a notice into its own times, later by as much as the notice took to arrive, and kept those of the first notice that named an attempt. If a first notice took longer than a second one, two attempts that had followed each other overlapped, and count as one where the content names no program: the node counted two ends of three.

An attempt keeps the earliest time that any notice gives it. A notice with a later attempt contains the earlier ones, so that their order holds whatever the delays are.

TestNoticesWithDelayKeepTheOrderOfAttempts fails before (delays of 0 and 2 ms).

--- a/internal/quarantine/record_test.go
+++ b/internal/quarantine/record_test.go
@@ -1,11 +1,14 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"encoding/hex"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -195,3 +198,35 @@
 		_ = service.Check(request)
 	}
 }
+
+// Notices that took different times to arrive made attempts overlap that followed each other, so that a
+// node that was told of three ends under a content without a program counted two.
+func TestNoticesWithDelayKeepTheOrderOfAttempts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// Three attempts follow each other at one node; a notice with all so far goes out after each.
+		const length, pause = 20 * time.Millisecond, time.Millisecond
+		sender, receiver := newTable(), newTable()
+		key := requestOf("", false).Key
+		sent := sender.entry(key, false, time.Minute, 0)
+		var arrivals []time.Duration
+		var notices []record
+		for i := range MaxEnded {
+			began := time.Duration(i) * (length + pause)
+			sent.add(&attempt{id: uint64(i + 1), replica: Replica{Instance: fmt.Sprint(i)}, state: stateEnded, began: began, broken: true, brokeAt: began + length})
+			shared, _ := sent.share(began + length)
+			notices = append(notices, shared)
+			arrivals = append(arrivals, began+length+time.Duration(rapid.IntRange(0, 100).Draw(t, "delay"))*time.Millisecond)
+		}
+		order := []int{0, 1, 2}
+		slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(arrivals[a], arrivals[b]) })
+		found := receiver.entry(key, false, time.Minute, 0)
+		for _, number := range order {
+			for _, one := range notices[number].attempts {
+				found.merge(one.received(arrivals[number]))
+			}
+		}
+		if found.ended() != MaxEnded {
+			t.Fatalf("%d ends are counted, notices arrived after %v", found.ended(), arrivals)
+		}
+	})
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -125,20 +125,27 @@
 	return added
 }
 
-// merge merges an attempt.
+// merge merges an attempt. Times seem later by as much as their notice took to arrive, so that the
+// earliest is the nearest. Attempts that followed each other still do then: a notice with the later one
+// contains the earlier one as well.
 func (e *entry) merge(received attempt) {
 	known := e.find(received.id)
-	switch {
-	case known == nil && e.voids(&received), known != nil && received.state < known.state:
-		return
-	case known == nil:
-		e.add(&received)
+	if known == nil {
+		if !e.voids(&received) {
+			e.add(&received)
+		}
 		return
 	}
-	known.state = received.state
-	if received.broken && !known.broken {
+	if !known.own {
+		known.began, known.until = min(known.began, received.began), min(known.until, received.until)
+	}
+	switch {
+	case received.broken && !known.broken:
 		known.broken, known.brokeAt = true, received.brokeAt
+	case received.broken && !known.own:
+		known.brokeAt = min(known.brokeAt, received.brokeAt)
 	}
+	known.state = max(known.state, received.state)
 }
 
 // voids reports whether an attempt does not count since it broke off before voidBefore.
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -81,10 +81,7 @@
 	if !s.shouldAnnounce(key) && !s.announced(key) {
 		return
 	}
-	told := s.copies.Broadcast(key, 0)
-	if s.counted(key) >= announceFrom {
-		await(ctx, told.Done(), announceWait)
-	}
+	await(ctx, s.copies.Broadcast(key, 0).Done(), announceWait)
 }
 
 func await(ctx context.Context, done <-chan struct{}, timeout time.Duration) {
