Tell a node again of a record whose notice was lost

A live node to which the only notice of the third end was lost sent the request seconds later, until an exchange with a random node reached it: a notice to all nodes was sent to each once, whatever became of it, and counted as told once three had it.

A notice without an answer after 60 ms is sent again, three times in all, and a member that has not stored a record that all are told gets it again as long as it is one, 15 times at most. Nothing of this is sent while nothing ends. Streams' versions are copied by the same code and gain the same.

--- a/internal/emulator/nodes/nodes.go
+++ b/internal/emulator/nodes/nodes.go
@@ -24,8 +24,10 @@
 	nodes map[netip.AddrPort]*Node
 	// partition holds the partition of each node; nodes of different ones can't reach each other.
 	partition map[identity.NodeName]int
-	calls     map[peer.Kind]int
-	bytes     int
+	// loses reports whether a call is lost; nil means that none is.
+	loses func(from, to identity.NodeName, request peer.Message) bool
+	calls map[peer.Kind]int
+	bytes int
 }
 
 // Node is an incarnation of a node. Handlers are registered in Registry.
@@ -98,6 +100,13 @@
 	n.partition[name] = partition
 }
 
+// Lose loses the calls that a function chooses, which nothing tells their callers; nil means none.
+func (n *Network) Lose(loses func(from, to identity.NodeName, request peer.Message) bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.loses = loses
+}
+
 // Heal ends all cuts.
 func (n *Network) Heal() {
 	n.mutex.Lock()
@@ -158,7 +167,7 @@
 	network := c.self.network
 	time.Sleep(network.delay)
 	encoded := Encode(request)
-	target, err := network.target(c.self, address, request.Kind(), len(encoded))
+	target, err := network.target(c.self, address, request, len(encoded))
 	if err != nil {
 		return nil, err
 	}
@@ -182,10 +191,10 @@
 }
 
 // target returns the node at an address, or nil if it can't be reached and nothing tells so.
-func (n *Network) target(from *Node, address netip.AddrPort, kind peer.Kind, bytes int) (*Node, error) {
+func (n *Network) target(from *Node, address netip.AddrPort, request peer.Message, bytes int) (*Node, error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.calls[kind]++
+	n.calls[request.Kind()]++
 	n.bytes += bytes
 	found := n.nodes[address]
 	switch {
@@ -195,6 +204,8 @@
 		return nil, errDown
 	case found.old:
 		return nil, peer.ErrUnknownKind
+	case n.loses != nil && n.loses(from.Name, found.Name, request):
+		return nil, nil
 	}
 	return found, nil
 }
--- a/internal/holders/distributor.go
+++ b/internal/holders/distributor.go
@@ -18,8 +18,15 @@
 )
 
 const (
-	// noticeTimeout bounds one notice, beside the round trips to the holder.
-	noticeTimeout = 300 * time.Millisecond
+	// noticeTimeout bounds one notice, beside the round trips to the holder. Without an answer it is
+	// sent again after each resendInterval, maxCalls times in all.
+	noticeTimeout  = 300 * time.Millisecond
+	resendInterval = 60 * time.Millisecond
+	maxCalls       = 3
+	// A record that all nodes are told is sent again, after a pause, to those that have not stored it:
+	// as long as they are members, retellCount times at most.
+	retellPause = 100 * time.Millisecond
+	retellCount = 15
 	// maxBatch is the number of records in one notice, and maxQueue that of records that wait
 	// for one holder.
 	maxBatch = 256
@@ -121,6 +128,8 @@
 	enoughOnce   sync.Once
 	// repeats is set if the record is distributed again should too few nodes have stored it.
 	repeats bool
+	// retells is how often the record is sent again to a node that has not stored it.
+	retells int
 }
 
 // Done returns a channel that is closed once all notices have an outcome.
@@ -179,7 +188,7 @@
 	if d.config.Peers != nil {
 		others = lo.Reject(nodes, func(node identity.Node, _ int) bool { return node.Name == d.config.Self })
 	}
-	return d.distribute(&Distribution[R]{record: record, candidates: others, repeats: true, enoughCount: enough}, len(others))
+	return d.distribute(&Distribution[R]{record: record, candidates: others, repeats: true, enoughCount: enough, retells: retellCount}, len(others))
 }
 
 // SendTo starts to copy a record to one other node. It does not block.
@@ -249,21 +258,53 @@
 				}
 				d.settled(one)
 			} else {
+				if !errors.Is(err, peer.ErrUnknownKind) {
+					d.retellLater(holder, one)
+				}
 				d.failed(one)
 			}
 		}
 	}
 }
 
+// sendBatch sends a notice, and sends it again while there is no answer: either may be lost.
 func (d *Distributor[R]) sendBatch(holder identity.Node, batch []*Distribution[R]) error {
-	now := d.config.Now()
-	records := make([]Dated[R], 0, len(batch))
-	for _, one := range batch {
-		records = append(records, Dated[R]{Record: one.record, Age: now - one.startedAt})
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout+2*d.RoundTrip(holder.Zone))
+	roundTrips := 2 * d.RoundTrip(holder.Zone)
+	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout+roundTrips)
 	defer cancel()
-	answer, err := d.config.Peers.Call(ctx, holder.PeerAddress, d.config.Notice(records), nil)
+	outcomes := make(chan error, maxCalls)
+	calls := 0
+	call := func() {
+		calls++
+		message := d.newNotice(batch)
+		go func() { outcomes <- d.call(ctx, holder, message) }()
+	}
+	call()
+	ticker := time.NewTicker(resendInterval + roundTrips)
+	defer ticker.Stop()
+	for ended := 0; ; {
+		select {
+		case err := <-outcomes:
+			if ended++; err == nil || ended == calls {
+				return err
+			}
+		case <-ticker.C:
+			if calls < maxCalls {
+				call()
+			}
+		}
+	}
+}
+
+func (d *Distributor[R]) newNotice(batch []*Distribution[R]) peer.Message {
+	now := d.config.Now()
+	return d.config.Notice(lo.Map(batch, func(one *Distribution[R], _ int) Dated[R] {
+		return Dated[R]{Record: one.record, Age: now - one.startedAt}
+	}))
+}
+
+func (d *Distributor[R]) call(ctx context.Context, holder identity.Node, notice peer.Message) error {
+	answer, err := d.config.Peers.Call(ctx, holder.PeerAddress, notice, nil)
 	switch {
 	case err != nil:
 		return fmt.Errorf("holders: notice: %w", err)
@@ -273,6 +314,22 @@
 	return nil
 }
 
+// retellLater sends a record that all nodes are told again to one that has not stored it.
+func (d *Distributor[R]) retellLater(holder identity.Node, one *Distribution[R]) {
+	if one.retells == 0 {
+		return
+	}
+	time.AfterFunc(retellPause, func() {
+		current, found := d.config.Current(one.record)
+		member := lo.ContainsBy(d.members.Load().All.nodes, func(node identity.Node) bool {
+			return node.Name == holder.Name && node.Incarnation == holder.Incarnation
+		})
+		if found && member {
+			d.distribute(&Distribution[R]{record: current, candidates: []identity.Node{holder}, retells: one.retells - 1}, 1)
+		}
+	})
+}
+
 // failed sends a record to the next holder in rank.
 func (d *Distributor[R]) failed(one *Distribution[R]) {
 	if next := int(one.next.Add(1)) - 1; next < len(one.candidates) {
