Count ends of replicas that follow the outcome of their attempts

An end was joined with an attempt only if the broken connection was the attempt's outcome; one that came after a response or a cancellation belonged to nothing any more.

Attempts that are over without a whole answer keep counting for 500 ms: the node holds one connection open to their replica, and an end of that within the time is verified and told like any other. What keeps bystanders free is what does so for all: three different replicas must end under a content, and each time within 500 ms after an attempt. Registered attempts stay open as long. An attempt that its client gives up after less than 400 ms left no doubt about a replica without power; a connection that does not come up leaves one now.

--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -68,6 +68,10 @@
 	// withdrawn is set if its entry was removed while it lives.
 	withdrawn bool
 	state     fleet.State
+	// connections are the open ones.
+	connections []net.Conn
+	// dials counts the connections.
+	dials int
 }
 
 func replicaAddress(instance string) netip.AddrPort {
@@ -181,6 +185,11 @@
 	defer c.mutex.Unlock()
 	one := c.replicas[replica.Instance]
 	one.ended, one.silent, one.endedAt = true, silent, c.now()
+	for _, connection := range one.connections {
+		if !silent {
+			_ = connection.Close()
+		}
+	}
 }
 
 // Presence implements Replicas: the entry of a replica that has ended lapses.
@@ -209,6 +218,11 @@
 		}
 	}
 	ended, silent := target.ended || refused, target.silent
+	here, there := net.Pipe()
+	if !ended {
+		target.connections = append(target.connections, there)
+	}
+	target.dials++
 	c.mutex.Unlock()
 	switch {
 	case ended && silent:
@@ -217,7 +231,6 @@
 	case ended:
 		return nil, syscall.ECONNREFUSED
 	}
-	here, _ := net.Pipe()
 	return here, nil
 }
 
@@ -336,7 +349,7 @@
 	}
 	time.Sleep(waits)
 	send.Silence = waits
-	n.service.Silent(request, send, registered)
+	n.service.Silent(request, send, registered, replicaAddress(send.Replica.Instance))
 	return true
 }
 
--- /dev/null
+++ b/internal/quarantine/linger_test.go
@@ -0,0 +1,98 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// over makes an attempt that is over after some time, without a doubt about its replica. The replica
+// ends later if endsAfter is positive.
+func (n *testNode) over(request *Request, replica Replica, length, endsAfter time.Duration) bool {
+	send := Send{Replica: replica, Began: n.service.config.Now(), Until: n.service.config.Now() + 4*time.Second}
+	registered, err := n.service.Begin(context.Background(), request, send, Attempt{})
+	if err != nil {
+		return false
+	}
+	if endsAfter > 0 {
+		time.AfterFunc(length+endsAfter, func() { n.cluster.end(replica, false) })
+	}
+	time.Sleep(length)
+	n.service.Over(request, send, registered, replicaAddress(replica.Instance))
+	return true
+}
+
+// An end that followed its attempt's failure response, or its client's cancellation, was not counted.
+func TestReplicaThatEndsAfterItsAttemptCounts(t *testing.T) {
+	for _, endsAfter := range []time.Duration{time.Millisecond, 50 * time.Millisecond, lingerTime - 50*time.Millisecond} {
+		for _, program := range []string{"p", ""} {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(9)
+				defer c.close()
+				request := requestOf(program, program != "")
+				sent := 0
+				for i := range 20 {
+					if c.node(i%9).service.Check(request) == nil && c.node(i%9).over(request, c.replica(i), 100*time.Millisecond, endsAfter) {
+						sent++
+					}
+					time.Sleep(lingerTime)
+				}
+				is.Equal(sent, MaxEnded)
+				is.NoErr(c.node(0).service.Check(requestOf("q", true)))
+			})
+		}
+	}
+}
+
+// Replicas that end long after an attempt, or do not end, do not count for it, and many attempts at one
+// replica cost one connection.
+func TestAttemptsThatAreOverCountForAShortTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(5)
+		defer c.close()
+		request := requestOf("p", true)
+		for i := range 2 * MaxEnded {
+			is.True(c.node(i%5).over(request, c.replica(i), 20*time.Millisecond, lingerTime+50*time.Millisecond))
+			time.Sleep(time.Second)
+		}
+		for i := range 2 * MaxEnded {
+			is.True(c.node(i%5).over(request, c.replica(100+i), 20*time.Millisecond, 0))
+		}
+		time.Sleep(time.Second)
+		is.NoErr(c.node(0).service.Check(request))
+
+		busy := c.replica(200)
+		for range 50 {
+			is.True(c.node(0).over(request, busy, 5*time.Millisecond, 0))
+		}
+		c.change(func() { is.Equal(c.replicas["m-200"].dials, 1) })
+		time.Sleep(2 * lingerTime)
+		is.Equal(len(c.node(0).service.lingering.replicas), 0)
+	})
+}
+
+// Clients that gave up after a short time lost any number of replicas without power.
+func TestReplicaWithoutPowerCountsThoughItsClientsAreImpatient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(5)
+		defer c.close()
+		request := requestOf("p", true)
+		sent := 0
+		for i := range 20 {
+			if c.node(i%5).service.Check(request) == nil && c.node(i%5).silence(request, c.replica(i), minSilence/4, true) {
+				sent++
+			}
+			time.Sleep(verifyTimeout)
+		}
+		is.Equal(sent, MaxEnded)
+		time.Sleep(5 * time.Second)
+		is.True(errors.Is(c.node(0).service.Check(request), ErrQuarantined))
+	})
+}
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -133,7 +133,7 @@
 	switch {
 	case node.Down():
 	case silent:
-		node.service.Silent(m.request, send, registered)
+		node.service.Silent(m.request, send, registered, replicaAddress(send.Replica.Instance))
 		time.AfterFunc(hearTime+callTime, func() {
 			if !untold && node.Down() {
 				m.countUnknown(registered)
--- a/internal/quarantine/resolve.go
+++ b/internal/quarantine/resolve.go
@@ -39,19 +39,33 @@
 // were not acknowledged. It finds out whether the replica has ended, and returns once other nodes
 // know of it or noticeWait has passed. registered may be the zero value.
 func (s *Service) Broke(ctx context.Context, request *Request, send Send, registered Attempt, address netip.AddrPort, cause error) {
-	left, lapsed := s.left(send, cause)
-	found := findingAlive
-	if !left {
+	broken := brokenAttempt{finding: findingAlive, cause: cause}
+	if left, _ := s.left(send, cause); !left {
 		// What the client does tells nothing of the replica.
-		found = s.verify(context.WithoutCancel(ctx), address, cause)
+		broken.finding = s.verify(context.WithoutCancel(ctx), address, cause)
 	}
+	broken.at = s.config.Now()
+	s.ended(ctx, request, send, registered, broken)
+}
+
+// brokenAttempt is how an attempt broke off: what was found out about its replica, the error, and when.
+type brokenAttempt struct {
+	finding finding
+	cause   error
+	at      time.Duration
+}
+
+// ended records an attempt that broke off and tells other nodes. It returns once they know of it or
+// noticeWait has passed.
+func (s *Service) ended(ctx context.Context, request *Request, send Send, registered Attempt, broken brokenAttempt) {
+	left, lapsed := s.left(send, broken.cause)
 	next := stateWatched
 	switch {
-	case left, lapsed && found == findingAlive:
+	case left, lapsed && broken.finding == findingAlive:
 		next = stateCleared
-	case found == findingEnded:
+	case broken.finding == findingEnded:
 		next = stateEnded
-	case found == findingUnclear:
+	case broken.finding == findingUnclear:
 		next = stateOpen
 	case registered != (Attempt{}):
 		next = stateCleared
@@ -59,7 +73,7 @@
 	if next == stateCleared && registered == (Attempt{}) {
 		return
 	}
-	s.record(request, send, registered, next, false)
+	s.record(request, send, registered, next, breaking{at: broken.at})
 	s.config.Logger.Info("attempt broke off", "content", request.Key.String(), "replica", send.Replica.String(), "replica_state", next.String(), "left_as_planned", left)
 	if next == stateOpen || next == stateEnded || next == stateCleared {
 		s.report(ctx, request.Key)
@@ -95,17 +109,17 @@
 }
 
 func isTimeout(err error) bool {
-	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded)
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
 }
 
 // Silent is called when an attempt ended by its client or its deadline, while its replica had sent
 // nothing for some time. It does not block.
-func (s *Service) Silent(request *Request, send Send, registered Attempt) {
-	if send.Silence < minSilence && !s.Suspects(request.Key) {
-		s.End(registered)
+func (s *Service) Silent(request *Request, send Send, registered Attempt, address netip.AddrPort) {
+	if send.Silence < minSilence && registered == (Attempt{}) && !s.Suspects(request.Key) {
+		s.Over(request, send, registered, address)
 		return
 	}
-	made := s.record(request, send, registered, stateWatched, true)
+	made := s.record(request, send, registered, stateWatched, breaking{at: s.config.Now(), silent: true})
 	switch {
 	case registered != (Attempt{}):
 		s.tell(request.Key)
@@ -117,8 +131,14 @@
 	time.AfterFunc(hearTime, func() { s.advance(made, stateOpen) })
 }
 
+// breaking is when an attempt broke off, and whether its replica was silent then.
+type breaking struct {
+	at     time.Duration
+	silent bool
+}
+
 // record records how an attempt broke off, and watches its replica.
-func (s *Service) record(request *Request, send Send, registered Attempt, next state, silent bool) Attempt {
+func (s *Service) record(request *Request, send Send, registered Attempt, next state, broke breaking) Attempt {
 	now := s.config.Now()
 	s.table.mutex.Lock()
 	defer s.table.mutex.Unlock()
@@ -129,7 +149,7 @@
 		one = found.add(&attempt{id: rand.Uint64(), replica: send.Replica, began: send.Began, until: send.Until, own: true})
 	}
 	one.state = max(one.state, next)
-	one.broken, one.brokeAt, one.silent = true, now, silent
+	one.broken, one.brokeAt, one.silent = true, broke.at, broke.silent
 	made := Attempt{key: request.Key, id: one.id}
 	if one.state == stateWatched || one.state == stateOpen {
 		s.watch[send.Replica] = append(s.watch[send.Replica], made)
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -68,8 +68,9 @@
 	told chan struct{}
 	// watch holds this node's attempts whose replicas may turn out to live. The table's mutex
 	// guards it; watching is its size.
-	watch    map[Replica][]Attempt
-	watching atomic.Int64
+	watch     map[Replica][]Attempt
+	watching  atomic.Int64
+	lingering lingering
 	// undecidedUntil is when missing or present entries last told nothing. The table's mutex guards it.
 	undecidedUntil time.Duration
 	// members are the nodes of the last view, leaving those of them that stop: they serve requests
@@ -92,7 +93,7 @@
 // New returns a service without records.
 func New(config Config) *Service {
 	made := &Service{
-		config: config, table: newTable(), told: make(chan struct{}), watch: map[Replica][]Attempt{}, members: map[identity.NodeName]identity.Incarnation{config.Self: 0},
+		config: config, table: newTable(), told: make(chan struct{}), lingering: lingering{replicas: map[Replica][]overAttempt{}}, watch: map[Replica][]Attempt{}, members: map[identity.NodeName]identity.Incarnation{config.Self: 0},
 		fresh: func() bool { return true },
 	}
 	made.metrics = newMetrics(made.table, config.Registerer)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -190,7 +190,7 @@
 	if call.service.Slots > 0 && r.config.Names.Priority != "" {
 		call.header.Set(r.config.Names.Priority, strconv.Itoa(balance.Priority(call.priority, call.late)))
 	}
-	call.sentAt, call.heardAt = r.Now(), time.Time{}
+	call.sentAt, call.heardAt, call.sentTo = r.Now(), time.Time{}, &replica
 	inFlight := r.config.Tracker.Begin(balance.Target{
 		Instance: replica.IncarnationID(), Service: call.service.Name, Slots: replica.Slots, Known: chosen.aggregated,
 		Cold: r.isCold(call, replica.IncarnationID()), Probe: chosen.probe,
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"stepseam.example/stepseam/internal/balance"
+	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/origin"
@@ -50,6 +51,8 @@
 	sentAt     time.Duration
 	heardAt    time.Time
 	registered quarantine.Attempt
+	// sentTo is the replica of the attempt that is under way or was the last; nil once it has failed.
+	sentTo *fleet.Replica
 	// tenant is the account of the request by the configuration at its arrival; nil if no
 	// key is required.
 	tenant *routing.Tenant
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -84,16 +84,16 @@
 		return
 	}
 	registered := call.registered
-	call.registered = quarantine.Attempt{}
+	call.registered, call.sentTo = quarantine.Attempt{}, nil
 	switch {
 	case failure.Outcome == exchange.OutcomeNotRun:
 		r.config.Quarantine.End(registered)
 	case ctx.Err() != nil:
-		r.config.Quarantine.Silent(r.quarantineRequest(call), r.sendOf(call, replica), registered)
+		r.config.Quarantine.Silent(r.quarantineRequest(call), r.sendOf(call, replica), registered, replica.Address)
 	case brokeOff(failure.Reason):
 		r.config.Quarantine.Broke(ctx, r.quarantineRequest(call), r.sendOf(call, replica), registered, replica.Address, failure.Cause)
 	default:
-		r.config.Quarantine.End(registered)
+		r.config.Quarantine.Over(r.quarantineRequest(call), r.sendOf(call, replica), registered, replica.Address)
 	}
 }
 
@@ -113,6 +113,10 @@
 	if r.config.Quarantine == nil {
 		return
 	}
+	if call.sentTo != nil && !reply.answered {
+		r.config.Quarantine.Over(r.quarantineRequest(call), r.sendOf(call, call.sentTo), call.registered, call.sentTo.Address)
+		return
+	}
 	r.config.Quarantine.End(call.registered)
 	if reply.answered && !r.config.Quarantine.Idle() {
 		r.config.Quarantine.Answered(r.quarantineRequest(call))
