Hold contents without a program back while their clients come back

A client without a program that went on ended 4 to 8 replicas: such contents were refused for 10 s after their last end, whoever came back, and their attempts were not registered, so that a loss of all nodes hid one.

What killed three replicas in a row and answered nobody is refused now as long as anybody comes back, an hour at most after the last end. A popular read among replicas that end by themselves is told by those: if three others ended within 2 s before its first end or after its last, it is tried again after 10 s, one attempt at a time over all nodes, and one more end settles it. Attempts of such contents are registered like others: the first three at a time, so that reads of many clients do not all wait for that, and the last one that is allowed always, alone. What is stored of them is stored together, since their ages tell whether they overlap, and a node that starts while nobody is left takes what seems under way for over.

TestContentWithoutProgramIsHeldBackForItsClients demanded that equal requests of other clients are sent after 10 s though all three ends were the content's; two tests replace it: one that demands the refusal, and one that demands that they are tried, once, where others ended. One test slept until a record of such a content expired, a minute now.

--- a/internal/quarantine/archive.go
+++ b/internal/quarantine/archive.go
@@ -68,6 +68,8 @@
 type archivedValue struct {
 	state   state
 	encoded []byte
+	// again is set if it is to be stored though the state is stored already.
+	again bool
 }
 
 // pendingValue is a value on its way to the log, and the writes that wait for it. It removes an attempt
@@ -101,7 +103,7 @@
 	defer a.mutex.Unlock()
 	made := &write{done: make(chan struct{})}
 	for key, value := range values {
-		if a.known[key] >= value.state {
+		if a.known[key] >= value.state && !value.again {
 			continue
 		}
 		made.left++
--- a/internal/quarantine/archive_test.go
+++ b/internal/quarantine/archive_test.go
@@ -52,12 +52,13 @@
 // What nodes knew of ends was lost with them.
 func TestEndsOutliveTheLossOfAllNodes(t *testing.T) {
 	for ends := range MaxEnded + 1 {
-		for _, under := range []bool{false, true} {
+		for _, variant := range []struct{ under, identified bool }{{false, true}, {true, true}, {false, false}, {true, false}} {
+			under := variant.under
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newCluster(9)
 				defer c.close()
-				request := requestOf("p", true)
+				request := requestOf("p", variant.identified)
 				for i := range ends {
 					is.True(c.node(i).attempt(request, c.replica(i), false))
 				}
--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -420,7 +420,7 @@
 		time.Sleep(SettleTime)
 		is.True(errors.Is(c.node(4).service.Check(lethal), ErrQuarantined))
 		time.Sleep(sharedTime)
-		is.NoErr(c.node(4).service.Check(lethal))
+		is.NoErr(c.node(4).service.Check(lethal)) // so many others ended beside it that it is tried again
 
 		// One that is in flight elsewhere at the third end is answered.
 		for i := range MaxEnded {
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -192,6 +192,7 @@
 	}
 	s.table.mutex.Lock()
 	s.table.purge(s.config.Now())
+	s.table.forgetEnds(s.config.Now())
 	keys := s.announcedKeys()
 	s.table.mutex.Unlock()
 	others := s.addresses()
@@ -333,11 +334,29 @@
 			unreadable += joinInterval
 		}
 	}
+	if !asking.told {
+		s.endLostAttempts()
+	}
 	s.synced.Store(true)
 	s.config.Logger.Info("records of broken attempts known", "told", asking.told, "others_starting", asking.unsynced, "stored_read", s.archive != nil && isClosed(loaded),
 		"records", s.table.size.Load(), "took_ms", time.Since(began).Milliseconds())
 }
 
+// endLostAttempts notes that attempts which seem to be under way are over, since no node is left that made
+// them. How their replicas are is not known.
+func (s *Service) endLostAttempts() {
+	now := s.config.Now()
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	for _, found := range s.table.records {
+		for _, one := range found.attempts {
+			if !one.broken {
+				one.broken, one.brokeAt = true, now
+			}
+		}
+	}
+}
+
 // asked is what a node that starts has learned by asking others.
 type asked struct {
 	// told is set once a node has answered that knows what others know, nobody if there is nobody to
--- a/internal/quarantine/minority_test.go
+++ b/internal/quarantine/minority_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,7 +86,7 @@
 		defer c.close()
 		c.Cut("n0", 1)
 		is.True(c.node(0).attempt(requestOf("", false), c.replica(1), false)) // its record expires meanwhile
-		time.Sleep(sharedTime + 2*clientSkew)
+		time.Sleep(minLifetime + 2*clientSkew)
 		c.Heal()
 		other := requestOf("p", true)
 		is.True(c.node(1).attempt(other, c.replica(2), false))
@@ -93,33 +95,87 @@
 	})
 }
 
-// A client that waits for longer than others are held back ended further replicas after that.
-func TestContentWithoutProgramIsHeldBackForItsClients(t *testing.T) {
+// A content without a program was held back for 10 s only, and for those that waited since before: a
+// client that went on ended further replicas after that.
+func TestContentWithoutProgramIsHeldBackWhileClientsComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newCluster(5)
 		defer c.close()
-		const patience = 30 * time.Second
-		began := time.Now()
-		ofClient := func() *Request {
-			request := requestOf("", false)
-			request.ClientLeft = patience - time.Since(began)
-			return request
-		}
+		request := requestOf("", false)
+		request.ClientLeft = 4 * time.Second
 		for i := range MaxEnded {
-			is.True(c.node(i).attempt(ofClient(), c.replica(i), false))
+			is.True(c.node(i).attempt(request, c.replica(i), false))
 			time.Sleep(50 * time.Millisecond)
 		}
-		another := requestOf("", false)
-		another.ClientLeft = patience
-		time.Sleep(sharedTime / 2)
-		is.True(errors.Is(c.node(4).service.Check(another), ErrQuarantined))
-		time.Sleep(sharedTime)
-		for i := range 5 {
-			is.True(errors.Is(c.node(i).service.Check(ofClient()), ErrQuarantined))
-			is.NoErr(c.node(i).service.Check(another))
+		time.Sleep(SettleTime)
+		for range 20 {
+			time.Sleep(minLifetime / 4)
+			for i := range 5 {
+				is.True(errors.Is(c.node(i).service.Check(request), ErrQuarantined))
+			}
 		}
-		time.Sleep(patience)
-		is.NoErr(c.node(4).service.Check(ofClient()))
+		time.Sleep(2 * minLifetime)
+		is.NoErr(c.node(4).service.Check(request)) // nobody has come back
 	})
 }
+
+// Many replicas ended by themselves while nobody was answered: a content without a program is tried
+// again, one attempt at a time, and not for the clients of the ends.
+func TestContentWithoutProgramIsTriedAgainIfOthersEnded(t *testing.T) {
+	for _, lethal := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(5)
+			defer c.close()
+			const patience = 30 * time.Second
+			began := time.Now()
+			ofClient := func() *Request {
+				request := requestOf("", false)
+				request.ClientLeft = patience - time.Since(began)
+				return request
+			}
+			for i := range MaxEnded {
+				is.True(c.node(i).attempt(ofClient(), c.replica(i), false))
+				is.True(c.node(i).attempt(requestOf(fmt.Sprint(i), true), c.replica(50+i), false))
+				time.Sleep(50 * time.Millisecond)
+			}
+			another := requestOf("", false)
+			another.ClientLeft = patience
+			time.Sleep(sharedTime / 2)
+			is.True(errors.Is(c.node(4).service.Check(another), ErrQuarantined))
+			time.Sleep(sharedTime)
+			sent, refused := 0, 0
+			var attempts sync.WaitGroup
+			for i := range 5 {
+				is.True(errors.Is(c.node(i).service.Check(ofClient()), ErrQuarantined))
+				is.NoErr(c.node(i).service.Check(another))
+				attempts.Go(func() {
+					if c.node(i).attempt(another, c.replica(100+i), !lethal) {
+						c.change(func() { sent++ })
+					} else {
+						c.change(func() { refused++ })
+					}
+				})
+			}
+			attempts.Wait()
+			is.True(sent <= 1) // nodes that try at the same time may all give way
+			is.Equal(sent+refused, 5)
+			for i := 0; sent == 0; i++ {
+				time.Sleep(time.Second)
+				if c.node(3).attempt(another, c.replica(200+i), !lethal) {
+					sent++
+				}
+			}
+			if !lethal {
+				c.node(3).service.Answered(another)
+			}
+			time.Sleep(time.Second)
+			for i := range 5 {
+				is.Equal(errors.Is(c.node(i).service.Check(another), ErrQuarantined), lethal)
+			}
+			time.Sleep(sharedTime * 2)
+			is.Equal(errors.Is(c.node(0).service.Check(another), ErrQuarantined), lethal)
+		})
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -103,12 +103,7 @@
 }
 
 // lifetime is how long a record is kept.
-func (r *Request) lifetime() time.Duration {
-	if !r.Identified {
-		return max(r.ClientLeft+clientSkew, sharedTime)
-	}
-	return max(r.Lifetime, minLifetime)
-}
+func (r *Request) lifetime() time.Duration { return max(r.Lifetime, minLifetime) }
 
 // Send is an attempt that is about to be made, or was.
 type Send struct {
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -147,7 +147,7 @@
 	}
 	err := s.verdict(found, request, 0)
 	extended := false
-	if err != nil && found.identified && found.expiresAt < now+request.lifetime()/2 {
+	if err != nil && found.expiresAt < now+request.lifetime()/2 && (found.identified || now < found.lastBroken()+maxLifetime) {
 		found.expiresAt, extended = now+min(request.lifetime(), maxLifetime), true
 	}
 	s.table.mutex.Unlock()
@@ -165,8 +165,11 @@
 		switch {
 		case !found.identified && now < found.lastBroken()+SettleTime:
 			return ErrSettling
-		case !found.identified && now > found.lastBroken()+sharedTime && now+request.ClientLeft > found.clientUntil+clientSkew:
-			return nil // the clients under whose requests replicas ended have given up by then
+		case ended == MaxEnded && now > found.lastBroken()+sharedTime && now+request.ClientLeft > found.clientUntil+clientSkew && s.doubtful(found):
+			if found.isTried(except) {
+				return fmt.Errorf("%w: an equal request is under way", ErrUnclear)
+			}
+			return nil
 		}
 		return fmt.Errorf("%w: %d", ErrQuarantined, ended)
 	}
@@ -180,9 +183,23 @@
 	return nil
 }
 
+// doubtful reports whether the ends under a content that does not identify its request may have
+// another cause: as many other replicas ended at about the same time. The caller must hold the table's
+// mutex.
+func (s *Service) doubtful(found *entry) bool {
+	if found.identified {
+		return false
+	}
+	if found.doubt == nil {
+		doubt := s.table.othersEnded(found) >= MaxEnded
+		found.doubt = &doubt
+	}
+	return *found.doubt
+}
+
 // Begin is called right before a request is sent to a replica. If replicas have ended under it, or
-// may have, and its content identifies it, it registers the attempt, so that it counts even if this
-// node ends. The last one that is allowed is registered with a majority of the nodes, so that nodes
+// may have, it registers the attempt, so that it counts even if this node ends. Of equal requests that
+// their content does not identify, it registers the first few and the last that is allowed. The last one that is allowed is registered with a majority of the nodes, so that nodes
 // that are cut from each other don't send the request both. registered is not the zero value if the
 // request is sent to the same replica again. Errors: as of Check, or that of ctx.
 func (s *Service) Begin(ctx context.Context, request *Request, send Send, registered Attempt) (Attempt, error) {
@@ -197,15 +214,16 @@
 		return registered, nil
 	}
 	possible := found.possible(0)
-	if err := s.verdict(found, request, registered.id); err != nil || registered != (Attempt{}) || !found.identified || possible == 0 && !found.suspect() {
+	err := s.verdict(found, request, registered.id)
+	if err != nil || registered != (Attempt{}) || possible == 0 && !(found.identified && found.suspect()) || found.sharedByMany(possible) {
 		s.table.mutex.Unlock()
 		return registered, err
 	}
-	last := possible == MaxEnded-1
+	last := possible >= MaxEnded-1
 	added := found.add(&attempt{id: rand.Uint64(), replica: send.Replica, state: stateOpen, began: send.Began, until: send.Until, own: true})
 	s.table.mutex.Unlock()
 	made := Attempt{key: request.Key, id: added.id}
-	err := s.register(ctx, found, request, made, last)
+	err = s.register(ctx, found, request, made, last)
 	if err != nil {
 		s.End(made)
 		return Attempt{}, err
@@ -339,9 +357,10 @@
 	return len(lifted) > 0
 }
 
-// logIfQuarantined logs and counts a content that has just reached MaxEnded. The caller must hold
-// the table's mutex.
+// logIfQuarantined notes the replicas that have ended under a content, and logs and counts one that has
+// just reached MaxEnded. The caller must hold the table's mutex.
 func (s *Service) logIfQuarantined(found *entry) {
+	s.table.noteEnds(found)
 	before := found.quarantined
 	found.quarantined = found.ended() >= MaxEnded
 	if before || !found.quarantined {
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -10,7 +10,9 @@
 
 // store starts to store the attempts of a content that this node made, or all that it knows of, if they
 // must outlive the nodes: those of contents that all nodes are told of. all is set for the last attempt
-// that is allowed, and for those of a node that may have ended.
+// that is allowed, and for those of a node that may have ended. Attempts of a content that does not
+// identify its request are always stored together: whether they overlap is told from their ages, which
+// must be those of one moment.
 func (s *Service) store(key Key, all bool) *write {
 	if s.archive == nil {
 		return storedWrite()
@@ -39,10 +41,10 @@
 	}
 	shared.void = false
 	for _, one := range shared.attempts {
-		if known := e.find(one.id); known.state.counts() && (all || known.own) {
+		if known := e.find(one.id); known.state.counts() && (all || known.own || !e.identified) {
 			alone := shared
 			alone.attempts = []sharedAttempt{one}
-			values[archiveKey{content: e.key, attempt: one.id}] = archivedValue{state: one.state, encoded: encodeArchived(&alone)}
+			values[archiveKey{content: e.key, attempt: one.id}] = archivedValue{state: one.state, encoded: encodeArchived(&alone), again: !e.identified}
 		}
 	}
 	return values
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -16,16 +16,25 @@
 	// maxRecords bounds the records of a node, maxAttempts the attempts in one.
 	maxRecords  = 4096
 	maxAttempts = 24
+	// endMemory is how long the end of a replica is known, maxEnds bounds the number of such replicas.
+	endMemory = 2 * time.Minute
+	maxEnds   = 4096
 	// minLifetime and maxLifetime bound the lifetime of a record. A client makes several attempts,
 	// and repeats them.
 	minLifetime = time.Minute
 	maxLifetime = time.Hour
 	// sharedTime is how long after its last end a content that does not identify its request is sent
-	// for nobody. After that it is not sent for clients that may be those of the ends, who wait until
-	// the same time: many replicas may have ended by themselves while nobody was answered. clientSkew
-	// is what the times of one client may differ at different nodes.
+	// for nobody. After that it is tried once more, one attempt at a time over all nodes, if as many
+	// other replicas ended within doubtTime before its first end or after its last: many may have ended
+	// by themselves while nobody was answered. It is not tried for clients that may be those of the ends,
+	// who wait until the same time; clientSkew is what the times of one client may differ at different
+	// nodes.
 	sharedTime = 10 * time.Second
+	doubtTime  = 2 * time.Second
 	clientSkew = time.Second
+	// maxShared is the number of registered attempts under way up to which those of a content that
+	// does not identify its request are registered.
+	maxShared = 3
 )
 
 // entry is the record of one content at this node.
@@ -44,6 +53,8 @@
 	announced int
 	// quarantined is set once MaxEnded replicas are known to have ended.
 	quarantined bool
+	// doubt is whether the ends may have another cause; nil until Service.doubtful finds out.
+	doubt *bool
 }
 
 // table holds the records. It is safe for concurrent use.
@@ -57,12 +68,15 @@
 	// byAge holds the keys of the records, oldest first.
 	byAge   []Key
 	evicted uint64
+	// ended holds when replicas ended under attempts, also under ones that do not count any more, for
+	// endMemory, maxEnds of them at most.
+	ended map[Replica]time.Duration
 	// onRemoved is called with each record that is removed, while the mutex is held.
 	onRemoved func(removed *entry)
 }
 
 func newTable() *table {
-	return &table{records: map[Key]*entry{}, onRemoved: func(*entry) {}}
+	return &table{records: map[Key]*entry{}, ended: map[Replica]time.Duration{}, onRemoved: func(*entry) {}}
 }
 
 // entry returns the record of a key, and creates it if needed. The record lives for at least left
@@ -94,6 +108,11 @@
 	t.remove(victim)
 }
 
+// forgetEnds forgets the replicas that ended long ago. The caller must hold the mutex.
+func (t *table) forgetEnds(now time.Duration) {
+	t.ended = lo.PickBy(t.ended, func(_ Replica, at time.Duration) bool { return at+endMemory > now })
+}
+
 func (t *table) purge(now time.Duration) {
 	for _, key := range slices.Clone(t.byAge) {
 		if now >= t.records[key].expiresAt {
@@ -140,7 +159,7 @@
 		known.began, known.until = min(known.began, received.began), min(known.until, received.until)
 	}
 	switch {
-	case received.broken && !known.broken:
+	case received.broken && !known.broken && !known.own:
 		known.broken, known.brokeAt = true, received.brokeAt
 	case received.broken && !known.own:
 		known.brokeAt = min(known.brokeAt, received.brokeAt)
@@ -233,6 +252,48 @@
 	return length
 }
 
+// underWay returns the number of registered attempts that are not over, except the one with the given ID.
+func (e *entry) underWay(except uint64) int {
+	return lo.CountBy(e.attempts, func(one *attempt) bool { return one.state == stateOpen && !one.broken && one.id != except })
+}
+
+// isTried reports whether an attempt is under way that began after the last end, except the one with
+// the given ID.
+func (e *entry) isTried(except uint64) bool { return e.possible(except) > MaxEnded }
+
+// sharedByMany reports whether a content that does not identify its request has enough registered
+// attempts. The last that is allowed is always registered.
+func (e *entry) sharedByMany(possible int) bool {
+	return !e.identified && possible < MaxEnded-1 && e.underWay(0) >= maxShared
+}
+
+// othersEnded returns the number of replicas that ended at about the same time as those under an entry,
+// but not under that. The caller must hold the mutex.
+func (t *table) othersEnded(entry *entry) int {
+	own := map[Replica]bool{}
+	from, until := time.Duration(1<<62), time.Duration(-1<<62)
+	for _, one := range entry.counting() {
+		own[one.replica] = true
+		from, until = min(from, one.began-doubtTime), max(until, one.brokeAt+doubtTime)
+	}
+	count := 0
+	for replica, at := range t.ended {
+		if !own[replica] && at >= from && at <= until {
+			count++
+		}
+	}
+	return count
+}
+
+// noteEnds notes the replicas that have ended under an entry. The caller must hold the mutex.
+func (t *table) noteEnds(entry *entry) {
+	for _, one := range entry.attempts {
+		if one.state == stateEnded && one.broken && len(t.ended) < maxEnds {
+			t.ended[one.replica] = one.brokeAt
+		}
+	}
+}
+
 // ends returns the counting attempts, the oldest first.
 func (e *entry) ends(now time.Duration) []quarantinestatus.End {
 	counted := e.counting()
