--- a/internal/emulator/store/store.go
+++ b/internal/emulator/store/store.go
@@ -125,6 +125,13 @@
 	return slices.Clone(s.at(place).records)
 }
 
+// Keys returns the keys of a partition that have a value, whatever fault is injected.
+func (s *Store) Keys(place logstore.Partition) []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Sorted(maps.Keys(s.at(place).newest))
+}
+
 // Put writes the newest value of a key, or removes the key if value is nil.
 func (s *Store) Put(place logstore.Partition, key string, value []byte) {
 	s.mutex.Lock()
--- a/internal/quarantine/archive_test.go
+++ b/internal/quarantine/archive_test.go
@@ -15,7 +15,7 @@
 )
 
 // loseAll ends all nodes at the same time, and starts others after a while.
-func (c *cluster) loseAll() {
+func (c *cluster) loseAllNodes() {
 	for i := range c.count {
 		c.stop(c.node(i))
 	}
@@ -26,6 +26,16 @@
 	c.shareView()
 }
 
+// setAway makes the log unavailable, or available again.
+func (c *cluster) setAway(away bool) {
+	c.away.Store(away)
+	if away {
+		c.log.Fail(store.Fault{Busy: true})
+	} else {
+		c.log.Fail(store.Fault{Delay: appendTime})
+	}
+}
+
 // stored returns the number of attempts that are stored.
 func (c *cluster) stored(t *testing.T) int {
 	page, err := c.log.Newest(t.Context(), logstore.NewestRequest{Partition: endsPartition})
@@ -70,7 +80,7 @@
 					time.Sleep(30 * time.Millisecond)
 					total++
 				}
-				c.loseAll()
+				c.loseAllNodes()
 				total += c.sendUntilRefused(request, 200)
 				is.Equal(total, MaxEnded)
 				is.True(errors.Is(c.node(1).service.Check(request), ErrQuarantined))
@@ -146,7 +156,7 @@
 		c := newCluster(3)
 		defer c.close()
 		c.log.Fail(store.Fault{Silent: true})
-		c.loseAll()
+		c.loseAllNodes()
 		time.Sleep(unreadableTime + 2*joinTimeout)
 		for i := range 3 {
 			is.True(c.node(i).service.Synced())
--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -41,6 +41,8 @@
 	count int
 	began time.Time
 	log   *store.Store
+	// away is set while the log is not available, and with it the view of the entries.
+	away atomic.Bool
 
 	// mutex guards the fields below.
 	mutex    sync.Mutex
@@ -119,7 +121,7 @@
 		Self: node.Name, Address: node.PeerAddress, Peers: node.Client(), Logger: slog.New(slog.DiscardHandler),
 		Seeds: seeds, Log: c.log, Ends: endsPartition, Replicas: node, Dial: node.dial, Now: func() time.Duration { return time.Since(began) },
 	})
-	node.service.SetFresh(func() bool { return !node.stale.Load() })
+	node.service.SetFresh(func() bool { return !node.stale.Load() && !c.away.Load() })
 	node.service.Register(node.Registry)
 	c.change(func() { c.members[number] = node })
 	var ctx context.Context
--- a/internal/quarantine/members.go
+++ b/internal/quarantine/members.go
@@ -36,6 +36,12 @@
 	return s.countMembers()/2 + 1
 }
 
+// hasMetNobody reports whether this node has just started and knows no others yet, of which there are
+// some. The caller must hold the table's mutex.
+func (s *Service) hasMetNobody() bool {
+	return !s.met && len(lo.Without(s.config.Seeds, s.config.Address)) > 0
+}
+
 // countMembers returns the number of nodes that may run, also cut off from this one. The caller
 // must hold the table's mutex.
 func (s *Service) countMembers() int {
@@ -45,8 +51,8 @@
 	if s.config.Now()-s.peakAt > memberMemory {
 		s.peak, s.peakAt = len(s.members), s.config.Now()
 	}
-	if !s.met && len(lo.Without(s.config.Seeds, s.config.Address)) > 0 {
-		return 2 // a node that has just started
+	if s.hasMetNobody() {
+		return 2
 	}
 	return max(s.peak, 1)
 }
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -38,6 +38,10 @@
 	// replica has a name of its own.
 	started, instances int
 	silent             bool
+	// losses lets all nodes be lost, at once or one half after the other, and the log be away. awayAt is
+	// when it last was.
+	losses bool
+	awayAt time.Duration
 	// refused tells of bystanders that were refused wrongly.
 	refused []string
 	// trace tells what happened.
@@ -132,6 +136,13 @@
 	}
 	switch {
 	case node.Down():
+	case silent && !untold && m.losses:
+		node.service.Silent(m.request, send, registered, replicaAddress(send.Replica.Instance))
+		time.AfterFunc(hearTime+callTime+2*appendTime, func() {
+			if node.Down() {
+				m.countUnknown(registered)
+			}
+		})
 	case silent:
 		node.service.Silent(m.request, send, registered, replicaAddress(send.Replica.Instance))
 		time.AfterFunc(hearTime+callTime, func() {
@@ -149,7 +160,7 @@
 
 // countUnknown counts the end of an attempt that no other node knows of, unless it is registered.
 func (m *model) countUnknown(registered Attempt) {
-	if registered == (Attempt{}) {
+	if registered == (Attempt{}) || !m.request.Identified {
 		m.change(func() { m.unknown++ })
 	}
 }
@@ -170,7 +181,17 @@
 // fault kills, cuts off or restarts nodes.
 func (m *model) fault(count int) {
 	m.noteMinorities(count)
-	switch m.faults.IntN(3) {
+	kinds := 3
+	if m.losses {
+		kinds = 6
+	}
+	switch m.faults.IntN(kinds) {
+	case 3:
+		m.loseAll(count)
+	case 4:
+		m.loseHalves(count)
+	case 5:
+		m.leave()
 	case 0:
 		for range 1 + m.faults.IntN(max(count/2-1, 1)) {
 			killed := m.node(m.faults.IntN(count))
@@ -196,6 +217,75 @@
 	m.shareView()
 }
 
+// leave makes the log unavailable for a while.
+func (m *model) leave() {
+	m.note("the log is away")
+	m.setAway(true)
+	time.AfterFunc(time.Duration(m.faults.IntN(3000))*time.Millisecond, func() {
+		m.note("the log is back")
+		m.awayAt = m.now()
+		m.setAway(false)
+	})
+}
+
+// backTime is how long after an outage of the log what nodes know may not be stored yet.
+const backTime = maxAppendPause*3/2 + appendTimeout
+
+// countUnstored counts the ends that are lost with all nodes since the log was away.
+func (m *model) countUnstored(count int) {
+	if !m.away.Load() && m.now() > m.awayAt+backTime {
+		return
+	}
+	known := 0
+	for i := range count {
+		known = max(known, len(m.node(i).service.EndsOf(m.request.Key)))
+	}
+	kept := 0
+	for _, key := range m.log.Keys(endsPartition) {
+		if strings.HasPrefix(key, m.request.Key.String()) {
+			kept++
+		}
+	}
+	m.unknown += max(known-kept, 0)
+}
+
+// loseAll ends all nodes at the same time, and starts others.
+func (m *model) loseAll(count int) {
+	m.note("all nodes are killed")
+	m.countUnstored(count)
+	for i := range count {
+		m.stop(m.node(i))
+	}
+	time.Sleep(time.Duration(m.faults.IntN(500)) * time.Millisecond)
+	m.Heal()
+	for i := range count {
+		m.start(i)
+	}
+}
+
+// loseHalves ends one half of the nodes after the other. The first has started again by then.
+func (m *model) loseHalves(count int) {
+	m.note("half of the nodes are killed")
+	m.countUnstored(count)
+	for i := range count / 2 {
+		m.stop(m.node(i))
+	}
+	time.Sleep(time.Duration(m.faults.IntN(300)) * time.Millisecond)
+	for i := range count / 2 {
+		m.start(i)
+	}
+	time.Sleep(time.Duration(m.faults.IntN(600)) * time.Millisecond)
+	m.note("the other half is killed")
+	m.countUnstored(count)
+	for i := count / 2; i < count; i++ {
+		m.stop(m.node(i))
+	}
+	time.Sleep(time.Duration(m.faults.IntN(300)) * time.Millisecond)
+	for i := count / 2; i < count; i++ {
+		m.start(i)
+	}
+}
+
 func (m *model) partitions() string {
 	var partitions []int
 	for i := range m.count {
@@ -284,7 +374,7 @@
 			defer c.close()
 			m := &model{
 				cluster: c, random: rand.New(rand.NewPCG(seed, 1)), faults: rand.New(rand.NewPCG(seed, 2)), others: rand.New(rand.NewPCG(seed, 3)),
-				request: requestOf("p", true), silent: seed%2 == 1, instances: int(seed % 3 * 5), minorityUntil: map[identity.NodeName]time.Duration{},
+				request: requestOf("p", seed%8 != 7), losses: seed%4 >= 2, silent: seed%2 == 1, instances: int(seed % 3 * 5), minorityUntil: map[identity.NodeName]time.Duration{},
 			}
 			m.run(count)
 			total += m.ends
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -177,7 +177,8 @@
 	if possible >= MaxEnded {
 		return fmt.Errorf("%w: %d", ErrUnclear, possible)
 	}
-	if found.identified && possible > 0 && s.inMinority() {
+	// A minority may serve equal requests of many clients, but a node that has met no other yet waits.
+	if possible > 0 && (found.identified || s.hasMetNobody()) && s.inMinority() {
 		return fmt.Errorf("%w: too few other nodes can be reached", ErrUnclear)
 	}
 	return nil
