Let equal requests of many clients not wait for each other, notice power lost after a response

Attempts of such contents are registered, so that they count after the loss of all nodes, but are not held back for that; only a content that is tried again is tried one at a time. A node that starts waits until it has met the members that it tells, a second at most, in place of refusing such contents.

A replica that was not heard for 60 ms after such an attempt is connected to once more. One test's service gets a view now, without which a node that starts has not met its members.

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -320,7 +320,7 @@
 			}
 		}
 		var over <-chan struct{}
-		if asking.over() || time.Since(began) >= joinTimeout {
+		if asking.over() && s.hasMembers() || time.Since(began) >= joinTimeout {
 			if s.archive == nil || isClosed(loaded) || asking.told && toldFor >= storeWait || unreadable >= unreadableTime {
 				break
 			}
@@ -342,6 +342,13 @@
 		"records", s.table.size.Load(), "took_ms", time.Since(began).Milliseconds())
 }
 
+// hasMembers reports whether this node knows the members that it tells, if there are others.
+func (s *Service) hasMembers() bool {
+	s.table.mutex.Lock()
+	defer s.table.mutex.Unlock()
+	return !s.hasMetNobody()
+}
+
 // endLostAttempts notes that attempts which seem to be under way are over, since no node is left that made
 // them. How their replicas are is not known.
 func (s *Service) endLostAttempts() {
--- a/internal/quarantine/linger.go
+++ b/internal/quarantine/linger.go
@@ -7,12 +7,17 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	// lingerTime is how long after an attempt is over its replica's end still counts for it.
 	lingerTime = 500 * time.Millisecond
+	// probeDelay is how long after an attempt is over a replica that has not been heard since is connected
+	// to once more, for probeTimeout at most: a replica without power does not end connections.
+	probeDelay   = 60 * time.Millisecond
+	probeTimeout = 150 * time.Millisecond
 	// maxLingering bounds the replicas that are watched after their attempts, maxLingeringAttempts the
 	// attempts of each.
 	maxLingering         = 256
@@ -23,6 +28,9 @@
 // under them: a request may end its replica after the replica's own failure response, or after its
 // client has given up.
 type lingering struct {
+	// count is the size of replicas, read without the mutex.
+	count atomic.Int64
+
 	// mutex guards replicas and their attempts.
 	mutex    sync.Mutex
 	replicas map[Replica][]overAttempt
@@ -34,6 +42,8 @@
 	send       Send
 	registered Attempt
 	over       time.Duration
+	// seen is set once the replica was heard, or accepted a connection, after the attempt was over.
+	seen bool
 }
 
 // Over is called when an attempt is over without a whole answer to its client and without a doubt about
@@ -47,6 +57,7 @@
 	accepted := len(attempts) < maxLingeringAttempts && (watched || len(s.lingering.replicas) < maxLingering)
 	if accepted {
 		s.lingering.replicas[send.Replica] = append(attempts, one)
+		s.lingering.count.Store(int64(len(s.lingering.replicas)))
 	}
 	s.lingering.mutex.Unlock()
 	switch {
@@ -89,16 +100,47 @@
 	}
 	defer func() { _ = connection.Close() }()
 	for {
-		left := s.lingerLeft(replica)
+		left, probe := s.lingerLeft(replica)
 		if left <= 0 {
 			return nil
 		}
-		if err := connectionEnd(connection, left); err != nil {
+		if probe {
+			if err := s.probe(replica, address); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := connectionEnd(connection, min(left, probeDelay)); err != nil {
 			return err
 		}
 	}
 }
 
+// probe connects to a replica that has not been heard since an attempt was over.
+func (s *Service) probe(replica Replica, address netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	connection, err := s.config.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	s.seenLingering(replica)
+	return connection.Close()
+}
+
+// seenLingering notes that a replica lived after its attempts.
+func (s *Service) seenLingering(replica Replica) {
+	if s.lingering.count.Load() == 0 {
+		return
+	}
+	s.lingering.mutex.Lock()
+	defer s.lingering.mutex.Unlock()
+	attempts := s.lingering.replicas[replica]
+	for i := range attempts {
+		attempts[i].seen = true
+	}
+}
+
 // connectionEnd returns the error with which an idle connection ends, or nil if it is open for a time.
 func connectionEnd(connection net.Conn, within time.Duration) error {
 	_ = connection.SetReadDeadline(time.Now().Add(within))
@@ -110,15 +152,15 @@
 }
 
 // lingerLeft drops the attempts for which an end of their replica does not count any more, and returns
-// how long it does for the last one.
-func (s *Service) lingerLeft(replica Replica) time.Duration {
+// how long it does for the last one. probe is set if the replica is to be connected to once more.
+func (s *Service) lingerLeft(replica Replica) (left time.Duration, probe bool) {
 	now := s.config.Now()
 	s.lingering.mutex.Lock()
 	var dropped, kept []overAttempt
-	left := time.Duration(0)
 	for _, one := range s.lingering.replicas[replica] {
 		if until := one.over + lingerTime - now; until > 0 {
 			kept, left = append(kept, one), max(left, until)
+			probe = probe || !one.seen && now >= one.over+probeDelay
 		} else {
 			dropped = append(dropped, one)
 		}
@@ -127,11 +169,12 @@
 	if len(kept) == 0 {
 		delete(s.lingering.replicas, replica)
 	}
+	s.lingering.count.Store(int64(len(s.lingering.replicas)))
 	s.lingering.mutex.Unlock()
 	for _, one := range dropped {
 		s.End(one.registered)
 	}
-	return left
+	return left, probe
 }
 
 // takeLingering removes and returns the attempts of a replica.
@@ -140,5 +183,6 @@
 	defer s.lingering.mutex.Unlock()
 	attempts := s.lingering.replicas[replica]
 	delete(s.lingering.replicas, replica)
+	s.lingering.count.Store(int64(len(s.lingering.replicas)))
 	return attempts
 }
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -261,6 +261,12 @@
 	for i := range count {
 		m.start(i)
 	}
+	m.shareViewSoon()
+}
+
+// shareViewSoon lets nodes that have just started learn of each other.
+func (m *model) shareViewSoon() {
+	time.AfterFunc(time.Duration(m.faults.IntN(600))*time.Millisecond, m.shareView)
 }
 
 // loseHalves ends one half of the nodes after the other. The first has started again by then.
@@ -274,6 +280,7 @@
 	for i := range count / 2 {
 		m.start(i)
 	}
+	m.shareViewSoon()
 	time.Sleep(time.Duration(m.faults.IntN(600)) * time.Millisecond)
 	m.note("the other half is killed")
 	m.countUnstored(count)
@@ -284,6 +291,7 @@
 	for i := count / 2; i < count; i++ {
 		m.start(i)
 	}
+	m.shareViewSoon()
 }
 
 func (m *model) partitions() string {
--- a/internal/quarantine/resolve.go
+++ b/internal/quarantine/resolve.go
@@ -161,6 +161,7 @@
 
 // Heard is called when bytes of a replica arrive.
 func (s *Service) Heard(replica Replica) {
+	s.seenLingering(replica)
 	if s.watching.Load() == 0 {
 		return
 	}
--- a/internal/quarantine/restart_test.go
+++ b/internal/quarantine/restart_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"stepseam.example/stepseam/internal/emulator/nodes"
+	"stepseam.example/stepseam/internal/identity"
 	"stepseam.example/stepseam/internal/membership"
 	"stepseam.example/stepseam/internal/peer"
 )
@@ -106,6 +107,9 @@
 			Self: "n0", Peers: knowing{[]record{content}}, Seeds: []netip.AddrPort{nodes.AddressOf("n1")},
 			Logger: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Minute },
 		})
+		service.SetView(membership.View{Members: []membership.Member{
+			{Node: identity.Node{Name: "n0"}, Status: membership.Alive}, {Node: identity.Node{Name: "n1"}, Status: membership.Alive},
+		}})
 		joined := make(chan struct{})
 		go func() { defer close(joined); service.join(t.Context(), nil) }()
 		for synced := false; !synced; {
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -177,8 +177,7 @@
 	if possible >= MaxEnded {
 		return fmt.Errorf("%w: %d", ErrUnclear, possible)
 	}
-	// A minority may serve equal requests of many clients, but a node that has met no other yet waits.
-	if possible > 0 && (found.identified || s.hasMetNobody()) && s.inMinority() {
+	if found.identified && possible > 0 && s.inMinority() {
 		return fmt.Errorf("%w: too few other nodes can be reached", ErrUnclear)
 	}
 	return nil
@@ -199,10 +198,11 @@
 }
 
 // Begin is called right before a request is sent to a replica. If replicas have ended under it, or
-// may have, it registers the attempt, so that it counts even if this node ends. Of equal requests that
-// their content does not identify, it registers the first few and the last that is allowed. The last one that is allowed is registered with a majority of the nodes, so that nodes
-// that are cut from each other don't send the request both. registered is not the zero value if the
-// request is sent to the same replica again. Errors: as of Check, or that of ctx.
+// may have, it registers the attempt, so that it counts even if this node ends. The last one that is
+// allowed is registered with a majority of the nodes, so that nodes that are cut from each other don't
+// send the request both. Of equal requests that their content does not identify, a few at a time are
+// registered, and only one that is tried again waits for a majority. registered is not the zero value if
+// the request is sent to the same replica again. Errors: as of Check, or that of ctx.
 func (s *Service) Begin(ctx context.Context, request *Request, send Send, registered Attempt) (Attempt, error) {
 	if s.Idle() {
 		return registered, nil
@@ -216,11 +216,12 @@
 	}
 	possible := found.possible(0)
 	err := s.verdict(found, request, registered.id)
-	if err != nil || registered != (Attempt{}) || possible == 0 && !(found.identified && found.suspect()) || found.sharedByMany(possible) {
+	trial := !found.identified && possible >= MaxEnded
+	if err != nil || registered != (Attempt{}) || possible == 0 && !(found.identified && found.suspect()) || !trial && found.sharedByMany() {
 		s.table.mutex.Unlock()
 		return registered, err
 	}
-	last := possible >= MaxEnded-1
+	last := trial || found.identified && possible == MaxEnded-1
 	added := found.add(&attempt{id: rand.Uint64(), replica: send.Replica, state: stateOpen, began: send.Began, until: send.Until, own: true})
 	s.table.mutex.Unlock()
 	made := Attempt{key: request.Key, id: added.id}
@@ -245,7 +246,7 @@
 	await(ctx, stored.done, noticeWait)
 	s.table.mutex.Lock()
 	err := s.verdict(found, request, made.id)
-	unknown := found.possible(made.id) >= MaxEnded-1 && !last
+	unknown := found.identified && found.possible(made.id) >= MaxEnded-1 && !last
 	s.table.mutex.Unlock()
 	switch {
 	case err != nil:
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -225,9 +225,10 @@
 }
 
 // possible is like ended, and includes replicas that may have ended, except those under the attempt
-// with the given ID.
+// with the given ID. Where the content does not identify the request, attempts under way may be those of
+// other clients, which do not wait for each other.
 func (e *entry) possible(except uint64) int {
-	return e.chain(func(one *attempt) bool { return one.id != except })
+	return e.chain(func(one *attempt) bool { return one.id != except && (e.identified || one.broken) })
 }
 
 func (e *entry) chain(fits func(*attempt) bool) int {
@@ -252,20 +253,23 @@
 	return length
 }
 
-// underWay returns the number of registered attempts that are not over, except the one with the given ID.
-func (e *entry) underWay(except uint64) int {
-	return lo.CountBy(e.attempts, func(one *attempt) bool { return one.state == stateOpen && !one.broken && one.id != except })
+// underWay returns the number of registered attempts that are not over.
+func (e *entry) underWay() int {
+	return lo.CountBy(e.attempts, func(one *attempt) bool { return one.state == stateOpen && !one.broken })
 }
 
-// isTried reports whether an attempt is under way that began after the last end, except the one with
-// the given ID.
-func (e *entry) isTried(except uint64) bool { return e.possible(except) > MaxEnded }
+// isTried reports whether a registered attempt is under way that began after the last end, except the
+// one with the given ID.
+func (e *entry) isTried(except uint64) bool {
+	last := e.lastBroken()
+	return lo.SomeBy(e.attempts, func(one *attempt) bool {
+		return one.state == stateOpen && !one.broken && one.id != except && one.began >= last
+	})
+}
 
 // sharedByMany reports whether a content that does not identify its request has enough registered
-// attempts. The last that is allowed is always registered.
-func (e *entry) sharedByMany(possible int) bool {
-	return !e.identified && possible < MaxEnded-1 && e.underWay(0) >= maxShared
-}
+// attempts.
+func (e *entry) sharedByMany() bool { return !e.identified && e.underWay() >= maxShared }
 
 // othersEnded returns the number of replicas that ended at about the same time as those under an entry,
 // but not under that. The caller must hold the mutex.
