--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -183,6 +183,14 @@
 	}
 }
 
+// SetLongestRest sets the source of how long a program may rest between two turns, at most. It must be
+// called at most once, before the first turn. Without it programs do not rest.
+func (l *Ledger) SetLongestRest(longest func() time.Duration) {
+	for _, p := range l.partitions {
+		p.reader.longestRest = longest
+	}
+}
+
 func (l *Ledger) partitionOf(program ledger.ProgramID) *partition {
 	return l.partitions[l.Partition(program)]
 }
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -32,6 +32,8 @@
 	window *readWindow
 	// clock returns a monotonic reading.
 	clock func() time.Duration
+	// longestRest returns how long a program may rest between two turns; nil means not at all.
+	longestRest func() time.Duration
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
