Let owners wait for programs that rest before they grant unlogged turns

A new owner took itself to be exclusive 25 s after its claim, by when each program of the former one had to have come back, though a program may rest for the retainS of its route.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -188,28 +188,30 @@
 	p := NewPartition()
 	at := func(now time.Duration, record Record) { p.Apply(Encode(record), now) }
 	at(0, OwnershipClaim{Incarnation: "a"})
-	is.True(p.MayGrantUnlogged("a", 0, 0))
-	is.True(!p.MayGrantUnlogged("b", 0, 0))
-	is.True(!p.MayGrantUnlogged("a", 0, ConfirmationTTL+1)) // the confirmation has expired
+	is.True(p.MayGrantUnlogged("a", 0, 0, 0))
+	is.True(!p.MayGrantUnlogged("b", 0, 0, 0))
+	is.True(!p.MayGrantUnlogged("a", 0, 0, ConfirmationTTL+1)) // the confirmation has expired
 	at(1, OwnershipClaim{Incarnation: "b"})                 // a has not released
-	is.True(!p.MayGrantUnlogged("b", 1, 1))
-	is.True(p.MayGrantUnlogged("b", TakeoverDelay, TakeoverDelay+2))
+	is.True(!p.MayGrantUnlogged("b", 1, 0, 1))
+	is.True(p.MayGrantUnlogged("b", TakeoverDelay, 0, TakeoverDelay+2))
+	is.True(!p.MayGrantUnlogged("b", TakeoverDelay, time.Minute, time.Minute)) // programs of a may come back
+	is.True(p.MayGrantUnlogged("b", time.Minute+TakeoverDelay, time.Minute, time.Minute+TakeoverDelay+2))
 	at(2, OwnershipRelease{Incarnation: "a"}) // a is no longer the owner
 	is.Equal(p.Owner(), IncarnationID("b"))
 	at(3, OwnershipRelease{Incarnation: "b"})
 	at(4, OwnershipClaim{Incarnation: "c"}) // unlogged grants of a may remain
-	is.True(!p.MayGrantUnlogged("c", 4, 4))
+	is.True(!p.MayGrantUnlogged("c", 4, 0, 4))
 
 	p = NewPartition()
 	at(0, OwnershipClaim{Incarnation: "a"})
 	at(1, OwnershipRelease{Incarnation: "a"})
 	at(2, OwnershipClaim{Incarnation: "b"})
-	is.True(p.MayGrantUnlogged("b", 2, 2))
+	is.True(p.MayGrantUnlogged("b", 2, 0, 2))
 
 	p = NewPartition()
 	p.SkipTo(5)
 	at(0, OwnershipClaim{Incarnation: "a"}) // earlier records are not known
-	is.True(!p.MayGrantUnlogged("a", 0, 0))
+	is.True(!p.MayGrantUnlogged("a", 0, 0, 0))
 }
 
 func TestCreditGrantsNoMoreThanReserved(t *testing.T) {
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -33,10 +33,10 @@
 }
 
 const (
-	// TakeoverDelay is how long an owner waits before it is exclusive if its predecessor did
-	// not release. By then the predecessor has made no unlogged grants for TakeoverDelay less
-	// ConfirmationTTL, and each program that it served has either used the new owner since, and
-	// so has a record, or has ended.
+	// TakeoverDelay is how much longer than programs rest an owner waits before it is exclusive if its
+	// predecessor did not release. By then the predecessor has made no unlogged grants for the longest
+	// rest and TakeoverDelay less ConfirmationTTL, and each program that it served has either used the
+	// new owner since, and so has a record, or has ended.
 	TakeoverDelay = 25 * time.Second
 	// ConfirmationTTL is how long an owner stays exclusive after the log last confirmed its
 	// ownership.
@@ -70,12 +70,13 @@
 func (p *Partition) OwnedCleanly() bool { return p.owner.clean }
 
 // MayGrantUnlogged reports whether incarnation is the owner and no other can have made unlogged
-// grants. confirmed is when its ownership was last confirmed.
-func (p *Partition) MayGrantUnlogged(incarnation IncarnationID, confirmed, now time.Duration) bool {
+// grants. confirmed is when its ownership was last confirmed, longestRest how long a program may rest
+// between two turns.
+func (p *Partition) MayGrantUnlogged(incarnation IncarnationID, confirmed, longestRest, now time.Duration) bool {
 	if p.owner.Incarnation != incarnation || now-confirmed > ConfirmationTTL {
 		return false
 	}
-	return p.owner.clean || now-p.owner.since > TakeoverDelay
+	return p.owner.clean || now-p.owner.since > TakeoverDelay+longestRest
 }
 
 // claimOwnership makes an incarnation the owner. The ownership is clean if all records of the
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -145,7 +145,11 @@
 func (r *reader) exclusive(incarnation ledger.IncarnationID) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.state.MayGrantUnlogged(incarnation, r.confirmed, r.clock())
+	longestRest := time.Duration(0)
+	if r.longestRest != nil {
+		longestRest = r.longestRest()
+	}
+	return r.state.MayGrantUnlogged(incarnation, r.confirmed, longestRest, r.clock())
 }
 
 // apply requires the mutex.
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -29,6 +30,7 @@
 	"stepseam.example/stepseam/internal/quarantine"
 	"stepseam.example/stepseam/internal/quota"
 	"stepseam.example/stepseam/internal/router"
+	"stepseam.example/stepseam/internal/routing"
 	"stepseam.example/stepseam/internal/settings"
 	"stepseam.example/stepseam/internal/shares"
 	"stepseam.example/stepseam/internal/watch"
@@ -83,7 +85,9 @@
 	store                   logstore.Store
 	registry                *prometheus.Registry
 	// settings is replaced by a reload.
-	settings  atomic.Pointer[settings.Routed]
+	settings atomic.Pointer[settings.Routed]
+	// rest is that of the last configuration that longestRest was asked for.
+	rest      atomic.Pointer[restOf]
 	stopping  atomic.Bool
 	startedAt time.Time
 	loops     sync.WaitGroup
@@ -199,6 +203,30 @@
 	return limits.LimitOf(found), true
 }
 
+// longestRest returns how long a program may rest between two turns by the current configuration:
+// until the turns that it may refer to are no longer kept.
+func (n *node) longestRest() time.Duration {
+	configuration := n.router.Configuration()
+	if configuration == nil {
+		return math.MaxInt32 * time.Second
+	}
+	if known := n.rest.Load(); known != nil && known.configuration == configuration {
+		return known.longest
+	}
+	made := &restOf{configuration: configuration}
+	for i := range configuration.Routes {
+		made.longest = max(made.longest, configuration.Routes[i].RetainFor)
+	}
+	n.rest.Store(made)
+	return made.longest
+}
+
+// restOf is the longest rest of programs by a configuration.
+type restOf struct {
+	configuration *routing.Configuration
+	longest       time.Duration
+}
+
 // hasLimits reports whether any tenant has a limit in the current configuration.
 func (n *node) hasLimits() bool {
 	configuration := n.router.Configuration()
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -330,6 +330,7 @@
 		built.distances.register(do.MustInvoke[*prometheus.Registry](injector))
 		built.peers.onView = append(built.peers.onView, built.distances.setView)
 	}
+	built.ledger.SetLongestRest(built.longestRest)
 	built.origins.SetVersions(built.views.onlyVersion)
 	built.quarantine.SetFresh(built.views.replicasFresh)
 	built.limits.SetLimits(built.limitOf, built.hasLimits)
