--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -191,7 +191,7 @@
 	is.True(p.MayGrantUnlogged("a", 0, 0, 0))
 	is.True(!p.MayGrantUnlogged("b", 0, 0, 0))
 	is.True(!p.MayGrantUnlogged("a", 0, 0, ConfirmationTTL+1)) // the confirmation has expired
-	at(1, OwnershipClaim{Incarnation: "b"})                 // a has not released
+	at(1, OwnershipClaim{Incarnation: "b"})                    // a has not released
 	is.True(!p.MayGrantUnlogged("b", 1, 0, 1))
 	is.True(p.MayGrantUnlogged("b", TakeoverDelay, 0, TakeoverDelay+2))
 	is.True(!p.MayGrantUnlogged("b", TakeoverDelay, time.Minute, time.Minute)) // programs of a may come back
