Let reads that were under way when all nodes were lost not hold each other back

Several at a time are of several clients and do not count; one alone does, as it must for a request that ends its replicas. TestReadsUnderWayAtTheLossOfAllNodesDoNotCount fails before.

--- a/internal/quarantine/archive_test.go
+++ b/internal/quarantine/archive_test.go
@@ -239,3 +239,26 @@
 		is.Equal(c.stored(t), 0)
 	})
 }
+
+// Reads of many clients that were under way when all nodes were lost were taken for one request, one
+// after the other, and held back.
+func TestReadsUnderWayAtTheLossOfAllNodesDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(5)
+		defer c.close()
+		read := requestOf("", false)
+		for i := range MaxEnded - 1 {
+			is.True(c.node(i).attempt(read, c.replica(i), false))
+		}
+		for i := range 2 {
+			go c.node(i).attempt(read, c.replica(10+i), true)
+		}
+		time.Sleep(15 * time.Millisecond)
+		c.loseAllNodes()
+		time.Sleep(joinTimeout)
+		for i := range 5 {
+			is.NoErr(c.node(i).service.Check(read))
+		}
+	})
+}
--- a/internal/quarantine/join.go
+++ b/internal/quarantine/join.go
@@ -125,14 +125,20 @@
 }
 
 // endLostAttempts notes that attempts which seem to be under way are over, since no node is left that made
-// them. How their replicas are is not known.
+// them. How their replicas are is not known. Several at a time of a content that does not identify its
+// request are reads of several clients, and do not count.
 func (s *Service) endLostAttempts() {
 	now := s.config.Now()
 	s.table.mutex.Lock()
 	defer s.table.mutex.Unlock()
 	for _, found := range s.table.records {
+		many := !found.identified && found.underWay() > 1
 		for _, one := range found.attempts {
-			if !one.broken {
+			switch {
+			case one.broken:
+			case many:
+				one.state = stateCleared
+			default:
 				one.broken, one.brokeAt = true, now
 			}
 		}
