--- a/internal/quarantine/join.go
+++ b/internal/quarantine/join.go
@@ -21,8 +21,7 @@
 	// joinPeers is the number of nodes that each request goes to.
 	joinPeers = 8
 	// loadDelay is how long a node that is no seed waits to be told by others before it reads the stored
-	// attempts.
-	// minLoadPause and maxLoadPause bound the pause after a failed read.
+	// attempts. minLoadPause and maxLoadPause bound the pause after a failed read.
 	loadDelay    = 300 * time.Millisecond
 	minLoadPause = 50 * time.Millisecond
 	maxLoadPause = 400 * time.Millisecond
--- a/internal/quarantine/linger.go
+++ b/internal/quarantine/linger.go
@@ -49,7 +49,8 @@
 // Over is called when an attempt is over without a whole answer to its client and without a doubt about
 // its replica: the replica responded with a failure, or the client gave up. If the replica ends within
 // lingerTime, that counts as an end under the attempt. One connection is held open to each such replica
-// meanwhile, whatever the number of attempts. It does not block.
+// meanwhile, whatever the number of attempts, and another one made after each probeDelay in which it was
+// not heard. It does not block.
 func (s *Service) Over(request *Request, send Send, registered Attempt, address netip.AddrPort) {
 	one := overAttempt{request: request, send: send, registered: registered, over: s.config.Now()}
 	s.lingering.mutex.Lock()
--- a/internal/quarantine/linger_test.go
+++ b/internal/quarantine/linger_test.go
@@ -50,7 +50,7 @@
 }
 
 // Replicas that end long after an attempt, or do not end, do not count for it, and many attempts at one
-// replica cost one connection.
+// replica share their connections.
 func TestAttemptsThatAreOverCountForAShortTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
