Keep the whole output of a turn that its client resumed at another node

Callers saw: a client had events 0 to 4 of a kept turn when its node was killed, resumed the stream at another node and got the rest and a whole end.

Cause: persistTurn wrote what the last attempt forwarded as the turn's whole output. Nothing else kept the first part.

Change: events of turns that are kept and may be resumed are stored by a majority of holders (five other nodes) before they are sent. A resumption claims the transcript under a higher ballot at a majority, which fences the writer before it, and goes on behind the event that the client has. Where the events before are not certain, or the client names no stream or another turn's, it is refused with 503 before anything runs. Related: tokens of cache locations left the first part out. Message kinds above 1100 shared the handlers of one range; they have their own now.

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -33,6 +33,7 @@
 	KindRangeShares       Kind = 1000
 	KindRangeOrigins      Kind = 1100
 	KindRangeQuarantine   Kind = 1200
+	KindRangeTranscripts  Kind = 1300
 
 	kindRangeSize = 100
 )
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -96,7 +96,7 @@
 }
 
 // handlerRanges is the number of ranges of kinds. Kinds above share the last range.
-const handlerRanges = 11
+const handlerRanges = 14
 
 func handlerRange(kind Kind) int { return min(int(kind/kindRangeSize), handlerRanges-1) }
 
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -40,6 +40,8 @@
 	mebibyte = 1 << 20
 	// cacheDivisor is the divisor of the memory limit for cached turn texts.
 	cacheDivisor = 8
+	// transcriptDivisor is the divisor of the memory limit for the output of streams of other nodes.
+	transcriptDivisor = 16
 	// bufferDivisor is the divisor of the memory limit for buffered request bodies.
 	bufferDivisor = 4
 	// clientIdleTimeout closes idle client connections if the configuration sets no
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -32,6 +32,7 @@
 	"stepseam.example/stepseam/internal/router"
 	"stepseam.example/stepseam/internal/settings"
 	"stepseam.example/stepseam/internal/shares"
+	"stepseam.example/stepseam/internal/transcript"
 )
 
 func newInjector(adapter Adapter, cfg settings.Routed, logger *slog.Logger) do.Injector {
@@ -66,6 +67,7 @@
 	do.Provide(injector, provideShares)
 	do.Provide(injector, provideLimits)
 	do.Provide(injector, provideOrigins)
+	do.Provide(injector, provideTranscripts)
 	do.Provide(injector, provideQuarantine)
 	do.Provide(injector, provideRouter)
 	do.Provide(injector, provideColdReplicas)
@@ -214,6 +216,29 @@
 	return made, nil
 }
 
+func provideTranscripts(injector do.Injector) (*transcript.Service, error) {
+	config := transcript.Config{
+		Self: do.MustInvoke[identity.Node](injector), Now: do.MustInvoke[clock](injector),
+		RoundTrip: func(zone identity.Zone) time.Duration {
+			return do.MustInvoke[*distance.Map](injector).PathTo(string(zone)).RoundTrip
+		},
+		MaxBytes: do.MustInvoke[settings.Routed](injector).Machine.MemoryMebibytes * mebibyte / transcriptDivisor,
+		Logger:   do.MustInvoke[*slog.Logger](injector), Registerer: do.MustInvoke[*prometheus.Registry](injector),
+	}
+	others, err := do.Invoke[*peers](injector)
+	if err != nil {
+		return nil, err
+	}
+	if others == nil {
+		return transcript.New(config), nil
+	}
+	config.Peers = others.transport
+	made := transcript.New(config)
+	made.Register(others.registry)
+	others.onView = append(others.onView, made.SetView)
+	return made, nil
+}
+
 func provideQuarantine(injector do.Injector) (*quarantine.Service, error) {
 	config := quarantine.Config{
 		Self: do.MustInvoke[settings.Routed](injector).Node.Name, Now: do.MustInvoke[clock](injector),
@@ -259,6 +284,7 @@
 		BufferBytes: int64(do.MustInvoke[settings.Routed](injector).Machine.MemoryMebibytes) * mebibyte / bufferDivisor,
 		Limits:      do.MustInvoke[*limits.Service](injector),
 		Origins:     do.MustInvoke[*origin.Service](injector),
+		Transcripts: do.MustInvoke[*transcript.Service](injector),
 		Quarantine:  do.MustInvoke[*quarantine.Service](injector),
 		Lease:       do.MustInvoke[settings.Routed](injector).Keys.Lease(), Freshness: fresh,
 		Random: rand.Float64, Logger: do.MustInvoke[*slog.Logger](injector),
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -82,7 +82,9 @@
 	// first event, or empty if the client does not name it.
 	resuming  bool
 	lastEvent int64
-	resumes   string
+	// positionKnown is set if lastEvent could be read.
+	positionKnown bool
+	resumes       string
 	// origin is what began the stream that the call continues, or nil for a new stream.
 	origin *origin.Found
 	// configuration is the one in effect at the request's arrival.
@@ -100,6 +102,9 @@
 // left returns the remaining time until the deadline.
 func (c *call) left() time.Duration { return time.Until(c.deadline) }
 
+// tokensPerEvent returns the tokens that count for an event.
+func (c *call) tokensPerEvent() uint32 { return uint32(max(c.service.TokensPerEvent, 1)) }
+
 // hopByHopFields are the header fields that apply to a single connection.
 var hopByHopFields = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -186,7 +191,7 @@
 	c.resuming = true
 	c.header.Set(names.LastEvent, last[0])
 	if position, err := strconv.ParseInt(strings.TrimSpace(last[0]), 10, 64); err == nil {
-		c.lastEvent = position
+		c.lastEvent, c.positionKnown = position, true
 	}
 	if streams := header[textproto.CanonicalMIMEHeaderKey(names.Resumes)]; len(streams) == 1 {
 		c.resumes = strings.TrimSpace(streams[0])
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -29,6 +29,20 @@
 	hasData bool
 }
 
+// output returns the event's contribution to the output of a persisted turn.
+func (e *event) output() []byte {
+	if !e.hasData {
+		return nil
+	}
+	return append(e.data[:len(e.data):len(e.data)], '\n')
+}
+
+// holdsWholeEvent reports whether the next event can be read without waiting.
+func holdsWholeEvent(reader *bufio.Reader) bool {
+	buffered, _ := reader.Peek(reader.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
+
 // readEvent reads the next complete event. It returns io.EOF if the stream ends after a
 // complete event.
 func readEvent(reader *bufio.Reader) (event, error) {
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -35,6 +35,9 @@
 	reasonServiceChanged    = "stream_service_changed"
 	reasonVersionGone       = "version_gone"
 	reasonVersionUnknown    = "version_unknown"
+	reasonOutputUnknown     = "stream_output_unknown"
+	reasonOtherTurn         = "stream_of_other_turn"
+	reasonResumedElsewhere  = "stream_resumed_elsewhere"
 )
 
 // resumptionTimeouts is the length of the history that shows that no stream of another version
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,11 +23,12 @@
 	"stepseam.example/stepseam/internal/quarantine"
 	"stepseam.example/stepseam/internal/residency"
 	"stepseam.example/stepseam/internal/routing"
+	"stepseam.example/stepseam/internal/transcript"
 )
 
 // Config configures a Router. All fields are required except Regions, Distances,
-// Evacuations, ColdStart, Keepers, Limits, Origins, Quarantine, Registerer and those whose comments say
-// otherwise.
+// Evacuations, ColdStart, Keepers, Limits, Origins, Transcripts, Quarantine, Registerer and those whose
+// comments say otherwise.
 type Config struct {
 	Names    HeaderNames
 	Replicas *exchange.Client
@@ -57,6 +58,9 @@
 	// Origins records and finds the version that began each stream; nil if the node resumes no
 	// streams of clients.
 	Origins *origin.Service
+	// Transcripts replicates the output of streams that are persisted and may be resumed; nil if the
+	// node resumes no persisted streams.
+	Transcripts *transcript.Service
 	// Quarantine keeps requests under which replicas end from further ones; nil disables that.
 	Quarantine *quarantine.Service
 	// Lease is the maximum age of the configuration for serving requests with keys; 0 sets
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -14,6 +14,7 @@
 	"stepseam.example/stepseam/internal/origin"
 	"stepseam.example/stepseam/internal/outlier"
 	"stepseam.example/stepseam/internal/quarantine"
+	"stepseam.example/stepseam/internal/transcript"
 )
 
 // stream is the response to a streaming request while it is forwarded.
@@ -22,10 +23,15 @@
 	call  *call
 	// lastEvent is the ID of the last event that the client has received, or -1.
 	lastEvent int64
-	// tokens counts the tokens sent to the client for this request.
-	tokens uint32
-	// output collects the data of the events if the turn is persisted.
+	// tokens counts the tokens sent to the client for this request, tokensBefore those that it
+	// received before it resumed the stream.
+	tokens, tokensBefore uint32
+	// output collects the data of the events if the turn is persisted, with those that the client
+	// received before it resumed the stream.
 	output []byte
+	// transcript records the events at other nodes; nil until the first one and if they are not
+	// recorded.
+	transcript *transcript.Writer
 	// headerSent reports whether the response header has been sent.
 	headerSent bool
 	// began is what began the stream if it is a new one, versionKnown whether its version is
@@ -39,6 +45,10 @@
 	if !r.resolveOrigin(ctx, reply, call) {
 		return
 	}
+	stream := &stream{reply: reply, call: call, lastEvent: call.lastEvent}
+	if !r.claimTranscript(ctx, stream) {
+		return
+	}
 	turn := r.prepareTurn(ctx, reply, call)
 	if turn == nil {
 		return
@@ -52,7 +62,6 @@
 		turn.Finish(0)
 		return
 	}
-	stream := &stream{reply: reply, call: call, lastEvent: call.lastEvent}
 	defer func() { turn.Finish(stream.tokens) }()
 	if r.runStream(ctx, stream) && call.route.Retain {
 		// The turn is finished before it is persisted, so that the coordinator usually knows
@@ -136,10 +145,14 @@
 	stream.reply.abort(reason, cause)
 }
 
+// maxRecordedTogether bounds the events that are recorded at other nodes together.
+const maxRecordedTogether = 32
+
 // forwardEvents forwards the events of one replica as they arrive. Events that the client
 // already has are skipped.
 func (r *Router) forwardEvents(ctx context.Context, stream *stream, attempt *attempt) *exchange.FailureError {
-	flusher := http.NewResponseController(stream.reply.writer)
+	// pending are events that were received together and are recorded together.
+	var pending []event
 	var gaps []time.Duration
 	var last time.Time
 	defer func() { r.config.Tracker.StreamEnded(attempt.inFlight, gaps, r.Now()) }()
@@ -175,20 +188,46 @@
 		last = now
 		stream.call.heardAt = now
 		r.heard(&attempt.replica)
-		if event.hasID && event.id <= stream.lastEvent {
+		if !stream.has(event, pending) {
+			pending = append(pending, event)
+		}
+		if stream.transcript != nil && len(pending) < maxRecordedTogether && holdsWholeEvent(attempt.response.Body) {
 			continue
 		}
-		announce := func() {}
-		if !stream.headerSent {
-			announce = r.recordOrigin(stream, attempt)
+		r.sendEvents(ctx, stream, attempt, pending)
+		pending = pending[:0]
+	}
+}
+
+// has reports whether an event was sent to the client before, or is among pending ones.
+func (s *stream) has(event event, pending []event) bool {
+	last := s.lastEvent
+	for _, one := range pending {
+		if one.hasID {
+			last = one.id
 		}
+	}
+	return event.hasID && event.id <= last
+}
+
+// sendEvents records events and sends them to the client.
+func (r *Router) sendEvents(ctx context.Context, stream *stream, attempt *attempt, events []event) {
+	if len(events) == 0 {
+		return
+	}
+	announce := func() {}
+	if !stream.headerSent {
+		announce = r.recordOrigin(stream, attempt)
+	}
+	r.recordEvents(ctx, stream, attempt, events)
+	for _, event := range events {
 		stream.forward(event, attempt)
-		if attempt.response.Body.Buffered() == 0 {
-			// A flush error recurs at the next write.
-			_ = flusher.Flush()
-		}
-		announce()
 	}
+	if attempt.response.Body.Buffered() == 0 {
+		// A flush error recurs at the next write.
+		_ = http.NewResponseController(stream.reply.writer).Flush()
+	}
+	announce()
 }
 
 func (s *stream) sendHeader(response *exchange.Answer) {
@@ -204,10 +243,10 @@
 	}
 	if event.hasID {
 		s.lastEvent = event.id
-		s.tokens += uint32(max(s.call.service.TokensPerEvent, 1))
+		s.tokens += s.call.tokensPerEvent()
 	}
-	if s.call.route.Retain && event.hasData {
-		s.output = append(append(s.output, event.data...), '\n')
+	if s.call.route.Retain {
+		s.output = append(s.output, event.output()...)
 	}
 	s.reply.events++
 	s.reply.bytes += len(event.raw)
@@ -223,7 +262,7 @@
 	text := append(call.newInput(), stream.output...)
 	err := r.config.Turns.PersistTurn(ctx, ledger.IndexEntry{
 		Program: call.turn.program, Turn: turnID(call.tenant, call.id), Chain: chain, Retention: call.route.RetainFor,
-		CacheLocation: ledger.CacheLocation{Instance: stream.reply.replica, Tokens: uint32(call.prompt.Tokens) + stream.tokens},
+		CacheLocation: ledger.CacheLocation{Instance: stream.reply.replica, Tokens: uint32(call.prompt.Tokens) + stream.tokensBefore + stream.tokens},
 	}, text, call.allowedRegions)
 	if err != nil {
 		stream.reply.abort("turn_not_kept", err)
