Flush events while the next one has arrived in part

Callers saw an event late, or not at all before a break, if the replica's bytes ended within the next event: forwarded events were flushed only when nothing was buffered, and a part of an event was. A replica may stop partway through an event, which held its whole events back until the stream ended. Now they are flushed unless another whole event is buffered. TestEventIsSentWhileTheNextIsIncomplete failed before: it waited for an event until the deadline broke the stream off.

--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -223,7 +223,7 @@
 	for _, event := range events {
 		stream.forward(event, attempt)
 	}
-	if attempt.response.Body.Buffered() == 0 {
+	if !holdsWholeEvent(attempt.response.Body) {
 		// A flush error recurs at the next write.
 		_ = http.NewResponseController(stream.reply.writer).Flush()
 	}
--- a/internal/router/transcript_test.go
+++ b/internal/router/transcript_test.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"bufio"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,3 +87,36 @@
 	received := h.replicas[0].Received()
 	is.Equal(received[len(received)-1].Body, "inputw1\nw2\nw3\nw4\nw5\ninput")
 }
+
+// An event was held back while the next one had arrived in part.
+func TestEventIsSentWhileTheNextIsIncomplete(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{})
+	h := newHarness(t, func(e *replica.Exchange) bool {
+		e.Write("%s", streamHeader(e)+chunk(numbered(1, 1)))
+		time.Sleep(20 * time.Millisecond)
+		e.Write("%s", chunk(numbered(2, 3)+"id: 4\nda"))
+		<-arrived
+		e.Write("%s", chunk("ta: w4\n\n")+"0\r\n\r\n")
+		return true
+	})
+	h.publish(0, "v1")
+	h.withOrigins()
+	h.withTranscripts()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, h.server.URL+"/k/x", strings.NewReader("b"))
+	is.NoErr(err)
+	request.Host = "h.example"
+	request.Header.Set("Test-Id", "1")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	reader := bufio.NewReader(response.Body)
+	for id := range int64(4) {
+		if id == 3 {
+			close(arrived)
+		}
+		event, err := readEvent(reader)
+		is.NoErr(err)
+		is.Equal(event.id, id+1)
+	}
+}
