Bound a program's budget while the retention of turns changes

A new owner waits for as long as programs may rest before it grants unlogged turns, by the configuration in force. A program whose first turn was granted unlogged before the retention was lowered or its route went away came back later than that, its turn was charged to nobody, and one more loss of all nodes gave it another one.

The wait is now as long as accounts are kept (5 min), or longer if turns are. A node that starts needs to know no earlier configuration.

TestAllowancesOfOneTurnDoNotAddUp has the case that it had, and five more: four failed before (1,000 of 800 + 100), the one with four losses held.

--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// accountTTL is how long a program's charges are kept after its last record. A stopped program
+// AccountTTL is how long a program's charges are kept after its last record. A stopped program
 // may return within the retention of its turns.
-const accountTTL = 5 * time.Minute
+const AccountTTL = 5 * time.Minute
 
 // retentionMargin is how much longer than its retention a turn is kept.
 const retentionMargin = 15 * time.Second
@@ -305,7 +305,7 @@
 	}
 	p.pruned = now
 	for program, charges := range p.accounts {
-		if now-charges.lastUsed > accountTTL {
+		if now-charges.lastUsed > AccountTTL {
 			delete(p.accounts, program)
 		}
 	}
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -147,7 +147,9 @@
 	defer r.mutex.Unlock()
 	longestRest := time.Duration(0)
 	if r.longestRest != nil {
-		longestRest = r.longestRest()
+		// A program may have run under an earlier configuration, which this node need not have seen.
+		// Its account is kept for as long in any case.
+		longestRest = max(r.longestRest(), ledger.AccountTTL)
 	}
 	return r.state.MayGrantUnlogged(incarnation, r.confirmed, longestRest, r.clock())
 }
--- a/internal/ledgerlog/wholebudget_test.go
+++ b/internal/ledgerlog/wholebudget_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,11 +43,19 @@
 	// reckless lets programs rest for up to longestRest, and nodes be killed whatever is not written
 	// yet. Programs may then be refused early.
 	reckless bool
+	// retention is the longest retention of turns by the configuration of all nodes.
+	retention atomic.Int64
 }
 
 // longestRest is how long a program may rest between two turns.
 const longestRest = time.Minute
 
+func newBudgetRun(t *testing.T) *budgetRun {
+	made := &budgetRun{t: t, log: store.New()}
+	made.retention.Store(int64(longestRest))
+	return made
+}
+
 type budgetProgram struct {
 	id                ledger.ProgramID
 	budget, maxTokens uint32
@@ -87,7 +96,7 @@
 	name := fmt.Sprint("n", len(r.started))
 	node := &budgetNode{Ledger: newLedger(path, name), name: ledger.IncarnationID(name), path: path}
 	node.SetMembers(budgetMembers{run: r, began: time.Now()})
-	node.SetLongestRest(func() time.Duration { return longestRest })
+	node.SetLongestRest(func() time.Duration { return time.Duration(r.retention.Load()) })
 	r.live = append([]*budgetNode{node}, r.live...)
 	r.alive.Store(node.name, true)
 	r.started = append(r.started, node)
@@ -268,7 +277,7 @@
 		draws := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 5, 60).Draw(rt, "draws")
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
-			run := &budgetRun{t: t, log: store.New()}
+			run := newBudgetRun(t)
 			failure = run.play(draws)
 			run.end()
 		})
@@ -285,7 +294,8 @@
 		draws := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 5, 60).Draw(rt, "draws")
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
-			run := &budgetRun{t: t, log: store.New(), reckless: true}
+			run := newBudgetRun(t)
+			run.reckless = true
 			failure = run.play(draws)
 			run.end()
 		})
@@ -295,45 +305,82 @@
 	})
 }
 
+// allowanceCase is a program whose first turn runs while the store is away, and which rests after the
+// loss of its node.
+type allowanceCase struct {
+	rest time.Duration
+	// losses is how often all nodes are lost after the rest.
+	losses int
+	// retention is that of the routes until the program has rested for half of rest, and laterRetention
+	// after that.
+	retention, laterRetention time.Duration
+}
+
 // A program whose first turn ran while the store was away, and that rested for longer than a new owner
 // waited before it granted unlogged, was given a second turn beyond its budget after one more loss.
 func TestAllowancesOfOneTurnDoNotAddUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		run := &budgetRun{t: t, log: store.New(), reckless: true}
-		run.start()
-		other := &budgetProgram{id: "other", budget: 100_000, maxTokens: 10}
-		run.turn(other, 1, 0)
-		run.tick(time.Second)
-		run.log.Fail(store.Fault{Silent: true})
-		id := ledger.ProgramID("p")
-		for run.live[0].Partition(id) != run.live[0].Partition(other.id) {
-			id += "p"
-		}
-		program := &budgetProgram{id: id, budget: 800, maxTokens: 100}
-		all := func() { program.turns = 0; run.turn(program, 30, 0) } // uses the whole turn
-		all()
-		run.kill(run.live)
-		run.live = nil
-		run.start()
-		run.log.Fail(store.Fault{})
-		for range 8 { // the new owner claims the partition, and stays confirmed
-			run.turn(other, 1, 0)
-			run.tick(5 * time.Second)
-		}
-		for !program.ended && program.used < program.budget+program.maxTokens {
-			all()
+	for name, c := range map[string]allowanceCase{
+		"two losses":                        {rest: 40 * time.Second, losses: 1, retention: longestRest, laterRetention: longestRest},
+		"four losses":                       {rest: 40 * time.Second, losses: 3, retention: longestRest, laterRetention: longestRest},
+		"the retention is lowered":          {rest: 50 * time.Second, losses: 1, retention: longestRest, laterRetention: 10 * time.Second},
+		"the route goes away":               {rest: 50 * time.Second, losses: 1, retention: longestRest},
+		"the retention is raised too late":  {rest: 2 * time.Minute, losses: 1, retention: 10 * time.Second, laterRetention: 3 * time.Minute},
+		"the retention is raised, 3 losses": {rest: 2 * time.Minute, losses: 2, retention: 10 * time.Second, laterRetention: 3 * time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, c.play) })
+	}
+}
+
+func (c allowanceCase) play(t *testing.T) {
+	run := newBudgetRun(t)
+	run.reckless = true
+	run.retention.Store(int64(c.retention))
+	run.start()
+	other := &budgetProgram{id: "other", budget: 100_000, maxTokens: 10}
+	run.turn(other, 1, 0)
+	run.tick(time.Second)
+	run.log.Fail(store.Fault{Silent: true})
+	id := ledger.ProgramID("p")
+	for run.live[0].Partition(id) != run.live[0].Partition(other.id) {
+		id += "p"
+	}
+	program := &budgetProgram{id: id, budget: 800, maxTokens: 100}
+	run.useWholeTurn(program)
+	run.loseAll()
+	run.log.Fail(store.Fault{})
+	for rested := time.Duration(0); rested < c.rest; rested += 5 * time.Second { // the new owner claims the partition, and stays confirmed
+		if rested >= c.rest/2 {
+			run.retention.Store(int64(c.laterRetention))
 		}
-		run.kill(run.live)
-		run.live = nil
-		run.start()
+		run.turn(other, 1, 0)
+		run.tick(5 * time.Second)
+	}
+	for !program.ended && program.used < program.budget+program.maxTokens {
+		run.useWholeTurn(program)
+	}
+	for range c.losses {
+		run.loseAll()
 		for i := 0; i < 10 && !program.ended; i++ {
-			all()
+			run.useWholeTurn(program)
 		}
-		run.end()
-		if run.failure != "" || program.used < program.budget {
-			t.Errorf("%d of %d used: %s", program.used, program.budget, run.failure)
-		}
-	})
+	}
+	run.end()
+	if run.failure != "" || program.used < program.budget {
+		t.Errorf("%d of %d used: %s", program.used, program.budget, run.failure)
+	}
+}
+
+// useWholeTurn runs a turn that uses all of its tokens.
+func (r *budgetRun) useWholeTurn(program *budgetProgram) {
+	program.turns = 0
+	r.turn(program, 30, 0)
+}
+
+// loseAll kills all nodes and starts one.
+func (r *budgetRun) loseAll() {
+	r.kill(r.live)
+	r.live = nil
+	r.start()
 }
 
 // TestConcurrentTurnsShareReservation guards against turns of one program that wait for each
