Bound the head of a replica's response and late responses

Callers got 504 at their deadline, and nodes ended over their memory, when a replica sent bytes without an end where a head was due: net/http bounds neither a line, nor the fields, nor the whole head. A late response to an earlier request without an end held the request behind it up to its deadline.

Heads are now checked byte by byte as they come: bytes that do not begin like HTTP fail at once, a request's heads at 32 KiB or 256 lines (informational ones included), and 1 s after their first byte, once more if that has passed while the process was paused. Of the heads beyond 4 KiB, 64 are read at a time. A late response is skipped for 256 KiB and 0.5 s at most. The connection is closed, the attempt counts as broken with an unknown outcome, and the request goes on where it may. Errors that quote what was received are cut.

TestResponseHeadWithoutEndFailsAtTheLimit (four of six cases), TestSlowResponseHeadFailsAfterItsTimeout and TestLateResponseWithoutEndFailsAtTheLimit failed before, at the deadline.

--- a/internal/emulator/replica/replica.go
+++ b/internal/emulator/replica/replica.go
@@ -40,6 +40,15 @@
 	_, _ = fmt.Fprintf(e.Socket, format, values...)
 }
 
+// TryWrite sends text, and reports whether the connection is still open.
+func (e *Exchange) TryWrite(text string) bool {
+	if e.Replica.silent() {
+		return false
+	}
+	_, err := io.WriteString(e.Socket, text)
+	return err == nil
+}
+
 // Answer sends a whole response with Content-Length, after the given header lines.
 func (e *Exchange) Answer(status int, body string, head ...string) {
 	lines := ""
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +24,8 @@
 	// sentTimeout bounds the wait for the end of the write of a request that has its
 	// response.
 	sentTimeout = 5 * time.Millisecond
+	// maxErrorText bounds the text of an error that quotes a response.
+	maxErrorText = 200
 	// typicalHeadSize is the initial buffer size in bytes for a request's head.
 	typicalHeadSize = 1 << 10
 )
@@ -186,11 +189,23 @@
 
 // readHead reads response heads until the one that belongs to request.
 func (c *Client) readHead(used *connection, request Request) (*http.Response, error) {
+	response, err := c.readMatchingHead(used, request)
+	if cleared := used.wire.end(); err == nil && cleared != nil {
+		return nil, readHeadError(cleared)
+	}
+	return response, err
+}
+
+func (c *Client) readMatchingHead(used *connection, request Request) (*http.Response, error) {
 	httpRequest := &http.Request{Method: request.Method}
-	for range maxSkippedResponses + 1 {
+	for skipped := range maxSkippedResponses + 1 {
+		buffered, _ := used.reader.Peek(used.reader.Buffered())
+		if err := used.wire.begin(skipped == 0, buffered); err != nil {
+			return nil, readHeadError(err)
+		}
 		response, err := http.ReadResponse(used.reader, httpRequest)
 		if err != nil {
-			return nil, readHeadError(err)
+			return nil, readHeadError(cmp.Or(used.wire.failure, err))
 		}
 		if response.StatusCode < http.StatusOK {
 			continue // an informational response
@@ -203,17 +218,39 @@
 			break
 		}
 		// A late response to an earlier request; the response to this one follows.
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := skipBody(used, response); err != nil {
 			return nil, &FailureError{Reason: ReasonForeign, Cause: err}
 		}
 	}
 	return nil, &FailureError{Reason: ReasonForeign, Cause: errMismatched}
 }
 
+// skipBody reads the body of a response that belongs to another request.
+func skipBody(used *connection, response *http.Response) error {
+	if err := used.wire.end(); err != nil {
+		return err
+	}
+	if err := used.socket.SetReadDeadline(time.Now().Add(skipTimeout)); err != nil {
+		return fmt.Errorf("exchange: set the timeout: %w", err)
+	}
+	switch _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes+1); {
+	case err == nil:
+		return errSkippedSize
+	case !errors.Is(err, io.EOF):
+		return fmt.Errorf("exchange: skip a late response: %w", err)
+	}
+	if err := used.socket.SetReadDeadline(time.Time{}); err != nil {
+		return fmt.Errorf("exchange: clear the timeout: %w", err)
+	}
+	return nil
+}
+
 func readHeadError(err error) error {
 	reason := ReasonMalformed
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetworkError(err) {
 		reason = ReasonReset
+	} else if text := err.Error(); len(text) > maxErrorText {
+		err = errors.New(text[:maxErrorText]) // it quotes what was received
 	}
 	return &FailureError{Reason: reason, Cause: err}
 }
--- /dev/null
+++ b/internal/exchange/head_test.go
@@ -0,0 +1,195 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/emulator/replica"
+)
+
+// endless writes bytes until the caller closes the connection, and stores how many it took.
+func endless(e *replica.Exchange, taken *atomic.Int64, part string) {
+	for e.TryWrite(part) {
+		taken.Add(int64(len(part)))
+	}
+}
+
+// A replica that sent bytes without an end in place of a head was read until the request's deadline,
+// and all of it was kept in memory.
+func TestResponseHeadWithoutEndFailsAtTheLimit(t *testing.T) {
+	line := strings.Repeat("a", 16<<10)
+	for name, c := range map[string]struct{ begin, part string }{
+		"no HTTP at all":      {"", strings.Repeat("\x00", 16<<10)},
+		"one line":            {"HTTP/1.1 200 OK\r\nA: ", line},
+		"the status line":     {"HTTP/1.1 200 ", line},
+		"many fields":         {"HTTP/1.1 200 OK\r\n", strings.Repeat("a: b\r\n", 1<<10)},
+		"empty fields":        {"HTTP/1.1 200 OK\r\n", strings.Repeat(":\n", 1<<10)},
+		"informational heads": {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", 1<<8)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var taken atomic.Int64
+			to, client := start(t, func(e *replica.Exchange) bool {
+				e.Write("%s", c.begin)
+				endless(e, &taken, c.part)
+				return false
+			})
+			began := time.Now()
+			_, _, err := send(t, client, to, newRequest("1"))
+			failure := failureOf(t, err)
+			is.True(failure.Reason == ReasonMalformed || failure.Reason == ReasonForeign)
+			is.Equal(failure.Outcome, OutcomeUnknown)
+			is.True(time.Since(began) < headTimeout)
+			is.Equal(client.pool.largeHeads.Load(), int64(0))
+		})
+	}
+}
+
+// A replica that sent its head byte by byte held a request up until its deadline.
+func TestSlowResponseHeadFailsAfterItsTimeout(t *testing.T) {
+	is := is.New(t)
+	to, client := start(t, func(e *replica.Exchange) bool {
+		e.Write("HTTP/1.1 200 OK\r\n")
+		for e.TryWrite("a") {
+			time.Sleep(50 * time.Millisecond)
+		}
+		return false
+	})
+	began := time.Now()
+	_, _, err := send(t, client, to, newRequest("1"))
+	is.Equal(failureOf(t, err).Reason, ReasonMalformed)
+	is.True(time.Since(began) < 3*headTimeout)
+}
+
+// A pause between an informational response and the final one, or before the first byte, is no fault.
+func TestReplicaMayPauseBeforeItsHead(t *testing.T) {
+	is := is.New(t)
+	to, client := start(t, func(e *replica.Exchange) bool {
+		time.Sleep(headTimeout + 100*time.Millisecond)
+		e.Write("HTTP/1.1 103 Early Hints\r\n\r\n")
+		time.Sleep(2*headTimeout + 100*time.Millisecond)
+		respond(e, "hello")
+		return true
+	})
+	_, body, err := send(t, client, to, newRequest("1"))
+	is.NoErr(err)
+	is.Equal(body, "hello")
+}
+
+// The body of a late response that had no end held the request behind it up until its deadline.
+func TestLateResponseWithoutEndFailsAtTheLimit(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"fast": 0, "slow": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			to, client := start(t, func(e *replica.Exchange) bool {
+				if e.Request.Header.Get("Test-Id") == "1" {
+					respond(e, "hello")
+					return true
+				}
+				e.Write("HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for e.TryWrite("8\r\nabcdefgh\r\n") {
+					time.Sleep(pause)
+				}
+				return false
+			})
+			_, _, err := send(t, client, to, newRequest("1"))
+			is.NoErr(err)
+			began := time.Now()
+			_, _, err = send(t, client, to, newRequest("2"))
+			is.Equal(failureOf(t, err).Reason, ReasonForeign)
+			is.True(time.Since(began) < 2*skipTimeout)
+		})
+	}
+}
+
+// Large heads are bounded over all connections, and small ones are not refused for them.
+func TestLargeHeadsAreBoundedTogether(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	large := strings.Repeat("a", 2*readBuffer)
+	to, client := start(t, func(e *replica.Exchange) bool {
+		switch e.Request.Header.Get("Test-Id") {
+		case "small":
+			respond(e, "hello")
+		case "large":
+			e.Answer(http.StatusOK, "", "Test-Id: large", "A: "+large)
+		default:
+			e.TryWrite("HTTP/1.1 200 OK\r\nA: " + large)
+			<-release
+		}
+		return true
+	})
+	_, _, err := send(t, client, to, newRequest("large"))
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range maxLargeHeads {
+		go func() { _, _ = client.Send(ctx, Target{Instance: "i", Address: to.Address}, newRequest("held")) }()
+	}
+	for client.pool.largeHeads.Load() < maxLargeHeads {
+		time.Sleep(time.Millisecond)
+	}
+	_, _, err = send(t, client, to, newRequest("large"))
+	is.True(errors.Is(err, errTooManyHeads))
+	_, _, err = send(t, client, to, newRequest("small"))
+	is.NoErr(err)
+}
+
+// repeating is a connection that repeats some bytes without end.
+type repeating struct {
+	net.Conn
+	text     []byte
+	position int
+	taken    int
+}
+
+func (r *repeating) Read(into []byte) (int, error) {
+	for i := range into {
+		into[i] = r.text[r.position%len(r.text)]
+		r.position++
+	}
+	r.taken += len(into)
+	return len(into), nil
+}
+
+func (r *repeating) SetReadDeadline(time.Time) error { return nil }
+
+func FuzzEndlessResponse(f *testing.F) {
+	for _, seed := range []string{"\x00", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\na:\n", "HTTP/1.1 200 OK\r\n\n", "H", "HTTP/1.1 200 OK\r\nTest-Id: 2\r\nContent-Length: 9\r\n\r\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if len(text) == 0 {
+			return
+		}
+		var large atomic.Int64
+		socket := &repeating{text: text}
+		wire := &headReader{socket: socket, large: &large}
+		used := &connection{socket: socket, wire: wire, reader: bufio.NewReaderSize(wire, readBuffer), served: 1}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := (&Client{names: names, pool: newPool()}).readHead(used, Request{ID: "1", Method: http.MethodGet})
+		runtime.ReadMemStats(&after)
+		const maxAllocated = 1 << 20
+		if allocated := after.TotalAlloc - before.TotalAlloc; allocated > maxAllocated {
+			t.Fatalf("%d bytes allocated, %v", allocated, err)
+		}
+		if limit := (maxSkippedResponses + 1) * (maxHeadBytes + maxSkippedBytes + 2*readBuffer); socket.taken > limit {
+			t.Fatalf("%d bytes read, %v", socket.taken, err)
+		}
+		if large.Load() != 0 {
+			t.Fatal("a large head is still counted")
+		}
+	})
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,7 +34,9 @@
 // connection is one connection to a replica. It carries at most one request at a time.
 type connection struct {
 	socket net.Conn
+	// reader reads from wire.
 	reader *bufio.Reader
+	wire   *headReader
 	target Target
 	// served counts the completed requests.
 	served int
@@ -49,6 +52,9 @@
 
 // pool keeps idle connections by replica. It is safe for concurrent use.
 type pool struct {
+	// largeHeads counts the heads beyond readBuffer that are being read.
+	largeHeads atomic.Int64
+
 	// mutex guards the rest.
 	mutex sync.Mutex
 	idle  map[Target][]*connection
@@ -147,7 +153,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, readBuffer), target: target}, nil
+	wire := &headReader{socket: socket, large: &p.largeHeads}
+	return &connection{socket: socket, reader: bufio.NewReaderSize(wire, readBuffer), wire: wire, target: target}, nil
 }
 
 // put keeps a connection whose last response was read completely, for at most ttl.
