Count request bodies in chunks, and histories, against the buffer limit

A body of unknown length now counts as it grows, with the copy while it grows, and the request is rejected with 503 before more is read. The history that a turn is given counts too, and a request is no longer copied to be sent.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -140,11 +141,11 @@
 func (c *Client) exchange(ctx context.Context, used *connection, request Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, used.close)
 	sent := make(chan struct{})
-	message := c.encode(request, used.target.Instance)
+	message := net.Buffers{c.encodeHead(request, used.target.Instance), request.Body}
 	// The response is read concurrently with the write, since a replica may respond
 	// before it has read a long body.
 	go func() {
-		if _, err := used.socket.Write(message); err == nil {
+		if _, err := message.WriteTo(used.socket); err == nil {
 			close(sent)
 		}
 	}()
@@ -171,10 +172,10 @@
 	return err
 }
 
-// encode returns the request in its HTTP/1.1 wire format.
-func (c *Client) encode(request Request, instance string) []byte {
+// encodeHead returns the request's head in its HTTP/1.1 wire format.
+func (c *Client) encodeHead(request Request, instance string) []byte {
 	var message bytes.Buffer
-	message.Grow(typicalHeadSize + len(request.Body))
+	message.Grow(typicalHeadSize)
 	fmt.Fprintf(&message, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.URI, request.Host)
 	// Writing to a buffer does not fail.
 	_ = request.Header.Write(&message)
@@ -183,7 +184,6 @@
 		fmt.Fprintf(&message, "Content-Length: %d\r\n", len(request.Body))
 	}
 	message.WriteString("\r\n")
-	message.Write(request.Body)
 	return message.Bytes()
 }
 
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -41,6 +41,8 @@
 	// inputBytes is the length of the client's own input at the end of body, without a turn's
 	// history.
 	inputBytes int
+	// held counts the bytes of body.
+	held *heldBytes
 	// contentKey identifies the request over all its attempts; nil until content computes it.
 	contentKey *quarantine.Key
 	route      *routing.Route
@@ -291,19 +293,23 @@
 }
 
 // readBodyUntil is like readBody with a read deadline.
-func readBodyUntil(writer http.ResponseWriter, request *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+func readBodyUntil(writer http.ResponseWriter, request *http.Request, limit int64, held *heldBytes, deadline time.Time) ([]byte, error) {
 	controller := http.NewResponseController(writer)
 	// The error means that the connection does not support deadlines.
 	_ = controller.SetReadDeadline(deadline)
-	body, err := readBody(request, limit)
+	body, err := readBody(request, limit, held)
 	if err == nil {
 		_ = controller.SetReadDeadline(time.Time{})
 	}
 	return body, err
 }
 
-// readBody reads the complete body, so that the request can be retried.
-func readBody(request *http.Request, limit int64) ([]byte, error) {
+// minBodyBuffer is the initial size in bytes of the buffer for a body of unknown length.
+const minBodyBuffer = 4 << 10
+
+// readBody reads the complete body, so that the request can be retried. Its bytes are held whatever
+// its framing.
+func readBody(request *http.Request, limit int64, held *heldBytes) ([]byte, error) {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
@@ -313,24 +319,48 @@
 	if request.ContentLength == 0 {
 		return nil, nil
 	}
-	if request.ContentLength > 0 {
-		body := make([]byte, request.ContentLength)
-		if _, err := io.ReadFull(request.Body, body); err != nil {
-			return nil, fmt.Errorf("router: read request body: %w", err)
-		}
-		// The server detects a disconnect of the client only after EOF has been read.
-		_, err := request.Body.Read(make([]byte, 1))
-		if err != nil && !errors.Is(err, io.EOF) {
-			return nil, fmt.Errorf("router: read request body: %w", err)
-		}
-		return body, nil
+	if request.ContentLength < 0 {
+		return readBodyOfUnknownLength(request.Body, limit, held)
 	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
-	if err != nil {
+	if err := held.grow(request.ContentLength); err != nil {
+		return nil, err
+	}
+	body := make([]byte, request.ContentLength)
+	if _, err := io.ReadFull(request.Body, body); err != nil {
 		return nil, fmt.Errorf("router: read request body: %w", err)
 	}
-	if int64(len(body)) > limit {
-		return nil, errBodyTooLarge
+	// The server detects a disconnect of the client only after EOF has been read.
+	_, err := request.Body.Read(make([]byte, 1))
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("router: read request body: %w", err)
 	}
 	return body, nil
 }
+
+func readBodyOfUnknownLength(reader io.Reader, limit int64, held *heldBytes) ([]byte, error) {
+	if err := held.grow(minBodyBuffer); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, minBodyBuffer)
+	for {
+		if len(body) == cap(body) {
+			// Both buffers exist while the bytes are copied.
+			larger := min(2*int64(cap(body)), limit+1)
+			if err := held.grow(larger + int64(cap(body))); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, larger), body...)
+			held.shrink(larger)
+		}
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, errBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, fmt.Errorf("router: read request body: %w", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/held_test.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Bodies in chunks did not count against the limit on buffered bodies.
+func TestBodyInChunksIsRejectedIfBuffersAreFull(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, healthy)
+	inChunks := func() int {
+		body := struct{ io.Reader }{strings.NewReader(strings.Repeat("x", 1000))}
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, h.server.URL+"/safe/x", body)
+		is.NoErr(err)
+		request.Host = "h.example"
+		request.Header.Set("Test-Id", "1")
+		response, err := http.DefaultTransport.RoundTrip(request)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		return response.StatusCode
+	}
+	h.router.requestBytes.Add(1<<20 - 100)
+	is.Equal(inChunks(), http.StatusServiceUnavailable)
+	h.router.requestBytes.Add(100 - 1<<20)
+	is.Equal(inChunks(), http.StatusOK)
+	is.Equal(h.router.requestBytes.Load(), int64(0))
+}
+
+func TestBodyOfUnknownLengthIsReadWhole(t *testing.T) {
+	is := is.New(t)
+	for size := range 3 * minBodyBuffer {
+		if size%997 != 0 && size%minBodyBuffer > 1 {
+			continue
+		}
+		var used atomic.Int64
+		held := &heldBytes{used: &used, limit: 1 << 20}
+		text := strings.Repeat("x", size)
+		body, err := readBodyOfUnknownLength(strings.NewReader(text), 2*minBodyBuffer, held)
+		is.Equal(err != nil, size > 2*minBodyBuffer)
+		is.True(err != nil || string(body) == text)
+		is.True(used.Load() >= int64(len(body)))
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -190,24 +190,13 @@
 	r.metrics.inFlight.Inc()
 	defer r.metrics.inFlight.Dec()
 	defer setWriteDeadline(reply.writer, call.deadline)()
-	size := max(request.ContentLength, 0)
-	defer r.requestBytes.Add(-size)
-	if r.requestBytes.Add(size) > r.config.BufferBytes {
-		reply.reject(http.StatusServiceUnavailable, rejection{reason: "buffers_full", retryAfter: shortRetryAfter})
-		r.logCompleted(call, reply)
+	call.held = r.newHeldRequest()
+	defer call.held.shrink(0)
+	body, err := readBodyUntil(reply.writer, request, limits.BodyBytes, call.held, call.deadline)
+	if err != nil {
+		r.rejectUnreadBody(reply, call, err)
 		return
 	}
-	body, err := readBodyUntil(reply.writer, request, limits.BodyBytes, call.deadline)
-	switch {
-	case errors.Is(err, errBodyTooLarge):
-		reply.reject(http.StatusRequestEntityTooLarge, rejection{reason: "body_too_large"})
-		r.logCompleted(call, reply)
-		return
-	case err != nil:
-		reply.setReason("body_not_read", err)
-		r.logCompleted(call, reply)
-		panic(http.ErrAbortHandler)
-	}
 	call.body, call.inputBytes = body, len(body)
 	ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
 	defer cancel()
@@ -227,3 +216,18 @@
 	}
 	r.servePlain(ctx, reply, call)
 }
+
+// rejectUnreadBody ends a request whose body was not read. The server closes the connection unless the
+// rest is small.
+func (r *Router) rejectUnreadBody(reply *reply, call *call, err error) {
+	defer r.logCompleted(call, reply)
+	switch {
+	case errors.Is(err, errBuffersFull):
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonBuffersFull, retryAfter: shortRetryAfter})
+	case errors.Is(err, errBodyTooLarge):
+		reply.reject(http.StatusRequestEntityTooLarge, rejection{reason: "body_too_large"})
+	default:
+		reply.setReason("body_not_read", err)
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/router/turn.go
+++ b/internal/router/turn.go
@@ -66,6 +66,9 @@
 	for _, text := range texts {
 		size += len(text)
 	}
+	if err := call.held.grow(int64(size)); err != nil {
+		return err
+	}
 	whole := make([]byte, 0, size)
 	for _, text := range texts {
 		whole = append(whole, text...)
@@ -91,6 +94,8 @@
 		reply.reject(http.StatusNotFound, rejection{reason: "no_such_turn", cause: err})
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		reply.abort("client_left", err)
+	case errors.Is(err, errBuffersFull):
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonBuffersFull, retryAfter: shortRetryAfter, cause: err})
 	case errors.Is(err, ledgerlog.ErrStoreUnavailable):
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: "store_away", retryAfter: r.storeRetryAfter(longRetryAfter), cause: err})
 	default:
