Bound streams and bodies that a replica does not end

Callers got nothing but junk until they left, or were held to their deadline, when a replica sent events without an ID, an event or a body without an end; nodes kept all of it. An event was bounded, a stream was not, and events without an ID counted no token, no limit and no first event, so that nothing took the replica out.

Events without an ID are now held until a numbered one comes, 64 KiB and 256 of them at most; a response is bounded, as are a kept output, events that the client has, and the tokens of a budgeted turn. Incomplete events and kept outputs count against the node's limit on buffered responses. At a bound the connection is closed, the attempt counts as broken and the request goes on elsewhere where it may. A head may take 0.5 s and as long once more.

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -18,7 +18,7 @@
 	maxLargeHeads = 64
 	// headTimeout bounds the time from the first byte of a head to its end, and is extended once: the
 	// rest may have arrived while this process was paused.
-	headTimeout = time.Second
+	headTimeout = 500 * time.Millisecond
 	// maxSkippedBytes and skipTimeout bound the body of a late response to an earlier request.
 	maxSkippedBytes = 256 << 10
 	skipTimeout     = 500 * time.Millisecond
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -54,6 +54,8 @@
 	call     *call
 	// stopTimer stops the response timer.
 	stopTimer func()
+	// numbered is set once a numbered event was received.
+	numbered bool
 }
 
 // finish releases the connection and records whether the replica is at fault.
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -9,12 +9,23 @@
 	"strconv"
 )
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of one event.
+	maxEventBytes = 1 << 20
+	// maxUnnumberedBytes and maxUnnumberedEvents bound what comes without a numbered event. It is not sent
+	// before that.
+	maxUnnumberedBytes  = 64 << 10
+	maxUnnumberedEvents = 256
+	// freeEventBytes are held for each stream without counting.
+	freeEventBytes = 8 << 10
+)
 
 var (
 	errEventTooLarge  = errors.New("router: event exceeds the maximum size")
 	errEventTruncated = errors.New("router: stream ended within an event")
+	errUnnumbered     = errors.New("router: too many bytes without a numbered event")
+	errOutputTooLarge = errors.New("router: the stream exceeds the maximum size")
+	errTurnTooLong    = errors.New("router: the stream exceeds the maximum of the turn")
 )
 
 // event is one event of a text/event-stream.
@@ -43,28 +54,25 @@
 	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
 }
 
-// readEvent reads the next complete event. It returns io.EOF if the stream ends after a
-// complete event.
-func readEvent(reader *bufio.Reader) (event, error) {
+// eventReader reads the events of one stream.
+type eventReader struct {
+	reader *bufio.Reader
+	// grow is called with the size of an event before more of it is kept; nil means no limit beyond
+	// maxEventBytes.
+	grow func(size int) error
+}
+
+// next reads the next complete event. It returns io.EOF if the stream ends after a complete event.
+func (r *eventReader) next() (event, error) {
 	var parsed event
 	for {
-		line, err := reader.ReadSlice('\n')
-		parsed.raw = append(parsed.raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			rest, more := readLongLine(reader, maxEventBytes-len(parsed.raw))
-			parsed.raw = append(parsed.raw, rest...)
-			line, err = append(bytes.Clone(line), rest...), more
-		}
-		if errors.Is(err, io.EOF) && len(parsed.raw) > 0 {
+		start := len(parsed.raw)
+		if err := r.readLine(&parsed); errors.Is(err, io.EOF) && len(parsed.raw) > 0 {
 			return event{}, fmt.Errorf("%w: %w", errEventTruncated, io.ErrUnexpectedEOF)
-		}
-		if err != nil {
+		} else if err != nil {
 			return event{}, err
 		}
-		if len(parsed.raw) > maxEventBytes {
-			return event{}, errEventTooLarge
-		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(parsed.raw[start:], "\r\n")
 		if len(line) == 0 {
 			return parsed, nil
 		}
@@ -72,16 +80,22 @@
 	}
 }
 
-func readLongLine(reader *bufio.Reader, limit int) ([]byte, error) {
-	var rest []byte
+// readLine appends the next line to the event.
+func (r *eventReader) readLine(parsed *event) error {
 	for {
-		part, err := reader.ReadSlice('\n')
-		rest = append(rest, part...)
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return rest, err
+		part, err := r.reader.ReadSlice('\n')
+		size := len(parsed.raw) + len(part)
+		if size > maxEventBytes {
+			return errEventTooLarge
 		}
-		if len(rest) > limit {
-			return rest, errEventTooLarge
+		if r.grow != nil && len(part) > 0 {
+			if err := r.grow(size); err != nil {
+				return err
+			}
+		}
+		parsed.raw = append(parsed.raw, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
 		}
 	}
 }
--- a/internal/router/held.go
+++ b/internal/router/held.go
@@ -44,3 +44,7 @@
 func (r *Router) newHeldRequest() *heldBytes {
 	return &heldBytes{used: &r.requestBytes, limit: r.config.BufferBytes}
 }
+
+func (r *Router) newHeldResponse() *heldBytes {
+	return &heldBytes{used: &r.responseBytes, limit: r.config.BufferBytes}
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -19,6 +19,8 @@
 // full, for example because of clients that do not read. Typical bodies still fit.
 const maxBufferedBodyWhenFull = 8 << 10
 
+var errResponseTooLarge = errors.New("router: the response exceeds the maximum size")
+
 // servePlain serves a non-streaming request.
 func (r *Router) servePlain(ctx context.Context, reply *reply, call *call) {
 	retry := &retryState{}
@@ -50,6 +52,11 @@
 	if failed && call.route.Repeatable() && retry.mayHaveRun+1 < call.route.MaxAttempts {
 		return attempt.fail()
 	}
+	if attempt.response.Length > maxResponseBytes {
+		attempt.recordOutcome(outlier.BrokenResponse)
+		attempt.finish(true)
+		return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: attempt.response.Status, Cause: errResponseTooLarge}
+	}
 	limit, release := r.reserveResponseBuffer(attempt.response)
 	defer release()
 	body, err := io.ReadAll(io.LimitReader(attempt.response.Body, limit))
@@ -95,6 +102,9 @@
 			reply.abort("client_left", failed)
 		}
 		reply.bytes += n
+		if err == nil && reply.bytes > maxResponseBytes {
+			err = errResponseTooLarge
+		}
 		if errors.Is(err, io.EOF) {
 			if attempt.response.Status < http.StatusInternalServerError {
 				attempt.recordOutcome(outlier.Success)
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -29,6 +29,8 @@
 	// output collects the data of the events if the turn is persisted, with those that the client
 	// received before it resumed the stream.
 	output []byte
+	// held counts the bytes held for the stream.
+	held *heldBytes
 	// transcript records the events at other nodes; nil until the first one and if they are not
 	// recorded.
 	transcript *transcript.Writer
@@ -45,7 +47,8 @@
 	if !r.resolveOrigin(ctx, reply, call) {
 		return
 	}
-	stream := &stream{reply: reply, call: call, lastEvent: call.lastEvent}
+	stream := &stream{reply: reply, call: call, lastEvent: call.lastEvent, held: r.newHeldResponse()}
+	defer stream.held.shrink(0)
 	if !r.claimTranscript(ctx, stream) {
 		return
 	}
@@ -145,33 +148,60 @@
 	stream.reply.abort(reason, cause)
 }
 
-// maxRecordedTogether bounds the events that are recorded at other nodes together.
-const maxRecordedTogether = 32
+const (
+	// maxRecordedTogether bounds the events that are recorded at other nodes together.
+	maxRecordedTogether = 32
+	// maxResponseBytes bounds the body of a response, and maxOutputBytes the output of a persisted turn.
+	maxResponseBytes = 32 << 20
+	maxOutputBytes   = 1 << 20
+	// maxRepeatedBytes bounds the events that a replica sends though the client has them.
+	maxRepeatedBytes = 1 << 20
+	// maxGaps bounds the pauses between events that are measured for one stream.
+	maxGaps = 4096
+)
+
+// pendingEvents are events of a replica that have not been sent to the client. They are sent once
+// there is a numbered one among them, and at the end of the stream.
+type pendingEvents struct {
+	events []event
+	// bytes is their size, output that of their contribution to the output.
+	bytes, output int
+	// numbered is set if one of them has an ID, and last is that of the last such event.
+	numbered bool
+	last     int64
+	// repeated is the size of the events that were left out, since the client has them.
+	repeated int
+}
+
+func (p *pendingEvents) add(one event) {
+	p.events, p.bytes, p.output = append(p.events, one), p.bytes+len(one.raw), p.output+len(one.data)+1
+	if one.hasID {
+		p.numbered, p.last = true, one.id
+	}
+}
+
+func (p *pendingEvents) clear() { *p = pendingEvents{events: p.events[:0], repeated: p.repeated} }
 
 // forwardEvents forwards the events of one replica as they arrive. Events that the client
 // already has are skipped.
 func (r *Router) forwardEvents(ctx context.Context, stream *stream, attempt *attempt) *exchange.FailureError {
-	// pending are events that were received together and are recorded together.
-	var pending []event
+	var pending pendingEvents
 	var gaps []time.Duration
 	var last time.Time
 	defer func() { r.config.Tracker.StreamEnded(attempt.inFlight, gaps, r.Now()) }()
+	defer stream.holdOutputOnly()
+	reader := &eventReader{reader: attempt.response.Body, grow: func(size int) error { return stream.hold(pending.bytes + size) }}
 	for {
-		event, err := readEvent(attempt.response.Body)
+		event, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) {
-			if !stream.headerSent {
-				stream.sendHeader(attempt.response)
-			}
-			attempt.recordOutcome(outlier.Success)
-			attempt.finishStream(false, stream.cachedSegments())
+			r.endEvents(ctx, stream, attempt, pending.events)
 			return nil
 		}
+		if err == nil {
+			err = stream.checkBounds(event, &pending)
+		}
 		if err != nil {
-			if ctx.Err() == nil {
-				attempt.recordOutcome(outlier.BrokenResponse)
-			}
-			attempt.finish(ctx.Err() == nil)
-			return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: attempt.response.Status, Cause: err}
+			return r.failEvents(ctx, stream, attempt, err)
 		}
 		now := time.Now()
 		if last.IsZero() {
@@ -179,35 +209,98 @@
 				attempt.finish(false)
 				return failure
 			}
-			attempt.stopTimer()
-			r.config.Tracker.FirstEvent(attempt.inFlight, r.Now())
 			r.reportLoad(stream.call, attempt.replica, nil)
-		} else {
+		} else if len(gaps) < maxGaps {
 			gaps = append(gaps, now.Sub(last))
 		}
 		last = now
 		stream.call.heardAt = now
 		r.heard(&attempt.replica)
-		if !stream.has(event, pending) {
-			pending = append(pending, event)
+		if event.hasID && !attempt.numbered {
+			attempt.numbered = true
+			attempt.stopTimer()
+			r.config.Tracker.FirstEvent(attempt.inFlight, r.Now())
+		}
+		if !event.hasID || stream.isNew(event, &pending) {
+			pending.add(event)
+		} else {
+			pending.repeated += len(event.raw)
 		}
-		if stream.transcript != nil && len(pending) < maxRecordedTogether && holdsWholeEvent(attempt.response.Body) {
+		if !pending.numbered || stream.transcript != nil && len(pending.events) < maxRecordedTogether && holdsWholeEvent(attempt.response.Body) {
 			continue
 		}
-		r.sendEvents(ctx, stream, attempt, pending)
-		pending = pending[:0]
+		r.sendEvents(ctx, stream, attempt, pending.events)
+		pending.clear()
+		stream.holdOutputOnly()
 	}
 }
 
-// has reports whether an event was sent to the client before, or is among pending ones.
-func (s *stream) has(event event, pending []event) bool {
+// endEvents sends the last events of a whole stream and finishes the attempt.
+func (r *Router) endEvents(ctx context.Context, stream *stream, attempt *attempt, last []event) {
+	r.sendEvents(ctx, stream, attempt, last)
+	if !stream.headerSent {
+		stream.sendHeader(attempt.response)
+	}
+	attempt.recordOutcome(outlier.Success)
+	attempt.finishStream(false, stream.cachedSegments())
+}
+
+// failEvents finishes an attempt whose stream broke off or exceeds a limit. A turn that has all of its
+// tokens is not continued.
+func (r *Router) failEvents(ctx context.Context, stream *stream, attempt *attempt, err error) *exchange.FailureError {
+	atFault := ctx.Err() == nil && !errors.Is(err, errBuffersFull)
+	if atFault {
+		attempt.recordOutcome(outlier.BrokenResponse)
+	}
+	attempt.finish(atFault)
+	if errors.Is(err, errTurnTooLong) {
+		_ = http.NewResponseController(stream.reply.writer).Flush()
+		stream.reply.abort("turn_too_long", err)
+	}
+	return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: attempt.response.Status, Cause: err}
+}
+
+// checkBounds returns an error if an event makes the stream exceed a limit.
+func (s *stream) checkBounds(next event, pending *pendingEvents) error {
+	call, size := s.call, pending.bytes+len(next.raw)
+	switch {
+	case !next.hasID && !pending.numbered && (size > maxUnnumberedBytes || len(pending.events) == maxUnnumberedEvents):
+		return errUnnumbered
+	case s.reply.bytes+size > maxResponseBytes, pending.repeated > maxRepeatedBytes, call.route.Retain && len(s.output)+pending.output+len(next.data) > maxOutputBytes:
+		return errOutputTooLarge
+	case call.turn.budgeted && call.maxTokens > 0 && s.isNew(next, pending) && s.tokensWith(pending) >= call.maxTokens:
+		return errTurnTooLong
+	}
+	return nil
+}
+
+// hold counts the bytes that the stream holds for events that are not sent, whose data exists twice, and
+// for its output.
+func (s *stream) hold(events int) error {
+	return s.held.grow(int64(max(2*events+len(s.output)-freeEventBytes, 0)))
+}
+
+// holdOutputOnly counts no more than the output, once all events are sent.
+func (s *stream) holdOutputOnly() { s.held.shrink(int64(max(len(s.output)-freeEventBytes, 0))) }
+
+// isNew reports whether a numbered event was neither sent to the client before nor is pending.
+func (s *stream) isNew(next event, pending *pendingEvents) bool {
 	last := s.lastEvent
-	for _, one := range pending {
+	if pending.numbered {
+		last = pending.last
+	}
+	return next.hasID && next.id > last
+}
+
+// tokensWith returns the tokens of the stream once pending events are sent.
+func (s *stream) tokensWith(pending *pendingEvents) uint32 {
+	tokens := s.tokensBefore + s.tokens
+	for _, one := range pending.events {
 		if one.hasID {
-			last = one.id
+			tokens += s.call.tokensPerEvent()
 		}
 	}
-	return event.hasID && event.id <= last
+	return tokens
 }
 
 // sendEvents records events and sends them to the client.
--- a/internal/router/stream_test.go
+++ b/internal/router/stream_test.go
@@ -61,7 +61,7 @@
 	response, err := http.DefaultTransport.RoundTrip(request)
 	is.NoErr(err)
 	defer func() { _ = response.Body.Close() }()
-	first, err := readEvent(bufio.NewReader(io.LimitReader(response.Body, int64(len(numbered(1, 1))))))
+	first, err := (&eventReader{reader: bufio.NewReader(io.LimitReader(response.Body, int64(len(numbered(1, 1)))))}).next()
 	is.NoErr(err)
 	is.Equal(first.id, int64(1))
 	close(next)
@@ -204,12 +204,12 @@
 		size := rapid.IntRange(16, 64).Draw(t, "buffer")
 		reader := bufio.NewReaderSize(strings.NewReader(text+text), size)
 		for range 2 {
-			read, err := readEvent(reader)
+			read, err := (&eventReader{reader: reader}).next()
 			if err != nil || string(read.raw) != text {
 				t.Fatalf("read %q as %q, %v", text, read.raw, err)
 			}
 		}
-		if _, err := readEvent(reader); !errors.Is(err, io.EOF) {
+		if _, err := (&eventReader{reader: reader}).next(); !errors.Is(err, io.EOF) {
 			t.Fatalf("want io.EOF, got %v", err)
 		}
 	})
--- a/internal/router/transcript.go
+++ b/internal/router/transcript.go
@@ -44,6 +44,10 @@
 			stream.tokensBefore += call.tokensPerEvent()
 		}
 	}
+	if err := stream.hold(0); err != nil {
+		stream.reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonBuffersFull, retryAfter: shortRetryAfter, cause: err})
+		return false
+	}
 	return true
 }
 
--- a/internal/router/transcript_test.go
+++ b/internal/router/transcript_test.go
@@ -115,7 +115,7 @@
 		if id == 3 {
 			close(arrived)
 		}
-		event, err := readEvent(reader)
+		event, err := (&eventReader{reader: reader}).next()
 		is.NoErr(err)
 		is.Equal(event.id, id+1)
 	}
