Count replicas that lose power after they were heard once more

Trace: node n3 got a failure response of m-30, heard it within 60 ms, and m-30 lost power then. A silent replica ends no connection, and one that had been heard, or connected to, after its attempt was not connected to again, so that this end was not counted; nor was any silent end between 60 and 500 ms after an attempt.

The replica is connected to again 120 ms after the attempt if it was only heard before 60 ms, and 560 ms after it if not since 500 ms.

--- a/internal/quarantine/linger.go
+++ b/internal/quarantine/linger.go
@@ -14,8 +14,10 @@
 const (
 	// lingerTime is how long after an attempt is over its replica's end still counts for it.
 	lingerTime = 500 * time.Millisecond
-	// probeDelay is how long after an attempt is over a replica that has not been heard since is connected
-	// to once more, for probeTimeout at most: a replica without power does not end connections.
+	// A replica without power does not end connections, so one that is not heard is connected to again, for
+	// probeTimeout at most: probeDelay after an attempt is over if it was not heard since, twice as long
+	// after it if it was only heard before probeDelay, and probeDelay after lingerTime if it was not heard
+	// since then.
 	probeDelay   = 60 * time.Millisecond
 	probeTimeout = 150 * time.Millisecond
 	// maxLingering bounds the replicas that are watched after their attempts, maxLingeringAttempts the
@@ -42,15 +44,32 @@
 	send       Send
 	registered Attempt
 	over       time.Duration
-	// seen is set once the replica was heard, or accepted a connection, after the attempt was over.
-	seen bool
+	// seen is when the replica was last heard, or accepted a connection, after the attempt was over; 0 if
+	// it was not.
+	seen time.Duration
+}
+
+// needsProbe reports whether the replica may have ended under the attempt without a sign.
+func (a *overAttempt) needsProbe(now time.Duration) bool {
+	switch passed := now - a.over; {
+	case passed >= lingerTime+probeDelay:
+		return a.seen < a.over+lingerTime
+	case passed >= 2*probeDelay:
+		return a.seen < a.over+probeDelay
+	default:
+		return passed >= probeDelay && a.seen == 0
+	}
+}
+
+// settled reports whether an end of the replica does not count for the attempt any more.
+func (a *overAttempt) settled(now time.Duration) bool {
+	return now >= a.over+lingerTime && a.seen >= a.over+lingerTime
 }
 
 // Over is called when an attempt is over without a whole answer to its client and without a doubt about
 // its replica: the replica responded with a failure, or the client gave up. If the replica ends within
 // lingerTime, that counts as an end under the attempt. One connection is held open to each such replica
-// meanwhile, whatever the number of attempts, and another one made after each probeDelay in which it was
-// not heard. It does not block.
+// meanwhile, whatever the number of attempts, and others made while it is not heard. It does not block.
 func (s *Service) Over(request *Request, send Send, registered Attempt, address netip.AddrPort) {
 	one := overAttempt{request: request, send: send, registered: registered, over: s.config.Now()}
 	s.lingering.mutex.Lock()
@@ -69,7 +88,7 @@
 	}
 }
 
-// linger holds a connection open to a replica until lingerTime has passed after the last attempt. If it
+// linger holds a connection open to a replica until it was heard lingerTime after the last attempt. If it
 // ends before, so may have the replica.
 func (s *Service) linger(replica Replica, address netip.AddrPort) {
 	cause := s.awaitEnd(replica, address)
@@ -82,7 +101,9 @@
 		found = s.verify(context.Background(), address, cause)
 	}
 	for _, one := range s.takeLingering(replica) {
-		if found == findingAlive || at > one.over+lingerTime {
+		// A silent replica may have ended at any time since it was last heard.
+		late := at > one.over+lingerTime && !isTimeout(cause)
+		if found == findingAlive || late || one.seen >= one.over+lingerTime {
 			s.End(one.registered)
 			continue
 		}
@@ -136,9 +157,9 @@
 	}
 	s.lingering.mutex.Lock()
 	defer s.lingering.mutex.Unlock()
-	attempts := s.lingering.replicas[replica]
+	attempts, now := s.lingering.replicas[replica], s.config.Now()
 	for i := range attempts {
-		attempts[i].seen = true
+		attempts[i].seen = now
 	}
 }
 
@@ -159,12 +180,12 @@
 	s.lingering.mutex.Lock()
 	var dropped, kept []overAttempt
 	for _, one := range s.lingering.replicas[replica] {
-		if until := one.over + lingerTime - now; until > 0 {
-			kept, left = append(kept, one), max(left, until)
-			probe = probe || !one.seen && now >= one.over+probeDelay
-		} else {
+		if one.settled(now) {
 			dropped = append(dropped, one)
+			continue
 		}
+		kept, left = append(kept, one), max(left, one.over+lingerTime+probeDelay-now, 1)
+		probe = probe || one.needsProbe(now)
 	}
 	s.lingering.replicas[replica] = kept
 	if len(kept) == 0 {
--- a/internal/quarantine/linger_test.go
+++ b/internal/quarantine/linger_test.go
@@ -97,21 +97,36 @@
 	})
 }
 
-// A replica that lost power right after its failure response ended no connection, and its end was not
-// counted.
+// A replica that lost power after its failure response ended no connection, and its end was not counted:
+// at all, or if the replica had been heard or connected to in between.
 func TestReplicaThatLosesPowerAfterItsAttemptCounts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(9)
-		defer c.close()
-		request := requestOf("p", true)
-		sent := 0
-		for i := range 20 {
-			if c.node(i%9).service.Check(request) == nil && c.node(i%9).over(request, c.replica(i), 20*time.Millisecond, 5*time.Millisecond, true) {
-				sent++
-			}
-			time.Sleep(probeDelay + probeTimeout + 10*time.Millisecond)
-		}
-		is.Equal(sent, MaxEnded)
-	})
+	for name, c := range map[string]struct {
+		endsAfter, heardAfter, noticed time.Duration
+	}{
+		"at once":                       {endsAfter: 5 * time.Millisecond, noticed: probeDelay + probeTimeout},
+		"after it was heard":            {endsAfter: 50 * time.Millisecond, heardAfter: 10 * time.Millisecond, noticed: 2*probeDelay + probeTimeout},
+		"after it was connected to":     {endsAfter: 2 * probeDelay, noticed: lingerTime + 2*probeDelay + probeTimeout},
+		"just before it counts no more": {endsAfter: lingerTime - 10*time.Millisecond, noticed: lingerTime + 2*probeDelay + probeTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cluster := newCluster(9)
+				defer cluster.close()
+				request := requestOf("p", true)
+				sent := 0
+				for i := range 20 {
+					node, replica := cluster.node(i%9), cluster.replica(i)
+					if node.service.Check(request) == nil && node.over(request, replica, 20*time.Millisecond, c.endsAfter, true) {
+						sent++
+					}
+					if c.heardAfter > 0 {
+						time.AfterFunc(c.heardAfter, func() { node.service.seenLingering(replica) })
+					}
+					time.Sleep(c.noticed + 20*time.Millisecond)
+				}
+				is.Equal(sent, MaxEnded)
+			})
+		})
+	}
 }
