--- /dev/null
+++ b/internal/router/streambounds.go
@@ -0,0 +1,78 @@
+package router
+
+const (
+	// maxRecordedTogether bounds the events that are recorded at other nodes together.
+	maxRecordedTogether = 32
+	// maxResponseBytes bounds the body of a response, and maxOutputBytes the output of a persisted turn.
+	maxResponseBytes = 32 << 20
+	maxOutputBytes   = 1 << 20
+	// maxRepeatedBytes bounds the events that a replica sends though the client has them.
+	maxRepeatedBytes = 1 << 20
+	// maxGaps bounds the pauses between events that are measured for one stream.
+	maxGaps = 4096
+)
+
+// pendingEvents are events of a replica that have not been sent to the client. They are sent once
+// there is a numbered one among them, and at the end of the stream.
+type pendingEvents struct {
+	events []event
+	// bytes is their size, output that of their contribution to the output.
+	bytes, output int
+	// numbered is set if one of them has an ID, and last is that of the last such event.
+	numbered bool
+	last     int64
+	// repeated is the size of the events that were left out, since the client has them.
+	repeated int
+}
+
+func (p *pendingEvents) add(one event) {
+	p.events, p.bytes, p.output = append(p.events, one), p.bytes+len(one.raw), p.output+len(one.data)+1
+	if one.hasID {
+		p.numbered, p.last = true, one.id
+	}
+}
+
+func (p *pendingEvents) clear() { *p = pendingEvents{events: p.events[:0], repeated: p.repeated} }
+
+// checkBounds returns an error if an event makes the stream exceed a limit.
+func (s *stream) checkBounds(next event, pending *pendingEvents) error {
+	call, size := s.call, pending.bytes+len(next.raw)
+	switch {
+	case !next.hasID && !pending.numbered && (size > maxUnnumberedBytes || len(pending.events) == maxUnnumberedEvents):
+		return errUnnumbered
+	case s.reply.bytes+size > maxResponseBytes, pending.repeated > maxRepeatedBytes, call.route.Retain && len(s.output)+pending.output+len(next.data) > maxOutputBytes:
+		return errOutputTooLarge
+	case call.turn.budgeted && call.maxTokens > 0 && s.isNew(next, pending) && s.tokensWith(pending) >= call.maxTokens:
+		return errTurnTooLong
+	}
+	return nil
+}
+
+// hold counts the bytes that the stream holds for events that are not sent, whose data exists twice, and
+// for its output.
+func (s *stream) hold(events int) error {
+	return s.held.grow(int64(max(2*events+len(s.output)-freeEventBytes, 0)))
+}
+
+// holdOutputOnly counts no more than the output, once all events are sent.
+func (s *stream) holdOutputOnly() { s.held.shrink(int64(max(len(s.output)-freeEventBytes, 0))) }
+
+// isNew reports whether a numbered event was neither sent to the client before nor is pending.
+func (s *stream) isNew(next event, pending *pendingEvents) bool {
+	last := s.lastEvent
+	if pending.numbered {
+		last = pending.last
+	}
+	return next.hasID && next.id > last
+}
+
+// tokensWith returns the tokens of the stream once pending events are sent.
+func (s *stream) tokensWith(pending *pendingEvents) uint32 {
+	tokens := s.tokensBefore + s.tokens
+	for _, one := range pending.events {
+		if one.hasID {
+			tokens += s.call.tokensPerEvent()
+		}
+	}
+	return tokens
+}
