Connect to silent replicas again after each pause

Trace: the ends were known 0.7 s after the attempts (n1: answer at 08.251, end known at 08.961), since a replica that had been heard was connected to again only 560 ms after; other nodes sent on meanwhile.

A silent end is known 210 ms after it at the latest. The case of TestReplicaThatLosesPowerAfterItsAttemptCounts whose replica was connected to in between allows 390 ms now, 770 before.

--- a/internal/quarantine/linger.go
+++ b/internal/quarantine/linger.go
@@ -14,10 +14,8 @@
 const (
 	// lingerTime is how long after an attempt is over its replica's end still counts for it.
 	lingerTime = 500 * time.Millisecond
-	// A replica without power does not end connections, so one that is not heard is connected to again, for
-	// probeTimeout at most: probeDelay after an attempt is over if it was not heard since, twice as long
-	// after it if it was only heard before probeDelay, and probeDelay after lingerTime if it was not heard
-	// since then.
+	// A replica without power does not end connections, so it is connected to again, for probeTimeout at
+	// most, after each probeDelay in which it was not heard, until it was heard after lingerTime.
 	probeDelay   = 60 * time.Millisecond
 	probeTimeout = 150 * time.Millisecond
 	// maxLingering bounds the replicas that are watched after their attempts, maxLingeringAttempts the
@@ -51,14 +49,7 @@
 
 // needsProbe reports whether the replica may have ended under the attempt without a sign.
 func (a *overAttempt) needsProbe(now time.Duration) bool {
-	switch passed := now - a.over; {
-	case passed >= lingerTime+probeDelay:
-		return a.seen < a.over+lingerTime
-	case passed >= 2*probeDelay:
-		return a.seen < a.over+probeDelay
-	default:
-		return passed >= probeDelay && a.seen == 0
-	}
+	return !a.settled(now) && now-max(a.over, a.seen) >= probeDelay
 }
 
 // settled reports whether an end of the replica does not count for the attempt any more.
--- a/internal/quarantine/linger_test.go
+++ b/internal/quarantine/linger_test.go
@@ -105,7 +105,7 @@
 	}{
 		"at once":                       {endsAfter: 5 * time.Millisecond, noticed: probeDelay + probeTimeout},
 		"after it was heard":            {endsAfter: 50 * time.Millisecond, heardAfter: 10 * time.Millisecond, noticed: 2*probeDelay + probeTimeout},
-		"after it was connected to":     {endsAfter: 2 * probeDelay, noticed: lingerTime + 2*probeDelay + probeTimeout},
+		"after it was connected to":     {endsAfter: 2 * probeDelay, noticed: 4*probeDelay + probeTimeout},
 		"just before it counts no more": {endsAfter: lingerTime - 10*time.Millisecond, noticed: lingerTime + 2*probeDelay + probeTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
