--- a/internal/transcript/main_test.go
+++ /dev/null
@@ -1,9 +0,0 @@
-package transcript
-
-import (
-	"testing"
-
-	"stepseam.example/stepseam/internal/testseed"
-)
-
-func TestMain(m *testing.M) { testseed.Main(m) }
