Share the bytes that are held between replicas, count those of transcripts

Reading the change again: (1) one faulty replica could take all of the room for large heads, or for incomplete events; others' heads then counted as malformed, which put the blame on sound replicas, and others' turns broke. (2) The events of a transcript were kept without a count at the node that writes it: a kept and resumable stream of numbered events without data grew by its events up to 32 MiB of bytes received, some 56 bytes of memory for 8 received. (3) A late response was skipped with a timeout that a pause of the process used up, unlike that of heads.

Package heldbytes counts the bytes, for the node and with a quarter of the limit for each replica, for heads, requests and responses alike. A head that finds no room is buffers_full, of unknown outcome and nobody's fault. A turn's output counts three times while it may be resumed, with 64 bytes for each event, 32,768 events at most. Timeouts of heads and skipped responses are extended once.

TestIncompleteEventsOfOneReplicaLeaveRoomForOthers and the new part of TestLargeHeadsAreBoundedTogether fail without the shares, TestTranscriptOfEmptyEventsEndsAtTheLimit without the bound on events.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -50,6 +50,8 @@
 	ReasonCancelled  Reason = "cancelled"
 	// ReasonVersion means that the replica's version is no longer the one it was selected for.
 	ReasonVersion Reason = "version_changed"
+	// ReasonBuffersFull means that this node can't hold the head of the response.
+	ReasonBuffersFull Reason = "buffers_full"
 	// ReasonWithheld means that Request.MaySend rejected the request.
 	ReasonWithheld Reason = "withheld"
 )
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -5,8 +5,9 @@
 	"fmt"
 	"net"
 	"os"
-	"sync/atomic"
 	"time"
+
+	"stepseam.example/stepseam/internal/heldbytes"
 )
 
 const (
@@ -16,8 +17,8 @@
 	maxHeadLines = 256
 	// maxLargeHeads bounds the heads beyond readBuffer that are read at a time.
 	maxLargeHeads = 64
-	// headTimeout bounds the time from the first byte of a head to its end, and is extended once: the
-	// rest may have arrived while this process was paused.
+	// headTimeout bounds the time from the first byte of a head to its end. Timeouts are extended once:
+	// the rest may have arrived while this process was paused.
 	headTimeout = 500 * time.Millisecond
 	// maxSkippedBytes and skipTimeout bound the body of a late response to an earlier request.
 	maxSkippedBytes = 256 << 10
@@ -27,8 +28,7 @@
 var (
 	errNotHTTP      = errors.New("the bytes are no HTTP response")
 	errHeadTooLarge = errors.New("the head of the response exceeds the limit")
-	errTooManyHeads = errors.New("too many large heads are being read")
-	errHeadTooSlow  = errors.New("the head of the response did not end in time")
+	errTooSlow      = errors.New("the head of the response, or a late response before it, did not end in time")
 	errSkippedSize  = errors.New("the body of the late response exceeds the limit")
 )
 
@@ -39,8 +39,8 @@
 // within the limits, so that net/http collects no more of them.
 type headReader struct {
 	socket net.Conn
-	// large counts the heads beyond readBuffer that the client reads.
-	large *atomic.Int64
+	// large counts the head if it exceeds readBuffer.
+	large *heldbytes.Holder
 
 	// reading is set while a head is read. bytes and lines are those of all heads of the current
 	// request, matched is the length of the protocol prefix in the current one.
@@ -49,9 +49,9 @@
 	matched      int
 	// lineEmpty reports that the current line has no characters so far.
 	lineEmpty bool
-	// counted is set once the head counts as large, timed once the timeout runs, and extended once it
-	// was extended.
-	counted, timed, extended bool
+	// timeout is set while it runs, and extended once it was extended.
+	timeout  time.Duration
+	extended bool
 	// failure is why the head can't be read. net/http may report another error for what came before.
 	failure error
 }
@@ -72,18 +72,24 @@
 // end ends the heads of a request.
 func (r *headReader) end() error {
 	r.reading = false
-	if r.counted {
-		r.large.Add(-1)
-		r.counted = false
-	}
+	r.large.Release()
 	return r.clearTimeout()
 }
 
+// startTimeout limits the time of all reads from now on.
+func (r *headReader) startTimeout(timeout time.Duration) error {
+	r.timeout, r.extended = timeout, false
+	if err := r.socket.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return fmt.Errorf("exchange: set the timeout: %w", err)
+	}
+	return nil
+}
+
 func (r *headReader) clearTimeout() error {
-	if !r.timed {
+	if r.timeout == 0 {
 		return nil
 	}
-	r.timed, r.extended = false, false
+	r.timeout, r.extended = 0, false
 	if err := r.socket.SetReadDeadline(time.Time{}); err != nil {
 		return fmt.Errorf("exchange: clear the timeout: %w", err)
 	}
@@ -96,19 +102,19 @@
 		return 0, r.failure
 	}
 	n, err := r.socket.Read(into)
-	if r.timed && !r.extended && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	if r.timeout > 0 && !r.extended && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		r.extended = true
-		if err = r.socket.SetReadDeadline(time.Now().Add(headTimeout)); err == nil {
+		if err = r.socket.SetReadDeadline(time.Now().Add(r.timeout)); err == nil {
 			n, err = r.socket.Read(into)
 		}
 	}
-	if !r.reading {
-		return n, err
-	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		r.failure = errHeadTooSlow
+		r.failure = errTooSlow
 		return 0, r.failure
 	}
+	if !r.reading {
+		return n, err
+	}
 	if r.failure = r.scan(into[:n]); r.failure != nil {
 		return 0, r.failure
 	}
@@ -117,10 +123,9 @@
 
 // scan checks bytes of the current head, up to its end.
 func (r *headReader) scan(received []byte) error {
-	if len(received) > 0 && !r.timed {
-		r.timed = true
-		if err := r.socket.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
-			return fmt.Errorf("exchange: set the timeout: %w", err)
+	if len(received) > 0 && r.timeout == 0 {
+		if err := r.startTimeout(headTimeout); err != nil {
+			return err
 		}
 	}
 	for _, one := range received {
@@ -154,11 +159,8 @@
 	if r.bytes > maxHeadBytes || r.lines > maxHeadLines {
 		return errHeadTooLarge
 	}
-	if r.bytes > readBuffer && !r.counted {
-		r.counted = true
-		if r.large.Add(1) > maxLargeHeads {
-			return errTooManyHeads
-		}
+	if r.bytes > readBuffer {
+		return r.large.Grow(maxHeadBytes)
 	}
 	return nil
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -7,10 +7,10 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
+	"stepseam.example/stepseam/internal/heldbytes"
 	"stepseam.example/stepseam/internal/keepalive"
 )
 
@@ -52,8 +52,8 @@
 
 // pool keeps idle connections by replica. It is safe for concurrent use.
 type pool struct {
-	// largeHeads counts the heads beyond readBuffer that are being read.
-	largeHeads atomic.Int64
+	// largeHeads bounds the heads beyond readBuffer that are being read, by replica.
+	largeHeads *heldbytes.Limit
 
 	// mutex guards the rest.
 	mutex sync.Mutex
@@ -90,7 +90,7 @@
 }
 
 func newPool() *pool {
-	return &pool{idle: map[Target][]*connection{}}
+	return &pool{idle: map[Target][]*connection{}, largeHeads: heldbytes.New(maxLargeHeads * maxHeadBytes)}
 }
 
 // get returns an idle connection that is still open and has been idle for at most
@@ -153,7 +153,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wire := &headReader{socket: socket, large: &p.largeHeads}
+	wire := &headReader{socket: socket, large: p.largeHeads.Holder(target.Instance)}
 	return &connection{socket: socket, reader: bufio.NewReaderSize(wire, readBuffer), wire: wire, target: target}, nil
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -209,7 +209,7 @@
 	var failure *exchange.FailureError
 	if errors.As(err, &failure) {
 		stopTimer()
-		atFault := ctx.Err() == nil && failure.Reason != exchange.ReasonWithheld
+		atFault := ctx.Err() == nil && failure.Reason != exchange.ReasonWithheld && failure.Reason != exchange.ReasonBuffersFull
 		r.config.Tracker.End(inFlight, atFault, r.Now())
 		if atFault {
 			attempt.recordOutcome(outcomeOf(failure))
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -15,6 +15,7 @@
 
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/heldbytes"
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/origin"
@@ -42,7 +43,7 @@
 	// history.
 	inputBytes int
 	// held counts the bytes of body.
-	held *heldBytes
+	held *heldbytes.Holder
 	// contentKey identifies the request over all its attempts; nil until content computes it.
 	contentKey *quarantine.Key
 	route      *routing.Route
@@ -293,7 +294,7 @@
 }
 
 // readBodyUntil is like readBody with a read deadline.
-func readBodyUntil(writer http.ResponseWriter, request *http.Request, limit int64, held *heldBytes, deadline time.Time) ([]byte, error) {
+func readBodyUntil(writer http.ResponseWriter, request *http.Request, limit int64, held *heldbytes.Holder, deadline time.Time) ([]byte, error) {
 	controller := http.NewResponseController(writer)
 	// The error means that the connection does not support deadlines.
 	_ = controller.SetReadDeadline(deadline)
@@ -309,7 +310,7 @@
 
 // readBody reads the complete body, so that the request can be retried. Its bytes are held whatever
 // its framing.
-func readBody(request *http.Request, limit int64, held *heldBytes) ([]byte, error) {
+func readBody(request *http.Request, limit int64, held *heldbytes.Holder) ([]byte, error) {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
@@ -322,7 +323,7 @@
 	if request.ContentLength < 0 {
 		return readBodyOfUnknownLength(request.Body, limit, held)
 	}
-	if err := held.grow(request.ContentLength); err != nil {
+	if err := held.Grow(request.ContentLength); err != nil {
 		return nil, err
 	}
 	body := make([]byte, request.ContentLength)
@@ -337,8 +338,8 @@
 	return body, nil
 }
 
-func readBodyOfUnknownLength(reader io.Reader, limit int64, held *heldBytes) ([]byte, error) {
-	if err := held.grow(minBodyBuffer); err != nil {
+func readBodyOfUnknownLength(reader io.Reader, limit int64, held *heldbytes.Holder) ([]byte, error) {
+	if err := held.Grow(minBodyBuffer); err != nil {
 		return nil, err
 	}
 	body := make([]byte, 0, minBodyBuffer)
@@ -346,11 +347,11 @@
 		if len(body) == cap(body) {
 			// Both buffers exist while the bytes are copied.
 			larger := min(2*int64(cap(body)), limit+1)
-			if err := held.grow(larger + int64(cap(body))); err != nil {
+			if err := held.Grow(larger + int64(cap(body))); err != nil {
 				return nil, err
 			}
 			body = append(make([]byte, 0, larger), body...)
-			held.shrink(larger)
+			held.Shrink(larger)
 		}
 		n, err := reader.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -16,8 +16,8 @@
 	// before that.
 	maxUnnumberedBytes  = 64 << 10
 	maxUnnumberedEvents = 256
-	// freeEventBytes are held for each stream without counting.
-	freeEventBytes = 8 << 10
+	// freeBytes are held for each stream without counting.
+	freeBytes = 8 << 10
 )
 
 var (
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -130,9 +130,9 @@
 	if response.Length >= 0 {
 		limit = min(limit, response.Length+1)
 	}
-	if r.responseBytes.Add(limit) <= r.config.BufferBytes {
-		return limit, func() { r.responseBytes.Add(-limit) }
+	held := r.responses.Holder("")
+	if held.Grow(limit) == nil {
+		return limit, held.Release
 	}
-	r.responseBytes.Add(-limit)
 	return min(limit, maxBufferedBodyWhenFull), func() {}
 }
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -15,6 +15,9 @@
 	longRetryAfter  = 400 * time.Millisecond
 )
 
+// reasonBuffersFull is the reason of a rejection for the bytes that the node holds.
+const reasonBuffersFull = "buffers_full"
+
 // outageRetryAfter is the Retry-After delay if the store is unavailable to all nodes. It
 // is long since such outages last for seconds and clients retry only a limited number of
 // times.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,7 @@
 	"stepseam.example/stepseam/internal/evacuation"
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/heldbytes"
 	"stepseam.example/stepseam/internal/limits"
 	"stepseam.example/stepseam/internal/origin"
 	"stepseam.example/stepseam/internal/quarantine"
@@ -98,17 +99,18 @@
 	configuration atomic.Pointer[routing.Configuration]
 	routes        routeHistory
 	draining      atomic.Bool
-	// requestBytes is the number of bytes reserved for request bodies.
-	requestBytes atomic.Int64
-	// responseBytes is the number of bytes reserved for response bodies that clients have
-	// not read yet.
-	responseBytes atomic.Int64
+	// requests bounds the bytes of request bodies and histories.
+	requests *heldbytes.Limit
+	// responses bounds the bytes of response bodies that clients have not read yet, of incomplete
+	// events and of the output of turns.
+	responses *heldbytes.Limit
 }
 
 // New returns a router. It answers with status 503 until a configuration is set.
 func New(config Config) *Router {
 	return &Router{
 		config: config, splitter: routing.NewSplitter(),
+		requests: heldbytes.New(config.BufferBytes), responses: heldbytes.New(config.BufferBytes),
 		metrics: newMetrics(config.Registerer),
 	}
 }
@@ -190,8 +192,8 @@
 	r.metrics.inFlight.Inc()
 	defer r.metrics.inFlight.Dec()
 	defer setWriteDeadline(reply.writer, call.deadline)()
-	call.held = r.newHeldRequest()
-	defer call.held.shrink(0)
+	call.held = r.requests.Holder("")
+	defer call.held.Release()
 	body, err := readBodyUntil(reply.writer, request, limits.BodyBytes, call.held, call.deadline)
 	if err != nil {
 		r.rejectUnreadBody(reply, call, err)
@@ -222,7 +224,7 @@
 func (r *Router) rejectUnreadBody(reply *reply, call *call, err error) {
 	defer r.logCompleted(call, reply)
 	switch {
-	case errors.Is(err, errBuffersFull):
+	case errors.Is(err, heldbytes.ErrFull):
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonBuffersFull, retryAfter: shortRetryAfter})
 	case errors.Is(err, errBodyTooLarge):
 		reply.reject(http.StatusRequestEntityTooLarge, rejection{reason: "body_too_large"})
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -10,6 +10,7 @@
 
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/heldbytes"
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/origin"
 	"stepseam.example/stepseam/internal/outlier"
@@ -29,8 +30,10 @@
 	// output collects the data of the events if the turn is persisted, with those that the client
 	// received before it resumed the stream.
 	output []byte
-	// held counts the bytes held for the stream.
-	held *heldBytes
+	// held counts the bytes of output and of the transcript's events.
+	held *heldbytes.Holder
+	// recorded is the number of events in the transcript.
+	recorded int
 	// transcript records the events at other nodes; nil until the first one and if they are not
 	// recorded.
 	transcript *transcript.Writer
@@ -47,8 +50,8 @@
 	if !r.resolveOrigin(ctx, reply, call) {
 		return
 	}
-	stream := &stream{reply: reply, call: call, lastEvent: call.lastEvent, held: r.newHeldResponse()}
-	defer stream.held.shrink(0)
+	stream := &stream{reply: reply, call: call, lastEvent: call.lastEvent, held: r.responses.Holder("")}
+	defer stream.held.Release()
 	if !r.claimTranscript(ctx, stream) {
 		return
 	}
@@ -155,8 +158,9 @@
 	var gaps []time.Duration
 	var last time.Time
 	defer func() { r.config.Tracker.StreamEnded(attempt.inFlight, gaps, r.Now()) }()
-	defer stream.holdOutputOnly()
-	reader := &eventReader{reader: attempt.response.Body, grow: func(size int) error { return stream.hold(pending.bytes + size) }}
+	received := r.responses.Holder(attempt.replica.IncarnationID())
+	defer received.Release()
+	reader := &eventReader{reader: attempt.response.Body, grow: func(size int) error { return received.Grow(receivedBytes(pending.bytes + size)) }}
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) {
@@ -197,7 +201,7 @@
 		}
 		r.sendEvents(ctx, stream, attempt, pending.events)
 		pending.clear()
-		stream.holdOutputOnly()
+		received.Release()
 	}
 }
 
@@ -214,7 +218,7 @@
 // failEvents finishes an attempt whose stream broke off or exceeds a limit. A turn that has all of its
 // tokens is not continued.
 func (r *Router) failEvents(ctx context.Context, stream *stream, attempt *attempt, err error) *exchange.FailureError {
-	atFault := ctx.Err() == nil && !errors.Is(err, errBuffersFull)
+	atFault := ctx.Err() == nil && !errors.Is(err, heldbytes.ErrFull) && !errors.Is(err, heldbytes.ErrOwnerFull)
 	if atFault {
 		attempt.recordOutcome(outlier.BrokenResponse)
 	}
--- a/internal/router/streambounds.go
+++ b/internal/router/streambounds.go
@@ -6,6 +6,10 @@
 	// maxResponseBytes bounds the body of a response, and maxOutputBytes the output of a persisted turn.
 	maxResponseBytes = 32 << 20
 	maxOutputBytes   = 1 << 20
+	// maxRecordedEvents bounds the events of a transcript, and recordedEventBytes is the size of one
+	// besides its data.
+	maxRecordedEvents  = 1 << 15
+	recordedEventBytes = 64
 	// maxRepeatedBytes bounds the events that a replica sends though the client has them.
 	maxRepeatedBytes = 1 << 20
 	// maxGaps bounds the pauses between events that are measured for one stream.
@@ -42,20 +46,29 @@
 		return errUnnumbered
 	case s.reply.bytes+size > maxResponseBytes, pending.repeated > maxRepeatedBytes, call.route.Retain && len(s.output)+pending.output+len(next.data) > maxOutputBytes:
 		return errOutputTooLarge
+	case s.recorded+len(pending.events) >= maxRecordedEvents:
+		return errOutputTooLarge
 	case call.turn.budgeted && call.maxTokens > 0 && s.isNew(next, pending) && s.tokensWith(pending) >= call.maxTokens:
 		return errTurnTooLong
 	}
-	return nil
+	return s.hold(pending.output+len(next.data)+1, len(pending.events)+1)
 }
 
-// hold counts the bytes that the stream holds for events that are not sent, whose data exists twice, and
-// for its output.
-func (s *stream) hold(events int) error {
-	return s.held.grow(int64(max(2*events+len(s.output)-freeEventBytes, 0)))
-}
+// receivedBytes returns the bytes to count for events that are not sent, whose data exists twice.
+func receivedBytes(events int) int64 { return int64(max(2*events-freeBytes, 0)) }
 
-// holdOutputOnly counts no more than the output, once all events are sent.
-func (s *stream) holdOutputOnly() { s.held.shrink(int64(max(len(s.output)-freeEventBytes, 0))) }
+// hold counts the output of a persisted turn with more bytes of some events: once as it is, once as it
+// is written with the input, and if the client may resume the stream once as events of the transcript.
+func (s *stream) hold(more, events int) error {
+	if !s.call.route.Retain {
+		return nil
+	}
+	copies, overhead := 2, 0
+	if s.call.route.Resumable {
+		copies, overhead = 3, (s.recorded+events)*recordedEventBytes
+	}
+	return s.held.Grow(int64(max(copies*(len(s.output)+more)+overhead+s.call.inputBytes-freeBytes, 0)))
+}
 
 // isNew reports whether a numbered event was neither sent to the client before nor is pending.
 func (s *stream) isNew(next event, pending *pendingEvents) bool {
--- a/internal/router/transcript.go
+++ b/internal/router/transcript.go
@@ -37,14 +37,14 @@
 		r.rejectUnknownOutput(ctx, stream.reply, err)
 		return false
 	}
-	stream.transcript = writer
+	stream.transcript, stream.recorded = writer, len(known)
 	for _, event := range known {
 		stream.output = append(stream.output, event.Data...)
 		if event.HasID {
 			stream.tokensBefore += call.tokensPerEvent()
 		}
 	}
-	if err := stream.hold(0); err != nil {
+	if err := stream.hold(0, 0); err != nil {
 		stream.reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonBuffersFull, retryAfter: shortRetryAfter, cause: err})
 		return false
 	}
@@ -80,6 +80,7 @@
 	if stream.transcript == nil {
 		stream.transcript = r.config.Transcripts.Begin(r.transcriptOf(call, call.id))
 	}
+	stream.recorded += len(events)
 	recorded := make([]transcript.Event, 0, len(events))
 	for _, one := range events {
 		recorded = append(recorded, transcript.Event{ID: one.id, HasID: one.hasID, Data: one.output()})
--- a/internal/router/turn.go
+++ b/internal/router/turn.go
@@ -8,6 +8,7 @@
 
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/coordinator"
+	"stepseam.example/stepseam/internal/heldbytes"
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/ledgerlog"
 )
@@ -66,7 +67,7 @@
 	for _, text := range texts {
 		size += len(text)
 	}
-	if err := call.held.grow(int64(size)); err != nil {
+	if err := call.held.Grow(int64(size)); err != nil {
 		return err
 	}
 	whole := make([]byte, 0, size)
@@ -94,7 +95,7 @@
 		reply.reject(http.StatusNotFound, rejection{reason: "no_such_turn", cause: err})
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		reply.abort("client_left", err)
-	case errors.Is(err, errBuffersFull):
+	case errors.Is(err, heldbytes.ErrFull):
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonBuffersFull, retryAfter: shortRetryAfter, cause: err})
 	case errors.Is(err, ledgerlog.ErrStoreUnavailable):
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: "store_away", retryAfter: r.storeRetryAfter(longRetryAfter), cause: err})
