Try a second connection before a replica counts as silent

Reading the change again: a replica that is not heard is connected to several times after an attempt now, and one lost packet of these, which the system sends again only after a second, made the replica count as perhaps ended: on a link that loses packets, three such attempts refused an innocent request. The check of broken attempts had the same fault with one connection. A second connection is tried after 40 ms, within the same time; a replica that is heard costs none.

TestLostPacketsAreNoEnds (every second to fifth connection gets no answer) fails without it.

--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -72,8 +72,8 @@
 	state     fleet.State
 	// connections are the open ones.
 	connections []net.Conn
-	// dials counts the connections.
-	dials int
+	// dials counts the connections, every losesEach-th of which gets no answer if that is set.
+	dials, losesEach int
 }
 
 func replicaAddress(instance string) netip.AddrPort {
@@ -225,9 +225,10 @@
 		target.connections = append(target.connections, there)
 	}
 	target.dials++
+	lost := target.losesEach > 0 && target.dials%target.losesEach == 0
 	c.mutex.Unlock()
 	switch {
-	case ended && silent:
+	case ended && silent, lost:
 		<-ctx.Done()
 		return nil, ctx.Err()
 	case ended:
--- a/internal/quarantine/linger.go
+++ b/internal/quarantine/linger.go
@@ -107,7 +107,7 @@
 func (s *Service) awaitEnd(replica Replica, address netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
 	defer cancel()
-	connection, err := s.config.Dial(ctx, address)
+	connection, err := s.dial(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -133,7 +133,7 @@
 func (s *Service) probe(replica Replica, address netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	connection, err := s.config.Dial(ctx, address)
+	connection, err := s.dial(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/internal/quarantine/linger_test.go
+++ b/internal/quarantine/linger_test.go
@@ -123,10 +123,29 @@
 					if c.heardAfter > 0 {
 						time.AfterFunc(c.heardAfter, func() { node.service.seenLingering(replica) })
 					}
-					time.Sleep(c.noticed + 20*time.Millisecond)
+					time.Sleep(c.noticed + 10*time.Millisecond)
 				}
 				is.Equal(sent, MaxEnded)
 			})
 		})
 	}
 }
+
+// A link that lost single packets made replicas count as ended, and innocent requests were refused.
+func TestLostPacketsAreNoEnds(t *testing.T) {
+	for losesEach := 2; losesEach <= 5; losesEach++ {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(5)
+			defer c.close()
+			request := requestOf("p", true)
+			for i := range 4 * MaxEnded {
+				replica := c.replica(i)
+				c.change(func() { c.replicas[replica.Instance].losesEach = losesEach })
+				is.True(c.node(i%5).over(request, replica, 20*time.Millisecond, 0, false))
+				time.Sleep(lingerTime)
+				is.NoErr(c.node(i % 5).service.Check(request))
+			}
+		})
+	}
+}
--- a/internal/quarantine/verify.go
+++ b/internal/quarantine/verify.go
@@ -24,6 +24,9 @@
 	// confirmPeers is the number of nodes that are asked to connect as well, within confirmTimeout.
 	confirmPeers   = 2
 	confirmTimeout = 100 * time.Millisecond
+	// redialDelay is how long a connection may take before a second one is tried beside it: a link may
+	// lose the packet that asks for it, which is sent again after a second only.
+	redialDelay = 40 * time.Millisecond
 )
 
 // finding is what a new connection to a replica tells.
@@ -86,12 +89,46 @@
 	return &probeResponse{found: s.connect(ctx, received.address)}, nil
 }
 
+// dial connects to an address, with a second try beside the first one if that takes long.
+func (s *Service) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		connection net.Conn
+		err        error
+	}
+	results := make(chan result)
+	try := func() {
+		connection, err := s.config.Dial(ctx, address)
+		select {
+		case results <- result{connection, err}:
+		case <-ctx.Done():
+			if err == nil {
+				_ = connection.Close()
+			}
+		}
+	}
+	go try()
+	timer := time.NewTimer(redialDelay)
+	defer timer.Stop()
+	for {
+		select {
+		case one := <-results:
+			return one.connection, one.err
+		case <-timer.C:
+			go try()
+		case <-ctx.Done():
+			return nil, fmt.Errorf("quarantine: connect to %s: %w", address, ctx.Err())
+		}
+	}
+}
+
 // connect connects to a replica's address to find out whether it has ended.
 func (s *Service) connect(ctx context.Context, address netip.AddrPort) finding {
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
 	for {
-		connection, err := s.config.Dial(ctx, address)
+		connection, err := s.dial(ctx, address)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return findingEnded
 		}
