Let connections rest before a request that may not be repeated uses them

A connection now rests for 10 ms before such a request takes it; bytes that come meanwhile end it. Bytes that come later than that can still be taken for the answer.

TestBytesBehindAnAnswerHarmNoRequestThatMayNotBeRepeated failed before, at its second request.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -86,7 +86,7 @@
 // read. If a reused connection turns out to be stale, a repeatable request is sent once
 // more to the same target on a new connection.
 func (c *Client) Send(ctx context.Context, target Target, request Request) (*Answer, error) {
-	used, err := c.pool.get(ctx, target, c.pool.maxIdleTime(request.Repeatable))
+	used, err := c.pool.get(ctx, target, c.pool.idleRange(request.Repeatable))
 	if err != nil {
 		return nil, &FailureError{Outcome: OutcomeNotRun, Reason: ReasonConnect, Cause: err}
 	}
@@ -129,8 +129,8 @@
 // Connected returns a function that reports whether a request to a target could use an
 // open idle connection at the time of this call.
 func (c *Client) Connected(repeatable bool) func(Target) bool {
-	maxIdle, now := c.pool.maxIdleTime(repeatable), time.Now()
-	return func(target Target) bool { return c.pool.hasIdle(target, maxIdle, now) }
+	allowed, now := c.pool.idleRange(repeatable), time.Now()
+	return func(target Target) bool { return c.pool.hasIdle(target, allowed, now) }
 }
 
 // isStale reports whether a connection ended without a response.
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -167,6 +167,41 @@
 	is.NoErr(get("e", "small"))
 }
 
+// Bytes behind a whole answer that came just after the connection was used again were taken for the
+// answer of a request that may not be repeated.
+func TestBytesBehindAnAnswerHarmNoRequestThatMayNotBeRepeated(t *testing.T) {
+	is := is.New(t)
+	to, client := start(t, func(e *replica.Exchange) bool {
+		time.Sleep(2 * time.Millisecond)
+		respond(e, "hello")
+		time.Sleep(3 * time.Millisecond)
+		return e.TryWrite("no answer")
+	})
+	for range 20 {
+		_, body, err := send(t, client, to, newRequest("1"))
+		is.NoErr(err)
+		is.Equal(body, "hello")
+	}
+}
+
+func TestRestedConnectionIsUsedForARequestThatMayNotBeRepeated(t *testing.T) {
+	is := is.New(t)
+	to, client := start(t, func(e *replica.Exchange) bool { respond(e, "hello"); return true })
+	for range 4 {
+		_, _, err := send(t, client, to, newRequest("1"))
+		is.NoErr(err)
+		time.Sleep(2 * restTime)
+	}
+	is.Equal(to.Connections(), 1)
+	repeatable := newRequest("2")
+	repeatable.Repeatable = true
+	for range 4 {
+		_, _, err := send(t, client, to, repeatable)
+		is.NoErr(err)
+	}
+	is.Equal(to.Connections(), 1)
+}
+
 // repeating is a connection that repeats some bytes without end.
 type repeating struct {
 	net.Conn
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,9 @@
 	// minIdleLimit is the lower bound of that limit.
 	idleLimitTTL = 30 * time.Second
 	minIdleLimit = 10 * time.Millisecond
+	// restTime is how long a connection rests before it is used for a request that is not repeatable.
+	// Bytes that follow an answer arrive meanwhile and end the connection.
+	restTime = 10 * time.Millisecond
 	// idlePerReplica limits the idle connections to one replica.
 	idlePerReplica = 8
 	// readBuffer is the buffer size in bytes, enough for a typical event or head.
@@ -64,17 +68,25 @@
 	idleLimitUntil time.Time
 }
 
-// maxIdleTime returns how long a connection may have been idle to be used for a request.
-// A replica may drop an idle connection without closing it, which leaves unknown whether
-// a request sent on it has run. A request that is not repeatable therefore avoids
-// connections idle for longer than the current limit.
-func (p *pool) maxIdleTime(repeatable bool) time.Duration {
+// idleRange is how long a connection may have been idle to be used for a request.
+type idleRange struct{ least, most time.Duration }
+
+func (r idleRange) contains(idle time.Duration) bool { return idle >= r.least && idle <= r.most }
+
+// idleRange returns how long a connection may have been idle to be used for a request. A replica may
+// drop an idle connection without closing it, or send bytes behind its last answer, which leaves
+// unknown whether a request sent on it has run. A request that is not repeatable therefore avoids
+// connections idle for longer than the current limit, and those that have just become idle.
+func (p *pool) idleRange(repeatable bool) idleRange {
+	if repeatable {
+		return idleRange{most: maxIdleTTL}
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if repeatable || time.Now().After(p.idleLimitUntil) {
-		return maxIdleTTL
+	if time.Now().After(p.idleLimitUntil) {
+		return idleRange{restTime, maxIdleTTL}
 	}
-	return p.idleLimit
+	return idleRange{restTime, max(p.idleLimit, restTime)}
 }
 
 // recordStale lowers the idle limit after a connection was found stale.
@@ -93,11 +105,10 @@
 	return &pool{idle: map[Target][]*connection{}, largeHeads: heldbytes.New(maxLargeHeads * maxHeadBytes)}
 }
 
-// get returns an idle connection that is still open and has been idle for at most
-// maxIdle, or a new one.
-func (p *pool) get(ctx context.Context, target Target, maxIdle time.Duration) (*connection, error) {
+// get returns a connection that is still open and has been idle for an allowed time, or a new one.
+func (p *pool) get(ctx context.Context, target Target, allowed idleRange) (*connection, error) {
 	for {
-		idle := p.takeIdle(target, maxIdle)
+		idle := p.takeIdle(target, allowed)
 		if idle == nil {
 			return p.dial(ctx, target)
 		}
@@ -110,37 +121,38 @@
 
 // hasIdle reports whether takeIdle would return a connection to target that has not
 // expired at now.
-func (p *pool) hasIdle(target Target, maxIdle time.Duration, now time.Time) bool {
+func (p *pool) hasIdle(target Target, allowed idleRange, now time.Time) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	last := p.mostRecent(target, maxIdle)
-	return last != nil && now.Before(last.expires)
+	place := p.mostRecent(target, allowed)
+	return place >= 0 && now.Before(p.idle[target][place].expires)
 }
 
-// takeIdle removes and returns the most recently used connection, if it has been idle for
-// at most maxIdle, and nil otherwise.
-func (p *pool) takeIdle(target Target, maxIdle time.Duration) *connection {
+// takeIdle removes and returns the most recently used connection that has been idle for an allowed
+// time, or nil.
+func (p *pool) takeIdle(target Target, allowed idleRange) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	last := p.mostRecent(target, maxIdle)
-	if last != nil {
-		p.idle[target] = p.idle[target][:len(p.idle[target])-1]
+	place := p.mostRecent(target, allowed)
+	if place < 0 {
+		return nil
 	}
-	return last
+	connections := p.idle[target]
+	taken := connections[place]
+	p.idle[target] = slices.Delete(connections, place, place+1)
+	return taken
 }
 
-// mostRecent returns the most recently used idle connection, if it has been idle for at
-// most maxIdle, and nil otherwise. The caller holds the mutex.
-func (p *pool) mostRecent(target Target, maxIdle time.Duration) *connection {
+// mostRecent returns the place of the most recently used connection that has been idle for an allowed
+// time, or -1. The caller holds the mutex.
+func (p *pool) mostRecent(target Target, allowed idleRange) int {
 	connections := p.idle[target]
-	if len(connections) == 0 {
-		return nil
-	}
-	last := connections[len(connections)-1]
-	if idle, _ := last.idleFor(); idle > maxIdle {
-		return nil
+	for place := len(connections) - 1; place >= 0; place-- {
+		if idle, _ := connections[place].idleFor(); allowed.contains(idle) {
+			return place
+		}
 	}
-	return last
+	return -1
 }
 
 // Dial opens a connection to a replica, which detects that the replica can't be reached.
