Show a turn that is granted behind a release of ownership, as a failing test

A node that stops coordinating a partition writes a release. If it coordinates the partition again, or loses the store, before the answer, it takes itself for the exclusive owner and grants a first turn ahead of the log. The release is in the log and the reservation is lost with the node, so that no owner after it charges the turn: 1,000 tokens of a budget of 800, with turns of 100.

--- /dev/null
+++ b/internal/ledgerlog/ownership_test.go
@@ -0,0 +1,82 @@
+package ledgerlog
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"stepseam.example/stepseam/internal/emulator/store"
+	"stepseam.example/stepseam/internal/ledger"
+)
+
+// ownedRun returns a run whose only node is the exclusive owner of the partition of a program that has
+// not begun.
+func ownedRun(t *testing.T) (run *budgetRun, owner *budgetNode, program *budgetProgram) {
+	run = newBudgetRun(t)
+	run.reckless = true
+	run.start()
+	owner = run.live[0]
+	other := &budgetProgram{id: "other", budget: 100_000, maxTokens: 10}
+	run.turn(other, 1, 0)
+	run.tick(5 * time.Second)
+	program = &budgetProgram{id: "p", budget: 800, maxTokens: 100}
+	for owner.Partition(program.id) != owner.Partition(other.id) {
+		program.id += "p"
+	}
+	if !owner.partitionOf(program.id).creditManager.exclusive() {
+		t.Fatal("not an exclusive owner")
+	}
+	return run, owner, program
+}
+
+// useBudgetWithLoss runs whole turns of a program to its end, and loses all nodes once the program has
+// used its budget and one turn.
+func (r *budgetRun) useBudgetWithLoss(program *budgetProgram) {
+	for !program.ended && program.used < program.budget+program.maxTokens {
+		r.useWholeTurn(program)
+	}
+	r.loseAll()
+	for !program.ended && r.failure == "" {
+		r.useWholeTurn(program)
+	}
+}
+
+// recordsOf returns the records of a program's partition, one a line.
+func (r *budgetRun) recordsOf(program ledger.ProgramID) string {
+	var text strings.Builder
+	for _, encoded := range r.log.Records(r.started[0].partitionOf(program).appender.partition) {
+		record, _ := ledger.Decode(encoded)
+		fmt.Fprintf(&text, "\n%T%+v", record, record)
+	}
+	return text.String()
+}
+
+// A node that coordinated again while its release was being written granted a turn that no record
+// covered, and the program got two turns beyond its budget after one more loss.
+func TestNoTurnIsGrantedUnloggedBehindARelease(t *testing.T) {
+	for name, fault := range map[string]store.Fault{
+		"the answer is lost":     {LoseAnswers: true},
+		"the release comes late": {LoseAnswers: true, LateAfter: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				run, owner, program := ownedRun(t)
+				run.log.Fail(fault)
+				owner.SettleIdle(func(int) bool { return false })
+				time.Sleep(50 * time.Millisecond) // the release has been sent
+				run.tick(time.Second)             // the node coordinates again
+				run.useWholeTurn(program)
+				run.loseAll()
+				time.Sleep(5 * time.Second)
+				run.log.Fail(store.Fault{})
+				run.useBudgetWithLoss(program)
+				run.end()
+				if run.failure != "" {
+					t.Errorf("%s, with the records%s", run.failure, run.recordsOf(program.id))
+				}
+			})
+		})
+	}
+}
