End unlogged grants with the release of an ownership, not with its answer

Cause: a release was taken back in memory alone. A node that stops coordinating a partition writes a release and, until it has read that, takes itself for the owner. If it coordinated the partition again, or lost the store, before the answer, it granted first turns ahead of the log, with reservations behind the release. Whoever reads a clean release assumes no such turn, so that it was charged to nobody if the node died first. The check of the ownership also came before the mutex, and its use after it, so that a release could be written in between.

Now the node has resigned from the moment it submits the release, whatever becomes of that, until it has read a later claim of its own. The ownership is checked, used and released under one mutex. A release whose outcome stays unknown is written again in front of the next claim.

Price: a node that releases just before an outage begins no programs of the partition in it.

--- a/internal/ledgerlog/claim.go
+++ b/internal/ledgerlog/claim.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/logstore"
 )
 
 // claim makes this incarnation the partition's owner, in the background. An owner that is alive
@@ -17,22 +18,27 @@
 		m.readOwner(substitute)
 		return
 	}
-	owner := m.partition.reader.owner()
 	now := m.clock()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if owner == m.incarnation || m.claiming || m.claimedAt > 0 && now-m.claimedAt < claimInterval {
+	owner := m.partition.reader.owner()
+	if owner == m.incarnation && !m.resigned || m.claiming || m.claimedAt > 0 && now-m.claimedAt < claimInterval {
 		return
 	}
 	if m.wantedSince == 0 {
 		m.wantedSince = now
 	}
-	if owner != "" && m.members.IsAlive(owner) && now-m.wantedSince < timeout {
+	if owner != "" && owner != m.incarnation && m.members.IsAlive(owner) && now-m.wantedSince < timeout {
 		return
 	}
 	m.releasing, m.wantedSince = false, 0
 	m.claimedAt = now
-	m.writeOwnership(ledger.OwnershipClaim{Incarnation: m.incarnation}, ledger.OwnerLimit{Incarnation: m.incarnation})
+	records := []ledger.Record{ledger.OwnershipClaim{Incarnation: m.incarnation}, ledger.OwnerLimit{Incarnation: m.incarnation}}
+	if owner == m.incarnation {
+		// The release before did not get into the log, as far as known.
+		records = append([]ledger.Record{ledger.OwnershipRelease{Incarnation: m.incarnation}}, records...)
+	}
+	m.writeOwnership(records, func() { m.resigned = false })
 }
 
 // readOwner reads the partition for the first time, in the background, and then claims it.
@@ -57,26 +63,24 @@
 	}()
 }
 
-// release gives up the ownership. All grants of this node are in the log by then.
+// release gives up the ownership. All grants of this node are in the log by then. The caller must hold
+// the mutex.
 func (m *creditManager) release() {
-	owner := m.partition.reader.owner()
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if owner == m.incarnation && !m.claiming {
-		m.writeOwnership(ledger.OwnershipRelease{Incarnation: m.incarnation})
+	if m.partition.reader.owner() == m.incarnation && !m.claiming {
+		m.resigned = true
+		m.writeOwnership([]ledger.Record{ledger.OwnershipRelease{Incarnation: m.incarnation}}, func() {})
 	}
 }
 
 // stateLimit tells other nodes that this one is the exclusive owner, with the partition's next
-// call: once its records do not show that, and again before the store drops its last statement.
+// call: once its records do not show that, and again before the store drops its last statement. The
+// caller must hold the mutex.
 func (m *creditManager) stateLimit() {
 	if !m.exclusive() || !m.availability.Available(m.partition.appender.partition) {
 		return
 	}
 	clean := m.partition.reader.ownedCleanly()
 	now := m.clock()
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
 	due := !clean && now-m.statedAt > claimInterval || m.statementInterval > 0 && now-max(m.statedAt, m.claimedAt) > m.statementInterval
 	if due {
 		m.statedAt = now
@@ -84,9 +88,9 @@
 	}
 }
 
-// writeOwnership writes adjacent records of the ownership and reads the partition up to the
-// first, in the background. The caller must hold the mutex.
-func (m *creditManager) writeOwnership(records ...ledger.Record) {
+// writeOwnership writes adjacent records of the ownership and reads the partition up to them, in the
+// background. onRead is called with the mutex once they have been read. The caller must hold the mutex.
+func (m *creditManager) writeOwnership(records []ledger.Record, onRead func()) {
 	m.claiming = true
 	encoded := make([][]byte, 0, len(records))
 	for _, one := range records {
@@ -95,12 +99,16 @@
 	waiting := m.partition.submitNow(encoded...)
 	go func() {
 		outcome := <-waiting.outcome
-		if outcome.err == nil {
+		err := outcome.err
+		if err == nil {
 			// A failed read is repeated by the next caller that needs it.
-			_ = m.partition.reader.readTo(context.Background(), outcome.first)
+			err = m.partition.reader.readTo(context.Background(), outcome.first+logstore.Offset(len(records)-1))
 		}
 		m.mutex.Lock()
 		defer m.mutex.Unlock()
 		m.claiming = false
+		if err == nil {
+			onRead()
+		}
 	}()
 }
--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -73,6 +73,9 @@
 	wantedSince time.Duration
 	// releasing is set while the ownership is to be given up.
 	releasing bool
+	// resigned is set from when a release is submitted until a later claim of this node has been read.
+	// The log may have the release, or may yet get it, so that other nodes assume no unlogged grants.
+	resigned bool
 }
 
 // creditEntry is a credit and its pending reservation.
@@ -195,10 +198,11 @@
 // wait for.
 func (m *creditManager) tryBegin(request TurnRequest) attempt {
 	program, maxTokens, coordinator := request.Program, request.MaxTurnTokens, request.Coordinator
-	exclusive := m.exclusive()
-	reserves := coordinator || exclusive || m.availability.Available(m.partition.appender.partition)
+	available := m.availability.Available(m.partition.appender.partition)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	exclusive := m.exclusive()
+	reserves := coordinator || exclusive || available
 	entry, known := m.credits[program]
 	if !reserves && (!known || entry.pending == nil && !entry.credit.Fits(maxTokens, false)) {
 		return attempt{call: unavailableReservation, own: true}
@@ -376,18 +380,16 @@
 		}
 		settled = m.settleIfIdle(program, entry, idle) || settled
 	}
-	m.mutex.Unlock()
-	if settled && !coordinator {
-		m.partition.flush()
-	}
 	switch {
 	case coordinator:
 		m.stateLimit()
-	case undecided:
-		m.partition.flush()
-	default:
+	case !undecided:
 		m.release()
 	}
+	m.mutex.Unlock()
+	if !coordinator && (settled || undecided) {
+		m.partition.flush()
+	}
 }
 
 // allDecided reports whether no reservation and no ownership record is pending.
@@ -402,10 +404,8 @@
 	return !m.claiming
 }
 
-// exclusive reports whether this node may make unlogged grants.
+// exclusive reports whether this node may make unlogged grants. The caller must hold the mutex until
+// they are made, so that none follows a release.
 func (m *creditManager) exclusive() bool {
-	m.mutex.Lock()
-	releasing := m.releasing
-	m.mutex.Unlock()
-	return !releasing && m.partition.reader.exclusive(m.incarnation)
+	return !m.releasing && !m.resigned && m.partition.reader.exclusive(m.incarnation)
 }
--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -209,6 +209,12 @@
 	})
 }
 
+func isExclusive(m *creditManager) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.exclusive()
+}
+
 // own makes l the exclusive owner of the partition of program p.
 func own(t *testing.T, l *Ledger) {
 	grant, err := beginTurn(within(t, time.Second), l, "p", 1000, 1, true)
@@ -217,7 +223,7 @@
 	}
 	l.FinishTurn(grant.Program, grant.ID, 0)
 	time.Sleep(time.Second)
-	if !l.partitionOf("p").creditManager.exclusive() {
+	if !isExclusive(l.partitionOf("p").creditManager) {
 		t.Fatal("not an exclusive owner")
 	}
 }
@@ -302,11 +308,11 @@
 		is.NoErr(err)
 		time.Sleep(time.Second)
 		is.Equal(third.partitionOf("p").reader.owner(), ledger.IncarnationID("c"))
-		is.True(!third.partitionOf("p").creditManager.exclusive())
+		is.True(!isExclusive(third.partitionOf("p").creditManager))
 		_, err = beginTurn(within(t, time.Second), second, samePartition(second, 1)[0], 1000, 1, true)
 		is.NoErr(err)
 		time.Sleep(time.Second)
-		is.True(!second.partitionOf("p").creditManager.exclusive()) // and the second node learns of the new owner
+		is.True(!isExclusive(second.partitionOf("p").creditManager)) // and the second node learns of the new owner
 	})
 }
 
--- a/internal/ledgerlog/ownership_test.go
+++ b/internal/ledgerlog/ownership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,7 +26,7 @@
 	for owner.Partition(program.id) != owner.Partition(other.id) {
 		program.id += "p"
 	}
-	if !owner.partitionOf(program.id).creditManager.exclusive() {
+	if !isExclusive(owner.partitionOf(program.id).creditManager) {
 		t.Fatal("not an exclusive owner")
 	}
 	return run, owner, program
@@ -80,3 +81,49 @@
 		})
 	}
 }
+
+// A turn whose check of the ownership came before a release, and its grant after it, was covered by no
+// record before the release.
+func TestReleaseFollowsTheReservationsOfAllGrants(t *testing.T) {
+	const rounds = 400
+	synctest.Test(t, func(t *testing.T) {
+		log := store.New()
+		l := newLedger(log, "a")
+		for round, program := range samePartition(l, rounds) {
+			own(t, l)
+			before := len(log.Records(l.partitionOf(program).appender.partition))
+			var concurrent sync.WaitGroup
+			unlogged := false
+			concurrent.Go(func() { l.SettleIdle(func(int) bool { return false }) })
+			concurrent.Go(func() {
+				grant, err := beginTurn(within(t, time.Second), l, program, 1000, 100, true)
+				unlogged = err == nil && grant.Unlogged
+				l.FinishTurn(program, grant.ID, 0)
+			})
+			concurrent.Wait()
+			time.Sleep(time.Second)
+			if err := l.Stop(within(t, time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			records := log.Records(l.partitionOf(program).appender.partition)[before:]
+			if unlogged && !reservedBeforeRelease(records, program) {
+				t.Fatalf("round %d: a turn of %s was granted behind a release", round, program)
+			}
+		}
+	})
+}
+
+// reservedBeforeRelease reports whether a program has a reservation before the first release.
+func reservedBeforeRelease(records [][]byte, program ledger.ProgramID) bool {
+	for _, encoded := range records {
+		switch record, _ := ledger.Decode(encoded); record := record.(type) {
+		case ledger.Reservation:
+			if record.Program == program {
+				return true
+			}
+		case ledger.OwnershipRelease:
+			return false
+		}
+	}
+	return false
+}
