Release an ownership only once the log covers all turns that run

Callers: a program could get two turns beyond its budget (BUDGET), 1,000 tokens of 800 + 100.

Cause: an owner released once none of its reservations was pending. One that the log has refused is not pending: a turn that was granted ahead of the log, while other nodes served its program to the end, runs on with no reservation but the one that those assumed. The release says that all grants are logged, so the assumed one was taken back, and a dead node's open reservation allowed one more turn.

An owner now keeps its partition while a turn is open that its reservations do not cover, and charges it in place of the assumed reservation when it ends. If the node stops first, it does not release.

TestOwnerReleasesOnceItsUnloggedTurnsAreCovered failed before: ppp used 1000 of a budget of 800.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -110,6 +110,9 @@
 	return known
 }
 
+// Uncovered reports whether the log has granted less than what was used and open turns may use.
+func (c *Credit) Uncovered() bool { return c.used+c.openTokens() > c.granted() }
+
 // remaining returns what is left of the budget after taken tokens.
 func (c *Credit) remaining(taken uint64) uint64 {
 	return uint64(c.budget) - min(uint64(c.budget), taken)
--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -374,7 +374,7 @@
 	undecided, settled := false, false
 	for program, entry := range m.credits {
 		entry.credit.Expire(grantTimeout, m.clock())
-		undecided = undecided || entry.pending != nil
+		undecided = undecided || entry.pending != nil || entry.credit.Uncovered()
 		if coordinator && idle == creditIdleTimeout && entry.credit.Idle(rebaseIdleTimeout, m.clock()) && entry.credit.HoldsExcess() {
 			m.rebaseEntry(entry)
 		}
--- a/internal/ledgerlog/ownership_test.go
+++ b/internal/ledgerlog/ownership_test.go
@@ -127,3 +127,39 @@
 	}
 	return false
 }
+
+// An owner released while a turn was open that it had granted ahead of the log and the log had not
+// covered, so that what others had assumed for that turn was taken back.
+func TestOwnerReleasesOnceItsUnloggedTurnsAreCovered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run, owner, program := ownedRun(t)
+		owner.path.silent.Store(true)
+		run.beginWholeTurn(program)
+		run.start()
+		for program.used < program.budget {
+			run.useWholeTurn(program)
+		}
+		run.beginWholeTurn(program)
+		run.kill(run.live[:1])
+		run.live = run.live[1:]
+		run.start()
+		owner.path.silent.Store(false)
+		run.tick(3 * time.Second) // the owner's reservation is refused, and it is to release
+		for !program.ended && run.failure == "" {
+			run.useWholeTurn(program)
+		}
+		run.end()
+		if run.failure != "" {
+			t.Errorf("%s, with the records%s", run.failure, run.recordsOf(program.id))
+		}
+	})
+}
+
+// beginWholeTurn begins a turn at the coordinator that uses all of its tokens and does not end.
+func (r *budgetRun) beginWholeTurn(program *budgetProgram) {
+	_, err := beginTurn(within(r.t, time.Second), r.live[0].Ledger, program.id, program.budget, program.maxTokens, true)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	program.used += program.maxTokens
+}
