Give a replica the time that is left when the request is sent

Callers: a replica could work on a request beyond the time that its client waits (BUDGET). What was left was worked out before the wait for a connection (600 ms at most) and for a registration with other nodes (250 ms), and sent as it was then.

The line at a request's end has when it was sent and the time given, so that both can be compared for a request's ID over all nodes.

TestReplicaGetsTimeThatIsLeftWhenTheRequestIsSent failed before (700 ms given of 200 left). A test of evacuations called acquireSend without a deadline; it sets one and names the error that it expects.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -188,7 +188,6 @@
 	if left < minTimeLeft {
 		return nil, &exchange.FailureError{Outcome: exchange.OutcomeNotRun, Reason: exchange.ReasonCancelled, Cause: context.DeadlineExceeded}
 	}
-	call.header.Set(r.config.Names.TimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
 	if call.service.Slots > 0 && r.config.Names.Priority != "" {
 		call.header.Set(r.config.Names.Priority, strconv.Itoa(balance.Priority(call.priority, call.late)))
 	}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -70,6 +70,10 @@
 	version    uint64
 	arrived    time.Time
 	deadline   time.Time
+	// sendBegan is when the call was last sent, and given the time that its replica got; zero if it was
+	// not sent.
+	sendBegan time.Time
+	given     time.Duration
 
 	prompt    balance.Prompt
 	maxTokens uint32
--- a/internal/router/evacuation_test.go
+++ b/internal/router/evacuation_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -82,9 +83,10 @@
 		if one.Zone != "near" {
 			continue
 		}
-		is.NoErr(h.router.acquireSend(t.Context(), &call{}, one))
+		sent := &call{header: http.Header{}, deadline: time.Now().Add(time.Minute)}
+		is.NoErr(h.router.acquireSend(t.Context(), sent, one))
 		h.evacuate("near")
-		is.True(h.router.acquireSend(t.Context(), &call{}, one) != nil)
+		is.True(errors.Is(h.router.acquireSend(t.Context(), sent, one), errEvacuated))
 	}
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -325,6 +326,20 @@
 	is.Equal(received.Body, "input")
 }
 
+// A replica got the time that was left before the wait for its connection.
+func TestReplicaGetsTimeThatIsLeftWhenTheRequestIsSent(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, healthy)
+	chosen := h.fleet.Usable("s", 0)[0]
+	late := &call{header: http.Header{"Test-Timeout": {"700"}}, deadline: time.Now().Add(200 * time.Millisecond)}
+	is.NoErr(h.router.acquireSend(t.Context(), late, chosen))
+	given, err := strconv.Atoi(late.header.Get("Test-Timeout"))
+	is.NoErr(err)
+	is.True(given <= 200)
+	late.deadline = time.Now()
+	is.True(errors.Is(h.router.acquireSend(t.Context(), late, chosen), context.DeadlineExceeded))
+}
+
 func TestClientDisconnectCancelsAttempt(t *testing.T) {
 	for _, path := range []string{"/unsafe/x", "/stream/x"} {
 		canceled := make(chan struct{})
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -91,6 +91,9 @@
 			slog.String("resident", call.prompt.CacheLocation.Instance), slog.Float64("expected_first_ms", reply.expected.FirstMilliseconds),
 		)
 	}
+	if call.given > 0 {
+		attributes = append(attributes, durationAttr("sent_after", call.sendBegan.Sub(call.arrived)), durationAttr("given", call.given))
+	}
 	if reply.replicaVersion != "" {
 		attributes = append(attributes, slog.String("replica_version", reply.replicaVersion))
 	}
--- a/internal/router/usable.go
+++ b/internal/router/usable.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/samber/lo"
@@ -139,6 +140,10 @@
 	if err := r.beginAttempt(ctx, call, &replica); err != nil {
 		return err
 	}
+	left := call.left()
+	if left < minTimeLeft {
+		return context.DeadlineExceeded
+	}
 	if err := r.admitRepeat(ctx, call); err != nil {
 		return err
 	}
@@ -151,6 +156,8 @@
 	if r.config.Evacuations != nil && !r.config.Evacuations.TrySend(replica.Zone, r.Now()) {
 		return fmt.Errorf("%w: %s", errEvacuated, replica.Zone)
 	}
+	call.sendBegan, call.given = time.Now(), left
+	call.header.Set(r.config.Names.TimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
 	call.permitUsed = true
 	return nil
 }
