Send nothing for clients whose close has arrived

Cause: the end of a connection is detected by a goroutine of its own, which runs after the one that sends on a busy processor, and with it in any order after a standstill.

The connection itself is now asked, without waiting, when the request has been read and right before it is sent.

--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -74,6 +75,8 @@
 	// not sent.
 	sendBegan time.Time
 	given     time.Duration
+	// cancel ends the context in which the call is served.
+	cancel context.CancelFunc
 
 	prompt    balance.Prompt
 	maxTokens uint32
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -19,6 +21,8 @@
 // clientConnection is the state of one connection. Invariant: once closed is set, no
 // request that arrives on it is processed.
 type clientConnection struct {
+	socket net.Conn
+
 	// mutex guards the fields below.
 	mutex  sync.Mutex
 	busy   bool
@@ -38,7 +42,7 @@
 
 // Context is the ConnContext hook of http.Server.
 func (c *Connections) Context(ctx context.Context, socket net.Conn) context.Context {
-	tracked := &clientConnection{unused: true}
+	tracked := &clientConnection{socket: socket, unused: true}
 	c.mutex.Lock()
 	c.open[socket] = tracked
 	c.mutex.Unlock()
@@ -103,6 +107,33 @@
 	return true
 }
 
+// clientLeft reports whether the client has closed its connection. The request's context ends a little
+// later, or much later on a busy machine, since another goroutine detects that.
+func clientLeft(ctx context.Context) bool {
+	tracked, found := ctx.Value(connectionKey{}).(*clientConnection)
+	return found && tracked.ended()
+}
+
+// ended reports whether the peer has closed the connection. It does not wait for the goroutine that
+// reads.
+func (t *clientConnection) ended() bool {
+	conn, ok := t.socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	err = raw.Control(func(descriptor uintptr) {
+		var peeked [1]byte
+		n, _, failed := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n == 0 && failed == nil || errors.Is(failed, syscall.ECONNRESET)
+	})
+	return err == nil && ended
+}
+
 func (t *clientConnection) endRequest() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -202,8 +202,12 @@
 	call.body, call.inputBytes = body, len(body)
 	ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
 	defer cancel()
+	call.cancel = cancel
 	defer r.logCompleted(call, reply)
 	defer r.endCall(call, reply)
+	if clientLeft(ctx) {
+		reply.abort("client_left", nil)
+	}
 	if err := r.checkQuarantine(call); err != nil {
 		rejectQuarantined(call, reply, err, false)
 		return
--- a/internal/router/usable.go
+++ b/internal/router/usable.go
@@ -140,6 +140,10 @@
 	if err := r.beginAttempt(ctx, call, &replica); err != nil {
 		return err
 	}
+	if clientLeft(ctx) {
+		call.cancel()
+		return context.Canceled
+	}
 	left := call.left()
 	if left < minTimeLeft {
 		return context.DeadlineExceeded
