Log the claims and releases of partitions, and failed reservations

The line of a turn says that it was granted ahead of the log and by whom (ahead, home). What became of the ownership under which it was granted was in no log, so that a grant behind a release could not be told from another loss. The records of the ownership are logged with their partition, offset and duration now, and a failed reservation with its program.

--- a/internal/ledgerlog/claim.go
+++ b/internal/ledgerlog/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/logstore"
@@ -38,7 +39,7 @@
 		// The release before did not get into the log, as far as known.
 		records = append([]ledger.Record{ledger.OwnershipRelease{Incarnation: m.incarnation}}, records...)
 	}
-	m.writeOwnership(records, func() { m.resigned = false })
+	m.writeOwnership("claim", records, func() { m.resigned = false })
 }
 
 // readOwner reads the partition for the first time, in the background, and then claims it.
@@ -68,7 +69,7 @@
 func (m *creditManager) release() {
 	if m.partition.reader.owner() == m.incarnation && !m.claiming {
 		m.resigned = true
-		m.writeOwnership([]ledger.Record{ledger.OwnershipRelease{Incarnation: m.incarnation}}, func() {})
+		m.writeOwnership("release", []ledger.Record{ledger.OwnershipRelease{Incarnation: m.incarnation}}, func() {})
 	}
 }
 
@@ -89,13 +90,15 @@
 }
 
 // writeOwnership writes adjacent records of the ownership and reads the partition up to them, in the
-// background. onRead is called with the mutex once they have been read. The caller must hold the mutex.
-func (m *creditManager) writeOwnership(records []ledger.Record, onRead func()) {
+// background. kind is for the log. onRead is called with the mutex once they have been read. The caller
+// must hold the mutex.
+func (m *creditManager) writeOwnership(kind string, records []ledger.Record, onRead func()) {
 	m.claiming = true
 	encoded := make([][]byte, 0, len(records))
 	for _, one := range records {
 		encoded = append(encoded, ledger.Encode(one))
 	}
+	began := time.Now()
 	waiting := m.partition.submitNow(encoded...)
 	go func() {
 		outcome := <-waiting.outcome
@@ -110,5 +113,7 @@
 		if err == nil {
 			onRead()
 		}
+		m.partition.appender.logger.Info("ownership record answered", "partition", m.partition.appender.partition.Number, "record", kind,
+			"offset", outcome.first, "took_ms", time.Since(began).Milliseconds(), "exclusive", m.exclusive(), "error", err)
 	}()
 }
--- a/internal/ledgerlog/reserve.go
+++ b/internal/ledgerlog/reserve.go
@@ -41,6 +41,8 @@
 			entry.refillRefused = !call.granted
 		} else {
 			entry.credit.Fail(record.Attempt)
+			m.partition.appender.logger.Warn("reservation failed", "partition", m.partition.appender.partition.Number, "program", record.Program,
+				"tokens", record.WantedTokens, "unrecorded", entry.credit.Unrecorded(), "error", err)
 		}
 		if err != nil || corrected || !entry.credit.MisledByAssumption() {
 			call.err, entry.pending = err, nil
