Assume unlogged turns again after a failed reservation

Callers: a program could get two turns beyond its budget (BUDGET), 1,000 tokens of 800 + 100.

Cause: a node writes what it assumes for the unlogged turns of a dead owner with its own first reservation of a program. If that append failed with an unknown outcome, the next reservation went without, so that the dead owner's turn was charged to nobody.

The assumed reservations are kept until a verdict is known. They have no effect where the log has them.

TestUnloggedTurnsAreAssumedAgainAfterAFailedReservation failed before.

--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -91,7 +91,7 @@
 	// refillRefused is set if the last reservation was refused, which stops reservations in
 	// advance.
 	refillRefused bool
-	// assumed contains the assumed reservations to write before the first one.
+	// assumed contains the assumed reservations to write before the first one whose verdict becomes known.
 	assumed []ledger.Reservation
 }
 
--- a/internal/ledgerlog/ownership_test.go
+++ b/internal/ledgerlog/ownership_test.go
@@ -179,3 +179,20 @@
 		}
 	})
 }
+
+// What a node assumed for the unlogged turns of a dead owner was lost with its own first reservation, and
+// not written again.
+func TestUnloggedTurnsAreAssumedAgainAfterAFailedReservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run, owner, program := ownedRun(t)
+		owner.path.silent.Store(true)
+		run.beginWholeTurn(program)
+		run.loseAll()
+		run.live[0].path.fenced.Store(2)
+		run.useBudgetWithLoss(program)
+		run.end()
+		if run.failure != "" {
+			t.Errorf("%s, with the records%s", run.failure, run.recordsOf(program.id))
+		}
+	})
+}
--- a/internal/ledgerlog/reserve.go
+++ b/internal/ledgerlog/reserve.go
@@ -17,7 +17,6 @@
 	for _, one := range entry.assumed {
 		before = append(before, one)
 	}
-	entry.assumed = nil
 	m.reserve(entry, append(before, entry.credit.Corrections()...), next, request.Repeated)
 }
 
@@ -37,6 +36,7 @@
 		verdict, err := m.awaitVerdict(record.Attempt, waiting)
 		m.mutex.Lock()
 		if err == nil {
+			entry.assumed = nil
 			call.granted = m.applyVerdict(entry.credit, verdict, repeated)
 			entry.refillRefused = !call.granted
 		} else {
