--- a/internal/ledgerlog/boundmodel_test.go
+++ b/internal/ledgerlog/boundmodel_test.go
@@ -12,7 +12,11 @@
 
 // boundRun plays programs that use whole turns without end, while appends are lost, late, repeated and
 // fenced, and nodes release, return, are cut from the store and die at any point.
-type boundRun struct{ *budgetRun }
+type boundRun struct {
+	*budgetRun
+	// open contains the ends of the turns that run.
+	open []func()
+}
 
 // step plays one step that draw selects, at one of the nodes and programs.
 func (r *boundRun) step(draw int) {
@@ -24,8 +28,12 @@
 	switch kind {
 	case 0:
 		r.add()
+		if len(r.open) > 0 {
+			end := r.open[program%len(r.open)]
+			end()
+		}
 	case 1, 2, 3, 4: // a turn at any node
-		r.turnAt(r.live[node], p, draw/3%2 == 0)
+		r.turnAt(r.live[node], p, draw/3)
 	case 5:
 		r.live[node].SettleIdle(func(int) bool { return false })
 	case 6:
@@ -66,18 +74,27 @@
 	}
 }
 
-// turnAt runs a turn that uses all of its tokens. If ends is not set, its node never learns of its end.
-func (r *boundRun) turnAt(node *budgetNode, p *budgetProgram, ends bool) {
+// turnAt runs a turn that uses all of its tokens or, seldom, some. draw selects whether its node learns of
+// its end at once, later or never.
+func (r *boundRun) turnAt(node *budgetNode, p *budgetProgram, draw int) {
 	grant, err := beginTurn(within(r.t, 300*time.Millisecond), node.Ledger, p.id, p.budget, p.maxTokens, node == r.live[0])
 	if err != nil {
 		return
 	}
-	p.used += p.maxTokens
+	used := p.maxTokens
+	if draw%5 == 0 {
+		used /= 2
+	}
+	p.used += used
 	if p.used > p.budget+p.maxTokens {
 		r.fail("%s used %d of a budget of %d and one turn of %d, with the records%s", p.id, p.used, p.budget, p.maxTokens, r.recordsOf(p.id))
 	}
-	if ends {
-		node.FinishTurn(grant.Program, grant.ID, p.maxTokens)
+	end := func() { node.FinishTurn(grant.Program, grant.ID, used) }
+	switch draw / 5 % 3 {
+	case 0:
+		end()
+	case 1:
+		r.open = append(r.open, end)
 	}
 }
 
@@ -88,7 +105,7 @@
 		draws := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 20, 150).Draw(rt, "draws")
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
-			run := &boundRun{newBudgetRun(t)}
+			run := &boundRun{budgetRun: newBudgetRun(t)}
 			run.reckless = true
 			run.start()
 			for _, draw := range draws {
