Send what was written before an answer is aborted

Callers: the last events of a stream that was aborted were lost, up to a few kB beyond what its client had got, though they counted as sent and were charged.

Cause: only one of the reasons to abort sent the buffered bytes first.

All aborts do so now.

--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -121,9 +121,13 @@
 	a.writer.WriteHeader(response.Status)
 }
 
-// abort closes the connection, so that the client does not take the response for complete.
-// It panics with http.ErrAbortHandler and does not return.
+// abort closes the connection, so that the client does not take the response for complete. What was
+// written before is sent first. It panics with http.ErrAbortHandler and does not return.
 func (a *reply) abort(reason string, cause error) {
+	if a.status != 0 {
+		// An error means that the client has disconnected.
+		_ = http.NewResponseController(a.writer).Flush()
+	}
 	a.aborted = true
 	a.setReason(reason, cause)
 	panic(http.ErrAbortHandler)
