--- a/internal/router/usable.go
+++ b/internal/router/usable.go
@@ -140,6 +140,9 @@
 	if err := r.beginAttempt(ctx, call, &replica); err != nil {
 		return err
 	}
+	if err := r.admitRepeat(ctx, call); err != nil {
+		return err
+	}
 	if clientLeft(ctx) {
 		call.cancel()
 		return context.Canceled
@@ -148,9 +151,6 @@
 	if left < minTimeLeft {
 		return context.DeadlineExceeded
 	}
-	if err := r.admitRepeat(ctx, call); err != nil {
-		return err
-	}
 	if call.origin != nil && !r.config.Fleet.Confirms(&replica) {
 		return fmt.Errorf("%w: %s", errVersionChanged, replica.IncarnationID())
 	}
