Hold the streams of the test of incomplete events until all have a replica

The test failed beside load (4 of 96 runs beside 24 processes) with 237,604 to 253,988 bytes held at most, and wants more than 262,144. Traced by the requests of each replica: if the requests arrive 20 ms apart, all 12 go to the nearest replica, since each stream that exceeds that replica's share ends before the next is sent, and the share is 262,144 bytes: 253,976 bytes in 2 of 2 runs. So the test took for granted that all arrive before one ends. The checks are the same; a request that is sent twice ends the test as well.

--- a/internal/router/endless_test.go
+++ b/internal/router/endless_test.go
@@ -125,7 +125,13 @@
 func TestIncompleteEventsAreBoundedTogether(t *testing.T) {
 	is := is.New(t)
 	begun := "id: 1\ndata: " + strings.Repeat("x", 100<<10)
+	const streams = 12
+	var arrived sync.WaitGroup
+	arrived.Add(streams)
 	incomplete := func(e *replica.Exchange) bool {
+		// Streams that end before others are chosen a replica would all go to the nearest one.
+		arrived.Done()
+		arrived.Wait()
 		e.Write("%s", streamHeader(e)+chunk(begun))
 		time.Sleep(300 * time.Millisecond)
 		return false
@@ -146,11 +152,11 @@
 			}
 		}
 	}()
-	results := make(chan int, 12)
-	for i := range 12 {
+	results := make(chan int, streams)
+	for i := range streams {
 		go func() { results <- h.post("/stream/x", fmt.Sprint(i)).StatusCode }()
 	}
-	for range 12 {
+	for range streams {
 		is.Equal(<-results, http.StatusBadGateway)
 	}
 	close(stop)
