Count clients' connections that the node closes and what had arrived on them

A connection that the node closed, and a request that was read on one, left no trace in logs or metrics, so that a missing answer could not be told from a client that left. stepseam_client_connections_closed_total counts by reason and by what had arrived of a request; those with a request in them have a log line with the time at rest.

--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -52,7 +52,7 @@
 	do.ProvideValue(injector, coldstart.NewLimiter(cfg.Node.Name))
 	do.ProvideValue(injector, balance.NewTracker(string(cfg.Node.Zone)))
 	do.ProvideValue(injector, exchange.NewClient(adapter.Names.Replica))
-	do.ProvideValue(injector, router.NewConnections())
+	do.ProvideValue(injector, router.NewConnections(logger, registry))
 	store := guardedstore.New(guardedstore.Config{
 		Store: newCountedStore(adapter.NewStore(cfg.Store), registry), CallsPerSecond: cfg.Store.ReadsPerSecond,
 		Logger: logger, Registerer: registry,
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -3,16 +3,22 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Connections tracks the clients' connections, so that a shutdown can close idle ones
 // without interrupting a request. It is safe for concurrent use.
 type Connections struct {
+	logger *slog.Logger
+	closed *prometheus.CounterVec
+
 	// mutex guards open.
 	mutex sync.Mutex
 	open  map[net.Conn]*clientConnection
@@ -21,7 +27,8 @@
 // clientConnection is the state of one connection. Invariant: once closed is set, no
 // request that arrives on it is processed.
 type clientConnection struct {
-	socket net.Conn
+	connections *Connections
+	socket      net.Conn
 
 	// mutex guards the fields below.
 	mutex  sync.Mutex
@@ -35,14 +42,30 @@
 
 type connectionKey struct{}
 
-// NewConnections returns an empty tracker.
-func NewConnections() *Connections {
-	return &Connections{open: map[net.Conn]*clientConnection{}}
+// Reasons for which the node closes a connection by itself.
+const (
+	closedIdle = "idle"
+	closedStop = "stop"
+)
+
+// NewConnections returns an empty tracker. registerer may be nil.
+func NewConnections(logger *slog.Logger, registerer prometheus.Registerer) *Connections {
+	built := &Connections{
+		logger: logger, open: map[net.Conn]*clientConnection{},
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_client_connections_closed_total",
+			Help: "Clients' connections closed by the node, by reason and what had arrived of a request: none, unread or read.",
+		}, []string{"reason", "request"}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(built.closed)
+	}
+	return built
 }
 
 // Context is the ConnContext hook of http.Server.
 func (c *Connections) Context(ctx context.Context, socket net.Conn) context.Context {
-	tracked := &clientConnection{socket: socket, unused: true}
+	tracked := &clientConnection{connections: c, socket: socket, unused: true}
 	c.mutex.Lock()
 	c.open[socket] = tracked
 	c.mutex.Unlock()
@@ -75,12 +98,37 @@
 			left++
 			continue
 		}
-		// A failure to close is of no consequence.
-		_ = socket.Close()
+		c.close(socket, tracked, closedStop)
 	}
 	return left
 }
 
+func (c *Connections) close(socket net.Conn, tracked *clientConnection, reason string) {
+	request := "none"
+	if tracked.unread() {
+		request = "unread"
+	}
+	// A failure to close is of no consequence.
+	_ = socket.Close()
+	tracked.logClosed(reason, request)
+}
+
+// logClosed counts a connection that the node has closed, and logs it if a request had arrived on it.
+func (t *clientConnection) logClosed(reason, request string) {
+	t.connections.closed.WithLabelValues(reason, request).Inc()
+	if request == "none" {
+		return
+	}
+	t.mutex.Lock()
+	rested := time.Duration(0)
+	if !t.idleSince.IsZero() {
+		rested = time.Since(t.idleSince)
+	}
+	t.mutex.Unlock()
+	t.connections.logger.LogAttrs(context.Background(), slog.LevelWarn, "connection closed with a request in it",
+		slog.String("reason", reason), slog.String("request", request), slog.String("client", t.socket.RemoteAddr().String()), durationAttr("rested", rested))
+}
+
 func (t *clientConnection) closeIfIdle(fresh bool) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -117,21 +165,32 @@
 // ended reports whether the peer has closed the connection. It does not wait for the goroutine that
 // reads.
 func (t *clientConnection) ended() bool {
+	count, err := t.peek()
+	return count == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
+// unread reports whether bytes have arrived that no reader has taken.
+func (t *clientConnection) unread() bool {
+	count, err := t.peek()
+	return count > 0 && err == nil
+}
+
+// peek returns how many bytes can be read, one at most. At the end of the input it returns 0 and no
+// error.
+func (t *clientConnection) peek() (count int, err error) {
 	conn, ok := t.socket.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	ended := false
-	err = raw.Control(func(descriptor uintptr) {
+	closed := raw.Control(func(descriptor uintptr) {
 		var peeked [1]byte
-		n, _, failed := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = n == 0 && failed == nil || errors.Is(failed, syscall.ECONNRESET)
+		count, _, err = syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && ended
+	return count, errors.Join(err, closed)
 }
 
 func (t *clientConnection) endRequest() {
@@ -155,8 +214,7 @@
 	defer c.mutex.Unlock()
 	for socket, tracked := range c.open {
 		if tracked.idleLongerThan(limit) && tracked.closeIfIdle(false) {
-			// A failure to close is of no consequence.
-			_ = socket.Close()
+			c.close(socket, tracked, closedIdle)
 		}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -142,6 +142,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if !beginRequest(request.Context()) {
+		r.logDropped(request)
 		panic(http.ErrAbortHandler) // the connection is being closed; nothing was sent to a replica
 	}
 	reply := &reply{writer: writer, router: r}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -378,7 +378,7 @@
 		<-release
 		return healthy(e)
 	})
-	connections := NewConnections()
+	connections := NewConnections(slog.New(slog.DiscardHandler), nil)
 	server := httptest.NewUnstartedServer(h.router)
 	server.Config.ConnContext, server.Config.ConnState = connections.Context, connections.State
 	server.Start()
