Close idle connections of clients through their reader

Callers saw a connection close after a whole request, with neither an answer nor a refusal: a connection counted as busy only once its handler ran, so the idle limit and a stop closed connections whose next request was being read, and the handler then aborted what had been read. A lowered idle limit did so to all connections that exceeded it.

The tracker now wraps the connections. Closing one sets its read deadline in the past, and the reader decides under the connection's mutex: either it gives up and closes the socket, or bytes have arrived and the closing is withdrawn. So no request that was read is on a connection that is closed, and no handler has to abort one. The same holds as a deadline of net/http itself passes, and for requests that were received along with the one before. Bytes are looked for right before the socket is closed; what remains are requests that arrive between these two system calls or later. They are not read.

A connection keeps the greatest idle limit in force since its last response, since its client reuses it by that one, and two seconds more, since clients may know a raised limit before the node. A closed listener has tracked all that it accepted, so a stop waits for these too.

TestOnlyIdleConnectionsAreClosed sets the limit in place of passing it to each check, and closes the connection by a stop, since a limit that is lowered meanwhile no longer closes it (TestLoweredIdleLimitHoldsForConnectionsThatRestLater). It now also checks that the connection is gone from the count. The label "request" of the counter becomes "outcome": no connection is closed any more with a request read.

--- a/internal/routednode/configurationview.go
+++ b/internal/routednode/configurationview.go
@@ -86,8 +86,8 @@
 	if applied {
 		v.storeConfiguration(configuration.Version, encoded)
 		v.logAllowedRegions(configuration)
-		if v.onConfiguration != nil {
-			v.onConfiguration()
+		for _, notify := range v.onConfiguration {
+			notify()
 		}
 	}
 	v.logger.Info("configuration received", "from", source, "version", configuration.Version, "in_force", applied,
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -52,6 +52,9 @@
 	maxHeaderBytes = 64 << 10
 	// idleCheckInterval is the time between two checks for idle connections.
 	idleCheckInterval = time.Second
+	// idleSlack is how much longer than the configured timeout connections may be idle, since clients
+	// may know a new configuration before the node does.
+	idleSlack = 2 * time.Second
 )
 
 // node is a running node. Its components are nil where the settings disable them.
@@ -150,8 +153,8 @@
 		ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
 	}
 	if handler == http.Handler(n.router) {
+		listener = n.connections.Track(server, listener)
 		n.clientListener = listener
-		server.ConnContext, server.ConnState = n.connections.Context, n.connections.State
 	}
 	go func() {
 		if err := server.Serve(listener); err != nil && !n.stopping.Load() {
@@ -161,6 +164,15 @@
 	return nil
 }
 
+// applyIdleLimit applies the idle timeout of the current configuration.
+func (n *node) applyIdleLimit() {
+	limit := n.router.Configuration().Limits.IdleTimeout
+	if limit > 0 {
+		limit += idleSlack
+	}
+	n.connections.SetIdleLimit(limit)
+}
+
 // closeIdleConnections closes client connections that exceed the configured idle timeout.
 func (n *node) closeIdleConnections(ctx context.Context) {
 	ticker := time.NewTicker(idleCheckInterval)
@@ -168,9 +180,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			if configuration := n.router.Configuration(); configuration != nil && configuration.Limits.IdleTimeout > 0 {
-				n.connections.CloseResting(configuration.Limits.IdleTimeout)
-			}
+			n.connections.CloseResting()
 		case <-ctx.Done():
 			return
 		}
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -360,9 +360,10 @@
 	built.origins.SetVersions(built.views.onlyVersion)
 	built.quarantine.SetFresh(built.views.replicasFresh)
 	built.limits.SetLimits(built.limitOf, built.hasLimits)
+	built.views.onConfiguration = append(built.views.onConfiguration, built.applyIdleLimit)
 	if built.shares != nil {
 		built.shares.SetEnabled(built.hasLimits)
-		built.views.onConfiguration = built.shares.NeedChanged
+		built.views.onConfiguration = append(built.views.onConfiguration, built.shares.NeedChanged)
 	}
 	frequent := &frequentReader{self: cfg.Node.Name}
 	if built.peers != nil {
--- a/internal/routednode/views.go
+++ b/internal/routednode/views.go
@@ -36,8 +36,8 @@
 	evacuations *evacuations
 	// freshness tracks the age of the current configuration.
 	freshness *freshness
-	// onConfiguration is called after each new configuration; it may be nil.
-	onConfiguration func()
+	// onConfiguration are called after each new configuration.
+	onConfiguration []func()
 	// listed is set after the replicas have been loaded once.
 	listed     atomic.Bool
 	unreadable *unreadableEntries
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -2,221 +2,138 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Connections tracks the clients' connections, so that a shutdown can close idle ones
-// without interrupting a request. It is safe for concurrent use.
+// noIdleLimit is the idle limit if there is none.
+const noIdleLimit = time.Duration(math.MaxInt64)
+
+// closeReason is a reason for which the node closes a connection by itself.
+type closeReason string
+
+const (
+	closedIdle closeReason = "idle"
+	closedStop closeReason = "stop"
+)
+
+// Connections tracks the clients' connections, so that idle ones can be closed without losing a
+// request. It is safe for concurrent use.
 type Connections struct {
 	logger *slog.Logger
 	closed *prometheus.CounterVec
+	// idleLimit is the limit in force, in nanoseconds.
+	idleLimit atomic.Int64
 
-	// mutex guards open.
+	// mutex guards open. It is locked before that of a connection.
 	mutex sync.Mutex
-	open  map[net.Conn]*clientConnection
-}
-
-// clientConnection is the state of one connection. Invariant: once closed is set, no
-// request that arrives on it is processed.
-type clientConnection struct {
-	connections *Connections
-	socket      net.Conn
-
-	// mutex guards the fields below.
-	mutex  sync.Mutex
-	busy   bool
-	closed bool
-	// unused reports that no request has arrived on it yet.
-	unused bool
-	// idleSince is the time at which the last response was sent; zero if there was none.
-	idleSince time.Time
+	open  map[*clientConnection]struct{}
 }
 
 type connectionKey struct{}
 
-// Reasons for which the node closes a connection by itself.
-const (
-	closedIdle = "idle"
-	closedStop = "stop"
-)
-
-// NewConnections returns an empty tracker. registerer may be nil.
+// NewConnections returns an empty tracker without an idle limit. registerer may be nil.
 func NewConnections(logger *slog.Logger, registerer prometheus.Registerer) *Connections {
 	built := &Connections{
-		logger: logger, open: map[net.Conn]*clientConnection{},
+		logger: logger, open: map[*clientConnection]struct{}{},
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_client_connections_closed_total",
-			Help: "Clients' connections closed by the node, by reason and what had arrived of a request: none, unread or read.",
-		}, []string{"reason", "request"}),
+			Help: "Clients' connections that the node was to close by itself, by reason and outcome: closed, or kept since a request arrived.",
+		}, []string{"reason", "outcome"}),
 	}
+	built.idleLimit.Store(int64(noIdleLimit))
 	if registerer != nil {
 		registerer.MustRegister(built.closed)
 	}
 	return built
 }
 
-// Context is the ConnContext hook of http.Server.
-func (c *Connections) Context(ctx context.Context, socket net.Conn) context.Context {
-	tracked := &clientConnection{connections: c, socket: socket, unused: true}
-	c.mutex.Lock()
-	c.open[socket] = tracked
-	c.mutex.Unlock()
-	return context.WithValue(ctx, connectionKey{}, tracked)
-}
-
-// State is the ConnState hook of http.Server.
-func (c *Connections) State(socket net.Conn, state http.ConnState) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	switch state {
-	case http.StateClosed, http.StateHijacked:
-		delete(c.open, socket)
-	case http.StateIdle:
-		// The last response has been sent completely.
-		if tracked, found := c.open[socket]; found {
-			tracked.endRequest()
-		}
+// Track makes a server report the connections of a listener to the tracker. The server must be served
+// with the returned listener.
+func (c *Connections) Track(server *http.Server, listener net.Listener) net.Listener {
+	server.ConnContext = func(ctx context.Context, socket net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, socket)
 	}
-}
-
-// CloseIdle closes the connections that are idle after a request and, if fresh is set,
-// also those without a request so far. It returns the number of connections left open.
-func (c *Connections) CloseIdle(fresh bool) int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	left := 0
-	for socket, tracked := range c.open {
-		if !tracked.closeIfIdle(fresh) {
-			left++
-			continue
+	server.ConnState = func(socket net.Conn, state http.ConnState) {
+		if tracked, ok := socket.(*clientConnection); ok && state == http.StateIdle {
+			// The last response has been sent completely.
+			tracked.rest()
 		}
-		c.close(socket, tracked, closedStop)
-	}
-	return left
-}
-
-func (c *Connections) close(socket net.Conn, tracked *clientConnection, reason string) {
-	request := "none"
-	if tracked.unread() {
-		request = "unread"
 	}
-	// A failure to close is of no consequence.
-	_ = socket.Close()
-	tracked.logClosed(reason, request)
+	return &trackedListener{Listener: listener, connections: c}
 }
 
-// logClosed counts a connection that the node has closed, and logs it if a request had arrived on it.
-func (t *clientConnection) logClosed(reason, request string) {
-	t.connections.closed.WithLabelValues(reason, request).Inc()
-	if request == "none" {
-		return
-	}
-	t.mutex.Lock()
-	rested := time.Duration(0)
-	if !t.idleSince.IsZero() {
-		rested = time.Since(t.idleSince)
-	}
-	t.mutex.Unlock()
-	t.connections.logger.LogAttrs(context.Background(), slog.LevelWarn, "connection closed with a request in it",
-		slog.String("reason", reason), slog.String("request", request), slog.String("client", t.socket.RemoteAddr().String()), durationAttr("rested", rested))
+// trackedListener tracks the connections that it accepts.
+type trackedListener struct {
+	net.Listener
+	connections *Connections
+	// accepting is held until an accepted connection is tracked.
+	accepting sync.Mutex
 }
 
-func (t *clientConnection) closeIfIdle(fresh bool) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.busy || t.unused && !fresh {
-		return false
+// Accept implements net.Listener.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	l.accepting.Lock()
+	defer l.accepting.Unlock()
+	socket, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
-	t.closed = true
-	return true
-}
-
-// beginRequest marks the connection as busy. It returns false if the connection is being
-// closed.
-func beginRequest(ctx context.Context) bool {
-	tracked, found := ctx.Value(connectionKey{}).(*clientConnection)
-	if !found {
-		return true
+	tracked := &clientConnection{Conn: socket, connections: l.connections}
+	l.connections.mutex.Lock()
+	defer l.connections.mutex.Unlock()
+	l.connections.open[tracked] = struct{}{}
+	return tracked, nil
+}
+
+// Close implements net.Listener. Once it has returned, all connections that were accepted are tracked.
+func (l *trackedListener) Close() error {
+	err := l.Listener.Close()
+	l.accepting.Lock()
+	defer l.accepting.Unlock()
+	return err
+}
+
+// SetIdleLimit sets the time after which connections without a request are closed; 0 sets no limit.
+// A connection that is idle keeps the greatest limit in force since it became so, since its client
+// may reuse it by that one.
+func (c *Connections) SetIdleLimit(limit time.Duration) {
+	if limit <= 0 {
+		limit = noIdleLimit
 	}
-	tracked.mutex.Lock()
-	defer tracked.mutex.Unlock()
-	if tracked.closed {
-		return false
+	c.idleLimit.Store(int64(limit))
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for tracked := range c.open {
+		tracked.raiseIdleLimit(limit)
 	}
-	tracked.busy, tracked.unused = true, false
-	return true
-}
-
-// clientLeft reports whether the client has closed its connection. The request's context ends a little
-// later, or much later on a busy machine, since another goroutine detects that.
-func clientLeft(ctx context.Context) bool {
-	tracked, found := ctx.Value(connectionKey{}).(*clientConnection)
-	return found && tracked.ended()
-}
-
-// ended reports whether the peer has closed the connection. It does not wait for the goroutine that
-// reads.
-func (t *clientConnection) ended() bool {
-	count, err := t.peek()
-	return count == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
 }
 
-// unread reports whether bytes have arrived that no reader has taken.
-func (t *clientConnection) unread() bool {
-	count, err := t.peek()
-	return count > 0 && err == nil
-}
-
-// peek returns how many bytes can be read, one at most. At the end of the input it returns 0 and no
-// error.
-func (t *clientConnection) peek() (count int, err error) {
-	conn, ok := t.socket.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return 0, err
+// CloseResting closes the connections that have exceeded their idle limit.
+func (c *Connections) CloseResting() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for tracked := range c.open {
+		tracked.closeIfResting()
 	}
-	closed := raw.Control(func(descriptor uintptr) {
-		var peeked [1]byte
-		count, _, err = syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return count, errors.Join(err, closed)
-}
-
-func (t *clientConnection) endRequest() {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.busy = false
-	t.idleSince = time.Now()
 }
 
-// idleLongerThan reports whether the connection has been idle for longer than limit after
-// a request.
-func (t *clientConnection) idleLongerThan(limit time.Duration) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return !t.busy && !t.idleSince.IsZero() && time.Since(t.idleSince) > limit
-}
-
-// CloseResting closes the connections that have been idle for longer than limit.
-func (c *Connections) CloseResting(limit time.Duration) {
+// CloseIdle closes the connections that are idle after a request and, if fresh is set, also those
+// without a request so far. It returns the number of connections that are still open.
+func (c *Connections) CloseIdle(fresh bool) int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for socket, tracked := range c.open {
-		if tracked.idleLongerThan(limit) && tracked.closeIfIdle(false) {
-			c.close(socket, tracked, closedIdle)
-		}
+	for tracked := range c.open {
+		tracked.closeIfIdle(fresh)
 	}
+	return len(c.open)
 }
 
 // Count returns the number of open connections.
@@ -225,3 +142,23 @@
 	defer c.mutex.Unlock()
 	return len(c.open)
 }
+
+func (c *Connections) remove(tracked *clientConnection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.open, tracked)
+}
+
+func (c *Connections) count(reason closeReason, outcome string, client net.Addr, idle time.Duration) {
+	c.closed.WithLabelValues(string(reason), outcome).Inc()
+	c.logger.LogAttrs(context.Background(), slog.LevelDebug, "idle connection expired", slog.String("reason", string(reason)),
+		slog.String("outcome", outcome), slog.String("client", client.String()), durationAttr("idle", idle))
+}
+
+// clientLeft reports whether the client has closed its connection, or its sending side, which looks the
+// same. The request's context ends a little later, or much later on a busy machine, since another
+// goroutine detects that.
+func clientLeft(ctx context.Context) bool {
+	tracked, found := ctx.Value(connectionKey{}).(*clientConnection)
+	return found && tracked.ended()
+}
--- /dev/null
+++ b/internal/router/connections_test.go
@@ -0,0 +1,287 @@
+package router
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// trackedServer serves a handler with a tracker of its connections.
+func trackedServer(t *testing.T, handler http.Handler) (*Connections, string) {
+	connections := NewConnections(slog.New(slog.DiscardHandler), nil)
+	server := httptest.NewUnstartedServer(handler)
+	server.Listener = connections.Track(server.Config, server.Listener)
+	server.Start()
+	t.Cleanup(server.Close)
+	return connections, server.Listener.Addr().String()
+}
+
+// rawClient sends requests on one connection.
+type rawClient struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, address string) rawClient {
+	socket, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	return rawClient{socket, bufio.NewReader(socket)}
+}
+
+func (c rawClient) send(id string) error {
+	_, err := fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nTest-Id: %s\r\n\r\n", id)
+	return err
+}
+
+// status reads a whole response; 0 if there is none.
+func (c rawClient) status() int {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// Connections whose next request had been read were closed, at the idle limit and at a stop, and no response was sent.
+func TestRequestsReadAsTheirConnectionsAreClosedAreAnswered(t *testing.T) {
+	const clients, rounds, rest = 40, 10, 20 * time.Millisecond
+	for name, closeSome := range map[string]func(*Connections){
+		"idle limit": func(c *Connections) { c.CloseResting() },
+		"stop":       func(c *Connections) { c.CloseIdle(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, healthy)
+			var read sync.Map
+			connections, address := trackedServer(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				read.Store(request.Header.Get("Test-Id"), true)
+				h.router.ServeHTTP(writer, request)
+			}))
+			connections.SetIdleLimit(rest)
+			done, closing := make(chan struct{}), atomic.Bool{}
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				for {
+					select {
+					case <-done:
+						return
+					case <-time.After(200 * time.Microsecond):
+						if name == "idle limit" || closing.Load() {
+							closeSome(connections)
+						}
+					}
+				}
+			}()
+			var answered, unread, lost atomic.Int64
+			for round := range rounds {
+				closing.Store(false)
+				var wait sync.WaitGroup
+				for client := range clients {
+					wait.Go(func() {
+						socket := dial(t, address)
+						if socket.send("first") != nil || socket.status() != http.StatusOK {
+							return
+						}
+						time.Sleep(rest + time.Duration(rand.IntN(600)-200)*time.Microsecond)
+						closing.Store(true)
+						id := fmt.Sprint(round, "-", client)
+						sent := socket.send(id) == nil
+						switch _, wasRead := read.Load(id); {
+						case sent && socket.status() == http.StatusOK:
+							answered.Add(1)
+						case wasRead || wasReadSoon(&read, id):
+							lost.Add(1)
+						default:
+							unread.Add(1)
+						}
+					})
+				}
+				wait.Wait()
+			}
+			close(done)
+			<-closed
+			t.Logf("%d answered, %d on closed connections, %d read without a response", answered.Load(), unread.Load(), lost.Load())
+			is.New(t).Equal(lost.Load(), int64(0))
+		})
+	}
+}
+
+func wasReadSoon(read *sync.Map, id string) bool {
+	time.Sleep(5 * time.Millisecond)
+	_, was := read.Load(id)
+	return was
+}
+
+// trackedPair returns a client's connection and the server's side of it, which rests and waits for a request.
+func trackedPair(t *testing.T, limit time.Duration) (*Connections, rawClient, *clientConnection) {
+	is := is.New(t)
+	connections := NewConnections(slog.New(slog.DiscardHandler), nil)
+	connections.SetIdleLimit(limit)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	listener = connections.Track(&http.Server{}, listener)
+	t.Cleanup(func() { _ = listener.Close() })
+	client := dial(t, listener.Addr().String())
+	accepted, err := listener.Accept()
+	is.NoErr(err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	tracked := accepted.(*clientConnection)
+	tracked.rest()
+	is.NoErr(tracked.SetReadDeadline(time.Now().Add(time.Minute)))
+	return connections, client, tracked
+}
+
+// A request that arrived after the check for one, or as the server's own deadline passed, was not read.
+func TestBytesThatArriveAsAConnectionExpiresAreRead(t *testing.T) {
+	for name, expire := range map[string]func(*Connections, *clientConnection){
+		"idle limit":        func(c *Connections, _ *clientConnection) { c.CloseResting() },
+		"stop":              func(c *Connections, _ *clientConnection) { c.CloseIdle(false) },
+		"server's deadline": func(_ *Connections, t *clientConnection) { t.rest(); _ = t.SetReadDeadline(time.Unix(1, 0)) },
+	} {
+		for _, arrivesBefore := range []bool{true, false} {
+			t.Log(name, arrivesBefore)
+			is := is.New(t)
+			connections, client, tracked := trackedPair(t, time.Nanosecond)
+			send := func() {
+				_, err := client.Write([]byte("GET"))
+				is.NoErr(err)
+				time.Sleep(20 * time.Millisecond)
+			}
+			if arrivesBefore {
+				send()
+			}
+			expire(connections, tracked)
+			if !arrivesBefore {
+				send()
+			}
+			count, err := tracked.Read(make([]byte, 9))
+			is.NoErr(err)
+			is.Equal(count, 3)
+			connections.CloseResting()
+			is.Equal(connections.CloseIdle(true), 1)
+			_, err = client.Write([]byte(" /"))
+			is.NoErr(err)
+			count, err = tracked.Read(make([]byte, 9))
+			is.NoErr(err) // the deadline is no longer in the past
+			is.Equal(count, 2)
+		}
+	}
+}
+
+func TestExpiredConnectionsAreClosed(t *testing.T) {
+	for _, waiting := range []bool{true, false} {
+		is := is.New(t)
+		connections, client, tracked := trackedPair(t, time.Nanosecond)
+		ended := make(chan error, 1)
+		read := func() {
+			_, err := tracked.Read(make([]byte, 9))
+			ended <- err
+		}
+		if waiting {
+			go read()
+			time.Sleep(20 * time.Millisecond)
+		} else {
+			tracked.rest()
+		}
+		connections.CloseResting()
+		if !waiting {
+			is.NoErr(tracked.SetReadDeadline(time.Now().Add(time.Minute))) // that of the server for an idle connection
+			go read()
+		}
+		is.True(errors.Is(<-ended, os.ErrDeadlineExceeded))
+		_, err := client.reader.ReadByte()
+		is.True(errors.Is(err, io.EOF))
+	}
+}
+
+// A lowered limit closed connections at once that their clients could still use by the former one.
+func TestLoweredIdleLimitHoldsForConnectionsThatRestLater(t *testing.T) {
+	is := is.New(t)
+	connections, _, tracked := trackedPair(t, time.Hour)
+	connections.SetIdleLimit(time.Nanosecond)
+	connections.CloseResting()
+	is.Equal(tracked.closing, closeReason(""))
+	tracked.rest()
+	connections.CloseResting()
+	is.Equal(tracked.closing, closedIdle)
+
+	connections, _, tracked = trackedPair(t, time.Nanosecond)
+	connections.SetIdleLimit(0)
+	connections.SetIdleLimit(time.Nanosecond)
+	connections.CloseResting()
+	is.Equal(tracked.closing, closeReason(""))
+}
+
+// A request that was received along with the one before has no bytes left to arrive.
+func TestRequestsReceivedTogetherAreAnsweredDuringAStop(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, healthy)
+	connections, address := trackedServer(t, h.router)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(50 * time.Microsecond):
+				connections.CloseIdle(false)
+			}
+		}
+	}()
+	for range 100 {
+		client := dial(t, address)
+		const request = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nTest-Id: 1\r\n\r\n"
+		_, err := client.Write([]byte(request + request))
+		is.NoErr(err)
+		is.Equal(client.status(), http.StatusOK)
+		is.Equal(client.status(), http.StatusOK)
+	}
+}
+
+// A connection that was accepted as the listener closed was not waited for.
+func TestClosedListenerHasTrackedWhatItAccepted(t *testing.T) {
+	is := is.New(t)
+	for range 50 {
+		connections := NewConnections(slog.New(slog.DiscardHandler), nil)
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		is.NoErr(err)
+		listener = connections.Track(&http.Server{}, listener)
+		accepted := make(chan bool)
+		go func() {
+			socket, err := listener.Accept()
+			if err == nil {
+				defer func() { _ = socket.Close() }()
+			}
+			accepted <- err == nil
+			accepted <- true
+		}()
+		if client, err := net.Dial("tcp4", listener.Addr().String()); err == nil {
+			defer func() { _ = client.Close() }()
+		}
+		_ = listener.Close()
+		count := connections.Count()
+		is.Equal(<-accepted, count == 1)
+		<-accepted
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -141,10 +141,6 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	if !beginRequest(request.Context()) {
-		r.logDropped(request)
-		panic(http.ErrAbortHandler) // the connection is being closed; nothing was sent to a replica
-	}
 	reply := &reply{writer: writer, router: r}
 	if r.draining.Load() {
 		writer.Header().Set("Connection", "close")
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -378,12 +378,8 @@
 		<-release
 		return healthy(e)
 	})
-	connections := NewConnections(slog.New(slog.DiscardHandler), nil)
-	server := httptest.NewUnstartedServer(h.router)
-	server.Config.ConnContext, server.Config.ConnState = connections.Context, connections.State
-	server.Start()
-	defer server.Close()
-	socket, err := net.Dial("tcp4", server.Listener.Addr().String())
+	connections, address := trackedServer(t, h.router)
+	socket, err := net.Dial("tcp4", address)
 	is.NoErr(err)
 	defer func() { _ = socket.Close() }()
 	time.Sleep(50 * time.Millisecond)
@@ -401,12 +397,15 @@
 	is.NoErr(err)
 	is.Equal(string(body), "done")
 	time.Sleep(50 * time.Millisecond)
-	connections.CloseResting(time.Minute)
+	connections.SetIdleLimit(time.Minute)
+	connections.CloseResting()
+	time.Sleep(50 * time.Millisecond)
 	is.Equal(connections.Count(), 1)
-	connections.CloseResting(10 * time.Millisecond)
-	is.Equal(connections.CloseIdle(false), 0)
+	connections.CloseIdle(false)
 	_, err = reader.ReadByte()
 	is.True(errors.Is(err, io.EOF))
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(connections.Count(), 0)
 }
 
 func TestDrainingClosesConnections(t *testing.T) {
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -67,16 +67,6 @@
 		errorAttr(reply.cause))
 }
 
-// logDropped logs and counts a request that was read on a connection that is being closed.
-func (r *Router) logDropped(request *http.Request) {
-	r.metrics.requests.WithLabelValues("none", "0", "connection_closed").Inc()
-	r.config.Logger.LogAttrs(context.Background(), slog.LevelWarn, "request ended",
-		slog.String("id", request.Header.Get(r.config.Names.Replica.RequestID)), slog.Int("status", 0), slog.String("reason", "connection_closed"), slog.Bool("cut", true))
-	if tracked, found := request.Context().Value(connectionKey{}).(*clientConnection); found {
-		tracked.logClosed("idle or stop", "read")
-	}
-}
-
 // logCompleted logs and counts a call at its end.
 func (r *Router) logCompleted(call *call, reply *reply) {
 	kind := string(call.route.Kind)
