Answer requests that end before their response with a status

Callers that had sent a whole request saw the connection close without an answer or a refusal where the node ended the request by itself before its response had begun: a client that had closed only its sending side, a body that was not read in time, a first event beyond the limits, a stream that was resumed elsewhere before its first event.

Now each ends with a status that is true to what is known: 503 if nothing was sent to a replica, 408 for a body that did not arrive whole, else 502. A response that has begun still ends with its connection.

A client that closes its sending side can't be told from one that leaves: both send FIN, and only later bytes to one that left are answered by RST. The request must stop for those that leave, so it stops for both; a client that still reads now gets a status, and may send the request again after 503.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -266,7 +266,7 @@
 	}
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
-		reply.abort("client_left", cause)
+		reply.rejectLeft(retry.mayHaveRun > 0, cause)
 	case held != nil:
 		rejectQuarantined(call, reply, held, retry.mayHaveRun > 0)
 	case retry.localError != nil:
--- a/internal/router/connections_test.go
+++ b/internal/router/connections_test.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/emulator/replica"
 )
 
 // trackedServer serves a handler with a tracker of its connections.
@@ -285,3 +287,36 @@
 		<-accepted
 	}
 }
+
+// Clients that had closed their sending side, or whose body was late, saw the connection close.
+func TestRequestsThatEndBeforeTheirResponseGetAStatus(t *testing.T) {
+	h := newHarness(t, func(e *replica.Exchange) bool {
+		time.Sleep(100 * time.Millisecond)
+		return healthy(e)
+	})
+	_, address := trackedServer(t, h.router)
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x"} {
+		for _, pause := range []time.Duration{0, 30 * time.Millisecond} {
+			client := dial(t, address)
+			_, err := fmt.Fprintf(client, "POST %s HTTP/1.1\r\nHost: h.example\r\nTest-Id: 1\r\nContent-Length: 1\r\n\r\nx", path)
+			is := is.New(t)
+			is.NoErr(err)
+			time.Sleep(pause)
+			before := len(h.replicas[0].Received())
+			is.NoErr(client.Conn.(*net.TCPConn).CloseWrite())
+			status := client.status()
+			t.Log(path, pause, status)
+			is.True(status == http.StatusBadGateway || status == http.StatusServiceUnavailable)
+			if pause > 0 {
+				is.Equal(status, http.StatusBadGateway) // it was sent to a replica
+			} else if status == http.StatusServiceUnavailable {
+				is.Equal(len(h.replicas[0].Received()), before)
+			}
+		}
+	}
+	client := dial(t, address)
+	_, err := io.WriteString(client, "POST /short/x HTTP/1.1\r\nHost: h.example\r\nTest-Id: 1\r\nContent-Length: 9\r\n\r\nx")
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(client.status(), http.StatusRequestTimeout)
+}
--- a/internal/router/limit.go
+++ b/internal/router/limit.go
@@ -49,7 +49,7 @@
 	var unavailable *limits.UnavailableError
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
-		reply.abort("client_left", err)
+		reply.rejectLeft(false, err)
 	case errors.As(err, &over):
 		reason := "over_limit"
 		if over.ProgramStart {
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -78,7 +78,7 @@
 	reply.sendHeader(attempt.response, len(body))
 	reply.bytes = len(body)
 	if _, err := reply.writer.Write(body); err != nil {
-		reply.setReason("client_left", err)
+		reply.setReason(reasonClientLeft, err)
 		return nil
 	}
 	reply.answered = !failed
@@ -92,14 +92,14 @@
 	reply.bytes = written
 	if err != nil {
 		attempt.finish(false)
-		reply.abort("client_left", err)
+		reply.abort(reasonClientLeft, err)
 	}
 	chunk := make([]byte, 32<<10)
 	for {
 		n, err := attempt.response.Body.Read(chunk)
 		if _, failed := reply.writer.Write(chunk[:n]); failed != nil {
 			attempt.finish(false)
-			reply.abort("client_left", failed)
+			reply.abort(reasonClientLeft, failed)
 		}
 		reply.bytes += n
 		if err == nil && reply.bytes > maxResponseBytes {
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -18,6 +18,9 @@
 // reasonBuffersFull is the reason of a rejection for the bytes that the node holds.
 const reasonBuffersFull = "buffers_full"
 
+// reasonClientLeft is the reason of requests whose client has closed the connection.
+const reasonClientLeft = "client_left"
+
 // outageRetryAfter is the Retry-After delay if the store is unavailable to all nodes. It
 // is long since such outages last for seconds and clients retry only a limited number of
 // times.
@@ -121,14 +124,32 @@
 	a.writer.WriteHeader(response.Status)
 }
 
-// abort closes the connection, so that the client does not take the response for complete. What was
-// written before is sent first. It panics with http.ErrAbortHandler and does not return.
+// abort ends a response that a replica has begun. It closes the connection, so that the client does not
+// take the response for complete; what was written before is sent first. If that is nothing, the
+// client gets a status. It panics with http.ErrAbortHandler and does not return.
 func (a *reply) abort(reason string, cause error) {
-	if a.status != 0 {
-		// An error means that the client has disconnected.
-		_ = http.NewResponseController(a.writer).Flush()
+	if a.status == 0 {
+		a.closeAfter()
+		a.reject(http.StatusBadGateway, rejection{reason: reason, cause: cause})
+	} else {
+		a.aborted = true
+		a.setReason(reason, cause)
 	}
-	a.aborted = true
-	a.setReason(reason, cause)
+	// An error means that the client has disconnected.
+	_ = http.NewResponseController(a.writer).Flush()
 	panic(http.ErrAbortHandler)
 }
+
+// rejectLeft ends a request whose client seems to have left. A client that has closed only its sending
+// side looks the same, and can still receive a status.
+func (a *reply) rejectLeft(mayHaveRun bool, cause error) {
+	a.closeAfter()
+	if mayHaveRun {
+		a.reject(http.StatusBadGateway, rejection{reason: reasonClientLeft, cause: cause})
+		return
+	}
+	a.reject(http.StatusServiceUnavailable, rejection{reason: reasonClientLeft, retryAfter: shortRetryAfter, cause: cause})
+}
+
+// closeAfter makes the server close the connection after the response.
+func (a *reply) closeAfter() { a.writer.Header().Set("Connection", "close") }
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -108,7 +108,7 @@
 func (r *Router) rejectResumption(ctx context.Context, reply *reply, err error) {
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
-		reply.abort("client_left", err)
+		reply.rejectLeft(false, err)
 	case errors.Is(err, origin.ErrConflicting):
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStreamConflicting, retryAfter: unavailableRetryAfter, cause: err})
 	default:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -143,7 +143,7 @@
 func (r *Router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	reply := &reply{writer: writer, router: r}
 	if r.draining.Load() {
-		writer.Header().Set("Connection", "close")
+		reply.closeAfter()
 	}
 	stale := r.checkLease()
 	configuration := r.configuration.Load()
@@ -203,7 +203,8 @@
 	defer r.logCompleted(call, reply)
 	defer r.endCall(call, reply)
 	if clientLeft(ctx) {
-		reply.abort("client_left", nil)
+		reply.rejectLeft(false, nil)
+		return
 	}
 	if err := r.checkQuarantine(call); err != nil {
 		rejectQuarantined(call, reply, err, false)
@@ -230,7 +231,7 @@
 	case errors.Is(err, errBodyTooLarge):
 		reply.reject(http.StatusRequestEntityTooLarge, rejection{reason: "body_too_large"})
 	default:
-		reply.setReason("body_not_read", err)
-		panic(http.ErrAbortHandler)
+		reply.closeAfter()
+		reply.reject(http.StatusRequestTimeout, rejection{reason: "body_not_read", cause: err})
 	}
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -272,7 +272,7 @@
 	s.reply.bytes += len(event.raw)
 	if _, err := s.reply.writer.Write(event.raw); err != nil {
 		attempt.finish(false)
-		s.reply.abort("client_left", err)
+		s.reply.abort(reasonClientLeft, err)
 	}
 }
 
--- a/internal/router/transcript.go
+++ b/internal/router/transcript.go
@@ -55,7 +55,7 @@
 	r.config.Logger.LogAttrs(ctx, slog.LevelInfo, "output of resumed stream not known", errorAttr(err))
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
-		reply.abort("client_left", err)
+		reply.rejectLeft(false, err)
 	case errors.Is(err, transcript.ErrOtherContent):
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonOtherTurn, retryAfter: unavailableRetryAfter, cause: err})
 	default:
--- a/internal/router/turn.go
+++ b/internal/router/turn.go
@@ -94,7 +94,7 @@
 	case errors.Is(err, ledgerlog.ErrNoSuchTurn):
 		reply.reject(http.StatusNotFound, rejection{reason: "no_such_turn", cause: err})
 	case errors.Is(context.Cause(ctx), context.Canceled):
-		reply.abort("client_left", err)
+		reply.rejectLeft(false, err)
 	case errors.Is(err, heldbytes.ErrFull):
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonBuffersFull, retryAfter: shortRetryAfter, cause: err})
 	case errors.Is(err, ledgerlog.ErrStoreUnavailable):
