Name the text that could not be read, the node and the open breaker

A refused turn was logged as "read text: deadline exceeded", or as "node X did not read all texts", which tells neither the text nor where it was read, nor whether the store was called at all.

The error now names the partition, topic, offset and size of the text, what the coordinator reported and what was seen here, and which circuit breaker was open. The line of an ended request has the turn that it continues.

--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"time"
@@ -279,7 +280,18 @@
 // readResponse responds to readRequest.
 type readResponse struct {
 	Status status
-	Texts  [][]byte
+	// Texts contains the texts of the chain, or, if Status is not statusDone, the reason alone.
+	Texts [][]byte
+}
+
+// failedRead returns the response to a request whose texts could not be read.
+func failedRead(err error) *readResponse {
+	return &readResponse{Status: statusOf(err), Texts: [][]byte{[]byte(err.Error())}}
+}
+
+// err returns the error that a node reported.
+func (m *readResponse) err(from identity.NodeName) error {
+	return m.Status.err(from, string(bytes.Join(m.Texts, nil)))
 }
 
 // Kind implements peer.Message.
--- a/internal/coordinator/texts.go
+++ b/internal/coordinator/texts.go
@@ -95,14 +95,18 @@
 		return found, nil
 	}
 	coordinator, remote := s.remote(program, allowed)
+	var remoteErr error
 	if remote {
-		found, err := s.readRemotely(ctx, coordinator, chain)
-		if err == nil {
+		var found [][]byte
+		if found, remoteErr = s.readRemotely(ctx, coordinator, chain); remoteErr == nil {
 			return found, nil
 		}
-		s.config.Logger.Info("coordinator failed to read turns; reading locally", "program", program, "home", coordinator.Name, "error", err)
+		s.config.Logger.Info("coordinator failed to read turns; reading locally", "program", program, "home", coordinator.Name, "error", remoteErr)
 	}
 	found, err := s.readLocally(ctx, chain)
+	if err != nil && remoteErr != nil {
+		err = fmt.Errorf("here: %w; at the coordinator: %v", err, remoteErr)
+	}
 	if err == nil || ctx.Err() != nil || s.storeAvailable() {
 		return found, err
 	}
@@ -124,7 +128,13 @@
 		return nil, err
 	}
 	got, ok := response.(*readResponse)
-	if !ok || got.Status != statusDone || len(got.Texts) != len(chain) {
+	if !ok {
+		return nil, fmt.Errorf("%w: node %s sent an unexpected response %T", ledgerlog.ErrUnavailable, target.Name, response)
+	}
+	if got.Status != statusDone {
+		return nil, got.err(target.Name)
+	}
+	if len(got.Texts) != len(chain) {
 		return nil, fmt.Errorf("%w: node %s did not read all texts", ledgerlog.ErrUnavailable, target.Name)
 	}
 	for i, location := range chain {
@@ -141,7 +151,7 @@
 	defer s.sendProgress(sendPart)()
 	found, err := s.readLocally(ctx, turn.Chain)
 	if err != nil {
-		return &readResponse{Status: statusUnavailable}, nil
+		return failedRead(err), nil
 	}
 	return &readResponse{Status: statusDone, Texts: found}, nil
 }
--- a/internal/guardedstore/store.go
+++ b/internal/guardedstore/store.go
@@ -177,13 +177,21 @@
 // Read implements logstore.Store.
 func (s *Store) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
 	if decision, _ := s.admit(request.Partition, false); !decision.Allow {
-		return logstore.ReadResult{}, ErrCircuitOpen
+		return logstore.ReadResult{}, s.openError(request.Partition)
 	}
 	result, err := s.config.Store.Read(ctx, request)
 	s.record(ctx, request.Partition, err)
 	return result, err
 }
 
+// openError returns the error of a call that is not made, which names the open breaker.
+func (s *Store) openError(place logstore.Partition) error {
+	if !s.NodeAvailable() {
+		return fmt.Errorf("%w: circuit breaker of the node is open", ErrCircuitOpen)
+	}
+	return fmt.Errorf("%w: circuit breaker of partition %d of %s is open", ErrCircuitOpen, place.Number, place.Topic)
+}
+
 // Newest implements logstore.Store.
 func (s *Store) Newest(ctx context.Context, request logstore.NewestRequest) (logstore.NewestResult, error) {
 	result, err := s.config.Store.Newest(ctx, request)
--- a/internal/guardedstore/store_test.go
+++ b/internal/guardedstore/store_test.go
@@ -161,6 +161,7 @@
 		}
 		is.True(guarded.NodeAvailable() && guarded.Available(place(0)) && !guarded.Available(place(down)))
 		is.Equal(guarded.open(), 1.0)
+		is.Equal(guarded.openError(place(down)).Error(), ErrCircuitOpen.Error()+": circuit breaker of partition 1 of work is open")
 		is.NoErr(guarded.Await(t.Context(), place(0)))
 		log.Fail(store.Fault{})
 		readable := time.Now()
--- a/internal/ledgerlog/persisttext_test.go
+++ b/internal/ledgerlog/persisttext_test.go
@@ -120,6 +120,10 @@
 		} {
 			_, err := l.Texts(within(t, time.Second), []ledger.Location{wrong})
 			is.True(errors.Is(err, ErrUnavailable))
+			var unread *TextError
+			is.True(errors.As(err, &unread))
+			is.Equal(unread.Location, wrong)
+			is.Equal(unread.Partition, l.partitionOf("p").reader.partition)
 		}
 	})
 }
--- a/internal/ledgerlog/texts.go
+++ b/internal/ledgerlog/texts.go
@@ -16,6 +16,22 @@
 // errTextShort reports that the log has less of a text than its location says.
 var errTextShort = errors.New("ledgerlog: text in the log is incomplete")
 
+// TextError reports that the text at a location could not be read.
+type TextError struct {
+	Partition logstore.Partition
+	Location  ledger.Location
+	// Err is the error of the last call.
+	Err error
+}
+
+// Error implements error.
+func (e *TextError) Error() string {
+	return fmt.Sprintf("text of %d bytes at offset %d of partition %d of %s: %v", e.Location.Size, e.Location.Offset, e.Partition.Number, e.Partition.Topic, e.Err)
+}
+
+// Unwrap returns the error of the last call.
+func (e *TextError) Unwrap() error { return e.Err }
+
 // textStore writes the texts of turns to the log, reads them by location and caches the newest.
 type textStore struct {
 	config         Config
@@ -138,12 +154,19 @@
 	return text, nil
 }
 
+// placeOf returns the partition of the log that has the text at a location.
+func (t *textStore) placeOf(location ledger.Location) logstore.Partition {
+	if partition, inIndex := location.InIndex(t.config.Partitions); inIndex {
+		return logstore.Partition{Topic: t.config.Topic, Number: partition}
+	}
+	return logstore.Partition{Topic: t.config.TextTopic, Number: int(location.Partition)}
+}
+
 func (t *textStore) readOnce(ctx context.Context, location ledger.Location, from logstore.Offset, size int) (logstore.ReadResult, error) {
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return t.config.Store.Read(call, logstore.ReadRequest{
-		Partition: logstore.Partition{Topic: t.config.TextTopic, Number: int(location.Partition)},
-		From:      from, MaxBytes: size + callOverhead,
+		Partition: t.placeOf(location), From: from, MaxBytes: size + callOverhead,
 	})
 }
 
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -112,6 +112,9 @@
 	if call.turn.program != "" {
 		attributes = append(attributes, slog.String("program", string(call.turn.program)))
 	}
+	if call.turn.previous != "" {
+		attributes = append(attributes, slog.String("previous", truncate(string(call.turn.previous))))
+	}
 	if call.turn.budgeted {
 		attributes = append(
 			attributes, slog.Uint64("budget", uint64(call.turn.budget)), slog.Uint64("most", uint64(call.maxTokens)),
