Let calls with little time imply nothing about the store

Callers saw: refusals at once ("circuit breaker ... is open") of turns whose history has to be read, from a store that answers.

Texts are read in what is left of a request's time, so three requests with little left opened the breaker of the partition or of the whole node, and the probes were such reads again.

Evidence: TestShortDeadlinesImplyNothing on the code before, a store that answers in 60 ms and reads that are given 40 ms: store_test.go:218: not true: guarded.NodeAvailable() && guarded.Available(place(0))

A missing response is now a failure only after a wait of at least 250 ms, and reads that have less left are not used as probes. Refusals of the store, and appends that are overdue by their own estimate, count as before.

--- a/internal/guardedstore/store.go
+++ b/internal/guardedstore/store.go
@@ -22,6 +22,10 @@
 // sent to other nodes.
 var ErrCircuitOpen = fmt.Errorf("%w: it has not answered lately", logstore.ErrUnavailable)
 
+// minEvidence is the shortest wait after which a missing response is a failure of the store. A
+// store that is merely slow answers sooner.
+const minEvidence = 250 * time.Millisecond
+
 // Config configures a Store. All fields but CallsPerSecond, Registerer and Random are required.
 type Config struct {
 	Store logstore.Store
@@ -154,10 +158,11 @@
 
 // Append implements logstore.Store.
 func (s *Store) Append(ctx context.Context, request logstore.AppendRequest) (logstore.AppendResult, error) {
-	overdue := time.AfterFunc(answerWithin(request), func() { s.record(context.Background(), request.Partition, errOverdue) })
+	began := time.Now()
+	overdue := time.AfterFunc(answerWithin(request), func() { s.record(context.Background(), request.Partition, began, errOverdue) })
 	result, err := s.config.Store.Append(ctx, request)
 	if overdue.Stop() || err == nil {
-		s.record(ctx, request.Partition, err)
+		s.record(ctx, request.Partition, began, err)
 	}
 	return result, err
 }
@@ -174,13 +179,19 @@
 	return request.AnswerWithin
 }
 
-// Read implements logstore.Store.
+// Read implements logstore.Store. A call whose context ends within minEvidence is not used as a
+// probe, since its failure would imply nothing.
 func (s *Store) Read(ctx context.Context, request logstore.ReadRequest) (logstore.ReadResult, error) {
+	began := time.Now()
+	if ends, limited := ctx.Deadline(); limited && ends.Sub(began) < minEvidence && !s.Available(request.Partition) {
+		s.metrics.blocked.Inc()
+		return logstore.ReadResult{}, s.openError(request.Partition)
+	}
 	if decision, _ := s.admit(request.Partition, false); !decision.Allow {
 		return logstore.ReadResult{}, s.openError(request.Partition)
 	}
 	result, err := s.config.Store.Read(ctx, request)
-	s.record(ctx, request.Partition, err)
+	s.record(ctx, request.Partition, began, err)
 	return result, err
 }
 
@@ -194,22 +205,24 @@
 
 // Newest implements logstore.Store.
 func (s *Store) Newest(ctx context.Context, request logstore.NewestRequest) (logstore.NewestResult, error) {
+	began := time.Now()
 	result, err := s.config.Store.Newest(ctx, request)
-	s.record(ctx, request.Partition, err)
+	s.record(ctx, request.Partition, began, err)
 	return result, err
 }
 
 // Changes implements logstore.Store.
 func (s *Store) Changes(ctx context.Context, request logstore.ReadRequest) (logstore.ChangesResult, error) {
+	began := time.Now()
 	result, err := s.config.Store.Changes(ctx, request)
-	s.record(ctx, request.Partition, err)
+	s.record(ctx, request.Partition, began, err)
 	return result, err
 }
 
-// record records the outcome of a call, unless the caller cancelled it, which implies nothing
-// about the store.
-func (s *Store) record(ctx context.Context, place logstore.Partition, err error) {
-	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+// record records the outcome of a call, unless its caller cancelled it or waited for less than
+// minEvidence, which implies nothing about the store.
+func (s *Store) record(ctx context.Context, place logstore.Partition, began time.Time, err error) {
+	if err != nil && (errors.Is(ctx.Err(), context.Canceled) || ctx.Err() != nil && time.Since(began) < minEvidence) {
 		return
 	}
 	s.mutex.Lock()
--- a/internal/guardedstore/store_test.go
+++ b/internal/guardedstore/store_test.go
@@ -197,3 +197,40 @@
 	<-ctx.Done()
 	return logstore.ReadResult{}, fmt.Errorf("%w: %w", logstore.ErrUnavailable, ctx.Err())
 }
+
+// TestShortDeadlinesImplyNothing guards against callers with little time left that open the
+// breaker of a store which answers, and use up its probes.
+func TestShortDeadlinesImplyNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		log.Fail(store.Fault{Delay: 60 * time.Millisecond})
+		guarded := newGuarded(log)
+		read := func(limit time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			_, err := guarded.Read(ctx, logstore.ReadRequest{Partition: place(0)})
+			return err
+		}
+		for range 20 {
+			is.True(read(40*time.Millisecond) != nil)
+		}
+		is.True(guarded.NodeAvailable() && guarded.Available(place(0)))
+		is.NoErr(read(time.Second))
+
+		log.Fail(store.Fault{Silent: true})
+		for range 3 {
+			is.True(read(300*time.Millisecond) != nil)
+		}
+		is.True(!guarded.NodeAvailable())
+		is.True(!guarded.Available(place(0)))
+		is.True(errors.Is(read(time.Second), ErrCircuitOpen)) // the first probe is delayed
+		time.Sleep(2 * minProbeInterval)
+		log.Fail(store.Fault{Delay: 60 * time.Millisecond})
+		for range 20 {
+			is.True(errors.Is(read(40*time.Millisecond), ErrCircuitOpen)) // no probe has so little time
+		}
+		is.NoErr(read(time.Second))
+		is.True(guarded.Available(place(0)))
+	})
+}
