Share reads of texts, let them outlive their callers, read chains in parallel

Cause: each request read the texts of its chain one after another, each by a call of its own that ended with the request. A chain took as many times the store's response time as it has turns; a request whose time was up left nothing behind for the next try, and requests for one text called the store once each.

Evidence, on the code before (a store that answers reads in 100 ms, or 50 ms for the chain of 24 texts and 400 ms to read it): TestReadOfTextOutlivesItsCaller: texts_test.go:42: text of 6 bytes at offset 0 of partition 2 of texts: ... context deadline exceeded (the second try) TestReadOfTextIsShared: texts_test.go:64: 20 != 1 calls TestLongChainIsReadInTime: texts_test.go:77: text of 6 bytes at offset 8 ... context deadline exceeded

--- a/internal/ledgerlog/persisttext.go
+++ b/internal/ledgerlog/persisttext.go
@@ -133,33 +133,3 @@
 		}
 	}
 }
-
-// readIndexText reads a text from the index.
-func (t *textStore) readIndexText(ctx context.Context, location ledger.Location, partition int) ([]byte, error) {
-	if !location.Resolved() {
-		return nil, errTextShort
-	}
-	call, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	result, err := t.config.Store.Read(call, logstore.ReadRequest{
-		Partition: logstore.Partition{Topic: t.config.Topic, Number: partition},
-		From:      logstore.Offset(location.Offset), MaxBytes: int(location.Size) + textOverhead + callOverhead,
-	})
-	if err != nil {
-		return nil, err
-	}
-	if len(result.Records) == 0 {
-		return nil, errTextShort
-	}
-	return textOf(result.Records[0], location)
-}
-
-// textOf returns a copy of the text in a record of the index. It fails if the record is not the
-// location's.
-func textOf(record []byte, location ledger.Location) ([]byte, error) {
-	text, found := ledger.TextOf(record)
-	if !found || len(text) != int(location.Size) {
-		return nil, fmt.Errorf("%w: record of %d bytes is not the text", errTextShort, len(record))
-	}
-	return bytes.Clone(text), nil
-}
--- /dev/null
+++ b/internal/ledgerlog/readtext_test.go
@@ -0,0 +1,82 @@
+package ledgerlog
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/emulator/store"
+	"stepseam.example/stepseam/internal/ledger"
+)
+
+// writeTexts writes a chain of texts through a node and returns it with a node that has read
+// nothing.
+func writeTexts(t *testing.T, log *store.Store, count int) ([]ledger.Location, *Ledger) {
+	is := is.New(t)
+	writer := newLedger(log, "writer")
+	var chain []ledger.Location
+	for number := range count {
+		location, err := writer.WriteText(within(t, time.Second), fmt.Append(nil, "text ", number))
+		is.NoErr(err)
+		chain = append(chain, location)
+	}
+	return chain, newLedger(log, "reader")
+}
+
+// TestReadOfTextOutlivesItsCaller guards against callers with little time that each begin the
+// same read anew, so that none of them gets the text.
+func TestReadOfTextOutlivesItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		chain, l := writeTexts(t, log, 1)
+		log.Fail(store.Fault{Delay: 100 * time.Millisecond})
+		_, err := l.Texts(within(t, 60*time.Millisecond), chain)
+		is.True(errors.Is(err, ErrUnavailable))
+		texts, err := l.Texts(within(t, 60*time.Millisecond), chain)
+		is.NoErr(err)
+		is.Equal(string(texts[0]), "text 0")
+		is.Equal(log.Calls("read"), 1)
+	})
+}
+
+// TestReadOfTextIsShared guards against a read call for each of many callers after a restart of
+// all nodes.
+func TestReadOfTextIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		chain, l := writeTexts(t, log, 1)
+		log.Fail(store.Fault{Delay: 100 * time.Millisecond})
+		var callers sync.WaitGroup
+		for range 20 {
+			callers.Go(func() {
+				_, err := l.Texts(within(t, time.Second), chain)
+				is.NoErr(err)
+			})
+		}
+		callers.Wait()
+		is.Equal(log.Calls("read"), 1)
+	})
+}
+
+// TestLongChainIsReadInTime guards against chains whose texts are read one after another, which
+// takes longer the longer the chain is.
+func TestLongChainIsReadInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		chain, l := writeTexts(t, log, 24)
+		log.Fail(store.Fault{Delay: 50 * time.Millisecond})
+		texts, err := l.Texts(within(t, 400*time.Millisecond), chain)
+		is.NoErr(err)
+		for number, text := range texts {
+			is.Equal(string(text), fmt.Sprint("text ", number))
+		}
+	})
+}
--- a/internal/ledgerlog/texts.go
+++ b/internal/ledgerlog/texts.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"slices"
 	"sync"
 
@@ -13,25 +11,6 @@
 	"stepseam.example/stepseam/internal/logstore"
 )
 
-// errTextShort reports that the log has less of a text than its location says.
-var errTextShort = errors.New("ledgerlog: text in the log is incomplete")
-
-// TextError reports that the text at a location could not be read.
-type TextError struct {
-	Partition logstore.Partition
-	Location  ledger.Location
-	// Err is the error of the last call.
-	Err error
-}
-
-// Error implements error.
-func (e *TextError) Error() string {
-	return fmt.Sprintf("text of %d bytes at offset %d of partition %d of %s: %v", e.Location.Size, e.Location.Offset, e.Partition.Number, e.Partition.Topic, e.Err)
-}
-
-// Unwrap returns the error of the last call.
-func (e *TextError) Unwrap() error { return e.Err }
-
 // textStore writes the texts of turns to the log, reads them by location and caches the newest.
 type textStore struct {
 	config         Config
@@ -45,6 +24,8 @@
 	partition int
 	appenders map[int]*appender
 	cache     map[ledger.Location][]byte
+	// reading contains the reads in progress.
+	reading map[ledger.Location]*textRead
 	// order lists the cached locations, oldest first.
 	order  []ledger.Location
 	cached int
@@ -53,7 +34,7 @@
 func newTextStore(config Config, counters *metrics, callPacer *pacer, retransmits *retransmission) *textStore {
 	return &textStore{
 		config: config, metrics: counters, pacer: callPacer, retransmission: retransmits,
-		cache: map[ledger.Location][]byte{}, appenders: map[int]*appender{},
+		cache: map[ledger.Location][]byte{}, reading: map[ledger.Location]*textRead{}, appenders: map[int]*appender{},
 		partition: int(xxhash.Sum64String(config.Producer) % uint64(max(config.Partitions, 1))),
 	}
 }
@@ -119,57 +100,6 @@
 	}
 }
 
-func (t *textStore) read(ctx context.Context, location ledger.Location) ([]byte, error) {
-	if text, found := t.cachedText(location); found {
-		return text, nil
-	}
-	if partition, inIndex := location.InIndex(t.config.Partitions); inIndex {
-		text, err := t.readIndexText(ctx, location, partition)
-		if err == nil {
-			t.cacheText(location, text)
-		}
-		return text, err
-	}
-	text := make([]byte, 0, location.Size)
-	from := logstore.Offset(location.Offset)
-	for len(text) < int(location.Size) {
-		result, err := t.readOnce(ctx, location, from, int(location.Size)-len(text))
-		if err != nil {
-			return nil, err
-		}
-		for _, record := range result.Records {
-			if len(text) < int(location.Size) {
-				text = append(text, record...)
-			}
-		}
-		if len(result.Records) == 0 {
-			return nil, errTextShort
-		}
-		from += logstore.Offset(len(result.Records))
-	}
-	if len(text) != int(location.Size) {
-		return nil, fmt.Errorf("%w: %d bytes of %d", errTextShort, len(text), location.Size)
-	}
-	t.cacheText(location, text)
-	return text, nil
-}
-
-// placeOf returns the partition of the log that has the text at a location.
-func (t *textStore) placeOf(location ledger.Location) logstore.Partition {
-	if partition, inIndex := location.InIndex(t.config.Partitions); inIndex {
-		return logstore.Partition{Topic: t.config.Topic, Number: partition}
-	}
-	return logstore.Partition{Topic: t.config.TextTopic, Number: int(location.Partition)}
-}
-
-func (t *textStore) readOnce(ctx context.Context, location ledger.Location, from logstore.Offset, size int) (logstore.ReadResult, error) {
-	call, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	return t.config.Store.Read(call, logstore.ReadRequest{
-		Partition: t.placeOf(location), From: from, MaxBytes: size + callOverhead,
-	})
-}
-
 func (t *textStore) cachedText(location ledger.Location) ([]byte, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -122,16 +122,3 @@
 	}
 	return texts, true
 }
-
-// Texts returns the texts of a chain, oldest first. Errors wrap ErrUnavailable and a *TextError.
-func (l *Ledger) Texts(ctx context.Context, chain []ledger.Location) ([][]byte, error) {
-	texts := make([][]byte, 0, len(chain))
-	for _, location := range chain {
-		text, err := l.texts.read(ctx, location)
-		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrUnavailable, &TextError{Partition: l.texts.placeOf(location), Location: location, Err: err})
-		}
-		texts = append(texts, text)
-	}
-	return texts, nil
-}
