--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -545,3 +545,26 @@
 		})
 	})
 }
+
+// TestTurnIsFoundBesideUnreadablePartition guards against a partition that does not answer, or
+// whose breaker is open, and hides the turn of another one.
+func TestTurnIsFoundBesideUnreadablePartition(t *testing.T) {
+	for _, fault := range []store.Fault{{Silent: true}, {Busy: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			defer time.Sleep(time.Second) // pending reads end
+			log := store.New()
+			writer := newLedger(log, "a")
+			is.NoErr(writer.PersistTurn(within(t, time.Second), ledger.IndexEntry{Program: "p", Turn: "t", Retention: time.Minute}))
+			own := writer.Partition("p")
+			first := (own + 1) % writer.Partitions()
+			fault.Partition = &first
+			log.Fail(fault)
+			reader := newLedger(log, "b")
+			_, err := reader.Find(within(t, 500*time.Millisecond), "t", first, own)
+			is.NoErr(err)
+			_, err = reader.Find(within(t, 500*time.Millisecond), "never", first, own)
+			is.True(errors.Is(err, ErrUnavailable))
+		})
+	}
+}
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -175,12 +175,16 @@
 
 // readToEnd reads all records that were written before the call.
 func (r *reader) readToEnd(ctx context.Context) error {
+	return r.readUntil(ctx, r.endReached())
+}
+
+// endReached returns a function that reports whether all records that were written before the
+// call of endReached have been read. It must be called with the mutex held.
+func (r *reader) endReached() func() bool {
 	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	readNumber := r.started + 1
-	r.mutex.Unlock()
-	return r.readUntil(ctx, func() bool {
-		return r.answered >= readNumber && logstore.Offset(r.state.Next()) >= r.end
-	})
+	return func() bool { return r.answered >= readNumber && logstore.Offset(r.state.Next()) >= r.end }
 }
 
 // readUntil reads on until enough returns true. enough is called with the mutex held.
@@ -262,15 +266,13 @@
 	return r.state.Turn(turn)
 }
 
-// find returns the index entry of a turn. Unless the turn is known, it reads the partition to
-// its end first.
+// find returns the index entry of a turn. Unless the turn is known, it reads the partition until
+// it has the turn, at most to its end.
 func (r *reader) find(ctx context.Context, turn ledger.TurnID) (entry ledger.IndexedTurn, found bool, err error) {
-	if entry, found = r.turn(turn); found {
-		return entry, true, nil
-	}
-	if err = r.readToEnd(ctx); err != nil {
-		return ledger.IndexedTurn{}, false, err
-	}
-	entry, found = r.turn(turn)
-	return entry, found, nil
+	atEnd := r.endReached()
+	err = r.readUntil(ctx, func() bool {
+		entry, found = r.state.Turn(turn)
+		return found || atEnd()
+	})
+	return entry, found, err
 }
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -86,27 +86,6 @@
 	return ledger.IndexedTurn{}, false
 }
 
-// Find returns the index entry of a turn from the first of the given partitions that has it.
-// Each partition is read to its end unless the turn is known. A partition that can't be read
-// causes an error only if no other one has the turn. Invalid partition numbers are skipped.
-// Errors wrap ErrNoSuchTurn or ErrUnavailable.
-func (l *Ledger) Find(ctx context.Context, turn ledger.TurnID, partitions ...int) (ledger.IndexedTurn, error) {
-	absent := fmt.Errorf("%w: %s", ErrNoSuchTurn, turn)
-	for _, number := range partitions {
-		if number < 0 || number >= len(l.partitions) {
-			continue
-		}
-		entry, found, err := l.partitions[number].reader.find(ctx, turn)
-		if found {
-			return entry, nil
-		}
-		if err != nil {
-			absent = fmt.Errorf("%w: look for turn %s: %w", ErrUnavailable, turn, err)
-		}
-	}
-	return ledger.IndexedTurn{}, absent
-}
-
 // CacheText puts the text at a location into the cache.
 func (l *Ledger) CacheText(location ledger.Location, text []byte) { l.texts.cacheText(location, text) }
 
