--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -44,6 +44,8 @@
 	closed atomic.Bool
 	// hang makes appends block until the caller's context ends.
 	hang atomic.Bool
+	// silent contains the ledger partitions whose reads are not answered.
+	silent sync.Map
 	// appended and reads count the attempted appends and reads.
 	appended, reads atomic.Int32
 	// read contains the ledger partitions that were read; textReads counts reads of texts.
@@ -80,6 +82,9 @@
 	}
 	if request.Partition.Topic == "texts" {
 		g.textReads.Add(1)
+	} else if _, silent := g.silent.Load(request.Partition.Number); silent {
+		<-ctx.Done()
+		return logstore.ReadResult{}, logstore.ErrUnavailable
 	}
 	g.read.Store(request.Partition.Number, true)
 	return g.Store.Read(ctx, request)
@@ -114,12 +119,7 @@
 	started.service = New(Config{
 		StoreAvailable: started.store.answers,
 		Self:           started.identity.Name, Peers: started.transport, Logger: slog.New(slog.DiscardHandler),
-		Ledger: ledgerlog.New(ledgerlog.Config{
-			Store: started.store, Topic: "ledger", TextTopic: "texts", Partitions: partitions,
-			Availability: knowing,
-			Producer:     string(IncarnationOf(started.identity.Reference())), RecordBytes: 1 << 16, CallBytes: 1 << 20, CacheBytes: 1, IndexTextBytes: 1 << 16,
-			Logger: slog.New(slog.DiscardHandler),
-		}),
+		Ledger: newLedger(started.store, string(IncarnationOf(started.identity.Reference())), knowing),
 	})
 	started.service.Register(registry)
 	go func() { _ = started.transport.Serve(listener) }()
@@ -127,6 +127,13 @@
 	return started
 }
 
+func newLedger(log logstore.Store, producer string, knowing ledgerlog.Availability) *ledgerlog.Ledger {
+	return ledgerlog.New(ledgerlog.Config{
+		Store: log, Topic: "ledger", TextTopic: "texts", Partitions: partitions, Availability: knowing, Producer: producer,
+		RecordBytes: 1 << 16, CallBytes: 1 << 20, CacheBytes: 1, IndexTextBytes: 1 << 16, Logger: slog.New(slog.DiscardHandler),
+	})
+}
+
 // setViews gives nodes a view with all members.
 func setViews(nodes, members []*node) {
 	view := membership.View{}
--- a/internal/ledgerlog/find.go
+++ b/internal/ledgerlog/find.go
@@ -1,8 +1,8 @@
 package ledgerlog
 
 import (
-	"cmp"
 	"context"
+	"errors"
 	"fmt"
 
 	"stepseam.example/stepseam/internal/ledger"
@@ -48,7 +48,7 @@
 		if outcome.found {
 			return outcome.entry, nil
 		}
-		unread = joinErrors(unread, outcome.err)
+		unread = errors.Join(unread, outcome.err)
 	}
 	if unread != nil {
 		return ledger.IndexedTurn{}, fmt.Errorf("%w: look for turn %s: %w", ErrUnavailable, turn, unread)
@@ -66,11 +66,3 @@
 	}
 	return readers
 }
-
-// joinErrors joins two errors, of which either may be nil, in one line.
-func joinErrors(first, second error) error {
-	if first == nil || second == nil {
-		return cmp.Or(first, second)
-	}
-	return fmt.Errorf("%w; %w", first, second)
-}
