Expect no tokens back from assumed reservations that nobody can settle

Callers saw: after a loss of all nodes, a program that had spent its budget got 503 "budget_reserved", up to 25 times, the last of them 13.5 s after the loss, where it gets 402 at once without a loss. Each refusal took three attempts, 120 ms and three appends.

Cause: a reservation assumed for unlogged grants is named after the partition's last owner. Right after a loss several nodes claim a partition within milliseconds, and the one that is displaced counts as the former owner, though it never granted unlogged. It is alive, so the assumed reservation counted as one that may be returned. The log settles an assumed reservation only if it was made of one exclusive owner; of others nothing ever does. The refusal was not cached either, since the reservation counted as another node's.

The test before:

got ledgerlog: the rest of the budget is reserved elsewhere: 900 of 800 tokens are charged, 100 for unlogged grants of former owner "n2", 100 reserved here, want that the budget is spent 20 more attempts made 60 appends and ended with ledgerlog: the rest of the budget is reserved elsewhere: ...

Fix: the state tells which assumed reservations a record can settle; only those count as returnable. The others are as large as the turn beyond the budget that they open, so a turn is refused because of them only if it does not fit the budget in any case. What is charged and granted does not change.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -37,7 +37,7 @@
 	Charged uint64
 	// pendingTokens is the minimum number of tokens of the pending reservation. refusedTokens
 	// is that of a reservation that the log refused although no other incarnation had an open
-	// one; 0 if there is none.
+	// one that may be settled; 0 if there is none.
 	pendingTokens, refusedTokens uint64
 	// blocked is set if the last reservation was refused but might fit once other nodes have
 	// settled theirs.
@@ -260,7 +260,9 @@
 // what they reserved. What open turns of this credit leave over counts then, too.
 func (c *Credit) mayFit(verdict Verdict, mayReturn func(IncarnationID) bool) bool {
 	all := c.reservedByOthers(verdict, func(OpenReservation) bool { return true })
-	returned := c.reservedByOthers(verdict, func(one OpenReservation) bool { return mayReturn(one.Incarnation) })
+	returned := c.reservedByOthers(verdict, func(one OpenReservation) bool {
+		return (!one.Assumed || one.Refutable) && mayReturn(one.Incarnation)
+	})
 	if returned == 0 {
 		return false
 	}
@@ -268,14 +270,9 @@
 	return verdict.Shortfall+lostMargin <= returned+c.openTokens()
 }
 
-// onlyReserver reports whether no other incarnation has an open reservation.
+// onlyReserver reports whether no other incarnation has an open reservation that may be settled.
 func (c *Credit) onlyReserver(verdict Verdict) bool {
-	for _, one := range verdict.OpenReservations {
-		if one.Assumed || one.Incarnation != c.incarnation {
-			return false
-		}
-	}
-	return true
+	return c.reservedByOthers(verdict, func(one OpenReservation) bool { return !one.Assumed || one.Refutable }) == 0
 }
 
 // reservedByOthers returns the tokens of the open reservations of other incarnations that are
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -39,6 +39,10 @@
 	Assumed bool
 	// Void is set if an assumed reservation stands for nothing, as the log shows by now.
 	Void bool
+	// Refutable is set if an assumed reservation is settled once the log shows that the incarnation
+	// left no unlogged grants. It is never set for one of a partition without an exclusive owner,
+	// where no record can show that.
+	Refutable bool
 }
 
 // openReservations returns the open reservations in a deterministic order, so that verdicts are
@@ -49,6 +53,7 @@
 	for attempt, one := range a.open {
 		if one.Assumed {
 			one.Incarnation = IncarnationID(strings.TrimPrefix(string(one.Incarnation), assumedPrefix))
+			one.Refutable = a.unlogged.incarnation != ""
 			one.Void = slices.ContainsFunc(void, func(v VoidReservation) bool { return v.Attempt == attempt })
 		}
 		reserved = append(reserved, one)
