Repeat settlements whose outcome is unknown

Callers saw: none known; found by a model of verdicts after losses. A program is told that its budget is spent, or reserved, although nothing of it is used or runs: a settlement shared an append that got no answer and whose repeat found the producer fenced or out of sequence.

Cause: the records of such a call are given up, and only reservations had somebody who waited for the outcome. The settlement was lost, and its credit was gone or rebased, so nobody knew of the reservation that the log still charged. It read "reserved here" at the node that had returned it. The same held for corrections and rebased reservations that were written in front of another reservation.

Evidence: a test with one such call, before:

a turn of 100 of 150 that are not used gets ledgerlog: budget spent: 100 of 150 tokens are charged, 100 reserved here

Fix: settlements are submitted on their own, in front of what follows them, and go back into the queue where a call's outcome stays unknown. A second settlement of an attempt has no effect, so they may be written twice.

--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -32,6 +32,9 @@
 	// context ends the wait. Records whose context never ends are retried until they are
 	// written.
 	context context.Context
+	// idempotent is set if the records may be written twice. They are repeated where the outcome of
+	// a call stays unknown.
+	idempotent bool
 	// outcome is buffered for one result.
 	outcome chan appendOutcome
 }
@@ -326,10 +329,17 @@
 	}
 }
 
+// fail ends submissions with an error, except those that may be repeated.
 func (a *appender) fail(batch []*submission, err error) {
+	var repeated []*submission
 	for _, one := range batch {
+		if one.idempotent {
+			repeated = append(repeated, one)
+			continue
+		}
 		one.outcome <- appendOutcome{err: err}
 	}
+	a.requeue(repeated)
 }
 
 // sleepUntilRecovered waits for half to one and a half times pause, so that nodes that failed
--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -265,12 +265,12 @@
 	}
 	entry.credit.CountLost(m.members.IsAlive)
 	settled, next, changed := entry.credit.Rebase(ledger.AttemptID(rand.Uint64()))
-	switch {
-	case !changed:
-	case next == nil:
-		m.submitAll(settled)
-	default:
-		m.reserve(entry, settled, *next, false)
+	if !changed {
+		return
+	}
+	m.settle(settled)
+	if next != nil {
+		m.reserve(entry, nil, *next, false)
 	}
 }
 
@@ -332,15 +332,16 @@
 		return true
 	}
 	records := entry.credit.Settle()
-	m.submitAll(records)
+	m.settle(records)
 	delete(m.credits, program)
 	return len(records) > 0
 }
 
-// submitAll writes records with the partition's next call.
-func (m *creditManager) submitAll(records []ledger.Record) {
-	for _, record := range records {
-		m.partition.submitLater(ledger.Encode(record))
+// settle writes settlements with the partition's next call. What they return would be charged for as long
+// as the program goes on if they were lost. A second one of an attempt has no effect.
+func (m *creditManager) settle(settlements []ledger.Record) {
+	for _, record := range settlements {
+		m.partition.submitRepeatedly(ledger.Encode(record))
 	}
 }
 
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -269,7 +269,18 @@
 
 // submitLater writes adjacent records with the next call, or after lazySubmitDelay.
 func (p *partition) submitLater(records ...[]byte) *submission {
+	return p.enqueueLater(newSubmission(context.Background(), records))
+}
+
+// submitRepeatedly is submitLater for records that may be written twice. They are submitted until
+// they are written.
+func (p *partition) submitRepeatedly(records ...[]byte) {
 	waiting := newSubmission(context.Background(), records)
+	waiting.idempotent = true
+	p.enqueueLater(waiting)
+}
+
+func (p *partition) enqueueLater(waiting *submission) *submission {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.lazy = append(p.lazy, waiting)
--- a/internal/ledgerlog/reserve.go
+++ b/internal/ledgerlog/reserve.go
@@ -13,19 +13,16 @@
 // mutex.
 func (m *creditManager) reserveMore(entry *creditEntry, request TurnRequest, ample bool) {
 	next := entry.credit.NextReservation(ledger.AttemptID(rand.Uint64()), request.MaxTurnTokens, true, ample)
-	var before []ledger.Record
-	for _, one := range entry.assumed {
-		before = append(before, one)
-	}
-	m.reserve(entry, append(before, entry.credit.Corrections()...), next, request.Repeated)
+	m.settle(entry.credit.Corrections())
+	m.reserve(entry, entry.assumed, next, request.Repeated)
 }
 
-// reserve writes a reservation directly after other records and applies its verdict, in the
+// reserve writes a reservation directly after assumed ones and applies its verdict, in the
 // background. repeated is TurnRequest.Repeated. The caller must hold the mutex.
-func (m *creditManager) reserve(entry *creditEntry, before []ledger.Record, record ledger.Reservation, repeated bool) {
+func (m *creditManager) reserve(entry *creditEntry, assumed []ledger.Reservation, record ledger.Reservation, repeated bool) {
 	call := &pendingReservation{done: make(chan struct{})}
 	entry.pending = call
-	waiting := m.submitReservation(before, record)
+	waiting := m.submitReservation(assumed, record)
 	go m.decide(entry, call, record, waiting, repeated)
 }
 
@@ -51,18 +48,19 @@
 			return
 		}
 		record.Attempt = ledger.AttemptID(rand.Uint64())
-		waiting = m.submitReservation(entry.credit.Corrections(), record)
+		m.settle(entry.credit.Corrections())
+		waiting = m.submitReservation(nil, record)
 		m.mutex.Unlock()
 		m.partition.flush()
 	}
 }
 
-// submitReservation writes a reservation, directly after other records, with the partition's
+// submitReservation writes a reservation, directly after assumed ones, with the partition's
 // next call.
-func (m *creditManager) submitReservation(before []ledger.Record, record ledger.Reservation) *submission {
+func (m *creditManager) submitReservation(assumed []ledger.Reservation, record ledger.Reservation) *submission {
 	m.partition.reader.expectVerdict(record.Attempt)
-	encoded := make([][]byte, 0, len(before)+1)
-	for _, one := range before {
+	encoded := make([][]byte, 0, len(assumed)+1)
+	for _, one := range assumed {
 		encoded = append(encoded, ledger.Encode(one))
 	}
 	return m.partition.submitLater(append(encoded, ledger.Encode(record))...)
@@ -78,7 +76,7 @@
 	}
 	if credit.Yields(verdict, returns) {
 		credit.GiveUp(verdict)
-		m.submitAll(credit.Corrections())
+		m.settle(credit.Corrections())
 		return false
 	}
 	credit.ApplyVerdict(verdict, m.maySettle)
