Play what programs are told after losses in a model

The model of appends checks that no program gets too much. This one checks what it gets: after losses, lost and late appends, fenced producers and cut nodes, once the store answers and the members are stable, each program is granted a turn or told that its budget is spent within two seconds, alone and beside a turn of its own; and a turn that fits what is not used or reserved by nodes that are gone is granted.

--- a/internal/ledgerlog/boundmodel_test.go
+++ b/internal/ledgerlog/boundmodel_test.go
@@ -16,6 +16,8 @@
 	*budgetRun
 	// open contains the ends of the turns that run.
 	open []func()
+	// allEnd is set if each turn ends at last.
+	allEnd bool
 }
 
 // step plays one step that draw selects, at one of the nodes and programs.
@@ -90,10 +92,10 @@
 		r.fail("%s used %d of a budget of %d and one turn of %d, with the records%s", p.id, p.used, p.budget, p.maxTokens, r.recordsOf(p.id))
 	}
 	end := func() { node.FinishTurn(grant.Program, grant.ID, used) }
-	switch draw / 5 % 3 {
-	case 0:
+	switch kind := draw / 5 % 3; {
+	case kind == 0:
 		end()
-	case 1:
+	case kind == 1, r.allEnd:
 		r.open = append(r.open, end)
 	}
 }
