Tell of a refused budget what blocks it, whose it is and how old

A refusal named the reservations that count against a budget, but not whether their nodes were gone, since when they stood, and how much of what is reserved here turns that run may still use. So a program beside its own turns looked like one that waits for tokens of nobody: that had to be worked out from the lines of all its turns.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -337,22 +337,32 @@
 // charged for nothing, so that it may be granted after Corrections.
 func (c *Credit) MisledByAssumption() bool { return c.last.Granted == 0 && len(c.last.Void) > 0 }
 
-// Explain describes what is charged to the budget, as of the last verdict.
-func (c *Credit) Explain() string {
+// Explain describes what is charged to the budget, as of the last verdict: who has reserved how much,
+// for how long, and whether it may be returned; and what turns of this credit hold now.
+func (c *Credit) Explain(mayReturn func(IncarnationID) bool) string {
 	text := fmt.Sprintf("%d of %d tokens are charged", c.Charged, c.budget)
 	for _, one := range c.last.OpenReservations {
-		switch {
-		case one.Void:
-		case one.Assumed:
-			text += fmt.Sprintf(", %d for unlogged grants of former owner %q", one.Tokens, one.Incarnation)
-		case one.Incarnation == c.incarnation:
-			text += fmt.Sprintf(", %d reserved here", one.Tokens)
-		default:
-			text += fmt.Sprintf(", %d reserved by %s", one.Tokens, one.Incarnation)
+		if !one.Void {
+			text += fmt.Sprintf(", %d %s for %.1f s", one.Tokens, c.purpose(one, mayReturn), one.Age.Seconds())
 		}
 	}
 	if c.last.Withheld > 0 {
 		text += fmt.Sprintf(", and %d are withheld since the first record is not an exclusive owner's", c.last.Withheld)
 	}
-	return text
+	return text + fmt.Sprintf("; of what is reserved here, %d turns may use %d and %d are used", len(c.open), c.openTokens(), c.used)
+}
+
+// purpose says what an open reservation is for and whose it is.
+func (c *Credit) purpose(one OpenReservation, mayReturn func(IncarnationID) bool) string {
+	switch {
+	case one.Assumed && !one.Refutable:
+		return fmt.Sprintf("assumed for unlogged grants of %q or earlier owners", one.Incarnation)
+	case one.Assumed:
+		return fmt.Sprintf("for unlogged grants of former owner %q", one.Incarnation)
+	case one.Incarnation == c.incarnation:
+		return "reserved here"
+	case !mayReturn(one.Incarnation):
+		return fmt.Sprintf("reserved by %s (gone)", one.Incarnation)
+	}
+	return fmt.Sprintf("reserved by %s", one.Incarnation)
 }
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -43,14 +43,19 @@
 	// left no unlogged grants. It is never set for one of a partition without an exclusive owner,
 	// where no record can show that.
 	Refutable bool
+	// Age is the time since the record was applied here, which may be long after it was written.
+	Age time.Duration
+	// since is when the record was applied.
+	since time.Duration
 }
 
 // openReservations returns the open reservations in a deterministic order, so that verdicts are
 // equal on all nodes.
-func (a *account) openReservations(program ProgramID) []OpenReservation {
+func (a *account) openReservations(program ProgramID, now time.Duration) []OpenReservation {
 	void := a.void(program)
 	reserved := make([]OpenReservation, 0, len(a.open))
 	for attempt, one := range a.open {
+		one.Age = now - one.since
 		if one.Assumed {
 			one.Incarnation = IncarnationID(strings.TrimPrefix(string(one.Incarnation), assumedPrefix))
 			one.Refutable = a.unlogged.incarnation != ""
@@ -209,7 +214,7 @@
 	}
 	others := charges.reservedByOthers(record.Incarnation)
 	if others > 0 {
-		verdict.OpenReservations = charges.openReservations(record.Program)
+		verdict.OpenReservations = charges.openReservations(record.Program, now)
 	}
 	needed := charges.charged + uint64(record.MinTokens)
 	extended := open
@@ -218,7 +223,7 @@
 	}
 	switch {
 	case needed > extended:
-		verdict.Shortfall, verdict.Margin, verdict.OpenReservations = needed-extended, extended-open, charges.openReservations(record.Program)
+		verdict.Shortfall, verdict.Margin, verdict.OpenReservations = needed-extended, extended-open, charges.openReservations(record.Program, now)
 		return verdict
 	case needed > open:
 		verdict.Granted = record.MinTokens
@@ -228,7 +233,7 @@
 	}
 	charges.charged += uint64(verdict.Granted)
 	assumed := isAssumed(record.Program, record.Attempt)
-	charges.open[record.Attempt] = OpenReservation{Incarnation: record.Incarnation, Tokens: verdict.Granted, Assumed: assumed}
+	charges.open[record.Attempt] = OpenReservation{Incarnation: record.Incarnation, Tokens: verdict.Granted, Assumed: assumed, since: now}
 	if !assumed && verdict.Granted > 0 && record.Incarnation != "" && charges.unlogged.incarnation == record.Incarnation {
 		charges.unlogged = unloggedGrants{} // the owner's reservation covers its unlogged grants
 		verdict.Void = charges.void(record.Program)
@@ -287,12 +292,12 @@
 }
 
 // OpenReservations returns the open reservations of a program.
-func (p *Partition) OpenReservations(program ProgramID) []OpenReservation {
+func (p *Partition) OpenReservations(program ProgramID, now time.Duration) []OpenReservation {
 	charges, known := p.accounts[program]
 	if !known {
 		return nil
 	}
-	return charges.openReservations(program)
+	return charges.openReservations(program, now)
 }
 
 // Knows reports whether the log had a reservation of the program.
--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -354,9 +354,9 @@
 	case !known:
 		return &BudgetExhaustedError{}
 	case entry.credit.Blocked():
-		return fmt.Errorf("%w: %s", ErrBudgetReserved, entry.credit.Explain())
+		return fmt.Errorf("%w: %s", ErrBudgetReserved, entry.credit.Explain(m.maySettle))
 	}
-	return &BudgetExhaustedError{Charged: entry.credit.Charged, Detail: entry.credit.Explain()}
+	return &BudgetExhaustedError{Charged: entry.credit.Charged, Detail: entry.credit.Explain(m.maySettle)}
 }
 
 // settleIdle settles idle credits. If this node does not coordinate the partition, or stops, it
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -130,7 +130,7 @@
 func (r *reader) openReservations(program ledger.ProgramID) []ledger.OpenReservation {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.state.OpenReservations(program)
+	return r.state.OpenReservations(program, r.clock())
 }
 
 // ownedCleanly reports whether the records show that only the owner can have made unlogged
