Let an owner settle what was assumed of it if it granted nothing

Callers saw: nothing known. A program that may use its budget and one turn is refused with "budget_reserved" for as long as its partition's owner lives, once another node had begun it, assumed a turn of the owner, and died beside a turn that ran.

Cause: such an assumption is settled once the log has a granted reservation of the owner. But the assumption and what the dead node had reserved leave no room for one, so the owner, which knows that it granted nothing, was refused because of its own assumed grants, and took them for tokens that somebody may return.

The test before:

288 of 500 and one turn of 288 may be used, but: ledgerlog: the rest of the budget is reserved elsewhere: 576 of 500 tokens are charged, 288 for unlogged grants of former owner "n0" for 0.1 s, 288 reserved by n1 (gone) for 0.1 s; of what is reserved here, 0 turns may use 0 and 0 are used

Fix: the refused verdict names the assumed reservations that are of the refused incarnation alone. If all its grants are covered by its reservations, it settles them and reserves once more. It can't have made others: unlogged grants end with the first verdict, an uncovered credit is kept, and an incarnation does not outlive its memory. An assumed reservation now names the owner that the log made responsible for it, not the one that its writer believed in.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -220,6 +221,9 @@
 // may still return what it has reserved.
 func (c *Credit) ApplyVerdict(verdict Verdict, mayReturn func(IncarnationID) bool) {
 	c.verdictKnown = true
+	if len(verdict.OwnAssumed) > 0 && !c.Uncovered() {
+		verdict = c.refute(verdict)
+	}
 	c.last = verdict
 	c.Charged = verdict.Charged - min(verdict.Charged, verdict.voidTokens())
 	for _, one := range verdict.Void {
@@ -235,6 +239,16 @@
 	}
 }
 
+// refute returns a verdict in which the assumed reservations for unlogged grants of this incarnation stand for
+// nothing. It must have made none that its reservations don't cover.
+func (c *Credit) refute(verdict Verdict) Verdict {
+	verdict.Void, verdict.OpenReservations = verdict.OwnAssumed, slices.Clone(verdict.OpenReservations)
+	for i, one := range verdict.OpenReservations {
+		verdict.OpenReservations[i].Void = one.Void || one.Assumed
+	}
+	return verdict
+}
+
 // Yields reports whether a reservation was granted beyond the budget only because of what other
 // incarnations will return soon. The margin beyond the budget is for what is lost.
 func (c *Credit) Yields(verdict Verdict, returns func(IncarnationID) bool) bool {
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -58,7 +58,9 @@
 		one.Age = now - one.since
 		if one.Assumed {
 			one.Incarnation = IncarnationID(strings.TrimPrefix(string(one.Incarnation), assumedPrefix))
-			one.Refutable = a.unlogged.incarnation != ""
+			if a.unlogged.incarnation != "" {
+				one.Incarnation, one.Refutable = a.unlogged.incarnation, true
+			}
 			one.Void = slices.ContainsFunc(void, func(v VoidReservation) bool { return v.Attempt == attempt })
 		}
 		reserved = append(reserved, one)
@@ -145,6 +147,9 @@
 	// Void are the assumed reservations that stand for nothing, as the log shows by now, and
 	// should be settled.
 	Void []VoidReservation
+	// OwnAssumed are the assumed reservations that stand for unlogged grants of the incarnation
+	// that was refused, which knows whether it made any.
+	OwnAssumed []VoidReservation
 }
 
 // VoidReservation is an assumed reservation that stands for nothing.
@@ -224,6 +229,9 @@
 	switch {
 	case needed > extended:
 		verdict.Shortfall, verdict.Margin, verdict.OpenReservations = needed-extended, extended-open, charges.openReservations(record.Program, now)
+		if record.Incarnation != "" && charges.unlogged.incarnation == record.Incarnation {
+			verdict.OwnAssumed = charges.assumed(record.Program, true, true)
+		}
 		return verdict
 	case needed > open:
 		verdict.Granted = record.MinTokens
@@ -243,16 +251,22 @@
 
 // void returns the assumed reservations that stand for nothing.
 func (a *account) void(program ProgramID) []VoidReservation {
+	return a.assumed(program, !a.unlogged.possible, !a.unlogged.possible || a.unlogged.limited)
+}
+
+// assumed returns the open assumed reservations: that of one turn, if one is set, and that of more, if more is
+// set.
+func (a *account) assumed(program ProgramID, one, more bool) []VoidReservation {
 	var found []VoidReservation
 	add := func(attempt AttemptID) {
-		if one, open := a.open[attempt]; open {
-			found = append(found, VoidReservation{Attempt: attempt, Tokens: one.Tokens})
+		if reserved, open := a.open[attempt]; open {
+			found = append(found, VoidReservation{Attempt: attempt, Tokens: reserved.Tokens})
 		}
 	}
-	if !a.unlogged.possible {
+	if one {
 		add(assumedAttempt(program))
 	}
-	if !a.unlogged.possible || a.unlogged.limited {
+	if more {
 		add(legacyAttempt(program))
 	}
 	return found
--- a/internal/ledgerlog/spentafterloss_test.go
+++ b/internal/ledgerlog/spentafterloss_test.go
@@ -60,3 +60,25 @@
 		run.end()
 	})
 }
+
+// An exclusive owner that had granted a program nothing refused its turns for as long as it lived: another node
+// had begun the program, assumed a turn of the owner, and died.
+func TestOwnerRefutesWhatWasAssumedOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run, owner, program := ownedRun(t)
+		program.budget, program.maxTokens = 500, 288
+		run.start()
+		other := run.live[0]
+		other.CatchUp(t.Context(), other.Partition(program.id))
+		run.beginWholeTurn(program)
+		run.kill(run.live[:1])
+		run.live = run.live[1:]
+		run.tick(3 * time.Second)
+		owner.CatchUp(t.Context(), owner.Partition(program.id))
+		_, err := beginTurn(within(t, time.Second), owner.Ledger, program.id, program.budget, program.maxTokens, true)
+		if err != nil {
+			t.Errorf("%d of %d and one turn of %d may be used, but: %v, with the records%s", program.used, program.budget, program.maxTokens, err, run.recordsOf(program.id))
+		}
+		run.end()
+	})
+}
