Log the histories that a resumption without a record rests on

A resumption resolved by only_version was logged without saying for how long this node and the one that confirmed it had known of one version only, and how long was required; refusals told this node's alone.

"request ended" now has only_here_ms, only_there_ms and only_required_ms, and origin_node names the node with the longest other history; refusals name the longest history of another node or the one that knows of another version.

--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -44,8 +44,12 @@
 	}
 	span := s.span(wanted.Route, wanted.Service)
 	certain := span.Only && span.Age >= wanted.Window
+	only := Found{
+		Origin: Origin{Service: wanted.Service, Version: span.Version}, Source: SourceOnlyVersion,
+		Evidence: Evidence{Here: span.Age, Window: wanted.Window},
+	}
 	if !wanted.Keyed && certain {
-		return Found{Origin: Origin{Service: wanted.Service, Version: span.Version}, Source: SourceOnlyVersion}, nil
+		return only, nil
 	}
 	if certain {
 		waiting, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -60,11 +64,11 @@
 	if answers.conflicting {
 		return Found{}, fmt.Errorf("%w: at %s", ErrConflicting, answers.from)
 	}
-	if span.Only && answers.confirm(span, wanted.Window) {
-		return Found{Origin: Origin{Service: wanted.Service, Version: span.Version}, Source: SourceOnlyVersion}, nil
+	if span.Only && answers.confirm(&only) {
+		return only, nil
 	}
-	return Found{}, fmt.Errorf("%w: %d of %d nodes answered; one version here: %t, for %v of %v",
-		ErrUnknown, answers.answered, answers.asked, span.Only, span.Age.Round(time.Millisecond), wanted.Window)
+	return Found{}, fmt.Errorf("%w: %d of %d nodes answered; one version here: %t, for %v, at %q for %v, of %v", ErrUnknown, answers.answered, answers.asked,
+		span.Only, span.Age.Round(time.Millisecond), only.Node, only.Evidence.There.Round(time.Millisecond), only.Evidence.Window)
 }
 
 func (s *Service) span(route, service string) fleet.VersionSpan {
@@ -98,21 +102,30 @@
 	found       *Record
 	from        identity.NodeName
 	conflicting bool
-	// spans are the versions of the service as known to the nodes that answered.
-	spans []fleet.VersionSpan
+	// histories are the versions of the service as known to the nodes that answered.
+	histories []history
+}
+
+// history is what a node knows of a service's versions.
+type history struct {
+	node identity.NodeName
+	fleet.VersionSpan
 }
 
-// confirm reports whether the only version known here was the only one for window, by this
-// node's or by another's knowledge, without any that knows of another.
-func (a *answers) confirm(here fleet.VersionSpan, window time.Duration) bool {
-	confirmed := here.Age >= window
-	for _, there := range a.spans {
-		if there.Several || there.Only && there.Version != here.Version {
+// confirm reports whether the version of only, the only one known here, was the only one for its
+// window by this node's or by another's knowledge, without any that knows of another. It adds the
+// longest history of another node to only.
+func (a *answers) confirm(only *Found) bool {
+	for _, there := range a.histories {
+		if there.Several || there.Only && there.Version != only.Version {
+			only.Node, only.Evidence.There = there.node, 0
 			return false
 		}
-		confirmed = confirmed || there.Only && there.Age >= window
+		if there.Only && there.Age > only.Evidence.There {
+			only.Node, only.Evidence.There = there.node, there.Age
+		}
 	}
-	return confirmed
+	return max(only.Evidence.Here, only.Evidence.There) >= only.Evidence.Window
 }
 
 const (
@@ -193,7 +206,7 @@
 		a.conflicting, a.from = true, from
 	case stateUnknown:
 	}
-	a.spans = append(a.spans, response.Span)
+	a.histories = append(a.histories, history{from, response.Span})
 }
 
 // relay asks the holders of a record on behalf of another node.
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -68,13 +68,19 @@
 	SourceOnlyVersion Source = "only_version"
 )
 
-// Found is the origin of a stream with its source. Node is set for SourceHolder.
+// Found is the origin of a stream with its source. Node is the node that had the record for
+// SourceHolder, and the one whose history was the longest for SourceOnlyVersion; empty for this node.
 type Found struct {
 	Origin
-	Source Source
-	Node   identity.NodeName
+	Source   Source
+	Node     identity.NodeName
+	Evidence Evidence
 }
 
+// Evidence is the histories that SourceOnlyVersion rests on: for how long this node and Node have
+// known of one version only, and for how long that was required.
+type Evidence struct{ Here, There, Window time.Duration }
+
 var (
 	// ErrUnknown means that nothing is known of what began a stream.
 	ErrUnknown = errors.New("origin: no record of the stream")
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"stepseam.example/stepseam/internal/origin"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"stepseam.example/stepseam/internal/balance"
@@ -105,6 +107,10 @@
 			attributes, slog.String("began_at_version", call.origin.Version), slog.String("origin_source", string(call.origin.Source)),
 			slog.String("origin_node", string(call.origin.Node)),
 		)
+		if call.origin.Source == origin.SourceOnlyVersion {
+			evidence := call.origin.Evidence
+			attributes = append(attributes, durationAttr("only_here", evidence.Here), durationAttr("only_there", evidence.There), durationAttr("only_required", evidence.Window))
+		}
 	}
 	if call.tenant != nil {
 		attributes = append(attributes, slog.String("tenant", call.tenant.Name))
