Demand a history that is longer than clients come back

What callers saw: after the loss of all nodes, clients that took a broken stream up again got 200 and the rest of it from another software version.

Cause: without a record, a stream goes on at the only version that was seen for three timeouts of its route. The timeout was that of the present configuration, which a change may have lowered, and how long clients wait was not asked at all: a client with a longer time of its own, or one that had begun under the former timeout, came back after the window.

Evidence before, TestVersionIsUnknownAfterLossOfAllNodesAndLowerTimeout (three processes, four replicas of v1, the route's timeout lowered from 3 s to 0.3 s, all nodes killed, v1 replaced by v1.1, clients that wait 6 s): 20 of 20 streams hold events of two versions (named), 20 of 20 (unnamed) all 40 logged with origin_source only_version. In the router, all five cases of TestResumptionsWithoutRecordAreRefusedWhileClientsMayComeBack: 200 != 503.

Now: the window is the longest of three times each timeout that was in force, twice what any client waits or its wait and 6 s (the time in which other nodes' outdated views may still begin streams at a version that is gone), of this node, of those that answer and of the request itself, remembered for ten minutes at least. A node that has not yet seen a client of the route demands 90 s. Answers to queries carry what their node knows, in the field for later builds.

--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -73,6 +73,9 @@
 	Age     time.Duration
 	// Several reports that entries with at least two versions are present.
 	Several bool
+	// StreamLifetime is the longest time after its beginning at which a stream of the service may be
+	// resumed, as far as is known; 0 if nothing is.
+	StreamLifetime time.Duration
 }
 
 // VersionSpan returns the versions of a service by the store's content as known to this node,
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -21,7 +21,8 @@
 	// Route is the name of the request's route, and Service the only service that it leads to;
 	// empty if there are several.
 	Route, Service string
-	// Window is longer than any stream of the route lasts, including its client's returns.
+	// Window is longer than any stream of the route lasts, including its client's returns, as far as
+	// this node knows. Nodes that know of longer ones extend it.
 	Window time.Duration
 }
 
@@ -117,6 +118,7 @@
 // longest history of another node to only.
 func (a *answers) confirm(only *Found) bool {
 	for _, there := range a.histories {
+		only.Evidence.Window = max(only.Evidence.Window, there.StreamLifetime)
 		if there.Several || there.Only && there.Version != only.Version {
 			only.Node, only.Evidence.There = there.node, 0
 			return false
--- a/internal/origin/message.go
+++ b/internal/origin/message.go
@@ -133,7 +133,24 @@
 	e.String(m.Span.Version)
 	e.Duration(m.Span.Age)
 	e.Bool(m.Span.Several)
-	e.Blob(nil)
+	e.Blob(encodeLifetime(m.Span.StreamLifetime))
+}
+
+// encodeLifetime returns the fields that former builds skip; nothing for zero.
+func encodeLifetime(lifetime time.Duration) []byte {
+	if lifetime == 0 {
+		return nil
+	}
+	e := wire.NewEncoder(nil)
+	e.Duration(lifetime)
+	return e.Bytes()
+}
+
+func decodeLifetime(later []byte) time.Duration {
+	if len(later) == 0 {
+		return 0
+	}
+	return wire.NewDecoder(later).Duration()
 }
 
 // Decode implements peer.Message.
@@ -142,5 +159,5 @@
 	m.Origin = Origin{Service: d.String(), Version: d.String()}
 	m.Left = d.Duration()
 	m.Span = fleet.VersionSpan{Only: d.Bool(), Version: d.String(), Age: d.Duration(), Several: d.Bool()}
-	d.Blob()
+	m.Span.StreamLifetime = decodeLifetime(d.Blob())
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -89,6 +89,6 @@
 )
 
 // Versions returns for how long all replicas of a service have had one version and the route has
-// led to this service alone, as far as this node knows. The result is empty if the node's view is
-// not up to date.
+// led to this service alone, as far as this node knows. If the node's view is not up to date, only
+// StreamLifetime is set.
 type Versions func(route, service string) fleet.VersionSpan
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -295,7 +295,7 @@
 	is.Equal(table.evictions(), uint64(10))
 	table.put(Record{Key: KeyOf("t", "x"), Origin: v1, Left: time.Hour}, time.Minute)
 	is.Equal(table.size(), 1)
-	_, _, found := table.get(KeyOf("t", "x"), time.Minute+maxLifetime)
+	_, _, found := table.get(KeyOf("t", "x"), time.Minute+MaxLifetime)
 	is.True(!found)
 }
 
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -112,7 +112,7 @@
 	if !origin.recordable() || lifetime <= 0 {
 		return func() {}
 	}
-	record := Record{Key: key, Origin: origin, Left: min(lifetime, maxLifetime)}
+	record := Record{Key: key, Origin: origin, Left: min(lifetime, MaxLifetime)}
 	s.table.put(record, s.config.Now())
 	return func() { s.copies.Distribute(record) }
 }
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -9,8 +9,8 @@
 const (
 	// maxRecords bounds the records of a node, which take about 3 MB then.
 	maxRecords = 1 << 15
-	// maxLifetime bounds the lifetime of a record.
-	maxLifetime = 10 * time.Minute
+	// MaxLifetime bounds the lifetime of a record.
+	MaxLifetime = 10 * time.Minute
 )
 
 // table holds records. It is safe for concurrent use.
@@ -35,7 +35,7 @@
 
 // put adds a record. now is a monotonic reading.
 func (t *table) put(record Record, now time.Duration) {
-	expiresAt := now + min(record.Left, maxLifetime)
+	expiresAt := now + min(record.Left, MaxLifetime)
 	added := unique.Make(record.Origin)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -120,10 +120,11 @@
 
 // onlyVersion returns for how long a service has had one version, see origin.Versions.
 func (v *views) onlyVersion(route, service string) fleet.VersionSpan {
+	span := v.router.OnlyVersion(route, service)
 	if !v.replicasFresh() {
-		return fleet.VersionSpan{}
+		return fleet.VersionSpan{StreamLifetime: span.StreamLifetime}
 	}
-	return v.router.OnlyVersion(route, service)
+	return span
 }
 
 // decodePeerEntry decodes a replica, or its removal, from a peer.
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -40,10 +40,25 @@
 	reasonResumedElsewhere  = "stream_resumed_elsewhere"
 )
 
-// resumptionTimeouts is the length of the history that shows that no stream of another version
-// can be resumed, in multiples of the route's timeout: the stream may have had several attempts.
+// resumptionTimeouts is the least lifetime of a route's streams in multiples of its timeout: a stream
+// may have several attempts.
 const resumptionTimeouts = 3
 
+func routeLifetime(route *routing.Route) time.Duration {
+	return resumptionTimeouts * cmp.Or(route.Timeout, defaultTimeout)
+}
+
+// resumptionWindow returns the length of the history that shows that no other version began a stream:
+// the longest lifetime of the route's streams that this node knows of. It has forgotten former timeouts
+// and clients if it has just started.
+func (r *Router) resumptionWindow(call *call) time.Duration {
+	longest, known := r.lifetimes.of(call.route.Name, r.Now())
+	if !known {
+		longest = max(longest, resumptionTimeouts*defaultTimeout)
+	}
+	return max(longest, routeLifetime(call.route), clientLifetime(call.clientTimeout))
+}
+
 // originTimeFraction is the fraction of the remaining time that the search for a stream's origin
 // may take, so that a rejected client has time to retry at another node.
 const originTimeFraction = 0.2
@@ -54,8 +69,9 @@
 	now := r.Now()
 	routeAge, only := r.routes.ageOf(route, service, now)
 	span := r.config.Fleet.VersionSpan(service, now)
+	span.StreamLifetime, _ = r.lifetimes.of(route, now)
 	if !only {
-		return fleet.VersionSpan{Several: span.Several}
+		return fleet.VersionSpan{Several: span.Several, StreamLifetime: span.StreamLifetime}
 	}
 	span.Age = min(span.Age, routeAge)
 	return span
@@ -65,6 +81,9 @@
 // returns false, the request has been rejected.
 func (r *Router) resolveOrigin(ctx context.Context, reply *reply, call *call) bool {
 	if !call.resuming {
+		if call.route.Resumable {
+			r.lifetimes.observe(call.route.Name, observedLifetime{longest: clientLifetime(call.clientTimeout), byClient: true}, r.Now())
+		}
 		return true
 	}
 	began := time.Now()
@@ -91,9 +110,7 @@
 }
 
 func (r *Router) findOrigin(ctx context.Context, call *call) (origin.Found, error) {
-	wanted := origin.Query{
-		Route: call.route.Name, Service: onlyService(call.route), Window: resumptionTimeouts * cmp.Or(call.route.Timeout, defaultTimeout),
-	}
+	wanted := origin.Query{Route: call.route.Name, Service: onlyService(call.route), Window: r.resumptionWindow(call)}
 	if call.resumes != "" {
 		wanted.Key, wanted.Keyed = call.streamKey(call.resumes), true
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -98,6 +98,7 @@
 	metrics       *metrics
 	configuration atomic.Pointer[routing.Configuration]
 	routes        routeHistory
+	lifetimes     streamLifetimes
 	draining      atomic.Bool
 	// requests bounds the bytes of request bodies and histories.
 	requests *heldbytes.Limit
@@ -124,7 +125,9 @@
 			return false
 		}
 		if r.configuration.CompareAndSwap(before, configuration) {
-			r.routes.update(configuration, r.Now())
+			now := r.Now()
+			r.routes.update(configuration, now)
+			r.lifetimes.reconfigure(before, configuration, now)
 			return true
 		}
 	}
