End the history of versions where a pulled view has missed changes

Cause: peers send the result of changes since a position, not each of them. An entry that was added and removed in between is none, or the removal of an unknown key, which was dropped. A node that had been cut off, or one behind it, then claimed to have known of one version only over that time, and confirmed it to others.

Evidence before, TestVersionsThatAPullerHasMissedEndItsHistory: a_version_came_and_went: true != false the_view_had_been_outdated: true != false

Now a removal of an entry that is unknown here, or changes to a view that was over 3.5 s old, begin the history anew, and topics pass such removals on to those that pull from them. Nodes that read the store see each record and keep theirs.

--- a/internal/distribution/topic.go
+++ b/internal/distribution/topic.go
@@ -153,8 +153,9 @@
 func (t *Topic) put(item logstore.Item) {
 	before, found := t.items[item.Key]
 	switch {
-	case item.Value == nil && !found, item.Value != nil && found && bytes.Equal(before, item.Value):
+	case item.Value != nil && found && bytes.Equal(before, item.Value):
 		return
+	case item.Value == nil && !found: // it was added and removed unseen, and others may have seen neither
 	case item.Value == nil:
 		delete(t.items, item.Key)
 		t.bytes -= len(item.Key) + len(before)
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -102,6 +102,14 @@
 	return VersionSpan{Only: true, Version: present.version, Age: now - since}
 }
 
+// MissedChanges records that entries may have been added and removed unseen until now, so that the
+// histories of versions begin anew.
+func (d *Directory) MissedChanges(now time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.completeSince = now
+}
+
 // Confirms reports whether a replica is the one that its instance's present entry describes, with
 // the same version. A replica without an entry is confirmed: nothing contradicts what was known.
 func (d *Directory) Confirms(replica *Replica) bool {
--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -81,10 +81,17 @@
 func (v *views) applyFromPeer(items []logstore.Item, next logstore.Offset) {
 	position, _ := v.replicas.Position()
 	v.replicas.apply(position, next, func() {
-		v.noteOutage()
+		missed := v.noteOutage()
 		changes := make([]fleet.Change, 0, len(items))
 		for _, item := range items {
-			changes = append(changes, v.decodePeerEntry(item))
+			change := v.decodePeerEntry(item)
+			_, present := v.fleet.Presence(change.Instance)
+			missed = missed || change.Replica == nil && !present
+			changes = append(changes, change)
+		}
+		if missed {
+			// Peers send the result of changes: an entry that came and went is none, or just a removal.
+			v.fleet.MissedChanges(v.router.Now())
 		}
 		v.publish(v.fleet.Apply(changes, v.router.Now()))
 		v.replicas.Apply(items, next)
@@ -99,11 +106,14 @@
 const outageAge = 3500 * time.Millisecond
 
 // noteOutage informs the directory if the store was unavailable to all upstream nodes:
-// entries may have expired because replicas could not renew them.
-func (v *views) noteOutage() {
-	if age, known := v.replicas.Age(time.Now()); known && age > outageAge {
-		v.fleet.StoreRecovered(v.router.Now())
+// entries may have expired because replicas could not renew them. It reports whether it was.
+func (v *views) noteOutage() bool {
+	age, known := v.replicas.Age(time.Now())
+	if !known || age <= outageAge {
+		return false
 	}
+	v.fleet.StoreRecovered(v.router.Now())
+	return true
 }
 
 // maxVersionsAge is the age of the replicas' view above which it does not tell which versions a
--- a/internal/routednode/replicaview_test.go
+++ b/internal/routednode/replicaview_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/coldstart"
@@ -121,3 +122,72 @@
 	}
 	is.True(len(v.unreadable.logged) <= maxLoggedInstances)
 }
+
+// versioned returns a replica's entry with a version.
+func versioned(instance, version string) logstore.Item {
+	encoded, _ := json.Marshal(fleet.Replica{Instance: instance, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Version: version})
+	return logstore.Item{Key: instance, Value: encoded}
+}
+
+// A node that pulls its view vouched for the only version over a time in which another version had
+// come and gone unseen: a peer sends the result of changes, not each of them.
+func TestVersionsThatAPullerHasMissedEndItsHistory(t *testing.T) {
+	const age = time.Minute
+	for name, c := range map[string]struct {
+		// pulled are the reader's changes between pulls.
+		pulled []func(reader *views)
+		// aged sets the last confirmation of the pullers' views back, and kept is set if they keep their history.
+		aged, kept bool
+	}{
+		"nothing missed":             {pulled: []func(*views){addOther("w", "v1")}, kept: true},
+		"a version came and went":    {pulled: []func(*views){comeAndGo}},
+		"seen before it went":        {pulled: []func(*views){addOther("b", "v2"), removeOther("b")}},
+		"the view had been outdated": {pulled: []func(*views){addOther("w", "v1")}, aged: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var now time.Duration
+			nodes := []*views{testViews(), testViews(), testViews()} // each pulls from the one before
+			nodes[0].replaceEntries([]logstore.Item{versioned("a", "v1")}, 10)
+			for i, puller := range nodes[1:] {
+				page, _ := nodes[i].replicas.Page("", 1<<20)
+				puller.router = router.New(router.Config{Registerer: prometheus.NewRegistry(), Now: func() time.Duration { return now }})
+				puller.replaceFromPeer(page.Items, page.Position)
+				puller.replicas.Confirm(time.Now().Add(-lo.Ternary(c.aged, outageAge+time.Second, 0)))
+			}
+			now = age
+			for _, change := range c.pulled {
+				change(nodes[0])
+				for i, puller := range nodes[1:] {
+					position, _ := puller.replicas.Position()
+					items, next, complete := nodes[i].replicas.Since(position)
+					is.True(complete)
+					puller.applyFromPeer(items, next)
+				}
+			}
+			for _, puller := range nodes[1:] {
+				span := puller.fleet.VersionSpan("s", now)
+				is.True(span.Only)
+				is.Equal(span.Age == age, c.kept)
+			}
+		})
+	}
+}
+
+func addOther(instance, version string) func(reader *views) {
+	return func(reader *views) { reader.applyNext(versioned(instance, version)) }
+}
+
+func removeOther(instance string) func(reader *views) {
+	return func(reader *views) { reader.applyNext(logstore.Item{Key: instance}) }
+}
+
+func comeAndGo(reader *views) {
+	reader.applyNext(versioned("b", "v2"))
+	reader.applyNext(logstore.Item{Key: "b"})
+}
+
+func (v *views) applyNext(item logstore.Item) {
+	position, _ := v.replicas.Position()
+	v.applyEntries(position, []logstore.Item{item}, position+1)
+}
