--- a/internal/ledgerlog/ledgerlog_test.go
+++ b/internal/ledgerlog/ledgerlog_test.go
@@ -568,3 +568,17 @@
 		})
 	}
 }
+
+// A search that had found its turn still read each partition that it had not begun to read.
+func TestEndedSearchReadsNoFurtherPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := newLedger(log, "a").Find(ended, "t", 0, 1, 2)
+		is.True(errors.Is(err, context.Canceled))
+		time.Sleep(time.Second)
+		is.Equal(log.Calls("read"), 0)
+	})
+}
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -179,7 +179,7 @@
 }
 
 // endReached returns a function that reports whether all records that were written before the
-// call of endReached have been read. It must be called with the mutex held.
+// call of endReached have been read. The returned function requires the mutex.
 func (r *reader) endReached() func() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -196,6 +196,10 @@
 			r.mutex.Unlock()
 			return nil
 		}
+		if ctx.Err() != nil {
+			r.mutex.Unlock()
+			return r.readEnded(ctx)
+		}
 		if r.reading == nil {
 			r.started++
 			r.reading = &sharedRead{done: make(chan struct{})}
@@ -206,7 +210,7 @@
 		select {
 		case <-reading.done:
 		case <-ctx.Done():
-			return fmt.Errorf("ledgerlog: read partition %d: %w", r.partition.Number, ctx.Err())
+			return r.readEnded(ctx)
 		}
 		if reading.err != nil {
 			failures++
@@ -217,6 +221,10 @@
 	}
 }
 
+func (r *reader) readEnded(ctx context.Context) error {
+	return fmt.Errorf("ledgerlog: read partition %d: %w", r.partition.Number, ctx.Err())
+}
+
 func (r *reader) read(reading *sharedRead, from logstore.Offset) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
