Answer the requests that a stopping node cannot finish

Callers whose requests outlasted the grace period saw the connection close with the process, also those whose request had not been sent to any replica.

TestRequestAtTheEndOfTheGracePeriodGetsAStatus before: "err: EOF".

100 ms before the process exits the requests that are being served are canceled with a cause of its own: those without a response get 503 if they have not run, else 502. Streams that have begun end with their connection, as before.

--- a/internal/routednode/stop.go
+++ b/internal/routednode/stop.go
@@ -11,6 +11,8 @@
 	acceptPeriod = 3 * time.Second
 	// exitMargin is how long before the end of the grace period the process exits.
 	exitMargin = 400 * time.Millisecond
+	// responseMargin is how long before that requests without a response are answered with a status.
+	responseMargin = 100 * time.Millisecond
 	// drainPollInterval is the time between two checks for open connections.
 	drainPollInterval = 20 * time.Millisecond
 	// flushTimeout is the timeout for writing the last settlements.
@@ -35,10 +37,10 @@
 	sleepUntil(began.Add(min(acceptPeriod, grace/2)))
 	// New connections are refused from here on; open ones continue.
 	closeErr := n.clientListener.Close()
-	left := n.connections.CloseIdle(false)
-	for left > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPollInterval)
-		left = n.connections.CloseIdle(time.Since(began) > acceptPeriod+time.Second)
+	left := n.awaitConnections(began, deadline.Add(-responseMargin))
+	if left > 0 {
+		n.router.EndCalls()
+		left = n.awaitConnections(began, deadline)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), min(flushTimeout, max(time.Until(deadline), drainPollInterval)))
 	defer cancel()
@@ -49,4 +51,15 @@
 	cancelRun()
 }
 
+// awaitConnections closes idle connections until none is open or the deadline has passed. It returns
+// the number of connections that are open.
+func (n *node) awaitConnections(began, deadline time.Time) int {
+	left := n.connections.CloseIdle(false)
+	for left > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPollInterval)
+		left = n.connections.CloseIdle(time.Since(began) > acceptPeriod+time.Second)
+	}
+	return left
+}
+
 func sleepUntil(moment time.Time) { time.Sleep(time.Until(moment)) }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -260,6 +260,9 @@
 	if retry.lastFailure != nil {
 		cause, reason = retry.lastFailure, string(retry.lastFailure.Reason)
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		cause, reason = errStopping, reasonStopping
+	}
 	held := r.checkQuarantine(call)
 	if held == nil && isQuarantineError(retry.localError) {
 		held = retry.localError
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -100,6 +100,9 @@
 	routes        routeHistory
 	lifetimes     streamLifetimes
 	draining      atomic.Bool
+	// calls is canceled with errStopping by endCalls.
+	calls    context.Context
+	endCalls context.CancelCauseFunc
 	// requests bounds the bytes of request bodies and histories.
 	requests *heldbytes.Limit
 	// responses bounds the bytes of response bodies that clients have not read yet, of incomplete
@@ -109,7 +112,9 @@
 
 // New returns a router. It answers with status 503 until a configuration is set.
 func New(config Config) *Router {
+	calls, endCalls := context.WithCancelCause(context.Background())
 	return &Router{
+		calls: calls, endCalls: endCalls,
 		config: config, splitter: routing.NewSplitter(),
 		requests: heldbytes.New(config.BufferBytes), responses: heldbytes.New(config.BufferBytes),
 		metrics: newMetrics(config.Registerer),
@@ -139,6 +144,16 @@
 // Drain makes all further responses close their connections.
 func (r *Router) Drain() { r.draining.Store(true) }
 
+// EndCalls ends the requests that are being served: those without a response get a status. It is for a
+// process that is about to exit.
+func (r *Router) EndCalls() { r.endCalls(errStopping) }
+
+// errStopping is the cause of the end of requests by EndCalls.
+var errStopping = errors.New("router: the node stops")
+
+// reasonStopping is the reason of requests that EndCalls ended.
+const reasonStopping = "stopping"
+
 // Now returns a monotonic reading of the clock that the tracker uses.
 func (r *Router) Now() time.Duration { return r.config.Now() }
 
@@ -200,7 +215,9 @@
 		return
 	}
 	call.body, call.inputBytes = body, len(body)
-	ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
+	ctx, end := context.WithCancelCause(request.Context())
+	defer context.AfterFunc(r.calls, func() { end(errStopping) })()
+	ctx, cancel := context.WithDeadline(ctx, call.deadline)
 	defer cancel()
 	call.cancel = cancel
 	defer r.logCompleted(call, reply)
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -137,6 +137,9 @@
 	if retry.lastFailure != nil {
 		reason, cause = string(retry.lastFailure.Reason), retry.lastFailure
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		reason, cause = reasonStopping, errStopping
+	}
 	switch err := r.checkQuarantine(stream.call); {
 	case isQuarantineError(err):
 		reason, cause = reasonEndsUnclear, err
