Send no request to a replica once a stopping node has ended its calls

A request that arrived after the node had ended its calls was sent to a replica and then canceled, so that its caller got 502 in place of 503.

Such requests are now rejected before they are sent.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -223,7 +223,11 @@
 	call.cancel = cancel
 	defer r.logCompleted(call, reply)
 	defer r.endCall(call, reply)
-	if clientLeft(ctx) {
+	switch {
+	case r.calls.Err() != nil:
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStopping, retryAfter: shortRetryAfter})
+		return
+	case clientLeft(ctx):
 		reply.rejectLeft(false, nil)
 		return
 	}
