Report a turn whose history was dropped as absent

Callers saw: 503 with Retry-After for a turn that no try can get, since the log no longer retains a text of its history.

Cause: every error of reading a text was taken for one that a later attempt may mend, also the store's answer that the records are gone.

Evidence: TestDroppedTextIsReportedForGood on the code before: readtext_test.go:78: not true: errors.Is(err, ErrNoSuchTurn)

Texts that are not at their location stay errors that may be mended: a node of an older version may have passed on the location unresolved.

--- a/internal/coordinator/chainmodel_test.go
+++ b/internal/coordinator/chainmodel_test.go
@@ -34,7 +34,7 @@
 	// calm makes the store and the network answer every call. Reads take readTime then.
 	calm     atomic.Bool
 	readTime time.Duration
-	nodes []*chainNode
+	nodes    []*chainNode
 	// started counts the nodes.
 	started int
 	turns   sync.WaitGroup
--- a/internal/coordinator/texts.go
+++ b/internal/coordinator/texts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"stepseam.example/stepseam/internal/identity"
@@ -88,7 +89,8 @@
 }
 
 // Texts returns the texts of a chain of a program's turns from memory, the coordinator or the
-// store. Errors wrap ledgerlog.ErrUnavailable. Nodes outside the allowed regions are not
+// store. Errors wrap ledgerlog.ErrUnavailable, or ledgerlog.ErrNoSuchTurn if a text is no longer
+// retained. Nodes outside the allowed regions are not
 // called, since they would read the texts.
 func (s *Service) Texts(ctx context.Context, program ledger.ProgramID, chain []ledger.Location, allowed residency.AllowedRegions) ([][]byte, error) {
 	if found, all := s.config.Ledger.CachedTexts(chain); all {
@@ -98,8 +100,8 @@
 	var remoteErr error
 	if remote {
 		var found [][]byte
-		if found, remoteErr = s.readRemotely(ctx, coordinator, chain); remoteErr == nil {
-			return found, nil
+		if found, remoteErr = s.readRemotely(ctx, coordinator, chain); remoteErr == nil || errors.Is(remoteErr, ledgerlog.ErrNoSuchTurn) {
+			return found, remoteErr
 		}
 		s.config.Logger.Info("coordinator failed to read turns; reading locally", "program", program, "home", coordinator.Name, "error", remoteErr)
 	}
--- a/internal/coordinator/texts_test.go
+++ b/internal/coordinator/texts_test.go
@@ -11,6 +11,7 @@
 
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/ledgerlog"
+	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/residency"
 )
 
@@ -30,3 +31,18 @@
 	is.True(strings.Contains(here, place))
 	is.True(strings.Contains(there, place) && strings.Contains(there, string(coordinator.identity.Name)))
 }
+
+// TestDroppedTextIsReportedForGood guards against callers that are told to try again although the
+// log has dropped the history of their turn.
+func TestDroppedTextIsReportedForGood(t *testing.T) {
+	is := is.New(t)
+	nodes := startCluster(t, 3)
+	_, other := coordinatorOf(nodes, "p")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	location, err := other.service.config.Ledger.WriteText(ctx, []byte("text"))
+	is.NoErr(err)
+	other.store.Trim(logstore.Partition{Topic: "texts", Number: int(location.Partition)}, logstore.Offset(location.Offset)+1)
+	_, err = other.service.Texts(ctx, "p", []ledger.Location{location}, residency.AllowedRegions{})
+	is.True(errors.Is(err, ledgerlog.ErrNoSuchTurn))
+}
--- a/internal/ledgerlog/readtext.go
+++ b/internal/ledgerlog/readtext.go
@@ -39,7 +39,8 @@
 // Unwrap returns the error of the last call.
 func (e *TextError) Unwrap() error { return e.Err }
 
-// Texts returns the texts of a chain, oldest first. Errors wrap ErrUnavailable and a *TextError.
+// Texts returns the texts of a chain, oldest first. Errors wrap a *TextError, and ErrNoSuchTurn if
+// the log has dropped a text, or ErrUnavailable if a later attempt may succeed.
 func (l *Ledger) Texts(ctx context.Context, chain []ledger.Location) ([][]byte, error) {
 	if texts, all := l.CachedTexts(chain); all {
 		return texts, nil
@@ -55,7 +56,12 @@
 			return nil
 		})
 	}
-	if err := group.Wait(); err != nil {
+	err := group.Wait()
+	var trimmed *logstore.TrimmedError
+	switch {
+	case errors.As(err, &trimmed):
+		return nil, fmt.Errorf("%w: its history is no longer retained: %w", ErrNoSuchTurn, err)
+	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	return texts, nil
--- a/internal/ledgerlog/readtext_test.go
+++ b/internal/ledgerlog/readtext_test.go
@@ -12,6 +12,7 @@
 
 	"stepseam.example/stepseam/internal/emulator/store"
 	"stepseam.example/stepseam/internal/ledger"
+	"stepseam.example/stepseam/internal/logstore"
 )
 
 // writeTexts writes a chain of texts through a node and returns it with a node that has read
@@ -65,6 +66,22 @@
 	})
 }
 
+// TestDroppedTextIsReportedForGood guards against a turn that callers retry in vain since the log
+// has dropped its history.
+func TestDroppedTextIsReportedForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		chain, l := writeTexts(t, log, 2)
+		log.Trim(l.texts.placeOf(chain[0]), logstore.Offset(chain[1].Offset))
+		_, err := l.Texts(within(t, time.Second), chain)
+		is.True(errors.Is(err, ErrNoSuchTurn))
+		is.True(!errors.Is(err, ErrUnavailable))
+		_, err = l.Texts(within(t, time.Second), chain[1:])
+		is.NoErr(err)
+	})
+}
+
 // TestLongChainIsReadInTime guards against chains whose texts are read one after another, which
 // takes longer the longer the chain is.
 func TestLongChainIsReadInTime(t *testing.T) {
