Bound the texts that a node reads at a time

Reads of texts outlive their callers and go on beside each other, so the memory of the requests in progress no longer bounds theirs. Without a bound, TestReadsOfTextsAreBoundedTogether reads four texts of half of the limit at a time: readtext_test.go:118: 4 != 2.

The texts being read now take at most as much as the cache of texts, or 1 MiB.

--- a/internal/ledgerlog/readtext.go
+++ b/internal/ledgerlog/readtext.go
@@ -18,6 +18,9 @@
 	textReadTimeout = 2 * readTimeout
 	// parallelTextReads is how many texts of one chain are read at a time.
 	parallelTextReads = 8
+	// minReadBytes is the lower limit of Config.CacheBytes as a bound on the texts that are read
+	// at a time.
+	minReadBytes = 1 << 20
 )
 
 // errTextShort reports that the log has less of a text than its location says.
@@ -115,11 +118,7 @@
 func (t *textStore) runRead(location ledger.Location, reading *textRead) {
 	ctx, cancel := context.WithTimeout(context.Background(), textReadTimeout)
 	defer cancel()
-	if _, inIndex := location.InIndex(t.config.Partitions); inIndex {
-		reading.text, reading.err = t.readIndexText(ctx, location)
-	} else {
-		reading.text, reading.err = t.readRecords(ctx, location)
-	}
+	reading.text, reading.err = t.readBounded(ctx, location)
 	if reading.err == nil {
 		t.cacheText(location, reading.text)
 	}
@@ -129,6 +128,20 @@
 	close(reading.done)
 }
 
+// readBounded reads a text once the texts that are being read leave room for it, since reads that
+// nobody waits for count toward no request.
+func (t *textStore) readBounded(ctx context.Context, location ledger.Location) ([]byte, error) {
+	size := min(int64(location.Size), t.readLimit)
+	if err := t.readBytes.Acquire(ctx, size); err != nil {
+		return nil, fmt.Errorf("ledgerlog: wait for other reads of texts: %w", err)
+	}
+	defer t.readBytes.Release(size)
+	if _, inIndex := location.InIndex(t.config.Partitions); inIndex {
+		return t.readIndexText(ctx, location)
+	}
+	return t.readRecords(ctx, location)
+}
+
 // readRecords reads a text from its own topic.
 func (t *textStore) readRecords(ctx context.Context, location ledger.Location) ([]byte, error) {
 	text := make([]byte, 0, location.Size)
--- a/internal/ledgerlog/readtext_test.go
+++ b/internal/ledgerlog/readtext_test.go
@@ -97,3 +97,26 @@
 		}
 	})
 }
+
+// TestReadsOfTextsAreBoundedTogether guards against reads of large texts that take more memory
+// together than the cache, also after their callers have left.
+func TestReadsOfTextsAreBoundedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		writer := newLedger(log, "writer")
+		var chain []ledger.Location
+		for range 4 {
+			location, err := writer.WriteText(within(t, time.Second), make([]byte, minReadBytes/2))
+			is.NoErr(err)
+			chain = append(chain, location)
+		}
+		l := newLedger(log, "reader")
+		log.Fail(store.Fault{Delay: 100 * time.Millisecond})
+		_, err := l.Texts(within(t, 50*time.Millisecond), chain)
+		is.True(errors.Is(err, ErrUnavailable))
+		is.Equal(log.Calls("read"), 2)
+		time.Sleep(time.Second)
+		is.Equal(log.Calls("read"), 4)
+	})
+}
--- a/internal/ledgerlog/texts.go
+++ b/internal/ledgerlog/texts.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/semaphore"
 
 	"stepseam.example/stepseam/internal/ledger"
 	"stepseam.example/stepseam/internal/logstore"
@@ -17,6 +18,9 @@
 	metrics        *metrics
 	pacer          *pacer
 	retransmission *retransmission
+	// readBytes bounds the bytes of texts that are read at a time to readLimit.
+	readBytes *semaphore.Weighted
+	readLimit int64
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -32,7 +36,9 @@
 }
 
 func newTextStore(config Config, counters *metrics, callPacer *pacer, retransmits *retransmission) *textStore {
+	readLimit := int64(max(config.CacheBytes, minReadBytes))
 	return &textStore{
+		readBytes: semaphore.NewWeighted(readLimit), readLimit: readLimit,
 		config: config, metrics: counters, pacer: callPacer, retransmission: retransmits,
 		cache: map[ledger.Location][]byte{}, reading: map[ledger.Location]*textRead{}, appenders: map[int]*appender{},
 		partition: int(xxhash.Sum64String(config.Producer) % uint64(max(config.Partitions, 1))),
