--- a/internal/coordinator/begin.go
+++ b/internal/coordinator/begin.go
@@ -156,12 +156,15 @@
 }
 
 // preferredError returns the error to report if both attempts failed. A budget that is reserved
-// elsewhere is more informative than an unreachable node.
+// elsewhere is more informative than an unreachable node. The other error is only mentioned.
 func preferredError(first, second error) error {
-	if errors.Is(first, ledgerlog.ErrBudgetReserved) {
-		return first
+	switch {
+	case first == nil:
+		return second
+	case errors.Is(first, ledgerlog.ErrBudgetReserved):
+		first, second = second, first
 	}
-	return second
+	return fmt.Errorf("%w; other attempt: %v", second, first)
 }
 
 // discard finishes the turns of attempts whose results are not used.
--- a/internal/coordinator/texts_test.go
+++ b/internal/coordinator/texts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -46,3 +47,15 @@
 	_, err = other.service.Texts(ctx, "p", []ledger.Location{location}, residency.AllowedRegions{})
 	is.True(errors.Is(err, ledgerlog.ErrNoSuchTurn))
 }
+
+// TestBothAttemptsAreNamed guards against refusals that name the coordinator that did not respond
+// and hide why this node could not begin the turn either.
+func TestBothAttemptsAreNamed(t *testing.T) {
+	is := is.New(t)
+	here, there := fmt.Errorf("%w: here", ledgerlog.ErrUnavailable), fmt.Errorf("%w: there", ledgerlog.ErrBudgetReserved)
+	for _, err := range []error{preferredError(here, there), preferredError(there, here)} {
+		is.True(errors.Is(err, ledgerlog.ErrBudgetReserved) && !errors.Is(err, ledgerlog.ErrUnavailable))
+		is.True(strings.Contains(err.Error(), "here") && strings.Contains(err.Error(), "there"))
+	}
+	is.Equal(preferredError(nil, here), here)
+}
