--- a/internal/coordinator/chainmodel_test.go
+++ b/internal/coordinator/chainmodel_test.go
@@ -33,14 +33,14 @@
 	log    *store.Store
 	// calm makes the store and the network answer every call. Reads take readTime then.
 	calm     atomic.Bool
-	readTime time.Duration
-	nodes    []*chainNode
+	readTime atomic.Int64
 	// started counts the nodes.
 	started int
 	turns   sync.WaitGroup
 
 	// mutex guards the fields below and random.
 	mutex sync.Mutex
+	nodes []*chainNode
 	// acknowledged contains the texts of the chains of acknowledged turns.
 	acknowledged map[ledger.TurnID][]string
 	names        []ledger.TurnID
@@ -105,7 +105,7 @@
 	case n.ended.Load() || !n.run.calm.Load() && what == 0:
 		return logstore.ReadResult{}, logstore.ErrUnavailable
 	case n.run.calm.Load():
-		time.Sleep(n.run.readTime)
+		time.Sleep(time.Duration(n.run.readTime.Load()))
 	case what > 3:
 	case what == 1:
 		<-ctx.Done()
@@ -118,7 +118,7 @@
 
 // Call implements peer.Client without a network.
 func (n *chainNode) Call(ctx context.Context, address netip.AddrPort, request peer.Message, onPart func(peer.Message) error) (peer.Message, error) {
-	target := n.run.nodes[address.Port()]
+	target := n.run.node(int(address.Port()))
 	if target.identity.PeerAddress != address || target.ended.Load() || !n.run.calm.Load() && n.run.draw(20) == 0 {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -154,12 +154,21 @@
 		}),
 	})
 	n.service.Register(n.registry)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	if r.nodes[place] != nil {
 		r.nodes[place].ended.Store(true)
 	}
 	r.nodes[place] = n
 }
 
+// node returns the present node at a place.
+func (r *chainRun) node(place int) *chainNode {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.nodes[place]
+}
+
 // setViews gives all nodes a view with all of them.
 func (r *chainRun) setViews() {
 	view := membership.View{}
@@ -205,7 +214,7 @@
 
 // turn runs one turn at a random node. Turns may fail, but not with a wrong history.
 func (r *chainRun) turn(name ledger.TurnID) {
-	n := r.nodes[r.draw(len(r.nodes))]
+	n := r.node(r.draw(len(r.nodes)))
 	program := ledger.ProgramID(fmt.Sprint("p", r.draw(6)))
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
@@ -289,7 +298,7 @@
 	r.loseAll() // turns are in progress
 	r.turns.Wait()
 	r.calm.Store(true)
-	r.readTime = time.Duration(r.draw(150)) * time.Millisecond
+	r.readTime.Store(int64(r.draw(150)) * int64(time.Millisecond))
 	r.loseAll()
 	r.check()
 	for _, one := range r.nodes {
