End the history of routes where configurations may have been missed

What callers would see: a stream of one service goes on at another, whose version differs. Not seen by users as such.

Nodes that read the store see each configuration and keep theirs.

--- a/internal/routednode/configurationview.go
+++ b/internal/routednode/configurationview.go
@@ -16,6 +16,9 @@
 			v.operators.replaceFromPeer(next, func() { v.setOperatorRecords(items, next, "peer") })
 		},
 		Apply: func(items []logstore.Item, next logstore.Offset) {
+			if age, known := v.operators.Age(time.Now()); known && age > outageAge {
+				v.router.MissedConfigurations() // peers send the newest configuration only
+			}
 			position, _ := v.operators.Position()
 			v.applyOperatorRecords(position, items, next, "peer")
 		},
@@ -38,6 +41,7 @@
 // without them. The caller must hold the topic's mutex.
 func (v *views) setOperatorRecords(items []logstore.Item, next logstore.Offset, source string) {
 	items = v.relevantRecords(items)
+	v.router.MissedConfigurations()
 	v.evacuations.replace(items, next)
 	v.applyConfigurationRecords(items, source)
 	v.operators.Replace(items, next)
--- a/internal/router/routehistory.go
+++ b/internal/router/routehistory.go
@@ -43,6 +43,16 @@
 	h.version, h.routes = configuration.Version, routes
 }
 
+// restart begins the history of each route anew.
+func (h *routeHistory) restart(now time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for name, target := range h.routes {
+		target.since = now
+		h.routes[name] = target
+	}
+}
+
 // ageOf returns for how long a route has led to a service alone; false if it does not.
 func (h *routeHistory) ageOf(route, service string, now time.Duration) (time.Duration, bool) {
 	h.mutex.Lock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -138,6 +138,9 @@
 	}
 }
 
+// MissedConfigurations records that routes may have led elsewhere unseen until now.
+func (r *Router) MissedConfigurations() { r.routes.restart(r.Now()) }
+
 // Configuration returns the current configuration, or nil.
 func (r *Router) Configuration() *routing.Configuration { return r.configuration.Load() }
 
