Keep the history of versions over outages without changes

A pulled view that was over 3.5 s old began its history anew also if no entry had changed, so that all nodes that pull refused resumptions without a record after an outage of the store, unless a reader vouched. Where nothing changed, nothing was missed: an entry that came and went is sent as a removal.

--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -81,7 +81,7 @@
 func (v *views) applyFromPeer(items []logstore.Item, next logstore.Offset) {
 	position, _ := v.replicas.Position()
 	v.replicas.apply(position, next, func() {
-		missed := v.noteOutage()
+		missed := v.noteOutage() && len(items) > 0
 		changes := make([]fleet.Change, 0, len(items))
 		for _, item := range items {
 			change := v.decodePeerEntry(item)
--- a/internal/routednode/replicaview_test.go
+++ b/internal/routednode/replicaview_test.go
@@ -142,6 +142,7 @@
 		"nothing missed":             {pulled: []func(*views){addOther("w", "v1")}, kept: true},
 		"a version came and went":    {pulled: []func(*views){comeAndGo}},
 		"seen before it went":        {pulled: []func(*views){addOther("b", "v2"), removeOther("b")}},
+		"an outage without changes":  {pulled: []func(*views){func(reader *views) { reader.applyNext(versioned("a", "v1")) }}, aged: true, kept: true},
 		"the view had been outdated": {pulled: []func(*views){addOther("w", "v1")}, aged: true},
 	} {
 		t.Run(name, func(t *testing.T) {
