--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -90,7 +90,8 @@
 			changes = append(changes, change)
 		}
 		if missed {
-			// Peers send the result of changes: an entry that came and went is none, or just a removal.
+			// Peers send the result of changes: an entry that came and went as a removal, and one that changed
+			// twice as its last state.
 			v.fleet.MissedChanges(v.router.Now())
 		}
 		v.publish(v.fleet.Apply(changes, v.router.Now()))
