Void what was assumed of a displaced owner once all its grants are logged

A program that had lost a turn with a dead node is refused with "budget_reserved" for as long as a former owner of its partition lives, which was displaced without a release while it was cut off and has granted the program nothing.

Cause: an assumed reservation was voided by the release of the owner that it stands for only if that node was the owner still. A node that was displaced released too late, which had no effect, or not at all once it had read the other node's claim.

The test before:

288 of 500 and one turn of 288 may be used, but: ledgerlog: the rest of the budget is reserved elsewhere: 576 of 500 tokens are charged, 288 for unlogged grants of former owner "n0" for 11.2 s, 288 reserved by n1 (gone) for 11.2 s; of what is reserved here, 0 turns may use 0 and 0 are used

Fix: a release voids what is assumed of its incarnation whoever owns the partition; it is written only once the log covers all of its grants, and no grant follows it before a new claim is read. A node that has claimed a partition and does not coordinate it any more writes a release also if another one owns it.

--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -114,21 +114,19 @@
 }
 
 // releaseOwnership ends an ownership. After the release of a clean owner, all grants are
-// logged; after any other release, unlogged grants of a former owner may remain.
+// logged; after any other release, unlogged grants of a former owner may remain. The release of an
+// incarnation that was displaced before says that all of its grants are logged, too.
 func (p *Partition) releaseOwnership(record OwnershipRelease) {
-	last := p.owner
-	if last.Incarnation != record.Incarnation {
-		return
-	}
-	p.owner = Ownership{tainted: !last.clean, former: last.former, formerLimited: last.clean || last.formerLimited}
-	if !last.clean {
-		return
-	}
 	for _, one := range p.accounts {
 		if one.unlogged.incarnation == record.Incarnation {
 			one.unlogged = unloggedGrants{}
 		}
 	}
+	last := p.owner
+	if last.Incarnation != record.Incarnation {
+		return
+	}
+	p.owner = Ownership{tainted: !last.clean, former: last.former, formerLimited: last.clean || last.formerLimited}
 }
 
 // unloggedGrants says which unlogged grants of a program may exist.
--- a/internal/ledgerlog/claim.go
+++ b/internal/ledgerlog/claim.go
@@ -39,6 +39,7 @@
 		// The release before did not get into the log, as far as known.
 		records = append([]ledger.Record{ledger.OwnershipRelease{Incarnation: m.incarnation}}, records...)
 	}
+	m.unreleased = true
 	m.writeOwnership("claim", records, func() { m.resigned = false })
 }
 
@@ -64,12 +65,12 @@
 	}()
 }
 
-// release gives up the ownership. All grants of this node are in the log by then. The caller must hold
-// the mutex.
+// release gives up the ownership, or says after another node's claim that none of this node's grants are
+// left to be logged. All of them are in the log by then. The caller must hold the mutex.
 func (m *creditManager) release() {
-	if m.partition.reader.owner() == m.incarnation && !m.claiming {
+	if (m.unreleased || m.partition.reader.owner() == m.incarnation) && !m.claiming {
 		m.resigned = true
-		m.writeOwnership("release", []ledger.Record{ledger.OwnershipRelease{Incarnation: m.incarnation}}, func() {})
+		m.writeOwnership("release", []ledger.Record{ledger.OwnershipRelease{Incarnation: m.incarnation}}, func() { m.unreleased = false })
 	}
 }
 
--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -76,6 +76,8 @@
 	// resigned is set from when a release is submitted until a later claim of this node has been read.
 	// The log may have the release, or may yet get it, so that other nodes assume no unlogged grants.
 	resigned bool
+	// unreleased is set from when a claim is submitted until a later release of this node has been read.
+	unreleased bool
 }
 
 // creditEntry is a credit and its pending reservation.
--- a/internal/ledgerlog/spentafterloss_test.go
+++ b/internal/ledgerlog/spentafterloss_test.go
@@ -82,3 +82,33 @@
 		run.end()
 	})
 }
+
+// An owner that was displaced while it was cut off, and had granted a program nothing, never said so: what was
+// assumed of it blocked a program that had lost a turn, for as long as the displaced owner lived.
+func TestDisplacedOwnerSettlesWhatWasAssumedOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run, owner, program := ownedRun(t)
+		program.budget, program.maxTokens = 500, 288
+		run.start()
+		run.live[0].CatchUp(t.Context(), owner.Partition(program.id))
+		run.beginWholeTurn(program)
+		run.kill(run.live[:1])
+		run.live = run.live[1:]
+		owner.path.silent.Store(true)
+		run.start()
+		other := &budgetProgram{id: program.id + "other", budget: 100_000, maxTokens: 10}
+		for owner.Partition(other.id) != owner.Partition(program.id) {
+			other.id += "r"
+		}
+		for range 4 { // the partition is claimed once the owner has not released it in time
+			run.turn(other, 1, 0)
+			run.tick(2 * time.Second)
+		}
+		run.heal()
+		_, err := beginTurn(within(t, time.Second), run.live[0].Ledger, program.id, program.budget, program.maxTokens, true)
+		if err != nil {
+			t.Errorf("%d of %d and one turn of %d may be used, but: %v, with the records%s", program.used, program.budget, program.maxTokens, err, run.recordsOf(program.id))
+		}
+		run.end()
+	})
+}
