Expect no verdict beside an unlogged turn in the model of verdicts

A turn that was granted ahead of the log covers what other nodes assumed of its owner. What it leaves over of that is settled once it has ended, so a second turn may be told to come back until then, and the check was wrong to expect a verdict beside it. Found by a run in which the owner granted such a turn beside reservations of two nodes that were gone.

--- a/internal/ledgerlog/verdictmodel_test.go
+++ b/internal/ledgerlog/verdictmodel_test.go
@@ -47,16 +47,18 @@
 	return total
 }
 
-// checkVerdicts checks that each program gets a verdict soon, alone and beside a turn of its own, and a turn
-// if it fits.
+// checkVerdicts checks that each program gets a verdict soon, alone and beside a logged turn of its own, and a
+// turn if it fits. What an unlogged turn leaves over of its assumed reservation may still be returned.
 func (r *verdictRun) checkVerdicts() {
 	for _, p := range r.programs {
 		grant, err := r.verdict(p)
 		if err == nil {
 			p.used += p.maxTokens
-			var beside Grant
-			if beside, err = r.verdict(p); err == nil {
-				r.live[0].FinishTurn(p.id, beside.ID, 0)
+			if !grant.Unlogged {
+				var beside Grant
+				if beside, err = r.verdict(p); err == nil {
+					r.live[0].FinishTurn(p.id, beside.ID, 0)
+				}
 			}
 			r.live[0].FinishTurn(p.id, grant.ID, p.maxTokens)
 		}
