Keep the reservation that covers a turn granted ahead of the log

Callers saw: nothing known. A program could use up to two turns beyond its budget.

Cause: a reservation that fits only since another node will return tokens is given up. That of an owner was given up, too, where it was the only record of a turn that the owner had granted ahead of the log: its first reservation was written with its outcome unknown, so the owner settles it with nothing used and reserves once more, while another node has reserved in between. The first one has ended what is assumed of the owner, so the turn was charged nowhere.

Fix: a credit whose unlogged grants exceed its reservations gives none up. The verdicts of the log are the same, so nodes of versions before and after agree on what is charged.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -250,9 +250,10 @@
 }
 
 // Yields reports whether a reservation was granted beyond the budget only because of what other
-// incarnations will return soon. The margin beyond the budget is for what is lost.
+// incarnations will return soon. The margin beyond the budget is for what is lost. A reservation
+// that covers unlogged grants is kept, since nothing else may be charged for them.
 func (c *Credit) Yields(verdict Verdict, returns func(IncarnationID) bool) bool {
-	return verdict.Overdraft > 0 && c.reservedByOthers(verdict, func(one OpenReservation) bool {
+	return verdict.Overdraft > 0 && !c.Uncovered() && c.reservedByOthers(verdict, func(one OpenReservation) bool {
 		return !one.Assumed && returns(one.Incarnation)
 	}) >= verdict.Overdraft
 }
