Reject callers of a text after one failed read that began after them

Callers saw, while the store did not answer: a late 503, up to the end of their time, where several requests went on from the same turn.

Cause: of the callers that share a read of a text, only the one that began it took its failure. The others began the next one, of which again only one took the failure, so ten callers waited for ten timeouts in turn.

Evidence: TestFailedReadsOfTextDoNotQueueUp before, for eight of ten callers:

not true: time.Since(began) <= 2*readTimeout // the read that was in progress, and one more

Fix: a caller shares at most one read that began before it. The next one began after it, whoever began it.

--- a/internal/ledgerlog/readtext.go
+++ b/internal/ledgerlog/readtext.go
@@ -81,17 +81,17 @@
 // read returns the text at a location. Concurrent callers share a read, which goes on after they
 // have left, so that the next attempt finds the text in the cache.
 func (t *textStore) read(ctx context.Context, location ledger.Location) ([]byte, error) {
-	for ctx.Err() == nil {
+	for late := false; ctx.Err() == nil; late = true {
 		reading, began := t.join(location)
 		select {
 		case <-reading.done:
 		case <-ctx.Done():
 			continue
 		}
-		if reading.err == nil || began {
+		if reading.err == nil || began || late {
 			return reading.text, reading.err
 		}
-		// The read that failed may have begun long before this call.
+		// The read that failed may have begun long before this call, the next one has not.
 	}
 	return nil, ctx.Err()
 }
--- a/internal/ledgerlog/readtext_test.go
+++ b/internal/ledgerlog/readtext_test.go
@@ -120,3 +120,24 @@
 		is.Equal(log.Calls("read"), 4)
 	})
 }
+
+// TestFailedReadsOfTextDoNotQueueUp guards against callers that wait for one failed read after another while
+// the store does not answer, and are rejected late.
+func TestFailedReadsOfTextDoNotQueueUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		chain, l := writeTexts(t, log, 1)
+		log.Fail(store.Fault{Silent: true})
+		began := time.Now()
+		var callers sync.WaitGroup
+		for range 10 {
+			callers.Go(func() {
+				_, err := l.Texts(within(t, time.Minute), chain)
+				is.True(errors.Is(err, ErrUnavailable))
+				is.True(time.Since(began) <= 2*readTimeout) // the read that was in progress, and one more
+			})
+		}
+		callers.Wait()
+	})
+}
