--- a/internal/ledger/uncovered_test.go
+++ b/internal/ledger/uncovered_test.go
@@ -39,3 +39,24 @@
 	}
 	is.Equal(p.Charged("p"), uint64(288+288)) // the turns of both
 }
+
+// A program was told for as long as a former owner lived that tokens are reserved for its unlogged grants,
+// although it had released, since another claim came before the release.
+func TestReleaseOfADisplacedOwnerShowsThatItLeftNoGrants(t *testing.T) {
+	is := is.New(t)
+	p := NewPartition()
+	apply := func(record Record) Verdict {
+		verdict, _ := p.Apply(Encode(record), 0)
+		return verdict
+	}
+	apply(OwnershipClaim{Incarnation: "x"})
+	apply(OwnerLimit{Incarnation: "x", Exclusive: true})
+	for _, assumed := range p.AssumedReservations("p", "y", 500, 288, true) {
+		apply(assumed)
+	}
+	apply(OwnershipClaim{Incarnation: "y"})
+	is.True(!p.OpenReservations("p", 0)[0].Void)
+	apply(OwnershipRelease{Incarnation: "x"})
+	is.True(p.OpenReservations("p", 0)[0].Void)
+	is.Equal(p.Owner(), IncarnationID("y"))
+}
