Bound the time in which a program of the model must use its budget

A program that is told for ever that its budget is reserved made the model's run endless, which showed as a time-out of the package. It fails after five minutes now, with what the program is told.

--- a/internal/ledgerlog/wholebudget_test.go
+++ b/internal/ledgerlog/wholebudget_test.go
@@ -262,8 +262,12 @@
 	}
 	r.heal()
 	for _, one := range r.programs {
-		for !one.ended && r.failure == "" {
+		for began := time.Now(); !one.ended && r.failure == ""; {
 			r.turn(one, 30, one.turns)
+			if time.Since(began) > 5*time.Minute {
+				_, err := beginTurn(within(r.t, time.Second), r.live[0].Ledger, one.id, one.budget, one.maxTokens, true)
+				r.fail("%s has used %d of %d after five minutes and is told %v", one.id, one.used, one.budget, err)
+			}
 		}
 	}
 	return r.failure
