Let a slow search keep no other work from its coordinator

TestTurnIsFoundAlthoughItsCoordinatorCannotReadIt checks it; before, its cases silent and silent node failed: the coordinator was in storeUnavailable.

--- a/internal/coordinator/find.go
+++ b/internal/coordinator/find.go
@@ -104,9 +104,10 @@
 	return findResult{entry, err}
 }
 
-// findRemotely searches partitions at their coordinator as long as it reports progress.
+// findRemotely searches partitions at their coordinator as long as it reports progress. One that reports
+// none may be of a version that never does in a search.
 func (s *Service) findRemotely(ctx context.Context, coordinator identity.Node, partitions []int, turn ledger.TurnID) findResult {
-	answer, err := s.callWithProgress(ctx, coordinator, &findRequest{Turn: turn, Partitions: partitions})
+	answer, err := s.callWhileProgressing(ctx, coordinator, &findRequest{Turn: turn, Partitions: partitions})
 	if err != nil {
 		return findResult{err: err}
 	}
--- a/internal/coordinator/find_test.go
+++ b/internal/coordinator/find_test.go
@@ -54,7 +54,8 @@
 }
 
 // TestTurnIsFoundAlthoughItsCoordinatorCannotReadIt guards against a coordinator that is
-// believed if it can't read its partition, at once or never, although other nodes can.
+// believed if it can't read its partition, at once or never, although other nodes can, and against
+// one that other work avoids since a search took long there.
 func TestTurnIsFoundAlthoughItsCoordinatorCannotReadIt(t *testing.T) {
 	for name, disturb := range map[string]func(search){
 		"refused":     func(s search) { s.coordinator.store.closed.Store(true) },
@@ -64,7 +65,9 @@
 		t.Run(name, func(t *testing.T) {
 			s := newSearch(t)
 			disturb(s)
-			is.New(t).NoErr(s.find("t"))
+			is := is.New(t)
+			is.NoErr(s.find("t"))
+			is.True(!s.from.service.storeUnavailable.has(s.coordinator.identity.Name)) // other work still goes there
 		})
 	}
 }
--- a/internal/coordinator/helpers.go
+++ b/internal/coordinator/helpers.go
@@ -62,20 +62,26 @@
 }
 
 // callWithProgress sends a request that needs the store to another node and gives up if that
-// node reports no progress in time.
+// node reports no progress in time. The store then counts as unavailable to that node.
 func (s *Service) callWithProgress(ctx context.Context, target identity.Node, request peer.Message) (peer.Message, error) {
+	response, err := s.callWhileProgressing(ctx, target, request)
+	if err != nil && ctx.Err() == nil && !errors.Is(err, peer.ErrUnknownKind) {
+		s.storeUnavailable.add(target.Name)
+	}
+	return response, err
+}
+
+// callWhileProgressing sends a request to another node and gives up if that node reports no progress
+// in time.
+func (s *Service) callWhileProgressing(ctx context.Context, target identity.Node, request peer.Message) (peer.Message, error) {
 	within, cancel := context.WithTimeout(ctx, coordinatorTimeout+s.roundTrip(target))
 	defer cancel()
 	timer := time.AfterFunc(hedgeDelay+s.roundTrip(target), cancel)
 	defer timer.Stop()
-	response, err := s.call(within, target, request, func(peer.Message) error {
+	return s.call(within, target, request, func(peer.Message) error {
 		timer.Reset(progressTimeout)
 		return nil
 	})
-	if err != nil && ctx.Err() == nil && !errors.Is(err, peer.ErrUnknownKind) {
-		s.storeUnavailable.add(target.Name)
-	}
-	return response, err
 }
 
 // recordStatus records a node's report that the store is unavailable to it.
