Log the status that a request whose handler panicked gets

Found by reading the change again: the panic was answered with 500 only after the line of the request had been logged and counted, with status 0, which reads as a request without an end. The check of the log in TestPanicOfTheHandlerIsLoggedAndAnswered failed before: no line "id=panics status=500".

--- a/internal/router/endcalls_test.go
+++ b/internal/router/endcalls_test.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// A panic of the handler closed the connection without a response or a line in the log.
+// A panic of the handler closed the connection without a response or a line in the log, and the line of the request had status 0.
 func TestPanicOfTheHandlerIsLoggedAndAnswered(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, healthy)
@@ -51,6 +51,7 @@
 	h.router.config.Replicas = nil
 	is.Equal(h.post("/safe/x", "panics").StatusCode, http.StatusInternalServerError)
 	is.True(strings.Contains(log.String(), "request handler panicked") && strings.Contains(log.String(), "id=panics"))
+	is.True(strings.Contains(log.String(), "id=panics status=500"))
 }
 
 // A request that is being served when its route is removed goes on by the configuration that it began with.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -226,6 +226,7 @@
 	call.cancel = cancel
 	defer r.logCompleted(call, reply)
 	defer r.endCall(call, reply)
+	defer r.recoverPanic(request, reply) // before the line of the request is logged
 	switch {
 	case r.calls.Err() != nil:
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStopping, retryAfter: shortRetryAfter})
