Demand of named streams without a record a history as long as records last

Found by reading the change again: a client that waits over twice as long as those that a node had seen since its start got the rest of its stream from another version, and one client that waits long delayed the streams of all others of its route. A stream of a versioned service that its client names has a record from its first event on, for ten minutes at most. Without one it was begun before all its holders were lost, so a window that is sound for it can't be shorter than its client's time, and a shorter one helps only where it is wrong. So the window of such streams is the longest life of a record, whatever clients the node has seen.

TestNamedStreamWithoutRecordWaitsForAsLongAsRecordsLast before: 200 != 503 for v1; a service without versions, which has no records, keeps the window of unnamed streams.

--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -48,10 +48,14 @@
 	return resumptionTimeouts * cmp.Or(route.Timeout, defaultTimeout)
 }
 
-// resumptionWindow returns the length of the history that shows that no other version began a stream:
-// the longest lifetime of the route's streams that this node knows of. It has forgotten former timeouts
-// and clients if it has just started.
+// resumptionWindow returns the length of the history that shows that no other version began a stream.
+// A stream of a versioned service that its client names has a record from its first event on, for as
+// long as records last. Of others, it is the longest lifetime of the route's streams that this node knows of; it has forgotten
+// former timeouts and clients if it has just started.
 func (r *Router) resumptionWindow(call *call) time.Duration {
+	if call.resumes != "" && r.config.Fleet.VersionSpan(onlyService(call.route), r.Now()).Version != "" {
+		return origin.MaxLifetime
+	}
 	longest, known := r.lifetimes.of(call.route.Name, r.Now())
 	if !known {
 		longest = max(longest, resumptionTimeouts*defaultTimeout)
--- a/internal/router/streamlifetimes_test.go
+++ b/internal/router/streamlifetimes_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"stepseam.example/stepseam/internal/origin"
 	"stepseam.example/stepseam/internal/routing"
 )
 
@@ -61,6 +62,30 @@
 	}
 }
 
+// A stream that its client names went on without its record at the only version that a node had seen for as
+// long as the clients that it knew would wait, though another client may wait longer. A service without
+// versions has no records.
+func TestNamedStreamWithoutRecordWaitsForAsLongAsRecordsLast(t *testing.T) {
+	for version, from := range map[string]time.Duration{"v1": origin.MaxLifetime, "": resumptionTimeouts * defaultTimeout} {
+		is := is.New(t)
+		h := newHarness(t, events(3, 6, true))
+		var now time.Duration
+		h.router = h.newRouter("node")
+		h.router.config.Now = func() time.Duration { return now }
+		h.configure(1)
+		h.server.Config.Handler = h.router
+		h.publish(0, version)
+		h.withOrigins()
+		resume := func() int {
+			return h.post("/resume/x", "r", "Last-Event-Id", "2", "Test-Resumes", "lost", testNames.TimeoutMs, "1000").StatusCode
+		}
+		now = from - time.Second
+		is.Equal(resume(), http.StatusServiceUnavailable)
+		now = from
+		is.Equal(resume(), http.StatusOK)
+	}
+}
+
 // A lifetime that is possible no more must not keep resumptions refused for good.
 func TestStreamLifetimesAreForgotten(t *testing.T) {
 	is := is.New(t)
