--- a/internal/guardedstore/store.go
+++ b/internal/guardedstore/store.go
@@ -22,8 +22,8 @@
 // sent to other nodes.
 var ErrCircuitOpen = fmt.Errorf("%w: it has not answered lately", logstore.ErrUnavailable)
 
-// minEvidence is the shortest wait after which a missing response is a failure of the store. A
-// store that is merely slow answers sooner.
+// minEvidence is the shortest wait after which a missing response is a failure of the store. Calls that
+// end sooner do so because of their callers.
 const minEvidence = 250 * time.Millisecond
 
 // Config configures a Store. All fields but CallsPerSecond, Registerer and Random are required.
--- a/internal/ledgerlog/readtext_test.go
+++ b/internal/ledgerlog/readtext_test.go
@@ -15,85 +15,94 @@
 	"stepseam.example/stepseam/internal/logstore"
 )
 
-// writeTexts writes a chain of texts through a node and returns it with a node that has read
-// nothing.
-func writeTexts(t *testing.T, log *store.Store, count int) ([]ledger.Location, *Ledger) {
-	is := is.New(t)
-	writer := newLedger(log, "writer")
-	var chain []ledger.Location
-	for number := range count {
-		location, err := writer.WriteText(within(t, time.Second), fmt.Append(nil, "text ", number))
-		is.NoErr(err)
-		chain = append(chain, location)
+// writtenTexts is a chain of texts and a node that has read nothing.
+type writtenTexts struct {
+	*is.I
+	t     *testing.T
+	log   *store.Store
+	chain []ledger.Location
+	node  *Ledger
+}
+
+// withTexts calls check with a chain of texts that a node has written, in virtual time. text returns the text of
+// a number; the store has the fault then.
+func withTexts(t *testing.T, count int, fault store.Fault, text func(number int) []byte, check func(w *writtenTexts)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &writtenTexts{I: is.New(t), t: t, log: store.New()}
+		writer := newLedger(w.log, "writer")
+		for number := range count {
+			location, err := writer.WriteText(within(t, time.Second), text(number))
+			w.NoErr(err)
+			w.chain = append(w.chain, location)
+		}
+		w.node = newLedger(w.log, "reader")
+		w.log.Fail(fault)
+		check(w)
+	})
+}
+
+func numbered(number int) []byte { return fmt.Append(nil, "text ", number) }
+
+// read reads a chain within a limit.
+func (w *writtenTexts) read(limit time.Duration, chain []ledger.Location) ([][]byte, error) {
+	return w.node.Texts(within(w.t, limit), chain)
+}
+
+// readTogether has callers read the chain at the same time.
+func (w *writtenTexts) readTogether(callers int, limit time.Duration, check func(err error)) {
+	var all sync.WaitGroup
+	for range callers {
+		all.Go(func() {
+			_, err := w.read(limit, w.chain)
+			check(err)
+		})
 	}
-	return chain, newLedger(log, "reader")
+	all.Wait()
 }
 
 // TestReadOfTextOutlivesItsCaller guards against callers with little time that each begin the
 // same read anew, so that none of them gets the text.
 func TestReadOfTextOutlivesItsCaller(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log := store.New()
-		chain, l := writeTexts(t, log, 1)
-		log.Fail(store.Fault{Delay: 100 * time.Millisecond})
-		_, err := l.Texts(within(t, 60*time.Millisecond), chain)
-		is.True(errors.Is(err, ErrUnavailable))
-		texts, err := l.Texts(within(t, 60*time.Millisecond), chain)
-		is.NoErr(err)
-		is.Equal(string(texts[0]), "text 0")
-		is.Equal(log.Calls("read"), 1)
+	withTexts(t, 1, store.Fault{Delay: 100 * time.Millisecond}, numbered, func(w *writtenTexts) {
+		_, err := w.read(60*time.Millisecond, w.chain)
+		w.True(errors.Is(err, ErrUnavailable))
+		texts, err := w.read(60*time.Millisecond, w.chain)
+		w.NoErr(err)
+		w.Equal(string(texts[0]), "text 0")
+		w.Equal(w.log.Calls("read"), 1)
 	})
 }
 
 // TestReadOfTextIsShared guards against a read call for each of many callers after a restart of
 // all nodes.
 func TestReadOfTextIsShared(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log := store.New()
-		chain, l := writeTexts(t, log, 1)
-		log.Fail(store.Fault{Delay: 100 * time.Millisecond})
-		var callers sync.WaitGroup
-		for range 20 {
-			callers.Go(func() {
-				_, err := l.Texts(within(t, time.Second), chain)
-				is.NoErr(err)
-			})
-		}
-		callers.Wait()
-		is.Equal(log.Calls("read"), 1)
+	withTexts(t, 1, store.Fault{Delay: 100 * time.Millisecond}, numbered, func(w *writtenTexts) {
+		w.readTogether(20, time.Second, func(err error) { w.NoErr(err) })
+		w.Equal(w.log.Calls("read"), 1)
 	})
 }
 
 // TestDroppedTextIsReportedForGood guards against a turn that callers retry in vain since the log
 // has dropped its history.
 func TestDroppedTextIsReportedForGood(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log := store.New()
-		chain, l := writeTexts(t, log, 2)
-		log.Trim(l.texts.placeOf(chain[0]), logstore.Offset(chain[1].Offset))
-		_, err := l.Texts(within(t, time.Second), chain)
-		is.True(errors.Is(err, ErrNoSuchTurn))
-		is.True(!errors.Is(err, ErrUnavailable))
-		_, err = l.Texts(within(t, time.Second), chain[1:])
-		is.NoErr(err)
+	withTexts(t, 2, store.Fault{}, numbered, func(w *writtenTexts) {
+		w.log.Trim(w.node.texts.placeOf(w.chain[0]), logstore.Offset(w.chain[1].Offset))
+		_, err := w.read(time.Second, w.chain)
+		w.True(errors.Is(err, ErrNoSuchTurn))
+		w.True(!errors.Is(err, ErrUnavailable))
+		_, err = w.read(time.Second, w.chain[1:])
+		w.NoErr(err)
 	})
 }
 
 // TestLongChainIsReadInTime guards against chains whose texts are read one after another, which
 // takes longer the longer the chain is.
 func TestLongChainIsReadInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log := store.New()
-		chain, l := writeTexts(t, log, 24)
-		log.Fail(store.Fault{Delay: 50 * time.Millisecond})
-		texts, err := l.Texts(within(t, 400*time.Millisecond), chain)
-		is.NoErr(err)
+	withTexts(t, 24, store.Fault{Delay: 50 * time.Millisecond}, numbered, func(w *writtenTexts) {
+		texts, err := w.read(400*time.Millisecond, w.chain)
+		w.NoErr(err)
 		for number, text := range texts {
-			is.Equal(string(text), fmt.Sprint("text ", number))
+			w.Equal(string(text), string(numbered(number)))
 		}
 	})
 }
@@ -101,43 +110,24 @@
 // TestReadsOfTextsAreBoundedTogether guards against reads of large texts that take more memory
 // together than the cache, also after their callers have left.
 func TestReadsOfTextsAreBoundedTogether(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log := store.New()
-		writer := newLedger(log, "writer")
-		var chain []ledger.Location
-		for range 4 {
-			location, err := writer.WriteText(within(t, time.Second), make([]byte, minReadBytes/2))
-			is.NoErr(err)
-			chain = append(chain, location)
-		}
-		l := newLedger(log, "reader")
-		log.Fail(store.Fault{Delay: 100 * time.Millisecond})
-		_, err := l.Texts(within(t, 50*time.Millisecond), chain)
-		is.True(errors.Is(err, ErrUnavailable))
-		is.Equal(log.Calls("read"), 2)
+	large := func(int) []byte { return make([]byte, minReadBytes/2) }
+	withTexts(t, 4, store.Fault{Delay: 100 * time.Millisecond}, large, func(w *writtenTexts) {
+		_, err := w.read(50*time.Millisecond, w.chain)
+		w.True(errors.Is(err, ErrUnavailable))
+		w.Equal(w.log.Calls("read"), 2)
 		time.Sleep(time.Second)
-		is.Equal(log.Calls("read"), 4)
+		w.Equal(w.log.Calls("read"), 4)
 	})
 }
 
 // TestFailedReadsOfTextDoNotQueueUp guards against callers that wait for one failed read after another while
 // the store does not answer, and are rejected late.
 func TestFailedReadsOfTextDoNotQueueUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log := store.New()
-		chain, l := writeTexts(t, log, 1)
-		log.Fail(store.Fault{Silent: true})
+	withTexts(t, 1, store.Fault{Silent: true}, numbered, func(w *writtenTexts) {
 		began := time.Now()
-		var callers sync.WaitGroup
-		for range 10 {
-			callers.Go(func() {
-				_, err := l.Texts(within(t, time.Minute), chain)
-				is.True(errors.Is(err, ErrUnavailable))
-				is.True(time.Since(began) <= 2*readTimeout) // the read that was in progress, and one more
-			})
-		}
-		callers.Wait()
+		w.readTogether(10, time.Minute, func(err error) {
+			w.True(errors.Is(err, ErrUnavailable))
+			w.True(time.Since(began) <= 2*readTimeout) // the read that was in progress, and one more
+		})
 	})
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -271,12 +271,10 @@
 				found, err := site.node(0).service.Resolve(t.Context(), named("1"))
 				is.Equal(err == nil, c.goesOn)
 				if c.goesOn {
-					is.Equal(found.Origin, v1)
-					is.Equal(found.Source, SourceOnlyVersion)
-					is.Equal(found.Evidence.Here, c.here.Age)
-					is.Equal(found.Evidence.There, c.there.Age)
-					is.Equal(found.Evidence.Window, time.Minute)
-					is.Equal(found.Node, lo.Ternary(c.there.Only, site.node(1).Name, ""))
+					is.Equal(found, Found{
+						Origin: v1, Source: SourceOnlyVersion, Node: lo.Ternary(c.there.Only, site.node(1).Name, ""),
+						Evidence: Evidence{Here: c.here.Age, There: c.there.Age, Window: time.Minute},
+					})
 				}
 				unnamed := Query{Route: "r", Service: "s", Window: time.Minute}
 				_, err = site.node(0).service.Resolve(t.Context(), unnamed)
