Count a history against the buffers before it is read

Found by reading the change again: a turn's history counted against the node's limit on buffered requests only once its texts had been read, or received from the coordinator in one message of up to 64 MiB, so that those in flight were bounded for each message and not for the node. The chain tells their sizes. TestHistoryIsNotReadIfBuffersAreFull before: 3 reads in place of 2, the text was read for a request that was refused.

--- a/internal/router/held_test.go
+++ b/internal/router/held_test.go
@@ -49,3 +49,21 @@
 		is.True(limit.Used() >= int64(len(body)))
 	}
 }
+
+// Histories counted against the limit only once they had been read, so that those that were being read together
+// were not bounded.
+func TestHistoryIsNotReadIfBuffersAreFull(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, events(0, 3, true))
+	is.NoErr(h.postBody("/kept/x", "t1", strings.Repeat("x", 1000), turnHeader("p", 1000, 60)...).err)
+	h.router.config.Turns = h.newRouter("other").config.Turns // its texts are not in memory
+	others := h.router.requests.Holder("")
+	is.NoErr(others.Grow(1<<20 - 500))
+	reads := h.log.Calls("read")
+	is.Equal(h.post("/kept/x", "t2", "Test-Program", "p", "Test-Previous", "t1").body, reasonBuffersFull+"\n")
+	is.Equal(h.log.Calls("read"), reads+1) // of the index
+	others.Release()
+	is.Equal(h.post("/kept/x", "t3", "Test-Program", "p", "Test-Previous", "t1").StatusCode, http.StatusOK)
+	is.Equal(h.log.Calls("read"), reads+2)
+	is.Equal(h.router.requests.Used(), int64(0))
+}
--- a/internal/router/turn.go
+++ b/internal/router/turn.go
@@ -59,17 +59,18 @@
 	if len(chain) == 0 {
 		return nil
 	}
-	texts, err := r.config.Turns.Texts(ctx, call.turn.program, chain, call.allowedRegions)
-	if err != nil {
-		return err
-	}
 	size := len(call.body)
-	for _, text := range texts {
-		size += len(text)
+	for _, location := range chain {
+		size += int(location.Size)
 	}
+	// Counted before they are read, here or by another node that sends them.
 	if err := call.held.Grow(int64(size)); err != nil {
 		return err
 	}
+	texts, err := r.config.Turns.Texts(ctx, call.turn.program, chain, call.allowedRegions)
+	if err != nil {
+		return err
+	}
 	whole := make([]byte, 0, size)
 	for _, text := range texts {
 		whole = append(whole, text...)
