Move the tracker of clients' connections to a package of its own

internal/clientconn serves any http.Server; the router and its node use it as before. No change of behaviour.

--- a/internal/router/clientconnection.go
+++ b/internal/clientconn/connection.go
@@ -1,4 +1,4 @@
-package router
+package clientconn
 
 import (
 	"cmp"
@@ -14,28 +14,28 @@
 // connection passed.
 const lateReadTimeout = 10 * time.Second
 
-// connectionPhase is what a connection is used for.
-type connectionPhase int
+// phase is what a connection is used for.
+type phase int
 
 const (
 	// phaseFresh lasts until the first byte has been received.
-	phaseFresh connectionPhase = iota
+	phaseFresh phase = iota
 	// phaseActive lasts from the first byte of a request until its response has been sent.
 	phaseActive
 	// phaseResting follows a response.
 	phaseResting
 )
 
-// clientConnection is a client's connection as the server uses it. An idle one is closed by its reader:
+// connection is a client's connection as the server uses it. An idle one is closed by its reader:
 // closing it sets a read deadline in the past, and the reader either gives up, or has received bytes
 // and withdraws the closing. So no request that has been read is on a closed connection.
-type clientConnection struct {
+type connection struct {
 	net.Conn
-	connections *Connections
+	tracker *Tracker
 
 	// mutex guards the fields below and orders the end of each read before or after a closing.
 	mutex sync.Mutex
-	phase connectionPhase
+	phase phase
 	// idleSince is when the last response was sent, idleLimit the greatest limit in force since then.
 	idleSince time.Time
 	idleLimit time.Duration
@@ -50,10 +50,10 @@
 }
 
 // Read implements net.Conn.
-func (t *clientConnection) Read(buffer []byte) (int, error) {
+func (c *connection) Read(buffer []byte) (int, error) {
 	for {
-		count, err := t.Conn.Read(buffer)
-		if !t.endRead(count, err) {
+		count, err := c.Conn.Read(buffer)
+		if !c.endRead(count, err) {
 			return count, err
 		}
 	}
@@ -61,68 +61,68 @@
 
 // endRead updates the state after a read. It returns true if bytes have arrived after the deadline has
 // passed, to be read as if they had arrived before.
-func (t *clientConnection) endRead(count int, err error) (again bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
+func (c *connection) endRead(count int, err error) (again bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	if count > 0 {
-		t.begin()
+		c.begin()
 		return false
 	}
-	if t.phase == phaseActive || !errors.Is(err, os.ErrDeadlineExceeded) {
+	if c.phase == phaseActive || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
-	if t.unread() {
-		t.begin()
-		if !t.readDeadline.IsZero() && !t.readDeadline.After(time.Now()) {
+	if c.unread() {
+		c.begin()
+		if !c.readDeadline.IsZero() && !c.readDeadline.After(time.Now()) {
 			// An error recurs at the next read.
-			_ = t.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout))
+			_ = c.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout))
 		}
 		return true
 	}
 	// Closed here and not by the server, since another request may arrive until then.
-	_ = t.Conn.Close()
-	t.connections.count(cmp.Or(t.closing, closedIdle), "closed", t.RemoteAddr(), t.idle())
+	_ = c.Conn.Close()
+	c.tracker.count(cmp.Or(c.closing, closedIdle), "closed", c.RemoteAddr(), c.idle())
 	return false
 }
 
 // begin marks the connection as active. The caller must hold the mutex.
-func (t *clientConnection) begin() {
-	if t.closing != "" {
-		t.connections.count(t.closing, "kept", t.RemoteAddr(), t.idle())
-		t.closing = ""
+func (c *connection) begin() {
+	if c.closing != "" {
+		c.tracker.count(c.closing, "kept", c.RemoteAddr(), c.idle())
+		c.closing = ""
 		// An error recurs at the next read.
-		_ = t.Conn.SetReadDeadline(t.readDeadline)
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
-	t.phase = phaseActive
+	c.phase = phaseActive
 }
 
 // SetReadDeadline implements net.Conn.
-func (t *clientConnection) SetReadDeadline(deadline time.Time) error {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.readDeadline = deadline
-	if t.phase == phaseResting {
-		t.idleDeadlines++
-		if t.idleDeadlines > 1 {
-			t.begin()
+func (c *connection) SetReadDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.readDeadline = deadline
+	if c.phase == phaseResting {
+		c.idleDeadlines++
+		if c.idleDeadlines > 1 {
+			c.begin()
 		}
 	}
-	if t.closing != "" {
+	if c.closing != "" {
 		return nil
 	}
-	return t.Conn.SetReadDeadline(deadline)
+	return c.Conn.SetReadDeadline(deadline)
 }
 
 // Close implements net.Conn.
-func (t *clientConnection) Close() error {
-	t.connections.remove(t)
-	return t.Conn.Close()
+func (c *connection) Close() error {
+	c.tracker.remove(c)
+	return c.Conn.Close()
 }
 
 // CloseWrite closes the sending side, with which the server delays closing until the client has
 // received the response.
-func (t *clientConnection) CloseWrite() error {
-	half, ok := t.Conn.(interface{ CloseWrite() error })
+func (c *connection) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
 		return errors.ErrUnsupported
 	}
@@ -130,72 +130,72 @@
 }
 
 // rest marks the connection as idle after a response.
-func (t *clientConnection) rest() {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.phase, t.idleDeadlines = phaseResting, 0
-	t.idleSince, t.idleLimit = time.Now(), time.Duration(t.connections.idleLimit.Load())
+func (c *connection) rest() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.phase, c.idleDeadlines = phaseResting, 0
+	c.idleSince, c.idleLimit = time.Now(), time.Duration(c.tracker.idleLimit.Load())
 }
 
-func (t *clientConnection) raiseIdleLimit(limit time.Duration) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.idleLimit = max(t.idleLimit, limit)
+func (c *connection) raiseIdleLimit(limit time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.idleLimit = max(c.idleLimit, limit)
 }
 
 // closeIfResting closes the connection if it has exceeded its idle limit.
-func (t *clientConnection) closeIfResting() {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.phase == phaseResting && t.idle() > t.idleLimit {
-		t.expire(closedIdle)
+func (c *connection) closeIfResting() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.phase == phaseResting && c.idle() > c.idleLimit {
+		c.expire(closedIdle)
 	}
 }
 
 // closeIfIdle closes the connection if it is idle after a request or, if fresh is set, before the first.
-func (t *clientConnection) closeIfIdle(fresh bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.phase == phaseResting || fresh && t.phase == phaseFresh {
-		t.expire(closedStop)
+func (c *connection) closeIfIdle(fresh bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.phase == phaseResting || fresh && c.phase == phaseFresh {
+		c.expire(closedStop)
 	}
 }
 
 // expire has the reader close the connection unless a request has begun to arrive. The caller must hold
 // the mutex.
-func (t *clientConnection) expire(reason closeReason) {
-	if t.closing != "" || t.unread() {
+func (c *connection) expire(reason closeReason) {
+	if c.closing != "" || c.unread() {
 		return
 	}
-	t.closing = reason
+	c.closing = reason
 	// An error means that the connection is closed already.
-	_ = t.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-func (t *clientConnection) idle() time.Duration {
-	if t.idleSince.IsZero() {
+func (c *connection) idle() time.Duration {
+	if c.idleSince.IsZero() {
 		return 0
 	}
-	return time.Since(t.idleSince)
+	return time.Since(c.idleSince)
 }
 
 // ended reports whether the peer has closed the connection. It does not wait for the goroutine that
 // reads.
-func (t *clientConnection) ended() bool {
-	count, err := t.peek()
+func (c *connection) ended() bool {
+	count, err := c.peek()
 	return count == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
 }
 
 // unread reports whether bytes have arrived that have not been read.
-func (t *clientConnection) unread() bool {
-	count, err := t.peek()
+func (c *connection) unread() bool {
+	count, err := c.peek()
 	return count > 0 && err == nil
 }
 
 // peek returns how many bytes can be read, one at most. At the end of the input it returns 0 and no
 // error.
-func (t *clientConnection) peek() (count int, err error) {
-	conn, ok := t.Conn.(syscall.Conn)
+func (c *connection) peek() (count int, err error) {
+	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return 0, errors.ErrUnsupported
 	}
--- a/internal/router/connections.go
+++ b/internal/clientconn/tracker.go
@@ -1,4 +1,7 @@
-package router
+// Package clientconn tracks the connections of a server's clients. It closes idle ones through their
+// reader, so that no connection is closed whose next request has been read, and detects clients that
+// have left.
+package clientconn
 
 import (
 	"context"
@@ -24,9 +27,9 @@
 	closedStop closeReason = "stop"
 )
 
-// Connections tracks the clients' connections, so that idle ones can be closed without losing a
+// Tracker tracks the clients' connections, so that idle ones can be closed without losing a
 // request. It is safe for concurrent use.
-type Connections struct {
+type Tracker struct {
 	logger *slog.Logger
 	closed *prometheus.CounterVec
 	// idleLimit is the limit in force, in nanoseconds.
@@ -34,15 +37,15 @@
 
 	// mutex guards open. It is locked before that of a connection.
 	mutex sync.Mutex
-	open  map[*clientConnection]struct{}
+	open  map[*connection]struct{}
 }
 
-type connectionKey struct{}
+type contextKey struct{}
 
-// NewConnections returns an empty tracker without an idle limit. registerer may be nil.
-func NewConnections(logger *slog.Logger, registerer prometheus.Registerer) *Connections {
-	built := &Connections{
-		logger: logger, open: map[*clientConnection]struct{}{},
+// NewTracker returns an empty tracker without an idle limit. registerer may be nil.
+func NewTracker(logger *slog.Logger, registerer prometheus.Registerer) *Tracker {
+	built := &Tracker{
+		logger: logger, open: map[*connection]struct{}{},
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_client_connections_closed_total",
 			Help: "Clients' connections that the node was to close by itself, by reason and outcome: closed, or kept since a request arrived.",
@@ -57,23 +60,23 @@
 
 // Track makes a server report the connections of a listener to the tracker. The server must be served
 // with the returned listener.
-func (c *Connections) Track(server *http.Server, listener net.Listener) net.Listener {
+func (t *Tracker) Track(server *http.Server, listener net.Listener) net.Listener {
 	server.ConnContext = func(ctx context.Context, socket net.Conn) context.Context {
-		return context.WithValue(ctx, connectionKey{}, socket)
+		return context.WithValue(ctx, contextKey{}, socket)
 	}
 	server.ConnState = func(socket net.Conn, state http.ConnState) {
-		if tracked, ok := socket.(*clientConnection); ok && state == http.StateIdle {
+		if tracked, ok := socket.(*connection); ok && state == http.StateIdle {
 			// The last response has been sent completely.
 			tracked.rest()
 		}
 	}
-	return &trackedListener{Listener: listener, connections: c}
+	return &trackedListener{Listener: listener, tracker: t}
 }
 
 // trackedListener tracks the connections that it accepts.
 type trackedListener struct {
 	net.Listener
-	connections *Connections
+	tracker *Tracker
 	// accepting is held until an accepted connection is tracked.
 	accepting sync.Mutex
 }
@@ -86,10 +89,10 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &clientConnection{Conn: socket, connections: l.connections}
-	l.connections.mutex.Lock()
-	defer l.connections.mutex.Unlock()
-	l.connections.open[tracked] = struct{}{}
+	tracked := &connection{Conn: socket, tracker: l.tracker}
+	l.tracker.mutex.Lock()
+	defer l.tracker.mutex.Unlock()
+	l.tracker.open[tracked] = struct{}{}
 	return tracked, nil
 }
 
@@ -104,61 +107,61 @@
 // SetIdleLimit sets the time after which connections without a request are closed; 0 sets no limit.
 // A connection that is idle keeps the greatest limit in force since it became so, since its client
 // may reuse it by that one.
-func (c *Connections) SetIdleLimit(limit time.Duration) {
+func (t *Tracker) SetIdleLimit(limit time.Duration) {
 	if limit <= 0 {
 		limit = noIdleLimit
 	}
-	c.idleLimit.Store(int64(limit))
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for tracked := range c.open {
+	t.idleLimit.Store(int64(limit))
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for tracked := range t.open {
 		tracked.raiseIdleLimit(limit)
 	}
 }
 
 // CloseResting closes the connections that have exceeded their idle limit.
-func (c *Connections) CloseResting() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for tracked := range c.open {
+func (t *Tracker) CloseResting() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for tracked := range t.open {
 		tracked.closeIfResting()
 	}
 }
 
 // CloseIdle closes the connections that are idle after a request and, if fresh is set, also those
 // without a request so far. It returns the number of connections that are still open.
-func (c *Connections) CloseIdle(fresh bool) int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for tracked := range c.open {
+func (t *Tracker) CloseIdle(fresh bool) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for tracked := range t.open {
 		tracked.closeIfIdle(fresh)
 	}
-	return len(c.open)
+	return len(t.open)
 }
 
 // Count returns the number of open connections.
-func (c *Connections) Count() int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return len(c.open)
+func (t *Tracker) Count() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.open)
 }
 
-func (c *Connections) remove(tracked *clientConnection) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delete(c.open, tracked)
+func (t *Tracker) remove(tracked *connection) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.open, tracked)
 }
 
-func (c *Connections) count(reason closeReason, outcome string, client net.Addr, idle time.Duration) {
-	c.closed.WithLabelValues(string(reason), outcome).Inc()
-	c.logger.LogAttrs(context.Background(), slog.LevelDebug, "idle connection expired", slog.String("reason", string(reason)),
-		slog.String("outcome", outcome), slog.String("client", client.String()), durationAttr("idle", idle))
+func (t *Tracker) count(reason closeReason, outcome string, client net.Addr, idle time.Duration) {
+	t.closed.WithLabelValues(string(reason), outcome).Inc()
+	t.logger.LogAttrs(context.Background(), slog.LevelDebug, "idle connection expired", slog.String("reason", string(reason)),
+		slog.String("outcome", outcome), slog.String("client", client.String()), slog.Float64("idle_ms", float64(idle.Microseconds())/1000))
 }
 
-// clientLeft reports whether the client has closed its connection, or its sending side, which looks the
+// PeerClosed reports whether the client has closed its connection, or its sending side, which looks the
 // same. The request's context ends a little later, or much later on a busy machine, since another
 // goroutine detects that.
-func clientLeft(ctx context.Context) bool {
-	tracked, found := ctx.Value(connectionKey{}).(*clientConnection)
+func PeerClosed(ctx context.Context) bool {
+	tracked, found := ctx.Value(contextKey{}).(*connection)
 	return found && tracked.ended()
 }
--- a/internal/routednode/node.go
+++ b/internal/routednode/node.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"stepseam.example/stepseam/internal/aggregator"
+	"stepseam.example/stepseam/internal/clientconn"
 	"stepseam.example/stepseam/internal/coordinator"
 	"stepseam.example/stepseam/internal/distribution"
 	"stepseam.example/stepseam/internal/exchange"
@@ -86,7 +87,7 @@
 	// configurations and entries watch the operator topic and the replica entries.
 	configurations, entries *watch.Watcher
 	views                   *views
-	connections             *router.Connections
+	connections             *clientconn.Tracker
 	store                   logstore.Store
 	registry                *prometheus.Registry
 	// settings is replaced by a reload.
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -13,6 +13,7 @@
 
 	"stepseam.example/stepseam/internal/aggregator"
 	"stepseam.example/stepseam/internal/balance"
+	"stepseam.example/stepseam/internal/clientconn"
 	"stepseam.example/stepseam/internal/coldstart"
 	"stepseam.example/stepseam/internal/coordinator"
 	"stepseam.example/stepseam/internal/distance"
@@ -52,7 +53,7 @@
 	do.ProvideValue(injector, coldstart.NewLimiter(cfg.Node.Name))
 	do.ProvideValue(injector, balance.NewTracker(string(cfg.Node.Zone)))
 	do.ProvideValue(injector, exchange.NewClient(adapter.Names.Replica))
-	do.ProvideValue(injector, router.NewConnections(logger, registry))
+	do.ProvideValue(injector, clientconn.NewTracker(logger, registry))
 	store := guardedstore.New(guardedstore.Config{
 		Store: newCountedStore(adapter.NewStore(cfg.Store), registry), CallsPerSecond: cfg.Store.ReadsPerSecond,
 		Logger: logger, Registerer: registry,
@@ -343,7 +344,7 @@
 		quarantine:  do.MustInvoke[*quarantine.Service](injector),
 		shares:      do.MustInvoke[*shares.Service](injector),
 		cold:        do.MustInvoke[*coldReplicas](injector),
-		connections: do.MustInvoke[*router.Connections](injector), store: do.MustInvoke[logstore.Store](injector),
+		connections: do.MustInvoke[*clientconn.Tracker](injector), store: do.MustInvoke[logstore.Store](injector),
 		registry: do.MustInvoke[*prometheus.Registry](injector),
 	}
 	cfg := do.MustInvoke[settings.Routed](injector)
--- a/internal/router/connections_test.go
+++ b/internal/router/connections_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -10,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,12 +16,13 @@
 
 	"github.com/matryer/is"
 
+	"stepseam.example/stepseam/internal/clientconn"
 	"stepseam.example/stepseam/internal/emulator/replica"
 )
 
 // trackedServer serves a handler with a tracker of its connections.
-func trackedServer(t *testing.T, handler http.Handler) (*Connections, string) {
-	connections := NewConnections(slog.New(slog.DiscardHandler), nil)
+func trackedServer(t *testing.T, handler http.Handler) (*clientconn.Tracker, string) {
+	connections := clientconn.NewTracker(slog.New(slog.DiscardHandler), nil)
 	server := httptest.NewUnstartedServer(handler)
 	server.Listener = connections.Track(server.Config, server.Listener)
 	server.Start()
@@ -103,9 +102,9 @@
 
 // Connections whose next request had been read were closed, at the idle limit and at a stop, and no response was sent.
 func TestRequestsReadAsTheirConnectionsAreClosedAreAnswered(t *testing.T) {
-	for name, closeSome := range map[string]func(*Connections, *closingRace){
-		"idle limit": func(c *Connections, _ *closingRace) { c.CloseResting() },
-		"stop": func(c *Connections, r *closingRace) {
+	for name, closeSome := range map[string]func(*clientconn.Tracker, *closingRace){
+		"idle limit": func(c *clientconn.Tracker, _ *closingRace) { c.CloseResting() },
+		"stop": func(c *clientconn.Tracker, r *closingRace) {
 			if r.sending.Load() {
 				c.CloseIdle(true)
 			}
@@ -114,7 +113,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, healthy)
 			race := &closingRace{t: t}
-			var connections *Connections
+			var connections *clientconn.Tracker
 			connections, race.address = trackedServer(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 				race.read.Store(request.Header.Get("Test-Id"), true)
 				h.router.ServeHTTP(writer, request)
@@ -158,106 +157,6 @@
 	}
 }
 
-// trackedPair returns a client's connection and the server's side of it, which rests and waits for a request.
-func trackedPair(t *testing.T, limit time.Duration) (*Connections, rawClient, *clientConnection) {
-	is := is.New(t)
-	connections := NewConnections(slog.New(slog.DiscardHandler), nil)
-	connections.SetIdleLimit(limit)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.NoErr(err)
-	listener = connections.Track(&http.Server{}, listener)
-	t.Cleanup(func() { _ = listener.Close() })
-	client := dial(t, listener.Addr().String())
-	accepted, err := listener.Accept()
-	is.NoErr(err)
-	t.Cleanup(func() { _ = accepted.Close() })
-	tracked := accepted.(*clientConnection)
-	tracked.rest()
-	is.NoErr(tracked.SetReadDeadline(time.Now().Add(time.Minute)))
-	return connections, client, tracked
-}
-
-// A request that arrived after the check for one, or as the server's own deadline passed, was not read.
-func TestBytesThatArriveAsAConnectionExpiresAreRead(t *testing.T) {
-	for name, expire := range map[string]func(*Connections, *clientConnection){
-		"idle limit":        func(c *Connections, _ *clientConnection) { c.CloseResting() },
-		"stop":              func(c *Connections, _ *clientConnection) { c.CloseIdle(false) },
-		"server's deadline": func(_ *Connections, t *clientConnection) { t.rest(); _ = t.SetReadDeadline(time.Unix(1, 0)) },
-	} {
-		for _, arrivesBefore := range []bool{true, false} {
-			t.Log(name, arrivesBefore)
-			is := is.New(t)
-			connections, client, tracked := trackedPair(t, time.Nanosecond)
-			send := func() {
-				_, err := client.Write([]byte("GET"))
-				is.NoErr(err)
-				time.Sleep(20 * time.Millisecond)
-			}
-			if arrivesBefore {
-				send()
-			}
-			expire(connections, tracked)
-			if !arrivesBefore {
-				send()
-			}
-			count, err := tracked.Read(make([]byte, 9))
-			is.NoErr(err)
-			is.Equal(count, 3)
-			connections.CloseResting()
-			is.Equal(connections.CloseIdle(true), 1)
-			_, err = client.Write([]byte(" /"))
-			is.NoErr(err)
-			count, err = tracked.Read(make([]byte, 9))
-			is.NoErr(err) // the deadline is no longer in the past
-			is.Equal(count, 2)
-		}
-	}
-}
-
-func TestExpiredConnectionsAreClosed(t *testing.T) {
-	for _, waiting := range []bool{true, false} {
-		is := is.New(t)
-		connections, client, tracked := trackedPair(t, time.Nanosecond)
-		ended := make(chan error, 1)
-		read := func() {
-			_, err := tracked.Read(make([]byte, 9))
-			ended <- err
-		}
-		if waiting {
-			go read()
-			time.Sleep(20 * time.Millisecond)
-		} else {
-			tracked.rest()
-		}
-		connections.CloseResting()
-		if !waiting {
-			is.NoErr(tracked.SetReadDeadline(time.Now().Add(time.Minute))) // that of the server for an idle connection
-			go read()
-		}
-		is.True(errors.Is(<-ended, os.ErrDeadlineExceeded))
-		_, err := client.reader.ReadByte()
-		is.True(errors.Is(err, io.EOF))
-	}
-}
-
-// A lowered limit closed connections at once that their clients could still use by the former one.
-func TestLoweredIdleLimitHoldsForConnectionsThatRestLater(t *testing.T) {
-	is := is.New(t)
-	connections, _, tracked := trackedPair(t, time.Hour)
-	connections.SetIdleLimit(time.Nanosecond)
-	connections.CloseResting()
-	is.Equal(tracked.closing, closeReason(""))
-	tracked.rest()
-	connections.CloseResting()
-	is.Equal(tracked.closing, closedIdle)
-
-	connections, _, tracked = trackedPair(t, time.Nanosecond)
-	connections.SetIdleLimit(0)
-	connections.SetIdleLimit(time.Nanosecond)
-	connections.CloseResting()
-	is.Equal(tracked.closing, closeReason(""))
-}
-
 // A request that was received along with the one before has no bytes left to arrive.
 func TestRequestsReceivedTogetherAreAnsweredDuringAStop(t *testing.T) {
 	is := is.New(t)
@@ -274,33 +173,6 @@
 	}
 }
 
-// A connection that was accepted as the listener closed was not waited for.
-func TestClosedListenerHasTrackedWhatItAccepted(t *testing.T) {
-	is := is.New(t)
-	for range 50 {
-		connections := NewConnections(slog.New(slog.DiscardHandler), nil)
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		is.NoErr(err)
-		listener = connections.Track(&http.Server{}, listener)
-		accepted := make(chan bool)
-		go func() {
-			socket, err := listener.Accept()
-			if err == nil {
-				defer func() { _ = socket.Close() }()
-			}
-			accepted <- err == nil
-			accepted <- true
-		}()
-		if client, err := net.Dial("tcp4", listener.Addr().String()); err == nil {
-			defer func() { _ = client.Close() }()
-		}
-		_ = listener.Close()
-		count := connections.Count()
-		is.Equal(<-accepted, count == 1)
-		<-accepted
-	}
-}
-
 // Clients that had closed their sending side, or whose body was late, saw the connection close.
 func TestRequestsThatEndBeforeTheirResponseGetAStatus(t *testing.T) {
 	h := newHarness(t, func(e *replica.Exchange) bool {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 
 	"stepseam.example/stepseam/internal/aggregator"
 	"stepseam.example/stepseam/internal/balance"
+	"stepseam.example/stepseam/internal/clientconn"
 	"stepseam.example/stepseam/internal/coldstart"
 	"stepseam.example/stepseam/internal/coordinator"
 	"stepseam.example/stepseam/internal/distance"
@@ -231,7 +232,7 @@
 	case r.calls.Err() != nil:
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStopping, retryAfter: shortRetryAfter})
 		return
-	case clientLeft(ctx):
+	case clientconn.PeerClosed(ctx):
 		reply.rejectLeft(false, nil)
 		return
 	}
--- a/internal/router/usable.go
+++ b/internal/router/usable.go
@@ -9,6 +9,7 @@
 
 	"github.com/samber/lo"
 
+	"stepseam.example/stepseam/internal/clientconn"
 	"stepseam.example/stepseam/internal/coldstart"
 	"stepseam.example/stepseam/internal/fleet"
 )
@@ -143,7 +144,7 @@
 	if err := r.admitRepeat(ctx, call); err != nil {
 		return err
 	}
-	if clientLeft(ctx) {
+	if clientconn.PeerClosed(ctx) {
 		call.cancel()
 		return context.Canceled
 	}
