Let the tracker of clients' connections wait until they are closed

Tracker.Drain is the loop of a node's stop, for use by other servers. It looks at the connections every 20 ms as before; as the deadline passes it returns the count of that moment.

--- a/internal/clientconn/connection_test.go
+++ b/internal/clientconn/connection_test.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -141,3 +142,26 @@
 		<-accepted
 	}
 }
+
+// A stop waits for requests under way, and a while for the first one of a connection.
+func TestDrainClosesConnectionsAsTheyBecomeIdle(t *testing.T) {
+	is := is.New(t)
+	tracker, _, tracked := trackedPair(t, time.Minute)
+	read := func() { _, _ = tracked.Read(make([]byte, 9)); _ = tracked.Close() }
+	drain := func(timeout time.Duration, freshUntil time.Time) int {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		return tracker.Drain(ctx, freshUntil)
+	}
+	later := time.Now().Add(time.Hour)
+	tracked.phase = phaseActive
+	is.Equal(drain(50*time.Millisecond, time.Time{}), 1)
+	tracked.phase = phaseFresh
+	is.Equal(drain(50*time.Millisecond, later), 1)
+	go read()
+	is.Equal(drain(10*time.Second, time.Now().Add(50*time.Millisecond)), 0)
+
+	tracker, _, tracked = trackedPair(t, time.Minute)
+	go read()
+	is.Equal(drain(10*time.Second, later), 0)
+}
--- a/internal/clientconn/tracker.go
+++ b/internal/clientconn/tracker.go
@@ -19,6 +19,9 @@
 // noIdleLimit is the idle limit if there is none.
 const noIdleLimit = time.Duration(math.MaxInt64)
 
+// drainPollInterval is the time between two checks for idle connections.
+const drainPollInterval = 20 * time.Millisecond
+
 // closeReason is a reason for which the node closes a connection by itself.
 type closeReason string
 
@@ -139,6 +142,24 @@
 	return len(t.open)
 }
 
+// Drain closes connections as they become idle, and from freshUntil on also those without a request so
+// far, until none is open or ctx has ended. It returns the number of connections that are still open.
+// The listener must be closed.
+func (t *Tracker) Drain(ctx context.Context, freshUntil time.Time) int {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for {
+		if t.CloseIdle(time.Now().After(freshUntil)) == 0 {
+			return 0
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return t.Count()
+		}
+	}
+}
+
 // Count returns the number of open connections.
 func (t *Tracker) Count() int {
 	t.mutex.Lock()
--- a/internal/routednode/stop.go
+++ b/internal/routednode/stop.go
@@ -13,8 +13,8 @@
 	exitMargin = 400 * time.Millisecond
 	// responseMargin is how long before that requests without a response are answered with a status.
 	responseMargin = 100 * time.Millisecond
-	// drainPollInterval is the time between two checks for open connections.
-	drainPollInterval = 20 * time.Millisecond
+	// minFlushTimeout is the flush's timeout once the deadline has passed.
+	minFlushTimeout = 20 * time.Millisecond
 	// flushTimeout is the timeout for writing the last settlements.
 	flushTimeout = 700 * time.Millisecond
 )
@@ -42,7 +42,7 @@
 		n.router.EndCalls()
 		left = n.awaitConnections(began, deadline)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), min(flushTimeout, max(time.Until(deadline), drainPollInterval)))
+	ctx, cancel := context.WithTimeout(context.Background(), min(flushTimeout, max(time.Until(deadline), minFlushTimeout)))
 	defer cancel()
 	err := n.ledger.Stop(ctx)
 	n.limits.Close(context.Background())
@@ -54,12 +54,9 @@
 // awaitConnections closes idle connections until none is open or the deadline has passed. It returns
 // the number of connections that are open.
 func (n *node) awaitConnections(began, deadline time.Time) int {
-	left := n.connections.CloseIdle(false)
-	for left > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPollInterval)
-		left = n.connections.CloseIdle(time.Since(began) > acceptPeriod+time.Second)
-	}
-	return left
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return n.connections.Drain(ctx, began.Add(acceptPeriod+time.Second))
 }
 
 func sleepUntil(moment time.Time) { time.Sleep(time.Until(moment)) }
