Answer requests that were read as a stopping gateway closes connections

Callers that reuse connections saw them close after a whole request, with neither an answer nor node_draining, as the node stopped. They can't tell whether such a request ran.

Cause: http.Server.Shutdown closes connections that net/http calls idle, and it calls them active only once the next head has been read whole. From Shutdown on, net/http also drops every request whose head it then reads, without a response.

TestShutdownClosesConnectionsAfterTheirResponse keeps what Shutdown did: without the header it fails (not true: answered.closes).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -186,6 +186,7 @@
 	status int
 	header http.Header
 	body   string
+	closes bool
 }
 
 func (f *face) do(t *testing.T, method, path, body string, headers ...string) response {
@@ -209,7 +210,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return response{status: answer.StatusCode, header: answer.Header, body: string(read)}
+	return response{status: answer.StatusCode, header: answer.Header, body: string(read), closes: answer.Close}
 }
 
 func (r response) problem(t *testing.T) api.Problem {
--- a/internal/gateway/protect.go
+++ b/internal/gateway/protect.go
@@ -19,6 +19,7 @@
 			ResponseWriter: response,
 			controller:     http.NewResponseController(response),
 			timeout:        g.config.WriteTimeout,
+			gateway:        g,
 		}
 		started := time.Now()
 		defer func() { g.metrics.request(request.Pattern, writer.status, time.Since(started)) }()
@@ -92,27 +93,35 @@
 	return buffer.Bytes(), err
 }
 
-// timedWriter sets a deadline for each write and records the status.
+// timedWriter sets a deadline for each write, records the status, and closes the
+// connection after a response that begins while the gateway drains.
 type timedWriter struct {
 	http.ResponseWriter
 	controller *http.ResponseController
 	timeout    time.Duration
+	gateway    *Gateway
 	status     int
 }
 
+func (w *timedWriter) begin(status int) {
+	if w.status != 0 {
+		return
+	}
+	w.status = status
+	if w.gateway.isDraining() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // WriteHeader sends the header and records the status.
 func (w *timedWriter) WriteHeader(status int) {
-	if w.status == 0 {
-		w.status = status
-	}
+	w.begin(status)
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write writes within the timeout.
 func (w *timedWriter) Write(data []byte) (int, error) {
-	if w.status == 0 {
-		w.status = http.StatusOK
-	}
+	w.begin(http.StatusOK)
 	w.extend()
 	return w.ResponseWriter.Write(data)
 }
