Stop the operators' server like the gateway, by one piece of code

The operators' server of a node stopped by http.Server.Shutdown, which drops requests that it has read, as the gateway's did. Both use clientconn.Server now. The gateway's tests of it hold as before; the operators' server has no test of its own, and its fault was read, not shown.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,9 +37,6 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
-	// firstRequestTimeout is how long a stopping gateway waits for the first request
-	// of a connection.
-	firstRequestTimeout = time.Second
 
 	// drainRetry is the Retry-After of requests that a draining or overloaded node
 	// refuses.
@@ -102,35 +99,28 @@
 
 // Gateway serves the API. It is safe for concurrent use.
 type Gateway struct {
-	config      Config
-	metrics     *metrics
-	handler     http.Handler
-	server      *http.Server
-	connections *clientconn.Tracker
-	draining    atomic.Bool
-	inFlight    atomic.Int64
+	config   Config
+	metrics  *metrics
+	handler  http.Handler
+	server   *clientconn.Server
+	draining atomic.Bool
+	inFlight atomic.Int64
 	// endings counts the single-call programs that are being ended.
 	endings sync.WaitGroup
-
-	// mutex guards the fields below.
-	mutex    sync.Mutex
-	listener net.Listener
-	stopped  bool
 }
 
 // New returns a gateway; Serve starts it.
 func New(config Config) *Gateway {
 	g := &Gateway{config: config.withDefaults()}
 	g.metrics = newMetrics(g.config.Registerer, g)
-	g.connections = clientconn.NewTracker(g.config.Logger, g.config.Registerer)
 	g.handler = g.protect(g.routes())
-	g.server = &http.Server{
+	g.server = clientconn.NewServer(&http.Server{
 		Handler:           g.handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(g.config.Logger.Handler(), slog.LevelDebug),
-	}
+	}, clientconn.NewTracker(g.config.Logger, g.config.Registerer))
 	return g
 }
 
@@ -140,33 +130,10 @@
 // Serve serves requests on listener until Shutdown or Close, and then returns
 // nil. It may be called once.
 func (g *Gateway) Serve(listener net.Listener) error {
-	tracked := g.track(listener)
-	if tracked == nil {
-		_ = listener.Close() // nothing was accepted from it
-		return nil
+	if err := g.server.Serve(keepAliveListener{listener}); err != nil {
+		return fmt.Errorf("gateway: %w", err)
 	}
-	err := g.server.Serve(tracked)
-	if errors.Is(err, http.ErrServerClosed) || g.isStopped() {
-		return nil
-	}
-	return fmt.Errorf("gateway: serve %s: %w", listener.Addr(), err)
-}
-
-// track returns the listener to serve, or nil if the gateway has been shut down.
-func (g *Gateway) track(listener net.Listener) net.Listener {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if g.stopped {
-		return nil
-	}
-	g.listener = g.connections.Track(g.server, keepAliveListener{listener})
-	return g.listener
-}
-
-func (g *Gateway) isStopped() bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.stopped
+	return nil
 }
 
 type keepAliveListener struct{ net.Listener }
@@ -190,27 +157,13 @@
 // with http.Server.Shutdown.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.Drain()
-	err := g.stopListening()
-	if open := g.connections.Drain(ctx, time.Now().Add(firstRequestTimeout)); open > 0 {
+	open, err := g.server.Shutdown(ctx)
+	if open > 0 {
 		return errors.Join(err, fmt.Errorf("gateway: shutdown with %d connections and %d requests in flight: %w", open, g.inFlight.Load(), ctx.Err()))
 	}
 	g.endings.Wait()
 	return err
 }
 
-func (g *Gateway) stopListening() error {
-	g.mutex.Lock()
-	listener := g.listener
-	g.listener, g.stopped = nil, true
-	g.mutex.Unlock()
-	if listener == nil {
-		return nil
-	}
-	if err := listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("gateway: close listener: %w", err)
-	}
-	return nil
-}
-
 // Close closes the listener and all connections immediately.
 func (g *Gateway) Close() error { return g.server.Close() }
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/samber/do/v2"
 
 	"stepseam.example/stepseam/internal/blackboard"
+	"stepseam.example/stepseam/internal/clientconn"
 	"stepseam.example/stepseam/internal/controller/tables"
 	"stepseam.example/stepseam/internal/forwarding"
 	"stepseam.example/stepseam/internal/gateway"
@@ -88,7 +89,7 @@
 	node         *Node
 	settings     settings.Settings
 	gateway      *gateway.Gateway
-	operators    *http.Server
+	operators    *clientconn.Server
 	drainRequest *DrainRequest
 	logger       *slog.Logger
 }
@@ -114,11 +115,11 @@
 		return nil, err
 	}
 	daemon.node = built
-	daemon.operators = &http.Server{
+	daemon.operators = clientconn.NewServer(&http.Server{
 		Handler:           operators.Handler(),
 		ReadHeaderTimeout: operatorHeaderTimeout,
 		IdleTimeout:       operatorIdleTimeout,
-	}
+	}, clientconn.NewTracker(daemon.logger, nil))
 	return daemon, nil
 }
 
@@ -138,7 +139,7 @@
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- d.gateway.Serve(callers) }()
-	go func() { failed <- ignoreClosed(d.operators.Serve(operators)) }()
+	go func() { failed <- d.operators.Serve(operators) }()
 	select {
 	case <-ctx.Done():
 		err = nil
@@ -162,14 +163,11 @@
 	ending, cancelEnding := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelEnding()
 	d.node.Close(ending)
-	err = errors.Join(err, d.operators.Shutdown(ending))
-	d.logger.Info("planned stop ended", "node", d.node.self.Name, "took", time.Since(began), "error", err)
-	return err
-}
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	open, failed := d.operators.Shutdown(ending)
+	err = errors.Join(err, failed)
+	if open > 0 {
+		err = errors.Join(err, fmt.Errorf("node: %d connections of operators are open: %w", open, ending.Err()))
 	}
+	d.logger.Info("planned stop ended", "node", d.node.self.Name, "took", time.Since(began), "error", err)
 	return err
 }
