Tell by which view a stream without a record goes on

A resumption without a record is answered by this node's view of the versions, which may be seconds old. Neither the log nor the metrics said how old it was, nor whether any other node had answered.

"request ended" of such a resumption, accepted or refused, now has view_age_ms, view_confirmed (by the store, after the request arrived), nodes_asked and nodes_answered beside the histories, and stepseam_stream_origins_unrecorded_total counts them by outcome and view. No decision changes.

--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -76,6 +76,9 @@
 	// StreamLifetime is the longest time after its beginning at which a stream of the service may be
 	// resumed, as far as is known; 0 if nothing is.
 	StreamLifetime time.Duration
+	// Confirmed is the last time at which the store had nothing that the view lacks; zero if that is
+	// not known. A Directory leaves it unset.
+	Confirmed time.Time
 }
 
 // VersionSpan returns the versions of a service by the store's content as known to this node,
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -25,11 +25,17 @@
 	// Window is longer than any stream of the route lasts, including its client's returns, as far as
 	// this node knows. Nodes that know of longer ones extend it.
 	Window time.Duration
+	// Arrived is when the request arrived; zero means now. The stream began before.
+	Arrived time.Time
 }
 
 // Resolve returns the origin of a stream. Without a record, it is the only version that the
-// service had within the window. Errors wrap ErrUnknown or ErrConflicting.
+// service had within the window. Errors wrap ErrUnknown or ErrConflicting; the result contains the
+// evidence even then.
 func (s *Service) Resolve(ctx context.Context, wanted Query) (Found, error) {
+	if wanted.Arrived.IsZero() {
+		wanted.Arrived = time.Now()
+	}
 	found, err := s.resolve(ctx, wanted)
 	s.metrics.countResolved(found, err)
 	return found, err
@@ -50,6 +56,7 @@
 		Origin: Origin{Service: wanted.Service, Version: span.Version}, Source: SourceOnlyVersion,
 		Evidence: Evidence{Here: span.Age, Window: wanted.Window},
 	}
+	only.Evidence.setView(span.Confirmed, wanted.Arrived)
 	if certain {
 		waiting, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
@@ -67,10 +74,11 @@
 	if answers.conflicting {
 		return Found{}, fmt.Errorf("%w: at %s", ErrConflicting, answers.from)
 	}
+	only.Evidence.Asked, only.Evidence.Answered = answers.asked, answers.answered
 	if span.Only && answers.confirm(&only) {
 		return only, nil
 	}
-	return Found{}, fmt.Errorf("%w: %d of %d nodes answered; one version here: %t, for %v, at %q for %v, of %v", ErrUnknown, answers.answered, answers.asked,
+	return Found{Evidence: only.Evidence}, fmt.Errorf("%w: %d of %d nodes answered; one version here: %t, for %v, at %q for %v, of %v", ErrUnknown, answers.answered, answers.asked,
 		span.Only, span.Age.Round(time.Millisecond), only.Node, only.Evidence.There.Round(time.Millisecond), only.Evidence.Window)
 }
 
--- a/internal/origin/metrics.go
+++ b/internal/origin/metrics.go
@@ -10,8 +10,9 @@
 
 // metrics count records and resumptions.
 type metrics struct {
-	resolved *prometheus.CounterVec
-	copies   *prometheus.CounterVec
+	resolved   *prometheus.CounterVec
+	unrecorded *prometheus.CounterVec
+	copies     *prometheus.CounterVec
 }
 
 func newMetrics(records *table, registerer prometheus.Registerer) *metrics {
@@ -19,13 +20,16 @@
 		resolved: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_stream_origins_resolved_total", Help: "Streams taken up by clients, by where the version that began them was learned, or why it is not known.",
 		}, []string{"outcome"}),
+		unrecorded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_stream_origins_unrecorded_total", Help: "Streams without a record that clients took up, by whether they went on and when the store last confirmed this node's view: after the request arrived, before, or never.",
+		}, []string{"outcome", "view"}),
 		copies: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_stream_origin_copies_total", Help: "Copies of records of streams sent to other nodes, by outcome.",
 		}, []string{"outcome"}),
 	}
 	if registerer != nil {
 		registerer.MustRegister(
-			made.resolved, made.copies,
+			made.resolved, made.unrecorded, made.copies,
 			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 				Name: "stepseam_stream_origins", Help: "Records of streams that this node holds.",
 			}, func() float64 { return float64(records.size()) }),
@@ -46,6 +50,20 @@
 		outcome = "unknown"
 	}
 	m.resolved.WithLabelValues(outcome).Inc()
+	if outcome == "unknown" || found.Source == SourceOnlyVersion {
+		m.unrecorded.WithLabelValues(outcome, found.Evidence.view()).Inc()
+	}
+}
+
+// view names when the store last confirmed this node's view.
+func (e *Evidence) view() string {
+	switch {
+	case e.Confirmed:
+		return "after"
+	case e.ViewKnown:
+		return "before"
+	}
+	return "never"
 }
 
 func (m *metrics) countNotice(notice holders.Notice) {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -77,9 +77,27 @@
 	Evidence Evidence
 }
 
-// Evidence is the histories that SourceOnlyVersion rests on: for how long this node and Node have
-// known of one version only, and for how long that was required.
-type Evidence struct{ Here, There, Window time.Duration }
+// Evidence is what a stream without a record goes on by, or is refused for.
+type Evidence struct {
+	// Here and There are for how long this node and Node have known of one version only, Window for how
+	// long that is required.
+	Here, There, Window time.Duration
+	// Confirmed is set if the store confirmed this node's view after the request arrived. ViewAge is
+	// the time between the last confirmation and the arrival, if ViewKnown is set; negative if it came
+	// after it.
+	Confirmed, ViewKnown bool
+	ViewAge              time.Duration
+	// Asked and Answered count the nodes that were asked for a record and their answers.
+	Asked, Answered int
+}
+
+// setView records when the store last confirmed this node's view, zero if it is not known, against a
+// request's arrival.
+func (e *Evidence) setView(confirmed, arrived time.Time) {
+	if e.ViewKnown = !confirmed.IsZero(); e.ViewKnown {
+		e.Confirmed, e.ViewAge = !confirmed.Before(arrived), arrived.Sub(confirmed)
+	}
+}
 
 var (
 	// ErrUnknown means that nothing is known of what began a stream.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -273,7 +273,7 @@
 				if c.goesOn {
 					is.Equal(found, Found{
 						Origin: v1, Source: SourceOnlyVersion, Node: lo.Ternary(c.there.Only, site.node(1).Name, ""),
-						Evidence: Evidence{Here: c.here.Age, There: c.there.Age, Window: time.Minute},
+						Evidence: Evidence{Here: c.here.Age, There: c.there.Age, Window: time.Minute, Asked: 1, Answered: 1},
 					})
 				}
 				unnamed := Query{Route: "r", Service: "s", Window: time.Minute}
--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -129,12 +129,25 @@
 	return known && age <= maxVersionsAge
 }
 
+// versionsConfirmed returns the last time at which the store had neither replicas nor a configuration
+// that this node lacks; zero if that is not known.
+func (v *views) versionsConfirmed() time.Time {
+	replicas, configuration := v.replicas.Confirmed(), v.operators.Confirmed()
+	if replicas.IsZero() || configuration.Before(replicas) {
+		return configuration
+	}
+	return replicas
+}
+
 // onlyVersion returns for how long a service has had one version, see origin.Versions.
 func (v *views) onlyVersion(route, service string) fleet.VersionSpan {
+	// Read before the view: an update in between makes it newer than that, never older.
+	confirmed, fresh := v.versionsConfirmed(), v.replicasFresh()
 	span := v.router.OnlyVersion(route, service)
-	if !v.replicasFresh() {
-		return fleet.VersionSpan{StreamLifetime: span.StreamLifetime}
+	if !fresh {
+		return fleet.VersionSpan{StreamLifetime: span.StreamLifetime, Confirmed: confirmed}
 	}
+	span.Confirmed = confirmed
 	return span
 }
 
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -9,6 +9,7 @@
 
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/exchange"
+	"stepseam.example/stepseam/internal/origin"
 )
 
 // Retry-After delays of rejected requests.
@@ -76,6 +77,8 @@
 	// ledgerWait is the duration of the reservation, originWait that of the search for what
 	// began a stream.
 	ledgerWait, originWait time.Duration
+	// originEvidence is what a resumption without a record went on by, or was refused for.
+	originEvidence origin.Evidence
 	// firstByte is the time at which the response header was sent.
 	firstByte time.Time
 	// answered reports that the client was sent the whole response of a replica.
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -92,7 +92,7 @@
 	}
 	began := time.Now()
 	found, err := r.findOrigin(ctx, call)
-	reply.originWait = time.Since(began)
+	reply.originWait, reply.originEvidence = time.Since(began), found.Evidence
 	if err != nil {
 		r.rejectResumption(ctx, reply, err)
 		return false
@@ -114,7 +114,7 @@
 }
 
 func (r *Router) findOrigin(ctx context.Context, call *call) (origin.Found, error) {
-	wanted := origin.Query{Route: call.route.Name, Service: onlyService(call.route), Window: r.resumptionWindow(call)}
+	wanted := origin.Query{Route: call.route.Name, Service: onlyService(call.route), Window: r.resumptionWindow(call), Arrived: call.arrived}
 	if call.resumes != "" {
 		wanted.Key, wanted.Keyed = call.streamKey(call.resumes), true
 	}
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -107,11 +107,8 @@
 			attributes, slog.String("began_at_version", call.origin.Version), slog.String("origin_source", string(call.origin.Source)),
 			slog.String("origin_node", string(call.origin.Node)),
 		)
-		if call.origin.Source == origin.SourceOnlyVersion {
-			evidence := call.origin.Evidence
-			attributes = append(attributes, durationAttr("only_here", evidence.Here), durationAttr("only_there", evidence.There), durationAttr("only_required", evidence.Window))
-		}
 	}
+	attributes = append(attributes, evidenceAttrs(&reply.originEvidence)...)
 	if call.tenant != nil {
 		attributes = append(attributes, slog.String("tenant", call.tenant.Name))
 	}
@@ -135,6 +132,22 @@
 	r.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request ended", attributes...)
 }
 
+// evidenceAttrs describes what a resumption without a record went on by, or was refused for; nothing for
+// others.
+func evidenceAttrs(evidence *origin.Evidence) []slog.Attr {
+	if evidence.Window == 0 {
+		return nil
+	}
+	described := []slog.Attr{
+		durationAttr("only_here", evidence.Here), durationAttr("only_there", evidence.There), durationAttr("only_required", evidence.Window),
+		slog.Bool("view_confirmed", evidence.Confirmed), slog.Int("nodes_asked", evidence.Asked), slog.Int("nodes_answered", evidence.Answered),
+	}
+	if evidence.ViewKnown {
+		described = append(described, durationAttr("view_age", evidence.ViewAge))
+	}
+	return described
+}
+
 // maxLoggedID bounds the length of client-supplied IDs in the log.
 const maxLoggedID = 80
 
