Take a lapsed replica that restarts under its ID for one of unknown version

Directory.Confirms answered "yes" for a replica without an entry: nothing contradicted what was known. That is silence taken for proof. Where each start has a new ID the ID fixes the version. Where replicas restart under their ID (they publish their start), the process behind a lapsed entry may be a new one whose entry is not written yet, so that the first event of another version was recorded for the former one, and a resumption was sent to it.

Such a replica is no longer confirmed: the stream that it begins is not recorded (its version is unknown), a resumption is withheld from it before the send (acquireSend) and not continued from its first event (checkOrigin). New streams still use it for the grace period.

--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -114,10 +114,15 @@
 }
 
 // Confirms reports whether a replica is the one that its instance's present entry describes, with
-// the same version. A replica without an entry is confirmed: nothing contradicts what was known.
+// the same version. A replica without an entry is confirmed if each start has a new instance: the
+// instance fixes the version. Where instances restart, it may have started again at another version and
+// not have written its entry yet.
 func (d *Directory) Confirms(replica *Replica) bool {
 	d.mutex.RLock()
 	defer d.mutex.RUnlock()
 	known, found := d.replicas[replica.Instance]
-	return !found || known.incarnationID == replica.IncarnationID() && versionOf(&known.replica) == versionOf(replica)
+	if !found {
+		return replica.StartedAtMs == 0
+	}
+	return known.incarnationID == replica.IncarnationID() && versionOf(&known.replica) == versionOf(replica)
 }
--- a/internal/router/resume_test.go
+++ b/internal/router/resume_test.go
@@ -304,3 +304,23 @@
 	h.configure(version)
 	h.router.config.Now = now
 }
+
+// A replica that restarts under its ID may have another version while its former entry has lapsed: streams
+// that it begins then have no known version, and it gets no resumption of the former one.
+func TestLapsedReplicaThatRestartsUnderItsIDHasNoKnownVersion(t *testing.T) {
+	for startedAtMs, known := range map[int64]bool{0: true, 1: false} {
+		is := is.New(t)
+		h := newHarness(t, events(1, 3, true))
+		h.fleet.Replace([]fleet.Replica{{
+			Instance: "a", StartedAtMs: startedAtMs, Service: "s", Address: h.replicas[0].Address, Zone: "near", State: fleet.StateReady, Version: "v1",
+		}}, 0)
+		origins := h.withOrigins()
+		origins.Announce(origin.KeyOf("", "1"), origin.Origin{Service: "s", Version: "v1"}, time.Minute)
+		h.fleet.Apply([]fleet.Change{{Instance: "a"}}, h.router.Now())
+		is.NoErr(h.post("/resume/x", "2").err)
+		_, err := origins.Resolve(t.Context(), origin.Query{Key: origin.KeyOf("", "2"), Keyed: true})
+		is.Equal(err == nil, known)
+		h.post("/resume/x", "3", "Last-Event-Id", "2", "Test-Resumes", "1")
+		is.Equal(h.received(0) == 2, known)
+	}
+}
