Refuse a position on a route whose streams may not be resumed

A request with Last-Event-Id on a streaming route without resumable was passed on with it. A replica that acts on it begins another run behind the events of the first: pieces of two runs joined, where none may go on.

Such a request is now answered at once with 503 stream_not_resumable, nothing is sent to a replica, and a new run from the first event is not begun either, since its client has these events.

Failed before: TestResumptionOnRouteThatIsNotResumableIsRefused "200 != 503".

--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/origin"
@@ -26,12 +28,15 @@
 	errVersionUnknown = errors.New("router: the version that began the stream is not known")
 	// errOtherService means that a stream was begun by a service that its route no longer leads to.
 	errOtherService = errors.New("router: the route no longer leads to the service that began the stream")
+	// errNotResumable means that a client resumes a stream of a route whose streams may not go on in another run.
+	errNotResumable = errors.New("router: streams of the route may not be resumed")
 )
 
 // The reasons of rejected resumptions and of streams that don't go on.
 const (
 	reasonStreamUnknown     = "stream_unknown"
 	reasonStreamConflicting = "stream_conflicting"
+	reasonNotResumable      = "stream_not_resumable"
 	reasonServiceChanged    = "stream_service_changed"
 	reasonVersionGone       = "version_gone"
 	reasonVersionUnknown    = "version_unknown"
@@ -90,6 +95,12 @@
 		}
 		return true
 	}
+	if !call.route.Resumable {
+		// A replica would begin another run behind the events of the former, or from the start.
+		reason := lo.Ternary(call.route.Retain, reasonOutputUnknown, reasonNotResumable)
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reason, retryAfter: unavailableRetryAfter, cause: errNotResumable})
+		return false
+	}
 	began := time.Now()
 	found, err := r.findOrigin(ctx, call)
 	reply.originWait, reply.originEvidence = time.Since(began), found.Evidence
--- a/internal/router/resume_test.go
+++ b/internal/router/resume_test.go
@@ -324,3 +324,26 @@
 		is.Equal(h.received(0) == 2, known)
 	}
 }
+
+// A position on a route whose streams may not be resumed was passed on to a replica, which went on with
+// another run.
+func TestResumptionOnRouteThatIsNotResumableIsRefused(t *testing.T) {
+	for path, reason := range map[string]string{"/stream/x": reasonNotResumable, "/kept/x": reasonOutputUnknown} {
+		for _, position := range []string{"2", "", "not a number"} {
+			is := is.New(t)
+			h := newHarness(t, events(3, 6, true))
+			h.router.config.Now = func() time.Duration { return 2 * origin.MaxLifetime }
+			h.publish(0, "v1")
+			origins := h.withOrigins()
+			origins.Announce(origin.KeyOf("", "1"), origin.Origin{Service: "s", Version: "v1"}, time.Minute)
+			for _, header := range [][]string{{"Last-Event-Id", position}, {"Last-Event-Id", position, "Test-Resumes", "1"}} {
+				got := h.post(path, "2", header...)
+				is.Equal(got.StatusCode, http.StatusServiceUnavailable)
+				is.Equal(got.body, reason+"\n")
+			}
+			is.Equal(h.received(0), 0)
+			is.NoErr(h.post(path, "3").err)
+			is.Equal(h.received(0), 1)
+		}
+	}
+}
