Continue a stream without a version only by a view that the store confirmed since

A stream that a replica without a version had begun went on at another one if this node's view showed no version since the request had arrived. That view may be seconds old, and was not checked at all: replicas with a version may have joined. A stream of a replica whose entry had changed or gone by its first event went on if all present entries had the former version, though the process behind may have another.

The first is now confirmed by the store after the first event (a view that was confirmed since by a watcher needs no read), the second ends the response with version_unknown. While the store is away a stream without a version does not go on after its replica fails; one with a version does, as before.

Failed before: TestStreamWithoutVersionContinuesOnlyByAConfirmedView, the_store_is_away, a_version_has_joined and its_replica's_entry_had_gone,_too "true != false".

The routers of the tests now have records of their own and a store that confirms; old nodes of the version model still have none.

--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -179,7 +179,8 @@
 		return func() {}
 	}
 	stream.began = origin.Origin{Service: call.service.Name, Version: replica.Version}
-	stream.versionKnown = !replica.VersionUnknown && replica.Version != "" && r.config.Fleet.Confirms(replica)
+	stream.entryConfirmed = !replica.VersionUnknown && r.config.Fleet.Confirms(replica)
+	stream.versionKnown = stream.entryConfirmed && replica.Version != ""
 	if r.config.Origins == nil || !call.route.Resumable || !stream.versionKnown {
 		return func() {}
 	}
@@ -187,27 +188,39 @@
 }
 
 // pinToOrigin restricts the rest of a stream to the version that began it. It returns false if
-// that is not known.
-func (r *Router) pinToOrigin(stream *stream) bool {
+// that is not certain.
+func (r *Router) pinToOrigin(ctx context.Context, stream *stream) bool {
 	call := stream.call
 	if call.origin != nil || !stream.headerSent {
 		return true
 	}
-	if !stream.versionKnown {
-		// Replicas without a version are interchangeable if there have been no others.
-		span := r.config.Fleet.VersionSpan(call.service.Name, r.Now())
-		if !span.Only || span.Version != stream.began.Version || span.Age < time.Since(call.arrived) {
-			return false
-		}
+	if !stream.versionKnown && !r.begunWithoutVersions(ctx, stream) {
+		return false
 	}
 	call.origin = &origin.Found{Origin: stream.began, Source: origin.SourceHere}
 	return true
 }
 
+// begunWithoutVersions reports whether a stream was begun by a replica without a version, and the service had
+// no replica with one from the request's arrival until the first event. Such replicas are interchangeable.
+// The store has to confirm that after the first event.
+func (r *Router) begunWithoutVersions(ctx context.Context, stream *stream) bool {
+	if !stream.entryConfirmed || stream.began.Version != "" || r.config.Origins == nil {
+		return false
+	}
+	waiting, cancel := context.WithTimeout(ctx, time.Duration(float64(stream.call.left())*originTimeFraction))
+	defer cancel()
+	if r.config.Origins.Confirm(waiting, stream.reply.firstByte) != nil {
+		return false
+	}
+	span := r.config.Fleet.VersionSpan(stream.call.service.Name, r.Now())
+	return span.Only && span.Version == "" && span.Age >= time.Since(stream.call.arrived)
+}
+
 // continueStream prepares a stream to go on at another replica after a failed attempt. It aborts
 // the response if the version that began the stream is not known.
 func (r *Router) continueStream(ctx context.Context, stream *stream, failed *attempt) {
-	if !r.pinToOrigin(stream) {
+	if !r.pinToOrigin(ctx, stream) {
 		stream.reply.abort(reasonVersionUnknown, errVersionUnknown)
 	}
 	if stream.headerSent {
--- a/internal/router/resume_test.go
+++ b/internal/router/resume_test.go
@@ -37,9 +37,10 @@
 }
 
 // withOrigins gives the router records of streams of its own.
-func (h *harness) withOrigins() *origin.Service {
-	origins := origin.New(origin.Config{Self: "node", Now: h.router.config.Now, Logger: h.router.config.Logger})
-	router := h.router
+func (h *harness) withOrigins() *origin.Service { return h.addOrigins(h.router) }
+
+func (h *harness) addOrigins(router *Router) *origin.Service {
+	origins := origin.New(origin.Config{Self: "node", Now: router.config.Now, Logger: router.config.Logger})
 	origins.SetVersions(func(route, service string) fleet.VersionSpan {
 		span := router.OnlyVersion(route, service)
 		span.Confirmed = h.confirmations.last()
@@ -347,3 +348,46 @@
 		}
 	}
 }
+
+// A stream went on at another replica without a version though the node's view was seconds old, and the
+// service may have had versions by then.
+func TestStreamWithoutVersionContinuesOnlyByAConfirmedView(t *testing.T) {
+	for name, c := range map[string]struct {
+		away, joined, lapsed, continues bool
+	}{
+		"confirmed":                         {continues: true},
+		"the store is away":                 {away: true},
+		"a version has joined":              {joined: true},
+		"its replica's entry had gone, too": {lapsed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var h *harness
+			h = newHarness(t, func(e *replica.Exchange) bool {
+				if c.lapsed {
+					h.fleet.Apply([]fleet.Change{{Instance: "a"}}, h.router.Now())
+				}
+				return events(1, 3, false)(e)
+			}, events(4, 6, true), events(4, 6, true))
+			var all []fleet.Replica
+			for i, instance := range []string{"a", "b"} {
+				all = append(all, fleet.Replica{
+					Instance: instance, StartedAtMs: 1, Service: "s", Address: h.replicas[i].Address, Zone: []string{"near", "far"}[i], State: fleet.StateReady,
+				})
+			}
+			h.fleet.Replace(all, 0)
+			h.confirmations.setAway(c.away)
+			if c.joined {
+				h.confirmations.before = func() {
+					h.fleet.Apply([]fleet.Change{{Instance: "c", Replica: &fleet.Replica{
+						Instance: "c", Service: "s", Address: h.replicas[2].Address, Zone: "far", State: fleet.StateReady, Version: "v1",
+					}}}, h.router.Now())
+				}
+			}
+			got := h.post("/resume/x", "1")
+			is.Equal(got.err == nil, c.continues)
+			is.Equal(h.received(1) == 1, c.continues)
+			is.Equal(h.confirmations.reads > 0, c.continues || c.joined)
+		})
+	}
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -77,7 +77,7 @@
 }
 
 func (h *harness) newRouter(name string) *Router {
-	return New(Config{
+	made := New(Config{
 		Names: testNames, Replicas: exchange.NewClient(testNames.Replica), Fleet: h.fleet,
 		Tracker: balance.NewTracker("near"), Random: func() float64 { return 0 }, BufferBytes: 1 << 20, Logger: slog.New(slog.DiscardHandler),
 		Now: monotonic(),
@@ -89,6 +89,8 @@
 			Logger: slog.New(slog.DiscardHandler),
 		}),
 	})
+	h.addOrigins(made)
+	return made
 }
 
 func (h *harness) configure(version uint64, tenants ...routing.Tenant) {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -39,10 +39,10 @@
 	transcript *transcript.Writer
 	// headerSent reports whether the response header has been sent.
 	headerSent bool
-	// began is what began the stream if it is a new one, versionKnown whether its version is
-	// certain.
-	began        origin.Origin
-	versionKnown bool
+	// began is what began the stream if it is a new one, by the entry of its replica. entryConfirmed is
+	// set if that was its present entry, versionKnown if it has a version, too.
+	began                        origin.Origin
+	entryConfirmed, versionKnown bool
 }
 
 // serveStream serves a streaming request, usually a turn of a program.
--- a/internal/router/versionmodel_test.go
+++ b/internal/router/versionmodel_test.go
@@ -174,8 +174,9 @@
 		return node.router.OnlyVersion(route, service)
 	})
 	node.origins.Register(node.registry)
-	if !old {
-		node.router.config.Origins = node.origins
+	node.router.config.Origins = node.origins
+	if old {
+		node.router.config.Origins = nil
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
