Play nodes out of step beside releases in the model of versions

The model's stale nodes told nobody of their view, which hid what they do in the first seconds: they go by it. They now do so for as long as real nodes, learn of changes up to 0.2 s late, and ask a store that some are cut off from. TestModelledStreamsKeepTheirVersionAtNodesOutOfStep plays releases beside nodes that have been up for hours with one version, of which two are cut off from the store, from others or both, and one starts again; half of the streams are unnamed.

--- a/internal/router/versionmodel_test.go
+++ b/internal/router/versionmodel_test.go
@@ -50,9 +50,12 @@
 	published [modelVersions]bool
 	cut       map[[2]int]bool
 	number    int
+	// upFor is for how long nodes that start have been up, with the present versions only. lag bounds how
+	// late nodes in touch with the store learn of a change.
+	upFor, lag time.Duration
 }
 
-// modelNode is one incarnation of a node. stale nodes learn of no changes, old ones are of a build
+// modelNode is one incarnation of a node. stale nodes are cut off from the store, old ones are of a build
 // without records of streams.
 type modelNode struct {
 	index      int
@@ -62,7 +65,35 @@
 	registry   *peer.Registry
 	origins    *origin.Service
 	stale, old bool
-	down       atomic.Bool
+	// confirmed is when the store last confirmed the view.
+	confirmed time.Time
+	down      atomic.Bool
+}
+
+// modelViewAge is the age of a view above which a node does not go by it.
+const modelViewAge = 3500 * time.Millisecond
+
+// span implements origin.Versions.
+func (n *modelNode) span(m *versionModel, route, service string) fleet.VersionSpan {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if time.Since(n.confirmed) > modelViewAge {
+		return fleet.VersionSpan{Confirmed: n.confirmed}
+	}
+	span := n.router.OnlyVersion(route, service)
+	span.Confirmed = n.confirmed
+	return span
+}
+
+// confirm implements origin.Confirm.
+func (n *modelNode) confirm(m *versionModel, since time.Time) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if n.confirmed.Before(since) && n.stale {
+		return errStoreAway
+	}
+	m.update(n)
+	return nil
 }
 
 // modelPeers are the calls of one node to the others.
@@ -108,20 +139,25 @@
 
 func newVersionModel(t *testing.T) *versionModel {
 	m := &versionModel{t: t, cut: map[[2]int]bool{}, published: [modelVersions]bool{true, true, false}}
+	m.startAll()
+	return m
+}
+
+// startAll starts the replicas and the nodes.
+func (m *versionModel) startAll() {
 	for version := range modelVersions {
 		for i := range replicasPerVersion {
 			started, err := replica.Start(modelStream(fmt.Sprint("v", version)))
 			if err != nil {
-				t.Fatal(err)
+				m.t.Fatal(err)
 			}
-			t.Cleanup(started.Close)
+			m.t.Cleanup(started.Close)
 			m.replicas[version][i] = started
 		}
 	}
 	for i := range modelNodes {
 		m.start(i, false)
 	}
-	return m
 }
 
 // modelStream writes the events behind Last-Event-Id, and breaks off at times.
@@ -161,18 +197,14 @@
 // start starts an incarnation of a node, without records and with the present view.
 func (m *versionModel) start(index int, old bool) {
 	h := newHarness(m.t)
+	now, upFor := h.router.config.Now, m.upFor
+	h.router.config.Now = func() time.Duration { return now() + upFor }
 	node := &modelNode{index: index, router: h.router, server: h.server, fleet: h.fleet, registry: peer.NewRegistry(), old: old}
 	node.origins = origin.New(origin.Config{
 		Self: identity.NodeName(fmt.Sprint(index)), Peers: modelPeers{m, node}, Now: h.router.config.Now, Logger: slog.New(slog.DiscardHandler),
 	})
-	node.origins.SetVersions(func(route, service string) fleet.VersionSpan {
-		m.mutex.Lock()
-		defer m.mutex.Unlock()
-		if node.stale {
-			return fleet.VersionSpan{}
-		}
-		return node.router.OnlyVersion(route, service)
-	})
+	node.origins.SetVersions(func(route, service string) fleet.VersionSpan { return node.span(m, route, service) })
+	node.origins.SetConfirm(func(_ context.Context, since time.Time) error { return node.confirm(m, since) })
 	node.origins.Register(node.registry)
 	node.router.config.Origins = node.origins
 	if old {
@@ -180,7 +212,8 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	node.fleet.Replace(m.entries(), node.router.Now())
+	node.fleet.Replace(m.entries(), node.router.Now()-upFor)
+	node.confirmed = time.Now()
 	m.nodes[index] = node
 	m.shareMembers()
 }
@@ -213,7 +246,15 @@
 		m.published[(version+1)%modelVersions] = true
 	}
 	for _, node := range m.nodes {
-		m.update(node)
+		if m.lag == 0 {
+			m.update(node)
+			continue
+		}
+		time.AfterFunc(rand.N(m.lag), func() {
+			m.mutex.Lock()
+			defer m.mutex.Unlock()
+			m.update(node)
+		})
 	}
 }
 
@@ -222,6 +263,7 @@
 	if node.stale {
 		return
 	}
+	node.confirmed = time.Now()
 	entries := m.entries()
 	var changes []fleet.Change
 	for version := range modelVersions {
@@ -289,9 +331,14 @@
 
 // stream receives one stream. If unnamed, some of its resumptions don't name it.
 func (m *versionModel) stream(random *rand.Rand, unnamed bool) *modelOutcome {
+	return m.streamNamed(random, func() bool { return !unnamed || random.IntN(8) > 0 })
+}
+
+// streamNamed receives one stream, of which each resumption names it or not.
+func (m *versionModel) streamNamed(random *rand.Rand, isNamed func() bool) *modelOutcome {
 	seen := &modelOutcome{}
 	for try := 0; try < 4 && !seen.whole; try++ {
-		named, leaves := !unnamed || random.IntN(8) > 0, 0
+		named, leaves := isNamed(), 0
 		if try < 2 {
 			leaves = seen.last + 1 + random.IntN(2*modelEvents)
 		}
@@ -417,3 +464,110 @@
 		t.Errorf("%d of %d resumed streams were whole", whole, len(resumed))
 	}
 }
+
+const (
+	modelRounds = 5
+	modelUpFor  = 3 * time.Hour
+	modelLag    = 200 * time.Millisecond
+)
+
+// A stream went on at another version at a node that was out of step while replicas of that version joined:
+// cut off from the store, from other nodes, from both, or only late with its view. All nodes had been up for
+// hours with one version, or had just started.
+func TestModelledStreamsKeepTheirVersionAtNodesOutOfStep(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			var outcomes []*modelOutcome
+			for round := range uint64(modelRounds) {
+				m := &versionModel{t: t, cut: map[[2]int]bool{}, published: [modelVersions]bool{true}, lag: modelLag, upFor: modelUpFor}
+				m.startAll()
+				m.mutex.Lock()
+				m.upFor = 0 // for those that start again
+				m.mutex.Unlock()
+				outcomes = append(outcomes, m.release(seed, round)...)
+			}
+			mixed := lo.CountBy(outcomes, func(one *modelOutcome) bool { return len(one.versions) > 1 })
+			resumed := lo.Filter(outcomes, func(one *modelOutcome, _ int) bool { return one.resumed })
+			t.Logf("seed %d: %d streams, %d resumed, %d of them whole, %d of two versions", seed, len(outcomes), len(resumed),
+				lo.CountBy(resumed, func(one *modelOutcome) bool { return one.whole }), mixed)
+			if mixed > 0 || len(resumed) == 0 {
+				t.Errorf("seed %d: %d of %d streams hold events of two versions", seed, mixed, len(outcomes))
+			}
+		})
+	}
+}
+
+// release runs clients, half of whose streams are not named, beside a release and nodes out of step.
+func (m *versionModel) release(seed, round uint64) []*modelOutcome {
+	random := rand.New(rand.NewPCG(seed, round))
+	var clients sync.WaitGroup
+	outcomes := make([][]*modelOutcome, modelClients)
+	for i := range modelClients {
+		clients.Go(func() {
+			own := rand.New(rand.NewPCG(seed, 100*round+uint64(i)+10))
+			for range modelStreamsByClient / 2 {
+				named := own.IntN(2) == 0
+				outcomes[i] = append(outcomes[i], m.streamNamed(own, func() bool { return named }))
+			}
+		})
+	}
+	pause := func() { time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond) }
+	for i := range 2 {
+		pause()
+		m.mutex.Lock()
+		m.nodes[i].stale = random.IntN(4) > 0
+		cuts := random.IntN(modelNodes) // from none, some or all others
+		for j := range modelNodes {
+			m.cut[[2]int{min(i, j), max(i, j)}] = i != j && cuts > 0 && (cuts > 2 || random.IntN(2) == 0)
+		}
+		m.mutex.Unlock()
+	}
+	pause()
+	m.publish(1, true)
+	if random.IntN(2) == 0 {
+		pause()
+		m.publish(0, false)
+	}
+	pause()
+	m.mutex.Lock()
+	node := m.nodes[2]
+	node.down.Store(true)
+	m.mutex.Unlock()
+	node.server.CloseClientConnections()
+	m.start(2, false)
+	time.Sleep(8 * modelLag)
+	m.mutex.Lock()
+	clear(m.cut)
+	for _, node := range m.nodes {
+		node.stale = false
+		m.update(node)
+	}
+	m.mutex.Unlock()
+	clients.Wait()
+	return slices.Concat(outcomes...)
+}
+
+// Where one version serves and all nodes are in touch, nearly all interrupted streams go on, though their
+// clients do not name them and nodes learn of changes late.
+func TestModelledUnnamedStreamsOfTheOnlyVersionGoOn(t *testing.T) {
+	m := &versionModel{t: t, cut: map[[2]int]bool{}, published: [modelVersions]bool{true}, lag: modelLag, upFor: modelUpFor}
+	m.startAll()
+	var clients sync.WaitGroup
+	outcomes := make([][]*modelOutcome, modelClients)
+	for i := range modelClients {
+		clients.Go(func() {
+			random := rand.New(rand.NewPCG(1, uint64(i)))
+			for range modelStreamsByClient {
+				outcomes[i] = append(outcomes[i], m.streamNamed(random, func() bool { return false }))
+			}
+		})
+	}
+	clients.Wait()
+	resumed := lo.Filter(slices.Concat(outcomes...), func(one *modelOutcome, _ int) bool { return one.resumed })
+	whole := lo.CountBy(resumed, func(one *modelOutcome) bool { return one.whole })
+	t.Logf("%d resumed, %d of them whole", len(resumed), whole)
+	if float64(whole) < 0.95*float64(len(resumed)) {
+		t.Errorf("%d of %d resumed streams were whole", whole, len(resumed))
+	}
+}
