Let only an answer about the query itself confirm a history, not an age

The age of its view that another node tells is measured by its clock, which may stand still while a machine is suspended: a view of a minute would pass for one of a millisecond, and for confirmed after the arrival. Such an age now serves for joining histories only. TestAgeOfAViewIsNoConfirmation.

--- a/internal/origin/confirmation_test.go
+++ b/internal/origin/confirmation_test.go
@@ -188,6 +188,20 @@
 	}
 }
 
+// An age that a node tells is measured by its clock, which stands still while its machine is suspended.
+func TestAgeOfAViewIsNoConfirmation(t *testing.T) {
+	is := is.New(t)
+	arrived := time.Now()
+	proof := &proof{wanted: Query{Arrived: arrived}}
+	received := &queryResult{sent: arrived.Add(time.Second), received: arrived.Add(2 * time.Second), response: &queryResponse{Span: only(hours)}}
+	for view, confirmed := range map[viewAge]bool{{Known: true, Age: time.Millisecond}: false, {Known: true, Confirmed: true}: true, {}: false} {
+		received.response.View = view
+		made := newHistory(received, arrived)
+		is.Equal(proof.confirms(&made), confirmed)
+		is.Equal(made.since, received.received.Add(-hours))
+	}
+}
+
 // The fields that later builds added must not change what former ones read.
 func TestFormerBuildsReadTheLifetimeOfLaterResponses(t *testing.T) {
 	is := is.New(t)
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -323,7 +323,7 @@
 		a.conflicting, a.from = true, received.from.Name
 	case stateUnknown:
 	}
-	a.histories = append(a.histories, newHistory(received))
+	a.histories = append(a.histories, newHistory(received, wanted.Arrived))
 }
 
 // relay asks the holders of a record on behalf of another node.
--- a/internal/origin/proof.go
+++ b/internal/origin/proof.go
@@ -23,9 +23,11 @@
 // before confirmations.
 const maxSilentViewAge = 3500 * time.Millisecond
 
-// newHistory returns the history in a response. It counts from when the response was received, and
-// ends at the confirmed time before the query was sent, since the time in between is not known.
-func newHistory(received *queryResult) history {
+// newHistory returns the history in a response to a query for a request that arrived at a time. It
+// counts from when the response was received, and ends at the confirmed time before the query was sent, since the
+// time in between is not known. It is confirmed after the arrival only if the other node says so of
+// the query: an age is measured by a clock that may have stood still.
+func newHistory(received *queryResult, arrived time.Time) history {
 	response := received.response
 	made := history{VersionSpan: response.Span, from: received.from, since: received.received.Add(-response.Span.Age)}
 	switch {
@@ -36,6 +38,9 @@
 	default:
 		made.until = received.sent.Add(-maxSilentViewAge)
 	}
+	if !response.View.Confirmed && !made.until.Before(arrived) {
+		made.until = arrived.Add(-time.Nanosecond)
+	}
 	return made
 }
 
