Send a stream by another node's view only to replicas that do not restart under their ID

A node that is cut off from the store may go on by the view of another one, which the store has confirmed. Its own entries are as old as the cut then. Where each start has a new ID the ID fixes the version; a replica that restarts under its ID may have another one by now, and got the stream. It is no longer accepted in that case.

Failed before: TestStreamGoesOnByAnothersViewOnlyAtReplicasThatDoNotRestart "true != false". Besides, a case that no test of this package had: TestLongerLifetimeAtAnotherNodeExtendsTheWindow (passes before).

--- a/internal/origin/confirmation_test.go
+++ b/internal/origin/confirmation_test.go
@@ -188,6 +188,21 @@
 	}
 }
 
+// Another node may know of clients that come back later than all that this one has seen.
+func TestLongerLifetimeAtAnotherNodeExtendsTheWindow(t *testing.T) {
+	for lifetime, goesOn := range map[time.Duration]bool{time.Minute: true, 2 * time.Minute: false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			site := newCluster(2)
+			time.Sleep(time.Hour)
+			site.node(0).span, site.node(1).span = only(90*time.Second), only(90*time.Second)
+			site.node(1).span.StreamLifetime = lifetime
+			_, err := site.node(0).service.Resolve(t.Context(), Query{Route: "r", Service: "s", Window: time.Minute})
+			is.Equal(err == nil, goesOn)
+		})
+	}
+}
+
 // An age that a node tells is measured by its clock, which stands still while its machine is suspended.
 func TestAgeOfAViewIsNoConfirmation(t *testing.T) {
 	is := is.New(t)
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -166,9 +166,14 @@
 }
 
 // acceptsVersion reports whether a replica may receive the call. A stream that has begun goes
-// on only at the version that began it.
+// on only at the version that began it. If the store has confirmed another node's view in place of this
+// node's, an entry here tells no version of a replica that may have restarted under its ID since.
 func (c *call) acceptsVersion(replica *fleet.Replica) bool {
-	return c.origin == nil || !replica.VersionUnknown && replica.Version == c.origin.Version
+	if c.origin == nil {
+		return true
+	}
+	outdated := c.origin.Source == origin.SourceOnlyVersion && !c.origin.Evidence.Confirmed && replica.StartedAtMs != 0
+	return !outdated && !replica.VersionUnknown && replica.Version == c.origin.Version
 }
 
 // recordOrigin records what began a new stream, before its first event is sent to the client.
--- a/internal/router/resume_test.go
+++ b/internal/router/resume_test.go
@@ -391,3 +391,20 @@
 		})
 	}
 }
+
+// A replica that restarts under its ID may have another version than its entry tells at a node that is cut off
+// from the store and goes on by the view of another node.
+func TestStreamGoesOnByAnothersViewOnlyAtReplicasThatDoNotRestart(t *testing.T) {
+	for startedAtMs, cases := range map[int64]map[origin.Found]bool{
+		0: {{Source: origin.SourceHolder}: true, {Source: origin.SourceOnlyVersion}: true, {Source: origin.SourceOnlyVersion, Evidence: origin.Evidence{Confirmed: true}}: true},
+		1: {{Source: origin.SourceHolder}: true, {Source: origin.SourceOnlyVersion}: false, {Source: origin.SourceOnlyVersion, Evidence: origin.Evidence{Confirmed: true}}: true},
+	} {
+		for found, accepted := range cases {
+			is := is.New(t)
+			found.Origin = origin.Origin{Service: "s", Version: "v1"}
+			call := &call{origin: &found}
+			is.Equal(call.acceptsVersion(&fleet.Replica{StartedAtMs: startedAtMs, Version: "v1"}), accepted)
+			is.True(!call.acceptsVersion(&fleet.Replica{StartedAtMs: startedAtMs, Version: "v2"}))
+		}
+	}
+}
