Refuse without waiting for the store where no confirmation helps

A stream without a record that another node's answer had ruled out was refused only once this node's own read had ended, up to 0.7 s later with a store that does not answer: time that its client lacks for the next node. And a node that has just started refused a named stream whose holders answered after 30 ms, though the history of one of them reached its own: it took its own history alone for the answer.

The first is refused at once when all have answered; the second waits for the answers and has the store confirm its view then.

--- a/internal/origin/confirmation_test.go
+++ b/internal/origin/confirmation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"stepseam.example/stepseam/internal/emulator/nodes"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/identity"
 )
@@ -188,6 +189,46 @@
 	}
 }
 
+// A refusal that no confirmation can change does not wait for the store, so that the client has time to retry.
+func TestRefusalDoesNotWaitForTheStore(t *testing.T) {
+	for name, there := range map[string]fleet.VersionSpan{
+		"several versions at another":    {Several: true},
+		"another version at another":     {Only: true, Version: "v2", Age: hours},
+		"no history that is long enough": only(seconds),
+	} {
+		for _, keyed := range []bool{true, false} {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					site := newCluster(2)
+					time.Sleep(time.Hour)
+					site.node(0).span, site.node(0).confirm, site.node(1).span = only(seconds), answersAfter(time.Minute), there
+					began := time.Now()
+					_, err := site.node(0).service.Resolve(t.Context(), Query{Route: "r", Service: "s", Window: time.Minute, Keyed: keyed})
+					is.True(errors.Is(err, ErrUnknown))
+					is.Equal(time.Since(began), time.Duration(0))
+				})
+			})
+		}
+	}
+}
+
+// A node that has just started refused named streams whose holders answered late, though the history of one
+// reached its own.
+func TestNamedStreamGoesOnAfterLateAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := &cluster{Network: nodes.NewNetwork(2 * silentTimeout), members: make([]*testNode, 2)}
+		here, there := c.start(0), c.start(1)
+		c.shareView()
+		time.Sleep(time.Hour)
+		here.span, there.span, there.confirm, there.confirmed = only(seconds), only(hours), nil, time.Now()
+		found, err := here.service.Resolve(t.Context(), Query{Route: "r", Service: "s", Window: MaxLifetime, Keyed: true})
+		is.NoErr(err)
+		is.True(found.Evidence.Confirmed)
+	})
+}
+
 // Another node may know of clients that come back later than all that this one has seen.
 func TestLongerLifetimeAtAnotherNodeExtendsTheWindow(t *testing.T) {
 	for lifetime, goesOn := range map[time.Duration]bool{time.Minute: true, 2 * time.Minute: false} {
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -60,6 +60,9 @@
 	if done, found, err := s.recorded(answers); done {
 		return found, err
 	}
+	if proof := s.newProof(wanted, answers); proof.hopeless() {
+		return Found{Evidence: proof.evidence}, proof.failure(nil)
+	}
 	confirmation.await(ctx, hedgeDelay)
 	proof := s.newProof(wanted, answers)
 	if confirmers := proof.confirmers(); len(confirmers) > 0 {
@@ -144,22 +147,16 @@
 		return errNotNeeded
 	}
 	if wanted.Keyed {
-		timer := time.NewTimer(silentTimeout)
-		defer timer.Stop()
+		var silent <-chan time.Time
+		if own.possible() {
+			silent = time.After(silentTimeout)
+		}
 		select {
 		case collected := <-asked:
 			if collected.found != nil || collected.conflicting || !s.newProof(wanted, collected).possible() {
 				return errNotNeeded
 			}
-		case <-timer.C:
-			if own.possible() {
-				break
-			}
-			select {
-			case <-asked:
-			case <-ctx.Done():
-			}
-			return errNotNeeded
+		case <-silent:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/origin/proof.go
+++ b/internal/origin/proof.go
@@ -108,6 +108,9 @@
 // possible reports whether the proof would hold if all views were confirmed.
 func (p *proof) possible() bool { return p.covered(func(*history) bool { return true }) }
 
+// hopeless reports that no confirmation would complete the proof.
+func (p *proof) hopeless() bool { return p.contradicted || p.histories[0].Only && !p.possible() }
+
 // covered reports whether the histories of one version cover the window, if those that are assumed
 // to be confirmed are.
 func (p *proof) covered(assumed func(*history) bool) bool {
