Count a view of replicas that was never confirmed as not confirmed

The time at which the store last confirmed this node's views is the earlier one of the replicas' and the configuration's. If the replicas' view had never been confirmed, that of the configuration was told. No stream went on by that, since a view without a known age tells of no version; the log and the metrics were wrong, and so was the defence.

Found by TestConfirmationReadsToTheStoresEnd ("false != true" at the_rest_can't_be_read before), which was written since a mutant that took the first response of the confirming read for all passed the tests; it fails that test now.

--- a/internal/routednode/confirmation_test.go
+++ b/internal/routednode/confirmation_test.go
@@ -194,3 +194,33 @@
 		first.Wait()
 	})
 }
+
+// A response that ends before the store's end confirms nothing until the rest was read.
+func TestConfirmationReadsToTheStoresEnd(t *testing.T) {
+	for name, failing := range map[string]bool{"the rest is read": false, "the rest can't be read": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				v, kept, confirmer := confirmedViews(0)
+				for _, instance := range []string{"b", "c", "d"} {
+					kept.Put(v.adapter.Replicas, instance, versioned(instance, "v1").Value)
+				}
+				kept.Put(v.adapter.Replicas, "e", versioned("e", "v2").Value)
+				kept.afterRead = func(result *logstore.ChangesResult) {
+					if len(result.Items) > 1 {
+						result.Next -= logstore.Offset(len(result.Items) - 1)
+						result.Items = result.Items[:1]
+					}
+					if failing {
+						kept.Fail(store.Fault{Busy: true})
+					}
+				}
+				arrived := time.Now()
+				err := confirmer.Confirm(t.Context(), arrived)
+				is.Equal(err != nil, failing)
+				is.Equal(v.fleet.VersionSpan("s", 0).Several, !failing)
+				is.Equal(v.versionsConfirmed().Before(arrived), failing)
+			})
+		})
+	}
+}
--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -136,7 +136,7 @@
 		return time.Time{}
 	}
 	replicas, configuration := v.replicas.Confirmed(), v.operators.Confirmed()
-	if replicas.IsZero() || configuration.Before(replicas) {
+	if configuration.Before(replicas) {
 		return configuration
 	}
 	return replicas
