--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -9,6 +9,7 @@
 package origin
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
@@ -64,7 +65,7 @@
 	// SourceHolder is a record of another node.
 	SourceHolder Source = "holder"
 	// SourceOnlyVersion means that the stream has no known record, but the service had only one
-	// version for longer than any stream lasts.
+	// version for longer than any stream lasts, until after the request arrived.
 	SourceOnlyVersion Source = "only_version"
 )
 
@@ -77,18 +78,44 @@
 	Evidence Evidence
 }
 
-// Evidence is the histories that SourceOnlyVersion rests on: for how long this node and Node have
-// known of one version only, and for how long that was required.
-type Evidence struct{ Here, There, Window time.Duration }
+// Evidence is what a stream without a record goes on by, or is refused for.
+type Evidence struct {
+	// Here and There are for how long this node and Node have known of one version only, Window for how
+	// long that is required.
+	Here, There, Window time.Duration
+	// Confirmed is set if the store confirmed this node's view after the request arrived. ViewAge is
+	// the time between the last confirmation and the arrival, if ViewKnown is set; negative if it came
+	// after it.
+	Confirmed, ViewKnown bool
+	ViewAge              time.Duration
+	// ConfirmedBy is another node whose view the store confirmed after the request arrived, if not this one's.
+	ConfirmedBy identity.NodeName
+	// Asked and Answered count the nodes that were asked for a record and their answers.
+	Asked, Answered int
+}
+
+// setView records when the store last confirmed this node's view, zero if it is not known, against a
+// request's arrival.
+func (e *Evidence) setView(confirmed, arrived time.Time) {
+	if e.ViewKnown = !confirmed.IsZero(); e.ViewKnown {
+		e.Confirmed, e.ViewAge = !confirmed.Before(arrived), arrived.Sub(confirmed)
+	}
+}
 
 var (
 	// ErrUnknown means that nothing is known of what began a stream.
 	ErrUnknown = errors.New("origin: no record of the stream")
 	// ErrConflicting means that records of one stream differ.
 	ErrConflicting = errors.New("origin: records of the stream differ")
+	// ErrUnconfirmed means that the store has not confirmed this node's view of the versions.
+	ErrUnconfirmed = errors.New("origin: the store has not confirmed this node's view")
 )
 
 // Versions returns for how long all replicas of a service have had one version and the route has
 // led to this service alone, as far as this node knows. If the node's view is not up to date, only
-// StreamLifetime is set.
+// StreamLifetime and Confirmed are set.
 type Versions func(route, service string) fleet.VersionSpan
+
+// Confirm brings this node's view of the versions up to date. It returns nil once the store had nothing
+// that the view lacks at some time after since, and an error if that can't be learned in time.
+type Confirm func(ctx context.Context, since time.Time) error
