Go on past a page of the store whose last key can't be named

A page of the newest records names its keys in JSON, which has U+FFFD in place of bytes that are not UTF-8, and an empty key can't be passed as the one to go on after. A page that ended with such a key was asked for again without an end: a node that started never listed the replicas, was never ready, and kept every copy of the page.

The store's client now says where the next page begins, always after the page before. The store of the tests bounds pages and reads like the platform's (1 MB).

--- a/internal/emulator/store/store.go
+++ b/internal/emulator/store/store.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -51,8 +52,14 @@
 	reads          int
 }
 
-// defaultPageItems is the default number of keys on a page.
-const defaultPageItems = 500
+const (
+	// defaultPageItems is the default number of keys on a page.
+	defaultPageItems = 500
+	// maxPageBytes bounds the keys and values of a page, unless it has only one.
+	maxPageBytes = 1 << 20
+	// defaultReadBytes bounds a read that states no bound, unless it has only one record.
+	defaultReadBytes = 1 << 20
+)
 
 type partition struct {
 	records [][]byte
@@ -298,7 +305,7 @@
 	size := 0
 	for offset := request.From; offset < end; offset++ {
 		record := kept.records[offset-kept.first]
-		if size += len(record); request.MaxBytes > 0 && size > request.MaxBytes && len(result.Records) > 0 {
+		if size += len(record); size > cmp.Or(request.MaxBytes, defaultReadBytes) && len(result.Records) > 0 {
 			break
 		}
 		result.Records = append(result.Records, record)
@@ -315,12 +322,14 @@
 	defer s.mutex.Unlock()
 	kept := s.at(request.Partition)
 	result := logstore.NewestResult{End: kept.first + logstore.Offset(len(kept.records))}
+	size := 0
 	for _, key := range slices.Sorted(maps.Keys(kept.newest)) {
 		if key <= request.After {
 			continue
 		}
-		if len(result.Items) == s.pageItems {
-			result.More = true
+		size += len(key) + len(kept.newest[key])
+		if len(result.Items) == s.pageItems || size > maxPageBytes && len(result.Items) > 0 {
+			result.More, result.Next = true, result.Items[len(result.Items)-1].Key
 			break
 		}
 		result.Items = append(result.Items, logstore.Item{Key: key, Value: kept.newest[key]})
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -102,8 +102,10 @@
 	// End is the offset from which Changes continues without a gap for the keys of this page
 	// and of all pages read after it.
 	End Offset
-	// More is set if there are keys after the last item.
+	// More is set if there are keys after this page. Next is the NewestRequest.After of the next page
+	// then; it is greater than that of this one.
 	More bool
+	Next string
 }
 
 // ChangesResult has the records of a keyed partition from ReadRequest.From on.
--- a/internal/quarantine/archive.go
+++ b/internal/quarantine/archive.go
@@ -327,7 +327,6 @@
 			return nil, fmt.Errorf("quarantine: read stored attempts: %w", err)
 		}
 		for _, item := range page.Items {
-			after = item.Key
 			stored, key, err := decodeArchived(item)
 			if err != nil {
 				a.logger.Warn("stored attempt not readable", "key", item.Key, "error", err)
@@ -346,7 +345,7 @@
 			}
 			records[stored.key] = &stored
 		}
-		more = page.More && len(page.Items) > 0
+		after, more = page.Next, page.More
 	}
 	return lo.Map(lo.Values(records), func(one *record, _ int) record { return *one }), nil
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -135,7 +135,7 @@
 		if !page.More {
 			break
 		}
-		after = page.Items[len(page.Items)-1].Key
+		after = page.Next
 	}
 	w.config.OnSnapshot(items, next)
 	w.config.OnConfirmed(sent)
