Read on without a pause while the store has more than a read returns

A read of the store returns 1 MB. A node paused between two reads as well while more was there, so that entries behind large ones waited for a pause for each megabyte: a few large odd entries a second kept nodes behind.

TestLargeRecordsDoNotDelayOthers before: '1 != 2'.

--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -32,7 +32,7 @@
 	Name      string
 	Store     logstore.Store
 	Partition logstore.Partition
-	// Pause returns the minimum time between two reads.
+	// Pause returns the minimum time between two reads, unless the store has more than one can return.
 	Pause func() time.Duration
 	// Wait returns how long the next read waits for a change.
 	Wait func() time.Duration
@@ -177,6 +177,8 @@
 		}
 		if next >= changed.End {
 			w.config.OnConfirmed(sent)
+		} else if next > from {
+			continue // a read is bounded, and there is more
 		}
 		_ = wait.For(ctx, w.config.Pause()) // the loop checks ctx
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -261,3 +261,23 @@
 		is.True(log.Calls("newest") < 35) // 12 to 24 at 2.5 to 7.5 s each, and the first ones at shorter pauses
 	})
 }
+
+// TestLargeRecordsDoNotDelayOthers guards against a watcher that falls behind records which take more
+// than one read, since it pauses between these reads as well.
+func TestLargeRecordsDoNotDelayOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := store.New()
+		log.Put(partition, "a", []byte("1"))
+		recorded, _ := startWatcher(t, log)
+		time.Sleep(2 * time.Second)
+		large := make([]byte, 256<<10)
+		for range 40 { // ten reads
+			log.Put(partition, "large", large)
+		}
+		log.Put(partition, "a", []byte("2"))
+		time.Sleep(time.Second) // one pause and one wait of a read
+		synctest.Wait()
+		is.Equal(recorded.values["a"], "2")
+	})
+}
