Reject entries of replicas whose values no node can act on

fleet.Replica.Validate bounds them, for entries of the store and of peers alike; such an entry is unreadable like one with a port out of range. The tests of routednode use replicas with an address now.

--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -51,7 +51,7 @@
 	return append(binary.AppendUvarint(encoded, uint64(len(text))), text...)
 }
 
-// Decode decodes the replica of an instance.
+// Decode decodes and validates the replica of an instance.
 func Decode(instance string, encoded []byte) (Replica, error) {
 	if len(encoded) == 0 || encoded[0] != codecVersion {
 		return Replica{}, errCodecVersion
@@ -81,6 +81,9 @@
 		return Replica{}, fmt.Errorf("fleet: encoded replica: %w", err)
 	}
 	replica.Address = parsed
+	if err := replica.Validate(); err != nil {
+		return Replica{}, err
+	}
 	return replica, nil
 }
 
--- a/internal/routednode/replicaview_test.go
+++ b/internal/routednode/replicaview_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 	"stepseam.example/stepseam/internal/router"
 )
 
+var testAddress = netip.MustParseAddrPort("10.0.0.1:80")
+
 var errTest = errors.New("unreadable")
 
 // testViews returns views that decode replica entries as JSON of fleet.Replica.
@@ -38,7 +41,7 @@
 
 func entry(instance string, startedAtMs int64, sequence uint64) logstore.Item {
 	encoded, _ := json.Marshal(fleet.Replica{
-		Instance: instance, StartedAtMs: startedAtMs, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Sequence: sequence,
+		Instance: instance, StartedAtMs: startedAtMs, Address: testAddress, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Sequence: sequence,
 	})
 	return logstore.Item{Key: instance, Value: encoded}
 }
@@ -77,7 +80,7 @@
 	v := testViews()
 	v.replaceEntries([]logstore.Item{entry("a", 0, 1)}, 10)
 	v.replicas.Confirm(time.Now())
-	replica := fleet.Replica{Instance: "c", Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady}
+	replica := fleet.Replica{Instance: "c", Address: testAddress, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady}
 	v.applyFromPeer([]logstore.Item{{Key: "a"}, {Key: "c", Value: fleet.Encode(&replica)}}, 20)
 	v.applyEntries(10, []logstore.Item{entry("b", 0, 1)}, 15) // read earlier, delivered late
 	is.Equal(v.fleet.Size(), 1)
@@ -125,7 +128,7 @@
 
 // versioned returns a replica's entry with a version.
 func versioned(instance, version string) logstore.Item {
-	encoded, _ := json.Marshal(fleet.Replica{Instance: instance, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Version: version})
+	encoded, _ := json.Marshal(fleet.Replica{Instance: instance, Address: testAddress, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Version: version})
 	return logstore.Item{Key: instance, Value: encoded}
 }
 
