Bound the log lines about records that can't be read

Entries of replicas were logged once an instance until 1,024 were known and with each read from then on, and errors quoted the values that they were about, whatever their length; those of evacuations were logged with each read.

Records of each topic are logged with key and error shortened, once a key and 20 lines a minute, with the number of those that had no line since; the counters count all. Stored attempts have 20 lines a read and a line with their number.

--- a/internal/quarantine/archive.go
+++ b/internal/quarantine/archive.go
@@ -27,6 +27,8 @@
 	// minAppendPause and maxAppendPause bound the pause after a call that failed.
 	minAppendPause = 50 * time.Millisecond
 	maxAppendPause = 500 * time.Millisecond
+	// maxLoggedUnreadable bounds the log lines of one read about attempts that are not readable.
+	maxLoggedUnreadable = 20
 )
 
 // archiveKey is the key of an attempt in the log.
@@ -319,6 +321,7 @@
 // read returns the records of all stored attempts. Errors: those of the log.
 func (a *archive) read(ctx context.Context) ([]record, error) {
 	records := map[Key]*record{}
+	unreadable := 0
 	for after, more := "", true; more; {
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		page, err := a.log.Newest(call, logstore.NewestRequest{Partition: a.partition, After: after})
@@ -329,7 +332,9 @@
 		for _, item := range page.Items {
 			stored, key, err := decodeArchived(item)
 			if err != nil {
-				a.logger.Warn("stored attempt not readable", "key", item.Key, "error", err)
+				if unreadable++; unreadable <= maxLoggedUnreadable {
+					a.logger.Warn("stored attempt not readable", "key", item.Key, "bytes", len(item.Value), "error", err)
+				}
 				continue
 			}
 			if len(item.Value) == 0 {
@@ -347,6 +352,9 @@
 		}
 		after, more = page.Next, page.More
 	}
+	if unreadable > maxLoggedUnreadable {
+		a.logger.Warn("more stored attempts not readable", "unreadable", unreadable)
+	}
 	return lo.Map(lo.Values(records), func(one *record, _ int) record { return *one }), nil
 }
 
--- a/internal/routednode/configurationview.go
+++ b/internal/routednode/configurationview.go
@@ -83,7 +83,7 @@
 	configuration, err := v.adapter.DecodeConfiguration(encoded)
 	v.freshness.setUsable(err == nil)
 	if err != nil {
-		v.logger.Error("cannot decode configuration; keeping the current one", "from", source, "error", err, "bytes", len(encoded))
+		v.logger.Error("cannot decode configuration; keeping the current one", "from", source, "error", shortened(err.Error(), maxLoggedReason), "bytes", len(encoded))
 		return
 	}
 	applied := v.router.SetConfiguration(configuration)
--- a/internal/routednode/evacuations.go
+++ b/internal/routednode/evacuations.go
@@ -23,22 +23,22 @@
 	now        clock
 	logger     *slog.Logger
 	// unreadable counts records that could not be decoded.
-	unreadable prometheus.Counter
+	unreadable *unreadableRecords
 	// lastSend observes the delay between an evacuation and the last request that this node
 	// sent to the zone.
 	lastSend prometheus.Histogram
 }
 
 func newEvacuations(e evacuations, registerer prometheus.Registerer) *evacuations {
-	e.unreadable = prometheus.NewCounter(prometheus.CounterOpts{
+	e.unreadable = newUnreadableRecords("cannot decode evacuation record; the zone's state is unchanged", prometheus.CounterOpts{
 		Name: "stepseam_evacuations_unreadable_total", Help: "Operators' records on zones that can't be read.",
-	})
+	}, e.logger, registerer)
 	e.lastSend = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name:    "stepseam_evacuation_last_send_seconds",
 		Help:    "Time from the first word of a zone's evacuation to the last request that this node sent there, by evacuation.",
 		Buckets: []float64{0, .05, .1, .25, .5, 1, 2, 5, 10},
 	})
-	registerer.MustRegister(e.unreadable, e.lastSend, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	registerer.MustRegister(e.lastSend, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "stepseam_evacuated_zones", Help: "Zones that are evacuated, as far as this node knows.",
 	}, func() float64 { return float64(len(e.zones.Snapshot(0).Zones)) }))
 	return &e
@@ -52,7 +52,7 @@
 		switch {
 		case !matches:
 		case err != nil:
-			e.recordUnreadable(item, err)
+			e.unreadable.record(item.Key, len(item.Value), err)
 			unreadable = append(unreadable, change.Zone)
 		case change.Evacuated:
 			evacuated = append(evacuated, change.Zone)
@@ -69,7 +69,7 @@
 		switch {
 		case !matches:
 		case err != nil:
-			e.recordUnreadable(item, err)
+			e.unreadable.record(item.Key, len(item.Value), err)
 		default:
 			changes = append(changes, change)
 		}
@@ -82,11 +82,6 @@
 	e.report(e.zones.Merge(snapshot, e.now()-time.Since(requested)), source)
 }
 
-func (e *evacuations) recordUnreadable(item logstore.Item, err error) {
-	e.unreadable.Inc()
-	e.logger.Error("cannot decode evacuation record; the zone's state is unchanged", "key", item.Key, "bytes", len(item.Value), "error", err)
-}
-
 // report logs the events and records their metrics; source is logged.
 func (e *evacuations) report(events []evacuation.Event, source string) {
 	for _, event := range events {
--- a/internal/routednode/evacuations_test.go
+++ b/internal/routednode/evacuations_test.go
@@ -50,7 +50,7 @@
 	e.replace([]logstore.Item{item("zone/a", "garbage"), item("config", "{}")}, 9) // the evacuation of b has ended
 	is.True(e.zones.Evacuated("a"))
 	is.True(!e.zones.Evacuated("b"))
-	is.Equal(testutil.ToFloat64(e.unreadable), 3.0)
+	is.Equal(testutil.ToFloat64(e.unreadable.counter), 3.0)
 	for _, part := range []string{"key=zone/c", "zone_name=b from=store", `msg="zone taken back"`, "replicas=0"} {
 		is.True(strings.Contains(log.String(), part))
 	}
--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -55,7 +55,7 @@
 	}
 	replica, err := v.adapter.DecodeReplica(item.Key, item.Value)
 	if err != nil {
-		v.unreadable.record(item.Key, err)
+		v.unreadable.record(item.Key, len(item.Value), err)
 		return fleet.Change{Instance: item.Key, Unreadable: true}
 	}
 	return fleet.Change{Instance: item.Key, Replica: &replica}
@@ -145,7 +145,7 @@
 	}
 	replica, err := fleet.Decode(item.Key, item.Value)
 	if err != nil {
-		v.unreadable.record(item.Key, err)
+		v.unreadable.record(item.Key, len(item.Value), err)
 		return fleet.Change{Instance: item.Key, Unreadable: true}
 	}
 	return fleet.Change{Instance: item.Key, Replica: &replica}
--- a/internal/routednode/replicaview_test.go
+++ b/internal/routednode/replicaview_test.go
@@ -120,10 +120,10 @@
 	is.Equal(items, []logstore.Item{{Key: "a"}}) // pullers drop it too
 	v.applyEntries(12, []logstore.Item{entry("a", 0, 2)}, 13)
 	is.Equal(v.fleet.Size(), 1)
-	for i := range 3 * maxLoggedInstances {
-		v.unreadable.record(fmt.Sprint(i), errTest)
+	for i := range 3 * maxUnreadableLines {
+		v.unreadable.record(fmt.Sprint(i), 1, errTest)
 	}
-	is.True(len(v.unreadable.logged) <= maxLoggedInstances)
+	is.True(len(v.unreadable.logged) <= maxUnreadableLines)
 }
 
 // versioned returns a replica's entry with a version.
--- a/internal/routednode/views.go
+++ b/internal/routednode/views.go
@@ -40,7 +40,7 @@
 	onConfiguration []func()
 	// listed is set after the replicas have been loaded once.
 	listed     atomic.Bool
-	unreadable *unreadableEntries
+	unreadable *unreadableRecords
 
 	// operators and replicas are the topics that nodes distribute among each other.
 	operators, replicas *sharedTopic
