Forget services whose replicas are gone

The directory kept the zones and the history of versions of every service that ever had an entry, so that entries whose service changes with each write filled a node's memory for as long as it ran. Services without a usable replica are dropped, and the histories of at most 256 services without an entry kept; a service that comes back after its history was dropped does not count as one that never had another version.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -7,6 +7,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,10 @@
 	// changes may have been missed.
 	versions      map[string]*serviceVersions
 	completeSince time.Duration
+	// past holds when the last entry of a service without entries was removed. The histories of
+	// services before forgottenAt may have been dropped.
+	past        map[string]time.Duration
+	forgottenAt time.Duration
 	// purgeAt is the time at which the next of lapsed expires, in nanoseconds; 0 if none
 	// does.
 	purgeAt atomic.Int64
@@ -60,7 +65,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{replicas: map[string]*entry{}, services: map[string]*service{}, lapsed: map[string]*entry{}, versions: map[string]*serviceVersions{}}
+	return &Directory{replicas: map[string]*entry{}, services: map[string]*service{}, lapsed: map[string]*entry{}, versions: map[string]*serviceVersions{}, past: map[string]time.Duration{}}
 }
 
 // StoreRecovered records that the store was unavailable until now.
@@ -267,6 +272,9 @@
 	if len(zone.ring) == 0 {
 		delete(svc.zones, removed.replica.Zone)
 	}
+	if svc.count == 0 {
+		delete(d.services, removed.replica.Service)
+	}
 }
 
 // Remove deletes an incarnation of a replica that is known to have ended, for instance
@@ -287,6 +295,7 @@
 type Presence struct {
 	StartedAtMs int64
 	State       State
+	Address     netip.AddrPort
 	// Sequence is that of the last renewal known to this node. Nodes that do not read the store
 	// themselves learn of none, but only of changes.
 	Sequence uint64
@@ -300,7 +309,7 @@
 	if !found {
 		return Presence{}, false
 	}
-	return Presence{StartedAtMs: known.replica.StartedAtMs, State: known.replica.State, Sequence: known.replica.Sequence}, true
+	return Presence{StartedAtMs: known.replica.StartedAtMs, State: known.replica.State, Address: known.replica.Address, Sequence: known.replica.Sequence}, true
 }
 
 // Recovering reports whether entries may be missing since replicas could not write to the store.
--- a/internal/fleet/version_test.go
+++ b/internal/fleet/version_test.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -27,3 +29,30 @@
 	_, err = Decode("a", Encode(&known)[:len(Encode(&known))-1])
 	is.True(err != nil) // it ends within the version
 }
+
+// Entries whose service changes with each write filled the memory of nodes with services that are gone.
+func TestPastServicesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory()
+	const services = 4 * maxPastServices
+	now := time.Duration(0)
+	for i := range services {
+		now += 100 * time.Millisecond
+		replica := validReplica()
+		replica.Service = fmt.Sprint("s-", i)
+		d.Apply([]Change{{Instance: replica.Instance, Replica: &replica}}, now)
+	}
+	is.Equal(len(d.services), 1)
+	is.True(len(d.versions) <= maxPastServices+1)
+	is.True(len(d.past) <= maxPastServices)
+
+	// A service whose history was dropped does not count as one that never had another version.
+	again := validReplica()
+	again.Service = "s-0"
+	d.Apply([]Change{{Instance: again.Instance, Replica: &again}}, now)
+	span := d.VersionSpan("s-0", now)
+	is.True(span.Only)
+	is.True(span.Age < now-100*time.Millisecond)
+	known := d.VersionSpan(fmt.Sprint("s-", services-1), now)
+	is.True(!known.Only) // it has no entry any more
+}
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -9,6 +9,8 @@
 	// a version that has none was removed.
 	entries  map[publishedVersion]int
 	lastSeen map[publishedVersion]time.Duration
+	// completeSince is the time before which the history may have been dropped.
+	completeSince time.Duration
 }
 
 // publishedVersion is a version as known here. Two unknown versions may differ.
@@ -20,6 +22,9 @@
 // maxPastVersions bounds the versions of a service that are remembered without an entry.
 const maxPastVersions = 64
 
+// maxPastServices bounds the services without entries whose versions are remembered.
+const maxPastServices = 256
+
 func versionOf(replica *Replica) publishedVersion {
 	return publishedVersion{version: replica.Version, unknown: replica.VersionUnknown}
 }
@@ -28,9 +33,10 @@
 func (d *Directory) addVersion(replica *Replica) {
 	versions, found := d.versions[replica.Service]
 	if !found {
-		versions = &serviceVersions{entries: map[publishedVersion]int{}, lastSeen: map[publishedVersion]time.Duration{}}
+		versions = &serviceVersions{entries: map[publishedVersion]int{}, lastSeen: map[publishedVersion]time.Duration{}, completeSince: d.forgottenAt}
 		d.versions[replica.Service] = versions
 	}
+	delete(d.past, replica.Service)
 	versions.entries[versionOf(replica)]++
 }
 
@@ -50,6 +56,27 @@
 	if len(versions.lastSeen) > maxPastVersions {
 		versions.forgetOldest()
 	}
+	if len(versions.entries) == 0 {
+		d.past[replica.Service] = now
+		d.forgetPastServices()
+	}
+}
+
+// forgetPastServices drops the history of the service that has had no entry for longest if there are
+// too many. The caller must hold the mutex.
+func (d *Directory) forgetPastServices() {
+	if len(d.past) <= maxPastServices {
+		return
+	}
+	oldest, found := "", false
+	for service, seen := range d.past {
+		if !found || seen < d.past[oldest] {
+			oldest, found = service, true
+		}
+	}
+	d.forgottenAt = max(d.forgottenAt, d.past[oldest])
+	delete(d.past, oldest)
+	delete(d.versions, oldest)
 }
 
 func (v *serviceVersions) forgetOldest() {
@@ -93,7 +120,7 @@
 			return VersionSpan{}
 		}
 	}
-	since := d.completeSince
+	since := max(d.completeSince, versions.completeSince)
 	for past, seen := range versions.lastSeen {
 		if past != present {
 			since = max(since, seen)
