Let a replica's sequence begin anew for its cold time

The limiter of cold replicas ignored each registration whose sequence number was not above the highest one seen, for as long as the entry existed. One odd entry with the largest number and a long cold time kept its replica cold, at the cold rate, whatever the replica said later. A lower number counts after 10 s without a higher one, as an earlier start does in the directory.

Removed replicas are looked for once a second rather than with each removal, whose cost grew with their number.

TestSequenceMayBeginAnew before: 'not true: !limiter.Cold(...)' at 10 s.

--- a/internal/coldstart/limiter.go
+++ b/internal/coldstart/limiter.go
@@ -24,13 +24,16 @@
 	senders  *senders
 	replicas map[string]*replicaState
 	withheld uint64
+	// purgedAt is when removed replicas were last forgotten.
+	purgedAt time.Duration
 }
 
 // replicaState is the state of one replica.
 type replicaState struct {
 	service, zone string
-	// sequence is the sequence number of the newest registration applied.
-	sequence uint64
+	// sequence is the sequence number of the newest registration applied, at updatedAt.
+	sequence  uint64
+	updatedAt time.Duration
 	// coldUntil is reported by the replica itself. Until presumedUntil the replica counts
 	// as cold whatever it reports.
 	coldUntil, presumedUntil time.Duration
@@ -62,6 +65,11 @@
 	l.senders.setView(view, now)
 }
 
+// sequenceTTL is how long a registration takes precedence over ones with lower sequence numbers.
+// After that the replica must have begun to count anew, since a delayed registration would have
+// arrived before.
+const sequenceTTL = 10 * time.Second
+
 // UpdateReplica applies a replica's registration. Registrations with a sequence number
 // that is not newer, such as ones delayed by a peer, are ignored. It reports whether the
 // replica became cold.
@@ -72,11 +80,11 @@
 	if !found {
 		state = &replicaState{service: replica.Service, zone: replica.Zone}
 		l.replicas[replica.IncarnationID()] = state
-	} else if replica.Sequence <= state.sequence {
+	} else if replica.Sequence == state.sequence || replica.Sequence < state.sequence && now-state.updatedAt < sequenceTTL {
 		return false
 	}
 	before := state.isCold(now)
-	state.sequence, state.removedAt = replica.Sequence, 0
+	state.sequence, state.updatedAt, state.removedAt = replica.Sequence, now, 0
 	state.coldUntil = now + replica.ColdRemaining
 	return !before && state.isCold(now)
 }
@@ -98,13 +106,19 @@
 // registration may reappear, and requests sent before still count.
 const removedRetention = time.Minute
 
+// purgeInterval is the minimum time between two searches for removed replicas to forget.
+const purgeInterval = time.Second
+
 // RemoveReplica records that a replica's registration was removed.
 func (l *Limiter) RemoveReplica(instance string, now time.Duration) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for other, state := range l.replicas {
-		if state.removedAt > 0 && now-state.removedAt > removedRetention {
-			delete(l.replicas, other)
+	if now-l.purgedAt >= purgeInterval {
+		l.purgedAt = now
+		for other, state := range l.replicas {
+			if state.removedAt > 0 && now-state.removedAt > removedRetention {
+				delete(l.replicas, other)
+			}
 		}
 	}
 	if state, found := l.replicas[instance]; found {
--- a/internal/coldstart/limiter_test.go
+++ b/internal/coldstart/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"testing"
@@ -296,3 +297,21 @@
 	}
 	is.True(len(arrivals) >= 27)
 }
+
+// A registration with a sequence number that no later one reached kept a replica cold for good.
+func TestSequenceMayBeginAnew(t *testing.T) {
+	is := is.New(t)
+	limiter := NewLimiter("n")
+	limit := RateLimit{PerSecond: 1}
+	replica := fleet.Replica{Instance: "a", Service: "s", Zone: "z", Sequence: math.MaxUint64, ColdRemaining: fleet.MaxColdRemaining}
+	is.True(limiter.UpdateReplica(replica, time.Second))
+	replica.Sequence, replica.ColdRemaining = 4, 0
+	limiter.UpdateReplica(replica, 2*time.Second) // it may be a delayed one
+	is.True(limiter.Cold("a", limit, 2*time.Second))
+	replica.Sequence = 5
+	limiter.UpdateReplica(replica, time.Second+sequenceTTL)
+	is.True(!limiter.Cold("a", limit, time.Second+sequenceTTL))
+	replica.ColdRemaining = time.Minute
+	limiter.UpdateReplica(replica, time.Minute) // the same registration once more
+	is.True(!limiter.Cold("a", limit, time.Minute))
+}
