Answer 421 to requests that took a node for a replica

An entry with the address at which a node takes clients made other nodes, and the node itself, send requests there as to a replica; it removed the fields that only nodes set and passed them on, to itself or another such entry, until the deadline. A node that gets a request for an instance whose entry has the address at which the request arrived answers 421, as any other replica does, so that the entry is dropped and the request goes elsewhere.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -101,6 +101,7 @@
 	routes        routeHistory
 	lifetimes     streamLifetimes
 	draining      atomic.Bool
+	ownInstances  ownInstances
 	// calls is canceled with errStopping by endCalls.
 	calls    context.Context
 	endCalls context.CancelCauseFunc
@@ -168,6 +169,11 @@
 	if r.draining.Load() {
 		reply.closeAfter()
 	}
+	if r.takenForReplica(request) {
+		reply.reject(http.StatusMisdirectedRequest, rejection{reason: "not_a_replica"})
+		r.logRejected(request, reply)
+		return
+	}
 	stale := r.checkLease()
 	configuration := r.configuration.Load()
 	if configuration == nil {
