Hold no large records that are of no use

A node kept each record of the replicas' and the operators' topics until it had read a list whole, and the operators' records on zones, whatever their length, for as long as they were there; it passed these on to other nodes. Large odd records took more memory than a machine has, at a node that starts (replicas) and at all nodes (zones), again after each start.

--- a/internal/routednode/configurationview.go
+++ b/internal/routednode/configurationview.go
@@ -57,12 +57,25 @@
 	})
 }
 
-// relevantRecords returns the records that this node uses.
+// evacuatedValue and unreadableValue stand for the values of evacuations, whose content is of no use.
+// All builds decode them as what they stand for.
+var (
+	evacuatedValue  = []byte("{}")
+	unreadableValue = []byte("?")
+)
+
+// relevantRecords returns the records that this node uses. Values of evacuations, of any length, are
+// replaced by short ones, since nodes keep them and pass them on.
 func (v *views) relevantRecords(items []logstore.Item) []logstore.Item {
 	used := make([]logstore.Item, 0, len(items))
 	for _, item := range items {
-		_, evacuates, _ := v.adapter.DecodeEvacuation(item)
-		if evacuates || item.Key == v.adapter.ConfigurationKey {
+		_, evacuates, err := v.adapter.DecodeEvacuation(item)
+		switch {
+		case evacuates && err != nil:
+			used = append(used, logstore.Item{Key: item.Key, Value: unreadableValue})
+		case evacuates && item.Value != nil:
+			used = append(used, logstore.Item{Key: item.Key, Value: evacuatedValue})
+		case evacuates || item.Key == v.adapter.ConfigurationKey:
 			used = append(used, item)
 		}
 	}
--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -35,6 +35,17 @@
 	})
 }
 
+// readableEntries returns the entries that can be decoded.
+func (v *views) readableEntries(items []logstore.Item) []logstore.Item {
+	readable := make([]logstore.Item, 0, len(items))
+	for _, item := range items {
+		if change := v.decodeEntry(item); change.Replica != nil {
+			readable = append(readable, item)
+		}
+	}
+	return readable
+}
+
 // applyEntries applies the entries between two positions of the store.
 func (v *views) applyEntries(from logstore.Offset, items []logstore.Item, next logstore.Offset) {
 	v.replicas.apply(from, next, func() {
--- a/internal/routednode/watchers.go
+++ b/internal/routednode/watchers.go
@@ -43,7 +43,7 @@
 	return watch.New(watch.Config{
 		Name: "configuration", Store: f.store, Partition: f.views.adapter.Configuration,
 		Pause: func() time.Duration { return 0 }, Wait: f.configurationWait,
-		OnSnapshot: f.views.replaceOperatorRecords,
+		OnSnapshot: f.views.replaceOperatorRecords, Keep: f.views.relevantRecords,
 		OnChanges: func(from logstore.Offset, items []logstore.Item, next logstore.Offset) {
 			f.views.applyOperatorRecords(from, items, next, "store")
 		},
@@ -57,7 +57,7 @@
 	return watch.New(watch.Config{
 		Name: "replicas", Store: f.store, Partition: f.views.adapter.Replicas,
 		Pause: f.replicaPause, Wait: f.replicaWait,
-		OnSnapshot: f.views.replaceEntries, OnChanges: f.views.applyEntries,
+		OnSnapshot: f.views.replaceEntries, Keep: f.views.readableEntries, OnChanges: f.views.applyEntries,
 		OnRecovered: func() { f.views.fleet.StoreRecovered(f.views.router.Now()) },
 		OnConfirmed: f.views.replicas.Confirm, Logger: f.views.logger,
 		Await: f.await(replicasTopic, f.views.adapter.Replicas), Position: f.views.replicas.Position, LongestPause: f.maxPause(f.views.adapter.Replicas),
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -55,6 +55,9 @@
 	// Position returns the offset up to which the partition is known from another source,
 	// such as a peer, if it is. It is nil if there is no other source.
 	Position func() (logstore.Offset, bool)
+	// Keep returns what is needed of one page of a snapshot, so that the other items are not held until
+	// its end; nil keeps all.
+	Keep func(items []logstore.Item) []logstore.Item
 	// LongestPause returns the maximum pause after failed calls; nil means maxPause.
 	LongestPause func() time.Duration
 }
@@ -131,6 +134,9 @@
 		if first {
 			first, next = false, page.End
 		}
+		if w.config.Keep != nil {
+			page.Items = w.config.Keep(page.Items)
+		}
 		items = append(items, page.Items...)
 		if !page.More {
 			break
