--- a/internal/ledger/recorded_test.go
+++ b/internal/ledger/recorded_test.go
@@ -43,3 +43,21 @@
 	f.Add([]byte{3, 0xff, 0xff})
 	f.Fuzz(func(_ *testing.T, encoded []byte) { _, _ = Decode(encoded) })
 }
+
+// FuzzApply checks that records of other writers neither end a reader nor grow its state beyond one
+// account and one turn a record.
+func FuzzApply(f *testing.F) {
+	f.Add(Encode(Reservation{Program: "p", Attempt: 1, Budget: 100, MaxTurnTokens: 20, MinTokens: 20, WantedTokens: 70}), Encode(Settlement{Program: "p", Attempt: 1, Used: 1<<32 - 1}))
+	f.Add(Encode(OwnershipClaim{Incarnation: "x"}), Encode(OwnerLimit{Incarnation: "x", Exclusive: true}))
+	f.Add([]byte{}, []byte{0xff})
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		p := NewPartition()
+		const records = 3
+		for _, record := range [records][]byte{first, second, first} {
+			p.Apply(record, 0)
+		}
+		if p.Next() != records || len(p.accounts) > records || len(p.turns) > records {
+			t.Fatalf("%d accounts and %d turns after %d records", len(p.accounts), len(p.turns), p.Next())
+		}
+	})
+}
--- a/internal/quarantine/record_test.go
+++ b/internal/quarantine/record_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"stepseam.example/stepseam/internal/emulator/nodes"
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/peer"
 	"stepseam.example/stepseam/internal/wire"
 )
@@ -230,3 +232,18 @@
 		}
 	})
 }
+
+// FuzzDecodeArchived checks that a stored attempt of another writer is used under its own key only.
+func FuzzDecodeArchived(f *testing.F) {
+	one := record{key: Key{1}, lifetime: 1, attempts: []sharedAttempt{{id: 2, replica: Replica{Instance: "i"}, state: stateOpen}}}
+	key := archiveKey{content: one.key, attempt: 2}
+	f.Add(key.String(), encodeArchived(&one))
+	f.Add("", encodeArchived(&one))
+	f.Add("\xff", []byte{0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		read, named, err := decodeArchived(logstore.Item{Key: key, Value: value})
+		if err == nil && len(value) > 0 && (len(read.attempts) != 1 || !strings.EqualFold(named.String(), key)) {
+			t.Fatalf("%q was read as %+v of %s", value, read, named)
+		}
+	})
+}
--- a/internal/routednode/replicaview_test.go
+++ b/internal/routednode/replicaview_test.go
@@ -195,3 +195,24 @@
 	position, _ := v.replicas.Position()
 	v.applyEntries(position, []logstore.Item{item}, position+1)
 }
+
+// FuzzPeerEntry checks that the next good entry takes effect after whatever a peer has passed on.
+func FuzzPeerEntry(f *testing.F) {
+	good := fleet.Replica{Instance: "good", Address: testAddress, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady}
+	f.Add("a", fleet.Encode(&good))
+	f.Add("good", fleet.Encode(&good)[:9])
+	f.Add("\xff\r\n", []byte{1, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Add("good", []byte{})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		v := testViews()
+		v.replaceFromPeer([]logstore.Item{{Key: key, Value: value}}, 1)
+		v.applyFromPeer([]logstore.Item{{Key: key, Value: value}, {Key: "other", Value: value}}, 2)
+		if key == good.Instance {
+			v.applyFromPeer([]logstore.Item{{Key: key}}, 3)
+		}
+		v.applyFromPeer([]logstore.Item{{Key: good.Instance, Value: fleet.Encode(&good)}}, 4)
+		if found, present := v.fleet.Presence(good.Instance); !present || found.Address != testAddress {
+			t.Fatalf("%+v, %v", found, present)
+		}
+	})
+}
