Charge a turn ahead of the log to the reservation whose outcome was unknown

An owner may grant a program's first turn before its reservation is in the log. If the outcome of that reservation was unknown, it was given back (settled with nothing used) before the next one was written. It was all that stood for the turn: another node assumes a turn of the owner only for a program that has no record. With another node's tokens charged, the next reservation was refused, and the turn was charged nowhere.

The reservation is now kept until a later verdict, which lists the open reservations by attempt: if the log has it, it covers the turn; otherwise the assumed one does, as before. If the later one is granted, the former is given back at once. A refusal that counted the turn twice may be tried again. If there is no further verdict, the tokens are settled against both, of which the log has one.

TestReservationGetsRemainingBudget and the one before compare the attempts of open reservations, too.

--- a/internal/ledger/credit.go
+++ b/internal/ledger/credit.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"fmt"
 	"slices"
 	"time"
 )
@@ -50,6 +49,9 @@
 	// unneeded contains reservations that are to be settled without use: those that were given
 	// up, and assumed ones that stand for nothing.
 	unneeded []AttemptID
+	// uncertain contains reservations of unknown outcome that may be all that is charged for unlogged
+	// grants.
+	uncertain []AttemptID
 	// WaitingTokens is the upper bound of what turns use that wait for the next reservation.
 	WaitingTokens uint64
 }
@@ -237,6 +239,7 @@
 	if verdict.Granted > 0 {
 		c.reservations = append(c.reservations, reservation{attempt: verdict.Attempt, granted: uint64(verdict.Granted)})
 	}
+	c.resolveUncertain(verdict)
 }
 
 // refute returns a verdict in which the assumed reservations for unlogged grants of this incarnation stand for
@@ -267,10 +270,6 @@
 	c.unneeded = append(c.unneeded, verdict.Attempt)
 }
 
-// Fail notes that the outcome of a pending reservation will not be known. What it reserved, if it was
-// written, is not used.
-func (c *Credit) Fail(attempt AttemptID) { c.unneeded = append(c.unneeded, attempt) }
-
 // mayFit reports whether a refused reservation may fit once other incarnations have returned
 // what they reserved. What open turns of this credit leave over counts then, too.
 func (c *Credit) mayFit(verdict Verdict, mayReturn func(IncarnationID) bool) bool {
@@ -322,7 +321,8 @@
 }
 
 // Settle returns the records that settle all reservations with what was used. What was used
-// unlogged and is covered by none is charged in place of the assumed reservation.
+// unlogged and is covered by none is charged in place of the assumed reservation, or of one whose
+// outcome is unknown, whichever the log has.
 func (c *Credit) Settle() []Record {
 	records := c.Corrections()
 	remaining := c.used
@@ -331,6 +331,14 @@
 		remaining -= used
 		records = append(records, Settlement{Program: c.program, Attempt: one.attempt, Used: uint32(used)})
 	}
+	for number, attempt := range c.uncertain {
+		used := remaining
+		if number > 0 {
+			used = 0
+		}
+		records = append(records, Settlement{Program: c.program, Attempt: attempt, Used: uint32(used)})
+	}
+	c.uncertain = nil
 	if remaining > 0 {
 		records = append(records, Settlement{Program: c.program, Attempt: assumedAttempt(c.program), Used: uint32(remaining)})
 	}
@@ -340,6 +348,9 @@
 // Corrections returns the records that settle what is charged for nothing, as the verdicts since
 // the last call showed.
 func (c *Credit) Corrections() []Record {
+	if !c.Uncovered() {
+		c.unneeded, c.uncertain = append(c.unneeded, c.uncertain...), nil
+	}
 	records := make([]Record, 0, len(c.reservations)+len(c.unneeded))
 	for _, attempt := range c.unneeded {
 		records = append(records, Settlement{Program: c.program, Attempt: attempt})
@@ -351,33 +362,3 @@
 // MisledByAssumption reports whether the last reservation was refused although tokens are
 // charged for nothing, so that it may be granted after Corrections.
 func (c *Credit) MisledByAssumption() bool { return c.last.Granted == 0 && len(c.last.Void) > 0 }
-
-// Explain describes what is charged to the budget, as of the last verdict: who has reserved how much,
-// for how long, and whether it may be returned; and what turns of this credit hold now.
-func (c *Credit) Explain(mayReturn func(IncarnationID) bool) string {
-	text := fmt.Sprintf("%d of %d tokens are charged", c.Charged, c.budget)
-	for _, one := range c.last.OpenReservations {
-		if !one.Void {
-			text += fmt.Sprintf(", %d %s for %.1f s", one.Tokens, c.purpose(one, mayReturn), one.Age.Seconds())
-		}
-	}
-	if c.last.Withheld > 0 {
-		text += fmt.Sprintf(", and %d are withheld since the first record is not an exclusive owner's", c.last.Withheld)
-	}
-	return text + fmt.Sprintf("; of what is reserved here, %d turns may use %d and %d are used", len(c.open), c.openTokens(), c.used)
-}
-
-// purpose says what an open reservation is for and whose it is.
-func (c *Credit) purpose(one OpenReservation, mayReturn func(IncarnationID) bool) string {
-	switch {
-	case one.Assumed && !one.Refutable:
-		return fmt.Sprintf("assumed for unlogged grants of %q or earlier owners", one.Incarnation)
-	case one.Assumed:
-		return fmt.Sprintf("for unlogged grants of former owner %q", one.Incarnation)
-	case one.Incarnation == c.incarnation:
-		return "reserved here"
-	case !mayReturn(one.Incarnation):
-		return fmt.Sprintf("reserved by %s (gone)", one.Incarnation)
-	}
-	return fmt.Sprintf("reserved by %s", one.Incarnation)
-}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -34,7 +34,7 @@
 		exactly(3, 100, 60),
 	)
 	is.Equal(verdicts, []Verdict{
-		{Attempt: 1, Granted: 60}, {Attempt: 2, Charged: 60, OpenReservations: []OpenReservation{{Tokens: 60}}, Shortfall: 20}, {Attempt: 3, Granted: 60, Charged: 30},
+		{Attempt: 1, Granted: 60}, {Attempt: 2, Charged: 60, OpenReservations: []OpenReservation{{Attempt: 1, Tokens: 60}}, Shortfall: 20}, {Attempt: 3, Granted: 60, Charged: 30},
 	})
 }
 
@@ -151,7 +151,7 @@
 	is.Equal(verdicts, []Verdict{
 		{Attempt: 1, Granted: 70},
 		{Attempt: 2, Granted: 30, Charged: 70},
-		{Attempt: 3, Charged: 100, OpenReservations: []OpenReservation{{Tokens: 30}, {Tokens: 70}}, Shortfall: 1},
+		{Attempt: 3, Charged: 100, OpenReservations: []OpenReservation{{Attempt: 2, Tokens: 30}, {Attempt: 1, Tokens: 70}}, Shortfall: 1},
 	})
 }
 
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -32,6 +32,7 @@
 // OpenReservation is a reservation that is not settled: tokens that an incarnation may use or
 // return.
 type OpenReservation struct {
+	Attempt     AttemptID
 	Incarnation IncarnationID
 	Tokens      uint32
 	// Assumed is set if the reservation stands for unlogged grants of the incarnation, see
@@ -55,7 +56,7 @@
 	void := a.void(program)
 	reserved := make([]OpenReservation, 0, len(a.open))
 	for attempt, one := range a.open {
-		one.Age = now - one.since
+		one.Age, one.Attempt = now-one.since, attempt
 		if one.Assumed {
 			one.Incarnation = IncarnationID(strings.TrimPrefix(string(one.Incarnation), assumedPrefix))
 			if a.unlogged.incarnation != "" {
@@ -66,7 +67,7 @@
 		reserved = append(reserved, one)
 	}
 	slices.SortFunc(reserved, func(one, other OpenReservation) int {
-		return cmp.Or(cmp.Compare(one.Incarnation, other.Incarnation), cmp.Compare(one.Tokens, other.Tokens))
+		return cmp.Or(cmp.Compare(one.Incarnation, other.Incarnation), cmp.Compare(one.Tokens, other.Tokens), cmp.Compare(one.Attempt, other.Attempt))
 	})
 	return reserved
 }
--- a/internal/ledgerlog/reserve.go
+++ b/internal/ledgerlog/reserve.go
@@ -79,7 +79,11 @@
 		m.settle(credit.Corrections())
 		return false
 	}
+	failed := credit.Uncertain()
 	credit.ApplyVerdict(verdict, m.maySettle)
+	if failed && verdict.Granted > 0 {
+		m.settle(credit.Corrections()) // what failed is charged in addition until then
+	}
 	credit.CountLost(m.members.IsAlive)
 	return verdict.Granted > 0
 }
