--- a/internal/ledger/secondreservation_test.go
+++ b/internal/ledger/secondreservation_test.go
@@ -41,100 +41,131 @@
 	is.Equal(p.Charged("p"), uint64(288+288)) // the turns of both
 }
 
+// aheadOfTheLog is an exclusive owner that has granted a turn before its reservation is in the log.
+type aheadOfTheLog struct {
+	t       *rapid.T
+	budget  uint32
+	log     *Partition
+	owner   *Credit
+	attempt AttemptID
+}
+
+const turnTokens = 288
+
+func newAheadOfTheLog(t *rapid.T) *aheadOfTheLog {
+	m := &aheadOfTheLog{t: t, budget: rapid.SampledFrom([]uint32{turnTokens, 500, 600, 900, 5000}).Draw(t, "budget"), log: NewPartition(), attempt: 3}
+	m.apply(OwnershipClaim{Incarnation: "x"})
+	m.apply(OwnerLimit{Incarnation: "x", Exclusive: true})
+	m.owner = NewCredit("p", "x", m.budget, turnTokens, 0)
+	return m
+}
+
+func (m *aheadOfTheLog) apply(record Record) Verdict {
+	verdict, _ := m.log.Apply(Encode(record), 0)
+	return verdict
+}
+
+func (m *aheadOfTheLog) applyAll(records []Record) {
+	for _, record := range records {
+		m.apply(record)
+	}
+}
+
+// otherTurn lets another node run a turn, if the log grants it, and returns what it used.
+func (m *aheadOfTheLog) otherTurn() (used uint32) {
+	other := NewCredit("p", "y", m.budget, turnTokens, 0)
+	if !m.log.Knows("p") {
+		for _, assumed := range m.log.AssumedReservations("p", "y", m.budget, turnTokens, true) {
+			m.apply(assumed)
+		}
+	}
+	other.ApplyVerdict(m.apply(other.NextReservation(2, turnTokens, true, false)), noneAlive)
+	if other.Fits(turnTokens, false) {
+		used = uint32(rapid.IntRange(0, turnTokens).Draw(m.t, "used by the other"))
+		other.Open(2, turnTokens, 0)
+		other.Finish(2, used, 0)
+	}
+	m.applyAll(other.Settle())
+	return used
+}
+
+// reserve writes a reservation of the owner, whose outcome may be unknown.
+func (m *aheadOfTheLog) reserve() {
+	m.applyAll(m.owner.Corrections())
+	for range 2 {
+		record := m.owner.NextReservation(m.attempt, 0, true, false)
+		m.attempt++
+		if rapid.IntRange(0, 3).Draw(m.t, "lost") == 0 {
+			if rapid.Bool().Draw(m.t, "written") {
+				m.apply(record)
+			}
+			m.owner.Fail(record.Attempt)
+			return
+		}
+		m.owner.ApplyVerdict(m.apply(record), noneAlive)
+		if !m.owner.MisledByAssumption() {
+			return
+		}
+		m.applyAll(m.owner.Corrections())
+	}
+}
+
+// settle settles the owner's credit as its manager does, with a verdict if tokens were used.
+func (m *aheadOfTheLog) settle() {
+	for range 20 {
+		if !m.owner.Unrecorded() {
+			m.applyAll(m.owner.Settle())
+			return
+		}
+		m.reserve()
+	}
+	m.t.Skip("no reservation was answered")
+}
+
+// charged returns what is charged without assumed reservations that may still be settled.
+func (m *aheadOfTheLog) charged(usedByOwner uint32) uint64 {
+	charged := m.log.Charged("p")
+	for _, one := range m.log.OpenReservations("p", 0) {
+		if !one.Void && one.Tokens > 0 && (!one.Assumed || usedByOwner > 0) {
+			m.t.Fatalf("%+v is left open", one)
+		}
+		charged -= uint64(one.Tokens)
+	}
+	return charged
+}
+
 // A turn that was granted ahead of the log must be charged exactly once, whatever becomes of the
 // reservations for it and whoever else reserves meanwhile.
 func TestTurnAheadOfTheLogIsChargedOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const most = 288
-		budget := rapid.SampledFrom([]uint32{most, 500, 600, 900, 5000}).Draw(t, "budget")
-		p := NewPartition()
-		apply := func(record Record) Verdict {
-			verdict, _ := p.Apply(Encode(record), 0)
-			return verdict
-		}
-		applyAll := func(records []Record) {
-			for _, record := range records {
-				apply(record)
-			}
-		}
-		apply(OwnershipClaim{Incarnation: "x"})
-		apply(OwnerLimit{Incarnation: "x", Exclusive: true})
-		owner := NewCredit("p", "x", budget, most, 0)
-		first := owner.NextReservation(1, most, true, rapid.Bool().Draw(t, "ample"))
-		owner.Open(1, most, 0)
+		m := newAheadOfTheLog(t)
+		first := m.owner.NextReservation(1, turnTokens, true, rapid.Bool().Draw(t, "ample"))
+		m.owner.Open(1, turnTokens, 0)
 		written := rapid.SampledFrom([]string{"before", "after", "never"}).Draw(t, "first written")
 		if written == "before" {
-			apply(first)
+			m.apply(first)
 		}
 		usedByOther := uint32(0)
 		if rapid.Bool().Draw(t, "another node") {
-			other := NewCredit("p", "y", budget, most, 0)
-			if !p.Knows("p") {
-				for _, assumed := range p.AssumedReservations("p", "y", budget, most, true) {
-					apply(assumed)
-				}
-			}
-			other.ApplyVerdict(apply(other.NextReservation(2, most, true, false)), noneAlive)
-			if other.Fits(most, false) {
-				usedByOther = uint32(rapid.IntRange(0, most).Draw(t, "used by the other"))
-				other.Open(2, most, 0)
-				other.Finish(2, usedByOther, 0)
-			}
-			applyAll(other.Settle())
+			usedByOther = m.otherTurn()
 		}
 		if written == "after" {
-			apply(first)
+			m.apply(first)
 		}
-		owner.Fail(1)
-		used := uint32(rapid.IntRange(0, most).Draw(t, "used"))
+		m.owner.Fail(1)
+		used := uint32(rapid.IntRange(0, turnTokens).Draw(t, "used"))
 		early := rapid.Bool().Draw(t, "ends before the next reservation")
 		if early {
-			owner.Finish(1, used, 0)
-		}
-		attempt := AttemptID(3)
-		reserve := func() {
-			applyAll(owner.Corrections())
-			for range 2 {
-				record := owner.NextReservation(attempt, 0, true, false)
-				attempt++
-				if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
-					if rapid.Bool().Draw(t, "written") {
-						apply(record)
-					}
-					owner.Fail(record.Attempt)
-					return
-				}
-				owner.ApplyVerdict(apply(record), noneAlive)
-				if !owner.MisledByAssumption() {
-					return
-				}
-				applyAll(owner.Corrections())
-			}
+			m.owner.Finish(1, used, 0)
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "reservations") {
-			reserve()
+			m.reserve()
 		}
 		if !early {
-			owner.Finish(1, used, 0)
-		}
-		for range 20 { // as the manager of credits does before it settles
-			if !owner.Unrecorded() {
-				break
-			}
-			reserve()
-		}
-		if owner.Unrecorded() {
-			t.Skip("no reservation was answered")
-		}
-		applyAll(owner.Settle())
-		open := uint64(0)
-		for _, one := range p.OpenReservations("p", 0) {
-			if !one.Void && one.Tokens > 0 && (!one.Assumed || used > 0) {
-				t.Fatalf("%+v is left open", one)
-			}
-			open += uint64(one.Tokens)
+			m.owner.Finish(1, used, 0)
 		}
-		if charged := p.Charged("p") - open; charged != uint64(used+usedByOther) {
+		m.settle()
+		if charged := m.charged(used); charged != uint64(used+usedByOther) {
 			t.Fatalf("%d of %d tokens charged", charged, used+usedByOther)
 		}
 	})
