--- a/internal/routednode/replicaview.go
+++ b/internal/routednode/replicaview.go
@@ -35,6 +35,17 @@
 	})
 }
 
+// readableEntries returns the entries that can be decoded.
+func (v *views) readableEntries(items []logstore.Item) []logstore.Item {
+	readable := make([]logstore.Item, 0, len(items))
+	for _, item := range items {
+		if change := v.decodeEntry(item); change.Replica != nil {
+			readable = append(readable, item)
+		}
+	}
+	return readable
+}
+
 // applyEntries applies the entries between two positions of the store.
 func (v *views) applyEntries(from logstore.Offset, items []logstore.Item, next logstore.Offset) {
 	v.replicas.apply(from, next, func() {
@@ -55,7 +66,7 @@
 	}
 	replica, err := v.adapter.DecodeReplica(item.Key, item.Value)
 	if err != nil {
-		v.unreadable.record(item.Key, err)
+		v.unreadable.record(item.Key, len(item.Value), err)
 		return fleet.Change{Instance: item.Key, Unreadable: true}
 	}
 	return fleet.Change{Instance: item.Key, Replica: &replica}
@@ -161,7 +172,7 @@
 	}
 	replica, err := fleet.Decode(item.Key, item.Value)
 	if err != nil {
-		v.unreadable.record(item.Key, err)
+		v.unreadable.record(item.Key, len(item.Value), err)
 		return fleet.Change{Instance: item.Key, Unreadable: true}
 	}
 	return fleet.Change{Instance: item.Key, Replica: &replica}
--- a/internal/routednode/replicaview_test.go
+++ b/internal/routednode/replicaview_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 	"stepseam.example/stepseam/internal/router"
 )
 
+var testAddress = netip.MustParseAddrPort("10.0.0.1:80")
+
 var errTest = errors.New("unreadable")
 
 // testViews returns views that decode replica entries as JSON of fleet.Replica.
@@ -38,7 +41,7 @@
 
 func entry(instance string, startedAtMs int64, sequence uint64) logstore.Item {
 	encoded, _ := json.Marshal(fleet.Replica{
-		Instance: instance, StartedAtMs: startedAtMs, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Sequence: sequence,
+		Instance: instance, StartedAtMs: startedAtMs, Address: testAddress, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Sequence: sequence,
 	})
 	return logstore.Item{Key: instance, Value: encoded}
 }
@@ -77,7 +80,7 @@
 	v := testViews()
 	v.replaceEntries([]logstore.Item{entry("a", 0, 1)}, 10)
 	v.replicas.Confirm(time.Now())
-	replica := fleet.Replica{Instance: "c", Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady}
+	replica := fleet.Replica{Instance: "c", Address: testAddress, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady}
 	v.applyFromPeer([]logstore.Item{{Key: "a"}, {Key: "c", Value: fleet.Encode(&replica)}}, 20)
 	v.applyEntries(10, []logstore.Item{entry("b", 0, 1)}, 15) // read earlier, delivered late
 	is.Equal(v.fleet.Size(), 1)
@@ -117,15 +120,15 @@
 	is.Equal(items, []logstore.Item{{Key: "a"}}) // pullers drop it too
 	v.applyEntries(12, []logstore.Item{entry("a", 0, 2)}, 13)
 	is.Equal(v.fleet.Size(), 1)
-	for i := range 3 * maxLoggedInstances {
-		v.unreadable.record(fmt.Sprint(i), errTest)
+	for i := range 3 * maxUnreadableLines {
+		v.unreadable.record(fmt.Sprint(i), 1, errTest)
 	}
-	is.True(len(v.unreadable.logged) <= maxLoggedInstances)
+	is.True(len(v.unreadable.logged) <= maxUnreadableLines)
 }
 
 // versioned returns a replica's entry with a version.
 func versioned(instance, version string) logstore.Item {
-	encoded, _ := json.Marshal(fleet.Replica{Instance: instance, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Version: version})
+	encoded, _ := json.Marshal(fleet.Replica{Instance: instance, Address: testAddress, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Version: version})
 	return logstore.Item{Key: instance, Value: encoded}
 }
 
@@ -192,3 +195,24 @@
 	position, _ := v.replicas.Position()
 	v.applyEntries(position, []logstore.Item{item}, position+1)
 }
+
+// FuzzPeerEntry checks that the next good entry takes effect after whatever a peer has passed on.
+func FuzzPeerEntry(f *testing.F) {
+	good := fleet.Replica{Instance: "good", Address: testAddress, Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady}
+	f.Add("a", fleet.Encode(&good))
+	f.Add("good", fleet.Encode(&good)[:9])
+	f.Add("\xff\r\n", []byte{1, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Add("good", []byte{})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		v := testViews()
+		v.replaceFromPeer([]logstore.Item{{Key: key, Value: value}}, 1)
+		v.applyFromPeer([]logstore.Item{{Key: key, Value: value}, {Key: "other", Value: value}}, 2)
+		if key == good.Instance {
+			v.applyFromPeer([]logstore.Item{{Key: key}}, 3)
+		}
+		v.applyFromPeer([]logstore.Item{{Key: good.Instance, Value: fleet.Encode(&good)}}, 4)
+		if found, present := v.fleet.Presence(good.Instance); !present || found.Address != testAddress {
+			t.Fatalf("%+v, %v", found, present)
+		}
+	})
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -32,7 +32,7 @@
 	Name      string
 	Store     logstore.Store
 	Partition logstore.Partition
-	// Pause returns the minimum time between two reads.
+	// Pause returns the minimum time between two reads, unless the store has more than one can return.
 	Pause func() time.Duration
 	// Wait returns how long the next read waits for a change.
 	Wait func() time.Duration
@@ -55,6 +55,9 @@
 	// Position returns the offset up to which the partition is known from another source,
 	// such as a peer, if it is. It is nil if there is no other source.
 	Position func() (logstore.Offset, bool)
+	// Keep returns what is needed of one page of a snapshot, so that the other items are not held until
+	// its end; nil keeps all.
+	Keep func(items []logstore.Item) []logstore.Item
 	// LongestPause returns the maximum pause after failed calls; nil means maxPause.
 	LongestPause func() time.Duration
 }
@@ -131,11 +134,14 @@
 		if first {
 			first, next = false, page.End
 		}
+		if w.config.Keep != nil {
+			page.Items = w.config.Keep(page.Items)
+		}
 		items = append(items, page.Items...)
 		if !page.More {
 			break
 		}
-		after = page.Items[len(page.Items)-1].Key
+		after = page.Next
 	}
 	w.config.OnSnapshot(items, next)
 	w.config.OnConfirmed(sent)
@@ -177,6 +183,8 @@
 		}
 		if next >= changed.End {
 			w.config.OnConfirmed(sent)
+		} else if next > from {
+			continue // a read is bounded, and there is more
 		}
 		_ = wait.For(ctx, w.config.Pause()) // the loop checks ctx
 	}
