Log and count what delimits the responses of replicas

A body that broke off was logged as incomplete_answer with an error of the reader. Neither the log nor a metric told whether it was framed in chunks, by a length, or by the end of its connection, where it broke off, or whether its connection had carried a request before: what the reports of short streams taken for whole turn on.

"request ended" has framing, reused and received (bytes of the body), the cause of an incomplete response says where it broke off, and stepseam_replica_responses_total counts by framing and result. No logic changes.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -71,6 +71,10 @@
 	Body *bufio.Reader
 	// Length is the Content-Length, or -1 if unknown.
 	Length int64
+	// Framing is what delimits the body.
+	Framing Framing
+	// Reused reports that the connection has carried an earlier request.
+	Reused bool
 
 	connection *connection
 	client     *Client
@@ -157,10 +161,12 @@
 		used.close()
 		return nil, withContext(ctx, err)
 	}
+	reused := used.served > 0
 	used.served++
 	whole := &eofReader{body: response.Body}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		Framing: framingOf(request.Method, response), Reused: reused,
 		Body:       bufio.NewReaderSize(whole, readBuffer),
 		connection: used, client: c, response: response, body: whole, sent: sent, stop: stop,
 	}, nil
@@ -261,14 +267,16 @@
 	return errors.As(err, &network)
 }
 
-// eofReader records whether the body was read to its end.
+// eofReader records how much of the body was read, and whether it was read to its end.
 type eofReader struct {
-	body  io.ReadCloser
-	ended bool
+	body     io.ReadCloser
+	received int64
+	ended    bool
 }
 
 func (w *eofReader) Read(into []byte) (int, error) {
 	n, err := w.body.Read(into)
+	w.received += int64(n)
 	if errors.Is(err, io.EOF) {
 		w.ended = true
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -56,8 +58,20 @@
 	stopTimer func()
 	// numbered is set once a numbered event was received.
 	numbered bool
+	// result is how the response ended, empty until that is known.
+	result responseResult
 }
 
+// responseResult is how a response of a replica ended, in metrics.
+type responseResult string
+
+const (
+	resultWhole  responseResult = "whole"
+	resultBroken responseResult = "broken"
+	// resultLeft is that of a response that this node stopped reading.
+	resultLeft responseResult = "left"
+)
+
 // finish releases the connection and records whether the replica is at fault.
 func (a *attempt) finish(failed bool) { a.finishStream(failed, nil) }
 
@@ -67,10 +81,19 @@
 	return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonUnsigned, Status: a.response.Status}
 }
 
+// incomplete returns the failure of a response that broke off.
+func (a *attempt) incomplete(cause error) *exchange.FailureError {
+	return &exchange.FailureError{
+		Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: a.response.Status,
+		Cause: fmt.Errorf("after %d bytes of a body delimited by %s: %w", a.response.Received(), a.response.Framing, cause),
+	}
+}
+
 // finishStream is like finish, and reports to the replica's aggregator the segments that
 // are now in its cache.
 func (a *attempt) finishStream(failed bool, cached []balance.Segment) {
 	a.stopTimer()
+	a.router.metrics.responses.WithLabelValues(string(a.response.Framing), string(cmp.Or(a.result, resultLeft))).Inc()
 	a.response.Close()
 	a.router.config.Tracker.End(a.inFlight, failed, a.router.Now())
 	a.router.reportLoad(a.call, a.replica, cached)
@@ -205,6 +228,7 @@
 	})
 	r.config.Tracker.Answered(inFlight, r.Now())
 	attempt := &attempt{response: response, replica: replica, inFlight: inFlight, router: r, call: call, stopTimer: stopTimer}
+	reply.response = response
 	var failure *exchange.FailureError
 	if errors.As(err, &failure) {
 		stopTimer()
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -55,7 +55,7 @@
 	if attempt.response.Length > maxResponseBytes {
 		attempt.recordOutcome(outlier.BrokenResponse)
 		attempt.finish(true)
-		return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: attempt.response.Status, Cause: errResponseTooLarge}
+		return attempt.incomplete(errResponseTooLarge)
 	}
 	limit, release := r.reserveResponseBuffer(attempt.response)
 	defer release()
@@ -64,12 +64,16 @@
 		r.forwardLongBody(ctx, reply, attempt, body)
 		return nil
 	}
-	if err != nil && ctx.Err() == nil {
+	switch {
+	case err == nil:
+		attempt.result = resultWhole
+	case ctx.Err() == nil:
 		attempt.recordOutcome(outlier.BrokenResponse)
+		attempt.result = resultBroken
 	}
 	attempt.finish(err != nil && ctx.Err() == nil)
 	if err != nil {
-		return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: attempt.response.Status, Cause: err}
+		return attempt.incomplete(err)
 	}
 	if !failed { // the duration of a failure is not representative
 		attempt.recordOutcome(outlier.Success)
@@ -109,15 +113,18 @@
 			if attempt.response.Status < http.StatusInternalServerError {
 				attempt.recordOutcome(outlier.Success)
 			}
+			attempt.result = resultWhole
 			attempt.finish(false)
 			reply.answered = attempt.response.Status < http.StatusInternalServerError
 			return
 		}
 		if err != nil {
 			attempt.recordOutcome(outlier.BrokenResponse)
+			attempt.result = resultBroken
 			attempt.finish(true)
-			r.endAttempt(ctx, attempt.call, &attempt.replica, &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Cause: err})
-			reply.abort(string(exchange.ReasonIncomplete), err)
+			failure := attempt.incomplete(err)
+			r.endAttempt(ctx, attempt.call, &attempt.replica, failure)
+			reply.abort(string(failure.Reason), failure)
 		}
 	}
 }
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -59,6 +59,8 @@
 	// replicaVersion is the software version of replica.
 	replicaVersion string
 	attempts       int
+	// response is that of the last attempt, or nil.
+	response *exchange.Answer
 	// expected holds the estimates for the last attempt.
 	expected balance.Expected
 	// cold reports whether the replica of the last attempt counted as cold.
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -215,6 +215,7 @@
 		stream.sendHeader(attempt.response)
 	}
 	attempt.recordOutcome(outlier.Success)
+	attempt.result = resultWhole
 	attempt.finishStream(false, stream.cachedSegments())
 }
 
@@ -224,13 +225,14 @@
 	atFault := ctx.Err() == nil && !errors.Is(err, heldbytes.ErrFull) && !errors.Is(err, heldbytes.ErrOwnerFull)
 	if atFault {
 		attempt.recordOutcome(outlier.BrokenResponse)
+		attempt.result = resultBroken
 	}
 	attempt.finish(atFault)
 	if errors.Is(err, errTurnTooLong) {
 		_ = http.NewResponseController(stream.reply.writer).Flush()
 		stream.reply.abort("turn_too_long", err)
 	}
-	return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: attempt.response.Status, Cause: err}
+	return attempt.incomplete(err)
 }
 
 // sendEvents records events and sends them to the client.
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/origin"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,6 +20,7 @@
 	requests       *prometheus.CounterVec
 	seconds        *prometheus.HistogramVec
 	failedAttempts *prometheus.CounterVec
+	responses      *prometheus.CounterVec
 	inFlight       prometheus.Gauge
 }
 
@@ -34,12 +36,15 @@
 		failedAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_failed_attempts_total", Help: "Attempts at replicas that brought no answer, by reason.",
 		}, []string{"reason"}),
+		responses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_replica_responses_total", Help: "Responses of replicas by what delimits them and result: whole, broken, or left by this node.",
+		}, []string{"framing", "result"}),
 		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "stepseam_requests_under_way", Help: "Requests that are being served.",
 		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(built.requests, built.seconds, built.failedAttempts, built.inFlight)
+		registerer.MustRegister(built.requests, built.seconds, built.failedAttempts, built.responses, built.inFlight)
 	}
 	return built
 }
@@ -96,6 +101,9 @@
 	if call.given > 0 {
 		attributes = append(attributes, durationAttr("sent_after", call.sendBegan.Sub(call.arrived)), durationAttr("given", call.given))
 	}
+	if reply.response != nil {
+		attributes = append(attributes, responseAttrs(reply.response)...)
+	}
 	if reply.replicaVersion != "" {
 		attributes = append(attributes, slog.String("replica_version", reply.replicaVersion))
 	}
@@ -135,6 +143,13 @@
 	r.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request ended", attributes...)
 }
 
+// responseAttrs describes the transfer of a replica's response.
+func responseAttrs(response *exchange.Answer) []slog.Attr {
+	return []slog.Attr{
+		slog.String("framing", string(response.Framing)), slog.Bool("reused", response.Reused), slog.Int64("received", response.Received()),
+	}
+}
+
 // maxLoggedID bounds the length of client-supplied IDs in the log.
 const maxLoggedID = 80
 
