Log broken and unordered events of replicas, and count surplus bytes

A stream that broke off had one line, attempt failed, without the event that had been sent last; an event whose ID did not rise within its response was passed over in silence; and bytes that belong to no request closed their connection without a trace. These are what tells whether a stream was mixed up by its replica, and on which kind of connection.

No logic changes.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -229,6 +229,7 @@
 		if err := skipBody(used, response); err != nil {
 			return nil, &FailureError{Reason: ReasonForeign, Cause: err}
 		}
+		c.pool.surplus.record(SurplusSkipped)
 	}
 	return nil, &FailureError{Reason: ReasonForeign, Cause: errMismatched}
 }
@@ -296,6 +297,9 @@
 	if !a.stop() {
 		return // the end of the context has closed the connection
 	}
+	if a.body.ended && a.connection.reader.Buffered() > 0 {
+		a.client.pool.surplus.record(SurplusBehind)
+	}
 	if !a.reusable() {
 		a.connection.close()
 		return
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -59,6 +59,8 @@
 	// largeHeads bounds the heads beyond readBuffer that are being read, by replica.
 	largeHeads *heldbytes.Limit
 
+	surplus surplus
+
 	// mutex guards the rest.
 	mutex sync.Mutex
 	idle  map[Target][]*connection
@@ -112,7 +114,11 @@
 		if idle == nil {
 			return p.dial(ctx, target)
 		}
-		if time.Now().Before(idle.expires) && idle.isOpenAndEmpty() {
+		usable, surplus := idle.check()
+		if surplus {
+			p.surplus.record(SurplusIdle)
+		}
+		if time.Now().Before(idle.expires) && usable {
 			return idle, nil
 		}
 		idle.close()
@@ -209,22 +215,22 @@
 // close closes the socket. Its error is irrelevant, as the connection is discarded.
 func (c *connection) close() { _ = c.socket.Close() }
 
-// isOpenAndEmpty reports whether an idle connection is open and has no unread bytes,
-// which would belong to no request.
-func (c *connection) isOpenAndEmpty() bool {
+// check reports whether an idle connection is open and has no unread bytes. surplus reports that it has
+// some, which belong to no request.
+func (c *connection) check() (usable, surplus bool) {
 	if c.reader.Buffered() > 0 {
-		return false
+		return false, true
 	}
 	raw, err := c.socket.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
 	var peeked [1]byte
 	blocked := false
 	err = raw.Read(func(descriptor uintptr) bool {
-		_, _, failed := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		blocked = errors.Is(failed, syscall.EAGAIN)
+		n, _, failed := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		blocked, surplus = errors.Is(failed, syscall.EAGAIN), n > 0
 		return true
 	})
-	return err == nil && blocked
+	return err == nil && blocked, surplus
 }
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -115,3 +115,21 @@
 		e.hasData = true
 	}
 }
+
+// eventOrder checks that the IDs of one response rise.
+type eventOrder struct {
+	// last is the ID of the last event with one, or -1.
+	last int64
+}
+
+// follows reports whether an event may come next. If it may, it becomes the last one.
+func (o *eventOrder) follows(next event) bool {
+	switch {
+	case !next.hasID:
+		return true
+	case next.id <= o.last:
+		return false
+	}
+	o.last = next.id
+	return true
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,7 +118,7 @@
 		calls: calls, endCalls: endCalls,
 		config: config, splitter: routing.NewSplitter(),
 		requests: heldbytes.New(config.BufferBytes), responses: heldbytes.New(config.BufferBytes),
-		metrics: newMetrics(config.Registerer),
+		metrics: newMetrics(config.Registerer, config.Replicas),
 	}
 }
 
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -160,6 +161,7 @@
 	var pending pendingEvents
 	var gaps []time.Duration
 	var last time.Time
+	order := eventOrder{last: -1}
 	defer func() { r.config.Tracker.StreamEnded(attempt.inFlight, gaps, r.Now()) }()
 	received := r.responses.Holder(attempt.replica.IncarnationID())
 	defer received.Release()
@@ -194,6 +196,9 @@
 			attempt.stopTimer()
 			r.config.Tracker.FirstEvent(attempt.inFlight, r.Now())
 		}
+		if !order.follows(event) {
+			r.logEvents(ctx, stream, attempt, "event out of order", slog.Int64("former_event", order.last), slog.Int64("event", event.id))
+		}
 		if !event.hasID || stream.isNew(event, &pending) {
 			pending.add(event)
 		} else {
@@ -226,6 +231,7 @@
 	if atFault {
 		attempt.recordOutcome(outlier.BrokenResponse)
 		attempt.result = resultBroken
+		r.logEvents(ctx, stream, attempt, "stream of a replica broke off", errorAttr(err))
 	}
 	attempt.finish(atFault)
 	if errors.Is(err, errTurnTooLong) {
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -24,7 +24,7 @@
 	inFlight       prometheus.Gauge
 }
 
-func newMetrics(registerer prometheus.Registerer) *metrics {
+func newMetrics(registerer prometheus.Registerer, replicas *exchange.Client) *metrics {
 	built := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_requests_total", Help: "Requests by kind of route, status and reason of a failure.",
@@ -45,6 +45,12 @@
 	}
 	if registerer != nil {
 		registerer.MustRegister(built.requests, built.seconds, built.failedAttempts, built.responses, built.inFlight)
+		for _, place := range exchange.SurplusPlaces() {
+			registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+				Name: "stepseam_replica_surplus_total", Help: "Connections on which a replica sent bytes that belong to no request, by where they were seen.",
+				ConstLabels: prometheus.Labels{"seen": place.String()},
+			}, func() float64 { return float64(replicas.Surplus(place)) }))
+		}
 	}
 	return built
 }
@@ -150,6 +156,14 @@
 	}
 }
 
+// logEvents logs what was seen in the events of a replica.
+func (r *Router) logEvents(ctx context.Context, stream *stream, attempt *attempt, message string, more ...slog.Attr) {
+	r.config.Logger.LogAttrs(ctx, slog.LevelInfo, message, append([]slog.Attr{
+		slog.String("id", stream.call.id), slog.String("replica", attempt.replica.IncarnationID()), slog.String("framing", string(attempt.response.Framing)),
+		slog.Bool("reused", attempt.response.Reused), slog.Int64("sent_event", stream.lastEvent),
+	}, more...)...)
+}
+
 // maxLoggedID bounds the length of client-supplied IDs in the log.
 const maxLoggedID = 80
 
