Break responses off that hold bytes of a surplus one

What callers saw: pieces of a stream out of order, or of two runs, and lines such as HTTP/1.1 200 OK between them; a stream that was whole and another request's.

Cause: a replica that answers once more, late and from another thread, while the next response is under way on the same connection. Chunks end at such bytes. A response with a length or without one took them for its own: forwardEvents passed over events whose ID did not rise and sent the others, any line was a field of an event, and a second head within the first one was merged with it, so that the surplus body became the response's, whole.

Within a response, these end it as broken, with the event that they are in unsent: - the head of a response to an earlier request of the connection, wherever it begins, in the body of any response (bodies and streams); - two heads in one; - in a stream, a line that can only be of a head (a status line, the fields that delimit a response or tell whose it is), or an event with two IDs; - an event whose ID does not rise. A stream that can go on does so if the events begin anew, behind the last one. If the ID lies within what was sent, which run sent what is not known, and the stream ends broken. A replica may still repeat the known events of a resumed stream, and events may hold text and fields of their own.

Bytes without a head can't be told from a stream's own before one does not fit. So a replica that was seen to send surplus bytes, anywhere, gets new connections for streams and for requests that are not repeatable, for 30 s.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -79,7 +80,7 @@
 	connection *connection
 	client     *Client
 	response   *http.Response
-	body       *eofReader
+	body       *bodyReader
 	// sent is closed once the whole request has been written.
 	sent chan struct{}
 	stop func() bool
@@ -90,7 +91,7 @@
 // read. If a reused connection turns out to be stale, a repeatable request is sent once
 // more to the same target on a new connection.
 func (c *Client) Send(ctx context.Context, target Target, request Request) (*Answer, error) {
-	used, err := c.pool.get(ctx, target, c.pool.idleRange(request.Repeatable))
+	used, err := c.pool.get(ctx, target, c.pool.idleRange(request.Repeatable), request.Repeatable && !request.Stream)
 	if err != nil {
 		return nil, &FailureError{Outcome: OutcomeNotRun, Reason: ReasonConnect, Cause: err}
 	}
@@ -134,7 +135,9 @@
 // open idle connection at the time of this call.
 func (c *Client) Connected(repeatable bool) func(Target) bool {
 	allowed, now := c.pool.idleRange(repeatable), time.Now()
-	return func(target Target) bool { return c.pool.hasIdle(target, allowed, now) }
+	return func(target Target) bool {
+		return (repeatable || !c.pool.surplus.lately(target, now)) && c.pool.hasIdle(target, allowed, now)
+	}
 }
 
 // isStale reports whether a connection ended without a response.
@@ -163,7 +166,11 @@
 	}
 	reused := used.served > 0
 	used.served++
-	whole := &eofReader{body: response.Body}
+	whole := &bodyReader{body: response.Body, connection: used, foreign: func() { c.pool.surplus.record(used.target, SurplusWithin) }}
+	if reused {
+		whole.heads = &headFinder{names: c.names, former: slices.Clone(used.former)}
+	}
+	used.remember(request.ID)
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		Framing: framingOf(request.Method, response), Reused: reused,
@@ -218,6 +225,10 @@
 		if response.StatusCode < http.StatusOK {
 			continue // an informational response
 		}
+		if c.names.isMixed(response.Header) {
+			c.pool.surplus.record(used.target, SurplusWithin)
+			return nil, &FailureError{Reason: ReasonForeign, Cause: ErrForeign}
+		}
 		echoed := response.Header.Get(c.names.RequestID)
 		if echoed == request.ID || echoed == "" && response.StatusCode >= http.StatusBadRequest {
 			return response, nil
@@ -229,7 +240,7 @@
 		if err := skipBody(used, response); err != nil {
 			return nil, &FailureError{Reason: ReasonForeign, Cause: err}
 		}
-		c.pool.surplus.record(SurplusSkipped)
+		c.pool.surplus.record(used.target, SurplusSkipped)
 	}
 	return nil, &FailureError{Reason: ReasonForeign, Cause: errMismatched}
 }
@@ -268,22 +279,6 @@
 	return errors.As(err, &network)
 }
 
-// eofReader records how much of the body was read, and whether it was read to its end.
-type eofReader struct {
-	body     io.ReadCloser
-	received int64
-	ended    bool
-}
-
-func (w *eofReader) Read(into []byte) (int, error) {
-	n, err := w.body.Read(into)
-	w.received += int64(n)
-	if errors.Is(err, io.EOF) {
-		w.ended = true
-	}
-	return n, err
-}
-
 // NotRun reports whether the replica states that it has not run the request.
 func (a *Answer) NotRun() bool {
 	return a.Header.Get(a.client.names.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
@@ -298,7 +293,7 @@
 		return // the end of the context has closed the connection
 	}
 	if a.body.ended && a.connection.reader.Buffered() > 0 {
-		a.client.pool.surplus.record(SurplusBehind)
+		a.client.pool.surplus.record(a.connection.target, SurplusBehind)
 	}
 	if !a.reusable() {
 		a.connection.close()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -92,6 +92,8 @@
 	Body              []byte
 	// Repeatable reports whether the request may run more than once.
 	Repeatable bool
+	// Stream reports that parts of the response are passed on before its end.
+	Stream bool
 	// MaySend, if set, is called with the connection established, right before the
 	// request is written. An error prevents the write.
 	MaySend func() error
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -42,8 +43,9 @@
 	reader *bufio.Reader
 	wire   *headReader
 	target Target
-	// served counts the completed requests.
+	// served counts the completed requests, former holds the IDs of the last ones.
 	served int
+	former []string
 	// expires is when an idle connection must no longer be used; idleSince is when it
 	// became idle.
 	expires, idleSince time.Time
@@ -107,8 +109,15 @@
 	return &pool{idle: map[Target][]*connection{}, largeHeads: heldbytes.New(maxLargeHeads * maxHeadBytes)}
 }
 
-// get returns a connection that is still open and has been idle for an allowed time, or a new one.
-func (p *pool) get(ctx context.Context, target Target, allowed idleRange) (*connection, error) {
+// get returns a connection that is still open and has been idle for an allowed time, or a new one. Only
+// a request that bears surplus bytes gets a connection to a replica that has sent some lately.
+func (p *pool) get(ctx context.Context, target Target, allowed idleRange, bearsSurplus bool) (*connection, error) {
+	if !bearsSurplus && p.surplus.lately(target, time.Now()) {
+		if idle := p.takeIdle(target, idleRange{most: maxIdleTTL}); idle != nil {
+			idle.close() // the new one takes its place
+		}
+		return p.dial(ctx, target)
+	}
 	for {
 		idle := p.takeIdle(target, allowed)
 		if idle == nil {
@@ -116,7 +125,7 @@
 		}
 		usable, surplus := idle.check()
 		if surplus {
-			p.surplus.record(SurplusIdle)
+			p.surplus.record(target, SurplusIdle)
 		}
 		if time.Now().Before(idle.expires) && usable {
 			return idle, nil
@@ -215,22 +224,43 @@
 // close closes the socket. Its error is irrelevant, as the connection is discarded.
 func (c *connection) close() { _ = c.socket.Close() }
 
+// maxUnread bounds the bytes that are looked at.
+const maxUnread = 512
+
 // check reports whether an idle connection is open and has no unread bytes. surplus reports that it has
 // some, which belong to no request.
 func (c *connection) check() (usable, surplus bool) {
-	if c.reader.Buffered() > 0 {
-		return false, true
+	unread, blocked := c.peek()
+	return blocked && len(unread) == 0, len(unread) > 0 && !isTimeout(unread)
+}
+
+// isTimeout reports whether unread bytes are the status by which some servers end a connection that has
+// rested for too long.
+func isTimeout(unread []byte) bool {
+	return statusPrefix(unread) == statusLength && bytes.HasSuffix(unread[:statusLength], []byte("408"))
+}
+
+// unread returns bytes that have arrived and were not read.
+func (c *connection) unread() []byte {
+	unread, _ := c.peek()
+	return unread
+}
+
+// peek returns bytes that have arrived and were not read, and whether the connection is open otherwise.
+func (c *connection) peek() (unread []byte, blocked bool) {
+	if buffered := c.reader.Buffered(); buffered > 0 {
+		unread, _ = c.reader.Peek(buffered)
+		return unread, false
 	}
 	raw, err := c.socket.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false, false
+		return nil, false
 	}
-	var peeked [1]byte
-	blocked := false
+	peeked := make([]byte, maxUnread)
 	err = raw.Read(func(descriptor uintptr) bool {
-		n, _, failed := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		blocked, surplus = errors.Is(failed, syscall.EAGAIN), n > 0
+		n, _, failed := syscall.Recvfrom(int(descriptor), peeked, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		blocked, unread = errors.Is(failed, syscall.EAGAIN), peeked[:max(n, 0)]
 		return true
 	})
-	return err == nil && blocked, surplus
+	return unread, err == nil && blocked
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -13,6 +13,7 @@
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/routing"
 	"stepseam.example/stepseam/internal/wait"
 )
 
@@ -58,6 +59,8 @@
 	stopTimer func()
 	// numbered is set once a numbered event was received.
 	numbered bool
+	// forwarded is set once an event was sent to the client.
+	forwarded bool
 	// result is how the response ended, empty until that is known.
 	result responseResult
 }
@@ -83,8 +86,12 @@
 
 // incomplete returns the failure of a response that broke off.
 func (a *attempt) incomplete(cause error) *exchange.FailureError {
+	reason := exchange.ReasonIncomplete
+	if errors.Is(cause, exchange.ErrForeign) {
+		reason = exchange.ReasonForeign
+	}
 	return &exchange.FailureError{
-		Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: a.response.Status,
+		Outcome: exchange.OutcomeRan, Reason: reason, Status: a.response.Status,
 		Cause: fmt.Errorf("after %d bytes of a body delimited by %s: %w", a.response.Received(), a.response.Framing, cause),
 	}
 }
@@ -224,7 +231,7 @@
 	stopTimer := r.startResponseTimer(call, replica, inFlight)
 	response, err := r.config.Replicas.Send(ctx, targetOf(replica), exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
-		Repeatable: call.route.Repeatable(), MaySend: func() error { return r.acquireSend(ctx, call, replica) },
+		Repeatable: call.route.Repeatable(), Stream: call.route.Kind == routing.KindStreaming, MaySend: func() error { return r.acquireSend(ctx, call, replica) },
 	})
 	r.config.Tracker.Answered(inFlight, r.Now())
 	attempt := &attempt{response: response, replica: replica, inFlight: inFlight, router: r, call: call, stopTimer: stopTimer}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"stepseam.example/stepseam/internal/exchange"
 )
 
 const (
@@ -26,6 +28,12 @@
 	errUnnumbered     = errors.New("router: too many bytes without a numbered event")
 	errOutputTooLarge = errors.New("router: the stream exceeds the maximum size")
 	errTurnTooLong    = errors.New("router: the stream exceeds the maximum of the turn")
+	// errForeignEvent means that bytes of another response are among those of an event.
+	errForeignEvent = fmt.Errorf("router: %w", exchange.ErrForeign)
+	// errOutOfOrder means that the IDs of a response do not rise: some of its events are another run's.
+	errOutOfOrder = fmt.Errorf("router: events out of order: %w", exchange.ErrForeign)
+	// errBeginsAnew means that a run follows from its start.
+	errBeginsAnew = fmt.Errorf("router: the events begin anew: %w", exchange.ErrForeign)
 )
 
 // event is one event of a text/event-stream.
@@ -35,6 +43,8 @@
 	// id is the event's number; hasID is false if it has none.
 	id    int64
 	hasID bool
+	// ambiguous is set if it has more than one.
+	ambiguous bool
 	// data is the concatenation of the data fields, joined by line feeds.
 	data    []byte
 	hasData bool
@@ -60,6 +70,10 @@
 	// grow is called with the size of an event before more of it is kept; nil means no limit beyond
 	// maxEventBytes.
 	grow func(size int) error
+	// isHeadLine reports whether a line can only be of a response's head; nil if that is not checked.
+	isHeadLine func(line []byte) bool
+	// order checks the IDs; nil if they are not checked.
+	order *eventOrder
 }
 
 // next reads the next complete event. It returns io.EOF if the stream ends after a complete event.
@@ -74,9 +88,12 @@
 		}
 		line := bytes.TrimRight(parsed.raw[start:], "\r\n")
 		if len(line) == 0 {
-			return parsed, nil
+			return parsed, r.order.check(&parsed)
 		}
 		parsed.parseField(line)
+		if parsed.ambiguous || r.isHeadLine != nil && r.isHeadLine(line) {
+			return event{}, fmt.Errorf("%w: line %.80q", errForeignEvent, line)
+		}
 	}
 }
 
@@ -106,6 +123,7 @@
 	switch string(name) {
 	case "id":
 		id, err := strconv.ParseInt(string(value), 10, 64)
+		e.ambiguous = e.hasID && (err != nil || id != e.id)
 		e.id, e.hasID = id, err == nil
 	case "data":
 		if e.hasData {
@@ -118,18 +136,22 @@
 
 // eventOrder checks that the IDs of one response rise.
 type eventOrder struct {
-	// last is the ID of the last event with one, or -1.
-	last int64
+	// first and last are those of the first and the last event with one, or -1.
+	first, last int64
 }
 
-// follows reports whether an event may come next. If it may, it becomes the last one.
-func (o *eventOrder) follows(next event) bool {
+// check returns an error if an event does not follow the last one, and makes it the last one otherwise.
+func (o *eventOrder) check(next *event) error {
 	switch {
-	case !next.hasID:
-		return true
+	case o == nil || !next.hasID:
+		return nil
+	case next.id <= o.first:
+		return fmt.Errorf("%w: %d after %d", errBeginsAnew, next.id, o.last)
 	case next.id <= o.last:
-		return false
+		return fmt.Errorf("%w: %d after %d", errOutOfOrder, next.id, o.last)
+	case o.last < 0:
+		o.first = next.id
 	}
 	o.last = next.id
-	return true
+	return nil
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -161,11 +160,13 @@
 	var pending pendingEvents
 	var gaps []time.Duration
 	var last time.Time
-	order := eventOrder{last: -1}
 	defer func() { r.config.Tracker.StreamEnded(attempt.inFlight, gaps, r.Now()) }()
 	received := r.responses.Holder(attempt.replica.IncarnationID())
 	defer received.Release()
-	reader := &eventReader{reader: attempt.response.Body, grow: func(size int) error { return received.Grow(receivedBytes(pending.bytes + size)) }}
+	reader := &eventReader{
+		reader: attempt.response.Body, isHeadLine: r.config.Names.Replica.IsHeadLine, order: &eventOrder{first: -1, last: -1},
+		grow: func(size int) error { return received.Grow(receivedBytes(pending.bytes + size)) },
+	}
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) {
@@ -196,9 +197,6 @@
 			attempt.stopTimer()
 			r.config.Tracker.FirstEvent(attempt.inFlight, r.Now())
 		}
-		if !order.follows(event) {
-			r.logEvents(ctx, stream, attempt, "event out of order", slog.Int64("former_event", order.last), slog.Int64("event", event.id))
-		}
 		if !event.hasID || stream.isNew(event, &pending) {
 			pending.add(event)
 		} else {
@@ -233,7 +231,16 @@
 		attempt.result = resultBroken
 		r.logEvents(ctx, stream, attempt, "stream of a replica broke off", errorAttr(err))
 	}
+	if errors.Is(err, errForeignEvent) || errors.Is(err, errOutOfOrder) || errors.Is(err, errBeginsAnew) {
+		attempt.response.RecordForeign()
+	}
 	attempt.finish(atFault)
+	if errors.Is(err, errOutOfOrder) && attempt.forwarded {
+		// Which of the events sent are the other run's is not known.
+		failure := attempt.incomplete(err)
+		r.endAttempt(ctx, stream.call, &attempt.replica, failure)
+		stream.reply.abort(string(failure.Reason), failure)
+	}
 	if errors.Is(err, errTurnTooLong) {
 		_ = http.NewResponseController(stream.reply.writer).Flush()
 		stream.reply.abort("turn_too_long", err)
@@ -251,6 +258,7 @@
 		announce = r.recordOrigin(stream, attempt)
 	}
 	r.recordEvents(ctx, stream, attempt, events)
+	attempt.forwarded = true
 	for _, event := range events {
 		stream.forward(event, attempt)
 	}
