Leave out events without an ID that a resumed stream repeats

What callers saw: an event without an ID twice in a stream that went on at another replica.

Cause: a replica that goes on may repeat the stream from its start. Events with an ID that the client has were passed over; those without one, which are sent along with the next numbered event, were kept and sent again with the first new one.

Events without an ID before one that the client has are now left out with it: they were sent together.

--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -200,7 +200,7 @@
 		if !event.hasID || stream.isNew(event, &pending) {
 			pending.add(event)
 		} else {
-			pending.repeated += len(event.raw)
+			pending.skip(event)
 		}
 		if !pending.numbered || stream.transcript != nil && len(pending.events) < maxRecordedTogether && holdsWholeEvent(attempt.response.Body) {
 			continue
--- a/internal/router/streambounds.go
+++ b/internal/router/streambounds.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// skip leaves out an event that the client has, with the events without an ID before it, which were sent
+// together with it.
+func (p *pendingEvents) skip(one event) {
+	p.repeated += len(one.raw)
+	if !p.numbered {
+		p.repeated += p.bytes
+		p.clear()
+	}
+}
+
 func (p *pendingEvents) clear() { *p = pendingEvents{events: p.events[:0], repeated: p.repeated} }
 
 // checkBounds returns an error if an event makes the stream exceed a limit.
