--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -123,13 +123,12 @@
 		if idle == nil {
 			return p.dial(ctx, target)
 		}
-		usable, surplus := idle.check()
-		if surplus {
-			p.surplus.record(target, SurplusIdle)
-		}
-		if time.Now().Before(idle.expires) && usable {
+		if time.Now().Before(idle.expires) && idle.isOpenAndEmpty() {
 			return idle, nil
 		}
+		if isSurplus(idle.unread()) {
+			p.surplus.record(target, SurplusIdle)
+		}
 		idle.close()
 	}
 }
@@ -227,17 +226,17 @@
 // maxUnread bounds the bytes that are looked at.
 const maxUnread = 512
 
-// check reports whether an idle connection is open and has no unread bytes. surplus reports that it has
-// some, which belong to no request.
-func (c *connection) check() (usable, surplus bool) {
+// isOpenAndEmpty reports whether an idle connection is open and has no unread bytes,
+// which would belong to no request.
+func (c *connection) isOpenAndEmpty() bool {
 	unread, blocked := c.peek()
-	return blocked && len(unread) == 0, len(unread) > 0 && !isTimeout(unread)
+	return blocked && len(unread) == 0
 }
 
-// isTimeout reports whether unread bytes are the status by which some servers end a connection that has
-// rested for too long.
-func isTimeout(unread []byte) bool {
-	return statusPrefix(unread) == statusLength && bytes.HasSuffix(unread[:statusLength], []byte("408"))
+// isSurplus reports whether unread bytes of an idle connection belong to no request. Some servers end a
+// connection that has rested for too long with a status.
+func isSurplus(unread []byte) bool {
+	return len(unread) > 0 && !(statusPrefix(unread) == statusLength && bytes.HasSuffix(unread[:statusLength], []byte("408")))
 }
 
 // unread returns bytes that have arrived and were not read.
