--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
@@ -158,9 +157,8 @@
 // already has are skipped.
 func (r *Router) forwardEvents(ctx context.Context, stream *stream, attempt *attempt) *exchange.FailureError {
 	var pending pendingEvents
-	var gaps []time.Duration
-	var last time.Time
-	defer func() { r.config.Tracker.StreamEnded(attempt.inFlight, gaps, r.Now()) }()
+	var arrivals eventArrivals
+	defer func() { r.config.Tracker.StreamEnded(attempt.inFlight, arrivals.gaps, r.Now()) }()
 	received := r.responses.Holder(attempt.replica.IncarnationID())
 	defer received.Release()
 	reader := &eventReader{
@@ -179,23 +177,9 @@
 		if err != nil {
 			return r.failEvents(ctx, stream, attempt, err)
 		}
-		now := time.Now()
-		if last.IsZero() {
-			if failure := r.checkOrigin(stream.call, attempt); failure != nil {
-				attempt.finish(false)
-				return failure
-			}
-			r.reportLoad(stream.call, attempt.replica, nil)
-		} else if len(gaps) < maxGaps {
-			gaps = append(gaps, now.Sub(last))
-		}
-		last = now
-		stream.call.heardAt = now
-		r.heard(&attempt.replica)
-		if event.hasID && !attempt.numbered {
-			attempt.numbered = true
-			attempt.stopTimer()
-			r.config.Tracker.FirstEvent(attempt.inFlight, r.Now())
+		if failure := r.eventArrived(stream.call, attempt, &arrivals, event.hasID); failure != nil {
+			attempt.finish(false)
+			return failure
 		}
 		if !event.hasID || stream.isNew(event, &pending) {
 			pending.add(event)
