--- a/internal/router/surplus_test.go
+++ b/internal/router/surplus_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -229,6 +230,20 @@
 	}
 }
 
+// A turn whose stream held another run's events was kept with them, and the next turn ran with that history.
+func TestTurnWithForeignEventsIsNotKept(t *testing.T) {
+	is := is.New(t)
+	var turns atomic.Int64
+	h := newHarness(t, func(e *replica.Exchange) bool {
+		turns.Add(1)
+		return unordered("own", 1, 2, 4, 3, 4, 5)(e)
+	})
+	is.True(h.post("/kept/x", "t1", turnHeader("p", 1000, 100)...).err != nil)
+	got := h.post("/kept/x", "t2", turnHeader("p", 1000, 100, "Test-Previous", "t1")...)
+	is.Equal(got.StatusCode, http.StatusNotFound)
+	is.Equal(turns.Load(), int64(1))
+}
+
 func TestResumableStreamGoesOnBehindEventsThatBeginAnew(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, unordered("own", 1, 2, 1, 2, 3), unordered("other", 3, 4))
