--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -71,11 +72,15 @@
 	Body *bufio.Reader
 	// Length is the Content-Length, or -1 if unknown.
 	Length int64
+	// Framing is what delimits the body.
+	Framing Framing
+	// Reused reports that the connection has carried an earlier request.
+	Reused bool
 
 	connection *connection
 	client     *Client
 	response   *http.Response
-	body       *eofReader
+	body       *bodyReader
 	// sent is closed once the whole request has been written.
 	sent chan struct{}
 	stop func() bool
@@ -86,7 +91,7 @@
 // read. If a reused connection turns out to be stale, a repeatable request is sent once
 // more to the same target on a new connection.
 func (c *Client) Send(ctx context.Context, target Target, request Request) (*Answer, error) {
-	used, err := c.pool.get(ctx, target, c.pool.idleRange(request.Repeatable))
+	used, err := c.pool.get(ctx, target, c.pool.idleRange(request.Repeatable), request.Repeatable && !request.Stream)
 	if err != nil {
 		return nil, &FailureError{Outcome: OutcomeNotRun, Reason: ReasonConnect, Cause: err}
 	}
@@ -130,7 +135,9 @@
 // open idle connection at the time of this call.
 func (c *Client) Connected(repeatable bool) func(Target) bool {
 	allowed, now := c.pool.idleRange(repeatable), time.Now()
-	return func(target Target) bool { return c.pool.hasIdle(target, allowed, now) }
+	return func(target Target) bool {
+		return (repeatable || !c.pool.surplus.lately(target, now)) && c.pool.hasIdle(target, allowed, now)
+	}
 }
 
 // isStale reports whether a connection ended without a response.
@@ -157,10 +164,16 @@
 		used.close()
 		return nil, withContext(ctx, err)
 	}
+	reused := used.served > 0
 	used.served++
-	whole := &eofReader{body: response.Body}
+	whole := &bodyReader{body: response.Body, connection: used, foreign: func() { c.pool.surplus.record(used.target, SurplusWithin) }}
+	if reused {
+		whole.heads = &headFinder{names: c.names, former: slices.Clone(used.former)}
+	}
+	used.remember(request.ID)
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		Framing: framingOf(request.Method, response), Reused: reused,
 		Body:       bufio.NewReaderSize(whole, readBuffer),
 		connection: used, client: c, response: response, body: whole, sent: sent, stop: stop,
 	}, nil
@@ -212,6 +225,10 @@
 		if response.StatusCode < http.StatusOK {
 			continue // an informational response
 		}
+		if c.names.isMixed(response.Header) {
+			c.pool.surplus.record(used.target, SurplusWithin)
+			return nil, &FailureError{Reason: ReasonForeign, Cause: ErrForeign}
+		}
 		echoed := response.Header.Get(c.names.RequestID)
 		if echoed == request.ID || echoed == "" && response.StatusCode >= http.StatusBadRequest {
 			return response, nil
@@ -223,6 +240,7 @@
 		if err := skipBody(used, response); err != nil {
 			return nil, &FailureError{Reason: ReasonForeign, Cause: err}
 		}
+		c.pool.surplus.record(used.target, SurplusSkipped)
 	}
 	return nil, &FailureError{Reason: ReasonForeign, Cause: errMismatched}
 }
@@ -261,20 +279,6 @@
 	return errors.As(err, &network)
 }
 
-// eofReader records whether the body was read to its end.
-type eofReader struct {
-	body  io.ReadCloser
-	ended bool
-}
-
-func (w *eofReader) Read(into []byte) (int, error) {
-	n, err := w.body.Read(into)
-	if errors.Is(err, io.EOF) {
-		w.ended = true
-	}
-	return n, err
-}
-
 // NotRun reports whether the replica states that it has not run the request.
 func (a *Answer) NotRun() bool {
 	return a.Header.Get(a.client.names.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
@@ -288,6 +292,9 @@
 	if !a.stop() {
 		return // the end of the context has closed the connection
 	}
+	if a.body.ended && a.connection.reader.Buffered() > 0 {
+		a.client.pool.surplus.record(a.connection.target, SurplusBehind)
+	}
 	if !a.reusable() {
 		a.connection.close()
 		return
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -11,6 +13,7 @@
 	"stepseam.example/stepseam/internal/balance"
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
+	"stepseam.example/stepseam/internal/routing"
 	"stepseam.example/stepseam/internal/wait"
 )
 
@@ -56,8 +59,22 @@
 	stopTimer func()
 	// numbered is set once a numbered event was received.
 	numbered bool
+	// forwarded is set once an event was sent to the client.
+	forwarded bool
+	// result is how the response ended, empty until that is known.
+	result responseResult
 }
 
+// responseResult is how a response of a replica ended, in metrics.
+type responseResult string
+
+const (
+	resultWhole  responseResult = "whole"
+	resultBroken responseResult = "broken"
+	// resultLeft is that of a response that this node stopped reading.
+	resultLeft responseResult = "left"
+)
+
 // finish releases the connection and records whether the replica is at fault.
 func (a *attempt) finish(failed bool) { a.finishStream(failed, nil) }
 
@@ -67,10 +84,23 @@
 	return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonUnsigned, Status: a.response.Status}
 }
 
+// incomplete returns the failure of a response that broke off.
+func (a *attempt) incomplete(cause error) *exchange.FailureError {
+	reason := exchange.ReasonIncomplete
+	if errors.Is(cause, exchange.ErrForeign) {
+		reason = exchange.ReasonForeign
+	}
+	return &exchange.FailureError{
+		Outcome: exchange.OutcomeRan, Reason: reason, Status: a.response.Status,
+		Cause: fmt.Errorf("after %d bytes of a body delimited by %s: %w", a.response.Received(), a.response.Framing, cause),
+	}
+}
+
 // finishStream is like finish, and reports to the replica's aggregator the segments that
 // are now in its cache.
 func (a *attempt) finishStream(failed bool, cached []balance.Segment) {
 	a.stopTimer()
+	a.router.metrics.responses.WithLabelValues(string(a.response.Framing), string(cmp.Or(a.result, resultLeft))).Inc()
 	a.response.Close()
 	a.router.config.Tracker.End(a.inFlight, failed, a.router.Now())
 	a.router.reportLoad(a.call, a.replica, cached)
@@ -201,10 +231,11 @@
 	stopTimer := r.startResponseTimer(call, replica, inFlight)
 	response, err := r.config.Replicas.Send(ctx, targetOf(replica), exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
-		Repeatable: call.route.Repeatable(), MaySend: func() error { return r.acquireSend(ctx, call, replica) },
+		Repeatable: call.route.Repeatable(), Stream: call.route.Kind == routing.KindStreaming, MaySend: func() error { return r.acquireSend(ctx, call, replica) },
 	})
 	r.config.Tracker.Answered(inFlight, r.Now())
 	attempt := &attempt{response: response, replica: replica, inFlight: inFlight, router: r, call: call, stopTimer: stopTimer}
+	reply.response = response
 	var failure *exchange.FailureError
 	if errors.As(err, &failure) {
 		stopTimer()
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
@@ -158,12 +157,14 @@
 // already has are skipped.
 func (r *Router) forwardEvents(ctx context.Context, stream *stream, attempt *attempt) *exchange.FailureError {
 	var pending pendingEvents
-	var gaps []time.Duration
-	var last time.Time
-	defer func() { r.config.Tracker.StreamEnded(attempt.inFlight, gaps, r.Now()) }()
+	var arrivals eventArrivals
+	defer func() { r.config.Tracker.StreamEnded(attempt.inFlight, arrivals.gaps, r.Now()) }()
 	received := r.responses.Holder(attempt.replica.IncarnationID())
 	defer received.Release()
-	reader := &eventReader{reader: attempt.response.Body, grow: func(size int) error { return received.Grow(receivedBytes(pending.bytes + size)) }}
+	reader := &eventReader{
+		reader: attempt.response.Body, isHeadLine: r.config.Names.Replica.IsHeadLine, order: &eventOrder{first: -1, last: -1},
+		grow: func(size int) error { return received.Grow(receivedBytes(pending.bytes + size)) },
+	}
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) {
@@ -176,28 +177,14 @@
 		if err != nil {
 			return r.failEvents(ctx, stream, attempt, err)
 		}
-		now := time.Now()
-		if last.IsZero() {
-			if failure := r.checkOrigin(stream.call, attempt); failure != nil {
-				attempt.finish(false)
-				return failure
-			}
-			r.reportLoad(stream.call, attempt.replica, nil)
-		} else if len(gaps) < maxGaps {
-			gaps = append(gaps, now.Sub(last))
-		}
-		last = now
-		stream.call.heardAt = now
-		r.heard(&attempt.replica)
-		if event.hasID && !attempt.numbered {
-			attempt.numbered = true
-			attempt.stopTimer()
-			r.config.Tracker.FirstEvent(attempt.inFlight, r.Now())
+		if failure := r.eventArrived(stream.call, attempt, &arrivals, event.hasID); failure != nil {
+			attempt.finish(false)
+			return failure
 		}
 		if !event.hasID || stream.isNew(event, &pending) {
 			pending.add(event)
 		} else {
-			pending.repeated += len(event.raw)
+			pending.skip(event)
 		}
 		if !pending.numbered || stream.transcript != nil && len(pending.events) < maxRecordedTogether && holdsWholeEvent(attempt.response.Body) {
 			continue
@@ -215,6 +202,7 @@
 		stream.sendHeader(attempt.response)
 	}
 	attempt.recordOutcome(outlier.Success)
+	attempt.result = resultWhole
 	attempt.finishStream(false, stream.cachedSegments())
 }
 
@@ -224,13 +212,24 @@
 	atFault := ctx.Err() == nil && !errors.Is(err, heldbytes.ErrFull) && !errors.Is(err, heldbytes.ErrOwnerFull)
 	if atFault {
 		attempt.recordOutcome(outlier.BrokenResponse)
+		attempt.result = resultBroken
+		r.logEvents(ctx, stream, attempt, "stream of a replica broke off", errorAttr(err))
+	}
+	if errors.Is(err, errForeignEvent) || errors.Is(err, errOutOfOrder) || errors.Is(err, errBeginsAnew) {
+		attempt.response.RecordForeign()
 	}
 	attempt.finish(atFault)
+	if errors.Is(err, errOutOfOrder) && attempt.forwarded {
+		// Which of the events sent are the other run's is not known.
+		failure := attempt.incomplete(err)
+		r.endAttempt(ctx, stream.call, &attempt.replica, failure)
+		stream.reply.abort(string(failure.Reason), failure)
+	}
 	if errors.Is(err, errTurnTooLong) {
 		_ = http.NewResponseController(stream.reply.writer).Flush()
 		stream.reply.abort("turn_too_long", err)
 	}
-	return &exchange.FailureError{Outcome: exchange.OutcomeRan, Reason: exchange.ReasonIncomplete, Status: attempt.response.Status, Cause: err}
+	return attempt.incomplete(err)
 }
 
 // sendEvents records events and sends them to the client.
@@ -243,6 +242,7 @@
 		announce = r.recordOrigin(stream, attempt)
 	}
 	r.recordEvents(ctx, stream, attempt, events)
+	attempt.forwarded = true
 	for _, event := range events {
 		stream.forward(event, attempt)
 	}
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/origin"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,10 +20,11 @@
 	requests       *prometheus.CounterVec
 	seconds        *prometheus.HistogramVec
 	failedAttempts *prometheus.CounterVec
+	responses      *prometheus.CounterVec
 	inFlight       prometheus.Gauge
 }
 
-func newMetrics(registerer prometheus.Registerer) *metrics {
+func newMetrics(registerer prometheus.Registerer, replicas *exchange.Client) *metrics {
 	built := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_requests_total", Help: "Requests by kind of route, status and reason of a failure.",
@@ -34,12 +36,21 @@
 		failedAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_failed_attempts_total", Help: "Attempts at replicas that brought no answer, by reason.",
 		}, []string{"reason"}),
+		responses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_replica_responses_total", Help: "Responses of replicas by what delimits them and result: whole, broken, or left by this node.",
+		}, []string{"framing", "result"}),
 		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "stepseam_requests_under_way", Help: "Requests that are being served.",
 		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(built.requests, built.seconds, built.failedAttempts, built.inFlight)
+		registerer.MustRegister(built.requests, built.seconds, built.failedAttempts, built.responses, built.inFlight)
+		for _, place := range exchange.SurplusPlaces() {
+			registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+				Name: "stepseam_replica_surplus_total", Help: "Connections on which a replica sent bytes that belong to no request, by where they were seen.",
+				ConstLabels: prometheus.Labels{"seen": place.String()},
+			}, func() float64 { return float64(replicas.Surplus(place)) }))
+		}
 	}
 	return built
 }
@@ -96,6 +107,9 @@
 	if call.given > 0 {
 		attributes = append(attributes, durationAttr("sent_after", call.sendBegan.Sub(call.arrived)), durationAttr("given", call.given))
 	}
+	if reply.response != nil {
+		attributes = append(attributes, responseAttrs(reply.response)...)
+	}
 	if reply.replicaVersion != "" {
 		attributes = append(attributes, slog.String("replica_version", reply.replicaVersion))
 	}
@@ -148,6 +162,21 @@
 	return described
 }
 
+// responseAttrs describes the transfer of a replica's response.
+func responseAttrs(response *exchange.Answer) []slog.Attr {
+	return []slog.Attr{
+		slog.String("framing", string(response.Framing)), slog.Bool("reused", response.Reused), slog.Int64("received", response.Received()),
+	}
+}
+
+// logEvents logs what was seen in the events of a replica.
+func (r *Router) logEvents(ctx context.Context, stream *stream, attempt *attempt, message string, more ...slog.Attr) {
+	r.config.Logger.LogAttrs(ctx, slog.LevelInfo, message, append([]slog.Attr{
+		slog.String("id", stream.call.id), slog.String("replica", attempt.replica.IncarnationID()), slog.String("framing", string(attempt.response.Framing)),
+		slog.Bool("reused", attempt.response.Reused), slog.Int64("sent_event", stream.lastEvent),
+	}, more...)...)
+}
+
 // maxLoggedID bounds the length of client-supplied IDs in the log.
 const maxLoggedID = 80
 
