Reset connections whose response of unknown length broke off

A client of HTTP/1.0, or of any response without a length and chunks, has no sign of the end but that of the connection.

SO_LINGER is set to 0 before the head of such a response is sent, and restored once all of it has been flushed. Whatever ends the connection before resets it. An abort first waits, for 1 s at most, until the client's system has what was written, since a reset discards the rest.

--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -85,6 +85,7 @@
 		reply.setReason(reasonClientLeft, err)
 		return nil
 	}
+	reply.endBody()
 	reply.answered = !failed
 	return nil
 }
@@ -115,6 +116,7 @@
 			}
 			attempt.result = resultWhole
 			attempt.finish(false)
+			reply.endBody()
 			reply.answered = attempt.response.Status < http.StatusInternalServerError
 			return
 		}
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"stepseam.example/stepseam/internal/balance"
+	"stepseam.example/stepseam/internal/clientconn"
 	"stepseam.example/stepseam/internal/exchange"
 )
 
@@ -17,6 +18,10 @@
 	longRetryAfter  = 400 * time.Millisecond
 )
 
+// abortTimeout bounds the wait for the client's system to receive what was written before its connection
+// is reset.
+const abortTimeout = time.Second
+
 // reasonBuffersFull is the reason of a rejection for the bytes that the node holds.
 const reasonBuffersFull = "buffers_full"
 
@@ -50,7 +55,9 @@
 // reply is the response to one request, with the data for its log line.
 type reply struct {
 	writer http.ResponseWriter
-	router *Router
+	// request is the client's.
+	request *http.Request
+	router  *Router
 	// status is 0 until a status has been sent.
 	status  int
 	reason  string
@@ -84,6 +91,9 @@
 	answered bool
 	// aborted reports that the response was aborted.
 	aborted bool
+	// whole is set while a response is sent that only the end of its connection delimits. Until it is
+	// called, the connection ends with a reset.
+	whole func()
 }
 
 func (a *reply) setReason(reason string, cause error) {
@@ -109,14 +119,18 @@
 	_, _ = a.writer.Write([]byte(body))
 }
 
-// sendHeader sends the header of a replica's response. length is -1 if unknown.
+// sendHeader sends the header of a replica's response. length is -1 if unknown. The caller calls endBody
+// once the body has been written.
 func (a *reply) sendHeader(response *exchange.Answer, length int) {
 	header := a.writer.Header()
 	for name, values := range endToEndHeader(response.Header) {
 		header[name] = values
 	}
-	if length >= 0 {
+	switch {
+	case length >= 0:
 		header.Set("Content-Length", strconv.Itoa(length))
+	case !a.request.ProtoAtLeast(1, 1):
+		a.whole, _ = clientconn.ResetUnlessWhole(a.request.Context())
 	}
 	for _, name := range []string{"Date", "Content-Type"} {
 		if _, given := header[name]; !given {
@@ -128,9 +142,22 @@
 	a.writer.WriteHeader(response.Status)
 }
 
-// abort ends a response that a replica has begun. It closes the connection, so that the client does not
-// take the response for complete; what was written before is sent first. If that is nothing, the
-// client gets a status. It panics with http.ErrAbortHandler and does not return.
+// endBody ends the body of a response that is whole.
+func (a *reply) endBody() {
+	if a.whole == nil {
+		return
+	}
+	if err := http.NewResponseController(a.writer).Flush(); err != nil {
+		a.setReason(reasonClientLeft, err)
+		return
+	}
+	a.whole()
+}
+
+// abort ends a response that a replica has begun. It closes the connection, or resets it if nothing else
+// delimits the response, so that the client does not take the response for complete; what was written
+// before is sent first. If that is nothing, the client gets a status. It panics with
+// http.ErrAbortHandler and does not return.
 func (a *reply) abort(reason string, cause error) {
 	if a.status == 0 {
 		a.closeAfter()
@@ -141,6 +168,9 @@
 	}
 	// An error means that the client has disconnected.
 	_ = http.NewResponseController(a.writer).Flush()
+	if a.whole != nil {
+		clientconn.AwaitSent(a.request.Context(), abortTimeout)
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -163,7 +163,7 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	reply := &reply{writer: writer, router: r}
+	reply := &reply{writer: writer, request: request, router: r}
 	defer r.recoverPanic(request, reply)
 	if r.draining.Load() {
 		reply.closeAfter()
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -69,12 +69,16 @@
 		return
 	}
 	defer func() { turn.Finish(stream.tokens) }()
-	if r.runStream(ctx, stream) && call.route.Retain {
+	if !r.runStream(ctx, stream) {
+		return
+	}
+	if call.route.Retain {
 		// The turn is finished before it is persisted, so that the coordinator usually knows
 		// the unused tokens by then and can make the next reservation in the same call.
 		turn.Finish(stream.tokens)
 		r.persistTurn(ctx, stream, turn.Chain)
 	}
+	reply.endBody()
 }
 
 // runStream forwards events, and continues at another replica after a failure if the
--- a/internal/router/transcript_test.go
+++ b/internal/router/transcript_test.go
@@ -51,7 +51,7 @@
 			h.withTranscripts()
 			resumption.deadline, resumption.header = time.Now().Add(time.Second), http.Header{}
 			recorder := httptest.NewRecorder()
-			stream := &stream{reply: &reply{writer: recorder, router: h.router}, call: &resumption}
+			stream := &stream{reply: &reply{writer: recorder, request: httptest.NewRequest(http.MethodPost, "/", nil), router: h.router}, call: &resumption}
 			is.True(!h.router.claimTranscript(t.Context(), stream))
 			is.Equal(recorder.Code, http.StatusServiceUnavailable)
 			is.Equal(recorder.Body.String(), reasonOutputUnknown+"\n")
