Demand an event of a stream that ends with its connection

A stream without any event has no sign that it began. It counts as broken off now: nothing has been sent to the client, so that it is retried where that is allowed, and 502 otherwise. An empty stream in chunks or with a length is the replica's own, as before.

TestStreamThatEndsWithItsConnectionNeedsAnEvent failed before: 200 != 502.

--- a/internal/router/framing_test.go
+++ b/internal/router/framing_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -48,3 +49,24 @@
 	is.Equal(count("chunked", resultBroken), 1.0)
 	is.Equal(count("length", resultWhole), 2.0)
 }
+
+// A replica that closed its connection behind the head of a stream gave clients an empty stream that was whole.
+func TestStreamThatEndsWithItsConnectionNeedsAnEvent(t *testing.T) {
+	begin := func(framing string) replica.Script {
+		return func(e *replica.Exchange) bool {
+			e.Write("HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Stamp: s\r\n%s\r\n: no event\n\n", e.Request.Header.Get("Test-Id"), framing)
+			return false
+		}
+	}
+	is := is.New(t)
+	is.Equal(newHarness(t, begin("")).post("/stream/x", "1").StatusCode, http.StatusBadGateway)
+	h := newHarness(t, begin(""), events(1, 3, true))
+	is.Equal(h.post("/stream/x", "1").StatusCode, http.StatusBadGateway)
+	is.Equal(len(h.replicas[1].Received()), 0) // it must not run again
+	got := newHarness(t, begin(""), events(1, 3, true)).post("/resume/x", "1")
+	is.NoErr(got.err)
+	is.Equal(got.body, numbered(1, 3))
+	got = newHarness(t, begin("Content-Length: 12\r\n")).post("/stream/x", "1")
+	is.NoErr(got.err) // an empty stream of the replica's own
+	is.Equal(got.body, ": no event\n\n")
+}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -171,6 +171,9 @@
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) {
+			if err := checkEnd(attempt); err != nil {
+				return r.failEvents(ctx, stream, attempt, err)
+			}
 			r.endEvents(ctx, stream, attempt, pending.events)
 			return nil
 		}
@@ -212,6 +215,17 @@
 	}
 }
 
+// errNoEvents means that the connection of a response ended without an event.
+var errNoEvents = errors.New("router: the connection ended before the first event")
+
+// checkEnd returns why the end of a connection is not the end of the stream that it delimits.
+func checkEnd(attempt *attempt) error {
+	if attempt.response.Framing == exchange.FramingConnection && !attempt.numbered {
+		return errNoEvents
+	}
+	return nil
+}
+
 // endEvents sends the last events of a whole stream and finishes the attempt.
 func (r *Router) endEvents(ctx context.Context, stream *stream, attempt *attempt, last []event) {
 	r.sendEvents(ctx, stream, attempt, last)
