Pass on the framing of responses that end with their connection

A body without a length and chunks ends with its connection, as it does if the replica breaks off. It now reaches the client as it came, delimited by the end of the client's connection, which is reset if anything breaks, and with Connection: close. A stream that has begun in chunks does not end with a response of that kind either: it breaks off, and its client may resume it.

TestResponsesThatBreakOffAreNotTakenForWhole, cuts of a response without a length that were wrong on: 288 of 1,590 (HTTP/1.1) and 54 of 783 (HTTP/1.0). After: 0 and 0; a client that sees an open end gets what was sent, and never one that was reset, has no event, or an event cut off. TestFramingOfAResponseIsPassedOn failed before on the length.

A response to HEAD, and 204 and 304, have no body and keep the connection.

The harness of the router's tests serves with a tracker now, as all nodes do: without one a connection can't be reset, and TestBodyWithoutEndEndsAtTheLimit/until_close saw a long body that was cut off at the limit end like a whole one. What it checks is unchanged.

--- a/internal/router/breakoff_test.go
+++ b/internal/router/breakoff_test.go
@@ -51,6 +51,9 @@
 	{name: "length", encode: func(id, body string) string {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields(id), len(body), body)
 	}},
+	{name: "connection", ends: true, encode: func(id, body string) string {
+		return "HTTP/1.1 200 OK\r\n" + fields(id) + "\r\n" + body
+	}},
 }
 
 // oddForms are cut at each byte by fewer clients.
@@ -79,6 +82,9 @@
 	{name: "HTTP/1.0 with a length", encode: func(id, body string) string {
 		return fmt.Sprintf("HTTP/1.0 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields(id), len(body), body)
 	}},
+	{name: "HTTP/1.0", ends: true, encode: func(id, body string) string {
+		return "HTTP/1.0 200 OK\r\n" + fields(id) + "\r\n" + body
+	}},
 }
 
 const brokenPlain = "a body of one line, and then\n\nsome more of it\n"
@@ -127,7 +133,8 @@
 	if err != nil {
 		return verdict(err.Error())
 	}
-	response, err := http.ReadResponse(bufio.NewReader(socket), nil)
+	var raw strings.Builder
+	response, err := http.ReadResponse(bufio.NewReader(io.TeeReader(socket, &raw)), nil)
 	if err != nil {
 		return verdictBroken
 	}
@@ -140,7 +147,7 @@
 	switch {
 	case err != nil:
 		return verdictBroken
-	case open && version == "1.1" && response.Header.Get("Connection") != "close":
+	case open && version == "1.1" && !strings.Contains(raw.String(), "\r\nConnection: close\r\n"):
 		return verdictKept
 	case string(body) == bodyOf(path):
 		return verdictWhole
@@ -234,7 +241,7 @@
 	return verdicts
 }
 
-// Clients of HTTP/1.0 took streams that broke off for whole.
+// Clients of HTTP/1.0 took streams that broke off for whole, and all clients bodies without a length.
 func TestResponsesThatBreakOffAreNotTakenForWhole(t *testing.T) {
 	t.Parallel()
 	play := func(form responseForm, versions ...string) {
--- a/internal/router/framing_test.go
+++ b/internal/router/framing_test.go
@@ -1,12 +1,17 @@
 package router
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus/testutil"
@@ -70,3 +75,79 @@
 	is.NoErr(got.err) // an empty stream of the replica's own
 	is.Equal(got.body, ": no event\n\n")
 }
+
+// A stream that went on at a replica which closes its connection at the end was ended as certainly whole.
+func TestFramedStreamDoesNotEndWithAnUnframedOne(t *testing.T) {
+	is := is.New(t)
+	open := func(from, to int) replica.Script {
+		return func(e *replica.Exchange) bool {
+			e.Write("HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Stamp: s\r\n\r\n%s", e.Request.Header.Get("Test-Id"), numbered(from, to))
+			return false
+		}
+	}
+	h := newHarness(t, events(1, 2, false), open(3, 4))
+	got := h.post("/resume/x", "1")
+	is.True(got.err != nil)
+	is.Equal(got.body, numbered(1, 4))
+	h = newHarness(t, open(1, 2))
+	got = h.post("/resume/x", "1")
+	is.NoErr(got.err)
+	is.Equal(got.body, numbered(1, 2))
+	is.True(got.ContentLength < 0 && got.TransferEncoding == nil && got.Close)
+}
+
+// A body that ended with its replica's connection was given a length; a request that a client sent then on a kept connection was lost.
+func TestFramingOfAResponseIsPassedOn(t *testing.T) {
+	unframed := func(e *replica.Exchange) bool {
+		e.Write("HTTP/1.1 %s\r\nTest-Id: %s\r\nTest-Stamp: s\r\n\r\n", e.Request.Header.Get("X-Status"), e.Request.Header.Get("Test-Id"))
+		if e.Request.Method != http.MethodHead {
+			e.Write("%s", e.Request.Header.Get("X-Body"))
+		}
+		return false
+	}
+	long := strings.Repeat("x", 2*maxBufferedBody)
+	for _, c := range []struct {
+		method, version, status, body string
+		// closes reports that the response must close the connection.
+		closes bool
+	}{
+		{"POST", "1.1", "200 OK", "body", true},
+		{"POST", "1.0", "200 OK", "body", true},
+		{"POST", "1.1", "404 Not Found", "body", true},
+		{"POST", "1.1", "200 OK", "", true},
+		{"POST", "1.1", "200 OK", long, true},
+		{"HEAD", "1.1", "200 OK", "", false},
+		{"POST", "1.1", "204 No Content", "", false},
+		{"POST", "1.1", "304 Not Modified", "", false},
+	} {
+		t.Run(c.method+" "+c.version+" "+c.status, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, func(e *replica.Exchange) bool {
+				e.Request.Header.Set("X-Body", c.body)
+				return unframed(e)
+			})
+			_, address := trackedServer(t, h.router)
+			socket, err := net.Dial("tcp4", address)
+			is.NoErr(err)
+			defer func() { _ = socket.Close() }()
+			is.NoErr(socket.SetDeadline(time.Now().Add(10 * time.Second)))
+			reader := bufio.NewReader(socket)
+			for range 2 {
+				_, err = fmt.Fprintf(socket, "%s /unsafe/x HTTP/%s\r\nHost: h.example\r\nTest-Id: 1\r\nX-Status: %s\r\nContent-Length: 0\r\n\r\n", c.method, c.version, c.status)
+				is.NoErr(err)
+				response, err := http.ReadResponse(reader, &http.Request{Method: c.method})
+				is.NoErr(err)
+				body, err := io.ReadAll(response.Body)
+				is.NoErr(err)
+				is.Equal(len(body), len(c.body))
+				is.Equal(response.Close, c.closes)
+				if c.closes {
+					is.True(response.ContentLength < 0 && response.TransferEncoding == nil)
+					_, err = reader.ReadByte()
+					is.True(errors.Is(err, io.EOF))
+					return
+				}
+			}
+		})
+	}
+}
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -94,6 +94,8 @@
 	// whole is set while a response is sent that only the end of its connection delimits. Until it is
 	// called, the connection ends with a reset.
 	whole func()
+	// unframed reports that only the end of its connection delimits the response.
+	unframed bool
 }
 
 func (a *reply) setReason(reason string, cause error) {
@@ -119,18 +121,23 @@
 	_, _ = a.writer.Write([]byte(body))
 }
 
-// sendHeader sends the header of a replica's response. length is -1 if unknown. The caller calls endBody
-// once the body has been written.
+// sendHeader sends the header of a replica's response. length is -1 if unknown. It is not sent for a body
+// that ended with the replica's connection: that may have broken off, and the client is to see as much.
+// The caller calls endBody once the body has been written.
 func (a *reply) sendHeader(response *exchange.Answer, length int) {
 	header := a.writer.Header()
 	for name, values := range endToEndHeader(response.Header) {
 		header[name] = values
 	}
 	switch {
+	case response.Framing == exchange.FramingConnection:
+		// net/http sends neither chunks nor a length then, and closes the connection.
+		header.Set("Transfer-Encoding", "identity")
+		a.endsWithConnection()
 	case length >= 0:
 		header.Set("Content-Length", strconv.Itoa(length))
 	case !a.request.ProtoAtLeast(1, 1):
-		a.whole, _ = clientconn.ResetUnlessWhole(a.request.Context())
+		a.endsWithConnection()
 	}
 	for _, name := range []string{"Date", "Content-Type"} {
 		if _, given := header[name]; !given {
@@ -142,6 +149,12 @@
 	a.writer.WriteHeader(response.Status)
 }
 
+// endsWithConnection prepares a response that only the end of its connection delimits.
+func (a *reply) endsWithConnection() {
+	a.unframed = true
+	a.whole, _ = clientconn.ResetUnlessWhole(a.request.Context())
+}
+
 // endBody ends the body of a response that is whole.
 func (a *reply) endBody() {
 	if a.whole == nil {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"stepseam.example/stepseam/internal/balance"
+	"stepseam.example/stepseam/internal/clientconn"
 	"stepseam.example/stepseam/internal/coordinator"
 	"stepseam.example/stepseam/internal/emulator/replica"
 	"stepseam.example/stepseam/internal/emulator/store"
@@ -69,7 +70,9 @@
 	}
 	h.fleet.Replace(all, 0)
 	h.configure(1)
-	h.server = httptest.NewServer(h.router)
+	h.server = httptest.NewUnstartedServer(h.router)
+	h.server.Listener = clientconn.NewTracker(slog.New(slog.DiscardHandler), nil).Track(h.server.Config, h.server.Listener)
+	h.server.Start()
 	t.Cleanup(h.server.Close)
 	return h
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -171,7 +171,7 @@
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) {
-			if err := checkEnd(attempt); err != nil {
+			if err := stream.checkEnd(attempt); err != nil {
 				return r.failEvents(ctx, stream, attempt, err)
 			}
 			r.endEvents(ctx, stream, attempt, pending.events)
@@ -215,13 +215,23 @@
 	}
 }
 
-// errNoEvents means that the connection of a response ended without an event.
-var errNoEvents = errors.New("router: the connection ended before the first event")
+var (
+	// errNoEvents means that the connection of a response ended without an event.
+	errNoEvents = errors.New("router: the connection ended before the first event")
+	// errUnframedEnd means that a stream that began with a framed response goes on in one that its connection
+	// delimits. Its end would be framed as certain.
+	errUnframedEnd = errors.New("router: the end of a connection can't end a framed response")
+)
 
 // checkEnd returns why the end of a connection is not the end of the stream that it delimits.
-func checkEnd(attempt *attempt) error {
-	if attempt.response.Framing == exchange.FramingConnection && !attempt.numbered {
+func (s *stream) checkEnd(attempt *attempt) error {
+	switch {
+	case attempt.response.Framing != exchange.FramingConnection:
+		return nil
+	case !attempt.numbered:
 		return errNoEvents
+	case s.headerSent && !s.reply.unframed:
+		return errUnframedEnd
 	}
 	return nil
 }
