Confirm that a replica lives whose body ended with its connection

A process that is killed closes its connections with FIN if it had read all. Before such an end of a success counts, a connection to the same incarnation must be open 10 ms later, since a process that ends closes its sockets one after the other: an idle one of the pool, or else a new one, within 250 ms. If it is refused, the response broke off: it is tried again where that is allowed, else 502 or a stream that breaks off. If nobody answers, that is no proof either way: the kernel that sent FIN answers as a rule, and a 502 promises nothing, while a success can't be taken back, so that counts as broken off, too. A replica that accepts and closes connections has too many, and lives.

Only successes without a length and chunks pay: 10 ms at their end, and a connection and 10 ms more if no idle one is open.

TestBodyThatEndsWithItsReplicaIsNotWhole, 100 cuts at which the replica's process ends: on 54 were taken for whole, now none. TestBodyThatEndsWithItsReplicaIsRetriedWhereThatIsAllowed failed before: part != done.

--- a/internal/router/breakoff_test.go
+++ b/internal/router/breakoff_test.go
@@ -325,3 +325,66 @@
 		})
 	}
 }
+
+// A replica that was killed within a body without a length ended it like a whole one.
+func TestBodyThatEndsWithItsReplicaIsNotWhole(t *testing.T) {
+	t.Parallel()
+	form := framedForms[2]
+	cases := cutCases(&form, []string{"1.0", "1.1"})
+	counts := map[verdict]int{}
+	for _, one := range cases {
+		// Only an end behind the head can be taken for that of the body.
+		if behind := one.cut - (len(one.encoded()) - len(bodyOf(one.path))); behind < 0 || behind%8 != 0 && one.cut < len(one.encoded()) {
+			continue
+		}
+		h := newHarness(t, func(e *replica.Exchange) bool {
+			_, _ = io.WriteString(e.Socket, one.encoded()[:one.cut])
+			how := replica.EndClosed
+			if one.reset {
+				how = replica.EndReset
+			}
+			e.Replica.End(how)
+			return false
+		})
+		_, address := trackedServer(t, h.router)
+		got := ask(address, one.version, one.path, one.id())
+		counts[got]++
+		if got != verdictRefused && got != verdictBroken {
+			t.Errorf("%s: %s", one.id(), got)
+		}
+	}
+	t.Log(counts)
+}
+
+// A killed replica's stream or body was not tried again, as it seemed to be whole.
+func TestBodyThatEndsWithItsReplicaIsRetriedWhereThatIsAllowed(t *testing.T) {
+	is := is.New(t)
+	killed := func(body string) replica.Script {
+		return func(e *replica.Exchange) bool {
+			e.Write("HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Stamp: s\r\n\r\n%s", e.Request.Header.Get("Test-Id"), body)
+			time.Sleep(5 * time.Millisecond)
+			e.Replica.End(replica.EndClosed)
+			return false
+		}
+	}
+	h := newHarness(t, killed("part"), healthy)
+	is.Equal(h.post("/safe/x", "1").body, "done")
+	h = newHarness(t, killed("part"), healthy)
+	is.Equal(h.post("/unsafe/x", "1").StatusCode, http.StatusBadGateway)
+	is.Equal(len(h.replicas[1].Received()), 0)
+	h = newHarness(t, killed(numbered(1, 2)), events(3, 4, true))
+	_, address := trackedServer(t, h.router)
+	body, err := readRaw(t, address, "/resume/x")
+	is.NoErr(err)
+	is.Equal(body, numbered(1, 4))
+	h = newHarness(t, killed(numbered(1, 2)))
+	_, address = trackedServer(t, h.router)
+	body, err = readRaw(t, address, "/stream/x")
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	is.Equal(body, numbered(1, 2))
+	long := strings.Repeat("x", 2*maxBufferedBody)
+	h = newHarness(t, killed(long))
+	_, address = trackedServer(t, h.router)
+	_, err = readRaw(t, address, "/unsafe/x")
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -64,6 +65,9 @@
 		r.forwardLongBody(ctx, reply, attempt, body)
 		return nil
 	}
+	if err == nil && !failed {
+		err = attempt.response.ConfirmEnd(ctx)
+	}
 	switch {
 	case err == nil:
 		attempt.result = resultWhole
@@ -110,6 +114,9 @@
 		if err == nil && reply.bytes > maxResponseBytes {
 			err = errResponseTooLarge
 		}
+		if errors.Is(err, io.EOF) {
+			err = cmp.Or(attempt.response.ConfirmEnd(ctx), err)
+		}
 		if errors.Is(err, io.EOF) {
 			if attempt.response.Status < http.StatusInternalServerError {
 				attempt.recordOutcome(outlier.Success)
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -171,7 +171,7 @@
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) {
-			if err := stream.checkEnd(attempt); err != nil {
+			if err := stream.checkEnd(ctx, attempt); err != nil {
 				return r.failEvents(ctx, stream, attempt, err)
 			}
 			r.endEvents(ctx, stream, attempt, pending.events)
@@ -224,7 +224,7 @@
 )
 
 // checkEnd returns why the end of a connection is not the end of the stream that it delimits.
-func (s *stream) checkEnd(attempt *attempt) error {
+func (s *stream) checkEnd(ctx context.Context, attempt *attempt) error {
 	switch {
 	case attempt.response.Framing != exchange.FramingConnection:
 		return nil
@@ -233,7 +233,7 @@
 	case s.headerSent && !s.reply.unframed:
 		return errUnframedEnd
 	}
-	return nil
+	return attempt.response.ConfirmEnd(ctx)
 }
 
 // endEvents sends the last events of a whole stream and finishes the attempt.
