--- a/internal/router/breakoff_test.go
+++ b/internal/router/breakoff_test.go
@@ -388,3 +388,28 @@
 	_, err = readRaw(t, address, "/unsafe/x")
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
+
+// A turn whose replica was killed between two events was kept as it had come, and its client took it for whole.
+func TestKeptTurnIsWhatItsClientGot(t *testing.T) {
+	turn := []string{"Test-Program: p", "Test-Budget: 1000", "Test-Tokens: 100,60"}
+	for _, killed := range []bool{false, true} {
+		is := is.New(t)
+		h := newHarness(t, func(e *replica.Exchange) bool {
+			e.Write("HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Stamp: s\r\n\r\n%s", e.Request.Header.Get("Test-Id"), numbered(1, 2))
+			if killed {
+				e.Replica.End(replica.EndClosed)
+			}
+			return false
+		}, events(1, 1, true))
+		body, err := readRaw(t, h.server.Listener.Addr().String(), "/kept/x", turn...)
+		is.Equal(body, numbered(1, 2))
+		is.Equal(errors.Is(err, syscall.ECONNRESET), killed)
+		got := h.postBody("/kept/x", "2", "two.", turnHeader("p", 1000, 60, "Test-Previous", "1")...)
+		if killed {
+			is.Equal(got.StatusCode, http.StatusNotFound) // it was not answered whole
+			continue
+		}
+		is.NoErr(got.err)
+		is.Equal(h.replicas[0].Received()[1].Body, "inputw1\nw2\ntwo.")
+	}
+}
