Reset streams of the gateway that are cut off from clients of HTTP/1.0

A stream of the gateway has an event that ends it, but a client of HTTP/1.0 that reads to the end of the connection got FIN if the process ended, or closed all connections, within it. It gets a reset now, by the same means as the router's responses.

TestStreamOfUnknownLengthThatIsCutOffIsReset failed before: false != true, the read ended with EOF.

--- a/internal/gateway/protect.go
+++ b/internal/gateway/protect.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/clientconn"
 )
 
 // protect wraps next with the limits of all requests: draining, requests in
@@ -17,6 +18,7 @@
 	return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
 		writer := &timedWriter{
 			ResponseWriter: response,
+			request:        request,
 			controller:     http.NewResponseController(response),
 			timeout:        g.config.WriteTimeout,
 			gateway:        g,
@@ -36,6 +38,7 @@
 			return
 		}
 		next.ServeHTTP(writer, request)
+		writer.end()
 	})
 }
 
@@ -97,10 +100,14 @@
 // connection after a response that begins while the gateway drains.
 type timedWriter struct {
 	http.ResponseWriter
+	request    *http.Request
 	controller *http.ResponseController
 	timeout    time.Duration
 	gateway    *Gateway
 	status     int
+	// whole is set while a stream is sent that only the end of its connection delimits. Until it is called,
+	// the connection ends with a reset.
+	whole func()
 }
 
 func (w *timedWriter) begin(status int) {
@@ -111,6 +118,16 @@
 	if w.gateway.isDraining() {
 		w.Header().Set("Connection", "close")
 	}
+	if !w.request.ProtoAtLeast(1, 1) && w.Header().Get("Content-Type") == api.MediaEventStream {
+		w.whole, _ = clientconn.ResetUnlessWhole(w.request.Context())
+	}
+}
+
+// end is called once the response has been written. It is not called if the handler panics.
+func (w *timedWriter) end() {
+	if w.whole != nil && w.FlushError() == nil {
+		w.whole()
+	}
 }
 
 // WriteHeader sends the header and records the status.
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,6 +127,36 @@
 	is.True(answered >= 20*40)
 }
 
+// A stream of HTTP/1.0 that was cut off as the gateway closed all connections ended like a whole one.
+func TestStreamOfUnknownLengthThatIsCutOffIsReset(t *testing.T) {
+	for _, cutOff := range []bool{true, false} {
+		is := is.New(t)
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		is.NoErr(err)
+		g := gateway.New(gateway.Config{Programs: &programs{pause: 50 * time.Millisecond}, Board: blackboard.NewBoard()})
+		served := make(chan error, 1)
+		go func() { served <- g.Serve(listener) }()
+		socket, err := net.Dial("tcp4", listener.Addr().String())
+		is.NoErr(err)
+		is.NoErr(socket.SetDeadline(time.Now().Add(10 * time.Second)))
+		_, err = fmt.Fprintf(socket, "POST /v1/programs/p/calls HTTP/1.0\r\nHost: node\r\nAccept: text/event-stream\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(modelCall), modelCall)
+		is.NoErr(err)
+		first := make([]byte, 12)
+		_, err = io.ReadFull(socket, first)
+		is.NoErr(err)
+		is.Equal(string(first), "HTTP/1.0 200")
+		if cutOff {
+			is.NoErr(g.Close())
+		}
+		_, err = io.ReadAll(socket)
+		is.Equal(errors.Is(err, syscall.ECONNRESET), cutOff)
+		is.Equal(err == nil, !cutOff)
+		_ = socket.Close()
+		is.NoErr(g.Close())
+		is.NoErr(<-served)
+	}
+}
+
 // A gateway that closes connections itself must ask callers to close, and neither wait for unused connections nor beyond ctx.
 func TestShutdownClosesConnectionsAfterTheirResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
