--- a/internal/clientconn/reset_test.go
+++ b/internal/clientconn/reset_test.go
@@ -58,7 +58,7 @@
 		least int
 	}{
 		"whole": {func(w http.ResponseWriter, r *http.Request) { begin(w, r, part)() }, slow, false, len(part)},
-		"not tracked": {func(w http.ResponseWriter, r *http.Request) {
+		"not tracked": {func(w http.ResponseWriter, _ *http.Request) {
 			if _, found := ResetUnlessWhole(t.Context()); found {
 				t.Error("found")
 			}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -170,10 +171,8 @@
 	reader := &eventReader{reader: attempt.response.Body, grow: func(size int) error { return received.Grow(receivedBytes(pending.bytes + size)) }}
 	for {
 		event, err := reader.next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) {
-			if err := stream.checkEnd(ctx, attempt); err != nil {
-				return r.failEvents(ctx, stream, attempt, err)
-			}
+		err = stream.confirmEnd(ctx, attempt, err)
+		if endsStream(err) {
 			r.endEvents(ctx, stream, attempt, pending.events)
 			return nil
 		}
@@ -223,17 +222,21 @@
 	errUnframedEnd = errors.New("router: the end of a connection can't end a framed response")
 )
 
-// checkEnd returns why the end of a connection is not the end of the stream that it delimits.
-func (s *stream) checkEnd(ctx context.Context, attempt *attempt) error {
+// endsStream reports whether an error of an eventReader is the end of a body behind a whole event.
+func endsStream(err error) bool { return errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) }
+
+// confirmEnd returns the error of an eventReader, or why the end of a connection is not that of the stream
+// which it delimits.
+func (s *stream) confirmEnd(ctx context.Context, attempt *attempt, err error) error {
 	switch {
-	case attempt.response.Framing != exchange.FramingConnection:
-		return nil
+	case !endsStream(err), attempt.response.Framing != exchange.FramingConnection:
+		return err
 	case !attempt.numbered:
 		return errNoEvents
 	case s.headerSent && !s.reply.unframed:
 		return errUnframedEnd
 	}
-	return attempt.response.ConfirmEnd(ctx)
+	return cmp.Or(attempt.response.ConfirmEnd(ctx), err)
 }
 
 // endEvents sends the last events of a whole stream and finishes the attempt.
