Confirm the end of a body by a connection at once

A new connection that stays open for 10 ms after the body's shows as much as one that is made 10 ms later: a process that ends closes it, or refuses it.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -39,11 +39,13 @@
 type Client struct {
 	names Names
 	pool  *pool
+	// settle is settleTime.
+	settle time.Duration
 }
 
 // NewClient returns a client without open connections.
 func NewClient(names Names) *Client {
-	return &Client{names: names, pool: newPool()}
+	return &Client{names: names, pool: newPool(), settle: settleTime}
 }
 
 // Run closes expired idle connections periodically until ctx ends, and then closes all
--- a/internal/exchange/presence.go
+++ b/internal/exchange/presence.go
@@ -35,16 +35,15 @@
 	if a.Framing != FramingConnection {
 		return nil
 	}
-	if err := pause(ctx, settleTime); err != nil {
-		return err
-	}
 	target := a.connection.target
 	if a.client.pool.hasOpen(target) {
-		return nil
+		if err := pause(ctx, a.client.settle); err != nil || a.client.pool.hasOpen(target) {
+			return err
+		}
 	}
 	var err error
 	for range presenceTries {
-		if err = confirmByDial(ctx, target); err == nil || errors.Is(err, ErrReplicaEnded) || ctx.Err() != nil {
+		if err = a.client.confirmByDial(ctx, target); err == nil || errors.Is(err, ErrReplicaEnded) || ctx.Err() != nil {
 			break
 		}
 	}
@@ -64,7 +63,7 @@
 
 // confirmByDial connects to a replica, and returns nil if the connection stays open. A replica that
 // accepts connections and closes them has too many.
-func confirmByDial(ctx context.Context, target Target) error {
+func (c *Client) confirmByDial(ctx context.Context, target Target) error {
 	ctx, cancel := context.WithTimeout(ctx, presenceTimeout/presenceTries)
 	defer cancel()
 	for {
@@ -75,17 +74,17 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrPresenceUnknown, err)
 		}
-		open := staysOpen(socket)
+		open := staysOpen(socket, c.settle)
 		_ = socket.Close()
-		if open || pause(ctx, settleTime) != nil {
+		if open || pause(ctx, c.settle) != nil {
 			return nil
 		}
 	}
 }
 
-// staysOpen reports whether a new connection is not closed within settleTime.
-func staysOpen(socket net.Conn) bool {
-	_ = socket.SetReadDeadline(time.Now().Add(settleTime))
+// staysOpen reports whether a new connection is not closed within a time.
+func staysOpen(socket net.Conn, within time.Duration) bool {
+	_ = socket.SetReadDeadline(time.Now().Add(within))
 	_, err := socket.Read(make([]byte, 1))
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
