--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -68,12 +69,16 @@
 		return
 	}
 	defer func() { turn.Finish(stream.tokens) }()
-	if r.runStream(ctx, stream) && call.route.Retain {
+	if !r.runStream(ctx, stream) {
+		return
+	}
+	if call.route.Retain {
 		// The turn is finished before it is persisted, so that the coordinator usually knows
 		// the unused tokens by then and can make the next reservation in the same call.
 		turn.Finish(stream.tokens)
 		r.persistTurn(ctx, stream, turn.Chain)
 	}
+	reply.endBody()
 }
 
 // runStream forwards events, and continues at another replica after a failure if the
@@ -167,7 +172,8 @@
 	}
 	for {
 		event, err := reader.next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) {
+		err = stream.confirmEnd(ctx, attempt, err)
+		if endsStream(err) {
 			r.endEvents(ctx, stream, attempt, pending.events)
 			return nil
 		}
@@ -195,6 +201,31 @@
 	}
 }
 
+var (
+	// errNoEvents means that the connection of a response ended without an event.
+	errNoEvents = errors.New("router: the connection ended before the first event")
+	// errUnframedEnd means that a stream that began with a framed response goes on in one that its connection
+	// delimits. Its end would be framed as certain.
+	errUnframedEnd = errors.New("router: the end of a connection can't end a framed response")
+)
+
+// endsStream reports whether an error of an eventReader is the end of a body behind a whole event.
+func endsStream(err error) bool { return errors.Is(err, io.EOF) && !errors.Is(err, errEventTruncated) }
+
+// confirmEnd returns the error of an eventReader, or why the end of a connection is not that of the stream
+// which it delimits.
+func (s *stream) confirmEnd(ctx context.Context, attempt *attempt, err error) error {
+	switch {
+	case !endsStream(err), attempt.response.Framing != exchange.FramingConnection:
+		return err
+	case !attempt.numbered:
+		return errNoEvents
+	case s.headerSent && !s.reply.unframed:
+		return errUnframedEnd
+	}
+	return cmp.Or(attempt.response.ConfirmEnd(ctx), err)
+}
+
 // endEvents sends the last events of a whole stream and finishes the attempt.
 func (r *Router) endEvents(ctx context.Context, stream *stream, attempt *attempt, last []event) {
 	r.sendEvents(ctx, stream, attempt, last)
