Pass over a share table whose version none can follow

A table of another writer with the last version, or one near it, left no room for those after it: nodes published version 0, which the store refused, and no node held a share for good. Such a table counts as unreadable, so that the known one is published again; after any other the nodes hold all shares again within replaceMinorityAfter and three times Retention.

TestOddTableIsReplaced before, with the last version: 'not true: s.sum() > 0.999'. Two first forms of the test, which waited for twice Retention and for replaceMinorityAfter and twice Retention, failed with the change for a version far ahead: the holders that are missing are replaced a minute after the tables before no longer limit the shares.

--- a/internal/shares/message.go
+++ b/internal/shares/message.go
@@ -1,6 +1,7 @@
 package shares
 
 import (
+	"errors"
 	"time"
 
 	"stepseam.example/stepseam/internal/peer"
@@ -64,8 +65,17 @@
 	listBytes   = 4
 )
 
+// maxVersion is the highest version of a table that counts. Versions rise by one, or double after a loss
+// of the store, so that a higher one is another writer's, and is left room for those that follow.
+const maxVersion = 1 << 62
+
+var errVersion = errors.New("shares: the version is out of range")
+
 func decodeTable(d *wire.Decoder) Table {
 	table := Table{Version: d.Uint64(), Holders: decodeHolders(d)}
+	if table.Version > maxVersion {
+		d.Fail(errVersion)
+	}
 	for range d.Count(listBytes) {
 		table.Recent = append(table.Recent, decodeHolders(d))
 	}
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -442,6 +443,40 @@
 	is.Equal(read, sent)
 }
 
+// A table of another writer that no later version could follow ended all shares for good.
+func TestOddTableIsReplaced(t *testing.T) {
+	odd := []byte("?")
+	for name, version := range map[string]uint64{"unreadable": 0, "the last version": math.MaxUint64, "a version far ahead": maxVersion - 1<<20} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				s := &sharesSite{store: store.New(), startedAt: time.Now()}
+				for range 3 {
+					s.add(ctx, s.store, nil)
+				}
+				s.updateViews()
+				time.Sleep(4 * time.Second)
+				is.True(s.sum() > 0.999 && s.sum() <= 1)
+
+				written := odd
+				if version > 0 {
+					encoder := wire.NewEncoder(nil)
+					Table{Version: version, Holders: []Holder{"odd"}}.encode(encoder)
+					written = encoder.Bytes()
+				}
+				s.store.Put(tablePartition, tableKey, written)
+				for began := s.now(); s.now() < began+replaceMinorityAfter+3*Retention; time.Sleep(100 * time.Millisecond) {
+					is.True(s.sum() <= 1)
+				}
+				is.True(s.sum() > 0.999)
+				cancel()
+				time.Sleep(time.Minute) // until calls that wait have ended
+			})
+		})
+	}
+}
+
 // Decoding arbitrary bytes must not panic.
 func FuzzTable(f *testing.F) {
 	encoder := wire.NewEncoder(nil)
