Take a view for confirmed that a watcher confirms while a request waits for a read

A request without a record whose own confirming read had to wait for its share of the store's capacity looked at the view again only once that time was over, and gave up after 0.7 s though a watcher or a peer had confirmed the view meanwhile. The share of a node is 0.9 s between two reads with 90 nodes and a store of 2,000 reads a second, 10 s with 1,000 (worked out), so that on large sites every such request but the first waited 0.7 s. A stream without a version was broken off then (version_unknown), since it has nothing but this answer; others were decided by the view after the wait. It now looks every 20 ms, also while a read is under way that does not come back.

Failed before: TestWatcherConfirmsForRequestsThatWaitForARead "confirm replicas: context deadline exceeded".

--- a/internal/routednode/confirmation.go
+++ b/internal/routednode/confirmation.go
@@ -20,6 +20,8 @@
 	// confirmationFraction is the fraction of the store's read calls that all nodes together may
 	// spend on confirmations.
 	confirmationFraction = 0.1
+	// confirmedInterval is the time between two looks whether a watcher has confirmed the view meanwhile.
+	confirmedInterval = 20 * time.Millisecond
 )
 
 var (
@@ -122,19 +124,20 @@
 	for c.topic.Confirmed().Before(since) {
 		read, pause := c.read()
 		if read == nil {
-			if err := wait.For(ctx, pause); err != nil {
+			if err := wait.For(ctx, min(pause, confirmedInterval)); err != nil {
 				return fmt.Errorf("routednode: confirm %s: %w", c.topic.Name(), err)
 			}
 			continue
 		}
 		select {
 		case <-read.ended:
+			if read.err != nil && !read.sent.Before(since) && c.topic.Confirmed().Before(since) {
+				return read.err
+			}
+		case <-time.After(confirmedInterval):
 		case <-ctx.Done():
 			return fmt.Errorf("routednode: confirm %s: %w", c.topic.Name(), ctx.Err())
 		}
-		if read.err != nil && !read.sent.Before(since) {
-			return read.err
-		}
 	}
 	return nil
 }
--- a/internal/routednode/confirmation_test.go
+++ b/internal/routednode/confirmation_test.go
@@ -224,3 +224,23 @@
 		})
 	}
 }
+
+// A request that had to wait for the store's capacity was refused though a watcher had confirmed the view
+// since it arrived.
+func TestWatcherConfirmsForRequestsThatWaitForARead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const watcherAfter = 300 * time.Millisecond
+		v, kept, confirmer := confirmedViews(20) // a read of each topic in 5 s
+		is.NoErr(confirmer.Confirm(t.Context(), time.Now()))
+		calls, arrived := kept.Calls("read"), time.Now()
+		time.AfterFunc(watcherAfter, func() {
+			v.replicas.Confirm(time.Now())
+			v.confirmOperators(time.Now())
+		})
+		is.NoErr(confirmer.Confirm(t.Context(), arrived))
+		is.True(time.Since(arrived) < watcherAfter+100*time.Millisecond)
+		is.Equal(kept.Calls("read"), calls)
+		is.True(confirmer.Confirm(t.Context(), time.Now()) != nil) // no watcher, and too early for a read
+	})
+}
