Read on from where the view is, also if a peer has set it back

If it had not (the peer's clock had stood still, so that an age of a minute was told as one of a millisecond), the watcher of this node went on from where it had been itself: the changes from there were refused as not following on the view, none of those between the two was read again, and each read confirmed the view. The node kept its old view for good, as one of this moment: entries that were missing, and a history of one version that the store seemed to confirm.

The watcher now goes by the position of the view, and confirms only if the view has what it passed on.

Failed before: TestViewThatWentBackIsBroughtForward "1 != 2", "1 replicas, by a view of 216.727702ms".

--- a/internal/routednode/confirmation_test.go
+++ b/internal/routednode/confirmation_test.go
@@ -12,9 +12,11 @@
 	"github.com/matryer/is"
 
 	"stepseam.example/stepseam/internal/emulator/store"
+	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/guardedstore"
 	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/routing"
+	"stepseam.example/stepseam/internal/watch"
 )
 
 // confirmedStore is a store whose breakers a test opens.
@@ -244,3 +246,35 @@
 		is.True(confirmer.Confirm(t.Context(), time.Now()) != nil) // no watcher, and too early for a read
 	})
 }
+
+// A view that a peer had set back, while the store answered neither, stayed there for good once the store
+// answered again: its watcher read on from where it had been, and confirmed the view with each read.
+func TestViewThatWentBackIsBroughtForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v, kept, _ := confirmedViews(0)
+		v.replicas.Confirm(time.Now())
+		watcher := watch.New(watch.Config{
+			Name: "replicas", Store: kept.Store, Partition: v.adapter.Replicas, Logger: v.logger,
+			Pause: func() time.Duration { return 0 }, Wait: func() time.Duration { return 100 * time.Millisecond },
+			OnSnapshot: v.replaceEntries, OnChanges: v.applyEntries, OnRecovered: func() {}, OnConfirmed: v.replicas.Confirm,
+			Position: v.replicas.Position,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { watcher.Run(ctx) })
+		kept.Put(v.adapter.Replicas, "b", versioned("b", "v2").Value)
+		time.Sleep(time.Second)
+		is.Equal(v.fleet.Size(), 2)
+		kept.Fail(store.Fault{Busy: true})
+		time.Sleep(outageAge + time.Second)
+		v.replaceFromPeer(encodeAll([]fleet.Replica{{Instance: "a", Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Version: "v1"}}), 1)
+		kept.Fail(store.Fault{Delay: confirmDelay})
+		time.Sleep(2 * time.Second)
+		age, _ := v.replicas.Age(time.Now())
+		t.Logf("%d replicas, by a view of %v", v.fleet.Size(), age)
+		is.Equal(v.fleet.Size(), 2)
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -112,6 +112,12 @@
 	return w.config.Position()
 }
 
+// reaches reports whether the partition is known up to an offset that was passed on.
+func (w *Watcher) reaches(next logstore.Offset) bool {
+	position, found := w.position()
+	return !found || position >= next
+}
+
 // snapshot reads all pages. It retries a failed page and keeps the others, so that a
 // snapshot completes however many calls the store rejects.
 func (w *Watcher) snapshot(ctx context.Context) (logstore.Offset, error) {
@@ -152,8 +158,8 @@
 // must stop reading.
 func (w *Watcher) readChanges(ctx context.Context, next logstore.Offset) bool {
 	for w.await(ctx) == nil {
-		if known, found := w.position(); found && known > next {
-			next = known
+		if known, found := w.position(); found {
+			next = known // another source may have set it back, too
 		}
 		sent := time.Now()
 		changed, err := w.changes(ctx, next)
@@ -175,7 +181,7 @@
 		if len(changed.Items) > 0 {
 			w.config.OnChanges(from, changed.Items, next)
 		}
-		if next >= changed.End {
+		if next >= changed.End && w.reaches(next) {
 			w.config.OnConfirmed(sent)
 		}
 		_ = wait.For(ctx, w.config.Pause()) // the loop checks ctx
