Count the version of a dropped replica until the store removes its entry

A node that gets 421 from a replica's address drops the replica, though the store still has its entry. The history of versions took that for the end of the entry: a while later the node vouched for the only version of the service, "confirmed by the store", while others that had not dropped the replica sent it streams. Nodes that pull their view from others learn of no renewal, so that it was so for as long as the entry stayed the same.

And the removal of such an entry was not passed on: a reader that had dropped the replica took the removal for one without effect, and all that pull from it kept the replica, and its version, for good (streams without a record refused for two versions; a replica chosen that had ended).

The entry is now kept aside until the store removes or renews it; the removal is passed on.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -38,6 +38,8 @@
 	services map[string]*service
 	// lapsed holds the replicas without an entry that may still be used.
 	lapsed map[string]*entry
+	// dropped holds the entries in the store of incarnations that are known to have ended.
+	dropped map[string]*entry
 	// recoveringUntil is the end of the grace period for entries that were missing when the
 	// store recovered, as a monotonic reading.
 	recoveringUntil time.Duration
@@ -60,7 +62,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{replicas: map[string]*entry{}, services: map[string]*service{}, lapsed: map[string]*entry{}, versions: map[string]*serviceVersions{}}
+	return &Directory{replicas: map[string]*entry{}, services: map[string]*service{}, lapsed: map[string]*entry{}, dropped: map[string]*entry{}, versions: map[string]*serviceVersions{}}
 }
 
 // StoreRecovered records that the store was unavailable until now.
@@ -89,6 +91,12 @@
 			changes = append(changes, Change{Instance: instance, PreviousIncarnation: known.incarnationID})
 		}
 	}
+	for instance := range d.dropped {
+		change := Change{Instance: instance}
+		if !present[instance] && d.apply(&change, now) {
+			changes = append(changes, change)
+		}
+	}
 	for i := range all {
 		change := Change{Instance: all[i].Instance, Replica: &all[i]}
 		if d.put(&change, now) {
@@ -119,6 +127,12 @@
 		return d.put(change, now)
 	}
 	known, found := d.replicas[change.Instance]
+	if dropped, wasDropped := d.dropped[change.Instance]; wasDropped {
+		// Others have not dropped it, and learn of its removal from here.
+		change.PreviousIncarnation = dropped.incarnationID
+		d.forget(dropped, now)
+		return true
+	}
 	if !found {
 		return false
 	}
@@ -148,6 +162,9 @@
 		d.removeUsable(known)
 		d.removeVersion(&known.replica, now)
 	}
+	if dropped, wasDropped := d.dropped[replica.Instance]; wasDropped {
+		d.forget(dropped, now)
+	}
 	if lapsed, wasLapsed := d.lapsed[replica.Instance]; wasLapsed {
 		d.removeUsable(lapsed)
 		delete(d.lapsed, replica.Instance)
@@ -198,6 +215,12 @@
 	delete(d.replicas, known.replica.Instance)
 }
 
+// forget removes the entry of an incarnation that had been dropped. The caller must hold the mutex.
+func (d *Directory) forget(dropped *entry, now time.Duration) {
+	d.removeVersion(&dropped.replica, now)
+	delete(d.dropped, dropped.replica.Instance)
+}
+
 // purge removes expired replicas. The caller must hold the mutex.
 func (d *Directory) purge(now time.Duration) {
 	next := d.purgeAt.Load()
@@ -270,12 +293,15 @@
 }
 
 // Remove deletes an incarnation of a replica that is known to have ended, for instance
-// because another instance responds at its address.
+// because another instance responds at its address. Its version counts until the store removes its
+// entry: other nodes may still use it.
 func (d *Directory) Remove(instance string, startedAtMs int64, now time.Duration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if known, found := d.replicas[instance]; found && known.replica.StartedAtMs == startedAtMs {
-		d.drop(known, now)
+		d.removeUsable(known)
+		delete(d.replicas, instance)
+		d.dropped[instance] = known
 	}
 	if lapsed, found := d.lapsed[instance]; found && lapsed.replica.StartedAtMs == startedAtMs {
 		d.removeUsable(lapsed)
--- a/internal/routednode/replicaview_test.go
+++ b/internal/routednode/replicaview_test.go
@@ -192,3 +192,27 @@
 	position, _ := v.replicas.Position()
 	v.applyEntries(position, []logstore.Item{item}, position+1)
 }
+
+// The removal of an entry whose replica a reader had dropped itself did not reach the nodes that pull from
+// it, which kept the replica and its version for good.
+func TestRemovalOfADroppedReplicaReachesPullers(t *testing.T) {
+	for name, remove := range map[string]func(reader *views){
+		"in changes":    removeOther("b"),
+		"in a snapshot": func(reader *views) { reader.replaceEntries([]logstore.Item{versioned("a", "v1")}, 12) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			reader, puller := testViews(), testViews()
+			reader.replaceEntries([]logstore.Item{versioned("a", "v1"), versioned("b", "v2")}, 10)
+			page, _ := reader.replicas.Page("", 1<<20)
+			puller.replaceFromPeer(page.Items, page.Position)
+			reader.fleet.Remove("b", 0, reader.router.Now())
+			remove(reader)
+			items, next, complete := reader.replicas.Since(10)
+			is.True(complete)
+			puller.applyFromPeer(items, next)
+			is.Equal(puller.fleet.Size(), 1)
+			is.True(!puller.fleet.VersionSpan("s", time.Minute).Several)
+		})
+	}
+}
