Do not take an older configuration from a peer for the newest

A node whose newest configuration can not be decoded confirms none (decision 0013, and the versions of streams). An older one that a peer sent while the store was silent, and that could be decoded, lifted that: the node took its routes for confirmed although the store had a newer one. Only the newest record of the topic lifts it now.

Failed before: TestOlderConfigurationFromAPeerDoesNotMakeTheNewestUsable "not true: !usable". A node that holds such a record and gets a usable newer one from a peer only, waits for the topic.

--- a/internal/routednode/configurationview.go
+++ b/internal/routednode/configurationview.go
@@ -74,17 +74,20 @@
 		if item.Key != v.adapter.ConfigurationKey || item.Value == nil {
 			continue
 		}
-		v.applyEncodedConfiguration(item.Value, source)
+		if v.applyEncodedConfiguration(item.Value, source) {
+			v.freshness.setUsable(true)
+		}
 	}
 }
 
-// applyEncodedConfiguration makes a configuration current if it is newer; source is logged.
-func (v *views) applyEncodedConfiguration(encoded []byte, source string) {
+// applyEncodedConfiguration makes a configuration current if it is newer; source is logged. It reports
+// whether it can be decoded. That of a peer outside the topic may be older than one that can't.
+func (v *views) applyEncodedConfiguration(encoded []byte, source string) (decoded bool) {
 	configuration, err := v.adapter.DecodeConfiguration(encoded)
-	v.freshness.setUsable(err == nil)
 	if err != nil {
+		v.freshness.setUsable(false)
 		v.logger.Error("cannot decode configuration; keeping the current one", "from", source, "error", err, "bytes", len(encoded))
-		return
+		return false
 	}
 	applied := v.router.SetConfiguration(configuration)
 	if applied {
@@ -96,6 +99,7 @@
 	}
 	v.logger.Info("configuration received", "from", source, "version", configuration.Version, "in_force", applied,
 		"routes", len(configuration.Routes), "services", len(configuration.Services))
+	return true
 }
 
 // maxLoggedFindings limits the log lines about one configuration.
--- a/internal/routednode/confirmation_test.go
+++ b/internal/routednode/confirmation_test.go
@@ -279,3 +279,26 @@
 		running.Wait()
 	})
 }
+
+// An older configuration from a peer made a node take its routes for the newest, though the newest that
+// the store has could not be decoded.
+func TestOlderConfigurationFromAPeerDoesNotMakeTheNewestUsable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v, kept, confirmer := confirmedViews(0)
+		kept.Put(v.adapter.Configuration, "configuration", []byte("?"))
+		_ = confirmer.Confirm(t.Context(), time.Now())
+		_, usable := v.freshness.Age()
+		is.True(!usable)
+		(&relay{views: v, logger: v.logger}).applyResult(peerResult{requested: time.Now(), response: &viewsResponse{Configuration: []byte("2"), Version: 2}})
+		is.Equal(v.router.Configuration().Version, uint64(2))
+		_, usable = v.freshness.Age()
+		is.True(!usable)
+		is.True(v.versionsConfirmed().IsZero())
+		kept.Put(v.adapter.Configuration, "configuration", []byte("4"))
+		time.Sleep(time.Second)
+		is.NoErr(confirmer.Confirm(t.Context(), time.Now()))
+		_, usable = v.freshness.Age()
+		is.True(usable)
+	})
+}
