--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -295,7 +295,7 @@
 // Remove deletes an incarnation of a replica that is known to have ended, for instance
 // because another instance responds at its address. Its version counts until the store removes its
 // entry: other nodes may still use it.
-func (d *Directory) Remove(instance string, startedAtMs int64, now time.Duration) {
+func (d *Directory) Remove(instance string, startedAtMs int64, _ time.Duration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if known, found := d.replicas[instance]; found && known.replica.StartedAtMs == startedAtMs {
