Do not read the answers of others while more are added

While a search asked others for their confirmation, the goroutine that confirms this node's own view could still read the answers to the queries before, if it had been held up for over 0.1 s (a machine that stands still): a data race on a slice, of which half a new header may be read. It gets a copy now.

Failed before: go test -race -run TestAnswersAreNotReadWhileOthersAreAdded "WARNING: DATA RACE", newProof and answers.add.

--- a/internal/origin/confirmation_test.go
+++ b/internal/origin/confirmation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -272,3 +273,28 @@
 	read.decodeLater(later)
 	is.Equal(read, response)
 }
+
+// At a node that stood still while it searched, the answers were read as later ones were added to them (seen
+// by the race detector).
+func TestAnswersAreNotReadWhileOthersAreAdded(t *testing.T) {
+	for range 20 { // either of two may come first
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			site := newCluster(2)
+			here, there := site.node(0), site.node(1)
+			time.Sleep(time.Hour)
+			here.span, here.confirmed = only(seconds), time.Now().Add(-time.Millisecond)
+			there.span, there.confirm, there.confirmed = only(hours), confirmAtOnce, time.Now().Add(-time.Second)
+			var looks atomic.Int64
+			here.service.SetVersions(func(route, service string) fleet.VersionSpan {
+				span := here.versions(route, service)
+				if looks.Add(1) == 3 {
+					time.Sleep(3 * hedgeDelay)
+				}
+				return span
+			})
+			_, err := here.service.Resolve(t.Context(), Query{Route: "r", Service: "s", Window: MaxLifetime, Keyed: true})
+			is.NoErr(err)
+		})
+	}
+}
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -132,7 +132,8 @@
 		}
 	}()
 	collected := s.ask(asking, s.recipients(ranked), wanted, askOptions{})
-	asked <- collected
+	first := *collected // later answers are added to collected
+	asked <- &first
 	return collected, started
 }
 
