Count the reads of a test's store under its mutex

TestStreamWithoutVersionContinuesOnlyByAConfirmedView read the count while the handler of the request it had just got could write it: "WARNING: DATA RACE" in a_version_has_joined with the race detector, here and on. What it demands is the same.

--- a/internal/router/resume_test.go
+++ b/internal/router/resume_test.go
@@ -64,6 +64,12 @@
 
 var errStoreAway = errors.New("the store is away")
 
+func (c *confirmations) readCount() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.reads
+}
+
 // confirm implements origin.Confirm.
 func (c *confirmations) confirm(_ context.Context, since time.Time) error {
 	c.mutex.Lock()
@@ -387,7 +393,7 @@
 			got := h.post("/resume/x", "1")
 			is.Equal(got.err == nil, c.continues)
 			is.Equal(h.received(1) == 1, c.continues)
-			is.Equal(h.confirmations.reads > 0, c.continues || c.joined)
+			is.Equal(h.confirmations.readCount() > 0, c.continues || c.joined)
 		})
 	}
 }
