--- a/internal/routednode/confirmation_test.go
+++ b/internal/routednode/confirmation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"strconv"
 	"sync"
 	"testing"
@@ -269,7 +270,7 @@
 		is.Equal(v.fleet.Size(), 2)
 		kept.Fail(store.Fault{Busy: true})
 		time.Sleep(outageAge + time.Second)
-		v.replaceFromPeer(encodeAll([]fleet.Replica{{Instance: "a", Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Version: "v1"}}), 1)
+		v.replaceFromPeer(encodeAll([]fleet.Replica{{Instance: "a", Address: netip.MustParseAddrPort("127.0.0.1:80"), Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Version: "v1"}}), 1)
 		kept.Fail(store.Fault{Delay: confirmDelay})
 		time.Sleep(2 * time.Second)
 		age, _ := v.replicas.Age(time.Now())
