--- a/internal/routednode/confirmation_test.go
+++ b/internal/routednode/confirmation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"strconv"
 	"sync"
 	"testing"
@@ -12,9 +13,11 @@
 	"github.com/matryer/is"
 
 	"stepseam.example/stepseam/internal/emulator/store"
+	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/guardedstore"
 	"stepseam.example/stepseam/internal/logstore"
 	"stepseam.example/stepseam/internal/routing"
+	"stepseam.example/stepseam/internal/watch"
 )
 
 // confirmedStore is a store whose breakers a test opens.
@@ -224,3 +227,79 @@
 		})
 	}
 }
+
+// A request that had to wait for the store's capacity was refused though a watcher had confirmed the view
+// since it arrived.
+func TestWatcherConfirmsForRequestsThatWaitForARead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const watcherAfter = 300 * time.Millisecond
+		v, kept, confirmer := confirmedViews(20) // a read of each topic in 5 s
+		is.NoErr(confirmer.Confirm(t.Context(), time.Now()))
+		calls, arrived := kept.Calls("read"), time.Now()
+		time.AfterFunc(watcherAfter, func() {
+			v.replicas.Confirm(time.Now())
+			v.confirmOperators(time.Now())
+		})
+		is.NoErr(confirmer.Confirm(t.Context(), arrived))
+		is.True(time.Since(arrived) < watcherAfter+100*time.Millisecond)
+		is.Equal(kept.Calls("read"), calls)
+		time.Sleep(time.Millisecond)
+		is.True(confirmer.Confirm(t.Context(), time.Now()) != nil) // no watcher, and too early for a read
+	})
+}
+
+// A view that a peer had set back, while the store answered neither, stayed there for good once the store
+// answered again: its watcher read on from where it had been, and confirmed the view with each read.
+func TestViewThatWentBackIsBroughtForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v, kept, _ := confirmedViews(0)
+		v.replicas.Confirm(time.Now())
+		watcher := watch.New(watch.Config{
+			Name: "replicas", Store: kept.Store, Partition: v.adapter.Replicas, Logger: v.logger,
+			Pause: func() time.Duration { return 0 }, Wait: func() time.Duration { return 100 * time.Millisecond },
+			OnSnapshot: v.replaceEntries, OnChanges: v.applyEntries, OnRecovered: func() {}, OnConfirmed: v.replicas.Confirm,
+			Position: v.replicas.Position,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { watcher.Run(ctx) })
+		kept.Put(v.adapter.Replicas, "b", versioned("b", "v2").Value)
+		time.Sleep(time.Second)
+		is.Equal(v.fleet.Size(), 2)
+		kept.Fail(store.Fault{Busy: true})
+		time.Sleep(outageAge + time.Second)
+		v.replaceFromPeer(encodeAll([]fleet.Replica{{Instance: "a", Address: netip.MustParseAddrPort("127.0.0.1:80"), Service: "s", Zone: "z", Slots: 4, State: fleet.StateReady, Version: "v1"}}), 1)
+		kept.Fail(store.Fault{Delay: confirmDelay})
+		time.Sleep(2 * time.Second)
+		age, _ := v.replicas.Age(time.Now())
+		t.Logf("%d replicas, by a view of %v", v.fleet.Size(), age)
+		is.Equal(v.fleet.Size(), 2)
+		cancel()
+		running.Wait()
+	})
+}
+
+// An older configuration from a peer made a node take its routes for the newest, though the newest that
+// the store has could not be decoded.
+func TestOlderConfigurationFromAPeerDoesNotMakeTheNewestUsable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v, kept, confirmer := confirmedViews(0)
+		kept.Put(v.adapter.Configuration, "configuration", []byte("?"))
+		_ = confirmer.Confirm(t.Context(), time.Now())
+		_, usable := v.freshness.Age()
+		is.True(!usable)
+		(&relay{views: v, logger: v.logger}).applyResult(peerResult{requested: time.Now(), response: &viewsResponse{Configuration: []byte("2"), Version: 2}})
+		is.Equal(v.router.Configuration().Version, uint64(2))
+		_, usable = v.freshness.Age()
+		is.True(!usable)
+		is.True(v.versionsConfirmed().IsZero())
+		kept.Put(v.adapter.Configuration, "configuration", []byte("4"))
+		time.Sleep(time.Second)
+		is.NoErr(confirmer.Confirm(t.Context(), time.Now()))
+		_, usable = v.freshness.Age()
+		is.True(usable)
+	})
+}
