--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -76,6 +76,9 @@
 	// StreamLifetime is the longest time after its beginning at which a stream of the service may be
 	// resumed, as far as is known; 0 if nothing is.
 	StreamLifetime time.Duration
+	// Confirmed is the last time at which the store had nothing that the view lacks; zero if that is
+	// not known. A Directory leaves it unset.
+	Confirmed time.Time
 }
 
 // VersionSpan returns the versions of a service by the store's content as known to this node,
@@ -111,10 +114,15 @@
 }
 
 // Confirms reports whether a replica is the one that its instance's present entry describes, with
-// the same version. A replica without an entry is confirmed: nothing contradicts what was known.
+// the same version. A replica without an entry is confirmed if each start has a new instance: the
+// instance fixes the version. Where instances restart, it may have started again at another version and
+// not have written its entry yet.
 func (d *Directory) Confirms(replica *Replica) bool {
 	d.mutex.RLock()
 	defer d.mutex.RUnlock()
 	known, found := d.replicas[replica.Instance]
-	return !found || known.incarnationID == replica.IncarnationID() && versionOf(&known.replica) == versionOf(replica)
+	if !found {
+		return replica.StartedAtMs == 0
+	}
+	return known.incarnationID == replica.IncarnationID() && versionOf(&known.replica) == versionOf(replica)
 }
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"stepseam.example/stepseam/internal/exchange"
 	"stepseam.example/stepseam/internal/fleet"
 	"stepseam.example/stepseam/internal/origin"
@@ -26,12 +28,15 @@
 	errVersionUnknown = errors.New("router: the version that began the stream is not known")
 	// errOtherService means that a stream was begun by a service that its route no longer leads to.
 	errOtherService = errors.New("router: the route no longer leads to the service that began the stream")
+	// errNotResumable means that a client resumes a stream of a route whose streams may not go on in another run.
+	errNotResumable = errors.New("router: streams of the route may not be resumed")
 )
 
 // The reasons of rejected resumptions and of streams that don't go on.
 const (
 	reasonStreamUnknown     = "stream_unknown"
 	reasonStreamConflicting = "stream_conflicting"
+	reasonNotResumable      = "stream_not_resumable"
 	reasonServiceChanged    = "stream_service_changed"
 	reasonVersionGone       = "version_gone"
 	reasonVersionUnknown    = "version_unknown"
@@ -90,9 +95,15 @@
 		}
 		return true
 	}
+	if !call.route.Resumable {
+		// A replica would begin another run behind the events of the former, or from the start.
+		reason := lo.Ternary(call.route.Retain, reasonOutputUnknown, reasonNotResumable)
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reason, retryAfter: unavailableRetryAfter, cause: errNotResumable})
+		return false
+	}
 	began := time.Now()
 	found, err := r.findOrigin(ctx, call)
-	reply.originWait = time.Since(began)
+	reply.originWait, reply.originEvidence = time.Since(began), found.Evidence
 	if err != nil {
 		r.rejectResumption(ctx, reply, err)
 		return false
@@ -114,7 +125,7 @@
 }
 
 func (r *Router) findOrigin(ctx context.Context, call *call) (origin.Found, error) {
-	wanted := origin.Query{Route: call.route.Name, Service: onlyService(call.route), Window: r.resumptionWindow(call)}
+	wanted := origin.Query{Route: call.route.Name, Service: onlyService(call.route), Window: r.resumptionWindow(call), Arrived: call.arrived}
 	if call.resumes != "" {
 		wanted.Key, wanted.Keyed = call.streamKey(call.resumes), true
 	}
@@ -133,8 +144,9 @@
 	case errors.Is(err, origin.ErrConflicting):
 		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStreamConflicting, retryAfter: unavailableRetryAfter, cause: err})
 	default:
-		// The record may still be on its way, or be known to another node.
-		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStreamUnknown, retryAfter: shortRetryAfter, cause: err})
+		// The record may still be on its way, or be known to another node. While the store is away for all,
+		// no view is confirmed anywhere.
+		reply.reject(http.StatusServiceUnavailable, rejection{reason: reasonStreamUnknown, retryAfter: r.storeRetryAfter(shortRetryAfter), cause: err})
 	}
 }
 
@@ -154,9 +166,14 @@
 }
 
 // acceptsVersion reports whether a replica may receive the call. A stream that has begun goes
-// on only at the version that began it.
+// on only at the version that began it. If the store has confirmed another node's view in place of this
+// node's, an entry here tells no version of a replica that may have restarted under its ID since.
 func (c *call) acceptsVersion(replica *fleet.Replica) bool {
-	return c.origin == nil || !replica.VersionUnknown && replica.Version == c.origin.Version
+	if c.origin == nil {
+		return true
+	}
+	outdated := c.origin.Source == origin.SourceOnlyVersion && !c.origin.Evidence.Confirmed && replica.StartedAtMs != 0
+	return !outdated && !replica.VersionUnknown && replica.Version == c.origin.Version
 }
 
 // recordOrigin records what began a new stream, before its first event is sent to the client.
@@ -167,7 +184,8 @@
 		return func() {}
 	}
 	stream.began = origin.Origin{Service: call.service.Name, Version: replica.Version}
-	stream.versionKnown = !replica.VersionUnknown && replica.Version != "" && r.config.Fleet.Confirms(replica)
+	stream.entryConfirmed = !replica.VersionUnknown && r.config.Fleet.Confirms(replica)
+	stream.versionKnown = stream.entryConfirmed && replica.Version != ""
 	if r.config.Origins == nil || !call.route.Resumable || !stream.versionKnown {
 		return func() {}
 	}
@@ -175,27 +193,39 @@
 }
 
 // pinToOrigin restricts the rest of a stream to the version that began it. It returns false if
-// that is not known.
-func (r *Router) pinToOrigin(stream *stream) bool {
+// that is not certain.
+func (r *Router) pinToOrigin(ctx context.Context, stream *stream) bool {
 	call := stream.call
 	if call.origin != nil || !stream.headerSent {
 		return true
 	}
-	if !stream.versionKnown {
-		// Replicas without a version are interchangeable if there have been no others.
-		span := r.config.Fleet.VersionSpan(call.service.Name, r.Now())
-		if !span.Only || span.Version != stream.began.Version || span.Age < time.Since(call.arrived) {
-			return false
-		}
+	if !stream.versionKnown && !r.begunWithoutVersions(ctx, stream) {
+		return false
 	}
 	call.origin = &origin.Found{Origin: stream.began, Source: origin.SourceHere}
 	return true
 }
 
+// begunWithoutVersions reports whether a stream was begun by a replica without a version, and the service had
+// no replica with one from the request's arrival until the first event. Such replicas are interchangeable.
+// The store has to confirm that after the first event.
+func (r *Router) begunWithoutVersions(ctx context.Context, stream *stream) bool {
+	if !stream.entryConfirmed || stream.began.Version != "" || r.config.Origins == nil {
+		return false
+	}
+	waiting, cancel := context.WithTimeout(ctx, time.Duration(float64(stream.call.left())*originTimeFraction))
+	defer cancel()
+	if r.config.Origins.Confirm(waiting, stream.reply.firstByte) != nil {
+		return false
+	}
+	span := r.config.Fleet.VersionSpan(stream.call.service.Name, r.Now())
+	return span.Only && span.Version == "" && span.Age >= time.Since(stream.call.arrived)
+}
+
 // continueStream prepares a stream to go on at another replica after a failed attempt. It aborts
 // the response if the version that began the stream is not known.
 func (r *Router) continueStream(ctx context.Context, stream *stream, failed *attempt) {
-	if !r.pinToOrigin(stream) {
+	if !r.pinToOrigin(ctx, stream) {
 		stream.reply.abort(reasonVersionUnknown, errVersionUnknown)
 	}
 	if stream.headerSent {
