Let entries that name no replica cost a request no try

A request was tried at three replicas that did not run it and then refused. A 421 says that the entry names no replica, and the entry is removed here; it is no refusal for want of room. Such entries count apart, 16 at most for a request.

TestEntriesThatNameNoReplicaCostNoTry before: '503 != 200'.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// maxNotRun is the maximum number of replicas to try that do not run the request.
-	maxNotRun = 3
+	// maxNotRun is the maximum number of replicas to try that do not run the request. maxMisdirected is
+	// that of entries to try that name no replica, which are removed then.
+	maxNotRun      = 3
+	maxMisdirected = 16
 	// maxCapacityWaits bounds how often a program's request waits for full replicas and
 	// tries them again. capacityWait is the mean wait. The request must have the time of
 	// minWaitsLeft such waits left.
@@ -36,8 +38,8 @@
 	excluded []string
 	// mayHaveRun counts the replicas that ran the request or may have run it.
 	mayHaveRun int
-	// notRun counts the replicas that provably did not run it.
-	notRun int
+	// notRun counts the replicas that provably did not run it, misdirected the entries that named none.
+	notRun, misdirected int
 	// capacityWaits counts the waits for capacity.
 	capacityWaits int
 	// chosenAt is when a replica was last chosen, or none was found. The reason of a
@@ -172,7 +174,7 @@
 
 // mayRetry reports whether the call may be sent to another replica.
 func mayRetry(ctx context.Context, call *call, retry *retryState) bool {
-	if ctx.Err() != nil || call.left() < minTimeLeft || retry.notRun >= maxNotRun {
+	if ctx.Err() != nil || call.left() < minTimeLeft || retry.notRun >= maxNotRun || retry.misdirected >= maxMisdirected {
 		return false
 	}
 	if retry.mayHaveRun == 0 {
@@ -187,6 +189,9 @@
 	switch {
 	case failure.Reason == exchange.ReasonWithheld && failure.Outcome == exchange.OutcomeNotRun:
 		// Nothing was sent, so this does not count as an attempt.
+	case failure.Reason == exchange.ReasonMoved:
+		retry.misdirected++
+		call.permitUsed = false
 	case failure.Outcome == exchange.OutcomeNotRun:
 		retry.notRun++
 		call.permitUsed = false
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -273,6 +274,17 @@
 	}
 }
 
+// Three entries that named no replica used up a request's tries, though a replica could have served it.
+func TestEntriesThatNameNoReplicaCostNoTry(t *testing.T) {
+	is := is.New(t)
+	const entries = 7
+	for serving := range entries {
+		scripts := slices.Repeat([]replica.Script{withStatus(http.StatusMisdirectedRequest)}, entries)
+		scripts[serving] = healthy
+		is.Equal(newHarness(t, scripts...).post("/unsafe/x", "1").StatusCode, http.StatusOK)
+	}
+}
+
 func TestRejectionByAllReplicasHasRetryAfter(t *testing.T) {
 	is := is.New(t)
 	shed := withStatus(http.StatusServiceUnavailable, "Test-Not-Run: 1")
