Review: case 8 becomes streams of two versions after a restart under the same ID

It takes the place of the streams cut at a reused address, which have the cause of case 5; their scenario stays in the harness.

--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -23,12 +23,13 @@
 )
 
 var scenarios = map[string]scenario{
-	"lost":   {nodes: 4, run: lostTurn},
-	"budget": {nodes: 4, run: spentTwice},
-	"mixed":  {nodes: 4, run: truncated},
-	"order":  {nodes: 4, run: shortened},
-	"large":  {nodes: 4, run: largeTurns},
-	"twice":  {nodes: 4, run: runTwice},
+	"lost":     {nodes: 4, run: lostTurn},
+	"budget":   {nodes: 4, run: spentTwice},
+	"mixed":    {nodes: 4, run: truncated},
+	"order":    {nodes: 4, run: shortened},
+	"large":    {nodes: 4, run: largeTurns},
+	"versions": {nodes: 4, run: versioned},
+	"twice":    {nodes: 4, run: runTwice},
 }
 
 // historyOf returns how long the store keeps records.
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -35,6 +35,12 @@
 		}
 		return exitNotRun
 	}
+	if len(os.Args) == 6 && os.Args[1] == versionMode {
+		if err := serveVersion(os.Args[2], os.Args[3], os.Args[4], os.Args[5]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		return exitNotRun
+	}
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: harness-2 CASE ROOT RECORD")
 		return exitNotRun
