--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -124,7 +124,8 @@
 		return false, err
 	}
 	s.note("the program was handed %d tokens of a budget of %d, most of a turn %d", tokens, budget, most)
-	for !spend() && tokens <= 2*budget {
+	for spent := false; !spent && tokens <= 2*budget; {
+		spent = spend()
 	}
 	s.note("the program was handed %d tokens of a budget of %d, most of a turn %d", tokens, budget, most)
 	return tokens > budget+most, nil
