--- a/internal/emulator/replica/replica.go
+++ b/internal/emulator/replica/replica.go
@@ -82,7 +82,12 @@
 
 // Start returns a listening replica.
 func Start(script Script) (*Replica, error) {
-	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	return StartAt(netip.MustParseAddrPort("127.0.0.1:0"), script)
+}
+
+// StartAt returns a replica that listens at an address, for instance that of one that has ended.
+func StartAt(at netip.AddrPort, script Script) (*Replica, error) {
+	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(at))
 	if err != nil {
 		return nil, fmt.Errorf("replica: %w", err)
 	}
