Ask a process when it started before it gets streams that may be resumed

Cause: a request names its instance, and the version was that of the instance's entry; nothing tied the process that responds to that entry. Comparing the entry before and after the send (Confirms) compares it with itself.

Fix: a connection ends with its process, so one question on a connection holds for as long as it is open. Before the first stream that may be resumed on it, the replica's report is read; its start has to be that of the entry. Another start counts as another instance at the address, and the entry is dropped. A replica that does not say when it started takes new streams, whose version is then unknown, and none that goes on. Only replicas that publish a start are asked. Logs name the incarnation of each response, a metric counts the results.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -42,6 +42,7 @@
 	pool  *pool
 	// settle is settleTime.
 	settle time.Duration
+	asked  incarnationCounts
 }
 
 // NewClient returns a client without open connections.
@@ -78,6 +79,8 @@
 	Framing Framing
 	// Reused reports that the connection has carried an earlier request.
 	Reused bool
+	// Incarnation is what is known of the process that made the response.
+	Incarnation Incarnation
 
 	connection *connection
 	client     *Client
@@ -93,9 +96,9 @@
 // read. If a reused connection turns out to be stale, a repeatable request is sent once
 // more to the same target on a new connection.
 func (c *Client) Send(ctx context.Context, target Target, request Request) (*Answer, error) {
-	used, err := c.pool.get(ctx, target, c.pool.idleRange(request.Repeatable), request.Repeatable && !request.Stream)
+	used, err := c.connect(ctx, target, request, false)
 	if err != nil {
-		return nil, &FailureError{Outcome: OutcomeNotRun, Reason: ReasonConnect, Cause: err}
+		return nil, err
 	}
 	idle, reused := used.idleFor()
 	if err := checkMaySend(used, request); err != nil {
@@ -109,7 +112,7 @@
 	if !request.Repeatable {
 		return nil, err
 	}
-	used, err = c.pool.dial(ctx, target)
+	used, err = c.connect(ctx, target, request, true)
 	if err != nil {
 		// The first attempt may have run.
 		return nil, &FailureError{Reason: ReasonReset, Cause: err}
@@ -175,7 +178,7 @@
 	used.remember(request.ID)
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-		Framing: framingOf(request.Method, response), Reused: reused,
+		Framing: framingOf(request.Method, response), Reused: reused, Incarnation: c.incarnationOf(used),
 		Body:       bufio.NewReaderSize(whole, readBuffer),
 		connection: used, client: c, response: response, body: whole, sent: sent, stop: stop,
 	}, nil
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -50,6 +50,8 @@
 	ReasonCancelled  Reason = "cancelled"
 	// ReasonVersion means that the replica's version is no longer the one it was selected for.
 	ReasonVersion Reason = "version_changed"
+	// ReasonIncarnation means that the replica did not say whether it has started again since.
+	ReasonIncarnation Reason = "incarnation_unknown"
 	// ReasonBuffersFull means that this node can't hold the head of the response.
 	ReasonBuffersFull Reason = "buffers_full"
 	// ReasonWithheld means that Request.MaySend rejected the request.
@@ -94,6 +96,8 @@
 	Repeatable bool
 	// Stream reports that parts of the response are passed on before its end.
 	Stream bool
+	// Incarnation is what is required of the process that receives the request.
+	Incarnation IncarnationCheck
 	// MaySend, if set, is called with the connection established, right before the
 	// request is written. An error prevents the write.
 	MaySend func() error
@@ -109,4 +113,7 @@
 	NotRun string
 	// Stamp marks the responses that a replica made.
 	Stamp string
+	// ReportPath is where a replica tells about itself in a JSON object. Its field ReportedStart is the start
+	// of the process in Unix milliseconds. They are empty if replicas don't report.
+	ReportPath, ReportedStart string
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -46,6 +46,10 @@
 	// served counts the completed requests, former holds the IDs of the last ones.
 	served int
 	former []string
+	// incarnation is what is known of the process at the other end, which does not change. ended is set if
+	// the connection can't be used after asking for it.
+	incarnation Incarnation
+	ended       bool
 	// expires is when an idle connection must no longer be used; idleSince is when it
 	// became idle.
 	expires, idleSince time.Time
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -236,7 +236,7 @@
 	stopTimer := r.startResponseTimer(call, replica, inFlight)
 	response, err := r.config.Replicas.Send(ctx, targetOf(replica), exchange.Request{
 		ID: call.id, Method: call.method, URI: call.uri, Host: call.host, Header: call.header, Body: call.body,
-		Repeatable: call.route.Repeatable(), Stream: call.route.Kind == routing.KindStreaming, MaySend: func() error { return r.acquireSend(ctx, call, replica) },
+		Repeatable: call.route.Repeatable(), Stream: call.route.Kind == routing.KindStreaming, Incarnation: incarnationCheck(call), MaySend: func() error { return r.acquireSend(ctx, call, replica) },
 	})
 	r.config.Tracker.Answered(inFlight, r.Now())
 	attempt := &attempt{response: response, replica: replica, inFlight: inFlight, router: r, call: call, stopTimer: stopTimer}
@@ -244,7 +244,7 @@
 	var failure *exchange.FailureError
 	if errors.As(err, &failure) {
 		stopTimer()
-		atFault := ctx.Err() == nil && failure.Reason != exchange.ReasonWithheld && failure.Reason != exchange.ReasonBuffersFull
+		atFault := ctx.Err() == nil && failure.Reason != exchange.ReasonWithheld && failure.Reason != exchange.ReasonBuffersFull && failure.Reason != exchange.ReasonIncarnation
 		r.config.Tracker.End(inFlight, atFault, r.Now())
 		if atFault {
 			attempt.recordOutcome(outcomeOf(failure))
--- a/internal/router/outcome.go
+++ b/internal/router/outcome.go
@@ -36,7 +36,7 @@
 		return outlier.BrokenResponse
 	case exchange.ReasonMalformed, exchange.ReasonForeign, exchange.ReasonIncomplete:
 		return outlier.BrokenResponse
-	case exchange.ReasonShed, exchange.ReasonMoved, exchange.ReasonCancelled, exchange.ReasonBuffersFull, exchange.ReasonWithheld:
+	case exchange.ReasonShed, exchange.ReasonMoved, exchange.ReasonCancelled, exchange.ReasonBuffersFull, exchange.ReasonWithheld, exchange.ReasonIncarnation:
 	}
 	return noOutcome
 }
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -176,6 +176,19 @@
 	return !outdated && !replica.VersionUnknown && replica.Version == c.origin.Version
 }
 
+// incarnationCheck returns what is required of the process that receives a call. The version of a replica is
+// that of the incarnation in its entry: a stream goes on only there, and none that may be resumed begins at
+// another one.
+func incarnationCheck(call *call) exchange.IncarnationCheck {
+	switch {
+	case call.origin != nil:
+		return exchange.IncarnationConfirmed
+	case call.route.Resumable:
+		return exchange.IncarnationNotOther
+	}
+	return exchange.IncarnationUnchecked
+}
+
 // recordOrigin records what began a new stream, before its first event is sent to the client.
 // The returned function tells other nodes, and must be called once that is sent.
 func (r *Router) recordOrigin(stream *stream, attempt *attempt) (announce func()) {
@@ -184,7 +197,7 @@
 		return func() {}
 	}
 	stream.began = origin.Origin{Service: call.service.Name, Version: replica.Version}
-	stream.entryConfirmed = !replica.VersionUnknown && r.config.Fleet.Confirms(replica)
+	stream.entryConfirmed = !replica.VersionUnknown && attempt.response.Incarnation == exchange.IncarnationSame && r.config.Fleet.Confirms(replica)
 	stream.versionKnown = stream.entryConfirmed && replica.Version != ""
 	if r.config.Origins == nil || !call.route.Resumable || !stream.versionKnown {
 		return func() {}
--- a/internal/router/telemetry.go
+++ b/internal/router/telemetry.go
@@ -51,6 +51,12 @@
 				ConstLabels: prometheus.Labels{"seen": place.String()},
 			}, func() float64 { return float64(replicas.Surplus(place)) }))
 		}
+		for _, result := range exchange.Incarnations() {
+			registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+				Name: "stepseam_replica_incarnations_total", Help: "Connections whose replica was asked when it started, by whether it is the one of its entry.",
+				ConstLabels: prometheus.Labels{"result": result.String()},
+			}, func() float64 { return float64(replicas.Asked(result)) }))
+		}
 	}
 	return built
 }
@@ -166,6 +172,7 @@
 func responseAttrs(response *exchange.Answer) []slog.Attr {
 	return []slog.Attr{
 		slog.String("framing", string(response.Framing)), slog.Bool("reused", response.Reused), slog.Int64("received", response.Received()),
+		slog.String("incarnation", response.Incarnation.String()),
 	}
 }
 
