Let only the replica's own process confirm the end of a body without a length

Cause: any connection that stayed open at the address counted as the replica's. That holds only for as long as nobody else can have the address: the replica's next start may have it at once, another service's after 2 s, and a node that stands still asks later.

Fix: where replicas publish their start, the process at the address has to report it. Elsewhere a connection counts only within a second after the last data arrived, by the kernel's clock, which goes on while this process stands still; the end came later than that. Idle connections count if their process is known to be the one of the entry, and a connection whose process answered 421 is not kept.

Besides: a report whose connection ends behind it tells the incarnation all the same, and a replica that does not answer reports is asked once.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -308,7 +308,8 @@
 }
 
 func (a *Answer) reusable() bool {
-	return a.body.ended && !a.response.Close && a.connection.reader.Buffered() == 0 && a.wasSent()
+	// The process that answers 421 is not the target.
+	return a.body.ended && !a.response.Close && a.Status != http.StatusMisdirectedRequest && a.connection.reader.Buffered() == 0 && a.wasSent()
 }
 
 // wasSent reports whether the whole request has been written. The response may arrive
--- a/internal/exchange/incarnation.go
+++ b/internal/exchange/incarnation.go
@@ -114,6 +114,9 @@
 		if ctx.Err() != nil {
 			return nil, &FailureError{Outcome: OutcomeNotRun, Reason: ReasonCancelled, Cause: unreported}
 		}
+		if errors.Is(unreported, context.DeadlineExceeded) {
+			break
+		}
 		fresh = true
 	}
 	if request.Incarnation == IncarnationNotOther {
@@ -131,7 +134,8 @@
 }
 
 // ask asks the process at the other end of a connection when it started. The answer holds for as long as
-// the connection is open, which ends with the process. The error wraps errOtherIncarnation or errNoReport.
+// the connection is open, which ends with the process. After any other error than errNoReport alone, the
+// connection can't be used for a request.
 func (c *Client) ask(ctx context.Context, used *connection) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -140,16 +144,16 @@
 	if !stop() {
 		err = errors.Join(err, ctx.Err())
 	}
-	switch {
-	case startedAtMs != 0 && startedAtMs != used.target.StartedAtMs:
-		used.incarnation = IncarnationOther
-		err = fmt.Errorf("%w: it started at %d, not at %d", errOtherIncarnation, startedAtMs, used.target.StartedAtMs)
-	case err == nil && startedAtMs != 0:
+	used.ended = err != nil
+	switch startedAtMs {
+	case used.target.StartedAtMs:
 		used.incarnation = IncarnationSame
-	default:
+	case 0:
 		used.incarnation = IncarnationUnreported
-		used.ended = err != nil
 		err = errors.Join(errNoReport, err)
+	default:
+		used.incarnation = IncarnationOther
+		err = fmt.Errorf("%w: it started at %d, not at %d", errOtherIncarnation, startedAtMs, used.target.StartedAtMs)
 	}
 	c.asked[used.incarnation].Add(1)
 	return err
--- a/internal/exchange/presence.go
+++ b/internal/exchange/presence.go
@@ -8,6 +8,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -18,6 +20,9 @@
 	// in that time: a link may lose the packet that asks for it, which is sent again after a second only.
 	presenceTimeout = 250 * time.Millisecond
 	presenceTries   = 2
+	// addressReuse is how long the address of a replica that has ended stays unused at least, with a margin
+	// for the time that a connection to it takes.
+	addressReuse = time.Second
 )
 
 var (
@@ -25,31 +30,74 @@
 	ErrReplicaEnded = errors.New("exchange: the replica has ended with its connection")
 	// ErrPresenceUnknown means that it is not known whether a replica's process has ended.
 	ErrPresenceUnknown = errors.New("exchange: the replica did not answer after the end of its connection")
+	// errAddressReused means that another replica may have the address by now.
+	errAddressReused = errors.New("exchange: the body's end is too old")
 )
 
 // ConfirmEnd returns nil if the end of the body is the replica's own as far as can be known. A process
 // that is killed ends the connection like one that has sent a whole body of FramingConnection, so another
-// connection to the replica must stay open: an idle one, or else a new one. It returns an error that wraps
+// connection to the process must be open: an idle one, or else a new one. It returns an error that wraps
 // ErrReplicaEnded, ErrPresenceUnknown or the one of ctx, within settleTime and presenceTimeout.
 func (a *Answer) ConfirmEnd(ctx context.Context) error {
 	if a.Framing != FramingConnection {
 		return nil
 	}
-	target := a.connection.target
-	if a.client.pool.hasOpen(target) {
-		if err := pause(ctx, a.client.settle); err != nil || a.client.pool.hasOpen(target) {
+	if a.client.hasOpen(a.connection.target) {
+		if err := pause(ctx, a.client.settle); err != nil || a.client.hasOpen(a.connection.target) {
 			return err
 		}
 	}
 	var err error
 	for range presenceTries {
-		if err = a.client.confirmByDial(ctx, target); err == nil || errors.Is(err, ErrReplicaEnded) || ctx.Err() != nil {
+		if err = a.confirmByDial(ctx); err == nil || errors.Is(err, ErrReplicaEnded) || ctx.Err() != nil {
 			break
 		}
 	}
 	return err
 }
 
+// confirmByDial connects to the replica and returns nil if it has not ended.
+func (a *Answer) confirmByDial(ctx context.Context) error {
+	target := a.connection.target
+	ctx, cancel := context.WithTimeout(ctx, presenceTimeout/presenceTries)
+	defer cancel()
+	if target.StartedAtMs != 0 && a.client.names.ReportPath != "" {
+		return a.client.confirmIncarnation(ctx, target)
+	}
+	if err := a.client.confirmOpen(ctx, target); err != nil {
+		return err
+	}
+	if silence, err := a.connection.silence(); err != nil || silence >= addressReuse {
+		return fmt.Errorf("%w: %w", ErrPresenceUnknown, errors.Join(errAddressReused, err))
+	}
+	return nil
+}
+
+// confirmIncarnation returns nil if the target's incarnation answers on a new connection. Another one may
+// have started at the address at any time.
+func (c *Client) confirmIncarnation(ctx context.Context, target Target) error {
+	used, err := c.pool.dial(ctx, target)
+	if err != nil {
+		return presenceError(err)
+	}
+	defer used.close()
+	err = c.ask(ctx, used)
+	switch {
+	case errors.Is(err, errOtherIncarnation):
+		return fmt.Errorf("%w: %w", ErrReplicaEnded, err)
+	case err != nil && used.incarnation != IncarnationSame:
+		return fmt.Errorf("%w: %w", ErrPresenceUnknown, err)
+	}
+	return nil
+}
+
+func presenceError(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w", ErrReplicaEnded, err)
+	}
+	return fmt.Errorf("%w: %w", ErrPresenceUnknown, err)
+}
+
 func pause(ctx context.Context, length time.Duration) error {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
@@ -61,18 +109,13 @@
 	}
 }
 
-// confirmByDial connects to a replica, and returns nil if the connection stays open. A replica that
+// confirmOpen connects to an address, and returns nil if the connection stays open. A replica that
 // accepts connections and closes them has too many.
-func (c *Client) confirmByDial(ctx context.Context, target Target) error {
-	ctx, cancel := context.WithTimeout(ctx, presenceTimeout/presenceTries)
-	defer cancel()
+func (c *Client) confirmOpen(ctx context.Context, target Target) error {
 	for {
 		socket, err := Dial(ctx, target.Address)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return fmt.Errorf("%w: %w", ErrReplicaEnded, err)
-		}
 		if err != nil {
-			return fmt.Errorf("%w: %w", ErrPresenceUnknown, err)
+			return presenceError(err)
 		}
 		open := staysOpen(socket, c.settle)
 		_ = socket.Close()
@@ -89,14 +132,32 @@
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// hasOpen reports whether an idle connection to target is open.
-func (p *pool) hasOpen(target Target) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, idle := range p.idle[target] {
-		if idle.isOpenAndEmpty() {
+// hasOpen reports whether an idle connection to the target's incarnation is open.
+func (c *Client) hasOpen(target Target) bool {
+	c.pool.mutex.Lock()
+	defer c.pool.mutex.Unlock()
+	for _, idle := range c.pool.idle[target] {
+		if c.incarnationOf(idle) == IncarnationSame && idle.isOpenAndEmpty() {
 			return true
 		}
 	}
 	return false
 }
+
+// silence returns the time since data arrived last. The end of the connection came later than that, even if
+// this process stood still or read other data meanwhile.
+func (c *connection) silence() (time.Duration, error) {
+	raw, err := c.socket.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, fmt.Errorf("exchange: silence of a connection: %w", err)
+	}
+	var info *unix.TCPInfo
+	var failed error
+	err = raw.Control(func(descriptor uintptr) {
+		info, failed = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err = errors.Join(err, failed); err != nil {
+		return 0, fmt.Errorf("exchange: silence of a connection: %w", err)
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
+}
--- a/internal/exchange/presence_test.go
+++ b/internal/exchange/presence_test.go
@@ -90,6 +90,74 @@
 	}
 }
 
+// TestEndOfABodyIsNotConfirmedByAnotherProcess guards against half a body that looks whole: whichever process
+// listened at the address of a replica that had ended counted as that replica.
+func TestEndOfABodyIsNotConfirmedByAnotherProcess(t *testing.T) {
+	misdirected := func(e *replica.Exchange) bool {
+		e.Answer(421, "")
+		return true
+	}
+	for name, c := range map[string]struct {
+		// startedAtMs is the target's start, 0 if it publishes none.
+		startedAtMs int64
+		// after is the time from the end of the replica until another process starts at its address; 0 means
+		// that it lives.
+		after time.Duration
+		// asked is the time from the end of the body until the end is confirmed.
+		asked time.Duration
+		// other is the script of the other process, and request has it requested before the end is confirmed.
+		other   replica.Script
+		request bool
+		// closes has the replica close connections behind its reports.
+		closes bool
+		want   error
+	}{
+		"another service, after a standstill": {after: time.Millisecond, asked: 1500 * time.Millisecond, other: misdirected, want: ErrPresenceUnknown},
+		"another service that was requested":  {after: time.Millisecond, asked: 1500 * time.Millisecond, other: misdirected, request: true, want: ErrPresenceUnknown},
+		"restarted":                           {startedAtMs: targetStart, after: time.Millisecond, other: reports(targetStart + 5), want: ErrReplicaEnded},
+		"restarted without reports":           {startedAtMs: targetStart, after: time.Millisecond, other: misdirected, want: ErrPresenceUnknown},
+		"lives":                               {startedAtMs: targetStart},
+		"lives, closes behind reports":        {startedAtMs: targetStart, closes: true},
+		"lives, asked late":                   {startedAtMs: targetStart, asked: 1500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			started := startScript(t, func(e *replica.Exchange) bool {
+				if e.Request.URI == "/report" {
+					return reports(targetStart)(e) && !c.closes
+				}
+				e.Write("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\npart")
+				return false
+			})
+			client := NewClient(reportingNames)
+			target := Target{Instance: "a", StartedAtMs: c.startedAtMs, Address: started.Address}
+			unended, err := client.Send(t.Context(), target, checked("1", IncarnationUnchecked))
+			is.NoErr(err)
+			defer unended.Close()
+			_, err = io.ReadAll(unended.Body)
+			is.NoErr(err)
+			if c.after > 0 {
+				started.End(replica.EndClosed)
+				time.Sleep(c.after)
+				other, err := replica.StartAt(started.Address, c.other)
+				is.NoErr(err)
+				t.Cleanup(other.Close)
+			}
+			time.Sleep(c.asked)
+			if c.request {
+				answer, err := client.Send(t.Context(), target, checked("2", IncarnationUnchecked))
+				is.NoErr(err)
+				is.Equal(answer.Status, 421)
+				_, err = io.ReadAll(answer.Body)
+				is.NoErr(err)
+				answer.Close()
+			}
+			err = unended.ConfirmEnd(t.Context())
+			is.True(errors.Is(err, c.want))
+		})
+	}
+}
+
 func TestConfirmationEndsWithItsRequest(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
