Name the instance in requests for reports

Another instance at the address then answers 421, as to any request, in place of a report of its own; one whose process started in the same millisecond is told apart as well.

--- a/internal/exchange/incarnation.go
+++ b/internal/exchange/incarnation.go
@@ -134,8 +134,7 @@
 }
 
 // ask asks the process at the other end of a connection when it started. The answer holds for as long as
-// the connection is open, which ends with the process. After any other error than errNoReport alone, the
-// connection can't be used for a request.
+// the connection is open, which ends with the process.
 func (c *Client) ask(ctx context.Context, used *connection) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -145,10 +144,12 @@
 		err = errors.Join(err, ctx.Err())
 	}
 	used.ended = err != nil
-	switch startedAtMs {
-	case used.target.StartedAtMs:
+	switch {
+	case errors.Is(err, errOtherIncarnation):
+		used.incarnation = IncarnationOther
+	case startedAtMs == used.target.StartedAtMs:
 		used.incarnation = IncarnationSame
-	case 0:
+	case startedAtMs == 0:
 		used.incarnation = IncarnationUnreported
 		err = errors.Join(errNoReport, err)
 	default:
@@ -162,8 +163,8 @@
 // readStart requests a report and returns the start in it, or 0 without one. After an error the connection
 // can't be used for a request.
 func (c *Client) readStart(used *connection) (startedAtMs int64, err error) {
-	if _, err := fmt.Fprintf(used.socket, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c.names.ReportPath, used.target.Address); err != nil {
-		return 0, fmt.Errorf("exchange: request a report: %w", err)
+	if err := c.requestReport(used); err != nil {
+		return 0, err
 	}
 	buffered, _ := used.reader.Peek(used.reader.Buffered())
 	if err := used.wire.begin(true, buffered); err != nil {
@@ -185,13 +186,24 @@
 	if response.Close || used.reader.Buffered() > 0 {
 		err = errReportEnds
 	}
-	switch {
-	case response.StatusCode < http.StatusOK:
+	switch response.StatusCode {
+	case http.StatusOK:
+		return c.startIn(body), err
+	case http.StatusMisdirectedRequest:
+		return 0, errOtherIncarnation
+	}
+	if response.StatusCode < http.StatusOK {
 		return 0, errReportEnds // another head follows
-	case response.StatusCode != http.StatusOK:
-		return 0, err
 	}
-	return c.startIn(body), err
+	return 0, err
+}
+
+func (c *Client) requestReport(used *connection) error {
+	_, err := fmt.Fprintf(used.socket, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", c.names.ReportPath, used.target.Address, c.names.ExpectInstance, used.target.Instance)
+	if err != nil {
+		return fmt.Errorf("exchange: request a report: %w", err)
+	}
+	return nil
 }
 
 // startIn returns the start in a report, or 0.
--- a/internal/exchange/incarnation_test.go
+++ b/internal/exchange/incarnation_test.go
@@ -72,6 +72,7 @@
 		"later":                 {script: reports(targetStart + 1), notOther: ReasonMoved, confirmed: ReasonMoved},
 		"earlier":               {script: reports(targetStart - 1), notOther: ReasonMoved, confirmed: ReasonMoved},
 		"other, then closes":    {script: answers(whole(200, `{"born":1}`, "Connection: close\r\n")), notOther: ReasonMoved, confirmed: ReasonMoved},
+		"another instance":      {script: answers(whole(421, "", "")), notOther: ReasonMoved, confirmed: ReasonMoved},
 		"no report":             {script: answers(whole(404, "", "")), confirmed: ReasonIncarnation, known: IncarnationUnreported},
 		"full":                  {script: answers(whole(503, "", "Test-Not-Run: 1\r\n")), confirmed: ReasonIncarnation, known: IncarnationUnreported},
 		"no start":              {script: answers(whole(200, `{"running":2}`, "")), confirmed: ReasonIncarnation, known: IncarnationUnreported},
