Tell a late refusal without an ID from the response to a request that may not be repeated

Cause: an error response without an ID counted as that of the present request, whichever request the connection had carried before. Class of the surplus responses: bytes whose owner is not known counted as the expected ones.

Fix: behind such a response a report is requested on the same connection. A replica answers a connection's requests in order, so the response with the request's ID comes before the report if the refusal was another's, and the report, or a refusal of it, comes next if it was not. Asked only where a wrong guess can run a request twice: not repeatable, wholly sent, on a connection that carried another request. If neither comes, it is unknown whether the request ran.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -155,6 +155,7 @@
 func (c *Client) exchange(ctx context.Context, used *connection, request Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, used.close)
 	sent := make(chan struct{})
+	used.sent = sent
 	message := net.Buffers{c.encodeHead(request, used.target.Instance), request.Body}
 	// The response is read concurrently with the write, since a replica may respond
 	// before it has read a long body.
@@ -218,6 +219,7 @@
 
 func (c *Client) readMatchingHead(used *connection, request Request) (*http.Response, error) {
 	httpRequest := &http.Request{Method: request.Method}
+	var unattributed *http.Response
 	for skipped := range maxSkippedResponses + 1 {
 		buffered, _ := used.reader.Peek(used.reader.Buffered())
 		if err := used.wire.begin(skipped == 0, buffered); err != nil {
@@ -235,8 +237,24 @@
 			return nil, &FailureError{Reason: ReasonForeign, Cause: ErrForeign}
 		}
 		echoed := response.Header.Get(c.names.RequestID)
-		if echoed == request.ID || echoed == "" && response.StatusCode >= http.StatusBadRequest {
+		switch {
+		case unattributed != nil && echoed == "":
+			return attributed(used, unattributed, response)
+		case echoed == request.ID:
+			if unattributed != nil {
+				c.pool.surplus.record(used.target, SurplusSkipped)
+				response.Close = true // the report follows
+			}
 			return response, nil
+		case echoed == "" && response.StatusCode >= http.StatusBadRequest:
+			if !c.needsAttribution(used, request, response) || !wasSent(used.sent) {
+				return response, nil
+			}
+			if err := c.attribute(used, response); err != nil {
+				return nil, &FailureError{Reason: ReasonForeign, Cause: err}
+			}
+			unattributed = response
+			continue
 		}
 		if echoed == "" || used.served == 0 || response.Close {
 			break
@@ -309,22 +327,22 @@
 
 func (a *Answer) reusable() bool {
 	// The process that answers 421 is not the target.
-	return a.body.ended && !a.response.Close && a.Status != http.StatusMisdirectedRequest && a.connection.reader.Buffered() == 0 && a.wasSent()
+	return a.body.ended && !a.response.Close && a.Status != http.StatusMisdirectedRequest && a.connection.reader.Buffered() == 0 && wasSent(a.sent)
 }
 
-// wasSent reports whether the whole request has been written. The response may arrive
-// before the writing goroutine has signalled its end, so wasSent waits up to sentTimeout
-// for it.
-func (a *Answer) wasSent() bool {
+// wasSent reports whether the whole request has been written, which closes sent. The response
+// may arrive before the writing goroutine has signalled its end, so wasSent waits up to
+// sentTimeout for it.
+func wasSent(sent <-chan struct{}) bool {
 	select {
-	case <-a.sent:
+	case <-sent:
 		return true
 	default:
 	}
 	timer := time.NewTimer(sentTimeout)
 	defer timer.Stop()
 	select {
-	case <-a.sent:
+	case <-sent:
 		return true
 	case <-timer.C:
 		return false
