--- a/internal/exchange/incarnation.go
+++ b/internal/exchange/incarnation.go
@@ -57,9 +57,6 @@
 	reportTimeout = 250 * time.Millisecond
 	// maxReportBytes bounds the body of a report, which may list the requests that a replica runs.
 	maxReportBytes = 256 << 10
-	// reportTries is on how many connections a replica is asked: a reused one may be stale, and a replica may
-	// close a connection behind its report.
-	reportTries = 2
 )
 
 var (
@@ -84,11 +81,11 @@
 	return used.incarnation
 }
 
-// connect returns a connection to target on which request may be sent. A new one is made if fresh is set.
-// Every error is a *FailureError.
+// connect returns a connection to target on which request may be sent. A new one is made if fresh is set. A
+// replica that does not report gets the request if its check allows that. Every error is a *FailureError.
 func (c *Client) connect(ctx context.Context, target Target, request Request, fresh bool) (*connection, error) {
 	var unreported error
-	for range reportTries {
+	for again := true; again; fresh = true {
 		used, err := c.open(ctx, target, request, fresh)
 		if err != nil {
 			return nil, &FailureError{Outcome: OutcomeNotRun, Reason: ReasonConnect, Cause: err}
@@ -114,10 +111,8 @@
 		if ctx.Err() != nil {
 			return nil, &FailureError{Outcome: OutcomeNotRun, Reason: ReasonCancelled, Cause: unreported}
 		}
-		if errors.Is(unreported, context.DeadlineExceeded) {
-			break
-		}
-		fresh = true
+		// Its replica may have closed a connection that was idle.
+		again = used.served > 0 && !errors.Is(unreported, context.DeadlineExceeded)
 	}
 	if request.Incarnation == IncarnationNotOther {
 		request.Incarnation = IncarnationUnchecked
