Bound the bytes of reports and of refusals without an ID that are held

What exceeds 4 KiB of a report counts against the limit of heads, 32 KiB are the most; a refusal without an ID of over 4 KiB leaves unknown whether its request ran.

--- a/internal/exchange/attribution.go
+++ b/internal/exchange/attribution.go
@@ -26,13 +26,10 @@
 	if err := used.wire.startTimeout(skipTimeout); err != nil {
 		return err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxSkippedBytes+1))
+	body, err := readBounded(response.Body, readBuffer)
 	if err != nil {
 		return fmt.Errorf("exchange: read a response without an ID: %w", err)
 	}
-	if len(body) > maxSkippedBytes {
-		return errSkippedSize
-	}
 	if err := used.wire.clearTimeout(); err != nil {
 		return err
 	}
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -29,7 +29,7 @@
 	errNotHTTP      = errors.New("the bytes are no HTTP response")
 	errHeadTooLarge = errors.New("the head of the response exceeds the limit")
 	errTooSlow      = errors.New("the head of the response, or a late response before it, did not end in time")
-	errSkippedSize  = errors.New("the body of the late response exceeds the limit")
+	errSkippedSize  = errors.New("the body of a response that is not passed on exceeds the limit")
 )
 
 // protocolPrefix begins each head.
--- a/internal/exchange/incarnation.go
+++ b/internal/exchange/incarnation.go
@@ -55,8 +55,9 @@
 const (
 	// reportTimeout bounds a report. Replicas may be slow to accept a connection or lose a packet.
 	reportTimeout = 250 * time.Millisecond
-	// maxReportBytes bounds the body of a report, which may list the requests that a replica runs.
-	maxReportBytes = 256 << 10
+	// maxReportBytes bounds the body of a report, which may list the requests that a replica runs. What exceeds
+	// readBuffer is bounded for all reports and heads together.
+	maxReportBytes = maxHeadBytes
 )
 
 var (
@@ -174,9 +175,9 @@
 		c.pool.surplus.record(used.target, SurplusSkipped)
 		return 0, errMismatched
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes+1))
-	if err != nil || len(body) > maxReportBytes {
-		return 0, errors.Join(errSkippedSize, err)
+	body, err := readReport(used, response.Body)
+	if err != nil {
+		return 0, err
 	}
 	if response.Close || used.reader.Buffered() > 0 {
 		err = errReportEnds
@@ -193,6 +194,29 @@
 	return 0, err
 }
 
+func readReport(used *connection, from io.Reader) ([]byte, error) {
+	body, err := readBounded(from, readBuffer)
+	if !errors.Is(err, errSkippedSize) {
+		return body, err
+	}
+	if err := used.wire.large.Grow(maxReportBytes); err != nil {
+		return nil, fmt.Errorf("exchange: read a report: %w", err)
+	}
+	defer used.wire.large.Release()
+	more, err := readBounded(from, maxReportBytes-len(body))
+	return append(body, more...), err
+}
+
+// readBounded reads to the end. If there is more than a number of bytes, it returns one more than that, and
+// errSkippedSize.
+func readBounded(from io.Reader, most int) ([]byte, error) {
+	read, err := io.ReadAll(io.LimitReader(from, int64(most)+1))
+	if err == nil && len(read) > most {
+		err = errSkippedSize
+	}
+	return read, err
+}
+
 func (c *Client) requestReport(used *connection) error {
 	_, err := fmt.Fprintf(used.socket, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", c.names.ReportPath, used.target.Address, c.names.ExpectInstance, used.target.Instance)
 	if err != nil {
--- a/internal/exchange/incarnation_test.go
+++ b/internal/exchange/incarnation_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -80,6 +81,9 @@
 		"start is a fraction":   {script: answers(whole(200, `{"born":1700000000123.5}`, "")), confirmed: ReasonIncarnation, known: IncarnationUnreported},
 		"nested start":          {script: answers(whole(200, `{"runs":{"born":1700000000123}}`, "")), confirmed: ReasonIncarnation, known: IncarnationUnreported},
 		"no JSON":               {script: answers(whole(200, `born`, "")), confirmed: ReasonIncarnation, known: IncarnationUnreported},
+		"long":                  {script: answers(whole(200, `{"born":1700000000123,"runs":"`+strings.Repeat("x", maxReportBytes/2)+`"}`, "")), known: IncarnationSame},
+		"too long":              {script: answers(whole(200, `{"born":1700000000123,"runs":"`+strings.Repeat("x", maxReportBytes)+`"}`, "")), confirmed: ReasonIncarnation},
+		"deeply nested":         {script: answers(whole(200, `{"born":1700000000123,"runs":`+strings.Repeat("[", 20000), "")), confirmed: ReasonIncarnation, known: IncarnationUnreported},
 		"surplus bytes":         {script: answers(whole(200, `{"born":1700000000123}`, "") + "HTTP/1.1 200 OK\r\n"), confirmed: ReasonIncarnation},
 		"closes":                {script: answers(whole(200, `{"born":1700000000123}`, "Connection: close\r\n")), confirmed: ReasonIncarnation},
 		"late response":         {script: answers(whole(200, `{"born":1700000000123}`, "Test-Id: 7\r\n")), confirmed: ReasonIncarnation},
