--- a/internal/exchange/attribution.go
+++ b/internal/exchange/attribution.go
@@ -13,7 +13,7 @@
 // run, since its connection is closed.
 func (c *Client) needsAttribution(used *connection, request Request, response *http.Response) bool {
 	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return !request.Repeatable && request.Method != http.MethodHead && used.served > 0 && c.names.ReportPath != "" && delimited && !response.Close
+	return !request.Repeatable && request.Method != http.MethodHead && used.served > 0 && c.names.ReportPath != "" && delimited && !response.Close && wasSent(used.sent)
 }
 
 // attribute requests a report behind a response without an ID. A replica answers the requests of a connection
@@ -37,11 +37,21 @@
 	return c.requestReport(used)
 }
 
+// attributedTo returns the response that names the request. If one without an ID came before, that was another
+// request's, and the report follows.
+func (c *Client) attributedTo(used *connection, response, unattributed *http.Response) *http.Response {
+	if unattributed != nil {
+		c.pool.surplus.record(used.target, SurplusSkipped)
+		response.Close = true
+	}
+	return response
+}
+
 // attributed returns a response without an ID once the report behind it has come. The connection is reusable
 // if the report is whole.
 func attributed(used *connection, response, report *http.Response) (*http.Response, error) {
 	if err := skipBody(used, report); err != nil {
-		return nil, &FailureError{Reason: ReasonForeign, Cause: errors.Join(errMismatched, err)}
+		return nil, errors.Join(errMismatched, err)
 	}
 	response.Close = report.Close
 	return response, nil
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -218,16 +218,11 @@
 }
 
 func (c *Client) readMatchingHead(used *connection, request Request) (*http.Response, error) {
-	httpRequest := &http.Request{Method: request.Method}
 	var unattributed *http.Response
-	for skipped := range maxSkippedResponses + 1 {
-		buffered, _ := used.reader.Peek(used.reader.Buffered())
-		if err := used.wire.begin(skipped == 0, buffered); err != nil {
-			return nil, readHeadError(err)
-		}
-		response, err := http.ReadResponse(used.reader, httpRequest)
+	for heads := range maxSkippedResponses + 1 {
+		response, err := readOneHead(used, request.Method, heads == 0)
 		if err != nil {
-			return nil, readHeadError(cmp.Or(used.wire.failure, err))
+			return nil, readHeadError(err)
 		}
 		if response.StatusCode < http.StatusOK {
 			continue // an informational response
@@ -236,38 +231,55 @@
 			c.pool.surplus.record(used.target, SurplusWithin)
 			return nil, &FailureError{Reason: ReasonForeign, Cause: ErrForeign}
 		}
-		echoed := response.Header.Get(c.names.RequestID)
-		switch {
-		case unattributed != nil && echoed == "":
-			return attributed(used, unattributed, response)
+		switch echoed := response.Header.Get(c.names.RequestID); {
 		case echoed == request.ID:
-			if unattributed != nil {
-				c.pool.surplus.record(used.target, SurplusSkipped)
-				response.Close = true // the report follows
-			}
-			return response, nil
+			return c.attributedTo(used, response, unattributed), nil
+		case echoed == "" && unattributed != nil:
+			response, err = attributed(used, unattributed, response)
 		case echoed == "" && response.StatusCode >= http.StatusBadRequest:
-			if !c.needsAttribution(used, request, response) || !wasSent(used.sent) {
-				return response, nil
+			if c.needsAttribution(used, request, response) {
+				unattributed, response, err = response, nil, c.attribute(used, response)
 			}
-			if err := c.attribute(used, response); err != nil {
-				return nil, &FailureError{Reason: ReasonForeign, Cause: err}
-			}
-			unattributed = response
-			continue
-		}
-		if echoed == "" || used.served == 0 || response.Close {
-			break
+		case echoed == "" || used.served == 0 || response.Close:
+			err = errMismatched
+		default:
+			// A late response to an earlier request; the response to this one follows.
+			err = c.skipLate(used, response)
+			response = nil
 		}
-		// A late response to an earlier request; the response to this one follows.
-		if err := skipBody(used, response); err != nil {
+		if err != nil {
 			return nil, &FailureError{Reason: ReasonForeign, Cause: err}
 		}
-		c.pool.surplus.record(used.target, SurplusSkipped)
+		if response != nil {
+			return response, nil
+		}
 	}
 	return nil, &FailureError{Reason: ReasonForeign, Cause: errMismatched}
 }
 
+// readOneHead reads the head of a response to a request with a method, the first one for this request or one
+// that follows another.
+func readOneHead(used *connection, method string, first bool) (*http.Response, error) {
+	buffered, _ := used.reader.Peek(used.reader.Buffered())
+	if err := used.wire.begin(first, buffered); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(used.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, cmp.Or(used.wire.failure, err)
+	}
+	return response, nil
+}
+
+// skipLate reads the rest of a late response to an earlier request.
+func (c *Client) skipLate(used *connection, response *http.Response) error {
+	if err := skipBody(used, response); err != nil {
+		return err
+	}
+	c.pool.surplus.record(used.target, SurplusSkipped)
+	return nil
+}
+
 // skipBody reads the body of a response that belongs to another request.
 func skipBody(used *connection, response *http.Response) error {
 	if err := used.wire.end(); err != nil {
--- a/internal/exchange/incarnation.go
+++ b/internal/exchange/incarnation.go
@@ -162,11 +162,7 @@
 	if err := c.requestReport(used); err != nil {
 		return 0, err
 	}
-	buffered, _ := used.reader.Peek(used.reader.Buffered())
-	if err := used.wire.begin(true, buffered); err != nil {
-		return 0, err
-	}
-	response, err := http.ReadResponse(used.reader, &http.Request{Method: http.MethodGet})
+	response, err := readOneHead(used, http.MethodGet, true)
 	if cleared := used.wire.end(); err != nil || cleared != nil {
 		return 0, errors.Join(err, cleared)
 	}
