Keep processes that start from holding probed addresses of tests

A process that is forked between the probe of a port and the end of that probe has a copy of the listening socket until it runs its program; tests that run side by side start processes at that time.

--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 )
 
 const (
@@ -71,8 +72,11 @@
 	return netip.AddrPort{}, last
 }
 
-// probe returns an error if address can't be bound for TCP and UDP.
+// probe returns an error if address can't be bound for TCP and UDP. A process that is started meanwhile would
+// have copies of the sockets until it runs its program, and so keep the address in use.
 func probe(address netip.AddrPort) error {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp4", address.String())
 	if err != nil {
 		return err
