--- a/internal/exchange/incarnation.go
+++ b/internal/exchange/incarnation.go
@@ -214,7 +214,7 @@
 }
 
 func (c *Client) requestReport(used *connection) error {
-	_, err := fmt.Fprintf(used.socket, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", c.names.ReportPath, used.target.Address, c.names.ExpectInstance, used.target.Instance)
+	_, err := fmt.Fprintf(used.socket, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c.names.ReportPath, used.target.Address)
 	if err != nil {
 		return fmt.Errorf("exchange: request a report: %w", err)
 	}
