Let os/exec make its one fork without the lock before the first probed address

Cause: before the first process that package os starts, it finds out once which process handles the kernel supports. It does so by a fork outside of syscall.ForkLock, and the kernel resumes the parent before the child has closed its copies of the sockets. If an address was being probed just then, it stayed in use for a moment. The failing addresses were the first ones of their processes, in 8 of 24 processes under load.

Have package os do this before the first probe.

--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -41,6 +41,14 @@
 	return netip.AddrFrom4([4]byte{firstByte, byte(upperHalf + number>>16&upperMask), byte(number >> 8), byte(number)})
 }
 
+// checkProcessHandles has package os find out which process handles the kernel supports. It does so once, by a fork
+// outside of the fork lock.
+var checkProcessHandles = sync.OnceFunc(func() {
+	if process, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = process.Release()
+	}
+})
+
 // maxExtraIPs is the number of distinct addresses that ExtraIP returns.
 const maxExtraIPs = 128
 
@@ -75,6 +83,7 @@
 // probe returns an error if address can't be bound for TCP and UDP. A process that is started meanwhile would
 // have copies of the sockets until it runs its program, and so keep the address in use.
 func probe(address netip.AddrPort) error {
+	checkProcessHandles()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp4", address.String())
--- a/internal/lab/loopback/starts_test.go
+++ b/internal/lab/loopback/starts_test.go
@@ -47,3 +47,48 @@
 	starters.Wait()
 	is.Equal(inUse, 0)
 }
+
+// firstStart is set in the processes that TestFirstAddressCanBeBoundWhileTheFirstProcessStarts starts.
+const firstStart = "STEPSEAM_TEST_FIRST_START"
+
+// TestFirstAddressCanBeBoundWhileTheFirstProcessStarts guards against addresses that are in use: os/exec forks
+// once without the fork lock, before the first process that it starts, to find out what the kernel supports.
+func TestFirstAddressCanBeBoundWhileTheFirstProcessStarts(t *testing.T) {
+	is := is.New(t)
+	program, err := os.Executable()
+	is.NoErr(err)
+	if os.Getenv(firstStart) != "" {
+		bindWhileFirstProcessStarts(t, program)
+		return
+	}
+	failed := 0
+	for range 200 {
+		command := exec.CommandContext(t.Context(), program, "-test.run=^"+t.Name()+"$")
+		command.Env = append(os.Environ(), firstStart+"=1")
+		if output, err := command.CombinedOutput(); err != nil {
+			failed++
+			t.Logf("%s", output)
+		}
+	}
+	is.Equal(failed, 0)
+}
+
+// bindWhileFirstProcessStarts binds addresses until the first process that this one starts has ended.
+func bindWhileFirstProcessStarts(t *testing.T, program string) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	go func() { ended <- exec.CommandContext(t.Context(), program, "-test.run=^$").Run() }()
+	for {
+		select {
+		case err := <-ended:
+			is.NoErr(err)
+			return
+		default:
+		}
+		address, err := FreeAddress(ProcessIP())
+		is.NoErr(err)
+		listener, err := net.Listen("tcp4", address.String())
+		is.NoErr(err)
+		_ = listener.Close()
+	}
+}
