Test: bind addresses only until the first process has started

Under the race detector TestFirstAddressCanBeBoundWhileTheFirstProcessStarts failed in 200 of 200 processes, with "no free port": each sleeps for a second at its end, and the test bound addresses until then, more than there are. A slow machine could fail in the same way.

The fault is over once the process has started, so bind addresses until then, and let the race detector not sleep.

--- a/internal/lab/loopback/starts_test.go
+++ b/internal/lab/loopback/starts_test.go
@@ -64,7 +64,8 @@
 	failed := 0
 	for range 200 {
 		command := exec.CommandContext(t.Context(), program, "-test.run=^"+t.Name()+"$")
-		command.Env = append(os.Environ(), firstStart+"=1")
+		// The race detector has each process sleep for a second at its end.
+		command.Env = append(os.Environ(), firstStart+"=1", "GORACE=atexit_sleep_ms=0")
 		if output, err := command.CombinedOutput(); err != nil {
 			failed++
 			t.Logf("%s", output)
@@ -73,16 +74,17 @@
 	is.Equal(failed, 0)
 }
 
-// bindWhileFirstProcessStarts binds addresses until the first process that this one starts has ended.
+// bindWhileFirstProcessStarts binds addresses until the first process that this one starts runs its program.
 func bindWhileFirstProcessStarts(t *testing.T, program string) {
 	is := is.New(t)
-	ended := make(chan error, 1)
-	go func() { ended <- exec.CommandContext(t.Context(), program, "-test.run=^$").Run() }()
-	for {
+	command := exec.CommandContext(t.Context(), program, "-test.run=^$")
+	started := make(chan error, 1)
+	go func() { started <- command.Start() }()
+	for running := false; !running; {
 		select {
-		case err := <-ended:
+		case err := <-started:
 			is.NoErr(err)
-			return
+			running = true
 		default:
 		}
 		address, err := FreeAddress(ProcessIP())
@@ -91,4 +93,5 @@
 		is.NoErr(err)
 		_ = listener.Close()
 	}
+	is.NoErr(command.Wait())
 }
