--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -49,16 +49,16 @@
 	}
 })
 
-// maxExtraIPs is the number of distinct addresses that ExtraIP returns.
-const maxExtraIPs = 128
+// ExtraIPs is the number of distinct addresses that ExtraIP returns.
+const ExtraIPs = 128
 
 // ExtraIP returns a further IP address of this process, for a number from 0 to 127, for
 // sites whose nodes all use the same port. Only processes whose IDs differ by a multiple
 // of 65,536 share it; they start their search for free ports at different ports.
 func ExtraIP(number int) netip.Addr {
-	const firstExtra = 256 - maxExtraIPs
+	const firstExtra = 256 - ExtraIPs
 	bytes := ProcessIP().As4()
-	bytes[1] = byte(firstExtra + number%maxExtraIPs)
+	bytes[1] = byte(firstExtra + number%ExtraIPs)
 	return netip.AddrFrom4(bytes)
 }
 
--- a/internal/lab/loopback/loopback_test.go
+++ b/internal/lab/loopback/loopback_test.go
@@ -47,7 +47,7 @@
 func TestExtraIPsAreDistinct(t *testing.T) {
 	is := is.New(t)
 	seen := map[netip.Addr]bool{ProcessIP(): true}
-	for number := range maxExtraIPs {
+	for number := range ExtraIPs {
 		extra := ExtraIP(number)
 		is.True(extra.IsLoopback())
 		is.True(!seen[extra])
