Keep what outlives the log in an archive: turns, their texts and what programs have spent

Cause: a node knew index entries, texts and charges only from the log, which drops records after 20 s on most sheets, while routes keep turns for 60 s. A node that had read them before it was enough; a restart took that away. Partition.SkipTo took dropped records for older than anything that is kept, Ledger.Texts reported a dropped text as a turn that does not exist, and the first reservation of an account that is not known is granted in full.

Fix (decision 0021): the coordinator of a partition copies what has changed to a keyed partition, sixteen times within the history, whose newest values the store holds for good. Each call names the end of the archive that its writer has read, so of two owners one has to read what the other wrote. The value of an account names the offset up to which it includes the log, so that no charge counts twice. A node whose records are gone restores the archive; where the archive ends before the records that are left, the partition is incomplete and says 503, neither 404 nor tokens. Items expire by a clock that only runs while the archive has a writer. Texts that may not leave their regions are copied by the node that persists the turn. A turn is kept for the time of its route's timeout more, since the next one needs its texts until it has ended.

Found by the model of this change: a node that had all records relied on the position of another's archive that had not.

--- a/internal/emulator/store/store.go
+++ b/internal/emulator/store/store.go
@@ -50,6 +50,8 @@
 	readsPerSecond int
 	window         time.Time
 	reads          int
+	// retain is how long a partition has its records; 0 means for good.
+	retain time.Duration
 }
 
 const (
@@ -63,6 +65,8 @@
 
 type partition struct {
 	records [][]byte
+	// written are the times of the records.
+	written []time.Time
 	// first is the offset of records[0].
 	first     logstore.Offset
 	newest    map[string][]byte
@@ -98,6 +102,33 @@
 	s.pageItems = items
 }
 
+// SetRetention makes the store drop records once they are older than retain; 0 keeps them for good.
+// Newest values of keys stay.
+func (s *Store) SetRetention(retain time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.retain = retain
+}
+
+// Bytes returns the size of the records of a topic, and that of its newest values with their keys.
+func (s *Store) Bytes(topic string) (records, newest int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for place := range s.partitions {
+		if place.Topic != topic {
+			continue
+		}
+		kept := s.at(place)
+		for _, record := range kept.records {
+			records += len(record)
+		}
+		for key, value := range kept.newest {
+			newest += len(key) + len(value)
+		}
+	}
+	return records, newest
+}
+
 // LimitReads rejects read calls beyond a number in each second; 0 means no limit.
 func (s *Store) LimitReads(perSecond int) {
 	s.mutex.Lock()
@@ -145,7 +176,7 @@
 	defer s.mutex.Unlock()
 	kept := s.at(place)
 	record := append([]byte{byte(len(key))}, key...)
-	kept.records = append(kept.records, append(record, value...))
+	kept.add(append(record, value...))
 	if value == nil {
 		delete(kept.newest, key)
 	} else {
@@ -160,18 +191,31 @@
 	defer s.mutex.Unlock()
 	kept := s.at(place)
 	for kept.first < before && len(kept.records) > 0 {
-		kept.records = kept.records[1:]
-		kept.first++
+		kept.drop()
 	}
 }
 
-// at returns a partition and creates it on first use. The caller holds the mutex.
+func (p *partition) add(record []byte) {
+	p.records, p.written = append(p.records, record), append(p.written, time.Now())
+}
+
+// drop drops the oldest record.
+func (p *partition) drop() {
+	p.records, p.written = p.records[1:], p.written[1:]
+	p.first++
+}
+
+// at returns a partition without the records that are too old, and creates it on first use. The
+// caller holds the mutex.
 func (s *Store) at(place logstore.Partition) *partition {
 	kept, known := s.partitions[place]
 	if !known {
 		kept = &partition{newest: map[string][]byte{}, producers: map[string]*producer{}}
 		s.partitions[place] = kept
 	}
+	for s.retain > 0 && len(kept.records) > 0 && time.Since(kept.written[0]) > s.retain {
+		kept.drop()
+	}
 	return kept
 }
 
@@ -230,23 +274,14 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	kept := s.at(request.Partition)
-	known, found := kept.producers[request.Producer]
-	if !found {
-		known = &producer{}
-		kept.producers[request.Producer] = known
-	}
-	if answer, repeated := known.answers[request.Sequence]; repeated && request.Epoch == known.epoch {
-		return answer, nil
+	first := kept.first + logstore.Offset(len(kept.records))
+	if request.At != nil && *request.At != first {
+		return logstore.AppendResult{}, &logstore.EndError{End: first}
 	}
-	switch {
-	case request.Epoch < known.epoch:
-		return logstore.AppendResult{}, logstore.ErrFenced
-	case request.Epoch > known.epoch:
-		*known = producer{epoch: request.Epoch, answers: map[uint64]logstore.AppendResult{}}
-	case known.begun && request.Sequence != known.sequence+1:
-		return logstore.AppendResult{}, fmt.Errorf("%w: %d is wanted", logstore.ErrSequence, known.sequence+1)
+	answer := logstore.AppendResult{First: first, End: first + logstore.Offset(len(request.Records))}
+	if former, repeated, err := kept.sequence(request, answer); repeated || err != nil {
+		return former, err
 	}
-	first := kept.first + logstore.Offset(len(kept.records))
 	for number, record := range request.Records {
 		if request.Keys != nil {
 			key := request.Keys[number]
@@ -257,16 +292,43 @@
 			}
 			record = append(append([]byte{byte(len(key))}, key...), record...)
 		}
-		kept.records = append(kept.records, record)
+		kept.add(record)
+	}
+	s.wake()
+	return answer, nil
+}
+
+// sequence checks the producer's sequence number of a call and notes its answer. It returns the
+// first answer of a call that is repeated.
+func (p *partition) sequence(request logstore.AppendRequest, answer logstore.AppendResult) (former logstore.AppendResult, repeated bool, err error) {
+	if request.Producer == "" {
+		return logstore.AppendResult{}, false, nil
+	}
+	known, found := p.producers[request.Producer]
+	if !found {
+		known = &producer{}
+		p.producers[request.Producer] = known
+	}
+	if former, repeated = known.answers[request.Sequence]; repeated && request.Epoch == known.epoch {
+		return former, true, nil
+	}
+	switch {
+	case request.Epoch < known.epoch:
+		return logstore.AppendResult{}, false, logstore.ErrFenced
+	case request.Epoch > known.epoch:
+		*known = producer{epoch: request.Epoch, answers: map[uint64]logstore.AppendResult{}}
+	case known.begun && request.Sequence != known.sequence+1:
+		return logstore.AppendResult{}, false, fmt.Errorf("%w: %d is wanted", logstore.ErrSequence, known.sequence+1)
 	}
-	answer := logstore.AppendResult{First: first, End: first + logstore.Offset(len(request.Records))}
 	known.sequence, known.begun = request.Sequence, true
+	if known.answers == nil {
+		known.answers = map[uint64]logstore.AppendResult{}
+	}
 	known.answers[request.Sequence] = answer
 	if request.Sequence >= repeats {
 		delete(known.answers, request.Sequence-repeats)
 	}
-	s.wake()
-	return answer, nil
+	return logstore.AppendResult{}, false, nil
 }
 
 // Read implements logstore.Store.
--- a/internal/guardedstore/store.go
+++ b/internal/guardedstore/store.go
@@ -239,7 +239,8 @@
 // answered reports whether err is a response of the store, whatever its content.
 func answered(err error) bool {
 	var trimmed *logstore.TrimmedError
-	return err == nil || errors.As(err, &trimmed) || errors.Is(err, logstore.ErrSequence) || errors.Is(err, logstore.ErrFenced)
+	var end *logstore.EndError
+	return err == nil || errors.As(err, &trimmed) || errors.As(err, &end) || errors.Is(err, logstore.ErrSequence) || errors.Is(err, logstore.ErrFenced)
 }
 
 // logChanges logs changes of the store's availability. It requires the mutex.
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -118,8 +118,8 @@
 // incarnation that was displaced before says that all of its grants are logged, too.
 func (p *Partition) releaseOwnership(record OwnershipRelease) {
 	for _, one := range p.accounts {
-		if one.unlogged.incarnation == record.Incarnation {
-			one.unlogged = unloggedGrants{}
+		if one.unlogged.incarnation == record.Incarnation && p.next > one.asOf {
+			one.unlogged, one.changed = unloggedGrants{}, p.next
 		}
 	}
 	last := p.owner
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -18,7 +18,8 @@
 const pruneInterval = 5 * time.Second
 
 // account has a program's charges. Invariant: charged is the sum of what settled attempts used
-// and what open ones reserved.
+// and what open ones reserved, by the records from the beginning of the log on, or up to asOf and
+// from there on if the account was restored.
 type account struct {
 	charged uint64
 	// exclusive is that of the program's first reservation; fresh is set until there is one.
@@ -27,6 +28,13 @@
 	unlogged unloggedGrants
 	open     map[AttemptID]OpenReservation
 	lastUsed time.Duration
+	// ttl is how long the account is kept after lastUsed: AccountTTL, or as long as the program's
+	// last turn is kept if that is longer.
+	ttl time.Duration
+	// asOf is the offset of the first record that a restored account does not include.
+	asOf uint64
+	// changed is the offset after the last record that changed the account.
+	changed uint64
 }
 
 // OpenReservation is a reservation that is not settled: tokens that an incarnation may use or
@@ -93,7 +101,11 @@
 
 type storedTurn struct {
 	IndexedTurn
-	expires time.Duration
+	program   ProgramID
+	retention time.Duration
+	expires   time.Duration
+	// changed is the offset after the turn's last record.
+	changed uint64
 }
 
 // Partition is the state that results from the records of one log partition. It is not safe for
@@ -109,6 +121,12 @@
 	texts  textWindow
 	demand textWindow
 	pruned time.Duration
+	// covered is the offset up to which the records are part of a restored snapshot.
+	covered uint64
+	// gap describes dropped records that are part of nothing that was read.
+	gap gap
+	// longestRest returns how long a program may rest between two turns; nil means AccountTTL.
+	longestRest func() time.Duration
 }
 
 // NewPartition returns the state before the first record.
@@ -119,8 +137,8 @@
 // Next is the offset of the first record that has not been applied.
 func (p *Partition) Next() uint64 { return p.next }
 
-// SkipTo skips records that the log has dropped. They are older than anything that is retained,
-// but may have changed the owner.
+// SkipTo skips records that the log has dropped and that are part of a restored snapshot, or older than
+// anything that is kept. They may have changed the owner.
 func (p *Partition) SkipTo(offset uint64) {
 	if offset > p.next {
 		p.next, p.owner = offset, Ownership{tainted: true}
@@ -148,6 +166,8 @@
 	// Void are the assumed reservations that stand for nothing, as the log shows by now, and
 	// should be settled.
 	Void []VoidReservation
+	// Uncertain is set if charges may be missing, so that what was granted must not be used.
+	Uncertain bool
 	// OwnAssumed are the assumed reservations that stand for unlogged grants of the incarnation
 	// that was refused, which knows whether it made any.
 	OwnAssumed []VoidReservation
@@ -178,9 +198,14 @@
 	}
 	switch record := record.(type) {
 	case Reservation:
+		if p.includes(record.Program) {
+			return Verdict{}, false
+		}
 		return p.reserve(record, now), true
 	case Settlement:
-		p.settle(record, now)
+		if !p.includes(record.Program) {
+			p.settle(record, now)
+		}
 	case OwnershipClaim:
 		p.claimOwnership(record, now)
 	case OwnershipRelease:
@@ -190,13 +215,29 @@
 	case Text:
 		p.texts.add(len(record.Bytes), now, p.limits.Retain)
 	case IndexEntry:
-		chain := resolveChain(record.Chain, p.next-1)
-		p.noteDemand(chain, now)
-		p.turns[record.Turn] = storedTurn{IndexedTurn: IndexedTurn{Chain: chain, CacheLocation: record.CacheLocation}, expires: now + record.Retention + retentionMargin}
+		p.index(record, now)
 	}
 	return Verdict{}, false
 }
 
+// index adds a turn. A record that is part of a restored snapshot is skipped: its turn has been
+// restored, with what is left of its retention, or was removed.
+func (p *Partition) index(record IndexEntry, now time.Duration) {
+	chain := resolveChain(record.Chain, p.next-1)
+	p.noteDemand(chain, now)
+	if p.next <= p.covered {
+		return
+	}
+	kept := record.Retention + retentionMargin
+	p.turns[record.Turn] = storedTurn{
+		IndexedTurn: IndexedTurn{Chain: chain, CacheLocation: record.CacheLocation}, program: record.Program,
+		retention: record.Retention, expires: now + kept, changed: p.next,
+	}
+	if charges, known := p.accounts[record.Program]; known {
+		charges.lastUsed, charges.ttl, charges.changed = now, max(charges.ttl, kept), p.next
+	}
+}
+
 // reserve decides on a reservation. Open reservations of other incarnations count as used,
 // although dead ones never use much of theirs. Therefore a turn that does not fit only because
 // of them may exceed the budget by up to one turn, which is still within what a program may
@@ -209,7 +250,7 @@
 			charges.unlogged = p.possibleUnlogged()
 		}
 	}
-	verdict := Verdict{Attempt: record.Attempt, Charged: charges.charged, Void: charges.void(record.Program)}
+	verdict := Verdict{Attempt: record.Attempt, Charged: charges.charged, Void: charges.void(record.Program), Uncertain: p.Incomplete(now)}
 	if _, repeated := charges.open[record.Attempt]; repeated {
 		return verdict
 	}
@@ -291,10 +332,10 @@
 func (p *Partition) account(program ProgramID, now time.Duration) *account {
 	charges, known := p.accounts[program]
 	if !known {
-		charges = &account{open: map[AttemptID]OpenReservation{}, fresh: true}
+		charges = &account{open: map[AttemptID]OpenReservation{}, fresh: true, ttl: AccountTTL}
 		p.accounts[program] = charges
 	}
-	charges.lastUsed = now
+	charges.lastUsed, charges.changed = now, p.next
 	return charges
 }
 
@@ -328,12 +369,16 @@
 }
 
 func (p *Partition) prune(now time.Duration) {
-	if now-p.pruned < pruneInterval {
-		return
+	if now-p.pruned >= pruneInterval {
+		p.Prune(now)
 	}
+}
+
+// Prune removes what is no longer kept.
+func (p *Partition) Prune(now time.Duration) {
 	p.pruned = now
 	for program, charges := range p.accounts {
-		if now-charges.lastUsed > AccountTTL {
+		if now-charges.lastUsed > charges.ttl {
 			delete(p.accounts, program)
 		}
 	}
--- a/internal/ledger/text.go
+++ b/internal/ledger/text.go
@@ -51,6 +51,30 @@
 	return int(l.Partition &^ indexFlag), true
 }
 
+// archivedFlag, in a location's partition, marks a text in the texts' own topic whose copy outside the
+// log was written with it. Other nodes may not read the text, so they don't copy it. Older versions
+// read a partition that does not exist, as for indexFlag.
+const archivedFlag = 1 << 14
+
+// ArchivedPartitions is the maximum number of partitions with texts whose copies are written with
+// them.
+const ArchivedPartitions = archivedFlag
+
+// WithArchive returns the location of a text in its own topic whose copy was written with it.
+func (l Location) WithArchive() Location {
+	l.Partition |= archivedFlag
+	return l
+}
+
+// InTopic returns the partition of a text in the texts' own topic, given the number of partitions,
+// and whether its copy was written with it.
+func (l Location) InTopic(partitions int) (partition int, archived bool) {
+	if partitions > ArchivedPartitions || l.Partition&archivedFlag == 0 {
+		return int(l.Partition), false
+	}
+	return int(l.Partition &^ archivedFlag), true
+}
+
 // Resolved reports whether the location identifies a record. Versions that do not know Text
 // pass on unresolved locations, which could mean any turn's text.
 func (l Location) Resolved() bool { return l.Partition&indexFlag == 0 || l.Offset != precedingRecord }
--- a/internal/ledgerlog/creditmanager.go
+++ b/internal/ledgerlog/creditmanager.go
@@ -122,6 +122,9 @@
 // begin begins a turn. Its errors are those of Ledger.BeginTurn. A node that is not the
 // coordinator reserves only what the turn needs.
 func (m *creditManager) begin(ctx context.Context, request TurnRequest) (Grant, error) {
+	if err := m.checkComplete(ctx, request.Program); err != nil {
+		return Grant{}, err
+	}
 	for refused := 0; ; {
 		tried := m.tryBegin(request)
 		call := tried.call
@@ -150,6 +153,28 @@
 	}
 }
 
+// checkComplete returns an error if charges of a program may be missing, after another attempt to find
+// them. What this node has reserved for the program before may be used in any case.
+func (m *creditManager) checkComplete(ctx context.Context, program ledger.ProgramID) error {
+	if !m.partition.reader.incomplete() || m.hasCredit(program) {
+		return nil
+	}
+	if err := m.partition.reader.readToEnd(ctx); err != nil {
+		return fmt.Errorf("%w: reserve: %w", ErrUnavailable, err)
+	}
+	if m.partition.reader.incomplete() {
+		return m.partition.reader.incompleteError()
+	}
+	return nil
+}
+
+func (m *creditManager) hasCredit(program ledger.ProgramID) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	_, known := m.credits[program]
+	return known
+}
+
 // stopWaiting removes a turn from those that wait for a credit's next reservation.
 func (m *creditManager) stopWaiting(entry *creditEntry, request TurnRequest) {
 	if entry == nil {
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -35,6 +35,9 @@
 	// ErrAbandoned reports that the caller finished the turn before it began. Its text is sent
 	// to other nodes.
 	ErrAbandoned = errors.New("ledgerlog: the turn was abandoned")
+	// ErrIncomplete reports that the log has dropped records of which no copy was found, so that
+	// turns and charges may be missing. It wraps ErrUnavailable. Its text is sent to other nodes.
+	ErrIncomplete = fmt.Errorf("%w: records were dropped of which there is no copy", ErrUnavailable)
 )
 
 // BudgetExhaustedError reports that the budget has no room for another turn. Its text is sent
@@ -76,19 +79,22 @@
 func (alwaysAvailable) Available(logstore.Partition) bool               { return true }
 func (alwaysAvailable) Recovered() <-chan struct{}                      { return nil }
 
-// Config configures a Ledger. All fields but IndexTextBytes, Availability and Registerer are
-// required.
+// Config configures a Ledger. All fields but ArchiveTopic, IndexTextBytes, Availability and
+// Registerer are required.
 type Config struct {
 	Store logstore.Store
 	// Topic is the topic of charges and the index, TextTopic that of texts.
 	Topic, TextTopic string
+	// ArchiveTopic is the keyed topic with a copy of what outlives the log's records; empty if
+	// there is none.
+	ArchiveTopic string
 	// Partitions is the number of partitions of either topic.
 	Partitions int
 	// Producer is unique to this incarnation of the process and serves as its IncarnationID.
 	Producer string
 	// RecordBytes and CallBytes bound one record and one append.
 	RecordBytes, CallBytes int
-	// Retain is how long the store keeps records.
+	// Retain is how long the store keeps records; 0 if that is not known.
 	Retain time.Duration
 	// IndexTextBytes bounds the bytes of texts that a node reads when it takes a partition
 	// over; 0 keeps all texts out of the index.
@@ -106,6 +112,8 @@
 	config     Config
 	partitions []*partition
 	texts      *textStore
+	// archivers has an archiver for each partition; it is empty without an archive.
+	archivers []*archiver
 }
 
 // partition is one partition of the ledger's topic.
@@ -139,6 +147,7 @@
 			logger: config.Logger, onText: created.texts.cacheText, largestText: limits.TextBytes,
 		}
 		reads.state.SetTextLimits(limits)
+		reads.state.SetLongestRest(reads.rest)
 		added := &partition{
 			reader: reads,
 			appender: &appender{
@@ -153,7 +162,12 @@
 			credits:           map[ledger.ProgramID]*creditEntry{}, abandoned: map[ledger.GrantID]time.Duration{},
 		}
 		created.partitions = append(created.partitions, added)
+		if config.ArchiveTopic != "" {
+			reads.archive = &archive{store: config.Store, partition: logstore.Partition{Topic: config.ArchiveTopic, Number: number}}
+			created.archivers = append(created.archivers, newArchiver(created, number))
+		}
 	}
+	created.texts.archives = created.archiveOrder
 	return created
 }
 
@@ -187,7 +201,7 @@
 // called at most once, before the first turn. Without it programs do not rest.
 func (l *Ledger) SetLongestRest(longest func() time.Duration) {
 	for _, p := range l.partitions {
-		p.reader.longestRest = longest
+		p.reader.setLongestRest(longest)
 	}
 }
 
@@ -239,8 +253,12 @@
 	return int(xxhash.Sum64String(string(program)) % uint64(len(l.partitions)))
 }
 
-// Run calls SettleIdle at regular intervals until ctx ends.
+// Run calls SettleIdle at regular intervals, and writes the archives of the partitions that this
+// node coordinates, until ctx ends.
 func (l *Ledger) Run(ctx context.Context, coordinates func(partition int) bool) {
+	var archiving sync.WaitGroup
+	defer archiving.Wait()
+	archiving.Go(func() { l.runArchivers(ctx, coordinates) })
 	ticker := time.NewTicker(settleInterval)
 	defer ticker.Stop()
 	for {
@@ -303,8 +321,8 @@
 	p.appender.enqueue(append(waiting, with...)...)
 }
 
-// Stop settles all credits without an open turn, gives up ownerships and waits until everything
-// is written. It returns ctx's error if ctx ends first.
+// Stop settles all credits without an open turn, gives up ownerships, waits until everything
+// is written and brings the archives up to date. It returns ctx's error if ctx ends first.
 func (l *Ledger) Stop(ctx context.Context) error {
 	const pause = 10 * time.Millisecond
 	for !l.tryStop() {
@@ -314,6 +332,8 @@
 		case <-time.After(pause):
 		}
 	}
+	// What can't be archived in time is still in the log.
+	l.archive(ctx, func(one *archiver) bool { return one.loaded() })
 	return nil
 }
 
--- a/internal/ledgerlog/metrics.go
+++ b/internal/ledgerlog/metrics.go
@@ -10,6 +10,10 @@
 	readFailures   prometheus.Counter
 	// texts counts written texts by place.
 	texts *prometheus.CounterVec
+	// restores counts reads of archives in place of dropped records, by outcome.
+	restores *prometheus.CounterVec
+	// archiveAppends, archiveFailures and archiveConflicts count batches, archivedBytes their bytes.
+	archiveAppends, archiveFailures, archiveConflicts, archivedBytes prometheus.Counter
 }
 
 var storeBuckets = []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1}
@@ -31,9 +35,25 @@
 		texts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "stepseam_ledger_texts_total", Help: "Texts of turns written, in the index in one call or in their own topic.",
 		}, []string{"place"}),
+		restores: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "stepseam_ledger_restores_total", Help: "Restores of partitions whose records the store has dropped, by outcome.",
+		}, []string{"outcome"}),
+		archiveAppends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "stepseam_ledger_archive_batches_total", Help: "Batches written to archives.",
+		}),
+		archiveFailures: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "stepseam_ledger_archive_failures_total", Help: "Batches that were not written to an archive.",
+		}),
+		archiveConflicts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "stepseam_ledger_archive_conflicts_total", Help: "Batches that another node's came before.",
+		}),
+		archivedBytes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "stepseam_ledger_archived_bytes_total", Help: "Bytes of keys and values written to archives.",
+		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(built.appendSeconds, built.appendFailures, built.readSeconds, built.readFailures, built.texts)
+		registerer.MustRegister(built.appendSeconds, built.appendFailures, built.readSeconds, built.readFailures, built.texts,
+			built.restores, built.archiveAppends, built.archiveFailures, built.archiveConflicts, built.archivedBytes)
 	}
 	return built
 }
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -34,6 +34,8 @@
 	clock func() time.Duration
 	// longestRest returns how long a program may rest between two turns; nil means not at all.
 	longestRest func() time.Duration
+	// archive has what the log has dropped; nil if there is none.
+	archive *archive
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -50,6 +52,8 @@
 	largestText int
 	// textsRefused is set if it was logged that the partition has no room for texts.
 	textsRefused bool
+	// restoredAt is when the archive was last read for a partition that is incomplete.
+	restoredAt time.Duration
 	// confirmed is when the last call was sent whose response showed that the log had no
 	// unknown records. The response itself may arrive much later, after other nodes have
 	// written.
@@ -203,7 +207,7 @@
 		if r.reading == nil {
 			r.started++
 			r.reading = &sharedRead{done: make(chan struct{})}
-			go r.read(r.reading, logstore.Offset(r.state.Next()))
+			go r.read(r.reading)
 		}
 		reading := r.reading
 		r.mutex.Unlock()
@@ -225,9 +229,11 @@
 	return fmt.Errorf("ledgerlog: read partition %d: %w", r.partition.Number, ctx.Err())
 }
 
-func (r *reader) read(reading *sharedRead, from logstore.Offset) {
+func (r *reader) read(reading *sharedRead) {
+	r.complete()
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
+	from := r.next()
 	began, sent := time.Now(), r.clock()
 	result, err := r.store.Read(ctx, logstore.ReadRequest{Partition: r.partition, From: from, MaxBytes: r.window.size()})
 	took := time.Since(began)
@@ -239,22 +245,29 @@
 		r.window.answered(took, from+logstore.Offset(len(result.Records)) < result.End)
 	case ctx.Err() != nil:
 		r.window.unanswered()
+	case errors.As(err, &trimmed):
+		err = r.skipTo(trimmed.First)
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	switch {
-	case errors.As(err, &trimmed):
-		r.state.SkipTo(uint64(trimmed.First))
 	case err != nil:
 		r.metrics.readFailures.Inc()
 		reading.err = fmt.Errorf("ledgerlog: read partition %d: %w", r.partition.Number, err)
-	default:
+	case trimmed == nil:
 		r.applyRead(from, result, sent)
 	}
 	r.reading = nil
 	close(reading.done)
 }
 
+// next returns the offset of the first record that has not been applied.
+func (r *reader) next() logstore.Offset {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return logstore.Offset(r.state.Next())
+}
+
 // applyRead requires the mutex. Own records may have been applied since the read was sent.
 func (r *reader) applyRead(from logstore.Offset, result logstore.ReadResult, sent time.Duration) {
 	r.end = result.End
@@ -278,9 +291,14 @@
 // it has the turn, at most to its end.
 func (r *reader) find(ctx context.Context, turn ledger.TurnID) (entry ledger.IndexedTurn, found bool, err error) {
 	atEnd := r.endReached()
+	incomplete := false
 	err = r.readUntil(ctx, func() bool {
 		entry, found = r.state.Turn(turn)
+		incomplete = r.state.Incomplete(r.clock())
 		return found || atEnd()
 	})
+	if err == nil && !found && incomplete {
+		err = r.incompleteError()
+	}
 	return entry, found, err
 }
--- a/internal/ledgerlog/readtext.go
+++ b/internal/ledgerlog/readtext.go
@@ -42,32 +42,43 @@
 // Unwrap returns the error of the last call.
 func (e *TextError) Unwrap() error { return e.Err }
 
-// Texts returns the texts of a chain, oldest first. Errors wrap a *TextError, and ErrNoSuchTurn if
-// the log has dropped a text, or ErrUnavailable if a later attempt may succeed.
+// Texts returns the texts of a chain, oldest first, from the cache, the log or the archive. Errors wrap
+// a *TextError, and ErrUnavailable if a later attempt may succeed, or if the turn is kept although no
+// copy of a text was found. Without an archive they wrap ErrNoSuchTurn if the log has dropped a text.
 func (l *Ledger) Texts(ctx context.Context, chain []ledger.Location) ([][]byte, error) {
 	if texts, all := l.CachedTexts(chain); all {
 		return texts, nil
 	}
+	texts, err := l.textsOf(ctx, chain[0], chain)
+	switch {
+	case errors.Is(err, errTextGone) && l.config.ArchiveTopic == "":
+		return nil, fmt.Errorf("%w: its history is no longer retained: %w", ErrNoSuchTurn, err)
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return texts, nil
+}
+
+// textsOf returns some of the texts of a chain whose first text is at a location. Its error wraps a
+// *TextError, and errTextGone if the log has dropped a text that no archive has.
+func (l *Ledger) textsOf(ctx context.Context, first ledger.Location, chain []ledger.Location) ([][]byte, error) {
 	texts := make([][]byte, len(chain))
-	group, ctx := errgroup.WithContext(ctx)
+	group, within := errgroup.WithContext(ctx)
 	group.SetLimit(parallelTextReads)
 	for i, location := range chain {
 		group.Go(func() (err error) {
-			if texts[i], err = l.texts.read(ctx, location); err != nil {
+			texts[i], err = l.texts.read(within, location)
+			var trimmed *logstore.TrimmedError
+			if err != nil && !errors.As(err, &trimmed) {
 				return &TextError{Partition: l.texts.placeOf(location), Location: location, Err: err}
 			}
 			return nil
 		})
 	}
-	err := group.Wait()
-	var trimmed *logstore.TrimmedError
-	switch {
-	case errors.As(err, &trimmed):
-		return nil, fmt.Errorf("%w: its history is no longer retained: %w", ErrNoSuchTurn, err)
-	case err != nil:
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	if err := group.Wait(); err != nil {
+		return nil, err
 	}
-	return texts, nil
+	return texts, l.texts.addArchived(ctx, first, chain, texts)
 }
 
 // textRead is the read of one text with any number of waiters; text and err are set before done
@@ -197,11 +208,34 @@
 	if partition, inIndex := location.InIndex(t.config.Partitions); inIndex {
 		return logstore.Partition{Topic: t.config.Topic, Number: partition}
 	}
-	return logstore.Partition{Topic: t.config.TextTopic, Number: int(location.Partition)}
+	number, _ := location.InTopic(t.config.Partitions)
+	return logstore.Partition{Topic: t.config.TextTopic, Number: number}
 }
 
+// readOnce makes one call. Offsets that the partition is known to have dropped are not asked for.
 func (t *textStore) readOnce(ctx context.Context, place logstore.Partition, from logstore.Offset, maxBytes int) (logstore.ReadResult, error) {
+	if dropped := t.droppedTo(place); from < dropped {
+		return logstore.ReadResult{}, &logstore.TrimmedError{First: dropped}
+	}
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return t.config.Store.Read(call, logstore.ReadRequest{Partition: place, From: from, MaxBytes: maxBytes})
+	result, err := t.config.Store.Read(call, logstore.ReadRequest{Partition: place, From: from, MaxBytes: maxBytes})
+	var trimmed *logstore.TrimmedError
+	if errors.As(err, &trimmed) {
+		t.noteDropped(place, trimmed.First)
+	}
+	return result, err
+}
+
+// droppedTo returns the oldest offset that a partition may have.
+func (t *textStore) droppedTo(place logstore.Partition) logstore.Offset {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.dropped[place]
+}
+
+func (t *textStore) noteDropped(place logstore.Partition, first logstore.Offset) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.dropped[place] = max(t.dropped[place], first)
 }
--- a/internal/ledgerlog/reserve.go
+++ b/internal/ledgerlog/reserve.go
@@ -31,6 +31,9 @@
 func (m *creditManager) decide(entry *creditEntry, call *pendingReservation, record ledger.Reservation, waiting *submission, repeated bool) {
 	for corrected := false; ; corrected = true {
 		verdict, err := m.awaitVerdict(record.Attempt, waiting)
+		if err == nil && verdict.Uncertain {
+			err = m.partition.reader.incompleteError()
+		}
 		m.mutex.Lock()
 		if err == nil {
 			entry.assumed = nil
--- a/internal/ledgerlog/texts.go
+++ b/internal/ledgerlog/texts.go
@@ -33,6 +33,11 @@
 	// order lists the cached locations, oldest first.
 	order  []ledger.Location
 	cached int
+	// dropped has the oldest offset of each partition that has dropped records, as last heard.
+	dropped map[logstore.Partition]logstore.Offset
+	// archives returns the archives that may have the texts of a chain, most likely ones first. It is
+	// set before the first read.
+	archives func(chain []ledger.Location) []*archive
 }
 
 func newTextStore(config Config, counters *metrics, callPacer *pacer, retransmits *retransmission) *textStore {
@@ -40,7 +45,7 @@
 	return &textStore{
 		readBytes: semaphore.NewWeighted(readLimit), readLimit: readLimit,
 		config: config, metrics: counters, pacer: callPacer, retransmission: retransmits,
-		cache: map[ledger.Location][]byte{}, reading: map[ledger.Location]*textRead{}, appenders: map[int]*appender{},
+		cache: map[ledger.Location][]byte{}, reading: map[ledger.Location]*textRead{}, dropped: map[logstore.Partition]logstore.Offset{}, appenders: map[int]*appender{},
 		partition: int(xxhash.Sum64String(config.Producer) % uint64(max(config.Partitions, 1))),
 	}
 }
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -22,19 +22,25 @@
 // turn. If the program's own partition is unavailable, the entry goes into another one;
 // persisting a turn twice is harmless. It retries until ctx ends. Errors wrap ErrUnavailable.
 func (l *Ledger) PersistTurn(ctx context.Context, turn ledger.IndexEntry) error {
-	return l.persistFrom(ctx, turn, 0)
+	return l.persistFrom(ctx, turn, 0, nil)
 }
 
 // persistFrom is PersistTurn after tried partitions, starting with the program's own, have been
-// tried.
-func (l *Ledger) persistFrom(ctx context.Context, turn ledger.IndexEntry, tried int) error {
+// tried. before, unless it is nil, does what must be done before the entry goes into a partition.
+func (l *Ledger) persistFrom(ctx context.Context, turn ledger.IndexEntry, tried int, before func(*partition) error) error {
 	record := [][]byte{ledger.Encode(turn)}
 	own := l.Partition(turn.Program)
 	for next := tried; ; {
 		var p *partition
 		p, next = l.nextPartition(own, next)
-		p.creditManager.rebase(turn.Program)
-		_, err := p.append(ctx, record)
+		var err error
+		if before != nil {
+			err = before(p)
+		}
+		if err == nil {
+			p.creditManager.rebase(turn.Program)
+			_, err = p.append(ctx, record)
+		}
 		if err == nil {
 			return nil
 		}
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -33,6 +33,15 @@
 	return fmt.Sprintf("logstore: records are gone, the oldest kept is %d", e.First)
 }
 
+// EndError reports that an append had no effect, since the partition does not end where
+// AppendRequest.At says.
+type EndError struct{ End Offset }
+
+// Error implements error.
+func (e *EndError) Error() string {
+	return fmt.Sprintf("logstore: the partition ends at offset %d", e.End)
+}
+
 // Offset is the position of a record in its partition, counted from 0 without gaps.
 type Offset uint64
 
@@ -43,7 +52,8 @@
 }
 
 // AppendRequest adds all its records, or none. Producer, Epoch and Sequence make repeated calls
-// idempotent: a repeat gets the first call's result.
+// idempotent: a repeat gets the first call's result. Without a producer a repeat adds the records
+// again, unless At prevents it.
 type AppendRequest struct {
 	Partition Partition
 	// Keys has the key of each record of a keyed topic; it is nil for other topics.
@@ -52,6 +62,8 @@
 	Producer string
 	Epoch    uint64
 	Sequence uint64
+	// At is where the partition must end for the call to have an effect; nil means anywhere.
+	At *Offset
 	// AnswerWithin is when a missing response counts as a failure of the store, although the
 	// call goes on; 0 means when the context ends. It is not sent to the store.
 	AnswerWithin time.Duration
@@ -118,7 +130,8 @@
 	End Offset
 }
 
-// Store is the durable log. Its errors wrap those above or are a *TrimmedError.
+// Store is the durable log. Its errors wrap those above or are a *TrimmedError or
+// an *EndError.
 type Store interface {
 	// Append adds records to a partition.
 	Append(ctx context.Context, request AppendRequest) (AppendResult, error)
--- a/internal/routednode/adapter.go
+++ b/internal/routednode/adapter.go
@@ -37,6 +37,8 @@
 
 	// LedgerTopic and TextTopic are the topics that the nodes themselves write.
 	LedgerTopic, TextTopic string
+	// ArchiveTopic is the keyed topic with a copy of what outlives the records of those topics.
+	ArchiveTopic string
 	// Shares is the partition of a keyed topic with the share table.
 	Shares logstore.Partition
 	// Ends is the partition of a keyed topic with the attempts under which replicas have ended.
--- a/internal/routednode/providers.go
+++ b/internal/routednode/providers.go
@@ -93,7 +93,7 @@
 	adapter := do.MustInvoke[Adapter](injector)
 	return ledgerlog.New(ledgerlog.Config{
 		Store: do.MustInvoke[logstore.Store](injector),
-		Topic: adapter.LedgerTopic, TextTopic: adapter.TextTopic, Partitions: cfg.Store.Partitions,
+		Topic: adapter.LedgerTopic, TextTopic: adapter.TextTopic, ArchiveTopic: adapter.ArchiveTopic, Partitions: cfg.Store.Partitions,
 		Producer:    string(coordinator.IncarnationOf(do.MustInvoke[identity.Node](injector).Reference())),
 		RecordBytes: cfg.Store.RecordBytes, CallBytes: cfg.Store.CallBytes, Retain: cfg.Store.Retention(), IndexTextBytes: cfg.Store.IndexTextBytes,
 		Availability: do.MustInvoke[*guardedstore.Store](injector),
--- a/internal/routednode/storecalls.go
+++ b/internal/routednode/storecalls.go
@@ -57,9 +57,12 @@
 func (s *countedStore) count(call string, partition logstore.Partition, err error) {
 	outcome := "done"
 	var trimmed *logstore.TrimmedError
+	var end *logstore.EndError
 	switch {
 	case errors.As(err, &trimmed):
 		outcome = "trimmed"
+	case errors.As(err, &end):
+		outcome = "conflict"
 	case errors.Is(err, logstore.ErrOutcomeUnknown):
 		outcome = "answer_lost"
 	case err != nil:
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -315,7 +315,9 @@
 	call := stream.call
 	text := append(call.newInput(), stream.output...)
 	err := r.config.Turns.PersistTurn(ctx, ledger.IndexEntry{
-		Program: call.turn.program, Turn: turnID(call.tenant, call.id), Chain: chain, Retention: call.route.RetainFor,
+		Program: call.turn.program, Turn: turnID(call.tenant, call.id), Chain: chain,
+		// A turn that goes on from this one at the last moment needs its texts until it has ended.
+		Retention:     call.route.RetainFor + call.route.Timeout,
 		CacheLocation: ledger.CacheLocation{Instance: stream.reply.replica, Tokens: uint32(call.prompt.Tokens) + stream.tokensBefore + stream.tokens},
 	}, text, call.allowedRegions)
 	if err != nil {
