Break a response off whose connection was reset while its request was being written

Cause: the kernel reports a reset once, to whichever call asks first. That was the write of the upload, whose error was dropped. The read behind it saw a plain end, which ends a body without a length, and ConfirmEnd asked a replica that lives. Trace of a replica that resets after 2 ms: the write ends after 3.9 MB with "connection reset by peer", the read returns the end of the file, and the kernel's state of the connection is CLOSE, with 3.8 MB not sent; after a whole response to an upload that was read it is CLOSE_WAIT, with nothing unsent.

Fix: the end of a body without a length counts only if the write of the request has ended without an error, the kernel has nothing of it left that is not acknowledged, and the connection was closed and not reset. The state does not depend on who was told of the reset. Responses with a length or in chunks end without their connection and pass as before, also early ones.

Related paths, read: the store's client, back ends and client/ parse JSON or end with an event, peers state lengths.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -86,9 +85,8 @@
 	client     *Client
 	response   *http.Response
 	body       *bodyReader
-	// sent is closed once the whole request has been written.
-	sent chan struct{}
-	stop func() bool
+	sending    *sending
+	stop       func() bool
 }
 
 // Send sends request to target and returns once the head of the response is read. Every
@@ -154,16 +152,9 @@
 // exchange sends a request on a connection and reads the head of the response.
 func (c *Client) exchange(ctx context.Context, used *connection, request Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, used.close)
-	sent := make(chan struct{})
-	used.sent = sent
-	message := net.Buffers{c.encodeHead(request, used.target.Instance), request.Body}
 	// The response is read concurrently with the write, since a replica may respond
 	// before it has read a long body.
-	go func() {
-		if _, err := message.WriteTo(used.socket); err == nil {
-			close(sent)
-		}
-	}()
+	used.sending = startSending(used.socket, c.encodeHead(request, used.target.Instance), request.Body)
 	response, err := c.readHead(used, request)
 	if err != nil {
 		stop()
@@ -181,7 +172,7 @@
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		Framing: framingOf(request.Method, response), Reused: reused, Incarnation: c.incarnationOf(used),
 		Body:       bufio.NewReaderSize(whole, readBuffer),
-		connection: used, client: c, response: response, body: whole, sent: sent, stop: stop,
+		connection: used, client: c, response: response, body: whole, sending: used.sending, stop: stop,
 	}, nil
 }
 
@@ -339,26 +330,7 @@
 
 func (a *Answer) reusable() bool {
 	// The process that answers 421 is not the target.
-	return a.body.ended && !a.response.Close && a.Status != http.StatusMisdirectedRequest && a.connection.reader.Buffered() == 0 && wasSent(a.sent)
-}
-
-// wasSent reports whether the whole request has been written, which closes sent. The response
-// may arrive before the writing goroutine has signalled its end, so wasSent waits up to
-// sentTimeout for it.
-func wasSent(sent <-chan struct{}) bool {
-	select {
-	case <-sent:
-		return true
-	default:
-	}
-	timer := time.NewTimer(sentTimeout)
-	defer timer.Stop()
-	select {
-	case <-sent:
-		return true
-	case <-timer.C:
-		return false
-	}
+	return a.body.ended && !a.response.Close && a.Status != http.StatusMisdirectedRequest && a.connection.reader.Buffered() == 0 && a.sending.wait() == nil
 }
 
 // keepAliveTTL returns how long an idle connection may be reused, from the timeout
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -228,7 +228,7 @@
 	is.NoErr(err)
 	_, err = io.ReadAll(answer.Body)
 	is.NoErr(err)
-	answer.sent = make(chan struct{})
+	answer.sending = &sending{done: make(chan struct{})}
 	answer.Close()
 	_, _, err = send(t, client, to, newRequest("2"))
 	is.NoErr(err)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -46,8 +46,8 @@
 	// served counts the completed requests, former holds the IDs of the last ones.
 	served int
 	former []string
-	// sent is closed once the whole of the present request has been written.
-	sent <-chan struct{}
+	// sending is the write of the present request.
+	sending *sending
 	// incarnation is what is known of the process at the other end, which does not change. ended is set if
 	// the connection can't be used after asking for it.
 	incarnation Incarnation
--- a/internal/exchange/presence.go
+++ b/internal/exchange/presence.go
@@ -8,8 +8,6 @@
 	"os"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -36,12 +34,21 @@
 
 // ConfirmEnd returns nil if the end of the body is the replica's own as far as can be known. A process
 // that is killed ends the connection like one that has sent a whole body of FramingConnection, so another
-// connection to the process must be open: an idle one, or else a new one. It returns an error that wraps
-// ErrReplicaEnded, ErrPresenceUnknown or the one of ctx, within settleTime and presenceTimeout.
+// connection to the process must be open: an idle one, or else a new one. The replica must have got the whole
+// request, and not have reset the connection. It returns an error within settleTime and presenceTimeout, which
+// wraps ErrReplicaEnded or ErrPresenceUnknown if that is all that is missing.
 func (a *Answer) ConfirmEnd(ctx context.Context) error {
 	if a.Framing != FramingConnection {
 		return nil
 	}
+	if err := a.confirmPresence(ctx); err != nil {
+		return err
+	}
+	return a.checkEnd()
+}
+
+// confirmPresence returns nil if the replica has not ended.
+func (a *Answer) confirmPresence(ctx context.Context) error {
 	if a.client.hasOpen(a.connection.target) {
 		if err := pause(ctx, a.client.settle); err != nil || a.client.hasOpen(a.connection.target) {
 			return err
@@ -147,17 +154,9 @@
 // silence returns the time since data arrived last. The end of the connection came later than that, even if
 // this process stood still or read other data meanwhile.
 func (c *connection) silence() (time.Duration, error) {
-	raw, err := c.socket.(syscall.Conn).SyscallConn()
+	info, err := c.info()
 	if err != nil {
-		return 0, fmt.Errorf("exchange: silence of a connection: %w", err)
-	}
-	var info *unix.TCPInfo
-	var failed error
-	err = raw.Control(func(descriptor uintptr) {
-		info, failed = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if err = errors.Join(err, failed); err != nil {
-		return 0, fmt.Errorf("exchange: silence of a connection: %w", err)
+		return 0, err
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
 }
