Decide by the grammar of RFC 9112 which bytes are the head of a response

"Transfer-Encoding : chunked" came as a body with the sizes of its chunks, "Content-Length : 3" as a body that lasted until the end of the connection; a folded line changed the value of the field before it, also of the stamp.

Cause, the same for both reports: net/http decided what a head is, and accepts more than a response may be. It drops lines that it can't read as fields, also those that delimit the body, joins folded ones, ignores transfer codings of HTTP/1.0, and reads any three digits as a status, of which those below 200 were skipped as informational here.

Fix: each byte of a head goes through one grammar before net/http sees it: status codes from 100 to 599 but 101, names that are tokens, values and reasons without control characters, no folded lines, no carriage returns within lines (RFC 9112, 2.2, 4, 5.1, 5.2; RFC 9110, 5.5, 15). An encoding beside a length, or in HTTP/1.0, is an error (6.1, 6.3). What is no head is a malformed response: 502 where it may have run, another replica where it may be repeated. It holds wherever this client reads heads: first and later ones on a connection, behind informational and late responses, in reports.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -259,6 +259,9 @@
 	if err != nil {
 		return nil, cmp.Or(used.wire.failure, err)
 	}
+	if err := used.wire.syntax.CheckFraming(); err != nil {
+		return nil, fmt.Errorf("exchange: %w", err)
+	}
 	return response, nil
 }
 
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"stepseam.example/stepseam/internal/headsyntax"
 	"stepseam.example/stepseam/internal/heldbytes"
 )
 
@@ -26,7 +27,6 @@
 )
 
 var (
-	errNotHTTP      = errors.New("the bytes are no HTTP response")
 	errHeadTooLarge = errors.New("the head of the response exceeds the limit")
 	errTooSlow      = errors.New("the head of the response, or a late response before it, did not end in time")
 	errSkippedSize  = errors.New("the body of a response that is not passed on exceeds the limit")
@@ -35,20 +35,18 @@
 // protocolPrefix begins each head.
 const protocolPrefix = "HTTP/1."
 
-// headReader reads from a connection. While a head is read, it fails once the bytes can't be a head
-// within the limits, so that net/http collects no more of them.
+// headReader reads from a connection. While a head is read, it fails once the bytes can't be a head, or
+// exceed the limits, before net/http acts on them or collects more.
 type headReader struct {
 	socket net.Conn
 	// large counts the head if it exceeds readBuffer.
 	large *heldbytes.Holder
 
 	// reading is set while a head is read. bytes and lines are those of all heads of the current
-	// request, matched is the length of the protocol prefix in the current one.
+	// request, syntax checks the current one.
 	reading      bool
 	bytes, lines int
-	matched      int
-	// lineEmpty reports that the current line has no characters so far.
-	lineEmpty bool
+	syntax       headsyntax.Head
 	// timeout is set while it runs, and extended once it was extended.
 	timeout  time.Duration
 	extended bool
@@ -65,7 +63,7 @@
 	if err := r.clearTimeout(); err != nil {
 		return err
 	}
-	r.reading, r.matched, r.lineEmpty = true, 0, true
+	r.reading, r.syntax = true, headsyntax.Head{}
 	return r.scan(buffered)
 }
 
@@ -140,21 +138,13 @@
 }
 
 func (r *headReader) add(one byte) error {
-	if r.matched < len(protocolPrefix) {
-		if one != protocolPrefix[r.matched] {
-			return errNotHTTP
-		}
-		r.matched++
+	if err := r.syntax.Add(one); err != nil {
+		return fmt.Errorf("exchange: %w", err)
 	}
+	r.reading = !r.syntax.Ended()
 	r.bytes++
-	switch one {
-	case '\n':
+	if one == '\n' {
 		r.lines++
-		r.reading = !r.lineEmpty
-		r.lineEmpty = true
-	case '\r':
-	default:
-		r.lineEmpty = false
 	}
 	if r.bytes > maxHeadBytes || r.lines > maxHeadLines {
 		return errHeadTooLarge
