Check the lines behind the last chunk of a body like the fields of a head

Cause: net/http reads trailers as leniently as heads. Behind the last chunk such bytes are as wrong as in a head, and may be those of another response.

Fix: the body ends behind the empty line that follows lines which are fields by the same grammar; anything else breaks the response off.

FuzzTrailer compares what ends a body with the grammar.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -262,6 +262,9 @@
 	if err := used.wire.syntax.CheckFraming(); err != nil {
 		return nil, fmt.Errorf("exchange: %w", err)
 	}
+	if framingOf(method, response) == FramingChunked {
+		response.Body = newChunkedBody(used.reader)
+	}
 	return response, nil
 }
 
--- a/internal/exchange/invalidhead_test.go
+++ b/internal/exchange/invalidhead_test.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"bufio"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"stepseam.example/stepseam/internal/emulator/replica"
+	"stepseam.example/stepseam/internal/headsyntax"
 )
 
 // invalidHeads are responses that are none. ID stands for the request's.
@@ -34,6 +37,10 @@
 	"encoding in HTTP/1.0":                 "HTTP/1.0 200 OK\r\nTest-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	"a signed length":                      "HTTP/1.1 200 OK\r\nTest-Id: ID\r\nContent-Length: +5\r\n\r\nwhole",
 	"two encodings":                        "HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"a trailer with a blank in its name":   "HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Odd: v\r\n\r\n",
+	"a trailer with a blank behind it":     "HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-Odd : v\r\n\r\n",
+	"a trailer with a control byte":        "HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX: \x01\r\n\r\n",
+	"a trailer without an end":             "HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX: v\r\n",
 }
 
 // TestInvalidHeadsAreNoResponses guards against responses whose head is none, which clients got without the
@@ -73,6 +80,25 @@
 	}
 }
 
+// TestConnectionIsUsedAgainBehindATrailer guards against connections that are given up, or whose next response
+// is misread, since the lines behind the last chunk were not read.
+func TestConnectionIsUsedAgainBehindATrailer(t *testing.T) {
+	is := is.New(t)
+	to, client := start(t, func(e *replica.Exchange) bool {
+		e.Write("HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nwhole\r\n0\r\nX: v\r\nY:\r\n\r\n", e.Request.Header.Get("Test-Id"))
+		return true
+	})
+	for _, id := range []string{"1", "2", "3"} {
+		request := newRequest(id)
+		request.Repeatable = true
+		answer, body, err := send(t, client, to, request)
+		is.NoErr(err)
+		is.Equal(body, "whole")
+		is.Equal(answer.Framing, FramingChunked)
+	}
+	is.Equal(to.Connections(), 1)
+}
+
 // TestResponseToHeadHasNoBody guards against a wait for chunks that never come.
 func TestResponseToHeadHasNoBody(t *testing.T) {
 	is := is.New(t)
@@ -102,3 +128,21 @@
 	_, err := client.Send(t.Context(), Target{Instance: "i", Address: to.Address, StartedAtMs: 700}, request)
 	is.Equal(failureOf(t, err).Outcome, OutcomeNotRun)
 }
+
+// FuzzTrailer compares what ends a body in chunks with the grammar of fields.
+func FuzzTrailer(f *testing.F) {
+	for _, seed := range []string{"\r\n", "A: b\r\n\r\n", "A : b\r\n\r\n", "A: b\r\n c\r\n\r\n", "A"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		body := newChunkedBody(bufio.NewReader(strings.NewReader("3\r\nabc\r\n0\r\n" + string(text))))
+		read, err := io.ReadAll(body)
+		trailer, valid := headsyntax.NewTrailer(), false
+		for i := 0; i < min(len(text), maxTrailerBytes) && trailer.Add(text[i]) == nil && !valid; i++ {
+			valid = trailer.Ended()
+		}
+		if string(read) != "abc" || (err == nil) != valid {
+			t.Fatalf("%q behind the last chunk: %q, %v, valid %t", text, read, err, valid)
+		}
+	})
+}
