--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -14,6 +14,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"stepseam.example/stepseam/internal/headsyntax"
 )
 
 // errIdle is the cause of a request that was cancelled by the idle or header timeout.
@@ -29,7 +31,7 @@
 	}
 	return &http.Transport{
 		Proxy:              nil,
-		DialContext:        dial,
+		DialContext:        headsyntax.Checked(dial),
 		DisableCompression: true,
 	}
 }
--- a/internal/siteservices/client.go
+++ b/internal/siteservices/client.go
@@ -13,6 +13,8 @@
 	"net/url"
 	"sync/atomic"
 	"time"
+
+	"stepseam.example/stepseam/internal/headsyntax"
 )
 
 // Defaults of ClientOptions.
@@ -54,7 +56,7 @@
 	}
 	dialer := &net.Dialer{Timeout: options.DialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         headsyntax.Checked(dialer.DialContext),
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleConnectionTimeout,
