Archive: the position does not fall when a turn is left to the next batch

A turn from before the position that the archive lacks, since its former writer did not know it, and whose text can't be read now, would have made records count as missing that the archive has.

--- a/internal/ledgerlog/archiver.go
+++ b/internal/ledgerlog/archiver.go
@@ -100,16 +100,16 @@
 	for {
 		select {
 		case <-ticker.C:
-			l.archive(ctx, func(one *archiver) bool { return one.due(coordinates(one.number), time.Now()) })
+			l.writeArchives(ctx, func(one *archiver) bool { return one.due(coordinates(one.number), time.Now()) })
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// archive writes the chosen archives. What could not be written is logged, and written with the next
+// writeArchives writes the chosen archives. What could not be written is logged, and written with the next
 // batch.
-func (l *Ledger) archive(ctx context.Context, chosen func(*archiver) bool) {
+func (l *Ledger) writeArchives(ctx context.Context, chosen func(*archiver) bool) {
 	var group errgroup.Group
 	group.SetLimit(parallelArchives)
 	for _, one := range l.archivers {
@@ -370,9 +370,10 @@
 	}
 }
 
-// leave leaves the turns from a number on to the next batch.
+// leave leaves the turns from a number on to the next batch. The position stays before them, but does not
+// fall: a turn from before it that the archive lacks is one that its former writer did not know.
 func (b *archiveBatch) leave(number int) {
-	b.position = min(b.position, b.turns[number].Changed-1)
+	b.position = max(min(b.position, b.turns[number].Changed-1), b.written.position)
 	b.turns = b.turns[:number]
 }
 
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -333,7 +333,7 @@
 		}
 	}
 	// What can't be archived in time is still in the log.
-	l.archive(ctx, func(one *archiver) bool { return one.loaded() })
+	l.writeArchives(ctx, func(one *archiver) bool { return one.loaded() })
 	return nil
 }
 
--- a/internal/ledgerlog/reader.go
+++ b/internal/ledgerlog/reader.go
@@ -230,7 +230,7 @@
 }
 
 func (r *reader) read(reading *sharedRead) {
-	r.complete()
+	r.closeGap()
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	from := r.next()
--- a/internal/ledgerlog/restore.go
+++ b/internal/ledgerlog/restore.go
@@ -126,9 +126,9 @@
 		"next", next, "first", first, "archived_to", snapshot.Position, "turns", len(snapshot.Turns()), "programs", len(snapshot.Programs()))
 }
 
-// complete restores the archive of an incomplete partition again, since another node may have written
+// closeGap restores the archive of an incomplete partition again, since another node may have written
 // there what this one lacks. Only the read in progress may call it.
-func (r *reader) complete() {
+func (r *reader) closeGap() {
 	if !r.restoreDue() {
 		return
 	}
