--- a/Makefile
+++ b/Makefile
@@ -45,4 +45,4 @@
 # Injects random faults into real processes: make soak-platform SECONDS=120 SEED=7.
 SECONDS ?= 60
 soak-platform:
-	SOAK_SECONDS=$(SECONDS) SOAK_SEED=$(SEED) $(GO) test ./platform -count=1 -timeout=20m -run 'TestPromisesHoldUnderRandomFaults|TestLimitHoldsUnderOverlappingProcessFaults' -v
+	SOAK_SECONDS=$(SECONDS) SOAK_SEED=$(SEED) $(GO) test ./platform -count=1 -timeout=20m -run 'TestPromisesHoldUnderRandomFaults|TestLimitHoldsUnderOverlappingProcessFaults|TestKeptTurnsAndBudgetsHoldOverAShortHistory' -v
