Write the copies of restricted texts beside their turns, in batches

The copy of a text that may not leave its regions was written before the turn's entry, in a call of its own: a round trip later for each kept turn, and a call a turn more. It goes with the entry now, and the copies of turns that end at the same time share a call; the answer waits for both, as before. A call without an answer is repeated under its sequence number.

--- a/internal/ledgerlog/appender.go
+++ b/internal/ledgerlog/appender.go
@@ -28,7 +28,9 @@
 // submission is a group of adjacent records that is waiting to be written.
 type submission struct {
 	records [][]byte
-	bytes   int
+	// keys has the key of each record of a keyed topic; it is nil for other topics.
+	keys  []string
+	bytes int
 	// context ends the wait. Records whose context never ends are retried until they are
 	// written.
 	context context.Context
@@ -138,6 +140,16 @@
 	return made
 }
 
+// newKeyedSubmission is newSubmission for a keyed topic.
+func newKeyedSubmission(ctx context.Context, keys []string, records [][]byte) *submission {
+	made := newSubmission(ctx, records)
+	made.keys = keys
+	for _, key := range keys {
+		made.bytes += len(key) + 1
+	}
+	return made
+}
+
 func (a *appender) submit(ctx context.Context, records [][]byte) *submission {
 	waiting := newSubmission(ctx, records)
 	a.enqueue(waiting)
@@ -253,12 +265,13 @@
 // the batch was certainly not written.
 func (a *appender) write(batch []*submission) error {
 	var records [][]byte
+	var keys []string
 	for _, one := range batch {
-		records = append(records, one.records...)
+		records, keys = append(records, one.records...), append(keys, one.keys...)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	calls := newBatchCalls(ctx, a, records)
+	calls := newBatchCalls(ctx, a, keys, records)
 	unanswered := 0
 	pause := minRetryPause
 	sent := time.Now()
--- a/internal/ledgerlog/archivedtext.go
+++ b/internal/ledgerlog/archivedtext.go
@@ -125,16 +125,6 @@
 	one.text = append(one.text, item.Value[1:]...)
 }
 
-// writeText writes the copy of a text whose turn belongs to the archive's partition. Its error is that
-// of the store. Writing a text twice is harmless.
-func (a *archive) writeText(ctx context.Context, first, location ledger.Location, text []byte, partBytes int) error {
-	keys, records := encodeText(first, location, text, partBytes)
-	within, cancel := context.WithTimeout(ctx, archiveAppendTimeout)
-	defer cancel()
-	_, err := a.store.Append(within, logstore.AppendRequest{Partition: a.partition, Keys: keys, Records: records})
-	return err
-}
-
 // archiveOrder returns the archives that may have the texts of a chain: those of partitions that are
 // known to have a turn with the newest text, those whose log had one of them, and all others.
 func (l *Ledger) archiveOrder(chain []ledger.Location) []*archive {
--- a/internal/ledgerlog/calls.go
+++ b/internal/ledgerlog/calls.go
@@ -15,6 +15,7 @@
 	appender *appender
 	// context ends once the outcome is known.
 	context context.Context
+	keys    []string
 	records [][]byte
 	made    int
 	answers chan callAnswer
@@ -29,8 +30,8 @@
 	err    error
 }
 
-func newBatchCalls(ctx context.Context, a *appender, records [][]byte) *batchCalls {
-	return &batchCalls{appender: a, context: ctx, records: records, answers: make(chan callAnswer)}
+func newBatchCalls(ctx context.Context, a *appender, keys []string, records [][]byte) *batchCalls {
+	return &batchCalls{appender: a, context: ctx, keys: keys, records: records, answers: make(chan callAnswer)}
 }
 
 // next makes one more call and waits until it is answered, or an earlier one successfully, or
@@ -44,7 +45,7 @@
 	c.made++
 	timeout := c.appender.retransmission.timeout(unanswered)
 	go c.send(c.made, logstore.AppendRequest{
-		Partition: c.appender.partition, Records: c.records, AnswerWithin: timeout,
+		Partition: c.appender.partition, Keys: c.keys, Records: c.records, AnswerWithin: timeout,
 		Producer: c.appender.producer, Epoch: c.appender.epoch, Sequence: c.appender.sequence,
 	})
 	if c.appender.availability.Available(c.appender.partition) {
--- a/internal/ledgerlog/ledgerlog.go
+++ b/internal/ledgerlog/ledgerlog.go
@@ -121,6 +121,8 @@
 	appender      *appender
 	reader        *reader
 	creditManager *creditManager
+	// copies writes the copies of texts that the archiver may not read; nil without an archive.
+	copies *appender
 
 	// mutex guards lazy, the submissions that go with the next append, and timer.
 	mutex sync.Mutex
@@ -164,6 +166,10 @@
 		created.partitions = append(created.partitions, added)
 		if config.ArchiveTopic != "" {
 			reads.archive = &archive{store: config.Store, partition: logstore.Partition{Topic: config.ArchiveTopic, Number: number}}
+			added.copies = &appender{
+				store: config.Store, availability: config.Availability, partition: reads.archive.partition, producer: config.Producer, callBytes: config.CallBytes,
+				logger: config.Logger, metrics: counters, pacer: callPacer, retransmission: retransmits, epoch: 1,
+			}
 			created.archivers = append(created.archivers, newArchiver(created, number))
 		}
 	}
--- a/internal/ledgerlog/persisttext.go
+++ b/internal/ledgerlog/persisttext.go
@@ -51,24 +51,17 @@
 		return ledger.Location{}, err
 	}
 	l.texts.metrics.texts.WithLabelValues("topic").Inc()
-	var before func(*partition) error
-	if separate && l.config.ArchiveTopic != "" && l.config.Partitions <= ledger.ArchivedPartitions {
-		location = location.WithArchive()
-		l.texts.cacheText(location, text)
-		before = func(p *partition) error { return l.archiveText(ctx, p, turn.Chain[0], location, text) }
+	if !separate || l.config.ArchiveTopic == "" || l.config.Partitions > ledger.ArchivedPartitions {
+		turn.Chain = withLocation(turn.Chain, location)
+		return location, l.persistFrom(ctx, turn, tried, nil)
 	}
+	// The node that archives the turn may not read the text.
+	location = location.WithArchive()
+	l.texts.cacheText(location, text)
 	turn.Chain = withLocation(turn.Chain, location)
-	return location, l.persistFrom(ctx, turn, tried, before)
-}
-
-// archiveText writes the copy of a text to the archive of the partition that its turn goes to, since
-// the node that archives the turn may not read the text.
-func (l *Ledger) archiveText(ctx context.Context, p *partition, first, location ledger.Location, text []byte) error {
-	if err := p.reader.archive.writeText(ctx, first, location, text, l.config.archivePartBytes()); err != nil {
-		sleepJittered(minRetryPause)
-		return fmt.Errorf("ledgerlog: archive text: %w", err)
-	}
-	return nil
+	return location, l.persistFrom(ctx, turn, tried, func() (keys []string, records [][]byte) {
+		return encodeText(turn.Chain[0], location, text, l.config.archivePartBytes())
+	})
 }
 
 // acceptsText reports whether a text may go into a partition of the index now: the partition is
--- a/internal/ledgerlog/turns.go
+++ b/internal/ledgerlog/turns.go
@@ -26,21 +26,16 @@
 }
 
 // persistFrom is PersistTurn after tried partitions, starting with the program's own, have been
-// tried. before, unless it is nil, does what must be done before the entry goes into a partition.
-func (l *Ledger) persistFrom(ctx context.Context, turn ledger.IndexEntry, tried int, before func(*partition) error) error {
+// tried. copyText, unless it is nil, returns the copy of the turn's text for the archive of a partition,
+// which is written beside the entry.
+func (l *Ledger) persistFrom(ctx context.Context, turn ledger.IndexEntry, tried int, copyText func() (keys []string, records [][]byte)) error {
 	record := [][]byte{ledger.Encode(turn)}
 	own := l.Partition(turn.Program)
 	for next := tried; ; {
 		var p *partition
 		p, next = l.nextPartition(own, next)
-		var err error
-		if before != nil {
-			err = before(p)
-		}
-		if err == nil {
-			p.creditManager.rebase(turn.Program)
-			_, err = p.append(ctx, record)
-		}
+		p.creditManager.rebase(turn.Program)
+		err := p.appendWithCopy(ctx, record, copyText)
 		if err == nil {
 			return nil
 		}
@@ -72,6 +67,27 @@
 	return waiting.wait()
 }
 
+// appendWithCopy is append for the entry of a turn, and waits for the copy of its text, too, if there is
+// one.
+func (p *partition) appendWithCopy(ctx context.Context, record [][]byte, copyText func() (keys []string, records [][]byte)) error {
+	within, cancel := context.WithTimeout(ctx, partitionTimeout)
+	defer cancel()
+	var copied *submission
+	if copyText != nil {
+		keys, records := copyText()
+		copied = newKeyedSubmission(within, keys, records)
+		p.copies.enqueue(copied)
+	}
+	if _, err := p.append(within, record); err != nil {
+		return err
+	}
+	if copied == nil {
+		return nil
+	}
+	_, err := copied.wait()
+	return err
+}
+
 const (
 	// maxPersistPartitions is how many partitions are tried for a turn's index entry.
 	maxPersistPartitions = 4
