--- a/internal/emulator/replica/replica.go
+++ b/internal/emulator/replica/replica.go
@@ -61,11 +61,25 @@
 // Script handles one exchange and reports whether the connection stays open.
 type Script func(*Exchange) bool
 
+// Raw returns a script that answers each request with a text as it is, and closes the connection.
+func Raw(text string) Script {
+	return func(e *Exchange) bool {
+		e.Write("%s", text)
+		return false
+	}
+}
+
+// Early may answer a request whose body has not been read, and reports whether it did. The connection is closed
+// then, which resets it if bytes of the body are unread.
+type Early func(*Exchange) bool
+
 // Replica listens on loopback until Close.
 type Replica struct {
 	Address  netip.AddrPort
 	listener *net.TCPListener
 	script   Script
+	// early, if set, gets each request before its body is read.
+	early Early
 
 	// mutex guards all fields below.
 	mutex       sync.Mutex
@@ -85,8 +99,15 @@
 	return StartAt(netip.MustParseAddrPort("127.0.0.1:0"), script)
 }
 
+// StartEarly returns a listening replica that may answer requests before it has read them.
+func StartEarly(early Early, script Script) (*Replica, error) {
+	return start(netip.MustParseAddrPort("127.0.0.1:0"), early, script)
+}
+
 // StartAt returns a replica that listens at an address, for instance that of one that has ended.
-func StartAt(at netip.AddrPort, script Script) (*Replica, error) {
+func StartAt(at netip.AddrPort, script Script) (*Replica, error) { return start(at, nil, script) }
+
+func start(at netip.AddrPort, early Early, script Script) (*Replica, error) {
 	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(at))
 	if err != nil {
 		return nil, fmt.Errorf("replica: %w", err)
@@ -95,7 +116,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("replica: %w", err)
 	}
-	started := &Replica{Address: address, listener: listener, script: script, open: map[net.Conn]bool{}, closed: make(chan struct{})}
+	started := &Replica{Address: address, listener: listener, early: early, script: script, open: map[net.Conn]bool{}, closed: make(chan struct{})}
 	go started.accept()
 	return started, nil
 }
@@ -164,6 +185,10 @@
 		if err != nil {
 			return
 		}
+		taken := Request{Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header}
+		if r.early != nil && r.early(&Exchange{Request: taken, Socket: socket, Replica: r}) {
+			return
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
@@ -172,7 +197,7 @@
 			<-r.closed
 			return
 		}
-		taken := Request{Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header, Body: string(body)}
+		taken.Body = string(body)
 		r.mutex.Lock()
 		r.received = append(r.received, taken)
 		number := len(r.received)
