Router: a part of an error response without a length isn't passed on as whole

Clients got a part of a 500 as the whole one: its replica sent the head, no length and a part of the body, and reset the connection while the upload was being written.

Cause: the end of a body that only its connection delimits was confirmed for successes, long bodies and 4xx, not for responses that may be retried.

The end is confirmed for each status, so that a part is a failed attempt like any other broken response.

--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -65,7 +65,7 @@
 		r.forwardLongBody(ctx, reply, attempt, body)
 		return nil
 	}
-	if err == nil && !failed {
+	if err == nil {
 		err = attempt.response.ConfirmEnd(ctx)
 	}
 	switch {
