Head syntax: requests are followed by their lengths

A whole early refusal of a large append to the store became an unknown outcome, so that its caller had to take the append for perhaps done.

Cause: a checked connection took each write whose first line looks like that of a request for the begin of one, also within a body, and then expected another head. Bodies that callers choose could contain such a line.

A connection now follows each request by the length that its head states, so that the bytes of a body can't begin another. A request without a length can't be followed and fails with ErrRequestLength; no client of these connections sends one.

--- a/internal/headsyntax/conn.go
+++ b/internal/headsyntax/conn.go
@@ -1,7 +1,6 @@
 package headsyntax
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -11,7 +10,8 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Checked returns a function that opens connections whose reads fail at the first byte that can't be part of
-// the head of a response. Requests on a connection must follow each other, as those of net/http do.
+// the head of a response. Requests on a connection must follow each other, as those of net/http do, and have no
+// body or one with a length; any other request fails with ErrRequestLength.
 func Checked(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		socket, err := dial(ctx, network, address)
@@ -27,27 +27,36 @@
 	net.Conn
 
 	// mutex guards the fields below.
-	mutex sync.Mutex
+	mutex    sync.Mutex
+	requests requests
 	// head is that of the response that is awaited or being read, nil within a body.
 	head *Head
 	// failure is returned by all further reads.
 	failure error
 }
 
-// Write implements net.Conn. The first bytes of a request begin the wait for a head.
+// Write implements net.Conn. The first byte of a request begins the wait for a head.
 func (c *conn) Write(from []byte) (int, error) {
-	if beginsRequest(from) {
-		c.mutex.Lock()
-		c.head = &Head{}
-		c.mutex.Unlock()
+	if err := c.expectHeads(from); err != nil {
+		return 0, err
 	}
 	return c.Conn.Write(from)
 }
 
-// beginsRequest reports whether bytes begin with the line of a request.
-func beginsRequest(written []byte) bool {
-	line, _, found := bytes.Cut(written, []byte("\r\n"))
-	return found && bytes.HasSuffix(line, []byte(" HTTP/1.1")) && bytes.Count(line, []byte(" ")) == 2
+func (c *conn) expectHeads(from []byte) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for len(from) > 0 {
+		begins, taken, err := c.requests.next(from)
+		if err != nil {
+			return err
+		}
+		if begins {
+			c.head = &Head{}
+		}
+		from = from[taken:]
+	}
+	return nil
 }
 
 // Read implements net.Conn.
