Back ends: a part of a body without a length is no answer

A part of an application's answer, or of the state of an engine's cache, counted as the whole: its process ended within a body that only the connection delimits.

Cause: the end of such a body looks the same as the end of its process.

A body counts if a length or chunks delimit it, or if it is a JSON document that can't be the begin of a longer one; else the outcome is unknown. A state has no such form, so it needs a length or chunks.

--- a/internal/backend/application_client.go
+++ b/internal/backend/application_client.go
@@ -36,10 +36,14 @@
 		header: header, body: body, contentType: contentTypeJSON,
 		totalTimeout: a.client.options.InvokeTimeout,
 	})
+	var output []byte
+	if err == nil {
+		output, err = answer.json()
+	}
 	if err != nil {
 		return nil, fmt.Errorf("invoke %s for %s: %w", request.Operation, request.Stream, err)
 	}
-	return answer, nil
+	return output, nil
 }
 
 // Load implements LoadReporter. It returns ErrNoReport if the replica does not serve load
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+	"unicode"
 
 	"stepseam.example/stepseam/internal/headsyntax"
 )
@@ -21,6 +22,9 @@
 // errIdle is the cause of a request that was cancelled by the idle or header timeout.
 var errIdle = errors.New("backend: no bytes for too long")
 
+// errUndelimited is the error of a body that may be a part of one.
+var errUndelimited = errors.New("backend: only the end of the connection delimits the answer")
+
 // errTooLarge is the error of a response that exceeds its size limit.
 var errTooLarge = errors.New("backend: answer too large")
 
@@ -182,21 +186,44 @@
 	return body, nil
 }
 
-// exchange sends a request and reads the complete response.
-func (c *client) exchange(ctx context.Context, out outgoing) ([]byte, error) {
+// answer is a body that was read to its end. If it is not delimited by a length or chunks, it may be a part: the
+// end of the process, or a reset that the write of the request learned of, looks like the end of the body.
+type answer struct {
+	body      []byte
+	delimited bool
+}
+
+// exchange sends a request and reads the response to its end.
+func (c *client) exchange(ctx context.Context, out outgoing) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, out.totalTimeout)
 	defer cancel()
 	out.headerTimeout = out.totalTimeout
 	in, err := c.send(ctx, out)
 	if err != nil {
-		return nil, err
+		return answer{}, err
 	}
 	defer in.close()
 	body, err := readAll(in, c.options.MaxBodyBytes)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		return answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
-	return body, nil
+	return answer{body: body, delimited: in.response.ContentLength >= 0 || len(in.response.TransferEncoding) > 0}, nil
+}
+
+// bytes returns the body if it is certainly complete.
+func (a answer) bytes() ([]byte, error) {
+	if !a.delimited {
+		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, errUndelimited)
+	}
+	return a.body, nil
+}
+
+// json returns the body if it is certainly complete. A document of JSON shows its own end, unless digits end it.
+func (a answer) json() ([]byte, error) {
+	if json.Valid(a.body) && !unicode.IsDigit(rune(a.body[len(a.body)-1])) {
+		return a.body, nil
+	}
+	return a.bytes()
 }
 
 // exchangeJSON sends input as JSON and decodes the response into output. Either may be nil.
@@ -209,11 +236,11 @@
 		out.body, out.contentType = body, contentTypeJSON
 	}
 	out.totalTimeout = max(out.totalTimeout, c.options.CallTimeout)
-	body, err := c.exchange(ctx, out)
+	answer, err := c.exchange(ctx, out)
 	if err != nil || output == nil {
 		return err
 	}
-	if err := json.Unmarshal(body, output); err != nil {
+	if err := json.Unmarshal(answer.body, output); err != nil {
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	return nil
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -218,6 +218,55 @@
 	}
 }
 
+// TestPartOfABodyWithoutALengthIsNoAnswer guards against a part of an application's answer, or of the state of a cache,
+// that counts as whole, since only the end of the connection delimits it.
+func TestPartOfABodyWithoutALengthIsNoAnswer(t *testing.T) {
+	answer := func(head, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			socket, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"+head+"\r\n"+body)
+			_ = socket.Close()
+		}
+	}
+	for _, c := range []struct {
+		head, body    string
+		invoke, state bool
+	}{
+		{"", `{"course":"alg`, false, false},
+		{"", `{"seat":12`, false, false},
+		{"", `"alg`, false, false},
+		{"", `12`, false, false}, // may be the begin of 123
+		{"", ` -1.5`, false, false},
+		{"", ``, false, false},
+		{"", "12\n", true, false},
+		{"", `{"seat":12}`, true, false},
+		{"", `[12]`, true, false},
+		{"", `"algebra"`, true, false},
+		{"", `null`, true, false},
+		{"Content-Length: 2\r\n", `12`, true, true},
+		{"Content-Length: 3\r\n", `12`, false, false},
+		{"Transfer-Encoding: chunked\r\n", "2\r\n12\r\n0\r\n\r\n", true, true},
+		{"Transfer-Encoding: chunked\r\n", "2\r\n12\r\n", false, false},
+	} {
+		t.Run(c.head+c.body, func(t *testing.T) {
+			directory, address := serve(t, answer(c.head, c.body))
+			body, err := directory.Application(address).Invoke(t.Context(), backend.InvokeRequest{Operation: "enrol"})
+			if whole := err == nil; whole != c.invoke || !whole && !errors.Is(err, backend.ErrOutcomeUnknown) {
+				t.Errorf("answer %q, %v", body, err)
+			}
+			state, err := directory.Engine(address).Export(t.Context(), "p", "main")
+			if whole := err == nil; whole != c.state || !whole && !errors.Is(err, backend.ErrOutcomeUnknown) {
+				t.Errorf("state %q, %v", state, err)
+			}
+		})
+	}
+}
+
 func TestIncompleteStreamsHaveUnknownOutcome(t *testing.T) {
 	const token = "id: 0\ndata: {\"choices\":[{\"delta\":{\"content\":\"ba \"}}]}\n\n"
 	const last = "data: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":1}}\n\n"
--- a/internal/backend/engine_client.go
+++ b/internal/backend/engine_client.go
@@ -184,10 +184,14 @@
 
 // Export implements Engine.
 func (e *EngineClient) Export(ctx context.Context, program identity.ProgramID, branch identity.BranchID) ([]byte, error) {
-	state, err := e.client.exchange(ctx, outgoing{
+	answer, err := e.client.exchange(ctx, outgoing{
 		method: http.MethodGet, path: PathState + prefixQuery(program, branch),
 		totalTimeout: e.client.options.TransferTimeout,
 	})
+	var state []byte
+	if err == nil {
+		state, err = answer.bytes()
+	}
 	if err != nil {
 		return nil, fmt.Errorf("export %s/%s: %w", program, branch, err)
 	}
