Client: responses with invalid heads are no answers of nodes

A status of 000 or 999 with a document of a refusal promised that a call had not run, and names with blanks or folded lines passed.

Cause: net/http alone decided what a head is, and it takes more than RFC 9112 allows.

`TestPartsOfAnswersAreNoAnswersOfNodes` cuts documents at each byte and passed before, too.

The client's own transport checks heads with the grammar that nodes use for replicas. A transport of the caller's is not checked.

--- a/client/client.go
+++ b/client/client.go
@@ -21,6 +21,7 @@
 	"github.com/google/uuid"
 
 	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/headsyntax"
 )
 
 // Defaults of Options.
@@ -55,7 +56,7 @@
 	// Nodes send a comment every ten seconds.
 	StreamSilence time.Duration
 	// Transport carries the requests; nil uses one with a short dial timeout and
-	// TCP keep-alive.
+	// TCP keep-alive, which accepts only responses with valid heads.
 	Transport http.RoundTripper
 }
 
@@ -87,14 +88,14 @@
 }
 
 // newTransport returns a transport whose keep-alive detects dead nodes within about 20
-// seconds, also while a request waits for a long answer.
+// seconds, also while a request waits for a long answer. Responses with invalid heads fail.
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 5 * time.Second, Count: 3},
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         headsyntax.Checked(dialer.DialContext),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 	}
