stepseamctl: responses with invalid heads are no answers of nodes

A response of status 000, or with a blank in the name of a field, confirmed what an operator had asked for, such as a cancellation.

Cause: net/http alone decided what a head is, and only statuses from 400 were errors.

`TestPartsOfDocumentsAreNoAnswersOfNodes` passed before, too. `TestNodesAreReachedThroughSOCKS` keeps proxies reachable, whose own bytes precede the heads: there only a status below 200 is refused.

--- a/cmd/stepseamctl/client.go
+++ b/cmd/stepseamctl/client.go
@@ -10,12 +10,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strings"
 	"time"
 
 	"github.com/samber/lo"
 
 	"stepseam.example/stepseam/api"
+	"stepseam.example/stepseam/internal/headsyntax"
 	"stepseam.example/stepseam/internal/operator"
 )
 
@@ -31,10 +33,33 @@
 		addresses: lo.FlatMap(addresses, func(a string, _ int) []string {
 			return lo.Compact(strings.Split(strings.ReplaceAll(a, " ", ""), ","))
 		}),
-		http: &http.Client{Timeout: timeout},
+		http: &http.Client{Timeout: timeout, Transport: newTransport(http.ProxyFromEnvironment)},
 	}
 }
 
+// transport sends requests directly or through a proxy. It checks the heads of direct responses; bytes of a proxy's
+// own protocol may precede others.
+type transport struct {
+	proxy           func(*http.Request) (*url.URL, error)
+	direct, proxied *http.Transport
+}
+
+func newTransport(proxy func(*http.Request) (*url.URL, error)) *transport {
+	return &transport{
+		proxy:   proxy,
+		direct:  &http.Transport{DialContext: headsyntax.Checked((&net.Dialer{}).DialContext)},
+		proxied: &http.Transport{Proxy: proxy},
+	}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if proxy, err := t.proxy(request); err == nil && proxy == nil {
+		return t.direct.RoundTrip(request)
+	}
+	return t.proxied.RoundTrip(request)
+}
+
 // checkAddresses returns a usage failure if no address is given or one is invalid.
 func (c *client) checkAddresses() error {
 	if len(c.addresses) == 0 {
@@ -90,6 +115,9 @@
 // errNotSent is an errNoResponse of a request that was not sent.
 var errNotSent = fmt.Errorf("%w, not connected", errNoResponse)
 
+// errStatus means that the status of a response is not that of an answer.
+var errStatus = errors.New("invalid status")
+
 // responseError wraps a connection error with errNotSent if the dial failed, else with
 // errNoResponse.
 func responseError(address string, err error) error {
@@ -119,6 +147,9 @@
 		return responseError(address, err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode < http.StatusOK {
+		return responseError(address, fmt.Errorf("%w: %03d", errStatus, response.StatusCode))
+	}
 	content, err := io.ReadAll(response.Body)
 	if err != nil {
 		return responseError(address, err)
