--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -456,3 +457,68 @@
 		})
 	}
 }
+
+// cutConn ends, as that of a process that is killed, at the byte that follows a number of bytes read.
+type cutConn struct {
+	net.Conn
+	left int
+	read atomic.Int64
+}
+
+func (c *cutConn) Read(into []byte) (int, error) {
+	if c.left == 0 {
+		// The request has arrived once a byte follows.
+		_, _ = c.Conn.Read(make([]byte, 1))
+		_ = c.Conn.Close()
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(into[:min(len(into), c.left)])
+	c.left -= n
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// TestPartOfAResponseIsNoResponse guards against a response that its caller takes for whole although the node that
+// sent it ended within it, at any byte of two parts and a last message of two frames.
+func TestPartOfAResponseIsNoResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const frame = 64 << 10
+		last := bytes.Repeat([]byte("x"), frame+100)
+		listener := newPipeListener()
+		server := peer.NewTransport(newRegistry(func(_ context.Context, _ peer.Message, sendPart func(peer.Message) error) (peer.Message, error) {
+			for range 2 {
+				if err := sendPart(&blob{[]byte("part")}); err != nil {
+					return nil, err
+				}
+			}
+			return &blob{last}, nil
+		}), peer.Options{})
+		go func() { _ = server.Serve(listener) }()
+		defer server.Close()
+		call := func(bytes int) (read int, answer peer.Message, err error) {
+			var socket *cutConn
+			client := peer.NewTransport(newRegistry(handle), peer.Options{Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+				dialed, err := listener.dial(ctx, to)
+				socket = &cutConn{Conn: dialed, left: bytes}
+				return socket, err
+			}})
+			defer client.Close()
+			answer, err = client.Call(t.Context(), anyAddress, &blob{[]byte("x")}, func(peer.Message) error { return nil })
+			return int(socket.read.Load()), answer, err
+		}
+		whole, answer, err := call(10 * frame)
+		is.NoErr(err)
+		is.Equal(answer.(*blob).data, last)
+		for cut := range whole {
+			if cut > 300 && cut < whole-300 && cut%997 != 0 {
+				continue
+			}
+			if _, _, err := call(cut); err == nil || errors.Is(err, peer.ErrNotSent) {
+				t.Errorf("%d of %d bytes: %v", cut, whole, err)
+			}
+		}
+		_, _, err = call(whole)
+		is.NoErr(err)
+	})
+}
