Exchange: a write that a busy process holds up is waited for

On a busy machine sound answers without a length failed, and connections behind other sound answers were given up.

Cause: the goroutine that writes a request had 5 ms to signal its end once the response was there, and on a busy machine it runs later (9 to 24 ms in three traced cases).

The write is waited for up to 500 ms while the kernel says that the replica has taken all that was written so far: then this process holds up the rest.

--- a/internal/exchange/attribution.go
+++ b/internal/exchange/attribution.go
@@ -13,7 +13,7 @@
 // run, since its connection is closed.
 func (c *Client) needsAttribution(used *connection, request Request, response *http.Response) bool {
 	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return !request.Repeatable && request.Method != http.MethodHead && used.served > 0 && c.names.ReportPath != "" && delimited && !response.Close && used.sending.wait() == nil
+	return !request.Repeatable && request.Method != http.MethodHead && used.served > 0 && c.names.ReportPath != "" && delimited && !response.Close && used.sending.wait(used) == nil
 }
 
 // attribute requests a report behind a response without an ID. A replica answers the requests of a connection
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -25,8 +25,9 @@
 	keepAliveMargin = 700 * time.Millisecond
 	sweepInterval   = time.Second
 	// sentTimeout bounds the wait for the end of the write of a request that has its
-	// response.
-	sentTimeout = 5 * time.Millisecond
+	// response, and heldUpTimeout that for a write which only this process holds up.
+	sentTimeout   = 5 * time.Millisecond
+	heldUpTimeout = 500 * time.Millisecond
 	// maxErrorText bounds the text of an error that quotes a response.
 	maxErrorText = 200
 	// typicalHeadSize is the initial buffer size in bytes for a request's head.
@@ -336,7 +337,7 @@
 
 func (a *Answer) reusable() bool {
 	// The process that answers 421 is not the target.
-	return a.body.ended && !a.response.Close && a.Status != http.StatusMisdirectedRequest && a.connection.reader.Buffered() == 0 && a.sending.wait() == nil
+	return a.body.ended && !a.response.Close && a.Status != http.StatusMisdirectedRequest && a.connection.reader.Buffered() == 0 && a.sending.wait(a.connection) == nil
 }
 
 // keepAliveTTL returns how long an idle connection may be reused, from the timeout
--- a/internal/exchange/presence.go
+++ b/internal/exchange/presence.go
@@ -35,8 +35,8 @@
 // ConfirmEnd returns nil if the end of the body is the replica's own as far as can be known. A process
 // that is killed ends the connection like one that has sent a whole body of FramingConnection, so another
 // connection to the process must be open: an idle one, or else a new one. The replica must have got the whole
-// request, and not have reset the connection. It returns an error within settleTime and presenceTimeout, which
-// wraps ErrReplicaEnded or ErrPresenceUnknown if that is all that is missing.
+// request, and not have reset the connection. It returns an error within settleTime, presenceTimeout and
+// heldUpTimeout, which wraps ErrReplicaEnded or ErrPresenceUnknown if that is all that is missing.
 func (a *Answer) ConfirmEnd(ctx context.Context) error {
 	if a.Framing != FramingConnection {
 		return nil
--- a/internal/exchange/sending.go
+++ b/internal/exchange/sending.go
@@ -39,43 +39,64 @@
 	return made
 }
 
-// wait returns nil if the whole request has been written. The response may arrive before the writing
-// goroutine has signalled its end, so wait waits up to sentTimeout for it.
-func (s *sending) wait() error {
+// wait returns nil if the whole request has been written to its connection. The response may arrive before the
+// writing goroutine has signalled its end, so wait waits up to sentTimeout for it, and up to heldUpTimeout while
+// the replica has taken all that was written so far: this process then holds up the rest, not the replica.
+func (s *sending) wait(on *connection) error {
 	timer := time.NewTimer(sentTimeout)
 	defer timer.Stop()
-	select {
-	case <-s.done:
-		return s.err
-	case <-timer.C:
+	for range int(heldUpTimeout / sentTimeout) {
+		select {
+		case <-s.done:
+			return s.err
+		case <-timer.C:
+		}
 		select {
 		case <-s.done: // this process may have been held up
 			return s.err
 		default:
+		}
+		switch taken, err := on.hasTaken(); {
+		case err != nil:
+			return err
+		case !taken:
 			return errNotSent
 		}
+		timer.Reset(sentTimeout)
 	}
+	return errNotSent
 }
 
 // checkEnd returns nil if a connection whose end was read had taken the whole request by then and was
 // closed, not reset. A replica that has not got all of its request ends by a reset, which may come just
 // behind the close.
 func (a *Answer) checkEnd() error {
-	if err := a.sending.wait(); err != nil {
+	if err := a.sending.wait(a.connection); err != nil {
 		return fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	info, err := a.connection.info()
+	taken, err := a.connection.hasTaken()
 	switch {
 	case err != nil:
 		return err
-	case info.State == tcpClosed:
-		return errResetBehindEnd
-	case info.Unacked > 0 || info.Notsent_bytes > 0:
+	case !taken:
 		return errNotSent
 	}
 	return nil
 }
 
+// hasTaken reports whether the replica has taken all that was written so far. It returns errResetBehindEnd if
+// the connection was reset.
+func (c *connection) hasTaken() (bool, error) {
+	info, err := c.info()
+	switch {
+	case err != nil:
+		return false, err
+	case info.State == tcpClosed:
+		return false, errResetBehindEnd
+	}
+	return info.Unacked == 0 && info.Notsent_bytes == 0, nil
+}
+
 // info returns the kernel's state of the connection.
 func (c *connection) info() (*unix.TCPInfo, error) {
 	raw, err := c.socket.(syscall.Conn).SyscallConn()
