--- a/internal/emulator/link/link_test.go
+++ b/internal/emulator/link/link_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"stepseam.example/stepseam/internal/emulator/sockets"
 )
 
 // arrivalTimeout bounds waits for expected events; silenceWindow is how long a test checks that nothing
@@ -23,21 +25,9 @@
 
 func echoTCP(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", anyPort.String())
+	listener, err := sockets.Accept(func(connection net.Conn) { _, _ = io.Copy(connection, connection) })
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer connection.Close()
-				_, _ = io.Copy(connection, connection)
-			}()
-		}
-	}()
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -479,7 +479,8 @@
 }
 
 // TestPartOfAResponseIsNoResponse guards against a response that its caller takes for whole although the node that
-// sent it ended within it, at any byte of two parts and a last message of two frames.
+// sent it ended within it: at each of the first and last bytes of two parts and a last message of two frames, and at
+// some between.
 func TestPartOfAResponseIsNoResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
